--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable settings of the decisions. */
+package io.burdockpin.core.cfg;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/exc/package-info.java
@@ -0,0 +1,2 @@
+/** Exceptions and error codes. */
+package io.burdockpin.core.exc;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and value types of the domain. */
+package io.burdockpin.core.model;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated state machine and its commands. */
+package io.burdockpin.core.state;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/util/Checks.java
@@ -0,0 +1,63 @@
+package io.burdockpin.core.util;
+
+import java.util.regex.Pattern;
+
+import io.burdockpin.core.exc.InvalidValueException;
+
+/** Argument checks that throw {@link InvalidValueException}. */
+public final class Checks {
+
+	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:-]{0,62}");
+
+	private Checks() {
+	}
+
+	/**
+	 * Checks a name: 1 to 63 letters, digits, dots, underscores, colons or hyphens.
+	 * @param what what the name identifies, for the error message
+	 * @param value the name
+	 * @return the name
+	 */
+	public static String name(String what, String value) {
+		if (value == null || !NAME.matcher(value).matches()) {
+			throw new InvalidValueException("%s name \"%s\" is not 1 to 63 of letters, digits and . _ : -"
+				.formatted(what, abbreviated(value)));
+		}
+		return value;
+	}
+
+	/**
+	 * Checks that a number lies in a range.
+	 * @param what the name of the value, with its unit
+	 * @param value the value
+	 * @param minimum the smallest allowed value
+	 * @param maximum the largest allowed value
+	 * @return the value
+	 */
+	public static long range(String what, long value, long minimum, long maximum) {
+		if (value < minimum || value > maximum) {
+			throw new InvalidValueException("%s is %d, allowed is %d to %d".formatted(what, value, minimum, maximum));
+		}
+		return value;
+	}
+
+	/**
+	 * Checks that an {@code int} lies in a range.
+	 * @param what the name of the value, with its unit
+	 * @param value the value
+	 * @param minimum the smallest allowed value
+	 * @param maximum the largest allowed value
+	 * @return the value
+	 */
+	public static int range(String what, int value, int minimum, int maximum) {
+		return (int) range(what, (long) value, minimum, maximum);
+	}
+
+	private static String abbreviated(String value) {
+		if (value == null || value.length() <= 80) {
+			return value;
+		}
+		return value.substring(0, 80) + "...";
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/util/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers without domain knowledge. */
+package io.burdockpin.core.util;
