Add the shared interfaces: commands, client messages, links, events and settings loading

Cause: the parts are built in parallel and need fixed interfaces first. Ruled out: one message union for all protocols; it would couple the control group to the peer protocol of the entry hosts.

--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/io/FrameCodec.java
@@ -0,0 +1,25 @@
+package io.burdockpin.codec.io;
+
+/**
+ * Turns the messages of one protocol into frames and back. Implementations are immutable.
+ *
+ * @param <M> type of the messages
+ */
+public interface FrameCodec<M> {
+
+	/**
+	 * Encodes a message.
+	 * @param message the message
+	 * @return the frame without its length prefix
+	 */
+	byte[] encode(M message);
+
+	/**
+	 * Decodes a frame.
+	 * @param frame the frame without its length prefix
+	 * @return the message
+	 * @throws io.burdockpin.core.exc.BurdockException if the frame is malformed
+	 */
+	M decode(byte[] frame);
+
+}
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/io/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces that codecs implement. */
+package io.burdockpin.codec.io;
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON codecs. */
+package io.burdockpin.codec.json;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
@@ -0,0 +1,343 @@
+package io.burdockpin.core.client;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.ConfigurationSnapshot;
+import io.burdockpin.core.state.Proposal;
+
+/**
+ * Content of the messages between entry hosts and control members. Requests with a
+ * correlation number get one reply with the same number; a lost connection means that the
+ * reply will not come.
+ */
+public sealed interface ClientMessage {
+
+	/**
+	 * Entry host to member: asks for the configuration feed.
+	 *
+	 * @param dataCentre where the entry host stands
+	 * @param appliedIndex index of the configuration it has, 0 if none
+	 */
+	record Subscribe(DataCentre dataCentre, long appliedIndex) implements ClientMessage {
+
+	}
+
+	/**
+	 * Member to entry host: the whole configuration.
+	 *
+	 * @param configuration the configuration
+	 */
+	record FeedSnapshot(ConfigurationSnapshot configuration) implements ClientMessage {
+
+	}
+
+	/**
+	 * Member to entry host: one committed and accepted configuration change.
+	 *
+	 * @param previousIndex index of the configuration change before this one; a receiver
+	 * with a lower index has missed a change and subscribes again
+	 * @param index log index of the change
+	 * @param proposal the change
+	 */
+	record FeedUpdate(long previousIndex, long index, Proposal proposal) implements ClientMessage {
+
+	}
+
+	/**
+	 * Member to entry host, every second: the member is alive and can or cannot reach a
+	 * majority.
+	 *
+	 * @param configurationIndex index of the newest configuration change it has applied
+	 * @param leader the leader that it follows
+	 * @param majorityReachable whether it heard from a leader within the election timeout
+	 */
+	record FeedHeartbeat(long configurationIndex, Optional<HostName> leader,
+			boolean majorityReachable) implements ClientMessage {
+
+	}
+
+	/**
+	 * Entry host to member: the configuration up to an index is in force.
+	 *
+	 * @param appliedIndex the index
+	 */
+	record FeedAcknowledgement(long appliedIndex) implements ClientMessage {
+
+	}
+
+	/**
+	 * Entry host to leader: proposes a command.
+	 *
+	 * @param correlation number of the request
+	 * @param requestId identifier for resends
+	 * @param expectedVersion version of the object that the proposer has seen
+	 * @param command the change
+	 */
+	record Propose(long correlation, Optional<RequestId> requestId, OptionalLong expectedVersion,
+			Command command) implements ClientMessage {
+
+	}
+
+	/**
+	 * Reply: the command was applied with this result.
+	 *
+	 * @param correlation number of the request
+	 * @param index its log index
+	 * @param result the result
+	 * @param unconfirmed data centres with entry hosts that have not confirmed a
+	 * configuration change
+	 */
+	record ProposeReply(long correlation, long index, CommandResult result,
+			List<DataCentre> unconfirmed) implements ClientMessage {
+
+		public ProposeReply {
+			unconfirmed = List.copyOf(unconfirmed);
+		}
+
+	}
+
+	/**
+	 * Reply: the request was certainly not proposed, because the member is not the leader
+	 * or cannot reach a majority.
+	 *
+	 * @param correlation number of the request
+	 * @param leader the leader if known
+	 */
+	record NotLeader(long correlation, Optional<HostName> leader) implements ClientMessage {
+
+	}
+
+	/**
+	 * Reply: it is unknown whether the command will be applied.
+	 *
+	 * @param correlation number of the request
+	 */
+	record ProposalUnknown(long correlation) implements ClientMessage {
+
+	}
+
+	/**
+	 * Entry host to leader: asks for an index that is at least as new as every change
+	 * acknowledged before.
+	 *
+	 * @param correlation number of the request
+	 */
+	record ReadIndex(long correlation) implements ClientMessage {
+
+	}
+
+	/**
+	 * Reply to {@link ReadIndex}.
+	 *
+	 * @param correlation number of the request
+	 * @param configurationIndex index of the newest configuration change
+	 */
+	record ReadIndexReply(long correlation, long configurationIndex) implements ClientMessage {
+
+	}
+
+	/**
+	 * Entry host to leader: changes the members of the control group, one at a time. The
+	 * reply is a {@link ProposeReply}.
+	 *
+	 * @param correlation number of the request
+	 * @param requestId identifier for resends
+	 * @param kind the kind of change
+	 * @param host the host of the member
+	 * @param incarnation identifies the data folder of the new member
+	 * @param address where the new member listens for other members, {@code ip:port}
+	 */
+	record ChangeMember(long correlation, RequestId requestId, MemberChangeKind kind, HostName host, long incarnation,
+			String address) implements ClientMessage {
+
+	}
+
+	/**
+	 * Entry host to leader: asks for records.
+	 *
+	 * @param correlation number of the request
+	 * @param query what is asked
+	 */
+	record QueryRequest(long correlation, Query query) implements ClientMessage {
+
+	}
+
+	/**
+	 * Reply to {@link QueryRequest}.
+	 *
+	 * @param correlation number of the request
+	 * @param index applied log index of the answering member
+	 * @param current whether the answer is confirmed by a majority
+	 * @param result the records
+	 */
+	record QueryReply(long correlation, long index, boolean current, QueryResult result) implements ClientMessage {
+
+	}
+
+	/**
+	 * Entry host to leader, every second and at once when demand grows: use of tokens.
+	 * Also renews the leased tokens.
+	 *
+	 * @param correlation number of the report; the reply repeats it, and the holder
+	 * counts its leases from the time it sent this report
+	 * @param holder the reporting life
+	 * @param usages one for each team with tokens or demand
+	 */
+	record TokenReport(long correlation, Holder holder, List<TokenUsage> usages) implements ClientMessage {
+
+		public TokenReport {
+			usages = List.copyOf(usages);
+		}
+
+	}
+
+	/**
+	 * Use of one team's tokens.
+	 *
+	 * @param team the team
+	 * @param heldCount tokens the holder counts as its own
+	 * @param inUseCount tokens in use
+	 * @param waitingCount requests that wait for a token
+	 */
+	record TokenUsage(TeamName team, int heldCount, int inUseCount, int waitingCount) {
+
+	}
+
+	/**
+	 * Leader to entry host: the tokens it has, and how many of them it should give back.
+	 *
+	 * @param correlation number of the report it answers
+	 * @param leaseMillis how long the leased tokens stay valid after the report was sent
+	 * @param grants one for each team
+	 */
+	record TokenGrants(long correlation, long leaseMillis, List<TokenGrant> grants) implements ClientMessage {
+
+		public TokenGrants {
+			grants = List.copyOf(grants);
+		}
+
+	}
+
+	/**
+	 * The tokens of one team.
+	 *
+	 * @param team the team
+	 * @param ownedCount tokens owned until returned
+	 * @param leasedCount tokens that lapse
+	 * @param targetCount how many the holder should keep; it reduces its count to this as
+	 * tokens become idle and says so in its next report
+	 */
+	record TokenGrant(TeamName team, int ownedCount, int leasedCount, int targetCount) {
+
+	}
+
+	/**
+	 * Entry host to leader: what its workers reported since the last batch.
+	 *
+	 * @param correlation number of the batch
+	 * @param reports one for each worker heard from
+	 */
+	record WorkerReports(long correlation, List<WorkerReport> reports) implements ClientMessage {
+
+		public WorkerReports {
+			reports = List.copyOf(reports);
+		}
+
+	}
+
+	/**
+	 * What one worker reported.
+	 *
+	 * @param worker the worker
+	 * @param bootId changes when the host reboots
+	 * @param sequence number of the worker's report, repeated in the orders so that the
+	 * worker counts its leases from when it sent that report
+	 * @param usage what its jobs use, with a lag
+	 * @param jobs the jobs it runs or has ended
+	 */
+	record WorkerReport(HostName worker, String bootId, long sequence, Resources usage, List<JobReport> jobs) {
+
+		public WorkerReport {
+			jobs = List.copyOf(jobs);
+		}
+
+	}
+
+	/**
+	 * What a worker says about one job.
+	 *
+	 * @param job the job
+	 * @param leaseEpoch the epoch under which it runs
+	 * @param phase how far it got
+	 * @param usage what it uses
+	 * @param content the result or checkpoint, depending on the phase
+	 */
+	record JobReport(JobId job, long leaseEpoch, JobPhase phase, Resources usage, Payload content) {
+
+	}
+
+	/**
+	 * Leader to entry host: orders for workers.
+	 *
+	 * @param correlation number of the batch it answers
+	 * @param orders one for each worker
+	 */
+	record WorkerOrders(long correlation, List<WorkerOrder> orders) implements ClientMessage {
+
+		public WorkerOrders {
+			orders = List.copyOf(orders);
+		}
+
+	}
+
+	/**
+	 * Orders for one worker.
+	 *
+	 * @param worker the worker
+	 * @param sequence number of the report this answers
+	 * @param leaseMillis how long the renewed leases last from when that report was sent
+	 * @param renewed jobs whose lease is renewed
+	 * @param orders what to do with jobs
+	 */
+	record WorkerOrder(HostName worker, long sequence, long leaseMillis, List<JobId> renewed, List<JobOrder> orders) {
+
+		public WorkerOrder {
+			renewed = List.copyOf(renewed);
+			orders = List.copyOf(orders);
+		}
+
+	}
+
+	/**
+	 * An order about one job.
+	 *
+	 * @param job the job
+	 * @param leaseEpoch the epoch it is valid for
+	 * @param kind what to do
+	 * @param resources the declared size, for a start
+	 * @param runMillis the declared run time, for a start
+	 * @param repeatable whether the job may be started again; only then it stops at the
+	 * end of its lease
+	 * @param content payload for a start; the checkpoint to continue from is in
+	 * {@code checkpoint}
+	 * @param checkpoint where to continue from, or no bytes
+	 * @param throttlePercent processor share that is left to the job, for a throttle
+	 */
+	record JobOrder(JobId job, long leaseEpoch, JobOrderKind kind, Resources resources, long runMillis,
+			boolean repeatable, Payload content, Payload checkpoint, int throttlePercent) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry hosts and control members. */
+package io.burdockpin.core.client;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -0,0 +1,74 @@
+package io.burdockpin.core.event;
+
+/** Fields that an event may carry. */
+public enum EventField {
+
+	/** A host. */
+	HOST("host"),
+
+	/** A data centre. */
+	DATA_CENTRE("dataCentre"),
+
+	/** A pool. */
+	POOL("pool"),
+
+	/** A team. */
+	TEAM("team"),
+
+	/** A queue. */
+	QUEUE("queue"),
+
+	/** A runner. */
+	RUNNER("runner"),
+
+	/** The identifier of a request. */
+	REQUEST("request"),
+
+	/** The number of an attempt. */
+	ATTEMPT("attempt"),
+
+	/** A job. */
+	JOB("job"),
+
+	/** A lease epoch. */
+	LEASE_EPOCH("leaseEpoch"),
+
+	/** A campaign. */
+	CAMPAIGN("campaign"),
+
+	/** An error code. */
+	CODE("code"),
+
+	/** An outcome. */
+	OUTCOME("outcome"),
+
+	/** A state. */
+	STATE("state"),
+
+	/** A log index. */
+	INDEX("index"),
+
+	/** A term. */
+	TERM("term"),
+
+	/** A count. */
+	COUNT("count"),
+
+	/** A short text. */
+	DETAIL("detail");
+
+	private final String jsonName;
+
+	EventField(String jsonName) {
+		this.jsonName = jsonName;
+	}
+
+	/**
+	 * Returns the name in event files.
+	 * @return the name
+	 */
+	public String jsonName() {
+		return this.jsonName;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -0,0 +1,69 @@
+package io.burdockpin.core.event;
+
+/** Kinds of events on the time line. */
+public enum EventKind {
+
+	/** A process has started. */
+	PROCESS_STARTED,
+
+	/** A process begins its graceful stop. */
+	PROCESS_STOPPING,
+
+	/** A member became leader. */
+	LEADER_ELECTED,
+
+	/** A leader stepped down. */
+	LEADER_STEPPED_DOWN,
+
+	/** A member of the control group was added, replaced or removed. */
+	MEMBERS_CHANGED,
+
+	/** A configuration command was applied. */
+	CONFIGURATION_APPLIED,
+
+	/** A key was withdrawn on this process. */
+	KEY_WITHDRAWN,
+
+	/** A request was accepted. */
+	REQUEST_ACCEPTED,
+
+	/** An attempt was sent to a runner. */
+	ATTEMPT_STARTED,
+
+	/** An attempt ended. */
+	ATTEMPT_ENDED,
+
+	/** A request was answered. */
+	REQUEST_ANSWERED,
+
+	/** A runner was attached or came back. */
+	RUNNER_ATTACHED,
+
+	/** A runner left, was lost or was set aside. */
+	RUNNER_REMOVED,
+
+	/** The token counts of a team changed. */
+	TOKENS_CHANGED,
+
+	/** A job was accepted. */
+	JOB_SUBMITTED,
+
+	/** A job was placed on a worker. */
+	JOB_PLACED,
+
+	/** A job was interrupted. */
+	JOB_INTERRUPTED,
+
+	/** A job ended. */
+	JOB_ENDED,
+
+	/** A host changed its state or pool. */
+	HOST_CHANGED,
+
+	/** A campaign changed its state. */
+	CAMPAIGN_CHANGED,
+
+	/** A rule that must always hold was seen broken. */
+	INVARIANT_BROKEN
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/exc/ErrorCode.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/exc/ErrorCode.java
@@ -50,7 +50,9 @@
 	/** The team key has been withdrawn. */
 	KEY_WITHDRAWN(Outcome.NOT_RUN),
 
-	/** The key cannot be checked because the data centre has been cut off for too long. */
+	/**
+	 * The key cannot be checked because the data centre has been cut off for too long.
+	 */
 	KEY_UNVERIFIED(Outcome.NOT_RUN),
 
 	/** The key belongs to another team than the one the request names. */
@@ -77,7 +79,10 @@
 	/** The request has already run; its answer is no longer available. */
 	ALREADY_RAN(Outcome.RAN),
 
-	/** The identifier of a request that is not repeatable is missing or outside the window. */
+	/**
+	 * The identifier of a request that is not repeatable is missing or outside the
+	 * window.
+	 */
 	REQUEST_ID_REJECTED(Outcome.NOT_RUN),
 
 	/** The expected version is not the current one. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/model/Outcome.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/model/Outcome.java
@@ -30,7 +30,8 @@
 	/**
 	 * Tells whether another attempt is safe after this outcome.
 	 * @param repeatable whether the caller marked the request as repeatable
-	 * @return {@code true} if another attempt cannot run the work against the caller's wish
+	 * @return {@code true} if another attempt cannot run the work against the caller's
+	 * wish
 	 */
 	public abstract boolean permitsRetry(boolean repeatable);
 
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRecord.java
@@ -0,0 +1,16 @@
+package io.burdockpin.core.state;
+
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.TeamName;
+
+/**
+ * The tokens of one team that one life of an entry host has.
+ *
+ * @param team the team
+ * @param holder the life of an entry host
+ * @param ownedCount tokens owned until returned
+ * @param leasedCount tokens that lapse when they are not renewed
+ */
+public record TokenRecord(TeamName team, Holder holder, int ownedCount, int leasedCount) {
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/util/Checks.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/util/Checks.java
@@ -20,8 +20,8 @@
 	 */
 	public static String name(String what, String value) {
 		if (value == null || !NAME.matcher(value).matches()) {
-			throw new InvalidValueException("%s name \"%s\" is not 1 to 63 of letters, digits and . _ : -"
-				.formatted(what, abbreviated(value)));
+			throw new InvalidValueException(
+					"%s name \"%s\" is not 1 to 63 of letters, digits and . _ : -".formatted(what, abbreviated(value)));
 		}
 		return value;
 	}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/event/package-info.java
@@ -0,0 +1,2 @@
+/** The event file of a process. */
+package io.burdockpin.runtime.event;
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
@@ -0,0 +1,123 @@
+package io.burdockpin.runtime.link;
+
+import java.net.InetSocketAddress;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.io.FrameCodec;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Owns a listening socket. Each accepted connection becomes a child session.
+ *
+ * @param <M> type of the messages
+ */
+public final class LinkListener<M> extends AbstractBehavior<LinkListener.Command> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final String name;
+
+	private final FrameCodec<M> codec;
+
+	private final LinkSettings settings;
+
+	private final ActorRef<LinkEvent<M>> owner;
+
+	private long acceptedCount;
+
+	private LinkListener(ActorContext<Command> context, String name, InetSocketAddress localAddress,
+			FrameCodec<M> codec, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		super(context);
+		this.name = name;
+		this.codec = codec;
+		this.settings = settings;
+		this.owner = owner;
+		bind(localAddress);
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior of a listener.
+	 * @param <M> type of the messages
+	 * @param name names the listener in events and logs
+	 * @param localAddress the address to bind
+	 * @param codec the protocol
+	 * @param settings the link settings
+	 * @param owner is told what happens on the listener and its sessions
+	 * @return the behavior
+	 */
+	public static <M> Behavior<Command> create(String name, InetSocketAddress localAddress, FrameCodec<M> codec,
+			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		return Behaviors.setup((context) -> new LinkListener<>(context, name, localAddress, codec, settings, owner));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(Accepted.class, this::onAccepted)
+			.onMessage(Bound.class, this::onBound)
+			.onMessage(BindFailed.class, this::onBindFailed)
+			.build();
+	}
+
+	private Behavior<Command> onAccepted(Accepted accepted) {
+		this.acceptedCount++;
+		String sessionName = this.name + "-" + this.acceptedCount;
+		getContext().spawn(
+				LinkSession.create(sessionName, accepted.connection(), this.codec, this.settings, this.owner),
+				sessionName);
+		return this;
+	}
+
+	private Behavior<Command> onBound(Bound bound) {
+		logger.atInfo().log("Listening for %s on %s.", this.name, bound.localAddress());
+		this.owner.tell(new LinkEvent.Bound<>(this.name));
+		return this;
+	}
+
+	private Behavior<Command> onBindFailed(BindFailed failed) {
+		this.owner.tell(new LinkEvent.BindFailed<>(this.name, failed.reason()));
+		return Behaviors.stopped();
+	}
+
+	// helpers
+
+	private void bind(InetSocketAddress localAddress) {
+		ActorRef<Command> self = getContext().getSelf();
+		Tcp.get(getContext().getSystem())
+			.bind(localAddress.getHostString(), localAddress.getPort())
+			.to(Sink.foreach((connection) -> self.tell(new Accepted(connection.flow()))))
+			.run(Materializer.createMaterializer(getContext()))
+			.whenComplete((binding, failure) -> self
+				.tell((failure != null) ? new BindFailed(failure.getMessage()) : new Bound(binding.localAddress())));
+	}
+
+	/** Messages of the listener, all sent by itself. */
+	public sealed interface Command {
+
+	}
+
+	private record Accepted(Flow<ByteString, ByteString, NotUsed> connection) implements Command {
+
+	}
+
+	private record Bound(InetSocketAddress localAddress) implements Command {
+
+	}
+
+	private record BindFailed(String reason) implements Command {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
@@ -0,0 +1,99 @@
+package io.burdockpin.runtime.link;
+
+import java.util.concurrent.CompletionStage;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.io.FrameCodec;
+import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.QueueOfferResult;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Owns one accepted connection until it ends.
+ *
+ * @param <M> type of the messages
+ */
+final class LinkSession<M> extends AbstractBehavior<LinkCommand<M>> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final String name;
+
+	private final FrameCodec<M> codec;
+
+	private final ActorRef<LinkEvent<M>> owner;
+
+	private final BoundedSourceQueue<ByteString> sendQueue;
+
+	private LinkSession(ActorContext<LinkCommand<M>> context, String name,
+			Flow<ByteString, ByteString, NotUsed> connection, FrameCodec<M> codec, LinkSettings settings,
+			ActorRef<LinkEvent<M>> owner) {
+		super(context);
+		this.name = name;
+		this.codec = codec;
+		this.owner = owner;
+		ActorRef<LinkCommand<M>> self = context.getSelf();
+		Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> stream = LinkStream.run(connection, codec, settings,
+				(message) -> self.tell(new LinkCommand.FrameArrived<>(0, message)),
+				Materializer.createMaterializer(context));
+		this.sendQueue = stream.first();
+		stream.second()
+			.whenComplete((done, failure) -> self
+				.tell(new LinkCommand.ConnectionClosed<>(0, (failure != null) ? failure.getMessage() : "ended")));
+		owner.tell(new LinkEvent.Connected<>(name, self));
+	}
+
+	static <M> Behavior<LinkCommand<M>> create(String name, Flow<ByteString, ByteString, NotUsed> connection,
+			FrameCodec<M> codec, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		return Behaviors.setup((context) -> new LinkSession<>(context, name, connection, codec, settings, owner));
+	}
+
+	@Override
+	@SuppressWarnings("unchecked")
+	public Receive<LinkCommand<M>> createReceive() {
+		return newReceiveBuilder().onMessage(LinkCommand.Send.class, (command) -> onSend((LinkCommand.Send<M>) command))
+			.onMessage(LinkCommand.FrameArrived.class,
+					(command) -> onFrameArrived((LinkCommand.FrameArrived<M>) command))
+			.onMessage(LinkCommand.ConnectionClosed.class,
+					(command) -> onConnectionClosed((LinkCommand.ConnectionClosed<M>) command))
+			.onMessage(LinkCommand.Close.class, (command) -> onClose())
+			.build();
+	}
+
+	private Behavior<LinkCommand<M>> onSend(LinkCommand.Send<M> command) {
+		QueueOfferResult result = this.sendQueue
+			.offer(ByteString.fromArrayUnsafe(this.codec.encode(command.message())));
+		if (!result.isEnqueued()) {
+			logger.atFine().log("Dropped a frame to %s: %s.", this.name, result);
+		}
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onFrameArrived(LinkCommand.FrameArrived<M> command) {
+		this.owner.tell(new LinkEvent.Received<>(this.name, getContext().getSelf(), command.message()));
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onConnectionClosed(LinkCommand.ConnectionClosed<M> command) {
+		logger.atFine().log("Session %s ended: %s.", this.name, command.reason());
+		this.owner.tell(new LinkEvent.Disconnected<>(this.name));
+		return Behaviors.stopped();
+	}
+
+	private Behavior<LinkCommand<M>> onClose() {
+		this.sendQueue.complete();
+		return this;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
@@ -0,0 +1,49 @@
+package io.burdockpin.runtime.link;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+import io.burdockpin.codec.io.FrameCodec;
+import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Framing;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Runs the framing of one connection on behalf of the actor that owns it. Stateless.
+ */
+final class LinkStream {
+
+	private LinkStream() {
+	}
+
+	/**
+	 * Runs a connection until it ends.
+	 * @param <M> type of the messages
+	 * @param connection the bytes of the connection
+	 * @param codec the protocol
+	 * @param settings the link settings
+	 * @param onMessage called for each message; must only send it to an actor
+	 * @param materializer runs the stream
+	 * @return the queue of frames to send and a stage that completes at the end
+	 */
+	static <M> Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> run(
+			Flow<ByteString, ByteString, NotUsed> connection, FrameCodec<M> codec, LinkSettings settings,
+			Consumer<M> onMessage, Materializer materializer) {
+		Flow<ByteString, ByteString, NotUsed> framed = Framing.simpleFramingProtocol(settings.maximumFrameBytes())
+			.join(connection);
+		return Source.<ByteString>queue(settings.sendBufferFrames())
+			.via(framed)
+			.map((frame) -> codec.decode(frame.toArrayUnsafe()))
+			.toMat(Sink.foreach(onMessage::accept), Keep.both())
+			.run(materializer);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
@@ -0,0 +1,186 @@
+package io.burdockpin.runtime.link;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.io.FrameCodec;
+import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.QueueOfferResult;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Owns one outgoing connection and opens it again whenever it is lost. Messages are sent
+ * in order while a connection lasts.
+ *
+ * @param <M> type of the messages
+ */
+public final class OutboundLink<M> extends AbstractBehavior<LinkCommand<M>> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final String name;
+
+	private final InetSocketAddress remoteAddress;
+
+	private final FrameCodec<M> codec;
+
+	private final LinkSettings settings;
+
+	private final ActorRef<LinkEvent<M>> owner;
+
+	private final TimerScheduler<LinkCommand<M>> timers;
+
+	private final Materializer materializer;
+
+	private Optional<BoundedSourceQueue<ByteString>> sendQueue = Optional.empty();
+
+	private boolean open;
+
+	private long generation;
+
+	private OutboundLink(ActorContext<LinkCommand<M>> context, TimerScheduler<LinkCommand<M>> timers, String name,
+			InetSocketAddress remoteAddress, FrameCodec<M> codec, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		super(context);
+		this.timers = timers;
+		this.name = name;
+		this.remoteAddress = remoteAddress;
+		this.codec = codec;
+		this.settings = settings;
+		this.owner = owner;
+		this.materializer = Materializer.createMaterializer(context);
+		connect();
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior of a link.
+	 * @param <M> type of the messages
+	 * @param name names the link in events and logs
+	 * @param remoteAddress where to connect
+	 * @param codec the protocol
+	 * @param settings the link settings
+	 * @param owner is told what happens on the link
+	 * @return the behavior
+	 */
+	public static <M> Behavior<LinkCommand<M>> create(String name, InetSocketAddress remoteAddress, FrameCodec<M> codec,
+			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new OutboundLink<>(context, timers, name, remoteAddress, codec, settings, owner)));
+	}
+
+	@Override
+	@SuppressWarnings("unchecked")
+	public Receive<LinkCommand<M>> createReceive() {
+		return newReceiveBuilder().onMessage(LinkCommand.Send.class, (command) -> onSend((LinkCommand.Send<M>) command))
+			.onMessage(LinkCommand.FrameArrived.class,
+					(command) -> onFrameArrived((LinkCommand.FrameArrived<M>) command))
+			.onMessage(LinkCommand.ConnectionOpened.class,
+					(command) -> onConnectionOpened((LinkCommand.ConnectionOpened<M>) command))
+			.onMessage(LinkCommand.ConnectionClosed.class,
+					(command) -> onConnectionClosed((LinkCommand.ConnectionClosed<M>) command))
+			.onMessage(LinkCommand.Reconnect.class, (command) -> onReconnect())
+			.onMessage(LinkCommand.Close.class, (command) -> onClose())
+			.build();
+	}
+
+	private Behavior<LinkCommand<M>> onSend(LinkCommand.Send<M> command) {
+		if (this.open && this.sendQueue.isPresent()) {
+			QueueOfferResult result = this.sendQueue.get()
+				.offer(ByteString.fromArrayUnsafe(this.codec.encode(command.message())));
+			if (!result.isEnqueued()) {
+				logger.atFine().log("Dropped a frame to %s: %s.", this.name, result);
+			}
+		}
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onFrameArrived(LinkCommand.FrameArrived<M> command) {
+		if (command.generation() == this.generation) {
+			this.owner.tell(new LinkEvent.Received<>(this.name, getContext().getSelf(), command.message()));
+		}
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onConnectionOpened(LinkCommand.ConnectionOpened<M> command) {
+		if (command.generation() == this.generation) {
+			this.open = true;
+			logger.atInfo().log("Connected to %s at %s.", this.name, this.remoteAddress);
+			this.owner.tell(new LinkEvent.Connected<>(this.name, getContext().getSelf()));
+		}
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onConnectionClosed(LinkCommand.ConnectionClosed<M> command) {
+		if (command.generation() != this.generation) {
+			return this;
+		}
+		if (this.open) {
+			this.open = false;
+			logger.atInfo().log("Lost the connection to %s: %s.", this.name, command.reason());
+			this.owner.tell(new LinkEvent.Disconnected<>(this.name));
+		}
+		this.sendQueue = Optional.empty();
+		this.timers.startSingleTimer(new LinkCommand.Reconnect<>(), Duration.ofMillis(this.settings.reconnectMillis()));
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onReconnect() {
+		connect();
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onClose() {
+		this.sendQueue.ifPresent(BoundedSourceQueue::complete);
+		return Behaviors.stopped();
+	}
+
+	// helpers
+
+	private void connect() {
+		this.generation++;
+		long current = this.generation;
+		ActorRef<LinkCommand<M>> self = getContext().getSelf();
+		Flow<ByteString, ByteString, NotUsed> connection = Tcp.get(getContext().getSystem())
+			.outgoingConnection(this.remoteAddress, Optional.empty(), List.of(), false,
+					Optional.of(Duration.ofMillis(this.settings.connectTimeoutMillis())), Optional.empty())
+			.mapMaterializedValue((opened) -> {
+				reportOpened(opened, self, current);
+				return NotUsed.getInstance();
+			});
+		Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> stream = LinkStream.run(connection, this.codec,
+				this.settings, (message) -> self.tell(new LinkCommand.FrameArrived<>(current, message)),
+				this.materializer);
+		this.sendQueue = Optional.of(stream.first());
+		stream.second()
+			.whenComplete((done, failure) -> self
+				.tell(new LinkCommand.ConnectionClosed<>(current, (failure != null) ? failure.getMessage() : "ended")));
+	}
+
+	private static <M> void reportOpened(CompletionStage<Tcp.OutgoingConnection> opened, ActorRef<LinkCommand<M>> self,
+			long generation) {
+		opened.whenComplete((connection, failure) -> {
+			if (failure == null) {
+				self.tell(new LinkCommand.ConnectionOpened<>(generation));
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/package-info.java
@@ -0,0 +1,2 @@
+/** Framed TCP links between the system's own processes. */
+package io.burdockpin.runtime.link;
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/log/LogPart.java
@@ -0,0 +1,71 @@
+package io.burdockpin.runtime.log;
+
+import java.util.Arrays;
+
+/** Parts of the programs with their log prefix. The package of the logger decides. */
+public enum LogPart {
+
+	/** The replicated log and state machine. */
+	REPLICA("io.burdockpin.control.replica", "[replica]"),
+
+	/** The planners of the control program. */
+	PLANNER("io.burdockpin.control.planner", "[planner]"),
+
+	/** Other parts of the control program. */
+	CONTROL("io.burdockpin.control", "[control]"),
+
+	/** The request path of the entry program. */
+	ROUTER("io.burdockpin.entry.router", "[router]"),
+
+	/** The configuration feed of the entry program. */
+	FEED("io.burdockpin.entry.control", "[feed]"),
+
+	/** Links between entry hosts. */
+	PEER("io.burdockpin.entry.peer", "[peer]"),
+
+	/** Other parts of the entry program. */
+	ENTRY("io.burdockpin.entry", "[entry]"),
+
+	/** Links between processes. */
+	LINK("io.burdockpin.runtime.link", "[link]"),
+
+	/** Other shared parts. */
+	RUNTIME("io.burdockpin.runtime", "[runtime]"),
+
+	/** Stand-ins and load tools. */
+	TESTBENCH("io.burdockpin.testbench", "[testbench]"),
+
+	/** Libraries. */
+	LIBRARY("", "[library]");
+
+	private final String packagePrefix;
+
+	private final String prefix;
+
+	LogPart(String packagePrefix, String prefix) {
+		this.packagePrefix = packagePrefix;
+		this.prefix = prefix;
+	}
+
+	/**
+	 * Finds the part that a logger belongs to.
+	 * @param loggerName the logger, usually a class name
+	 * @return the first part whose package holds the logger
+	 */
+	public static LogPart ofLogger(String loggerName) {
+		String name = (loggerName != null) ? loggerName : "";
+		return Arrays.stream(values())
+			.filter((part) -> name.startsWith(part.packagePrefix))
+			.findFirst()
+			.orElse(LIBRARY);
+	}
+
+	/**
+	 * Returns the prefix of log lines.
+	 * @return the prefix in square brackets
+	 */
+	public String prefix() {
+		return this.prefix;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logging set-up. */
+package io.burdockpin.runtime.log;
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -0,0 +1,180 @@
+package io.burdockpin.runtime.service;
+
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.google.common.flogger.FluentLogger;
+import com.typesafe.config.ConfigFactory;
+import io.burdockpin.core.exc.BurdockException;
+import io.burdockpin.runtime.log.LogSetup;
+import io.burdockpin.runtime.settings.SettingsException;
+import io.burdockpin.runtime.settings.SettingsLoader;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+
+/**
+ * Base of the long-running programs: command line, settings, actor system and graceful
+ * stop on SIGTERM. Used by one thread, the main thread.
+ *
+ * @param <S> type of the settings
+ */
+public abstract class ProgramBase<S> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Longest request plus the balancer's grace, with a margin. */
+	private static final long STOP_TIMEOUT_SECONDS = 75;
+
+	private final String programName;
+
+	private final Class<S> settingsType;
+
+	private final SettingsLoader settingsLoader;
+
+	/**
+	 * Creates a program.
+	 * @param programName the name on the command line
+	 * @param settingsType the type the settings file is bound to
+	 * @param settingsLoader reads settings files
+	 */
+	protected ProgramBase(String programName, Class<S> settingsType, SettingsLoader settingsLoader) {
+		this.programName = programName;
+		this.settingsType = settingsType;
+		this.settingsLoader = settingsLoader;
+	}
+
+	// life cycle
+
+	/**
+	 * Runs the program until it ends.
+	 * @param args the command line
+	 * @return the exit status
+	 */
+	public final ExitStatus run(String[] args) {
+		ArgumentParser parser = createParser();
+		try {
+			Namespace arguments = parser.parseArgs(args);
+			return runWith(arguments);
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			return ExitStatus.USAGE;
+		}
+		catch (SettingsException ex) {
+			printError(ex);
+			return ExitStatus.BAD_SETTINGS;
+		}
+		catch (StartException ex) {
+			printError(ex);
+			return ex.getExitStatus();
+		}
+	}
+
+	/**
+	 * Creates the behavior of the root guardian. The guardian completes {@code exit} when
+	 * it stops for a reason of its own, for example with
+	 * {@link ExitStatus#ADDRESS_UNAVAILABLE}.
+	 * @param settings the checked settings
+	 * @param exit the exit status of the program
+	 * @return the behavior
+	 */
+	protected abstract Behavior<GuardianCommand> createGuardian(S settings, CompletableFuture<ExitStatus> exit);
+
+	/**
+	 * Adds arguments of the program.
+	 * @param parser the parser to extend
+	 */
+	protected void addArguments(ArgumentParser parser) {
+	}
+
+	/**
+	 * Carries out a one-time action instead of starting, if the command line asks for
+	 * one.
+	 * @param arguments the parsed command line
+	 * @param settings the checked settings
+	 * @return {@code true} if the program is to end with success
+	 */
+	protected boolean runInstead(Namespace arguments, S settings) {
+		return false;
+	}
+
+	// helpers
+
+	private ArgumentParser createParser() {
+		ArgumentParser parser = ArgumentParsers.newFor(this.programName).build().defaultHelp(true);
+		parser.version(this.programName + " " + programVersion());
+		parser.addArgument("--version").action(Arguments.version());
+		parser.addArgument("--settings").metavar("FILE").help("settings file, JSON with comments");
+		parser.addArgument("--check-settings")
+			.dest("checkSettings")
+			.metavar("FILE")
+			.help("check a settings file, print what is in force and end");
+		addArguments(parser);
+		return parser;
+	}
+
+	private ExitStatus runWith(Namespace arguments) {
+		String checkedFile = arguments.getString("checkSettings");
+		if (checkedFile != null) {
+			S settings = this.settingsLoader.load(Path.of(checkedFile), this.settingsType);
+			System.out.println(this.settingsLoader.print(settings));
+			return ExitStatus.SUCCESS;
+		}
+		String file = arguments.getString("settings");
+		if (file == null) {
+			System.err.println(this.programName + ": --settings FILE is required");
+			return ExitStatus.USAGE;
+		}
+		S settings = this.settingsLoader.load(Path.of(file), this.settingsType);
+		if (runInstead(arguments, settings)) {
+			return ExitStatus.SUCCESS;
+		}
+		return runSystem(settings);
+	}
+
+	private ExitStatus runSystem(S settings) {
+		LogSetup.install();
+		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
+		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(settings, exit), "burdockpin",
+				ConfigFactory.load());
+		Thread stopHook = new Thread(() -> stopGracefully(system), "stop-hook");
+		Runtime.getRuntime().addShutdownHook(stopHook);
+		logger.atInfo().log("Started %s.", this.programName);
+		system.getWhenTerminated().toCompletableFuture().join();
+		return exit.getNow(ExitStatus.SUCCESS);
+	}
+
+	private void stopGracefully(ActorSystem<GuardianCommand> system) {
+		system.tell(GuardianCommand.Stop.INSTANCE);
+		try {
+			system.getWhenTerminated().toCompletableFuture().get(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (TimeoutException ex) {
+			logger.atWarning().log("Work in flight did not end within %d s.", STOP_TIMEOUT_SECONDS);
+			Runtime.getRuntime().halt(ExitStatus.STOP_TIMED_OUT.status());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (java.util.concurrent.ExecutionException ex) {
+			logger.atWarning().withCause(ex).log("The actor system ended with an error.");
+		}
+	}
+
+	private void printError(BurdockException ex) {
+		System.err.println(this.programName + ": " + ex.getCode() + ": " + ex.getMessage());
+	}
+
+	private String programVersion() {
+		String version = getClass().getPackage().getImplementationVersion();
+		return (version != null) ? version : "development";
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/StartException.java
@@ -0,0 +1,31 @@
+package io.burdockpin.runtime.service;
+
+import io.burdockpin.core.exc.BurdockException;
+import io.burdockpin.core.exc.ErrorCode;
+
+/** A program or service could not start. */
+public class StartException extends BurdockException {
+
+	private final ExitStatus exitStatus;
+
+	/**
+	 * Creates an exception.
+	 * @param exitStatus the status the program ends with
+	 * @param code the error code
+	 * @param message what failed
+	 * @param cause the error of the layer below, or {@code null}
+	 */
+	public StartException(ExitStatus exitStatus, ErrorCode code, String message, Throwable cause) {
+		super(code, message, cause);
+		this.exitStatus = exitStatus;
+	}
+
+	/**
+	 * Returns the status the program ends with.
+	 * @return the exit status
+	 */
+	public ExitStatus getExitStatus() {
+		return this.exitStatus;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/package-info.java
@@ -0,0 +1,2 @@
+/** Services, program start-up and graceful stop. */
+package io.burdockpin.runtime.service;
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/settings/SettingsException.java
@@ -0,0 +1,18 @@
+package io.burdockpin.runtime.settings;
+
+import io.burdockpin.core.exc.BurdockException;
+import io.burdockpin.core.exc.ErrorCode;
+
+/** A settings file cannot be read or holds a wrong value. */
+public class SettingsException extends BurdockException {
+
+	/**
+	 * Creates an exception with code {@link ErrorCode#BAD_SETTINGS}.
+	 * @param message file, line, name and reason
+	 * @param cause the error of the layer below, or {@code null}
+	 */
+	public SettingsException(String message, Throwable cause) {
+		super(ErrorCode.BAD_SETTINGS, message, cause);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Loading and checking of settings files. */
+package io.burdockpin.runtime.settings;
