Add the signatures of the state machine and its codecs

Ruled out: waiting for the full state machine; the signatures do not depend on it.

Conclusion: replica, planners and entry program can compile against these types.

--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/io/ProposalCodec.java
@@ -0,0 +1,26 @@
+package io.burdockpin.codec.io;
+
+import io.burdockpin.core.state.Proposal;
+
+/**
+ * Turns the content of log entries into bytes and back. Implementations are immutable.
+ */
+public interface ProposalCodec {
+
+	/**
+	 * Encodes a proposal.
+	 * @param proposal the proposal
+	 * @return the payload of a log entry
+	 */
+	byte[] encode(Proposal proposal);
+
+	/**
+	 * Decodes a proposal.
+	 * @param bytes the payload of a log entry
+	 * @return the proposal
+	 * @throws io.burdockpin.core.exc.BurdockException with code {@code DECODE_FAILED} if
+	 * the bytes are malformed
+	 */
+	Proposal decode(byte[] bytes);
+
+}
