Add the Thrift codecs of the state and of the client messages

Ruled out: one handwritten mapper for each of the 80 message types; a forgotten field would only show at run time.

Change: state.thrift and client.thrift with the generated code, mappings that pair core records with Thrift structs by name when a codec is created, ThriftCodecBase for further protocols, CodecException. libthrift needs an SLF4J binding at run time, so the codec module brings slf4j-jdk14. The skip depth of unknown fields is bounded, because the default overflows the stack.

Conclusion: a new command, message or component without Thrift counterpart makes the codec's constructor fail.

--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/exc/package-info.java
@@ -0,0 +1,2 @@
+/** Exceptions of the codec layer. */
+package io.burdockpin.codec.exc;
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/MappingFactory.java
@@ -0,0 +1,128 @@
+package io.burdockpin.codec.thrift.impl;
+
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import io.burdockpin.codec.exc.CodecException;
+import io.burdockpin.core.model.Payload;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TFieldIdEnum;
+import org.apache.thrift.meta_data.EnumMetaData;
+import org.apache.thrift.meta_data.FieldValueMetaData;
+import org.apache.thrift.meta_data.ListMetaData;
+import org.apache.thrift.meta_data.StructMetaData;
+
+/**
+ * Pairs core types with generated Thrift types by name. A component, constant or
+ * permitted type without counterpart makes the construction of a codec fail, so a new
+ * type cannot be forgotten. Mutable while mappings are built, then discarded.
+ */
+final class MappingFactory {
+
+	private final Map<Class<?>, ValueMapping> known = new HashMap<>();
+
+	ValueMapping struct(Class<?> coreType, Class<? extends TBase<?, ?>> thriftType) {
+		ValueMapping mapping = this.known.get(coreType);
+		if (mapping == null) {
+			ThriftType<?> thrift = new ThriftType<>(thriftType);
+			mapping = coreType.isSealed() ? union(coreType, thrift) : record(coreType, thrift);
+			this.known.put(coreType, mapping);
+		}
+		return mapping;
+	}
+
+	private ValueMapping record(Class<?> coreType, ThriftType<?> thrift) {
+		RecordAccess access = new RecordAccess(coreType);
+		List<ComponentMapping> components = new ArrayList<>();
+		for (RecordComponent component : access.components()) {
+			components.add(component(component, thrift));
+		}
+		checkFieldCount(coreType, thrift, components.size());
+		return new RecordMapping(access, thrift, components);
+	}
+
+	private ComponentMapping component(RecordComponent component, ThriftType<?> thrift) {
+		String name = component.getName();
+		TFieldIdEnum field = field(thrift, name);
+		Presence presence = Presence.of(component.getType());
+		Type valueType = (presence != Presence.OPTIONAL) ? component.getGenericType()
+				: argument(component.getGenericType());
+		return new ComponentMapping(component.getAccessor(), presence, value(valueType, thrift.value(name)), field);
+	}
+
+	private ValueMapping union(Class<?> coreType, ThriftType<?> thrift) {
+		Map<Class<?>, ValueMapping> mappings = new HashMap<>();
+		Map<Class<?>, TFieldIdEnum> fields = new HashMap<>();
+		Map<TFieldIdEnum, ValueMapping> fieldMappings = new HashMap<>();
+		for (Class<?> alternative : coreType.getPermittedSubclasses()) {
+			String name = fieldName(alternative);
+			ValueMapping mapping = value(alternative, thrift.value(name));
+			mappings.put(alternative, mapping);
+			fields.put(alternative, field(thrift, name));
+			fieldMappings.put(field(thrift, name), mapping);
+		}
+		checkFieldCount(coreType, thrift, fields.size());
+		return new UnionMapping(thrift, mappings, fields, fieldMappings);
+	}
+
+	private ValueMapping value(Type coreType, FieldValueMetaData thrift) {
+		if (coreType instanceof ParameterizedType list) {
+			return new ListMapping(value(argument(list), ((ListMetaData) thrift).elemMetaData));
+		}
+		Class<?> type = (Class<?>) coreType;
+		if (thrift instanceof EnumMetaData metaData) {
+			return new EnumMapping(type, metaData.enumClass);
+		}
+		if (thrift instanceof StructMetaData metaData) {
+			return struct(type, structClass(metaData));
+		}
+		return scalar(type);
+	}
+
+	private ValueMapping scalar(Class<?> type) {
+		if (type == Payload.class) {
+			return new PayloadMapping();
+		}
+		if (NameMapping.supports(type)) {
+			return new NameMapping(type);
+		}
+		if (type.isPrimitive() || type == String.class || type == OptionalLong.class) {
+			return new IdentityMapping();
+		}
+		throw CodecException.unsupported("type %s has no Thrift counterpart".formatted(type.getSimpleName()), null);
+	}
+
+	private static TFieldIdEnum field(ThriftType<?> thrift, String name) {
+		return thrift.field(name)
+			.orElseThrow(() -> CodecException
+				.unsupported("Thrift type %s has no field %s".formatted(thrift.name(), name), null));
+	}
+
+	private static void checkFieldCount(Class<?> coreType, ThriftType<?> thrift, int count) {
+		if (thrift.fieldCount() != count) {
+			throw CodecException.unsupported("Thrift type %s has %d fields, type %s has %d".formatted(thrift.name(),
+					thrift.fieldCount(), coreType.getSimpleName(), count), null);
+		}
+	}
+
+	private static Type argument(Type type) {
+		return ((ParameterizedType) type).getActualTypeArguments()[0];
+	}
+
+	private static String fieldName(Class<?> alternative) {
+		String name = alternative.getSimpleName();
+		return Character.toLowerCase(name.charAt(0)) + name.substring(1);
+	}
+
+	@SuppressWarnings("unchecked")
+	private static Class<? extends TBase<?, ?>> structClass(StructMetaData metaData) {
+		return (Class<? extends TBase<?, ?>>) (Class<?>) metaData.structClass;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/ThriftCodecBase.java
@@ -0,0 +1,101 @@
+package io.burdockpin.codec.thrift.impl;
+
+import io.burdockpin.codec.exc.CodecException;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.protocol.TProtocolUtil;
+import org.apache.thrift.transport.TMemoryInputTransport;
+
+/**
+ * Base of the codecs that write one Thrift struct in the compact protocol. The struct and
+ * the core type are paired by name when the codec is created. Immutable.
+ *
+ * @param <M> the core type
+ * @param <T> the generated struct
+ */
+public abstract class ThriftCodecBase<M, T extends TBase<?, ?>> {
+
+	/**
+	 * Deepest nesting of unknown fields. The default is unbounded and overflows the stack
+	 * on hostile bytes.
+	 */
+	private static final int MAX_SKIP_DEPTH = 32;
+
+	static {
+		TProtocolUtil.setMaxSkipDepth(MAX_SKIP_DEPTH);
+	}
+
+	private final Class<M> coreType;
+
+	private final ThriftType<T> thriftType;
+
+	private final ValueMapping mapping;
+
+	/**
+	 * Creates a codec.
+	 * @param coreType the core type
+	 * @param thriftType the generated struct with the same field names
+	 * @throws CodecException with code {@code INTERNAL} if the types do not match
+	 */
+	protected ThriftCodecBase(Class<M> coreType, Class<T> thriftType) {
+		this.coreType = coreType;
+		this.thriftType = new ThriftType<>(thriftType);
+		this.mapping = new MappingFactory().struct(coreType, thriftType);
+	}
+
+	/**
+	 * Encodes a value.
+	 * @param value the value
+	 * @return its bytes
+	 */
+	public byte[] encode(M value) {
+		TBase<?, ?> struct = (TBase<?, ?>) this.mapping.toThrift(value);
+		try {
+			return new TSerializer(new TCompactProtocol.Factory()).serialize(struct);
+		}
+		catch (TException ex) {
+			throw CodecException.unsupported("%s cannot be encoded".formatted(this.coreType.getSimpleName()), ex);
+		}
+	}
+
+	/**
+	 * Decodes a value.
+	 * @param bytes the bytes of exactly one value
+	 * @return the value
+	 * @throws CodecException with code {@code DECODE_FAILED} if the bytes are malformed
+	 */
+	public M decode(byte[] bytes) {
+		try {
+			return this.coreType.cast(this.mapping.toCore(read(bytes)));
+		}
+		catch (CodecException ex) {
+			throw ex;
+		}
+		catch (TException | RuntimeException ex) {
+			throw CodecException.malformed("%s cannot be decoded".formatted(this.coreType.getSimpleName()), ex);
+		}
+	}
+
+	private TBase<?, ?> read(byte[] bytes) throws TException {
+		TMemoryInputTransport transport = new TMemoryInputTransport(limits(bytes.length), bytes);
+		TProtocol protocol = new TCompactProtocol(transport);
+		TBase<?, ?> struct = this.thriftType.create();
+		struct.read(protocol);
+		if (transport.getBytesRemainingInBuffer() != 0) {
+			throw CodecException.malformed("%d bytes follow the end of %s"
+				.formatted(transport.getBytesRemainingInBuffer(), this.coreType.getSimpleName()), null);
+		}
+		return struct;
+	}
+
+	// Bounds collection sizes by the number of bytes that are there.
+	private static TConfiguration limits(int lengthBytes) {
+		int boundBytes = Math.max(1, lengthBytes);
+		return new TConfiguration(boundBytes, boundBytes, MAX_SKIP_DEPTH);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/ThriftProposalCodec.java
@@ -0,0 +1,14 @@
+package io.burdockpin.codec.thrift.impl;
+
+import io.burdockpin.codec.io.ProposalCodec;
+import io.burdockpin.core.state.Proposal;
+
+/** Writes log entries as Thrift structs. Immutable. */
+public final class ThriftProposalCodec extends
+		ThriftCodecBase<Proposal, io.burdockpin.codec.thrift.generated.state.Proposal> implements ProposalCodec {
+
+	public ThriftProposalCodec() {
+		super(Proposal.class, io.burdockpin.codec.thrift.generated.state.Proposal.class);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/package-info.java
@@ -0,0 +1,2 @@
+/** Codecs between core types and Thrift bytes. */
+package io.burdockpin.codec.thrift.impl;
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift encodings; generated classes are below {@code generated}. */
+package io.burdockpin.codec.thrift;
