--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/MappingFactory.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/MappingFactory.java
@@ -30,7 +30,7 @@
 	ValueMapping struct(Class<?> coreType, Class<? extends TBase<?, ?>> thriftType) {
 		ValueMapping mapping = this.known.get(coreType);
 		if (mapping == null) {
-			ThriftType<?> thrift = new ThriftType<>(thriftType);
+			ThriftType<?> thrift = ThriftType.of(thriftType);
 			mapping = coreType.isSealed() ? union(coreType, thrift) : record(coreType, thrift);
 			this.known.put(coreType, mapping);
 		}
--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/ThriftCodecBase.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/ThriftCodecBase.java
@@ -2,12 +2,9 @@
 
 import io.burdockpin.codec.exc.CodecException;
 import org.apache.thrift.TBase;
-import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
-import org.apache.thrift.protocol.TProtocol;
-import org.apache.thrift.protocol.TProtocolUtil;
 import org.apache.thrift.transport.TMemoryInputTransport;
 
 /**
@@ -19,16 +16,6 @@
  */
 public abstract class ThriftCodecBase<M, T extends TBase<?, ?>> {
 
-	/**
-	 * Deepest nesting of unknown fields. The default is unbounded and overflows the stack
-	 * on hostile bytes.
-	 */
-	private static final int MAX_SKIP_DEPTH = 32;
-
-	static {
-		TProtocolUtil.setMaxSkipDepth(MAX_SKIP_DEPTH);
-	}
-
 	private final Class<M> coreType;
 
 	private final ThriftType<T> thriftType;
@@ -81,21 +68,11 @@
 	}
 
 	private TBase<?, ?> read(byte[] bytes) throws TException {
-		TMemoryInputTransport transport = new TMemoryInputTransport(limits(bytes.length), bytes);
-		TProtocol protocol = new TCompactProtocol(transport);
+		TMemoryInputTransport transport = ThriftInput.open(bytes);
 		TBase<?, ?> struct = this.thriftType.create();
-		struct.read(protocol);
-		if (transport.getBytesRemainingInBuffer() != 0) {
-			throw CodecException.malformed("%d bytes follow the end of %s"
-				.formatted(transport.getBytesRemainingInBuffer(), this.coreType.getSimpleName()), null);
-		}
+		struct.read(new TCompactProtocol(transport));
+		ThriftInput.checkEnd(transport, this.coreType.getSimpleName());
 		return struct;
 	}
 
-	// Bounds collection sizes by the number of bytes that are there.
-	private static TConfiguration limits(int lengthBytes) {
-		int boundBytes = Math.max(1, lengthBytes);
-		return new TConfiguration(boundBytes, boundBytes, MAX_SKIP_DEPTH);
-	}
-
 }
--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/ThriftType.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/thrift/impl/ThriftType.java
@@ -35,6 +35,10 @@
 		});
 	}
 
+	static ThriftType<?> of(Class<? extends TBase<?, ?>> type) {
+		return new ThriftType<>(type);
+	}
+
 	String name() {
 		return this.type.getSimpleName();
 	}
