Add the query for one claim

Cause: an entry host that gets ALREADY_RAN for a claim needs the kept answer, and no query returned claims.

Ruled out: the answer in the rejected command result; it would be written to the message of an error.

Change: Query.ShowClaim and QueryResult.Claims with their Thrift structs.

Conclusion: QueryAnswers of the control program has to answer ShowClaim with FleetState.claim.

--- a/burdockpin-codec/src/main/thrift/client.thrift
+++ b/burdockpin-codec/src/main/thrift/client.thrift
@@ -175,6 +175,14 @@
   1: string job,
 }
 
+/** The claim on a request that is not repeatable, with its kept answer. */
+struct ShowClaim {
+  /** the team, or the reserved team of open queues */
+  1: string team,
+  /** the caller's identifier */
+  2: string requestId,
+}
+
 /** What can be asked of a control member. */
 union Query {
   1: ListJobs listJobs,
@@ -184,6 +192,7 @@
   5: ListMembers listMembers,
   6: ShowConfiguration showConfiguration,
   7: ExplainJob explainJob,
+  8: ShowClaim showClaim,
 }
 
 /** Entry host to leader: asks for records. */
@@ -248,6 +257,12 @@
   1: list<string> lines,
 }
 
+/** Claims; empty when the claim that was asked for does not exist. */
+struct Claims {
+  /** the claims */
+  1: list<state.ClaimRecord> claims,
+}
+
 /** Answers to queries. */
 union QueryResult {
   1: Jobs jobs,
@@ -256,6 +271,7 @@
   4: Members members,
   5: ConfigurationResult configurationResult,
   6: Explanation explanation,
+  7: Claims claims,
 }
 
 /** Reply to QueryRequest. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/Query.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/Query.java
@@ -1,6 +1,8 @@
 package io.burdockpin.core.client;
 
 import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.model.TeamName;
 
 /** What can be asked of a control member. */
 public sealed interface Query {
@@ -48,4 +50,14 @@
 
 	}
 
+	/**
+	 * The claim on a request that is not repeatable, with its kept answer.
+	 *
+	 * @param team the team, or the reserved team of open queues
+	 * @param requestId the caller's identifier
+	 */
+	record ShowClaim(TeamName team, RequestId requestId) implements Query {
+
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/QueryResult.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/QueryResult.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.ClaimRecord;
 import io.burdockpin.core.state.ConfigurationSnapshot;
 import io.burdockpin.core.state.HolderRecord;
 import io.burdockpin.core.state.JobRecord;
@@ -87,4 +88,17 @@
 
 	}
 
+	/**
+	 * Claims; empty when the claim that was asked for does not exist.
+	 *
+	 * @param claims the claims
+	 */
+	record Claims(List<ClaimRecord> claims) implements QueryResult {
+
+		public Claims {
+			claims = List.copyOf(claims);
+		}
+
+	}
+
 }
