--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.burdockpin.core.model.CampaignName;
 import io.burdockpin.core.model.CampaignSpec;
 import io.burdockpin.core.model.HostName;
 
@@ -24,4 +25,34 @@
 		hostsDone = List.copyOf(hostsDone);
 	}
 
+	/**
+	 * Returns the name.
+	 * @return the name of the campaign
+	 */
+	public CampaignName name() {
+		return this.spec.name();
+	}
+
+	/**
+	 * Returns a copy with other host lists.
+	 * @param newHostsOut the hosts that the current wave has taken out
+	 * @param newHostsDone the hosts that have been maintained
+	 * @param newVersion the new version
+	 * @return the copy
+	 */
+	public CampaignRecord withHosts(List<DrainRecord> newHostsOut, List<HostName> newHostsDone, long newVersion) {
+		return new CampaignRecord(this.spec, this.state, this.wave, newHostsOut, newHostsDone, this.reason, newVersion);
+	}
+
+	/**
+	 * Returns a copy in another state.
+	 * @param newState the state
+	 * @param newReason why it is paused, or an empty string
+	 * @param newVersion the new version
+	 * @return the copy
+	 */
+	public CampaignRecord withState(CampaignState newState, String newReason, long newVersion) {
+		return new CampaignRecord(this.spec, newState, this.wave, this.hostsOut, this.hostsDone, newReason, newVersion);
+	}
+
 }
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
@@ -0,0 +1,149 @@
+package io.burdockpin.core.state;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.CampaignName;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+
+/**
+ * Rules for maintenance campaigns and drains. Shares the tables with the other rules of
+ * the state machine.
+ */
+final class CampaignRules {
+
+	private static final int MAX_REASON_LENGTH = 500;
+
+	private final FleetTables tables;
+
+	private final DrainCheck drainCheck;
+
+	CampaignRules(FleetTables tables, DrainCheck drainCheck) {
+		this.tables = tables;
+		this.drainCheck = drainCheck;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(MaintenanceCommand.StartCampaign.class, this::start);
+		handlers.on(MaintenanceCommand.PauseCampaign.class, this::pause);
+		handlers.on(MaintenanceCommand.ResumeCampaign.class, this::resume);
+		handlers.on(MaintenanceCommand.CancelCampaign.class, this::cancel);
+		handlers.on(MaintenanceCommand.StartDrain.class, this::startDrain);
+		handlers.on(MaintenanceCommand.CompleteHost.class, this::completeHost);
+		handlers.on(MaintenanceCommand.CompleteCampaign.class, this::complete);
+	}
+
+	private CommandResult start(MaintenanceCommand.StartCampaign command, Change change) {
+		CampaignName name = command.campaign().name();
+		boolean ended = this.tables.campaigns.find(name).filter((campaign) -> campaign.state().ended()).isPresent();
+		if (!ended) {
+			this.tables.campaigns.requireFree(name, change);
+		}
+		command.campaign().pools().forEach(this.tables.pools::require);
+		this.tables.campaigns.put(new CampaignRecord(command.campaign(), CampaignState.RUNNING, 0, List.of(), List.of(),
+				"", change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult pause(MaintenanceCommand.PauseCampaign command, Change change) {
+		CampaignRecord campaign = require(command.campaign(), CampaignState.RUNNING, change);
+		String reason = command.reason().substring(0, Math.min(command.reason().length(), MAX_REASON_LENGTH));
+		this.tables.campaigns.put(campaign.withState(CampaignState.PAUSED, reason, change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult resume(MaintenanceCommand.ResumeCampaign command, Change change) {
+		CampaignRecord campaign = require(command.campaign(), CampaignState.PAUSED, change);
+		this.tables.campaigns.put(campaign.withState(CampaignState.RUNNING, "", change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult cancel(MaintenanceCommand.CancelCampaign command, Change change) {
+		CampaignRecord campaign = this.tables.campaigns.require(command.campaign(), change);
+		CommandRejectedException.rejectIf(campaign.state().ended(), ErrorCode.STATE_CONFLICT, "campaign %s is %s",
+				campaign.name(), campaign.state());
+		List<DrainRecord> stillOut = new ArrayList<>();
+		campaign.hostsOut().forEach((drain) -> endDrain(drain, stillOut, change));
+		CampaignRecord cancelled = campaign.withState(CampaignState.CANCELLED, "", change.index());
+		this.tables.campaigns.put(cancelled.withHosts(stillOut, campaign.hostsDone(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult startDrain(MaintenanceCommand.StartDrain command, Change change) {
+		CampaignRecord campaign = require(command.campaign(), CampaignState.RUNNING, change);
+		HostRecord host = this.tables.hosts.require(command.host());
+		checkDrain(campaign, host, command);
+		this.drainCheck.check(host);
+		this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), HostState.DRAINING, change.index()));
+		List<DrainRecord> out = new ArrayList<>(campaign.hostsOut());
+		out.add(new DrainRecord(host.name(), command.drainDeadlineMillis()));
+		this.tables.campaigns.put(new CampaignRecord(campaign.spec(), campaign.state(), command.wave(), out,
+				campaign.hostsDone(), campaign.reason(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult completeHost(MaintenanceCommand.CompleteHost command, Change change) {
+		CampaignRecord campaign = this.tables.campaigns.require(command.campaign(), change);
+		HostRecord host = this.tables.hosts.require(command.host());
+		CommandRejectedException.rejectIf(!CampaignHosts.isOutFor(campaign, host.name()), ErrorCode.STATE_CONFLICT,
+				"host %s is not out for campaign %s", host.name(), campaign.name());
+		boolean returned = host.state() == HostState.RETURNING || host.state() == HostState.IN_SERVICE;
+		CommandRejectedException.rejectIf(!returned, ErrorCode.STATE_CONFLICT, "host %s is %s", host.name(),
+				host.state());
+		List<HostName> done = new ArrayList<>(campaign.hostsDone());
+		done.add(host.name());
+		this.tables.campaigns
+			.put(campaign.withHosts(CampaignHosts.without(campaign.hostsOut(), host.name()), done, change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult complete(MaintenanceCommand.CompleteCampaign command, Change change) {
+		CampaignRecord campaign = require(command.campaign(), CampaignState.RUNNING, change);
+		boolean open = !campaign.hostsOut().isEmpty()
+				|| this.tables.hosts.stream().anyMatch((host) -> needsMaintenance(campaign, host));
+		CommandRejectedException.rejectIf(open, ErrorCode.STATE_CONFLICT,
+				"campaign %s has hosts that have not been maintained", campaign.name());
+		this.tables.campaigns.put(campaign.withState(CampaignState.COMPLETED, "", change.index()));
+		return change.accepted();
+	}
+
+	private CampaignRecord require(CampaignName name, CampaignState state, Change change) {
+		CampaignRecord campaign = this.tables.campaigns.require(name, change);
+		CommandRejectedException.rejectIf(campaign.state() != state, ErrorCode.STATE_CONFLICT,
+				"campaign %s is %s, not %s", name, campaign.state(), state);
+		return campaign;
+	}
+
+	private void checkDrain(CampaignRecord campaign, HostRecord host, MaintenanceCommand.StartDrain command) {
+		CommandRejectedException.rejectIf(!campaign.spec().pools().contains(host.pool()), ErrorCode.STATE_CONFLICT,
+				"host %s is in pool %s, which is not part of the campaign", host.name(), host.pool());
+		CommandRejectedException.rejectIf(command.wave() < Math.max(1, campaign.wave()), ErrorCode.STATE_CONFLICT,
+				"wave %d is over", command.wave());
+		CommandRejectedException.rejectIf(campaign.hostsDone().contains(host.name()), ErrorCode.STATE_CONFLICT,
+				"host %s has been maintained", host.name());
+		CommandRejectedException.rejectIf(!host.state().successors().contains(HostState.DRAINING),
+				ErrorCode.STATE_CONFLICT, "host %s is %s", host.name(), host.state());
+		int maximumOut = campaign.spec().maximumConcurrentHosts();
+		CommandRejectedException.rejectIf(campaign.hostsOut().size() >= maximumOut, ErrorCode.BUDGET_EXCEEDED,
+				"campaign %s has %d hosts out already", campaign.name(), maximumOut);
+	}
+
+	private void endDrain(DrainRecord drain, List<DrainRecord> stillOut, Change change) {
+		HostRecord host = this.tables.hosts.require(drain.host());
+		if (host.state() == HostState.DRAINING) {
+			this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), HostState.IN_SERVICE, change.index()));
+		}
+		else {
+			stillOut.add(drain);
+		}
+	}
+
+	// Hosts that failed on their own cannot be maintained and do not hold up the end.
+	private static boolean needsMaintenance(CampaignRecord campaign, HostRecord host) {
+		return campaign.spec().pools().contains(host.pool()) && host.state() == HostState.IN_SERVICE
+				&& !campaign.hostsDone().contains(host.name());
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignState.java
@@ -29,4 +29,12 @@
 		return this.startsDrains;
 	}
 
+	/**
+	 * Tells whether the state is final.
+	 * @return {@code true} if the campaign is completed or cancelled
+	 */
+	public boolean ended() {
+		return this == COMPLETED || this == CANCELLED;
+	}
+
 }
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimRules.java
@@ -0,0 +1,95 @@
+package io.burdockpin.core.state;
+
+import java.util.Optional;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.Payload;
+
+/**
+ * Rules for claims. Shares the tables with the other rules of the state machine.
+ * <p>
+ * A second claim is refused even for the same holder, because the holder may have run the
+ * request and lost the outcome.
+ */
+final class ClaimRules {
+
+	/** Oldest identifier that may be claimed. */
+	static final long WINDOW_MILLIS = 3600L * 1000;
+
+	/** Clocks of callers may be this far ahead. */
+	static final long MAX_AHEAD_MILLIS = 5L * 60 * 1000;
+
+	/**
+	 * How long after its identifier's time a claim is kept. Longer than the window, so
+	 * that a removed claim cannot be claimed again.
+	 */
+	static final long KEPT_MILLIS = WINDOW_MILLIS + 10L * 60 * 1000;
+
+	static final int MAX_KEPT_BODY_BYTES = 4096;
+
+	private static final int MAX_CONTENT_TYPE_LENGTH = 200;
+
+	private final FleetTables tables;
+
+	ClaimRules(FleetTables tables) {
+		this.tables = tables;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(ClaimCommand.ClaimRequest.class, this::claim);
+		handlers.on(ClaimCommand.FinishClaim.class, this::finish);
+		handlers.on(ClaimCommand.ReleaseClaim.class, this::release);
+	}
+
+	private CommandResult claim(ClaimCommand.ClaimRequest command, Change change) {
+		ClaimKey key = new ClaimKey(command.team(), command.requestId());
+		checkWindow(key, change.nowMillis());
+		this.tables.claims.find(key).ifPresent((claim) -> {
+			throw new CommandRejectedException(claim.state().resendCode(),
+					"request %s has been claimed by %s".formatted(key.requestId(), claim.holder().host()));
+		});
+		this.tables.claims.put(new ClaimRecord(command.team(), command.requestId(), command.holder(),
+				ClaimState.CLAIMED, 0, "", false, Payload.EMPTY));
+		return change.accepted();
+	}
+
+	private CommandResult finish(ClaimCommand.FinishClaim command, Change change) {
+		ClaimRecord claim = requireOwn(new ClaimKey(command.team(), command.requestId()), command.holder());
+		if (claim.state() == ClaimState.FINISHED) {
+			return change.unchanged(0);
+		}
+		boolean kept = command.bodyKept() && command.body().lengthBytes() <= MAX_KEPT_BODY_BYTES;
+		String contentType = (command.contentType().length() <= MAX_CONTENT_TYPE_LENGTH) ? command.contentType() : "";
+		this.tables.claims.put(new ClaimRecord(claim.team(), claim.requestId(), claim.holder(), ClaimState.FINISHED,
+				command.status(), contentType, kept, kept ? command.body() : Payload.EMPTY));
+		return change.accepted();
+	}
+
+	private CommandResult release(ClaimCommand.ReleaseClaim command, Change change) {
+		ClaimKey key = new ClaimKey(command.team(), command.requestId());
+		ClaimRecord claim = requireOwn(key, command.holder());
+		CommandRejectedException.rejectIf(claim.state() == ClaimState.FINISHED, ErrorCode.ALREADY_RAN,
+				"request %s has run", key.requestId());
+		this.tables.claims.remove(key);
+		return change.accepted();
+	}
+
+	private static void checkWindow(ClaimKey key, long nowMillis) {
+		long identifierMillis = key.identifierMillis();
+		boolean outside = identifierMillis < nowMillis - WINDOW_MILLIS
+				|| identifierMillis > nowMillis + MAX_AHEAD_MILLIS;
+		CommandRejectedException.rejectIf(identifierMillis < 0 || outside, ErrorCode.REQUEST_ID_REJECTED,
+				"identifier %s does not start with a time within the last hour", key.requestId());
+	}
+
+	private ClaimRecord requireOwn(ClaimKey key, Holder holder) {
+		Optional<ClaimRecord> claim = this.tables.claims.find(key);
+		CommandRejectedException.rejectIf(claim.isEmpty(), ErrorCode.STATE_CONFLICT, "request %s is not claimed",
+				key.requestId());
+		CommandRejectedException.rejectIf(!claim.get().holder().equals(holder), ErrorCode.ALREADY_CLAIMED,
+				"request %s has been claimed by %s", key.requestId(), claim.get().holder().host());
+		return claim.get();
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CommandResult.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CommandResult.java
@@ -5,6 +5,14 @@
 /** The deterministic result of applying a command. */
 public sealed interface CommandResult {
 
+	/**
+	 * Tells whether the command took effect.
+	 * @return {@code true} if it was accepted
+	 */
+	default boolean isAccepted() {
+		return this instanceof Accepted;
+	}
+
 	/**
 	 * The command took effect.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/FleetState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/FleetState.java
@@ -5,6 +5,7 @@
 
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.util.Checks;
 
 /**
  * The replicated state machine. Deterministic: the same log gives the same state, because
@@ -13,18 +14,26 @@
  */
 public final class FleetState {
 
+	private final FleetTables tables;
+
+	private final CommandHandlers handlers = new CommandHandlers();
+
 	private long index;
 
 	private long timeMillis;
 
-	private final FleetSnapshot restored;
+	private long configurationIndex;
 
 	private FleetState(FleetSnapshot snapshot) {
+		this.tables = new FleetTables(snapshot);
 		this.index = snapshot.index();
 		this.timeMillis = snapshot.timeMillis();
-		this.restored = snapshot;
+		this.configurationIndex = snapshot.configuration().index();
+		registerRules();
 	}
 
+	// life cycle
+
 	/**
 	 * Creates the state before the first log entry.
 	 * @return the empty state
@@ -42,6 +51,8 @@
 		return new FleetState(snapshot);
 	}
 
+	// changes
+
 	/**
 	 * Applies one committed log entry.
 	 * @param index its log index, higher than that of all entries applied before
@@ -49,18 +60,22 @@
 	 * @return the result
 	 */
 	public CommandResult apply(long index, Proposal proposal) {
+		Checks.range("index", index, this.index + 1, Long.MAX_VALUE);
 		this.index = index;
 		this.timeMillis = Math.max(this.timeMillis, proposal.timeMillis());
-		return new CommandResult.Rejected(ErrorCode.INTERNAL, "the command has no effect yet");
+		removeExpired();
+		return this.tables.dedups.firstResult(proposal).orElseGet(() -> applyFirst(proposal));
 	}
 
+	// access
+
 	/**
 	 * Returns the whole state.
 	 * @return an immutable copy
 	 */
 	public FleetSnapshot snapshot() {
 		return new FleetSnapshot(this.index, this.timeMillis, configuration(), holders(), tokens(), claims(), jobs(),
-				campaigns(), this.restored.dedups());
+				campaigns(), this.tables.dedups.list());
 	}
 
 	/**
@@ -68,7 +83,8 @@
 	 * @return an immutable copy
 	 */
 	public ConfigurationSnapshot configuration() {
-		return this.restored.configuration();
+		return new ConfigurationSnapshot(this.configurationIndex, pools(), hosts(), teams(), this.tables.keys.list(),
+				this.tables.queues.list());
 	}
 
 	/**
@@ -92,7 +108,7 @@
 	 * @return the log index, 0 before the first one
 	 */
 	public long configurationIndex() {
-		return this.restored.configuration().index();
+		return this.configurationIndex;
 	}
 
 	/**
@@ -100,7 +116,7 @@
 	 * @return the records by name
 	 */
 	public List<PoolRecord> pools() {
-		return this.restored.configuration().pools();
+		return this.tables.pools.list();
 	}
 
 	/**
@@ -108,7 +124,7 @@
 	 * @return the records by name
 	 */
 	public List<HostRecord> hosts() {
-		return this.restored.configuration().hosts();
+		return this.tables.hosts.list();
 	}
 
 	/**
@@ -116,7 +132,7 @@
 	 * @return the records by name
 	 */
 	public List<TeamRecord> teams() {
-		return this.restored.configuration().teams();
+		return this.tables.teams.list();
 	}
 
 	/**
@@ -124,7 +140,7 @@
 	 * @return the records by host and incarnation
 	 */
 	public List<HolderRecord> holders() {
-		return this.restored.holders();
+		return this.tables.holders.list();
 	}
 
 	/**
@@ -132,7 +148,7 @@
 	 * @return the records by team and holder, without empty ones
 	 */
 	public List<TokenRecord> tokens() {
-		return this.restored.tokens();
+		return this.tables.tokens.list();
 	}
 
 	/**
@@ -140,7 +156,7 @@
 	 * @return the records in the order of their identifiers' times
 	 */
 	public List<ClaimRecord> claims() {
-		return this.restored.claims();
+		return this.tables.claims.list();
 	}
 
 	/**
@@ -149,7 +165,7 @@
 	 * @return the claim, or nothing if it is free
 	 */
 	public Optional<ClaimRecord> claim(ClaimKey key) {
-		return claims().stream().filter((claim) -> ClaimKey.of(claim).equals(key)).findFirst();
+		return this.tables.claims.find(key);
 	}
 
 	/**
@@ -157,7 +173,7 @@
 	 * @return the records in the order of submission
 	 */
 	public List<JobRecord> jobs() {
-		return this.restored.jobs();
+		return this.tables.jobs.list();
 	}
 
 	/**
@@ -166,7 +182,7 @@
 	 * @return its record, or nothing if it is unknown
 	 */
 	public Optional<JobRecord> job(JobId job) {
-		return jobs().stream().filter((record) -> record.id().equals(job)).findFirst();
+		return this.tables.jobs.find(job);
 	}
 
 	/**
@@ -174,7 +190,56 @@
 	 * @return the records by name
 	 */
 	public List<CampaignRecord> campaigns() {
-		return this.restored.campaigns();
+		return this.tables.campaigns.list();
+	}
+
+	// helpers
+
+	private CommandResult applyFirst(Proposal proposal) {
+		Change change = new Change(this.index, this.timeMillis, proposal.expectedVersion());
+		CommandResult result = applyRules(proposal.command(), change);
+		boolean changed = result instanceof CommandResult.Accepted accepted && accepted.version() == this.index;
+		if (changed && proposal.command() instanceof ConfigurationCommand) {
+			this.configurationIndex = this.index;
+		}
+		this.tables.dedups.remember(proposal, this.timeMillis, result);
+		return result;
+	}
+
+	private CommandResult applyRules(Command command, Change change) {
+		try {
+			checkVersioned(command, change);
+			return this.handlers.apply(command, change);
+		}
+		catch (CommandRejectedException ex) {
+			return new CommandResult.Rejected(ex.getCode(), ex.getMessage());
+		}
+	}
+
+	private static void checkVersioned(Command command, Change change) {
+		boolean versioned = command instanceof ConfigurationCommand || command instanceof MaintenanceCommand;
+		CommandRejectedException.rejectIf(change.expectedVersion().isPresent() && !versioned, ErrorCode.BAD_REQUEST,
+				"jobs, claims and tokens have no version");
+	}
+
+	private void removeExpired() {
+		this.tables.claims.removeIdentifiersBefore(this.timeMillis - ClaimRules.KEPT_MILLIS);
+		this.tables.jobs.removeEndedBefore(this.timeMillis - JobRules.KEPT_MILLIS);
+		this.tables.dedups.removeExpired(this.timeMillis);
+	}
+
+	private void registerRules() {
+		DrainCheck drainCheck = new DrainCheck(this.tables);
+		LimitCheck limitCheck = new LimitCheck(this.tables);
+		new PoolRules(this.tables).register(this.handlers);
+		new HostRules(this.tables, drainCheck, new CampaignHosts(this.tables)).register(this.handlers);
+		new TeamRules(this.tables).register(this.handlers);
+		new KeyRules(this.tables).register(this.handlers);
+		new QueueRules(this.tables).register(this.handlers);
+		new TokenRules(this.tables, limitCheck).register(this.handlers);
+		new ClaimRules(this.tables).register(this.handlers);
+		new JobRules(this.tables, limitCheck).register(this.handlers);
+		new CampaignRules(this.tables, drainCheck).register(this.handlers);
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRecord.java
@@ -1,5 +1,6 @@
 package io.burdockpin.core.state;
 
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostSpec;
 import io.burdockpin.core.model.HostState;
 import io.burdockpin.core.model.PoolName;
@@ -15,4 +16,12 @@
  */
 public record HostRecord(HostSpec spec, PoolName pool, HostState state, long version) {
 
+	/**
+	 * Returns the name.
+	 * @return the name of the host
+	 */
+	public HostName name() {
+		return this.spec.name();
+	}
+
 }
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRules.java
@@ -0,0 +1,96 @@
+package io.burdockpin.core.state;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+
+/**
+ * Rules for hosts. A host record has exactly one pool, so no command can put a host into
+ * two. Shares the tables with the other rules of the state machine.
+ */
+final class HostRules {
+
+	private final FleetTables tables;
+
+	private final DrainCheck drainCheck;
+
+	private final CampaignHosts campaignHosts;
+
+	HostRules(FleetTables tables, DrainCheck drainCheck, CampaignHosts campaignHosts) {
+		this.tables = tables;
+		this.drainCheck = drainCheck;
+		this.campaignHosts = campaignHosts;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(ConfigurationCommand.AddHost.class, this::add);
+		handlers.on(ConfigurationCommand.MoveHost.class, this::move);
+		handlers.on(ConfigurationCommand.RemoveHost.class, this::remove);
+		handlers.on(ConfigurationCommand.SetHostState.class, this::setState);
+	}
+
+	private CommandResult add(ConfigurationCommand.AddHost command, Change change) {
+		this.tables.hosts.requireFree(command.host().name(), change);
+		this.tables.pools.require(command.pool());
+		this.tables.hosts.put(new HostRecord(command.host(), command.pool(), HostState.IN_SERVICE, change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult move(ConfigurationCommand.MoveHost command, Change change) {
+		HostRecord host = this.tables.hosts.require(command.host(), change);
+		this.tables.pools.require(command.pool());
+		CommandRejectedException.rejectIf(host.pool().equals(command.pool()), ErrorCode.STATE_CONFLICT,
+				"host %s is in pool %s already", host.name(), host.pool());
+		if (!command.force()) {
+			checkDrained(host);
+		}
+		this.tables.hosts.put(new HostRecord(host.spec(), command.pool(), host.state(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult remove(ConfigurationCommand.RemoveHost command, Change change) {
+		this.tables.hosts.require(command.host(), change);
+		checkIdle(command.host());
+		this.tables.hosts.remove(command.host());
+		this.campaignHosts.forget(command.host(), change);
+		return change.accepted();
+	}
+
+	private CommandResult setState(ConfigurationCommand.SetHostState command, Change change) {
+		HostRecord host = this.tables.hosts.require(command.host(), change);
+		if (host.state() == command.state()) {
+			return change.unchanged(host.version());
+		}
+		checkTransition(host, command);
+		this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), command.state(), change.index()));
+		if (host.state() == HostState.DRAINING && command.state() == HostState.IN_SERVICE) {
+			this.campaignHosts.abandonDrain(host.name(), change);
+		}
+		return change.accepted();
+	}
+
+	private void checkTransition(HostRecord host, ConfigurationCommand.SetHostState command) {
+		boolean permitted = host.state().successors().contains(command.state())
+				&& command.cause().mayCause(host.state(), command.state());
+		CommandRejectedException.rejectIf(!permitted, ErrorCode.STATE_CONFLICT, "host %s cannot go from %s to %s by %s",
+				host.name(), host.state(), command.state(), command.cause());
+		if (command.state() == HostState.DRAINING) {
+			this.drainCheck.check(host);
+		}
+		if (host.state() == HostState.DRAINING && command.state() == HostState.IN_MAINTENANCE) {
+			checkIdle(host.name());
+		}
+	}
+
+	private void checkDrained(HostRecord host) {
+		CommandRejectedException.rejectIf(host.state().takesNewJobs(), ErrorCode.STATE_CONFLICT,
+				"host %s is not drained", host.name());
+		checkIdle(host.name());
+	}
+
+	private void checkIdle(HostName host) {
+		int jobs = this.tables.jobs.holdingOn(host);
+		CommandRejectedException.rejectIf(jobs > 0, ErrorCode.STILL_IN_USE, "host %s still has %d jobs", host, jobs);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/JobRules.java
@@ -0,0 +1,174 @@
+package io.burdockpin.core.state;
+
+import java.util.Optional;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.model.JobSpec;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.TeamName;
+
+/**
+ * Rules for jobs. A job that is not repeatable returns to waiting only if it certainly
+ * never started, so it runs at most once. The record of an ended job stays until it
+ * expires, so that a resend of its submission does not start it again. Shares the tables
+ * with the other rules of the state machine.
+ */
+final class JobRules {
+
+	/** How long ended jobs and their results are kept. */
+	static final long KEPT_MILLIS = 24L * 3600 * 1000;
+
+	private final FleetTables tables;
+
+	private final LimitCheck limitCheck;
+
+	JobRules(FleetTables tables, LimitCheck limitCheck) {
+		this.tables = tables;
+		this.limitCheck = limitCheck;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(JobCommand.SubmitJob.class, this::submit);
+		handlers.on(JobCommand.PlaceJob.class, this::place);
+		handlers.on(JobCommand.ConfirmStart.class, this::confirmStart);
+		handlers.on(JobCommand.FinishJob.class, this::finish);
+		handlers.on(JobCommand.InterruptJob.class, this::interrupt);
+		handlers.on(JobCommand.CancelJob.class, this::cancel);
+		handlers.on(JobCommand.ParkJob.class, this::park);
+		handlers.on(JobCommand.UnparkJob.class, this::unpark);
+		handlers.on(JobCommand.AcknowledgeResult.class, this::acknowledge);
+	}
+
+	private CommandResult submit(JobCommand.SubmitJob command, Change change) {
+		if (this.tables.jobs.find(command.job()).isPresent()) {
+			return change.unchanged(0);
+		}
+		this.tables.teams.require(command.spec().team());
+		this.tables.pools.require(command.spec().pool());
+		this.tables.jobs.put(new JobRecord(command.job(), command.spec(), JobState.WAITING, Optional.empty(), 0, false,
+				change.nowMillis(), change.nowMillis(), 0, "", Payload.EMPTY, Payload.EMPTY));
+		return change.accepted();
+	}
+
+	private CommandResult place(JobCommand.PlaceJob command, Change change) {
+		JobRecord job = require(command.job(), JobState.WAITING);
+		CommandRejectedException.rejectIf(command.leaseEpoch() <= job.leaseEpoch(), ErrorCode.STATE_CONFLICT,
+				"lease epoch %d of job %s is over", command.leaseEpoch(), job.id());
+		checkWorker(job, this.tables.hosts.require(command.worker()));
+		this.limitCheck.check(job.spec().team(), 1);
+		return save(new JobDraft(job).place(command.worker(), command.leaseEpoch()).state(JobState.PLACED, ""), change);
+	}
+
+	private CommandResult confirmStart(JobCommand.ConfirmStart command, Change change) {
+		JobRecord job = requireEpoch(command.job(), command.leaseEpoch());
+		if (job.state() == JobState.RUNNING) {
+			return change.unchanged(0);
+		}
+		checkHolding(job);
+		return save(new JobDraft(job).state(JobState.RUNNING, ""), change);
+	}
+
+	private CommandResult finish(JobCommand.FinishJob command, Change change) {
+		JobRecord job = requireEpoch(command.job(), command.leaseEpoch());
+		// A late report settles what had to be recorded as unknown.
+		if (job.state() != JobState.OUTCOME_UNKNOWN) {
+			checkHolding(job);
+		}
+		if (command.result().lengthBytes() > JobSpec.MAX_PAYLOAD_BYTES) {
+			String detail = "ended with a result of %d bytes, allowed are %d".formatted(command.result().lengthBytes(),
+					JobSpec.MAX_PAYLOAD_BYTES);
+			return save(new JobDraft(job).state(JobState.FAILED, detail), change);
+		}
+		JobState ended = command.succeeded() ? JobState.SUCCEEDED : JobState.FAILED;
+		return save(new JobDraft(job).state(ended, "").result(command.result()), change);
+	}
+
+	private CommandResult interrupt(JobCommand.InterruptJob command, Change change) {
+		JobRecord job = requireEpoch(command.job(), command.leaseEpoch());
+		checkHolding(job);
+		boolean started = !command.certainlyNotStarted() || job.state() == JobState.RUNNING;
+		JobDraft draft = new JobDraft(job);
+		if (started && !job.spec().repeatable()) {
+			draft.state(JobState.OUTCOME_UNKNOWN, "it was started, is not repeatable and its end was not reported");
+		}
+		else if (job.cancelRequested()) {
+			draft.state(JobState.CANCELLED, "");
+		}
+		else {
+			draft.checkpoint(command.checkpoint()).unplace(job.state() == JobState.RUNNING).state(JobState.WAITING, "");
+		}
+		return save(draft, change);
+	}
+
+	private CommandResult cancel(JobCommand.CancelJob command, Change change) {
+		JobRecord job = requireOf(command.team(), command.job());
+		if (job.state() == JobState.CANCELLED || job.cancelRequested()) {
+			return change.unchanged(0);
+		}
+		CommandRejectedException.rejectIf(job.state().ended(), ErrorCode.STATE_CONFLICT, "job %s is %s", job.id(),
+				job.state());
+		JobDraft draft = new JobDraft(job).requestCancel();
+		return save(job.state().holdsCapacity() ? draft : draft.state(JobState.CANCELLED, ""), change);
+	}
+
+	private CommandResult park(JobCommand.ParkJob command, Change change) {
+		JobRecord job = require(command.job(), JobState.WAITING);
+		return save(new JobDraft(job).state(JobState.PARKED, command.reason()), change);
+	}
+
+	private CommandResult unpark(JobCommand.UnparkJob command, Change change) {
+		JobRecord job = require(command.job(), JobState.PARKED);
+		return save(new JobDraft(job).state(JobState.WAITING, ""), change);
+	}
+
+	private CommandResult acknowledge(JobCommand.AcknowledgeResult command, Change change) {
+		JobRecord job = requireOf(command.team(), command.job());
+		CommandRejectedException.rejectIf(!job.state().ended(), ErrorCode.STATE_CONFLICT, "job %s is %s", job.id(),
+				job.state());
+		return save(new JobDraft(job).result(Payload.EMPTY), change);
+	}
+
+	private CommandResult save(JobDraft draft, Change change) {
+		this.tables.jobs.put(draft.build(change.nowMillis()));
+		return change.accepted();
+	}
+
+	private JobRecord require(JobId id, JobState state) {
+		JobRecord job = this.tables.jobs.require(id);
+		CommandRejectedException.rejectIf(job.state() != state, ErrorCode.STATE_CONFLICT, "job %s is %s, not %s", id,
+				job.state(), state);
+		return job;
+	}
+
+	private JobRecord requireEpoch(JobId id, long leaseEpoch) {
+		JobRecord job = this.tables.jobs.require(id);
+		CommandRejectedException.rejectIf(job.leaseEpoch() != leaseEpoch, ErrorCode.STATE_CONFLICT,
+				"job %s has lease epoch %d, not %d", id, job.leaseEpoch(), leaseEpoch);
+		return job;
+	}
+
+	// A team does not learn which jobs of other teams exist.
+	private JobRecord requireOf(TeamName team, JobId id) {
+		JobRecord job = this.tables.jobs.require(id);
+		CommandRejectedException.rejectIf(!job.spec().team().equals(team), ErrorCode.UNKNOWN_JOB,
+				"job %s does not exist", id);
+		return job;
+	}
+
+	private static void checkHolding(JobRecord job) {
+		CommandRejectedException.rejectIf(!job.state().holdsCapacity(), ErrorCode.STATE_CONFLICT, "job %s is %s",
+				job.id(), job.state());
+	}
+
+	private static void checkWorker(JobRecord job, HostRecord worker) {
+		HostName name = worker.name();
+		CommandRejectedException.rejectIf(!worker.state().takesNewJobs(), ErrorCode.STATE_CONFLICT, "host %s is %s",
+				name, worker.state());
+		CommandRejectedException.rejectIf(!worker.pool().equals(job.spec().pool()), ErrorCode.STATE_CONFLICT,
+				"host %s is in pool %s, not %s", name, worker.pool(), job.spec().pool());
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/PoolRules.java
@@ -0,0 +1,49 @@
+package io.burdockpin.core.state;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.PoolName;
+
+/** Rules for pools. Shares the tables with the other rules of the state machine. */
+final class PoolRules {
+
+	private final FleetTables tables;
+
+	PoolRules(FleetTables tables) {
+		this.tables = tables;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(ConfigurationCommand.CreatePool.class, this::create);
+		handlers.on(ConfigurationCommand.UpdatePool.class, this::update);
+		handlers.on(ConfigurationCommand.DeletePool.class, this::delete);
+	}
+
+	private CommandResult create(ConfigurationCommand.CreatePool command, Change change) {
+		this.tables.pools.requireFree(command.pool(), change);
+		this.tables.pools.put(new PoolRecord(command.pool(), command.budget(), command.spare(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult update(ConfigurationCommand.UpdatePool command, Change change) {
+		this.tables.pools.require(command.pool(), change);
+		this.tables.pools.put(new PoolRecord(command.pool(), command.budget(), command.spare(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult delete(ConfigurationCommand.DeletePool command, Change change) {
+		PoolName pool = command.pool();
+		this.tables.pools.require(pool, change);
+		CommandRejectedException.rejectIf(isUsed(pool), ErrorCode.STILL_IN_USE,
+				"pool %s has hosts, jobs or a campaign that has not ended", pool);
+		this.tables.pools.remove(pool);
+		return change.accepted();
+	}
+
+	private boolean isUsed(PoolName pool) {
+		return this.tables.hosts.stream().anyMatch((host) -> host.pool().equals(pool))
+				|| this.tables.jobs.notEnded().anyMatch((job) -> job.spec().pool().equals(pool))
+				|| this.tables.campaigns.stream()
+					.anyMatch((campaign) -> !campaign.state().ended() && campaign.spec().pools().contains(pool));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/QueueRules.java
@@ -0,0 +1,36 @@
+package io.burdockpin.core.state;
+
+/** Rules for queues. Shares the tables with the other rules of the state machine. */
+final class QueueRules {
+
+	private final FleetTables tables;
+
+	QueueRules(FleetTables tables) {
+		this.tables = tables;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(ConfigurationCommand.CreateQueue.class, this::create);
+		handlers.on(ConfigurationCommand.UpdateQueue.class, this::update);
+		handlers.on(ConfigurationCommand.DeleteQueue.class, this::delete);
+	}
+
+	private CommandResult create(ConfigurationCommand.CreateQueue command, Change change) {
+		this.tables.queues.requireFree(command.queue(), change);
+		this.tables.queues.put(new QueueRecord(command.queue(), command.open(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult update(ConfigurationCommand.UpdateQueue command, Change change) {
+		this.tables.queues.require(command.queue(), change);
+		this.tables.queues.put(new QueueRecord(command.queue(), command.open(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult delete(ConfigurationCommand.DeleteQueue command, Change change) {
+		this.tables.queues.require(command.queue(), change);
+		this.tables.queues.remove(command.queue());
+		return change.accepted();
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/TeamRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TeamRecord.java
@@ -1,5 +1,6 @@
 package io.burdockpin.core.state;
 
+import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.model.TeamSpec;
 
 /**
@@ -10,4 +11,12 @@
  */
 public record TeamRecord(TeamSpec spec, long version) {
 
+	/**
+	 * Returns the name.
+	 * @return the name of the team
+	 */
+	public TeamName name() {
+		return this.spec.name();
+	}
+
 }
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TeamRules.java
@@ -0,0 +1,53 @@
+package io.burdockpin.core.state;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.TeamName;
+
+/**
+ * Rules for teams. A limit may be lowered below what is in use; then nothing new is
+ * granted until use has fallen. Shares the tables with the other rules of the state
+ * machine.
+ */
+final class TeamRules {
+
+	private final FleetTables tables;
+
+	TeamRules(FleetTables tables) {
+		this.tables = tables;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(ConfigurationCommand.CreateTeam.class, this::create);
+		handlers.on(ConfigurationCommand.UpdateTeam.class, this::update);
+		handlers.on(ConfigurationCommand.DeleteTeam.class, this::delete);
+	}
+
+	private CommandResult create(ConfigurationCommand.CreateTeam command, Change change) {
+		this.tables.teams.requireFree(command.team().name(), change);
+		this.tables.teams.put(new TeamRecord(command.team(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult update(ConfigurationCommand.UpdateTeam command, Change change) {
+		this.tables.teams.require(command.team().name(), change);
+		this.tables.teams.put(new TeamRecord(command.team(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult delete(ConfigurationCommand.DeleteTeam command, Change change) {
+		TeamName team = command.team();
+		this.tables.teams.require(team, change);
+		CommandRejectedException.rejectIf(hasKeys(team), ErrorCode.STILL_IN_USE, "team %s has keys", team);
+		CommandRejectedException.rejectIf(this.tables.jobs.anyMatch((job) -> job.spec().team().equals(team)),
+				ErrorCode.STILL_IN_USE, "team %s has jobs or results", team);
+		CommandRejectedException.rejectIf(this.tables.tokens.sumOf(team) > 0, ErrorCode.STILL_IN_USE,
+				"entry hosts have tokens of team %s; set its upper limit to 0 first", team);
+		this.tables.teams.remove(team);
+		return change.accepted();
+	}
+
+	private boolean hasKeys(TeamName team) {
+		return this.tables.keys.stream().anyMatch((key) -> key.team().equals(team) && !key.withdrawn());
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRecord.java
@@ -13,4 +13,12 @@
  */
 public record TokenRecord(TeamName team, Holder holder, int ownedCount, int leasedCount) {
 
+	/**
+	 * Returns all tokens, owned and leased ones.
+	 * @return the number of tokens
+	 */
+	public int count() {
+		return this.ownedCount + this.leasedCount;
+	}
+
 }
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRules.java
@@ -0,0 +1,88 @@
+package io.burdockpin.core.state;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.Holder;
+
+/**
+ * Rules for entry hosts as holders of tokens. Shares the tables with the other rules of
+ * the state machine.
+ */
+final class TokenRules {
+
+	private final FleetTables tables;
+
+	private final LimitCheck limitCheck;
+
+	TokenRules(FleetTables tables, LimitCheck limitCheck) {
+		this.tables = tables;
+		this.limitCheck = limitCheck;
+	}
+
+	void register(CommandHandlers handlers) {
+		handlers.on(TokenCommand.RegisterHolder.class, this::register);
+		handlers.on(TokenCommand.GrantTokens.class, this::grant);
+		handlers.on(TokenCommand.ReleaseHolder.class, this::release);
+		handlers.on(TokenCommand.ForgetHost.class, this::forget);
+	}
+
+	private CommandResult register(TokenCommand.RegisterHolder command, Change change) {
+		Holder holder = command.holder();
+		Optional<HolderRecord> known = this.tables.holders.find(holder);
+		if (known.isPresent() && !known.get().blocked()) {
+			return change.unchanged(0);
+		}
+		List<HolderRecord> lives = this.tables.holders.livesOf(holder.host());
+		boolean ended = lives.stream().anyMatch((life) -> life.holder().incarnation() >= holder.incarnation());
+		CommandRejectedException.rejectIf(ended, ErrorCode.STATE_CONFLICT, "incarnation %d of %s has ended",
+				holder.incarnation(), holder.host());
+		lives.forEach(this.tables.holders::block);
+		this.tables.holders.put(new HolderRecord(holder, command.dataCentre(), false));
+		return change.accepted();
+	}
+
+	private CommandResult grant(TokenCommand.GrantTokens command, Change change) {
+		CommandRejectedException.rejectIf(command.ownedCount() < 0 || command.leasedCount() < 0, ErrorCode.BAD_REQUEST,
+				"token counts are not negative");
+		HolderRecord holder = this.tables.holders.find(command.holder())
+			.orElseThrow(() -> new CommandRejectedException(ErrorCode.UNKNOWN_HOST,
+					"holder %s is not registered".formatted(command.holder().host())));
+		TokenRecord before = this.tables.tokens.of(command.team(), command.holder());
+		TokenRecord after = new TokenRecord(command.team(), command.holder(), command.ownedCount(),
+				command.leasedCount());
+		checkIncrease(holder, before, after);
+		this.tables.tokens.put(after);
+		return change.accepted();
+	}
+
+	private CommandResult release(TokenCommand.ReleaseHolder command, Change change) {
+		Optional<HolderRecord> life = this.tables.holders.find(command.holder());
+		CommandRejectedException.rejectIf(life.isEmpty(), ErrorCode.UNKNOWN_HOST, "holder %s is not registered",
+				command.holder().host());
+		CommandRejectedException.rejectIf(!life.get().blocked(), ErrorCode.STATE_CONFLICT,
+				"incarnation %d of %s has not ended", command.holder().incarnation(), command.holder().host());
+		this.tables.tokens.removeAll(command.holder());
+		this.tables.holders.remove(command.holder());
+		return change.accepted();
+	}
+
+	private CommandResult forget(TokenCommand.ForgetHost command, Change change) {
+		List<HolderRecord> lives = this.tables.holders.livesOf(command.host());
+		CommandRejectedException.rejectIf(lives.isEmpty(), ErrorCode.UNKNOWN_HOST, "entry host %s is not registered",
+				command.host());
+		lives.forEach(this.tables.holders::block);
+		return change.accepted();
+	}
+
+	private void checkIncrease(HolderRecord holder, TokenRecord before, TokenRecord after) {
+		int additionalCount = after.count() - before.count();
+		if (additionalCount > 0) {
+			CommandRejectedException.rejectIf(holder.blocked(), ErrorCode.STATE_CONFLICT,
+					"incarnation %d of %s has ended", holder.holder().incarnation(), holder.holder().host());
+			this.limitCheck.check(after.team(), additionalCount);
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenTable.java
@@ -0,0 +1,72 @@
+package io.burdockpin.core.state;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.TeamName;
+
+/**
+ * The tokens of each life of an entry host and their sum for each team. Mutable, owned by
+ * the state machine.
+ */
+final class TokenTable {
+
+	private final Map<Key, TokenRecord> tokens = new TreeMap<>(Key.ORDER);
+
+	private final Map<TeamName, Integer> sums = new HashMap<>();
+
+	// life cycle
+
+	TokenTable restore(List<TokenRecord> restored) {
+		restored.forEach(this::put);
+		return this;
+	}
+
+	// access
+
+	TokenRecord of(TeamName team, Holder holder) {
+		return Optional.ofNullable(this.tokens.get(new Key(team, holder)))
+			.orElseGet(() -> new TokenRecord(team, holder, 0, 0));
+	}
+
+	int sumOf(TeamName team) {
+		return this.sums.getOrDefault(team, 0);
+	}
+
+	List<TokenRecord> list() {
+		return List.copyOf(this.tokens.values());
+	}
+
+	// changes
+
+	void put(TokenRecord changed) {
+		Key key = new Key(changed.team(), changed.holder());
+		int before = of(changed.team(), changed.holder()).count();
+		this.sums.merge(changed.team(), changed.count() - before, Integer::sum);
+		if (changed.count() == 0) {
+			this.tokens.remove(key);
+		}
+		else {
+			this.tokens.put(key, changed);
+		}
+	}
+
+	void removeAll(Holder holder) {
+		list().stream()
+			.filter((token) -> token.holder().equals(holder))
+			.forEach((token) -> put(new TokenRecord(token.team(), holder, 0, 0)));
+	}
+
+	private record Key(TeamName team, Holder holder) {
+
+		private static final Comparator<Key> ORDER = Comparator.comparing(Key::team)
+			.thenComparing(Key::holder, HolderTable.ORDER);
+
+	}
+
+}
