Add the decisions of the replicated log

Cause: the control program needs agreement on one order of commands.

Change: Replica takes events and a time and collects effects. Messages that promise something durable are held until the log writer has reported the sync. Each leader appends its membership first, which commits older entries and lets a learner learn the members from the log alone.

--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/FollowerProgress.java
@@ -0,0 +1,109 @@
+package io.burdockpin.core.consensus;
+
+import java.util.Optional;
+
+/**
+ * What a leader knows about another member. Mutable; owned by one {@link Leadership}.
+ */
+final class FollowerProgress {
+
+	private long matchIndex;
+
+	private long nextIndex;
+
+	private long ackedRound;
+
+	private long ackedSentMillis;
+
+	private Optional<Long> inFlightSinceMillis = Optional.empty();
+
+	private Optional<Snapshot> transfer = Optional.empty();
+
+	private int transferOffsetBytes;
+
+	FollowerProgress(long nextIndex, long nowMillis) {
+		this.nextIndex = nextIndex;
+		this.ackedSentMillis = nowMillis;
+	}
+
+	// access
+
+	long matchIndex() {
+		return this.matchIndex;
+	}
+
+	long nextIndex() {
+		return this.nextIndex;
+	}
+
+	long ackedRound() {
+		return this.ackedRound;
+	}
+
+	/**
+	 * Returns when the newest acknowledged message was sent, by the leader's clock.
+	 * @return the time in milliseconds
+	 */
+	long ackedSentMillis() {
+		return this.ackedSentMillis;
+	}
+
+	boolean isInFlight() {
+		return this.inFlightSinceMillis.isPresent();
+	}
+
+	boolean isInFlightSince(long limitMillis) {
+		return this.inFlightSinceMillis.filter((sinceMillis) -> sinceMillis <= limitMillis).isPresent();
+	}
+
+	Optional<Snapshot> transfer() {
+		return this.transfer;
+	}
+
+	int transferOffsetBytes() {
+		return this.transferOffsetBytes;
+	}
+
+	// changes
+
+	void acknowledge(long round, long sentMillis) {
+		this.ackedRound = Math.max(this.ackedRound, round);
+		this.ackedSentMillis = Math.max(this.ackedSentMillis, sentMillis);
+	}
+
+	void sent(long nowMillis) {
+		this.inFlightSinceMillis = Optional.of(nowMillis);
+	}
+
+	void matched(long index) {
+		this.matchIndex = Math.max(this.matchIndex, index);
+		if (index >= this.nextIndex) {
+			this.nextIndex = index + 1;
+			this.inFlightSinceMillis = Optional.empty();
+		}
+	}
+
+	void mismatched(long hintIndex) {
+		long lower = Math.min(this.nextIndex - 1, hintIndex);
+		this.nextIndex = Math.max(this.matchIndex + 1, lower);
+		this.inFlightSinceMillis = Optional.empty();
+	}
+
+	void startTransfer(Snapshot snapshot) {
+		this.transfer = Optional.of(snapshot);
+		this.transferOffsetBytes = 0;
+	}
+
+	void continueTransfer(int offsetBytes) {
+		this.transferOffsetBytes = offsetBytes;
+		this.inFlightSinceMillis = Optional.empty();
+	}
+
+	void finishTransfer(long index) {
+		this.transfer = Optional.empty();
+		this.matchIndex = Math.max(this.matchIndex, index);
+		this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+		this.inFlightSinceMillis = Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -0,0 +1,311 @@
+package io.burdockpin.core.consensus;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.model.Payload;
+
+/**
+ * What a leader does during one term: replication, commits, reads and the hand-over.
+ * Mutable; owned by one replica and dropped when it steps down.
+ */
+final class Leadership {
+
+	private final MemberId self;
+
+	private final long term;
+
+	private final ReplicaSettings settings;
+
+	private final ReplicaLog log;
+
+	private final Outbox outbox;
+
+	private final Map<MemberId, FollowerProgress> progresses = new HashMap<>();
+
+	private final List<PendingRead> pendingReads = new ArrayList<>();
+
+	/** The first entry of this term; reads wait until it is committed. */
+	private final long firstIndex;
+
+	private long round;
+
+	private long nextHeartbeatMillis;
+
+	private Optional<Transfer> transfer = Optional.empty();
+
+	Leadership(MemberId self, long term, ReplicaSettings settings, ReplicaLog log, Outbox outbox, long nowMillis) {
+		this.self = self;
+		this.term = term;
+		this.settings = settings;
+		this.log = log;
+		this.outbox = outbox;
+		this.firstIndex = log.lastIndex() + 1;
+		this.nextHeartbeatMillis = nowMillis;
+		updateMembers(nowMillis);
+		append(new EntryContent.MembershipContent(log.membership()), nowMillis);
+	}
+
+	// access
+
+	boolean isHandingOver() {
+		return this.transfer.isPresent();
+	}
+
+	/**
+	 * Tells whether a majority has answered a message that was sent within an election
+	 * timeout.
+	 * @param nowMillis the time
+	 * @return whether this member may still answer as leader
+	 */
+	boolean hasMajorityContact(long nowMillis) {
+		long oldestMillis = nowMillis - this.settings.electionTimeoutMaximumMillis();
+		return this.log.membership().isMajority((id) -> contactMillis(id, nowMillis) >= oldestMillis);
+	}
+
+	Optional<FollowerProgress> progress(MemberId id) {
+		return Optional.ofNullable(this.progresses.get(id));
+	}
+
+	// events
+
+	void tick(long nowMillis) {
+		if (nowMillis >= this.nextHeartbeatMillis) {
+			startRound(nowMillis);
+		}
+		this.transfer = this.transfer.filter((pending) -> nowMillis < pending.deadlineMillis());
+	}
+
+	long append(EntryContent content, long nowMillis) {
+		LogEntry entry = new LogEntry(this.log.lastIndex() + 1, this.term, content);
+		this.log.append(entry);
+		if (content instanceof EntryContent.MembershipContent changed) {
+			updateMembers(nowMillis);
+			this.outbox.add(new Effect.MembershipChanged(changed.membership()));
+		}
+		this.log.writeNext();
+		replicateToIdle(nowMillis);
+		return entry.index();
+	}
+
+	void onAppendReply(MemberId sender, ConsensusMessage.AppendReply reply, long nowMillis) {
+		FollowerProgress progress = this.progresses.get(sender);
+		progress.acknowledge(reply.round(), reply.sentMillis());
+		if (reply.matched()) {
+			progress.matched(reply.index());
+		}
+		else {
+			progress.mismatched(reply.index());
+		}
+		replicate(sender, progress, nowMillis);
+		settle(nowMillis);
+	}
+
+	void onSnapshotReply(MemberId sender, ConsensusMessage.SnapshotReply reply, long nowMillis) {
+		FollowerProgress progress = this.progresses.get(sender);
+		progress.acknowledge(reply.round(), reply.sentMillis());
+		if (progress.transfer().filter((snapshot) -> snapshot.index() == reply.index()).isPresent()) {
+			if (reply.installed()) {
+				progress.finishTransfer(reply.index());
+			}
+			else {
+				progress.continueTransfer(reply.nextOffsetBytes());
+			}
+		}
+		replicate(sender, progress, nowMillis);
+		settle(nowMillis);
+	}
+
+	/**
+	 * Draws the conclusions from new acknowledgements: commits, confirms reads, promotes
+	 * learners and hands over.
+	 * @param nowMillis the time
+	 */
+	void settle(long nowMillis) {
+		commitMajority();
+		confirmReads(nowMillis);
+		promoteLearner(nowMillis);
+		completeTransfer();
+	}
+
+	void read(long readNumber, long nowMillis) {
+		long index = Math.max(this.log.commitIndex(), this.firstIndex);
+		boolean roundIsIdle = isAcknowledged(this.round);
+		this.pendingReads.add(new PendingRead(readNumber, index, this.round + 1));
+		if (roundIsIdle) {
+			startRound(nowMillis);
+		}
+		confirmReads(nowMillis);
+	}
+
+	void refuseReads() {
+		this.pendingReads.forEach((read) -> this.outbox.add(new Effect.ReadRefused(read.number())));
+		this.pendingReads.clear();
+	}
+
+	/**
+	 * Chooses the voter that is furthest and stops taking proposals until it has taken
+	 * over or an election timeout has passed.
+	 * @param nowMillis the time
+	 */
+	void handOver(long nowMillis) {
+		if (this.transfer.isPresent()) {
+			return;
+		}
+		Optional<MemberId> best = this.log.membership()
+			.voters()
+			.stream()
+			.map(Member::id)
+			.filter(this.progresses::containsKey)
+			.max((left, right) -> Long.compare(matchIndex(left), matchIndex(right)));
+		long deadlineMillis = nowMillis + this.settings.electionTimeoutMinimumMillis();
+		this.transfer = best.map((target) -> new Transfer(target, deadlineMillis, false));
+		completeTransfer();
+	}
+
+	// helpers
+
+	private void updateMembers(long nowMillis) {
+		Membership membership = this.log.membership();
+		this.progresses.keySet().removeIf((id) -> membership.find(id).isEmpty());
+		for (Member member : membership.members()) {
+			if (!member.id().equals(this.self)) {
+				this.progresses.computeIfAbsent(member.id(),
+						(id) -> new FollowerProgress(this.log.lastIndex() + 1, nowMillis));
+			}
+		}
+	}
+
+	private long contactMillis(MemberId id, long nowMillis) {
+		return id.equals(this.self) ? nowMillis : this.progresses.get(id).ackedSentMillis();
+	}
+
+	private long matchIndex(MemberId id) {
+		return id.equals(this.self) ? this.log.syncedIndex() : this.progresses.get(id).matchIndex();
+	}
+
+	private boolean isAcknowledged(long askedRound) {
+		return this.log.membership()
+			.isMajority((id) -> id.equals(this.self) || this.progresses.get(id).ackedRound() >= askedRound);
+	}
+
+	private void commitMajority() {
+		long index = this.log.membership().majorityValue(this::matchIndex);
+		if (index > this.log.commitIndex() && this.log.matches(index, this.term)) {
+			this.log.commit(index);
+		}
+	}
+
+	private void confirmReads(long nowMillis) {
+		List<PendingRead> confirmed = this.pendingReads.stream().filter(this::isConfirmed).toList();
+		this.pendingReads.removeAll(confirmed);
+		confirmed.forEach((read) -> this.outbox.add(new Effect.ReadConfirmed(read.number(), read.index())));
+		boolean waitForNextRound = this.pendingReads.stream().anyMatch((read) -> read.round() > this.round);
+		if (waitForNextRound && isAcknowledged(this.round)) {
+			startRound(nowMillis);
+		}
+	}
+
+	private boolean isConfirmed(PendingRead read) {
+		return read.round() <= this.round && isAcknowledged(read.round()) && this.log.commitIndex() >= read.index();
+	}
+
+	private void promoteLearner(long nowMillis) {
+		boolean changeIsOpen = this.log.membershipIndex() > this.log.commitIndex();
+		if (changeIsOpen || isHandingOver()) {
+			return;
+		}
+		Membership membership = this.log.membership();
+		Optional<Member> caughtUp = membership.members()
+			.stream()
+			.filter((member) -> !member.role().countsForMajority())
+			.filter((member) -> matchIndex(member.id()) >= this.log.commitIndex())
+			.findFirst();
+		caughtUp.ifPresent((learner) -> append(
+				new EntryContent.MembershipContent(membership.with(learner.withRole(MemberRole.VOTER))), nowMillis));
+	}
+
+	private void completeTransfer() {
+		Optional<Transfer> ready = this.transfer.filter((pending) -> !pending.asked())
+			.filter((pending) -> matchIndex(pending.target()) == this.log.lastIndex());
+		ready.ifPresent((pending) -> {
+			this.transfer = Optional.of(new Transfer(pending.target(), pending.deadlineMillis(), true));
+			send(pending.target(), new ConsensusMessage.TimeoutNow(this.term));
+		});
+	}
+
+	private void startRound(long nowMillis) {
+		this.round++;
+		this.nextHeartbeatMillis = nowMillis + this.settings.heartbeatMillis();
+		long staleMillis = nowMillis - 2L * this.settings.heartbeatMillis();
+		this.progresses.forEach((id, progress) -> {
+			if (progress.isInFlight() && !progress.isInFlightSince(staleMillis)) {
+				sendEntries(id, progress.matchIndex() + 1, List.of(), nowMillis);
+			}
+			else {
+				sendNext(id, progress, nowMillis);
+			}
+		});
+	}
+
+	private void replicateToIdle(long nowMillis) {
+		this.progresses.forEach((id, progress) -> replicate(id, progress, nowMillis));
+	}
+
+	private void replicate(MemberId id, FollowerProgress progress, long nowMillis) {
+		if (!progress.isInFlight() && progress.nextIndex() <= this.log.lastIndex()) {
+			sendNext(id, progress, nowMillis);
+		}
+	}
+
+	private void sendNext(MemberId id, FollowerProgress progress, long nowMillis) {
+		if (progress.transfer().isPresent() || progress.nextIndex() <= this.log.baseIndex()) {
+			sendChunk(id, progress, nowMillis);
+			return;
+		}
+		List<LogEntry> entries = this.log.slice(progress.nextIndex(), this.settings.maximumAppendBytes());
+		if (!entries.isEmpty()) {
+			progress.sent(nowMillis);
+		}
+		sendEntries(id, progress.nextIndex(), entries, nowMillis);
+	}
+
+	private void sendEntries(MemberId id, long nextIndex, List<LogEntry> entries, long nowMillis) {
+		long previousIndex = Math.max(nextIndex - 1, this.log.baseIndex());
+		long previousTerm = this.log.term(previousIndex).orElseThrow();
+		send(id, new ConsensusMessage.AppendRequest(this.term, previousIndex, previousTerm, entries,
+				this.log.commitIndex(), this.round, nowMillis));
+	}
+
+	private void sendChunk(MemberId id, FollowerProgress progress, long nowMillis) {
+		if (progress.transfer().isEmpty()) {
+			progress.startTransfer(this.log.snapshot());
+		}
+		Snapshot snapshot = progress.transfer().get();
+		byte[] state = snapshot.state().bytes();
+		int offsetBytes = progress.transferOffsetBytes();
+		int endBytes = Math.min(offsetBytes + this.settings.snapshotChunkBytes(), state.length);
+		Payload part = Payload.of(Arrays.copyOfRange(state, offsetBytes, endBytes));
+		progress.sent(nowMillis);
+		send(id, new ConsensusMessage.SnapshotChunk(this.term, snapshot.index(), snapshot.term(),
+				snapshot.membershipIndex(), snapshot.membership(), offsetBytes, state.length, part, this.round,
+				nowMillis));
+	}
+
+	private void send(MemberId id, ConsensusMessage message) {
+		this.outbox.add(new Effect.Send(id, this.log.membershipIndex(), message));
+	}
+
+	private record PendingRead(long number, long index, long round) {
+
+	}
+
+	private record Transfer(MemberId target, long deadlineMillis, boolean asked) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/MembershipVerdict.java
@@ -0,0 +1,31 @@
+package io.burdockpin.core.consensus;
+
+/**
+ * Answer to the wish for a membership change.
+ *
+ * @param kind what became of it
+ * @param index the log index of the change, 0 if there is none
+ */
+public record MembershipVerdict(Kind kind, long index) {
+
+	/** What became of a wish for a membership change. */
+	public enum Kind {
+
+		/** It is in the log; it holds once that entry is committed. */
+		PROPOSED,
+
+		/** It was made before. */
+		ALREADY_DONE,
+
+		/** This member does not lead or hands over the leadership first. */
+		NOT_LEADER,
+
+		/** Another change is not committed yet. */
+		BUSY,
+
+		/** It does not fit the present members. */
+		REFUSED
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -0,0 +1,585 @@
+package io.burdockpin.core.consensus;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.model.Payload;
+
+/**
+ * Decisions of one member of the replicated log. Takes events and the time of a monotonic
+ * clock, and collects effects that the owner drains and carries out in order. Mutable;
+ * owned by one actor.
+ */
+public final class Replica {
+
+	private final MemberId self;
+
+	private final ReplicaSettings settings;
+
+	private final RandomGenerator random;
+
+	private final Outbox outbox = new Outbox();
+
+	private final ReplicaLog log;
+
+	private final Set<MemberId> grants = new HashSet<>();
+
+	private Role role = Role.FOLLOWER;
+
+	private long term;
+
+	private Optional<MemberId> votedFor;
+
+	private Optional<MemberId> leader = Optional.empty();
+
+	private Optional<Leadership> leadership = Optional.empty();
+
+	private Optional<SnapshotAssembly> assembly = Optional.empty();
+
+	/** Number of the write of this candidate's own vote; it counts once synced. */
+	private long ownVoteNumber;
+
+	private long leaderHeardMillis;
+
+	private long electionDeadlineMillis;
+
+	// life cycle
+
+	/**
+	 * Creates a replica from its data folder.
+	 * @param settings the settings
+	 * @param durable what the data folder holds
+	 * @param random source of the election timeouts
+	 * @param nowMillis the time of a monotonic clock
+	 */
+	public Replica(ReplicaSettings settings, DurableState durable, RandomGenerator random, long nowMillis) {
+		this.self = durable.self();
+		this.settings = settings;
+		this.random = random;
+		this.term = durable.term();
+		this.votedFor = durable.votedFor();
+		this.log = new ReplicaLog(this.outbox, settings.retainedEntries(), durable.snapshot(), durable.entries());
+		heardFromLeader(nowMillis);
+		this.outbox.add(new Effect.MembershipChanged(this.log.membership()));
+	}
+
+	// access
+
+	/**
+	 * Returns and clears the collected effects.
+	 * @return the effects in the order in which they have to be carried out
+	 */
+	public List<Effect> drainEffects() {
+		return this.outbox.drain();
+	}
+
+	/**
+	 * Returns where the replica stands.
+	 * @return the status
+	 */
+	public ReplicaStatus status() {
+		return new ReplicaStatus(this.self, this.role, this.term, this.leader, this.log.commitIndex(),
+				this.log.lastIndex(), this.log.membershipIndex(), this.log.membership());
+	}
+
+	/**
+	 * Tells whether a leader, possibly this member, was heard within an election timeout.
+	 * @param nowMillis the time
+	 * @return whether a majority is likely to be reachable
+	 */
+	public boolean hasLeaderContact(long nowMillis) {
+		return this.leadership.map((leading) -> leading.hasMajorityContact(nowMillis))
+			.orElseGet(() -> this.leader.isPresent() && isLeaderFresh(nowMillis));
+	}
+
+	/**
+	 * Returns what a leader knows about another member.
+	 * @param id the member
+	 * @return the last index known to be on its disk, if this member leads
+	 */
+	public OptionalLong matchIndex(MemberId id) {
+		return this.leadership.flatMap((leading) -> leading.progress(id))
+			.map((progress) -> OptionalLong.of(progress.matchIndex()))
+			.orElseGet(OptionalLong::empty);
+	}
+
+	/**
+	 * Returns how long a leader has not heard another member.
+	 * @param id the member
+	 * @param nowMillis the time
+	 * @return the time since the newest acknowledged message was sent, if this member
+	 * leads
+	 */
+	public OptionalLong silentMillis(MemberId id, long nowMillis) {
+		return this.leadership.flatMap((leading) -> leading.progress(id))
+			.map((progress) -> OptionalLong.of(nowMillis - progress.ackedSentMillis()))
+			.orElseGet(OptionalLong::empty);
+	}
+
+	/**
+	 * Tells whether enough entries were committed since the last snapshot.
+	 * @return whether the owner should call {@link #compact}
+	 */
+	public boolean needsSnapshot() {
+		return this.log.commitIndex() - this.log.snapshot().index() >= this.settings.snapshotEntries();
+	}
+
+	// events
+
+	/**
+	 * Takes note of the time. Called at least twice in each heartbeat period.
+	 * @param nowMillis the time
+	 */
+	public void tick(long nowMillis) {
+		checkMajorityContact(nowMillis);
+		this.role.tick(this, nowMillis);
+		settle(nowMillis);
+	}
+
+	/**
+	 * Handles a message of another member.
+	 * @param envelope the message
+	 * @param nowMillis the time
+	 */
+	public void receive(ConsensusEnvelope envelope, long nowMillis) {
+		checkMajorityContact(nowMillis);
+		if (!isAcceptable(envelope)) {
+			return;
+		}
+		ConsensusMessage message = envelope.message();
+		if (message instanceof ConsensusMessage.VoteRequest request) {
+			onVoteRequest(envelope.sender(), request, nowMillis);
+			return;
+		}
+		if (message.term() > this.term && !isGrantedPreVote(message)) {
+			becomeFollower(message.term(), nowMillis);
+		}
+		dispatch(envelope.sender(), message, nowMillis);
+	}
+
+	/**
+	 * Takes note that all writes up to a number are synced.
+	 * @param number the number of the newest synced write
+	 * @param nowMillis the time
+	 */
+	public void written(long number, long nowMillis) {
+		checkMajorityContact(nowMillis);
+		this.outbox.synced(number);
+		this.log.synced(number);
+		countOwnVote(nowMillis);
+		if (this.leadership.isPresent()) {
+			this.log.writeNext();
+		}
+		settle(nowMillis);
+	}
+
+	/**
+	 * Proposes a command.
+	 * @param payload the encoded command
+	 * @param nowMillis the time
+	 * @return the log index, or nothing if the command was certainly not proposed
+	 */
+	public OptionalLong propose(Payload payload, long nowMillis) {
+		checkMajorityContact(nowMillis);
+		if (!takesProposals()) {
+			return OptionalLong.empty();
+		}
+		long index = this.leadership.get().append(new EntryContent.CommandContent(payload), nowMillis);
+		settle(nowMillis);
+		return OptionalLong.of(index);
+	}
+
+	/**
+	 * Asks for a confirmed read. Answered by {@link Effect.ReadConfirmed} or
+	 * {@link Effect.ReadRefused}.
+	 * @param readNumber chosen by the caller
+	 * @param nowMillis the time
+	 */
+	public void read(long readNumber, long nowMillis) {
+		checkMajorityContact(nowMillis);
+		if (this.leadership.isEmpty()) {
+			this.outbox.add(new Effect.ReadRefused(readNumber));
+			return;
+		}
+		this.leadership.get().read(readNumber, nowMillis);
+	}
+
+	/**
+	 * Asks for a membership change.
+	 * @param change the change
+	 * @param member the member it is about; it joins as a learner
+	 * @param nowMillis the time
+	 * @return what became of it
+	 */
+	public MembershipVerdict changeMembership(MembershipChange change, Member member, long nowMillis) {
+		checkMajorityContact(nowMillis);
+		if (!takesProposals()) {
+			return verdict(MembershipVerdict.Kind.NOT_LEADER);
+		}
+		if (this.log.membershipIndex() > this.log.commitIndex()) {
+			return verdict(MembershipVerdict.Kind.BUSY);
+		}
+		if (change.isDone(this.log.membership(), member.id())) {
+			return verdict(MembershipVerdict.Kind.ALREADY_DONE);
+		}
+		if (member.id().host().equals(this.self.host())) {
+			this.leadership.get().handOver(nowMillis);
+			return verdict(MembershipVerdict.Kind.NOT_LEADER);
+		}
+		return change.applyTo(this.log.membership(), member.withRole(MemberRole.LEARNER))
+			.filter((changed) -> !changed.voters().isEmpty())
+			.map((changed) -> proposeMembership(changed, nowMillis))
+			.orElseGet(() -> verdict(MembershipVerdict.Kind.REFUSED));
+	}
+
+	/**
+	 * Hands the leadership over, if this member has it.
+	 * @param nowMillis the time
+	 */
+	public void handOver(long nowMillis) {
+		checkMajorityContact(nowMillis);
+		this.leadership.ifPresent((leading) -> leading.handOver(nowMillis));
+	}
+
+	/**
+	 * Takes a snapshot that replaces the older part of the log.
+	 * @param index the last index applied to the state machine
+	 * @param state the encoded state machine
+	 */
+	public void compact(long index, Payload state) {
+		if (index > this.log.snapshot().index()) {
+			this.log.compact(this.log.snapshotAt(index, state));
+		}
+	}
+
+	// elections
+
+	void tickWithoutLeadership(long nowMillis) {
+		if (nowMillis >= this.electionDeadlineMillis) {
+			startPreVote(nowMillis);
+		}
+	}
+
+	void tickAsLeader(long nowMillis) {
+		this.leadership.ifPresent((leading) -> leading.tick(nowMillis));
+	}
+
+	private void checkMajorityContact(long nowMillis) {
+		if (this.leadership.filter((leading) -> !leading.hasMajorityContact(nowMillis)).isPresent()) {
+			becomeFollower(this.term, nowMillis);
+		}
+	}
+
+	private void startPreVote(long nowMillis) {
+		restartElectionTimer(nowMillis);
+		if (!this.log.membership().isVoter(this.self)) {
+			return;
+		}
+		this.grants.clear();
+		this.grants.add(this.self);
+		changeRole(Role.PRE_CANDIDATE, Optional.empty());
+		requestVotes(this.term + 1, true, false);
+		if (hasMajorityOfGrants()) {
+			startElection(false, nowMillis);
+		}
+	}
+
+	private void startElection(boolean transfer, long nowMillis) {
+		restartElectionTimer(nowMillis);
+		this.grants.clear();
+		recordVote(this.term + 1, Optional.of(this.self));
+		this.ownVoteNumber = this.outbox.issuedNumber();
+		changeRole(Role.CANDIDATE, Optional.empty());
+		requestVotes(this.term, false, transfer);
+	}
+
+	private void requestVotes(long askedTerm, boolean preVote, boolean transfer) {
+		ConsensusMessage request = new ConsensusMessage.VoteRequest(askedTerm, preVote, transfer, this.log.lastIndex(),
+				this.log.lastTerm());
+		for (Member voter : this.log.membership().voters()) {
+			if (!voter.id().equals(this.self)) {
+				sendAfterSync(voter.id(), request);
+			}
+		}
+	}
+
+	private void countOwnVote(long nowMillis) {
+		boolean isSynced = this.outbox.syncedNumber() >= this.ownVoteNumber;
+		if (this.role == Role.CANDIDATE && isSynced) {
+			grant(this.self, nowMillis);
+		}
+	}
+
+	private void grant(MemberId voter, long nowMillis) {
+		this.grants.add(voter);
+		if (!hasMajorityOfGrants()) {
+			return;
+		}
+		if (this.role == Role.PRE_CANDIDATE) {
+			startElection(false, nowMillis);
+		}
+		else if (this.role == Role.CANDIDATE) {
+			becomeLeader(nowMillis);
+		}
+	}
+
+	private boolean hasMajorityOfGrants() {
+		return this.log.membership().isMajority(this.grants::contains);
+	}
+
+	private void becomeLeader(long nowMillis) {
+		changeRole(Role.LEADER, Optional.of(this.self));
+		this.leadership = Optional
+			.of(new Leadership(this.self, this.term, this.settings, this.log, this.outbox, nowMillis));
+		this.leadership.get().tick(nowMillis);
+	}
+
+	private void becomeFollower(long newTerm, long nowMillis) {
+		if (this.leadership.isPresent()) {
+			this.leadership.get().refuseReads();
+			this.leadership = Optional.empty();
+			this.log.writeRest();
+		}
+		if (newTerm > this.term) {
+			recordVote(newTerm, Optional.empty());
+		}
+		this.assembly = Optional.empty();
+		restartElectionTimer(nowMillis);
+		changeRole(Role.FOLLOWER, Optional.empty());
+	}
+
+	private void follow(MemberId newLeader, long nowMillis) {
+		if (this.leadership.isPresent()) {
+			throw new IllegalStateException("%s leads in term %d too".formatted(newLeader, this.term));
+		}
+		heardFromLeader(nowMillis);
+		if (this.role != Role.FOLLOWER || !this.leader.equals(Optional.of(newLeader))) {
+			this.assembly = Optional.empty();
+			changeRole(Role.FOLLOWER, Optional.of(newLeader));
+		}
+	}
+
+	private void onVoteRequest(MemberId candidate, ConsensusMessage.VoteRequest request, long nowMillis) {
+		boolean mustWait = isLeaderFresh(nowMillis) && !request.transfer();
+		if (request.preVote()) {
+			boolean granted = !mustWait && request.term() > this.term && mayVoteFor(request);
+			long repliedTerm = granted ? request.term() : this.term;
+			sendAfterSync(candidate, new ConsensusMessage.VoteReply(repliedTerm, true, granted));
+			return;
+		}
+		if (mustWait) {
+			return;
+		}
+		if (request.term() > this.term) {
+			becomeFollower(request.term(), nowMillis);
+		}
+		answerVote(candidate, request, nowMillis);
+	}
+
+	private void answerVote(MemberId candidate, ConsensusMessage.VoteRequest request, long nowMillis) {
+		boolean isFree = this.votedFor.isEmpty() || this.votedFor.equals(Optional.of(candidate));
+		boolean granted = request.term() == this.term && isFree && mayVoteFor(request);
+		if (granted && this.votedFor.isEmpty()) {
+			recordVote(this.term, Optional.of(candidate));
+		}
+		if (granted) {
+			restartElectionTimer(nowMillis);
+		}
+		sendAfterSync(candidate, new ConsensusMessage.VoteReply(this.term, false, granted));
+	}
+
+	private boolean mayVoteFor(ConsensusMessage.VoteRequest request) {
+		boolean isUpToDate = request.lastTerm() > this.log.lastTerm()
+				|| (request.lastTerm() == this.log.lastTerm() && request.lastIndex() >= this.log.lastIndex());
+		return isUpToDate && this.log.hasAdmitted(this.self);
+	}
+
+	private void onVoteReply(MemberId voter, ConsensusMessage.VoteReply reply, long nowMillis) {
+		boolean answersPreVote = this.role == Role.PRE_CANDIDATE && reply.preVote() && reply.term() == this.term + 1;
+		boolean answersVote = this.role == Role.CANDIDATE && !reply.preVote() && reply.term() == this.term;
+		if (reply.granted() && (answersPreVote || answersVote)) {
+			grant(voter, nowMillis);
+		}
+	}
+
+	private void onTimeoutNow(MemberId sender, ConsensusMessage.TimeoutNow message, long nowMillis) {
+		boolean isFromLeader = message.term() == this.term && this.leader.equals(Optional.of(sender));
+		if (isFromLeader && this.role == Role.FOLLOWER && this.log.membership().isVoter(this.self)) {
+			startElection(true, nowMillis);
+		}
+	}
+
+	// replication
+
+	private void dispatch(MemberId sender, ConsensusMessage message, long nowMillis) {
+		if (message instanceof ConsensusMessage.AppendRequest request) {
+			onAppendRequest(sender, request, nowMillis);
+		}
+		else if (message instanceof ConsensusMessage.SnapshotChunk chunk) {
+			onSnapshotChunk(sender, chunk, nowMillis);
+		}
+		else if (message instanceof ConsensusMessage.TimeoutNow request) {
+			onTimeoutNow(sender, request, nowMillis);
+		}
+		else if (message instanceof ConsensusMessage.VoteReply reply) {
+			onVoteReply(sender, reply, nowMillis);
+		}
+		else if (message.term() == this.term) {
+			dispatchToLeadership(sender, message, nowMillis);
+		}
+	}
+
+	private void dispatchToLeadership(MemberId sender, ConsensusMessage message, long nowMillis) {
+		Optional<Leadership> leading = this.leadership.filter((current) -> current.progress(sender).isPresent());
+		if (message instanceof ConsensusMessage.AppendReply reply) {
+			leading.ifPresent((current) -> current.onAppendReply(sender, reply, nowMillis));
+		}
+		else if (message instanceof ConsensusMessage.SnapshotReply reply) {
+			leading.ifPresent((current) -> current.onSnapshotReply(sender, reply, nowMillis));
+		}
+	}
+
+	private void onAppendRequest(MemberId sender, ConsensusMessage.AppendRequest request, long nowMillis) {
+		if (request.term() < this.term) {
+			replyToAppend(sender, request, false, this.log.lastIndex() + 1);
+			return;
+		}
+		follow(sender, nowMillis);
+		long previousIndex = request.previousIndex();
+		boolean isCommitted = previousIndex <= this.log.baseIndex();
+		if (!isCommitted && !this.log.matches(previousIndex, request.previousTerm())) {
+			replyToAppend(sender, request, false, mismatchHint(previousIndex));
+			return;
+		}
+		storeEntries(request.entries());
+		long matchedIndex = Math.max(previousIndex + request.entries().size(), this.log.baseIndex());
+		this.log.commit(Math.min(request.commitIndex(), matchedIndex));
+		replyToAppend(sender, request, true, matchedIndex);
+	}
+
+	private long mismatchHint(long previousIndex) {
+		if (previousIndex > this.log.lastIndex()) {
+			return this.log.lastIndex() + 1;
+		}
+		return this.log.firstIndexOfTermAt(previousIndex);
+	}
+
+	private void storeEntries(List<LogEntry> entries) {
+		long membershipIndex = this.log.membershipIndex();
+		this.log.store(entries);
+		if (this.log.membershipIndex() != membershipIndex) {
+			this.outbox.add(new Effect.MembershipChanged(this.log.membership()));
+		}
+	}
+
+	private void replyToAppend(MemberId sender, ConsensusMessage.AppendRequest request, boolean matched, long index) {
+		sendAfterSync(sender,
+				new ConsensusMessage.AppendReply(this.term, matched, index, request.round(), request.sentMillis()));
+	}
+
+	private void onSnapshotChunk(MemberId sender, ConsensusMessage.SnapshotChunk chunk, long nowMillis) {
+		if (chunk.term() < this.term) {
+			replyToChunk(sender, chunk, 0, false);
+			return;
+		}
+		follow(sender, nowMillis);
+		if (chunk.index() <= this.log.commitIndex()) {
+			replyToChunk(sender, chunk, chunk.totalBytes(), true);
+			return;
+		}
+		if (this.assembly.filter((current) -> current.continuesWith(sender, chunk)).isEmpty()) {
+			this.assembly = Optional.of(new SnapshotAssembly(sender, chunk));
+		}
+		addChunk(sender, this.assembly.get(), chunk);
+	}
+
+	private void addChunk(MemberId sender, SnapshotAssembly current, ConsensusMessage.SnapshotChunk chunk) {
+		current.add(chunk);
+		if (current.isComplete()) {
+			this.assembly = Optional.empty();
+			this.log.install(current.snapshot());
+			this.outbox.add(new Effect.MembershipChanged(this.log.membership()));
+		}
+		replyToChunk(sender, chunk, current.receivedBytes(), current.isComplete());
+	}
+
+	private void replyToChunk(MemberId sender, ConsensusMessage.SnapshotChunk chunk, int nextOffsetBytes,
+			boolean installed) {
+		sendAfterSync(sender, new ConsensusMessage.SnapshotReply(this.term, chunk.index(), nextOffsetBytes, installed,
+				chunk.round(), chunk.sentMillis()));
+	}
+
+	// helpers
+
+	private boolean isAcceptable(ConsensusEnvelope envelope) {
+		if (!envelope.receiver().equals(this.self)) {
+			return false;
+		}
+		MemberId sender = envelope.sender();
+		Membership membership = this.log.membership();
+		if (envelope.message() instanceof ConsensusMessage.Reply) {
+			return membership.find(sender).isPresent();
+		}
+		boolean isReplaced = membership.find(sender.host()).filter((known) -> !known.id().equals(sender)).isPresent();
+		return !isReplaced || envelope.membershipIndex() >= this.log.membershipIndex();
+	}
+
+	private static boolean isGrantedPreVote(ConsensusMessage message) {
+		return message instanceof ConsensusMessage.VoteReply reply && reply.preVote() && reply.granted();
+	}
+
+	private boolean takesProposals() {
+		return this.leadership.filter((leading) -> !leading.isHandingOver()).isPresent();
+	}
+
+	private MembershipVerdict proposeMembership(Membership changed, long nowMillis) {
+		long index = this.leadership.get().append(new EntryContent.MembershipContent(changed), nowMillis);
+		settle(nowMillis);
+		return new MembershipVerdict(MembershipVerdict.Kind.PROPOSED, index);
+	}
+
+	private MembershipVerdict verdict(MembershipVerdict.Kind kind) {
+		return new MembershipVerdict(kind, 0);
+	}
+
+	private void settle(long nowMillis) {
+		this.leadership.ifPresent((leading) -> leading.settle(nowMillis));
+	}
+
+	private void recordVote(long newTerm, Optional<MemberId> candidate) {
+		this.term = newTerm;
+		this.votedFor = candidate;
+		this.outbox.writeVote(newTerm, candidate);
+	}
+
+	private void changeRole(Role newRole, Optional<MemberId> newLeader) {
+		this.role = newRole;
+		this.leader = newLeader;
+		this.outbox.add(new Effect.LeadershipChanged(newRole, this.term, newLeader));
+	}
+
+	private void heardFromLeader(long nowMillis) {
+		this.leaderHeardMillis = nowMillis;
+		restartElectionTimer(nowMillis);
+	}
+
+	private boolean isLeaderFresh(long nowMillis) {
+		return this.leadership.isPresent()
+				|| nowMillis - this.leaderHeardMillis < this.settings.electionTimeoutMinimumMillis();
+	}
+
+	private void restartElectionTimer(long nowMillis) {
+		int spreadMillis = this.settings.electionTimeoutMaximumMillis() - this.settings.electionTimeoutMinimumMillis();
+		this.electionDeadlineMillis = nowMillis + this.settings.electionTimeoutMinimumMillis()
+				+ this.random.nextInt(spreadMillis);
+	}
+
+	private void sendAfterSync(MemberId receiver, ConsensusMessage message) {
+		this.outbox.sendAfterSync(new Effect.Send(receiver, this.log.membershipIndex(), message));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ReplicaLog.java
@@ -0,0 +1,353 @@
+package io.burdockpin.core.consensus;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalLong;
+
+import io.burdockpin.core.model.Payload;
+
+/**
+ * The log of one member: the newest snapshot, the entries after it and some before it,
+ * and how far it is synced and committed. Mutable; owned by one replica.
+ */
+final class ReplicaLog {
+
+	private final Outbox outbox;
+
+	private final int retainedEntries;
+
+	/** Memberships in the log in order; the first one is at or before the base. */
+	private final List<MembershipMark> marks = new ArrayList<>();
+
+	private final Deque<PendingWrite> pendingWrites = new ArrayDeque<>();
+
+	private List<LogEntry> entries;
+
+	/** Index and term of the entry before the first one kept. */
+	private long baseIndex;
+
+	private long baseTerm;
+
+	private Snapshot snapshot;
+
+	private long writtenIndex;
+
+	private long syncedIndex;
+
+	private long commitIndex;
+
+	ReplicaLog(Outbox outbox, int retainedEntries, Snapshot snapshot, List<LogEntry> entries) {
+		this.outbox = outbox;
+		this.retainedEntries = retainedEntries;
+		this.snapshot = snapshot;
+		this.baseIndex = snapshot.index();
+		this.baseTerm = snapshot.term();
+		this.commitIndex = snapshot.index();
+		this.entries = new ArrayList<>(entries);
+		this.marks.add(new MembershipMark(snapshot.membershipIndex(), snapshot.membership()));
+		entries.forEach(this::mark);
+		this.writtenIndex = lastIndex();
+		this.syncedIndex = lastIndex();
+	}
+
+	// access
+
+	long baseIndex() {
+		return this.baseIndex;
+	}
+
+	long lastIndex() {
+		return this.baseIndex + this.entries.size();
+	}
+
+	long lastTerm() {
+		return this.entries.isEmpty() ? this.baseTerm : this.entries.get(this.entries.size() - 1).term();
+	}
+
+	long commitIndex() {
+		return this.commitIndex;
+	}
+
+	long syncedIndex() {
+		return this.syncedIndex;
+	}
+
+	Snapshot snapshot() {
+		return this.snapshot;
+	}
+
+	/**
+	 * Returns the term of an entry.
+	 * @param index its index
+	 * @return the term, if the entry is kept
+	 */
+	OptionalLong term(long index) {
+		if (index == this.baseIndex) {
+			return OptionalLong.of(this.baseTerm);
+		}
+		if (index < this.baseIndex || index > lastIndex()) {
+			return OptionalLong.empty();
+		}
+		return OptionalLong.of(entry(index).term());
+	}
+
+	boolean matches(long index, long term) {
+		return term(index).equals(OptionalLong.of(term));
+	}
+
+	Membership membership() {
+		return lastMark().membership();
+	}
+
+	long membershipIndex() {
+		return lastMark().index();
+	}
+
+	/**
+	 * Tells whether a member was ever admitted as far as this log tells. A data folder
+	 * that was neither formatted nor admitted must not vote.
+	 * @param id the member
+	 * @return {@code true} if a membership in the log holds it
+	 */
+	boolean hasAdmitted(MemberId id) {
+		return this.marks.stream().anyMatch((mark) -> mark.membership().find(id).isPresent());
+	}
+
+	/**
+	 * Returns entries from an index, as many as fit into a size but at least one.
+	 * @param firstIndex the first index, after the base
+	 * @param maximumBytes the size
+	 * @return the entries
+	 */
+	List<LogEntry> slice(long firstIndex, int maximumBytes) {
+		List<LogEntry> slice = new ArrayList<>();
+		long sizeBytes = 0;
+		for (long index = firstIndex; index <= lastIndex(); index++) {
+			LogEntry entry = entry(index);
+			sizeBytes += entry.sizeBytes();
+			if (!slice.isEmpty() && sizeBytes > maximumBytes) {
+				break;
+			}
+			slice.add(entry);
+		}
+		return slice;
+	}
+
+	/**
+	 * Returns the first index of the term that the entry at an index has.
+	 * @param index the index
+	 * @return the first kept index of that term that is not committed
+	 */
+	long firstIndexOfTermAt(long index) {
+		long first = index;
+		while (first > this.commitIndex + 1 && term(first - 1).equals(term(index))) {
+			first--;
+		}
+		return first;
+	}
+
+	// changes
+
+	/**
+	 * Appends an entry of the leader itself. It is written by {@link #writeNext()}.
+	 * @param entry the entry
+	 */
+	void append(LogEntry entry) {
+		this.entries.add(entry);
+		mark(entry);
+	}
+
+	/**
+	 * Writes the appended entries unless a write of entries is still under way, so that
+	 * all entries that arrive during one sync share the next one.
+	 */
+	void writeNext() {
+		if (this.pendingWrites.isEmpty()) {
+			writeRest();
+		}
+	}
+
+	/**
+	 * Writes all entries that are not written yet. A leader that steps down does this,
+	 * because the next leader may already have the same entries and count on this copy.
+	 */
+	void writeRest() {
+		if (this.writtenIndex < lastIndex()) {
+			write(List.copyOf(this.entries.subList(offset(this.writtenIndex + 1), this.entries.size())));
+		}
+	}
+
+	/**
+	 * Stores the entries of a leader. Entries that are already there are kept, so that a
+	 * late duplicate does not cut off newer ones.
+	 * @param received consecutive entries; the one before the first matches
+	 */
+	void store(List<LogEntry> received) {
+		int position = 0;
+		while (position < received.size() && has(received.get(position))) {
+			position++;
+		}
+		if (position < received.size()) {
+			List<LogEntry> added = received.subList(position, received.size());
+			truncateFrom(added.get(0).index());
+			added.forEach(this::append);
+			write(List.copyOf(added));
+		}
+	}
+
+	void synced(long number) {
+		while (!this.pendingWrites.isEmpty() && this.pendingWrites.peek().number() <= number) {
+			this.syncedIndex = Math.max(this.syncedIndex, this.pendingWrites.poll().lastIndex());
+		}
+	}
+
+	void commit(long index) {
+		if (index <= this.commitIndex) {
+			return;
+		}
+		List<LogEntry> committed = List.copyOf(this.entries.subList(offset(this.commitIndex + 1), offset(index + 1)));
+		this.commitIndex = index;
+		this.outbox.add(new Effect.Apply(committed));
+	}
+
+	/**
+	 * Takes a snapshot of this member's own state machine.
+	 * @param taken the snapshot, at a committed index
+	 */
+	void compact(Snapshot taken) {
+		this.snapshot = taken;
+		this.outbox.writeSnapshot(taken, false);
+		dropUpTo(taken.index() - this.retainedEntries);
+	}
+
+	/**
+	 * Installs the snapshot of a leader.
+	 * @param received the snapshot, newer than the commit index
+	 */
+	void install(Snapshot received) {
+		boolean suffixIsValid = matches(received.index(), received.term());
+		this.snapshot = received;
+		this.commitIndex = received.index();
+		if (suffixIsValid) {
+			dropUpTo(received.index());
+		}
+		else {
+			reset(received);
+		}
+		this.outbox.writeSnapshot(received, !suffixIsValid);
+		this.outbox.add(new Effect.Restore(received));
+	}
+
+	Snapshot snapshotAt(long index, Payload state) {
+		MembershipMark mark = this.marks.get(0);
+		for (MembershipMark candidate : this.marks) {
+			mark = (candidate.index() <= index) ? candidate : mark;
+		}
+		return new Snapshot(index, term(index).orElseThrow(), mark.index(), mark.membership(), state);
+	}
+
+	// helpers
+
+	private boolean has(LogEntry entry) {
+		return entry.index() <= this.baseIndex || matches(entry.index(), entry.term());
+	}
+
+	private LogEntry entry(long index) {
+		return this.entries.get(offset(index));
+	}
+
+	private int offset(long index) {
+		return (int) (index - this.baseIndex - 1);
+	}
+
+	private MembershipMark lastMark() {
+		return this.marks.get(this.marks.size() - 1);
+	}
+
+	private void mark(LogEntry entry) {
+		if (entry.content() instanceof EntryContent.MembershipContent content) {
+			this.marks.add(new MembershipMark(entry.index(), content.membership()));
+		}
+	}
+
+	private void write(List<LogEntry> written) {
+		long number = this.outbox.writeEntries(written);
+		this.writtenIndex = lastIndex();
+		this.pendingWrites.add(new PendingWrite(number, this.writtenIndex));
+	}
+
+	private void truncateFrom(long index) {
+		if (index > lastIndex()) {
+			return;
+		}
+		if (index <= this.commitIndex) {
+			throw new IllegalStateException("entry %d is committed and cannot be replaced".formatted(index));
+		}
+		this.entries = new ArrayList<>(this.entries.subList(0, offset(index)));
+		this.marks.removeIf((mark) -> mark.index() >= index);
+		limitWritten(index - 1);
+	}
+
+	private void limitWritten(long index) {
+		this.writtenIndex = Math.min(this.writtenIndex, index);
+		this.syncedIndex = Math.min(this.syncedIndex, index);
+		this.pendingWrites.forEach((write) -> write.limit(index));
+	}
+
+	private void dropUpTo(long index) {
+		if (index <= this.baseIndex) {
+			return;
+		}
+		long droppedTerm = term(index).orElseThrow();
+		this.entries = new ArrayList<>(this.entries.subList(offset(index + 1), this.entries.size()));
+		this.baseIndex = index;
+		this.baseTerm = droppedTerm;
+		while (this.marks.size() > 1 && this.marks.get(1).index() <= index) {
+			this.marks.remove(0);
+		}
+	}
+
+	private void reset(Snapshot received) {
+		this.entries = new ArrayList<>();
+		this.baseIndex = received.index();
+		this.baseTerm = received.term();
+		this.marks.clear();
+		this.marks.add(new MembershipMark(received.membershipIndex(), received.membership()));
+		this.pendingWrites.clear();
+		this.writtenIndex = received.index();
+		this.syncedIndex = received.index();
+	}
+
+	private record MembershipMark(long index, Membership membership) {
+
+	}
+
+	/** A write of entries that is not synced yet. Its range shrinks on a truncation. */
+	private static final class PendingWrite {
+
+		private final long number;
+
+		private long lastIndex;
+
+		PendingWrite(long number, long lastIndex) {
+			this.number = number;
+			this.lastIndex = lastIndex;
+		}
+
+		long number() {
+			return this.number;
+		}
+
+		long lastIndex() {
+			return this.lastIndex;
+		}
+
+		void limit(long index) {
+			this.lastIndex = Math.min(this.lastIndex, index);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of the replicated log. */
+package io.burdockpin.core.consensus;
