--- a/burdockpin-codec/src/main/thrift/consensus.thrift
+++ b/burdockpin-codec/src/main/thrift/consensus.thrift
@@ -1,6 +1,7 @@
 /**
  * Messages between control members, one ConsensusEnvelope in each frame, and the content of
- * the log and snapshot files.
+ * the log and snapshot files. Generated from this folder with
+ * thrift --gen java:generated_annotations=suppress,private_members -out ../java consensus.thrift
  */
 namespace java io.burdockpin.codec.thrift.generated.consensus
 
@@ -145,10 +146,29 @@
   3: SnapshotReply snapshotReply,
 }
 
+/** The configuration that an entry host has in force. */
+struct FeedConfirmation {
+  1: string host,
+  2: string dataCentre,
+  3: i64 appliedIndex,
+}
+
+/** Tells the leader which entry hosts have which configuration in force. */
+struct FeedReport {
+  1: i64 term,
+  2: list<FeedConfirmation> confirmations,
+}
+
+/** A message that the replicated log takes no notice of. */
+union ConsensusNotice {
+  1: FeedReport feedReport,
+}
+
 /** One of the messages. */
 union ConsensusMessage {
   1: ConsensusRequest request,
   2: ConsensusReply reply,
+  3: ConsensusNotice notice,
 }
 
 /** A time that orders causally related events even when the clocks of two hosts differ. */
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftConsensusCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftConsensusCodecTests.java
@@ -17,6 +17,7 @@
 import io.burdockpin.core.consensus.Snapshot;
 import io.burdockpin.core.event.HybridTimestamp;
 import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Payload;
 import org.junit.jupiter.api.Test;
@@ -77,7 +78,9 @@
 				new ConsensusMessage.AppendReply(4, true, 9, 99, 1234),
 				new ConsensusMessage.SnapshotChunk(4, 40, 3, 12, MEMBERSHIP, 65536, 70000, Payload.ofText("part"), 5,
 						6),
-				new ConsensusMessage.SnapshotReply(4, 40, 65540, false, 5, 6), new ConsensusMessage.TimeoutNow(4));
+				new ConsensusMessage.SnapshotReply(4, 40, 65540, false, 5, 6), new ConsensusMessage.TimeoutNow(4),
+				new ConsensusMessage.FeedReport(4,
+						List.of(new ConsensusMessage.FeedConfirmation(new HostName("e1"), new DataCentre("dc1"), 31))));
 	}
 
 }
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -0,0 +1,181 @@
+package io.burdockpin.control;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.json.EventJsonCodec;
+import io.burdockpin.codec.json.ProcessDescription;
+import io.burdockpin.control.admin.AdminHttp;
+import io.burdockpin.control.link.LinkSupervisor;
+import io.burdockpin.control.link.LinkSupervisorSettings;
+import io.burdockpin.control.link.PlannerReport;
+import io.burdockpin.control.replica.ReplicaActorSettings;
+import io.burdockpin.control.replica.ReplicaMessage;
+import io.burdockpin.control.replica.ReplicaSupervisor;
+import io.burdockpin.control.storage.Identity;
+import io.burdockpin.control.storage.MemberStorage;
+import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.link.LinkSettings;
+import io.burdockpin.runtime.service.ExitStatus;
+import io.burdockpin.runtime.service.GuardianCommand;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Root of the control program. Starts the replica first; links, planners and HTTP follow
+ * when its files are read.
+ */
+final class ControlGuardian extends AbstractBehavior<GuardianCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** An election with its timeout ends within this time. */
+	private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration RESTART_MINIMUM = Duration.ofMillis(200);
+
+	private static final Duration RESTART_MAXIMUM = Duration.ofSeconds(10);
+
+	/**
+	 * Ticks in one heartbeat period; a late tick delays a heartbeat by less than that.
+	 */
+	private static final int TICKS_PER_HEARTBEAT = 4;
+
+	private final ControlSettings settings;
+
+	private final TimerScheduler<GuardianCommand> timers;
+
+	private final Clock clock;
+
+	private final CompletableFuture<ExitStatus> exit;
+
+	private Optional<ActorRef<ReplicaMessage>> replica = Optional.empty();
+
+	private Optional<ActorRef<AdminHttp.Command>> admin = Optional.empty();
+
+	private ControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
+			ControlSettings settings, Identity identity, MemberStorage storage, Clock clock, RandomGenerator random,
+			CompletableFuture<ExitStatus> exit) {
+		super(context);
+		this.settings = settings;
+		this.timers = timers;
+		this.clock = clock;
+		this.exit = exit;
+		ActorRef<EventLog.Command> eventLog = context.spawn(eventLog(identity), "event-log");
+		ReplicaActorSettings actorSettings = new ReplicaActorSettings(settings.cluster(),
+				settings.heartbeatMillis().get() / TICKS_PER_HEARTBEAT, settings.confirmationMillis().get());
+		context.spawn(
+				ReplicaSupervisor.create(storage, settings.toReplicaSettings(), actorSettings, eventLog, clock, random,
+						context.messageAdapter(ReplicaSupervisor.Report.class, ReplicaReport::new)),
+				"replica-supervisor");
+	}
+
+	// life cycle
+
+	static Behavior<GuardianCommand> create(ControlSettings settings, Identity identity, MemberStorage storage,
+			Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+		return Behaviors.setup((context) -> Behaviors.withTimers(
+				(timers) -> new ControlGuardian(context, timers, settings, identity, storage, clock, random, exit)));
+	}
+
+	@Override
+	public Receive<GuardianCommand> createReceive() {
+		return newReceiveBuilder().onMessage(ReplicaReport.class, this::onReplicaReport)
+			.onMessage(LinkReport.class, this::onLinkReport)
+			.onMessage(AdminReport.class, this::onAdminReport)
+			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
+			.onMessageEquals(StopDue.INSTANCE, Behaviors::stopped)
+			.build();
+	}
+
+	private Behavior<GuardianCommand> onReplicaReport(ReplicaReport command) {
+		if (command.report() instanceof ReplicaSupervisor.Started started) {
+			startRest(started);
+			return this;
+		}
+		return fail(ExitStatus.STORAGE);
+	}
+
+	private Behavior<GuardianCommand> onLinkReport(LinkReport command) {
+		return (command.report() instanceof LinkSupervisor.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
+	}
+
+	private Behavior<GuardianCommand> onAdminReport(AdminReport command) {
+		return (command.report() instanceof AdminHttp.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
+	}
+
+	private Behavior<GuardianCommand> onStop() {
+		logger.atInfo().log("Stopping.");
+		this.admin.ifPresent((target) -> target.tell(AdminHttp.Stopping.INSTANCE));
+		if (this.replica.isEmpty()) {
+			return Behaviors.stopped();
+		}
+		this.timers.startSingleTimer(StopDue.INSTANCE, HAND_OVER_TIMEOUT);
+		ActorRef<ReplicaMessage.HandedOver> handedOver = getContext().messageAdapter(ReplicaMessage.HandedOver.class,
+				(done) -> StopDue.INSTANCE);
+		this.replica.get().tell(new ReplicaMessage.HandOver(handedOver));
+		return this;
+	}
+
+	// helpers
+
+	private void startRest(ReplicaSupervisor.Started started) {
+		ActorContext<GuardianCommand> context = getContext();
+		this.replica = Optional.of(started.replica());
+		ActorRef<PlannerReport> planner = context.getSystem().ignoreRef();
+		context.spawn(
+				LinkSupervisor.create(linkSettings(), started.self(), started.replica(), planner,
+						context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new), this.clock),
+				"link-supervisor");
+		this.admin = Optional
+			.of(context.spawn(
+					AdminHttp.create(LinkSupervisorSettings.socketAddress(this.settings.adminAddress()),
+							started.replica(), context.messageAdapter(AdminHttp.Report.class, AdminReport::new)),
+					"admin-http"));
+	}
+
+	private LinkSupervisorSettings linkSettings() {
+		return new LinkSupervisorSettings(LinkSupervisorSettings.socketAddress(this.settings.memberAddress()),
+				LinkSupervisorSettings.socketAddress(this.settings.clientAddress()), this.settings.toMembership(),
+				LinkSettings.DEFAULT, RESTART_MINIMUM, RESTART_MAXIMUM);
+	}
+
+	private Behavior<EventLog.Command> eventLog(Identity identity) {
+		return EventLog.create(this.settings.toDataFolder().resolve("events").resolve("events.jsonl"),
+				this.settings.eventFileBytes().get(), new EventJsonCodec(), new ProcessDescription("burdock-control",
+						identity.host(), this.settings.dataCentre(), identity.incarnation()));
+	}
+
+	private Behavior<GuardianCommand> fail(ExitStatus status) {
+		this.exit.complete(status);
+		return Behaviors.stopped();
+	}
+
+	private record ReplicaReport(ReplicaSupervisor.Report report) implements GuardianCommand {
+
+	}
+
+	private record LinkReport(LinkSupervisor.Report report) implements GuardianCommand {
+
+	}
+
+	private record AdminReport(AdminHttp.Report report) implements GuardianCommand {
+
+	}
+
+	private enum StopDue implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
@@ -0,0 +1,89 @@
+package io.burdockpin.control;
+
+import java.time.Clock;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.thrift.impl.ThriftEntryContentCodec;
+import io.burdockpin.codec.thrift.impl.ThriftSnapshotCodec;
+import io.burdockpin.control.storage.DiskFiles;
+import io.burdockpin.control.storage.Identity;
+import io.burdockpin.control.storage.MemberStorage;
+import io.burdockpin.control.storage.StorageException;
+import io.burdockpin.runtime.service.ExitStatus;
+import io.burdockpin.runtime.service.GuardianCommand;
+import io.burdockpin.runtime.service.ProgramBase;
+import io.burdockpin.runtime.service.StartException;
+import io.burdockpin.runtime.settings.SettingsLoader;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.apache.pekko.actor.typed.Behavior;
+
+/** The binary {@code burdock-control}. Used by the main thread. */
+public final class ControlProgram extends ProgramBase<ControlSettings> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private ControlProgram() {
+		super("burdock-control", ControlSettings.class, new SettingsLoader());
+	}
+
+	/**
+	 * Runs the program.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		System.exit(new ControlProgram().run(args).status());
+	}
+
+	@Override
+	protected void addArguments(ArgumentParser parser) {
+		parser.addArgument("--format")
+			.action(Arguments.storeTrue())
+			.help("make the empty data folder that of a voter of a new cluster and end; "
+					+ "never use it on a member that lost its disk");
+	}
+
+	@Override
+	protected boolean runInstead(Namespace arguments, ControlSettings settings) {
+		if (!arguments.getBoolean("format")) {
+			return false;
+		}
+		try {
+			storage(settings).format(
+					new Identity(settings.cluster(), settings.host(), ControlSettings.FORMATTED_INCARNATION, true),
+					settings.toMembership());
+			return true;
+		}
+		catch (StorageException ex) {
+			throw startException(settings, ex);
+		}
+	}
+
+	@Override
+	protected Behavior<GuardianCommand> createGuardian(ControlSettings settings, CompletableFuture<ExitStatus> exit) {
+		try {
+			MemberStorage storage = storage(settings);
+			Identity identity = new IdentityCheck(settings).ensureIdentity(storage);
+			logger.atInfo().log("Member %s has incarnation %d.", identity.host(), identity.incarnation());
+			return ControlGuardian.create(settings, identity, storage, Clock.systemUTC(), RandomGenerator.getDefault(),
+					exit);
+		}
+		catch (StorageException ex) {
+			throw startException(settings, ex);
+		}
+	}
+
+	private static MemberStorage storage(ControlSettings settings) {
+		return new MemberStorage(new DiskFiles(settings.toDataFolder()), new ThriftEntryContentCodec(),
+				new ThriftSnapshotCodec());
+	}
+
+	private static StartException startException(ControlSettings settings, StorageException ex) {
+		return new StartException(ExitStatus.STORAGE, ex.getCode(),
+				"data folder %s: %s".formatted(settings.dataFolder(), ex.getMessage()), ex);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -0,0 +1,151 @@
+package io.burdockpin.control;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.control.link.LinkSupervisorSettings;
+import io.burdockpin.core.consensus.Member;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.consensus.MemberRole;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.consensus.ReplicaSettings;
+import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.util.Checks;
+
+/**
+ * Settings of the control program. Immutable.
+ *
+ * @param cluster name of the cluster; members of other clusters are not heard
+ * @param host the host of this member
+ * @param dataCentre where the host stands
+ * @param dataFolder folder of identity, vote, log and snapshots
+ * @param memberAddress where to listen for other members, {@code ip:port}
+ * @param clientAddress where to listen for entry hosts, {@code ip:port}
+ * @param adminAddress where health and metrics are served, {@code ip:port}
+ * @param members the members of a new cluster; later changes are in the log
+ * @param heartbeatMillis period of the leader's heartbeats (default 100)
+ * @param electionTimeoutMinimumMillis shortest time without a leader before an election
+ * (default 500)
+ * @param electionTimeoutMaximumMillis longest time without a leader before an election
+ * (default 1000)
+ * @param snapshotEntries entries after which a snapshot is taken (default 4096)
+ * @param confirmationMillis how long a reply waits until the entry hosts have confirmed a
+ * configuration change (default 2000)
+ * @param eventFileBytes size at which a new event file is started (default 16 MiB)
+ */
+public record ControlSettings(String cluster, String host, String dataCentre, String dataFolder, String memberAddress,
+		String clientAddress, String adminAddress, List<MemberSettings> members, Optional<Integer> heartbeatMillis,
+		Optional<Integer> electionTimeoutMinimumMillis, Optional<Integer> electionTimeoutMaximumMillis,
+		Optional<Integer> snapshotEntries, Optional<Integer> confirmationMillis, Optional<Long> eventFileBytes) {
+
+	/** Incarnation of the members of a new cluster. */
+	public static final long FORMATTED_INCARNATION = 1;
+
+	private static final int MAXIMUM_MEMBERS = 5;
+
+	private static final int DEFAULT_CONFIRMATION_MILLIS = 2000;
+
+	private static final long DEFAULT_EVENT_FILE_BYTES = 16L * 1024 * 1024;
+
+	private static final ReplicaSettings DEFAULTS = ReplicaSettings.DEFAULT;
+
+	public ControlSettings {
+		Checks.name("cluster", cluster);
+		Checks.name("host", host);
+		Checks.name("data centre", dataCentre);
+		if (dataFolder == null || dataFolder.isBlank()) {
+			throw new InvalidValueException("dataFolder is missing");
+		}
+		LinkSupervisorSettings.socketAddress(memberAddress);
+		LinkSupervisorSettings.socketAddress(clientAddress);
+		LinkSupervisorSettings.socketAddress(adminAddress);
+		members = (members != null) ? List.copyOf(members) : List.of();
+		Checks.range("number of members", members.size(), 1, MAXIMUM_MEMBERS);
+		checkDistinct(members);
+		heartbeatMillis = withDefault(heartbeatMillis, DEFAULTS.heartbeatMillis());
+		electionTimeoutMinimumMillis = withDefault(electionTimeoutMinimumMillis,
+				DEFAULTS.electionTimeoutMinimumMillis());
+		electionTimeoutMaximumMillis = withDefault(electionTimeoutMaximumMillis,
+				DEFAULTS.electionTimeoutMaximumMillis());
+		snapshotEntries = withDefault(snapshotEntries, DEFAULTS.snapshotEntries());
+		confirmationMillis = withDefault(confirmationMillis, DEFAULT_CONFIRMATION_MILLIS);
+		eventFileBytes = withDefault(eventFileBytes, DEFAULT_EVENT_FILE_BYTES);
+		Checks.range("heartbeatMillis", heartbeatMillis.get(), 10, 10_000);
+		Checks.range("confirmationMillis", confirmationMillis.get(), 0, 10_000);
+		Checks.range("eventFileBytes", eventFileBytes.get(), 4096, 1L << 40);
+		replicaSettings(heartbeatMillis, electionTimeoutMinimumMillis, electionTimeoutMaximumMillis, snapshotEntries);
+	}
+
+	// access
+
+	/**
+	 * Returns the settings of the replicated log.
+	 * @return the settings
+	 */
+	public ReplicaSettings toReplicaSettings() {
+		return replicaSettings(this.heartbeatMillis, this.electionTimeoutMinimumMillis,
+				this.electionTimeoutMaximumMillis, this.snapshotEntries);
+	}
+
+	/**
+	 * Returns the members of a new cluster.
+	 * @return all as voters with the first incarnation
+	 */
+	public Membership toMembership() {
+		return new Membership(this.members.stream()
+			.map((member) -> new Member(new MemberId(new HostName(member.host()), FORMATTED_INCARNATION),
+					MemberRole.VOTER, member.address()))
+			.toList());
+	}
+
+	/**
+	 * Returns the data folder.
+	 * @return its path
+	 */
+	public Path toDataFolder() {
+		return Path.of(this.dataFolder);
+	}
+
+	// helpers
+
+	private static ReplicaSettings replicaSettings(Optional<Integer> heartbeatMillis, Optional<Integer> minimumMillis,
+			Optional<Integer> maximumMillis, Optional<Integer> snapshotEntries) {
+		return new ReplicaSettings(heartbeatMillis.get(), minimumMillis.get(), maximumMillis.get(),
+				snapshotEntries.get(), Math.min(DEFAULTS.retainedEntries(), snapshotEntries.get()),
+				DEFAULTS.maximumAppendBytes(), DEFAULTS.snapshotChunkBytes());
+	}
+
+	private static void checkDistinct(List<MemberSettings> members) {
+		Set<String> hosts = new HashSet<>();
+		for (MemberSettings member : members) {
+			if (!hosts.add(member.host())) {
+				throw new InvalidValueException("member %s is listed twice".formatted(member.host()));
+			}
+		}
+	}
+
+	// Jackson passes null for a missing setting.
+	private static <T> Optional<T> withDefault(Optional<T> value, T defaultValue) {
+		return Optional.of((value != null) ? value.orElse(defaultValue) : defaultValue);
+	}
+
+	/**
+	 * A member of a new cluster.
+	 *
+	 * @param host its host
+	 * @param address where it listens for other members, {@code ip:port}
+	 */
+	public record MemberSettings(String host, String address) {
+
+		public MemberSettings {
+			Checks.name("member host", host);
+			LinkSupervisorSettings.socketAddress(address);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Health and metrics over HTTP. */
+package io.burdockpin.control.admin;
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control program: its root guardian and settings. */
+package io.burdockpin.control;
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/FleetMachine.java
@@ -0,0 +1,82 @@
+package io.burdockpin.control.replica;
+
+import io.burdockpin.codec.io.FleetSnapshotCodec;
+import io.burdockpin.codec.io.ProposalCodec;
+import io.burdockpin.core.consensus.EntryContent;
+import io.burdockpin.core.consensus.LogEntry;
+import io.burdockpin.core.consensus.Snapshot;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.Proposal;
+
+/**
+ * The state machine behind the encoded log entries and snapshots. Mutable; owned by the
+ * replica actor.
+ */
+final class FleetMachine {
+
+	private final ProposalCodec proposalCodec;
+
+	private final FleetSnapshotCodec snapshotCodec;
+
+	private FleetState state = FleetState.empty();
+
+	private long appliedIndex;
+
+	private long appliedTerm;
+
+	FleetMachine(ProposalCodec proposalCodec, FleetSnapshotCodec snapshotCodec) {
+		this.proposalCodec = proposalCodec;
+		this.snapshotCodec = snapshotCodec;
+	}
+
+	// access
+
+	FleetState state() {
+		return this.state;
+	}
+
+	long appliedIndex() {
+		return this.appliedIndex;
+	}
+
+	long appliedTerm() {
+		return this.appliedTerm;
+	}
+
+	Payload encode(Proposal proposal) {
+		return Payload.of(this.proposalCodec.encode(proposal));
+	}
+
+	Payload encodeState() {
+		return Payload.of(this.snapshotCodec.encode(this.state.snapshot()));
+	}
+
+	// changes
+
+	/**
+	 * Takes note of an entry that the state machine does not need to see.
+	 * @param entry the entry
+	 */
+	void skip(LogEntry entry) {
+		this.appliedIndex = entry.index();
+		this.appliedTerm = entry.term();
+	}
+
+	AppliedCommand apply(LogEntry entry, EntryContent.CommandContent content) {
+		skip(entry);
+		Proposal proposal = this.proposalCodec.decode(content.payload().bytes());
+		long previousIndex = this.state.configurationIndex();
+		CommandResult result = this.state.apply(entry.index(), proposal);
+		return new AppliedCommand(entry.index(), proposal, result, previousIndex, this.state.configurationIndex());
+	}
+
+	void restore(Snapshot snapshot) {
+		this.state = (snapshot.state().lengthBytes() == 0) ? FleetState.empty()
+				: FleetState.restore(this.snapshotCodec.decode(snapshot.state().bytes()));
+		this.appliedIndex = snapshot.index();
+		this.appliedTerm = snapshot.term();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
@@ -0,0 +1,151 @@
+package io.burdockpin.control.replica;
+
+import io.burdockpin.control.storage.MemberStorage;
+import io.burdockpin.core.consensus.DurableState;
+import io.burdockpin.core.consensus.Effect;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Owns the files of this member. Writes in order and syncs once for all writes that
+ * arrived meanwhile. Any failure ends the actor, and with it the process, without a
+ * report of the write.
+ */
+public final class LogWriter extends AbstractBehavior<LogWriter.Command> {
+
+	private final MemberStorage storage;
+
+	private final ActorRef<Written> writtenListener;
+
+	private boolean syncIsDue;
+
+	private long newestNumber;
+
+	private LogWriter(ActorContext<Command> context, MemberStorage storage, ActorRef<Loaded> loadedListener,
+			ActorRef<Written> writtenListener) {
+		super(context);
+		this.storage = storage;
+		this.writtenListener = writtenListener;
+		loadedListener.tell(new Loaded(storage.load()));
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior of a log writer, which first reads the files.
+	 * @param storage the files
+	 * @param loadedListener gets what the files hold
+	 * @param writtenListener gets the numbers of synced writes
+	 * @return the behavior
+	 */
+	public static Behavior<Command> create(MemberStorage storage, ActorRef<Loaded> loadedListener,
+			ActorRef<Written> writtenListener) {
+		return Behaviors.setup((context) -> new LogWriter(context, storage, loadedListener, writtenListener));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(WriteVote.class, this::onWriteVote)
+			.onMessage(WriteEntries.class, this::onWriteEntries)
+			.onMessage(WriteSnapshot.class, this::onWriteSnapshot)
+			.onMessageEquals(SyncDue.INSTANCE, this::onSyncDue)
+			.build();
+	}
+
+	// helpers
+
+	private Behavior<Command> onWriteVote(WriteVote command) {
+		Effect.WriteVote write = command.write();
+		this.storage.writeVote(write.term(), write.votedFor());
+		return requestSync(write.number());
+	}
+
+	private Behavior<Command> onWriteEntries(WriteEntries command) {
+		this.storage.append(command.write().entries());
+		return requestSync(command.write().number());
+	}
+
+	private Behavior<Command> onWriteSnapshot(WriteSnapshot command) {
+		Effect.WriteSnapshot write = command.write();
+		this.storage.writeSnapshot(write.snapshot(), write.discardLog());
+		return requestSync(write.number());
+	}
+
+	// The message to itself comes after all writes that are already in the mailbox.
+	private Behavior<Command> requestSync(long number) {
+		this.newestNumber = number;
+		if (!this.syncIsDue) {
+			this.syncIsDue = true;
+			getContext().getSelf().tell(SyncDue.INSTANCE);
+		}
+		return this;
+	}
+
+	private Behavior<Command> onSyncDue() {
+		this.syncIsDue = false;
+		this.storage.sync();
+		this.writtenListener.tell(new Written(this.newestNumber));
+		return this;
+	}
+
+	/** Messages of the log writer. */
+	public sealed interface Command {
+
+	}
+
+	/**
+	 * Writes term and vote.
+	 *
+	 * @param write the write
+	 */
+	public record WriteVote(Effect.WriteVote write) implements Command {
+
+	}
+
+	/**
+	 * Writes entries.
+	 *
+	 * @param write the write
+	 */
+	public record WriteEntries(Effect.WriteEntries write) implements Command {
+
+	}
+
+	/**
+	 * Writes a snapshot.
+	 *
+	 * @param write the write
+	 */
+	public record WriteSnapshot(Effect.WriteSnapshot write) implements Command {
+
+	}
+
+	private enum SyncDue implements Command {
+
+		INSTANCE
+
+	}
+
+	/**
+	 * The files were read.
+	 *
+	 * @param state what they hold
+	 */
+	public record Loaded(DurableState state) {
+
+	}
+
+	/**
+	 * All writes up to a number are synced.
+	 *
+	 * @param number the number
+	 */
+	public record Written(long number) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/PendingProposals.java
@@ -0,0 +1,83 @@
+package io.burdockpin.control.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.LongFunction;
+
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.state.CommandResult;
+import org.apache.pekko.actor.typed.ActorRef;
+
+/**
+ * Proposals of this leader that wait for their result, and results that wait for the
+ * confirmation of the entry hosts. Mutable; owned by the replica actor.
+ */
+final class PendingProposals {
+
+	private final TreeMap<Long, Waiter> proposed = new TreeMap<>();
+
+	private final List<Confirming> confirming = new ArrayList<>();
+
+	// changes
+
+	void add(long index, Waiter waiter) {
+		this.proposed.put(index, waiter);
+	}
+
+	Optional<Waiter> take(long index) {
+		return Optional.ofNullable(this.proposed.remove(index));
+	}
+
+	void awaitConfirmation(Waiter waiter, long index, long configurationIndex, CommandResult result,
+			long deadlineMillis) {
+		this.confirming.add(new Confirming(waiter, index, configurationIndex, result, deadlineMillis));
+	}
+
+	/** Answers all proposals whose fate this member will not learn any more. */
+	void giveUp() {
+		this.proposed.values()
+			.forEach((waiter) -> waiter.replyTo().tell(new ClientMessage.ProposalUnknown(waiter.correlation())));
+		this.proposed.clear();
+	}
+
+	/**
+	 * Answers the results that are confirmed everywhere or have waited long enough.
+	 * @param nowMillis the time
+	 * @param unconfirmed the unconfirmed data centres for a configuration index
+	 */
+	void settleConfirmations(long nowMillis, LongFunction<List<DataCentre>> unconfirmed) {
+		this.confirming.removeIf((entry) -> {
+			List<DataCentre> missing = unconfirmed.apply(entry.configurationIndex());
+			boolean isSettled = missing.isEmpty() || nowMillis >= entry.deadlineMillis();
+			if (isSettled) {
+				entry.waiter().reply(entry.index(), entry.result(), missing);
+			}
+			return isSettled;
+		});
+	}
+
+	/**
+	 * Who waits for a result.
+	 *
+	 * @param correlation number of the request
+	 * @param replyTo gets the reply
+	 * @param wantsConfirmation whether the reply waits for the confirmation of a
+	 * configuration change
+	 */
+	record Waiter(long correlation, ActorRef<? super ClientMessage> replyTo, boolean wantsConfirmation) {
+
+		void reply(long index, CommandResult result, List<DataCentre> unconfirmed) {
+			this.replyTo.tell(new ClientMessage.ProposeReply(this.correlation, index, result, unconfirmed));
+		}
+
+	}
+
+	private record Confirming(Waiter waiter, long index, long configurationIndex, CommandResult result,
+			long deadlineMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -0,0 +1,494 @@
+package io.burdockpin.control.replica;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.control.link.MemberLinkCommand;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.MemberStatus;
+import io.burdockpin.core.client.QueryResult;
+import io.burdockpin.core.consensus.ConsensusEnvelope;
+import io.burdockpin.core.consensus.ConsensusMessage;
+import io.burdockpin.core.consensus.Effect;
+import io.burdockpin.core.consensus.EntryContent;
+import io.burdockpin.core.consensus.LogEntry;
+import io.burdockpin.core.consensus.Member;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.consensus.MemberRole;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.consensus.MembershipChange;
+import io.burdockpin.core.consensus.MembershipVerdict;
+import io.burdockpin.core.consensus.Replica;
+import io.burdockpin.core.consensus.ReplicaStatus;
+import io.burdockpin.core.consensus.Role;
+import io.burdockpin.core.consensus.Snapshot;
+import io.burdockpin.core.event.Event;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
+import io.burdockpin.core.event.HybridClock;
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.Proposal;
+import io.burdockpin.runtime.event.EventLog;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Owns the replicated log decisions and the state machine of this member. Carries out the
+ * effects of each event before it takes the next one.
+ */
+public final class ReplicaActor extends AbstractBehavior<ReplicaMessage> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final Duration FEED_PERIOD = Duration.ofSeconds(1);
+
+	private final ReplicaActorSettings settings;
+
+	private final Replica replica;
+
+	private final FleetMachine machine;
+
+	private final ActorRef<LogWriter.Command> logWriter;
+
+	private final ActorRef<EventLog.Command> eventLog;
+
+	private final MonotonicClock monotonicClock;
+
+	private final Clock wallClock;
+
+	private final HybridClock hybridClock = new HybridClock();
+
+	private final ConfigurationFeed feed = new ConfigurationFeed();
+
+	private final ConfirmationTable confirmations = new ConfirmationTable();
+
+	private final PendingProposals proposals = new PendingProposals();
+
+	private final Map<Long, PendingRead> reads = new HashMap<>();
+
+	private final List<ActorRef<? super ReplicaMessage.HandedOver>> handOverListeners = new ArrayList<>();
+
+	private Optional<ActorRef<MemberLinkCommand>> links = Optional.empty();
+
+	private boolean leads;
+
+	private long nextReadNumber;
+
+	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
+			ReplicaActorSettings settings, Replica replica, FleetMachine machine, ActorRef<LogWriter.Command> logWriter,
+			ActorRef<EventLog.Command> eventLog, MonotonicClock monotonicClock, Clock wallClock) {
+		super(context);
+		this.settings = settings;
+		this.replica = replica;
+		this.machine = machine;
+		this.logWriter = logWriter;
+		this.eventLog = eventLog;
+		this.monotonicClock = monotonicClock;
+		this.wallClock = wallClock;
+		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
+		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.FEED, FEED_PERIOD);
+		runEffects();
+	}
+
+	// life cycle
+
+	@Override
+	public Receive<ReplicaMessage> createReceive() {
+		return newReceiveBuilder().onMessageEquals(ReplicaMessage.Timer.TICK, this::onTick)
+			.onMessageEquals(ReplicaMessage.Timer.FEED, this::onFeedDue)
+			.onMessage(ReplicaMessage.Written.class, this::onWritten)
+			.onMessage(ReplicaMessage.FromMember.class, this::onFromMember)
+			.onMessage(ReplicaMessage.FromClient.class, this::onFromClient)
+			.onMessage(ReplicaMessage.ClientLeft.class, this::onClientLeft)
+			.onMessage(ReplicaMessage.Propose.class, this::onPropose)
+			.onMessage(ReplicaMessage.FetchRecords.class, this::onFetchRecords)
+			.onMessage(ReplicaMessage.FetchStatus.class, this::onFetchStatus)
+			.onMessage(ReplicaMessage.AttachLinks.class, this::onAttachLinks)
+			.onMessage(ReplicaMessage.HandOver.class, this::onHandOver)
+			.build();
+	}
+
+	private Behavior<ReplicaMessage> onTick() {
+		this.replica.tick(nowMillis());
+		runEffects();
+		settleConfirmations();
+		return this;
+	}
+
+	private Behavior<ReplicaMessage> onWritten(ReplicaMessage.Written written) {
+		this.replica.written(written.number(), nowMillis());
+		runEffects();
+		return this;
+	}
+
+	private Behavior<ReplicaMessage> onAttachLinks(ReplicaMessage.AttachLinks command) {
+		this.links = Optional.of(command.links());
+		command.links().tell(new MemberLinkCommand.MembersChanged(this.replica.status().membership()));
+		return this;
+	}
+
+	private Behavior<ReplicaMessage> onHandOver(ReplicaMessage.HandOver command) {
+		this.replica.handOver(nowMillis());
+		runEffects();
+		this.handOverListeners.add(command.replyTo());
+		tellHandedOver();
+		return this;
+	}
+
+	// members
+
+	private Behavior<ReplicaMessage> onFromMember(ReplicaMessage.FromMember command) {
+		ConsensusEnvelope envelope = command.envelope();
+		if (!envelope.cluster().equals(this.settings.cluster())) {
+			logger.atWarning().log("Dropped a message of %s in cluster %s.", envelope.sender(), envelope.cluster());
+			return this;
+		}
+		this.hybridClock.merge(envelope.timestamp());
+		if (envelope.message() instanceof ConsensusMessage.FeedReport report) {
+			onFeedReport(envelope.sender(), report);
+		}
+		else {
+			this.replica.receive(envelope, nowMillis());
+			runEffects();
+		}
+		return this;
+	}
+
+	private void onFeedReport(MemberId sender, ConsensusMessage.FeedReport report) {
+		if (this.replica.status().membership().find(sender).isPresent()) {
+			this.confirmations.report(sender.host(), report.confirmations());
+			settleConfirmations();
+		}
+	}
+
+	private void send(MemberId receiver, long membershipIndex, ConsensusMessage message) {
+		this.links.ifPresent((target) -> target.tell(new MemberLinkCommand.SendToMember(
+				new ConsensusEnvelope(this.settings.cluster(), this.replica.status().self(), receiver, membershipIndex,
+						this.hybridClock.tick(this.wallClock.millis()), message))));
+	}
+
+	// entry hosts
+
+	private Behavior<ReplicaMessage> onFromClient(ReplicaMessage.FromClient command) {
+		ClientMessage message = command.message();
+		if (message instanceof ClientMessage.Subscribe request) {
+			this.feed.subscribe(command.sender(), request, this.machine.state().configuration(), command.session());
+			command.session().tell(feedHeartbeat());
+			reportConfirmations();
+		}
+		else if (message instanceof ClientMessage.FeedAcknowledgement acknowledgement) {
+			this.feed.acknowledge(command.session(), acknowledgement.appliedIndex());
+			reportConfirmations();
+		}
+		else if (message instanceof ClientMessage.Propose request) {
+			propose(request, command.session(), true);
+		}
+		else if (message instanceof ClientMessage.ReadIndex request) {
+			startRead(new PendingRead(request.correlation(), command.session(), Optional.empty()));
+		}
+		else if (message instanceof ClientMessage.QueryRequest request) {
+			startRead(new PendingRead(request.correlation(), command.session(), Optional.of(request)));
+		}
+		else if (message instanceof ClientMessage.ChangeMember request) {
+			changeMember(request, command.session());
+		}
+		return this;
+	}
+
+	private Behavior<ReplicaMessage> onClientLeft(ReplicaMessage.ClientLeft command) {
+		this.feed.remove(command.session());
+		reportConfirmations();
+		return this;
+	}
+
+	private Behavior<ReplicaMessage> onFeedDue() {
+		this.feed.publish(feedHeartbeat());
+		reportConfirmations();
+		return this;
+	}
+
+	private ClientMessage feedHeartbeat() {
+		Optional<HostName> leader = this.replica.status().leader().map(MemberId::host);
+		return new ClientMessage.FeedHeartbeat(this.machine.state().configurationIndex(), leader,
+				this.replica.hasLeaderContact(nowMillis()));
+	}
+
+	private void reportConfirmations() {
+		ReplicaStatus status = this.replica.status();
+		this.confirmations.report(status.self().host(), this.feed.confirmations());
+		settleConfirmations();
+		status.leader()
+			.filter((leader) -> !leader.equals(status.self()))
+			.ifPresent((leader) -> send(leader, status.membershipIndex(),
+					new ConsensusMessage.FeedReport(status.term(), this.feed.confirmations())));
+	}
+
+	private void settleConfirmations() {
+		this.proposals.settleConfirmations(nowMillis(), this::unconfirmed);
+	}
+
+	private List<DataCentre> unconfirmed(long configurationIndex) {
+		return this.confirmations.unconfirmed(configurationIndex, this.machine.state().holders());
+	}
+
+	// proposals and reads
+
+	private Behavior<ReplicaMessage> onPropose(ReplicaMessage.Propose command) {
+		propose(command.request(), command.replyTo(), false);
+		return this;
+	}
+
+	private void propose(ClientMessage.Propose request, ActorRef<? super ClientMessage> replyTo,
+			boolean wantsConfirmation) {
+		Proposal proposal = new Proposal(this.wallClock.millis(), request.requestId(), request.expectedVersion(),
+				request.command());
+		OptionalLong index = this.replica.propose(this.machine.encode(proposal), nowMillis());
+		if (index.isPresent()) {
+			this.proposals.add(index.getAsLong(),
+					new PendingProposals.Waiter(request.correlation(), replyTo, wantsConfirmation));
+		}
+		else {
+			replyTo.tell(new ClientMessage.NotLeader(request.correlation(), otherLeader()));
+		}
+		runEffects();
+	}
+
+	private void startRead(PendingRead read) {
+		this.nextReadNumber++;
+		this.reads.put(this.nextReadNumber, read);
+		this.replica.read(this.nextReadNumber, nowMillis());
+		runEffects();
+	}
+
+	private void finishRead(long number, boolean current) {
+		PendingRead read = this.reads.remove(number);
+		if (read.query().isPresent()) {
+			QueryResult result = QueryAnswers.answer(read.query().get().query(), this.machine.state(), members());
+			read.replyTo()
+				.tell(new ClientMessage.QueryReply(read.correlation(), this.machine.appliedIndex(), current, result));
+		}
+		else if (current) {
+			read.replyTo()
+				.tell(new ClientMessage.ReadIndexReply(read.correlation(), this.machine.state().configurationIndex()));
+		}
+		else {
+			read.replyTo().tell(new ClientMessage.NotLeader(read.correlation(), otherLeader()));
+		}
+	}
+
+	private void changeMember(ClientMessage.ChangeMember request, ActorRef<ClientMessage> replyTo) {
+		Member member = new Member(new MemberId(request.host(), request.incarnation()), MemberRole.LEARNER,
+				request.address());
+		MembershipChange change = MembershipChange.valueOf(request.kind().name());
+		MembershipVerdict verdict = this.replica.changeMembership(change, member, nowMillis());
+		PendingProposals.Waiter waiter = new PendingProposals.Waiter(request.correlation(), replyTo, false);
+		switch (verdict.kind()) {
+			case PROPOSED -> this.proposals.add(verdict.index(), waiter);
+			case ALREADY_DONE -> {
+				long index = this.replica.status().membershipIndex();
+				waiter.reply(index, new CommandResult.Accepted(index), List.of());
+			}
+			case NOT_LEADER -> replyTo.tell(new ClientMessage.NotLeader(request.correlation(), otherLeader()));
+			case BUSY -> waiter.reply(0, rejected("another change of the members is not committed yet"), List.of());
+			case REFUSED -> waiter.reply(0, rejected("the change does not fit the present members"), List.of());
+		}
+		runEffects();
+	}
+
+	private static CommandResult rejected(String message) {
+		return new CommandResult.Rejected(ErrorCode.STATE_CONFLICT, message);
+	}
+
+	private Optional<HostName> otherLeader() {
+		ReplicaStatus status = this.replica.status();
+		return status.leader().filter((leader) -> !leader.equals(status.self())).map(MemberId::host);
+	}
+
+	// effects
+
+	private void runEffects() {
+		List<Effect> effects = this.replica.drainEffects();
+		while (!effects.isEmpty()) {
+			effects.forEach(this::run);
+			effects = this.replica.drainEffects();
+		}
+	}
+
+	private void run(Effect effect) {
+		if (effect instanceof Effect.Send send) {
+			send(send.receiver(), send.membershipIndex(), send.message());
+		}
+		else if (effect instanceof Effect.WriteEntries write) {
+			this.logWriter.tell(new LogWriter.WriteEntries(write));
+		}
+		else if (effect instanceof Effect.WriteVote write) {
+			this.logWriter.tell(new LogWriter.WriteVote(write));
+		}
+		else if (effect instanceof Effect.WriteSnapshot write) {
+			this.logWriter.tell(new LogWriter.WriteSnapshot(write));
+		}
+		else {
+			runOnState(effect);
+		}
+	}
+
+	private void runOnState(Effect effect) {
+		if (effect instanceof Effect.Apply apply) {
+			apply.entries().forEach(this::apply);
+			takeSnapshotIfDue();
+		}
+		else if (effect instanceof Effect.Restore restore) {
+			restore(restore.snapshot());
+		}
+		else if (effect instanceof Effect.ReadConfirmed read) {
+			finishRead(read.readNumber(), true);
+		}
+		else if (effect instanceof Effect.ReadRefused read) {
+			finishRead(read.readNumber(), false);
+		}
+		else if (effect instanceof Effect.LeadershipChanged changed) {
+			onLeadershipChanged(changed);
+		}
+		else if (effect instanceof Effect.MembershipChanged changed) {
+			onMembershipChanged(changed.membership());
+		}
+	}
+
+	private void apply(LogEntry entry) {
+		if (entry.content() instanceof EntryContent.CommandContent content) {
+			AppliedCommand applied = this.machine.apply(entry, content);
+			if (applied.isConfigurationChange()) {
+				publish(applied);
+			}
+			this.proposals.take(entry.index()).ifPresent((waiter) -> answer(waiter, applied));
+		}
+		else {
+			this.machine.skip(entry);
+			this.proposals.take(entry.index())
+				.ifPresent(
+						(waiter) -> waiter.reply(entry.index(), new CommandResult.Accepted(entry.index()), List.of()));
+		}
+	}
+
+	private void publish(AppliedCommand applied) {
+		this.feed.publish(new ClientMessage.FeedUpdate(applied.previousConfigurationIndex(), applied.index(),
+				applied.proposal()));
+		record(EventKind.CONFIGURATION_APPLIED, EventField.INDEX, applied.index());
+	}
+
+	private void answer(PendingProposals.Waiter waiter, AppliedCommand applied) {
+		if (waiter.wantsConfirmation() && applied.needsConfirmation()) {
+			this.proposals.awaitConfirmation(waiter, applied.index(), applied.configurationIndex(), applied.result(),
+					nowMillis() + this.settings.confirmationMillis());
+			settleConfirmations();
+		}
+		else {
+			waiter.reply(applied.index(), applied.result(), List.of());
+		}
+	}
+
+	private void takeSnapshotIfDue() {
+		if (this.replica.needsSnapshot()) {
+			this.replica.compact(this.machine.appliedIndex(), this.machine.encodeState());
+		}
+	}
+
+	private void restore(Snapshot snapshot) {
+		this.machine.restore(snapshot);
+		this.feed.publish(new ClientMessage.FeedSnapshot(this.machine.state().configuration()));
+		logger.atInfo().log("Installed a snapshot at index %d.", snapshot.index());
+	}
+
+	private void onLeadershipChanged(Effect.LeadershipChanged changed) {
+		boolean leadsNow = changed.role() == Role.LEADER;
+		if (leadsNow && !this.leads) {
+			logger.atInfo().log("Leads in term %d.", changed.term());
+			record(EventKind.LEADER_ELECTED, EventField.TERM, changed.term());
+		}
+		else if (!leadsNow && this.leads) {
+			logger.atInfo().log("Stepped down in term %d.", changed.term());
+			record(EventKind.LEADER_STEPPED_DOWN, EventField.TERM, changed.term());
+			this.proposals.giveUp();
+		}
+		else {
+			logger.atFine().log("Is %s in term %d, follows %s.", changed.role(), changed.term(), changed.leader());
+		}
+		this.leads = leadsNow;
+		tellHandedOver();
+	}
+
+	private void onMembershipChanged(Membership membership) {
+		this.links.ifPresent((target) -> target.tell(new MemberLinkCommand.MembersChanged(membership)));
+		record(EventKind.MEMBERS_CHANGED, EventField.DETAIL, membership.members());
+	}
+
+	private void tellHandedOver() {
+		if (!this.leads) {
+			this.handOverListeners.forEach((listener) -> listener.tell(ReplicaMessage.HandedOver.INSTANCE));
+			this.handOverListeners.clear();
+		}
+	}
+
+	// status
+
+	private Behavior<ReplicaMessage> onFetchRecords(ReplicaMessage.FetchRecords command) {
+		this.replica.tick(nowMillis());
+		runEffects();
+		ReplicaStatus status = this.replica.status();
+		boolean isCurrentLeader = this.leads && this.machine.appliedTerm() == status.term();
+		command.replyTo()
+			.tell(new FleetRecords(isCurrentLeader, status.term(), this.machine.appliedIndex(),
+					this.machine.state().configuration(), this.machine.state().holders(), this.machine.state().tokens(),
+					this.machine.state().jobs(), this.machine.state().campaigns()));
+		return this;
+	}
+
+	private Behavior<ReplicaMessage> onFetchStatus(ReplicaMessage.FetchStatus command) {
+		command.replyTo()
+			.tell(new ControlStatus(this.replica.status(), this.replica.hasLeaderContact(nowMillis()),
+					this.machine.state().configurationIndex(), this.feed.subscriberCount(), members()));
+		return this;
+	}
+
+	private List<MemberStatus> members() {
+		ReplicaStatus status = this.replica.status();
+		return status.membership().members().stream().map((member) -> memberStatus(status, member)).toList();
+	}
+
+	private MemberStatus memberStatus(ReplicaStatus status, Member member) {
+		boolean isSelf = member.id().equals(status.self());
+		long matchIndex = isSelf ? status.lastIndex() : this.replica.matchIndex(member.id()).orElse(0);
+		long silentMillis = this.replica.silentMillis(member.id(), nowMillis()).orElse(0);
+		return new MemberStatus(member.id().host(), member.id().incarnation(), member.role().countsForMajority(),
+				status.leader().equals(Optional.of(member.id())), matchIndex, silentMillis);
+	}
+
+	private void record(EventKind kind, EventField field, Object value) {
+		this.eventLog.tell(
+				new EventLog.Append(Event.of(kind, this.hybridClock.tick(this.wallClock.millis())).with(field, value)));
+	}
+
+	private long nowMillis() {
+		return this.monotonicClock.nowMillis();
+	}
+
+	private record PendingRead(long correlation, ActorRef<? super ClientMessage> replyTo,
+			Optional<ClientMessage.QueryRequest> query) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated log and the state machine of this member. */
+package io.burdockpin.control.replica;
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/storage/CheckedFile.java
@@ -0,0 +1,36 @@
+package io.burdockpin.control.storage;
+
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32C;
+
+/** Puts a CRC32C in front of the content of a file and checks it. Stateless. */
+final class CheckedFile {
+
+	private CheckedFile() {
+	}
+
+	static byte[] seal(byte[] content) {
+		return ByteBuffer.allocate(Integer.BYTES + content.length).putInt(checksum(content)).put(content).array();
+	}
+
+	static byte[] open(String name, byte[] sealed) {
+		if (sealed.length < Integer.BYTES) {
+			throw StorageException.corrupt("file %s is too short".formatted(name), null);
+		}
+		ByteBuffer buffer = ByteBuffer.wrap(sealed);
+		int storedChecksum = buffer.getInt();
+		byte[] content = new byte[buffer.remaining()];
+		buffer.get(content);
+		if (storedChecksum != checksum(content)) {
+			throw StorageException.corrupt("file %s has a wrong checksum".formatted(name), null);
+		}
+		return content;
+	}
+
+	private static int checksum(byte[] content) {
+		CRC32C crc = new CRC32C();
+		crc.update(content, 0, content.length);
+		return (int) crc.getValue();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/storage/MemberStorage.java
@@ -0,0 +1,300 @@
+package io.burdockpin.control.storage;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.burdockpin.codec.io.EntryContentCodec;
+import io.burdockpin.codec.io.SnapshotCodec;
+import io.burdockpin.core.consensus.DurableState;
+import io.burdockpin.core.consensus.LogEntry;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.consensus.Snapshot;
+import io.burdockpin.core.exc.BurdockException;
+import io.burdockpin.core.model.HostName;
+
+/**
+ * The files of one member: identity, vote, snapshot and log segments. Segments are only
+ * appended to; a record whose index is not the next one replaces that entry and all after
+ * it. The snapshot names the first segment that is still valid. Mutable; owned by one
+ * actor.
+ */
+public final class MemberStorage {
+
+	private static final String SEGMENT_PREFIX = "log-";
+
+	private static final String SEGMENT_SUFFIX = ".seg";
+
+	private static final String SNAPSHOT_PREFIX = "snapshot-";
+
+	/** A segment that has reached this size is not appended to any more. */
+	private static final long SEGMENT_BYTES = 16 * 1024 * 1024;
+
+	private final StorageFiles files;
+
+	private final EntryContentCodec contentCodec;
+
+	private final SnapshotCodec snapshotCodec;
+
+	private final IdentityFile identityFile = new IdentityFile();
+
+	/** Highest index in each segment by the number of the segment. */
+	private final TreeMap<Long, Long> segmentIndexes = new TreeMap<>();
+
+	private Optional<StorageFiles.AppendFile> openSegment = Optional.empty();
+
+	private long segmentNumber;
+
+	private long appendedBytes;
+
+	private long syncedBytes;
+
+	/**
+	 * Creates the storage.
+	 * @param files the data folder
+	 * @param contentCodec encoding of log entries
+	 * @param snapshotCodec encoding of snapshots
+	 */
+	public MemberStorage(StorageFiles files, EntryContentCodec contentCodec, SnapshotCodec snapshotCodec) {
+		this.files = files;
+		this.contentCodec = contentCodec;
+		this.snapshotCodec = snapshotCodec;
+	}
+
+	// life cycle
+
+	/**
+	 * Writes the identity of a new data folder.
+	 * @param identity the identity
+	 * @param membership the first members; none unless the folder is formatted
+	 * @throws StorageException if the folder has an identity or a log
+	 */
+	public void format(Identity identity, Membership membership) {
+		boolean isUsed = this.files.list()
+			.stream()
+			.anyMatch((name) -> name.equals(IdentityFile.NAME) || name.startsWith(SEGMENT_PREFIX));
+		if (isUsed) {
+			throw StorageException.failed("the data folder is not empty", null);
+		}
+		writeSnapshotFile(Snapshot.initial(membership), 1);
+		this.files.replace(VoteFile.NAME, new VoteFile(0, Optional.empty()).encode());
+		this.identityFile.write(this.files, identity);
+	}
+
+	/**
+	 * Reads the identity.
+	 * @return the identity, or nothing if the folder is new
+	 */
+	public Optional<Identity> identity() {
+		return this.identityFile.read(this.files);
+	}
+
+	/**
+	 * Reads the state of the member and makes the log ready for appending.
+	 * @return the state
+	 * @throws StorageException if a file is missing or corrupt
+	 */
+	public DurableState load() {
+		Identity identity = identity().orElseThrow(() -> StorageException.corrupt("identity.json is missing", null));
+		VoteFile vote = this.files.read(VoteFile.NAME)
+			.map(VoteFile::decode)
+			.orElseThrow(() -> StorageException.corrupt("file vote is missing", null));
+		StoredSnapshot stored = readNewestSnapshot();
+		List<LogEntry> entries = readEntries(stored);
+		MemberId self = new MemberId(new HostName(identity.host()), identity.incarnation());
+		return new DurableState(self, vote.term(), vote.votedFor(), stored.snapshot(), entries);
+	}
+
+	// changes
+
+	/**
+	 * Writes term and vote; they are synced on return.
+	 * @param term the term
+	 * @param votedFor the vote
+	 */
+	public void writeVote(long term, Optional<MemberId> votedFor) {
+		this.files.replace(VoteFile.NAME, new VoteFile(term, votedFor).encode());
+	}
+
+	/**
+	 * Appends entries without a sync.
+	 * @param entries the entries
+	 */
+	public void append(List<LogEntry> entries) {
+		for (LogEntry entry : entries) {
+			StorageFiles.AppendFile segment = segmentForAppend();
+			byte[] payload = this.contentCodec.encode(entry.content());
+			byte[] record = new LogRecord(entry.term(), entry.index(), this.syncedBytes, payload).encode();
+			segment.append(record);
+			this.appendedBytes += record.length;
+			this.segmentIndexes.merge(this.segmentNumber, entry.index(), Math::max);
+		}
+	}
+
+	/** Syncs all appended entries. */
+	public void sync() {
+		this.openSegment.ifPresent(StorageFiles.AppendFile::sync);
+		this.syncedBytes = this.appendedBytes;
+	}
+
+	/**
+	 * Writes a snapshot and deletes what it replaces; it is synced on return.
+	 * @param snapshot the snapshot
+	 * @param discardLog whether the entries after it are void too
+	 */
+	public void writeSnapshot(Snapshot snapshot, boolean discardLog) {
+		closeSegment();
+		long firstSegment = discardLog ? this.segmentNumber + 1 : firstNeededSegment(snapshot.index());
+		writeSnapshotFile(snapshot, firstSegment);
+		deleteSnapshotsBefore(snapshot.index());
+		deleteSegmentsBefore(firstSegment);
+	}
+
+	// helpers
+
+	private StorageFiles.AppendFile segmentForAppend() {
+		if (this.openSegment.isPresent() && this.appendedBytes >= SEGMENT_BYTES) {
+			closeSegment();
+		}
+		if (this.openSegment.isEmpty()) {
+			this.segmentNumber++;
+			this.segmentIndexes.put(this.segmentNumber, 0L);
+			this.openSegment = Optional.of(this.files.openForAppend(segmentName(this.segmentNumber)));
+			this.appendedBytes = 0;
+			this.syncedBytes = 0;
+		}
+		return this.openSegment.get();
+	}
+
+	// A closed segment is synced, so damage in it is never a torn tail.
+	private void closeSegment() {
+		sync();
+		this.openSegment.ifPresent(StorageFiles.AppendFile::close);
+		this.openSegment = Optional.empty();
+	}
+
+	private long firstNeededSegment(long snapshotIndex) {
+		return this.segmentIndexes.entrySet()
+			.stream()
+			.filter((segment) -> segment.getValue() > snapshotIndex)
+			.map(java.util.Map.Entry::getKey)
+			.findFirst()
+			.orElse(this.segmentNumber + 1);
+	}
+
+	private void deleteSegmentsBefore(long firstSegment) {
+		List<Long> replaced = List.copyOf(this.segmentIndexes.headMap(firstSegment).keySet());
+		replaced.forEach((number) -> this.files.delete(segmentName(number)));
+		this.segmentIndexes.keySet().removeAll(replaced);
+	}
+
+	private void writeSnapshotFile(Snapshot snapshot, long firstSegment) {
+		byte[] encoded = this.snapshotCodec.encode(snapshot);
+		byte[] content = ByteBuffer.allocate(Long.BYTES + encoded.length).putLong(firstSegment).put(encoded).array();
+		this.files.replace(snapshotName(snapshot.index()), CheckedFile.seal(content));
+	}
+
+	private void deleteSnapshotsBefore(long index) {
+		this.files.list()
+			.stream()
+			.filter((name) -> name.startsWith(SNAPSHOT_PREFIX) && name.compareTo(snapshotName(index)) < 0)
+			.forEach(this.files::delete);
+	}
+
+	private StoredSnapshot readNewestSnapshot() {
+		String name = this.files.list()
+			.stream()
+			.filter((file) -> file.startsWith(SNAPSHOT_PREFIX))
+			.reduce((first, second) -> second)
+			.orElseThrow(() -> StorageException.corrupt("the snapshot file is missing", null));
+		byte[] content = CheckedFile.open(name, this.files.read(name).orElseThrow());
+		ByteBuffer buffer = ByteBuffer.wrap(content);
+		long firstSegment = buffer.getLong();
+		byte[] encoded = new byte[buffer.remaining()];
+		buffer.get(encoded);
+		try {
+			return new StoredSnapshot(this.snapshotCodec.decode(encoded), firstSegment);
+		}
+		catch (BurdockException ex) {
+			throw StorageException.corrupt("file %s is malformed".formatted(name), ex);
+		}
+	}
+
+	private List<LogEntry> readEntries(StoredSnapshot stored) {
+		List<String> names = this.files.list().stream().filter((name) -> name.startsWith(SEGMENT_PREFIX)).toList();
+		this.segmentNumber = stored.firstSegment() - 1;
+		List<LogEntry> entries = new ArrayList<>();
+		for (String name : names) {
+			long number = segmentNumber(name);
+			if (number < stored.firstSegment()) {
+				this.files.delete(name);
+			}
+			else {
+				boolean isLast = name.equals(names.get(names.size() - 1));
+				readSegment(name, number, isLast)
+					.forEach((record) -> addEntry(entries, record, stored.snapshot().index()));
+			}
+		}
+		return entries;
+	}
+
+	private List<LogRecord> readSegment(String name, long number, boolean isLast) {
+		if (number != this.segmentNumber + 1) {
+			throw StorageException.corrupt("the segment before %s is missing".formatted(name), null);
+		}
+		SegmentReader reader = new SegmentReader(name, this.files.read(name).orElseThrow());
+		if (!reader.isWhole()) {
+			if (!isLast) {
+				throw reader.damage();
+			}
+			reader.refuseDamageBeforeSync();
+			this.files.truncate(name, reader.soundBytes());
+		}
+		this.segmentNumber = number;
+		long highestIndex = reader.records().stream().mapToLong(LogRecord::index).max().orElse(0);
+		this.segmentIndexes.put(number, highestIndex);
+		return reader.records();
+	}
+
+	private void addEntry(List<LogEntry> entries, LogRecord record, long snapshotIndex) {
+		if (record.index() <= snapshotIndex) {
+			entries.clear();
+			return;
+		}
+		long nextIndex = snapshotIndex + entries.size() + 1;
+		if (record.index() > nextIndex) {
+			throw StorageException.corrupt("entry %d of the log is missing".formatted(nextIndex), null);
+		}
+		entries.subList((int) (record.index() - snapshotIndex - 1), entries.size()).clear();
+		entries.add(new LogEntry(record.index(), record.term(), decodeContent(record)));
+	}
+
+	private io.burdockpin.core.consensus.EntryContent decodeContent(LogRecord record) {
+		try {
+			return this.contentCodec.decode(record.payload());
+		}
+		catch (BurdockException ex) {
+			throw StorageException.corrupt("entry %d of the log is malformed".formatted(record.index()), ex);
+		}
+	}
+
+	private static String segmentName(long number) {
+		return "%s%012d%s".formatted(SEGMENT_PREFIX, number, SEGMENT_SUFFIX);
+	}
+
+	private static long segmentNumber(String name) {
+		return Long.parseLong(name.substring(SEGMENT_PREFIX.length(), name.length() - SEGMENT_SUFFIX.length()));
+	}
+
+	private static String snapshotName(long index) {
+		return "%s%020d".formatted(SNAPSHOT_PREFIX, index);
+	}
+
+	private record StoredSnapshot(Snapshot snapshot, long firstSegment) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/storage/package-info.java
@@ -0,0 +1,2 @@
+/** The files of a control member. */
+package io.burdockpin.control.storage;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ConsensusMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ConsensusMessage.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Payload;
 
 /** Content of the messages between control members. */
@@ -23,6 +25,11 @@
 
 	}
 
+	/** Carries feed confirmations only; the replica takes no notice of it. */
+	sealed interface Notice extends ConsensusMessage {
+
+	}
+
 	/**
 	 * Asks for a vote.
 	 *
@@ -124,4 +131,29 @@
 
 	}
 
+	/**
+	 * Tells the leader which entry hosts have which configuration in force.
+	 *
+	 * @param term the sender's term
+	 * @param confirmations one for each entry host that subscribes to the sender
+	 */
+	record FeedReport(long term, List<FeedConfirmation> confirmations) implements Notice {
+
+		public FeedReport {
+			confirmations = List.copyOf(confirmations);
+		}
+
+	}
+
+	/**
+	 * The configuration that an entry host has in force.
+	 *
+	 * @param host the entry host
+	 * @param dataCentre where it stands
+	 * @param appliedIndex index of the configuration
+	 */
+	record FeedConfirmation(HostName host, DataCentre dataCentre, long appliedIndex) {
+
+	}
+
 }
