--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/QueryAnswers.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/QueryAnswers.java
@@ -10,6 +10,7 @@
 import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.model.JobSpec;
 import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.state.ClaimKey;
 import io.burdockpin.core.state.FleetState;
 import io.burdockpin.core.state.JobRecord;
 
@@ -35,6 +36,10 @@
 		if (query instanceof Query.ShowConfiguration) {
 			return new QueryResult.ConfigurationResult(state.configuration());
 		}
+		if (query instanceof Query.ShowClaim show) {
+			ClaimKey key = new ClaimKey(show.team(), show.requestId());
+			return new QueryResult.Claims(state.claim(key).stream().toList());
+		}
 		if (query instanceof Query.ExplainJob explain) {
 			return new QueryResult.Explanation(explain(explain.job(), state.job(explain.job())));
 		}
