Add the decisions of routing, retries, admission and peers

Cause: the request path needs decisions that are free of I/O and clocks.

Conclusion: the entry program can be built on these types.

--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/FeedEffect.java
@@ -0,0 +1,33 @@
+package io.burdockpin.core.admission;
+
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.model.HostName;
+
+/** What the configuration feed wants done. */
+public sealed interface FeedEffect {
+
+	/**
+	 * Send a message to a member.
+	 *
+	 * @param member the member
+	 * @param message the message
+	 */
+	record Send(HostName member, ClientMessage message) implements FeedEffect {
+
+	}
+
+	/**
+	 * Put a configuration in force.
+	 *
+	 * @param configuration the configuration
+	 */
+	record InForce(ConfigurationView configuration) implements FeedEffect {
+
+	}
+
+	/** A member with a majority has been heard. */
+	record MajorityHeard() implements FeedEffect {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
@@ -0,0 +1,191 @@
+package io.burdockpin.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.burdockpin.core.membership.PeerMessage.PeerStatus;
+import io.burdockpin.core.membership.PeerMessage.QueueStatus;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.KeyHash;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.routing.PeerLoad;
+
+/**
+ * The other entry hosts with their last status and the withdrawn keys that they have
+ * confirmed. Mutable; owned by one actor.
+ */
+public final class PeerTable {
+
+	private final PeerInfo self;
+
+	private final long silentAfterMillis;
+
+	private final Map<HostName, Peer> peers = new TreeMap<>();
+
+	private final Set<KeyHash> withdrawnKeys = new TreeSet<>();
+
+	/**
+	 * Creates a table in which all peers are silent.
+	 * @param self this entry host
+	 * @param peers the other ones
+	 * @param silentAfterMillis how long after its last status a peer counts as silent
+	 */
+	public PeerTable(PeerInfo self, List<PeerInfo> peers, long silentAfterMillis) {
+		this.self = self;
+		this.silentAfterMillis = silentAfterMillis;
+		peers.forEach((info) -> this.peers.put(info.host(), new Peer(info)));
+	}
+
+	// life cycle
+
+	/**
+	 * Takes note of a status.
+	 * @param host the sender
+	 * @param incarnation its life
+	 * @param status the status
+	 * @param nowMillis the current time
+	 * @return {@code false} if the sender is not in the settings or the status comes from
+	 * an earlier life of it
+	 */
+	public boolean statusReceived(HostName host, long incarnation, PeerStatus status, long nowMillis) {
+		Peer peer = this.peers.get(host);
+		if (peer == null || incarnation < peer.incarnation) {
+			return false;
+		}
+		if (incarnation > peer.incarnation) {
+			peer.incarnation = incarnation;
+			peer.confirmedKeys.clear();
+		}
+		peer.status = Optional.of(status);
+		peer.heardMillis = nowMillis;
+		peer.statusCount++;
+		return true;
+	}
+
+	/**
+	 * Adds withdrawn keys that the peers must learn.
+	 * @param keyHashes their hashes
+	 */
+	public void withdraw(List<KeyHash> keyHashes) {
+		this.withdrawnKeys.addAll(keyHashes);
+	}
+
+	/**
+	 * Takes note that a peer no longer accepts keys.
+	 * @param host the peer
+	 * @param keyHashes the hashes of the keys
+	 */
+	public void keysConfirmed(HostName host, List<KeyHash> keyHashes) {
+		Optional.ofNullable(this.peers.get(host)).ifPresent((peer) -> peer.confirmedKeys.addAll(keyHashes));
+	}
+
+	// access
+
+	/**
+	 * Returns the withdrawn keys that a peer has not confirmed.
+	 * @param host the peer
+	 * @return their hashes
+	 */
+	public List<KeyHash> unconfirmedKeys(HostName host) {
+		Peer peer = this.peers.get(host);
+		if (peer == null) {
+			return List.of();
+		}
+		return this.withdrawnKeys.stream().filter((key) -> !peer.confirmedKeys.contains(key)).toList();
+	}
+
+	/**
+	 * Returns the data centres with entry hosts that have not confirmed a withdrawal.
+	 * @param keyHash hash of the key
+	 * @return the data centres
+	 */
+	public List<DataCentre> unconfirmedDataCentres(KeyHash keyHash) {
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> !peer.confirmedKeys.contains(keyHash))
+			.map((peer) -> peer.info.dataCentre())
+			.distinct()
+			.sorted()
+			.toList();
+	}
+
+	/**
+	 * Returns the live peers and what they can take.
+	 * @param nowMillis the current time
+	 * @return an immutable view
+	 */
+	public PeerView view(long nowMillis) {
+		List<PeerInfo> takingWork = new ArrayList<>();
+		Map<QueueName, List<PeerLoad>> loads = new TreeMap<>();
+		for (Peer peer : this.peers.values()) {
+			if (takesWork(peer, nowMillis)) {
+				takingWork.add(peer.info);
+				peer.loads()
+					.forEach((queue, load) -> loads.computeIfAbsent(queue, (name) -> new ArrayList<>()).add(load));
+			}
+		}
+		return new PeerView(this.self, takingWork, loads);
+	}
+
+	/**
+	 * Tells whether a peer was heard recently.
+	 * @param host the peer
+	 * @param nowMillis the current time
+	 * @return whether it is live
+	 */
+	public boolean isLive(HostName host, long nowMillis) {
+		Peer peer = this.peers.get(host);
+		return peer != null && peer.status.isPresent() && nowMillis - peer.heardMillis < this.silentAfterMillis;
+	}
+
+	/**
+	 * Returns the peers.
+	 * @return as the settings name them
+	 */
+	public List<PeerInfo> peers() {
+		return this.peers.values().stream().map((peer) -> peer.info).toList();
+	}
+
+	// helpers
+
+	private boolean takesWork(Peer peer, long nowMillis) {
+		return isLive(peer.info.host(), nowMillis) && !peer.status.get().stopping();
+	}
+
+	private static final class Peer {
+
+		private final PeerInfo info;
+
+		private final Set<KeyHash> confirmedKeys = new HashSet<>();
+
+		private Optional<PeerStatus> status = Optional.empty();
+
+		private long incarnation;
+
+		private long heardMillis;
+
+		private long statusCount;
+
+		private Peer(PeerInfo info) {
+			this.info = info;
+		}
+
+		private Map<QueueName, PeerLoad> loads() {
+			Map<QueueName, PeerLoad> loads = new TreeMap<>();
+			for (QueueStatus queue : this.status.get().queues()) {
+				loads.put(queue.queue(), new PeerLoad(this.info.host(), this.info.dataCentre(), this.statusCount,
+						queue.slots(), queue.freeSlots(), queue.waiting(), queue.serviceMillis()));
+			}
+			return loads;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerView.java
@@ -0,0 +1,68 @@
+package io.burdockpin.core.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.zip.CRC32;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.routing.PeerLoad;
+
+/**
+ * The live entry hosts at one time. Immutable.
+ *
+ * @param self this entry host
+ * @param takingWork the other ones that are live and not stopping
+ * @param loads what they can take, by queue
+ */
+public record PeerView(PeerInfo self, List<PeerInfo> takingWork, Map<QueueName, List<PeerLoad>> loads) {
+
+	public PeerView {
+		takingWork = List.copyOf(takingWork);
+		loads = Map.copyOf(loads);
+	}
+
+	/**
+	 * Chooses the entry host that a runner or worker should be attached to, by rendezvous
+	 * hashing over the live ones of the own data centre. While this host stops, hosts of
+	 * other data centres are taken if there is none in its own.
+	 * @param announcer name of the runner or worker
+	 * @param selfStopping whether this entry host is about to stop
+	 * @return the HTTP address of another entry host, or empty if this one is right
+	 */
+	public Optional<String> attachTo(String announcer, boolean selfStopping) {
+		List<PeerInfo> candidates = new ArrayList<>();
+		for (PeerInfo peer : this.takingWork) {
+			if (isNear(peer) || selfStopping) {
+				candidates.add(peer);
+			}
+		}
+		if (!selfStopping) {
+			candidates.add(this.self);
+		}
+		return candidates.stream()
+			.max(Comparator.comparing(this::isNear)
+				.thenComparing((info) -> rank(announcer, info.host()))
+				.thenComparing(PeerInfo::host))
+			.filter((info) -> !info.equals(this.self))
+			.map(PeerInfo::httpAddress);
+	}
+
+	private boolean isNear(PeerInfo info) {
+		return info.dataCentre().equals(this.self.dataCentre());
+	}
+
+	private static long rank(String announcer, HostName host) {
+		CRC32 checksum = new CRC32();
+		checksum.update((host + "/" + announcer).getBytes(StandardCharsets.UTF_8));
+		// CRC32 is linear, so without this step hosts would be ranked alike for all
+		// names.
+		long mixed = checksum.getValue() * 0x9E3779B97F4A7C15L;
+		return (mixed ^ (mixed >>> 32)) * 0xD6E8FEB86659FD93L;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Entry hosts, their state and the messages between them. */
+package io.burdockpin.core.membership;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/retry/ClaimOutcome.java
@@ -0,0 +1,31 @@
+package io.burdockpin.core.retry;
+
+import io.burdockpin.core.retry.FinalAnswer.Refused;
+
+/** What became of the claim of a request that is not repeatable. */
+public sealed interface ClaimOutcome {
+
+	/** The claim is held; this request may run. */
+	record Granted() implements ClaimOutcome {
+
+	}
+
+	/**
+	 * Another request with the same identifier has run, and its answer was kept.
+	 *
+	 * @param answer the kept answer
+	 */
+	record KeptAnswer(Answer answer) implements ClaimOutcome {
+
+	}
+
+	/**
+	 * The claim was not given, or it is not known whether it was.
+	 *
+	 * @param refusal what the caller gets
+	 */
+	record Denied(Refused refusal) implements ClaimOutcome {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/retry/RetryBudget.java
@@ -0,0 +1,64 @@
+package io.burdockpin.core.retry;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Bounds the retries of one queue to a share of its recent requests and a small rate, so
+ * that retries cannot multiply the load when everything fails. Mutable; owned by one
+ * actor.
+ */
+public final class RetryBudget {
+
+	private static final long WINDOW_MILLIS = 10_000;
+
+	private static final long SECOND_MILLIS = 1000;
+
+	private static final double SHARE_OF_REQUESTS = 0.1;
+
+	private static final int RETRIES_PER_SECOND = 3;
+
+	private final Deque<Long> requestTimesMillis = new ArrayDeque<>();
+
+	private final Deque<Long> shareRetryTimesMillis = new ArrayDeque<>();
+
+	private final Deque<Long> rateRetryTimesMillis = new ArrayDeque<>();
+
+	/**
+	 * Takes note of a request.
+	 * @param nowMillis the current time
+	 */
+	public void countRequest(long nowMillis) {
+		this.requestTimesMillis.addLast(nowMillis);
+		discard(nowMillis);
+	}
+
+	/**
+	 * Takes one retry from the budget.
+	 * @param nowMillis the current time
+	 * @return {@code false} if the budget is used up
+	 */
+	public boolean tryRetry(long nowMillis) {
+		discard(nowMillis);
+		if (this.rateRetryTimesMillis.size() < RETRIES_PER_SECOND) {
+			return this.rateRetryTimesMillis.add(nowMillis);
+		}
+		if (this.shareRetryTimesMillis.size() + 1 <= SHARE_OF_REQUESTS * this.requestTimesMillis.size()) {
+			return this.shareRetryTimesMillis.add(nowMillis);
+		}
+		return false;
+	}
+
+	private void discard(long nowMillis) {
+		discard(this.requestTimesMillis, nowMillis - WINDOW_MILLIS);
+		discard(this.shareRetryTimesMillis, nowMillis - WINDOW_MILLIS);
+		discard(this.rateRetryTimesMillis, nowMillis - SECOND_MILLIS);
+	}
+
+	private static void discard(Deque<Long> timesMillis, long oldestMillis) {
+		while (!timesMillis.isEmpty() && timesMillis.peekFirst() <= oldestMillis) {
+			timesMillis.removeFirst();
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Attempts of one request and the retry budget. */
+package io.burdockpin.core.retry;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/PeerLoads.java
@@ -0,0 +1,63 @@
+package io.burdockpin.core.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.QueueName;
+
+/**
+ * Loads of the other entry hosts, corrected for the requests that were sent to them since
+ * their last status. Mutable; owned by one actor.
+ */
+public final class PeerLoads {
+
+	private final Map<SentKey, Sent> sentCounts = new HashMap<>();
+
+	private Map<QueueName, List<PeerLoad>> loads = Map.of();
+
+	/**
+	 * Replaces the loads.
+	 * @param newLoads the loads by queue
+	 */
+	public void update(Map<QueueName, List<PeerLoad>> newLoads) {
+		this.loads = newLoads;
+	}
+
+	/**
+	 * Takes note of a request sent to a peer.
+	 * @param queue the queue
+	 * @param load the load on which the choice was made
+	 */
+	public void sent(QueueName queue, PeerLoad load) {
+		int count = sentCount(queue, load);
+		this.sentCounts.put(new SentKey(load.host(), queue), new Sent(load.statusNumber(), count + 1));
+	}
+
+	/**
+	 * Returns the loads for a queue.
+	 * @param queue the queue
+	 * @return the corrected loads
+	 */
+	public List<PeerLoad> of(QueueName queue) {
+		return this.loads.getOrDefault(queue, List.of())
+			.stream()
+			.map((load) -> load.withSent(sentCount(queue, load)))
+			.toList();
+	}
+
+	private int sentCount(QueueName queue, PeerLoad load) {
+		Sent sent = this.sentCounts.get(new SentKey(load.host(), queue));
+		return (sent != null && sent.statusNumber() == load.statusNumber()) ? sent.count() : 0;
+	}
+
+	private record SentKey(HostName host, QueueName queue) {
+
+	}
+
+	private record Sent(long statusNumber, int count) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RoutingPolicy.java
@@ -0,0 +1,97 @@
+package io.burdockpin.core.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.model.DataCentre;
+
+/** How a runner or another entry host is chosen among those that can take a request. */
+public enum RoutingPolicy {
+
+	/** Own data centre first, then the runner with the most free slots. */
+	NEAREST_THEN_LEAST_BUSY {
+		@Override
+		protected long runnerCost(RunnerLoad load, DataCentre ownDataCentre) {
+			return far(load, ownDataCentre) * FAR_COST - load.freeSlots();
+		}
+	},
+
+	/** Own data centre first, then the runner with the shortest recent service time. */
+	NEAREST_THEN_FASTEST {
+		@Override
+		protected long runnerCost(RunnerLoad load, DataCentre ownDataCentre) {
+			return far(load, ownDataCentre) * FAR_COST + load.serviceMillis();
+		}
+	},
+
+	/** The runner with the most free slots, wherever it stands. */
+	LEAST_BUSY {
+		@Override
+		protected long runnerCost(RunnerLoad load, DataCentre ownDataCentre) {
+			return -load.freeSlots();
+		}
+	};
+
+	private static final long FAR_COST = 1_000_000_000L;
+
+	/**
+	 * Chooses a runner.
+	 * @param candidates runners with a free slot
+	 * @param ownDataCentre where this entry host stands
+	 * @param random breaks ties
+	 * @return a cheapest candidate, if there is any
+	 */
+	public Optional<RunnerLoad> chooseRunner(List<RunnerLoad> candidates, DataCentre ownDataCentre,
+			RandomGenerator random) {
+		return cheapest(candidates, (load) -> runnerCost(load, ownDataCentre), random);
+	}
+
+	/**
+	 * Chooses another entry host whose expected wait and round trip are shorter than the
+	 * wait here.
+	 * @param candidates the other entry hosts
+	 * @param ownDataCentre where this entry host stands
+	 * @param ownWaitMillis expected wait here
+	 * @param costs round trips
+	 * @param random breaks ties
+	 * @return the entry host, if forwarding saves time
+	 */
+	public Optional<PeerLoad> choosePeer(List<PeerLoad> candidates, DataCentre ownDataCentre, long ownWaitMillis,
+			ForwardingCosts costs, RandomGenerator random) {
+		List<PeerLoad> better = candidates.stream()
+			.filter((load) -> load.expectedWaitMillis() != Long.MAX_VALUE)
+			.filter((load) -> peerCost(load, ownDataCentre, costs) < ownWaitMillis)
+			.toList();
+		return cheapest(better, (load) -> peerCost(load, ownDataCentre, costs), random);
+	}
+
+	/**
+	 * Weighs a runner.
+	 * @param load the runner
+	 * @param ownDataCentre where this entry host stands
+	 * @return the cost; the lowest is chosen
+	 */
+	protected abstract long runnerCost(RunnerLoad load, DataCentre ownDataCentre);
+
+	private static long far(RunnerLoad load, DataCentre ownDataCentre) {
+		return load.runner().dataCentre().equals(ownDataCentre) ? 0 : 1;
+	}
+
+	private static long peerCost(PeerLoad load, DataCentre ownDataCentre, ForwardingCosts costs) {
+		return load.expectedWaitMillis() + costs.roundTripMillis(load.dataCentre().equals(ownDataCentre));
+	}
+
+	private static <T> Optional<T> cheapest(List<T> candidates, ToLongFunction<T> cost, RandomGenerator random) {
+		Optional<T> first = candidates.stream().min(Comparator.comparingLong(cost));
+		if (first.isEmpty()) {
+			return first;
+		}
+		long lowest = cost.applyAsLong(first.get());
+		List<T> equals = candidates.stream().filter((candidate) -> cost.applyAsLong(candidate) == lowest).toList();
+		return Optional.of(equals.get(random.nextInt(equals.size())));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerHealth.java
@@ -0,0 +1,274 @@
+package io.burdockpin.core.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.model.RunnerName;
+
+/**
+ * Sets failing and slow runners of one queue aside. A runner that was set aside gets one
+ * trial request after its pause; the pause grows while the trials fail. Mutable; owned by
+ * one actor.
+ */
+public final class RunnerHealth {
+
+	private static final int CONSECUTIVE_FAILURES = 3;
+
+	/** Samples below which ratios and medians say too little. */
+	private static final int MINIMUM_SAMPLES = 8;
+
+	private static final double FAILURE_RATIO = 0.5;
+
+	private static final double FAILURE_RATIO_TO_OTHERS = 2.0;
+
+	/** Section 13 of the design page. */
+	private static final long SLOW_FACTOR = 3;
+
+	private static final long FIRST_PAUSE_MILLIS = 1000;
+
+	private static final long LONGEST_PAUSE_MILLIS = 60_000;
+
+	private static final int LARGEST_PAUSE_EXPONENT = 6;
+
+	private static final double JITTER = 0.2;
+
+	private final RandomGenerator random;
+
+	private final Map<RunnerName, Entry> entries = new HashMap<>();
+
+	/**
+	 * Creates the health record of a queue.
+	 * @param random source of the jitter
+	 */
+	public RunnerHealth(RandomGenerator random) {
+		this.random = random;
+	}
+
+	// life cycle
+
+	/**
+	 * Adds a runner, or does nothing if it is known.
+	 * @param runner the runner
+	 */
+	public void add(RunnerName runner) {
+		this.entries.computeIfAbsent(runner, (name) -> new Entry());
+	}
+
+	/**
+	 * Forgets a runner.
+	 * @param runner the runner
+	 */
+	public void remove(RunnerName runner) {
+		this.entries.remove(runner);
+	}
+
+	/**
+	 * Takes note of an attempt that begins.
+	 * @param runner the runner
+	 */
+	public void started(RunnerName runner) {
+		Entry entry = this.entries.get(runner);
+		if (entry != null && entry.state != State.IN_USE) {
+			entry.trialRunning = true;
+		}
+	}
+
+	/**
+	 * Takes note of an attempt that ended.
+	 * @param runner the runner
+	 * @param verdict what it says about the runner
+	 * @param serviceMillis how long it took
+	 * @param nowMillis the current time
+	 */
+	public void ended(RunnerName runner, AttemptVerdict verdict, long serviceMillis, long nowMillis) {
+		Entry entry = this.entries.get(runner);
+		if (entry == null) {
+			return;
+		}
+		if (entry.state != State.IN_USE) {
+			endTrial(entry, verdict, serviceMillis, nowMillis);
+		}
+		else if (verdict != AttemptVerdict.NEUTRAL) {
+			entry.record(verdict, serviceMillis);
+			judge(entry, nowMillis);
+		}
+	}
+
+	// access
+
+	/**
+	 * Tells whether a runner may take a request.
+	 * @param runner the runner
+	 * @param nowMillis the current time
+	 * @return {@code false} while it is set aside or its trial request runs
+	 */
+	public boolean mayTake(RunnerName runner, long nowMillis) {
+		Entry entry = this.entries.get(runner);
+		if (entry == null || entry.state == State.IN_USE) {
+			return true;
+		}
+		return nowMillis >= entry.setAsideUntilMillis && !entry.trialRunning;
+	}
+
+	/**
+	 * Returns the median service time of a runner.
+	 * @param runner the runner
+	 * @return the time in milliseconds, 0 if unknown
+	 */
+	public long serviceMillis(RunnerName runner) {
+		Entry entry = this.entries.get(runner);
+		return (entry != null) ? entry.serviceTimes.median() : 0;
+	}
+
+	/**
+	 * Counts the runners that are set aside.
+	 * @return the count
+	 */
+	public int setAsideCount() {
+		return (int) this.entries.values().stream().filter((entry) -> entry.state != State.IN_USE).count();
+	}
+
+	// helpers
+
+	private void endTrial(Entry entry, AttemptVerdict verdict, long serviceMillis, long nowMillis) {
+		if (!entry.trialRunning) {
+			return;
+		}
+		entry.trialRunning = false;
+		if (verdict == AttemptVerdict.NEUTRAL) {
+			return;
+		}
+		if (entry.state.passes(verdict, serviceMillis, othersMedianMillis(entry))) {
+			entry.returnToUse();
+		}
+		else {
+			setAside(entry, entry.state, nowMillis);
+		}
+	}
+
+	private void judge(Entry entry, long nowMillis) {
+		if (entry.consecutiveFailures >= CONSECUTIVE_FAILURES || failsMoreThanOthers(entry)) {
+			setAside(entry, State.FAILING, nowMillis);
+		}
+		else if (isSlow(entry) && slowMayGrow()) {
+			setAside(entry, State.SLOW, nowMillis);
+		}
+		else if (entry.goodSinceReturn > Samples.CAPACITY) {
+			entry.pauseExponent = 0;
+		}
+	}
+
+	private boolean failsMoreThanOthers(Entry entry) {
+		if (entry.failures.count() < MINIMUM_SAMPLES) {
+			return false;
+		}
+		double othersRatio = others(entry).stream()
+			.mapToDouble((other) -> other.failures.mean())
+			.average()
+			.orElse(FAILURE_RATIO);
+		double ratio = entry.failures.mean();
+		return ratio >= FAILURE_RATIO && ratio >= FAILURE_RATIO_TO_OTHERS * othersRatio;
+	}
+
+	private boolean isSlow(Entry entry) {
+		long othersMillis = othersMedianMillis(entry);
+		return entry.serviceTimes.count() >= MINIMUM_SAMPLES && othersMillis > 0
+				&& entry.serviceTimes.median() > SLOW_FACTOR * othersMillis;
+	}
+
+	private boolean slowMayGrow() {
+		long slowCount = this.entries.values().stream().filter((entry) -> entry.state == State.SLOW).count();
+		return (slowCount + 1) * 2 <= this.entries.size();
+	}
+
+	private long othersMedianMillis(Entry entry) {
+		Samples medians = new Samples(Math.max(1, this.entries.size()));
+		for (Entry other : others(entry)) {
+			medians.add(other.serviceTimes.median());
+		}
+		return medians.median();
+	}
+
+	private List<Entry> others(Entry entry) {
+		return this.entries.values()
+			.stream()
+			.filter((other) -> other != entry && other.serviceTimes.count() >= MINIMUM_SAMPLES)
+			.toList();
+	}
+
+	private void setAside(Entry entry, State state, long nowMillis) {
+		long pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << entry.pauseExponent);
+		double factor = 1 - this.random.nextDouble() * JITTER;
+		entry.state = state;
+		entry.trialRunning = false;
+		entry.setAsideUntilMillis = nowMillis + (long) (pauseMillis * factor);
+		entry.pauseExponent = Math.min(LARGEST_PAUSE_EXPONENT, entry.pauseExponent + 1);
+	}
+
+	private enum State {
+
+		IN_USE {
+			@Override
+			boolean passes(AttemptVerdict verdict, long serviceMillis, long othersMillis) {
+				return true;
+			}
+		},
+
+		FAILING {
+			@Override
+			boolean passes(AttemptVerdict verdict, long serviceMillis, long othersMillis) {
+				return !verdict.failed();
+			}
+		},
+
+		SLOW {
+			@Override
+			boolean passes(AttemptVerdict verdict, long serviceMillis, long othersMillis) {
+				return !verdict.failed() && (othersMillis == 0 || serviceMillis <= SLOW_FACTOR * othersMillis);
+			}
+		};
+
+		abstract boolean passes(AttemptVerdict verdict, long serviceMillis, long othersMillis);
+
+	}
+
+	private static final class Entry {
+
+		private State state = State.IN_USE;
+
+		private Samples failures = new Samples(Samples.CAPACITY);
+
+		private Samples serviceTimes = new Samples(Samples.CAPACITY);
+
+		private int consecutiveFailures;
+
+		private int goodSinceReturn;
+
+		private int pauseExponent;
+
+		private long setAsideUntilMillis;
+
+		private boolean trialRunning;
+
+		private void record(AttemptVerdict verdict, long serviceMillis) {
+			this.failures.add(verdict.failed() ? 1 : 0);
+			this.consecutiveFailures = verdict.certain() ? this.consecutiveFailures + 1 : 0;
+			this.goodSinceReturn = verdict.failed() ? 0 : this.goodSinceReturn + 1;
+			if (!verdict.certain()) {
+				this.serviceTimes.add(serviceMillis);
+			}
+		}
+
+		private void returnToUse() {
+			this.state = State.IN_USE;
+			this.failures = new Samples(Samples.CAPACITY);
+			this.serviceTimes = new Samples(Samples.CAPACITY);
+			this.consecutiveFailures = 0;
+			this.goodSinceReturn = 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -0,0 +1,299 @@
+package io.burdockpin.core.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RunnerName;
+
+/**
+ * Runners that are attached to this entry host and the attempts that use their slots. A
+ * slot whose attempt has an unknown outcome stays in use until the deadline of the
+ * attempt plus a margin. Mutable; owned by one actor.
+ */
+public final class RunnerTable {
+
+	/** Section 13 of the design page: margins are a fifth of their period. */
+	private static final int MARGIN_DIVISOR = 5;
+
+	private final RunnerTableSettings settings;
+
+	private final DataCentre ownDataCentre;
+
+	private final RandomGenerator random;
+
+	private final Map<RunnerName, Attachment> attachments = new TreeMap<>();
+
+	private final Map<QueueName, RunnerHealth> healthByQueue = new HashMap<>();
+
+	private final Map<Long, Use> usesByAttempt = new HashMap<>();
+
+	private final Map<RunnerName, Integer> useCounts = new HashMap<>();
+
+	/**
+	 * Creates an empty table.
+	 * @param settings periods and policy
+	 * @param ownDataCentre where this entry host stands
+	 * @param random breaks ties and spreads pauses
+	 */
+	public RunnerTable(RunnerTableSettings settings, DataCentre ownDataCentre, RandomGenerator random) {
+		this.settings = settings;
+		this.ownDataCentre = ownDataCentre;
+		this.random = random;
+	}
+
+	// life cycle
+
+	/**
+	 * Attaches a runner or renews its attachment.
+	 * @param runner what it announces
+	 * @param nowMillis the current time
+	 * @return {@code false} if the announcement is older than the attachment
+	 */
+	public boolean announce(Runner runner, long nowMillis) {
+		Attachment known = this.attachments.get(runner.name());
+		if (known != null && runner.epoch() < known.runner.epoch()) {
+			return false;
+		}
+		if (known == null || runner.epoch() > known.runner.epoch() || !runner.queue().equals(known.runner.queue())) {
+			attach(runner, nowMillis);
+		}
+		else {
+			known.renew(runner, nowMillis);
+		}
+		return true;
+	}
+
+	/**
+	 * Drops attachments that were not renewed and frees slots whose attempts can no
+	 * longer be running.
+	 * @param nowMillis the current time
+	 * @return the runners that are no longer attached
+	 */
+	public List<RunnerName> expire(long nowMillis) {
+		expireUses(nowMillis);
+		List<RunnerName> lost = new ArrayList<>();
+		for (Attachment attachment : List.copyOf(this.attachments.values())) {
+			if (nowMillis - attachment.renewedMillis >= this.settings.attachmentMillis()) {
+				detach(attachment.runner);
+				lost.add(attachment.runner.name());
+			}
+		}
+		return lost;
+	}
+
+	// attempts
+
+	/**
+	 * Takes a slot for an attempt.
+	 * @param queue the queue
+	 * @param attempt number of the attempt
+	 * @param excluded runners that have failed this request
+	 * @param deadlineMillis when the attempt ends, in milliseconds since the epoch
+	 * @param nowMillis the current time
+	 * @return the runner, if one has a free slot; one of the excluded runners only if no
+	 * other is attached
+	 */
+	public Optional<Runner> begin(QueueName queue, long attempt, Set<RunnerName> excluded, long deadlineMillis,
+			long nowMillis) {
+		List<RunnerLoad> candidates = candidates(queue, nowMillis);
+		List<RunnerLoad> preferred = candidates.stream()
+			.filter((load) -> !excluded.contains(load.runner().name()))
+			.toList();
+		Optional<RunnerLoad> chosen = this.settings.policy()
+			.chooseRunner(preferred.isEmpty() ? candidates : preferred, this.ownDataCentre, this.random);
+		chosen.ifPresent((load) -> use(load.runner(), attempt, deadlineMillis, nowMillis));
+		return chosen.map(RunnerLoad::runner);
+	}
+
+	/**
+	 * Ends an attempt that was given up before anything was sent.
+	 * @param attempt number of the attempt
+	 */
+	public void withdraw(long attempt) {
+		free(attempt).ifPresent((use) -> health(use.queue).ended(use.runner, AttemptVerdict.NEUTRAL, 0, 0));
+	}
+
+	/**
+	 * Ends an attempt.
+	 * @param attempt number of the attempt
+	 * @param outcome whether it ran; after an unknown outcome the slot stays in use
+	 * @param verdict what it says about the runner
+	 * @param nowMillis the current time
+	 */
+	public void end(long attempt, Outcome outcome, AttemptVerdict verdict, long nowMillis) {
+		Use use = this.usesByAttempt.get(attempt);
+		if (use == null) {
+			return;
+		}
+		health(use.queue).ended(use.runner, verdict, nowMillis - use.beganMillis, nowMillis);
+		if (outcome != Outcome.UNKNOWN) {
+			free(attempt);
+		}
+	}
+
+	// access
+
+	/**
+	 * Returns what the runners of a queue can take.
+	 * @param queue the queue
+	 * @param nowMillis the current time
+	 * @return slots and service time
+	 */
+	public QueueCapacity capacity(QueueName queue, long nowMillis) {
+		int slots = 0;
+		int freeSlots = 0;
+		long slotServiceMillis = 0;
+		for (Attachment attachment : this.attachments.values()) {
+			if (isUsable(attachment, queue, nowMillis)) {
+				int capacity = attachment.runner.capacity();
+				slots += capacity;
+				freeSlots += freeSlots(attachment, nowMillis);
+				slotServiceMillis += capacity * health(queue).serviceMillis(attachment.runner.name());
+			}
+		}
+		return (slots > 0) ? new QueueCapacity(slots, freeSlots, slotServiceMillis / slots) : QueueCapacity.NONE;
+	}
+
+	/**
+	 * Returns the queues that have attached runners.
+	 * @return the queues
+	 */
+	public Set<QueueName> queues() {
+		Set<QueueName> queues = new TreeSet<>();
+		this.attachments.values().forEach((attachment) -> queues.add(attachment.runner.queue()));
+		return queues;
+	}
+
+	/**
+	 * Returns the attached runners.
+	 * @return the newest announcements
+	 */
+	public List<Runner> runners() {
+		return this.attachments.values().stream().map((attachment) -> attachment.runner).toList();
+	}
+
+	/**
+	 * Counts the slots of a runner that are in use.
+	 * @param runner the runner
+	 * @return attempts of this entry host, those with unknown outcome included
+	 */
+	public int slotsInUse(RunnerName runner) {
+		return this.useCounts.getOrDefault(runner, 0);
+	}
+
+	// helpers
+
+	private void attach(Runner runner, long nowMillis) {
+		Optional.ofNullable(this.attachments.get(runner.name())).ifPresent((known) -> detach(known.runner));
+		this.attachments.put(runner.name(),
+				new Attachment(runner, nowMillis, nowMillis + this.settings.longestRequestMillis()));
+		health(runner.queue()).add(runner.name());
+	}
+
+	private void detach(Runner runner) {
+		this.attachments.remove(runner.name());
+		health(runner.queue()).remove(runner.name());
+	}
+
+	private List<RunnerLoad> candidates(QueueName queue, long nowMillis) {
+		return this.attachments.values()
+			.stream()
+			.filter((attachment) -> isUsable(attachment, queue, nowMillis) && freeSlots(attachment, nowMillis) > 0)
+			.map((attachment) -> new RunnerLoad(attachment.runner, freeSlots(attachment, nowMillis),
+					health(queue).serviceMillis(attachment.runner.name())))
+			.toList();
+	}
+
+	private boolean isUsable(Attachment attachment, QueueName queue, long nowMillis) {
+		return attachment.runner.queue().equals(queue) && !attachment.runner.leaving()
+				&& nowMillis - attachment.renewedMillis < this.settings.attachmentMillis()
+				&& health(queue).mayTake(attachment.runner.name(), nowMillis);
+	}
+
+	private int freeSlots(Attachment attachment, long nowMillis) {
+		int inUse = slotsInUse(attachment.runner.name()) + attachment.foreignUse(nowMillis);
+		return Math.max(0, attachment.runner.capacity() - inUse);
+	}
+
+	private void use(Runner runner, long attempt, long deadlineMillis, long nowMillis) {
+		long marginMillis = Math.max(0, deadlineMillis - nowMillis) / MARGIN_DIVISOR;
+		this.usesByAttempt.put(attempt,
+				new Use(runner.name(), runner.queue(), nowMillis, deadlineMillis + marginMillis));
+		this.useCounts.merge(runner.name(), 1, Integer::sum);
+		health(runner.queue()).started(runner.name());
+	}
+
+	private Optional<Use> free(long attempt) {
+		Optional<Use> use = Optional.ofNullable(this.usesByAttempt.remove(attempt));
+		use.ifPresent(this::reduceCount);
+		return use;
+	}
+
+	private void reduceCount(Use use) {
+		this.useCounts.computeIfPresent(use.runner, (name, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	private void expireUses(long nowMillis) {
+		Iterator<Use> iterator = this.usesByAttempt.values().iterator();
+		while (iterator.hasNext()) {
+			Use use = iterator.next();
+			if (use.untilMillis <= nowMillis) {
+				iterator.remove();
+				reduceCount(use);
+			}
+		}
+	}
+
+	private RunnerHealth health(QueueName queue) {
+		return this.healthByQueue.computeIfAbsent(queue, (name) -> new RunnerHealth(this.random));
+	}
+
+	private record Use(RunnerName runner, QueueName queue, long beganMillis, long untilMillis) {
+
+	}
+
+	private static final class Attachment {
+
+		private final long foreignUntilMillis;
+
+		private Runner runner;
+
+		private long renewedMillis;
+
+		/**
+		 * Slots that attempts of earlier entry hosts may still use. It never grows within
+		 * an epoch, because no other entry host sends to the runner.
+		 */
+		private int foreignUseCount;
+
+		private Attachment(Runner runner, long nowMillis, long foreignUntilMillis) {
+			this.runner = runner;
+			this.renewedMillis = nowMillis;
+			this.foreignUseCount = runner.slotsInUse();
+			this.foreignUntilMillis = foreignUntilMillis;
+		}
+
+		private void renew(Runner renewed, long nowMillis) {
+			this.runner = renewed;
+			this.renewedMillis = nowMillis;
+			this.foreignUseCount = Math.min(this.foreignUseCount, renewed.slotsInUse());
+		}
+
+		private int foreignUse(long nowMillis) {
+			return (nowMillis < this.foreignUntilMillis) ? this.foreignUseCount : 0;
+		}
+
+	}
+
+}
