--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
@@ -0,0 +1,104 @@
+package io.burdockpin.entry.cfg;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.burdockpin.core.admission.AdmissionLimits;
+import io.burdockpin.core.membership.PeerInfo;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.routing.ForwardingCosts;
+import io.burdockpin.core.routing.RoutingPolicy;
+import io.burdockpin.core.util.Checks;
+
+/**
+ * Settings of the entry program. Missing values get their defaults. Immutable.
+ *
+ * @param name name of this entry host
+ * @param dataCentre where it stands
+ * @param httpAddress where it takes callers, runners, workers and operators
+ * @param peerAddress where it takes other entry hosts
+ * @param peers the other entry hosts
+ * @param members the control members, nearest first
+ * @param limits limits on requests
+ * @param timing periods and timeouts
+ * @param policy how runners are chosen
+ * @param eventFile where events are written
+ * @param eventFileBytes size at which a new event file is started
+ * @param dataFolder where the configuration is cached
+ */
+public record EntrySettings(String name, String dataCentre, AddressSettings httpAddress, AddressSettings peerAddress,
+		List<PeerSettings> peers, List<MemberSettings> members, LimitSettings limits, TimingSettings timing,
+		RoutingPolicy policy, Optional<String> eventFile, Long eventFileBytes, Optional<String> dataFolder) {
+
+	private static final long DEFAULT_EVENT_FILE_BYTES = 64L * 1024 * 1024;
+
+	private static final long LARGEST_EVENT_FILE_BYTES = 16L * 1024 * 1024 * 1024;
+
+	public EntrySettings {
+		Checks.name("entry host", name);
+		Checks.name("data centre", dataCentre);
+		httpAddress = required("httpAddress", httpAddress);
+		peerAddress = required("peerAddress", peerAddress);
+		peers = (peers != null) ? List.copyOf(peers) : List.of();
+		members = (members != null) ? List.copyOf(members) : List.of();
+		Checks.range("number of members", members.size(), 1, 9);
+		limits = (limits != null) ? limits : LimitSettings.defaults();
+		timing = (timing != null) ? timing : TimingSettings.defaults();
+		policy = (policy != null) ? policy : RoutingPolicy.NEAREST_THEN_LEAST_BUSY;
+		eventFile = (eventFile != null) ? eventFile : Optional.empty();
+		eventFileBytes = Checks.range("eventFileBytes",
+				(eventFileBytes != null) ? eventFileBytes : DEFAULT_EVENT_FILE_BYTES, 4096, LARGEST_EVENT_FILE_BYTES);
+		dataFolder = (dataFolder != null) ? dataFolder : Optional.empty();
+	}
+
+	/**
+	 * Returns this entry host as its peers know it.
+	 * @return name, data centre and HTTP address
+	 */
+	public PeerInfo self() {
+		return new PeerInfo(new HostName(this.name), new DataCentre(this.dataCentre), this.httpAddress.text());
+	}
+
+	/**
+	 * Returns the other entry hosts.
+	 * @return name, data centre and HTTP address of each
+	 */
+	public List<PeerInfo> peerInfos() {
+		return this.peers.stream().map(PeerSettings::info).toList();
+	}
+
+	/**
+	 * Returns the control members.
+	 * @return their host names, nearest first
+	 */
+	public List<HostName> memberNames() {
+		return this.members.stream().map((member) -> new HostName(member.name())).toList();
+	}
+
+	/**
+	 * Returns the limits of admission.
+	 * @return the limits
+	 */
+	public AdmissionLimits admissionLimits() {
+		return new AdmissionLimits(this.limits.bodyBytes(), this.limits.timeoutMillis(),
+				this.timing.unverifiedKeyGraceSeconds() * 1000L, this.timing.claimWindowMillis(),
+				this.timing.claimFutureMillis());
+	}
+
+	/**
+	 * Returns the round trips to other entry hosts.
+	 * @return the costs
+	 */
+	public ForwardingCosts forwardingCosts() {
+		return new ForwardingCosts(this.timing.nearRoundTripMillis(), this.timing.farRoundTripMillis());
+	}
+
+	private static AddressSettings required(String what, AddressSettings value) {
+		if (value == null) {
+			throw new io.burdockpin.core.exc.InvalidValueException(what + " is missing");
+		}
+		return value;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the entry program. */
+package io.burdockpin.entry.cfg;
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ConfigurationActor.java
@@ -0,0 +1,173 @@
+package io.burdockpin.entry.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.core.admission.ConfigurationFeed;
+import io.burdockpin.core.admission.ConfigurationView;
+import io.burdockpin.core.admission.FeedEffect;
+import io.burdockpin.core.client.CallResult;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.entry.EntryIdentity;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Follows the configuration feed and tells the subscribers what is in force.
+ */
+final class ConfigurationActor extends AbstractBehavior<ConfigurationActor.Command> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final Duration TICK = Duration.ofMillis(500);
+
+	private static final long READ_INDEX_MILLIS = 3000;
+
+	private final ConfigurationFeed feed;
+
+	private final EntryIdentity identity;
+
+	private final ActorRef<ControlCommand> control;
+
+	private final List<ActorRef<ConfigurationEvent>> subscribers = new ArrayList<>();
+
+	private Optional<ConfigurationView> inForce = Optional.empty();
+
+	private ConfigurationActor(ActorContext<Command> context, ConfigurationFeed feed, EntryIdentity identity,
+			ActorRef<ControlCommand> control) {
+		super(context);
+		this.feed = feed;
+		this.identity = identity;
+		this.control = control;
+		askReadIndex();
+	}
+
+	// life cycle
+
+	static Behavior<Command> create(ConfigurationFeed feed, EntryIdentity identity, ActorRef<ControlCommand> control) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
+			timers.startTimerWithFixedDelay(Tick.INSTANCE, TICK);
+			return new ConfigurationActor(context, feed, identity, control);
+		}));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(Connected.class, this::onConnected)
+			.onMessage(Disconnected.class, this::onDisconnected)
+			.onMessage(Received.class, this::onReceived)
+			.onMessage(Offered.class, this::onOffered)
+			.onMessage(Subscribed.class, this::onSubscribed)
+			.onMessage(ReadIndexEnded.class, this::onReadIndexEnded)
+			.onMessage(Tick.class, (tick) -> carryOut(this.feed.tick(this.identity.nowMillis())))
+			.build();
+	}
+
+	private Behavior<Command> onConnected(Connected command) {
+		return carryOut(this.feed.connected(command.member(), this.identity.nowMillis()));
+	}
+
+	private Behavior<Command> onDisconnected(Disconnected command) {
+		return carryOut(this.feed.disconnected(command.member(), this.identity.nowMillis()));
+	}
+
+	private Behavior<Command> onReceived(Received command) {
+		return carryOut(this.feed.received(command.member(), command.message(), this.identity.nowMillis()));
+	}
+
+	private Behavior<Command> onOffered(Offered command) {
+		return carryOut(this.feed.offered(command.configuration()));
+	}
+
+	private Behavior<Command> onSubscribed(Subscribed command) {
+		this.subscribers.add(command.subscriber());
+		this.inForce
+			.ifPresent((configuration) -> command.subscriber().tell(new ConfigurationEvent.InForce(configuration)));
+		return this;
+	}
+
+	private Behavior<Command> onReadIndexEnded(ReadIndexEnded command) {
+		if (command.result() instanceof CallResult.Answered answered
+				&& answered.message() instanceof ClientMessage.ReadIndexReply reply) {
+			return carryOut(this.feed.readIndexKnown(reply.configurationIndex()));
+		}
+		logger.atWarning().log("No leader told its read index. The newest known configuration will be used.");
+		return carryOut(this.feed.readIndexUnknown());
+	}
+
+	// helpers
+
+	private void askReadIndex() {
+		ActorRef<CallResult> replyTo = getContext().messageAdapter(CallResult.class, ReadIndexEnded::new);
+		this.control.tell(new ControlCommand.Call(ClientMessage.ReadIndex::new, READ_INDEX_MILLIS, replyTo));
+	}
+
+	private Behavior<Command> carryOut(List<FeedEffect> effects) {
+		effects.forEach(this::carryOut);
+		return this;
+	}
+
+	private void carryOut(FeedEffect effect) {
+		if (effect instanceof FeedEffect.Send send) {
+			this.control.tell(new ControlCommand.SendTo(send.member(), send.message()));
+		}
+		else if (effect instanceof FeedEffect.InForce newInForce) {
+			putInForce(newInForce.configuration());
+		}
+		else {
+			this.subscribers.forEach((subscriber) -> subscriber.tell(ConfigurationEvent.MajorityHeard.INSTANCE));
+		}
+	}
+
+	private void putInForce(ConfigurationView configuration) {
+		if (this.inForce.map(ConfigurationView::index).orElse(-1L) >= configuration.index()) {
+			return;
+		}
+		logger.atInfo().log("Configuration %d is in force.", configuration.index());
+		this.inForce = Optional.of(configuration);
+		this.subscribers.forEach((subscriber) -> subscriber.tell(new ConfigurationEvent.InForce(configuration)));
+	}
+
+	sealed interface Command {
+
+	}
+
+	record Connected(HostName member) implements Command {
+
+	}
+
+	record Disconnected(HostName member) implements Command {
+
+	}
+
+	record Received(HostName member, ClientMessage message) implements Command {
+
+	}
+
+	record Offered(ConfigurationView configuration) implements Command {
+
+	}
+
+	record Subscribed(ActorRef<ConfigurationEvent> subscriber) implements Command {
+
+	}
+
+	private record ReadIndexEnded(CallResult result) implements Command {
+
+	}
+
+	private enum Tick implements Command {
+
+		INSTANCE
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ConfigurationEvent.java
@@ -0,0 +1,25 @@
+package io.burdockpin.entry.control;
+
+import io.burdockpin.core.admission.ConfigurationView;
+
+/** What the configuration feed tells its subscribers. */
+public sealed interface ConfigurationEvent {
+
+	/**
+	 * A configuration is in force. Its index is never lower than before.
+	 *
+	 * @param configuration the configuration
+	 */
+	record InForce(ConfigurationView configuration) implements ConfigurationEvent {
+
+	}
+
+	/** A control member with a majority has been heard. */
+	enum MajorityHeard implements ConfigurationEvent {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
@@ -0,0 +1,192 @@
+package io.burdockpin.entry.control;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.io.FrameCodec;
+import io.burdockpin.core.admission.ConfigurationFeed;
+import io.burdockpin.core.client.CallEffect;
+import io.burdockpin.core.client.CallResult;
+import io.burdockpin.core.client.ClientEnvelope;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ControlCalls;
+import io.burdockpin.core.event.HybridClock;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.entry.EntryIdentity;
+import io.burdockpin.entry.cfg.MemberSettings;
+import io.burdockpin.runtime.link.LinkCommand;
+import io.burdockpin.runtime.link.LinkEvent;
+import io.burdockpin.runtime.link.LinkSettings;
+import io.burdockpin.runtime.link.OutboundLink;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.SupervisorStrategy;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Supervises one link to each control member and the configuration feed, and correlates
+ * calls with their replies.
+ */
+public final class ControlSupervisor extends AbstractBehavior<ControlCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final Duration TICK = Duration.ofMillis(50);
+
+	private static final SupervisorStrategy RESTART = SupervisorStrategy.restartWithBackoff(Duration.ofMillis(200),
+			Duration.ofSeconds(10), 0.2);
+
+	private final EntryIdentity identity;
+
+	private final ControlCalls calls;
+
+	private final HybridClock hybridClock = new HybridClock();
+
+	private final Map<Long, ActorRef<CallResult>> callers = new HashMap<>();
+
+	private final Map<HostName, ActorRef<LinkCommand<ClientEnvelope>>> sessions = new HashMap<>();
+
+	private final ActorRef<ConfigurationActor.Command> configuration;
+
+	private long lastCorrelation;
+
+	private ControlSupervisor(ActorContext<ControlCommand> context, EntryIdentity identity,
+			List<MemberSettings> members, FrameCodec<ClientEnvelope> codec) {
+		super(context);
+		this.identity = identity;
+		List<HostName> names = members.stream().map((member) -> new HostName(member.name())).toList();
+		this.calls = new ControlCalls(names);
+		ConfigurationFeed feed = new ConfigurationFeed(names, identity.self().dataCentre());
+		this.configuration = context.spawn(ConfigurationActor.create(feed, identity, context.getSelf()),
+				"configuration");
+		// Its subscribers would be lost by a restart, so its end is the end of the process.
+		context.watch(this.configuration);
+		members.forEach((member) -> spawnLink(member, codec));
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior of the supervisor.
+	 * @param identity the own process
+	 * @param members the control members, nearest first
+	 * @param codec the protocol
+	 * @return the behavior
+	 */
+	public static Behavior<ControlCommand> create(EntryIdentity identity, List<MemberSettings> members,
+			FrameCodec<ClientEnvelope> codec) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
+			timers.startTimerWithFixedDelay(ControlCommand.Tick.INSTANCE, TICK);
+			return new ControlSupervisor(context, identity, members, codec);
+		}));
+	}
+
+	@Override
+	public Receive<ControlCommand> createReceive() {
+		return newReceiveBuilder().onMessage(ControlCommand.Call.class, this::onCall)
+			.onMessage(ControlCommand.SendTo.class, this::onSendTo)
+			.onMessage(ControlCommand.Subscribe.class, this::onSubscribe)
+			.onMessage(ControlCommand.Offer.class, this::onOffer)
+			.onMessage(ControlCommand.LinkHappened.class, (command) -> onLinkEvent(command.event()))
+			.onMessage(ControlCommand.Tick.class, (tick) -> carryOut(this.calls.tick(this.identity.nowMillis())))
+			.build();
+	}
+
+	private Behavior<ControlCommand> onCall(ControlCommand.Call call) {
+		long correlation = ++this.lastCorrelation;
+		this.callers.put(correlation, call.replyTo());
+		return carryOut(this.calls.start(correlation, call.message().apply(correlation),
+				this.identity.nowMillis() + call.timeoutMillis()));
+	}
+
+	private Behavior<ControlCommand> onSendTo(ControlCommand.SendTo command) {
+		send(command.member(), command.message());
+		return this;
+	}
+
+	private Behavior<ControlCommand> onSubscribe(ControlCommand.Subscribe command) {
+		this.configuration.tell(new ConfigurationActor.Subscribed(command.subscriber()));
+		return this;
+	}
+
+	private Behavior<ControlCommand> onOffer(ControlCommand.Offer command) {
+		this.configuration.tell(new ConfigurationActor.Offered(command.configuration()));
+		return this;
+	}
+
+	private Behavior<ControlCommand> onLinkEvent(LinkEvent<ClientEnvelope> event) {
+		HostName member = new HostName(event.link());
+		if (event instanceof LinkEvent.Connected<ClientEnvelope> connected) {
+			this.sessions.put(member, connected.session());
+			this.configuration.tell(new ConfigurationActor.Connected(member));
+			return carryOut(this.calls.connected(member));
+		}
+		if (event instanceof LinkEvent.Received<ClientEnvelope> received) {
+			return onReceived(member, received.message());
+		}
+		if (event instanceof LinkEvent.Disconnected<ClientEnvelope>) {
+			this.sessions.remove(member);
+			this.configuration.tell(new ConfigurationActor.Disconnected(member));
+			return carryOut(this.calls.disconnected(member));
+		}
+		return this;
+	}
+
+	private Behavior<ControlCommand> onReceived(HostName member, ClientEnvelope envelope) {
+		this.hybridClock.merge(envelope.timestamp());
+		ClientMessage message = envelope.message();
+		Optional<Long> correlation = ReplyCorrelation.of(message);
+		if (correlation.isPresent()) {
+			return carryOut(this.calls.replied(member, correlation.get(), message));
+		}
+		this.configuration.tell(new ConfigurationActor.Received(member, message));
+		if (message instanceof ClientMessage.FeedHeartbeat heartbeat) {
+			return carryOut(this.calls.leaderHeard(heartbeat.leader()));
+		}
+		return this;
+	}
+
+	// helpers
+
+	private void spawnLink(MemberSettings member, FrameCodec<ClientEnvelope> codec) {
+		@SuppressWarnings("unchecked")
+		Class<LinkEvent<ClientEnvelope>> eventType = (Class<LinkEvent<ClientEnvelope>>) (Class<?>) LinkEvent.class;
+		ActorRef<LinkEvent<ClientEnvelope>> events = getContext().messageAdapter(eventType,
+				ControlCommand.LinkHappened::new);
+		Behavior<LinkCommand<ClientEnvelope>> link = OutboundLink.create(member.name(),
+				member.clientAddress().socketAddress(), codec, LinkSettings.DEFAULT, events);
+		getContext().spawn(Behaviors.supervise(link).onFailure(RESTART), "link-" + member.name());
+	}
+
+	private Behavior<ControlCommand> carryOut(List<CallEffect> effects) {
+		for (CallEffect effect : effects) {
+			if (effect instanceof CallEffect.Send send) {
+				send(send.member(), send.message());
+			}
+			else if (effect instanceof CallEffect.Finish finish) {
+				Optional.ofNullable(this.callers.remove(finish.correlation()))
+					.ifPresent((caller) -> caller.tell(finish.result()));
+			}
+		}
+		return this;
+	}
+
+	private void send(HostName member, ClientMessage message) {
+		ActorRef<LinkCommand<ClientEnvelope>> session = this.sessions.get(member);
+		if (session == null) {
+			logger.atFine().log("Dropped a message to %s, which is not connected.", member);
+			return;
+		}
+		ClientEnvelope envelope = new ClientEnvelope(this.identity.holder(),
+				this.hybridClock.tick(this.identity.nowMillis()), message);
+		session.tell(new LinkCommand.Send<>(envelope));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ReplyCorrelation.java
@@ -0,0 +1,38 @@
+package io.burdockpin.entry.control;
+
+import java.util.Optional;
+
+import io.burdockpin.core.client.ClientMessage;
+
+/** Finds the number of the call that a message answers. */
+final class ReplyCorrelation {
+
+	private ReplyCorrelation() {
+	}
+
+	static Optional<Long> of(ClientMessage message) {
+		if (message instanceof ClientMessage.ProposeReply reply) {
+			return Optional.of(reply.correlation());
+		}
+		if (message instanceof ClientMessage.NotLeader reply) {
+			return Optional.of(reply.correlation());
+		}
+		if (message instanceof ClientMessage.ProposalUnknown reply) {
+			return Optional.of(reply.correlation());
+		}
+		if (message instanceof ClientMessage.ReadIndexReply reply) {
+			return Optional.of(reply.correlation());
+		}
+		if (message instanceof ClientMessage.QueryReply reply) {
+			return Optional.of(reply.correlation());
+		}
+		if (message instanceof ClientMessage.TokenGrants reply) {
+			return Optional.of(reply.correlation());
+		}
+		if (message instanceof ClientMessage.WorkerOrders reply) {
+			return Optional.of(reply.correlation());
+		}
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP for callers, runners, workers and operators. */
+package io.burdockpin.entry.http;
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Changes and questions of operators. */
+package io.burdockpin.entry.operator;
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry program. */
+package io.burdockpin.entry;
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links to the other entry hosts. */
+package io.burdockpin.entry.peer;
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
@@ -0,0 +1,43 @@
+package io.burdockpin.entry.router;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.routing.Runner;
+import io.burdockpin.entry.peer.PeerCommand;
+import org.apache.pekko.actor.typed.ActorRef;
+
+/** What the router tells a waiting request. */
+public sealed interface Dispatch {
+
+	/**
+	 * Make an attempt on an attached runner.
+	 *
+	 * @param attempt number of the attempt
+	 * @param runner the runner
+	 */
+	record ToRunner(long attempt, Runner runner) implements Dispatch {
+
+	}
+
+	/**
+	 * Make an attempt at another entry host.
+	 *
+	 * @param attempt number of the attempt
+	 * @param host the entry host
+	 * @param peers forwards it
+	 */
+	record ToPeer(long attempt, HostName host, ActorRef<PeerCommand> peers) implements Dispatch {
+
+	}
+
+	/**
+	 * No attempt will be made.
+	 *
+	 * @param code the reason
+	 * @param message the reason in words
+	 */
+	record NoAttempt(ErrorCode code, String message) implements Dispatch {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -0,0 +1,119 @@
+package io.burdockpin.entry.router;
+
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.membership.PeerMessage.ForwardAnswer;
+import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.retry.Answer;
+import io.burdockpin.core.retry.AttemptResult;
+import io.burdockpin.core.routing.QueuedRequest;
+import io.burdockpin.entry.EntryIdentity;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Makes one attempt for another entry host, which holds the token and decides on
+ * retries.
+ */
+final class ForwardedRequestActor extends AbstractBehavior<ForwardedRequestActor.Command> {
+
+	private final ForwardRequest request;
+
+	private final Holder sender;
+
+	private final ForwardReply reply;
+
+	private final QueuedRequest queued;
+
+	private final EntryIdentity identity;
+
+	private final int maximumAnswerBytes;
+
+	private final ActorRef<RouterCommand> router;
+
+	private Optional<Long> localAttempt = Optional.empty();
+
+	private ForwardedRequestActor(ActorContext<Command> context, RouterCommand.TakeForwarded forwarded,
+			QueuedRequest queued, EntryIdentity identity, int maximumAnswerBytes, ActorRef<RouterCommand> router) {
+		super(context);
+		this.request = forwarded.request();
+		this.sender = forwarded.sender();
+		this.reply = forwarded.reply();
+		this.queued = queued;
+		this.identity = identity;
+		this.maximumAnswerBytes = maximumAnswerBytes;
+		this.router = router;
+		ActorRef<Dispatch> dispatches = context.messageAdapter(Dispatch.class, Dispatched::new);
+		router.tell(new RouterCommand.Enqueue(this.request.queue(), queued, true, false, Set.of(), dispatches));
+	}
+
+	// life cycle
+
+	static Behavior<Command> create(RouterCommand.TakeForwarded forwarded, QueuedRequest queued, EntryIdentity identity,
+			int maximumAnswerBytes, ActorRef<RouterCommand> router) {
+		return Behaviors.setup((context) -> new ForwardedRequestActor(context, forwarded, queued, identity,
+				maximumAnswerBytes, router));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(Dispatched.class, (command) -> onDispatch(command.dispatch()))
+			.onMessage(AttemptDone.class, (command) -> onAttemptDone(command.report()))
+			.build();
+	}
+
+	private Behavior<Command> onDispatch(Dispatch dispatch) {
+		if (dispatch instanceof Dispatch.ToRunner toRunner) {
+			this.localAttempt = Optional.of(toRunner.attempt());
+			RunnerCall call = new RunnerCall(toRunner.attempt(), toRunner.runner().address(), this.request.queue(),
+					this.request.requestId(), this.request.contentType(), this.request.body(),
+					this.queued.deadlineMillis() - this.identity.nowMillis(), this.maximumAnswerBytes);
+			getContext().spawn(RunnerConnection.create(call, getContext().messageAdapter(AttemptReport.class,
+					AttemptDone::new)), "runner");
+			return this;
+		}
+		if (dispatch instanceof Dispatch.NoAttempt noAttempt) {
+			return end(AttemptResult.notRun(noAttempt.code(), noAttempt.message()));
+		}
+		return end(AttemptResult.notRun(ErrorCode.INTERNAL, "a forwarded request is not forwarded again"));
+	}
+
+	private Behavior<Command> onAttemptDone(AttemptReport report) {
+		this.localAttempt.ifPresent((attempt) -> this.router
+			.tell(new RouterCommand.AttemptEnded(attempt, report.result().outcome(), report.verdict())));
+		return end(report.result());
+	}
+
+	// helpers
+
+	private Behavior<Command> end(AttemptResult result) {
+		Answer answer = result.answer().orElse(new Answer(0, "", Payload.EMPTY));
+		Outcome outcome = result.outcome();
+		this.reply.send(new ForwardAnswer(this.request.attempt(), this.sender.incarnation(), outcome, result.code(),
+				result.message(), answer.status(), answer.contentType(), answer.body()));
+		this.router.tell(new RouterCommand.RequestEnded(this.queued.number()));
+		return Behaviors.stopped();
+	}
+
+	sealed interface Command {
+
+	}
+
+	private record Dispatched(Dispatch dispatch) implements Command {
+
+	}
+
+	private record AttemptDone(AttemptReport report) implements Command {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -0,0 +1,309 @@
+package io.burdockpin.entry.router;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.core.client.CallResult;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.retry.Answer;
+import io.burdockpin.core.retry.AttemptResult;
+import io.burdockpin.core.retry.FinalAnswer;
+import io.burdockpin.core.retry.RequestAttempts;
+import io.burdockpin.core.retry.RequestEffect;
+import io.burdockpin.core.routing.AttemptVerdict;
+import io.burdockpin.core.routing.QueuedRequest;
+import io.burdockpin.core.routing.Target;
+import io.burdockpin.core.state.ClaimCommand;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.entry.control.ControlCommand;
+import io.burdockpin.entry.peer.PeerCommand;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Carries one request of a caller from its admission to its answer: claim, attempts,
+ * answer, and the end of the claim.
+ */
+final class RequestActor extends AbstractBehavior<RequestActor.Message> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final Duration CLAIM_RETRY = Duration.ofSeconds(1);
+
+	/** After a minute the claim is left as it is; a resend is answered as unknown. */
+	private static final int CLAIM_RECORD_ATTEMPTS = 60;
+
+	/** The other entry host answers on its own at the deadline. */
+	private static final Duration FORWARD_GRACE = Duration.ofMillis(250);
+
+	private final TimerScheduler<Message> timers;
+
+	private final RequestContext request;
+
+	private final QueuedRequest queued;
+
+	private final RequestAttempts<Target> attempts;
+
+	private final List<ActorRef<FinalAnswer>> callers = new ArrayList<>();
+
+	private Optional<FinalAnswer> answer = Optional.empty();
+
+	private Optional<Command> claimEnd = Optional.empty();
+
+	private Optional<ActorRef<PeerCommand>> forwardedBy = Optional.empty();
+
+	private long currentAttempt;
+
+	private int claimRecordCount;
+
+	private RequestActor(ActorContext<Message> context, TimerScheduler<Message> timers, RequestContext request,
+			QueuedRequest queued, ActorRef<FinalAnswer> caller) {
+		super(context);
+		this.timers = timers;
+		this.request = request;
+		this.queued = queued;
+		this.callers.add(caller);
+		this.attempts = new RequestAttempts<>(request.caller().facts().repeatable(), queued.deadlineMillis());
+	}
+
+	// life cycle
+
+	static Behavior<Message> create(RequestContext request, QueuedRequest queued, ActorRef<FinalAnswer> caller) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
+			RequestActor actor = new RequestActor(context, timers, request, queued, caller);
+			actor.carryOut(actor.attempts.start());
+			return actor;
+		}));
+	}
+
+	@Override
+	public Receive<Message> createReceive() {
+		return newReceiveBuilder().onMessage(Join.class, this::onJoin)
+			.onMessage(Claimed.class, this::onClaimed)
+			.onMessage(Dispatched.class, (message) -> onDispatch(message.dispatch()))
+			.onMessage(AttemptDone.class, (message) -> onAttemptDone(message.report()))
+			.onMessage(ForwardDone.class, (message) -> onForwardDone(message.result()))
+			.onMessage(ForwardOverdue.class, this::onForwardOverdue)
+			.onMessage(ClaimRecorded.class, this::onClaimRecorded)
+			.onMessage(RecordClaim.class, (message) -> proposeClaimEnd())
+			.build();
+	}
+
+	private Behavior<Message> onJoin(Join join) {
+		if (this.answer.isPresent()) {
+			join.caller().tell(this.answer.get());
+		}
+		else {
+			this.callers.add(join.caller());
+		}
+		return this;
+	}
+
+	private Behavior<Message> onClaimed(Claimed message) {
+		return carryOut(this.attempts.claimEnded(ClaimReplies.interpret(message.result())));
+	}
+
+	private Behavior<Message> onDispatch(Dispatch dispatch) {
+		if (dispatch instanceof Dispatch.NoAttempt noAttempt) {
+			return carryOut(this.attempts.refused(noAttempt.code(), noAttempt.message()));
+		}
+		if (dispatch instanceof Dispatch.ToRunner toRunner) {
+			startOnRunner(toRunner);
+		}
+		else if (dispatch instanceof Dispatch.ToPeer toPeer) {
+			startAtPeer(toPeer);
+		}
+		return this;
+	}
+
+	private Behavior<Message> onAttemptDone(AttemptReport report) {
+		return endAttempt(report.result(), report.verdict());
+	}
+
+	private Behavior<Message> onForwardDone(AttemptResult result) {
+		this.timers.cancel(ForwardOverdue.class);
+		this.forwardedBy = Optional.empty();
+		return endAttempt(result, AttemptVerdict.NEUTRAL);
+	}
+
+	private Behavior<Message> onForwardOverdue(ForwardOverdue message) {
+		this.forwardedBy.ifPresent((peers) -> peers.tell(new PeerCommand.CancelForward(this.currentAttempt)));
+		return this;
+	}
+
+	private Behavior<Message> onClaimRecorded(ClaimRecorded message) {
+		if (message.result() instanceof CallResult.Answered || this.claimRecordCount >= CLAIM_RECORD_ATTEMPTS) {
+			return finish();
+		}
+		this.timers.startSingleTimer(new RecordClaim(), CLAIM_RETRY);
+		return this;
+	}
+
+	// helpers
+
+	private void startOnRunner(Dispatch.ToRunner dispatch) {
+		if (!this.attempts.attemptStarted(new Target.OwnRunner(dispatch.runner().name()))) {
+			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+			return;
+		}
+		this.currentAttempt = dispatch.attempt();
+		CallerRequest caller = this.request.caller();
+		RunnerCall call = new RunnerCall(dispatch.attempt(), dispatch.runner().address(), caller.facts().queue(),
+				caller.requestId(), caller.contentType(), caller.body(), remainingMillis(),
+				this.request.limits().answerBytes());
+		getContext().spawn(
+				RunnerConnection.create(call, getContext().messageAdapter(AttemptReport.class, AttemptDone::new)),
+				"attempt-" + dispatch.attempt());
+	}
+
+	private void startAtPeer(Dispatch.ToPeer dispatch) {
+		if (!this.attempts.attemptStarted(new Target.Peer(dispatch.host()))) {
+			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+			return;
+		}
+		this.currentAttempt = dispatch.attempt();
+		this.forwardedBy = Optional.of(dispatch.peers());
+		CallerRequest caller = this.request.caller();
+		ForwardRequest forward = new ForwardRequest(dispatch.attempt(), caller.facts().queue(), this.queued.team(),
+				caller.requestId(), remainingMillis(), caller.contentType(), caller.body());
+		dispatch.peers()
+			.tell(new PeerCommand.Forward(dispatch.host(), forward,
+					getContext().messageAdapter(AttemptResult.class, ForwardDone::new)));
+		this.timers.startSingleTimer(ForwardOverdue.class, new ForwardOverdue(),
+				Duration.ofMillis(remainingMillis()).plus(FORWARD_GRACE));
+	}
+
+	private Behavior<Message> endAttempt(AttemptResult result, AttemptVerdict verdict) {
+		reportToRouter(this.currentAttempt, result.outcome(), verdict);
+		return carryOut(this.attempts.attemptEnded(result, this.request.identity().nowMillis()));
+	}
+
+	private void reportToRouter(long attempt, Outcome outcome, AttemptVerdict verdict) {
+		this.request.router().tell(new RouterCommand.AttemptEnded(attempt, outcome, verdict));
+	}
+
+	private Behavior<Message> carryOut(List<RequestEffect> effects) {
+		effects.forEach(this::carryOut);
+		if (this.answer.isPresent()) {
+			return this.claimEnd.isPresent() ? proposeClaimEnd() : finish();
+		}
+		return this;
+	}
+
+	private void carryOut(RequestEffect effect) {
+		if (effect instanceof RequestEffect.Claim) {
+			claim();
+		}
+		else if (effect instanceof RequestEffect.Enqueue enqueue) {
+			enqueue(enqueue.retry());
+		}
+		else if (effect instanceof RequestEffect.FinishClaim finishClaim) {
+			this.claimEnd = Optional.of(finishClaim(finishClaim.answer()));
+		}
+		else if (effect instanceof RequestEffect.ReleaseClaim) {
+			this.claimEnd = Optional.of(new ClaimCommand.ReleaseClaim(claimTeam(), this.request.caller().requestId(),
+					this.request.identity().holder()));
+		}
+		else if (effect instanceof RequestEffect.Reply reply) {
+			this.answer = Optional.of(reply.answer());
+			this.callers.forEach((caller) -> caller.tell(reply.answer()));
+		}
+	}
+
+	private void claim() {
+		Command claim = new ClaimCommand.ClaimRequest(claimTeam(), this.request.caller().requestId(),
+				this.request.identity().holder());
+		long timeoutMillis = Math.min(this.request.proposalMillis(), remainingMillis());
+		propose(claim, timeoutMillis, getContext().messageAdapter(CallResult.class, Claimed::new));
+	}
+
+	private void enqueue(boolean retry) {
+		this.request.router()
+			.tell(new RouterCommand.Enqueue(this.request.caller().facts().queue(), this.queued, false, retry,
+					this.attempts.failedTargets(), getContext().messageAdapter(Dispatch.class, Dispatched::new)));
+	}
+
+	private Command finishClaim(Answer finished) {
+		boolean kept = finished.body().lengthBytes() <= this.request.limits().keptAnswerBytes();
+		return new ClaimCommand.FinishClaim(claimTeam(), this.request.caller().requestId(),
+				this.request.identity().holder(), finished.status(), finished.contentType(), kept,
+				kept ? finished.body() : Payload.EMPTY);
+	}
+
+	private Behavior<Message> proposeClaimEnd() {
+		this.claimRecordCount++;
+		propose(this.claimEnd.get(), this.request.proposalMillis(),
+				getContext().messageAdapter(CallResult.class, ClaimRecorded::new));
+		return this;
+	}
+
+	private void propose(Command command, long timeoutMillis, ActorRef<CallResult> replyTo) {
+		this.request.control()
+			.tell(new ControlCommand.Call((correlation) -> new ClientMessage.Propose(correlation, Optional.empty(),
+					OptionalLong.empty(), command), timeoutMillis, replyTo));
+	}
+
+	private Behavior<Message> finish() {
+		logger.atFine().log("Request %s ended.", this.request.caller().requestId());
+		this.request.router().tell(new RouterCommand.RequestEnded(this.queued.number()));
+		return Behaviors.stopped();
+	}
+
+	private TeamName claimTeam() {
+		return this.queued.team().orElse(RequestContext.OPEN_QUEUE_TEAM);
+	}
+
+	private long remainingMillis() {
+		return Math.max(1, this.queued.deadlineMillis() - this.request.identity().nowMillis());
+	}
+
+	sealed interface Message {
+
+	}
+
+	record Join(ActorRef<FinalAnswer> caller) implements Message {
+
+	}
+
+	private record Claimed(CallResult result) implements Message {
+
+	}
+
+	private record Dispatched(Dispatch dispatch) implements Message {
+
+	}
+
+	private record AttemptDone(AttemptReport report) implements Message {
+
+	}
+
+	private record ForwardDone(AttemptResult result) implements Message {
+
+	}
+
+	private record ForwardOverdue() implements Message {
+
+	}
+
+	private record ClaimRecorded(CallResult result) implements Message {
+
+	}
+
+	private record RecordClaim() implements Message {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -0,0 +1,507 @@
+package io.burdockpin.entry.router;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.core.admission.Admission;
+import io.burdockpin.core.admission.AdmissionResult;
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.membership.PeerMessage.QueueStatus;
+import io.burdockpin.core.membership.PeerView;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.model.RunnerName;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.retry.FinalAnswer;
+import io.burdockpin.core.routing.PeerLoad;
+import io.burdockpin.core.routing.PeerLoads;
+import io.burdockpin.core.routing.QueueCapacity;
+import io.burdockpin.core.routing.QueuedRequest;
+import io.burdockpin.core.routing.Runner;
+import io.burdockpin.core.routing.RunnerTable;
+import io.burdockpin.core.routing.RunnerTableSettings;
+import io.burdockpin.core.routing.Target;
+import io.burdockpin.entry.EntryIdentity;
+import io.burdockpin.entry.cfg.EntrySettings;
+import io.burdockpin.entry.control.ConfigurationEvent;
+import io.burdockpin.entry.control.ControlCommand;
+import io.burdockpin.entry.peer.PeerCommand;
+import io.burdockpin.entry.token.TokenCommand;
+import io.burdockpin.entry.token.TokenEvent;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Admits requests, lets them wait, and gives them slots of attached runners or sends them
+ * to other entry hosts. Each request is a child.
+ */
+public final class RouterActor extends AbstractBehavior<RouterCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final Duration TICK = Duration.ofMillis(50);
+
+	/** Longest request with a margin of a fifth. */
+	private static final int MARGIN_DIVISOR = 5;
+
+	private final EntryIdentity identity;
+
+	private final EntrySettings settings;
+
+	private final ActorRef<ControlCommand> control;
+
+	private final ActorRef<TokenCommand> tokens;
+
+	private final RandomGenerator random;
+
+	private final Admission admission;
+
+	private final RunnerTable runners;
+
+	private final PeerLoads peerLoads = new PeerLoads();
+
+	private final Map<QueueName, WaitingRequests> waiting = new TreeMap<>();
+
+	private final Set<TeamName> blockedTeams = new HashSet<>();
+
+	private final Map<Long, PendingAttempt> tokenRequests = new HashMap<>();
+
+	private final Map<Long, Boolean> attemptsWithToken = new HashMap<>();
+
+	private final Map<Long, OpenRequest> openRequests = new HashMap<>();
+
+	private final Map<RequestKey, ActorRef<RequestActor.Message>> requestsByKey = new HashMap<>();
+
+	private final Map<ForwardKey, QueuedRequest> forwarded = new HashMap<>();
+
+	private final List<ActorRef<Done>> idleWaiters = new ArrayList<>();
+
+	private Optional<PeerView> peerView = Optional.empty();
+
+	private Optional<ActorRef<PeerCommand>> peers = Optional.empty();
+
+	private boolean stopping;
+
+	private long lastNumber;
+
+	private RouterActor(ActorContext<RouterCommand> context, EntryIdentity identity, EntrySettings settings,
+			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random) {
+		super(context);
+		this.identity = identity;
+		this.settings = settings;
+		this.control = control;
+		this.tokens = tokens;
+		this.random = random;
+		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
+		long longestMillis = settings.limits().timeoutMillis();
+		this.runners = new RunnerTable(new RunnerTableSettings(settings.timing().attachmentMillis(),
+				longestMillis + longestMillis / MARGIN_DIVISOR, settings.policy()), identity.self().dataCentre(),
+				random);
+		control.tell(new ControlCommand.Subscribe(
+				context.messageAdapter(ConfigurationEvent.class, RouterCommand.ConfigurationHappened::new)));
+		tokens.tell(new TokenCommand.Subscribe(tokenEvents()));
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior of the router.
+	 * @param identity the own process
+	 * @param settings the settings
+	 * @param control proposes claims and feeds the configuration
+	 * @param tokens owns the tokens
+	 * @param random breaks ties and spreads pauses
+	 * @return the behavior
+	 */
+	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
+			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
+			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
+			return new RouterActor(context, identity, settings, control, tokens, random);
+		}));
+	}
+
+	@Override
+	public Receive<RouterCommand> createReceive() {
+		return newReceiveBuilder().onMessage(RouterCommand.Submit.class, this::onSubmit)
+			.onMessage(RouterCommand.CheckKey.class, this::onCheckKey)
+			.onMessage(RouterCommand.AnnounceRunner.class, this::onAnnounceRunner)
+			.onMessage(RouterCommand.Enqueue.class, this::onEnqueue)
+			.onMessage(RouterCommand.AttemptEnded.class, this::onAttemptEnded)
+			.onMessage(RouterCommand.RequestEnded.class, this::onRequestEnded)
+			.onMessage(RouterCommand.TakeForwarded.class, this::onTakeForwarded)
+			.onMessage(RouterCommand.CancelForwarded.class, this::onCancelForwarded)
+			.onMessage(RouterCommand.PeersChanged.class, this::onPeersChanged)
+			.onMessage(RouterCommand.ConfigurationHappened.class, (command) -> onConfiguration(command.event()))
+			.onMessage(RouterCommand.TokenHappened.class, (command) -> onTokens(command.event()))
+			.onMessage(RouterCommand.WithdrawKeys.class, this::onWithdrawKeys)
+			.onMessage(RouterCommand.ReportStatus.class, this::onReportStatus)
+			.onMessage(RouterCommand.BeginStop.class, (command) -> onBeginStop())
+			.onMessage(RouterCommand.AwaitIdle.class, this::onAwaitIdle)
+			.onMessage(RouterCommand.Tick.class, (command) -> onTick())
+			.build();
+	}
+
+	private Behavior<RouterCommand> onBeginStop() {
+		this.stopping = true;
+		return this;
+	}
+
+	private Behavior<RouterCommand> onAwaitIdle(RouterCommand.AwaitIdle command) {
+		this.idleWaiters.add(command.replyTo());
+		tellIdle();
+		return this;
+	}
+
+	// requests of callers
+
+	private Behavior<RouterCommand> onSubmit(RouterCommand.Submit command) {
+		CallerRequest request = command.request();
+		WaitingRequests waiting = waiting(request.facts().queue());
+		AdmissionResult result = this.admission.check(request.facts(), waiting.queue()::isFull,
+				this.identity.nowMillis());
+		if (result instanceof AdmissionResult.Admitted admitted) {
+			accept(request, admitted, command.replyTo());
+		}
+		else if (result instanceof AdmissionResult.Refused refused) {
+			command.replyTo().tell(FinalAnswer.Refused.of(refused.code(), refused.message()));
+		}
+		return this;
+	}
+
+	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, ActorRef<FinalAnswer> replyTo) {
+		RequestKey key = new RequestKey(admitted.team(), request.requestId());
+		ActorRef<RequestActor.Message> running = this.requestsByKey.get(key);
+		if (running != null && !request.facts().repeatable()) {
+			running.tell(new RequestActor.Join(replyTo));
+			return;
+		}
+		QueuedRequest queued = new QueuedRequest(++this.lastNumber, admitted.team(), admitted.weight(),
+				admitted.deadlineMillis());
+		RequestContext context = new RequestContext(request, this.identity, this.settings.limits(),
+				this.settings.timing().proposalMillis(), getContext().getSelf(), this.control);
+		ActorRef<RequestActor.Message> actor = getContext().spawn(RequestActor.create(context, queued, replyTo),
+				"request-" + queued.number());
+		Optional<RequestKey> kept = request.facts().repeatable() ? Optional.empty() : Optional.of(key);
+		kept.ifPresent((present) -> this.requestsByKey.put(present, actor));
+		this.openRequests.put(queued.number(), new OpenRequest(kept, Optional.empty()));
+		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
+	}
+
+	private Behavior<RouterCommand> onCheckKey(RouterCommand.CheckKey command) {
+		command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
+		return this;
+	}
+
+	private Behavior<RouterCommand> onRequestEnded(RouterCommand.RequestEnded command) {
+		OpenRequest ended = this.openRequests.remove(command.number());
+		if (ended != null) {
+			ended.key().ifPresent(this.requestsByKey::remove);
+			ended.forward().ifPresent(this.forwarded::remove);
+		}
+		tellIdle();
+		return this;
+	}
+
+	// requests of other entry hosts
+
+	private Behavior<RouterCommand> onTakeForwarded(RouterCommand.TakeForwarded command) {
+		ForwardKey key = new ForwardKey(command.sender(), command.request().attempt());
+		if (this.forwarded.containsKey(key)) {
+			logger.atFine().log("Dropped a second copy of forwarded attempt %d.", command.request().attempt());
+			return this;
+		}
+		long deadlineMillis = this.identity.nowMillis() + Math.min(command.request().remainingMillis(),
+				this.settings.limits().timeoutMillis());
+		QueuedRequest queued = new QueuedRequest(++this.lastNumber, command.request().team(),
+				this.admission.weightOf(command.request().team()), deadlineMillis);
+		this.forwarded.put(key, queued);
+		this.openRequests.put(queued.number(), new OpenRequest(Optional.empty(), Optional.of(key)));
+		getContext().spawn(ForwardedRequestActor.create(command, queued, this.identity,
+				this.settings.limits().answerBytes(), getContext().getSelf()), "forwarded-" + queued.number());
+		return this;
+	}
+
+	private Behavior<RouterCommand> onCancelForwarded(RouterCommand.CancelForwarded command) {
+		QueuedRequest queued = this.forwarded.get(new ForwardKey(command.sender(), command.attempt()));
+		if (queued != null) {
+			for (WaitingRequests waiting : this.waiting.values()) {
+				waiting.queue()
+					.cancel(queued.number())
+					.flatMap(waiting::take)
+					.ifPresent((entry) -> refuse(entry, ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "given up"));
+			}
+		}
+		return this;
+	}
+
+	// waiting and attempts
+
+	private Behavior<RouterCommand> onEnqueue(RouterCommand.Enqueue entry) {
+		WaitingRequests waiting = waiting(entry.queue());
+		long nowMillis = this.identity.nowMillis();
+		if (entry.request().deadlineMillis() <= nowMillis) {
+			refuse(entry, ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed");
+		}
+		else if (entry.retry() && !waiting.retryBudget().tryRetry(nowMillis)) {
+			refuse(entry, ErrorCode.NO_RUNNER, "the retry budget is used up");
+		}
+		else if (entry.forwarded() && this.runners.capacity(entry.queue(), nowMillis).slots() == 0) {
+			refuse(entry, ErrorCode.NO_RUNNER, "no runner is attached");
+		}
+		else if (!waiting.add(entry)) {
+			refuse(entry, ErrorCode.QUEUE_FULL, "the queue is full");
+		}
+		else {
+			dispatch(entry.queue(), waiting);
+		}
+		return this;
+	}
+
+	private Behavior<RouterCommand> onAttemptEnded(RouterCommand.AttemptEnded command) {
+		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
+		if (this.attemptsWithToken.remove(command.attempt()) != null) {
+			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
+					: new TokenCommand.Hold(command.attempt()));
+		}
+		dispatchAll();
+		return this;
+	}
+
+	private void dispatchAll() {
+		this.waiting.forEach(this::dispatch);
+	}
+
+	private void dispatch(QueueName queue, WaitingRequests waiting) {
+		Optional<QueuedRequest> next = waiting.queue().poll((request) -> isStartable(queue, waiting.entry(request)));
+		while (next.isPresent()) {
+			waiting.take(next.get()).ifPresent(this::start);
+			next = waiting.queue().poll((request) -> isStartable(queue, waiting.entry(request)));
+		}
+	}
+
+	private boolean isStartable(QueueName queue, RouterCommand.Enqueue entry) {
+		boolean blocked = !entry.forwarded() && entry.request().team().filter(this.blockedTeams::contains).isPresent();
+		if (blocked) {
+			return false;
+		}
+		return capacity(queue).freeSlots() > 0 || (!entry.forwarded() && choosePeer(entry).isPresent());
+	}
+
+	private void start(RouterCommand.Enqueue entry) {
+		long attempt = ++this.lastNumber;
+		Set<RunnerName> avoidedRunners = new HashSet<>();
+		for (Target target : entry.avoided()) {
+			if (target instanceof Target.OwnRunner own) {
+				avoidedRunners.add(own.runner());
+			}
+		}
+		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
+				entry.request().deadlineMillis(), this.identity.nowMillis());
+		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found));
+		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
+	}
+
+	private void send(RouterCommand.Enqueue entry, long attempt, Optional<Dispatch> dispatch) {
+		if (dispatch.isEmpty()) {
+			waiting(entry.queue()).putBack(entry);
+		}
+		else if (entry.forwarded() || entry.request().team().isEmpty()) {
+			entry.replyTo().tell(dispatch.get());
+		}
+		else {
+			this.tokenRequests.put(attempt, new PendingAttempt(entry, dispatch.get()));
+			this.tokens.tell(new TokenCommand.Take(entry.request().team().get(), attempt,
+					entry.request().deadlineMillis(), tokenEvents()));
+		}
+	}
+
+	private Optional<Dispatch> forward(RouterCommand.Enqueue entry, long attempt) {
+		Optional<PeerLoad> chosen = choosePeer(entry);
+		chosen.ifPresent((load) -> this.peerLoads.sent(entry.queue(), load));
+		return chosen.map((load) -> new Dispatch.ToPeer(attempt, load.host(), this.peers.get()));
+	}
+
+	private Optional<PeerLoad> choosePeer(RouterCommand.Enqueue entry) {
+		if (this.peers.isEmpty() || entry.forwarded()) {
+			return Optional.empty();
+		}
+		List<PeerLoad> loads = this.peerLoads.of(entry.queue());
+		List<PeerLoad> preferred = loads.stream()
+			.filter((load) -> !entry.avoided().contains(new Target.Peer(load.host())))
+			.toList();
+		return this.settings.policy()
+			.choosePeer(preferred.isEmpty() ? loads : preferred, this.identity.self().dataCentre(),
+					ownWaitMillis(entry.queue()), this.settings.forwardingCosts(), this.random);
+	}
+
+	private long ownWaitMillis(QueueName queue) {
+		QueueCapacity capacity = capacity(queue);
+		return PeerLoad.expectedWaitMillis(capacity.slots(), capacity.freeSlots(), waiting(queue).queue().length(),
+				capacity.serviceMillis());
+	}
+
+	private QueueCapacity capacity(QueueName queue) {
+		return this.runners.capacity(queue, this.identity.nowMillis());
+	}
+
+	private void refuse(RouterCommand.Enqueue entry, ErrorCode code, String message) {
+		entry.replyTo().tell(new Dispatch.NoAttempt(code, message));
+	}
+
+	// runners, peers, configuration, tokens
+
+	private Behavior<RouterCommand> onAnnounceRunner(RouterCommand.AnnounceRunner command) {
+		Runner runner = command.runner();
+		boolean attached = this.runners.announce(runner, this.identity.nowMillis());
+		Optional<String> attachTo = this.peerView
+			.flatMap((view) -> view.attachTo(runner.name().value(), this.stopping));
+		command.replyTo().tell(new RouterCommand.Attached(attached, attachTo));
+		dispatchAll();
+		return this;
+	}
+
+	private Behavior<RouterCommand> onPeersChanged(RouterCommand.PeersChanged command) {
+		this.peerView = Optional.of(command.view());
+		this.peers = Optional.of(command.peers());
+		this.peerLoads.update(command.view().loads());
+		dispatchAll();
+		return this;
+	}
+
+	private Behavior<RouterCommand> onConfiguration(ConfigurationEvent event) {
+		if (event instanceof ConfigurationEvent.InForce inForce) {
+			this.admission.configure(inForce.configuration());
+		}
+		else {
+			this.admission.majorityHeard(this.identity.nowMillis());
+		}
+		return this;
+	}
+
+	private Behavior<RouterCommand> onWithdrawKeys(RouterCommand.WithdrawKeys command) {
+		this.admission.withdraw(command.keyHashes());
+		command.replyTo().tell(Done.getInstance());
+		return this;
+	}
+
+	private Behavior<RouterCommand> onTokens(TokenEvent event) {
+		if (event instanceof TokenEvent.Decided decided) {
+			Optional.ofNullable(this.tokenRequests.remove(decided.attempt()))
+				.ifPresent((pending) -> tokenDecided(decided, pending));
+		}
+		else if (event instanceof TokenEvent.Available available) {
+			this.blockedTeams.remove(available.team());
+			dispatchAll();
+		}
+		return this;
+	}
+
+	private void tokenDecided(TokenEvent.Decided decided, PendingAttempt pending) {
+		if (decided.granted()) {
+			this.attemptsWithToken.put(decided.attempt(), true);
+			pending.entry().replyTo().tell(pending.dispatch());
+			return;
+		}
+		this.runners.withdraw(decided.attempt());
+		this.blockedTeams.add(decided.team());
+		waiting(pending.entry().queue()).putBack(pending.entry());
+		reportDemand();
+		dispatchAll();
+	}
+
+	private Behavior<RouterCommand> onReportStatus(RouterCommand.ReportStatus command) {
+		List<QueueStatus> queues = new ArrayList<>();
+		for (QueueName queue : this.runners.queues()) {
+			QueueCapacity capacity = capacity(queue);
+			queues.add(new QueueStatus(queue, capacity.slots(), capacity.freeSlots(), waiting(queue).queue().length(),
+					capacity.serviceMillis()));
+		}
+		command.replyTo()
+			.tell(new RouterCommand.RouterStatus(this.admission.configuration().index(), this.stopping,
+					this.openRequests.size(), queues));
+		return this;
+	}
+
+	private Behavior<RouterCommand> onTick() {
+		long nowMillis = this.identity.nowMillis();
+		for (RunnerName lost : this.runners.expire(nowMillis)) {
+			logger.atInfo().log("Runner %s is no longer attached.", lost);
+		}
+		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
+		reportDemand();
+		dispatchAll();
+		return this;
+	}
+
+	// helpers
+
+	private void expire(WaitingRequests waiting, long nowMillis) {
+		for (QueuedRequest request : waiting.queue().expire(nowMillis)) {
+			boolean limited = request.team().filter(this.blockedTeams::contains).isPresent();
+			waiting.take(request)
+				.ifPresent((entry) -> refuse(entry,
+						limited ? ErrorCode.TEAM_LIMIT_REACHED : ErrorCode.DEADLINE_EXCEEDED_BEFORE_START,
+						limited ? "the team is at its upper limit" : "no slot became free before the deadline"));
+		}
+	}
+
+	private void reportDemand() {
+		Map<TeamName, Integer> waiting = new HashMap<>();
+		for (TeamName team : this.blockedTeams) {
+			int count = this.waiting.values().stream().mapToInt((waiting) -> waiting.queue().waitingOf(team)).sum();
+			if (count > 0) {
+				waiting.put(team, count);
+			}
+		}
+		this.tokens.tell(new TokenCommand.Demand(waiting));
+	}
+
+	private ActorRef<TokenEvent> tokenEvents() {
+		return getContext().messageAdapter(TokenEvent.class, RouterCommand.TokenHappened::new);
+	}
+
+	private WaitingRequests waiting(QueueName queue) {
+		return this.waiting.computeIfAbsent(queue, (name) -> new WaitingRequests(this.settings.limits().queueLength()));
+	}
+
+	private void tellIdle() {
+		if (this.openRequests.isEmpty()) {
+			this.idleWaiters.forEach((waiter) -> waiter.tell(Done.getInstance()));
+			this.idleWaiters.clear();
+		}
+	}
+
+	private record RequestKey(Optional<TeamName> team, RequestId requestId) {
+
+	}
+
+	private record ForwardKey(Holder sender, long attempt) {
+
+	}
+
+	private record OpenRequest(Optional<RequestKey> key, Optional<ForwardKey> forward) {
+
+	}
+
+	private record PendingAttempt(RouterCommand.Enqueue entry, Dispatch dispatch) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerCall.java
@@ -0,0 +1,63 @@
+package io.burdockpin.entry.router;
+
+import java.util.List;
+
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RequestId;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/**
+ * One attempt on a runner. Immutable.
+ *
+ * @param attempt number of the attempt
+ * @param address the runner, {@code ip:port}
+ * @param queue the queue
+ * @param requestId identifier of the request
+ * @param contentType content type of the body
+ * @param body the body
+ * @param remainingMillis time left
+ * @param maximumAnswerBytes largest answer
+ */
+record RunnerCall(long attempt, String address, QueueName queue, RequestId requestId, String contentType, Payload body,
+		long remainingMillis, int maximumAnswerBytes) {
+
+	RunnerCall {
+		remainingMillis = Math.max(1, remainingMillis);
+	}
+
+	String host() {
+		return this.address.substring(0, this.address.lastIndexOf(':'));
+	}
+
+	int port() {
+		return Integer.parseInt(this.address.substring(this.address.lastIndexOf(':') + 1));
+	}
+
+	HttpRequest request() {
+		return HttpRequest.POST("/run")
+			.withHeaders(List.of(header(BurdockHeader.ATTEMPT, this.attempt), header(BurdockHeader.QUEUE, this.queue),
+					header(BurdockHeader.REQUEST_ID, this.requestId),
+					header(BurdockHeader.DEADLINE_MILLIS, this.remainingMillis)))
+			.withEntity(HttpEntities.create(parsedContentType(), this.body.bytes()));
+	}
+
+	private ContentType parsedContentType() {
+		try {
+			return ContentTypes.parse(this.contentType);
+		}
+		catch (IllegalArgumentException ex) {
+			return ContentTypes.APPLICATION_OCTET_STREAM;
+		}
+	}
+
+	private static HttpHeader header(BurdockHeader header, Object value) {
+		return RawHeader.create(header.headerName(), value.toString());
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/package-info.java
@@ -0,0 +1,2 @@
+/** The tokens of this entry host. */
+package io.burdockpin.entry.token;
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Reports of workers and orders for them. */
+package io.burdockpin.entry.worker;
