--- /dev/null
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/Ports.java
@@ -0,0 +1,43 @@
+package io.burdockpin.entry.fake;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.burdockpin.entry.cfg.AddressSettings;
+
+/** Free ports and bounded waiting for messages. */
+public final class Ports {
+
+	/** Only reached when a test fails. */
+	private static final long LONGEST_WAIT_SECONDS = 15;
+
+	private Ports() {
+	}
+
+	public static AddressSettings free(String ip) {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
+			return new AddressSettings(ip, socket.getLocalPort());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	public static <M> M poll(BlockingQueue<M> queue) {
+		try {
+			M message = queue.poll(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
+			if (message == null) {
+				throw new AssertionError("no message came");
+			}
+			return message;
+		}
+		catch (InterruptedException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
+}
