Place waiting jobs on live workers under leases

Cause: none; first working form of the placement decisions.

Ruled out: a table of jobs kept in step with single changes. A round that indexes the records anew has no state that can differ from the replicated one.

Change: PlacementPlanner, JobLeases, UsageEstimator and WorkerReconciler decide without clocks; PlacementActor asks the replica for a view and proposes.

--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -0,0 +1,192 @@
+package io.burdockpin.control.planner;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.WorkerOrder;
+import io.burdockpin.core.client.ClientMessage.WorkerOrders;
+import io.burdockpin.core.client.ClientMessage.WorkerReport;
+import io.burdockpin.core.client.ClientMessage.WorkerReports;
+import io.burdockpin.core.placement.JobIndex;
+import io.burdockpin.core.placement.PlacementDecision;
+import io.burdockpin.core.placement.PlacementPlanner;
+import io.burdockpin.core.placement.PlacementSettings;
+import io.burdockpin.core.placement.PlacementTables;
+import io.burdockpin.core.placement.ReportAnswer;
+import io.burdockpin.core.placement.WorkerReconciler;
+import io.burdockpin.core.state.Command;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Runs the placement rounds of this member while it leads, and answers worker reports.
+ * Owns the planner and its tables.
+ * <p>
+ * A round asks the replica for a view, decides, and proposes. The next round starts only
+ * after the proposals of the last one have ended, so that nothing is decided twice.
+ */
+public final class PlacementActor extends AbstractBehavior<PlacementActor.Message> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/**
+	 * Reports are not answered from an older view, because this member may have lost the
+	 * leadership since. Shorter than the margin of a lease.
+	 */
+	private static final long MAXIMUM_VIEW_AGE_MILLIS = 2_000;
+
+	private final Clock clock;
+
+	private final ReplicaPort replica;
+
+	private final PlacementPlanner planner;
+
+	private final WorkerReconciler reconciler;
+
+	private final ActorRef<ReplicaView> viewAdapter;
+
+	private final ActorRef<ReplicaPort.ProposalsEnded> proposalAdapter;
+
+	private final RoundGate gate = new RoundGate();
+
+	private Optional<LeaderView> current = Optional.empty();
+
+	private PlacementActor(ActorContext<Message> context, TimerScheduler<Message> timers, PlacementSettings settings,
+			Duration roundPeriod, Clock clock, ReplicaPort replica) {
+		super(context);
+		this.clock = clock;
+		this.replica = replica;
+		PlacementTables tables = new PlacementTables(settings.leases());
+		this.planner = new PlacementPlanner(settings, tables);
+		this.reconciler = tables.createReconciler();
+		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
+		this.proposalAdapter = context.messageAdapter(ReplicaPort.ProposalsEnded.class,
+				(ended) -> RoundSignal.PROPOSALS_ENDED);
+		timers.startTimerWithFixedDelay(RoundSignal.ROUND_DUE, roundPeriod);
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings of the planner
+	 * @param roundPeriod time between two rounds
+	 * @param clock wall clock of this process
+	 * @param replica the replica of this member
+	 * @return the behavior
+	 */
+	public static Behavior<Message> create(PlacementSettings settings, Duration roundPeriod, Clock clock,
+			ReplicaPort replica) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new PlacementActor(context, timers, settings, roundPeriod, clock, replica)));
+	}
+
+	@Override
+	public Receive<Message> createReceive() {
+		return newReceiveBuilder().onMessageEquals(RoundSignal.ROUND_DUE, this::onRoundDue)
+			.onMessageEquals(RoundSignal.PROPOSALS_ENDED, this::onProposalsEnded)
+			.onMessage(ViewArrived.class, this::onViewArrived)
+			.onMessage(ReportsArrived.class, this::onReportsArrived)
+			.build();
+	}
+
+	// helpers
+
+	private Behavior<Message> onRoundDue() {
+		if (this.gate.tryStart(this.clock.millis())) {
+			this.replica.requestView(this.viewAdapter);
+		}
+		return this;
+	}
+
+	private Behavior<Message> onProposalsEnded() {
+		this.gate.end();
+		return this;
+	}
+
+	private Behavior<Message> onViewArrived(ViewArrived arrived) {
+		ReplicaView view = arrived.view();
+		if (!view.leader()) {
+			this.current = Optional.empty();
+			this.gate.end();
+			return this;
+		}
+		long nowMillis = this.clock.millis();
+		if (this.current.map(LeaderView::term).filter((term) -> term == view.term()).isEmpty()) {
+			this.planner.restart();
+			logger.atInfo().log("Plans placements in term %d.", view.term());
+		}
+		JobIndex jobs = JobIndex.of(view.view().jobs());
+		this.current = Optional.of(new LeaderView(view.term(), jobs, nowMillis));
+		PlacementDecision decision = this.planner.plan(view.view(), jobs, nowMillis);
+		proposeRound(decision.commands());
+		return this;
+	}
+
+	private void proposeRound(List<Command> commands) {
+		if (commands.isEmpty()) {
+			this.gate.end();
+		}
+		else {
+			this.replica.propose(commands, this.proposalAdapter);
+		}
+	}
+
+	private Behavior<Message> onReportsArrived(ReportsArrived arrived) {
+		long nowMillis = this.clock.millis();
+		this.current.filter((view) -> nowMillis - view.arrivedMillis() <= MAXIMUM_VIEW_AGE_MILLIS)
+			.ifPresent((view) -> answer(arrived, view, nowMillis));
+		return this;
+	}
+
+	private void answer(ReportsArrived arrived, LeaderView view, long nowMillis) {
+		List<Command> commands = new ArrayList<>();
+		List<WorkerOrder> orders = new ArrayList<>();
+		for (WorkerReport report : arrived.reports().reports()) {
+			ReportAnswer answer = this.reconciler.answer(report, view.jobs(), nowMillis);
+			commands.addAll(answer.commands());
+			orders.add(answer.order());
+		}
+		if (!commands.isEmpty()) {
+			this.replica.propose(commands, getContext().getSystem().ignoreRef());
+		}
+		arrived.replyTo().tell(new WorkerOrders(arrived.reports().correlation(), orders));
+	}
+
+	/** Messages of the placement actor. */
+	public sealed interface Message {
+
+	}
+
+	/**
+	 * An entry host passes on worker reports.
+	 *
+	 * @param reports the reports
+	 * @param replyTo gets the orders, unless this member does not lead
+	 */
+	public record ReportsArrived(WorkerReports reports, ActorRef<? super ClientMessage> replyTo) implements Message {
+	}
+
+	private record ViewArrived(ReplicaView view) implements Message {
+	}
+
+	private enum RoundSignal implements Message {
+
+		ROUND_DUE, PROPOSALS_ENDED
+
+	}
+
+	private record LeaderView(long term, JobIndex jobs, long arrivedMillis) {
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
@@ -0,0 +1,106 @@
+package io.burdockpin.control.planner;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.JobOrder;
+import io.burdockpin.core.client.ClientMessage.JobReport;
+import io.burdockpin.core.client.ClientMessage.WorkerOrder;
+import io.burdockpin.core.client.ClientMessage.WorkerOrders;
+import io.burdockpin.core.client.ClientMessage.WorkerReport;
+import io.burdockpin.core.client.ClientMessage.WorkerReports;
+import io.burdockpin.core.client.JobOrderKind;
+import io.burdockpin.core.client.JobPhase;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.placement.PlacementSettings;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PlacementActorTests {
+
+	private static final Duration PERIOD = Duration.ofMillis(250);
+
+	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
+
+	private final ManualTime time = ManualTime.get(this.testKit.system());
+
+	private final TestProbe<FakeReplica.Request> requests = this.testKit.createTestProbe();
+
+	private final FakeReplica replica = new FakeReplica(this.requests);
+
+	private final TestProbe<ClientMessage> entryHost = this.testKit.createTestProbe();
+
+	private final ActorRef<PlacementActor.Message> actor = this.testKit.spawn(PlacementActor
+		.create(PlacementSettings.DEFAULT, PERIOD, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), this.replica));
+
+	@AfterEach
+	void stop() {
+		this.testKit.shutdownTestKit();
+	}
+
+	@Test
+	void aWaitingJobIsPlacedStartedAndFinishedOnAWorkerThatReports() {
+		runRound();
+		Truth.assertThat(report(List.of()).orders()).isEmpty();
+		runRound();
+		this.replica.applyProposal();
+		Truth.assertThat(this.replica.jobState()).isEqualTo(JobState.PLACED);
+		runRound();
+		Truth.assertThat(kinds(report(List.of()))).containsExactly(JobOrderKind.START);
+		Truth.assertThat(report(List.of(jobReport(JobPhase.RUNNING))).renewed()).containsExactly(FakeReplica.JOB);
+		this.replica.applyProposal();
+		Truth.assertThat(this.replica.jobState()).isEqualTo(JobState.RUNNING);
+		runRound();
+		report(List.of(jobReport(JobPhase.SUCCEEDED)));
+		this.replica.applyProposal();
+		Truth.assertThat(this.replica.jobState()).isEqualTo(JobState.SUCCEEDED);
+		runRound();
+		Truth.assertThat(kinds(report(List.of(jobReport(JobPhase.SUCCEEDED))))).containsExactly(JobOrderKind.FORGET);
+	}
+
+	@Test
+	void aMemberThatDoesNotLeadNeitherPlansNorAnswersReports() {
+		this.replica.follow();
+		runRound();
+		sendReport(List.of());
+		runRound();
+		this.entryHost.expectNoMessage(Duration.ZERO);
+		this.requests.expectNoMessage(Duration.ZERO);
+	}
+
+	private void runRound() {
+		this.time.timePasses(PERIOD);
+		this.replica.answerView();
+	}
+
+	private WorkerOrder report(List<JobReport> jobs) {
+		sendReport(jobs);
+		return this.entryHost.expectMessageClass(WorkerOrders.class).orders().get(0);
+	}
+
+	private void sendReport(List<JobReport> jobs) {
+		WorkerReport report = new WorkerReport(FakeReplica.WORKER, "boot-1", 1, Resources.NONE, jobs);
+		this.actor
+			.tell(new PlacementActor.ReportsArrived(new WorkerReports(1, List.of(report)), this.entryHost.getRef()));
+	}
+
+	private static List<JobOrderKind> kinds(WorkerOrder order) {
+		return order.orders().stream().map(JobOrder::kind).toList();
+	}
+
+	private static JobReport jobReport(JobPhase phase) {
+		return new JobReport(FakeReplica.JOB, 1, phase, Resources.NONE, Payload.EMPTY);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PhaseReaction.java
@@ -0,0 +1,77 @@
+package io.burdockpin.core.placement;
+
+import java.util.Optional;
+
+import io.burdockpin.core.client.ClientMessage.JobReport;
+import io.burdockpin.core.client.JobPhase;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.JobCommand;
+import io.burdockpin.core.state.JobRecord;
+
+/** What the state must learn from each phase that a worker reports for a job. */
+enum PhaseReaction {
+
+	RUNNING(JobPhase.RUNNING, true) {
+		@Override
+		Optional<Command> commandFor(JobRecord job, JobReport report) {
+			if (job.state() != JobState.PLACED) {
+				return Optional.empty();
+			}
+			return Optional.of(new JobCommand.ConfirmStart(job.id(), report.leaseEpoch()));
+		}
+	},
+
+	SUCCEEDED(JobPhase.SUCCEEDED, false) {
+		@Override
+		Optional<Command> commandFor(JobRecord job, JobReport report) {
+			return Optional.of(new JobCommand.FinishJob(job.id(), report.leaseEpoch(), true, report.content()));
+		}
+	},
+
+	FAILED(JobPhase.FAILED, false) {
+		@Override
+		Optional<Command> commandFor(JobRecord job, JobReport report) {
+			return Optional.of(new JobCommand.FinishJob(job.id(), report.leaseEpoch(), false, report.content()));
+		}
+	},
+
+	STOPPED(JobPhase.STOPPED, false) {
+		@Override
+		Optional<Command> commandFor(JobRecord job, JobReport report) {
+			return Optional.of(new JobCommand.InterruptJob(job.id(), report.leaseEpoch(), false, report.content()));
+		}
+	},
+
+	NOT_STARTED(JobPhase.NOT_STARTED, false) {
+		@Override
+		Optional<Command> commandFor(JobRecord job, JobReport report) {
+			return Optional.of(new JobCommand.InterruptJob(job.id(), report.leaseEpoch(), true, job.checkpoint()));
+		}
+	};
+
+	private final JobPhase phase;
+
+	private final boolean occupiesWorker;
+
+	PhaseReaction(JobPhase phase, boolean occupiesWorker) {
+		this.phase = phase;
+		this.occupiesWorker = occupiesWorker;
+	}
+
+	static PhaseReaction of(JobPhase phase) {
+		for (PhaseReaction reaction : values()) {
+			if (reaction.phase == phase) {
+				return reaction;
+			}
+		}
+		throw new IllegalArgumentException("no reaction to phase " + phase);
+	}
+
+	abstract Optional<Command> commandFor(JobRecord job, JobReport report);
+
+	boolean occupiesWorker() {
+		return this.occupiesWorker;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -0,0 +1,143 @@
+package io.burdockpin.core.placement;
+
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.PriorityQueue;
+
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.state.JobCommand;
+import io.burdockpin.core.state.JobRecord;
+
+/**
+ * Decides in rounds which worker runs which job. Mutable through its tables, owned by one
+ * actor.
+ * <p>
+ * Urgent jobs come first, then the team with the lowest dominant share over its weight. A
+ * job that does not fit never holds back another one.
+ */
+public final class PlacementPlanner {
+
+	private static final Comparator<TeamAccount> NEXT_TEAM = Comparator.comparingDouble(TeamAccount::weightedShare)
+		.thenComparingInt(TeamAccount::number);
+
+	private final PlacementSettings settings;
+
+	private final PlacementTables tables;
+
+	private final PlacementScore score;
+
+	/**
+	 * Creates a planner.
+	 * @param settings the settings
+	 * @param tables what the planner knows from reports; shared with the reconciler of
+	 * the same owner
+	 */
+	public PlacementPlanner(PlacementSettings settings, PlacementTables tables) {
+		this.settings = settings;
+		this.tables = tables;
+		this.score = new PlacementScore(settings.preference());
+	}
+
+	// life cycle
+
+	/** Forgets what reports said, as a new leader does. */
+	public void restart() {
+		this.tables.restart();
+	}
+
+	/**
+	 * Decides one round.
+	 * @param view the current records
+	 * @param jobs the jobs of the view
+	 * @param nowMillis the time of the round
+	 * @return commands to propose and orders about running jobs
+	 */
+	public PlacementDecision plan(FleetView view, JobIndex jobs, long nowMillis) {
+		this.tables.observe(view, jobs, nowMillis);
+		PlacementRound round = new PlacementRound(view, nowMillis, this.settings, this.tables.estimator(),
+				this.tables.interventions(), this.tables.eligibility());
+		interruptLapsed(round);
+		placeUrgent(round);
+		placeByShare(round);
+		return round.toDecision();
+	}
+
+	// helpers
+
+	private void interruptLapsed(PlacementRound round) {
+		for (JobRecord job : round.view().jobs()) {
+			if (job.state().holdsCapacity() && this.tables.leases().hasLapsed(job, round.nowMillis())) {
+				round.propose(new JobCommand.InterruptJob(job.id(), job.leaseEpoch(), false, job.checkpoint()));
+			}
+		}
+	}
+
+	private void placeUrgent(PlacementRound round) {
+		for (TeamAccount team : round.teams()) {
+			Deque<JobRecord> urgent = team.queue(true);
+			while (!urgent.isEmpty()) {
+				tryPlace(round, team, urgent.poll());
+			}
+		}
+	}
+
+	private void placeByShare(PlacementRound round) {
+		PriorityQueue<TeamAccount> teams = new PriorityQueue<>(NEXT_TEAM);
+		for (TeamAccount team : round.teams()) {
+			teams.add(team);
+		}
+		while (!teams.isEmpty() && round.mayPlaceMore()) {
+			TeamAccount team = teams.poll();
+			if (placeNext(round, team)) {
+				teams.add(team);
+			}
+		}
+	}
+
+	private boolean placeNext(PlacementRound round, TeamAccount team) {
+		Deque<JobRecord> waiting = team.queue(false);
+		while (!waiting.isEmpty() && !team.atLimit()) {
+			if (tryPlace(round, team, waiting.poll())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private boolean tryPlace(PlacementRound round, TeamAccount team, JobRecord job) {
+		Optional<PoolLoad> pool = round.pool(job.spec().pool());
+		if (pool.isEmpty() || team.atLimit() || !round.mayPlaceMore()) {
+			return false;
+		}
+		Resources demand = round.demandOf(job, pool.get());
+		if (pool.get().isBlocked(demand)) {
+			return false;
+		}
+		Optional<WorkerLoad> worker = bestWorker(round, team, job, demand, pool.get());
+		if (worker.isEmpty()) {
+			pool.get().block(demand);
+			return false;
+		}
+		round.place(job, demand, worker.get(), team);
+		this.tables.startGuard().placed(job.id(), job.leaseEpoch() + 1);
+		return true;
+	}
+
+	private Optional<WorkerLoad> bestWorker(PlacementRound round, TeamAccount team, JobRecord job, Resources demand,
+			PoolLoad pool) {
+		WorkerLoad best = null;
+		double lowestPenalty = Double.POSITIVE_INFINITY;
+		for (WorkerLoad worker : pool.workers()) {
+			if (worker.takesJobs() && !worker.reserved() && worker.fits(demand)) {
+				double penalty = this.score.penalty(round, job, demand, team, worker);
+				if (penalty < lowestPenalty) {
+					lowestPenalty = penalty;
+					best = worker;
+				}
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementRound.java
@@ -0,0 +1,245 @@
+package io.burdockpin.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.PoolName;
+import io.burdockpin.core.model.Rack;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.HostRecord;
+import io.burdockpin.core.state.JobCommand;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.TeamRecord;
+import io.burdockpin.core.state.TokenRecord;
+
+/**
+ * Working data of one placement round: the view as it will be once the commands decided
+ * so far have taken effect. Mutable, used within one round only.
+ */
+final class PlacementRound {
+
+	private final FleetView view;
+
+	private final long nowMillis;
+
+	private final PlacementSettings settings;
+
+	private final UsageEstimator estimator;
+
+	private final InterventionTable interventions;
+
+	private final Map<PoolName, PoolLoad> pools = new HashMap<>();
+
+	private final Map<HostName, WorkerLoad> workers = new HashMap<>();
+
+	private final Map<TeamName, TeamAccount> teams = new HashMap<>();
+
+	private final Map<Rack, Integer> rackNumbers = new HashMap<>();
+
+	private final FleetCapacity capacity;
+
+	private final int[][] jobsByTeamAndRack;
+
+	private final List<Command> commands = new ArrayList<>();
+
+	private final List<JobIntervention> decided = new ArrayList<>();
+
+	private int placementsLeft;
+
+	PlacementRound(FleetView view, long nowMillis, PlacementSettings settings, UsageEstimator estimator,
+			InterventionTable interventions, WorkerEligibility eligibility) {
+		this.view = view;
+		this.nowMillis = nowMillis;
+		this.settings = settings;
+		this.estimator = estimator;
+		this.interventions = interventions;
+		this.placementsLeft = settings.maximumPlacementsPerRound();
+		this.capacity = FleetCapacity.of(capacitiesInService());
+		addHosts(eligibility);
+		addTeams();
+		this.jobsByTeamAndRack = new int[this.teams.size()][this.rackNumbers.size()];
+		addJobs();
+	}
+
+	// configuration
+
+	/**
+	 * Places a job and proposes it.
+	 * @param job the waiting job
+	 * @param demand what it is expected to use
+	 * @param worker where it goes
+	 * @param team its team
+	 */
+	void place(JobRecord job, Resources demand, WorkerLoad worker, TeamAccount team) {
+		hold(job, demand, worker, team, false);
+		this.placementsLeft--;
+		this.commands.add(new JobCommand.PlaceJob(job.id(), worker.name(), job.leaseEpoch() + 1));
+	}
+
+	void propose(Command command) {
+		this.commands.add(command);
+	}
+
+	void intervene(JobIntervention intervention) {
+		this.interventions.add(intervention);
+		this.decided.add(intervention);
+	}
+
+	// access
+
+	PlacementDecision toDecision() {
+		return new PlacementDecision(this.commands, this.decided);
+	}
+
+	FleetView view() {
+		return this.view;
+	}
+
+	long nowMillis() {
+		return this.nowMillis;
+	}
+
+	Collection<TeamAccount> teams() {
+		return this.teams.values();
+	}
+
+	Collection<WorkerLoad> workers() {
+		return this.workers.values();
+	}
+
+	Optional<TeamAccount> team(TeamName name) {
+		return Optional.ofNullable(this.teams.get(name));
+	}
+
+	Optional<WorkerLoad> worker(HostName name) {
+		return Optional.ofNullable(this.workers.get(name));
+	}
+
+	Optional<PoolLoad> pool(PoolName name) {
+		return Optional.ofNullable(this.pools.get(name));
+	}
+
+	boolean mayPlaceMore() {
+		return this.placementsLeft > 0;
+	}
+
+	int jobsOfTeamInRack(TeamAccount team, WorkerLoad worker) {
+		return this.jobsByTeamAndRack[team.number()][worker.rackNumber()];
+	}
+
+	/**
+	 * Returns what a waiting job is expected to use in its pool.
+	 * @param job the job
+	 * @param pool its pool
+	 * @return the corrected size, limited to what an empty worker of the pool has
+	 */
+	Resources demandOf(JobRecord job, PoolLoad pool) {
+		return pool.placeable(this.estimator.expectedUsage(job.spec()), job.spec().resources());
+	}
+
+	UsageEstimator estimator() {
+		return this.estimator;
+	}
+
+	InterventionTable interventions() {
+		return this.interventions;
+	}
+
+	// helpers
+
+	private List<Resources> capacitiesInService() {
+		List<Resources> capacities = new ArrayList<>();
+		for (HostRecord host : this.view.hosts()) {
+			if (host.state().takesNewJobs()) {
+				capacities.add(host.spec().capacity());
+			}
+		}
+		return capacities;
+	}
+
+	private void addHosts(WorkerEligibility eligibility) {
+		Set<HostName> awaitingMaintenance = hostsAwaitingMaintenance();
+		for (HostRecord host : this.view.hosts()) {
+			int rackNumber = this.rackNumbers.computeIfAbsent(host.spec().rack(), (rack) -> this.rackNumbers.size());
+			boolean takesJobs = host.state() == HostState.IN_SERVICE
+					&& eligibility.isEligible(host.spec().name(), this.nowMillis);
+			int maximumJobs = eligibility.maximumJobs(host.spec().name(), this.settings.maximumJobsPerWorker());
+			WorkerLoad worker = new WorkerLoad(host.spec(), rackNumber, takesJobs,
+					awaitingMaintenance.contains(host.spec().name()), maximumJobs);
+			this.workers.put(worker.name(), worker);
+			this.pools.computeIfAbsent(host.pool(), PoolLoad::new).add(worker);
+		}
+	}
+
+	private Set<HostName> hostsAwaitingMaintenance() {
+		Set<PoolName> pools = new HashSet<>();
+		Set<HostName> done = new HashSet<>();
+		for (CampaignRecord campaign : this.view.campaigns()) {
+			if (campaign.state().startsDrains()) {
+				pools.addAll(campaign.spec().pools());
+				done.addAll(campaign.hostsDone());
+			}
+		}
+		Set<HostName> awaiting = new HashSet<>();
+		for (HostRecord host : this.view.hosts()) {
+			if (pools.contains(host.pool()) && !done.contains(host.spec().name())) {
+				awaiting.add(host.spec().name());
+			}
+		}
+		return awaiting;
+	}
+
+	private void addTeams() {
+		for (TeamRecord team : this.view.teams()) {
+			this.teams.put(team.spec().name(), new TeamAccount(team.spec(), this.teams.size()));
+		}
+		for (TokenRecord token : this.view.tokens()) {
+			team(token.team()).ifPresent((team) -> team.addTokens(token.ownedCount() + token.leasedCount()));
+		}
+	}
+
+	private void addJobs() {
+		for (JobRecord job : this.view.jobs()) {
+			Optional<TeamAccount> team = team(job.spec().team());
+			if (team.isEmpty()) {
+				continue;
+			}
+			if (job.state().holdsCapacity()) {
+				addPlaced(job, team.get());
+			}
+			else if (job.state() == JobState.WAITING && !job.cancelRequested()) {
+				team.get().enqueue(job);
+			}
+		}
+	}
+
+	private void addPlaced(JobRecord job, TeamAccount team) {
+		Resources demand = this.estimator.expectedUsage(job);
+		Optional<WorkerLoad> worker = job.worker().flatMap(this::worker);
+		if (worker.isPresent()) {
+			hold(job, demand, worker.get(), team, this.interventions.isStopping(job));
+		}
+		else {
+			team.hold(demand, this.capacity);
+		}
+	}
+
+	private void hold(JobRecord job, Resources demand, WorkerLoad worker, TeamAccount team, boolean stopping) {
+		worker.add(job, demand, stopping);
+		team.hold(demand, this.capacity);
+		this.jobsByTeamAndRack[team.number()][worker.rackNumber()]++;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementSettings.java
@@ -0,0 +1,45 @@
+package io.burdockpin.core.placement;
+
+import io.burdockpin.core.util.Checks;
+
+/**
+ * Settings of the placement planner. Immutable.
+ *
+ * @param preference what the firm values
+ * @param leases periods of leases and reports
+ * @param maximumPlacementsPerRound how many jobs one round places at most
+ * @param maximumJobsPerWorker how many jobs a worker runs at once at most
+ */
+public record PlacementSettings(PlacementPreference preference, LeaseSettings leases, int maximumPlacementsPerRound,
+		int maximumJobsPerWorker) {
+
+	/** Balanced preference and default periods. */
+	public static final PlacementSettings DEFAULT = new PlacementSettings(PlacementPreference.BALANCED,
+			LeaseSettings.DEFAULT, 500, 1000);
+
+	public PlacementSettings {
+		Checks.range("maximumPlacementsPerRound", maximumPlacementsPerRound, 1, 100_000);
+		Checks.range("maximumJobsPerWorker", maximumJobsPerWorker, 1, 100_000);
+	}
+
+	/**
+	 * Returns these settings with another preference.
+	 * @param preference what the firm values
+	 * @return the changed settings
+	 */
+	public PlacementSettings withPreference(PlacementPreference preference) {
+		return new PlacementSettings(preference, this.leases, this.maximumPlacementsPerRound,
+				this.maximumJobsPerWorker);
+	}
+
+	/**
+	 * Returns these settings with other periods.
+	 * @param leases periods of leases and reports
+	 * @return the changed settings
+	 */
+	public PlacementSettings withLeases(LeaseSettings leases) {
+		return new PlacementSettings(this.preference, leases, this.maximumPlacementsPerRound,
+				this.maximumJobsPerWorker);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerLoad.java
@@ -0,0 +1,172 @@
+package io.burdockpin.core.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostSpec;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.state.JobRecord;
+
+/**
+ * What is placed on one worker in one round. Mutable, used within one round only.
+ */
+final class WorkerLoad {
+
+	private final HostSpec spec;
+
+	private final int rackNumber;
+
+	private final boolean takesJobs;
+
+	private final boolean awaitsMaintenance;
+
+	private final int maximumJobs;
+
+	private final List<PlacedJob> jobs = new ArrayList<>();
+
+	private int cpuMillicores;
+
+	private int memoryMebibytes;
+
+	private int accelerators;
+
+	private int stoppingCpuMillicores;
+
+	private int stoppingMemoryMebibytes;
+
+	private int stoppingAccelerators;
+
+	private boolean reserved;
+
+	WorkerLoad(HostSpec spec, int rackNumber, boolean takesJobs, boolean awaitsMaintenance, int maximumJobs) {
+		this.spec = spec;
+		this.rackNumber = rackNumber;
+		this.takesJobs = takesJobs;
+		this.awaitsMaintenance = awaitsMaintenance;
+		this.maximumJobs = maximumJobs;
+	}
+
+	// configuration
+
+	void add(JobRecord job, Resources demand, boolean stopping) {
+		this.jobs.add(new PlacedJob(job, demand, stopping));
+		this.cpuMillicores += demand.cpuMillicores();
+		this.memoryMebibytes += demand.memoryMebibytes();
+		this.accelerators += demand.accelerators();
+		if (stopping) {
+			addStopping(demand);
+		}
+	}
+
+	/**
+	 * Marks placed jobs as about to stop, so that urgent work may use their room.
+	 * @param victims jobs of this worker
+	 */
+	void markStopping(List<PlacedJob> victims) {
+		for (PlacedJob victim : victims) {
+			this.jobs.set(this.jobs.indexOf(victim), new PlacedJob(victim.job(), victim.demand(), true));
+			addStopping(victim.demand());
+		}
+	}
+
+	/** Keeps this worker free of work that is not urgent for the rest of the round. */
+	void reserve() {
+		this.reserved = true;
+	}
+
+	// access
+
+	HostName name() {
+		return this.spec.name();
+	}
+
+	Resources capacity() {
+		return this.spec.capacity();
+	}
+
+	int rackNumber() {
+		return this.rackNumber;
+	}
+
+	List<PlacedJob> jobs() {
+		return this.jobs;
+	}
+
+	boolean takesJobs() {
+		return this.takesJobs && this.jobs.size() < this.maximumJobs;
+	}
+
+	boolean awaitsMaintenance() {
+		return this.awaitsMaintenance;
+	}
+
+	boolean reserved() {
+		return this.reserved;
+	}
+
+	boolean fits(Resources demand) {
+		return this.cpuMillicores + demand.cpuMillicores() <= capacity().cpuMillicores()
+				&& this.memoryMebibytes + demand.memoryMebibytes() <= capacity().memoryMebibytes()
+				&& this.accelerators + demand.accelerators() <= capacity().accelerators();
+	}
+
+	/**
+	 * Tells whether a demand fits once the stopping jobs and some more have gone.
+	 * @param demand what is to be placed
+	 * @param freed what would be stopped in addition
+	 * @return {@code true} if it fits in every dimension
+	 */
+	boolean fitsAfterStops(Resources demand, Resources freed) {
+		return excessCpuMillicores(demand) <= freed.cpuMillicores()
+				&& excessMemoryMebibytes(demand) <= freed.memoryMebibytes()
+				&& excessAccelerators(demand) <= freed.accelerators();
+	}
+
+	/**
+	 * Returns the free fraction of the scarcest resource after placing a demand.
+	 * @param demand what would be placed
+	 * @return the fraction, negative if the worker is overcommitted
+	 */
+	double freeFractionAfter(Resources demand) {
+		double cpuFree = freeFraction(this.cpuMillicores + demand.cpuMillicores(), capacity().cpuMillicores());
+		double memoryFree = freeFraction(this.memoryMebibytes + demand.memoryMebibytes(), capacity().memoryMebibytes());
+		return Math.min(cpuFree, memoryFree);
+	}
+
+	// helpers
+
+	private void addStopping(Resources demand) {
+		this.stoppingCpuMillicores += demand.cpuMillicores();
+		this.stoppingMemoryMebibytes += demand.memoryMebibytes();
+		this.stoppingAccelerators += demand.accelerators();
+	}
+
+	private int excessCpuMillicores(Resources demand) {
+		return this.cpuMillicores - this.stoppingCpuMillicores + demand.cpuMillicores() - capacity().cpuMillicores();
+	}
+
+	private int excessMemoryMebibytes(Resources demand) {
+		return this.memoryMebibytes - this.stoppingMemoryMebibytes + demand.memoryMebibytes()
+				- capacity().memoryMebibytes();
+	}
+
+	private int excessAccelerators(Resources demand) {
+		return this.accelerators - this.stoppingAccelerators + demand.accelerators() - capacity().accelerators();
+	}
+
+	private static double freeFraction(int used, int total) {
+		return (total > 0) ? 1 - (double) used / total : 0;
+	}
+
+	/**
+	 * A job on the worker.
+	 *
+	 * @param job its record
+	 * @param demand what it is expected to use
+	 * @param stopping whether it has been ordered to stop
+	 */
+	record PlacedJob(JobRecord job, Resources demand, boolean stopping) {
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
@@ -0,0 +1,197 @@
+package io.burdockpin.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.client.ClientMessage.JobOrder;
+import io.burdockpin.core.client.ClientMessage.JobReport;
+import io.burdockpin.core.client.ClientMessage.WorkerOrder;
+import io.burdockpin.core.client.ClientMessage.WorkerReport;
+import io.burdockpin.core.client.JobOrderKind;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.JobCommand;
+import io.burdockpin.core.state.JobRecord;
+
+/**
+ * Compares what a worker reports with the replicated records and closes the difference
+ * with commands for the state and orders for the worker. Mutable through its tables,
+ * owned by one planner.
+ */
+public final class WorkerReconciler {
+
+	private final LeaseSettings settings;
+
+	private final JobLeases leases;
+
+	private final WorkerTable workers;
+
+	private final StartGuard startGuard;
+
+	private final InterventionTable interventions;
+
+	private final JobObserver observer;
+
+	/**
+	 * Creates a reconciler.
+	 * @param settings the periods
+	 * @param leases the leases that reports renew
+	 * @param workers the table that reports update
+	 * @param startGuard decides on start orders
+	 * @param interventions orders that the planner wants delivered
+	 * @param observer learns from reported usage and ends
+	 */
+	public WorkerReconciler(LeaseSettings settings, JobLeases leases, WorkerTable workers, StartGuard startGuard,
+			InterventionTable interventions, JobObserver observer) {
+		this.settings = settings;
+		this.leases = leases;
+		this.workers = workers;
+		this.startGuard = startGuard;
+		this.interventions = interventions;
+		this.observer = observer;
+	}
+
+	/**
+	 * Reacts to a report.
+	 * @param report the report; it lists all jobs that the worker runs or has ended
+	 * @param jobs the jobs of the newest view
+	 * @param nowMillis when the report arrived
+	 * @return commands and orders
+	 */
+	public ReportAnswer answer(WorkerReport report, JobIndex jobs, long nowMillis) {
+		Draft draft = new Draft(report, nowMillis);
+		boolean rebooted = hasRebooted(report);
+		this.workers.observe(report, nowMillis);
+		for (JobReport jobReport : report.jobs()) {
+			draft.listed.add(jobReport.job());
+			reconcileListed(draft, jobReport, jobs.find(jobReport.job()));
+		}
+		for (JobRecord job : jobs.placedOn(report.worker())) {
+			if (!draft.listed.contains(job.id())) {
+				reconcileMissing(draft, job, rebooted);
+			}
+		}
+		return draft.toAnswer(this.settings.leaseMillis());
+	}
+
+	// helpers
+
+	private boolean hasRebooted(WorkerReport report) {
+		Optional<WorkerTable.Sighting> last = this.workers.lastOf(report.worker());
+		return last.isPresent() && !last.get().bootId().equals(report.bootId());
+	}
+
+	private void reconcileListed(Draft draft, JobReport jobReport, Optional<JobRecord> known) {
+		if (known.isPresent() && jobReport.leaseEpoch() > known.get().leaseEpoch()) {
+			// The worker has seen a newer placement than this view.
+			return;
+		}
+		Optional<JobRecord> current = known.filter((job) -> isCurrent(job, jobReport, draft.report.worker()));
+		if (current.isPresent()) {
+			reconcileCurrent(draft, jobReport, current.get());
+		}
+		else {
+			dismiss(draft, jobReport);
+		}
+	}
+
+	private boolean isCurrent(JobRecord job, JobReport jobReport, HostName worker) {
+		return job.state().holdsCapacity() && job.leaseEpoch() == jobReport.leaseEpoch()
+				&& job.worker().equals(Optional.of(worker));
+	}
+
+	private void reconcileCurrent(Draft draft, JobReport jobReport, JobRecord job) {
+		PhaseReaction reaction = PhaseReaction.of(jobReport.phase());
+		Optional<Command> verdict = this.observer.observe(job, jobReport, draft.report.worker(), draft.nowMillis);
+		verdict.or(() -> reaction.commandFor(job, jobReport)).ifPresent(draft.commands::add);
+		this.startGuard.forget(job.id());
+		if (!reaction.occupiesWorker()) {
+			return;
+		}
+		this.leases.renew(job.id(), job.leaseEpoch(), draft.nowMillis);
+		draft.renewed.add(job.id());
+		if (job.cancelRequested()) {
+			draft.orders.add(order(job.id(), job.leaseEpoch(), JobOrderKind.STOP, 0));
+			return;
+		}
+		this.interventions.pendingFor(job)
+			.ifPresent((intervention) -> draft.orders
+				.add(order(job.id(), job.leaseEpoch(), intervention.kind(), intervention.throttlePercent())));
+	}
+
+	private void dismiss(Draft draft, JobReport jobReport) {
+		boolean occupies = PhaseReaction.of(jobReport.phase()).occupiesWorker();
+		JobOrderKind kind = occupies ? JobOrderKind.STOP : JobOrderKind.FORGET;
+		draft.orders.add(order(jobReport.job(), jobReport.leaseEpoch(), kind, 0));
+	}
+
+	private void reconcileMissing(Draft draft, JobRecord job, boolean rebooted) {
+		if (job.state() == JobState.PLACED && mayStart(draft, job)) {
+			draft.starts.add(start(job));
+		}
+		else if (isGone(draft, job, rebooted)) {
+			draft.commands.add(new JobCommand.InterruptJob(job.id(), job.leaseEpoch(), false, job.checkpoint()));
+		}
+	}
+
+	private boolean mayStart(Draft draft, JobRecord job) {
+		return !job.cancelRequested() && this.startGuard.permitStart(job, draft.report.bootId());
+	}
+
+	private boolean isGone(Draft draft, JobRecord job, boolean rebooted) {
+		return rebooted || this.leases.periodHasPassed(job, draft.nowMillis);
+	}
+
+	private static JobOrder start(JobRecord job) {
+		return new JobOrder(job.id(), job.leaseEpoch(), JobOrderKind.START, job.spec().resources(),
+				job.spec().runMillis(), job.spec().repeatable(), job.spec().payload(), job.checkpoint(), 0);
+	}
+
+	private static JobOrder order(JobId job, long leaseEpoch, JobOrderKind kind, int throttlePercent) {
+		return new JobOrder(job, leaseEpoch, kind, Resources.NONE, 0, false, Payload.EMPTY, Payload.EMPTY,
+				throttlePercent);
+	}
+
+	/**
+	 * Collects the reaction to one report. Stops come before starts, so that a started
+	 * job finds the room that a stopped one leaves.
+	 */
+	private static final class Draft {
+
+		private final WorkerReport report;
+
+		private final long nowMillis;
+
+		private final Set<JobId> listed = new HashSet<>();
+
+		private final List<Command> commands = new ArrayList<>();
+
+		private final List<JobId> renewed = new ArrayList<>();
+
+		private final List<JobOrder> orders = new ArrayList<>();
+
+		private final List<JobOrder> starts = new ArrayList<>();
+
+		private Draft(WorkerReport report, long nowMillis) {
+			this.report = report;
+			this.nowMillis = nowMillis;
+		}
+
+		private ReportAnswer toAnswer(long leaseMillis) {
+			List<JobOrder> all = new ArrayList<>(this.orders);
+			all.addAll(this.starts);
+			WorkerOrder order = new WorkerOrder(this.report.worker(), this.report.sequence(), leaseMillis, this.renewed,
+					all);
+			return new ReportAnswer(this.commands, order);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on which worker runs which job, and under which lease. */
+package io.burdockpin.core.placement;
