Answer overload, failing workers, drains and urgent work

Cause: the first planner only placed what fits.

Ruled out: stopping a job first and placing the urgent one after the confirmed stop. It costs three report periods, which exceeds 3 s.

Change: WorkerHealth and HostWatch change host states; ParkingCheck, UrgentPlacement, OverloadControl and DrainControl take part in each round. Behaviour per host state and per overload step sits in enums.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -66,7 +66,7 @@
 		super(context);
 		this.clock = clock;
 		this.replica = replica;
-		PlacementTables tables = new PlacementTables(settings.leases());
+		PlacementTables tables = new PlacementTables(settings);
 		this.planner = new PlacementPlanner(settings, tables);
 		this.reconciler = tables.createReconciler();
 		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/DrainControl.java
@@ -0,0 +1,65 @@
+package io.burdockpin.core.placement;
+
+import java.util.Optional;
+
+import io.burdockpin.core.client.JobOrderKind;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.placement.WorkerLoad.PlacedJob;
+import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.DrainRecord;
+import io.burdockpin.core.state.JobRecord;
+
+/**
+ * Stops the jobs of draining hosts: at once those that are repeatable and would outlast
+ * the drain, the rest at the drain's deadline. Has no state.
+ * <p>
+ * Stopping a job at once that must move in any case shortens the drain and loses no more
+ * work than stopping it later.
+ */
+final class DrainControl {
+
+	private final UsageEstimator estimator;
+
+	DrainControl(UsageEstimator estimator) {
+		this.estimator = estimator;
+	}
+
+	/**
+	 * Orders the stops that are due.
+	 * @param round the round
+	 */
+	void apply(PlacementRound round) {
+		for (CampaignRecord campaign : round.view().campaigns()) {
+			for (DrainRecord drain : campaign.hostsOut()) {
+				round.worker(drain.host()).ifPresent((worker) -> stopJobs(round, worker, drain.drainDeadlineMillis()));
+			}
+		}
+	}
+
+	// helpers
+
+	private void stopJobs(PlacementRound round, WorkerLoad worker, long deadlineMillis) {
+		for (PlacedJob placed : worker.jobs()) {
+			stopReason(placed, deadlineMillis, round.nowMillis())
+				.ifPresent((reason) -> round.intervene(stop(worker, placed.job(), reason)));
+		}
+	}
+
+	private Optional<String> stopReason(PlacedJob placed, long deadlineMillis, long nowMillis) {
+		JobRecord job = placed.job();
+		if (placed.stopping()) {
+			return Optional.empty();
+		}
+		if (nowMillis >= deadlineMillis) {
+			return Optional.of("drain deadline has passed");
+		}
+		boolean outlasts = nowMillis + this.estimator.expectedRemainingMillis(job, nowMillis) > deadlineMillis;
+		boolean movable = job.spec().repeatable() && job.state() == JobState.RUNNING;
+		return (outlasts && movable) ? Optional.of("would outlast the drain") : Optional.empty();
+	}
+
+	private static JobIntervention stop(WorkerLoad worker, JobRecord job, String reason) {
+		return new JobIntervention(worker.name(), job.id(), job.leaseEpoch(), JobOrderKind.STOP, 0, reason);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
@@ -0,0 +1,113 @@
+package io.burdockpin.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.model.PoolName;
+import io.burdockpin.core.state.ChangeCause;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.ConfigurationCommand;
+import io.burdockpin.core.state.HostRecord;
+
+/**
+ * Follows from reports, and from their absence, which hosts are lost, back or unable to
+ * run jobs. Mutable, owned by one planner.
+ */
+final class HostWatch {
+
+	private static final int PERCENT = 100;
+
+	private final LeaseSettings settings;
+
+	private final WorkerTable workers;
+
+	private final WorkerHealth health;
+
+	private final Map<HostName, Long> firstSeenMillis = new HashMap<>();
+
+	HostWatch(LeaseSettings settings, WorkerTable workers, WorkerHealth health) {
+		this.settings = settings;
+		this.workers = workers;
+		this.health = health;
+	}
+
+	// life cycle
+
+	/** Starts the period of silence of all hosts anew, as a new leader does. */
+	void restart() {
+		this.firstSeenMillis.clear();
+	}
+
+	/**
+	 * Decides the changes of host states for a round.
+	 * @param hosts all hosts
+	 * @param nowMillis the time of the round
+	 * @return the commands
+	 */
+	List<Command> commandsFor(List<HostRecord> hosts, long nowMillis) {
+		Map<PoolName, PoolCount> counts = countPools(hosts);
+		List<Command> commands = new ArrayList<>();
+		for (HostRecord host : hosts) {
+			this.firstSeenMillis.putIfAbsent(host.spec().name(), nowMillis);
+			nextState(host, counts.get(host.pool()), nowMillis)
+				.ifPresent((state) -> commands.add(change(host.spec().name(), state)));
+		}
+		return commands;
+	}
+
+	// helpers
+
+	private Optional<HostState> nextState(HostRecord host, PoolCount pool, long nowMillis) {
+		HostName name = host.spec().name();
+		boolean failing = this.health.failsEverything(name)
+				&& pool.mayPutAside(this.health.settings().maximumAsidePercent());
+		boolean mayRetry = host.state() == HostState.SET_ASIDE && this.health.mayRetry(name, nowMillis);
+		HostStateRule.Observation observation = new HostStateRule.Observation(this.workers.isLive(name, nowMillis),
+				isSilent(name, nowMillis), failing, mayRetry);
+		Optional<HostState> next = HostStateRule.of(host.state()).next(observation);
+		if (next.equals(Optional.of(HostState.SET_ASIDE))) {
+			pool.aside++;
+			this.health.setAside(name, nowMillis);
+		}
+		return next;
+	}
+
+	private boolean isSilent(HostName name, long nowMillis) {
+		long heardMillis = this.workers.lastOf(name)
+			.map(WorkerTable.Sighting::reportedMillis)
+			.orElseGet(() -> this.firstSeenMillis.get(name));
+		return nowMillis - heardMillis >= this.settings.lapseMillis();
+	}
+
+	private static Map<PoolName, PoolCount> countPools(List<HostRecord> hosts) {
+		Map<PoolName, PoolCount> counts = new HashMap<>();
+		for (HostRecord host : hosts) {
+			PoolCount count = counts.computeIfAbsent(host.pool(), (pool) -> new PoolCount());
+			count.total++;
+			count.aside += (host.state() == HostState.SET_ASIDE) ? 1 : 0;
+		}
+		return counts;
+	}
+
+	private static Command change(HostName host, HostState state) {
+		return new ConfigurationCommand.SetHostState(host, state, ChangeCause.WORKER_REPORT);
+	}
+
+	private static final class PoolCount {
+
+		private int total;
+
+		private int aside;
+
+		private boolean mayPutAside(int maximumPercent) {
+			return (this.aside + 1) * PERCENT <= this.total * maximumPercent;
+		}
+
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/OutcomeObserver.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/OutcomeObserver.java
@@ -1,31 +1,81 @@
 package io.burdockpin.core.placement;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import io.burdockpin.core.client.ClientMessage.JobReport;
 import io.burdockpin.core.client.JobPhase;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.JobRecord;
 
-/** Passes reported usage and ends to the estimator. Shares the estimator's owner. */
+/**
+ * Passes reported usage to the estimator and ends to the worker health, each end once
+ * although workers repeat it. Mutable, shares the owner of both.
+ */
 final class OutcomeObserver implements JobObserver {
 
+	/** A job that failed quickly this often fails for reasons of its own. */
+	private static final int MAXIMUM_QUICK_FAILURES = 2;
+
 	private final UsageEstimator estimator;
 
-	OutcomeObserver(UsageEstimator estimator) {
+	private final WorkerHealth health;
+
+	private final Map<JobId, Long> endedEpochs = new HashMap<>();
+
+	OutcomeObserver(UsageEstimator estimator, WorkerHealth health) {
 		this.estimator = estimator;
+		this.health = health;
 	}
 
+	// life cycle
+
 	@Override
 	public Optional<Command> observe(JobRecord job, JobReport report, HostName worker, long nowMillis) {
 		if (report.phase() == JobPhase.RUNNING) {
 			this.estimator.observe(job, report.usage(), nowMillis);
+			return Optional.empty();
+		}
+		if (report.phase() != JobPhase.NOT_STARTED && isFirstReport(job)) {
+			learn(job, report.phase(), worker, nowMillis);
+		}
+		return (report.phase() == JobPhase.FAILED) ? retryElsewhere(job) : Optional.empty();
+	}
+
+	void retain(JobIndex jobs) {
+		this.endedEpochs.keySet().removeIf((id) -> jobs.find(id).filter((job) -> !job.state().ended()).isEmpty());
+	}
+
+	// helpers
+
+	private boolean isFirstReport(JobRecord job) {
+		Long known = this.endedEpochs.put(job.id(), job.leaseEpoch());
+		return known == null || known != job.leaseEpoch();
+	}
+
+	private void learn(JobRecord job, JobPhase phase, HostName worker, long nowMillis) {
+		this.estimator.ended(job, phase == JobPhase.SUCCEEDED, nowMillis);
+		if (phase == JobPhase.SUCCEEDED) {
+			this.health.succeeded(job.id(), worker);
+		}
+		else if (phase == JobPhase.FAILED) {
+			this.health.failed(job, worker, nowMillis);
 		}
-		else if (report.phase() != JobPhase.NOT_STARTED) {
-			this.estimator.ended(job, report.phase() == JobPhase.SUCCEEDED, nowMillis);
+	}
+
+	private Optional<Command> retryElsewhere(JobRecord job) {
+		// The worker may be the cause of the first quick failure.
+		int failures = this.health.failureCount(job.id());
+		boolean retry = job.spec().repeatable() && !job.cancelRequested() && failures > 0
+				&& failures < MAXIMUM_QUICK_FAILURES;
+		if (!retry) {
+			return Optional.empty();
 		}
-		return Optional.empty();
+		return Optional.of(new JobCommand.InterruptJob(job.id(), job.leaseEpoch(), false, job.checkpoint()));
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -21,12 +21,26 @@
 	private static final Comparator<TeamAccount> NEXT_TEAM = Comparator.comparingDouble(TeamAccount::weightedShare)
 		.thenComparingInt(TeamAccount::number);
 
+	/**
+	 * Larger than any score, so that a job returns to a worker only if all others are
+	 * full.
+	 */
+	private static final double FAILED_HERE_PENALTY = 100;
+
 	private final PlacementSettings settings;
 
 	private final PlacementTables tables;
 
 	private final PlacementScore score;
 
+	private final ParkingCheck parking = new ParkingCheck();
+
+	private final UrgentPlacement urgentPlacement = new UrgentPlacement();
+
+	private final OverloadControl overload;
+
+	private final DrainControl drains;
+
 	/**
 	 * Creates a planner.
 	 * @param settings the settings
@@ -37,6 +51,8 @@
 		this.settings = settings;
 		this.tables = tables;
 		this.score = new PlacementScore(settings.preference());
+		this.overload = new OverloadControl(tables.workers(), tables.estimator());
+		this.drains = new DrainControl(tables.estimator());
 	}
 
 	// life cycle
@@ -44,6 +60,7 @@
 	/** Forgets what reports said, as a new leader does. */
 	public void restart() {
 		this.tables.restart();
+		this.overload.restart();
 	}
 
 	/**
@@ -58,6 +75,10 @@
 		PlacementRound round = new PlacementRound(view, nowMillis, this.settings, this.tables.estimator(),
 				this.tables.interventions(), this.tables.eligibility());
 		interruptLapsed(round);
+		this.tables.hostWatch().commandsFor(view.hosts(), nowMillis).forEach(round::propose);
+		this.drains.apply(round);
+		this.overload.apply(round);
+		this.parking.apply(round);
 		placeUrgent(round);
 		placeByShare(round);
 		return round.toDecision();
@@ -77,11 +98,29 @@
 		for (TeamAccount team : round.teams()) {
 			Deque<JobRecord> urgent = team.queue(true);
 			while (!urgent.isEmpty()) {
-				tryPlace(round, team, urgent.poll());
+				JobRecord job = urgent.poll();
+				if (!tryPlace(round, team, job)) {
+					forceRoom(round, team, job);
+				}
 			}
 		}
 	}
 
+	private void forceRoom(PlacementRound round, TeamAccount team, JobRecord job) {
+		Optional<PoolLoad> pool = round.pool(job.spec().pool());
+		if (pool.isEmpty() || team.atLimit() || !round.mayPlaceMore()) {
+			return;
+		}
+		Resources demand = round.demandOf(job, pool.get());
+		Optional<WorkerLoad> worker = this.urgentPlacement.makeRoom(round, pool.get(), demand);
+		if (worker.isPresent()) {
+			placeOn(round, team, job, demand, worker.get());
+		}
+		else {
+			this.urgentPlacement.reserve(pool.get(), demand);
+		}
+	}
+
 	private void placeByShare(PlacementRound round) {
 		PriorityQueue<TeamAccount> teams = new PriorityQueue<>(NEXT_TEAM);
 		for (TeamAccount team : round.teams()) {
@@ -119,18 +158,22 @@
 			pool.get().block(demand);
 			return false;
 		}
-		round.place(job, demand, worker.get(), team);
-		this.tables.startGuard().placed(job.id(), job.leaseEpoch() + 1);
+		placeOn(round, team, job, demand, worker.get());
 		return true;
 	}
 
+	private void placeOn(PlacementRound round, TeamAccount team, JobRecord job, Resources demand, WorkerLoad worker) {
+		round.place(job, demand, worker, team);
+		this.tables.startGuard().placed(job.id(), job.leaseEpoch() + 1);
+	}
+
 	private Optional<WorkerLoad> bestWorker(PlacementRound round, TeamAccount team, JobRecord job, Resources demand,
 			PoolLoad pool) {
 		WorkerLoad best = null;
 		double lowestPenalty = Double.POSITIVE_INFINITY;
 		for (WorkerLoad worker : pool.workers()) {
 			if (worker.takesJobs() && !worker.reserved() && worker.fits(demand)) {
-				double penalty = this.score.penalty(round, job, demand, team, worker);
+				double penalty = this.score.penalty(round, job, demand, team, worker) + failurePenalty(job, worker);
 				if (penalty < lowestPenalty) {
 					lowestPenalty = penalty;
 					best = worker;
@@ -140,4 +183,8 @@
 		return Optional.ofNullable(best);
 	}
 
+	private double failurePenalty(JobRecord job, WorkerLoad worker) {
+		return this.tables.health().hasFailedOn(job.id(), worker.name()) ? FAILED_HERE_PENALTY : 0;
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementSettings.java
@@ -7,15 +7,16 @@
  *
  * @param preference what the firm values
  * @param leases periods of leases and reports
+ * @param health when workers are set aside
  * @param maximumPlacementsPerRound how many jobs one round places at most
  * @param maximumJobsPerWorker how many jobs a worker runs at once at most
  */
-public record PlacementSettings(PlacementPreference preference, LeaseSettings leases, int maximumPlacementsPerRound,
-		int maximumJobsPerWorker) {
+public record PlacementSettings(PlacementPreference preference, LeaseSettings leases, HealthSettings health,
+		int maximumPlacementsPerRound, int maximumJobsPerWorker) {
 
 	/** Balanced preference and default periods. */
 	public static final PlacementSettings DEFAULT = new PlacementSettings(PlacementPreference.BALANCED,
-			LeaseSettings.DEFAULT, 500, 1000);
+			LeaseSettings.DEFAULT, HealthSettings.DEFAULT, 500, 1000);
 
 	public PlacementSettings {
 		Checks.range("maximumPlacementsPerRound", maximumPlacementsPerRound, 1, 100_000);
@@ -28,7 +29,7 @@
 	 * @return the changed settings
 	 */
 	public PlacementSettings withPreference(PlacementPreference preference) {
-		return new PlacementSettings(preference, this.leases, this.maximumPlacementsPerRound,
+		return new PlacementSettings(preference, this.leases, this.health, this.maximumPlacementsPerRound,
 				this.maximumJobsPerWorker);
 	}
 
@@ -38,7 +39,7 @@
 	 * @return the changed settings
 	 */
 	public PlacementSettings withLeases(LeaseSettings leases) {
-		return new PlacementSettings(this.preference, leases, this.maximumPlacementsPerRound,
+		return new PlacementSettings(this.preference, leases, this.health, this.maximumPlacementsPerRound,
 				this.maximumJobsPerWorker);
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
@@ -18,16 +18,25 @@
 
 	private final UsageEstimator estimator = new UsageEstimator();
 
+	private final WorkerHealth health;
+
+	private final HostWatch hostWatch;
+
+	private final OutcomeObserver observer;
+
 	private final LeaseSettings settings;
 
 	/**
 	 * Creates empty tables.
-	 * @param settings the periods
+	 * @param settings the settings of the planner
 	 */
-	public PlacementTables(LeaseSettings settings) {
-		this.settings = settings;
-		this.leases = new JobLeases(settings);
-		this.workers = new WorkerTable(settings);
+	public PlacementTables(PlacementSettings settings) {
+		this.settings = settings.leases();
+		this.leases = new JobLeases(this.settings);
+		this.workers = new WorkerTable(this.settings);
+		this.health = new WorkerHealth(settings.health());
+		this.hostWatch = new HostWatch(this.settings, this.workers, this.health);
+		this.observer = new OutcomeObserver(this.estimator, this.health);
 	}
 
 	// life cycle
@@ -41,6 +50,7 @@
 		this.workers.restart();
 		this.startGuard.restart();
 		this.interventions.restart();
+		this.hostWatch.restart();
 	}
 
 	/**
@@ -53,6 +63,8 @@
 		this.leases.observe(view.jobs(), nowMillis);
 		this.interventions.retain(jobs);
 		this.estimator.retain(jobs);
+		this.health.retain(jobs);
+		this.observer.retain(jobs);
 	}
 
 	// access
@@ -63,7 +75,7 @@
 	 */
 	public WorkerReconciler createReconciler() {
 		return new WorkerReconciler(this.settings, this.leases, this.workers, this.startGuard, this.interventions,
-				new OutcomeObserver(this.estimator));
+				this.observer);
 	}
 
 	JobLeases leases() {
@@ -86,6 +98,14 @@
 		return this.estimator;
 	}
 
+	WorkerHealth health() {
+		return this.health;
+	}
+
+	HostWatch hostWatch() {
+		return this.hostWatch;
+	}
+
 	WorkerEligibility eligibility() {
 		return new WorkerEligibility() {
 
@@ -96,7 +116,7 @@
 
 			@Override
 			public int maximumJobs(HostName worker, int usualMaximum) {
-				return usualMaximum;
+				return PlacementTables.this.health.isOnTrial(worker) ? 1 : usualMaximum;
 			}
 
 		};
