Plan maintenance campaigns and spare hosts

Cause: none; first working form of the maintenance decisions.

Ruled out: waves that wait for their last host. One slow drain would hold back a whole roll-out, so a wave is the set of drains that one round starts.

Change: AvailabilityCheck with one enum constant per budget rule, MaintenancePlanner with a forecast and a statement for each drain, SparePlanner, MaintenanceActor.

Conclusion: a new leader does not know where a lent host came from, because the host record has no home pool.

--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/MaintenanceActor.java
@@ -0,0 +1,178 @@
+package io.burdockpin.control.planner;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.core.maintenance.DrainStatement;
+import io.burdockpin.core.maintenance.HostSighting;
+import io.burdockpin.core.maintenance.MaintenanceDecision;
+import io.burdockpin.core.maintenance.MaintenancePlanner;
+import io.burdockpin.core.maintenance.MaintenanceSettings;
+import io.burdockpin.core.maintenance.SparePlanner;
+import io.burdockpin.core.placement.JobIndex;
+import io.burdockpin.core.placement.RemainingTime;
+import io.burdockpin.core.state.Command;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Runs the maintenance rounds of this member while it leads. Owns the planners of
+ * campaigns and spare hosts.
+ */
+public final class MaintenanceActor extends AbstractBehavior<MaintenanceActor.Message> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final long NO_TERM = -1;
+
+	private final Clock clock;
+
+	private final ReplicaPort replica;
+
+	private final MaintenancePlanner planner;
+
+	private final SparePlanner sparePlanner;
+
+	private final ActorRef<ReplicaView> viewAdapter;
+
+	private final ActorRef<ReplicaPort.ProposalsEnded> proposalAdapter;
+
+	private final RoundGate gate = new RoundGate();
+
+	private RemainingTime remainingTime = RemainingTime.declared();
+
+	private long plannedTerm = NO_TERM;
+
+	private MaintenanceActor(ActorContext<Message> context, TimerScheduler<Message> timers,
+			MaintenanceSettings settings, Duration roundPeriod, Clock clock, ReplicaPort replica) {
+		super(context);
+		this.clock = clock;
+		this.replica = replica;
+		this.planner = new MaintenancePlanner(settings);
+		this.sparePlanner = new SparePlanner(settings);
+		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
+		this.proposalAdapter = context.messageAdapter(ReplicaPort.ProposalsEnded.class,
+				(ended) -> RoundSignal.PROPOSALS_ENDED);
+		timers.startTimerWithFixedDelay(RoundSignal.ROUND_DUE, roundPeriod);
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings of the planners
+	 * @param roundPeriod time between two rounds
+	 * @param clock wall clock of this process
+	 * @param replica the replica of this member
+	 * @return the behavior
+	 */
+	public static Behavior<Message> create(MaintenanceSettings settings, Duration roundPeriod, Clock clock,
+			ReplicaPort replica) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new MaintenanceActor(context, timers, settings, roundPeriod, clock, replica)));
+	}
+
+	@Override
+	public Receive<Message> createReceive() {
+		return newReceiveBuilder().onMessageEquals(RoundSignal.ROUND_DUE, this::onRoundDue)
+			.onMessageEquals(RoundSignal.PROPOSALS_ENDED, this::onProposalsEnded)
+			.onMessage(ViewArrived.class, this::onViewArrived)
+			.onMessage(WorkersObserved.class, this::onWorkersObserved)
+			.build();
+	}
+
+	// helpers
+
+	private Behavior<Message> onRoundDue() {
+		if (this.gate.tryStart(this.clock.millis())) {
+			this.replica.requestView(this.viewAdapter);
+		}
+		return this;
+	}
+
+	private Behavior<Message> onProposalsEnded() {
+		this.gate.end();
+		return this;
+	}
+
+	private Behavior<Message> onWorkersObserved(WorkersObserved observed) {
+		observed.sightings().forEach(this.planner::observe);
+		this.remainingTime = observed.remainingTime();
+		return this;
+	}
+
+	private Behavior<Message> onViewArrived(ViewArrived arrived) {
+		ReplicaView view = arrived.view();
+		if (!view.leader()) {
+			this.plannedTerm = NO_TERM;
+			this.gate.end();
+			return this;
+		}
+		if (this.plannedTerm != view.term()) {
+			this.plannedTerm = view.term();
+			this.planner.restart();
+			this.sparePlanner.restart();
+			logger.atInfo().log("Plans maintenance in term %d.", view.term());
+		}
+		plan(view);
+		return this;
+	}
+
+	private void plan(ReplicaView view) {
+		long nowMillis = this.clock.millis();
+		JobIndex jobs = JobIndex.of(view.view().jobs());
+		MaintenanceDecision decision = this.planner.plan(view.view(), jobs, this.remainingTime, nowMillis);
+		decision.statements().forEach(MaintenanceActor::announce);
+		List<Command> commands = new ArrayList<>(decision.commands());
+		commands.addAll(this.sparePlanner.plan(view.view(), jobs, nowMillis));
+		if (commands.isEmpty()) {
+			this.gate.end();
+		}
+		else {
+			this.replica.propose(commands, this.proposalAdapter);
+		}
+	}
+
+	private static void announce(DrainStatement statement) {
+		logger.atInfo()
+			.log("Drains %s for campaign %s; will move jobs %s and interrupt %s.", statement.host(),
+					statement.campaign(), statement.movedJobs(), statement.endedJobs());
+	}
+
+	/** Messages of the maintenance actor. */
+	public sealed interface Message {
+
+	}
+
+	/**
+	 * The placement actor passes on what reports showed.
+	 *
+	 * @param sightings the hosts that reported
+	 * @param remainingTime estimates how long jobs run on; immutable
+	 */
+	public record WorkersObserved(List<HostSighting> sightings, RemainingTime remainingTime) implements Message {
+
+		public WorkersObserved {
+			sightings = List.copyOf(sightings);
+		}
+
+	}
+
+	private record ViewArrived(ReplicaView view) implements Message {
+	}
+
+	private enum RoundSignal implements Message {
+
+		ROUND_DUE, PROPOSALS_ENDED
+
+	}
+
+}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.client.ClientMessage.WorkerOrders;
 import io.burdockpin.core.client.ClientMessage.WorkerReport;
 import io.burdockpin.core.client.ClientMessage.WorkerReports;
+import io.burdockpin.core.maintenance.HostSighting;
 import io.burdockpin.core.placement.JobIndex;
 import io.burdockpin.core.placement.PlacementDecision;
 import io.burdockpin.core.placement.PlacementPlanner;
@@ -49,6 +50,10 @@
 
 	private final ReplicaPort replica;
 
+	private final ActorRef<MaintenanceActor.WorkersObserved> maintenance;
+
+	private final PlacementTables tables;
+
 	private final PlacementPlanner planner;
 
 	private final WorkerReconciler reconciler;
@@ -59,16 +64,20 @@
 
 	private final RoundGate gate = new RoundGate();
 
+	private final List<HostSighting> sightings = new ArrayList<>();
+
 	private Optional<LeaderView> current = Optional.empty();
 
 	private PlacementActor(ActorContext<Message> context, TimerScheduler<Message> timers, PlacementSettings settings,
-			Duration roundPeriod, Clock clock, ReplicaPort replica) {
+			Duration roundPeriod, Clock clock, ReplicaPort replica,
+			ActorRef<MaintenanceActor.WorkersObserved> maintenance) {
 		super(context);
 		this.clock = clock;
 		this.replica = replica;
-		PlacementTables tables = new PlacementTables(settings);
-		this.planner = new PlacementPlanner(settings, tables);
-		this.reconciler = tables.createReconciler();
+		this.maintenance = maintenance;
+		this.tables = new PlacementTables(settings);
+		this.planner = new PlacementPlanner(settings, this.tables);
+		this.reconciler = this.tables.createReconciler();
 		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
 		this.proposalAdapter = context.messageAdapter(ReplicaPort.ProposalsEnded.class,
 				(ended) -> RoundSignal.PROPOSALS_ENDED);
@@ -83,12 +92,13 @@
 	 * @param roundPeriod time between two rounds
 	 * @param clock wall clock of this process
 	 * @param replica the replica of this member
+	 * @param maintenance gets what the worker reports show
 	 * @return the behavior
 	 */
 	public static Behavior<Message> create(PlacementSettings settings, Duration roundPeriod, Clock clock,
-			ReplicaPort replica) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new PlacementActor(context, timers, settings, roundPeriod, clock, replica)));
+			ReplicaPort replica, ActorRef<MaintenanceActor.WorkersObserved> maintenance) {
+		return Behaviors.setup((context) -> Behaviors.withTimers(
+				(timers) -> new PlacementActor(context, timers, settings, roundPeriod, clock, replica, maintenance)));
 	}
 
 	@Override
@@ -130,9 +140,16 @@
 		this.current = Optional.of(new LeaderView(view.term(), jobs, nowMillis));
 		PlacementDecision decision = this.planner.plan(view.view(), jobs, nowMillis);
 		proposeRound(decision.commands());
+		passOnSightings();
 		return this;
 	}
 
+	private void passOnSightings() {
+		this.maintenance
+			.tell(new MaintenanceActor.WorkersObserved(this.sightings, this.tables.estimator().runTimeFactors()));
+		this.sightings.clear();
+	}
+
 	private void proposeRound(List<Command> commands) {
 		if (commands.isEmpty()) {
 			this.gate.end();
@@ -156,6 +173,7 @@
 			ReportAnswer answer = this.reconciler.answer(report, view.jobs(), nowMillis);
 			commands.addAll(answer.commands());
 			orders.add(answer.order());
+			this.sightings.add(new HostSighting(report.worker(), report.bootId()));
 		}
 		if (!commands.isEmpty()) {
 			this.replica.propose(commands, getContext().getSystem().ignoreRef());
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
@@ -41,8 +41,9 @@
 
 	private final TestProbe<ClientMessage> entryHost = this.testKit.createTestProbe();
 
-	private final ActorRef<PlacementActor.Message> actor = this.testKit.spawn(PlacementActor
-		.create(PlacementSettings.DEFAULT, PERIOD, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), this.replica));
+	private final ActorRef<PlacementActor.Message> actor = this.testKit
+		.spawn(PlacementActor.create(PlacementSettings.DEFAULT, PERIOD, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC),
+				this.replica, this.testKit.system().ignoreRef()));
 
 	@AfterEach
 	void stop() {
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/AvailabilityCheck.java
@@ -0,0 +1,163 @@
+package io.burdockpin.core.maintenance;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostSpec;
+import io.burdockpin.core.model.PoolName;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.model.TeamSpec;
+import io.burdockpin.core.state.HostRecord;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.PoolRecord;
+import io.burdockpin.core.state.TeamRecord;
+
+/**
+ * Checks planned stops against the budgets per pool, per failure domain and per team.
+ * Used by the planner before it proposes a stop and by the state machine when it applies
+ * one. Mutable: stops that are noted count in later checks. Owned by its creator.
+ */
+public final class AvailabilityCheck {
+
+	private final Map<PoolName, PoolAvailability> pools = new HashMap<>();
+
+	private final Map<HostName, HostRecord> hosts = new HashMap<>();
+
+	private final Map<PoolName, List<TeamSpec>> teamsByPool = new HashMap<>();
+
+	private final Map<TeamName, Set<PoolName>> poolsByTeam = new HashMap<>();
+
+	/**
+	 * Takes the current records.
+	 * @param pools all pools
+	 * @param hosts all hosts
+	 * @param teams all teams
+	 * @param jobs all jobs; a team uses the pools of its jobs that have not ended
+	 */
+	public AvailabilityCheck(Iterable<PoolRecord> pools, Iterable<HostRecord> hosts, Iterable<TeamRecord> teams,
+			Iterable<JobRecord> jobs) {
+		for (PoolRecord pool : pools) {
+			this.pools.put(pool.name(), new PoolAvailability(pool.name(), pool.budget()));
+		}
+		for (HostRecord host : hosts) {
+			addHost(host);
+		}
+		addTeams(teams, jobs);
+	}
+
+	// configuration
+
+	/**
+	 * Counts a stop that has been decided.
+	 * @param host a host that is in service
+	 */
+	public void noteStop(HostName host) {
+		find(host).ifPresent((record) -> {
+			poolOf(record).ifPresent((pool) -> pool.stop(record.spec()));
+			this.hosts.remove(host);
+		});
+	}
+
+	// access
+
+	/**
+	 * Checks the stop of a host.
+	 * @param host the host
+	 * @return why the stop is refused, or nothing if it keeps all budgets
+	 */
+	public Optional<String> refusal(HostName host) {
+		Optional<HostRecord> record = find(host);
+		if (record.isEmpty() || poolOf(record.get()).isEmpty()) {
+			return Optional.of("host %s is unknown or already out".formatted(host));
+		}
+		if (!record.get().state().countsAsAvailable()) {
+			// A host that is out already counts in every budget.
+			return Optional.empty();
+		}
+		PoolAvailability pool = poolOf(record.get()).get();
+		for (BudgetRule rule : BudgetRule.values()) {
+			Optional<String> reason = rule.brokenBy(record.get().spec(), pool);
+			if (reason.isPresent()) {
+				return reason;
+			}
+		}
+		return teamRefusal(record.get());
+	}
+
+	/**
+	 * Tells whether a rack already has a host of the same pool out, so that another host
+	 * of it adds no failure domain.
+	 * @param host the host
+	 * @return {@code true} if its rack counts already
+	 */
+	public boolean isRackOut(HostRecord host) {
+		return poolOf(host).filter((pool) -> pool.isRackOut(RackKey.of(host.spec()))).isPresent();
+	}
+
+	// helpers
+
+	private void addHost(HostRecord host) {
+		this.hosts.put(host.spec().name(), host);
+		poolOf(host).ifPresent((pool) -> pool.add(host.spec(), host.state().countsAsAvailable()));
+	}
+
+	private void addTeams(Iterable<TeamRecord> teams, Iterable<JobRecord> jobs) {
+		Map<TeamName, TeamSpec> withMinimum = new HashMap<>();
+		for (TeamRecord team : teams) {
+			if (team.spec().minimumCapacityMillicores() > 0) {
+				withMinimum.put(team.spec().name(), team.spec());
+			}
+		}
+		for (JobRecord job : jobs) {
+			TeamSpec team = withMinimum.get(job.spec().team());
+			if (team != null && !job.state().ended()) {
+				addUse(team, job.spec().pool());
+			}
+		}
+	}
+
+	private void addUse(TeamSpec team, PoolName pool) {
+		if (this.poolsByTeam.computeIfAbsent(team.name(), (name) -> new HashSet<>()).add(pool)) {
+			this.teamsByPool.computeIfAbsent(pool, (name) -> new ArrayList<>()).add(team);
+		}
+	}
+
+	private Optional<String> teamRefusal(HostRecord host) {
+		for (TeamSpec team : this.teamsByPool.getOrDefault(host.pool(), List.of())) {
+			long left = millicoresInService(team.name()) - millicores(host.spec());
+			if (left < team.minimumCapacityMillicores()) {
+				return Optional.of("team %s would have %d millicores in service, %d are required".formatted(team.name(),
+						left, team.minimumCapacityMillicores()));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private long millicoresInService(TeamName team) {
+		long sum = 0;
+		for (PoolName name : this.poolsByTeam.get(team)) {
+			PoolAvailability pool = this.pools.get(name);
+			sum += (pool != null) ? pool.inServiceMillicores() : 0;
+		}
+		return sum;
+	}
+
+	private Optional<HostRecord> find(HostName host) {
+		return Optional.ofNullable(this.hosts.get(host));
+	}
+
+	private Optional<PoolAvailability> poolOf(HostRecord host) {
+		return Optional.ofNullable(this.pools.get(host.pool()));
+	}
+
+	private static int millicores(HostSpec host) {
+		return host.capacity().cpuMillicores();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/BudgetRule.java
@@ -0,0 +1,62 @@
+package io.burdockpin.core.maintenance;
+
+import java.util.Optional;
+
+import io.burdockpin.core.model.HostSpec;
+
+/**
+ * The limits that a planned stop must keep. A host that is out for any reason counts,
+ * whether it was stopped or failed on its own.
+ */
+enum BudgetRule {
+
+	/** The minimum percentage of the pool's hosts in service. */
+	MINIMUM_IN_SERVICE {
+		@Override
+		Optional<String> brokenBy(HostSpec host, PoolAvailability pool) {
+			long required = (long) pool.budget().minimumInServicePercent() * pool.hostCount();
+			if (PERCENT * (pool.inServiceCount() - 1L) >= required) {
+				return Optional.empty();
+			}
+			return Optional.of("pool %s would have %d of %d hosts in service, %d%% are required".formatted(pool.name(),
+					pool.inServiceCount() - 1, pool.hostCount(), pool.budget().minimumInServicePercent()));
+		}
+	},
+
+	/** The number of hosts that may be out at once. */
+	MAXIMUM_HOSTS_OUT {
+		@Override
+		Optional<String> brokenBy(HostSpec host, PoolAvailability pool) {
+			int out = pool.hostCount() - pool.inServiceCount() + 1;
+			if (out <= pool.budget().maximumHostsOut()) {
+				return Optional.empty();
+			}
+			return Optional.of("pool %s would have %d hosts out, allowed are %d".formatted(pool.name(), out,
+					pool.budget().maximumHostsOut()));
+		}
+	},
+
+	/** The number of failure domains with a host out. */
+	MAXIMUM_RACKS_OUT {
+		@Override
+		Optional<String> brokenBy(HostSpec host, PoolAvailability pool) {
+			int racks = pool.racksOutWith(RackKey.of(host));
+			if (racks <= pool.budget().maximumRacksOut()) {
+				return Optional.empty();
+			}
+			return Optional.of("pool %s would have hosts out in %d racks, allowed are %d".formatted(pool.name(), racks,
+					pool.budget().maximumRacksOut()));
+		}
+	};
+
+	private static final int PERCENT = 100;
+
+	/**
+	 * Checks the stop of one host that is in service.
+	 * @param host the host
+	 * @param pool its pool before the stop
+	 * @return why the stop is refused, or nothing if it keeps the limit
+	 */
+	abstract Optional<String> brokenBy(HostSpec host, PoolAvailability pool);
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -0,0 +1,235 @@
+package io.burdockpin.core.maintenance;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.model.CampaignName;
+import io.burdockpin.core.model.CampaignSpec;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.placement.FleetView;
+import io.burdockpin.core.placement.JobIndex;
+import io.burdockpin.core.placement.RemainingTime;
+import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.CampaignState;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.DrainRecord;
+import io.burdockpin.core.state.HostRecord;
+import io.burdockpin.core.state.MaintenanceCommand;
+
+/**
+ * Decides in rounds which hosts campaigns take out and when they come back. Progress is
+ * read from the replicated records, so a new leader goes on where the last one stopped.
+ * Mutable through its watches, owned by one actor.
+ */
+public final class MaintenancePlanner {
+
+	private final DrainOrder order;
+
+	private final RebootWatch reboots;
+
+	private final LossWatch losses;
+
+	private final Map<CampaignName, CampaignState> lastStates = new HashMap<>();
+
+	/**
+	 * Creates a planner.
+	 * @param settings the settings
+	 */
+	public MaintenancePlanner(MaintenanceSettings settings) {
+		this.order = new DrainOrder(settings.preference());
+		this.reboots = new RebootWatch(settings.unconfirmedReturnMillis());
+		this.losses = new LossWatch(settings.lossWindowMillis());
+	}
+
+	// life cycle
+
+	/** Forgets what reports said, as a new leader does. */
+	public void restart() {
+		this.reboots.restart();
+		this.losses.restart();
+		this.lastStates.clear();
+	}
+
+	/**
+	 * Takes a report of a host.
+	 * @param sighting the report
+	 */
+	public void observe(HostSighting sighting) {
+		this.reboots.observe(sighting);
+	}
+
+	/**
+	 * Decides one round.
+	 * @param view the current records
+	 * @param jobs the jobs of the view
+	 * @param remainingTime estimates how long jobs run on
+	 * @param nowMillis the time of the round
+	 * @return commands to propose, and what the drains will interrupt
+	 */
+	public MaintenanceDecision plan(FleetView view, JobIndex jobs, RemainingTime remainingTime, long nowMillis) {
+		Round round = new Round(view, jobs, remainingTime, nowMillis);
+		this.losses.observe(view.hosts(), round.hostsOut, nowMillis);
+		view.hosts().forEach((host) -> this.reboots.observe(host, nowMillis));
+		for (CampaignRecord campaign : view.campaigns()) {
+			acknowledgeResumed(campaign);
+			advanceHosts(round, campaign);
+			if (campaign.state().startsDrains()) {
+				goOn(round, campaign);
+			}
+		}
+		return new MaintenanceDecision(round.commands, round.statements);
+	}
+
+	// helpers
+
+	private void acknowledgeResumed(CampaignRecord campaign) {
+		CampaignState last = this.lastStates.put(campaign.spec().name(), campaign.state());
+		if (last == CampaignState.PAUSED && campaign.state() == CampaignState.RUNNING) {
+			this.losses.acknowledge(campaign.spec().pools());
+		}
+	}
+
+	private void advanceHosts(Round round, CampaignRecord campaign) {
+		boolean cancelled = campaign.state() == CampaignState.CANCELLED;
+		for (DrainRecord drain : campaign.hostsOut()) {
+			HostRecord host = round.hosts.get(drain.host());
+			if (host != null) {
+				CampaignStep.Situation situation = new CampaignStep.Situation(
+						round.jobs.placedOn(drain.host()).isEmpty(),
+						this.reboots.hasReturned(drain.host(), round.nowMillis), cancelled);
+				CampaignStep.of(host.state())
+					.next(campaign.spec().name(), drain.host(), situation)
+					.ifPresent(round.commands::add);
+			}
+		}
+	}
+
+	private void goOn(Round round, CampaignRecord campaign) {
+		CampaignSpec spec = campaign.spec();
+		int lost = this.losses.countIn(spec.pools());
+		if (lost > spec.maximumUnplannedLosses()) {
+			round.commands.add(new MaintenanceCommand.PauseCampaign(spec.name(),
+					"%d hosts were lost on their own, allowed are %d".formatted(lost, spec.maximumUnplannedLosses())));
+			return;
+		}
+		List<HostRecord> left = hostsLeft(round, campaign);
+		if (left.isEmpty() && campaign.hostsOut().isEmpty()) {
+			round.commands.add(new MaintenanceCommand.CompleteCampaign(spec.name()));
+			return;
+		}
+		startWave(round, campaign, left);
+	}
+
+	private List<HostRecord> hostsLeft(Round round, CampaignRecord campaign) {
+		Set<HostName> done = new HashSet<>(campaign.hostsDone());
+		List<HostRecord> left = new ArrayList<>();
+		for (HostRecord host : round.view.hosts()) {
+			boolean open = !done.contains(host.spec().name()) && !round.hostsOut.contains(host.spec().name());
+			if (open && campaign.spec().pools().contains(host.pool())) {
+				left.add(host);
+			}
+		}
+		return left;
+	}
+
+	private void startWave(Round round, CampaignRecord campaign, List<HostRecord> left) {
+		int room = campaign.spec().maximumConcurrentHosts() - campaign.hostsOut().size();
+		List<DrainOrder.Candidate> candidates = (room > 0) ? candidates(round, campaign, left) : List.of();
+		while (room > 0 && !candidates.isEmpty()) {
+			Optional<DrainOrder.Candidate> next = nextDrain(round, campaign, candidates);
+			if (next.isEmpty()) {
+				return;
+			}
+			startDrain(round, campaign, next.get());
+			candidates.remove(next.get());
+			room--;
+		}
+	}
+
+	private List<DrainOrder.Candidate> candidates(Round round, CampaignRecord campaign, List<HostRecord> left) {
+		CampaignSpec spec = campaign.spec();
+		boolean patient = round.nowMillis + 2 * spec.drainMillis() < spec.deadlineMillis();
+		List<DrainOrder.Candidate> candidates = new ArrayList<>();
+		for (HostRecord host : left) {
+			if (!host.state().successors().contains(HostState.DRAINING)) {
+				continue;
+			}
+			DrainForecast forecast = DrainForecast.of(round.jobs.placedOn(host.spec().name()), round.remainingTime,
+					spec.drainMillis(), round.nowMillis);
+			if (forecast.endedJobs().isEmpty() || !patient) {
+				candidates.add(new DrainOrder.Candidate(spec.name(), host, forecast));
+			}
+		}
+		return candidates;
+	}
+
+	private Optional<DrainOrder.Candidate> nextDrain(Round round, CampaignRecord campaign,
+			List<DrainOrder.Candidate> candidates) {
+		// Pools are worked on in the order of the campaign as far as the budgets permit.
+		Comparator<DrainOrder.Candidate> byPool = Comparator
+			.comparingInt((candidate) -> campaign.spec().pools().indexOf(candidate.host().pool()));
+		return candidates.stream()
+			.filter((candidate) -> round.check.refusal(candidate.host().spec().name()).isEmpty())
+			.min(byPool.thenComparingDouble((candidate) -> penalty(round, campaign, candidate))
+				.thenComparing((candidate) -> candidate.host().spec().rack())
+				.thenComparing((candidate) -> candidate.host().spec().name()));
+	}
+
+	private double penalty(Round round, CampaignRecord campaign, DrainOrder.Candidate candidate) {
+		return this.order.penalty(candidate.forecast(), campaign.spec().drainMillis(),
+				round.check.isRackOut(candidate.host()));
+	}
+
+	private void startDrain(Round round, CampaignRecord campaign, DrainOrder.Candidate candidate) {
+		CampaignName name = campaign.spec().name();
+		HostName host = candidate.host().spec().name();
+		long deadlineMillis = round.nowMillis + campaign.spec().drainMillis();
+		round.commands.add(new MaintenanceCommand.StartDrain(name, host, campaign.wave() + 1, deadlineMillis));
+		round.statements.add(new DrainStatement(name, host, deadlineMillis, candidate.forecast().movedJobs(),
+				candidate.forecast().endedJobs()));
+		round.check.noteStop(host);
+		round.hostsOut.add(host);
+	}
+
+	/** Working data of one round. */
+	private static final class Round {
+
+		private final FleetView view;
+
+		private final JobIndex jobs;
+
+		private final RemainingTime remainingTime;
+
+		private final long nowMillis;
+
+		private final Map<HostName, HostRecord> hosts = new HashMap<>();
+
+		private final Set<HostName> hostsOut = new HashSet<>();
+
+		private final AvailabilityCheck check;
+
+		private final List<Command> commands = new ArrayList<>();
+
+		private final List<DrainStatement> statements = new ArrayList<>();
+
+		private Round(FleetView view, JobIndex jobs, RemainingTime remainingTime, long nowMillis) {
+			this.view = view;
+			this.jobs = jobs;
+			this.remainingTime = remainingTime;
+			this.nowMillis = nowMillis;
+			view.hosts().forEach((host) -> this.hosts.put(host.spec().name(), host));
+			view.campaigns()
+				.forEach((campaign) -> campaign.hostsOut().forEach((drain) -> this.hostsOut.add(drain.host())));
+			this.check = new AvailabilityCheck(view.pools(), view.hosts(), view.teams(), view.jobs());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/RebootWatch.java
@@ -0,0 +1,92 @@
+package io.burdockpin.core.maintenance;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.state.HostRecord;
+
+/**
+ * Tells from boot identifiers which hosts have come back from maintenance. Mutable, owned
+ * by one planner.
+ */
+final class RebootWatch {
+
+	private final long unconfirmedReturnMillis;
+
+	private final Map<HostName, String> bootIds = new HashMap<>();
+
+	private final Map<HostName, Stay> stays = new HashMap<>();
+
+	RebootWatch(long unconfirmedReturnMillis) {
+		this.unconfirmedReturnMillis = unconfirmedReturnMillis;
+	}
+
+	// life cycle
+
+	/** Forgets all boots, as a new leader does. */
+	void restart() {
+		this.bootIds.clear();
+		this.stays.clear();
+	}
+
+	/**
+	 * Takes a report.
+	 * @param sighting the report
+	 */
+	void observe(HostSighting sighting) {
+		this.bootIds.put(sighting.host(), sighting.bootId());
+	}
+
+	/**
+	 * Takes the state of a host in a round.
+	 * @param host the host
+	 * @param nowMillis the time of the round
+	 */
+	void observe(HostRecord host, long nowMillis) {
+		HostName name = host.spec().name();
+		if (host.state() == HostState.DRAINING) {
+			this.stays.put(name, new Stay(Optional.ofNullable(this.bootIds.get(name)), true, nowMillis));
+		}
+		else if (host.state() == HostState.IN_MAINTENANCE) {
+			this.stays.computeIfAbsent(name,
+					(key) -> new Stay(Optional.ofNullable(this.bootIds.get(name)), false, nowMillis));
+		}
+		else {
+			this.stays.remove(name);
+		}
+	}
+
+	// access
+
+	/**
+	 * Tells whether a host in maintenance has come back.
+	 * @param host the host
+	 * @param nowMillis the time of the round
+	 * @return {@code true} if it reports from a new boot, or if it has reported for long
+	 * enough to a leader that did not see it go
+	 */
+	boolean hasReturned(HostName host, long nowMillis) {
+		Stay stay = this.stays.get(host);
+		String bootId = this.bootIds.get(host);
+		if (stay == null || bootId == null) {
+			return false;
+		}
+		boolean newBoot = stay.bootId().filter((old) -> old.equals(bootId)).isEmpty();
+		boolean longEnough = !stay.seenFromStart() && nowMillis - stay.sinceMillis() >= this.unconfirmedReturnMillis;
+		return newBoot || longEnough;
+	}
+
+	/**
+	 * What was known when the maintenance of a host began.
+	 *
+	 * @param bootId the boot that the host reported from, if it reported
+	 * @param seenFromStart whether this leader saw the drain
+	 * @param sinceMillis when this leader first saw the host drain or in maintenance
+	 */
+	private record Stay(Optional<String> bootId, boolean seenFromStart, long sinceMillis) {
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/DrainControl.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/DrainControl.java
@@ -6,6 +6,7 @@
 import io.burdockpin.core.model.JobState;
 import io.burdockpin.core.placement.WorkerLoad.PlacedJob;
 import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.CampaignState;
 import io.burdockpin.core.state.DrainRecord;
 import io.burdockpin.core.state.JobRecord;
 
@@ -30,6 +31,9 @@
 	 */
 	void apply(PlacementRound round) {
 		for (CampaignRecord campaign : round.view().campaigns()) {
+			if (campaign.state() == CampaignState.CANCELLED) {
+				continue;
+			}
 			for (DrainRecord drain : campaign.hostsOut()) {
 				round.worker(drain.host()).ifPresent((worker) -> stopJobs(round, worker, drain.drainDeadlineMillis()));
 			}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostState;
@@ -46,14 +47,19 @@
 	/**
 	 * Decides the changes of host states for a round.
 	 * @param hosts all hosts
+	 * @param hostsOut hosts that a campaign has taken out; the maintenance planner brings
+	 * them back when they are lost
 	 * @param nowMillis the time of the round
 	 * @return the commands
 	 */
-	List<Command> commandsFor(List<HostRecord> hosts, long nowMillis) {
+	List<Command> commandsFor(List<HostRecord> hosts, Set<HostName> hostsOut, long nowMillis) {
 		Map<PoolName, PoolCount> counts = countPools(hosts);
 		List<Command> commands = new ArrayList<>();
 		for (HostRecord host : hosts) {
 			this.firstSeenMillis.putIfAbsent(host.spec().name(), nowMillis);
+			if (host.state() == HostState.LOST && hostsOut.contains(host.spec().name())) {
+				continue;
+			}
 			nextState(host, counts.get(host.pool()), nowMillis)
 				.ifPresent((state) -> commands.add(change(host.spec().name(), state)));
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -2,9 +2,12 @@
 
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Resources;
 import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.JobRecord;
@@ -75,7 +78,7 @@
 		PlacementRound round = new PlacementRound(view, nowMillis, this.settings, this.tables.estimator(),
 				this.tables.interventions(), this.tables.eligibility());
 		interruptLapsed(round);
-		this.tables.hostWatch().commandsFor(view.hosts(), nowMillis).forEach(round::propose);
+		this.tables.hostWatch().commandsFor(view.hosts(), hostsOut(view), nowMillis).forEach(round::propose);
 		this.drains.apply(round);
 		this.overload.apply(round);
 		this.parking.apply(round);
@@ -86,6 +89,12 @@
 
 	// helpers
 
+	private static Set<HostName> hostsOut(FleetView view) {
+		Set<HostName> hosts = new HashSet<>();
+		view.campaigns().forEach((campaign) -> campaign.hostsOut().forEach((drain) -> hosts.add(drain.host())));
+		return hosts;
+	}
+
 	private void interruptLapsed(PlacementRound round) {
 		for (JobRecord job : round.view().jobs()) {
 			if (job.state().holdsCapacity() && this.tables.leases().hasLapsed(job, round.nowMillis())) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
@@ -94,7 +94,11 @@
 		return this.interventions;
 	}
 
-	UsageEstimator estimator() {
+	/**
+	 * Returns the estimator.
+	 * @return the estimator, for the owner of these tables only
+	 */
+	public UsageEstimator estimator() {
 		return this.estimator;
 	}
 
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/RunTimeFactors.java
@@ -0,0 +1,36 @@
+package io.burdockpin.core.placement;
+
+import java.util.Map;
+
+import io.burdockpin.core.model.JobSpec;
+import io.burdockpin.core.state.JobRecord;
+
+/**
+ * Corrections of declared run times as they were at one moment. Immutable.
+ */
+public final class RunTimeFactors implements RemainingTime {
+
+	private final Map<DemandKey, Double> factors;
+
+	RunTimeFactors(Map<DemandKey, Double> factors) {
+		this.factors = Map.copyOf(factors);
+	}
+
+	@Override
+	public long expectedRemainingMillis(JobRecord job, long nowMillis) {
+		double factor = this.factors.getOrDefault(DemandKey.of(job.spec()), 1.0);
+		return remaining(job, corrected(job.spec(), factor), nowMillis);
+	}
+
+	static long corrected(JobSpec spec, double factor) {
+		return Math.max(1, Math.round(spec.runMillis() * factor));
+	}
+
+	static long remaining(JobRecord job, long expectedRunMillis, long nowMillis) {
+		long elapsedMillis = Math.max(0, nowMillis - job.changedMillis());
+		long remainingMillis = expectedRunMillis - elapsedMillis;
+		// A job that has outlived its estimate is expected to run on for half as long.
+		return (remainingMillis > 0) ? remainingMillis : elapsedMillis / 2;
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/UsageEstimator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/UsageEstimator.java
@@ -13,7 +13,7 @@
  * used. Mutable, owned by one planner. Starts from the declarations after a change of
  * leader.
  */
-public final class UsageEstimator {
+public final class UsageEstimator implements RemainingTime {
 
 	/** Usage that a worker reports earlier after a start is not yet the job's own. */
 	private static final long USAGE_LAG_MILLIS = 10_000;
@@ -107,26 +107,31 @@
 	 * @return the corrected run time in milliseconds
 	 */
 	public long expectedRunMillis(JobSpec spec) {
-		Correction correction = this.corrections.get(DemandKey.of(spec));
-		double factor = (correction != null) ? correction.runTimes.quantile() : 1;
-		return Math.max(1, Math.round(spec.runMillis() * factor));
+		return RunTimeFactors.corrected(spec, runTimeFactor(DemandKey.of(spec)));
+	}
+
+	@Override
+	public long expectedRemainingMillis(JobRecord job, long nowMillis) {
+		return RunTimeFactors.remaining(job, expectedRunMillis(job.spec()), nowMillis);
 	}
 
 	/**
-	 * Returns how long a running job is expected to run on.
-	 * @param job the job
-	 * @param nowMillis the time of the round
-	 * @return the remaining time in milliseconds; half the elapsed time for a job that
-	 * has outlived its estimate
+	 * Returns the run time corrections for another actor.
+	 * @return an immutable copy
 	 */
-	public long expectedRemainingMillis(JobRecord job, long nowMillis) {
-		long elapsedMillis = Math.max(0, nowMillis - job.changedMillis());
-		long remainingMillis = expectedRunMillis(job.spec()) - elapsedMillis;
-		return (remainingMillis > 0) ? remainingMillis : elapsedMillis / 2;
+	public RunTimeFactors runTimeFactors() {
+		Map<DemandKey, Double> factors = new HashMap<>();
+		this.corrections.keySet().forEach((key) -> factors.put(key, runTimeFactor(key)));
+		return new RunTimeFactors(factors);
 	}
 
 	// helpers
 
+	private double runTimeFactor(DemandKey key) {
+		Correction correction = this.corrections.get(key);
+		return (correction != null) ? correction.runTimes.quantile() : 1;
+	}
+
 	private static double ratio(long observed, long declared) {
 		double ratio = (double) observed / Math.max(1, declared);
 		return Math.min(MAXIMUM_RATIO, Math.max(MINIMUM_RATIO, ratio));
