--- /dev/null
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Fleet.java
@@ -0,0 +1,100 @@
+package io.burdockpin.benchmark.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.burdockpin.core.placement.FleetView;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.ConfigurationCommand;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.Proposal;
+
+/**
+ * The replicated state without replication: each command is applied at once. Mutable,
+ * used by one thread.
+ */
+public final class Fleet {
+
+	private final FleetState state = FleetState.empty();
+
+	private final List<AppliedListener> listeners = new ArrayList<>();
+
+	private long index;
+
+	// life cycle
+
+	/**
+	 * Creates the pools, hosts and teams of a firm.
+	 * @param firm the firm
+	 * @return the fleet
+	 */
+	public static Fleet of(Firm firm) {
+		Fleet fleet = new Fleet();
+		fleet.apply(new ConfigurationCommand.CreatePool(Firm.SPARE_POOL, firm.budget(), true), 0);
+		firm.pools().forEach((pool) -> fleet.apply(new ConfigurationCommand.CreatePool(pool, firm.budget(), false), 0));
+		firm.hosts().forEach((host) -> fleet.apply(new ConfigurationCommand.AddHost(host.spec(), host.pool()), 0));
+		firm.teams().forEach((team) -> fleet.apply(new ConfigurationCommand.CreateTeam(team), 0));
+		return fleet;
+	}
+
+	/**
+	 * Adds a listener that hears of every applied command.
+	 * @param listener the listener
+	 */
+	public void addListener(AppliedListener listener) {
+		this.listeners.add(listener);
+	}
+
+	// access
+
+	/**
+	 * Applies a command.
+	 * @param command the command
+	 * @param nowMillis the virtual time
+	 * @return the result
+	 */
+	public CommandResult apply(Command command, long nowMillis) {
+		this.index++;
+		Proposal proposal = new Proposal(nowMillis, Optional.empty(), OptionalLong.empty(), command);
+		CommandResult result = this.state.apply(this.index, proposal);
+		this.listeners.forEach((listener) -> listener.applied(command, result, nowMillis));
+		return result;
+	}
+
+	/**
+	 * Returns the records for a planning round.
+	 * @return an immutable view
+	 */
+	public FleetView view() {
+		List<JobRecord> open = this.state.jobs().stream().filter((job) -> !job.state().ended()).toList();
+		return new FleetView(this.state.pools(), this.state.hosts(), this.state.teams(), open, this.state.tokens(),
+				this.state.campaigns());
+	}
+
+	/**
+	 * Returns the state machine.
+	 * @return the state machine, for reading
+	 */
+	public FleetState state() {
+		return this.state;
+	}
+
+	/** Hears of applied commands. */
+	@FunctionalInterface
+	public interface AppliedListener {
+
+		/**
+		 * Takes one applied command.
+		 * @param command the command
+		 * @param result its result
+		 * @param nowMillis the virtual time
+		 */
+		void applied(Command command, CommandResult result, long nowMillis);
+
+	}
+
+}
