Add the testbench: stand-in runner and worker, load tool and fault proxy

Cause: integration tests and the demo need upstreams, workers, load and network faults without third-party servers.

Ruled out: a proxy of our own, because netcrusher already has the reactor; a second HTTP client, because Pekko HTTP is in the tree.

Change: testbench.runner (slots, connections, switches, double-run detection, graceful leave), testbench.worker (jobs as timers under leases and epochs, lagging usage), testbench.load (open and closed loop, rotating demand, checked answers), testbench.proxy (one-way and two-way cuts, freeze, delay, reset, refuse).

--- /dev/null
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool with checked answers. */
+package io.burdockpin.testbench.load;
--- /dev/null
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
@@ -0,0 +1,127 @@
+package io.burdockpin.testbench.program;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import io.burdockpin.core.exc.BurdockException;
+import io.burdockpin.runtime.log.LogSetup;
+import io.burdockpin.runtime.service.ExitStatus;
+import io.burdockpin.runtime.service.GuardianCommand;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+
+/**
+ * Base of the testbench programs, which take all their settings from the command line.
+ * Used by the main thread.
+ */
+public abstract class TestbenchProgram {
+
+	private static final long STOP_TIMEOUT_SECONDS = 75;
+
+	/**
+	 * The shutdown hook of Pekko would stop the actors at once on SIGTERM, while work is
+	 * in flight. The time-outs leave room for requests of 60 s.
+	 */
+	private static final String CONFIGURATION = """
+			pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
+			pekko.http.server.request-timeout = infinite
+			pekko.http.server.idle-timeout = 120s
+			pekko.http.client.idle-timeout = 120s
+			pekko.http.host-connection-pool.max-connections = 1024
+			pekko.http.host-connection-pool.max-open-requests = 16384
+			pekko.http.host-connection-pool.max-retries = 0
+			pekko.http.host-connection-pool.base-connection-backoff = 0s
+			pekko.http.host-connection-pool.idle-timeout = 20s
+			pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 4
+			""";
+
+	private final String programName;
+
+	/**
+	 * Creates a program.
+	 * @param programName the name on the command line
+	 */
+	protected TestbenchProgram(String programName) {
+		this.programName = programName;
+	}
+
+	// life cycle
+
+	/**
+	 * Runs the program until it ends.
+	 * @param args the command line
+	 * @return the exit status
+	 */
+	public final ExitStatus run(String[] args) {
+		ArgumentParser parser = ArgumentParsers.newFor(this.programName).build().defaultHelp(true);
+		addArguments(parser);
+		try {
+			return runWith(parser.parseArgs(args));
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			return ExitStatus.USAGE;
+		}
+		catch (BurdockException ex) {
+			System.err.println(this.programName + ": " + ex.getCode() + ": " + ex.getMessage());
+			return ExitStatus.USAGE;
+		}
+	}
+
+	/**
+	 * Returns the configuration of the actor system.
+	 * @return the configuration
+	 */
+	public static Config actorConfiguration() {
+		return ConfigFactory.parseString(CONFIGURATION).withFallback(ConfigFactory.load());
+	}
+
+	/**
+	 * Adds the arguments of the program.
+	 * @param parser the parser to extend
+	 */
+	protected abstract void addArguments(ArgumentParser parser);
+
+	/**
+	 * Creates the behavior of the root guardian.
+	 * @param arguments the parsed command line
+	 * @param exit the exit status of the program
+	 * @return the behavior
+	 */
+	protected abstract Behavior<GuardianCommand> createGuardian(Namespace arguments,
+			CompletableFuture<ExitStatus> exit);
+
+	// helpers
+
+	private ExitStatus runWith(Namespace arguments) {
+		LogSetup.install();
+		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
+		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(arguments, exit), "testbench",
+				actorConfiguration());
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> stopGracefully(system), "stop-hook"));
+		system.getWhenTerminated().toCompletableFuture().join();
+		return exit.getNow(ExitStatus.SUCCESS);
+	}
+
+	private void stopGracefully(ActorSystem<GuardianCommand> system) {
+		system.tell(GuardianCommand.Stop.INSTANCE);
+		try {
+			system.getWhenTerminated().toCompletableFuture().get(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			System.err.println(this.programName + ": work in flight did not end in time: " + ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/package-info.java
@@ -0,0 +1,2 @@
+/** What the testbench programs share: command line, addresses, files and HTTP. */
+package io.burdockpin.testbench.program;
--- /dev/null
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Fault-injecting TCP proxy. */
+package io.burdockpin.testbench.proxy;
--- /dev/null
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in runner, an upstream that answers requests. */
+package io.burdockpin.testbench.runner;
