Share the actor configuration and keep requests alive on SIGTERM

Cause: with the defaults of Pekko the coordinated shutdown stops all actors on SIGTERM while requests are in flight, and the HTTP server answers 503 after 20 s although a request may take 60 s.

Ruled out: an application.conf on the class path, because every program and test would have to carry it.

Change: runtime.service.ActorConfiguration, used by ProgramBase and the testbench.

Conclusion: the stop hook of ProgramBase alone decides when actors end.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeoutException;
 
 import com.google.common.flogger.FluentLogger;
-import com.typesafe.config.ConfigFactory;
 import io.burdockpin.core.exc.BurdockException;
 import io.burdockpin.runtime.log.LogSetup;
 import io.burdockpin.runtime.settings.SettingsException;
@@ -143,7 +142,7 @@
 		LogSetup.install();
 		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
 		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(settings, exit), "burdockpin",
-				ConfigFactory.load());
+				ActorConfiguration.load());
 		Thread stopHook = new Thread(() -> stopGracefully(system), "stop-hook");
 		Runtime.getRuntime().addShutdownHook(stopHook);
 		logger.atInfo().log("Started %s.", this.programName);
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
@@ -9,6 +9,7 @@
 import com.typesafe.config.ConfigFactory;
 import io.burdockpin.core.exc.BurdockException;
 import io.burdockpin.runtime.log.LogSetup;
+import io.burdockpin.runtime.service.ActorConfiguration;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -27,20 +28,16 @@
 	private static final long STOP_TIMEOUT_SECONDS = 75;
 
 	/**
-	 * The shutdown hook of Pekko would stop the actors at once on SIGTERM, while work is
-	 * in flight. The time-outs leave room for requests of 60 s.
+	 * The load tool keeps many requests in flight; late answers come after the deadline.
 	 */
 	private static final String CONFIGURATION = """
-			pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
 			pekko.http.server.request-timeout = infinite
 			pekko.http.server.idle-timeout = 120s
 			pekko.http.client.idle-timeout = 120s
 			pekko.http.host-connection-pool.max-connections = 1024
 			pekko.http.host-connection-pool.max-open-requests = 16384
-			pekko.http.host-connection-pool.max-retries = 0
 			pekko.http.host-connection-pool.base-connection-backoff = 0s
 			pekko.http.host-connection-pool.idle-timeout = 20s
-			pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 4
 			""";
 
 	private final String programName;
@@ -81,7 +78,7 @@
 	 * @return the configuration
 	 */
 	public static Config actorConfiguration() {
-		return ConfigFactory.parseString(CONFIGURATION).withFallback(ConfigFactory.load());
+		return ConfigFactory.parseString(CONFIGURATION).withFallback(ActorConfiguration.load());
 	}
 
 	/**
