--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -2,8 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.exc.BurdockException;
@@ -28,9 +26,6 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Longest request plus the balancer's grace, with a margin. */
-	private static final long STOP_TIMEOUT_SECONDS = 75;
-
 	private final String programName;
 
 	private final Class<S> settingsType;
@@ -143,30 +138,12 @@
 		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
 		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(settings, exit), "burdockpin",
 				ActorConfiguration.load());
-		Thread stopHook = new Thread(() -> stopGracefully(system), "stop-hook");
-		Runtime.getRuntime().addShutdownHook(stopHook);
+		StopHook.install(system, exit);
 		logger.atInfo().log("Started %s.", this.programName);
 		system.getWhenTerminated().toCompletableFuture().join();
 		return exit.getNow(ExitStatus.SUCCESS);
 	}
 
-	private void stopGracefully(ActorSystem<GuardianCommand> system) {
-		system.tell(GuardianCommand.Stop.INSTANCE);
-		try {
-			system.getWhenTerminated().toCompletableFuture().get(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-		}
-		catch (TimeoutException ex) {
-			logger.atWarning().log("Work in flight did not end within %d s.", STOP_TIMEOUT_SECONDS);
-			Runtime.getRuntime().halt(ExitStatus.STOP_TIMED_OUT.status());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-		catch (java.util.concurrent.ExecutionException ex) {
-			logger.atWarning().withCause(ex).log("The actor system ended with an error.");
-		}
-	}
-
 	private void printError(BurdockException ex) {
 		System.err.println(this.programName + ": " + ex.getCode() + ": " + ex.getMessage());
 	}
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
@@ -1,9 +1,6 @@
 package io.burdockpin.testbench.program;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
@@ -12,6 +9,7 @@
 import io.burdockpin.runtime.service.ActorConfiguration;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
+import io.burdockpin.runtime.service.StopHook;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -25,8 +23,6 @@
  */
 public abstract class TestbenchProgram {
 
-	private static final long STOP_TIMEOUT_SECONDS = 75;
-
 	/**
 	 * The load tool keeps many requests in flight; late answers come after the deadline.
 	 */
@@ -103,22 +99,9 @@
 		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
 		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(arguments, exit), "testbench",
 				actorConfiguration());
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> stopGracefully(system), "stop-hook"));
+		StopHook.install(system, exit);
 		system.getWhenTerminated().toCompletableFuture().join();
 		return exit.getNow(ExitStatus.SUCCESS);
 	}
 
-	private void stopGracefully(ActorSystem<GuardianCommand> system) {
-		system.tell(GuardianCommand.Stop.INSTANCE);
-		try {
-			system.getWhenTerminated().toCompletableFuture().get(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			System.err.println(this.programName + ": work in flight did not end in time: " + ex);
-		}
-	}
-
 }
