--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/ProgramRoutes.java
@@ -0,0 +1,79 @@
+package io.burdockpin.runtime.http;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.burdockpin.runtime.metric.MetricRegistry;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/**
+ * Answers {@code /health}, {@code /ready} and {@code /metrics}. Immutable.
+ */
+public final class ProgramRoutes {
+
+	private static final int OK = 200;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final MetricRegistry metrics;
+
+	private final Supplier<CompletionStage<HealthReport>> health;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	/**
+	 * Creates the routes.
+	 * @param metrics the metrics of the process
+	 * @param health asks the actors of the process how they are
+	 */
+	public ProgramRoutes(MetricRegistry metrics, Supplier<CompletionStage<HealthReport>> health) {
+		this.metrics = metrics;
+		this.health = health;
+	}
+
+	/**
+	 * Answers a request if it is for one of the routes.
+	 * @param request the request
+	 * @return the answer, or nothing for other paths
+	 */
+	public Optional<CompletionStage<HttpResponse>> handle(HttpRequest request) {
+		return switch (request.getUri().path()) {
+			case "/health" -> Optional.of(this.health.get().thenApply((report) -> answer(report.healthy(), report)));
+			case "/ready" -> Optional.of(this.health.get().thenApply((report) -> answer(report.ready(), report)));
+			case "/metrics" -> Optional.of(CompletableFuture.completedFuture(metrics()));
+			default -> Optional.empty();
+		};
+	}
+
+	// helpers
+
+	private HttpResponse answer(boolean good, HealthReport report) {
+		return HttpResponse.create()
+			.withStatus(good ? OK : UNAVAILABLE)
+			.withEntity(ContentTypes.APPLICATION_JSON, print(report));
+	}
+
+	private HttpResponse metrics() {
+		return HttpResponse.create()
+			.addHeader(RawHeader.create("Cache-Control", "no-store"))
+			.withEntity(HttpEntities.create(ContentTypes.parse(this.metrics.contentType()), this.metrics.exposition()));
+	}
+
+	private byte[] print(HealthReport report) {
+		try {
+			return this.mapper.writeValueAsBytes(report);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("a report of strings and flags can always be printed", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/ProgramRoutesTests.java
@@ -0,0 +1,53 @@
+package io.burdockpin.runtime.http;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a stopping process that the balancer still uses. */
+class ProgramRoutesTests {
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	@Test
+	void aStoppingProcessIsHealthyButNotReady() {
+		ProgramRoutes routes = routes(new HealthReport(true, false, Map.of("state", "stopping")));
+		Truth.assertThat(get(routes, "/health").status().intValue()).isEqualTo(200);
+		Truth.assertThat(get(routes, "/ready").status().intValue()).isEqualTo(503);
+		Truth.assertThat(body(get(routes, "/ready"))).contains("\"state\":\"stopping\"");
+	}
+
+	@Test
+	void metricsAreServedAsText() {
+		this.metrics.record(Metric.TERM, 4);
+		HttpResponse response = get(routes(new HealthReport(true, true, Map.of())), "/metrics");
+		Truth.assertThat(response.entity().getContentType().toString()).startsWith("text/plain");
+		Truth.assertThat(body(response)).contains("burdock_term 4.0");
+	}
+
+	@Test
+	void otherPathsAreLeftToTheProgram() {
+		Truth.assertThat(routes(new HealthReport(true, true, Map.of())).handle(HttpRequest.GET("/v1/jobs")).isPresent())
+			.isFalse();
+	}
+
+	private ProgramRoutes routes(HealthReport report) {
+		return new ProgramRoutes(this.metrics, () -> CompletableFuture.completedFuture(report));
+	}
+
+	private static HttpResponse get(ProgramRoutes routes, String path) {
+		return routes.handle(HttpRequest.GET(path)).orElseThrow().toCompletableFuture().join();
+	}
+
+	private static String body(HttpResponse response) {
+		return ((HttpEntity.Strict) response.entity()).getData().utf8String();
+	}
+
+}
