Add burdockctl, the operator's command line

Cause: operators had no program.

Ruled out: keys as arguments, because other users of the machine see them; a second pass over the entry hosts after a pause, because a one-shot program should not wait for an election.

Change: module burdockpin-operator. Actions are enums, one for each kind of object. A call goes to the entry hosts in turn; a lost answer or an unknown outcome is resent elsewhere with the same identifier, and ends with status 4 when no entry host could tell. A key is drawn here or read from a file or standard input; only its hash is sent. The completion script is generated from the actions.

Conclusion: speaks OperatorService over Thrift; not yet run against an entry host.

--- /dev/null
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ExplainAction.java
@@ -0,0 +1,120 @@
+package io.burdockpin.operator.action;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import io.burdockpin.core.client.Query;
+import io.burdockpin.core.client.QueryResult;
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.operator.OperatorReply;
+import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.HostRecord;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.operator.OperatorException;
+import io.burdockpin.operator.OperatorExit;
+import io.burdockpin.operator.client.OperatorClient;
+import io.burdockpin.operator.output.CodeExplanation;
+import io.burdockpin.operator.output.Report;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+
+/** Explains why something is as it is. */
+enum ExplainAction implements Action {
+
+	JOB("why a job is where it is") {
+		@Override
+		public void addArguments(ArgumentParser parser) {
+			parser.addArgument("job");
+		}
+
+		@Override
+		public Report run(OperatorClient client, Arguments arguments) {
+			OperatorReply.Answered answer = client.ask(new Query.ExplainJob(new JobId(arguments.text("job"))));
+			List<String> lines = ((QueryResult.Explanation) answer.result()).lines();
+			return new Report(lines, lines, Report.staleWarning(answer));
+		}
+	},
+
+	HOST("what a host does and what keeps it out of service") {
+		@Override
+		public void addArguments(ArgumentParser parser) {
+			parser.addArgument("host");
+		}
+
+		@Override
+		public Report run(OperatorClient client, Arguments arguments) {
+			OperatorReply.Answered answer = Fleet.askConfiguration(client);
+			HostRecord host = host(answer, arguments.text("host"));
+			List<String> lines = new ArrayList<>();
+			lines.add("host %s is %s in pool %s, data centre %s, rack %s".formatted(host.spec().name(), host.state(),
+					host.pool(), host.spec().dataCentre(), host.spec().rack()));
+			lines.add(host.state().takesNewJobs() ? "it takes new jobs" : "it takes no new jobs");
+			Fleet.jobs(client.ask(new Query.ListJobs()))
+				.stream()
+				.filter((job) -> runsOn(job, host))
+				.forEach((job) -> lines
+					.add("job %s of team %s is %s on it".formatted(job.id(), job.spec().team(), job.state())));
+			Fleet.campaigns(client.ask(new Query.ListCampaigns()))
+				.forEach((campaign) -> lines.addAll(role(campaign, host)));
+			return new Report(lines, lines, Report.staleWarning(answer));
+		}
+	},
+
+	CODE("what an error code means and what to do") {
+		@Override
+		public void addArguments(ArgumentParser parser) {
+			parser.addArgument("code");
+		}
+
+		@Override
+		public Report run(OperatorClient client, Arguments arguments) {
+			String name = arguments.text("code").toUpperCase(Locale.ROOT);
+			ErrorCode code = Arrays.stream(ErrorCode.values())
+				.filter((candidate) -> candidate.name().equals(name))
+				.findFirst()
+				.orElseThrow(() -> OperatorException.usage("code %s does not exist".formatted(name)));
+			return Report.ofLines(CodeExplanation.of(code));
+		}
+	};
+
+	private final String help;
+
+	ExplainAction(String help) {
+		this.help = help;
+	}
+
+	@Override
+	public String help() {
+		return this.help;
+	}
+
+	private static HostRecord host(OperatorReply.Answered answer, String name) {
+		return Fleet.configuration(answer)
+			.hosts()
+			.stream()
+			.filter((host) -> host.spec().name().value().equals(name))
+			.findFirst()
+			.orElseThrow(() -> new OperatorException(OperatorExit.REFUSED, ErrorCode.UNKNOWN_HOST,
+					"host %s does not exist".formatted(name), null));
+	}
+
+	private static boolean runsOn(JobRecord job, HostRecord host) {
+		return job.state().holdsCapacity() && job.worker().filter(host.spec().name()::equals).isPresent();
+	}
+
+	private static List<String> role(CampaignRecord campaign, HostRecord host) {
+		List<String> lines = new ArrayList<>();
+		campaign.hostsOut()
+			.stream()
+			.filter((drain) -> drain.host().equals(host.spec().name()))
+			.forEach((drain) -> lines.add("campaign %s has it out, drain deadline %s".formatted(campaign.spec().name(),
+					java.time.Instant.ofEpochMilli(drain.drainDeadlineMillis()))));
+		if (campaign.hostsDone().contains(host.spec().name())) {
+			lines.add("campaign %s has maintained it".formatted(campaign.spec().name()));
+		}
+		return lines;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/key/package-info.java
@@ -0,0 +1,2 @@
+/** Team keys. */
+package io.burdockpin.operator.key;
--- /dev/null
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables, JSON and explanations. */
+package io.burdockpin.operator.output;
--- /dev/null
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator command line {@code burdockctl}. */
+package io.burdockpin.operator;
