Move hosts between pools as the state machine requires

Cause: the state machine refuses to move a host that takes jobs, and campaigns end although hosts are lost.

Ruled out: forcing the move; it would interrupt jobs that were placed in between.

Change: SparePlanner drains, moves and returns a host in one proposal; a campaign completes when only lost hosts are left; a late end settles an unknown outcome.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Firm.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Firm.java
@@ -44,6 +44,9 @@
 	/** The pool whose hosts are lent. */
 	public static final PoolName SPARE_POOL = new PoolName("spare");
 
+	/** Every host of the spare pool may be lent at once. */
+	static final AvailabilityBudget SPARE_BUDGET = new AvailabilityBudget(0, 1000, 1000);
+
 	private static final int HOSTS_PER_RACK = 4;
 
 	private static final int UNITS_PER_HOST = 40;
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Fleet.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Fleet.java
@@ -34,7 +34,7 @@
 	 */
 	public static Fleet of(Firm firm) {
 		Fleet fleet = new Fleet();
-		fleet.apply(new ConfigurationCommand.CreatePool(Firm.SPARE_POOL, firm.budget(), true), 0);
+		fleet.apply(new ConfigurationCommand.CreatePool(Firm.SPARE_POOL, Firm.SPARE_BUDGET, true), 0);
 		firm.pools().forEach((pool) -> fleet.apply(new ConfigurationCommand.CreatePool(pool, firm.budget(), false), 0));
 		firm.hosts().forEach((host) -> fleet.apply(new ConfigurationCommand.AddHost(host.spec(), host.pool()), 0));
 		firm.teams().forEach((team) -> fleet.apply(new ConfigurationCommand.CreateTeam(team), 0));
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Measures.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Measures.java
@@ -181,11 +181,8 @@
 		return sorted.get((int) Math.ceil(PERCENTILE * sorted.size()) - 1);
 	}
 
-	/**
-	 * Each host is out for its reboot; no more hosts of a pool are out than its budget
-	 * permits.
-	 */
 	private long rolloutBoundMillis() {
+		// Each host is out for its reboot, and the budget limits how many of a pool are.
 		AvailabilityBudget budget = this.run.scenario().firm().budget();
 		long longestMillis = 0;
 		for (PoolName pool : this.run.scenario().firm().pools()) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/CampaignStep.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/CampaignStep.java
@@ -16,7 +16,6 @@
  */
 enum CampaignStep {
 
-	/** Has come back; the return to service is decided by its worker's reports. */
 	IN_SERVICE {
 		@Override
 		Optional<Command> next(CampaignName campaign, HostName host, Situation situation) {
@@ -41,10 +40,11 @@
 		}
 	},
 
+	/** Has come back; its worker's reports decide on the return to service. */
 	RETURNING {
 		@Override
 		Optional<Command> next(CampaignName campaign, HostName host, Situation situation) {
-			return Optional.empty();
+			return Optional.of(new MaintenanceCommand.CompleteHost(campaign, host));
 		}
 	},
 
@@ -56,10 +56,11 @@
 		}
 	},
 
+	/** Was maintained, but fails its jobs. It completes once it is tried again. */
 	SET_ASIDE {
 		@Override
 		Optional<Command> next(CampaignName campaign, HostName host, Situation situation) {
-			return Optional.of(new MaintenanceCommand.CompleteHost(campaign, host));
+			return Optional.empty();
 		}
 	};
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -120,7 +120,9 @@
 			return;
 		}
 		List<HostRecord> left = hostsLeft(round, campaign);
-		if (left.isEmpty() && campaign.hostsOut().isEmpty()) {
+		// Lost hosts do not hold up the end, because nobody knows whether they come back.
+		boolean allLost = left.stream().allMatch((host) -> host.state() == HostState.LOST);
+		if (allLost && campaign.hostsOut().isEmpty()) {
 			round.commands.add(new MaintenanceCommand.CompleteCampaign(spec.name()));
 			return;
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/SparePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/SparePlanner.java
@@ -15,6 +15,7 @@
 import io.burdockpin.core.model.PoolName;
 import io.burdockpin.core.placement.FleetView;
 import io.burdockpin.core.placement.JobIndex;
+import io.burdockpin.core.state.ChangeCause;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.core.state.HostRecord;
@@ -111,7 +112,7 @@
 			HostName host = spare.get().spec().name();
 			this.loans.put(host, new Loan(spare.get().pool(), nowMillis));
 			this.shortSinceMillis.put(neediest.get(), nowMillis);
-			commands.add(new ConfigurationCommand.MoveHost(host, neediest.get(), false));
+			commands.addAll(move(host, neediest.get()));
 		}
 	}
 
@@ -126,11 +127,22 @@
 				this.loans.put(host.spec().name(), new Loan(loan.home(), nowMillis));
 			}
 			else if (nowMillis - loan.busyMillis() >= this.settings.idleMillis()) {
-				commands.add(new ConfigurationCommand.MoveHost(host.spec().name(), loan.home(), false));
+				commands.addAll(move(host.spec().name(), loan.home()));
 			}
 		}
 	}
 
+	private static List<Command> move(HostName host, PoolName pool) {
+		// A host moves only while it takes no jobs. If one of the steps is rejected, the
+		// last one returns the host to service where it is.
+		return List.of(state(host, HostState.DRAINING), new ConfigurationCommand.MoveHost(host, pool, false),
+				state(host, HostState.IN_SERVICE));
+	}
+
+	private static Command state(HostName host, HostState state) {
+		return new ConfigurationCommand.SetHostState(host, state, ChangeCause.PLANNER);
+	}
+
 	private static boolean isIdle(HostRecord host, JobIndex jobs) {
 		return host.state() == HostState.IN_SERVICE && jobs.placedOn(host.spec().name()).isEmpty();
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
@@ -11,6 +11,7 @@
 import io.burdockpin.core.client.ClientMessage.WorkerOrder;
 import io.burdockpin.core.client.ClientMessage.WorkerReport;
 import io.burdockpin.core.client.JobOrderKind;
+import io.burdockpin.core.client.JobPhase;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.model.JobState;
@@ -103,8 +104,13 @@
 	}
 
 	private boolean isCurrent(JobRecord job, JobReport jobReport, HostName worker) {
-		return job.state().holdsCapacity() && job.leaseEpoch() == jobReport.leaseEpoch()
-				&& job.worker().equals(Optional.of(worker));
+		boolean open = job.state().holdsCapacity() || settlesUnknown(job, jobReport);
+		return open && job.leaseEpoch() == jobReport.leaseEpoch() && job.worker().equals(Optional.of(worker));
+	}
+
+	private static boolean settlesUnknown(JobRecord job, JobReport jobReport) {
+		boolean ended = jobReport.phase() == JobPhase.SUCCEEDED || jobReport.phase() == JobPhase.FAILED;
+		return job.state() == JobState.OUTCOME_UNKNOWN && ended;
 	}
 
 	private void reconcileCurrent(Draft draft, JobReport jobReport, JobRecord job) {
