Add burdock-timeline, which merges event files and marks broken promises

Cause: what happened across processes could only be read file by file.

Ruled out: ordering by wall clock, because clocks of hosts differ; the hybrid logical clock of the events already orders causes before effects.

EventField gains KEY and REPEATABLE, which the checks of P4 and P8 need.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -24,6 +24,12 @@
 	/** The identifier of a request. */
 	REQUEST("request"),
 
+	/** The first digits of the hash of a key. */
+	KEY("key"),
+
+	/** Whether a request or job may run again. */
+	REPEATABLE("repeatable"),
+
 	/** The number of an attempt. */
 	ATTEMPT("attempt"),
 
--- /dev/null
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/check/package-info.java
@@ -0,0 +1,2 @@
+/** Checks that find broken promises in events. */
+package io.burdockpin.timeline.check;
--- /dev/null
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/package-info.java
@@ -0,0 +1,2 @@
+/** Events read from files, in causal order. */
+package io.burdockpin.timeline.model;
--- /dev/null
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/output/package-info.java
@@ -0,0 +1,2 @@
+/** Text, JSON and HTML. */
+package io.burdockpin.timeline.output;
--- /dev/null
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** The time line program {@code burdock-timeline}. */
+package io.burdockpin.timeline;
