--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.function.LongFunction;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.Query;
 import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
 import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.Payload;
@@ -93,6 +96,7 @@
 	public Receive<Message> createReceive() {
 		return newReceiveBuilder().onMessage(Join.class, this::onJoin)
 			.onMessage(Claimed.class, this::onClaimed)
+			.onMessage(ClaimShown.class, this::onClaimShown)
 			.onMessage(Dispatched.class, (message) -> onDispatch(message.dispatch()))
 			.onMessage(AttemptDone.class, (message) -> onAttemptDone(message.report()))
 			.onMessage(ForwardDone.class, (message) -> onForwardDone(message.result()))
@@ -113,9 +117,17 @@
 	}
 
 	private Behavior<Message> onClaimed(Claimed message) {
+		if (ClaimReplies.hasRun(message.result())) {
+			askForKeptAnswer();
+			return this;
+		}
 		return carryOut(this.attempts.claimEnded(ClaimReplies.interpret(message.result())));
 	}
 
+	private Behavior<Message> onClaimShown(ClaimShown message) {
+		return carryOut(this.attempts.claimEnded(ClaimReplies.keptAnswer(message.result())));
+	}
+
 	private Behavior<Message> onDispatch(Dispatch dispatch) {
 		if (dispatch instanceof Dispatch.NoAttempt noAttempt) {
 			return carryOut(this.attempts.refused(noAttempt.code(), noAttempt.message()));
@@ -227,7 +239,7 @@
 		Command claim = new ClaimCommand.ClaimRequest(claimTeam(), this.request.caller().requestId(),
 				this.request.identity().holder());
 		long timeoutMillis = Math.min(this.request.proposalMillis(), remainingMillis());
-		propose(claim, timeoutMillis, getContext().messageAdapter(CallResult.class, Claimed::new));
+		propose(claim, timeoutMillis, Claimed::new);
 	}
 
 	private void enqueue(boolean retry) {
@@ -245,15 +257,27 @@
 
 	private Behavior<Message> proposeClaimEnd() {
 		this.claimRecordCount++;
-		propose(this.claimEnd.get(), this.request.proposalMillis(),
-				getContext().messageAdapter(CallResult.class, ClaimRecorded::new));
+		propose(this.claimEnd.get(), this.request.proposalMillis(), ClaimRecorded::new);
 		return this;
 	}
 
-	private void propose(Command command, long timeoutMillis, ActorRef<CallResult> replyTo) {
+	private void askForKeptAnswer() {
+		Query query = new Query.ShowClaim(claimTeam(), this.request.caller().requestId());
+		call((correlation) -> new ClientMessage.QueryRequest(correlation, query),
+				Math.min(this.request.proposalMillis(), remainingMillis()), ClaimShown::new);
+	}
+
+	private void propose(Command command, long timeoutMillis, Function<CallResult, Message> ended) {
+		call((correlation) -> new ClientMessage.Propose(correlation, Optional.empty(), OptionalLong.empty(), command),
+				timeoutMillis, ended);
+	}
+
+	private void call(LongFunction<ClientMessage> message, long timeoutMillis, Function<CallResult, Message> ended) {
+		// Only one call of a request is under way at a time, so replacing the adapter is
+		// safe.
 		this.request.control()
-			.tell(new ControlCommand.Call((correlation) -> new ClientMessage.Propose(correlation, Optional.empty(),
-					OptionalLong.empty(), command), timeoutMillis, replyTo));
+			.tell(new ControlCommand.Call(message, timeoutMillis,
+					getContext().messageAdapter(CallResult.class, ended::apply)));
 	}
 
 	private Behavior<Message> finish() {
@@ -282,6 +306,10 @@
 
 	}
 
+	private record ClaimShown(CallResult result) implements Message {
+
+	}
+
 	private record Dispatched(Dispatch dispatch) implements Message {
 
 	}
--- /dev/null
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -0,0 +1,86 @@
+package io.burdockpin.entry;
+
+import java.util.List;
+import java.util.Map;
+
+import io.burdockpin.core.model.KeyHash;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.model.TeamSpec;
+import io.burdockpin.core.state.ConfigurationSnapshot;
+import io.burdockpin.core.state.KeyRecord;
+import io.burdockpin.core.state.QueueRecord;
+import io.burdockpin.core.state.TeamRecord;
+import io.burdockpin.entry.cfg.PeerSettings;
+import io.burdockpin.entry.fake.FakeControl;
+import io.burdockpin.entry.fake.FakeRunner;
+import io.burdockpin.entry.fake.TestEntry;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/**
+ * One team with one key, one queue, a control member, a runner and up to two entry hosts.
+ */
+abstract class EntryTestBase {
+
+	static final TeamName TEAM = new TeamName("specifiers");
+
+	static final Map<String, String> REPEATABLE = Map.of("Burdock-Key", "key-1", "Burdock-Repeatable", "true");
+
+	private final PeerSettings first = TestEntry.peer("entry-1", "dc-1", "127.1.0.2");
+
+	private final PeerSettings second = TestEntry.peer("entry-2", "dc-1", "127.1.0.3");
+
+	private final ActorTestKit kit = ActorTestKit.create();
+
+	private final FakeRunner runner = new FakeRunner("127.1.0.4");
+
+	private FakeControl control;
+
+	@BeforeEach
+	void startControl() {
+		ConfigurationSnapshot configuration = new ConfigurationSnapshot(5, List.of(), List.of(),
+				List.of(new TeamRecord(new TeamSpec(TEAM, 1, 10, 0), 1)),
+				List.of(new KeyRecord(KeyHash.of("key-1"), TEAM, "first", false, 1),
+						new KeyRecord(KeyHash.of("key-2"), TEAM, "second", true, 1),
+						new KeyRecord(KeyHash.of("key-3"), new TeamName("deleted"), "third", false, 1)),
+				List.of(new QueueRecord(new QueueName("quotes"), false, 1)));
+		this.control = new FakeControl(this.kit, configuration, 10);
+	}
+
+	@AfterEach
+	void stopAll() {
+		this.runner.close();
+		this.kit.shutdownTestKit();
+	}
+
+	FakeControl control() {
+		return this.control;
+	}
+
+	FakeRunner runner() {
+		return this.runner;
+	}
+
+	TestEntry startAlone() {
+		return TestEntry.start(this.kit, this.first, List.of(), this.control);
+	}
+
+	TestEntry startFirst() {
+		return TestEntry.start(this.kit, this.first, List.of(this.second), this.control);
+	}
+
+	TestEntry startSecond() {
+		return TestEntry.start(this.kit, this.second, List.of(this.first), this.control);
+	}
+
+	static Map<String, String> once(String token) {
+		return Map.of("Burdock-Key", "key-1", "Burdock-Request-Id", identifier(token));
+	}
+
+	static String identifier(String token) {
+		return System.currentTimeMillis() / 1000 + "-" + token;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/ResendTests.java
@@ -0,0 +1,76 @@
+package io.burdockpin.entry;
+
+import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.state.ClaimCommand;
+import io.burdockpin.entry.fake.FakeRunner;
+import io.burdockpin.entry.fake.TestEntry;
+import org.junit.jupiter.api.Test;
+
+/** Guards P8 against callers that send a request again. */
+class ResendTests extends EntryTestBase {
+
+	@Test
+	void aResendAtAnotherEntryHostGetsTheKeptAnswer() {
+		TestEntry one = startFirst();
+		TestEntry two = startSecond();
+		one.announce("runner-1", runner(), false);
+		Map<String, String> headers = once("resend");
+		CompletableFuture<HttpResponse<String>> response = one.submit(headers, "charge");
+		runner().awaitCall().answer("charged");
+		response.join();
+		control().awaitProposal(ClaimCommand.FinishClaim.class);
+		HttpResponse<String> resent = two.submit(headers, "charge").join();
+		Truth.assertThat(resent.statusCode()).isEqualTo(200);
+		Truth.assertThat(resent.body()).isEqualTo("charged");
+		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
+	}
+
+	@Test
+	void aResendAtAnotherEntryHostWhileItRunsIsAnsweredAsUnknown() {
+		TestEntry one = startFirst();
+		TestEntry two = startSecond();
+		one.announce("runner-1", runner(), false);
+		Map<String, String> headers = once("running");
+		CompletableFuture<HttpResponse<String>> response = one.submit(headers, "charge");
+		FakeRunner.Call call = runner().awaitCall();
+		HttpResponse<String> resent = two.submit(headers, "charge").join();
+		Truth.assertThat(resent.statusCode()).isEqualTo(409);
+		Truth.assertThat(resent.body()).contains("\"code\":\"ALREADY_CLAIMED\",\"outcome\":\"UNKNOWN\"");
+		call.answer("charged");
+		Truth.assertThat(response.join().body()).isEqualTo("charged");
+	}
+
+	@Test
+	void aResendAtTheEntryHostThatRunsItGetsTheSameAnswer() {
+		TestEntry entry = startAlone();
+		entry.announce("runner-1", runner(), false);
+		Map<String, String> headers = once("same");
+		CompletableFuture<HttpResponse<String>> response = entry.submit(headers, "charge");
+		FakeRunner.Call call = runner().awaitCall();
+		CompletableFuture<HttpResponse<String>> resent = entry.submit(headers, "charge");
+		entry.call("GET", "/health", Map.of(), "");
+		call.answer("charged");
+		Truth.assertThat(response.join().body()).isEqualTo("charged");
+		Truth.assertThat(resent.join().body()).isEqualTo("charged");
+		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
+	}
+
+	@Test
+	void anAnswerThatIsTooLargeToKeepIsReportedAsRan() {
+		TestEntry one = startFirst();
+		TestEntry two = startSecond();
+		one.announce("runner-1", runner(), false);
+		Map<String, String> headers = once("large");
+		CompletableFuture<HttpResponse<String>> response = one.submit(headers, "charge");
+		runner().awaitCall().answer("x".repeat(4097));
+		Truth.assertThat(response.join().body()).hasLength(4097);
+		Truth.assertThat(control().awaitProposal(ClaimCommand.FinishClaim.class).bodyKept()).isFalse();
+		HttpResponse<String> resent = two.submit(headers, "charge").join();
+		Truth.assertThat(resent.body()).contains("\"code\":\"ALREADY_RAN\",\"outcome\":\"RAN\"");
+	}
+
+}
