--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
@@ -0,0 +1,129 @@
+package io.burdockpin.core.placement;
+
+import io.burdockpin.core.model.HostName;
+
+/**
+ * What the leader knows about workers and jobs beyond the replicated records. Mutable,
+ * owned by one actor and rebuilt from reports after a change of leader.
+ */
+public final class PlacementTables {
+
+	private final JobLeases leases;
+
+	private final WorkerTable workers;
+
+	private final StartGuard startGuard = new StartGuard();
+
+	private final InterventionTable interventions = new InterventionTable();
+
+	private final UsageEstimator estimator = new UsageEstimator();
+
+	private final WorkerHealth health;
+
+	private final HostWatch hostWatch;
+
+	private final OutcomeObserver observer;
+
+	private final LeaseSettings settings;
+
+	/**
+	 * Creates empty tables.
+	 * @param settings the settings of the planner
+	 */
+	public PlacementTables(PlacementSettings settings) {
+		this.settings = settings.leases();
+		this.leases = new JobLeases(this.settings);
+		this.workers = new WorkerTable(this.settings);
+		this.health = new WorkerHealth(settings.health());
+		this.hostWatch = new HostWatch(this.settings, this.workers, this.health);
+		this.observer = new OutcomeObserver(this.estimator, this.health);
+	}
+
+	// life cycle
+
+	/**
+	 * Forgets everything that a new leader does not know. The corrections of declared
+	 * sizes are kept, because they only describe habits.
+	 */
+	public void restart() {
+		this.leases.restart();
+		this.workers.restart();
+		this.startGuard.restart();
+		this.interventions.restart();
+		this.hostWatch.restart();
+	}
+
+	/**
+	 * Takes the records of a round.
+	 * @param view the records
+	 * @param jobs the jobs of the view
+	 * @param nowMillis the time of the round
+	 */
+	public void observe(FleetView view, JobIndex jobs, long nowMillis) {
+		this.leases.observe(view.jobs(), nowMillis);
+		this.interventions.retain(jobs);
+		this.estimator.retain(jobs);
+		this.health.retain(jobs);
+		this.observer.retain(jobs);
+	}
+
+	// access
+
+	/**
+	 * Creates the reconciler that works on these tables.
+	 * @return the reconciler
+	 */
+	public WorkerReconciler createReconciler() {
+		return new WorkerReconciler(this.settings, this.leases, this.workers, this.startGuard, this.interventions,
+				this.observer);
+	}
+
+	JobLeases leases() {
+		return this.leases;
+	}
+
+	WorkerTable workers() {
+		return this.workers;
+	}
+
+	StartGuard startGuard() {
+		return this.startGuard;
+	}
+
+	InterventionTable interventions() {
+		return this.interventions;
+	}
+
+	/**
+	 * Returns the estimator.
+	 * @return the estimator, for the owner of these tables only
+	 */
+	public UsageEstimator estimator() {
+		return this.estimator;
+	}
+
+	WorkerHealth health() {
+		return this.health;
+	}
+
+	HostWatch hostWatch() {
+		return this.hostWatch;
+	}
+
+	WorkerEligibility eligibility() {
+		return new WorkerEligibility() {
+
+			@Override
+			public boolean isEligible(HostName worker, long nowMillis) {
+				return PlacementTables.this.workers.isLive(worker, nowMillis);
+			}
+
+			@Override
+			public int maximumJobs(HostName worker, int usualMaximum) {
+				return PlacementTables.this.health.isOnTrial(worker) ? 1 : usualMaximum;
+			}
+
+		};
+	}
+
+}
