--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/JobTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/JobTable.java
@@ -1,11 +1,13 @@
 package io.burdockpin.core.state;
 
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -22,7 +24,7 @@
 
 	private final Map<JobId, JobRecord> jobs = new LinkedHashMap<>();
 
-	private final Map<JobId, Long> endedMillis = new LinkedHashMap<>();
+	private final NavigableSet<EndedJob> ended = new TreeSet<>(EndedJob.ORDER);
 
 	private final Map<TeamName, Integer> holdingByTeam = new HashMap<>();
 
@@ -31,12 +33,7 @@
 	// life cycle
 
 	JobTable restore(List<JobRecord> restored) {
-		restored.forEach((job) -> this.jobs.put(job.id(), job));
-		restored.forEach((job) -> count(job, 1));
-		restored.stream()
-			.filter((job) -> job.state().ended())
-			.sorted((first, second) -> Long.compare(first.changedMillis(), second.changedMillis()))
-			.forEach((job) -> this.endedMillis.put(job.id(), job.changedMillis()));
+		restored.forEach(this::put);
 		return this;
 	}
 
@@ -74,29 +71,27 @@
 	// changes
 
 	void put(JobRecord changed) {
-		find(changed.id()).ifPresent((before) -> count(before, -1));
+		find(changed.id()).ifPresent(this::forget);
 		this.jobs.put(changed.id(), changed);
 		count(changed, 1);
 		if (changed.state().ended()) {
-			this.endedMillis.remove(changed.id());
-			this.endedMillis.put(changed.id(), changed.changedMillis());
+			this.ended.add(EndedJob.of(changed));
 		}
 	}
 
 	void removeEndedBefore(long beforeMillis) {
-		Iterator<Map.Entry<JobId, Long>> oldest = this.endedMillis.entrySet().iterator();
-		while (oldest.hasNext()) {
-			Map.Entry<JobId, Long> entry = oldest.next();
-			if (entry.getValue() >= beforeMillis) {
-				return;
-			}
-			this.jobs.remove(entry.getKey());
-			oldest.remove();
+		while (!this.ended.isEmpty() && this.ended.first().endedMillis() < beforeMillis) {
+			this.jobs.remove(this.ended.pollFirst().job());
 		}
 	}
 
 	// helpers
 
+	private void forget(JobRecord before) {
+		count(before, -1);
+		this.ended.remove(EndedJob.of(before));
+	}
+
 	private void count(JobRecord job, int step) {
 		if (job.state().holdsCapacity()) {
 			this.holdingByTeam.merge(job.spec().team(), step, Integer::sum);
@@ -104,4 +99,16 @@
 		}
 	}
 
+	/** Orders ended jobs by their end, so that the oldest expire first. */
+	private record EndedJob(long endedMillis, JobId job) {
+
+		private static final Comparator<EndedJob> ORDER = Comparator.comparingLong(EndedJob::endedMillis)
+			.thenComparing(EndedJob::job);
+
+		private static EndedJob of(JobRecord record) {
+			return new EndedJob(record.changedMillis(), record.id());
+		}
+
+	}
+
 }
