Number token reports and grants and give token records a version

Cause: a late grant could raise a holder that has given tokens back, and a late command could take back tokens that a newer command granted; both let a team pass its limit.

Ruled out: ordering by correlation numbers; the wallet does not know them, and a new leader does not know the last one.

Change: TokenReport carries its sequence and the newest grants seen, TokenGrants term and sequence, GrantTokens the expected version of the record. The old constructors of the two messages remain for callers without a wallet.

--- a/burdockpin-codec/src/main/thrift/client.thrift
+++ b/burdockpin-codec/src/main/thrift/client.thrift
@@ -303,15 +303,21 @@
  * renews the leased tokens.
  */
 struct TokenReport {
-  /**
-   * number of the report; the reply repeats it, and the holder counts its leases from the
-   * time it sent this report
-   */
+  /** number of the message; the reply repeats it */
   1: i64 correlation,
   /** the reporting life */
   2: state.Holder holder,
+  /**
+   * number of the report, grows within a life; the holder counts its leases from the time it
+   * sent the report that the reply names
+   */
+  3: i64 sequence,
+  /** term of the newest TokenGrants that the holder applied, 0 if none */
+  4: i64 seenTerm,
+  /** number of the report that those grants answered */
+  5: i64 seenSequence,
   /** one for each team with tokens or demand */
-  3: list<TokenUsage> usages,
+  6: list<TokenUsage> usages,
 }
 
 /** The tokens of one team. */
@@ -331,12 +337,19 @@
 
 /** Leader to entry host: the tokens it has, and how many of them it should give back. */
 struct TokenGrants {
-  /** number of the report it answers */
+  /** number of the message it answers */
   1: i64 correlation,
+  /** term of the leader; a holder ignores grants of an older term */
+  2: i64 term,
+  /**
+   * number of the report it answers; a holder ignores grants that do not answer its newest
+   * report
+   */
+  3: i64 sequence,
   /** how long the leased tokens stay valid after the report was sent */
-  2: i64 leaseMillis,
+  4: i64 leaseMillis,
   /** one for each team */
-  3: list<TokenGrant> grants,
+  5: list<TokenGrant> grants,
 }
 
 /** What a worker says about a job. */
--- a/burdockpin-codec/src/main/thrift/state.thrift
+++ b/burdockpin-codec/src/main/thrift/state.thrift
@@ -489,6 +489,11 @@
   3: i32 ownedCount,
   /** tokens that lapse when they are not renewed */
   4: i32 leasedCount,
+  /**
+   * version of the token record that the decision was based on, 0 if there was none; a late
+   * command must not undo a newer grant
+   */
+  5: i64 expectedVersion,
 }
 
 /** Frees all tokens of a life that can have no request running any more. */
@@ -639,6 +644,8 @@
   3: i32 ownedCount,
   /** tokens that lapse when they are not renewed */
   4: i32 leasedCount,
+  /** log index of the last change */
+  5: i64 version,
 }
 
 /** How far a claimed request got. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
@@ -190,17 +190,42 @@
 	 * Entry host to leader, every second and at once when demand grows: use of tokens.
 	 * Also renews the leased tokens.
 	 *
-	 * @param correlation number of the report; the reply repeats it, and the holder
-	 * counts its leases from the time it sent this report
+	 * @param correlation number of the message; the reply repeats it
 	 * @param holder the reporting life
+	 * @param sequence number of the report, grows within a life; the holder counts its
+	 * leases from the time it sent the report that the reply names
+	 * @param seenTerm term of the newest {@link TokenGrants} that the holder applied, 0
+	 * if none
+	 * @param seenSequence number of the report that those grants answered
 	 * @param usages one for each team with tokens or demand
 	 */
-	record TokenReport(long correlation, Holder holder, List<TokenUsage> usages) implements ClientMessage {
+	record TokenReport(long correlation, Holder holder, long sequence, long seenTerm, long seenSequence,
+			List<TokenUsage> usages) implements ClientMessage {
 
 		public TokenReport {
 			usages = List.copyOf(usages);
 		}
 
+		/**
+		 * Creates a report of a holder that has not applied any grants.
+		 * @param correlation number of the message
+		 * @param holder the reporting life
+		 * @param usages one for each team with tokens or demand
+		 */
+		public TokenReport(long correlation, Holder holder, List<TokenUsage> usages) {
+			this(correlation, holder, correlation, 0, 0, usages);
+		}
+
+		/**
+		 * Returns a copy with a number for the message.
+		 * @param newCorrelation the number
+		 * @return the copy
+		 */
+		public TokenReport withCorrelation(long newCorrelation) {
+			return new TokenReport(newCorrelation, this.holder, this.sequence, this.seenTerm, this.seenSequence,
+					this.usages);
+		}
+
 	}
 
 	/**
@@ -218,16 +243,31 @@
 	/**
 	 * Leader to entry host: the tokens it has, and how many of them it should give back.
 	 *
-	 * @param correlation number of the report it answers
+	 * @param correlation number of the message it answers
+	 * @param term term of the leader; a holder ignores grants of an older term
+	 * @param sequence number of the report it answers; a holder ignores grants that do
+	 * not answer its newest report
 	 * @param leaseMillis how long the leased tokens stay valid after the report was sent
 	 * @param grants one for each team
 	 */
-	record TokenGrants(long correlation, long leaseMillis, List<TokenGrant> grants) implements ClientMessage {
+	record TokenGrants(long correlation, long term, long sequence, long leaseMillis,
+			List<TokenGrant> grants) implements ClientMessage {
 
 		public TokenGrants {
 			grants = List.copyOf(grants);
 		}
 
+		/**
+		 * Creates grants outside any term.
+		 * @param correlation number of the message and the report it answers
+		 * @param leaseMillis how long the leased tokens stay valid after the report was
+		 * sent
+		 * @param grants one for each team
+		 */
+		public TokenGrants(long correlation, long leaseMillis, List<TokenGrant> grants) {
+			this(correlation, 0, correlation, leaseMillis, grants);
+		}
+
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenCommand.java
@@ -26,8 +26,11 @@
 	 * @param holder the holder
 	 * @param ownedCount tokens owned until returned
 	 * @param leasedCount tokens that lapse when they are not renewed
+	 * @param expectedVersion version of the token record that the decision was based on,
+	 * 0 if there was none; a late command must not undo a newer grant
 	 */
-	record GrantTokens(TeamName team, Holder holder, int ownedCount, int leasedCount) implements TokenCommand {
+	record GrantTokens(TeamName team, Holder holder, int ownedCount, int leasedCount,
+			long expectedVersion) implements TokenCommand {
 
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRecord.java
@@ -10,8 +10,9 @@
  * @param holder the life of an entry host
  * @param ownedCount tokens owned until returned
  * @param leasedCount tokens that lapse when they are not renewed
+ * @param version log index of the last change
  */
-public record TokenRecord(TeamName team, Holder holder, int ownedCount, int leasedCount) {
+public record TokenRecord(TeamName team, Holder holder, int ownedCount, int leasedCount, long version) {
 
 	/**
 	 * Returns all tokens, owned and leased ones.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenRules.java
@@ -51,7 +51,10 @@
 					"holder %s is not registered".formatted(command.holder().host())));
 		TokenRecord before = this.tables.tokens.of(command.team(), command.holder());
 		TokenRecord after = new TokenRecord(command.team(), command.holder(), command.ownedCount(),
-				command.leasedCount());
+				command.leasedCount(), change.index());
+		CommandRejectedException.rejectIf(command.expectedVersion() != before.version(), ErrorCode.VERSION_CONFLICT,
+				"the tokens of %s for team %s have version %d", command.holder().host(), command.team(),
+				before.version());
 		checkIncrease(holder, before, after);
 		this.tables.tokens.put(after);
 		return change.accepted();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/TokenTable.java
@@ -31,7 +31,7 @@
 
 	TokenRecord of(TeamName team, Holder holder) {
 		return Optional.ofNullable(this.tokens.get(new Key(team, holder)))
-			.orElseGet(() -> new TokenRecord(team, holder, 0, 0));
+			.orElseGet(() -> new TokenRecord(team, holder, 0, 0, 0));
 	}
 
 	int sumOf(TeamName team) {
@@ -59,7 +59,7 @@
 	void removeAll(Holder holder) {
 		list().stream()
 			.filter((token) -> token.holder().equals(holder))
-			.forEach((token) -> put(new TokenRecord(token.team(), holder, 0, 0)));
+			.forEach((token) -> put(new TokenRecord(token.team(), holder, 0, 0, 0)));
 	}
 
 	private record Key(TeamName team, Holder holder) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/RandomProposals.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/RandomProposals.java
@@ -63,11 +63,8 @@
 			() -> new ConfigurationCommand.CreateQueue(queue(), flip()),
 			() -> new ConfigurationCommand.UpdateQueue(queue(), flip()),
 			() -> new ConfigurationCommand.DeleteQueue(queue()),
-			() -> new TokenCommand.RegisterHolder(holder(), new DataCentre("dc-1")),
-			() -> new TokenCommand.GrantTokens(team(), holder(), number(5), number(3)),
-			() -> new TokenCommand.GrantTokens(team(), holder(), number(5), number(3)),
-			() -> new TokenCommand.GrantTokens(team(), holder(), number(5), number(3)),
-			() -> new TokenCommand.ReleaseHolder(holder()), () -> new TokenCommand.ForgetHost(entryHost()),
+			() -> new TokenCommand.RegisterHolder(holder(), new DataCentre("dc-1")), this::grant, this::grant,
+			this::grant, () -> new TokenCommand.ReleaseHolder(holder()), () -> new TokenCommand.ForgetHost(entryHost()),
 			() -> new ClaimCommand.ClaimRequest(team(), claimId(), holder()),
 			() -> new ClaimCommand.ClaimRequest(team(), claimId(), holder()),
 			() -> claimed((claim) -> new ClaimCommand.FinishClaim(claim.team(), claim.requestId(), claim.holder(), 200,
@@ -155,6 +152,17 @@
 		return new JobCommand.PlaceJob(job.id(), worker, job.leaseEpoch() + number(3));
 	}
 
+	private Command grant() {
+		TeamName team = team();
+		Holder holder = holder();
+		long version = this.state.tokens()
+			.stream()
+			.filter((token) -> token.team().equals(team) && token.holder().equals(holder))
+			.mapToLong(TokenRecord::version)
+			.sum();
+		return new TokenCommand.GrantTokens(team, holder, number(5), number(3), version + number(10) / 9);
+	}
+
 	private Command confirmStart() {
 		JobId job = job();
 		return new JobCommand.ConfirmStart(job, currentEpoch(job));
