--- /dev/null
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -0,0 +1,110 @@
+package io.burdockpin.systemtest.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import io.burdockpin.control.ControlProgram;
+import io.burdockpin.testbench.program.EndPoint;
+
+/** A control member in its own process. Owned by one test. */
+public final class ControlMember {
+
+	private final String name;
+
+	private final EndPoint memberAddress;
+
+	private final EndPoint adminAddress;
+
+	private final Path dataFolder;
+
+	private final ProgramProcess process;
+
+	private final HealthPage health;
+
+	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members) {
+		this.name = plan.name();
+		this.memberAddress = plan.memberAddress();
+		this.adminAddress = plan.adminAddress();
+		this.dataFolder = folder.resolve("data-" + this.name);
+		Path settings = SettingsFile.write(folder, this.name,
+				Map.of("cluster", "systemtest", "host", this.name, "dataCentre", plan.dataCentre(), "dataFolder",
+						this.dataFolder.toString(), "memberAddress", plan.memberAddress().toString(), "clientAddress",
+						plan.clientAddress().toString(), "adminAddress", plan.adminAddress().toString(), "members",
+						members, "snapshotEntries", plan.snapshotEntries()));
+		this.process = new ProgramProcess(this.name, folder, ControlProgram.class,
+				List.of("--settings", settings.toString()));
+		this.health = new HealthPage(this.adminAddress);
+	}
+
+	// life cycle
+
+	void format() {
+		this.process.runOnce("--format");
+	}
+
+	/** Removes all files of the member, which must not run. */
+	public void wipe() {
+		try (Stream<Path> files = Files.walk(this.dataFolder)) {
+			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	// access
+
+	/**
+	 * Returns the name of its host.
+	 * @return the name
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the process.
+	 * @return the process
+	 */
+	public ProgramProcess process() {
+		return this.process;
+	}
+
+	/**
+	 * Returns what the member says about itself.
+	 * @return the health page
+	 */
+	public HealthPage health() {
+		return this.health;
+	}
+
+	/**
+	 * Returns where it listens for other members.
+	 * @return the address, past the proxies
+	 */
+	public String memberAddress() {
+		return this.memberAddress.toString();
+	}
+
+	/**
+	 * Addresses and settings of a member.
+	 *
+	 * @param name name of the host
+	 * @param dataCentre its data centre
+	 * @param memberAddress where it listens for members
+	 * @param clientAddress where it listens for entry hosts
+	 * @param adminAddress where it serves its health
+	 * @param snapshotEntries entries after which it takes a snapshot
+	 */
+	record ControlPlan(String name, String dataCentre, EndPoint memberAddress, EndPoint clientAddress,
+			EndPoint adminAddress, int snapshotEntries) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/HealthPage.java
@@ -0,0 +1,83 @@
+package io.burdockpin.systemtest.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.burdockpin.testbench.program.EndPoint;
+
+/** Reads the health page of a program. Shared; holds only an HTTP client. */
+public final class HealthPage {
+
+	private static final Duration LONGEST_ANSWER = Duration.ofSeconds(3);
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final HttpClient CLIENT = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(LONGEST_ANSWER)
+		.build();
+
+	private final EndPoint address;
+
+	HealthPage(EndPoint address) {
+		this.address = address;
+	}
+
+	// access
+
+	/**
+	 * Reads the page.
+	 * @return the document, or nothing if the program does not answer
+	 */
+	public Optional<JsonNode> read() {
+		try {
+			return Optional.of(MAPPER.readTree(get("/health")));
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Reads a number of the page.
+	 * @param name the name of the field
+	 * @return the number, or 0 if the program does not answer
+	 */
+	public long number(String name) {
+		return read().map((page) -> page.path(name).asLong()).orElse(0L);
+	}
+
+	/**
+	 * Tells whether a text of the page has a value.
+	 * @param name the name of the field
+	 * @param value the expected value
+	 * @return {@code false} also if the program does not answer
+	 */
+	public boolean says(String name, String value) {
+		return read().map((page) -> page.path(name).asText().equals(value)).orElse(false);
+	}
+
+	// helpers
+
+	private String get(String path) throws IOException {
+		try {
+			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + this.address + path))
+				.timeout(LONGEST_ANSWER)
+				.build();
+			return CLIENT.send(request, BodyHandlers.ofString()).body();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new UncheckedIOException(new IOException("interrupted", ex));
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
@@ -0,0 +1,158 @@
+package io.burdockpin.systemtest.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A program in a JVM of its own, which can be killed, frozen and started again. Ends with
+ * the JVM of the test at the latest. Owned by one test.
+ */
+public final class ProgramProcess implements AutoCloseable {
+
+	private static final List<String> JAVA = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+			"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms8m", "-Xmx64m", "-XX:MaxDirectMemorySize=32m",
+			"-XX:-UsePerfData", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"));
+
+	private static final long LONGEST_END_SECONDS = 90;
+
+	private final String name;
+
+	private final List<String> command;
+
+	private final Path output;
+
+	private Optional<Process> process = Optional.empty();
+
+	ProgramProcess(String name, Path folder, Class<?> mainClass, List<String> arguments) {
+		this.name = name;
+		this.command = new ArrayList<>(JAVA);
+		this.command.add(mainClass.getName());
+		this.command.addAll(arguments);
+		this.output = folder.resolve(name + ".log");
+		Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+	}
+
+	// life cycle
+
+	/** Starts the program, again if it has ended. */
+	public void start() {
+		this.process = Optional.of(launch(this.command));
+	}
+
+	/** Sends SIGKILL and waits for the end. */
+	public void kill() {
+		running().destroyForcibly();
+		awaitEnd();
+	}
+
+	/**
+	 * Sends SIGTERM and waits for the end.
+	 * @return the exit status
+	 */
+	public int terminate() {
+		askToEnd();
+		return awaitEnd();
+	}
+
+	/** Sends SIGTERM. */
+	public void askToEnd() {
+		running().destroy();
+	}
+
+	/** Sends SIGSTOP. */
+	public void freeze() {
+		signal("-STOP");
+	}
+
+	/** Sends SIGCONT. */
+	public void resume() {
+		signal("-CONT");
+	}
+
+	/**
+	 * Waits until the program has ended.
+	 * @return its exit status
+	 */
+	public int awaitEnd() {
+		try {
+			if (!running().waitFor(LONGEST_END_SECONDS, TimeUnit.SECONDS)) {
+				throw new AssertionError("%s did not end in %d s".formatted(this.name, LONGEST_END_SECONDS));
+			}
+			return running().exitValue();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted", ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.process.ifPresent(Process::destroyForcibly);
+	}
+
+	// access
+
+	/**
+	 * Tells whether the program runs.
+	 * @return {@code false} before its start and after its end
+	 */
+	public boolean isAlive() {
+		return this.process.map(Process::isAlive).orElse(false);
+	}
+
+	/**
+	 * Returns the exit status.
+	 * @return the status, or nothing while it runs
+	 */
+	public OptionalInt exitStatus() {
+		return (this.process.isPresent() && !isAlive()) ? OptionalInt.of(running().exitValue()) : OptionalInt.empty();
+	}
+
+	// helpers
+
+	void runOnce(String extraArgument) {
+		List<String> once = new ArrayList<>(this.command);
+		once.add(extraArgument);
+		this.process = Optional.of(launch(once));
+		int status = awaitEnd();
+		if (status != 0) {
+			throw new AssertionError("%s %s ended with status %d".formatted(this.name, extraArgument, status));
+		}
+	}
+
+	private Process running() {
+		return this.process.orElseThrow(() -> new IllegalStateException(this.name + " was never started"));
+	}
+
+	private Process launch(List<String> commandLine) {
+		try {
+			return new ProcessBuilder(commandLine).redirectErrorStream(true)
+				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.output.toFile()))
+				.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void signal(String signal) {
+		try {
+			new ProcessBuilder("kill", signal, Long.toString(running().pid())).inheritIO().start().waitFor();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted", ex);
+		}
+	}
+
+}
