--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeMember.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeMember.java
@@ -22,6 +22,9 @@
 
 	long seenTerm;
 
+	/** Highest term of its messages; a restart must not fall behind it. */
+	long shownTerm;
+
 	boolean syncIsDue;
 
 	FakeMember(HostName host, FakeDisk disk) {
