--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerHealth.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerHealth.java
@@ -23,6 +23,9 @@
 
 	private static final double FAILURE_RATIO_TO_OTHERS = 2.0;
 
+	/** A ratio that no runner can exceed by the factor. */
+	private static final double NOTHING_TO_COMPARE = 1.0;
+
 	/** Section 13 of the design page. */
 	private static final long SLOW_FACTOR = 3;
 
@@ -167,7 +170,7 @@
 		double othersRatio = others(entry).stream()
 			.mapToDouble((other) -> other.failures.mean())
 			.average()
-			.orElse(FAILURE_RATIO);
+			.orElse(NOTHING_TO_COMPARE);
 		double ratio = entry.failures.mean();
 		return ratio >= FAILURE_RATIO && ratio >= FAILURE_RATIO_TO_OTHERS * othersRatio;
 	}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/client/ControlCallsTests.java
@@ -0,0 +1,135 @@
+package io.burdockpin.core.client;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.model.HostName;
+import org.junit.jupiter.api.Test;
+
+/** Guards the truth of the results of proposals when leaders change and links break. */
+class ControlCallsTests {
+
+	private static final List<HostName> MEMBERS = List.of(new HostName("c1"), new HostName("c2"), new HostName("c3"));
+
+	@Test
+	void aCallFollowsTheHintOfAMemberThatDoesNotLead() {
+		ControlCalls calls = new ControlCalls(MEMBERS);
+		MEMBERS.forEach(calls::connected);
+		Truth.assertThat(sentTo(calls.start(1, read(1), 1000))).containsExactly(MEMBERS.get(0));
+		List<CallEffect> effects = calls.replied(MEMBERS.get(0), 1,
+				new ClientMessage.NotLeader(1, Optional.of(MEMBERS.get(2))));
+		Truth.assertThat(sentTo(effects)).containsExactly(MEMBERS.get(2));
+	}
+
+	@Test
+	void aLostConnectionAfterSendingMakesTheResultUnknownAndNothingIsSentAgain() {
+		ControlCalls calls = new ControlCalls(MEMBERS);
+		MEMBERS.forEach(calls::connected);
+		calls.start(1, read(1), 1000);
+		List<CallEffect> effects = calls.disconnected(MEMBERS.get(0));
+		Truth.assertThat(effects).hasSize(1);
+		Truth.assertThat(((CallEffect.Finish) effects.get(0)).result()).isInstanceOf(CallResult.Unknown.class);
+		Truth.assertThat(calls.tick(1)).isEmpty();
+	}
+
+	@Test
+	void aCallThatWasNeverSentEndsAsNotProposed() {
+		ControlCalls calls = new ControlCalls(MEMBERS);
+		calls.start(1, read(1), 1000);
+		CallEffect.Finish finish = (CallEffect.Finish) calls.tick(1000).get(0);
+		Truth.assertThat(finish.result()).isInstanceOf(CallResult.NotProposed.class);
+	}
+
+	@Test
+	void everyCallEndsOnceAndNotProposedIsTrueInEveryOrderOfEvents() {
+		for (long seed = 0; seed < 300; seed++) {
+			new Scenario(seed).run();
+		}
+	}
+
+	private static ClientMessage read(long correlation) {
+		return new ClientMessage.ReadIndex(correlation);
+	}
+
+	private static List<HostName> sentTo(List<CallEffect> effects) {
+		return effects.stream()
+			.filter(CallEffect.Send.class::isInstance)
+			.map((effect) -> ((CallEffect.Send) effect).member())
+			.toList();
+	}
+
+	/** Members take calls, refuse them or lose their connection in random order. */
+	private static final class Scenario {
+
+		private final RandomGenerator random;
+
+		private final ControlCalls calls = new ControlCalls(MEMBERS);
+
+		private final Map<Long, HostName> open = new HashMap<>();
+
+		private final Set<Long> mayBeProposed = new HashSet<>();
+
+		private final Map<Long, CallResult> ended = new HashMap<>();
+
+		private Scenario(long seed) {
+			this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+		}
+
+		private void run() {
+			for (long step = 1; step <= 200; step++) {
+				HostName member = MEMBERS.get(this.random.nextInt(MEMBERS.size()));
+				switch (this.random.nextInt(5)) {
+					case 0 -> carryOut(this.calls.start(step, read(step), step + this.random.nextInt(50)));
+					case 1 -> carryOut(this.calls.connected(member));
+					case 2 -> carryOut(this.calls.disconnected(member));
+					case 3 -> replySomewhere();
+					default -> carryOut(this.calls.tick(step));
+				}
+			}
+			carryOut(this.calls.tick(Long.MAX_VALUE));
+			Truth.assertThat(this.calls.pendingCount()).isEqualTo(0);
+		}
+
+		private void replySomewhere() {
+			for (Map.Entry<Long, HostName> entry : new ArrayList<>(this.open.entrySet())) {
+				long correlation = entry.getKey();
+				if (this.random.nextBoolean()) {
+					this.open.remove(correlation);
+					this.mayBeProposed.remove(correlation);
+					Optional<HostName> hint = Optional.of(MEMBERS.get(this.random.nextInt(MEMBERS.size())));
+					carryOut(this.calls.replied(entry.getValue(), correlation,
+							new ClientMessage.NotLeader(correlation, hint)));
+				}
+			}
+		}
+
+		private void carryOut(List<CallEffect> effects) {
+			for (CallEffect effect : effects) {
+				if (effect instanceof CallEffect.Send send) {
+					long correlation = ((ClientMessage.ReadIndex) send.message()).correlation();
+					Truth.assertWithMessage("a call is at one member at a time")
+						.that(this.mayBeProposed.add(correlation))
+						.isTrue();
+					this.open.put(correlation, send.member());
+				}
+				else if (effect instanceof CallEffect.Finish finish) {
+					Truth.assertThat(this.ended.put(finish.correlation(), finish.result())).isNull();
+					if (finish.result() instanceof CallResult.NotProposed) {
+						Truth.assertThat(this.mayBeProposed).doesNotContain(finish.correlation());
+					}
+					this.open.remove(finish.correlation());
+				}
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
@@ -0,0 +1,83 @@
+package io.burdockpin.core.routing;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RunnerName;
+import org.junit.jupiter.api.Test;
+
+/** Guards attachments: no work for runners that left, moved away or are silent. */
+class RunnerTableTests {
+
+	private static final QueueName QUEUE = new QueueName("quotes");
+
+	private final RunnerTable table = new RunnerTable(
+			new RunnerTableSettings(3000, 72_000, RoutingPolicy.NEAREST_THEN_LEAST_BUSY), new DataCentre("dc-1"),
+			RandomGeneratorFactory.of("L64X128MixRandom").create(5));
+
+	@Test
+	void aSilentRunnerGetsNoWorkAndIsReportedAsLost() {
+		announce("near", "dc-1", 1, 0, false, 0);
+		Truth.assertThat(begin(1, 2999)).isPresent();
+		Truth.assertThat(begin(2, 3000)).isEmpty();
+		Truth.assertThat(this.table.expire(3000)).containsExactly(new RunnerName("near"));
+	}
+
+	@Test
+	void aLeavingRunnerGetsNoWorkAtOnce() {
+		announce("near", "dc-1", 1, 0, false, 0);
+		announce("near", "dc-1", 1, 0, true, 10);
+		Truth.assertThat(begin(1, 11)).isEmpty();
+	}
+
+	@Test
+	void anAnnouncementFromAnEarlierEpochChangesNothing() {
+		announce("near", "dc-1", 2, 0, true, 0);
+		Truth.assertThat(announce("near", "dc-1", 1, 0, false, 10)).isFalse();
+		Truth.assertThat(begin(1, 11)).isEmpty();
+	}
+
+	@Test
+	void aRunnerOfTheOwnDataCentreIsPreferredWhileItHasAFreeSlot() {
+		announce("far", "dc-2", 1, 0, false, 0);
+		announce("near", "dc-1", 1, 0, false, 0);
+		Truth.assertThat(begin(1, 1).get().name().value()).isEqualTo("near");
+		Truth.assertThat(begin(2, 1).get().name().value()).isEqualTo("near");
+		Truth.assertThat(begin(3, 1).get().name().value()).isEqualTo("far");
+	}
+
+	@Test
+	void slotsThatRequestsOfAnEarlierEntryHostStillUseAreNotGivenOut() {
+		announce("near", "dc-1", 7, 2, false, 0);
+		Truth.assertThat(begin(1, 1)).isEmpty();
+		announce("near", "dc-1", 7, 1, false, 1000);
+		Truth.assertThat(begin(2, 1001)).isPresent();
+		Truth.assertThat(begin(3, 1001)).isEmpty();
+	}
+
+	@Test
+	void theSlotOfAnUnknownAttemptStaysInUseUntilItsDeadlineAndAFifth() {
+		announce("near", "dc-1", 1, 0, false, 0);
+		this.table.begin(QUEUE, 1, Set.of(), 1000, 0);
+		this.table.end(1, Outcome.UNKNOWN, AttemptVerdict.GOOD, 10);
+		this.table.expire(1199);
+		Truth.assertThat(this.table.slotsInUse(new RunnerName("near"))).isEqualTo(1);
+		this.table.expire(1200);
+		Truth.assertThat(this.table.slotsInUse(new RunnerName("near"))).isEqualTo(0);
+	}
+
+	private boolean announce(String name, String dataCentre, long epoch, int inUse, boolean leaving, long nowMillis) {
+		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1", 2,
+				64, epoch, inUse, leaving), nowMillis);
+	}
+
+	private Optional<Runner> begin(long attempt, long nowMillis) {
+		return this.table.begin(QUEUE, attempt, Set.of(), nowMillis + 30_000, nowMillis);
+	}
+
+}
