Record the events of the request path

Cause: the time line needs what the entry hosts see.

Ruled out: one shared clock, because each actor owns its hybrid clock.

Change: EventRecorder, EventLog in the tree, events of requests, attempts, runners, keys and configurations.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -102,7 +102,7 @@
 	 * @param deadlineMillis when the attempt ends, in milliseconds since the epoch
 	 * @param nowMillis the current time
 	 * @return the runner, if one has a free slot; one of the excluded runners only if no
-	 * other is attached
+	 * other has one
 	 */
 	public Optional<Runner> begin(QueueName queue, long attempt, Set<RunnerName> excluded, long deadlineMillis,
 			long nowMillis) {
@@ -183,6 +183,15 @@
 		return this.attachments.values().stream().map((attachment) -> attachment.runner).toList();
 	}
 
+	/**
+	 * Tells whether a runner is attached.
+	 * @param runner the runner
+	 * @return whether it is
+	 */
+	public boolean isAttached(RunnerName runner) {
+		return this.attachments.containsKey(runner);
+	}
+
 	/**
 	 * Counts the slots of a runner that are in use.
 	 * @param runner the runner
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -1,16 +1,23 @@
 package io.burdockpin.entry;
 
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.codec.json.EventJsonCodec;
+import io.burdockpin.codec.json.ProcessDescription;
 import io.burdockpin.codec.thrift.impl.ThriftClientCodec;
 import io.burdockpin.codec.thrift.impl.ThriftPeerCodec;
+import io.burdockpin.core.event.EventKind;
 import io.burdockpin.core.membership.PeerView;
 import io.burdockpin.entry.cfg.EntrySettings;
 import io.burdockpin.entry.control.ControlCommand;
 import io.burdockpin.entry.control.ControlSupervisor;
+import io.burdockpin.entry.event.EventRecorder;
 import io.burdockpin.entry.http.Actors;
 import io.burdockpin.entry.http.CallerHttp;
 import io.burdockpin.entry.http.HttpCommand;
@@ -24,6 +31,7 @@
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.worker.WorkerCommand;
 import io.burdockpin.entry.worker.WorkerSessions;
+import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.StartException;
@@ -49,6 +57,10 @@
 
 	private final long balancerGraceMillis;
 
+	private final Optional<ActorRef<EventLog.Command>> eventLog;
+
+	private final EventRecorder events;
+
 	private final ActorRef<RouterCommand> router;
 
 	private final ActorRef<TokenCommand> tokens;
@@ -62,10 +74,14 @@
 		super(context);
 		this.exit = exit;
 		this.balancerGraceMillis = settings.timing().balancerGraceMillis();
+		this.eventLog = spawnEventLog(identity, settings);
+		this.events = new EventRecorder(identity, this.eventLog);
+		this.events.record(this.events.event(EventKind.PROCESS_STARTED));
 		ActorRef<ControlCommand> control = spawn(
 				ControlSupervisor.create(identity, settings.members(), new ThriftClientCodec()), "control");
 		this.tokens = spawn(TokenActor.create(identity, settings.timing().tokenReportMillis(), control), "tokens");
-		this.router = spawn(RouterActor.create(identity, settings, control, this.tokens, random), "router");
+		this.router = spawn(RouterActor.create(identity, settings, control, this.tokens, random,
+				new EventRecorder(identity, this.eventLog)), "router");
 		ActorRef<PeerCommand> peers = spawn(
 				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), this.router, control), "peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(), control),
@@ -108,6 +124,7 @@
 	}
 
 	private Behavior<GuardianCommand> onStop() {
+		this.events.record(this.events.event(EventKind.PROCESS_STOPPING));
 		logger.atInfo().log("Stopping. Requests are accepted for another %d ms.", this.balancerGraceMillis);
 		this.router.tell(RouterCommand.BeginStop.INSTANCE);
 		this.workers.tell(WorkerCommand.BeginStop.INSTANCE);
@@ -153,7 +170,19 @@
 	// helpers
 
 	private static ExitStatus exitStatus(Throwable cause) {
-		return (cause instanceof StartException start) ? start.getExitStatus() : ExitStatus.FAILURE;
+		if (cause instanceof StartException start) {
+			return start.getExitStatus();
+		}
+		return (cause != null && cause.getCause() != null) ? exitStatus(cause.getCause()) : ExitStatus.FAILURE;
+	}
+
+	private Optional<ActorRef<EventLog.Command>> spawnEventLog(EntryIdentity identity, EntrySettings settings) {
+		ProcessDescription process = new ProcessDescription("burdock-entry", settings.name(), settings.dataCentre(),
+				identity.holder().incarnation());
+		return settings.eventFile()
+			.map((file) -> spawn(
+					EventLog.create(Path.of(file), settings.eventFileBytes(), new EventJsonCodec(), process),
+					"events"));
 	}
 
 	private <M> ActorRef<M> spawn(Behavior<M> behavior, String name) {
@@ -175,7 +204,7 @@
 	 *
 	 * @param replyTo gets it
 	 */
-	public record AwaitBound(ActorRef<java.net.InetSocketAddress> replyTo) implements GuardianCommand {
+	public record AwaitBound(ActorRef<InetSocketAddress> replyTo) implements GuardianCommand {
 
 	}
 
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/event/package-info.java
@@ -0,0 +1,2 @@
+/** Events of the entry program. */
+package io.burdockpin.entry.event;
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -100,7 +100,7 @@
 		Outcome outcome = result.outcome();
 		this.reply.send(new ForwardAnswer(this.request.attempt(), this.sender.incarnation(), outcome, result.code(),
 				result.message(), answer.status(), answer.contentType(), answer.body()));
-		this.router.tell(new RouterCommand.RequestEnded(this.queued.number()));
+		this.router.tell(new RouterCommand.RequestEnded(this.queued.number(), this.request.requestId(), outcome));
 		return Behaviors.stopped();
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -282,7 +282,9 @@
 
 	private Behavior<Message> finish() {
 		logger.atFine().log("Request %s ended.", this.request.caller().requestId());
-		this.request.router().tell(new RouterCommand.RequestEnded(this.queued.number()));
+		this.request.router()
+			.tell(new RouterCommand.RequestEnded(this.queued.number(), this.request.caller().requestId(),
+					this.answer.get().outcome()));
 		return Behaviors.stopped();
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -14,6 +14,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.admission.Admission;
 import io.burdockpin.core.admission.AdmissionResult;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.membership.PeerMessage.QueueStatus;
 import io.burdockpin.core.membership.PeerView;
@@ -36,6 +38,7 @@
 import io.burdockpin.entry.cfg.EntrySettings;
 import io.burdockpin.entry.control.ConfigurationEvent;
 import io.burdockpin.entry.control.ControlCommand;
+import io.burdockpin.entry.event.EventRecorder;
 import io.burdockpin.entry.peer.PeerCommand;
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.token.TokenEvent;
@@ -70,6 +73,8 @@
 
 	private final RandomGenerator random;
 
+	private final EventRecorder events;
+
 	private final Admission admission;
 
 	private final RunnerTable runners;
@@ -103,13 +108,15 @@
 	private long lastNumber;
 
 	private RouterActor(ActorContext<RouterCommand> context, EntryIdentity identity, EntrySettings settings,
-			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random) {
+			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
+			EventRecorder events) {
 		super(context);
 		this.identity = identity;
 		this.settings = settings;
 		this.control = control;
 		this.tokens = tokens;
 		this.random = random;
+		this.events = events;
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
 		long longestMillis = settings.limits().timeoutMillis();
 		this.runners = new RunnerTable(
@@ -130,13 +137,15 @@
 	 * @param control proposes claims and feeds the configuration
 	 * @param tokens owns the tokens
 	 * @param random breaks ties and spreads pauses
+	 * @param events records events
 	 * @return the behavior
 	 */
 	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
-			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random) {
+			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
+			EventRecorder events) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
-			return new RouterActor(context, identity, settings, control, tokens, random);
+			return new RouterActor(context, identity, settings, control, tokens, random, events);
 		}));
 	}
 
@@ -215,6 +224,10 @@
 		kept.ifPresent((present) -> this.requestsByKey.put(present, actor));
 		this.openRequests.put(queued.number(), new OpenRequest(kept, Optional.empty()));
 		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
+		this.events.record(this.events.event(EventKind.REQUEST_ACCEPTED)
+			.with(EventField.REQUEST, request.requestId())
+			.with(EventField.QUEUE, request.facts().queue())
+			.with(EventField.TEAM, admitted.team().map(TeamName::value).orElse("")));
 	}
 
 	private Behavior<RouterCommand> onCheckKey(RouterCommand.CheckKey command) {
@@ -223,6 +236,9 @@
 	}
 
 	private Behavior<RouterCommand> onRequestEnded(RouterCommand.RequestEnded command) {
+		this.events.record(this.events.event(EventKind.REQUEST_ANSWERED)
+			.with(EventField.REQUEST, command.requestId())
+			.with(EventField.OUTCOME, command.outcome()));
 		OpenRequest ended = this.openRequests.remove(command.number());
 		if (ended != null) {
 			ended.key().ifPresent(this.requestsByKey::remove);
@@ -291,6 +307,9 @@
 	}
 
 	private Behavior<RouterCommand> onAttemptEnded(RouterCommand.AttemptEnded command) {
+		this.events.record(this.events.event(EventKind.ATTEMPT_ENDED)
+			.with(EventField.ATTEMPT, command.attempt())
+			.with(EventField.OUTCOME, command.outcome()));
 		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
 		if (this.attemptsWithToken.remove(command.attempt()) != null) {
 			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
@@ -330,6 +349,7 @@
 		}
 		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
 				entry.request().deadlineMillis(), this.identity.nowMillis());
+		runner.ifPresent((found) -> recordStart(attempt, found));
 		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found));
 		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
 	}
@@ -348,6 +368,12 @@
 		}
 	}
 
+	private void recordStart(long attempt, Runner runner) {
+		this.events.record(this.events.event(EventKind.ATTEMPT_STARTED)
+			.with(EventField.ATTEMPT, attempt)
+			.with(EventField.RUNNER, runner.name()));
+	}
+
 	private Optional<Dispatch> forward(RouterCommand.Enqueue entry, long attempt) {
 		Optional<PeerLoad> chosen = choosePeer(entry);
 		chosen.ifPresent((load) -> this.peerLoads.sent(entry.queue(), load));
@@ -385,7 +411,11 @@
 
 	private Behavior<RouterCommand> onAnnounceRunner(RouterCommand.AnnounceRunner command) {
 		Runner runner = command.runner();
+		boolean known = this.runners.isAttached(runner.name());
 		boolean attached = this.runners.announce(runner, this.identity.nowMillis());
+		if (attached && !known) {
+			this.events.record(this.events.event(EventKind.RUNNER_ATTACHED).with(EventField.RUNNER, runner.name()));
+		}
 		Optional<String> attachTo = this.peerView
 			.flatMap((view) -> view.attachTo(runner.name().value(), this.stopping));
 		command.replyTo().tell(new RouterCommand.Attached(attached, attachTo));
@@ -404,6 +434,8 @@
 	private Behavior<RouterCommand> onConfiguration(ConfigurationEvent event) {
 		if (event instanceof ConfigurationEvent.InForce inForce) {
 			this.admission.configure(inForce.configuration());
+			this.events.record(this.events.event(EventKind.CONFIGURATION_APPLIED)
+				.with(EventField.INDEX, inForce.configuration().index()));
 		}
 		else {
 			this.admission.majorityHeard(this.identity.nowMillis());
@@ -413,6 +445,9 @@
 
 	private Behavior<RouterCommand> onWithdrawKeys(RouterCommand.WithdrawKeys command) {
 		this.admission.withdraw(command.keyHashes());
+		command.keyHashes()
+			.forEach((key) -> this.events
+				.record(this.events.event(EventKind.KEY_WITHDRAWN).with(EventField.DETAIL, key.abbreviated())));
 		command.replyTo().tell(Done.getInstance());
 		return this;
 	}
@@ -459,6 +494,7 @@
 		long nowMillis = this.identity.nowMillis();
 		for (RunnerName lost : this.runners.expire(nowMillis)) {
 			logger.atInfo().log("Runner %s is no longer attached.", lost);
+			this.events.record(this.events.event(EventKind.RUNNER_REMOVED).with(EventField.RUNNER, lost));
 		}
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
 		reportDemand();
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.model.KeyHash;
 import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RequestId;
 import io.burdockpin.core.retry.FinalAnswer;
 import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.QueuedRequest;
@@ -101,8 +102,10 @@
 	 * A request needs nothing more.
 	 *
 	 * @param number its number
+	 * @param requestId its identifier
+	 * @param outcome what was answered
 	 */
-	record RequestEnded(long number) implements RouterCommand {
+	record RequestEnded(long number, RequestId requestId, Outcome outcome) implements RouterCommand {
 
 	}
 
