--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Fleet.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Fleet.java
@@ -1,15 +1,19 @@
 package io.burdockpin.benchmark.policy;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.placement.FleetView;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.JobRecord;
 import io.burdockpin.core.state.Proposal;
 
@@ -23,6 +27,11 @@
 
 	private final List<AppliedListener> listeners = new ArrayList<>();
 
+	/**
+	 * The state machine keeps ended jobs for a day, which would slow down every round.
+	 */
+	private final Map<JobId, JobRecord> openJobs = new LinkedHashMap<>();
+
 	private long index;
 
 	// life cycle
@@ -61,6 +70,9 @@
 		this.index++;
 		Proposal proposal = new Proposal(nowMillis, Optional.empty(), OptionalLong.empty(), command);
 		CommandResult result = this.state.apply(this.index, proposal);
+		if (result instanceof CommandResult.Accepted && command instanceof JobCommand jobCommand) {
+			refresh(JobCommands.jobOf(jobCommand));
+		}
 		this.listeners.forEach((listener) -> listener.applied(command, result, nowMillis));
 		return result;
 	}
@@ -70,9 +82,16 @@
 	 * @return an immutable view
 	 */
 	public FleetView view() {
-		List<JobRecord> open = this.state.jobs().stream().filter((job) -> !job.state().ended()).toList();
-		return new FleetView(this.state.pools(), this.state.hosts(), this.state.teams(), open, this.state.tokens(),
-				this.state.campaigns());
+		return new FleetView(this.state.pools(), this.state.hosts(), this.state.teams(), openJobs(),
+				this.state.tokens(), this.state.campaigns());
+	}
+
+	/**
+	 * Returns the jobs that have not ended.
+	 * @return their records, in the order of submission
+	 */
+	public List<JobRecord> openJobs() {
+		return List.copyOf(this.openJobs.values());
 	}
 
 	/**
@@ -83,6 +102,18 @@
 		return this.state;
 	}
 
+	// helpers
+
+	private void refresh(JobId id) {
+		Optional<JobRecord> open = this.state.job(id).filter((job) -> !job.state().ended());
+		if (open.isPresent()) {
+			this.openJobs.put(id, open.get());
+		}
+		else {
+			this.openJobs.remove(id);
+		}
+	}
+
 	/** Hears of applied commands. */
 	@FunctionalInterface
 	public interface AppliedListener {
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Incidents.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Incidents.java
@@ -167,9 +167,8 @@
 	private void cancelWave(long nowMillis) {
 		List<TeamName> teams = this.run.scenario().firm().teams().stream().map((team) -> team.name()).toList();
 		TeamName team = teams.get(this.random.nextInt(teams.size()));
-		for (JobRecord job : this.run.fleet().state().jobs()) {
-			boolean open = !job.state().ended() && job.spec().team().equals(team);
-			if (open && this.random.nextDouble() < CANCELLED_PART) {
+		for (JobRecord job : this.run.fleet().openJobs()) {
+			if (job.spec().team().equals(team) && this.random.nextDouble() < CANCELLED_PART) {
 				this.run.fleet().apply(new JobCommand.CancelJob(job.id(), team), nowMillis);
 			}
 		}
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Measures.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Measures.java
@@ -155,7 +155,7 @@
 			}
 			running.forEach((job) -> addRunning(pool, job));
 		}
-		for (JobRecord job : this.run.fleet().state().jobs()) {
+		for (JobRecord job : this.run.fleet().openJobs()) {
 			if (job.state() == JobState.WAITING) {
 				this.run.truth(job.id())
 					.filter(this::isPossible)
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/ScenarioRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/ScenarioRun.java
@@ -200,7 +200,7 @@
 			this.policy.maintain(view, JobIndex.of(view.jobs()), this.nowMillis).forEach(this::apply);
 		}
 		FleetView view = this.fleet.view();
-		this.jobs = JobIndex.of(this.fleet.state().jobs());
+		this.jobs = JobIndex.of(view.jobs());
 		this.policy.place(view, this.jobs, this.nowMillis).forEach(this::apply);
 	}
 
