--- /dev/null
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Sizes and costs at growing fleet sizes, for the capacity page. */
+package io.burdockpin.benchmark.capacity;
