Divide the upper limits with a token allocator and token wallets

Cause: nothing divided the limits, so every placement and request was refused.

Ruled out: taking tokens back by any lower report; a report may be older than a grant, so only a report of a holder that has seen the present record counts. Moving tokens whenever shares change; then quiet teams would fill the log.

Change: TokenAllocator with max-min shares, lapses, ended lives and pending reductions; TokenWallet; TokenPlannerActor that answers each report after the commands of its round. SimulatedFleet with seven entry hosts, its own ledger of what runs, and five planted faults.

--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -0,0 +1,221 @@
+package io.burdockpin.control.planner;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.control.replica.FleetRecords;
+import io.burdockpin.control.replica.MonotonicClock;
+import io.burdockpin.control.replica.ReplicaMessage;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.limit.TokenAllocator;
+import io.burdockpin.core.limit.TokenSettings;
+import io.burdockpin.core.limit.TokenView;
+import io.burdockpin.core.state.Command;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Divides the teams' limits while this member leads. Owns the allocator of the present
+ * term.
+ * <p>
+ * A round takes the reports that have arrived, fetches records, decides, proposes, and
+ * answers the reports from records that are fetched after the proposals have ended. So a
+ * holder hears of a raise as soon as it is committed, and every report is known to the
+ * allocator before it is answered.
+ */
+public final class TokenPlannerActor extends AbstractBehavior<TokenPlannerActor.Message> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/**
+	 * Longer than a commit takes under load; a lost reply delays the answers this long.
+	 */
+	private static final Duration ROUND_TIMEOUT = Duration.ofSeconds(2);
+
+	private final TimerScheduler<Message> timers;
+
+	private final TokenSettings settings;
+
+	private final MonotonicClock clock;
+
+	private final ActorRef<ReplicaMessage> replica;
+
+	private final OpenProposals proposals;
+
+	private final ActorRef<ClientMessage> proposalReplies;
+
+	private final List<ReportArrived> waiting = new ArrayList<>();
+
+	private final List<ReportArrived> planned = new ArrayList<>();
+
+	private Optional<TokenAllocator> allocator = Optional.empty();
+
+	private boolean roundRunning;
+
+	private TokenPlannerActor(ActorContext<Message> context, TimerScheduler<Message> timers, TokenSettings settings,
+			Duration roundPeriod, MonotonicClock clock, ActorRef<ReplicaMessage> replica) {
+		super(context);
+		this.timers = timers;
+		this.settings = settings;
+		this.clock = clock;
+		this.replica = replica;
+		this.proposals = new OpenProposals(replica);
+		this.proposalReplies = context.messageAdapter(ClientMessage.class, ProposalEnded::new);
+		timers.startTimerWithFixedDelay(Signal.ROUND_DUE, roundPeriod);
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the periods of the token protocol
+	 * @param roundPeriod longest time between two rounds; a report starts one at once
+	 * @param clock clock that never goes back, because leases are counted with it
+	 * @param replica the replica of this member
+	 * @return the behavior
+	 */
+	public static Behavior<Message> create(TokenSettings settings, Duration roundPeriod, MonotonicClock clock,
+			ActorRef<ReplicaMessage> replica) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new TokenPlannerActor(context, timers, settings, roundPeriod, clock, replica)));
+	}
+
+	@Override
+	public Receive<Message> createReceive() {
+		return newReceiveBuilder().onMessage(ReportArrived.class, this::onReport)
+			.onMessageEquals(Signal.ROUND_DUE, this::onRoundDue)
+			.onMessageEquals(Signal.PROPOSALS_OVERDUE, this::onProposalsOverdue)
+			.onMessageEquals(Signal.RECORDS_MISSING, this::onRecordsMissing)
+			.onMessage(RecordsToPlan.class, this::onRecordsToPlan)
+			.onMessage(ProposalEnded.class, this::onProposalEnded)
+			.onMessage(RecordsToAnswer.class, this::onRecordsToAnswer)
+			.build();
+	}
+
+	// helpers
+
+	private Behavior<Message> onReport(ReportArrived report) {
+		this.waiting.add(report);
+		return onRoundDue();
+	}
+
+	private Behavior<Message> onRoundDue() {
+		if (!this.roundRunning) {
+			this.roundRunning = true;
+			this.planned.addAll(this.waiting);
+			this.waiting.clear();
+			fetch(RecordsToPlan::new);
+		}
+		return this;
+	}
+
+	private Behavior<Message> onRecordsToPlan(RecordsToPlan arrived) {
+		FleetRecords records = arrived.records();
+		if (!records.leader()) {
+			return onRecordsMissing();
+		}
+		TokenAllocator current = allocatorOf(records.term());
+		long nowMillis = this.clock.nowMillis();
+		this.planned.forEach((report) -> current.report(report.report(), nowMillis));
+		List<Command> commands = current.plan(view(records), nowMillis);
+		if (commands.isEmpty()) {
+			return onRecordsToAnswer(new RecordsToAnswer(records));
+		}
+		this.timers.startSingleTimer(Signal.PROPOSALS_OVERDUE, ROUND_TIMEOUT);
+		this.proposals.propose(commands, this.proposalReplies);
+		return this;
+	}
+
+	private Behavior<Message> onProposalEnded(ProposalEnded ended) {
+		return this.proposals.endsWith(ended.reply()) ? onProposalsOverdue() : this;
+	}
+
+	private Behavior<Message> onProposalsOverdue() {
+		this.timers.cancel(Signal.PROPOSALS_OVERDUE);
+		fetch(RecordsToAnswer::new);
+		return this;
+	}
+
+	private Behavior<Message> onRecordsToAnswer(RecordsToAnswer arrived) {
+		FleetRecords records = arrived.records();
+		Optional<TokenAllocator> leading = this.allocator
+			.filter((current) -> records.leader() && current.term() == records.term());
+		if (leading.isEmpty()) {
+			return onRecordsMissing();
+		}
+		TokenView view = view(records);
+		long nowMillis = this.clock.nowMillis();
+		this.planned.forEach((report) -> report.replyTo().tell(leading.get().answer(report.report(), view, nowMillis)));
+		return endRound();
+	}
+
+	// The entry hosts find the new leader and report to it.
+	private Behavior<Message> onRecordsMissing() {
+		this.allocator = Optional.empty();
+		this.waiting.clear();
+		return endRound();
+	}
+
+	private Behavior<Message> endRound() {
+		this.planned.clear();
+		this.roundRunning = false;
+		return this.waiting.isEmpty() ? this : onRoundDue();
+	}
+
+	private TokenAllocator allocatorOf(long term) {
+		if (this.allocator.filter((current) -> current.term() == term).isEmpty()) {
+			this.allocator = Optional.of(new TokenAllocator(this.settings, term, this.clock.nowMillis()));
+			logger.atInfo().log("Divides limits in term %d.", term);
+		}
+		return this.allocator.get();
+	}
+
+	private void fetch(Function<FleetRecords, Message> received) {
+		getContext().ask(FleetRecords.class, this.replica, ROUND_TIMEOUT, ReplicaMessage.FetchRecords::new,
+				(records, failure) -> (failure == null) ? received.apply(records) : Signal.RECORDS_MISSING);
+	}
+
+	private static TokenView view(FleetRecords records) {
+		return new TokenView(records.configuration().teams(), records.holders(), records.tokens(), records.jobs());
+	}
+
+	/** Messages of the token planner. */
+	public sealed interface Message {
+
+	}
+
+	/**
+	 * An entry host reports its use of tokens.
+	 *
+	 * @param report the report
+	 * @param replyTo gets the grants, unless this member does not lead
+	 */
+	public record ReportArrived(TokenReport report, ActorRef<? super ClientMessage> replyTo) implements Message {
+	}
+
+	private record RecordsToPlan(FleetRecords records) implements Message {
+	}
+
+	private record ProposalEnded(ClientMessage reply) implements Message {
+	}
+
+	private record RecordsToAnswer(FleetRecords records) implements Message {
+	}
+
+	private enum Signal implements Message {
+
+		ROUND_DUE, PROPOSALS_OVERDUE, RECORDS_MISSING
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/FleetCounts.java
@@ -0,0 +1,74 @@
+package io.burdockpin.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.HolderRecord;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.TokenRecord;
+
+/** Looks up and counts the records of one view. Immutable after construction. */
+final class FleetCounts {
+
+	private final Map<TokenKey, TokenRecord> tokens = new HashMap<>();
+
+	private final Map<TeamName, List<TokenRecord>> tokensByTeam = new HashMap<>();
+
+	private final Map<TeamName, Integer> jobsHolding = new HashMap<>();
+
+	private final Map<TeamName, Integer> jobsWaiting = new HashMap<>();
+
+	private final List<Holder> live;
+
+	FleetCounts(TokenView view) {
+		this.live = view.holders().stream().filter((holder) -> !holder.blocked()).map(HolderRecord::holder).toList();
+		view.tokens().forEach(this::add);
+		view.jobs().forEach(this::count);
+	}
+
+	List<Holder> live() {
+		return this.live;
+	}
+
+	boolean isLive(Holder holder) {
+		return this.live.contains(holder);
+	}
+
+	TokenRecord token(TokenKey key) {
+		return Optional.ofNullable(this.tokens.get(key))
+			.orElseGet(() -> new TokenRecord(key.team(), key.holder(), 0, 0, 0));
+	}
+
+	List<TokenRecord> tokensOf(TeamName team) {
+		return this.tokensByTeam.getOrDefault(team, List.of());
+	}
+
+	int jobsHolding(TeamName team) {
+		return this.jobsHolding.getOrDefault(team, 0);
+	}
+
+	int jobsWaiting(TeamName team) {
+		return this.jobsWaiting.getOrDefault(team, 0);
+	}
+
+	private void add(TokenRecord token) {
+		this.tokens.put(TokenKey.of(token), token);
+		this.tokensByTeam.computeIfAbsent(token.team(), (team) -> new ArrayList<>()).add(token);
+	}
+
+	private void count(JobRecord job) {
+		if (job.state().holdsCapacity()) {
+			this.jobsHolding.merge(job.spec().team(), 1, Integer::sum);
+		}
+		else if (job.state() == JobState.WAITING) {
+			this.jobsWaiting.merge(job.spec().team(), 1, Integer::sum);
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderReports.java
@@ -0,0 +1,102 @@
+package io.burdockpin.core.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.client.ClientMessage.TokenUsage;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.TokenRecord;
+
+/**
+ * What holders reported to this leader in its term and what they were told since.
+ * Mutable, owned by the allocator.
+ * <p>
+ * A report proves that tokens were given back only if the holder had seen the present
+ * token record before it sent the report. Until then the report may be older than a
+ * grant.
+ */
+final class HolderReports {
+
+	private final long term;
+
+	private final Map<Holder, Heard> reports = new HashMap<>();
+
+	private final Map<TokenKey, Integer> toldCounts = new HashMap<>();
+
+	private final Map<TokenKey, Announcement> announcements = new HashMap<>();
+
+	HolderReports(long term) {
+		this.term = term;
+	}
+
+	void add(TokenReport report, long nowMillis) {
+		Heard before = this.reports.get(report.holder());
+		if (before != null && before.report().sequence() >= report.sequence()) {
+			return;
+		}
+		this.reports.put(report.holder(), new Heard(report, nowMillis));
+		this.toldCounts.keySet().removeIf((key) -> key.holder().equals(report.holder()));
+	}
+
+	/**
+	 * Takes note of an answer that a holder may already have applied.
+	 * @param report the report it answers
+	 * @param record the token record that was told
+	 * @param toldCount the count that was told
+	 */
+	void answered(TokenReport report, TokenRecord record, int toldCount) {
+		TokenKey key = TokenKey.of(record);
+		this.toldCounts.merge(key, toldCount, Math::max);
+		Announcement announcement = this.announcements.get(key);
+		if (announcement == null || announcement.version() != record.version()) {
+			this.announcements.put(key, new Announcement(record.version(), report.sequence()));
+		}
+	}
+
+	boolean isHeard(Holder holder, long nowMillis, long silentMillis) {
+		Heard heard = this.reports.get(holder);
+		return heard != null && nowMillis - heard.receivedMillis() < silentMillis;
+	}
+
+	int demandOf(TokenKey key) {
+		return usage(key).map((usage) -> usage.inUseCount() + usage.waitingCount()).orElse(0);
+	}
+
+	/**
+	 * Returns how many tokens a holder can have at most by its own account.
+	 * @param record the present token record
+	 * @return the bound, or nothing if the holder has not confirmed the record
+	 */
+	Optional<Integer> confirmedCount(TokenRecord record) {
+		TokenKey key = TokenKey.of(record);
+		Heard heard = this.reports.get(record.holder());
+		Announcement announcement = this.announcements.get(key);
+		boolean confirmed = heard != null && announcement != null && announcement.version() == record.version()
+				&& heard.report().seenTerm() == this.term && heard.report().seenSequence() >= announcement.sequence();
+		if (!confirmed) {
+			return Optional.empty();
+		}
+		int heldCount = usage(key).map(TokenUsage::heldCount).orElse(0);
+		return Optional.of(Math.max(heldCount, this.toldCounts.getOrDefault(key, 0)));
+	}
+
+	private Optional<TokenUsage> usage(TokenKey key) {
+		return Optional.ofNullable(this.reports.get(key.holder()))
+			.flatMap((heard) -> usage(heard.report(), key.team()));
+	}
+
+	private static Optional<TokenUsage> usage(TokenReport report, TeamName team) {
+		return report.usages().stream().filter((usage) -> usage.team().equals(team)).findFirst();
+	}
+
+	private record Heard(TokenReport report, long receivedMillis) {
+	}
+
+	/** The first report whose answer named a version of a token record. */
+	private record Announcement(long version, long sequence) {
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenAllocator.java
@@ -0,0 +1,237 @@
+package io.burdockpin.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import io.burdockpin.core.client.ClientMessage.TokenGrant;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.client.ClientMessage.TokenUsage;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.HolderRecord;
+import io.burdockpin.core.state.TeamRecord;
+import io.burdockpin.core.state.TokenCommand;
+import io.burdockpin.core.state.TokenRecord;
+
+/**
+ * Divides the teams' upper limits while one member leads in one term. Mutable, owned by
+ * one actor; a new term needs a new allocator.
+ * <p>
+ * A count is raised in the replicated state before its holder is told, and lowered there
+ * only after the holder has confirmed the lower count or its lease has lapsed. So the
+ * replicated count is never below what the holder uses.
+ */
+public final class TokenAllocator {
+
+	private final TokenSettings settings;
+
+	private final long term;
+
+	private final HolderReports reports;
+
+	private final LapseTable lapses;
+
+	private final PendingReductions reductions = new PendingReductions();
+
+	private final Map<TokenKey, Integer> targetCounts = new HashMap<>();
+
+	/**
+	 * Creates the allocator of a new leader.
+	 * @param settings the periods of the protocol
+	 * @param term the term of the leader
+	 * @param nowMillis when the leader began
+	 */
+	public TokenAllocator(TokenSettings settings, long term, long nowMillis) {
+		this.settings = settings;
+		this.term = term;
+		this.reports = new HolderReports(term);
+		this.lapses = new LapseTable(settings, nowMillis);
+	}
+
+	// access
+
+	/**
+	 * Returns the term this allocator belongs to.
+	 * @return the term
+	 */
+	public long term() {
+		return this.term;
+	}
+
+	/**
+	 * Answers a report. Call after a {@link #plan} that knew the report, with a view that
+	 * is at least as new, and only while this member leads in the term.
+	 * @param report the report
+	 * @param view the replicated records
+	 * @param nowMillis the current time
+	 * @return the tokens of the holder
+	 */
+	public TokenGrants answer(TokenReport report, TokenView view, long nowMillis) {
+		FleetCounts counts = new FleetCounts(view);
+		this.lapses.renew(report.holder(), nowMillis);
+		List<TokenGrant> grants = new ArrayList<>();
+		for (TeamName team : teamsOf(report, view)) {
+			grants
+				.add(grant(report, counts.token(new TokenKey(team, report.holder())), counts.isLive(report.holder())));
+		}
+		return new TokenGrants(report.correlation(), this.term, report.sequence(), this.settings.leaseMillis(), grants);
+	}
+
+	// changes
+
+	/**
+	 * Takes note of a report.
+	 * @param report the report
+	 * @param nowMillis the current time
+	 */
+	public void report(TokenReport report, long nowMillis) {
+		this.reports.add(report, nowMillis);
+	}
+
+	/**
+	 * Decides which counts to change.
+	 * @param view the replicated records
+	 * @param nowMillis the current time
+	 * @return commands to propose in this order
+	 */
+	public List<Command> plan(TokenView view, long nowMillis) {
+		List<Command> commands = new ArrayList<>(endedLives(view, nowMillis));
+		FleetCounts counts = new FleetCounts(view);
+		for (TeamRecord team : view.teams()) {
+			commands.addAll(planTeam(team, counts, nowMillis));
+		}
+		return commands;
+	}
+
+	// helpers
+
+	private List<Command> endedLives(TokenView view, long nowMillis) {
+		return view.holders()
+			.stream()
+			.filter(HolderRecord::blocked)
+			.filter((life) -> this.lapses.isOver(life.holder(), nowMillis))
+			.<Command>map((life) -> new TokenCommand.ReleaseHolder(life.holder()))
+			.toList();
+	}
+
+	private List<Command> planTeam(TeamRecord team, FleetCounts counts, long nowMillis) {
+		List<Command> commands = new ArrayList<>();
+		Map<Holder, TokenRecord> present = new HashMap<>();
+		for (TokenRecord record : counts.tokensOf(team.name())) {
+			TokenRecord reduced = reduce(record, nowMillis);
+			present.put(record.holder(), reduced);
+			if (reduced.count() < record.count()) {
+				this.reductions.add(reduced);
+				commands.add(command(reduced));
+			}
+		}
+		commands.addAll(raise(team, counts, present, nowMillis));
+		return commands;
+	}
+
+	private TokenRecord reduce(TokenRecord record, long nowMillis) {
+		int count = this.reports.confirmedCount(record)
+			.map((held) -> Math.min(held, record.count()))
+			.orElse(record.count());
+		count = Math.min(count, this.reductions.of(record).map(TokenRecord::count).orElse(count));
+		if (this.lapses.isLapsed(record.holder(), nowMillis)) {
+			count = Math.min(count, record.ownedCount());
+		}
+		// Leased tokens go first, because requests may rely on the owned ones for longer.
+		int ownedCount = Math.min(record.ownedCount(), count);
+		return new TokenRecord(record.team(), record.holder(), ownedCount, count - ownedCount, record.version());
+	}
+
+	private List<Command> raise(TeamRecord team, FleetCounts counts, Map<Holder, TokenRecord> present, long nowMillis) {
+		List<Holder> reachable = counts.live()
+			.stream()
+			.filter((holder) -> this.reports.isHeard(holder, nowMillis, this.settings.silentMillis()))
+			.toList();
+		List<Integer> demands = reachable.stream()
+			.map((holder) -> this.reports.demandOf(new TokenKey(team.name(), holder)))
+			.toList();
+		int presentCount = present.values().stream().mapToInt(TokenRecord::count).sum();
+		int reachableCount = reachable.stream().mapToInt((holder) -> countOf(present, holder)).sum();
+		TeamDivision division = new TeamDivision(team.spec().upperLimit(), basicCount(team, counts),
+				presentCount - reachableCount, counts.jobsHolding(team.name()), counts.jobsWaiting(team.name()));
+		int[] shares = division.shares(demands);
+		List<MaxMinShares.Claim> deficits = deficits(team, counts, present, reachable, shares);
+		int freeCount = division.free(presentCount, demands);
+		boolean enough = deficits.stream().mapToInt(MaxMinShares.Claim::demand).sum() <= freeCount;
+		int[] raises = MaxMinShares.divide(Math.max(0, freeCount), deficits);
+		List<Command> commands = new ArrayList<>();
+		for (int position = 0; position < shares.length; position++) {
+			TokenKey key = new TokenKey(team.name(), reachable.get(position));
+			// Tokens move only if somebody lacks them, so that quiet teams cause no
+			// entries.
+			int keptCount = enough ? countOf(present, key.holder()) : 0;
+			this.targetCounts.put(key, Math.max(shares[position], keptCount));
+			if (raises[position] > 0) {
+				commands.add(raised(counts.token(key), raises[position], division.basicCount()));
+			}
+		}
+		return commands;
+	}
+
+	private List<MaxMinShares.Claim> deficits(TeamRecord team, FleetCounts counts, Map<Holder, TokenRecord> present,
+			List<Holder> reachable, int[] shares) {
+		List<MaxMinShares.Claim> deficits = new ArrayList<>();
+		for (int position = 0; position < shares.length; position++) {
+			Holder holder = reachable.get(position);
+			boolean reducing = this.reductions.of(counts.token(new TokenKey(team.name(), holder))).isPresent();
+			int deficit = Math.max(0, shares[position] - countOf(present, holder));
+			deficits.add(new MaxMinShares.Claim(reducing ? 0 : deficit, 1));
+		}
+		return deficits;
+	}
+
+	private static Command raised(TokenRecord record, int additionalCount, int basicCount) {
+		int count = record.count() + additionalCount;
+		int ownedCount = Math.max(record.ownedCount(), Math.min(count, basicCount));
+		return command(
+				new TokenRecord(record.team(), record.holder(), ownedCount, count - ownedCount, record.version()));
+	}
+
+	private static Command command(TokenRecord wanted) {
+		return new TokenCommand.GrantTokens(wanted.team(), wanted.holder(), wanted.ownedCount(), wanted.leasedCount(),
+				wanted.version());
+	}
+
+	private static int countOf(Map<Holder, TokenRecord> present, Holder holder) {
+		return Optional.ofNullable(present.get(holder)).map(TokenRecord::count).orElse(0);
+	}
+
+	// The one more is for jobs.
+	private static int basicCount(TeamRecord team, FleetCounts counts) {
+		return team.spec().upperLimit() / (counts.live().size() + 1);
+	}
+
+	private TokenGrant grant(TokenReport report, TokenRecord record, boolean live) {
+		if (!live) {
+			return new TokenGrant(record.team(), 0, 0, 0);
+		}
+		TokenRecord told = this.reductions.of(record).orElse(record);
+		this.reports.answered(report, record, told.count());
+		int targetCount = this.targetCounts.getOrDefault(TokenKey.of(record), told.count());
+		return new TokenGrant(record.team(), told.ownedCount(), told.leasedCount(), targetCount);
+	}
+
+	private static Set<TeamName> teamsOf(TokenReport report, TokenView view) {
+		Set<TeamName> teams = new TreeSet<>();
+		report.usages().stream().map(TokenUsage::team).forEach(teams::add);
+		view.tokens()
+			.stream()
+			.filter((token) -> token.holder().equals(report.holder()))
+			.map(TokenRecord::team)
+			.forEach(teams::add);
+		return teams;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
@@ -0,0 +1,220 @@
+package io.burdockpin.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.burdockpin.core.client.ClientMessage.TokenGrant;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.client.ClientMessage.TokenUsage;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.TeamName;
+
+/**
+ * The tokens of one life of an entry host. Mutable, owned by one actor. The times given
+ * to it must never go back.
+ * <p>
+ * A token stays in use until its attempt is released, or until the attempt's deadline and
+ * a margin have passed when its end is not known.
+ */
+public final class TokenWallet {
+
+	private final Holder holder;
+
+	private final Map<TeamName, Purse> purses = new TreeMap<>();
+
+	private final Map<Long, Use> uses = new HashMap<>();
+
+	private Map<TeamName, Integer> waitingCounts = Map.of();
+
+	private long sequence;
+
+	private long reportSentMillis;
+
+	private long leaseEndMillis = Long.MIN_VALUE;
+
+	private long seenTerm;
+
+	private long seenSequence;
+
+	/**
+	 * Creates an empty wallet.
+	 * @param holder the life of the entry host
+	 */
+	public TokenWallet(Holder holder) {
+		this.holder = holder;
+	}
+
+	// access
+
+	/**
+	 * Returns the teams that have an idle token.
+	 * @param nowMillis the current time
+	 * @return the teams by name
+	 */
+	public Set<TeamName> teamsWithIdleTokens(long nowMillis) {
+		Set<TeamName> teams = new TreeSet<>(this.purses.keySet());
+		teams.removeIf((team) -> inUseCount(team) >= heldCount(team, nowMillis));
+		return teams;
+	}
+
+	/**
+	 * Returns the tokens of a team that are in use.
+	 * @param team the team
+	 * @return the number of tokens, those with an unknown end included
+	 */
+	public int inUseCount(TeamName team) {
+		return (int) this.uses.values().stream().filter((use) -> use.team().equals(team)).count();
+	}
+
+	/**
+	 * Tells whether requests wait for tokens.
+	 * @return {@code true} if there is demand
+	 */
+	public boolean hasDemand() {
+		return !this.waitingCounts.isEmpty();
+	}
+
+	// changes
+
+	/**
+	 * Takes a token for an attempt. Leased tokens serve only attempts that end, with a
+	 * margin, inside the lease.
+	 * @param team the team
+	 * @param attempt number of the attempt
+	 * @param deadlineMillis when the attempt ends
+	 * @param nowMillis the current time
+	 * @return {@code true} if the attempt has a token now
+	 */
+	public boolean take(TeamName team, long attempt, long deadlineMillis, long nowMillis) {
+		long untilMillis = nowMillis + TokenSettings.withMargin(Math.max(0, deadlineMillis - nowMillis));
+		boolean needsOwned = untilMillis > this.leaseEndMillis;
+		boolean free = inUseCount(team) < heldCount(team, nowMillis)
+				&& (!needsOwned || longUseCount(team) < purse(team).ownedCount());
+		if (free) {
+			this.uses.put(attempt, new Use(team, untilMillis, needsOwned));
+		}
+		return free;
+	}
+
+	/**
+	 * Gives the token of an attempt back that certainly does not run any more.
+	 * @param attempt number of the attempt
+	 */
+	public void release(long attempt) {
+		this.uses.remove(attempt);
+	}
+
+	/**
+	 * Frees the tokens of attempts whose end is not known and whose deadline and margin
+	 * have passed.
+	 * @param nowMillis the current time
+	 */
+	public void expire(long nowMillis) {
+		this.uses.values().removeIf((use) -> use.untilMillis() <= nowMillis);
+	}
+
+	/**
+	 * Takes note of how many requests wait for tokens.
+	 * @param newWaitingCounts the counts by team; a missing team has none
+	 */
+	public void demand(Map<TeamName, Integer> newWaitingCounts) {
+		this.waitingCounts = Map.copyOf(newWaitingCounts);
+	}
+
+	/**
+	 * Writes the next report. Leases that its answer renews count from now.
+	 * @param nowMillis the current time
+	 * @return the report, without a number for the message
+	 */
+	public TokenReport report(long nowMillis) {
+		this.sequence++;
+		this.reportSentMillis = nowMillis;
+		Set<TeamName> teams = new TreeSet<>(this.purses.keySet());
+		teams.addAll(this.waitingCounts.keySet());
+		this.uses.values().forEach((use) -> teams.add(use.team()));
+		List<TokenUsage> usages = new ArrayList<>();
+		teams.forEach((team) -> usages.add(usage(team, nowMillis)));
+		return new TokenReport(0, this.holder, this.sequence, this.seenTerm, this.seenSequence, usages);
+	}
+
+	/**
+	 * Applies grants. Grants that do not answer the newest report are ignored, because
+	 * the wallet may have reported fewer tokens since.
+	 * @param grants the grants
+	 * @return {@code true} if they were applied
+	 */
+	public boolean granted(TokenGrants grants) {
+		if (grants.sequence() != this.sequence || grants.term() < this.seenTerm) {
+			return false;
+		}
+		this.seenTerm = grants.term();
+		this.seenSequence = grants.sequence();
+		this.leaseEndMillis = this.reportSentMillis + grants.leaseMillis();
+		this.purses.clear();
+		grants.grants().forEach(this::put);
+		return true;
+	}
+
+	/** Gives all idle tokens back, before a planned stop. The next report says so. */
+	public void giveBack() {
+		this.purses.replaceAll((team, purse) -> purse.reducedTo(inUseCount(team)));
+	}
+
+	// helpers
+
+	private void put(TokenGrant grant) {
+		int keptCount = Math.max(grant.targetCount(), inUseCount(grant.team()));
+		Purse purse = new Purse(grant.ownedCount(), grant.leasedCount()).reducedTo(keptCount);
+		if (purse.count() > 0) {
+			this.purses.put(grant.team(), purse);
+		}
+	}
+
+	private TokenUsage usage(TeamName team, long nowMillis) {
+		int inUseCount = inUseCount(team);
+		int reportedCount = Math.max(inUseCount, heldCount(team, nowMillis));
+		return new TokenUsage(team, reportedCount, inUseCount, this.waitingCounts.getOrDefault(team, 0));
+	}
+
+	private int heldCount(TeamName team, long nowMillis) {
+		Purse purse = purse(team);
+		return (nowMillis < this.leaseEndMillis) ? purse.count() : purse.ownedCount();
+	}
+
+	private int longUseCount(TeamName team) {
+		return (int) this.uses.values().stream().filter((use) -> use.team().equals(team) && use.needsOwned()).count();
+	}
+
+	private Purse purse(TeamName team) {
+		return this.purses.getOrDefault(team, Purse.EMPTY);
+	}
+
+	/** Tokens of one team. */
+	private record Purse(int ownedCount, int leasedCount) {
+
+		private static final Purse EMPTY = new Purse(0, 0);
+
+		private int count() {
+			return this.ownedCount + this.leasedCount;
+		}
+
+		// Leased tokens go first, because attempts may rely on the owned ones for longer.
+		private Purse reducedTo(int keptCount) {
+			int kept = Math.min(count(), keptCount);
+			int owned = Math.min(this.ownedCount, kept);
+			return new Purse(owned, kept - owned);
+		}
+
+	}
+
+	/** A token in use. */
+	private record Use(TeamName team, long untilMillis, boolean needsOwned) {
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
@@ -0,0 +1,369 @@
+package io.burdockpin.core.limit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.model.JobSpec;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.PoolName;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.JobCommand;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.Proposal;
+import io.burdockpin.core.state.TokenCommand;
+
+/**
+ * Seven entry hosts, a leader and a lossy network in virtual time. The ledger of what
+ * really runs is kept apart from the wallets and the replicated state.
+ */
+final class SimulatedFleet {
+
+	static final int HOSTS = 7;
+
+	/** Clocks differ by less than the margin of a fifth. */
+	private static final double MAXIMUM_DRIFT = 0.06;
+
+	private static final long STEP_MILLIS = 50;
+
+	private static final long DEPOSED_MILLIS = 1_000;
+
+	final List<SimulatedHost> hosts = new ArrayList<>();
+
+	final FleetState state = FleetState.empty();
+
+	final Set<DataCentre> cutOff = new HashSet<>();
+
+	final Map<TeamName, Integer> limits = new TreeMap<>();
+
+	private final RandomGenerator random;
+
+	private final TokenFault fault;
+
+	private final int dataCentres;
+
+	private final double lossFraction;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(Event.ORDER);
+
+	private final Map<Long, Running> running = new HashMap<>();
+
+	private final List<Leader> leaders = new ArrayList<>();
+
+	private long nowMillis = 1_000_000;
+
+	private long eventNumber;
+
+	private long attempt;
+
+	SimulatedFleet(long seed, int dataCentres, double lossFraction, TokenFault fault) {
+		this.random = new SplittableRandom(seed);
+		this.dataCentres = dataCentres;
+		this.lossFraction = lossFraction;
+		this.fault = fault;
+		for (int number = 0; number < HOSTS; number++) {
+			double rate = (fault == TokenFault.CLOCK_OUTSIDE_MARGIN) ? 0.5 : drift();
+			this.hosts.add(new SimulatedHost(number, dataCentres, rate));
+		}
+		changeLeader();
+	}
+
+	// changes
+
+	void apply(Command command) {
+		this.state.apply(this.state.index() + 1,
+				new Proposal(this.nowMillis, Optional.empty(), OptionalLong.empty(), command));
+		if (command instanceof TokenCommand.RegisterHolder && this.fault == TokenFault.ENDED_LIFE_RELEASED_AT_ONCE) {
+			this.state.holders()
+				.stream()
+				.filter((life) -> life.blocked())
+				.forEach((life) -> apply(new TokenCommand.ReleaseHolder(life.holder())));
+		}
+	}
+
+	void changeLeader() {
+		DataCentre home = dataCentre();
+		while (this.cutOff.contains(home)) {
+			home = dataCentre();
+		}
+		this.leaders
+			.forEach((leader) -> leader.endMillis = Math.min(leader.endMillis, this.nowMillis + DEPOSED_MILLIS));
+		long sinceMillis = (this.fault == TokenFault.NO_WAIT_AFTER_LEADER_CHANGE) ? -1_000_000 : 0;
+		double rate = drift();
+		TokenAllocator allocator = new TokenAllocator(TokenSettings.DEFAULT, this.leaders.size() + 1,
+				(long) (this.nowMillis * rate) + sinceMillis);
+		this.leaders.add(new Leader(home, rate, allocator, view()));
+	}
+
+	void restart(SimulatedHost host) {
+		host.restart(host.holder.incarnation() + 1);
+	}
+
+	void cut(int count) {
+		while (this.cutOff.size() < count) {
+			this.cutOff.add(dataCentre());
+		}
+		if (this.cutOff.contains(current().home)) {
+			changeLeader();
+		}
+	}
+
+	void step(Map<TeamName, Double> startsPerStep) {
+		this.nowMillis += STEP_MILLIS;
+		while (!this.events.isEmpty() && this.events.peek().atMillis() <= this.nowMillis) {
+			this.events.poll().action().run();
+		}
+		this.running.values().removeIf((attempted) -> attempted.endMillis() <= this.nowMillis);
+		this.hosts.forEach((host) -> stepHost(host, startsPerStep));
+		if (this.nowMillis % 250 == 0) {
+			round(current());
+		}
+		this.limits.forEach(this::checkLimit);
+	}
+
+	void changeJobs() {
+		TeamName team = this.limits.keySet()
+			.stream()
+			.sorted()
+			.skip(this.random.nextInt(this.limits.size()))
+			.findFirst()
+			.orElseThrow();
+		apply(new JobCommand.SubmitJob(new JobId("j-" + this.nowMillis),
+				new JobSpec(team, new PoolName("p"), new Resources(1, 1, 0), 1, false, true, Payload.EMPTY)));
+		JobRecord job = this.state.jobs().get(this.random.nextInt(this.state.jobs().size()));
+		if (job.state() == JobState.WAITING) {
+			apply(new JobCommand.PlaceJob(job.id(), this.state.hosts().get(0).name(), 1));
+		}
+		else if (job.state() == JobState.PLACED) {
+			apply(new JobCommand.FinishJob(job.id(), 1, true, Payload.EMPTY));
+		}
+	}
+
+	// access
+
+	int runningOf(TeamName team) {
+		return (int) this.running.values().stream().filter((attempted) -> attempted.team().equals(team)).count();
+	}
+
+	int countOf(TeamName team, boolean reachable) {
+		Set<Holder> lives = new HashSet<>();
+		this.hosts.stream()
+			.filter((host) -> this.cutOff.contains(host.dataCentre) != reachable)
+			.forEach((host) -> lives.add(host.holder));
+		return this.state.tokens()
+			.stream()
+			.filter((token) -> token.team().equals(team) && lives.contains(token.holder()))
+			.mapToInt((token) -> token.count())
+			.sum();
+	}
+
+	// helpers
+
+	private void checkLimit(TeamName team, int limit) {
+		long jobs = this.state.jobs()
+			.stream()
+			.filter((job) -> job.spec().team().equals(team) && job.state().holdsCapacity())
+			.count();
+		Truth.assertWithMessage("running of %s at %s", team, this.nowMillis)
+			.that(runningOf(team) + jobs)
+			.isAtMost((long) limit);
+	}
+
+	private void stepHost(SimulatedHost host, Map<TeamName, Double> startsPerStep) {
+		long localMillis = host.localMillis(this.nowMillis);
+		host.wallet.expire(localMillis);
+		boolean busy = this.nowMillis < host.demandUntilMillis;
+		if (!busy && this.random.nextInt(400) == 0) {
+			host.demandUntilMillis = this.nowMillis + 10_000;
+		}
+		Map<TeamName, Integer> waiting = new HashMap<>();
+		startsPerStep.forEach((team, mean) -> {
+			double starts = mean * (busy ? 5 : 0.2);
+			boolean refused = this.random.nextDouble() < starts && !start(host, team, localMillis);
+			if (refused || busy) {
+				waiting.put(team, 1 + this.random.nextInt(4));
+			}
+		});
+		host.wallet.demand(waiting);
+		if (this.random.nextInt(20) == 0) {
+			report(host, localMillis);
+		}
+	}
+
+	private boolean start(SimulatedHost host, TeamName team, long localMillis) {
+		long id = ++this.attempt;
+		long remainingMillis = 500 + this.random.nextInt(30_000);
+		if (!host.wallet.take(team, id, localMillis + remainingMillis, localMillis)) {
+			return false;
+		}
+		boolean unknown = this.random.nextInt(5) == 0;
+		long lastsMillis = (long) (remainingMillis * drift() * (unknown ? 1 : this.random.nextDouble()));
+		this.running.put(id, new Running(team, this.nowMillis + lastsMillis));
+		TokenWallet wallet = host.wallet;
+		if (!unknown) {
+			at(lastsMillis, () -> wallet.release(id));
+		}
+		else if (this.fault == TokenFault.UNKNOWN_END_RELEASED) {
+			at(lastsMillis / 2, () -> wallet.release(id));
+		}
+		return true;
+	}
+
+	private void report(SimulatedHost host, long localMillis) {
+		Leader leader = pickLeader();
+		if (!host.registered) {
+			Holder holder = host.holder;
+			send(host, leader, () -> commit(leader, new TokenCommand.RegisterHolder(holder, host.dataCentre)));
+			host.registered = this.state.holders().stream().anyMatch((life) -> life.holder().equals(holder));
+			return;
+		}
+		TokenReport report = host.wallet.report(localMillis);
+		host.lastSequence = report.sequence();
+		send(host, leader, () -> reported(host, leader, report));
+	}
+
+	private void reported(SimulatedHost host, Leader leader, TokenReport report) {
+		if (leads(leader)) {
+			leader.allocator.report(report, leader.localMillis(this.nowMillis));
+			round(leader);
+			at(commitMillis(), () -> answer(host, leader, report));
+		}
+	}
+
+	private void answer(SimulatedHost host, Leader leader, TokenReport report) {
+		if (leads(leader)) {
+			refresh(leader);
+			TokenGrants grants = leader.allocator.answer(report, leader.view, leader.localMillis(this.nowMillis));
+			send(host, leader, () -> deliver(host, report.holder(), grants));
+		}
+	}
+
+	private void deliver(SimulatedHost host, Holder addressee, TokenGrants grants) {
+		if (!host.holder.equals(addressee)) {
+			return;
+		}
+		TokenGrants applied = (this.fault != TokenFault.STALE_GRANTS_APPLIED) ? grants
+				: new TokenGrants(0, grants.term(), host.lastSequence, grants.leaseMillis(), grants.grants());
+		host.wallet.granted(applied);
+	}
+
+	private void round(Leader leader) {
+		refresh(leader);
+		for (Command command : leader.allocator.plan(leader.view, leader.localMillis(this.nowMillis))) {
+			commit(leader, command);
+		}
+	}
+
+	private void commit(Leader leader, Command command) {
+		at(commitMillis(), () -> {
+			if (leader == current() && this.random.nextInt(30) != 0) {
+				apply(command);
+			}
+		});
+	}
+
+	private void refresh(Leader leader) {
+		// A deposed leader does not see what the new one commits.
+		if (leader == current()) {
+			leader.view = view();
+		}
+	}
+
+	private TokenView view() {
+		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), this.state.jobs());
+	}
+
+	private void send(SimulatedHost host, Leader leader, Runnable action) {
+		boolean cut = this.cutOff.contains(host.dataCentre) != this.cutOff.contains(leader.home);
+		if (!cut && this.random.nextDouble() >= this.lossFraction) {
+			at((this.random.nextInt(20) != 0) ? 1 + this.random.nextInt(100) : this.random.nextInt(6_000), action);
+		}
+	}
+
+	private void at(long delayMillis, Runnable action) {
+		this.events.add(new Event(this.nowMillis + delayMillis, this.eventNumber++, action));
+	}
+
+	private boolean leads(Leader leader) {
+		return this.nowMillis < leader.endMillis;
+	}
+
+	private Leader pickLeader() {
+		int back = (this.random.nextInt(4) == 0) ? Math.min(2, this.leaders.size()) : 1;
+		return this.leaders.get(this.leaders.size() - back);
+	}
+
+	private Leader current() {
+		return this.leaders.get(this.leaders.size() - 1);
+	}
+
+	private DataCentre dataCentre() {
+		return new DataCentre("dc-" + this.random.nextInt(this.dataCentres));
+	}
+
+	private long commitMillis() {
+		return 5 + this.random.nextInt(60);
+	}
+
+	private double drift() {
+		return 1 + MAXIMUM_DRIFT * (2 * this.random.nextDouble() - 1);
+	}
+
+	/** One member while it leads. */
+	private static final class Leader {
+
+		private final DataCentre home;
+
+		private final double clockRate;
+
+		private final TokenAllocator allocator;
+
+		private TokenView view;
+
+		private long endMillis = Long.MAX_VALUE;
+
+		private Leader(DataCentre home, double clockRate, TokenAllocator allocator, TokenView view) {
+			this.home = home;
+			this.clockRate = clockRate;
+			this.allocator = allocator;
+			this.view = view;
+		}
+
+		private long localMillis(long nowMillis) {
+			return (long) (nowMillis * this.clockRate);
+		}
+
+	}
+
+	private record Running(TeamName team, long endMillis) {
+
+	}
+
+	private record Event(long atMillis, long number, Runnable action) {
+
+		private static final Comparator<Event> ORDER = Comparator.comparingLong(Event::atMillis)
+			.thenComparingLong(Event::number);
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenAllocatorTests.java
@@ -0,0 +1,158 @@
+package io.burdockpin.core.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.model.TeamSpec;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.ConfigurationCommand;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.Proposal;
+import io.burdockpin.core.state.TokenCommand;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Guards against tokens that stay where nobody needs them, or move without consent. */
+class TokenAllocatorTests {
+
+	private static final TeamName TEAM = new TeamName("booking");
+
+	private static final int LIMIT = 40;
+
+	private final FleetState state = FleetState.empty();
+
+	private final List<TokenWallet> wallets = new ArrayList<>();
+
+	private final TokenAllocator allocator = new TokenAllocator(TokenSettings.DEFAULT, 1, 0);
+
+	private long nowMillis;
+
+	TokenAllocatorTests() {
+		apply(new ConfigurationCommand.CreateTeam(new TeamSpec(TEAM, 1, LIMIT, 0)));
+		for (int number = 0; number < 7; number++) {
+			Holder holder = new Holder(new HostName("entry-" + number), 1);
+			apply(new TokenCommand.RegisterHolder(holder, new DataCentre("dc-1")));
+			this.wallets.add(new TokenWallet(holder));
+		}
+	}
+
+	@Test
+	void demandAtOneHostMovesTheWholeLimitThere() {
+		rounds(6);
+		this.wallets.get(3).demand(Map.of(TEAM, 100));
+		rounds(3);
+		Truth.assertThat(countOf(3)).isEqualTo(LIMIT);
+	}
+
+	@Test
+	void hostsThatAllWantEverythingGetEqualParts() {
+		this.wallets.forEach((wallet) -> wallet.demand(Map.of(TEAM, 100)));
+		rounds(4);
+		for (int number = 0; number < 7; number++) {
+			Truth.assertThat(countOf(number)).isAtLeast(LIMIT / 7);
+		}
+	}
+
+	@Test
+	void quietHostsCauseNoCommandsOnceTheBasicPartsAreOut() {
+		rounds(3);
+		Truth.assertThat(countOf(0)).isEqualTo(LIMIT / 8);
+		Truth.assertThat(this.allocator.plan(view(), this.nowMillis)).isEmpty();
+	}
+
+	@Test
+	void tokensInUseStayUntilTheirAttemptsEnd() {
+		this.wallets.get(0).demand(Map.of(TEAM, 100));
+		rounds(3);
+		for (int attempt = 0; attempt < LIMIT; attempt++) {
+			this.wallets.get(0).take(TEAM, attempt, this.nowMillis + 1000, this.nowMillis);
+		}
+		this.wallets.get(0).demand(Map.of());
+		this.wallets.get(1).demand(Map.of(TEAM, 100));
+		rounds(1);
+		Truth.assertThat(countOf(0)).isEqualTo(LIMIT);
+		this.wallets.get(0).release(7);
+		rounds(3);
+		Truth.assertThat(countOf(0)).isEqualTo(LIMIT - 1);
+		Truth.assertThat(countOf(1)).isEqualTo(1);
+	}
+
+	@Test
+	void aLowerLimitIsReachedByGivingBack() {
+		rounds(3);
+		apply(new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 1, 8, 0)));
+		rounds(3);
+		Truth.assertThat(this.state.tokens().stream().mapToInt((token) -> token.count()).sum()).isAtMost(8);
+	}
+
+	@Test
+	void aRequestThatOutlivesTheLeaseNeedsAnOwnedToken() {
+		this.wallets.get(0).demand(Map.of(TEAM, 100));
+		rounds(3);
+		int taken = 0;
+		for (int attempt = 0; attempt < LIMIT; attempt++) {
+			taken += this.wallets.get(0).take(TEAM, attempt, this.nowMillis + 60_000, this.nowMillis) ? 1 : 0;
+		}
+		Truth.assertThat(taken).isEqualTo(LIMIT / 8);
+	}
+
+	@Property(tries = 300, seed = "8003")
+	void sharesNeitherPassTheCapacityNorTheDemandNorLeaveDemandUnserved(@ForAll @IntRange(max = 200) int capacity,
+			@ForAll @Size(max = 9) List<@IntRange(max = 60) Integer> demands) {
+		int[] shares = MaxMinShares.divide(capacity,
+				demands.stream().map((demand) -> new MaxMinShares.Claim(demand, 1)).toList());
+		int wanted = demands.stream().mapToInt(Integer::intValue).sum();
+		Truth.assertThat(MaxMinShares.sum(shares)).isEqualTo(Math.min(capacity, wanted));
+		for (int position = 0; position < shares.length; position++) {
+			Truth.assertThat(shares[position]).isAtMost(demands.get(position));
+			for (int other = 0; other < shares.length; other++) {
+				boolean lacking = shares[position] < demands.get(position);
+				Truth.assertThat(lacking && shares[other] > shares[position] + 1).isFalse();
+			}
+		}
+	}
+
+	private void rounds(int count) {
+		for (int round = 0; round < count; round++) {
+			this.nowMillis += 1000;
+			List<TokenReport> reports = this.wallets.stream().map((wallet) -> wallet.report(this.nowMillis)).toList();
+			reports.forEach((report) -> this.allocator.report(report, this.nowMillis));
+			this.allocator.plan(view(), this.nowMillis).forEach(this::apply);
+			for (int number = 0; number < 7; number++) {
+				TokenGrants grants = this.allocator.answer(reports.get(number), view(), this.nowMillis);
+				Truth.assertThat(this.wallets.get(number).granted(grants)).isTrue();
+			}
+		}
+	}
+
+	private int countOf(int number) {
+		return this.state.tokens()
+			.stream()
+			.filter((token) -> token.holder().host().value().equals("entry-" + number))
+			.mapToInt((token) -> token.count())
+			.sum();
+	}
+
+	private TokenView view() {
+		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), this.state.jobs());
+	}
+
+	private void apply(Command command) {
+		this.state.apply(this.state.index() + 1,
+				new Proposal(this.nowMillis, Optional.empty(), OptionalLong.empty(), command));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenFault.java
@@ -0,0 +1,23 @@
+package io.burdockpin.core.limit;
+
+/** Faults that the simulated fleet plants to see that its check notices them. */
+enum TokenFault {
+
+	NONE,
+
+	/** A holder applies grants that do not answer its newest report. */
+	STALE_GRANTS_APPLIED,
+
+	/** A new leader treats leases as lapsed at once. */
+	NO_WAIT_AFTER_LEADER_CHANGE,
+
+	/** The tokens of a life that ended are free at once. */
+	ENDED_LIFE_RELEASED_AT_ONCE,
+
+	/** The token of an attempt with an unknown end is free at once. */
+	UNKNOWN_END_RELEASED,
+
+	/** The clock of an entry host runs at half speed, which is outside the margin. */
+	CLOCK_OUTSIDE_MARGIN
+
+}
