Start the planners in the control program

Cause: the guardian dropped the reports of workers.

Ruled out: planners that know the replica's messages. The port keeps them testable with a probe.

Change: PlannerSupervisor with back-off restarts, ReplicaGateway between the planners and the replica actor.

Conclusion: TokenReports still go nowhere; the token planner is another part.

--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
@@ -0,0 +1,34 @@
+package io.burdockpin.control.planner;
+
+import java.time.Duration;
+
+import io.burdockpin.core.maintenance.MaintenanceSettings;
+import io.burdockpin.core.placement.PlacementPreference;
+import io.burdockpin.core.placement.PlacementSettings;
+
+/**
+ * Settings of the planners of one member. Immutable.
+ *
+ * @param placement settings of the placement planner
+ * @param maintenance settings of the maintenance planner
+ * @param placementPeriod time between two placement rounds
+ * @param maintenancePeriod time between two maintenance rounds
+ */
+public record PlannerSettings(PlacementSettings placement, MaintenanceSettings maintenance, Duration placementPeriod,
+		Duration maintenancePeriod) {
+
+	/** Balanced preference; placement each 250 ms, maintenance each second. */
+	public static final PlannerSettings DEFAULT = new PlannerSettings(PlacementSettings.DEFAULT,
+			MaintenanceSettings.DEFAULT, Duration.ofMillis(250), Duration.ofSeconds(1));
+
+	/**
+	 * Returns these settings with another preference.
+	 * @param preference what the firm values
+	 * @return the changed settings
+	 */
+	public PlannerSettings withPreference(PlacementPreference preference) {
+		return new PlannerSettings(this.placement.withPreference(preference),
+				this.maintenance.withPreference(preference), this.placementPeriod, this.maintenancePeriod);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
@@ -0,0 +1,77 @@
+package io.burdockpin.control.planner;
+
+import java.time.Clock;
+import java.time.Duration;
+
+import io.burdockpin.control.link.PlannerReport;
+import io.burdockpin.control.replica.ReplicaMessage;
+import io.burdockpin.core.client.ClientMessage;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.SupervisorStrategy;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Supervises the planners and passes the reports of entry hosts to them. A planner that
+ * throws is restarted with back-off; it rebuilds its tables from views and reports, as a
+ * new leader does.
+ */
+public final class PlannerSupervisor extends AbstractBehavior<PlannerReport> {
+
+	private static final Duration RESTART_MINIMUM = Duration.ofMillis(200);
+
+	private static final Duration RESTART_MAXIMUM = Duration.ofSeconds(10);
+
+	private static final double RESTART_JITTER = 0.2;
+
+	private final ActorRef<PlacementActor.Message> placement;
+
+	private PlannerSupervisor(ActorContext<PlannerReport> context, PlannerSettings settings, Clock clock,
+			ActorRef<ReplicaMessage> replica) {
+		super(context);
+		ReplicaPort port = ReplicaGateway.portTo(context.spawn(ReplicaGateway.create(replica), "replica-gateway"));
+		ActorRef<MaintenanceActor.Message> maintenance = context.spawn(
+				restarting(MaintenanceActor.create(settings.maintenance(), settings.maintenancePeriod(), clock, port)),
+				"maintenance");
+		this.placement = context.spawn(restarting(PlacementActor.create(settings.placement(),
+				settings.placementPeriod(), clock, port, maintenance.narrow())), "placement");
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings of the planners
+	 * @param clock wall clock of this process
+	 * @param replica the replica of this member
+	 * @return the behavior
+	 */
+	public static Behavior<PlannerReport> create(PlannerSettings settings, Clock clock,
+			ActorRef<ReplicaMessage> replica) {
+		return Behaviors.setup((context) -> new PlannerSupervisor(context, settings, clock, replica));
+	}
+
+	@Override
+	public Receive<PlannerReport> createReceive() {
+		return newReceiveBuilder().onMessage(PlannerReport.class, this::onReport).build();
+	}
+
+	// helpers
+
+	private Behavior<PlannerReport> onReport(PlannerReport report) {
+		if (report.message() instanceof ClientMessage.WorkerReports reports) {
+			this.placement.tell(new PlacementActor.ReportsArrived(reports, report.replyTo()));
+		}
+		return this;
+	}
+
+	private static <M> Behavior<M> restarting(Behavior<M> behavior) {
+		return Behaviors.supervise(behavior)
+			.onFailure(RuntimeException.class,
+					SupervisorStrategy.restartWithBackoff(RESTART_MINIMUM, RESTART_MAXIMUM, RESTART_JITTER));
+	}
+
+}
