--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/admission/ConfigurationFeedTests.java
@@ -0,0 +1,112 @@
+package io.burdockpin.core.admission;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.state.ConfigurationCommand;
+import io.burdockpin.core.state.ConfigurationSnapshot;
+import io.burdockpin.core.state.Proposal;
+import io.burdockpin.core.state.QueueRecord;
+import org.junit.jupiter.api.Test;
+
+/** Guards P11: a configuration in force never reverts, and none is in force too early. */
+class ConfigurationFeedTests {
+
+	private static final List<HostName> MEMBERS = List.of(new HostName("c1"), new HostName("c2"));
+
+	private final ConfigurationFeed feed = new ConfigurationFeed(MEMBERS, new DataCentre("dc-1"));
+
+	@Test
+	void nothingIsInForceBeforeTheReadIndexIsReached() {
+		this.feed.readIndexKnown(7);
+		Truth.assertThat(inForce(this.feed.received(MEMBERS.get(0), snapshot(6), 0))).isEqualTo(0);
+		Truth.assertThat(inForce(this.feed.received(MEMBERS.get(0), update(6, 7), 0))).isEqualTo(7);
+	}
+
+	@Test
+	void withoutALeaderTheNewestConfigurationThatAnyoneKnowsIsInForce() {
+		this.feed.received(MEMBERS.get(0), snapshot(3), 0);
+		this.feed.offered(ConfigurationView.of(configuration(5)));
+		Truth.assertThat(inForce(this.feed.readIndexUnknown())).isEqualTo(5);
+	}
+
+	@Test
+	void aMissedChangeMakesTheFeedStartAgain() {
+		this.feed.connected(MEMBERS.get(0), 0);
+		this.feed.readIndexKnown(1);
+		this.feed.received(MEMBERS.get(0), snapshot(3), 0);
+		List<FeedEffect> effects = this.feed.received(MEMBERS.get(0), update(4, 5), 0);
+		Truth.assertThat(effects)
+			.containsExactly(new FeedEffect.Send(MEMBERS.get(0),
+					new ClientMessage.Subscribe(new DataCentre("dc-1"), 3)));
+	}
+
+	@Test
+	void aMemberThatLostItsMajorityOrIsSilentIsLeftForTheNext() {
+		MEMBERS.forEach((member) -> this.feed.connected(member, 0));
+		List<FeedEffect> effects = this.feed.received(MEMBERS.get(0),
+				new ClientMessage.FeedHeartbeat(0, Optional.empty(), false), 0);
+		Truth.assertThat(((FeedEffect.Send) effects.get(0)).member()).isEqualTo(MEMBERS.get(1));
+		Truth.assertThat(this.feed.tick(2999)).isEmpty();
+		Truth.assertThat(((FeedEffect.Send) this.feed.tick(3000).get(0)).member()).isEqualTo(MEMBERS.get(0));
+	}
+
+	@Test
+	void theIndexInForceNeverGoesBackInAnyOrderOfMessages() {
+		for (long seed = 0; seed < 200; seed++) {
+			RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+			ConfigurationFeed tested = new ConfigurationFeed(MEMBERS, new DataCentre("dc-1"));
+			long newest = 0;
+			for (int step = 0; step < 100; step++) {
+				long index = inForce(deliver(tested, random));
+				Truth.assertThat(index == 0 || index >= newest).isTrue();
+				newest = Math.max(newest, index);
+			}
+		}
+	}
+
+	private static List<FeedEffect> deliver(ConfigurationFeed tested, RandomGenerator random) {
+		HostName member = MEMBERS.get(random.nextInt(MEMBERS.size()));
+		long index = 1 + random.nextInt(30);
+		return switch (random.nextInt(7)) {
+			case 0 -> tested.connected(member, index);
+			case 1 -> tested.disconnected(member, index);
+			case 2 -> tested.received(member, snapshot(index), index);
+			case 3 -> tested.received(member, update(index - 1, index), index);
+			case 4 -> tested.offered(ConfigurationView.of(configuration(index)));
+			case 5 -> tested.readIndexKnown(index);
+			default -> tested.tick(index * 1000);
+		};
+	}
+
+	private static long inForce(List<FeedEffect> effects) {
+		return effects.stream()
+			.filter(FeedEffect.InForce.class::isInstance)
+			.mapToLong((effect) -> ((FeedEffect.InForce) effect).configuration().index())
+			.max()
+			.orElse(0);
+	}
+
+	private static ClientMessage snapshot(long index) {
+		return new ClientMessage.FeedSnapshot(configuration(index));
+	}
+
+	private static ConfigurationSnapshot configuration(long index) {
+		return new ConfigurationSnapshot(index, List.of(), List.of(), List.of(), List.of(),
+				List.of(new QueueRecord(new QueueName("q"), false, index)));
+	}
+
+	private static ClientMessage update(long previousIndex, long index) {
+		return new ClientMessage.FeedUpdate(previousIndex, index, new Proposal(0, Optional.empty(),
+				OptionalLong.empty(), new ConfigurationCommand.UpdateQueue(new QueueName("q"), true)));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
@@ -0,0 +1,99 @@
+package io.burdockpin.core.membership;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.membership.PeerMessage.PeerStatus;
+import io.burdockpin.core.membership.PeerMessage.QueueStatus;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.KeyHash;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.routing.PeerLoad;
+import io.burdockpin.core.routing.PeerLoads;
+import org.junit.jupiter.api.Test;
+
+/** Guards forwarding to dead hosts and forgotten withdrawals. */
+class PeerTableTests {
+
+	private static final QueueName QUEUE = new QueueName("quotes");
+
+	private static final KeyHash KEY = KeyHash.of("key");
+
+	private static final PeerInfo SELF = info("e1", "dc-1");
+
+	private static final PeerInfo NEAR = info("e2", "dc-1");
+
+	private static final PeerInfo FAR = info("e3", "dc-2");
+
+	private final PeerTable table = new PeerTable(SELF, List.of(NEAR, FAR), 1000);
+
+	@Test
+	void aSilentOrStoppingPeerTakesNoWork() {
+		hear(NEAR, 1, false, 0);
+		hear(FAR, 1, true, 0);
+		Truth.assertThat(this.table.view(999).takingWork()).containsExactly(NEAR);
+		Truth.assertThat(this.table.view(1000).takingWork()).isEmpty();
+	}
+
+	@Test
+	void aStatusOfAnEarlierLifeIsIgnored() {
+		hear(NEAR, 5, true, 0);
+		Truth.assertThat(hear(NEAR, 4, false, 1)).isFalse();
+		Truth.assertThat(this.table.view(1).takingWork()).isEmpty();
+	}
+
+	@Test
+	void aRestartedPeerMustConfirmWithdrawnKeysAgain() {
+		hear(NEAR, 1, false, 0);
+		this.table.withdraw(List.of(KEY));
+		this.table.keysConfirmed(NEAR.host(), List.of(KEY));
+		this.table.keysConfirmed(FAR.host(), List.of(KEY));
+		Truth.assertThat(this.table.unconfirmedDataCentres(KEY)).isEmpty();
+		hear(NEAR, 2, false, 1);
+		Truth.assertThat(this.table.unconfirmedDataCentres(KEY)).containsExactly(new DataCentre("dc-1"));
+		Truth.assertThat(this.table.unconfirmedKeys(NEAR.host())).containsExactly(KEY);
+	}
+
+	@Test
+	void runnersAreSpreadOverTheHostsOfTheDataCentreAndMoveOnlyWhenTheirHostStops() {
+		hear(NEAR, 1, false, 0);
+		hear(FAR, 1, false, 0);
+		PeerView view = this.table.view(1);
+		List<String> sentAway = IntStream.range(0, 200)
+			.mapToObj((index) -> "runner-" + index)
+			.filter((name) -> view.attachTo(name, false).isPresent())
+			.toList();
+		Truth.assertThat(sentAway.size()).isAtLeast(60);
+		Truth.assertThat(sentAway.size()).isAtMost(140);
+		sentAway.forEach((name) -> Truth.assertThat(view.attachTo(name, false)).hasValue(NEAR.httpAddress()));
+		Truth.assertThat(view.attachTo("runner-1", true)).hasValue(NEAR.httpAddress());
+	}
+
+	@Test
+	void requestsSentSinceTheLastStatusCountAgainstThePeer() {
+		hear(NEAR, 1, false, 0);
+		PeerLoads loads = new PeerLoads();
+		loads.update(this.table.view(1).loads());
+		PeerLoad load = loads.of(QUEUE).get(0);
+		loads.sent(QUEUE, load);
+		loads.sent(QUEUE, load);
+		loads.sent(QUEUE, load);
+		Truth.assertThat(loads.of(QUEUE).get(0).freeSlots()).isEqualTo(0);
+		Truth.assertThat(loads.of(QUEUE).get(0).waiting()).isEqualTo(1);
+		hear(NEAR, 1, false, 10);
+		loads.update(this.table.view(11).loads());
+		Truth.assertThat(loads.of(QUEUE).get(0).freeSlots()).isEqualTo(2);
+	}
+
+	private boolean hear(PeerInfo peer, long incarnation, boolean stopping, long nowMillis) {
+		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(peer.dataCentre(),
+				peer.httpAddress(), stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))), nowMillis);
+	}
+
+	private static PeerInfo info(String name, String dataCentre) {
+		return new PeerInfo(new HostName(name), new DataCentre(dataCentre), name + ":80");
+	}
+
+}
