--- a/burdockpin-core/src/test/java/io/burdockpin/core/admission/AdmissionTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/admission/AdmissionTests.java
@@ -17,7 +17,9 @@
 import io.burdockpin.core.state.TeamRecord;
 import org.junit.jupiter.api.Test;
 
-/** Guards P3 and P4: only the team whose key came with a request, and no withdrawn key. */
+/**
+ * Guards P3 and P4: only the team whose key came with a request, and no withdrawn key.
+ */
 class AdmissionTests {
 
 	private static final long NOW_MILLIS = 1_700_000_000_000L;
@@ -26,14 +28,14 @@
 
 	private static final KeyHash KEY = KeyHash.of("key");
 
-	private static final ConfigurationView CONFIGURATION = ConfigurationView.of(new ConfigurationSnapshot(9,
-			List.of(), List.of(), List.of(new TeamRecord(new TeamSpec(TEAM, 4, 10, 0), 1)),
-			List.of(new KeyRecord(KEY, TEAM, "first", false, 1)),
-			List.of(new QueueRecord(new QueueName("closed"), false, 1),
-					new QueueRecord(new QueueName("open"), true, 1))));
+	private static final ConfigurationView CONFIGURATION = ConfigurationView
+		.of(new ConfigurationSnapshot(9, List.of(), List.of(), List.of(new TeamRecord(new TeamSpec(TEAM, 4, 10, 0), 1)),
+				List.of(new KeyRecord(KEY, TEAM, "first", false, 1)),
+				List.of(new QueueRecord(new QueueName("closed"), false, 1),
+						new QueueRecord(new QueueName("open"), true, 1))));
 
-	private final Admission admission = new Admission(
-			new AdmissionLimits(1024, 60_000, 600_000, 3_600_000, 300_000), NOW_MILLIS);
+	private final Admission admission = new Admission(new AdmissionLimits(1024, 60_000, 600_000, 3_600_000, 300_000),
+			NOW_MILLIS);
 
 	AdmissionTests() {
 		this.admission.configure(CONFIGURATION);
@@ -57,8 +59,8 @@
 	@Test
 	void aKeyWithdrawnHereStaysRefusedWhenTheFeedStillGrantsIt() {
 		this.admission.withdraw(List.of(KEY));
-		this.admission.configure(CONFIGURATION.with(10,
-				new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 5, 10, 0))));
+		this.admission
+			.configure(CONFIGURATION.with(10, new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 5, 10, 0))));
 		Truth.assertThat(code(check("closed", Optional.of(KEY), NOW_MILLIS))).isEqualTo(ErrorCode.KEY_WITHDRAWN);
 		Truth.assertThat(code(check("open", Optional.of(KEY), NOW_MILLIS))).isEqualTo(ErrorCode.KEY_WITHDRAWN);
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/admission/ConfigurationFeedTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/admission/ConfigurationFeedTests.java
@@ -45,8 +45,8 @@
 		this.feed.received(MEMBERS.get(0), snapshot(3), 0);
 		List<FeedEffect> effects = this.feed.received(MEMBERS.get(0), update(4, 5), 0);
 		Truth.assertThat(effects)
-			.containsExactly(new FeedEffect.Send(MEMBERS.get(0),
-					new ClientMessage.Subscribe(new DataCentre("dc-1"), 3)));
+			.containsExactly(
+					new FeedEffect.Send(MEMBERS.get(0), new ClientMessage.Subscribe(new DataCentre("dc-1"), 3)));
 	}
 
 	@Test
--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
@@ -88,8 +88,8 @@
 	}
 
 	private boolean hear(PeerInfo peer, long incarnation, boolean stopping, long nowMillis) {
-		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(peer.dataCentre(),
-				peer.httpAddress(), stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))), nowMillis);
+		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(peer.dataCentre(), peer.httpAddress(),
+				stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))), nowMillis);
 	}
 
 	private static PeerInfo info(String name, String dataCentre) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -14,6 +14,7 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.cfg.EntrySettings;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.StartException;
 import org.apache.pekko.Done;
@@ -52,8 +53,6 @@
 
 	private final Materializer materializer;
 
-	private final EntryMetrics metrics;
-
 	private final List<ActorRef<InetSocketAddress>> boundWaiters = new ArrayList<>();
 
 	private Optional<ServerBinding> binding = Optional.empty();
@@ -65,16 +64,14 @@
 		this.materializer = Materializer.createMaterializer(context);
 		HttpBodies bodies = new HttpBodies(this.materializer);
 		this.responses = new Responses(json);
-		this.metrics = new EntryMetrics();
+		MetricRegistry metrics = new MetricRegistry();
 		long proposalMillis = settings.timing().proposalMillis();
-		this.endpoints = List
-			.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits()),
-					new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
-							settings.timing().attachmentMillis()),
-					new JobEndpoint(actors, bodies, json, this.responses, proposalMillis),
-					new OperatorEndpoint(actors, bodies, this.responses, proposalMillis, new OperatorJsonCodec(),
-							new ThriftOperatorCodec()),
-					new StatusEndpoint(actors, this.responses, identity, this.metrics));
+		this.endpoints = List.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits(), metrics),
+				new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
+						settings.timing().attachmentMillis()),
+				new JobEndpoint(actors, bodies, json, this.responses, proposalMillis), new OperatorEndpoint(actors,
+						bodies, this.responses, proposalMillis, new OperatorJsonCodec(), new ThriftOperatorCodec()),
+				new StatusEndpoint(actors, identity, metrics));
 		bind(settings);
 	}
 
@@ -162,10 +159,7 @@
 
 	private CompletionStage<HttpResponse> handle(HttpRequest request) {
 		// Runs on the threads of the HTTP library and uses immutable state only.
-		return answer(request).exceptionally(this.responses::error).thenApply((response) -> {
-			this.metrics.countResponse(response.status().intValue());
-			return response;
-		});
+		return answer(request).exceptionally(this.responses::error);
 	}
 
 	private CompletionStage<HttpResponse> answer(HttpRequest request) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
@@ -1,8 +1,10 @@
 package io.burdockpin.entry.http;
 
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletionStage;
 
@@ -17,6 +19,8 @@
 import io.burdockpin.entry.router.BurdockHeader;
 import io.burdockpin.entry.router.CallerRequest;
 import io.burdockpin.entry.router.RouterCommand;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -29,6 +33,10 @@
 	/** The router answers by the deadline; this covers a router that has failed. */
 	private static final long ANSWER_MARGIN_MILLIS = 5000;
 
+	/** Refusals that come before the queue is known to exist. */
+	private static final Set<ErrorCode> UNBOUNDED_QUEUE_CODES = EnumSet.of(ErrorCode.UNKNOWN_QUEUE,
+			ErrorCode.BODY_TOO_LARGE, ErrorCode.NO_MAJORITY, ErrorCode.STOPPING);
+
 	private final Actors actors;
 
 	private final HttpBodies bodies;
@@ -37,11 +45,14 @@
 
 	private final LimitSettings limits;
 
-	QueueEndpoint(Actors actors, HttpBodies bodies, Responses responses, LimitSettings limits) {
+	private final MetricRegistry metrics;
+
+	QueueEndpoint(Actors actors, HttpBodies bodies, Responses responses, LimitSettings limits, MetricRegistry metrics) {
 		this.actors = actors;
 		this.bodies = bodies;
 		this.responses = responses;
 		this.limits = limits;
+		this.metrics = metrics;
 	}
 
 	@Override
@@ -70,8 +81,21 @@
 			.ask(this.actors.router(), (ActorRef<FinalAnswer> replyTo) -> new RouterCommand.Submit(request, replyTo),
 					timeout)
 			.exceptionally((failure) -> FinalAnswer.Refused.of(ErrorCode.OUTCOME_UNKNOWN, "no answer in time"))
-			.thenApply((answer) -> this.responses.of(answer)
-				.addHeader(RawHeader.create(BurdockHeader.REQUEST_ID.headerName(), request.requestId().value())));
+			.thenApply((answer) -> {
+				count(request, answer);
+				return this.responses.of(answer)
+					.addHeader(RawHeader.create(BurdockHeader.REQUEST_ID.headerName(), request.requestId().value()));
+			});
+	}
+
+	private void count(CallerRequest request, FinalAnswer answer) {
+		Optional<ErrorCode> code = (answer instanceof FinalAnswer.Refused refused) ? Optional.of(refused.code())
+				: Optional.empty();
+		// Names of queues that do not exist come from callers and would never end.
+		boolean known = code.filter(UNBOUNDED_QUEUE_CODES::contains).isEmpty();
+		this.metrics.increment(Metric.REQUESTS, known ? request.facts().queue().value() : "", answer.outcome().name(),
+				code.map(ErrorCode::name).orElse(""));
+		code.ifPresent((refusal) -> this.metrics.increment(Metric.REFUSALS, refusal.name()));
 	}
 
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/StatusEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/StatusEndpoint.java
@@ -1,21 +1,21 @@
 package io.burdockpin.entry.http;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 
+import io.burdockpin.core.membership.PeerMessage.QueueStatus;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.router.RouterCommand;
 import io.burdockpin.entry.router.RouterCommand.RouterStatus;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.burdockpin.runtime.http.HealthReport;
+import io.burdockpin.runtime.http.ProgramRoutes;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -27,17 +27,17 @@
 
 	private final Actors actors;
 
-	private final Responses responses;
-
 	private final EntryIdentity identity;
 
-	private final EntryMetrics metrics;
+	private final MetricRegistry metrics;
+
+	private final ProgramRoutes routes;
 
-	StatusEndpoint(Actors actors, Responses responses, EntryIdentity identity, EntryMetrics metrics) {
+	StatusEndpoint(Actors actors, EntryIdentity identity, MetricRegistry metrics) {
 		this.actors = actors;
-		this.responses = responses;
 		this.identity = identity;
 		this.metrics = metrics;
+		this.routes = new ProgramRoutes(metrics, () -> status().thenApply(this::report));
 	}
 
 	@Override
@@ -45,12 +45,13 @@
 		if (!request.method().equals(HttpMethods.GET) || segments.size() != 1) {
 			return Optional.empty();
 		}
-		return switch (segments.get(0)) {
-			case "health" -> Optional.of(status().thenApply(this::health));
-			case "ready" -> Optional.of(status().thenApply(this::ready));
-			case "metrics" -> Optional.of(status().thenApply(this::metrics));
-			default -> Optional.empty();
-		};
+		if (segments.get(0).equals("metrics")) {
+			return Optional.of(status().thenCompose((status) -> {
+				update(status);
+				return this.routes.handle(request).orElseThrow();
+			}));
+		}
+		return this.routes.handle(request);
 	}
 
 	private CompletionStage<RouterStatus> status() {
@@ -58,36 +59,27 @@
 				(ActorRef<RouterStatus> replyTo) -> new RouterCommand.ReportStatus(replyTo), TIMEOUT);
 	}
 
-	private HttpResponse health(RouterStatus status) {
-		return this.responses.json(200, document(status));
-	}
-
-	private HttpResponse ready(RouterStatus status) {
+	private HealthReport report(RouterStatus status) {
 		boolean ready = status.configurationIndex() > 0 && !status.stopping();
-		return this.responses.json(ready ? 200 : 503, document(status));
+		return new HealthReport(true, ready, details(status));
 	}
 
-	private Map<String, Object> document(RouterStatus status) {
-		Map<String, Object> document = new LinkedHashMap<>();
-		document.put("entryHost", this.identity.self().host().value());
-		document.put("dataCentre", this.identity.self().dataCentre().value());
-		document.put("incarnation", this.identity.holder().incarnation());
-		document.put("configurationIndex", status.configurationIndex());
-		document.put("stopping", status.stopping());
-		document.put("requests", status.requestCount());
-		return document;
+	private Map<String, String> details(RouterStatus status) {
+		Map<String, String> details = new TreeMap<>();
+		details.put("entryHost", this.identity.self().host().value());
+		details.put("dataCentre", this.identity.self().dataCentre().value());
+		details.put("incarnation", Long.toString(this.identity.holder().incarnation()));
+		details.put("configurationIndex", Long.toString(status.configurationIndex()));
+		details.put("stopping", Boolean.toString(status.stopping()));
+		details.put("requests", Integer.toString(status.requestCount()));
+		return details;
 	}
 
-	private HttpResponse metrics(RouterStatus status) {
-		this.metrics.update(status);
-		try {
-			ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-			PrometheusTextFormatWriter.create().write(bytes, this.metrics.scrape());
-			return this.responses.bytes(200, ContentTypes.parse("text/plain; version=0.0.4; charset=utf-8"),
-					bytes.toByteArray());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+	private void update(RouterStatus status) {
+		this.metrics.record(Metric.CONFIGURATION_INDEX, status.configurationIndex());
+		for (QueueStatus queue : status.queues()) {
+			this.metrics.record(Metric.QUEUE_LENGTH, queue.waiting(), queue.queue().value());
+			this.metrics.record(Metric.FREE_SLOTS, queue.freeSlots(), queue.queue().value());
 		}
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -11,7 +11,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
-import io.burdockpin.core.client.ClientMessage.TokenUsage;
+import io.burdockpin.core.limit.TokenWallet;
 import io.burdockpin.core.state.TokenCommand.RegisterHolder;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.control.ControlCommand;
@@ -46,7 +46,7 @@
 
 	private final ActorRef<ControlCommand> control;
 
-	private final GrantedTokens tokens = new GrantedTokens();
+	private final TokenWallet wallet;
 
 	private final List<ActorRef<TokenEvent>> subscribers = new ArrayList<>();
 
@@ -54,8 +54,6 @@
 
 	private boolean reportPending;
 
-	private long reportSentMillis;
-
 	private TokenActor(ActorContext<TokenCommand> context, TimerScheduler<TokenCommand> timers, EntryIdentity identity,
 			long reportMillis, ActorRef<ControlCommand> control) {
 		super(context);
@@ -63,6 +61,7 @@
 		this.identity = identity;
 		this.reportMillis = reportMillis;
 		this.control = control;
+		this.wallet = new TokenWallet(identity.holder());
 		register();
 	}
 
@@ -96,22 +95,22 @@
 	}
 
 	private Behavior<TokenCommand> onTake(TokenCommand.Take command) {
-		boolean granted = this.tokens.take(command.team(), command.attempt(), command.deadlineMillis(),
+		boolean granted = this.wallet.take(command.team(), command.attempt(), command.deadlineMillis(),
 				this.identity.nowMillis());
 		command.replyTo().tell(new TokenEvent.Decided(command.attempt(), command.team(), granted));
 		return this;
 	}
 
 	private Behavior<TokenCommand> onRelease(TokenCommand.Release command) {
-		this.tokens.release(command.attempt());
+		this.wallet.release(command.attempt());
 		tellAvailable();
 		return this;
 	}
 
 	private Behavior<TokenCommand> onDemand(TokenCommand.Demand command) {
-		boolean hadDemand = this.tokens.hasDemand();
-		this.tokens.demand(command.waitingCounts());
-		if (!hadDemand && this.tokens.hasDemand()) {
+		boolean hadDemand = this.wallet.hasDemand();
+		this.wallet.demand(command.waitingCounts());
+		if (!hadDemand && this.wallet.hasDemand()) {
 			report();
 		}
 		return this;
@@ -123,7 +122,7 @@
 	}
 
 	private Behavior<TokenCommand> onTick() {
-		this.tokens.expire(this.identity.nowMillis());
+		this.wallet.expire(this.identity.nowMillis());
 		tellAvailable();
 		if (this.registered) {
 			report();
@@ -151,14 +150,14 @@
 		this.reportPending = false;
 		if (command.result() instanceof CallResult.Answered answered
 				&& answered.message() instanceof ClientMessage.TokenGrants grants) {
-			this.tokens.granted(grants.grants(), this.reportSentMillis + grants.leaseMillis());
+			this.wallet.granted(grants);
 			tellAvailable();
 		}
 		return this;
 	}
 
 	private Behavior<TokenCommand> onDrain(TokenCommand.Drain command) {
-		this.tokens.giveBack();
+		this.wallet.giveBack();
 		call(tokenReport(), DRAIN_TIMEOUT_MILLIS, (result) -> {
 			command.replyTo().tell(Done.getInstance());
 			return new TokenCommand.ReportEnded(new CallResult.Unknown("drained"));
@@ -177,7 +176,6 @@
 	private void report() {
 		if (this.registered && !this.reportPending) {
 			this.reportPending = true;
-			this.reportSentMillis = this.identity.nowMillis();
 			call(tokenReport(), this.reportMillis, TokenCommand.ReportEnded::new);
 		}
 	}
@@ -191,12 +189,11 @@
 	}
 
 	private LongFunction<ClientMessage> tokenReport() {
-		List<TokenUsage> usages = this.tokens.usages(this.identity.nowMillis());
-		return (correlation) -> new ClientMessage.TokenReport(correlation, this.identity.holder(), usages);
+		return this.wallet.report(this.identity.nowMillis())::withCorrelation;
 	}
 
 	private void tellAvailable() {
-		this.tokens.teamsWithIdleTokens(this.identity.nowMillis())
+		this.wallet.teamsWithIdleTokens(this.identity.nowMillis())
 			.forEach((team) -> this.subscribers
 				.forEach((subscriber) -> subscriber.tell(new TokenEvent.Available(team))));
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -16,6 +16,7 @@
 import io.burdockpin.entry.fake.FakeRunner;
 import io.burdockpin.entry.fake.TestEntry;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -55,6 +56,10 @@
 		this.kit.shutdownTestKit();
 	}
 
+	TestProbe<Void> probe() {
+		return this.kit.createTestProbe();
+	}
+
 	FakeControl control() {
 		return this.control;
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
@@ -116,7 +116,8 @@
 				.stream()
 				.map((team) -> new TokenGrant(team.spec().name(), this.tokenCount, 0, this.tokenCount))
 				.toList();
-			return Optional.of(new ClientMessage.TokenGrants(report.correlation(), 45_000, grants));
+			return Optional
+				.of(new ClientMessage.TokenGrants(report.correlation(), 1, report.sequence(), 45_000, grants));
 		}
 		if (message instanceof ClientMessage.WorkerReports reports) {
 			List<WorkerOrder> orders = reports.reports()
