Fix a checkstyle finding in the token planner

Ruled out: none.

Change: the ternary tests with !=.

Conclusion: the control module passes the linter.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -182,7 +182,7 @@
 
 	private void fetch(Function<FleetRecords, Message> received) {
 		getContext().ask(FleetRecords.class, this.replica, ROUND_TIMEOUT, ReplicaMessage.FetchRecords::new,
-				(records, failure) -> (failure == null) ? received.apply(records) : Signal.RECORDS_MISSING);
+				(records, failure) -> (failure != null) ? Signal.RECORDS_MISSING : received.apply(records));
 	}
 
 	private static TokenView view(FleetRecords records) {
