Start the token planner in the control program

Cause: reports of entry hosts about tokens reached no planner.

Ruled out: dropping the allocator when records cannot be fetched; a reduction of the same term may still be applied afterwards, and a new allocator would not know it.

Change: PlannerSupervisor spawns the TokenPlannerActor and passes token reports to it; PlannerSettings holds its periods.

Conclusion: a leader now grants tokens.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import io.burdockpin.core.limit.TokenSettings;
 import io.burdockpin.core.maintenance.MaintenanceSettings;
 import io.burdockpin.core.placement.PlacementPreference;
 import io.burdockpin.core.placement.PlacementSettings;
@@ -11,15 +12,18 @@
  *
  * @param placement settings of the placement planner
  * @param maintenance settings of the maintenance planner
+ * @param tokens periods of the token protocol
  * @param placementPeriod time between two placement rounds
  * @param maintenancePeriod time between two maintenance rounds
+ * @param tokenPeriod longest time between two rounds of the token planner
  */
-public record PlannerSettings(PlacementSettings placement, MaintenanceSettings maintenance, Duration placementPeriod,
-		Duration maintenancePeriod) {
+public record PlannerSettings(PlacementSettings placement, MaintenanceSettings maintenance, TokenSettings tokens,
+		Duration placementPeriod, Duration maintenancePeriod, Duration tokenPeriod) {
 
-	/** Balanced preference; placement each 250 ms, maintenance each second. */
+	/** Balanced preference; placement and tokens each 250 ms, maintenance each second. */
 	public static final PlannerSettings DEFAULT = new PlannerSettings(PlacementSettings.DEFAULT,
-			MaintenanceSettings.DEFAULT, Duration.ofMillis(250), Duration.ofSeconds(1));
+			MaintenanceSettings.DEFAULT, TokenSettings.DEFAULT, Duration.ofMillis(250), Duration.ofSeconds(1),
+			Duration.ofMillis(250));
 
 	/**
 	 * Returns these settings with another preference.
@@ -28,7 +32,8 @@
 	 */
 	public PlannerSettings withPreference(PlacementPreference preference) {
 		return new PlannerSettings(this.placement.withPreference(preference),
-				this.maintenance.withPreference(preference), this.placementPeriod, this.maintenancePeriod);
+				this.maintenance.withPreference(preference), this.tokens, this.placementPeriod, this.maintenancePeriod,
+				this.tokenPeriod);
 	}
 
 }
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 
 import io.burdockpin.control.link.PlannerReport;
+import io.burdockpin.control.replica.MonotonicClock;
 import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.client.ClientMessage;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -29,6 +30,8 @@
 
 	private final ActorRef<PlacementActor.Message> placement;
 
+	private final ActorRef<TokenPlannerActor.Message> tokens;
+
 	private PlannerSupervisor(ActorContext<PlannerReport> context, PlannerSettings settings, Clock clock,
 			ActorRef<ReplicaMessage> replica) {
 		super(context);
@@ -38,6 +41,9 @@
 				"maintenance");
 		this.placement = context.spawn(restarting(PlacementActor.create(settings.placement(),
 				settings.placementPeriod(), clock, port, maintenance.narrow())), "placement");
+		this.tokens = context.spawn(restarting(
+				TokenPlannerActor.create(settings.tokens(), settings.tokenPeriod(), MonotonicClock.SYSTEM, replica)),
+				"tokens");
 	}
 
 	// life cycle
@@ -65,6 +71,9 @@
 		if (report.message() instanceof ClientMessage.WorkerReports reports) {
 			this.placement.tell(new PlacementActor.ReportsArrived(reports, report.replyTo()));
 		}
+		else if (report.message() instanceof ClientMessage.TokenReport tokenReport) {
+			this.tokens.tell(new TokenPlannerActor.ReportArrived(tokenReport, report.replyTo()));
+		}
 		return this;
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -159,9 +159,9 @@
 		return endRound();
 	}
 
-	// The entry hosts find the new leader and report to it.
+	// The entry hosts find the new leader and report to it. The allocator stays, because
+	// its pending reductions may still be applied in the same term.
 	private Behavior<Message> onRecordsMissing() {
-		this.allocator = Optional.empty();
 		this.waiting.clear();
 		return endRound();
 	}
