--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/placement/JobLeasesTests.java
@@ -0,0 +1,45 @@
+package io.burdockpin.core.placement;
+
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.state.JobRecord;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two workers that run the same job. */
+class JobLeasesTests {
+
+	private static final long LAPSE_MILLIS = 36_000;
+
+	private final JobLeases leases = new JobLeases(LeaseSettings.DEFAULT);
+
+	private final JobRecord repeatable = Records.on(1, "j-1", Records.spec("team-1", 1, false, true), JobState.RUNNING);
+
+	private final JobRecord notRepeatable = Records.on(1, "j-2", Records.spec("team-1", 1, false, false),
+			JobState.RUNNING);
+
+	@Test
+	void aLeaseLapsesOnlyAfterItsPeriodAndTheMargin() {
+		this.leases.observe(List.of(this.repeatable), 0);
+		this.leases.renew(this.repeatable.id(), 1, 5_000);
+		Truth.assertThat(this.leases.hasLapsed(this.repeatable, 5_000 + LAPSE_MILLIS - 1)).isFalse();
+		Truth.assertThat(this.leases.hasLapsed(this.repeatable, 5_000 + LAPSE_MILLIS)).isTrue();
+	}
+
+	@Test
+	void aNewLeaderWaitsAFullPeriodEvenIfTheLeaseWasNeverRenewed() {
+		this.leases.observe(List.of(this.repeatable), 0);
+		this.leases.restart();
+		this.leases.observe(List.of(this.repeatable), 100_000);
+		Truth.assertThat(this.leases.hasLapsed(this.repeatable, 100_000 + LAPSE_MILLIS - 1)).isFalse();
+		Truth.assertThat(this.leases.hasLapsed(this.repeatable, 100_000 + LAPSE_MILLIS)).isTrue();
+	}
+
+	@Test
+	void aJobThatIsNotRepeatableNeverLapses() {
+		this.leases.observe(List.of(this.notRepeatable), 0);
+		Truth.assertThat(this.leases.hasLapsed(this.notRepeatable, 100 * LAPSE_MILLIS)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/placement/WorkerReconcilerTests.java
@@ -0,0 +1,98 @@
+package io.burdockpin.core.placement;
+
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.client.ClientMessage.JobOrder;
+import io.burdockpin.core.client.ClientMessage.JobReport;
+import io.burdockpin.core.client.JobOrderKind;
+import io.burdockpin.core.client.JobPhase;
+import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.state.JobCommand;
+import io.burdockpin.core.state.JobRecord;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against wrong reactions to reports that are late, repeated or from a new boot.
+ */
+class WorkerReconcilerTests {
+
+	private final PlacementTables tables = new PlacementTables(PlacementSettings.DEFAULT);
+
+	private final WorkerReconciler reconciler = this.tables.createReconciler();
+
+	private final JobRecord placedOnce = Records.on(1, "j-1", Records.spec("team-1", 1, false, false), JobState.PLACED);
+
+	private final JobRecord runningOnce = Records.on(1, "j-1", Records.spec("team-1", 1, false, false),
+			JobState.RUNNING);
+
+	private final JobRecord running = Records.on(1, "j-1", Records.spec("team-1", 1, false, true), JobState.RUNNING);
+
+	@Test
+	void aWorkerThatRunsAnOldEpochIsToldToStop() {
+		ReportAnswer answer = answer("boot-1", this.running, 0, Records.jobReport("j-1", 0, JobPhase.RUNNING));
+		Truth.assertThat(kinds(answer)).containsExactly(JobOrderKind.STOP);
+		Truth.assertThat(answer.order().renewed()).isEmpty();
+	}
+
+	@Test
+	void aReportOfANewerEpochThanTheViewIsLeftAlone() {
+		ReportAnswer answer = answer("boot-1", this.running, 0, Records.jobReport("j-1", 2, JobPhase.RUNNING));
+		Truth.assertThat(answer.order().orders()).isEmpty();
+		Truth.assertThat(answer.commands()).isEmpty();
+	}
+
+	@Test
+	void aJobThatIsNotRepeatableIsNotStartedAgainAfterAReboot() {
+		this.tables.startGuard().placed(this.placedOnce.id(), 1);
+		Truth.assertThat(kinds(answer("boot-1", this.placedOnce, 0))).containsExactly(JobOrderKind.START);
+		ReportAnswer answer = answer("boot-2", this.placedOnce, 1_000);
+		Truth.assertThat(answer.order().orders()).isEmpty();
+		Truth.assertThat(answer.commands())
+			.containsExactly(new JobCommand.InterruptJob(this.placedOnce.id(), 1, false, Payload.EMPTY));
+	}
+
+	@Test
+	void aNewLeaderDoesNotStartAJobThatIsNotRepeatableAndThatAnotherLeaderPlaced() {
+		this.tables.leases().observe(List.of(this.placedOnce), 0);
+		ReportAnswer answer = answer("boot-1", this.placedOnce, 0);
+		Truth.assertThat(answer.order().orders()).isEmpty();
+		Truth.assertThat(answer.commands()).isEmpty();
+	}
+
+	@Test
+	void aJobThatIsNotRepeatableAndMissingFromReportsForAFullPeriodEnds() {
+		this.tables.leases().observe(List.of(this.runningOnce), 0);
+		Truth.assertThat(answer("boot-1", this.runningOnce, 35_999).commands()).isEmpty();
+		Truth.assertThat(answer("boot-1", this.runningOnce, 36_000).commands())
+			.containsExactly(new JobCommand.InterruptJob(this.runningOnce.id(), 1, false, Payload.EMPTY));
+	}
+
+	@Test
+	void aStopIsOrderedBeforeTheStartThatNeedsItsRoom() {
+		JobRecord urgent = Records.on(1, "j-2", Records.spec("team-1", 4, true, true), JobState.PLACED);
+		this.tables.interventions()
+			.add(new JobIntervention(Records.hostName(1), this.running.id(), 1, JobOrderKind.STOP, 0, "test"));
+		ReportAnswer answer = this.reconciler.answer(
+				Records.report(1, "boot-1", Records.jobReport("j-1", 1, JobPhase.RUNNING)),
+				JobIndex.of(List.of(urgent, this.running)), 0);
+		Truth.assertThat(kinds(answer)).containsExactly(JobOrderKind.STOP, JobOrderKind.START).inOrder();
+	}
+
+	@Test
+	void aRepeatableJobThatFailsQuicklyForTheFirstTimeIsTriedAgain() {
+		ReportAnswer answer = answer("boot-1", this.running, 100, Records.jobReport("j-1", 1, JobPhase.FAILED));
+		Truth.assertThat(answer.commands())
+			.containsExactly(new JobCommand.InterruptJob(this.running.id(), 1, false, Payload.EMPTY));
+	}
+
+	private ReportAnswer answer(String bootId, JobRecord job, long nowMillis, JobReport... reports) {
+		return this.reconciler.answer(Records.report(1, bootId, reports), JobIndex.of(List.of(job)), nowMillis);
+	}
+
+	private static List<JobOrderKind> kinds(ReportAnswer answer) {
+		return answer.order().orders().stream().map(JobOrder::kind).toList();
+	}
+
+}
