Look up a team's pools only if the team has a minimum capacity

Ruled out: an index of pools by team; no firm needs it while few teams state a minimum.

Change: DrainCheck returns before the search when there is nothing to check.

Conclusion: a team with a minimum still costs one pass over all jobs for each stop.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/DrainCheck.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/DrainCheck.java
@@ -35,8 +35,11 @@
 
 	private void checkTeam(TeamRecord team, HostRecord host) {
 		int neededMillicores = team.spec().minimumCapacityMillicores();
+		if (neededMillicores == 0) {
+			return;
+		}
 		Set<PoolName> pools = poolsUsedBy(team.name());
-		if (neededMillicores == 0 || !pools.contains(host.pool())) {
+		if (!pools.contains(host.pool())) {
 			return;
 		}
 		long leftMillicores = inServiceMillicores(pools) - host.spec().capacity().cpuMillicores();
