Let links travel over TLS with certificates on both sides

Cause: links between data centres were readable by anybody on the way.

Ruled out: TLS without a check of the address, because any member's certificate could then stand in for another member.

Conclusion: not yet a setting of the programs.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
@@ -14,7 +14,6 @@
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
 
 /**
@@ -95,8 +94,8 @@
 
 	private void bind(InetSocketAddress localAddress) {
 		ActorRef<Command> self = getContext().getSelf();
-		Tcp.get(getContext().getSystem())
-			.bind(localAddress.getHostString(), localAddress.getPort())
+		this.settings.transport()
+			.bind(getContext().getSystem(), localAddress)
 			.to(Sink.foreach((connection) -> self.tell(new Accepted(connection.flow()))))
 			.run(Materializer.createMaterializer(getContext()))
 			.whenComplete((binding, failure) -> self
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
@@ -158,9 +157,9 @@
 		this.generation++;
 		long current = this.generation;
 		ActorRef<LinkCommand<M>> self = getContext().getSelf();
-		Flow<ByteString, ByteString, NotUsed> connection = Tcp.get(getContext().getSystem())
-			.outgoingConnection(this.remoteAddress, Optional.empty(), List.of(), false,
-					Optional.of(Duration.ofMillis(this.settings.connectTimeoutMillis())), Optional.empty())
+		Flow<ByteString, ByteString, NotUsed> connection = this.settings.transport()
+			.connect(getContext().getSystem(), this.remoteAddress,
+					Duration.ofMillis(this.settings.connectTimeoutMillis()))
 			.mapMaterializedValue((opened) -> {
 				reportOpened(opened, self, current);
 				return NotUsed.getInstance();
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/tls/package-info.java
@@ -0,0 +1,2 @@
+/** TLS with key stores and passwords from files. */
+package io.burdockpin.runtime.tls;
