--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RequestsThatAreNotRepeatableTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RequestsThatAreNotRepeatableTests.java
@@ -115,8 +115,10 @@
 	}
 
 	private void awaitService(EntryHost entry) {
-		CallerRequest probe = new CallerRequest("probe", "probe", true, 1000);
-		Await.until("service by " + entry.name(), () -> this.caller.send(entry, probe).join().isOwnEcho());
+		Await.until("service by " + entry.name(),
+				() -> this.caller.send(entry, new CallerRequest("probe-" + System.nanoTime(), "probe", true, 1000))
+					.join()
+					.isOwnEcho());
 	}
 
 }
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -97,7 +97,7 @@
 		nearestFirst.add(0, nearestFirst.remove(entry));
 		nearestFirst.forEach((host) -> arguments.add(host.httpAddress().toString()));
 		ProgramProcess process = new ProgramProcess(name, this.folder, RunnerMain.class, arguments);
-		StandInRunner runner = new StandInRunner(process, control, startedFile);
+		StandInRunner runner = new StandInRunner(queue, process, control, startedFile);
 		this.runners.add(runner);
 		process.start();
 		return runner;
@@ -153,6 +153,14 @@
 		return Await.value("a leader with a majority", this::findLeader);
 	}
 
+	/**
+	 * Tells whether a member leads and reaches a majority now.
+	 * @return {@code false} if none does
+	 */
+	public boolean hasLeader() {
+		return findLeader().isPresent();
+	}
+
 	/**
 	 * Returns the members that do not lead.
 	 * @return the others
@@ -185,7 +193,7 @@
 	// helpers
 
 	private void startAll() {
-		this.members.forEach(ControlMember::format);
+		this.members.parallelStream().forEach(ControlMember::format);
 		this.members.forEach((member) -> member.process().start());
 		this.entries.forEach((entry) -> entry.process().start());
 		leader();
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/HealthPage.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/HealthPage.java
@@ -52,7 +52,7 @@
 	 * @return the number, or 0 if the program does not answer
 	 */
 	public long number(String name) {
-		return read().map((page) -> page.path(name).asLong()).orElse(0L);
+		return read().map((page) -> field(page, name).asLong()).orElse(0L);
 	}
 
 	/**
@@ -62,11 +62,16 @@
 	 * @return {@code false} also if the program does not answer
 	 */
 	public boolean says(String name, String value) {
-		return read().map((page) -> page.path(name).asText().equals(value)).orElse(false);
+		return read().map((page) -> field(page, name).asText().equals(value)).orElse(false);
 	}
 
 	// helpers
 
+	// The members name their fields on the page itself, the entry hosts under details.
+	private static JsonNode field(JsonNode page, String name) {
+		return page.has(name) ? page.path(name) : page.path("details").path(name);
+	}
+
 	private String get(String path) throws IOException {
 		try {
 			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + this.address + path))
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Operator.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Operator.java
@@ -87,6 +87,16 @@
 		return ((QueryResult.ConfigurationResult) ask(new Query.ShowConfiguration()).result()).configuration();
 	}
 
+	/**
+	 * Asks once for the configuration.
+	 * @return whether there was an answer that a majority confirms
+	 */
+	public boolean hasCurrentAnswer() {
+		return whenKnown(() -> client("query").ask(new Query.ShowConfiguration()))
+			.filter(OperatorReply.Answered::current)
+			.isPresent();
+	}
+
 	/**
 	 * Reads the control members as a majority confirms them.
 	 * @return the members
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInRunner.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInRunner.java
@@ -23,13 +23,16 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	private final String queue;
+
 	private final ProgramProcess process;
 
 	private final EndPoint controlAddress;
 
 	private final Path startedFile;
 
-	StandInRunner(ProgramProcess process, EndPoint controlAddress, Path startedFile) {
+	StandInRunner(String queue, ProgramProcess process, EndPoint controlAddress, Path startedFile) {
+		this.queue = queue;
 		this.process = process;
 		this.controlAddress = controlAddress;
 		this.startedFile = startedFile;
@@ -48,6 +51,14 @@
 
 	// access
 
+	/**
+	 * Returns the queue that it serves.
+	 * @return the name of the queue
+	 */
+	public String queue() {
+		return this.queue;
+	}
+
 	/**
 	 * Returns the process.
 	 * @return the process
