--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -20,6 +20,7 @@
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.link.LinkSettings;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -58,6 +59,8 @@
 
 	private final CompletableFuture<ExitStatus> exit;
 
+	private final MetricRegistry metrics = new MetricRegistry();
+
 	private Optional<ActorRef<ReplicaMessage>> replica = Optional.empty();
 
 	private Optional<ActorRef<AdminHttp.Command>> admin = Optional.empty();
@@ -74,8 +77,8 @@
 		ReplicaActorSettings actorSettings = new ReplicaActorSettings(settings.cluster(),
 				settings.heartbeatMillis().get() / TICKS_PER_HEARTBEAT, settings.confirmationMillis().get());
 		context.spawn(
-				ReplicaSupervisor.create(storage, settings.toReplicaSettings(), actorSettings, eventLog, clock, random,
-						context.messageAdapter(ReplicaSupervisor.Report.class, ReplicaReport::new)),
+				ReplicaSupervisor.create(storage, settings.toReplicaSettings(), actorSettings, eventLog, this.metrics,
+						clock, random, context.messageAdapter(ReplicaSupervisor.Report.class, ReplicaReport::new)),
 				"replica-supervisor");
 	}
 
@@ -136,11 +139,10 @@
 				LinkSupervisor.create(linkSettings(), started.self(), started.replica(), planner,
 						context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new), this.clock),
 				"link-supervisor");
-		this.admin = Optional
-			.of(context.spawn(
-					AdminHttp.create(LinkSupervisorSettings.socketAddress(this.settings.adminAddress()),
-							started.replica(), context.messageAdapter(AdminHttp.Report.class, AdminReport::new)),
-					"admin-http"));
+		this.admin = Optional.of(context.spawn(
+				AdminHttp.create(LinkSupervisorSettings.socketAddress(this.settings.adminAddress()), started.replica(),
+						this.metrics, context.messageAdapter(AdminHttp.Report.class, AdminReport::new)),
+				"admin-http"));
 	}
 
 	private LinkSupervisorSettings linkSettings() {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -115,8 +115,9 @@
 	private static ReplicaSettings replicaSettings(Optional<Integer> heartbeatMillis, Optional<Integer> minimumMillis,
 			Optional<Integer> maximumMillis, Optional<Integer> snapshotEntries) {
 		return new ReplicaSettings(heartbeatMillis.get(), minimumMillis.get(), maximumMillis.get(),
-				snapshotEntries.get(), Math.min(DEFAULTS.retainedEntries(), snapshotEntries.get()),
-				DEFAULTS.maximumAppendBytes(), DEFAULTS.snapshotChunkBytes());
+				snapshotEntries.get(), DEFAULTS.snapshotBytes(),
+				Math.min(DEFAULTS.retainedEntries(), snapshotEntries.get()), DEFAULTS.maximumAppendBytes(),
+				DEFAULTS.snapshotChunkBytes());
 	}
 
 	private static void checkDistinct(List<MemberSettings> members) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/admin/AdminHttp.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/admin/AdminHttp.java
@@ -2,12 +2,19 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.control.replica.ControlStatus;
 import io.burdockpin.control.replica.ReplicaMessage;
+import io.burdockpin.core.consensus.ReplicaStatus;
+import io.burdockpin.runtime.http.HealthReport;
+import io.burdockpin.runtime.http.ProgramRoutes;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
@@ -34,20 +41,21 @@
 
 	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
+	private static final HealthReport STUCK = new HealthReport(false, false,
+			Map.of("reason", "the replica does not answer"));
+
 	private final ActorRef<ReplicaMessage> replica;
 
 	private final ActorRef<Report> owner;
 
-	private final ControlMetrics metrics = new ControlMetrics();
-
 	private boolean stopping;
 
 	private AdminHttp(ActorContext<Command> context, InetSocketAddress address, ActorRef<ReplicaMessage> replica,
-			ActorRef<Report> owner) {
+			MetricRegistry metrics, ActorRef<Report> owner) {
 		super(context);
 		this.replica = replica;
 		this.owner = owner;
-		bind(address);
+		bind(address, metrics);
 	}
 
 	// life cycle
@@ -56,17 +64,18 @@
 	 * Creates the behavior.
 	 * @param address where to listen
 	 * @param replica is asked for the status
+	 * @param metrics the metrics of the process
 	 * @param owner is told whether the address could be bound
 	 * @return the behavior
 	 */
 	public static Behavior<Command> create(InetSocketAddress address, ActorRef<ReplicaMessage> replica,
-			ActorRef<Report> owner) {
-		return Behaviors.setup((context) -> new AdminHttp(context, address, replica, owner));
+			MetricRegistry metrics, ActorRef<Report> owner) {
+		return Behaviors.setup((context) -> new AdminHttp(context, address, replica, metrics, owner));
 	}
 
 	@Override
 	public Receive<Command> createReceive() {
-		return newReceiveBuilder().onMessage(PageRequest.class, this::onPageRequest)
+		return newReceiveBuilder().onMessage(HealthRequest.class, this::onHealthRequest)
 			.onMessage(StatusArrived.class, this::onStatusArrived)
 			.onMessageEquals(Stopping.INSTANCE, this::onStopping)
 			.onMessage(Bound.class, this::onBound)
@@ -93,31 +102,42 @@
 
 	// requests
 
-	private Behavior<Command> onPageRequest(PageRequest request) {
-		Optional<AdminPage> page = AdminPage.ofPath(request.path());
-		if (page.isEmpty()) {
-			request.replyTo().tell(HttpResponse.create().withStatus(StatusCodes.NOT_FOUND));
-			return this;
-		}
+	private Behavior<Command> onHealthRequest(HealthRequest request) {
 		getContext().ask(ControlStatus.class, this.replica, STATUS_TIMEOUT, ReplicaMessage.FetchStatus::new,
-				(status, failure) -> new StatusArrived(page.get(), Optional.ofNullable(status), request.replyTo()));
+				(status, failure) -> new StatusArrived(Optional.ofNullable(status), request.replyTo()));
 		return this;
 	}
 
 	private Behavior<Command> onStatusArrived(StatusArrived command) {
-		HttpResponse response = command.status()
-			.map((status) -> command.page().render(status, this.stopping, this.metrics))
-			.orElseGet(() -> HttpResponse.create().withStatus(StatusCodes.SERVICE_UNAVAILABLE));
-		command.replyTo().tell(response);
+		command.replyTo().tell(command.status().map(this::report).orElse(STUCK));
 		return this;
 	}
 
 	// helpers
 
-	private void bind(InetSocketAddress address) {
+	private HealthReport report(ControlStatus status) {
+		ReplicaStatus log = status.replica();
+		Map<String, String> details = new TreeMap<>();
+		details.put("host", log.self().host().value());
+		details.put("incarnation", Long.toString(log.self().incarnation()));
+		details.put("admitted", Boolean.toString(log.membership().find(log.self()).isPresent()));
+		details.put("role", log.role().name());
+		details.put("term", Long.toString(log.term()));
+		details.put("leader", log.leader().map((leader) -> leader.host().value()).orElse(""));
+		details.put("majorityReachable", Boolean.toString(status.majorityReachable()));
+		details.put("commitIndex", Long.toString(log.commitIndex()));
+		details.put("lastIndex", Long.toString(log.lastIndex()));
+		details.put("configurationIndex", Long.toString(status.configurationIndex()));
+		details.put("stopping", Boolean.toString(this.stopping));
+		return new HealthReport(true, status.majorityReachable() && !this.stopping, details);
+	}
+
+	private void bind(InetSocketAddress address, MetricRegistry metrics) {
 		ActorSystem<?> system = getContext().getSystem();
 		ActorRef<Command> self = getContext().getSelf();
-		Function<HttpRequest, CompletionStage<HttpResponse>> handler = (request) -> handle(request, self, system);
+		ProgramRoutes routes = new ProgramRoutes(metrics,
+				() -> AskPattern.ask(self, HealthRequest::new, REQUEST_TIMEOUT, system.scheduler()));
+		Function<HttpRequest, CompletionStage<HttpResponse>> handler = (request) -> handle(request, routes, system);
 		Http.get(system)
 			.newServerAt(address.getHostString(), address.getPort())
 			.bind(handler)
@@ -125,11 +145,12 @@
 				.tell((failure != null) ? new BindFailed(failure.getMessage()) : new Bound(binding.localAddress())));
 	}
 
-	private static CompletionStage<HttpResponse> handle(HttpRequest request, ActorRef<Command> self,
+	private static CompletionStage<HttpResponse> handle(HttpRequest request, ProgramRoutes routes,
 			ActorSystem<?> system) {
-		String path = request.getUri().path();
 		request.discardEntityBytes(system);
-		return AskPattern.ask(self, (replyTo) -> new PageRequest(path, replyTo), REQUEST_TIMEOUT, system.scheduler());
+		return routes.handle(request)
+			.orElseGet(
+					() -> CompletableFuture.completedFuture(HttpResponse.create().withStatus(StatusCodes.NOT_FOUND)));
 	}
 
 	/** Messages of the HTTP part. */
@@ -145,12 +166,11 @@
 
 	}
 
-	private record PageRequest(String path, ActorRef<HttpResponse> replyTo) implements Command {
+	private record HealthRequest(ActorRef<HealthReport> replyTo) implements Command {
 
 	}
 
-	private record StatusArrived(AdminPage page, Optional<ControlStatus> status,
-			ActorRef<HttpResponse> replyTo) implements Command {
+	private record StatusArrived(Optional<ControlStatus> status, ActorRef<HealthReport> replyTo) implements Command {
 
 	}
 
--- /dev/null
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlMetrics.java
@@ -0,0 +1,56 @@
+package io.burdockpin.control.replica;
+
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import io.burdockpin.core.consensus.ReplicaStatus;
+import io.burdockpin.core.consensus.Role;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.HostRecord;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
+
+/** Writes the metrics of the replica. Immutable; used by the replica actor. */
+final class ControlMetrics {
+
+	private final MetricRegistry registry;
+
+	ControlMetrics(MetricRegistry registry) {
+		this.registry = registry;
+	}
+
+	void elected() {
+		this.registry.increment(Metric.ELECTIONS);
+	}
+
+	void record(ReplicaStatus status, boolean majorityReachable, FleetState state) {
+		this.registry.record(Metric.TERM, status.term());
+		this.registry.record(Metric.LEADER, (status.role() == Role.LEADER) ? 1 : 0);
+		this.registry.record(Metric.COMMIT_INDEX, status.commitIndex());
+		this.registry.record(Metric.APPLIED_INDEX, state.index());
+		this.registry.record(Metric.CONFIGURATION_INDEX, state.configurationIndex());
+		this.registry.record(Metric.MAJORITY_REACHABLE, majorityReachable ? 1 : 0);
+		recordJobs(state);
+		recordHosts(state);
+	}
+
+	private void recordJobs(FleetState state) {
+		this.registry.clear(Metric.JOBS);
+		state.jobs()
+			.stream()
+			.collect(Collectors.groupingBy(JobRecord::state, Collectors.counting()))
+			.forEach((jobState, count) -> this.registry.record(Metric.JOBS, count, jobState.name()));
+	}
+
+	private void recordHosts(FleetState state) {
+		this.registry.clear(Metric.HOSTS);
+		Function<HostRecord, String> pool = (host) -> host.pool().value();
+		state.hosts()
+			.stream()
+			.collect(Collectors.groupingBy(pool, Collectors.groupingBy(HostRecord::state, Collectors.counting())))
+			.forEach((name, counts) -> counts
+				.forEach((hostState, count) -> this.registry.record(Metric.HOSTS, count, name, hostState.name())));
+	}
+
+}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
@@ -3,6 +3,8 @@
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.core.consensus.DurableState;
 import io.burdockpin.core.consensus.Effect;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -17,19 +19,27 @@
  */
 public final class LogWriter extends AbstractBehavior<LogWriter.Command> {
 
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	private final MemberStorage storage;
 
 	private final ActorRef<Written> writtenListener;
 
+	private final MetricRegistry metrics;
+
+	private final MonotonicClock clock;
+
 	private boolean syncIsDue;
 
 	private long newestNumber;
 
 	private LogWriter(ActorContext<Command> context, MemberStorage storage, ActorRef<Loaded> loadedListener,
-			ActorRef<Written> writtenListener) {
+			ActorRef<Written> writtenListener, MetricRegistry metrics, MonotonicClock clock) {
 		super(context);
 		this.storage = storage;
 		this.writtenListener = writtenListener;
+		this.metrics = metrics;
+		this.clock = clock;
 		loadedListener.tell(new Loaded(storage.load()));
 	}
 
@@ -40,11 +50,14 @@
 	 * @param storage the files
 	 * @param loadedListener gets what the files hold
 	 * @param writtenListener gets the numbers of synced writes
+	 * @param metrics the metrics of the process
+	 * @param clock measures syncs
 	 * @return the behavior
 	 */
 	public static Behavior<Command> create(MemberStorage storage, ActorRef<Loaded> loadedListener,
-			ActorRef<Written> writtenListener) {
-		return Behaviors.setup((context) -> new LogWriter(context, storage, loadedListener, writtenListener));
+			ActorRef<Written> writtenListener, MetricRegistry metrics, MonotonicClock clock) {
+		return Behaviors
+			.setup((context) -> new LogWriter(context, storage, loadedListener, writtenListener, metrics, clock));
 	}
 
 	@Override
@@ -87,7 +100,9 @@
 
 	private Behavior<Command> onSyncDue() {
 		this.syncIsDue = false;
+		long startedMillis = this.clock.nowMillis();
 		this.storage.sync();
+		this.metrics.record(Metric.SYNC_DURATION, (this.clock.nowMillis() - startedMillis) / MILLIS_PER_SECOND);
 		this.writtenListener.tell(new Written(this.newestNumber));
 		return this;
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -39,6 +39,7 @@
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.Proposal;
 import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -66,6 +67,8 @@
 
 	private final ActorRef<EventLog.Command> eventLog;
 
+	private final ControlMetrics metrics;
+
 	private final MonotonicClock monotonicClock;
 
 	private final Clock wallClock;
@@ -90,13 +93,15 @@
 
 	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
 			ReplicaActorSettings settings, Replica replica, FleetMachine machine, ActorRef<LogWriter.Command> logWriter,
-			ActorRef<EventLog.Command> eventLog, MonotonicClock monotonicClock, Clock wallClock) {
+			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, MonotonicClock monotonicClock,
+			Clock wallClock) {
 		super(context);
 		this.settings = settings;
 		this.replica = replica;
 		this.machine = machine;
 		this.logWriter = logWriter;
 		this.eventLog = eventLog;
+		this.metrics = new ControlMetrics(metrics);
 		this.monotonicClock = monotonicClock;
 		this.wallClock = wallClock;
 		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
@@ -216,6 +221,7 @@
 	}
 
 	private Behavior<ReplicaMessage> onFeedDue() {
+		this.metrics.record(this.replica.status(), this.replica.hasLeaderContact(nowMillis()), this.machine.state());
 		this.feed.publish(feedHeartbeat());
 		reportConfirmations();
 		return this;
@@ -417,6 +423,7 @@
 		boolean leadsNow = changed.role() == Role.LEADER;
 		if (leadsNow && !this.leads) {
 			logger.atInfo().log("Leads in term %d.", changed.term());
+			this.metrics.elected();
 			record(EventKind.LEADER_ELECTED, EventField.TERM, changed.term());
 		}
 		else if (!leadsNow && this.leads) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaSupervisor.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.consensus.Replica;
 import io.burdockpin.core.consensus.ReplicaSettings;
 import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.ChildFailed;
@@ -39,6 +40,8 @@
 
 	private final ActorRef<EventLog.Command> eventLog;
 
+	private final MetricRegistry metrics;
+
 	private final Clock wallClock;
 
 	private final RandomGenerator random;
@@ -50,19 +53,20 @@
 	private Optional<ActorRef<ReplicaMessage>> replica = Optional.empty();
 
 	private ReplicaSupervisor(ActorContext<Command> context, MemberStorage storage, ReplicaSettings replicaSettings,
-			ReplicaActorSettings actorSettings, ActorRef<EventLog.Command> eventLog, Clock wallClock,
-			RandomGenerator random, ActorRef<Report> owner) {
+			ReplicaActorSettings actorSettings, ActorRef<EventLog.Command> eventLog, MetricRegistry metrics,
+			Clock wallClock, RandomGenerator random, ActorRef<Report> owner) {
 		super(context);
 		this.replicaSettings = replicaSettings;
 		this.actorSettings = actorSettings;
 		this.eventLog = eventLog;
+		this.metrics = metrics;
 		this.wallClock = wallClock;
 		this.random = random;
 		this.owner = owner;
 		ActorRef<LogWriter.Loaded> loaded = context.messageAdapter(LogWriter.Loaded.class, Loaded::new);
 		ActorRef<LogWriter.Written> written = context.messageAdapter(LogWriter.Written.class, Written::new);
-		this.logWriter = context.spawn(LogWriter.create(storage, loaded, written), "log-writer",
-				DispatcherSelector.fromConfig(LOG_WRITER_DISPATCHER));
+		this.logWriter = context.spawn(LogWriter.create(storage, loaded, written, metrics, MonotonicClock.SYSTEM),
+				"log-writer", DispatcherSelector.fromConfig(LOG_WRITER_DISPATCHER));
 		context.watch(this.logWriter);
 	}
 
@@ -74,16 +78,17 @@
 	 * @param replicaSettings settings of the replicated log
 	 * @param actorSettings settings of the replica actor
 	 * @param eventLog takes events
+	 * @param metrics the metrics of the process
 	 * @param wallClock the clock for proposals and events
 	 * @param random source of the election timeouts
 	 * @param owner is told when the replica runs or has failed
 	 * @return the behavior
 	 */
 	public static Behavior<Command> create(MemberStorage storage, ReplicaSettings replicaSettings,
-			ReplicaActorSettings actorSettings, ActorRef<EventLog.Command> eventLog, Clock wallClock,
-			RandomGenerator random, ActorRef<Report> owner) {
+			ReplicaActorSettings actorSettings, ActorRef<EventLog.Command> eventLog, MetricRegistry metrics,
+			Clock wallClock, RandomGenerator random, ActorRef<Report> owner) {
 		return Behaviors.setup((context) -> new ReplicaSupervisor(context, storage, replicaSettings, actorSettings,
-				eventLog, wallClock, random, owner));
+				eventLog, metrics, wallClock, random, owner));
 	}
 
 	@Override
@@ -126,7 +131,7 @@
 		MonotonicClock clock = MonotonicClock.SYSTEM;
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new ReplicaActor(context, timers,
 				this.actorSettings, new Replica(this.replicaSettings, loaded.state(), this.random, clock.nowMillis()),
-				machine, this.logWriter, this.eventLog, clock, this.wallClock)));
+				machine, this.logWriter, this.eventLog, this.metrics, clock, this.wallClock)));
 	}
 
 	/** Messages of the supervisor, all sent by its children. */
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/LogWriterTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/LogWriterTests.java
@@ -18,6 +18,7 @@
 import io.burdockpin.core.consensus.LogEntry;
 import io.burdockpin.core.consensus.Membership;
 import io.burdockpin.core.model.Payload;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestInbox;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,7 +38,8 @@
 		MemberStorage storage = new MemberStorage(this.files, new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
 		storage.format(new Identity("test", "c1", 1, true), Membership.EMPTY);
 		TestInbox<LogWriter.Loaded> loaded = TestInbox.create();
-		this.writer = BehaviorTestKit.create(LogWriter.create(storage, loaded.getRef(), this.written.getRef()));
+		this.writer = BehaviorTestKit
+			.create(LogWriter.create(storage, loaded.getRef(), this.written.getRef(), new MetricRegistry(), () -> 0));
 		Truth.assertThat(loaded.receiveMessage().state().term()).isEqualTo(0);
 	}
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
@@ -32,6 +32,7 @@
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestInbox;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -187,7 +188,7 @@
 		this.actor = BehaviorTestKit
 			.create(Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new ReplicaActor(context, timers,
 					new ReplicaActorSettings("test", 25, 2000), replica, machine, this.logWriter.getRef(),
-					this.eventLog.getRef(), () -> this.nowMillis, Clock.systemUTC()))));
+					this.eventLog.getRef(), new MetricRegistry(), () -> this.nowMillis, Clock.systemUTC()))));
 	}
 
 	private void electWithVotesOfOthers() {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -62,7 +62,7 @@
 		this.random = random;
 		this.term = durable.term();
 		this.votedFor = durable.votedFor();
-		this.log = new ReplicaLog(this.outbox, settings.retainedEntries(), durable.snapshot(), durable.entries());
+		this.log = new ReplicaLog(this.outbox, settings, durable.snapshot(), durable.entries());
 		heardFromLeader(nowMillis);
 		this.outbox.add(new Effect.MembershipChanged(this.log.membership()));
 	}
@@ -125,7 +125,8 @@
 	 * @return whether the owner should call {@link #compact}
 	 */
 	public boolean needsSnapshot() {
-		return this.log.commitIndex() - this.log.snapshot().index() >= this.settings.snapshotEntries();
+		return this.log.commitIndex() - this.log.snapshot().index() >= this.settings.snapshotEntries()
+				|| this.log.committedBytes() >= this.settings.snapshotBytes();
 	}
 
 	// events
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ReplicaLog.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ReplicaLog.java
@@ -14,9 +14,12 @@
  */
 final class ReplicaLog {
 
+	/** Part of the snapshot size that entries kept for slow followers may take. */
+	private static final int RETAINED_FRACTION = 4;
+
 	private final Outbox outbox;
 
-	private final int retainedEntries;
+	private final ReplicaSettings settings;
 
 	/** Memberships in the log in order; the first one is at or before the base. */
 	private final List<MembershipMark> marks = new ArrayList<>();
@@ -38,9 +41,12 @@
 
 	private long commitIndex;
 
-	ReplicaLog(Outbox outbox, int retainedEntries, Snapshot snapshot, List<LogEntry> entries) {
+	/** Size of the entries committed since the snapshot. */
+	private long committedBytes;
+
+	ReplicaLog(Outbox outbox, ReplicaSettings settings, Snapshot snapshot, List<LogEntry> entries) {
 		this.outbox = outbox;
-		this.retainedEntries = retainedEntries;
+		this.settings = settings;
 		this.snapshot = snapshot;
 		this.baseIndex = snapshot.index();
 		this.baseTerm = snapshot.term();
@@ -70,6 +76,10 @@
 		return this.commitIndex;
 	}
 
+	long committedBytes() {
+		return this.committedBytes;
+	}
+
 	long syncedIndex() {
 		return this.syncedIndex;
 	}
@@ -209,6 +219,7 @@
 		}
 		List<LogEntry> committed = List.copyOf(this.entries.subList(offset(this.commitIndex + 1), offset(index + 1)));
 		this.commitIndex = index;
+		this.committedBytes += committed.stream().mapToLong(LogEntry::sizeBytes).sum();
 		this.outbox.add(new Effect.Apply(committed));
 	}
 
@@ -219,7 +230,8 @@
 	void compact(Snapshot taken) {
 		this.snapshot = taken;
 		snapshotWritten(this.outbox.writeSnapshot(taken, false), taken.index());
-		dropUpTo(taken.index() - this.retainedEntries);
+		this.committedBytes = 0;
+		dropUpTo(lastNotRetained(taken.index()));
 	}
 
 	/**
@@ -230,6 +242,7 @@
 		boolean suffixIsValid = matches(received.index(), received.term());
 		this.snapshot = received;
 		this.commitIndex = received.index();
+		this.committedBytes = 0;
 		if (suffixIsValid) {
 			dropUpTo(received.index());
 		}
@@ -302,6 +315,19 @@
 		this.pendingWrites.forEach((write) -> write.limit(index));
 	}
 
+	private long lastNotRetained(long snapshotIndex) {
+		long index = snapshotIndex;
+		long retainedBytes = 0;
+		while (index > this.baseIndex && snapshotIndex - index < this.settings.retainedEntries()) {
+			retainedBytes += entry(index).sizeBytes();
+			if (retainedBytes > this.settings.snapshotBytes() / RETAINED_FRACTION) {
+				break;
+			}
+			index--;
+		}
+		return index;
+	}
+
 	private void dropUpTo(long index) {
 		if (index <= this.baseIndex) {
 			return;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
@@ -25,7 +25,7 @@
  */
 final class FakeCluster {
 
-	static final ReplicaSettings SETTINGS = new ReplicaSettings(100, 500, 1000, 12, 3, 300, 16);
+	static final ReplicaSettings SETTINGS = new ReplicaSettings(100, 500, 1000, 12, 10_000, 3, 300, 16);
 
 	private static final long TICK_MILLIS = 25;
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -109,6 +109,21 @@
 		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
 	}
 
+	@Test
+	void largeEntriesBringASnapshotForwardAndAreNotRetained() {
+		Replica single = singleVoter();
+		single.written(2, 3000);
+		single.drainEffects();
+		single.propose(Payload.of(new byte[8000]), 3000);
+		single.propose(Payload.of(new byte[1000]), 3000);
+		single.written(3, 3000);
+		Truth.assertThat(single.needsSnapshot()).isFalse();
+		single.written(4, 3000);
+		Truth.assertThat(single.needsSnapshot()).isTrue();
+		single.compact(3, Payload.EMPTY);
+		Truth.assertThat(single.needsSnapshot()).isFalse();
+	}
+
 	@Test
 	void membersAreChangedOneAtATime() {
 		elected();
