Make maintenance rounds cheap at 770 hosts

Cause: each drain compared all candidates and summed the capacity of every team's pools anew.

Ruled out: fewer drains a round; it would lengthen the roll-out.

Change: AvailabilityCheck keeps each team's capacity in step with noted stops, candidates are compared within their pool, leases are renewed in place.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/AvailabilityCheck.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/AvailabilityCheck.java
@@ -33,6 +33,9 @@
 
 	private final Map<TeamName, Set<PoolName>> poolsByTeam = new HashMap<>();
 
+	/** What each team has in service in its pools, kept in step with noted stops. */
+	private final Map<TeamName, Long> millicoresByTeam = new HashMap<>();
+
 	/**
 	 * Takes the current records.
 	 * @param pools all pools
@@ -60,6 +63,9 @@
 	public void noteStop(HostName host) {
 		find(host).ifPresent((record) -> {
 			poolOf(record).ifPresent((pool) -> pool.stop(record.spec()));
+			for (TeamSpec team : this.teamsByPool.getOrDefault(record.pool(), List.of())) {
+				this.millicoresByTeam.merge(team.name(), -(long) millicores(record.spec()), Long::sum);
+			}
 			this.hosts.remove(host);
 		});
 	}
@@ -125,12 +131,15 @@
 	private void addUse(TeamSpec team, PoolName pool) {
 		if (this.poolsByTeam.computeIfAbsent(team.name(), (name) -> new HashSet<>()).add(pool)) {
 			this.teamsByPool.computeIfAbsent(pool, (name) -> new ArrayList<>()).add(team);
+			PoolAvailability availability = this.pools.get(pool);
+			long added = (availability != null) ? availability.inServiceMillicores() : 0;
+			this.millicoresByTeam.merge(team.name(), added, Long::sum);
 		}
 	}
 
 	private Optional<String> teamRefusal(HostRecord host) {
 		for (TeamSpec team : this.teamsByPool.getOrDefault(host.pool(), List.of())) {
-			long left = millicoresInService(team.name()) - millicores(host.spec());
+			long left = this.millicoresByTeam.get(team.name()) - millicores(host.spec());
 			if (left < team.minimumCapacityMillicores()) {
 				return Optional.of("team %s would have %d millicores in service, %d are required".formatted(team.name(),
 						left, team.minimumCapacityMillicores()));
@@ -139,15 +148,6 @@
 		return Optional.empty();
 	}
 
-	private long millicoresInService(TeamName team) {
-		long sum = 0;
-		for (PoolName name : this.poolsByTeam.get(team)) {
-			PoolAvailability pool = this.pools.get(name);
-			sum += (pool != null) ? pool.inServiceMillicores() : 0;
-		}
-		return sum;
-	}
-
 	private Optional<HostRecord> find(HostName host) {
 		return Optional.ofNullable(this.hosts.get(host));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -13,6 +13,7 @@
 import io.burdockpin.core.model.CampaignSpec;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.model.PoolName;
 import io.burdockpin.core.placement.FleetView;
 import io.burdockpin.core.placement.JobIndex;
 import io.burdockpin.core.placement.RemainingTime;
@@ -143,16 +144,27 @@
 
 	private void startWave(Round round, CampaignRecord campaign, List<HostRecord> left) {
 		int room = campaign.spec().maximumConcurrentHosts() - campaign.hostsOut().size();
+		Map<PoolName, List<HostRecord>> byPool = new HashMap<>();
+		left.forEach((host) -> byPool.computeIfAbsent(host.pool(), (pool) -> new ArrayList<>()).add(host));
+		// Pools are worked on in the order of the campaign as far as the budgets permit.
+		for (PoolName pool : campaign.spec().pools()) {
+			room -= startInPool(round, campaign, byPool.getOrDefault(pool, List.of()), room);
+		}
+	}
+
+	private int startInPool(Round round, CampaignRecord campaign, List<HostRecord> left, int room) {
 		List<DrainOrder.Candidate> candidates = (room > 0) ? candidates(round, campaign, left) : List.of();
-		while (room > 0 && !candidates.isEmpty()) {
+		int started = 0;
+		while (started < room && !candidates.isEmpty()) {
 			Optional<DrainOrder.Candidate> next = nextDrain(round, campaign, candidates);
 			if (next.isEmpty()) {
-				return;
+				return started;
 			}
 			startDrain(round, campaign, next.get());
 			candidates.remove(next.get());
-			room--;
+			started++;
 		}
+		return started;
 	}
 
 	private List<DrainOrder.Candidate> candidates(Round round, CampaignRecord campaign, List<HostRecord> left) {
@@ -160,7 +172,9 @@
 		boolean patient = round.nowMillis + 2 * spec.drainMillis() < spec.deadlineMillis();
 		List<DrainOrder.Candidate> candidates = new ArrayList<>();
 		for (HostRecord host : left) {
-			if (!host.state().successors().contains(HostState.DRAINING)) {
+			boolean startable = host.state().successors().contains(HostState.DRAINING)
+					&& round.check.refusal(host.spec().name()).isEmpty();
+			if (!startable) {
 				continue;
 			}
 			DrainForecast forecast = DrainForecast.of(round.jobs.placedOn(host.spec().name()), round.remainingTime,
@@ -174,13 +188,11 @@
 
 	private Optional<DrainOrder.Candidate> nextDrain(Round round, CampaignRecord campaign,
 			List<DrainOrder.Candidate> candidates) {
-		// Pools are worked on in the order of the campaign as far as the budgets permit.
-		Comparator<DrainOrder.Candidate> byPool = Comparator
-			.comparingInt((candidate) -> campaign.spec().pools().indexOf(candidate.host().pool()));
+		Comparator<DrainOrder.Candidate> byPenalty = Comparator
+			.comparingDouble((candidate) -> penalty(round, campaign, candidate));
 		return candidates.stream()
 			.filter((candidate) -> round.check.refusal(candidate.host().spec().name()).isEmpty())
-			.min(byPool.thenComparingDouble((candidate) -> penalty(round, campaign, candidate))
-				.thenComparing((candidate) -> candidate.host().spec().rack())
+			.min(byPenalty.thenComparing((candidate) -> candidate.host().spec().rack())
 				.thenComparing((candidate) -> candidate.host().spec().name()));
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/JobLeases.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/JobLeases.java
@@ -13,10 +13,17 @@
  */
 public final class JobLeases {
 
+	/** Jobs that hold no capacity any more are forgotten only every so many rounds. */
+	private static final int FORGET_PERIOD_ROUNDS = 16;
+
+	private static final long NO_EPOCH = -1;
+
 	private final LeaseSettings settings;
 
 	private final Map<JobId, Renewal> renewals = new HashMap<>();
 
+	private long round;
+
 	/**
 	 * Creates an empty table.
 	 * @param settings the periods
@@ -39,14 +46,17 @@
 	 * @param nowMillis the time of the round
 	 */
 	public void observe(Iterable<JobRecord> jobs, long nowMillis) {
-		Map<JobId, Renewal> kept = new HashMap<>();
+		this.round++;
 		for (JobRecord job : jobs) {
 			if (job.state().holdsCapacity()) {
-				kept.put(job.id(), renewalOf(job, nowMillis));
+				Renewal renewal = this.renewals.computeIfAbsent(job.id(), (id) -> new Renewal());
+				renewal.restartIfNew(job.leaseEpoch(), nowMillis);
+				renewal.seenRound = this.round;
 			}
 		}
-		this.renewals.clear();
-		this.renewals.putAll(kept);
+		if (this.round % FORGET_PERIOD_ROUNDS == 0) {
+			this.renewals.values().removeIf((renewal) -> renewal.seenRound < this.round);
+		}
 	}
 
 	// access
@@ -58,7 +68,10 @@
 	 * @param nowMillis the time of the renewal
 	 */
 	public void renew(JobId job, long leaseEpoch, long nowMillis) {
-		this.renewals.put(job, new Renewal(leaseEpoch, nowMillis));
+		Renewal renewal = this.renewals.computeIfAbsent(job, (id) -> new Renewal());
+		renewal.leaseEpoch = leaseEpoch;
+		renewal.renewedMillis = nowMillis;
+		renewal.seenRound = this.round;
 	}
 
 	/**
@@ -79,21 +92,27 @@
 	 * @return {@code true} if the period has passed
 	 */
 	public boolean periodHasPassed(JobRecord job, long nowMillis) {
-		Renewal renewal = renewalOf(job, nowMillis);
-		return nowMillis - renewal.renewedMillis() >= this.settings.lapseMillis();
+		Renewal known = this.renewals.get(job.id());
+		return known != null && known.leaseEpoch == job.leaseEpoch()
+				&& nowMillis - known.renewedMillis >= this.settings.lapseMillis();
 	}
 
-	// helpers
+	/** The last renewal of one job. */
+	private static final class Renewal {
 
-	private Renewal renewalOf(JobRecord job, long nowMillis) {
-		Renewal known = this.renewals.get(job.id());
-		if (known != null && known.leaseEpoch() == job.leaseEpoch()) {
-			return known;
+		private long leaseEpoch = NO_EPOCH;
+
+		private long renewedMillis;
+
+		private long seenRound;
+
+		private void restartIfNew(long newEpoch, long nowMillis) {
+			if (this.leaseEpoch != newEpoch) {
+				this.leaseEpoch = newEpoch;
+				this.renewedMillis = nowMillis;
+			}
 		}
-		return new Renewal(job.leaseEpoch(), nowMillis);
-	}
 
-	private record Renewal(long leaseEpoch, long renewedMillis) {
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
@@ -8,6 +8,9 @@
  */
 public final class PlacementTables {
 
+	/** What is known about jobs that have ended only takes memory. */
+	private static final long FORGET_PERIOD_MILLIS = 5_000;
+
 	private final JobLeases leases;
 
 	private final WorkerTable workers;
@@ -26,6 +29,8 @@
 
 	private final LeaseSettings settings;
 
+	private long forgottenMillis;
+
 	/**
 	 * Creates empty tables.
 	 * @param settings the settings of the planner
@@ -62,9 +67,12 @@
 	public void observe(FleetView view, JobIndex jobs, long nowMillis) {
 		this.leases.observe(view.jobs(), nowMillis);
 		this.interventions.retain(jobs);
-		this.estimator.retain(jobs);
-		this.health.retain(jobs);
-		this.observer.retain(jobs);
+		if (nowMillis - this.forgottenMillis >= FORGET_PERIOD_MILLIS) {
+			this.forgottenMillis = nowMillis;
+			this.estimator.retain(jobs);
+			this.health.retain(jobs);
+			this.observer.retain(jobs);
+		}
 	}
 
 	// access
