--- a/burdockpin-operator/src/test/java/io/burdockpin/operator/PageExamplesTests.java
+++ b/burdockpin-operator/src/test/java/io/burdockpin/operator/PageExamplesTests.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
@@ -66,22 +65,25 @@
 		Path key = Files.writeString(this.folder.resolve("key-to-read"), "k".repeat(43));
 		Path newKey = this.folder.resolve("key-to-write");
 		Files.deleteIfExists(newKey);
-		return Arrays.stream(example.split("\\s+"))
-			.map((word) -> word.replaceAll("\\|.*", ""))
-			.map((word) -> word.replaceAll("^N$", "7").replaceAll("^HEX$", "0".repeat(64)))
-			.map((word) -> word.replaceAll("^IP:PORT$", "127.1.0.1:7101").replaceAll("^CODE$", "NO_MAJORITY"))
-			.toList()
-			.stream()
-			.reduce(new ArrayList<String>(), (words, word) -> {
-				String previous = words.isEmpty() ? "" : words.get(words.size() - 1);
-				words.add(switch (previous) {
-					case "--key-file" -> key.toString();
-					case "--output" -> newKey.toString();
-					default -> word;
-				});
-				return words;
-			}, (left, right) -> left)
-			.toArray(new String[0]);
+		Map<String, String> files = Map.of("--key-file", key.toString(), "--output", newKey.toString());
+		List<String> words = new ArrayList<>();
+		String previous = "";
+		for (String word : example.split("\\s+")) {
+			words.add(files.getOrDefault(previous, filledIn(word)));
+			previous = word;
+		}
+		return words.toArray(new String[0]);
+	}
+
+	// The pages use words in capitals for what the reader fills in.
+	private static String filledIn(String word) {
+		return switch (word) {
+			case "N" -> "7";
+			case "HEX" -> "0".repeat(64);
+			case "IP:PORT" -> "127.1.0.1:7101";
+			case "CODE" -> "NO_MAJORITY";
+			default -> word.replaceAll("\\|.*", "");
+		};
 	}
 
 }
