--- a/burdockpin-core/src/main/java/io/burdockpin/core/admission/Admission.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/Admission.java
@@ -25,6 +25,8 @@
 
 	private ConfigurationView configuration = ConfigurationView.EMPTY;
 
+	private boolean configured;
+
 	private long majorityHeardMillis;
 
 	/**
@@ -45,6 +47,7 @@
 	 * @param newer the configuration
 	 */
 	public void configure(ConfigurationView newer) {
+		this.configured = true;
 		if (newer.index() > this.configuration.index()) {
 			this.configuration = newer;
 			this.withdrawnKeys.addAll(newer.withdrawnKeys());
@@ -81,7 +84,7 @@
 			return refuse(ErrorCode.BODY_TOO_LARGE, "the body has %d bytes, allowed are %d"
 				.formatted(request.bodyBytes(), this.limits.maximumBodyBytes()));
 		}
-		if (this.configuration.index() == 0) {
+		if (!this.configured) {
 			return refuse(ErrorCode.NO_MAJORITY, "this entry host has no configuration yet");
 		}
 		Optional<QueueRecord> queue = this.configuration.queue(request.queue());
@@ -130,6 +133,14 @@
 		return team.flatMap(this.configuration::team).map((found) -> found.spec().shareWeight()).orElse(1);
 	}
 
+	/**
+	 * Tells whether any configuration is in force. That of a new cluster is empty.
+	 * @return whether requests can be checked
+	 */
+	public boolean isConfigured() {
+		return this.configured;
+	}
+
 	/**
 	 * Returns the configuration in force.
 	 * @return the configuration
--- a/burdockpin-core/src/test/java/io/burdockpin/core/admission/AdmissionTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/admission/AdmissionTests.java
@@ -49,6 +49,16 @@
 		Truth.assertThat(admitted.deadlineMillis()).isEqualTo(NOW_MILLIS + 1000);
 	}
 
+	@Test
+	void anEntryHostWithoutAnyConfigurationRefusesAndWithAnEmptyOneKnowsNoQueue() {
+		Admission unconfigured = new Admission(new AdmissionLimits(1024, 60_000, 600_000, 3_600_000, 300_000),
+				NOW_MILLIS);
+		RequestFacts facts = facts("closed", Optional.of(KEY));
+		Truth.assertThat(code(unconfigured.check(facts, () -> false, NOW_MILLIS))).isEqualTo(ErrorCode.NO_MAJORITY);
+		unconfigured.configure(ConfigurationView.EMPTY);
+		Truth.assertThat(code(unconfigured.check(facts, () -> false, NOW_MILLIS))).isEqualTo(ErrorCode.UNKNOWN_QUEUE);
+	}
+
 	@Test
 	void aRequestWithoutAKeyOnAnOpenQueueBelongsToNoTeam() {
 		AdmissionResult.Admitted admitted = (AdmissionResult.Admitted) check("open", Optional.empty(), NOW_MILLIS);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/StatusEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/StatusEndpoint.java
@@ -60,7 +60,7 @@
 	}
 
 	private HealthReport report(RouterStatus status) {
-		boolean ready = status.configurationIndex() > 0 && !status.stopping();
+		boolean ready = status.configured() && !status.stopping();
 		return new HealthReport(true, ready, details(status));
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -485,8 +485,8 @@
 					capacity.serviceMillis()));
 		}
 		command.replyTo()
-			.tell(new RouterCommand.RouterStatus(this.admission.configuration().index(), this.stopping,
-					this.openRequests.size(), queues));
+			.tell(new RouterCommand.RouterStatus(this.admission.isConfigured(), this.admission.configuration().index(),
+					this.stopping, this.openRequests.size(), queues));
 		return this;
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -184,12 +184,14 @@
 	/**
 	 * Reply to {@link ReportStatus}.
 	 *
-	 * @param configurationIndex index of the configuration in force, 0 if none
+	 * @param configured whether a configuration is in force
+	 * @param configurationIndex index of the configuration in force, 0 if it is empty
 	 * @param stopping whether no new work is taken
 	 * @param requestCount requests in flight
 	 * @param queues what the queues can take
 	 */
-	record RouterStatus(long configurationIndex, boolean stopping, int requestCount, List<QueueStatus> queues) {
+	record RouterStatus(boolean configured, long configurationIndex, boolean stopping, int requestCount,
+			List<QueueStatus> queues) {
 
 		public RouterStatus {
 			queues = List.copyOf(queues);
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -47,7 +47,7 @@
 						new KeyRecord(KeyHash.of("key-2"), TEAM, "second", true, 1),
 						new KeyRecord(KeyHash.of("key-3"), new TeamName("deleted"), "third", false, 1)),
 				List.of(new QueueRecord(new QueueName("quotes"), false, 1)));
-		this.control = new FakeControl(this.kit, configuration, 10);
+		this.control = new FakeControl(this.kit, configuration, tokenCount());
 	}
 
 	@AfterEach
@@ -56,6 +56,15 @@
 		this.kit.shutdownTestKit();
 	}
 
+	/** Tokens that each team gets. */
+	int tokenCount() {
+		return 10;
+	}
+
+	void kill(TestEntry entry) {
+		this.kit.stop(entry.guardian());
+	}
+
 	TestProbe<Void> probe() {
 		return this.kit.createTestProbe();
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
@@ -38,6 +38,17 @@
 		Truth.assertThat(response.join().body()).isEqualTo("schedule 8");
 	}
 
+	@Test
+	void aForwardedRequestWhoseEntryHostDiesIsAnsweredAsUnknown() {
+		TestEntry receiving = startFirst();
+		TestEntry attached = startSecond();
+		attached.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> response = receiving.submit(once("host-dies"), "charge");
+		runner().awaitCall();
+		kill(attached);
+		Truth.assertThat(response.join().body()).contains("\"outcome\":\"UNKNOWN\"");
+	}
+
 	@Test
 	void aJobIsProposedUnderTheNameThatItsRequestIdentifierGives() {
 		TestEntry entry = startAlone();
