--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/BaselinePolicy.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/BaselinePolicy.java
@@ -48,7 +48,10 @@
 		FleetView withoutWaiting = new FleetView(view.pools(), view.hosts(), view.teams(), placed, view.tokens(),
 				view.campaigns());
 		List<Command> commands = new ArrayList<>(this.planners.place(withoutWaiting, jobs, nowMillis));
-		commands.addAll(new Round(view, jobs).placeWaiting());
+		for (JobCommand.PlaceJob placement : new Round(view, jobs).placeWaiting()) {
+			this.planners.notePlaced(placement);
+			commands.add(placement);
+		}
 		return commands;
 	}
 
@@ -127,8 +130,8 @@
 			}
 		}
 
-		private List<Command> placeWaiting() {
-			List<Command> commands = new ArrayList<>();
+		private List<JobCommand.PlaceJob> placeWaiting() {
+			List<JobCommand.PlaceJob> commands = new ArrayList<>();
 			for (JobRecord job : this.view.jobs()) {
 				if (job.state() == JobState.WAITING && this.unitsLeft.getOrDefault(job.spec().team(), 0) > 0) {
 					choose(job).ifPresent((bin) -> commands.add(place(job, bin)));
@@ -148,7 +151,7 @@
 			return best;
 		}
 
-		private Command place(JobRecord job, Bin bin) {
+		private JobCommand.PlaceJob place(JobRecord job, Bin bin) {
 			bin.free = bin.free.minus(job.spec().resources());
 			this.unitsLeft.merge(job.spec().team(), -1, Integer::sum);
 			return new JobCommand.PlaceJob(job.id(), bin.host.spec().name(), job.leaseEpoch() + 1);
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/PlannerPolicy.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/PlannerPolicy.java
@@ -17,6 +17,7 @@
 import io.burdockpin.core.placement.ReportAnswer;
 import io.burdockpin.core.placement.WorkerReconciler;
 import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.JobCommand;
 
 /** The planners of burdockpin, composed as the actors compose them. */
 public class PlannerPolicy implements Policy {
@@ -56,6 +57,14 @@
 		return this.placement.plan(view, jobs, nowMillis).commands();
 	}
 
+	/**
+	 * Takes a placement that another policy decided.
+	 * @param placement the placement
+	 */
+	void notePlaced(JobCommand.PlaceJob placement) {
+		this.tables.notePlaced(placement.job(), placement.leaseEpoch());
+	}
+
 	@Override
 	public List<Command> maintain(FleetView view, JobIndex jobs, long nowMillis) {
 		List<Command> commands = new ArrayList<>(
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -173,7 +173,7 @@
 
 	private void placeOn(PlacementRound round, TeamAccount team, JobRecord job, Resources demand, WorkerLoad worker) {
 		round.place(job, demand, worker, team);
-		this.tables.startGuard().placed(job.id(), job.leaseEpoch() + 1);
+		this.tables.notePlaced(job.id(), job.leaseEpoch() + 1);
 	}
 
 	private Optional<WorkerLoad> bestWorker(PlacementRound round, TeamAccount team, JobRecord job, Resources demand,
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementTables.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.placement;
 
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.JobId;
 
 /**
  * What the leader knows about workers and jobs beyond the replicated records. Mutable,
@@ -75,6 +76,15 @@
 		}
 	}
 
+	/**
+	 * Takes that this leader proposes a placement, so that its start order may be sent.
+	 * @param job the job
+	 * @param leaseEpoch the epoch of the placement
+	 */
+	public void notePlaced(JobId job, long leaseEpoch) {
+		this.startGuard.placed(job, leaseEpoch);
+	}
+
 	// access
 
 	/**
