--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -159,9 +159,9 @@
 		return endRound();
 	}
 
-	// The entry hosts find the new leader and report to it.
+	// The entry hosts find the new leader and report to it. The allocator stays, because
+	// its pending reductions may still be applied in the same term.
 	private Behavior<Message> onRecordsMissing() {
-		this.allocator = Optional.empty();
 		this.waiting.clear();
 		return endRound();
 	}
@@ -182,7 +182,7 @@
 
 	private void fetch(Function<FleetRecords, Message> received) {
 		getContext().ask(FleetRecords.class, this.replica, ROUND_TIMEOUT, ReplicaMessage.FetchRecords::new,
-				(records, failure) -> (failure == null) ? received.apply(records) : Signal.RECORDS_MISSING);
+				(records, failure) -> (failure != null) ? Signal.RECORDS_MISSING : received.apply(records));
 	}
 
 	private static TokenView view(FleetRecords records) {
