Count leases with a clock that the wall clock cannot move

Cause: the planners and the entry hosts counted leases, attachments and deadlines with the wall clock; setting it forward by a lease period would let a job be placed twice. Ruled out: a second, monotonic time argument in all decisions; one clock that starts at the wall clock and follows the monotonic one is enough. Conclusion: a step of the wall clock no longer moves leases. Running programs follow the monotonic clock, which the kernel disciplines.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
@@ -1,6 +1,5 @@
 package io.burdockpin.control;
 
-import java.time.Clock;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
@@ -15,6 +14,7 @@
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.ProgramBase;
 import io.burdockpin.runtime.service.StartException;
+import io.burdockpin.runtime.service.SteadyClock;
 import io.burdockpin.runtime.settings.SettingsLoader;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -68,8 +68,8 @@
 			MemberStorage storage = storage(settings);
 			Identity identity = new IdentityCheck(settings).ensureIdentity(storage);
 			logger.atInfo().log("Member %s has incarnation %d.", identity.host(), identity.incarnation());
-			return ControlGuardian.create(settings, identity, storage, Clock.systemUTC(), RandomGenerator.getDefault(),
-					exit);
+			return ControlGuardian.create(settings, identity, storage, SteadyClock.ofProcess(),
+					RandomGenerator.getDefault(), exit);
 		}
 		catch (StorageException ex) {
 			throw startException(settings, ex);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/util/Checks.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/util/Checks.java
@@ -19,7 +19,10 @@
 	 * @return the name
 	 */
 	public static String name(String what, String value) {
-		if (value == null || !NAME.matcher(value).matches()) {
+		if (value == null) {
+			throw new InvalidValueException(what + " name is missing");
+		}
+		if (!NAME.matcher(value).matches()) {
 			throw new InvalidValueException(
 					"%s name \"%s\" is not 1 to 63 of letters, digits and . _ : -".formatted(what, abbreviated(value)));
 		}
@@ -54,7 +57,7 @@
 	}
 
 	private static String abbreviated(String value) {
-		if (value == null || value.length() <= 80) {
+		if (value.length() <= 80) {
 			return value;
 		}
 		return value.substring(0, 80) + "...";
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryProgram.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryProgram.java
@@ -9,6 +9,7 @@
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.ProgramBase;
+import io.burdockpin.runtime.service.SteadyClock;
 import io.burdockpin.runtime.settings.SettingsLoader;
 import org.apache.pekko.actor.typed.Behavior;
 
@@ -32,7 +33,7 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
-		ExitStatus status = new EntryProgram(new SettingsLoader(), InstantSource.system()).run(args);
+		ExitStatus status = new EntryProgram(new SettingsLoader(), SteadyClock.ofProcess()).run(args);
 		System.exit(status.status());
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/settings/SettingsLoader.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/settings/SettingsLoader.java
@@ -77,7 +77,8 @@
 			.collect(Collectors.joining("."));
 		String reason = (ex.getCause() instanceof InvalidValueException invalid) ? invalid.getMessage()
 				: ex.getOriginalMessage();
-		return "%s: %s: %s".formatted(location(file, ex), name, reason);
+		return name.isEmpty() ? "%s: %s".formatted(location(file, ex), reason)
+				: "%s: %s: %s".formatted(location(file, ex), name, reason);
 	}
 
 	private static String location(Path file, JsonProcessingException ex) {
