--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlMetrics.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlMetrics.java
@@ -24,11 +24,12 @@
 		this.registry.increment(Metric.ELECTIONS);
 	}
 
-	void record(ReplicaStatus status, boolean majorityReachable, FleetState state) {
+	void record(ReplicaStatus status, boolean majorityReachable, FleetMachine machine) {
+		FleetState state = machine.state();
 		this.registry.record(Metric.TERM, status.term());
 		this.registry.record(Metric.LEADER, (status.role() == Role.LEADER) ? 1 : 0);
 		this.registry.record(Metric.COMMIT_INDEX, status.commitIndex());
-		this.registry.record(Metric.APPLIED_INDEX, state.index());
+		this.registry.record(Metric.APPLIED_INDEX, machine.appliedIndex());
 		this.registry.record(Metric.CONFIGURATION_INDEX, state.configurationIndex());
 		this.registry.record(Metric.MAJORITY_REACHABLE, majorityReachable ? 1 : 0);
 		recordJobs(state);
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -221,7 +221,7 @@
 	}
 
 	private Behavior<ReplicaMessage> onFeedDue() {
-		this.metrics.record(this.replica.status(), this.replica.hasLeaderContact(nowMillis()), this.machine.state());
+		this.metrics.record(this.replica.status(), this.replica.hasLeaderContact(nowMillis()), this.machine);
 		this.feed.publish(feedHeartbeat());
 		reportConfirmations();
 		return this;
--- /dev/null
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
@@ -0,0 +1,88 @@
+package io.burdockpin.control;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.codec.thrift.impl.ThriftEntryContentCodec;
+import io.burdockpin.codec.thrift.impl.ThriftSnapshotCodec;
+import io.burdockpin.control.storage.DiskFiles;
+import io.burdockpin.control.storage.Identity;
+import io.burdockpin.control.storage.MemberStorage;
+import io.burdockpin.control.storage.StorageException;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.exc.BurdockException;
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.exc.InvalidValueException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a member that starts with settings or an identity of another one. */
+class ControlSettingsTests {
+
+	private static final List<ControlSettings.MemberSettings> MEMBERS = List
+		.of(new ControlSettings.MemberSettings("c1", "127.1.0.1:7001"));
+
+	@TempDir
+	private Path folder;
+
+	@Test
+	void missingValuesGetTheirDefaults() {
+		ControlSettings settings = settings("c1", MEMBERS, Optional.empty());
+		Truth.assertThat(settings.toReplicaSettings().electionTimeoutMaximumMillis()).isEqualTo(1000);
+		Truth.assertThat(settings.confirmationMillis()).isEqualTo(Optional.of(2000));
+	}
+
+	@Test
+	void valuesOutOfRangeAreRefused() {
+		Truth.assertThat(failureOf(() -> settings("c1", MEMBERS, Optional.of(5))))
+			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
+		Truth.assertThat(failureOf(() -> settings("c1", MEMBERS, Optional.of(400))))
+			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
+		Truth.assertThat(failureOf(() -> settings("c1", List.of(MEMBERS.get(0), MEMBERS.get(0)), Optional.empty())))
+			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
+		Truth.assertThat(failureOf(() -> new ControlSettings.MemberSettings("c1", "127.1.0.1")))
+			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
+	}
+
+	@Test
+	void aFolderThatWasNotFormattedGetsARandomIncarnationWithoutMembers() {
+		Identity drawn = new IdentityCheck(settings("c1", MEMBERS, Optional.empty())).ensureIdentity(storage());
+		Truth.assertThat(drawn.formatted()).isFalse();
+		Truth.assertThat(drawn.incarnation()).isNotEqualTo(ControlSettings.FORMATTED_INCARNATION);
+		Truth.assertThat(storage().load().snapshot().membership()).isEqualTo(Membership.EMPTY);
+		Identity again = new IdentityCheck(settings("c1", MEMBERS, Optional.empty())).ensureIdentity(storage());
+		Truth.assertThat(again).isEqualTo(drawn);
+	}
+
+	@Test
+	void theFolderOfAnotherMemberIsRefused() {
+		storage().format(new Identity("test", "c1", 1, true), Membership.EMPTY);
+		IdentityCheck check = new IdentityCheck(settings("c2", MEMBERS, Optional.empty()));
+		Truth.assertThat(failureOf(() -> check.ensureIdentity(storage())))
+			.isEqualTo(Optional.of(ErrorCode.STORAGE_FAILED));
+	}
+
+	private MemberStorage storage() {
+		return new MemberStorage(new DiskFiles(this.folder), new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
+	}
+
+	private ControlSettings settings(String host, List<ControlSettings.MemberSettings> members,
+			Optional<Integer> heartbeatMillis) {
+		return new ControlSettings("test", host, "dc1", this.folder.toString(), "127.1.0.1:7001", "127.1.0.1:7002",
+				"127.1.0.1:7003", members, heartbeatMillis, Optional.empty(), Optional.empty(), Optional.empty(),
+				Optional.empty(), Optional.empty());
+	}
+
+	private static Optional<ErrorCode> failureOf(Runnable action) {
+		try {
+			action.run();
+			return Optional.empty();
+		}
+		catch (InvalidValueException | StorageException ex) {
+			return Optional.of(((BurdockException) ex).getCode());
+		}
+	}
+
+}
