--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -244,7 +244,7 @@
 		long staleMillis = nowMillis - 2L * this.settings.heartbeatMillis();
 		this.progresses.forEach((id, progress) -> {
 			if (progress.isInFlight() && !progress.isInFlightSince(staleMillis)) {
-				sendEntries(id, progress.matchIndex() + 1, List.of(), nowMillis);
+				sendHeartbeat(id, progress.matchIndex(), nowMillis);
 			}
 			else {
 				sendNext(id, progress, nowMillis);
@@ -271,12 +271,17 @@
 		if (!entries.isEmpty()) {
 			progress.sent(nowMillis);
 		}
-		sendEntries(id, progress.nextIndex(), entries, nowMillis);
+		sendEntries(id, progress.nextIndex() - 1, entries, nowMillis);
 	}
 
-	private void sendEntries(MemberId id, long nextIndex, List<LogEntry> entries, long nowMillis) {
-		long previousIndex = Math.max(nextIndex - 1, this.log.baseIndex());
-		long previousTerm = this.log.term(previousIndex).orElseThrow();
+	// Index 0 matches every log, so a follower that awaits a snapshot does not refuse it.
+	private void sendHeartbeat(MemberId id, long matchIndex, long nowMillis) {
+		boolean isKept = matchIndex >= this.log.baseIndex();
+		sendEntries(id, isKept ? matchIndex : 0, List.of(), nowMillis);
+	}
+
+	private void sendEntries(MemberId id, long previousIndex, List<LogEntry> entries, long nowMillis) {
+		long previousTerm = (previousIndex != 0) ? this.log.term(previousIndex).orElseThrow() : 0;
 		send(id, new ConsensusMessage.AppendRequest(this.term, previousIndex, previousTerm, entries,
 				this.log.commitIndex(), this.round, nowMillis));
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -109,6 +109,23 @@
 		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
 	}
 
+	@Test
+	void aHeartbeatDuringASnapshotTransferIsOneThatTheFollowerCanMatch() {
+		Membership membership = durable(List.of(SELF, OTHER)).snapshot().membership();
+		Snapshot snapshot = new Snapshot(10, 1, 0, membership, Payload.of(new byte[40]));
+		Replica leader = new Replica(FakeCluster.SETTINGS,
+				new DurableState(SELF, 1, Optional.empty(), snapshot, List.of()), new Random(1), 0);
+		leader.tick(2000);
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.VoteReply(2, true, true)), 2000);
+		leader.written(1, 2000);
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.VoteReply(2, false, true)), 2000);
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.AppendReply(2, false, 1, 1, 2000)), 2010);
+		leader.drainEffects();
+		leader.tick(2150);
+		Truth.assertThat(leader.drainEffects())
+			.contains(new Effect.Send(OTHER, 11, new ConsensusMessage.AppendRequest(2, 0, 0, List.of(), 10, 2, 2150)));
+	}
+
 	@Test
 	void largeEntriesBringASnapshotForwardAndAreNotRetained() {
 		Replica single = singleVoter();
