Let a restarted token planner settle before it answers

Cause: a planner that its supervisor restarts in the same term does not know the reductions it had proposed, and could tell a holder a count that is about to be taken back.

Ruled out: a marker command before the first answer; it would add an entry to the log after each start.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -42,6 +42,13 @@
 	 */
 	private static final Duration ROUND_TIMEOUT = Duration.ofSeconds(2);
 
+	/**
+	 * A restarted planner does not know the reductions that its earlier life proposed.
+	 * They are applied or lost within this time, because a leader without a majority
+	 * steps down after an election timeout.
+	 */
+	private static final long SETTLE_MILLIS = 2_000;
+
 	private final TimerScheduler<Message> timers;
 
 	private final TokenSettings settings;
@@ -54,6 +61,8 @@
 
 	private final ActorRef<ClientMessage> proposalReplies;
 
+	private final long startedMillis;
+
 	private final List<ReportArrived> waiting = new ArrayList<>();
 
 	private final List<ReportArrived> planned = new ArrayList<>();
@@ -69,6 +78,7 @@
 		this.settings = settings;
 		this.clock = clock;
 		this.replica = replica;
+		this.startedMillis = clock.nowMillis();
 		this.proposals = new OpenProposals(replica);
 		this.proposalReplies = context.messageAdapter(ClientMessage.class, ProposalEnded::new);
 		timers.startTimerWithFixedDelay(Signal.ROUND_DUE, roundPeriod);
