Split the open requests from the router

Cause: the router held three maps that only belong together.

Ruled out: an actor of its own, because the router needs the answer at once.

Change: OpenRequests owns the requests in flight and the waiters for idleness.

--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -92,7 +92,7 @@
 		Actors actors = new Actors(context.getSystem(), this.router, control, this.workers, operators);
 		this.http = spawn(CallerHttp.create(actors, identity, settings), "http");
 		peers.tell(
-				new PeerCommand.Subscribe(context.messageAdapter(PeerView.class, (view) -> new WorkersMustKnow(view))));
+				new PeerCommand.Subscribe(context.messageAdapter(PeerView.class, (view) -> new PeersPublished(view))));
 	}
 
 	// life cycle
@@ -113,7 +113,7 @@
 	@Override
 	public Receive<GuardianCommand> createReceive() {
 		return newReceiveBuilder().onMessage(GuardianCommand.Stop.class, (command) -> onStop())
-			.onMessage(WorkersMustKnow.class, this::onWorkersMustKnow)
+			.onMessage(PeersPublished.class, this::onPeersPublished)
 			.onMessage(AwaitBound.class, this::onAwaitBound)
 			.onMessage(GraceEnded.class, (command) -> onGraceEnded())
 			.onMessage(Idle.class, (command) -> onIdle())
@@ -151,7 +151,7 @@
 		return this;
 	}
 
-	private Behavior<GuardianCommand> onWorkersMustKnow(WorkersMustKnow command) {
+	private Behavior<GuardianCommand> onPeersPublished(PeersPublished command) {
 		this.workers.tell(new WorkerCommand.PeersChanged(command.view()));
 		return this;
 	}
@@ -208,7 +208,7 @@
 
 	}
 
-	private record WorkersMustKnow(PeerView view) implements GuardianCommand {
+	private record PeersPublished(PeerView view) implements GuardianCommand {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -19,10 +19,8 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.membership.PeerMessage.QueueStatus;
 import io.burdockpin.core.membership.PeerView;
-import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.QueueName;
-import io.burdockpin.core.model.RequestId;
 import io.burdockpin.core.model.RunnerName;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.retry.FinalAnswer;
@@ -40,6 +38,8 @@
 import io.burdockpin.entry.control.ControlCommand;
 import io.burdockpin.entry.event.EventRecorder;
 import io.burdockpin.entry.peer.PeerCommand;
+import io.burdockpin.entry.router.OpenRequests.ForwardKey;
+import io.burdockpin.entry.router.OpenRequests.RequestKey;
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.token.TokenEvent;
 import org.apache.pekko.Done;
@@ -87,15 +87,9 @@
 
 	private final Map<Long, PendingAttempt> tokenRequests = new HashMap<>();
 
-	private final Map<Long, Boolean> attemptsWithToken = new HashMap<>();
+	private final Set<Long> attemptsWithToken = new HashSet<>();
 
-	private final Map<Long, OpenRequest> openRequests = new HashMap<>();
-
-	private final Map<RequestKey, ActorRef<RequestActor.Message>> requestsByKey = new HashMap<>();
-
-	private final Map<ForwardKey, QueuedRequest> forwarded = new HashMap<>();
-
-	private final List<ActorRef<Done>> idleWaiters = new ArrayList<>();
+	private final OpenRequests openRequests = new OpenRequests();
 
 	private Optional<PeerView> peerView = Optional.empty();
 
@@ -182,8 +176,7 @@
 	}
 
 	private Behavior<RouterCommand> onAwaitIdle(RouterCommand.AwaitIdle command) {
-		this.idleWaiters.add(command.replyTo());
-		tellIdle();
+		this.openRequests.awaitIdle(command.replyTo());
 		return this;
 	}
 
@@ -209,9 +202,9 @@
 
 	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, ActorRef<FinalAnswer> replyTo) {
 		RequestKey key = new RequestKey(admitted.team(), request.requestId());
-		ActorRef<RequestActor.Message> running = this.requestsByKey.get(key);
-		if (running != null && !request.facts().repeatable()) {
-			running.tell(new RequestActor.Join(replyTo));
+		Optional<ActorRef<RequestActor.Message>> running = this.openRequests.running(key);
+		if (running.isPresent() && !request.facts().repeatable()) {
+			running.get().tell(new RequestActor.Join(replyTo));
 			return;
 		}
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, admitted.team(), admitted.weight(),
@@ -220,9 +213,12 @@
 				this.settings.timing().proposalMillis(), getContext().getSelf(), this.control);
 		ActorRef<RequestActor.Message> actor = getContext().spawn(RequestActor.create(context, queued, replyTo),
 				"request-" + queued.number());
-		Optional<RequestKey> kept = request.facts().repeatable() ? Optional.empty() : Optional.of(key);
-		kept.ifPresent((present) -> this.requestsByKey.put(present, actor));
-		this.openRequests.put(queued.number(), new OpenRequest(kept, Optional.empty()));
+		if (request.facts().repeatable()) {
+			this.openRequests.addRepeatable(queued.number());
+		}
+		else {
+			this.openRequests.addOnce(queued.number(), key, actor);
+		}
 		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
 		this.events.record(this.events.event(EventKind.REQUEST_ACCEPTED)
 			.with(EventField.REQUEST, request.requestId())
@@ -239,12 +235,7 @@
 		this.events.record(this.events.event(EventKind.REQUEST_ANSWERED)
 			.with(EventField.REQUEST, command.requestId())
 			.with(EventField.OUTCOME, command.outcome()));
-		OpenRequest ended = this.openRequests.remove(command.number());
-		if (ended != null) {
-			ended.key().ifPresent(this.requestsByKey::remove);
-			ended.forward().ifPresent(this.forwarded::remove);
-		}
-		tellIdle();
+		this.openRequests.end(command.number());
 		return this;
 	}
 
@@ -252,7 +243,7 @@
 
 	private Behavior<RouterCommand> onTakeForwarded(RouterCommand.TakeForwarded command) {
 		ForwardKey key = new ForwardKey(command.sender(), command.request().attempt());
-		if (this.forwarded.containsKey(key)) {
+		if (this.openRequests.forwarded(key).isPresent()) {
 			logger.atFine().log("Dropped a second copy of forwarded attempt %d.", command.request().attempt());
 			return this;
 		}
@@ -260,26 +251,26 @@
 				+ Math.min(command.request().remainingMillis(), this.settings.limits().timeoutMillis());
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, command.request().team(),
 				this.admission.weightOf(command.request().team()), deadlineMillis);
-		this.forwarded.put(key, queued);
-		this.openRequests.put(queued.number(), new OpenRequest(Optional.empty(), Optional.of(key)));
+		this.openRequests.addForwarded(queued.number(), key);
 		getContext().spawn(ForwardedRequestActor.create(command, queued, this.identity,
 				this.settings.limits().answerBytes(), getContext().getSelf()), "forwarded-" + queued.number());
 		return this;
 	}
 
 	private Behavior<RouterCommand> onCancelForwarded(RouterCommand.CancelForwarded command) {
-		QueuedRequest queued = this.forwarded.get(new ForwardKey(command.sender(), command.attempt()));
-		if (queued != null) {
-			for (WaitingRequests waiting : this.waiting.values()) {
-				waiting.queue()
-					.cancel(queued.number())
-					.flatMap(waiting::take)
-					.ifPresent((entry) -> refuse(entry, ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "given up"));
-			}
-		}
+		this.openRequests.forwarded(new ForwardKey(command.sender(), command.attempt())).ifPresent(this::giveUp);
 		return this;
 	}
 
+	private void giveUp(long number) {
+		for (WaitingRequests requests : this.waiting.values()) {
+			requests.queue()
+				.cancel(number)
+				.flatMap(requests::take)
+				.ifPresent((entry) -> refuse(entry, ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "given up"));
+		}
+	}
+
 	// waiting and attempts
 
 	private Behavior<RouterCommand> onEnqueue(RouterCommand.Enqueue entry) {
@@ -311,7 +302,7 @@
 			.with(EventField.ATTEMPT, command.attempt())
 			.with(EventField.OUTCOME, command.outcome()));
 		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
-		if (this.attemptsWithToken.remove(command.attempt()) != null) {
+		if (this.attemptsWithToken.remove(command.attempt())) {
 			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
 					: new TokenCommand.Hold(command.attempt()));
 		}
@@ -466,7 +457,7 @@
 
 	private void tokenDecided(TokenEvent.Decided decided, PendingAttempt pending) {
 		if (decided.granted()) {
-			this.attemptsWithToken.put(decided.attempt(), true);
+			this.attemptsWithToken.add(decided.attempt());
 			pending.entry().replyTo().tell(pending.dispatch());
 			return;
 		}
@@ -486,7 +477,7 @@
 		}
 		command.replyTo()
 			.tell(new RouterCommand.RouterStatus(this.admission.isConfigured(), this.admission.configuration().index(),
-					this.stopping, this.openRequests.size(), queues));
+					this.stopping, this.openRequests.count(), queues));
 		return this;
 	}
 
@@ -533,25 +524,6 @@
 		return this.waiting.computeIfAbsent(queue, (name) -> new WaitingRequests(this.settings.limits().queueLength()));
 	}
 
-	private void tellIdle() {
-		if (this.openRequests.isEmpty()) {
-			this.idleWaiters.forEach((waiter) -> waiter.tell(Done.getInstance()));
-			this.idleWaiters.clear();
-		}
-	}
-
-	private record RequestKey(Optional<TeamName> team, RequestId requestId) {
-
-	}
-
-	private record ForwardKey(Holder sender, long attempt) {
-
-	}
-
-	private record OpenRequest(Optional<RequestKey> key, Optional<ForwardKey> forward) {
-
-	}
-
 	private record PendingAttempt(RouterCommand.Enqueue entry, Dispatch dispatch) {
 
 	}
