Ask a job for a checkpoint only once

Cause: the order was repeated with each report, so a job would have written a checkpoint every second.

Ruled out: dropping all orders after they were sent; a lost stop would never be repeated.

Conclusion: none.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/InterventionTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/InterventionTable.java
@@ -40,6 +40,17 @@
 		this.pending.values().removeIf((intervention) -> !isCurrent(intervention, jobs.find(intervention.job())));
 	}
 
+	/**
+	 * Takes that an order has been sent. A checkpoint is asked for once; the other orders
+	 * are repeated, because repeating them changes nothing.
+	 * @param intervention the order
+	 */
+	public void sent(JobIntervention intervention) {
+		if (intervention.kind() == JobOrderKind.CHECKPOINT) {
+			this.pending.remove(intervention.job());
+		}
+	}
+
 	// access
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
@@ -127,9 +127,10 @@
 			draft.orders.add(order(job.id(), job.leaseEpoch(), JobOrderKind.STOP, 0));
 			return;
 		}
-		this.interventions.pendingFor(job)
-			.ifPresent((intervention) -> draft.orders
-				.add(order(job.id(), job.leaseEpoch(), intervention.kind(), intervention.throttlePercent())));
+		this.interventions.pendingFor(job).ifPresent((intervention) -> {
+			draft.orders.add(order(job.id(), job.leaseEpoch(), intervention.kind(), intervention.throttlePercent()));
+			this.interventions.sent(intervention);
+		});
 	}
 
 	private void dismiss(Draft draft, JobReport jobReport) {
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/SparePlannerTests.java
@@ -0,0 +1,54 @@
+package io.burdockpin.core.maintenance;
+
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.model.AvailabilityBudget;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.model.PoolName;
+import io.burdockpin.core.placement.FleetView;
+import io.burdockpin.core.placement.JobIndex;
+import io.burdockpin.core.placement.Records;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.ConfigurationCommand.MoveHost;
+import io.burdockpin.core.state.HostRecord;
+import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.PoolRecord;
+import org.junit.jupiter.api.Test;
+
+/** Guards against spare hosts that stay idle, or that stay away for ever. */
+class SparePlannerTests {
+
+	private static final PoolName SPARE = new PoolName("spare");
+
+	private static final HostName HOST = Records.hostName(1);
+
+	private static final long SHORTAGE_MILLIS = MaintenanceSettings.DEFAULT.shortageMillis();
+
+	private static final long IDLE_MILLIS = MaintenanceSettings.DEFAULT.idleMillis();
+
+	private final SparePlanner planner = new SparePlanner(MaintenanceSettings.DEFAULT);
+
+	private final List<JobRecord> waiting = List.of(Records.waiting("j-1", Records.spec("team-1", 1, false, true)));
+
+	@Test
+	void aSpareHostIsLentAfterAShortageAndReturnsOnceItIsIdle() {
+		Truth.assertThat(plan(SPARE, this.waiting, 0)).isEmpty();
+		Truth.assertThat(plan(SPARE, this.waiting, SHORTAGE_MILLIS)).contains(new MoveHost(HOST, Records.POOL, false));
+		long lentMillis = SHORTAGE_MILLIS;
+		Truth.assertThat(plan(Records.POOL, List.of(), lentMillis + IDLE_MILLIS - 1)).isEmpty();
+		Truth.assertThat(plan(Records.POOL, List.of(), lentMillis + IDLE_MILLIS))
+			.contains(new MoveHost(HOST, SPARE, false));
+	}
+
+	private List<Command> plan(PoolName poolOfHost, List<JobRecord> jobs, long nowMillis) {
+		HostRecord host = new HostRecord(Records.host(1, HostState.IN_SERVICE).spec(), poolOfHost, HostState.IN_SERVICE,
+				1);
+		PoolRecord spare = new PoolRecord(SPARE, new AvailabilityBudget(0, 1000, 1000), true, 1);
+		FleetView view = new FleetView(List.of(Records.pool(80, 2), spare), List.of(host), List.of(), jobs, List.of(),
+				List.of());
+		return this.planner.plan(view, JobIndex.of(jobs), nowMillis);
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/placement/WorkerReconcilerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/placement/WorkerReconcilerTests.java
@@ -80,6 +80,16 @@
 		Truth.assertThat(kinds(answer)).containsExactly(JobOrderKind.STOP, JobOrderKind.START).inOrder();
 	}
 
+	@Test
+	void aCheckpointIsOrderedOnlyOnce() {
+		this.tables.interventions()
+			.add(new JobIntervention(Records.hostName(1), this.running.id(), 1, JobOrderKind.CHECKPOINT, 0, "test"));
+		Truth.assertThat(kinds(answer("boot-1", this.running, 0, Records.jobReport("j-1", 1, JobPhase.RUNNING))))
+			.containsExactly(JobOrderKind.CHECKPOINT);
+		Truth.assertThat(kinds(answer("boot-1", this.running, 0, Records.jobReport("j-1", 1, JobPhase.RUNNING))))
+			.isEmpty();
+	}
+
 	@Test
 	void aRepeatableJobThatFailsQuicklyForTheFirstTimeIsTriedAgain() {
 		ReportAnswer answer = answer("boot-1", this.running, 100, Records.jobReport("j-1", 1, JobPhase.FAILED));
