--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -14,6 +14,7 @@
 import io.burdockpin.core.consensus.ReplicaSettings;
 import io.burdockpin.core.exc.InvalidValueException;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.placement.PlacementPreference;
 import io.burdockpin.core.util.Checks;
 
 /**
@@ -36,11 +37,18 @@
  * @param confirmationMillis how long a reply waits until the entry hosts have confirmed a
  * configuration change (default 2000)
  * @param eventFileBytes size at which a new event file is started (default 16 MiB)
+ * @param weightRollout how much a short roll-out counts against the other three (default
+ * 1)
+ * @param weightMoves how much few job moves count (default 1)
+ * @param weightShare how much nearness to the teams' shares counts (default 1)
+ * @param weightBuffer how much little idle capacity counts (default 1)
  */
 public record ControlSettings(String cluster, String host, String dataCentre, String dataFolder, String memberAddress,
 		String clientAddress, String adminAddress, List<MemberSettings> members, Optional<Integer> heartbeatMillis,
 		Optional<Integer> electionTimeoutMinimumMillis, Optional<Integer> electionTimeoutMaximumMillis,
-		Optional<Integer> snapshotEntries, Optional<Integer> confirmationMillis, Optional<Long> eventFileBytes) {
+		Optional<Integer> snapshotEntries, Optional<Integer> confirmationMillis, Optional<Long> eventFileBytes,
+		Optional<Integer> weightRollout, Optional<Integer> weightMoves, Optional<Integer> weightShare,
+		Optional<Integer> weightBuffer) {
 
 	/** Incarnation of the members of a new cluster. */
 	public static final long FORMATTED_INCARNATION = 1;
@@ -49,6 +57,8 @@
 
 	private static final int DEFAULT_CONFIRMATION_MILLIS = 2000;
 
+	private static final int DEFAULT_WEIGHT = 1;
+
 	private static final long DEFAULT_EVENT_FILE_BYTES = 16L * 1024 * 1024;
 
 	private static final ReplicaSettings DEFAULTS = ReplicaSettings.DEFAULT;
@@ -74,6 +84,11 @@
 		snapshotEntries = withDefault(snapshotEntries, DEFAULTS.snapshotEntries());
 		confirmationMillis = withDefault(confirmationMillis, DEFAULT_CONFIRMATION_MILLIS);
 		eventFileBytes = withDefault(eventFileBytes, DEFAULT_EVENT_FILE_BYTES);
+		weightRollout = withDefault(weightRollout, DEFAULT_WEIGHT);
+		weightMoves = withDefault(weightMoves, DEFAULT_WEIGHT);
+		weightShare = withDefault(weightShare, DEFAULT_WEIGHT);
+		weightBuffer = withDefault(weightBuffer, DEFAULT_WEIGHT);
+		new PlacementPreference(weightRollout.get(), weightMoves.get(), weightShare.get(), weightBuffer.get());
 		Checks.range("heartbeatMillis", heartbeatMillis.get(), 10, 10_000);
 		Checks.range("confirmationMillis", confirmationMillis.get(), 0, 10_000);
 		Checks.range("eventFileBytes", eventFileBytes.get(), 4096, 1L << 40);
@@ -91,6 +106,15 @@
 				this.electionTimeoutMaximumMillis, this.snapshotEntries);
 	}
 
+	/**
+	 * Returns what the firm values.
+	 * @return the preference built from the four weights
+	 */
+	public PlacementPreference toPreference() {
+		return new PlacementPreference(this.weightRollout.get(), this.weightMoves.get(), this.weightShare.get(),
+				this.weightBuffer.get());
+	}
+
 	/**
 	 * Returns the members of a new cluster.
 	 * @return all as voters with the first incarnation
