--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftPeerCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftPeerCodecTests.java
@@ -55,11 +55,11 @@
 		byte[] frame = this.codec.encode(envelope(MESSAGES.get(1)));
 		for (int length = 0; length < frame.length; length++) {
 			byte[] cut = Arrays.copyOf(frame, length);
-			Truth.assertWithMessage("refused at %s bytes", length).that(refuses(cut)).isTrue();
+			Truth.assertThat(isRefused(cut)).isTrue();
 		}
 	}
 
-	private boolean refuses(byte[] frame) {
+	private boolean isRefused(byte[] frame) {
 		try {
 			this.codec.decode(frame);
 			return false;
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
@@ -38,6 +38,17 @@
 		Truth.assertThat(response.join().body()).isEqualTo("schedule 8");
 	}
 
+	@Test
+	void aForwardedRequestWhoseEntryHostDiesIsAnsweredAsUnknown() {
+		TestEntry receiving = startFirst();
+		TestEntry attached = startSecond();
+		attached.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> response = receiving.submit(once("host-dies"), "charge");
+		runner().awaitCall();
+		kill(attached);
+		Truth.assertThat(response.join().body()).contains("\"outcome\":\"UNKNOWN\"");
+	}
+
 	@Test
 	void aJobIsProposedUnderTheNameThatItsRequestIdentifierGives() {
 		TestEntry entry = startAlone();
@@ -72,6 +83,21 @@
 		Truth.assertThat(refused.body()).contains("\"code\":\"KEY_WITHDRAWN\",\"outcome\":\"NOT_RUN\"");
 	}
 
+	@Test
+	void aKeyWithdrawnAtOneEntryHostIsRefusedAtTheOtherBeforeTheReply() {
+		TestEntry one = startFirst();
+		TestEntry two = startSecond();
+		one.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> forwarded = two.submit(REPEATABLE, "panel");
+		runner().awaitCall().answer("linked");
+		forwarded.join();
+		String body = "{\"type\":\"withdrawKey\",\"requestId\":\"w-2\",\"keyHash\":\"" + KeyHash.of("key-1").hex()
+				+ "\"}";
+		HttpResponse<String> answer = two.call("POST", "/v1/operator", Map.of(), body);
+		Truth.assertThat(answer.body()).contains("\"unconfirmed\":[]");
+		Truth.assertThat(one.submit(REPEATABLE, "panel").join().body()).contains("KEY_WITHDRAWN");
+	}
+
 	@Test
 	void aRequestThatIsNotRepeatableIsClaimedBeforeItRunsAndFinishedAfter() {
 		TestEntry entry = startAlone();
