--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -16,6 +16,7 @@
 import io.burdockpin.systemtest.fleet.EntryHost.EntryPlan;
 import io.burdockpin.testbench.program.EndPoint;
 import io.burdockpin.testbench.runner.RunnerMain;
+import io.burdockpin.testbench.worker.WorkerMain;
 
 /**
  * Three control members and some entry hosts, one of each per data centre, and the
@@ -38,6 +39,8 @@
 
 	private final List<StandInRunner> runners = new ArrayList<>();
 
+	private final List<ProgramProcess> workers = new ArrayList<>();
+
 	private Fleet(Path folder, int entryCount, int snapshotEntries) {
 		this.folder = folder;
 		List<ControlPlan> memberPlans = IntStream.rangeClosed(1, MEMBERS)
@@ -93,9 +96,7 @@
 		List<String> arguments = new ArrayList<>(List.of("--name", name, "--queue", queue, "--data-centre",
 				"dc" + dataCentre, "--address", address.toString(), "--control-address", control.toString(),
 				"--service-ms", Long.toString(serviceMillis), "--started-file", startedFile.toString(), "--entry"));
-		List<EntryHost> nearestFirst = new ArrayList<>(this.entries);
-		nearestFirst.add(0, nearestFirst.remove(entry));
-		nearestFirst.forEach((host) -> arguments.add(host.httpAddress().toString()));
+		nearestFirst(entry).forEach((host) -> arguments.add(host.httpAddress().toString()));
 		ProgramProcess process = new ProgramProcess(name, this.folder, RunnerMain.class, arguments);
 		StandInRunner runner = new StandInRunner(queue, process, control, startedFile);
 		this.runners.add(runner);
@@ -103,8 +104,27 @@
 		return runner;
 	}
 
+	/**
+	 * Starts a stand-in worker beside an entry host.
+	 * @param name name of the worker
+	 * @param entry number of the entry host in whose data centre it stands, from 0
+	 * @return the worker
+	 */
+	public StandInWorker startWorker(String name, int entry) {
+		this.addresses.place(name, entry + 1);
+		Path jobFile = this.folder.resolve("jobs-" + name);
+		List<String> arguments = new ArrayList<>(List.of("--name", name, "--control-address",
+				this.addresses.next(name).toString(), "--job-file", jobFile.toString(), "--entry"));
+		nearestFirst(entry).forEach((host) -> arguments.add(host.httpAddress().toString()));
+		ProgramProcess process = new ProgramProcess(name, this.folder, WorkerMain.class, arguments);
+		this.workers.add(process);
+		process.start();
+		return new StandInWorker(process, jobFile);
+	}
+
 	@Override
 	public void close() {
+		this.workers.forEach(ProgramProcess::close);
 		this.runners.forEach((runner) -> runner.process().close());
 		this.entries.forEach((entry) -> entry.process().close());
 		this.members.forEach((member) -> member.process().close());
@@ -201,6 +221,12 @@
 				() -> entry.health().says("entryHost", entry.name())));
 	}
 
+	private List<EntryHost> nearestFirst(int entry) {
+		List<EntryHost> nearestFirst = new ArrayList<>(this.entries);
+		nearestFirst.add(0, nearestFirst.remove(entry));
+		return nearestFirst;
+	}
+
 	private Optional<ControlMember> findLeader() {
 		return this.members.stream()
 			.filter((member) -> member.process().isAlive())
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInRunner.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInRunner.java
@@ -41,12 +41,15 @@
 	// configuration
 
 	/**
-	 * Switches how it treats requests.
+	 * Switches how it treats requests, as soon as it has started.
 	 * @param behaviour the new behaviour
 	 */
 	public void behave(RunnerBehaviour behaviour) {
-		call(HttpRequest.newBuilder(URI.create("http://" + this.controlAddress + "/behaviour/" + behaviour))
-			.POST(BodyPublishers.noBody()));
+		Await
+			.until("behaviour " + behaviour,
+					() -> call(HttpRequest
+						.newBuilder(URI.create("http://" + this.controlAddress + "/behaviour/" + behaviour))
+						.POST(BodyPublishers.noBody())).has("behaviour"));
 	}
 
 	// access
