--- a/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
+++ b/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
@@ -127,6 +127,15 @@
 		Truth.assertThat(broken()).contains("job j-1 was placed under epoch 3 before epoch 2 had ended");
 	}
 
+	@Test
+	void aJobWhoseOlderPlacementEndedOnlyAfterTheNewOneIsMarked() {
+		append(CONTROL_ONE, placed(1, 1000));
+		append(CONTROL_ONE, placed(2, 1100));
+		append(CONTROL_ONE,
+				event(EventKind.JOB_INTERRUPTED, 1200, 0).with(EventField.JOB, "j-1").with(EventField.LEASE_EPOCH, 1));
+		Truth.assertThat(broken()).contains("job j-1 was placed under epoch 2 before epoch 1 had ended");
+	}
+
 	@Test
 	void twoLeadersInOneTermAreMarked() {
 		append(CONTROL_ONE, event(EventKind.LEADER_ELECTED, 1000, 0).with(EventField.TERM, 4));
