Forward only to entry hosts that can be sent to

Cause: a peer counted as live when its status came in before the own link to it was up. A request was forwarded, refused as not connected, and used up the retry budget at once. RequestPathTests.aRequestIsForwardedToTheEntryHostThatHasTheRunner failed once this way on a loaded machine.

Ruled out: a larger retry budget, because it hides the wrong choice.

Change: PeerTable knows which links are up; a lost link is published at once.

Conclusion: the new case in PeerTableTests passes in a direct run.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
@@ -69,6 +69,15 @@
 		return true;
 	}
 
+	/**
+	 * Takes note of whether requests can be sent to a peer.
+	 * @param host the peer
+	 * @param connected whether the link to it is up
+	 */
+	public void linkChanged(HostName host, boolean connected) {
+		Optional.ofNullable(this.peers.get(host)).ifPresent((peer) -> peer.connected = connected);
+	}
+
 	/**
 	 * Adds withdrawn keys that the peers must learn.
 	 * @param keyHashes their hashes
@@ -156,7 +165,7 @@
 	// helpers
 
 	private boolean takesWork(Peer peer, long nowMillis) {
-		return isLive(peer.info.host(), nowMillis) && !peer.status.get().stopping();
+		return peer.connected && isLive(peer.info.host(), nowMillis) && !peer.status.get().stopping();
 	}
 
 	private static final class Peer {
@@ -173,6 +182,8 @@
 
 		private long statusCount;
 
+		private boolean connected;
+
 		private Peer(PeerInfo info) {
 			this.info = info;
 		}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
@@ -37,6 +37,14 @@
 		Truth.assertThat(this.table.view(1000).takingWork()).isEmpty();
 	}
 
+	@Test
+	void aPeerThatIsHeardButCannotBeSentToTakesNoWork() {
+		hear(NEAR, 1, false, 0);
+		this.table.linkChanged(NEAR.host(), false);
+		Truth.assertThat(this.table.view(1).takingWork()).isEmpty();
+		Truth.assertThat(this.table.view(1).loads()).isEmpty();
+	}
+
 	@Test
 	void aStatusOfAnEarlierLifeIsIgnored() {
 		hear(NEAR, 5, true, 0);
@@ -88,6 +96,7 @@
 	}
 
 	private boolean hear(PeerInfo peer, long incarnation, boolean stopping, long nowMillis) {
+		this.table.linkChanged(peer.host(), true);
 		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(peer.dataCentre(), peer.httpAddress(),
 				stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))), nowMillis);
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -224,11 +224,14 @@
 		HostName host = new HostName(event.link());
 		if (event instanceof LinkEvent.Connected<PeerEnvelope> connected) {
 			this.sessions.put(host, connected.session());
+			this.table.linkChanged(host, true);
 			send(host, new PeerMessage.AskConfiguration(this.configuration.index()));
 			sendUnconfirmedKeys(host);
 		}
 		else if (event instanceof LinkEvent.Disconnected<PeerEnvelope>) {
 			this.sessions.remove(host);
+			this.table.linkChanged(host, false);
+			publish();
 			loseForwards(host);
 		}
 	}
