Forward to the better of two entry hosts drawn at random

Cause: all entry hosts choose from the same status, up to 200 ms old, and send to the same host until the next one.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RoutingPolicy.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RoutingPolicy.java
@@ -51,12 +51,13 @@
 
 	/**
 	 * Chooses another entry host whose expected wait and round trip are shorter than the
-	 * wait here.
+	 * wait here: the better of two drawn at random. If all entry hosts chose the best one
+	 * of the same status, they would all send to it until the next status.
 	 * @param candidates the other entry hosts
 	 * @param ownDataCentre where this entry host stands
 	 * @param ownWaitMillis expected wait here
 	 * @param costs round trips
-	 * @param random breaks ties
+	 * @param random draws the two
 	 * @return the entry host, if forwarding saves time
 	 */
 	public Optional<PeerLoad> choosePeer(List<PeerLoad> candidates, DataCentre ownDataCentre, long ownWaitMillis,
@@ -65,7 +66,7 @@
 			.filter((load) -> load.expectedWaitMillis() != Long.MAX_VALUE)
 			.filter((load) -> peerCost(load, ownDataCentre, costs) < ownWaitMillis)
 			.toList();
-		return cheapest(better, (load) -> peerCost(load, ownDataCentre, costs), random);
+		return betterOfTwo(better, (load) -> peerCost(load, ownDataCentre, costs), random);
 	}
 
 	/**
@@ -84,6 +85,13 @@
 		return load.expectedWaitMillis() + costs.roundTripMillis(load.dataCentre().equals(ownDataCentre));
 	}
 
+	private static <T> Optional<T> betterOfTwo(List<T> candidates, ToLongFunction<T> cost, RandomGenerator random) {
+		return random.ints(2, 0, Math.max(1, candidates.size()))
+			.filter((position) -> position < candidates.size())
+			.mapToObj(candidates::get)
+			.min(Comparator.comparingLong(cost));
+	}
+
 	private static <T> Optional<T> cheapest(List<T> candidates, ToLongFunction<T> cost, RandomGenerator random) {
 		Optional<T> first = candidates.stream().min(Comparator.comparingLong(cost));
 		if (first.isEmpty()) {
