Recognise every resend of a job that is not repeatable

Ruled out: keeping jobs for ever; the identifier window of requests gives the same bound without memory. Change: IdentifierWindow, used by admission and by the job interface; a registration counts only when it was accepted, else it is tried again. Figures: before, a job with the identifier 1-job (1970) was accepted; now it gets REQUEST_ID_REJECTED (BadInputTests). Conclusion: at most once holds for jobs beyond the retention time.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/admission/Admission.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/Admission.java
@@ -179,9 +179,7 @@
 
 	private boolean isInWindow(RequestFacts request, long nowMillis) {
 		return request.requestId()
-			.flatMap(RequestTime::ofMillis)
-			.filter((millis) -> millis > nowMillis - this.limits.claimWindowMillis())
-			.filter((millis) -> millis <= nowMillis + this.limits.futureWindowMillis())
+			.filter((requestId) -> this.limits.identifierWindow().contains(requestId, nowMillis))
 			.isPresent();
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/admission/AdmissionLimits.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/AdmissionLimits.java
@@ -7,10 +7,9 @@
  * @param maximumTimeoutMillis longest time a caller may ask for
  * @param unverifiedKeyGraceMillis how long known keys are accepted without a control
  * majority
- * @param claimWindowMillis oldest accepted identifier of a request that is not repeatable
- * @param futureWindowMillis how far such an identifier may lie in the future
+ * @param identifierWindow accepted identifiers of requests that are not repeatable
  */
 public record AdmissionLimits(int maximumBodyBytes, long maximumTimeoutMillis, long unverifiedKeyGraceMillis,
-		long claimWindowMillis, long futureWindowMillis) {
+		IdentifierWindow identifierWindow) {
 
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.burdockpin.core.admission.AdmissionLimits;
+import io.burdockpin.core.admission.IdentifierWindow;
 import io.burdockpin.core.membership.PeerInfo;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
@@ -82,8 +83,8 @@
 	 */
 	public AdmissionLimits admissionLimits() {
 		return new AdmissionLimits(this.limits.bodyBytes(), this.limits.timeoutMillis(),
-				this.timing.unverifiedKeyGraceSeconds() * 1000L, this.timing.claimWindowMillis(),
-				this.timing.claimFutureMillis());
+				this.timing.unverifiedKeyGraceSeconds() * 1000L,
+				new IdentifierWindow(this.timing.claimWindowMillis(), this.timing.claimFutureMillis()));
 	}
 
 	/**
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -69,8 +69,10 @@
 		this.endpoints = List.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits(), metrics),
 				new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
 						settings.timing().attachmentMillis()),
-				new JobEndpoint(actors, bodies, json, this.responses, proposalMillis), new OperatorEndpoint(actors,
-						bodies, this.responses, proposalMillis, new OperatorJsonCodec(), new ThriftOperatorCodec()),
+				new JobEndpoint(actors, bodies, json, this.responses, identity,
+						settings.admissionLimits().identifierWindow(), proposalMillis),
+				new OperatorEndpoint(actors, bodies, this.responses, proposalMillis, new OperatorJsonCodec(),
+						new ThriftOperatorCodec()),
 				new StatusEndpoint(actors, identity, metrics));
 		bind(settings);
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/JobEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/JobEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.function.LongFunction;
 
 import io.burdockpin.core.admission.AdmissionResult;
+import io.burdockpin.core.admission.IdentifierWindow;
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.Query;
@@ -27,6 +28,7 @@
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.control.ControlCommand;
 import io.burdockpin.entry.router.RouterCommand;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -56,13 +58,20 @@
 
 	private final Responses responses;
 
+	private final EntryIdentity identity;
+
+	private final IdentifierWindow identifierWindow;
+
 	private final long proposalMillis;
 
-	JobEndpoint(Actors actors, HttpBodies bodies, JsonBodies json, Responses responses, long proposalMillis) {
+	JobEndpoint(Actors actors, HttpBodies bodies, JsonBodies json, Responses responses, EntryIdentity identity,
+			IdentifierWindow identifierWindow, long proposalMillis) {
 		this.actors = actors;
 		this.bodies = bodies;
 		this.json = json;
 		this.responses = responses;
+		this.identity = identity;
+		this.identifierWindow = identifierWindow;
 		this.proposalMillis = proposalMillis;
 	}
 
@@ -95,11 +104,21 @@
 					"the header Burdock-Request-Id is missing", null));
 		JobDocument document = this.json.read(body, JobDocument.class);
 		return withTeam(request, (team) -> {
+			JobSpec spec = document.spec(team);
+			requireRecognisable(spec, requestId);
 			JobId job = jobId(team, requestId);
-			return propose(job, new JobCommand.SubmitJob(job, document.spec(team)));
+			return propose(job, new JobCommand.SubmitJob(job, spec));
 		});
 	}
 
+	// A job is forgotten a day after its end. A later resend would run it again.
+	private void requireRecognisable(JobSpec spec, RequestId requestId) {
+		if (!spec.repeatable() && !this.identifierWindow.contains(requestId, this.identity.nowMillis())) {
+			throw new HttpRefusedException(ErrorCode.REQUEST_ID_REJECTED,
+					"a job that is not repeatable needs an identifier <unix seconds>-<token> within the window", null);
+		}
+	}
+
 	private CompletionStage<HttpResponse> show(TeamName team, JobId job, boolean result) {
 		return call((correlation) -> new ClientMessage.QueryRequest(correlation, new Query.ShowJob(job)))
 			.thenApply((ended) -> {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.limit.TokenWallet;
+import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.TokenCommand.RegisterHolder;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.control.ControlCommand;
@@ -134,7 +135,7 @@
 	}
 
 	private Behavior<TokenCommand> onRegistered(TokenCommand.Registered command) {
-		this.registered = command.result() instanceof CallResult.Answered;
+		this.registered = isAccepted(command.result());
 		if (this.registered) {
 			logger.atInfo().log("Registered as incarnation %d.", this.identity.holder().incarnation());
 			this.timers.startTimerWithFixedDelay(TokenCommand.Tick.INSTANCE, Duration.ZERO,
@@ -173,6 +174,12 @@
 				registration), REGISTER_TIMEOUT_MILLIS, TokenCommand.Registered::new);
 	}
 
+	private static boolean isAccepted(CallResult result) {
+		return result instanceof CallResult.Answered answered
+				&& answered.message() instanceof ClientMessage.ProposeReply reply
+				&& reply.result() instanceof CommandResult.Accepted;
+	}
+
 	private void report() {
 		if (this.registered && !this.reportPending) {
 			this.reportPending = true;
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/BadInputTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/BadInputTests.java
@@ -53,6 +53,7 @@
 		refused(400, "BAD_REQUEST", "/v1/jobs", headers, job(1000, 64, 1000, "?"));
 		refused(413, "BODY_TOO_LARGE", "/v1/jobs", headers, job(1000, 64, 1000, "A".repeat(200_000)));
 		refused(400, "REQUEST_ID_REJECTED", "/v1/jobs", Map.of("Burdock-Key", "key-1"), job(1000, 64, 1000, ""));
+		refused(400, "REQUEST_ID_REJECTED", "/v1/jobs", headers, job(1000, 64, 1000, ""));
 		refused(401, "KEY_MISSING", "/v1/jobs", Map.of("Burdock-Request-Id", "1-job"), job(1000, 64, 1000, ""));
 	}
 
