Cut exactly the links between control members that a test names

Cause: each member of a test fleet had its own proxied addresses, but the first leader's list is replicated to all, so a cut of one data centre also cut the other two from each other; WithdrawnKeyTests failed when c3 led. Ruled out: choosing the fault by source address in the proxy; a product setting for address translation does the same and is of use to operators. Change: members may have a connectAddress, used only by the process that has the setting; the test fleet gives proxies that way. Conclusion: the cuts are exact and the verdict no longer depends on which member leads first.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -152,7 +152,7 @@
 	private LinkSupervisorSettings linkSettings() {
 		return new LinkSupervisorSettings(LinkSupervisorSettings.socketAddress(this.settings.memberAddress()),
 				LinkSupervisorSettings.socketAddress(this.settings.clientAddress()), this.settings.toMembership(),
-				LinkSettings.DEFAULT, RESTART_MINIMUM, RESTART_MAXIMUM);
+				this.settings.toConnectAddresses(), LinkSettings.DEFAULT, RESTART_MINIMUM, RESTART_MAXIMUM);
 	}
 
 	private Behavior<EventLog.Command> eventLog(Identity identity) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -3,8 +3,10 @@
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.burdockpin.control.link.LinkSupervisorSettings;
 import io.burdockpin.core.consensus.Member;
@@ -126,6 +128,18 @@
 			.toList());
 	}
 
+	/**
+	 * Returns where this process connects to reach members that it does not reach at
+	 * their own address.
+	 * @return the addresses
+	 */
+	public Map<HostName, String> toConnectAddresses() {
+		return this.members.stream()
+			.filter((member) -> member.connectAddress().isPresent())
+			.collect(Collectors.toMap((member) -> new HostName(member.host()),
+					(member) -> member.connectAddress().get()));
+	}
+
 	/**
 	 * Returns the data folder.
 	 * @return its path
@@ -163,12 +177,16 @@
 	 *
 	 * @param host its host
 	 * @param address where it listens for other members, {@code ip:port}
+	 * @param connectAddress where this process connects to reach it, if not at its
+	 * address, for example through address translation
 	 */
-	public record MemberSettings(String host, String address) {
+	public record MemberSettings(String host, String address, Optional<String> connectAddress) {
 
 		public MemberSettings {
 			Checks.name("member host", host);
 			LinkSupervisorSettings.socketAddress(address);
+			connectAddress = (connectAddress != null) ? connectAddress : Optional.empty();
+			connectAddress.ifPresent(LinkSupervisorSettings::socketAddress);
 		}
 
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisor.java
@@ -134,10 +134,11 @@
 		if (host.equals(this.self.host())) {
 			return;
 		}
+		String address = this.settings.connectAddresses().getOrDefault(host, member.address());
 		Optional<MemberLink> known = Optional.ofNullable(this.memberLinks.get(host));
-		if (known.filter((link) -> link.address().equals(member.address())).isEmpty()) {
+		if (known.filter((link) -> link.address().equals(address)).isEmpty()) {
 			known.ifPresent((link) -> link.link().tell(new LinkCommand.Close<>()));
-			this.memberLinks.put(host, new MemberLink(member.address(), openLink(host, member.address())));
+			this.memberLinks.put(host, new MemberLink(address, openLink(host, address)));
 		}
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisorSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisorSettings.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 
 import io.burdockpin.core.consensus.Membership;
 import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.util.Checks;
 import io.burdockpin.runtime.link.LinkSettings;
 
@@ -15,12 +17,19 @@
  * @param clientAddress where to listen for entry hosts
  * @param knownMembers the members named in the settings file; a member without a log
  * finds the others by them
+ * @param connectAddresses where to connect for members that are not reached at their own
+ * address
  * @param links settings of each link
  * @param restartMinimum shortest pause before a failed link is started again
  * @param restartMaximum longest pause before a failed link is started again
  */
 public record LinkSupervisorSettings(InetSocketAddress memberAddress, InetSocketAddress clientAddress,
-		Membership knownMembers, LinkSettings links, Duration restartMinimum, Duration restartMaximum) {
+		Membership knownMembers, Map<HostName, String> connectAddresses, LinkSettings links, Duration restartMinimum,
+		Duration restartMaximum) {
+
+	public LinkSupervisorSettings {
+		connectAddresses = Map.copyOf(connectAddresses);
+	}
 
 	/**
 	 * Parses an address.
--- a/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
@@ -15,6 +15,7 @@
 import io.burdockpin.core.exc.BurdockException;
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.core.model.HostName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -22,7 +23,7 @@
 class ControlSettingsTests {
 
 	private static final List<ControlSettings.MemberSettings> MEMBERS = List
-		.of(new ControlSettings.MemberSettings("c1", "127.1.0.1:7001"));
+		.of(new ControlSettings.MemberSettings("c1", "127.1.0.1:7001", Optional.empty()));
 
 	@TempDir
 	private Path folder;
@@ -42,7 +43,7 @@
 			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
 		Truth.assertThat(failureOf(() -> settings("c1", List.of(MEMBERS.get(0), MEMBERS.get(0)), Optional.empty())))
 			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
-		Truth.assertThat(failureOf(() -> new ControlSettings.MemberSettings("c1", "127.1.0.1")))
+		Truth.assertThat(failureOf(() -> new ControlSettings.MemberSettings("c1", "127.1.0.1", Optional.empty())))
 			.isEqualTo(Optional.of(ErrorCode.BAD_REQUEST));
 	}
 
@@ -64,6 +65,16 @@
 			.isEqualTo(Optional.of(ErrorCode.STORAGE_FAILED));
 	}
 
+	@Test
+	void aMemberIsReachedAtItsConnectAddressIfItHasOne() {
+		ControlSettings settings = settings("c1",
+				List.of(new ControlSettings.MemberSettings("c1", "127.1.0.1:7001", Optional.empty()),
+						new ControlSettings.MemberSettings("c2", "127.2.0.1:7001", Optional.of("127.9.0.1:9001"))),
+				Optional.empty());
+		Truth.assertThat(settings.toConnectAddresses()).containsExactly(new HostName("c2"), "127.9.0.1:9001");
+		Truth.assertThat(settings.toMembership().find(new HostName("c2")).get().address()).isEqualTo("127.2.0.1:7001");
+	}
+
 	private MemberStorage storage() {
 		return new MemberStorage(new DiskFiles(this.folder), new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
 	}
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/FaultLinks.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/FaultLinks.java
@@ -12,10 +12,6 @@
 /**
  * The fault proxies of a fleet, one for each pair of connecting and listening program.
  * Owned by one test.
- * <p>
- * Known fault: an elected leader spreads its own list of member addresses, after which
- * all members use the proxies of that leader. A cut between control members then hits
- * other pairs than it names. Links of entry hosts are not affected.
  */
 public final class FaultLinks implements AutoCloseable {
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -249,12 +249,20 @@
 
 	private List<Map<String, Object>> linksToMembers(ControlPlan from, List<ControlPlan> all) {
 		return all.stream()
-			.map((to) -> Map.<String, Object>of("host", to.name(), "address",
-					to.equals(from) ? to.memberAddress().toString()
-							: this.links.connect(from.name(), to.name(), to.memberAddress()).toString()))
+			.map((to) -> to.equals(from) ? member(to)
+					: member(to, this.links.connect(from.name(), to.name(), to.memberAddress())))
 			.toList();
 	}
 
+	private static Map<String, Object> member(ControlPlan plan) {
+		return Map.of("host", plan.name(), "address", plan.memberAddress().toString());
+	}
+
+	private static Map<String, Object> member(ControlPlan plan, EndPoint proxy) {
+		return Map.of("host", plan.name(), "address", plan.memberAddress().toString(), "connectAddress",
+				proxy.toString());
+	}
+
 	private List<Map<String, Object>> linksToPeers(EntryPlan from, List<EntryPlan> all) {
 		return all.stream()
 			.filter((to) -> !to.equals(from))
