Read the settings of runner connections once

Cause: an entry host spends 8.8 ms of processor time on a request; a profile showed ClientConnectionSettings in 24 of 121 samples. Ruled out: tokens, queueing and codecs, which do not show in the profile. Change: RunnerConnector holds the settings; the capacity benchmark warms up before its smallest size. Opening a connection for each attempt remains the main cost and is the next thing to change.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/CapacityBenchmark.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/CapacityBenchmark.java
@@ -33,6 +33,8 @@
 		measurements.addAll(
 				new MessageSizes(new ThriftClientCodec(), new ThriftPeerCodec(), new ThriftConsensusCodec()).measure());
 		DecisionCosts decisionCosts = new DecisionCosts();
+		// Compiles the code that the smallest size would otherwise run interpreted.
+		decisionCosts.measure(FleetSize.TWO_YEARS, RUNNERS.get(0));
 		for (int point = 0; point < RUNNERS.size(); point++) {
 			measurements.addAll(decisionCosts.measure(FleetSize.measured().get(point), RUNNERS.get(point)));
 		}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
@@ -14,8 +14,9 @@
 	 *
 	 * @param attempt number of the attempt
 	 * @param runner the runner
+	 * @param connector opens the connection
 	 */
-	record ToRunner(long attempt, Runner runner) implements Dispatch {
+	record ToRunner(long attempt, Runner runner, RunnerConnector connector) implements Dispatch {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -76,9 +76,8 @@
 			RunnerCall call = new RunnerCall(toRunner.attempt(), toRunner.runner().address(), this.request.queue(),
 					this.request.requestId(), this.request.contentType(), this.request.body(),
 					this.queued.deadlineMillis() - this.identity.nowMillis(), this.maximumAnswerBytes);
-			getContext().spawn(
-					RunnerConnection.create(call, getContext().messageAdapter(AttemptReport.class, AttemptDone::new)),
-					"runner");
+			getContext().spawn(RunnerConnection.create(toRunner.connector(), call,
+					getContext().messageAdapter(AttemptReport.class, AttemptDone::new)), "runner");
 			return this;
 		}
 		if (dispatch instanceof Dispatch.NoAttempt noAttempt) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -177,7 +177,8 @@
 				caller.requestId(), caller.contentType(), caller.body(), remainingMillis(),
 				this.request.limits().answerBytes());
 		getContext().spawn(
-				RunnerConnection.create(call, getContext().messageAdapter(AttemptReport.class, AttemptDone::new)),
+				RunnerConnection.create(dispatch.connector(), call,
+						getContext().messageAdapter(AttemptReport.class, AttemptDone::new)),
 				"attempt-" + dispatch.attempt());
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -77,6 +77,8 @@
 
 	private final Admission admission;
 
+	private final RunnerConnector connector;
+
 	private final RunnerTable runners;
 
 	private final PeerLoads peerLoads = new PeerLoads();
@@ -113,6 +115,7 @@
 		this.events = events;
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
 		long longestMillis = settings.limits().timeoutMillis();
+		this.connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis));
 		this.runners = new RunnerTable(
 				new RunnerTableSettings(settings.timing().attachmentMillis(),
 						longestMillis + longestMillis / MARGIN_DIVISOR, settings.policy()),
@@ -341,7 +344,7 @@
 		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
 				entry.request().deadlineMillis(), this.identity.nowMillis());
 		runner.ifPresent((found) -> recordStart(attempt, found));
-		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found));
+		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connector));
 		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.exc.ErrorCode;
@@ -17,19 +16,14 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
-import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.japi.Pair;
 import org.apache.pekko.stream.Materializer;
-import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
-import scala.concurrent.duration.FiniteDuration;
 
 /**
  * Owns one connection to a runner for one attempt. An answer that arrives late or twice
@@ -39,18 +33,20 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final long CONNECT_TIMEOUT_MILLIS = 1000;
-
 	private static final int SERVICE_UNAVAILABLE = 503;
 
+	private final RunnerConnector connector;
+
 	private final RunnerCall call;
 
 	private final ActorRef<AttemptReport> replyTo;
 
 	private final Materializer materializer;
 
-	private RunnerConnection(ActorContext<Command> context, RunnerCall call, ActorRef<AttemptReport> replyTo) {
+	private RunnerConnection(ActorContext<Command> context, RunnerConnector connector, RunnerCall call,
+			ActorRef<AttemptReport> replyTo) {
 		super(context);
+		this.connector = connector;
 		this.call = call;
 		this.replyTo = replyTo;
 		this.materializer = Materializer.createMaterializer(context);
@@ -59,10 +55,10 @@
 
 	// life cycle
 
-	static Behavior<Command> create(RunnerCall call, ActorRef<AttemptReport> replyTo) {
+	static Behavior<Command> create(RunnerConnector connector, RunnerCall call, ActorRef<AttemptReport> replyTo) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startSingleTimer(DeadlinePassed.INSTANCE, Duration.ofMillis(call.remainingMillis()));
-			return new RunnerConnection(context, call, replyTo);
+			return new RunnerConnection(context, connector, call, replyTo);
 		}));
 	}
 
@@ -83,7 +79,7 @@
 		try {
 			Pair<CompletionStage<OutgoingConnection>, CompletionStage<HttpResponse>> stages = Source
 				.single(this.call.request())
-				.viaMat(connection(), Keep.right())
+				.viaMat(this.connector.connection(this.call.host(), this.call.port()), Keep.right())
 				.mapAsync(1, this::collect)
 				.toMat(Sink.head(), Keep.both())
 				.run(this.materializer);
@@ -96,17 +92,6 @@
 		}
 	}
 
-	private Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> connection() {
-		ClientConnectionSettings settings = ClientConnectionSettings.create(getContext().getSystem().classicSystem())
-			.withConnectingTimeout(FiniteDuration.create(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
-			.withIdleTimeout(FiniteDuration.create(2 * this.call.remainingMillis(), TimeUnit.MILLISECONDS));
-		return Http.get(getContext().getSystem())
-			.connectionTo(this.call.host())
-			.toPort(this.call.port())
-			.withClientConnectionSettings(settings)
-			.http();
-	}
-
 	private CompletionStage<HttpResponse> collect(HttpResponse response) {
 		if (response.entity().isCloseDelimited()) {
 			throw new IllegalStateException("the answer states no length");
