--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -20,6 +20,7 @@
 	# shellcheck disable=SC2086
 	exec "${JAVA_HOME:+$JAVA_HOME/bin/}java" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms8m \
 		"-Xmx${BURDOCK_HEAP_MEGABYTES:-$heap_megabytes}m" -XX:MaxDirectMemorySize=32m -XX:-UsePerfData \
-		-XX:+ExitOnOutOfMemoryError ${BURDOCK_JAVA_OPTIONS:-} \
+		-XX:+ExitOnOutOfMemoryError -Djava.util.logging.manager=io.burdockpin.runtime.log.StopSafeLogManager \
+		${BURDOCK_JAVA_OPTIONS:-} \
 		-cp "$burdock_home/dist/lib/*" "$main_class" "$@"
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongFunction;
 
@@ -142,6 +143,7 @@
 					Duration.ofMillis(this.reportMillis));
 		}
 		else {
+			logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).log("Not registered yet: %s.", command.result());
 			this.timers.startSingleTimer(TokenCommand.Tick.INSTANCE, RETRY);
 		}
 		return this;
--- /dev/null
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StartAttempt.java
@@ -0,0 +1,55 @@
+package io.burdockpin.systemtest.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/** Starts a program that is expected to refuse its start. Owned by one test. */
+public final class StartAttempt {
+
+	private final Path folder;
+
+	private final String name;
+
+	private final ProgramProcess process;
+
+	/**
+	 * Prepares a start.
+	 * @param folder holds settings and output
+	 * @param name names the files
+	 * @param mainClass the program
+	 * @param settings its settings
+	 */
+	public StartAttempt(Path folder, String name, Class<?> mainClass, Map<String, Object> settings) {
+		this.folder = folder;
+		this.name = name;
+		Path file = SettingsFile.write(folder, name, settings);
+		this.process = new ProgramProcess(name, folder, mainClass, List.of("--settings", file.toString()));
+	}
+
+	/**
+	 * Starts the program and waits until it has ended.
+	 * @return its exit status
+	 */
+	public int run() {
+		this.process.start();
+		return this.process.awaitEnd();
+	}
+
+	/**
+	 * Returns what the program printed.
+	 * @return standard output and error
+	 */
+	public String output() {
+		try {
+			return Files.readString(this.folder.resolve(this.name + ".log"));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
