Refuse to format a member while its cluster is running

Cause: a member that lost its disk and was formatted again has its old incarnation and could vote twice in a term; only the help text warned. Ruled out: a registry of formatted members; it would itself need the group. Conclusion: the usual mistake is refused; a cluster that is wholly down or cut off cannot be noticed.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
@@ -52,6 +52,7 @@
 			return false;
 		}
 		try {
+			new RunningMembersCheck(settings).requireNoneRunning();
 			storage(settings).format(
 					new Identity(settings.cluster(), settings.host(), ControlSettings.FORMATTED_INCARNATION, true),
 					settings.toMembership());
--- a/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
@@ -1,5 +1,8 @@
 package io.burdockpin.control;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -65,6 +68,16 @@
 			.isEqualTo(Optional.of(ErrorCode.STORAGE_FAILED));
 	}
 
+	@Test
+	void aMemberOfARunningClusterIsNotFormatted() throws IOException {
+		try (ServerSocket running = new ServerSocket(0, 1, InetAddress.getByName("127.2.0.1"))) {
+			List<ControlSettings.MemberSettings> members = List.of(MEMBERS.get(0),
+					new ControlSettings.MemberSettings("c2", "127.2.0.1:" + running.getLocalPort(), Optional.empty()));
+			RunningMembersCheck check = new RunningMembersCheck(settings("c1", members, Optional.empty()));
+			Truth.assertThat(failureOf(check::requireNoneRunning)).isEqualTo(Optional.of(ErrorCode.STORAGE_FAILED));
+		}
+	}
+
 	@Test
 	void aMemberIsReachedAtItsConnectAddressIfItHasOne() {
 		ControlSettings settings = settings("c1",
