Let a resent membership change wait for the entry of its first copy

A refusal must mean 'not done'. Ruled out: resending on this refusal in the system test; the product gave a false answer. Refusing with OUTCOME_UNKNOWN: the leader can say what became of the entry, so it should. Change: Replica looks first whether the members in the log already show the change; if they are not committed, the verdict is PENDING with their index and the reply waits for that entry. Several replies can wait for one entry. Conclusion: a resend gets the fate of the first copy.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/PendingProposals.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/PendingProposals.java
@@ -17,18 +17,19 @@
  */
 final class PendingProposals {
 
-	private final TreeMap<Long, Waiter> proposed = new TreeMap<>();
+	/** A resent membership change waits for the same entry as the first one. */
+	private final TreeMap<Long, List<Waiter>> proposed = new TreeMap<>();
 
 	private final List<Confirming> confirming = new ArrayList<>();
 
 	// changes
 
 	void add(long index, Waiter waiter) {
-		this.proposed.put(index, waiter);
+		this.proposed.computeIfAbsent(index, (key) -> new ArrayList<>(1)).add(waiter);
 	}
 
-	Optional<Waiter> take(long index) {
-		return Optional.ofNullable(this.proposed.remove(index));
+	List<Waiter> take(long index) {
+		return Optional.ofNullable(this.proposed.remove(index)).orElse(List.of());
 	}
 
 	void awaitConfirmation(Waiter waiter, long index, long configurationIndex, CommandResult result,
@@ -39,6 +40,8 @@
 	/** Answers all proposals whose fate this member will not learn any more. */
 	void giveUp() {
 		this.proposed.values()
+			.stream()
+			.flatMap(List::stream)
 			.forEach((waiter) -> waiter.replyTo().tell(new ClientMessage.ProposalUnknown(waiter.correlation())));
 		this.proposed.clear();
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -303,7 +303,7 @@
 		MembershipVerdict verdict = this.replica.changeMembership(change, member, nowMillis());
 		PendingProposals.Waiter waiter = new PendingProposals.Waiter(request.correlation(), replyTo, false);
 		switch (verdict.kind()) {
-			case PROPOSED -> this.proposals.add(verdict.index(), waiter);
+			case PROPOSED, PENDING -> this.proposals.add(verdict.index(), waiter);
 			case ALREADY_DONE -> {
 				long index = this.replica.status().membershipIndex();
 				waiter.reply(index, new CommandResult.Accepted(index), List.of());
@@ -380,13 +380,12 @@
 			if (applied.isConfigurationChange()) {
 				publish(applied);
 			}
-			this.proposals.take(entry.index()).ifPresent((waiter) -> answer(waiter, applied));
+			this.proposals.take(entry.index()).forEach((waiter) -> answer(waiter, applied));
 		}
 		else {
 			this.machine.skip(entry);
 			this.proposals.take(entry.index())
-				.ifPresent(
-						(waiter) -> waiter.reply(entry.index(), new CommandResult.Accepted(entry.index()), List.of()));
+				.forEach((waiter) -> waiter.reply(entry.index(), new CommandResult.Accepted(entry.index()), List.of()));
 		}
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/MembershipVerdict.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/MembershipVerdict.java
@@ -14,7 +14,13 @@
 		/** It is in the log; it holds once that entry is committed. */
 		PROPOSED,
 
-		/** It was made before. */
+		/**
+		 * The members in the log already show it, but they are not committed yet. It
+		 * holds once that entry is committed.
+		 */
+		PENDING,
+
+		/** It was made before and is committed. */
 		ALREADY_DONE,
 
 		/** This member does not lead or hands over the leadership first. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -221,11 +221,13 @@
 		if (!takesProposals()) {
 			return verdict(MembershipVerdict.Kind.NOT_LEADER);
 		}
-		if (this.log.membershipIndex() > this.log.commitIndex()) {
-			return verdict(MembershipVerdict.Kind.BUSY);
-		}
+		boolean isPending = this.log.membershipIndex() > this.log.commitIndex();
 		if (change.isDone(this.log.membership(), member.id())) {
-			return verdict(MembershipVerdict.Kind.ALREADY_DONE);
+			return isPending ? new MembershipVerdict(MembershipVerdict.Kind.PENDING, this.log.membershipIndex())
+					: verdict(MembershipVerdict.Kind.ALREADY_DONE);
+		}
+		if (isPending) {
+			return verdict(MembershipVerdict.Kind.BUSY);
 		}
 		if (member.id().host().equals(this.self.host())) {
 			this.leadership.get().handOver(nowMillis);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -156,6 +156,24 @@
 		Truth.assertThat(second.map(MembershipVerdict::kind)).isEqualTo(Optional.of(MembershipVerdict.Kind.BUSY));
 	}
 
+	/**
+	 * Guards against a resend that is refused although its first copy is in the log and
+	 * gets committed.
+	 */
+	@Test
+	void aMembershipChangeResentBeforeItsCommitWaitsForTheSameEntry() {
+		elected();
+		this.cluster.members()
+			.stream()
+			.filter((member) -> !member.isLeader())
+			.forEach((member) -> this.cluster.cut(member.host(), this.cluster.leader().orElseThrow().host()));
+		MemberId added = new MemberId(new HostName("c4"), 7);
+		MembershipVerdict first = this.cluster.change(MembershipChange.ADD, added).orElseThrow();
+		MembershipVerdict resent = this.cluster.change(MembershipChange.ADD, added).orElseThrow();
+		Truth.assertThat(first.kind()).isEqualTo(MembershipVerdict.Kind.PROPOSED);
+		Truth.assertThat(resent).isEqualTo(new MembershipVerdict(MembershipVerdict.Kind.PENDING, first.index()));
+	}
+
 	@Test
 	void aResentMembershipChangeIsAnsweredAsDone() {
 		elected();
