Take membership changes only after the first commit of a term

Cause: the full check failed again in ControlMemberFailureTests: a new leader writes the members as its first entry, and until that entry was committed each membership change was refused with 'another change of the members is not committed yet'. On a slow disk that is longer than the time between 'there is a leader' and the operator's call. Ruled out: taking the change at once; a leader must not change members before an entry of its own term is committed. Change: until then the verdict is NOT_LEADER, which says that nothing was done, and the entry host tries again until the call's deadline. Conclusion: BUSY now stands only for the change of another operator or a promotion that is under way.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -56,6 +56,15 @@
 		return this.transfer.isPresent();
 	}
 
+	/**
+	 * Tells whether an entry of this term is committed. Before that the leader does not
+	 * know which entries of earlier terms are.
+	 * @return whether the first entry of the term is committed
+	 */
+	boolean hasCommittedEntryOfTerm() {
+		return this.log.commitIndex() >= this.firstIndex;
+	}
+
 	/**
 	 * Tells whether a majority has answered a message that was sent within an election
 	 * timeout.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/MembershipVerdict.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/MembershipVerdict.java
@@ -23,7 +23,10 @@
 		/** It was made before and is committed. */
 		ALREADY_DONE,
 
-		/** This member does not lead or hands over the leadership first. */
+		/**
+		 * This member does not lead, has not committed an entry of its term yet or hands
+		 * over the leadership first. Nothing was done; the sender tries again.
+		 */
 		NOT_LEADER,
 
 		/** Another change is not committed yet. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -218,7 +218,9 @@
 	 */
 	public MembershipVerdict changeMembership(MembershipChange change, Member member, long nowMillis) {
 		checkMajorityContact(nowMillis);
-		if (!takesProposals()) {
+		// The first entry of a term is a membership entry, so without this check a change
+		// right after an election would be refused as if another one were under way.
+		if (!takesProposals() || !this.leadership.get().hasCommittedEntryOfTerm()) {
 			return verdict(MembershipVerdict.Kind.NOT_LEADER);
 		}
 		boolean isPending = this.log.membershipIndex() > this.log.commitIndex();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -174,6 +174,21 @@
 		Truth.assertThat(resent).isEqualTo(new MembershipVerdict(MembershipVerdict.Kind.PENDING, first.index()));
 	}
 
+	/**
+	 * Guards against a change that is refused for good because it arrives right after an
+	 * election, before the first entry of the new leader is committed.
+	 */
+	@Test
+	void aLeaderWithoutACommittedEntryOfItsTermAsksForAnotherAttempt() {
+		Replica single = singleVoter();
+		Member added = new Member(OTHER, MemberRole.LEARNER, "");
+		Truth.assertThat(single.changeMembership(MembershipChange.ADD, added, 3000).kind())
+			.isEqualTo(MembershipVerdict.Kind.NOT_LEADER);
+		single.written(2, 3000);
+		Truth.assertThat(single.changeMembership(MembershipChange.ADD, added, 3000).kind())
+			.isEqualTo(MembershipVerdict.Kind.PROPOSED);
+	}
+
 	@Test
 	void aResentMembershipChangeIsAnsweredAsDone() {
 		elected();
