Rehearse backup, restore, upgrade and the replacement of a control host

Cause: the operations page described these procedures without a run, and a restore meant to enter the configuration by hand from lists, which loses jobs, claims, tokens and the results of changes. Ruled out: starting the copied folder as it is; it holds an old identity and an old vote. Restoring one member and adding the others to it; a member of the lost cluster could answer meanwhile. Keeping the log index; entry hosts that still run have newer configuration indexes and would refuse the restored configuration for ever. It refuses while a member answers, a used folder and a backup of another cluster. After the rolling restart the time line of all processes is checked.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
@@ -1,15 +1,19 @@
 package io.burdockpin.control;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.thrift.impl.ThriftEntryContentCodec;
 import io.burdockpin.codec.thrift.impl.ThriftSnapshotCodec;
+import io.burdockpin.control.replica.BackupState;
 import io.burdockpin.control.storage.DiskFiles;
 import io.burdockpin.control.storage.Identity;
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.control.storage.StorageException;
+import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.ProgramBase;
@@ -44,10 +48,23 @@
 			.action(Arguments.storeTrue())
 			.help("make the empty data folder that of a voter of a new cluster and end; "
 					+ "never use it on a member that lost its disk");
+		parser.addArgument("--restore")
+			.metavar("FOLDER")
+			.help("fill the empty data folder from the backup of any member and end; "
+					+ "only when all members are lost, on each member from the same backup");
+		parser.addArgument("--incarnation")
+			.type(Long.class)
+			.metavar("N")
+			.help("with --restore: the same number on each member, one that the cluster never had, "
+					+ "for example the present time in seconds");
 	}
 
 	@Override
 	protected boolean runInstead(Namespace arguments, ControlSettings settings) {
+		if (arguments.getString("restore") != null) {
+			restore(settings, Path.of(arguments.getString("restore")), arguments.getLong("incarnation"));
+			return true;
+		}
 		if (!arguments.getBoolean("format")) {
 			return false;
 		}
@@ -77,9 +94,40 @@
 		}
 	}
 
+	private static void restore(ControlSettings settings, Path backup, Long incarnation) {
+		if (incarnation == null || incarnation <= ControlSettings.FORMATTED_INCARNATION) {
+			throw new StartException(ExitStatus.USAGE, ErrorCode.BAD_REQUEST,
+					"--restore needs --incarnation with a number above 1 that the cluster never had", null);
+		}
+		if (!Files.isDirectory(backup)) {
+			throw new StartException(ExitStatus.STORAGE, ErrorCode.STORAGE_FAILED,
+					"backup %s is no folder".formatted(backup), null);
+		}
+		try {
+			new RunningMembersCheck(settings).requireNoneRunning();
+			MemberStorage source = storage(backup);
+			String cluster = source.identity().map(Identity::cluster).orElse("");
+			if (!cluster.equals(settings.cluster())) {
+				throw StorageException.failed("%s is no backup of cluster %s".formatted(backup, settings.cluster()),
+						null);
+			}
+			BackupState state = new BackupState(source.load());
+			storage(settings).begin(new Identity(settings.cluster(), settings.host(), incarnation, true),
+					state.toSnapshot(settings.toMembership(incarnation)), state.term());
+			System.out.println("Restored member %s with incarnation %d from index %d.".formatted(settings.host(),
+					incarnation, state.lastIndex()));
+		}
+		catch (StorageException ex) {
+			throw startException(settings, ex);
+		}
+	}
+
 	private static MemberStorage storage(ControlSettings settings) {
-		return new MemberStorage(new DiskFiles(settings.toDataFolder()), new ThriftEntryContentCodec(),
-				new ThriftSnapshotCodec());
+		return storage(settings.toDataFolder());
+	}
+
+	private static MemberStorage storage(Path folder) {
+		return new MemberStorage(new DiskFiles(folder), new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
 	}
 
 	private static StartException startException(ControlSettings settings, StorageException ex) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -122,9 +122,18 @@
 	 * @return all as voters with the first incarnation
 	 */
 	public Membership toMembership() {
+		return toMembership(FORMATTED_INCARNATION);
+	}
+
+	/**
+	 * Returns the members of a cluster that is restored from a backup.
+	 * @param incarnation the incarnation that all of them get
+	 * @return all as voters
+	 */
+	public Membership toMembership(long incarnation) {
 		return new Membership(this.members.stream()
-			.map((member) -> new Member(new MemberId(new HostName(member.host()), FORMATTED_INCARNATION),
-					MemberRole.VOTER, member.address()))
+			.map((member) -> new Member(new MemberId(new HostName(member.host()), incarnation), MemberRole.VOTER,
+					member.address()))
 			.toList());
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/storage/MemberStorage.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/storage/MemberStorage.java
@@ -73,14 +73,25 @@
 	 * @throws StorageException if the folder has an identity or a log
 	 */
 	public void format(Identity identity, Membership membership) {
+		begin(identity, Snapshot.initial(membership), 0);
+	}
+
+	/**
+	 * Writes the files of a member that starts from a snapshot.
+	 * @param identity the identity
+	 * @param snapshot what the member starts from
+	 * @param term the newest term
+	 * @throws StorageException if the folder has an identity or a log
+	 */
+	public void begin(Identity identity, Snapshot snapshot, long term) {
 		boolean isUsed = this.files.list()
 			.stream()
 			.anyMatch((name) -> name.equals(IdentityFile.NAME) || name.startsWith(SEGMENT_PREFIX));
 		if (isUsed) {
 			throw StorageException.failed("the data folder is not empty", null);
 		}
-		writeSnapshotFile(Snapshot.initial(membership), 1);
-		this.files.replace(VoteFile.NAME, new VoteFile(0, Optional.empty()).encode());
+		writeSnapshotFile(snapshot, 1);
+		this.files.replace(VoteFile.NAME, new VoteFile(term, Optional.empty()).encode());
 		this.identityFile.write(this.files, identity);
 	}
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -48,6 +48,32 @@
 		this.process.runOnce("--format");
 	}
 
+	/**
+	 * Copies the data folder of the member, which must not run.
+	 * @param target the folder to create
+	 * @return the copy
+	 */
+	public Path backUp(Path target) {
+		try (Stream<Path> files = Files.walk(this.dataFolder)) {
+			for (Path file : files.toList()) {
+				Files.copy(file, target.resolve(this.dataFolder.relativize(file).toString()));
+			}
+			return target;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Fills the empty data folder of the member from a backup.
+	 * @param backup the backup
+	 * @param incarnation the incarnation of all members
+	 */
+	public void restore(Path backup, long incarnation) {
+		this.process.runOnce("--restore", backup.toString(), "--incarnation", Long.toString(incarnation));
+	}
+
 	/** Removes all files of the member, which must not run. */
 	public void wipe() {
 		try (Stream<Path> files = Files.walk(this.dataFolder)) {
@@ -68,6 +94,14 @@
 		return this.name;
 	}
 
+	/**
+	 * Returns the event file.
+	 * @return its path
+	 */
+	public Path eventFile() {
+		return this.dataFolder.resolve("events").resolve("events.jsonl");
+	}
+
 	/**
 	 * Returns the process.
 	 * @return the process
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
@@ -14,6 +14,8 @@
 
 	private final EndPoint httpAddress;
 
+	private final Path eventFile;
+
 	private final ProgramProcess process;
 
 	private final HealthPage health;
@@ -22,10 +24,11 @@
 		this.name = plan.name();
 		this.httpAddress = plan.httpAddress();
 		Path data = folder.resolve("data-" + this.name);
+		this.eventFile = data.resolve("events.jsonl");
 		Path settings = SettingsFile.write(folder, this.name,
 				Map.of("name", this.name, "dataCentre", plan.dataCentre(), "httpAddress", address(plan.httpAddress()),
 						"peerAddress", address(plan.peerAddress()), "peers", peers, "members", members, "eventFile",
-						data.resolve("events.jsonl").toString(), "dataFolder", data.toString()));
+						this.eventFile.toString(), "dataFolder", data.toString()));
 		this.process = new ProgramProcess(this.name, folder, EntryProgram.class,
 				List.of("--settings", settings.toString()));
 		this.health = new HealthPage(this.httpAddress);
@@ -41,6 +44,14 @@
 		return this.name;
 	}
 
+	/**
+	 * Returns the event file.
+	 * @return its path
+	 */
+	public Path eventFile() {
+		return this.eventFile;
+	}
+
 	/**
 	 * Returns the process.
 	 * @return the process
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -11,12 +11,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import io.burdockpin.systemtest.fleet.ControlMember.ControlPlan;
 import io.burdockpin.systemtest.fleet.EntryHost.EntryPlan;
 import io.burdockpin.testbench.program.EndPoint;
 import io.burdockpin.testbench.runner.RunnerMain;
 import io.burdockpin.testbench.worker.WorkerMain;
+import io.burdockpin.timeline.check.CheckSettings;
+import io.burdockpin.timeline.check.PromiseCheck;
+import io.burdockpin.timeline.model.EventFileReader;
 
 /**
  * Three control members and some entry hosts, one of each per data centre, and the
@@ -157,6 +161,29 @@
 		return this.entries;
 	}
 
+	/**
+	 * Returns the folder of the fleet.
+	 * @return the folder that holds all data folders and logs
+	 */
+	public Path folder() {
+		return this.folder;
+	}
+
+	/**
+	 * Looks for broken promises in the event files of all processes.
+	 * @return one sentence for each
+	 */
+	public List<String> brokenPromises() {
+		List<Path> files = Stream
+			.concat(this.members.stream().map(ControlMember::eventFile),
+					this.entries.stream().map(EntryHost::eventFile))
+			.toList();
+		return PromiseCheck.findAll(new EventFileReader().read(files).events(), CheckSettings.DEFAULT)
+			.stream()
+			.map((broken) -> broken.check() + ": " + broken.message())
+			.toList();
+	}
+
 	/**
 	 * Returns the stand-in runners.
 	 * @return the runners in the order of their start
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -115,15 +116,29 @@
 		return (this.process.isPresent() && !isAlive()) ? OptionalInt.of(running().exitValue()) : OptionalInt.empty();
 	}
 
+	/**
+	 * Returns what the program printed in all its lives.
+	 * @return the text
+	 */
+	public String output() {
+		try {
+			return Files.readString(this.output);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	// helpers
 
-	void runOnce(String extraArgument) {
+	void runOnce(String... extraArguments) {
 		List<String> once = new ArrayList<>(this.command);
-		once.add(extraArgument);
+		once.addAll(List.of(extraArguments));
 		this.process = Optional.of(launch(once));
 		int status = awaitEnd();
 		if (status != 0) {
-			throw new AssertionError("%s %s ended with status %d".formatted(this.name, extraArgument, status));
+			throw new AssertionError(
+					"%s %s ended with status %d".formatted(this.name, List.of(extraArguments), status));
 		}
 	}
 
