--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -22,11 +22,16 @@
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.link.LinkSettings;
+import io.burdockpin.runtime.link.LinkTransport;
+import io.burdockpin.runtime.link.TlsLinkTransport;
 import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
+import io.burdockpin.runtime.tls.CertificateWatch;
+import io.burdockpin.runtime.tls.CurrentTls;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -55,6 +60,8 @@
 
 	private final ControlSettings settings;
 
+	private final LinkTransport transport;
+
 	private final TimerScheduler<GuardianCommand> timers;
 
 	private final Clock clock;
@@ -68,13 +75,16 @@
 	private Optional<ActorRef<AdminHttp.Command>> admin = Optional.empty();
 
 	private ControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
-			ControlSettings settings, Identity identity, MemberStorage storage, Clock clock, RandomGenerator random,
-			CompletableFuture<ExitStatus> exit) {
+			ControlSettings settings, Optional<CurrentTls> tls, Identity identity, MemberStorage storage, Clock clock,
+			RandomGenerator random, CompletableFuture<ExitStatus> exit) {
 		super(context);
 		this.settings = settings;
+		this.transport = tls.<LinkTransport>map(TlsLinkTransport::new).orElse(LinkTransport.PLAIN);
 		this.timers = timers;
 		this.clock = clock;
 		this.exit = exit;
+		tls.ifPresent((current) -> context.spawn(CertificateWatch.create(current), "certificate-watch",
+				DispatcherSelector.blocking()));
 		ActorRef<EventLog.Command> eventLog = context.spawn(eventLog(identity), "event-log");
 		ReplicaActorSettings actorSettings = new ReplicaActorSettings(settings.cluster(),
 				settings.heartbeatMillis().get() / TICKS_PER_HEARTBEAT, settings.confirmationMillis().get());
@@ -86,10 +96,10 @@
 
 	// life cycle
 
-	static Behavior<GuardianCommand> create(ControlSettings settings, Identity identity, MemberStorage storage,
-			Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
-		return Behaviors.setup((context) -> Behaviors.withTimers(
-				(timers) -> new ControlGuardian(context, timers, settings, identity, storage, clock, random, exit)));
+	static Behavior<GuardianCommand> create(ControlSettings settings, Optional<CurrentTls> tls, Identity identity,
+			MemberStorage storage, Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new ControlGuardian(context, timers,
+				settings, tls, identity, storage, clock, random, exit)));
 	}
 
 	@Override
@@ -152,7 +162,8 @@
 	private LinkSupervisorSettings linkSettings() {
 		return new LinkSupervisorSettings(LinkSupervisorSettings.socketAddress(this.settings.memberAddress()),
 				LinkSupervisorSettings.socketAddress(this.settings.clientAddress()), this.settings.toMembership(),
-				this.settings.toConnectAddresses(), LinkSettings.DEFAULT, RESTART_MINIMUM, RESTART_MAXIMUM);
+				this.settings.toConnectAddresses(), LinkSettings.DEFAULT.withTransport(this.transport), RESTART_MINIMUM,
+				RESTART_MAXIMUM);
 	}
 
 	private Behavior<EventLog.Command> eventLog(Identity identity) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
@@ -1,5 +1,6 @@
 package io.burdockpin.control;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
@@ -16,6 +17,7 @@
 import io.burdockpin.runtime.service.StartException;
 import io.burdockpin.runtime.service.SteadyClock;
 import io.burdockpin.runtime.settings.SettingsLoader;
+import io.burdockpin.runtime.tls.CurrentTls;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -46,6 +48,11 @@
 					+ "never use it on a member that lost its disk");
 	}
 
+	@Override
+	protected void checkFiles(ControlSettings settings) {
+		currentTls(settings);
+	}
+
 	@Override
 	protected boolean runInstead(Namespace arguments, ControlSettings settings) {
 		if (!arguments.getBoolean("format")) {
@@ -69,7 +76,7 @@
 			MemberStorage storage = storage(settings);
 			Identity identity = new IdentityCheck(settings).ensureIdentity(storage);
 			logger.atInfo().log("Member %s has incarnation %d.", identity.host(), identity.incarnation());
-			return ControlGuardian.create(settings, identity, storage, SteadyClock.ofProcess(),
+			return ControlGuardian.create(settings, currentTls(settings), identity, storage, SteadyClock.ofProcess(),
 					RandomGenerator.getDefault(), exit);
 		}
 		catch (StorageException ex) {
@@ -77,6 +84,10 @@
 		}
 	}
 
+	private static Optional<CurrentTls> currentTls(ControlSettings settings) {
+		return settings.tls().map((tls) -> new CurrentTls(tls, settings.host()));
+	}
+
 	private static MemberStorage storage(ControlSettings settings) {
 		return new MemberStorage(new DiskFiles(settings.toDataFolder()), new ThriftEntryContentCodec(),
 				new ThriftSnapshotCodec());
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -18,6 +18,7 @@
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.placement.PlacementPreference;
 import io.burdockpin.core.util.Checks;
+import io.burdockpin.runtime.tls.TlsSettings;
 
 /**
  * Settings of the control program. Immutable.
@@ -44,13 +45,14 @@
  * @param weightMoves how much few job moves count (default 1)
  * @param weightShare how much nearness to the teams' shares counts (default 1)
  * @param weightBuffer how much little idle capacity counts (default 1)
+ * @param tls certificate, key and trusted authorities of the links; plain without it
  */
 public record ControlSettings(String cluster, String host, String dataCentre, String dataFolder, String memberAddress,
 		String clientAddress, String adminAddress, List<MemberSettings> members, Optional<Integer> heartbeatMillis,
 		Optional<Integer> electionTimeoutMinimumMillis, Optional<Integer> electionTimeoutMaximumMillis,
 		Optional<Integer> snapshotEntries, Optional<Integer> confirmationMillis, Optional<Long> eventFileBytes,
 		Optional<Integer> weightRollout, Optional<Integer> weightMoves, Optional<Integer> weightShare,
-		Optional<Integer> weightBuffer) {
+		Optional<Integer> weightBuffer, Optional<TlsSettings> tls) {
 
 	/** Incarnation of the members of a new cluster. */
 	public static final long FORMATTED_INCARNATION = 1;
@@ -90,6 +92,7 @@
 		weightMoves = withDefault(weightMoves, DEFAULT_WEIGHT);
 		weightShare = withDefault(weightShare, DEFAULT_WEIGHT);
 		weightBuffer = withDefault(weightBuffer, DEFAULT_WEIGHT);
+		tls = (tls != null) ? tls : Optional.empty();
 		new PlacementPreference(weightRollout.get(), weightMoves.get(), weightShare.get(), weightBuffer.get());
 		Checks.range("heartbeatMillis", heartbeatMillis.get(), 10, 10_000);
 		Checks.range("confirmationMillis", confirmationMillis.get(), 0, 10_000);
--- a/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisor.java
@@ -69,9 +69,11 @@
 		this.memberEvents = adapter(MemberEvent::new);
 		ActorRef<LinkEvent<ClientEnvelope>> clientEvents = adapter(ClientEvent::new);
 		context.spawn(LinkListener.create("member", settings.memberAddress(), new ThriftConsensusCodec(),
-				settings.links(), this.memberEvents), "member-listener");
-		context.spawn(LinkListener.create("client", settings.clientAddress(), new ThriftClientCodec(), settings.links(),
-				clientEvents), "client-listener");
+				LinkSupervisor::senderHost, settings.links(), this.memberEvents), "member-listener");
+		context.spawn(
+				LinkListener.create("client", settings.clientAddress(), new ThriftClientCodec(),
+						(envelope) -> envelope.sender().host().value(), settings.links(), clientEvents),
+				"client-listener");
 		settings.knownMembers().members().forEach(this::link);
 		replica.tell(new ReplicaMessage.AttachLinks(context.getSelf().narrow()));
 	}
@@ -144,9 +146,9 @@
 
 	private ActorRef<LinkCommand<ConsensusEnvelope>> openLink(HostName host, String address) {
 		this.linkCount++;
-		Behavior<LinkCommand<ConsensusEnvelope>> link = OutboundLink.create("member " + host,
-				LinkSupervisorSettings.socketAddress(address), new ThriftConsensusCodec(), this.settings.links(),
-				this.memberEvents);
+		Behavior<LinkCommand<ConsensusEnvelope>> link = OutboundLink.create("member " + host, host.value(),
+				LinkSupervisorSettings.socketAddress(address), new ThriftConsensusCodec(), LinkSupervisor::senderHost,
+				this.settings.links(), this.memberEvents);
 		return getContext().spawn(Behaviors.supervise(link).onFailure(restart()), "member-link-" + this.linkCount);
 	}
 
@@ -184,6 +186,10 @@
 
 	// helpers
 
+	private static String senderHost(ConsensusEnvelope envelope) {
+		return envelope.sender().host().value();
+	}
+
 	private void onListenerEvent(LinkEvent<?> event) {
 		if (event instanceof LinkEvent.BindFailed<?> failed) {
 			logger.atSevere().log("Cannot listen for %ss: %s.", failed.link(), failed.reason());
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -32,13 +32,19 @@
 import io.burdockpin.entry.worker.WorkerCommand;
 import io.burdockpin.entry.worker.WorkerSessions;
 import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.link.LinkSettings;
+import io.burdockpin.runtime.link.LinkTransport;
+import io.burdockpin.runtime.link.TlsLinkTransport;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.StartException;
+import io.burdockpin.runtime.tls.CertificateWatch;
+import io.burdockpin.runtime.tls.CurrentTls;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.ChildFailed;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -70,27 +76,31 @@
 	private final ActorRef<HttpCommand> http;
 
 	private EntryGuardian(ActorContext<GuardianCommand> context, EntryIdentity identity, EntrySettings settings,
-			RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+			Optional<CurrentTls> tls, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
 		super(context);
 		this.exit = exit;
 		this.balancerGraceMillis = settings.timing().balancerGraceMillis();
 		this.eventLog = spawnEventLog(identity, settings);
 		this.events = new EventRecorder(identity, this.eventLog);
 		this.events.record(this.events.event(EventKind.PROCESS_STARTED));
+		LinkSettings links = LinkSettings.DEFAULT
+			.withTransport(tls.<LinkTransport>map(TlsLinkTransport::new).orElse(LinkTransport.PLAIN));
+		tls.ifPresent((current) -> context.spawn(CertificateWatch.create(current), "certificate-watch",
+				DispatcherSelector.blocking()));
 		ActorRef<ControlCommand> control = spawn(ControlSupervisor.create(identity, settings.members(),
-				new ThriftClientCodec(), settings.dataFolder().map(Path::of), new ThriftPeerCodec()), "control");
+				new ThriftClientCodec(), links, settings.dataFolder().map(Path::of), new ThriftPeerCodec()), "control");
 		this.tokens = spawn(TokenActor.create(identity, settings.timing().tokenReportMillis(), control), "tokens");
 		this.router = spawn(RouterActor.create(identity, settings, control, this.tokens, random,
 				new EventRecorder(identity, this.eventLog)), "router");
 		ActorRef<PeerCommand> peers = spawn(
-				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), this.router, control), "peers");
+				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), links, this.router, control), "peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(), control),
 				"workers");
 		ActorRef<OperatorCommand> operators = spawn(
 				OperatorSupervisor.create(settings.timing().proposalMillis(), control, this.router, peers),
 				"operators");
 		Actors actors = new Actors(context.getSystem(), this.router, control, this.workers, operators);
-		this.http = spawn(CallerHttp.create(actors, identity, settings), "http");
+		this.http = spawn(CallerHttp.create(actors, identity, settings, tls), "http");
 		peers.tell(
 				new PeerCommand.Subscribe(context.messageAdapter(PeerView.class, (view) -> new PeersPublished(view))));
 	}
@@ -101,13 +111,14 @@
 	 * Creates the behavior of the guardian.
 	 * @param identity the own process
 	 * @param settings the settings
+	 * @param tls certificates of the process, if it uses TLS
 	 * @param random breaks ties and spreads pauses
 	 * @param exit the exit status of the program
 	 * @return the behavior
 	 */
 	public static Behavior<GuardianCommand> create(EntryIdentity identity, EntrySettings settings,
-			RandomGenerator random, CompletableFuture<ExitStatus> exit) {
-		return Behaviors.setup((context) -> new EntryGuardian(context, identity, settings, random, exit));
+			Optional<CurrentTls> tls, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+		return Behaviors.setup((context) -> new EntryGuardian(context, identity, settings, tls, random, exit));
 	}
 
 	@Override
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryProgram.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryProgram.java
@@ -1,6 +1,7 @@
 package io.burdockpin.entry;
 
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
@@ -11,6 +12,7 @@
 import io.burdockpin.runtime.service.ProgramBase;
 import io.burdockpin.runtime.service.SteadyClock;
 import io.burdockpin.runtime.settings.SettingsLoader;
+import io.burdockpin.runtime.tls.CurrentTls;
 import org.apache.pekko.actor.typed.Behavior;
 
 /** The program {@code burdock-entry}. */
@@ -37,12 +39,21 @@
 		System.exit(status.status());
 	}
 
+	@Override
+	protected void checkFiles(EntrySettings settings) {
+		currentTls(settings);
+	}
+
 	@Override
 	protected Behavior<GuardianCommand> createGuardian(EntrySettings settings, CompletableFuture<ExitStatus> exit) {
 		// The start time grows from life to life, also on a host without a disk.
 		Holder holder = new Holder(settings.self().host(), this.clock.millis());
 		EntryIdentity identity = new EntryIdentity(holder, settings.self(), this.clock);
-		return EntryGuardian.create(identity, settings, RandomGenerator.getDefault(), exit);
+		return EntryGuardian.create(identity, settings, currentTls(settings), RandomGenerator.getDefault(), exit);
+	}
+
+	private static Optional<CurrentTls> currentTls(EntrySettings settings) {
+		return settings.tls().map((tls) -> new CurrentTls(tls, settings.name()));
 	}
 
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
@@ -11,6 +11,7 @@
 import io.burdockpin.core.routing.ForwardingCosts;
 import io.burdockpin.core.routing.RoutingPolicy;
 import io.burdockpin.core.util.Checks;
+import io.burdockpin.runtime.tls.TlsSettings;
 
 /**
  * Settings of the entry program. Missing values get their defaults. Immutable.
@@ -27,10 +28,13 @@
  * @param eventFile where events are written
  * @param eventFileBytes size at which a new event file is started
  * @param dataFolder where the configuration is cached
+ * @param tls certificate, key and trusted authorities of links and callers; plain without
+ * it
  */
 public record EntrySettings(String name, String dataCentre, AddressSettings httpAddress, AddressSettings peerAddress,
 		List<PeerSettings> peers, List<MemberSettings> members, LimitSettings limits, TimingSettings timing,
-		RoutingPolicy policy, Optional<String> eventFile, Long eventFileBytes, Optional<String> dataFolder) {
+		RoutingPolicy policy, Optional<String> eventFile, Long eventFileBytes, Optional<String> dataFolder,
+		Optional<TlsSettings> tls) {
 
 	private static final long DEFAULT_EVENT_FILE_BYTES = 64L * 1024 * 1024;
 
@@ -51,6 +55,7 @@
 		eventFileBytes = Checks.range("eventFileBytes",
 				(eventFileBytes != null) ? eventFileBytes : DEFAULT_EVENT_FILE_BYTES, 4096, LARGEST_EVENT_FILE_BYTES);
 		dataFolder = (dataFolder != null) ? dataFolder : Optional.empty();
+		tls = (tls != null) ? tls : Optional.empty();
 	}
 
 	/**
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
@@ -53,6 +53,8 @@
 
 	private final ControlCalls calls;
 
+	private final LinkSettings links;
+
 	private final HybridClock hybridClock = new HybridClock();
 
 	private final Map<Long, ActorRef<CallResult>> callers = new HashMap<>();
@@ -64,8 +66,10 @@
 	private long lastCorrelation;
 
 	private ControlSupervisor(ActorContext<ControlCommand> context, EntryIdentity identity,
-			List<MemberSettings> members, FrameCodec<ClientEnvelope> codec, Optional<ConfigurationCache> cache) {
+			List<MemberSettings> members, FrameCodec<ClientEnvelope> codec, LinkSettings links,
+			Optional<ConfigurationCache> cache) {
 		super(context);
+		this.links = links;
 		this.identity = identity;
 		List<HostName> names = members.stream().map((member) -> new HostName(member.name())).toList();
 		this.calls = new ControlCalls(names);
@@ -87,17 +91,19 @@
 	 * @param identity the own process
 	 * @param members the control members, nearest first
 	 * @param codec the protocol
+	 * @param links settings of each link
 	 * @param cacheFolder where the configuration is cached, if anywhere
 	 * @param cacheCodec the format of the cache
 	 * @return the behavior
 	 */
 	public static Behavior<ControlCommand> create(EntryIdentity identity, List<MemberSettings> members,
-			FrameCodec<ClientEnvelope> codec, Optional<Path> cacheFolder, FrameCodec<PeerEnvelope> cacheCodec) {
+			FrameCodec<ClientEnvelope> codec, LinkSettings links, Optional<Path> cacheFolder,
+			FrameCodec<PeerEnvelope> cacheCodec) {
 		Optional<ConfigurationCache> cache = cacheFolder
 			.map((folder) -> new ConfigurationCache(folder, identity.holder(), cacheCodec));
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(ControlCommand.Tick.INSTANCE, TICK);
-			return new ControlSupervisor(context, identity, members, codec, cache);
+			return new ControlSupervisor(context, identity, members, codec, links, cache);
 		}));
 	}
 
@@ -178,8 +184,9 @@
 		Class<LinkEvent<ClientEnvelope>> eventType = (Class<LinkEvent<ClientEnvelope>>) (Class<?>) LinkEvent.class;
 		ActorRef<LinkEvent<ClientEnvelope>> events = getContext().messageAdapter(eventType,
 				ControlCommand.LinkHappened::new);
-		Behavior<LinkCommand<ClientEnvelope>> link = OutboundLink.create(member.name(),
-				member.clientAddress().socketAddress(), codec, LinkSettings.DEFAULT, events);
+		Behavior<LinkCommand<ClientEnvelope>> link = OutboundLink.create(member.name(), member.name(),
+				member.clientAddress().socketAddress(), codec, (envelope) -> envelope.sender().host().value(),
+				this.links, events);
 		getContext().spawn(Behaviors.supervise(link).onFailure(RESTART), "link-" + member.name());
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -17,6 +17,7 @@
 import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.StartException;
+import io.burdockpin.runtime.tls.CurrentTls;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -24,8 +25,10 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.http.javadsl.ConnectionContext;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.ServerBuilder;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
@@ -57,8 +60,8 @@
 
 	private Optional<ServerBinding> binding = Optional.empty();
 
-	private CallerHttp(ActorContext<HttpCommand> context, Actors actors, EntryIdentity identity,
-			EntrySettings settings) {
+	private CallerHttp(ActorContext<HttpCommand> context, Actors actors, EntryIdentity identity, EntrySettings settings,
+			Optional<CurrentTls> tls) {
 		super(context);
 		JsonBodies json = new JsonBodies();
 		this.materializer = Materializer.createMaterializer(context);
@@ -74,7 +77,7 @@
 				new OperatorEndpoint(actors, bodies, this.responses, proposalMillis, new OperatorJsonCodec(),
 						new ThriftOperatorCodec()),
 				new StatusEndpoint(actors, identity, metrics));
-		bind(settings);
+		bind(settings, tls);
 	}
 
 	// life cycle
@@ -84,10 +87,12 @@
 	 * @param actors the actors that requests are passed to
 	 * @param identity the own process
 	 * @param settings the settings
+	 * @param tls certificates of the process; callers use plain HTTP without it
 	 * @return the behavior
 	 */
-	public static Behavior<HttpCommand> create(Actors actors, EntryIdentity identity, EntrySettings settings) {
-		return Behaviors.setup((context) -> new CallerHttp(context, actors, identity, settings));
+	public static Behavior<HttpCommand> create(Actors actors, EntryIdentity identity, EntrySettings settings,
+			Optional<CurrentTls> tls) {
+		return Behaviors.setup((context) -> new CallerHttp(context, actors, identity, settings, tls));
 	}
 
 	@Override
@@ -142,7 +147,7 @@
 
 	// helpers
 
-	private void bind(EntrySettings settings) {
+	private void bind(EntrySettings settings, Optional<CurrentTls> tls) {
 		ActorRef<HttpCommand> self = getContext().getSelf();
 		ServerSettings defaults = ServerSettings.create(getContext().getSystem().classicSystem());
 		// Requests wait for runners, so their own deadlines end them, not the server.
@@ -151,9 +156,11 @@
 				.withRequestTimeout(Duration.Inf())
 				.withIdleTimeout(FiniteDuration.create(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS)))
 			.withMaxConnections(MAX_CONNECTIONS);
-		Http.get(getContext().getSystem())
+		ServerBuilder server = Http.get(getContext().getSystem())
 			.newServerAt(settings.httpAddress().ip(), settings.httpAddress().port())
-			.withSettings(serverSettings)
+			.withSettings(serverSettings);
+		tls.map((current) -> server.enableHttps(ConnectionContext.httpsServer(current::callerEngine)))
+			.orElse(server)
 			.bind(this::handle)
 			.whenComplete((bound, failure) -> self.tell((failure != null)
 					? new HttpCommand.BindFailed(String.valueOf(failure.getMessage())) : new HttpCommand.Bound(bound)));
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerSupervisor.java
@@ -31,11 +31,15 @@
 	private static final SupervisorStrategy RESTART = SupervisorStrategy.restartWithBackoff(Duration.ofMillis(200),
 			Duration.ofSeconds(10), 0.2);
 
+	private final LinkSettings links;
+
 	private final ActorRef<PeerCommand> peers;
 
 	private PeerSupervisor(ActorContext<PeerCommand> context, EntryIdentity identity, EntrySettings settings,
-			FrameCodec<PeerEnvelope> codec, ActorRef<RouterCommand> router, ActorRef<ControlCommand> control) {
+			FrameCodec<PeerEnvelope> codec, LinkSettings links, ActorRef<RouterCommand> router,
+			ActorRef<ControlCommand> control) {
 		super(context);
+		this.links = links;
 		this.peers = context.spawn(PeerActor.create(identity, settings, router, control), "peers");
 		// Its forwarded requests would be lost by a restart.
 		context.watch(this.peers);
@@ -50,13 +54,16 @@
 	 * @param identity the own process
 	 * @param settings the settings
 	 * @param codec the protocol
+	 * @param links settings of each link
 	 * @param router takes forwarded requests
 	 * @param control takes configurations of other entry hosts
 	 * @return the behavior
 	 */
 	public static Behavior<PeerCommand> create(EntryIdentity identity, EntrySettings settings,
-			FrameCodec<PeerEnvelope> codec, ActorRef<RouterCommand> router, ActorRef<ControlCommand> control) {
-		return Behaviors.setup((context) -> new PeerSupervisor(context, identity, settings, codec, router, control));
+			FrameCodec<PeerEnvelope> codec, LinkSettings links, ActorRef<RouterCommand> router,
+			ActorRef<ControlCommand> control) {
+		return Behaviors
+			.setup((context) -> new PeerSupervisor(context, identity, settings, codec, links, router, control));
 	}
 
 	@Override
@@ -79,16 +86,20 @@
 
 	private void spawnListener(AddressSettings address, FrameCodec<PeerEnvelope> codec) {
 		Behavior<LinkListener.Command> listener = LinkListener.create(PeerActor.LISTENER, address.socketAddress(),
-				codec, LinkSettings.DEFAULT, linkEvents());
+				codec, PeerSupervisor::senderHost, this.links, linkEvents());
 		getContext().spawn(listener, PeerActor.LISTENER);
 	}
 
 	private void spawnLink(PeerSettings peer, FrameCodec<PeerEnvelope> codec) {
-		Behavior<LinkCommand<PeerEnvelope>> link = OutboundLink.create(peer.name(), peer.peerAddress().socketAddress(),
-				codec, LinkSettings.DEFAULT, linkEvents());
+		Behavior<LinkCommand<PeerEnvelope>> link = OutboundLink.create(peer.name(), peer.name(),
+				peer.peerAddress().socketAddress(), codec, PeerSupervisor::senderHost, this.links, linkEvents());
 		getContext().spawn(Behaviors.supervise(link).onFailure(RESTART), "link-" + peer.name());
 	}
 
+	private static String senderHost(PeerEnvelope envelope) {
+		return envelope.sender().host().value();
+	}
+
 	@SuppressWarnings("unchecked")
 	private ActorRef<LinkEvent<PeerEnvelope>> linkEvents() {
 		Class<LinkEvent<PeerEnvelope>> type = (Class<LinkEvent<PeerEnvelope>>) (Class<?>) LinkEvent.class;
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
@@ -68,7 +68,7 @@
 		});
 		this.owner = kit.spawn(behavior);
 		kit.spawn(LinkListener.create("control", this.settings.clientAddress().socketAddress(), new ThriftClientCodec(),
-				LinkSettings.DEFAULT, this.owner));
+				(envelope) -> envelope.sender().host().value(), LinkSettings.DEFAULT, this.owner));
 	}
 
 	public MemberSettings settings() {
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -63,10 +63,10 @@
 		List<MemberSettings> members = List.of(control.settings());
 		EntrySettings settings = new EntrySettings(self.name(), self.dataCentre(), self.httpAddress(),
 				self.peerAddress(), peers, members, LimitSettings.defaults(), timing, null, Optional.empty(), null,
-				Optional.empty());
+				Optional.empty(), Optional.empty());
 		EntryIdentity identity = new EntryIdentity(new Holder(new HostName(self.name()), 7), settings.self(),
 				InstantSource.system());
-		ActorRef<GuardianCommand> guardian = kit.spawn(EntryGuardian.create(identity, settings,
+		ActorRef<GuardianCommand> guardian = kit.spawn(EntryGuardian.create(identity, settings, Optional.empty(),
 				RandomGenerator.of("L64X128MixRandom"), new CompletableFuture<ExitStatus>()), self.name());
 		TestProbe<InetSocketAddress> bound = kit.createTestProbe();
 		guardian.tell(new EntryGuardian.AwaitBound(bound.getRef()));
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/OperatorProgram.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/OperatorProgram.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -24,6 +24,7 @@
 import io.burdockpin.operator.client.EntryCaller;
 import io.burdockpin.operator.client.HttpEntryCaller;
 import io.burdockpin.operator.client.OperatorClient;
+import io.burdockpin.operator.client.TrustFile;
 import io.burdockpin.operator.output.BashCompletion;
 import io.burdockpin.operator.output.Report;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -44,10 +45,14 @@
 	/** Where the entry hosts are read from when {@code --entry} is missing. */
 	static final String ENTRY_VARIABLE = "BURDOCK_ENTRY";
 
-	private static final List<String> COMMON_OPTIONS = List.of("--entry", "--json", "--request-id", "--expect-version",
-			"--timeout-seconds", "--help");
+	/** Where the trust file is read from when {@code --trust-file} is missing. */
+	static final String TRUST_VARIABLE = "BURDOCK_TRUST";
 
-	private static final Pattern ENTRY = Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):\\d{1,5}");
+	private static final List<String> COMMON_OPTIONS = List.of("--entry", "--trust-file", "--json", "--request-id",
+			"--expect-version", "--timeout-seconds", "--help");
+
+	private static final Pattern ENTRY = Pattern
+		.compile("(https?://)?(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):\\d{1,5}");
 
 	/** An entry host that does not accept within this time is passed over. */
 	private static final Duration LONGEST_CONNECT = Duration.ofSeconds(2);
@@ -60,12 +65,12 @@
 
 	private final Map<String, String> environment;
 
-	private final Function<Duration, EntryCaller> callers;
+	private final BiFunction<Duration, Optional<String>, EntryCaller> callers;
 
 	private final ObjectMapper mapper = new ObjectMapper();
 
 	OperatorProgram(PrintStream output, PrintStream errors, Map<String, String> environment,
-			Function<Duration, EntryCaller> callers) {
+			BiFunction<Duration, Optional<String>, EntryCaller> callers) {
 		this.output = output;
 		this.errors = errors;
 		this.environment = environment;
@@ -134,7 +139,13 @@
 		parser.addArgument("--entry")
 			.nargs("+")
 			.metavar("IP:PORT")
-			.help("entry hosts, tried in turn; default: the variable " + ENTRY_VARIABLE + ", separated by commas");
+			.help("entry hosts, tried in turn, with https:// for TLS; default: the variable " + ENTRY_VARIABLE
+					+ ", separated by commas");
+		parser.addArgument("--trust-file")
+			.dest("trustFile")
+			.metavar("FILE")
+			.help("PEM file with the authorities of the entry hosts, for https://; default: the variable "
+					+ TRUST_VARIABLE);
 		parser.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
 		parser.addArgument("--request-id")
 			.dest("requestId")
@@ -177,9 +188,11 @@
 		RequestId requestId = Optional.ofNullable(namespace.getString("requestId"))
 			.map(RequestId::new)
 			.orElseGet(OperatorProgram::drawRequestId);
-		return new OperatorClient(entries(namespace),
-				this.callers.apply(Duration.ofSeconds(namespace.getInt("timeoutSeconds"))), requestId,
-				(expectVersion != null) ? OptionalLong.of(expectVersion) : OptionalLong.empty());
+		List<String> entries = entries(namespace);
+		return new OperatorClient(entries,
+				this.callers.apply(Duration.ofSeconds(namespace.getInt("timeoutSeconds")),
+						trustFile(namespace, entries)),
+				requestId, (expectVersion != null) ? OptionalLong.of(expectVersion) : OptionalLong.empty());
 	}
 
 	private List<String> entries(Namespace namespace) {
@@ -187,12 +200,22 @@
 		List<String> entries = (given != null) ? given : entriesInEnvironment();
 		for (String entry : entries) {
 			if (!ENTRY.matcher(entry).matches()) {
-				throw OperatorException.usage("entry host \"%s\" is not of the form ip:port".formatted(entry));
+				throw OperatorException
+					.usage("entry host \"%s\" is not of the form [https://]ip:port".formatted(entry));
 			}
 		}
 		return entries;
 	}
 
+	private Optional<String> trustFile(Namespace namespace, List<String> entries) {
+		Optional<String> trustFile = Optional.ofNullable(namespace.getString("trustFile"))
+			.or(() -> Optional.ofNullable(this.environment.get(TRUST_VARIABLE)).filter((file) -> !file.isBlank()));
+		if (trustFile.isEmpty() && entries.stream().anyMatch((entry) -> entry.startsWith("https://"))) {
+			throw OperatorException.usage("https:// needs --trust-file or the variable %s".formatted(TRUST_VARIABLE));
+		}
+		return trustFile;
+	}
+
 	private List<String> entriesInEnvironment() {
 		String variable = this.environment.getOrDefault(ENTRY_VARIABLE, "");
 		return Arrays.stream(variable.split(",")).map(String::strip).filter((entry) -> !entry.isEmpty()).toList();
@@ -204,9 +227,11 @@
 		return new RequestId(System.currentTimeMillis() / 1000 + "-" + HexFormat.of().formatHex(token));
 	}
 
-	private static EntryCaller httpCaller(Duration timeout) {
+	private static EntryCaller httpCaller(Duration timeout, Optional<String> trustFile) {
 		Duration connectTimeout = (timeout.compareTo(LONGEST_CONNECT) < 0) ? timeout : LONGEST_CONNECT;
-		return new HttpEntryCaller(HttpClient.newBuilder().connectTimeout(connectTimeout).build(), "http", timeout);
+		HttpClient.Builder client = HttpClient.newBuilder().connectTimeout(connectTimeout);
+		trustFile.ifPresent((file) -> client.sslContext(TrustFile.load(file)));
+		return new HttpEntryCaller(client.build(), timeout);
 	}
 
 	private void print(Report report, boolean json) {
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/client/EntryCaller.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/client/EntryCaller.java
@@ -7,7 +7,8 @@
 
 	/**
 	 * Sends a call and waits for the answer.
-	 * @param entry address of the entry host, {@code ip:port}
+	 * @param entry address of the entry host, {@code ip:port}, with {@code https://} in
+	 * front for TLS
 	 * @param body the encoded call
 	 * @return the encoded reply
 	 * @throws NotSentException if the call was certainly not sent
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/client/HttpEntryCaller.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/client/HttpEntryCaller.java
@@ -9,6 +9,8 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 
+import javax.net.ssl.SSLHandshakeException;
+
 /** Sends calls over HTTP and waits. Used by the main thread of this one-shot program. */
 public final class HttpEntryCaller implements EntryCaller {
 
@@ -18,23 +20,19 @@
 
 	private final Duration timeout;
 
-	private final String scheme;
-
 	/**
 	 * Creates a caller.
 	 * @param client the HTTP client
-	 * @param scheme {@code http} or {@code https}
 	 * @param timeout how long to wait for an answer
 	 */
-	public HttpEntryCaller(HttpClient client, String scheme, Duration timeout) {
+	public HttpEntryCaller(HttpClient client, Duration timeout) {
 		this.client = client;
-		this.scheme = scheme;
 		this.timeout = timeout;
 	}
 
 	@Override
 	public byte[] call(String entry, byte[] body) throws IOException {
-		HttpRequest request = HttpRequest.newBuilder(URI.create(this.scheme + "://" + entry + "/v1/operator/thrift"))
+		HttpRequest request = HttpRequest.newBuilder(URI.create(address(entry) + "/v1/operator/thrift"))
 			.version(HttpClient.Version.HTTP_1_1)
 			.timeout(this.timeout)
 			.header("Content-Type", "application/x-thrift")
@@ -50,10 +48,17 @@
 		catch (ConnectException | HttpConnectTimeoutException ex) {
 			throw new NotSentException("cannot connect", ex);
 		}
+		catch (SSLHandshakeException ex) {
+			throw new NotSentException("no trusted connection: " + ex.getMessage(), ex);
+		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			throw new IOException("interrupted", ex);
 		}
 	}
 
+	private static String address(String entry) {
+		return entry.contains("://") ? entry : "http://" + entry;
+	}
+
 }
--- a/burdockpin-operator/src/test/java/io/burdockpin/operator/OperatorProgramTests.java
+++ b/burdockpin-operator/src/test/java/io/burdockpin/operator/OperatorProgramTests.java
@@ -256,7 +256,7 @@
 
 	private OperatorProgram program(Map<String, String> environment) {
 		return new OperatorProgram(new PrintStream(this.output), new PrintStream(this.errors), environment,
-				(timeout) -> this.entries);
+				(timeout, trustFile) -> this.entries);
 	}
 
 }
--- a/burdockpin-operator/src/test/java/io/burdockpin/operator/PageExamplesTests.java
+++ b/burdockpin-operator/src/test/java/io/burdockpin/operator/PageExamplesTests.java
@@ -55,7 +55,7 @@
 		FakeEntries entries = new FakeEntries();
 		entries.answer(ENTRY, OperatorReply.Failed.of(ErrorCode.STATE_CONFLICT, "understood"));
 		OperatorExit exit = new OperatorProgram(new PrintStream(new ByteArrayOutputStream()), new PrintStream(errors),
-				Map.of(OperatorProgram.ENTRY_VARIABLE, ENTRY), (timeout) -> entries)
+				Map.of(OperatorProgram.ENTRY_VARIABLE, ENTRY), (timeout, trustFile) -> entries)
 			.run(arguments(example));
 		Truth.assertWithMessage("%s: %s", what, errors).that(exit).isNotEqualTo(OperatorExit.USAGE);
 		Truth.assertWithMessage("%s: %s", what, errors).that(exit).isNotEqualTo(OperatorExit.LOCAL_FILE);
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkCommand.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkCommand.java
@@ -38,6 +38,17 @@
 
 	}
 
+	/**
+	 * The handshake has shown who the peer is. Sent by the link to itself.
+	 *
+	 * @param generation number of the connection
+	 * @param peer the peer
+	 * @param <M> type of the messages
+	 */
+	record PeerKnown<M>(long generation, LinkPeer peer) implements LinkCommand<M> {
+
+	}
+
 	/**
 	 * The connection was established. Sent by the link to itself.
 	 *
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
@@ -1,6 +1,7 @@
 package io.burdockpin.runtime.link;
 
 import java.net.InetSocketAddress;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.io.FrameCodec;
@@ -14,6 +15,7 @@
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
 
 /**
@@ -29,6 +31,8 @@
 
 	private final FrameCodec<M> codec;
 
+	private final Function<M, String> senderHost;
+
 	private final LinkSettings settings;
 
 	private final ActorRef<LinkEvent<M>> owner;
@@ -36,10 +40,11 @@
 	private long acceptedCount;
 
 	private LinkListener(ActorContext<Command> context, String name, InetSocketAddress localAddress,
-			FrameCodec<M> codec, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+			FrameCodec<M> codec, Function<M, String> senderHost, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
 		super(context);
 		this.name = name;
 		this.codec = codec;
+		this.senderHost = senderHost;
 		this.settings = settings;
 		this.owner = owner;
 		bind(localAddress);
@@ -53,13 +58,15 @@
 	 * @param name names the listener in events and logs
 	 * @param localAddress the address to bind
 	 * @param codec the protocol
+	 * @param senderHost reads the host that a message says it comes from
 	 * @param settings the link settings
 	 * @param owner is told what happens on the listener and its sessions
 	 * @return the behavior
 	 */
 	public static <M> Behavior<Command> create(String name, InetSocketAddress localAddress, FrameCodec<M> codec,
-			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
-		return Behaviors.setup((context) -> new LinkListener<>(context, name, localAddress, codec, settings, owner));
+			Function<M, String> senderHost, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		return Behaviors
+			.setup((context) -> new LinkListener<>(context, name, localAddress, codec, senderHost, settings, owner));
 	}
 
 	@Override
@@ -73,9 +80,8 @@
 	private Behavior<Command> onAccepted(Accepted accepted) {
 		this.acceptedCount++;
 		String sessionName = this.name + "-" + this.acceptedCount;
-		getContext().spawn(
-				LinkSession.create(sessionName, accepted.connection(), this.codec, this.settings, this.owner),
-				sessionName);
+		getContext().spawn(LinkSession.create(sessionName, accepted.connection(), this.codec, this.senderHost,
+				this.settings, this.owner), sessionName);
 		return this;
 	}
 
@@ -94,8 +100,8 @@
 
 	private void bind(InetSocketAddress localAddress) {
 		ActorRef<Command> self = getContext().getSelf();
-		this.settings.transport()
-			.bind(getContext().getSystem(), localAddress)
+		Tcp.get(getContext().getSystem())
+			.bind(localAddress.getHostString(), localAddress.getPort())
 			.to(Sink.foreach((connection) -> self.tell(new Accepted(connection.flow()))))
 			.run(Materializer.createMaterializer(getContext()))
 			.whenComplete((binding, failure) -> self
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
@@ -1,6 +1,9 @@
 package io.burdockpin.runtime.link;
 
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.io.FrameCodec;
@@ -28,35 +31,47 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** A peer that is refused tries again several times a second. */
+	private static final int WARN_EVERY_SECONDS = 10;
+
 	private final String name;
 
 	private final FrameCodec<M> codec;
 
+	private final Function<M, String> senderHost;
+
 	private final ActorRef<LinkEvent<M>> owner;
 
 	private final BoundedSourceQueue<ByteString> sendQueue;
 
+	/** Nothing until the handshake has ended. */
+	private Optional<LinkPeer> peer = Optional.empty();
+
 	private LinkSession(ActorContext<LinkCommand<M>> context, String name,
-			Flow<ByteString, ByteString, NotUsed> connection, FrameCodec<M> codec, LinkSettings settings,
-			ActorRef<LinkEvent<M>> owner) {
+			Flow<ByteString, ByteString, NotUsed> connection, FrameCodec<M> codec, Function<M, String> senderHost,
+			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
 		super(context);
 		this.name = name;
 		this.codec = codec;
+		this.senderHost = senderHost;
 		this.owner = owner;
 		ActorRef<LinkCommand<M>> self = context.getSelf();
-		Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> stream = LinkStream.run(connection, codec, settings,
+		Flow<ByteString, ByteString, NotUsed> bytes = settings.transport()
+			.accept((known) -> self.tell(new LinkCommand.PeerKnown<>(0, known)))
+			.join(connection);
+		Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> stream = LinkStream.run(bytes, codec, settings,
 				(message) -> self.tell(new LinkCommand.FrameArrived<>(0, message)),
 				Materializer.createMaterializer(context));
 		this.sendQueue = stream.first();
 		stream.second()
 			.whenComplete((done, failure) -> self
 				.tell(new LinkCommand.ConnectionClosed<>(0, (failure != null) ? failure.getMessage() : "ended")));
-		owner.tell(new LinkEvent.Connected<>(name, self));
 	}
 
 	static <M> Behavior<LinkCommand<M>> create(String name, Flow<ByteString, ByteString, NotUsed> connection,
-			FrameCodec<M> codec, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
-		return Behaviors.setup((context) -> new LinkSession<>(context, name, connection, codec, settings, owner));
+			FrameCodec<M> codec, Function<M, String> senderHost, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		return Behaviors
+			.setup((context) -> new LinkSession<>(context, name, connection, codec, senderHost, settings, owner));
 	}
 
 	@Override
@@ -65,6 +80,7 @@
 		return newReceiveBuilder().onMessage(LinkCommand.Send.class, (command) -> onSend((LinkCommand.Send<M>) command))
 			.onMessage(LinkCommand.FrameArrived.class,
 					(command) -> onFrameArrived((LinkCommand.FrameArrived<M>) command))
+			.onMessage(LinkCommand.PeerKnown.class, (command) -> onPeerKnown((LinkCommand.PeerKnown<M>) command))
 			.onMessage(LinkCommand.ConnectionClosed.class,
 					(command) -> onConnectionClosed((LinkCommand.ConnectionClosed<M>) command))
 			.onMessage(LinkCommand.Close.class, (command) -> onClose())
@@ -80,12 +96,30 @@
 		return this;
 	}
 
+	private Behavior<LinkCommand<M>> onPeerKnown(LinkCommand.PeerKnown<M> command) {
+		this.peer = Optional.of(command.peer());
+		this.owner.tell(new LinkEvent.Connected<>(this.name, getContext().getSelf()));
+		return this;
+	}
+
 	private Behavior<LinkCommand<M>> onFrameArrived(LinkCommand.FrameArrived<M> command) {
+		String host = this.senderHost.apply(command.message());
+		if (this.peer.filter((known) -> known.mayBe(host)).isEmpty()) {
+			logger.atWarning()
+				.atMostEvery(WARN_EVERY_SECONDS, TimeUnit.SECONDS)
+				.log("Closed %s, which sent as %s but is %s.", this.name, host, this.peer);
+			return onClose();
+		}
 		this.owner.tell(new LinkEvent.Received<>(this.name, getContext().getSelf(), command.message()));
 		return this;
 	}
 
 	private Behavior<LinkCommand<M>> onConnectionClosed(LinkCommand.ConnectionClosed<M> command) {
+		if (this.peer.isEmpty()) {
+			logger.atWarning()
+				.atMostEvery(WARN_EVERY_SECONDS, TimeUnit.SECONDS)
+				.log("Refused connection %s: %s.", this.name, command.reason());
+		}
 		logger.atFine().log("Session %s ended: %s.", this.name, command.reason());
 		this.owner.tell(new LinkEvent.Disconnected<>(this.name));
 		return Behaviors.stopped();
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkTransport.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkTransport.java
@@ -1,56 +1,48 @@
 package io.burdockpin.runtime.link;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletionStage;
-
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.stream.javadsl.Flow;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.stream.javadsl.Tcp;
+import java.util.function.Consumer;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.util.ByteString;
 
-/** How the bytes of links travel. Immutable. */
+/** How the bytes of links travel over a TCP connection. Immutable. */
 public interface LinkTransport {
 
-	/** TCP without encryption. */
+	/** No encryption; a peer is whoever it says it is. */
 	LinkTransport PLAIN = new LinkTransport() {
 
 		@Override
-		public Source<Tcp.IncomingConnection, CompletionStage<Tcp.ServerBinding>> bind(ActorSystem<?> system,
-				InetSocketAddress localAddress) {
-			return Tcp.get(system).bind(localAddress.getHostString(), localAddress.getPort());
+		public BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> accept(Consumer<LinkPeer> onPeer) {
+			onPeer.accept(LinkPeer.ANY);
+			return BidiFlow.identity();
 		}
 
 		@Override
-		public Flow<ByteString, ByteString, CompletionStage<Tcp.OutgoingConnection>> connect(ActorSystem<?> system,
-				InetSocketAddress remoteAddress, Duration connectTimeout) {
-			return Tcp.get(system)
-				.outgoingConnection(remoteAddress, Optional.empty(), List.of(), false, Optional.of(connectTimeout),
-						Optional.empty());
+		public BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> connect(String peerHost,
+				Consumer<LinkPeer> onPeer) {
+			onPeer.accept(LinkPeer.ANY);
+			return BidiFlow.identity();
 		}
 
 	};
 
 	/**
-	 * Listens.
-	 * @param system the actor system
-	 * @param localAddress the address to bind
-	 * @return the accepted connections
+	 * Wraps an accepted connection.
+	 * @param onPeer called once the peer is known, before any of its bytes pass; must
+	 * only send it to an actor
+	 * @return turns bytes of the link into bytes on the connection and back
 	 */
-	Source<Tcp.IncomingConnection, CompletionStage<Tcp.ServerBinding>> bind(ActorSystem<?> system,
-			InetSocketAddress localAddress);
+	BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> accept(Consumer<LinkPeer> onPeer);
 
 	/**
-	 * Connects.
-	 * @param system the actor system
-	 * @param remoteAddress where to connect
-	 * @param connectTimeout how long the attempt may take
-	 * @return the bytes of the connection
+	 * Wraps an outgoing connection.
+	 * @param peerHost the host that the link is for
+	 * @param onPeer called once the peer is known, before any of its bytes pass; must
+	 * only send it to an actor
+	 * @return turns bytes of the link into bytes on the connection and back
 	 */
-	Flow<ByteString, ByteString, CompletionStage<Tcp.OutgoingConnection>> connect(ActorSystem<?> system,
-			InetSocketAddress remoteAddress, Duration connectTimeout);
+	BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> connect(String peerHost,
+			Consumer<LinkPeer> onPeer);
 
 }
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
@@ -2,8 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.io.FrameCodec;
@@ -34,12 +37,18 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	private static final int WARN_EVERY_SECONDS = 10;
+
 	private final String name;
 
+	private final String peerHost;
+
 	private final InetSocketAddress remoteAddress;
 
 	private final FrameCodec<M> codec;
 
+	private final Function<M, String> senderHost;
+
 	private final LinkSettings settings;
 
 	private final ActorRef<LinkEvent<M>> owner;
@@ -50,17 +59,24 @@
 
 	private Optional<BoundedSourceQueue<ByteString>> sendQueue = Optional.empty();
 
+	private boolean established;
+
+	private Optional<LinkPeer> peer = Optional.empty();
+
 	private boolean open;
 
 	private long generation;
 
 	private OutboundLink(ActorContext<LinkCommand<M>> context, TimerScheduler<LinkCommand<M>> timers, String name,
-			InetSocketAddress remoteAddress, FrameCodec<M> codec, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+			String peerHost, InetSocketAddress remoteAddress, FrameCodec<M> codec, Function<M, String> senderHost,
+			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
 		super(context);
 		this.timers = timers;
 		this.name = name;
+		this.peerHost = peerHost;
 		this.remoteAddress = remoteAddress;
 		this.codec = codec;
+		this.senderHost = senderHost;
 		this.settings = settings;
 		this.owner = owner;
 		this.materializer = Materializer.createMaterializer(context);
@@ -73,16 +89,18 @@
 	 * Creates the behavior of a link.
 	 * @param <M> type of the messages
 	 * @param name names the link in events and logs
+	 * @param peerHost the host that the link is for; its certificate has to name it
 	 * @param remoteAddress where to connect
 	 * @param codec the protocol
+	 * @param senderHost reads the host that a message says it comes from
 	 * @param settings the link settings
 	 * @param owner is told what happens on the link
 	 * @return the behavior
 	 */
-	public static <M> Behavior<LinkCommand<M>> create(String name, InetSocketAddress remoteAddress, FrameCodec<M> codec,
-			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new OutboundLink<>(context, timers, name, remoteAddress, codec, settings, owner)));
+	public static <M> Behavior<LinkCommand<M>> create(String name, String peerHost, InetSocketAddress remoteAddress,
+			FrameCodec<M> codec, Function<M, String> senderHost, LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new OutboundLink<>(context, timers, name,
+				peerHost, remoteAddress, codec, senderHost, settings, owner)));
 	}
 
 	@Override
@@ -93,6 +111,7 @@
 					(command) -> onFrameArrived((LinkCommand.FrameArrived<M>) command))
 			.onMessage(LinkCommand.ConnectionOpened.class,
 					(command) -> onConnectionOpened((LinkCommand.ConnectionOpened<M>) command))
+			.onMessage(LinkCommand.PeerKnown.class, (command) -> onPeerKnown((LinkCommand.PeerKnown<M>) command))
 			.onMessage(LinkCommand.ConnectionClosed.class,
 					(command) -> onConnectionClosed((LinkCommand.ConnectionClosed<M>) command))
 			.onMessage(LinkCommand.Reconnect.class, (command) -> onReconnect())
@@ -112,19 +131,43 @@
 	}
 
 	private Behavior<LinkCommand<M>> onFrameArrived(LinkCommand.FrameArrived<M> command) {
-		if (command.generation() == this.generation) {
+		if (command.generation() != this.generation) {
+			return this;
+		}
+		String host = this.senderHost.apply(command.message());
+		if (this.peer.filter((known) -> known.mayBe(host)).isPresent()) {
 			this.owner.tell(new LinkEvent.Received<>(this.name, getContext().getSelf(), command.message()));
 		}
+		else {
+			logger.atWarning()
+				.atMostEvery(WARN_EVERY_SECONDS, TimeUnit.SECONDS)
+				.log("Dropped a message of %s, which sent as %s but is %s.", this.name, host, this.peer);
+		}
 		return this;
 	}
 
 	private Behavior<LinkCommand<M>> onConnectionOpened(LinkCommand.ConnectionOpened<M> command) {
 		if (command.generation() == this.generation) {
+			this.established = true;
+			openWhenReady();
+		}
+		return this;
+	}
+
+	private Behavior<LinkCommand<M>> onPeerKnown(LinkCommand.PeerKnown<M> command) {
+		if (command.generation() == this.generation) {
+			this.peer = Optional.of(command.peer());
+			openWhenReady();
+		}
+		return this;
+	}
+
+	private void openWhenReady() {
+		if (this.established && this.peer.isPresent() && this.sendQueue.isPresent()) {
 			this.open = true;
 			logger.atInfo().log("Connected to %s at %s.", this.name, this.remoteAddress);
 			this.owner.tell(new LinkEvent.Connected<>(this.name, getContext().getSelf()));
 		}
-		return this;
 	}
 
 	private Behavior<LinkCommand<M>> onConnectionClosed(LinkCommand.ConnectionClosed<M> command) {
@@ -136,6 +179,9 @@
 			logger.atInfo().log("Lost the connection to %s: %s.", this.name, command.reason());
 			this.owner.tell(new LinkEvent.Disconnected<>(this.name));
 		}
+		else {
+			logger.atFine().log("Cannot connect to %s: %s.", this.name, command.reason());
+		}
 		this.sendQueue = Optional.empty();
 		this.timers.startSingleTimer(new LinkCommand.Reconnect<>(), Duration.ofMillis(this.settings.reconnectMillis()));
 		return this;
@@ -155,17 +201,22 @@
 
 	private void connect() {
 		this.generation++;
+		this.established = false;
+		this.peer = Optional.empty();
 		long current = this.generation;
 		ActorRef<LinkCommand<M>> self = getContext().getSelf();
-		Flow<ByteString, ByteString, NotUsed> connection = this.settings.transport()
-			.connect(getContext().getSystem(), this.remoteAddress,
-					Duration.ofMillis(this.settings.connectTimeoutMillis()))
+		Flow<ByteString, ByteString, NotUsed> connection = Tcp.get(getContext().getSystem())
+			.outgoingConnection(this.remoteAddress, Optional.empty(), List.of(), false,
+					Optional.of(Duration.ofMillis(this.settings.connectTimeoutMillis())), Optional.empty())
 			.mapMaterializedValue((opened) -> {
 				reportOpened(opened, self, current);
 				return NotUsed.getInstance();
 			});
-		Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> stream = LinkStream.run(connection, this.codec,
-				this.settings, (message) -> self.tell(new LinkCommand.FrameArrived<>(current, message)),
+		Pair<BoundedSourceQueue<ByteString>, CompletionStage<Done>> stream = LinkStream.run(
+				this.settings.transport()
+					.connect(this.peerHost, (known) -> self.tell(new LinkCommand.PeerKnown<>(current, known)))
+					.join(connection),
+				this.codec, this.settings, (message) -> self.tell(new LinkCommand.FrameArrived<>(current, message)),
 				this.materializer);
 		this.sendQueue = Optional.of(stream.first());
 		stream.second()
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/TlsLinkTransport.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/TlsLinkTransport.java
@@ -1,71 +1,71 @@
 package io.burdockpin.runtime.link;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletionStage;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
-import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLEngine;
-import javax.net.ssl.SSLParameters;
+import javax.net.ssl.SSLSession;
 
-import org.apache.pekko.actor.typed.ActorSystem;
+import io.burdockpin.runtime.tls.CurrentTls;
+import io.burdockpin.runtime.tls.PeerHosts;
+import io.burdockpin.runtime.tls.TlsException;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.stream.TLSClosing;
+import org.apache.pekko.stream.TLSProtocol;
+import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.stream.javadsl.TLS;
 import org.apache.pekko.util.ByteString;
 
 /**
- * TLS in which both sides present a certificate that the other trusts, and the
- * certificate of the listener names the IP number that was connected to. Immutable.
+ * TLS in which both sides present a certificate that the other trusts. The certificate of
+ * the listener names the host that the link is for; an address would not do, because a
+ * host may be reached through address translation. Immutable.
  */
 public final class TlsLinkTransport implements LinkTransport {
 
-	private static final int BACKLOG = 100;
-
-	private final SSLContext context;
+	private final CurrentTls current;
 
 	/**
 	 * Creates a transport.
-	 * @param context keys and trusted certificates of this process
+	 * @param current key and trusted certificates of this process
 	 */
-	public TlsLinkTransport(SSLContext context) {
-		this.context = context;
+	public TlsLinkTransport(CurrentTls current) {
+		this.current = current;
 	}
 
 	@Override
-	public Source<Tcp.IncomingConnection, CompletionStage<Tcp.ServerBinding>> bind(ActorSystem<?> system,
-			InetSocketAddress localAddress) {
-		return Tcp.get(system)
-			.bindWithTls(localAddress.getHostString(), localAddress.getPort(), this::serverEngine, BACKLOG, List.of(),
-					Optional.empty(), (session) -> Optional.empty(), TLSClosing.eagerClose());
+	public BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> accept(Consumer<LinkPeer> onPeer) {
+		return secure(this.current::listenerEngine, (session) -> onPeer.accept(peer(PeerHosts.of(session))));
 	}
 
 	@Override
-	public Flow<ByteString, ByteString, CompletionStage<Tcp.OutgoingConnection>> connect(ActorSystem<?> system,
-			InetSocketAddress remoteAddress, Duration connectTimeout) {
-		return Tcp.get(system)
-			.outgoingConnectionWithTls(remoteAddress, () -> clientEngine(remoteAddress), Optional.empty(), List.of(),
-					Optional.of(connectTimeout), Optional.empty(), (session) -> Optional.empty(),
-					TLSClosing.eagerClose());
+	public BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> connect(String peerHost,
+			Consumer<LinkPeer> onPeer) {
+		return secure(this.current::connectorEngine, (session) -> {
+			Set<String> hosts = PeerHosts.of(session);
+			if (!hosts.contains(peerHost)) {
+				throw new TlsException(
+						"the certificate of the peer names the hosts %s, not %s".formatted(hosts, peerHost), null);
+			}
+			onPeer.accept(peer(hosts));
+		});
 	}
 
-	private SSLEngine serverEngine() {
-		SSLEngine engine = this.context.createSSLEngine();
-		engine.setUseClientMode(false);
-		engine.setNeedClientAuth(true);
-		return engine;
+	private static LinkPeer peer(Set<String> hosts) {
+		return new LinkPeer(Optional.of(hosts));
 	}
 
-	private SSLEngine clientEngine(InetSocketAddress remoteAddress) {
-		SSLEngine engine = this.context.createSSLEngine(remoteAddress.getHostString(), remoteAddress.getPort());
-		engine.setUseClientMode(true);
-		SSLParameters parameters = engine.getSSLParameters();
-		parameters.setEndpointIdentificationAlgorithm("HTTPS");
-		engine.setSSLParameters(parameters);
-		return engine;
+	private static BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> secure(Supplier<SSLEngine> engine,
+			Consumer<SSLSession> verifier) {
+		Flow<ByteString, TLSProtocol.SslTlsOutbound, NotUsed> outgoing = Flow.of(ByteString.class)
+			.map(TLSProtocol.SendBytes::new);
+		Flow<TLSProtocol.SslTlsInbound, ByteString, NotUsed> incoming = Flow.of(TLSProtocol.SslTlsInbound.class)
+			.collectType(TLSProtocol.SessionBytes.class)
+			.map(TLSProtocol.SessionBytes::bytes);
+		return BidiFlow.fromFlows(outgoing, incoming).atop(TLS.create(engine, verifier, TLSClosing.eagerClose()));
 	}
 
 }
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/log/LogPart.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/log/LogPart.java
@@ -29,6 +29,9 @@
 	/** Links between processes. */
 	LINK("io.burdockpin.runtime.link", "[link]"),
 
+	/** Certificates. */
+	TLS("io.burdockpin.runtime.tls", "[tls]"),
+
 	/** Other shared parts. */
 	RUNTIME("io.burdockpin.runtime", "[runtime]"),
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -88,6 +88,15 @@
 	protected void addArguments(ArgumentParser parser) {
 	}
 
+	/**
+	 * Checks the files that the settings name, at a start and for
+	 * {@code --check-settings}.
+	 * @param settings the checked settings
+	 * @throws SettingsException if a file cannot be used
+	 */
+	protected void checkFiles(S settings) {
+	}
+
 	/**
 	 * Carries out a one-time action instead of starting, if the command line asks for
 	 * one.
@@ -118,6 +127,7 @@
 		String checkedFile = arguments.getString("checkSettings");
 		if (checkedFile != null) {
 			S settings = this.settingsLoader.load(Path.of(checkedFile), this.settingsType);
+			checkFiles(settings);
 			System.out.println(this.settingsLoader.print(settings));
 			return ExitStatus.SUCCESS;
 		}
@@ -127,6 +137,7 @@
 			return ExitStatus.USAGE;
 		}
 		S settings = this.settingsLoader.load(Path.of(file), this.settingsType);
+		checkFiles(settings);
 		if (runInstead(arguments, settings)) {
 			return ExitStatus.SUCCESS;
 		}
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/tls/TlsSettings.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/tls/TlsSettings.java
@@ -1,24 +1,30 @@
 package io.burdockpin.runtime.tls;
 
 import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.core.util.Checks;
 
 /**
- * Where a process finds its certificate and the certificates it trusts. Immutable.
+ * Where a process finds its certificate and the authorities it trusts. All files are PEM
+ * text. Immutable.
  *
- * @param keyStoreFile PKCS #12 file with the private key and certificate; the certificate
- * names the IP number of the host
- * @param keyStorePasswordFile file with its password
- * @param trustStoreFile PKCS #12 file with the certificates of trusted authorities
- * @param trustStorePasswordFile file with its password
+ * @param certificateFile the certificate of this host, followed by intermediate ones; it
+ * names the host as a DNS name
+ * @param keyFile its private key, PKCS #8, not encrypted, RSA or EC
+ * @param trustFile certificates of the trusted authorities
+ * @param checkSeconds how often the files are looked at for changes (default 60)
  */
-public record TlsSettings(String keyStoreFile, String keyStorePasswordFile, String trustStoreFile,
-		String trustStorePasswordFile) {
+public record TlsSettings(String certificateFile, String keyFile, String trustFile, Integer checkSeconds) {
+
+	private static final int DEFAULT_CHECK_SECONDS = 60;
+
+	private static final int LONGEST_CHECK_SECONDS = 86_400;
 
 	public TlsSettings {
-		required("keyStoreFile", keyStoreFile);
-		required("keyStorePasswordFile", keyStorePasswordFile);
-		required("trustStoreFile", trustStoreFile);
-		required("trustStorePasswordFile", trustStorePasswordFile);
+		required("certificateFile", certificateFile);
+		required("keyFile", keyFile);
+		required("trustFile", trustFile);
+		checkSeconds = Checks.range("checkSeconds", (checkSeconds != null) ? checkSeconds : DEFAULT_CHECK_SECONDS, 1,
+				LONGEST_CHECK_SECONDS);
 	}
 
 	private static void required(String what, String value) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/tls/package-info.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/tls/package-info.java
@@ -1,2 +1,2 @@
-/** TLS with key stores and passwords from files. */
+/** TLS with certificates, keys and trusted authorities from PEM files. */
 package io.burdockpin.runtime.tls;
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RefusedStartTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RefusedStartTests.java
@@ -66,6 +66,16 @@
 		Truth.assertThat(attempt.output()).contains("colour");
 	}
 
+	@Test
+	void aMissingCertificateIsRefusedWithItsName() {
+		Map<String, Object> settings = new HashMap<>(entry(0));
+		String missing = this.folder.resolve("missing.pem").toString();
+		settings.put("tls", Map.of("certificateFile", missing, "keyFile", missing, "trustFile", missing));
+		StartAttempt attempt = new StartAttempt(this.folder, "entry", EntryProgram.class, settings);
+		Truth.assertThat(attempt.run()).isEqualTo(ExitStatus.BAD_SETTINGS.status());
+		Truth.assertThat(attempt.output()).contains("certificateFile: " + missing + " cannot be read");
+	}
+
 	private static Map<String, Object> entry(int httpPort) {
 		return Map.of("name", "e1", "dataCentre", "dc1", "httpAddress", address(httpPort), "peerAddress",
 				address(httpPort), "peers", List.of(), "members",
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Caller.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Caller.java
@@ -1,7 +1,6 @@
 package io.burdockpin.systemtest.fleet;
 
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
@@ -10,16 +9,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-/** Sends requests to entry hosts as callers do. Shared; holds only an HTTP client. */
+/** Sends requests to entry hosts as callers do. Immutable. */
 public final class Caller {
 
 	private static final Duration LONGEST_ANSWER = Duration.ofSeconds(75);
 
-	private final HttpClient client = HttpClient.newBuilder()
-		.version(HttpClient.Version.HTTP_1_1)
-		.connectTimeout(Duration.ofSeconds(5))
-		.build();
-
 	private final String queue;
 
 	private final Optional<String> key;
@@ -44,14 +38,16 @@
 	 */
 	public CompletableFuture<Answer> send(EntryHost entry, CallerRequest request) {
 		HttpRequest.Builder builder = HttpRequest
-			.newBuilder(URI.create("http://" + entry.httpAddress() + "/v1/queues/" + this.queue + "/requests"))
+			.newBuilder(URI.create(entry.url() + "/v1/queues/" + this.queue + "/requests"))
 			.timeout(LONGEST_ANSWER)
 			.header("Burdock-Request-Id", request.requestId())
 			.header("Burdock-Repeatable", Boolean.toString(request.repeatable()))
 			.header("Burdock-Timeout-Ms", Long.toString(request.timeoutMillis()))
 			.POST(BodyPublishers.ofString(request.body()));
 		this.key.ifPresent((value) -> builder.header("Burdock-Key", value));
-		return this.client.sendAsync(builder.build(), BodyHandlers.ofString())
+		return entry.web()
+			.client()
+			.sendAsync(builder.build(), BodyHandlers.ofString())
 			.thenApply((response) -> Answer.of(request, response))
 			.exceptionally((failure) -> Answer.none(request));
 	}
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -27,19 +28,20 @@
 
 	private final HealthPage health;
 
-	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members) {
+	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members, Map<String, Object> more) {
 		this.name = plan.name();
 		this.memberAddress = plan.memberAddress();
 		this.adminAddress = plan.adminAddress();
 		this.dataFolder = folder.resolve("data-" + this.name);
-		Path settings = SettingsFile.write(folder, this.name,
-				Map.of("cluster", "systemtest", "host", this.name, "dataCentre", plan.dataCentre(), "dataFolder",
-						this.dataFolder.toString(), "memberAddress", plan.memberAddress().toString(), "clientAddress",
-						plan.clientAddress().toString(), "adminAddress", plan.adminAddress().toString(), "members",
-						members, "snapshotEntries", plan.snapshotEntries()));
+		Map<String, Object> values = new HashMap<>(Map.of("cluster", "systemtest", "host", this.name, "dataCentre",
+				plan.dataCentre(), "dataFolder", this.dataFolder.toString(), "memberAddress",
+				plan.memberAddress().toString(), "clientAddress", plan.clientAddress().toString(), "adminAddress",
+				plan.adminAddress().toString(), "members", members, "snapshotEntries", plan.snapshotEntries()));
+		values.putAll(more);
+		Path settings = SettingsFile.write(folder, this.name, values);
 		this.process = new ProgramProcess(this.name, folder, ControlProgram.class,
 				List.of("--settings", settings.toString()));
-		this.health = new HealthPage(this.adminAddress);
+		this.health = new HealthPage(this.adminAddress, Web.PLAIN);
 	}
 
 	// life cycle
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
@@ -1,8 +1,10 @@
 package io.burdockpin.systemtest.fleet;
 
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import io.burdockpin.entry.EntryProgram;
 import io.burdockpin.testbench.program.EndPoint;
@@ -16,19 +18,31 @@
 
 	private final ProgramProcess process;
 
+	private final Web web;
+
 	private final HealthPage health;
 
-	EntryHost(EntryPlan plan, Path folder, List<Map<String, Object>> peers, List<Map<String, Object>> members) {
+	EntryHost(EntryPlan plan, Path folder, List<Map<String, Object>> peers, List<Map<String, Object>> members,
+			Optional<TestAuthority> authority) {
+		this(plan, plan.name(), folder, peers, members, Web.of(authority),
+				authority.map((signer) -> signer.sign(plan.name(), plan.httpAddress().host())));
+	}
+
+	EntryHost(EntryPlan plan, String files, Path folder, List<Map<String, Object>> peers,
+			List<Map<String, Object>> members, Web web, Optional<Map<String, Object>> tls) {
 		this.name = plan.name();
 		this.httpAddress = plan.httpAddress();
-		Path data = folder.resolve("data-" + this.name);
-		Path settings = SettingsFile.write(folder, this.name,
+		Path data = folder.resolve("data-" + files);
+		Map<String, Object> values = new HashMap<>(
 				Map.of("name", this.name, "dataCentre", plan.dataCentre(), "httpAddress", address(plan.httpAddress()),
 						"peerAddress", address(plan.peerAddress()), "peers", peers, "members", members, "eventFile",
 						data.resolve("events.jsonl").toString(), "dataFolder", data.toString()));
-		this.process = new ProgramProcess(this.name, folder, EntryProgram.class,
+		tls.ifPresent((present) -> values.put("tls", present));
+		Path settings = SettingsFile.write(folder, files, values);
+		this.process = new ProgramProcess(files, folder, EntryProgram.class,
 				List.of("--settings", settings.toString()));
-		this.health = new HealthPage(this.httpAddress);
+		this.web = web;
+		this.health = new HealthPage(this.httpAddress, this.web);
 	}
 
 	// access
@@ -65,6 +79,22 @@
 		return this.httpAddress;
 	}
 
+	/**
+	 * Returns the start of the addresses of its pages.
+	 * @return scheme, IP number and port
+	 */
+	public String url() {
+		return this.web.scheme() + "://" + this.httpAddress;
+	}
+
+	/**
+	 * Returns how it is called.
+	 * @return plain or with the trusted authority of the fleet
+	 */
+	public Web web() {
+		return this.web;
+	}
+
 	static Map<String, Object> address(EndPoint address) {
 		return Map.of("ip", address.host(), "port", address.port());
 	}
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,28 +34,37 @@
 
 	private final FaultLinks links = new FaultLinks(this.addresses);
 
+	private final List<ControlPlan> memberPlans;
+
+	private final List<EntryPlan> entryPlans;
+
 	private final List<ControlMember> members;
 
 	private final List<EntryHost> entries;
 
+	private final List<EntryHost> copies = new ArrayList<>();
+
 	private final List<StandInRunner> runners = new ArrayList<>();
 
 	private final List<ProgramProcess> workers = new ArrayList<>();
 
-	private Fleet(Path folder, int entryCount, int snapshotEntries) {
+	private final Optional<TestAuthority> authority;
+
+	private Fleet(Path folder, int entryCount, int snapshotEntries, Optional<TestAuthority> authority) {
 		this.folder = folder;
-		List<ControlPlan> memberPlans = IntStream.rangeClosed(1, MEMBERS)
+		this.authority = authority;
+		this.memberPlans = IntStream.rangeClosed(1, MEMBERS)
 			.mapToObj((number) -> memberPlan("c" + number, number, snapshotEntries))
 			.toList();
-		List<EntryPlan> entryPlans = IntStream.rangeClosed(1, entryCount)
+		this.entryPlans = IntStream.rangeClosed(1, entryCount)
 			.mapToObj((number) -> entryPlan("e" + number, number))
 			.toList();
-		this.members = memberPlans.stream()
-			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, memberPlans)))
+		this.members = this.memberPlans.stream()
+			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans), tlsOf(plan)))
 			.toList();
-		this.entries = entryPlans.stream()
-			.map((plan) -> new EntryHost(plan, folder, linksToPeers(plan, entryPlans),
-					linksToClientPorts(plan, memberPlans)))
+		this.entries = this.entryPlans.stream()
+			.map((plan) -> new EntryHost(plan, folder, linksToPeers(plan, this.entryPlans),
+					linksToClientPorts(plan, this.memberPlans), authority))
 			.toList();
 	}
 
@@ -68,7 +78,21 @@
 	 * @return the running fleet
 	 */
 	public static Fleet start(String name, int entryCount, int snapshotEntries) {
-		Fleet fleet = new Fleet(emptyFolder(name), entryCount, snapshotEntries);
+		return start(new Fleet(emptyFolder(name), entryCount, snapshotEntries, Optional.empty()));
+	}
+
+	/**
+	 * Starts a fleet with TLS on all links and for all callers.
+	 * @param name name of its folder below {@code target}
+	 * @param entryCount number of entry hosts, each in a data centre of its own
+	 * @return the running fleet
+	 */
+	public static Fleet startWithTls(String name, int entryCount) {
+		Path folder = emptyFolder(name);
+		return start(new Fleet(folder, entryCount, 4096, Optional.of(new TestAuthority(folder, "authority"))));
+	}
+
+	private static Fleet start(Fleet fleet) {
 		try {
 			fleet.startAll();
 			return fleet;
@@ -97,6 +121,7 @@
 				"dc" + dataCentre, "--address", address.toString(), "--control-address", control.toString(),
 				"--service-ms", Long.toString(serviceMillis), "--started-file", startedFile.toString(), "--entry"));
 		nearestFirst(entry).forEach((host) -> arguments.add(host.httpAddress().toString()));
+		arguments.addAll(trustArguments());
 		ProgramProcess process = new ProgramProcess(name, this.folder, RunnerMain.class, arguments);
 		StandInRunner runner = new StandInRunner(queue, process, control, startedFile);
 		this.runners.add(runner);
@@ -104,6 +129,28 @@
 		return runner;
 	}
 
+	/**
+	 * Starts a process that says it is one of the entry hosts. It reaches the control
+	 * members as that entry host does.
+	 * @param entry number of the entry host that it copies, from 0
+	 * @param files how its files are named
+	 * @param signer the authority that signs its certificate
+	 * @param trustFile the authorities that it trusts
+	 * @return the process
+	 */
+	public EntryHost startEntryLike(int entry, String files, TestAuthority signer, String trustFile) {
+		EntryPlan copied = this.entryPlans.get(entry);
+		EntryPlan plan = new EntryPlan(copied.name(), copied.dataCentre(), this.addresses.next(copied.name()),
+				this.addresses.next(copied.name()));
+		Map<String, Object> tls = new HashMap<>(signer.sign(files, plan.name(), plan.httpAddress().host()));
+		tls.put("trustFile", trustFile);
+		EntryHost copy = new EntryHost(plan, files, this.folder, List.of(), linksToClientPorts(plan, this.memberPlans),
+				Web.of(Optional.of(signer)), Optional.of(tls));
+		this.copies.add(copy);
+		copy.process().start();
+		return copy;
+	}
+
 	/**
 	 * Starts a stand-in worker beside an entry host.
 	 * @param name name of the worker
@@ -116,6 +163,7 @@
 		List<String> arguments = new ArrayList<>(List.of("--name", name, "--control-address",
 				this.addresses.next(name).toString(), "--job-file", jobFile.toString(), "--entry"));
 		nearestFirst(entry).forEach((host) -> arguments.add(host.httpAddress().toString()));
+		arguments.addAll(trustArguments());
 		ProgramProcess process = new ProgramProcess(name, this.folder, WorkerMain.class, arguments);
 		this.workers.add(process);
 		process.start();
@@ -126,6 +174,7 @@
 	public void close() {
 		this.workers.forEach(ProgramProcess::close);
 		this.runners.forEach((runner) -> runner.process().close());
+		this.copies.forEach((copy) -> copy.process().close());
 		this.entries.forEach((entry) -> entry.process().close());
 		this.members.forEach((member) -> member.process().close());
 		this.links.close();
@@ -133,6 +182,22 @@
 
 	// access
 
+	/**
+	 * Returns the authority of a fleet with TLS.
+	 * @return the authority
+	 */
+	public TestAuthority authority() {
+		return this.authority.orElseThrow();
+	}
+
+	/**
+	 * Returns the folder of settings, logs and data.
+	 * @return the folder
+	 */
+	public Path folder() {
+		return this.folder;
+	}
+
 	/**
 	 * Returns the fault proxies.
 	 * @return the links
@@ -221,6 +286,16 @@
 				() -> entry.health().says("entryHost", entry.name())));
 	}
 
+	private List<String> trustArguments() {
+		return this.authority.map((signer) -> List.of("--trust-file", signer.trustFile())).orElse(List.of());
+	}
+
+	private Map<String, Object> tlsOf(ControlPlan plan) {
+		return this.authority
+			.map((signer) -> Map.<String, Object>of("tls", signer.sign(plan.name(), plan.memberAddress().host())))
+			.orElse(Map.of());
+	}
+
 	private List<EntryHost> nearestFirst(int entry) {
 		List<EntryHost> nearestFirst = new ArrayList<>(this.entries);
 		nearestFirst.add(0, nearestFirst.remove(entry));
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/HealthPage.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/HealthPage.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
@@ -20,15 +19,13 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final HttpClient CLIENT = HttpClient.newBuilder()
-		.version(HttpClient.Version.HTTP_1_1)
-		.connectTimeout(LONGEST_ANSWER)
-		.build();
-
 	private final EndPoint address;
 
-	HealthPage(EndPoint address) {
+	private final Web web;
+
+	HealthPage(EndPoint address, Web web) {
 		this.address = address;
+		this.web = web;
 	}
 
 	// access
@@ -74,10 +71,10 @@
 
 	private String get(String path) throws IOException {
 		try {
-			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + this.address + path))
+			HttpRequest request = HttpRequest.newBuilder(URI.create(this.web.scheme() + "://" + this.address + path))
 				.timeout(LONGEST_ANSWER)
 				.build();
-			return CLIENT.send(request, BodyHandlers.ofString()).body();
+			return this.web.client().send(request, BodyHandlers.ofString()).body();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/JobCaller.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/JobCaller.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
@@ -24,8 +23,6 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-
 	private final EntryHost entry;
 
 	private final String key;
@@ -82,7 +79,7 @@
 	// helpers
 
 	private HttpRequest.Builder request(String path) {
-		return HttpRequest.newBuilder(URI.create("http://" + this.entry.httpAddress() + "/v1/jobs" + path))
+		return HttpRequest.newBuilder(URI.create(this.entry.url() + "/v1/jobs" + path))
 			.timeout(Duration.ofSeconds(10))
 			.header("Content-Type", "application/json")
 			.header("Burdock-Key", this.key);
@@ -90,7 +87,7 @@
 
 	private Optional<String> call(HttpRequest.Builder request) {
 		try {
-			HttpResponse<String> response = this.client.send(request.build(), BodyHandlers.ofString());
+			HttpResponse<String> response = this.entry.web().client().send(request.build(), BodyHandlers.ofString());
 			return (response.statusCode() == OK) ? Optional.of(response.body()) : Optional.empty();
 		}
 		catch (IOException ex) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Operator.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Operator.java
@@ -1,6 +1,5 @@
 package io.burdockpin.systemtest.fleet;
 
-import java.net.http.HttpClient;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -28,8 +27,7 @@
 
 	private static final Duration LONGEST_ANSWER = Duration.ofSeconds(10);
 
-	private final HttpEntryCaller caller = new HttpEntryCaller(
-			HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build(), "http", LONGEST_ANSWER);
+	private final HttpEntryCaller caller;
 
 	private final List<String> entries;
 
@@ -38,7 +36,8 @@
 	 * @param entries the entry hosts that it calls, in turn
 	 */
 	public Operator(List<EntryHost> entries) {
-		this.entries = entries.stream().map((entry) -> entry.httpAddress().toString()).toList();
+		this.entries = entries.stream().map(EntryHost::url).toList();
+		this.caller = new HttpEntryCaller(entries.get(0).web().client(), LONGEST_ANSWER);
 	}
 
 	// access
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
@@ -29,7 +29,14 @@
 
 	private Optional<Process> process = Optional.empty();
 
-	ProgramProcess(String name, Path folder, Class<?> mainClass, List<String> arguments) {
+	/**
+	 * Prepares a program.
+	 * @param name names the log file
+	 * @param folder holds the log file
+	 * @param mainClass the program
+	 * @param arguments its command line
+	 */
+	public ProgramProcess(String name, Path folder, Class<?> mainClass, List<String> arguments) {
 		this.name = name;
 		this.command = new ArrayList<>(JAVA);
 		this.command.add(mainClass.getName());
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/settings/SettingsPageTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/settings/SettingsPageTests.java
@@ -19,6 +19,7 @@
 import io.burdockpin.entry.cfg.MemberSettings;
 import io.burdockpin.entry.cfg.PeerSettings;
 import io.burdockpin.runtime.settings.SettingsLoader;
+import io.burdockpin.runtime.tls.TlsSettings;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -45,6 +46,11 @@
 		assertPageAgrees("burdock-control", settings);
 	}
 
+	@Test
+	void thePageNamesEachTlsSettingWithItsDefault() throws IOException {
+		assertPageAgrees("tls", new TlsSettings("cert.pem", "key.pem", "trust.pem", null));
+	}
+
 	@Test
 	void eachFirmHasSevenEntryHostsThatKnowEachOther() throws IOException {
 		for (String firm : List.of("quillca", "nadifa")) {
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/JsonHttp.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/JsonHttp.java
@@ -1,6 +1,7 @@
 package io.burdockpin.testbench.program;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -11,8 +12,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.burdockpin.runtime.tls.TlsIdentity;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.ConnectionContext;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.HttpsConnectionContext;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -33,12 +37,28 @@
 
 	private final ActorSystem<?> system;
 
+	private final String scheme;
+
+	private final Optional<HttpsConnectionContext> https;
+
 	/**
-	 * Creates an instance.
+	 * Creates an instance that uses plain HTTP.
 	 * @param system the actor system whose connection pools are used
 	 */
 	public JsonHttp(ActorSystem<?> system) {
+		this(system, Optional.empty());
+	}
+
+	/**
+	 * Creates an instance.
+	 * @param system the actor system whose connection pools are used
+	 * @param trustFile the PEM file with the authorities of the servers; plain HTTP
+	 * without it
+	 */
+	public JsonHttp(ActorSystem<?> system, Optional<Path> trustFile) {
 		this.system = system;
+		this.scheme = trustFile.isPresent() ? "https://" : "http://";
+		this.https = trustFile.map((file) -> ConnectionContext.httpsClient(TlsIdentity.trustOnly(file.toString())));
 	}
 
 	/**
@@ -51,10 +71,11 @@
 	 * @return the answer, or nothing if the status was not 200
 	 */
 	public <T> CompletionStage<Optional<T>> post(EndPoint target, String path, Object document, Class<T> type) {
-		HttpRequest request = HttpRequest.POST("http://" + target + path)
+		HttpRequest request = HttpRequest.POST(this.scheme + target + path)
 			.withEntity(ContentTypes.APPLICATION_JSON, print(document));
-		return Http.get(this.system)
-			.singleRequest(request)
+		Http http = Http.get(this.system);
+		return this.https.map((context) -> http.singleRequest(request, context))
+			.orElseGet(() -> http.singleRequest(request))
 			.thenCompose((response) -> response.entity()
 				.toStrict(ANSWER_TIMEOUT.toMillis(), this.system)
 				.thenApply((entity) -> read(response, entity, type)))
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerAnnouncer.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerAnnouncer.java
@@ -37,7 +37,7 @@
 		super(context);
 		this.settings = settings;
 		this.address = address;
-		this.http = new JsonHttp(context.getSystem());
+		this.http = new JsonHttp(context.getSystem(), settings.trustFile());
 		this.rotation = new EntryRotation(settings.entries(), (long) (settings.attachmentMillis() * MARGIN),
 				System.currentTimeMillis());
 	}
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerMain.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerMain.java
@@ -43,6 +43,9 @@
 		parser.addArgument("--announce-ms").dest("announceMillis").type(Long.class).setDefault(1000L);
 		parser.addArgument("--attachment-ms").dest("attachmentMillis").type(Long.class).setDefault(3000L);
 		parser.addArgument("--started-file").dest("startedFile").help("file for the started requests");
+		parser.addArgument("--trust-file")
+			.dest("trustFile")
+			.help("PEM file with the authorities of the entry hosts; announcements use HTTPS with it");
 		parser.addArgument("--behaviour")
 			.type(Arguments.caseInsensitiveEnumType(RunnerBehaviour.class))
 			.setDefault(RunnerBehaviour.NORMAL);
@@ -60,7 +63,8 @@
 				arguments.<String>getList("entry").stream().map(EndPoint::parse).toList(), arguments.getInt("slots"),
 				arguments.getInt("connections"), arguments.getLong("serviceMillis"),
 				arguments.getLong("announceMillis"), arguments.getLong("attachmentMillis"),
-				Optional.ofNullable(arguments.getString("startedFile")).map(Path::of), arguments.get("behaviour"));
+				Optional.ofNullable(arguments.getString("startedFile")).map(Path::of), arguments.get("behaviour"),
+				Optional.ofNullable(arguments.getString("trustFile")).map(Path::of));
 	}
 
 }
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerSettings.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerSettings.java
@@ -22,10 +22,11 @@
  * @param attachmentMillis how long an entry host may be silent
  * @param startedFile where it notes each started request
  * @param behaviour how it treats requests at first
+ * @param trustFile authorities of the entry hosts; announcements use HTTP without it
  */
 public record RunnerSettings(String name, String queue, String dataCentre, EndPoint address, EndPoint controlAddress,
 		List<EndPoint> entries, int slots, int connections, long serviceMillis, long announceMillis,
-		long attachmentMillis, Optional<Path> startedFile, RunnerBehaviour behaviour) {
+		long attachmentMillis, Optional<Path> startedFile, RunnerBehaviour behaviour, Optional<Path> trustFile) {
 
 	public RunnerSettings {
 		entries = List.copyOf(entries);
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/WorkerActor.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/WorkerActor.java
@@ -58,7 +58,7 @@
 		this.settings = settings;
 		this.jobFile = jobFile;
 		this.guardian = guardian;
-		this.http = new JsonHttp(context.getSystem());
+		this.http = new JsonHttp(context.getSystem(), settings.trustFile());
 		this.rotation = new EntryRotation(settings.entries(), (long) (settings.attachmentMillis() * MARGIN),
 				System.currentTimeMillis());
 		this.jobs = new JobTable(settings.behaviour());
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/WorkerMain.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/WorkerMain.java
@@ -38,6 +38,9 @@
 		parser.addArgument("--attachment-ms").dest("attachmentMillis").type(Long.class).setDefault(3000L);
 		parser.addArgument("--usage-lag-ms").dest("usageLagMillis").type(Long.class).setDefault(5000L);
 		parser.addArgument("--job-file").dest("jobFile").help("file for the starts and ends of jobs");
+		parser.addArgument("--trust-file")
+			.dest("trustFile")
+			.help("PEM file with the authorities of the entry hosts; announcements use HTTPS with it");
 		parser.addArgument("--behaviour")
 			.type(Arguments.caseInsensitiveEnumType(WorkerBehaviour.class))
 			.setDefault(WorkerBehaviour.NORMAL);
@@ -53,7 +56,7 @@
 				arguments.<String>getList("entry").stream().map(EndPoint::parse).toList(),
 				arguments.getLong("announceMillis"), arguments.getLong("attachmentMillis"),
 				arguments.getLong("usageLagMillis"), Optional.ofNullable(arguments.getString("jobFile")).map(Path::of),
-				arguments.get("behaviour"));
+				arguments.get("behaviour"), Optional.ofNullable(arguments.getString("trustFile")).map(Path::of));
 	}
 
 }
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/WorkerSettings.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/WorkerSettings.java
@@ -17,9 +17,11 @@
  * @param usageLagMillis how old the reported usage is
  * @param jobFile where it notes the start and end of each job
  * @param behaviour how it treats jobs at first
+ * @param trustFile authorities of the entry hosts; announcements use HTTP without it
  */
 public record WorkerSettings(String name, EndPoint controlAddress, List<EndPoint> entries, long announceMillis,
-		long attachmentMillis, long usageLagMillis, Optional<Path> jobFile, WorkerBehaviour behaviour) {
+		long attachmentMillis, long usageLagMillis, Optional<Path> jobFile, WorkerBehaviour behaviour,
+		Optional<Path> trustFile) {
 
 	public WorkerSettings {
 		entries = List.copyOf(entries);
