--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlProgram.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
@@ -20,6 +21,7 @@
 import io.burdockpin.runtime.service.StartException;
 import io.burdockpin.runtime.service.SteadyClock;
 import io.burdockpin.runtime.settings.SettingsLoader;
+import io.burdockpin.runtime.tls.CurrentTls;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -59,6 +61,11 @@
 					+ "for example the present time in seconds");
 	}
 
+	@Override
+	protected void checkFiles(ControlSettings settings) {
+		currentTls(settings);
+	}
+
 	@Override
 	protected boolean runInstead(Namespace arguments, ControlSettings settings) {
 		if (arguments.getString("restore") != null) {
@@ -86,7 +93,7 @@
 			MemberStorage storage = storage(settings);
 			Identity identity = new IdentityCheck(settings).ensureIdentity(storage);
 			logger.atInfo().log("Member %s has incarnation %d.", identity.host(), identity.incarnation());
-			return ControlGuardian.create(settings, identity, storage, SteadyClock.ofProcess(),
+			return ControlGuardian.create(settings, currentTls(settings), identity, storage, SteadyClock.ofProcess(),
 					RandomGenerator.getDefault(), exit);
 		}
 		catch (StorageException ex) {
@@ -122,6 +129,10 @@
 		}
 	}
 
+	private static Optional<CurrentTls> currentTls(ControlSettings settings) {
+		return settings.tls().map((tls) -> new CurrentTls(tls, settings.host()));
+	}
+
 	private static MemberStorage storage(ControlSettings settings) {
 		return storage(settings.toDataFolder());
 	}
