Reuse idle connections to runners for repeatable requests

Cause: each attempt opened a connection and materialised a stream. The wait of about 100 ms in the p99 with 4 and 8 callers is a full collection of the entry host: the garbage of these connections outlives the small young generation of the 64 MB heap and fills the old one.

Ruled out: tokens (limit of 40 for 8 callers, none refused), refused slots (as many connections opened as answers) and retries (no refusals). The tick of the router starts nothing that a message does not start.

Change: RunnerConnections supervises the connections and keeps idle ones, by the decisions of IdleConnections. Only repeatable requests use them.

Requests that are not repeatable and forwarded ones still open a connection each.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
@@ -39,4 +39,23 @@
 		return Math.min(this.slots, this.connections);
 	}
 
+	/**
+	 * Returns how many idle connections an entry host may keep to it. Attempts in flight
+	 * never need a place that an idle connection holds. Only half of the other places are
+	 * used, because the idle connections of the entry host that the runner was attached
+	 * to before may not have closed yet.
+	 * @return the count, at most the capacity
+	 */
+	public int idleCapacity() {
+		return Math.min(capacity(), (this.connections - capacity()) / 2);
+	}
+
+	/**
+	 * Returns the attachment that this announcement belongs to.
+	 * @return the attachment
+	 */
+	public RunnerLife life() {
+		return new RunnerLife(this.name, this.address, this.epoch);
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -183,6 +183,22 @@
 		return this.attachments.values().stream().map((attachment) -> attachment.runner).toList();
 	}
 
+	/**
+	 * Returns the runners to which idle connections may be kept: those that would get new
+	 * work now.
+	 * @param nowMillis the current time
+	 * @return how many connections for each
+	 */
+	public Map<RunnerLife, Integer> idleLimits(long nowMillis) {
+		Map<RunnerLife, Integer> limits = new HashMap<>();
+		for (Attachment attachment : this.attachments.values()) {
+			if (isUsable(attachment, attachment.runner.queue(), nowMillis)) {
+				limits.put(attachment.runner.life(), attachment.runner.idleCapacity());
+			}
+		}
+		return limits;
+	}
+
 	/**
 	 * Tells whether a runner is attached.
 	 * @param runner the runner
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
@@ -71,6 +71,33 @@
 		Truth.assertThat(this.table.slotsInUse(new RunnerName("near"))).isEqualTo(0);
 	}
 
+	@Test
+	void idleConnectionsAreKeptOnlyToRunnersThatWouldGetNewWork() {
+		announce("leaves", "dc-1", 1, 0, true, 0);
+		announce("fails", "dc-1", 1, 0, false, 0);
+		announce("near", "dc-1", 1, 0, false, 10);
+		for (long attempt = 1; attempt <= 3; attempt++) {
+			this.table.begin(QUEUE, attempt, Set.of(new RunnerName("near")), 1000, 10);
+			this.table.end(attempt, Outcome.NOT_RUN, AttemptVerdict.BAD, 10);
+		}
+		Truth.assertThat(this.table.idleLimits(20)).containsExactly(life("near"), 2);
+		Truth.assertThat(this.table.idleLimits(3010)).isEmpty();
+	}
+
+	@Test
+	void idleConnectionsOfTwoEntryHostsLeaveEveryAttemptAConnection() {
+		for (int connections = 1; connections <= 40; connections++) {
+			Runner runner = new Runner(new RunnerName("near"), QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", 8,
+					connections, 1, 0, false);
+			Truth.assertThat(runner.capacity() + 2 * runner.idleCapacity()).isAtMost(connections);
+			Truth.assertThat(runner.idleCapacity()).isAtMost(runner.capacity());
+		}
+	}
+
+	private static RunnerLife life(String name) {
+		return new RunnerLife(new RunnerName(name), "127.0.0.1:1", 1);
+	}
+
 	private boolean announce(String name, String dataCentre, long epoch, int inUse, boolean leaving, long nowMillis) {
 		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1", 2,
 				64, epoch, inUse, leaving), nowMillis);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
@@ -7,16 +7,16 @@
 import org.apache.pekko.actor.typed.ActorRef;
 
 /** What the router tells a waiting request. */
-public sealed interface Dispatch {
+sealed interface Dispatch {
 
 	/**
 	 * Make an attempt on an attached runner.
 	 *
 	 * @param attempt number of the attempt
 	 * @param runner the runner
-	 * @param connector opens the connection
+	 * @param connections makes the attempt
 	 */
-	record ToRunner(long attempt, Runner runner, RunnerConnector connector) implements Dispatch {
+	record ToRunner(long attempt, Runner runner, ActorRef<RunnerConnections.Command> connections) implements Dispatch {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -35,21 +35,18 @@
 
 	private final EntryIdentity identity;
 
-	private final int maximumAnswerBytes;
-
 	private final ActorRef<RouterCommand> router;
 
 	private Optional<Long> localAttempt = Optional.empty();
 
 	private ForwardedRequestActor(ActorContext<Command> context, RouterCommand.TakeForwarded forwarded,
-			QueuedRequest queued, EntryIdentity identity, int maximumAnswerBytes, ActorRef<RouterCommand> router) {
+			QueuedRequest queued, EntryIdentity identity, ActorRef<RouterCommand> router) {
 		super(context);
 		this.request = forwarded.request();
 		this.sender = forwarded.sender();
 		this.reply = forwarded.reply();
 		this.queued = queued;
 		this.identity = identity;
-		this.maximumAnswerBytes = maximumAnswerBytes;
 		this.router = router;
 		ActorRef<Dispatch> dispatches = context.messageAdapter(Dispatch.class, Dispatched::new);
 		router.tell(new RouterCommand.Enqueue(this.request.queue(), queued, true, false, Set.of(), dispatches));
@@ -58,9 +55,8 @@
 	// life cycle
 
 	static Behavior<Command> create(RouterCommand.TakeForwarded forwarded, QueuedRequest queued, EntryIdentity identity,
-			int maximumAnswerBytes, ActorRef<RouterCommand> router) {
-		return Behaviors.setup((context) -> new ForwardedRequestActor(context, forwarded, queued, identity,
-				maximumAnswerBytes, router));
+			ActorRef<RouterCommand> router) {
+		return Behaviors.setup((context) -> new ForwardedRequestActor(context, forwarded, queued, identity, router));
 	}
 
 	@Override
@@ -73,11 +69,13 @@
 	private Behavior<Command> onDispatch(Dispatch dispatch) {
 		if (dispatch instanceof Dispatch.ToRunner toRunner) {
 			this.localAttempt = Optional.of(toRunner.attempt());
-			RunnerCall call = new RunnerCall(toRunner.attempt(), toRunner.runner().address(), this.request.queue(),
-					this.request.requestId(), this.request.contentType(), this.request.body(),
-					this.queued.deadlineMillis() - this.identity.nowMillis(), this.maximumAnswerBytes);
-			getContext().spawn(RunnerConnection.create(toRunner.connector(), call,
-					getContext().messageAdapter(AttemptReport.class, AttemptDone::new)), "runner");
+			RunnerCall call = new RunnerCall(toRunner.attempt(), this.request.queue(), this.request.requestId(),
+					this.request.contentType(), this.request.body(),
+					this.queued.deadlineMillis() - this.identity.nowMillis());
+			// A forwarded request does not say whether it is repeatable.
+			toRunner.connections()
+				.tell(new RunnerConnections.Attempt(toRunner.runner().life(), call, false,
+						getContext().messageAdapter(AttemptReport.class, AttemptDone::new)));
 			return this;
 		}
 		if (dispatch instanceof Dispatch.NoAttempt noAttempt) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -173,13 +173,11 @@
 		}
 		this.currentAttempt = dispatch.attempt();
 		CallerRequest caller = this.request.caller();
-		RunnerCall call = new RunnerCall(dispatch.attempt(), dispatch.runner().address(), caller.facts().queue(),
-				caller.requestId(), caller.contentType(), caller.body(), remainingMillis(),
-				this.request.limits().answerBytes());
-		getContext().spawn(
-				RunnerConnection.create(dispatch.connector(), call,
-						getContext().messageAdapter(AttemptReport.class, AttemptDone::new)),
-				"attempt-" + dispatch.attempt());
+		RunnerCall call = new RunnerCall(dispatch.attempt(), caller.facts().queue(), caller.requestId(),
+				caller.contentType(), caller.body(), remainingMillis());
+		dispatch.connections()
+			.tell(new RunnerConnections.Attempt(dispatch.runner().life(), call, caller.facts().repeatable(),
+					getContext().messageAdapter(AttemptReport.class, AttemptDone::new)));
 	}
 
 	private void startAtPeer(Dispatch.ToPeer dispatch) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -24,11 +24,13 @@
 import io.burdockpin.core.model.RunnerName;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.retry.FinalAnswer;
+import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.PeerLoad;
 import io.burdockpin.core.routing.PeerLoads;
 import io.burdockpin.core.routing.QueueCapacity;
 import io.burdockpin.core.routing.QueuedRequest;
 import io.burdockpin.core.routing.Runner;
+import io.burdockpin.core.routing.RunnerLife;
 import io.burdockpin.core.routing.RunnerTable;
 import io.burdockpin.core.routing.RunnerTableSettings;
 import io.burdockpin.core.routing.Target;
@@ -77,7 +79,7 @@
 
 	private final Admission admission;
 
-	private final RunnerConnector connector;
+	private final ActorRef<RunnerConnections.Command> connections;
 
 	private final RunnerTable runners;
 
@@ -97,6 +99,10 @@
 
 	private Optional<ActorRef<PeerCommand>> peers = Optional.empty();
 
+	private final Set<RunnerName> sentElsewhere = new HashSet<>();
+
+	private Map<RunnerLife, Integer> idleLimits = Map.of();
+
 	private boolean stopping;
 
 	private boolean refusing;
@@ -115,7 +121,12 @@
 		this.events = events;
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
 		long longestMillis = settings.limits().timeoutMillis();
-		this.connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis));
+		RunnerConnector connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis),
+				settings.limits().answerBytes());
+		this.connections = context
+			.spawn(RunnerConnections.create(identity, connector, settings.timing().runnerIdleMillis()), "connections");
+		// The router cannot work without it and fails with it.
+		context.watch(this.connections);
 		this.runners = new RunnerTable(
 				new RunnerTableSettings(settings.timing().attachmentMillis(),
 						longestMillis + longestMillis / MARGIN_DIVISOR, settings.policy()),
@@ -255,8 +266,8 @@
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, command.request().team(),
 				this.admission.weightOf(command.request().team()), deadlineMillis);
 		this.openRequests.addForwarded(queued.number(), key);
-		getContext().spawn(ForwardedRequestActor.create(command, queued, this.identity,
-				this.settings.limits().answerBytes(), getContext().getSelf()), "forwarded-" + queued.number());
+		getContext().spawn(ForwardedRequestActor.create(command, queued, this.identity, getContext().getSelf()),
+				"forwarded-" + queued.number());
 		return this;
 	}
 
@@ -309,6 +320,9 @@
 			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
 					: new TokenCommand.Hold(command.attempt()));
 		}
+		if (command.verdict() != AttemptVerdict.GOOD) {
+			limitIdleConnections();
+		}
 		dispatchAll();
 		return this;
 	}
@@ -344,7 +358,7 @@
 		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
 				entry.request().deadlineMillis(), this.identity.nowMillis());
 		runner.ifPresent((found) -> recordStart(attempt, found));
-		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connector));
+		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connections));
 		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
 	}
 
@@ -413,6 +427,13 @@
 		Optional<String> attachTo = this.peerView
 			.flatMap((view) -> view.attachTo(runner.name().value(), this.stopping));
 		command.replyTo().tell(new RouterCommand.Attached(attached, attachTo));
+		if (attachTo.isPresent()) {
+			this.sentElsewhere.add(runner.name());
+		}
+		else {
+			this.sentElsewhere.remove(runner.name());
+		}
+		limitIdleConnections();
 		dispatchAll();
 		return this;
 	}
@@ -489,7 +510,9 @@
 		for (RunnerName lost : this.runners.expire(nowMillis)) {
 			logger.atInfo().log("Runner %s is no longer attached.", lost);
 			this.events.record(this.events.event(EventKind.RUNNER_REMOVED).with(EventField.RUNNER, lost));
+			this.sentElsewhere.remove(lost);
 		}
+		limitIdleConnections();
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
 		reportDemand();
 		dispatchAll();
@@ -508,6 +531,15 @@
 		}
 	}
 
+	private void limitIdleConnections() {
+		Map<RunnerLife, Integer> limits = this.runners.idleLimits(this.identity.nowMillis());
+		limits.keySet().removeIf((life) -> this.sentElsewhere.contains(life.runner()));
+		if (!limits.equals(this.idleLimits)) {
+			this.idleLimits = limits;
+			this.connections.tell(new RunnerConnections.LimitIdle(limits));
+		}
+	}
+
 	private void reportDemand() {
 		Map<TeamName, Integer> waitingCounts = new HashMap<>();
 		for (TeamName team : this.blockedTeams) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerCall.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerCall.java
@@ -16,31 +16,23 @@
  * One attempt on a runner. Immutable.
  *
  * @param attempt number of the attempt
- * @param address the runner, {@code ip:port}
  * @param queue the queue
  * @param requestId identifier of the request
  * @param contentType content type of the body
  * @param body the body
  * @param remainingMillis time left
- * @param maximumAnswerBytes largest answer
  */
-record RunnerCall(long attempt, String address, QueueName queue, RequestId requestId, String contentType, Payload body,
-		long remainingMillis, int maximumAnswerBytes) {
+record RunnerCall(long attempt, QueueName queue, RequestId requestId, String contentType, Payload body,
+		long remainingMillis) {
+
+	private static final HttpRequest RUN = HttpRequest.POST("/run");
 
 	RunnerCall {
 		remainingMillis = Math.max(1, remainingMillis);
 	}
 
-	String host() {
-		return this.address.substring(0, this.address.lastIndexOf(':'));
-	}
-
-	int port() {
-		return Integer.parseInt(this.address.substring(this.address.lastIndexOf(':') + 1));
-	}
-
 	HttpRequest request() {
-		return HttpRequest.POST("/run")
+		return RUN
 			.withHeaders(List.of(header(BurdockHeader.ATTEMPT, this.attempt), header(BurdockHeader.QUEUE, this.queue),
 					header(BurdockHeader.REQUEST_ID, this.requestId),
 					header(BurdockHeader.DEADLINE_MILLIS, this.remainingMillis)))
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
@@ -2,32 +2,45 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletionStage;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.retry.Answer;
 import io.burdockpin.core.retry.AttemptResult;
 import io.burdockpin.core.routing.AttemptVerdict;
+import io.burdockpin.core.routing.RunnerLife;
+import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.QueueOfferResult;
+import org.apache.pekko.stream.UniqueKillSwitch;
 import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 
 /**
- * Owns one connection to a runner for one attempt. An answer that arrives late or twice
- * can so never reach another request. The connection ends with the actor.
+ * Owns one connection to a runner and carries one attempt at a time. An answer that does
+ * not carry the number of the attempt in flight ends the connection, so an answer that
+ * arrives late or twice never reaches another request. The connection ends with the
+ * actor.
  */
 final class RunnerConnection extends AbstractBehavior<RunnerConnection.Command> {
 
@@ -35,83 +48,150 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
-	private final RunnerConnector connector;
+	private final TimerScheduler<Command> timers;
 
-	private final RunnerCall call;
+	private final RunnerConnector connector;
 
-	private final ActorRef<AttemptReport> replyTo;
+	private final RunnerLife life;
 
 	private final Materializer materializer;
 
-	private RunnerConnection(ActorContext<Command> context, RunnerConnector connector, RunnerCall call,
-			ActorRef<AttemptReport> replyTo) {
+	private final ActorRef<RunnerConnections.Command> owner;
+
+	private final BoundedSourceQueue<HttpRequest> requests;
+
+	private final UniqueKillSwitch killSwitch;
+
+	private Optional<RunnerConnections.Attempt> current = Optional.empty();
+
+	private boolean closed;
+
+	private RunnerConnection(ActorContext<Command> context, TimerScheduler<Command> timers, RunnerConnector connector,
+			RunnerLife life, Materializer materializer, ActorRef<RunnerConnections.Command> owner) {
 		super(context);
+		this.timers = timers;
 		this.connector = connector;
-		this.call = call;
-		this.replyTo = replyTo;
-		this.materializer = Materializer.createMaterializer(context);
-		connect();
+		this.life = life;
+		this.materializer = materializer;
+		this.owner = owner;
+		ActorRef<Command> self = context.getSelf();
+		Pair<Pair<Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<OutgoingConnection>>, UniqueKillSwitch>, CompletionStage<Done>> stream = Source
+			.<HttpRequest>queue(1)
+			.viaMat(connector.connection(life.address()), Keep.both())
+			.viaMat(KillSwitches.single(), Keep.both())
+			.mapAsync(1, this::collect)
+			.toMat(Sink.foreach((response) -> self.tell(new Answered(response))), Keep.both())
+			.run(materializer);
+		this.requests = stream.first().first().first();
+		this.killSwitch = stream.first().second();
+		CompletionStage<OutgoingConnection> connected = stream.first().first().second();
+		stream.second()
+			.whenComplete((done, failure) -> connected
+				.whenComplete((connection, connectFailure) -> self.tell(closed(failure, connectFailure))));
 	}
 
 	// life cycle
 
-	static Behavior<Command> create(RunnerConnector connector, RunnerCall call, ActorRef<AttemptReport> replyTo) {
-		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
-			timers.startSingleTimer(DeadlinePassed.INSTANCE, Duration.ofMillis(call.remainingMillis()));
-			return new RunnerConnection(context, connector, call, replyTo);
-		}));
+	static Behavior<Command> create(RunnerConnector connector, RunnerLife life, Materializer materializer,
+			ActorRef<RunnerConnections.Command> owner) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new RunnerConnection(context, timers, connector, life, materializer, owner)));
 	}
 
 	@Override
 	public Receive<Command> createReceive() {
-		return newReceiveBuilder().onMessage(Answered.class, (command) -> end(judge(command.response())))
-			.onMessage(NeverConnected.class, (command) -> end(neverConnected(command.reason())))
-			.onMessage(Broken.class, (command) -> end(broken(ErrorCode.UPSTREAM_FAILED, command.reason())))
-			.onMessage(DeadlinePassed.class,
-					(command) -> end(broken(ErrorCode.DEADLINE_EXCEEDED, "the runner did not answer in time")))
+		return newReceiveBuilder().onMessage(Run.class, this::onRun)
+			.onMessage(Answered.class, (command) -> onAnswered(command.response()))
+			.onMessage(Closed.class, this::onClosed)
+			.onMessage(DeadlinePassed.class, (command) -> onDeadlinePassed())
+			.onMessage(Close.class, (command) -> Behaviors.stopped())
+			.onSignal(PostStop.class, (signal) -> onPostStop())
 			.build();
 	}
 
-	// helpers
+	private Behavior<Command> onRun(Run run) {
+		RunnerCall call = run.attempt().call();
+		if (this.closed || this.requests.offer(call.request()) != QueueOfferResult.enqueued()) {
+			this.closed = true;
+			this.owner.tell(new RunnerConnections.NotSent(run.attempt(), getContext().getSelf()));
+			return this;
+		}
+		this.current = Optional.of(run.attempt());
+		this.timers.startSingleTimer(DeadlinePassed.INSTANCE, Duration.ofMillis(call.remainingMillis()));
+		return this;
+	}
+
+	private Behavior<Command> onAnswered(HttpResponse response) {
+		if (this.current.isEmpty()) {
+			// Nothing was asked, so nothing else that comes on this connection can be
+			// trusted.
+			return onClosed(new Closed(Optional.empty(), "the runner sent an answer without a request"));
+		}
+		RunnerConnections.Attempt attempt = this.current.get();
+		AttemptReport report = judge(attempt.call(), response);
+		if (!attempt.repeatable() || report.result().outcome() == Outcome.UNKNOWN || announcesClose(response)) {
+			return end(report);
+		}
+		this.timers.cancel(DeadlinePassed.INSTANCE);
+		this.current = Optional.empty();
+		// The owner hears of it before the request ends, so the next attempt finds the
+		// connection.
+		this.owner.tell(new RunnerConnections.Free(this.life, getContext().getSelf()));
+		report(attempt, report);
+		return this;
+	}
 
-	private void connect() {
-		ActorRef<Command> self = getContext().getSelf();
-		try {
-			Pair<CompletionStage<OutgoingConnection>, CompletionStage<HttpResponse>> stages = Source
-				.single(this.call.request())
-				.viaMat(this.connector.connection(this.call.host(), this.call.port()), Keep.right())
-				.mapAsync(1, this::collect)
-				.toMat(Sink.head(), Keep.both())
-				.run(this.materializer);
-			stages.second()
-				.whenComplete((response, failure) -> stages.first()
-					.whenComplete((connected, connectFailure) -> self.tell(event(response, failure, connectFailure))));
+	private Behavior<Command> onClosed(Closed command) {
+		if (this.current.isPresent()) {
+			return end(command.connectFailure()
+				.map(RunnerConnection::neverConnected)
+				.orElseGet(() -> broken(ErrorCode.UPSTREAM_FAILED, command.reason())));
 		}
-		catch (IllegalArgumentException ex) {
-			self.tell(new NeverConnected(ex.getMessage()));
+		// Waits for the owner to confirm, because a request may be on its way.
+		this.closed = true;
+		this.owner.tell(new RunnerConnections.Lost(getContext().getSelf()));
+		return this;
+	}
+
+	private Behavior<Command> onDeadlinePassed() {
+		return end(broken(ErrorCode.DEADLINE_EXCEEDED, "the runner did not answer in time"));
+	}
+
+	private Behavior<Command> onPostStop() {
+		this.killSwitch.shutdown();
+		if (!this.requests.isCompleted()) {
+			// Completing would keep the connection open until the answer to a request in
+			// flight.
+			this.requests.fail(new CancellationException("the connection is no longer needed"));
 		}
+		return this;
 	}
 
+	// helpers
+
 	private CompletionStage<HttpResponse> collect(HttpResponse response) {
+		// Runs on the threads of the stream and uses immutable state only.
 		if (response.entity().isCloseDelimited()) {
 			throw new IllegalStateException("the answer states no length");
 		}
 		return response.entity()
-			.withSizeLimit(this.call.maximumAnswerBytes())
-			.toStrict(this.call.remainingMillis(), this.materializer)
+			.withSizeLimit(this.connector.maximumAnswerBytes())
+			.toStrict(this.connector.longestRequestMillis(), this.materializer)
 			.thenApply(response::withEntity);
 	}
 
-	private static Command event(HttpResponse response, Throwable failure, Throwable connectFailure) {
-		if (connectFailure != null) {
-			return new NeverConnected(String.valueOf(connectFailure.getMessage()));
-		}
-		return (failure != null) ? new Broken(String.valueOf(failure.getMessage())) : new Answered(response);
+	private static Closed closed(Throwable failure, Throwable connectFailure) {
+		return new Closed(Optional.ofNullable(connectFailure).map((cause) -> String.valueOf(cause.getMessage())),
+				(failure != null) ? String.valueOf(failure.getMessage()) : "the runner closed the connection");
 	}
 
-	private AttemptReport judge(HttpResponse response) {
+	private static boolean announcesClose(HttpResponse response) {
+		return response.getHeader("Connection").filter((header) -> header.value().contains("close")).isPresent();
+	}
+
+	private static AttemptReport judge(RunnerCall call, HttpResponse response) {
 		Optional<String> attempt = header(response, BurdockHeader.ATTEMPT);
-		if (!attempt.equals(Optional.of(Long.toString(this.call.attempt())))) {
+		if (!attempt.equals(Optional.of(Long.toString(call.attempt())))) {
 			return broken(ErrorCode.UPSTREAM_FAILED, "the answer belongs to another attempt");
 		}
 		int status = response.status().intValue();
@@ -154,28 +234,45 @@
 	}
 
 	private Behavior<Command> end(AttemptReport report) {
+		this.current.ifPresent((attempt) -> report(attempt, report));
+		return Behaviors.stopped();
+	}
+
+	private void report(RunnerConnections.Attempt attempt, AttemptReport report) {
 		if (report.verdict() != AttemptVerdict.GOOD) {
 			logger.atFine()
-				.log("Attempt %d on %s: %s %s.", this.call.attempt(), this.call.host(), report.result().outcome(),
-						report.result().message());
+				.log("Attempt %d on %s: %s %s.", attempt.call().attempt(), this.life.address(),
+						report.result().outcome(), report.result().message());
 		}
-		this.replyTo.tell(report);
-		return Behaviors.stopped();
+		attempt.replyTo().tell(report);
 	}
 
 	sealed interface Command {
 
 	}
 
-	private record Answered(HttpResponse response) implements Command {
+	/**
+	 * Carries an attempt. The connection must carry no other one.
+	 *
+	 * @param attempt the attempt
+	 */
+	record Run(RunnerConnections.Attempt attempt) implements Command {
+
+	}
+
+	/** Ends the connection. */
+	enum Close implements Command {
+
+		/** The only instance. */
+		INSTANCE
 
 	}
 
-	private record NeverConnected(String reason) implements Command {
+	private record Answered(HttpResponse response) implements Command {
 
 	}
 
-	private record Broken(String reason) implements Command {
+	private record Closed(Optional<String> connectFailure, String reason) implements Command {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnector.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnector.java
@@ -24,14 +24,21 @@
 
 	private final ClientConnectionSettings settings;
 
+	private final long longestRequestMillis;
+
+	private final int maximumAnswerBytes;
+
 	/**
 	 * Creates a connector.
 	 * @param system runs the connections
-	 * @param longestRequest an idle connection ends after twice this time; the deadline
-	 * of the attempt ends it before
+	 * @param longestRequest a silent connection ends after twice this time; the deadline
+	 * of the attempt or the idle time ends it before
+	 * @param maximumAnswerBytes largest answer
 	 */
-	RunnerConnector(ActorSystem<?> system, Duration longestRequest) {
+	RunnerConnector(ActorSystem<?> system, Duration longestRequest, int maximumAnswerBytes) {
 		this.system = system;
+		this.longestRequestMillis = longestRequest.toMillis();
+		this.maximumAnswerBytes = maximumAnswerBytes;
 		this.settings = ClientConnectionSettings.create(system.classicSystem())
 			.withConnectingTimeout(DurationConverters.toScala(CONNECT_TIMEOUT))
 			.withIdleTimeout(DurationConverters.toScala(longestRequest.multipliedBy(2)));
@@ -39,12 +46,30 @@
 
 	/**
 	 * Describes a connection that is opened when the flow is run.
-	 * @param host number of the host
-	 * @param port the port
+	 * @param address where the runner takes requests, {@code ip:port}
 	 * @return the flow of one connection
 	 */
-	Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> connection(String host, int port) {
+	Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> connection(String address) {
+		int colon = address.lastIndexOf(':');
+		String host = address.substring(0, colon);
+		int port = Integer.parseInt(address.substring(colon + 1));
 		return Http.get(this.system).connectionTo(host).toPort(port).withClientConnectionSettings(this.settings).http();
 	}
 
+	/**
+	 * Returns the time within which an answer is complete.
+	 * @return the time in milliseconds
+	 */
+	long longestRequestMillis() {
+		return this.longestRequestMillis;
+	}
+
+	/**
+	 * Returns the size of the largest answer.
+	 * @return the size of its body in bytes
+	 */
+	int maximumAnswerBytes() {
+		return this.maximumAnswerBytes;
+	}
+
 }
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
@@ -112,4 +112,42 @@
 		Truth.assertThat(control().awaitProposal(ClaimCommand.FinishClaim.class).body().text()).isEqualTo("charged");
 	}
 
+	@Test
+	void repeatableRequestsUseOneConnectionToTheRunnerOneAfterTheOther() {
+		TestEntry entry = startAlone();
+		entry.announce("runner-1", runner(), false);
+		for (int count = 0; count < 5; count++) {
+			CompletableFuture<HttpResponse<String>> response = entry.submit(REPEATABLE, "panel");
+			runner().awaitCall().answer("schedule");
+			Truth.assertThat(response.join().body()).isEqualTo("schedule");
+		}
+		Truth.assertThat(runner().connectionCount()).isEqualTo(1);
+	}
+
+	@Test
+	void aRepeatableRequestIsAnsweredAfterTheRunnerClosedItsIdleConnection() {
+		TestEntry entry = startAlone();
+		entry.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> first = entry.submit(REPEATABLE, "panel");
+		FakeRunner.Call call = runner().awaitCall();
+		call.answer("one");
+		first.join();
+		call.cut();
+		CompletableFuture<HttpResponse<String>> second = entry.submit(REPEATABLE, "panel");
+		runner().awaitCall().answer("two");
+		Truth.assertThat(second.join().body()).isEqualTo("two");
+		Truth.assertThat(runner().connectionCount()).isEqualTo(2);
+	}
+
+	@Test
+	void theIdleConnectionsOfALeavingRunnerAreClosed() {
+		TestEntry entry = startAlone();
+		entry.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> response = entry.submit(REPEATABLE, "panel");
+		runner().awaitCall().answer("schedule");
+		response.join();
+		entry.announce("runner-1", runner(), true);
+		runner().awaitEndOfConnection();
+	}
+
 }
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeRunner.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeRunner.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A runner whose answers the test writes byte by byte. */
 public final class FakeRunner implements AutoCloseable {
@@ -21,6 +22,10 @@
 
 	private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<Socket> endedConnections = new LinkedBlockingQueue<>();
+
+	private final AtomicInteger connectionCount = new AtomicInteger();
+
 	public FakeRunner(String ip) {
 		try {
 			this.listener = new ServerSocket(0, 50, InetAddress.getByName(ip));
@@ -28,9 +33,7 @@
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
-		Thread thread = new Thread(this::accept, "fake-runner");
-		thread.setDaemon(true);
-		thread.start();
+		start(this::accept);
 	}
 
 	public String address() {
@@ -45,6 +48,16 @@
 		return this.calls.size();
 	}
 
+	/** Connections that were ever accepted. */
+	public int connectionCount() {
+		return this.connectionCount.get();
+	}
+
+	/** Waits until the entry host closes a connection. */
+	public void awaitEndOfConnection() {
+		Ports.poll(this.endedConnections);
+	}
+
 	@Override
 	public void close() {
 		try {
@@ -59,14 +72,32 @@
 		while (!this.listener.isClosed()) {
 			try {
 				Socket socket = this.listener.accept();
-				this.calls.add(read(socket));
+				this.connectionCount.incrementAndGet();
+				start(() -> serve(socket));
 			}
 			catch (IOException ex) {
-				// The listener was closed, or a connection ended before its request.
+				// The listener was closed.
 			}
 		}
 	}
 
+	private void serve(Socket socket) {
+		try {
+			while (true) {
+				this.calls.add(read(socket));
+			}
+		}
+		catch (IOException ex) {
+			this.endedConnections.add(socket);
+		}
+	}
+
+	private static void start(Runnable loop) {
+		Thread thread = new Thread(loop, "fake-runner");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
 	private static Call read(Socket socket) throws IOException {
 		InputStream input = socket.getInputStream();
 		ByteArrayOutputStream head = new ByteArrayOutputStream();
