Give up waiting requests whose caller has disconnected

Cause: the HTTP server reads nothing while a request of the connection is in flight, and nobody told the router that a caller had gone. Such a request kept its queue place until its deadline, or ran for nobody with a token and a slot.

Ruled out: ending the request from the future of its answer. The future of an ask cannot be cancelled. Callbacks on the end of a connection would pile up on a connection that lives long; the stage CallerConnection has one for each request.

Change: CallerConnection serves a connection and tells its request in flight when the caller closes its side. The router passes this to the actor of the request, which gives up if no other caller waits for the same request and no attempt was sent. A claim is released then.

The refusal uses the code of the other given up requests, DEADLINE_EXCEEDED_BEFORE_START, so that the schema does not change.

--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -30,6 +30,7 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Flow;
 import scala.concurrent.duration.Duration;
 import scala.concurrent.duration.FiniteDuration;
 
@@ -150,11 +151,15 @@
 			.withTimeouts(defaults.getTimeouts()
 				.withRequestTimeout(Duration.Inf())
 				.withIdleTimeout(FiniteDuration.create(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS)))
-			.withMaxConnections(MAX_CONNECTIONS);
+			.withMaxConnections(MAX_CONNECTIONS)
+			// With a limit of one the server reads nothing during a request and would not
+			// notice that the caller disconnects. The requests of a connection are still
+			// served one after the other.
+			.withPipeliningLimit(2);
 		Http.get(getContext().getSystem())
 			.newServerAt(settings.httpAddress().ip(), settings.httpAddress().port())
 			.withSettings(serverSettings)
-			.bind(this::handle)
+			.bindFlow(Flow.fromGraph(new CallerConnection(this::handle)))
 			.whenComplete((bound, failure) -> self.tell((failure != null)
 					? new HttpCommand.BindFailed(String.valueOf(failure.getMessage())) : new HttpCommand.Bound(bound)));
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import io.burdockpin.core.admission.RequestFacts;
@@ -71,15 +72,26 @@
 		return this.bodies.read(request, this.limits.bodyBytes()).thenCompose((body) -> {
 			RequestFacts facts = new RequestFacts(queue, body.length, keyHash, requestId, repeatable, timeoutMillis);
 			String contentType = request.entity().getContentType().toString();
-			return submit(new CallerRequest(facts, usedId, contentType, Payload.of(body)));
+			return submit(new CallerRequest(facts, usedId, contentType, Payload.of(body)),
+					request.getAttribute(CallerConnection.CALLER_GONE));
 		});
 	}
 
-	private CompletionStage<HttpResponse> submit(CallerRequest request) {
+	private CompletionStage<HttpResponse> submit(CallerRequest request,
+			Optional<CallerConnection.CallerGone> callerGone) {
 		Duration timeout = Duration.ofMillis(this.limits.timeoutMillis() + ANSWER_MARGIN_MILLIS);
-		return this.actors
-			.ask(this.actors.router(), (ActorRef<FinalAnswer> replyTo) -> new RouterCommand.Submit(request, replyTo),
-					timeout)
+		CompletableFuture<ActorRef<FinalAnswer>> caller = new CompletableFuture<>();
+		CompletionStage<FinalAnswer> finalAnswer = this.actors.ask(this.actors.router(),
+				(ActorRef<FinalAnswer> replyTo) -> {
+					caller.complete(replyTo);
+					return new RouterCommand.Submit(request, replyTo);
+				}, timeout);
+		// Added after the request was sent, so that the router hears of the request
+		// first.
+		callerGone.ifPresent((gone) -> gone.stage()
+			.thenAcceptBoth(caller,
+					(done, replyTo) -> this.actors.router().tell(new RouterCommand.CallerGone(replyTo))));
+		return finalAnswer
 			.exceptionally((failure) -> FinalAnswer.Refused.of(ErrorCode.OUTCOME_UNKNOWN, "no answer in time"))
 			.thenApply((answer) -> {
 				count(request, answer);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
@@ -9,6 +9,15 @@
 /** What the router tells a waiting request. */
 sealed interface Dispatch {
 
+	/** Number of a dispatch that makes no attempt. */
+	long NONE = 0;
+
+	/**
+	 * Returns the number of the attempt.
+	 * @return the number, {@link #NONE} if no attempt is made
+	 */
+	long attempt();
+
 	/**
 	 * Make an attempt on an attached runner.
 	 *
@@ -39,6 +48,11 @@
 	 */
 	record NoAttempt(ErrorCode code, String message) implements Dispatch {
 
+		@Override
+		public long attempt() {
+			return NONE;
+		}
+
 	}
 
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/OpenRequests.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/OpenRequests.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.RequestId;
 import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.retry.FinalAnswer;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 
@@ -20,7 +23,13 @@
 
 	private final Map<Long, Keys> keysByNumber = new HashMap<>();
 
-	private final Map<RequestKey, ActorRef<RequestActor.Message>> actorsByKey = new HashMap<>();
+	private final Map<RequestKey, Running> runningByKey = new HashMap<>();
+
+	private final Map<ActorRef<FinalAnswer>, ActorRef<RequestActor.Message>> actorsByCaller = new HashMap<>();
+
+	private final Map<Long, List<ActorRef<FinalAnswer>>> callersByNumber = new HashMap<>();
+
+	private final Set<Long> givenUp = new HashSet<>();
 
 	private final Map<ForwardKey, Long> numbersByForward = new HashMap<>();
 
@@ -33,10 +42,21 @@
 	}
 
 	void addOnce(long number, RequestKey key, ActorRef<RequestActor.Message> actor) {
-		this.actorsByKey.put(key, actor);
+		this.runningByKey.put(key, new Running(number, actor));
 		this.keysByNumber.put(number, new Keys(Optional.of(key), Optional.empty()));
 	}
 
+	void addCaller(Running running, ActorRef<FinalAnswer> caller) {
+		this.actorsByCaller.put(caller, running.actor());
+		this.callersByNumber.computeIfAbsent(running.number(), (number) -> new ArrayList<>(1)).add(caller);
+	}
+
+	void giveUp(long number) {
+		if (this.keysByNumber.containsKey(number)) {
+			this.givenUp.add(number);
+		}
+	}
+
 	void addForwarded(long number, ForwardKey key) {
 		this.numbersByForward.put(key, number);
 		this.keysByNumber.put(number, new Keys(Optional.empty(), Optional.of(key)));
@@ -44,9 +64,12 @@
 
 	void end(long number) {
 		Optional.ofNullable(this.keysByNumber.remove(number)).ifPresent((keys) -> {
-			keys.request().ifPresent(this.actorsByKey::remove);
+			keys.request().ifPresent(this.runningByKey::remove);
 			keys.forward().ifPresent(this.numbersByForward::remove);
 		});
+		Optional.ofNullable(this.callersByNumber.remove(number))
+			.ifPresent((callers) -> callers.forEach(this.actorsByCaller::remove));
+		this.givenUp.remove(number);
 		tellIdle();
 	}
 
@@ -57,8 +80,16 @@
 
 	// access
 
-	Optional<ActorRef<RequestActor.Message>> running(RequestKey key) {
-		return Optional.ofNullable(this.actorsByKey.get(key));
+	Optional<Running> running(RequestKey key) {
+		return Optional.ofNullable(this.runningByKey.get(key));
+	}
+
+	Optional<ActorRef<RequestActor.Message>> actorOf(ActorRef<FinalAnswer> caller) {
+		return Optional.ofNullable(this.actorsByCaller.get(caller));
+	}
+
+	boolean isGivenUp(long number) {
+		return this.givenUp.contains(number);
 	}
 
 	Optional<Long> forwarded(ForwardKey key) {
@@ -82,6 +113,10 @@
 
 	}
 
+	record Running(long number, ActorRef<RequestActor.Message> actor) {
+
+	}
+
 	record ForwardKey(Holder sender, long attempt) {
 
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.Query;
+import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
 import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.Payload;
@@ -95,6 +96,7 @@
 	@Override
 	public Receive<Message> createReceive() {
 		return newReceiveBuilder().onMessage(Join.class, this::onJoin)
+			.onMessage(CallerGone.class, this::onCallerGone)
 			.onMessage(Claimed.class, this::onClaimed)
 			.onMessage(ClaimShown.class, this::onClaimShown)
 			.onMessage(Dispatched.class, (message) -> onDispatch(message.dispatch()))
@@ -116,6 +118,14 @@
 		return this;
 	}
 
+	private Behavior<Message> onCallerGone(CallerGone message) {
+		this.callers.remove(message.caller());
+		if (isAbandoned()) {
+			this.request.router().tell(new RouterCommand.GiveUp(this.queued.number()));
+		}
+		return this;
+	}
+
 	private Behavior<Message> onClaimed(Claimed message) {
 		if (ClaimReplies.hasRun(message.result())) {
 			askForKeptAnswer();
@@ -132,6 +142,10 @@
 		if (dispatch instanceof Dispatch.NoAttempt noAttempt) {
 			return carryOut(this.attempts.refused(noAttempt.code(), noAttempt.message()));
 		}
+		if (isAbandoned()) {
+			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+			return carryOut(refusedAsAbandoned());
+		}
 		if (dispatch instanceof Dispatch.ToRunner toRunner) {
 			startOnRunner(toRunner);
 		}
@@ -242,6 +256,10 @@
 	}
 
 	private void enqueue(boolean retry) {
+		if (isAbandoned()) {
+			refusedAsAbandoned().forEach(this::carryOut);
+			return;
+		}
 		this.request.router()
 			.tell(new RouterCommand.Enqueue(this.request.caller().facts().queue(), this.queued, false, retry,
 					this.attempts.failedTargets(), getContext().messageAdapter(Dispatch.class, Dispatched::new)));
@@ -287,6 +305,14 @@
 		return Behaviors.stopped();
 	}
 
+	private boolean isAbandoned() {
+		return this.answer.isEmpty() && this.callers.isEmpty();
+	}
+
+	private List<RequestEffect> refusedAsAbandoned() {
+		return this.attempts.refused(ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the caller has disconnected");
+	}
+
 	private TeamName claimTeam() {
 		return this.queued.team().orElse(RequestContext.OPEN_QUEUE_TEAM);
 	}
@@ -303,6 +329,10 @@
 
 	}
 
+	record CallerGone(ActorRef<FinalAnswer> caller) implements Message {
+
+	}
+
 	private record Claimed(CallResult result) implements Message {
 
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -42,6 +42,7 @@
 import io.burdockpin.entry.peer.PeerCommand;
 import io.burdockpin.entry.router.OpenRequests.ForwardKey;
 import io.burdockpin.entry.router.OpenRequests.RequestKey;
+import io.burdockpin.entry.router.OpenRequests.Running;
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.token.TokenEvent;
 import org.apache.pekko.Done;
@@ -160,6 +161,8 @@
 	@Override
 	public Receive<RouterCommand> createReceive() {
 		return newReceiveBuilder().onMessage(RouterCommand.Submit.class, this::onSubmit)
+			.onMessage(RouterCommand.CallerGone.class, this::onCallerGone)
+			.onMessage(RouterCommand.GiveUp.class, this::onGiveUp)
 			.onMessage(RouterCommand.CheckKey.class, this::onCheckKey)
 			.onMessage(RouterCommand.AnnounceRunner.class, this::onAnnounceRunner)
 			.onMessage(RouterCommand.Enqueue.class, this::onEnqueue)
@@ -216,9 +219,10 @@
 
 	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, ActorRef<FinalAnswer> replyTo) {
 		RequestKey key = new RequestKey(admitted.team(), request.requestId());
-		Optional<ActorRef<RequestActor.Message>> running = this.openRequests.running(key);
+		Optional<Running> running = this.openRequests.running(key);
 		if (running.isPresent() && !request.facts().repeatable()) {
-			running.get().tell(new RequestActor.Join(replyTo));
+			running.get().actor().tell(new RequestActor.Join(replyTo));
+			this.openRequests.addCaller(running.get(), replyTo);
 			return;
 		}
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, admitted.team(), admitted.weight(),
@@ -233,6 +237,7 @@
 		else {
 			this.openRequests.addOnce(queued.number(), key, actor);
 		}
+		this.openRequests.addCaller(new Running(queued.number(), actor), replyTo);
 		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
 		this.events.record(this.events.event(EventKind.REQUEST_ACCEPTED)
 			.with(EventField.REQUEST, request.requestId())
@@ -240,6 +245,19 @@
 			.with(EventField.TEAM, admitted.team().map(TeamName::value).orElse("")));
 	}
 
+	private Behavior<RouterCommand> onCallerGone(RouterCommand.CallerGone command) {
+		this.openRequests.actorOf(command.caller())
+			.ifPresent((actor) -> actor.tell(new RequestActor.CallerGone(command.caller())));
+		return this;
+	}
+
+	private Behavior<RouterCommand> onGiveUp(RouterCommand.GiveUp command) {
+		this.openRequests.giveUp(command.number());
+		giveUp(command.number());
+		dispatchAll();
+		return this;
+	}
+
 	private Behavior<RouterCommand> onCheckKey(RouterCommand.CheckKey command) {
 		command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
 		return this;
@@ -487,7 +505,12 @@
 		}
 		this.runners.withdraw(decided.attempt());
 		this.blockedTeams.add(decided.team());
-		waiting(pending.entry().queue()).putBack(pending.entry());
+		if (this.openRequests.isGivenUp(pending.entry().request().number())) {
+			refuse(pending.entry(), ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "given up");
+		}
+		else {
+			waiting(pending.entry().queue()).putBack(pending.entry());
+		}
 		reportDemand();
 		dispatchAll();
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -37,6 +37,25 @@
 
 	}
 
+	/**
+	 * The caller of a request has disconnected. A request without callers that has not
+	 * been dispatched is given up.
+	 *
+	 * @param caller what the answer would have gone to
+	 */
+	record CallerGone(ActorRef<FinalAnswer> caller) implements RouterCommand {
+
+	}
+
+	/**
+	 * Gives a request up if it still waits.
+	 *
+	 * @param number its number
+	 */
+	record GiveUp(long number) implements RouterCommand {
+
+	}
+
 	/**
 	 * Checks a key.
 	 *
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -1,6 +1,8 @@
 package io.burdockpin.entry.fake;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -79,6 +81,11 @@
 		return this.guardian;
 	}
 
+	/** Opens a connection for a caller that the test ends itself. */
+	public Socket open() throws IOException {
+		return new Socket(this.http.ip(), this.http.port());
+	}
+
 	public CompletableFuture<HttpResponse<String>> send(String method, String path, Map<String, String> headers,
 			String body) {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + this.http.text() + path))
