--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
@@ -7,16 +7,25 @@
 import org.apache.pekko.actor.typed.ActorRef;
 
 /** What the router tells a waiting request. */
-public sealed interface Dispatch {
+sealed interface Dispatch {
+
+	/** Number of a dispatch that makes no attempt. */
+	long NONE = 0;
+
+	/**
+	 * Returns the number of the attempt.
+	 * @return the number, {@link #NONE} if no attempt is made
+	 */
+	long attempt();
 
 	/**
 	 * Make an attempt on an attached runner.
 	 *
 	 * @param attempt number of the attempt
 	 * @param runner the runner
-	 * @param connector opens the connection
+	 * @param connections makes the attempt
 	 */
-	record ToRunner(long attempt, Runner runner, RunnerConnector connector) implements Dispatch {
+	record ToRunner(long attempt, Runner runner, ActorRef<RunnerConnections.Command> connections) implements Dispatch {
 
 	}
 
@@ -39,6 +48,11 @@
 	 */
 	record NoAttempt(ErrorCode code, String message) implements Dispatch {
 
+		@Override
+		public long attempt() {
+			return NONE;
+		}
+
 	}
 
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -24,11 +24,13 @@
 import io.burdockpin.core.model.RunnerName;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.retry.FinalAnswer;
+import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.PeerLoad;
 import io.burdockpin.core.routing.PeerLoads;
 import io.burdockpin.core.routing.QueueCapacity;
 import io.burdockpin.core.routing.QueuedRequest;
 import io.burdockpin.core.routing.Runner;
+import io.burdockpin.core.routing.RunnerLife;
 import io.burdockpin.core.routing.RunnerTable;
 import io.burdockpin.core.routing.RunnerTableSettings;
 import io.burdockpin.core.routing.Target;
@@ -41,6 +43,7 @@
 import io.burdockpin.entry.peer.PeerCommand;
 import io.burdockpin.entry.router.OpenRequests.ForwardKey;
 import io.burdockpin.entry.router.OpenRequests.RequestKey;
+import io.burdockpin.entry.router.OpenRequests.Running;
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.token.TokenEvent;
 import org.apache.pekko.Done;
@@ -80,7 +83,7 @@
 
 	private final Admission admission;
 
-	private final RunnerConnector connector;
+	private final ActorRef<RunnerConnections.Command> connections;
 
 	private final RunnerTable runners;
 
@@ -100,6 +103,10 @@
 
 	private Optional<ActorRef<PeerCommand>> peers = Optional.empty();
 
+	private final Set<RunnerName> sentElsewhere = new HashSet<>();
+
+	private Map<RunnerLife, Integer> idleLimits = Map.of();
+
 	private boolean stopping;
 
 	private boolean refusing;
@@ -119,7 +126,12 @@
 		this.requestEvents = new RequestEvents(events, settings.requestEvents());
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
 		long longestMillis = settings.limits().timeoutMillis();
-		this.connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis));
+		RunnerConnector connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis),
+				settings.limits().answerBytes());
+		this.connections = context
+			.spawn(RunnerConnections.create(identity, connector, settings.timing().runnerIdleMillis()), "connections");
+		// The router cannot work without it and fails with it.
+		context.watch(this.connections);
 		this.runners = new RunnerTable(
 				new RunnerTableSettings(settings.timing().attachmentMillis(),
 						longestMillis + longestMillis / MARGIN_DIVISOR, settings.policy()),
@@ -153,6 +165,8 @@
 	@Override
 	public Receive<RouterCommand> createReceive() {
 		return newReceiveBuilder().onMessage(RouterCommand.Submit.class, this::onSubmit)
+			.onMessage(RouterCommand.CallerGone.class, this::onCallerGone)
+			.onMessage(RouterCommand.GiveUp.class, this::onGiveUp)
 			.onMessage(RouterCommand.CheckKey.class, this::onCheckKey)
 			.onMessage(RouterCommand.RecordJob.class, this::onRecordJob)
 			.onMessage(RouterCommand.RecordJobRefusal.class, this::onRecordJobRefusal)
@@ -212,9 +226,10 @@
 
 	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, ActorRef<FinalAnswer> replyTo) {
 		RequestKey key = new RequestKey(admitted.team(), request.requestId());
-		Optional<ActorRef<RequestActor.Message>> running = this.openRequests.running(key);
+		Optional<Running> running = this.openRequests.running(key);
 		if (running.isPresent() && !request.facts().repeatable()) {
-			running.get().tell(new RequestActor.Join(replyTo));
+			running.get().actor().tell(new RequestActor.Join(replyTo));
+			this.openRequests.addCaller(running.get(), replyTo);
 			return;
 		}
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, admitted.team(), admitted.weight(),
@@ -229,10 +244,24 @@
 		else {
 			this.openRequests.addOnce(queued.number(), key, actor);
 		}
+		this.openRequests.addCaller(new Running(queued.number(), actor), replyTo);
 		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
 		this.requestEvents.accepted(queued.number(), request.facts(), request.requestId(), admitted.team());
 	}
 
+	private Behavior<RouterCommand> onCallerGone(RouterCommand.CallerGone command) {
+		this.openRequests.actorOf(command.caller())
+			.ifPresent((actor) -> actor.tell(new RequestActor.CallerGone(command.caller())));
+		return this;
+	}
+
+	private Behavior<RouterCommand> onGiveUp(RouterCommand.GiveUp command) {
+		this.openRequests.giveUp(command.number());
+		giveUp(command.number());
+		dispatchAll();
+		return this;
+	}
+
 	private Behavior<RouterCommand> onCheckKey(RouterCommand.CheckKey command) {
 		command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
 		return this;
@@ -268,8 +297,8 @@
 				this.admission.weightOf(command.request().team()), deadlineMillis);
 		this.openRequests.addForwarded(queued.number(), key);
 		this.requestEvents.forwarded(queued.number(), command.request(), command.sender());
-		getContext().spawn(ForwardedRequestActor.create(command, queued, this.identity,
-				this.settings.limits().answerBytes(), getContext().getSelf()), "forwarded-" + queued.number());
+		getContext().spawn(ForwardedRequestActor.create(command, queued, this.identity, getContext().getSelf()),
+				"forwarded-" + queued.number());
 		return this;
 	}
 
@@ -320,6 +349,9 @@
 			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
 					: new TokenCommand.Hold(command.attempt()));
 		}
+		if (command.verdict() != AttemptVerdict.GOOD) {
+			limitIdleConnections();
+		}
 		dispatchAll();
 		return this;
 	}
@@ -354,7 +386,7 @@
 		}
 		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
 				entry.request().deadlineMillis(), this.identity.nowMillis());
-		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connector));
+		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connections));
 		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
 	}
 
@@ -428,6 +460,13 @@
 		Optional<String> attachTo = this.peerView
 			.flatMap((view) -> view.attachTo(runner.name().value(), this.stopping));
 		command.replyTo().tell(new RouterCommand.Attached(attached, attachTo));
+		if (attachTo.isPresent()) {
+			this.sentElsewhere.add(runner.name());
+		}
+		else {
+			this.sentElsewhere.remove(runner.name());
+		}
+		limitIdleConnections();
 		dispatchAll();
 		return this;
 	}
@@ -481,7 +520,12 @@
 		}
 		this.runners.withdraw(decided.attempt());
 		this.blockedTeams.add(decided.team());
-		waiting(pending.entry().queue()).putBack(pending.entry());
+		if (this.openRequests.isGivenUp(pending.entry().request().number())) {
+			refuse(pending.entry(), ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "given up");
+		}
+		else {
+			waiting(pending.entry().queue()).putBack(pending.entry());
+		}
 		reportDemand();
 		dispatchAll();
 	}
@@ -504,7 +548,9 @@
 		for (RunnerName lost : this.runners.expire(nowMillis)) {
 			logger.atInfo().log("Runner %s is no longer attached.", lost);
 			this.events.record(this.events.event(EventKind.RUNNER_REMOVED).with(EventField.RUNNER, lost));
+			this.sentElsewhere.remove(lost);
 		}
+		limitIdleConnections();
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
 		reportDemand();
 		dispatchAll();
@@ -523,6 +569,15 @@
 		}
 	}
 
+	private void limitIdleConnections() {
+		Map<RunnerLife, Integer> limits = this.runners.idleLimits(this.identity.nowMillis());
+		limits.keySet().removeIf((life) -> this.sentElsewhere.contains(life.runner()));
+		if (!limits.equals(this.idleLimits)) {
+			this.idleLimits = limits;
+			this.connections.tell(new RunnerConnections.LimitIdle(limits));
+		}
+	}
+
 	private void reportDemand() {
 		Map<TeamName, Integer> waitingCounts = new HashMap<>();
 		for (TeamName team : this.blockedTeams) {
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -1,6 +1,8 @@
 package io.burdockpin.entry.fake;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -59,7 +61,7 @@
 		TimingSettings defaults = TimingSettings.defaults();
 		TimingSettings timing = new TimingSettings(60_000, defaults.peerStatusMillis(), defaults.peerSilentMillis(),
 				defaults.proposalMillis(), defaults.workerBatchMillis(), defaults.tokenReportMillis(), null, null, null,
-				1, null, null);
+				1, null, null, 60_000);
 		List<MemberSettings> members = List.of(control.settings());
 		EntrySettings settings = new EntrySettings(self.name(), self.dataCentre(), self.httpAddress(),
 				self.peerAddress(), peers, members, LimitSettings.defaults(), timing, null, Optional.empty(), null,
@@ -79,6 +81,11 @@
 		return this.guardian;
 	}
 
+	/** Opens a connection for a caller that the test ends itself. */
+	public Socket open() throws IOException {
+		return new Socket(this.http.ip(), this.http.port());
+	}
+
 	public CompletableFuture<HttpResponse<String>> send(String method, String path, Map<String, String> headers,
 			String body) {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + this.http.text() + path))
