Send only worker reports that the leader's decisions can notice

Cause: an entry host sent every report of every worker each second, about 257 bytes a worker with 6 jobs; docs/CAPACITY.md works out 198 KB/s at the leader at the two-year size. Ruled out: sending usage rounded to steps, which flaps at a step; counting a worker as live for the longer interval of 5 s, because a lost worker must be noticed within 3 s as before; a list of all live workers every second. Change: WorkerReportSender (entry host) sends a report when its boot, jobs or phases change, when the worker enters another UsageBand, when a job grows by a twentieth over what was sent, and once after the first 12 s of a job. Each batch, at least every 500 ms, vouches for the other workers with the age of the oldest announcement; silent ones are named. WorkerReportReceiver (leader) counts from that age and believes a batch only if all earlier ones of its generation arrived; else it asks for everything again.

--- a/burdockpin-codec/src/main/thrift/client.thrift
+++ b/burdockpin-codec/src/main/thrift/client.thrift
@@ -397,12 +397,34 @@
   5: list<JobReport> jobs,
 }
 
-/** Entry host to leader: what its workers reported since the last batch. */
+/** A worker that has announced itself and whose last report stands. */
+struct UnchangedWorker {
+  /** the worker */
+  1: string worker,
+  /** number of the worker's newest report */
+  2: i64 sequence,
+}
+
+/**
+ * Entry host to leader: what its workers reported since the last batch. A worker that is
+ * not named has announced itself within heardWithinMillis and has nothing new to say,
+ * unless it was named as silent.
+ */
 struct WorkerReports {
-  /** number of the batch */
+  /** number of the message; the reply repeats it */
   1: i64 correlation,
-  /** one for each worker heard from */
-  2: list<WorkerReport> reports,
+  /** grows within a life of the entry host whenever it sends everything again */
+  2: i64 generation,
+  /** number of the batch within its generation, from 0 without gaps */
+  3: i64 number,
+  /** the longest time since the last announcement of a worker that is not silent */
+  4: i64 heardWithinMillis,
+  /** workers whose report has changed noticeably */
+  5: list<WorkerReport> reports,
+  /** workers whose report stands and whose leases are to be renewed */
+  6: list<UnchangedWorker> unchanged,
+  /** workers that no longer announce themselves here */
+  7: list<string> silent,
 }
 
 /** What a worker is told to do with a job. */
@@ -455,12 +477,20 @@
   5: list<JobOrder> orders,
 }
 
-/** Leader to entry host: orders for workers. */
+/**
+ * Leader to entry host: orders for workers. A worker that the batch named and that has no
+ * order here keeps the leases of all jobs it reported as running, unless everything is to
+ * be sent again.
+ */
 struct WorkerOrders {
   /** number of the batch it answers */
   1: i64 correlation,
-  /** one for each worker */
-  2: list<WorkerOrder> orders,
+  /** how long renewed leases last from when the worker sent its report */
+  2: i64 leaseMillis,
+  /** whether the leader lacks earlier batches, so that everything must be sent again */
+  3: bool resend,
+  /** one for each worker that is told more */
+  4: list<WorkerOrder> orders,
 }
 
 /**
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -10,9 +10,9 @@
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.ClientMessage.WorkerOrder;
 import io.burdockpin.core.client.ClientMessage.WorkerOrders;
-import io.burdockpin.core.client.ClientMessage.WorkerReport;
 import io.burdockpin.core.client.ClientMessage.WorkerReports;
 import io.burdockpin.core.maintenance.HostSighting;
+import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.placement.JobIndex;
 import io.burdockpin.core.placement.PlacementDecision;
 import io.burdockpin.core.placement.PlacementPlanner;
@@ -20,6 +20,9 @@
 import io.burdockpin.core.placement.PlacementTables;
 import io.burdockpin.core.placement.ReportAnswer;
 import io.burdockpin.core.placement.WorkerReconciler;
+import io.burdockpin.core.report.HeardWorker;
+import io.burdockpin.core.report.WorkerReportReceiver;
+import io.burdockpin.core.report.WorkerReportReceiver.Reception;
 import io.burdockpin.core.state.Command;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -58,6 +61,10 @@
 
 	private final WorkerReconciler reconciler;
 
+	private final WorkerReportReceiver receiver = new WorkerReportReceiver();
+
+	private final long leaseMillis;
+
 	private final ActorRef<ReplicaView> viewAdapter;
 
 	private final ActorRef<ReplicaPort.ProposalsEnded> proposalAdapter;
@@ -78,6 +85,7 @@
 		this.tables = new PlacementTables(settings);
 		this.planner = new PlacementPlanner(settings, this.tables);
 		this.reconciler = this.tables.createReconciler();
+		this.leaseMillis = settings.leases().leaseMillis();
 		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
 		this.proposalAdapter = context.messageAdapter(ReplicaPort.ProposalsEnded.class,
 				(ended) -> RoundSignal.PROPOSALS_ENDED);
@@ -134,6 +142,7 @@
 		long nowMillis = this.clock.millis();
 		if (this.current.map(LeaderView::term).filter((term) -> term == view.term()).isEmpty()) {
 			this.planner.restart();
+			this.receiver.restart();
 			logger.atInfo().log("Plans placements in term %d.", view.term());
 		}
 		JobIndex jobs = JobIndex.of(view.view().jobs());
@@ -169,16 +178,35 @@
 	private void answer(ReportsArrived arrived, LeaderView view, long nowMillis) {
 		List<Command> commands = new ArrayList<>();
 		List<WorkerOrder> orders = new ArrayList<>();
-		for (WorkerReport report : arrived.reports().reports()) {
-			ReportAnswer answer = this.reconciler.answer(report, view.jobs(), nowMillis);
-			commands.addAll(answer.commands());
-			orders.add(answer.order());
-			this.sightings.add(new HostSighting(report.worker(), report.bootId()));
+		Optional<Reception> reception = this.receiver.receive(arrived.sender(), arrived.reports(), nowMillis);
+		if (reception.isEmpty()) {
+			return;
+		}
+		for (HeardWorker heard : reception.get().workers()) {
+			if (heard.answerDue()) {
+				ReportAnswer answer = answer(heard, view.jobs());
+				commands.addAll(answer.commands());
+				if (heard.needs(answer.order())) {
+					orders.add(answer.order());
+				}
+				this.sightings.add(new HostSighting(heard.report().worker(), heard.report().bootId()));
+			}
+			else {
+				this.reconciler.seen(heard.report(), heard.seenMillis());
+			}
 		}
 		if (!commands.isEmpty()) {
 			this.replica.propose(commands, getContext().getSystem().ignoreRef());
 		}
-		arrived.replyTo().tell(new WorkerOrders(arrived.reports().correlation(), orders));
+		arrived.replyTo()
+			.tell(new WorkerOrders(arrived.reports().correlation(), this.leaseMillis, reception.get().resend(),
+					orders));
+	}
+
+	private ReportAnswer answer(HeardWorker heard, JobIndex jobs) {
+		return (heard.mention() == HeardWorker.Mention.REPORTED)
+				? this.reconciler.answer(heard.report(), jobs, heard.seenMillis())
+				: this.reconciler.answerStanding(heard.report(), jobs, heard.seenMillis());
 	}
 
 	/** Messages of the placement actor. */
@@ -189,10 +217,12 @@
 	/**
 	 * An entry host passes on worker reports.
 	 *
+	 * @param sender the life of the entry host
 	 * @param reports the reports
 	 * @param replyTo gets the orders, unless this member does not lead
 	 */
-	public record ReportsArrived(WorkerReports reports, ActorRef<? super ClientMessage> replyTo) implements Message {
+	public record ReportsArrived(Holder sender, WorkerReports reports,
+			ActorRef<? super ClientMessage> replyTo) implements Message {
 	}
 
 	private record ViewArrived(ReplicaView view) implements Message {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
@@ -69,7 +69,7 @@
 
 	private Behavior<PlannerReport> onReport(PlannerReport report) {
 		if (report.message() instanceof ClientMessage.WorkerReports reports) {
-			this.placement.tell(new PlacementActor.ReportsArrived(reports, report.replyTo()));
+			this.placement.tell(new PlacementActor.ReportsArrived(report.sender(), reports, report.replyTo()));
 		}
 		else if (report.message() instanceof ClientMessage.TokenReport tokenReport) {
 			this.tokens.tell(new TokenPlannerActor.ReportArrived(tokenReport, report.replyTo()));
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
@@ -16,10 +16,13 @@
 import io.burdockpin.core.client.ClientMessage.WorkerReports;
 import io.burdockpin.core.client.JobOrderKind;
 import io.burdockpin.core.client.JobPhase;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.JobState;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.Resources;
 import io.burdockpin.core.placement.PlacementSettings;
+import io.burdockpin.core.report.WorkerReportBatch;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
@@ -29,6 +32,8 @@
 
 class PlacementActorTests {
 
+	private static final Holder ENTRY = new Holder(new HostName("entry-1"), 1);
+
 	private static final Duration PERIOD = Duration.ofMillis(250);
 
 	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
@@ -45,6 +50,8 @@
 		.spawn(PlacementActor.create(PlacementSettings.DEFAULT, PERIOD, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC),
 				this.replica, this.testKit.system().ignoreRef()));
 
+	private long batchNumber;
+
 	@AfterEach
 	void stop() {
 		this.testKit.shutdownTestKit();
@@ -86,14 +93,15 @@
 	}
 
 	private WorkerOrder report(List<JobReport> jobs) {
-		sendReport(jobs);
-		return this.entryHost.expectMessageClass(WorkerOrders.class).orders().get(0);
+		WorkerReportBatch batch = sendReport(jobs);
+		return batch.ordersOf(this.entryHost.expectMessageClass(WorkerOrders.class)).get(0);
 	}
 
-	private void sendReport(List<JobReport> jobs) {
+	private WorkerReportBatch sendReport(List<JobReport> jobs) {
 		WorkerReport report = new WorkerReport(FakeReplica.WORKER, "boot-1", 1, Resources.NONE, jobs);
-		this.actor
-			.tell(new PlacementActor.ReportsArrived(new WorkerReports(1, List.of(report)), this.entryHost.getRef()));
+		WorkerReports message = new WorkerReports(1, 1, this.batchNumber++, 0, List.of(report), List.of(), List.of());
+		this.actor.tell(new PlacementActor.ReportsArrived(ENTRY, message, this.entryHost.getRef()));
+		return new WorkerReportBatch(message, List.of(report));
 	}
 
 	private static List<JobOrderKind> kinds(WorkerOrder order) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/admission/ConfigurationView.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/ConfigurationView.java
@@ -8,8 +8,10 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.KeyHash;
 import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.Resources;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.core.state.ConfigurationSnapshot;
@@ -18,13 +20,13 @@
 import io.burdockpin.core.state.TeamRecord;
 
 /**
- * The part of the configuration that entry hosts need: queues, teams and keys at one log
- * index. Immutable.
+ * The part of the configuration that entry hosts need: queues, teams, keys and the
+ * capacity of workers at one log index. Immutable.
  */
 public final class ConfigurationView {
 
 	/** No configuration. */
-	public static final ConfigurationView EMPTY = new ConfigurationView(0, Map.of(), Map.of(), Map.of());
+	public static final ConfigurationView EMPTY = new ConfigurationView(0, Map.of(), Map.of(), Map.of(), Map.of());
 
 	private final long index;
 
@@ -34,12 +36,15 @@
 
 	private final Map<KeyHash, KeyRecord> keys;
 
+	private final Map<HostName, Resources> capacities;
+
 	private ConfigurationView(long index, Map<QueueName, QueueRecord> queues, Map<TeamName, TeamRecord> teams,
-			Map<KeyHash, KeyRecord> keys) {
+			Map<KeyHash, KeyRecord> keys, Map<HostName, Resources> capacities) {
 		this.index = index;
 		this.queues = queues;
 		this.teams = teams;
 		this.keys = keys;
+		this.capacities = capacities;
 	}
 
 	// life cycle
@@ -51,7 +56,11 @@
 	 */
 	public static ConfigurationView of(ConfigurationSnapshot snapshot) {
 		return new ConfigurationView(snapshot.index(), byName(snapshot.queues(), QueueRecord::name),
-				byName(snapshot.teams(), (record) -> record.spec().name()), byName(snapshot.keys(), KeyRecord::hash));
+				byName(snapshot.teams(), (record) -> record.spec().name()), byName(snapshot.keys(), KeyRecord::hash),
+				snapshot.hosts()
+					.stream()
+					.collect(Collectors.toUnmodifiableMap((host) -> host.spec().name(),
+							(host) -> host.spec().capacity())));
 	}
 
 	/**
@@ -67,7 +76,7 @@
 		applyToQueues(newQueues, command, newIndex);
 		applyToTeams(newTeams, command, newIndex);
 		applyToKeys(newKeys, command, newIndex);
-		return new ConfigurationView(newIndex, newQueues, newTeams, newKeys);
+		return new ConfigurationView(newIndex, newQueues, newTeams, newKeys, capacitiesAfter(command));
 	}
 
 	// access
@@ -107,6 +116,16 @@
 		return Optional.ofNullable(this.keys.get(hash));
 	}
 
+	/**
+	 * Finds the capacity of a worker. It is not known when this configuration came from
+	 * another entry host.
+	 * @param worker the worker
+	 * @return its capacity, if it is known
+	 */
+	public Optional<Resources> capacity(HostName worker) {
+		return Optional.ofNullable(this.capacities.get(worker));
+	}
+
 	/**
 	 * Returns the content for another entry host.
 	 * @return a snapshot without pools and hosts
@@ -130,6 +149,17 @@
 
 	// helpers
 
+	private Map<HostName, Resources> capacitiesAfter(ConfigurationCommand command) {
+		Map<HostName, Resources> changed = new HashMap<>(this.capacities);
+		if (command instanceof ConfigurationCommand.AddHost add) {
+			changed.put(add.host().name(), add.host().capacity());
+		}
+		else if (command instanceof ConfigurationCommand.RemoveHost remove) {
+			changed.remove(remove.host());
+		}
+		return changed;
+	}
+
 	private static <K, R> Map<K, R> byName(List<R> records, Function<R, K> name) {
 		return records.stream().collect(Collectors.toUnmodifiableMap(name, Function.identity()));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
@@ -284,19 +284,52 @@
 	}
 
 	/**
-	 * Entry host to leader: what its workers reported since the last batch.
+	 * Entry host to leader: what its workers reported since the last batch. A worker that
+	 * is not named has announced itself within {@code heardWithinMillis} and has nothing
+	 * new to say, unless it was named as silent.
 	 *
-	 * @param correlation number of the batch
-	 * @param reports one for each worker heard from
+	 * @param correlation number of the message; the reply repeats it
+	 * @param generation grows within a life of the entry host whenever it sends
+	 * everything again
+	 * @param number number of the batch within its generation, from 0 without gaps
+	 * @param heardWithinMillis the longest time since the last announcement of a worker
+	 * that is not silent
+	 * @param reports workers whose report has changed noticeably
+	 * @param unchanged workers whose report stands and whose leases are to be renewed
+	 * @param silent workers that no longer announce themselves here
 	 */
-	record WorkerReports(long correlation, List<WorkerReport> reports) implements ClientMessage {
+	record WorkerReports(long correlation, long generation, long number, long heardWithinMillis,
+			List<WorkerReport> reports, List<UnchangedWorker> unchanged,
+			List<HostName> silent) implements ClientMessage {
 
 		public WorkerReports {
 			reports = List.copyOf(reports);
+			unchanged = List.copyOf(unchanged);
+			silent = List.copyOf(silent);
+		}
+
+		/**
+		 * Returns a copy with the number of the message.
+		 * @param newCorrelation number of the message
+		 * @return the copy
+		 */
+		public WorkerReports withCorrelation(long newCorrelation) {
+			return new WorkerReports(newCorrelation, this.generation, this.number, this.heardWithinMillis, this.reports,
+					this.unchanged, this.silent);
 		}
 
 	}
 
+	/**
+	 * A worker that has announced itself and whose last report stands.
+	 *
+	 * @param worker the worker
+	 * @param sequence number of the worker's newest report
+	 */
+	record UnchangedWorker(HostName worker, long sequence) {
+
+	}
+
 	/**
 	 * What one worker reported.
 	 *
@@ -313,6 +346,23 @@
 			jobs = List.copyOf(jobs);
 		}
 
+		/**
+		 * Returns the jobs that the worker says it runs.
+		 * @return the jobs in the order of the report
+		 */
+		public List<JobId> runningJobs() {
+			return this.jobs.stream().filter((job) -> job.phase() == JobPhase.RUNNING).map(JobReport::job).toList();
+		}
+
+		/**
+		 * Returns a copy with the number of a later report that says the same.
+		 * @param newSequence number of the later report
+		 * @return the copy
+		 */
+		public WorkerReport withSequence(long newSequence) {
+			return new WorkerReport(this.worker, this.bootId, newSequence, this.usage, this.jobs);
+		}
+
 	}
 
 	/**
@@ -329,12 +379,19 @@
 	}
 
 	/**
-	 * Leader to entry host: orders for workers.
+	 * Leader to entry host: orders for workers. A worker that the batch named and that
+	 * has no order here keeps the leases of all jobs it reported as running, unless
+	 * everything is to be sent again.
 	 *
 	 * @param correlation number of the batch it answers
-	 * @param orders one for each worker
+	 * @param leaseMillis how long renewed leases last from when the worker sent its
+	 * report
+	 * @param resend whether the leader lacks earlier batches, so that everything must be
+	 * sent again
+	 * @param orders one for each worker that is told more
 	 */
-	record WorkerOrders(long correlation, List<WorkerOrder> orders) implements ClientMessage {
+	record WorkerOrders(long correlation, long leaseMillis, boolean resend,
+			List<WorkerOrder> orders) implements ClientMessage {
 
 		public WorkerOrders {
 			orders = List.copyOf(orders);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/OverloadControl.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/OverloadControl.java
@@ -20,11 +20,6 @@
 	/** Reports show the effect of an order only after this time. */
 	private static final long STEP_MILLIS = 15_000;
 
-	private static final double MEMORY_LIMIT = 0.95;
-
-	/** Throttled jobs get their share back below this part of the processor capacity. */
-	private static final double CALM_CPU = 0.7;
-
 	private static final int FULL_PERCENT = 100;
 
 	private final WorkerTable workers;
@@ -60,12 +55,11 @@
 	// helpers
 
 	private void treat(PlacementRound round, WorkerLoad worker, Resources usage) {
-		boolean cpuOver = usage.cpuMillicores() > worker.capacity().cpuMillicores();
-		boolean memoryOver = usage.memoryMebibytes() > MEMORY_LIMIT * worker.capacity().memoryMebibytes();
-		if (cpuOver || memoryOver) {
-			takeStep(round, worker, memoryOver);
+		UsageBand band = UsageBand.of(usage, worker.capacity());
+		if (band.overloaded()) {
+			takeStep(round, worker, band == UsageBand.MEMORY_OVER);
 		}
-		else if (usage.cpuMillicores() < CALM_CPU * worker.capacity().cpuMillicores()) {
+		else if (band == UsageBand.CALM) {
 			release(round, worker);
 		}
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerReconciler.java
@@ -67,9 +67,35 @@
 	 * @return commands and orders
 	 */
 	public ReportAnswer answer(WorkerReport report, JobIndex jobs, long nowMillis) {
-		Draft draft = new Draft(report, nowMillis);
+		return answer(new Draft(report, nowMillis, true), jobs);
+	}
+
+	/**
+	 * Reacts to a report that still stands. Its usage is not learned from again.
+	 * @param report the report
+	 * @param jobs the jobs of the newest view
+	 * @param provenMillis a time at which the worker is known to have been live
+	 * @return commands and orders
+	 */
+	public ReportAnswer answerStanding(WorkerReport report, JobIndex jobs, long provenMillis) {
+		return answer(new Draft(report, provenMillis, false), jobs);
+	}
+
+	/**
+	 * Takes note that a worker is live and its report stands.
+	 * @param report the report
+	 * @param provenMillis a time at which the worker is known to have been live
+	 */
+	public void seen(WorkerReport report, long provenMillis) {
+		this.workers.observe(report, provenMillis);
+	}
+
+	// helpers
+
+	private ReportAnswer answer(Draft draft, JobIndex jobs) {
+		WorkerReport report = draft.report;
 		boolean rebooted = hasRebooted(report);
-		this.workers.observe(report, nowMillis);
+		this.workers.observe(report, draft.nowMillis);
 		for (JobReport jobReport : report.jobs()) {
 			draft.listed.add(jobReport.job());
 			reconcileListed(draft, jobReport, jobs.find(jobReport.job()));
@@ -82,8 +108,6 @@
 		return draft.toAnswer(this.settings.leaseMillis());
 	}
 
-	// helpers
-
 	private boolean hasRebooted(WorkerReport report) {
 		Optional<WorkerTable.Sighting> last = this.workers.lastOf(report.worker());
 		return last.isPresent() && !last.get().bootId().equals(report.bootId());
@@ -115,7 +139,8 @@
 
 	private void reconcileCurrent(Draft draft, JobReport jobReport, JobRecord job) {
 		PhaseReaction reaction = PhaseReaction.of(jobReport.phase());
-		Optional<Command> verdict = this.observer.observe(job, jobReport, draft.report.worker(), draft.nowMillis);
+		Optional<Command> verdict = (draft.fresh || !reaction.occupiesWorker())
+				? this.observer.observe(job, jobReport, draft.report.worker(), draft.nowMillis) : Optional.empty();
 		verdict.or(() -> reaction.commandFor(job, jobReport)).ifPresent(draft.commands::add);
 		this.startGuard.forget(job.id());
 		if (!reaction.occupiesWorker()) {
@@ -176,6 +201,8 @@
 
 		private final long nowMillis;
 
+		private final boolean fresh;
+
 		private final Set<JobId> listed = new HashSet<>();
 
 		private final List<Command> commands = new ArrayList<>();
@@ -186,9 +213,10 @@
 
 		private final List<JobOrder> starts = new ArrayList<>();
 
-		private Draft(WorkerReport report, long nowMillis) {
+		private Draft(WorkerReport report, long nowMillis, boolean fresh) {
 			this.report = report;
 			this.nowMillis = nowMillis;
+			this.fresh = fresh;
 		}
 
 		private ReportAnswer toAnswer(long leaseMillis) {
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/report/WorkerReportReceiver.java
@@ -0,0 +1,185 @@
+package io.burdockpin.core.report;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.client.ClientMessage.UnchangedWorker;
+import io.burdockpin.core.client.ClientMessage.WorkerReport;
+import io.burdockpin.core.client.ClientMessage.WorkerReports;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.report.HeardWorker.Mention;
+
+/**
+ * Follows from the batches of entry hosts which workers are live and what their reports
+ * are. Mutable, owned by one planner and empty after a change of leader.
+ * <p>
+ * An earlier report stands only as long as all batches of its generation have arrived in
+ * order, because each of them may name the worker as silent. A worker belongs to the
+ * entry host that named it last, so that an entry host that it left cannot vouch for it.
+ */
+public final class WorkerReportReceiver {
+
+	/**
+	 * Orders for workers without news go out as often as their announcements arrive.
+	 */
+	private static final long ANSWER_MILLIS = 1_000;
+
+	private final Map<HostName, Source> sources = new HashMap<>();
+
+	private final Map<HostName, Known> workers = new HashMap<>();
+
+	/** Forgets everything, as a new leader does. */
+	public void restart() {
+		this.sources.clear();
+		this.workers.clear();
+	}
+
+	/**
+	 * Takes a batch.
+	 * @param sender the life of the entry host
+	 * @param batch the batch
+	 * @param nowMillis when it arrived
+	 * @return what it shows, or nothing if it is repeated or belongs to the past
+	 */
+	public Optional<Reception> receive(Holder sender, WorkerReports batch, long nowMillis) {
+		Source source = this.sources.get(sender.host());
+		if (source != null && source.isPast(sender, batch)) {
+			return Optional.empty();
+		}
+		if (batch.number() == 0) {
+			source = new Source(sender.incarnation(), batch.generation());
+			this.sources.put(sender.host(), source);
+		}
+		else if (source == null || !source.isNext(sender, batch)) {
+			return Optional.of(new Reception(true, List.of()));
+		}
+		source.nextNumber = batch.number() + 1;
+		return Optional.of(new Reception(!knowsUnchanged(source, batch), heard(source, batch, nowMillis)));
+	}
+
+	// helpers
+
+	private boolean knowsUnchanged(Source source, WorkerReports batch) {
+		return batch.unchanged().stream().allMatch((worker) -> owns(source, worker.worker()));
+	}
+
+	private boolean owns(Source source, HostName worker) {
+		Known known = this.workers.get(worker);
+		return known != null && known.source == source && source.workers.contains(worker);
+	}
+
+	private List<HeardWorker> heard(Source source, WorkerReports batch, long nowMillis) {
+		List<HeardWorker> heard = new ArrayList<>();
+		Set<HostName> named = new HashSet<>(batch.silent());
+		for (WorkerReport report : batch.reports()) {
+			named.add(report.worker());
+			Known known = this.workers.computeIfAbsent(report.worker(), (name) -> new Known());
+			Optional.ofNullable(known.source).ifPresent((owner) -> owner.workers.remove(report.worker()));
+			known.source = source;
+			source.workers.add(report.worker());
+			heard.add(known.named(report, nowMillis, Mention.REPORTED));
+		}
+		for (UnchangedWorker worker : batch.unchanged()) {
+			named.add(worker.worker());
+			if (owns(source, worker.worker())) {
+				Known known = this.workers.get(worker.worker());
+				heard.add(known.named(known.report.withSequence(worker.sequence()), nowMillis, Mention.UNCHANGED));
+			}
+		}
+		batch.silent().forEach((worker) -> forget(source, worker));
+		source.workers.stream()
+			.filter((worker) -> !named.contains(worker))
+			.map((worker) -> this.workers.get(worker).implied(nowMillis - batch.heardWithinMillis(), nowMillis))
+			.forEach(heard::add);
+		return heard;
+	}
+
+	private void forget(Source source, HostName worker) {
+		if (owns(source, worker)) {
+			this.workers.remove(worker);
+		}
+		source.workers.remove(worker);
+	}
+
+	/**
+	 * What a batch shows. Immutable.
+	 *
+	 * @param resend whether earlier batches are missing, so that everything must be sent
+	 * again
+	 * @param workers the workers that are live
+	 */
+	public record Reception(boolean resend, List<HeardWorker> workers) {
+
+		public Reception {
+			workers = List.copyOf(workers);
+		}
+
+	}
+
+	/** One generation of batches of one life of an entry host. */
+	private static final class Source {
+
+		private final long incarnation;
+
+		private final long generation;
+
+		private final Set<HostName> workers = new HashSet<>();
+
+		private long nextNumber;
+
+		private Source(long incarnation, long generation) {
+			this.incarnation = incarnation;
+			this.generation = generation;
+		}
+
+		private boolean isPast(Holder sender, WorkerReports batch) {
+			if (sender.incarnation() != this.incarnation) {
+				return sender.incarnation() < this.incarnation;
+			}
+			return batch.generation() < this.generation
+					|| (batch.generation() == this.generation && batch.number() < this.nextNumber);
+		}
+
+		private boolean isNext(Holder sender, WorkerReports batch) {
+			return sender.incarnation() == this.incarnation && batch.generation() == this.generation
+					&& batch.number() == this.nextNumber;
+		}
+
+	}
+
+	/** What is known of one worker. */
+	private static final class Known {
+
+		private Source source;
+
+		private WorkerReport report;
+
+		private long seenMillis;
+
+		private long answeredMillis;
+
+		private HeardWorker named(WorkerReport newReport, long nowMillis, Mention mention) {
+			this.report = newReport;
+			this.seenMillis = Math.max(this.seenMillis, nowMillis);
+			this.answeredMillis = nowMillis;
+			return new HeardWorker(newReport, this.seenMillis, mention, true);
+		}
+
+		private HeardWorker implied(long provenMillis, long nowMillis) {
+			this.seenMillis = Math.max(this.seenMillis, provenMillis);
+			boolean due = nowMillis - this.answeredMillis >= ANSWER_MILLIS;
+			if (due) {
+				this.answeredMillis = nowMillis;
+			}
+			return new HeardWorker(this.report, this.seenMillis, Mention.IMPLIED, due);
+		}
+
+	}
+
+}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -84,8 +84,8 @@
 				new EventRecorder(identity, this.eventLog)), "router");
 		ActorRef<PeerCommand> peers = spawn(
 				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), this.router, control), "peers");
-		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(), control),
-				"workers");
+		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(),
+				settings.timing().unchangedWorkerMillis(), control), "workers");
 		ActorRef<OperatorCommand> operators = spawn(
 				OperatorSupervisor.create(settings.timing().proposalMillis(), control, this.router, peers),
 				"operators");
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/TimingSettings.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/TimingSettings.java
@@ -22,11 +22,13 @@
  * default 2 s
  * @param nearRoundTripMillis round trip within the data centre, default 1 ms
  * @param farRoundTripMillis round trip to another data centre, default 4 ms
+ * @param unchangedWorkerMillis how long a worker with an unchanged report is not named to
+ * the leader, default 5 s; never longer than a quarter of a job lease
  */
 public record TimingSettings(Integer attachmentMillis, Integer peerStatusMillis, Integer peerSilentMillis,
 		Integer proposalMillis, Integer workerBatchMillis, Integer tokenReportMillis, Integer unverifiedKeyGraceSeconds,
 		Integer claimWindowMillis, Integer claimFutureMillis, Integer balancerGraceMillis, Integer nearRoundTripMillis,
-		Integer farRoundTripMillis) {
+		Integer farRoundTripMillis, Integer unchangedWorkerMillis) {
 
 	private static final int MINUTE_MILLIS = 60_000;
 
@@ -47,6 +49,7 @@
 		balancerGraceMillis = checked("balancerGraceMillis", balancerGraceMillis, 2000, MINUTE_MILLIS);
 		nearRoundTripMillis = checked("nearRoundTripMillis", nearRoundTripMillis, 1, MINUTE_MILLIS);
 		farRoundTripMillis = checked("farRoundTripMillis", farRoundTripMillis, 4, MINUTE_MILLIS);
+		unchangedWorkerMillis = checked("unchangedWorkerMillis", unchangedWorkerMillis, 5000, MINUTE_MILLIS);
 	}
 
 	/**
@@ -54,7 +57,7 @@
 	 * @return settings without any value given
 	 */
 	public static TimingSettings defaults() {
-		return new TimingSettings(null, null, null, null, null, null, null, null, null, null, null, null);
+		return new TimingSettings(null, null, null, null, null, null, null, null, null, null, null, null, null);
 	}
 
 	private static int checked(String what, Integer value, int defaultValue, int largest) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/worker/WorkerCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/worker/WorkerCommand.java
@@ -4,6 +4,8 @@
 import io.burdockpin.codec.json.WorkerAnnouncementReply;
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.membership.PeerView;
+import io.burdockpin.core.report.WorkerReportBatch;
+import io.burdockpin.entry.control.ConfigurationEvent;
 import org.apache.pekko.actor.typed.ActorRef;
 
 /** What the sessions of workers can be asked. */
@@ -32,9 +34,19 @@
 	/**
 	 * The leader answered a batch of reports, or it is not known whether it got it.
 	 *
+	 * @param batch the batch
 	 * @param result the answer
 	 */
-	record BatchEnded(CallResult result) implements WorkerCommand {
+	record BatchEnded(WorkerReportBatch batch, CallResult result) implements WorkerCommand {
+
+	}
+
+	/**
+	 * A configuration is in force.
+	 *
+	 * @param event which one
+	 */
+	record ConfigurationHappened(ConfigurationEvent event) implements WorkerCommand {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/worker/WorkerSessions.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/worker/WorkerSessions.java
@@ -1,20 +1,23 @@
 package io.burdockpin.entry.worker;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.json.WorkerAnnouncementReply;
+import io.burdockpin.core.admission.ConfigurationView;
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.ClientMessage.WorkerOrder;
 import io.burdockpin.core.client.ClientMessage.WorkerReport;
 import io.burdockpin.core.membership.PeerView;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.report.WorkerReportBatch;
+import io.burdockpin.core.report.WorkerReportSender;
 import io.burdockpin.entry.EntryIdentity;
+import io.burdockpin.entry.control.ConfigurationEvent;
 import io.burdockpin.entry.control.ControlCommand;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -24,8 +27,8 @@
 import org.apache.pekko.actor.typed.javadsl.Receive;
 
 /**
- * Batches the reports of the workers that announce themselves here, and hands the
- * leader's orders back with the next announcement.
+ * Sends the leader what has changed in the reports of the workers that announce
+ * themselves here, and hands its orders back with the next announcement.
  */
 public final class WorkerSessions extends AbstractBehavior<WorkerCommand> {
 
@@ -37,22 +40,24 @@
 
 	private final ActorRef<ControlCommand> control;
 
-	private final ActorRef<CallResult> batchResults;
-
-	private final Map<HostName, WorkerReport> unsentReports = new TreeMap<>();
+	private final WorkerReportSender sender;
 
 	private final Map<HostName, PendingOrders> pendingOrders = new TreeMap<>();
 
+	private ConfigurationView configuration = ConfigurationView.EMPTY;
+
 	private Optional<PeerView> peers = Optional.empty();
 
 	private boolean stopping;
 
-	private WorkerSessions(ActorContext<WorkerCommand> context, EntryIdentity identity,
+	private WorkerSessions(ActorContext<WorkerCommand> context, EntryIdentity identity, long unchangedMillis,
 			ActorRef<ControlCommand> control) {
 		super(context);
 		this.identity = identity;
 		this.control = control;
-		this.batchResults = context.messageAdapter(CallResult.class, WorkerCommand.BatchEnded::new);
+		this.sender = new WorkerReportSender(unchangedMillis);
+		control.tell(new ControlCommand.Subscribe(
+				context.messageAdapter(ConfigurationEvent.class, WorkerCommand.ConfigurationHappened::new)));
 	}
 
 	// life cycle
@@ -61,14 +66,15 @@
 	 * Creates the behavior of the sessions.
 	 * @param identity the own process
 	 * @param batchMillis period of the reports to the leader
+	 * @param unchangedMillis how long an unchanged worker is not named in them
 	 * @param control calls the leader
 	 * @return the behavior
 	 */
-	public static Behavior<WorkerCommand> create(EntryIdentity identity, long batchMillis,
+	public static Behavior<WorkerCommand> create(EntryIdentity identity, long batchMillis, long unchangedMillis,
 			ActorRef<ControlCommand> control) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(WorkerCommand.Tick.INSTANCE, Duration.ofMillis(batchMillis));
-			return new WorkerSessions(context, identity, control);
+			return new WorkerSessions(context, identity, unchangedMillis, control);
 		}));
 	}
 
@@ -77,6 +83,7 @@
 		return newReceiveBuilder().onMessage(WorkerCommand.Announce.class, this::onAnnounce)
 			.onMessage(WorkerCommand.Tick.class, (command) -> onTick())
 			.onMessage(WorkerCommand.BatchEnded.class, this::onBatchEnded)
+			.onMessage(WorkerCommand.ConfigurationHappened.class, this::onConfiguration)
 			.onMessage(WorkerCommand.PeersChanged.class, this::onPeersChanged)
 			.onMessage(WorkerCommand.BeginStop.class, (command) -> onBeginStop())
 			.build();
@@ -84,7 +91,7 @@
 
 	private Behavior<WorkerCommand> onAnnounce(WorkerCommand.Announce command) {
 		WorkerReport report = WorkerDocuments.report(command.announcement());
-		this.unsentReports.put(report.worker(), report);
+		this.sender.announced(report, this.configuration.capacity(report.worker()), this.identity.nowMillis());
 		Optional<String> attachTo = this.peers.flatMap((view) -> view.attachTo(report.worker().value(), this.stopping));
 		PendingOrders orders = Optional.ofNullable(this.pendingOrders.remove(report.worker()))
 			.orElseGet(PendingOrders::new);
@@ -93,23 +100,26 @@
 	}
 
 	private Behavior<WorkerCommand> onTick() {
-		if (!this.unsentReports.isEmpty()) {
-			List<WorkerReport> reports = List.copyOf(this.unsentReports.values());
-			this.unsentReports.clear();
-			this.control
-				.tell(new ControlCommand.Call((correlation) -> new ClientMessage.WorkerReports(correlation, reports),
-						BATCH_TIMEOUT_MILLIS, this.batchResults));
-		}
+		this.sender.batch(this.identity.nowMillis()).ifPresent(this::send);
 		return this;
 	}
 
 	private Behavior<WorkerCommand> onBatchEnded(WorkerCommand.BatchEnded command) {
 		if (command.result() instanceof CallResult.Answered answered
 				&& answered.message() instanceof ClientMessage.WorkerOrders orders) {
-			orders.orders().forEach(this::keep);
+			this.sender.answered(command.batch(), orders);
+			command.batch().ordersOf(orders).forEach(this::keep);
 		}
 		else {
-			logger.atFine().log("A batch of worker reports was not answered. The workers report again.");
+			logger.atFine().log("A batch of worker reports was not answered. All workers are reported again.");
+			this.sender.lost(command.batch());
+		}
+		return this;
+	}
+
+	private Behavior<WorkerCommand> onConfiguration(WorkerCommand.ConfigurationHappened command) {
+		if (command.event() instanceof ConfigurationEvent.InForce inForce) {
+			this.configuration = inForce.configuration();
 		}
 		return this;
 	}
@@ -126,6 +136,14 @@
 
 	// helpers
 
+	private void send(WorkerReportBatch batch) {
+		getContext().ask(CallResult.class, this.control, Duration.ofMillis(2 * BATCH_TIMEOUT_MILLIS),
+				(ActorRef<CallResult> replyTo) -> new ControlCommand.Call(batch.message()::withCorrelation,
+						BATCH_TIMEOUT_MILLIS, replyTo),
+				(result, failure) -> new WorkerCommand.BatchEnded(batch,
+						(failure != null) ? new CallResult.Unknown(failure.getMessage()) : result));
+	}
+
 	private void keep(WorkerOrder order) {
 		this.pendingOrders.computeIfAbsent(order.worker(), (worker) -> new PendingOrders()).add(order);
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
@@ -124,7 +124,7 @@
 				.stream()
 				.map((report) -> new WorkerOrder(report.worker(), report.sequence(), 30_000, List.of(), List.of()))
 				.toList();
-			return Optional.of(new ClientMessage.WorkerOrders(reports.correlation(), orders));
+			return Optional.of(new ClientMessage.WorkerOrders(reports.correlation(), 30_000, false, orders));
 		}
 		if (message instanceof ClientMessage.QueryRequest query && query.query() instanceof Query.ShowClaim show) {
 			return Optional
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -59,7 +59,7 @@
 		TimingSettings defaults = TimingSettings.defaults();
 		TimingSettings timing = new TimingSettings(60_000, defaults.peerStatusMillis(), defaults.peerSilentMillis(),
 				defaults.proposalMillis(), defaults.workerBatchMillis(), defaults.tokenReportMillis(), null, null, null,
-				1, null, null);
+				1, null, null, null);
 		List<MemberSettings> members = List.of(control.settings());
 		EntrySettings settings = new EntrySettings(self.name(), self.dataCentre(), self.httpAddress(),
 				self.peerAddress(), peers, members, LimitSettings.defaults(), timing, null, Optional.empty(), null,
