Send only queues whose numbers changed to other entry hosts

Cause: each status named all queues five times a second to 6 peers, which docs/CAPACITY.md works out as 32 KB/s at the two-year size. Ruled out: a longer period, which would delay forwarding decisions; numbers that start anew with each connection, because the seeded test then applied a change to the status of an earlier connection when the first frame was lost. Change: PeerStatusSender sends a whole status first on a connection and every 5 s, else a PeerStatusChange with queues whose slots, free slots or waiting requests changed, or whose service time changed by more than a tenth. A change applies only to the status with the number before it; a peer that missed one counts as silent until the next whole status. Figures: 20 seeds with lost and repeated frames and new connections: a peer that counts as heard always has its newest numbers.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageSizes.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageSizes.java
@@ -70,6 +70,15 @@
 				client("feed update", "1 change", feedUpdate()));
 	}
 
+	long heartbeatBytes() {
+		return (long) bytes(append(0)) + bytes(new ConsensusMessage.AppendReply(7, true, 100_000, 5, 12_345));
+	}
+
+	private int bytes(ConsensusMessage message) {
+		ConsensusEnvelope envelope = new ConsensusEnvelope("nadifa", member(1), member(2), 1, TIMESTAMP, message);
+		return this.consensusCodec.encode(envelope).length + PREFIX_BYTES;
+	}
+
 	private Measurement client(String quantity, String size, ClientMessage message) {
 		ClientEnvelope envelope = new ClientEnvelope(SampleFleet.holder(1), TIMESTAMP, message);
 		return measurement(quantity, size, this.clientCodec.encode(envelope));
@@ -105,7 +114,7 @@
 		List<PeerMessage.QueueStatus> list = IntStream.range(0, queues)
 			.mapToObj((number) -> new PeerMessage.QueueStatus(SampleFleet.queue(number), 64, 12, 3, 250))
 			.toList();
-		return new PeerMessage.PeerStatus(SampleFleet.dataCentre(1), "127.1.0.1:7080", false, 100_000, list);
+		return new PeerMessage.PeerStatus(0, SampleFleet.dataCentre(1), "127.1.0.1:7080", false, 100_000, list);
 	}
 
 	private static ClientMessage tokenReport(int teams) {
@@ -126,7 +135,7 @@
 		List<ClientMessage.WorkerReport> reports = IntStream.range(0, workers)
 			.mapToObj(MessageSizes::workerReport)
 			.toList();
-		return new ClientMessage.WorkerReports(4_711, reports);
+		return new ClientMessage.WorkerReports(4_711, 1, 4_711, 900, reports, List.of(), List.of());
 	}
 
 	private static ClientMessage.WorkerReport workerReport(int worker) {
--- a/burdockpin-codec/src/main/thrift/peer.thrift
+++ b/burdockpin-codec/src/main/thrift/peer.thrift
@@ -21,18 +21,34 @@
   5: i64 serviceMillis,
 }
 
-/** What the sender can take, sent every 200 ms. */
+/** What the sender can take. Sent first on a connection and from time to time. */
 struct PeerStatus {
+  /** number of the status, grows within a life of the sender */
+  1: i64 number,
   /** where it stands */
-  1: string dataCentre,
+  2: string dataCentre,
   /** where it takes announcements, ip:port */
-  2: string httpAddress,
+  3: string httpAddress,
   /** whether it takes no new work */
-  3: bool stopping,
+  4: bool stopping,
   /** index of the configuration in force there */
-  4: i64 configurationIndex,
+  5: i64 configurationIndex,
   /** its queues with attached runners */
-  5: list<QueueStatus> queues,
+  6: list<QueueStatus> queues,
+}
+
+/** What has changed in what the sender can take, sent every 200 ms otherwise. */
+struct PeerStatusChange {
+  /** number of the status; the change applies only to the one before it */
+  1: i64 number,
+  /** whether it takes no new work */
+  2: bool stopping,
+  /** index of the configuration in force there */
+  3: i64 configurationIndex,
+  /** queues whose numbers have changed */
+  4: list<QueueStatus> queues,
+  /** queues without attached runners */
+  5: list<string> removed,
 }
 
 /** Asks for one attempt of a request. */
@@ -123,6 +139,7 @@
   6: KeyWithdrawnAcknowledged keyWithdrawnAcknowledged,
   7: AskConfiguration askConfiguration,
   8: ConfigurationKnown configurationKnown,
+  9: PeerStatusChange peerStatusChange,
 }
 
 /** One frame. */
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftPeerCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftPeerCodecTests.java
@@ -26,7 +26,10 @@
 class ThriftPeerCodecTests {
 
 	private static final List<PeerMessage> MESSAGES = List.of(
-			new PeerMessage.PeerStatus(new DataCentre("dc-1"), "127.1.0.2:80", true, 7,
+			new PeerMessage.PeerStatusChange(4, true, 7,
+					List.of(new PeerMessage.QueueStatus(new QueueName("quotes"), 8, 3, 2, 40)),
+					List.of(new QueueName("orders"))),
+			new PeerMessage.PeerStatus(3, new DataCentre("dc-1"), "127.1.0.2:80", true, 7,
 					List.of(new PeerMessage.QueueStatus(new QueueName("quotes"), 8, 3, 2, 40))),
 			new PeerMessage.ForwardRequest(Long.MAX_VALUE, new QueueName("quotes"),
 					Optional.of(new TeamName("detailers")), new RequestId("1-a"), 250, "text/plain",
--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
@@ -20,15 +20,16 @@
 public sealed interface PeerMessage {
 
 	/**
-	 * What the sender can take, sent every 200 ms.
+	 * What the sender can take. Sent first on a connection and from time to time.
 	 *
+	 * @param number number of the status, grows within a life of the sender
 	 * @param dataCentre where it stands
 	 * @param httpAddress where it takes announcements, {@code ip:port}
 	 * @param stopping whether it takes no new work
 	 * @param configurationIndex index of the configuration in force there
 	 * @param queues its queues with attached runners
 	 */
-	record PeerStatus(DataCentre dataCentre, String httpAddress, boolean stopping, long configurationIndex,
+	record PeerStatus(long number, DataCentre dataCentre, String httpAddress, boolean stopping, long configurationIndex,
 			List<QueueStatus> queues) implements PeerMessage {
 
 		public PeerStatus {
@@ -37,6 +38,25 @@
 
 	}
 
+	/**
+	 * What has changed in what the sender can take, sent every 200 ms otherwise.
+	 *
+	 * @param number number of the status; the change applies only to the one before it
+	 * @param stopping whether it takes no new work
+	 * @param configurationIndex index of the configuration in force there
+	 * @param queues queues whose numbers have changed
+	 * @param removed queues without attached runners
+	 */
+	record PeerStatusChange(long number, boolean stopping, long configurationIndex, List<QueueStatus> queues,
+			List<QueueName> removed) implements PeerMessage {
+
+		public PeerStatusChange {
+			queues = List.copyOf(queues);
+			removed = List.copyOf(removed);
+		}
+
+	}
+
 	/**
 	 * What an entry host can take for one queue.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 
 import io.burdockpin.core.membership.PeerMessage.PeerStatus;
+import io.burdockpin.core.membership.PeerMessage.PeerStatusChange;
 import io.burdockpin.core.membership.PeerMessage.QueueStatus;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
@@ -51,8 +52,8 @@
 	 * @param incarnation its life
 	 * @param status the status
 	 * @param nowMillis the current time
-	 * @return {@code false} if the sender is not in the settings or the status comes from
-	 * an earlier life of it
+	 * @return {@code false} if the sender is not in the settings or the status is not
+	 * newer than the last one
 	 */
 	public boolean statusReceived(HostName host, long incarnation, PeerStatus status, long nowMillis) {
 		Peer peer = this.peers.get(host);
@@ -63,12 +64,32 @@
 			peer.incarnation = incarnation;
 			peer.confirmedKeys.clear();
 		}
-		peer.status = Optional.of(status);
-		peer.heardMillis = nowMillis;
-		peer.statusCount++;
+		else if (peer.status.filter((known) -> known.number() >= status.number()).isPresent()) {
+			return false;
+		}
+		peer.heard(status, nowMillis);
 		return true;
 	}
 
+	/**
+	 * Takes note of a change of a status.
+	 * @param host the sender
+	 * @param incarnation its life
+	 * @param change the change
+	 * @param nowMillis the current time
+	 * @return {@code false} if the change does not apply to the last status, so that the
+	 * next whole one is needed
+	 */
+	public boolean statusChanged(HostName host, long incarnation, PeerStatusChange change, long nowMillis) {
+		Peer peer = this.peers.get(host);
+		boolean applies = peer != null && incarnation == peer.incarnation
+				&& peer.status.filter((status) -> status.number() + 1 == change.number()).isPresent();
+		if (applies) {
+			peer.heard(changed(peer.status.get(), change), nowMillis);
+		}
+		return applies;
+	}
+
 	/**
 	 * Takes note of whether requests can be sent to a peer.
 	 * @param host the peer
@@ -168,6 +189,15 @@
 		return peer.connected && isLive(peer.info.host(), nowMillis) && !peer.status.get().stopping();
 	}
 
+	private static PeerStatus changed(PeerStatus status, PeerStatusChange change) {
+		Map<QueueName, QueueStatus> queues = new TreeMap<>();
+		status.queues().forEach((queue) -> queues.put(queue.queue(), queue));
+		change.queues().forEach((queue) -> queues.put(queue.queue(), queue));
+		change.removed().forEach(queues::remove);
+		return new PeerStatus(change.number(), status.dataCentre(), status.httpAddress(), change.stopping(),
+				change.configurationIndex(), List.copyOf(queues.values()));
+	}
+
 	private static final class Peer {
 
 		private final PeerInfo info;
@@ -188,6 +218,12 @@
 			this.info = info;
 		}
 
+		private void heard(PeerStatus newStatus, long nowMillis) {
+			this.status = Optional.of(newStatus);
+			this.heardMillis = nowMillis;
+			this.statusCount++;
+		}
+
 		private Map<QueueName, PeerLoad> loads() {
 			Map<QueueName, PeerLoad> loads = new TreeMap<>();
 			for (QueueStatus queue : this.status.get().queues()) {
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
@@ -0,0 +1,118 @@
+package io.burdockpin.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.membership.PeerMessage.PeerStatus;
+import io.burdockpin.core.membership.PeerMessage.PeerStatusChange;
+import io.burdockpin.core.membership.PeerMessage.QueueStatus;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.routing.PeerLoad;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a peer whose numbers are out of date but count as heard. */
+class PeerStatusSenderTests {
+
+	private static final PeerInfo SELF = info("e1");
+
+	private static final PeerInfo PEER = info("e2");
+
+	private final PeerTable table = new PeerTable(SELF, List.of(PEER), 1000);
+
+	private final PeerStatusSender sender = new PeerStatusSender();
+
+	@Test
+	void onlyQueuesWithOtherNumbersAreSentAfterTheFirstStatus() {
+		QueueStatus quiet = queue(1, 2, 100);
+		this.sender.next(status(List.of(quiet, queue(2, 2, 100))), 0);
+		PeerStatusChange change = (PeerStatusChange) this.sender.next(status(List.of(quiet, queue(2, 1, 100))), 200);
+		Truth.assertThat(change.queues()).containsExactly(queue(2, 1, 100));
+		PeerStatusChange next = (PeerStatusChange) this.sender.next(status(List.of(queue(2, 1, 109))), 400);
+		Truth.assertThat(next.queues()).isEmpty();
+		Truth.assertThat(next.removed()).containsExactly(quiet.queue());
+	}
+
+	@Test
+	void aNewConnectionBeginsWithAWholeStatus() {
+		Truth.assertThat(this.sender.next(status(List.of(queue(1, 2, 100))), 0)).isInstanceOf(PeerStatus.class);
+		this.sender.connected();
+		Truth.assertThat(this.sender.next(status(List.of(queue(1, 2, 100))), 200)).isInstanceOf(PeerStatus.class);
+	}
+
+	@Test
+	void aPeerThatCountsAsHeardHasItsNewestNumbersOverLostAndRepeatedFramesAndNewConnections() {
+		int heardCount = 0;
+		for (long seed = 1; seed <= 20; seed++) {
+			heardCount += run(RandomGeneratorFactory.of("L64X128MixRandom").create(seed), seed * 1_000_000);
+		}
+		Truth.assertThat(heardCount).isGreaterThan(1_000);
+	}
+
+	private int run(RandomGenerator random, long startMillis) {
+		int heardCount = 0;
+		this.table.linkChanged(PEER.host(), true);
+		this.sender.connected();
+		for (int step = 0; step < 1_000; step++) {
+			long nowMillis = startMillis + step * 200L;
+			if (random.nextInt(100) == 0) {
+				this.sender.connected();
+			}
+			List<QueueStatus> queues = new ArrayList<>();
+			for (int number = 0; number < 4; number++) {
+				if (random.nextInt(10) != 0) {
+					queues.add(queue(number, random.nextInt(3), 100));
+				}
+			}
+			PeerMessage message = this.sender.next(status(queues), nowMillis);
+			int copies = (random.nextInt(20) != 0) ? 1 : 2 * random.nextInt(2);
+			boolean heard = false;
+			for (int copy = 0; copy < copies; copy++) {
+				heard |= receive(message, nowMillis);
+			}
+			if (heard) {
+				heardCount++;
+				Truth.assertThat(freeSlots(nowMillis)).isEqualTo(freeSlots(queues));
+			}
+		}
+		return heardCount;
+	}
+
+	private boolean receive(PeerMessage message, long nowMillis) {
+		return (message instanceof PeerStatus whole) ? this.table.statusReceived(PEER.host(), 1, whole, nowMillis)
+				: this.table.statusChanged(PEER.host(), 1, (PeerStatusChange) message, nowMillis);
+	}
+
+	private Map<QueueName, Integer> freeSlots(long nowMillis) {
+		Map<QueueName, Integer> free = new TreeMap<>();
+		for (Map.Entry<QueueName, List<PeerLoad>> entry : this.table.view(nowMillis).loads().entrySet()) {
+			free.put(entry.getKey(), entry.getValue().get(0).freeSlots());
+		}
+		return free;
+	}
+
+	private static Map<QueueName, Integer> freeSlots(List<QueueStatus> queues) {
+		Map<QueueName, Integer> free = new TreeMap<>();
+		queues.forEach((queue) -> free.put(queue.queue(), queue.freeSlots()));
+		return free;
+	}
+
+	private static PeerStatus status(List<QueueStatus> queues) {
+		return new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), false, 1, queues);
+	}
+
+	private static QueueStatus queue(int number, int freeSlots, long serviceMillis) {
+		return new QueueStatus(new QueueName("queue-" + number), 2, freeSlots, 0, serviceMillis);
+	}
+
+	private static PeerInfo info(String name) {
+		return new PeerInfo(new HostName(name), new DataCentre("dc-1"), name + ":80");
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
@@ -27,6 +27,8 @@
 
 	private static final PeerInfo FAR = info("e3", "dc-2");
 
+	private long statusNumber;
+
 	private final PeerTable table = new PeerTable(SELF, List.of(NEAR, FAR), 1000);
 
 	@Test
@@ -97,8 +99,9 @@
 
 	private boolean hear(PeerInfo peer, long incarnation, boolean stopping, long nowMillis) {
 		this.table.linkChanged(peer.host(), true);
-		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(peer.dataCentre(), peer.httpAddress(),
-				stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))), nowMillis);
+		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(this.statusNumber++,
+				peer.dataCentre(), peer.httpAddress(), stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))),
+				nowMillis);
 	}
 
 	private static PeerInfo info(String name, String dataCentre) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -13,6 +13,7 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.membership.PeerEnvelope;
 import io.burdockpin.core.membership.PeerMessage;
+import io.burdockpin.core.membership.PeerStatusSender;
 import io.burdockpin.core.membership.PeerTable;
 import io.burdockpin.core.membership.PeerView;
 import io.burdockpin.core.model.DataCentre;
@@ -64,6 +65,8 @@
 
 	private final Map<HostName, ActorRef<LinkCommand<PeerEnvelope>>> sessions = new HashMap<>();
 
+	private final Map<HostName, PeerStatusSender> statusSenders = new HashMap<>();
+
 	private final Map<Long, Forwarded> forwards = new HashMap<>();
 
 	private final List<Withdrawal> withdrawals = new ArrayList<>();
@@ -224,6 +227,7 @@
 		HostName host = new HostName(event.link());
 		if (event instanceof LinkEvent.Connected<PeerEnvelope> connected) {
 			this.sessions.put(host, connected.session());
+			this.statusSenders.computeIfAbsent(host, (name) -> new PeerStatusSender()).connected();
 			this.table.linkChanged(host, true);
 			send(host, new PeerMessage.AskConfiguration(this.configuration.index()));
 			sendUnconfirmedKeys(host);
@@ -257,6 +261,9 @@
 		if (message instanceof PeerMessage.PeerStatus status) {
 			onStatus(sender, status);
 		}
+		else if (message instanceof PeerMessage.PeerStatusChange change) {
+			onStatusChange(sender, change);
+		}
 		else if (message instanceof PeerMessage.ForwardRequest request) {
 			this.router.tell(new RouterCommand.TakeForwarded(request, sender,
 					new ForwardReply(getContext().getSelf(), received.session())));
@@ -301,11 +308,11 @@
 	}
 
 	private Behavior<PeerCommand> onStatusKnown(PeerCommand.StatusKnown command) {
-		PeerMessage.PeerStatus status = new PeerMessage.PeerStatus(this.identity.self().dataCentre(),
+		PeerMessage.PeerStatus status = new PeerMessage.PeerStatus(0, this.identity.self().dataCentre(),
 				this.identity.self().httpAddress(), command.status().stopping(), command.status().configurationIndex(),
 				command.status().queues());
 		for (HostName host : this.sessions.keySet()) {
-			send(host, status);
+			send(host, this.statusSenders.get(host).next(status, this.identity.nowMillis()));
 			sendUnconfirmedKeys(host);
 		}
 		return this;
@@ -317,6 +324,12 @@
 		}
 	}
 
+	private void onStatusChange(Holder sender, PeerMessage.PeerStatusChange change) {
+		if (this.table.statusChanged(sender.host(), sender.incarnation(), change, this.identity.nowMillis())) {
+			publish();
+		}
+	}
+
 	private Behavior<PeerCommand> onSubscribe(PeerCommand.Subscribe command) {
 		this.subscribers.add(command.subscriber());
 		return this;
