Send only teams whose tokens changed in reports and grants

Cause: token reports and grants named all 110 teams each second, 26 bytes a team each way, 40 KB/s at the leader at the two-year size. Ruled out: changing wallet or allocator, whose argument for the limit rests on whole reports and grants; a separate acknowledgement of reports. Change: HolderMessages and LeaderMessages shorten messages to the difference to the last answered report and its grants, and complete them again; wallet and allocator see the same whole messages as before. A report is whole unless the one before it was answered, and every 30 s; a leader without the base does not answer, so the next report is whole. Conclusion: lossless, so the limit rests on the same argument as before.

--- a/burdockpin-codec/src/main/thrift/client.thrift
+++ b/burdockpin-codec/src/main/thrift/client.thrift
@@ -316,8 +316,15 @@
   4: i64 seenTerm,
   /** number of the report that those grants answered */
   5: i64 seenSequence,
-  /** one for each team with tokens or demand */
+  /** one for each team with tokens or demand, or with other numbers than in the base */
   6: list<TokenUsage> usages,
+  /**
+   * number of the answered report that this one only names the differences to, 0 if it is
+   * whole
+   */
+  7: i64 baseSequence,
+  /** teams of the base that have neither tokens nor demand any more */
+  8: list<string> removed,
 }
 
 /** The tokens of one team. */
@@ -348,8 +355,15 @@
   3: i64 sequence,
   /** how long the leased tokens stay valid after the report was sent */
   4: i64 leaseMillis,
-  /** one for each team */
+  /** one for each team, or for each with other numbers than in the base */
   5: list<TokenGrant> grants,
+  /**
+   * number of the report whose applied answer these grants only name the differences to, 0
+   * if they are whole
+   */
+  6: i64 baseSequence,
+  /** teams of the base without a grant */
+  7: list<string> removed,
 }
 
 /** What a worker says about a job. */
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -11,7 +11,9 @@
 import io.burdockpin.control.replica.MonotonicClock;
 import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.limit.LeaderMessages;
 import io.burdockpin.core.limit.TokenAllocator;
 import io.burdockpin.core.limit.TokenSettings;
 import io.burdockpin.core.limit.TokenView;
@@ -69,6 +71,8 @@
 
 	private Optional<TokenAllocator> allocator = Optional.empty();
 
+	private LeaderMessages messages = new LeaderMessages();
+
 	private boolean roundRunning;
 
 	private TokenPlannerActor(ActorContext<Message> context, TimerScheduler<Message> timers, TokenSettings settings,
@@ -136,8 +140,11 @@
 		}
 		TokenAllocator current = allocatorOf(records.term());
 		long nowMillis = this.clock.nowMillis();
+		TokenView view = view(records);
+		this.messages.retain(view);
+		completePlanned();
 		this.planned.forEach((report) -> current.report(report.report(), nowMillis));
-		List<Command> commands = current.plan(view(records), nowMillis);
+		List<Command> commands = current.plan(view, nowMillis);
 		if (commands.isEmpty()) {
 			return onRecordsToAnswer(new RecordsToAnswer(records));
 		}
@@ -165,10 +172,24 @@
 		}
 		TokenView view = view(records);
 		long nowMillis = this.clock.nowMillis();
-		this.planned.forEach((report) -> report.replyTo().tell(leading.get().answer(report.report(), view, nowMillis)));
+		for (ReportArrived arrivedReport : this.planned) {
+			TokenReport report = arrivedReport.report();
+			TokenGrants grants = leading.get().answer(report, view, nowMillis);
+			arrivedReport.replyTo().tell(this.messages.shorten(report, grants));
+		}
 		return endRound();
 	}
 
+	// A report whose base is not known gets no answer, so the holder sends a whole one.
+	private void completePlanned() {
+		List<ReportArrived> arrived = List.copyOf(this.planned);
+		this.planned.clear();
+		for (ReportArrived report : arrived) {
+			this.messages.complete(report.report())
+				.ifPresent((whole) -> this.planned.add(new ReportArrived(whole, report.replyTo())));
+		}
+	}
+
 	// The entry hosts find the new leader and report to it. The allocator stays, because
 	// its pending reductions may still be applied in the same term.
 	private Behavior<Message> onRecordsMissing() {
@@ -185,6 +206,7 @@
 	private TokenAllocator allocatorOf(long term) {
 		if (this.allocator.filter((current) -> current.term() == term).isEmpty()) {
 			this.allocator = Optional.of(new TokenAllocator(this.settings, term, this.clock.nowMillis()));
+			this.messages = new LeaderMessages();
 			logger.atInfo().log("Divides limits in term %d.", term);
 		}
 		return this.allocator.get();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
@@ -197,13 +197,32 @@
 	 * @param seenTerm term of the newest {@link TokenGrants} that the holder applied, 0
 	 * if none
 	 * @param seenSequence number of the report that those grants answered
-	 * @param usages one for each team with tokens or demand
+	 * @param baseSequence number of the answered report that this one only names the
+	 * differences to, 0 if it is whole
+	 * @param usages one for each team with tokens or demand, or with other numbers than
+	 * in the base
+	 * @param removed teams of the base that have neither tokens nor demand any more
 	 */
 	record TokenReport(long correlation, Holder holder, long sequence, long seenTerm, long seenSequence,
-			List<TokenUsage> usages) implements ClientMessage {
+			long baseSequence, List<TokenUsage> usages, List<TeamName> removed) implements ClientMessage {
 
 		public TokenReport {
 			usages = List.copyOf(usages);
+			removed = List.copyOf(removed);
+		}
+
+		/**
+		 * Creates a whole report.
+		 * @param correlation number of the message
+		 * @param holder the reporting life
+		 * @param sequence number of the report
+		 * @param seenTerm term of the newest {@link TokenGrants} that the holder applied
+		 * @param seenSequence number of the report that those grants answered
+		 * @param usages one for each team with tokens or demand
+		 */
+		public TokenReport(long correlation, Holder holder, long sequence, long seenTerm, long seenSequence,
+				List<TokenUsage> usages) {
+			this(correlation, holder, sequence, seenTerm, seenSequence, 0, usages, List.of());
 		}
 
 		/**
@@ -223,7 +242,7 @@
 		 */
 		public TokenReport withCorrelation(long newCorrelation) {
 			return new TokenReport(newCorrelation, this.holder, this.sequence, this.seenTerm, this.seenSequence,
-					this.usages);
+					this.baseSequence, this.usages, this.removed);
 		}
 
 	}
@@ -248,13 +267,30 @@
 	 * @param sequence number of the report it answers; a holder ignores grants that do
 	 * not answer its newest report
 	 * @param leaseMillis how long the leased tokens stay valid after the report was sent
-	 * @param grants one for each team
+	 * @param baseSequence number of the report whose applied answer these grants only
+	 * name the differences to, 0 if they are whole
+	 * @param grants one for each team, or for each with other numbers than in the base
+	 * @param removed teams of the base without a grant
 	 */
-	record TokenGrants(long correlation, long term, long sequence, long leaseMillis,
-			List<TokenGrant> grants) implements ClientMessage {
+	record TokenGrants(long correlation, long term, long sequence, long leaseMillis, long baseSequence,
+			List<TokenGrant> grants, List<TeamName> removed) implements ClientMessage {
 
 		public TokenGrants {
 			grants = List.copyOf(grants);
+			removed = List.copyOf(removed);
+		}
+
+		/**
+		 * Creates whole grants.
+		 * @param correlation number of the message it answers
+		 * @param term term of the leader
+		 * @param sequence number of the report it answers
+		 * @param leaseMillis how long the leased tokens stay valid after the report was
+		 * sent
+		 * @param grants one for each team
+		 */
+		public TokenGrants(long correlation, long term, long sequence, long leaseMillis, List<TokenGrant> grants) {
+			this(correlation, term, sequence, leaseMillis, 0, grants, List.of());
 		}
 
 		/**
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderMessages.java
@@ -0,0 +1,85 @@
+package io.burdockpin.core.limit;
+
+import java.util.Optional;
+
+import io.burdockpin.core.client.ClientMessage.TokenGrant;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.client.ClientMessage.TokenUsage;
+
+/**
+ * Shortens the reports of a holder to what has changed since one that the leader has
+ * answered, and completes the grants. Nothing is lost by it: the leader sees the same
+ * reports and the wallet the same grants as if all were sent whole. Mutable, owned by the
+ * owner of the wallet.
+ * <p>
+ * A report is whole unless the one before it was answered, so a new leader, which does
+ * not know the base and therefore does not answer, gets the next one whole.
+ */
+public final class HolderMessages {
+
+	/**
+	 * Bounds how long a fault in the shortened reports could last. Fewer than one report
+	 * in thirty is whole for it.
+	 */
+	private static final long WHOLE_MILLIS = 30_000;
+
+	private Optional<TokenReport> newest = Optional.empty();
+
+	private Optional<TokenGrants> applied = Optional.empty();
+
+	private long wholeMillis;
+
+	/**
+	 * Shortens a report.
+	 * @param whole the report as the wallet wrote it
+	 * @param nowMillis the current time
+	 * @return the report to send
+	 */
+	public TokenReport shorten(TokenReport whole, long nowMillis) {
+		Optional<TokenReport> base = this.newest.filter((before) -> isAnswered(before) && !isWholeDue(nowMillis));
+		this.newest = Optional.of(whole);
+		if (base.isEmpty()) {
+			this.wholeMillis = nowMillis;
+			return whole;
+		}
+		Difference<TokenUsage> difference = Difference.between(base.get().usages(), whole.usages(), TokenUsage::team);
+		return new TokenReport(whole.correlation(), whole.holder(), whole.sequence(), whole.seenTerm(),
+				whole.seenSequence(), base.get().sequence(), difference.changed(), difference.removed());
+	}
+
+	/**
+	 * Completes grants.
+	 * @param received the grants as they arrived
+	 * @return the whole grants, or nothing if they do not fit what was applied before
+	 */
+	public Optional<TokenGrants> complete(TokenGrants received) {
+		if (received.baseSequence() == 0) {
+			return Optional.of(received);
+		}
+		Difference<TokenGrant> difference = new Difference<>(received.grants(), received.removed());
+		return this.applied
+			.filter((base) -> base.term() == received.term() && base.sequence() == received.baseSequence())
+			.map((base) -> new TokenGrants(received.correlation(), received.term(), received.sequence(),
+					received.leaseMillis(), difference.appliedTo(base.grants(), TokenGrant::team)));
+	}
+
+	/**
+	 * Takes note that the wallet has applied grants.
+	 * @param whole the whole grants
+	 */
+	public void applied(TokenGrants whole) {
+		this.applied = Optional.of(whole);
+	}
+
+	// helpers
+
+	private boolean isAnswered(TokenReport report) {
+		return this.applied.filter((grants) -> grants.sequence() == report.sequence()).isPresent();
+	}
+
+	private boolean isWholeDue(long nowMillis) {
+		return nowMillis - this.wholeMillis >= WHOLE_MILLIS;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/LeaderMessages.java
@@ -0,0 +1,91 @@
+package io.burdockpin.core.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import io.burdockpin.core.client.ClientMessage.TokenGrant;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.client.ClientMessage.TokenUsage;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.state.HolderRecord;
+
+/**
+ * Completes the reports of holders and shortens the grants for them while one member
+ * leads in one term. Mutable, owned by one actor; a new term needs a new one.
+ */
+public final class LeaderMessages {
+
+	private final Map<Holder, TreeMap<Long, TokenReport>> reports = new HashMap<>();
+
+	private final Map<Holder, TreeMap<Long, Optional<TokenGrants>>> answers = new HashMap<>();
+
+	/**
+	 * Completes a report.
+	 * @param received the report as it arrived
+	 * @return the whole report, or nothing if its base is not known, so that it must not
+	 * be answered
+	 */
+	public Optional<TokenReport> complete(TokenReport received) {
+		TreeMap<Long, TokenReport> known = this.reports.computeIfAbsent(received.holder(), (holder) -> new TreeMap<>());
+		Optional<TokenReport> whole = whole(received, known);
+		whole.ifPresent((report) -> {
+			known.put(report.sequence(), report);
+			// A holder names no base that is older than one it has named.
+			known.headMap(Math.min(received.seenSequence(), report.sequence())).clear();
+		});
+		return whole;
+	}
+
+	/**
+	 * Shortens grants.
+	 * @param report the whole report that they answer
+	 * @param whole the grants as the allocator wrote them
+	 * @return the grants to send
+	 */
+	public TokenGrants shorten(TokenReport report, TokenGrants whole) {
+		TreeMap<Long, Optional<TokenGrants>> known = this.answers.computeIfAbsent(report.holder(),
+				(holder) -> new TreeMap<>());
+		known.headMap(report.seenSequence()).clear();
+		Optional<TokenGrants> base = known.getOrDefault(report.seenSequence(), Optional.empty())
+			.filter((grants) -> report.seenTerm() == grants.term());
+		// When a report is answered twice the holder may have applied either answer.
+		known.merge(report.sequence(), Optional.of(whole),
+				(first, second) -> first.equals(second) ? first : Optional.empty());
+		return base.map((grants) -> shortened(whole, grants)).orElse(whole);
+	}
+
+	/**
+	 * Forgets the holders that are not registered.
+	 * @param view the replicated records
+	 */
+	public void retain(TokenView view) {
+		Set<Holder> registered = view.holders().stream().map(HolderRecord::holder).collect(Collectors.toSet());
+		this.reports.keySet().retainAll(registered);
+		this.answers.keySet().retainAll(registered);
+	}
+
+	// helpers
+
+	private static Optional<TokenReport> whole(TokenReport received, Map<Long, TokenReport> known) {
+		if (received.baseSequence() == 0) {
+			return Optional.of(received);
+		}
+		Difference<TokenUsage> difference = new Difference<>(received.usages(), received.removed());
+		return Optional.ofNullable(known.get(received.baseSequence()))
+			.map((base) -> new TokenReport(received.correlation(), received.holder(), received.sequence(),
+					received.seenTerm(), received.seenSequence(),
+					difference.appliedTo(base.usages(), TokenUsage::team)));
+	}
+
+	private static TokenGrants shortened(TokenGrants whole, TokenGrants base) {
+		Difference<TokenGrant> difference = Difference.between(base.grants(), whole.grants(), TokenGrant::team);
+		return new TokenGrants(whole.correlation(), whole.term(), whole.sequence(), whole.leaseMillis(),
+				base.sequence(), difference.changed(), difference.removed());
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
@@ -56,6 +56,8 @@
 
 	final Map<TeamName, Integer> limits = new TreeMap<>();
 
+	int shortenedCount;
+
 	private final RandomGenerator random;
 
 	private final TokenFault fault;
@@ -238,12 +240,20 @@
 			return;
 		}
 		TokenReport report = host.wallet.report(localMillis);
+		TokenReport message = host.messages.shorten(report, localMillis);
 		host.lastSequence = report.sequence();
-		send(host, leader, () -> reported(host, leader, report));
+		send(host, leader, () -> reported(host, leader, message, report));
 	}
 
-	private void reported(SimulatedHost host, Leader leader, TokenReport report) {
+	private void reported(SimulatedHost host, Leader leader, TokenReport message, TokenReport sent) {
 		if (leads(leader)) {
+			Optional<TokenReport> completed = leader.messages.complete(message);
+			if (completed.isEmpty()) {
+				return;
+			}
+			TokenReport report = completed.get();
+			Truth.assertThat(report).isEqualTo(sent);
+			this.shortenedCount += (message.baseSequence() != 0) ? 1 : 0;
 			leader.allocator.report(report, leader.localMillis(this.nowMillis));
 			round(leader);
 			at(commitMillis(), () -> answer(host, leader, report));
@@ -254,17 +264,25 @@
 		if (leads(leader)) {
 			refresh(leader);
 			TokenGrants grants = leader.allocator.answer(report, leader.view, leader.localMillis(this.nowMillis));
-			send(host, leader, () -> deliver(host, report.holder(), grants));
+			TokenGrants message = leader.messages.shorten(report, grants);
+			send(host, leader, () -> deliver(host, report.holder(), message, grants));
 		}
 	}
 
-	private void deliver(SimulatedHost host, Holder addressee, TokenGrants grants) {
-		if (!host.holder.equals(addressee)) {
+	private void deliver(SimulatedHost host, Holder addressee, TokenGrants message, TokenGrants sent) {
+		Optional<TokenGrants> completed = host.messages.complete(message);
+		if (!host.holder.equals(addressee) || completed.isEmpty()) {
 			return;
 		}
+		TokenGrants grants = completed.get();
 		TokenGrants applied = (this.fault != TokenFault.STALE_GRANTS_APPLIED) ? grants
 				: new TokenGrants(0, grants.term(), host.lastSequence, grants.leaseMillis(), grants.grants());
-		host.wallet.granted(applied);
+		if (host.wallet.granted(applied)) {
+			if (this.fault != TokenFault.STALE_GRANTS_APPLIED) {
+				Truth.assertThat(grants).isEqualTo(sent);
+			}
+			host.messages.applied(grants);
+		}
 	}
 
 	private void round(Leader leader) {
@@ -297,9 +315,16 @@
 		boolean cut = this.cutOff.contains(host.dataCentre) != this.cutOff.contains(leader.home);
 		if (!cut && this.random.nextDouble() >= this.lossFraction) {
 			at((this.random.nextInt(20) != 0) ? 1 + this.random.nextInt(100) : this.random.nextInt(6_000), action);
+			if (this.random.nextDouble() < this.repeatFraction()) {
+				at(this.random.nextInt(6_000), action);
+			}
 		}
 	}
 
+	private double repeatFraction() {
+		return (this.lossFraction > 0) ? 0.05 : 0;
+	}
+
 	private void at(long delayMillis, Runnable action) {
 		this.events.add(new Event(this.nowMillis + delayMillis, this.eventNumber++, action));
 	}
@@ -338,6 +363,8 @@
 
 		private final TokenAllocator allocator;
 
+		private final LeaderMessages messages = new LeaderMessages();
+
 		private TokenView view;
 
 		private long endMillis = Long.MAX_VALUE;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedHost.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedHost.java
@@ -17,6 +17,8 @@
 
 	TokenWallet wallet;
 
+	HolderMessages messages;
+
 	boolean registered;
 
 	long lastSequence;
@@ -33,6 +35,7 @@
 	void restart(long incarnation) {
 		this.holder = new Holder(this.name, incarnation);
 		this.wallet = new TokenWallet(this.holder);
+		this.messages = new HolderMessages();
 		this.registered = false;
 		this.lastSequence = 0;
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenLimitTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenLimitTests.java
@@ -91,6 +91,7 @@
 			disturb(fleet, random);
 			nearLimit += (fleet.runningOf(BOOKING) >= 30) ? 1 : 0;
 		}
+		Truth.assertWithMessage("reports that were sent shortened").that(fleet.shortenedCount).isGreaterThan(100);
 		return nearLimit;
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -12,6 +12,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.limit.HolderMessages;
 import io.burdockpin.core.limit.TokenWallet;
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.TokenCommand.RegisterHolder;
@@ -50,6 +51,8 @@
 
 	private final TokenWallet wallet;
 
+	private final HolderMessages messages = new HolderMessages();
+
 	private final List<ActorRef<TokenEvent>> subscribers = new ArrayList<>();
 
 	private boolean registered;
@@ -153,7 +156,7 @@
 		this.reportPending = false;
 		if (command.result() instanceof CallResult.Answered answered
 				&& answered.message() instanceof ClientMessage.TokenGrants grants) {
-			this.wallet.granted(grants);
+			this.messages.complete(grants).filter(this.wallet::granted).ifPresent(this.messages::applied);
 			tellAvailable();
 		}
 		return this;
@@ -198,7 +201,8 @@
 	}
 
 	private LongFunction<ClientMessage> tokenReport() {
-		return this.wallet.report(this.identity.nowMillis())::withCorrelation;
+		long nowMillis = this.identity.nowMillis();
+		return this.messages.shorten(this.wallet.report(nowMillis), nowMillis)::withCorrelation;
 	}
 
 	private void tellAvailable() {
