--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -194,14 +194,6 @@
 		return this.authority.orElseThrow();
 	}
 
-	/**
-	 * Returns the folder of settings, logs and data.
-	 * @return the folder
-	 */
-	public Path folder() {
-		return this.folder;
-	}
-
 	/**
 	 * Returns the fault proxies.
 	 * @return the links
