Fill the metrics of runners, tokens, attempts and late answers

Cause: RUNNERS, TOKENS, ATTEMPTS and LATE_ANSWERS were declared and never recorded by an entry host.

Ruled out: recording the gauges on a timer. They are read when /metrics is asked for, so an idle entry host does nothing for them.

Change: the metrics of the process are created by the guardian. The router counts attempts on its own runners, the connections to runners and the peer actor count answers to attempts that are over; /metrics asks the router and the token actor for their counts.

A request forwarded to another entry host counts as an attempt there.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
@@ -72,6 +72,22 @@
 		return (int) this.uses.values().stream().filter((use) -> use.team().equals(team)).count();
 	}
 
+	/**
+	 * Counts the tokens of each team that has some.
+	 * @param nowMillis the current time
+	 * @return the counts by team name
+	 */
+	public List<TokenCount> counts(long nowMillis) {
+		Set<TeamName> teams = new TreeSet<>(this.purses.keySet());
+		this.uses.values().forEach((use) -> teams.add(use.team()));
+		List<TokenCount> counts = new ArrayList<>();
+		for (TeamName team : teams) {
+			int ownedCount = purse(team).ownedCount();
+			counts.add(new TokenCount(team, ownedCount, heldCount(team, nowMillis) - ownedCount, inUseCount(team)));
+		}
+		return counts;
+	}
+
 	/**
 	 * Tells whether requests wait for tokens.
 	 * @return {@code true} if there is demand
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerHealth.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerHealth.java
@@ -115,6 +115,16 @@
 		return nowMillis >= entry.setAsideUntilMillis && !entry.trialRunning;
 	}
 
+	/**
+	 * Tells whether a runner is set aside.
+	 * @param runner the runner
+	 * @return whether it gets trial requests only
+	 */
+	public boolean isSetAside(RunnerName runner) {
+		Entry entry = this.entries.get(runner);
+		return entry != null && entry.state != State.IN_USE;
+	}
+
 	/**
 	 * Returns the median service time of a runner.
 	 * @param runner the runner
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.routing;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -175,6 +176,31 @@
 		return queues;
 	}
 
+	/**
+	 * Counts the attached runners.
+	 * @return the counts by queue and state, without those that are 0
+	 */
+	public List<RunnerCount> counts() {
+		Map<QueueName, Map<RunnerState, Integer>> counts = new TreeMap<>();
+		for (Attachment attachment : this.attachments.values()) {
+			counts.computeIfAbsent(attachment.runner.queue(), (queue) -> new EnumMap<>(RunnerState.class))
+				.merge(state(attachment.runner), 1, Integer::sum);
+		}
+		List<RunnerCount> list = new ArrayList<>();
+		counts.forEach(
+				(queue, byState) -> byState.forEach((state, count) -> list.add(new RunnerCount(queue, state, count))));
+		return list;
+	}
+
+	/**
+	 * Returns the queue of an attempt that uses a slot.
+	 * @param attempt number of the attempt
+	 * @return the queue, or nothing if the attempt uses no slot of an own runner
+	 */
+	public Optional<QueueName> queueOf(long attempt) {
+		return Optional.ofNullable(this.usesByAttempt.get(attempt)).map(Use::queue);
+	}
+
 	/**
 	 * Returns the attached runners.
 	 * @return the newest announcements
@@ -246,6 +272,13 @@
 				&& health(queue).mayTake(attachment.runner.name(), nowMillis);
 	}
 
+	private RunnerState state(Runner runner) {
+		if (runner.leaving()) {
+			return RunnerState.LEAVING;
+		}
+		return health(runner.queue()).isSetAside(runner.name()) ? RunnerState.SET_ASIDE : RunnerState.IN_SERVICE;
+	}
+
 	private int freeSlots(Attachment attachment, long nowMillis) {
 		int inUse = slotsInUse(attachment.runner.name()) + attachment.foreignUse(nowMillis);
 		return Math.max(0, attachment.runner.capacity() - inUse);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -32,6 +32,7 @@
 import io.burdockpin.entry.worker.WorkerCommand;
 import io.burdockpin.entry.worker.WorkerSessions;
 import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.StartException;
@@ -77,20 +78,22 @@
 		this.eventLog = spawnEventLog(identity, settings);
 		this.events = new EventRecorder(identity, this.eventLog);
 		this.events.record(this.events.event(EventKind.PROCESS_STARTED));
+		MetricRegistry metrics = new MetricRegistry();
 		ActorRef<ControlCommand> control = spawn(ControlSupervisor.create(identity, settings.members(),
 				new ThriftClientCodec(), settings.dataFolder().map(Path::of), new ThriftPeerCodec()), "control");
 		this.tokens = spawn(TokenActor.create(identity, settings.timing().tokenReportMillis(), control), "tokens");
 		this.router = spawn(RouterActor.create(identity, settings, control, this.tokens, random,
-				new EventRecorder(identity, this.eventLog)), "router");
+				new EventRecorder(identity, this.eventLog), metrics), "router");
 		ActorRef<PeerCommand> peers = spawn(
-				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), this.router, control), "peers");
+				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), this.router, control, metrics),
+				"peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(), control),
 				"workers");
 		ActorRef<OperatorCommand> operators = spawn(
 				OperatorSupervisor.create(settings.timing().proposalMillis(), control, this.router, peers),
 				"operators");
-		Actors actors = new Actors(context.getSystem(), this.router, control, this.workers, operators);
-		this.http = spawn(CallerHttp.create(actors, identity, settings), "http");
+		Actors actors = new Actors(context.getSystem(), this.router, this.tokens, control, this.workers, operators);
+		this.http = spawn(CallerHttp.create(actors, identity, settings, metrics), "http");
 		peers.tell(
 				new PeerCommand.Subscribe(context.messageAdapter(PeerView.class, (view) -> new PeersPublished(view))));
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -58,14 +58,13 @@
 
 	private Optional<ServerBinding> binding = Optional.empty();
 
-	private CallerHttp(ActorContext<HttpCommand> context, Actors actors, EntryIdentity identity,
-			EntrySettings settings) {
+	private CallerHttp(ActorContext<HttpCommand> context, Actors actors, EntryIdentity identity, EntrySettings settings,
+			MetricRegistry metrics) {
 		super(context);
 		JsonBodies json = new JsonBodies();
 		this.materializer = Materializer.createMaterializer(context);
 		HttpBodies bodies = new HttpBodies(this.materializer);
 		this.responses = new Responses(json);
-		MetricRegistry metrics = new MetricRegistry();
 		long proposalMillis = settings.timing().proposalMillis();
 		this.endpoints = List.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits(), metrics),
 				new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
@@ -85,10 +84,12 @@
 	 * @param actors the actors that requests are passed to
 	 * @param identity the own process
 	 * @param settings the settings
+	 * @param metrics the metrics of the process
 	 * @return the behavior
 	 */
-	public static Behavior<HttpCommand> create(Actors actors, EntryIdentity identity, EntrySettings settings) {
-		return Behaviors.setup((context) -> new CallerHttp(context, actors, identity, settings));
+	public static Behavior<HttpCommand> create(Actors actors, EntryIdentity identity, EntrySettings settings,
+			MetricRegistry metrics) {
+		return Behaviors.setup((context) -> new CallerHttp(context, actors, identity, settings, metrics));
 	}
 
 	@Override
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/StatusEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/StatusEndpoint.java
@@ -2,15 +2,20 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 
+import io.burdockpin.core.limit.TokenCount;
 import io.burdockpin.core.membership.PeerMessage.QueueStatus;
+import io.burdockpin.core.routing.RunnerCount;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.router.RouterCommand;
 import io.burdockpin.entry.router.RouterCommand.RouterStatus;
+import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.runtime.http.HealthReport;
 import io.burdockpin.runtime.http.ProgramRoutes;
 import io.burdockpin.runtime.metric.Metric;
@@ -46,10 +51,10 @@
 			return Optional.empty();
 		}
 		if (segments.get(0).equals("metrics")) {
-			return Optional.of(status().thenCompose((status) -> {
-				update(status);
+			return Optional.of(status().thenCombine(tokens(), (status, tokens) -> {
+				update(status, tokens);
 				return this.routes.handle(request).orElseThrow();
-			}));
+			}).thenCompose(Function.identity()));
 		}
 		return this.routes.handle(request);
 	}
@@ -59,6 +64,11 @@
 				(ActorRef<RouterStatus> replyTo) -> new RouterCommand.ReportStatus(replyTo), TIMEOUT);
 	}
 
+	private CompletionStage<TokenCommand.Counts> tokens() {
+		return this.actors.ask(this.actors.tokens(),
+				(ActorRef<TokenCommand.Counts> replyTo) -> new TokenCommand.ReportCounts(replyTo), TIMEOUT);
+	}
+
 	private HealthReport report(RouterStatus status) {
 		boolean ready = status.configured() && !status.stopping();
 		return new HealthReport(true, ready, details(status));
@@ -75,12 +85,24 @@
 		return details;
 	}
 
-	private void update(RouterStatus status) {
+	private void update(RouterStatus status, TokenCommand.Counts tokens) {
 		this.metrics.record(Metric.CONFIGURATION_INDEX, status.configurationIndex());
 		for (QueueStatus queue : status.queues()) {
 			this.metrics.record(Metric.QUEUE_LENGTH, queue.waiting(), queue.queue().value());
 			this.metrics.record(Metric.FREE_SLOTS, queue.freeSlots(), queue.queue().value());
 		}
+		// Queues, states and teams come and go.
+		this.metrics.clear(Metric.RUNNERS);
+		for (RunnerCount runners : status.runners()) {
+			this.metrics.record(Metric.RUNNERS, runners.count(), runners.queue().value(),
+					runners.state().name().toLowerCase(Locale.ROOT));
+		}
+		this.metrics.clear(Metric.TOKENS);
+		for (TokenCount team : tokens.teams()) {
+			this.metrics.record(Metric.TOKENS, team.ownedCount(), team.team().value(), "owned");
+			this.metrics.record(Metric.TOKENS, team.leasedCount(), team.team().value(), "leased");
+			this.metrics.record(Metric.TOKENS, team.inUseCount(), team.team().value(), "in_use");
+		}
 	}
 
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -29,6 +29,8 @@
 import io.burdockpin.entry.router.RouterCommand;
 import io.burdockpin.runtime.link.LinkCommand;
 import io.burdockpin.runtime.link.LinkEvent;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.StartException;
 import org.apache.pekko.Done;
@@ -72,15 +74,16 @@
 
 	private ConfigurationView configuration = ConfigurationView.EMPTY;
 
-	private long droppedAnswerCount;
+	private final MetricRegistry metrics;
 
 	private PeerActor(ActorContext<PeerCommand> context, EntryIdentity identity, EntrySettings settings,
-			ActorRef<RouterCommand> router, ActorRef<ControlCommand> control) {
+			ActorRef<RouterCommand> router, ActorRef<ControlCommand> control, MetricRegistry metrics) {
 		super(context);
 		this.identity = identity;
 		this.table = new PeerTable(identity.self(), settings.peerInfos(), settings.timing().peerSilentMillis());
 		this.router = router;
 		this.control = control;
+		this.metrics = metrics;
 		control.tell(new ControlCommand.Subscribe(
 				context.messageAdapter(ConfigurationEvent.class, PeerCommand.ConfigurationHappened::new)));
 	}
@@ -88,11 +91,11 @@
 	// life cycle
 
 	static Behavior<PeerCommand> create(EntryIdentity identity, EntrySettings settings, ActorRef<RouterCommand> router,
-			ActorRef<ControlCommand> control) {
+			ActorRef<ControlCommand> control, MetricRegistry metrics) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(PeerCommand.Tick.INSTANCE, Duration.ZERO,
 					Duration.ofMillis(settings.timing().peerStatusMillis()));
-			return new PeerActor(context, identity, settings, router, control);
+			return new PeerActor(context, identity, settings, router, control, metrics);
 		}));
 	}
 
@@ -138,9 +141,8 @@
 		boolean expected = forwarded != null && forwarded.host().equals(host)
 				&& answer.senderIncarnation() == this.identity.holder().incarnation();
 		if (!expected) {
-			this.droppedAnswerCount++;
-			logger.atFine()
-				.log("Dropped an answer for unknown attempt %d, %d so far.", answer.attempt(), this.droppedAnswerCount);
+			this.metrics.increment(Metric.LATE_ANSWERS);
+			logger.atFine().log("Dropped an answer for unknown attempt %d.", answer.attempt());
 			return;
 		}
 		this.forwards.remove(answer.attempt());
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerSupervisor.java
@@ -16,6 +16,7 @@
 import io.burdockpin.runtime.link.LinkListener;
 import io.burdockpin.runtime.link.LinkSettings;
 import io.burdockpin.runtime.link.OutboundLink;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.ChildFailed;
@@ -34,9 +35,10 @@
 	private final ActorRef<PeerCommand> peers;
 
 	private PeerSupervisor(ActorContext<PeerCommand> context, EntryIdentity identity, EntrySettings settings,
-			FrameCodec<PeerEnvelope> codec, ActorRef<RouterCommand> router, ActorRef<ControlCommand> control) {
+			FrameCodec<PeerEnvelope> codec, ActorRef<RouterCommand> router, ActorRef<ControlCommand> control,
+			MetricRegistry metrics) {
 		super(context);
-		this.peers = context.spawn(PeerActor.create(identity, settings, router, control), "peers");
+		this.peers = context.spawn(PeerActor.create(identity, settings, router, control, metrics), "peers");
 		// Its forwarded requests would be lost by a restart.
 		context.watch(this.peers);
 		spawnListener(settings.peerAddress(), codec);
@@ -52,11 +54,14 @@
 	 * @param codec the protocol
 	 * @param router takes forwarded requests
 	 * @param control takes configurations of other entry hosts
+	 * @param metrics counts late answers
 	 * @return the behavior
 	 */
 	public static Behavior<PeerCommand> create(EntryIdentity identity, EntrySettings settings,
-			FrameCodec<PeerEnvelope> codec, ActorRef<RouterCommand> router, ActorRef<ControlCommand> control) {
-		return Behaviors.setup((context) -> new PeerSupervisor(context, identity, settings, codec, router, control));
+			FrameCodec<PeerEnvelope> codec, ActorRef<RouterCommand> router, ActorRef<ControlCommand> control,
+			MetricRegistry metrics) {
+		return Behaviors
+			.setup((context) -> new PeerSupervisor(context, identity, settings, codec, router, control, metrics));
 	}
 
 	@Override
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -45,6 +45,8 @@
 import io.burdockpin.entry.router.OpenRequests.Running;
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.token.TokenEvent;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -78,6 +80,8 @@
 
 	private final EventRecorder events;
 
+	private final MetricRegistry metrics;
+
 	private final Admission admission;
 
 	private final ActorRef<RunnerConnections.Command> connections;
@@ -112,7 +116,7 @@
 
 	private RouterActor(ActorContext<RouterCommand> context, EntryIdentity identity, EntrySettings settings,
 			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
-			EventRecorder events) {
+			EventRecorder events, MetricRegistry metrics) {
 		super(context);
 		this.identity = identity;
 		this.settings = settings;
@@ -120,12 +124,14 @@
 		this.tokens = tokens;
 		this.random = random;
 		this.events = events;
+		this.metrics = metrics;
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
 		long longestMillis = settings.limits().timeoutMillis();
 		RunnerConnector connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis),
 				settings.limits().answerBytes());
-		this.connections = context
-			.spawn(RunnerConnections.create(identity, connector, settings.timing().runnerIdleMillis()), "connections");
+		this.connections = context.spawn(
+				RunnerConnections.create(identity, connector, settings.timing().runnerIdleMillis(), metrics),
+				"connections");
 		// The router cannot work without it and fails with it.
 		context.watch(this.connections);
 		this.runners = new RunnerTable(
@@ -147,14 +153,15 @@
 	 * @param tokens owns the tokens
 	 * @param random breaks ties and spreads pauses
 	 * @param events records events
+	 * @param metrics counts attempts and late answers
 	 * @return the behavior
 	 */
 	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
 			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
-			EventRecorder events) {
+			EventRecorder events, MetricRegistry metrics) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
-			return new RouterActor(context, identity, settings, control, tokens, random, events);
+			return new RouterActor(context, identity, settings, control, tokens, random, events, metrics);
 		}));
 	}
 
@@ -333,6 +340,8 @@
 		this.events.record(this.events.event(EventKind.ATTEMPT_ENDED)
 			.with(EventField.ATTEMPT, command.attempt())
 			.with(EventField.OUTCOME, command.outcome()));
+		this.runners.queueOf(command.attempt())
+			.ifPresent((queue) -> this.metrics.increment(Metric.ATTEMPTS, queue.value(), command.outcome().name()));
 		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
 		if (this.attemptsWithToken.remove(command.attempt())) {
 			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
@@ -524,7 +533,7 @@
 		}
 		command.replyTo()
 			.tell(new RouterCommand.RouterStatus(this.admission.isConfigured(), this.admission.configuration().index(),
-					this.stopping, this.openRequests.count(), queues));
+					this.stopping, this.openRequests.count(), queues, this.runners.counts()));
 		return this;
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -17,6 +17,7 @@
 import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.QueuedRequest;
 import io.burdockpin.core.routing.Runner;
+import io.burdockpin.core.routing.RunnerCount;
 import io.burdockpin.core.routing.Target;
 import io.burdockpin.entry.control.ConfigurationEvent;
 import io.burdockpin.entry.peer.PeerCommand;
@@ -208,12 +209,14 @@
 	 * @param stopping whether no new work is taken
 	 * @param requestCount requests in flight
 	 * @param queues what the queues can take
+	 * @param runners the attached runners
 	 */
 	record RouterStatus(boolean configured, long configurationIndex, boolean stopping, int requestCount,
-			List<QueueStatus> queues) {
+			List<QueueStatus> queues, List<RunnerCount> runners) {
 
 		public RouterStatus {
 			queues = List.copyOf(queues);
+			runners = List.copyOf(runners);
 		}
 
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
@@ -13,6 +13,8 @@
 import io.burdockpin.core.retry.AttemptResult;
 import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.RunnerLife;
+import io.burdockpin.runtime.metric.Metric;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -56,6 +58,8 @@
 
 	private final Materializer materializer;
 
+	private final MetricRegistry metrics;
+
 	private final ActorRef<RunnerConnections.Command> owner;
 
 	private final BoundedSourceQueue<HttpRequest> requests;
@@ -67,12 +71,14 @@
 	private boolean closed;
 
 	private RunnerConnection(ActorContext<Command> context, TimerScheduler<Command> timers, RunnerConnector connector,
-			RunnerLife life, Materializer materializer, ActorRef<RunnerConnections.Command> owner) {
+			RunnerLife life, Materializer materializer, MetricRegistry metrics,
+			ActorRef<RunnerConnections.Command> owner) {
 		super(context);
 		this.timers = timers;
 		this.connector = connector;
 		this.life = life;
 		this.materializer = materializer;
+		this.metrics = metrics;
 		this.owner = owner;
 		ActorRef<Command> self = context.getSelf();
 		Pair<Pair<Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<OutgoingConnection>>, UniqueKillSwitch>, CompletionStage<Done>> stream = Source
@@ -93,9 +99,9 @@
 	// life cycle
 
 	static Behavior<Command> create(RunnerConnector connector, RunnerLife life, Materializer materializer,
-			ActorRef<RunnerConnections.Command> owner) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new RunnerConnection(context, timers, connector, life, materializer, owner)));
+			MetricRegistry metrics, ActorRef<RunnerConnections.Command> owner) {
+		return Behaviors.setup((context) -> Behaviors.withTimers(
+				(timers) -> new RunnerConnection(context, timers, connector, life, materializer, metrics, owner)));
 	}
 
 	@Override
@@ -189,9 +195,10 @@
 		return response.getHeader("Connection").filter((header) -> header.value().contains("close")).isPresent();
 	}
 
-	private static AttemptReport judge(RunnerCall call, HttpResponse response) {
+	private AttemptReport judge(RunnerCall call, HttpResponse response) {
 		Optional<String> attempt = header(response, BurdockHeader.ATTEMPT);
 		if (!attempt.equals(Optional.of(Long.toString(call.attempt())))) {
+			this.metrics.increment(Metric.LATE_ANSWERS);
 			return broken(ErrorCode.UPSTREAM_FAILED, "the answer belongs to another attempt");
 		}
 		int status = response.status().intValue();
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnections.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnections.java
@@ -8,6 +8,7 @@
 import io.burdockpin.core.routing.IdleConnections;
 import io.burdockpin.core.routing.RunnerLife;
 import io.burdockpin.entry.EntryIdentity;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -29,26 +30,30 @@
 
 	private final RunnerConnector connector;
 
+	private final MetricRegistry metrics;
+
 	private final Materializer materializer;
 
 	private final IdleConnections<ActorRef<RunnerConnection.Command>> idle;
 
 	private RunnerConnections(ActorContext<Command> context, EntryIdentity identity, RunnerConnector connector,
-			long idleMillis) {
+			long idleMillis, MetricRegistry metrics) {
 		super(context);
 		this.identity = identity;
 		this.connector = connector;
+		this.metrics = metrics;
 		this.materializer = Materializer.createMaterializer(context);
 		this.idle = new IdleConnections<>(idleMillis);
 	}
 
 	// life cycle
 
-	static Behavior<Command> create(EntryIdentity identity, RunnerConnector connector, long idleMillis) {
+	static Behavior<Command> create(EntryIdentity identity, RunnerConnector connector, long idleMillis,
+			MetricRegistry metrics) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(Sweep.INSTANCE,
 					Duration.ofMillis(Math.max(1, idleMillis / SWEEPS_PER_IDLE_TIME)));
-			return new RunnerConnections(context, identity, connector, idleMillis);
+			return new RunnerConnections(context, identity, connector, idleMillis, metrics);
 		}));
 	}
 
@@ -105,8 +110,8 @@
 	// helpers
 
 	private ActorRef<RunnerConnection.Command> open(RunnerLife life) {
-		return getContext()
-			.spawnAnonymous(RunnerConnection.create(this.connector, life, this.materializer, getContext().getSelf()));
+		return getContext().spawnAnonymous(
+				RunnerConnection.create(this.connector, life, this.materializer, this.metrics, getContext().getSelf()));
 	}
 
 	private void closeAll(List<ActorRef<RunnerConnection.Command>> connections) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -89,6 +89,7 @@
 			.onMessage(TokenCommand.Hold.class, (command) -> this)
 			.onMessage(TokenCommand.Demand.class, this::onDemand)
 			.onMessage(TokenCommand.Subscribe.class, this::onSubscribe)
+			.onMessage(TokenCommand.ReportCounts.class, this::onReportCounts)
 			.onMessage(TokenCommand.Drain.class, this::onDrain)
 			.onMessage(TokenCommand.Registered.class, this::onRegistered)
 			.onMessage(TokenCommand.ReportEnded.class, this::onReportEnded)
@@ -123,6 +124,11 @@
 		return this;
 	}
 
+	private Behavior<TokenCommand> onReportCounts(TokenCommand.ReportCounts command) {
+		command.replyTo().tell(new TokenCommand.Counts(this.wallet.counts(this.identity.nowMillis())));
+		return this;
+	}
+
 	private Behavior<TokenCommand> onTick() {
 		this.wallet.expire(this.identity.nowMillis());
 		tellAvailable();
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenCommand.java
@@ -1,8 +1,10 @@
 package io.burdockpin.entry.token;
 
+import java.util.List;
 import java.util.Map;
 
 import io.burdockpin.core.client.CallResult;
+import io.burdockpin.core.limit.TokenCount;
 import io.burdockpin.core.model.TeamName;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -63,6 +65,28 @@
 
 	}
 
+	/**
+	 * Asks for the tokens of each team.
+	 *
+	 * @param replyTo gets them
+	 */
+	record ReportCounts(ActorRef<Counts> replyTo) implements TokenCommand {
+
+	}
+
+	/**
+	 * Reply to {@link ReportCounts}.
+	 *
+	 * @param teams the tokens by team
+	 */
+	record Counts(List<TokenCount> teams) {
+
+		public Counts {
+			teams = List.copyOf(teams);
+		}
+
+	}
+
 	/**
 	 * Gives all tokens back before the process ends.
 	 *
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
@@ -18,6 +18,7 @@
 import io.burdockpin.core.routing.RunnerLife;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.fake.FakeRunner;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -49,7 +50,7 @@
 			new EntryIdentity(new Holder(new HostName("entry-1"), 7),
 					new PeerInfo(new HostName("entry-1"), new DataCentre("dc-1"), "127.41.1.2:1"),
 					() -> Instant.ofEpochMilli(this.nowMillis.get())),
-			new RunnerConnector(this.kit.system(), Duration.ofSeconds(60), 1024), IDLE_MILLIS));
+			new RunnerConnector(this.kit.system(), Duration.ofSeconds(60), 1024), IDLE_MILLIS, new MetricRegistry()));
 
 	private long lastAttempt;
 
