--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -35,6 +35,7 @@
 import io.burdockpin.runtime.link.LinkSettings;
 import io.burdockpin.runtime.link.LinkTransport;
 import io.burdockpin.runtime.link.TlsLinkTransport;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.service.StartException;
@@ -87,20 +88,22 @@
 			.withTransport(tls.<LinkTransport>map(TlsLinkTransport::new).orElse(LinkTransport.PLAIN));
 		tls.ifPresent((current) -> context.spawn(CertificateWatch.create(current), "certificate-watch",
 				DispatcherSelector.blocking()));
+		MetricRegistry metrics = new MetricRegistry();
 		ActorRef<ControlCommand> control = spawn(ControlSupervisor.create(identity, settings.members(),
 				new ThriftClientCodec(), links, settings.dataFolder().map(Path::of), new ThriftPeerCodec()), "control");
 		this.tokens = spawn(TokenActor.create(identity, settings.timing().tokenReportMillis(), control), "tokens");
 		this.router = spawn(RouterActor.create(identity, settings, control, this.tokens, random,
-				new EventRecorder(identity, this.eventLog)), "router");
+				new EventRecorder(identity, this.eventLog), metrics), "router");
 		ActorRef<PeerCommand> peers = spawn(
-				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), links, this.router, control), "peers");
+				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), links, this.router, control, metrics),
+				"peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(),
 				settings.timing().unchangedWorkerMillis(), control), "workers");
 		ActorRef<OperatorCommand> operators = spawn(
 				OperatorSupervisor.create(settings.timing().proposalMillis(), control, this.router, peers),
 				"operators");
-		Actors actors = new Actors(context.getSystem(), this.router, control, this.workers, operators);
-		this.http = spawn(CallerHttp.create(actors, identity, settings, tls), "http");
+		Actors actors = new Actors(context.getSystem(), this.router, this.tokens, control, this.workers, operators);
+		this.http = spawn(CallerHttp.create(actors, identity, settings, tls, metrics), "http");
 		peers.tell(
 				new PeerCommand.Subscribe(context.messageAdapter(PeerView.class, (view) -> new PeersPublished(view))));
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -62,13 +62,12 @@
 	private Optional<ServerBinding> binding = Optional.empty();
 
 	private CallerHttp(ActorContext<HttpCommand> context, Actors actors, EntryIdentity identity, EntrySettings settings,
-			Optional<CurrentTls> tls) {
+			Optional<CurrentTls> tls, MetricRegistry metrics) {
 		super(context);
 		JsonBodies json = new JsonBodies();
 		this.materializer = Materializer.createMaterializer(context);
 		HttpBodies bodies = new HttpBodies(this.materializer);
 		this.responses = new Responses(json);
-		MetricRegistry metrics = new MetricRegistry();
 		long proposalMillis = settings.timing().proposalMillis();
 		this.endpoints = List.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits(), metrics),
 				new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
@@ -89,11 +88,12 @@
 	 * @param identity the own process
 	 * @param settings the settings
 	 * @param tls certificates of the process; callers use plain HTTP without it
+	 * @param metrics the metrics of the process
 	 * @return the behavior
 	 */
 	public static Behavior<HttpCommand> create(Actors actors, EntryIdentity identity, EntrySettings settings,
-			Optional<CurrentTls> tls) {
-		return Behaviors.setup((context) -> new CallerHttp(context, actors, identity, settings, tls));
+			Optional<CurrentTls> tls, MetricRegistry metrics) {
+		return Behaviors.setup((context) -> new CallerHttp(context, actors, identity, settings, tls, metrics));
 	}
 
 	@Override
