Let a leader whose disk hangs give up its leadership

Cause: a leader whose sync never ended went on leading. Its own votes and acknowledgements were held, and with a second member down nothing was committed until an operator stopped it.

Ruled out: ending the process after a time (a sync that ends late is sound, and a restart costs a recovery); measuring the length of each sync (a long queue on a slow disk would count as hanging).

Change: WriteWatch follows one pending write at a time. A leader whose watched write is pending for hangingWriteMillis (1500) hands over, and steps down if nobody takes over. No member stands while its disk hangs. The default and one election stay below the 3 s in which urgent work starts.

Conclusion: a hanging disk costs one leadership, not the service.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -37,6 +37,8 @@
  * @param electionTimeoutMaximumMillis longest time without a leader before an election
  * (default 1000)
  * @param snapshotEntries entries after which a snapshot is taken (default 4096)
+ * @param hangingWriteMillis time after which a leader whose own write is still pending
+ * gives up its leadership (default 1500)
  * @param confirmationMillis how long a reply waits until the entry hosts have confirmed a
  * configuration change (default 2000)
  * @param eventFileBytes size at which a new event file is started (default 16 MiB)
@@ -50,9 +52,9 @@
 public record ControlSettings(String cluster, String host, String dataCentre, String dataFolder, String memberAddress,
 		String clientAddress, String adminAddress, List<MemberSettings> members, Optional<Integer> heartbeatMillis,
 		Optional<Integer> electionTimeoutMinimumMillis, Optional<Integer> electionTimeoutMaximumMillis,
-		Optional<Integer> snapshotEntries, Optional<Integer> confirmationMillis, Optional<Long> eventFileBytes,
-		Optional<Integer> weightRollout, Optional<Integer> weightMoves, Optional<Integer> weightShare,
-		Optional<Integer> weightBuffer, Optional<TlsSettings> tls) {
+		Optional<Integer> snapshotEntries, Optional<Integer> hangingWriteMillis, Optional<Integer> confirmationMillis,
+		Optional<Long> eventFileBytes, Optional<Integer> weightRollout, Optional<Integer> weightMoves,
+		Optional<Integer> weightShare, Optional<Integer> weightBuffer, Optional<TlsSettings> tls) {
 
 	/** Incarnation of the members of a new cluster. */
 	public static final long FORMATTED_INCARNATION = 1;
@@ -86,6 +88,7 @@
 		electionTimeoutMaximumMillis = withDefault(electionTimeoutMaximumMillis,
 				DEFAULTS.electionTimeoutMaximumMillis());
 		snapshotEntries = withDefault(snapshotEntries, DEFAULTS.snapshotEntries());
+		hangingWriteMillis = withDefault(hangingWriteMillis, DEFAULTS.hangingWriteMillis());
 		confirmationMillis = withDefault(confirmationMillis, DEFAULT_CONFIRMATION_MILLIS);
 		eventFileBytes = withDefault(eventFileBytes, DEFAULT_EVENT_FILE_BYTES);
 		weightRollout = withDefault(weightRollout, DEFAULT_WEIGHT);
@@ -97,7 +100,8 @@
 		Checks.range("heartbeatMillis", heartbeatMillis.get(), 10, 10_000);
 		Checks.range("confirmationMillis", confirmationMillis.get(), 0, 10_000);
 		Checks.range("eventFileBytes", eventFileBytes.get(), 4096, 1L << 40);
-		replicaSettings(heartbeatMillis, electionTimeoutMinimumMillis, electionTimeoutMaximumMillis, snapshotEntries);
+		replicaSettings(heartbeatMillis, electionTimeoutMinimumMillis, electionTimeoutMaximumMillis, snapshotEntries,
+				hangingWriteMillis);
 	}
 
 	// access
@@ -108,7 +112,7 @@
 	 */
 	public ReplicaSettings toReplicaSettings() {
 		return replicaSettings(this.heartbeatMillis, this.electionTimeoutMinimumMillis,
-				this.electionTimeoutMaximumMillis, this.snapshotEntries);
+				this.electionTimeoutMaximumMillis, this.snapshotEntries, this.hangingWriteMillis);
 	}
 
 	/**
@@ -154,11 +158,11 @@
 	// helpers
 
 	private static ReplicaSettings replicaSettings(Optional<Integer> heartbeatMillis, Optional<Integer> minimumMillis,
-			Optional<Integer> maximumMillis, Optional<Integer> snapshotEntries) {
+			Optional<Integer> maximumMillis, Optional<Integer> snapshotEntries, Optional<Integer> hangingWriteMillis) {
 		return new ReplicaSettings(heartbeatMillis.get(), minimumMillis.get(), maximumMillis.get(),
 				snapshotEntries.get(), DEFAULTS.snapshotBytes(),
 				Math.min(DEFAULTS.retainedEntries(), snapshotEntries.get()), DEFAULTS.maximumAppendBytes(),
-				DEFAULTS.snapshotChunkBytes());
+				DEFAULTS.snapshotChunkBytes(), hangingWriteMillis.get());
 	}
 
 	private static void checkDistinct(List<MemberSettings> members) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/admin/AdminHttp.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/admin/AdminHttp.java
@@ -128,6 +128,7 @@
 		details.put("commitIndex", Long.toString(log.commitIndex()));
 		details.put("lastIndex", Long.toString(log.lastIndex()));
 		details.put("configurationIndex", Long.toString(status.configurationIndex()));
+		details.put("diskHangs", Boolean.toString(status.diskHangs()));
 		details.put("stopping", Boolean.toString(this.stopping));
 		return new HealthReport(true, status.majorityReachable() && !this.stopping, details);
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlStatus.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlStatus.java
@@ -13,8 +13,9 @@
  * @param configurationIndex index of the newest configuration change
  * @param subscriberCount subscribers of the configuration feed
  * @param members the members as this one sees them
+ * @param diskHangs whether a write of this member has been pending for too long
  */
 public record ControlStatus(ReplicaStatus replica, boolean majorityReachable, long configurationIndex,
-		int subscriberCount, List<MemberStatus> members) {
+		int subscriberCount, List<MemberStatus> members, boolean diskHangs) {
 
 }
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -89,6 +89,8 @@
 
 	private boolean leads;
 
+	private boolean diskHangs;
+
 	private long nextReadNumber;
 
 	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
@@ -131,9 +133,22 @@
 		this.replica.tick(nowMillis());
 		runEffects();
 		settleConfirmations();
+		reportDisk();
 		return this;
 	}
 
+	private void reportDisk() {
+		boolean hangsNow = this.replica.isDiskHanging(nowMillis());
+		if (hangsNow && !this.diskHangs) {
+			logger.atSevere()
+				.log("The disk hangs: a write has been pending for too long. Will not lead until it ends.");
+		}
+		else if (!hangsNow && this.diskHangs) {
+			logger.atWarning().log("The pending write has ended. May lead again.");
+		}
+		this.diskHangs = hangsNow;
+	}
+
 	private Behavior<ReplicaMessage> onWritten(ReplicaMessage.Written written) {
 		this.replica.written(written.number(), nowMillis());
 		runEffects();
@@ -466,7 +481,8 @@
 	private Behavior<ReplicaMessage> onFetchStatus(ReplicaMessage.FetchStatus command) {
 		command.replyTo()
 			.tell(new ControlStatus(this.replica.status(), this.replica.hasLeaderContact(nowMillis()),
-					this.machine.state().configurationIndex(), this.feed.subscriberCount(), members()));
+					this.machine.state().configurationIndex(), this.feed.subscriberCount(), members(),
+					this.replica.isDiskHanging(nowMillis())));
 		return this;
 	}
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
@@ -22,6 +22,7 @@
 import io.burdockpin.core.consensus.Membership;
 import io.burdockpin.core.consensus.Replica;
 import io.burdockpin.core.consensus.ReplicaSettings;
+import io.burdockpin.core.consensus.Role;
 import io.burdockpin.core.consensus.Snapshot;
 import io.burdockpin.core.event.HybridTimestamp;
 import io.burdockpin.core.model.DataCentre;
@@ -97,6 +98,31 @@
 			.isEqualTo(List.of(new ClientMessage.NotLeader(2, Optional.empty()), new ClientMessage.ProposalUnknown(1)));
 	}
 
+	@Test
+	void aLeaderWhoseDiskHangsGivesUpAndStandsAgainOnlyAfterTheWrite() {
+		TestInbox<ControlStatus> status = TestInbox.create();
+		lead();
+		client(createQueue(1, "first"));
+		run(ReplicaMessage.Timer.TICK);
+		this.nowMillis += ReplicaSettings.DEFAULT.hangingWriteMillis();
+		run(ReplicaMessage.Timer.TICK);
+		Truth.assertThat(replies()).isEqualTo(List.of(new ClientMessage.ProposalUnknown(1)));
+		this.nowMillis += 10_000;
+		run(ReplicaMessage.Timer.TICK);
+		run(new ReplicaMessage.FetchStatus(status.getRef()));
+		ControlStatus hanging = status.receiveMessage();
+		Truth.assertThat(hanging.diskHangs()).isTrue();
+		Truth.assertThat(hanging.replica().role()).isEqualTo(Role.FOLLOWER);
+		sync();
+		this.nowMillis += 10_000;
+		run(ReplicaMessage.Timer.TICK);
+		sync();
+		run(new ReplicaMessage.FetchStatus(status.getRef()));
+		ControlStatus recovered = status.receiveMessage();
+		Truth.assertThat(recovered.diskHangs()).isFalse();
+		Truth.assertThat(recovered.replica().role()).isEqualTo(Role.LEADER);
+	}
+
 	@Test
 	void theReplyWaitsForTheConfirmationOfTheEntryHosts() {
 		lead();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -38,6 +38,9 @@
 
 	private Optional<Transfer> transfer = Optional.empty();
 
+	/** Whether the leadership was offered to another member because the disk hangs. */
+	private boolean offered;
+
 	Leadership(MemberId self, long term, ReplicaSettings settings, ReplicaLog log, Outbox outbox, long nowMillis) {
 		this.self = self;
 		this.term = term;
@@ -167,6 +170,20 @@
 		completeTransfer();
 	}
 
+	/**
+	 * Hands over while the disk hangs.
+	 * @param diskHangs whether the disk hangs now
+	 * @param nowMillis the time
+	 * @return whether nobody could take over, so that this member must step down
+	 */
+	boolean mustLeave(boolean diskHangs, long nowMillis) {
+		if (diskHangs && !this.offered) {
+			handOver(nowMillis);
+		}
+		this.offered = diskHangs;
+		return diskHangs && this.transfer.filter((pending) -> nowMillis < pending.deadlineMillis()).isEmpty();
+	}
+
 	// helpers
 
 	private void updateMembers(long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -26,6 +26,8 @@
 
 	private final ReplicaLog log;
 
+	private final WriteWatch writes;
+
 	private final Set<MemberId> grants = new HashSet<>();
 
 	private Role role = Role.FOLLOWER;
@@ -63,6 +65,7 @@
 		this.term = durable.term();
 		this.votedFor = durable.votedFor();
 		this.log = new ReplicaLog(this.outbox, settings, durable.snapshot(), durable.entries());
+		this.writes = new WriteWatch(settings.hangingWriteMillis());
 		heardFromLeader(nowMillis);
 		this.outbox.add(new Effect.MembershipChanged(this.log.membership()));
 	}
@@ -120,6 +123,16 @@
 			.orElseGet(OptionalLong::empty);
 	}
 
+	/**
+	 * Tells whether a write of this member has been pending for too long. Such a member
+	 * does not stand for election.
+	 * @param nowMillis the time
+	 * @return whether the disk seems to hang
+	 */
+	public boolean isDiskHanging(long nowMillis) {
+		return this.writes.isHanging(this.outbox.syncedNumber(), nowMillis);
+	}
+
 	/**
 	 * Tells whether enough entries were committed since the last snapshot.
 	 * @return whether the owner should call {@link #compact}
@@ -136,7 +149,7 @@
 	 * @param nowMillis the time
 	 */
 	public void tick(long nowMillis) {
-		checkMajorityContact(nowMillis);
+		checkLeadership(nowMillis);
 		this.role.tick(this, nowMillis);
 		settle(nowMillis);
 	}
@@ -147,7 +160,7 @@
 	 * @param nowMillis the time
 	 */
 	public void receive(ConsensusEnvelope envelope, long nowMillis) {
-		checkMajorityContact(nowMillis);
+		checkLeadership(nowMillis);
 		if (!isAcceptable(envelope)) {
 			return;
 		}
@@ -168,8 +181,8 @@
 	 * @param nowMillis the time
 	 */
 	public void written(long number, long nowMillis) {
-		checkMajorityContact(nowMillis);
 		this.outbox.synced(number);
+		checkLeadership(nowMillis);
 		this.log.synced(number);
 		countOwnVote(nowMillis);
 		if (this.leadership.isPresent()) {
@@ -185,7 +198,7 @@
 	 * @return the log index, or nothing if the command was certainly not proposed
 	 */
 	public OptionalLong propose(Payload payload, long nowMillis) {
-		checkMajorityContact(nowMillis);
+		checkLeadership(nowMillis);
 		if (!takesProposals()) {
 			return OptionalLong.empty();
 		}
@@ -201,7 +214,7 @@
 	 * @param nowMillis the time
 	 */
 	public void read(long readNumber, long nowMillis) {
-		checkMajorityContact(nowMillis);
+		checkLeadership(nowMillis);
 		if (this.leadership.isEmpty()) {
 			this.outbox.add(new Effect.ReadRefused(readNumber));
 			return;
@@ -217,7 +230,7 @@
 	 * @return what became of it
 	 */
 	public MembershipVerdict changeMembership(MembershipChange change, Member member, long nowMillis) {
-		checkMajorityContact(nowMillis);
+		checkLeadership(nowMillis);
 		if (!takesProposals()) {
 			return verdict(MembershipVerdict.Kind.NOT_LEADER);
 		}
@@ -244,7 +257,7 @@
 	 * @param nowMillis the time
 	 */
 	public void handOver(long nowMillis) {
-		checkMajorityContact(nowMillis);
+		checkLeadership(nowMillis);
 		this.leadership.ifPresent((leading) -> leading.handOver(nowMillis));
 	}
 
@@ -271,15 +284,20 @@
 		this.leadership.ifPresent((leading) -> leading.tick(nowMillis));
 	}
 
-	private void checkMajorityContact(long nowMillis) {
-		if (this.leadership.filter((leading) -> !leading.hasMajorityContact(nowMillis)).isPresent()) {
+	private void checkLeadership(long nowMillis) {
+		this.writes.observe(this.outbox.issuedNumber(), this.outbox.syncedNumber(), nowMillis);
+		boolean isHanging = isDiskHanging(nowMillis);
+		boolean mustLeave = this.leadership
+			.filter((leading) -> !leading.hasMajorityContact(nowMillis) || leading.mustLeave(isHanging, nowMillis))
+			.isPresent();
+		if (mustLeave) {
 			becomeFollower(this.term, nowMillis);
 		}
 	}
 
 	private void startPreVote(long nowMillis) {
 		restartElectionTimer(nowMillis);
-		if (!this.log.membership().isVoter(this.self)) {
+		if (!this.log.membership().isVoter(this.self) || isDiskHanging(nowMillis)) {
 			return;
 		}
 		this.grants.clear();
@@ -411,7 +429,8 @@
 
 	private void onTimeoutNow(MemberId sender, ConsensusMessage.TimeoutNow message, long nowMillis) {
 		boolean isFromLeader = message.term() == this.term && this.leader.equals(Optional.of(sender));
-		if (isFromLeader && this.role == Role.FOLLOWER && this.log.membership().isVoter(this.self)) {
+		boolean mayStand = this.log.membership().isVoter(this.self) && !isDiskHanging(nowMillis);
+		if (isFromLeader && this.role == Role.FOLLOWER && mayStand) {
 			startElection(true, nowMillis);
 		}
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ReplicaSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/ReplicaSettings.java
@@ -15,13 +15,17 @@
  * behind
  * @param maximumAppendBytes size of the entries of one message
  * @param snapshotChunkBytes size of the parts of a snapshot
+ * @param hangingWriteMillis time after which a leader whose own write is still pending
+ * gives up its leadership; with an election it stays below the 3 s in which urgent work
+ * starts
  */
 public record ReplicaSettings(int heartbeatMillis, int electionTimeoutMinimumMillis, int electionTimeoutMaximumMillis,
-		int snapshotEntries, int snapshotBytes, int retainedEntries, int maximumAppendBytes, int snapshotChunkBytes) {
+		int snapshotEntries, int snapshotBytes, int retainedEntries, int maximumAppendBytes, int snapshotChunkBytes,
+		int hangingWriteMillis) {
 
 	/** The defaults. */
 	public static final ReplicaSettings DEFAULT = new ReplicaSettings(100, 500, 1000, 4096, 8 * 1024 * 1024, 512,
-			1024 * 1024, 64 * 1024);
+			1024 * 1024, 64 * 1024, 1500);
 
 	public ReplicaSettings {
 		Checks.range("heartbeatMillis", heartbeatMillis, 1, 10_000);
@@ -33,6 +37,7 @@
 		Checks.range("retainedEntries", retainedEntries, 0, 1_000_000);
 		Checks.range("maximumAppendBytes", maximumAppendBytes, 1, 2 * 1024 * 1024);
 		Checks.range("snapshotChunkBytes", snapshotChunkBytes, 1, 1024 * 1024);
+		Checks.range("hangingWriteMillis", hangingWriteMillis, 100, 60_000);
 	}
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
@@ -25,7 +25,7 @@
  */
 final class FakeCluster {
 
-	static final ReplicaSettings SETTINGS = new ReplicaSettings(100, 500, 1000, 12, 10_000, 3, 300, 16);
+	static final ReplicaSettings SETTINGS = new ReplicaSettings(100, 500, 1000, 12, 10_000, 3, 300, 16, 1500);
 
 	private static final long TICK_MILLIS = 25;
 
@@ -173,6 +173,10 @@
 		member.frozenUntilMillis = this.nowMillis + millis;
 	}
 
+	void hang(FakeMember member, long millis) {
+		member.diskHangsUntilMillis = this.nowMillis + millis;
+	}
+
 	void cut(HostName from, HostName to) {
 		this.cuts.add(List.of(from, to));
 	}
@@ -340,13 +344,22 @@
 		}
 		else if (!member.syncIsDue) {
 			member.syncIsDue = true;
-			after(this.random.nextInt(this.slowestSyncMillis), () -> whenAwake(member, life, (replica) -> {
-				member.syncIsDue = false;
-				replica.written(member.disk.syncAll(), this.nowMillis);
-			}));
+			after(this.random.nextInt(this.slowestSyncMillis), () -> sync(member, life));
 		}
 	}
 
+	private void sync(FakeMember member, long life) {
+		long hangsMillis = member.diskHangsUntilMillis - this.nowMillis;
+		if (hangsMillis > 0) {
+			after(hangsMillis, () -> sync(member, life));
+			return;
+		}
+		whenAwake(member, life, (replica) -> {
+			member.syncIsDue = false;
+			replica.written(member.disk.syncAll(), this.nowMillis);
+		});
+	}
+
 	private void transmit(FakeMember sender, Effect.Send send) {
 		if (!isAboutANextTerm(send.message())) {
 			sender.shownTerm = Math.max(sender.shownTerm, send.message().term());
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeMember.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeMember.java
@@ -18,6 +18,8 @@
 
 	long frozenUntilMillis;
 
+	long diskHangsUntilMillis;
+
 	long appliedIndex;
 
 	long seenTerm;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/RandomTrouble.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/RandomTrouble.java
@@ -79,6 +79,7 @@
 		this.ended = true;
 		this.cluster.lossPercent = 0;
 		this.cluster.heal();
+		this.cluster.members().forEach((member) -> this.cluster.hang(member, 0));
 		this.cluster.members().forEach(this.cluster::start);
 	}
 
@@ -125,6 +126,13 @@
 			}
 		},
 
+		HANG {
+			@Override
+			void strike(RandomTrouble trouble, FakeCluster cluster, FakeMember member) {
+				cluster.hang(member, cluster.random().nextInt(6000));
+			}
+		},
+
 		CUT_ONE_WAY {
 			@Override
 			void strike(RandomTrouble trouble, FakeCluster cluster, FakeMember member) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -55,6 +55,62 @@
 		Truth.assertThat(resumed.drainEffects()).contains(new Effect.ReadRefused(77));
 	}
 
+	@Test
+	void aLeaderWhoseDiskHangsHandsOverInTimeForUrgentWork() {
+		FakeMember leader = elected();
+		this.cluster.hang(leader, 30_000);
+		this.cluster.propose(leader);
+		this.cluster.runFor(2000);
+		Truth.assertThat(leader.isLeader()).isFalse();
+		FakeMember next = this.cluster.leader().orElseThrow();
+		long committed = this.cluster.invariants().highestCommitted();
+		Truth.assertThat(this.cluster.propose(next)).isTrue();
+		this.cluster.runFor(500);
+		Truth.assertThat(this.cluster.invariants().highestCommitted()).isGreaterThan(committed);
+		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
+	}
+
+	@Test
+	void aLeaderWhoseDiskHangsStepsDownEvenIfNobodyCanTakeOver() {
+		FakeMember leader = elected();
+		this.cluster.members().forEach((member) -> this.cluster.hang(member, 30_000));
+		this.cluster.propose(leader);
+		this.cluster.runFor(
+				FakeCluster.SETTINGS.hangingWriteMillis() + FakeCluster.SETTINGS.electionTimeoutMinimumMillis() + 100);
+		Truth.assertThat(leader.isLeader()).isFalse();
+		Truth.assertThat(this.cluster.propose(leader)).isFalse();
+	}
+
+	@Test
+	void aMemberWhoseDiskHangsStandsAgainOnlyAfterTheWriteHasEnded() {
+		FakeMember leader = elected();
+		this.cluster.members().forEach((member) -> this.cluster.hang(member, 20_000));
+		this.cluster.propose(leader);
+		this.cluster.runFor(5000);
+		for (int step = 0; step < 100; step++) {
+			this.cluster.runFor(100);
+			Truth.assertThat(leader.replica.get().status().role()).isEqualTo(Role.FOLLOWER);
+		}
+		this.cluster.runFor(10_000);
+		Truth.assertThat(leader.replica.get().isDiskHanging(this.cluster.nowMillis())).isFalse();
+		Truth.assertThat(this.cluster.leader().isPresent()).isTrue();
+		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
+	}
+
+	@Test
+	void aLeaderWhoseDiskIsSlowButMakesProgressStays() {
+		this.cluster.slowestSyncMillis = FakeCluster.SETTINGS.hangingWriteMillis() / 3;
+		this.cluster.runFor(10_000);
+		FakeMember leader = this.cluster.leader().orElseThrow();
+		long term = leader.replica.get().status().term();
+		for (int count = 0; count < 400; count++) {
+			this.cluster.propose(leader);
+			this.cluster.runFor(25);
+		}
+		Truth.assertThat(leader.isLeader()).isTrue();
+		Truth.assertThat(leader.replica.get().status().term()).isEqualTo(term);
+	}
+
 	@Test
 	void aHandOverTakesLessThanAnElectionTimeout() {
 		FakeMember leader = elected();
