Check availability budgets in one place

Cause: the maintenance planner (core.maintenance.AvailabilityCheck) and the state machine (core.state.PoolAvailability with DrainCheck) each counted hosts, racks and team capacity on their own, so a change of one could let the planner propose what the state machine rejects.

Ruled out: keeping the check in core.maintenance, because core.state would then depend on a planner package.

The check of the state machine had no test of the minimum capacity of a team; FleetStateTests now has one.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -17,6 +17,7 @@
 import io.burdockpin.core.placement.FleetView;
 import io.burdockpin.core.placement.JobIndex;
 import io.burdockpin.core.placement.RemainingTime;
+import io.burdockpin.core.state.AvailabilityCheck;
 import io.burdockpin.core.state.CampaignRecord;
 import io.burdockpin.core.state.CampaignState;
 import io.burdockpin.core.state.Command;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/AvailabilityCheck.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/AvailabilityCheck.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.maintenance;
+package io.burdockpin.core.state;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,15 +13,11 @@
 import io.burdockpin.core.model.PoolName;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.model.TeamSpec;
-import io.burdockpin.core.state.HostRecord;
-import io.burdockpin.core.state.JobRecord;
-import io.burdockpin.core.state.PoolRecord;
-import io.burdockpin.core.state.TeamRecord;
 
 /**
- * Checks planned stops against the budgets per pool, per failure domain and per team.
- * Used by the planner before it proposes a stop and by the state machine when it applies
- * one. Mutable: stops that are noted count in later checks. Owned by its creator.
+ * Checks planned stops against the budgets per pool, per failure domain and per team. The
+ * planner checks a stop before it proposes it, the state machine when it applies it.
+ * Mutable: stops that are noted count in later checks. Owned by its creator.
  */
 public final class AvailabilityCheck {
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/BudgetRule.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/BudgetRule.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.maintenance;
+package io.burdockpin.core.state;
 
 import java.util.Optional;
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
@@ -171,6 +171,16 @@
 				apply(new ConfigurationCommand.SetHostState(host(3), HostState.DRAINING, ChangeCause.OPERATOR)));
 	}
 
+	@Test
+	void aDrainThatLeavesATeamTooLittleCapacityIsRejected() {
+		accept(new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 1, 2, 4000)));
+		Command drain = new ConfigurationCommand.SetHostState(host(1), HostState.DRAINING, ChangeCause.OPERATOR);
+		accept(new JobCommand.SubmitJob(JOB, job(true)));
+		rejected(ErrorCode.BUDGET_EXCEEDED, apply(drain));
+		accept(new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 1, 2, 3000)));
+		accept(drain);
+	}
+
 	private void endJob(JobId job) {
 		accept(new JobCommand.SubmitJob(job, job(false)));
 		accept(new JobCommand.PlaceJob(job, host(1), 1));
