Let any leader return the hosts that an earlier leader lent

Cause: HostRecord had no home pool. SparePlanner kept loans in memory, so a new leader left lent hosts where they were. A loan was also three commands (drain, move, return to service), and a leader lost between them left the host draining for ever.

Ruled out: a flag on MoveHost, because an operator's move must not be undone by a planner.

Change: HostRecord.homePool (optional, Thrift field 5) names the spare pool that lent the host. LendHost and ReturnHost move an idle host in service in one command, with the same budget check as before. MoveHost clears the home pool. A pool with lent hosts cannot be deleted. SparePlanner reads the home pool and waits the full idle time after a change of leader.

Conclusion: lent hosts return under every leader. Hosts that were lent before the update count as not lent and stay until an operator moves them.

--- a/burdockpin-codec/src/main/thrift/state.thrift
+++ b/burdockpin-codec/src/main/thrift/state.thrift
@@ -140,6 +140,20 @@
   3: bool force,
 }
 
+/** Moves an idle host in service from its spare pool to another pool until it returns. */
+struct LendHost {
+  /** the host */
+  1: string host,
+  /** the pool that borrows it */
+  2: string pool,
+}
+
+/** Moves a lent, idle host in service back to its home pool. */
+struct ReturnHost {
+  /** the host */
+  1: string host,
+}
+
 /** Removes a host that runs no jobs. */
 struct RemoveHost {
   /** the host */
@@ -267,6 +281,8 @@
   13: CreateQueue createQueue,
   14: UpdateQueue updateQueue,
   15: DeleteQueue deleteQueue,
+  16: LendHost lendHost,
+  17: ReturnHost returnHost,
 }
 
 /** What a team submits. Sizes and run times are the team's own estimates. */
@@ -568,6 +584,8 @@
   3: HostState state,
   /** grows with each change */
   4: i64 version,
+  /** the spare pool that has lent it, unset if it is not lent; files of earlier versions have none */
+  5: optional string homePool,
 }
 
 /** A team in the replicated state. */
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftCodecTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.codec.thrift.impl;
 
 import java.util.Arrays;
+import java.util.Base64;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
@@ -18,8 +19,10 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.PoolName;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.FleetSnapshot;
+import io.burdockpin.core.state.HostRecord;
 import io.burdockpin.core.state.Proposal;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +33,10 @@
 
 	private static final int SAMPLES = 20;
 
+	/** One spare pool with one host, written by the version before the home pool. */
+	private static final String SNAPSHOT_WITHOUT_HOME_POOL = "FgQWDhwWBBkcGAZvZmZpY2UcFQAV0A8V0A8AERYCABkcHBgId29y"
+			+ "a2VyLTEYBGRjLTEYBnJhY2stMRwV0A8V0A8VAAAAGAZvZmZpY2UVAhYEABkMGQwZDAAZDBkMGQwZDBkMGQwA";
+
 	private final ThriftProposalCodec proposals = new ThriftProposalCodec();
 
 	private final ThriftFleetSnapshotCodec snapshots = new ThriftFleetSnapshotCodec();
@@ -117,6 +124,15 @@
 		assertDecodeFails(new byte[0]);
 	}
 
+	/** Guards against a new field that older snapshots and log entries do not have. */
+	@Test
+	void aSnapshotFromBeforeTheHomePoolLoadsWithItsHostAtHome() {
+		FleetSnapshot snapshot = this.snapshots.decode(Base64.getDecoder().decode(SNAPSHOT_WITHOUT_HOME_POOL));
+		HostRecord host = snapshot.configuration().hosts().get(0);
+		Truth.assertThat(host.pool()).isEqualTo(new PoolName("office"));
+		Truth.assertThat(host.homePool()).isEqualTo(Optional.empty());
+	}
+
 	@Test
 	void deeplyNestedUnknownFieldsDoNotOverflowTheStack() {
 		byte[] bytes = new byte[1024 * 1024];
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/SparePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/SparePlanner.java
@@ -15,7 +15,6 @@
 import io.burdockpin.core.model.PoolName;
 import io.burdockpin.core.placement.FleetView;
 import io.burdockpin.core.placement.JobIndex;
-import io.burdockpin.core.state.ChangeCause;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.core.state.HostRecord;
@@ -26,14 +25,14 @@
  * Lends idle hosts of spare pools to pools whose jobs wait for room, and returns them
  * once they are idle there. Mutable, owned by one actor.
  * <p>
- * The records do not say where a lent host came from. A new leader therefore leaves hosts
- * that its predecessor lent where they are, until an operator moves them.
+ * The host record names the home pool of a lent host, so any leader returns it. A new
+ * leader first waits until the host has been idle for the full time.
  */
 public final class SparePlanner {
 
 	private final MaintenanceSettings settings;
 
-	private final Map<HostName, Loan> loans = new HashMap<>();
+	private final Map<HostName, Long> neededMillis = new HashMap<>();
 
 	private final Map<PoolName, Long> shortSinceMillis = new HashMap<>();
 
@@ -47,9 +46,9 @@
 
 	// life cycle
 
-	/** Forgets all loans, as a new leader does. */
+	/** Forgets when hosts were needed, as a new leader does. */
 	public void restart() {
-		this.loans.clear();
+		this.neededMillis.clear();
 		this.shortSinceMillis.clear();
 	}
 
@@ -110,50 +109,32 @@
 			.findFirst();
 		if (neediest.isPresent() && spare.isPresent()) {
 			HostName host = spare.get().spec().name();
-			this.loans.put(host, new Loan(spare.get().pool(), nowMillis));
 			this.shortSinceMillis.put(neediest.get(), nowMillis);
-			commands.addAll(move(host, neediest.get()));
+			commands.add(new ConfigurationCommand.LendHost(host, neediest.get()));
 		}
 	}
 
 	private void returnIdle(FleetView view, JobIndex jobs, Map<PoolName, Integer> waiting, long nowMillis,
 			List<Command> commands) {
+		Set<HostName> lent = new HashSet<>();
 		for (HostRecord host : view.hosts()) {
-			Loan loan = this.loans.get(host.spec().name());
-			if (loan == null || loan.home().equals(host.pool())) {
+			if (host.homePool().isEmpty()) {
 				continue;
 			}
-			if (!isIdle(host, jobs) || waiting.containsKey(host.pool())) {
-				this.loans.put(host.spec().name(), new Loan(loan.home(), nowMillis));
+			lent.add(host.name());
+			boolean needed = !isIdle(host, jobs) || waiting.containsKey(host.pool());
+			if (needed || this.neededMillis.putIfAbsent(host.name(), nowMillis) == null) {
+				this.neededMillis.put(host.name(), nowMillis);
 			}
-			else if (nowMillis - loan.busyMillis() >= this.settings.idleMillis()) {
-				commands.addAll(move(host.spec().name(), loan.home()));
+			else if (nowMillis - this.neededMillis.get(host.name()) >= this.settings.idleMillis()) {
+				commands.add(new ConfigurationCommand.ReturnHost(host.name()));
 			}
 		}
-	}
-
-	private static List<Command> move(HostName host, PoolName pool) {
-		// A host moves only while it takes no jobs. If one of the steps is rejected, the
-		// last one returns the host to service where it is.
-		return List.of(state(host, HostState.DRAINING), new ConfigurationCommand.MoveHost(host, pool, false),
-				state(host, HostState.IN_SERVICE));
-	}
-
-	private static Command state(HostName host, HostState state) {
-		return new ConfigurationCommand.SetHostState(host, state, ChangeCause.PLANNER);
+		this.neededMillis.keySet().retainAll(lent);
 	}
 
 	private static boolean isIdle(HostRecord host, JobIndex jobs) {
 		return host.state() == HostState.IN_SERVICE && jobs.placedOn(host.spec().name()).isEmpty();
 	}
 
-	/**
-	 * A lent host.
-	 *
-	 * @param home the spare pool it came from
-	 * @param busyMillis when it was last needed
-	 */
-	private record Loan(PoolName home, long busyMillis) {
-	}
-
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
@@ -76,7 +76,7 @@
 		HostRecord host = this.tables.hosts.require(command.host());
 		checkDrain(campaign, host, command);
 		this.drainCheck.check(host);
-		this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), HostState.DRAINING, change.index()));
+		this.tables.hosts.put(host.withState(HostState.DRAINING, change.index()));
 		List<DrainRecord> out = new ArrayList<>(campaign.hostsOut());
 		out.add(new DrainRecord(host.name(), command.drainDeadlineMillis()));
 		this.tables.campaigns.put(new CampaignRecord(campaign.spec(), campaign.state(), command.wave(), out,
@@ -133,7 +133,7 @@
 	private void endDrain(DrainRecord drain, List<DrainRecord> stillOut, Change change) {
 		HostRecord host = this.tables.hosts.require(drain.host());
 		if (host.state() == HostState.DRAINING) {
-			this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), HostState.IN_SERVICE, change.index()));
+			this.tables.hosts.put(host.withState(HostState.IN_SERVICE, change.index()));
 		}
 		else {
 			stillOut.add(drain);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/ConfigurationCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ConfigurationCommand.java
@@ -67,6 +67,26 @@
 
 	}
 
+	/**
+	 * Moves an idle host in service from its spare pool to another pool until it returns.
+	 * One command, so that no loss of the leader leaves the host half moved.
+	 *
+	 * @param host the host
+	 * @param pool the pool that borrows it
+	 */
+	record LendHost(HostName host, PoolName pool) implements ConfigurationCommand {
+
+	}
+
+	/**
+	 * Moves a lent, idle host in service back to its home pool.
+	 *
+	 * @param host the host
+	 */
+	record ReturnHost(HostName host) implements ConfigurationCommand {
+
+	}
+
 	/**
 	 * Removes a host that runs no jobs.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRules.java
@@ -3,6 +3,7 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.model.PoolName;
 
 /**
  * Rules for hosts. A host record has exactly one pool, so no command can put a host into
@@ -25,6 +26,8 @@
 	void register(CommandHandlers handlers) {
 		handlers.on(ConfigurationCommand.AddHost.class, this::add);
 		handlers.on(ConfigurationCommand.MoveHost.class, this::move);
+		handlers.on(ConfigurationCommand.LendHost.class, this::lend);
+		handlers.on(ConfigurationCommand.ReturnHost.class, this::returnHome);
 		handlers.on(ConfigurationCommand.RemoveHost.class, this::remove);
 		handlers.on(ConfigurationCommand.SetHostState.class, this::setState);
 	}
@@ -44,7 +47,31 @@
 		if (!command.force()) {
 			checkDrained(host);
 		}
-		this.tables.hosts.put(new HostRecord(host.spec(), command.pool(), host.state(), change.index()));
+		this.tables.hosts.put(host.withPool(command.pool(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult lend(ConfigurationCommand.LendHost command, Change change) {
+		HostRecord host = this.tables.hosts.require(command.host(), change);
+		this.tables.pools.require(command.pool());
+		CommandRejectedException.rejectIf(host.pool().equals(command.pool()), ErrorCode.STATE_CONFLICT,
+				"host %s is in pool %s already", host.name(), host.pool());
+		CommandRejectedException.rejectIf(host.homePool().isPresent(), ErrorCode.STATE_CONFLICT, "host %s is lent",
+				host.name());
+		CommandRejectedException.rejectIf(!this.tables.pools.require(host.pool()).spare(), ErrorCode.STATE_CONFLICT,
+				"pool %s is not a spare pool", host.pool());
+		checkMayLeave(host);
+		this.tables.hosts.put(host.lentTo(command.pool(), change.index()));
+		return change.accepted();
+	}
+
+	private CommandResult returnHome(ConfigurationCommand.ReturnHost command, Change change) {
+		HostRecord host = this.tables.hosts.require(command.host(), change);
+		PoolName homePool = host.homePool()
+			.orElseThrow(() -> new CommandRejectedException(ErrorCode.STATE_CONFLICT,
+					"host %s is not lent".formatted(host.name())));
+		checkMayLeave(host);
+		this.tables.hosts.put(host.withPool(homePool, change.index()));
 		return change.accepted();
 	}
 
@@ -62,7 +89,7 @@
 			return change.unchanged(host.version());
 		}
 		checkTransition(host, command);
-		this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), command.state(), change.index()));
+		this.tables.hosts.put(host.withState(command.state(), change.index()));
 		if (host.state() == HostState.DRAINING && command.state() == HostState.IN_SERVICE) {
 			this.campaignHosts.abandonDrain(host.name(), change);
 		}
@@ -82,6 +109,13 @@
 		}
 	}
 
+	private void checkMayLeave(HostRecord host) {
+		CommandRejectedException.rejectIf(!host.state().takesNewJobs(), ErrorCode.STATE_CONFLICT, "host %s is %s",
+				host.name(), host.state());
+		checkIdle(host.name());
+		this.drainCheck.check(host);
+	}
+
 	private void checkDrained(HostRecord host) {
 		CommandRejectedException.rejectIf(host.state().takesNewJobs(), ErrorCode.STATE_CONFLICT,
 				"host %s is not drained", host.name());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/PoolRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/PoolRules.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.state;
 
+import java.util.Optional;
+
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.PoolName;
 
@@ -34,13 +36,14 @@
 		PoolName pool = command.pool();
 		this.tables.pools.require(pool, change);
 		CommandRejectedException.rejectIf(isUsed(pool), ErrorCode.STILL_IN_USE,
-				"pool %s has hosts, jobs or a campaign that has not ended", pool);
+				"pool %s has hosts, lent hosts, jobs or a campaign that has not ended", pool);
 		this.tables.pools.remove(pool);
 		return change.accepted();
 	}
 
 	private boolean isUsed(PoolName pool) {
-		return this.tables.hosts.stream().anyMatch((host) -> host.pool().equals(pool))
+		return this.tables.hosts.stream()
+			.anyMatch((host) -> host.pool().equals(pool) || host.homePool().equals(Optional.of(pool)))
 				|| this.tables.jobs.notEnded().anyMatch((job) -> job.spec().pool().equals(pool))
 				|| this.tables.campaigns.stream()
 					.anyMatch((campaign) -> !campaign.state().ended() && campaign.spec().pools().contains(pool));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
@@ -181,6 +181,38 @@
 		accept(drain);
 	}
 
+	@Test
+	void aLentHostKeepsItsHomePoolThroughADrainAndASnapshotUntilItReturns() {
+		PoolName spare = new PoolName("spare");
+		HostName lent = host(9);
+		accept(new ConfigurationCommand.CreatePool(spare, new AvailabilityBudget(0, 9, 9), true));
+		accept(new ConfigurationCommand.AddHost(
+				new HostSpec(lent, new DataCentre("dc-1"), new Rack("rack-9"), new Resources(1000, 1000, 0)), spare));
+		rejected(ErrorCode.STATE_CONFLICT, apply(new ConfigurationCommand.LendHost(host(1), spare)));
+		accept(new ConfigurationCommand.LendHost(lent, POOL));
+		rejected(ErrorCode.STILL_IN_USE, apply(new ConfigurationCommand.DeletePool(spare)));
+		accept(new ConfigurationCommand.SetHostState(lent, HostState.DRAINING, ChangeCause.OPERATOR));
+		rejected(ErrorCode.STATE_CONFLICT, apply(new ConfigurationCommand.ReturnHost(lent)));
+		accept(new ConfigurationCommand.SetHostState(lent, HostState.IN_SERVICE, ChangeCause.OPERATOR));
+		FleetState restored = FleetState.restore(this.state.snapshot());
+		restored.apply(restored.index() + 1, new Proposal(this.nowMillis, Optional.empty(), OptionalLong.empty(),
+				new ConfigurationCommand.ReturnHost(lent)));
+		HostRecord returned = restored.hosts().stream().filter((host) -> host.name().equals(lent)).findFirst().get();
+		Truth.assertThat(returned.pool()).isEqualTo(spare);
+		Truth.assertThat(returned.homePool()).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void aLentHostThatAnOperatorMovesStaysThere() {
+		PoolName other = new PoolName("other");
+		accept(new ConfigurationCommand.UpdatePool(POOL, new AvailabilityBudget(50, 2, 2), true));
+		accept(new ConfigurationCommand.CreatePool(other, AvailabilityBudget.DEFAULT, false));
+		accept(new ConfigurationCommand.CreatePool(new PoolName("third"), AvailabilityBudget.DEFAULT, false));
+		accept(new ConfigurationCommand.LendHost(host(1), other));
+		accept(new ConfigurationCommand.MoveHost(host(1), new PoolName("third"), true));
+		rejected(ErrorCode.STATE_CONFLICT, apply(new ConfigurationCommand.ReturnHost(host(1))));
+	}
+
 	private void endJob(JobId job) {
 		accept(new JobCommand.SubmitJob(job, job(false)));
 		accept(new JobCommand.PlaceJob(job, host(1), 1));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/RandomProposals.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/RandomProposals.java
@@ -52,6 +52,7 @@
 			() -> new ConfigurationCommand.AddHost(hostSpec(), pool()),
 			() -> new ConfigurationCommand.AddHost(hostSpec(), pool()),
 			() -> new ConfigurationCommand.MoveHost(host(), pool(), flip()),
+			() -> new ConfigurationCommand.LendHost(host(), pool()), () -> new ConfigurationCommand.ReturnHost(host()),
 			() -> new ConfigurationCommand.RemoveHost(host()),
 			() -> new ConfigurationCommand.SetHostState(host(), hostState(), cause()),
 			() -> new ConfigurationCommand.SetHostState(host(), hostState(), cause()),
