Show the four measures as metrics and as a report, explain hosts better

Cause: burdock_buffer_cores, burdock_share_distance_ratio and burdock_job_moves were declared and never recorded, roll-out time could not be known because a campaign did not keep its start, and burdockctl explain host said neither why a host is out nor what holds its drain back. Ruled out: measuring roll-out time in the memory of the leader; a new leader would begin at zero. Change: CampaignRecord keeps start and end (state.thrift 8 and 9). FleetMeasures in burdockpin-core works out all four from the records; the leader records them each 5 s, burdockctl report prints them as table and JSON. FairShare moved from the benchmark to core. HostExplanation gives the reason for each state, the campaign and its deadline, the budget that would be broken, campaigns that still need the host, and its jobs. The example of burdock-timeline on the operations page is run by a test. ChoiceRule calls RoutingPolicy.betterOfTwo. Conclusion: buffer, roll-out and nearness follow declared sizes, not observed use, because only the placement planner knows the use.

--- /dev/null
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/package-info.java
@@ -0,0 +1,2 @@
+/** Times and sizes of configuration changes and of recovery, with real processes. */
+package io.burdockpin.benchmark.change;
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/choice/ChoiceRule.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/choice/ChoiceRule.java
@@ -1,10 +1,10 @@
 package io.burdockpin.benchmark.choice;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
 
 import io.burdockpin.core.routing.PeerLoad;
+import io.burdockpin.core.routing.RoutingPolicy;
 
 /** How an entry host chooses the one that gets a request. */
 enum ChoiceRule {
@@ -32,8 +32,7 @@
 	BETTER_OF_TWO {
 		@Override
 		PeerLoad choose(List<PeerLoad> loads, RandomGenerator random) {
-			List<PeerLoad> drawn = List.of(RANDOM.choose(loads, random), RANDOM.choose(loads, random));
-			return drawn.stream().min(Comparator.comparingLong(PeerLoad::expectedWaitMillis)).orElseThrow();
+			return RoutingPolicy.betterOfTwo(loads, PeerLoad::expectedWaitMillis, random).orElseThrow();
 		}
 	},
 
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Measures.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/Measures.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.burdockpin.core.measure.FairShare;
 import io.burdockpin.core.model.AvailabilityBudget;
 import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.model.JobState;
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/RoundCost.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/RoundCost.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
 import io.burdockpin.core.client.ClientMessage.WorkerReport;
@@ -115,7 +116,8 @@
 		CampaignSpec campaign = new CampaignSpec(new CampaignName("kernel"), poolNames, 50, 30_000,
 				NOW_MILLIS + 86_400_000, 2);
 		return new FleetView(pools, hosts(size, poolNames), teams(size), jobs(size, poolNames), List.of(),
-				List.of(new CampaignRecord(campaign, CampaignState.RUNNING, 0, List.of(), List.of(), "", 1)));
+				List.of(new CampaignRecord(campaign, CampaignState.RUNNING, 0, List.of(), List.of(), "", 1, 0,
+						OptionalLong.empty())));
 	}
 
 	private static List<HostRecord> hosts(Size size, List<PoolName> pools) {
--- a/burdockpin-codec/src/main/thrift/state.thrift
+++ b/burdockpin-codec/src/main/thrift/state.thrift
@@ -760,6 +760,10 @@
   6: string reason,
   /** grows with each change */
   7: i64 version,
+  /** when it was started, in milliseconds since the epoch */
+  8: i64 startedMillis,
+  /** when it was completed or cancelled, in milliseconds since the epoch */
+  9: optional i64 endedMillis,
 }
 
 /** The command took effect. */
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/AppliedCommand.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/AppliedCommand.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
-import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.ConfigurationCommand;
+import io.burdockpin.core.state.JobRecord;
 import io.burdockpin.core.state.Proposal;
 
 /**
@@ -15,10 +15,10 @@
  * @param result its result
  * @param previousConfigurationIndex index of the configuration before
  * @param configurationIndex index of the configuration after
- * @param workerBefore the worker that a job command found its job on
+ * @param jobBefore the job that a command of a worker or planner found
  */
 record AppliedCommand(long index, Proposal proposal, CommandResult result, long previousConfigurationIndex,
-		long configurationIndex, Optional<HostName> workerBefore) {
+		long configurationIndex, Optional<JobRecord> jobBefore) {
 
 	// A resend of an accepted command gets its first result, which has an older version.
 	boolean isChange() {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlMetrics.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ControlMetrics.java
@@ -1,10 +1,12 @@
 package io.burdockpin.control.replica;
 
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import io.burdockpin.core.consensus.ReplicaStatus;
 import io.burdockpin.core.consensus.Role;
+import io.burdockpin.core.measure.FleetMeasures;
 import io.burdockpin.core.state.FleetState;
 import io.burdockpin.core.state.HostRecord;
 import io.burdockpin.core.state.JobRecord;
@@ -14,6 +16,8 @@
 /** Writes the metrics of the replica. Immutable; used by the replica actor. */
 final class ControlMetrics {
 
+	private static final double PER_UNIT = 1000;
+
 	private final MetricRegistry registry;
 
 	ControlMetrics(MetricRegistry registry) {
@@ -36,6 +40,39 @@
 		recordHosts(state);
 	}
 
+	/**
+	 * Counts the moves that a command caused, at the leader only.
+	 * @param applied the command
+	 * @param state the state after it
+	 */
+	void countMoves(AppliedCommand applied, FleetState state) {
+		applied.jobBefore()
+			.filter((before) -> applied.isChange())
+			.flatMap((before) -> state.job(before.id()).map((after) -> after.moveCount() - before.moveCount()))
+			.filter((moves) -> moves > 0)
+			.ifPresent((moves) -> this.registry.record(Metric.JOB_MOVES, moves));
+	}
+
+	/**
+	 * Records the measures of the fleet, at the leader only.
+	 * @param measures the measures, none at another member
+	 */
+	void record(Optional<FleetMeasures> measures) {
+		this.registry.clear(Metric.BUFFER);
+		this.registry.clear(Metric.ROLLOUT);
+		this.registry.clear(Metric.SHARE_DISTANCE);
+		measures.ifPresent((found) -> {
+			found.bufferMillicores()
+				.forEach(
+						(pool, millicores) -> this.registry.record(Metric.BUFFER, millicores / PER_UNIT, pool.value()));
+			found.rolloutMillis()
+				.forEach((campaign, millis) -> this.registry.record(Metric.ROLLOUT, millis / PER_UNIT,
+						campaign.value()));
+			found.shareDistances()
+				.forEach((team, distance) -> this.registry.record(Metric.SHARE_DISTANCE, distance, team.value()));
+		});
+	}
+
 	private void recordJobs(FleetState state) {
 		this.registry.clear(Metric.JOBS);
 		state.jobs()
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/FleetEvents.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/FleetEvents.java
@@ -68,7 +68,8 @@
 			event = ofMaintenance(maintenance, state);
 		}
 		else if (leads) {
-			event = jobOf(command).flatMap(state::job).map((job) -> ofJob(command, job, applied.workerBefore()));
+			event = jobOf(command).flatMap(state::job)
+				.map((job) -> ofJob(command, job, applied.jobBefore().flatMap(JobRecord::worker)));
 		}
 		return event.map((found) -> found.with(EventField.INDEX, applied.index()));
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/FleetMachine.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/FleetMachine.java
@@ -7,9 +7,7 @@
 import io.burdockpin.core.consensus.EntryContent;
 import io.burdockpin.core.consensus.LogEntry;
 import io.burdockpin.core.consensus.Snapshot;
-import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Payload;
-import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.FleetState;
 import io.burdockpin.core.state.JobRecord;
@@ -73,10 +71,10 @@
 		skip(entry);
 		Proposal proposal = this.proposalCodec.decode(content.payload().bytes());
 		long previousIndex = this.state.configurationIndex();
-		Optional<HostName> workerBefore = workerOf(proposal.command());
+		Optional<JobRecord> jobBefore = FleetEvents.jobOf(proposal.command()).flatMap(this.state::job);
 		CommandResult result = this.state.apply(entry.index(), proposal);
 		return new AppliedCommand(entry.index(), proposal, result, previousIndex, this.state.configurationIndex(),
-				workerBefore);
+				jobBefore);
 	}
 
 	void restore(Snapshot snapshot) {
@@ -86,10 +84,4 @@
 		this.appliedTerm = snapshot.term();
 	}
 
-	// helpers
-
-	private Optional<HostName> workerOf(Command command) {
-		return FleetEvents.jobOf(command).flatMap(this.state::job).flatMap(JobRecord::worker);
-	}
-
 }
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -34,9 +34,11 @@
 import io.burdockpin.core.event.EventKind;
 import io.burdockpin.core.event.HybridClock;
 import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.measure.FleetMeasures;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.FleetState;
 import io.burdockpin.core.state.Proposal;
 import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.metric.MetricRegistry;
@@ -57,6 +59,9 @@
 
 	private static final Duration FEED_PERIOD = Duration.ofSeconds(1);
 
+	/** The measures look at all jobs and hosts, so they are taken each 5 s. */
+	private static final int FEEDS_PER_MEASURE = 5;
+
 	private final ReplicaActorSettings settings;
 
 	private final Replica replica;
@@ -93,6 +98,8 @@
 
 	private long nextReadNumber;
 
+	private long feedCount;
+
 	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
 			ReplicaActorSettings settings, Replica replica, FleetMachine machine, ActorRef<LogWriter.Command> logWriter,
 			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, MonotonicClock monotonicClock,
@@ -226,11 +233,20 @@
 
 	private Behavior<ReplicaMessage> onFeedDue() {
 		this.metrics.record(this.replica.status(), this.replica.hasLeaderContact(nowMillis()), this.machine);
+		this.feedCount++;
+		if (this.feedCount % FEEDS_PER_MEASURE == 0) {
+			this.metrics.record(this.leads ? Optional.of(measures()) : Optional.empty());
+		}
 		this.feed.publish(feedHeartbeat());
 		reportConfirmations();
 		return this;
 	}
 
+	private FleetMeasures measures() {
+		FleetState state = this.machine.state();
+		return FleetMeasures.of(state.configuration(), state.jobs(), state.campaigns(), this.wallClock.millis());
+	}
+
 	private ClientMessage feedHeartbeat() {
 		Optional<HostName> leader = this.replica.status().leader().map(MemberId::host);
 		return new ClientMessage.FeedHeartbeat(this.machine.state().configurationIndex(), leader,
@@ -384,6 +400,9 @@
 			if (applied.isConfigurationChange()) {
 				publish(applied);
 			}
+			if (this.leads) {
+				this.metrics.countMoves(applied, this.machine.state());
+			}
 			this.fleetEvents.of(applied, this.machine.state(), this.leads).ifPresent(this::record);
 			this.proposals.take(entry.index()).forEach((waiter) -> answer(waiter, applied));
 		}
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/FleetEventsTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/FleetEventsTests.java
@@ -1,5 +1,6 @@
 package io.burdockpin.control.replica;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,7 @@
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.Proposal;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.junit.jupiter.api.Test;
 
 /** Guards against placements, limits and pools that the time line does not see. */
@@ -47,6 +49,10 @@
 
 	private final FleetEvents fleetEvents = new FleetEvents((kind) -> Event.of(kind, HybridTimestamp.ZERO));
 
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final ControlMetrics metrics = new ControlMetrics(this.registry);
+
 	private final List<Event> leader = new ArrayList<>();
 
 	private final List<Event> follower = new ArrayList<>();
@@ -78,11 +84,30 @@
 		}
 	}
 
+	@Test
+	void onlyAPlacementAfterTheJobHadStartedCountsAsAMove() {
+		apply(new ConfigurationCommand.CreatePool(POOL, AvailabilityBudget.DEFAULT, false));
+		apply(new ConfigurationCommand.CreateTeam(new TeamSpec(TEAM, 1, 5, 0)));
+		apply(new ConfigurationCommand.AddHost(
+				new HostSpec(WORKER, new DataCentre("dc1"), new Rack("r1"), new Resources(4000, 4096, 0)), POOL));
+		apply(new JobCommand.SubmitJob(JOB,
+				new JobSpec(TEAM, POOL, new Resources(100, 100, 0), 1000, false, true, Payload.EMPTY)));
+		apply(new JobCommand.PlaceJob(JOB, WORKER, 1));
+		apply(new JobCommand.InterruptJob(JOB, 1, true, Payload.EMPTY));
+		apply(new JobCommand.PlaceJob(JOB, WORKER, 2));
+		apply(new JobCommand.ConfirmStart(JOB, 2));
+		apply(new JobCommand.InterruptJob(JOB, 2, false, Payload.EMPTY));
+		apply(new JobCommand.PlaceJob(JOB, WORKER, 3));
+		Truth.assertThat(new String(this.registry.exposition(), StandardCharsets.UTF_8))
+			.contains("burdock_job_moves_total 1.0");
+	}
+
 	private void apply(Command command) {
 		this.index++;
 		Proposal proposal = new Proposal(1000, Optional.empty(), OptionalLong.empty(), command);
 		EntryContent.CommandContent content = new EntryContent.CommandContent(this.machine.encode(proposal));
 		AppliedCommand applied = this.machine.apply(new LogEntry(this.index, 1, content), content);
+		this.metrics.countMoves(applied, this.machine.state());
 		this.fleetEvents.of(applied, this.machine.state(), true).ifPresent(this.leader::add);
 		this.fleetEvents.of(applied, this.machine.state(), false).ifPresent(this.follower::add);
 	}
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/FairShare.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/measure/FairShare.java
@@ -1,10 +1,10 @@
-package io.burdockpin.benchmark.policy;
+package io.burdockpin.core.measure;
 
 import java.util.HashMap;
 import java.util.Map;
 
 /** Weighted max-min fair division of one pool's capacity. Has no state. */
-final class FairShare {
+public final class FairShare {
 
 	private static final double EPSILON = 1e-6;
 
@@ -20,7 +20,7 @@
 	 * @param <K> type of the claimants
 	 * @return the fair amount of each claimant
 	 */
-	static <K> Map<K, Double> divide(Map<K, Double> demands, Map<K, Integer> weights, double capacity) {
+	public static <K> Map<K, Double> divide(Map<K, Double> demands, Map<K, Integer> weights, double capacity) {
 		Map<K, Double> open = new HashMap<>(demands);
 		Map<K, Double> result = new HashMap<>();
 		double left = capacity;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/measure/package-info.java
@@ -0,0 +1,2 @@
+/** The measures by which the firms compare planners. */
+package io.burdockpin.core.measure;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RoutingPolicy.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RoutingPolicy.java
@@ -85,7 +85,15 @@
 		return load.expectedWaitMillis() + costs.roundTripMillis(load.dataCentre().equals(ownDataCentre));
 	}
 
-	private static <T> Optional<T> betterOfTwo(List<T> candidates, ToLongFunction<T> cost, RandomGenerator random) {
+	/**
+	 * Chooses the better of two candidates drawn at random; both draws may hit the same.
+	 * @param <T> type of the candidates
+	 * @param candidates the candidates
+	 * @param cost what a candidate costs; the lower is better
+	 * @param random draws the two
+	 * @return the better one, if there is any candidate
+	 */
+	public static <T> Optional<T> betterOfTwo(List<T> candidates, ToLongFunction<T> cost, RandomGenerator random) {
 		return random.ints(2, 0, Math.max(1, candidates.size()))
 			.filter((position) -> position < candidates.size())
 			.mapToObj(candidates::get)
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRecord.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.state;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.model.CampaignName;
 import io.burdockpin.core.model.CampaignSpec;
@@ -16,9 +17,11 @@
  * @param hostsDone the hosts that have been maintained
  * @param reason why it is paused, or an empty string
  * @param version grows with each change
+ * @param startedMillis when it was started, in milliseconds since the epoch
+ * @param endedMillis when it was completed or cancelled, in milliseconds since the epoch
  */
 public record CampaignRecord(CampaignSpec spec, CampaignState state, int wave, List<DrainRecord> hostsOut,
-		List<HostName> hostsDone, String reason, long version) {
+		List<HostName> hostsDone, String reason, long version, long startedMillis, OptionalLong endedMillis) {
 
 	public CampaignRecord {
 		hostsOut = List.copyOf(hostsOut);
@@ -41,7 +44,8 @@
 	 * @return the copy
 	 */
 	public CampaignRecord withHosts(List<DrainRecord> newHostsOut, List<HostName> newHostsDone, long newVersion) {
-		return new CampaignRecord(this.spec, this.state, this.wave, newHostsOut, newHostsDone, this.reason, newVersion);
+		return new CampaignRecord(this.spec, this.state, this.wave, newHostsOut, newHostsDone, this.reason, newVersion,
+				this.startedMillis, this.endedMillis);
 	}
 
 	/**
@@ -52,7 +56,20 @@
 	 * @return the copy
 	 */
 	public CampaignRecord withState(CampaignState newState, String newReason, long newVersion) {
-		return new CampaignRecord(this.spec, newState, this.wave, this.hostsOut, this.hostsDone, newReason, newVersion);
+		return new CampaignRecord(this.spec, newState, this.wave, this.hostsOut, this.hostsDone, newReason, newVersion,
+				this.startedMillis, this.endedMillis);
+	}
+
+	/**
+	 * Returns a copy that has ended.
+	 * @param newState the state
+	 * @param nowMillis when it ended, in milliseconds since the epoch
+	 * @param newVersion the new version
+	 * @return the copy
+	 */
+	public CampaignRecord ended(CampaignState newState, long nowMillis, long newVersion) {
+		return new CampaignRecord(this.spec, newState, this.wave, this.hostsOut, this.hostsDone, "", newVersion,
+				this.startedMillis, OptionalLong.of(nowMillis));
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.CampaignName;
@@ -43,7 +44,7 @@
 		}
 		command.campaign().pools().forEach(this.tables.pools::require);
 		this.tables.campaigns.put(new CampaignRecord(command.campaign(), CampaignState.RUNNING, 0, List.of(), List.of(),
-				"", change.index()));
+				"", change.index(), change.nowMillis(), OptionalLong.empty()));
 		return change.accepted();
 	}
 
@@ -66,7 +67,7 @@
 				campaign.name(), campaign.state());
 		List<DrainRecord> stillOut = new ArrayList<>();
 		campaign.hostsOut().forEach((drain) -> endDrain(drain, stillOut, change));
-		CampaignRecord cancelled = campaign.withState(CampaignState.CANCELLED, "", change.index());
+		CampaignRecord cancelled = campaign.ended(CampaignState.CANCELLED, change.nowMillis(), change.index());
 		this.tables.campaigns.put(cancelled.withHosts(stillOut, campaign.hostsDone(), change.index()));
 		return change.accepted();
 	}
@@ -79,8 +80,9 @@
 		this.tables.hosts.put(new HostRecord(host.spec(), host.pool(), HostState.DRAINING, change.index()));
 		List<DrainRecord> out = new ArrayList<>(campaign.hostsOut());
 		out.add(new DrainRecord(host.name(), command.drainDeadlineMillis()));
-		this.tables.campaigns.put(new CampaignRecord(campaign.spec(), campaign.state(), command.wave(), out,
-				campaign.hostsDone(), campaign.reason(), change.index()));
+		this.tables.campaigns
+			.put(new CampaignRecord(campaign.spec(), campaign.state(), command.wave(), out, campaign.hostsDone(),
+					campaign.reason(), change.index(), campaign.startedMillis(), campaign.endedMillis()));
 		return change.accepted();
 	}
 
@@ -105,7 +107,7 @@
 				|| this.tables.hosts.stream().anyMatch((host) -> needsMaintenance(campaign, host));
 		CommandRejectedException.rejectIf(open, ErrorCode.STATE_CONFLICT,
 				"campaign %s has hosts that have not been maintained", campaign.name());
-		this.tables.campaigns.put(campaign.withState(CampaignState.COMPLETED, "", change.index()));
+		this.tables.campaigns.put(campaign.ended(CampaignState.COMPLETED, change.nowMillis(), change.index()));
 		return change.accepted();
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/MaintenancePlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/MaintenancePlannerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.model.CampaignName;
@@ -111,7 +112,7 @@
 
 	private MaintenanceDecision plan(CampaignState state, List<DrainRecord> out, long nowMillis) {
 		CampaignSpec spec = new CampaignSpec(CAMPAIGN, List.of(Records.POOL), 5, DRAIN_MILLIS, 10_000_000, 2);
-		CampaignRecord campaign = new CampaignRecord(spec, state, 1, out, List.of(), "", 1);
+		CampaignRecord campaign = new CampaignRecord(spec, state, 1, out, List.of(), "", 1, 0, OptionalLong.empty());
 		FleetView view = new FleetView(List.of(Records.pool(80, 2)), this.hosts, List.of(), this.jobs, List.of(),
 				List.of(campaign));
 		return this.planner.plan(view, JobIndex.of(this.jobs), RemainingTime.declared(), nowMillis);
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ActionGroup.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ActionGroup.java
@@ -35,6 +35,9 @@
 	/** Explanations. */
 	EXPLAIN("why a job, host or error code is as it is", ExplainAction.values()),
 
+	/** Measures of the fleet. */
+	REPORT("buffer cost, roll-out time, job moves and nearness to share", ReportAction.REPORT),
+
 	/** The fleet at a glance. */
 	STATUS("the fleet at a glance", StatusAction.STATUS);
 
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ExplainAction.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ExplainAction.java
@@ -1,6 +1,5 @@
 package io.burdockpin.operator.action;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -10,9 +9,7 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.operator.OperatorReply;
-import io.burdockpin.core.state.CampaignRecord;
 import io.burdockpin.core.state.HostRecord;
-import io.burdockpin.core.state.JobRecord;
 import io.burdockpin.operator.OperatorException;
 import io.burdockpin.operator.OperatorExit;
 import io.burdockpin.operator.client.OperatorClient;
@@ -46,18 +43,9 @@
 		@Override
 		public Report run(OperatorClient client, Arguments arguments) {
 			OperatorReply.Answered answer = Fleet.askConfiguration(client);
-			HostRecord host = host(answer, arguments.text("host"));
-			List<String> lines = new ArrayList<>();
-			lines.add("host %s is %s in pool %s, data centre %s, rack %s".formatted(host.spec().name(), host.state(),
-					host.pool(), host.spec().dataCentre(), host.spec().rack()));
-			lines.add(host.state().takesNewJobs() ? "it takes new jobs" : "it takes no new jobs");
-			Fleet.jobs(client.ask(new Query.ListJobs()))
-				.stream()
-				.filter((job) -> runsOn(job, host))
-				.forEach((job) -> lines
-					.add("job %s of team %s is %s on it".formatted(job.id(), job.spec().team(), job.state())));
-			Fleet.campaigns(client.ask(new Query.ListCampaigns()))
-				.forEach((campaign) -> lines.addAll(role(campaign, host)));
+			List<String> lines = HostExplanation.of(host(answer, arguments.text("host")), Fleet.configuration(answer),
+					Fleet.jobs(client.ask(new Query.ListJobs())),
+					Fleet.campaigns(client.ask(new Query.ListCampaigns())));
 			return new Report(lines, lines, Report.staleWarning(answer));
 		}
 	},
@@ -100,21 +88,4 @@
 					"host %s does not exist".formatted(name), null));
 	}
 
-	private static boolean runsOn(JobRecord job, HostRecord host) {
-		return job.state().holdsCapacity() && job.worker().filter(host.spec().name()::equals).isPresent();
-	}
-
-	private static List<String> role(CampaignRecord campaign, HostRecord host) {
-		List<String> lines = new ArrayList<>();
-		campaign.hostsOut()
-			.stream()
-			.filter((drain) -> drain.host().equals(host.spec().name()))
-			.forEach((drain) -> lines.add("campaign %s has it out, drain deadline %s".formatted(campaign.spec().name(),
-					java.time.Instant.ofEpochMilli(drain.drainDeadlineMillis()))));
-		if (campaign.hostsDone().contains(host.spec().name())) {
-			lines.add("campaign %s has maintained it".formatted(campaign.spec().name()));
-		}
-		return lines;
-	}
-
 }
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/metric/Metric.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/metric/Metric.java
@@ -71,10 +71,15 @@
 	JOB_MOVES(MetricType.COUNTER, "burdock_job_moves", "Jobs moved to another worker"),
 
 	/** Processor capacity held idle. */
-	BUFFER(MetricType.GAUGE, "burdock_buffer_cores", "Processor cores held idle by pool", "pool"),
+	BUFFER(MetricType.GAUGE, "burdock_buffer_cores", "Processor cores without a job on occupied hosts", "pool"),
+
+	/** Time that campaigns have taken. */
+	ROLLOUT(MetricType.GAUGE, "burdock_rollout_seconds", "Time since the start of a campaign, until its end",
+			"campaign"),
 
 	/** How far teams are from their shares. */
-	SHARE_DISTANCE(MetricType.GAUGE, "burdock_share_distance_ratio", "Distance of a team from its share", "team"),
+	SHARE_DISTANCE(MetricType.GAUGE, "burdock_share_distance_ratio",
+			"Distance of a team from its share as a fraction of the share", "team"),
 
 	/** Heap in use. */
 	HEAP_USED(MetricType.GAUGE, "process_heap_used_bytes", "Heap in use"),
--- a/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
+++ b/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
@@ -202,6 +202,20 @@
 		Truth.assertThat(this.errors.toString()).contains("time \"yesterday\" is not of the form");
 	}
 
+	@Test
+	void theExampleOfTheOperationsPageIsUnderstood() throws IOException {
+		String page = Files.readString(Path.of("").toAbsolutePath().getParent().resolve("docs/operations.md"));
+		java.util.regex.Matcher example = java.util.regex.Pattern.compile("(?m)^burdock-timeline FILE\\.\\.\\. (.*)$")
+			.matcher(page);
+		Truth.assertThat(example.find()).isTrue();
+		append(ENTRY_ONE, event(EventKind.PROCESS_STARTED, 1000, 0));
+		Path target = this.folder.resolveSibling("timeline.html");
+		Truth.assertThat(run(example.group(1).replace("timeline.html", target.toString()).split(" ")))
+			.isEqualTo(TimelineProgram.SUCCESS);
+		Truth.assertThat(Files.readString(target)).contains("<svg");
+		Files.delete(target);
+	}
+
 	private static Event event(EventKind kind, long millis, int counter) {
 		return Event.of(kind, new HybridTimestamp(millis, counter));
 	}
