Count with one clock in control members

Cause: MonotonicClock in burdockpin-control and SteadyClock in burdockpin-runtime both follow the monotonic clock; the replica actor had one of each. Ruled out: keeping MonotonicClock for elections; a SteadyClock never goes back either and goes on while the process is frozen. ChangeBenchmark takes the first member that applied a change as the time of acceptance and starts a member three times for each length of log. Conclusion: one clock a process.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/ChangeBenchmark.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/ChangeBenchmark.java
@@ -4,6 +4,8 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 import org.HdrHistogram.Histogram;
@@ -24,6 +26,8 @@
 
 	private static final List<Integer> LOG_ENTRIES = List.of(100, 4096, 20_000, 100_000);
 
+	private static final int RECOVERY_RUNS = 3;
+
 	private ChangeBenchmark() {
 	}
 
@@ -51,11 +55,14 @@
 			output.println("| ---: | ---: | ---: | ---: | ---: | ---: |");
 			OPERATORS.forEach((operators) -> output.println(run.row(operators, CHANGES_PER_ROW)));
 		}
-		output.println("| log entries | start until applied, ms |");
+		output.println("| log entries | start until applied, ms, shortest to longest of %d |".formatted(RECOVERY_RUNS));
 		output.println("| ---: | ---: |");
 		for (int entries : LOG_ENTRIES) {
-			long millis = RecoveryRun.millis(Files.createTempDirectory(folder, "recovery-"), entries);
-			output.println("| %d | %d |".formatted(entries, millis));
+			List<Long> millis = new ArrayList<>();
+			for (int run = 0; run < RECOVERY_RUNS; run++) {
+				millis.add(RecoveryRun.millis(Files.createTempDirectory(folder, "recovery-"), entries));
+			}
+			output.println("| %d | %d to %d |".formatted(entries, Collections.min(millis), Collections.max(millis)));
 		}
 		System.exit(0);
 	}
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/ChangeRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/ChangeRun.java
@@ -47,14 +47,14 @@
 	}
 
 	/**
-	 * Makes changes one after the other and compares when the leader applied them with
-	 * when the last entry host did.
+	 * Makes changes one after the other and compares when the first member applied them
+	 * with when the last entry host did. All processes share one clock.
 	 * @param changes how many
 	 * @return the times in milliseconds
 	 */
 	Histogram inForceMillis(int changes) {
 		run(1, changes);
-		Map<Long, Long> accepted = applied(this.fleet.memberData(this.fleet.leader()).resolve("events/events.jsonl"));
+		Map<Long, Long> accepted = firstApplied();
 		long newest = accepted.keySet().stream().max(Long::compare).orElseThrow();
 		this.fleet.awaitInForce(newest);
 		List<TreeMap<Long, Long>> entries = this.fleet.entryEvents().stream().map(ChangeRun::applied).toList();
@@ -64,7 +64,7 @@
 				.mapToLong((entry) -> Optional.ofNullable(entry.ceilingEntry(index)).orElseThrow().getValue())
 				.max()
 				.orElseThrow();
-			histogram.recordValue(Math.max(0, lastMillis - acceptedMillis));
+			histogram.recordValue(lastMillis - acceptedMillis);
 		});
 		return histogram;
 	}
@@ -113,6 +113,15 @@
 		return done.get();
 	}
 
+	// The leader is the first member to apply a change.
+	private Map<Long, Long> firstApplied() {
+		Map<Long, Long> first = new TreeMap<>();
+		IntStream.range(0, RealFleet.MEMBERS)
+			.mapToObj((member) -> applied(this.fleet.memberData(member).resolve("events/events.jsonl")))
+			.forEach((times) -> times.forEach((index, millis) -> first.merge(index, millis, Math::min)));
+		return first;
+	}
+
 	private static TreeMap<Long, Long> applied(Path eventFile) {
 		TreeMap<Long, Long> times = new TreeMap<>();
 		List<EventRecord> events = new EventFileReader().read(List.of(eventFile)).events();
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealFleet.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealFleet.java
@@ -76,10 +76,6 @@
 			.change(command);
 	}
 
-	int leader() {
-		return IntStream.range(0, MEMBERS).filter((number) -> this.members.get(number).leads()).findFirst().orElse(0);
-	}
-
 	/**
 	 * Waits until all entry hosts have a configuration.
 	 * @param index its index
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
@@ -84,10 +84,6 @@
 		}
 	}
 
-	boolean leads() {
-		return page().path("role").asText().equals("LEADER");
-	}
-
 	@Override
 	public void close() {
 		this.process.destroyForcibly();
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 
 import io.burdockpin.control.link.PlannerReport;
-import io.burdockpin.control.replica.MonotonicClock;
 import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.runtime.event.EventLog;
@@ -42,8 +41,8 @@
 				"maintenance");
 		this.placement = context.spawn(restarting(PlacementActor.create(settings.placement(),
 				settings.placementPeriod(), clock, port, maintenance.narrow())), "placement");
-		this.tokens = context.spawn(restarting(
-				TokenPlannerActor.create(settings.tokens(), settings.tokenPeriod(), MonotonicClock.SYSTEM, replica)),
+		this.tokens = context.spawn(
+				restarting(TokenPlannerActor.create(settings.tokens(), settings.tokenPeriod(), clock, replica)),
 				"tokens");
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -1,6 +1,7 @@
 package io.burdockpin.control.planner;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -8,7 +9,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.control.replica.FleetRecords;
-import io.burdockpin.control.replica.MonotonicClock;
 import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
@@ -53,7 +53,7 @@
 
 	private final TokenSettings settings;
 
-	private final MonotonicClock clock;
+	private final InstantSource clock;
 
 	private final ActorRef<ReplicaMessage> replica;
 
@@ -72,13 +72,13 @@
 	private boolean roundRunning;
 
 	private TokenPlannerActor(ActorContext<Message> context, TimerScheduler<Message> timers, TokenSettings settings,
-			Duration roundPeriod, MonotonicClock clock, ActorRef<ReplicaMessage> replica) {
+			Duration roundPeriod, InstantSource clock, ActorRef<ReplicaMessage> replica) {
 		super(context);
 		this.timers = timers;
 		this.settings = settings;
 		this.clock = clock;
 		this.replica = replica;
-		this.startedMillis = clock.nowMillis();
+		this.startedMillis = clock.millis();
 		this.proposals = new OpenProposals(replica);
 		this.proposalReplies = context.messageAdapter(ClientMessage.class, ProposalEnded::new);
 		timers.startTimerWithFixedDelay(Signal.ROUND_DUE, roundPeriod);
@@ -94,7 +94,7 @@
 	 * @param replica the replica of this member
 	 * @return the behavior
 	 */
-	public static Behavior<Message> create(TokenSettings settings, Duration roundPeriod, MonotonicClock clock,
+	public static Behavior<Message> create(TokenSettings settings, Duration roundPeriod, InstantSource clock,
 			ActorRef<ReplicaMessage> replica) {
 		return Behaviors.setup((context) -> Behaviors
 			.withTimers((timers) -> new TokenPlannerActor(context, timers, settings, roundPeriod, clock, replica)));
@@ -135,7 +135,7 @@
 			return onRecordsMissing();
 		}
 		TokenAllocator current = allocatorOf(records.term());
-		long nowMillis = this.clock.nowMillis();
+		long nowMillis = this.clock.millis();
 		this.planned.forEach((report) -> current.report(report.report(), nowMillis));
 		List<Command> commands = current.plan(view(records), nowMillis);
 		if (commands.isEmpty()) {
@@ -164,7 +164,7 @@
 			return onRecordsMissing();
 		}
 		TokenView view = view(records);
-		long nowMillis = this.clock.nowMillis();
+		long nowMillis = this.clock.millis();
 		this.planned.forEach((report) -> report.replyTo().tell(leading.get().answer(report.report(), view, nowMillis)));
 		return endRound();
 	}
@@ -184,7 +184,7 @@
 
 	private TokenAllocator allocatorOf(long term) {
 		if (this.allocator.filter((current) -> current.term() == term).isEmpty()) {
-			this.allocator = Optional.of(new TokenAllocator(this.settings, term, this.clock.nowMillis()));
+			this.allocator = Optional.of(new TokenAllocator(this.settings, term, this.clock.millis()));
 			logger.atInfo().log("Divides limits in term %d.", term);
 		}
 		return this.allocator.get();
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
@@ -1,5 +1,7 @@
 package io.burdockpin.control.replica;
 
+import java.time.InstantSource;
+
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.core.consensus.DurableState;
 import io.burdockpin.core.consensus.Effect;
@@ -27,14 +29,14 @@
 
 	private final MetricRegistry metrics;
 
-	private final MonotonicClock clock;
+	private final InstantSource clock;
 
 	private boolean syncIsDue;
 
 	private long newestNumber;
 
 	private LogWriter(ActorContext<Command> context, MemberStorage storage, ActorRef<Loaded> loadedListener,
-			ActorRef<Written> writtenListener, MetricRegistry metrics, MonotonicClock clock) {
+			ActorRef<Written> writtenListener, MetricRegistry metrics, InstantSource clock) {
 		super(context);
 		this.storage = storage;
 		this.writtenListener = writtenListener;
@@ -55,7 +57,7 @@
 	 * @return the behavior
 	 */
 	public static Behavior<Command> create(MemberStorage storage, ActorRef<Loaded> loadedListener,
-			ActorRef<Written> writtenListener, MetricRegistry metrics, MonotonicClock clock) {
+			ActorRef<Written> writtenListener, MetricRegistry metrics, InstantSource clock) {
 		return Behaviors
 			.setup((context) -> new LogWriter(context, storage, loadedListener, writtenListener, metrics, clock));
 	}
@@ -100,9 +102,9 @@
 
 	private Behavior<Command> onSyncDue() {
 		this.syncIsDue = false;
-		long startedMillis = this.clock.nowMillis();
+		long startedMillis = this.clock.millis();
 		this.storage.sync();
-		this.metrics.record(Metric.SYNC_DURATION, (this.clock.nowMillis() - startedMillis) / MILLIS_PER_SECOND);
+		this.metrics.record(Metric.SYNC_DURATION, (this.clock.millis() - startedMillis) / MILLIS_PER_SECOND);
 		this.writtenListener.tell(new Written(this.newestNumber));
 		return this;
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -1,7 +1,7 @@
 package io.burdockpin.control.replica;
 
-import java.time.Clock;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -76,9 +76,7 @@
 
 	private final ControlMetrics metrics;
 
-	private final MonotonicClock monotonicClock;
-
-	private final Clock wallClock;
+	private final InstantSource clock;
 
 	private final HybridClock hybridClock = new HybridClock();
 
@@ -102,8 +100,7 @@
 
 	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
 			ReplicaActorSettings settings, Replica replica, FleetMachine machine, ActorRef<LogWriter.Command> logWriter,
-			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, MonotonicClock monotonicClock,
-			Clock wallClock) {
+			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, InstantSource clock) {
 		super(context);
 		this.settings = settings;
 		this.replica = replica;
@@ -111,8 +108,7 @@
 		this.logWriter = logWriter;
 		this.eventLog = eventLog;
 		this.metrics = new ControlMetrics(metrics);
-		this.monotonicClock = monotonicClock;
-		this.wallClock = wallClock;
+		this.clock = clock;
 		record(event(EventKind.PROCESS_STARTED));
 		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
 		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.FEED, FEED_PERIOD);
@@ -194,7 +190,7 @@
 	private void send(MemberId receiver, long membershipIndex, ConsensusMessage message) {
 		this.links.ifPresent((target) -> target.tell(new MemberLinkCommand.SendToMember(
 				new ConsensusEnvelope(this.settings.cluster(), this.replica.status().self(), receiver, membershipIndex,
-						this.hybridClock.tick(this.wallClock.millis()), message))));
+						this.hybridClock.tick(this.clock.millis()), message))));
 	}
 
 	// entry hosts
@@ -244,7 +240,7 @@
 
 	private FleetMeasures measures() {
 		FleetState state = this.machine.state();
-		return FleetMeasures.of(state.configuration(), state.jobs(), state.campaigns(), this.wallClock.millis());
+		return FleetMeasures.of(state.configuration(), state.jobs(), state.campaigns(), this.clock.millis());
 	}
 
 	private ClientMessage feedHeartbeat() {
@@ -280,7 +276,7 @@
 
 	private void propose(ClientMessage.Propose request, ActorRef<? super ClientMessage> replyTo,
 			boolean wantsConfirmation) {
-		Proposal proposal = new Proposal(this.wallClock.millis(), request.requestId(), request.expectedVersion(),
+		Proposal proposal = new Proposal(this.clock.millis(), request.requestId(), request.expectedVersion(),
 				request.command());
 		OptionalLong index = this.replica.propose(this.machine.encode(proposal), nowMillis());
 		if (index.isPresent()) {
@@ -515,11 +511,11 @@
 	}
 
 	private Event event(EventKind kind) {
-		return Event.of(kind, this.hybridClock.tick(this.wallClock.millis()));
+		return Event.of(kind, this.hybridClock.tick(this.clock.millis()));
 	}
 
 	private long nowMillis() {
-		return this.monotonicClock.nowMillis();
+		return this.clock.millis();
 	}
 
 	private record PendingRead(long correlation, ActorRef<? super ClientMessage> replyTo,
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaSupervisor.java
@@ -1,6 +1,6 @@
 package io.burdockpin.control.replica;
 
-import java.time.Clock;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -42,7 +42,7 @@
 
 	private final MetricRegistry metrics;
 
-	private final Clock wallClock;
+	private final InstantSource clock;
 
 	private final RandomGenerator random;
 
@@ -54,19 +54,19 @@
 
 	private ReplicaSupervisor(ActorContext<Command> context, MemberStorage storage, ReplicaSettings replicaSettings,
 			ReplicaActorSettings actorSettings, ActorRef<EventLog.Command> eventLog, MetricRegistry metrics,
-			Clock wallClock, RandomGenerator random, ActorRef<Report> owner) {
+			InstantSource clock, RandomGenerator random, ActorRef<Report> owner) {
 		super(context);
 		this.replicaSettings = replicaSettings;
 		this.actorSettings = actorSettings;
 		this.eventLog = eventLog;
 		this.metrics = metrics;
-		this.wallClock = wallClock;
+		this.clock = clock;
 		this.random = random;
 		this.owner = owner;
 		ActorRef<LogWriter.Loaded> loaded = context.messageAdapter(LogWriter.Loaded.class, Loaded::new);
 		ActorRef<LogWriter.Written> written = context.messageAdapter(LogWriter.Written.class, Written::new);
-		this.logWriter = context.spawn(LogWriter.create(storage, loaded, written, metrics, MonotonicClock.SYSTEM),
-				"log-writer", DispatcherSelector.fromConfig(LOG_WRITER_DISPATCHER));
+		this.logWriter = context.spawn(LogWriter.create(storage, loaded, written, metrics, clock), "log-writer",
+				DispatcherSelector.fromConfig(LOG_WRITER_DISPATCHER));
 		context.watch(this.logWriter);
 	}
 
@@ -79,16 +79,16 @@
 	 * @param actorSettings settings of the replica actor
 	 * @param eventLog takes events
 	 * @param metrics the metrics of the process
-	 * @param wallClock the clock for proposals and events
+	 * @param clock the clock of this process, which follows the monotonic clock
 	 * @param random source of the election timeouts
 	 * @param owner is told when the replica runs or has failed
 	 * @return the behavior
 	 */
 	public static Behavior<Command> create(MemberStorage storage, ReplicaSettings replicaSettings,
 			ReplicaActorSettings actorSettings, ActorRef<EventLog.Command> eventLog, MetricRegistry metrics,
-			Clock wallClock, RandomGenerator random, ActorRef<Report> owner) {
+			InstantSource clock, RandomGenerator random, ActorRef<Report> owner) {
 		return Behaviors.setup((context) -> new ReplicaSupervisor(context, storage, replicaSettings, actorSettings,
-				eventLog, metrics, wallClock, random, owner));
+				eventLog, metrics, clock, random, owner));
 	}
 
 	@Override
@@ -128,10 +128,9 @@
 	private Behavior<ReplicaMessage> replicaBehavior(LogWriter.Loaded loaded) {
 		FleetMachine machine = new FleetMachine(new ThriftProposalCodec(), new ThriftFleetSnapshotCodec());
 		machine.restore(loaded.state().snapshot());
-		MonotonicClock clock = MonotonicClock.SYSTEM;
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new ReplicaActor(context, timers,
-				this.actorSettings, new Replica(this.replicaSettings, loaded.state(), this.random, clock.nowMillis()),
-				machine, this.logWriter, this.eventLog, this.metrics, clock, this.wallClock)));
+				this.actorSettings, new Replica(this.replicaSettings, loaded.state(), this.random, this.clock.millis()),
+				machine, this.logWriter, this.eventLog, this.metrics, this.clock)));
 	}
 
 	/** Messages of the supervisor, all sent by its children. */
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.control.planner;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -52,8 +53,9 @@
 
 	private final AtomicLong nowMillis = new AtomicLong();
 
-	private final ActorRef<TokenPlannerActor.Message> actor = this.testKit.spawn(TokenPlannerActor
-		.create(TokenSettings.DEFAULT, Duration.ofMillis(250), this.nowMillis::get, this.replica.getRef()));
+	private final ActorRef<TokenPlannerActor.Message> actor = this.testKit
+		.spawn(TokenPlannerActor.create(TokenSettings.DEFAULT, Duration.ofMillis(250),
+				() -> Instant.ofEpochMilli(this.nowMillis.get()), this.replica.getRef()));
 
 	private final FleetState state = FleetState.empty();
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/LogWriterTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/LogWriterTests.java
@@ -1,5 +1,6 @@
 package io.burdockpin.control.replica;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -38,8 +39,8 @@
 		MemberStorage storage = new MemberStorage(this.files, new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
 		storage.format(new Identity("test", "c1", 1, true), Membership.EMPTY);
 		TestInbox<LogWriter.Loaded> loaded = TestInbox.create();
-		this.writer = BehaviorTestKit
-			.create(LogWriter.create(storage, loaded.getRef(), this.written.getRef(), new MetricRegistry(), () -> 0));
+		this.writer = BehaviorTestKit.create(LogWriter.create(storage, loaded.getRef(), this.written.getRef(),
+				new MetricRegistry(), () -> Instant.EPOCH));
 		Truth.assertThat(loaded.receiveMessage().state().term()).isEqualTo(0);
 	}
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
@@ -1,6 +1,6 @@
 package io.burdockpin.control.replica;
 
-import java.time.Clock;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -188,7 +188,7 @@
 		this.actor = BehaviorTestKit
 			.create(Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new ReplicaActor(context, timers,
 					new ReplicaActorSettings("test", 25, 2000), replica, machine, this.logWriter.getRef(),
-					this.eventLog.getRef(), new MetricRegistry(), () -> this.nowMillis, Clock.systemUTC()))));
+					this.eventLog.getRef(), new MetricRegistry(), () -> Instant.ofEpochMilli(this.nowMillis)))));
 	}
 
 	private void electWithVotesOfOthers() {
