--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -1,7 +1,7 @@
 package io.burdockpin.control.replica;
 
-import java.time.Clock;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -34,9 +34,11 @@
 import io.burdockpin.core.event.EventKind;
 import io.burdockpin.core.event.HybridClock;
 import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.measure.FleetMeasures;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.FleetState;
 import io.burdockpin.core.state.Proposal;
 import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.metric.MetricRegistry;
@@ -57,6 +59,9 @@
 
 	private static final Duration FEED_PERIOD = Duration.ofSeconds(1);
 
+	/** The measures look at all jobs and hosts, so they are taken each 5 s. */
+	private static final int FEEDS_PER_MEASURE = 5;
+
 	private final ReplicaActorSettings settings;
 
 	private final Replica replica;
@@ -71,9 +76,7 @@
 
 	private final ControlMetrics metrics;
 
-	private final MonotonicClock monotonicClock;
-
-	private final Clock wallClock;
+	private final InstantSource clock;
 
 	private final HybridClock hybridClock = new HybridClock();
 
@@ -95,10 +98,11 @@
 
 	private long nextReadNumber;
 
+	private long feedCount;
+
 	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
 			ReplicaActorSettings settings, Replica replica, FleetMachine machine, ActorRef<LogWriter.Command> logWriter,
-			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, MonotonicClock monotonicClock,
-			Clock wallClock) {
+			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, InstantSource clock) {
 		super(context);
 		this.settings = settings;
 		this.replica = replica;
@@ -106,8 +110,7 @@
 		this.logWriter = logWriter;
 		this.eventLog = eventLog;
 		this.metrics = new ControlMetrics(metrics);
-		this.monotonicClock = monotonicClock;
-		this.wallClock = wallClock;
+		this.clock = clock;
 		record(event(EventKind.PROCESS_STARTED));
 		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
 		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.FEED, FEED_PERIOD);
@@ -202,7 +205,7 @@
 	private void send(MemberId receiver, long membershipIndex, ConsensusMessage message) {
 		this.links.ifPresent((target) -> target.tell(new MemberLinkCommand.SendToMember(
 				new ConsensusEnvelope(this.settings.cluster(), this.replica.status().self(), receiver, membershipIndex,
-						this.hybridClock.tick(this.wallClock.millis()), message))));
+						this.hybridClock.tick(this.clock.millis()), message))));
 	}
 
 	// entry hosts
@@ -241,11 +244,20 @@
 
 	private Behavior<ReplicaMessage> onFeedDue() {
 		this.metrics.record(this.replica.status(), this.replica.hasLeaderContact(nowMillis()), this.machine);
+		this.feedCount++;
+		if (this.feedCount % FEEDS_PER_MEASURE == 0) {
+			this.metrics.record(this.leads ? Optional.of(measures()) : Optional.empty());
+		}
 		this.feed.publish(feedHeartbeat());
 		reportConfirmations();
 		return this;
 	}
 
+	private FleetMeasures measures() {
+		FleetState state = this.machine.state();
+		return FleetMeasures.of(state.configuration(), state.jobs(), state.campaigns(), this.clock.millis());
+	}
+
 	private ClientMessage feedHeartbeat() {
 		Optional<HostName> leader = this.replica.status().leader().map(MemberId::host);
 		return new ClientMessage.FeedHeartbeat(this.machine.state().configurationIndex(), leader,
@@ -279,7 +291,7 @@
 
 	private void propose(ClientMessage.Propose request, ActorRef<? super ClientMessage> replyTo,
 			boolean wantsConfirmation) {
-		Proposal proposal = new Proposal(this.wallClock.millis(), request.requestId(), request.expectedVersion(),
+		Proposal proposal = new Proposal(this.clock.millis(), request.requestId(), request.expectedVersion(),
 				request.command());
 		OptionalLong index = this.replica.propose(this.machine.encode(proposal), nowMillis());
 		if (index.isPresent()) {
@@ -399,6 +411,9 @@
 			if (applied.isConfigurationChange()) {
 				publish(applied);
 			}
+			if (this.leads) {
+				this.metrics.countMoves(applied, this.machine.state());
+			}
 			this.fleetEvents.of(applied, this.machine.state(), this.leads).ifPresent(this::record);
 			this.proposals.take(entry.index()).forEach((waiter) -> answer(waiter, applied));
 		}
@@ -512,11 +527,11 @@
 	}
 
 	private Event event(EventKind kind) {
-		return Event.of(kind, this.hybridClock.tick(this.wallClock.millis()));
+		return Event.of(kind, this.hybridClock.tick(this.clock.millis()));
 	}
 
 	private long nowMillis() {
-		return this.monotonicClock.nowMillis();
+		return this.clock.millis();
 	}
 
 	private record PendingRead(long correlation, ActorRef<? super ClientMessage> replyTo,
