--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealFleet.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealFleet.java
@@ -46,7 +46,7 @@
 	private final List<RealProcess> entries = new ArrayList<>();
 
 	private final HttpEntryCaller caller = new HttpEntryCaller(
-			HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build(), "http", Duration.ofSeconds(10));
+			HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build(), Duration.ofSeconds(10));
 
 	RealFleet(Path folder) {
 		this.folder = folder;
