Test a full disk at control members with real processes

Cause: a full disk was only tried by hand.

Ruled out: a file system of its own (needs special rights).

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -50,7 +50,8 @@
 
 	private final Optional<TestAuthority> authority;
 
-	private Fleet(Path folder, int entryCount, int snapshotEntries, Optional<TestAuthority> authority) {
+	private Fleet(Path folder, int entryCount, int snapshotEntries, Optional<TestAuthority> authority,
+			Map<String, Object> controlSettings) {
 		this.folder = folder;
 		this.authority = authority;
 		this.memberPlans = IntStream.rangeClosed(1, MEMBERS)
@@ -60,7 +61,8 @@
 			.mapToObj((number) -> entryPlan("e" + number, number))
 			.toList();
 		this.members = this.memberPlans.stream()
-			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans), tlsOf(plan)))
+			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans),
+					more(plan, controlSettings)))
 			.toList();
 		this.entries = this.entryPlans.stream()
 			.map((plan) -> new EntryHost(plan, folder, linksToPeers(plan, this.entryPlans),
@@ -78,7 +80,7 @@
 	 * @return the running fleet
 	 */
 	public static Fleet start(String name, int entryCount, int snapshotEntries) {
-		return start(new Fleet(emptyFolder(name), entryCount, snapshotEntries, Optional.empty()));
+		return start(new Fleet(emptyFolder(name), entryCount, snapshotEntries, Optional.empty(), Map.of()));
 	}
 
 	/**
@@ -89,7 +91,19 @@
 	 */
 	public static Fleet startWithTls(String name, int entryCount) {
 		Path folder = emptyFolder(name);
-		return start(new Fleet(folder, entryCount, 4096, Optional.of(new TestAuthority(folder, "authority"))));
+		return start(
+				new Fleet(folder, entryCount, 4096, Optional.of(new TestAuthority(folder, "authority")), Map.of()));
+	}
+
+	/**
+	 * Starts a fleet whose control members have further settings.
+	 * @param name name of its folder below {@code target}
+	 * @param entryCount number of entry hosts, each in a data centre of its own
+	 * @param controlSettings the further settings
+	 * @return the running fleet
+	 */
+	public static Fleet startWith(String name, int entryCount, Map<String, Object> controlSettings) {
+		return start(new Fleet(emptyFolder(name), entryCount, 4096, Optional.empty(), controlSettings));
 	}
 
 	private static Fleet start(Fleet fleet) {
@@ -267,6 +281,14 @@
 			.toList();
 	}
 
+	/** Waits until all control members have the entries that the leader has. */
+	public void awaitCaughtUp() {
+		Await.until("the same commit index at all members", () -> {
+			long index = leader().health().number("commitIndex");
+			return this.members.stream().allMatch((member) -> member.health().number("commitIndex") >= index);
+		});
+	}
+
 	/** Waits until every entry host has the configuration that the leader has. */
 	public void awaitSameConfiguration() {
 		Await.until("the same configuration index everywhere", () -> {
@@ -290,10 +312,10 @@
 		return this.authority.map((signer) -> List.of("--trust-file", signer.trustFile())).orElse(List.of());
 	}
 
-	private Map<String, Object> tlsOf(ControlPlan plan) {
-		return this.authority
-			.map((signer) -> Map.<String, Object>of("tls", signer.sign(plan.name(), plan.memberAddress().host())))
-			.orElse(Map.of());
+	private Map<String, Object> more(ControlPlan plan, Map<String, Object> controlSettings) {
+		Map<String, Object> more = new HashMap<>(controlSettings);
+		this.authority.ifPresent((signer) -> more.put("tls", signer.sign(plan.name(), plan.memberAddress().host())));
+		return more;
 	}
 
 	private List<EntryHost> nearestFirst(int entry) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,6 +53,18 @@
 		this.process = Optional.of(launch(this.command));
 	}
 
+	/**
+	 * Starts the program with a limit on the size of its files, as a full disk would set
+	 * it.
+	 * @param blocks the limit in blocks of 512 bytes
+	 */
+	public void startWithFileLimit(int blocks) {
+		List<String> limited = new ArrayList<>(
+				List.of("/bin/sh", "-c", "ulimit -f " + blocks + " && exec \"$@\"", "sh"));
+		limited.addAll(this.command);
+		this.process = Optional.of(launch(limited));
+	}
+
 	/** Sends SIGKILL and waits for the end. */
 	public void kill() {
 		running().destroyForcibly();
@@ -106,6 +119,19 @@
 
 	// access
 
+	/**
+	 * Reads what the program has printed in all its lives.
+	 * @return standard output and error
+	 */
+	public String log() {
+		try {
+			return Files.readString(this.output);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	/**
 	 * Tells whether the program runs.
 	 * @return {@code false} before its start and after its end
