Keep a withdrawal that is not committed over a restart

Cause: an entry host answered that it would propose a withdrawal again until it is committed, and forgot it when it restarted.

Ruled out: answering OUTCOME_UNKNOWN instead (the key is refused at this host and its peers, and the operator would have to watch the cut).

Change: with a data folder the withdrawal is synced to the file withdrawals before the operator hears that it is not committed, and started again after a restart. Without one, burdockctl says to send it again.

--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -96,9 +96,8 @@
 				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), links, this.router, control), "peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(), control),
 				"workers");
-		ActorRef<OperatorCommand> operators = spawn(
-				OperatorSupervisor.create(settings.timing().proposalMillis(), control, this.router, peers),
-				"operators");
+		ActorRef<OperatorCommand> operators = spawn(OperatorSupervisor.create(settings.timing().proposalMillis(),
+				control, this.router, peers, settings.dataFolder().map(Path::of)), "operators");
 		Actors actors = new Actors(context.getSystem(), this.router, control, this.workers, operators);
 		this.http = spawn(CallerHttp.create(actors, identity, settings, tls), "http");
 		peers.tell(
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/operator/OperatorSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/operator/OperatorSupervisor.java
@@ -1,11 +1,15 @@
 package io.burdockpin.entry.operator;
 
+import java.nio.file.Path;
+import java.util.Optional;
+
 import io.burdockpin.core.operator.OperatorRequest;
 import io.burdockpin.entry.control.ControlCommand;
 import io.burdockpin.entry.peer.PeerCommand;
 import io.burdockpin.entry.router.RouterCommand;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -22,13 +26,19 @@
 
 	private final ActorRef<PeerCommand> peers;
 
+	private final Optional<ActorRef<WithdrawalFileActor.Command>> withdrawals;
+
 	private OperatorSupervisor(ActorContext<OperatorCommand> context, long proposalMillis,
-			ActorRef<ControlCommand> control, ActorRef<RouterCommand> router, ActorRef<PeerCommand> peers) {
+			ActorRef<ControlCommand> control, ActorRef<RouterCommand> router, ActorRef<PeerCommand> peers,
+			Optional<Path> dataFolder) {
 		super(context);
 		this.proposalMillis = proposalMillis;
 		this.control = control;
 		this.router = router;
 		this.peers = peers;
+		this.withdrawals = dataFolder
+			.map((folder) -> context.spawn(WithdrawalFileActor.create(new WithdrawalFile(folder), context.getSelf()),
+					"withdrawals", DispatcherSelector.blocking()));
 	}
 
 	// life cycle
@@ -39,11 +49,13 @@
 	 * @param control calls the leader
 	 * @param router refuses withdrawn keys
 	 * @param peers tells the other entry hosts of withdrawn keys
+	 * @param dataFolder where withdrawals that are not committed are kept, if anywhere
 	 * @return the behavior
 	 */
 	public static Behavior<OperatorCommand> create(long proposalMillis, ActorRef<ControlCommand> control,
-			ActorRef<RouterCommand> router, ActorRef<PeerCommand> peers) {
-		return Behaviors.setup((context) -> new OperatorSupervisor(context, proposalMillis, control, router, peers));
+			ActorRef<RouterCommand> router, ActorRef<PeerCommand> peers, Optional<Path> dataFolder) {
+		return Behaviors
+			.setup((context) -> new OperatorSupervisor(context, proposalMillis, control, router, peers, dataFolder));
 	}
 
 	@Override
@@ -54,7 +66,7 @@
 	private Behavior<OperatorCommand> onCommand(OperatorCommand command) {
 		if (command.request() instanceof OperatorRequest.WithdrawKey withdrawal) {
 			getContext().spawnAnonymous(WithdrawalActor.create(withdrawal, command.replyTo(), this.proposalMillis,
-					this.control, this.router, this.peers));
+					this.control, this.router, this.peers, this.withdrawals));
 		}
 		else {
 			getContext().spawnAnonymous(OperatorCallActor.create(command, this.proposalMillis, this.control));
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/operator/WithdrawalActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/operator/WithdrawalActor.java
@@ -26,7 +26,8 @@
 
 /**
  * Withdraws one key: at once here, then at the other entry hosts, and in the replicated
- * log, where it is proposed until there is a definite result.
+ * log, where it is proposed until there is a definite result. Before the operator is told
+ * that it is not committed yet, it is kept on disk, if there is a data folder.
  */
 final class WithdrawalActor extends AbstractBehavior<WithdrawalActor.Message> {
 
@@ -46,6 +47,12 @@
 
 	private final ActorRef<PeerCommand> peers;
 
+	private final Optional<ActorRef<WithdrawalFileActor.Command>> file;
+
+	private boolean asksToKeep;
+
+	private boolean kept;
+
 	private Optional<List<DataCentre>> unconfirmed = Optional.empty();
 
 	private Optional<CallResult> firstResult = Optional.empty();
@@ -54,7 +61,8 @@
 
 	private WithdrawalActor(ActorContext<Message> context, TimerScheduler<Message> timers,
 			OperatorRequest.WithdrawKey request, ActorRef<OperatorReply> replyTo, long proposalMillis,
-			ActorRef<ControlCommand> control, ActorRef<RouterCommand> router, ActorRef<PeerCommand> peers) {
+			ActorRef<ControlCommand> control, ActorRef<RouterCommand> router, ActorRef<PeerCommand> peers,
+			Optional<ActorRef<WithdrawalFileActor.Command>> file) {
 		super(context);
 		this.timers = timers;
 		this.request = request;
@@ -62,6 +70,8 @@
 		this.proposalMillis = proposalMillis;
 		this.control = control;
 		this.peers = peers;
+		this.file = file;
+		this.kept = file.isEmpty();
 		router.tell(new RouterCommand.WithdrawKeys(List.of(request.keyHash()),
 				context.messageAdapter(Done.class, (done) -> new InForceHere())));
 	}
@@ -70,9 +80,9 @@
 
 	static Behavior<Message> create(OperatorRequest.WithdrawKey request, ActorRef<OperatorReply> replyTo,
 			long proposalMillis, ActorRef<ControlCommand> control, ActorRef<RouterCommand> router,
-			ActorRef<PeerCommand> peers) {
+			ActorRef<PeerCommand> peers, Optional<ActorRef<WithdrawalFileActor.Command>> file) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new WithdrawalActor(context, timers,
-				request, replyTo, proposalMillis, control, router, peers)));
+				request, replyTo, proposalMillis, control, router, peers, file)));
 	}
 
 	@Override
@@ -80,6 +90,7 @@
 		return newReceiveBuilder().onMessage(InForceHere.class, (message) -> onInForceHere())
 			.onMessage(PeersAsked.class, this::onPeersAsked)
 			.onMessage(Proposed.class, this::onProposed)
+			.onMessage(Kept.class, (message) -> onKept())
 			.onMessage(ProposeAgain.class, (message) -> propose())
 			.build();
 	}
@@ -99,14 +110,30 @@
 		this.firstResult = this.firstResult.or(() -> Optional.of(message.result()));
 		if (!(message.result() instanceof CallResult.Answered)) {
 			this.timers.startSingleTimer(new ProposeAgain(), PROPOSE_AGAIN);
+			keep();
 			return reply();
 		}
+		this.kept = true;
+		this.file.ifPresent((target) -> target.tell(new WithdrawalFileActor.Forget(this.request.requestId())));
 		reply();
 		return this.replied ? Behaviors.stopped() : this;
 	}
 
+	private Behavior<Message> onKept() {
+		this.kept = true;
+		return reply();
+	}
+
 	// helpers
 
+	private void keep() {
+		if (!this.asksToKeep) {
+			this.asksToKeep = true;
+			ActorRef<Done> done = getContext().messageAdapter(Done.class, (message) -> new Kept());
+			this.file.ifPresent((target) -> target.tell(new WithdrawalFileActor.Keep(this.request, done)));
+		}
+	}
+
 	private Behavior<Message> propose() {
 		this.control.tell(new ControlCommand.Call(
 				(correlation) -> new ClientMessage.Propose(correlation, Optional.of(this.request.requestId()),
@@ -116,7 +143,7 @@
 	}
 
 	private Behavior<Message> reply() {
-		if (this.replied || this.unconfirmed.isEmpty() || this.firstResult.isEmpty()) {
+		if (this.replied || !this.kept || this.unconfirmed.isEmpty() || this.firstResult.isEmpty()) {
 			return this;
 		}
 		this.replied = true;
@@ -154,6 +181,10 @@
 
 	}
 
+	private record Kept() implements Message {
+
+	}
+
 	private record ProposeAgain() implements Message {
 
 	}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/operator/WithdrawalFileActor.java
@@ -0,0 +1,84 @@
+package io.burdockpin.entry.operator;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.operator.OperatorRequest;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+
+/**
+ * Owns the file of the withdrawals that are not committed yet, and starts those of an
+ * earlier life again. Runs on the dispatcher for blocking calls.
+ */
+final class WithdrawalFileActor extends AbstractBehavior<WithdrawalFileActor.Command> {
+
+	private final WithdrawalFile file;
+
+	private final Map<RequestId, OperatorRequest.WithdrawKey> withdrawals = new LinkedHashMap<>();
+
+	private WithdrawalFileActor(ActorContext<Command> context, WithdrawalFile file, ActorRef<OperatorCommand> owner) {
+		super(context);
+		this.file = file;
+		file.load().forEach((withdrawal) -> {
+			this.withdrawals.put(withdrawal.requestId(), withdrawal);
+			owner.tell(new OperatorCommand(withdrawal, context.getSystem().ignoreRef()));
+		});
+	}
+
+	// life cycle
+
+	static Behavior<Command> create(WithdrawalFile file, ActorRef<OperatorCommand> owner) {
+		return Behaviors.setup((context) -> new WithdrawalFileActor(context, file, owner));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(Keep.class, this::onKeep).onMessage(Forget.class, this::onForget).build();
+	}
+
+	private Behavior<Command> onKeep(Keep command) {
+		this.withdrawals.put(command.request().requestId(), command.request());
+		this.file.save(this.withdrawals.values());
+		command.replyTo().tell(Done.getInstance());
+		return this;
+	}
+
+	private Behavior<Command> onForget(Forget command) {
+		if (this.withdrawals.remove(command.requestId()) != null) {
+			this.file.save(this.withdrawals.values());
+		}
+		return this;
+	}
+
+	/** Messages of the actor. */
+	sealed interface Command {
+
+	}
+
+	/**
+	 * Keeps a withdrawal over a restart.
+	 *
+	 * @param request the withdrawal
+	 * @param replyTo is told when it is on disk
+	 */
+	record Keep(OperatorRequest.WithdrawKey request, ActorRef<Done> replyTo) implements Command {
+
+	}
+
+	/**
+	 * A withdrawal has its result.
+	 *
+	 * @param requestId its identifier
+	 */
+	record Forget(RequestId requestId) implements Command {
+
+	}
+
+}
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/output/Report.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/output/Report.java
@@ -47,7 +47,8 @@
 		List<String> unconfirmed = reply.unconfirmed().stream().map(DataCentre::value).toList();
 		List<String> warnings = new ArrayList<>(unconfirmedWarning(unconfirmed));
 		if (!reply.committed()) {
-			warnings.add("the withdrawal is in force at the entry host but not yet in the log; it is proposed again");
+			warnings.add("the withdrawal is in force at the entry host but not yet in the log; it is proposed again, "
+					+ "after a restart only if the entry host has a data folder; send it again to see it committed");
 		}
 		return new Report(List.of("key: withdrawn" + (reply.committed() ? "" : ", not committed yet")),
 				Map.of("committed", reply.committed(), "unconfirmed", unconfirmed), warnings);
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/WithdrawnKeyTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/WithdrawnKeyTests.java
@@ -90,6 +90,30 @@
 					.anyMatch((record) -> record.hash().equals(KeyHash.of(key)) && record.withdrawn()));
 	}
 
+	/**
+	 * Guards against a withdrawal that is lost because its entry host restarts before a
+	 * majority has heard of it.
+	 */
+	@Test
+	void aWithdrawalThatIsNotCommittedSurvivesTheRestartOfItsEntryHost() {
+		String key = grantedKey("restart");
+		EntryHost inside = fleet.entries().get(2);
+		fleet.links().cut(fleet.hostsOf(3), fleet.hostsOf(1, 2));
+		OperatorReply.Withdrawn reply = new Operator(List.of(inside)).withdraw("withdraw-restart", KeyHash.of(key));
+		Truth.assertThat(reply.committed()).isFalse();
+		inside.process().kill();
+		Truth.assertThat(fleet.entries().subList(0, 2).stream().allMatch((entry) -> admits(entry, key))).isTrue();
+		inside.process().start();
+		Await.until("refusal by the restarted host", () -> refuses(inside, key));
+		fleet.links().heal();
+		Await.until("refusal everywhere", () -> fleet.entries().stream().allMatch((entry) -> refuses(entry, key)));
+		Await.until("withdrawal in the replicated state",
+				() -> operator.configuration()
+					.keys()
+					.stream()
+					.anyMatch((record) -> record.hash().equals(KeyHash.of(key)) && record.withdrawn()));
+	}
+
 	/** Guards against a data centre that keeps a key after the cut has healed. */
 	@Test
 	void aKeyWithdrawnOutsideACutOffDataCentreIsRefusedInsideAfterTheCut() {
