Start nothing and answer nothing after the deadline of a request

After a freeze of 10 s, events came before the tick that expires waiting requests, so requests 7 s past their deadline were started with a remaining time of 1 ms.

Ruled out: leased tokens used after their lease (the wallet ignores grants that do not answer the newest report, and counts from when it sent it).

Change: the router and the request check the deadline right before an attempt starts, here and for forwarded requests.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -146,9 +146,10 @@
 	private void startRest(ReplicaSupervisor.Started started) {
 		ActorContext<GuardianCommand> context = getContext();
 		this.replica = Optional.of(started.replica());
-		ActorRef<PlannerReport> planner = context
-			.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT.withPreference(this.settings.toPreference()),
-					this.clock, started.replica()), "planner-supervisor");
+		ActorRef<PlannerReport> planner = context.spawn(
+				PlannerSupervisor.create(PlannerSettings.DEFAULT.withPreference(this.settings.toPreference())
+					.withTokenLease(this.settings.tokenLeaseMillis().get()), this.clock, started.replica()),
+				"planner-supervisor");
 		context.spawn(
 				LinkSupervisor.create(linkSettings(), started.self(), started.replica(), planner,
 						context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new), this.clock),
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -15,6 +15,7 @@
 import io.burdockpin.core.consensus.Membership;
 import io.burdockpin.core.consensus.ReplicaSettings;
 import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.core.limit.TokenSettings;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.placement.PlacementPreference;
 import io.burdockpin.core.util.Checks;
@@ -41,6 +42,7 @@
  * gives up its leadership (default 1500)
  * @param confirmationMillis how long a reply waits until the entry hosts have confirmed a
  * configuration change (default 2000)
+ * @param tokenLeaseMillis how long leased tokens last without renewal (default 45000)
  * @param eventFileBytes size at which a new event file is started (default 16 MiB)
  * @param weightRollout how much a short roll-out counts against the other three (default
  * 1)
@@ -53,8 +55,9 @@
 		String clientAddress, String adminAddress, List<MemberSettings> members, Optional<Integer> heartbeatMillis,
 		Optional<Integer> electionTimeoutMinimumMillis, Optional<Integer> electionTimeoutMaximumMillis,
 		Optional<Integer> snapshotEntries, Optional<Integer> hangingWriteMillis, Optional<Integer> confirmationMillis,
-		Optional<Long> eventFileBytes, Optional<Integer> weightRollout, Optional<Integer> weightMoves,
-		Optional<Integer> weightShare, Optional<Integer> weightBuffer, Optional<TlsSettings> tls) {
+		Optional<Integer> tokenLeaseMillis, Optional<Long> eventFileBytes, Optional<Integer> weightRollout,
+		Optional<Integer> weightMoves, Optional<Integer> weightShare, Optional<Integer> weightBuffer,
+		Optional<TlsSettings> tls) {
 
 	/** Incarnation of the members of a new cluster. */
 	public static final long FORMATTED_INCARNATION = 1;
@@ -90,6 +93,7 @@
 		snapshotEntries = withDefault(snapshotEntries, DEFAULTS.snapshotEntries());
 		hangingWriteMillis = withDefault(hangingWriteMillis, DEFAULTS.hangingWriteMillis());
 		confirmationMillis = withDefault(confirmationMillis, DEFAULT_CONFIRMATION_MILLIS);
+		tokenLeaseMillis = withDefault(tokenLeaseMillis, (int) TokenSettings.DEFAULT.leaseMillis());
 		eventFileBytes = withDefault(eventFileBytes, DEFAULT_EVENT_FILE_BYTES);
 		weightRollout = withDefault(weightRollout, DEFAULT_WEIGHT);
 		weightMoves = withDefault(weightMoves, DEFAULT_WEIGHT);
@@ -99,6 +103,7 @@
 		new PlacementPreference(weightRollout.get(), weightMoves.get(), weightShare.get(), weightBuffer.get());
 		Checks.range("heartbeatMillis", heartbeatMillis.get(), 10, 10_000);
 		Checks.range("confirmationMillis", confirmationMillis.get(), 0, 10_000);
+		Checks.range("tokenLeaseMillis", tokenLeaseMillis.get(), 1000, 600_000);
 		Checks.range("eventFileBytes", eventFileBytes.get(), 4096, 1L << 40);
 		replicaSettings(heartbeatMillis, electionTimeoutMinimumMillis, electionTimeoutMaximumMillis, snapshotEntries,
 				hangingWriteMillis);
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
@@ -36,4 +36,15 @@
 				this.tokenPeriod);
 	}
 
+	/**
+	 * Returns these settings with another lease of tokens.
+	 * @param leaseMillis how long leased tokens last without renewal
+	 * @return the changed settings
+	 */
+	public PlannerSettings withTokenLease(long leaseMillis) {
+		return new PlannerSettings(this.placement, this.maintenance,
+				new TokenSettings(leaseMillis, this.tokens.maximumRequestMillis(), this.tokens.silentMillis()),
+				this.placementPeriod, this.maintenancePeriod, this.tokenPeriod);
+	}
+
 }
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -11,6 +11,7 @@
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.retry.Answer;
 import io.burdockpin.core.retry.AttemptResult;
+import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.QueuedRequest;
 import io.burdockpin.entry.EntryIdentity;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -72,6 +73,11 @@
 
 	private Behavior<Command> onDispatch(Dispatch dispatch) {
 		if (dispatch instanceof Dispatch.ToRunner toRunner) {
+			if (this.queued.deadlineMillis() <= this.identity.nowMillis()) {
+				this.router
+					.tell(new RouterCommand.AttemptEnded(toRunner.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL));
+				return end(AttemptResult.notRun(ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed"));
+			}
 			this.localAttempt = Optional.of(toRunner.attempt());
 			RunnerCall call = new RunnerCall(toRunner.attempt(), toRunner.runner().address(), this.request.queue(),
 					this.request.requestId(), this.request.contentType(), this.request.body(),
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.Query;
+import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
 import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.Payload;
@@ -133,14 +134,20 @@
 			return carryOut(this.attempts.refused(noAttempt.code(), noAttempt.message()));
 		}
 		if (dispatch instanceof Dispatch.ToRunner toRunner) {
-			startOnRunner(toRunner);
+			return isOver() ? refuseLate(toRunner.attempt()) : startOnRunner(toRunner);
 		}
-		else if (dispatch instanceof Dispatch.ToPeer toPeer) {
-			startAtPeer(toPeer);
+		if (dispatch instanceof Dispatch.ToPeer toPeer) {
+			return isOver() ? refuseLate(toPeer.attempt()) : startAtPeer(toPeer);
 		}
 		return this;
 	}
 
+	// A freeze may lie between the decision and the start.
+	private Behavior<Message> refuseLate(long attempt) {
+		reportToRouter(attempt, Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+		return carryOut(this.attempts.refused(ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed"));
+	}
+
 	private Behavior<Message> onAttemptDone(AttemptReport report) {
 		return endAttempt(report.result(), report.verdict());
 	}
@@ -166,10 +173,10 @@
 
 	// helpers
 
-	private void startOnRunner(Dispatch.ToRunner dispatch) {
+	private Behavior<Message> startOnRunner(Dispatch.ToRunner dispatch) {
 		if (!this.attempts.attemptStarted(new Target.OwnRunner(dispatch.runner().name()))) {
 			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
-			return;
+			return this;
 		}
 		this.currentAttempt = dispatch.attempt();
 		CallerRequest caller = this.request.caller();
@@ -180,12 +187,13 @@
 				RunnerConnection.create(dispatch.connector(), call,
 						getContext().messageAdapter(AttemptReport.class, AttemptDone::new)),
 				"attempt-" + dispatch.attempt());
+		return this;
 	}
 
-	private void startAtPeer(Dispatch.ToPeer dispatch) {
+	private Behavior<Message> startAtPeer(Dispatch.ToPeer dispatch) {
 		if (!this.attempts.attemptStarted(new Target.Peer(dispatch.host()))) {
 			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
-			return;
+			return this;
 		}
 		this.currentAttempt = dispatch.attempt();
 		this.forwardedBy = Optional.of(dispatch.peers());
@@ -197,11 +205,16 @@
 					getContext().messageAdapter(AttemptResult.class, ForwardDone::new)));
 		this.timers.startSingleTimer(ForwardOverdue.class, new ForwardOverdue(),
 				Duration.ofMillis(remainingMillis()).plus(FORWARD_GRACE));
+		return this;
 	}
 
 	private Behavior<Message> endAttempt(AttemptResult result, AttemptVerdict verdict) {
 		reportToRouter(this.currentAttempt, result.outcome(), verdict);
-		return carryOut(this.attempts.attemptEnded(result, this.request.identity().nowMillis()));
+		// Long after the deadline the token and the claim may be held elsewhere.
+		boolean isLate = result.outcome() == Outcome.RAN && isOver();
+		AttemptResult timely = isLate
+				? AttemptResult.unknown(ErrorCode.DEADLINE_EXCEEDED, "the answer came after the deadline") : result;
+		return carryOut(this.attempts.attemptEnded(timely, this.request.identity().nowMillis()));
 	}
 
 	private void reportToRouter(long attempt, Outcome outcome, AttemptVerdict verdict) {
@@ -293,6 +306,10 @@
 		return this.queued.team().orElse(RequestContext.OPEN_QUEUE_TEAM);
 	}
 
+	private boolean isOver() {
+		return this.queued.deadlineMillis() <= this.request.identity().nowMillis();
+	}
+
 	private long remainingMillis() {
 		return Math.max(1, this.queued.deadlineMillis() - this.request.identity().nowMillis());
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -333,7 +333,12 @@
 		return capacity(queue).freeSlots() > 0 || (!entry.forwarded() && choosePeer(entry).isPresent());
 	}
 
+	// After a freeze, events may come before the tick that expires waiting requests.
 	private void start(RouterCommand.Enqueue entry) {
+		if (entry.request().deadlineMillis() <= this.identity.nowMillis()) {
+			refuse(entry, ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed");
+			return;
+		}
 		long attempt = ++this.lastNumber;
 		Set<RunnerName> avoidedRunners = new HashSet<>();
 		for (Target target : entry.avoided()) {
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -1,5 +1,6 @@
 package io.burdockpin.entry;
 
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 
@@ -81,6 +82,10 @@
 		return TestEntry.start(this.kit, this.first, List.of(), this.control);
 	}
 
+	TestEntry startAlone(InstantSource clock) {
+		return TestEntry.start(this.kit, this.first, List.of(), this.control, clock);
+	}
+
 	TestEntry startFirst() {
 		return TestEntry.start(this.kit, this.first, List.of(this.second), this.control);
 	}
--- /dev/null
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
@@ -0,0 +1,41 @@
+package io.burdockpin.entry;
+
+import java.net.http.HttpResponse;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.entry.fake.FakeRunner;
+import io.burdockpin.entry.fake.TestEntry;
+import org.junit.jupiter.api.Test;
+
+/** Guards against an entry host that goes on after a freeze as if no time had passed. */
+class FrozenProcessTests extends EntryTestBase {
+
+	private static final Map<String, String> REPEATABLE = Map.of("Burdock-Key", "key-1", "Burdock-Repeatable", "true");
+
+	private static final long FREEZE_MILLIS = 31_000;
+
+	private final AtomicLong frozenMillis = new AtomicLong();
+
+	@Test
+	void aLateAnswerIsUnknownAndAWaitingRequestIsNotStartedAfterItsDeadline() {
+		TestEntry entry = startAlone(() -> Instant.now().plusMillis(this.frozenMillis.get()));
+		entry.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> first = entry.submit(once("first"), "first");
+		FakeRunner.Call call = runner().awaitCall();
+		CompletableFuture<HttpResponse<String>> second = entry.submit(once("second"), "second");
+		runner().awaitCall();
+		CompletableFuture<HttpResponse<String>> waiting = entry.submit(REPEATABLE, "waiting");
+		entry.call("GET", "/health", Map.of(), "");
+		this.frozenMillis.set(FREEZE_MILLIS);
+		call.answer("late");
+		Truth.assertThat(first.join().body()).contains("\"outcome\":\"UNKNOWN\"");
+		Truth.assertThat(waiting.join().body()).contains("\"outcome\":\"NOT_RUN\"");
+		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
+		Truth.assertThat(second.isDone()).isFalse();
+	}
+
+}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -56,6 +56,11 @@
 
 	/** Starts an entry host and waits until its configuration is in force. */
 	public static TestEntry start(ActorTestKit kit, PeerSettings self, List<PeerSettings> peers, FakeControl control) {
+		return start(kit, self, peers, control, InstantSource.system());
+	}
+
+	public static TestEntry start(ActorTestKit kit, PeerSettings self, List<PeerSettings> peers, FakeControl control,
+			InstantSource clock) {
 		TimingSettings defaults = TimingSettings.defaults();
 		TimingSettings timing = new TimingSettings(60_000, defaults.peerStatusMillis(), defaults.peerSilentMillis(),
 				defaults.proposalMillis(), defaults.workerBatchMillis(), defaults.tokenReportMillis(), null, null, null,
@@ -64,8 +69,7 @@
 		EntrySettings settings = new EntrySettings(self.name(), self.dataCentre(), self.httpAddress(),
 				self.peerAddress(), peers, members, LimitSettings.defaults(), timing, null, Optional.empty(), null,
 				Optional.empty(), Optional.empty());
-		EntryIdentity identity = new EntryIdentity(new Holder(new HostName(self.name()), 7), settings.self(),
-				InstantSource.system());
+		EntryIdentity identity = new EntryIdentity(new Holder(new HostName(self.name()), 7), settings.self(), clock);
 		ActorRef<GuardianCommand> guardian = kit.spawn(EntryGuardian.create(identity, settings, Optional.empty(),
 				RandomGenerator.of("L64X128MixRandom"), new CompletableFuture<ExitStatus>()), self.name());
 		TestProbe<InetSocketAddress> bound = kit.createTestProbe();
