--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -99,9 +99,8 @@
 				"peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(),
 				settings.timing().unchangedWorkerMillis(), control), "workers");
-		ActorRef<OperatorCommand> operators = spawn(
-				OperatorSupervisor.create(settings.timing().proposalMillis(), control, this.router, peers),
-				"operators");
+		ActorRef<OperatorCommand> operators = spawn(OperatorSupervisor.create(settings.timing().proposalMillis(),
+				control, this.router, peers, settings.dataFolder().map(Path::of)), "operators");
 		Actors actors = new Actors(context.getSystem(), this.router, this.tokens, control, this.workers, operators);
 		this.http = spawn(CallerHttp.create(actors, identity, settings, tls, metrics), "http");
 		peers.tell(
