Count the bytes of the two-year size in virtual time

Cause: bytes at the two-year size were only worked out from message sizes. Ruled out: counting the first minutes, in which all jobs start at once. Now the way out of calm has a margin, names wait for a batch, a batch vouches every 750 ms, a job must grow by the whole headroom of a tenth, token reports are whole every 120 s.

--- /dev/null
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/TokenTraffic.java
@@ -0,0 +1,149 @@
+package io.burdockpin.benchmark.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.limit.HolderMessages;
+import io.burdockpin.core.limit.LeaderMessages;
+import io.burdockpin.core.limit.TokenAllocator;
+import io.burdockpin.core.limit.TokenSettings;
+import io.burdockpin.core.limit.TokenView;
+import io.burdockpin.core.limit.TokenWallet;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.model.TeamSpec;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.ConfigurationCommand;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.Proposal;
+import io.burdockpin.core.state.TokenCommand;
+
+/** The wallets of all entry hosts and the allocator of the leader. Mutable. */
+final class TokenTraffic {
+
+	private static final int LIMIT = 200;
+
+	private static final long DEADLINE_MILLIS = 30_000;
+
+	private final FleetState state = FleetState.empty();
+
+	private final TokenAllocator allocator;
+
+	private final LeaderMessages leaderMessages = new LeaderMessages();
+
+	private final List<Host> hosts = new ArrayList<>();
+
+	private final int teamCount;
+
+	private final TrafficRates rates;
+
+	private final RandomGenerator random;
+
+	private long commandCount;
+
+	private long attempt;
+
+	TokenTraffic(int hostCount, int teamCount, TrafficRates rates, RandomGenerator random, long nowMillis) {
+		this.teamCount = teamCount;
+		this.rates = rates;
+		this.random = random;
+		this.allocator = new TokenAllocator(TokenSettings.DEFAULT, 7, nowMillis);
+		for (int team = 0; team < teamCount; team++) {
+			apply(new ConfigurationCommand.CreateTeam(new TeamSpec(SampleFleet.team(team), 10, LIMIT, 0)), nowMillis);
+		}
+		for (int host = 0; host < hostCount; host++) {
+			apply(new TokenCommand.RegisterHolder(SampleFleet.holder(host), SampleFleet.dataCentre(host)), nowMillis);
+			this.hosts.add(new Host(new TokenWallet(SampleFleet.holder(host))));
+		}
+	}
+
+	// Starts and ends requests of one step at each entry host.
+	void step(long nowMillis, long stepMillis) {
+		for (Host host : this.hosts) {
+			while (!host.ends.isEmpty() && host.ends.peek().atMillis() <= nowMillis) {
+				host.wallet.release(host.ends.poll().attempt());
+			}
+			Map<TeamName, Integer> waiting = new HashMap<>();
+			for (int team = 0; team < this.teamCount; team++) {
+				double perSecond = this.rates.isActive(team, this.teamCount, nowMillis)
+						? this.rates.activeRequestsPerSecond() : this.rates.quietRequestsPerSecond();
+				if (this.random.nextDouble() < perSecond * stepMillis / 1_000) {
+					start(host, SampleFleet.team(team), waiting, nowMillis);
+				}
+			}
+			host.wallet.demand(waiting);
+		}
+	}
+
+	TokenReport report(int host, long nowMillis) {
+		return this.hosts.get(host).messages.shorten(this.hosts.get(host).wallet.report(nowMillis), nowMillis);
+	}
+
+	TokenGrants answer(TokenReport message, long nowMillis) {
+		TokenReport report = this.leaderMessages.complete(message).orElseThrow();
+		this.allocator.report(report, nowMillis);
+		for (Command command : this.allocator.plan(view(), nowMillis)) {
+			this.commandCount++;
+			apply(command, nowMillis);
+		}
+		return this.leaderMessages.shorten(report, this.allocator.answer(report, view(), nowMillis));
+	}
+
+	void granted(int host, TokenGrants message) {
+		Host holder = this.hosts.get(host);
+		TokenGrants whole = holder.messages.complete(message).orElseThrow();
+		if (holder.wallet.granted(whole)) {
+			holder.messages.applied(whole);
+		}
+	}
+
+	long commandCount() {
+		return this.commandCount;
+	}
+
+	private void start(Host host, TeamName team, Map<TeamName, Integer> waiting, long nowMillis) {
+		long id = ++this.attempt;
+		if (host.wallet.take(team, id, nowMillis + DEADLINE_MILLIS, nowMillis)) {
+			double lasts = -Math.log(1 - this.random.nextDouble()) * this.rates.requestMillis();
+			host.ends.add(new End(nowMillis + (long) lasts, id));
+		}
+		else {
+			waiting.merge(team, 1, Integer::sum);
+		}
+	}
+
+	private TokenView view() {
+		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), List.of());
+	}
+
+	private void apply(Command command, long nowMillis) {
+		this.state.apply(this.state.index() + 1,
+				new Proposal(nowMillis, Optional.empty(), OptionalLong.empty(), command));
+	}
+
+	private record End(long atMillis, long attempt) {
+	}
+
+	private static final class Host {
+
+		private final TokenWallet wallet;
+
+		private final HolderMessages messages = new HolderMessages();
+
+		private final PriorityQueue<End> ends = new PriorityQueue<>(
+				(first, second) -> Long.compare(first.atMillis(), second.atMillis()));
+
+		private Host(TokenWallet wallet) {
+			this.wallet = wallet;
+		}
+
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderMessages.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderMessages.java
@@ -19,10 +19,10 @@
 public final class HolderMessages {
 
 	/**
-	 * Bounds how long a fault in the shortened reports could last. Fewer than one report
-	 * in thirty is whole for it.
+	 * Bounds how long a fault in the shortened reports could last. At 110 teams the whole
+	 * reports of 7 hosts and their grants are 0.3 KB/s at this period.
 	 */
-	private static final long WHOLE_MILLIS = 30_000;
+	private static final long WHOLE_MILLIS = 120_000;
 
 	private Optional<TokenReport> newest = Optional.empty();
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/UsageBand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/UsageBand.java
@@ -9,7 +9,13 @@
 public enum UsageBand {
 
 	/** Throttled jobs get their share back. */
-	CALM(false),
+	CALM(false) {
+		@Override
+		public boolean isLeft(Resources usage, Resources capacity) {
+			return UsageBand.of(usage, capacity).overloaded()
+					|| usage.cpuMillicores() >= NO_LONGER_CALM_CPU * capacity.cpuMillicores();
+		}
+	},
 
 	/** Nothing is to be done. */
 	NORMAL(false),
@@ -25,6 +31,11 @@
 	/** Throttled jobs get their share back below this part of the processor capacity. */
 	private static final double CALM_CPU = 0.7;
 
+	/**
+	 * Usage that fluctuates around the bound of calm is not worth a message each time.
+	 */
+	private static final double NO_LONGER_CALM_CPU = 0.75;
+
 	private final boolean overloaded;
 
 	UsageBand(boolean overloaded) {
@@ -47,6 +58,17 @@
 		return (usage.cpuMillicores() < CALM_CPU * capacity.cpuMillicores()) ? CALM : NORMAL;
 	}
 
+	/**
+	 * Tells whether a usage is far enough from this band to be told. Only the way from
+	 * calm to normal has a margin, because no relief depends on it.
+	 * @param usage what the jobs of a worker use
+	 * @param capacity what the worker has
+	 * @return {@code true} if it is
+	 */
+	public boolean isLeft(Resources usage, Resources capacity) {
+		return of(usage, capacity) != this;
+	}
+
 	/**
 	 * Tells whether the worker needs relief.
 	 * @return {@code true} if it does
--- a/burdockpin-core/src/main/java/io/burdockpin/core/report/SentJob.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/report/SentJob.java
@@ -19,8 +19,11 @@
 	 */
 	private static final long SETTLE_MILLIS = 12_000;
 
-	/** Half of the headroom of 10% that the leader adds to the largest usage. */
-	private static final int GROWTH_DIVISOR = 20;
+	/**
+	 * The leader adds a headroom of a tenth to the largest usage that it knows, so its
+	 * estimate is never below what a job has shown.
+	 */
+	private static final int GROWTH_DIVISOR = 10;
 
 	private static final int SMALLEST_CPU_MILLICORES = 20;
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/report/WorkerReportSender.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/report/WorkerReportSender.java
@@ -37,8 +37,11 @@
 	 */
 	static final long SILENT_MILLIS = 1_500;
 
-	/** With the silence above this stays a second below the 3 s of the leader. */
-	static final long VOUCH_MILLIS = 500;
+	/**
+	 * With the silence above and a batch period of 250 ms the newest proof that the
+	 * leader has of a live worker is at most 2.5 s old, which is below its 3 s.
+	 */
+	static final long VOUCH_MILLIS = 750;
 
 	/** Leases are renewed at least this often within their duration. */
 	private static final int RENEWALS_IN_LEASE = 4;
@@ -101,16 +104,19 @@
 				reports.add(worker.send(nowMillis));
 			}
 			else if (worker.fresh && nowMillis - worker.namedMillis >= namingMillis()) {
-				unchanged.add(worker.name(nowMillis));
+				unchanged.add(worker.latest.get());
 			}
 			// A worker is named only with news, because the leader counts from the batch.
 			worker.fresh = false;
 		}
-		boolean quiet = silent.isEmpty() && reports.isEmpty() && unchanged.isEmpty();
+		boolean overdue = unchanged.stream()
+			.anyMatch((report) -> this.workers.get(report.worker()).isOverdue(namingMillis(), nowMillis));
+		boolean quiet = silent.isEmpty() && reports.isEmpty() && !overdue;
 		if (quiet && (this.workers.isEmpty() || nowMillis - this.sentMillis < VOUCH_MILLIS)) {
 			return Optional.empty();
 		}
 		this.sentMillis = nowMillis;
+		unchanged.forEach((report) -> this.workers.get(report.worker()).namedMillis = nowMillis);
 		List<UnchangedWorker> names = unchanged.stream()
 			.map((report) -> new UnchangedWorker(report.worker(), report.sequence()))
 			.toList();
@@ -192,12 +198,13 @@
 			report.jobs()
 				.forEach((job) -> this.jobs.compute(job.job(), (id, before) -> (before != null)
 						? before.sent(job, nowMillis) : SentJob.first(job, nowMillis)));
-			return name(nowMillis);
+			this.namedMillis = nowMillis;
+			return report;
 		}
 
-		private WorkerReport name(long nowMillis) {
-			this.namedMillis = nowMillis;
-			return this.latest.get();
+		// Names wait for a batch that is sent anyway, but not for long.
+		private boolean isOverdue(long namingMillis, long nowMillis) {
+			return nowMillis - this.namedMillis >= namingMillis + namingMillis / 2;
 		}
 
 		private void forgetSent() {
@@ -226,7 +233,7 @@
 		}
 
 		private boolean usageDiffers(Resources before, Resources now) {
-			return this.capacity.map((total) -> UsageBand.of(before, total) != UsageBand.of(now, total))
+			return this.capacity.map((total) -> UsageBand.of(before, total).isLeft(now, total))
 				.orElseGet(() -> isApart(before.cpuMillicores(), now.cpuMillicores())
 						|| isApart(before.memoryMebibytes(), now.memoryMebibytes()));
 		}
