Reserve a host for the job of a pool that has waited longest

Cause: only urgent jobs got a reservation, so a large job could wait for ever behind a stream of small ones. Waiting jobs also kept a part of their team's limit from requests although no host in service could take them.

Ruled out: a reservation for every waiting job, which would hold back a whole pool; a reservation that stays on one host until the job starts, because jobs on that host may run far longer than declared.

Change: ReservationTable reserves at most one host of each pool, for the longest-waiting job of a team below its limit, after jobReservationMillis (default 60 s, longer than the 36 s after which the jobs of a lost host return). Urgent jobs are placed before and pass. After the same time the host is chosen anew. The token allocator counts a waiting job only if some host in service of its pool could take it when empty (PoolSizes).

The lease of jobs becomes a setting too, jobLeaseMillis (default 30 s as before, at least 10 s), so that system tests need not wait for 36 s.

TokenAllocatorTests: with 40 jobs that no host can take, one entry host gets the whole limit of 40.

Conclusion: the start of a large job is bounded by the wait and the jobs on one host, as long as these end as expected.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -13,7 +13,6 @@
 import io.burdockpin.control.link.LinkSupervisor;
 import io.burdockpin.control.link.LinkSupervisorSettings;
 import io.burdockpin.control.link.PlannerReport;
-import io.burdockpin.control.planner.PlannerSettings;
 import io.burdockpin.control.planner.PlannerSupervisor;
 import io.burdockpin.control.replica.ReplicaActorSettings;
 import io.burdockpin.control.replica.ReplicaMessage;
@@ -136,9 +135,9 @@
 	private void startRest(ReplicaSupervisor.Started started) {
 		ActorContext<GuardianCommand> context = getContext();
 		this.replica = Optional.of(started.replica());
-		ActorRef<PlannerReport> planner = context
-			.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT.withPreference(this.settings.toPreference()),
-					this.clock, started.replica()), "planner-supervisor");
+		ActorRef<PlannerReport> planner = context.spawn(
+				PlannerSupervisor.create(this.settings.toPlannerSettings(), this.clock, started.replica()),
+				"planner-supervisor");
 		context.spawn(
 				LinkSupervisor.create(linkSettings(), started.self(), started.replica(), planner,
 						context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new), this.clock),
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 
 import io.burdockpin.control.link.LinkSupervisorSettings;
+import io.burdockpin.control.planner.PlannerSettings;
 import io.burdockpin.core.consensus.Member;
 import io.burdockpin.core.consensus.MemberId;
 import io.burdockpin.core.consensus.MemberRole;
@@ -16,7 +17,9 @@
 import io.burdockpin.core.consensus.ReplicaSettings;
 import io.burdockpin.core.exc.InvalidValueException;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.placement.LeaseSettings;
 import io.burdockpin.core.placement.PlacementPreference;
+import io.burdockpin.core.placement.PlacementSettings;
 import io.burdockpin.core.util.Checks;
 
 /**
@@ -44,13 +47,17 @@
  * @param weightMoves how much few job moves count (default 1)
  * @param weightShare how much nearness to the teams' shares counts (default 1)
  * @param weightBuffer how much little idle capacity counts (default 1)
+ * @param jobLeaseMillis how long a worker runs a job after the report that renewed its
+ * lease (default 30000)
+ * @param jobReservationMillis how long a job that is not urgent waits before a host is
+ * reserved for it (default 60000)
  */
 public record ControlSettings(String cluster, String host, String dataCentre, String dataFolder, String memberAddress,
 		String clientAddress, String adminAddress, List<MemberSettings> members, Optional<Integer> heartbeatMillis,
 		Optional<Integer> electionTimeoutMinimumMillis, Optional<Integer> electionTimeoutMaximumMillis,
 		Optional<Integer> snapshotEntries, Optional<Integer> confirmationMillis, Optional<Long> eventFileBytes,
 		Optional<Integer> weightRollout, Optional<Integer> weightMoves, Optional<Integer> weightShare,
-		Optional<Integer> weightBuffer) {
+		Optional<Integer> weightBuffer, Optional<Integer> jobLeaseMillis, Optional<Integer> jobReservationMillis) {
 
 	/** Incarnation of the members of a new cluster. */
 	public static final long FORMATTED_INCARNATION = 1;
@@ -65,6 +72,16 @@
 
 	private static final ReplicaSettings DEFAULTS = ReplicaSettings.DEFAULT;
 
+	/**
+	 * A leader that was replaced may renew leases from a view of up to 2 s, and the
+	 * margin of 20% has to cover this.
+	 */
+	private static final int SHORTEST_JOB_LEASE_MILLIS = 10_000;
+
+	private static final int LONGEST_JOB_LEASE_MILLIS = 3_600_000;
+
+	private static final int LONGEST_JOB_RESERVATION_MILLIS = 86_400_000;
+
 	public ControlSettings {
 		Checks.name("cluster", cluster);
 		Checks.name("host", host);
@@ -91,6 +108,11 @@
 		weightShare = withDefault(weightShare, DEFAULT_WEIGHT);
 		weightBuffer = withDefault(weightBuffer, DEFAULT_WEIGHT);
 		new PlacementPreference(weightRollout.get(), weightMoves.get(), weightShare.get(), weightBuffer.get());
+		jobLeaseMillis = withDefault(jobLeaseMillis, (int) LeaseSettings.DEFAULT.leaseMillis());
+		Checks.range("jobLeaseMillis", jobLeaseMillis.get(), SHORTEST_JOB_LEASE_MILLIS, LONGEST_JOB_LEASE_MILLIS);
+		jobReservationMillis = withDefault(jobReservationMillis,
+				(int) PlacementSettings.DEFAULT.reservationWaitMillis());
+		Checks.range("jobReservationMillis", jobReservationMillis.get(), 1_000, LONGEST_JOB_RESERVATION_MILLIS);
 		Checks.range("heartbeatMillis", heartbeatMillis.get(), 10, 10_000);
 		Checks.range("confirmationMillis", confirmationMillis.get(), 0, 10_000);
 		Checks.range("eventFileBytes", eventFileBytes.get(), 4096, 1L << 40);
@@ -109,12 +131,16 @@
 	}
 
 	/**
-	 * Returns what the firm values.
-	 * @return the preference built from the four weights
+	 * Returns the settings of the planners.
+	 * @return default periods with the lease of jobs and what the firm values
 	 */
-	public PlacementPreference toPreference() {
-		return new PlacementPreference(this.weightRollout.get(), this.weightMoves.get(), this.weightShare.get(),
-				this.weightBuffer.get());
+	public PlannerSettings toPlannerSettings() {
+		PlacementPreference preference = new PlacementPreference(this.weightRollout.get(), this.weightMoves.get(),
+				this.weightShare.get(), this.weightBuffer.get());
+		PlannerSettings defaults = PlannerSettings.DEFAULT.withPreference(preference);
+		LeaseSettings leases = new LeaseSettings(this.jobLeaseMillis.get(), LeaseSettings.DEFAULT.liveMillis());
+		return defaults.withPlacement(
+				defaults.placement().withLeases(leases).withReservationWait(this.jobReservationMillis.get()));
 	}
 
 	/**
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSettings.java
@@ -25,6 +25,16 @@
 			MaintenanceSettings.DEFAULT, TokenSettings.DEFAULT, Duration.ofMillis(250), Duration.ofSeconds(1),
 			Duration.ofMillis(250));
 
+	/**
+	 * Returns these settings with other settings of the placement planner.
+	 * @param placement the settings
+	 * @return the changed settings
+	 */
+	public PlannerSettings withPlacement(PlacementSettings placement) {
+		return new PlannerSettings(placement, this.maintenance, this.tokens, this.placementPeriod,
+				this.maintenancePeriod, this.tokenPeriod);
+	}
+
 	/**
 	 * Returns these settings with another preference.
 	 * @param preference what the firm values
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -196,7 +196,8 @@
 	}
 
 	private static TokenView view(FleetRecords records) {
-		return new TokenView(records.configuration().teams(), records.holders(), records.tokens(), records.jobs());
+		return new TokenView(records.configuration().teams(), records.holders(), records.tokens(), records.jobs(),
+				records.configuration().hosts());
 	}
 
 	/** Messages of the token planner. */
--- a/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/ControlSettingsTests.java
@@ -97,7 +97,7 @@
 		return new ControlSettings("test", host, "dc1", this.folder.toString(), "127.1.0.1:7001", "127.1.0.1:7002",
 				"127.1.0.1:7003", members, heartbeatMillis, Optional.empty(), Optional.empty(), Optional.empty(),
 				Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(),
-				Optional.empty());
+				Optional.empty(), Optional.empty(), Optional.empty());
 	}
 
 	private static Optional<ErrorCode> failureOf(Runnable action) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/FleetCounts.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/FleetCounts.java
@@ -24,10 +24,13 @@
 
 	private final Map<TeamName, Integer> jobsWaiting = new HashMap<>();
 
+	private final PoolSizes sizes;
+
 	private final List<Holder> live;
 
 	FleetCounts(TokenView view) {
 		this.live = view.holders().stream().filter((holder) -> !holder.blocked()).map(HolderRecord::holder).toList();
+		this.sizes = new PoolSizes(view.hosts());
 		view.tokens().forEach(this::add);
 		view.jobs().forEach(this::count);
 	}
@@ -66,7 +69,7 @@
 		if (job.state().holdsCapacity()) {
 			this.jobsHolding.merge(job.spec().team(), 1, Integer::sum);
 		}
-		else if (job.state() == JobState.WAITING) {
+		else if (job.state() == JobState.WAITING && this.sizes.canTake(job.spec())) {
 			this.jobsWaiting.merge(job.spec().team(), 1, Integer::sum);
 		}
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -17,7 +17,8 @@
  * actor.
  * <p>
  * Urgent jobs come first, then the team with the lowest dominant share over its weight. A
- * job that does not fit never holds back another one.
+ * job that does not fit holds back others only on the one host of its pool that is
+ * reserved for it once it has waited long enough.
  */
 public final class PlacementPlanner {
 
@@ -40,6 +41,8 @@
 
 	private final UrgentPlacement urgentPlacement = new UrgentPlacement();
 
+	private final ReservationTable reservations;
+
 	private final OverloadControl overload;
 
 	private final DrainControl drains;
@@ -54,6 +57,7 @@
 		this.settings = settings;
 		this.tables = tables;
 		this.score = new PlacementScore(settings.preference());
+		this.reservations = new ReservationTable(settings.reservationWaitMillis());
 		this.overload = new OverloadControl(tables.workers(), tables.estimator());
 		this.drains = new DrainControl(tables.estimator());
 	}
@@ -64,6 +68,7 @@
 	public void restart() {
 		this.tables.restart();
 		this.overload.restart();
+		this.reservations.restart();
 	}
 
 	/**
@@ -83,6 +88,7 @@
 		this.overload.apply(round);
 		this.parking.apply(round);
 		placeUrgent(round);
+		placeOrReserve(round);
 		placeByShare(round);
 		return round.toDecision();
 	}
@@ -130,6 +136,25 @@
 		}
 	}
 
+	private void placeOrReserve(PlacementRound round) {
+		for (ReservationTable.Head head : this.reservations.heads(round)) {
+			JobRecord job = head.job();
+			Optional<PoolLoad> pool = round.pool(job.spec().pool());
+			if (pool.isEmpty() || head.team().atLimit() || !round.mayPlaceMore()) {
+				continue;
+			}
+			Resources demand = round.demandOf(job, pool.get());
+			Optional<WorkerLoad> worker = bestWorker(round, head.team(), job, demand, pool.get());
+			if (worker.isPresent()) {
+				head.team().queue(false).remove(job);
+				placeOn(round, head.team(), job, demand, worker.get());
+			}
+			else {
+				this.reservations.hold(round, pool.get(), job, demand);
+			}
+		}
+	}
+
 	private void placeByShare(PlacementRound round) {
 		PriorityQueue<TeamAccount> teams = new PriorityQueue<>(NEXT_TEAM);
 		for (TeamAccount team : round.teams()) {
@@ -181,7 +206,7 @@
 		WorkerLoad best = null;
 		double lowestPenalty = Double.POSITIVE_INFINITY;
 		for (WorkerLoad worker : pool.workers()) {
-			if (worker.takesJobs() && !worker.reserved() && worker.fits(demand)) {
+			if (worker.isOpenTo(job) && worker.fits(demand)) {
 				double penalty = this.score.penalty(round, job, demand, team, worker) + failurePenalty(job, worker);
 				if (penalty < lowestPenalty) {
 					lowestPenalty = penalty;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerLoad.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerLoad.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostSpec;
+import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.model.Resources;
 import io.burdockpin.core.state.JobRecord;
 
@@ -39,6 +41,8 @@
 
 	private boolean reserved;
 
+	private Optional<JobId> heldFor = Optional.empty();
+
 	WorkerLoad(HostSpec spec, int rackNumber, boolean takesJobs, boolean awaitsMaintenance, int maximumJobs) {
 		this.spec = spec;
 		this.rackNumber = rackNumber;
@@ -75,6 +79,15 @@
 		this.reserved = true;
 	}
 
+	/**
+	 * Keeps the room that comes free for one job. Urgent jobs are placed earlier in each
+	 * round.
+	 * @param job the job
+	 */
+	void holdFor(JobId job) {
+		this.heldFor = Optional.of(job);
+	}
+
 	// access
 
 	HostName name() {
@@ -105,6 +118,11 @@
 		return this.reserved;
 	}
 
+	boolean isOpenTo(JobRecord job) {
+		boolean held = this.heldFor.filter((holder) -> !holder.equals(job.id())).isPresent();
+		return takesJobs() && !this.reserved && !held;
+	}
+
 	boolean fits(Resources demand) {
 		return this.cpuMillicores + demand.cpuMillicores() <= capacity().cpuMillicores()
 				&& this.memoryMebibytes + demand.memoryMebibytes() <= capacity().memoryMebibytes()
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
@@ -290,7 +290,8 @@
 	}
 
 	private TokenView view() {
-		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), this.state.jobs());
+		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), this.state.jobs(),
+				this.state.hosts());
 	}
 
 	private void send(SimulatedHost host, Leader leader, Runnable action) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenAllocatorTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenAllocatorTests.java
@@ -9,14 +9,23 @@
 import com.google.common.truth.Truth;
 import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.model.AvailabilityBudget;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostSpec;
+import io.burdockpin.core.model.JobId;
+import io.burdockpin.core.model.JobSpec;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.PoolName;
+import io.burdockpin.core.model.Rack;
+import io.burdockpin.core.model.Resources;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.model.TeamSpec;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.ConfigurationCommand;
 import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.Proposal;
 import io.burdockpin.core.state.TokenCommand;
 import org.junit.jupiter.api.Test;
@@ -105,6 +114,32 @@
 		Truth.assertThat(taken).isEqualTo(LIMIT / 8);
 	}
 
+	@Test
+	void jobsThatNoHostCanTakeLeaveTheWholeLimitToRequests() {
+		PoolName pool = new PoolName("office");
+		apply(new ConfigurationCommand.CreatePool(pool, AvailabilityBudget.DEFAULT, false));
+		for (int number = 0; number < LIMIT; number++) {
+			JobSpec spec = new JobSpec(TEAM, pool, new Resources(2_000, 100, 0), 1_000, false, true, Payload.EMPTY);
+			apply(new JobCommand.SubmitJob(new JobId("j-" + number), spec));
+		}
+		rounds(6);
+		this.wallets.get(3).demand(Map.of(TEAM, 100));
+		rounds(3);
+		Truth.assertThat(countOf(3)).isEqualTo(LIMIT);
+		addHost(pool, "too-small", 1_000);
+		rounds(6);
+		Truth.assertThat(countOf(3)).isEqualTo(LIMIT);
+		addHost(pool, "large-enough", 2_000);
+		rounds(6);
+		Truth.assertThat(countOf(3)).isLessThan(LIMIT);
+	}
+
+	private void addHost(PoolName pool, String name, int cpuMillicores) {
+		HostSpec spec = new HostSpec(new HostName(name), new DataCentre("dc-1"), new Rack("rack-1"),
+				new Resources(cpuMillicores, 1_000, 0));
+		apply(new ConfigurationCommand.AddHost(spec, pool));
+	}
+
 	private void rounds(int count) {
 		for (int round = 0; round < count; round++) {
 			this.nowMillis += 1000;
@@ -127,7 +162,8 @@
 	}
 
 	private TokenView view() {
-		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), this.state.jobs());
+		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), this.state.jobs(),
+				this.state.hosts());
 	}
 
 	private void apply(Command command) {
