--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/DedupTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/DedupTable.java
@@ -11,8 +11,8 @@
 
 /**
  * The first results of operator commands, oldest first. Mutable, owned by the state
- * machine. Commands about jobs, claims and tokens are not kept, because applying them
- * twice has no further effect.
+ * machine. Submissions, cancellations, claims and tokens are not kept, because applying
+ * them twice gives the same answer.
  */
 final class DedupTable {
 
@@ -67,7 +67,13 @@
 
 	private static boolean isKept(Command command) {
 		return command instanceof ConfigurationCommand || command instanceof MaintenanceCommand
-				|| command instanceof TokenCommand.ForgetHost;
+				|| command instanceof TokenCommand.ForgetHost || changesJob(command);
+	}
+
+	// A second one would be refused, because the job is in another state by then.
+	private static boolean changesJob(Command command) {
+		return command instanceof JobCommand.FinishJob || command instanceof JobCommand.InterruptJob
+				|| command instanceof JobCommand.UnparkJob;
 	}
 
 	private static CommandResult resultOf(DedupRecord first, Command command) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
@@ -181,6 +181,16 @@
 		accept(drain);
 	}
 
+	@Test
+	void aResentReportOfTheEndOfAJobGetsTheFirstResult() {
+		accept(new JobCommand.SubmitJob(JOB, job(false)));
+		accept(new JobCommand.PlaceJob(JOB, host(1), 1));
+		Command end = new JobCommand.InterruptJob(JOB, 1, false, Payload.EMPTY);
+		CommandResult first = propose("end", OptionalLong.empty(), end);
+		Truth.assertThat(first.isAccepted()).isTrue();
+		Truth.assertThat(propose("end", OptionalLong.empty(), end)).isEqualTo(first);
+	}
+
 	@Test
 	void aLentHostKeepsItsHomePoolThroughADrainAndASnapshotUntilItReturns() {
 		PoolName spare = new PoolName("spare");
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -32,13 +33,14 @@
 		this.memberAddress = plan.memberAddress();
 		this.adminAddress = plan.adminAddress();
 		this.dataFolder = folder.resolve("data-" + this.name);
-		Path settings = SettingsFile.write(folder, this.name,
-				Map.of("cluster", "systemtest", "host", this.name, "dataCentre", plan.dataCentre(), "dataFolder",
-						this.dataFolder.toString(), "memberAddress", plan.memberAddress().toString(), "clientAddress",
-						plan.clientAddress().toString(), "adminAddress", plan.adminAddress().toString(), "members",
-						members, "snapshotEntries", plan.snapshotEntries()));
+		Map<String, Object> settings = new HashMap<>(plan.settings());
+		settings.putAll(Map.of("cluster", "systemtest", "host", this.name, "dataCentre", plan.dataCentre(),
+				"dataFolder", this.dataFolder.toString(), "memberAddress", plan.memberAddress().toString(),
+				"clientAddress", plan.clientAddress().toString(), "adminAddress", plan.adminAddress().toString(),
+				"members", members));
+		Path settingsFile = SettingsFile.write(folder, this.name, settings);
 		this.process = new ProgramProcess(this.name, folder, ControlProgram.class,
-				List.of("--settings", settings.toString()));
+				List.of("--settings", settingsFile.toString()));
 		this.health = new HealthPage(this.adminAddress);
 	}
 
@@ -84,6 +86,14 @@
 		return this.health;
 	}
 
+	/**
+	 * Returns where its files are.
+	 * @return the data folder, which must not be changed while the member runs
+	 */
+	public Path dataFolder() {
+		return this.dataFolder;
+	}
+
 	/**
 	 * Returns where it listens for other members.
 	 * @return the address, past the proxies
@@ -100,10 +110,10 @@
 	 * @param memberAddress where it listens for members
 	 * @param clientAddress where it listens for entry hosts
 	 * @param adminAddress where it serves its health
-	 * @param snapshotEntries entries after which it takes a snapshot
+	 * @param settings further settings
 	 */
 	record ControlPlan(String name, String dataCentre, EndPoint memberAddress, EndPoint clientAddress,
-			EndPoint adminAddress, int snapshotEntries) {
+			EndPoint adminAddress, Map<String, Object> settings) {
 
 	}
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -41,10 +41,10 @@
 
 	private final List<ProgramProcess> workers = new ArrayList<>();
 
-	private Fleet(Path folder, int entryCount, int snapshotEntries) {
+	private Fleet(Path folder, int entryCount, Map<String, Object> memberSettings) {
 		this.folder = folder;
 		List<ControlPlan> memberPlans = IntStream.rangeClosed(1, MEMBERS)
-			.mapToObj((number) -> memberPlan("c" + number, number, snapshotEntries))
+			.mapToObj((number) -> memberPlan("c" + number, number, memberSettings))
 			.toList();
 		List<EntryPlan> entryPlans = IntStream.rangeClosed(1, entryCount)
 			.mapToObj((number) -> entryPlan("e" + number, number))
@@ -68,7 +68,18 @@
 	 * @return the running fleet
 	 */
 	public static Fleet start(String name, int entryCount, int snapshotEntries) {
-		Fleet fleet = new Fleet(emptyFolder(name), entryCount, snapshotEntries);
+		return start(name, entryCount, Map.of("snapshotEntries", snapshotEntries));
+	}
+
+	/**
+	 * Starts a fleet and waits until it has a leader and all entry hosts answer.
+	 * @param name name of its folder below {@code target}
+	 * @param entryCount number of entry hosts, each in a data centre of its own
+	 * @param memberSettings settings of all control members besides names and addresses
+	 * @return the running fleet
+	 */
+	public static Fleet start(String name, int entryCount, Map<String, Object> memberSettings) {
+		Fleet fleet = new Fleet(emptyFolder(name), entryCount, memberSettings);
 		try {
 			fleet.startAll();
 			return fleet;
@@ -235,10 +246,10 @@
 			.findFirst();
 	}
 
-	private ControlPlan memberPlan(String name, int dataCentre, int snapshotEntries) {
+	private ControlPlan memberPlan(String name, int dataCentre, Map<String, Object> settings) {
 		this.addresses.place(name, dataCentre);
 		return new ControlPlan(name, this.addresses.dataCentre(name), this.addresses.next(name),
-				this.addresses.next(name), this.addresses.next(name), snapshotEntries);
+				this.addresses.next(name), this.addresses.next(name), settings);
 	}
 
 	private EntryPlan entryPlan(String name, int dataCentre) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Operator.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Operator.java
@@ -11,13 +11,17 @@
 import io.burdockpin.core.client.Query;
 import io.burdockpin.core.client.QueryResult;
 import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.CampaignName;
 import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.model.KeyHash;
 import io.burdockpin.core.model.RequestId;
 import io.burdockpin.core.operator.OperatorReply;
 import io.burdockpin.core.operator.OperatorRequest;
+import io.burdockpin.core.state.CampaignRecord;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.ConfigurationSnapshot;
+import io.burdockpin.core.state.JobRecord;
 import io.burdockpin.operator.OperatorException;
 import io.burdockpin.operator.OperatorExit;
 import io.burdockpin.operator.client.HttpEntryCaller;
@@ -87,6 +91,27 @@
 		return ((QueryResult.ConfigurationResult) ask(new Query.ShowConfiguration()).result()).configuration();
 	}
 
+	/**
+	 * Reads a campaign as a majority confirms it.
+	 * @param name the campaign
+	 * @return its record, or nothing if there is none
+	 */
+	public Optional<CampaignRecord> campaign(CampaignName name) {
+		return ((QueryResult.Campaigns) ask(new Query.ListCampaigns()).result()).campaigns()
+			.stream()
+			.filter((campaign) -> campaign.name().equals(name))
+			.findFirst();
+	}
+
+	/**
+	 * Reads a job as a majority confirms it.
+	 * @param job the job
+	 * @return its record, or nothing if it is unknown
+	 */
+	public Optional<JobRecord> job(JobId job) {
+		return ((QueryResult.Jobs) ask(new Query.ShowJob(job)).result()).jobs().stream().findFirst();
+	}
+
 	/**
 	 * Asks once for the configuration.
 	 * @return whether there was an answer that a majority confirms
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInWorker.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInWorker.java
@@ -41,6 +41,14 @@
 			.toList();
 	}
 
+	/**
+	 * Counts the starts of all jobs.
+	 * @return the number of starts, also of the same job
+	 */
+	public int startCount() {
+		return (int) lines().stream().filter((line) -> line.split(" ")[1].equals("START")).count();
+	}
+
 	// helpers
 
 	private List<String> lines() {
