--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/TokenTraffic.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/TokenTraffic.java
@@ -120,7 +120,7 @@
 	}
 
 	private TokenView view() {
-		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), List.of());
+		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), List.of(), List.of());
 	}
 
 	private void apply(Command command, long nowMillis) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/FrozenEntryHostTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/FrozenEntryHostTests.java
@@ -60,7 +60,7 @@
 
 	@BeforeAll
 	static void startFleet() {
-		fleet = Fleet.startWith("frozen", 2, Map.of("tokenLeaseMillis", TOKEN_LEASE_MILLIS));
+		fleet = Fleet.start("frozen", 2, Map.of("tokenLeaseMillis", TOKEN_LEASE_MILLIS));
 		operator = new Operator(fleet.entries());
 		operator.change("create-team", new ConfigurationCommand.CreateTeam(new TeamSpec(TEAM, 1, UPPER_LIMIT, 0)));
 		for (String key : List.of(KEY, WITHDRAWN)) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -28,16 +28,15 @@
 
 	private final HealthPage health;
 
-	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members, Map<String, Object> more) {
+	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members) {
 		this.name = plan.name();
 		this.memberAddress = plan.memberAddress();
 		this.adminAddress = plan.adminAddress();
 		this.dataFolder = folder.resolve("data-" + this.name);
-		Map<String, Object> values = new HashMap<>(Map.of("cluster", "systemtest", "host", this.name, "dataCentre",
-				plan.dataCentre(), "dataFolder", this.dataFolder.toString(), "memberAddress",
-				plan.memberAddress().toString(), "clientAddress", plan.clientAddress().toString(), "adminAddress",
-				plan.adminAddress().toString(), "members", members, "snapshotEntries", plan.snapshotEntries()));
-		values.putAll(more);
+		Map<String, Object> values = new HashMap<>(plan.settings());
+		values.putAll(Map.of("cluster", "systemtest", "host", this.name, "dataCentre", plan.dataCentre(), "dataFolder",
+				this.dataFolder.toString(), "memberAddress", plan.memberAddress().toString(), "clientAddress",
+				plan.clientAddress().toString(), "adminAddress", plan.adminAddress().toString(), "members", members));
 		Path settings = SettingsFile.write(folder, this.name, values);
 		this.process = new ProgramProcess(this.name, folder, ControlProgram.class,
 				List.of("--settings", settings.toString()));
@@ -120,6 +119,14 @@
 		return this.health;
 	}
 
+	/**
+	 * Returns where its files are.
+	 * @return the data folder, which must not be changed while the member runs
+	 */
+	public Path dataFolder() {
+		return this.dataFolder;
+	}
+
 	/**
 	 * Returns where it listens for other members.
 	 * @return the address, past the proxies
@@ -136,10 +143,10 @@
 	 * @param memberAddress where it listens for members
 	 * @param clientAddress where it listens for entry hosts
 	 * @param adminAddress where it serves its health
-	 * @param snapshotEntries entries after which it takes a snapshot
+	 * @param settings further settings
 	 */
 	record ControlPlan(String name, String dataCentre, EndPoint memberAddress, EndPoint clientAddress,
-			EndPoint adminAddress, int snapshotEntries) {
+			EndPoint adminAddress, Map<String, Object> settings) {
 
 	}
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -54,19 +54,17 @@
 
 	private final Optional<TestAuthority> authority;
 
-	private Fleet(Path folder, int entryCount, int snapshotEntries, Optional<TestAuthority> authority,
-			Map<String, Object> controlSettings) {
+	private Fleet(Path folder, int entryCount, Map<String, Object> memberSettings, Optional<TestAuthority> authority) {
 		this.folder = folder;
 		this.authority = authority;
 		this.memberPlans = IntStream.rangeClosed(1, MEMBERS)
-			.mapToObj((number) -> memberPlan("c" + number, number, snapshotEntries))
+			.mapToObj((number) -> memberPlan("c" + number, number, memberSettings))
 			.toList();
 		this.entryPlans = IntStream.rangeClosed(1, entryCount)
 			.mapToObj((number) -> entryPlan("e" + number, number))
 			.toList();
 		this.members = this.memberPlans.stream()
-			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans),
-					more(plan, controlSettings)))
+			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans)))
 			.toList();
 		this.entries = this.entryPlans.stream()
 			.map((plan) -> new EntryHost(plan, folder, linksToPeers(plan, this.entryPlans),
@@ -84,7 +82,7 @@
 	 * @return the running fleet
 	 */
 	public static Fleet start(String name, int entryCount, int snapshotEntries) {
-		return start(new Fleet(emptyFolder(name), entryCount, snapshotEntries, Optional.empty(), Map.of()));
+		return start(name, entryCount, Map.of("snapshotEntries", snapshotEntries));
 	}
 
 	/**
@@ -95,19 +93,18 @@
 	 */
 	public static Fleet startWithTls(String name, int entryCount) {
 		Path folder = emptyFolder(name);
-		return start(
-				new Fleet(folder, entryCount, 4096, Optional.of(new TestAuthority(folder, "authority")), Map.of()));
+		return start(new Fleet(folder, entryCount, Map.of(), Optional.of(new TestAuthority(folder, "authority"))));
 	}
 
 	/**
 	 * Starts a fleet whose control members have further settings.
 	 * @param name name of its folder below {@code target}
 	 * @param entryCount number of entry hosts, each in a data centre of its own
-	 * @param controlSettings the further settings
+	 * @param memberSettings the further settings
 	 * @return the running fleet
 	 */
-	public static Fleet startWith(String name, int entryCount, Map<String, Object> controlSettings) {
-		return start(new Fleet(emptyFolder(name), entryCount, 4096, Optional.empty(), controlSettings));
+	public static Fleet start(String name, int entryCount, Map<String, Object> memberSettings) {
+		return start(new Fleet(emptyFolder(name), entryCount, memberSettings, Optional.empty()));
 	}
 
 	private static Fleet start(Fleet fleet) {
@@ -331,12 +328,6 @@
 		return this.authority.map((signer) -> List.of("--trust-file", signer.trustFile())).orElse(List.of());
 	}
 
-	private Map<String, Object> more(ControlPlan plan, Map<String, Object> controlSettings) {
-		Map<String, Object> more = new HashMap<>(controlSettings);
-		this.authority.ifPresent((signer) -> more.put("tls", signer.sign(plan.name(), plan.memberAddress().host())));
-		return more;
-	}
-
 	private List<EntryHost> nearestFirst(int entry) {
 		List<EntryHost> nearestFirst = new ArrayList<>(this.entries);
 		nearestFirst.add(0, nearestFirst.remove(entry));
@@ -351,10 +342,13 @@
 			.findFirst();
 	}
 
-	private ControlPlan memberPlan(String name, int dataCentre, int snapshotEntries) {
+	private ControlPlan memberPlan(String name, int dataCentre, Map<String, Object> memberSettings) {
 		this.addresses.place(name, dataCentre);
-		return new ControlPlan(name, this.addresses.dataCentre(name), this.addresses.next(name),
-				this.addresses.next(name), this.addresses.next(name), snapshotEntries);
+		EndPoint memberAddress = this.addresses.next(name);
+		Map<String, Object> settings = new HashMap<>(memberSettings);
+		this.authority.ifPresent((signer) -> settings.put("tls", signer.sign(name, memberAddress.host())));
+		return new ControlPlan(name, this.addresses.dataCentre(name), memberAddress, this.addresses.next(name),
+				this.addresses.next(name), settings);
 	}
 
 	private EntryPlan entryPlan(String name, int dataCentre) {
