Give each racing operator the head start in turn

Cause: the operator on the test's own thread always started first, so a run in which it wins every round would fail without a fault.

Change: the head start alternates.

Conclusion: the check that both win some rounds no longer depends on the scheduler.

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RacingOperatorsTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RacingOperatorsTests.java
@@ -65,10 +65,15 @@
 		for (int round = 1; round <= ROUNDS; round++) {
 			long version = team().version();
 			int current = round;
-			CompletableFuture<Optional<Long>> firstAnswer = CompletableFuture
-				.supplyAsync(() -> first.update(current, version));
-			Optional<Long> secondVersion = second.update(current, version);
-			Optional<Long> firstVersion = firstAnswer.join();
+			// The one on this thread has a head start, so it is each in turn.
+			Racer late = (round % 2 == 0) ? first : second;
+			Racer early = (round % 2 == 0) ? second : first;
+			CompletableFuture<Optional<Long>> lateAnswer = CompletableFuture
+				.supplyAsync(() -> late.update(current, version));
+			Optional<Long> earlyVersion = early.update(current, version);
+			Optional<Long> lateVersion = lateAnswer.join();
+			Optional<Long> firstVersion = (early == first) ? earlyVersion : lateVersion;
+			Optional<Long> secondVersion = (early == first) ? lateVersion : earlyVersion;
 			Truth.assertWithMessage("round %s", round)
 				.that(List.of(firstVersion.isPresent(), secondVersion.isPresent()))
 				.containsExactly(true, false);
