Measure changes on seven entry hosts and the start on long logs

Cause: the capacity page had no figure for the time until a change is in force on seven hosts, for changes a second and their bytes, or for the recovery of a member against the length of its log. Ruled out: bytes of the loopback device, which other programs use too; the connections of the fleet are counted at their accepting end. Elapsed time alone for the recovery; the load of the machine hides it, so processor time stands beside it. RequestsThatAreNotRepeatableTests also checks the time line after the kill of an entry host.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
@@ -84,6 +84,10 @@
 		}
 	}
 
+	long processorMillis() {
+		return this.process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+	}
+
 	@Override
 	public void close() {
 		this.process.destroyForcibly();
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RecoveryRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RecoveryRun.java
@@ -46,10 +46,9 @@
 	 * Writes a log and starts a member on it.
 	 * @param folder a new folder
 	 * @param entries length of the log, at least 100
-	 * @return time from the start of the process until all entries are applied, in
-	 * milliseconds
+	 * @return what it took until all entries were applied
 	 */
-	static long millis(Path folder, int entries) {
+	static Recovery run(Path folder, int entries) {
 		String ip = "127.78.%d.1".formatted(1 + ProcessHandle.current().pid() % 250);
 		Path data = folder.resolve("data");
 		try {
@@ -72,7 +71,7 @@
 		long startNanos = System.nanoTime();
 		try (RealProcess process = new RealProcess("c1", ControlProgram.class, folder, settings, ip + ":21003")) {
 			process.awaitNumber("configurationIndex", entries);
-			return (System.nanoTime() - startNanos) / 1_000_000;
+			return new Recovery((System.nanoTime() - startNanos) / 1_000_000, process.processorMillis());
 		}
 	}
 
@@ -94,4 +93,15 @@
 		}
 	}
 
+	/**
+	 * What a start took.
+	 *
+	 * @param elapsedMillis time since the start of the process
+	 * @param processorMillis its processor time, which depends less on the load of the
+	 * machine
+	 */
+	record Recovery(long elapsedMillis, long processorMillis) {
+
+	}
+
 }
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RefusedStartTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RefusedStartTests.java
@@ -66,6 +66,26 @@
 		Truth.assertThat(attempt.output()).contains("colour");
 	}
 
+	@Test
+	void aRestoreWithoutANewIncarnationIsRefused() {
+		StartAttempt attempt = restore("--restore", this.folder.toString(), "--incarnation", "1");
+		Truth.assertThat(attempt.run()).isEqualTo(ExitStatus.USAGE.status());
+		Truth.assertThat(attempt.output()).contains("--incarnation");
+	}
+
+	@Test
+	void aFolderThatIsNoBackupOfTheClusterIsNotRestored() {
+		StartAttempt attempt = restore("--restore", this.folder.toString(), "--incarnation", "7");
+		Truth.assertThat(attempt.run()).isEqualTo(ExitStatus.STORAGE.status());
+		Truth.assertThat(attempt.output()).contains("is no backup of cluster refused");
+		Truth.assertThat(Files.exists(this.folder.resolve("data").resolve("identity.json"))).isFalse();
+	}
+
+	private StartAttempt restore(String... arguments) {
+		return new StartAttempt(this.folder, "control", ControlProgram.class, control(0, this.folder.resolve("data")),
+				arguments);
+	}
+
 	private static Map<String, Object> entry(int httpPort) {
 		return Map.of("name", "e1", "dataCentre", "dc1", "httpAddress", address(httpPort), "peerAddress",
 				address(httpPort), "peers", List.of(), "members",
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RequestsThatAreNotRepeatableTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RequestsThatAreNotRepeatableTests.java
@@ -78,6 +78,7 @@
 		StartRecords starts = StartRecords.of(this.fleet.runners());
 		Truth.assertThat(starts.idsStartedTwice()).isEmpty();
 		Truth.assertThat(NotRunCheck.falseRefusals(this.answers, starts)).isEmpty();
+		Truth.assertThat(this.fleet.brokenPromises()).isEmpty();
 		Truth.assertThat(this.answers.stream().filter(Answer::isOwnEcho).count()).isAtLeast(3L * BATCH);
 	}
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StartAttempt.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StartAttempt.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -22,12 +23,16 @@
 	 * @param name names the files
 	 * @param mainClass the program
 	 * @param settings its settings
+	 * @param arguments further arguments
 	 */
-	public StartAttempt(Path folder, String name, Class<?> mainClass, Map<String, Object> settings) {
+	public StartAttempt(Path folder, String name, Class<?> mainClass, Map<String, Object> settings,
+			String... arguments) {
 		this.folder = folder;
 		this.name = name;
 		Path file = SettingsFile.write(folder, name, settings);
-		this.process = new ProgramProcess(name, folder, mainClass, List.of("--settings", file.toString()));
+		List<String> all = new ArrayList<>(List.of("--settings", file.toString()));
+		all.addAll(List.of(arguments));
+		this.process = new ProgramProcess(name, folder, mainClass, all);
 	}
 
 	/**
