Wake up less often when nothing happens

Cause: idle control members and entry hosts used 1.8% to 3.7% of a core; per thread, the scheduler of the actor system took 0.6% in each process. Ruled out: planning only on a change, because the plan is also what notices a lapsed lease or a silent host, and its due times are not worked out yet; ticks of more than 20 ms, which would delay heartbeats. Change: the scheduler ticks every 20 ms; the log's timer asks for 20 ms instead of 25 ms to make up for it; the timer of calls to the leader runs only while a call is open; a token report postpones the timed token round.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -51,7 +51,7 @@
 	/**
 	 * Ticks in one heartbeat period; a late tick delays a heartbeat by less than that.
 	 */
-	private static final int TICKS_PER_HEARTBEAT = 4;
+	private static final int TICKS_PER_HEARTBEAT = 5;
 
 	private final ControlSettings settings;
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -55,6 +55,8 @@
 
 	private final TokenSettings settings;
 
+	private final Duration roundPeriod;
+
 	private final MonotonicClock clock;
 
 	private final ActorRef<ReplicaMessage> replica;
@@ -80,6 +82,7 @@
 		super(context);
 		this.timers = timers;
 		this.settings = settings;
+		this.roundPeriod = roundPeriod;
 		this.clock = clock;
 		this.replica = replica;
 		this.startedMillis = clock.nowMillis();
@@ -120,6 +123,8 @@
 
 	private Behavior<Message> onReport(ReportArrived report) {
 		this.waiting.add(report);
+		// The next round is due a whole period after the one that the report starts.
+		this.timers.startTimerWithFixedDelay(Signal.ROUND_DUE, this.roundPeriod);
 		return onRoundDue();
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
@@ -35,6 +35,7 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 
 /**
  * Supervises one link to each control member and the configuration feed, and correlates
@@ -49,6 +50,8 @@
 	private static final SupervisorStrategy RESTART = SupervisorStrategy.restartWithBackoff(Duration.ofMillis(200),
 			Duration.ofSeconds(10), 0.2);
 
+	private final TimerScheduler<ControlCommand> timers;
+
 	private final EntryIdentity identity;
 
 	private final ControlCalls calls;
@@ -63,9 +66,11 @@
 
 	private long lastCorrelation;
 
-	private ControlSupervisor(ActorContext<ControlCommand> context, EntryIdentity identity,
-			List<MemberSettings> members, FrameCodec<ClientEnvelope> codec, Optional<ConfigurationCache> cache) {
+	private ControlSupervisor(ActorContext<ControlCommand> context, TimerScheduler<ControlCommand> timers,
+			EntryIdentity identity, List<MemberSettings> members, FrameCodec<ClientEnvelope> codec,
+			Optional<ConfigurationCache> cache) {
 		super(context);
+		this.timers = timers;
 		this.identity = identity;
 		List<HostName> names = members.stream().map((member) -> new HostName(member.name())).toList();
 		this.calls = new ControlCalls(names);
@@ -95,10 +100,8 @@
 			FrameCodec<ClientEnvelope> codec, Optional<Path> cacheFolder, FrameCodec<PeerEnvelope> cacheCodec) {
 		Optional<ConfigurationCache> cache = cacheFolder
 			.map((folder) -> new ConfigurationCache(folder, identity.holder(), cacheCodec));
-		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
-			timers.startTimerWithFixedDelay(ControlCommand.Tick.INSTANCE, TICK);
-			return new ControlSupervisor(context, identity, members, codec, cache);
-		}));
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new ControlSupervisor(context, timers, identity, members, codec, cache)));
 	}
 
 	@Override
@@ -193,9 +196,21 @@
 					.ifPresent((caller) -> caller.tell(finish.result()));
 			}
 		}
+		tickWhilePending();
 		return this;
 	}
 
+	// Without a call there is no deadline to look for.
+	private void tickWhilePending() {
+		boolean pending = this.calls.pendingCount() > 0;
+		if (!pending) {
+			this.timers.cancel(ControlCommand.Tick.INSTANCE);
+		}
+		else if (!this.timers.isTimerActive(ControlCommand.Tick.INSTANCE)) {
+			this.timers.startTimerWithFixedDelay(ControlCommand.Tick.INSTANCE, TICK);
+		}
+	}
+
 	private void send(HostName member, ClientMessage message) {
 		ActorRef<LinkCommand<ClientEnvelope>> session = this.sessions.get(member);
 		if (session == null) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ActorConfiguration.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ActorConfiguration.java
@@ -10,10 +10,12 @@
 	 * The shutdown hook of Pekko would stop all actors at once on SIGTERM, while requests
 	 * are in flight. A request may take 60 s, the default time-outs of the HTTP server
 	 * are 20 s and 60 s. One attempt uses one connection, so the client never sends a
-	 * request again by itself. Few threads keep the resident memory small.
+	 * request again by itself. Few threads keep the resident memory small. The scheduler
+	 * wakes up at every tick also when no timer is due; no timer needs less than 20 ms.
 	 */
 	private static final String SHARED = """
 			pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
+			pekko.scheduler.tick-duration = 20ms
 			pekko.http.server.request-timeout = 75s
 			pekko.http.server.idle-timeout = 90s
 			pekko.http.server.server-header = ""
