Stop no jobs of hosts that are back in service, and keep drains unblocked

Change: DrainControl acts only on hosts in state DRAINING. StartDrain and DrainRecord carry the boot that the host reported from (optional Thrift fields), so that a new leader recognises the reboot. While a campaign runs, the host of each pool that could be drained first gets no job that is not repeatable and outlasts a drain, for at most jobReservationMillis; urgent jobs are exempt. PolicyBenchmark takes a seed.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/PolicyBenchmark.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/policy/PolicyBenchmark.java
@@ -22,15 +22,15 @@
 
 	/**
 	 * Runs the benchmark.
-	 * @param args the folder for the results, or nothing for
-	 * {@code target/policy-benchmark}
+	 * @param args the folder for the results (default {@code target/policy-benchmark})
+	 * and the seed of the scenarios (default 42)
 	 */
 	public static void main(String[] args) {
 		Path folder = (args.length > 0) ? Path.of(args[0]) : DEFAULT_FOLDER;
 		List<Comparison> comparisons = new ArrayList<>();
-		comparisons.add(Comparison.run(Scenario.standard(Firm.QUILLCA)));
-		comparisons.add(Comparison.run(Scenario.standard(Firm.NADIFA)));
-		comparisons.add(Comparison.run(Scenario.standard(Firm.TWO_YEARS).withDuration(LARGE_DURATION_MILLIS)));
+		for (Firm firm : Firm.values()) {
+			comparisons.add(Comparison.run(scenario(firm, args)));
+		}
 		RoundCost roundCost = new RoundCost();
 		// The first measurement would show the compiler at work.
 		roundCost.measure(RoundCost.Size.measured().get(0));
@@ -40,4 +40,10 @@
 		System.out.println(writer.markdown(comparisons, costs));
 	}
 
+	private static Scenario scenario(Firm firm, String[] args) {
+		Scenario standard = Scenario.standard(firm);
+		Scenario timed = (firm == Firm.TWO_YEARS) ? standard.withDuration(LARGE_DURATION_MILLIS) : standard;
+		return (args.length > 1) ? timed.withSeed(Long.parseLong(args[1])) : timed;
+	}
+
 }
--- a/burdockpin-codec/src/main/thrift/state.thrift
+++ b/burdockpin-codec/src/main/thrift/state.thrift
@@ -457,6 +457,8 @@
   3: i32 wave,
   /** time in milliseconds since the epoch at which jobs are interrupted */
   4: i64 drainDeadlineMillis,
+  /** the boot that the host reported from before the drain, unset if it is not known */
+  5: optional string bootId,
 }
 
 /** Records that a host has been maintained for a campaign. */
@@ -760,6 +762,8 @@
   1: string host,
   /** time in milliseconds since the epoch at which its jobs are interrupted */
   2: i64 drainDeadlineMillis,
+  /** the boot that the host reported from before the drain, unset if it is not known */
+  3: optional string bootId,
 }
 
 /** A maintenance campaign in the replicated state. */
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/FakeReplica.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/FakeReplica.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.burdockpin.core.model.AvailabilityBudget;
+import io.burdockpin.core.model.CampaignName;
+import io.burdockpin.core.model.CampaignSpec;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostSpec;
@@ -17,10 +20,13 @@
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.model.TeamSpec;
 import io.burdockpin.core.placement.FleetView;
+import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.CampaignState;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.HostRecord;
 import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.JobRecord;
+import io.burdockpin.core.state.PoolRecord;
 import io.burdockpin.core.state.TeamRecord;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -35,6 +41,8 @@
 
 	static final JobId JOB = new JobId("j-1");
 
+	static final CampaignName CAMPAIGN = new CampaignName("kernel");
+
 	private static final PoolName POOL = new PoolName("pool-1");
 
 	private static final TeamName TEAM = new TeamName("team-1");
@@ -43,6 +51,10 @@
 
 	private boolean leader = true;
 
+	private long term = 1;
+
+	private List<CampaignRecord> campaigns = List.of();
+
 	private JobRecord job = waitingJob();
 
 	FakeReplica(TestProbe<Request> requests) {
@@ -62,7 +74,7 @@
 	/** Answers the next request for a view from the thread of the test. */
 	void answerView() {
 		ViewRequest request = this.requests.expectMessageClass(ViewRequest.class);
-		request.replyTo().tell(new ReplicaView(this.leader, 1, 1, this.leader ? view() : FleetView.EMPTY));
+		request.replyTo().tell(new ReplicaView(this.leader, this.term, 1, this.leader ? view() : FleetView.EMPTY));
 	}
 
 	/**
@@ -84,6 +96,16 @@
 		this.leader = false;
 	}
 
+	void leadInNextTerm() {
+		this.term++;
+	}
+
+	/** Starts a campaign in the pool of the host. */
+	void startCampaign() {
+		CampaignSpec spec = new CampaignSpec(CAMPAIGN, List.of(POOL), 1, 30_000, 1_000_000, 2);
+		this.campaigns = List.of(new CampaignRecord(spec, CampaignState.RUNNING, 0, List.of(), List.of(), "", 1));
+	}
+
 	private void apply(Command command) {
 		if (command instanceof JobCommand.PlaceJob place) {
 			this.job = jobWith(JobState.PLACED, Optional.of(place.worker()), place.leaseEpoch());
@@ -99,8 +121,9 @@
 	private FleetView view() {
 		HostSpec host = new HostSpec(WORKER, new DataCentre("dc-1"), new Rack("rack-1"),
 				new Resources(16_000, 32_768, 0));
-		return new FleetView(List.of(), List.of(new HostRecord(host, POOL, HostState.IN_SERVICE, 1)),
-				List.of(new TeamRecord(new TeamSpec(TEAM, 1, 10, 0), 1)), List.of(this.job), List.of(), List.of());
+		PoolRecord pool = new PoolRecord(POOL, new AvailabilityBudget(0, 1, 1), false, 1);
+		return new FleetView(List.of(pool), List.of(new HostRecord(host, POOL, HostState.IN_SERVICE, 1)),
+				List.of(new TeamRecord(new TeamSpec(TEAM, 1, 10, 0), 1)), List.of(this.job), List.of(), this.campaigns);
 	}
 
 	private JobRecord jobWith(JobState state, Optional<HostName> worker, long epoch) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -104,8 +104,8 @@
 			HostRecord host = round.hosts.get(drain.host());
 			if (host != null) {
 				CampaignStep.Situation situation = new CampaignStep.Situation(
-						round.jobs.placedOn(drain.host()).isEmpty(),
-						this.reboots.hasReturned(drain.host(), round.nowMillis), cancelled);
+						round.jobs.placedOn(drain.host()).isEmpty(), this.reboots.hasReturned(drain, round.nowMillis),
+						cancelled);
 				CampaignStep.of(host.state())
 					.next(campaign.spec().name(), drain.host(), situation)
 					.ifPresent(round.commands::add);
@@ -206,7 +206,8 @@
 		CampaignName name = campaign.spec().name();
 		HostName host = candidate.host().spec().name();
 		long deadlineMillis = round.nowMillis + campaign.spec().drainMillis();
-		round.commands.add(new MaintenanceCommand.StartDrain(name, host, campaign.wave() + 1, deadlineMillis));
+		round.commands.add(new MaintenanceCommand.StartDrain(name, host, campaign.wave() + 1, deadlineMillis,
+				this.reboots.bootOf(host)));
 		round.statements.add(new DrainStatement(name, host, deadlineMillis, candidate.forecast().movedJobs(),
 				candidate.forecast().endedJobs()));
 		round.check.noteStop(host);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/RebootWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/RebootWatch.java
@@ -6,6 +6,7 @@
 
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostState;
+import io.burdockpin.core.state.DrainRecord;
 import io.burdockpin.core.state.HostRecord;
 
 /**
@@ -62,21 +63,33 @@
 	// access
 
 	/**
-	 * Tells whether a host in maintenance has come back.
+	 * Returns the boot that a host last reported from.
 	 * @param host the host
+	 * @return its boot identifier, or nothing if it has not reported to this leader
+	 */
+	Optional<String> bootOf(HostName host) {
+		return Optional.ofNullable(this.bootIds.get(host));
+	}
+
+	/**
+	 * Tells whether a host in maintenance has come back.
+	 * @param drain the host with the boot that it was drained on
 	 * @param nowMillis the time of the round
 	 * @return {@code true} if it reports from a new boot, or if it has reported for long
 	 * enough to a leader that did not see it go
 	 */
-	boolean hasReturned(HostName host, long nowMillis) {
-		Stay stay = this.stays.get(host);
-		String bootId = this.bootIds.get(host);
+	boolean hasReturned(DrainRecord drain, long nowMillis) {
+		Stay stay = this.stays.get(drain.host());
+		String bootId = this.bootIds.get(drain.host());
 		if (stay == null || bootId == null) {
 			return false;
 		}
 		boolean newBoot = stay.bootId().filter((old) -> old.equals(bootId)).isEmpty();
+		// The host may have rebooted before this leader first heard of it.
+		boolean rebootedUnseen = !stay.seenFromStart()
+				&& drain.bootId().filter((old) -> !old.equals(bootId)).isPresent();
 		boolean longEnough = !stay.seenFromStart() && nowMillis - stay.sinceMillis() >= this.unconfirmedReturnMillis;
-		return newBoot || longEnough;
+		return newBoot || rebootedUnseen || longEnough;
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/DrainControl.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/DrainControl.java
@@ -1,13 +1,18 @@
 package io.burdockpin.core.placement;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 import io.burdockpin.core.client.JobOrderKind;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.HostState;
 import io.burdockpin.core.model.JobState;
 import io.burdockpin.core.placement.WorkerLoad.PlacedJob;
 import io.burdockpin.core.state.CampaignRecord;
 import io.burdockpin.core.state.CampaignState;
 import io.burdockpin.core.state.DrainRecord;
+import io.burdockpin.core.state.HostRecord;
 import io.burdockpin.core.state.JobRecord;
 
 /**
@@ -15,7 +20,8 @@
  * the drain, the rest at the drain's deadline. Has no state.
  * <p>
  * Stopping a job at once that must move in any case shortens the drain and loses no more
- * work than stopping it later.
+ * work than stopping it later. A host that is back in service may still be in the list of
+ * its campaign for a round; its drain is over and its new jobs run on.
  */
 final class DrainControl {
 
@@ -30,18 +36,31 @@
 	 * @param round the round
 	 */
 	void apply(PlacementRound round) {
+		Set<HostName> draining = hostsThatDrain(round.view());
 		for (CampaignRecord campaign : round.view().campaigns()) {
 			if (campaign.state() == CampaignState.CANCELLED) {
 				continue;
 			}
 			for (DrainRecord drain : campaign.hostsOut()) {
-				round.worker(drain.host()).ifPresent((worker) -> stopJobs(round, worker, drain.drainDeadlineMillis()));
+				round.worker(drain.host())
+					.filter((worker) -> draining.contains(worker.name()))
+					.ifPresent((worker) -> stopJobs(round, worker, drain.drainDeadlineMillis()));
 			}
 		}
 	}
 
 	// helpers
 
+	private static Set<HostName> hostsThatDrain(FleetView view) {
+		Set<HostName> draining = new HashSet<>();
+		for (HostRecord host : view.hosts()) {
+			if (host.state() == HostState.DRAINING) {
+				draining.add(host.name());
+			}
+		}
+		return draining;
+	}
+
 	private void stopJobs(PlacementRound round, WorkerLoad worker, long deadlineMillis) {
 		for (PlacedJob placed : worker.jobs()) {
 			stopReason(placed, deadlineMillis, round.nowMillis())
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -189,7 +189,10 @@
 		}
 		Optional<WorkerLoad> worker = bestWorker(round, team, job, demand, pool.get());
 		if (worker.isEmpty()) {
-			pool.get().block(demand);
+			// A job that only has to stay away from the next drain says nothing on room.
+			if (!round.blocksDrain(job)) {
+				pool.get().block(demand);
+			}
 			return false;
 		}
 		placeOn(round, team, job, demand, worker.get());
@@ -203,10 +206,12 @@
 
 	private Optional<WorkerLoad> bestWorker(PlacementRound round, TeamAccount team, JobRecord job, Resources demand,
 			PoolLoad pool) {
+		boolean blocksDrain = round.blocksDrain(job);
 		WorkerLoad best = null;
 		double lowestPenalty = Double.POSITIVE_INFINITY;
 		for (WorkerLoad worker : pool.workers()) {
-			if (worker.isOpenTo(job) && worker.fits(demand)) {
+			boolean blocked = blocksDrain && worker.keptDrainable();
+			if (!blocked && worker.isOpenTo(job) && worker.fits(demand)) {
 				double penalty = this.score.penalty(round, job, demand, team, worker) + failurePenalty(job, worker);
 				if (penalty < lowestPenalty) {
 					lowestPenalty = penalty;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementRound.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementRound.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -56,6 +57,8 @@
 
 	private final List<JobIntervention> decided = new ArrayList<>();
 
+	private long shortestDrainMillis = Long.MAX_VALUE;
+
 	private int placementsLeft;
 
 	PlacementRound(FleetView view, long nowMillis, PlacementSettings settings, UsageEstimator estimator,
@@ -71,6 +74,7 @@
 		addTeams();
 		this.jobsByTeamAndRack = new int[this.teams.size()][this.rackNumbers.size()];
 		addJobs();
+		chooseNextDrains();
 	}
 
 	// configuration
@@ -149,6 +153,20 @@
 		return pool.placeable(this.estimator.expectedUsage(job.spec()), job.spec().resources());
 	}
 
+	/**
+	 * Tells whether a job has to stay away from the hosts that are drained next, because
+	 * it would outlast the drain and could not be moved. Urgent jobs do not wait for
+	 * this, and others only for a while.
+	 * @param job the waiting job
+	 * @return {@code true} if its host could be drained only after its end
+	 */
+	boolean blocksDrain(JobRecord job) {
+		boolean mayWait = !job.spec().urgent()
+				&& this.nowMillis - job.changedMillis() < this.settings.reservationWaitMillis();
+		return mayWait && !job.spec().repeatable()
+				&& this.estimator.expectedRunMillis(job.spec()) > this.shortestDrainMillis;
+	}
+
 	UsageEstimator estimator() {
 		return this.estimator;
 	}
@@ -188,6 +206,7 @@
 		Set<HostName> done = new HashSet<>();
 		for (CampaignRecord campaign : this.view.campaigns()) {
 			if (campaign.state().startsDrains()) {
+				this.shortestDrainMillis = Math.min(this.shortestDrainMillis, campaign.spec().drainMillis());
 				pools.addAll(campaign.spec().pools());
 				done.addAll(campaign.hostsDone());
 			}
@@ -225,6 +244,31 @@
 		}
 	}
 
+	/**
+	 * Chooses in each pool the host that could be drained first, so that no further job
+	 * blocks its drain.
+	 */
+	private void chooseNextDrains() {
+		for (PoolLoad pool : this.pools.values()) {
+			pool.workers()
+				.stream()
+				.filter((worker) -> worker.awaitsMaintenance() && worker.takesJobs())
+				.min(Comparator.comparingLong(this::blockedMillis).thenComparing(WorkerLoad::name))
+				.ifPresent(WorkerLoad::keepDrainable);
+		}
+	}
+
+	private long blockedMillis(WorkerLoad worker) {
+		long longestMillis = 0;
+		for (WorkerLoad.PlacedJob placed : worker.jobs()) {
+			if (!placed.job().spec().repeatable()) {
+				longestMillis = Math.max(longestMillis,
+						this.estimator.expectedRemainingMillis(placed.job(), this.nowMillis));
+			}
+		}
+		return Math.max(0, longestMillis - this.shortestDrainMillis);
+	}
+
 	private void addPlaced(JobRecord job, TeamAccount team) {
 		Resources demand = this.estimator.expectedUsage(job);
 		Optional<WorkerLoad> worker = job.worker().flatMap(this::worker);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerLoad.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/WorkerLoad.java
@@ -43,6 +43,8 @@
 
 	private Optional<JobId> heldFor = Optional.empty();
 
+	private boolean keptDrainable;
+
 	WorkerLoad(HostSpec spec, int rackNumber, boolean takesJobs, boolean awaitsMaintenance, int maximumJobs) {
 		this.spec = spec;
 		this.rackNumber = rackNumber;
@@ -88,6 +90,11 @@
 		this.heldFor = Optional.of(job);
 	}
 
+	/** Keeps this worker free of further jobs that would block its drain. */
+	void keepDrainable() {
+		this.keptDrainable = true;
+	}
+
 	// access
 
 	HostName name() {
@@ -118,6 +125,10 @@
 		return this.reserved;
 	}
 
+	boolean keptDrainable() {
+		return this.keptDrainable;
+	}
+
 	boolean isOpenTo(JobRecord job) {
 		boolean held = this.heldFor.filter((holder) -> !holder.equals(job.id())).isPresent();
 		return takesJobs() && !this.reserved && !held;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/CampaignRules.java
@@ -78,7 +78,7 @@
 		this.drainCheck.check(host);
 		this.tables.hosts.put(host.withState(HostState.DRAINING, change.index()));
 		List<DrainRecord> out = new ArrayList<>(campaign.hostsOut());
-		out.add(new DrainRecord(host.name(), command.drainDeadlineMillis()));
+		out.add(new DrainRecord(host.name(), command.drainDeadlineMillis(), command.bootId()));
 		this.tables.campaigns.put(new CampaignRecord(campaign.spec(), campaign.state(), command.wave(), out,
 				campaign.hostsDone(), campaign.reason(), change.index()));
 		return change.accepted();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/MaintenanceCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/MaintenanceCommand.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.state;
 
+import java.util.Optional;
+
 import io.burdockpin.core.model.CampaignName;
 import io.burdockpin.core.model.CampaignSpec;
 import io.burdockpin.core.model.HostName;
@@ -52,9 +54,22 @@
 	 * @param wave the number of the wave, from 1
 	 * @param drainDeadlineMillis time in milliseconds since the epoch at which jobs are
 	 * interrupted
+	 * @param bootId the boot that the host reported from before the drain, if it reported
 	 */
-	record StartDrain(CampaignName campaign, HostName host, int wave,
-			long drainDeadlineMillis) implements MaintenanceCommand {
+	record StartDrain(CampaignName campaign, HostName host, int wave, long drainDeadlineMillis,
+			Optional<String> bootId) implements MaintenanceCommand {
+
+		/**
+		 * Starts a drain of a host whose boot is not known.
+		 * @param campaign the campaign
+		 * @param host the host
+		 * @param wave the number of the wave, from 1
+		 * @param drainDeadlineMillis time in milliseconds since the epoch at which jobs
+		 * are interrupted
+		 */
+		public StartDrain(CampaignName campaign, HostName host, int wave, long drainDeadlineMillis) {
+			this(campaign, host, wave, drainDeadlineMillis, Optional.empty());
+		}
 
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/MaintenancePlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/MaintenancePlannerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.model.CampaignName;
@@ -109,6 +110,31 @@
 		Truth.assertThat(drained(decision)).hasSize(1);
 	}
 
+	/**
+	 * Guards against a campaign that waits for minutes because a new leader saw no
+	 * reboot.
+	 */
+	@Test
+	void aNewLeaderSeesFromTheReplicatedBootThatAHostRebootedBeforeItsFirstReport() {
+		this.planner.restart();
+		List<DrainRecord> out = List.of(new DrainRecord(Records.hostName(1), DRAIN_MILLIS, Optional.of("boot-1")));
+		setState(1, HostState.IN_MAINTENANCE);
+		this.planner.observe(new HostSighting(Records.hostName(1), "boot-1"));
+		Truth.assertThat(plan(CampaignState.PAUSED, out, 0).commands()).isEmpty();
+		this.planner.restart();
+		this.planner.observe(new HostSighting(Records.hostName(1), "boot-2"));
+		Truth.assertThat(plan(CampaignState.PAUSED, out, 1_000).commands())
+			.containsExactly(change(HostState.RETURNING));
+	}
+
+	@Test
+	void aDrainRecordsTheBootThatItsHostReportedFrom() {
+		this.planner.observe(new HostSighting(Records.hostName(1), "boot-1"));
+		Truth.assertThat(plan(CampaignState.RUNNING, List.of(), 0).commands())
+			.contains(new MaintenanceCommand.StartDrain(CAMPAIGN, Records.hostName(1), 2, DRAIN_MILLIS,
+					Optional.of("boot-1")));
+	}
+
 	private MaintenanceDecision plan(CampaignState state, List<DrainRecord> out, long nowMillis) {
 		CampaignSpec spec = new CampaignSpec(CAMPAIGN, List.of(Records.POOL), 5, DRAIN_MILLIS, 10_000_000, 2);
 		CampaignRecord campaign = new CampaignRecord(spec, state, 1, out, List.of(), "", 1);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/placement/PlacementPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/placement/PlacementPlannerTests.java
@@ -5,9 +5,13 @@
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.client.JobPhase;
+import io.burdockpin.core.model.CampaignName;
+import io.burdockpin.core.model.CampaignSpec;
 import io.burdockpin.core.model.HostState;
 import io.burdockpin.core.model.JobId;
 import io.burdockpin.core.model.JobState;
+import io.burdockpin.core.state.CampaignRecord;
+import io.burdockpin.core.state.CampaignState;
 import io.burdockpin.core.state.ChangeCause;
 import io.burdockpin.core.state.Command;
 import io.burdockpin.core.state.ConfigurationCommand;
@@ -81,6 +85,22 @@
 		Truth.assertThat(this.tables.interventions().isStopping(once)).isFalse();
 	}
 
+	/** Guards against a roll-out that finds no host whose jobs end within a drain. */
+	@Test
+	void aJobThatWouldBlockTheNextDrainWaitsInsteadOfTakingTheHostThatIsNext() {
+		CampaignSpec spec = new CampaignSpec(new CampaignName("kernel"), List.of(Records.POOL), 1, 30_000, 1_000_000,
+				2);
+		CampaignRecord campaign = new CampaignRecord(spec, CampaignState.RUNNING, 0, List.of(), List.of(), "", 1);
+		JobRecord once = Records.waiting("j-1", Records.spec("team-1", 1, false, false));
+		JobRecord repeatable = Records.waiting("j-2", Records.spec("team-1", 1, false, true));
+		this.tables.workers().observe(Records.report(1, "boot-1"), 100);
+		List<JobRecord> jobs = List.of(once, repeatable);
+		FleetView view = new FleetView(List.of(Records.pool(80, 2)), List.of(Records.host(1, HostState.IN_SERVICE)),
+				ONE_TEAM, jobs, List.of(), List.of(campaign));
+		Truth.assertThat(placed(this.planner.plan(view, JobIndex.of(jobs), 100).commands()))
+			.containsExactly(repeatable.id());
+	}
+
 	@Test
 	void aWorkerThatFailsThreeDifferentJobsQuicklyIsSetAside() {
 		List<JobRecord> jobs = new ArrayList<>();
