--- /dev/null
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/MaintenanceActorTests.java
@@ -0,0 +1,90 @@
+package io.burdockpin.control.planner;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.maintenance.HostSighting;
+import io.burdockpin.core.maintenance.MaintenanceSettings;
+import io.burdockpin.core.placement.RemainingTime;
+import io.burdockpin.core.state.MaintenanceCommand.StartDrain;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class MaintenanceActorTests {
+
+	private static final Duration PERIOD = Duration.ofSeconds(1);
+
+	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
+
+	private final ManualTime time = ManualTime.get(this.testKit.system());
+
+	private final TestProbe<FakeReplica.Request> requests = this.testKit.createTestProbe();
+
+	private final FakeReplica replica = new FakeReplica(this.requests);
+
+	private final ActorRef<MaintenanceActor.Message> actor = this.testKit.spawn(MaintenanceActor
+		.create(MaintenanceSettings.DEFAULT, PERIOD, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), this.replica));
+
+	MaintenanceActorTests() {
+		this.replica.startCampaign();
+	}
+
+	@AfterEach
+	void stop() {
+		this.testKit.shutdownTestKit();
+	}
+
+	/** Guards against a host that is drained twice because a round starts too early. */
+	@Test
+	void theNextRoundWaitsForTheProposalsOfTheLastOne() {
+		runRound();
+		this.time.timePasses(PERIOD);
+		FakeReplica.ProposalRequest proposal = this.requests.expectMessageClass(FakeReplica.ProposalRequest.class);
+		this.requests.expectNoMessage(Duration.ZERO);
+		proposal.replyTo().tell(new ReplicaPort.ProposalsEnded(1, 0));
+		runRound();
+		Truth.assertThat(this.replica.applyProposal()).hasSize(1);
+	}
+
+	/** Guards against a former leader that goes on with its campaign. */
+	@Test
+	void aMemberThatDoesNotLeadProposesNothing() {
+		this.replica.follow();
+		runRound();
+		runRound();
+		this.requests.expectNoMessage(Duration.ZERO);
+	}
+
+	/** Guards against reboots that are judged by reports of an earlier term. */
+	@Test
+	void aNewTermForgetsTheBootsThatEarlierReportsShowed() {
+		HostSighting sighting = new HostSighting(FakeReplica.WORKER, "boot-1");
+		runRound();
+		this.replica.applyProposal();
+		this.actor.tell(new MaintenanceActor.WorkersObserved(List.of(sighting), RemainingTime.declared()));
+		runRound();
+		Truth.assertThat(this.replica.applyProposal()).containsExactly(drain(Optional.of("boot-1")));
+		this.replica.leadInNextTerm();
+		runRound();
+		Truth.assertThat(this.replica.applyProposal()).containsExactly(drain(Optional.empty()));
+	}
+
+	private void runRound() {
+		this.time.timePasses(PERIOD);
+		this.replica.answerView();
+	}
+
+	private static StartDrain drain(Optional<String> bootId) {
+		return new StartDrain(FakeReplica.CAMPAIGN, FakeReplica.WORKER, 1, 30_000, bootId);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
@@ -0,0 +1,125 @@
+package io.burdockpin.control.planner;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.control.link.PlannerReport;
+import io.burdockpin.control.replica.FleetRecords;
+import io.burdockpin.control.replica.ReplicaMessage;
+import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
+import io.burdockpin.core.client.ClientMessage.TokenReport;
+import io.burdockpin.core.client.ClientMessage.WorkerOrders;
+import io.burdockpin.core.client.ClientMessage.WorkerReport;
+import io.burdockpin.core.client.ClientMessage.WorkerReports;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.state.ConfigurationSnapshot;
+import io.burdockpin.core.state.JobRecord;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PlannerSupervisorTests {
+
+	private static final Holder ENTRY_HOST = new Holder(new HostName("e1"), 1);
+
+	/** Longer than the first back-off of a restart and than a round. */
+	private static final Duration RESTART = Duration.ofSeconds(1);
+
+	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
+
+	private final ManualTime time = ManualTime.get(this.testKit.system());
+
+	private final TestProbe<ReplicaMessage> replica = this.testKit.createTestProbe();
+
+	private final TestProbe<ClientMessage> entryHost = this.testKit.createTestProbe();
+
+	private final ActorRef<PlannerReport> supervisor = this.testKit.spawn(PlannerSupervisor
+		.create(PlannerSettings.DEFAULT, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC), this.replica.getRef()));
+
+	@AfterEach
+	void stop() {
+		this.testKit.shutdownTestKit();
+	}
+
+	/** Guards against reports that reach the wrong planner or none. */
+	@Test
+	void reportsOfTokensAndOfWorkersAreAnsweredByTheirPlanners() {
+		report(new TokenReport(1, ENTRY_HOST, 1, 0, 0, List.of()));
+		answerRecords(List.of());
+		Truth.assertThat(this.entryHost.receiveMessage()).isInstanceOf(TokenGrants.class);
+		// Placement, maintenance and tokens each ask for records.
+		this.time.timePasses(PlannerSettings.DEFAULT.maintenancePeriod());
+		for (int planner = 0; planner < 3; planner++) {
+			answerRecords(List.of());
+		}
+		WorkerReport worker = new WorkerReport(new HostName("w1"), "boot-1", 1, Resources.NONE, List.of());
+		report(new WorkerReports(2, List.of(worker)));
+		Truth.assertThat(this.entryHost.receiveMessage()).isInstanceOf(WorkerOrders.class);
+	}
+
+	/**
+	 * Guards against a leader whose limits are not divided any more after one failure.
+	 */
+	@Test
+	void aPlannerThatFailedIsRestartedAndAnswersAgain() {
+		report(new TokenReport(1, ENTRY_HOST, 1, 0, 0, List.of()));
+		TestProbe<Boolean> failures = this.testKit.createTestProbe();
+		answerRecords(new FailingList(failures.getRef()));
+		failures.receiveMessage();
+		this.entryHost.expectNoMessage(Duration.ZERO);
+		ReplicaMessage request = nextRequestAfterRestart();
+		Truth.assertThat(request).isInstanceOf(ReplicaMessage.FetchRecords.class);
+	}
+
+	// helpers
+
+	private ReplicaMessage nextRequestAfterRestart() {
+		this.time.timePasses(RESTART);
+		report(new TokenReport(2, ENTRY_HOST, 2, 0, 0, List.of()));
+		return this.replica.receiveMessage();
+	}
+
+	private void report(ClientMessage message) {
+		this.supervisor.tell(new PlannerReport(ENTRY_HOST, message, this.entryHost.getRef()));
+	}
+
+	private void answerRecords(List<JobRecord> jobs) {
+		ReplicaMessage.FetchRecords request = this.replica.expectMessageClass(ReplicaMessage.FetchRecords.class);
+		ConfigurationSnapshot configuration = new ConfigurationSnapshot(1, List.of(), List.of(), List.of(), List.of(),
+				List.of());
+		request.replyTo().tell(new FleetRecords(true, 1, 1, configuration, List.of(), List.of(), jobs, List.of()));
+	}
+
+	/** Fails when it is read. */
+	private static final class FailingList extends java.util.AbstractList<JobRecord> {
+
+		private final ActorRef<Boolean> failures;
+
+		private FailingList(ActorRef<Boolean> failures) {
+			this.failures = failures;
+		}
+
+		@Override
+		public JobRecord get(int index) {
+			throw new IllegalStateException("planted failure");
+		}
+
+		@Override
+		public int size() {
+			this.failures.tell(true);
+			return 1;
+		}
+
+	}
+
+}
