Report an attempt on an unusable runner address as not run

Cause: the reuse of connections moved the opening of a connection into the start of its actor. An address that cannot be opened, for example port 70000, made the start fail, and the request would have waited for an answer that never comes, with its slot and token.

Ruled out: refusing such addresses only at the announcement; its check admits texts that are no addresses.

Change: the actor answers its attempt with NOT_RUN in that case, as before the reuse.

--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
@@ -102,8 +102,22 @@
 
 	static Behavior<Command> create(RunnerConnector connector, RunnerLife life, Materializer materializer,
 			MetricRegistry metrics, ActorRef<RunnerConnections.Command> owner) {
-		return Behaviors.setup((context) -> Behaviors.withTimers(
-				(timers) -> new RunnerConnection(context, timers, connector, life, materializer, metrics, owner)));
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
+			try {
+				return new RunnerConnection(context, timers, connector, life, materializer, metrics, owner);
+			}
+			catch (IllegalArgumentException ex) {
+				return refuse(ex.getMessage());
+			}
+		}));
+	}
+
+	// Runners announce their addresses, so some may not be usable.
+	private static Behavior<Command> refuse(String reason) {
+		return Behaviors.receive(Command.class).onMessage(Run.class, (run) -> {
+			run.attempt().replyTo().tell(neverConnected(reason));
+			return Behaviors.stopped();
+		}).build();
 	}
 
 	@Override
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
@@ -182,6 +182,12 @@
 		this.runner.awaitEndOfConnection();
 	}
 
+	@Test
+	void anAttemptOnARunnerWithAnUnusableAddressHasNotRun() {
+		send(new RunnerLife(this.life.runner(), "127.41.1.1:70000", 1), true, 30_000);
+		Truth.assertThat(this.reports.receiveMessage(LONGEST_WAIT).result().outcome()).isEqualTo(Outcome.NOT_RUN);
+	}
+
 	private void keepIdle(int count) {
 		this.connections.tell(new RunnerConnections.LimitIdle(Map.of(this.life, count)));
 	}
