End callers' connections without losing unsent answers at a planned stop

Cause: PlannedStopTests failed twice under load with 'Connection reset' and no byte of the answer. The HTTP library's terminate aborts each connection whose answer has been passed on, although its bytes may still be in a buffer; the rest of the answer is lost. A caller that reads slowly lost its answer each time. Ruled out: a longer deadline for terminate (tried; the reset came at once, because the connection no longer counts as busy); terminate after a pause (a guess about the speed of callers). Change: CallerConnection completes its answers and stays until the library says that the connection is closed. CallerHttp keeps the open connections and reports the end when none is left, or after 72 s, as long as the server waits for a slow caller otherwise. Answers under way carry 'Connection: close'.

--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerConnection.java
@@ -6,9 +6,12 @@
 import java.util.function.Function;
 
 import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.http.javadsl.model.AttributeKey;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.japi.function.Procedure;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
@@ -24,12 +27,18 @@
  * Serves the requests of one caller's connection one after the other and tells the
  * request in flight when the caller closes its side. The stage is immutable; the state of
  * each connection belongs to its stream.
+ * <p>
+ * The HTTP library ends a connection on its own stop by aborting it as soon as the answer
+ * has been passed on, which loses what is not sent yet. So this stage ends it: it
+ * completes its answers and stays until the library says that the connection is closed.
  */
 final class CallerConnection extends GraphStage<FlowShape<HttpRequest, HttpResponse>> {
 
 	/** Attribute of each request: tells when its caller has disconnected. */
 	static final AttributeKey<CallerGone> CALLER_GONE = AttributeKey.create("callerGone", CallerGone.class);
 
+	private static final HttpHeader CLOSE = Connection.create("close");
+
 	private final Inlet<HttpRequest> requests = Inlet.create("requests");
 
 	private final Outlet<HttpResponse> responses = Outlet.create("responses");
@@ -38,12 +47,16 @@
 
 	private final Function<HttpRequest, CompletionStage<HttpResponse>> handler;
 
+	private final ActorRef<HttpCommand> owner;
+
 	/**
 	 * Creates the stage.
 	 * @param handler answers a request; it does not throw and its stage does not fail
+	 * @param owner is told when connections are opened and have ended
 	 */
-	CallerConnection(Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+	CallerConnection(Function<HttpRequest, CompletionStage<HttpResponse>> handler, ActorRef<HttpCommand> owner) {
 		this.handler = handler;
+		this.owner = owner;
 	}
 
 	@Override
@@ -67,15 +80,23 @@
 
 	private final class Logic extends GraphStageLogic {
 
+		private final OpenConnection connection;
+
 		private Optional<CompletableFuture<Done>> callerGone = Optional.empty();
 
+		private boolean ending;
+
 		private Logic() {
 			super(CallerConnection.this.shape);
+			this.connection = new OpenConnection(createAsyncCallback((Procedure<Done>) (done) -> onEnd()));
 			AsyncCallback<HttpResponse> answered = createAsyncCallback((Procedure<HttpResponse>) this::onAnswered);
 			setHandler(CallerConnection.this.requests, new AbstractInHandler() {
 				@Override
 				public void onPush() {
-					onRequest(grab(CallerConnection.this.requests), answered);
+					HttpRequest request = grab(CallerConnection.this.requests);
+					if (!isClosed(CallerConnection.this.responses)) {
+						onRequest(request, answered);
+					}
 				}
 
 				@Override
@@ -105,6 +126,23 @@
 			});
 		}
 
+		@Override
+		public void preStart() {
+			CallerConnection.this.owner.tell(new HttpCommand.ConnectionOpened(this.connection));
+		}
+
+		@Override
+		public void postStop() {
+			CallerConnection.this.owner.tell(new HttpCommand.ConnectionEnded(this.connection));
+		}
+
+		private void onEnd() {
+			this.ending = true;
+			if (this.callerGone.isEmpty()) {
+				complete(CallerConnection.this.responses);
+			}
+		}
+
 		private void onRequest(HttpRequest request, AsyncCallback<HttpResponse> answered) {
 			CompletableFuture<Done> gone = new CompletableFuture<>();
 			this.callerGone = Optional.of(gone);
@@ -114,10 +152,13 @@
 
 		private void onAnswered(HttpResponse response) {
 			this.callerGone = Optional.empty();
-			push(CallerConnection.this.responses, response);
+			push(CallerConnection.this.responses, this.ending ? response.addHeader(CLOSE) : response);
 			if (isClosed(CallerConnection.this.requests)) {
 				completeStage();
 			}
+			else if (this.ending) {
+				complete(CallerConnection.this.responses);
+			}
 		}
 
 		// A caller that only closed its sending side still gets the answer.
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -47,7 +49,11 @@
 	/** Longest request plus a margin of a fifth. */
 	private static final long IDLE_TIMEOUT_SECONDS = 72;
 
-	private static final java.time.Duration TERMINATE_DEADLINE = java.time.Duration.ofSeconds(2);
+	/**
+	 * Bounds how long a caller that reads slowly may take for its answer. As long as the
+	 * server waits for such a caller otherwise.
+	 */
+	private static final java.time.Duration TERMINATE_DEADLINE = java.time.Duration.ofSeconds(IDLE_TIMEOUT_SECONDS);
 
 	private static final int MAX_CONNECTIONS = 8192;
 
@@ -59,8 +65,12 @@
 
 	private final List<ActorRef<InetSocketAddress>> boundWaiters = new ArrayList<>();
 
+	private final Set<OpenConnection> connections = new HashSet<>();
+
 	private Optional<ServerBinding> binding = Optional.empty();
 
+	private Optional<ActorRef<Done>> terminating = Optional.empty();
+
 	private CallerHttp(ActorContext<HttpCommand> context, Actors actors, EntryIdentity identity, EntrySettings settings,
 			Optional<CurrentTls> tls, MetricRegistry metrics) {
 		super(context);
@@ -103,6 +113,9 @@
 			.onMessage(HttpCommand.AwaitBound.class, this::onAwaitBound)
 			.onMessage(HttpCommand.StopAccepting.class, (command) -> onStopAccepting())
 			.onMessage(HttpCommand.Terminate.class, this::onTerminate)
+			.onMessage(HttpCommand.ConnectionOpened.class, this::onConnectionOpened)
+			.onMessage(HttpCommand.ConnectionEnded.class, this::onConnectionEnded)
+			.onMessage(HttpCommand.TerminateOverdue.class, (command) -> onTerminateOverdue())
 			.build();
 	}
 
@@ -135,19 +148,43 @@
 	}
 
 	private Behavior<HttpCommand> onTerminate(HttpCommand.Terminate command) {
-		if (this.binding.isPresent()) {
-			this.binding.get()
-				.terminate(TERMINATE_DEADLINE)
-				.whenComplete((terminated, failure) -> command.replyTo().tell(Done.getInstance()));
-		}
-		else {
-			command.replyTo().tell(Done.getInstance());
+		this.terminating = Optional.of(command.replyTo());
+		this.connections.forEach(OpenConnection::end);
+		getContext().scheduleOnce(TERMINATE_DEADLINE, getContext().getSelf(), HttpCommand.TerminateOverdue.INSTANCE);
+		reportTerminated();
+		return this;
+	}
+
+	private Behavior<HttpCommand> onConnectionOpened(HttpCommand.ConnectionOpened command) {
+		this.connections.add(command.connection());
+		if (this.terminating.isPresent()) {
+			command.connection().end();
 		}
 		return this;
 	}
 
+	private Behavior<HttpCommand> onConnectionEnded(HttpCommand.ConnectionEnded command) {
+		this.connections.remove(command.connection());
+		reportTerminated();
+		return this;
+	}
+
+	private Behavior<HttpCommand> onTerminateOverdue() {
+		logger.atWarning().log("%d callers have not read their answers in time.", this.connections.size());
+		this.connections.clear();
+		reportTerminated();
+		return this;
+	}
+
 	// helpers
 
+	private void reportTerminated() {
+		if (this.connections.isEmpty()) {
+			this.terminating.ifPresent((replyTo) -> replyTo.tell(Done.getInstance()));
+			this.terminating = Optional.empty();
+		}
+	}
+
 	private void bind(EntrySettings settings, Optional<CurrentTls> tls) {
 		ActorRef<HttpCommand> self = getContext().getSelf();
 		ServerSettings defaults = ServerSettings.create(getContext().getSystem().classicSystem());
@@ -166,7 +203,7 @@
 			.withSettings(serverSettings);
 		tls.map((current) -> server.enableHttps(ConnectionContext.httpsServer(current::callerEngine)))
 			.orElse(server)
-			.bindFlow(Flow.fromGraph(new CallerConnection(this::handle)))
+			.bindFlow(Flow.fromGraph(new CallerConnection(this::handle, self)))
 			.whenComplete((bound, failure) -> self.tell((failure != null)
 					? new HttpCommand.BindFailed(String.valueOf(failure.getMessage())) : new HttpCommand.Bound(bound)));
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/HttpCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/HttpCommand.java
@@ -35,6 +35,32 @@
 
 	}
 
+	/**
+	 * A caller has connected.
+	 *
+	 * @param connection the connection
+	 */
+	record ConnectionOpened(OpenConnection connection) implements HttpCommand {
+
+	}
+
+	/**
+	 * A connection has ended and nothing is left to send on it.
+	 *
+	 * @param connection the connection
+	 */
+	record ConnectionEnded(OpenConnection connection) implements HttpCommand {
+
+	}
+
+	/** Connections have not ended in time. */
+	enum TerminateOverdue implements HttpCommand {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
 	/**
 	 * The address is bound.
 	 *
