Wait for the planners in the tests of their supervisor

Cause: a full check hung in PlannerSupervisorTests. The report of a worker overtook the records on their way to the placement planner, which then gives no answer by design, and virtual time passed before the failed planner had reached its supervisor. Ruled out: a fault of the planner; an entry host sends its reports again. Change: both tests send the report again until the planner answers. What they check is the same. Conclusion: no product change.

--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
@@ -36,6 +36,10 @@
 	/** Longer than the first back-off of a restart and than a round. */
 	private static final Duration RESTART = Duration.ofSeconds(1);
 
+	private static final Duration LONGEST_WAIT = Duration.ofSeconds(20);
+
+	private static final Duration POLL = Duration.ofMillis(200);
+
 	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
 
 	private final ManualTime time = ManualTime.get(this.testKit.system());
@@ -48,6 +52,8 @@
 		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC),
 				this.replica.getRef(), this.testKit.<EventLog.Command>createTestProbe().getRef()));
 
+	private long generation;
+
 	@AfterEach
 	void stop() {
 		this.testKit.shutdownTestKit();
@@ -65,8 +71,11 @@
 			answerRecords(List.of());
 		}
 		WorkerReport worker = new WorkerReport(new HostName("w1"), "boot-1", 1, Resources.NONE, List.of());
-		report(new WorkerReports(2, 1, 0, 0, List.of(worker), List.of(), List.of()));
-		Truth.assertThat(this.entryHost.receiveMessage()).isInstanceOf(WorkerOrders.class);
+		// The planner takes no reports before the records have reached it.
+		this.entryHost.awaitAssert(LONGEST_WAIT, () -> {
+			report(new WorkerReports(2, ++this.generation, 0, 0, List.of(worker), List.of(), List.of()));
+			return this.entryHost.expectMessageClass(WorkerOrders.class, POLL);
+		});
 	}
 
 	/**
@@ -86,9 +95,12 @@
 	// helpers
 
 	private ReplicaMessage nextRequestAfterRestart() {
-		this.time.timePasses(RESTART);
-		report(new TokenReport(2, ENTRY_HOST, 2, 0, 0, List.of()));
-		return this.replica.receiveMessage();
+		return this.replica.awaitAssert(LONGEST_WAIT, () -> {
+			// The failure may not have reached the supervisor yet.
+			this.time.timePasses(RESTART);
+			report(new TokenReport(2, ENTRY_HOST, 2, 0, 0, List.of()));
+			return this.replica.receiveMessage(POLL);
+		});
 	}
 
 	private void report(ClientMessage message) {
