Move tokens and idle limits out of the router

Ruled out: actors of their own; both are changed by each step of the router. Change: AttemptTokens and IdleLimits, owned by the router. No behaviour changes.

--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/AttemptTokens.java
@@ -0,0 +1,110 @@
+package io.burdockpin.entry.router;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.entry.token.TokenCommand;
+import io.burdockpin.entry.token.TokenEvent;
+import org.apache.pekko.actor.typed.ActorRef;
+
+/**
+ * The tokens of attempts: which attempts wait for one, which have one, and which teams
+ * got none and wait until one becomes available. Mutable; owned by the router.
+ */
+final class AttemptTokens {
+
+	private final ActorRef<TokenCommand> tokens;
+
+	private final ActorRef<TokenEvent> events;
+
+	private final Map<Long, PendingAttempt> pending = new HashMap<>();
+
+	private final Set<Long> attemptsWithToken = new HashSet<>();
+
+	private final Set<TeamName> blockedTeams = new HashSet<>();
+
+	/**
+	 * Creates an empty table and subscribes to available tokens.
+	 * @param tokens owns the tokens
+	 * @param events gets the decisions and the teams with tokens
+	 */
+	AttemptTokens(ActorRef<TokenCommand> tokens, ActorRef<TokenEvent> events) {
+		this.tokens = tokens;
+		this.events = events;
+		tokens.tell(new TokenCommand.Subscribe(events));
+	}
+
+	// access
+
+	boolean isBlocked(Optional<TeamName> team) {
+		return team.filter(this.blockedTeams::contains).isPresent();
+	}
+
+	// events
+
+	void take(TeamName team, long attempt, RouterCommand.Enqueue entry, Dispatch dispatch) {
+		this.pending.put(attempt, new PendingAttempt(entry, dispatch));
+		this.tokens.tell(new TokenCommand.Take(team, attempt, entry.request().deadlineMillis(), this.events));
+	}
+
+	/**
+	 * Takes note of a decision. A team that got no token is blocked.
+	 * @param decided the decision
+	 * @return the attempt that waited for it
+	 */
+	Optional<PendingAttempt> decided(TokenEvent.Decided decided) {
+		Optional<PendingAttempt> attempt = Optional.ofNullable(this.pending.remove(decided.attempt()));
+		if (attempt.isPresent() && decided.granted()) {
+			this.attemptsWithToken.add(decided.attempt());
+		}
+		else if (attempt.isPresent()) {
+			this.blockedTeams.add(decided.team());
+		}
+		return attempt;
+	}
+
+	void available(TeamName team) {
+		this.blockedTeams.remove(team);
+	}
+
+	/**
+	 * Gives the token of an attempt back. One whose outcome is unknown is held until its
+	 * deadline, because the attempt may still run.
+	 * @param attempt number of the attempt
+	 * @param outcome how it ended
+	 */
+	void end(long attempt, Outcome outcome) {
+		if (this.attemptsWithToken.remove(attempt)) {
+			this.tokens.tell(
+					(outcome != Outcome.UNKNOWN) ? new TokenCommand.Release(attempt) : new TokenCommand.Hold(attempt));
+		}
+	}
+
+	void reportDemand(ToIntFunction<TeamName> waitingCount) {
+		Map<TeamName, Integer> demand = new HashMap<>();
+		for (TeamName team : this.blockedTeams) {
+			int count = waitingCount.applyAsInt(team);
+			if (count > 0) {
+				demand.put(team, count);
+			}
+		}
+		this.tokens.tell(new TokenCommand.Demand(demand));
+	}
+
+	/**
+	 * An attempt that waits for a token.
+	 *
+	 * @param entry the waiting request
+	 * @param dispatch what the request is told with the token
+	 */
+	record PendingAttempt(RouterCommand.Enqueue entry, Dispatch dispatch) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/IdleLimits.java
@@ -0,0 +1,50 @@
+package io.burdockpin.entry.router;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import io.burdockpin.core.model.RunnerName;
+import io.burdockpin.core.routing.RunnerLife;
+import org.apache.pekko.actor.typed.ActorRef;
+
+/**
+ * How many idle connections may be kept to each runner; none to a runner that was sent to
+ * another entry host. Mutable; owned by the router.
+ */
+final class IdleLimits {
+
+	private final ActorRef<RunnerConnections.Command> connections;
+
+	private final Set<RunnerName> sentElsewhere = new HashSet<>();
+
+	private Map<RunnerLife, Integer> limits = Map.of();
+
+	IdleLimits(ActorRef<RunnerConnections.Command> connections) {
+		this.connections = connections;
+	}
+
+	void attached(RunnerName runner, boolean isSentElsewhere) {
+		if (isSentElsewhere) {
+			this.sentElsewhere.add(runner);
+		}
+		else {
+			this.sentElsewhere.remove(runner);
+		}
+	}
+
+	void removed(RunnerName runner) {
+		this.sentElsewhere.remove(runner);
+	}
+
+	void update(Map<RunnerLife, Integer> byRunner) {
+		Map<RunnerLife, Integer> changed = new HashMap<>(byRunner);
+		changed.keySet().removeIf((life) -> this.sentElsewhere.contains(life.runner()));
+		if (!changed.equals(this.limits)) {
+			this.limits = changed;
+			this.connections.tell(new RunnerConnections.LimitIdle(changed));
+		}
+	}
+
+}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,10 +18,8 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.membership.PeerMessage.QueueStatus;
 import io.burdockpin.core.membership.PeerView;
-import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.RunnerName;
-import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.retry.FinalAnswer;
 import io.burdockpin.core.routing.AttemptVerdict;
 import io.burdockpin.core.routing.PeerLoad;
@@ -30,7 +27,6 @@
 import io.burdockpin.core.routing.QueueCapacity;
 import io.burdockpin.core.routing.QueuedRequest;
 import io.burdockpin.core.routing.Runner;
-import io.burdockpin.core.routing.RunnerLife;
 import io.burdockpin.core.routing.RunnerTable;
 import io.burdockpin.core.routing.RunnerTableSettings;
 import io.burdockpin.core.routing.Target;
@@ -75,7 +71,7 @@
 
 	private final ActorRef<ControlCommand> control;
 
-	private final ActorRef<TokenCommand> tokens;
+	private final AttemptTokens tokens;
 
 	private final RandomGenerator random;
 
@@ -89,28 +85,20 @@
 
 	private final ActorRef<RunnerConnections.Command> connections;
 
+	private final IdleLimits idleLimits;
+
 	private final RunnerTable runners;
 
 	private final PeerLoads peerLoads = new PeerLoads();
 
 	private final Map<QueueName, WaitingRequests> waiting = new TreeMap<>();
 
-	private final Set<TeamName> blockedTeams = new HashSet<>();
-
-	private final Map<Long, PendingAttempt> tokenRequests = new HashMap<>();
-
-	private final Set<Long> attemptsWithToken = new HashSet<>();
-
 	private final OpenRequests openRequests = new OpenRequests();
 
 	private Optional<PeerView> peerView = Optional.empty();
 
 	private Optional<ActorRef<PeerCommand>> peers = Optional.empty();
 
-	private final Set<RunnerName> sentElsewhere = new HashSet<>();
-
-	private Map<RunnerLife, Integer> idleLimits = Map.of();
-
 	private boolean stopping;
 
 	private boolean refusing;
@@ -124,7 +112,8 @@
 		this.identity = identity;
 		this.settings = settings;
 		this.control = control;
-		this.tokens = tokens;
+		this.tokens = new AttemptTokens(tokens,
+				context.messageAdapter(TokenEvent.class, RouterCommand.TokenHappened::new));
 		this.random = random;
 		this.events = events;
 		this.requestEvents = new RequestEvents(events, settings.requestEvents());
@@ -138,13 +127,13 @@
 				"connections");
 		// The router cannot work without it and fails with it.
 		context.watch(this.connections);
+		this.idleLimits = new IdleLimits(this.connections);
 		this.runners = new RunnerTable(
 				new RunnerTableSettings(settings.timing().attachmentMillis(),
 						longestMillis + longestMillis / MARGIN_DIVISOR, settings.policy()),
 				identity.self().dataCentre(), random);
 		control.tell(new ControlCommand.Subscribe(
 				context.messageAdapter(ConfigurationEvent.class, RouterCommand.ConfigurationHappened::new)));
-		tokens.tell(new TokenCommand.Subscribe(tokenEvents()));
 	}
 
 	// life cycle
@@ -354,10 +343,7 @@
 		this.runners.queueOf(command.attempt())
 			.ifPresent((queue) -> this.metrics.increment(Metric.ATTEMPTS, queue.value(), command.outcome().name()));
 		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
-		if (this.attemptsWithToken.remove(command.attempt())) {
-			this.tokens.tell((command.outcome() != Outcome.UNKNOWN) ? new TokenCommand.Release(command.attempt())
-					: new TokenCommand.Hold(command.attempt()));
-		}
+		this.tokens.end(command.attempt(), command.outcome());
 		if (command.verdict() != AttemptVerdict.GOOD) {
 			limitIdleConnections();
 		}
@@ -378,8 +364,7 @@
 	}
 
 	private boolean isStartable(QueueName queue, RouterCommand.Enqueue entry) {
-		boolean blocked = !entry.forwarded() && entry.request().team().filter(this.blockedTeams::contains).isPresent();
-		if (blocked) {
+		if (!entry.forwarded() && this.tokens.isBlocked(entry.request().team())) {
 			return false;
 		}
 		return capacity(queue).freeSlots() > 0 || (!entry.forwarded() && choosePeer(entry).isPresent());
@@ -413,9 +398,7 @@
 			entry.replyTo().tell(dispatch.get());
 		}
 		else {
-			this.tokenRequests.put(attempt, new PendingAttempt(entry, dispatch.get()));
-			this.tokens.tell(new TokenCommand.Take(entry.request().team().get(), attempt,
-					entry.request().deadlineMillis(), tokenEvents()));
+			this.tokens.take(entry.request().team().get(), attempt, entry, dispatch.get());
 		}
 	}
 
@@ -474,12 +457,7 @@
 		Optional<String> attachTo = this.peerView
 			.flatMap((view) -> view.attachTo(runner.name().value(), this.stopping));
 		command.replyTo().tell(new RouterCommand.Attached(attached, attachTo));
-		if (attachTo.isPresent()) {
-			this.sentElsewhere.add(runner.name());
-		}
-		else {
-			this.sentElsewhere.remove(runner.name());
-		}
+		this.idleLimits.attached(runner.name(), attachTo.isPresent());
 		limitIdleConnections();
 		dispatchAll();
 		return this;
@@ -515,25 +493,22 @@
 
 	private Behavior<RouterCommand> onTokens(TokenEvent event) {
 		if (event instanceof TokenEvent.Decided decided) {
-			Optional.ofNullable(this.tokenRequests.remove(decided.attempt()))
-				.ifPresent((pending) -> tokenDecided(decided, pending));
+			this.tokens.decided(decided).ifPresent((pending) -> tokenDecided(decided, pending));
 		}
 		else if (event instanceof TokenEvent.Available available) {
-			this.blockedTeams.remove(available.team());
+			this.tokens.available(available.team());
 			dispatchAll();
 		}
 		return this;
 	}
 
-	private void tokenDecided(TokenEvent.Decided decided, PendingAttempt pending) {
+	private void tokenDecided(TokenEvent.Decided decided, AttemptTokens.PendingAttempt pending) {
 		if (decided.granted()) {
-			this.attemptsWithToken.add(decided.attempt());
 			recordStart(pending.entry(), pending.dispatch());
 			pending.entry().replyTo().tell(pending.dispatch());
 			return;
 		}
 		this.runners.withdraw(decided.attempt());
-		this.blockedTeams.add(decided.team());
 		if (this.openRequests.isGivenUp(pending.entry().request().number())) {
 			refuse(pending.entry(), ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "given up");
 		}
@@ -562,7 +537,7 @@
 		for (RunnerName lost : this.runners.expire(nowMillis)) {
 			logger.atInfo().log("Runner %s is no longer attached.", lost);
 			this.events.record(this.events.event(EventKind.RUNNER_REMOVED).with(EventField.RUNNER, lost));
-			this.sentElsewhere.remove(lost);
+			this.idleLimits.removed(lost);
 		}
 		limitIdleConnections();
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
@@ -575,7 +550,7 @@
 
 	private void expire(WaitingRequests waiting, long nowMillis) {
 		for (QueuedRequest request : waiting.queue().expire(nowMillis)) {
-			boolean limited = request.team().filter(this.blockedTeams::contains).isPresent();
+			boolean limited = this.tokens.isBlocked(request.team());
 			waiting.take(request)
 				.ifPresent((entry) -> refuse(entry,
 						limited ? ErrorCode.TEAM_LIMIT_REACHED : ErrorCode.DEADLINE_EXCEEDED_BEFORE_START,
@@ -584,35 +559,16 @@
 	}
 
 	private void limitIdleConnections() {
-		Map<RunnerLife, Integer> limits = this.runners.idleLimits(this.identity.nowMillis());
-		limits.keySet().removeIf((life) -> this.sentElsewhere.contains(life.runner()));
-		if (!limits.equals(this.idleLimits)) {
-			this.idleLimits = limits;
-			this.connections.tell(new RunnerConnections.LimitIdle(limits));
-		}
+		this.idleLimits.update(this.runners.idleLimits(this.identity.nowMillis()));
 	}
 
 	private void reportDemand() {
-		Map<TeamName, Integer> waitingCounts = new HashMap<>();
-		for (TeamName team : this.blockedTeams) {
-			int count = this.waiting.values().stream().mapToInt((requests) -> requests.queue().waitingOf(team)).sum();
-			if (count > 0) {
-				waitingCounts.put(team, count);
-			}
-		}
-		this.tokens.tell(new TokenCommand.Demand(waitingCounts));
-	}
-
-	private ActorRef<TokenEvent> tokenEvents() {
-		return getContext().messageAdapter(TokenEvent.class, RouterCommand.TokenHappened::new);
+		this.tokens.reportDemand((
+				team) -> this.waiting.values().stream().mapToInt((requests) -> requests.queue().waitingOf(team)).sum());
 	}
 
 	private WaitingRequests waiting(QueueName queue) {
 		return this.waiting.computeIfAbsent(queue, (name) -> new WaitingRequests(this.settings.limits().queueLength()));
 	}
 
-	private record PendingAttempt(RouterCommand.Enqueue entry, Dispatch dispatch) {
-
-	}
-
 }
