Let forwarded requests say whether they are repeatable

Cause: a forwarded request did not say whether it may run twice, so the entry host that owns the runner opened a connection for each. Ruled out: treating all forwarded requests as repeatable; the outcome of a charge would be lost when the runner closes an idle connection. Change: ForwardRequest has the field repeatable; the schema and the generated code follow. Figures: three forwarded repeatable requests opened 3 connections and now open 1, a charge opens its own (new test).

--- a/burdockpin-codec/src/main/thrift/peer.thrift
+++ b/burdockpin-codec/src/main/thrift/peer.thrift
@@ -67,6 +67,8 @@
   6: string contentType,
   /** the body */
   7: binary body,
+  /** whether the request may run more than once */
+  8: bool repeatable,
 }
 
 /** What is known about whether an attempt ran. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
@@ -78,12 +78,13 @@
 	 * @param queue the queue
 	 * @param team the team, none on an open queue
 	 * @param requestId identifier of the request
+	 * @param repeatable whether the request may run more than once
 	 * @param remainingMillis time left until the deadline when this was sent
 	 * @param contentType content type of the body
 	 * @param body the body
 	 */
 	record ForwardRequest(long attempt, QueueName queue, Optional<TeamName> team, RequestId requestId,
-			long remainingMillis, String contentType, Payload body) implements PeerMessage {
+			boolean repeatable, long remainingMillis, String contentType, Payload body) implements PeerMessage {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -78,9 +78,8 @@
 			RunnerCall call = new RunnerCall(toRunner.attempt(), this.request.queue(), this.request.requestId(),
 					this.request.contentType(), this.request.body(),
 					this.queued.deadlineMillis() - this.identity.nowMillis());
-			// A forwarded request does not say whether it is repeatable.
 			toRunner.connections()
-				.tell(new RunnerConnections.Attempt(toRunner.runner().life(), call, false,
+				.tell(new RunnerConnections.Attempt(toRunner.runner().life(), call, this.request.repeatable(),
 						getContext().messageAdapter(AttemptReport.class, AttemptDone::new)));
 			return this;
 		}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -210,7 +210,8 @@
 		this.forwardedBy = Optional.of(dispatch.peers());
 		CallerRequest caller = this.request.caller();
 		ForwardRequest forward = new ForwardRequest(dispatch.attempt(), caller.facts().queue(), this.queued.team(),
-				caller.requestId(), remainingMillis(), caller.contentType(), caller.body());
+				caller.requestId(), caller.facts().repeatable(), remainingMillis(), caller.contentType(),
+				caller.body());
 		dispatch.peers()
 			.tell(new PeerCommand.Forward(dispatch.host(), forward,
 					getContext().messageAdapter(AttemptResult.class, ForwardDone::new)));
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/RequestPathTests.java
@@ -124,6 +124,27 @@
 		Truth.assertThat(runner().connectionCount()).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a charge whose outcome is lost because it was forwarded on a
+	 * connection that the runner closed at that moment.
+	 */
+	@Test
+	void onlyForwardedRequestsThatAreRepeatableShareAConnectionToTheRunner() {
+		TestEntry one = startFirst();
+		TestEntry two = startSecond();
+		one.announce("runner-1", runner(), false);
+		for (int count = 0; count < 3; count++) {
+			CompletableFuture<HttpResponse<String>> response = two.submit(REPEATABLE, "panel");
+			runner().awaitCall().answer("schedule");
+			Truth.assertThat(response.join().body()).isEqualTo("schedule");
+		}
+		Truth.assertThat(runner().connectionCount()).isEqualTo(1);
+		CompletableFuture<HttpResponse<String>> charge = two.submit(once("charge"), "charge");
+		runner().awaitCall().answer("charged");
+		Truth.assertThat(charge.join().body()).isEqualTo("charged");
+		Truth.assertThat(runner().connectionCount()).isEqualTo(2);
+	}
+
 	@Test
 	void aRepeatableRequestIsAnsweredAfterTheRunnerClosedItsIdleConnection() {
 		TestEntry entry = startAlone();
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/event/RequestEventsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/event/RequestEventsTests.java
@@ -64,7 +64,7 @@
 	@Test
 	void aForwardedAttemptNamesTheAttemptItBelongsToAndIsNotAnsweredHere() {
 		RequestEvents events = events(true);
-		events.forwarded(7, new ForwardRequest(2, new QueueName("q"), TEAM, REQUEST, 1000, "", Payload.EMPTY),
+		events.forwarded(7, new ForwardRequest(2, new QueueName("q"), TEAM, REQUEST, true, 1000, "", Payload.EMPTY),
 				new Holder(new HostName("e2"), 9));
 		events.sentToRunner(7, 8, new RunnerName("r"));
 		events.attemptEnded(8, Outcome.RAN);
