Settle all proposals before a leader hands over and replies before it ends

Cause: a full check failed in UpgradeRehearsalTests: two claims during the restart of the leader ended as OUTCOME_UNKNOWN. A leader offered its place as soon as the target had all entries, although the last ones were not committed on its own slow disk, and then gave up their senders. It also ended at once after the hand-over, so that replies in its connections were lost. Ruled out: proposing a claim again at the entry host; a claim of the same host may belong to an earlier submission that has run. Change: the offer waits until all entries are committed, within the same deadline. The process ends 500 ms after the hand-over.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -48,6 +48,12 @@
 	/** An election with its timeout ends within this time. */
 	private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(2);
 
+	/**
+	 * Time in which the last replies reach the entry hosts and these hear of the new
+	 * leader. A reply that is lost would leave the outcome of a proposal unknown.
+	 */
+	private static final Duration REPLY_GRACE = Duration.ofMillis(500);
+
 	private static final Duration RESTART_MINIMUM = Duration.ofMillis(200);
 
 	private static final Duration RESTART_MAXIMUM = Duration.ofSeconds(10);
@@ -110,6 +116,7 @@
 			.onMessage(LinkReport.class, this::onLinkReport)
 			.onMessage(AdminReport.class, this::onAdminReport)
 			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
+			.onMessageEquals(HandedOver.INSTANCE, this::onHandedOver)
 			.onMessageEquals(StopDue.INSTANCE, Behaviors::stopped)
 			.build();
 	}
@@ -138,11 +145,16 @@
 		}
 		this.timers.startSingleTimer(StopDue.INSTANCE, HAND_OVER_TIMEOUT);
 		ActorRef<ReplicaMessage.HandedOver> handedOver = getContext().messageAdapter(ReplicaMessage.HandedOver.class,
-				(done) -> StopDue.INSTANCE);
+				(done) -> HandedOver.INSTANCE);
 		this.replica.get().tell(new ReplicaMessage.HandOver(handedOver));
 		return this;
 	}
 
+	private Behavior<GuardianCommand> onHandedOver() {
+		this.timers.startSingleTimer(StopDue.INSTANCE, REPLY_GRACE);
+		return this;
+	}
+
 	// helpers
 
 	private void startRest(ReplicaSupervisor.Started started) {
@@ -190,6 +202,12 @@
 
 	}
 
+	private enum HandedOver implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
 	private enum StopDue implements GuardianCommand {
 
 		INSTANCE
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -257,7 +257,9 @@
 
 	private void completeTransfer() {
 		Optional<Transfer> ready = this.transfer.filter((pending) -> !pending.asked())
-			.filter((pending) -> matchIndex(pending.target()) == this.log.lastIndex());
+			.filter((pending) -> matchIndex(pending.target()) == this.log.lastIndex())
+			// Else the senders of uncommitted proposals would not learn their fate.
+			.filter((pending) -> this.log.commitIndex() == this.log.lastIndex());
 		ready.ifPresent((pending) -> {
 			this.transfer = Optional.of(new Transfer(pending.target(), pending.deadlineMillis(), true));
 			send(pending.target(), new ConsensusMessage.TimeoutNow(this.term));
