Wait for the stranger's listener in the TLS test

Cause: the last full check failed in TlsTests: the members had refused the links of the process with a foreign certificate before it listened for callers, and the test asked it at once. Ruled out: a fault of the product; the links start before the listener. Change: the test waits for the answer; what it checks is the same. Conclusion: no product change.

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/TlsTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/TlsTests.java
@@ -107,7 +107,8 @@
 				() -> fleet.members()
 					.stream()
 					.allMatch((member) -> log(member.name()).contains("Refused connection client-")));
-		Truth.assertThat(stranger.health().says("entryHost", "e2")).isTrue();
+		// Its links are refused before it listens for callers.
+		Await.until("an answer of the stranger", () -> stranger.health().says("entryHost", "e2"));
 		Truth.assertThat(stranger.health().number("configurationIndex")).isEqualTo(0);
 		Truth.assertThat(fleet.entries().get(1).health().number("configurationIndex")).isGreaterThan(0L);
 		stranger.process().kill();
