Let a restarted token planner really settle before it answers

Cause: added the constant and the start time for the settling of a restarted planner, but no code that used them.

Ruled out: a late answer of an earlier round (the answer was for report 1, the only one).

The tests wait for the request of the next round before they check that none was sent.

Conclusion: a restarted planner does not tell a holder a count that is about to be taken back.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -175,8 +175,11 @@
 		if (leading.isEmpty()) {
 			return onRecordsMissing();
 		}
-		TokenView view = view(records);
 		long nowMillis = this.clock.millis();
+		if (nowMillis - this.startedMillis < SETTLE_MILLIS) {
+			return endRound();
+		}
+		TokenView view = view(records);
 		for (ReportArrived arrivedReport : this.planned) {
 			TokenReport report = arrivedReport.report();
 			TokenGrants grants = leading.get().answer(report, view, nowMillis);
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
@@ -41,6 +41,8 @@
 
 	private static final TeamName TEAM = new TeamName("payroll");
 
+	private static final Duration ROUND_PERIOD = Duration.ofMillis(250);
+
 	private static final Holder HOLDER = new Holder(new HostName("entry-1"), 1);
 
 	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
@@ -54,7 +56,7 @@
 	private final AtomicLong nowMillis = new AtomicLong();
 
 	private final ActorRef<TokenPlannerActor.Message> actor = this.testKit
-		.spawn(TokenPlannerActor.create(TokenSettings.DEFAULT, Duration.ofMillis(250),
+		.spawn(TokenPlannerActor.create(TokenSettings.DEFAULT, ROUND_PERIOD,
 				() -> Instant.ofEpochMilli(this.nowMillis.get()), this.replica.getRef()));
 
 	private final FleetState state = FleetState.empty();
@@ -94,7 +96,7 @@
 		this.leader = false;
 		reportDemand(1);
 		answerRecords();
-		this.entryHost.expectNoMessage(Duration.ZERO);
+		expectNoAnswerInThisRound();
 	}
 
 	@Test
@@ -115,6 +117,13 @@
 		answerRecords();
 		proposals().forEach(this::commit);
 		answerRecords();
+		expectNoAnswerInThisRound();
+	}
+
+	// The request of the next round shows that this one has ended.
+	private void expectNoAnswerInThisRound() {
+		this.time.timePasses(ROUND_PERIOD);
+		answerRecords();
 		this.entryHost.expectNoMessage(Duration.ZERO);
 	}
 
