State the deadline of an attempt by the clock of its receiver

The resumed host held no valid leased token, so the three beyond the limit were attempts that it had decided on before the freeze. Between that decision and the moment the bytes leave lie five actors, the HTTP client and the TCP buffers. Runners got the remaining time, which counts from arrival, so nothing told them that the request was 10 s old. The same held for forwarded requests.

Ruled out: leased tokens used after their lease (the wallet checks the lease against the deadline at each take, and the deadline lies inside the lease); a last check right before the write, because the freeze can still fall after it; wall clocks, because they would have to agree.

Change: runners announce their clock, entry hosts put theirs into whole statuses, and an attempt carries its deadline by the clock of its receiver. A receiver refuses a late attempt as not run.

Conclusion: an attempt that is stuck in a frozen host does not start after its deadline.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/DecisionCosts.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/DecisionCosts.java
@@ -104,10 +104,9 @@
 		RunnerTableSettings settings = new RunnerTableSettings(3_000, 72_000, RoutingPolicy.NEAREST_THEN_LEAST_BUSY);
 		RunnerTable table = new RunnerTable(settings, SampleFleet.dataCentre(0), new SplittableRandom(1));
 		for (int number = 0; number < runners; number++) {
-			table.announce(
-					new Runner(new RunnerName("runner-" + number), SampleFleet.queue(number % size.pools()),
-							SampleFleet.dataCentre(0), "127.1.0.9:" + number, SLOTS, CONNECTIONS, 1, 0, false),
-					SampleFleet.NOW_MILLIS);
+			table.announce(new Runner(new RunnerName("runner-" + number), SampleFleet.queue(number % size.pools()),
+					SampleFleet.dataCentre(0), "127.1.0.9:" + number, SLOTS, CONNECTIONS, 1, 0, false,
+					OptionalLong.empty()), SampleFleet.NOW_MILLIS);
 		}
 		return table;
 	}
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageSizes.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageSizes.java
@@ -114,7 +114,8 @@
 		List<PeerMessage.QueueStatus> list = IntStream.range(0, queues)
 			.mapToObj((number) -> new PeerMessage.QueueStatus(SampleFleet.queue(number), 64, 12, 3, 250))
 			.toList();
-		return new PeerMessage.PeerStatus(0, SampleFleet.dataCentre(1), "127.1.0.1:7080", false, 100_000, list);
+		return new PeerMessage.PeerStatus(0, SampleFleet.dataCentre(1), "127.1.0.1:7080", false, 100_000, list,
+				SampleFleet.NOW_MILLIS);
 	}
 
 	private static ClientMessage tokenReport(int teams) {
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/PeerTraffic.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/PeerTraffic.java
@@ -49,7 +49,7 @@
 			}
 		}
 		return this.sender.next(new PeerStatus(0, SampleFleet.dataCentre(this.entryNumber), "127.1.0.1:7080", false,
-				100_000, this.queues), nowMillis);
+				100_000, this.queues, nowMillis), nowMillis);
 	}
 
 }
--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/json/RunnerAnnouncement.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/json/RunnerAnnouncement.java
@@ -1,5 +1,7 @@
 package io.burdockpin.codec.json;
 
+import java.util.OptionalLong;
+
 /**
  * Body of {@code POST /v1/upstreams/announce}, sent by a runner every second to the entry
  * host it is attached to.
@@ -13,8 +15,10 @@
  * @param epoch grows each time the runner attaches to another entry host
  * @param slotsInUse requests it is running now
  * @param leaving whether it takes no new work
+ * @param clockMillis its monotonic clock now, in milliseconds since any fixed moment; the
+ * entry host states deadlines in it ({@code Burdock-Runner-Deadline-Ms})
  */
 public record RunnerAnnouncement(String runner, String queue, String dataCentre, String address, int slots,
-		int connections, long epoch, int slotsInUse, boolean leaving) {
+		int connections, long epoch, int slotsInUse, boolean leaving, OptionalLong clockMillis) {
 
 }
--- a/burdockpin-codec/src/main/thrift/peer.thrift
+++ b/burdockpin-codec/src/main/thrift/peer.thrift
@@ -35,6 +35,8 @@
   5: i64 configurationIndex,
   /** its queues with attached runners */
   6: list<QueueStatus> queues,
+  /** clock of the sender when it sent this, in milliseconds */
+  7: i64 clockMillis,
 }
 
 /** What has changed in what the sender can take, sent every 200 ms otherwise. */
@@ -69,6 +71,8 @@
   7: binary body,
   /** whether the request may run more than once */
   8: bool repeatable,
+  /** the deadline by the clock of the receiver, none if the sender does not know that clock */
+  9: optional i64 receiverDeadlineMillis,
 }
 
 /** What is known about whether an attempt ran. */
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftPeerCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/thrift/impl/ThriftPeerCodecTests.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.codec.exc.CodecException;
@@ -30,12 +31,12 @@
 					List.of(new PeerMessage.QueueStatus(new QueueName("quotes"), 8, 3, 2, 40)),
 					List.of(new QueueName("orders"))),
 			new PeerMessage.PeerStatus(3, new DataCentre("dc-1"), "127.1.0.2:80", true, 7,
-					List.of(new PeerMessage.QueueStatus(new QueueName("quotes"), 8, 3, 2, 40))),
+					List.of(new PeerMessage.QueueStatus(new QueueName("quotes"), 8, 3, 2, 40)), 81),
 			new PeerMessage.ForwardRequest(Long.MAX_VALUE, new QueueName("quotes"),
 					Optional.of(new TeamName("detailers")), new RequestId("1-a"), true, 250, "text/plain",
-					Payload.ofText("panel")),
+					Payload.ofText("panel"), OptionalLong.of(99)),
 			new PeerMessage.ForwardRequest(1, new QueueName("open"), Optional.empty(), new RequestId("1-b"), false, 1,
-					"", Payload.EMPTY),
+					"", Payload.EMPTY, OptionalLong.empty()),
 			new PeerMessage.ForwardAnswer(2, 3, Outcome.UNKNOWN, ErrorCode.UPSTREAM_FAILED, "cut", 0, "",
 					Payload.EMPTY),
 			new PeerMessage.CancelForward(4), new PeerMessage.KeyWithdrawn(List.of(KeyHash.of("a"))),
--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.DataCentre;
@@ -28,9 +29,10 @@
 	 * @param stopping whether it takes no new work
 	 * @param configurationIndex index of the configuration in force there
 	 * @param queues its queues with attached runners
+	 * @param clockMillis its clock when it sent this
 	 */
 	record PeerStatus(long number, DataCentre dataCentre, String httpAddress, boolean stopping, long configurationIndex,
-			List<QueueStatus> queues) implements PeerMessage {
+			List<QueueStatus> queues, long clockMillis) implements PeerMessage {
 
 		public PeerStatus {
 			queues = List.copyOf(queues);
@@ -82,9 +84,34 @@
 	 * @param remainingMillis time left until the deadline when this was sent
 	 * @param contentType content type of the body
 	 * @param body the body
+	 * @param receiverDeadlineMillis the deadline by the clock of the receiver, if the
+	 * sender knows that clock; the receiver does not start the request after it, however
+	 * long the message was on its way
 	 */
 	record ForwardRequest(long attempt, QueueName queue, Optional<TeamName> team, RequestId requestId,
-			boolean repeatable, long remainingMillis, String contentType, Payload body) implements PeerMessage {
+			boolean repeatable, long remainingMillis, String contentType, Payload body,
+			OptionalLong receiverDeadlineMillis) implements PeerMessage {
+
+		/**
+		 * Adds the deadline by the clock of the receiver.
+		 * @param newReceiverDeadlineMillis the deadline, if that clock is known
+		 * @return the request with it
+		 */
+		public ForwardRequest withReceiverDeadline(OptionalLong newReceiverDeadlineMillis) {
+			return new ForwardRequest(this.attempt, this.queue, this.team, this.requestId, this.repeatable,
+					this.remainingMillis, this.contentType, this.body, newReceiverDeadlineMillis);
+		}
+
+		/**
+		 * Returns when the receiver gives the request up.
+		 * @param nowMillis the clock of the receiver
+		 * @param longestMillis the longest time that the receiver grants
+		 * @return the earliest of the deadlines, by the clock of the receiver
+		 */
+		public long deadlineMillis(long nowMillis, long longestMillis) {
+			long deadlineMillis = nowMillis + Math.min(this.remainingMillis, longestMillis);
+			return Math.min(deadlineMillis, this.receiverDeadlineMillis.orElse(deadlineMillis));
+		}
 
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerStatusSender.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerStatusSender.java
@@ -53,7 +53,7 @@
 			this.sent.clear();
 			whole.queues().forEach((queue) -> this.sent.put(queue.queue(), queue));
 			return new PeerStatus(nextNumber, whole.dataCentre(), whole.httpAddress(), whole.stopping(),
-					whole.configurationIndex(), whole.queues());
+					whole.configurationIndex(), whole.queues(), whole.clockMillis());
 		}
 		return change(whole, nextNumber);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -17,6 +18,7 @@
 import io.burdockpin.core.model.KeyHash;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.routing.PeerLoad;
+import io.burdockpin.core.util.RemoteClock;
 
 /**
  * The other entry hosts with their last status and the withdrawn keys that they have
@@ -63,11 +65,13 @@
 		if (incarnation > peer.incarnation) {
 			peer.incarnation = incarnation;
 			peer.confirmedKeys.clear();
+			peer.clock = Optional.empty();
 		}
 		else if (peer.status.filter((known) -> known.number() >= status.number()).isPresent()) {
 			return false;
 		}
 		peer.heard(status, nowMillis);
+		peer.clockRead(new RemoteClock(status.clockMillis(), nowMillis));
 		return true;
 	}
 
@@ -96,7 +100,7 @@
 	 * @param connected whether the link to it is up
 	 */
 	public void linkChanged(HostName host, boolean connected) {
-		Optional.ofNullable(this.peers.get(host)).ifPresent((peer) -> peer.connected = connected);
+		Optional.ofNullable(this.peers.get(host)).ifPresent((peer) -> peer.linkChanged(connected));
 	}
 
 	/**
@@ -164,6 +168,20 @@
 		return new PeerView(this.self, takingWork, loads);
 	}
 
+	/**
+	 * Returns a deadline by the clock of a peer.
+	 * @param host the peer
+	 * @param deadlineMillis the deadline by the own clock
+	 * @return a time of the peer's clock that is not after the deadline, or nothing if
+	 * the peer has sent no whole status since the connection to it was opened
+	 */
+	public OptionalLong deadlineAt(HostName host, long deadlineMillis) {
+		return Optional.ofNullable(this.peers.get(host))
+			.flatMap((peer) -> peer.clock)
+			.map((clock) -> OptionalLong.of(clock.at(deadlineMillis)))
+			.orElseGet(OptionalLong::empty);
+	}
+
 	/**
 	 * Tells whether a peer was heard recently.
 	 * @param host the peer
@@ -195,7 +213,7 @@
 		change.queues().forEach((queue) -> queues.put(queue.queue(), queue));
 		change.removed().forEach(queues::remove);
 		return new PeerStatus(change.number(), status.dataCentre(), status.httpAddress(), change.stopping(),
-				change.configurationIndex(), List.copyOf(queues.values()));
+				change.configurationIndex(), List.copyOf(queues.values()), status.clockMillis());
 	}
 
 	private static final class Peer {
@@ -206,6 +224,8 @@
 
 		private Optional<PeerStatus> status = Optional.empty();
 
+		private Optional<RemoteClock> clock = Optional.empty();
+
 		private long incarnation;
 
 		private long heardMillis;
@@ -224,6 +244,18 @@
 			this.statusCount++;
 		}
 
+		private void clockRead(RemoteClock newer) {
+			this.clock = Optional.of(this.clock.map((known) -> known.improve(newer)).orElse(newer));
+		}
+
+		// The peer may come back as a new process whose clock starts elsewhere.
+		private void linkChanged(boolean nowConnected) {
+			this.connected = nowConnected;
+			if (!nowConnected) {
+				this.clock = Optional.empty();
+			}
+		}
+
 		private Map<QueueName, PeerLoad> loads() {
 			Map<QueueName, PeerLoad> loads = new TreeMap<>();
 			for (QueueStatus queue : this.status.get().queues()) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.routing;
 
+import java.util.OptionalLong;
+
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.RunnerName;
@@ -17,9 +19,11 @@
  * @param epoch grows each time the runner attaches to another entry host
  * @param slotsInUse requests it is running
  * @param leaving whether it takes no new work
+ * @param clockMillis its clock when it announced this, in milliseconds; a runner that
+ * gives none cannot tell that a request arrives after its deadline
  */
 public record Runner(RunnerName name, QueueName queue, DataCentre dataCentre, String address, int slots,
-		int connections, long epoch, int slotsInUse, boolean leaving) {
+		int connections, long epoch, int slotsInUse, boolean leaving, OptionalLong clockMillis) {
 
 	private static final int MAX_SLOTS = 10_000;
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -16,6 +17,7 @@
 import io.burdockpin.core.model.Outcome;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.RunnerName;
+import io.burdockpin.core.util.RemoteClock;
 
 /**
  * Runners that are attached to this entry host and the attempts that use their slots. A
@@ -201,6 +203,21 @@
 		return Optional.ofNullable(this.usesByAttempt.get(attempt)).map(Use::queue);
 	}
 
+	/**
+	 * Returns a deadline by the clock of a runner. The runner refuses a request that
+	 * arrives after it, however long the request was on its way.
+	 * @param runner the runner
+	 * @param deadlineMillis the deadline by the own clock
+	 * @return a time of the runner's clock that is not after the deadline, or nothing if
+	 * the runner has not announced its clock
+	 */
+	public OptionalLong deadlineAt(RunnerName runner, long deadlineMillis) {
+		return Optional.ofNullable(this.attachments.get(runner))
+			.flatMap((attachment) -> attachment.clock)
+			.map((clock) -> OptionalLong.of(clock.at(deadlineMillis)))
+			.orElseGet(OptionalLong::empty);
+	}
+
 	/**
 	 * Returns the attached runners.
 	 * @return the newest announcements
@@ -329,6 +346,8 @@
 
 		private long renewedMillis;
 
+		private Optional<RemoteClock> clock;
+
 		/**
 		 * Slots that attempts of earlier entry hosts may still use. It never grows within
 		 * an epoch, because no other entry host sends to the runner.
@@ -338,6 +357,7 @@
 		private Attachment(Runner runner, long nowMillis, long foreignUntilMillis) {
 			this.runner = runner;
 			this.renewedMillis = nowMillis;
+			this.clock = clock(runner, nowMillis);
 			this.foreignUseCount = runner.slotsInUse();
 			this.foreignUntilMillis = foreignUntilMillis;
 		}
@@ -345,9 +365,17 @@
 		private void renew(Runner renewed, long nowMillis) {
 			this.runner = renewed;
 			this.renewedMillis = nowMillis;
+			Optional<RemoteClock> known = this.clock;
+			this.clock = clock(renewed, nowMillis)
+				.map((newer) -> known.map((older) -> older.improve(newer)).orElse(newer));
 			this.foreignUseCount = Math.min(this.foreignUseCount, renewed.slotsInUse());
 		}
 
+		private static Optional<RemoteClock> clock(Runner runner, long nowMillis) {
+			return runner.clockMillis().isPresent()
+					? Optional.of(new RemoteClock(runner.clockMillis().getAsLong(), nowMillis)) : Optional.empty();
+		}
+
 		private int foreignUse(long nowMillis) {
 			return (nowMillis < this.foreignUntilMillis) ? this.foreignUseCount : 0;
 		}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
@@ -104,7 +104,7 @@
 	}
 
 	private static PeerStatus status(List<QueueStatus> queues) {
-		return new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), false, 1, queues);
+		return new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), false, 1, queues, 0);
 	}
 
 	private static QueueStatus queue(int number, int freeSlots, long serviceMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerTableTests.java
@@ -1,15 +1,20 @@
 package io.burdockpin.core.membership;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
 import io.burdockpin.core.membership.PeerMessage.PeerStatus;
 import io.burdockpin.core.membership.PeerMessage.QueueStatus;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.KeyHash;
+import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RequestId;
 import io.burdockpin.core.routing.PeerLoad;
 import io.burdockpin.core.routing.PeerLoads;
 import org.junit.jupiter.api.Test;
@@ -19,6 +24,9 @@
 
 	private static final QueueName QUEUE = new QueueName("quotes");
 
+	/** Clocks of processes may start anywhere. */
+	private static final long CLOCK_OFFSET_MILLIS = 7_000_000;
+
 	private static final KeyHash KEY = KeyHash.of("key");
 
 	private static final PeerInfo SELF = info("e1", "dc-1");
@@ -97,10 +105,32 @@
 		Truth.assertThat(loads.of(QUEUE).get(0).freeSlots()).isEqualTo(2);
 	}
 
+	/** Guards against requests that start late because their message was stuck. */
+	@Test
+	void aDeadlineIsStatedByTheClockOfThePeerUntilTheConnectionEnds() {
+		Truth.assertThat(this.table.deadlineAt(NEAR.host(), 2_000)).isEqualTo(OptionalLong.empty());
+		hear(NEAR, 1, false, 1_000);
+		Truth.assertThat(this.table.deadlineAt(NEAR.host(), 2_000))
+			.isEqualTo(OptionalLong.of(1_999 - CLOCK_OFFSET_MILLIS));
+		this.table.linkChanged(NEAR.host(), false);
+		Truth.assertThat(this.table.deadlineAt(NEAR.host(), 2_000)).isEqualTo(OptionalLong.empty());
+	}
+
+	@Test
+	void aForwardedRequestEndsAtTheEarlierOfItsDeadlines() {
+		ForwardRequest request = new ForwardRequest(1, QUEUE, Optional.empty(), new RequestId("1-a"), true, 3_000, "",
+				Payload.EMPTY, OptionalLong.empty());
+		Truth.assertThat(request.deadlineMillis(500, 60_000)).isEqualTo(3_500);
+		Truth.assertThat(request.deadlineMillis(500, 1_000)).isEqualTo(1_500);
+		ForwardRequest stuck = request.withReceiverDeadline(OptionalLong.of(400));
+		Truth.assertThat(stuck.deadlineMillis(500, 60_000)).isEqualTo(400);
+	}
+
 	private boolean hear(PeerInfo peer, long incarnation, boolean stopping, long nowMillis) {
 		this.table.linkChanged(peer.host(), true);
-		return this.table.statusReceived(peer.host(), incarnation, new PeerStatus(this.statusNumber++,
-				peer.dataCentre(), peer.httpAddress(), stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5))),
+		return this.table.statusReceived(
+				peer.host(), incarnation, new PeerStatus(this.statusNumber++, peer.dataCentre(), peer.httpAddress(),
+						stopping, 1, List.of(new QueueStatus(QUEUE, 2, 2, 0, 5)), nowMillis - CLOCK_OFFSET_MILLIS),
 				nowMillis);
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RequestPathSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RequestPathSimulation.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -113,7 +114,7 @@
 		int index = this.random.nextInt(RUNNERS);
 		RunnerName name = new RunnerName("runner-" + index);
 		this.table.announce(new Runner(name, QUEUE, HERE, "127.0.0.1:1", SLOTS, 64, 1, (int) running(name),
-				this.random.nextInt(8) == 0), this.nowMillis);
+				this.random.nextInt(8) == 0, OptionalLong.empty()), this.nowMillis);
 	}
 
 	private void expire() {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.routing;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGeneratorFactory;
 
@@ -16,6 +17,9 @@
 
 	private static final QueueName QUEUE = new QueueName("quotes");
 
+	/** Clocks of processes may start anywhere. */
+	private static final long CLOCK_OFFSET_MILLIS = 7_000_000;
+
 	private final RunnerTable table = new RunnerTable(
 			new RunnerTableSettings(3000, 72_000, RoutingPolicy.NEAREST_THEN_LEAST_BUSY), new DataCentre("dc-1"),
 			RandomGeneratorFactory.of("L64X128MixRandom").create(5));
@@ -88,19 +92,31 @@
 	void idleConnectionsOfTwoEntryHostsLeaveEveryAttemptAConnection() {
 		for (int connections = 1; connections <= 40; connections++) {
 			Runner runner = new Runner(new RunnerName("near"), QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", 8,
-					connections, 1, 0, false);
+					connections, 1, 0, false, OptionalLong.empty());
 			Truth.assertThat(runner.capacity() + 2 * runner.idleCapacity()).isAtMost(connections);
 			Truth.assertThat(runner.idleCapacity()).isAtMost(runner.capacity());
 		}
 	}
 
+	@Test
+	void aDeadlineIsStatedByTheClockThatTheRunnerAnnouncedInItsEpoch() {
+		RunnerName near = new RunnerName("near");
+		Truth.assertThat(this.table.deadlineAt(near, 30_000)).isEqualTo(OptionalLong.empty());
+		announce("near", "dc-1", 1, 0, false, 0);
+		announce("near", "dc-1", 1, 0, false, 1_000);
+		Truth.assertThat(this.table.deadlineAt(near, 3_000)).isEqualTo(OptionalLong.of(2_998 - CLOCK_OFFSET_MILLIS));
+		this.table.announce(new Runner(near, QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", 2, 64, 2, 0, false,
+				OptionalLong.empty()), 1_500);
+		Truth.assertThat(this.table.deadlineAt(near, 3_000)).isEqualTo(OptionalLong.empty());
+	}
+
 	private static RunnerLife life(String name) {
 		return new RunnerLife(new RunnerName(name), "127.0.0.1:1", 1);
 	}
 
 	private boolean announce(String name, String dataCentre, long epoch, int inUse, boolean leaving, long nowMillis) {
 		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1", 2,
-				64, epoch, inUse, leaving), nowMillis);
+				64, epoch, inUse, leaving, OptionalLong.of(nowMillis - CLOCK_OFFSET_MILLIS)), nowMillis);
 	}
 
 	private Optional<Runner> begin(long attempt, long nowMillis) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/AnnounceEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/AnnounceEndpoint.java
@@ -103,7 +103,7 @@
 		}
 		return new Runner(new RunnerName(document.runner()), new QueueName(document.queue()),
 				new DataCentre(document.dataCentre()), address, document.slots(), document.connections(),
-				document.epoch(), document.slotsInUse(), document.leaving());
+				document.epoch(), document.slotsInUse(), document.leaving(), document.clockMillis());
 	}
 
 	private static int port(String address) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -125,7 +125,8 @@
 			return this;
 		}
 		this.forwards.put(command.request().attempt(), new Forwarded(command.host(), command.replyTo()));
-		send(command.host(), command.request());
+		send(command.host(), command.request()
+			.withReceiverDeadline(this.table.deadlineAt(command.host(), command.deadlineMillis())));
 		return this;
 	}
 
@@ -312,7 +313,7 @@
 	private Behavior<PeerCommand> onStatusKnown(PeerCommand.StatusKnown command) {
 		PeerMessage.PeerStatus status = new PeerMessage.PeerStatus(0, this.identity.self().dataCentre(),
 				this.identity.self().httpAddress(), command.status().stopping(), command.status().configurationIndex(),
-				command.status().queues());
+				command.status().queues(), this.identity.nowMillis());
 		for (HostName host : this.sessions.keySet()) {
 			send(host, this.statusSenders.get(host).next(status, this.identity.nowMillis()));
 			sendUnconfirmedKeys(host);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerCommand.java
@@ -24,9 +24,11 @@
 	 *
 	 * @param host the entry host that makes it
 	 * @param request the attempt
+	 * @param deadlineMillis when the request is given up, by the own clock
 	 * @param replyTo gets the result exactly once
 	 */
-	record Forward(HostName host, ForwardRequest request, ActorRef<AttemptResult> replyTo) implements PeerCommand {
+	record Forward(HostName host, ForwardRequest request, long deadlineMillis,
+			ActorRef<AttemptResult> replyTo) implements PeerCommand {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/BurdockHeader.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/BurdockHeader.java
@@ -15,6 +15,9 @@
 	/** Time left in milliseconds. */
 	DEADLINE_MILLIS("Burdock-Deadline-Ms"),
 
+	/** Deadline by the clock that the runner announced, in milliseconds. */
+	RUNNER_DEADLINE_MILLIS("Burdock-Runner-Deadline-Ms"),
+
 	/** Set by a runner that refused before the start. */
 	NOT_RUN("Burdock-Not-Run"),
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/Dispatch.java
@@ -1,5 +1,7 @@
 package io.burdockpin.entry.router;
 
+import java.util.OptionalLong;
+
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.routing.Runner;
@@ -23,9 +25,11 @@
 	 *
 	 * @param attempt number of the attempt
 	 * @param runner the runner
+	 * @param runnerDeadlineMillis the deadline by the clock of the runner, if it is known
 	 * @param connections makes the attempt
 	 */
-	record ToRunner(long attempt, Runner runner, ActorRef<RunnerConnections.Command> connections) implements Dispatch {
+	record ToRunner(long attempt, Runner runner, OptionalLong runnerDeadlineMillis,
+			ActorRef<RunnerConnections.Command> connections) implements Dispatch {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -77,7 +77,7 @@
 			this.localAttempt = Optional.of(toRunner.attempt());
 			RunnerCall call = new RunnerCall(toRunner.attempt(), this.request.queue(), this.request.requestId(),
 					this.request.contentType(), this.request.body(),
-					this.queued.deadlineMillis() - this.identity.nowMillis());
+					this.queued.deadlineMillis() - this.identity.nowMillis(), toRunner.runnerDeadlineMillis());
 			toRunner.connections()
 				.tell(new RunnerConnections.Attempt(toRunner.runner().life(), call, this.request.repeatable(),
 						getContext().messageAdapter(AttemptReport.class, AttemptDone::new)));
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -194,7 +194,7 @@
 		this.currentAttempt = dispatch.attempt();
 		CallerRequest caller = this.request.caller();
 		RunnerCall call = new RunnerCall(dispatch.attempt(), caller.facts().queue(), caller.requestId(),
-				caller.contentType(), caller.body(), remainingMillis());
+				caller.contentType(), caller.body(), remainingMillis(), dispatch.runnerDeadlineMillis());
 		dispatch.connections()
 			.tell(new RunnerConnections.Attempt(dispatch.runner().life(), call, caller.facts().repeatable(),
 					getContext().messageAdapter(AttemptReport.class, AttemptDone::new)));
@@ -210,10 +210,10 @@
 		this.forwardedBy = Optional.of(dispatch.peers());
 		CallerRequest caller = this.request.caller();
 		ForwardRequest forward = new ForwardRequest(dispatch.attempt(), caller.facts().queue(), this.queued.team(),
-				caller.requestId(), caller.facts().repeatable(), remainingMillis(), caller.contentType(),
-				caller.body());
+				caller.requestId(), caller.facts().repeatable(), remainingMillis(), caller.contentType(), caller.body(),
+				OptionalLong.empty());
 		dispatch.peers()
-			.tell(new PeerCommand.Forward(dispatch.host(), forward,
+			.tell(new PeerCommand.Forward(dispatch.host(), forward, this.queued.deadlineMillis(),
 					getContext().messageAdapter(AttemptResult.class, ForwardDone::new)));
 		this.timers.startSingleTimer(ForwardOverdue.class, new ForwardOverdue(),
 				Duration.ofMillis(remainingMillis()).plus(FORWARD_GRACE));
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -287,8 +287,8 @@
 			logger.atFine().log("Dropped a second copy of forwarded attempt %d.", command.request().attempt());
 			return this;
 		}
-		long deadlineMillis = this.identity.nowMillis()
-				+ Math.min(command.request().remainingMillis(), this.settings.limits().timeoutMillis());
+		long deadlineMillis = command.request()
+			.deadlineMillis(this.identity.nowMillis(), this.settings.limits().timeoutMillis());
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, command.request().team(),
 				this.admission.weightOf(command.request().team()), deadlineMillis);
 		this.openRequests.addForwarded(queued.number(), key);
@@ -385,7 +385,8 @@
 		}
 		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
 				entry.request().deadlineMillis(), this.identity.nowMillis());
-		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connections));
+		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found,
+				this.runners.deadlineAt(found.name(), entry.request().deadlineMillis()), this.connections));
 		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerCall.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerCall.java
@@ -1,6 +1,8 @@
 package io.burdockpin.entry.router;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.QueueName;
@@ -21,9 +23,10 @@
  * @param contentType content type of the body
  * @param body the body
  * @param remainingMillis time left
+ * @param runnerDeadlineMillis the deadline by the clock of the runner, if it is known
  */
 record RunnerCall(long attempt, QueueName queue, RequestId requestId, String contentType, Payload body,
-		long remainingMillis) {
+		long remainingMillis, OptionalLong runnerDeadlineMillis) {
 
 	private static final HttpRequest RUN = HttpRequest.POST("/run");
 
@@ -32,11 +35,18 @@
 	}
 
 	HttpRequest request() {
-		return RUN
-			.withHeaders(List.of(header(BurdockHeader.ATTEMPT, this.attempt), header(BurdockHeader.QUEUE, this.queue),
-					header(BurdockHeader.REQUEST_ID, this.requestId),
-					header(BurdockHeader.DEADLINE_MILLIS, this.remainingMillis)))
-			.withEntity(HttpEntities.create(parsedContentType(), this.body.bytes()));
+		return RUN.withHeaders(headers()).withEntity(HttpEntities.create(parsedContentType(), this.body.bytes()));
+	}
+
+	private List<HttpHeader> headers() {
+		List<HttpHeader> headers = new ArrayList<>();
+		headers.add(header(BurdockHeader.ATTEMPT, this.attempt));
+		headers.add(header(BurdockHeader.QUEUE, this.queue));
+		headers.add(header(BurdockHeader.REQUEST_ID, this.requestId));
+		headers.add(header(BurdockHeader.DEADLINE_MILLIS, this.remainingMillis));
+		this.runnerDeadlineMillis
+			.ifPresent((millis) -> headers.add(header(BurdockHeader.RUNNER_DEADLINE_MILLIS, millis)));
+		return headers;
 	}
 
 	private ContentType parsedContentType() {
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
@@ -18,6 +18,11 @@
 
 	private static final long FREEZE_MILLIS = 31_000;
 
+	/** The runner's clock may start anywhere. */
+	private static final long RUNNER_CLOCK_MILLIS = 7_000;
+
+	private static final long TIMEOUT_MILLIS = 30_000;
+
 	private final AtomicLong frozenMillis = new AtomicLong();
 
 	@Test
@@ -38,4 +43,18 @@
 		Truth.assertThat(second.isDone()).isFalse();
 	}
 
+	/**
+	 * Guards against an attempt that leaves the process only after a freeze and runs
+	 * then.
+	 */
+	@Test
+	void anAttemptCarriesItsDeadlineByTheClockOfTheRunner() {
+		TestEntry entry = startAlone(Instant::now);
+		entry.announce("runner-1", runner(), false, RUNNER_CLOCK_MILLIS);
+		entry.submit(once("first"), "first");
+		long deadlineMillis = Long.parseLong(runner().awaitCall().headers().get("burdock-runner-deadline-ms"));
+		Truth.assertThat(deadlineMillis).isAtMost(RUNNER_CLOCK_MILLIS + TIMEOUT_MILLIS);
+		Truth.assertThat(deadlineMillis).isGreaterThan(RUNNER_CLOCK_MILLIS);
+	}
+
 }
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/event/RequestEventsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/event/RequestEventsTests.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.admission.RequestFacts;
@@ -64,8 +65,8 @@
 	@Test
 	void aForwardedAttemptNamesTheAttemptItBelongsToAndIsNotAnsweredHere() {
 		RequestEvents events = events(true);
-		events.forwarded(7, new ForwardRequest(2, new QueueName("q"), TEAM, REQUEST, true, 1000, "", Payload.EMPTY),
-				new Holder(new HostName("e2"), 9));
+		events.forwarded(7, new ForwardRequest(2, new QueueName("q"), TEAM, REQUEST, true, 1000, "", Payload.EMPTY,
+				OptionalLong.empty()), new Holder(new HostName("e2"), 9));
 		events.sentToRunner(7, 8, new RunnerName("r"));
 		events.attemptEnded(8, Outcome.RAN);
 		events.answered(7, Outcome.RAN);
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -112,4 +112,11 @@
 				"epoch":1,"slotsInUse":0,"leaving":%s}""".formatted(name, runner.address(), leaving));
 	}
 
+	public HttpResponse<String> announce(String name, FakeRunner runner, boolean leaving, long clockMillis) {
+		return call("POST", "/v1/upstreams/announce", Map.of(), """
+				{"runner":"%s","queue":"quotes","dataCentre":"dc-1","address":"%s","slots":2,"connections":4,\
+				"epoch":1,"slotsInUse":0,"leaving":%s,"clockMillis":%d}""".formatted(name, runner.address(), leaving,
+				clockMillis));
+	}
+
 }
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
@@ -200,7 +201,7 @@
 
 	private void send(RunnerLife runnerLife, boolean repeatable, long remainingMillis) {
 		RunnerCall call = new RunnerCall(++this.lastAttempt, new QueueName("quotes"), new RequestId("request"),
-				"text/plain; charset=UTF-8", Payload.of(new byte[] { 1, 2, 3 }), remainingMillis);
+				"text/plain; charset=UTF-8", Payload.of(new byte[] { 1, 2, 3 }), remainingMillis, OptionalLong.empty());
 		this.connections.tell(new RunnerConnections.Attempt(runnerLife, call, repeatable, this.reports.getRef()));
 	}
 
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunRequest.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunRequest.java
@@ -1,5 +1,7 @@
 package io.burdockpin.testbench.runner;
 
+import java.util.OptionalLong;
+
 import org.apache.pekko.util.ByteString;
 
 /**
@@ -8,8 +10,11 @@
  * @param attempt value of {@code Burdock-Attempt}
  * @param requestId value of {@code Burdock-Request-Id}
  * @param deadlineMillis remaining time from the arrival
+ * @param ownDeadlineMillis value of {@code Burdock-Runner-Deadline-Ms}: the deadline by
+ * the announced clock
  * @param body the caller's body
  */
-public record RunRequest(String attempt, String requestId, long deadlineMillis, ByteString body) {
+public record RunRequest(String attempt, String requestId, long deadlineMillis, OptionalLong ownDeadlineMillis,
+		ByteString body) {
 
 }
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerActor.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerActor.java
@@ -1,6 +1,7 @@
 package io.burdockpin.testbench.runner;
 
 import java.time.Duration;
+import java.time.InstantSource;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.testbench.program.LineFile;
@@ -34,6 +35,8 @@
 
 	private final ActorRef<Drained> guardian;
 
+	private final InstantSource clock;
+
 	private final SlotTable slots;
 
 	private RunnerBehaviour behaviour;
@@ -44,13 +47,14 @@
 
 	private RunnerActor(ActorContext<Command> context, TimerScheduler<Command> timers, RunnerSettings settings,
 			ActorRef<RunnerAnnouncer.Command> announcer, ActorRef<LineFile.Append> startedFile,
-			ActorRef<Drained> guardian) {
+			ActorRef<Drained> guardian, InstantSource clock) {
 		super(context);
 		this.timers = timers;
 		this.settings = settings;
 		this.announcer = announcer;
 		this.startedFile = startedFile;
 		this.guardian = guardian;
+		this.clock = clock;
 		this.slots = new SlotTable(settings.slots(), settings.connections());
 		this.behaviour = settings.behaviour();
 		timers.startTimerWithFixedDelay(Announce.INSTANCE, Duration.ZERO, Duration.ofMillis(settings.announceMillis()));
@@ -59,9 +63,9 @@
 	// life cycle
 
 	static Behavior<Command> create(RunnerSettings settings, ActorRef<RunnerAnnouncer.Command> announcer,
-			ActorRef<LineFile.Append> startedFile, ActorRef<Drained> guardian) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new RunnerActor(context, timers, settings, announcer, startedFile, guardian)));
+			ActorRef<LineFile.Append> startedFile, ActorRef<Drained> guardian, InstantSource clock) {
+		return Behaviors.setup((context) -> Behaviors.withTimers(
+				(timers) -> new RunnerActor(context, timers, settings, announcer, startedFile, guardian, clock)));
 	}
 
 	@Override
@@ -83,6 +87,10 @@
 			this.slots.refuse(this.leavingConfirmed);
 			run.replyTo().tell(refusal(run.request(), "the stand-in runner takes no new work"));
 		}
+		else if (isTooLate(run.request())) {
+			this.slots.refuse(false);
+			run.replyTo().tell(refusal(run.request(), "the request arrived after its deadline"));
+		}
 		else if (!this.slots.start(run.request().requestId())) {
 			run.replyTo().tell(refusal(run.request(), "all slots are in use"));
 		}
@@ -145,6 +153,11 @@
 
 	// helpers
 
+	private boolean isTooLate(RunRequest request) {
+		return request.ownDeadlineMillis().isPresent()
+				&& request.ownDeadlineMillis().getAsLong() <= this.clock.millis();
+	}
+
 	private void start(Run run) {
 		RunRequest request = run.request();
 		this.startedFile.tell(new LineFile.Append("%d %s %s %s".formatted(System.currentTimeMillis(),
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerAnnouncer.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerAnnouncer.java
@@ -1,6 +1,8 @@
 package io.burdockpin.testbench.runner;
 
+import java.time.InstantSource;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.json.RunnerAnnouncement;
@@ -27,25 +29,29 @@
 
 	private final EndPoint address;
 
+	private final InstantSource clock;
+
 	private final JsonHttp http;
 
 	private final EntryRotation rotation;
 
 	private Optional<ActorRef<RunnerActor.Command>> runner = Optional.empty();
 
-	private RunnerAnnouncer(ActorContext<Command> context, RunnerSettings settings, EndPoint address) {
+	private RunnerAnnouncer(ActorContext<Command> context, RunnerSettings settings, EndPoint address,
+			InstantSource clock) {
 		super(context);
 		this.settings = settings;
 		this.address = address;
+		this.clock = clock;
 		this.http = new JsonHttp(context.getSystem(), settings.trustFile());
 		this.rotation = new EntryRotation(settings.entries(), (long) (settings.attachmentMillis() * MARGIN),
-				System.currentTimeMillis());
+				this.clock.millis());
 	}
 
 	// life cycle
 
-	static Behavior<Command> create(RunnerSettings settings, EndPoint address) {
-		return Behaviors.setup((context) -> new RunnerAnnouncer(context, settings, address));
+	static Behavior<Command> create(RunnerSettings settings, EndPoint address, InstantSource clock) {
+		return Behaviors.setup((context) -> new RunnerAnnouncer(context, settings, address, clock));
 	}
 
 	@Override
@@ -62,7 +68,7 @@
 	}
 
 	private Behavior<Command> onAnnounce(Announce announce) {
-		this.rotation.onTick(System.currentTimeMillis());
+		this.rotation.onTick(this.clock.millis());
 		EndPoint target = this.rotation.current();
 		getContext().pipeToSelf(
 				this.http.post(target, "/v1/upstreams/announce", document(announce), RunnerAnnouncementReply.class),
@@ -82,7 +88,7 @@
 	// helpers
 
 	private void onReply(Answered answered, RunnerAnnouncementReply reply) {
-		long nowMillis = System.currentTimeMillis();
+		long nowMillis = this.clock.millis();
 		this.rotation.onAnswer(nowMillis);
 		if (answered.leaving()) {
 			this.runner.ifPresent((actor) -> actor.tell(RunnerActor.LeavingConfirmed.INSTANCE));
@@ -97,7 +103,7 @@
 	private RunnerAnnouncement document(Announce announce) {
 		return new RunnerAnnouncement(this.settings.name(), this.settings.queue(), this.settings.dataCentre(),
 				this.address.toString(), this.settings.slots(), this.settings.connections(), this.rotation.epoch(),
-				announce.slotsInUse(), announce.leaving());
+				announce.slotsInUse(), announce.leaving(), OptionalLong.of(this.clock.millis()));
 	}
 
 	/** Messages of the announcer. */
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerBehaviour.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerBehaviour.java
@@ -80,7 +80,7 @@
 		@Override
 		Optional<HttpResponse> answer(RunRequest request, long number) {
 			RunRequest other = new RunRequest(request.attempt() + "0", request.requestId(), request.deadlineMillis(),
-					request.body());
+					request.ownDeadlineMillis(), request.body());
 			return Optional.of(success(other));
 		}
 	},
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerGuardian.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerGuardian.java
@@ -1,5 +1,6 @@
 package io.burdockpin.testbench.runner;
 
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -26,17 +27,17 @@
 	private final ActorRef<RunnerActor.Command> runner;
 
 	private RunnerGuardian(ActorContext<GuardianCommand> context, RunnerSettings settings,
-			CompletableFuture<ExitStatus> exit) {
+			CompletableFuture<ExitStatus> exit, InstantSource clock) {
 		super(context);
 		this.exit = exit;
 		ActorRef<LineFile.Append> file = context
 			.spawn(settings.startedFile().map(LineFile::create).orElseGet(LineFile::none), "started-file");
 		context.watch(file);
 		ActorRef<RunnerAnnouncer.Command> announcer = context
-			.spawn(RunnerAnnouncer.create(settings, settings.address()), "announcer");
+			.spawn(RunnerAnnouncer.create(settings, settings.address(), clock), "announcer");
 		ActorRef<RunnerActor.Drained> drained = context.messageAdapter(RunnerActor.Drained.class,
 				(message) -> Drained.INSTANCE);
-		this.runner = context.spawn(RunnerActor.create(settings, announcer, file, drained), "runner");
+		this.runner = context.spawn(RunnerActor.create(settings, announcer, file, drained, clock), "runner");
 		announcer.tell(new RunnerAnnouncer.ConfirmTo(this.runner));
 		bindAll(settings);
 	}
@@ -47,10 +48,12 @@
 	 * Creates the root behavior.
 	 * @param settings the settings
 	 * @param exit the exit status of the program
+	 * @param clock the clock that the runner announces
 	 * @return the behavior
 	 */
-	public static Behavior<GuardianCommand> create(RunnerSettings settings, CompletableFuture<ExitStatus> exit) {
-		return Behaviors.setup((context) -> new RunnerGuardian(context, settings, exit));
+	public static Behavior<GuardianCommand> create(RunnerSettings settings, CompletableFuture<ExitStatus> exit,
+			InstantSource clock) {
+		return Behaviors.setup((context) -> new RunnerGuardian(context, settings, exit, clock));
 	}
 
 	@Override
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerListener.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerListener.java
@@ -1,6 +1,7 @@
 package io.burdockpin.testbench.runner;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.NotUsed;
@@ -80,7 +81,8 @@
 		return request.entity()
 			.toStrict(BODY_TIMEOUT_MILLIS, this.system)
 			.thenApply((entity) -> new RunRequest(header(request, "Burdock-Attempt"),
-					header(request, "Burdock-Request-Id"), deadlineMillis(request), entity.getData()))
+					header(request, "Burdock-Request-Id"), deadlineMillis(request), ownDeadlineMillis(request),
+					entity.getData()))
 			.thenCompose((run) -> AskPattern.ask(this.runner,
 					(ActorRef<HttpResponse> replyTo) -> new RunnerActor.Run(run, replyTo), ANSWER_TIMEOUT,
 					this.system.scheduler()));
@@ -90,6 +92,11 @@
 		return request.getHeader(name).map((header) -> header.value()).orElse("");
 	}
 
+	private static OptionalLong ownDeadlineMillis(HttpRequest request) {
+		String text = header(request, "Burdock-Runner-Deadline-Ms");
+		return text.isEmpty() ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text));
+	}
+
 	private static long deadlineMillis(HttpRequest request) {
 		String text = header(request, "Burdock-Deadline-Ms");
 		return text.isEmpty() ? ANSWER_TIMEOUT.toMillis() / 2 : Long.parseLong(text);
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerMain.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerMain.java
@@ -6,6 +6,7 @@
 
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
+import io.burdockpin.runtime.service.SteadyClock;
 import io.burdockpin.testbench.program.EndPoint;
 import io.burdockpin.testbench.program.TestbenchProgram;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -53,7 +54,7 @@
 
 	@Override
 	protected Behavior<GuardianCommand> createGuardian(Namespace arguments, CompletableFuture<ExitStatus> exit) {
-		return RunnerGuardian.create(settings(arguments), exit);
+		return RunnerGuardian.create(settings(arguments), exit, SteadyClock.ofProcess());
 	}
 
 	private static RunnerSettings settings(Namespace arguments) {
--- a/burdockpin-testbench/src/test/java/io/burdockpin/testbench/runner/RunnerGuardianTests.java
+++ b/burdockpin-testbench/src/test/java/io/burdockpin/testbench/runner/RunnerGuardianTests.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +30,9 @@
 @Timeout(60)
 class RunnerGuardianTests {
 
+	/** The runner's clock may start anywhere. */
+	private static final long CLOCK_MILLIS = 5_000;
+
 	private final HttpClient client = HttpClient.newHttpClient();
 
 	@TempDir
@@ -47,8 +51,8 @@
 		this.settings = new RunnerSettings("r1", "booking", "dc1", FakeEntryHost.freeAddress(),
 				FakeEntryHost.freeAddress(), List.of(this.entry.address()), 8, 64, 10, 100, 3000,
 				Optional.of(this.folder.resolve("started")), RunnerBehaviour.NORMAL, Optional.empty());
-		this.system = ActorSystem.create(RunnerGuardian.create(this.settings, new CompletableFuture<>()), "test",
-				TestbenchProgram.actorConfiguration());
+		this.system = ActorSystem.create(RunnerGuardian.create(this.settings, new CompletableFuture<>(),
+				() -> Instant.ofEpochMilli(CLOCK_MILLIS)), "test", TestbenchProgram.actorConfiguration());
 		this.entry.nextAnnouncement();
 	}
 
@@ -94,6 +98,18 @@
 		Truth.assertThat(Files.readString(this.folder.resolve("started"))).isEmpty();
 	}
 
+	/**
+	 * Guards against work that starts when its request was stuck on the way, for example
+	 * in a frozen entry host, until the tokens of the team were used elsewhere.
+	 */
+	@Test
+	void aRequestThatArrivesAfterItsDeadlineDoesNotRun() throws Exception {
+		Truth.assertThat(this.entry.nextAnnouncement().get("clockMillis").asLong()).isEqualTo(CLOCK_MILLIS);
+		Truth.assertThat(statusAtDeadline("1-e", CLOCK_MILLIS + 1)).isEqualTo(200);
+		Truth.assertThat(statusAtDeadline("1-f", CLOCK_MILLIS)).isEqualTo(503);
+		Truth.assertThat(Files.readString(this.folder.resolve("started"))).doesNotContain("1-f");
+	}
+
 	@Test
 	void aStoppedRunnerFinishesItsRequestAndAnnouncesThatItLeaves() throws Exception {
 		post(this.settings.controlAddress(), "/behaviour/slow");
@@ -110,6 +126,13 @@
 		return this.client.send(request(requestId, body), HttpResponse.BodyHandlers.ofString());
 	}
 
+	private int statusAtDeadline(String requestId, long deadlineMillis) throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(request(requestId, "late"), (name, value) -> true)
+			.header("Burdock-Runner-Deadline-Ms", Long.toString(deadlineMillis))
+			.build();
+		return this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+	}
+
 	private Optional<HttpResponse<String>> tryRun(String requestId, String body) throws Exception {
 		try {
 			return Optional.of(run(requestId, body));
