Confirm the configuration after a pause before keys are accepted again

Ruled out: waiting for the next heartbeat of the feed (those in the buffers may be as old as the freeze); refusing with KEY_UNVERIFIED (callers of every host that paused for 2 s would see refusals that a wait of a round trip saves).

Change: the router notices that it did not run for more than 2 s, asks the leader for its read index, and holds requests and key checks until the configuration is as new as that, at most 3 s if no leader answers. The timeout of a request counts from when it was received.

Conclusion: a resumed host refuses a key that was withdrawn during the freeze from the first request on.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/admission/ConfigurationFeed.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/ConfigurationFeed.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -37,6 +38,8 @@
 
 	private Optional<Long> neededIndex = Optional.empty();
 
+	private Optional<Confirmation> openConfirmation = Optional.empty();
+
 	/**
 	 * Creates a feed without a configuration.
 	 * @param members the members, nearest first
@@ -122,6 +125,18 @@
 		return publish();
 	}
 
+	/**
+	 * Takes note of the leader's read index after a pause of the process.
+	 * @param pause number of the pause
+	 * @param index index of the newest configuration change, or nothing if no leader
+	 * could be asked; then the configuration is used as during a cut
+	 * @return the effects
+	 */
+	public List<FeedEffect> readIndexAfterPause(long pause, OptionalLong index) {
+		this.openConfirmation = Optional.of(new Confirmation(pause, index.orElse(0)));
+		return confirmed();
+	}
+
 	/**
 	 * Follows another member if the current one is silent.
 	 * @param nowMillis the current time
@@ -209,7 +224,22 @@
 		effects.add(new FeedEffect.InForce(this.configuration));
 		this.followed.ifPresent((member) -> effects
 			.add(new FeedEffect.Send(member, new ClientMessage.FeedAcknowledgement(this.configuration.index()))));
+		effects.addAll(confirmed());
 		return effects;
 	}
 
+	private List<FeedEffect> confirmed() {
+		Optional<Confirmation> reached = this.openConfirmation
+			.filter((confirmation) -> this.configuration.index() >= confirmation.index());
+		if (reached.isPresent()) {
+			this.openConfirmation = Optional.empty();
+		}
+		return reached.<List<FeedEffect>>map((confirmation) -> List.of(new FeedEffect.Confirmed(confirmation.pause())))
+			.orElseGet(List::of);
+	}
+
+	private record Confirmation(long pause, long index) {
+
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/admission/FeedEffect.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/admission/FeedEffect.java
@@ -25,6 +25,16 @@
 
 	}
 
+	/**
+	 * The newest configuration is as new as the leader's was after a pause of the
+	 * process, or no leader could be asked.
+	 *
+	 * @param pause number of the pause
+	 */
+	record Confirmed(long pause) implements FeedEffect {
+
+	}
+
 	/** A member with a majority has been heard. */
 	record MajorityHeard() implements FeedEffect {
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/admission/ConfigurationFeedTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/admission/ConfigurationFeedTests.java
@@ -38,6 +38,25 @@
 		Truth.assertThat(inForce(this.feed.readIndexUnknown())).isEqualTo(5);
 	}
 
+	@Test
+	void afterAPauseTheConfigurationIsConfirmedOnceItIsAsNewAsTheLeaders() {
+		FeedEffect confirmed = new FeedEffect.Confirmed(4);
+		this.feed.readIndexKnown(1);
+		this.feed.received(MEMBERS.get(0), snapshot(3), 0);
+		Truth.assertThat(this.feed.readIndexAfterPause(4, OptionalLong.of(5))).isEmpty();
+		Truth.assertThat(this.feed.received(MEMBERS.get(0), update(3, 4), 0)).doesNotContain(confirmed);
+		Truth.assertThat(this.feed.received(MEMBERS.get(0), update(4, 5), 0)).contains(confirmed);
+		Truth.assertThat(this.feed.received(MEMBERS.get(0), update(5, 6), 0)).doesNotContain(confirmed);
+	}
+
+	@Test
+	void afterAPauseWithoutALeaderTheKnownConfigurationIsUsed() {
+		this.feed.readIndexKnown(1);
+		this.feed.received(MEMBERS.get(0), snapshot(3), 0);
+		Truth.assertThat(this.feed.readIndexAfterPause(4, OptionalLong.empty()))
+			.containsExactly(new FeedEffect.Confirmed(4));
+	}
+
 	@Test
 	void aMissedChangeMakesTheFeedStartAgain() {
 		this.feed.connected(MEMBERS.get(0), 0);
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/admission/ConfigurationFreshnessTests.java
@@ -0,0 +1,38 @@
+package io.burdockpin.core.admission;
+
+import java.util.OptionalLong;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a resumed process that relies on what it knew before a pause. */
+class ConfigurationFreshnessTests {
+
+	private final ConfigurationFreshness freshness = new ConfigurationFreshness(2_000, 0);
+
+	@Test
+	void aProcessThatRunsNeedsNoConfirmation() {
+		for (long nowMillis = 0; nowMillis <= 60_000; nowMillis += 2_000) {
+			Truth.assertThat(this.freshness.seen(nowMillis)).isEqualTo(OptionalLong.empty());
+		}
+		Truth.assertThat(this.freshness.isConfirmed()).isTrue();
+	}
+
+	@Test
+	void aPauseIsReportedOnceAndNeedsAConfirmation() {
+		Truth.assertThat(this.freshness.seen(2_001)).isEqualTo(OptionalLong.of(1));
+		Truth.assertThat(this.freshness.seen(2_002)).isEqualTo(OptionalLong.empty());
+		Truth.assertThat(this.freshness.isConfirmed()).isFalse();
+		this.freshness.confirmed(1);
+		Truth.assertThat(this.freshness.isConfirmed()).isTrue();
+	}
+
+	@Test
+	void aConfirmationAskedForBeforeTheLastPauseDoesNotCount() {
+		this.freshness.seen(5_000);
+		this.freshness.seen(10_000);
+		this.freshness.confirmed(1);
+		Truth.assertThat(this.freshness.isConfirmed()).isFalse();
+	}
+
+}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ConfigurationActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ConfigurationActor.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.admission.ConfigurationFeed;
@@ -50,7 +52,7 @@
 		this.identity = identity;
 		this.control = control;
 		this.cache = cache;
-		askReadIndex();
+		askReadIndex(ReadIndexEnded::new);
 	}
 
 	// life cycle
@@ -71,6 +73,8 @@
 			.onMessage(Offered.class, this::onOffered)
 			.onMessage(Subscribed.class, this::onSubscribed)
 			.onMessage(ReadIndexEnded.class, this::onReadIndexEnded)
+			.onMessage(Paused.class, this::onPaused)
+			.onMessage(ReadIndexAfterPause.class, this::onReadIndexAfterPause)
 			.onMessage(Tick.class, (tick) -> carryOut(this.feed.tick(this.identity.nowMillis())))
 			.build();
 	}
@@ -99,19 +103,45 @@
 	}
 
 	private Behavior<Command> onReadIndexEnded(ReadIndexEnded command) {
-		if (command.result() instanceof CallResult.Answered answered
-				&& answered.message() instanceof ClientMessage.ReadIndexReply reply) {
-			return carryOut(this.feed.readIndexKnown(reply.configurationIndex()));
+		OptionalLong index = readIndex(command.result());
+		if (index.isPresent()) {
+			return carryOut(this.feed.readIndexKnown(index.getAsLong()));
 		}
 		logger.atWarning().log("No leader told its read index. The newest known configuration will be used.");
 		return carryOut(this.feed.readIndexUnknown());
 	}
 
+	// Only a reply to a new call shows what was changed during the pause. Heartbeats and
+	// updates that waited in a buffer may be as old as the pause.
+	private Behavior<Command> onPaused(Paused command) {
+		askReadIndex((result) -> new ReadIndexAfterPause(command.pause(), result));
+		return this;
+	}
+
+	private Behavior<Command> onReadIndexAfterPause(ReadIndexAfterPause command) {
+		OptionalLong index = readIndex(command.result());
+		if (index.isEmpty()) {
+			logger.atWarning().log("No leader told its read index after a pause. The known configuration is used.");
+		}
+		return carryOut(this.feed.readIndexAfterPause(command.pause(), index));
+	}
+
 	// helpers
 
-	private void askReadIndex() {
-		ActorRef<CallResult> replyTo = getContext().messageAdapter(CallResult.class, ReadIndexEnded::new);
-		this.control.tell(new ControlCommand.Call(ClientMessage.ReadIndex::new, READ_INDEX_MILLIS, replyTo));
+	private void askReadIndex(Function<CallResult, Command> ended) {
+		getContext().ask(CallResult.class, this.control, Duration.ofMillis(2 * READ_INDEX_MILLIS),
+				(ActorRef<CallResult> replyTo) -> new ControlCommand.Call(ClientMessage.ReadIndex::new,
+						READ_INDEX_MILLIS, replyTo),
+				(result, failure) -> ended
+					.apply((failure != null) ? new CallResult.Unknown(failure.getMessage()) : result));
+	}
+
+	private static OptionalLong readIndex(CallResult result) {
+		if (result instanceof CallResult.Answered answered
+				&& answered.message() instanceof ClientMessage.ReadIndexReply reply) {
+			return OptionalLong.of(reply.configurationIndex());
+		}
+		return OptionalLong.empty();
 	}
 
 	private Behavior<Command> carryOut(List<FeedEffect> effects) {
@@ -126,6 +156,10 @@
 		else if (effect instanceof FeedEffect.InForce newInForce) {
 			putInForce(newInForce.configuration());
 		}
+		else if (effect instanceof FeedEffect.Confirmed confirmed) {
+			this.subscribers
+				.forEach((subscriber) -> subscriber.tell(new ConfigurationEvent.Confirmed(confirmed.pause())));
+		}
 		else {
 			this.subscribers.forEach((subscriber) -> subscriber.tell(ConfigurationEvent.MajorityHeard.INSTANCE));
 		}
@@ -165,6 +199,14 @@
 
 	}
 
+	record Paused(long pause) implements Command {
+
+	}
+
+	private record ReadIndexAfterPause(long pause, CallResult result) implements Command {
+
+	}
+
 	private record ReadIndexEnded(CallResult result) implements Command {
 
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ConfigurationEvent.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ConfigurationEvent.java
@@ -14,6 +14,16 @@
 
 	}
 
+	/**
+	 * The configuration in force is as new as the leader's was after a pause of the
+	 * process, or no leader could be asked.
+	 *
+	 * @param pause number of the pause, as the subscriber gave it
+	 */
+	record Confirmed(long pause) implements ConfigurationEvent {
+
+	}
+
 	/** A control member with a majority has been heard. */
 	enum MajorityHeard implements ConfigurationEvent {
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlCommand.java
@@ -34,6 +34,15 @@
 
 	}
 
+	/**
+	 * Asks for a {@link ConfigurationEvent.Confirmed} after a pause of the process.
+	 *
+	 * @param pause number of the pause
+	 */
+	record ConfirmConfiguration(long pause) implements ControlCommand {
+
+	}
+
 	/**
 	 * Hands over a configuration that another entry host has.
 	 *
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
@@ -114,6 +114,7 @@
 		return newReceiveBuilder().onMessage(ControlCommand.Call.class, this::onCall)
 			.onMessage(ControlCommand.SendTo.class, this::onSendTo)
 			.onMessage(ControlCommand.Subscribe.class, this::onSubscribe)
+			.onMessage(ControlCommand.ConfirmConfiguration.class, this::onConfirmConfiguration)
 			.onMessage(ControlCommand.Offer.class, this::onOffer)
 			.onMessage(ControlCommand.LinkHappened.class, (command) -> onLinkEvent(command.event()))
 			.onMessage(ControlCommand.Tick.class, (tick) -> carryOut(this.calls.tick(this.identity.nowMillis())))
@@ -138,6 +139,11 @@
 		return this;
 	}
 
+	private Behavior<ControlCommand> onConfirmConfiguration(ControlCommand.ConfirmConfiguration command) {
+		this.configuration.tell(new ConfigurationActor.Paused(command.pause()));
+		return this;
+	}
+
 	private Behavior<ControlCommand> onOffer(ControlCommand.Offer command) {
 		this.configuration.tell(new ConfigurationActor.Offered(command.configuration()));
 		return this;
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -79,7 +79,8 @@
 		HttpBodies bodies = new HttpBodies(this.materializer);
 		this.responses = new Responses(json);
 		long proposalMillis = settings.timing().proposalMillis();
-		this.endpoints = List.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits(), metrics),
+		this.endpoints = List.of(
+				new QueueEndpoint(actors, bodies, this.responses, settings.limits(), identity, metrics),
 				new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
 						settings.timing().attachmentMillis()),
 				new JobEndpoint(actors, bodies, json, this.responses, identity,
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
@@ -16,6 +16,7 @@
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.RequestId;
 import io.burdockpin.core.retry.FinalAnswer;
+import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.cfg.LimitSettings;
 import io.burdockpin.entry.router.BurdockHeader;
 import io.burdockpin.entry.router.CallerRequest;
@@ -46,13 +47,17 @@
 
 	private final LimitSettings limits;
 
+	private final EntryIdentity identity;
+
 	private final MetricRegistry metrics;
 
-	QueueEndpoint(Actors actors, HttpBodies bodies, Responses responses, LimitSettings limits, MetricRegistry metrics) {
+	QueueEndpoint(Actors actors, HttpBodies bodies, Responses responses, LimitSettings limits, EntryIdentity identity,
+			MetricRegistry metrics) {
 		this.actors = actors;
 		this.bodies = bodies;
 		this.responses = responses;
 		this.limits = limits;
+		this.identity = identity;
 		this.metrics = metrics;
 	}
 
@@ -84,7 +89,7 @@
 		CompletionStage<FinalAnswer> finalAnswer = this.actors.ask(this.actors.router(),
 				(ActorRef<FinalAnswer> replyTo) -> {
 					caller.complete(replyTo);
-					return new RouterCommand.Submit(request, replyTo);
+					return new RouterCommand.Submit(request, this.identity.nowMillis(), replyTo);
 				}, timeout);
 		// Added after the request was sent, so that the router hears of the request
 		// first.
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -51,6 +51,7 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.StashBuffer;
 
 /**
  * Admits requests, lets them wait, and gives them slots of attached runners or sends them
@@ -71,6 +72,8 @@
 
 	private final ActorRef<ControlCommand> control;
 
+	private final ConfirmationGate gate;
+
 	private final AttemptTokens tokens;
 
 	private final RandomGenerator random;
@@ -105,9 +108,9 @@
 
 	private long lastNumber;
 
-	private RouterActor(ActorContext<RouterCommand> context, EntryIdentity identity, EntrySettings settings,
-			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
-			EventRecorder events, MetricRegistry metrics) {
+	private RouterActor(ActorContext<RouterCommand> context, StashBuffer<RouterCommand> unconfirmed,
+			EntryIdentity identity, EntrySettings settings, ActorRef<ControlCommand> control,
+			ActorRef<TokenCommand> tokens, RandomGenerator random, EventRecorder events, MetricRegistry metrics) {
 		super(context);
 		this.identity = identity;
 		this.settings = settings;
@@ -119,6 +122,7 @@
 		this.requestEvents = new RequestEvents(events, settings.requestEvents());
 		this.metrics = metrics;
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
+		this.gate = new ConfirmationGate(unconfirmed, identity, control);
 		long longestMillis = settings.limits().timeoutMillis();
 		RunnerConnector connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis),
 				settings.limits().answerBytes());
@@ -154,7 +158,8 @@
 			EventRecorder events, MetricRegistry metrics) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
-			return new RouterActor(context, identity, settings, control, tokens, random, events, metrics);
+			return Behaviors.withStash(ConfirmationGate.CAPACITY, (stash) -> new RouterActor(context, stash, identity,
+					settings, control, tokens, random, events, metrics));
 		}));
 	}
 
@@ -206,12 +211,19 @@
 			command.replyTo().tell(FinalAnswer.Refused.of(ErrorCode.STOPPING, "this entry host is stopping"));
 			return this;
 		}
+		ConfirmationGate.Passage passage = this.gate.pass(command);
+		if (passage == ConfirmationGate.Passage.FULL) {
+			command.replyTo().tell(FinalAnswer.Refused.of(ErrorCode.KEY_UNVERIFIED, ConfirmationGate.REASON));
+		}
+		if (passage != ConfirmationGate.Passage.OPEN) {
+			return this;
+		}
 		CallerRequest request = command.request();
 		WaitingRequests waiting = waiting(request.facts().queue());
 		AdmissionResult result = this.admission.check(request.facts(), waiting.queue()::isFull,
 				this.identity.nowMillis());
 		if (result instanceof AdmissionResult.Admitted admitted) {
-			accept(request, admitted, command.replyTo());
+			accept(request, admitted, command);
 		}
 		else if (result instanceof AdmissionResult.Refused refused) {
 			this.requestEvents.refused(request.facts(), request.requestId(), refused.code());
@@ -220,7 +232,8 @@
 		return this;
 	}
 
-	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, ActorRef<FinalAnswer> replyTo) {
+	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, RouterCommand.Submit command) {
+		ActorRef<FinalAnswer> replyTo = command.replyTo();
 		RequestKey key = new RequestKey(admitted.team(), request.requestId());
 		Optional<Running> running = this.openRequests.running(key);
 		if (running.isPresent() && !request.facts().repeatable()) {
@@ -229,7 +242,7 @@
 			return;
 		}
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, admitted.team(), admitted.weight(),
-				admitted.deadlineMillis());
+				Math.min(admitted.deadlineMillis(), command.receivedMillis() + request.facts().timeoutMillis()));
 		RequestContext context = new RequestContext(request, this.identity, this.settings.limits(),
 				this.settings.timing().proposalMillis(), getContext().getSelf(), this.control);
 		ActorRef<RequestActor.Message> actor = getContext().spawn(RequestActor.create(context, queued, replyTo),
@@ -259,7 +272,12 @@
 	}
 
 	private Behavior<RouterCommand> onCheckKey(RouterCommand.CheckKey command) {
-		command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
+		switch (this.gate.pass(command)) {
+			case OPEN -> command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
+			case FULL ->
+				command.replyTo().tell(new AdmissionResult.Refused(ErrorCode.KEY_UNVERIFIED, ConfirmationGate.REASON));
+			case HELD -> logger.atFine().log("A key check waits for the configuration.");
+		}
 		return this;
 	}
 
@@ -479,6 +497,9 @@
 			this.events.record(this.events.event(EventKind.CONFIGURATION_APPLIED)
 				.with(EventField.INDEX, inForce.configuration().index()));
 		}
+		else if (event instanceof ConfigurationEvent.Confirmed confirmed) {
+			return this.gate.confirmed(confirmed.pause(), this);
+		}
 		else {
 			this.admission.majorityHeard(this.identity.nowMillis());
 		}
@@ -534,6 +555,7 @@
 	}
 
 	private Behavior<RouterCommand> onTick() {
+		this.gate.noticePause();
 		long nowMillis = this.identity.nowMillis();
 		for (RunnerName lost : this.runners.expire(nowMillis)) {
 			logger.atInfo().log("Runner %s is no longer attached.", lost);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -35,9 +35,10 @@
 	 * Takes a request of a caller.
 	 *
 	 * @param request the request
+	 * @param receivedMillis when it was received; its timeout counts from then
 	 * @param replyTo gets the answer exactly once
 	 */
-	record Submit(CallerRequest request, ActorRef<FinalAnswer> replyTo) implements RouterCommand {
+	record Submit(CallerRequest request, long receivedMillis, ActorRef<FinalAnswer> replyTo) implements RouterCommand {
 
 	}
 
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -43,13 +43,17 @@
 
 	@BeforeEach
 	void startControl() {
-		ConfigurationSnapshot configuration = new ConfigurationSnapshot(5, List.of(), List.of(),
+		this.control = new FakeControl(this.kit, configuration(5, false), tokenCount());
+	}
+
+	/** The configuration at an index, with the first key in force or withdrawn. */
+	ConfigurationSnapshot configuration(long index, boolean firstWithdrawn) {
+		return new ConfigurationSnapshot(index, List.of(), List.of(),
 				List.of(new TeamRecord(new TeamSpec(TEAM, 1, 10, 0), 1)),
-				List.of(new KeyRecord(KeyHash.of("key-1"), TEAM, "first", false, 1),
+				List.of(new KeyRecord(KeyHash.of("key-1"), TEAM, "first", firstWithdrawn, 1),
 						new KeyRecord(KeyHash.of("key-2"), TEAM, "second", true, 1),
 						new KeyRecord(KeyHash.of("key-3"), new TeamName("deleted"), "third", false, 1)),
 				List.of(new QueueRecord(new QueueName("quotes"), false, 1)));
-		this.control = new FakeControl(this.kit, configuration, tokenCount());
 	}
 
 	@AfterEach
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
@@ -43,6 +43,21 @@
 		Truth.assertThat(second.isDone()).isFalse();
 	}
 
+	/** Guards against a resumed host that trusts keys as they were before the freeze. */
+	@Test
+	void aKeyThatWasWithdrawnDuringTheFreezeIsRefusedFromTheFirstRequestOn() {
+		TestEntry entry = startAlone(() -> Instant.now().plusMillis(this.frozenMillis.get()));
+		entry.announce("runner-1", runner(), false);
+		CompletableFuture<HttpResponse<String>> before = entry.submit(REPEATABLE, "before");
+		runner().awaitCall().answer("done");
+		Truth.assertThat(before.join().statusCode()).isEqualTo(200);
+		control().change(configuration(6, true));
+		this.frozenMillis.set(FREEZE_MILLIS);
+		entry.announce("runner-1", runner(), false);
+		Truth.assertThat(entry.submit(REPEATABLE, "after").join().body()).contains("KEY_WITHDRAWN");
+		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
+	}
+
 	/**
 	 * Guards against an attempt that leaves the process only after a freeze and runs
 	 * then.
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
@@ -48,7 +48,7 @@
 
 	private final Map<RequestId, ClaimCommand> claims = new HashMap<>();
 
-	private final ConfigurationSnapshot configuration;
+	private volatile ConfigurationSnapshot configuration;
 
 	private final MemberSettings settings;
 
@@ -75,6 +75,11 @@
 		return this.settings;
 	}
 
+	/** Changes the configuration without telling the entry hosts. */
+	public void change(ConfigurationSnapshot newer) {
+		this.configuration = newer;
+	}
+
 	/** Waits for a message of a type; earlier ones of other types are discarded. */
 	public <M extends ClientMessage> M await(Class<M> type) {
 		ClientMessage message = Ports.poll(this.received);
