Write one or two event lines for a request instead of four

Cause: an entry host wrote a line for each step of a request (accepted, sent, attempt ended, answered).

Ruled out: one line for every request. A start that is only in memory is lost with a killed host, and two checks need it: RAN_TWICE for requests that are not repeatable, TEAM_ABOVE_LIMIT for attempts of a team. Writing starts with a delay would lose those of the last moment. Merging the end of an attempt into a later answer would let an ended attempt count as running after a kill.

Change: a line may stand for earlier steps of its request and carries their hybrid timestamps. RequestStep splits it when files are read, so the checks are unchanged. The router learns the answer together with the end of the attempt from which it follows. Forwarded attempts now say whether they are repeatable, because the sender may have no line of its own when it is killed.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -36,6 +36,18 @@
 	/** The number of an attempt. */
 	ATTEMPT("attempt"),
 
+	/**
+	 * The packed hybrid timestamp at which the request was accepted, in the first line of
+	 * a request whose acceptance has no line of its own.
+	 */
+	ACCEPTED("acceptedHlc"),
+
+	/**
+	 * The packed hybrid timestamp at which the attempt was sent, if that has no line of
+	 * its own.
+	 */
+	STARTED("startedHlc"),
+
 	/** The attempt of another entry host that a forwarded attempt belongs to. */
 	FORWARDED_BY("forwardedBy"),
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -24,19 +24,28 @@
 	/** A key was withdrawn on this process. */
 	KEY_WITHDRAWN,
 
-	/** A request was accepted. */
+	/**
+	 * A request was accepted. The line of a later event may stand for this one
+	 * ({@link EventField#ACCEPTED}).
+	 */
 	REQUEST_ACCEPTED,
 
 	/** A request was refused by the admission checks. */
 	REQUEST_REFUSED,
 
-	/** An attempt was sent to a runner or to another entry host. */
+	/**
+	 * An attempt was sent to a runner or to another entry host. The line of its end may
+	 * stand for this one ({@link EventField#STARTED}).
+	 */
 	ATTEMPT_STARTED,
 
 	/** An attempt ended. */
 	ATTEMPT_ENDED,
 
-	/** A request was answered. */
+	/**
+	 * A request was answered. With {@link EventField#ATTEMPT} the line stands for the end
+	 * of that attempt too, which had the same outcome.
+	 */
 	REQUEST_ANSWERED,
 
 	/** A runner was attached or came back. */
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/event/AttemptTrace.java
@@ -0,0 +1,73 @@
+package io.burdockpin.entry.event;
+
+import java.util.Optional;
+
+import io.burdockpin.core.event.Event;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
+import io.burdockpin.core.event.HybridTimestamp;
+
+/**
+ * An attempt that has not ended, and its start while no line tells of it. Mutable; owned
+ * by the recorder of requests.
+ */
+final class AttemptTrace {
+
+	private final RequestTrace request;
+
+	private final long attempt;
+
+	private final EventField targetField;
+
+	private final Object target;
+
+	private Optional<HybridTimestamp> unwrittenStart;
+
+	AttemptTrace(RequestTrace request, long attempt, EventField targetField, Object target, HybridTimestamp started) {
+		this.request = request;
+		this.attempt = attempt;
+		this.targetField = targetField;
+		this.target = target;
+		this.unwrittenStart = Optional.of(started);
+		request.attemptStarted();
+	}
+
+	RequestTrace request() {
+		return this.request;
+	}
+
+	/**
+	 * Creates the event of the start if it must be in the file before the end.
+	 * @return the event
+	 */
+	Optional<Event> takeStart() {
+		Optional<HybridTimestamp> started = this.unwrittenStart.filter((timestamp) -> this.request.startCounts());
+		if (started.isPresent()) {
+			this.unwrittenStart = Optional.empty();
+		}
+		return started
+			.map((timestamp) -> event(EventKind.ATTEMPT_STARTED, timestamp).with(this.targetField, this.target));
+	}
+
+	/**
+	 * Creates the event of the end, which tells of the start too if no line has.
+	 * @param kind end of the attempt, or answer to its request
+	 * @param timestamp when
+	 * @return the event without outcome
+	 */
+	Event end(EventKind kind, HybridTimestamp timestamp) {
+		Event event = event(kind, timestamp);
+		if (this.unwrittenStart.isPresent()) {
+			return event.with(this.targetField, this.target)
+				.with(EventField.STARTED, this.unwrittenStart.get().packed());
+		}
+		return (this.targetField == EventField.HOST) ? event.with(EventField.HOST, this.target) : event;
+	}
+
+	// helpers
+
+	private Event event(EventKind kind, HybridTimestamp timestamp) {
+		return this.request.event(kind, timestamp).with(EventField.ATTEMPT, this.attempt);
+	}
+
+}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/event/RequestEvents.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/event/RequestEvents.java
@@ -1,12 +1,13 @@
 package io.burdockpin.entry.event;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.UnaryOperator;
 
 import io.burdockpin.core.admission.RequestFacts;
 import io.burdockpin.core.event.Event;
@@ -25,8 +26,9 @@
 
 /**
  * Records the events of requests, jobs and withdrawn keys, from which the time line
- * checks the promises. Keys appear only as the first digits of their hash. Mutable; owned
- * by the router actor.
+ * checks the promises. Keys appear only as the first digits of their hash. A request
+ * takes as few lines as the checks allow: a line may stand for earlier events of its
+ * request that have none of their own. Mutable; owned by the router actor.
  */
 public final class RequestEvents {
 
@@ -34,9 +36,13 @@
 
 	private final boolean recorded;
 
-	private final Map<Long, Trace> requests = new HashMap<>();
+	private final Map<Long, RequestTrace> requests = new HashMap<>();
 
-	private final Map<Long, Attempt> attempts = new HashMap<>();
+	private final Map<Long, AttemptTrace> attempts = new HashMap<>();
+
+	private List<RequestTrace> justAccepted = new ArrayList<>();
+
+	private List<RequestTrace> acceptedEarlier = new ArrayList<>();
 
 	private final Set<KeyHash> withdrawnKeys = new HashSet<>();
 
@@ -53,7 +59,7 @@
 	// requests
 
 	/**
-	 * Records a request that passed the admission checks.
+	 * Takes note of a request that passed the admission checks.
 	 * @param number its number on this entry host
 	 * @param facts what was checked
 	 * @param requestId its identifier
@@ -63,9 +69,24 @@
 		if (!this.recorded) {
 			return;
 		}
-		Trace trace = new Trace(number, requestId, team, Optional.of(facts.repeatable()), Optional.empty());
+		RequestTrace trace = RequestTrace.accepted(number, facts, requestId, team, this.events.stamp());
 		this.requests.put(number, trace);
-		write(withKey(trace.event(EventKind.REQUEST_ACCEPTED).with(EventField.QUEUE, facts.queue()), facts.keyHash()));
+		if (facts.keyHash().filter(this.withdrawnKeys::contains).isPresent()) {
+			trace.takeAcceptance().ifPresent(this::write);
+		}
+		else {
+			this.justAccepted.add(trace);
+		}
+	}
+
+	/**
+	 * Writes the acceptance of requests that have waited since the last call but one, so
+	 * that it is in the file even if this process is killed while they wait.
+	 */
+	public void writeWaiting() {
+		this.acceptedEarlier.forEach((trace) -> trace.takeAcceptance().ifPresent(this::write));
+		this.acceptedEarlier = this.justAccepted;
+		this.justAccepted = new ArrayList<>();
 	}
 
 	/**
@@ -93,8 +114,7 @@
 	 */
 	public void forwarded(long number, ForwardRequest request, Holder sender) {
 		if (this.recorded) {
-			this.requests.put(number, new Trace(number, request.requestId(), request.team(), Optional.empty(),
-					Optional.of(attemptName(sender, request.attempt()))));
+			this.requests.put(number, RequestTrace.forwarded(number, request, sender));
 		}
 	}
 
@@ -105,7 +125,7 @@
 	 * @param runner the runner
 	 */
 	public void sentToRunner(long number, long attempt, RunnerName runner) {
-		sent(number, attempt, Optional.empty(), (event) -> event.with(EventField.RUNNER, runner));
+		sent(number, attempt, EventField.RUNNER, runner);
 	}
 
 	/**
@@ -115,33 +135,38 @@
 	 * @param host the entry host
 	 */
 	public void sentToPeer(long number, long attempt, HostName host) {
-		sent(number, attempt, Optional.of(host), (event) -> event.with(EventField.HOST, host));
+		sent(number, attempt, EventField.HOST, host);
 	}
 
 	/**
-	 * Records the end of an attempt.
+	 * Records the end of an attempt, and the answer to its request if it is known already
+	 * and has the same outcome.
 	 * @param attempt the number of the attempt
 	 * @param outcome how it ended
+	 * @param answer the outcome of the answer, none if the request goes on
 	 */
-	public void attemptEnded(long attempt, Outcome outcome) {
+	public void attemptEnded(long attempt, Outcome outcome, Optional<Outcome> answer) {
 		Optional.ofNullable(this.attempts.remove(attempt)).ifPresent((ended) -> {
-			Event event = ended.trace()
-				.event(EventKind.ATTEMPT_ENDED)
-				.with(EventField.ATTEMPT, attempt)
-				.with(EventField.OUTCOME, outcome);
-			write(ended.host().map((host) -> event.with(EventField.HOST, host)).orElse(event));
+			boolean answered = answer.filter(outcome::equals).isPresent();
+			EventKind kind = answered ? EventKind.REQUEST_ANSWERED : EventKind.ATTEMPT_ENDED;
+			write(ended.end(kind, this.events.stamp()).with(EventField.OUTCOME, outcome));
+			if (answered) {
+				this.requests.remove(ended.request().number());
+			}
 		});
 	}
 
 	/**
-	 * Records the answer to a request. Only the entry host that accepted it answers it.
+	 * Records the answer to a request, unless the end of its last attempt has recorded
+	 * it. Only the entry host that accepted it answers it.
 	 * @param number the number of the request
 	 * @param outcome the outcome of the answer
 	 */
 	public void answered(long number, Outcome outcome) {
 		Optional.ofNullable(this.requests.remove(number))
-			.filter((trace) -> trace.forwardedBy().isEmpty())
-			.ifPresent((trace) -> write(trace.event(EventKind.REQUEST_ANSWERED).with(EventField.OUTCOME, outcome)));
+			.filter((trace) -> !trace.isForwarded())
+			.ifPresent((trace) -> write(
+					trace.event(EventKind.REQUEST_ANSWERED, this.events.stamp()).with(EventField.OUTCOME, outcome)));
 	}
 
 	// jobs and keys
@@ -190,10 +215,11 @@
 
 	// helpers
 
-	private void sent(long number, long attempt, Optional<HostName> host, UnaryOperator<Event> target) {
+	private void sent(long number, long attempt, EventField targetField, Object target) {
 		Optional.ofNullable(this.requests.get(number)).ifPresent((trace) -> {
-			this.attempts.put(attempt, new Attempt(trace, host));
-			write(target.apply(trace.event(EventKind.ATTEMPT_STARTED).with(EventField.ATTEMPT, attempt)));
+			AttemptTrace started = new AttemptTrace(trace, attempt, targetField, target, this.events.stamp());
+			this.attempts.put(attempt, started);
+			started.takeStart().ifPresent(this::write);
 		});
 	}
 
@@ -205,52 +231,4 @@
 		return key.map((hash) -> event.with(EventField.KEY, hash.abbreviated())).orElse(event);
 	}
 
-	private static String attemptName(Holder holder, long attempt) {
-		return "%s/%d/%d".formatted(holder.host(), holder.incarnation(), attempt);
-	}
-
-	private record Attempt(Trace trace, Optional<HostName> host) {
-
-	}
-
-	private final class Trace {
-
-		private final long number;
-
-		private final RequestId requestId;
-
-		private final Optional<TeamName> team;
-
-		private final Optional<Boolean> repeatable;
-
-		private final Optional<String> forwardedBy;
-
-		Trace(long number, RequestId requestId, Optional<TeamName> team, Optional<Boolean> repeatable,
-				Optional<String> forwardedBy) {
-			this.number = number;
-			this.requestId = requestId;
-			this.team = team;
-			this.repeatable = repeatable;
-			this.forwardedBy = forwardedBy;
-		}
-
-		Optional<String> forwardedBy() {
-			return this.forwardedBy;
-		}
-
-		Event event(EventKind kind) {
-			Event event = RequestEvents.this.events.event(kind)
-				.with(EventField.REQUEST, this.requestId)
-				.with(EventField.SUBMISSION, this.number);
-			event = with(event, EventField.TEAM, this.team);
-			event = with(event, EventField.REPEATABLE, this.repeatable);
-			return with(event, EventField.FORWARDED_BY, this.forwardedBy);
-		}
-
-		private static Event with(Event event, EventField field, Optional<?> value) {
-			return value.isPresent() ? event.with(field, value.get()) : event;
-		}
-
-	}
-
 }
--- /dev/null
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/event/RequestTrace.java
@@ -0,0 +1,135 @@
+package io.burdockpin.entry.event;
+
+import java.util.Optional;
+
+import io.burdockpin.core.admission.RequestFacts;
+import io.burdockpin.core.event.Event;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
+import io.burdockpin.core.event.HybridTimestamp;
+import io.burdockpin.core.membership.PeerMessage.ForwardRequest;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.KeyHash;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.model.TeamName;
+
+/**
+ * What the events of one open request have in common, and its acceptance while no line
+ * tells of it. Mutable; owned by the recorder of requests.
+ */
+final class RequestTrace {
+
+	private final long number;
+
+	private final RequestId requestId;
+
+	private final Optional<TeamName> team;
+
+	private final boolean repeatable;
+
+	private final Optional<String> forwardedBy;
+
+	private Optional<Acceptance> unwritten;
+
+	private boolean started;
+
+	private RequestTrace(long number, RequestId requestId, Optional<TeamName> team, boolean repeatable,
+			Optional<String> forwardedBy, Optional<Acceptance> unwritten) {
+		this.number = number;
+		this.requestId = requestId;
+		this.team = team;
+		this.repeatable = repeatable;
+		this.forwardedBy = forwardedBy;
+		this.unwritten = unwritten;
+	}
+
+	static RequestTrace accepted(long number, RequestFacts facts, RequestId requestId, Optional<TeamName> team,
+			HybridTimestamp timestamp) {
+		return new RequestTrace(number, requestId, team, facts.repeatable(), Optional.empty(),
+				Optional.of(new Acceptance(timestamp, facts.queue(), facts.keyHash())));
+	}
+
+	static RequestTrace forwarded(long number, ForwardRequest request, Holder sender) {
+		String attempt = "%s/%d/%d".formatted(sender.host(), sender.incarnation(), request.attempt());
+		return new RequestTrace(number, request.requestId(), request.team(), request.repeatable(), Optional.of(attempt),
+				Optional.empty());
+	}
+
+	// access
+
+	long number() {
+		return this.number;
+	}
+
+	boolean isForwarded() {
+		return this.forwardedBy.isPresent();
+	}
+
+	/**
+	 * Tells whether the start of an attempt must be in the file before its end. An
+	 * attempt of a process that was killed may have run, which counts for a request that
+	 * is not repeatable, and it may still run, which counts against the limit of the team
+	 * at the entry host that holds the token.
+	 * @return {@code true} if it must
+	 */
+	boolean startCounts() {
+		return !this.repeatable || (this.team.isPresent() && !isForwarded());
+	}
+
+	// events
+
+	void attemptStarted() {
+		this.started = true;
+	}
+
+	/**
+	 * Creates the event of the acceptance, unless a line tells of it or the request no
+	 * longer waits for its first attempt.
+	 * @return the event, with the time of the acceptance
+	 */
+	Optional<Event> takeAcceptance() {
+		Optional<Acceptance> waiting = this.unwritten.filter((acceptance) -> !this.started);
+		if (waiting.isPresent()) {
+			this.unwritten = Optional.empty();
+		}
+		return waiting
+			.map((acceptance) -> acceptance.describe(event(EventKind.REQUEST_ACCEPTED, acceptance.timestamp())));
+	}
+
+	/**
+	 * Creates an event, which tells of the acceptance too if no line has.
+	 * @param kind what happened
+	 * @param timestamp when
+	 * @return the event
+	 */
+	Event event(EventKind kind, HybridTimestamp timestamp) {
+		Event event = Event.of(kind, timestamp)
+			.with(EventField.REQUEST, this.requestId)
+			.with(EventField.SUBMISSION, this.number)
+			.with(EventField.REPEATABLE, this.repeatable);
+		event = with(event, EventField.TEAM, this.team);
+		event = with(event, EventField.FORWARDED_BY, this.forwardedBy);
+		if (this.unwritten.isPresent()) {
+			Acceptance acceptance = this.unwritten.get();
+			event = acceptance.describe(event).with(EventField.ACCEPTED, acceptance.timestamp().packed());
+			this.unwritten = Optional.empty();
+		}
+		return event;
+	}
+
+	// helpers
+
+	private static Event with(Event event, EventField field, Optional<?> value) {
+		return value.isPresent() ? event.with(field, value.get()) : event;
+	}
+
+	private record Acceptance(HybridTimestamp timestamp, QueueName queue, Optional<KeyHash> key) {
+
+		Event describe(Event event) {
+			return with(event.with(EventField.QUEUE, this.queue), EventField.KEY, this.key.map(KeyHash::abbreviated));
+		}
+
+	}
+
+}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ForwardedRequestActor.java
@@ -70,8 +70,8 @@
 	private Behavior<Command> onDispatch(Dispatch dispatch) {
 		if (dispatch instanceof Dispatch.ToRunner toRunner) {
 			if (this.queued.deadlineMillis() <= this.identity.nowMillis()) {
-				this.router
-					.tell(new RouterCommand.AttemptEnded(toRunner.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL));
+				this.router.tell(new RouterCommand.AttemptEnded(toRunner.attempt(), Outcome.NOT_RUN,
+						AttemptVerdict.NEUTRAL, Optional.empty()));
 				return end(AttemptResult.notRun(ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed"));
 			}
 			this.localAttempt = Optional.of(toRunner.attempt());
@@ -90,8 +90,8 @@
 	}
 
 	private Behavior<Command> onAttemptDone(AttemptReport report) {
-		this.localAttempt.ifPresent((attempt) -> this.router
-			.tell(new RouterCommand.AttemptEnded(attempt, report.result().outcome(), report.verdict())));
+		this.localAttempt.ifPresent((attempt) -> this.router.tell(new RouterCommand.AttemptEnded(attempt,
+				report.result().outcome(), report.verdict(), Optional.empty())));
 		return end(report.result());
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -143,7 +143,7 @@
 			return carryOut(this.attempts.refused(noAttempt.code(), noAttempt.message()));
 		}
 		if (isAbandoned()) {
-			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+			reportNotStarted(dispatch.attempt());
 			return carryOut(refusedAsAbandoned());
 		}
 		if (dispatch instanceof Dispatch.ToRunner toRunner) {
@@ -157,7 +157,7 @@
 
 	// A freeze may lie between the decision and the start.
 	private Behavior<Message> refuseLate(long attempt) {
-		reportToRouter(attempt, Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+		reportNotStarted(attempt);
 		return carryOut(this.attempts.refused(ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed"));
 	}
 
@@ -188,7 +188,7 @@
 
 	private Behavior<Message> startOnRunner(Dispatch.ToRunner dispatch) {
 		if (!this.attempts.attemptStarted(new Target.OwnRunner(dispatch.runner().name()))) {
-			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+			reportNotStarted(dispatch.attempt());
 			return this;
 		}
 		this.currentAttempt = dispatch.attempt();
@@ -203,7 +203,7 @@
 
 	private Behavior<Message> startAtPeer(Dispatch.ToPeer dispatch) {
 		if (!this.attempts.attemptStarted(new Target.Peer(dispatch.host()))) {
-			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
+			reportNotStarted(dispatch.attempt());
 			return this;
 		}
 		this.currentAttempt = dispatch.attempt();
@@ -221,16 +221,26 @@
 	}
 
 	private Behavior<Message> endAttempt(AttemptResult result, AttemptVerdict verdict) {
-		reportToRouter(this.currentAttempt, result.outcome(), verdict);
 		// Long after the deadline the token and the claim may be held elsewhere.
 		boolean isLate = result.outcome() == Outcome.RAN && isOver();
 		AttemptResult timely = isLate
 				? AttemptResult.unknown(ErrorCode.DEADLINE_EXCEEDED, "the answer came after the deadline") : result;
-		return carryOut(this.attempts.attemptEnded(timely, this.request.identity().nowMillis()));
+		List<RequestEffect> effects = this.attempts.attemptEnded(timely, this.request.identity().nowMillis());
+		this.request.router()
+			.tell(new RouterCommand.AttemptEnded(this.currentAttempt, result.outcome(), verdict, answerIn(effects)));
+		return carryOut(effects);
+	}
+
+	private static Optional<Outcome> answerIn(List<RequestEffect> effects) {
+		return effects.stream()
+			.filter(RequestEffect.Reply.class::isInstance)
+			.map((effect) -> ((RequestEffect.Reply) effect).answer().outcome())
+			.findFirst();
 	}
 
-	private void reportToRouter(long attempt, Outcome outcome, AttemptVerdict verdict) {
-		this.request.router().tell(new RouterCommand.AttemptEnded(attempt, outcome, verdict));
+	private void reportNotStarted(long attempt) {
+		this.request.router()
+			.tell(new RouterCommand.AttemptEnded(attempt, Outcome.NOT_RUN, AttemptVerdict.NEUTRAL, Optional.empty()));
 	}
 
 	private Behavior<Message> carryOut(List<RequestEffect> effects) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -339,7 +339,7 @@
 	}
 
 	private Behavior<RouterCommand> onAttemptEnded(RouterCommand.AttemptEnded command) {
-		this.requestEvents.attemptEnded(command.attempt(), command.outcome());
+		this.requestEvents.attemptEnded(command.attempt(), command.outcome(), command.answer());
 		this.runners.queueOf(command.attempt())
 			.ifPresent((queue) -> this.metrics.increment(Metric.ATTEMPTS, queue.value(), command.outcome().name()));
 		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
@@ -543,6 +543,7 @@
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
 		reportDemand();
 		dispatchAll();
+		this.requestEvents.writeWaiting();
 		return this;
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -138,8 +138,11 @@
 	 * @param attempt its number
 	 * @param outcome whether it ran
 	 * @param verdict what it says about the runner
+	 * @param answer outcome of the answer that follows from it, none if the request goes
+	 * on or another entry host answers it
 	 */
-	record AttemptEnded(long attempt, Outcome outcome, AttemptVerdict verdict) implements RouterCommand {
+	record AttemptEnded(long attempt, Outcome outcome, AttemptVerdict verdict,
+			Optional<Outcome> answer) implements RouterCommand {
 
 	}
 
--- a/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/EventFileReader.java
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/EventFileReader.java
@@ -19,8 +19,8 @@
 
 /**
  * Reads event files. A line that is not an event, for example the last one of a killed
- * process, is skipped and reported. Immutable but for the list of skipped lines; used by
- * one thread.
+ * process, is skipped and reported. A line that stands for several events of a request
+ * yields each of them. Immutable but for the list of skipped lines; used by one thread.
  */
 public final class EventFileReader {
 
@@ -61,7 +61,7 @@
 			if (event.isEmpty()) {
 				this.skippedLines.add(file + ":" + lineNumber);
 			}
-			event.ifPresent(events::add);
+			event.ifPresent((found) -> events.addAll(RequestStep.stepsOf(found)));
 		}
 		return events;
 	}
--- a/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
+++ b/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
@@ -77,6 +77,39 @@
 		Truth.assertThat(broken()).contains("ANSWERED_TWICE (P6)");
 	}
 
+	@Test
+	void aLineThatStandsForAWholeRequestShowsEachOfItsSteps() {
+		append(ENTRY_ONE, wholeRequest(1000, 1500, 2000));
+		run();
+		Truth.assertThat(this.output.toString().replaceAll(" incarnation=\\S+", ""))
+			.isEqualTo("1970-01-01T00:00:01Z burdock-entry@e1/dc1 REQUEST_ACCEPTED"
+					+ " key=abcd0123 queue=q request=1-a submission=1\n"
+					+ "1970-01-01T00:00:01.500Z burdock-entry@e1/dc1 ATTEMPT_STARTED"
+					+ " attempt=2 request=1-a runner=r submission=1\n"
+					+ "1970-01-01T00:00:02Z burdock-entry@e1/dc1 ATTEMPT_ENDED"
+					+ " attempt=2 outcome=RAN request=1-a submission=1\n"
+					+ "1970-01-01T00:00:02Z burdock-entry@e1/dc1 REQUEST_ANSWERED"
+					+ " outcome=RAN request=1-a submission=1\n");
+	}
+
+	@Test
+	void aSecondAnswerToARequestInOneLineIsMarked() {
+		append(ENTRY_ONE, wholeRequest(1000, 1500, 2000));
+		Truth.assertThat(broken()).isEmpty();
+		append(ENTRY_ONE, event(EventKind.REQUEST_ANSWERED, 2001, 0).with(EventField.REQUEST, "1-a")
+			.with(EventField.SUBMISSION, 1));
+		Truth.assertThat(broken()).contains("ANSWERED_TWICE (P6)");
+	}
+
+	@Test
+	void aRequestInOneLineCountsAtTheTimeOfItsAcceptanceForTheWithdrawalOfItsKey() {
+		append(ENTRY_ONE, event(EventKind.KEY_WITHDRAWN, 1600, 0).with(EventField.KEY, "abcd0123"));
+		append(ENTRY_ONE, wholeRequest(1599, 1700, 2000));
+		Truth.assertThat(broken()).isEmpty();
+		append(ENTRY_ONE, wholeRequest(1601, 1700, 2000));
+		Truth.assertThat(broken()).contains("KEY_ACCEPTED_LATE (P4)");
+	}
+
 	@Test
 	void aResendThatIsAnsweredIsNoSecondAnswer() {
 		for (long millis = 1000; millis < 1400; millis += 200) {
@@ -220,6 +253,18 @@
 		return Event.of(kind, new HybridTimestamp(millis, counter));
 	}
 
+	private static Event wholeRequest(long acceptedMillis, long startedMillis, long answeredMillis) {
+		return event(EventKind.REQUEST_ANSWERED, answeredMillis, 0).with(EventField.REQUEST, "1-a")
+			.with(EventField.SUBMISSION, 1)
+			.with(EventField.QUEUE, "q")
+			.with(EventField.KEY, "abcd0123")
+			.with(EventField.ATTEMPT, 2)
+			.with(EventField.RUNNER, "r")
+			.with(EventField.OUTCOME, "RAN")
+			.with(EventField.ACCEPTED, new HybridTimestamp(acceptedMillis, 0).packed())
+			.with(EventField.STARTED, new HybridTimestamp(startedMillis, 0).packed());
+	}
+
 	private static Event attemptEnded(String request, long millis, String outcome) {
 		return event(EventKind.ATTEMPT_ENDED, millis, 0).with(EventField.REQUEST, request)
 			.with(EventField.OUTCOME, outcome);
