Show the home pool of a lent host in burdockctl

Cause: the host record holds the spare pool that lent a host, but neither host list nor explain host showed it.

Ruled out: a column next to the pool; scripts that read columns by number would take the wrong ones.

Change: host list has a last column homePool, in JSON a field of that name, empty for a host that is not lent. explain host names the spare pool.

Conclusion: an operator sees which hosts are lent and by whom.

--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/HostAction.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/HostAction.java
@@ -22,7 +22,7 @@
 /** What operators do with hosts. */
 enum HostAction implements Action {
 
-	LIST("list hosts with their pool and state") {
+	LIST("list hosts with their pool, state and, while they are lent, home pool") {
 		@Override
 		public void addArguments(ArgumentParser parser) {
 			parser.addArgument("--pool").help("only hosts of this pool");
@@ -34,7 +34,7 @@
 			OperatorReply.Answered answer = Fleet.askConfiguration(client);
 			return Report.ofTable(new Table(
 					List.of("host", "pool", "state", "dataCentre", "rack", "millicores", "memoryMebibytes",
-							"accelerators", "version"),
+							"accelerators", "version", "homePool"),
 					Fleet.configuration(answer)
 						.hosts()
 						.stream()
@@ -166,7 +166,7 @@
 		HostSpec spec = host.spec();
 		return List.of(spec.name().value(), host.pool().value(), host.state().name(), spec.dataCentre().value(),
 				spec.rack().value(), spec.capacity().cpuMillicores(), spec.capacity().memoryMebibytes(),
-				spec.capacity().accelerators(), host.version());
+				spec.capacity().accelerators(), host.version(), host.homePool().map(PoolName::value).orElse(""));
 	}
 
 }
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/HostExplanation.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/HostExplanation.java
@@ -32,6 +32,9 @@
 		List<String> lines = new ArrayList<>();
 		lines.add("host %s is %s in pool %s, data centre %s, rack %s, changed at index %d".formatted(host.name(),
 				host.state(), host.pool(), host.spec().dataCentre(), host.spec().rack(), host.version()));
+		host.homePool()
+			.ifPresent((home) -> lines
+				.add("it is lent by spare pool %s and returns there once it is idle".formatted(home)));
 		lines.add(host.state().takesNewJobs() ? "it takes new jobs" : "it takes no new jobs");
 		lines.add(reason(host, campaigns));
 		if (host.state().countsAsAvailable()) {
--- a/burdockpin-operator/src/test/java/io/burdockpin/operator/ReportAndExplanationTests.java
+++ b/burdockpin-operator/src/test/java/io/burdockpin/operator/ReportAndExplanationTests.java
@@ -54,7 +54,8 @@
 	void oneHostDrainsAndOneRunsAJob() {
 		ConfigurationSnapshot configuration = new ConfigurationSnapshot(9,
 				List.of(new PoolRecord(POOL, new AvailabilityBudget(60, 5, 5), false, 1)),
-				List.of(host("w1", HostState.DRAINING), host("w2", HostState.IN_SERVICE), host("w3", HostState.LOST)),
+				List.of(host("w1", HostState.DRAINING), host("w2", HostState.IN_SERVICE),
+						lent(host("w3", HostState.LOST))),
 				List.of(new TeamRecord(new TeamSpec(new TeamName("t"), 1, 5, 0), 1)), List.of(), List.of());
 		JobSpec spec = new JobSpec(new TeamName("t"), POOL, new Resources(1000, 100, 0), 1000, false, false,
 				Payload.EMPTY);
@@ -99,6 +100,19 @@
 		Truth.assertThat(run("explain", "host", "w3")).contains("has not reported for longer than its lease");
 	}
 
+	@Test
+	void aLentHostIsListedAndExplainedWithItsHomePoolAndOthersWithout() {
+		String table = run("host", "list");
+		Truth.assertThat(table).containsMatch("version +homePool\\n");
+		Truth.assertThat(table).containsMatch("w2 +office .* -\\n");
+		Truth.assertThat(table).containsMatch("w3 +office .* spare\\n");
+		String json = run("host", "list", "--json");
+		Truth.assertThat(json).containsMatch("\"host\"\\s*:\\s*\"w2\"[^}]*\"homePool\"\\s*:\\s*\"\"");
+		Truth.assertThat(json).containsMatch("\"host\"\\s*:\\s*\"w3\"[^}]*\"homePool\"\\s*:\\s*\"spare\"");
+		Truth.assertThat(run("explain", "host", "w3")).contains("it is lent by spare pool spare");
+		Truth.assertThat(run("explain", "host", "w2")).doesNotContain("lent by");
+	}
+
 	private static QueryResult result(Query query, ConfigurationSnapshot configuration, JobRecord job,
 			CampaignRecord campaign) {
 		if (query instanceof Query.ListJobs) {
@@ -113,6 +127,11 @@
 				new Resources(4000, 4096, 0)), POOL, state, 1);
 	}
 
+	private static HostRecord lent(HostRecord host) {
+		return new HostRecord(host.spec(), host.pool(), host.state(), host.version(),
+				Optional.of(new PoolName("spare")));
+	}
+
 	private String run(String... args) {
 		this.output.reset();
 		OperatorExit exit = new OperatorProgram(new PrintStream(this.output), System.err,
