Let a forgotten entry host that lives start a new life in place

Cause: An operator can forget an entry host that still runs. Its record is removed, the leader goes on answering its reports with no tokens, and it gets none until it is restarted.

Ruled out: A new incarnation for the whole process. Claims and peer messages depend on the process, which has not ended, so its claims must stay its own. The time as the next incarnation: a frozen process could then displace a newer one with its name, and the two would end each other's lives in turn.

Change: The leader answers a report of a life that is blocked or unknown and has no successor with HolderForgotten. The wallet gives up its tokens, keeps its attempts in flight counted and takes the next incarnation, and the token owner registers it. The wait until the forgotten life's tokens are free starts again at each of its reports and at the registration of its successor. The random events of TokenLimitTests forget living hosts.

--- a/burdockpin-codec/src/main/thrift/client.thrift
+++ b/burdockpin-codec/src/main/thrift/client.thrift
@@ -366,6 +366,19 @@
   7: list<string> removed,
 }
 
+/**
+ * Leader to entry host, instead of TokenGrants: the reporting life is not registered any more
+ * because an operator has declared the host destroyed. The host starts a new life.
+ */
+struct HolderForgotten {
+  /** number of the message it answers */
+  1: i64 correlation,
+  /** term of the leader */
+  2: i64 term,
+  /** number of the report it answers */
+  3: i64 sequence,
+}
+
 /** What a worker says about a job. */
 enum JobPhase {
   /** Runs. */
@@ -531,6 +544,7 @@
   16: TokenGrants tokenGrants,
   17: WorkerReports workerReports,
   18: WorkerOrders workerOrders,
+  19: HolderForgotten holderForgotten,
 }
 
 /** A message between an entry host and a control member. */
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -11,7 +11,6 @@
 import io.burdockpin.control.replica.FleetRecords;
 import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.client.ClientMessage;
-import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
 import io.burdockpin.core.limit.LeaderMessages;
 import io.burdockpin.core.limit.TokenAllocator;
@@ -181,13 +180,17 @@
 		}
 		TokenView view = view(records);
 		for (ReportArrived arrivedReport : this.planned) {
-			TokenReport report = arrivedReport.report();
-			TokenGrants grants = leading.get().answer(report, view, nowMillis);
-			arrivedReport.replyTo().tell(this.messages.shorten(report, grants));
+			arrivedReport.replyTo().tell(answer(leading.get(), arrivedReport.report(), view, nowMillis));
 		}
 		return endRound();
 	}
 
+	private ClientMessage answer(TokenAllocator leading, TokenReport report, TokenView view, long nowMillis) {
+		return leading.refusal(report, view)
+			.<ClientMessage>map((refusal) -> refusal)
+			.orElseGet(() -> this.messages.shorten(report, leading.answer(report, view, nowMillis)));
+	}
+
 	// A report whose base is not known gets no answer, so the holder sends a whole one.
 	private void completePlanned() {
 		List<ReportArrived> arrived = List.copyOf(this.planned);
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
@@ -99,6 +99,15 @@
 		expectNoAnswerInThisRound();
 	}
 
+	@Test
+	void aForgottenHolderThatReportsIsToldToStartANewLife() {
+		apply(new TokenCommand.ForgetHost(HOLDER.host()));
+		reportDemand(6);
+		answerRecords();
+		ClientMessage.HolderForgotten refusal = this.entryHost.expectMessageClass(ClientMessage.HolderForgotten.class);
+		Truth.assertThat(this.wallet.forgotten(refusal)).isEqualTo(Optional.of(new Holder(HOLDER.host(), 2)));
+	}
+
 	@Test
 	void aLostReplyToAProposalDoesNotStopTheAnswers() {
 		reportDemand(6);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
@@ -306,6 +306,19 @@
 
 	}
 
+	/**
+	 * Leader to entry host, instead of {@link TokenGrants}: the reporting life is not
+	 * registered any more because an operator has declared the host destroyed. The host
+	 * starts a new life.
+	 *
+	 * @param correlation number of the message it answers
+	 * @param term term of the leader
+	 * @param sequence number of the report it answers
+	 */
+	record HolderForgotten(long correlation, long term, long sequence) implements ClientMessage {
+
+	}
+
 	/**
 	 * The tokens of one team.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/FleetCounts.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/FleetCounts.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.JobState;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.state.HolderRecord;
@@ -28,9 +29,15 @@
 
 	private final List<Holder> live;
 
+	private final Map<HostName, Long> newestIncarnations = new HashMap<>();
+
 	FleetCounts(TokenView view) {
 		this.live = view.holders().stream().filter((holder) -> !holder.blocked()).map(HolderRecord::holder).toList();
 		this.sizes = new PoolSizes(view.hosts());
+		view.holders()
+			.stream()
+			.map(HolderRecord::holder)
+			.forEach((life) -> this.newestIncarnations.merge(life.host(), life.incarnation(), Math::max));
 		view.tokens().forEach(this::add);
 		view.jobs().forEach(this::count);
 	}
@@ -43,6 +50,10 @@
 		return this.live.contains(holder);
 	}
 
+	boolean hasSuccessor(Holder life) {
+		return this.newestIncarnations.getOrDefault(life.host(), Long.MIN_VALUE) > life.incarnation();
+	}
+
 	TokenRecord token(TokenKey key) {
 		return Optional.ofNullable(this.tokens.get(key))
 			.orElseGet(() -> new TokenRecord(key.team(), key.holder(), 0, 0, 0));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderReports.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderReports.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.client.ClientMessage.TokenReport;
 import io.burdockpin.core.client.ClientMessage.TokenUsage;
@@ -56,6 +57,11 @@
 		}
 	}
 
+	OptionalLong heardMillis(Holder holder) {
+		Heard heard = this.reports.get(holder);
+		return (heard != null) ? OptionalLong.of(heard.receivedMillis()) : OptionalLong.empty();
+	}
+
 	boolean isHeard(Holder holder, long nowMillis, long silentMillis) {
 		Heard heard = this.reports.get(holder);
 		return heard != null && nowMillis - heard.receivedMillis() < silentMillis;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/LapseTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/LapseTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.model.Holder;
 
@@ -17,7 +18,7 @@
 
 	private final Map<Holder, Long> renewedMillis = new HashMap<>();
 
-	private final Map<Holder, Long> blockedMillis = new HashMap<>();
+	private final Map<EndedLife, Long> endedMillis = new HashMap<>();
 
 	LapseTable(TokenSettings settings, long leadingSinceMillis) {
 		this.settings = settings;
@@ -34,9 +35,25 @@
 		return nowMillis - sinceMillis >= TokenSettings.withMargin(this.settings.leaseMillis());
 	}
 
-	boolean isOver(Holder blocked, long nowMillis) {
-		long sinceMillis = this.blockedMillis.computeIfAbsent(blocked, (unknown) -> nowMillis);
+	/**
+	 * Tells whether a life that has ended can have nothing running any more.
+	 * @param blocked the life
+	 * @param succeeded whether a newer life of the same host is registered; a host that
+	 * was forgotten although it lives uses its tokens until it registers that one
+	 * @param heardMillis when it reported last, if it did
+	 * @param nowMillis the current time
+	 * @return {@code true} if its tokens are free
+	 */
+	boolean isOver(Holder blocked, boolean succeeded, OptionalLong heardMillis, long nowMillis) {
+		long sinceMillis = this.endedMillis.computeIfAbsent(new EndedLife(blocked, succeeded), (unknown) -> nowMillis);
+		// A life that was replaced by another process gets nothing with its answers.
+		if (!succeeded) {
+			sinceMillis = Math.max(sinceMillis, heardMillis.orElse(sinceMillis));
+		}
 		return nowMillis - sinceMillis >= TokenSettings.withMargin(this.settings.maximumRequestMillis());
 	}
 
+	private record EndedLife(Holder holder, boolean succeeded) {
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenAllocator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenAllocator.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import io.burdockpin.core.client.ClientMessage.HolderForgotten;
 import io.burdockpin.core.client.ClientMessage.TokenGrant;
 import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
@@ -84,6 +85,22 @@
 		return new TokenGrants(report.correlation(), this.term, report.sequence(), this.settings.leaseMillis(), grants);
 	}
 
+	/**
+	 * Tells a holder that an operator has declared it destroyed although it reports. A
+	 * life that was replaced by a newer one is not told, so that two processes with the
+	 * same name do not end each other's lives in turn.
+	 * @param report the report
+	 * @param view the replicated records
+	 * @return the answer to send instead of grants, or nothing if the holder gets grants
+	 */
+	public Optional<HolderForgotten> refusal(TokenReport report, TokenView view) {
+		FleetCounts counts = new FleetCounts(view);
+		if (counts.isLive(report.holder()) || counts.hasSuccessor(report.holder())) {
+			return Optional.empty();
+		}
+		return Optional.of(new HolderForgotten(report.correlation(), this.term, report.sequence()));
+	}
+
 	// changes
 
 	/**
@@ -102,8 +119,8 @@
 	 * @return commands to propose in this order
 	 */
 	public List<Command> plan(TokenView view, long nowMillis) {
-		List<Command> commands = new ArrayList<>(endedLives(view, nowMillis));
 		FleetCounts counts = new FleetCounts(view);
+		List<Command> commands = new ArrayList<>(endedLives(view, counts, nowMillis));
 		for (TeamRecord team : view.teams()) {
 			commands.addAll(planTeam(team, counts, nowMillis));
 		}
@@ -112,12 +129,14 @@
 
 	// helpers
 
-	private List<Command> endedLives(TokenView view, long nowMillis) {
+	private List<Command> endedLives(TokenView view, FleetCounts counts, long nowMillis) {
 		return view.holders()
 			.stream()
 			.filter(HolderRecord::blocked)
-			.filter((life) -> this.lapses.isOver(life.holder(), nowMillis))
-			.<Command>map((life) -> new TokenCommand.ReleaseHolder(life.holder()))
+			.map(HolderRecord::holder)
+			.filter((life) -> this.lapses.isOver(life, counts.hasSuccessor(life), this.reports.heardMillis(life),
+					nowMillis))
+			.<Command>map(TokenCommand.ReleaseHolder::new)
 			.toList();
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
+import io.burdockpin.core.client.ClientMessage.HolderForgotten;
 import io.burdockpin.core.client.ClientMessage.TokenGrant;
 import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
@@ -16,15 +18,15 @@
 import io.burdockpin.core.model.TeamName;
 
 /**
- * The tokens of one life of an entry host. Mutable, owned by one actor. The times given
- * to it must never go back.
+ * The tokens of the present life of an entry host. Mutable, owned by one actor. The times
+ * given to it must never go back.
  * <p>
  * A token stays in use until its attempt is released, or until the attempt's deadline and
  * a margin have passed when its end is not known.
  */
 public final class TokenWallet {
 
-	private final Holder holder;
+	private Holder holder;
 
 	private final Map<TeamName, Purse> purses = new TreeMap<>();
 
@@ -166,7 +168,7 @@
 	 * @return {@code true} if they were applied
 	 */
 	public boolean granted(TokenGrants grants) {
-		if (grants.sequence() != this.sequence || grants.term() < this.seenTerm) {
+		if (!answersNewestReport(grants.sequence(), grants.term())) {
 			return false;
 		}
 		this.seenTerm = grants.term();
@@ -177,6 +179,31 @@
 		return true;
 	}
 
+	/**
+	 * Starts a new life in place, because the leader has answered the newest report that
+	 * this life was forgotten. The new life has no tokens. Attempts of the forgotten one
+	 * stay in use and count against the tokens of the new one, because the leader may
+	 * have freed theirs.
+	 * @param forgotten the answer
+	 * @return the new life, which has to be registered, or nothing if the answer does not
+	 * belong to the newest report
+	 */
+	public Optional<Holder> forgotten(HolderForgotten forgotten) {
+		if (!answersNewestReport(forgotten.sequence(), forgotten.term())) {
+			return Optional.empty();
+		}
+		// The next number, and not the time, lets the registration fail when another
+		// process with this name has registered meanwhile.
+		this.holder = new Holder(this.holder.host(), this.holder.incarnation() + 1);
+		this.purses.clear();
+		this.leaseEndMillis = Long.MIN_VALUE;
+		this.seenTerm = 0;
+		this.seenSequence = 0;
+		// Late answers to reports of the forgotten life do not answer the newest report.
+		this.sequence++;
+		return Optional.of(this.holder);
+	}
+
 	/** Gives all idle tokens back, before a planned stop. The next report says so. */
 	public void giveBack() {
 		this.purses.replaceAll((team, purse) -> purse.reducedTo(inUseCount(team)));
@@ -184,6 +211,10 @@
 
 	// helpers
 
+	private boolean answersNewestReport(long answeredSequence, long term) {
+		return answeredSequence == this.sequence && term >= this.seenTerm;
+	}
+
 	private void put(TokenGrant grant) {
 		int keptCount = Math.max(grant.targetCount(), inUseCount(grant.team()));
 		Purse purse = new Purse(grant.ownedCount(), grant.leasedCount()).reducedTo(keptCount);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
@@ -13,8 +13,10 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.client.ClientMessage.HolderForgotten;
 import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
 import io.burdockpin.core.model.DataCentre;
@@ -58,6 +60,8 @@
 
 	int shortenedCount;
 
+	int startedLifeCount;
+
 	private final RandomGenerator random;
 
 	private final TokenFault fault;
@@ -95,7 +99,11 @@
 	void apply(Command command) {
 		this.state.apply(this.state.index() + 1,
 				new Proposal(this.nowMillis, Optional.empty(), OptionalLong.empty(), command));
-		if (command instanceof TokenCommand.RegisterHolder && this.fault == TokenFault.ENDED_LIFE_RELEASED_AT_ONCE) {
+		boolean released = (command instanceof TokenCommand.RegisterHolder
+				&& this.fault == TokenFault.ENDED_LIFE_RELEASED_AT_ONCE)
+				|| (command instanceof TokenCommand.ForgetHost
+						&& this.fault == TokenFault.FORGOTTEN_LIFE_RELEASED_AT_ONCE);
+		if (released) {
 			this.state.holders()
 				.stream()
 				.filter((life) -> life.blocked())
@@ -121,7 +129,19 @@
 		host.restart(host.holder.incarnation() + 1);
 	}
 
+	/** Forgets a host that lives. An operator may do so only while it is not cut off. */
+	void forget(SimulatedHost host) {
+		if (host.registered && !isForgotten(host) && !this.cutOff.contains(host.dataCentre)) {
+			apply(new TokenCommand.ForgetHost(host.holder.host()));
+		}
+	}
+
+	// A host that is cut off before it notices keeps its tokens for ever. Only the
+	// operator can rule that out, so it is no fault of the protocol.
 	void cut(int count) {
+		if (this.hosts.stream().anyMatch(this::isForgotten)) {
+			return;
+		}
 		while (this.cutOff.size() < count) {
 			this.cutOff.add(dataCentre());
 		}
@@ -172,6 +192,16 @@
 		this.hosts.stream()
 			.filter((host) -> this.cutOff.contains(host.dataCentre) != reachable)
 			.forEach((host) -> lives.add(host.holder));
+		return countOf(team, lives);
+	}
+
+	int countOf(TeamName team, Holder life) {
+		return countOf(team, Set.of(life));
+	}
+
+	// helpers
+
+	private int countOf(TeamName team, Set<Holder> lives) {
 		return this.state.tokens()
 			.stream()
 			.filter((token) -> token.team().equals(team) && lives.contains(token.holder()))
@@ -179,7 +209,11 @@
 			.sum();
 	}
 
-	// helpers
+	private boolean isForgotten(SimulatedHost host) {
+		return host.registered && this.state.holders()
+			.stream()
+			.noneMatch((life) -> life.holder().equals(host.holder) && !life.blocked());
+	}
 
 	private void checkLimit(TeamName team, int limit) {
 		long jobs = this.state.jobs()
@@ -215,13 +249,16 @@
 	private boolean start(SimulatedHost host, TeamName team, long localMillis) {
 		long id = ++this.attempt;
 		long remainingMillis = 500 + this.random.nextInt(30_000);
-		if (!host.wallet.take(team, id, localMillis + remainingMillis, localMillis)) {
+		Optional<TokenWallet> taken = Stream.concat(host.forgottenWallet.stream(), Stream.of(host.wallet))
+			.filter((wallet) -> wallet.take(team, id, localMillis + remainingMillis, localMillis))
+			.findFirst();
+		if (taken.isEmpty()) {
 			return false;
 		}
 		boolean unknown = this.random.nextInt(5) == 0;
 		long lastsMillis = (long) (remainingMillis * drift() * (unknown ? 1 : this.random.nextDouble()));
 		this.running.put(id, new Running(team, this.nowMillis + lastsMillis));
-		TokenWallet wallet = host.wallet;
+		TokenWallet wallet = taken.get();
 		if (!unknown) {
 			at(lastsMillis, () -> wallet.release(id));
 		}
@@ -263,6 +300,11 @@
 	private void answer(SimulatedHost host, Leader leader, TokenReport report) {
 		if (leads(leader)) {
 			refresh(leader);
+			Optional<HolderForgotten> refusal = leader.allocator.refusal(report, leader.view);
+			if (refusal.isPresent()) {
+				send(host, leader, () -> deliver(host, report.holder(), refusal.get()));
+				return;
+			}
 			TokenGrants grants = leader.allocator.answer(report, leader.view, leader.localMillis(this.nowMillis));
 			TokenGrants message = leader.messages.shorten(report, grants);
 			send(host, leader, () -> deliver(host, report.holder(), message, grants));
@@ -285,6 +327,21 @@
 		}
 	}
 
+	private void deliver(SimulatedHost host, Holder addressee, HolderForgotten refusal) {
+		if (host.holder.equals(addressee)) {
+			Optional<TokenWallet> kept = (this.fault != TokenFault.FORGOTTEN_TOKENS_KEPT) ? Optional.empty()
+					: Optional.of(host.wallet);
+			if (kept.isPresent()) {
+				host.restart(host.holder.incarnation() + 1);
+				host.forgottenWallet = kept;
+			}
+			else {
+				host.wallet.forgotten(refusal).ifPresent(host::startLife);
+			}
+			this.startedLifeCount += host.registered ? 0 : 1;
+		}
+	}
+
 	private void round(Leader leader) {
 		refresh(leader);
 		for (Command command : leader.allocator.plan(leader.view, leader.localMillis(this.nowMillis))) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedHost.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedHost.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.limit;
 
+import java.util.Optional;
+
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.HostName;
@@ -25,6 +27,9 @@
 
 	long demandUntilMillis;
 
+	/** The wallet of a forgotten life, which only a planted fault goes on using. */
+	Optional<TokenWallet> forgottenWallet = Optional.empty();
+
 	SimulatedHost(int number, int dataCentres, double clockRate) {
 		this.name = new HostName("entry-" + number);
 		this.dataCentre = new DataCentre("dc-" + number % dataCentres);
@@ -40,6 +45,12 @@
 		this.lastSequence = 0;
 	}
 
+	void startLife(Holder newLife) {
+		this.holder = newLife;
+		this.messages = new HolderMessages();
+		this.registered = false;
+	}
+
 	long localMillis(long nowMillis) {
 		return (long) (nowMillis * this.clockRate);
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenAllocatorTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenAllocatorTests.java
@@ -134,6 +134,34 @@
 		Truth.assertThat(countOf(3)).isLessThan(LIMIT);
 	}
 
+	@Test
+	void anOlderProcessWithTheSameNameIsNotToldToReplaceTheNewerOne() {
+		Holder older = new Holder(new HostName("entry-0"), 1);
+		TokenReport report = this.wallets.get(0).report(this.nowMillis);
+		apply(new TokenCommand.ForgetHost(older.host()));
+		Truth.assertThat(this.allocator.refusal(report, view())).isPresent();
+		apply(new TokenCommand.RegisterHolder(new Holder(older.host(), 5), new DataCentre("dc-1")));
+		Truth.assertThat(this.allocator.refusal(report, view())).isEmpty();
+		apply(new TokenCommand.RegisterHolder(new Holder(older.host(), 2), new DataCentre("dc-1")));
+		Truth.assertThat(this.state.holders().stream().filter((life) -> !life.blocked()).map((life) -> life.holder()))
+			.contains(new Holder(older.host(), 5));
+	}
+
+	@Test
+	void theTokensOfAForgottenHostThatGoesOnReportingAreNotFreed() {
+		rounds(3);
+		apply(new TokenCommand.ForgetHost(new HostName("entry-0")));
+		for (int second = 0; second < 100; second++) {
+			this.nowMillis += 1000;
+			this.allocator.report(this.wallets.get(0).report(this.nowMillis), this.nowMillis);
+			this.allocator.plan(view(), this.nowMillis).forEach(this::apply);
+		}
+		Truth.assertThat(countOf(0)).isEqualTo(LIMIT / 8);
+		this.nowMillis += 72_000;
+		this.allocator.plan(view(), this.nowMillis).forEach(this::apply);
+		Truth.assertThat(countOf(0)).isEqualTo(0);
+	}
+
 	private void addHost(PoolName pool, String name, int cpuMillicores) {
 		HostSpec spec = new HostSpec(new HostName(name), new DataCentre("dc-1"), new Rack("rack-1"),
 				new Resources(cpuMillicores, 1_000, 0));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenFault.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenFault.java
@@ -14,6 +14,14 @@
 	/** The tokens of a life that ended are free at once. */
 	ENDED_LIFE_RELEASED_AT_ONCE,
 
+	/**
+	 * A host that was forgotten although it lives keeps its tokens beside the new ones.
+	 */
+	FORGOTTEN_TOKENS_KEPT,
+
+	/** The tokens of a forgotten host are free at once. */
+	FORGOTTEN_LIFE_RELEASED_AT_ONCE,
+
 	/** The token of an attempt with an unknown end is free at once. */
 	UNKNOWN_END_RELEASED,
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenLimitTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenLimitTests.java
@@ -72,6 +72,20 @@
 		Truth.assertThat(afterLease).isAtMost((int) cutOffHosts * (limit / (SimulatedFleet.HOSTS + 1)));
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 6 })
+	void hostsThatAreForgottenAlthoughTheyLiveGetTokensAgain(int dataCentres) {
+		SimulatedFleet fleet = fleet(78, dataCentres, 0.05, TokenFault.NONE, 40);
+		steps(fleet, 400);
+		fleet.hosts.forEach(fleet::forget);
+		// The tokens of the forgotten lives are free after 72 s.
+		steps(fleet, 1800);
+		Truth.assertThat(fleet.startedLifeCount).isAtLeast(SimulatedFleet.HOSTS);
+		for (SimulatedHost host : fleet.hosts) {
+			Truth.assertWithMessage("tokens of %s", host.holder).that(fleet.countOf(BOOKING, host.holder)).isAtLeast(1);
+		}
+	}
+
 	private static boolean isNoticed(long seed, TokenFault fault) {
 		try {
 			run(seed, 3, fault);
@@ -108,6 +122,9 @@
 		if (random.nextInt(1500) == 0) {
 			fleet.cutOff.clear();
 		}
+		if (random.nextInt(1500) == 0) {
+			fleet.forget(fleet.hosts.get(random.nextInt(SimulatedFleet.HOSTS)));
+		}
 		if (random.nextInt(200) == 0) {
 			fleet.changeJobs();
 		}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ReplyCorrelation.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ReplyCorrelation.java
@@ -29,6 +29,9 @@
 		if (message instanceof ClientMessage.TokenGrants reply) {
 			return Optional.of(reply.correlation());
 		}
+		if (message instanceof ClientMessage.HolderForgotten reply) {
+			return Optional.of(reply.correlation());
+		}
 		if (message instanceof ClientMessage.WorkerOrders reply) {
 			return Optional.of(reply.correlation());
 		}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -14,6 +14,7 @@
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.limit.HolderMessages;
 import io.burdockpin.core.limit.TokenWallet;
+import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.state.CommandResult;
 import io.burdockpin.core.state.TokenCommand.RegisterHolder;
 import io.burdockpin.entry.EntryIdentity;
@@ -29,7 +30,8 @@
 
 /**
  * Owns the tokens of this entry host, registers its life and renews the leased tokens
- * with its reports.
+ * with its reports. A host that was forgotten although it lives starts a new life here;
+ * the process goes on.
  */
 public final class TokenActor extends AbstractBehavior<TokenCommand> {
 
@@ -51,10 +53,12 @@
 
 	private final TokenWallet wallet;
 
-	private final HolderMessages messages = new HolderMessages();
+	private HolderMessages messages = new HolderMessages();
 
 	private final List<ActorRef<TokenEvent>> subscribers = new ArrayList<>();
 
+	private Holder holder;
+
 	private boolean registered;
 
 	private boolean reportPending;
@@ -66,7 +70,8 @@
 		this.identity = identity;
 		this.reportMillis = reportMillis;
 		this.control = control;
-		this.wallet = new TokenWallet(identity.holder());
+		this.holder = identity.holder();
+		this.wallet = new TokenWallet(this.holder);
 		register();
 	}
 
@@ -147,7 +152,7 @@
 	private Behavior<TokenCommand> onRegistered(TokenCommand.Registered command) {
 		this.registered = isAccepted(command.result());
 		if (this.registered) {
-			logger.atInfo().log("Registered as incarnation %d.", this.identity.holder().incarnation());
+			logger.atInfo().log("Registered as incarnation %d.", this.holder.incarnation());
 			this.timers.startTimerWithFixedDelay(TokenCommand.Tick.INSTANCE, Duration.ZERO,
 					Duration.ofMillis(this.reportMillis));
 		}
@@ -160,12 +165,20 @@
 
 	private Behavior<TokenCommand> onReportEnded(TokenCommand.ReportEnded command) {
 		this.reportPending = false;
-		if (command.result() instanceof CallResult.Answered answered
-				&& answered.message() instanceof ClientMessage.TokenGrants grants) {
+		if (command.result() instanceof CallResult.Answered answered) {
+			onReportAnswered(answered.message());
+		}
+		return this;
+	}
+
+	private void onReportAnswered(ClientMessage answer) {
+		if (answer instanceof ClientMessage.TokenGrants grants) {
 			this.messages.complete(grants).filter(this.wallet::granted).ifPresent(this.messages::applied);
 			tellAvailable();
 		}
-		return this;
+		else if (answer instanceof ClientMessage.HolderForgotten forgotten) {
+			this.wallet.forgotten(forgotten).ifPresent(this::startLife);
+		}
 	}
 
 	private Behavior<TokenCommand> onDrain(TokenCommand.Drain command) {
@@ -179,8 +192,22 @@
 
 	// helpers
 
+	// Only the tokens get a new incarnation. Claims and peers depend on the process,
+	// which
+	// has not ended.
+	private void startLife(Holder newHolder) {
+		logger.atWarning()
+			.log("Incarnation %d was forgotten. Starts incarnation %d without tokens.", this.holder.incarnation(),
+					newHolder.incarnation());
+		this.holder = newHolder;
+		this.messages = new HolderMessages();
+		this.registered = false;
+		this.timers.cancel(TokenCommand.Tick.INSTANCE);
+		register();
+	}
+
 	private void register() {
-		RegisterHolder registration = new RegisterHolder(this.identity.holder(), this.identity.self().dataCentre());
+		RegisterHolder registration = new RegisterHolder(this.holder, this.identity.self().dataCentre());
 		call((correlation) -> new ClientMessage.Propose(correlation, Optional.empty(), OptionalLong.empty(),
 				registration), REGISTER_TIMEOUT_MILLIS, TokenCommand.Registered::new);
 	}
