--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/event/RequestEventsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/event/RequestEventsTests.java
@@ -161,10 +161,8 @@
 			this.file.clear();
 			TestInbox<EventLog.Command> log = TestInbox.create();
 			RequestEvents events = events("e1", log, true);
-			events.forwarded(7,
-					new ForwardRequest(2, new QueueName("q"), TEAM, REQUEST, repeatable, 1000, "", Payload.EMPTY,
-							OptionalLong.empty()),
-					new Holder(new HostName("e2"), 9));
+			events.forwarded(7, new ForwardRequest(2, new QueueName("q"), TEAM, REQUEST, repeatable, 1000, "",
+					Payload.EMPTY, OptionalLong.empty()), new Holder(new HostName("e2"), 9));
 			events.sentToRunner(7, 8, RUNNER);
 			events.attemptEnded(8, Outcome.RAN, Optional.empty());
 			events.answered(7, Outcome.RAN);
