--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -67,12 +67,17 @@
 	}
 
 	/**
-	 * Fills the empty data folder of the member from a backup.
+	 * Fills the empty data folder of the member from a backup, with the command of the
+	 * operations page.
 	 * @param backup the backup
 	 * @param incarnation the incarnation of all members
 	 */
 	public void restore(Path backup, long incarnation) {
-		this.process.runOnce("--restore", backup.toString(), "--incarnation", Long.toString(incarnation));
+		String command = OperationsPage.example("burdock-control", "--settings FILE --restore");
+		this.process.runOnce(command.replace("--settings FILE ", "")
+			.replace("--incarnation N", "--incarnation " + incarnation)
+			.replace("BACKUP", backup.toString())
+			.split(" "));
 	}
 
 	/** Removes all files of the member, which must not run. */
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/OperatorConsole.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/OperatorConsole.java
@@ -3,12 +3,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import io.burdockpin.operator.OperatorProgram;
@@ -19,8 +16,6 @@
  */
 public final class OperatorConsole {
 
-	private static final Path PAGE = Path.of("").toAbsolutePath().getParent().resolve("docs/operations.md");
-
 	private final String entries;
 
 	/**
@@ -37,17 +32,7 @@
 	 * @return the command as the page has it
 	 */
 	public static String example(String start) {
-		try {
-			Matcher matcher = Pattern.compile("burdockctl (" + Pattern.quote(start) + "[^`\n]*)")
-				.matcher(Files.readString(PAGE));
-			if (!matcher.find()) {
-				throw new AssertionError("the operations page has no command " + start);
-			}
-			return matcher.group(1);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		return OperationsPage.example("burdockctl", start);
 	}
 
 	/**
