Check the time line after drains with jobs and limits under a cut

Ruled out: the existing campaign alone. Its drains wait for the jobs, so no drain interrupts one and DRAIN_NOT_ANNOUNCED has nothing to judge.

Change: MaintenanceCampaignTests and TeamLimitTests run all checks over the event files of all processes at their end. A new test of MaintenanceCampaignTests drains hosts whose jobs outlast the deadline. Both classes also plant a fault in the events that were read: without announcements DRAIN_NOT_ANNOUNCED must be found, under a limit of half the overlap seen TEAM_ABOVE_LIMIT.

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/MaintenanceCampaignTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/MaintenanceCampaignTests.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.event.EventKind;
 import io.burdockpin.core.model.AvailabilityBudget;
 import io.burdockpin.core.model.CampaignName;
 import io.burdockpin.core.model.CampaignSpec;
@@ -39,7 +41,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Promise P1 with real processes: six workers in three racks, each with one job. */
+/**
+ * Promises P1 and P10 for hosts with real processes: six workers in three racks, each
+ * with one job.
+ */
 class MaintenanceCampaignTests {
 
 	private static final String KEY = "key-of-the-bookers-0123456789abcdef0123456789abcdef00";
@@ -62,6 +67,11 @@
 
 	private static final long DRAIN_MILLIS = 120_000;
 
+	/** Outlasts the drains of the short kind and the test. */
+	private static final long LONG_JOB_MILLIS = 600_000;
+
+	private static final long SHORT_DRAIN_MILLIS = 3_000;
+
 	private final Map<HostName, StandInWorker> workers = new HashMap<>();
 
 	private final Map<HostName, Integer> reboots = new HashMap<>();
@@ -111,7 +121,7 @@
 	 */
 	@Test
 	void aCampaignKeepsItsBudgetsWhenTheLeaderIsKilledAndARackIsLostInTheMiddleOfAWave() {
-		fillWithJobs();
+		fillWithJobs(JOB_MILLIS);
 		drainAndReturnByHand();
 		startFirstWave();
 		List<DrainRecord> wave = campaign().hostsOut();
@@ -137,14 +147,35 @@
 		});
 		resendAll();
 		checkHistory();
+		Truth.assertThat(this.fleet.brokenPromises()).isEmpty();
+	}
+
+	/**
+	 * Guards against a drain that interrupts a job without an announcement, or that loses
+	 * it, and against a time line that overlooks such an interruption.
+	 */
+	@Test
+	void aDrainInterruptsAtItsDeadlineOnlyTheJobsThatItAnnounced() {
+		fillWithJobs(LONG_JOB_MILLIS);
+		change("start", new MaintenanceCommand.StartCampaign(campaignSpec(SHORT_DRAIN_MILLIS)));
+		Await.until("another start of the jobs of the first wave", () -> {
+			rebootHostsInMaintenance();
+			return this.workers.values().stream().mapToInt(StandInWorker::startCount).sum() >= WORKERS + WAVE_HOSTS;
+		});
+		Truth.assertThat(this.fleet.brokenPromises()).isEmpty();
+		// The planted fault: the same interruptions without the announcements.
+		List<String> unannounced = this.fleet
+			.brokenPromises((event) -> event.is(EventKind.DRAIN_ANNOUNCED) ? Stream.empty() : Stream.of(event));
+		Truth.assertThat(unannounced.size()).isAtLeast(WAVE_HOSTS);
+		unannounced.forEach((broken) -> Truth.assertThat(broken).startsWith("DRAIN_NOT_ANNOUNCED"));
 	}
 
 	// helpers
 
-	private void fillWithJobs() {
+	private void fillWithJobs(long jobMillis) {
 		JobCaller caller = new JobCaller(this.fleet.entries().get(0), KEY);
 		for (int number = 1; number <= WORKERS; number++) {
-			caller.submit("%d-fill-%d".formatted(System.currentTimeMillis() / 1000, number), POOL.value(), JOB_MILLIS,
+			caller.submit("%d-fill-%d".formatted(System.currentTimeMillis() / 1000, number), POOL.value(), jobMillis,
 					true);
 		}
 		Await.until("a job on each host",
@@ -161,9 +192,7 @@
 	}
 
 	private void startFirstWave() {
-		CampaignSpec spec = new CampaignSpec(CAMPAIGN, List.of(POOL), 2 * WAVE_HOSTS, DRAIN_MILLIS,
-				System.currentTimeMillis() + 3_600_000, 1);
-		change("start", new MaintenanceCommand.StartCampaign(spec));
+		change("start", new MaintenanceCommand.StartCampaign(campaignSpec(DRAIN_MILLIS)));
 		Await.until("a wave of two hosts", () -> campaign().hostsOut().size() >= WAVE_HOSTS);
 		Command pause = new MaintenanceCommand.PauseCampaign(CAMPAIGN, "checked by hand");
 		change("pause", pause);
@@ -172,6 +201,11 @@
 		Truth.assertThat(campaign().state()).isEqualTo(CampaignState.RUNNING);
 	}
 
+	private static CampaignSpec campaignSpec(long drainMillis) {
+		return new CampaignSpec(CAMPAIGN, List.of(POOL), 2 * WAVE_HOSTS, drainMillis,
+				System.currentTimeMillis() + 3_600_000, 1);
+	}
+
 	private List<HostName> loseARackOutsideOf(List<DrainRecord> wave) {
 		List<HostName> out = hostsOf(wave);
 		List<HostRecord> hosts = hosts();
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/TeamLimitTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/TeamLimitTests.java
@@ -1,9 +1,13 @@
 package io.burdockpin.systemtest;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.event.EventField;
 import io.burdockpin.core.model.KeyHash;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.TeamName;
@@ -16,6 +20,7 @@
 import io.burdockpin.systemtest.fleet.Load;
 import io.burdockpin.systemtest.fleet.Operator;
 import io.burdockpin.systemtest.fleet.StartRecords;
+import io.burdockpin.timeline.model.EventRecord;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -59,7 +64,8 @@
 
 	/**
 	 * Guards against a cut-off data centre or a restarted entry host whose tokens are
-	 * used elsewhere as well.
+	 * used elsewhere as well. The runners see it, and so does the time line of all
+	 * processes.
 	 */
 	@Test
 	void theLimitHoldsThroughACutAndTheRestartOfAnEntryHost() {
@@ -78,6 +84,11 @@
 		int overlap = overlap("limited");
 		Truth.assertThat(overlap).isAtMost(UPPER_LIMIT);
 		Truth.assertThat(overlap).isAtLeast(2);
+		Truth.assertThat(fleet.brokenPromises()).isEmpty();
+		// The planted fault: the same events under a limit that they do not keep.
+		String lowLimit = Integer.toString(overlap / 2);
+		Truth.assertThat(fleet.brokenPromises((event) -> Stream.of(withLimit(event, lowLimit))).toString())
+			.contains("TEAM_ABOVE_LIMIT");
 	}
 
 	/**
@@ -92,6 +103,12 @@
 
 	// helpers
 
+	private static EventRecord withLimit(EventRecord event, String limit) {
+		Map<String, String> fields = new TreeMap<>(event.fields());
+		fields.computeIfPresent(EventField.LIMIT.jsonName(), (name, before) -> limit);
+		return new EventRecord(event.hlc(), event.process(), event.kind(), fields);
+	}
+
 	private static Load load(String queue, Optional<String> key) {
 		Load load = new Load(new Caller(queue, key), queue, true, TIMEOUT_MILLIS);
 		fleet.entries().forEach((entry) -> load.start(entry, CALLERS));
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -22,6 +23,7 @@
 import io.burdockpin.timeline.check.CheckSettings;
 import io.burdockpin.timeline.check.PromiseCheck;
 import io.burdockpin.timeline.model.EventFileReader;
+import io.burdockpin.timeline.model.EventRecord;
 
 /**
  * Three control members and some entry hosts, one of each per data centre, and the
@@ -242,11 +244,22 @@
 	 * @return one sentence for each
 	 */
 	public List<String> brokenPromises() {
+		return brokenPromises(Stream::of);
+	}
+
+	/**
+	 * Looks for broken promises in the event files of all processes after a planted
+	 * fault.
+	 * @param fault changes, adds or removes events
+	 * @return one sentence for each
+	 */
+	public List<String> brokenPromises(Function<EventRecord, Stream<EventRecord>> fault) {
 		List<Path> files = Stream
 			.concat(this.members.stream().map(ControlMember::eventFile),
 					this.entries.stream().map(EntryHost::eventFile))
 			.toList();
-		return PromiseCheck.findAll(new EventFileReader().read(files).events(), CheckSettings.DEFAULT)
+		List<EventRecord> events = new EventFileReader().read(files).events().stream().flatMap(fault).toList();
+		return PromiseCheck.findAll(events, CheckSettings.DEFAULT)
 			.stream()
 			.map((broken) -> broken.check() + ": " + broken.message())
 			.toList();
