--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
@@ -1,7 +1,7 @@
 package io.burdockpin.control.planner;
 
-import java.time.Clock;
 import java.time.Duration;
+import java.time.InstantSource;
 
 import io.burdockpin.control.link.PlannerReport;
 import io.burdockpin.control.replica.ReplicaMessage;
@@ -32,7 +32,7 @@
 
 	private final ActorRef<TokenPlannerActor.Message> tokens;
 
-	private PlannerSupervisor(ActorContext<PlannerReport> context, PlannerSettings settings, Clock clock,
+	private PlannerSupervisor(ActorContext<PlannerReport> context, PlannerSettings settings, InstantSource clock,
 			ActorRef<ReplicaMessage> replica, ActorRef<EventLog.Command> eventLog) {
 		super(context);
 		ReplicaPort port = ReplicaGateway.portTo(context.spawn(ReplicaGateway.create(replica), "replica-gateway"));
@@ -56,7 +56,7 @@
 	 * @param eventLog gets the statements of drains
 	 * @return the behavior
 	 */
-	public static Behavior<PlannerReport> create(PlannerSettings settings, Clock clock,
+	public static Behavior<PlannerReport> create(PlannerSettings settings, InstantSource clock,
 			ActorRef<ReplicaMessage> replica, ActorRef<EventLog.Command> eventLog) {
 		return Behaviors.setup((context) -> new PlannerSupervisor(context, settings, clock, replica, eventLog));
 	}
