Count added hosts only after their first report

Cause: A host that an operator added was in service at once. It counted as available in the budgets until its lease had passed, and then as lost, so hosts whose workers had never reported paused a running campaign.

Ruled out: A flag in the host record that AddHost clears: a replay of an older log would then accept drains that were rejected when it was written. Counting such hosts as out: hosts that exist on paper would use up the budget and stall the campaign without a pause.

Change: The host state AWAITED holds from AddHost until the first report, which leads to RETURNING; no operator and no planner can end it. Such a host belongs to no pool in the budget check, is never lost, is not drained by a campaign and does not hold up its end. The request of an operator sets the state in AddHost; log entries of earlier versions have none and put the host in service as before.

While entry hosts of both versions run, no hosts may be added.

--- a/burdockpin-codec/src/main/thrift/state.thrift
+++ b/burdockpin-codec/src/main/thrift/state.thrift
@@ -122,12 +122,35 @@
   4: Resources capacity,
 }
 
+/** State of a host in its pool, with the transitions that are permitted from it. */
+enum HostState {
+  /** Takes new jobs. */
+  IN_SERVICE = 1,
+  /** Takes no new jobs; its jobs end or move. */
+  DRAINING = 2,
+  /** Is being rebooted or repaired and runs nothing. */
+  IN_MAINTENANCE = 3,
+  /** Has reported after maintenance or loss and is being checked. */
+  RETURNING = 4,
+  /** Has not reported for longer than its lease. */
+  LOST = 5,
+  /** Reports, but fails the jobs that it starts. */
+  SET_ASIDE = 6,
+  /** Was added and has not reported since. */
+  AWAITED = 7,
+}
+
 /** Adds a host to a pool. */
 struct AddHost {
   /** the host */
   1: HostSpec host,
   /** the pool it joins */
   2: string pool,
+  /**
+   * its first state, set by the entry host that takes the call; entries of earlier versions
+   * have none and put the host in service
+   */
+  3: optional HostState state,
 }
 
 /** Moves a host to another pool. */
@@ -160,22 +183,6 @@
   1: string host,
 }
 
-/** State of a host in its pool, with the transitions that are permitted from it. */
-enum HostState {
-  /** Takes new jobs. */
-  IN_SERVICE = 1,
-  /** Takes no new jobs; its jobs end or move. */
-  DRAINING = 2,
-  /** Is being rebooted or repaired and runs nothing. */
-  IN_MAINTENANCE = 3,
-  /** Has reported after maintenance or loss and is being checked. */
-  RETURNING = 4,
-  /** Has not reported for longer than its lease. */
-  LOST = 5,
-  /** Reports, but fails the jobs that it starts. */
-  SET_ASIDE = 6,
-}
-
 /** Who asks for a change of a host's state. */
 enum ChangeCause {
   /** An operator. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/CampaignStep.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/CampaignStep.java
@@ -62,6 +62,14 @@
 		Optional<Command> next(CampaignName campaign, HostName host, Situation situation) {
 			return Optional.empty();
 		}
+	},
+
+	/** Cannot be out for a campaign. */
+	AWAITED {
+		@Override
+		Optional<Command> next(CampaignName campaign, HostName host, Situation situation) {
+			return Optional.empty();
+		}
 	};
 
 	static CampaignStep of(HostState state) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -136,7 +136,7 @@
 		List<HostRecord> left = new ArrayList<>();
 		for (HostRecord host : round.view.hosts()) {
 			boolean open = !done.contains(host.spec().name()) && !round.hostsOut.contains(host.spec().name());
-			if (open && campaign.spec().pools().contains(host.pool())) {
+			if (open && host.state().countsInPool() && campaign.spec().pools().contains(host.pool())) {
 				left.add(host);
 			}
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/model/HostState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/model/HostState.java
@@ -52,6 +52,14 @@
 		public Set<HostState> successors() {
 			return EnumSet.of(RETURNING, DRAINING, LOST);
 		}
+	},
+
+	/** Was added and has not reported since. */
+	AWAITED(false) {
+		@Override
+		public Set<HostState> successors() {
+			return EnumSet.of(RETURNING);
+		}
 	};
 
 	private final boolean takesNewJobs;
@@ -82,4 +90,13 @@
 		return this == IN_SERVICE;
 	}
 
+	/**
+	 * Tells whether a host in this state belongs to the capacity of its pool, whether it
+	 * is in service or out.
+	 * @return {@code false} only for {@link #AWAITED}
+	 */
+	public boolean countsInPool() {
+		return this != AWAITED;
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/operator/OperatorRequest.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/operator/OperatorRequest.java
@@ -25,7 +25,8 @@
 	 *
 	 * @param requestId identifier for resends
 	 * @param expectedVersion version of the object that the operator has seen
-	 * @param command the change, of a kind that operators may ask for
+	 * @param command the change, of a kind that operators may ask for; a host that
+	 * operators add is awaited until its worker reports
 	 */
 	record Change(RequestId requestId, OptionalLong expectedVersion, Command command) implements OperatorRequest {
 
@@ -34,6 +35,7 @@
 				throw new InvalidValueException(
 						"operators cannot ask for %s here".formatted(command.getClass().getSimpleName()));
 			}
+			command = (command instanceof ConfigurationCommand.AddHost add) ? add.awaited() : command;
 		}
 
 		/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostStateRule.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostStateRule.java
@@ -59,6 +59,14 @@
 			}
 			return observation.mayRetry() ? Optional.of(HostState.RETURNING) : Optional.empty();
 		}
+	},
+
+	/** Cannot be lost, because it has not been there yet. */
+	AWAITED {
+		@Override
+		Optional<HostState> next(Observation observation) {
+			return observation.live() ? Optional.of(HostState.RETURNING) : Optional.empty();
+		}
 	};
 
 	static HostStateRule of(HostState state) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
@@ -94,7 +94,7 @@
 		Map<PoolName, PoolCount> counts = new HashMap<>();
 		for (HostRecord host : hosts) {
 			PoolCount count = counts.computeIfAbsent(host.pool(), (pool) -> new PoolCount());
-			count.total++;
+			count.total += host.state().countsInPool() ? 1 : 0;
 			count.aside += (host.state() == HostState.SET_ASIDE) ? 1 : 0;
 		}
 		return counts;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/AvailabilityCheck.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/AvailabilityCheck.java
@@ -106,7 +106,11 @@
 
 	private void addHost(HostRecord host) {
 		this.hosts.put(host.spec().name(), host);
-		poolOf(host).ifPresent((pool) -> pool.add(host.spec(), host.state().countsAsAvailable()));
+		// A host that has never reported adds nothing to its pool, and its absence takes
+		// nothing from it.
+		if (host.state().countsInPool()) {
+			poolOf(host).ifPresent((pool) -> pool.add(host.spec(), host.state().countsAsAvailable()));
+		}
 	}
 
 	private void addTeams(Iterable<TeamRecord> teams, Iterable<JobRecord> jobs) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/ChangeCause.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ChangeCause.java
@@ -5,11 +5,11 @@
 /** Who asks for a change of a host's state. */
 public enum ChangeCause {
 
-	/** An operator. */
+	/** An operator. Only a report shows that an awaited host exists. */
 	OPERATOR {
 		@Override
 		public boolean mayCause(HostState from, HostState to) {
-			return true;
+			return from != HostState.AWAITED;
 		}
 	},
 
@@ -17,7 +17,7 @@
 	PLANNER {
 		@Override
 		public boolean mayCause(HostState from, HostState to) {
-			return to != HostState.LOST;
+			return from != HostState.AWAITED && to != HostState.LOST;
 		}
 	},
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/ConfigurationCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ConfigurationCommand.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.state;
 
+import java.util.Optional;
+
 import io.burdockpin.core.model.AvailabilityBudget;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.HostSpec;
@@ -51,8 +53,27 @@
 	 *
 	 * @param host the host
 	 * @param pool the pool it joins
-	 */
-	record AddHost(HostSpec host, PoolName pool) implements ConfigurationCommand {
+	 * @param state its first state; log entries of earlier versions have none and put the
+	 * host in service
+	 */
+	record AddHost(HostSpec host, PoolName pool, Optional<HostState> state) implements ConfigurationCommand {
+
+		/**
+		 * Adds a host that is in service at once, as earlier versions did.
+		 * @param host the host
+		 * @param pool the pool it joins
+		 */
+		public AddHost(HostSpec host, PoolName pool) {
+			this(host, pool, Optional.empty());
+		}
+
+		/**
+		 * Returns a copy whose host serves only after its worker has reported.
+		 * @return the copy
+		 */
+		public AddHost awaited() {
+			return new AddHost(this.host, this.pool, Optional.of(HostState.AWAITED));
+		}
 
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/HostRules.java
@@ -35,7 +35,8 @@
 	private CommandResult add(ConfigurationCommand.AddHost command, Change change) {
 		this.tables.hosts.requireFree(command.host().name(), change);
 		this.tables.pools.require(command.pool());
-		this.tables.hosts.put(new HostRecord(command.host(), command.pool(), HostState.IN_SERVICE, change.index()));
+		HostState state = command.state().orElse(HostState.IN_SERVICE);
+		this.tables.hosts.put(new HostRecord(command.host(), command.pool(), state, change.index()));
 		return change.accepted();
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
@@ -171,6 +171,28 @@
 				apply(new ConfigurationCommand.SetHostState(host(3), HostState.DRAINING, ChangeCause.OPERATOR)));
 	}
 
+	/** Guards against new hosts on paper that loosen or use up the budget of a pool. */
+	@Test
+	void onlyAReportMakesAnAwaitedHostCountInTheBudgetOfADrain() {
+		accept(new ConfigurationCommand.UpdatePool(POOL, new AvailabilityBudget(75, 9, 9), false));
+		for (int number = 5; number <= 8; number++) {
+			accept(new ConfigurationCommand.AddHost(new HostSpec(host(number), new DataCentre("dc-1"),
+					new Rack("rack-" + number), new Resources(1000, 1000, 0)), POOL)
+				.awaited());
+		}
+		accept(drain(1));
+		rejected(ErrorCode.BUDGET_EXCEEDED, apply(drain(2)));
+		Command byHand = new ConfigurationCommand.SetHostState(host(5), HostState.RETURNING, ChangeCause.OPERATOR);
+		rejected(ErrorCode.STATE_CONFLICT, apply(byHand));
+		for (int number = 5; number <= 8; number++) {
+			accept(new ConfigurationCommand.SetHostState(host(number), HostState.RETURNING, ChangeCause.WORKER_REPORT));
+			accept(new ConfigurationCommand.SetHostState(host(number), HostState.IN_SERVICE,
+					ChangeCause.WORKER_REPORT));
+		}
+		accept(drain(2));
+		rejected(ErrorCode.BUDGET_EXCEEDED, apply(drain(3)));
+	}
+
 	@Test
 	void aDrainThatLeavesATeamTooLittleCapacityIsRejected() {
 		accept(new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 1, 2, 4000)));
@@ -233,6 +255,10 @@
 		return new JobSpec(TEAM, POOL, new Resources(1, 1, 0), 1, false, repeatable, Payload.EMPTY);
 	}
 
+	private static Command drain(int number) {
+		return new ConfigurationCommand.SetHostState(host(number), HostState.DRAINING, ChangeCause.OPERATOR);
+	}
+
 	private static HostName host(int number) {
 		return new HostName("worker-" + number);
 	}
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/HostExplanation.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/HostExplanation.java
@@ -63,6 +63,7 @@
 			case RETURNING -> "it has reported again and is checked before it counts as available";
 			case LOST -> "it has not reported for longer than its lease";
 			case SET_ASIDE -> "the jobs that it started failed quickly; repair it, then host check and host return";
+			case AWAITED -> "it was added and its worker has never reported; it counts in no budget until it does";
 		};
 	}
 
@@ -73,7 +74,8 @@
 		if (campaign.hostsDone().contains(host.name())) {
 			lines.add("campaign %s has maintained it".formatted(campaign.name()));
 		}
-		else if (lines.isEmpty() && !campaign.state().ended() && campaign.spec().pools().contains(host.pool())) {
+		else if (lines.isEmpty() && !campaign.state().ended() && host.state().countsInPool()
+				&& campaign.spec().pools().contains(host.pool())) {
 			lines.add("campaign %s has still to maintain it%s".formatted(campaign.name(),
 					(campaign.state() == CampaignState.PAUSED) ? ", but is paused: " + campaign.reason() : ""));
 		}
