--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealFleet.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealFleet.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -92,6 +93,19 @@
 		return this.folder.resolve("data-c" + (number + 1));
 	}
 
+	/**
+	 * Returns the processes.
+	 * @return their numbers by host name, members first
+	 */
+	Map<String, Long> processIds() {
+		Map<String, Long> result = new LinkedHashMap<>();
+		IntStream.rangeClosed(1, MEMBERS)
+			.forEach((number) -> result.put("c" + number, this.members.get(number - 1).processId()));
+		IntStream.rangeClosed(1, ENTRIES)
+			.forEach((number) -> result.put("e" + number, this.entries.get(number - 1).processId()));
+		return result;
+	}
+
 	List<Path> entryEvents() {
 		return IntStream.rangeClosed(1, ENTRIES)
 			.mapToObj((number) -> this.folder.resolve("events-e" + number))
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
@@ -84,6 +84,10 @@
 		}
 	}
 
+	long processId() {
+		return this.process.pid();
+	}
+
 	long processorMillis() {
 		return this.process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
 	}
