Send an unchanged peer status less often and tick the router when due

Cause: an idle entry host sent and received 60 statuses a second without news, published its view of the peers with each of them, and its router ticked 20 times a second.

Ruled out: fewer threads of the default dispatcher.

Change: PeerStatusSender leaves a status out if nothing has changed, no request of the peer was taken since the last one, and less than two fifths of the time have passed after which the peer takes this host for silent. PeerActor publishes its view only if it differs from the last. The router ticks every 50 ms only while a request waits, else when an attachment or a slot in use ends (RunnerTable.nextExpiryMillis), and after a second at the latest.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageTraffic.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageTraffic.java
@@ -142,8 +142,9 @@
 			}
 		}
 		if (isDue(STATUS_MILLIS, 0)) {
-			this.peers.forEach((peer) -> count(this.entryHost, TrafficStream.PEERS, this.peerCodec
-				.encode(new PeerEnvelope(SampleFleet.holder(1), TIMESTAMP, peer.next(this.nowMillis)))));
+			this.peers.forEach((peer) -> peer.next(this.nowMillis)
+				.ifPresent((message) -> count(this.entryHost, TrafficStream.PEERS,
+						this.peerCodec.encode(new PeerEnvelope(SampleFleet.holder(1), TIMESTAMP, message)))));
 		}
 		if (isDue(HEARTBEAT_MILLIS, 0) && this.counting) {
 			this.leader.add(TrafficStream.HEARTBEATS, this.nowMillis, FOLLOWERS * this.sizes.heartbeatBytes());
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/PeerTraffic.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/PeerTraffic.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import io.burdockpin.core.membership.PeerMessage;
@@ -16,6 +17,9 @@
 
 	private static final long SERVICE_MILLIS = 250;
 
+	/** The default of the setting {@code peerSilentMillis}. */
+	private static final long SILENT_MILLIS = 1_000;
+
 	private final int entryNumber;
 
 	private final int queueCount;
@@ -24,7 +28,7 @@
 
 	private final RandomGenerator random;
 
-	private final PeerStatusSender sender = new PeerStatusSender();
+	private final PeerStatusSender sender = new PeerStatusSender(SILENT_MILLIS);
 
 	private final List<QueueStatus> queues = new ArrayList<>();
 
@@ -39,7 +43,7 @@
 	}
 
 	// An active queue has other numbers in every status, a quiet one in every tenth.
-	PeerMessage next(long nowMillis) {
+	Optional<PeerMessage> next(long nowMillis) {
 		for (int queue = 0; queue < this.queueCount; queue++) {
 			boolean active = this.rates.isActive(queue, this.queueCount, nowMillis);
 			if (active || this.random.nextInt(10) == 0) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
 
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.Outcome;
@@ -93,6 +95,19 @@
 		return lost;
 	}
 
+	/**
+	 * Returns when {@link #expire} will next find something, unless announcements and
+	 * attempts change it.
+	 * @return a time in milliseconds since the epoch, or nothing if the table is empty
+	 */
+	public OptionalLong nextExpiryMillis() {
+		LongStream attachmentEnds = this.attachments.values()
+			.stream()
+			.mapToLong((attachment) -> attachment.renewedMillis + this.settings.attachmentMillis());
+		LongStream useEnds = this.usesByAttempt.values().stream().mapToLong(Use::untilMillis);
+		return LongStream.concat(attachmentEnds, useEnds).min();
+	}
+
 	// attempts
 
 	/**
--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -26,24 +27,51 @@
 
 	private final PeerTable table = new PeerTable(SELF, List.of(PEER), 1000);
 
-	private final PeerStatusSender sender = new PeerStatusSender();
+	private final PeerStatusSender sender = new PeerStatusSender(1000);
 
 	@Test
 	void onlyQueuesWithOtherNumbersAreSentAfterTheFirstStatus() {
 		QueueStatus quiet = queue(1, 2, 100);
 		this.sender.next(status(List.of(quiet, queue(2, 2, 100))), 0);
-		PeerStatusChange change = (PeerStatusChange) this.sender.next(status(List.of(quiet, queue(2, 1, 100))), 200);
+		PeerStatusChange change = (PeerStatusChange) next(status(List.of(quiet, queue(2, 1, 100))), 200);
 		Truth.assertThat(change.queues()).containsExactly(queue(2, 1, 100));
-		PeerStatusChange next = (PeerStatusChange) this.sender.next(status(List.of(queue(2, 1, 109))), 400);
+		PeerStatusChange next = (PeerStatusChange) next(status(List.of(queue(2, 1, 109))), 400);
 		Truth.assertThat(next.queues()).isEmpty();
 		Truth.assertThat(next.removed()).containsExactly(quiet.queue());
 	}
 
 	@Test
 	void aNewConnectionBeginsWithAWholeStatus() {
-		Truth.assertThat(this.sender.next(status(List.of(queue(1, 2, 100))), 0)).isInstanceOf(PeerStatus.class);
+		Truth.assertThat(next(status(List.of(queue(1, 2, 100))), 0)).isInstanceOf(PeerStatus.class);
 		this.sender.connected();
-		Truth.assertThat(this.sender.next(status(List.of(queue(1, 2, 100))), 200)).isInstanceOf(PeerStatus.class);
+		Truth.assertThat(next(status(List.of(queue(1, 2, 100))), 200)).isInstanceOf(PeerStatus.class);
+	}
+
+	/** Guards against an idle host that its peers take for silent. */
+	@Test
+	void anUnchangedStatusIsSentOftenEnoughThatThePeerIsNeverTakenForSilent() {
+		int sentCount = 0;
+		this.table.linkChanged(PEER.host(), true);
+		for (long nowMillis = 0; nowMillis < 60_000; nowMillis += 200) {
+			long arrivedMillis = nowMillis;
+			Optional<PeerMessage> message = this.sender.next(status(List.of(queue(1, 2, 100))), nowMillis);
+			sentCount += message.filter((sent) -> receive(sent, arrivedMillis)).isPresent() ? 1 : 0;
+			Truth.assertThat(this.table.view(nowMillis + 200).takingWork()).containsExactly(PEER);
+		}
+		Truth.assertThat(sentCount).isAtMost(150);
+	}
+
+	/** Guards against a leaving host, or one with news, that its peers learn of late. */
+	@Test
+	void aChangeAndAStatusAfterARequestOfThePeerAreNotHeldBack() {
+		List<QueueStatus> queues = List.of(queue(1, 2, 100));
+		next(status(queues), 0);
+		Truth.assertThat(this.sender.next(status(queues), 200)).isEmpty();
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 1, queues), 201);
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, queues), 202);
+		this.sender.requestTaken();
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, queues), 203);
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, List.of()), 204);
 	}
 
 	@Test
@@ -55,6 +83,10 @@
 		Truth.assertThat(heardCount).isGreaterThan(1_000);
 	}
 
+	private PeerMessage next(PeerStatus status, long nowMillis) {
+		return this.sender.next(status, nowMillis).orElseThrow();
+	}
+
 	private int run(RandomGenerator random, long startMillis) {
 		int heardCount = 0;
 		this.table.linkChanged(PEER.host(), true);
@@ -70,11 +102,11 @@
 					queues.add(queue(number, random.nextInt(3), 100));
 				}
 			}
-			PeerMessage message = this.sender.next(status(queues), nowMillis);
+			Optional<PeerMessage> message = this.sender.next(status(queues), nowMillis);
 			int copies = (random.nextInt(20) != 0) ? 1 : 2 * random.nextInt(2);
 			boolean heard = false;
 			for (int copy = 0; copy < copies; copy++) {
-				heard |= receive(message, nowMillis);
+				heard |= message.isPresent() && receive(message.get(), nowMillis);
 			}
 			if (heard) {
 				heardCount++;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.routing;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGeneratorFactory;
 
@@ -28,6 +29,16 @@
 		Truth.assertThat(this.table.expire(3000)).containsExactly(new RunnerName("near"));
 	}
 
+	/** Guards against a router that sleeps past the end of an attachment or a slot. */
+	@Test
+	void theNextExpiryIsTheEarliestEndOfAnAttachmentOrOfASlotInUse() {
+		Truth.assertThat(this.table.nextExpiryMillis().isPresent()).isFalse();
+		announce("near", "dc-1", 1, 0, false, 100);
+		Truth.assertThat(this.table.nextExpiryMillis()).isEqualTo(OptionalLong.of(3100));
+		this.table.begin(QUEUE, 1, Set.of(), 1100, 100);
+		Truth.assertThat(this.table.nextExpiryMillis()).isEqualTo(OptionalLong.of(1300));
+	}
+
 	@Test
 	void aLeavingRunnerGetsNoWorkAtOnce() {
 		announce("near", "dc-1", 1, 0, false, 0);
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -59,6 +59,8 @@
 
 	private final PeerTable table;
 
+	private final long silentMillis;
+
 	private final ActorRef<RouterCommand> router;
 
 	private final ActorRef<ControlCommand> control;
@@ -77,13 +79,16 @@
 
 	private ConfigurationView configuration = ConfigurationView.EMPTY;
 
+	private Optional<PeerView> published = Optional.empty();
+
 	private final MetricRegistry metrics;
 
 	private PeerActor(ActorContext<PeerCommand> context, EntryIdentity identity, EntrySettings settings,
 			ActorRef<RouterCommand> router, ActorRef<ControlCommand> control, MetricRegistry metrics) {
 		super(context);
 		this.identity = identity;
-		this.table = new PeerTable(identity.self(), settings.peerInfos(), settings.timing().peerSilentMillis());
+		this.silentMillis = settings.timing().peerSilentMillis();
+		this.table = new PeerTable(identity.self(), settings.peerInfos(), this.silentMillis);
 		this.router = router;
 		this.control = control;
 		this.metrics = metrics;
@@ -229,7 +234,7 @@
 		HostName host = new HostName(event.link());
 		if (event instanceof LinkEvent.Connected<PeerEnvelope> connected) {
 			this.sessions.put(host, connected.session());
-			this.statusSenders.computeIfAbsent(host, (name) -> new PeerStatusSender()).connected();
+			this.statusSenders.computeIfAbsent(host, (name) -> new PeerStatusSender(this.silentMillis)).connected();
 			this.table.linkChanged(host, true);
 			send(host, new PeerMessage.AskConfiguration(this.configuration.index()));
 			sendUnconfirmedKeys(host);
@@ -267,6 +272,7 @@
 			onStatusChange(sender, change);
 		}
 		else if (message instanceof PeerMessage.ForwardRequest request) {
+			Optional.ofNullable(this.statusSenders.get(sender.host())).ifPresent(PeerStatusSender::requestTaken);
 			this.router.tell(new RouterCommand.TakeForwarded(request, sender,
 					new ForwardReply(getContext().getSelf(), received.session())));
 		}
@@ -314,7 +320,9 @@
 				this.identity.self().httpAddress(), command.status().stopping(), command.status().configurationIndex(),
 				command.status().queues());
 		for (HostName host : this.sessions.keySet()) {
-			send(host, this.statusSenders.get(host).next(status, this.identity.nowMillis()));
+			this.statusSenders.get(host)
+				.next(status, this.identity.nowMillis())
+				.ifPresent((message) -> send(host, message));
 			sendUnconfirmedKeys(host);
 		}
 		return this;
@@ -334,6 +342,7 @@
 
 	private Behavior<PeerCommand> onSubscribe(PeerCommand.Subscribe command) {
 		this.subscribers.add(command.subscriber());
+		this.published.ifPresent(command.subscriber()::tell);
 		return this;
 	}
 
@@ -348,6 +357,10 @@
 
 	private void publish() {
 		PeerView view = this.table.view(this.identity.nowMillis());
+		if (this.published.equals(Optional.of(view))) {
+			return;
+		}
+		this.published = Optional.of(view);
 		this.router.tell(new RouterCommand.PeersChanged(view, getContext().getSelf()));
 		this.subscribers.forEach((subscriber) -> subscriber.tell(view));
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -51,6 +51,7 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 
 /**
  * Admits requests, lets them wait, and gives them slots of attached runners or sends them
@@ -60,11 +61,20 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final Duration TICK = Duration.ofMillis(50);
+	/**
+	 * Period of the ticks while a request waits: its deadline may pass, a peer may be
+	 * drawn for it, and its team may lack tokens.
+	 */
+	private static final long WAITING_TICK_MILLIS = 50;
+
+	/** Period of the ticks when nothing is due earlier. */
+	private static final long IDLE_TICK_MILLIS = 1_000;
 
 	/** Longest request with a margin of a fifth. */
 	private static final int MARGIN_DIVISOR = 5;
 
+	private final TimerScheduler<RouterCommand> timers;
+
 	private final EntryIdentity identity;
 
 	private final EntrySettings settings;
@@ -105,10 +115,13 @@
 
 	private long lastNumber;
 
-	private RouterActor(ActorContext<RouterCommand> context, EntryIdentity identity, EntrySettings settings,
-			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
-			EventRecorder events, MetricRegistry metrics) {
+	private long tickDueMillis = Long.MAX_VALUE;
+
+	private RouterActor(ActorContext<RouterCommand> context, TimerScheduler<RouterCommand> timers,
+			EntryIdentity identity, EntrySettings settings, ActorRef<ControlCommand> control,
+			ActorRef<TokenCommand> tokens, RandomGenerator random, EventRecorder events, MetricRegistry metrics) {
 		super(context);
+		this.timers = timers;
 		this.identity = identity;
 		this.settings = settings;
 		this.control = control;
@@ -134,6 +147,7 @@
 				identity.self().dataCentre(), random);
 		control.tell(new ControlCommand.Subscribe(
 				context.messageAdapter(ConfigurationEvent.class, RouterCommand.ConfigurationHappened::new)));
+		tickWithin(IDLE_TICK_MILLIS);
 	}
 
 	// life cycle
@@ -152,10 +166,8 @@
 	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
 			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
 			EventRecorder events, MetricRegistry metrics) {
-		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
-			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
-			return new RouterActor(context, identity, settings, control, tokens, random, events, metrics);
-		}));
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new RouterActor(context, timers, identity,
+				settings, control, tokens, random, events, metrics)));
 	}
 
 	@Override
@@ -334,6 +346,7 @@
 		}
 		else {
 			dispatch(entry.queue(), waiting);
+			tickWithin(WAITING_TICK_MILLIS);
 		}
 		return this;
 	}
@@ -460,6 +473,7 @@
 		this.idleLimits.attached(runner.name(), attachTo.isPresent());
 		limitIdleConnections();
 		dispatchAll();
+		tickWithin(this.settings.timing().attachmentMillis());
 		return this;
 	}
 
@@ -514,6 +528,7 @@
 		}
 		else {
 			waiting(pending.entry().queue()).putBack(pending.entry());
+			tickWithin(WAITING_TICK_MILLIS);
 		}
 		reportDemand();
 		dispatchAll();
@@ -543,11 +558,29 @@
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
 		reportDemand();
 		dispatchAll();
+		this.tickDueMillis = Long.MAX_VALUE;
+		tickWithin(millisToNextTick(nowMillis));
 		return this;
 	}
 
 	// helpers
 
+	private long millisToNextTick(long nowMillis) {
+		if (this.waiting.values().stream().anyMatch((waiting) -> waiting.queue().length() > 0)) {
+			return WAITING_TICK_MILLIS;
+		}
+		long untilExpiryMillis = this.runners.nextExpiryMillis().orElse(Long.MAX_VALUE) - nowMillis;
+		return Math.max(1, Math.min(IDLE_TICK_MILLIS, untilExpiryMillis));
+	}
+
+	private void tickWithin(long delayMillis) {
+		long dueMillis = this.identity.nowMillis() + delayMillis;
+		if (dueMillis < this.tickDueMillis) {
+			this.tickDueMillis = dueMillis;
+			this.timers.startSingleTimer(RouterCommand.Tick.INSTANCE, Duration.ofMillis(delayMillis));
+		}
+	}
+
 	private void expire(WaitingRequests waiting, long nowMillis) {
 		for (QueuedRequest request : waiting.queue().expire(nowMillis)) {
 			boolean limited = this.tokens.isBlocked(request.team());
