Tick the replicated log and plan placements only when due

Cause: every control member ticked its log each 20 ms and ran a placement round each 250 ms, also a follower and also when nothing had changed.

Ruled out: a longer tick of the scheduler, because heartbeats would be late by up to a tick.

Change: Replica.nextDueMillis states the next heartbeat, election timeout, end of a hand-over, loss of the majority or end of the patience with a pending write, and ReplicaActor sets one timer for it. The replica tells watchers when records or leadership change. PlacementActor starts a round one period after the last when records or reports have changed, at the time stated by PlacementPlanner.nextDueMillis (lapse of a lease, silence of a host, deadline of a drain), and after a second at the latest. PlannerSupervisorTests used a clock that stood still, so its token planner never got past its first 2 s; the clock now moves.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -58,11 +58,6 @@
 
 	private static final Duration RESTART_MAXIMUM = Duration.ofSeconds(10);
 
-	/**
-	 * Ticks in one heartbeat period; a late tick delays a heartbeat by less than that.
-	 */
-	private static final int TICKS_PER_HEARTBEAT = 5;
-
 	private final ControlSettings settings;
 
 	private final LinkTransport transport;
@@ -94,7 +89,7 @@
 				DispatcherSelector.blocking()));
 		this.eventLog = context.spawn(eventLog(identity), "event-log");
 		ReplicaActorSettings actorSettings = new ReplicaActorSettings(settings.cluster(),
-				settings.heartbeatMillis().get() / TICKS_PER_HEARTBEAT, settings.confirmationMillis().get());
+				settings.confirmationMillis().get());
 		context.spawn(
 				ReplicaSupervisor.create(storage, settings.toReplicaSettings(), actorSettings, this.eventLog,
 						this.metrics, clock, random,
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.client.ClientMessage;
 import io.burdockpin.core.client.ClientMessage.WorkerOrder;
 import io.burdockpin.core.client.ClientMessage.WorkerOrders;
@@ -37,7 +38,9 @@
  * Owns the planner and its tables.
  * <p>
  * A round asks the replica for a view, decides, and proposes. The next round starts only
- * after the proposals of the last one have ended, so that nothing is decided twice.
+ * after the proposals of the last one have ended, so that nothing is decided twice. It
+ * follows a round period later if records or reports have changed, at the time that the
+ * planner states, and after a second at the latest.
  */
 public final class PlacementActor extends AbstractBehavior<PlacementActor.Message> {
 
@@ -49,6 +52,17 @@
 	 */
 	private static final long MAXIMUM_VIEW_AGE_MILLIS = 2_000;
 
+	/**
+	 * Longest time between two rounds. Shorter than the age up to which a view is used
+	 * for answers. What depends on time only and is not in
+	 * {@link PlacementPlanner#nextDueMillis} is decided with this delay.
+	 */
+	private static final long LONGEST_ROUND_MILLIS = 1_000;
+
+	private final TimerScheduler<Message> timers;
+
+	private final long roundMillis;
+
 	private final Clock clock;
 
 	private final ReplicaPort replica;
@@ -75,10 +89,16 @@
 
 	private Optional<LeaderView> current = Optional.empty();
 
+	private long startedMillis;
+
+	private long roundDueMillis = Long.MAX_VALUE;
+
 	private PlacementActor(ActorContext<Message> context, TimerScheduler<Message> timers, PlacementSettings settings,
 			Duration roundPeriod, Clock clock, ReplicaPort replica,
 			ActorRef<MaintenanceActor.WorkersObserved> maintenance) {
 		super(context);
+		this.timers = timers;
+		this.roundMillis = roundPeriod.toMillis();
 		this.clock = clock;
 		this.replica = replica;
 		this.maintenance = maintenance;
@@ -89,7 +109,9 @@
 		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
 		this.proposalAdapter = context.messageAdapter(ReplicaPort.ProposalsEnded.class,
 				(ended) -> RoundSignal.PROPOSALS_ENDED);
-		timers.startTimerWithFixedDelay(RoundSignal.ROUND_DUE, roundPeriod);
+		this.startedMillis = clock.millis();
+		replica.watch(context.messageAdapter(ReplicaMessage.RecordsChanged.class, (changed) -> RoundSignal.CHANGED));
+		planSoon();
 	}
 
 	// life cycle
@@ -97,7 +119,7 @@
 	/**
 	 * Creates the behavior.
 	 * @param settings the settings of the planner
-	 * @param roundPeriod time between two rounds
+	 * @param roundPeriod shortest time between the starts of two rounds
 	 * @param clock wall clock of this process
 	 * @param replica the replica of this member
 	 * @param maintenance gets what the worker reports show
@@ -112,6 +134,7 @@
 	@Override
 	public Receive<Message> createReceive() {
 		return newReceiveBuilder().onMessageEquals(RoundSignal.ROUND_DUE, this::onRoundDue)
+			.onMessageEquals(RoundSignal.CHANGED, this::onChanged)
 			.onMessageEquals(RoundSignal.PROPOSALS_ENDED, this::onProposalsEnded)
 			.onMessage(ViewArrived.class, this::onViewArrived)
 			.onMessage(ReportsArrived.class, this::onReportsArrived)
@@ -121,17 +144,43 @@
 	// helpers
 
 	private Behavior<Message> onRoundDue() {
-		if (this.gate.tryStart(this.clock.millis())) {
+		long nowMillis = this.clock.millis();
+		this.roundDueMillis = Long.MAX_VALUE;
+		this.startedMillis = nowMillis;
+		if (this.gate.tryStart(nowMillis)) {
 			this.replica.requestView(this.viewAdapter);
+			planAt(nowMillis + LONGEST_ROUND_MILLIS);
+		}
+		else {
+			planSoon();
 		}
 		return this;
 	}
 
+	private Behavior<Message> onChanged() {
+		planSoon();
+		return this;
+	}
+
+	// A round places a limited number of jobs, so the next one may have work left.
 	private Behavior<Message> onProposalsEnded() {
 		this.gate.end();
+		planSoon();
 		return this;
 	}
 
+	private void planSoon() {
+		planAt(this.startedMillis + this.roundMillis);
+	}
+
+	private void planAt(long dueMillis) {
+		if (dueMillis < this.roundDueMillis) {
+			this.roundDueMillis = dueMillis;
+			this.timers.startSingleTimer(RoundSignal.ROUND_DUE,
+					Duration.ofMillis(Math.max(1, dueMillis - this.clock.millis())));
+		}
+	}
+
 	private Behavior<Message> onViewArrived(ViewArrived arrived) {
 		ReplicaView view = arrived.view();
 		if (!view.leader()) {
@@ -150,6 +199,7 @@
 		PlacementDecision decision = this.planner.plan(view.view(), jobs, nowMillis);
 		proposeRound(decision.commands());
 		passOnSightings();
+		planAt(Math.max(this.startedMillis + this.roundMillis, this.planner.nextDueMillis(view.view(), nowMillis)));
 		return this;
 	}
 
@@ -171,7 +221,7 @@
 	private Behavior<Message> onReportsArrived(ReportsArrived arrived) {
 		long nowMillis = this.clock.millis();
 		this.current.filter((view) -> nowMillis - view.arrivedMillis() <= MAXIMUM_VIEW_AGE_MILLIS)
-			.ifPresent((view) -> answer(arrived, view, nowMillis));
+			.ifPresentOrElse((view) -> answer(arrived, view, nowMillis), this::planSoon);
 		return this;
 	}
 
@@ -195,6 +245,9 @@
 				this.reconciler.seen(heard.report(), heard.seenMillis());
 			}
 		}
+		if (reception.get().workers().stream().anyMatch(HeardWorker::isNews)) {
+			planSoon();
+		}
 		if (!commands.isEmpty()) {
 			this.replica.propose(commands, getContext().getSystem().ignoreRef());
 		}
@@ -230,7 +283,7 @@
 
 	private enum RoundSignal implements Message {
 
-		ROUND_DUE, PROPOSALS_ENDED
+		ROUND_DUE, CHANGED, PROPOSALS_ENDED
 
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/ReplicaGateway.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/ReplicaGateway.java
@@ -66,6 +66,11 @@
 				gateway.tell(new RequestView(replyTo));
 			}
 
+			@Override
+			public void watch(ActorRef<ReplicaMessage.RecordsChanged> watcher) {
+				gateway.tell(new Watch(watcher));
+			}
+
 			@Override
 			public void propose(List<Command> commands, ActorRef<ProposalsEnded> replyTo) {
 				gateway.tell(new Propose(List.copyOf(commands), replyTo));
@@ -77,6 +82,7 @@
 	@Override
 	public Receive<Message> createReceive() {
 		return newReceiveBuilder().onMessage(RequestView.class, this::onRequestView)
+			.onMessage(Watch.class, this::onWatch)
 			.onMessage(Propose.class, this::onPropose)
 			.onMessage(RecordsArrived.class, this::onRecordsArrived)
 			.onMessage(ReplyArrived.class, this::onReplyArrived)
@@ -100,6 +106,11 @@
 		return this;
 	}
 
+	private Behavior<Message> onWatch(Watch request) {
+		this.replica.tell(new ReplicaMessage.Watch(request.watcher()));
+		return this;
+	}
+
 	private Behavior<Message> onPropose(Propose request) {
 		Batch batch = new Batch(request.replyTo(), request.commands().size());
 		for (Command command : request.commands()) {
@@ -155,6 +166,9 @@
 	private record RequestView(ActorRef<ReplicaView> replyTo) implements Message {
 	}
 
+	private record Watch(ActorRef<ReplicaMessage.RecordsChanged> watcher) implements Message {
+	}
+
 	private record Propose(List<Command> commands, ActorRef<ReplicaPort.ProposalsEnded> replyTo) implements Message {
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/ReplicaPort.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/ReplicaPort.java
@@ -2,11 +2,12 @@
 
 import java.util.List;
 
+import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.state.Command;
 import org.apache.pekko.actor.typed.ActorRef;
 
 /**
- * What a planner needs of the replica actor. Both methods only send messages, so they may
+ * What a planner needs of the replica actor. The methods only send messages, so they may
  * be called from any actor.
  */
 public interface ReplicaPort {
@@ -17,6 +18,12 @@
 	 */
 	void requestView(ActorRef<ReplicaView> replyTo);
 
+	/**
+	 * Asks to be told whenever the records or the leadership change.
+	 * @param watcher is told
+	 */
+	void watch(ActorRef<ReplicaMessage.RecordsChanged> watcher);
+
 	/**
 	 * Proposes commands in their order. A command whose fate stays unknown counts as
 	 * ended; the next view shows whether it was applied.
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/PendingProposals.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/PendingProposals.java
@@ -46,6 +46,15 @@
 		this.proposed.clear();
 	}
 
+	/**
+	 * Returns when the next result has waited long enough for its confirmation. All wait
+	 * equally long, so it is the first one.
+	 * @return the time, or {@link Long#MAX_VALUE} if none waits
+	 */
+	long nextDeadlineMillis() {
+		return this.confirming.isEmpty() ? Long.MAX_VALUE : this.confirming.get(0).deadlineMillis();
+	}
+
 	/**
 	 * Answers the results that are confirmed everywhere or have waited long enough.
 	 * @param nowMillis the time
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -4,10 +4,12 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.control.link.MemberLinkCommand;
@@ -59,9 +61,14 @@
 
 	private static final Duration FEED_PERIOD = Duration.ofSeconds(1);
 
+	/** Longest time between two ticks. Nothing is due then; it only bounds a fault. */
+	private static final long LONGEST_TICK_MILLIS = 1_000;
+
 	/** The measures look at all jobs and hosts, so they are taken each 5 s. */
 	private static final int FEEDS_PER_MEASURE = 5;
 
+	private final TimerScheduler<ReplicaMessage> timers;
+
 	private final ReplicaActorSettings settings;
 
 	private final Replica replica;
@@ -90,6 +97,8 @@
 
 	private final List<ActorRef<? super ReplicaMessage.HandedOver>> handOverListeners = new ArrayList<>();
 
+	private final Set<ActorRef<? super ReplicaMessage.RecordsChanged>> watchers = new LinkedHashSet<>();
+
 	private Optional<ActorRef<MemberLinkCommand>> links = Optional.empty();
 
 	private boolean leads;
@@ -100,10 +109,13 @@
 
 	private long feedCount;
 
+	private long tickDueMillis = Long.MAX_VALUE;
+
 	ReplicaActor(ActorContext<ReplicaMessage> context, TimerScheduler<ReplicaMessage> timers,
 			ReplicaActorSettings settings, Replica replica, FleetMachine machine, ActorRef<LogWriter.Command> logWriter,
 			ActorRef<EventLog.Command> eventLog, MetricRegistry metrics, InstantSource clock) {
 		super(context);
+		this.timers = timers;
 		this.settings = settings;
 		this.replica = replica;
 		this.machine = machine;
@@ -112,7 +124,6 @@
 		this.metrics = new ControlMetrics(metrics);
 		this.clock = clock;
 		record(event(EventKind.PROCESS_STARTED));
-		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
 		timers.startTimerWithFixedDelay(ReplicaMessage.Timer.FEED, FEED_PERIOD);
 		runEffects();
 	}
@@ -129,6 +140,7 @@
 			.onMessage(ReplicaMessage.ClientLeft.class, this::onClientLeft)
 			.onMessage(ReplicaMessage.Propose.class, this::onPropose)
 			.onMessage(ReplicaMessage.FetchRecords.class, this::onFetchRecords)
+			.onMessage(ReplicaMessage.Watch.class, this::onWatch)
 			.onMessage(ReplicaMessage.FetchStatus.class, this::onFetchStatus)
 			.onMessage(ReplicaMessage.AttachLinks.class, this::onAttachLinks)
 			.onMessage(ReplicaMessage.HandOver.class, this::onHandOver)
@@ -136,9 +148,10 @@
 	}
 
 	private Behavior<ReplicaMessage> onTick() {
+		this.tickDueMillis = Long.MAX_VALUE;
+		settleConfirmations();
 		this.replica.tick(nowMillis());
 		runEffects();
-		settleConfirmations();
 		reportDisk();
 		return this;
 	}
@@ -158,6 +171,7 @@
 	private Behavior<ReplicaMessage> onWritten(ReplicaMessage.Written written) {
 		this.replica.written(written.number(), nowMillis());
 		runEffects();
+		reportDisk();
 		return this;
 	}
 
@@ -363,6 +377,18 @@
 			effects.forEach(this::run);
 			effects = this.replica.drainEffects();
 		}
+		tickWhenDue();
+	}
+
+	private void tickWhenDue() {
+		long nowMillis = nowMillis();
+		long dueMillis = Math.min(nowMillis + LONGEST_TICK_MILLIS,
+				Math.min(this.replica.nextDueMillis(nowMillis), this.proposals.nextDeadlineMillis()));
+		if (dueMillis < this.tickDueMillis) {
+			this.tickDueMillis = dueMillis;
+			this.timers.startSingleTimer(ReplicaMessage.Timer.TICK,
+					Duration.ofMillis(Math.max(1, dueMillis - nowMillis)));
+		}
 	}
 
 	private void run(Effect effect) {
@@ -387,9 +413,11 @@
 		if (effect instanceof Effect.Apply apply) {
 			apply.entries().forEach(this::apply);
 			takeSnapshotIfDue();
+			tellWatchers();
 		}
 		else if (effect instanceof Effect.Restore restore) {
 			restore(restore.snapshot());
+			tellWatchers();
 		}
 		else if (effect instanceof Effect.ReadConfirmed read) {
 			finishRead(read.readNumber(), true);
@@ -469,6 +497,7 @@
 		}
 		this.leads = leadsNow;
 		tellHandedOver();
+		tellWatchers();
 	}
 
 	private void onMembershipChanged(Membership membership) {
@@ -483,8 +512,18 @@
 		}
 	}
 
+	private void tellWatchers() {
+		this.watchers.forEach((watcher) -> watcher.tell(ReplicaMessage.RecordsChanged.INSTANCE));
+	}
+
 	// status
 
+	private Behavior<ReplicaMessage> onWatch(ReplicaMessage.Watch command) {
+		this.watchers.add(command.watcher());
+		command.watcher().tell(ReplicaMessage.RecordsChanged.INSTANCE);
+		return this;
+	}
+
 	private Behavior<ReplicaMessage> onFetchRecords(ReplicaMessage.FetchRecords command) {
 		this.replica.tick(nowMillis());
 		runEffects();
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActorSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActorSettings.java
@@ -4,10 +4,9 @@
  * Settings of the replica actor. Immutable.
  *
  * @param cluster the cluster; messages of other clusters are dropped
- * @param tickMillis how often time passes for the replicated log
  * @param confirmationMillis how long a reply waits for the confirmation of the entry
  * hosts
  */
-public record ReplicaActorSettings(String cluster, long tickMillis, long confirmationMillis) {
+public record ReplicaActorSettings(String cluster, long confirmationMillis) {
 
 }
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaMessage.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaMessage.java
@@ -89,6 +89,15 @@
 
 	}
 
+	/**
+	 * Asks to be told whenever the records or the leadership change.
+	 *
+	 * @param watcher is told; a second request of the same one changes nothing
+	 */
+	record Watch(ActorRef<? super RecordsChanged> watcher) implements ReplicaMessage {
+
+	}
+
 	/**
 	 * Asks where this member stands.
 	 *
@@ -107,6 +116,14 @@
 
 	}
 
+	/** Entries were applied, or this member leads or follows now. */
+	enum RecordsChanged {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
 	/** This member does not lead any more. */
 	enum HandedOver {
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/FakeReplica.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/FakeReplica.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.burdockpin.control.replica.ReplicaMessage;
 import io.burdockpin.core.model.AvailabilityBudget;
 import io.burdockpin.core.model.CampaignName;
 import io.burdockpin.core.model.CampaignSpec;
@@ -50,6 +51,8 @@
 
 	private final TestProbe<Request> requests;
 
+	private volatile Optional<ActorRef<ReplicaMessage.RecordsChanged>> watcher = Optional.empty();
+
 	private boolean leader = true;
 
 	private long term = 1;
@@ -67,6 +70,11 @@
 		this.requests.getRef().tell(new ViewRequest(replyTo));
 	}
 
+	@Override
+	public void watch(ActorRef<ReplicaMessage.RecordsChanged> watcher) {
+		this.watcher = Optional.of(watcher);
+	}
+
 	@Override
 	public void propose(List<Command> commands, ActorRef<ProposalsEnded> replyTo) {
 		this.requests.getRef().tell(new ProposalRequest(commands, replyTo));
@@ -89,6 +97,11 @@
 		return request.commands();
 	}
 
+	/** Tells the watcher that the records have changed. */
+	void tellChanged() {
+		this.watcher.orElseThrow().tell(ReplicaMessage.RecordsChanged.INSTANCE);
+	}
+
 	JobState jobState() {
 		return this.job.state();
 	}
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
@@ -87,6 +87,29 @@
 		this.requests.expectNoMessage(Duration.ZERO);
 	}
 
+	/**
+	 * Guards against planning four times a second for a fleet in which nothing happens.
+	 */
+	@Test
+	void withoutAChangeTheNextRoundFollowsAfterASecond() {
+		this.replica.follow();
+		runRound();
+		this.time.expectNoMessageFor(PERIOD.multipliedBy(3), this.requests);
+		runRound();
+	}
+
+	/**
+	 * Guards against a decision that waits for the slow round although records changed.
+	 */
+	@Test
+	void aChangeOfTheRecordsStartsARoundOnePeriodAfterTheLast() {
+		this.replica.follow();
+		runRound();
+		this.replica.tellChanged();
+		this.time.expectNoMessageFor(PERIOD.dividedBy(2), this.requests);
+		runRound();
+	}
+
 	private void runRound() {
 		this.time.timePasses(PERIOD);
 		this.replica.answerView();
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
@@ -3,8 +3,10 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.ZoneId;
 import java.time.ZoneOffset;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.control.link.PlannerReport;
@@ -22,7 +24,9 @@
 import io.burdockpin.core.state.ConfigurationSnapshot;
 import io.burdockpin.core.state.JobRecord;
 import io.burdockpin.runtime.event.EventLog;
+import org.apache.pekko.actor.testkit.typed.FishingOutcome;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.FishingOutcomes;
 import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -38,6 +42,9 @@
 
 	private static final Duration LONGEST_WAIT = Duration.ofSeconds(20);
 
+	/** A token planner answers nothing in its first 2 s. */
+	private static final long SETTLE_MILLIS = 2_000;
+
 	private static final Duration POLL = Duration.ofMillis(200);
 
 	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
@@ -48,8 +55,10 @@
 
 	private final TestProbe<ClientMessage> entryHost = this.testKit.createTestProbe();
 
+	private final SteppedClock clock = new SteppedClock();
+
 	private final ActorRef<PlannerReport> supervisor = this.testKit
-		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC),
+		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, this.clock,
 				this.replica.getRef(), this.testKit.<EventLog.Command>createTestProbe().getRef()));
 
 	private long generation;
@@ -99,7 +108,7 @@
 			// The failure may not have reached the supervisor yet.
 			this.time.timePasses(RESTART);
 			report(new TokenReport(2, ENTRY_HOST, 2, 0, 0, List.of()));
-			return this.replica.receiveMessage(POLL);
+			return this.replica.fishForMessage(POLL, PlannerSupervisorTests::skipWatch).get(0);
 		});
 	}
 
@@ -108,12 +117,43 @@
 	}
 
 	private void answerRecords(List<JobRecord> jobs) {
-		ReplicaMessage.FetchRecords request = this.replica.expectMessageClass(ReplicaMessage.FetchRecords.class);
+		List<ReplicaMessage> next = this.replica.fishForMessage(LONGEST_WAIT, PlannerSupervisorTests::skipWatch);
+		ReplicaMessage.FetchRecords request = (ReplicaMessage.FetchRecords) next.get(0);
+		// The first request shows that the token planner has read its start time.
+		this.clock.nowMillis.set(SETTLE_MILLIS);
 		ConfigurationSnapshot configuration = new ConfigurationSnapshot(1, List.of(), List.of(), List.of(), List.of(),
 				List.of());
 		request.replyTo().tell(new FleetRecords(true, 1, 1, configuration, List.of(), List.of(), jobs, List.of()));
 	}
 
+	// The placement planner asks once to be told of changes; the time of it is not fixed.
+	private static FishingOutcome skipWatch(ReplicaMessage message) {
+		return (message instanceof ReplicaMessage.Watch) ? FishingOutcomes.continueAndIgnore()
+				: FishingOutcomes.complete();
+	}
+
+	/** A clock that stands still until the test sets it. */
+	private static final class SteppedClock extends Clock {
+
+		private final AtomicLong nowMillis = new AtomicLong();
+
+		@Override
+		public Instant instant() {
+			return Instant.ofEpochMilli(this.nowMillis.get());
+		}
+
+		@Override
+		public ZoneId getZone() {
+			return ZoneOffset.UTC;
+		}
+
+		@Override
+		public Clock withZone(ZoneId zone) {
+			return this;
+		}
+
+	}
+
 	/** Fails when it is read. */
 	private static final class FailingList extends java.util.AbstractList<JobRecord> {
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
@@ -213,7 +213,7 @@
 		FleetMachine machine = new FleetMachine(new ThriftProposalCodec(), new ThriftFleetSnapshotCodec());
 		this.actor = BehaviorTestKit
 			.create(Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new ReplicaActor(context, timers,
-					new ReplicaActorSettings("test", 25, 2000), replica, machine, this.logWriter.getRef(),
+					new ReplicaActorSettings("test", 2000), replica, machine, this.logWriter.getRef(),
 					this.eventLog.getRef(), new MetricRegistry(), () -> Instant.ofEpochMilli(this.nowMillis)))));
 	}
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaSupervisorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaSupervisorTests.java
@@ -85,9 +85,9 @@
 
 	private void spawn(MemberStorage storage, ActorRef<ReplicaSupervisor.Report> owner) {
 		ActorRef<EventLog.Command> eventLog = this.testKit.<EventLog.Command>createTestProbe().getRef();
-		this.testKit.spawn(
-				ReplicaSupervisor.create(storage, ReplicaSettings.DEFAULT, new ReplicaActorSettings("test", 25, 2000),
-						eventLog, new MetricRegistry(), Clock.systemUTC(), new Random(1), owner));
+		this.testKit
+			.spawn(ReplicaSupervisor.create(storage, ReplicaSettings.DEFAULT, new ReplicaActorSettings("test", 2000),
+					eventLog, new MetricRegistry(), Clock.systemUTC(), new Random(1), owner));
 	}
 
 	private static MemberStorage storage(DiskFiles files) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -79,6 +79,19 @@
 		return this.log.membership().isMajority((id) -> contactMillis(id, nowMillis) >= oldestMillis);
 	}
 
+	/**
+	 * Returns when the next heartbeat, the end of a hand-over or the loss of the majority
+	 * is due.
+	 * @param nowMillis the time
+	 * @return the earliest of these times
+	 */
+	long nextDueMillis(long nowMillis) {
+		long contactMillis = this.log.membership().majorityValue((id) -> contactMillis(id, nowMillis));
+		long lossMillis = Math.max(contactMillis, 0) + this.settings.electionTimeoutMaximumMillis() + 1;
+		long transferMillis = this.transfer.map(Transfer::deadlineMillis).orElse(Long.MAX_VALUE);
+		return Math.min(this.nextHeartbeatMillis, Math.min(lossMillis, transferMillis));
+	}
+
 	Optional<FollowerProgress> progress(MemberId id) {
 		return Optional.ofNullable(this.progresses.get(id));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -133,6 +133,18 @@
 		return this.writes.isHanging(this.outbox.syncedNumber(), nowMillis);
 	}
 
+	/**
+	 * Returns when {@link #tick} has to be called, unless an event changes it before.
+	 * @param nowMillis the time
+	 * @return a time of the monotonic clock; may have passed already
+	 */
+	public long nextDueMillis(long nowMillis) {
+		long roleDueMillis = this.leadership.map((leading) -> leading.nextDueMillis(nowMillis))
+			.orElse(this.electionDeadlineMillis);
+		return Math.min(roleDueMillis,
+				this.writes.nextDueMillis(this.outbox.issuedNumber(), this.outbox.syncedNumber(), nowMillis));
+	}
+
 	/**
 	 * Tells whether enough entries were committed since the last snapshot.
 	 * @return whether the owner should call {@link #compact}
@@ -145,7 +157,8 @@
 	// events
 
 	/**
-	 * Takes note of the time. Called at least twice in each heartbeat period.
+	 * Takes note of the time. Called when {@link #nextDueMillis} says so; further calls
+	 * do no harm.
 	 * @param nowMillis the time
 	 */
 	public void tick(long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/WriteWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/WriteWatch.java
@@ -31,6 +31,21 @@
 		}
 	}
 
+	/**
+	 * Returns when the pending write will have been pending for too long.
+	 * @param issuedNumber number of the newest write
+	 * @param syncedNumber number of the newest synced write
+	 * @param nowMillis the time
+	 * @return the time, or {@link Long#MAX_VALUE} if nothing is pending or the disk hangs
+	 * already
+	 */
+	long nextDueMillis(long issuedNumber, long syncedNumber, long nowMillis) {
+		if (syncedNumber >= issuedNumber || isHanging(syncedNumber, nowMillis)) {
+			return Long.MAX_VALUE;
+		}
+		return ((syncedNumber < this.watchedNumber) ? this.sinceMillis : nowMillis) + this.limitMillis;
+	}
+
 	/**
 	 * Tells whether the disk hangs.
 	 * @param syncedNumber number of the newest synced write
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/HostWatch.java
@@ -66,6 +66,20 @@
 		return commands;
 	}
 
+	// access
+
+	/**
+	 * Returns when a host counts as silent unless it reports.
+	 * @param name a host of the last round
+	 * @return the time
+	 */
+	long silentMillis(HostName name) {
+		long heardMillis = this.workers.lastOf(name)
+			.map(WorkerTable.Sighting::reportedMillis)
+			.orElseGet(() -> this.firstSeenMillis.get(name));
+		return heardMillis + this.settings.lapseMillis();
+	}
+
 	// helpers
 
 	private Optional<HostState> nextState(HostRecord host, PoolCount pool, long nowMillis) {
@@ -84,10 +98,7 @@
 	}
 
 	private boolean isSilent(HostName name, long nowMillis) {
-		long heardMillis = this.workers.lastOf(name)
-			.map(WorkerTable.Sighting::reportedMillis)
-			.orElseGet(() -> this.firstSeenMillis.get(name));
-		return nowMillis - heardMillis >= this.settings.lapseMillis();
+		return nowMillis >= silentMillis(name);
 	}
 
 	private static Map<PoolName, PoolCount> countPools(List<HostRecord> hosts) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/JobLeases.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/JobLeases.java
@@ -85,6 +85,17 @@
 		return job.spec().repeatable() && periodHasPassed(job, nowMillis);
 	}
 
+	/**
+	 * Returns when {@link #hasLapsed} will hold for a job unless its lease is renewed.
+	 * @param job a job that holds capacity
+	 * @return the time, or {@link Long#MAX_VALUE} if it will not
+	 */
+	long lapseMillis(JobRecord job) {
+		Renewal known = this.renewals.get(job.id());
+		boolean lapses = job.spec().repeatable() && known != null && known.leaseEpoch == job.leaseEpoch();
+		return lapses ? known.renewedMillis + this.settings.lapseMillis() : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Tells whether the lease and the margin have passed since the last renewal.
 	 * @param job a job that holds capacity
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/PlacementPlanner.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.stream.LongStream;
 
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.state.DrainRecord;
 import io.burdockpin.core.state.JobCommand;
 import io.burdockpin.core.state.JobRecord;
 
@@ -93,6 +95,31 @@
 		return round.toDecision();
 	}
 
+	/**
+	 * Returns when a decision is due that no change leads to: a lease lapses, a host
+	 * counts as silent or a drain reaches its deadline.
+	 * @param view the records of the last round
+	 * @param nowMillis the time of the last round
+	 * @return the earliest time after it, or {@link Long#MAX_VALUE} if there is none
+	 */
+	public long nextDueMillis(FleetView view, long nowMillis) {
+		LongStream lapses = view.jobs()
+			.stream()
+			.filter((job) -> job.state().holdsCapacity())
+			.mapToLong(this.tables.leases()::lapseMillis);
+		LongStream silences = view.hosts()
+			.stream()
+			.mapToLong((host) -> this.tables.hostWatch().silentMillis(host.spec().name()));
+		LongStream deadlines = view.campaigns()
+			.stream()
+			.flatMap((campaign) -> campaign.hostsOut().stream())
+			.mapToLong(DrainRecord::drainDeadlineMillis);
+		return LongStream.concat(lapses, LongStream.concat(silences, deadlines))
+			.filter((dueMillis) -> dueMillis > nowMillis)
+			.min()
+			.orElse(Long.MAX_VALUE);
+	}
+
 	// helpers
 
 	private static Set<HostName> hostsOut(FleetView view) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/report/HeardWorker.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/report/HeardWorker.java
@@ -14,6 +14,14 @@
  */
 public record HeardWorker(WorkerReport report, long seenMillis, Mention mention, boolean answerDue) {
 
+	/**
+	 * Tells whether the worker reported something else than before.
+	 * @return whether a planner may decide otherwise now
+	 */
+	public boolean isNews() {
+		return this.mention == Mention.REPORTED;
+	}
+
 	/**
 	 * Tells whether an order says more than the answer to the batch implies.
 	 * @param order the order for this worker
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -300,6 +300,46 @@
 		Truth.assertThat(replica.status().role()).isEqualTo(Role.CANDIDATE);
 	}
 
+	/** Guards against a leader that is ticked too late for its heartbeats. */
+	@Test
+	void theNextHeartbeatOfALeaderIsDueOneHeartbeatPeriodAfterTheLast() {
+		Replica single = singleVoter();
+		Truth.assertThat(single.nextDueMillis(3000)).isEqualTo(3000 + FakeCluster.SETTINGS.heartbeatMillis());
+		single.tick(3500);
+		Truth.assertThat(single.nextDueMillis(3500)).isEqualTo(3500 + FakeCluster.SETTINGS.heartbeatMillis());
+	}
+
+	/** Guards against a follower that sleeps past the end of its election timeout. */
+	@Test
+	void aFollowerThatIsTickedOnlyWhenItSaysSoStandsForElectionInTime() {
+		Replica replica = new Replica(FakeCluster.SETTINGS, durable(List.of(SELF, OTHER)), new Random(1), 0);
+		long dueMillis = replica.nextDueMillis(0);
+		Truth.assertThat(dueMillis).isAtLeast(FakeCluster.SETTINGS.electionTimeoutMinimumMillis());
+		Truth.assertThat(dueMillis).isAtMost(FakeCluster.SETTINGS.electionTimeoutMaximumMillis());
+		replica.tick(dueMillis - 1);
+		Truth.assertThat(replica.status().role()).isEqualTo(Role.FOLLOWER);
+		replica.tick(dueMillis);
+		Truth.assertThat(replica.status().role()).isEqualTo(Role.PRE_CANDIDATE);
+		Truth.assertThat(replica.nextDueMillis(dueMillis)).isGreaterThan(dueMillis);
+	}
+
+	/**
+	 * Guards against a hanging disk that is noticed late, and against ticks without end.
+	 */
+	@Test
+	void aPendingWriteIsDueWhenItHasHungForTooLongAndNotAgainAfterThat() {
+		Replica replica = new Replica(FakeCluster.SETTINGS, durable(List.of(SELF, OTHER)), new Random(1), 0);
+		replica.receive(envelope(OTHER, SELF, new ConsensusMessage.VoteRequest(5, false, true, 10, 4)), 2000);
+		long hangsMillis = 2000 + FakeCluster.SETTINGS.hangingWriteMillis();
+		for (long nowMillis = 2000; nowMillis < hangsMillis; nowMillis = replica.nextDueMillis(nowMillis)) {
+			replica.tick(nowMillis);
+			Truth.assertThat(replica.nextDueMillis(nowMillis)).isAtMost(hangsMillis);
+		}
+		replica.tick(hangsMillis);
+		Truth.assertThat(replica.isDiskHanging(hangsMillis)).isTrue();
+		Truth.assertThat(replica.nextDueMillis(hangsMillis)).isGreaterThan(hangsMillis);
+	}
+
 	private FakeMember elected() {
 		this.cluster.runFor(3000);
 		return this.cluster.leader().orElseThrow();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/placement/PlacementPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/placement/PlacementPlannerTests.java
@@ -103,6 +103,24 @@
 			.containsExactly(repeatable.id());
 	}
 
+	/** Guards against a lapsed lease or a silent host that waits for the slow round. */
+	@Test
+	void theNextDecisionIsDueAtTheFirstLapseOfALeaseOrSilenceOfAHost() {
+		long lapseMillis = PlacementSettings.DEFAULT.leases().lapseMillis();
+		JobRecord job = Records.on(1, "j-1", Records.spec("team-1", 1, false, true), JobState.RUNNING);
+		FleetView view = new FleetView(List.of(Records.pool(80, 2)), List.of(Records.host(1, HostState.IN_SERVICE)),
+				ONE_TEAM, List.of(job), List.of(), List.of());
+		this.tables.workers().observe(Records.report(1, "boot-1"), 100);
+		this.planner.plan(view, JobIndex.of(List.of(job)), 150);
+		Truth.assertThat(this.planner.nextDueMillis(view, 150)).isEqualTo(100 + lapseMillis);
+		this.tables.workers().observe(Records.report(1, "boot-1"), 5_000);
+		long dueMillis = this.planner.nextDueMillis(view, 5_000);
+		Truth.assertThat(dueMillis).isEqualTo(150 + lapseMillis);
+		Truth.assertThat(this.planner.plan(view, JobIndex.of(List.of(job)), dueMillis - 1).commands()).isEmpty();
+		Truth.assertThat(this.planner.plan(view, JobIndex.of(List.of(job)), dueMillis).commands())
+			.contains(new JobCommand.InterruptJob(job.id(), job.leaseEpoch(), false, job.checkpoint()));
+	}
+
 	@Test
 	void aWorkerThatFailsThreeDifferentJobsQuicklyIsSetAside() {
 		List<JobRecord> jobs = new ArrayList<>();
