--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
@@ -58,8 +58,8 @@
 	private final SteppedClock clock = new SteppedClock();
 
 	private final ActorRef<PlannerReport> supervisor = this.testKit
-		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, this.clock,
-				this.replica.getRef(), this.testKit.<EventLog.Command>createTestProbe().getRef()));
+		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, this.clock, this.replica.getRef(),
+				this.testKit.<EventLog.Command>createTestProbe().getRef()));
 
 	private long generation;
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -51,6 +51,7 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.StashBuffer;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 
 /**
@@ -63,12 +64,15 @@
 
 	/**
 	 * Period of the ticks while a request waits: its deadline may pass, a peer may be
-	 * drawn for it, and its team may lack tokens.
+	 * drawn for it, its team may lack tokens, and its acceptance has to be recorded.
 	 */
 	private static final long WAITING_TICK_MILLIS = 50;
 
-	/** Period of the ticks when nothing is due earlier. */
-	private static final long IDLE_TICK_MILLIS = 1_000;
+	/**
+	 * Period of the ticks when nothing is due earlier. The gate takes a gap of 2 s for a
+	 * pause of the process.
+	 */
+	private static final long IDLE_TICK_MILLIS = 500;
 
 	/** Longest request with a margin of a fifth. */
 	private static final int MARGIN_DIVISOR = 5;
@@ -81,6 +85,8 @@
 
 	private final ActorRef<ControlCommand> control;
 
+	private final ConfirmationGate gate;
+
 	private final AttemptTokens tokens;
 
 	private final RandomGenerator random;
@@ -118,8 +124,9 @@
 	private long tickDueMillis = Long.MAX_VALUE;
 
 	private RouterActor(ActorContext<RouterCommand> context, TimerScheduler<RouterCommand> timers,
-			EntryIdentity identity, EntrySettings settings, ActorRef<ControlCommand> control,
-			ActorRef<TokenCommand> tokens, RandomGenerator random, EventRecorder events, MetricRegistry metrics) {
+			StashBuffer<RouterCommand> unconfirmed, EntryIdentity identity, EntrySettings settings,
+			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
+			EventRecorder events, MetricRegistry metrics) {
 		super(context);
 		this.timers = timers;
 		this.identity = identity;
@@ -132,6 +139,7 @@
 		this.requestEvents = new RequestEvents(events, settings.requestEvents());
 		this.metrics = metrics;
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
+		this.gate = new ConfirmationGate(unconfirmed, identity, control);
 		long longestMillis = settings.limits().timeoutMillis();
 		RunnerConnector connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis),
 				settings.limits().answerBytes());
@@ -166,8 +174,9 @@
 	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
 			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
 			EventRecorder events, MetricRegistry metrics) {
-		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new RouterActor(context, timers, identity,
-				settings, control, tokens, random, events, metrics)));
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> Behaviors.withStash(ConfirmationGate.CAPACITY, (stash) -> new RouterActor(context,
+					timers, stash, identity, settings, control, tokens, random, events, metrics))));
 	}
 
 	@Override
@@ -218,12 +227,19 @@
 			command.replyTo().tell(FinalAnswer.Refused.of(ErrorCode.STOPPING, "this entry host is stopping"));
 			return this;
 		}
+		ConfirmationGate.Passage passage = this.gate.pass(command);
+		if (passage == ConfirmationGate.Passage.FULL) {
+			command.replyTo().tell(FinalAnswer.Refused.of(ErrorCode.KEY_UNVERIFIED, ConfirmationGate.REASON));
+		}
+		if (passage != ConfirmationGate.Passage.OPEN) {
+			return this;
+		}
 		CallerRequest request = command.request();
 		WaitingRequests waiting = waiting(request.facts().queue());
 		AdmissionResult result = this.admission.check(request.facts(), waiting.queue()::isFull,
 				this.identity.nowMillis());
 		if (result instanceof AdmissionResult.Admitted admitted) {
-			accept(request, admitted, command.replyTo());
+			accept(request, admitted, command);
 		}
 		else if (result instanceof AdmissionResult.Refused refused) {
 			this.requestEvents.refused(request.facts(), request.requestId(), refused.code());
@@ -232,7 +248,8 @@
 		return this;
 	}
 
-	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, ActorRef<FinalAnswer> replyTo) {
+	private void accept(CallerRequest request, AdmissionResult.Admitted admitted, RouterCommand.Submit command) {
+		ActorRef<FinalAnswer> replyTo = command.replyTo();
 		RequestKey key = new RequestKey(admitted.team(), request.requestId());
 		Optional<Running> running = this.openRequests.running(key);
 		if (running.isPresent() && !request.facts().repeatable()) {
@@ -241,7 +258,7 @@
 			return;
 		}
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, admitted.team(), admitted.weight(),
-				admitted.deadlineMillis());
+				Math.min(admitted.deadlineMillis(), command.receivedMillis() + request.facts().timeoutMillis()));
 		RequestContext context = new RequestContext(request, this.identity, this.settings.limits(),
 				this.settings.timing().proposalMillis(), getContext().getSelf(), this.control);
 		ActorRef<RequestActor.Message> actor = getContext().spawn(RequestActor.create(context, queued, replyTo),
@@ -255,6 +272,7 @@
 		this.openRequests.addCaller(new Running(queued.number(), actor), replyTo);
 		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
 		this.requestEvents.accepted(queued.number(), request.facts(), request.requestId(), admitted.team());
+		tickWithin(WAITING_TICK_MILLIS);
 	}
 
 	private Behavior<RouterCommand> onCallerGone(RouterCommand.CallerGone command) {
@@ -271,7 +289,12 @@
 	}
 
 	private Behavior<RouterCommand> onCheckKey(RouterCommand.CheckKey command) {
-		command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
+		switch (this.gate.pass(command)) {
+			case OPEN -> command.replyTo().tell(this.admission.checkKey(command.keyHash(), this.identity.nowMillis()));
+			case FULL ->
+				command.replyTo().tell(new AdmissionResult.Refused(ErrorCode.KEY_UNVERIFIED, ConfirmationGate.REASON));
+			case HELD -> logger.atFine().log("A key check waits for the configuration.");
+		}
 		return this;
 	}
 
@@ -299,8 +322,8 @@
 			logger.atFine().log("Dropped a second copy of forwarded attempt %d.", command.request().attempt());
 			return this;
 		}
-		long deadlineMillis = this.identity.nowMillis()
-				+ Math.min(command.request().remainingMillis(), this.settings.limits().timeoutMillis());
+		long deadlineMillis = command.request()
+			.deadlineMillis(this.identity.nowMillis(), this.settings.limits().timeoutMillis());
 		QueuedRequest queued = new QueuedRequest(++this.lastNumber, command.request().team(),
 				this.admission.weightOf(command.request().team()), deadlineMillis);
 		this.openRequests.addForwarded(queued.number(), key);
@@ -352,7 +375,7 @@
 	}
 
 	private Behavior<RouterCommand> onAttemptEnded(RouterCommand.AttemptEnded command) {
-		this.requestEvents.attemptEnded(command.attempt(), command.outcome());
+		this.requestEvents.attemptEnded(command.attempt(), command.outcome(), command.answer());
 		this.runners.queueOf(command.attempt())
 			.ifPresent((queue) -> this.metrics.increment(Metric.ATTEMPTS, queue.value(), command.outcome().name()));
 		this.runners.end(command.attempt(), command.outcome(), command.verdict(), this.identity.nowMillis());
@@ -398,7 +421,8 @@
 		}
 		Optional<Runner> runner = this.runners.begin(entry.queue(), attempt, avoidedRunners,
 				entry.request().deadlineMillis(), this.identity.nowMillis());
-		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found, this.connections));
+		Optional<Dispatch> dispatch = runner.map((found) -> new Dispatch.ToRunner(attempt, found,
+				this.runners.deadlineAt(found.name(), entry.request().deadlineMillis()), this.connections));
 		send(entry, attempt, dispatch.or(() -> forward(entry, attempt)));
 	}
 
@@ -492,6 +516,9 @@
 			this.events.record(this.events.event(EventKind.CONFIGURATION_APPLIED)
 				.with(EventField.INDEX, inForce.configuration().index()));
 		}
+		else if (event instanceof ConfigurationEvent.Confirmed confirmed) {
+			return this.gate.confirmed(confirmed.pause(), this);
+		}
 		else {
 			this.admission.majorityHeard(this.identity.nowMillis());
 		}
@@ -548,6 +575,7 @@
 	}
 
 	private Behavior<RouterCommand> onTick() {
+		this.gate.noticePause();
 		long nowMillis = this.identity.nowMillis();
 		for (RunnerName lost : this.runners.expire(nowMillis)) {
 			logger.atInfo().log("Runner %s is no longer attached.", lost);
@@ -558,6 +586,7 @@
 		this.waiting.values().forEach((waiting) -> expire(waiting, nowMillis));
 		reportDemand();
 		dispatchAll();
+		this.requestEvents.writeWaiting();
 		this.tickDueMillis = Long.MAX_VALUE;
 		tickWithin(millisToNextTick(nowMillis));
 		return this;
@@ -566,7 +595,8 @@
 	// helpers
 
 	private long millisToNextTick(long nowMillis) {
-		if (this.waiting.values().stream().anyMatch((waiting) -> waiting.queue().length() > 0)) {
+		boolean waits = this.waiting.values().stream().anyMatch((waiting) -> waiting.queue().length() > 0);
+		if (waits || this.requestEvents.hasWaiting()) {
 			return WAITING_TICK_MILLIS;
 		}
 		long untilExpiryMillis = this.runners.nextExpiryMillis().orElse(Long.MAX_VALUE) - nowMillis;
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterCommand.java
@@ -35,9 +35,10 @@
 	 * Takes a request of a caller.
 	 *
 	 * @param request the request
+	 * @param receivedMillis when it was received; its timeout counts from then
 	 * @param replyTo gets the answer exactly once
 	 */
-	record Submit(CallerRequest request, ActorRef<FinalAnswer> replyTo) implements RouterCommand {
+	record Submit(CallerRequest request, long receivedMillis, ActorRef<FinalAnswer> replyTo) implements RouterCommand {
 
 	}
 
@@ -138,8 +139,11 @@
 	 * @param attempt its number
 	 * @param outcome whether it ran
 	 * @param verdict what it says about the runner
+	 * @param answer outcome of the answer that follows from it, none if the request goes
+	 * on or another entry host answers it
 	 */
-	record AttemptEnded(long attempt, Outcome outcome, AttemptVerdict verdict) implements RouterCommand {
+	record AttemptEnded(long attempt, Outcome outcome, AttemptVerdict verdict,
+			Optional<Outcome> answer) implements RouterCommand {
 
 	}
 
