--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/event/RequestEvents.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/event/RequestEvents.java
@@ -89,6 +89,14 @@
 		this.justAccepted = new ArrayList<>();
 	}
 
+	/**
+	 * Tells whether {@link #writeWaiting} has to be called again soon.
+	 * @return whether acceptances are kept that may have to be written
+	 */
+	public boolean hasWaiting() {
+		return !this.justAccepted.isEmpty() || !this.acceptedEarlier.isEmpty();
+	}
+
 	/**
 	 * Records a request that did not pass them.
 	 * @param facts what was checked
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -52,6 +52,7 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.StashBuffer;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 
 /**
  * Admits requests, lets them wait, and gives them slots of attached runners or sends them
@@ -61,11 +62,23 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final Duration TICK = Duration.ofMillis(50);
+	/**
+	 * Period of the ticks while a request waits: its deadline may pass, a peer may be
+	 * drawn for it, its team may lack tokens, and its acceptance has to be recorded.
+	 */
+	private static final long WAITING_TICK_MILLIS = 50;
+
+	/**
+	 * Period of the ticks when nothing is due earlier. The gate takes a gap of 2 s for a
+	 * pause of the process.
+	 */
+	private static final long IDLE_TICK_MILLIS = 500;
 
 	/** Longest request with a margin of a fifth. */
 	private static final int MARGIN_DIVISOR = 5;
 
+	private final TimerScheduler<RouterCommand> timers;
+
 	private final EntryIdentity identity;
 
 	private final EntrySettings settings;
@@ -108,10 +121,14 @@
 
 	private long lastNumber;
 
-	private RouterActor(ActorContext<RouterCommand> context, StashBuffer<RouterCommand> unconfirmed,
-			EntryIdentity identity, EntrySettings settings, ActorRef<ControlCommand> control,
-			ActorRef<TokenCommand> tokens, RandomGenerator random, EventRecorder events, MetricRegistry metrics) {
+	private long tickDueMillis = Long.MAX_VALUE;
+
+	private RouterActor(ActorContext<RouterCommand> context, TimerScheduler<RouterCommand> timers,
+			StashBuffer<RouterCommand> unconfirmed, EntryIdentity identity, EntrySettings settings,
+			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
+			EventRecorder events, MetricRegistry metrics) {
 		super(context);
+		this.timers = timers;
 		this.identity = identity;
 		this.settings = settings;
 		this.control = control;
@@ -138,6 +155,7 @@
 				identity.self().dataCentre(), random);
 		control.tell(new ControlCommand.Subscribe(
 				context.messageAdapter(ConfigurationEvent.class, RouterCommand.ConfigurationHappened::new)));
+		tickWithin(IDLE_TICK_MILLIS);
 	}
 
 	// life cycle
@@ -156,11 +174,9 @@
 	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
 			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
 			EventRecorder events, MetricRegistry metrics) {
-		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
-			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
-			return Behaviors.withStash(ConfirmationGate.CAPACITY, (stash) -> new RouterActor(context, stash, identity,
-					settings, control, tokens, random, events, metrics));
-		}));
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> Behaviors.withStash(ConfirmationGate.CAPACITY, (stash) -> new RouterActor(context,
+					timers, stash, identity, settings, control, tokens, random, events, metrics))));
 	}
 
 	@Override
@@ -256,6 +272,7 @@
 		this.openRequests.addCaller(new Running(queued.number(), actor), replyTo);
 		waiting(request.facts().queue()).retryBudget().countRequest(this.identity.nowMillis());
 		this.requestEvents.accepted(queued.number(), request.facts(), request.requestId(), admitted.team());
+		tickWithin(WAITING_TICK_MILLIS);
 	}
 
 	private Behavior<RouterCommand> onCallerGone(RouterCommand.CallerGone command) {
@@ -352,6 +369,7 @@
 		}
 		else {
 			dispatch(entry.queue(), waiting);
+			tickWithin(WAITING_TICK_MILLIS);
 		}
 		return this;
 	}
@@ -479,6 +497,7 @@
 		this.idleLimits.attached(runner.name(), attachTo.isPresent());
 		limitIdleConnections();
 		dispatchAll();
+		tickWithin(this.settings.timing().attachmentMillis());
 		return this;
 	}
 
@@ -536,6 +555,7 @@
 		}
 		else {
 			waiting(pending.entry().queue()).putBack(pending.entry());
+			tickWithin(WAITING_TICK_MILLIS);
 		}
 		reportDemand();
 		dispatchAll();
@@ -567,11 +587,30 @@
 		reportDemand();
 		dispatchAll();
 		this.requestEvents.writeWaiting();
+		this.tickDueMillis = Long.MAX_VALUE;
+		tickWithin(millisToNextTick(nowMillis));
 		return this;
 	}
 
 	// helpers
 
+	private long millisToNextTick(long nowMillis) {
+		boolean waits = this.waiting.values().stream().anyMatch((waiting) -> waiting.queue().length() > 0);
+		if (waits || this.requestEvents.hasWaiting()) {
+			return WAITING_TICK_MILLIS;
+		}
+		long untilExpiryMillis = this.runners.nextExpiryMillis().orElse(Long.MAX_VALUE) - nowMillis;
+		return Math.max(1, Math.min(IDLE_TICK_MILLIS, untilExpiryMillis));
+	}
+
+	private void tickWithin(long delayMillis) {
+		long dueMillis = this.identity.nowMillis() + delayMillis;
+		if (dueMillis < this.tickDueMillis) {
+			this.tickDueMillis = dueMillis;
+			this.timers.startSingleTimer(RouterCommand.Tick.INSTANCE, Duration.ofMillis(delayMillis));
+		}
+	}
+
 	private void expire(WaitingRequests waiting, long nowMillis) {
 		for (QueuedRequest request : waiting.queue().expire(nowMillis)) {
 			boolean limited = this.tokens.isBlocked(request.team());
