--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/DecisionCosts.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/DecisionCosts.java
@@ -106,7 +106,7 @@
 		for (int number = 0; number < runners; number++) {
 			table.announce(
 					new Runner(new RunnerName("runner-" + number), SampleFleet.queue(number % size.pools()),
-							SampleFleet.dataCentre(0), "127.1.0.9:" + number, SLOTS, CONNECTIONS, 1, 0, false),
+							SampleFleet.dataCentre(0), "127.1.0.9:" + number, false, SLOTS, CONNECTIONS, 1, 0, false),
 					SampleFleet.NOW_MILLIS);
 		}
 		return table;
--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/json/RunnerAnnouncement.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/json/RunnerAnnouncement.java
@@ -8,13 +8,15 @@
  * @param queue the queue it serves
  * @param dataCentre the data centre it stands in
  * @param address where it takes requests, {@code ip:port}
+ * @param tls whether it takes requests over TLS with a certificate that names it; absent
+ * means no
  * @param slots how many requests it runs at once
  * @param connections how many connections it accepts
  * @param epoch grows each time the runner attaches to another entry host
  * @param slotsInUse requests it is running now
  * @param leaving whether it takes no new work
  */
-public record RunnerAnnouncement(String runner, String queue, String dataCentre, String address, int slots,
+public record RunnerAnnouncement(String runner, String queue, String dataCentre, String address, boolean tls, int slots,
 		int connections, long epoch, int slotsInUse, boolean leaving) {
 
 }
--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -65,7 +65,7 @@
 
 	private final ControlSettings settings;
 
-	private final LinkTransport transport;
+	private final Optional<CurrentTls> tls;
 
 	private final TimerScheduler<GuardianCommand> timers;
 
@@ -86,7 +86,7 @@
 			RandomGenerator random, CompletableFuture<ExitStatus> exit) {
 		super(context);
 		this.settings = settings;
-		this.transport = tls.<LinkTransport>map(TlsLinkTransport::new).orElse(LinkTransport.PLAIN);
+		this.tls = tls;
 		this.timers = timers;
 		this.clock = clock;
 		this.exit = exit;
@@ -166,16 +166,17 @@
 				LinkSupervisor.create(linkSettings(), started.self(), started.replica(), planner,
 						context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new), this.clock),
 				"link-supervisor");
-		this.admin = Optional.of(context.spawn(
-				AdminHttp.create(LinkSupervisorSettings.socketAddress(this.settings.adminAddress()), started.replica(),
-						this.metrics, context.messageAdapter(AdminHttp.Report.class, AdminReport::new)),
-				"admin-http"));
+		this.admin = Optional.of(context
+			.spawn(AdminHttp.create(LinkSupervisorSettings.socketAddress(this.settings.adminAddress()), this.tls,
+					started.replica(), this.metrics, context.messageAdapter(AdminHttp.Report.class, AdminReport::new)),
+					"admin-http"));
 	}
 
 	private LinkSupervisorSettings linkSettings() {
+		LinkTransport transport = this.tls.<LinkTransport>map(TlsLinkTransport::new).orElse(LinkTransport.PLAIN);
 		return new LinkSupervisorSettings(LinkSupervisorSettings.socketAddress(this.settings.memberAddress()),
 				LinkSupervisorSettings.socketAddress(this.settings.clientAddress()), this.settings.toMembership(),
-				this.settings.toConnectAddresses(), LinkSettings.DEFAULT.withTransport(this.transport), RESTART_MINIMUM,
+				this.settings.toConnectAddresses(), LinkSettings.DEFAULT.withTransport(transport), RESTART_MINIMUM,
 				RESTART_MAXIMUM);
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/admin/AdminHttp.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/admin/AdminHttp.java
@@ -15,6 +15,7 @@
 import io.burdockpin.runtime.http.HealthReport;
 import io.burdockpin.runtime.http.ProgramRoutes;
 import io.burdockpin.runtime.metric.MetricRegistry;
+import io.burdockpin.runtime.tls.CurrentTls;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
@@ -23,7 +24,9 @@
 import org.apache.pekko.actor.typed.javadsl.AskPattern;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.http.javadsl.ConnectionContext;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBuilder;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
@@ -50,12 +53,12 @@
 
 	private boolean stopping;
 
-	private AdminHttp(ActorContext<Command> context, InetSocketAddress address, ActorRef<ReplicaMessage> replica,
-			MetricRegistry metrics, ActorRef<Report> owner) {
+	private AdminHttp(ActorContext<Command> context, InetSocketAddress address, Optional<CurrentTls> tls,
+			ActorRef<ReplicaMessage> replica, MetricRegistry metrics, ActorRef<Report> owner) {
 		super(context);
 		this.replica = replica;
 		this.owner = owner;
-		bind(address, metrics);
+		bind(address, tls, metrics);
 	}
 
 	// life cycle
@@ -63,14 +66,15 @@
 	/**
 	 * Creates the behavior.
 	 * @param address where to listen
+	 * @param tls certificates of the process; the pages use plain HTTP without it
 	 * @param replica is asked for the status
 	 * @param metrics the metrics of the process
 	 * @param owner is told whether the address could be bound
 	 * @return the behavior
 	 */
-	public static Behavior<Command> create(InetSocketAddress address, ActorRef<ReplicaMessage> replica,
-			MetricRegistry metrics, ActorRef<Report> owner) {
-		return Behaviors.setup((context) -> new AdminHttp(context, address, replica, metrics, owner));
+	public static Behavior<Command> create(InetSocketAddress address, Optional<CurrentTls> tls,
+			ActorRef<ReplicaMessage> replica, MetricRegistry metrics, ActorRef<Report> owner) {
+		return Behaviors.setup((context) -> new AdminHttp(context, address, tls, replica, metrics, owner));
 	}
 
 	@Override
@@ -133,14 +137,15 @@
 		return new HealthReport(true, status.majorityReachable() && !this.stopping, details);
 	}
 
-	private void bind(InetSocketAddress address, MetricRegistry metrics) {
+	private void bind(InetSocketAddress address, Optional<CurrentTls> tls, MetricRegistry metrics) {
 		ActorSystem<?> system = getContext().getSystem();
 		ActorRef<Command> self = getContext().getSelf();
 		ProgramRoutes routes = new ProgramRoutes(metrics,
 				() -> AskPattern.ask(self, HealthRequest::new, REQUEST_TIMEOUT, system.scheduler()));
 		Function<HttpRequest, CompletionStage<HttpResponse>> handler = (request) -> handle(request, routes, system);
-		Http.get(system)
-			.newServerAt(address.getHostString(), address.getPort())
+		ServerBuilder server = Http.get(system).newServerAt(address.getHostString(), address.getPort());
+		tls.map((current) -> server.enableHttps(ConnectionContext.httpsServer(current::callerEngine)))
+			.orElse(server)
 			.bind(handler)
 			.whenComplete((binding, failure) -> self
 				.tell((failure != null) ? new BindFailed(failure.getMessage()) : new Bound(binding.localAddress())));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
@@ -12,13 +12,14 @@
  * @param queue the queue it serves
  * @param dataCentre where it stands
  * @param address where it takes requests, {@code ip:port}
+ * @param tls whether it takes requests over TLS with a certificate that names it
  * @param slots how many requests it runs at once
  * @param connections how many connections it accepts
  * @param epoch grows each time the runner attaches to another entry host
  * @param slotsInUse requests it is running
  * @param leaving whether it takes no new work
  */
-public record Runner(RunnerName name, QueueName queue, DataCentre dataCentre, String address, int slots,
+public record Runner(RunnerName name, QueueName queue, DataCentre dataCentre, String address, boolean tls, int slots,
 		int connections, long epoch, int slotsInUse, boolean leaving) {
 
 	private static final int MAX_SLOTS = 10_000;
@@ -55,7 +56,7 @@
 	 * @return the attachment
 	 */
 	public RunnerLife life() {
-		return new RunnerLife(this.name, this.address, this.epoch);
+		return new RunnerLife(this.name, this.address, this.tls, this.epoch);
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerLife.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerLife.java
@@ -8,8 +8,9 @@
  *
  * @param runner the runner
  * @param address where it takes requests, {@code ip:port}
+ * @param tls whether it takes requests over TLS
  * @param epoch number of the attachment, as the runner announced it
  */
-public record RunnerLife(RunnerName runner, String address, long epoch) {
+public record RunnerLife(RunnerName runner, String address, boolean tls, long epoch) {
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/IdleConnectionsTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/IdleConnectionsTests.java
@@ -10,7 +10,7 @@
 /** Guards the connection limit of a runner and the time for which connections idle. */
 class IdleConnectionsTests {
 
-	private final RunnerLife life = new RunnerLife(new RunnerName("runner-1"), "127.0.0.1:1", 1);
+	private final RunnerLife life = new RunnerLife(new RunnerName("runner-1"), "127.0.0.1:1", false, 1);
 
 	private final IdleConnections<String> idle = new IdleConnections<>(1000);
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RequestPathSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RequestPathSimulation.java
@@ -112,7 +112,7 @@
 	private void announce() {
 		int index = this.random.nextInt(RUNNERS);
 		RunnerName name = new RunnerName("runner-" + index);
-		this.table.announce(new Runner(name, QUEUE, HERE, "127.0.0.1:1", SLOTS, 64, 1, (int) running(name),
+		this.table.announce(new Runner(name, QUEUE, HERE, "127.0.0.1:1", false, SLOTS, 64, 1, (int) running(name),
 				this.random.nextInt(8) == 0), this.nowMillis);
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
@@ -87,7 +87,7 @@
 	@Test
 	void idleConnectionsOfTwoEntryHostsLeaveEveryAttemptAConnection() {
 		for (int connections = 1; connections <= 40; connections++) {
-			Runner runner = new Runner(new RunnerName("near"), QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", 8,
+			Runner runner = new Runner(new RunnerName("near"), QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", false, 8,
 					connections, 1, 0, false);
 			Truth.assertThat(runner.capacity() + 2 * runner.idleCapacity()).isAtMost(connections);
 			Truth.assertThat(runner.idleCapacity()).isAtMost(runner.capacity());
@@ -95,12 +95,12 @@
 	}
 
 	private static RunnerLife life(String name) {
-		return new RunnerLife(new RunnerName(name), "127.0.0.1:1", 1);
+		return new RunnerLife(new RunnerName(name), "127.0.0.1:1", false, 1);
 	}
 
 	private boolean announce(String name, String dataCentre, long epoch, int inUse, boolean leaving, long nowMillis) {
-		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1", 2,
-				64, epoch, inUse, leaving), nowMillis);
+		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1",
+				false, 2, 64, epoch, inUse, leaving), nowMillis);
 	}
 
 	private Optional<Runner> begin(long attempt, long nowMillis) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -92,7 +92,7 @@
 		ActorRef<ControlCommand> control = spawn(ControlSupervisor.create(identity, settings.members(),
 				new ThriftClientCodec(), links, settings.dataFolder().map(Path::of), new ThriftPeerCodec()), "control");
 		this.tokens = spawn(TokenActor.create(identity, settings.timing().tokenReportMillis(), control), "tokens");
-		this.router = spawn(RouterActor.create(identity, settings, control, this.tokens, random,
+		this.router = spawn(RouterActor.create(identity, settings, tls, control, this.tokens, random,
 				new EventRecorder(identity, this.eventLog), metrics), "router");
 		ActorRef<PeerCommand> peers = spawn(
 				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), links, this.router, control, metrics),
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/EntrySettings.java
@@ -5,6 +5,7 @@
 
 import io.burdockpin.core.admission.AdmissionLimits;
 import io.burdockpin.core.admission.IdentifierWindow;
+import io.burdockpin.core.exc.InvalidValueException;
 import io.burdockpin.core.membership.PeerInfo;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.HostName;
@@ -31,11 +32,12 @@
  * @param dataFolder where the configuration is cached
  * @param tls certificate, key and trusted authorities of links and callers; plain without
  * it
+ * @param requireRunnerTls whether runners that take requests without TLS are refused
  */
 public record EntrySettings(String name, String dataCentre, AddressSettings httpAddress, AddressSettings peerAddress,
 		List<PeerSettings> peers, List<MemberSettings> members, LimitSettings limits, TimingSettings timing,
 		RoutingPolicy policy, Optional<String> eventFile, Long eventFileBytes, Boolean requestEvents,
-		Optional<String> dataFolder, Optional<TlsSettings> tls) {
+		Optional<String> dataFolder, Optional<TlsSettings> tls, Boolean requireRunnerTls) {
 
 	private static final long DEFAULT_EVENT_FILE_BYTES = 64L * 1024 * 1024;
 
@@ -58,6 +60,10 @@
 		requestEvents = (requestEvents != null) ? requestEvents : Boolean.TRUE;
 		dataFolder = (dataFolder != null) ? dataFolder : Optional.empty();
 		tls = (tls != null) ? tls : Optional.empty();
+		requireRunnerTls = (requireRunnerTls != null) ? requireRunnerTls : Boolean.FALSE;
+		if (requireRunnerTls && tls.isEmpty()) {
+			throw new InvalidValueException("requireRunnerTls needs the setting tls");
+		}
 	}
 
 	/**
@@ -102,9 +108,20 @@
 		return new ForwardingCosts(this.timing.nearRoundTripMillis(), this.timing.farRoundTripMillis());
 	}
 
+	/**
+	 * Returns which runners are taken.
+	 * @return the rule of the settings {@code tls} and {@code requireRunnerTls}
+	 */
+	public RunnerTlsPolicy runnerTlsPolicy() {
+		if (this.tls.isEmpty()) {
+			return RunnerTlsPolicy.PLAIN_ONLY;
+		}
+		return this.requireRunnerTls ? RunnerTlsPolicy.TLS_ONLY : RunnerTlsPolicy.EITHER;
+	}
+
 	private static AddressSettings required(String what, AddressSettings value) {
 		if (value == null) {
-			throw new io.burdockpin.core.exc.InvalidValueException(what + " is missing");
+			throw new InvalidValueException(what + " is missing");
 		}
 		return value;
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/AnnounceEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/AnnounceEndpoint.java
@@ -4,17 +4,21 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
+import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.json.RunnerAnnouncement;
 import io.burdockpin.codec.json.RunnerAnnouncementReply;
 import io.burdockpin.codec.json.WorkerAnnouncement;
 import io.burdockpin.codec.json.WorkerAnnouncementReply;
+import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.core.exc.InvalidValueException;
 import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.RunnerName;
 import io.burdockpin.core.routing.Runner;
 import io.burdockpin.entry.EntryIdentity;
+import io.burdockpin.entry.cfg.RunnerTlsPolicy;
 import io.burdockpin.entry.router.RouterCommand;
 import io.burdockpin.entry.worker.WorkerCommand;
 import io.burdockpin.entry.worker.WorkerDocuments;
@@ -28,6 +32,11 @@
  */
 final class AnnounceEndpoint implements HttpEndpoint {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** A runner that is refused announces itself every second. */
+	private static final int WARN_EVERY_SECONDS = 10;
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
 	private static final int RUNNER_BYTES = 16 * 1024;
@@ -51,14 +60,17 @@
 
 	private final long attachmentMillis;
 
+	private final RunnerTlsPolicy tlsPolicy;
+
 	AnnounceEndpoint(Actors actors, HttpBodies bodies, JsonBodies json, Responses responses, EntryIdentity identity,
-			long attachmentMillis) {
+			long attachmentMillis, RunnerTlsPolicy tlsPolicy) {
 		this.actors = actors;
 		this.bodies = bodies;
 		this.json = json;
 		this.responses = responses;
 		this.identity = identity;
 		this.attachmentMillis = attachmentMillis;
+		this.tlsPolicy = tlsPolicy;
 	}
 
 	@Override
@@ -77,6 +89,7 @@
 
 	private CompletionStage<HttpResponse> announceRunner(byte[] body) {
 		Runner runner = runner(this.json.read(body, RunnerAnnouncement.class));
+		this.tlsPolicy.refusal(runner).ifPresent(AnnounceEndpoint::refuse);
 		return this.actors
 			.ask(this.actors.router(),
 					(ActorRef<RouterCommand.Attached> replyTo) -> new RouterCommand.AnnounceRunner(runner, replyTo),
@@ -102,8 +115,15 @@
 			throw new InvalidValueException("address is not ip:port");
 		}
 		return new Runner(new RunnerName(document.runner()), new QueueName(document.queue()),
-				new DataCentre(document.dataCentre()), address, document.slots(), document.connections(),
-				document.epoch(), document.slotsInUse(), document.leaving());
+				new DataCentre(document.dataCentre()), address, document.tls(), document.slots(),
+				document.connections(), document.epoch(), document.slotsInUse(), document.leaving());
+	}
+
+	private static void refuse(String reason) {
+		logger.atWarning()
+			.atMostEvery(WARN_EVERY_SECONDS, TimeUnit.SECONDS)
+			.log("Refused an announcement: %s.", reason);
+		throw new HttpRefusedException(ErrorCode.BAD_REQUEST, reason, null);
 	}
 
 	private static int port(String address) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -81,7 +81,7 @@
 		long proposalMillis = settings.timing().proposalMillis();
 		this.endpoints = List.of(new QueueEndpoint(actors, bodies, this.responses, settings.limits(), metrics),
 				new AnnounceEndpoint(actors, bodies, json, this.responses, identity,
-						settings.timing().attachmentMillis()),
+						settings.timing().attachmentMillis(), settings.runnerTlsPolicy()),
 				new JobEndpoint(actors, bodies, json, this.responses, identity,
 						settings.admissionLimits().identifierWindow(), proposalMillis),
 				new OperatorEndpoint(actors, bodies, this.responses, proposalMillis, new OperatorJsonCodec(),
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -42,8 +42,10 @@
 import io.burdockpin.entry.router.OpenRequests.Running;
 import io.burdockpin.entry.token.TokenCommand;
 import io.burdockpin.entry.token.TokenEvent;
+import io.burdockpin.runtime.link.TlsLinkTransport;
 import io.burdockpin.runtime.metric.Metric;
 import io.burdockpin.runtime.metric.MetricRegistry;
+import io.burdockpin.runtime.tls.CurrentTls;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -106,8 +108,8 @@
 	private long lastNumber;
 
 	private RouterActor(ActorContext<RouterCommand> context, EntryIdentity identity, EntrySettings settings,
-			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
-			EventRecorder events, MetricRegistry metrics) {
+			Optional<CurrentTls> tls, ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens,
+			RandomGenerator random, EventRecorder events, MetricRegistry metrics) {
 		super(context);
 		this.identity = identity;
 		this.settings = settings;
@@ -121,7 +123,7 @@
 		this.admission = new Admission(settings.admissionLimits(), identity.nowMillis());
 		long longestMillis = settings.limits().timeoutMillis();
 		RunnerConnector connector = new RunnerConnector(context.getSystem(), Duration.ofMillis(longestMillis),
-				settings.limits().answerBytes());
+				settings.limits().answerBytes(), tls.map(TlsLinkTransport::new));
 		this.connections = context.spawn(
 				RunnerConnections.create(identity, connector, settings.timing().runnerIdleMillis(), metrics),
 				"connections");
@@ -142,6 +144,8 @@
 	 * Creates the behavior of the router.
 	 * @param identity the own process
 	 * @param settings the settings
+	 * @param tls certificates of the process; needed for runners that take requests over
+	 * TLS
 	 * @param control proposes claims and feeds the configuration
 	 * @param tokens owns the tokens
 	 * @param random breaks ties and spreads pauses
@@ -150,11 +154,11 @@
 	 * @return the behavior
 	 */
 	public static Behavior<RouterCommand> create(EntryIdentity identity, EntrySettings settings,
-			ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens, RandomGenerator random,
-			EventRecorder events, MetricRegistry metrics) {
+			Optional<CurrentTls> tls, ActorRef<ControlCommand> control, ActorRef<TokenCommand> tokens,
+			RandomGenerator random, EventRecorder events, MetricRegistry metrics) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerWithFixedDelay(RouterCommand.Tick.INSTANCE, TICK);
-			return new RouterActor(context, identity, settings, control, tokens, random, events, metrics);
+			return new RouterActor(context, identity, settings, tls, control, tokens, random, events, metrics);
 		}));
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.exc.ErrorCode;
@@ -43,8 +44,9 @@
 /**
  * Owns one connection to a runner and carries one attempt at a time. An answer that does
  * not carry the number of the attempt in flight ends the connection, so an answer that
- * arrives late or twice never reaches another request. The connection ends with the
- * actor.
+ * arrives late or twice never reaches another request. A runner with TLS gets a request
+ * only after the handshake, so an attempt on a runner that is not trusted has certainly
+ * not run. The connection ends with the actor.
  */
 final class RunnerConnection extends AbstractBehavior<RunnerConnection.Command> {
 
@@ -52,6 +54,9 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
+	/** A runner that is not trusted is tried again and again. */
+	private static final int WARN_EVERY_SECONDS = 10;
+
 	private final TimerScheduler<Command> timers;
 
 	private final RunnerConnector connector;
@@ -70,6 +75,9 @@
 
 	private Optional<RunnerConnections.Attempt> current = Optional.empty();
 
+	/** Whether requests may be sent; always for a plain runner. */
+	private boolean trusted;
+
 	private boolean closed;
 
 	private RunnerConnection(ActorContext<Command> context, TimerScheduler<Command> timers, RunnerConnector connector,
@@ -82,10 +90,11 @@
 		this.materializer = materializer;
 		this.metrics = metrics;
 		this.owner = owner;
+		this.trusted = !life.tls();
 		ActorRef<Command> self = context.getSelf();
 		Pair<Pair<Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<OutgoingConnection>>, UniqueKillSwitch>, CompletionStage<Done>> stream = Source
 			.<HttpRequest>queue(1)
-			.viaMat(connector.connection(life.address()), Keep.both())
+			.viaMat(connector.connection(life, () -> self.tell(Trusted.INSTANCE)), Keep.both())
 			.viaMat(KillSwitches.single(), Keep.both())
 			.mapAsync(1, this::collect)
 			.toMat(Sink.foreach((response) -> self.tell(new Answered(response))), Keep.both())
@@ -123,6 +132,7 @@
 	@Override
 	public Receive<Command> createReceive() {
 		return newReceiveBuilder().onMessage(Run.class, this::onRun)
+			.onMessage(Trusted.class, (command) -> onTrusted())
 			.onMessage(Answered.class, (command) -> onAnswered(command.response()))
 			.onMessage(Closed.class, this::onClosed)
 			.onMessage(DeadlinePassed.class, (command) -> onDeadlinePassed())
@@ -133,7 +143,7 @@
 
 	private Behavior<Command> onRun(Run run) {
 		RunnerCall call = run.attempt().call();
-		if (this.closed || this.requests.offer(call.request()) != QueueOfferResult.enqueued()) {
+		if (this.closed || (this.trusted && !offer(call))) {
 			this.closed = true;
 			this.owner.tell(new RunnerConnections.NotSent(run.attempt(), getContext().getSelf()));
 			return this;
@@ -143,6 +153,14 @@
 		return this;
 	}
 
+	private Behavior<Command> onTrusted() {
+		if (this.current.isPresent() && !offer(this.current.get().call())) {
+			return end(neverConnected("the runner closed the connection after the handshake"));
+		}
+		this.trusted = true;
+		return this;
+	}
+
 	private Behavior<Command> onAnswered(HttpResponse response) {
 		if (this.current.isEmpty()) {
 			// Nothing was asked, so nothing else that comes on this connection can be
@@ -165,9 +183,11 @@
 
 	private Behavior<Command> onClosed(Closed command) {
 		if (this.current.isPresent()) {
-			return end(command.connectFailure()
-				.map(RunnerConnection::neverConnected)
-				.orElseGet(() -> broken(ErrorCode.UPSTREAM_FAILED, command.reason())));
+			return this.trusted
+					? end(command.connectFailure()
+						.map(RunnerConnection::neverConnected)
+						.orElseGet(() -> broken(ErrorCode.UPSTREAM_FAILED, command.reason())))
+					: endUntrusted(command.connectFailure().orElse(command.reason()));
 		}
 		// Waits for the owner to confirm, because a request may be on its way.
 		this.closed = true;
@@ -176,7 +196,8 @@
 	}
 
 	private Behavior<Command> onDeadlinePassed() {
-		return end(broken(ErrorCode.DEADLINE_EXCEEDED, "the runner did not answer in time"));
+		return this.trusted ? end(broken(ErrorCode.DEADLINE_EXCEEDED, "the runner did not answer in time"))
+				: endUntrusted("the handshake did not end in time");
 	}
 
 	private Behavior<Command> onPostStop() {
@@ -191,6 +212,19 @@
 
 	// helpers
 
+	private boolean offer(RunnerCall call) {
+		return this.requests.offer(call.request()) == QueueOfferResult.enqueued();
+	}
+
+	// The request has not been given to the connection.
+	private Behavior<Command> endUntrusted(String reason) {
+		logger.atWarning()
+			.atMostEvery(WARN_EVERY_SECONDS, TimeUnit.SECONDS)
+			.log("No trusted connection to runner %s at %s: %s.", this.life.runner().value(), this.life.address(),
+					reason);
+		return end(neverConnected(reason));
+	}
+
 	private CompletionStage<HttpResponse> collect(HttpResponse response) {
 		// Runs on the threads of the stream and uses immutable state only.
 		if (response.entity().isCloseDelimited()) {
@@ -296,6 +330,13 @@
 
 	}
 
+	/** The handshake with a runner with TLS has ended well. */
+	private enum Trusted implements Command {
+
+		INSTANCE
+
+	}
+
 	private record Answered(HttpResponse response) implements Command {
 
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnector.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnector.java
@@ -1,8 +1,11 @@
 package io.burdockpin.entry.router;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
+import io.burdockpin.core.routing.RunnerLife;
+import io.burdockpin.runtime.link.TlsLinkTransport;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
@@ -28,17 +31,22 @@
 
 	private final int maximumAnswerBytes;
 
+	private final Optional<TlsLinkTransport> tls;
+
 	/**
 	 * Creates a connector.
 	 * @param system runs the connections
 	 * @param longestRequest a silent connection ends after twice this time; the deadline
 	 * of the attempt or the idle time ends it before
 	 * @param maximumAnswerBytes largest answer
+	 * @param tls secures connections to runners that ask for it, if this process can
 	 */
-	RunnerConnector(ActorSystem<?> system, Duration longestRequest, int maximumAnswerBytes) {
+	RunnerConnector(ActorSystem<?> system, Duration longestRequest, int maximumAnswerBytes,
+			Optional<TlsLinkTransport> tls) {
 		this.system = system;
 		this.longestRequestMillis = longestRequest.toMillis();
 		this.maximumAnswerBytes = maximumAnswerBytes;
+		this.tls = tls;
 		this.settings = ClientConnectionSettings.create(system.classicSystem())
 			.withConnectingTimeout(DurationConverters.toScala(CONNECT_TIMEOUT))
 			.withIdleTimeout(DurationConverters.toScala(longestRequest.multipliedBy(2)));
@@ -46,14 +54,32 @@
 
 	/**
 	 * Describes a connection that is opened when the flow is run.
-	 * @param address where the runner takes requests, {@code ip:port}
+	 * @param life the runner
+	 * @param onTrusted called when the handshake of a runner with TLS has shown a trusted
+	 * certificate that names the runner; must only send to an actor; never called for a
+	 * plain runner
 	 * @return the flow of one connection
+	 * @throws IllegalArgumentException if the address cannot be used or this process has
+	 * no TLS
 	 */
-	Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> connection(String address) {
+	Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> connection(RunnerLife life,
+			Runnable onTrusted) {
+		String address = life.address();
 		int colon = address.lastIndexOf(':');
 		String host = address.substring(0, colon);
 		int port = Integer.parseInt(address.substring(colon + 1));
-		return Http.get(this.system).connectionTo(host).toPort(port).withClientConnectionSettings(this.settings).http();
+		return Http.get(this.system)
+			.connectionTo(host)
+			.toPort(port)
+			.withClientConnectionSettings(life.tls() ? secured(life, onTrusted) : this.settings)
+			.http();
+	}
+
+	private ClientConnectionSettings secured(RunnerLife life, Runnable onTrusted) {
+		TlsLinkTransport transport = this.tls
+			.orElseThrow(() -> new IllegalArgumentException("this process has no TLS"));
+		return this.settings
+			.withTransport(new TlsRunnerTransport(transport.connect(life.runner().value(), (peer) -> onTrusted.run())));
 	}
 
 	/**
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/BadInputTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/BadInputTests.java
@@ -64,6 +64,8 @@
 		refused(400, "BAD_REQUEST", "/v1/upstreams/announce", Map.of(), runnerDocument("somewhere", 8));
 		refused(400, "BAD_REQUEST", "/v1/upstreams/announce", Map.of(), runnerDocument("127.1.0.9:80", -8));
 		refused(400, "BAD_REQUEST", "/v1/upstreams/announce", Map.of(), runnerDocument("127.1.0.9:80", 2_000_000));
+		refused(400, "BAD_REQUEST", "/v1/upstreams/announce", Map.of(),
+				runnerDocument("127.1.0.9:80", 8).replace("{", "{\"tls\":true,"));
 		refused(400, "BAD_REQUEST", "/v1/workers/announce", Map.of(), "{\"worker\":\"w\",\"sequence\":-1}");
 		refused(400, "DECODE_FAILED", "/v1/operator", Map.of(), "{\"type\":\"noSuchThing\"}");
 		refused(400, "DECODE_FAILED", "/v1/operator/thrift", Map.of(), "not thrift");
--- /dev/null
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/cfg/RunnerTlsPolicyTests.java
@@ -0,0 +1,40 @@
+package io.burdockpin.entry.cfg;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RunnerName;
+import io.burdockpin.core.routing.Runner;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are sent plain although the operators want TLS. */
+class RunnerTlsPolicyTests {
+
+	private final Runner plain = runner(false);
+
+	private final Runner secured = runner(true);
+
+	@Test
+	void anEntryHostThatRequiresTlsRefusesAPlainRunnerByName() {
+		Truth.assertThat(RunnerTlsPolicy.TLS_ONLY.refusal(this.plain).orElseThrow()).contains("r1");
+		Truth.assertThat(RunnerTlsPolicy.TLS_ONLY.refusal(this.secured)).isEmpty();
+	}
+
+	@Test
+	void anEntryHostWithoutACertificateRefusesARunnerThatExpectsTls() {
+		Truth.assertThat(RunnerTlsPolicy.PLAIN_ONLY.refusal(this.secured).orElseThrow()).contains("r1");
+		Truth.assertThat(RunnerTlsPolicy.PLAIN_ONLY.refusal(this.plain)).isEmpty();
+	}
+
+	@Test
+	void anEntryHostWithTlsTakesBothUnlessItIsToldOtherwise() {
+		Truth.assertThat(RunnerTlsPolicy.EITHER.refusal(this.secured)).isEmpty();
+		Truth.assertThat(RunnerTlsPolicy.EITHER.refusal(this.plain)).isEmpty();
+	}
+
+	private static Runner runner(boolean tls) {
+		return new Runner(new RunnerName("r1"), new QueueName("calls"), new DataCentre("dc1"), "127.1.0.9:80", tls, 8,
+				64, 1, 0, false);
+	}
+
+}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeRunner.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeRunner.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import javax.net.ServerSocketFactory;
+
 /** A runner whose answers the test writes byte by byte. */
 public final class FakeRunner implements AutoCloseable {
 
@@ -27,8 +29,12 @@
 	private final AtomicInteger connectionCount = new AtomicInteger();
 
 	public FakeRunner(String ip) {
+		this(ip, ServerSocketFactory.getDefault());
+	}
+
+	public FakeRunner(String ip, ServerSocketFactory sockets) {
 		try {
-			this.listener = new ServerSocket(0, 50, InetAddress.getByName(ip));
+			this.listener = sockets.createServerSocket(0, 50, InetAddress.getByName(ip));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -70,7 +70,7 @@
 		List<MemberSettings> members = List.of(control.settings());
 		EntrySettings settings = new EntrySettings(self.name(), self.dataCentre(), self.httpAddress(),
 				self.peerAddress(), peers, members, limits, timing, null, Optional.empty(), null, null,
-				Optional.empty(), Optional.empty());
+				Optional.empty(), Optional.empty(), null);
 		EntryIdentity identity = new EntryIdentity(new Holder(new HostName(self.name()), 7), settings.self(), clock);
 		ActorRef<GuardianCommand> guardian = kit.spawn(EntryGuardian.create(identity, settings, Optional.empty(),
 				RandomGenerator.of("L64X128MixRandom"), new CompletableFuture<ExitStatus>()), self.name());
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerConnectionsTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
@@ -44,13 +45,14 @@
 
 	private final TestProbe<AttemptReport> reports = this.kit.createTestProbe();
 
-	private final RunnerLife life = new RunnerLife(new RunnerName("runner-1"), this.runner.address(), 1);
+	private final RunnerLife life = new RunnerLife(new RunnerName("runner-1"), this.runner.address(), false, 1);
 
 	private final ActorRef<RunnerConnections.Command> connections = this.kit.spawn(RunnerConnections.create(
 			new EntryIdentity(new Holder(new HostName("entry-1"), 7),
 					new PeerInfo(new HostName("entry-1"), new DataCentre("dc-1"), "127.41.1.2:1"),
 					() -> Instant.ofEpochMilli(this.nowMillis.get())),
-			new RunnerConnector(this.kit.system(), Duration.ofSeconds(60), 1024), IDLE_MILLIS, new MetricRegistry()));
+			new RunnerConnector(this.kit.system(), Duration.ofSeconds(60), 1024, Optional.empty()), IDLE_MILLIS,
+			new MetricRegistry()));
 
 	private long lastAttempt;
 
@@ -164,7 +166,7 @@
 	void aRunnerThatAttachedAgainGetsNoRequestOnAConnectionOfItsEarlierAttachment() {
 		keepIdle(1);
 		answered(true);
-		RunnerLife next = new RunnerLife(this.life.runner(), this.life.address(), 2);
+		RunnerLife next = new RunnerLife(this.life.runner(), this.life.address(), false, 2);
 		this.connections.tell(new RunnerConnections.LimitIdle(Map.of(next, 1)));
 		this.runner.awaitEndOfConnection();
 		send(next, true, 30_000);
@@ -184,7 +186,7 @@
 
 	@Test
 	void anAttemptOnARunnerWithAnUnusableAddressHasNotRun() {
-		send(new RunnerLife(this.life.runner(), "127.41.1.1:70000", 1), true, 30_000);
+		send(new RunnerLife(this.life.runner(), "127.41.1.1:70000", false, 1), true, 30_000);
 		Truth.assertThat(this.reports.receiveMessage(LONGEST_WAIT).result().outcome()).isEqualTo(Outcome.NOT_RUN);
 	}
 
--- /dev/null
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerTlsTests.java
@@ -0,0 +1,193 @@
+package io.burdockpin.entry.router;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+
+import javax.net.ServerSocketFactory;
+import javax.net.ssl.SSLServerSocket;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.membership.PeerInfo;
+import io.burdockpin.core.model.DataCentre;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.QueueName;
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.model.RunnerName;
+import io.burdockpin.core.routing.RunnerLife;
+import io.burdockpin.entry.EntryIdentity;
+import io.burdockpin.entry.fake.FakeRunner;
+import io.burdockpin.runtime.link.TlsLinkTransport;
+import io.burdockpin.runtime.metric.MetricRegistry;
+import io.burdockpin.runtime.tls.CurrentTls;
+import io.burdockpin.runtime.tls.TestAuthority;
+import io.burdockpin.runtime.tls.TlsSettings;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards against requests that reach a process which only says that it is the runner, and
+ * against outcomes that are called unknown although nothing was sent.
+ */
+class RunnerTlsTests {
+
+	private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
+
+	private static final String IP = "127.41.2.1";
+
+	private final ActorTestKit kit = ActorTestKit.create();
+
+	private final TestProbe<AttemptReport> reports = this.kit.createTestProbe();
+
+	@TempDir
+	private Path folder;
+
+	private TestAuthority authority;
+
+	private ActorRef<RunnerConnections.Command> connections;
+
+	@BeforeEach
+	void startConnections() {
+		this.authority = new TestAuthority(this.folder, "authority");
+		EntryIdentity identity = new EntryIdentity(new Holder(new HostName("entry-1"), 7),
+				new PeerInfo(new HostName("entry-1"), new DataCentre("dc-1"), "127.41.2.2:1"),
+				() -> Instant.ofEpochMilli(1_000_000));
+		TlsLinkTransport tls = new TlsLinkTransport(new CurrentTls(this.authority.sign("entry-1"), "entry-1"));
+		this.connections = this.kit.spawn(RunnerConnections.create(identity,
+				new RunnerConnector(this.kit.system(), Duration.ofSeconds(60), 1024, Optional.of(tls)), 60_000,
+				new MetricRegistry()));
+	}
+
+	@AfterEach
+	void stop() {
+		this.kit.shutdownTestKit();
+	}
+
+	@Test
+	void aRunnerWhoseCertificateNamesItGetsRequestsFromAnEntryHostThatShowsItsOwn() {
+		try (FakeRunner runner = runner(this.authority.sign("runner-1"))) {
+			RunnerLife life = life(runner.address());
+			this.connections.tell(new RunnerConnections.LimitIdle(Map.of(life, 1)));
+			for (int count = 0; count < 2; count++) {
+				send(life, 30_000);
+				runner.awaitCall().answer("done");
+				Truth.assertThat(outcome()).isEqualTo(Outcome.RAN);
+			}
+			Truth.assertThat(runner.connectionCount()).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void aRunnerWhoseCertificateNamesAnotherRunnerGetsNoRequest() {
+		assertNotRun(runner(this.authority.sign("runner-2")));
+	}
+
+	/** The stranger trusts the entry host, so that only the entry host can refuse. */
+	@Test
+	void aRunnerWithACertificateOfAnotherAuthorityGetsNoRequest() throws IOException {
+		TlsSettings stranger = new TestAuthority(this.folder, "other").sign("runner-1");
+		Path both = Files.writeString(this.folder.resolve("both.pem"), Files.readString(Path.of(stranger.trustFile()))
+				+ Files.readString(Path.of(this.authority.sign("any").trustFile())));
+		assertNotRun(runner(new TlsSettings(stranger.certificateFile(), stranger.keyFile(), both.toString(), null)));
+	}
+
+	@Test
+	void aPlainRunnerThatAnnouncedTlsGetsNoRequest() {
+		assertNotRun(new FakeRunner(IP));
+	}
+
+	@Test
+	void aRunnerThatNeverAnswersTheHandshakeHasNotRunTheRequestAtItsDeadline() throws IOException {
+		try (ServerSocket silent = ServerSocketFactory.getDefault().createServerSocket(0)) {
+			send(life("127.0.0.1:" + silent.getLocalPort()), 300);
+			Truth.assertThat(outcome()).isEqualTo(Outcome.NOT_RUN);
+		}
+	}
+
+	@Test
+	void aRunnerThatEndsBeforeItsAnswerLeavesTheOutcomeUnknown() {
+		try (FakeRunner runner = runner(this.authority.sign("runner-1"))) {
+			send(life(runner.address()), 30_000);
+			runner.awaitCall().cut();
+			Truth.assertThat(outcome()).isEqualTo(Outcome.UNKNOWN);
+		}
+	}
+
+	// helpers
+
+	private void assertNotRun(FakeRunner runner) {
+		try (runner) {
+			send(life(runner.address()), 30_000);
+			Truth.assertThat(outcome()).isEqualTo(Outcome.NOT_RUN);
+			Truth.assertThat(runner.pendingCallCount()).isEqualTo(0);
+		}
+	}
+
+	private FakeRunner runner(TlsSettings settings) {
+		CurrentTls tls = new CurrentTls(settings, hostOf(settings));
+		return new FakeRunner(IP, new ClientAuthentication(tls));
+	}
+
+	private static String hostOf(TlsSettings settings) {
+		return Path.of(settings.certificateFile()).getFileName().toString().replace(".pem", "");
+	}
+
+	private static RunnerLife life(String address) {
+		return new RunnerLife(new RunnerName("runner-1"), address, true, 1);
+	}
+
+	private Outcome outcome() {
+		return this.reports.receiveMessage(LONGEST_WAIT).result().outcome();
+	}
+
+	private void send(RunnerLife life, long remainingMillis) {
+		RunnerCall call = new RunnerCall(1, new QueueName("quotes"), new RequestId("request"),
+				"text/plain; charset=UTF-8", Payload.of(new byte[] { 1, 2, 3 }), remainingMillis);
+		this.connections.tell(new RunnerConnections.Attempt(life, call, true, this.reports.getRef()));
+	}
+
+	/** Makes sockets that serve only entry hosts with a trusted certificate. */
+	private static final class ClientAuthentication extends ServerSocketFactory {
+
+		private final CurrentTls tls;
+
+		ClientAuthentication(CurrentTls tls) {
+			this.tls = tls;
+		}
+
+		@Override
+		public ServerSocket createServerSocket(int port) throws IOException {
+			return createServerSocket(port, 50);
+		}
+
+		@Override
+		public ServerSocket createServerSocket(int port, int backlog) throws IOException {
+			return createServerSocket(port, backlog, null);
+		}
+
+		@Override
+		public ServerSocket createServerSocket(int port, int backlog, java.net.InetAddress address) throws IOException {
+			SSLServerSocket socket = (SSLServerSocket) this.tls.identity()
+				.context()
+				.getServerSocketFactory()
+				.createServerSocket(port, backlog, address);
+			socket.setNeedClientAuth(true);
+			return socket;
+		}
+
+	}
+
+}
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkTransport.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkTransport.java
@@ -6,7 +6,7 @@
 import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.util.ByteString;
 
-/** How the bytes of links travel over a TCP connection. Immutable. */
+/** How the bytes of links and of connections to runners travel over TCP. Immutable. */
 public interface LinkTransport {
 
 	/** No encryption; a peer is whoever it says it is. */
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/TlsTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/TlsTests.java
@@ -13,6 +13,7 @@
 import java.security.cert.X509Certificate;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,7 +42,9 @@
 import io.burdockpin.systemtest.fleet.JobCaller;
 import io.burdockpin.systemtest.fleet.Operator;
 import io.burdockpin.systemtest.fleet.ProgramProcess;
+import io.burdockpin.systemtest.fleet.StandInRunner;
 import io.burdockpin.systemtest.fleet.TestAuthority;
+import io.burdockpin.testbench.program.EndPoint;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -98,11 +101,9 @@
 	 * fleet, so that only the fleet can refuse.
 	 */
 	@Test
-	void aProcessWithACertificateOfAnotherAuthorityGetsNoLink() throws IOException {
+	void aProcessWithACertificateOfAnotherAuthorityGetsNoLink() {
 		TestAuthority other = new TestAuthority(fleet.folder(), "other");
-		Path both = Files.writeString(fleet.folder().resolve("both.pem"),
-				Files.readString(Path.of(other.trustFile())) + Files.readString(Path.of(trustFile())));
-		EntryHost stranger = fleet.startEntryLike(1, "stranger", other, both.toString());
+		EntryHost stranger = fleet.startEntryLike(1, "stranger", other, trustFileWith(other));
 		Await.until("a refusal by each member",
 				() -> fleet.members()
 					.stream()
@@ -114,11 +115,61 @@
 		stranger.process().kill();
 	}
 
+	/**
+	 * Guards against a request that reaches whoever announces a runner. The stranger
+	 * trusts the fleet, so that only the entry host can refuse; once it has attached, the
+	 * requests are tried there.
+	 */
+	@Test
+	void aRunnerWithACertificateOfAnotherAuthorityGetsNoRequest() {
+		TestAuthority other = new TestAuthority(fleet.folder(), "stranger-to-callers");
+		Map<String, Object> tls = new HashMap<>(other.sign("stranger-runner", "127.0.0.1"));
+		tls.put("trustFile", trustFileWith(other));
+		operator.change("create-stranger-queue",
+				new ConfigurationCommand.CreateQueue(new QueueName("strangers"), true));
+		StandInRunner stranger = fleet.startRunner("stranger-runner", "strangers", 0, 10, Optional.of(tls));
+		Caller caller = new Caller("strangers", Optional.empty());
+		EntryHost entry = fleet.entries().get(0);
+		Await.until("an attempt on the stranger", () -> {
+			Truth.assertThat(caller.send(entry, request("stranger")).join().saysNotRun()).isTrue();
+			return log("e1").contains("No trusted connection to runner stranger-runner");
+		});
+		Truth.assertThat(stranger.starts()).isEmpty();
+		stranger.process().close();
+	}
+
+	/** Guards against requests that leave an entry host plain against the settings. */
+	@Test
+	void aPlainRunnerIsRefusedWhereTlsIsRequired() {
+		operator.change("create-plain-queue", new ConfigurationCommand.CreateQueue(new QueueName("plain"), true));
+		StandInRunner plain = fleet.startRunner("plain-runner", "plain", 0, 10, Optional.empty());
+		Await.until("a refused announcement",
+				() -> log("e1").contains("runner plain-runner takes requests without TLS"));
+		Truth
+			.assertThat(new Caller("plain", Optional.empty()).send(fleet.entries().get(0), request("plain"))
+				.join()
+				.saysNotRun())
+			.isTrue();
+		Truth.assertThat(plain.starts()).isEmpty();
+		plain.process().close();
+	}
+
 	/** Guards against keys and bodies that pass in plain text by mistake. */
 	@Test
 	void aPlainTextCallerIsRefused() throws InterruptedException {
-		HttpRequest request = HttpRequest
-			.newBuilder(URI.create(fleet.entries().get(0).url().replace("https", "http") + "/ready"))
+		assertPlainIsRefused(fleet.entries().get(0).httpAddress());
+		Truth.assertThat(fleet.entries().get(0).health().says("entryHost", "e1")).isTrue();
+	}
+
+	/** Guards against a page of a member that anyone on the way can forge. */
+	@Test
+	void theHealthPageOfAMemberIsServedOverTlsOnly() throws InterruptedException {
+		assertPlainIsRefused(fleet.members().get(0).adminAddress());
+		Truth.assertThat(fleet.members().get(0).health().says("host", "c1")).isTrue();
+	}
+
+	private static void assertPlainIsRefused(EndPoint address) throws InterruptedException {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/ready"))
 			.timeout(Duration.ofSeconds(10))
 			.build();
 		try {
@@ -127,7 +178,7 @@
 				.isNull();
 		}
 		catch (IOException ex) {
-			Truth.assertThat(fleet.entries().get(0).health().says("entryHost", "e1")).isTrue();
+			// The refusal.
 		}
 	}
 
@@ -188,6 +239,18 @@
 		return fleet.authority().trustFile();
 	}
 
+	private static String trustFileWith(TestAuthority other) {
+		try {
+			return Files
+				.writeString(Path.of(other.trustFile() + ".both"),
+						Files.readString(Path.of(other.trustFile())) + Files.readString(Path.of(trustFile())))
+				.toString();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private static String log(String program) {
 		try {
 			return Files.readString(fleet.folder().resolve(program + ".log"));
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -28,7 +28,7 @@
 
 	private final HealthPage health;
 
-	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members) {
+	ControlMember(ControlPlan plan, Path folder, List<Map<String, Object>> members, Web web) {
 		this.name = plan.name();
 		this.memberAddress = plan.memberAddress();
 		this.adminAddress = plan.adminAddress();
@@ -40,7 +40,7 @@
 		Path settings = SettingsFile.write(folder, this.name, values);
 		this.process = new ProgramProcess(this.name, folder, ControlProgram.class,
 				List.of("--settings", settings.toString()));
-		this.health = new HealthPage(this.adminAddress, Web.PLAIN);
+		this.health = new HealthPage(this.adminAddress, web);
 	}
 
 	// life cycle
@@ -135,6 +135,14 @@
 		return this.memberAddress.toString();
 	}
 
+	/**
+	 * Returns where it serves its health.
+	 * @return the address
+	 */
+	public EndPoint adminAddress() {
+		return this.adminAddress;
+	}
+
 	/**
 	 * Addresses and settings of a member.
 	 *
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
@@ -39,7 +39,7 @@
 		Map<String, Object> values = new HashMap<>(Map.of("name", this.name, "dataCentre", plan.dataCentre(),
 				"httpAddress", address(plan.httpAddress()), "peerAddress", address(plan.peerAddress()), "peers", peers,
 				"members", members, "eventFile", this.eventFile.toString(), "dataFolder", data.toString()));
-		tls.ifPresent((present) -> values.put("tls", present));
+		tls.ifPresent((present) -> values.putAll(Map.of("tls", present, "requireRunnerTls", true)));
 		Path settings = SettingsFile.write(folder, files, values);
 		this.process = new ProgramProcess(files, folder, EntryProgram.class,
 				List.of("--settings", settings.toString()));
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -64,7 +64,7 @@
 			.mapToObj((number) -> entryPlan("e" + number, number))
 			.toList();
 		this.members = this.memberPlans.stream()
-			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans)))
+			.map((plan) -> new ControlMember(plan, folder, linksToMembers(plan, this.memberPlans), Web.of(authority)))
 			.toList();
 		this.entries = this.entryPlans.stream()
 			.map((plan) -> new EntryHost(plan, folder, linksToPeers(plan, this.entryPlans),
@@ -119,7 +119,8 @@
 	}
 
 	/**
-	 * Starts a stand-in runner beside an entry host.
+	 * Starts a stand-in runner beside an entry host. In a fleet with TLS it takes
+	 * requests over TLS.
 	 * @param name name of the runner
 	 * @param queue the queue it serves
 	 * @param entry number of the entry host in whose data centre it stands, from 0
@@ -127,6 +128,21 @@
 	 * @return the runner
 	 */
 	public StandInRunner startRunner(String name, String queue, int entry, long serviceMillis) {
+		return startRunner(name, queue, entry, serviceMillis,
+				this.authority.map((signer) -> signer.sign(name, "127.0.0.1")));
+	}
+
+	/**
+	 * Starts a stand-in runner whose certificate the test chooses.
+	 * @param name name of the runner
+	 * @param queue the queue it serves
+	 * @param entry number of the entry host in whose data centre it stands, from 0
+	 * @param serviceMillis how long it works on a request
+	 * @param tls its certificate; it takes plain requests without it
+	 * @return the runner
+	 */
+	public StandInRunner startRunner(String name, String queue, int entry, long serviceMillis,
+			Optional<Map<String, Object>> tls) {
 		int dataCentre = entry + 1;
 		this.addresses.place(name, dataCentre);
 		EndPoint address = this.addresses.next(name);
@@ -136,7 +152,7 @@
 				"dc" + dataCentre, "--address", address.toString(), "--control-address", control.toString(),
 				"--service-ms", Long.toString(serviceMillis), "--started-file", startedFile.toString(), "--entry"));
 		nearestFirst(entry).forEach((host) -> arguments.add(host.httpAddress().toString()));
-		arguments.addAll(trustArguments());
+		arguments.addAll(tls.map(Fleet::certificateArguments).orElseGet(this::trustArguments));
 		ProgramProcess process = new ProgramProcess(name, this.folder, RunnerMain.class, arguments);
 		StandInRunner runner = new StandInRunner(queue, process, control, startedFile);
 		this.runners.add(runner);
@@ -328,6 +344,11 @@
 		return this.authority.map((signer) -> List.of("--trust-file", signer.trustFile())).orElse(List.of());
 	}
 
+	private static List<String> certificateArguments(Map<String, Object> tls) {
+		return List.of("--trust-file", tls.get("trustFile").toString(), "--certificate-file",
+				tls.get("certificateFile").toString(), "--key-file", tls.get("keyFile").toString());
+	}
+
 	private List<EntryHost> nearestFirst(int entry) {
 		List<EntryHost> nearestFirst = new ArrayList<>(this.entries);
 		nearestFirst.add(0, nearestFirst.remove(entry));
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Web.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Web.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 /**
- * How the entry hosts of a fleet are called. Immutable.
+ * How the programs of a fleet are called. Immutable.
  *
  * @param scheme {@code http} or {@code https}
  * @param client the client of HTTP/1.1
@@ -14,9 +14,6 @@
 
 	private static final Duration LONGEST_CONNECT = Duration.ofSeconds(3);
 
-	/** Without TLS. */
-	static final Web PLAIN = of(Optional.empty());
-
 	static Web of(Optional<TestAuthority> authority) {
 		HttpClient.Builder client = HttpClient.newBuilder()
 			.version(HttpClient.Version.HTTP_1_1)
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerAnnouncer.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerAnnouncer.java
@@ -96,8 +96,8 @@
 
 	private RunnerAnnouncement document(Announce announce) {
 		return new RunnerAnnouncement(this.settings.name(), this.settings.queue(), this.settings.dataCentre(),
-				this.address.toString(), this.settings.slots(), this.settings.connections(), this.rotation.epoch(),
-				announce.slotsInUse(), announce.leaving());
+				this.address.toString(), this.settings.tls().isPresent(), this.settings.slots(),
+				this.settings.connections(), this.rotation.epoch(), announce.slotsInUse(), announce.leaving());
 	}
 
 	/** Messages of the announcer. */
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerListener.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerListener.java
@@ -7,9 +7,11 @@
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.AskPattern;
+import org.apache.pekko.http.javadsl.ConnectionContext;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.IncomingConnection;
 import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.ServerBuilder;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.Materializer;
@@ -41,8 +43,10 @@
 	// life cycle
 
 	CompletionStage<ServerBinding> bind(RunnerSettings settings) {
-		return Http.get(this.system)
-			.newServerAt(settings.address().host(), settings.address().port())
+		ServerBuilder server = Http.get(this.system).newServerAt(settings.address().host(), settings.address().port());
+		return settings.tls()
+			.map((tls) -> server.enableHttps(ConnectionContext.httpsServer(tls::listenerEngine)))
+			.orElse(server)
 			.connectionSource()
 			.to(Sink.foreach(this::accept))
 			.run(this.system);
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerMain.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerMain.java
@@ -6,6 +6,8 @@
 
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
+import io.burdockpin.runtime.tls.CurrentTls;
+import io.burdockpin.runtime.tls.TlsSettings;
 import io.burdockpin.testbench.program.EndPoint;
 import io.burdockpin.testbench.program.TestbenchProgram;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -46,6 +48,10 @@
 		parser.addArgument("--trust-file")
 			.dest("trustFile")
 			.help("PEM file with the authorities of the entry hosts; announcements use HTTPS with it");
+		parser.addArgument("--certificate-file")
+			.dest("certificateFile")
+			.help("PEM file with the certificate of the runner; requests use TLS with it");
+		parser.addArgument("--key-file").dest("keyFile").help("PEM file with the key of the certificate");
 		parser.addArgument("--behaviour")
 			.type(Arguments.caseInsensitiveEnumType(RunnerBehaviour.class))
 			.setDefault(RunnerBehaviour.NORMAL);
@@ -64,7 +70,14 @@
 				arguments.getInt("connections"), arguments.getLong("serviceMillis"),
 				arguments.getLong("announceMillis"), arguments.getLong("attachmentMillis"),
 				Optional.ofNullable(arguments.getString("startedFile")).map(Path::of), arguments.get("behaviour"),
-				Optional.ofNullable(arguments.getString("trustFile")).map(Path::of));
+				Optional.ofNullable(arguments.getString("trustFile")).map(Path::of), tls(arguments));
+	}
+
+	private static Optional<CurrentTls> tls(Namespace arguments) {
+		return Optional.ofNullable(arguments.getString("certificateFile"))
+			.map((file) -> new TlsSettings(file, arguments.getString("keyFile"), arguments.getString("trustFile"),
+					null))
+			.map((files) -> new CurrentTls(files, arguments.getString("name")));
 	}
 
 }
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerSettings.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/RunnerSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.burdockpin.runtime.tls.CurrentTls;
 import io.burdockpin.testbench.program.EndPoint;
 
 /**
@@ -23,10 +24,13 @@
  * @param startedFile where it notes each started request
  * @param behaviour how it treats requests at first
  * @param trustFile authorities of the entry hosts; announcements use HTTP without it
+ * @param tls certificate for requests over TLS; the runner takes plain requests without
+ * it
  */
 public record RunnerSettings(String name, String queue, String dataCentre, EndPoint address, EndPoint controlAddress,
 		List<EndPoint> entries, int slots, int connections, long serviceMillis, long announceMillis,
-		long attachmentMillis, Optional<Path> startedFile, RunnerBehaviour behaviour, Optional<Path> trustFile) {
+		long attachmentMillis, Optional<Path> startedFile, RunnerBehaviour behaviour, Optional<Path> trustFile,
+		Optional<CurrentTls> tls) {
 
 	public RunnerSettings {
 		entries = List.copyOf(entries);
--- a/burdockpin-testbench/src/test/java/io/burdockpin/testbench/runner/RunnerGuardianTests.java
+++ b/burdockpin-testbench/src/test/java/io/burdockpin/testbench/runner/RunnerGuardianTests.java
@@ -46,7 +46,8 @@
 				"{\"entryHost\":\"e1\",\"attached\":true,\"attachmentMillis\":3000,\"attachTo\":null}");
 		this.settings = new RunnerSettings("r1", "booking", "dc1", FakeEntryHost.freeAddress(),
 				FakeEntryHost.freeAddress(), List.of(this.entry.address()), 8, 64, 10, 100, 3000,
-				Optional.of(this.folder.resolve("started")), RunnerBehaviour.NORMAL, Optional.empty());
+				Optional.of(this.folder.resolve("started")), RunnerBehaviour.NORMAL, Optional.empty(),
+				Optional.empty());
 		this.system = ActorSystem.create(RunnerGuardian.create(this.settings, new CompletableFuture<>()), "test",
 				TestbenchProgram.actorConfiguration());
 		this.entry.nextAnnouncement();
