--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/RunnerTlsPolicy.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/cfg/RunnerTlsPolicy.java
@@ -36,7 +36,7 @@
 		@Override
 		public Optional<String> refusal(Runner runner) {
 			return runner.tls() ? Optional.empty()
-					: Optional.of("runner %s takes requests without TLS, but this entry host requires it"
+					: Optional.of("runner %s takes requests without TLS, but this entry host requires TLS"
 						.formatted(runner.name().value()));
 		}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RunnerConnection.java
@@ -57,6 +57,9 @@
 	/** A runner that is not trusted is tried again and again. */
 	private static final int WARN_EVERY_SECONDS = 10;
 
+	/** A process that takes plain requests may wait for the rest of one without end. */
+	private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(2);
+
 	private final TimerScheduler<Command> timers;
 
 	private final RunnerConnector connector;
@@ -91,6 +94,9 @@
 		this.metrics = metrics;
 		this.owner = owner;
 		this.trusted = !life.tls();
+		if (life.tls()) {
+			timers.startSingleTimer(HandshakeOverdue.INSTANCE, HANDSHAKE_TIMEOUT);
+		}
 		ActorRef<Command> self = context.getSelf();
 		Pair<Pair<Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<OutgoingConnection>>, UniqueKillSwitch>, CompletionStage<Done>> stream = Source
 			.<HttpRequest>queue(1)
@@ -133,6 +139,7 @@
 	public Receive<Command> createReceive() {
 		return newReceiveBuilder().onMessage(Run.class, this::onRun)
 			.onMessage(Trusted.class, (command) -> onTrusted())
+			.onMessage(HandshakeOverdue.class, (command) -> onHandshakeOverdue())
 			.onMessage(Answered.class, (command) -> onAnswered(command.response()))
 			.onMessage(Closed.class, this::onClosed)
 			.onMessage(DeadlinePassed.class, (command) -> onDeadlinePassed())
@@ -153,7 +160,17 @@
 		return this;
 	}
 
+	private Behavior<Command> onHandshakeOverdue() {
+		String reason = "the handshake did not end in time";
+		return onClosed(new Closed(Optional.of(reason), reason));
+	}
+
 	private Behavior<Command> onTrusted() {
+		if (this.trusted) {
+			// TLS 1.3 reports the end of a handshake again with each session ticket.
+			return this;
+		}
+		this.timers.cancel(HandshakeOverdue.INSTANCE);
 		if (this.current.isPresent() && !offer(this.current.get().call())) {
 			return end(neverConnected("the runner closed the connection after the handshake"));
 		}
@@ -197,7 +214,7 @@
 
 	private Behavior<Command> onDeadlinePassed() {
 		return this.trusted ? end(broken(ErrorCode.DEADLINE_EXCEEDED, "the runner did not answer in time"))
-				: endUntrusted("the handshake did not end in time");
+				: endUntrusted("the deadline passed during the handshake");
 	}
 
 	private Behavior<Command> onPostStop() {
@@ -337,6 +354,12 @@
 
 	}
 
+	private enum HandshakeOverdue implements Command {
+
+		INSTANCE
+
+	}
+
 	private record Answered(HttpResponse response) implements Command {
 
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerTlsTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/router/RunnerTlsTests.java
@@ -59,6 +59,8 @@
 
 	private ActorRef<RunnerConnections.Command> connections;
 
+	private long lastAttempt;
+
 	@BeforeEach
 	void startConnections() {
 		this.authority = new TestAuthority(this.folder, "authority");
@@ -76,14 +78,20 @@
 		this.kit.shutdownTestKit();
 	}
 
+	/**
+	 * With TLS 1.3 the library may report the end of the handshake twice. The request
+	 * must not be sent twice then.
+	 */
 	@Test
-	void aRunnerWhoseCertificateNamesItGetsRequestsFromAnEntryHostThatShowsItsOwn() {
+	void aRunnerWhoseCertificateNamesItGetsEachRequestOnceFromAnEntryHostThatShowsItsOwn() {
 		try (FakeRunner runner = runner(this.authority.sign("runner-1"))) {
 			RunnerLife life = life(runner.address());
 			this.connections.tell(new RunnerConnections.LimitIdle(Map.of(life, 1)));
-			for (int count = 0; count < 2; count++) {
+			for (int count = 0; count < 3; count++) {
 				send(life, 30_000);
-				runner.awaitCall().answer("done");
+				FakeRunner.Call call = runner.awaitCall();
+				Truth.assertThat(call.attempt()).isEqualTo(Long.toString(this.lastAttempt));
+				call.answer("done");
 				Truth.assertThat(outcome()).isEqualTo(Outcome.RAN);
 			}
 			Truth.assertThat(runner.connectionCount()).isEqualTo(1);
@@ -100,7 +108,7 @@
 	void aRunnerWithACertificateOfAnotherAuthorityGetsNoRequest() throws IOException {
 		TlsSettings stranger = new TestAuthority(this.folder, "other").sign("runner-1");
 		Path both = Files.writeString(this.folder.resolve("both.pem"), Files.readString(Path.of(stranger.trustFile()))
-				+ Files.readString(Path.of(this.authority.sign("any").trustFile())));
+				+ Files.readString(Path.of(this.authority.trustFile())));
 		assertNotRun(runner(new TlsSettings(stranger.certificateFile(), stranger.keyFile(), both.toString(), null)));
 	}
 
@@ -110,9 +118,9 @@
 	}
 
 	@Test
-	void aRunnerThatNeverAnswersTheHandshakeHasNotRunTheRequestAtItsDeadline() throws IOException {
+	void aRunnerThatNeverAnswersTheHandshakeHasNotRunTheRequest() throws IOException {
 		try (ServerSocket silent = ServerSocketFactory.getDefault().createServerSocket(0)) {
-			send(life("127.0.0.1:" + silent.getLocalPort()), 300);
+			send(life("127.0.0.1:" + silent.getLocalPort()), 30_000);
 			Truth.assertThat(outcome()).isEqualTo(Outcome.NOT_RUN);
 		}
 	}
@@ -126,6 +134,14 @@
 		}
 	}
 
+	@Test
+	void aRequestWhoseDeadlinePassesDuringTheHandshakeHasNotRun() throws IOException {
+		try (ServerSocket silent = ServerSocketFactory.getDefault().createServerSocket(0)) {
+			send(life("127.0.0.1:" + silent.getLocalPort()), 1);
+			Truth.assertThat(outcome()).isEqualTo(Outcome.NOT_RUN);
+		}
+	}
+
 	// helpers
 
 	private void assertNotRun(FakeRunner runner) {
@@ -154,7 +170,7 @@
 	}
 
 	private void send(RunnerLife life, long remainingMillis) {
-		RunnerCall call = new RunnerCall(1, new QueueName("quotes"), new RequestId("request"),
+		RunnerCall call = new RunnerCall(++this.lastAttempt, new QueueName("quotes"), new RequestId("request"),
 				"text/plain; charset=UTF-8", Payload.of(new byte[] { 1, 2, 3 }), remainingMillis);
 		this.connections.tell(new RunnerConnections.Attempt(life, call, true, this.reports.getRef()));
 	}
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
@@ -97,8 +97,11 @@
 	}
 
 	private Behavior<LinkCommand<M>> onPeerKnown(LinkCommand.PeerKnown<M> command) {
-		this.peer = Optional.of(command.peer());
-		this.owner.tell(new LinkEvent.Connected<>(this.name, getContext().getSelf()));
+		// TLS 1.3 may report the end of a handshake more than once.
+		if (this.peer.isEmpty()) {
+			this.peer = Optional.of(command.peer());
+			this.owner.tell(new LinkEvent.Connected<>(this.name, getContext().getSelf()));
+		}
 		return this;
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkTransport.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkTransport.java
@@ -29,8 +29,8 @@
 
 	/**
 	 * Wraps an accepted connection.
-	 * @param onPeer called once the peer is known, before any of its bytes pass; must
-	 * only send it to an actor
+	 * @param onPeer called when the peer is known, before any of its bytes pass, and
+	 * possibly again; must only send it to an actor
 	 * @return turns bytes of the link into bytes on the connection and back
 	 */
 	BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> accept(Consumer<LinkPeer> onPeer);
@@ -38,8 +38,8 @@
 	/**
 	 * Wraps an outgoing connection.
 	 * @param peerHost the host that the link is for
-	 * @param onPeer called once the peer is known, before any of its bytes pass; must
-	 * only send it to an actor
+	 * @param onPeer called when the peer is known, before any of its bytes pass, and
+	 * possibly again; must only send it to an actor
 	 * @return turns bytes of the link into bytes on the connection and back
 	 */
 	BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> connect(String peerHost,
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
@@ -155,7 +155,8 @@
 	}
 
 	private Behavior<LinkCommand<M>> onPeerKnown(LinkCommand.PeerKnown<M> command) {
-		if (command.generation() == this.generation) {
+		// TLS 1.3 reports the end of a handshake again with each session ticket.
+		if (command.generation() == this.generation && this.peer.isEmpty()) {
 			this.peer = Optional.of(command.peer());
 			openWhenReady();
 		}
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/TlsLinkTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/TlsLinkTests.java
@@ -60,6 +60,10 @@
 							: FishingOutcomes.continueAndIgnore())
 			.get(0);
 		Truth.assertThat(received.message()).isEqualTo("entry: hello");
+		// The session ticket comes before the answer and must not be taken for another
+		// connection.
+		received.session().tell(new LinkCommand.Send<>("member: hello"));
+		client.expectMessageClass(LinkEvent.Received.class, BOUND);
 	}
 
 	@Test
