--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/json/RunnerAnnouncement.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/json/RunnerAnnouncement.java
@@ -10,6 +10,8 @@
  * @param queue the queue it serves
  * @param dataCentre the data centre it stands in
  * @param address where it takes requests, {@code ip:port}
+ * @param tls whether it takes requests over TLS with a certificate that names it; absent
+ * means no
  * @param slots how many requests it runs at once
  * @param connections how many connections it accepts
  * @param epoch grows each time the runner attaches to another entry host
@@ -18,7 +20,7 @@
  * @param clockMillis its monotonic clock now, in milliseconds since any fixed moment; the
  * entry host states deadlines in it ({@code Burdock-Runner-Deadline-Ms})
  */
-public record RunnerAnnouncement(String runner, String queue, String dataCentre, String address, int slots,
+public record RunnerAnnouncement(String runner, String queue, String dataCentre, String address, boolean tls, int slots,
 		int connections, long epoch, int slotsInUse, boolean leaving, OptionalLong clockMillis) {
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/Runner.java
@@ -14,6 +14,7 @@
  * @param queue the queue it serves
  * @param dataCentre where it stands
  * @param address where it takes requests, {@code ip:port}
+ * @param tls whether it takes requests over TLS with a certificate that names it
  * @param slots how many requests it runs at once
  * @param connections how many connections it accepts
  * @param epoch grows each time the runner attaches to another entry host
@@ -22,7 +23,7 @@
  * @param clockMillis its clock when it announced this, in milliseconds; a runner that
  * gives none cannot tell that a request arrives after its deadline
  */
-public record Runner(RunnerName name, QueueName queue, DataCentre dataCentre, String address, int slots,
+public record Runner(RunnerName name, QueueName queue, DataCentre dataCentre, String address, boolean tls, int slots,
 		int connections, long epoch, int slotsInUse, boolean leaving, OptionalLong clockMillis) {
 
 	private static final int MAX_SLOTS = 10_000;
@@ -59,7 +60,7 @@
 	 * @return the attachment
 	 */
 	public RunnerLife life() {
-		return new RunnerLife(this.name, this.address, this.epoch);
+		return new RunnerLife(this.name, this.address, this.tls, this.epoch);
 	}
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/routing/RunnerTableTests.java
@@ -101,7 +101,7 @@
 	@Test
 	void idleConnectionsOfTwoEntryHostsLeaveEveryAttemptAConnection() {
 		for (int connections = 1; connections <= 40; connections++) {
-			Runner runner = new Runner(new RunnerName("near"), QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", 8,
+			Runner runner = new Runner(new RunnerName("near"), QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", false, 8,
 					connections, 1, 0, false, OptionalLong.empty());
 			Truth.assertThat(runner.capacity() + 2 * runner.idleCapacity()).isAtMost(connections);
 			Truth.assertThat(runner.idleCapacity()).isAtMost(runner.capacity());
@@ -115,18 +115,18 @@
 		announce("near", "dc-1", 1, 0, false, 0);
 		announce("near", "dc-1", 1, 0, false, 1_000);
 		Truth.assertThat(this.table.deadlineAt(near, 3_000)).isEqualTo(OptionalLong.of(2_998 - CLOCK_OFFSET_MILLIS));
-		this.table.announce(new Runner(near, QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", 2, 64, 2, 0, false,
+		this.table.announce(new Runner(near, QUEUE, new DataCentre("dc-1"), "127.0.0.1:1", false, 2, 64, 2, 0, false,
 				OptionalLong.empty()), 1_500);
 		Truth.assertThat(this.table.deadlineAt(near, 3_000)).isEqualTo(OptionalLong.empty());
 	}
 
 	private static RunnerLife life(String name) {
-		return new RunnerLife(new RunnerName(name), "127.0.0.1:1", 1);
+		return new RunnerLife(new RunnerName(name), "127.0.0.1:1", false, 1);
 	}
 
 	private boolean announce(String name, String dataCentre, long epoch, int inUse, boolean leaving, long nowMillis) {
-		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1", 2,
-				64, epoch, inUse, leaving, OptionalLong.of(nowMillis - CLOCK_OFFSET_MILLIS)), nowMillis);
+		return this.table.announce(new Runner(new RunnerName(name), QUEUE, new DataCentre(dataCentre), "127.0.0.1:1",
+				false, 2, 64, epoch, inUse, leaving, OptionalLong.of(nowMillis - CLOCK_OFFSET_MILLIS)), nowMillis);
 	}
 
 	private Optional<Runner> begin(long attempt, long nowMillis) {
