Push grants to holders that lack tokens

Cause: A holder that lacked tokens heard of moved ones only with the answer to its next report, up to 1 s after they were free.

Ruled out: Grants that add to what a holder has: a repeated or late one could be added twice. Grants with a base of their own: the leader does not know which answer the holder has applied.

Change: After a round the leader answers the newest report of a holder again if it asked for tokens and got more since the last answer. Answers to a report are numbered and a holder applies only higher ones. A report names the answer it has seen, and that answer is the base of all answers to it. The leader still counts the largest count of all answers to the newest report, so the argument for the limit is unchanged. A further answer does not renew the leader's view of the lease.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageTraffic.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/MessageTraffic.java
@@ -188,6 +188,10 @@
 		countClient(entry, TrafficStream.TOKENS, report);
 		countClient(entry, TrafficStream.TOKENS, grants);
 		this.tokens.granted(entry, grants);
+		this.tokens.pushes(this.nowMillis).forEach((holder, pushed) -> {
+			countClient(holder, TrafficStream.TOKENS, pushed);
+			this.tokens.granted(holder, pushed);
+		});
 	}
 
 	private void countClient(int entry, TrafficStream stream, ClientMessage message) {
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/TokenTraffic.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/capacity/TokenTraffic.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 
 import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ClientMessage.TokenReport;
@@ -17,6 +18,7 @@
 import io.burdockpin.core.limit.TokenSettings;
 import io.burdockpin.core.limit.TokenView;
 import io.burdockpin.core.limit.TokenWallet;
+import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.model.TeamSpec;
 import io.burdockpin.core.state.Command;
@@ -96,6 +98,15 @@
 		return this.leaderMessages.shorten(report, this.allocator.answer(report, view(), nowMillis));
 	}
 
+	// What the leader sends without a further report, by the number of the entry host.
+	Map<Integer, TokenGrants> pushes(long nowMillis) {
+		Map<Integer, TokenGrants> messages = new HashMap<>();
+		this.allocator.pushes(view(), nowMillis)
+			.forEach((report, grants) -> messages.put(numberOf(report.holder()),
+					this.leaderMessages.shorten(report, grants)));
+		return messages;
+	}
+
 	void granted(int host, TokenGrants message) {
 		Host holder = this.hosts.get(host);
 		TokenGrants whole = holder.messages.complete(message).orElseThrow();
@@ -119,6 +130,13 @@
 		}
 	}
 
+	private int numberOf(Holder holder) {
+		return IntStream.range(0, this.hosts.size())
+			.filter((number) -> SampleFleet.holder(number).equals(holder))
+			.findFirst()
+			.orElseThrow();
+	}
+
 	private TokenView view() {
 		return new TokenView(this.state.teams(), this.state.holders(), this.state.tokens(), List.of(), List.of());
 	}
--- a/burdockpin-codec/src/main/thrift/client.thrift
+++ b/burdockpin-codec/src/main/thrift/client.thrift
@@ -325,6 +325,8 @@
   7: i64 baseSequence,
   /** teams of the base that have neither tokens nor demand any more */
   8: list<string> removed,
+  /** which of the answers to that report the applied grants were */
+  9: i64 seenAnswer,
 }
 
 /** The tokens of one team. */
@@ -342,9 +344,13 @@
   4: i32 targetCount,
 }
 
-/** Leader to entry host: the tokens it has, and how many of them it should give back. */
+/**
+ * Leader to entry host: the tokens it has, and how many of them it should give back. Sent as
+ * the answer to a report, and again without a further report when tokens become free that the
+ * report asked for.
+ */
 struct TokenGrants {
-  /** number of the message it answers */
+  /** number of the message it answers, 0 if it is sent again */
   1: i64 correlation,
   /** term of the leader; a holder ignores grants of an older term */
   2: i64 term,
@@ -358,12 +364,17 @@
   /** one for each team, or for each with other numbers than in the base */
   5: list<TokenGrant> grants,
   /**
-   * number of the report whose applied answer these grants only name the differences to, 0
-   * if they are whole
+   * number of the report whose applied answer, as the answered report names it, these grants
+   * only name the differences to, 0 if they are whole
    */
   6: i64 baseSequence,
   /** teams of the base without a grant */
   7: list<string> removed,
+  /**
+   * 0 for the first answer to the report, higher for each later one; a holder ignores an
+   * answer that is not higher than the one it has applied
+   */
+  8: i64 answer,
 }
 
 /**
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 
@@ -16,7 +18,9 @@
 import io.burdockpin.core.limit.TokenAllocator;
 import io.burdockpin.core.limit.TokenSettings;
 import io.burdockpin.core.limit.TokenView;
+import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.HolderRecord;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -32,7 +36,8 @@
  * A round takes the reports that have arrived, fetches records, decides, proposes, and
  * answers the reports from records that are fetched after the proposals have ended. So a
  * holder hears of a raise as soon as it is committed, and every report is known to the
- * allocator before it is answered.
+ * allocator before it is answered. Holders that lack tokens and got some in the round are
+ * told at once, over the session of their newest answered report.
  */
 public final class TokenPlannerActor extends AbstractBehavior<TokenPlannerActor.Message> {
 
@@ -74,6 +79,8 @@
 
 	private LeaderMessages messages = new LeaderMessages();
 
+	private final Map<Holder, ActorRef<? super ClientMessage>> sessions = new HashMap<>();
+
 	private boolean roundRunning;
 
 	private TokenPlannerActor(ActorContext<Message> context, TimerScheduler<Message> timers, TokenSettings settings,
@@ -180,8 +187,10 @@
 		}
 		TokenView view = view(records);
 		for (ReportArrived arrivedReport : this.planned) {
+			this.sessions.put(arrivedReport.report().holder(), arrivedReport.replyTo());
 			arrivedReport.replyTo().tell(answer(leading.get(), arrivedReport.report(), view, nowMillis));
 		}
+		push(leading.get(), view, nowMillis);
 		return endRound();
 	}
 
@@ -191,6 +200,14 @@
 			.orElseGet(() -> this.messages.shorten(report, leading.answer(report, view, nowMillis)));
 	}
 
+	// A push that is lost is made up for by the answer to the next report.
+	private void push(TokenAllocator leading, TokenView view, long nowMillis) {
+		this.sessions.keySet().retainAll(view.holders().stream().map(HolderRecord::holder).toList());
+		leading.pushes(view, nowMillis)
+			.forEach((report, grants) -> Optional.ofNullable(this.sessions.get(report.holder()))
+				.ifPresent((session) -> session.tell(this.messages.shorten(report, grants))));
+	}
+
 	// A report whose base is not known gets no answer, so the holder sends a whole one.
 	private void completePlanned() {
 		List<ReportArrived> arrived = List.copyOf(this.planned);
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
@@ -91,6 +91,27 @@
 		Truth.assertThat(this.state.tokens().get(0).count()).isEqualTo(6);
 	}
 
+	@Test
+	void tokensThatBecomeFreeAreToldAtOnceToAHolderThatLacksThem() {
+		reportDemand(20);
+		answerRecords();
+		proposals().forEach(this::commit);
+		answerRecords();
+		TokenGrants first = this.entryHost.expectMessageClass(TokenGrants.class);
+		Truth.assertThat(this.wallet.granted(first)).isTrue();
+		apply(new ConfigurationCommand.UpdateTeam(new TeamSpec(TEAM, 1, 12, 0)));
+		this.time.timePasses(ROUND_PERIOD);
+		answerRecords();
+		List<ReplicaMessage.Propose> proposals = proposals();
+		this.entryHost.expectNoMessage(Duration.ZERO);
+		proposals.forEach(this::commit);
+		answerRecords();
+		TokenGrants push = this.entryHost.expectMessageClass(TokenGrants.class);
+		Truth.assertThat(push.answersCall()).isFalse();
+		Truth.assertThat(push.grants()).containsExactly(new TokenGrant(TEAM, 6, 6, 12));
+		Truth.assertThat(this.wallet.granted(push)).isTrue();
+	}
+
 	@Test
 	void aMemberThatDoesNotLeadDoesNotAnswer() {
 		this.leader = false;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/client/ClientMessage.java
@@ -197,6 +197,7 @@
 	 * @param seenTerm term of the newest {@link TokenGrants} that the holder applied, 0
 	 * if none
 	 * @param seenSequence number of the report that those grants answered
+	 * @param seenAnswer which of the answers to that report they were
 	 * @param baseSequence number of the answered report that this one only names the
 	 * differences to, 0 if it is whole
 	 * @param usages one for each team with tokens or demand, or with other numbers than
@@ -204,7 +205,8 @@
 	 * @param removed teams of the base that have neither tokens nor demand any more
 	 */
 	record TokenReport(long correlation, Holder holder, long sequence, long seenTerm, long seenSequence,
-			long baseSequence, List<TokenUsage> usages, List<TeamName> removed) implements ClientMessage {
+			long seenAnswer, long baseSequence, List<TokenUsage> usages,
+			List<TeamName> removed) implements ClientMessage {
 
 		public TokenReport {
 			usages = List.copyOf(usages);
@@ -212,7 +214,7 @@
 		}
 
 		/**
-		 * Creates a whole report.
+		 * Creates a whole report of a holder that has applied at most first answers.
 		 * @param correlation number of the message
 		 * @param holder the reporting life
 		 * @param sequence number of the report
@@ -222,7 +224,7 @@
 		 */
 		public TokenReport(long correlation, Holder holder, long sequence, long seenTerm, long seenSequence,
 				List<TokenUsage> usages) {
-			this(correlation, holder, sequence, seenTerm, seenSequence, 0, usages, List.of());
+			this(correlation, holder, sequence, seenTerm, seenSequence, 0, 0, usages, List.of());
 		}
 
 		/**
@@ -242,7 +244,7 @@
 		 */
 		public TokenReport withCorrelation(long newCorrelation) {
 			return new TokenReport(newCorrelation, this.holder, this.sequence, this.seenTerm, this.seenSequence,
-					this.baseSequence, this.usages, this.removed);
+					this.seenAnswer, this.baseSequence, this.usages, this.removed);
 		}
 
 	}
@@ -261,18 +263,22 @@
 
 	/**
 	 * Leader to entry host: the tokens it has, and how many of them it should give back.
+	 * Sent as the answer to a report, and again without a further report when tokens
+	 * become free that the report asked for.
 	 *
-	 * @param correlation number of the message it answers
+	 * @param correlation number of the message it answers, 0 if it is sent again
 	 * @param term term of the leader; a holder ignores grants of an older term
 	 * @param sequence number of the report it answers; a holder ignores grants that do
 	 * not answer its newest report
+	 * @param answer 0 for the first answer to the report, higher for each later one; a
+	 * holder ignores an answer that is not higher than the one it has applied
 	 * @param leaseMillis how long the leased tokens stay valid after the report was sent
-	 * @param baseSequence number of the report whose applied answer these grants only
-	 * name the differences to, 0 if they are whole
+	 * @param baseSequence number of the report whose applied answer, as the answered
+	 * report names it, these grants only name the differences to, 0 if they are whole
 	 * @param grants one for each team, or for each with other numbers than in the base
 	 * @param removed teams of the base without a grant
 	 */
-	record TokenGrants(long correlation, long term, long sequence, long leaseMillis, long baseSequence,
+	record TokenGrants(long correlation, long term, long sequence, long answer, long leaseMillis, long baseSequence,
 			List<TokenGrant> grants, List<TeamName> removed) implements ClientMessage {
 
 		public TokenGrants {
@@ -281,7 +287,7 @@
 		}
 
 		/**
-		 * Creates whole grants.
+		 * Creates whole grants that are the first answer.
 		 * @param correlation number of the message it answers
 		 * @param term term of the leader
 		 * @param sequence number of the report it answers
@@ -290,7 +296,7 @@
 		 * @param grants one for each team
 		 */
 		public TokenGrants(long correlation, long term, long sequence, long leaseMillis, List<TokenGrant> grants) {
-			this(correlation, term, sequence, leaseMillis, 0, grants, List.of());
+			this(correlation, term, sequence, 0, leaseMillis, 0, grants, List.of());
 		}
 
 		/**
@@ -304,6 +310,14 @@
 			this(correlation, 0, correlation, leaseMillis, grants);
 		}
 
+		/**
+		 * Tells whether these grants answer a call.
+		 * @return {@code false} if the leader sent them without a further report
+		 */
+		public boolean answersCall() {
+			return this.correlation != 0;
+		}
+
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderMessages.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/HolderMessages.java
@@ -1,5 +1,6 @@
 package io.burdockpin.core.limit;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.burdockpin.core.client.ClientMessage.TokenGrant;
@@ -14,7 +15,9 @@
  * owner of the wallet.
  * <p>
  * A report is whole unless the one before it was answered, so a new leader, which does
- * not know the base and therefore does not answer, gets the next one whole.
+ * not know the base and therefore does not answer, gets the next one whole. The base of
+ * all answers to a report are the grants that the report names as applied, whether or not
+ * another answer to it has been applied meanwhile.
  */
 public final class HolderMessages {
 
@@ -28,6 +31,8 @@
 
 	private Optional<TokenGrants> applied = Optional.empty();
 
+	private Optional<TokenGrants> base = Optional.empty();
+
 	private long wholeMillis;
 
 	/**
@@ -39,29 +44,32 @@
 	public TokenReport shorten(TokenReport whole, long nowMillis) {
 		Optional<TokenReport> base = this.newest.filter((before) -> isAnswered(before) && !isWholeDue(nowMillis));
 		this.newest = Optional.of(whole);
+		this.base = this.applied;
 		if (base.isEmpty()) {
 			this.wholeMillis = nowMillis;
 			return whole;
 		}
 		Difference<TokenUsage> difference = Difference.between(base.get().usages(), whole.usages(), TokenUsage::team);
 		return new TokenReport(whole.correlation(), whole.holder(), whole.sequence(), whole.seenTerm(),
-				whole.seenSequence(), base.get().sequence(), difference.changed(), difference.removed());
+				whole.seenSequence(), whole.seenAnswer(), base.get().sequence(), difference.changed(),
+				difference.removed());
 	}
 
 	/**
 	 * Completes grants.
 	 * @param received the grants as they arrived
-	 * @return the whole grants, or nothing if they do not fit what was applied before
+	 * @return the whole grants, or nothing if they do not fit what the newest report
+	 * names as applied
 	 */
 	public Optional<TokenGrants> complete(TokenGrants received) {
 		if (received.baseSequence() == 0) {
 			return Optional.of(received);
 		}
 		Difference<TokenGrant> difference = new Difference<>(received.grants(), received.removed());
-		return this.applied
-			.filter((base) -> base.term() == received.term() && base.sequence() == received.baseSequence())
-			.map((base) -> new TokenGrants(received.correlation(), received.term(), received.sequence(),
-					received.leaseMillis(), difference.appliedTo(base.grants(), TokenGrant::team)));
+		return this.base.filter((grants) -> isBaseOf(received, grants))
+			.map((grants) -> new TokenGrants(received.correlation(), received.term(), received.sequence(),
+					received.answer(), received.leaseMillis(), 0,
+					difference.appliedTo(grants.grants(), TokenGrant::team), List.of()));
 	}
 
 	/**
@@ -74,6 +82,11 @@
 
 	// helpers
 
+	private boolean isBaseOf(TokenGrants received, TokenGrants applied) {
+		return this.newest.filter((report) -> report.sequence() == received.sequence()).isPresent()
+				&& applied.term() == received.term() && applied.sequence() == received.baseSequence();
+	}
+
 	private boolean isAnswered(TokenReport report) {
 		return this.applied.filter((grants) -> grants.sequence() == report.sequence()).isPresent();
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/LeaderMessages.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/LeaderMessages.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.limit;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -22,7 +23,7 @@
 
 	private final Map<Holder, TreeMap<Long, TokenReport>> reports = new HashMap<>();
 
-	private final Map<Holder, TreeMap<Long, Optional<TokenGrants>>> answers = new HashMap<>();
+	private final Map<Holder, TreeMap<AnswerId, TokenGrants>> answers = new HashMap<>();
 
 	/**
 	 * Completes a report.
@@ -48,14 +49,13 @@
 	 * @return the grants to send
 	 */
 	public TokenGrants shorten(TokenReport report, TokenGrants whole) {
-		TreeMap<Long, Optional<TokenGrants>> known = this.answers.computeIfAbsent(report.holder(),
+		TreeMap<AnswerId, TokenGrants> known = this.answers.computeIfAbsent(report.holder(),
 				(holder) -> new TreeMap<>());
-		known.headMap(report.seenSequence()).clear();
-		Optional<TokenGrants> base = known.getOrDefault(report.seenSequence(), Optional.empty())
+		AnswerId seen = AnswerId.seenBy(report);
+		known.headMap(seen).clear();
+		Optional<TokenGrants> base = Optional.ofNullable(known.get(seen))
 			.filter((grants) -> report.seenTerm() == grants.term());
-		// When a report is answered twice the holder may have applied either answer.
-		known.merge(report.sequence(), Optional.of(whole),
-				(first, second) -> first.equals(second) ? first : Optional.empty());
+		known.put(AnswerId.of(whole), whole);
 		return base.map((grants) -> shortened(whole, grants)).orElse(whole);
 	}
 
@@ -78,13 +78,13 @@
 		Difference<TokenUsage> difference = new Difference<>(received.usages(), received.removed());
 		return Optional.ofNullable(known.get(received.baseSequence()))
 			.map((base) -> new TokenReport(received.correlation(), received.holder(), received.sequence(),
-					received.seenTerm(), received.seenSequence(),
-					difference.appliedTo(base.usages(), TokenUsage::team)));
+					received.seenTerm(), received.seenSequence(), received.seenAnswer(), 0,
+					difference.appliedTo(base.usages(), TokenUsage::team), List.of()));
 	}
 
 	private static TokenGrants shortened(TokenGrants whole, TokenGrants base) {
 		Difference<TokenGrant> difference = Difference.between(base.grants(), whole.grants(), TokenGrant::team);
-		return new TokenGrants(whole.correlation(), whole.term(), whole.sequence(), whole.leaseMillis(),
+		return new TokenGrants(whole.correlation(), whole.term(), whole.sequence(), whole.answer(), whole.leaseMillis(),
 				base.sequence(), difference.changed(), difference.removed());
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenAllocator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenAllocator.java
@@ -75,14 +75,28 @@
 	 * @return the tokens of the holder
 	 */
 	public TokenGrants answer(TokenReport report, TokenView view, long nowMillis) {
-		FleetCounts counts = new FleetCounts(view);
 		this.lapses.renew(report.holder(), nowMillis);
-		List<TokenGrant> grants = new ArrayList<>();
-		for (TeamName team : teamsOf(report, view)) {
-			grants
-				.add(grant(report, counts.token(new TokenKey(team, report.holder())), counts.isLive(report.holder())));
+		return grants(report, report.correlation(), view, new FleetCounts(view));
+	}
+
+	/**
+	 * Answers reports again whose holders lack tokens and have got some since the last
+	 * answer. Call under the same conditions as {@link #answer}. An answer does not renew
+	 * leases a second time, because the holder counts them from its report.
+	 * @param view the replicated records
+	 * @param nowMillis the current time
+	 * @return further answers by the reports they belong to
+	 */
+	public Map<TokenReport, TokenGrants> pushes(TokenView view, long nowMillis) {
+		List<TokenReport> unmet = this.reports.unmet(nowMillis, this.settings.silentMillis());
+		Map<TokenReport, TokenGrants> pushes = new HashMap<>();
+		if (!unmet.isEmpty()) {
+			FleetCounts counts = new FleetCounts(view);
+			unmet.stream()
+				.filter((report) -> hasMore(report, counts))
+				.forEach((report) -> pushes.put(report, grants(report, 0, view, counts)));
 		}
-		return new TokenGrants(report.correlation(), this.term, report.sequence(), this.settings.leaseMillis(), grants);
+		return pushes;
 	}
 
 	/**
@@ -232,12 +246,34 @@
 		return team.spec().upperLimit() / (counts.live().size() + 1);
 	}
 
-	private TokenGrant grant(TokenReport report, TokenRecord record, boolean live) {
+	private TokenGrants grants(TokenReport report, long correlation, TokenView view, FleetCounts counts) {
+		AnswerId answer = this.reports.nextAnswer(report);
+		boolean live = counts.isLive(report.holder());
+		List<TokenGrant> grants = teamsOf(report, view).stream()
+			.map((team) -> grant(answer, counts.token(new TokenKey(team, report.holder())), live))
+			.toList();
+		return new TokenGrants(correlation, this.term, answer.sequence(), answer.answer(), this.settings.leaseMillis(),
+				0, grants, List.of());
+	}
+
+	private boolean hasMore(TokenReport report, FleetCounts counts) {
+		return counts.isLive(report.holder()) && report.usages()
+			.stream()
+			.filter((usage) -> usage.waitingCount() > 0)
+			.map((usage) -> counts.token(new TokenKey(usage.team(), report.holder())))
+			.anyMatch((record) -> told(record).count() > this.reports.toldCount(TokenKey.of(record)));
+	}
+
+	private TokenRecord told(TokenRecord record) {
+		return this.reductions.of(record).orElse(record);
+	}
+
+	private TokenGrant grant(AnswerId answer, TokenRecord record, boolean live) {
 		if (!live) {
 			return new TokenGrant(record.team(), 0, 0, 0);
 		}
-		TokenRecord told = this.reductions.of(record).orElse(record);
-		this.reports.answered(report, record, told.count());
+		TokenRecord told = told(record);
+		this.reports.answered(answer, record, told.count());
 		int targetCount = this.targetCounts.getOrDefault(TokenKey.of(record), told.count());
 		return new TokenGrant(record.team(), told.ownedCount(), told.leasedCount(), targetCount);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/limit/TokenWallet.java
@@ -44,6 +44,8 @@
 
 	private long seenSequence;
 
+	private long seenAnswer;
+
 	/**
 	 * Creates an empty wallet.
 	 * @param holder the life of the entry host
@@ -158,21 +160,25 @@
 		this.uses.values().forEach((use) -> teams.add(use.team()));
 		List<TokenUsage> usages = new ArrayList<>();
 		teams.forEach((team) -> usages.add(usage(team, nowMillis)));
-		return new TokenReport(0, this.holder, this.sequence, this.seenTerm, this.seenSequence, usages);
+		return new TokenReport(0, this.holder, this.sequence, this.seenTerm, this.seenSequence, this.seenAnswer, 0,
+				usages, List.of());
 	}
 
 	/**
 	 * Applies grants. Grants that do not answer the newest report are ignored, because
-	 * the wallet may have reported fewer tokens since.
+	 * the wallet may have reported fewer tokens since. Of several answers to it only
+	 * higher ones are applied, because the wallet's next report confirms what it applied
+	 * last.
 	 * @param grants the grants
 	 * @return {@code true} if they were applied
 	 */
 	public boolean granted(TokenGrants grants) {
-		if (!answersNewestReport(grants.sequence(), grants.term())) {
+		if (!answersNewestReport(grants.sequence(), grants.term()) || isApplied(grants)) {
 			return false;
 		}
 		this.seenTerm = grants.term();
 		this.seenSequence = grants.sequence();
+		this.seenAnswer = grants.answer();
 		this.leaseEndMillis = this.reportSentMillis + grants.leaseMillis();
 		this.purses.clear();
 		grants.grants().forEach(this::put);
@@ -199,6 +205,7 @@
 		this.leaseEndMillis = Long.MIN_VALUE;
 		this.seenTerm = 0;
 		this.seenSequence = 0;
+		this.seenAnswer = 0;
 		// Late answers to reports of the forgotten life do not answer the newest report.
 		this.sequence++;
 		return Optional.of(this.holder);
@@ -215,6 +222,11 @@
 		return answeredSequence == this.sequence && term >= this.seenTerm;
 	}
 
+	private boolean isApplied(TokenGrants grants) {
+		return grants.term() == this.seenTerm && grants.sequence() == this.seenSequence
+				&& grants.answer() <= this.seenAnswer;
+	}
+
 	private void put(TokenGrant grant) {
 		int keptCount = Math.max(grant.targetCount(), inUseCount(grant.team()));
 		Purse purse = new Purse(grant.ownedCount(), grant.leasedCount()).reducedTo(keptCount);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/SimulatedFleet.java
@@ -62,6 +62,8 @@
 
 	int startedLifeCount;
 
+	int pushedCount;
+
 	private final RandomGenerator random;
 
 	private final TokenFault fault;
@@ -307,24 +309,46 @@
 			}
 			TokenGrants grants = leader.allocator.answer(report, leader.view, leader.localMillis(this.nowMillis));
 			TokenGrants message = leader.messages.shorten(report, grants);
-			send(host, leader, () -> deliver(host, report.holder(), message, grants));
+			send(host, leader, () -> deliver(host, report.holder(), message, grants, false));
 		}
 	}
 
-	private void deliver(SimulatedHost host, Holder addressee, TokenGrants message, TokenGrants sent) {
-		Optional<TokenGrants> completed = host.messages.complete(message);
-		if (!host.holder.equals(addressee) || completed.isEmpty()) {
+	private void push(Leader leader) {
+		if (!leads(leader)) {
 			return;
 		}
-		TokenGrants grants = completed.get();
-		TokenGrants applied = (this.fault != TokenFault.STALE_GRANTS_APPLIED) ? grants
-				: new TokenGrants(0, grants.term(), host.lastSequence, grants.leaseMillis(), grants.grants());
-		if (host.wallet.granted(applied)) {
-			if (this.fault != TokenFault.STALE_GRANTS_APPLIED) {
-				Truth.assertThat(grants).isEqualTo(sent);
-			}
-			host.messages.applied(grants);
+		refresh(leader);
+		leader.allocator.pushes(leader.view, leader.localMillis(this.nowMillis)).forEach((report, grants) -> {
+			TokenGrants message = leader.messages.shorten(report, grants);
+			SimulatedHost host = hostOf(report.holder());
+			send(host, leader, () -> {
+				boolean applied = deliver(host, report.holder(), message, grants, true);
+				this.pushedCount += applied ? 1 : 0;
+			});
+		});
+	}
+
+	private SimulatedHost hostOf(Holder holder) {
+		return this.hosts.stream().filter((host) -> host.holder.host().equals(holder.host())).findFirst().orElseThrow();
+	}
+
+	private boolean deliver(SimulatedHost host, Holder addressee, TokenGrants message, TokenGrants sent,
+			boolean pushed) {
+		if (!host.holder.equals(addressee)) {
+			return false;
 		}
+		boolean stale = this.fault == TokenFault.STALE_GRANTS_APPLIED
+				|| (pushed && this.fault == TokenFault.STALE_PUSHES_APPLIED);
+		if (stale) {
+			return host.wallet.granted(new TokenGrants(0, sent.term(), host.lastSequence, ++this.eventNumber,
+					sent.leaseMillis(), 0, sent.grants(), List.of()));
+		}
+		Optional<TokenGrants> granted = host.messages.complete(message).filter(host.wallet::granted);
+		granted.ifPresent((grants) -> {
+			Truth.assertThat(grants).isEqualTo(sent);
+			host.messages.applied(grants);
+		});
+		return granted.isPresent();
 	}
 
 	private void deliver(SimulatedHost host, Holder addressee, HolderForgotten refusal) {
@@ -347,6 +371,7 @@
 		for (Command command : leader.allocator.plan(leader.view, leader.localMillis(this.nowMillis))) {
 			commit(leader, command);
 		}
+		at(commitMillis(), () -> push(leader));
 	}
 
 	private void commit(Leader leader, Command command) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenFault.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenFault.java
@@ -8,6 +8,9 @@
 	/** A holder applies grants that do not answer its newest report. */
 	STALE_GRANTS_APPLIED,
 
+	/** A holder applies pushed grants that do not answer its newest report. */
+	STALE_PUSHES_APPLIED,
+
 	/** A new leader treats leases as lapsed at once. */
 	NO_WAIT_AFTER_LEADER_CHANGE,
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenLimitTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/limit/TokenLimitTests.java
@@ -106,6 +106,7 @@
 			nearLimit += (fleet.runningOf(BOOKING) >= 30) ? 1 : 0;
 		}
 		Truth.assertWithMessage("reports that were sent shortened").that(fleet.shortenedCount).isGreaterThan(100);
+		Truth.assertWithMessage("pushed grants that were applied").that(fleet.pushedCount).isGreaterThan(10);
 		return nearLimit;
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlCommand.java
@@ -6,6 +6,7 @@
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientEnvelope;
 import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.runtime.link.LinkEvent;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -34,6 +35,15 @@
 
 	}
 
+	/**
+	 * Asks for the tokens that a leader grants without a call.
+	 *
+	 * @param subscriber gets them
+	 */
+	record SubscribeGrants(ActorRef<TokenGrants> subscriber) implements ControlCommand {
+
+	}
+
 	/**
 	 * Hands over a configuration that another entry host has.
 	 *
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ControlSupervisor.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import io.burdockpin.core.client.CallResult;
 import io.burdockpin.core.client.ClientEnvelope;
 import io.burdockpin.core.client.ClientMessage;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.client.ControlCalls;
 import io.burdockpin.core.event.HybridClock;
 import io.burdockpin.core.membership.PeerEnvelope;
@@ -66,6 +68,8 @@
 
 	private final ActorRef<ConfigurationActor.Command> configuration;
 
+	private final List<ActorRef<TokenGrants>> grantSubscribers = new ArrayList<>();
+
 	private long lastCorrelation;
 
 	private ControlSupervisor(ActorContext<ControlCommand> context, TimerScheduler<ControlCommand> timers,
@@ -114,6 +118,7 @@
 		return newReceiveBuilder().onMessage(ControlCommand.Call.class, this::onCall)
 			.onMessage(ControlCommand.SendTo.class, this::onSendTo)
 			.onMessage(ControlCommand.Subscribe.class, this::onSubscribe)
+			.onMessage(ControlCommand.SubscribeGrants.class, this::onSubscribeGrants)
 			.onMessage(ControlCommand.Offer.class, this::onOffer)
 			.onMessage(ControlCommand.LinkHappened.class, (command) -> onLinkEvent(command.event()))
 			.onMessage(ControlCommand.Tick.class, (tick) -> carryOut(this.calls.tick(this.identity.nowMillis())))
@@ -138,6 +143,11 @@
 		return this;
 	}
 
+	private Behavior<ControlCommand> onSubscribeGrants(ControlCommand.SubscribeGrants command) {
+		this.grantSubscribers.add(command.subscriber());
+		return this;
+	}
+
 	private Behavior<ControlCommand> onOffer(ControlCommand.Offer command) {
 		this.configuration.tell(new ConfigurationActor.Offered(command.configuration()));
 		return this;
@@ -168,6 +178,10 @@
 		if (correlation.isPresent()) {
 			return carryOut(this.calls.replied(member, correlation.get(), message));
 		}
+		if (message instanceof TokenGrants grants) {
+			this.grantSubscribers.forEach((subscriber) -> subscriber.tell(grants));
+			return this;
+		}
 		this.configuration.tell(new ConfigurationActor.Received(member, message));
 		if (message instanceof ClientMessage.FeedHeartbeat heartbeat) {
 			return carryOut(this.calls.leaderHeard(heartbeat.leader()));
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ReplyCorrelation.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/control/ReplyCorrelation.java
@@ -26,7 +26,7 @@
 		if (message instanceof ClientMessage.QueryReply reply) {
 			return Optional.of(reply.correlation());
 		}
-		if (message instanceof ClientMessage.TokenGrants reply) {
+		if (message instanceof ClientMessage.TokenGrants reply && reply.answersCall()) {
 			return Optional.of(reply.correlation());
 		}
 		if (message instanceof ClientMessage.HolderForgotten reply) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenActor.java
@@ -72,6 +72,8 @@
 		this.control = control;
 		this.holder = identity.holder();
 		this.wallet = new TokenWallet(this.holder);
+		control.tell(new ControlCommand.SubscribeGrants(
+				context.messageAdapter(ClientMessage.TokenGrants.class, TokenCommand.GrantsPushed::new)));
 		register();
 	}
 
@@ -101,6 +103,7 @@
 			.onMessage(TokenCommand.Drain.class, this::onDrain)
 			.onMessage(TokenCommand.Registered.class, this::onRegistered)
 			.onMessage(TokenCommand.ReportEnded.class, this::onReportEnded)
+			.onMessage(TokenCommand.GrantsPushed.class, (command) -> apply(command.grants()))
 			.onMessage(TokenCommand.Tick.class, (command) -> onTick())
 			.build();
 	}
@@ -173,14 +176,19 @@
 
 	private void onReportAnswered(ClientMessage answer) {
 		if (answer instanceof ClientMessage.TokenGrants grants) {
-			this.messages.complete(grants).filter(this.wallet::granted).ifPresent(this.messages::applied);
-			tellAvailable();
+			apply(grants);
 		}
 		else if (answer instanceof ClientMessage.HolderForgotten forgotten) {
 			this.wallet.forgotten(forgotten).ifPresent(this::startLife);
 		}
 	}
 
+	private Behavior<TokenCommand> apply(ClientMessage.TokenGrants grants) {
+		this.messages.complete(grants).filter(this.wallet::granted).ifPresent(this.messages::applied);
+		tellAvailable();
+		return this;
+	}
+
 	private Behavior<TokenCommand> onDrain(TokenCommand.Drain command) {
 		this.wallet.giveBack();
 		call(tokenReport(), DRAIN_TIMEOUT_MILLIS, (result) -> {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/token/TokenCommand.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.burdockpin.core.client.CallResult;
+import io.burdockpin.core.client.ClientMessage.TokenGrants;
 import io.burdockpin.core.limit.TokenCount;
 import io.burdockpin.core.model.TeamName;
 import org.apache.pekko.Done;
@@ -114,6 +115,15 @@
 
 	}
 
+	/**
+	 * The leader has granted tokens without a further report.
+	 *
+	 * @param grants the grants
+	 */
+	record GrantsPushed(TokenGrants grants) implements TokenCommand {
+
+	}
+
 	/** Time to report. */
 	enum Tick implements TokenCommand {
 
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/token/TokenActorTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/token/TokenActorTests.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against an entry host that stays without tokens although it lives. */
+/** Guards against an entry host that stays without tokens that it could have. */
 class TokenActorTests {
 
 	private static final TeamName TEAM = new TeamName("payroll");
@@ -61,8 +61,11 @@
 		this.testKit.shutdownTestKit();
 	}
 
+	private final ActorRef<TokenGrants> pushes;
+
 	TokenActorTests() {
 		this.actor.tell(new TokenCommand.Subscribe(this.available.getRef()));
+		this.pushes = this.control.expectMessageClass(ControlCommand.SubscribeGrants.class).subscriber();
 	}
 
 	@Test
@@ -87,6 +90,22 @@
 		Truth.assertThat(report(nextReport()).usages()).containsExactly(new TokenUsage(TEAM, 2, 2, 0));
 	}
 
+	@Test
+	void pushedTokensAreUsableAtOnceAndAreNotTakenTwice() {
+		accept(nextCall(), 7);
+		ControlCommand.Call report = nextReport();
+		answer(report, 1);
+		Truth.assertThat(take(1)).isTrue();
+		Truth.assertThat(take(2)).isFalse();
+		TokenGrants push = new TokenGrants(0, TERM, report(report).sequence(), 1, 45_000, 0,
+				List.of(new TokenGrant(TEAM, 2, 0, 2)), List.of());
+		this.pushes.tell(push);
+		expectAvailable();
+		Truth.assertThat(take(3)).isTrue();
+		this.pushes.tell(push);
+		Truth.assertThat(take(4)).isFalse();
+	}
+
 	private static void accept(ControlCommand.Call registration, long incarnation) {
 		Truth.assertThat(holder(registration)).isEqualTo(new Holder(HOST, incarnation));
 		registration.replyTo()
