--- a/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/membership/PeerStatusSenderTests.java
@@ -67,11 +67,11 @@
 		List<QueueStatus> queues = List.of(queue(1, 2, 100));
 		next(status(queues), 0);
 		Truth.assertThat(this.sender.next(status(queues), 200)).isEmpty();
-		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 1, queues), 201);
-		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, queues), 202);
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 1, queues, 0), 201);
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, queues, 0), 202);
 		this.sender.requestTaken();
-		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, queues), 203);
-		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, List.of()), 204);
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, queues, 0), 203);
+		next(new PeerStatus(0, PEER.dataCentre(), PEER.httpAddress(), true, 2, List.of(), 0), 204);
 	}
 
 	@Test
