--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/MaintenanceActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/MaintenanceActor.java
@@ -1,8 +1,8 @@
 package io.burdockpin.control.planner;
 
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -42,7 +42,7 @@
 
 	private static final long NO_TERM = -1;
 
-	private final Clock clock;
+	private final InstantSource clock;
 
 	private final ReplicaPort replica;
 
@@ -65,7 +65,7 @@
 	private long plannedTerm = NO_TERM;
 
 	private MaintenanceActor(ActorContext<Message> context, TimerScheduler<Message> timers,
-			MaintenanceSettings settings, Duration roundPeriod, Clock clock, ReplicaPort replica,
+			MaintenanceSettings settings, Duration roundPeriod, InstantSource clock, ReplicaPort replica,
 			ActorRef<EventLog.Command> eventLog) {
 		super(context);
 		this.clock = clock;
@@ -90,7 +90,7 @@
 	 * @param eventLog gets what a drain will interrupt
 	 * @return the behavior
 	 */
-	public static Behavior<Message> create(MaintenanceSettings settings, Duration roundPeriod, Clock clock,
+	public static Behavior<Message> create(MaintenanceSettings settings, Duration roundPeriod, InstantSource clock,
 			ReplicaPort replica, ActorRef<EventLog.Command> eventLog) {
 		return Behaviors.setup((context) -> Behaviors.withTimers(
 				(timers) -> new MaintenanceActor(context, timers, settings, roundPeriod, clock, replica, eventLog)));
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -1,7 +1,7 @@
 package io.burdockpin.control.planner;
 
-import java.time.Clock;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -63,7 +63,7 @@
 
 	private final long roundMillis;
 
-	private final Clock clock;
+	private final InstantSource clock;
 
 	private final ReplicaPort replica;
 
@@ -94,7 +94,7 @@
 	private long roundDueMillis = Long.MAX_VALUE;
 
 	private PlacementActor(ActorContext<Message> context, TimerScheduler<Message> timers, PlacementSettings settings,
-			Duration roundPeriod, Clock clock, ReplicaPort replica,
+			Duration roundPeriod, InstantSource clock, ReplicaPort replica,
 			ActorRef<MaintenanceActor.WorkersObserved> maintenance) {
 		super(context);
 		this.timers = timers;
@@ -125,7 +125,7 @@
 	 * @param maintenance gets what the worker reports show
 	 * @return the behavior
 	 */
-	public static Behavior<Message> create(PlacementSettings settings, Duration roundPeriod, Clock clock,
+	public static Behavior<Message> create(PlacementSettings settings, Duration roundPeriod, InstantSource clock,
 			ReplicaPort replica, ActorRef<MaintenanceActor.WorkersObserved> maintenance) {
 		return Behaviors.setup((context) -> Behaviors.withTimers(
 				(timers) -> new PlacementActor(context, timers, settings, roundPeriod, clock, replica, maintenance)));
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
@@ -1,10 +1,7 @@
 package io.burdockpin.control.planner;
 
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -18,10 +15,12 @@
 import io.burdockpin.core.client.ClientMessage.WorkerOrders;
 import io.burdockpin.core.client.ClientMessage.WorkerReport;
 import io.burdockpin.core.client.ClientMessage.WorkerReports;
+import io.burdockpin.core.model.DataCentre;
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Resources;
 import io.burdockpin.core.state.ConfigurationSnapshot;
+import io.burdockpin.core.state.HolderRecord;
 import io.burdockpin.core.state.JobRecord;
 import io.burdockpin.runtime.event.EventLog;
 import org.apache.pekko.actor.testkit.typed.FishingOutcome;
@@ -42,11 +41,13 @@
 
 	private static final Duration LONGEST_WAIT = Duration.ofSeconds(20);
 
-	/** A token planner answers nothing in its first 2 s. */
-	private static final long SETTLE_MILLIS = 2_000;
+	/** A token planner gives no answers before. */
+	private static final long SETTLED_MILLIS = 2_000;
 
 	private static final Duration POLL = Duration.ofMillis(200);
 
+	private final AtomicLong nowMillis = new AtomicLong();
+
 	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
 
 	private final ManualTime time = ManualTime.get(this.testKit.system());
@@ -55,11 +56,9 @@
 
 	private final TestProbe<ClientMessage> entryHost = this.testKit.createTestProbe();
 
-	private final SteppedClock clock = new SteppedClock();
-
 	private final ActorRef<PlannerReport> supervisor = this.testKit
-		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, this.clock, this.replica.getRef(),
-				this.testKit.<EventLog.Command>createTestProbe().getRef()));
+		.spawn(PlannerSupervisor.create(PlannerSettings.DEFAULT, () -> Instant.ofEpochMilli(this.nowMillis.get()),
+				this.replica.getRef(), this.testKit.<EventLog.Command>createTestProbe().getRef()));
 
 	private long generation;
 
@@ -119,11 +118,13 @@
 	private void answerRecords(List<JobRecord> jobs) {
 		List<ReplicaMessage> next = this.replica.fishForMessage(LONGEST_WAIT, PlannerSupervisorTests::skipWatch);
 		ReplicaMessage.FetchRecords request = (ReplicaMessage.FetchRecords) next.get(0);
-		// The first request shows that the token planner has read its start time.
-		this.clock.nowMillis.set(SETTLE_MILLIS);
 		ConfigurationSnapshot configuration = new ConfigurationSnapshot(1, List.of(), List.of(), List.of(), List.of(),
 				List.of());
-		request.replyTo().tell(new FleetRecords(true, 1, 1, configuration, List.of(), List.of(), jobs, List.of()));
+		HolderRecord holder = new HolderRecord(ENTRY_HOST, new DataCentre("dc-1"), false);
+		// The request shows that the planner has read its start time.
+		this.nowMillis.set(SETTLED_MILLIS);
+		request.replyTo()
+			.tell(new FleetRecords(true, 1, 1, configuration, List.of(holder), List.of(), jobs, List.of()));
 	}
 
 	// The placement planner asks once to be told of changes; the time of it is not fixed.
@@ -132,28 +133,6 @@
 				: FishingOutcomes.complete();
 	}
 
-	/** A clock that stands still until the test sets it. */
-	private static final class SteppedClock extends Clock {
-
-		private final AtomicLong nowMillis = new AtomicLong();
-
-		@Override
-		public Instant instant() {
-			return Instant.ofEpochMilli(this.nowMillis.get());
-		}
-
-		@Override
-		public ZoneId getZone() {
-			return ZoneOffset.UTC;
-		}
-
-		@Override
-		public Clock withZone(ZoneId zone) {
-			return this;
-		}
-
-	}
-
 	/** Fails when it is read. */
 	private static final class FailingList extends java.util.AbstractList<JobRecord> {
 
