End links when their peers have read everything

Cause: A stopping control member waited a fixed 500 ms and then cut its links. A reply over a slow link could be lost, and a follower with nothing in flight waited too. An entry host did not wait at all for answers to forwarded requests that were not sent yet.

Ruled out: ending the links of a former leader at once, without the 500 ms. The likely reason, not proven by a trace, is a proposal on its way to the old leader that met the end of its link and got no refusal. Without a message that tells entry hosts to stop sending, only the time in which they hear of the new leader helps.

Change: LinkCommand.End sends what is queued, closes the sending side and reads on until the peer has closed the connection; LinkListener.End does so for all accepted links. Connections stay open for reading after one side has closed its sending side. The control guardian ends member links and client sessions, with a limit of 5 s, at once for a follower and 500 ms after the hand-over for a former leader. The entry guardian ends the links of forwarded requests last.

Conclusion: A follower stops without a wait; last replies arrive over slow links. The wait of a former leader remains.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -49,10 +49,17 @@
 	private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(2);
 
 	/**
-	 * Time in which the last replies reach the entry hosts and these hear of the new
-	 * leader. A reply that is lost would leave the outcome of a proposal unknown.
+	 * Time in which the entry hosts hear of the new leader. A proposal that one sends to
+	 * the old leader until then is refused and sent again; one that met the end of its
+	 * link would have an unknown outcome.
 	 */
-	private static final Duration REPLY_GRACE = Duration.ofMillis(500);
+	private static final Duration LEADER_NEWS_TIME = Duration.ofMillis(500);
+
+	/**
+	 * Longest wait for peers that read slowly or are cut off. A reply that is lost leaves
+	 * the outcome of a proposal unknown.
+	 */
+	private static final Duration LINKS_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final Duration RESTART_MINIMUM = Duration.ofMillis(200);
 
@@ -77,8 +84,12 @@
 
 	private final ActorRef<EventLog.Command> eventLog;
 
+	private final ActorRef<LinkSupervisor.Report> linkReports;
+
 	private Optional<ActorRef<ReplicaMessage>> replica = Optional.empty();
 
+	private Optional<ActorRef<LinkSupervisor.Command>> links = Optional.empty();
+
 	private Optional<ActorRef<AdminHttp.Command>> admin = Optional.empty();
 
 	private ControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
@@ -90,6 +101,7 @@
 		this.timers = timers;
 		this.clock = clock;
 		this.exit = exit;
+		this.linkReports = context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new);
 		tls.ifPresent((current) -> context.spawn(CertificateWatch.create(current), "certificate-watch",
 				DispatcherSelector.blocking()));
 		this.eventLog = context.spawn(eventLog(identity), "event-log");
@@ -116,8 +128,9 @@
 			.onMessage(LinkReport.class, this::onLinkReport)
 			.onMessage(AdminReport.class, this::onAdminReport)
 			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
-			.onMessageEquals(HandedOver.INSTANCE, this::onHandedOver)
-			.onMessageEquals(StopDue.INSTANCE, Behaviors::stopped)
+			.onMessage(HandedOver.class, this::onHandedOver)
+			.onMessageEquals(EndLinks.INSTANCE, this::onEndLinks)
+			.onMessageEquals(LinksOverdue.INSTANCE, this::onLinksOverdue)
 			.build();
 	}
 
@@ -130,6 +143,9 @@
 	}
 
 	private Behavior<GuardianCommand> onLinkReport(LinkReport command) {
+		if (command.report() instanceof LinkSupervisor.Ended) {
+			return Behaviors.stopped();
+		}
 		return (command.report() instanceof LinkSupervisor.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
 	}
 
@@ -143,18 +159,34 @@
 		if (this.replica.isEmpty()) {
 			return Behaviors.stopped();
 		}
-		this.timers.startSingleTimer(StopDue.INSTANCE, HAND_OVER_TIMEOUT);
+		this.timers.startSingleTimer(EndLinks.INSTANCE, HAND_OVER_TIMEOUT);
 		ActorRef<ReplicaMessage.HandedOver> handedOver = getContext().messageAdapter(ReplicaMessage.HandedOver.class,
-				(done) -> HandedOver.INSTANCE);
+				HandedOver::new);
 		this.replica.get().tell(new ReplicaMessage.HandOver(handedOver));
 		return this;
 	}
 
-	private Behavior<GuardianCommand> onHandedOver() {
-		this.timers.startSingleTimer(StopDue.INSTANCE, REPLY_GRACE);
+	private Behavior<GuardianCommand> onHandedOver(HandedOver command) {
+		if (command.report() == ReplicaMessage.HandedOver.FOLLOWED) {
+			return onEndLinks();
+		}
+		this.timers.startSingleTimer(EndLinks.INSTANCE, LEADER_NEWS_TIME);
+		return this;
+	}
+
+	private Behavior<GuardianCommand> onEndLinks() {
+		this.timers.cancel(EndLinks.INSTANCE);
+		this.timers.startSingleTimer(LinksOverdue.INSTANCE, LINKS_TIMEOUT);
+		this.links.ifPresent((target) -> target.tell(new LinkSupervisor.End(this.linkReports)));
+		this.links = Optional.empty();
 		return this;
 	}
 
+	private Behavior<GuardianCommand> onLinksOverdue() {
+		logger.atWarning().log("Not all peers have read their messages in time.");
+		return Behaviors.stopped();
+	}
+
 	// helpers
 
 	private void startRest(ReplicaSupervisor.Started started) {
@@ -162,10 +194,8 @@
 		this.replica = Optional.of(started.replica());
 		ActorRef<PlannerReport> planner = context.spawn(PlannerSupervisor.create(this.settings.toPlannerSettings(),
 				this.clock, started.replica(), this.eventLog), "planner-supervisor");
-		context.spawn(
-				LinkSupervisor.create(linkSettings(), started.self(), started.replica(), planner,
-						context.messageAdapter(LinkSupervisor.Report.class, LinkReport::new), this.clock),
-				"link-supervisor");
+		this.links = Optional.of(context.spawn(LinkSupervisor.create(linkSettings(), started.self(), started.replica(),
+				planner, this.linkReports, this.clock), "link-supervisor"));
 		this.admin = Optional.of(context
 			.spawn(AdminHttp.create(LinkSupervisorSettings.socketAddress(this.settings.adminAddress()), this.tls,
 					started.replica(), this.metrics, context.messageAdapter(AdminHttp.Report.class, AdminReport::new)),
@@ -203,13 +233,17 @@
 
 	}
 
-	private enum HandedOver implements GuardianCommand {
+	private record HandedOver(ReplicaMessage.HandedOver report) implements GuardianCommand {
+
+	}
+
+	private enum EndLinks implements GuardianCommand {
 
 		INSTANCE
 
 	}
 
-	private enum StopDue implements GuardianCommand {
+	private enum LinksOverdue implements GuardianCommand {
 
 		INSTANCE
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/link/ClientSession.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/link/ClientSession.java
@@ -57,6 +57,7 @@
 	public Receive<Command> createReceive() {
 		return newReceiveBuilder().onMessage(Received.class, this::onReceived)
 			.onMessage(Reply.class, this::onReply)
+			.onMessageEquals(End.INSTANCE, this::onEnd)
 			.onMessageEquals(Ended.INSTANCE, this::onEnded)
 			.build();
 	}
@@ -84,6 +85,12 @@
 		return this;
 	}
 
+	// Replies that were given before are on the link already.
+	private Behavior<Command> onEnd() {
+		this.link.tell(new LinkCommand.End<>());
+		return this;
+	}
+
 	private Behavior<Command> onEnded() {
 		this.replica.tell(new ReplicaMessage.ClientLeft(this.replies));
 		return Behaviors.stopped();
@@ -102,6 +109,13 @@
 
 	}
 
+	/** Ends the connection after all replies that were given before. */
+	enum End implements Command {
+
+		INSTANCE
+
+	}
+
 	enum Ended implements Command {
 
 		INSTANCE
--- a/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/link/LinkSupervisor.java
@@ -2,8 +2,10 @@
 
 import java.time.Clock;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.thrift.impl.ThriftClientCodec;
@@ -57,6 +59,10 @@
 
 	private long linkCount;
 
+	private Optional<ActorRef<Report>> ending = Optional.empty();
+
+	private final Set<String> endingLinks = new HashSet<>();
+
 	private LinkSupervisor(ActorContext<Command> context, LinkSupervisorSettings settings, MemberId self,
 			ActorRef<ReplicaMessage> replica, ActorRef<PlannerReport> planner, ActorRef<Report> owner, Clock clock) {
 		super(context);
@@ -102,6 +108,7 @@
 			.onMessage(ClientEvent.class, this::onClientEvent)
 			.onMessage(MemberLinkCommand.SendToMember.class, this::onSendToMember)
 			.onMessage(MemberLinkCommand.MembersChanged.class, this::onMembersChanged)
+			.onMessage(End.class, this::onEnd)
 			.build();
 	}
 
@@ -109,6 +116,7 @@
 
 	private Behavior<Command> onMemberEvent(MemberEvent command) {
 		LinkEvent<ConsensusEnvelope> event = command.event();
+		onLinkEvent(event);
 		if (event instanceof LinkEvent.Received<ConsensusEnvelope> received) {
 			this.replica.tell(new ReplicaMessage.FromMember(received.message()));
 		}
@@ -146,7 +154,7 @@
 
 	private ActorRef<LinkCommand<ConsensusEnvelope>> openLink(HostName host, String address) {
 		this.linkCount++;
-		Behavior<LinkCommand<ConsensusEnvelope>> link = OutboundLink.create("member " + host, host.value(),
+		Behavior<LinkCommand<ConsensusEnvelope>> link = OutboundLink.create(linkName(host), host.value(),
 				LinkSupervisorSettings.socketAddress(address), new ThriftConsensusCodec(), LinkSupervisor::senderHost,
 				this.settings.links(), this.memberEvents);
 		return getContext().spawn(Behaviors.supervise(link).onFailure(restart()), "member-link-" + this.linkCount);
@@ -156,8 +164,9 @@
 
 	private Behavior<Command> onClientEvent(ClientEvent command) {
 		LinkEvent<ClientEnvelope> event = command.event();
+		onLinkEvent(event);
 		if (event instanceof LinkEvent.Connected<ClientEnvelope> connected) {
-			this.sessions.put(connected.link(), openSession(connected));
+			onClientConnected(connected);
 		}
 		else if (event instanceof LinkEvent.Received<ClientEnvelope> received) {
 			session(received.link())
@@ -173,6 +182,15 @@
 		return this;
 	}
 
+	private void onClientConnected(LinkEvent.Connected<ClientEnvelope> connected) {
+		if (this.ending.isPresent()) {
+			connected.session().tell(new LinkCommand.Close<>());
+		}
+		else {
+			this.sessions.put(connected.link(), openSession(connected));
+		}
+	}
+
 	private ActorRef<ClientSession.Command> openSession(LinkEvent.Connected<ClientEnvelope> connected) {
 		Holder sender = new Holder(this.self.host(), this.self.incarnation());
 		return getContext().spawn(
@@ -184,6 +202,38 @@
 		return Optional.ofNullable(this.sessions.get(link));
 	}
 
+	// end
+
+	private Behavior<Command> onEnd(End command) {
+		this.ending = Optional.of(command.replyTo());
+		this.memberLinks.forEach((host, link) -> {
+			this.endingLinks.add(linkName(host));
+			link.link().tell(new LinkCommand.End<>());
+		});
+		this.sessions.forEach((link, session) -> {
+			this.endingLinks.add(link);
+			session.tell(ClientSession.End.INSTANCE);
+		});
+		reportEnded();
+		return this;
+	}
+
+	private void onLinkEvent(LinkEvent<?> event) {
+		if (event instanceof LinkEvent.Disconnected<?> disconnected && this.endingLinks.remove(disconnected.link())) {
+			reportEnded();
+		}
+	}
+
+	private void reportEnded() {
+		if (this.endingLinks.isEmpty()) {
+			this.ending.ifPresent((replyTo) -> replyTo.tell(new Ended()));
+		}
+	}
+
+	private static String linkName(HostName host) {
+		return "member " + host;
+	}
+
 	// helpers
 
 	private static String senderHost(ConsensusEnvelope envelope) {
@@ -218,7 +268,16 @@
 	}
 
 	/** Messages of the supervisor. */
-	public sealed interface Command permits MemberLinkCommand, MemberEvent, ClientEvent {
+	public sealed interface Command permits MemberLinkCommand, MemberEvent, ClientEvent, End {
+
+	}
+
+	/**
+	 * Ends all links after what is queued on them; new ones are closed.
+	 *
+	 * @param replyTo is told {@link Ended} when all peers have read everything
+	 */
+	public record End(ActorRef<Report> replyTo) implements Command {
 
 	}
 
@@ -239,6 +298,11 @@
 
 	}
 
+	/** All links have ended. */
+	public record Ended() implements Report {
+
+	}
+
 	/** Both listeners accept connections. */
 	public record Opened() implements Report {
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -168,11 +168,17 @@
 	}
 
 	private Behavior<ReplicaMessage> onHandOver(ReplicaMessage.HandOver command) {
+		boolean led = this.leads;
 		record(event(EventKind.PROCESS_STOPPING));
 		this.replica.handOver(nowMillis());
 		runEffects();
-		this.handOverListeners.add(command.replyTo());
-		tellHandedOver();
+		if (led) {
+			this.handOverListeners.add(command.replyTo());
+			tellHandedOver();
+		}
+		else {
+			command.replyTo().tell(ReplicaMessage.HandedOver.FOLLOWED);
+		}
 		return this;
 	}
 
@@ -478,7 +484,7 @@
 
 	private void tellHandedOver() {
 		if (!this.leads) {
-			this.handOverListeners.forEach((listener) -> listener.tell(ReplicaMessage.HandedOver.INSTANCE));
+			this.handOverListeners.forEach((listener) -> listener.tell(ReplicaMessage.HandedOver.LED));
 			this.handOverListeners.clear();
 		}
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaMessage.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaMessage.java
@@ -107,11 +107,14 @@
 
 	}
 
-	/** This member does not lead any more. */
+	/** This member does not lead, or does not any more. */
 	enum HandedOver {
 
-		/** The only instance. */
-		INSTANCE
+		/** It did not lead when it was asked. */
+		FOLLOWED,
+
+		/** It led, so entry hosts may still send to it. */
+		LED
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -60,6 +60,9 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Longest wait for entry hosts that read answers slowly or are cut off. */
+	private static final Duration LINKS_TIMEOUT = Duration.ofSeconds(5);
+
 	private final CompletableFuture<ExitStatus> exit;
 
 	private final long balancerGraceMillis;
@@ -76,6 +79,8 @@
 
 	private final ActorRef<HttpCommand> http;
 
+	private final ActorRef<PeerCommand> peers;
+
 	private EntryGuardian(ActorContext<GuardianCommand> context, EntryIdentity identity, EntrySettings settings,
 			Optional<CurrentTls> tls, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
 		super(context);
@@ -94,16 +99,16 @@
 		this.tokens = spawn(TokenActor.create(identity, settings.timing().tokenReportMillis(), control), "tokens");
 		this.router = spawn(RouterActor.create(identity, settings, tls, control, this.tokens, random,
 				new EventRecorder(identity, this.eventLog), metrics), "router");
-		ActorRef<PeerCommand> peers = spawn(
+		this.peers = spawn(
 				PeerSupervisor.create(identity, settings, new ThriftPeerCodec(), links, this.router, control, metrics),
 				"peers");
 		this.workers = spawn(WorkerSessions.create(identity, settings.timing().workerBatchMillis(),
 				settings.timing().unchangedWorkerMillis(), control), "workers");
 		ActorRef<OperatorCommand> operators = spawn(OperatorSupervisor.create(settings.timing().proposalMillis(),
-				control, this.router, peers, settings.dataFolder().map(Path::of)), "operators");
+				control, this.router, this.peers, settings.dataFolder().map(Path::of)), "operators");
 		Actors actors = new Actors(context.getSystem(), this.router, this.tokens, control, this.workers, operators);
 		this.http = spawn(CallerHttp.create(actors, identity, settings, tls, metrics), "http");
-		peers.tell(
+		this.peers.tell(
 				new PeerCommand.Subscribe(context.messageAdapter(PeerView.class, (view) -> new PeersPublished(view))));
 	}
 
@@ -131,7 +136,9 @@
 			.onMessage(GraceEnded.class, (command) -> onGraceEnded())
 			.onMessage(Idle.class, (command) -> onIdle())
 			.onMessage(Drained.class, (command) -> onDrained())
-			.onMessage(Terminated.class, (command) -> Behaviors.stopped())
+			.onMessage(Terminated.class, (command) -> onTerminated())
+			.onMessage(LinksEnded.class, (command) -> Behaviors.stopped())
+			.onMessage(LinksOverdue.class, (command) -> onLinksOverdue())
 			.onSignal(ChildFailed.class, this::onChildFailed)
 			.build();
 	}
@@ -164,6 +171,17 @@
 		return this;
 	}
 
+	private Behavior<GuardianCommand> onTerminated() {
+		getContext().scheduleOnce(LINKS_TIMEOUT, getContext().getSelf(), LinksOverdue.INSTANCE);
+		this.peers.tell(new PeerCommand.EndLinks(done(LinksEnded.INSTANCE)));
+		return this;
+	}
+
+	private Behavior<GuardianCommand> onLinksOverdue() {
+		logger.atWarning().log("Not all entry hosts have read their answers in time.");
+		return Behaviors.stopped();
+	}
+
 	private Behavior<GuardianCommand> onPeersPublished(PeersPublished command) {
 		this.workers.tell(new WorkerCommand.PeersChanged(command.view()));
 		return this;
@@ -243,6 +261,18 @@
 
 	}
 
+	private enum LinksEnded implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
+	private enum LinksOverdue implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
 	private enum Terminated implements GuardianCommand {
 
 		INSTANCE
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -107,6 +107,7 @@
 		return newReceiveBuilder().onMessage(PeerCommand.Forward.class, this::onForward)
 			.onMessage(PeerCommand.CancelForward.class, this::onCancelForward)
 			.onMessage(PeerCommand.SendAnswer.class, this::onSendAnswer)
+			.onMessage(PeerCommand.EndListener.class, this::onEndListener)
 			.onMessage(PeerCommand.WithdrawKey.class, this::onWithdrawKey)
 			.onMessage(PeerCommand.Subscribe.class, this::onSubscribe)
 			.onMessage(PeerCommand.LinkHappened.class, (command) -> onLinkEvent(command.event()))
@@ -167,6 +168,12 @@
 		return this;
 	}
 
+	// All answers that this actor was given are on their links already.
+	private Behavior<PeerCommand> onEndListener(PeerCommand.EndListener command) {
+		command.listener().tell(command.end());
+		return this;
+	}
+
 	// withdrawn keys
 
 	private Behavior<PeerCommand> onWithdrawKey(PeerCommand.WithdrawKey command) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerCommand.java
@@ -14,6 +14,8 @@
 import io.burdockpin.entry.router.RouterCommand.RouterStatus;
 import io.burdockpin.runtime.link.LinkCommand;
 import io.burdockpin.runtime.link.LinkEvent;
+import io.burdockpin.runtime.link.LinkListener;
+import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 
 /** What the links to the other entry hosts can be asked. */
@@ -69,6 +71,25 @@
 
 	}
 
+	/**
+	 * Ends the links on which other entry hosts forward requests, after all answers.
+	 *
+	 * @param replyTo is told when the other entry hosts have read everything
+	 */
+	record EndLinks(ActorRef<Done> replyTo) implements PeerCommand {
+
+	}
+
+	/**
+	 * Ends the links of the listener after all answers.
+	 *
+	 * @param listener the listener
+	 * @param end what it is told
+	 */
+	record EndListener(ActorRef<LinkListener.Command> listener, LinkListener.End end) implements PeerCommand {
+
+	}
+
 	/**
 	 * Something happened on a link.
 	 *
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerSupervisor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerSupervisor.java
@@ -36,6 +36,8 @@
 
 	private final ActorRef<PeerCommand> peers;
 
+	private final ActorRef<LinkListener.Command> listener;
+
 	private PeerSupervisor(ActorContext<PeerCommand> context, EntryIdentity identity, EntrySettings settings,
 			FrameCodec<PeerEnvelope> codec, LinkSettings links, ActorRef<RouterCommand> router,
 			ActorRef<ControlCommand> control, MetricRegistry metrics) {
@@ -44,7 +46,7 @@
 		this.peers = context.spawn(PeerActor.create(identity, settings, router, control, metrics), "peers");
 		// Its forwarded requests would be lost by a restart.
 		context.watch(this.peers);
-		spawnListener(settings.peerAddress(), codec);
+		this.listener = spawnListener(settings.peerAddress(), codec);
 		settings.peers().forEach((peer) -> spawnLink(peer, codec));
 	}
 
@@ -70,7 +72,8 @@
 
 	@Override
 	public Receive<PeerCommand> createReceive() {
-		return newReceiveBuilder().onAnyMessage(this::onCommand)
+		return newReceiveBuilder().onMessage(PeerCommand.EndLinks.class, this::onEndLinks)
+			.onAnyMessage(this::onCommand)
 			.onSignal(ChildFailed.class, this::onChildFailed)
 			.build();
 	}
@@ -80,16 +83,21 @@
 		return this;
 	}
 
+	private Behavior<PeerCommand> onEndLinks(PeerCommand.EndLinks command) {
+		this.peers.tell(new PeerCommand.EndListener(this.listener, new LinkListener.End(command.replyTo())));
+		return this;
+	}
+
 	private Behavior<PeerCommand> onChildFailed(ChildFailed failed) {
 		throw new EntryException(failed.getRef().path().name() + " failed", failed.getCause());
 	}
 
 	// helpers
 
-	private void spawnListener(AddressSettings address, FrameCodec<PeerEnvelope> codec) {
-		Behavior<LinkListener.Command> listener = LinkListener.create(PeerActor.LISTENER, address.socketAddress(),
+	private ActorRef<LinkListener.Command> spawnListener(AddressSettings address, FrameCodec<PeerEnvelope> codec) {
+		Behavior<LinkListener.Command> behavior = LinkListener.create(PeerActor.LISTENER, address.socketAddress(),
 				codec, PeerSupervisor::senderHost, this.links, linkEvents());
-		getContext().spawn(listener, PeerActor.LISTENER);
+		return getContext().spawn(behavior, PeerActor.LISTENER);
 	}
 
 	private void spawnLink(PeerSettings peer, FrameCodec<PeerEnvelope> codec) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkCommand.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkCommand.java
@@ -19,7 +19,7 @@
 	}
 
 	/**
-	 * Closes the link for good.
+	 * Closes the link for good; what is queued may be lost.
 	 *
 	 * @param <M> type of the messages
 	 */
@@ -27,6 +27,19 @@
 
 	}
 
+	/**
+	 * Ends the link for good without loss: sends what is queued, closes the sending side
+	 * and stays until the peer has closed the connection, which it does after it has read
+	 * everything. The owner then hears {@link LinkEvent.Disconnected}, at once if there
+	 * is no connection. Messages that still arrive are dropped. The owner bounds the
+	 * time.
+	 *
+	 * @param <M> type of the messages
+	 */
+	record End<M>() implements LinkCommand<M> {
+
+	}
+
 	/**
 	 * A frame has arrived. Sent by the link to itself.
 	 *
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
@@ -1,10 +1,15 @@
 package io.burdockpin.runtime.link;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.io.FrameCodec;
+import org.apache.pekko.Done;
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
@@ -27,6 +32,9 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Connections that wait to be accepted, as the library has it. */
+	private static final int BACKLOG = 100;
+
 	private final String name;
 
 	private final FrameCodec<M> codec;
@@ -37,6 +45,10 @@
 
 	private final ActorRef<LinkEvent<M>> owner;
 
+	private final Map<String, ActorRef<LinkCommand<M>>> sessions = new HashMap<>();
+
+	private Optional<ActorRef<Done>> ending = Optional.empty();
+
 	private long acceptedCount;
 
 	private LinkListener(ActorContext<Command> context, String name, InetSocketAddress localAddress,
@@ -72,16 +84,37 @@
 	@Override
 	public Receive<Command> createReceive() {
 		return newReceiveBuilder().onMessage(Accepted.class, this::onAccepted)
+			.onMessage(SessionEnded.class, this::onSessionEnded)
+			.onMessage(End.class, this::onEnd)
 			.onMessage(Bound.class, this::onBound)
 			.onMessage(BindFailed.class, this::onBindFailed)
 			.build();
 	}
 
 	private Behavior<Command> onAccepted(Accepted accepted) {
+		if (this.ending.isPresent()) {
+			// It is closed with the listener.
+			return this;
+		}
 		this.acceptedCount++;
 		String sessionName = this.name + "-" + this.acceptedCount;
-		getContext().spawn(LinkSession.create(sessionName, accepted.connection(), this.codec, this.senderHost,
-				this.settings, this.owner), sessionName);
+		ActorRef<LinkCommand<M>> session = getContext().spawn(LinkSession.create(sessionName, accepted.connection(),
+				this.codec, this.senderHost, this.settings, this.owner), sessionName);
+		this.sessions.put(sessionName, session);
+		getContext().watchWith(session, new SessionEnded(sessionName));
+		return this;
+	}
+
+	private Behavior<Command> onSessionEnded(SessionEnded command) {
+		this.sessions.remove(command.name());
+		reportEnded();
+		return this;
+	}
+
+	private Behavior<Command> onEnd(End command) {
+		this.ending = Optional.of(command.replyTo());
+		this.sessions.values().forEach((session) -> session.tell(new LinkCommand.End<>()));
+		reportEnded();
 		return this;
 	}
 
@@ -98,21 +131,41 @@
 
 	// helpers
 
+	private void reportEnded() {
+		if (this.sessions.isEmpty()) {
+			this.ending.ifPresent((replyTo) -> replyTo.tell(Done.getInstance()));
+		}
+	}
+
 	private void bind(InetSocketAddress localAddress) {
 		ActorRef<Command> self = getContext().getSelf();
 		Tcp.get(getContext().getSystem())
-			.bind(localAddress.getHostString(), localAddress.getPort())
+			.bind(localAddress.getHostString(), localAddress.getPort(), BACKLOG, List.of(), LinkStream.HALF_CLOSE,
+					Optional.empty())
 			.to(Sink.foreach((connection) -> self.tell(new Accepted(connection.flow()))))
 			.run(Materializer.createMaterializer(getContext()))
 			.whenComplete((binding, failure) -> self
 				.tell((failure != null) ? new BindFailed(failure.getMessage()) : new Bound(binding.localAddress())));
 	}
 
-	/** Messages of the listener, all sent by itself. */
+	/** Messages of the listener; all but {@link End} are sent by itself. */
 	public sealed interface Command {
 
 	}
 
+	/**
+	 * Ends all accepted links after what is queued on them and accepts no more.
+	 *
+	 * @param replyTo is told when all peers have read everything
+	 */
+	public record End(ActorRef<Done> replyTo) implements Command {
+
+	}
+
+	private record SessionEnded(String name) implements Command {
+
+	}
+
 	private record Accepted(Flow<ByteString, ByteString, NotUsed> connection) implements Command {
 
 	}
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSession.java
@@ -47,6 +47,8 @@
 	/** Nothing until the handshake has ended. */
 	private Optional<LinkPeer> peer = Optional.empty();
 
+	private boolean ending;
+
 	private LinkSession(ActorContext<LinkCommand<M>> context, String name,
 			Flow<ByteString, ByteString, NotUsed> connection, FrameCodec<M> codec, Function<M, String> senderHost,
 			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
@@ -84,6 +86,7 @@
 			.onMessage(LinkCommand.ConnectionClosed.class,
 					(command) -> onConnectionClosed((LinkCommand.ConnectionClosed<M>) command))
 			.onMessage(LinkCommand.Close.class, (command) -> onClose())
+			.onMessage(LinkCommand.End.class, (command) -> onEnd())
 			.build();
 	}
 
@@ -106,6 +109,9 @@
 	}
 
 	private Behavior<LinkCommand<M>> onFrameArrived(LinkCommand.FrameArrived<M> command) {
+		if (this.ending) {
+			return this;
+		}
 		String host = this.senderHost.apply(command.message());
 		if (this.peer.filter((known) -> known.mayBe(host)).isEmpty()) {
 			logger.atWarning()
@@ -124,12 +130,19 @@
 				.log("Refused connection %s: %s.", this.name, command.reason());
 		}
 		logger.atFine().log("Session %s ended: %s.", this.name, command.reason());
+		return onClose();
+	}
+
+	// The stream ends with the actor, so a peer that does not close cannot go on sending.
+	private Behavior<LinkCommand<M>> onClose() {
+		LinkStream.complete(this.sendQueue);
 		this.owner.tell(new LinkEvent.Disconnected<>(this.name));
 		return Behaviors.stopped();
 	}
 
-	private Behavior<LinkCommand<M>> onClose() {
-		this.sendQueue.complete();
+	private Behavior<LinkCommand<M>> onEnd() {
+		LinkStream.complete(this.sendQueue);
+		this.ending = true;
 		return this;
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
@@ -21,9 +21,26 @@
  */
 final class LinkStream {
 
+	/**
+	 * Whether a connection stays open for reading when its sending side is closed.
+	 * Otherwise the system would drop what the peer has not read yet.
+	 */
+	static final boolean HALF_CLOSE = true;
+
 	private LinkStream() {
 	}
 
+	/**
+	 * Closes the sending side after what is queued. The queue itself refuses to be
+	 * completed twice.
+	 * @param sendQueue the queue of a connection, which may have ended
+	 */
+	static void complete(BoundedSourceQueue<ByteString> sendQueue) {
+		if (!sendQueue.isCompleted()) {
+			sendQueue.complete();
+		}
+	}
+
 	/**
 	 * Runs a connection until it ends.
 	 * @param <M> type of the messages
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
@@ -65,6 +65,8 @@
 
 	private boolean open;
 
+	private boolean ending;
+
 	private long generation;
 
 	private OutboundLink(ActorContext<LinkCommand<M>> context, TimerScheduler<LinkCommand<M>> timers, String name,
@@ -116,6 +118,7 @@
 					(command) -> onConnectionClosed((LinkCommand.ConnectionClosed<M>) command))
 			.onMessage(LinkCommand.Reconnect.class, (command) -> onReconnect())
 			.onMessage(LinkCommand.Close.class, (command) -> onClose())
+			.onMessage(LinkCommand.End.class, (command) -> onEnd())
 			.build();
 	}
 
@@ -131,7 +134,7 @@
 	}
 
 	private Behavior<LinkCommand<M>> onFrameArrived(LinkCommand.FrameArrived<M> command) {
-		if (command.generation() != this.generation) {
+		if (command.generation() != this.generation || this.ending) {
 			return this;
 		}
 		String host = this.senderHost.apply(command.message());
@@ -175,6 +178,11 @@
 		if (command.generation() != this.generation) {
 			return this;
 		}
+		// The own side stays open when the peer closes, so it is closed here.
+		this.sendQueue.ifPresent(LinkStream::complete);
+		if (this.ending) {
+			return ended();
+		}
 		if (this.open) {
 			this.open = false;
 			logger.atInfo().log("Lost the connection to %s: %s.", this.name, command.reason());
@@ -194,7 +202,18 @@
 	}
 
 	private Behavior<LinkCommand<M>> onClose() {
-		this.sendQueue.ifPresent(BoundedSourceQueue::complete);
+		this.sendQueue.ifPresent(LinkStream::complete);
+		return Behaviors.stopped();
+	}
+
+	private Behavior<LinkCommand<M>> onEnd() {
+		this.sendQueue.ifPresent(LinkStream::complete);
+		this.ending = true;
+		return this.open ? this : ended();
+	}
+
+	private Behavior<LinkCommand<M>> ended() {
+		this.owner.tell(new LinkEvent.Disconnected<>(this.name));
 		return Behaviors.stopped();
 	}
 
@@ -207,7 +226,7 @@
 		long current = this.generation;
 		ActorRef<LinkCommand<M>> self = getContext().getSelf();
 		Flow<ByteString, ByteString, NotUsed> connection = Tcp.get(getContext().getSystem())
-			.outgoingConnection(this.remoteAddress, Optional.empty(), List.of(), false,
+			.outgoingConnection(this.remoteAddress, Optional.empty(), List.of(), LinkStream.HALF_CLOSE,
 					Optional.of(Duration.ofMillis(this.settings.connectTimeoutMillis())), Optional.empty())
 			.mapMaterializedValue((opened) -> {
 				reportOpened(opened, self, current);
--- /dev/null
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/LinkEndTests.java
@@ -0,0 +1,142 @@
+package io.burdockpin.runtime.link;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+
+import com.google.common.truth.Truth;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.FishingOutcomes;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against replies that are lost because their sender ends right after them, and
+ * against an end that waits although nothing is in flight.
+ */
+class LinkEndTests {
+
+	private static final Duration BOUND = Duration.ofSeconds(60);
+
+	/** More than the buffers of both systems hold, so that the peer has to read. */
+	private static final int FRAME_COUNT = 16;
+
+	private static final String MESSAGE = "x".repeat(1024 * 1024);
+
+	private final ActorTestKit kit = ActorTestKit.create();
+
+	private final TestProbe<LinkEvent<String>> owner = this.kit.createTestProbe();
+
+	private ActorRef<LinkListener.Command> listener;
+
+	@AfterEach
+	void stop() {
+		this.kit.shutdownTestKit();
+	}
+
+	@Test
+	void anAcceptedLinkEndsWhenItsSlowPeerHasReadEverything() throws IOException {
+		try (Socket peer = new Socket()) {
+			peer.connect(listen(this.owner));
+			sendAndEnd(connected(this.owner));
+			assertEndsAfter(peer);
+		}
+	}
+
+	@Test
+	void anOutgoingLinkEndsWhenItsSlowPeerHasReadEverything() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			connect((InetSocketAddress) socket.getLocalSocketAddress(), this.owner);
+			try (Socket peer = socket.accept()) {
+				sendAndEnd(connected(this.owner));
+				assertEndsAfter(peer);
+			}
+		}
+	}
+
+	/** A link has no timer, so an end that is reported has waited for nothing else. */
+	@Test
+	void aLinkWithNothingInFlightEndsWithItsPeer() throws IOException {
+		TestProbe<LinkEvent<String>> client = this.kit.createTestProbe();
+		InetSocketAddress address = listen(this.owner);
+		ActorRef<LinkCommand<String>> link = connect(address, client);
+		connected(client);
+		connected(this.owner).tell(new LinkCommand.End<>());
+		client.expectMessageClass(LinkEvent.Disconnected.class, BOUND);
+		// The client connects again.
+		this.owner.fishForMessage(BOUND, (event) -> (event instanceof LinkEvent.Disconnected)
+				? FishingOutcomes.complete() : FishingOutcomes.continueAndIgnore());
+		connected(client);
+		link.tell(new LinkCommand.End<>());
+		client.expectMessageClass(LinkEvent.Disconnected.class, BOUND);
+	}
+
+	@Test
+	void aListenerEndsAllItsLinksAfterWhatIsQueuedOnThem() throws IOException {
+		TestProbe<Done> ended = this.kit.createTestProbe();
+		try (Socket peer = new Socket()) {
+			peer.connect(listen(this.owner));
+			ActorRef<LinkCommand<String>> session = connected(this.owner);
+			session.tell(new LinkCommand.Send<>(MESSAGE));
+			this.listener.tell(new LinkListener.End(ended.getRef()));
+			DataInputStream input = new DataInputStream(peer.getInputStream());
+			Truth.assertThat(input.readNBytes(input.readInt()).length).isEqualTo(MESSAGE.length());
+			Truth.assertThat(input.read()).isEqualTo(-1);
+			ended.expectNoMessage(Duration.ZERO);
+		}
+		ended.expectMessageClass(Done.class, BOUND);
+	}
+
+	@Test
+	void aLinkThatIsNotConnectedEndsAtOnce() throws IOException {
+		connect(TlsLinkTests.freeAddress(), this.owner).tell(new LinkCommand.End<>());
+		this.owner.expectMessageClass(LinkEvent.Disconnected.class, BOUND);
+	}
+
+	// helpers
+
+	private static void sendAndEnd(ActorRef<LinkCommand<String>> link) {
+		for (int count = 0; count < FRAME_COUNT; count++) {
+			link.tell(new LinkCommand.Send<>(MESSAGE));
+		}
+		link.tell(new LinkCommand.End<>());
+	}
+
+	private void assertEndsAfter(Socket peer) throws IOException {
+		DataInputStream input = new DataInputStream(peer.getInputStream());
+		for (int count = 0; count < FRAME_COUNT; count++) {
+			this.owner.expectNoMessage(Duration.ZERO);
+			Truth.assertThat(input.readNBytes(input.readInt()).length).isEqualTo(MESSAGE.length());
+		}
+		Truth.assertThat(input.read()).isEqualTo(-1);
+		this.owner.expectNoMessage(Duration.ZERO);
+		peer.close();
+		this.owner.expectMessageClass(LinkEvent.Disconnected.class, BOUND);
+	}
+
+	@SuppressWarnings("unchecked")
+	private static ActorRef<LinkCommand<String>> connected(TestProbe<LinkEvent<String>> probe) {
+		return ((LinkEvent.Connected<String>) probe.expectMessageClass(LinkEvent.Connected.class, BOUND)).session();
+	}
+
+	private InetSocketAddress listen(TestProbe<LinkEvent<String>> probe) throws IOException {
+		InetSocketAddress address = TlsLinkTests.freeAddress();
+		this.listener = this.kit.spawn(LinkListener.create("listener", address, new TlsLinkTests.TextCodec(),
+				(message) -> "peer", LinkSettings.DEFAULT, probe.getRef()));
+		probe.expectMessageClass(LinkEvent.Bound.class, BOUND);
+		return address;
+	}
+
+	private ActorRef<LinkCommand<String>> connect(InetSocketAddress address, TestProbe<LinkEvent<String>> probe) {
+		return this.kit.spawn(OutboundLink.create("link", "peer", address, new TlsLinkTests.TextCodec(),
+				(message) -> "peer", LinkSettings.DEFAULT, probe.getRef()));
+	}
+
+}
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/TlsLinkTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/TlsLinkTests.java
@@ -66,6 +66,31 @@
 		client.expectMessageClass(LinkEvent.Received.class, BOUND);
 	}
 
+	/** The peers close in their own order with TLS, which must not cut a reply either. */
+	@Test
+	void repliesThatAreGivenRightBeforeTheEndOfALinkArrive() throws Exception {
+		TestProbe<LinkEvent<String>> server = probe();
+		TestProbe<LinkEvent<String>> client = probe();
+		InetSocketAddress address = listen(settings(this.authority.sign("member"), "member"), server);
+		connect(settings(this.authority.sign("entry"), "entry"), address, client);
+		client.expectMessageClass(LinkEvent.Connected.class, BOUND);
+		ActorRef<LinkCommand<String>> session = session(server);
+		for (int count = 0; count < 16; count++) {
+			session.tell(new LinkCommand.Send<>("member: " + "x".repeat(1024 * 1024)));
+		}
+		session.tell(new LinkCommand.End<>());
+		for (int count = 0; count < 16; count++) {
+			client.expectMessageClass(LinkEvent.Received.class, BOUND);
+		}
+		client.expectMessageClass(LinkEvent.Disconnected.class, BOUND);
+		server.expectMessageClass(LinkEvent.Disconnected.class, BOUND);
+	}
+
+	@SuppressWarnings("unchecked")
+	private static ActorRef<LinkCommand<String>> session(TestProbe<LinkEvent<String>> server) {
+		return ((LinkEvent.Connected<String>) server.expectMessageClass(LinkEvent.Connected.class, BOUND)).session();
+	}
+
 	@Test
 	void aProcessThatNeitherTrustsNorIsTrustedGetsNoLink() throws Exception {
 		assertNoLink(settings(new TestAuthority(this.folder, "other").sign("entry"), "entry"));
@@ -145,14 +170,14 @@
 		return message.split(":")[0];
 	}
 
-	private static InetSocketAddress freeAddress() throws IOException {
+	static InetSocketAddress freeAddress() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
 			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
 		}
 	}
 
 	/** Texts in UTF-8. */
-	private static final class TextCodec implements FrameCodec<String> {
+	static final class TextCodec implements FrameCodec<String> {
 
 		@Override
 		public byte[] encode(String message) {
