--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/MaintenancePlanner.java
@@ -24,7 +24,6 @@
 import io.burdockpin.core.state.DrainRecord;
 import io.burdockpin.core.state.HostRecord;
 import io.burdockpin.core.state.MaintenanceCommand;
-import io.burdockpin.core.state.PoolRecord;
 
 /**
  * Decides in rounds which hosts campaigns take out and when they come back. Progress is
@@ -148,27 +147,12 @@
 		int room = campaign.spec().maximumConcurrentHosts() - campaign.hostsOut().size();
 		Map<PoolName, List<HostRecord>> byPool = new HashMap<>();
 		left.forEach((host) -> byPool.computeIfAbsent(host.pool(), (pool) -> new ArrayList<>()).add(host));
-		// A pool that needs many waves would hold up the end if it had to wait for
-		// others.
-		for (PoolName pool : byWavesLeft(round, campaign, byPool)) {
+		// Pools are worked on in the order of the campaign as far as the budgets permit.
+		for (PoolName pool : campaign.spec().pools()) {
 			room -= startInPool(round, campaign, byPool.getOrDefault(pool, List.of()), room);
 		}
 	}
 
-	private static List<PoolName> byWavesLeft(Round round, CampaignRecord campaign,
-			Map<PoolName, List<HostRecord>> left) {
-		Map<PoolName, Integer> hostCounts = new HashMap<>();
-		round.view.hosts().forEach((host) -> hostCounts.merge(host.pool(), 1, Integer::sum));
-		Map<PoolName, Double> waves = new HashMap<>();
-		for (PoolRecord pool : round.view.pools()) {
-			int atOnce = pool.budget().hostsOutAtOnce(hostCounts.getOrDefault(pool.name(), 0));
-			waves.put(pool.name(), (double) left.getOrDefault(pool.name(), List.of()).size() / atOnce);
-		}
-		List<PoolName> pools = new ArrayList<>(campaign.spec().pools());
-		pools.sort(Comparator.comparingDouble((pool) -> -waves.getOrDefault(pool, 0.0)));
-		return pools;
-	}
-
 	private int startInPool(Round round, CampaignRecord campaign, List<HostRecord> left, int room) {
 		List<DrainOrder.Candidate> candidates = (room > 0) ? candidates(round, campaign, left) : List.of();
 		int started = 0;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/model/AvailabilityBudget.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/model/AvailabilityBudget.java
@@ -21,14 +21,4 @@
 		Checks.range("maximumRacksOut", maximumRacksOut, 0, 100_000);
 	}
 
-	/**
-	 * Returns how many hosts of a pool may be out at once as far as their number decides.
-	 * @param hostCount the hosts of the pool
-	 * @return the number, at least 1
-	 */
-	public int hostsOutAtOnce(int hostCount) {
-		int byPart = hostCount * (100 - this.minimumInServicePercent) / 100;
-		return Math.max(1, Math.min(this.maximumHostsOut, byPart));
-	}
-
 }
