--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/MaintenanceCampaignTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/MaintenanceCampaignTests.java
@@ -240,7 +240,8 @@
 	}
 
 	private void startCampaign(int maximumUnplannedLosses) {
-		change("start", new MaintenanceCommand.StartCampaign(campaignSpec(CAMPAIGN, maximumUnplannedLosses, DRAIN_MILLIS)));
+		change("start",
+				new MaintenanceCommand.StartCampaign(campaignSpec(CAMPAIGN, maximumUnplannedLosses, DRAIN_MILLIS)));
 	}
 
 	// The budget is used up, so that this campaign takes out no host.
