Do not take an old boot's report for a return under a new leader

Cause: A new leader whose first round came before the first report of a host in maintenance knew no boot to compare with, and took that report for the return, although the host had not rebooted yet.

Ruled out: Waiting with the first round until all hosts have reported, which a host that is down never does.

Change: If this leader has seen no boot, the boot in the drain record is the one to compare with.

Conclusion: A host returns only from another boot than it was drained on.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/RebootWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/maintenance/RebootWatch.java
@@ -84,7 +84,11 @@
 		if (stay == null || bootId == null) {
 			return false;
 		}
-		boolean newBoot = stay.bootId().filter((old) -> old.equals(bootId)).isEmpty();
+		// A new leader's first round may come before the first report of a host that has
+		// not rebooted yet.
+		Optional<String> before = stay.bootId().or(drain::bootId);
+		boolean comparable = before.isPresent() || stay.seenFromStart();
+		boolean newBoot = comparable && before.filter((old) -> old.equals(bootId)).isEmpty();
 		// The host may have rebooted before this leader first heard of it.
 		boolean rebootedUnseen = !stay.seenFromStart()
 				&& drain.bootId().filter((old) -> !old.equals(bootId)).isPresent();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/MaintenancePlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/maintenance/MaintenancePlannerTests.java
@@ -128,6 +128,20 @@
 			.containsExactly(change(HostState.RETURNING));
 	}
 
+	/** Guards against a host that returns to service before its reboot. */
+	@Test
+	void aNewLeaderDoesNotTakeTheFirstReportOfAHostThatHasNotRebootedForItsReturn() {
+		List<DrainRecord> out = List.of(new DrainRecord(Records.hostName(1), DRAIN_MILLIS, Optional.of("boot-1")));
+		setState(1, HostState.IN_MAINTENANCE);
+		this.planner.restart();
+		Truth.assertThat(plan(CampaignState.PAUSED, out, 0).commands()).isEmpty();
+		this.planner.observe(new HostSighting(Records.hostName(1), "boot-1"));
+		Truth.assertThat(plan(CampaignState.PAUSED, out, 1_000).commands()).isEmpty();
+		this.planner.observe(new HostSighting(Records.hostName(1), "boot-2"));
+		Truth.assertThat(plan(CampaignState.PAUSED, out, 2_000).commands())
+			.containsExactly(change(HostState.RETURNING));
+	}
+
 	@Test
 	void aDrainRecordsTheBootThatItsHostReportedFrom() {
 		this.planner.observe(new HostSighting(Records.hostName(1), "boot-1"));
