Send an undecided claim again until the deadline

Cause: A claim that was proposed while the leader was lost without notice ended its request as UNKNOWN although nothing ran.

Ruled out: NOT_RUN for a claim that is still undecided at the deadline. Nothing ran at this entry host, but the caller may have sent the request to another one before, which ran it; only the decided claim tells. Recognising the own claim by its holder alone: an earlier request of the same life with the same identifier may have run and lost its outcome.

Change: Claims and their releases carry the number of the request within the life of its entry host. The state machine accepts a claim again that has the holder and number of the one that is held. RequestAttempts asks for the same claim again after 250 ms until the deadline, then answers UNKNOWN and releases the claim. A release whose number is not that of the held claim is refused, so a late one cannot free a later claim of the same life. Once a claim is undecided, a repeat that was certainly not proposed decides nothing.

Conclusion: A claim that is committed after its release stays until it is removed, and a resend is answered UNKNOWN.

--- a/burdockpin-codec/src/main/thrift/state.thrift
+++ b/burdockpin-codec/src/main/thrift/state.thrift
@@ -24,6 +24,11 @@
   2: string requestId,
   /** the claiming life of an entry host */
   3: Holder holder,
+  /**
+   * identifies the request within the holder's life; a claim with the same number is the same
+   * claim, sent again before the request was started
+   */
+  4: optional i64 number,
 }
 
 /** Records that a claimed request ran. */
@@ -52,6 +57,8 @@
   2: string requestId,
   /** the life that holds the claim */
   3: Holder holder,
+  /** the number of the claim; a late release must not give back a later claim of the same life */
+  4: optional i64 number,
 }
 
 /** A change of the claims on requests that are not repeatable. */
@@ -694,6 +701,8 @@
   7: bool bodyKept,
   /** the kept body */
   8: binary body,
+  /** identifies the request within the holder's life, none in claims of earlier versions */
+  9: optional i64 number,
 }
 
 /** State of a job. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/retry/ClaimOutcome.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/retry/ClaimOutcome.java
@@ -20,7 +20,16 @@
 	}
 
 	/**
-	 * The claim was not given, or it is not known whether it was.
+	 * It is not known whether the claim was given. The same claim may be sent again.
+	 *
+	 * @param reason why
+	 */
+	record Undecided(String reason) implements ClaimOutcome {
+
+	}
+
+	/**
+	 * The claim was not given.
 	 *
 	 * @param refusal what the caller gets
 	 */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/retry/RequestAttempts.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/retry/RequestAttempts.java
@@ -37,6 +37,8 @@
 
 	private boolean claimed;
 
+	private boolean claimUndecided;
+
 	private int attemptCount;
 
 	/**
@@ -67,14 +69,24 @@
 	}
 
 	/**
-	 * Takes note of what became of the claim.
+	 * Takes note of what became of the claim. An undecided claim is sent again until the
+	 * deadline, because the request has not been started. At the deadline the outcome is
+	 * unknown: although no attempt was made here, another entry host may have run the
+	 * request before, which only the decided claim would tell.
 	 * @param outcome the outcome
+	 * @param nowMillis the current time
 	 * @return the effects
 	 */
-	public List<RequestEffect> claimEnded(ClaimOutcome outcome) {
+	public List<RequestEffect> claimEnded(ClaimOutcome outcome, long nowMillis) {
 		if (this.state != State.CLAIMING) {
 			return List.of();
 		}
+		Optional<ClaimOutcome.Undecided> undecided = undecided(outcome);
+		if (undecided.isPresent()) {
+			this.claimUndecided = true;
+			return (nowMillis < this.deadlineMillis) ? List.of(new RequestEffect.RepeatClaim())
+					: giveUpClaim(undecided.get().reason());
+		}
 		if (outcome instanceof ClaimOutcome.Granted) {
 			this.claimed = true;
 			return enqueue(false);
@@ -160,6 +172,26 @@
 
 	// helpers
 
+	// Once a claim is undecided, one that was certainly not proposed decides nothing.
+	private Optional<ClaimOutcome.Undecided> undecided(ClaimOutcome outcome) {
+		if (outcome instanceof ClaimOutcome.Undecided undecided) {
+			return Optional.of(undecided);
+		}
+		return Optional.of(outcome)
+			.filter((ended) -> this.claimUndecided)
+			.filter(ClaimOutcome.Denied.class::isInstance)
+			.map((ended) -> ((ClaimOutcome.Denied) ended).refusal())
+			.filter((refusal) -> refusal.code() == ErrorCode.NO_MAJORITY)
+			.map((refusal) -> new ClaimOutcome.Undecided(refusal.message()));
+	}
+
+	// The claim may be committed later than this.
+	private List<RequestEffect> giveUpClaim(String reason) {
+		List<RequestEffect> effects = new ArrayList<>(List.of(new RequestEffect.ReleaseClaim()));
+		effects.addAll(answer(Refused.of(ErrorCode.OUTCOME_UNKNOWN, reason)));
+		return effects;
+	}
+
 	private List<RequestEffect> enqueue(boolean retry) {
 		this.state = State.QUEUED;
 		return List.of(new RequestEffect.Enqueue(retry));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/retry/RequestEffect.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/retry/RequestEffect.java
@@ -8,6 +8,11 @@
 
 	}
 
+	/** Send the same claim again after a pause. */
+	record RepeatClaim() implements RequestEffect {
+
+	}
+
 	/**
 	 * Wait for a slot.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimCommand.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.state;
 
+import java.util.OptionalLong;
+
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.RequestId;
@@ -14,8 +16,21 @@
 	 * @param team the team, or the reserved team of open queues
 	 * @param requestId the caller's identifier
 	 * @param holder the claiming life of an entry host
+	 * @param number identifies the request within the holder's life; a claim with the
+	 * same number is the same claim, sent again before the request was started
 	 */
-	record ClaimRequest(TeamName team, RequestId requestId, Holder holder) implements ClaimCommand {
+	record ClaimRequest(TeamName team, RequestId requestId, Holder holder,
+			OptionalLong number) implements ClaimCommand {
+
+		/**
+		 * Creates a claim that is never sent again.
+		 * @param team the team
+		 * @param requestId the caller's identifier
+		 * @param holder the claiming life
+		 */
+		public ClaimRequest(TeamName team, RequestId requestId, Holder holder) {
+			this(team, requestId, holder, OptionalLong.empty());
+		}
 
 	}
 
@@ -41,8 +56,21 @@
 	 * @param team the team
 	 * @param requestId the caller's identifier
 	 * @param holder the life that holds the claim
+	 * @param number the number of the claim; a late release must not give back a later
+	 * claim of the same life
 	 */
-	record ReleaseClaim(TeamName team, RequestId requestId, Holder holder) implements ClaimCommand {
+	record ReleaseClaim(TeamName team, RequestId requestId, Holder holder,
+			OptionalLong number) implements ClaimCommand {
+
+		/**
+		 * Creates the release of a claim without a number.
+		 * @param team the team
+		 * @param requestId the caller's identifier
+		 * @param holder the life that holds the claim
+		 */
+		public ReleaseClaim(TeamName team, RequestId requestId, Holder holder) {
+			this(team, requestId, holder, OptionalLong.empty());
+		}
 
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimRecord.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.state;
 
+import java.util.OptionalLong;
+
 import io.burdockpin.core.model.Holder;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.RequestId;
@@ -16,8 +18,36 @@
  * @param contentType content type of the answer
  * @param bodyKept whether the body is kept
  * @param body the kept body
+ * @param number identifies the request within the holder's life, none in claims of
+ * earlier versions
  */
 public record ClaimRecord(TeamName team, RequestId requestId, Holder holder, ClaimState state, int status,
-		String contentType, boolean bodyKept, Payload body) {
+		String contentType, boolean bodyKept, Payload body, OptionalLong number) {
+
+	/**
+	 * Creates a claim without a number.
+	 * @param team the team
+	 * @param requestId the caller's identifier
+	 * @param holder the life that has the claim
+	 * @param state how far the request got
+	 * @param status status of the HTTP answer
+	 * @param contentType content type of the answer
+	 * @param bodyKept whether the body is kept
+	 * @param body the kept body
+	 */
+	public ClaimRecord(TeamName team, RequestId requestId, Holder holder, ClaimState state, int status,
+			String contentType, boolean bodyKept, Payload body) {
+		this(team, requestId, holder, state, status, contentType, bodyKept, body, OptionalLong.empty());
+	}
+
+	/**
+	 * Tells whether a claim is this one, sent again while it is held.
+	 * @param command the claim
+	 * @return {@code true} if it is the same claim of the same life
+	 */
+	boolean isSameAs(ClaimCommand.ClaimRequest command) {
+		return this.state == ClaimState.CLAIMED && this.holder.equals(command.holder()) && this.number.isPresent()
+				&& this.number.equals(command.number());
+	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/state/ClaimRules.java
@@ -10,7 +10,8 @@
  * Rules for claims. Shares the tables with the other rules of the state machine.
  * <p>
  * A second claim is refused even for the same holder, because the holder may have run the
- * request and lost the outcome.
+ * request and lost the outcome. A claim with the number of the one that is held is the
+ * same claim, sent again by a request that was not started.
  */
 final class ClaimRules {
 
@@ -44,13 +45,17 @@
 
 	private CommandResult claim(ClaimCommand.ClaimRequest command, Change change) {
 		ClaimKey key = new ClaimKey(command.team(), command.requestId());
+		Optional<ClaimRecord> known = this.tables.claims.find(key);
+		if (known.filter((claim) -> claim.isSameAs(command)).isPresent()) {
+			return change.unchanged(0);
+		}
 		checkWindow(key, change.nowMillis());
-		this.tables.claims.find(key).ifPresent((claim) -> {
+		known.ifPresent((claim) -> {
 			throw new CommandRejectedException(claim.state().resendCode(),
 					"request %s has been claimed by %s".formatted(key.requestId(), claim.holder().host()));
 		});
 		this.tables.claims.put(new ClaimRecord(command.team(), command.requestId(), command.holder(),
-				ClaimState.CLAIMED, 0, "", false, Payload.EMPTY));
+				ClaimState.CLAIMED, 0, "", false, Payload.EMPTY, command.number()));
 		return change.accepted();
 	}
 
@@ -62,7 +67,7 @@
 		boolean kept = command.bodyKept() && command.body().lengthBytes() <= MAX_KEPT_BODY_BYTES;
 		String contentType = (command.contentType().length() <= MAX_CONTENT_TYPE_LENGTH) ? command.contentType() : "";
 		this.tables.claims.put(new ClaimRecord(claim.team(), claim.requestId(), claim.holder(), ClaimState.FINISHED,
-				command.status(), contentType, kept, kept ? command.body() : Payload.EMPTY));
+				command.status(), contentType, kept, kept ? command.body() : Payload.EMPTY, claim.number()));
 		return change.accepted();
 	}
 
@@ -71,6 +76,8 @@
 		ClaimRecord claim = requireOwn(key, command.holder());
 		CommandRejectedException.rejectIf(claim.state() == ClaimState.FINISHED, ErrorCode.ALREADY_RAN,
 				"request %s has run", key.requestId());
+		CommandRejectedException.rejectIf(!claim.number().equals(command.number()), ErrorCode.ALREADY_CLAIMED,
+				"request %s has been claimed again", key.requestId());
 		this.tables.claims.remove(key);
 		return change.accepted();
 	}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/retry/SimulatedClaims.java
@@ -0,0 +1,238 @@
+package io.burdockpin.core.retry;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.exc.ErrorCode;
+import io.burdockpin.core.model.Holder;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.Outcome;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.RequestId;
+import io.burdockpin.core.model.TeamName;
+import io.burdockpin.core.state.ClaimCommand;
+import io.burdockpin.core.state.Command;
+import io.burdockpin.core.state.CommandResult;
+import io.burdockpin.core.state.FleetState;
+import io.burdockpin.core.state.Proposal;
+
+/**
+ * One request that its caller sends to two entry hosts again and again, over a control
+ * group that loses proposals and replies and commits some late. In virtual time.
+ */
+final class SimulatedClaims {
+
+	private static final TeamName TEAM = new TeamName("payroll");
+
+	private static final long START_MILLIS = 1_000_000_000;
+
+	private static final RequestId ID = new RequestId(START_MILLIS / 1000 + "-x");
+
+	private static final int SUBMISSIONS = 6;
+
+	private final RandomGenerator random;
+
+	private final ClaimFault fault;
+
+	private final FleetState state = FleetState.empty();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(Event.ORDER);
+
+	private final List<Submission> open = new ArrayList<>();
+
+	private long nowMillis = START_MILLIS;
+
+	private long lastNumber;
+
+	private int executionCount;
+
+	private boolean ranAfterUndecidedClaim;
+
+	SimulatedClaims(long seed, ClaimFault fault) {
+		this.random = new SplittableRandom(seed);
+		this.fault = fault;
+	}
+
+	/** Returns whether the request ran after one of its claims had been undecided. */
+	boolean run() {
+		for (int submission = 0; submission < SUBMISSIONS; submission++) {
+			at(this.random.nextInt(20_000), this::submit);
+		}
+		while (!this.events.isEmpty()) {
+			Event event = this.events.poll();
+			this.nowMillis = event.atMillis();
+			event.action().run();
+		}
+		return this.ranAfterUndecidedClaim;
+	}
+
+	// An entry host that still has the request lets the resend wait for its answer.
+	private void submit() {
+		Holder holder = new Holder(new HostName("entry-" + this.random.nextInt(2)), 1);
+		if (this.open.stream().noneMatch((submission) -> submission.holder.equals(holder))) {
+			Submission submission = new Submission(holder, ++this.lastNumber, this.nowMillis + 3_000);
+			this.open.add(submission);
+			carryOut(submission, submission.attempts.start());
+		}
+	}
+
+	private void carryOut(Submission submission, List<RequestEffect> effects) {
+		Optional<Command> claimEnd = Optional.empty();
+		for (RequestEffect effect : effects) {
+			if (effect instanceof RequestEffect.Claim) {
+				claim(submission);
+			}
+			else if (effect instanceof RequestEffect.RepeatClaim) {
+				submission.undecided = true;
+				at(250, () -> claim(submission));
+			}
+			else if (effect instanceof RequestEffect.Enqueue) {
+				at(this.random.nextInt(4_000), () -> dispatch(submission));
+			}
+			else if (effect instanceof RequestEffect.ReleaseClaim) {
+				claimEnd = Optional.of(new ClaimCommand.ReleaseClaim(TEAM, ID, submission.holder, number(submission)));
+			}
+			else if (effect instanceof RequestEffect.FinishClaim) {
+				claimEnd = Optional
+					.of(new ClaimCommand.FinishClaim(TEAM, ID, submission.holder, 200, "", false, Payload.EMPTY));
+			}
+			else if (effect instanceof RequestEffect.Reply reply) {
+				checkAnswer(reply.answer());
+			}
+		}
+		if (submission.attempts.isAnswered()) {
+			claimEnd.ifPresentOrElse((command) -> end(submission, command), () -> this.open.remove(submission));
+		}
+	}
+
+	private void checkAnswer(FinalAnswer answer) {
+		boolean undecided = answer instanceof FinalAnswer.Refused refused
+				&& refused.code() == ErrorCode.OUTCOME_UNKNOWN;
+		boolean planted = undecided && this.fault == ClaimFault.UNDECIDED_AS_NOT_RUN;
+		if (planted || answer.outcome() == Outcome.NOT_RUN) {
+			Truth.assertWithMessage("runs of a request that is answered as not run")
+				.that(this.executionCount)
+				.isEqualTo(0);
+		}
+	}
+
+	private void dispatch(Submission submission) {
+		if (this.nowMillis >= submission.attempts.deadlineMillis()) {
+			carryOut(submission,
+					submission.attempts.refused(ErrorCode.DEADLINE_EXCEEDED_BEFORE_START, "the deadline has passed"));
+			return;
+		}
+		Truth.assertThat(submission.attempts.attemptStarted("runner")).isTrue();
+		AttemptResult result = result();
+		if (result.outcome() != Outcome.NOT_RUN) {
+			this.executionCount++;
+			this.ranAfterUndecidedClaim |= submission.undecided;
+			Truth.assertWithMessage("runs").that(this.executionCount).isEqualTo(1);
+		}
+		at(this.random.nextInt(500),
+				() -> carryOut(submission, submission.attempts.attemptEnded(result, this.nowMillis)));
+	}
+
+	private AttemptResult result() {
+		return switch (this.random.nextInt(3)) {
+			case 0 -> AttemptResult.ran(new Answer(200, "", Payload.EMPTY));
+			case 1 -> AttemptResult.unknown(ErrorCode.CONNECTION_FAILED, "lost");
+			default -> AttemptResult.notRun(ErrorCode.CONNECTION_FAILED, "refused");
+		};
+	}
+
+	private void claim(Submission submission) {
+		ClaimCommand claim = new ClaimCommand.ClaimRequest(TEAM, ID, submission.holder, number(submission));
+		Optional<CommandResult> result = propose(claim);
+		// Only a claim that was proposed before can be answered as not proposed here.
+		boolean notProposed = submission.undecided && this.random.nextInt(4) == 0;
+		ClaimOutcome outcome = result.map(SimulatedClaims::outcome)
+			.orElseGet(() -> notProposed ? denied(ErrorCode.NO_MAJORITY) : new ClaimOutcome.Undecided("lost"));
+		at(this.random.nextInt(1_000),
+				() -> carryOut(submission, submission.attempts.claimEnded(outcome, this.nowMillis)));
+	}
+
+	private void end(Submission submission, Command command) {
+		if (propose(command).isPresent()) {
+			this.open.remove(submission);
+		}
+		else {
+			at(1_000, () -> end(submission, command));
+		}
+	}
+
+	// A late commit is as good as lost for the proposer.
+	private Optional<CommandResult> propose(Command command) {
+		switch (this.random.nextInt(4)) {
+			case 0 -> {
+				return Optional.of(apply(command));
+			}
+			case 1 -> apply(command);
+			case 2 -> at(this.random.nextInt(10_000), () -> apply(command));
+			default -> {
+				// The proposal is lost.
+			}
+		}
+		return Optional.empty();
+	}
+
+	private CommandResult apply(Command command) {
+		Command applied = command;
+		if (command instanceof ClaimCommand.ReleaseClaim release && this.fault == ClaimFault.RELEASE_OF_ANY_CLAIM
+				&& !this.state.claims().isEmpty()) {
+			applied = new ClaimCommand.ReleaseClaim(TEAM, ID, release.holder(), this.state.claims().get(0).number());
+		}
+		return this.state.apply(this.state.index() + 1,
+				new Proposal(this.nowMillis, Optional.empty(), OptionalLong.empty(), applied));
+	}
+
+	private OptionalLong number(Submission submission) {
+		return OptionalLong.of((this.fault != ClaimFault.NUMBER_REUSED) ? submission.number : 1);
+	}
+
+	private static ClaimOutcome outcome(CommandResult result) {
+		return (result instanceof CommandResult.Rejected rejected) ? denied(rejected.code())
+				: new ClaimOutcome.Granted();
+	}
+
+	private static ClaimOutcome denied(ErrorCode code) {
+		return new ClaimOutcome.Denied(FinalAnswer.Refused.of(code, "denied"));
+	}
+
+	private void at(long delayMillis, Runnable action) {
+		this.events.add(new Event(this.nowMillis + delayMillis, this.events.size(), action));
+	}
+
+	private static final class Submission {
+
+		private final Holder holder;
+
+		private final long number;
+
+		private final RequestAttempts<String> attempts;
+
+		private boolean undecided;
+
+		private Submission(Holder holder, long number, long deadlineMillis) {
+			this.holder = holder;
+			this.number = number;
+			this.attempts = new RequestAttempts<>(false, deadlineMillis);
+		}
+
+	}
+
+	private record Event(long atMillis, long number, Runnable action) {
+
+		private static final Comparator<Event> ORDER = Comparator.comparingLong(Event::atMillis)
+			.thenComparingLong(Event::number);
+
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/state/FleetStateTests.java
@@ -114,6 +114,18 @@
 		rejected(ErrorCode.VERSION_CONFLICT, apply(new TokenCommand.GrantTokens(TEAM, HOLDER, 0, 0, version)));
 	}
 
+	@Test
+	void aClaimThatIsSentAgainIsTheSameClaimUntilItIsFinished() {
+		RequestId id = new RequestId(this.nowMillis / 1000 + "-again");
+		ClaimCommand claim = new ClaimCommand.ClaimRequest(TEAM, id, HOLDER, OptionalLong.of(5));
+		accept(claim);
+		accept(claim);
+		rejected(ErrorCode.ALREADY_CLAIMED, apply(new ClaimCommand.ClaimRequest(TEAM, id, HOLDER, OptionalLong.of(6))));
+		rejected(ErrorCode.ALREADY_CLAIMED, apply(new ClaimCommand.ReleaseClaim(TEAM, id, HOLDER, OptionalLong.of(6))));
+		accept(new ClaimCommand.FinishClaim(TEAM, id, HOLDER, 200, "", false, Payload.EMPTY));
+		rejected(ErrorCode.ALREADY_RAN, apply(claim));
+	}
+
 	@Test
 	void aClaimIsGivenOnceWithinItsWindowAndNeverAgainAfterItsRemoval() {
 		RequestId id = new RequestId(this.nowMillis / 1000 + "-x");
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ClaimReplies.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/ClaimReplies.java
@@ -27,7 +27,7 @@
 				&& answered.message() instanceof ClientMessage.ProposeReply reply) {
 			return interpret(reply.result());
 		}
-		return denied(ErrorCode.OUTCOME_UNKNOWN, "it is not known whether the request was claimed");
+		return new ClaimOutcome.Undecided("it is not known whether the request was claimed");
 	}
 
 	/**
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -19,6 +19,7 @@
 import io.burdockpin.core.model.TeamName;
 import io.burdockpin.core.retry.Answer;
 import io.burdockpin.core.retry.AttemptResult;
+import io.burdockpin.core.retry.ClaimOutcome;
 import io.burdockpin.core.retry.FinalAnswer;
 import io.burdockpin.core.retry.RequestAttempts;
 import io.burdockpin.core.retry.RequestEffect;
@@ -47,6 +48,9 @@
 
 	private static final Duration CLAIM_RETRY = Duration.ofSeconds(1);
 
+	/** An election takes 1 to 2 s. */
+	private static final Duration UNDECIDED_CLAIM_RETRY = Duration.ofMillis(250);
+
 	/** After a minute the claim is left as it is; a resend is answered as unknown. */
 	private static final int CLAIM_RECORD_ATTEMPTS = 60;
 
@@ -98,6 +102,7 @@
 		return newReceiveBuilder().onMessage(Join.class, this::onJoin)
 			.onMessage(CallerGone.class, this::onCallerGone)
 			.onMessage(Claimed.class, this::onClaimed)
+			.onMessage(RepeatClaim.class, this::onRepeatClaim)
 			.onMessage(ClaimShown.class, this::onClaimShown)
 			.onMessage(Dispatched.class, (message) -> onDispatch(message.dispatch()))
 			.onMessage(AttemptDone.class, (message) -> onAttemptDone(message.report()))
@@ -131,11 +136,11 @@
 			askForKeptAnswer();
 			return this;
 		}
-		return carryOut(this.attempts.claimEnded(ClaimReplies.interpret(message.result())));
+		return claimEnded(ClaimReplies.interpret(message.result()));
 	}
 
 	private Behavior<Message> onClaimShown(ClaimShown message) {
-		return carryOut(this.attempts.claimEnded(ClaimReplies.keptAnswer(message.result())));
+		return claimEnded(ClaimReplies.keptAnswer(message.result()));
 	}
 
 	private Behavior<Message> onDispatch(Dispatch dispatch) {
@@ -184,8 +189,17 @@
 		return this;
 	}
 
+	private Behavior<Message> onRepeatClaim(RepeatClaim message) {
+		claim();
+		return this;
+	}
+
 	// helpers
 
+	private Behavior<Message> claimEnded(ClaimOutcome outcome) {
+		return carryOut(this.attempts.claimEnded(outcome, this.request.identity().nowMillis()));
+	}
+
 	private Behavior<Message> startOnRunner(Dispatch.ToRunner dispatch) {
 		if (!this.attempts.attemptStarted(new Target.OwnRunner(dispatch.runner().name()))) {
 			reportToRouter(dispatch.attempt(), Outcome.NOT_RUN, AttemptVerdict.NEUTRAL);
@@ -245,6 +259,9 @@
 		if (effect instanceof RequestEffect.Claim) {
 			claim();
 		}
+		else if (effect instanceof RequestEffect.RepeatClaim) {
+			this.timers.startSingleTimer(new RepeatClaim(), UNDECIDED_CLAIM_RETRY);
+		}
 		else if (effect instanceof RequestEffect.Enqueue enqueue) {
 			enqueue(enqueue.retry());
 		}
@@ -253,7 +270,7 @@
 		}
 		else if (effect instanceof RequestEffect.ReleaseClaim) {
 			this.claimEnd = Optional.of(new ClaimCommand.ReleaseClaim(claimTeam(), this.request.caller().requestId(),
-					this.request.identity().holder()));
+					this.request.identity().holder(), OptionalLong.of(this.queued.number())));
 		}
 		else if (effect instanceof RequestEffect.Reply reply) {
 			this.answer = Optional.of(reply.answer());
@@ -263,7 +280,7 @@
 
 	private void claim() {
 		Command claim = new ClaimCommand.ClaimRequest(claimTeam(), this.request.caller().requestId(),
-				this.request.identity().holder());
+				this.request.identity().holder(), OptionalLong.of(this.queued.number()));
 		long timeoutMillis = Math.min(this.request.proposalMillis(), remainingMillis());
 		propose(claim, timeoutMillis, Claimed::new);
 	}
@@ -354,6 +371,10 @@
 
 	}
 
+	private record RepeatClaim() implements Message {
+
+	}
+
 	private record ClaimShown(CallResult result) implements Message {
 
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/ResendTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/ResendTests.java
@@ -59,6 +59,17 @@
 		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
 	}
 
+	@Test
+	void aClaimWhoseResultIsLostIsSentAgainAndTheRequestRunsOnce() {
+		TestEntry entry = startAlone();
+		entry.announce("runner-1", runner(), false);
+		control().loseClaimReplies(2);
+		CompletableFuture<HttpResponse<String>> response = entry.submit(once("lost"), "charge");
+		runner().awaitCall().answer("charged");
+		Truth.assertThat(response.join().body()).isEqualTo("charged");
+		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
+	}
+
 	@Test
 	void anAnswerThatIsTooLargeToKeepIsReportedAsRan() {
 		TestEntry one = startFirst();
