Write all recorded events before a planned stop

Cause: a stopped actor drops what waits in its mailbox, so the last events of a process could miss in its file after a planned stop. Seen in a trial that gave 20,000 events in bursts and stopped at once.

Ruled out: writing in the caller's thread (the file belongs to one actor).

Change: EventLog.Close closes the file after all events that were given before. Both guardians ask for it after the links have ended and stop when it is done, at the latest 5 s after the links began to end.

Conclusion: a time line after a planned stop has the last events.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlGuardian.java
@@ -28,6 +28,7 @@
 import io.burdockpin.runtime.service.GuardianCommand;
 import io.burdockpin.runtime.tls.CertificateWatch;
 import io.burdockpin.runtime.tls.CurrentTls;
+import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.DispatcherSelector;
@@ -56,10 +57,10 @@
 	private static final Duration LEADER_NEWS_TIME = Duration.ofMillis(500);
 
 	/**
-	 * Longest wait for peers that read slowly or are cut off. A reply that is lost leaves
-	 * the outcome of a proposal unknown.
+	 * Longest wait for peers that read slowly or are cut off and for the event file. A
+	 * reply that is lost leaves the outcome of a proposal unknown.
 	 */
-	private static final Duration LINKS_TIMEOUT = Duration.ofSeconds(5);
+	private static final Duration LAST_STEPS_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final Duration RESTART_MINIMUM = Duration.ofMillis(200);
 
@@ -125,7 +126,8 @@
 			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
 			.onMessage(HandedOver.class, this::onHandedOver)
 			.onMessageEquals(EndLinks.INSTANCE, this::onEndLinks)
-			.onMessageEquals(LinksOverdue.INSTANCE, this::onLinksOverdue)
+			.onMessageEquals(EventsWritten.INSTANCE, Behaviors::stopped)
+			.onMessageEquals(StopOverdue.INSTANCE, this::onStopOverdue)
 			.build();
 	}
 
@@ -139,7 +141,9 @@
 
 	private Behavior<GuardianCommand> onLinkReport(LinkReport command) {
 		if (command.report() instanceof LinkSupervisor.Ended) {
-			return Behaviors.stopped();
+			this.eventLog
+				.tell(new EventLog.Close(getContext().messageAdapter(Done.class, (done) -> EventsWritten.INSTANCE)));
+			return this;
 		}
 		return (command.report() instanceof LinkSupervisor.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
 	}
@@ -171,14 +175,14 @@
 
 	private Behavior<GuardianCommand> onEndLinks() {
 		this.timers.cancel(EndLinks.INSTANCE);
-		this.timers.startSingleTimer(LinksOverdue.INSTANCE, LINKS_TIMEOUT);
+		this.timers.startSingleTimer(StopOverdue.INSTANCE, LAST_STEPS_TIMEOUT);
 		this.links.ifPresent((target) -> target.tell(new LinkSupervisor.End(this.linkReports)));
 		this.links = Optional.empty();
 		return this;
 	}
 
-	private Behavior<GuardianCommand> onLinksOverdue() {
-		logger.atWarning().log("Not all peers have read their messages in time.");
+	private Behavior<GuardianCommand> onStopOverdue() {
+		logger.atWarning().log("Peers have not read their messages or events were not written in time.");
 		return Behaviors.stopped();
 	}
 
@@ -238,7 +242,13 @@
 
 	}
 
-	private enum LinksOverdue implements GuardianCommand {
+	private enum EventsWritten implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
+	private enum StopOverdue implements GuardianCommand {
 
 		INSTANCE
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/EntryGuardian.java
@@ -60,8 +60,11 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Longest wait for entry hosts that read answers slowly or are cut off. */
-	private static final Duration LINKS_TIMEOUT = Duration.ofSeconds(5);
+	/**
+	 * Longest wait for entry hosts that read slowly or are cut off and for the event
+	 * file.
+	 */
+	private static final Duration LAST_STEPS_TIMEOUT = Duration.ofSeconds(5);
 
 	private final CompletableFuture<ExitStatus> exit;
 
@@ -137,8 +140,9 @@
 			.onMessage(Idle.class, (command) -> onIdle())
 			.onMessage(Drained.class, (command) -> onDrained())
 			.onMessage(Terminated.class, (command) -> onTerminated())
-			.onMessage(LinksEnded.class, (command) -> Behaviors.stopped())
-			.onMessage(LinksOverdue.class, (command) -> onLinksOverdue())
+			.onMessage(LinksEnded.class, (command) -> onLinksEnded())
+			.onMessage(EventsWritten.class, (command) -> Behaviors.stopped())
+			.onMessage(StopOverdue.class, (command) -> onStopOverdue())
 			.onSignal(ChildFailed.class, this::onChildFailed)
 			.build();
 	}
@@ -172,13 +176,21 @@
 	}
 
 	private Behavior<GuardianCommand> onTerminated() {
-		getContext().scheduleOnce(LINKS_TIMEOUT, getContext().getSelf(), LinksOverdue.INSTANCE);
+		getContext().scheduleOnce(LAST_STEPS_TIMEOUT, getContext().getSelf(), StopOverdue.INSTANCE);
 		this.peers.tell(new PeerCommand.EndLinks(done(LinksEnded.INSTANCE)));
 		return this;
 	}
 
-	private Behavior<GuardianCommand> onLinksOverdue() {
-		logger.atWarning().log("Not all entry hosts have read their answers in time.");
+	private Behavior<GuardianCommand> onLinksEnded() {
+		if (this.eventLog.isEmpty()) {
+			return Behaviors.stopped();
+		}
+		this.eventLog.get().tell(new EventLog.Close(done(EventsWritten.INSTANCE)));
+		return this;
+	}
+
+	private Behavior<GuardianCommand> onStopOverdue() {
+		logger.atWarning().log("Entry hosts have not read their answers or events were not written in time.");
 		return Behaviors.stopped();
 	}
 
@@ -267,7 +279,13 @@
 
 	}
 
-	private enum LinksOverdue implements GuardianCommand {
+	private enum EventsWritten implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
+	private enum StopOverdue implements GuardianCommand {
 
 		INSTANCE
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/event/EventLog.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/event/EventLog.java
@@ -14,6 +14,8 @@
 import io.burdockpin.codec.json.EventJsonCodec;
 import io.burdockpin.codec.json.ProcessDescription;
 import io.burdockpin.core.event.Event;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -70,6 +72,7 @@
 	@Override
 	public Receive<Command> createReceive() {
 		return newReceiveBuilder().onMessage(Append.class, this::onAppend)
+			.onMessage(Close.class, this::onClose)
 			.onSignal(PostStop.class, (signal) -> onPostStop())
 			.build();
 	}
@@ -81,6 +84,12 @@
 		return this;
 	}
 
+	private Behavior<Command> onClose(Close command) {
+		close();
+		command.replyTo().tell(Done.getInstance());
+		return this;
+	}
+
 	private Behavior<Command> onPostStop() {
 		close();
 		return this;
@@ -152,4 +161,14 @@
 
 	}
 
+	/**
+	 * Closes the file after all events that were given before. Later ones are dropped. An
+	 * actor that is stopped instead drops what waits in its mailbox.
+	 *
+	 * @param replyTo is told when the file is closed
+	 */
+	public record Close(ActorRef<Done> replyTo) implements Command {
+
+	}
+
 }
