Start programs of tests and benchmarks with one class

Cause: RealProcess of the benchmarks and ProgramProcess of the system tests both started a program in a JVM of its own, with the options written twice.

Ruled out: a common base class (one of them only adds a health page).

Change: ProgramProcess is in burdockpin-testbench; RealProcess uses it and keeps the settings file and the health page. Two methods that returned the same text are one.

Conclusion: the options of the launchers stand in one place for both.

--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/change/RealProcess.java
@@ -18,10 +18,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.burdockpin.testbench.program.ProgramProcess;
 
 /**
- * A program in a JVM of its own with the options of the launchers. Ends with this JVM at
- * the latest. Used by one thread.
+ * A program of a measured fleet, in a JVM of its own, with its settings file and health
+ * page. Used by one thread.
  */
 final class RealProcess implements AutoCloseable {
 
@@ -37,35 +38,20 @@
 
 	private final URI health;
 
-	private final List<String> command;
-
-	private final Path log;
-
-	private final Process process;
+	private final ProgramProcess process;
 
 	RealProcess(String name, Class<?> mainClass, Path folder, Map<String, Object> settings, String healthAddress,
 			String... arguments) {
 		this.health = URI.create("http://" + healthAddress + "/health");
-		this.log = folder.resolve(name + ".log");
-		this.command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms8m", "-Xmx64m", "-XX:MaxDirectMemorySize=32m",
-				"-XX:-UsePerfData", "-cp", System.getProperty("java.class.path"), mainClass.getName(), "--settings"));
-		try {
-			Path file = Files.writeString(folder.resolve(name + ".json"), MAPPER.writeValueAsString(settings));
-			this.command.add(file.toString());
-			this.command.addAll(List.of(arguments));
-			this.process = new ProcessBuilder(this.command).redirectErrorStream(true)
-				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()))
-				.start();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+		List<String> commandLine = new ArrayList<>(
+				List.of("--settings", write(folder.resolve(name + ".json"), settings)));
+		commandLine.addAll(List.of(arguments));
+		this.process = new ProgramProcess(name, folder, mainClass, commandLine);
+		this.process.start();
 	}
 
 	void awaitEnd() {
-		this.process.onExit().orTimeout(LONGEST_START_MILLIS, TimeUnit.MILLISECONDS).join();
+		this.process.awaitEnd();
 	}
 
 	/**
@@ -77,7 +63,8 @@
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_START_MILLIS);
 		while (number(field) < value) {
 			if (System.nanoTime() > endNanos || !this.process.isAlive()) {
-				throw new IllegalStateException("%s did not reach %d, see %s".formatted(field, value, this.log));
+				throw new IllegalStateException(
+						"%s did not reach %d: %s".formatted(field, value, this.process.output()));
 			}
 			CompletableFuture.runAsync(() -> {
 			}, NEXT_POLL).join();
@@ -85,17 +72,27 @@
 	}
 
 	long processId() {
-		return this.process.pid();
+		return this.process.processId();
 	}
 
 	long processorMillis() {
-		return this.process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+		return this.process.processorMillis();
 	}
 
 	@Override
 	public void close() {
-		this.process.destroyForcibly();
-		this.process.onExit().orTimeout(LONGEST_START_MILLIS, TimeUnit.MILLISECONDS).join();
+		this.process.close();
+		// The next process may use the same addresses and files.
+		this.process.awaitEnd();
+	}
+
+	private static String write(Path file, Map<String, Object> settings) {
+		try {
+			return Files.writeString(file, MAPPER.writeValueAsString(settings)).toString();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 	private long number(String field) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/DiskFullTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/DiskFullTests.java
@@ -74,7 +74,7 @@
 			return leader == limited;
 		});
 		assertStopsAndComesBack(limited);
-		Truth.assertThat(limited.process().log()).contains("Leads in term");
+		Truth.assertThat(limited.process().output()).contains("Leads in term");
 	}
 
 	// helpers
@@ -83,8 +83,8 @@
 		fleet.awaitCaughtUp();
 		changeWhile(limited);
 		Truth.assertThat(limited.process().awaitEnd()).isEqualTo(ExitStatus.STORAGE.status());
-		Truth.assertThat(limited.process().log()).contains("File too large");
-		Truth.assertThat(limited.process().log()).contains("The replica cannot go on");
+		Truth.assertThat(limited.process().output()).contains("File too large");
+		Truth.assertThat(limited.process().output()).contains("The replica cannot go on");
 		Truth.assertThat(limited.health().read()).isEqualTo(Optional.empty());
 		change();
 		Await.until("silence of " + limited.name(),
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ControlMember.java
@@ -12,6 +12,7 @@
 
 import io.burdockpin.control.ControlProgram;
 import io.burdockpin.testbench.program.EndPoint;
+import io.burdockpin.testbench.program.ProgramProcess;
 
 /** A control member in its own process. Owned by one test. */
 public final class ControlMember {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/EntryHost.java
@@ -8,6 +8,7 @@
 
 import io.burdockpin.entry.EntryProgram;
 import io.burdockpin.testbench.program.EndPoint;
+import io.burdockpin.testbench.program.ProgramProcess;
 
 /** An entry host in its own process. Owned by one test. */
 public final class EntryHost {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -18,6 +18,7 @@
 import io.burdockpin.systemtest.fleet.ControlMember.ControlPlan;
 import io.burdockpin.systemtest.fleet.EntryHost.EntryPlan;
 import io.burdockpin.testbench.program.EndPoint;
+import io.burdockpin.testbench.program.ProgramProcess;
 import io.burdockpin.testbench.runner.RunnerMain;
 import io.burdockpin.testbench.worker.WorkerMain;
 import io.burdockpin.timeline.check.CheckSettings;
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInRunner.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInRunner.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.burdockpin.testbench.program.EndPoint;
+import io.burdockpin.testbench.program.ProgramProcess;
 import io.burdockpin.testbench.runner.RunnerBehaviour;
 
 /** A stand-in runner in its own process, with its record of starts. Owned by one test. */
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInWorker.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StandInWorker.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import io.burdockpin.testbench.program.ProgramProcess;
+
 /** A stand-in worker in its own process, with its record of jobs. Owned by one test. */
 public final class StandInWorker {
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StartAttempt.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/StartAttempt.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 
+import io.burdockpin.testbench.program.ProgramProcess;
+
 /** Starts a program that is expected to refuse its start. Owned by one test. */
 public final class StartAttempt {
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/ProgramProcess.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/ProgramProcess.java
@@ -1,9 +1,10 @@
-package io.burdockpin.systemtest.fleet;
+package io.burdockpin.testbench.program;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -11,8 +12,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A program in a JVM of its own, which can be killed, frozen and started again. Ends with
- * the JVM of the test at the latest. Owned by one test.
+ * A program in a JVM of its own with the options of the launchers, which can be killed,
+ * frozen and started again. Ends with this JVM at the latest. Owned by one test or
+ * benchmark and used by one thread.
  */
 public final class ProgramProcess implements AutoCloseable {
 
@@ -65,6 +67,22 @@
 		this.process = Optional.of(launch(limited));
 	}
 
+	/**
+	 * Runs the program to its end with further arguments.
+	 * @param extraArguments the arguments
+	 * @throws IllegalStateException if it ends with a status other than 0
+	 */
+	public void runOnce(String... extraArguments) {
+		List<String> once = new ArrayList<>(this.command);
+		once.addAll(List.of(extraArguments));
+		this.process = Optional.of(launch(once));
+		int status = awaitEnd();
+		if (status != 0) {
+			throw new IllegalStateException(
+					"%s %s ended with status %d".formatted(this.name, List.of(extraArguments), status));
+		}
+	}
+
 	/** Sends SIGKILL and waits for the end. */
 	public void kill() {
 		running().destroyForcibly();
@@ -102,7 +120,7 @@
 	public int awaitEnd() {
 		try {
 			if (!running().waitFor(LONGEST_END_SECONDS, TimeUnit.SECONDS)) {
-				throw new AssertionError("%s did not end in %d s".formatted(this.name, LONGEST_END_SECONDS));
+				throw new IllegalStateException("%s did not end in %d s".formatted(this.name, LONGEST_END_SECONDS));
 			}
 			return running().exitValue();
 		}
@@ -119,19 +137,6 @@
 
 	// access
 
-	/**
-	 * Reads what the program has printed in all its lives.
-	 * @return standard output and error
-	 */
-	public String log() {
-		try {
-			return Files.readString(this.output);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	/**
 	 * Tells whether the program runs.
 	 * @return {@code false} before its start and after its end
@@ -140,6 +145,22 @@
 		return this.process.map(Process::isAlive).orElse(false);
 	}
 
+	/**
+	 * Returns the identifier of the running process.
+	 * @return the process identifier
+	 */
+	public long processId() {
+		return running().pid();
+	}
+
+	/**
+	 * Returns the processor time of the running process.
+	 * @return the time in milliseconds, 0 if the system does not tell
+	 */
+	public long processorMillis() {
+		return running().info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+	}
+
 	/**
 	 * Returns the exit status.
 	 * @return the status, or nothing while it runs
@@ -163,17 +184,6 @@
 
 	// helpers
 
-	void runOnce(String... extraArguments) {
-		List<String> once = new ArrayList<>(this.command);
-		once.addAll(List.of(extraArguments));
-		this.process = Optional.of(launch(once));
-		int status = awaitEnd();
-		if (status != 0) {
-			throw new AssertionError(
-					"%s %s ended with status %d".formatted(this.name, List.of(extraArguments), status));
-		}
-	}
-
 	private Process running() {
 		return this.process.orElseThrow(() -> new IllegalStateException(this.name + " was never started"));
 	}
