Keep what is known of a remote clock in one place

Cause: RunnerTable and PeerTable both chose between an older and a newer reading of another process's clock, and both turned a deadline into that clock's time, with the same lines.

Ruled out: a holder object for each clock (the two tables drop readings at different events, so it would only wrap an Optional).

Change: RemoteClock.best and RemoteClock.at serve both. Behaviour and tests are unchanged.

The other modules' tests were not run again.

Conclusion: one rule for readings of remote clocks.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerTable.java
@@ -176,10 +176,7 @@
 	 * the peer has sent no whole status since the connection to it was opened
 	 */
 	public OptionalLong deadlineAt(HostName host, long deadlineMillis) {
-		return Optional.ofNullable(this.peers.get(host))
-			.flatMap((peer) -> peer.clock)
-			.map((clock) -> OptionalLong.of(clock.at(deadlineMillis)))
-			.orElseGet(OptionalLong::empty);
+		return RemoteClock.at(Optional.ofNullable(this.peers.get(host)).flatMap((peer) -> peer.clock), deadlineMillis);
 	}
 
 	/**
@@ -245,7 +242,7 @@
 		}
 
 		private void clockRead(RemoteClock newer) {
-			this.clock = Optional.of(this.clock.map((known) -> known.improve(newer)).orElse(newer));
+			this.clock = Optional.of(RemoteClock.best(this.clock, newer));
 		}
 
 		// The peer may come back as a new process whose clock starts elsewhere.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/routing/RunnerTable.java
@@ -226,10 +226,9 @@
 	 * the runner has not announced its clock
 	 */
 	public OptionalLong deadlineAt(RunnerName runner, long deadlineMillis) {
-		return Optional.ofNullable(this.attachments.get(runner))
-			.flatMap((attachment) -> attachment.clock)
-			.map((clock) -> OptionalLong.of(clock.at(deadlineMillis)))
-			.orElseGet(OptionalLong::empty);
+		return RemoteClock.at(
+				Optional.ofNullable(this.attachments.get(runner)).flatMap((attachment) -> attachment.clock),
+				deadlineMillis);
 	}
 
 	/**
@@ -380,8 +379,7 @@
 			this.runner = renewed;
 			this.renewedMillis = nowMillis;
 			Optional<RemoteClock> known = this.clock;
-			this.clock = clock(renewed, nowMillis)
-				.map((newer) -> known.map((older) -> older.improve(newer)).orElse(newer));
+			this.clock = clock(renewed, nowMillis).map((newer) -> RemoteClock.best(known, newer));
 			this.foreignUseCount = Math.min(this.foreignUseCount, renewed.slotsInUse());
 		}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/util/RemoteClock.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/util/RemoteClock.java
@@ -1,5 +1,8 @@
 package io.burdockpin.core.util;
 
+import java.util.Optional;
+import java.util.OptionalLong;
+
 /**
  * What is known about the clock of another process from one message that carried it. The
  * other clock never reads less than {@link #at(long)}, however long the message took and
@@ -14,6 +17,27 @@
 	/** Two clocks that are being adjusted in opposite directions by 500 ppm each. */
 	private static final int RATE_DIFFERENCE_DIVISOR = 1000;
 
+	/**
+	 * Takes a message into account.
+	 * @param known what is known from earlier messages of the same clock, if there were
+	 * any
+	 * @param newer what is known from the message
+	 * @return the one that says more
+	 */
+	public static RemoteClock best(Optional<RemoteClock> known, RemoteClock newer) {
+		return known.map((older) -> older.improve(newer)).orElse(newer);
+	}
+
+	/**
+	 * Returns the least time that another clock shows at a time of the own one.
+	 * @param known what is known of the other clock
+	 * @param localMillis time of the own clock, not before the message was read
+	 * @return time of the other clock in milliseconds, or nothing if it is not known
+	 */
+	public static OptionalLong at(Optional<RemoteClock> known, long localMillis) {
+		return known.map((clock) -> OptionalLong.of(clock.at(localMillis))).orElseGet(OptionalLong::empty);
+	}
+
 	/**
 	 * Returns the least time that the other clock shows at a time of the own one.
 	 * @param localMillis time of the own clock, not before the message was read
