--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -0,0 +1,199 @@
+package io.burdockpin.batch;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.call.CallListener;
+import io.burdockpin.batch.call.LeaderClient;
+import io.burdockpin.batch.call.LeaderClientCommand;
+import io.burdockpin.batch.consensus.ConsensusCommand;
+import io.burdockpin.batch.consensus.ConsensusReport;
+import io.burdockpin.batch.consensus.ConsensusSettings;
+import io.burdockpin.batch.consensus.ConsensusSupervisor;
+import io.burdockpin.batch.port.FrontEnd;
+import io.burdockpin.batch.scheduler.SchedulerActor;
+import io.burdockpin.batch.scheduler.SchedulerCommand;
+import io.burdockpin.codec.thrift.impl.ThriftEntryContentCodec;
+import io.burdockpin.codec.thrift.impl.ThriftSnapshotCodec;
+import io.burdockpin.control.storage.DiskFiles;
+import io.burdockpin.control.storage.MemberStorage;
+import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.runtime.metric.MetricRegistry;
+import io.burdockpin.runtime.service.ExitStatus;
+import io.burdockpin.runtime.service.GuardianCommand;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.ChildFailed;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Root of a control member of the batch scheduler: the replicated log, the scheduler, the
+ * listener for calls of other processes, the way to the leader and the front end.
+ */
+public final class BatchControlGuardian extends AbstractBehavior<GuardianCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** An election with its timeout ends within this time. */
+	private static final Duration HAND_OVER_TIME = Duration.ofMillis(1_500);
+
+	/** The last part of the grace period is left for the end of the process itself. */
+	private static final double GRACE_SHARE = 0.8;
+
+	private final BatchSettings settings;
+
+	private final BatchPorts ports;
+
+	private final Clock clock;
+
+	private final TimerScheduler<GuardianCommand> timers;
+
+	private final CompletableFuture<ExitStatus> exit;
+
+	private final ActorRef<SchedulerCommand> scheduler;
+
+	private Optional<ActorRef<ConsensusCommand>> consensus = Optional.empty();
+
+	private Optional<ActorRef<FrontEnd.Command>> frontEnd = Optional.empty();
+
+	private BatchControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
+			BatchSettings settings, BatchPorts ports, MemberStorage storage, MetricRegistry metrics, Clock clock,
+			RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+		super(context);
+		this.settings = settings;
+		this.ports = ports;
+		this.clock = clock;
+		this.timers = timers;
+		this.exit = exit;
+		this.scheduler = context.spawn(SchedulerActor.create(settings.toLeaderSettings(), ports.runners(),
+				context.spawn(ports.hosts(), "host-channel"), clock, Clock.systemUTC()), "scheduler");
+		context.watch(this.scheduler);
+		ActorRef<SchedulerCommand> target = this.scheduler;
+		ActorRef<ConsensusReport> reports = context
+			.spawn(Behaviors.receive(ConsensusReport.class).onAnyMessage((report) -> {
+				target.tell(new SchedulerCommand.FromConsensus(report));
+				return Behaviors.same();
+			}).build(), "consensus-reports");
+		context.spawn(
+				ConsensusSupervisor.create(storage, settings.toConsensusSettings(), metrics, clock, random, reports,
+						context.messageAdapter(ConsensusSupervisor.Report.class, LogReport::new)),
+				"consensus-supervisor");
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings
+	 * @param ports what the front end provides
+	 * @param metrics the metrics of the process
+	 * @param clock a clock that follows the monotonic clock
+	 * @param random source of the election timeouts
+	 * @param exit the exit status of the program
+	 * @return the behavior
+	 */
+	public static Behavior<GuardianCommand> create(BatchSettings settings, BatchPorts ports, MetricRegistry metrics,
+			Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+		MemberStorage storage = new MemberStorage(new DiskFiles(settings.toDataFolder()), new ThriftEntryContentCodec(),
+				new ThriftSnapshotCodec());
+		new MemberIdentity(settings).ensure(storage);
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new BatchControlGuardian(context, timers,
+				settings, ports, storage, metrics, clock, random, exit)));
+	}
+
+	@Override
+	public Receive<GuardianCommand> createReceive() {
+		return newReceiveBuilder().onMessage(LogReport.class, this::onLogReport)
+			.onMessage(FrontEndReport.class, this::onFrontEndReport)
+			.onMessage(ListenerFailed.class, (command) -> fail(ExitStatus.ADDRESS_UNAVAILABLE))
+			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
+			.onMessageEquals(Step.HANDED_OVER, this::onHandedOver)
+			.onMessageEquals(Step.ENDED, Behaviors::stopped)
+			.onSignal(ChildFailed.class, (signal) -> fail(ExitStatus.FAILURE))
+			.build();
+	}
+
+	private Behavior<GuardianCommand> onLogReport(LogReport command) {
+		if (command.report() instanceof ConsensusSupervisor.Started started) {
+			startRest(started.consensus(), started.self());
+			return this;
+		}
+		return fail(ExitStatus.STORAGE);
+	}
+
+	private Behavior<GuardianCommand> onFrontEndReport(FrontEndReport command) {
+		return (command.report() instanceof FrontEnd.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
+	}
+
+	private Behavior<GuardianCommand> onStop() {
+		logger.atInfo().log("Stopping.");
+		if (this.frontEnd.isEmpty()) {
+			return Behaviors.stopped();
+		}
+		this.consensus.ifPresent((target) -> target.tell(ConsensusCommand.HandOver.INSTANCE));
+		this.timers.startSingleTimer(Step.HANDED_OVER, HAND_OVER_TIME);
+		this.timers.startSingleTimer(Step.ENDED,
+				Duration.ofMillis((long) (GRACE_SHARE * 1_000 * this.settings.graceSeconds())));
+		return this;
+	}
+
+	private Behavior<GuardianCommand> onHandedOver() {
+		ActorRef<Done> done = getContext().messageAdapter(Done.class, (stopped) -> Step.ENDED);
+		this.frontEnd.ifPresent((target) -> target.tell(new FrontEnd.Stop(done)));
+		return this;
+	}
+
+	// helpers
+
+	private void startRest(ActorRef<ConsensusCommand> started, MemberId self) {
+		this.consensus = Optional.of(started);
+		this.scheduler.tell(new SchedulerCommand.AttachConsensus(started));
+		getContext().spawn(CallListener.create(this.settings.toCallSettings(), this.scheduler,
+				getContext().messageAdapter(CallListener.Failed.class, ListenerFailed::new)), "call-listener");
+		ActorRef<LeaderClientCommand> leader = getContext().spawn(
+				LeaderClient.create(this.settings.toCallSettings(), Optional.of(this.scheduler), this.clock),
+				"leader-client");
+		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
+		getContext().spawn(GroupJoiner.create(new FleetCall.Join(self.host().value(), self.incarnation(),
+				consensusSettings.memberAddress(self.host().value())), leader), "group-joiner");
+		this.frontEnd = Optional.of(getContext().spawn(
+				this.ports.frontEnd()
+					.create(leader, getContext().messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
+				"front-end"));
+	}
+
+	private Behavior<GuardianCommand> fail(ExitStatus status) {
+		this.exit.complete(status);
+		return Behaviors.stopped();
+	}
+
+	private record LogReport(ConsensusSupervisor.Report report) implements GuardianCommand {
+
+	}
+
+	private record FrontEndReport(FrontEnd.Report report) implements GuardianCommand {
+
+	}
+
+	private record ListenerFailed(CallListener.Failed failure) implements GuardianCommand {
+
+	}
+
+	/** Steps of a stop. */
+	private enum Step implements GuardianCommand {
+
+		HANDED_OVER, ENDED
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
@@ -0,0 +1,103 @@
+package io.burdockpin.batch;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.call.LeaderClient;
+import io.burdockpin.batch.call.LeaderClientCommand;
+import io.burdockpin.batch.port.FrontEnd;
+import io.burdockpin.runtime.service.ExitStatus;
+import io.burdockpin.runtime.service.GuardianCommand;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Root of an entry host of the batch scheduler: the way to the leader and the front end.
+ */
+public final class BatchEntryGuardian extends AbstractBehavior<GuardianCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** The last part of the grace period is left for the end of the process itself. */
+	private static final double GRACE_SHARE = 0.9;
+
+	private final BatchSettings settings;
+
+	private final TimerScheduler<GuardianCommand> timers;
+
+	private final CompletableFuture<ExitStatus> exit;
+
+	private final ActorRef<FrontEnd.Command> frontEnd;
+
+	private BatchEntryGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
+			BatchSettings settings, FrontEnd.Factory frontEnds, Clock clock, CompletableFuture<ExitStatus> exit) {
+		super(context);
+		this.settings = settings;
+		this.timers = timers;
+		this.exit = exit;
+		ActorRef<LeaderClientCommand> leader = context
+			.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), clock), "leader-client");
+		this.frontEnd = context.spawn(
+				frontEnds.create(leader, context.messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
+				"front-end");
+	}
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings
+	 * @param frontEnds creates the front end
+	 * @param clock a clock that follows the monotonic clock
+	 * @param exit the exit status of the program
+	 * @return the behavior
+	 */
+	public static Behavior<GuardianCommand> create(BatchSettings settings, FrontEnd.Factory frontEnds, Clock clock,
+			CompletableFuture<ExitStatus> exit) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new BatchEntryGuardian(context, timers, settings, frontEnds, clock, exit)));
+	}
+
+	@Override
+	public Receive<GuardianCommand> createReceive() {
+		return newReceiveBuilder().onMessage(FrontEndReport.class, this::onFrontEndReport)
+			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
+			.onMessageEquals(Ended.INSTANCE, Behaviors::stopped)
+			.build();
+	}
+
+	private Behavior<GuardianCommand> onFrontEndReport(FrontEndReport command) {
+		if (command.report() instanceof FrontEnd.Failed) {
+			this.exit.complete(ExitStatus.ADDRESS_UNAVAILABLE);
+			return Behaviors.stopped();
+		}
+		return this;
+	}
+
+	private Behavior<GuardianCommand> onStop() {
+		logger.atInfo().log("Stopping.");
+		ActorRef<Done> done = getContext().messageAdapter(Done.class, (stopped) -> Ended.INSTANCE);
+		this.frontEnd.tell(new FrontEnd.Stop(done));
+		this.timers.startSingleTimer(Ended.INSTANCE,
+				Duration.ofMillis((long) (GRACE_SHARE * 1_000 * this.settings.graceSeconds())));
+		return this;
+	}
+
+	private record FrontEndReport(FrontEnd.Report report) implements GuardianCommand {
+
+	}
+
+	private enum Ended implements GuardianCommand {
+
+		INSTANCE
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/GroupJoiner.java
@@ -0,0 +1,42 @@
+package io.burdockpin.batch;
+
+import java.time.Duration;
+
+import io.burdockpin.batch.call.LeaderClientCommand;
+import io.burdockpin.batch.port.ReplyPort;
+import io.burdockpin.core.batch.call.FleetCall;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+
+/**
+ * Asks the leader again and again to admit this member. The leader ignores it while the
+ * member belongs to the group or no place is free.
+ */
+final class GroupJoiner {
+
+	/** A lost disk should be replaced within a second or two. */
+	private static final Duration PERIOD = Duration.ofSeconds(1);
+
+	private GroupJoiner() {
+	}
+
+	static Behavior<Due> create(FleetCall.Join join, ActorRef<LeaderClientCommand> leader) {
+		return Behaviors.withTimers((timers) -> {
+			timers.startTimerWithFixedDelay(Due.INSTANCE, PERIOD);
+			return Behaviors.receive(Due.class).onMessageEquals(Due.INSTANCE, () -> {
+				leader.tell(new LeaderClientCommand.Ask(join, PERIOD.toMillis(), ReplyPort.NONE));
+				return Behaviors.same();
+			}).build();
+		});
+	}
+
+	/** Sent by the actor to itself. */
+	enum Due {
+
+		/** The next request is due. */
+		INSTANCE
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallSettings.java
@@ -0,0 +1,25 @@
+package io.burdockpin.batch.call;
+
+import java.util.List;
+
+import io.burdockpin.runtime.link.LinkSettings;
+
+/**
+ * Settings of the way to the leader. Immutable.
+ *
+ * @param host the number of this host
+ * @param seedHosts hosts of control members to begin with
+ * @param callPort where control members take calls
+ * @param tickMillis period of the checks of deadlines and silence
+ * @param checkMillis period in which the leader is asked whether it still leads
+ * @param silenceMillis how long the leader may be silent before another member is tried
+ * @param links settings of the links
+ */
+public record CallSettings(String host, List<String> seedHosts, int callPort, int tickMillis, int checkMillis,
+		int silenceMillis, LinkSettings links) {
+
+	public CallSettings {
+		seedHosts = List.copyOf(seedHosts);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -0,0 +1,306 @@
+package io.burdockpin.batch.call;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.port.ReplyPort;
+import io.burdockpin.batch.scheduler.SchedulerCommand;
+import io.burdockpin.codec.cbor.CborCallCodec;
+import io.burdockpin.core.batch.call.CallMessage;
+import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.runtime.link.LinkCommand;
+import io.burdockpin.runtime.link.LinkEvent;
+import io.burdockpin.runtime.link.OutboundLink;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Finds the leader of the control group and sends it calls until each has a reply or its
+ * time is over. A call is sent again when the leader changes or is silent, so every call
+ * must be repeatable without harm.
+ */
+public final class LeaderClient extends AbstractBehavior<LeaderClientCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final TimerScheduler<LeaderClientCommand> timers;
+
+	private final CallSettings settings;
+
+	private final Optional<ActorRef<SchedulerCommand>> local;
+
+	private final InstantSource clock;
+
+	private final Set<String> members = new LinkedHashSet<>();
+
+	private final Map<String, MemberLink> links = new HashMap<>();
+
+	private final Map<Long, OpenCall> calls = new LinkedHashMap<>();
+
+	private Optional<String> target = Optional.empty();
+
+	private long lastCorrelation;
+
+	private long generation;
+
+	private long heardMillis;
+
+	private long checkedMillis;
+
+	private boolean ready;
+
+	private LeaderClient(ActorContext<LeaderClientCommand> context, TimerScheduler<LeaderClientCommand> timers,
+			CallSettings settings, Optional<ActorRef<SchedulerCommand>> local, InstantSource clock) {
+		super(context);
+		this.timers = timers;
+		this.settings = settings;
+		this.local = local;
+		this.clock = clock;
+		this.members.addAll(settings.seedHosts());
+		local.ifPresent((member) -> this.members.add(settings.host()));
+		timers.startTimerWithFixedDelay(LeaderClientCommand.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
+		tryNext();
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings
+	 * @param local the control member in this process, if there is one
+	 * @param clock a clock that follows the monotonic clock
+	 * @return the behavior
+	 */
+	public static Behavior<LeaderClientCommand> create(CallSettings settings,
+			Optional<ActorRef<SchedulerCommand>> local, InstantSource clock) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new LeaderClient(context, timers, settings, local, clock)));
+	}
+
+	@Override
+	public Receive<LeaderClientCommand> createReceive() {
+		return newReceiveBuilder().onMessage(LeaderClientCommand.Ask.class, this::onAsk)
+			.onMessage(LeaderClientCommand.IsReady.class, this::onIsReady)
+			.onMessage(LeaderClientCommand.FromLink.class, this::onFromLink)
+			.onMessage(LeaderClientCommand.FromLocal.class, this::onFromLocal)
+			.onMessageEquals(LeaderClientCommand.Timer.TICK, this::onTick)
+			.build();
+	}
+
+	private Behavior<LeaderClientCommand> onAsk(LeaderClientCommand.Ask command) {
+		open(command.call(), command.timeoutMillis(), command.replyTo());
+		return this;
+	}
+
+	private Behavior<LeaderClientCommand> onIsReady(LeaderClientCommand.IsReady command) {
+		command.replyTo().tell(this.ready && !isSilent());
+		return this;
+	}
+
+	private Behavior<LeaderClientCommand> onFromLink(LeaderClientCommand.FromLink command) {
+		boolean isCurrent = Optional.ofNullable(this.links.get(command.host()))
+			.filter((link) -> link.generation() == command.generation())
+			.isPresent();
+		if (!isCurrent) {
+			return this;
+		}
+		if (command.event() instanceof LinkEvent.Received<CallMessage> received
+				&& received.message() instanceof CallMessage.Reply reply) {
+			onReply(command.host(), reply.correlation(), reply.reply());
+		}
+		else if (command.event() instanceof LinkEvent.Connected<CallMessage>) {
+			this.links.computeIfPresent(command.host(), (host, link) -> link.withUp(true));
+			if (this.target.equals(Optional.of(command.host()))) {
+				resendAll(command.host());
+			}
+		}
+		else if (command.event() instanceof LinkEvent.Disconnected<CallMessage>) {
+			onDisconnected(command.host());
+		}
+		return this;
+	}
+
+	private Behavior<LeaderClientCommand> onFromLocal(LeaderClientCommand.FromLocal command) {
+		onReply(this.settings.host(), command.correlation(), command.reply());
+		return this;
+	}
+
+	private Behavior<LeaderClientCommand> onTick() {
+		long nowMillis = this.clock.millis();
+		List<Long> overdue = this.calls.entrySet()
+			.stream()
+			.filter((entry) -> nowMillis >= entry.getValue().deadlineMillis())
+			.map(Map.Entry::getKey)
+			.toList();
+		overdue.forEach((correlation) -> finish(correlation, this.calls.get(correlation).overdueReply()));
+		if (isSilent()) {
+			lose("is silent");
+		}
+		else if (nowMillis - this.checkedMillis >= this.settings.checkMillis()) {
+			this.checkedMillis = nowMillis;
+			open(new FleetCall.Check(), this.settings.silenceMillis(), ReplyPort.NONE);
+		}
+		return this;
+	}
+
+	// calls
+
+	private void open(FleetCall call, long timeoutMillis, ReplyPort replyTo) {
+		this.lastCorrelation++;
+		OpenCall opened = new OpenCall(call, replyTo, this.clock.millis() + timeoutMillis);
+		this.calls.put(this.lastCorrelation, opened);
+		long correlation = this.lastCorrelation;
+		this.target.ifPresent((host) -> send(host, correlation, opened));
+	}
+
+	private void onReply(String host, long correlation, FleetReply reply) {
+		if (reply instanceof FleetReply.NotLeader notLeader) {
+			onNotLeader(host, correlation, notLeader);
+			return;
+		}
+		if (reply instanceof FleetReply.Unknown) {
+			Optional.ofNullable(this.calls.get(correlation)).ifPresent((call) -> send(host, correlation, call));
+			return;
+		}
+		if (this.target.equals(Optional.of(host))) {
+			this.heardMillis = this.clock.millis();
+			if (!this.ready) {
+				logger.atInfo().log("The leader is %s.", host);
+			}
+			this.ready = true;
+		}
+		if (reply instanceof FleetReply.Leads leads) {
+			this.members.addAll(leads.members());
+		}
+		finish(correlation, reply);
+	}
+
+	private void onNotLeader(String host, long correlation, FleetReply.NotLeader reply) {
+		this.members.addAll(reply.members());
+		Optional.ofNullable(this.calls.get(correlation)).ifPresent(OpenCall::returned);
+		if (!this.target.equals(Optional.of(host))) {
+			return;
+		}
+		if (reply.leader().isPresent() && !reply.leader().get().equals(host)) {
+			turnTo(reply.leader().get());
+		}
+		else {
+			this.ready = false;
+		}
+	}
+
+	private void finish(long correlation, FleetReply reply) {
+		Optional.ofNullable(this.calls.remove(correlation)).ifPresent((call) -> call.replyTo().send(reply));
+	}
+
+	// the leader
+
+	private boolean isSilent() {
+		return this.clock.millis() - this.heardMillis > this.settings.silenceMillis();
+	}
+
+	private void onDisconnected(String host) {
+		this.links.computeIfPresent(host, (name, link) -> link.withUp(false));
+		if (this.target.equals(Optional.of(host))) {
+			lose("has closed the connection");
+		}
+	}
+
+	private void lose(String reason) {
+		if (this.ready) {
+			logger.atWarning().log("Leader %s %s.", this.target.orElse("unknown"), reason);
+		}
+		this.ready = false;
+		// A connection that has gone silent does not recover, while a new one may work.
+		this.target.ifPresent(this::reopen);
+		tryNext();
+	}
+
+	private void tryNext() {
+		List<String> candidates = new ArrayList<>(this.members);
+		int position = this.target.map(candidates::indexOf).orElse(-1);
+		if (!candidates.isEmpty()) {
+			turnTo(candidates.get((position + 1) % candidates.size()));
+		}
+	}
+
+	private void turnTo(String host) {
+		this.members.add(host);
+		this.target = Optional.of(host);
+		this.heardMillis = this.clock.millis();
+		this.checkedMillis = 0;
+		if (!isLocal(host)) {
+			this.links.computeIfAbsent(host, this::openLink);
+		}
+		resendAll(host);
+	}
+
+	private void resendAll(String host) {
+		List.copyOf(this.calls.entrySet()).forEach((entry) -> send(host, entry.getKey(), entry.getValue()));
+	}
+
+	private void send(String host, long correlation, OpenCall call) {
+		if (isLocal(host)) {
+			call.sent();
+			ActorRef<LeaderClientCommand> self = getContext().getSelf();
+			this.local.get()
+				.tell(new SchedulerCommand.Call(call.call(),
+						(reply) -> self.tell(new LeaderClientCommand.FromLocal(correlation, reply))));
+			return;
+		}
+		MemberLink link = this.links.get(host);
+		if (link != null && link.up()) {
+			call.sent();
+			link.link().tell(new LinkCommand.Send<>(new CallMessage.Call(correlation, call.call())));
+		}
+	}
+
+	private boolean isLocal(String host) {
+		return this.local.isPresent() && host.equals(this.settings.host());
+	}
+
+	private void reopen(String host) {
+		Optional.ofNullable(this.links.remove(host)).ifPresent((link) -> link.link().tell(new LinkCommand.Close<>()));
+	}
+
+	@SuppressWarnings("unchecked")
+	private MemberLink openLink(String host) {
+		this.generation++;
+		long number = this.generation;
+		Class<LinkEvent<CallMessage>> type = (Class<LinkEvent<CallMessage>>) (Class<?>) LinkEvent.class;
+		ActorRef<LeaderClientCommand> self = getContext().getSelf();
+		ActorRef<LinkEvent<CallMessage>> events = getContext().spawn(Behaviors.receive(type).onAnyMessage((event) -> {
+			self.tell(new LeaderClientCommand.FromLink(host, number, event));
+			return Behaviors.same();
+		}).build(), "events-" + number);
+		ActorRef<LinkCommand<CallMessage>> link = getContext()
+			.spawn(OutboundLink.create("leader " + host, host, new InetSocketAddress(host, this.settings.callPort()),
+					new CborCallCodec(), (message) -> host, this.settings.links(), events), "link-" + number);
+		return new MemberLink(link, number, false);
+	}
+
+	private record MemberLink(ActorRef<LinkCommand<CallMessage>> link, long generation, boolean up) {
+
+		private MemberLink withUp(boolean nowUp) {
+			return new MemberLink(this.link, this.generation, nowUp);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/package-info.java
@@ -0,0 +1,2 @@
+/** The way of calls from the process that takes them to the leader. */
+package io.burdockpin.batch.call;
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
@@ -0,0 +1,239 @@
+package io.burdockpin.batch.consensus;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.control.replica.LogWriter;
+import io.burdockpin.core.consensus.ConsensusEnvelope;
+import io.burdockpin.core.consensus.ConsensusMessage;
+import io.burdockpin.core.consensus.Effect;
+import io.burdockpin.core.consensus.Member;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.consensus.MembershipChange;
+import io.burdockpin.core.consensus.MembershipVerdict;
+import io.burdockpin.core.consensus.Replica;
+import io.burdockpin.core.consensus.Role;
+import io.burdockpin.core.event.HybridClock;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Owns the decisions of the replicated log and carries out their effects. The state
+ * machine belongs to another actor, which hears of commits in log order.
+ */
+public final class ConsensusActor extends AbstractBehavior<ConsensusCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Longest time between two ticks. Nothing is due then; it only bounds a fault. */
+	private static final long LONGEST_TICK_MILLIS = 1_000;
+
+	private final TimerScheduler<ConsensusCommand> timers;
+
+	private final ConsensusSettings settings;
+
+	private final Replica replica;
+
+	private final ActorRef<LogWriter.Command> logWriter;
+
+	private final ActorRef<? super ConsensusReport> owner;
+
+	private final InstantSource clock;
+
+	private final HybridClock hybridClock = new HybridClock();
+
+	private Optional<ActorRef<MemberLinks.Command>> links = Optional.empty();
+
+	private long tickDueMillis = Long.MAX_VALUE;
+
+	private ConsensusActor(ActorContext<ConsensusCommand> context, TimerScheduler<ConsensusCommand> timers,
+			ConsensusSettings settings, Replica replica, ActorRef<LogWriter.Command> logWriter,
+			ActorRef<? super ConsensusReport> owner, InstantSource clock) {
+		super(context);
+		this.timers = timers;
+		this.settings = settings;
+		this.replica = replica;
+		this.logWriter = logWriter;
+		this.owner = owner;
+		this.clock = clock;
+		runEffects();
+	}
+
+	// life cycle
+
+	static Behavior<ConsensusCommand> create(ConsensusSettings settings, Replica replica,
+			ActorRef<LogWriter.Command> logWriter, ActorRef<? super ConsensusReport> owner, InstantSource clock) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new ConsensusActor(context, timers, settings, replica, logWriter, owner, clock)));
+	}
+
+	@Override
+	public Receive<ConsensusCommand> createReceive() {
+		return newReceiveBuilder().onMessageEquals(ConsensusCommand.Timer.TICK, this::onTick)
+			.onMessage(ConsensusCommand.Written.class, this::onWritten)
+			.onMessage(ConsensusCommand.FromMember.class, this::onFromMember)
+			.onMessage(ConsensusCommand.Propose.class, this::onPropose)
+			.onMessage(ConsensusCommand.Read.class, this::onRead)
+			.onMessage(ConsensusCommand.Compact.class, this::onCompact)
+			.onMessage(ConsensusCommand.Admit.class, this::onAdmit)
+			.onMessage(ConsensusCommand.AttachLinks.class, this::onAttachLinks)
+			.onMessageEquals(ConsensusCommand.HandOver.INSTANCE, this::onHandOver)
+			.build();
+	}
+
+	private Behavior<ConsensusCommand> onTick() {
+		this.tickDueMillis = Long.MAX_VALUE;
+		this.replica.tick(nowMillis());
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onWritten(ConsensusCommand.Written written) {
+		this.replica.written(written.number(), nowMillis());
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onFromMember(ConsensusCommand.FromMember command) {
+		ConsensusEnvelope envelope = command.envelope();
+		if (!envelope.cluster().equals(this.settings.cluster())) {
+			logger.atWarning().log("Dropped a message of %s in cluster %s.", envelope.sender(), envelope.cluster());
+			return this;
+		}
+		this.hybridClock.merge(envelope.timestamp());
+		this.replica.receive(envelope, nowMillis());
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onPropose(ConsensusCommand.Propose command) {
+		OptionalLong index = this.replica.propose(command.payload(), nowMillis());
+		this.owner.tell(index.isPresent() ? new ConsensusReport.Proposed(command.tag(), index.getAsLong())
+				: new ConsensusReport.NotProposed(command.tag()));
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onRead(ConsensusCommand.Read command) {
+		this.replica.read(command.number(), nowMillis());
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onCompact(ConsensusCommand.Compact command) {
+		this.replica.compact(command.index(), command.state());
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onAdmit(ConsensusCommand.Admit command) {
+		Member member = command.member();
+		Membership membership = this.replica.status().membership();
+		Optional<MembershipChange> change = admission(membership, member.id());
+		change.ifPresent((kind) -> {
+			MembershipVerdict verdict = this.replica.changeMembership(kind, member, nowMillis());
+			logger.atInfo().log("Change %s of member %s: %s.", kind, member.id(), verdict.kind());
+		});
+		return runEffects();
+	}
+
+	private Behavior<ConsensusCommand> onAttachLinks(ConsensusCommand.AttachLinks command) {
+		this.links = Optional.of(command.links());
+		command.links().tell(new MemberLinks.MembersChanged(this.replica.status().membership()));
+		return this;
+	}
+
+	private Behavior<ConsensusCommand> onHandOver() {
+		this.replica.handOver(nowMillis());
+		return runEffects();
+	}
+
+	// helpers
+
+	private Optional<MembershipChange> admission(Membership membership, MemberId id) {
+		if (membership.find(id).isPresent()) {
+			return Optional.empty();
+		}
+		if (membership.find(id.host()).isPresent()) {
+			return Optional.of(MembershipChange.REPLACE);
+		}
+		return (membership.members().size() < this.settings.maximumMembers()) ? Optional.of(MembershipChange.ADD)
+				: Optional.empty();
+	}
+
+	private Behavior<ConsensusCommand> runEffects() {
+		List<Effect> effects = this.replica.drainEffects();
+		while (!effects.isEmpty()) {
+			effects.forEach(this::run);
+			effects = this.replica.drainEffects();
+		}
+		tickWhenDue();
+		return this;
+	}
+
+	private void tickWhenDue() {
+		long nowMillis = nowMillis();
+		long dueMillis = Math.min(nowMillis + LONGEST_TICK_MILLIS, this.replica.nextDueMillis(nowMillis));
+		if (dueMillis < this.tickDueMillis) {
+			this.tickDueMillis = dueMillis;
+			this.timers.startSingleTimer(ConsensusCommand.Timer.TICK,
+					Duration.ofMillis(Math.max(1, dueMillis - nowMillis)));
+		}
+	}
+
+	private void run(Effect effect) {
+		if (effect instanceof Effect.Send send) {
+			send(send.receiver(), send.membershipIndex(), send.message());
+		}
+		else if (effect instanceof Effect.WriteEntries write) {
+			this.logWriter.tell(new LogWriter.WriteEntries(write));
+		}
+		else if (effect instanceof Effect.WriteVote write) {
+			this.logWriter.tell(new LogWriter.WriteVote(write));
+		}
+		else if (effect instanceof Effect.WriteSnapshot write) {
+			this.logWriter.tell(new LogWriter.WriteSnapshot(write));
+		}
+		else {
+			report(effect);
+		}
+	}
+
+	private void report(Effect effect) {
+		if (effect instanceof Effect.Apply apply) {
+			this.owner.tell(new ConsensusReport.Committed(apply.entries(), this.replica.needsSnapshot()));
+		}
+		else if (effect instanceof Effect.Restore restore) {
+			this.owner.tell(new ConsensusReport.Restored(restore.snapshot()));
+		}
+		else if (effect instanceof Effect.ReadConfirmed read) {
+			this.owner.tell(new ConsensusReport.ReadDone(read.readNumber(), true));
+		}
+		else if (effect instanceof Effect.ReadRefused read) {
+			this.owner.tell(new ConsensusReport.ReadDone(read.readNumber(), false));
+		}
+		else if (effect instanceof Effect.LeadershipChanged changed) {
+			this.owner.tell(new ConsensusReport.LeadershipChanged(changed.role() == Role.LEADER, changed.term(),
+					changed.leader()));
+		}
+		else if (effect instanceof Effect.MembershipChanged changed) {
+			this.links.ifPresent((target) -> target.tell(new MemberLinks.MembersChanged(changed.membership())));
+			this.owner.tell(new ConsensusReport.MembersChanged(changed.membership()));
+		}
+	}
+
+	private void send(MemberId receiver, long membershipIndex, ConsensusMessage message) {
+		this.links.ifPresent((target) -> target
+			.tell(new MemberLinks.Send(new ConsensusEnvelope(this.settings.cluster(), this.replica.status().self(),
+					receiver, membershipIndex, this.hybridClock.tick(this.clock.millis()), message))));
+	}
+
+	private long nowMillis() {
+		return this.clock.millis();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/package-info.java
@@ -0,0 +1,2 @@
+/** Root guardians of the batch scheduler. */
+package io.burdockpin.batch;
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/ReplyPort.java
@@ -0,0 +1,19 @@
+package io.burdockpin.batch.port;
+
+import io.burdockpin.core.batch.call.FleetReply;
+
+/** Takes the reply to one call. Implementations only send it to an actor. */
+@FunctionalInterface
+public interface ReplyPort {
+
+	/** Drops the reply. */
+	ReplyPort NONE = (reply) -> {
+	};
+
+	/**
+	 * Sends the reply.
+	 * @param reply the reply
+	 */
+	void send(FleetReply reply);
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/package-info.java
@@ -0,0 +1,2 @@
+/** What a front end provides and uses. */
+package io.burdockpin.batch.port;
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/OpenProposals.java
@@ -0,0 +1,54 @@
+package io.burdockpin.batch.scheduler;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.burdockpin.batch.port.ReplyPort;
+import io.burdockpin.core.batch.call.FleetReply;
+
+/**
+ * Callers that wait for the commit of what was proposed for them. Mutable; belongs to the
+ * scheduler.
+ */
+final class OpenProposals {
+
+	private final Map<Long, List<ReplyPort>> byTag = new HashMap<>();
+
+	private final Map<Long, List<ReplyPort>> byIndex = new HashMap<>();
+
+	void add(long tag, List<ReplyPort> waiters) {
+		this.byTag.put(tag, List.copyOf(waiters));
+	}
+
+	void proposed(long tag, long index) {
+		List<ReplyPort> waiters = this.byTag.remove(tag);
+		if (waiters != null) {
+			this.byIndex.put(index, waiters);
+		}
+	}
+
+	void committed(long index) {
+		List<ReplyPort> waiters = this.byIndex.remove(index);
+		if (waiters != null) {
+			waiters.forEach((waiter) -> waiter.send(new FleetReply.Accepted()));
+		}
+	}
+
+	void refused(long tag, FleetReply reply) {
+		List<ReplyPort> waiters = this.byTag.remove(tag);
+		if (waiters != null) {
+			waiters.forEach((waiter) -> waiter.send(reply));
+		}
+	}
+
+	/** Tells all that wait that the outcome is unknown; another leader may commit. */
+	void giveUp() {
+		List<ReplyPort> waiters = new ArrayList<>();
+		this.byIndex.values().forEach(waiters::addAll);
+		this.byIndex.clear();
+		waiters.forEach((waiter) -> waiter.send(new FleetReply.Unknown()));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -0,0 +1,75 @@
+package io.burdockpin.batch.scheduler;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.core.batch.lead.RunnerDispatch;
+import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+
+/**
+ * The channels of each runner: one for starts and stops, one for requests that a runner
+ * keeps open. Mutable; belongs to the scheduler.
+ */
+final class RunnerChannels {
+
+	private final ActorContext<?> context;
+
+	private final RunnerChannel.Factory factory;
+
+	private final ActorRef<RunnerChannel.Answered> replyTo;
+
+	private final Map<RunnerKey, Channels> channels = new HashMap<>();
+
+	private long spawnCount;
+
+	RunnerChannels(ActorContext<?> context, RunnerChannel.Factory factory, ActorRef<RunnerChannel.Answered> replyTo) {
+		this.context = context;
+		this.factory = factory;
+		this.replyTo = replyTo;
+	}
+
+	void send(RunnerDispatch dispatch) {
+		RunnerRecord runner = dispatch.runner();
+		Channels known = this.channels.get(runner.key());
+		if (known == null || !known.address().equals(runner.address())) {
+			close(runner.key());
+			known = new Channels(runner.address(), spawn(runner), spawn(runner));
+			this.channels.put(runner.key(), known);
+		}
+		boolean listens = dispatch.order() instanceof RunnerOrder.Hold;
+		(listens ? known.listening() : known.ordering()).tell(new RunnerChannel.Send(dispatch.order(), this.replyTo));
+	}
+
+	void close(RunnerKey key) {
+		Channels closed = this.channels.remove(key);
+		if (closed != null) {
+			closed.listening().tell(RunnerChannel.Close.INSTANCE);
+			closed.ordering().tell(RunnerChannel.Close.INSTANCE);
+		}
+	}
+
+	void retain(Predicate<RunnerKey> isNeeded) {
+		List.copyOf(this.channels.keySet())
+			.stream()
+			.filter((key) -> !isNeeded.test(key))
+			.forEach(this::close);
+	}
+
+	private ActorRef<RunnerChannel.Command> spawn(RunnerRecord runner) {
+		this.spawnCount++;
+		return this.context.spawn(this.factory.create(runner), "runner-channel-" + this.spawnCount);
+	}
+
+	private record Channels(String address, ActorRef<RunnerChannel.Command> ordering,
+			ActorRef<RunnerChannel.Command> listening) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -0,0 +1,405 @@
+package io.burdockpin.batch.scheduler;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.consensus.ConsensusCommand;
+import io.burdockpin.batch.consensus.ConsensusReport;
+import io.burdockpin.batch.port.HostChannel;
+import io.burdockpin.batch.port.ReplyPort;
+import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.codec.cbor.CborBatchSnapshotCodec;
+import io.burdockpin.codec.cbor.CborCommandGroupCodec;
+import io.burdockpin.core.batch.call.CallDecision;
+import io.burdockpin.core.batch.call.CallRules;
+import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.lead.FleetLeader;
+import io.burdockpin.core.batch.lead.LeaderSettings;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.consensus.EntryContent;
+import io.burdockpin.core.consensus.LogEntry;
+import io.burdockpin.core.consensus.Member;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.consensus.MemberRole;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.consensus.Snapshot;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.Payload;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Owns the state machine of the batch scheduler and, while this member leads, the
+ * decisions of the leader. Answers calls, proposes commands and sends orders.
+ */
+public final class SchedulerActor extends AbstractBehavior<SchedulerCommand> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Short beside the times within which runners and callers are served. */
+	private static final Duration TICK = Duration.ofMillis(40);
+
+	private final LeaderSettings settings;
+
+	private final InstantSource clock;
+
+	private final InstantSource wallClock;
+
+	private final ActorRef<HostChannel.Command> hosts;
+
+	private final ActorRef<HostChannel.Answered> hostReplies;
+
+	private final RunnerChannels channels;
+
+	private final CallRules rules = new CallRules();
+
+	private final CborCommandGroupCodec groupCodec = new CborCommandGroupCodec();
+
+	private final CborBatchSnapshotCodec snapshotCodec = new CborBatchSnapshotCodec();
+
+	private final OpenProposals proposals = new OpenProposals();
+
+	private final Map<Long, List<Runnable>> reads = new HashMap<>();
+
+	private final List<Runnable> nextReads = new ArrayList<>();
+
+	private final List<BatchCommand> outgoing = new ArrayList<>();
+
+	private final List<ReplyPort> outgoingWaiters = new ArrayList<>();
+
+	private Optional<ActorRef<ConsensusCommand>> consensus = Optional.empty();
+
+	private BatchState state = new BatchState();
+
+	private long appliedIndex;
+
+	private Optional<FleetLeader> leader = Optional.empty();
+
+	private boolean leads;
+
+	private long term;
+
+	private Optional<MemberId> knownLeader = Optional.empty();
+
+	private List<String> memberHosts = List.of();
+
+	private boolean flushIsDue;
+
+	private long lastTag;
+
+	private long lastRead;
+
+	private SchedulerActor(ActorContext<SchedulerCommand> context, TimerScheduler<SchedulerCommand> timers,
+			LeaderSettings settings, RunnerChannel.Factory runners, ActorRef<HostChannel.Command> hosts,
+			InstantSource clock, InstantSource wallClock) {
+		super(context);
+		this.settings = settings;
+		this.hosts = hosts;
+		this.clock = clock;
+		this.wallClock = wallClock;
+		this.hostReplies = context.messageAdapter(HostChannel.Answered.class, SchedulerCommand.FromHosts::new);
+		this.channels = new RunnerChannels(context, runners,
+				context.messageAdapter(RunnerChannel.Answered.class, SchedulerCommand.FromRunner::new));
+		timers.startTimerWithFixedDelay(SchedulerCommand.Internal.TICK, TICK);
+	}
+
+	// life cycle
+
+	/**
+	 * Creates the behavior.
+	 * @param settings the settings
+	 * @param runners creates channels to runners
+	 * @param hosts takes orders about hosts
+	 * @param clock a clock that follows the monotonic clock
+	 * @param wallClock the time of day, for jobs that are due at set times
+	 * @return the behavior
+	 */
+	public static Behavior<SchedulerCommand> create(LeaderSettings settings, RunnerChannel.Factory runners,
+			ActorRef<HostChannel.Command> hosts, InstantSource clock, InstantSource wallClock) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new SchedulerActor(context, timers, settings, runners, hosts, clock, wallClock)));
+	}
+
+	@Override
+	public Receive<SchedulerCommand> createReceive() {
+		return newReceiveBuilder().onMessage(SchedulerCommand.Call.class, this::onCall)
+			.onMessage(SchedulerCommand.FromConsensus.class, this::onFromConsensus)
+			.onMessage(SchedulerCommand.AttachConsensus.class, this::onAttachConsensus)
+			.onMessage(SchedulerCommand.FromRunner.class, this::onFromRunner)
+			.onMessage(SchedulerCommand.FromHosts.class, this::onFromHosts)
+			.onMessageEquals(SchedulerCommand.Internal.FLUSH, this::onFlush)
+			.onMessageEquals(SchedulerCommand.Internal.TICK, this::requestFlush)
+			.build();
+	}
+
+	private Behavior<SchedulerCommand> onAttachConsensus(SchedulerCommand.AttachConsensus command) {
+		this.consensus = Optional.of(command.consensus());
+		return this;
+	}
+
+	// calls
+
+	private Behavior<SchedulerCommand> onCall(SchedulerCommand.Call command) {
+		if (this.leader.isEmpty()) {
+			command.replyTo().send(notLeader());
+			return this;
+		}
+		FleetCall call = command.call();
+		ReplyPort replyTo = command.replyTo();
+		if (call instanceof FleetCall.CallerCall callerCall) {
+			onCallerCall(callerCall, replyTo);
+		}
+		else if (call instanceof FleetCall.PutConfiguration put) {
+			carryOut(this.rules.decide(put, this.state), replyTo);
+		}
+		else if (call instanceof FleetCall.ReadConfiguration) {
+			confirm(replyTo, () -> replyTo.send(this.rules.configuration(this.state)));
+		}
+		else if (call instanceof FleetCall.LookAtWave look) {
+			confirm(replyTo, () -> replyTo.send(this.rules.wave(look.number(), this.state)));
+		}
+		else if (call instanceof FleetCall.OrderWave order) {
+			commit(new BatchCommand.StartWave(order.wave()), replyTo);
+		}
+		else if (call instanceof FleetCall.Announce announce) {
+			onAnnounce(announce, replyTo);
+		}
+		else if (call instanceof FleetCall.Leave leave) {
+			this.leader.get().onDeparture(leave.runner());
+			replyTo.send(new FleetReply.Accepted());
+		}
+		else if (call instanceof FleetCall.Join join) {
+			onJoin(join, replyTo);
+		}
+		else {
+			replyTo.send(new FleetReply.Leads(this.memberHosts));
+		}
+		return requestFlush();
+	}
+
+	private void onCallerCall(FleetCall.CallerCall call, ReplyPort replyTo) {
+		CallDecision decision = this.rules.decide(call, this.state);
+		if (decision instanceof CallDecision.Commit) {
+			carryOut(decision, replyTo);
+		}
+		else {
+			confirm(replyTo, () -> carryOut(this.rules.decide(call, this.state), replyTo));
+		}
+	}
+
+	private void carryOut(CallDecision decision, ReplyPort replyTo) {
+		if (decision instanceof CallDecision.Commit commit) {
+			commit(commit.command(), replyTo);
+		}
+		else if (decision instanceof CallDecision.Answer answer) {
+			replyTo.send(answer.reply());
+		}
+	}
+
+	private void onAnnounce(FleetCall.Announce call, ReplyPort replyTo) {
+		Optional<BatchCommand> command = this.leader.get()
+			.onAnnouncement(call.runner(), call.sequence(), this.clock.millis());
+		if (command.isPresent()) {
+			commit(command.get(), replyTo);
+		}
+		else {
+			replyTo.send(new FleetReply.Accepted());
+		}
+	}
+
+	private void onJoin(FleetCall.Join join, ReplyPort replyTo) {
+		Member member = new Member(new MemberId(new HostName(join.host()), join.incarnation()), MemberRole.LEARNER,
+				join.address());
+		this.consensus.ifPresent((target) -> target.tell(new ConsensusCommand.Admit(member)));
+		replyTo.send(new FleetReply.Accepted());
+	}
+
+	private void commit(BatchCommand command, ReplyPort replyTo) {
+		this.outgoing.add(command);
+		this.outgoingWaiters.add(replyTo);
+		requestFlush();
+	}
+
+	private void confirm(ReplyPort replyTo, Runnable answer) {
+		this.nextReads.add(() -> {
+			if (this.leader.isPresent()) {
+				answer.run();
+			}
+			else {
+				replyTo.send(notLeader());
+			}
+		});
+		requestFlush();
+	}
+
+	private FleetReply notLeader() {
+		return new FleetReply.NotLeader(this.knownLeader.map((member) -> member.host().value()), this.memberHosts);
+	}
+
+	// the replicated log
+
+	private Behavior<SchedulerCommand> onFromConsensus(SchedulerCommand.FromConsensus command) {
+		ConsensusReport report = command.report();
+		if (report instanceof ConsensusReport.Committed committed) {
+			committed.entries().forEach(this::apply);
+			if (committed.snapshotIsDue()) {
+				handOverState();
+			}
+		}
+		else if (report instanceof ConsensusReport.Restored restored) {
+			restore(restored.snapshot());
+		}
+		else if (report instanceof ConsensusReport.Proposed proposed) {
+			this.proposals.proposed(proposed.tag(), proposed.index());
+		}
+		else if (report instanceof ConsensusReport.NotProposed refused) {
+			this.proposals.refused(refused.tag(), notLeader());
+		}
+		else if (report instanceof ConsensusReport.ReadDone read) {
+			onReadDone(read);
+		}
+		else if (report instanceof ConsensusReport.LeadershipChanged changed) {
+			onLeadershipChanged(changed);
+		}
+		else if (report instanceof ConsensusReport.MembersChanged changed) {
+			this.memberHosts = hosts(changed.membership());
+		}
+		return requestFlush();
+	}
+
+	private void apply(LogEntry entry) {
+		this.appliedIndex = entry.index();
+		if (entry.content() instanceof EntryContent.CommandContent content) {
+			CommandGroup group = this.groupCodec.decode(content.payload().bytes());
+			this.state.apply(group);
+			long nowMillis = this.clock.millis();
+			this.leader
+				.ifPresent((leading) -> group.commands().forEach((command) -> leading.onApplied(command, nowMillis)));
+		}
+		this.proposals.committed(entry.index());
+		if (this.leads && this.leader.isEmpty() && entry.term() == this.term) {
+			logger.atInfo().log("Leads in term %d from index %d.", this.term, entry.index());
+			this.leader = Optional.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
+		}
+	}
+
+	private void restore(Snapshot snapshot) {
+		this.appliedIndex = snapshot.index();
+		this.state = (snapshot.state().lengthBytes() == 0) ? new BatchState()
+				: BatchState.restore(this.snapshotCodec.decode(snapshot.state().bytes()));
+		logger.atInfo().log("The state is that of index %d.", snapshot.index());
+	}
+
+	private void handOverState() {
+		Payload encoded = Payload.of(this.snapshotCodec.encode(this.state.snapshot()));
+		this.consensus.ifPresent((target) -> target.tell(new ConsensusCommand.Compact(this.appliedIndex, encoded)));
+	}
+
+	private void onReadDone(ConsensusReport.ReadDone read) {
+		List<Runnable> waiting = this.reads.remove(read.number());
+		if (waiting != null) {
+			waiting.forEach(Runnable::run);
+		}
+	}
+
+	private void onLeadershipChanged(ConsensusReport.LeadershipChanged changed) {
+		this.term = changed.term();
+		this.knownLeader = changed.leader();
+		if (this.leads && !changed.leads()) {
+			logger.atInfo().log("Stepped down; the term is %d.", changed.term());
+			this.leader = Optional.empty();
+			this.channels.retain((key) -> false);
+			this.outgoing.clear();
+			this.outgoingWaiters.forEach((waiter) -> waiter.send(notLeader()));
+			this.outgoingWaiters.clear();
+			this.proposals.giveUp();
+		}
+		this.leads = changed.leads();
+	}
+
+	// runners and hosts
+
+	private Behavior<SchedulerCommand> onFromRunner(SchedulerCommand.FromRunner command) {
+		RunnerChannel.Answered answer = command.answer();
+		this.leader.filter((leading) -> answer.order().fencingToken() == this.term)
+			.ifPresent(
+					(leading) -> leading.onReply(answer.runner(), answer.order(), answer.reply(), this.clock.millis()));
+		return requestFlush();
+	}
+
+	private Behavior<SchedulerCommand> onFromHosts(SchedulerCommand.FromHosts command) {
+		HostChannel.Answered answer = command.answer();
+		logger.atInfo()
+			.log("Upkeep of %s for wave %d: %s.", answer.order().host(), answer.order().wave(), answer.reply());
+		this.leader.filter((leading) -> answer.order().fencingToken() == this.term)
+			.ifPresent((leading) -> leading.onHostReply(answer.order(), answer.reply(), this.clock.millis()));
+		return requestFlush();
+	}
+
+	// decisions
+
+	// The message to itself comes after all messages that are already in the mailbox, so
+	// that they share one round of decisions and one log entry.
+	private Behavior<SchedulerCommand> requestFlush() {
+		if (!this.flushIsDue && this.consensus.isPresent()) {
+			this.flushIsDue = true;
+			getContext().getSelf().tell(SchedulerCommand.Internal.FLUSH);
+		}
+		return this;
+	}
+
+	private Behavior<SchedulerCommand> onFlush() {
+		this.flushIsDue = false;
+		this.leader.ifPresent(this::decide);
+		if (!this.outgoing.isEmpty()) {
+			propose();
+		}
+		if (!this.nextReads.isEmpty()) {
+			this.lastRead++;
+			this.reads.put(this.lastRead, List.copyOf(this.nextReads));
+			this.nextReads.clear();
+			this.consensus.get().tell(new ConsensusCommand.Read(this.lastRead));
+		}
+		return this;
+	}
+
+	private void decide(FleetLeader leading) {
+		long nowMillis = this.clock.millis();
+		leading.decide(nowMillis, this.wallClock.millis());
+		leading.dueOrders(nowMillis).forEach(this.channels::send);
+		leading.drainHostOrders().forEach((order) -> this.hosts.tell(new HostChannel.Send(order, this.hostReplies)));
+		leading.drainProposals().forEach((command) -> {
+			this.outgoing.add(command);
+			this.outgoingWaiters.add(ReplyPort.NONE);
+		});
+		this.channels.retain((key) -> leading.session(key).isPresent());
+	}
+
+	private void propose() {
+		this.lastTag++;
+		Payload payload = Payload.of(this.groupCodec.encode(new CommandGroup(this.wallClock.millis(), this.outgoing)));
+		this.proposals.add(this.lastTag, this.outgoingWaiters);
+		this.outgoing.clear();
+		this.outgoingWaiters.clear();
+		this.consensus.get().tell(new ConsensusCommand.Propose(this.lastTag, payload));
+	}
+
+	private static List<String> hosts(Membership membership) {
+		return membership.members().stream().map((member) -> member.id().host().value()).toList();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/cbor/CborCallCodec.java
@@ -0,0 +1,13 @@
+package io.burdockpin.codec.cbor;
+
+import io.burdockpin.codec.io.FrameCodec;
+import io.burdockpin.core.batch.call.CallMessage;
+
+/** Frames of calls and replies. Immutable. */
+public final class CborCallCodec extends CborCodecBase<CallMessage> implements FrameCodec<CallMessage> {
+
+	public CborCallCodec() {
+		super(CallMessage.class);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/cbor/CborCommandGroupCodec.java
@@ -0,0 +1,12 @@
+package io.burdockpin.codec.cbor;
+
+import io.burdockpin.core.batch.state.CommandGroup;
+
+/** Content of log entries of the batch scheduler. Immutable. */
+public final class CborCommandGroupCodec extends CborCodecBase<CommandGroup> {
+
+	public CborCommandGroupCodec() {
+		super(CommandGroup.class);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -0,0 +1,118 @@
+package io.burdockpin.core.batch.call;
+
+import java.util.Optional;
+
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.Workspace;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.exc.InvalidValueException;
+
+/** Decides calls of callers and operators against the state. Stateless. */
+public final class CallRules {
+
+	/** Callers that come before the first configuration try again after this time. */
+	private static final int CONFIGURATION_RETRY_MILLIS = 1_000;
+
+	/**
+	 * Decides a call of a caller.
+	 * @param call the call
+	 * @param state the state
+	 * @return what to do
+	 */
+	public CallDecision decide(FleetCall.CallerCall call, BatchState state) {
+		if (state.configuration().isEmpty()) {
+			return new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.NO_CONFIGURATION,
+					Optional.of(CONFIGURATION_RETRY_MILLIS)));
+		}
+		FleetConfiguration configuration = state.configuration().get();
+		Optional<BatchQueue> queue = configuration.queueAt(call.host(), call.path());
+		if (queue.isEmpty()) {
+			return refuse(FleetReply.Reason.NO_SUCH_QUEUE);
+		}
+		Optional<Workspace> workspace = call.key().flatMap(configuration::workspaceOf);
+		if (workspace.isEmpty() && !queue.get().open()) {
+			return refuse(FleetReply.Reason.KEY_REFUSED);
+		}
+		String owner = workspace.map(Workspace::name).orElse("");
+		String job = call.path().substring(queue.get().pathPrefix().length());
+		if (call instanceof FleetCall.Submit submit) {
+			return submit(submit, queue.get(), owner, job, state);
+		}
+		if (call instanceof FleetCall.Look && job.isEmpty()) {
+			return new CallDecision.Answer(new FleetReply.QueueStatus(state.waitingCount(queue.get().name())));
+		}
+		Optional<BatchJob> known = state.job(job)
+			.filter((found) -> found.queue().equals(queue.get().name()) && found.workspace().equals(owner));
+		if (known.isEmpty()) {
+			return refuse(FleetReply.Reason.NO_SUCH_JOB);
+		}
+		if (call instanceof FleetCall.Look) {
+			return new CallDecision.Answer(new FleetReply.JobStatus(known.get().phase()));
+		}
+		return known.get().phase().isEnded() ? new CallDecision.Answer(new FleetReply.Accepted())
+				: new CallDecision.Commit(new BatchCommand.CancelJob(job));
+	}
+
+	/**
+	 * Decides about a configuration.
+	 * @param call the call
+	 * @param state the state
+	 * @return what to do
+	 */
+	public CallDecision decide(FleetCall.PutConfiguration call, BatchState state) {
+		try {
+			call.configuration().requireConsistent();
+		}
+		catch (InvalidValueException ex) {
+			return refuse(FleetReply.Reason.INVALID);
+		}
+		boolean isOlder = state.configuration()
+			.filter((current) -> current.version() >= call.configuration().version())
+			.isPresent();
+		return isOlder ? new CallDecision.Answer(new FleetReply.Accepted())
+				: new CallDecision.Commit(new BatchCommand.SetConfiguration(call.configuration()));
+	}
+
+	/**
+	 * Reads the configuration.
+	 * @param state the state
+	 * @return the answer
+	 */
+	public FleetReply configuration(BatchState state) {
+		return state.configuration()
+			.<FleetReply>map((current) -> new FleetReply.Configuration(current.document()))
+			.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_CONFIGURATION,
+					Optional.of(CONFIGURATION_RETRY_MILLIS)));
+	}
+
+	/**
+	 * Reads how far a wave is.
+	 * @param number the number of the wave
+	 * @param state the state
+	 * @return the answer
+	 */
+	public FleetReply wave(long number, BatchState state) {
+		return Optional.ofNullable(state.waves().get(number))
+			.<FleetReply>map((wave) -> new FleetReply.WaveStatus(wave.isCompleted()))
+			.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_SUCH_WAVE, Optional.empty()));
+	}
+
+	private static CallDecision submit(FleetCall.Submit call, BatchQueue queue, String owner, String job,
+			BatchState state) {
+		if (job.isEmpty()) {
+			return refuse(FleetReply.Reason.INVALID);
+		}
+		if (state.job(job).isPresent()) {
+			return new CallDecision.Answer(new FleetReply.Accepted());
+		}
+		return new CallDecision.Commit(new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec()));
+	}
+
+	private static CallDecision refuse(FleetReply.Reason reason) {
+		return new CallDecision.Answer(new FleetReply.Refused(reason, Optional.empty()));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -0,0 +1,343 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.BatchTask;
+import io.burdockpin.core.batch.state.Run;
+
+/**
+ * What a leader does during one term: it keeps sessions with the runners, places tasks,
+ * stops what must not run and advances maintenance waves. It sees the state after each
+ * commit and gives out commands to commit and orders to send. Mutable; owned by one
+ * actor.
+ */
+public final class FleetLeader {
+
+	private final BatchState state;
+
+	private final LeaderSettings settings;
+
+	private final long term;
+
+	private final long electedMillis;
+
+	private final Map<RunnerKey, RunnerSession> sessions = new LinkedHashMap<>();
+
+	private final Map<String, Long> sequences = new HashMap<>();
+
+	private final Map<RunnerKey, Long> announcedMillis = new HashMap<>();
+
+	private final RunnerReputation reputation = new RunnerReputation();
+
+	private final TaskPlanner planner = new TaskPlanner();
+
+	private final WaveKeeper waves;
+
+	private final List<BatchCommand> proposals = new ArrayList<>();
+
+	private final Set<RunnerKey> endingLives = new HashSet<>();
+
+	private final Map<String, Integer> openedOccurrences = new HashMap<>();
+
+	private boolean planIsOpen;
+
+	/**
+	 * Creates the leader of a term. The state must contain all entries of earlier terms.
+	 * @param state the state
+	 * @param settings the settings
+	 * @param term the term
+	 * @param nowMillis the time of a monotonic clock
+	 */
+	public FleetLeader(BatchState state, LeaderSettings settings, long term, long nowMillis) {
+		this.state = state;
+		this.settings = settings;
+		this.term = term;
+		this.electedMillis = nowMillis;
+		this.waves = new WaveKeeper(state, settings.waves(), term, nowMillis);
+		state.runners().forEach((runner) -> openSession(runner, nowMillis));
+	}
+
+	// access
+
+	/**
+	 * Finds the session with a life of a runner.
+	 * @param key the life
+	 * @return the session
+	 */
+	public Optional<RunnerSession> session(RunnerKey key) {
+		return Optional.ofNullable(this.sessions.get(key));
+	}
+
+	/**
+	 * Returns and clears the commands to commit.
+	 * @return the commands in order
+	 */
+	public List<BatchCommand> drainProposals() {
+		this.proposals.addAll(this.waves.drainProposals());
+		List<BatchCommand> drained = List.copyOf(this.proposals);
+		this.proposals.clear();
+		return drained;
+	}
+
+	/**
+	 * Returns the orders that are due for runners; they count as sent.
+	 * @param nowMillis the time of the monotonic clock
+	 * @return the orders
+	 */
+	public List<RunnerDispatch> dueOrders(long nowMillis) {
+		List<RunnerDispatch> due = new ArrayList<>();
+		this.sessions.values().forEach((session) -> {
+			session.nextOrder(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
+			session.nextHold(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
+		});
+		return due;
+	}
+
+	/**
+	 * Returns and clears the orders about hosts.
+	 * @return the orders
+	 */
+	public List<HostOrder> drainHostOrders() {
+		return this.waves.drainOrders();
+	}
+
+	// events
+
+	/**
+	 * Takes note of an announcement.
+	 * @param runner what the runner announces
+	 * @param sequence rises with each announcement of one life
+	 * @param nowMillis the time of the monotonic clock
+	 * @return the command to commit before the announcement is acknowledged, if it
+	 * changes anything
+	 */
+	public Optional<BatchCommand> onAnnouncement(RunnerRecord runner, long sequence, long nowMillis) {
+		String life = runner.key().toString();
+		if (sequence < this.sequences.getOrDefault(life, Long.MIN_VALUE)) {
+			return Optional.empty();
+		}
+		this.sequences.put(life, sequence);
+		this.announcedMillis.put(runner.key(), nowMillis);
+		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent();
+		return isKnown ? Optional.empty() : Optional.of(new BatchCommand.RegisterRunner(runner));
+	}
+
+	/**
+	 * Takes note that a runner leaves.
+	 * @param id the identifier of the runner
+	 */
+	public void onDeparture(String id) {
+		this.state.runner(id).flatMap((runner) -> session(runner.key())).ifPresent(RunnerSession::leave);
+	}
+
+	/**
+	 * Takes note of a reply of a runner.
+	 * @param runner the life of the runner
+	 * @param order the order
+	 * @param reply the reply
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply, long nowMillis) {
+		session(runner).ifPresent((session) -> {
+			if (order instanceof RunnerOrder.Hold) {
+				List<BatchCommand.End> ends = session.onHoldReply(reply, nowMillis);
+				if (!ends.isEmpty()) {
+					this.proposals.add(new BatchCommand.NoteEnds(runner, ends));
+				}
+			}
+			else {
+				session.onOrderReply(order, reply, nowMillis);
+			}
+			proposeReleases(session);
+		});
+	}
+
+	/**
+	 * Takes note of a reply of the platform.
+	 * @param order the order
+	 * @param reply the reply
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void onHostReply(HostOrder order, HostReply reply, long nowMillis) {
+		this.waves.onReply(order, reply, nowMillis);
+	}
+
+	/**
+	 * Takes note of a command that was committed and applied to the state.
+	 * @param command the command
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void onApplied(BatchCommand command, long nowMillis) {
+		if (command instanceof BatchCommand.AssignRuns assigned) {
+			this.planIsOpen = false;
+			assigned.assignments().forEach(this::onAssigned);
+		}
+		else if (command instanceof BatchCommand.NoteEnds noted) {
+			onEndsNoted(noted, nowMillis);
+		}
+		else if (command instanceof BatchCommand.ReleaseRuns released) {
+			released.releases().forEach(this::onReleased);
+		}
+		else if (command instanceof BatchCommand.CancelJob cancelled) {
+			stopRunsOf(cancelled.id());
+		}
+		else if (command instanceof BatchCommand.RegisterRunner || command instanceof BatchCommand.RemoveRunner) {
+			syncSessions(nowMillis);
+		}
+	}
+
+	/**
+	 * Takes all decisions that are due.
+	 * @param nowMillis the time of the monotonic clock
+	 * @param wallMillis the time of day in milliseconds since 1970
+	 */
+	public void decide(long nowMillis, long wallMillis) {
+		this.sessions.values().forEach((session) -> endLifeIfOver(session, nowMillis));
+		openDueOccurrences(wallMillis);
+		this.waves.tick(this.sessions, nowMillis);
+		if (!this.planIsOpen) {
+			plan(nowMillis, wallMillis);
+		}
+	}
+
+	// helpers
+
+	private void plan(long nowMillis, long wallMillis) {
+		List<RunnerRecord> usable = this.sessions.values()
+			.stream()
+			.filter((session) -> session.isUsable(nowMillis))
+			.map(RunnerSession::runner)
+			.filter((runner) -> !this.waves.isDraining(runner.hostOrId()))
+			.toList();
+		List<BatchCommand.Assignment> assignments = this.planner.plan(this.state, usable,
+				(runner) -> this.reputation.isSuspect(runner, nowMillis), wallMillis);
+		if (!assignments.isEmpty()) {
+			this.planIsOpen = true;
+			this.proposals.add(new BatchCommand.AssignRuns(assignments));
+		}
+	}
+
+	private void onAssigned(BatchCommand.Assignment assignment) {
+		this.state.task(assignment.task())
+			.flatMap(BatchTask::run)
+			.filter((run) -> run.number() == assignment.run() && run.runner().equals(assignment.runner()))
+			.ifPresent((run) -> addRun(run, false));
+	}
+
+	private void addRun(Run run, boolean adopted) {
+		Optional<BatchJob> job = this.state.job(run.task().job());
+		String specification = job.map((known) -> known.spec().specification()).orElse("");
+		String checkpoint = this.state.task(run.task()).map(BatchTask::checkpoint).orElse("");
+		session(run.runner()).ifPresent((session) -> {
+			session.add(run, specification, checkpoint, adopted);
+			if (job.filter((known) -> !known.phase().isEnded()).isEmpty()) {
+				session.stop(run.task());
+			}
+		});
+	}
+
+	private void onEndsNoted(BatchCommand.NoteEnds noted, long nowMillis) {
+		session(noted.runner()).ifPresent((session) -> noted.ends().forEach((end) -> {
+			session.remove(end.task(), end.run());
+			session.noted(end.number());
+		}));
+		noted.ends().forEach((end) -> {
+			this.reputation.count(noted.runner(), end.outcome(), nowMillis);
+			boolean jobHasEnded = this.state.job(end.task().job())
+				.filter((job) -> job.phase() == BatchJobPhase.FAILED || job.phase() == BatchJobPhase.COMPLETED)
+				.isPresent();
+			if (jobHasEnded) {
+				stopRunsOf(end.task().job());
+			}
+		});
+	}
+
+	private void onReleased(BatchCommand.Release release) {
+		this.sessions.values().forEach((session) -> session.remove(release.task(), release.run()));
+	}
+
+	private void stopRunsOf(String job) {
+		this.sessions.values()
+			.forEach((session) -> this.state.runs()
+				.on(session.runner().key())
+				.stream()
+				.filter((run) -> run.task().job().equals(job))
+				.forEach((run) -> session.stop(run.task())));
+		this.sessions.values().forEach(this::proposeReleases);
+	}
+
+	private void proposeReleases(RunnerSession session) {
+		List<BatchCommand.Release> releases = session.drainReleases();
+		if (!releases.isEmpty()) {
+			this.proposals.add(new BatchCommand.ReleaseRuns(releases));
+		}
+	}
+
+	private void endLifeIfOver(RunnerSession session, long nowMillis) {
+		RunnerKey key = session.runner().key();
+		if (!session.areRunsOver(nowMillis)) {
+			this.endingLives.remove(key);
+			return;
+		}
+		if (!this.endingLives.add(key)) {
+			return;
+		}
+		List<BatchCommand.Release> releases = session.releaseAll();
+		if (!releases.isEmpty()) {
+			this.proposals.add(new BatchCommand.ReleaseRuns(releases));
+		}
+		long lastSignMillis = this.announcedMillis.getOrDefault(key, this.electedMillis);
+		if (session.isLifeOver() || nowMillis - lastSignMillis > this.settings.forgetRunnerMillis()) {
+			this.proposals.add(new BatchCommand.RemoveRunner(key));
+		}
+	}
+
+	private void openDueOccurrences(long wallMillis) {
+		for (BatchJob job : this.state.activeJobs()) {
+			int next = job.nextOccurrence();
+			boolean isDue = job.spec().isTimed() && next < job.spec().runCount()
+					&& wallMillis >= job.spec().dueMillis(next, job.acceptedMillis());
+			if (isDue && this.openedOccurrences.getOrDefault(job.id(), -1) < next) {
+				this.openedOccurrences.put(job.id(), next);
+				this.proposals.add(new BatchCommand.OpenOccurrence(job.id(), next));
+			}
+		}
+		this.openedOccurrences.keySet().removeIf((id) -> this.state.job(id).isEmpty());
+	}
+
+	private void syncSessions(long nowMillis) {
+		Set<RunnerKey> known = new HashSet<>();
+		this.state.runners().forEach((runner) -> {
+			known.add(runner.key());
+			Optional<RunnerSession> session = session(runner.key());
+			if (session.isPresent()) {
+				session.get().update(runner);
+			}
+			else {
+				openSession(runner, nowMillis);
+			}
+		});
+		this.sessions.keySet().retainAll(known);
+		this.announcedMillis.keySet().retainAll(known);
+	}
+
+	private void openSession(RunnerRecord runner, long nowMillis) {
+		this.sessions.put(runner.key(),
+				new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis, nowMillis));
+		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
@@ -0,0 +1,12 @@
+package io.burdockpin.core.batch.lead;
+
+/**
+ * Settings of the leader. Immutable.
+ *
+ * @param sessions dealings with runners
+ * @param waves maintenance waves
+ * @param forgetRunnerMillis how long a silent runner without runs is remembered
+ */
+public record LeaderSettings(SessionSettings sessions, WaveSettings waves, int forgetRunnerMillis) {
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunProgress.java
@@ -0,0 +1,174 @@
+package io.burdockpin.core.batch.lead;
+
+import io.burdockpin.core.batch.state.Run;
+
+/** Where the leader stands with one run on a runner. Mutable; belongs to a session. */
+final class RunProgress {
+
+	/** What is known about the run. */
+	enum Phase {
+
+		/**
+		 * Never ordered by this leader, nor listed by the runner; an earlier one may
+		 * have.
+		 */
+		NEW,
+
+		/** Ordered without an answer. */
+		UNCERTAIN,
+
+		/** The runner has it. */
+		STARTED,
+
+		/** The runner will not start it any more; its end may be listed. */
+		CLOSED
+
+	}
+
+	private final Run run;
+
+	private final String specification;
+
+	private final String checkpoint;
+
+	private final boolean adopted;
+
+	private Phase phase = Phase.NEW;
+
+	private boolean stopWanted;
+
+	private boolean stopAccepted;
+
+	private long nextTryMillis;
+
+	private long closedAtHold;
+
+	private long startedAtHold;
+
+	private boolean released;
+
+	private String saved = "";
+
+	private int percent;
+
+	RunProgress(Run run, String specification, String checkpoint, boolean adopted) {
+		this.run = run;
+		this.specification = specification;
+		this.checkpoint = checkpoint;
+		this.adopted = adopted;
+	}
+
+	Run run() {
+		return this.run;
+	}
+
+	String specification() {
+		return this.specification;
+	}
+
+	String checkpoint() {
+		return this.checkpoint;
+	}
+
+	Phase phase() {
+		return this.phase;
+	}
+
+	String saved() {
+		return this.saved;
+	}
+
+	int percent() {
+		return this.percent;
+	}
+
+	boolean stopWanted() {
+		return this.stopWanted;
+	}
+
+	boolean needsStart(long nowMillis) {
+		boolean isOpen = this.phase == Phase.NEW || this.phase == Phase.UNCERTAIN;
+		return isOpen && !this.stopWanted && !this.released && nowMillis >= this.nextTryMillis;
+	}
+
+	boolean needsStop(long nowMillis) {
+		return this.stopWanted && !this.stopAccepted && !this.released && nowMillis >= this.nextTryMillis;
+	}
+
+	// No leader can have ordered such a run, so it may be dropped without a stop.
+	boolean wasNeverOrdered() {
+		return this.phase == Phase.NEW && !this.adopted;
+	}
+
+	void order() {
+		this.phase = Phase.UNCERTAIN;
+	}
+
+	/**
+	 * Takes note that the runner has the run.
+	 * @param holdNumber the number of the newest request for the lists
+	 */
+	void confirm(long holdNumber) {
+		if (this.phase == Phase.UNCERTAIN) {
+			this.phase = Phase.STARTED;
+			this.startedAtHold = holdNumber;
+		}
+	}
+
+	/** Takes note that the run was given up; no order is sent for it any more. */
+	void release() {
+		this.released = true;
+	}
+
+	boolean isReleased() {
+		return this.released;
+	}
+
+	/**
+	 * Tells whether a listing that does not show the run contradicts its start.
+	 * @param holdNumber the number of the request that was answered
+	 * @return whether the runner had the run before the request was sent
+	 */
+	boolean hasVanished(long holdNumber) {
+		return this.phase == Phase.STARTED && holdNumber > this.startedAtHold;
+	}
+
+	void close(long holdNumber) {
+		this.phase = Phase.CLOSED;
+		this.closedAtHold = holdNumber;
+	}
+
+	/**
+	 * Tells whether a listing that does not show the run proves that it is over.
+	 * @param holdNumber the number of the request that was answered
+	 * @return whether it was sent after the run was closed
+	 */
+	boolean isOverWithout(long holdNumber) {
+		return this.phase == Phase.CLOSED && holdNumber > this.closedAtHold;
+	}
+
+	void wantStop() {
+		if (!this.stopWanted) {
+			this.stopWanted = true;
+			this.nextTryMillis = 0;
+		}
+	}
+
+	void acceptStop(long holdNumber) {
+		this.stopAccepted = true;
+		close(holdNumber);
+	}
+
+	void retryAt(long millis) {
+		this.nextTryMillis = millis;
+	}
+
+	void listed(String newSaved, int newPercent) {
+		if (this.phase != Phase.CLOSED) {
+			this.phase = Phase.STARTED;
+		}
+		this.saved = newSaved.isEmpty() ? this.saved : newSaved;
+		this.percent = newPercent;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -0,0 +1,491 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.Run;
+
+/**
+ * What the leader knows about one life of a runner and what it orders next. Starts and
+ * stops go out one at a time, requests for the lists on a channel of their own. Mutable;
+ * owned by the leader.
+ */
+public final class RunnerSession {
+
+	private final SessionSettings settings;
+
+	private final long fencingToken;
+
+	private final Map<TaskId, RunProgress> runs = new LinkedHashMap<>();
+
+	/** Runs that the runner lists although they are not assigned to it. */
+	private final Map<TaskId, Integer> strays = new HashMap<>();
+
+	private final List<BatchCommand.Release> releases = new ArrayList<>();
+
+	private RunnerRecord runner;
+
+	/** The clock of the runner when it answered last. */
+	private OptionalLong clockMillis = OptionalLong.empty();
+
+	private long clockReadMillis;
+
+	private long leaseOverMillis;
+
+	private boolean orderInFlight;
+
+	private boolean holdInFlight;
+
+	private long holdNumber;
+
+	private long nextHoldMillis;
+
+	private long notedEnd;
+
+	private long proposedEnd;
+
+	private long heardMillis;
+
+	private boolean heard;
+
+	private boolean over;
+
+	private boolean left;
+
+	private boolean fenced;
+
+	/**
+	 * Creates a session.
+	 * @param runner the runner
+	 * @param settings the settings
+	 * @param fencingToken the term of this leader
+	 * @param electedMillis when this leader was elected, by a monotonic clock
+	 * @param nowMillis the time of that clock
+	 */
+	public RunnerSession(RunnerRecord runner, SessionSettings settings, long fencingToken, long electedMillis,
+			long nowMillis) {
+		this.runner = runner;
+		this.settings = settings;
+		this.fencingToken = fencingToken;
+		this.leaseOverMillis = electedMillis + settings.earlierLeaseMillis();
+		this.heardMillis = nowMillis;
+	}
+
+	// access
+
+	/**
+	 * Returns the runner.
+	 * @return what it announces
+	 */
+	public RunnerRecord runner() {
+		return this.runner;
+	}
+
+	/**
+	 * Tells whether the runner takes new tasks.
+	 * @param nowMillis the time
+	 * @return whether it was heard lately and is not about to leave
+	 */
+	public boolean isUsable(long nowMillis) {
+		return this.heard && !this.over && !this.left && !this.fenced && !this.runner.draining()
+				&& nowMillis - this.heardMillis <= this.settings.silentMillis();
+	}
+
+	/**
+	 * Tells whether the runner answers.
+	 * @param nowMillis the time
+	 * @return whether it was heard lately
+	 */
+	public boolean isHeard(long nowMillis) {
+		return this.heard && nowMillis - this.heardMillis <= this.settings.silentMillis();
+	}
+
+	/**
+	 * Tells whether everything that ran under this life has ended.
+	 * @param nowMillis the time
+	 * @return whether the runner is gone or its lease has certainly ended
+	 */
+	public boolean areRunsOver(long nowMillis) {
+		return this.over || (!isHeard(nowMillis) && nowMillis >= this.leaseOverMillis);
+	}
+
+	/**
+	 * Tells whether this life of the runner has certainly ended.
+	 * @return whether the runner has left or another life has taken its place
+	 */
+	public boolean isLifeOver() {
+		return this.over;
+	}
+
+	/**
+	 * Tells whether a run is to be stopped.
+	 * @param task the task
+	 * @return whether its end was asked for
+	 */
+	public boolean isStopping(TaskId task) {
+		return progress(task).filter(RunProgress::stopWanted).isPresent();
+	}
+
+	/**
+	 * Tells whether a run was confirmed by the runner.
+	 * @param task the task
+	 * @return whether it is under way there
+	 */
+	public boolean isStarted(TaskId task) {
+		return progress(task).filter((progress) -> progress.phase() == RunProgress.Phase.STARTED).isPresent();
+	}
+
+	/**
+	 * Returns the progress that the runner has listed for a task.
+	 * @param task the task
+	 * @return percent of the work, 0 if unknown
+	 */
+	public int percent(TaskId task) {
+		return progress(task).map(RunProgress::percent).orElse(0);
+	}
+
+	/**
+	 * Returns the newest progress that the runner has saved for a task.
+	 * @param task the task
+	 * @return the checkpoint, empty if unknown
+	 */
+	public String saved(TaskId task) {
+		return progress(task).map(RunProgress::saved).orElse("");
+	}
+
+	// changes of the state
+
+	/**
+	 * Takes over what the runner announces now.
+	 * @param newer the announcement of the same life
+	 */
+	public void update(RunnerRecord newer) {
+		this.runner = newer;
+	}
+
+	/**
+	 * Takes on a run that was committed.
+	 * @param run the run
+	 * @param specification the text of the job
+	 * @param checkpoint the progress to resume from
+	 * @param adopted whether an earlier leader may have ordered it
+	 */
+	public void add(Run run, String specification, String checkpoint, boolean adopted) {
+		this.runs.put(run.task(), new RunProgress(run, specification, checkpoint, adopted));
+	}
+
+	/**
+	 * Forgets a run whose end or release was committed.
+	 * @param task the task
+	 * @param run the number of the run
+	 */
+	public void remove(TaskId task, int run) {
+		progress(task).filter((known) -> known.run().number() == run).ifPresent((known) -> this.runs.remove(task));
+	}
+
+	/**
+	 * Asks for the end of a run.
+	 * @param task the task
+	 */
+	public void stop(TaskId task) {
+		progress(task).ifPresent((progress) -> {
+			if (progress.wasNeverOrdered()) {
+				release(progress);
+			}
+			else {
+				progress.wantStop();
+			}
+		});
+	}
+
+	/**
+	 * Takes note that ends were committed.
+	 * @param number the number of the newest one
+	 */
+	public void noted(long number) {
+		this.notedEnd = Math.max(this.notedEnd, number);
+		this.nextHoldMillis = 0;
+	}
+
+	/**
+	 * Takes note that the runner says it ends. Its runs are over once it can no longer be
+	 * reached: a late message of an earlier life must not end the runs of this one.
+	 */
+	public void leave() {
+		this.left = true;
+	}
+
+	// orders
+
+	/**
+	 * Returns the next start or stop, if none is under way.
+	 * @param nowMillis the time
+	 * @return the order; it counts as sent
+	 */
+	public Optional<RunnerOrder> nextOrder(long nowMillis) {
+		if (this.orderInFlight || this.over || this.fenced) {
+			return Optional.empty();
+		}
+		Optional<RunnerOrder> order = nextStop(nowMillis).or(() -> nextStart(nowMillis));
+		this.orderInFlight = order.isPresent();
+		return order;
+	}
+
+	/**
+	 * Returns the next request for the lists, if it is due and none is under way.
+	 * @param nowMillis the time
+	 * @return the order; it counts as sent
+	 */
+	public Optional<RunnerOrder.Hold> nextHold(long nowMillis) {
+		boolean mustWait = this.holdInFlight || this.over || this.fenced || nowMillis < this.nextHoldMillis
+				|| this.proposedEnd > this.notedEnd;
+		if (mustWait) {
+			return Optional.empty();
+		}
+		this.holdInFlight = true;
+		this.holdNumber++;
+		boolean isResponsive = isHeard(nowMillis);
+		// A runner that may hear without being heard must not keep its lease.
+		OptionalLong leaseEnd = isResponsive ? grantLease(nowMillis) : OptionalLong.empty();
+		int waitMillis = isResponsive ? this.settings.listenMillis() : 0;
+		return Optional.of(new RunnerOrder.Hold(this.fencingToken, this.notedEnd, leaseEnd, waitMillis));
+	}
+
+	// replies
+
+	/**
+	 * Takes note of the reply to a start or a stop.
+	 * @param order the order
+	 * @param reply the reply
+	 * @param nowMillis the time
+	 */
+	public void onOrderReply(RunnerOrder order, RunnerReply reply, long nowMillis) {
+		this.orderInFlight = false;
+		if (reply instanceof RunnerReply.Accepted accepted) {
+			observe(accepted.clockMillis(), nowMillis);
+		}
+		if (order instanceof RunnerOrder.Start start) {
+			progress(start.task()).filter((progress) -> progress.run().number() == start.run())
+				.ifPresent((progress) -> onStartReply(progress, reply, nowMillis));
+		}
+		else if (order instanceof RunnerOrder.Stop stop) {
+			onStopReply(stop, reply, nowMillis);
+		}
+	}
+
+	/**
+	 * Takes note of the reply to a request for the lists.
+	 * @param reply the reply
+	 * @param nowMillis the time
+	 * @return the ends that have to be committed
+	 */
+	public List<BatchCommand.End> onHoldReply(RunnerReply reply, long nowMillis) {
+		this.holdInFlight = false;
+		if (reply instanceof RunnerReply.Listing listing) {
+			return onListing(listing, nowMillis);
+		}
+		if (reply instanceof RunnerReply.Refused refused) {
+			onRefusal(refused.refusal());
+		}
+		if (this.left && reply == RunnerReply.NoAnswer.UNREACHED) {
+			this.over = true;
+		}
+		this.nextHoldMillis = nowMillis + this.settings.retryMillis();
+		return List.of();
+	}
+
+	/**
+	 * Returns and clears the runs that are certainly not under way and have no end.
+	 * @return the releases to commit
+	 */
+	public List<BatchCommand.Release> drainReleases() {
+		List<BatchCommand.Release> drained = List.copyOf(this.releases);
+		this.releases.clear();
+		return drained;
+	}
+
+	/**
+	 * Returns releases for all runs, once {@link #areRunsOver} says so.
+	 * @return the releases to commit
+	 */
+	public List<BatchCommand.Release> releaseAll() {
+		return this.runs.values().stream().map(RunnerSession::releaseOf).toList();
+	}
+
+	// helpers
+
+	private Optional<RunnerOrder> nextStop(long nowMillis) {
+		Optional<RunnerOrder> stray = this.strays.entrySet()
+			.stream()
+			.findFirst()
+			.map((entry) -> new RunnerOrder.Stop(this.fencingToken, entry.getKey(), entry.getValue()));
+		return stray.or(() -> this.runs.values()
+			.stream()
+			.filter((progress) -> progress.needsStop(nowMillis))
+			.findFirst()
+			.map((progress) -> new RunnerOrder.Stop(this.fencingToken, progress.run().task(),
+					progress.run().number())));
+	}
+
+	private Optional<RunnerOrder> nextStart(long nowMillis) {
+		if (this.clockMillis.isEmpty() || !isHeard(nowMillis)) {
+			return Optional.empty();
+		}
+		Optional<RunProgress> next = this.runs.values()
+			.stream()
+			.filter((progress) -> progress.needsStart(nowMillis))
+			.findFirst();
+		if (next.isEmpty()) {
+			return Optional.empty();
+		}
+		RunProgress progress = next.get();
+		if (this.runner.draining() && progress.wasNeverOrdered()) {
+			release(progress);
+			return nextStart(nowMillis);
+		}
+		if (this.runner.draining()) {
+			progress.wantStop();
+			return nextStop(nowMillis);
+		}
+		progress.order();
+		return Optional.of(new RunnerOrder.Start(this.fencingToken, progress.run().task(), progress.run().number(),
+				progress.specification(), progress.checkpoint(), grantLease(nowMillis).orElseThrow()));
+	}
+
+	private void onStartReply(RunProgress progress, RunnerReply reply, long nowMillis) {
+		progress.retryAt(nowMillis + this.settings.retryMillis());
+		if (reply instanceof RunnerReply.Accepted) {
+			progress.confirm(this.holdNumber);
+		}
+		else if (reply instanceof RunnerReply.Refused refused) {
+			onStartRefused(progress, refused.refusal());
+		}
+	}
+
+	private void onStartRefused(RunProgress progress, RunnerReply.Refusal refusal) {
+		switch (refusal) {
+			case OUTDATED -> progress.close(this.holdNumber);
+			// An earlier order without an answer may still be carried out, so the run is
+			// stopped before it is given up.
+			case NO_ROOM, NO_PERMIT, MALFORMED, UNWELL -> progress.wantStop();
+			case LATE -> {
+				// The next try carries a new lease end.
+			}
+			default -> onRefusal(refusal);
+		}
+	}
+
+	private void onStopReply(RunnerOrder.Stop stop, RunnerReply reply, long nowMillis) {
+		this.strays.remove(stop.task(), stop.run());
+		progress(stop.task()).filter((progress) -> progress.run().number() == stop.run()).ifPresent((progress) -> {
+			progress.retryAt(nowMillis + this.settings.retryMillis());
+			boolean isClosed = reply instanceof RunnerReply.Accepted || (reply instanceof RunnerReply.Refused refused
+					&& refused.refusal() == RunnerReply.Refusal.OUTDATED);
+			if (isClosed) {
+				progress.acceptStop(this.holdNumber);
+			}
+		});
+		if (reply instanceof RunnerReply.Refused refused) {
+			onRefusal(refused.refusal());
+		}
+	}
+
+	private void onRefusal(RunnerReply.Refusal refusal) {
+		if (refusal == RunnerReply.Refusal.FENCED) {
+			this.fenced = true;
+		}
+		else if (refusal == RunnerReply.Refusal.OTHER_LIFE) {
+			this.over = true;
+		}
+	}
+
+	private List<BatchCommand.End> onListing(RunnerReply.Listing listing, long nowMillis) {
+		boolean isOtherLife = listing.bornMillis().isPresent()
+				&& listing.bornMillis().getAsLong() != this.runner.key().bornMillis();
+		if (isOtherLife) {
+			this.over = true;
+			return List.of();
+		}
+		this.heard = true;
+		this.heardMillis = nowMillis;
+		observe(listing.clockMillis(), nowMillis);
+		this.nextHoldMillis = nowMillis;
+		Set<TaskId> listed = new HashSet<>();
+		listing.running().forEach((running) -> onRunning(running, listed));
+		listing.ended().forEach((end) -> listed.add(end.task()));
+		this.runs.values()
+			.stream()
+			.filter((progress) -> !listed.contains(progress.run().task()))
+			.forEach(this::onNotListed);
+		List<BatchCommand.End> fresh = listing.ended()
+			.stream()
+			.filter((end) -> end.number() > this.proposedEnd)
+			.sorted(Comparator.comparingLong(BatchCommand.End::number))
+			.toList();
+		fresh.forEach((end) -> this.proposedEnd = Math.max(this.proposedEnd, end.number()));
+		return fresh;
+	}
+
+	private void onRunning(RunnerReply.RunningTask running, Set<TaskId> listed) {
+		Optional<RunProgress> known = progress(running.task())
+			.filter((progress) -> progress.run().number() == running.run());
+		if (known.isPresent()) {
+			listed.add(running.task());
+			known.get().listed(running.checkpoint(), running.percent());
+		}
+		else {
+			this.strays.put(running.task(), running.run());
+		}
+	}
+
+	private void onNotListed(RunProgress progress) {
+		if (progress.isOverWithout(this.holdNumber)) {
+			release(progress);
+		}
+		else if (progress.hasVanished(this.holdNumber)) {
+			progress.wantStop();
+		}
+	}
+
+	private void release(RunProgress progress) {
+		if (!progress.isReleased()) {
+			progress.release();
+			this.releases.add(releaseOf(progress));
+		}
+	}
+
+	private static BatchCommand.Release releaseOf(RunProgress progress) {
+		return new BatchCommand.Release(progress.run().task(), progress.run().number(), progress.saved());
+	}
+
+	private OptionalLong grantLease(long nowMillis) {
+		if (this.clockMillis.isEmpty()) {
+			return OptionalLong.empty();
+		}
+		long remainingMillis = nowMillis - this.clockReadMillis + this.settings.leaseMillis();
+		this.leaseOverMillis = Math.max(this.leaseOverMillis,
+				this.clockReadMillis + this.settings.certainEndMillis(remainingMillis));
+		return OptionalLong.of(this.clockMillis.getAsLong() + remainingMillis);
+	}
+
+	private void observe(long newClockMillis, long nowMillis) {
+		this.clockMillis = OptionalLong.of(newClockMillis);
+		this.clockReadMillis = nowMillis;
+	}
+
+	private Optional<RunProgress> progress(TaskId task) {
+		return Optional.ofNullable(this.runs.get(task));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -0,0 +1,251 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Predicate;
+
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.BatchTask;
+import io.burdockpin.core.batch.state.Occurrence;
+import io.burdockpin.core.batch.state.StepTasks;
+import io.burdockpin.core.model.Resources;
+
+/**
+ * Chooses runners for waiting tasks: long-running steps first, then those that can still
+ * meet their objective by priority and slack, then the rest. Never plans beyond the
+ * capacity of a runner or the limit of a workspace. Stateless.
+ */
+public final class TaskPlanner {
+
+	/** Bounds the size of one log entry and the time of one round. */
+	private static final int MAXIMUM_ASSIGNMENTS = 128;
+
+	/**
+	 * Plans one round.
+	 * @param state the state
+	 * @param runners the runners that take new tasks
+	 * @param isSuspect runners that get tasks only if no other can take them
+	 * @param wallMillis the time of day in milliseconds since 1970
+	 * @return the assignments
+	 */
+	public List<BatchCommand.Assignment> plan(BatchState state, List<RunnerRecord> runners,
+			Predicate<RunnerKey> isSuspect, long wallMillis) {
+		if (state.configuration().isEmpty()) {
+			return List.of();
+		}
+		FleetConfiguration configuration = state.configuration().get();
+		Round round = new Round(state, configuration);
+		for (RunnerRecord runner : runners) {
+			round.add(new Candidate(runner, state.runs().reservedOn(runner.key()), isSuspect.test(runner.key())));
+		}
+		List<WorkItem> items = new ArrayList<>();
+		state.activeJobs()
+			.forEach((job) -> configuration.queue(job.queue())
+				.filter((queue) -> round.hasCandidates(queue.pool()))
+				.ifPresent((queue) -> addItems(items, job, queue, wallMillis)));
+		items.sort(WorkItem.ORDER);
+		for (WorkItem item : items) {
+			if (round.assignments.size() >= MAXIMUM_ASSIGNMENTS) {
+				break;
+			}
+			round.place(item);
+		}
+		return round.assignments;
+	}
+
+	private static void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, long wallMillis) {
+		for (Occurrence occurrence : job.occurrences()) {
+			List<StepTasks> steps = occurrence.steps();
+			for (int number = 0; number < steps.size(); number++) {
+				StepTasks step = steps.get(number);
+				boolean isWaiting = !step.isDone() && step.tasks().stream().anyMatch(BatchTask::isWaiting);
+				if (isWaiting && occurrence.isReady(number)) {
+					items.add(item(job, queue, occurrence, number, wallMillis));
+				}
+			}
+		}
+	}
+
+	private static WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
+		JobSpec spec = job.spec();
+		long objectiveMillis = spec.dueMillis(occurrence.number(), job.acceptedMillis()) + queue.targetLatencyMillis()
+				+ (long) (queue.stretch() * chainMillis(spec, 0));
+		long slackMillis = objectiveMillis - wallMillis - chainMillis(spec, step);
+		StepTasks tasks = occurrence.steps().get(step);
+		WorkItem.Urgency urgency = tasks.spec().longRunning() ? WorkItem.Urgency.LONG_RUNNING
+				: (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
+		return new WorkItem(job, queue, occurrence, step, tasks, urgency, slackMillis);
+	}
+
+	/**
+	 * Returns the longest chain of estimated work from a step to the end of the job.
+	 * @param spec the job
+	 * @param firstStep the step with which the chain begins; 0 for any
+	 * @return the time in milliseconds
+	 */
+	static long chainMillis(JobSpec spec, int firstStep) {
+		List<StepSpec> steps = spec.steps();
+		long[] chains = new long[steps.size()];
+		long longest = 0;
+		for (int step = steps.size() - 1; step >= 0; step--) {
+			long following = 0;
+			for (int later = step + 1; later < steps.size(); later++) {
+				if (steps.get(later).after().contains(step)) {
+					following = Math.max(following, chains[later]);
+				}
+			}
+			chains[step] = steps.get(step).estimatedMillis() + following;
+			longest = Math.max(longest, chains[step]);
+		}
+		return (firstStep == 0) ? longest : chains[firstStep];
+	}
+
+	/** One round of placement. */
+	private static final class Round {
+
+		private final BatchState state;
+
+		private final FleetConfiguration configuration;
+
+		private final Map<String, List<Candidate>> byPool = new HashMap<>();
+
+		private final Map<String, Resources> charged = new HashMap<>();
+
+		private final List<BatchCommand.Assignment> assignments = new ArrayList<>();
+
+		private Round(BatchState state, FleetConfiguration configuration) {
+			this.state = state;
+			this.configuration = configuration;
+		}
+
+		private void add(Candidate candidate) {
+			this.byPool.computeIfAbsent(candidate.runner().pool(), (pool) -> new ArrayList<>()).add(candidate);
+		}
+
+		private boolean hasCandidates(String pool) {
+			return this.byPool.containsKey(pool);
+		}
+
+		private void place(WorkItem item) {
+			Map<RunnerKey, Integer> used = usedRunners(item);
+			if (item.tasks().spec().gang()) {
+				placeGang(item, used);
+			}
+			else {
+				placeTasks(item, used);
+			}
+		}
+
+		private void placeTasks(WorkItem item, Map<RunnerKey, Integer> used) {
+			List<BatchTask> tasks = item.tasks().tasks();
+			for (int index = 0; index < tasks.size(); index++) {
+				BatchTask task = tasks.get(index);
+				if (task.isWaiting()) {
+					Optional<Candidate> chosen = choose(item, used, Optional.empty());
+					if (chosen.isEmpty()) {
+						return;
+					}
+					take(item, index, task.lastRun() + 1, chosen.get(), used);
+				}
+			}
+		}
+
+		// The members of a gang start together or not at all.
+		private void placeGang(WorkItem item, Map<RunnerKey, Integer> used) {
+			List<BatchTask> tasks = item.tasks().tasks();
+			if (!tasks.stream().allMatch(BatchTask::isWaiting)) {
+				return;
+			}
+			int run = item.tasks().highestRun() + 1;
+			int firstAssignment = this.assignments.size();
+			List<Candidate> taken = new ArrayList<>();
+			Optional<String> rack = Optional.empty();
+			for (int index = 0; index < tasks.size(); index++) {
+				Optional<Candidate> chosen = choose(item, used, rack);
+				if (chosen.isEmpty()) {
+					undo(item, firstAssignment, taken);
+					return;
+				}
+				taken.add(chosen.get());
+				take(item, index, run, chosen.get(), used);
+				rack = item.tasks().spec().sameRack() ? chosen.get().runner().rack() : Optional.empty();
+			}
+		}
+
+		private void undo(WorkItem item, int firstAssignment, List<Candidate> taken) {
+			StepSpec spec = item.tasks().spec();
+			taken.forEach((candidate) -> {
+				candidate.giveBack(spec.reserved());
+				this.charged.computeIfPresent(item.job().workspace(), (name, sum) -> sum.minus(spec.resources()));
+			});
+			this.assignments.subList(firstAssignment, this.assignments.size()).clear();
+		}
+
+		private Map<RunnerKey, Integer> usedRunners(WorkItem item) {
+			Map<RunnerKey, Integer> used = new HashMap<>();
+			if (item.tasks().spec().maximumPerRunner().isPresent()) {
+				item.tasks()
+					.tasks()
+					.forEach((task) -> task.run().ifPresent((run) -> used.merge(run.runner(), 1, Integer::sum)));
+			}
+			return used;
+		}
+
+		private Optional<Candidate> choose(WorkItem item, Map<RunnerKey, Integer> used, Optional<String> rack) {
+			StepSpec spec = item.tasks().spec();
+			if (isAboveLimit(item, spec)) {
+				return Optional.empty();
+			}
+			OptionalInt maximum = spec.maximumPerRunner();
+			Comparator<Candidate> order = Comparator.comparing(Candidate::isSuspect)
+				.thenComparing((candidate) -> !candidate.isNear(spec))
+				.thenComparing((candidate) -> rack.isPresent() && !rack.equals(candidate.runner().rack()));
+			// Long-running tasks are spread, so that a lost runner takes few of them;
+			// others
+			// go where they leave the least, so that large tasks still find room.
+			Comparator<Candidate> room = Comparator.comparingInt(Candidate::freeMillicores);
+			return this.byPool.getOrDefault(item.queue().pool(), List.of())
+				.stream()
+				.filter((candidate) -> candidate.fits(spec))
+				.filter((candidate) -> maximum.isEmpty()
+						|| used.getOrDefault(candidate.runner().key(), 0) < maximum.getAsInt())
+				.min(order.thenComparing(spec.longRunning() ? room.reversed() : room));
+		}
+
+		private boolean isAboveLimit(WorkItem item, StepSpec spec) {
+			String workspace = item.job().workspace();
+			Resources after = chargedTo(workspace).plus(spec.resources());
+			return this.configuration.workspace(workspace).filter((known) -> known.isExceededBy(after)).isPresent();
+		}
+
+		private Resources chargedTo(String workspace) {
+			return this.charged.computeIfAbsent(workspace, this.state.runs()::chargedTo);
+		}
+
+		private void take(WorkItem item, int index, int run, Candidate candidate, Map<RunnerKey, Integer> used) {
+			StepSpec spec = item.tasks().spec();
+			RunnerKey key = candidate.runner().key();
+			candidate.take(spec.reserved());
+			used.merge(key, 1, Integer::sum);
+			this.charged.put(item.job().workspace(), chargedTo(item.job().workspace()).plus(spec.resources()));
+			this.assignments.add(new BatchCommand.Assignment(
+					new TaskId(item.job().id(), item.occurrence().number(), item.step(), index), run, key));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -0,0 +1,260 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.BatchTask;
+import io.burdockpin.core.batch.state.Run;
+import io.burdockpin.core.batch.state.StepTasks;
+import io.burdockpin.core.batch.state.UpkeepPhase;
+import io.burdockpin.core.batch.state.WaveProgress;
+
+/**
+ * Takes the hosts of maintenance waves through drain, upkeep and return, a bounded number
+ * at a time and within the availability budgets of long-running steps. Mutable; owned by
+ * the leader.
+ */
+public final class WaveKeeper {
+
+	private final BatchState state;
+
+	private final WaveSettings settings;
+
+	private final long fencingToken;
+
+	private final long electedMillis;
+
+	/** Hosts that take no new tasks, with the start of their drain. */
+	private final Map<String, Long> draining = new LinkedHashMap<>();
+
+	/** When this leader may send the next order about a host. */
+	private final Map<String, Long> nextTryMillis = new HashMap<>();
+
+	private final Map<String, Long> begunMillis = new HashMap<>();
+
+	private final Map<String, HostOrder> ordersInFlight = new HashMap<>();
+
+	private final List<BatchCommand> proposals = new ArrayList<>();
+
+	private final List<HostOrder> orders = new ArrayList<>();
+
+	/**
+	 * Creates a keeper.
+	 * @param state the state
+	 * @param settings the settings
+	 * @param fencingToken the term of this leader
+	 * @param electedMillis when this leader was elected, by a monotonic clock
+	 */
+	public WaveKeeper(BatchState state, WaveSettings settings, long fencingToken, long electedMillis) {
+		this.state = state;
+		this.settings = settings;
+		this.fencingToken = fencingToken;
+		this.electedMillis = electedMillis;
+	}
+
+	// access
+
+	/**
+	 * Tells whether a host is drained for upkeep.
+	 * @param host the host
+	 * @return whether it takes no new tasks
+	 */
+	public boolean isDraining(String host) {
+		return this.draining.containsKey(host) || isDown(host);
+	}
+
+	/**
+	 * Returns and clears the commands to commit.
+	 * @return the commands
+	 */
+	public List<BatchCommand> drainProposals() {
+		List<BatchCommand> drained = List.copyOf(this.proposals);
+		this.proposals.clear();
+		return drained;
+	}
+
+	/**
+	 * Returns and clears the orders to send.
+	 * @return the orders
+	 */
+	public List<HostOrder> drainOrders() {
+		List<HostOrder> drained = List.copyOf(this.orders);
+		this.orders.clear();
+		return drained;
+	}
+
+	// events
+
+	/**
+	 * Takes the next steps.
+	 * @param sessions the sessions with the runners
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void tick(Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		if (nowMillis - this.electedMillis < this.settings.handOverPauseMillis()) {
+			return;
+		}
+		this.state.waves()
+			.values()
+			.stream()
+			.filter((wave) -> !wave.isCompleted())
+			.forEach((wave) -> advance(wave, sessions, nowMillis));
+	}
+
+	/**
+	 * Takes note of the reply to an order.
+	 * @param order the order
+	 * @param reply the reply
+	 * @param nowMillis the time
+	 */
+	public void onReply(HostOrder order, HostReply reply, long nowMillis) {
+		this.ordersInFlight.remove(order.host());
+		this.nextTryMillis.put(order.host(), nowMillis + this.settings.retryMillis());
+		switch (reply) {
+			case DONE -> {
+				this.begunMillis.put(order.host(), nowMillis);
+				propose(order.wave(), order.host(), UpkeepPhase.BEGUN);
+			}
+			case BUSY -> propose(order.wave(), order.host(), UpkeepPhase.PENDING);
+			case UNKNOWN_HOST -> propose(order.wave(), order.host(), UpkeepPhase.GONE);
+			default -> {
+				// The order may have been carried out, so it is sent again.
+			}
+		}
+	}
+
+	// helpers
+
+	private void advance(WaveProgress wave, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		wave.hosts().forEach((host, phase) -> {
+			if (phase == UpkeepPhase.ORDERED) {
+				sendWhenDue(wave, host, nowMillis);
+			}
+			else if (phase == UpkeepPhase.BEGUN && hasReturned(wave, host, sessions, nowMillis)) {
+				propose(wave.wave().number(), host, UpkeepPhase.DONE);
+			}
+		});
+		List<String> drained = wave.hosts().keySet().stream().filter(this.draining::containsKey).toList();
+		drained.forEach((host) -> drain(wave, host, sessions, nowMillis));
+		int room = wave.wave().maximumDown() - wave.downCount()
+				- (int) wave.hosts().keySet().stream().filter(this.draining::containsKey).count();
+		wave.hosts()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() == UpkeepPhase.PENDING && !this.draining.containsKey(entry.getKey()))
+			.map(Map.Entry::getKey)
+			.filter((host) -> nowMillis >= this.nextTryMillis.getOrDefault(host, 0L))
+			.sorted(Comparator.comparingInt(this::reservedMillicores))
+			.limit(Math.max(0, room))
+			.forEach((host) -> this.draining.put(host, nowMillis));
+	}
+
+	private int reservedMillicores(String host) {
+		return this.state.runnerOn(host)
+			.map((runner) -> this.state.runs().reservedOn(runner.key()).cpuMillicores())
+			.orElse(0);
+	}
+
+	private void drain(WaveProgress wave, String host, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		if (wave.hosts().get(host) != UpkeepPhase.PENDING) {
+			this.draining.remove(host);
+			return;
+		}
+		Optional<RunnerRecord> runner = this.state.runnerOn(host);
+		Collection<Run> runs = runner.map((known) -> this.state.runs().on(known.key())).orElse(List.of());
+		if (runs.isEmpty()) {
+			propose(wave.wave().number(), host, UpkeepPhase.ORDERED);
+			return;
+		}
+		RunnerSession session = sessions.get(runner.get().key());
+		boolean isOverdue = nowMillis - this.draining.get(host) >= this.settings.drainMillis();
+		runs.forEach((run) -> {
+			if (session != null && mayStop(run, sessions, isOverdue)) {
+				session.stop(run.task());
+			}
+		});
+	}
+
+	private boolean mayStop(Run run, Map<RunnerKey, RunnerSession> sessions, boolean isOverdue) {
+		Optional<StepTasks> step = this.state.step(run.task());
+		if (step.isEmpty()) {
+			return true;
+		}
+		if (!step.get().spec().longRunning()) {
+			return isOverdue;
+		}
+		return step.get().spec().maximumAway() == 0
+				|| awayCount(run, step.get(), sessions) < step.get().spec().maximumAway();
+	}
+
+	private int awayCount(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions) {
+		int away = 0;
+		List<BatchTask> tasks = step.tasks();
+		for (int index = 0; index < tasks.size(); index++) {
+			if (index != run.task().index() && !isAtWork(tasks.get(index), sessions)) {
+				away++;
+			}
+		}
+		return away;
+	}
+
+	private static boolean isAtWork(BatchTask task, Map<RunnerKey, RunnerSession> sessions) {
+		return task.run()
+			.flatMap((run) -> Optional.ofNullable(sessions.get(run.runner()))
+				.filter((session) -> !session.isStopping(run.task()))
+				.map((session) -> session.percent(run.task())))
+			.filter((percent) -> percent == 100)
+			.isPresent();
+	}
+
+	private void sendWhenDue(WaveProgress wave, String host, long nowMillis) {
+		this.draining.remove(host);
+		boolean isDue = !this.ordersInFlight.containsKey(host)
+				&& nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
+		if (isDue) {
+			HostOrder order = new HostOrder(this.fencingToken, host, wave.wave().number());
+			this.ordersInFlight.put(host, order);
+			this.orders.add(order);
+		}
+	}
+
+	private boolean hasReturned(WaveProgress wave, String host, Map<RunnerKey, RunnerSession> sessions,
+			long nowMillis) {
+		long sinceBegunMillis = nowMillis - this.begunMillis.getOrDefault(host, this.electedMillis);
+		Optional<RunnerKey> before = Optional.ofNullable(wave.orderedLives().get(host));
+		Optional<RunnerKey> present = this.state.runnerOn(host).map(RunnerRecord::key);
+		if (before.isEmpty() && present.isEmpty()) {
+			return sinceBegunMillis >= this.settings.returnMillis();
+		}
+		return present.filter((life) -> !before.equals(Optional.of(life)))
+			.map(sessions::get)
+			.filter((session) -> session.isHeard(nowMillis))
+			.isPresent();
+	}
+
+	private boolean isDown(String host) {
+		return this.state.waves()
+			.values()
+			.stream()
+			.map((wave) -> wave.hosts().get(host))
+			.anyMatch((phase) -> phase == UpkeepPhase.ORDERED);
+	}
+
+	private void propose(long wave, String host, UpkeepPhase phase) {
+		BatchCommand command = new BatchCommand.SetUpkeep(wave, host, phase);
+		if (!this.proposals.contains(command)) {
+			this.proposals.add(command);
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
@@ -0,0 +1,44 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.Comparator;
+
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.Occurrence;
+import io.burdockpin.core.batch.state.StepTasks;
+
+/**
+ * A step whose tasks wait to be placed.
+ *
+ * @param job the job
+ * @param queue its queue
+ * @param occurrence the occurrence
+ * @param step the number of the step
+ * @param tasks the tasks of the step
+ * @param urgency where the step stands in the order of placement
+ * @param slackMillis time left until the objective minus the work that is left
+ */
+record WorkItem(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, StepTasks tasks, Urgency urgency,
+		long slackMillis) {
+
+	/** Order of placement: urgency, priority of the queue, then the least slack. */
+	static final Comparator<WorkItem> ORDER = Comparator.comparing(WorkItem::urgency)
+		.thenComparingInt((item) -> item.queue().priority())
+		.thenComparingLong(WorkItem::slackMillis)
+		.thenComparing((item) -> item.job().id());
+
+	/** Groups of steps, the first one first. */
+	enum Urgency {
+
+		/** Serves its own users until it is cancelled. */
+		LONG_RUNNING,
+
+		/** Can still meet its latency objective. */
+		IN_TIME,
+
+		/** Will miss its objective; worth little to its caller by now. */
+		LATE
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -0,0 +1,392 @@
+package io.burdockpin.core.batch.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+
+/**
+ * The state machine of the batch scheduler. The same commands give the same state on
+ * every member. Mutable; owned by one actor.
+ */
+public final class BatchState {
+
+	/** How long an ended job is remembered after its end, in milliseconds. */
+	private static final long RETENTION_MILLIS = 180_000;
+
+	private Optional<FleetConfiguration> configuration = Optional.empty();
+
+	private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
+
+	private final Map<String, BatchJob> activeJobs = new LinkedHashMap<>();
+
+	private final Deque<EndedJob> endedJobs = new ArrayDeque<>();
+
+	private final Map<String, RunnerRecord> runners = new TreeMap<>();
+
+	private final Map<Long, WaveProgress> waves = new TreeMap<>();
+
+	private final RunTable runs = new RunTable();
+
+	// access
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the newest configuration
+	 */
+	public Optional<FleetConfiguration> configuration() {
+		return this.configuration;
+	}
+
+	/**
+	 * Finds a job.
+	 * @param id its identifier
+	 * @return the job, also for a while after its end
+	 */
+	public Optional<BatchJob> job(String id) {
+		return Optional.ofNullable(this.jobs.get(id));
+	}
+
+	/**
+	 * Returns the jobs that have not ended, oldest first.
+	 * @return the jobs
+	 */
+	public Collection<BatchJob> activeJobs() {
+		return Collections.unmodifiableCollection(this.activeJobs.values());
+	}
+
+	/**
+	 * Returns the newest known life of each runner.
+	 * @return the runners
+	 */
+	public Collection<RunnerRecord> runners() {
+		return Collections.unmodifiableCollection(this.runners.values());
+	}
+
+	/**
+	 * Finds a runner.
+	 * @param id its identifier
+	 * @return the newest known life
+	 */
+	public Optional<RunnerRecord> runner(String id) {
+		return Optional.ofNullable(this.runners.get(id));
+	}
+
+	/**
+	 * Finds the runner on a host.
+	 * @param host the host
+	 * @return the runner
+	 */
+	public Optional<RunnerRecord> runnerOn(String host) {
+		return this.runners.values().stream().filter((runner) -> runner.hostOrId().equals(host)).findFirst();
+	}
+
+	/**
+	 * Returns the runs that may be under way.
+	 * @return the runs
+	 */
+	public RunTable runs() {
+		return this.runs;
+	}
+
+	/**
+	 * Returns the maintenance waves by number.
+	 * @return the waves
+	 */
+	public Map<Long, WaveProgress> waves() {
+		return Collections.unmodifiableMap(this.waves);
+	}
+
+	/**
+	 * Returns the number of jobs of a queue of which nothing was started yet.
+	 * @param queue the name of the queue
+	 * @return the number of jobs
+	 */
+	public long waitingCount(String queue) {
+		return this.activeJobs.values()
+			.stream()
+			.filter((job) -> job.phase() == BatchJobPhase.QUEUED && job.queue().equals(queue))
+			.count();
+	}
+
+	/**
+	 * Finds a task of an active job.
+	 * @param id the task
+	 * @return the task, unless its occurrence is done
+	 */
+	public Optional<BatchTask> task(TaskId id) {
+		return step(id).filter((step) -> id.index() < step.tasks().size()).map((step) -> step.tasks().get(id.index()));
+	}
+
+	/**
+	 * Finds the step that a task belongs to.
+	 * @param id the task
+	 * @return the step, unless its occurrence is done
+	 */
+	public Optional<StepTasks> step(TaskId id) {
+		return job(id.job()).flatMap((job) -> job.occurrence(id.occurrence()))
+			.filter((occurrence) -> id.step() < occurrence.steps().size())
+			.map((occurrence) -> occurrence.steps().get(id.step()));
+	}
+
+	// changes
+
+	/**
+	 * Applies the commands of one log entry.
+	 * @param group the commands
+	 * @return what each of them has changed
+	 */
+	public List<CommandVerdict> apply(CommandGroup group) {
+		List<CommandVerdict> verdicts = new ArrayList<>();
+		group.commands().forEach((command) -> verdicts.add(command.applyTo(this, group.atMillis())));
+		forgetEndedJobs(group.atMillis());
+		return verdicts;
+	}
+
+	CommandVerdict setConfiguration(FleetConfiguration newer) {
+		boolean isOlder = this.configuration.filter((current) -> current.version() >= newer.version()).isPresent();
+		if (isOlder) {
+			return CommandVerdict.UNCHANGED;
+		}
+		this.configuration = Optional.of(newer);
+		return CommandVerdict.APPLIED;
+	}
+
+	CommandVerdict submit(BatchCommand.SubmitJob command, long atMillis) {
+		if (this.jobs.containsKey(command.id())) {
+			return CommandVerdict.UNCHANGED;
+		}
+		BatchJob job = new BatchJob(command.id(), command.queue(), command.workspace(), command.spec(), atMillis);
+		if (!command.spec().isTimed()) {
+			job.open(new Occurrence(0, command.spec()));
+		}
+		this.jobs.put(job.id(), job);
+		this.activeJobs.put(job.id(), job);
+		return CommandVerdict.APPLIED;
+	}
+
+	CommandVerdict cancel(String id, long atMillis) {
+		Optional<BatchJob> active = Optional.ofNullable(this.activeJobs.get(id));
+		active.ifPresent((job) -> end(job, BatchJobPhase.CANCELLED, atMillis));
+		return active.isPresent() ? CommandVerdict.APPLIED : CommandVerdict.UNCHANGED;
+	}
+
+	CommandVerdict open(String id, int number) {
+		BatchJob job = this.activeJobs.get(id);
+		if (job == null || job.nextOccurrence() != number || number >= job.spec().runCount()) {
+			return CommandVerdict.UNCHANGED;
+		}
+		job.open(new Occurrence(number, job.spec()));
+		return CommandVerdict.APPLIED;
+	}
+
+	void assign(BatchCommand.Assignment assignment) {
+		TaskId id = assignment.task();
+		BatchJob job = this.activeJobs.get(id.job());
+		Optional<BatchTask> task = task(id).filter(BatchTask::isWaiting)
+			.filter((waiting) -> assignment.run() > waiting.lastRun());
+		if (job == null || task.isEmpty()) {
+			return;
+		}
+		StepSpec spec = job.spec().steps().get(id.step());
+		Run run = new Run(id, assignment.run(), assignment.runner(), job.workspace(), spec.reserved(),
+				spec.resources());
+		task.get().assign(run);
+		this.runs.add(run);
+		job.start();
+	}
+
+	void noteEnd(RunnerKey runner, BatchCommand.End end, long atMillis) {
+		Optional<Run> run = this.runs.find(runner, end.task()).filter((known) -> known.number() == end.run());
+		run.ifPresent((ended) -> {
+			endRun(ended, end.checkpoint());
+			settleEnd(end, atMillis);
+		});
+	}
+
+	void release(BatchCommand.Release release) {
+		task(release.task()).flatMap(BatchTask::run)
+			.or(() -> findRun(release.task()))
+			.filter((run) -> run.number() == release.run())
+			.ifPresent((run) -> endRun(run, release.checkpoint()));
+	}
+
+	CommandVerdict register(RunnerRecord runner) {
+		boolean isOutdated = this.runners.values()
+			.stream()
+			.filter((known) -> isSamePlace(known, runner))
+			.anyMatch((known) -> known.key().bornMillis() > runner.key().bornMillis());
+		if (isOutdated) {
+			return CommandVerdict.REFUSED;
+		}
+		List<RunnerRecord> earlier = this.runners.values()
+			.stream()
+			.filter((known) -> isSamePlace(known, runner) && !known.key().equals(runner.key()))
+			.toList();
+		earlier.forEach((known) -> {
+			this.runs.on(known.key()).forEach((run) -> endRun(run, ""));
+			this.runners.remove(known.key().id());
+		});
+		this.runners.put(runner.key().id(), runner);
+		return CommandVerdict.APPLIED;
+	}
+
+	CommandVerdict remove(RunnerKey runner) {
+		boolean isKnown = runner(runner.id()).filter((known) -> known.key().equals(runner)).isPresent();
+		if (!isKnown) {
+			return CommandVerdict.UNCHANGED;
+		}
+		this.runs.on(runner).forEach((run) -> endRun(run, ""));
+		this.runners.remove(runner.id());
+		return CommandVerdict.APPLIED;
+	}
+
+	CommandVerdict startWave(MaintenanceWave wave) {
+		if (this.waves.containsKey(wave.number())) {
+			return CommandVerdict.UNCHANGED;
+		}
+		this.waves.put(wave.number(), new WaveProgress(wave));
+		return CommandVerdict.APPLIED;
+	}
+
+	CommandVerdict setUpkeep(long number, String host, UpkeepPhase phase) {
+		WaveProgress wave = this.waves.get(number);
+		if (wave == null || !wave.hosts().containsKey(host)) {
+			return CommandVerdict.REFUSED;
+		}
+		wave.set(host, phase, runnerOn(host).map(RunnerRecord::key));
+		return CommandVerdict.APPLIED;
+	}
+
+	// snapshots
+
+	/**
+	 * Copies the state.
+	 * @return the copy
+	 */
+	public BatchSnapshot snapshot() {
+		Map<String, Long> endedMillis = new LinkedHashMap<>();
+		this.endedJobs.forEach((ended) -> endedMillis.put(ended.id(), ended.endedMillis()));
+		return new BatchSnapshot(this.configuration,
+				this.jobs.values().stream().map((job) -> BatchSnapshot.JobImage.of(job, endedMillis)).toList(),
+				List.copyOf(this.runners.values()),
+				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
+				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList());
+	}
+
+	/**
+	 * Creates a state from a copy.
+	 * @param snapshot the copy
+	 * @return the state
+	 */
+	public static BatchState restore(BatchSnapshot snapshot) {
+		BatchState state = new BatchState();
+		state.configuration = snapshot.configuration();
+		for (BatchSnapshot.JobImage image : snapshot.jobs()) {
+			BatchJob job = image.toJob();
+			state.jobs.put(job.id(), job);
+			if (job.phase().isEnded()) {
+				state.endedJobs.add(new EndedJob(job.id(), image.endedMillis()));
+			}
+			else {
+				state.activeJobs.put(job.id(), job);
+			}
+		}
+		snapshot.runners().forEach((runner) -> state.runners.put(runner.key().id(), runner));
+		snapshot.runs().forEach((run) -> {
+			state.runs.add(run);
+			state.task(run.task()).ifPresent((task) -> task.assign(run));
+		});
+		snapshot.waves().forEach((image) -> state.waves.put(image.wave().number(), image.toProgress()));
+		return state;
+	}
+
+	// helpers
+
+	private Optional<Run> findRun(TaskId task) {
+		return this.runs.runners().stream().flatMap((runner) -> this.runs.find(runner, task).stream()).findFirst();
+	}
+
+	private void endRun(Run run, String checkpoint) {
+		this.runs.remove(run);
+		task(run.task()).filter((task) -> task.run().equals(Optional.of(run))).ifPresent((task) -> {
+			task.endRun();
+			task.save(checkpoint);
+		});
+	}
+
+	private void settleEnd(BatchCommand.End end, long atMillis) {
+		BatchJob job = this.activeJobs.get(end.task().job());
+		Optional<StepTasks> step = step(end.task());
+		if (job == null || step.isEmpty()) {
+			return;
+		}
+		BatchTask task = step.get().tasks().get(end.task().index());
+		boolean staysUp = step.get().spec().longRunning();
+		if (end.outcome().isDone() && !staysUp) {
+			complete(job, step.get(), task, atMillis);
+		}
+		else if (end.outcome().countsAsAttempt() && !staysUp) {
+			int failures = step.get().fail(task, end.run());
+			if (failures >= maximumAttempts(job)) {
+				end(job, BatchJobPhase.FAILED, atMillis);
+			}
+		}
+	}
+
+	private void complete(BatchJob job, StepTasks step, BatchTask task, long atMillis) {
+		if (step.spec().gang()) {
+			step.completeAll();
+		}
+		else {
+			step.complete(task);
+		}
+		job.settle();
+		if (job.phase().isEnded()) {
+			end(job, job.phase(), atMillis);
+		}
+	}
+
+	private void end(BatchJob job, BatchJobPhase phase, long atMillis) {
+		job.end(phase);
+		this.activeJobs.remove(job.id());
+		this.endedJobs.add(new EndedJob(job.id(), atMillis));
+	}
+
+	private int maximumAttempts(BatchJob job) {
+		return this.configuration.flatMap((current) -> current.queue(job.queue()))
+			.map(BatchQueue::maximumAttempts)
+			.orElse(Integer.MAX_VALUE);
+	}
+
+	private void forgetEndedJobs(long atMillis) {
+		while (!this.endedJobs.isEmpty() && this.endedJobs.peekFirst().endedMillis() + RETENTION_MILLIS < atMillis) {
+			this.jobs.remove(this.endedJobs.removeFirst().id());
+		}
+	}
+
+	private static boolean isSamePlace(RunnerRecord known, RunnerRecord other) {
+		return known.key().id().equals(other.key().id())
+				|| (known.host().isPresent() && known.host().equals(other.host()));
+	}
+
+	private record EndedJob(String id, long endedMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/CommandGroup.java
@@ -0,0 +1,17 @@
+package io.burdockpin.core.batch.state;
+
+import java.util.List;
+
+/**
+ * Commands that are committed together.
+ *
+ * @param atMillis when they were proposed, in milliseconds since 1970
+ * @param commands the commands in order
+ */
+public record CommandGroup(long atMillis, List<BatchCommand> commands) {
+
+	public CommandGroup {
+		commands = List.copyOf(commands);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/UpkeepPhase.java
@@ -0,0 +1,43 @@
+package io.burdockpin.core.batch.state;
+
+/** Where a host stands in a maintenance wave. */
+public enum UpkeepPhase {
+
+	/** Its upkeep was not ordered yet. */
+	PENDING(false),
+
+	/** Its upkeep is being ordered; the host counts as down. */
+	ORDERED(false),
+
+	/** Its upkeep has begun; the host counts as down. */
+	BEGUN(false),
+
+	/** Its runner has come back after the upkeep. */
+	DONE(true),
+
+	/** The host does not exist any more. */
+	GONE(true);
+
+	private final boolean over;
+
+	UpkeepPhase(boolean over) {
+		this.over = over;
+	}
+
+	/**
+	 * Tells whether the host may be down for its upkeep.
+	 * @return whether it counts against the bound of its wave
+	 */
+	public boolean isDown() {
+		return this == ORDERED || this == BEGUN;
+	}
+
+	/**
+	 * Tells whether nothing is left to do for the host.
+	 * @return whether its part of the wave is over
+	 */
+	public boolean isOver() {
+		return this.over;
+	}
+
+}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerHttp.java
@@ -16,6 +16,9 @@
 import io.burdockpin.core.exc.ErrorCode;
 import io.burdockpin.entry.EntryIdentity;
 import io.burdockpin.entry.cfg.EntrySettings;
+import io.burdockpin.runtime.http.ConnectionEvent;
+import io.burdockpin.runtime.http.OpenConnection;
+import io.burdockpin.runtime.http.ServerConnection;
 import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.StartException;
@@ -114,8 +117,7 @@
 			.onMessage(HttpCommand.AwaitBound.class, this::onAwaitBound)
 			.onMessage(HttpCommand.StopAccepting.class, (command) -> onStopAccepting())
 			.onMessage(HttpCommand.Terminate.class, this::onTerminate)
-			.onMessage(HttpCommand.ConnectionOpened.class, this::onConnectionOpened)
-			.onMessage(HttpCommand.ConnectionEnded.class, this::onConnectionEnded)
+			.onMessage(HttpCommand.FromConnection.class, this::onFromConnection)
 			.onMessage(HttpCommand.TerminateOverdue.class, (command) -> onTerminateOverdue())
 			.build();
 	}
@@ -156,17 +158,17 @@
 		return this;
 	}
 
-	private Behavior<HttpCommand> onConnectionOpened(HttpCommand.ConnectionOpened command) {
-		this.connections.add(command.connection());
-		if (this.terminating.isPresent()) {
-			command.connection().end();
+	private Behavior<HttpCommand> onFromConnection(HttpCommand.FromConnection command) {
+		if (command.event() instanceof ConnectionEvent.Opened opened) {
+			this.connections.add(opened.connection());
+			if (this.terminating.isPresent()) {
+				opened.connection().end();
+			}
+		}
+		else if (command.event() instanceof ConnectionEvent.Ended ended) {
+			this.connections.remove(ended.connection());
+			reportTerminated();
 		}
-		return this;
-	}
-
-	private Behavior<HttpCommand> onConnectionEnded(HttpCommand.ConnectionEnded command) {
-		this.connections.remove(command.connection());
-		reportTerminated();
 		return this;
 	}
 
@@ -188,6 +190,8 @@
 
 	private void bind(EntrySettings settings, Optional<CurrentTls> tls) {
 		ActorRef<HttpCommand> self = getContext().getSelf();
+		ActorRef<ConnectionEvent> connectionEvents = getContext().messageAdapter(ConnectionEvent.class,
+				HttpCommand.FromConnection::new);
 		ServerSettings defaults = ServerSettings.create(getContext().getSystem().classicSystem());
 		// Requests wait for runners, so their own deadlines end them, not the server.
 		ServerSettings serverSettings = defaults
@@ -204,7 +208,7 @@
 			.withSettings(serverSettings);
 		tls.map((current) -> server.enableHttps(ConnectionContext.httpsServer(current::callerEngine)))
 			.orElse(server)
-			.bindFlow(Flow.fromGraph(new CallerConnection(this::handle, self)))
+			.bindFlow(Flow.fromGraph(new ServerConnection(this::handle, connectionEvents)))
 			.whenComplete((bound, failure) -> self.tell((failure != null)
 					? new HttpCommand.BindFailed(String.valueOf(failure.getMessage())) : new HttpCommand.Bound(bound)));
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/HttpCommand.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/HttpCommand.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import io.burdockpin.runtime.http.ConnectionEvent;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.http.javadsl.ServerBinding;
@@ -36,20 +37,11 @@
 	}
 
 	/**
-	 * A caller has connected.
+	 * A connection was opened or has ended.
 	 *
-	 * @param connection the connection
+	 * @param event which of the two
 	 */
-	record ConnectionOpened(OpenConnection connection) implements HttpCommand {
-
-	}
-
-	/**
-	 * A connection has ended and nothing is left to send on it.
-	 *
-	 * @param connection the connection
-	 */
-	record ConnectionEnded(OpenConnection connection) implements HttpCommand {
+	record FromConnection(ConnectionEvent event) implements HttpCommand {
 
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/http/QueueEndpoint.java
@@ -21,6 +21,7 @@
 import io.burdockpin.entry.router.BurdockHeader;
 import io.burdockpin.entry.router.CallerRequest;
 import io.burdockpin.entry.router.RouterCommand;
+import io.burdockpin.runtime.http.ServerConnection;
 import io.burdockpin.runtime.metric.Metric;
 import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -78,12 +79,12 @@
 			RequestFacts facts = new RequestFacts(queue, body.length, keyHash, requestId, repeatable, timeoutMillis);
 			String contentType = request.entity().getContentType().toString();
 			return submit(new CallerRequest(facts, usedId, contentType, Payload.of(body)),
-					request.getAttribute(CallerConnection.CALLER_GONE));
+					request.getAttribute(ServerConnection.CALLER_GONE));
 		});
 	}
 
 	private CompletionStage<HttpResponse> submit(CallerRequest request,
-			Optional<CallerConnection.CallerGone> callerGone) {
+			Optional<ServerConnection.CallerGone> callerGone) {
 		Duration timeout = Duration.ofMillis(this.limits.timeoutMillis() + ANSWER_MARGIN_MILLIS);
 		CompletableFuture<ActorRef<FinalAnswer>> caller = new CompletableFuture<>();
 		CompletionStage<FinalAnswer> finalAnswer = this.actors.ask(this.actors.router(),
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/OpenConnection.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/OpenConnection.java
@@ -1,4 +1,4 @@
-package io.burdockpin.entry.http;
+package io.burdockpin.runtime.http;
 
 import org.apache.pekko.Done;
 import org.apache.pekko.stream.stage.AsyncCallback;
@@ -8,10 +8,10 @@
  *
  * @param ending tells the stream of the connection to end
  */
-record OpenConnection(AsyncCallback<Done> ending) {
+public record OpenConnection(AsyncCallback<Done> ending) {
 
 	/** Ends the connection after the answer under way. */
-	void end() {
+	public void end() {
 		this.ending.invoke(Done.getInstance());
 	}
 
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/http/CallerConnection.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/ServerConnection.java
@@ -1,4 +1,4 @@
-package io.burdockpin.entry.http;
+package io.burdockpin.runtime.http;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -32,10 +32,10 @@
  * has been passed on, which loses what is not sent yet. So this stage ends it: it
  * completes its answers and stays until the library says that the connection is closed.
  */
-final class CallerConnection extends GraphStage<FlowShape<HttpRequest, HttpResponse>> {
+public final class ServerConnection extends GraphStage<FlowShape<HttpRequest, HttpResponse>> {
 
 	/** Attribute of each request: tells when its caller has disconnected. */
-	static final AttributeKey<CallerGone> CALLER_GONE = AttributeKey.create("callerGone", CallerGone.class);
+	public static final AttributeKey<CallerGone> CALLER_GONE = AttributeKey.create("callerGone", CallerGone.class);
 
 	private static final HttpHeader CLOSE = Connection.create("close");
 
@@ -47,14 +47,15 @@
 
 	private final Function<HttpRequest, CompletionStage<HttpResponse>> handler;
 
-	private final ActorRef<HttpCommand> owner;
+	private final ActorRef<ConnectionEvent> owner;
 
 	/**
 	 * Creates the stage.
 	 * @param handler answers a request; it does not throw and its stage does not fail
 	 * @param owner is told when connections are opened and have ended
 	 */
-	CallerConnection(Function<HttpRequest, CompletionStage<HttpResponse>> handler, ActorRef<HttpCommand> owner) {
+	public ServerConnection(Function<HttpRequest, CompletionStage<HttpResponse>> handler,
+			ActorRef<ConnectionEvent> owner) {
 		this.handler = handler;
 		this.owner = owner;
 	}
@@ -74,7 +75,7 @@
 	 *
 	 * @param stage ends then, and never after the request was answered
 	 */
-	record CallerGone(CompletionStage<Done> stage) {
+	public record CallerGone(CompletionStage<Done> stage) {
 
 	}
 
@@ -87,14 +88,14 @@
 		private boolean ending;
 
 		private Logic() {
-			super(CallerConnection.this.shape);
+			super(ServerConnection.this.shape);
 			this.connection = new OpenConnection(createAsyncCallback((Procedure<Done>) (done) -> onEnd()));
 			AsyncCallback<HttpResponse> answered = createAsyncCallback((Procedure<HttpResponse>) this::onAnswered);
-			setHandler(CallerConnection.this.requests, new AbstractInHandler() {
+			setHandler(ServerConnection.this.requests, new AbstractInHandler() {
 				@Override
 				public void onPush() {
-					HttpRequest request = grab(CallerConnection.this.requests);
-					if (!isClosed(CallerConnection.this.responses)) {
+					HttpRequest request = grab(ServerConnection.this.requests);
+					if (!isClosed(ServerConnection.this.responses)) {
 						onRequest(request, answered);
 					}
 				}
@@ -110,11 +111,11 @@
 					failStage(failure);
 				}
 			});
-			setHandler(CallerConnection.this.responses, new AbstractOutHandler() {
+			setHandler(ServerConnection.this.responses, new AbstractOutHandler() {
 				@Override
 				public void onPull() {
-					if (!isClosed(CallerConnection.this.requests)) {
-						pull(CallerConnection.this.requests);
+					if (!isClosed(ServerConnection.this.requests)) {
+						pull(ServerConnection.this.requests);
 					}
 				}
 
@@ -128,36 +129,36 @@
 
 		@Override
 		public void preStart() {
-			CallerConnection.this.owner.tell(new HttpCommand.ConnectionOpened(this.connection));
+			ServerConnection.this.owner.tell(new ConnectionEvent.Opened(this.connection));
 		}
 
 		@Override
 		public void postStop() {
-			CallerConnection.this.owner.tell(new HttpCommand.ConnectionEnded(this.connection));
+			ServerConnection.this.owner.tell(new ConnectionEvent.Ended(this.connection));
 		}
 
 		private void onEnd() {
 			this.ending = true;
 			if (this.callerGone.isEmpty()) {
-				complete(CallerConnection.this.responses);
+				complete(ServerConnection.this.responses);
 			}
 		}
 
 		private void onRequest(HttpRequest request, AsyncCallback<HttpResponse> answered) {
 			CompletableFuture<Done> gone = new CompletableFuture<>();
 			this.callerGone = Optional.of(gone);
-			CallerConnection.this.handler.apply(request.addAttribute(CALLER_GONE, new CallerGone(gone)))
+			ServerConnection.this.handler.apply(request.addAttribute(CALLER_GONE, new CallerGone(gone)))
 				.thenAccept(answered::invoke);
 		}
 
 		private void onAnswered(HttpResponse response) {
 			this.callerGone = Optional.empty();
-			push(CallerConnection.this.responses, this.ending ? response.addHeader(CLOSE) : response);
-			if (isClosed(CallerConnection.this.requests)) {
+			push(ServerConnection.this.responses, this.ending ? response.addHeader(CLOSE) : response);
+			if (isClosed(ServerConnection.this.requests)) {
 				completeStage();
 			}
 			else if (this.ending) {
-				complete(CallerConnection.this.responses);
+				complete(ServerConnection.this.responses);
 			}
 		}
 
