--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
@@ -52,8 +53,12 @@
 
 	private final BatchSettings settings;
 
+	private final SettingsReload reload;
+
 	private final BatchPorts ports;
 
+	private Optional<ActorRef<LeaderClientCommand>> leader = Optional.empty();
+
 	private final Clock clock;
 
 	private final TimerScheduler<GuardianCommand> timers;
@@ -67,10 +72,11 @@
 	private Optional<ActorRef<FrontEnd.Command>> frontEnd = Optional.empty();
 
 	private BatchControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
-			BatchSettings settings, BatchPorts ports, MemberStorage storage, MetricRegistry metrics, Clock clock,
-			RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+			BatchSettings settings, SettingsReload reload, BatchPorts ports, MemberStorage storage,
+			MetricRegistry metrics, Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
 		super(context);
 		this.settings = settings;
+		this.reload = reload;
 		this.ports = ports;
 		this.clock = clock;
 		this.timers = timers;
@@ -95,6 +101,7 @@
 	/**
 	 * Creates the behavior.
 	 * @param settings the settings
+	 * @param settingsSource reads the settings again
 	 * @param ports what the front end provides
 	 * @param metrics the metrics of the process
 	 * @param clock a clock that follows the monotonic clock
@@ -102,13 +109,14 @@
 	 * @param exit the exit status of the program
 	 * @return the behavior
 	 */
-	public static Behavior<GuardianCommand> create(BatchSettings settings, BatchPorts ports, MetricRegistry metrics,
-			Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
+	public static Behavior<GuardianCommand> create(BatchSettings settings, Supplier<BatchSettings> settingsSource,
+			BatchPorts ports, MetricRegistry metrics, Clock clock, RandomGenerator random,
+			CompletableFuture<ExitStatus> exit) {
 		MemberStorage storage = new MemberStorage(new DiskFiles(settings.toDataFolder()), new ThriftEntryContentCodec(),
 				new ThriftSnapshotCodec());
 		new MemberIdentity(settings).ensure(storage);
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new BatchControlGuardian(context, timers,
-				settings, ports, storage, metrics, clock, random, exit)));
+				settings, new SettingsReload(settingsSource), ports, storage, metrics, clock, random, exit)));
 	}
 
 	@Override
@@ -117,6 +125,7 @@
 			.onMessage(FrontEndReport.class, this::onFrontEndReport)
 			.onMessage(ListenerFailed.class, (command) -> fail(ExitStatus.ADDRESS_UNAVAILABLE))
 			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
+			.onMessageEquals(GuardianCommand.Reload.INSTANCE, this::onReload)
 			.onMessageEquals(Step.HANDED_OVER, this::onHandedOver)
 			.onMessageEquals(Step.ENDED, Behaviors::stopped)
 			.onSignal(ChildFailed.class, (signal) -> fail(ExitStatus.FAILURE))
@@ -135,6 +144,11 @@
 		return (command.report() instanceof FrontEnd.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
 	}
 
+	private Behavior<GuardianCommand> onReload() {
+		this.leader.ifPresent(this.reload::tell);
+		return this;
+	}
+
 	private Behavior<GuardianCommand> onStop() {
 		logger.atInfo().log("Stopping.");
 		if (this.frontEnd.isEmpty()) {
@@ -160,15 +174,16 @@
 		this.scheduler.tell(new SchedulerCommand.AttachConsensus(started));
 		getContext().spawn(CallListener.create(this.settings.toCallSettings(), this.scheduler,
 				getContext().messageAdapter(CallListener.Failed.class, ListenerFailed::new)), "call-listener");
-		ActorRef<LeaderClientCommand> leader = getContext().spawn(
+		ActorRef<LeaderClientCommand> client = getContext().spawn(
 				LeaderClient.create(this.settings.toCallSettings(), Optional.of(this.scheduler), this.clock),
 				"leader-client");
+		this.leader = Optional.of(client);
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
 		getContext().spawn(GroupJoiner.create(new FleetCall.Join(self.host().value(), self.incarnation(),
-				consensusSettings.memberAddress(self.host().value())), leader), "group-joiner");
+				consensusSettings.memberAddress(self.host().value())), client), "group-joiner");
 		this.frontEnd = Optional.of(getContext().spawn(
 				this.ports.frontEnd()
-					.create(leader, getContext().messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
+					.create(client, getContext().messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
 				"front-end"));
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.batch.call.LeaderClient;
@@ -36,39 +37,47 @@
 
 	private final CompletableFuture<ExitStatus> exit;
 
+	private final SettingsReload reload;
+
+	private final ActorRef<LeaderClientCommand> leader;
+
 	private final ActorRef<FrontEnd.Command> frontEnd;
 
 	private BatchEntryGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
-			BatchSettings settings, FrontEnd.Factory frontEnds, Clock clock, CompletableFuture<ExitStatus> exit) {
+			BatchSettings settings, SettingsReload reload, FrontEnd.Factory frontEnds, Clock clock,
+			CompletableFuture<ExitStatus> exit) {
 		super(context);
 		this.settings = settings;
+		this.reload = reload;
 		this.timers = timers;
 		this.exit = exit;
-		ActorRef<LeaderClientCommand> leader = context
-			.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), clock), "leader-client");
+		this.leader = context.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), clock),
+				"leader-client");
 		this.frontEnd = context.spawn(
-				frontEnds.create(leader, context.messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
+				frontEnds.create(this.leader, context.messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
 				"front-end");
 	}
 
 	/**
 	 * Creates the behavior.
 	 * @param settings the settings
+	 * @param settingsSource reads the settings again
 	 * @param frontEnds creates the front end
 	 * @param clock a clock that follows the monotonic clock
 	 * @param exit the exit status of the program
 	 * @return the behavior
 	 */
-	public static Behavior<GuardianCommand> create(BatchSettings settings, FrontEnd.Factory frontEnds, Clock clock,
-			CompletableFuture<ExitStatus> exit) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new BatchEntryGuardian(context, timers, settings, frontEnds, clock, exit)));
+	public static Behavior<GuardianCommand> create(BatchSettings settings, Supplier<BatchSettings> settingsSource,
+			FrontEnd.Factory frontEnds, Clock clock, CompletableFuture<ExitStatus> exit) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new BatchEntryGuardian(context, timers,
+				settings, new SettingsReload(settingsSource), frontEnds, clock, exit)));
 	}
 
 	@Override
 	public Receive<GuardianCommand> createReceive() {
 		return newReceiveBuilder().onMessage(FrontEndReport.class, this::onFrontEndReport)
 			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
+			.onMessageEquals(GuardianCommand.Reload.INSTANCE, this::onReload)
 			.onMessageEquals(Ended.INSTANCE, Behaviors::stopped)
 			.build();
 	}
@@ -81,6 +90,11 @@
 		return this;
 	}
 
+	private Behavior<GuardianCommand> onReload() {
+		this.reload.tell(this.leader);
+		return this;
+	}
+
 	private Behavior<GuardianCommand> onStop() {
 		logger.atInfo().log("Stopping.");
 		ActorRef<Done> done = getContext().messageAdapter(Done.class, (stopped) -> Ended.INSTANCE);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -97,6 +97,7 @@
 	public Receive<LeaderClientCommand> createReceive() {
 		return newReceiveBuilder().onMessage(LeaderClientCommand.Ask.class, this::onAsk)
 			.onMessage(LeaderClientCommand.IsReady.class, this::onIsReady)
+			.onMessage(LeaderClientCommand.KnowMembers.class, this::onKnowMembers)
 			.onMessage(LeaderClientCommand.FromLink.class, this::onFromLink)
 			.onMessage(LeaderClientCommand.FromLocal.class, this::onFromLocal)
 			.onMessageEquals(LeaderClientCommand.Timer.TICK, this::onTick)
@@ -113,6 +114,11 @@
 		return this;
 	}
 
+	private Behavior<LeaderClientCommand> onKnowMembers(LeaderClientCommand.KnowMembers command) {
+		this.members.addAll(command.hosts());
+		return this;
+	}
+
 	private Behavior<LeaderClientCommand> onFromLink(LeaderClientCommand.FromLink command) {
 		boolean isCurrent = Optional.ofNullable(this.links.get(command.host()))
 			.filter((link) -> link.generation() == command.generation())
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
@@ -1,5 +1,7 @@
 package io.burdockpin.batch.call;
 
+import java.util.List;
+
 import io.burdockpin.batch.port.ReplyPort;
 import io.burdockpin.core.batch.call.CallMessage;
 import io.burdockpin.core.batch.call.FleetCall;
@@ -30,6 +32,19 @@
 
 	}
 
+	/**
+	 * Names hosts of control members, for example after a change of the settings.
+	 *
+	 * @param hosts the hosts
+	 */
+	record KnowMembers(List<String> hosts) implements LeaderClientCommand {
+
+		public KnowMembers {
+			hosts = List.copyOf(hosts);
+		}
+
+	}
+
 	/**
 	 * A link has news. Sent by its link.
 	 *
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
@@ -104,8 +104,8 @@
 		MemberId self = command.loaded().state().self();
 		ActorRef<MemberLinks.Failed> linksFailed = getContext().messageAdapter(MemberLinks.Failed.class,
 				(failed) -> new LinksFailed(failed.reason()));
-		getContext()
-			.watch(getContext().spawn(MemberLinks.create(this.settings, self, started, linksFailed), "member-links"));
+		getContext().watch(getContext().spawn(MemberLinks.create(this.settings, self, started, linksFailed, this.clock),
+				"member-links"));
 		this.owner.tell(new Started(started, self));
 		return this;
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 
@@ -22,8 +24,14 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
-
-/** Owns the listener for members and one outgoing link to each other member. */
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Owns the listener for members and one outgoing link to each other member. A connection
+ * may go silent without an end while new ones work. So a link to a member that is not
+ * heard is opened again, and a member that sees a new incoming connection opens its own
+ * link in the other direction again, which may be the silent one.
+ */
 public final class MemberLinks extends AbstractBehavior<MemberLinks.Command> {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -32,6 +40,12 @@
 
 	private static final Duration RESTART_MAXIMUM = Duration.ofSeconds(2);
 
+	/**
+	 * A leader sends ten messages in this time; other members are only asked to
+	 * reconnect.
+	 */
+	private static final long SILENCE_MILLIS = 1_000;
+
 	private final ConsensusSettings settings;
 
 	private final MemberId self;
@@ -42,15 +56,27 @@
 
 	private final ActorRef<LinkEvent<ConsensusEnvelope>> events;
 
-	private final Map<String, ActorRef<LinkCommand<ConsensusEnvelope>>> links = new HashMap<>();
+	private final Map<String, MemberLink> links = new HashMap<>();
+
+	/** The newest incoming connection of each member. */
+	private final Map<String, String> incoming = new HashMap<>();
+
+	private final Map<String, Long> heardMillis = new HashMap<>();
+
+	private final Map<String, Long> sentMillis = new HashMap<>();
 
-	private MemberLinks(ActorContext<Command> context, ConsensusSettings settings, MemberId self,
-			ActorRef<ConsensusCommand> consensus, ActorRef<Failed> owner) {
+	private final InstantSource clock;
+
+	private long linkCount;
+
+	private MemberLinks(ActorContext<Command> context, TimerScheduler<Command> timers, ConsensusSettings settings,
+			MemberId self, ActorRef<ConsensusCommand> consensus, ActorRef<Failed> owner, InstantSource clock) {
 		super(context);
 		this.settings = settings;
 		this.self = self;
 		this.consensus = consensus;
 		this.owner = owner;
+		this.clock = clock;
 		this.events = events();
 		context.spawn(
 				LinkListener.create("member", new InetSocketAddress(settings.host(), settings.memberPort()),
@@ -58,13 +84,15 @@
 				"member-listener");
 		settings.foundingHosts().forEach(this::link);
 		consensus.tell(new ConsensusCommand.AttachLinks(context.getSelf()));
+		timers.startTimerWithFixedDelay(CheckSilence.INSTANCE, Duration.ofMillis(SILENCE_MILLIS / 2));
 	}
 
 	// life cycle
 
 	static Behavior<Command> create(ConsensusSettings settings, MemberId self, ActorRef<ConsensusCommand> consensus,
-			ActorRef<Failed> owner) {
-		return Behaviors.setup((context) -> new MemberLinks(context, settings, self, consensus, owner));
+			ActorRef<Failed> owner, InstantSource clock) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new MemberLinks(context, timers, settings, self, consensus, owner, clock)));
 	}
 
 	@Override
@@ -72,11 +100,13 @@
 		return newReceiveBuilder().onMessage(Event.class, this::onEvent)
 			.onMessage(Send.class, this::onSend)
 			.onMessage(MembersChanged.class, this::onMembersChanged)
+			.onMessageEquals(CheckSilence.INSTANCE, this::onCheckSilence)
 			.build();
 	}
 
 	private Behavior<Command> onEvent(Event command) {
 		if (command.event() instanceof LinkEvent.Received<ConsensusEnvelope> received) {
+			onHeard(senderHost(received.message()), received.link());
 			this.consensus.tell(new ConsensusCommand.FromMember(received.message()));
 		}
 		else if (command.event() instanceof LinkEvent.BindFailed<ConsensusEnvelope> failed) {
@@ -87,8 +117,10 @@
 	}
 
 	private Behavior<Command> onSend(Send command) {
-		link(command.envelope().receiver().host().value());
-		this.links.get(command.envelope().receiver().host().value()).tell(new LinkCommand.Send<>(command.envelope()));
+		String host = command.envelope().receiver().host().value();
+		link(host);
+		this.sentMillis.put(host, this.clock.millis());
+		this.links.get(host).link().tell(new LinkCommand.Send<>(command.envelope()));
 		return this;
 	}
 
@@ -97,8 +129,34 @@
 		return this;
 	}
 
+	private Behavior<Command> onCheckSilence() {
+		long nowMillis = this.clock.millis();
+		List.copyOf(this.links.keySet()).stream().filter((host) -> isSilent(host, nowMillis)).forEach(this::reopen);
+		return this;
+	}
+
 	// helpers
 
+	private boolean isSilent(String host, long nowMillis) {
+		long lastHeardMillis = this.heardMillis.getOrDefault(host, 0L);
+		return this.sentMillis.getOrDefault(host, 0L) > lastHeardMillis && nowMillis - lastHeardMillis > SILENCE_MILLIS;
+	}
+
+	private void onHeard(String host, String connection) {
+		this.heardMillis.put(host, this.clock.millis());
+		if (!connection.equals(this.incoming.put(host, connection))) {
+			reopen(host);
+		}
+	}
+
+	private void reopen(String host) {
+		MemberLink known = this.links.get(host);
+		if (known != null && this.clock.millis() - known.openedMillis() > SILENCE_MILLIS) {
+			known.link().tell(new LinkCommand.Close<>());
+			this.links.put(host, openLink(host));
+		}
+	}
+
 	// A link to a removed member stays, so that a member that lags behind can be reached.
 	private void link(String host) {
 		if (!host.equals(this.self.host().value())) {
@@ -106,14 +164,16 @@
 		}
 	}
 
-	private ActorRef<LinkCommand<ConsensusEnvelope>> openLink(String host) {
+	private MemberLink openLink(String host) {
+		this.linkCount++;
 		Behavior<LinkCommand<ConsensusEnvelope>> link = OutboundLink.create("member " + host, host,
 				new InetSocketAddress(host, this.settings.memberPort()), new ThriftConsensusCodec(),
 				MemberLinks::senderHost, this.settings.links(), this.events);
-		return getContext().spawn(
+		ActorRef<LinkCommand<ConsensusEnvelope>> opened = getContext().spawn(
 				Behaviors.supervise(link)
 					.onFailure(SupervisorStrategy.restartWithBackoff(RESTART_MINIMUM, RESTART_MAXIMUM, 0.2)),
-				"member-link-" + host);
+				"member-link-" + this.linkCount);
+		return new MemberLink(opened, this.clock.millis());
 	}
 
 	private static String senderHost(ConsensusEnvelope envelope) {
@@ -150,6 +210,16 @@
 
 	}
 
+	private enum CheckSilence implements Command {
+
+		INSTANCE
+
+	}
+
+	private record MemberLink(ActorRef<LinkCommand<ConsensusEnvelope>> link, long openedMillis) {
+
+	}
+
 	private record Event(LinkEvent<ConsensusEnvelope> event) implements Command {
 
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -56,10 +56,7 @@
 	}
 
 	void retain(Predicate<RunnerKey> isNeeded) {
-		List.copyOf(this.channels.keySet())
-			.stream()
-			.filter((key) -> !isNeeded.test(key))
-			.forEach(this::close);
+		List.copyOf(this.channels.keySet()).stream().filter((key) -> !isNeeded.test(key)).forEach(this::close);
 	}
 
 	private ActorRef<RunnerChannel.Command> spawn(RunnerRecord runner) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -84,6 +84,21 @@
 	/** A count. */
 	COUNT("count"),
 
+	/** A task of a job. */
+	TASK("task"),
+
+	/** Number of a run of a task. */
+	RUN("run"),
+
+	/** Number of a maintenance wave. */
+	WAVE("wave"),
+
+	/** A version of the configuration. */
+	VERSION("version"),
+
+	/** How long something took or may take, in milliseconds. */
+	MILLIS("millis"),
+
 	/** A short text. */
 	DETAIL("detail");
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -82,6 +82,23 @@
 	CAMPAIGN_CHANGED,
 
 	/** A rule that must always hold was seen broken. */
-	INVARIANT_BROKEN
+	INVARIANT_BROKEN,
+
+	/**
+	 * A run of a task has ended, or was given up because it certainly is not under way.
+	 */
+	RUN_ENDED,
+
+	/** Where a host stands in a maintenance wave has changed. */
+	UPKEEP_CHANGED,
+
+	/** A call was answered with something else than what it asked for. */
+	CALL_REFUSED,
+
+	/** The leader was found or lost by a process that calls it. */
+	LEADER_CONTACT_CHANGED,
+
+	/** Events were left out because there were too many. */
+	EVENTS_DROPPED
 
 }
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -0,0 +1,128 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.Random;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class FleetLeaderTests {
+
+	private static final int SEEDS = 60;
+
+	@Test
+	void aJobOfThreeStepsIsCompleted() {
+		SimulatedFleet fleet = new SimulatedFleet(new Random(1), SimulatedFleet.Faults.NONE, 3, 20);
+		fleet.run(1_000);
+		fleet.submit("job", 3, 6, false);
+		fleet.run(30_000);
+		assertThat(fleet.phase("job")).hasValue(BatchJobPhase.COMPLETED);
+		assertThat(fleet.violations()).isEmpty();
+	}
+
+	@Test
+	void aGangIsCompletedAlthoughItsMembersEndOnSeveralRunners() {
+		SimulatedFleet fleet = new SimulatedFleet(new Random(2), SimulatedFleet.Faults.NONE, 3, 20);
+		fleet.run(1_000);
+		fleet.submit("gang", 1, 8, true);
+		fleet.run(30_000);
+		assertThat(fleet.phase("gang")).hasValue(BatchJobPhase.COMPLETED);
+		assertThat(fleet.runningCount()).isEqualTo(0);
+	}
+
+	/** Guards against runs that go on after their job was cancelled. */
+	@Test
+	void nothingOfACancelledJobRunsOn() {
+		SimulatedFleet fleet = new SimulatedFleet(new Random(3), new SimulatedFleet.Faults(0.2, 0.1), 3, 20);
+		fleet.run(1_000);
+		fleet.submit("job", 2, 10, false);
+		fleet.run(300);
+		fleet.cancel("job");
+		fleet.run(20_000);
+		assertThat(fleet.phase("job")).hasValue(BatchJobPhase.CANCELLED);
+		assertThat(fleet.runningCount()).isEqualTo(0);
+		assertThat(fleet.state().runs().runners()).isEmpty();
+	}
+
+	/** Guards against a second run while the first one is under way behind a cut. */
+	@Test
+	void aTaskBehindACutRunsElsewhereOnlyAfterTheLeaseHasEnded() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), SimulatedFleet.Faults.NONE, 3, 20);
+			fleet.run(1_000);
+			fleet.submit("job", 2, 10, false);
+			fleet.run(200 + 10 * seed);
+			fleet.cutOff("r1", 12_000);
+			fleet.run(60_000);
+			assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+			assertWithMessage("seed %s", seed).that(fleet.phase("job")).hasValue(BatchJobPhase.COMPLETED);
+		}
+	}
+
+	/** Guards against starts that an order without an answer causes seconds later. */
+	@Test
+	void ordersThatAreLostOrCarriedOutLateBreakNoRule() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), new SimulatedFleet.Faults(0.15, 0.25), 4, 20);
+			playJobs(fleet, new Random(seed + 1_000L), false);
+			assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+		}
+	}
+
+	/** Guards against a new leader that does not know what an earlier one has started. */
+	@Test
+	void crashesCutsAndChangesOfLeaderBreakNoRule() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), new SimulatedFleet.Faults(0.05, 0.1), 4, 20);
+			playJobs(fleet, new Random(seed + 2_000L), true);
+			assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+			for (int job = 0; job < 8; job++) {
+				// A job may be done before its cancelling arrives.
+				boolean isCancelled = job % 4 == 3 && fleet.phase("job" + job).get() != BatchJobPhase.COMPLETED;
+				assertWithMessage("seed %s job %s", seed, job).that(fleet.phase("job" + job))
+					.hasValue(isCancelled ? BatchJobPhase.CANCELLED : BatchJobPhase.COMPLETED);
+			}
+		}
+	}
+
+	/** A planted fault: the checks must see runners that go on after their lease. */
+	@Test
+	void theChecksSeeRunnersThatOverstayTheirLease() {
+		int violations = 0;
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), SimulatedFleet.Faults.NONE, 3, 20);
+			fleet.ignoreLeases();
+			fleet.run(1_000);
+			fleet.submit("job", 2, 10, false);
+			fleet.run(200 + 10 * seed);
+			fleet.cutOff("r1", 30_000);
+			fleet.run(60_000);
+			violations += fleet.violations().size();
+		}
+		assertThat(violations).isGreaterThan(0);
+	}
+
+	private static void playJobs(SimulatedFleet fleet, Random random, boolean withFaults) {
+		fleet.run(1_000);
+		for (int job = 0; job < 8; job++) {
+			fleet.submit("job" + job, 1 + random.nextInt(3), 1 + random.nextInt(6), random.nextInt(4) == 0);
+			fleet.run(random.nextInt(1_500));
+			if (job % 4 == 3) {
+				fleet.cancel("job" + job);
+			}
+			if (withFaults) {
+				String runner = "r" + random.nextInt(4);
+				switch (random.nextInt(4)) {
+					case 0 -> fleet.crash(runner, 500 + random.nextInt(3_000));
+					case 1 -> fleet.cutOff(runner, 500 + random.nextInt(9_000));
+					case 2 -> fleet.changeLeader();
+					default -> fleet.run(500);
+				}
+			}
+		}
+		fleet.run(120_000);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -0,0 +1,281 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchPool;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.model.Workspace;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.StepTasks;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+
+/**
+ * A leader and its runners in virtual time. Orders and replies are delayed, lost or
+ * carried out seconds late; runners crash, are cut off and start again; leaders change.
+ * Every start is checked against what must never happen.
+ */
+final class SimulatedFleet {
+
+	static final LeaderSettings SETTINGS = new LeaderSettings(new SessionSettings(4_000, 6_000, 300, 400, 100, 1_500),
+			new WaveSettings(1_000, 500, 2_000, 200), 10_000);
+
+	private static final String POOL = "pool";
+
+	private final RandomGenerator random;
+
+	private final Faults faults;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+
+	private final Map<String, SimulatedRunner> runners = new LinkedHashMap<>();
+
+	private final Set<String> cutOff = new HashSet<>();
+
+	private final Set<TaskId> noted = new HashSet<>();
+
+	private final Map<TaskId, Integer> starts = new HashMap<>();
+
+	private final List<String> violations = new ArrayList<>();
+
+	private final BatchState state = new BatchState();
+
+	private FleetLeader leader;
+
+	private long term = 1;
+
+	private long nowMillis = 1_000_000;
+
+	private long eventCount;
+
+	private long sequence;
+
+	SimulatedFleet(RandomGenerator random, Faults faults, int runnerCount, int maximumAttempts) {
+		this.random = random;
+		this.faults = faults;
+		BatchQueue queue = new BatchQueue("queue", "host", "/queue/", true, POOL, 0, maximumAttempts, 3_000, 500, 2);
+		commit(List.of(new BatchCommand.SetConfiguration(new FleetConfiguration(1, List.of(queue),
+				List.of(new BatchPool(POOL, false, false)),
+				List.of(new Workspace("team", Set.of("key"), 1, new Resources(20_000, 0, 0))), Payload.EMPTY))));
+		for (int number = 0; number < runnerCount; number++) {
+			String id = "r" + number;
+			this.runners.put(id, new SimulatedRunner(id, POOL, random, this.nowMillis));
+		}
+		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
+		at(0, this::announceAll);
+		at(0, this::decide);
+	}
+
+	// what a test does
+
+	void submit(String id, int steps, int width, boolean gang) {
+		List<StepSpec> specs = new ArrayList<>();
+		for (int step = 0; step < steps; step++) {
+			specs.add(new StepSpec(width, new Resources(1_500, 1_000, 0), 600,
+					(step == 0) ? List.of() : List.of(step - 1), false, gang, false, Optional.empty(), Optional.empty(),
+					OptionalInt.empty(), false, false, Optional.empty(), OptionalInt.empty(), false, 0));
+		}
+		commit(List.of(new BatchCommand.SubmitJob(id, "queue", "team", new JobSpec(id, specs, 0, 0, 0))));
+	}
+
+	void cancel(String id) {
+		commit(List.of(new BatchCommand.CancelJob(id)));
+	}
+
+	void run(long millis) {
+		long untilMillis = this.nowMillis + millis;
+		while (!this.events.isEmpty() && this.events.peek().atMillis() <= untilMillis) {
+			Event event = this.events.remove();
+			this.nowMillis = event.atMillis();
+			event.action().run();
+		}
+		this.nowMillis = untilMillis;
+	}
+
+	void crash(String runner, long forMillis) {
+		this.runners.get(runner).crash();
+		at(forMillis, () -> this.runners.get(runner).restart(this.nowMillis));
+	}
+
+	void cutOff(String runner, long forMillis) {
+		this.cutOff.add(runner);
+		at(forMillis, () -> this.cutOff.remove(runner));
+	}
+
+	void changeLeader() {
+		this.term++;
+		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
+	}
+
+	/** Runners hold tasks on for ever when nobody is heard. */
+	void ignoreLeases() {
+		this.runners.values().forEach(SimulatedRunner::ignoreLease);
+	}
+
+	// what a test looks at
+
+	List<String> violations() {
+		return this.violations;
+	}
+
+	Optional<BatchJobPhase> phase(String job) {
+		return this.state.job(job).map((known) -> known.phase());
+	}
+
+	BatchState state() {
+		return this.state;
+	}
+
+	long runningCount() {
+		return this.runners.values().stream().mapToLong((runner) -> runner.running().size()).sum();
+	}
+
+	// the leader
+
+	private void decide() {
+		this.runners.values()
+			.stream()
+			.filter(SimulatedRunner::isUp)
+			.forEach((runner) -> runner.advance(this.nowMillis));
+		this.leader.decide(this.nowMillis, this.nowMillis);
+		this.leader.dueOrders(this.nowMillis).forEach(this::send);
+		List<BatchCommand> proposals = this.leader.drainProposals();
+		if (!proposals.isEmpty()) {
+			long proposedTerm = this.term;
+			at(1 + this.random.nextInt(10), () -> {
+				if (proposedTerm == this.term) {
+					commit(proposals);
+				}
+			});
+		}
+		at(10, this::decide);
+	}
+
+	private void commit(List<BatchCommand> commands) {
+		this.state.apply(new CommandGroup(this.nowMillis, commands));
+		commands.forEach((command) -> {
+			if (this.leader != null) {
+				this.leader.onApplied(command, this.nowMillis);
+			}
+			if (command instanceof BatchCommand.NoteEnds ends) {
+				ends.ends()
+					.stream()
+					.filter((end) -> end.outcome().isDone())
+					.forEach((end) -> this.noted.add(end.task()));
+			}
+		});
+	}
+
+	private void announceAll() {
+		this.sequence++;
+		this.runners.forEach((id, runner) -> {
+			if (runner.isUp() && !this.cutOff.contains(id)) {
+				this.leader.onAnnouncement(runner.announce(), this.sequence, this.nowMillis)
+					.ifPresent((command) -> commit(List.of(command)));
+			}
+		});
+		at(500, this::announceAll);
+	}
+
+	// the network
+
+	private void send(RunnerDispatch dispatch) {
+		RunnerKey key = dispatch.runner().key();
+		RunnerOrder order = dispatch.order();
+		FleetLeader sender = this.leader;
+		SimulatedRunner runner = this.runners.get(key.id());
+		boolean isLate = this.faults.lateShare() > this.random.nextDouble();
+		boolean isLost = this.cutOff.contains(key.id()) || !runner.isUp()
+				|| this.faults.lostShare() > this.random.nextDouble();
+		if (isLate || isLost) {
+			at(SETTINGS.sessions().answerTimeoutMillis(),
+					() -> sender.onReply(key, order, RunnerReply.NoAnswer.UNKNOWN, this.nowMillis));
+		}
+		if (isLate && !isLost) {
+			at(2_000 + this.random.nextInt(8_000), () -> handle(runner, key, order));
+		}
+		else if (!isLost) {
+			at(1 + this.random.nextInt(5), () -> {
+				Optional<RunnerReply> reply = handle(runner, key, order);
+				at(1 + this.random.nextInt(5),
+						() -> sender.onReply(key, order, reply.orElse(RunnerReply.NoAnswer.UNKNOWN), this.nowMillis));
+			});
+		}
+	}
+
+	private Optional<RunnerReply> handle(SimulatedRunner runner, RunnerKey key, RunnerOrder order) {
+		return runner.isUp() ? Optional.of(runner.handle(order, key, this.nowMillis, this::checkStart))
+				: Optional.empty();
+	}
+
+	// checks
+
+	private void checkStart(SimulatedRunner runner, TaskId task, int run) {
+		this.runners.values().forEach((other) -> {
+			other.advance(this.nowMillis);
+			if (other.isUp() && other.running().containsKey(task)) {
+				violate("%s run %d starts while another run is under way", task, run);
+			}
+		});
+		if (this.noted.contains(task)) {
+			violate("%s run %d starts although its end was noted", task, run);
+		}
+		if (this.starts.merge(task, run, Math::max) > run) {
+			violate("%s run %d starts after a later run", task, run);
+		}
+		this.state.job(task.job()).flatMap((job) -> job.occurrence(task.occurrence())).ifPresent((occurrence) -> {
+			if (!occurrence.isReady(task.step())) {
+				violate("%s starts before its earlier steps", task);
+			}
+		});
+		Resources used = runner.running()
+			.keySet()
+			.stream()
+			.map((known) -> this.state.step(known).map(StepTasks::spec).map(StepSpec::reserved).orElse(Resources.NONE))
+			.reduce(Resources.NONE, Resources::plus);
+		if (!used.plus(new Resources(1_500, 1_000, 0)).fitsIn(SimulatedRunner.CAPACITY)) {
+			violate("%s exceeds the capacity of its runner", task);
+		}
+	}
+
+	private void violate(String format, Object... arguments) {
+		this.violations.add(this.nowMillis + ": " + format.formatted(arguments));
+	}
+
+	private void at(long delayMillis, Runnable action) {
+		this.eventCount++;
+		this.events.add(new Event(this.nowMillis + delayMillis, this.eventCount, action));
+	}
+
+	private record Event(long atMillis, long number, Runnable action) {
+
+	}
+
+	/** How often orders go wrong. */
+	record Faults(double lostShare, double lateShare) {
+
+		static final Faults NONE = new Faults(0, 0);
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -0,0 +1,198 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.burdockpin.core.batch.model.RunOutcome;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.model.Resources;
+
+/** A runner in virtual time: leases on its own clock, fencing, lists of runs and ends. */
+final class SimulatedRunner {
+
+	static final Resources CAPACITY = new Resources(8_000, 16_384, 0);
+
+	private static final int STOP_MILLIS = 100;
+
+	private final RandomGenerator random;
+
+	private final String id;
+
+	private final String pool;
+
+	private final double clockRate;
+
+	private long bornMillis;
+
+	private long leaseEndMillis;
+
+	private long highestFence;
+
+	private long lastEnd;
+
+	private boolean up = true;
+
+	private boolean ignoresLease;
+
+	private final Map<TaskId, Execution> running = new LinkedHashMap<>();
+
+	private final Map<TaskId, Integer> highestClosedRun = new HashMap<>();
+
+	private final List<BatchCommand.End> ends = new ArrayList<>();
+
+	SimulatedRunner(String id, String pool, RandomGenerator random, long nowMillis) {
+		this.id = id;
+		this.pool = pool;
+		this.random = random;
+		this.clockRate = 0.98 + 0.04 * random.nextDouble();
+		this.bornMillis = nowMillis;
+	}
+
+	RunnerRecord announce() {
+		return new RunnerRecord(new RunnerKey(this.id, this.bornMillis), Optional.of("host-" + this.id), this.pool,
+				"127.0.0.1:1", "dc1", Optional.of("rack-1"), CAPACITY, Set.of("a", "rack-1"), false);
+	}
+
+	boolean isUp() {
+		return this.up;
+	}
+
+	Map<TaskId, Execution> running() {
+		return this.running;
+	}
+
+	/** Makes tasks run on, and for long, after the lease has ended. */
+	void ignoreLease() {
+		this.ignoresLease = true;
+	}
+
+	void crash() {
+		this.up = false;
+		this.running.clear();
+	}
+
+	void restart(long nowMillis) {
+		this.up = true;
+		this.bornMillis = nowMillis;
+		this.leaseEndMillis = 0;
+		this.highestFence = 0;
+		this.lastEnd = 0;
+		this.running.clear();
+		this.highestClosedRun.clear();
+		this.ends.clear();
+	}
+
+	long clockMillis(long nowMillis) {
+		return (long) ((nowMillis - this.bornMillis) * this.clockRate);
+	}
+
+	/** Ends what is due, and everything when the lease has ended. */
+	void advance(long nowMillis) {
+		boolean lapsed = !this.ignoresLease && clockMillis(nowMillis) >= this.leaseEndMillis;
+		List.copyOf(this.running.entrySet()).forEach((entry) -> {
+			Execution execution = entry.getValue();
+			if (lapsed) {
+				end(entry.getKey(), execution.run(), RunOutcome.LAPSED);
+			}
+			else if (nowMillis >= execution.endMillis()) {
+				end(entry.getKey(), execution.run(), execution.outcome());
+			}
+		});
+	}
+
+	RunnerReply handle(RunnerOrder order, RunnerKey expected, long nowMillis, StartCheck check) {
+		advance(nowMillis);
+		if (expected.bornMillis() != this.bornMillis) {
+			return refuse(RunnerReply.Refusal.OTHER_LIFE, nowMillis);
+		}
+		if (order.fencingToken() < this.highestFence) {
+			return refuse(RunnerReply.Refusal.FENCED, nowMillis);
+		}
+		this.highestFence = order.fencingToken();
+		if (order instanceof RunnerOrder.Start start) {
+			return start(start, nowMillis, check);
+		}
+		if (order instanceof RunnerOrder.Stop stop) {
+			return stop(stop, nowMillis);
+		}
+		return list((RunnerOrder.Hold) order, nowMillis);
+	}
+
+	private RunnerReply start(RunnerOrder.Start start, long nowMillis, StartCheck check) {
+		if (start.leaseEndMillis() <= clockMillis(nowMillis)) {
+			return refuse(RunnerReply.Refusal.LATE, nowMillis);
+		}
+		this.leaseEndMillis = Math.max(this.leaseEndMillis, start.leaseEndMillis());
+		Execution known = this.running.get(start.task());
+		if (known != null && known.run() == start.run()) {
+			return new RunnerReply.Accepted(clockMillis(nowMillis));
+		}
+		if (start.run() <= this.highestClosedRun.getOrDefault(start.task(), 0)) {
+			return refuse(RunnerReply.Refusal.OUTDATED, nowMillis);
+		}
+		check.onStart(this, start.task(), start.run());
+		RunOutcome outcome = (this.random.nextInt(12) == 0) ? RunOutcome.FAILED : RunOutcome.DONE;
+		this.running.put(start.task(), new Execution(start.run(), nowMillis + workMillis(), outcome));
+		return new RunnerReply.Accepted(clockMillis(nowMillis));
+	}
+
+	private long workMillis() {
+		return this.ignoresLease ? 20_000 : 100 + this.random.nextInt(1_200);
+	}
+
+	private RunnerReply stop(RunnerOrder.Stop stop, long nowMillis) {
+		this.highestClosedRun.merge(stop.task(), stop.run(), Math::max);
+		Execution known = this.running.get(stop.task());
+		if (known != null && known.run() == stop.run()) {
+			this.running.put(stop.task(), new Execution(stop.run(),
+					Math.min(known.endMillis(), nowMillis + STOP_MILLIS), RunOutcome.STOPPED));
+		}
+		return new RunnerReply.Accepted(clockMillis(nowMillis));
+	}
+
+	private RunnerReply list(RunnerOrder.Hold hold, long nowMillis) {
+		hold.leaseEndMillis().ifPresent((end) -> this.leaseEndMillis = Math.max(this.leaseEndMillis, end));
+		this.ends.removeIf((end) -> end.number() <= hold.acknowledgedEnd());
+		List<RunnerReply.RunningTask> listed = this.running.entrySet()
+			.stream()
+			.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue().run(), "", 50,
+					OptionalInt.empty()))
+			.toList();
+		return new RunnerReply.Listing(clockMillis(nowMillis), OptionalLong.of(this.bornMillis), listed, this.ends);
+	}
+
+	private void end(TaskId task, int run, RunOutcome outcome) {
+		this.running.remove(task);
+		this.highestClosedRun.merge(task, run, Math::max);
+		this.lastEnd++;
+		this.ends.add(new BatchCommand.End(this.lastEnd, task, run, outcome, ""));
+	}
+
+	private RunnerReply refuse(RunnerReply.Refusal refusal, long nowMillis) {
+		return new RunnerReply.Refused(refusal, OptionalLong.of(clockMillis(nowMillis)));
+	}
+
+	/** A run under way. */
+	record Execution(int run, long endMillis, RunOutcome outcome) {
+
+	}
+
+	/** Looks at each start. */
+	interface StartCheck {
+
+		void onStart(SimulatedRunner runner, TaskId task, int run);
+
+	}
+
+}
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/log/LogPart.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/log/LogPart.java
@@ -26,6 +26,21 @@
 	/** Other parts of the entry program. */
 	ENTRY("io.burdockpin.entry", "[entry]"),
 
+	/** The replicated log of the batch scheduler. */
+	CONSENSUS("io.burdockpin.batch.consensus", "[consensus]"),
+
+	/** The state machine and the leader of the batch scheduler. */
+	SCHEDULER("io.burdockpin.batch.scheduler", "[scheduler]"),
+
+	/** The way of calls to the leader. */
+	CALL("io.burdockpin.batch.call", "[call]"),
+
+	/** Other parts of the batch scheduler. */
+	BATCH("io.burdockpin.batch", "[batch]"),
+
+	/** The adapter to the users' platform. */
+	PLATFORM("io.burdockpin.platform", "[platform]"),
+
 	/** Links between processes. */
 	LINK("io.burdockpin.runtime.link", "[link]"),
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/GuardianCommand.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/GuardianCommand.java
@@ -14,4 +14,12 @@
 
 	}
 
+	/** Asks to read the settings file again. Programs that cannot ignore it. */
+	enum Reload implements GuardianCommand {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
 }
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -97,6 +97,15 @@
 	protected void checkFiles(S settings) {
 	}
 
+	/**
+	 * Tells whether the guardian reads the settings again on SIGHUP. Otherwise SIGHUP
+	 * ends the program as usual.
+	 * @return whether the guardian handles {@link GuardianCommand.Reload}
+	 */
+	protected boolean canReload() {
+		return false;
+	}
+
 	/**
 	 * Carries out a one-time action instead of starting, if the command line asks for
 	 * one.
@@ -150,6 +159,9 @@
 		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(settings, exit), "burdockpin",
 				ActorConfiguration.load());
 		StopHook.install(system, exit);
+		if (canReload()) {
+			ReloadSignal.install(system);
+		}
 		logger.atInfo().log("Started %s.", this.programName);
 		system.getWhenTerminated().toCompletableFuture().join();
 		return exit.getNow(ExitStatus.SUCCESS);
