--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -6,6 +6,7 @@
 
 import io.burdockpin.batch.call.CallSettings;
 import io.burdockpin.batch.consensus.ConsensusSettings;
+import io.burdockpin.core.batch.lead.BalanceSettings;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.SessionSettings;
 import io.burdockpin.core.batch.lead.WaveSettings;
@@ -63,6 +64,16 @@
 
 	private static final int HOST_RETRY_MILLIS = 400;
 
+	/** A moved host takes about this time until its runner takes tasks. */
+	private static final int MOVE_MILLIS = 1_700;
+
+	/** Two moves cost about as much as a host does in this time. */
+	private static final int IDLE_MILLIS = 2_500;
+
+	private static final int STAY_MILLIS = 2_500;
+
+	private static final int LIST_MILLIS = 1_500;
+
 	private static final int FORGET_RUNNER_MILLIS = 60_000;
 
 	/**
@@ -116,6 +127,8 @@
 				new SessionSettings(leaseMillis, this.longestLeaseMillis, LISTEN_MILLIS, ANSWER_TIMEOUT_MILLIS,
 						RETRY_MILLIS, SILENT_MILLIS),
 				new WaveSettings(this.handOverPauseMillis, DRAIN_MILLIS, RETURN_MILLIS, HOST_RETRY_MILLIS),
+				new BalanceSettings(this.handOverPauseMillis, MOVE_MILLIS, IDLE_MILLIS, STAY_MILLIS, HOST_RETRY_MILLIS,
+						LIST_MILLIS),
 				FORGET_RUNNER_MILLIS);
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
@@ -1,5 +1,8 @@
 package io.burdockpin.batch.port;
 
+import java.util.List;
+
+import io.burdockpin.core.batch.lead.HostEntry;
 import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.HostReply;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -22,6 +25,28 @@
 
 	}
 
+	/**
+	 * Reads the list of hosts. One {@link Listed} follows unless the list cannot be read.
+	 *
+	 * @param replyTo gets the list
+	 */
+	record ListHosts(ActorRef<Listed> replyTo) implements Command {
+
+	}
+
+	/**
+	 * The hosts of the platform.
+	 *
+	 * @param hosts all hosts
+	 */
+	record Listed(List<HostEntry> hosts) {
+
+		public Listed {
+			hosts = List.copyOf(hosts);
+		}
+
+	}
+
 	/**
 	 * What became of an order.
 	 *
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -63,6 +63,8 @@
 
 	private final ActorRef<HostChannel.Answered> hostReplies;
 
+	private final ActorRef<HostChannel.Listed> hostLists;
+
 	private final RunnerChannels channels;
 
 	private final CallRules rules = new CallRules();
@@ -112,6 +114,7 @@
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.hostReplies = context.messageAdapter(HostChannel.Answered.class, SchedulerCommand.FromHosts::new);
+		this.hostLists = context.messageAdapter(HostChannel.Listed.class, SchedulerCommand.FromHostList::new);
 		this.channels = new RunnerChannels(context, runners,
 				context.messageAdapter(RunnerChannel.Answered.class, SchedulerCommand.FromRunner::new));
 		timers.startTimerWithFixedDelay(SchedulerCommand.Internal.TICK, TICK);
@@ -141,6 +144,7 @@
 			.onMessage(SchedulerCommand.AttachConsensus.class, this::onAttachConsensus)
 			.onMessage(SchedulerCommand.FromRunner.class, this::onFromRunner)
 			.onMessage(SchedulerCommand.FromHosts.class, this::onFromHosts)
+			.onMessage(SchedulerCommand.FromHostList.class, this::onFromHostList)
 			.onMessageEquals(SchedulerCommand.Internal.FLUSH, this::onFlush)
 			.onMessageEquals(SchedulerCommand.Internal.TICK, this::requestFlush)
 			.build();
@@ -343,13 +347,17 @@
 
 	private Behavior<SchedulerCommand> onFromHosts(SchedulerCommand.FromHosts command) {
 		HostChannel.Answered answer = command.answer();
-		logger.atInfo()
-			.log("Upkeep of %s for wave %d: %s.", answer.order().host(), answer.order().wave(), answer.reply());
+		logger.atInfo().log("Order %s: %s.", answer.order(), answer.reply());
 		this.leader.filter((leading) -> answer.order().fencingToken() == this.term)
 			.ifPresent((leading) -> leading.onHostReply(answer.order(), answer.reply(), this.clock.millis()));
 		return requestFlush();
 	}
 
+	private Behavior<SchedulerCommand> onFromHostList(SchedulerCommand.FromHostList command) {
+		this.leader.ifPresent((leading) -> leading.onHostList(command.listed().hosts()));
+		return requestFlush();
+	}
+
 	// decisions
 
 	// The message to itself comes after all messages that are already in the mailbox, so
@@ -382,6 +390,9 @@
 		leading.decide(nowMillis, this.wallClock.millis());
 		leading.dueOrders(nowMillis).forEach(this.channels::send);
 		leading.drainHostOrders().forEach((order) -> this.hosts.tell(new HostChannel.Send(order, this.hostReplies)));
+		if (leading.takeHostListDue(nowMillis)) {
+			this.hosts.tell(new HostChannel.ListHosts(this.hostLists));
+		}
 		leading.drainProposals().forEach((command) -> {
 			this.outgoing.add(command);
 			this.outgoingWaiters.add(ReplyPort.NONE);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerCommand.java
@@ -57,6 +57,15 @@
 
 	}
 
+	/**
+	 * The platform has listed its hosts.
+	 *
+	 * @param listed the list
+	 */
+	record FromHostList(HostChannel.Listed listed) implements SchedulerCommand {
+
+	}
+
 	/** Sent by the actor to itself. */
 	enum Internal implements SchedulerCommand {
 
--- /dev/null
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -0,0 +1,127 @@
+package io.burdockpin.codec.cbor;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import io.burdockpin.codec.exc.CodecException;
+import io.burdockpin.core.batch.call.CallMessage;
+import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchPool;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.HostMove;
+import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.RunOutcome;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.model.Workspace;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchSnapshot;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.MovePhase;
+import io.burdockpin.core.batch.state.UpkeepPhase;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class CborCodecTests {
+
+	private static final RunnerKey RUNNER = new RunnerKey("runner", 12);
+
+	private static final TaskId TASK = new TaskId("job", 0, 0, 1);
+
+	private static final FleetConfiguration CONFIGURATION = new FleetConfiguration(3,
+			List.of(new BatchQueue("queue", "host", "/queue/", false, "pool", 1, 2, 3_000, 600, 1.6)),
+			List.of(new BatchPool("pool", false, true)),
+			List.of(new Workspace("team", Set.of("key"), 4, new Resources(1, 2, 3))), Payload.ofText("{}"));
+
+	private static final JobSpec JOB = new JobSpec("text",
+			List.of(new StepSpec(2, new Resources(5, 6, 0), 700, List.of(), true, false, true, Optional.of("label"),
+					Optional.empty(), OptionalInt.of(2), false, true, Optional.of("image"), OptionalInt.empty(), true,
+					1)),
+			3, 4, 5);
+
+	private static final RunnerRecord RECORD = new RunnerRecord(RUNNER, Optional.of("m1"), "pool", "127.0.0.1:1", "dc",
+			Optional.empty(), new Resources(8, 9, 1), Set.of("a"), true);
+
+	/** One of each command; the check below finds a command that was forgotten here. */
+	private static final List<BatchCommand> COMMANDS = List.of(new BatchCommand.SetConfiguration(CONFIGURATION),
+			new BatchCommand.SubmitJob("job", "queue", "team", JOB), new BatchCommand.CancelJob("job"),
+			new BatchCommand.OpenOccurrence("job", 0),
+			new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(TASK, 1, RUNNER))),
+			new BatchCommand.NoteEnds(RUNNER, List.of(new BatchCommand.End(7, TASK, 1, RunOutcome.DONE, "saved"))),
+			new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(TASK, 1, ""))),
+			new BatchCommand.RegisterRunner(RECORD), new BatchCommand.RemoveRunner(RUNNER),
+			new BatchCommand.StartWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
+			new BatchCommand.SetUpkeep(1, "m1", UpkeepPhase.ORDERED),
+			new BatchCommand.SetMove("m2", "pool", MovePhase.ORDERED));
+
+	@Test
+	void everyCommandIsReadAsItWasWritten() {
+		CborCommandGroupCodec codec = new CborCommandGroupCodec();
+		CommandGroup group = new CommandGroup(99, COMMANDS);
+		assertThat(codec.decode(codec.encode(group))).isEqualTo(group);
+		assertThat(COMMANDS.stream().map(Object::getClass).distinct().count())
+			.isEqualTo(BatchCommand.class.getPermittedSubclasses().length);
+	}
+
+	@Test
+	void aSnapshotIsReadAsItWasWritten() {
+		BatchState state = new BatchState();
+		state.apply(new CommandGroup(99, COMMANDS.subList(0, 2)));
+		state.apply(new CommandGroup(100, COMMANDS.subList(7, 8)));
+		state.apply(new CommandGroup(101, COMMANDS.subList(3, 5)));
+		state.apply(new CommandGroup(102, COMMANDS.subList(9, 12)));
+		BatchSnapshot snapshot = state.snapshot();
+		CborBatchSnapshotCodec codec = new CborBatchSnapshotCodec();
+		assertThat(codec.decode(codec.encode(snapshot))).isEqualTo(snapshot);
+		assertThat(snapshot.moves()).containsExactly(new HostMove("m2", "pool", false, Optional.empty()));
+		assertThat(snapshot.waves().get(0).hosts()).isEqualTo(Map.of("m1", UpkeepPhase.ORDERED));
+	}
+
+	@Test
+	void callsAndRepliesAreReadAsTheyWereWritten() {
+		CborCallCodec codec = new CborCallCodec();
+		List<FleetCall> calls = List.of(new FleetCall.Submit("host", "/queue/job", Optional.of("key"), JOB),
+				new FleetCall.Look("host", "/queue/", Optional.empty()),
+				new FleetCall.Cancel("host", "/queue/job", Optional.empty()),
+				new FleetCall.PutConfiguration(CONFIGURATION), new FleetCall.ReadConfiguration(),
+				new FleetCall.Announce(RECORD, 4), new FleetCall.Leave("runner"),
+				new FleetCall.OrderWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
+				new FleetCall.LookAtWave(1), new FleetCall.Join("10.0.0.1", 5, "10.0.0.1:7"), new FleetCall.Check());
+		calls.forEach((call) -> {
+			CallMessage message = new CallMessage.Call(1, call);
+			assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+		});
+		List<FleetReply> replies = List.of(new FleetReply.Accepted(), new FleetReply.JobStatus(BatchJobPhase.FAILED),
+				new FleetReply.QueueStatus(4), new FleetReply.Configuration(Payload.ofText("{}")),
+				new FleetReply.WaveStatus(true),
+				new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.of(1_000)),
+				new FleetReply.NotLeader(Optional.empty(), List.of("10.0.0.1")),
+				new FleetReply.Leads(List.of("10.0.0.1")), new FleetReply.Unknown());
+		replies.forEach((reply) -> {
+			CallMessage message = new CallMessage.Reply(2, reply);
+			assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+		});
+	}
+
+	@Test
+	void bytesThatAreNoMessageAreRefused() {
+		CborCallCodec codec = new CborCallCodec();
+		assertThrows(CodecException.class, () -> codec.decode(new byte[] { 1, 2, 3 }));
+		assertThrows(CodecException.class, () -> codec.decode(new byte[0]));
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -12,6 +12,7 @@
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
@@ -42,10 +43,17 @@
 
 	private final RunnerReputation reputation = new RunnerReputation();
 
-	private final TaskPlanner planner = new TaskPlanner();
+	private final DurationEstimator durations = new DurationEstimator();
+
+	private final TaskPlanner planner = new TaskPlanner(this.durations);
+
+	/** When the runs under way were assigned. */
+	private final Map<TaskId, Long> assignedMillis = new HashMap<>();
 
 	private final WaveKeeper waves;
 
+	private final PoolBalancer balancer;
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	private final Set<RunnerKey> endingLives = new HashSet<>();
@@ -67,6 +75,7 @@
 		this.term = term;
 		this.electedMillis = nowMillis;
 		this.waves = new WaveKeeper(state, settings.waves(), term, nowMillis);
+		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis);
 		state.runners().forEach((runner) -> openSession(runner, nowMillis));
 	}
 
@@ -87,6 +96,7 @@
 	 */
 	public List<BatchCommand> drainProposals() {
 		this.proposals.addAll(this.waves.drainProposals());
+		this.proposals.addAll(this.balancer.drainProposals());
 		List<BatchCommand> drained = List.copyOf(this.proposals);
 		this.proposals.clear();
 		return drained;
@@ -111,7 +121,18 @@
 	 * @return the orders
 	 */
 	public List<HostOrder> drainHostOrders() {
-		return this.waves.drainOrders();
+		List<HostOrder> orders = new ArrayList<>(this.waves.drainOrders());
+		orders.addAll(this.balancer.drainOrders());
+		return orders;
+	}
+
+	/**
+	 * Tells whether the platform's list of hosts has to be read now.
+	 * @param nowMillis the time of the monotonic clock
+	 * @return whether to read it; it counts as asked for
+	 */
+	public boolean takeHostListDue(long nowMillis) {
+		return this.balancer.takeListDue(nowMillis);
 	}
 
 	// events
@@ -172,7 +193,20 @@
 	 * @param nowMillis the time of the monotonic clock
 	 */
 	public void onHostReply(HostOrder order, HostReply reply, long nowMillis) {
-		this.waves.onReply(order, reply, nowMillis);
+		if (order instanceof HostOrder.Upkeep upkeep) {
+			this.waves.onReply(upkeep, reply, nowMillis);
+		}
+		else if (order instanceof HostOrder.Move move) {
+			this.balancer.onReply(move, reply, nowMillis);
+		}
+	}
+
+	/**
+	 * Takes note of the platform's list of hosts.
+	 * @param hosts all hosts
+	 */
+	public void onHostList(List<HostEntry> hosts) {
+		this.balancer.onList(hosts);
 	}
 
 	/**
@@ -183,7 +217,10 @@
 	public void onApplied(BatchCommand command, long nowMillis) {
 		if (command instanceof BatchCommand.AssignRuns assigned) {
 			this.planIsOpen = false;
-			assigned.assignments().forEach(this::onAssigned);
+			assigned.assignments().forEach((assignment) -> {
+				onAssigned(assignment);
+				this.assignedMillis.put(assignment.task(), nowMillis);
+			});
 		}
 		else if (command instanceof BatchCommand.NoteEnds noted) {
 			onEndsNoted(noted, nowMillis);
@@ -194,6 +231,9 @@
 		else if (command instanceof BatchCommand.CancelJob cancelled) {
 			stopRunsOf(cancelled.id());
 		}
+		else if (command instanceof BatchCommand.SetMove move) {
+			this.balancer.onMoveCommitted(move.host());
+		}
 		else if (command instanceof BatchCommand.RegisterRunner || command instanceof BatchCommand.RemoveRunner) {
 			syncSessions(nowMillis);
 		}
@@ -208,6 +248,7 @@
 		this.sessions.values().forEach((session) -> endLifeIfOver(session, nowMillis));
 		openDueOccurrences(wallMillis);
 		this.waves.tick(this.sessions, nowMillis);
+		this.balancer.tick(this.sessions, this.waves::isReserved, nowMillis);
 		if (!this.planIsOpen) {
 			plan(nowMillis, wallMillis);
 		}
@@ -221,6 +262,7 @@
 			.filter((session) -> session.isUsable(nowMillis))
 			.map(RunnerSession::runner)
 			.filter((runner) -> !this.waves.isDraining(runner.hostOrId()))
+			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
 			.toList();
 		List<BatchCommand.Assignment> assignments = this.planner.plan(this.state, usable,
 				(runner) -> this.reputation.isSuspect(runner, nowMillis), wallMillis);
@@ -256,6 +298,7 @@
 		}));
 		noted.ends().forEach((end) -> {
 			this.reputation.count(noted.runner(), end.outcome(), nowMillis);
+			measure(end, nowMillis);
 			boolean jobHasEnded = this.state.job(end.task().job())
 				.filter((job) -> job.phase() == BatchJobPhase.FAILED || job.phase() == BatchJobPhase.COMPLETED)
 				.isPresent();
@@ -265,6 +308,14 @@
 		});
 	}
 
+	private void measure(BatchCommand.End end, long nowMillis) {
+		Optional.ofNullable(this.assignedMillis.remove(end.task()))
+			.filter((startedMillis) -> end.outcome().isDone() && end.run() == 1)
+			.ifPresent((startedMillis) -> this.state.job(end.task().job())
+				.ifPresent((job) -> this.durations.count(job.queue(),
+						job.spec().steps().get(end.task().step()).estimatedMillis(), nowMillis - startedMillis)));
+	}
+
 	private void onReleased(BatchCommand.Release release) {
 		this.sessions.values().forEach((session) -> session.remove(release.task(), release.run()));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
@@ -5,8 +5,10 @@
  *
  * @param sessions dealings with runners
  * @param waves maintenance waves
+ * @param balance the balance between pools
  * @param forgetRunnerMillis how long a silent runner without runs is remembered
  */
-public record LeaderSettings(SessionSettings sessions, WaveSettings waves, int forgetRunnerMillis) {
+public record LeaderSettings(SessionSettings sessions, WaveSettings waves, BalanceSettings balance,
+		int forgetRunnerMillis) {
 
 }
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -0,0 +1,414 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import io.burdockpin.core.batch.model.BatchPool;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.HostMove;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.MovePhase;
+import io.burdockpin.core.model.Resources;
+
+/**
+ * Moves hosts to the pools whose jobs want more room than there is, from the spare pool
+ * first and then from pools that leave hosts idle, and returns hosts that stay idle to
+ * the spare pool. Only hosts without a run are moved. Mutable; owned by the leader.
+ */
+public final class PoolBalancer {
+
+	/** Room beyond the demand that a pool keeps; tasks do not fill hosts completely. */
+	private static final double HEADROOM = 1.15;
+
+	/** A pool keeps twice what it wants before it gives idle hosts away. */
+	private static final double KEEP_FACTOR = 1.6;
+
+	/** A pool keeps hosts for the first jobs after a quiet time. */
+	private static final int MINIMUM_HOSTS = 2;
+
+	/** Demand changes within tenths of a second. */
+	private static final long PERIOD_MILLIS = 150;
+
+	private final BatchState state;
+
+	private final BalanceSettings settings;
+
+	private final long fencingToken;
+
+	private final long electedMillis;
+
+	private final PoolDemand demand;
+
+	private final Map<String, HostEntry> spareHosts = new LinkedHashMap<>();
+
+	private final Map<String, Long> idleSinceMillis = new HashMap<>();
+
+	private final Map<String, Long> movedMillis = new HashMap<>();
+
+	private final Map<String, Long> nextTryMillis = new HashMap<>();
+
+	private final Map<String, HostOrder> ordersInFlight = new HashMap<>();
+
+	/** Hosts whose move is proposed but not committed yet. */
+	private final Set<String> proposedHosts = new HashSet<>();
+
+	private final List<BatchCommand> proposals = new ArrayList<>();
+
+	private final List<HostOrder> orders = new ArrayList<>();
+
+	private long nextRoundMillis;
+
+	private long nextListMillis;
+
+	/**
+	 * Creates a balancer.
+	 * @param state the state
+	 * @param settings the settings
+	 * @param fencingToken the term of this leader
+	 * @param electedMillis when this leader was elected, by a monotonic clock
+	 */
+	public PoolBalancer(BatchState state, BalanceSettings settings, long fencingToken, long electedMillis) {
+		this.state = state;
+		this.settings = settings;
+		this.fencingToken = fencingToken;
+		this.electedMillis = electedMillis;
+		this.demand = new PoolDemand(state);
+	}
+
+	// access
+
+	/**
+	 * Tells whether a host is about to be moved.
+	 * @param host the host
+	 * @return whether it takes no new tasks
+	 */
+	public boolean isMoving(String host) {
+		return this.state.moves().containsKey(host) || this.proposedHosts.contains(host);
+	}
+
+	/**
+	 * Takes note that a command about a move was committed.
+	 * @param host the host
+	 */
+	public void onMoveCommitted(String host) {
+		this.proposedHosts.remove(host);
+	}
+
+	/**
+	 * Tells whether the list of hosts has to be read, and counts it as asked for.
+	 * @param nowMillis the time of the monotonic clock
+	 * @return whether to read it now
+	 */
+	public boolean takeListDue(long nowMillis) {
+		boolean hasSparePool = this.state.configuration()
+			.filter((configuration) -> configuration.pools().stream().anyMatch(BatchPool::spare))
+			.isPresent();
+		if (!hasSparePool || nowMillis < this.nextListMillis) {
+			return false;
+		}
+		this.nextListMillis = nowMillis + this.settings.listMillis();
+		return true;
+	}
+
+	/**
+	 * Returns and clears the commands to commit.
+	 * @return the commands
+	 */
+	public List<BatchCommand> drainProposals() {
+		List<BatchCommand> drained = List.copyOf(this.proposals);
+		this.proposals.clear();
+		return drained;
+	}
+
+	/**
+	 * Returns and clears the orders to send.
+	 * @return the orders
+	 */
+	public List<HostOrder> drainOrders() {
+		List<HostOrder> drained = List.copyOf(this.orders);
+		this.orders.clear();
+		return drained;
+	}
+
+	// events
+
+	/**
+	 * Takes note of the platform's list of hosts.
+	 * @param hosts all hosts
+	 */
+	public void onList(List<HostEntry> hosts) {
+		this.spareHosts.clear();
+		this.state.configuration()
+			.ifPresent((configuration) -> hosts.stream()
+				.filter((entry) -> entry.up() && isSpare(configuration, entry.pool()))
+				.forEach((entry) -> this.spareHosts.put(entry.host(), entry)));
+	}
+
+	/**
+	 * Takes the next steps.
+	 * @param sessions the sessions with the runners
+	 * @param isReserved hosts that must stay where they are
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void tick(Map<RunnerKey, RunnerSession> sessions, Predicate<String> isReserved, long nowMillis) {
+		if (nowMillis < this.nextRoundMillis || this.state.configuration().isEmpty()) {
+			return;
+		}
+		this.nextRoundMillis = nowMillis + PERIOD_MILLIS;
+		FleetConfiguration configuration = this.state.configuration().get();
+		this.demand.observe(configuration, nowMillis);
+		if (nowMillis - this.electedMillis < this.settings.handOverPauseMillis()) {
+			return;
+		}
+		this.state.moves().values().forEach((move) -> advance(move, sessions, nowMillis));
+		Map<String, Pool> pools = pools(configuration, sessions, isReserved, nowMillis);
+		pools.values().stream().filter((pool) -> !pool.spare).forEach((pool) -> grow(pool, pools, nowMillis));
+		configuration.pools()
+			.stream()
+			.filter(BatchPool::spare)
+			.findFirst()
+			.ifPresent((spare) -> pools.values()
+				.stream()
+				.filter((pool) -> !pool.spare)
+				.forEach((pool) -> shrink(pool, spare.name(), nowMillis)));
+	}
+
+	/**
+	 * Takes note of the reply to an order.
+	 * @param order the order
+	 * @param reply the reply
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void onReply(HostOrder.Move order, HostReply reply, long nowMillis) {
+		this.ordersInFlight.remove(order.host());
+		this.nextTryMillis.put(order.host(), nowMillis + this.settings.retryMillis());
+		switch (reply) {
+			case DONE -> {
+				this.movedMillis.put(order.host(), nowMillis);
+				// The runner has ended with the move, so it is not asked any more.
+				Optional.ofNullable(this.state.moves().get(order.host()))
+					.flatMap(HostMove::lifeBefore)
+					.ifPresent((life) -> this.proposals.add(new BatchCommand.RemoveRunner(life)));
+				this.proposals.add(new BatchCommand.SetMove(order.host(), order.pool(), MovePhase.BEGUN));
+			}
+			case BUSY, UNKNOWN_HOST ->
+				this.proposals.add(new BatchCommand.SetMove(order.host(), order.pool(), MovePhase.OVER));
+			default -> {
+				// The order may have been carried out, so it is sent again.
+			}
+		}
+	}
+
+	// moves under way
+
+	private void advance(HostMove move, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		if (!move.begun() && hasRuns(move)) {
+			// A task was assigned to the host before the move was committed.
+			over(move);
+		}
+		else if (!move.begun()) {
+			boolean isDue = !this.ordersInFlight.containsKey(move.host())
+					&& nowMillis >= this.nextTryMillis.getOrDefault(move.host(), 0L);
+			if (isDue) {
+				HostOrder order = new HostOrder.Move(this.fencingToken, move.host(), move.pool());
+				this.ordersInFlight.put(move.host(), order);
+				this.orders.add(order);
+			}
+		}
+		else if (hasArrived(move, sessions, nowMillis)) {
+			over(move);
+		}
+	}
+
+	private boolean hasRuns(HostMove move) {
+		boolean orderMayBeOut = this.ordersInFlight.containsKey(move.host())
+				|| this.nextTryMillis.containsKey(move.host());
+		return !orderMayBeOut && move.lifeBefore().filter((life) -> !this.state.runs().on(life).isEmpty()).isPresent();
+	}
+
+	private void over(HostMove move) {
+		BatchCommand over = new BatchCommand.SetMove(move.host(), move.pool(), MovePhase.OVER);
+		if (!this.proposals.contains(over)) {
+			this.proposals.add(over);
+		}
+	}
+
+	private boolean hasArrived(HostMove move, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		Optional<RunnerRecord> runner = this.state.runnerOn(move.host())
+			.filter((known) -> known.pool().equals(move.pool()));
+		long sinceMillis = nowMillis - this.movedMillis.getOrDefault(move.host(), this.electedMillis);
+		boolean isOverdue = sinceMillis > 4L * this.settings.lookAheadMillis();
+		return isOverdue || runner.map((known) -> sessions.get(known.key()))
+			.filter((session) -> session.isHeard(nowMillis))
+			.isPresent();
+	}
+
+	// decisions
+
+	private Map<String, Pool> pools(FleetConfiguration configuration, Map<RunnerKey, RunnerSession> sessions,
+			Predicate<String> isReserved, long nowMillis) {
+		Map<String, Pool> pools = new LinkedHashMap<>();
+		configuration.pools()
+			.forEach((pool) -> pools.put(pool.name(), new Pool(pool.name(), pool.spare(),
+					this.demand.wanted(pool.name(), this.settings.lookAheadMillis()))));
+		sessions.values().forEach((session) -> {
+			RunnerRecord runner = session.runner();
+			Pool pool = pools.get(runner.pool());
+			if (pool == null || !session.isUsable(nowMillis) || isMoving(runner.hostOrId())) {
+				return;
+			}
+			pool.add(runner.capacity());
+			boolean isIdle = this.state.runs().on(runner.key()).isEmpty() && !isReserved.test(runner.hostOrId());
+			if (isIdle) {
+				this.idleSinceMillis.putIfAbsent(runner.hostOrId(), nowMillis);
+				pool.idle.add(runner);
+			}
+			else {
+				this.idleSinceMillis.remove(runner.hostOrId());
+			}
+		});
+		this.state.moves()
+			.values()
+			.stream()
+			.map((move) -> pools.get(move.pool()))
+			.filter((pool) -> pool != null && !pool.spare)
+			.forEach(Pool::addArriving);
+		return pools;
+	}
+
+	private void grow(Pool pool, Map<String, Pool> pools, long nowMillis) {
+		while (pool.isShort()) {
+			Optional<String> host = takeSpare(nowMillis).or(() -> takeIdle(pool, pools, nowMillis));
+			if (host.isEmpty()) {
+				return;
+			}
+			pool.addArriving();
+			order(host.get(), pool.name);
+		}
+	}
+
+	private void order(String host, String pool) {
+		this.proposedHosts.add(host);
+		this.proposals.add(new BatchCommand.SetMove(host, pool, MovePhase.ORDERED));
+	}
+
+	private Optional<String> takeSpare(long nowMillis) {
+		Optional<String> host = this.spareHosts.keySet()
+			.stream()
+			.filter((name) -> !isMoving(name) && nowMillis >= this.nextTryMillis.getOrDefault(name, 0L))
+			// The list may be older than the newest move of the host.
+			.filter((name) -> nowMillis - this.movedMillis.getOrDefault(name, Long.MIN_VALUE / 2) >= this.settings
+				.stayMillis())
+			.findFirst();
+		host.ifPresent(this.spareHosts::remove);
+		return host;
+	}
+
+	private Optional<String> takeIdle(Pool taker, Map<String, Pool> pools, long nowMillis) {
+		return pools.values()
+			.stream()
+			.filter((pool) -> pool != taker && pool.canGive())
+			.max(Comparator.comparingLong(Pool::surplusMillicores))
+			.flatMap((pool) -> take(pool, this.settings.stayMillis(), 0, nowMillis));
+	}
+
+	private void shrink(Pool pool, String sparePool, long nowMillis) {
+		while (pool.canGive()) {
+			Optional<String> host = take(pool, this.settings.stayMillis(), this.settings.idleMillis(), nowMillis);
+			if (host.isEmpty()) {
+				return;
+			}
+			order(host.get(), sparePool);
+		}
+	}
+
+	private Optional<String> take(Pool pool, long stayMillis, long idleMillis, long nowMillis) {
+		Optional<RunnerRecord> taken = pool.idle.stream()
+			.filter((runner) -> nowMillis - this.movedMillis.getOrDefault(runner.hostOrId(), 0L) >= stayMillis)
+			.filter((runner) -> nowMillis
+					- this.idleSinceMillis.getOrDefault(runner.hostOrId(), nowMillis) >= idleMillis)
+			.filter((runner) -> nowMillis >= this.nextTryMillis.getOrDefault(runner.hostOrId(), 0L))
+			.findFirst();
+		taken.ifPresent((runner) -> pool.remove(runner));
+		return taken.map(RunnerRecord::hostOrId);
+	}
+
+	private static boolean isSpare(FleetConfiguration configuration, String pool) {
+		return configuration.pool(pool).filter(BatchPool::spare).isPresent();
+	}
+
+	/** A pool in one round. Mutable. */
+	private static final class Pool {
+
+		private final String name;
+
+		private final boolean spare;
+
+		private final PoolDemand.Room wanted;
+
+		private final List<RunnerRecord> idle = new ArrayList<>();
+
+		private PoolDemand.Room capacity = PoolDemand.Room.NONE;
+
+		private PoolDemand.Room typicalHost = PoolDemand.Room.NONE;
+
+		private int hosts;
+
+		private Pool(String name, boolean spare, PoolDemand.Room wanted) {
+			this.name = name;
+			this.spare = spare;
+			this.wanted = wanted;
+		}
+
+		private void add(Resources resources) {
+			this.typicalHost = new PoolDemand.Room(resources.cpuMillicores(), resources.memoryMebibytes());
+			this.capacity = this.capacity.plus(this.typicalHost);
+			this.hosts++;
+		}
+
+		private void addArriving() {
+			this.capacity = this.capacity.plus(this.typicalHost);
+			this.hosts++;
+		}
+
+		private void remove(RunnerRecord runner) {
+			this.idle.remove(runner);
+			this.capacity = new PoolDemand.Room(this.capacity.cpuMillicores() - runner.capacity().cpuMillicores(),
+					this.capacity.memoryMebibytes() - runner.capacity().memoryMebibytes());
+			this.hosts--;
+		}
+
+		private boolean isShort() {
+			// Without a host of its own the pool does not know how much one brings.
+			return this.typicalHost != PoolDemand.Room.NONE && scaled(HEADROOM).exceeds(this.capacity);
+		}
+
+		private boolean canGive() {
+			PoolDemand.Room rest = new PoolDemand.Room(this.capacity.cpuMillicores() - this.typicalHost.cpuMillicores(),
+					this.capacity.memoryMebibytes() - this.typicalHost.memoryMebibytes());
+			return !this.idle.isEmpty() && this.hosts > MINIMUM_HOSTS && !scaled(KEEP_FACTOR).exceeds(rest);
+		}
+
+		private long surplusMillicores() {
+			return this.capacity.cpuMillicores() - this.wanted.cpuMillicores();
+		}
+
+		private PoolDemand.Room scaled(double factor) {
+			return new PoolDemand.Room((long) (factor * this.wanted.cpuMillicores()),
+					(long) (factor * this.wanted.memoryMebibytes()));
+		}
+
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -23,6 +23,8 @@
  */
 public final class RunnerSession {
 
+	private static final int SILENT_PAUSE_FACTOR = 4;
+
 	private final SessionSettings settings;
 
 	private final long fencingToken;
@@ -301,7 +303,10 @@
 		if (this.left && reply == RunnerReply.NoAnswer.UNREACHED) {
 			this.over = true;
 		}
-		this.nextHoldMillis = nowMillis + this.settings.retryMillis();
+		// A runner that stays silent is most likely gone, and each try costs a
+		// connection.
+		int pauseFactor = isHeard(nowMillis) ? 1 : SILENT_PAUSE_FACTOR;
+		this.nextHoldMillis = nowMillis + pauseFactor * this.settings.retryMillis();
 		return List.of();
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -27,13 +27,23 @@
 /**
  * Chooses runners for waiting tasks: long-running steps first, then those that can still
  * meet their objective by priority and slack, then the rest. Never plans beyond the
- * capacity of a runner or the limit of a workspace. Stateless.
+ * capacity of a runner or the limit of a workspace. Immutable but for the estimator.
  */
 public final class TaskPlanner {
 
 	/** Bounds the size of one log entry and the time of one round. */
 	private static final int MAXIMUM_ASSIGNMENTS = 128;
 
+	private final DurationEstimator durations;
+
+	/**
+	 * Creates a planner.
+	 * @param durations estimates how long tasks take
+	 */
+	public TaskPlanner(DurationEstimator durations) {
+		this.durations = durations;
+	}
+
 	/**
 	 * Plans one round.
 	 * @param state the state
@@ -67,7 +77,7 @@
 		return round.assignments;
 	}
 
-	private static void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, long wallMillis) {
+	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, long wallMillis) {
 		for (Occurrence occurrence : job.occurrences()) {
 			List<StepTasks> steps = occurrence.steps();
 			for (int number = 0; number < steps.size(); number++) {
@@ -80,11 +90,11 @@
 		}
 	}
 
-	private static WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
+	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
 		JobSpec spec = job.spec();
 		long objectiveMillis = spec.dueMillis(occurrence.number(), job.acceptedMillis()) + queue.targetLatencyMillis()
-				+ (long) (queue.stretch() * chainMillis(spec, 0));
-		long slackMillis = objectiveMillis - wallMillis - chainMillis(spec, step);
+				+ (long) (queue.stretch() * chainMillis(queue.name(), spec, 0));
+		long slackMillis = objectiveMillis - wallMillis - chainMillis(queue.name(), spec, step);
 		StepTasks tasks = occurrence.steps().get(step);
 		WorkItem.Urgency urgency = tasks.spec().longRunning() ? WorkItem.Urgency.LONG_RUNNING
 				: (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
@@ -93,11 +103,12 @@
 
 	/**
 	 * Returns the longest chain of estimated work from a step to the end of the job.
+	 * @param queue the queue
 	 * @param spec the job
 	 * @param firstStep the step with which the chain begins; 0 for any
 	 * @return the time in milliseconds
 	 */
-	static long chainMillis(JobSpec spec, int firstStep) {
+	long chainMillis(String queue, JobSpec spec, int firstStep) {
 		List<StepSpec> steps = spec.steps();
 		long[] chains = new long[steps.size()];
 		long longest = 0;
@@ -108,7 +119,7 @@
 					following = Math.max(following, chains[later]);
 				}
 			}
-			chains[step] = steps.get(step).estimatedMillis() + following;
+			chains[step] = this.durations.estimateMillis(queue, steps.get(step).estimatedMillis()) + following;
 			longest = Math.max(longest, chains[step]);
 		}
 		return (firstStep == 0) ? longest : chains[firstStep];
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -73,6 +73,19 @@
 		return this.draining.containsKey(host) || isDown(host);
 	}
 
+	/**
+	 * Tells whether a host must stay where it is until its upkeep is over.
+	 * @param host the host
+	 * @return whether its upkeep is due or under way
+	 */
+	public boolean isReserved(String host) {
+		return this.draining.containsKey(host) || this.state.waves()
+			.values()
+			.stream()
+			.map((wave) -> wave.hosts().get(host))
+			.anyMatch((phase) -> phase != null && phase.isDown());
+	}
+
 	/**
 	 * Returns and clears the commands to commit.
 	 * @return the commands
@@ -117,12 +130,16 @@
 	 * @param reply the reply
 	 * @param nowMillis the time
 	 */
-	public void onReply(HostOrder order, HostReply reply, long nowMillis) {
+	public void onReply(HostOrder.Upkeep order, HostReply reply, long nowMillis) {
 		this.ordersInFlight.remove(order.host());
 		this.nextTryMillis.put(order.host(), nowMillis + this.settings.retryMillis());
 		switch (reply) {
 			case DONE -> {
 				this.begunMillis.put(order.host(), nowMillis);
+				// The runner has ended with the upkeep, so it is not asked any more.
+				Optional.ofNullable(this.state.waves().get(order.wave()))
+					.flatMap((wave) -> Optional.ofNullable(wave.orderedLives().get(order.host())))
+					.ifPresent((life) -> this.proposals.add(new BatchCommand.RemoveRunner(life)));
 				propose(order.wave(), order.host(), UpkeepPhase.BEGUN);
 			}
 			case BUSY -> propose(order.wave(), order.host(), UpkeepPhase.PENDING);
@@ -222,7 +239,7 @@
 		boolean isDue = !this.ordersInFlight.containsKey(host)
 				&& nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
 		if (isDue) {
-			HostOrder order = new HostOrder(this.fencingToken, host, wave.wave().number());
+			HostOrder order = new HostOrder.Upkeep(this.fencingToken, host, wave.wave().number());
 			this.ordersInFlight.put(host, order);
 			this.orders.add(order);
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -236,4 +236,21 @@
 
 	}
 
+	/**
+	 * Notes where a move of a host stands. {@link MovePhase#ORDERED} is committed before
+	 * the order is sent.
+	 *
+	 * @param host the host
+	 * @param pool the pool it moves to
+	 * @param phase where it stands
+	 */
+	record SetMove(String host, String pool, MovePhase phase) implements BatchCommand {
+
+		@Override
+		public CommandVerdict applyTo(BatchState state, long atMillis) {
+			return state.setMove(this.host, this.pool, this.phase);
+		}
+
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
@@ -8,6 +8,7 @@
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -21,9 +22,10 @@
  * @param runners the runners
  * @param runs the runs that may be under way
  * @param waves the maintenance waves
+ * @param moves the moves of hosts that are not over
  */
 public record BatchSnapshot(Optional<FleetConfiguration> configuration, List<JobImage> jobs, List<RunnerRecord> runners,
-		List<Run> runs, List<WaveImage> waves) {
+		List<Run> runs, List<WaveImage> waves, List<HostMove> moves) {
 
 	/**
 	 * Copy of a job.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -14,6 +14,7 @@
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -41,6 +42,8 @@
 
 	private final Map<Long, WaveProgress> waves = new TreeMap<>();
 
+	private final Map<String, HostMove> moves = new TreeMap<>();
+
 	private final RunTable runs = new RunTable();
 
 	// access
@@ -112,6 +115,14 @@
 		return Collections.unmodifiableMap(this.waves);
 	}
 
+	/**
+	 * Returns the moves of hosts that are not over, by host.
+	 * @return the moves
+	 */
+	public Map<String, HostMove> moves() {
+		return Collections.unmodifiableMap(this.moves);
+	}
+
 	/**
 	 * Returns the number of jobs of a queue of which nothing was started yet.
 	 * @param queue the name of the queue
@@ -273,6 +284,21 @@
 		return CommandVerdict.APPLIED;
 	}
 
+	CommandVerdict setMove(String host, String pool, MovePhase phase) {
+		Optional<HostMove> known = Optional.ofNullable(this.moves.get(host));
+		boolean isOther = known.filter((move) -> !move.pool().equals(pool)).isPresent();
+		if (isOther || (known.isEmpty() && phase != MovePhase.ORDERED)) {
+			return CommandVerdict.REFUSED;
+		}
+		switch (phase) {
+			case ORDERED ->
+				this.moves.putIfAbsent(host, new HostMove(host, pool, false, runnerOn(host).map(RunnerRecord::key)));
+			case BEGUN -> this.moves.put(host, new HostMove(host, pool, true, known.get().lifeBefore()));
+			case OVER -> this.moves.remove(host);
+		}
+		return CommandVerdict.APPLIED;
+	}
+
 	// snapshots
 
 	/**
@@ -286,7 +312,8 @@
 				this.jobs.values().stream().map((job) -> BatchSnapshot.JobImage.of(job, endedMillis)).toList(),
 				List.copyOf(this.runners.values()),
 				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
-				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList());
+				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList(),
+				List.copyOf(this.moves.values()));
 	}
 
 	/**
@@ -313,6 +340,7 @@
 			state.task(run.task()).ifPresent((task) -> task.assign(run));
 		});
 		snapshot.waves().forEach((image) -> state.waves.put(image.wave().number(), image.toProgress()));
+		snapshot.moves().forEach((move) -> state.moves.put(move.host(), move));
 		return state;
 	}
 
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -0,0 +1,101 @@
+package io.burdockpin.core.batch.call;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class CallRulesTests {
+
+	private final CallRules rules = new CallRules();
+
+	private final BatchState state = new BatchState();
+
+	@Test
+	void callsBeforeTheFirstConfigurationAreRefusedWithATimeToComeBack() {
+		FleetReply.Refused refused = (FleetReply.Refused) answer(look("/queue-pool/x", "key"));
+		assertThat(refused.reason()).isEqualTo(FleetReply.Reason.NO_CONFIGURATION);
+		assertThat(refused.retryAfterMillis()).isPresent();
+	}
+
+	@Test
+	void unknownQueuesKeysAndJobsAreToldApart() {
+		configure(1, "pool");
+		assertThat(reason(look("/nowhere/x", "key"))).isEqualTo(FleetReply.Reason.NO_SUCH_QUEUE);
+		assertThat(reason(look("/queue-pool/x", "other"))).isEqualTo(FleetReply.Reason.KEY_REFUSED);
+		assertThat(reason(look("/queue-pool/x", "key"))).isEqualTo(FleetReply.Reason.NO_SUCH_JOB);
+	}
+
+	@Test
+	void theLongestPrefixDecidesAndAPathWithoutAJobAsksForTheQueue() {
+		configure(1, "pool");
+		assertThat(answer(look("/queue-pool/", "key"))).isEqualTo(new FleetReply.QueueStatus(0));
+	}
+
+	@Test
+	void aJobIsCommittedOnceAndThenAccepted() {
+		configure(1, "pool");
+		FleetCall.Submit submit = new FleetCall.Submit("host", "/queue-pool/job", Optional.of("key"),
+				BatchFixtures.job(BatchFixtures.step(1)));
+		CallDecision.Commit commit = (CallDecision.Commit) this.rules.decide(submit, this.state);
+		apply(commit.command());
+		assertThat(answer(submit)).isEqualTo(new FleetReply.Accepted());
+		assertThat(answer(look("/queue-pool/job", "key"))).isEqualTo(new FleetReply.JobStatus(BatchJobPhase.QUEUED));
+	}
+
+	/** Guards against a key of one workspace that reads the jobs of another. */
+	@Test
+	void aJobOfAnotherWorkspaceIsNotKnown() {
+		configure(1, "pool");
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "another", BatchFixtures.job(BatchFixtures.step(1))));
+		assertThat(reason(look("/queue-pool/job", "key"))).isEqualTo(FleetReply.Reason.NO_SUCH_JOB);
+	}
+
+	@Test
+	void aConfigurationThatIsNotNewerIsAcceptedWithoutAChange() {
+		configure(7, "pool");
+		FleetConfiguration older = BatchFixtures.configuration(7, Resources.NONE, "other");
+		assertThat(this.rules.decide(new FleetCall.PutConfiguration(older), this.state))
+			.isEqualTo(new CallDecision.Answer(new FleetReply.Accepted()));
+	}
+
+	@Test
+	void aConfigurationWhoseQueueNamesNoPoolIsInvalid() {
+		FleetConfiguration broken = new FleetConfiguration(9, List.of(BatchFixtures.queue("queue", "nowhere", 1)),
+				List.of(), List.of(), Payload.EMPTY);
+		CallDecision.Answer answer = (CallDecision.Answer) this.rules.decide(new FleetCall.PutConfiguration(broken),
+				this.state);
+		assertThat(((FleetReply.Refused) answer.reply()).reason()).isEqualTo(FleetReply.Reason.INVALID);
+	}
+
+	private void configure(long version, String pool) {
+		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(version, Resources.NONE, pool)));
+	}
+
+	private void apply(BatchCommand command) {
+		this.state.apply(new CommandGroup(1_000, List.of(command)));
+	}
+
+	private static FleetCall.Look look(String path, String key) {
+		return new FleetCall.Look("host", path, Optional.of(key));
+	}
+
+	private FleetReply answer(FleetCall.CallerCall call) {
+		return ((CallDecision.Answer) this.rules.decide(call, this.state)).reply();
+	}
+
+	private FleetReply.Reason reason(FleetCall.CallerCall call) {
+		return ((FleetReply.Refused) answer(call)).reason();
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DurationEstimatorTests.java
@@ -0,0 +1,44 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DurationEstimatorTests {
+
+	@Test
+	void anEstimateIsBelievedUntilTasksWereMeasured() {
+		assertThat(new DurationEstimator().estimateMillis("queue", 700)).isEqualTo(700);
+	}
+
+	/** Pattern: estimates that are off by a factor of two and more. */
+	@Test
+	void estimatesThatSayLittleAreReplacedByWhatTasksTake() {
+		DurationEstimator estimator = new DurationEstimator();
+		double before = 0;
+		double after = 0;
+		Random random = new Random(7);
+		for (int task = 0; task < 600; task++) {
+			long actualMillis = Math.round(1_000 * Math.exp(0.4 * random.nextGaussian()));
+			int estimatedMillis = (int) Math.max(1, Math.round(actualMillis * Math.exp(0.9 * random.nextGaussian())));
+			if (task >= 300) {
+				before += Math.abs(Math.log((double) estimatedMillis / actualMillis));
+				after += Math.abs(Math.log((double) estimator.estimateMillis("queue", estimatedMillis) / actualMillis));
+			}
+			estimator.count("queue", estimatedMillis, actualMillis);
+		}
+		assertThat(after / before).isLessThan(0.6);
+	}
+
+	@Test
+	void goodEstimatesStayAsTheyAre() {
+		DurationEstimator estimator = new DurationEstimator();
+		for (int task = 1; task <= 200; task++) {
+			estimator.count("queue", 10 * task, 10L * task);
+		}
+		assertThat((double) estimator.estimateMillis("queue", 1_500)).isWithin(60).of(1_500);
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -0,0 +1,135 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.MovePhase;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Pattern: demand that turns from pool to pool, more than a pool holds in its turn. */
+class PoolBalancerTests {
+
+	private static final BalanceSettings SETTINGS = new BalanceSettings(0, 1_700, 2_000, 1_000, 200, 1_000);
+
+	private final BatchState state = new BatchState();
+
+	private final Map<RunnerKey, RunnerSession> sessions = new HashMap<>();
+
+	private PoolBalancer balancer;
+
+	private long nowMillis = 100_000;
+
+	@BeforeEach
+	void configure() {
+		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, Resources.NONE, "hot", "cold")));
+		this.balancer = new PoolBalancer(this.state, SETTINGS, 1, this.nowMillis);
+		for (int number = 0; number < 4; number++) {
+			addRunner("hot" + number, "hot");
+			addRunner("cold" + number, "cold");
+		}
+	}
+
+	@Test
+	void nothingMovesWhileTheDemandFits() {
+		submit("small", 4);
+		assertThat(tick()).isEmpty();
+	}
+
+	@Test
+	void spareHostsAreTakenFirst() {
+		this.balancer.onList(List.of(new HostEntry("host-s1", "spare", true)));
+		submit("large", 20);
+		List<BatchCommand.SetMove> moves = tick();
+		assertThat(moves.get(0)).isEqualTo(new BatchCommand.SetMove("host-s1", "hot", MovePhase.ORDERED));
+	}
+
+	@Test
+	void idleHostsOfAPoolWithoutDemandFollow() {
+		submit("large", 24);
+		List<BatchCommand.SetMove> moves = tick();
+		assertThat(moves).hasSize(2);
+		assertThat(moves.stream().allMatch((move) -> move.host().startsWith("host-cold") && move.pool().equals("hot")))
+			.isTrue();
+	}
+
+	/** Guards against a move that ends the tasks on its host. */
+	@Test
+	void aHostWithATaskIsNotMoved() {
+		submit("large", 24);
+		apply(new BatchCommand.SubmitJob("other", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(4))));
+		for (int number = 0; number < 4; number++) {
+			apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(new TaskId("other", 0, 0, number), 1,
+					new RunnerKey("cold" + number, 1)))));
+		}
+		assertThat(tick()).isEmpty();
+	}
+
+	@Test
+	void aMoveIsCommittedBeforeItIsOrderedAndOrderedOnce() {
+		this.balancer.onList(List.of(new HostEntry("host-s1", "spare", true)));
+		submit("large", 20);
+		tick().forEach(this::apply);
+		this.nowMillis += 200;
+		tick();
+		assertThat(this.balancer.drainOrders()).contains(new HostOrder.Move(1, "host-s1", "hot"));
+		this.nowMillis += 200;
+		tick();
+		assertThat(this.balancer.drainOrders()).isEmpty();
+	}
+
+	@Test
+	void hostsThatStayIdleGoToTheSparePoolButForTheLastTwo() {
+		List<String> moved = new ArrayList<>();
+		for (int round = 0; round < 40; round++) {
+			tick().forEach((move) -> {
+				apply(move);
+				moved.add(move.host());
+				assertThat(move.pool()).isEqualTo("spare");
+			});
+			this.nowMillis += 200;
+		}
+		assertThat(moved).hasSize(4);
+	}
+
+	private List<BatchCommand.SetMove> tick() {
+		this.sessions.values()
+			.forEach((session) -> session
+				.onHoldReply(new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of()), this.nowMillis));
+		this.balancer.tick(this.sessions, (host) -> false, this.nowMillis);
+		return this.balancer.drainProposals().stream().map((command) -> (BatchCommand.SetMove) command).toList();
+	}
+
+	private void submit(String id, int tasks) {
+		apply(new BatchCommand.SubmitJob(id, "queue-hot", "team", BatchFixtures.job(BatchFixtures.step(tasks))));
+	}
+
+	private void addRunner(String id, String pool) {
+		RunnerRecord runner = BatchFixtures.runner(id, pool, 1);
+		apply(new BatchCommand.RegisterRunner(runner));
+		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 1, this.nowMillis,
+				this.nowMillis);
+		this.sessions.put(runner.key(), session);
+	}
+
+	private void apply(BatchCommand command) {
+		this.state.apply(new CommandGroup(this.nowMillis, List.of(command)));
+		if (command instanceof BatchCommand.SetMove move && this.balancer != null) {
+			this.balancer.onMoveCommitted(move.host());
+		}
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -37,7 +37,8 @@
 final class SimulatedFleet {
 
 	static final LeaderSettings SETTINGS = new LeaderSettings(new SessionSettings(4_000, 6_000, 300, 400, 100, 1_500),
-			new WaveSettings(1_000, 500, 2_000, 200), 10_000);
+			new WaveSettings(1_000, 500, 2_000, 200), new BalanceSettings(1_000, 1_700, 2_000, 2_000, 200, 1_000),
+			10_000);
 
 	private static final String POOL = "pool";
 
@@ -180,7 +181,8 @@
 			if (command instanceof BatchCommand.NoteEnds ends) {
 				ends.ends()
 					.stream()
-					.filter((end) -> end.outcome().isDone())
+					.filter((end) -> end.outcome().isDone()
+							&& !this.runners.get(ends.runner().id()).isVoid(ends.runner(), end))
 					.forEach((end) -> this.noted.add(end.task()));
 			}
 		});
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,9 @@
 
 	private final List<BatchCommand.End> ends = new ArrayList<>();
 
+	/** Ends that were not acknowledged when the lease ended; they count for nothing. */
+	private final Set<Long> voidEnds = new HashSet<>();
+
 	SimulatedRunner(String id, String pool, RandomGenerator random, long nowMillis) {
 		this.id = id;
 		this.pool = pool;
@@ -91,6 +95,11 @@
 		this.running.clear();
 		this.highestClosedRun.clear();
 		this.ends.clear();
+		this.voidEnds.clear();
+	}
+
+	boolean isVoid(RunnerKey key, BatchCommand.End end) {
+		return key.bornMillis() != this.bornMillis || this.voidEnds.contains(end.number());
 	}
 
 	long clockMillis(long nowMillis) {
@@ -100,6 +109,9 @@
 	/** Ends what is due, and everything when the lease has ended. */
 	void advance(long nowMillis) {
 		boolean lapsed = !this.ignoresLease && clockMillis(nowMillis) >= this.leaseEndMillis;
+		if (lapsed) {
+			this.ends.forEach((end) -> this.voidEnds.add(end.number()));
+		}
 		List.copyOf(this.running.entrySet()).forEach((entry) -> {
 			Execution execution = entry.getValue();
 			if (lapsed) {
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -0,0 +1,154 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class TaskPlannerTests {
+
+	private static final long NOW_MILLIS = 1_000_000;
+
+	private final TaskPlanner planner = new TaskPlanner(new DurationEstimator());
+
+	private final BatchState state = new BatchState();
+
+	private final List<RunnerRecord> runners = new ArrayList<>();
+
+	@Test
+	void neverExceedsTheCapacityOfARunnerOrTheLimitOfAWorkspace() {
+		for (int seed = 0; seed < 200; seed++) {
+			TaskPlannerTests round = new TaskPlannerTests();
+			Random random = new Random(seed);
+			int limitMillicores = 3_000 + random.nextInt(9_000);
+			round.configure(new Resources(limitMillicores, 0, 0));
+			for (int number = 0; number < 1 + random.nextInt(5); number++) {
+				round.addRunner("r" + number);
+			}
+			for (int number = 0; number < random.nextInt(8); number++) {
+				StepSpec step = (random.nextInt(3) == 0) ? BatchFixtures.gang(1 + random.nextInt(5))
+						: BatchFixtures.step(1 + random.nextInt(9));
+				round.submit("job" + number, NOW_MILLIS - random.nextInt(5_000), step);
+			}
+			Map<RunnerKey, Long> counts = round.plan()
+				.stream()
+				.collect(Collectors.groupingBy(BatchCommand.Assignment::runner, Collectors.counting()));
+			long total = counts.values().stream().mapToLong(Long::longValue).sum();
+			assertWithMessage("seed %s", seed).that(counts.values().stream().allMatch((count) -> count <= 4)).isTrue();
+			assertWithMessage("seed %s", seed).that(total * 1_000).isAtMost(limitMillicores);
+		}
+	}
+
+	@Test
+	void aGangIsPlacedAsAWholeOrNotAtAll() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		submit("gang", NOW_MILLIS, BatchFixtures.gang(5));
+		assertThat(plan()).isEmpty();
+		addRunner("r2");
+		assertThat(plan()).hasSize(5);
+	}
+
+	@Test
+	void tasksThatMustBeApartUseSeveralRunners() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		addRunner("r2");
+		submit("job", NOW_MILLIS, BatchFixtures.longRunning(3, 1, 1));
+		assertThat(plan().stream().map(BatchCommand.Assignment::runner).distinct().count()).isEqualTo(2);
+		assertThat(plan()).hasSize(2);
+	}
+
+	@Test
+	void aLabelThatNoRunnerHasKeepsATaskWaiting() {
+		configure(Resources.NONE);
+		this.runners.add(BatchFixtures.runner("r1", "pool", 1, "a"));
+		StepSpec step = new StepSpec(1, BatchFixtures.TASK, 500, List.of(), false, false, false, Optional.of("b"),
+				Optional.empty(), OptionalInt.empty(), false, false, Optional.empty(), OptionalInt.empty(), false, 0);
+		submit("job", NOW_MILLIS, step);
+		assertThat(plan()).isEmpty();
+		this.runners.add(BatchFixtures.runner("r2", "pool", 1, "b"));
+		assertThat(plan()).hasSize(1);
+	}
+
+	@Test
+	void aRunnerThatFailsItsTasksGetsThemOnlyIfNoOtherCan() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		addRunner("r2");
+		submit("job", NOW_MILLIS, BatchFixtures.step(5));
+		List<BatchCommand.Assignment> planned = this.planner.plan(this.state, this.runners,
+				(runner) -> runner.id().equals("r1"), NOW_MILLIS);
+		assertThat(planned.stream().filter((assignment) -> assignment.runner().id().equals("r2")).count()).isEqualTo(4);
+	}
+
+	/**
+	 * Pattern: more work than room. Work that cannot be in time must not delay other
+	 * work.
+	 */
+	@Test
+	void workThatCanStillBeInTimeComesBeforeWorkThatIsLate() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		submit("late", NOW_MILLIS - 60_000, BatchFixtures.step(4));
+		submit("fresh", NOW_MILLIS, BatchFixtures.step(4));
+		Set<String> first = plan().stream().map((assignment) -> assignment.task().job()).collect(Collectors.toSet());
+		assertThat(first).containsExactly("fresh");
+	}
+
+	@Test
+	void runNumbersRise() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		submit("job", NOW_MILLIS, BatchFixtures.step(1));
+		Map<Integer, Integer> runs = new HashMap<>();
+		for (int round = 1; round <= 3; round++) {
+			BatchCommand.Assignment assignment = plan().get(0);
+			runs.put(round, assignment.run());
+			apply(new BatchCommand.AssignRuns(List.of(assignment)));
+			apply(new BatchCommand.ReleaseRuns(
+					List.of(new BatchCommand.Release(assignment.task(), assignment.run(), ""))));
+		}
+		assertThat(runs).containsExactly(1, 1, 2, 2, 3, 3);
+	}
+
+	private List<BatchCommand.Assignment> plan() {
+		return this.planner.plan(this.state, this.runners, (runner) -> false, NOW_MILLIS);
+	}
+
+	private void configure(Resources limit) {
+		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, limit, "pool")));
+	}
+
+	private void addRunner(String id) {
+		this.runners.add(BatchFixtures.runner(id, "pool", 1));
+	}
+
+	private void submit(String id, long acceptedMillis, StepSpec step) {
+		this.state.apply(new CommandGroup(acceptedMillis,
+				List.of(new BatchCommand.SubmitJob(id, "queue-pool", "team", BatchFixtures.job(step)))));
+	}
+
+	private void apply(BatchCommand command) {
+		this.state.apply(new CommandGroup(NOW_MILLIS, List.of(command)));
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
@@ -0,0 +1,153 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.Run;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class WaveKeeperTests {
+
+	private static final int HOSTS = 6;
+
+	private final BatchState state = new BatchState();
+
+	private final Map<RunnerKey, RunnerSession> sessions = new HashMap<>();
+
+	private final Map<String, Long> downUntilMillis = new HashMap<>();
+
+	private long nowMillis = 100_000;
+
+	private WaveKeeper keeper;
+
+	@BeforeEach
+	void configure() {
+		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, Resources.NONE, "pool")));
+		for (int number = 0; number < HOSTS; number++) {
+			register(BatchFixtures.runner("r" + number, "pool", 1));
+		}
+		this.keeper = new WaveKeeper(this.state, new WaveSettings(3_000, 500, 2_000, 200), 1, this.nowMillis);
+	}
+
+	@Test
+	void aNewLeaderWaitsBeforeItsFirstOrder() {
+		startWave(2);
+		for (int round = 0; round < 29; round++) {
+			step(100);
+		}
+		assertThat(this.downUntilMillis).isEmpty();
+		for (int round = 0; round < 5; round++) {
+			step(100);
+		}
+		assertThat(this.downUntilMillis).isNotEmpty();
+	}
+
+	/** Guards against more hosts down than the operator allows. */
+	@Test
+	void theWaveKeepsItsBoundAndIsCompletedWhenAllHostsAreBack() {
+		startWave(2);
+		for (int round = 0; round < 400; round++) {
+			step(100);
+			assertThat(this.downUntilMillis.values().stream().filter((until) -> until > this.nowMillis).count())
+				.isAtMost(2);
+		}
+		assertThat(this.downUntilMillis).hasSize(HOSTS);
+		assertThat(this.state.waves().get(1L).isCompleted()).isTrue();
+	}
+
+	/** Guards against a step that loses more members than its budget at a time. */
+	@Test
+	void longRunningTasksAreStoppedWithinTheBudgetOfTheirStep() {
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(HOSTS, 1, 1))));
+		for (int index = 0; index < HOSTS; index++) {
+			assign(new TaskId("job", 0, 0, index), "r" + index);
+		}
+		startWave(3);
+		step(3_100);
+		step(100);
+		long stopping = this.sessions.values()
+			.stream()
+			.filter((session) -> this.state.runs()
+				.on(session.runner().key())
+				.stream()
+				.anyMatch((run) -> session.isStopping(run.task())))
+			.count();
+		assertThat(stopping).isEqualTo(1);
+	}
+
+	private void startWave(int maximumDown) {
+		List<String> hosts = new ArrayList<>();
+		for (int number = 0; number < HOSTS; number++) {
+			hosts.add("host-r" + number);
+		}
+		apply(new BatchCommand.StartWave(new MaintenanceWave(1, hosts, 20_000, maximumDown, this.nowMillis)));
+	}
+
+	private void step(long millis) {
+		this.nowMillis += millis;
+		this.sessions.values().forEach(this::listen);
+		this.keeper.tick(this.sessions, this.nowMillis);
+		this.keeper.drainOrders().forEach((order) -> {
+			this.downUntilMillis.put(order.host(), this.nowMillis + 2_000);
+			this.keeper.onReply((HostOrder.Upkeep) order, HostReply.DONE, this.nowMillis);
+		});
+		this.keeper.drainProposals().forEach(this::apply);
+		this.downUntilMillis.forEach((host, until) -> {
+			boolean isBack = until <= this.nowMillis && this.state.runnerOn(host).isEmpty();
+			if (isBack) {
+				register(BatchFixtures.runner(host.substring("host-".length()), "pool", this.nowMillis));
+			}
+		});
+	}
+
+	private void listen(RunnerSession session) {
+		List<RunnerReply.RunningTask> running = this.state.runs()
+			.on(session.runner().key())
+			.stream()
+			.map((run) -> new RunnerReply.RunningTask(run.task(), run.number(), "", 100, OptionalInt.empty()))
+			.toList();
+		session.onHoldReply(new RunnerReply.Listing(this.nowMillis,
+				OptionalLong.of(session.runner().key().bornMillis()), running, List.of()), this.nowMillis);
+	}
+
+	private void assign(TaskId task, String runner) {
+		RunnerKey key = new RunnerKey(runner, 1);
+		apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, key))));
+		Run run = this.state.task(task).get().run().get();
+		this.sessions.get(key).add(run, "", "", true);
+	}
+
+	private void register(RunnerRecord runner) {
+		apply(new BatchCommand.RegisterRunner(runner));
+		this.sessions.keySet().removeIf((key) -> key.id().equals(runner.key().id()));
+		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 1, this.nowMillis,
+				this.nowMillis);
+		this.sessions.put(runner.key(), session);
+		listen(session);
+	}
+
+	private void apply(BatchCommand command) {
+		this.state.apply(new CommandGroup(this.nowMillis, List.of(command)));
+		if (command instanceof BatchCommand.RemoveRunner removed) {
+			this.sessions.remove(removed.runner());
+		}
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -0,0 +1,184 @@
+package io.burdockpin.core.batch.state;
+
+import java.util.List;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.RunOutcome;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class BatchStateTests {
+
+	private static final RunnerRecord RUNNER = BatchFixtures.runner("r1", "pool", 10);
+
+	private final BatchState state = new BatchState();
+
+	private long endNumber;
+
+	@BeforeEach
+	void configure() {
+		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")));
+		apply(new BatchCommand.RegisterRunner(RUNNER));
+	}
+
+	/** Guards against an older change that arrives again and replaces a newer one. */
+	@Test
+	void anOlderOrEqualVersionOfTheConfigurationChangesNothing() {
+		assertThat(apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "other"))))
+			.isEqualTo(CommandVerdict.UNCHANGED);
+		assertThat(apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(4, Resources.NONE, "other"))))
+			.isEqualTo(CommandVerdict.UNCHANGED);
+		assertThat(this.state.configuration().get().pool("pool")).isPresent();
+	}
+
+	@Test
+	void aJobThatIsHandedInAgainStaysOneJob() {
+		submit("job", BatchFixtures.step(2));
+		assign("job", 0, 0, 1);
+		assertThat(submit("job", BatchFixtures.step(5))).isEqualTo(CommandVerdict.UNCHANGED);
+		assertThat(this.state.job("job").get().spec().steps().get(0).taskCount()).isEqualTo(2);
+		assertThat(this.state.waitingCount("queue-pool")).isEqualTo(0);
+	}
+
+	@Test
+	void aStepIsReadyOnlyWhenTheEarlierOnesAreDone() {
+		submit("job", BatchFixtures.step(2), BatchFixtures.step(1, 0));
+		assign("job", 0, 0, 1);
+		assign("job", 0, 1, 1);
+		end("job", 0, 0, 1, RunOutcome.DONE);
+		assertThat(occurrence("job").isReady(1)).isFalse();
+		end("job", 0, 1, 1, RunOutcome.DONE);
+		assertThat(occurrence("job").isReady(1)).isTrue();
+		assign("job", 1, 0, 1);
+		end("job", 1, 0, 1, RunOutcome.DONE);
+		assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.COMPLETED);
+	}
+
+	@Test
+	void aTaskThatFailsUsesUpItsAttemptsAndOtherEndsDoNot() {
+		submit("job", BatchFixtures.step(1));
+		assign("job", 0, 0, 1);
+		end("job", 0, 0, 1, RunOutcome.LAPSED);
+		assign("job", 0, 0, 2);
+		end("job", 0, 0, 2, RunOutcome.FAILED);
+		assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.RUNNING);
+		assign("job", 0, 0, 3);
+		end("job", 0, 0, 3, RunOutcome.FAILED);
+		assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.FAILED);
+	}
+
+	@Test
+	void aLongRunningTaskIsStartedAgainHoweverItEnds() {
+		submit("job", BatchFixtures.longRunning(1, 0, 1));
+		for (int run = 1; run <= 5; run++) {
+			assign("job", 0, 0, run);
+			end("job", 0, 0, run, (run % 2 == 0) ? RunOutcome.DONE : RunOutcome.FAILED);
+		}
+		assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.RUNNING);
+		assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+	}
+
+	@Test
+	void oneEndOfAGangStandsForAllOfIt() {
+		submit("gang", BatchFixtures.gang(3));
+		for (int index = 0; index < 3; index++) {
+			assign("gang", 0, index, 1);
+		}
+		end("gang", 0, 1, 1, RunOutcome.DONE);
+		assertThat(this.state.job("gang").get().phase()).isEqualTo(BatchJobPhase.COMPLETED);
+		assertThat(this.state.runs().on(RUNNER.key())).hasSize(2);
+	}
+
+	/** Guards against a run that is counted twice, or never given back. */
+	@Test
+	void aRunCountsFromItsAssignmentToItsEnd() {
+		submit("job", BatchFixtures.step(2));
+		assign("job", 0, 0, 1);
+		assign("job", 0, 0, 2);
+		assertThat(this.state.runs().reservedOn(RUNNER.key())).isEqualTo(BatchFixtures.TASK);
+		apply(new BatchCommand.CancelJob("job"));
+		assertThat(this.state.runs().chargedTo("team")).isEqualTo(BatchFixtures.TASK);
+		end("job", 0, 0, 1, RunOutcome.STOPPED);
+		assertThat(this.state.runs().chargedTo("team")).isEqualTo(Resources.NONE);
+	}
+
+	/** Guards against runs of a dead life that block their tasks for ever. */
+	@Test
+	void aNewLifeOfARunnerEndsTheRunsOfTheEarlierOne() {
+		submit("job", BatchFixtures.step(1));
+		assign("job", 0, 0, 1);
+		assertThat(apply(new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 20))))
+			.isEqualTo(CommandVerdict.APPLIED);
+		assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+		assertThat(apply(new BatchCommand.RegisterRunner(RUNNER))).isEqualTo(CommandVerdict.REFUSED);
+	}
+
+	@Test
+	void occurrencesOpenInOrderAndCompleteTheJobWithTheLast() {
+		apply(new BatchCommand.SubmitJob("timed", "queue-pool", "team",
+				new JobSpec("s", List.of(BatchFixtures.step(1)), 2, 1_000, 500)));
+		assertThat(apply(new BatchCommand.OpenOccurrence("timed", 1))).isEqualTo(CommandVerdict.UNCHANGED);
+		for (int occurrence = 0; occurrence < 2; occurrence++) {
+			apply(new BatchCommand.OpenOccurrence("timed", occurrence));
+			TaskId task = new TaskId("timed", occurrence, 0, 0);
+			apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, RUNNER.key()))));
+			end(task, 1, RunOutcome.DONE);
+		}
+		assertThat(this.state.job("timed").get().phase()).isEqualTo(BatchJobPhase.COMPLETED);
+	}
+
+	@Test
+	void aCopyOfTheStateGivesTheSameState() {
+		submit("job", BatchFixtures.step(3), BatchFixtures.step(1, 0));
+		submit("gone", BatchFixtures.step(1));
+		apply(new BatchCommand.CancelJob("gone"));
+		assign("job", 0, 0, 1);
+		assign("job", 0, 1, 1);
+		end("job", 0, 1, 1, RunOutcome.DONE);
+		apply(new BatchCommand.StartWave(new MaintenanceWave(3, List.of("host-r1", "host-r2"), 1_000, 1, 7)));
+		apply(new BatchCommand.SetUpkeep(3, "host-r1", UpkeepPhase.ORDERED));
+		apply(new BatchCommand.SetMove("host-r9", "pool", MovePhase.ORDERED));
+		BatchSnapshot copy = this.state.snapshot();
+		BatchState restored = BatchState.restore(copy);
+		assertThat(restored.snapshot()).isEqualTo(copy);
+		assertThat(restored.runs().reservedOn(RUNNER.key())).isEqualTo(BatchFixtures.TASK);
+		assertThat(restored.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isFalse();
+	}
+
+	private CommandVerdict apply(BatchCommand command) {
+		return this.state.apply(new CommandGroup(1_000, List.of(command))).get(0);
+	}
+
+	private CommandVerdict submit(String id, StepSpec... steps) {
+		return apply(new BatchCommand.SubmitJob(id, "queue-pool", "team", BatchFixtures.job(steps)));
+	}
+
+	private void assign(String job, int step, int index, int run) {
+		apply(new BatchCommand.AssignRuns(
+				List.of(new BatchCommand.Assignment(new TaskId(job, 0, step, index), run, RUNNER.key()))));
+	}
+
+	private void end(String job, int step, int index, int run, RunOutcome outcome) {
+		end(new TaskId(job, 0, step, index), run, outcome);
+	}
+
+	private void end(TaskId task, int run, RunOutcome outcome) {
+		RunnerKey key = RUNNER.key();
+		this.endNumber++;
+		apply(new BatchCommand.NoteEnds(key, List.of(new BatchCommand.End(this.endNumber, task, run, outcome, ""))));
+	}
+
+	private Occurrence occurrence(String job) {
+		return this.state.job(job).get().occurrence(0).get();
+	}
+
+}
