Begin a term anew when a proposal is refused, and keep room from long-running tasks

Cause: a leader that refuses a proposal while it hands over lost commands that it counted on, so a runner was never asked for its lists again. Long-running tasks, worth little for their share of a host, filled pools before their queues' turn.

Change: the leader's decisions start anew after a refused proposal; long-running tasks come after work that is in time, take at most half of a pool and share hosts; the pause counts from the last committed order about a host; hosts of a wave are not moved; orders about hosts are sent after the leadership is confirmed; elections and the search for the leader are quicker.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -79,14 +79,14 @@
 	/**
 	 * Members miss several heartbeats before an election, so that a busy host keeps it.
 	 */
-	private static final ReplicaSettings REPLICA = new ReplicaSettings(100, 700, 1400, 4096, 8 * 1024 * 1024, 512,
+	private static final ReplicaSettings REPLICA = new ReplicaSettings(100, 500, 1000, 4096, 8 * 1024 * 1024, 512,
 			1024 * 1024, 64 * 1024, 1500);
 
 	private static final int TICK_MILLIS = 100;
 
-	private static final int CHECK_MILLIS = 400;
+	private static final int CHECK_MILLIS = 250;
 
-	private static final int SILENCE_MILLIS = 900;
+	private static final int SILENCE_MILLIS = 600;
 
 	public BatchSettings {
 		Checks.name("cluster", cluster);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -21,6 +21,7 @@
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.FleetLeader;
+import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
@@ -271,7 +272,7 @@
 			this.proposals.proposed(proposed.tag(), proposed.index());
 		}
 		else if (report instanceof ConsensusReport.NotProposed refused) {
-			this.proposals.refused(refused.tag(), notLeader());
+			onNotProposed(refused.tag());
 		}
 		else if (report instanceof ConsensusReport.ReadDone read) {
 			onReadDone(read);
@@ -297,7 +298,7 @@
 		this.proposals.committed(entry.index());
 		if (this.leads && this.leader.isEmpty() && entry.term() == this.term) {
 			logger.atInfo().log("Leads in term %d from index %d.", this.term, entry.index());
-			this.leader = Optional.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
+			startLeading();
 		}
 	}
 
@@ -313,6 +314,20 @@
 		this.consensus.ifPresent((target) -> target.tell(new ConsensusCommand.Compact(this.appliedIndex, encoded)));
 	}
 
+	// The leader has lost commands that it counts on, so it begins its term anew.
+	private void onNotProposed(long tag) {
+		this.proposals.refused(tag, notLeader());
+		if (this.leader.isPresent()) {
+			logger.atWarning().log("A proposal was refused while this member leads; decides anew.");
+			this.channels.retain((key) -> false);
+			startLeading();
+		}
+	}
+
+	private void startLeading() {
+		this.leader = Optional.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
+	}
+
 	private void onReadDone(ConsensusReport.ReadDone read) {
 		List<Runnable> waiting = this.reads.remove(read.number());
 		if (waiting != null) {
@@ -389,7 +404,14 @@
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
 		leading.dueOrders(nowMillis).forEach(this.channels::send);
-		leading.drainHostOrders().forEach((order) -> this.hosts.tell(new HostChannel.Send(order, this.hostReplies)));
+		List<HostOrder> hostOrders = leading.drainHostOrders();
+		if (!hostOrders.isEmpty()) {
+			// The platform does not check the fencing token, so the leadership is
+			// confirmed.
+			this.nextReads.add(() -> this.leader.filter((present) -> present == leading)
+				.ifPresent((present) -> hostOrders
+					.forEach((order) -> this.hosts.tell(new HostChannel.Send(order, this.hostReplies)))));
+		}
 		if (leading.takeHostListDue(nowMillis)) {
 			this.hosts.tell(new HostChannel.ListHosts(this.hostLists));
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
@@ -15,9 +15,12 @@
 
 	private Resources free;
 
-	Candidate(RunnerRecord runner, Resources reserved, boolean suspect) {
+	private Resources longRunning;
+
+	Candidate(RunnerRecord runner, Resources reserved, Resources longRunning, boolean suspect) {
 		this.runner = runner;
 		this.free = runner.capacity().minus(reserved);
+		this.longRunning = longRunning;
 		this.suspect = suspect;
 	}
 
@@ -42,16 +45,22 @@
 		return this.free.cpuMillicores();
 	}
 
-	Resources free() {
-		return this.free;
+	Resources longRunning() {
+		return this.longRunning;
 	}
 
-	void take(Resources reserved) {
-		this.free = this.free.minus(reserved);
+	void take(StepSpec step) {
+		this.free = this.free.minus(step.reserved());
+		if (step.longRunning()) {
+			this.longRunning = this.longRunning.plus(step.reserved());
+		}
 	}
 
-	void giveBack(Resources reserved) {
-		this.free = this.free.plus(reserved);
+	void giveBack(StepSpec step) {
+		this.free = this.free.plus(step.reserved());
+		if (step.longRunning()) {
+			this.longRunning = this.longRunning.minus(step.reserved());
+		}
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -247,8 +247,8 @@
 	public void decide(long nowMillis, long wallMillis) {
 		this.sessions.values().forEach((session) -> endLifeIfOver(session, nowMillis));
 		openDueOccurrences(wallMillis);
-		this.waves.tick(this.sessions, nowMillis);
-		this.balancer.tick(this.sessions, this.waves::isReserved, nowMillis);
+		this.waves.tick(this.sessions, nowMillis, wallMillis);
+		this.balancer.tick(this.sessions, this.waves::isReserved, nowMillis, wallMillis);
 		if (!this.planIsOpen) {
 			plan(nowMillis, wallMillis);
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -50,6 +50,11 @@
 
 	private final PoolDemand demand;
 
+	private final HandOverPause pause;
+
+	/** Hosts whose move this leader has proposed. */
+	private final Set<String> ownOrders = new HashSet<>();
+
 	private final Map<String, HostEntry> spareHosts = new LinkedHashMap<>();
 
 	private final Map<String, Long> idleSinceMillis = new HashMap<>();
@@ -84,6 +89,7 @@
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
 		this.demand = new PoolDemand(state);
+		this.pause = new HandOverPause(state, settings.handOverPauseMillis(), electedMillis);
 	}
 
 	// access
@@ -160,20 +166,23 @@
 	 * @param sessions the sessions with the runners
 	 * @param isReserved hosts that must stay where they are
 	 * @param nowMillis the time of the monotonic clock
+	 * @param wallMillis the time of day in milliseconds since 1970
 	 */
-	public void tick(Map<RunnerKey, RunnerSession> sessions, Predicate<String> isReserved, long nowMillis) {
+	public void tick(Map<RunnerKey, RunnerSession> sessions, Predicate<String> isReserved, long nowMillis,
+			long wallMillis) {
 		if (nowMillis < this.nextRoundMillis || this.state.configuration().isEmpty()) {
 			return;
 		}
 		this.nextRoundMillis = nowMillis + PERIOD_MILLIS;
 		FleetConfiguration configuration = this.state.configuration().get();
 		this.demand.observe(configuration, nowMillis);
-		if (nowMillis - this.electedMillis < this.settings.handOverPauseMillis()) {
-			return;
-		}
 		this.state.moves().values().forEach((move) -> advance(move, sessions, nowMillis));
-		Map<String, Pool> pools = pools(configuration, sessions, isReserved, nowMillis);
-		pools.values().stream().filter((pool) -> !pool.spare).forEach((pool) -> grow(pool, pools, nowMillis));
+		Map<String, Pool> pools = pools(configuration, sessions,
+				(host) -> isReserved.test(host) || !this.pause.isOver(host, nowMillis, wallMillis), nowMillis);
+		pools.values()
+			.stream()
+			.filter((pool) -> !pool.spare)
+			.forEach((pool) -> grow(pool, pools, nowMillis, wallMillis));
 		configuration.pools()
 			.stream()
 			.filter(BatchPool::spare)
@@ -218,7 +227,8 @@
 			over(move);
 		}
 		else if (!move.begun()) {
-			boolean isDue = !this.ordersInFlight.containsKey(move.host())
+			boolean mayOrder = this.ownOrders.contains(move.host()) || this.pause.isOverForOpenOrders(nowMillis);
+			boolean isDue = mayOrder && !this.ordersInFlight.containsKey(move.host())
 					&& nowMillis >= this.nextTryMillis.getOrDefault(move.host(), 0L);
 			if (isDue) {
 				HostOrder order = new HostOrder.Move(this.fencingToken, move.host(), move.pool());
@@ -287,9 +297,9 @@
 		return pools;
 	}
 
-	private void grow(Pool pool, Map<String, Pool> pools, long nowMillis) {
+	private void grow(Pool pool, Map<String, Pool> pools, long nowMillis, long wallMillis) {
 		while (pool.isShort()) {
-			Optional<String> host = takeSpare(nowMillis).or(() -> takeIdle(pool, pools, nowMillis));
+			Optional<String> host = takeSpare(nowMillis, wallMillis).or(() -> takeIdle(pool, pools, nowMillis));
 			if (host.isEmpty()) {
 				return;
 			}
@@ -300,13 +310,15 @@
 
 	private void order(String host, String pool) {
 		this.proposedHosts.add(host);
+		this.ownOrders.add(host);
 		this.proposals.add(new BatchCommand.SetMove(host, pool, MovePhase.ORDERED));
 	}
 
-	private Optional<String> takeSpare(long nowMillis) {
+	private Optional<String> takeSpare(long nowMillis, long wallMillis) {
 		Optional<String> host = this.spareHosts.keySet()
 			.stream()
 			.filter((name) -> !isMoving(name) && nowMillis >= this.nextTryMillis.getOrDefault(name, 0L))
+			.filter((name) -> this.pause.isOver(name, nowMillis, wallMillis))
 			// The list may be older than the newest move of the host.
 			.filter((name) -> nowMillis - this.movedMillis.getOrDefault(name, Long.MIN_VALUE / 2) >= this.settings
 				.stayMillis())
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
@@ -27,6 +27,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	/**
+	 * Long-running tasks may take only a share of a pool, so they want more than they
+	 * use.
+	 */
+	private static final double LONG_RUNNING_FACTOR = 1.5;
+
 	private final BatchState state;
 
 	private final Map<String, Double> arrivingPerSecond = new HashMap<>();
@@ -104,6 +110,7 @@
 				StepTasks step = occurrence.steps().get(number);
 				if (!step.isDone() && occurrence.isReady(number)) {
 					long open = step.tasks().stream().filter((task) -> !task.isDone() || hasRun(task)).count();
+					open = step.spec().longRunning() ? Math.round(LONG_RUNNING_FACTOR * open) : open;
 					room = room.plus(new Room(open * step.spec().reserved().cpuMillicores(),
 							open * step.spec().reserved().memoryMebibytes()));
 				}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -21,19 +21,27 @@
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
+import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.model.Resources;
 
 /**
- * Chooses runners for waiting tasks: long-running steps first, then those that can still
- * meet their objective by priority and slack, then the rest. Never plans beyond the
- * capacity of a runner or the limit of a workspace. Immutable but for the estimator.
+ * Chooses runners for waiting tasks: first those that can still meet their objective, by
+ * priority and slack, then long-running steps up to a share of the pool, then the rest.
+ * Long-running tasks share hosts, so that other hosts can be moved. Never plans beyond
+ * the capacity of a runner or the limit of a workspace. Immutable but for the estimator.
  */
 public final class TaskPlanner {
 
 	/** Bounds the size of one log entry and the time of one round. */
 	private static final int MAXIMUM_ASSIGNMENTS = 128;
 
+	/**
+	 * Long-running tasks stay for minutes and may hardly be stopped, so the rest of a
+	 * pool is kept for the turns in which its queues ask for most.
+	 */
+	private static final double LONG_RUNNING_SHARE = 0.5;
+
 	private final DurationEstimator durations;
 
 	/**
@@ -60,7 +68,8 @@
 		FleetConfiguration configuration = state.configuration().get();
 		Round round = new Round(state, configuration);
 		for (RunnerRecord runner : runners) {
-			round.add(new Candidate(runner, state.runs().reservedOn(runner.key()), isSuspect.test(runner.key())));
+			round.add(new Candidate(runner, state.runs().reservedOn(runner.key()), longRunning(state, runner.key()),
+					isSuspect.test(runner.key())));
 		}
 		List<WorkItem> items = new ArrayList<>();
 		state.activeJobs()
@@ -77,6 +86,15 @@
 		return round.assignments;
 	}
 
+	private static Resources longRunning(BatchState state, RunnerKey runner) {
+		return state.runs()
+			.on(runner)
+			.stream()
+			.filter((run) -> state.step(run.task()).filter((step) -> step.spec().longRunning()).isPresent())
+			.map(Run::reserved)
+			.reduce(Resources.NONE, Resources::plus);
+	}
+
 	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, long wallMillis) {
 		for (Occurrence occurrence : job.occurrences()) {
 			List<StepTasks> steps = occurrence.steps();
@@ -200,7 +218,7 @@
 		private void undo(WorkItem item, int firstAssignment, List<Candidate> taken) {
 			StepSpec spec = item.tasks().spec();
 			taken.forEach((candidate) -> {
-				candidate.giveBack(spec.reserved());
+				candidate.giveBack(spec);
 				this.charged.computeIfPresent(item.job().workspace(), (name, sum) -> sum.minus(spec.resources()));
 			});
 			this.assignments.subList(firstAssignment, this.assignments.size()).clear();
@@ -218,23 +236,36 @@
 
 		private Optional<Candidate> choose(WorkItem item, Map<RunnerKey, Integer> used, Optional<String> rack) {
 			StepSpec spec = item.tasks().spec();
-			if (isAboveLimit(item, spec)) {
+			if (isAboveLimit(item, spec) || (spec.longRunning() && isAboveShare(item, spec))) {
 				return Optional.empty();
 			}
 			OptionalInt maximum = spec.maximumPerRunner();
 			Comparator<Candidate> order = Comparator.comparing(Candidate::isSuspect)
 				.thenComparing((candidate) -> !candidate.isNear(spec))
 				.thenComparing((candidate) -> rack.isPresent() && !rack.equals(candidate.runner().rack()));
-			// Long-running tasks are spread, so that a lost runner takes few of them;
-			// others
-			// go where they leave the least, so that large tasks still find room.
+			// Tasks go where they leave the least, so that large tasks still find room.
 			Comparator<Candidate> room = Comparator.comparingInt(Candidate::freeMillicores);
+			Comparator<Candidate> shared = Comparator
+				.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
+				.reversed();
 			return this.byPool.getOrDefault(item.queue().pool(), List.of())
 				.stream()
 				.filter((candidate) -> candidate.fits(spec))
 				.filter((candidate) -> maximum.isEmpty()
 						|| used.getOrDefault(candidate.runner().key(), 0) < maximum.getAsInt())
-				.min(order.thenComparing(spec.longRunning() ? room.reversed() : room));
+				.min(order.thenComparing(spec.longRunning() ? shared : room));
+		}
+
+		private boolean isAboveShare(WorkItem item, StepSpec spec) {
+			double millicores = -spec.reserved().cpuMillicores();
+			double mebibytes = -spec.reserved().memoryMebibytes();
+			for (Candidate candidate : this.byPool.getOrDefault(item.queue().pool(), List.of())) {
+				Resources capacity = candidate.runner().capacity();
+				millicores += LONG_RUNNING_SHARE * capacity.cpuMillicores() - candidate.longRunning().cpuMillicores();
+				mebibytes += LONG_RUNNING_SHARE * capacity.memoryMebibytes()
+						- candidate.longRunning().memoryMebibytes();
+			}
+			return millicores < 0 || mebibytes < 0;
 		}
 
 		private boolean isAboveLimit(WorkItem item, StepSpec spec) {
@@ -250,7 +281,7 @@
 		private void take(WorkItem item, int index, int run, Candidate candidate, Map<RunnerKey, Integer> used) {
 			StepSpec spec = item.tasks().spec();
 			RunnerKey key = candidate.runner().key();
-			candidate.take(spec.reserved());
+			candidate.take(spec);
 			used.merge(key, 1, Integer::sum);
 			this.charged.put(item.job().workspace(), chargedTo(item.job().workspace()).plus(spec.resources()));
 			this.assignments.add(new BatchCommand.Assignment(
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -34,6 +36,11 @@
 
 	private final long electedMillis;
 
+	private final HandOverPause pause;
+
+	/** Hosts whose upkeep this leader has committed. */
+	private final Set<String> ownOrders = new HashSet<>();
+
 	/** Hosts that take no new tasks, with the start of their drain. */
 	private final Map<String, Long> draining = new LinkedHashMap<>();
 
@@ -60,6 +67,7 @@
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
+		this.pause = new HandOverPause(state, settings.handOverPauseMillis(), electedMillis);
 	}
 
 	// access
@@ -74,16 +82,17 @@
 	}
 
 	/**
-	 * Tells whether a host must stay where it is until its upkeep is over.
+	 * Tells whether a host must not be moved: the upkeep of a host that is switched off
+	 * or moving cannot begin.
 	 * @param host the host
 	 * @return whether its upkeep is due or under way
 	 */
 	public boolean isReserved(String host) {
-		return this.draining.containsKey(host) || this.state.waves()
+		return this.state.waves()
 			.values()
 			.stream()
 			.map((wave) -> wave.hosts().get(host))
-			.anyMatch((phase) -> phase != null && phase.isDown());
+			.anyMatch((phase) -> phase != null && !phase.isOver());
 	}
 
 	/**
@@ -112,16 +121,14 @@
 	 * Takes the next steps.
 	 * @param sessions the sessions with the runners
 	 * @param nowMillis the time of the monotonic clock
+	 * @param wallMillis the time of day in milliseconds since 1970
 	 */
-	public void tick(Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
-		if (nowMillis - this.electedMillis < this.settings.handOverPauseMillis()) {
-			return;
-		}
+	public void tick(Map<RunnerKey, RunnerSession> sessions, long nowMillis, long wallMillis) {
 		this.state.waves()
 			.values()
 			.stream()
 			.filter((wave) -> !wave.isCompleted())
-			.forEach((wave) -> advance(wave, sessions, nowMillis));
+			.forEach((wave) -> advance(wave, sessions, nowMillis, wallMillis));
 	}
 
 	/**
@@ -152,7 +159,7 @@
 
 	// helpers
 
-	private void advance(WaveProgress wave, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+	private void advance(WaveProgress wave, Map<RunnerKey, RunnerSession> sessions, long nowMillis, long wallMillis) {
 		wave.hosts().forEach((host, phase) -> {
 			if (phase == UpkeepPhase.ORDERED) {
 				sendWhenDue(wave, host, nowMillis);
@@ -171,6 +178,7 @@
 			.filter((entry) -> entry.getValue() == UpkeepPhase.PENDING && !this.draining.containsKey(entry.getKey()))
 			.map(Map.Entry::getKey)
 			.filter((host) -> nowMillis >= this.nextTryMillis.getOrDefault(host, 0L))
+			.filter((host) -> this.pause.isOver(host, nowMillis, wallMillis))
 			.sorted(Comparator.comparingInt(this::reservedMillicores))
 			.limit(Math.max(0, room))
 			.forEach((host) -> this.draining.put(host, nowMillis));
@@ -190,6 +198,7 @@
 		Optional<RunnerRecord> runner = this.state.runnerOn(host);
 		Collection<Run> runs = runner.map((known) -> this.state.runs().on(known.key())).orElse(List.of());
 		if (runs.isEmpty()) {
+			this.ownOrders.add(host);
 			propose(wave.wave().number(), host, UpkeepPhase.ORDERED);
 			return;
 		}
@@ -236,7 +245,8 @@
 
 	private void sendWhenDue(WaveProgress wave, String host, long nowMillis) {
 		this.draining.remove(host);
-		boolean isDue = !this.ordersInFlight.containsKey(host)
+		boolean mayOrder = this.ownOrders.contains(host) || this.pause.isOverForOpenOrders(nowMillis);
+		boolean isDue = mayOrder && !this.ordersInFlight.containsKey(host)
 				&& nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
 		if (isDue) {
 			HostOrder order = new HostOrder.Upkeep(this.fencingToken, host, wave.wave().number());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
@@ -30,12 +30,15 @@
 	/** Groups of steps, the first one first. */
 	enum Urgency {
 
-		/** Serves its own users until it is cancelled. */
-		LONG_RUNNING,
-
 		/** Can still meet its latency objective. */
 		IN_TIME,
 
+		/**
+		 * Serves its own users until it is cancelled. It is worth less for its share of a
+		 * host than work that is in time.
+		 */
+		LONG_RUNNING,
+
 		/** Will miss its objective; worth little to its caller by now. */
 		LATE
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -231,7 +231,7 @@
 
 		@Override
 		public CommandVerdict applyTo(BatchState state, long atMillis) {
-			return state.setUpkeep(this.wave, this.host, this.phase);
+			return state.setUpkeep(this.wave, this.host, this.phase, atMillis);
 		}
 
 	}
@@ -248,7 +248,7 @@
 
 		@Override
 		public CommandVerdict applyTo(BatchState state, long atMillis) {
-			return state.setMove(this.host, this.pool, this.phase);
+			return state.setMove(this.host, this.pool, this.phase, atMillis);
 		}
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
@@ -23,9 +23,10 @@
  * @param runs the runs that may be under way
  * @param waves the maintenance waves
  * @param moves the moves of hosts that are not over
+ * @param hostOrderMillis when an order about each host was committed last
  */
 public record BatchSnapshot(Optional<FleetConfiguration> configuration, List<JobImage> jobs, List<RunnerRecord> runners,
-		List<Run> runs, List<WaveImage> waves, List<HostMove> moves) {
+		List<Run> runs, List<WaveImage> waves, List<HostMove> moves, Map<String, Long> hostOrderMillis) {
 
 	/**
 	 * Copy of a job.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -44,6 +44,9 @@
 
 	private final Map<String, HostMove> moves = new TreeMap<>();
 
+	/** When an order about each host was committed last, in milliseconds since 1970. */
+	private final Map<String, Long> hostOrderMillis = new TreeMap<>();
+
 	private final RunTable runs = new RunTable();
 
 	// access
@@ -123,6 +126,15 @@
 		return Collections.unmodifiableMap(this.moves);
 	}
 
+	/**
+	 * Returns when an order about a host was committed last.
+	 * @param host the host
+	 * @return milliseconds since 1970, 0 if there was none
+	 */
+	public long lastHostOrderMillis(String host) {
+		return this.hostOrderMillis.getOrDefault(host, 0L);
+	}
+
 	/**
 	 * Returns the number of jobs of a queue of which nothing was started yet.
 	 * @param queue the name of the queue
@@ -275,21 +287,23 @@
 		return CommandVerdict.APPLIED;
 	}
 
-	CommandVerdict setUpkeep(long number, String host, UpkeepPhase phase) {
+	CommandVerdict setUpkeep(long number, String host, UpkeepPhase phase, long atMillis) {
 		WaveProgress wave = this.waves.get(number);
 		if (wave == null || !wave.hosts().containsKey(host)) {
 			return CommandVerdict.REFUSED;
 		}
+		this.hostOrderMillis.put(host, atMillis);
 		wave.set(host, phase, runnerOn(host).map(RunnerRecord::key));
 		return CommandVerdict.APPLIED;
 	}
 
-	CommandVerdict setMove(String host, String pool, MovePhase phase) {
+	CommandVerdict setMove(String host, String pool, MovePhase phase, long atMillis) {
 		Optional<HostMove> known = Optional.ofNullable(this.moves.get(host));
 		boolean isOther = known.filter((move) -> !move.pool().equals(pool)).isPresent();
 		if (isOther || (known.isEmpty() && phase != MovePhase.ORDERED)) {
 			return CommandVerdict.REFUSED;
 		}
+		this.hostOrderMillis.put(host, atMillis);
 		switch (phase) {
 			case ORDERED ->
 				this.moves.putIfAbsent(host, new HostMove(host, pool, false, runnerOn(host).map(RunnerRecord::key)));
@@ -313,7 +327,7 @@
 				List.copyOf(this.runners.values()),
 				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
 				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList(),
-				List.copyOf(this.moves.values()));
+				List.copyOf(this.moves.values()), Map.copyOf(this.hostOrderMillis));
 	}
 
 	/**
@@ -340,6 +354,7 @@
 			state.task(run.task()).ifPresent((task) -> task.assign(run));
 		});
 		snapshot.waves().forEach((image) -> state.waves.put(image.wave().number(), image.toProgress()));
+		state.hostOrderMillis.putAll(snapshot.hostOrderMillis());
 		snapshot.moves().forEach((move) -> state.moves.put(move.host(), move));
 		return state;
 	}
