Start long-running steps as a whole, restore them first and print each decision

On-call engineers had no line for a decision.

Change: a long-running step is placed as a whole, within its share of the pool, and its lost tasks come first; hosts are given back after 1.5 s. The leader prints each committed decision as a JSON line with its log index, and each process the calls that got no good answer.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -24,6 +24,8 @@
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.event.EventPrinter;
 import io.burdockpin.runtime.metric.MetricRegistry;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
@@ -65,6 +67,8 @@
 
 	private final CompletableFuture<ExitStatus> exit;
 
+	private final ActorRef<EventLog.Command> eventLog;
+
 	private final ActorRef<SchedulerCommand> scheduler;
 
 	private Optional<ActorRef<ConsensusCommand>> consensus = Optional.empty();
@@ -81,8 +85,10 @@
 		this.clock = clock;
 		this.timers = timers;
 		this.exit = exit;
+		this.eventLog = context.spawn(StandardOutput.events("burdock-batch-control", settings, clock), "events",
+				EventPrinter.MAILBOX);
 		this.scheduler = context.spawn(SchedulerActor.create(settings.toLeaderSettings(), ports.runners(),
-				context.spawn(ports.hosts(), "host-channel"), clock, Clock.systemUTC()), "scheduler");
+				context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()), "scheduler");
 		context.watch(this.scheduler);
 		ActorRef<SchedulerCommand> target = this.scheduler;
 		ActorRef<ConsensusReport> reports = context
@@ -175,7 +181,7 @@
 		getContext().spawn(CallListener.create(this.settings.toCallSettings(), this.scheduler,
 				getContext().messageAdapter(CallListener.Failed.class, ListenerFailed::new)), "call-listener");
 		ActorRef<LeaderClientCommand> client = getContext().spawn(
-				LeaderClient.create(this.settings.toCallSettings(), Optional.of(this.scheduler), this.clock),
+				LeaderClient.create(this.settings.toCallSettings(), Optional.of(this.scheduler), this.eventLog, this.clock),
 				"leader-client");
 		this.leader = Optional.of(client);
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
@@ -10,6 +10,8 @@
 import io.burdockpin.batch.call.LeaderClient;
 import io.burdockpin.batch.call.LeaderClientCommand;
 import io.burdockpin.batch.port.FrontEnd;
+import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.event.EventPrinter;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
 import org.apache.pekko.Done;
@@ -51,7 +53,9 @@
 		this.reload = reload;
 		this.timers = timers;
 		this.exit = exit;
-		this.leader = context.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), clock),
+		ActorRef<EventLog.Command> eventLog = context.spawn(
+				StandardOutput.events("burdock-batch-entry", settings, clock), "events", EventPrinter.MAILBOX);
+		this.leader = context.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), eventLog, clock),
 				"leader-client");
 		this.frontEnd = context.spawn(
 				frontEnds.create(this.leader, context.messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -68,7 +68,7 @@
 	private static final int MOVE_MILLIS = 1_700;
 
 	/** Two moves cost about as much as a host does in this time. */
-	private static final int IDLE_MILLIS = 2_500;
+	private static final int IDLE_MILLIS = 1_500;
 
 	private static final int STAY_MILLIS = 2_500;
 
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/StandardOutput.java
@@ -0,0 +1,29 @@
+package io.burdockpin.batch;
+
+import java.time.InstantSource;
+
+import io.burdockpin.codec.json.EventJsonCodec;
+import io.burdockpin.codec.json.ProcessDescription;
+import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.event.EventPrinter;
+import org.apache.pekko.actor.typed.Behavior;
+
+/** Prints the events of a process. */
+final class StandardOutput {
+
+	/** Twice what a leader prints when 150 tasks start each second. */
+	private static final int MAXIMUM_LINES_PER_SECOND = 600;
+
+	/** Processes of the batch scheduler keep no number of their lives. */
+	private static final long NO_INCARNATION = 0;
+
+	private StandardOutput() {
+	}
+
+	static Behavior<EventLog.Command> events(String program, BatchSettings settings, InstantSource clock) {
+		ProcessDescription process = new ProcessDescription(program, settings.host(), settings.dataCentre(),
+				NO_INCARNATION);
+		return EventPrinter.create(System.out, MAXIMUM_LINES_PER_SECOND, new EventJsonCodec(), process, clock);
+	}
+
+}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -1,6 +1,7 @@
 package io.burdockpin.batch.call;
 
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
 import io.burdockpin.core.batch.call.CallMessage;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.link.LinkCommand;
 import io.burdockpin.runtime.link.LinkEvent;
 import io.burdockpin.runtime.link.OutboundLink;
@@ -45,6 +47,8 @@
 
 	private final Optional<ActorRef<SchedulerCommand>> local;
 
+	private final CallEvents events;
+
 	private final InstantSource clock;
 
 	private final Set<String> members = new LinkedHashSet<>();
@@ -66,11 +70,12 @@
 	private boolean ready;
 
 	private LeaderClient(ActorContext<LeaderClientCommand> context, TimerScheduler<LeaderClientCommand> timers,
-			CallSettings settings, Optional<ActorRef<SchedulerCommand>> local, InstantSource clock) {
+			CallSettings settings, Optional<ActorRef<SchedulerCommand>> local, CallEvents events, InstantSource clock) {
 		super(context);
 		this.timers = timers;
 		this.settings = settings;
 		this.local = local;
+		this.events = events;
 		this.clock = clock;
 		this.members.addAll(settings.seedHosts());
 		local.ifPresent((member) -> this.members.add(settings.host()));
@@ -84,13 +89,15 @@
 	 * Creates the behavior.
 	 * @param settings the settings
 	 * @param local the control member in this process, if there is one
+	 * @param eventLog takes events
 	 * @param clock a clock that follows the monotonic clock
 	 * @return the behavior
 	 */
 	public static Behavior<LeaderClientCommand> create(CallSettings settings,
-			Optional<ActorRef<SchedulerCommand>> local, InstantSource clock) {
+			Optional<ActorRef<SchedulerCommand>> local, ActorRef<EventLog.Command> eventLog, InstantSource clock) {
+		CallEvents events = new CallEvents(eventLog, Clock.systemUTC());
 		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new LeaderClient(context, timers, settings, local, clock)));
+			.withTimers((timers) -> new LeaderClient(context, timers, settings, local, events, clock)));
 	}
 
 	@Override
@@ -169,7 +176,7 @@
 
 	private void open(FleetCall call, long timeoutMillis, ReplyPort replyTo) {
 		this.lastCorrelation++;
-		OpenCall opened = new OpenCall(call, replyTo, this.clock.millis() + timeoutMillis);
+		OpenCall opened = new OpenCall(call, replyTo, this.clock.millis(), timeoutMillis);
 		this.calls.put(this.lastCorrelation, opened);
 		long correlation = this.lastCorrelation;
 		this.target.ifPresent((host) -> send(host, correlation, opened));
@@ -188,6 +195,7 @@
 			this.heardMillis = this.clock.millis();
 			if (!this.ready) {
 				logger.atInfo().log("The leader is %s.", host);
+				this.events.leaderFound(host);
 			}
 			this.ready = true;
 		}
@@ -212,7 +220,10 @@
 	}
 
 	private void finish(long correlation, FleetReply reply) {
-		Optional.ofNullable(this.calls.remove(correlation)).ifPresent((call) -> call.replyTo().send(reply));
+		Optional.ofNullable(this.calls.remove(correlation)).ifPresent((call) -> {
+			call.replyTo().send(reply);
+			this.events.replied(call.call(), reply, this.clock.millis() - call.openedMillis(), call.unansweredSends());
+		});
 	}
 
 	// the leader
@@ -231,6 +242,7 @@
 	private void lose(String reason) {
 		if (this.ready) {
 			logger.atWarning().log("Leader %s %s.", this.target.orElse("unknown"), reason);
+			this.events.leaderLost(this.target.orElse("unknown"), reason);
 		}
 		this.ready = false;
 		// A connection that has gone silent does not recover, while a new one may work.
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/OpenCall.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/OpenCall.java
@@ -16,14 +16,17 @@
 
 	private final ReplyPort replyTo;
 
-	private final long deadlineMillis;
+	private final long openedMillis;
+
+	private final long timeoutMillis;
 
 	private int unansweredSends;
 
-	OpenCall(FleetCall call, ReplyPort replyTo, long deadlineMillis) {
+	OpenCall(FleetCall call, ReplyPort replyTo, long openedMillis, long timeoutMillis) {
 		this.call = call;
 		this.replyTo = replyTo;
-		this.deadlineMillis = deadlineMillis;
+		this.openedMillis = openedMillis;
+		this.timeoutMillis = timeoutMillis;
 	}
 
 	FleetCall call() {
@@ -34,8 +37,16 @@
 		return this.replyTo;
 	}
 
+	long openedMillis() {
+		return this.openedMillis;
+	}
+
 	long deadlineMillis() {
-		return this.deadlineMillis;
+		return this.openedMillis + this.timeoutMillis;
+	}
+
+	int unansweredSends() {
+		return this.unansweredSends;
 	}
 
 	void sent() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -26,6 +26,7 @@
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.CommandVerdict;
 import io.burdockpin.core.consensus.EntryContent;
 import io.burdockpin.core.consensus.LogEntry;
 import io.burdockpin.core.consensus.Member;
@@ -35,6 +36,7 @@
 import io.burdockpin.core.consensus.Snapshot;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Payload;
+import io.burdockpin.runtime.event.EventLog;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -74,6 +76,8 @@
 
 	private final CborBatchSnapshotCodec snapshotCodec = new CborBatchSnapshotCodec();
 
+	private final SchedulerEvents events;
+
 	private final OpenProposals proposals = new OpenProposals();
 
 	private final Map<Long, List<Runnable>> reads = new HashMap<>();
@@ -108,12 +112,13 @@
 
 	private SchedulerActor(ActorContext<SchedulerCommand> context, TimerScheduler<SchedulerCommand> timers,
 			LeaderSettings settings, RunnerChannel.Factory runners, ActorRef<HostChannel.Command> hosts,
-			InstantSource clock, InstantSource wallClock) {
+			ActorRef<EventLog.Command> eventLog, InstantSource clock, InstantSource wallClock) {
 		super(context);
 		this.settings = settings;
 		this.hosts = hosts;
 		this.clock = clock;
 		this.wallClock = wallClock;
+		this.events = new SchedulerEvents(eventLog, wallClock);
 		this.hostReplies = context.messageAdapter(HostChannel.Answered.class, SchedulerCommand.FromHosts::new);
 		this.hostLists = context.messageAdapter(HostChannel.Listed.class, SchedulerCommand.FromHostList::new);
 		this.channels = new RunnerChannels(context, runners,
@@ -128,14 +133,15 @@
 	 * @param settings the settings
 	 * @param runners creates channels to runners
 	 * @param hosts takes orders about hosts
+	 * @param eventLog takes events
 	 * @param clock a clock that follows the monotonic clock
 	 * @param wallClock the time of day, for jobs that are due at set times
 	 * @return the behavior
 	 */
 	public static Behavior<SchedulerCommand> create(LeaderSettings settings, RunnerChannel.Factory runners,
-			ActorRef<HostChannel.Command> hosts, InstantSource clock, InstantSource wallClock) {
+			ActorRef<HostChannel.Command> hosts, ActorRef<EventLog.Command> eventLog, InstantSource clock, InstantSource wallClock) {
 		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new SchedulerActor(context, timers, settings, runners, hosts, clock, wallClock)));
+			.withTimers((timers) -> new SchedulerActor(context, timers, settings, runners, hosts, eventLog, clock, wallClock)));
 	}
 
 	@Override
@@ -290,18 +296,26 @@
 		this.appliedIndex = entry.index();
 		if (entry.content() instanceof EntryContent.CommandContent content) {
 			CommandGroup group = this.groupCodec.decode(content.payload().bytes());
-			this.state.apply(group);
-			long nowMillis = this.clock.millis();
-			this.leader
-				.ifPresent((leading) -> group.commands().forEach((command) -> leading.onApplied(command, nowMillis)));
+			List<CommandVerdict> verdicts = this.state.apply(group);
+			this.leader.ifPresent((leading) -> onApplied(leading, entry.index(), group, verdicts));
 		}
 		this.proposals.committed(entry.index());
 		if (this.leads && this.leader.isEmpty() && entry.term() == this.term) {
 			logger.atInfo().log("Leads in term %d from index %d.", this.term, entry.index());
+			this.events.leadershipChanged(true, this.term);
 			startLeading();
 		}
 	}
 
+	private void onApplied(FleetLeader leading, long index, CommandGroup group, List<CommandVerdict> verdicts) {
+		long nowMillis = this.clock.millis();
+		for (int number = 0; number < verdicts.size(); number++) {
+			BatchCommand command = group.commands().get(number);
+			leading.onApplied(command, nowMillis);
+			this.events.applied(index, command, verdicts.get(number), this.state);
+		}
+	}
+
 	private void restore(Snapshot snapshot) {
 		this.appliedIndex = snapshot.index();
 		this.state = (snapshot.state().lengthBytes() == 0) ? new BatchState()
@@ -340,6 +354,7 @@
 		this.knownLeader = changed.leader();
 		if (this.leads && !changed.leads()) {
 			logger.atInfo().log("Stepped down; the term is %d.", changed.term());
+			this.events.leadershipChanged(false, changed.term());
 			this.leader = Optional.empty();
 			this.channels.retain((key) -> false);
 			this.outgoing.clear();
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -0,0 +1,143 @@
+package io.burdockpin.batch.scheduler;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandVerdict;
+import io.burdockpin.core.event.Event;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
+import io.burdockpin.core.event.HybridClock;
+import io.burdockpin.runtime.event.EventLog;
+import org.apache.pekko.actor.typed.ActorRef;
+
+/**
+ * Records each decision that was committed, with the log index that decided it. Only the
+ * leader records. Belongs to the scheduler.
+ */
+final class SchedulerEvents {
+
+	private final ActorRef<EventLog.Command> log;
+
+	private final InstantSource wallClock;
+
+	private final HybridClock hybridClock = new HybridClock();
+
+	SchedulerEvents(ActorRef<EventLog.Command> log, InstantSource wallClock) {
+		this.log = log;
+		this.wallClock = wallClock;
+	}
+
+	void leadershipChanged(boolean leads, long term) {
+		record(event(leads ? EventKind.LEADER_ELECTED : EventKind.LEADER_STEPPED_DOWN).with(EventField.TERM, term));
+	}
+
+	/**
+	 * Records a command that was applied.
+	 * @param index the index of its log entry
+	 * @param command the command
+	 * @param verdict what it has changed
+	 * @param state the state after it
+	 */
+	void applied(long index, BatchCommand command, CommandVerdict verdict, BatchState state) {
+		if (verdict != CommandVerdict.APPLIED) {
+			return;
+		}
+		if (command instanceof BatchCommand.AssignRuns assigned) {
+			assigned.assignments()
+				.forEach((assignment) -> record(run(EventKind.JOB_PLACED, index, assignment.task(), assignment.run())
+					.with(EventField.RUNNER, assignment.runner())));
+		}
+		else if (command instanceof BatchCommand.NoteEnds noted) {
+			noted(index, noted, state);
+		}
+		else if (command instanceof BatchCommand.ReleaseRuns released) {
+			released.releases()
+				.forEach((release) -> record(run(EventKind.RUN_ENDED, index, release.task(), release.run())
+					.with(EventField.OUTCOME, "RELEASED")));
+		}
+		else {
+			single(index, command).ifPresent(this::record);
+		}
+	}
+
+	private void noted(long index, BatchCommand.NoteEnds noted, BatchState state) {
+		for (BatchCommand.End end : noted.ends()) {
+			record(run(EventKind.RUN_ENDED, index, end.task(), end.run()).with(EventField.RUNNER, noted.runner())
+				.with(EventField.OUTCOME, end.outcome()));
+		}
+		List<String> jobs = noted.ends().stream().map((end) -> end.task().job()).distinct().toList();
+		jobs.forEach((id) -> state.job(id)
+			.map(BatchJob::phase)
+			.filter((phase) -> phase == BatchJobPhase.COMPLETED || phase == BatchJobPhase.FAILED)
+			.ifPresent((phase) -> record(
+					indexed(EventKind.JOB_ENDED, index).with(EventField.JOB, id).with(EventField.STATE, phase))));
+	}
+
+	private Optional<Event> single(long index, BatchCommand command) {
+		if (command instanceof BatchCommand.SetConfiguration set) {
+			return Optional.of(indexed(EventKind.CONFIGURATION_APPLIED, index).with(EventField.VERSION,
+					set.configuration().version()));
+		}
+		if (command instanceof BatchCommand.SubmitJob submitted) {
+			return Optional.of(indexed(EventKind.JOB_SUBMITTED, index).with(EventField.JOB, submitted.id())
+				.with(EventField.QUEUE, submitted.queue())
+				.with(EventField.TEAM, submitted.workspace()));
+		}
+		if (command instanceof BatchCommand.CancelJob cancelled) {
+			return Optional.of(indexed(EventKind.JOB_ENDED, index).with(EventField.JOB, cancelled.id())
+				.with(EventField.STATE, BatchJobPhase.CANCELLED));
+		}
+		if (command instanceof BatchCommand.RegisterRunner registered) {
+			return Optional.of(indexed(EventKind.RUNNER_ATTACHED, index)
+				.with(EventField.RUNNER, registered.runner().key())
+				.with(EventField.HOST, registered.runner().hostOrId())
+				.with(EventField.POOL, registered.runner().pool())
+				.with(EventField.STATE, registered.runner().draining() ? "DRAINING" : "READY"));
+		}
+		if (command instanceof BatchCommand.RemoveRunner removed) {
+			return Optional.of(removed(index, removed.runner()));
+		}
+		if (command instanceof BatchCommand.SetUpkeep upkeep) {
+			return Optional.of(indexed(EventKind.UPKEEP_CHANGED, index).with(EventField.WAVE, upkeep.wave())
+				.with(EventField.HOST, upkeep.host())
+				.with(EventField.STATE, upkeep.phase()));
+		}
+		if (command instanceof BatchCommand.SetMove move) {
+			return Optional.of(indexed(EventKind.HOST_CHANGED, index).with(EventField.HOST, move.host())
+				.with(EventField.POOL, move.pool())
+				.with(EventField.STATE, move.phase()));
+		}
+		return Optional.empty();
+	}
+
+	private Event removed(long index, RunnerKey runner) {
+		return indexed(EventKind.RUNNER_REMOVED, index).with(EventField.RUNNER, runner);
+	}
+
+	private Event run(EventKind kind, long index, TaskId task, int run) {
+		return indexed(kind, index).with(EventField.JOB, task.job())
+			.with(EventField.TASK, task)
+			.with(EventField.RUN, run);
+	}
+
+	private Event indexed(EventKind kind, long index) {
+		return event(kind).with(EventField.INDEX, index);
+	}
+
+	private Event event(EventKind kind) {
+		return Event.of(kind, this.hybridClock.tick(this.wallClock.millis()));
+	}
+
+	private void record(Event event) {
+		this.log.tell(new EventLog.Append(event));
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -32,7 +32,7 @@
 	private static final double HEADROOM = 1.15;
 
 	/** A pool keeps twice what it wants before it gives idle hosts away. */
-	private static final double KEEP_FACTOR = 1.6;
+	private static final double KEEP_FACTOR = 1.4;
 
 	/** A pool keeps hosts for the first jobs after a quiet time. */
 	private static final int MINIMUM_HOSTS = 2;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -114,9 +114,18 @@
 				+ (long) (queue.stretch() * chainMillis(queue.name(), spec, 0));
 		long slackMillis = objectiveMillis - wallMillis - chainMillis(queue.name(), spec, step);
 		StepTasks tasks = occurrence.steps().get(step);
-		WorkItem.Urgency urgency = tasks.spec().longRunning() ? WorkItem.Urgency.LONG_RUNNING
-				: (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
-		return new WorkItem(job, queue, occurrence, step, tasks, urgency, slackMillis);
+		return new WorkItem(job, queue, occurrence, step, tasks, urgency(tasks, slackMillis), slackMillis);
+	}
+
+	private static WorkItem.Urgency urgency(StepTasks tasks, long slackMillis) {
+		if (tasks.spec().longRunning()) {
+			return isPartlyPlaced(tasks) ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
+		}
+		return (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
+	}
+
+	private static boolean isPartlyPlaced(StepTasks tasks) {
+		return tasks.tasks().stream().anyMatch((task) -> task.run().isPresent());
 	}
 
 	/**
@@ -171,8 +180,8 @@
 
 		private void place(WorkItem item) {
 			Map<RunnerKey, Integer> used = usedRunners(item);
-			if (item.tasks().spec().gang()) {
-				placeGang(item, used);
+			if (item.tasks().spec().gang() || item.urgency() == WorkItem.Urgency.LONG_RUNNING) {
+				placeTogether(item, used);
 			}
 			else {
 				placeTasks(item, used);
@@ -193,8 +202,8 @@
 			}
 		}
 
-		// The members of a gang start together or not at all.
-		private void placeGang(WorkItem item, Map<RunnerKey, Integer> used) {
+		// The members of a gang start together or not at all, and so does a long-running step.
+		private void placeTogether(WorkItem item, Map<RunnerKey, Integer> used) {
 			List<BatchTask> tasks = item.tasks().tasks();
 			if (!tasks.stream().allMatch(BatchTask::isWaiting)) {
 				return;
@@ -236,7 +245,7 @@
 
 		private Optional<Candidate> choose(WorkItem item, Map<RunnerKey, Integer> used, Optional<String> rack) {
 			StepSpec spec = item.tasks().spec();
-			if (isAboveLimit(item, spec) || (spec.longRunning() && isAboveShare(item, spec))) {
+			if (isAboveLimit(item, spec) || (item.urgency() == WorkItem.Urgency.LONG_RUNNING && isAboveShare(item, spec))) {
 				return Optional.empty();
 			}
 			OptionalInt maximum = spec.maximumPerRunner();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
@@ -30,6 +30,12 @@
 	/** Groups of steps, the first one first. */
 	enum Urgency {
 
+		/**
+		 * Belongs to a long-running step of which some tasks run. A step with tasks away
+		 * has no budget left for maintenance.
+		 */
+		RESTORE,
+
 		/** Can still meet its latency objective. */
 		IN_TIME,
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -72,11 +72,40 @@
 		configure(Resources.NONE);
 		addRunner("r1");
 		addRunner("r2");
-		submit("job", NOW_MILLIS, BatchFixtures.longRunning(3, 1, 1));
+		submit("job", NOW_MILLIS, apart(3, 1));
 		Truth.assertThat(plan().stream().map(BatchCommand.Assignment::runner).distinct().count()).isEqualTo(2);
 		Truth.assertThat(plan()).hasSize(2);
 	}
 
+	/** Guards against steps with tasks away, whose hosts could not be maintained. */
+	@Test
+	void aLongRunningStepIsStartedAsAWholeAndRestoredFirst() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		submit("service", NOW_MILLIS, BatchFixtures.longRunning(3, 1, 1));
+		Truth.assertThat(plan()).isEmpty();
+		addRunner("r2");
+		addRunner("r3");
+		List<BatchCommand.Assignment> started = plan();
+		Truth.assertThat(started).hasSize(3);
+		apply(new BatchCommand.AssignRuns(started));
+		apply(new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(started.get(0).task(), 1, ""))));
+		submit("batch", NOW_MILLIS, BatchFixtures.step(12));
+		Truth.assertThat(plan().get(0).task().job()).isEqualTo("service");
+	}
+
+	/** Pattern: tasks that last fill a pool before the turn of its queue. */
+	@Test
+	void longRunningStepsLeaveHalfOfThePoolToWorkThatIsInTime() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		addRunner("r2");
+		for (int number = 0; number < 8; number++) {
+			submit("service" + number, NOW_MILLIS, BatchFixtures.longRunning(1, 0, 1));
+		}
+		Truth.assertThat(plan()).hasSize(4);
+	}
+
 	@Test
 	void aLabelThatNoRunnerHasKeepsATaskWaiting() {
 		configure(Resources.NONE);
@@ -131,6 +160,12 @@
 		Truth.assertThat(runs).containsExactly(1, 1, 2, 2, 3, 3);
 	}
 
+	private static StepSpec apart(int count, int maximumPerRunner) {
+		return new StepSpec(count, BatchFixtures.TASK, 500, List.of(), false, false, false, Optional.empty(),
+				Optional.empty(), OptionalInt.of(maximumPerRunner), false, false, Optional.empty(), OptionalInt.empty(),
+				false, 0);
+	}
+
 	private List<BatchCommand.Assignment> plan() {
 		return this.planner.plan(this.state, this.runners, (runner) -> false, NOW_MILLIS);
 	}
