Commit each phase of an upkeep once and rename the operations page

The events show a phase of one host committed about a hundred times: the leader proposed it again at each round until it was applied, and a repeated ORDERED that was applied after DONE began the upkeep again.

Ruled out: the count of hosts that are down; it holds for each single command.

Change: a phase follows only the one before it, and is proposed once until it is committed. FrozenProcessTests waited for a request by a call on another connection, which may overtake it (a run on a busy machine took a whole timeout after the freeze, 30.7 s); it now waits for the queue length.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -87,8 +87,10 @@
 		this.exit = exit;
 		this.eventLog = context.spawn(StandardOutput.events("burdock-batch-control", settings, clock), "events",
 				EventPrinter.MAILBOX);
-		this.scheduler = context.spawn(SchedulerActor.create(settings.toLeaderSettings(), ports.runners(),
-				context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()), "scheduler");
+		this.scheduler = context.spawn(
+				SchedulerActor.create(settings.toLeaderSettings(), ports.runners(),
+						context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()),
+				"scheduler");
 		context.watch(this.scheduler);
 		ActorRef<SchedulerCommand> target = this.scheduler;
 		ActorRef<ConsensusReport> reports = context
@@ -180,9 +182,8 @@
 		this.scheduler.tell(new SchedulerCommand.AttachConsensus(started));
 		getContext().spawn(CallListener.create(this.settings.toCallSettings(), this.scheduler,
 				getContext().messageAdapter(CallListener.Failed.class, ListenerFailed::new)), "call-listener");
-		ActorRef<LeaderClientCommand> client = getContext().spawn(
-				LeaderClient.create(this.settings.toCallSettings(), Optional.of(this.scheduler), this.eventLog, this.clock),
-				"leader-client");
+		ActorRef<LeaderClientCommand> client = getContext().spawn(LeaderClient.create(this.settings.toCallSettings(),
+				Optional.of(this.scheduler), this.eventLog, this.clock), "leader-client");
 		this.leader = Optional.of(client);
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
 		getContext().spawn(GroupJoiner.create(new FleetCall.Join(self.host().value(), self.incarnation(),
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
@@ -53,8 +53,8 @@
 		this.reload = reload;
 		this.timers = timers;
 		this.exit = exit;
-		ActorRef<EventLog.Command> eventLog = context.spawn(
-				StandardOutput.events("burdock-batch-entry", settings, clock), "events", EventPrinter.MAILBOX);
+		ActorRef<EventLog.Command> eventLog = context
+			.spawn(StandardOutput.events("burdock-batch-entry", settings, clock), "events", EventPrinter.MAILBOX);
 		this.leader = context.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), eventLog, clock),
 				"leader-client");
 		this.frontEnd = context.spawn(
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -139,9 +139,10 @@
 	 * @return the behavior
 	 */
 	public static Behavior<SchedulerCommand> create(LeaderSettings settings, RunnerChannel.Factory runners,
-			ActorRef<HostChannel.Command> hosts, ActorRef<EventLog.Command> eventLog, InstantSource clock, InstantSource wallClock) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new SchedulerActor(context, timers, settings, runners, hosts, eventLog, clock, wallClock)));
+			ActorRef<HostChannel.Command> hosts, ActorRef<EventLog.Command> eventLog, InstantSource clock,
+			InstantSource wallClock) {
+		return Behaviors.setup((context) -> Behaviors.withTimers(
+				(timers) -> new SchedulerActor(context, timers, settings, runners, hosts, eventLog, clock, wallClock)));
 	}
 
 	@Override
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -96,11 +96,11 @@
 				.with(EventField.STATE, BatchJobPhase.CANCELLED));
 		}
 		if (command instanceof BatchCommand.RegisterRunner registered) {
-			return Optional.of(indexed(EventKind.RUNNER_ATTACHED, index)
-				.with(EventField.RUNNER, registered.runner().key())
-				.with(EventField.HOST, registered.runner().hostOrId())
-				.with(EventField.POOL, registered.runner().pool())
-				.with(EventField.STATE, registered.runner().draining() ? "DRAINING" : "READY"));
+			return Optional
+				.of(indexed(EventKind.RUNNER_ATTACHED, index).with(EventField.RUNNER, registered.runner().key())
+					.with(EventField.HOST, registered.runner().hostOrId())
+					.with(EventField.POOL, registered.runner().pool())
+					.with(EventField.STATE, registered.runner().draining() ? "DRAINING" : "READY"));
 		}
 		if (command instanceof BatchCommand.RemoveRunner removed) {
 			return Optional.of(removed(index, removed.runner()));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -231,6 +231,9 @@
 		else if (command instanceof BatchCommand.CancelJob cancelled) {
 			stopRunsOf(cancelled.id());
 		}
+		else if (command instanceof BatchCommand.SetUpkeep upkeep) {
+			this.waves.onUpkeepCommitted(upkeep);
+		}
 		else if (command instanceof BatchCommand.SetMove move) {
 			this.balancer.onMoveCommitted(move.host());
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -248,9 +248,8 @@
 	}
 
 	private void over(HostMove move) {
-		BatchCommand over = new BatchCommand.SetMove(move.host(), move.pool(), MovePhase.OVER);
-		if (!this.proposals.contains(over)) {
-			this.proposals.add(over);
+		if (this.proposedHosts.add(move.host())) {
+			this.proposals.add(new BatchCommand.SetMove(move.host(), move.pool(), MovePhase.OVER));
 		}
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -202,7 +202,8 @@
 			}
 		}
 
-		// The members of a gang start together or not at all, and so does a long-running step.
+		// The members of a gang start together or not at all, and so does a long-running
+		// step.
 		private void placeTogether(WorkItem item, Map<RunnerKey, Integer> used) {
 			List<BatchTask> tasks = item.tasks().tasks();
 			if (!tasks.stream().allMatch(BatchTask::isWaiting)) {
@@ -245,7 +246,8 @@
 
 		private Optional<Candidate> choose(WorkItem item, Map<RunnerKey, Integer> used, Optional<String> rack) {
 			StepSpec spec = item.tasks().spec();
-			if (isAboveLimit(item, spec) || (item.urgency() == WorkItem.Urgency.LONG_RUNNING && isAboveShare(item, spec))) {
+			if (isAboveLimit(item, spec)
+					|| (item.urgency() == WorkItem.Urgency.LONG_RUNNING && isAboveShare(item, spec))) {
 				return Optional.empty();
 			}
 			OptionalInt maximum = spec.maximumPerRunner();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -49,6 +49,9 @@
 
 	private final Map<String, Long> begunMillis = new HashMap<>();
 
+	/** What was proposed for each host and is not committed yet. */
+	private final Map<String, UpkeepPhase> proposedPhases = new HashMap<>();
+
 	private final Map<String, HostOrder> ordersInFlight = new HashMap<>();
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
@@ -131,6 +134,14 @@
 			.forEach((wave) -> advance(wave, sessions, nowMillis, wallMillis));
 	}
 
+	/**
+	 * Takes note of a command that was committed.
+	 * @param command the command
+	 */
+	public void onUpkeepCommitted(BatchCommand.SetUpkeep command) {
+		this.proposedPhases.remove(command.host(), command.phase());
+	}
+
 	/**
 	 * Takes note of the reply to an order.
 	 * @param order the order
@@ -278,9 +289,9 @@
 	}
 
 	private void propose(long wave, String host, UpkeepPhase phase) {
-		BatchCommand command = new BatchCommand.SetUpkeep(wave, host, phase);
-		if (!this.proposals.contains(command)) {
-			this.proposals.add(command);
+		if (this.proposedPhases.get(host) != phase) {
+			this.proposedPhases.put(host, phase);
+			this.proposals.add(new BatchCommand.SetUpkeep(wave, host, phase));
 		}
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -289,7 +289,7 @@
 
 	CommandVerdict setUpkeep(long number, String host, UpkeepPhase phase, long atMillis) {
 		WaveProgress wave = this.waves.get(number);
-		if (wave == null || !wave.hosts().containsKey(host)) {
+		if (wave == null || !wave.hosts().containsKey(host) || !phase.mayFollow(wave.hosts().get(host))) {
 			return CommandVerdict.REFUSED;
 		}
 		this.hostOrderMillis.put(host, atMillis);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/UpkeepPhase.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/UpkeepPhase.java
@@ -24,6 +24,20 @@
 		this.over = over;
 	}
 
+	/**
+	 * Tells whether a host may come to this phase. A command that arrives late or twice
+	 * must not begin the upkeep of a host again.
+	 * @param previous where the host stands
+	 * @return whether this phase follows it
+	 */
+	public boolean mayFollow(UpkeepPhase previous) {
+		return switch (this) {
+			case PENDING, BEGUN, GONE -> previous == ORDERED;
+			case ORDERED -> previous == PENDING;
+			case DONE -> previous == BEGUN;
+		};
+	}
+
 	/**
 	 * Tells whether the host may be down for its upkeep.
 	 * @return whether it counts against the bound of its wave
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
@@ -95,6 +95,19 @@
 		Truth.assertThat(stopping).isEqualTo(1);
 	}
 
+	/** Guards against a phase that is proposed again and again until it is committed. */
+	@Test
+	void aPhaseIsProposedOnceUntilItIsCommitted() {
+		startWave(1);
+		step(3_100);
+		int proposals = 0;
+		for (int round = 0; round < 5; round++) {
+			this.keeper.tick(this.sessions, this.nowMillis, this.nowMillis);
+			proposals += this.keeper.drainProposals().size();
+		}
+		Truth.assertThat(proposals).isEqualTo(1);
+	}
+
 	private void startWave(int maximumDown) {
 		List<String> hosts = new ArrayList<>();
 		for (int number = 0; number < HOSTS; number++) {
@@ -148,6 +161,9 @@
 
 	private void apply(BatchCommand command) {
 		this.state.apply(new CommandGroup(this.nowMillis, List.of(command)));
+		if (command instanceof BatchCommand.SetUpkeep upkeep && this.keeper != null) {
+			this.keeper.onUpkeepCommitted(upkeep);
+		}
 		if (command instanceof BatchCommand.RemoveRunner removed) {
 			this.sessions.remove(removed.runner());
 		}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -139,6 +139,19 @@
 		Truth.assertThat(this.state.job("timed").get().phase()).isEqualTo(BatchJobPhase.COMPLETED);
 	}
 
+	/** Guards against a second upkeep of a host, which exceeded the bound of a wave. */
+	@Test
+	void aCommandThatArrivesTwiceDoesNotBeginAnUpkeepAgain() {
+		apply(new BatchCommand.StartWave(new MaintenanceWave(3, List.of("host-r1"), 1_000, 1, 7)));
+		for (UpkeepPhase phase : List.of(UpkeepPhase.ORDERED, UpkeepPhase.BEGUN, UpkeepPhase.DONE)) {
+			Truth.assertThat(apply(new BatchCommand.SetUpkeep(3, "host-r1", phase))).isEqualTo(CommandVerdict.APPLIED);
+			Truth.assertThat(apply(new BatchCommand.SetUpkeep(3, "host-r1", phase))).isEqualTo(CommandVerdict.REFUSED);
+		}
+		Truth.assertThat(apply(new BatchCommand.SetUpkeep(3, "host-r1", UpkeepPhase.ORDERED)))
+			.isEqualTo(CommandVerdict.REFUSED);
+		Truth.assertThat(this.state.waves().get(3L).isCompleted()).isTrue();
+	}
+
 	@Test
 	void aCopyOfTheStateGivesTheSameState() {
 		submit("job", BatchFixtures.step(3), BatchFixtures.step(1, 0));
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/CallerDisconnectTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/CallerDisconnectTests.java
@@ -90,14 +90,6 @@
 		Truth.assertThat(next.join().body()).isEqualTo("one");
 	}
 
-	private void awaitWaiting(TestEntry entry, int count) {
-		probe().awaitAssert(LONGEST_WAIT, () -> {
-			Truth.assertThat(entry.call("GET", "/metrics", Map.of(), "").body())
-				.contains("burdock_queue_length{queue=\"quotes\"} " + count);
-			return count;
-		});
-	}
-
 	private void awaitInFlight(TestEntry entry, int count) {
 		probe().awaitAssert(LONGEST_WAIT, () -> {
 			Truth.assertThat(entry.call("GET", "/health", Map.of(), "").body())
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -1,9 +1,11 @@
 package io.burdockpin.entry;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 
+import com.google.common.truth.Truth;
 import io.burdockpin.core.model.KeyHash;
 import io.burdockpin.core.model.QueueName;
 import io.burdockpin.core.model.TeamName;
@@ -27,6 +29,8 @@
  */
 abstract class EntryTestBase {
 
+	private static final Duration LONGEST_QUEUE_WAIT = Duration.ofSeconds(15);
+
 	static final TeamName TEAM = new TeamName("specifiers");
 
 	static final Map<String, String> REPEATABLE = Map.of("Burdock-Key", "key-1", "Burdock-Repeatable", "true");
@@ -111,4 +115,13 @@
 		return System.currentTimeMillis() / 1000 + "-" + token;
 	}
 
+	/** Waits until a number of requests wait for a runner. */
+	protected void awaitWaiting(TestEntry entry, int count) {
+		probe().awaitAssert(LONGEST_QUEUE_WAIT, () -> {
+			Truth.assertThat(entry.call("GET", "/metrics", Map.of(), "").body())
+				.contains("burdock_queue_length{queue=\"quotes\"} " + count);
+			return count;
+		});
+	}
+
 }
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/FrozenProcessTests.java
@@ -37,7 +37,9 @@
 		CompletableFuture<HttpResponse<String>> second = entry.submit(once("second"), "second");
 		runner().awaitCall();
 		CompletableFuture<HttpResponse<String>> waiting = entry.submit(REPEATABLE, "waiting");
-		entry.call("GET", "/health", Map.of(), "");
+		// Connections overtake each other on a busy machine, so the freeze waits for the
+		// request.
+		awaitWaiting(entry, 1);
 		this.frozenMillis.set(FREEZE_MILLIS);
 		call.answer("late");
 		Truth.assertThat(first.join().body()).contains("\"outcome\":\"UNKNOWN\"");
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/output/CodeExplanation.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/output/CodeExplanation.java
@@ -67,7 +67,7 @@
 			case OUTCOME_UNKNOWN -> "Send it again with the same request identifier; the first result comes back.";
 			case UPSTREAM_FAILED -> "Look at the upstream; a request that is not repeatable may have run.";
 			case STOPPING -> "Send it to another entry host.";
-			case DATA_CORRUPT -> "Replace the member: see docs/operations.md, replacing a control host.";
+			case DATA_CORRUPT -> "Replace the member: see docs/OPERATIONS.md, replacing a control host.";
 			case STORAGE_FAILED ->
 				"Look at the disk; the process has stopped and must not be trusted to have " + "written.";
 			case DECODE_FAILED ->
--- a/burdockpin-operator/src/test/java/io/burdockpin/operator/PageExamplesTests.java
+++ b/burdockpin-operator/src/test/java/io/burdockpin/operator/PageExamplesTests.java
@@ -32,7 +32,7 @@
 
 	@Test
 	void burdockctlUnderstandsEachExampleOnThePages() throws IOException {
-		for (String page : List.of("README.md", "docs/operations.md")) {
+		for (String page : List.of("README.md", "docs/OPERATIONS.md")) {
 			List<String> examples = examples(Files.readString(ROOT.resolve(page)));
 			Truth.assertThat(examples).isNotEmpty();
 			for (String example : examples) {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/OperationsPage.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/OperationsPage.java
@@ -12,7 +12,7 @@
  */
 final class OperationsPage {
 
-	private static final Path PAGE = Path.of("").toAbsolutePath().getParent().resolve("docs/operations.md");
+	private static final Path PAGE = Path.of("").toAbsolutePath().getParent().resolve("docs/OPERATIONS.md");
 
 	private OperationsPage() {
 	}
--- a/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
+++ b/burdockpin-timeline/src/test/java/io/burdockpin/timeline/TimelineProgramTests.java
@@ -237,7 +237,7 @@
 
 	@Test
 	void theExampleOfTheOperationsPageIsUnderstood() throws IOException {
-		String page = Files.readString(Path.of("").toAbsolutePath().getParent().resolve("docs/operations.md"));
+		String page = Files.readString(Path.of("").toAbsolutePath().getParent().resolve("docs/OPERATIONS.md"));
 		java.util.regex.Matcher example = java.util.regex.Pattern.compile("(?m)^burdock-timeline FILE\\.\\.\\. (.*)$")
 			.matcher(page);
 		Truth.assertThat(example.find()).isTrue();
