Grow a pool in which a task finds no runner with room

Ruled out: the platform's refusals; all 16 orders were answered with success.

Change: the plan names the pools in which a task that is not late found no runner with room; such a pool gets one host at a time and gives none away. Tests for open calls and settings.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/ReplyPort.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/ReplyPort.java
@@ -2,7 +2,10 @@
 
 import io.burdockpin.core.batch.call.FleetReply;
 
-/** Takes the reply to one call. Implementations only send it to an actor. */
+/**
+ * Takes the reply to one call. Implementations only send it to an actor or complete a
+ * future; they must not block.
+ */
 @FunctionalInterface
 public interface ReplyPort {
 
--- /dev/null
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -0,0 +1,49 @@
+package io.burdockpin.batch;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.exc.InvalidValueException;
+import org.junit.jupiter.api.Test;
+
+class BatchSettingsTests {
+
+	@Test
+	void theGroupGrowsToOneMemberMoreThanTwiceTheToleratedLosses() {
+		Truth.assertThat(settings(List.of(7000, 7015), 1).toConsensusSettings().maximumMembers()).isEqualTo(3);
+		Truth.assertThat(settings(List.of(7000, 7015), 2).toConsensusSettings().maximumMembers()).isEqualTo(5);
+	}
+
+	@Test
+	void aLeaseStaysBelowTheLongestThatRunnersGrant() {
+		Truth.assertThat(settings(List.of(7000, 7015), 1).toLeaderSettings().sessions().leaseMillis()).isEqualTo(4_800);
+	}
+
+	@Test
+	void emptyTextsOfTheTemplateCountAsMissing() {
+		BatchSettings settings = settings(List.of(7000, 7015), 1);
+		Truth.assertThat(settings.dataFolder()).isEmpty();
+		Truth.assertThat(settings.addresses().control()).isEmpty();
+	}
+
+	@Test
+	void aRangeOfOnePortIsRefused() {
+		Optional<String> message = Optional.empty();
+		try {
+			settings(List.of(7000, 7000), 1);
+		}
+		catch (InvalidValueException ex) {
+			message = Optional.of(ex.getMessage());
+		}
+		Truth.assertThat(message.get()).contains("internalPorts");
+	}
+
+	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
+		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
+				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 6,
+				new BatchSettings.AddressSettings(Optional.of("10.0.0.1:1"), Optional.empty(), Optional.of("")),
+				Optional.empty());
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -267,11 +267,12 @@
 			.filter((runner) -> !this.waves.isDraining(runner.hostOrId()))
 			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
 			.toList();
-		List<BatchCommand.Assignment> assignments = this.planner.plan(this.state, usable,
-				(runner) -> this.reputation.isSuspect(runner, nowMillis), wallMillis);
-		if (!assignments.isEmpty()) {
+		Plan plan = this.planner.plan(this.state, usable, (runner) -> this.reputation.isSuspect(runner, nowMillis),
+				wallMillis);
+		this.balancer.onPlan(plan);
+		if (!plan.assignments().isEmpty()) {
 			this.planIsOpen = true;
-			this.proposals.add(new BatchCommand.AssignRuns(assignments));
+			this.proposals.add(new BatchCommand.AssignRuns(plan.assignments()));
 		}
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -72,6 +72,9 @@
 
 	private final List<HostOrder> orders = new ArrayList<>();
 
+	/** Pools in which the newest plan found no runner with room for a task. */
+	private Set<String> shortPools = Set.of();
+
 	private long nextRoundMillis;
 
 	private long nextListMillis;
@@ -161,6 +164,14 @@
 				.forEach((entry) -> this.spareHosts.put(entry.host(), entry)));
 	}
 
+	/**
+	 * Takes note of the newest plan.
+	 * @param plan the plan
+	 */
+	public void onPlan(Plan plan) {
+		this.shortPools = plan.shortPools();
+	}
+
 	/**
 	 * Takes the next steps.
 	 * @param sessions the sessions with the runners
@@ -297,7 +308,7 @@
 	}
 
 	private void grow(Pool pool, Map<String, Pool> pools, long nowMillis, long wallMillis) {
-		while (pool.isShort()) {
+		while (pool.isShort() || (this.shortPools.contains(pool.name) && pool.arriving == 0)) {
 			Optional<String> host = takeSpare(nowMillis, wallMillis).or(() -> takeIdle(pool, pools, nowMillis));
 			if (host.isEmpty()) {
 				return;
@@ -329,13 +340,13 @@
 	private Optional<String> takeIdle(Pool taker, Map<String, Pool> pools, long nowMillis) {
 		return pools.values()
 			.stream()
-			.filter((pool) -> pool != taker && pool.canGive())
+			.filter((pool) -> pool != taker && pool.canGive() && !this.shortPools.contains(pool.name))
 			.max(Comparator.comparingLong(Pool::surplusMillicores))
 			.flatMap((pool) -> take(pool, this.settings.stayMillis(), 0, nowMillis));
 	}
 
 	private void shrink(Pool pool, String sparePool, long nowMillis) {
-		while (pool.canGive()) {
+		while (pool.canGive() && !this.shortPools.contains(pool.name)) {
 			Optional<String> host = take(pool, this.settings.stayMillis(), this.settings.idleMillis(), nowMillis);
 			if (host.isEmpty()) {
 				return;
@@ -376,6 +387,8 @@
 
 		private int hosts;
 
+		private int arriving;
+
 		private Pool(String name, boolean spare, PoolDemand.Room wanted) {
 			this.name = name;
 			this.spare = spare;
@@ -389,6 +402,7 @@
 		}
 
 		private void addArriving() {
+			this.arriving++;
 			this.capacity = this.capacity.plus(this.typicalHost);
 			this.hosts++;
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -58,12 +60,11 @@
 	 * @param runners the runners that take new tasks
 	 * @param isSuspect runners that get tasks only if no other can take them
 	 * @param wallMillis the time of day in milliseconds since 1970
-	 * @return the assignments
+	 * @return the assignments and the pools without room
 	 */
-	public List<BatchCommand.Assignment> plan(BatchState state, List<RunnerRecord> runners,
-			Predicate<RunnerKey> isSuspect, long wallMillis) {
+	public Plan plan(BatchState state, List<RunnerRecord> runners, Predicate<RunnerKey> isSuspect, long wallMillis) {
 		if (state.configuration().isEmpty()) {
-			return List.of();
+			return Plan.EMPTY;
 		}
 		FleetConfiguration configuration = state.configuration().get();
 		Round round = new Round(state, configuration);
@@ -83,7 +84,7 @@
 			}
 			round.place(item);
 		}
-		return round.assignments;
+		return new Plan(round.assignments, round.shortPools);
 	}
 
 	private static Resources longRunning(BatchState state, RunnerKey runner) {
@@ -165,6 +166,8 @@
 
 		private final List<BatchCommand.Assignment> assignments = new ArrayList<>();
 
+		private final Set<String> shortPools = new HashSet<>();
+
 		private Round(BatchState state, FleetConfiguration configuration) {
 			this.state = state;
 			this.configuration = configuration;
@@ -259,12 +262,16 @@
 			Comparator<Candidate> shared = Comparator
 				.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
 				.reversed();
-			return this.byPool.getOrDefault(item.queue().pool(), List.of())
+			Optional<Candidate> chosen = this.byPool.getOrDefault(item.queue().pool(), List.of())
 				.stream()
 				.filter((candidate) -> candidate.fits(spec))
 				.filter((candidate) -> maximum.isEmpty()
 						|| used.getOrDefault(candidate.runner().key(), 0) < maximum.getAsInt())
 				.min(order.thenComparing(spec.longRunning() ? shared : room));
+			if (chosen.isEmpty() && item.urgency() != WorkItem.Urgency.LATE) {
+				this.shortPools.add(item.queue().pool());
+			}
+			return chosen;
 		}
 
 		private boolean isAboveShare(WorkItem item, StepSpec spec) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -67,6 +68,14 @@
 			.isTrue();
 	}
 
+	/** Guards against a task that waits although the sum of free room suffices. */
+	@Test
+	void aPoolThatFoundNoRoomForATaskGetsOneHostAtATime() {
+		this.balancer.onList(List.of(new HostEntry("host-s1", "spare", true), new HostEntry("host-s2", "spare", true)));
+		this.balancer.onPlan(new Plan(List.of(), Set.of("hot")));
+		Truth.assertThat(tick()).hasSize(1);
+	}
+
 	/** Guards against a move that ends the tasks on its host. */
 	@Test
 	void aHostWithATaskIsNotMoved() {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -94,6 +94,20 @@
 		Truth.assertThat(plan().get(0).task().job()).isEqualTo("service");
 	}
 
+	/** Guards against room that is free in sum but on no runner alone. */
+	@Test
+	void aPoolWithoutARunnerThatHasRoomForATaskIsShort() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		submit("job", NOW_MILLIS, BatchFixtures.step(5));
+		Plan plan = this.planner.plan(this.state, this.runners, (runner) -> false, NOW_MILLIS);
+		Truth.assertThat(plan.shortPools()).containsExactly("pool");
+		submit("small", NOW_MILLIS, BatchFixtures.step(1));
+		addRunner("r2");
+		Truth.assertThat(this.planner.plan(this.state, this.runners, (runner) -> false, NOW_MILLIS).shortPools())
+			.isEmpty();
+	}
+
 	/** Pattern: tasks that last fill a pool before the turn of its queue. */
 	@Test
 	void longRunningStepsLeaveHalfOfThePoolToWorkThatIsInTime() {
@@ -124,8 +138,9 @@
 		addRunner("r1");
 		addRunner("r2");
 		submit("job", NOW_MILLIS, BatchFixtures.step(5));
-		List<BatchCommand.Assignment> planned = this.planner.plan(this.state, this.runners,
-				(runner) -> runner.id().equals("r1"), NOW_MILLIS);
+		List<BatchCommand.Assignment> planned = this.planner
+			.plan(this.state, this.runners, (runner) -> runner.id().equals("r1"), NOW_MILLIS)
+			.assignments();
 		Truth.assertThat(planned.stream().filter((assignment) -> assignment.runner().id().equals("r2")).count())
 			.isEqualTo(4);
 	}
@@ -167,7 +182,7 @@
 	}
 
 	private List<BatchCommand.Assignment> plan() {
-		return this.planner.plan(this.state, this.runners, (runner) -> false, NOW_MILLIS);
+		return this.planner.plan(this.state, this.runners, (runner) -> false, NOW_MILLIS).assignments();
 	}
 
 	private void configure(Resources limit) {
