--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -100,8 +100,7 @@
 	 * @return whether it was heard lately and is not about to leave
 	 */
 	public boolean isUsable(long nowMillis) {
-		return this.heard && !this.over && !this.left && !this.fenced && !this.runner.draining()
-				&& nowMillis - this.heardMillis <= this.settings.silentMillis();
+		return isHeard(nowMillis) && !this.over && !this.left && !this.fenced && !this.runner.draining();
 	}
 
 	/**
@@ -139,15 +138,6 @@
 		return progress(task).filter(RunProgress::stopWanted).isPresent();
 	}
 
-	/**
-	 * Tells whether a run was confirmed by the runner.
-	 * @param task the task
-	 * @return whether it is under way there
-	 */
-	public boolean isStarted(TaskId task) {
-		return progress(task).filter((progress) -> progress.phase() == RunProgress.Phase.STARTED).isPresent();
-	}
-
 	/**
 	 * Returns the progress that the runner has listed for a task.
 	 * @param task the task
@@ -157,15 +147,6 @@
 		return progress(task).map(RunProgress::percent).orElse(0);
 	}
 
-	/**
-	 * Returns the newest progress that the runner has saved for a task.
-	 * @param task the task
-	 * @return the checkpoint, empty if unknown
-	 */
-	public String saved(TaskId task) {
-		return progress(task).map(RunProgress::saved).orElse("");
-	}
-
 	// changes of the state
 
 	/**
