Keep upkeep and moves of a host apart, and pace tasks that fill

The trace shows hosts whose upkeep was ordered while their move was under way. The runner that joined by the move then counted as the one that came back, so one more host went down. A runner that crashed and started again just before its upkeep had the same effect. Ruled out: repeated orders and a change of leader; there was none.

Change: the state refuses an upkeep of a host that is moving and a move of a host whose upkeep is due, and a runner counts as back only after the shortest time that an upkeep takes (new setting upkeepSeconds). Two tests failed before. In the same run: the leader lowers the pace of tasks that fill while the tail of a serving task on the same runner is near its target; nothing did so before, and a tail over its target for some seconds breaks a rule.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -30,14 +30,15 @@
  * @param toleratedMembers how many members may be lost at a time
  * @param longestLeaseMillis the longest lease that a runner grants
  * @param handOverPauseMillis pause before a new leader gives orders about hosts
+ * @param upkeepSeconds how long the upkeep of a host takes at least
  * @param graceSeconds time between the request to stop and the end of the process
  * @param addresses what callers, runners and operators are served on, by kind
  * @param platformAddress where orders about hosts are taken
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
-		int longestLeaseMillis, int handOverPauseMillis, double graceSeconds, AddressSettings addresses,
-		Optional<String> platformAddress) {
+		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
+		AddressSettings addresses, Optional<String> platformAddress) {
 
 	/**
 	 * Leaves a fifth of the longest lease as a margin for clocks that run at other rates.
@@ -60,6 +61,8 @@
 	/** Longer than nearly all tasks that are not saved. */
 	private static final int DRAIN_MILLIS = 3_000;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private static final int RETURN_MILLIS = 5_000;
 
 	private static final int HOST_RETRY_MILLIS = 400;
@@ -134,7 +137,8 @@
 		return new LeaderSettings(
 				new SessionSettings(leaseMillis, this.longestLeaseMillis, LISTEN_MILLIS, ANSWER_TIMEOUT_MILLIS,
 						RETRY_MILLIS, SILENT_MILLIS),
-				new WaveSettings(this.handOverPauseMillis, DRAIN_MILLIS, RETURN_MILLIS, HOST_RETRY_MILLIS),
+				new WaveSettings(this.handOverPauseMillis, DRAIN_MILLIS, (int) (MILLIS_PER_SECOND * this.upkeepSeconds),
+						RETURN_MILLIS, HOST_RETRY_MILLIS),
 				new BalanceSettings(this.handOverPauseMillis, MOVE_MILLIS, IDLE_MILLIS, STAY_MILLIS, HOST_RETRY_MILLIS,
 						LIST_MILLIS),
 				FORGET_RUNNER_MILLIS);
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -41,7 +41,7 @@
 
 	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
-				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 6,
+				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
 				new BatchSettings.AddressSettings(Optional.of("10.0.0.1:1"), Optional.empty(), Optional.of("")),
 				Optional.empty());
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -251,7 +251,7 @@
 		this.sessions.values().forEach((session) -> endLifeIfOver(session, nowMillis));
 		openDueOccurrences(wallMillis);
 		this.waves.tick(this.sessions, nowMillis, wallMillis);
-		this.balancer.tick(this.sessions, this.waves::isReserved, nowMillis, wallMillis);
+		this.balancer.tick(this.sessions, this.state::isUpkeepDue, nowMillis, wallMillis);
 		if (!this.planIsOpen) {
 			plan(nowMillis, wallMillis);
 		}
@@ -285,10 +285,8 @@
 
 	private void addRun(Run run, boolean adopted) {
 		Optional<BatchJob> job = this.state.job(run.task().job());
-		String specification = job.map((known) -> known.spec().specification()).orElse("");
-		String checkpoint = this.state.task(run.task()).map(BatchTask::checkpoint).orElse("");
 		session(run.runner()).ifPresent((session) -> {
-			session.add(run, specification, checkpoint, adopted);
+			session.add(run, RunContent.of(run.task(), this.state), adopted);
 			if (job.filter((known) -> !known.phase().isEnded()).isEmpty()) {
 				session.stop(run.task());
 			}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunProgress.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunProgress.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.OptionalInt;
+
 import io.burdockpin.core.batch.state.Run;
 
 /** Where the leader stands with one run on a runner. Mutable; belongs to a session. */
@@ -27,9 +29,7 @@
 
 	private final Run run;
 
-	private final String specification;
-
-	private final String checkpoint;
+	private final RunContent content;
 
 	private final boolean adopted;
 
@@ -51,10 +51,11 @@
 
 	private int percent;
 
-	RunProgress(Run run, String specification, String checkpoint, boolean adopted) {
+	private OptionalInt load = OptionalInt.empty();
+
+	RunProgress(Run run, RunContent content, boolean adopted) {
 		this.run = run;
-		this.specification = specification;
-		this.checkpoint = checkpoint;
+		this.content = content;
 		this.adopted = adopted;
 	}
 
@@ -62,12 +63,12 @@
 		return this.run;
 	}
 
-	String specification() {
-		return this.specification;
+	RunContent content() {
+		return this.content;
 	}
 
-	String checkpoint() {
-		return this.checkpoint;
+	boolean isAdopted() {
+		return this.adopted;
 	}
 
 	Phase phase() {
@@ -163,12 +164,27 @@
 		this.nextTryMillis = millis;
 	}
 
-	void listed(String newSaved, int newPercent) {
+	void listed(RunnerReply.RunningTask row) {
 		if (this.phase != Phase.CLOSED) {
 			this.phase = Phase.STARTED;
 		}
-		this.saved = newSaved.isEmpty() ? this.saved : newSaved;
-		this.percent = newPercent;
+		this.saved = row.checkpoint().isEmpty() ? this.saved : row.checkpoint();
+		this.percent = row.percent();
+		this.load = row.load();
+	}
+
+	/**
+	 * Relates the tail latency of a serving task to its target.
+	 * @return the listed tail divided by the target, 0 without one of them
+	 */
+	double shareOfTarget() {
+		return (this.load.isPresent() && this.content.targetMillis().isPresent())
+				? (double) this.load.getAsInt() / this.content.targetMillis().getAsInt() : 0;
+	}
+
+	boolean needsPace(long nowMillis) {
+		return this.content.fills() && this.phase == Phase.STARTED && !this.stopWanted && !this.released
+				&& nowMillis >= this.nextTryMillis;
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -25,6 +25,12 @@
 
 	private static final int SILENT_PAUSE_FACTOR = 4;
 
+	/**
+	 * The tails that a runner lists are those of the last half second, and a new pace
+	 * takes some time until it holds.
+	 */
+	private static final int PACE_PERIOD_MILLIS = 600;
+
 	private final SessionSettings settings;
 
 	private final long fencingToken;
@@ -36,6 +42,8 @@
 
 	private final List<BatchCommand.Release> releases = new ArrayList<>();
 
+	private final FillPacer pacer = new FillPacer();
+
 	private RunnerRecord runner;
 
 	/** The clock of the runner when it answered last. */
@@ -160,12 +168,11 @@
 	/**
 	 * Takes on a run that was committed.
 	 * @param run the run
-	 * @param specification the text of the job
-	 * @param checkpoint the progress to resume from
+	 * @param content what it runs
 	 * @param adopted whether an earlier leader may have ordered it
 	 */
-	public void add(Run run, String specification, String checkpoint, boolean adopted) {
-		this.runs.put(run.task(), new RunProgress(run, specification, checkpoint, adopted));
+	public void add(Run run, RunContent content, boolean adopted) {
+		this.runs.put(run.task(), new RunProgress(run, content, adopted));
 	}
 
 	/**
@@ -220,7 +227,7 @@
 		if (this.orderInFlight || this.over || this.fenced) {
 			return Optional.empty();
 		}
-		Optional<RunnerOrder> order = nextStop(nowMillis).or(() -> nextStart(nowMillis));
+		Optional<RunnerOrder> order = nextStop(nowMillis).or(() -> nextStart(nowMillis)).or(() -> nextPace(nowMillis));
 		this.orderInFlight = order.isPresent();
 		return order;
 	}
@@ -265,6 +272,9 @@
 		else if (order instanceof RunnerOrder.Stop stop) {
 			onStopReply(stop, reply, nowMillis);
 		}
+		else if (order instanceof RunnerOrder.Pace pace) {
+			onPaceReply(pace, reply, nowMillis);
+		}
 	}
 
 	/**
@@ -346,7 +356,24 @@
 		}
 		progress.order();
 		return Optional.of(new RunnerOrder.Start(this.fencingToken, progress.run().task(), progress.run().number(),
-				progress.specification(), progress.checkpoint(), grantLease(nowMillis).orElseThrow()));
+				progress.content().specification(), progress.content().checkpoint(),
+				grantLease(nowMillis).orElseThrow()));
+	}
+
+	private Optional<RunnerOrder> nextPace(long nowMillis) {
+		return this.pacer.next(this.runs.values(), nowMillis)
+			.map((progress) -> new RunnerOrder.Pace(this.fencingToken, progress.run().task(), progress.run().number(),
+					this.pacer.percent()));
+	}
+
+	private void onPaceReply(RunnerOrder.Pace pace, RunnerReply reply, long nowMillis) {
+		progress(pace.task()).ifPresent((progress) -> progress.retryAt(nowMillis + this.settings.retryMillis()));
+		if (reply instanceof RunnerReply.Accepted) {
+			this.pacer.confirm(pace.task(), pace.percent());
+		}
+		else if (reply instanceof RunnerReply.Refused refused) {
+			onRefusal(refused.refusal());
+		}
 	}
 
 	private void onStartReply(RunProgress progress, RunnerReply reply, long nowMillis) {
@@ -409,6 +436,7 @@
 		this.nextHoldMillis = nowMillis;
 		Set<TaskId> listed = new HashSet<>();
 		listing.running().forEach((running) -> onRunning(running, listed));
+		this.pacer.observe(listed.stream().map(this.runs::get).toList(), nowMillis, PACE_PERIOD_MILLIS);
 		listing.ended().forEach((end) -> listed.add(end.task()));
 		this.runs.values()
 			.stream()
@@ -428,7 +456,7 @@
 			.filter((progress) -> progress.run().number() == running.run());
 		if (known.isPresent()) {
 			listed.add(running.task());
-			known.get().listed(running.checkpoint(), running.percent());
+			known.get().listed(running);
 		}
 		else {
 			this.strays.put(running.task(), running.run());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -84,20 +84,6 @@
 		return this.draining.containsKey(host) || isDown(host);
 	}
 
-	/**
-	 * Tells whether a host must not be moved: the upkeep of a host that is switched off
-	 * or moving cannot begin.
-	 * @param host the host
-	 * @return whether its upkeep is due or under way
-	 */
-	public boolean isReserved(String host) {
-		return this.state.waves()
-			.values()
-			.stream()
-			.map((wave) -> wave.hosts().get(host))
-			.anyMatch((phase) -> phase != null && !phase.isOver());
-	}
-
 	/**
 	 * Returns and clears the commands to commit.
 	 * @return the commands
@@ -207,6 +193,9 @@
 			return;
 		}
 		Optional<RunnerRecord> runner = this.state.runnerOn(host);
+		if (this.state.moves().containsKey(host)) {
+			return;
+		}
 		Collection<Run> runs = runner.map((known) -> this.state.runs().on(known.key())).orElse(List.of());
 		if (runs.isEmpty()) {
 			this.ownOrders.add(host);
@@ -274,7 +263,8 @@
 		if (before.isEmpty() && present.isEmpty()) {
 			return sinceBegunMillis >= this.settings.returnMillis();
 		}
-		return present.filter((life) -> !before.equals(Optional.of(life)))
+		return present.filter((life) -> sinceBegunMillis >= this.settings.upkeepMillis())
+			.filter((life) -> !before.equals(Optional.of(life)))
 			.map(sessions::get)
 			.filter((session) -> session.isHeard(nowMillis))
 			.isPresent();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -147,6 +147,19 @@
 			.count();
 	}
 
+	/**
+	 * Tells whether a host must not be moved: the upkeep of a host that is switched off
+	 * or moving cannot begin.
+	 * @param host the host
+	 * @return whether its upkeep is due or under way
+	 */
+	public boolean isUpkeepDue(String host) {
+		return this.waves.values()
+			.stream()
+			.map((wave) -> wave.hosts().get(host))
+			.anyMatch((phase) -> phase != null && !phase.isOver());
+	}
+
 	/**
 	 * Finds a task of an active job.
 	 * @param id the task
@@ -292,6 +305,9 @@
 		if (wave == null || !wave.hosts().containsKey(host) || !phase.mayFollow(wave.hosts().get(host))) {
 			return CommandVerdict.REFUSED;
 		}
+		if (phase == UpkeepPhase.ORDERED && this.moves.containsKey(host)) {
+			return CommandVerdict.REFUSED;
+		}
 		this.hostOrderMillis.put(host, atMillis);
 		wave.set(host, phase, runnerOn(host).map(RunnerRecord::key));
 		return CommandVerdict.APPLIED;
@@ -300,7 +316,7 @@
 	CommandVerdict setMove(String host, String pool, MovePhase phase, long atMillis) {
 		Optional<HostMove> known = Optional.ofNullable(this.moves.get(host));
 		boolean isOther = known.filter((move) -> !move.pool().equals(pool)).isPresent();
-		if (isOther || (known.isEmpty() && phase != MovePhase.ORDERED)) {
+		if (isOther || (known.isEmpty() && (phase != MovePhase.ORDERED || isUpkeepDue(host)))) {
 			return CommandVerdict.REFUSED;
 		}
 		this.hostOrderMillis.put(host, atMillis);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
@@ -16,6 +16,7 @@
 import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.MovePhase;
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.UpkeepPhase;
 import io.burdockpin.core.model.Resources;
@@ -42,7 +43,7 @@
 		for (int number = 0; number < HOSTS; number++) {
 			register(BatchFixtures.runner("r" + number, "pool", 1));
 		}
-		this.keeper = new WaveKeeper(this.state, new WaveSettings(3_000, 500, 2_000, 200), 1, this.nowMillis);
+		this.keeper = new WaveKeeper(this.state, new WaveSettings(3_000, 500, 2_000, 2_000, 200), 1, this.nowMillis);
 	}
 
 	/** Guards against orders of two leaders about one host within the pause. */
@@ -108,6 +109,41 @@
 		Truth.assertThat(proposals).isEqualTo(1);
 	}
 
+	/** Guards against an upkeep that is ordered while another order moves the host. */
+	@Test
+	void aHostThatIsMovingWaitsForTheEndOfItsMove() {
+		apply(new BatchCommand.SetMove("host-r0", "pool", MovePhase.ORDERED));
+		startWave(HOSTS);
+		step(3_100);
+		step(100);
+		step(100);
+		Truth.assertThat(this.downUntilMillis).doesNotContainKey("host-r0");
+		Truth.assertThat(this.downUntilMillis).containsKey("host-r1");
+		apply(new BatchCommand.SetMove("host-r0", "pool", MovePhase.OVER));
+		for (int round = 0; round < 40; round++) {
+			step(100);
+		}
+		Truth.assertThat(this.downUntilMillis).containsKey("host-r0");
+	}
+
+	/**
+	 * Guards against a runner that started again just before the upkeep of its host and
+	 * is taken for the one that comes back after it, so that one host too many is down.
+	 */
+	@Test
+	void aRunnerThatStartedBeforeTheUpkeepDoesNotCountAsItsReturn() {
+		startWave(1);
+		step(3_100);
+		step(100);
+		step(100);
+		String host = this.downUntilMillis.keySet().iterator().next();
+		register(BatchFixtures.runner(host.substring("host-".length()), "pool", this.nowMillis - 50));
+		for (int round = 0; round < 18; round++) {
+			step(100);
+		}
+		Truth.assertThat(this.downUntilMillis).hasSize(1);
+	}
+
 	private void startWave(int maximumDown) {
 		List<String> hosts = new ArrayList<>();
 		for (int number = 0; number < HOSTS; number++) {
@@ -147,7 +183,7 @@
 		RunnerKey key = new RunnerKey(runner, 1);
 		apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, key))));
 		Run run = this.state.task(task).get().run().get();
-		this.sessions.get(key).add(run, "", "", true);
+		this.sessions.get(key).add(run, new RunContent("", "", false, OptionalInt.empty()), true);
 	}
 
 	private void register(RunnerRecord runner) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -152,6 +152,21 @@
 		Truth.assertThat(this.state.waves().get(3L).isCompleted()).isTrue();
 	}
 
+	/** Guards against two orders about one host at a time. */
+	@Test
+	void aHostIsEitherMovedOrMaintained() {
+		apply(new BatchCommand.StartWave(new MaintenanceWave(3, List.of("host-r1", "host-r2"), 1_000, 2, 7)));
+		Truth.assertThat(apply(new BatchCommand.SetMove("host-r1", "pool", MovePhase.ORDERED)))
+			.isEqualTo(CommandVerdict.REFUSED);
+		apply(new BatchCommand.SetMove("host-r9", "pool", MovePhase.ORDERED));
+		apply(new BatchCommand.StartWave(new MaintenanceWave(4, List.of("host-r9"), 1_000, 1, 7)));
+		Truth.assertThat(apply(new BatchCommand.SetUpkeep(4, "host-r9", UpkeepPhase.ORDERED)))
+			.isEqualTo(CommandVerdict.REFUSED);
+		apply(new BatchCommand.SetMove("host-r9", "pool", MovePhase.OVER));
+		Truth.assertThat(apply(new BatchCommand.SetUpkeep(4, "host-r9", UpkeepPhase.ORDERED)))
+			.isEqualTo(CommandVerdict.APPLIED);
+	}
+
 	@Test
 	void aCopyOfTheStateGivesTheSameState() {
 		submit("job", BatchFixtures.step(3), BatchFixtures.step(1, 0));
