Answer calls through elections and stops, and refuse early when cut off

Change: calls wait for the member that is found to lead; a link is silent only when a message was unanswered for a second; an entry host that stops says it is not ready and serves on for 2.8 s; after 2 s without a leader calls are refused at once, with a Retry-After that grows with the outage. Three tests of LeaderClient failed before.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -171,7 +171,7 @@
 
 	private Behavior<GuardianCommand> onHandedOver() {
 		ActorRef<Done> done = getContext().messageAdapter(Done.class, (stopped) -> Step.ENDED);
-		this.frontEnd.ifPresent((target) -> target.tell(new FrontEnd.Stop(done)));
+		this.frontEnd.ifPresent((target) -> target.tell(new FrontEnd.Stop(Duration.ZERO, done)));
 		return this;
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
@@ -33,6 +33,15 @@
 	/** The last part of the grace period is left for the end of the process itself. */
 	private static final double GRACE_SHARE = 0.9;
 
+	/**
+	 * The balancer asks for readiness each second and sends callers elsewhere after two
+	 * failures.
+	 */
+	private static final Duration SERVE_ON = Duration.ofMillis(2_800);
+
+	/** Leaves callers with an open call the rest of the grace period. */
+	private static final double SERVE_ON_SHARE = 0.5;
+
 	private final BatchSettings settings;
 
 	private final TimerScheduler<GuardianCommand> timers;
@@ -102,12 +111,17 @@
 	private Behavior<GuardianCommand> onStop() {
 		logger.atInfo().log("Stopping.");
 		ActorRef<Done> done = getContext().messageAdapter(Done.class, (stopped) -> Ended.INSTANCE);
-		this.frontEnd.tell(new FrontEnd.Stop(done));
+		this.frontEnd.tell(new FrontEnd.Stop(serveOn(), done));
 		this.timers.startSingleTimer(Ended.INSTANCE,
 				Duration.ofMillis((long) (GRACE_SHARE * 1_000 * this.settings.graceSeconds())));
 		return this;
 	}
 
+	private Duration serveOn() {
+		Duration longest = Duration.ofMillis((long) (SERVE_ON_SHARE * 1_000 * this.settings.graceSeconds()));
+		return (longest.compareTo(SERVE_ON) < 0) ? longest : SERVE_ON;
+	}
+
 	private record FrontEndReport(FrontEnd.Report report) implements GuardianCommand {
 
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -54,6 +54,9 @@
 	/** Far above the time that a runner takes, below the patience of callers. */
 	private static final int ANSWER_TIMEOUT_MILLIS = 700;
 
+	/** Runners answer orders within some milliseconds. */
+	private static final int DOUBT_MILLIS = 300;
+
 	private static final int RETRY_MILLIS = 150;
 
 	private static final int SILENT_MILLIS = 2_200;
@@ -91,6 +94,12 @@
 
 	private static final int SILENCE_MILLIS = 600;
 
+	/**
+	 * Nearly all elections end within this time, which leaves callers time for a try at
+	 * another host.
+	 */
+	private static final int PATIENCE_MILLIS = 2_000;
+
 	public BatchSettings {
 		Checks.name("cluster", cluster);
 		Checks.name("process", process);
@@ -129,14 +138,14 @@
 
 	CallSettings toCallSettings() {
 		return new CallSettings(this.host, seedHosts(), this.internalPorts.get(0) + 1, TICK_MILLIS, CHECK_MILLIS,
-				SILENCE_MILLIS, LinkSettings.DEFAULT);
+				SILENCE_MILLIS, PATIENCE_MILLIS, LinkSettings.DEFAULT);
 	}
 
 	LeaderSettings toLeaderSettings() {
 		int leaseMillis = (int) Math.min(LEASE_MILLIS, LEASE_SHARE * this.longestLeaseMillis);
 		return new LeaderSettings(
-				new SessionSettings(leaseMillis, this.longestLeaseMillis, LISTEN_MILLIS, ANSWER_TIMEOUT_MILLIS,
-						RETRY_MILLIS, SILENT_MILLIS),
+				new SessionSettings(leaseMillis, LISTEN_MILLIS, ANSWER_TIMEOUT_MILLIS, DOUBT_MILLIS, RETRY_MILLIS,
+						SILENT_MILLIS),
 				new WaveSettings(this.handOverPauseMillis, DRAIN_MILLIS, (int) (MILLIS_PER_SECOND * this.upkeepSeconds),
 						RETURN_MILLIS, HOST_RETRY_MILLIS),
 				new BalanceSettings(this.handOverPauseMillis, MOVE_MILLIS, IDLE_MILLIS, STAY_MILLIS, HOST_RETRY_MILLIS,
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallSettings.java
@@ -13,10 +13,11 @@
  * @param tickMillis period of the checks of deadlines and silence
  * @param checkMillis period in which the leader is asked whether it still leads
  * @param silenceMillis how long the leader may be silent before another member is tried
+ * @param patienceMillis how long calls wait for a leader; later ones are refused at once
  * @param links settings of the links
  */
 public record CallSettings(String host, List<String> seedHosts, int callPort, int tickMillis, int checkMillis,
-		int silenceMillis, LinkSettings links) {
+		int silenceMillis, int patienceMillis, LinkSettings links) {
 
 	public CallSettings {
 		seedHosts = List.copyOf(seedHosts);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -69,6 +69,11 @@
 
 	private boolean ready;
 
+	private boolean draining;
+
+	/** Since when no leader is in reach. */
+	private long leaderlessSinceMillis;
+
 	private LeaderClient(ActorContext<LeaderClientCommand> context, TimerScheduler<LeaderClientCommand> timers,
 			CallSettings settings, Optional<ActorRef<SchedulerCommand>> local, CallEvents events, InstantSource clock) {
 		super(context);
@@ -77,6 +82,7 @@
 		this.local = local;
 		this.events = events;
 		this.clock = clock;
+		this.leaderlessSinceMillis = clock.millis();
 		this.members.addAll(settings.seedHosts());
 		local.ifPresent((member) -> this.members.add(settings.host()));
 		timers.startTimerWithFixedDelay(LeaderClientCommand.Timer.TICK, Duration.ofMillis(settings.tickMillis()));
@@ -107,6 +113,7 @@
 			.onMessage(LeaderClientCommand.KnowMembers.class, this::onKnowMembers)
 			.onMessage(LeaderClientCommand.FromLink.class, this::onFromLink)
 			.onMessage(LeaderClientCommand.FromLocal.class, this::onFromLocal)
+			.onMessageEquals(LeaderClientCommand.Drain.INSTANCE, this::onDrain)
 			.onMessageEquals(LeaderClientCommand.Timer.TICK, this::onTick)
 			.build();
 	}
@@ -117,7 +124,12 @@
 	}
 
 	private Behavior<LeaderClientCommand> onIsReady(LeaderClientCommand.IsReady command) {
-		command.replyTo().tell(this.ready && !isSilent());
+		command.replyTo().tell(this.ready && !isSilent() && !this.draining);
+		return this;
+	}
+
+	private Behavior<LeaderClientCommand> onDrain() {
+		this.draining = true;
 		return this;
 	}
 
@@ -161,11 +173,17 @@
 			.filter((entry) -> nowMillis >= entry.getValue().deadlineMillis())
 			.map(Map.Entry::getKey)
 			.toList();
-		overdue.forEach((correlation) -> finish(correlation, this.calls.get(correlation).overdueReply()));
+		overdue.forEach(this::giveUp);
 		if (isSilent()) {
 			lose("is silent");
 		}
-		else if (nowMillis - this.checkedMillis >= this.settings.checkMillis()) {
+		if (isOutOfReach()) {
+			List.copyOf(this.calls.keySet())
+				.stream()
+				.filter((correlation) -> !(this.calls.get(correlation).call() instanceof FleetCall.Check))
+				.forEach(this::giveUp);
+		}
+		if (nowMillis - this.checkedMillis >= this.settings.checkMillis()) {
 			this.checkedMillis = nowMillis;
 			open(new FleetCall.Check(), this.settings.silenceMillis(), ReplyPort.NONE);
 		}
@@ -179,7 +197,12 @@
 		OpenCall opened = new OpenCall(call, replyTo, this.clock.millis(), timeoutMillis);
 		this.calls.put(this.lastCorrelation, opened);
 		long correlation = this.lastCorrelation;
-		this.target.ifPresent((host) -> send(host, correlation, opened));
+		if (isOutOfReach() && !(call instanceof FleetCall.Check)) {
+			giveUp(correlation);
+		}
+		else {
+			this.target.ifPresent((host) -> send(host, correlation, opened));
+		}
 	}
 
 	private void onReply(String host, long correlation, FleetReply reply) {
@@ -191,18 +214,27 @@
 			Optional.ofNullable(this.calls.get(correlation)).ifPresent((call) -> send(host, correlation, call));
 			return;
 		}
+		if (reply instanceof FleetReply.Leads leads) {
+			this.members.addAll(leads.members());
+		}
+		finish(correlation, reply);
 		if (this.target.equals(Optional.of(host))) {
 			this.heardMillis = this.clock.millis();
 			if (!this.ready) {
-				logger.atInfo().log("The leader is %s.", host);
-				this.events.leaderFound(host);
+				onFound(host);
 			}
-			this.ready = true;
-		}
-		if (reply instanceof FleetReply.Leads leads) {
-			this.members.addAll(leads.members());
 		}
-		finish(correlation, reply);
+	}
+
+	private void onFound(String host) {
+		logger.atInfo().log("The leader is %s.", host);
+		this.events.leaderFound(host);
+		this.ready = true;
+		// Calls that this member has returned before it was elected wait for it.
+		List.copyOf(this.calls.entrySet())
+			.stream()
+			.filter((entry) -> !entry.getValue().isWith(host))
+			.forEach((entry) -> send(host, entry.getKey(), entry.getValue()));
 	}
 
 	private void onNotLeader(String host, long correlation, FleetReply.NotLeader reply) {
@@ -215,10 +247,15 @@
 			turnTo(reply.leader().get());
 		}
 		else {
-			this.ready = false;
+			leaderless();
 		}
 	}
 
+	private void giveUp(long correlation) {
+		long leaderlessMillis = this.ready ? 0 : this.clock.millis() - this.leaderlessSinceMillis;
+		finish(correlation, this.calls.get(correlation).givenUpReply(leaderlessMillis));
+	}
+
 	private void finish(long correlation, FleetReply reply) {
 		Optional.ofNullable(this.calls.remove(correlation)).ifPresent((call) -> {
 			call.replyTo().send(reply);
@@ -232,6 +269,18 @@
 		return this.clock.millis() - this.heardMillis > this.settings.silenceMillis();
 	}
 
+	// Callers reach other hosts when they come back, and this one may be cut off.
+	private boolean isOutOfReach() {
+		return !this.ready && this.clock.millis() - this.leaderlessSinceMillis > this.settings.patienceMillis();
+	}
+
+	private void leaderless() {
+		if (this.ready) {
+			this.leaderlessSinceMillis = this.clock.millis();
+		}
+		this.ready = false;
+	}
+
 	private void onDisconnected(String host) {
 		this.links.computeIfPresent(host, (name, link) -> link.withUp(false));
 		if (this.target.equals(Optional.of(host))) {
@@ -244,7 +293,7 @@
 			logger.atWarning().log("Leader %s %s.", this.target.orElse("unknown"), reason);
 			this.events.leaderLost(this.target.orElse("unknown"), reason);
 		}
-		this.ready = false;
+		leaderless();
 		// A connection that has gone silent does not recover, while a new one may work.
 		this.target.ifPresent(this::reopen);
 		tryNext();
@@ -275,7 +324,7 @@
 
 	private void send(String host, long correlation, OpenCall call) {
 		if (isLocal(host)) {
-			call.sent();
+			call.sent(host);
 			ActorRef<LeaderClientCommand> self = getContext().getSelf();
 			this.local.get()
 				.tell(new SchedulerCommand.Call(call.call(),
@@ -284,7 +333,7 @@
 		}
 		MemberLink link = this.links.get(host);
 		if (link != null && link.up()) {
-			call.sent();
+			call.sent(host);
 			link.link().tell(new LinkCommand.Send<>(new CallMessage.Call(correlation, call.call())));
 		}
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
@@ -66,6 +66,13 @@
 
 	}
 
+	/** The process is about to end and is not ready from now on. */
+	enum Drain implements LeaderClientCommand {
+
+		INSTANCE
+
+	}
+
 	/** Sent by the actor to itself. */
 	enum Timer implements LeaderClientCommand {
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/OpenCall.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/OpenCall.java
@@ -9,8 +9,11 @@
 /** A call without a reply yet. Mutable; belongs to the {@link LeaderClient}. */
 final class OpenCall {
 
-	/** Callers come back after an election, which takes about a second. */
-	private static final int ELECTION_RETRY_MILLIS = 1_000;
+	/** An election takes about a second. */
+	private static final long SHORTEST_RETRY_MILLIS = 1_000;
+
+	/** Callers that wait for longer may give up although service is back. */
+	private static final long LONGEST_RETRY_MILLIS = 4_000;
 
 	private final FleetCall call;
 
@@ -22,6 +25,8 @@
 
 	private int unansweredSends;
 
+	private Optional<String> lastHost = Optional.empty();
+
 	OpenCall(FleetCall call, ReplyPort replyTo, long openedMillis, long timeoutMillis) {
 		this.call = call;
 		this.replyTo = replyTo;
@@ -49,22 +54,36 @@
 		return this.unansweredSends;
 	}
 
-	void sent() {
+	void sent(String host) {
 		this.unansweredSends++;
+		this.lastHost = Optional.of(host);
 	}
 
 	/** Takes note that a member has refused the call without effect. */
 	void returned() {
 		this.unansweredSends--;
+		this.lastHost = Optional.empty();
+	}
+
+	/**
+	 * Tells whether a member may still answer the call.
+	 * @param host the host of the member
+	 * @return whether it was the last one to get the call and has not returned it
+	 */
+	boolean isWith(String host) {
+		return this.lastHost.equals(Optional.of(host));
 	}
 
 	/**
-	 * Returns what is known when the time is over.
+	 * Returns what is known when the call is given up.
+	 * @param leaderlessMillis how long the leader has been out of reach; an outage that
+	 * has lasted for a time is likely to last for about as long again
 	 * @return a refusal only if the call certainly had no effect
 	 */
-	FleetReply overdueReply() {
+	FleetReply givenUpReply(long leaderlessMillis) {
+		long retryMillis = Math.max(SHORTEST_RETRY_MILLIS, Math.min(leaderlessMillis, LONGEST_RETRY_MILLIS));
 		return (this.unansweredSends == 0)
-				? new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.of(ELECTION_RETRY_MILLIS))
+				? new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.of((int) retryMillis))
 				: new FleetReply.Unknown();
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
@@ -61,9 +61,8 @@
 	/** The newest incoming connection of each member. */
 	private final Map<String, String> incoming = new HashMap<>();
 
-	private final Map<String, Long> heardMillis = new HashMap<>();
-
-	private final Map<String, Long> sentMillis = new HashMap<>();
+	/** When the oldest message was sent to each member that was not heard since. */
+	private final Map<String, Long> unansweredSinceMillis = new HashMap<>();
 
 	private final InstantSource clock;
 
@@ -119,7 +118,7 @@
 	private Behavior<Command> onSend(Send command) {
 		String host = command.envelope().receiver().host().value();
 		link(host);
-		this.sentMillis.put(host, this.clock.millis());
+		this.unansweredSinceMillis.putIfAbsent(host, this.clock.millis());
 		this.links.get(host).link().tell(new LinkCommand.Send<>(command.envelope()));
 		return this;
 	}
@@ -138,12 +137,12 @@
 	// helpers
 
 	private boolean isSilent(String host, long nowMillis) {
-		long lastHeardMillis = this.heardMillis.getOrDefault(host, 0L);
-		return this.sentMillis.getOrDefault(host, 0L) > lastHeardMillis && nowMillis - lastHeardMillis > SILENCE_MILLIS;
+		// Followers exchange nothing until an election, in which their links are needed.
+		return nowMillis - this.unansweredSinceMillis.getOrDefault(host, nowMillis) > SILENCE_MILLIS;
 	}
 
 	private void onHeard(String host, String connection) {
-		this.heardMillis.put(host, this.clock.millis());
+		this.unansweredSinceMillis.remove(host);
 		if (!connection.equals(this.incoming.put(host, connection))) {
 			reopen(host);
 		}
@@ -154,6 +153,7 @@
 		if (known != null && this.clock.millis() - known.openedMillis() > SILENCE_MILLIS) {
 			known.link().tell(new LinkCommand.Close<>());
 			this.links.put(host, openLink(host));
+			this.unansweredSinceMillis.remove(host);
 		}
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/FrontEnd.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/FrontEnd.java
@@ -1,5 +1,7 @@
 package io.burdockpin.batch.port;
 
+import java.time.Duration;
+
 import io.burdockpin.batch.call.LeaderClientCommand;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -14,11 +16,13 @@
 	}
 
 	/**
-	 * Accepts no more calls, answers those under way and ends the connections.
+	 * Reports itself as not ready, serves on until callers are sent elsewhere, then
+	 * accepts no more calls, answers those under way and ends the connections.
 	 *
+	 * @param serveOn how long new connections are accepted
 	 * @param replyTo is told when all have ended
 	 */
-	record Stop(ActorRef<Done> replyTo) implements Command {
+	record Stop(Duration serveOn, ActorRef<Done> replyTo) implements Command {
 
 	}
 
--- /dev/null
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/call/LeaderClientTests.java
@@ -0,0 +1,137 @@
+package io.burdockpin.batch.call;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.batch.scheduler.SchedulerCommand;
+import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.runtime.event.EventLog;
+import io.burdockpin.runtime.link.LinkSettings;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The member in the same process stands for all members, so no test uses a network. */
+class LeaderClientTests {
+
+	private static final String HOST = "127.0.0.1";
+
+	private static final int TICK_MILLIS = 100;
+
+	private static final int PATIENCE_MILLIS = 2_000;
+
+	private static final long TIMEOUT_MILLIS = 10_000;
+
+	private static final FleetCall CALL = new FleetCall.Look("host", "/queue/job", Optional.empty());
+
+	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
+
+	private final ManualTime time = ManualTime.get(this.testKit.system());
+
+	private final TestProbe<SchedulerCommand> member = this.testKit.createTestProbe();
+
+	private final TestProbe<Boolean> readiness = this.testKit.createTestProbe();
+
+	private final TestProbe<FleetReply> replies = this.testKit.createTestProbe();
+
+	private long nowMillis = 1_000_000;
+
+	private final ActorRef<LeaderClientCommand> client = this.testKit.spawn(LeaderClient.create(
+			new CallSettings(HOST, List.of(HOST), 1, TICK_MILLIS, 200, 600, PATIENCE_MILLIS, LinkSettings.DEFAULT),
+			Optional.of(this.member.getRef()), this.testKit.<EventLog.Command>createTestProbe().getRef(),
+			() -> Instant.ofEpochMilli(this.nowMillis)));
+
+	@AfterEach
+	void stop() {
+		this.testKit.shutdownTestKit();
+	}
+
+	/**
+	 * Guards against calls that a member returned just before it was elected and that
+	 * wait for their end although it leads.
+	 */
+	@Test
+	void aCallThatAMemberHasReturnedIsSentAgainOnceThisMemberLeads() {
+		ask();
+		answerAll(new FleetReply.NotLeader(Optional.empty(), List.of(HOST)));
+		pass(300);
+		answerAll(new FleetReply.Leads(List.of(HOST)));
+		Truth.assertThat(callsOf(arrived())).contains(CALL);
+	}
+
+	/** Guards against callers that wait to their deadline for a host that is cut off. */
+	@Test
+	void callsAreRefusedAtOnceWhenNoLeaderWasInReachForLong() {
+		ask();
+		pass(PATIENCE_MILLIS + 600);
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.Unknown.class);
+		arrived();
+		ask();
+		FleetReply.Refused refused = (FleetReply.Refused) this.replies.receiveMessage();
+		Truth.assertThat(refused.reason()).isEqualTo(FleetReply.Reason.NO_LEADER);
+		Truth.assertThat(refused.retryAfterMillis().get()).isAtLeast(PATIENCE_MILLIS);
+		Truth.assertThat(callsOf(arrived())).doesNotContain(CALL);
+	}
+
+	/** Guards against a balancer that sends callers to a process that is about to end. */
+	@Test
+	void aProcessThatDrainsIsNotReadyButItsCallsAreAnswered() {
+		answerAll(new FleetReply.Leads(List.of(HOST)));
+		pass(300);
+		answerAll(new FleetReply.Leads(List.of(HOST)));
+		Truth.assertThat(isReady()).isTrue();
+		this.client.tell(LeaderClientCommand.Drain.INSTANCE);
+		Truth.assertThat(isReady()).isFalse();
+		ask();
+		Truth.assertThat(callsOf(arrived())).contains(CALL);
+	}
+
+	private void ask() {
+		this.client.tell(new LeaderClientCommand.Ask(CALL, TIMEOUT_MILLIS, this.replies.getRef()::tell));
+	}
+
+	private boolean isReady() {
+		this.client.tell(new LeaderClientCommand.IsReady(this.readiness.getRef()));
+		return this.readiness.receiveMessage();
+	}
+
+	private void pass(long millis) {
+		for (long passed = 0; passed < millis; passed += TICK_MILLIS) {
+			this.nowMillis += TICK_MILLIS;
+			this.time.timePasses(Duration.ofMillis(TICK_MILLIS));
+			isReady();
+		}
+	}
+
+	private void answerAll(FleetReply reply) {
+		isReady();
+		arrived().forEach((call) -> call.replyTo().send(reply));
+		isReady();
+	}
+
+	/** Returns the calls that have arrived by now. */
+	private List<SchedulerCommand.Call> arrived() {
+		isReady();
+		// All calls that the client has sent come before this message.
+		this.member.getRef().tell(SchedulerCommand.Internal.TICK);
+		List<SchedulerCommand.Call> calls = new ArrayList<>();
+		while (this.member.receiveMessage() instanceof SchedulerCommand.Call call) {
+			calls.add(call);
+		}
+		return calls;
+	}
+
+	private static List<FleetCall> callsOf(List<SchedulerCommand.Call> calls) {
+		return calls.stream().map(SchedulerCommand.Call::call).collect(Collectors.toList());
+	}
+
+}
