Count tasks on silent runners as away in a maintenance wave

The trace shows that the newest list of a silent runner still counted its tasks as at work. Ruled out: the bound of the step, which was read right, and stops of stray runs.

Change: only tasks on runners that are heard count as at work. The test failed before.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -205,13 +205,13 @@
 		RunnerSession session = sessions.get(runner.get().key());
 		boolean isOverdue = nowMillis - this.draining.get(host) >= this.settings.drainMillis();
 		runs.forEach((run) -> {
-			if (session != null && mayStop(run, sessions, isOverdue)) {
+			if (session != null && mayStop(run, sessions, isOverdue, nowMillis)) {
 				session.stop(run.task());
 			}
 		});
 	}
 
-	private boolean mayStop(Run run, Map<RunnerKey, RunnerSession> sessions, boolean isOverdue) {
+	private boolean mayStop(Run run, Map<RunnerKey, RunnerSession> sessions, boolean isOverdue, long nowMillis) {
 		Optional<StepTasks> step = this.state.step(run.task());
 		if (step.isEmpty()) {
 			return true;
@@ -220,24 +220,25 @@
 			return isOverdue;
 		}
 		return step.get().spec().maximumAway() == 0
-				|| awayCount(run, step.get(), sessions) < step.get().spec().maximumAway();
+				|| awayCount(run, step.get(), sessions, nowMillis) < step.get().spec().maximumAway();
 	}
 
-	private int awayCount(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions) {
+	private int awayCount(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
 		int away = 0;
 		List<BatchTask> tasks = step.tasks();
 		for (int index = 0; index < tasks.size(); index++) {
-			if (index != run.task().index() && !isAtWork(tasks.get(index), sessions)) {
+			if (index != run.task().index() && !isAtWork(tasks.get(index), sessions, nowMillis)) {
 				away++;
 			}
 		}
 		return away;
 	}
 
-	private static boolean isAtWork(BatchTask task, Map<RunnerKey, RunnerSession> sessions) {
+	// The newest list of a runner that has fallen silent may show tasks that have ended.
+	private static boolean isAtWork(BatchTask task, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
 		return task.run()
 			.flatMap((run) -> Optional.ofNullable(sessions.get(run.runner()))
-				.filter((session) -> !session.isStopping(run.task()))
+				.filter((session) -> session.isHeard(nowMillis) && !session.isStopping(run.task()))
 				.map((session) -> session.percent(run.task())))
 			.filter((percent) -> percent == 100)
 			.isPresent();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.MaintenanceWave;
@@ -33,6 +35,8 @@
 
 	private final Map<String, Long> downUntilMillis = new HashMap<>();
 
+	private final Set<String> silent = new HashSet<>();
+
 	private long nowMillis = 100_000;
 
 	private WaveKeeper keeper;
@@ -96,6 +100,24 @@
 		Truth.assertThat(stopping).isEqualTo(1);
 	}
 
+	/** Guards against a stop while the other tasks of a step died with their runner. */
+	@Test
+	void tasksOnASilentRunnerCountAsAway() {
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
+		assign(new TaskId("job", 0, 0, 0), "r0");
+		assign(new TaskId("job", 0, 0, 1), "r1");
+		step(100);
+		this.silent.add("r1");
+		step(SimulatedFleet.SETTINGS.sessions().silentMillis() + 100);
+		startWave(HOSTS);
+		for (int round = 0; round < 60; round++) {
+			step(100);
+			Truth.assertThat(this.sessions.get(new RunnerKey("r0", 1)).isStopping(new TaskId("job", 0, 0, 0)))
+				.isFalse();
+		}
+	}
+
 	/** Guards against a phase that is proposed again and again until it is committed. */
 	@Test
 	void aPhaseIsProposedOnceUntilItIsCommitted() {
@@ -170,6 +192,9 @@
 	}
 
 	private void listen(RunnerSession session) {
+		if (this.silent.contains(session.runner().key().id())) {
+			return;
+		}
 		List<RunnerReply.RunningTask> running = this.state.runs()
 			.on(session.runner().key())
 			.stream()
