Keep hosts with runs from being moved or maintained, and let grown fleets run

Change: a host with a known runner is not spare; an upkeep that is not sent yet goes back to pending when its host has runs; long-running steps get three quarters of a pool; a pool keeps a quarter of an even share of the fleet.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
@@ -69,6 +69,7 @@
 	/** The process is about to end and is not ready from now on. */
 	enum Drain implements LeaderClientCommand {
 
+		/** The only instance. */
 		INSTANCE
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -31,12 +31,18 @@
 	/** Room beyond the demand that a pool keeps; tasks do not fill hosts completely. */
 	private static final double HEADROOM = 1.15;
 
-	/** A pool keeps twice what it wants before it gives idle hosts away. */
+	/** Room beyond the demand that a pool keeps before it gives idle hosts away. */
 	private static final double KEEP_FACTOR = 1.4;
 
-	/** A pool keeps hosts for the first jobs after a quiet time. */
+	/** A pool keeps hosts for the first jobs of a turn. */
 	private static final int MINIMUM_HOSTS = 2;
 
+	/**
+	 * Share of the hosts, divided evenly by pool, that a pool keeps. In a large fleet a
+	 * turn takes dozens of hosts, and the platform moves them one after the other.
+	 */
+	private static final double MINIMUM_SHARE = 0.25;
+
 	/** Demand changes within tenths of a second. */
 	private static final long PERIOD_MILLIS = 150;
 
@@ -291,9 +297,11 @@
 
 	private Map<String, Pool> pools(FleetConfiguration configuration, Map<RunnerKey, RunnerSession> sessions,
 			Predicate<String> isReserved, long nowMillis) {
+		int hosts = sessions.size() + this.spareHosts.size();
+		int minimumHosts = Math.max(MINIMUM_HOSTS, (int) (MINIMUM_SHARE * hosts / configuration.pools().size()));
 		Map<String, Pool> pools = new LinkedHashMap<>();
 		configuration.pools()
-			.forEach((pool) -> pools.put(pool.name(), new Pool(pool.name(), pool.spare(),
+			.forEach((pool) -> pools.put(pool.name(), new Pool(pool.name(), pool.spare(), minimumHosts,
 					this.demand.wanted(pool.name(), this.settings.lookAheadMillis()))));
 		sessions.values().forEach((session) -> {
 			RunnerRecord runner = session.runner();
@@ -349,7 +357,9 @@
 			.stream()
 			.filter((name) -> !isMoving(name) && nowMillis >= this.nextTryMillis.getOrDefault(name, 0L))
 			.filter((name) -> this.pause.isOver(name, nowMillis, wallMillis))
-			// The list may be older than the newest move of the host.
+			// The list may be older than the newest move of the host, and a host that is
+			// on must not be taken for a spare one: its runs would end with the move.
+			.filter((name) -> this.state.runnerOn(name).isEmpty())
 			.filter((name) -> nowMillis - this.movedMillis.getOrDefault(name, Long.MIN_VALUE / 2) >= this.settings
 				.stayMillis())
 			.findFirst();
@@ -397,6 +407,8 @@
 
 		private final boolean spare;
 
+		private final int minimumHosts;
+
 		private final PoolDemand.Room wanted;
 
 		private final List<RunnerRecord> idle = new ArrayList<>();
@@ -409,9 +421,10 @@
 
 		private int arriving;
 
-		private Pool(String name, boolean spare, PoolDemand.Room wanted) {
+		private Pool(String name, boolean spare, int minimumHosts, PoolDemand.Room wanted) {
 			this.name = name;
 			this.spare = spare;
+			this.minimumHosts = minimumHosts;
 			this.wanted = wanted;
 		}
 
@@ -446,7 +459,7 @@
 		private boolean canGive() {
 			PoolDemand.Room rest = new PoolDemand.Room(this.capacity.cpuMillicores() - this.typicalHost.cpuMillicores(),
 					this.capacity.memoryMebibytes() - this.typicalHost.memoryMebibytes());
-			return !this.idle.isEmpty() && this.hosts > MINIMUM_HOSTS && !scaled(KEEP_FACTOR).exceeds(rest);
+			return !this.idle.isEmpty() && this.hosts > this.minimumHosts && !scaled(KEEP_FACTOR).exceeds(rest);
 		}
 
 		private long surplusMillicores() {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -23,7 +23,6 @@
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
-import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.model.Resources;
 
@@ -40,9 +39,11 @@
 
 	/**
 	 * Long-running tasks stay for minutes and may hardly be stopped, so the rest of a
-	 * pool is kept for the turns in which its queues ask for most.
+	 * pool is kept for the turns in which its queues ask for most. The share exceeds the
+	 * reciprocal of what {@link PoolDemand} asks for, so that a pool grows until such a
+	 * step has room.
 	 */
-	private static final double LONG_RUNNING_SHARE = 0.5;
+	private static final double LONG_RUNNING_SHARE = 0.75;
 
 	private final DurationEstimator durations;
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -54,6 +54,9 @@
 
 	private final Map<String, HostOrder> ordersInFlight = new HashMap<>();
 
+	/** Hosts whose committed upkeep this leader has sent; it may have begun. */
+	private final Set<String> sentOrders = new HashSet<>();
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	private final List<HostOrder> orders = new ArrayList<>();
@@ -146,7 +149,10 @@
 					.ifPresent((life) -> this.proposals.add(new BatchCommand.RemoveRunner(life)));
 				propose(order.wave(), order.host(), UpkeepPhase.BEGUN);
 			}
-			case BUSY -> propose(order.wave(), order.host(), UpkeepPhase.PENDING);
+			case BUSY -> {
+				this.sentOrders.remove(order.host());
+				propose(order.wave(), order.host(), UpkeepPhase.PENDING);
+			}
 			case UNKNOWN_HOST -> propose(order.wave(), order.host(), UpkeepPhase.GONE);
 			default -> {
 				// The order may have been carried out, so it is sent again.
@@ -181,6 +187,10 @@
 			.forEach((host) -> this.draining.put(host, nowMillis));
 	}
 
+	private boolean hasRuns(String host) {
+		return this.state.runnerOn(host).filter((runner) -> !this.state.runs().on(runner.key()).isEmpty()).isPresent();
+	}
+
 	private int reservedMillicores(String host) {
 		return this.state.runnerOn(host)
 			.map((runner) -> this.state.runs().reservedOn(runner.key()).cpuMillicores())
@@ -246,12 +256,19 @@
 
 	private void sendWhenDue(WaveProgress wave, String host, long nowMillis) {
 		this.draining.remove(host);
+		boolean isUnsent = this.ownOrders.contains(host) && !this.sentOrders.contains(host);
+		if (isUnsent && hasRuns(host)) {
+			// A task was assigned to the host before its upkeep was committed.
+			propose(wave.wave().number(), host, UpkeepPhase.PENDING);
+			return;
+		}
 		boolean mayOrder = this.ownOrders.contains(host) || this.pause.isOverForOpenOrders(nowMillis);
 		boolean isDue = mayOrder && !this.ordersInFlight.containsKey(host)
 				&& nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
 		if (isDue) {
 			HostOrder order = new HostOrder.Upkeep(this.fencingToken, host, wave.wave().number());
 			this.ordersInFlight.put(host, order);
+			this.sentOrders.add(host);
 			this.orders.add(order);
 		}
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -115,6 +115,24 @@
 		Truth.assertThat(moved).hasSize(4);
 	}
 
+	/**
+	 * Guards against a move that ends the tasks on its host: an old list shows a host as
+	 * spare that has been switched on since.
+	 */
+	@Test
+	void aHostWithARunnerIsNotTakenForASpareOne() {
+		this.balancer.onList(List.of(new HostEntry("host-cold1", "spare", true)));
+		for (int number = 0; number < 4; number++) {
+			int host = number;
+			apply(new BatchCommand.SubmitJob("cold" + number, "queue-cold", "team",
+					BatchFixtures.job(BatchFixtures.step(1))));
+			apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(new TaskId("cold" + number, 0, 0, 0),
+					1, new RunnerKey("cold" + host, 1)))));
+		}
+		submit("large", 40);
+		Truth.assertThat(tick()).isEmpty();
+	}
+
 	/** Guards against a pool that stays empty after all its hosts were lost. */
 	@Test
 	void aPoolThatHasLostAllItsHostsGetsHostsForItsJobs() {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
@@ -118,6 +118,26 @@
 		}
 	}
 
+	/**
+	 * Guards against an upkeep that ends a task whose assignment was committed between
+	 * the look at the host and the commit of its upkeep.
+	 */
+	@Test
+	void aHostThatWasAssignedATaskMeanwhileIsNotTakenDown() {
+		startWave(HOSTS);
+		step(3_100);
+		this.nowMillis += 100;
+		this.keeper.tick(this.sessions, this.nowMillis, this.nowMillis);
+		List<BatchCommand> ordered = this.keeper.drainProposals();
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
+		assign(new TaskId("job", 0, 0, 0), "r0");
+		ordered.forEach(this::apply);
+		step(100);
+		step(100);
+		Truth.assertThat(this.downUntilMillis).doesNotContainKey("host-r0");
+		Truth.assertThat(this.downUntilMillis).containsKey("host-r1");
+	}
+
 	/** Guards against a phase that is proposed again and again until it is committed. */
 	@Test
 	void aPhaseIsProposedOnceUntilItIsCommitted() {
