--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -34,11 +34,12 @@
  * @param graceSeconds time between the request to stop and the end of the process
  * @param addresses what callers, runners and operators are served on, by kind
  * @param platformAddress where orders about hosts are taken
+ * @param hostOrdersPerSecond how many of them are taken from all members together
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
-		AddressSettings addresses, Optional<String> platformAddress) {
+		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond) {
 
 	/**
 	 * Leaves a fifth of the longest lease as a margin for clocks that run at other rates.
@@ -150,7 +151,7 @@
 						RETURN_MILLIS, HOST_RETRY_MILLIS),
 				new BalanceSettings(this.handOverPauseMillis, MOVE_MILLIS, IDLE_MILLIS, STAY_MILLIS, HOST_RETRY_MILLIS,
 						LIST_MILLIS),
-				FORGET_RUNNER_MILLIS);
+				FORGET_RUNNER_MILLIS, this.hostOrdersPerSecond);
 	}
 
 	/**
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
@@ -19,9 +19,10 @@
 	 * Sends an order. Exactly one {@link Answered} follows.
 	 *
 	 * @param order the order
+	 * @param window when it may be sent; after that another leader may give orders
 	 * @param replyTo gets the answer
 	 */
-	record Send(HostOrder order, ActorRef<Answered> replyTo) implements Command {
+	record Send(HostOrder order, SendWindow window, ActorRef<Answered> replyTo) implements Command {
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -14,6 +14,7 @@
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.batch.port.ReplyPort;
 import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.batch.port.SendWindow;
 import io.burdockpin.codec.cbor.CborBatchSnapshotCodec;
 import io.burdockpin.codec.cbor.CborCommandGroupCodec;
 import io.burdockpin.core.batch.call.CallDecision;
@@ -56,6 +57,12 @@
 	/** Short beside the times within which runners and callers are served. */
 	private static final Duration TICK = Duration.ofMillis(40);
 
+	/**
+	 * Members that have heard a leader elect no other one for the shortest election
+	 * timeout of 500 ms; a fifth is left for clocks that run at other rates.
+	 */
+	private static final int CONFIRMED_MILLIS = 400;
+
 	private final LeaderSettings settings;
 
 	private final InstantSource clock;
@@ -420,13 +427,14 @@
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
 		leading.dueOrders(nowMillis).forEach(this.channels::send);
-		List<HostOrder> hostOrders = leading.drainHostOrders();
+		List<HostOrder> hostOrders = leading.dueHostOrders(nowMillis);
 		if (!hostOrders.isEmpty()) {
 			// The platform does not check the fencing token, so the leadership is
 			// confirmed.
+			SendWindow window = SendWindow.open(this.clock, this.wallClock, CONFIRMED_MILLIS);
 			this.nextReads.add(() -> this.leader.filter((present) -> present == leading)
 				.ifPresent((present) -> hostOrders
-					.forEach((order) -> this.hosts.tell(new HostChannel.Send(order, this.hostReplies)))));
+					.forEach((order) -> this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies)))));
 		}
 		if (leading.takeHostListDue(nowMillis)) {
 			this.hosts.tell(new HostChannel.ListHosts(this.hostLists));
--- /dev/null
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/port/SendWindowTests.java
@@ -0,0 +1,41 @@
+package io.burdockpin.batch.port;
+
+import java.time.Instant;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against orders that a leader sends after it was stopped for so long that there
+ * is another one.
+ */
+class SendWindowTests {
+
+	private final AtomicLong steadyMillis = new AtomicLong(1_000);
+
+	private final AtomicLong wallMillis = new AtomicLong(500_000);
+
+	private final SendWindow window = SendWindow.open(() -> Instant.ofEpochMilli(this.steadyMillis.get()),
+			() -> Instant.ofEpochMilli(this.wallMillis.get()), 400);
+
+	@Test
+	void itIsOpenUntilItsEnd() {
+		this.steadyMillis.addAndGet(399);
+		this.wallMillis.addAndGet(399);
+		Truth.assertThat(this.window.isOpen()).isTrue();
+	}
+
+	@Test
+	void aProcessThatWasStoppedFindsItClosed() {
+		this.steadyMillis.addAndGet(5_000);
+		Truth.assertThat(this.window.isOpen()).isFalse();
+	}
+
+	@Test
+	void aHostThatWasSuspendedFindsItClosed() {
+		this.wallMillis.addAndGet(5_000);
+		Truth.assertThat(this.window.isOpen()).isFalse();
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -63,6 +63,8 @@
 
 	private final PoolBalancer balancer;
 
+	private final HostOrderQueue hostOrders;
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	private final Set<RunnerKey> endingLives = new HashSet<>();
@@ -89,7 +91,8 @@
 		this.term = term;
 		this.electedMillis = nowMillis;
 		this.waves = new WaveKeeper(state, settings.waves(), term, nowMillis);
-		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis);
+		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis, this.durations);
+		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		state.runners().forEach((runner) -> openSession(runner, nowMillis));
 	}
 
@@ -131,13 +134,17 @@
 	}
 
 	/**
-	 * Returns and clears the orders about hosts.
-	 * @return the orders
+	 * Returns the orders about hosts that are due; they count as sent.
+	 * @param nowMillis the time of the monotonic clock
+	 * @return the orders, as many as the platform takes now
 	 */
-	public List<HostOrder> drainHostOrders() {
+	public List<HostOrder> dueHostOrders(long nowMillis) {
 		List<HostOrder> orders = new ArrayList<>(this.waves.drainOrders());
 		orders.addAll(this.balancer.drainOrders());
-		return orders;
+		this.state.configuration()
+			.ifPresent((configuration) -> orders
+				.forEach((order) -> this.hostOrders.add(order, HostOrderUrgency.of(order, configuration), nowMillis)));
+		return this.hostOrders.take(nowMillis);
 	}
 
 	/**
@@ -209,6 +216,7 @@
 	 * @param nowMillis the time of the monotonic clock
 	 */
 	public void onHostReply(HostOrder order, HostReply reply, long nowMillis) {
+		this.hostOrders.onReply();
 		if (order instanceof HostOrder.Upkeep upkeep) {
 			this.waves.onReply(upkeep, reply, nowMillis);
 		}
@@ -272,7 +280,7 @@
 		});
 		openDueOccurrences(wallMillis);
 		this.waves.tick(this.sessions, nowMillis, wallMillis);
-		this.balancer.tick(this.sessions, this.state::isUpkeepDue, nowMillis, wallMillis);
+		this.balancer.tick(this.sessions, this.state::isUpkeepDue, this.hostOrders.size(), nowMillis, wallMillis);
 		if (!this.planIsOpen && isPlanDue(nowMillis)) {
 			this.plannedMillis = nowMillis;
 			this.changedSincePlan = false;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.batch.lead;
 
+import io.burdockpin.core.exc.InvalidValueException;
+
 /**
  * Settings of the leader. Immutable.
  *
@@ -7,8 +9,15 @@
  * @param waves maintenance waves
  * @param balance the balance between pools
  * @param forgetRunnerMillis how long a silent runner without runs is remembered
+ * @param hostOrdersPerSecond how many orders about hosts the platform accepts
  */
 public record LeaderSettings(SessionSettings sessions, WaveSettings waves, BalanceSettings balance,
-		int forgetRunnerMillis) {
+		int forgetRunnerMillis, double hostOrdersPerSecond) {
+
+	public LeaderSettings {
+		if (!(hostOrdersPerSecond > 0)) {
+			throw new InvalidValueException("hostOrdersPerSecond must be above 0, not " + hostOrdersPerSecond);
+		}
+	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -38,10 +38,17 @@
 	private static final int MINIMUM_HOSTS = 2;
 
 	/**
-	 * Share of the hosts, divided evenly by pool, that a pool keeps. In a large fleet a
-	 * turn takes dozens of hosts, and the platform moves them one after the other.
+	 * Share of the hosts, divided evenly by pool, that a pool keeps beside what
+	 * long-running tasks take. In a large fleet a turn takes dozens of hosts, and the
+	 * platform moves them one after the other.
 	 */
-	private static final double MINIMUM_SHARE = 0.25;
+	private static final double RESERVE_SHARE = 0.2;
+
+	/**
+	 * With more orders under way, idle hosts stay where another pool can take them. The
+	 * platform takes about as many in a tenth of a second.
+	 */
+	private static final int MAXIMUM_WAITING_ORDERS = 6;
 
 	/** Demand changes within tenths of a second. */
 	private static final long PERIOD_MILLIS = 150;
@@ -58,8 +65,7 @@
 
 	private final HandOverPause pause;
 
-	/** Hosts whose move this leader has proposed. */
-	private final Set<String> ownOrders = new HashSet<>();
+	private final HostOrderBook book;
 
 	private final Map<String, HostEntry> spareHosts = new LinkedHashMap<>();
 
@@ -67,17 +73,11 @@
 
 	private final Map<String, Long> movedMillis = new HashMap<>();
 
-	private final Map<String, Long> nextTryMillis = new HashMap<>();
-
-	private final Map<String, HostOrder> ordersInFlight = new HashMap<>();
-
 	/** Hosts whose move is proposed but not committed yet. */
 	private final Set<String> proposedHosts = new HashSet<>();
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
-	private final List<HostOrder> orders = new ArrayList<>();
-
 	/** Pools in which the newest plan found no runner with room for a task. */
 	private Set<String> shortPools = Set.of();
 
@@ -91,14 +91,17 @@
 	 * @param settings the settings
 	 * @param fencingToken the term of this leader
 	 * @param electedMillis when this leader was elected, by a monotonic clock
+	 * @param durations estimates how long tasks take
 	 */
-	public PoolBalancer(BatchState state, BalanceSettings settings, long fencingToken, long electedMillis) {
+	public PoolBalancer(BatchState state, BalanceSettings settings, long fencingToken, long electedMillis,
+			DurationEstimator durations) {
 		this.state = state;
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
-		this.demand = new PoolDemand(state);
+		this.demand = new PoolDemand(state, durations);
 		this.pause = new HandOverPause(state, settings.handOverPauseMillis(), electedMillis);
+		this.book = new HostOrderBook(this.pause, settings.retryMillis());
 	}
 
 	// access
@@ -151,9 +154,7 @@
 	 * @return the orders
 	 */
 	public List<HostOrder> drainOrders() {
-		List<HostOrder> drained = List.copyOf(this.orders);
-		this.orders.clear();
-		return drained;
+		return this.book.drainOrders();
 	}
 
 	// events
@@ -182,17 +183,18 @@
 	 * Takes the next steps.
 	 * @param sessions the sessions with the runners
 	 * @param isReserved hosts that must stay where they are
+	 * @param waitingOrders how many orders about hosts wait to be sent
 	 * @param nowMillis the time of the monotonic clock
 	 * @param wallMillis the time of day in milliseconds since 1970
 	 */
-	public void tick(Map<RunnerKey, RunnerSession> sessions, Predicate<String> isReserved, long nowMillis,
-			long wallMillis) {
+	public void tick(Map<RunnerKey, RunnerSession> sessions, Predicate<String> isReserved, int waitingOrders,
+			long nowMillis, long wallMillis) {
 		if (nowMillis < this.nextRoundMillis || this.state.configuration().isEmpty()) {
 			return;
 		}
 		this.nextRoundMillis = nowMillis + PERIOD_MILLIS;
 		FleetConfiguration configuration = this.state.configuration().get();
-		this.demand.observe(configuration, nowMillis);
+		this.demand.observe(configuration, this.settings.lookAheadMillis(), nowMillis);
 		this.state.moves().values().forEach((move) -> advance(move, sessions, nowMillis));
 		Map<String, Pool> pools = pools(configuration, sessions,
 				(host) -> isReserved.test(host) || !this.pause.isOver(host, nowMillis, wallMillis), nowMillis);
@@ -200,6 +202,9 @@
 			.stream()
 			.filter((pool) -> !pool.spare)
 			.forEach((pool) -> grow(pool, pools, nowMillis, wallMillis));
+		if (waitingOrders > MAXIMUM_WAITING_ORDERS) {
+			return;
+		}
 		configuration.pools()
 			.stream()
 			.filter(BatchPool::spare)
@@ -217,8 +222,7 @@
 	 * @param nowMillis the time of the monotonic clock
 	 */
 	public void onReply(HostOrder.Move order, HostReply reply, long nowMillis) {
-		this.ordersInFlight.remove(order.host());
-		this.nextTryMillis.put(order.host(), nowMillis + this.settings.retryMillis());
+		this.book.onReply(order.host(), reply, nowMillis);
 		switch (reply) {
 			case DONE -> {
 				this.movedMillis.put(order.host(), nowMillis);
@@ -244,14 +248,7 @@
 			over(move);
 		}
 		else if (!move.begun()) {
-			boolean mayOrder = this.ownOrders.contains(move.host()) || this.pause.isOverForOpenOrders(nowMillis);
-			boolean isDue = mayOrder && !this.ordersInFlight.containsKey(move.host())
-					&& nowMillis >= this.nextTryMillis.getOrDefault(move.host(), 0L);
-			if (isDue) {
-				HostOrder order = new HostOrder.Move(this.fencingToken, move.host(), move.pool());
-				this.ordersInFlight.put(move.host(), order);
-				this.orders.add(order);
-			}
+			this.book.sendWhenDue(new HostOrder.Move(this.fencingToken, move.host(), move.pool()), nowMillis);
 		}
 		else if (staysOff(move) && isOlderThan(move, this.settings.lookAheadMillis(), nowMillis)) {
 			over(move);
@@ -273,9 +270,8 @@
 	}
 
 	private boolean hasRuns(HostMove move) {
-		boolean orderMayBeOut = this.ordersInFlight.containsKey(move.host())
-				|| this.nextTryMillis.containsKey(move.host());
-		return !orderMayBeOut && move.lifeBefore().filter((life) -> !this.state.runs().on(life).isEmpty()).isPresent();
+		return !this.book.isSent(move.host())
+				&& move.lifeBefore().filter((life) -> !this.state.runs().on(life).isEmpty()).isPresent();
 	}
 
 	private void over(HostMove move) {
@@ -298,18 +294,17 @@
 	private Map<String, Pool> pools(FleetConfiguration configuration, Map<RunnerKey, RunnerSession> sessions,
 			Predicate<String> isReserved, long nowMillis) {
 		int hosts = sessions.size() + this.spareHosts.size();
-		int minimumHosts = Math.max(MINIMUM_HOSTS, (int) (MINIMUM_SHARE * hosts / configuration.pools().size()));
+		double reserveHosts = RESERVE_SHARE * hosts / configuration.pools().size();
 		Map<String, Pool> pools = new LinkedHashMap<>();
 		configuration.pools()
-			.forEach((pool) -> pools.put(pool.name(), new Pool(pool.name(), pool.spare(), minimumHosts,
-					this.demand.wanted(pool.name(), this.settings.lookAheadMillis()))));
+			.forEach((pool) -> pools.put(pool.name(), new Pool(pool.name(), pool.spare(), reserveHosts)));
 		sessions.values().forEach((session) -> {
 			RunnerRecord runner = session.runner();
 			Pool pool = pools.get(runner.pool());
 			if (pool == null || !session.isUsable(nowMillis) || isMoving(runner.hostOrId())) {
 				return;
 			}
-			pool.add(runner.capacity());
+			pool.add(runner.capacity(), this.state.runs().longRunningOn(runner.key()));
 			boolean isIdle = this.state.runs().on(runner.key()).isEmpty() && !isReserved.test(runner.hostOrId());
 			if (isIdle) {
 				this.idleSinceMillis.putIfAbsent(runner.hostOrId(), nowMillis);
@@ -325,7 +320,12 @@
 			.map((pool) -> pool.typicalHost)
 			.filter((host) -> host != PoolDemand.Room.NONE)
 			.findFirst()
-			.ifPresent((host) -> pools.values().forEach((pool) -> pool.assumeHost(host)));
+			.ifPresent((host) -> pools.values().forEach((pool) -> {
+				pool.assumeHost(host);
+				pool.wantedHosts = this.demand.wantedHosts(pool.name, pool.typicalHost,
+						this.settings.lookAheadMillis());
+				pool.servingHosts = this.demand.servingHosts(pool.name, pool.typicalHost);
+			}));
 		this.state.moves()
 			.values()
 			.stream()
@@ -348,15 +348,14 @@
 
 	private void order(String host, String pool) {
 		this.proposedHosts.add(host);
-		this.ownOrders.add(host);
+		this.book.begin(host);
 		this.proposals.add(new BatchCommand.SetMove(host, pool, MovePhase.ORDERED));
 	}
 
 	private Optional<String> takeSpare(long nowMillis, long wallMillis) {
 		Optional<String> host = this.spareHosts.keySet()
 			.stream()
-			.filter((name) -> !isMoving(name) && nowMillis >= this.nextTryMillis.getOrDefault(name, 0L))
-			.filter((name) -> this.pause.isOver(name, nowMillis, wallMillis))
+			.filter((name) -> !isMoving(name) && this.book.mayBegin(name, nowMillis, wallMillis))
 			// The list may be older than the newest move of the host, and a host that is
 			// on must not be taken for a spare one: its runs would end with the move.
 			.filter((name) -> this.state.runnerOn(name).isEmpty())
@@ -371,7 +370,7 @@
 		return pools.values()
 			.stream()
 			.filter((pool) -> pool != taker && pool.canGive() && !this.shortPools.contains(pool.name))
-			.max(Comparator.comparingLong(Pool::surplusMillicores))
+			.max(Comparator.comparingDouble(Pool::surplusHosts))
 			.flatMap((pool) -> take(pool, this.settings.stayMillis(), 0, nowMillis));
 	}
 
@@ -390,7 +389,7 @@
 			.filter((runner) -> nowMillis - this.movedMillis.getOrDefault(runner.hostOrId(), 0L) >= stayMillis)
 			.filter((runner) -> nowMillis
 					- this.idleSinceMillis.getOrDefault(runner.hostOrId(), nowMillis) >= idleMillis)
-			.filter((runner) -> nowMillis >= this.nextTryMillis.getOrDefault(runner.hostOrId(), 0L))
+			.filter((runner) -> this.book.isRetryDue(runner.hostOrId(), nowMillis))
 			.findFirst();
 		taken.ifPresent((runner) -> pool.remove(runner));
 		return taken.map(RunnerRecord::hostOrId);
@@ -407,30 +406,35 @@
 
 		private final boolean spare;
 
-		private final int minimumHosts;
-
-		private final PoolDemand.Room wanted;
+		private final double reserveHosts;
 
 		private final List<RunnerRecord> idle = new ArrayList<>();
 
-		private PoolDemand.Room capacity = PoolDemand.Room.NONE;
-
 		private PoolDemand.Room typicalHost = PoolDemand.Room.NONE;
 
+		/** Hosts that tasks fill which end by themselves. */
+		private double wantedHosts;
+
+		/** Hosts that waiting long-running tasks need. */
+		private int servingHosts;
+
 		private int hosts;
 
+		/** What long-running tasks leave of the hosts, in whole hosts. */
+		private double usableHosts;
+
 		private int arriving;
 
-		private Pool(String name, boolean spare, int minimumHosts, PoolDemand.Room wanted) {
+		private Pool(String name, boolean spare, double reserveHosts) {
 			this.name = name;
 			this.spare = spare;
-			this.minimumHosts = minimumHosts;
-			this.wanted = wanted;
+			this.reserveHosts = reserveHosts;
 		}
 
-		private void add(Resources resources) {
-			this.typicalHost = new PoolDemand.Room(resources.cpuMillicores(), resources.memoryMebibytes());
-			this.capacity = this.capacity.plus(this.typicalHost);
+		private void add(Resources capacity, Resources longRunning) {
+			this.typicalHost = new PoolDemand.Room(capacity.cpuMillicores(), capacity.memoryMebibytes());
+			PoolDemand.Room taken = new PoolDemand.Room(longRunning.cpuMillicores(), longRunning.memoryMebibytes());
+			this.usableHosts += 1 - taken.hosts(this.typicalHost);
 			this.hosts++;
 		}
 
@@ -440,35 +444,32 @@
 
 		private void addArriving() {
 			this.arriving++;
-			this.capacity = this.capacity.plus(this.typicalHost);
+			this.usableHosts++;
 			this.hosts++;
 		}
 
 		private void remove(RunnerRecord runner) {
 			this.idle.remove(runner);
-			this.capacity = new PoolDemand.Room(this.capacity.cpuMillicores() - runner.capacity().cpuMillicores(),
-					this.capacity.memoryMebibytes() - runner.capacity().memoryMebibytes());
+			this.usableHosts--;
 			this.hosts--;
 		}
 
 		private boolean isShort() {
 			// Without any host nothing is known about how much one brings.
-			return this.typicalHost != PoolDemand.Room.NONE && scaled(HEADROOM).exceeds(this.capacity);
+			return this.typicalHost != PoolDemand.Room.NONE && hostsToKeep(HEADROOM) > this.usableHosts;
 		}
 
 		private boolean canGive() {
-			PoolDemand.Room rest = new PoolDemand.Room(this.capacity.cpuMillicores() - this.typicalHost.cpuMillicores(),
-					this.capacity.memoryMebibytes() - this.typicalHost.memoryMebibytes());
-			return !this.idle.isEmpty() && this.hosts > this.minimumHosts && !scaled(KEEP_FACTOR).exceeds(rest);
+			return !this.idle.isEmpty() && this.hosts > MINIMUM_HOSTS
+					&& hostsToKeep(KEEP_FACTOR) <= this.usableHosts - 1;
 		}
 
-		private long surplusMillicores() {
-			return this.capacity.cpuMillicores() - this.wanted.cpuMillicores();
+		private double surplusHosts() {
+			return this.usableHosts - hostsToKeep(1);
 		}
 
-		private PoolDemand.Room scaled(double factor) {
-			return new PoolDemand.Room((long) (factor * this.wanted.cpuMillicores()),
-					(long) (factor * this.wanted.memoryMebibytes()));
+		private double hostsToKeep(double factor) {
+			return Math.max(this.reserveHosts, factor * this.wantedHosts) + this.servingHosts;
 		}
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -39,11 +39,10 @@
 
 	/**
 	 * Long-running tasks stay for minutes and may hardly be stopped, so the rest of a
-	 * pool is kept for the turns in which its queues ask for most. The share exceeds the
-	 * reciprocal of what {@link PoolDemand} asks for, so that a pool grows until such a
-	 * step has room.
+	 * pool is kept for the turns in which its queues ask for most. {@link PoolDemand}
+	 * asks for the hosts that this takes.
 	 */
-	private static final double LONG_RUNNING_SHARE = 0.75;
+	static final double LONG_RUNNING_SHARE = 0.75;
 
 	private final DurationEstimator durations;
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -4,12 +4,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -36,31 +34,18 @@
 
 	private final long electedMillis;
 
-	private final HandOverPause pause;
-
-	/** Hosts whose upkeep this leader has committed. */
-	private final Set<String> ownOrders = new HashSet<>();
+	private final HostOrderBook book;
 
 	/** Hosts that take no new tasks, with the start of their drain. */
 	private final Map<String, Long> draining = new LinkedHashMap<>();
 
-	/** When this leader may send the next order about a host. */
-	private final Map<String, Long> nextTryMillis = new HashMap<>();
-
 	private final Map<String, Long> begunMillis = new HashMap<>();
 
 	/** What was proposed for each host and is not committed yet. */
 	private final Map<String, UpkeepPhase> proposedPhases = new HashMap<>();
 
-	private final Map<String, HostOrder> ordersInFlight = new HashMap<>();
-
-	/** Hosts whose committed upkeep this leader has sent; it may have begun. */
-	private final Set<String> sentOrders = new HashSet<>();
-
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
-	private final List<HostOrder> orders = new ArrayList<>();
-
 	/**
 	 * Creates a keeper.
 	 * @param state the state
@@ -73,7 +58,8 @@
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
-		this.pause = new HandOverPause(state, settings.handOverPauseMillis(), electedMillis);
+		this.book = new HostOrderBook(new HandOverPause(state, settings.handOverPauseMillis(), electedMillis),
+				settings.retryMillis());
 	}
 
 	// access
@@ -102,9 +88,7 @@
 	 * @return the orders
 	 */
 	public List<HostOrder> drainOrders() {
-		List<HostOrder> drained = List.copyOf(this.orders);
-		this.orders.clear();
-		return drained;
+		return this.book.drainOrders();
 	}
 
 	// events
@@ -138,8 +122,7 @@
 	 * @param nowMillis the time
 	 */
 	public void onReply(HostOrder.Upkeep order, HostReply reply, long nowMillis) {
-		this.ordersInFlight.remove(order.host());
-		this.nextTryMillis.put(order.host(), nowMillis + this.settings.retryMillis());
+		this.book.onReply(order.host(), reply, nowMillis);
 		switch (reply) {
 			case DONE -> {
 				this.begunMillis.put(order.host(), nowMillis);
@@ -149,10 +132,7 @@
 					.ifPresent((life) -> this.proposals.add(new BatchCommand.RemoveRunner(life)));
 				propose(order.wave(), order.host(), UpkeepPhase.BEGUN);
 			}
-			case BUSY -> {
-				this.sentOrders.remove(order.host());
-				propose(order.wave(), order.host(), UpkeepPhase.PENDING);
-			}
+			case BUSY -> propose(order.wave(), order.host(), UpkeepPhase.PENDING);
 			case UNKNOWN_HOST -> propose(order.wave(), order.host(), UpkeepPhase.GONE);
 			default -> {
 				// The order may have been carried out, so it is sent again.
@@ -180,8 +160,7 @@
 			.stream()
 			.filter((entry) -> entry.getValue() == UpkeepPhase.PENDING && !this.draining.containsKey(entry.getKey()))
 			.map(Map.Entry::getKey)
-			.filter((host) -> nowMillis >= this.nextTryMillis.getOrDefault(host, 0L))
-			.filter((host) -> this.pause.isOver(host, nowMillis, wallMillis))
+			.filter((host) -> this.book.mayBegin(host, nowMillis, wallMillis))
 			.sorted(Comparator.comparingInt(this::reservedMillicores))
 			.limit(Math.max(0, room))
 			.forEach((host) -> this.draining.put(host, nowMillis));
@@ -208,7 +187,7 @@
 		}
 		Collection<Run> runs = runner.map((known) -> this.state.runs().on(known.key())).orElse(List.of());
 		if (runs.isEmpty()) {
-			this.ownOrders.add(host);
+			this.book.begin(host);
 			propose(wave.wave().number(), host, UpkeepPhase.ORDERED);
 			return;
 		}
@@ -256,21 +235,12 @@
 
 	private void sendWhenDue(WaveProgress wave, String host, long nowMillis) {
 		this.draining.remove(host);
-		boolean isUnsent = this.ownOrders.contains(host) && !this.sentOrders.contains(host);
-		if (isUnsent && hasRuns(host)) {
+		if (this.book.isOwn(host) && !this.book.isSent(host) && hasRuns(host)) {
 			// A task was assigned to the host before its upkeep was committed.
 			propose(wave.wave().number(), host, UpkeepPhase.PENDING);
 			return;
 		}
-		boolean mayOrder = this.ownOrders.contains(host) || this.pause.isOverForOpenOrders(nowMillis);
-		boolean isDue = mayOrder && !this.ordersInFlight.containsKey(host)
-				&& nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
-		if (isDue) {
-			HostOrder order = new HostOrder.Upkeep(this.fencingToken, host, wave.wave().number());
-			this.ordersInFlight.put(host, order);
-			this.sentOrders.add(host);
-			this.orders.add(order);
-		}
+		this.book.sendWhenDue(new HostOrder.Upkeep(this.fencingToken, host, wave.wave().number()), nowMillis);
 	}
 
 	private boolean hasReturned(WaveProgress wave, String host, Map<RunnerKey, RunnerSession> sessions,
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/HostOrderQueueTests.java
@@ -0,0 +1,75 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: a turn begins while a wave and the end of another turn ask for many orders.
+ */
+class HostOrderQueueTests {
+
+	private final HostOrderQueue queue = new HostOrderQueue(50);
+
+	private long nowMillis = 10_000;
+
+	/** Guards against jobs that wait behind orders which nobody waits for. */
+	@Test
+	void ordersThatJobsWaitForGoFirst() {
+		add("returned", HostOrderUrgency.RETURN);
+		add("maintained", HostOrderUrgency.UPKEEP);
+		add("wanted", HostOrderUrgency.GROW);
+		Truth.assertThat(takeHosts()).containsExactly("wanted", "maintained", "returned").inOrder();
+	}
+
+	/** Guards against a wave that never gets its turn. */
+	@Test
+	void anOrderThatHasWaitedForLongGoesBeforeNewOnes() {
+		add("maintained", HostOrderUrgency.UPKEEP);
+		this.nowMillis += 1_500;
+		add("wanted", HostOrderUrgency.GROW);
+		Truth.assertThat(takeHosts()).containsExactly("maintained", "wanted").inOrder();
+	}
+
+	/** Guards against orders that the platform refuses because they are too many. */
+	@Test
+	void ordersKeepToTheRateThatThePlatformAccepts() {
+		for (int number = 0; number < 200; number++) {
+			add("host" + number, HostOrderUrgency.GROW);
+		}
+		int taken = 0;
+		for (int round = 0; round < 100; round++) {
+			this.nowMillis += 10;
+			List<String> hosts = takeHosts();
+			taken += hosts.size();
+			hosts.forEach((host) -> this.queue.onReply());
+		}
+		Truth.assertThat(taken).isAtMost(50 + 6);
+		Truth.assertThat(taken).isAtLeast(45);
+	}
+
+	/** Guards against orders that are old when a slow platform takes them. */
+	@Test
+	void ordersWaitHereWhileThePlatformDoesNotAnswer() {
+		for (int number = 0; number < 20; number++) {
+			add("host" + number, HostOrderUrgency.GROW);
+		}
+		int taken = 0;
+		for (int round = 0; round < 10; round++) {
+			this.nowMillis += 1_000;
+			taken += takeHosts().size();
+		}
+		Truth.assertThat(taken).isEqualTo(6);
+	}
+
+	private void add(String host, HostOrderUrgency urgency) {
+		this.queue.add(new HostOrder.Move(1, host, "pool"), urgency, this.nowMillis);
+	}
+
+	private List<String> takeHosts() {
+		return new ArrayList<>(this.queue.take(this.nowMillis).stream().map(HostOrder::host).toList());
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -36,7 +37,7 @@
 	@BeforeEach
 	void configure() {
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, Resources.NONE, "hot", "cold")));
-		this.balancer = new PoolBalancer(this.state, SETTINGS, 1, this.nowMillis);
+		this.balancer = new PoolBalancer(this.state, SETTINGS, 1, this.nowMillis, new DurationEstimator());
 		for (int number = 0; number < 4; number++) {
 			addRunner("hot" + number, "hot");
 			addRunner("cold" + number, "cold");
@@ -169,11 +170,95 @@
 		Truth.assertThat(moves).contains(new BatchCommand.SetMove(host, "hot", MovePhase.ORDERED));
 	}
 
+	/**
+	 * Guards against a move that ends the tasks on its host: a task was assigned just
+	 * before the move was committed, and the leader has moved the host once before.
+	 */
+	@Test
+	void aHostThatGotATaskMeanwhileStaysAlsoIfItWasMovedBefore() {
+		this.balancer.onList(List.of(new HostEntry("host-s1", "spare", true)));
+		submit("large", 16);
+		tick().forEach(this::apply);
+		this.nowMillis += 200;
+		tick();
+		this.balancer.drainOrders()
+			.forEach((order) -> this.balancer.onReply((HostOrder.Move) order, HostReply.DONE, this.nowMillis));
+		this.balancer.drainProposals().forEach(this::apply);
+		addRunner("s1", "hot");
+		this.nowMillis += 200;
+		tick().forEach(this::apply);
+		Truth.assertThat(this.state.moves()).isEmpty();
+		apply(new BatchCommand.CancelJob("large"));
+		submit("busy", 4);
+		for (int number = 0; number < 4; number++) {
+			assign("busy", number, "hot" + number);
+		}
+		List<BatchCommand.SetMove> moves = List.of();
+		for (int round = 0; round < 40 && moves.isEmpty(); round++) {
+			this.nowMillis += 200;
+			moves = tick().stream().filter((move) -> move.host().equals("host-s1")).toList();
+		}
+		Truth.assertThat(moves).hasSize(1);
+		submit("next", 1);
+		assign("next", 0, "s1");
+		moves.forEach(this::apply);
+		this.nowMillis += 600;
+		Truth.assertThat(tick()).contains(new BatchCommand.SetMove("host-s1", "spare", MovePhase.OVER));
+		Truth.assertThat(this.balancer.drainOrders().stream().map(HostOrder::host).toList()).doesNotContain("host-s1");
+	}
+
+	/**
+	 * Guards against a long-running step that waits while its pool gets one host after
+	 * the other. Load pattern: serving tasks that need a host each.
+	 */
+	@Test
+	void aPoolGetsAllHostsOfALongRunningStepAtOnce() {
+		this.balancer.onList(
+				IntStream.range(0, 8).mapToObj((number) -> new HostEntry("host-s" + number, "spare", true)).toList());
+		apply(new BatchCommand.SubmitJob("serving", "queue-hot", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(8, 1, 1))));
+		Truth.assertThat(tick().size()).isAtLeast(4);
+	}
+
+	/**
+	 * Guards against a turn whose first jobs find hosts that long-running tasks fill.
+	 */
+	@Test
+	void whatLongRunningTasksTakeDoesNotCountAsReserve() {
+		this.balancer.onList(
+				IntStream.range(0, 30).mapToObj((number) -> new HostEntry("host-s" + number, "spare", true)).toList());
+		apply(new BatchCommand.SubmitJob("serving", "queue-hot", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(16, 0, 1))));
+		for (int number = 0; number < 16; number++) {
+			assign("serving", number, "hot" + number / 4);
+		}
+		Truth.assertThat(tick().stream().map(BatchCommand.SetMove::pool).toList()).contains("hot");
+	}
+
+	/**
+	 * Guards against hosts that are taken for work that ends before they arrive, while
+	 * the next queue needs them.
+	 */
+	@Test
+	void tasksThatWillHaveEndedAskForNoHosts() {
+		this.balancer.onList(List.of(new HostEntry("host-s1", "spare", true)));
+		submit("running", 16);
+		for (int number = 0; number < 16; number++) {
+			assign("running", number, "hot" + number / 4);
+		}
+		Truth.assertThat(tick()).isEmpty();
+	}
+
+	private void assign(String job, int task, String runner) {
+		apply(new BatchCommand.AssignRuns(
+				List.of(new BatchCommand.Assignment(new TaskId(job, 0, 0, task), 1, new RunnerKey(runner, 1)))));
+	}
+
 	private List<BatchCommand.SetMove> tick() {
 		this.sessions.values()
 			.forEach((session) -> session
 				.onHoldReply(new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of()), this.nowMillis));
-		this.balancer.tick(this.sessions, (host) -> false, this.nowMillis, this.nowMillis);
+		this.balancer.tick(this.sessions, (host) -> false, 0, this.nowMillis, this.nowMillis);
 		return this.balancer.drainProposals()
 			.stream()
 			.filter(BatchCommand.SetMove.class::isInstance)
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -38,7 +38,7 @@
 
 	static final LeaderSettings SETTINGS = new LeaderSettings(new SessionSettings(4_000, 300, 400, 200, 100, 1_500),
 			new WaveSettings(1_000, 500, 1_000, 2_000, 200),
-			new BalanceSettings(1_000, 1_700, 2_000, 2_000, 200, 1_000), 10_000);
+			new BalanceSettings(1_000, 1_700, 2_000, 2_000, 200, 1_000), 10_000, 64);
 
 	private static final String POOL = "pool";
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -133,11 +133,12 @@
 			TaskPlannerTests round = new TaskPlannerTests();
 			round.configure(Resources.NONE);
 			round.submit("service", NOW_MILLIS, BatchFixtures.longRunning(tasks, 0, 1));
-			PoolDemand demand = new PoolDemand(round.state);
-			demand.observe(round.state.configuration().get(), NOW_MILLIS);
-			int wanted = (int) demand.wanted("pool", 0).cpuMillicores();
-			for (int millicores = 0; millicores < wanted; millicores += BatchFixtures.CAPACITY.cpuMillicores()) {
-				round.addRunner("r" + millicores);
+			PoolDemand demand = new PoolDemand(round.state, new DurationEstimator());
+			demand.observe(round.state.configuration().get(), 0, NOW_MILLIS);
+			int wantedHosts = demand.servingHosts("pool", new PoolDemand.Room(BatchFixtures.CAPACITY.cpuMillicores(),
+					BatchFixtures.CAPACITY.memoryMebibytes()));
+			for (int host = 0; host < wantedHosts; host++) {
+				round.addRunner("r" + host);
 			}
 			Truth.assertWithMessage("%s tasks", tasks).that(round.plan()).hasSize(tasks);
 		}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TurnFleet.java
@@ -0,0 +1,446 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchPool;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.RunOutcome;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.model.Workspace;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+
+/**
+ * A fleet in virtual time whose queues ask for work by turns, each for more than its pool
+ * holds. Runners and the platform are sound; the platform carries out orders about hosts
+ * one after the other. Tells how many jobs meet their objective and what the hosts cost.
+ */
+final class TurnFleet {
+
+	private static final long START_MILLIS = 1_000_000;
+
+	/** When the long-running steps are submitted, after the start. */
+	private static final int SERVING_MILLIS = 9_000;
+
+	private static final int MOVE_MILLIS = 1_500;
+
+	/** Part of a turn in which its demand rises. */
+	private static final double RISING_SHARE = 0.4;
+
+	private static final int UPKEEP_MILLIS = 2_000;
+
+	private static final int COMMIT_MILLIS = 12;
+
+	private static final int ROUND_TRIP_MILLIS = 6;
+
+	private static final int ROUND_MILLIS = 15;
+
+	private static final double STRETCH = 1.6;
+
+	private static final int TARGET_MILLIS = 600;
+
+	private final Shape shape;
+
+	private final Random random;
+
+	private final LeaderSettings settings;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+
+	private final BatchState state = new BatchState();
+
+	private final Map<String, String> poolOfHost = new LinkedHashMap<>();
+
+	private final Map<RunnerKey, Runner> runners = new HashMap<>();
+
+	private final Map<String, JobTimes> jobs = new LinkedHashMap<>();
+
+	private final FleetLeader leader;
+
+	private long nowMillis = START_MILLIS;
+
+	private long eventCount;
+
+	private long hostMillis;
+
+	private int moves;
+
+	private int lifeCount;
+
+	private int jobCount;
+
+	TurnFleet(Shape shape, LeaderSettings settings, long seed) {
+		this.shape = shape;
+		this.settings = settings;
+		this.random = new Random(seed);
+		List<BatchQueue> queues = new ArrayList<>();
+		List<BatchPool> pools = new ArrayList<>(List.of(new BatchPool("spare", false, true)));
+		for (int number = 0; number < shape.pools(); number++) {
+			queues.add(queue("work" + number, number, TARGET_MILLIS));
+			queues.add(queue("serve" + number, number, 2_500));
+			pools.add(new BatchPool("pool" + number, false, false));
+		}
+		commit(List.of(new BatchCommand.SetConfiguration(new FleetConfiguration(1, queues, pools,
+				List.of(new Workspace("team", Set.of("key"), 1, Resources.NONE)), Payload.EMPTY))));
+		this.leader = new FleetLeader(this.state, settings, 1, this.nowMillis);
+		for (int host = 0; host < shape.hosts(); host++) {
+			int pool = host % (shape.pools() + 1);
+			boolean spare = pool == shape.pools();
+			this.poolOfHost.put("host" + host, spare ? "spare" : "pool" + pool);
+			if (!spare) {
+				startRunner("host" + host);
+			}
+		}
+		at(0, this::decide);
+		at(0, this::listHosts);
+	}
+
+	// what a test does
+
+	/** Lets the long-running steps start and then gives each queue one turn. */
+	void play() {
+		for (int number = 0; number < this.shape.pools(); number++) {
+			int pool = number;
+			at(SERVING_MILLIS, () -> submitServing(pool));
+		}
+		long firstTurnMillis = this.shape.leadMillis();
+		for (int number = 0; number < this.shape.pools(); number++) {
+			scheduleTurn(number, firstTurnMillis + number * this.shape.turnMillis());
+		}
+		run(firstTurnMillis + (this.shape.pools() + 1) * this.shape.turnMillis());
+	}
+
+	/**
+	 * Asks for the upkeep of nearly half of the hosts soon after the first turn begins.
+	 */
+	void planWave() {
+		List<String> hosts = this.poolOfHost.keySet()
+			.stream()
+			.filter((host) -> this.random.nextDouble() < 0.46)
+			.toList();
+		at(this.shape.leadMillis() + 1_100, () -> commitSoon(List.of(new BatchCommand.StartWave(
+				new MaintenanceWave(1, hosts, 28_000, this.shape.hosts() / 6, this.nowMillis)))));
+	}
+
+	// what a test looks at
+
+	/** Returns the share of the jobs, by their work, that met their objective. */
+	double servedShare() {
+		double owed = 0;
+		double earned = 0;
+		for (JobTimes job : this.jobs.values()) {
+			owed += job.worth();
+			earned += (job.endMillis() > 0 && job.endMillis() <= job.objectiveMillis()) ? job.worth() : 0;
+		}
+		return earned / owed;
+	}
+
+	long hostSeconds() {
+		return this.hostMillis / 1_000;
+	}
+
+	int moves() {
+		return this.moves;
+	}
+
+	/** Returns how long the serving tasks of a pool waited, on the mean. */
+	double servingWaitSeconds() {
+		return this.runners.values()
+			.stream()
+			.flatMapToLong((runner) -> runner.servingWaitMillis.stream().mapToLong((wait) -> wait))
+			.average()
+			.orElse(Double.NaN) / 1_000;
+	}
+
+	// load
+
+	private void scheduleTurn(int pool, long startMillis) {
+		for (long offset = 0; offset < this.shape.turnMillis(); offset += 10) {
+			double rate = this.shape.peakPerSecond() * ramp((double) offset / this.shape.turnMillis());
+			if (this.random.nextDouble() < rate / 100) {
+				at(startMillis + offset, () -> submitWork(pool));
+			}
+		}
+	}
+
+	private static double ramp(double share) {
+		return (share < RISING_SHARE) ? 0.2 + 0.8 * share / RISING_SHARE : (1 - share) / (1 - RISING_SHARE);
+	}
+
+	private void submitWork(int pool) {
+		String id = "job" + this.jobCount++;
+		int stepCount = (this.random.nextDouble() < 0.5) ? 1 : 2;
+		List<StepSpec> steps = new ArrayList<>();
+		int cpuMillicores = (int) spread(this.shape.task().cpuMillicores(), 0.45, 3);
+		int mebibytes = (int) spread(this.shape.task().memoryMebibytes(), 0.6, 3);
+		double chainMillis = 0;
+		double work = 0;
+		List<Long> durations = new ArrayList<>();
+		for (int step = 0; step < stepCount; step++) {
+			int width = (int) Math.max(1, spread(8, 0.6, 4));
+			long millis = (long) spread(this.shape.workMillis(), 0.5, 2.5);
+			durations.add(millis);
+			chainMillis += millis;
+			work += (double) width * millis * cpuMillicores;
+			steps.add(step(width, new Resources(cpuMillicores, mebibytes, 0), (int) spread(millis, 0.2, 3),
+					(step == 0) ? List.of() : List.of(step - 1), false, OptionalInt.empty()));
+		}
+		double meanWork = 1.5 * 8 * this.shape.workMillis() * this.shape.task().cpuMillicores();
+		double worth = Math.min(4, 0.3 + 0.7 * work / meanWork);
+		this.jobs.put(id,
+				new JobTimes(durations, this.nowMillis + (long) (STRETCH * chainMillis) + TARGET_MILLIS, worth, 0));
+		commitSoon(List.of(new BatchCommand.SubmitJob(id, "work" + pool, "team", new JobSpec(id, steps, 0, 0, 0))));
+	}
+
+	private void submitServing(int pool) {
+		String id = "serve" + pool;
+		commitSoon(List.of(new BatchCommand.SubmitJob(id, "serve" + pool, "team",
+				new JobSpec(id, List.of(step(this.shape.servingTasks(), this.shape.servingTask(), 700, List.of(), true,
+						OptionalInt.of(this.shape.servingPerHost()))), 0, 0, 0))));
+	}
+
+	private double spread(double mean, double sigma, double most) {
+		double drawn = mean * Math.exp(sigma * this.random.nextGaussian() - sigma * sigma / 2);
+		return Math.min(most * mean, drawn);
+	}
+
+	private BatchQueue queue(String name, int pool, int targetMillis) {
+		return new BatchQueue(name, "host", "/" + name + "/", false, "pool" + pool, 0, 3, 3_000, targetMillis, STRETCH);
+	}
+
+	private static StepSpec step(int width, Resources resources, int estimatedMillis, List<Integer> after,
+			boolean serving, OptionalInt perRunner) {
+		return new StepSpec(width, resources, estimatedMillis, after, false, false, false, Optional.empty(),
+				Optional.empty(), perRunner, false, serving, Optional.empty(), OptionalInt.empty(), false,
+				serving ? 2 : 0);
+	}
+
+	// the leader
+
+	private void decide() {
+		this.leader.decide(this.nowMillis, this.nowMillis);
+		this.leader.dueOrders(this.nowMillis).forEach(this::send);
+		this.leader.dueHostOrders(this.nowMillis).forEach(this::carryOut);
+		commitSoon(this.leader.drainProposals());
+		this.hostMillis += ROUND_MILLIS
+				* this.poolOfHost.values().stream().filter((pool) -> !pool.equals("spare")).count();
+		at(ROUND_MILLIS, this::decide);
+	}
+
+	private void listHosts() {
+		if (this.leader.takeHostListDue(this.nowMillis)) {
+			this.leader.onHostList(this.poolOfHost.entrySet()
+				.stream()
+				.map((entry) -> new HostEntry(entry.getKey(), entry.getValue(), true))
+				.toList());
+		}
+		at(100, this::listHosts);
+	}
+
+	private void commitSoon(List<BatchCommand> commands) {
+		if (!commands.isEmpty()) {
+			at(COMMIT_MILLIS, () -> commit(commands));
+		}
+	}
+
+	private void commit(List<BatchCommand> commands) {
+		this.state.apply(new CommandGroup(this.nowMillis, commands));
+		commands.forEach((command) -> {
+			if (this.leader != null) {
+				this.leader.onApplied(command, this.nowMillis);
+			}
+			if (command instanceof BatchCommand.NoteEnds noted) {
+				noted.ends().forEach((end) -> noteEnd(end.task().job()));
+			}
+		});
+	}
+
+	private void noteEnd(String job) {
+		this.state.job(job)
+			.filter((known) -> known.phase() == BatchJobPhase.COMPLETED)
+			.ifPresent((known) -> this.jobs.computeIfPresent(job, (id, times) -> times.endingAt(this.nowMillis)));
+	}
+
+	// hosts and runners
+
+	private void carryOut(HostOrder order) {
+		at(this.shape.orderMillis(), () -> {
+			this.runners.values().removeIf((runner) -> runner.host.equals(order.host()));
+			if (order instanceof HostOrder.Move move) {
+				this.moves++;
+				this.poolOfHost.put(move.host(), move.pool());
+			}
+			this.leader.onHostReply(order, HostReply.DONE, this.nowMillis);
+			if (!this.poolOfHost.get(order.host()).equals("spare")) {
+				at((order instanceof HostOrder.Move) ? MOVE_MILLIS : UPKEEP_MILLIS, () -> startRunner(order.host()));
+			}
+		});
+	}
+
+	private void startRunner(String host) {
+		RunnerKey key = new RunnerKey("runner" + this.lifeCount++, this.nowMillis);
+		this.runners.put(key, new Runner(host));
+		RunnerRecord record = new RunnerRecord(key, Optional.of(host), this.poolOfHost.get(host), "127.0.0.1:1", "dc1",
+				Optional.of("rack"), this.shape.host(), Set.of(), false);
+		this.leader.onAnnouncement(record, 1, this.nowMillis).ifPresent((command) -> commitSoon(List.of(command)));
+	}
+
+	private void send(RunnerDispatch dispatch) {
+		RunnerKey key = dispatch.runner().key();
+		RunnerOrder order = dispatch.order();
+		at(ROUND_TRIP_MILLIS / 2, () -> {
+			Runner runner = this.runners.get(key);
+			if (runner == null) {
+				answer(key, order, RunnerReply.NoAnswer.UNREACHED);
+			}
+			else if (order instanceof RunnerOrder.Hold hold) {
+				runner.hold = Optional.of(hold);
+				runner.ends.removeIf((end) -> end.number() <= hold.acknowledgedEnd());
+				at(hold.waitMillis(), () -> answerHold(key, hold));
+				if (!runner.ends.isEmpty()) {
+					answerHold(key, hold);
+				}
+			}
+			else {
+				if (order instanceof RunnerOrder.Start start) {
+					start(key, runner, start);
+				}
+				answer(key, order, new RunnerReply.Accepted(this.nowMillis));
+			}
+		});
+	}
+
+	private void start(RunnerKey key, Runner runner, RunnerOrder.Start start) {
+		TaskId task = start.task();
+		runner.running.put(task, start.run());
+		Optional<JobTimes> times = Optional.ofNullable(this.jobs.get(task.job()));
+		if (times.isEmpty()) {
+			runner.servingWaitMillis.add(this.nowMillis - START_MILLIS - SERVING_MILLIS);
+			return;
+		}
+		at(times.get().durations().get(task.step()), () -> {
+			if (runner.running.remove(task) != null) {
+				runner.ends.add(new BatchCommand.End(++runner.lastEnd, task, start.run(), RunOutcome.DONE, ""));
+				runner.hold.ifPresent((hold) -> answerHold(key, hold));
+			}
+		});
+	}
+
+	private void answerHold(RunnerKey key, RunnerOrder.Hold hold) {
+		Runner runner = this.runners.get(key);
+		if (runner != null && runner.hold.equals(Optional.of(hold))) {
+			runner.hold = Optional.empty();
+			answer(key, hold,
+					new RunnerReply.Listing(this.nowMillis, OptionalLong.of(key.bornMillis()),
+							runner.running.entrySet()
+								.stream()
+								.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue(), "", 100,
+										OptionalInt.empty()))
+								.toList(),
+							runner.ends));
+		}
+	}
+
+	private void answer(RunnerKey key, RunnerOrder order, RunnerReply reply) {
+		at(ROUND_TRIP_MILLIS / 2, () -> this.leader.onReply(key, order, reply, this.nowMillis));
+	}
+
+	// time
+
+	private void run(long millis) {
+		long untilMillis = this.nowMillis + millis;
+		while (!this.events.isEmpty() && this.events.peek().atMillis() <= untilMillis) {
+			Event event = this.events.remove();
+			this.nowMillis = event.atMillis();
+			event.action().run();
+		}
+	}
+
+	private void at(long delayMillis, Runnable action) {
+		this.events.add(new Event(this.nowMillis + delayMillis, ++this.eventCount, action));
+	}
+
+	/** A runner without faults. */
+	private static final class Runner {
+
+		private final String host;
+
+		private final Map<TaskId, Integer> running = new LinkedHashMap<>();
+
+		private final List<BatchCommand.End> ends = new ArrayList<>();
+
+		private final List<Long> servingWaitMillis = new ArrayList<>();
+
+		private Optional<RunnerOrder.Hold> hold = Optional.empty();
+
+		private long lastEnd;
+
+		private Runner(String host) {
+			this.host = host;
+		}
+
+	}
+
+	private record Event(long atMillis, long number, Runnable action) {
+
+	}
+
+	/** What becomes of a job. */
+	private record JobTimes(List<Long> durations, long objectiveMillis, double worth, long endMillis) {
+
+		private JobTimes endingAt(long millis) {
+			return new JobTimes(this.durations, this.objectiveMillis, this.worth, millis);
+		}
+
+	}
+
+	/**
+	 * Sizes of a fleet and its load.
+	 *
+	 * @param pools number of pools beside the spare one
+	 * @param hosts number of hosts, a part of them in the spare pool
+	 * @param host capacity of each
+	 * @param task what a task of a turn asks for, on the mean
+	 * @param workMillis how long it takes, on the mean
+	 * @param peakPerSecond jobs a second in the middle of a turn
+	 * @param turnMillis how long a turn lasts
+	 * @param servingTasks long-running tasks of each pool
+	 * @param servingTask what each of them asks for
+	 * @param servingPerHost how many of them a host may run
+	 * @param orderMillis how long an order about a host is on its way
+	 * @param leadMillis time before the first turn
+	 */
+	record Shape(int pools, int hosts, Resources host, Resources task, int workMillis, double peakPerSecond,
+			int turnMillis, int servingTasks, Resources servingTask, int servingPerHost, int orderMillis,
+			int leadMillis) {
+
+		Shape withServingPerHost(int tasks) {
+			return new Shape(this.pools, this.hosts, this.host, this.task, this.workMillis, this.peakPerSecond,
+					this.turnMillis, this.servingTasks, this.servingTask, tasks, this.orderMillis, this.leadMillis);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TurnsOfDemandTests.java
@@ -0,0 +1,43 @@
+package io.burdockpin.core.batch.lead;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.model.Resources;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: queues ask for work by turns, each for several times what its pool holds,
+ * while nearly half of the hosts are due for upkeep and long-running tasks fill the
+ * memory of others. The platform takes 64 orders about hosts a second.
+ */
+class TurnsOfDemandTests {
+
+	private static final LeaderSettings SETTINGS = new LeaderSettings(
+			new SessionSettings(4_000, 1_000, 700, 300, 150, 2_200), new WaveSettings(1_000, 3_000, 2_000, 5_000, 400),
+			new BalanceSettings(1_000, 1_700, 1_500, 2_500, 400, 1_500), 60_000, 64);
+
+	private static final Resources HOST = new Resources(64_000, 262_144, 0);
+
+	private static final TurnFleet.Shape FLEET = new TurnFleet.Shape(4, 246, HOST, new Resources(8_100, 17_000, 0),
+			1_000, 56, 8_500, 24, new Resources(8_200, 80_000, 0), 3, 35, 18_000);
+
+	/**
+	 * Guards against pools that grow too late for the first jobs of a turn, or take hosts
+	 * that the next turn needs.
+	 */
+	@Test
+	void nearlyAllJobsOfATurnMeetTheirObjectiveDuringAWave() {
+		TurnFleet fleet = new TurnFleet(FLEET, SETTINGS, 1);
+		fleet.planWave();
+		fleet.play();
+		Truth.assertThat(fleet.servedShare()).isAtLeast(0.95);
+	}
+
+	/** Guards against a pool that gets one host after the other for such a step. */
+	@Test
+	void longRunningTasksThatNeedAHostEachStartBeforeTheTurns() {
+		TurnFleet fleet = new TurnFleet(FLEET.withServingPerHost(1), SETTINGS, 1);
+		fleet.play();
+		Truth.assertThat(fleet.servingWaitSeconds()).isAtMost(4);
+	}
+
+}
