Find runners by host at once and place up to 512 tasks in a round

Change: runners are kept by host as well, ended jobs stop only their own runs, a round looks queues up in a map, and a round places 512 tasks.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -358,14 +358,17 @@
 		this.sessions.values().forEach((session) -> session.remove(release.task(), release.run()));
 	}
 
-	private void stopRunsOf(String job) {
-		this.sessions.values()
-			.forEach((session) -> this.state.runs()
-				.on(session.runner().key())
-				.stream()
-				.filter((run) -> run.task().job().equals(job))
-				.forEach((run) -> session.stop(run.task())));
-		this.sessions.values().forEach(this::proposeReleases);
+	private void stopRunsOf(String id) {
+		this.state.job(id)
+			.ifPresent((job) -> job.occurrences()
+				.forEach((occurrence) -> occurrence.steps().forEach((step) -> step.tasks().forEach(this::stop))));
+	}
+
+	private void stop(BatchTask task) {
+		task.run().ifPresent((run) -> session(run.runner()).ifPresent((session) -> {
+			session.stop(run.task());
+			proposeReleases(session);
+		}));
 	}
 
 	private void proposeReleases(RunnerSession session) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
@@ -58,10 +58,10 @@
 		Map<String, Room> arrivedFirst = new HashMap<>();
 		Map<String, Room> arrivedWork = new HashMap<>();
 		Set<String> present = new HashSet<>();
+		Map<String, BatchQueue> queues = configuration.queuesByName();
 		for (BatchJob job : this.state.activeJobs()) {
 			present.add(job.id());
-			Optional<String> known = configuration.queue(job.queue()).map(BatchQueue::pool);
-			known.ifPresent((pool) -> {
+			Optional.ofNullable(queues.get(job.queue())).map(BatchQueue::pool).ifPresent((pool) -> {
 				addWork(newWork.computeIfAbsent(pool, (name) -> new Work()), job, lookAheadMillis);
 				if (!this.knownJobs.contains(job.id()) && !job.spec().isLongRunning()) {
 					arrivedFirst.merge(pool, Room.of(job.spec().steps().get(0)), Room::plus);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
@@ -373,26 +374,28 @@
 	// helpers
 
 	private Optional<RunnerOrder> nextStop(long nowMillis) {
-		Optional<RunnerOrder> stray = this.strays.entrySet()
-			.stream()
-			.findFirst()
-			.map((entry) -> new RunnerOrder.Stop(this.fencingToken, entry.getKey(), entry.getValue()));
-		return stray.or(() -> this.runs.values()
-			.stream()
-			.filter((progress) -> progress.needsStop(nowMillis))
-			.findFirst()
-			.map((progress) -> new RunnerOrder.Stop(this.fencingToken, progress.run().task(),
-					progress.run().number())));
+		for (Map.Entry<TaskId, Integer> stray : this.strays.entrySet()) {
+			return Optional.of(new RunnerOrder.Stop(this.fencingToken, stray.getKey(), stray.getValue()));
+		}
+		return firstRun((progress) -> progress.needsStop(nowMillis)).map((progress) -> new RunnerOrder.Stop(
+				this.fencingToken, progress.run().task(), progress.run().number()));
+	}
+
+	// A leader asks each session several times in ten milliseconds.
+	private Optional<RunProgress> firstRun(Predicate<RunProgress> condition) {
+		for (RunProgress progress : this.runs.values()) {
+			if (condition.test(progress)) {
+				return Optional.of(progress);
+			}
+		}
+		return Optional.empty();
 	}
 
 	private Optional<RunnerOrder> nextStart(long nowMillis) {
 		if (this.clockMillis.isEmpty() || !isHeard(nowMillis) || this.unanswered) {
 			return Optional.empty();
 		}
-		Optional<RunProgress> next = this.runs.values()
-			.stream()
-			.filter((progress) -> progress.needsStart(nowMillis))
-			.findFirst();
+		Optional<RunProgress> next = firstRun((progress) -> progress.needsStart(nowMillis));
 		if (next.isEmpty()) {
 			return Optional.empty();
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -34,8 +34,11 @@
  */
 public final class TaskPlanner {
 
-	/** Bounds the size of one log entry and the time of one round. */
-	private static final int MAXIMUM_ASSIGNMENTS = 128;
+	/**
+	 * Bounds the size of one log entry to about 50 KiB. A turn of a large fleet leaves
+	 * some 500 tasks waiting, and under load a round takes a tenth of a second.
+	 */
+	private static final int MAXIMUM_ASSIGNMENTS = 512;
 
 	/**
 	 * Long-running tasks stay for minutes and may hardly be stopped, so the rest of a
@@ -74,8 +77,9 @@
 					state.runs().longRunningOn(runner.key()), standing.apply(runner.key())));
 		}
 		List<WorkItem> items = new ArrayList<>();
+		Map<String, BatchQueue> queues = configuration.queuesByName();
 		state.activeJobs()
-			.forEach((job) -> configuration.queue(job.queue())
+			.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
 				.filter((queue) -> round.hasCandidates(queue.pool()))
 				.ifPresent((queue) -> addItems(items, job, queue, wallMillis)));
 		items.sort(WorkItem.ORDER);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/FleetConfiguration.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/FleetConfiguration.java
@@ -2,8 +2,11 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import io.burdockpin.core.exc.InvalidValueException;
 import io.burdockpin.core.model.Payload;
@@ -72,6 +75,14 @@
 		return this.queues.stream().filter((queue) -> queue.name().equals(name)).findFirst();
 	}
 
+	/**
+	 * Returns the queues by their names, for a look at many jobs.
+	 * @return the queues
+	 */
+	public Map<String, BatchQueue> queuesByName() {
+		return this.queues.stream().collect(Collectors.toMap(BatchQueue::name, Function.identity()));
+	}
+
 	/**
 	 * Finds a pool by its name.
 	 * @param name the name
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -5,11 +5,13 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -40,6 +42,9 @@
 
 	private final Map<String, RunnerRecord> runners = new TreeMap<>();
 
+	/** The same runners by host; a leader looks at each host several times a second. */
+	private final Map<String, RunnerRecord> runnersByHost = new HashMap<>();
+
 	private final Map<Long, WaveProgress> waves = new TreeMap<>();
 
 	private final Map<String, HostMove> moves = new TreeMap<>();
@@ -99,7 +104,7 @@
 	 * @return the runner
 	 */
 	public Optional<RunnerRecord> runnerOn(String host) {
-		return this.runners.values().stream().filter((runner) -> runner.hostOrId().equals(host)).findFirst();
+		return Optional.ofNullable(this.runnersByHost.get(host));
 	}
 
 	/**
@@ -263,33 +268,28 @@
 	}
 
 	CommandVerdict register(RunnerRecord runner) {
-		boolean isOutdated = this.runners.values()
-			.stream()
-			.filter((known) -> isSamePlace(known, runner))
-			.anyMatch((known) -> known.key().bornMillis() > runner.key().bornMillis());
-		if (isOutdated) {
+		List<RunnerRecord> known = Stream.of(runner(runner.key().id()), runner.host().flatMap(this::runnerOn))
+			.flatMap(Optional::stream)
+			.toList();
+		if (known.stream().anyMatch((other) -> other.key().bornMillis() > runner.key().bornMillis())) {
 			return CommandVerdict.REFUSED;
 		}
-		List<RunnerRecord> earlier = this.runners.values()
-			.stream()
-			.filter((known) -> isSamePlace(known, runner) && !known.key().equals(runner.key()))
-			.toList();
-		earlier.forEach((known) -> {
-			this.runs.on(known.key()).forEach((run) -> endRun(run, ""));
-			this.runners.remove(known.key().id());
+		known.stream().filter((other) -> !other.key().equals(runner.key())).forEach((earlier) -> {
+			this.runs.on(earlier.key()).forEach((run) -> endRun(run, ""));
+			removeRunner(earlier);
 		});
-		this.runners.put(runner.key().id(), runner);
+		runner(runner.key().id()).ifPresent(this::removeRunner);
+		putRunner(runner);
 		return CommandVerdict.APPLIED;
 	}
 
 	CommandVerdict remove(RunnerKey runner) {
-		boolean isKnown = runner(runner.id()).filter((known) -> known.key().equals(runner)).isPresent();
-		if (!isKnown) {
-			return CommandVerdict.UNCHANGED;
-		}
-		this.runs.on(runner).forEach((run) -> endRun(run, ""));
-		this.runners.remove(runner.id());
-		return CommandVerdict.APPLIED;
+		Optional<RunnerRecord> known = runner(runner.id()).filter((record) -> record.key().equals(runner));
+		known.ifPresent((record) -> {
+			this.runs.on(runner).forEach((run) -> endRun(run, ""));
+			removeRunner(record);
+		});
+		return known.isPresent() ? CommandVerdict.APPLIED : CommandVerdict.UNCHANGED;
 	}
 
 	CommandVerdict startWave(MaintenanceWave wave) {
@@ -364,7 +364,7 @@
 				state.activeJobs.put(job.id(), job);
 			}
 		}
-		snapshot.runners().forEach((runner) -> state.runners.put(runner.key().id(), runner));
+		snapshot.runners().forEach(state::putRunner);
 		snapshot.runs().forEach((run) -> {
 			state.runs.add(run);
 			state.task(run.task()).ifPresent((task) -> task.assign(run));
@@ -439,9 +439,14 @@
 		}
 	}
 
-	private static boolean isSamePlace(RunnerRecord known, RunnerRecord other) {
-		return known.key().id().equals(other.key().id())
-				|| (known.host().isPresent() && known.host().equals(other.host()));
+	private void putRunner(RunnerRecord runner) {
+		this.runners.put(runner.key().id(), runner);
+		this.runnersByHost.put(runner.hostOrId(), runner);
+	}
+
+	private void removeRunner(RunnerRecord runner) {
+		this.runners.remove(runner.key().id(), runner);
+		this.runnersByHost.remove(runner.hostOrId(), runner);
 	}
 
 	private record EndedJob(String id, long endedMillis) {
