Let a new leader ask its runners one after the other

The log shows leaders of terms 2 to 5 elected at 4.0, 4.7, 6.7 and 7.4 s, each while the one before was opening 250 connections: that takes longer than the election timeout of 0.5 to 1 s on one core, and heartbeats wait behind it.

The test failed before (250 orders at once).

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -65,6 +65,8 @@
 
 	private final HostOrderQueue hostOrders;
 
+	private final ContactAllowance firstContacts;
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	private final Set<RunnerKey> endingLives = new HashSet<>();
@@ -93,6 +95,7 @@
 		this.waves = new WaveKeeper(state, settings.waves(), term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis, this.durations);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
+		this.firstContacts = new ContactAllowance(nowMillis);
 		state.runners().forEach((runner) -> openSession(runner, nowMillis));
 	}
 
@@ -126,9 +129,15 @@
 	 */
 	public List<RunnerDispatch> dueOrders(long nowMillis) {
 		List<RunnerDispatch> due = new ArrayList<>();
+		this.firstContacts.refill(nowMillis);
 		this.sessions.values().forEach((session) -> {
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
-			session.nextHold(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
+			if (session.wasHeard() || this.firstContacts.has()) {
+				session.nextHold(nowMillis).ifPresent((order) -> {
+					this.firstContacts.take(!session.wasHeard());
+					due.add(new RunnerDispatch(session.runner(), order));
+				});
+			}
 		});
 		return due;
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -131,6 +131,14 @@
 		return this.heard && nowMillis - this.heardMillis <= this.settings.silentMillis();
 	}
 
+	/**
+	 * Tells whether the runner has ever answered this leader.
+	 * @return whether its lists were read
+	 */
+	boolean wasHeard() {
+		return this.heard;
+	}
+
 	// A start without an answer binds its task until the lease has ended, so no further
 	// ones follow it.
 	private boolean isAnswerMissing(long nowMillis) {
@@ -377,8 +385,8 @@
 		for (Map.Entry<TaskId, Integer> stray : this.strays.entrySet()) {
 			return Optional.of(new RunnerOrder.Stop(this.fencingToken, stray.getKey(), stray.getValue()));
 		}
-		return firstRun((progress) -> progress.needsStop(nowMillis)).map((progress) -> new RunnerOrder.Stop(
-				this.fencingToken, progress.run().task(), progress.run().number()));
+		return firstRun((progress) -> progress.needsStop(nowMillis))
+			.map((progress) -> new RunnerOrder.Stop(this.fencingToken, progress.run().task(), progress.run().number()));
 	}
 
 	// A leader asks each session several times in ten milliseconds.
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -1,9 +1,15 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
 import org.junit.jupiter.api.Test;
 
 class FleetLeaderTests {
@@ -158,4 +164,26 @@
 		fleet.run(120_000);
 	}
 
+	/**
+	 * Guards against a new leader that opens all its connections at once and is replaced
+	 * meanwhile. Load pattern: a change of leader in a fleet of hundreds of runners.
+	 */
+	@Test
+	void aNewLeaderAsksItsRunnersOneAfterTheOther() {
+		BatchState state = new BatchState();
+		List<BatchCommand> runners = new ArrayList<>();
+		for (int number = 0; number < 250; number++) {
+			runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
+		}
+		state.apply(new CommandGroup(1_000, runners));
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
+		int asked = 0;
+		for (long nowMillis = 1_000; nowMillis < 4_000; nowMillis += 10) {
+			int due = leader.dueOrders(nowMillis).size();
+			Truth.assertThat(due).isAtMost(8);
+			asked += due;
+		}
+		Truth.assertThat(asked).isEqualTo(250);
+	}
+
 }
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/check/ChecksCatchPlantedFaultsTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/check/ChecksCatchPlantedFaultsTests.java
@@ -52,8 +52,8 @@
 	/** Guards against a record that only counts starts on the same runner. */
 	@Test
 	void aSecondStartOnAnotherRunnerIsFound() {
-		StartRecords records = new StartRecords(List.of(new StartRecord(10, "a", "r1", 100), new StartRecord(20, "b", "r1", 100),
-				new StartRecord(30, "a", "r2", 100)));
+		StartRecords records = new StartRecords(List.of(new StartRecord(10, "a", "r1", 100),
+				new StartRecord(20, "b", "r1", 100), new StartRecord(30, "a", "r2", 100)));
 		Truth.assertThat(records.idsStartedTwice()).containsExactly("a");
 	}
 
@@ -69,8 +69,8 @@
 	/** Guards against an overlap that is only counted on each runner. */
 	@Test
 	void theOverlapCountsAllRunners() {
-		StartRecords records = new StartRecords(List.of(new StartRecord(0, "a", "r1", 100), new StartRecord(50, "b", "r2", 100),
-				new StartRecord(100, "c", "r1", 100)));
+		StartRecords records = new StartRecords(List.of(new StartRecord(0, "a", "r1", 100),
+				new StartRecord(50, "b", "r2", 100), new StartRecord(100, "c", "r1", 100)));
 		Truth.assertThat(records.largestOverlap()).isEqualTo(2);
 	}
 
