Begin the test of lost runners when the runners serve

The events of the run show lost-again-1 accepted at 17:40:52.0 and first sent to a runner 8.5 s later, since the runners were still starting; four attempts were refused together before their start, 0.3 s before the deadline, and the retry budget allowed two of them again. The other two were answered 503 with the outcome NOT_RUN, which was true.

Ruled out: the loss of the runners, which came later.

Change: the load begins once each entry host has served four requests. The check is the same: every repeatable request is served.

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RunnerFailureTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RunnerFailureTests.java
@@ -79,6 +79,8 @@
 				fleet.startRunner("lost-2", "lost", 0, SERVICE_MILLIS),
 				fleet.startRunner("lost-3", "lost", 1, SERVICE_MILLIS),
 				fleet.startRunner("lost-4", "lost", 1, SERVICE_MILLIS));
+		// On a busy machine the runners may need most of a timeout to start.
+		awaitServiceAtEachEntryHost("lost");
 		Load repeatable = load("lost", true);
 		Load once = load("lost", false);
 		repeatable.awaitServed(40);
@@ -142,6 +144,15 @@
 		return new Caller(queue, Optional.empty());
 	}
 
+	private static void awaitServiceAtEachEntryHost(String queue) {
+		for (int number = 0; number < fleet.entries().size(); number++) {
+			Load first = new Load(caller(queue), queue + "-first-" + number, true, TIMEOUT_MILLIS)
+				.start(fleet.entries().get(number), 1);
+			first.awaitServed(4);
+			first.stop();
+		}
+	}
+
 	private static Load load(String queue, boolean repeatable) {
 		Load load = new Load(caller(queue), queue + (repeatable ? "-again" : "-once"), repeatable, TIMEOUT_MILLIS);
 		for (EntryHost entry : fleet.entries()) {
