Use one token bucket for orders about hosts and for first contacts

The two rates had the same arithmetic twice, and ContactAllowance.take took a flag that said whether to do anything. TokenBucket serves both; behaviour, bounds and tests are unchanged.

With the bound taken out, aNewLeaderAsksItsRunnersOneAfterTheOther fails with 250 orders instead of 8; said so without a run.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -36,6 +36,15 @@
 	/** Runners become usable again by time alone. */
 	private static final int LONGEST_PLAN_PERIOD_MILLIS = 100;
 
+	/**
+	 * Opening the connections to hundreds of runners at once takes longer than an
+	 * election timeout on a small host, so the other members would elect another leader.
+	 * At this rate hundreds of runners are asked well within their leases.
+	 */
+	private static final double FIRST_CONTACTS_PER_MILLI = 0.12;
+
+	private static final double FIRST_CONTACTS_AT_ONCE = 8;
+
 	private final BatchState state;
 
 	private final LeaderSettings settings;
@@ -65,7 +74,7 @@
 
 	private final HostOrderQueue hostOrders;
 
-	private final ContactAllowance firstContacts;
+	private final TokenBucket firstContacts = new TokenBucket(FIRST_CONTACTS_PER_MILLI, FIRST_CONTACTS_AT_ONCE);
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
@@ -95,7 +104,6 @@
 		this.waves = new WaveKeeper(state, settings.waves(), term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis, this.durations);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
-		this.firstContacts = new ContactAllowance(nowMillis);
 		state.runners().forEach((runner) -> openSession(runner, nowMillis));
 	}
 
@@ -132,12 +140,7 @@
 		this.firstContacts.refill(nowMillis);
 		this.sessions.values().forEach((session) -> {
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
-			if (session.wasHeard() || this.firstContacts.has()) {
-				session.nextHold(nowMillis).ifPresent((order) -> {
-					this.firstContacts.take(!session.wasHeard());
-					due.add(new RunnerDispatch(session.runner(), order));
-				});
-			}
+			nextHold(session, nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
 		});
 		return due;
 	}
@@ -299,6 +302,16 @@
 
 	// helpers
 
+	private Optional<RunnerOrder.Hold> nextHold(RunnerSession session, long nowMillis) {
+		if (session.wasHeard()) {
+			return session.nextHold(nowMillis);
+		}
+		Optional<RunnerOrder.Hold> order = this.firstContacts.hasToken() ? session.nextHold(nowMillis)
+				: Optional.empty();
+		order.ifPresent((first) -> this.firstContacts.take());
+		return order;
+	}
+
 	private boolean isPlanDue(long nowMillis) {
 		long sincePlanMillis = nowMillis - this.plannedMillis;
 		return sincePlanMillis >= (this.changedSincePlan ? SHORTEST_PLAN_PERIOD_MILLIS : LONGEST_PLAN_PERIOD_MILLIS);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderQueue.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderQueue.java
@@ -21,7 +21,7 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
-	private final double ordersPerMilli;
+	private final TokenBucket rate;
 
 	private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(
 			Comparator.comparingLong(Waiting::dueMillis).thenComparingLong(Waiting::number));
@@ -30,17 +30,12 @@
 
 	private int inFlight;
 
-	/** Orders that may go out now, fractions included. */
-	private double allowance;
-
-	private long allowanceMillis;
-
 	/**
 	 * Creates an empty queue.
 	 * @param ordersPerSecond what the platform accepts
 	 */
 	HostOrderQueue(double ordersPerSecond) {
-		this.ordersPerMilli = RATE_SHARE * ordersPerSecond / MILLIS_PER_SECOND;
+		this.rate = new TokenBucket(RATE_SHARE * ordersPerSecond / MILLIS_PER_SECOND, MAXIMUM_IN_FLIGHT);
 	}
 
 	void add(HostOrder order, HostOrderUrgency urgency, long nowMillis) {
@@ -57,14 +52,12 @@
 	 * @return the orders; they count as under way
 	 */
 	List<HostOrder> take(long nowMillis) {
-		this.allowance = Math.min(MAXIMUM_IN_FLIGHT,
-				this.allowance + this.ordersPerMilli * (nowMillis - this.allowanceMillis));
-		this.allowanceMillis = nowMillis;
+		this.rate.refill(nowMillis);
 		List<HostOrder> taken = new ArrayList<>();
-		while (!this.waiting.isEmpty() && this.inFlight < MAXIMUM_IN_FLIGHT && this.allowance >= 1) {
+		while (!this.waiting.isEmpty() && this.inFlight < MAXIMUM_IN_FLIGHT && this.rate.hasToken()) {
 			taken.add(this.waiting.remove().order());
 			this.inFlight++;
-			this.allowance--;
+			this.rate.take();
 		}
 		return taken;
 	}
