Log what a leader does each second and each member tried in vain

The logs of the incident show when a process connects to the leader but neither why nor what the leader spends its time on, so they cannot tell connections made anew from bulk work of the leader. LEADER_LOAD counts calls, accepted connections, orders, time in decisions and the delay of the latest timer; LEADER_CONTACT_CHANGED with NOT_FOUND says why a member was given up. At most one line a second and one per failed try.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallEvents.java
@@ -35,6 +35,19 @@
 			.with(EventField.DETAIL, reason));
 	}
 
+	/**
+	 * Records a member that did not say that it leads.
+	 * @param host the member
+	 * @param reason why it is given up
+	 * @param failures how many members were given up since the leader was known
+	 */
+	void leaderNotFound(String host, String reason, int failures) {
+		record(event(EventKind.LEADER_CONTACT_CHANGED).with(EventField.HOST, host)
+			.with(EventField.STATE, "NOT_FOUND")
+			.with(EventField.DETAIL, reason)
+			.with(EventField.COUNT, failures));
+	}
+
 	/**
 	 * Records the reply to a call, if it is a refusal or unknown.
 	 * @param call the call
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallListener.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallListener.java
@@ -54,6 +54,7 @@
 	public Receive<LinkEvent<CallMessage>> createReceive() {
 		return newReceiveBuilder()
 			.onMessage(LinkEvent.Received.class, (event) -> onReceived((LinkEvent.Received<CallMessage>) event))
+			.onMessage(LinkEvent.Connected.class, (event) -> onConnected())
 			.onMessage(LinkEvent.BindFailed.class, (event) -> onBindFailed((LinkEvent.BindFailed<CallMessage>) event))
 			.onAnyMessage((event) -> this)
 			.build();
@@ -68,6 +69,11 @@
 		return this;
 	}
 
+	private Behavior<LinkEvent<CallMessage>> onConnected() {
+		this.scheduler.tell(SchedulerCommand.Internal.CALLER_CONNECTED);
+		return this;
+	}
+
 	private Behavior<LinkEvent<CallMessage>> onBindFailed(LinkEvent.BindFailed<CallMessage> event) {
 		logger.atSevere().log("Cannot listen for calls: %s.", event.reason());
 		this.owner.tell(new Failed(event.reason()));
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -71,6 +71,9 @@
 
 	private boolean draining;
 
+	/** How many members were given up since the leader was known. */
+	private int failures;
+
 	/** Since when no leader is in reach. */
 	private long leaderlessSinceMillis;
 
@@ -230,6 +233,7 @@
 		logger.atInfo().log("The leader is %s.", host);
 		this.events.leaderFound(host);
 		this.ready = true;
+		this.failures = 0;
 		// Calls that this member has returned before it was elected wait for it.
 		List.copyOf(this.calls.entrySet())
 			.stream()
@@ -293,6 +297,10 @@
 			logger.atWarning().log("Leader %s %s.", this.target.orElse("unknown"), reason);
 			this.events.leaderLost(this.target.orElse("unknown"), reason);
 		}
+		else {
+			this.failures++;
+			this.events.leaderNotFound(this.target.orElse("unknown"), reason, this.failures);
+		}
 		leaderless();
 		// A connection that has gone silent does not recover, while a new one may work.
 		this.target.ifPresent(this::reopen);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -24,6 +24,7 @@
 import io.burdockpin.core.batch.lead.FleetLeader;
 import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.LeaderSettings;
+import io.burdockpin.core.batch.lead.RunnerOrder;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
@@ -117,6 +118,8 @@
 
 	private long lastRead;
 
+	private final LeaderLoad load;
+
 	private SchedulerActor(ActorContext<SchedulerCommand> context, TimerScheduler<SchedulerCommand> timers,
 			LeaderSettings settings, RunnerChannel.Factory runners, ActorRef<HostChannel.Command> hosts,
 			ActorRef<EventLog.Command> eventLog, InstantSource clock, InstantSource wallClock) {
@@ -130,6 +133,7 @@
 		this.hostLists = context.messageAdapter(HostChannel.Listed.class, SchedulerCommand.FromHostList::new);
 		this.channels = new RunnerChannels(context, runners,
 				context.messageAdapter(RunnerChannel.Answered.class, SchedulerCommand.FromRunner::new));
+		this.load = new LeaderLoad(TICK.toMillis(), clock.millis());
 		timers.startTimerWithFixedDelay(SchedulerCommand.Internal.TICK, TICK);
 	}
 
@@ -161,7 +165,8 @@
 			.onMessage(SchedulerCommand.FromHosts.class, this::onFromHosts)
 			.onMessage(SchedulerCommand.FromHostList.class, this::onFromHostList)
 			.onMessageEquals(SchedulerCommand.Internal.FLUSH, this::onFlush)
-			.onMessageEquals(SchedulerCommand.Internal.TICK, this::requestFlush)
+			.onMessageEquals(SchedulerCommand.Internal.TICK, this::onTick)
+			.onMessageEquals(SchedulerCommand.Internal.CALLER_CONNECTED, this::onCallerConnected)
 			.build();
 	}
 
@@ -172,7 +177,13 @@
 
 	// calls
 
+	private Behavior<SchedulerCommand> onCallerConnected() {
+		this.load.countConnection();
+		return this;
+	}
+
 	private Behavior<SchedulerCommand> onCall(SchedulerCommand.Call command) {
+		this.load.countCall();
 		if (this.leader.isEmpty()) {
 			command.replyTo().send(notLeader());
 			return this;
@@ -398,6 +409,13 @@
 
 	// decisions
 
+	private Behavior<SchedulerCommand> onTick() {
+		this.load.onTick(this.clock.millis())
+			.filter((period) -> this.leader.isPresent())
+			.ifPresent((period) -> this.events.load(this.term, period));
+		return requestFlush();
+	}
+
 	// The message to itself comes after all messages that are already in the mailbox, so
 	// that they share one round of decisions and one log entry.
 	private Behavior<SchedulerCommand> requestFlush() {
@@ -426,7 +444,10 @@
 	private void decide(FleetLeader leading) {
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
-		leading.dueOrders(nowMillis).forEach(this.channels::send);
+		leading.dueOrders(nowMillis).forEach((dispatch) -> {
+			this.load.countOrder(dispatch.order() instanceof RunnerOrder.Hold);
+			this.channels.send(dispatch);
+		});
 		List<HostOrder> hostOrders = leading.dueHostOrders(nowMillis);
 		if (!hostOrders.isEmpty()) {
 			// The platform does not check the fencing token, so the leadership is
@@ -444,6 +465,7 @@
 			this.outgoingWaiters.add(ReplyPort.NONE);
 		});
 		this.channels.retain((key) -> leading.session(key).isPresent());
+		this.load.countBusy(this.clock.millis() - nowMillis);
 	}
 
 	private void propose() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerCommand.java
@@ -66,14 +66,17 @@
 
 	}
 
-	/** Sent by the actor to itself. */
+	/** Carries nothing but itself. */
 	enum Internal implements SchedulerCommand {
 
 		/** All messages that were waiting have been handled; decide and propose now. */
 		FLUSH,
 
 		/** Time has passed. */
-		TICK
+		TICK,
+
+		/** Another process has opened a connection for calls. */
+		CALLER_CONNECTED
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -39,6 +39,17 @@
 		record(event(leads ? EventKind.LEADER_ELECTED : EventKind.LEADER_STEPPED_DOWN).with(EventField.TERM, term));
 	}
 
+	void load(long term, LeaderLoad.Period period) {
+		record(event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
+			.with(EventField.MILLIS, period.millis())
+			.with(EventField.CALLS, period.calls())
+			.with(EventField.CONNECTIONS, period.connections())
+			.with(EventField.ORDERS, period.orders())
+			.with(EventField.LISTENS, period.listens())
+			.with(EventField.BUSY_MILLIS, period.busyMillis())
+			.with(EventField.LATE_MILLIS, period.lateMillis()));
+	}
+
 	/**
 	 * Records a command that was applied.
 	 * @param index the index of its log entry
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -99,6 +99,24 @@
 	/** How long something took or may take, in milliseconds. */
 	MILLIS("millis"),
 
+	/** How many calls arrived. */
+	CALLS("calls"),
+
+	/** How many connections of other processes were accepted. */
+	CONNECTIONS("connections"),
+
+	/** How many orders went to runners. */
+	ORDERS("orders"),
+
+	/** How many requests for their lists went to runners. */
+	LISTENS("listens"),
+
+	/** Time that was spent in decisions, in milliseconds. */
+	BUSY_MILLIS("busyMillis"),
+
+	/** How late the latest step was that was due at a set time, in milliseconds. */
+	LATE_MILLIS("lateMillis"),
+
 	/** A short text. */
 	DETAIL("detail");
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -98,6 +98,9 @@
 	/** The leader was found or lost by a process that calls it. */
 	LEADER_CONTACT_CHANGED,
 
+	/** What a leader has done in the last second and how late it was. */
+	LEADER_LOAD,
+
 	/** Events were left out because there were too many. */
 	EVENTS_DROPPED
 
