--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/BusyLeader.java
@@ -0,0 +1,165 @@
+package io.burdockpin.core.batch.call;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A leader with one slow processor, and the processes that look for it, in virtual time.
+ * A follower answers at once and names the leader. Work for a connection that was closed
+ * meanwhile costs the leader as much as any other.
+ */
+final class BusyLeader {
+
+	private static final String LEADER = "leader";
+
+	private static final String FOLLOWER = "follower";
+
+	private static final long SILENCE_MILLIS = 600;
+
+	private static final long PATIENCE_MILLIS = 2_000;
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final long CHECK_MILLIS = 250;
+
+	private final long connectMillis;
+
+	private final long callMillis;
+
+	private final Deque<Work> queue = new ArrayDeque<>();
+
+	private final List<Process> processes = new ArrayList<>();
+
+	private long nowMillis = 1_000;
+
+	/** Until when the leader works on what it has begun. */
+	private long busyUntilMillis;
+
+	private int connectionCount;
+
+	/**
+	 * Creates the processes; they begin to look for the leader at once.
+	 * @param processCount how many there are
+	 * @param connectMillis how long the leader works to accept a connection
+	 * @param callMillis how long the leader works on a call
+	 */
+	BusyLeader(int processCount, long connectMillis, long callMillis) {
+		this.connectMillis = connectMillis;
+		this.callMillis = callMillis;
+		for (int number = 0; number < processCount; number++) {
+			this.processes.add(new Process(this.nowMillis));
+		}
+	}
+
+	/** Lets the leader do something else first. */
+	void occupy(long millis) {
+		this.busyUntilMillis = this.nowMillis + millis;
+	}
+
+	void run(long millis) {
+		long untilMillis = this.nowMillis + millis;
+		while (this.nowMillis < untilMillis) {
+			this.nowMillis += TICK_MILLIS;
+			work();
+			this.processes.forEach(Process::tick);
+		}
+	}
+
+	int connectionCount() {
+		return this.connectionCount;
+	}
+
+	long readyCount() {
+		return this.processes.stream().filter((process) -> process.search.isReady(this.nowMillis)).count();
+	}
+
+	private void work() {
+		while (!this.queue.isEmpty() && this.busyUntilMillis <= this.nowMillis) {
+			Work work = this.queue.remove();
+			long startMillis = Math.max(this.busyUntilMillis, this.nowMillis - TICK_MILLIS);
+			this.busyUntilMillis = startMillis + (work.connects() ? this.connectMillis : this.callMillis);
+			if (work.connection() == work.process().connection) {
+				work.process().done(work);
+			}
+		}
+	}
+
+	private record Work(Process process, int connection, boolean connects) {
+
+	}
+
+	private final class Process {
+
+		/** Calls of callers that wait in this process. */
+		private static final int OPEN_CALLS = 3;
+
+		private final LeaderSearch search;
+
+		private long checkedMillis;
+
+		/** Number of the present connection to the leader, 0 if there is none. */
+		private int connection;
+
+		private boolean connected;
+
+		private Process(long startMillis) {
+			this.search = new LeaderSearch(List.of(LEADER, FOLLOWER), SILENCE_MILLIS, PATIENCE_MILLIS, startMillis);
+			connect();
+		}
+
+		private void tick() {
+			this.search.onTick(BusyLeader.this.nowMillis).ifPresent(this::turn);
+			if (BusyLeader.this.nowMillis - this.checkedMillis >= CHECK_MILLIS) {
+				check();
+			}
+		}
+
+		private void check() {
+			this.checkedMillis = BusyLeader.this.nowMillis;
+			if (!this.search.target().equals(LEADER)) {
+				this.search.onNotLeader(FOLLOWER, Optional.of(LEADER), BusyLeader.this.nowMillis).ifPresent(this::turn);
+			}
+			else if (this.connected) {
+				ask(1);
+			}
+		}
+
+		private void turn(LeaderSearch.Turn turn) {
+			if (turn.closes().equals(Optional.of(LEADER))) {
+				this.connection = 0;
+				this.connected = false;
+			}
+			if (turn.host().equals(LEADER) && this.connection == 0) {
+				connect();
+			}
+			this.checkedMillis = 0;
+		}
+
+		private void connect() {
+			BusyLeader.this.connectionCount++;
+			this.connection = BusyLeader.this.connectionCount;
+			BusyLeader.this.queue.add(new Work(this, this.connection, true));
+		}
+
+		private void ask(int calls) {
+			for (int number = 0; number < calls; number++) {
+				BusyLeader.this.queue.add(new Work(this, this.connection, false));
+			}
+		}
+
+		private void done(Work work) {
+			if (work.connects()) {
+				this.connected = true;
+				ask(1 + OPEN_CALLS);
+			}
+			else {
+				this.search.onAnswer(LEADER, BusyLeader.this.busyUntilMillis);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/LeaderSearchTests.java
@@ -0,0 +1,54 @@
+package io.burdockpin.core.batch.call;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+
+class LeaderSearchTests {
+
+	private static final int PROCESSES = 21;
+
+	/**
+	 * Guards against processes whose attempts to reach a busy leader keep it busy. Load
+	 * pattern: the leader of a small host is occupied for some seconds, and all processes
+	 * look for it at once.
+	 */
+	@Test
+	void allProcessesFindALeaderThatWasBusyForSomeSeconds() {
+		BusyLeader leader = new BusyLeader(PROCESSES, 30, 4);
+		leader.occupy(3_000);
+		leader.run(15_000);
+		Truth.assertThat(leader.readyCount()).isEqualTo(PROCESSES);
+	}
+
+	/** Guards against a search that a frozen leader holds up. */
+	@Test
+	void anotherMemberIsAskedWithinASecondWhenTheLeaderFreezes() {
+		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
+		search.onAnswer("a", 1_000);
+		Truth.assertThat(search.onTick(1_600)).isEmpty();
+		Truth.assertThat(search.onTick(1_700).map(LeaderSearch.Turn::host)).hasValue("b");
+		Truth.assertThat(search.isReady(1_700)).isFalse();
+	}
+
+	@Test
+	void theMemberThatAnotherOneNamesIsAsked() {
+		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
+		Truth.assertThat(search.onNotLeader("a", Optional.of("c"), 1_010).map(LeaderSearch.Turn::host)).hasValue("c");
+		Truth.assertThat(search.onAnswer("c", 1_020)).isTrue();
+		Truth.assertThat(search.isReady(1_100)).isTrue();
+	}
+
+	@Test
+	void callsAreRefusedAtOnceOnlyWhenNoLeaderWasKnownForLong() {
+		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
+		Truth.assertThat(search.isOutOfReach(3_000)).isFalse();
+		Truth.assertThat(search.isOutOfReach(3_001)).isTrue();
+		search.onAnswer("a", 3_100);
+		Truth.assertThat(search.isOutOfReach(3_100)).isFalse();
+		Truth.assertThat(search.leaderlessMillis(3_100)).isEqualTo(0);
+	}
+
+}
