Wait longer for a busy leader and keep the connection for its answer

A process that had heard nothing from the leader for 600 ms closed its connection, opened another and sent all open calls again.

Now a silent member is asked again later each time (0.6 to 4.8 s), its connection is kept while others are asked, and a late answer counts. A connection that stays silent is still replaced, the first time after 0.9 s instead of 0.6 s.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -249,7 +249,7 @@
 
 	private void turn(LeaderSearch.Turn turn) {
 		turn.failure().ifPresent(this::report);
-		turn.closes().ifPresent(this::close);
+		turn.closes().forEach(this::close);
 		ask(turn.host());
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/LeaderSearch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/LeaderSearch.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -11,16 +13,24 @@
 
 /**
  * Decides which member of the control group a process asks and when it gives up waiting
- * for that member. Mutable; owned by one actor.
+ * for that member. A member that does not answer in time may be busy, and each new
+ * connection makes it busier. So the connection is kept for a late answer while others
+ * are asked, and the waits double with each one in vain. Mutable; owned by one actor.
  */
 public final class LeaderSearch {
 
+	/** Together with a silence of 600 ms: waits end at 4.8 s, the patience of callers. */
+	private static final int MAXIMUM_DOUBLINGS = 3;
+
 	private final long silenceMillis;
 
 	private final long patienceMillis;
 
 	private final Set<String> members;
 
+	/** Members that were silent and have not been heard in time since. */
+	private final Map<String, Silence> silences = new HashMap<>();
+
 	private String target;
 
 	private boolean found;
@@ -114,9 +124,13 @@
 	 * @return whether the leader was not known before
 	 */
 	public boolean onAnswer(String host, long nowMillis) {
-		if (!this.target.equals(host)) {
+		boolean isTarget = this.target.equals(host);
+		if (!isTarget && this.found) {
 			return false;
 		}
+		boolean isInTime = isTarget && nowMillis - this.heardMillis <= this.silenceMillis;
+		this.silences.computeIfPresent(host, (name, silence) -> isInTime ? null : silence.withAnswer());
+		this.target = host;
 		this.heardMillis = nowMillis;
 		boolean isNew = !this.found;
 		this.found = true;
@@ -135,6 +149,10 @@
 		if (!this.target.equals(host)) {
 			return Optional.empty();
 		}
+		if (leader.filter((named) -> isResting(named, nowMillis)).isPresent()) {
+			this.heardMillis = nowMillis;
+			return Optional.empty();
+		}
 		if (leader.isPresent() && !leader.get().equals(host)) {
 			return Optional.of(turnTo(leader.get(), Optional.empty(), nowMillis));
 		}
@@ -149,7 +167,7 @@
 	 * @return the change of the target, if there is one
 	 */
 	public Optional<Turn> onDisconnected(String host, long nowMillis) {
-		return this.target.equals(host) ? Optional.of(giveUp("has closed the connection", nowMillis))
+		return this.target.equals(host) ? Optional.of(giveUp("has closed the connection", nowMillis).withClosed(host))
 				: Optional.empty();
 	}
 
@@ -159,13 +177,30 @@
 	 * @return the change of the target, if there is one
 	 */
 	public Optional<Turn> onTick(long nowMillis) {
-		return isSilent(nowMillis) ? Optional.of(giveUp("is silent", nowMillis)) : Optional.empty();
+		if (!isSilent(nowMillis)) {
+			return Optional.empty();
+		}
+		long limitMillis = limitMillis(this.target);
+		this.silences.merge(this.target, new Silence(1, nowMillis + limitMillis / 2, false),
+				(known, next) -> new Silence(known.count() + 1, next.restsUntilMillis(), false));
+		return Optional.of(giveUp("is silent", nowMillis));
 	}
 
 	// helpers
 
 	private boolean isSilent(long nowMillis) {
-		return nowMillis - this.heardMillis > this.silenceMillis;
+		return nowMillis - this.heardMillis > limitMillis(this.target);
+	}
+
+	private long limitMillis(String host) {
+		int count = Optional.ofNullable(this.silences.get(host)).map(Silence::count).orElse(0);
+		return this.silenceMillis << Math.min(count, MAXIMUM_DOUBLINGS);
+	}
+
+	private boolean isResting(String host, long nowMillis) {
+		return Optional.ofNullable(this.silences.get(host))
+			.filter((silence) -> !silence.answered() && nowMillis < silence.restsUntilMillis())
+			.isPresent();
 	}
 
 	private void loseLeader(long nowMillis) {
@@ -188,8 +223,27 @@
 		this.members.add(host);
 		this.target = host;
 		this.heardMillis = nowMillis;
-		// A connection that has gone silent does not recover, while a new one may work.
-		return new Turn(host, failure, failure.map(Failure::host));
+		boolean isSilent = Optional.ofNullable(this.silences.get(host))
+			.filter((silence) -> !silence.answered())
+			.isPresent();
+		// A connection that has gone silent for good does not recover, while a new one
+		// may work.
+		return new Turn(host, failure, isSilent ? Set.of(host) : Set.of());
+	}
+
+	/**
+	 * A member that did not answer in time. Immutable.
+	 *
+	 * @param count how often in a row
+	 * @param restsUntilMillis until when it is not asked again if another member names it
+	 * @param answered whether it has answered since, though late
+	 */
+	private record Silence(int count, long restsUntilMillis, boolean answered) {
+
+		private Silence withAnswer() {
+			return new Silence(this.count, this.restsUntilMillis, true);
+		}
+
 	}
 
 	/**
@@ -197,10 +251,16 @@
 	 *
 	 * @param host the new target
 	 * @param failure why the former target was given up, if it was
-	 * @param closes the member whose connection is to be closed first, so that the next
-	 * call opens a new one
+	 * @param closes members whose connections are to be closed first, so that the next
+	 * call opens new ones
 	 */
-	public record Turn(String host, Optional<Failure> failure, Optional<String> closes) {
+	public record Turn(String host, Optional<Failure> failure, Set<String> closes) {
+
+		private Turn withClosed(String member) {
+			Set<String> closed = new LinkedHashSet<>(this.closes);
+			closed.add(member);
+			return new Turn(this.host, this.failure, closed);
+		}
 
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/LeaderSearchTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/LeaderSearchTests.java
@@ -21,6 +21,7 @@
 		leader.occupy(3_000);
 		leader.run(15_000);
 		Truth.assertThat(leader.readyCount()).isEqualTo(PROCESSES);
+		Truth.assertThat(leader.connectionCount()).isAtMost(5 * PROCESSES);
 	}
 
 	/** Guards against a search that a frozen leader holds up. */
@@ -33,6 +34,31 @@
 		Truth.assertThat(search.isReady(1_700)).isFalse();
 	}
 
+	/** Guards against a search that stays with a connection that went silent for good. */
+	@Test
+	void aConnectionThatStaysSilentIsReplacedWhenAnotherMemberStillNamesItsHost() {
+		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
+		search.onAnswer("a", 1_000);
+		Truth.assertThat(search.onTick(1_700).get().closes()).isEmpty();
+		Truth.assertThat(search.onNotLeader("b", Optional.of("a"), 1_800)).isEmpty();
+		LeaderSearch.Turn turn = search.onNotLeader("b", Optional.of("a"), 2_100).get();
+		Truth.assertThat(turn.host()).isEqualTo("a");
+		Truth.assertThat(turn.closes()).containsExactly("a");
+	}
+
+	/** Guards against late answers that are thrown away with their connection. */
+	@Test
+	void aLateAnswerOfASilentLeaderIsTaken() {
+		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
+		search.onAnswer("a", 1_000);
+		search.onTick(1_700);
+		Truth.assertThat(search.onAnswer("a", 1_750)).isTrue();
+		Truth.assertThat(search.target()).isEqualTo("a");
+		// Its answers take longer than the first limit, so the next wait is longer.
+		Truth.assertThat(search.isReady(2_900)).isTrue();
+		Truth.assertThat(search.isReady(2_960)).isFalse();
+	}
+
 	@Test
 	void theMemberThatAnotherOneNamesIsAsked() {
 		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
