Give the replicated log and its links a thread of their own

Heartbeats and votes ran on the dispatcher that also carries calls, orders and their connections; LEADER_LOAD shows timers up to 0.9 s late in these seconds, and a heartbeat passes several such queues.

The log, the links between members and their streams now run on one thread apart from the rest. Links that cannot connect double their pause from 0.2 to 1.6 s, because an attempt costs a small host several milliseconds of processor time; this is the same kind of fault as the search for the leader, found by reading.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -6,6 +6,7 @@
 
 import io.burdockpin.batch.call.CallSettings;
 import io.burdockpin.batch.consensus.ConsensusSettings;
+import io.burdockpin.batch.consensus.ConsensusSupervisor;
 import io.burdockpin.core.batch.lead.BalanceSettings;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.SessionSettings;
@@ -134,7 +135,8 @@
 
 	ConsensusSettings toConsensusSettings() {
 		return new ConsensusSettings(this.cluster, this.host, this.internalPorts.get(0), seedHosts(),
-				2 * this.toleratedMembers + 1, REPLICA, LinkSettings.DEFAULT);
+				2 * this.toleratedMembers + 1, REPLICA,
+				LinkSettings.DEFAULT.withDispatcher(ConsensusSupervisor.DISPATCHER));
 	}
 
 	CallSettings toCallSettings() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
@@ -32,6 +32,9 @@
 
 	private static final String LOG_WRITER_DISPATCHER = "burdockpin.log-writer-dispatcher";
 
+	/** Keeps heartbeats from waiting behind calls and orders of a busy leader. */
+	public static final String DISPATCHER = "burdockpin.consensus-dispatcher";
+
 	private final ConsensusSettings settings;
 
 	private final InstantSource clock;
@@ -97,15 +100,15 @@
 		Replica replica = new Replica(this.settings.replica(), command.loaded().state(), this.random,
 				this.clock.millis());
 		ActorRef<ConsensusCommand> started = getContext().spawn(
-				ConsensusActor.create(this.settings, replica, this.logWriter, this.stateOwner, this.clock),
-				"consensus");
+				ConsensusActor.create(this.settings, replica, this.logWriter, this.stateOwner, this.clock), "consensus",
+				DispatcherSelector.fromConfig(DISPATCHER));
 		getContext().watch(started);
 		this.consensus = Optional.of(started);
 		MemberId self = command.loaded().state().self();
 		ActorRef<MemberLinks.Failed> linksFailed = getContext().messageAdapter(MemberLinks.Failed.class,
 				(failed) -> new LinksFailed(failed.reason()));
 		getContext().watch(getContext().spawn(MemberLinks.create(this.settings, self, started, linksFailed, this.clock),
-				"member-links"));
+				"member-links", DispatcherSelector.fromConfig(DISPATCHER)));
 		this.owner.tell(new Started(started, self));
 		return this;
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
@@ -19,6 +19,7 @@
 import io.burdockpin.runtime.link.OutboundLink;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.SupervisorStrategy;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -80,7 +81,7 @@
 		context.spawn(
 				LinkListener.create("member", new InetSocketAddress(settings.host(), settings.memberPort()),
 						new ThriftConsensusCodec(), MemberLinks::senderHost, settings.links(), this.events),
-				"member-listener");
+				"member-listener", DispatcherSelector.sameAsParent());
 		settings.foundingHosts().forEach(this::link);
 		consensus.tell(new ConsensusCommand.AttachLinks(context.getSelf()));
 		timers.startTimerWithFixedDelay(CheckSilence.INSTANCE, Duration.ofMillis(SILENCE_MILLIS / 2));
@@ -172,7 +173,7 @@
 		ActorRef<LinkCommand<ConsensusEnvelope>> opened = getContext().spawn(
 				Behaviors.supervise(link)
 					.onFailure(SupervisorStrategy.restartWithBackoff(RESTART_MINIMUM, RESTART_MAXIMUM, 0.2)),
-				"member-link-" + this.linkCount);
+				"member-link-" + this.linkCount, DispatcherSelector.sameAsParent());
 		return new MemberLink(opened, this.clock.millis());
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkListener.java
@@ -13,6 +13,7 @@
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -99,7 +100,8 @@
 		this.acceptedCount++;
 		String sessionName = this.name + "-" + this.acceptedCount;
 		ActorRef<LinkCommand<M>> session = getContext().spawn(LinkSession.create(sessionName, accepted.connection(),
-				this.codec, this.senderHost, this.settings, this.owner), sessionName);
+				this.codec, this.senderHost, this.settings, this.owner), sessionName,
+				DispatcherSelector.sameAsParent());
 		this.sessions.put(sessionName, session);
 		getContext().watchWith(session, new SessionEnded(sessionName));
 		return this;
@@ -143,6 +145,7 @@
 			.bind(localAddress.getHostString(), localAddress.getPort(), BACKLOG, List.of(), LinkStream.HALF_CLOSE,
 					Optional.empty())
 			.to(Sink.foreach((connection) -> self.tell(new Accepted(connection.flow()))))
+			.addAttributes(this.settings.attributes())
 			.run(Materializer.createMaterializer(getContext()))
 			.whenComplete((binding, failure) -> self
 				.tell((failure != null) ? new BindFailed(failure.getMessage()) : new Bound(binding.localAddress())));
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
@@ -60,6 +60,7 @@
 			.via(framed)
 			.map((frame) -> codec.decode(frame.toArrayUnsafe()))
 			.toMat(Sink.foreach(onMessage::accept), Keep.both())
+			.addAttributes(settings.attributes())
 			.run(materializer);
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/OutboundLink.java
@@ -69,6 +69,9 @@
 
 	private long generation;
 
+	/** How many attempts to connect were in vain since a connection was open. */
+	private int failures;
+
 	private OutboundLink(ActorContext<LinkCommand<M>> context, TimerScheduler<LinkCommand<M>> timers, String name,
 			String peerHost, InetSocketAddress remoteAddress, FrameCodec<M> codec, Function<M, String> senderHost,
 			LinkSettings settings, ActorRef<LinkEvent<M>> owner) {
@@ -169,6 +172,7 @@
 	private void openWhenReady() {
 		if (this.established && this.peer.isPresent() && this.sendQueue.isPresent()) {
 			this.open = true;
+			this.failures = 0;
 			logger.atInfo().log("Connected to %s at %s.", this.name, this.remoteAddress);
 			this.owner.tell(new LinkEvent.Connected<>(this.name, getContext().getSelf()));
 		}
@@ -192,7 +196,9 @@
 			logger.atFine().log("Cannot connect to %s: %s.", this.name, command.reason());
 		}
 		this.sendQueue = Optional.empty();
-		this.timers.startSingleTimer(new LinkCommand.Reconnect<>(), Duration.ofMillis(this.settings.reconnectMillis()));
+		this.timers.startSingleTimer(new LinkCommand.Reconnect<>(),
+				Duration.ofMillis(this.settings.pauseMillis(this.failures)));
+		this.failures++;
 		return this;
 	}
 
--- /dev/null
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/LinkSettingsTests.java
@@ -0,0 +1,22 @@
+package io.burdockpin.runtime.link;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+
+class LinkSettingsTests {
+
+	/**
+	 * Guards against attempts that keep a small host busy while a peer is gone. Load
+	 * pattern: a control member is stopped and all other processes try to connect.
+	 */
+	@Test
+	void thePauseBetweenAttemptsDoublesUpToItsLongest() {
+		LinkSettings settings = LinkSettings.DEFAULT;
+		Truth.assertThat(settings.pauseMillis(0)).isEqualTo(200);
+		Truth.assertThat(settings.pauseMillis(1)).isEqualTo(400);
+		Truth.assertThat(settings.pauseMillis(2)).isEqualTo(800);
+		Truth.assertThat(settings.pauseMillis(3)).isEqualTo(1_600);
+		Truth.assertThat(settings.pauseMillis(1_000)).isEqualTo(1_600);
+	}
+
+}
