Ask the next runner when an earlier one has answered

A new leader opened connections to its runners at 120 a second, whatever its host could do. At 0.32 cores a first contact takes 60 ms and more, so the connections queued up in front of calls and heartbeats.

At most eight first contacts are open now, beside the rate; one without an answer for 0.3 s no longer counts, so that runners that are gone do not hold up the others.

aNewLeaderOnASlowHostAsksTheNextRunnerWhenAnEarlierOneHasAnswered failed before: 30 open contacts instead of 8. The runners of aNewLeaderAsksItsRunnersOneAfterTheOther now answer, because the leader waits for them; its two bounds are unchanged.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -45,6 +45,12 @@
 
 	private static final double FIRST_CONTACTS_AT_ONCE = 8;
 
+	/**
+	 * On a host that takes longer than the rate above allows, the next runner is asked
+	 * when an earlier one has answered.
+	 */
+	private static final int OPEN_FIRST_CONTACTS = 8;
+
 	private final BatchState state;
 
 	private final LeaderSettings settings;
@@ -76,6 +82,9 @@
 
 	private final TokenBucket firstContacts = new TokenBucket(FIRST_CONTACTS_PER_MILLI, FIRST_CONTACTS_AT_ONCE);
 
+	/** When the runners that have not answered yet were first asked. */
+	private final Map<RunnerKey, Long> openFirstContacts = new LinkedHashMap<>();
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	private final Set<RunnerKey> endingLives = new HashSet<>();
@@ -138,6 +147,7 @@
 	public List<RunnerDispatch> dueOrders(long nowMillis) {
 		List<RunnerDispatch> due = new ArrayList<>();
 		this.firstContacts.refill(nowMillis);
+		forgetSilentContacts(nowMillis);
 		this.sessions.values().forEach((session) -> {
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
 			nextHold(session, nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
@@ -207,6 +217,7 @@
 	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply, long nowMillis) {
 		session(runner).ifPresent((session) -> {
 			if (order instanceof RunnerOrder.Hold) {
+				this.openFirstContacts.remove(runner);
 				List<BatchCommand.End> ends = session.onHoldReply(reply, nowMillis);
 				session.relativeSpeed(nowMillis)
 					.ifPresent((speed) -> this.reputation.observeSpeed(runner, speed, nowMillis));
@@ -306,12 +317,21 @@
 		if (session.wasHeard()) {
 			return session.nextHold(nowMillis);
 		}
-		Optional<RunnerOrder.Hold> order = this.firstContacts.hasToken() ? session.nextHold(nowMillis)
-				: Optional.empty();
-		order.ifPresent((first) -> this.firstContacts.take());
+		boolean mayAsk = this.firstContacts.hasToken() && this.openFirstContacts.size() < OPEN_FIRST_CONTACTS;
+		Optional<RunnerOrder.Hold> order = mayAsk ? session.nextHold(nowMillis) : Optional.empty();
+		order.ifPresent((first) -> {
+			this.firstContacts.take();
+			this.openFirstContacts.put(session.runner().key(), nowMillis);
+		});
 		return order;
 	}
 
+	// Runners that are gone must not hold up the others.
+	private void forgetSilentContacts(long nowMillis) {
+		this.openFirstContacts.values()
+			.removeIf((askedMillis) -> nowMillis - askedMillis > this.settings.sessions().doubtMillis());
+	}
+
 	private boolean isPlanDue(long nowMillis) {
 		long sincePlanMillis = nowMillis - this.plannedMillis;
 		return sincePlanMillis >= (this.changedSincePlan ? SHORTEST_PLAN_PERIOD_MILLIS : LONGEST_PLAN_PERIOD_MILLIS);
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContacts.java
@@ -0,0 +1,96 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+
+/** A new leader and its runners in virtual time; some runners never answer. */
+final class FirstContacts {
+
+	private static final long STEP_MILLIS = 10;
+
+	private final FleetLeader leader;
+
+	private final int silentCount;
+
+	private final long answerMillis;
+
+	private final List<Asked> waiting = new ArrayList<>();
+
+	private final Set<RunnerKey> asked = new HashSet<>();
+
+	private long nowMillis = 1_000;
+
+	private int mostAtOnce;
+
+	private int mostOpen;
+
+	/**
+	 * Elects a leader.
+	 * @param runnerCount how many runners there are
+	 * @param silentCount how many of them never answer
+	 * @param answerMillis after which time the others answer
+	 */
+	FirstContacts(int runnerCount, int silentCount, long answerMillis) {
+		this.silentCount = silentCount;
+		this.answerMillis = answerMillis;
+		BatchState state = new BatchState();
+		List<BatchCommand> runners = new ArrayList<>();
+		for (int number = 0; number < runnerCount; number++) {
+			runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
+		}
+		state.apply(new CommandGroup(this.nowMillis, runners));
+		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, this.nowMillis);
+	}
+
+	void run(long millis) {
+		for (long untilMillis = this.nowMillis + millis; this.nowMillis < untilMillis; this.nowMillis += STEP_MILLIS) {
+			answer();
+			List<RunnerDispatch> first = this.leader.dueOrders(this.nowMillis)
+				.stream()
+				.filter((dispatch) -> this.asked.add(dispatch.runner().key()))
+				.toList();
+			first.forEach((dispatch) -> this.waiting.add(new Asked(dispatch, this.nowMillis)));
+			this.mostAtOnce = Math.max(this.mostAtOnce, first.size());
+			this.mostOpen = Math.max(this.mostOpen, this.waiting.size());
+		}
+	}
+
+	int askedCount() {
+		return this.asked.size();
+	}
+
+	int mostAtOnce() {
+		return this.mostAtOnce;
+	}
+
+	int mostOpen() {
+		return this.mostOpen;
+	}
+
+	private void answer() {
+		List<Asked> due = this.waiting.stream()
+			.filter((asked) -> !isSilent(asked) && this.nowMillis - asked.atMillis() >= this.answerMillis)
+			.toList();
+		this.waiting.removeAll(due);
+		due.forEach((asked) -> this.leader.onReply(asked.dispatch().runner().key(), asked.dispatch().order(),
+				new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of()), this.nowMillis));
+	}
+
+	private boolean isSilent(Asked asked) {
+		return Integer.parseInt(asked.dispatch().runner().key().id().substring("runner".length())) < this.silentCount;
+	}
+
+	private record Asked(RunnerDispatch dispatch, long atMillis) {
+
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -1,15 +1,9 @@
 package io.burdockpin.core.batch.lead;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Random;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.BatchJobPhase;
-import io.burdockpin.core.batch.state.BatchCommand;
-import io.burdockpin.core.batch.state.BatchFixtures;
-import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.CommandGroup;
 import org.junit.jupiter.api.Test;
 
 class FleetLeaderTests {
@@ -170,20 +164,31 @@
 	 */
 	@Test
 	void aNewLeaderAsksItsRunnersOneAfterTheOther() {
-		BatchState state = new BatchState();
-		List<BatchCommand> runners = new ArrayList<>();
-		for (int number = 0; number < 250; number++) {
-			runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
-		}
-		state.apply(new CommandGroup(1_000, runners));
-		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
-		int asked = 0;
-		for (long nowMillis = 1_000; nowMillis < 4_000; nowMillis += 10) {
-			int due = leader.dueOrders(nowMillis).size();
-			Truth.assertThat(due).isAtMost(8);
-			asked += due;
-		}
-		Truth.assertThat(asked).isEqualTo(250);
+		FirstContacts contacts = new FirstContacts(250, 0, 10);
+		contacts.run(3_000);
+		Truth.assertThat(contacts.mostAtOnce()).isAtMost(8);
+		Truth.assertThat(contacts.askedCount()).isEqualTo(250);
+	}
+
+	/**
+	 * Guards against a new leader that opens connections faster than its host can, so
+	 * that its heartbeats wait. Load pattern: an election on a host that needs 25 ms for
+	 * each of 250 first answers.
+	 */
+	@Test
+	void aNewLeaderOnASlowHostAsksTheNextRunnerWhenAnEarlierOneHasAnswered() {
+		FirstContacts contacts = new FirstContacts(250, 0, 200);
+		contacts.run(8_000);
+		Truth.assertThat(contacts.mostOpen()).isAtMost(8);
+		Truth.assertThat(contacts.askedCount()).isEqualTo(250);
+	}
+
+	/** Guards against runners that are gone and hold up the others after an election. */
+	@Test
+	void runnersThatAreGoneDoNotHoldUpTheFirstContactsOfOthers() {
+		FirstContacts contacts = new FirstContacts(250, 50, 10);
+		contacts.run(8_000);
+		Truth.assertThat(contacts.askedCount()).isEqualTo(250);
 	}
 
 }
