Lengthen election timeouts while leaders follow each other

Callers saw no leader while a group of slow hosts started: each leader was replaced within two seconds, and the next one began to ask all runners anew, which made its heartbeats late again.

Timeouts, and the time without contact after which a leader steps down, double with each leader within 10 s, up to four times. The first election after a calm time is not delayed.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -21,6 +21,8 @@
 
 	private final ReplicaSettings settings;
 
+	private final ElectionPatience patience;
+
 	private final ReplicaLog log;
 
 	private final Outbox outbox;
@@ -41,10 +43,12 @@
 	/** Whether the leadership was offered to another member because the disk hangs. */
 	private boolean offered;
 
-	Leadership(MemberId self, long term, ReplicaSettings settings, ReplicaLog log, Outbox outbox, long nowMillis) {
+	Leadership(MemberId self, long term, ReplicaSettings settings, ElectionPatience patience, ReplicaLog log,
+			Outbox outbox, long nowMillis) {
 		this.self = self;
 		this.term = term;
 		this.settings = settings;
+		this.patience = patience;
 		this.log = log;
 		this.outbox = outbox;
 		this.firstIndex = log.lastIndex() + 1;
@@ -75,7 +79,7 @@
 	 * @return whether this member may still answer as leader
 	 */
 	boolean hasMajorityContact(long nowMillis) {
-		long oldestMillis = nowMillis - this.settings.electionTimeoutMaximumMillis();
+		long oldestMillis = nowMillis - contactLimitMillis(nowMillis);
 		return this.log.membership().isMajority((id) -> contactMillis(id, nowMillis) >= oldestMillis);
 	}
 
@@ -87,11 +91,15 @@
 	 */
 	long nextDueMillis(long nowMillis) {
 		long contactMillis = this.log.membership().majorityValue((id) -> contactMillis(id, nowMillis));
-		long lossMillis = Math.max(contactMillis, 0) + this.settings.electionTimeoutMaximumMillis() + 1;
+		long lossMillis = Math.max(contactMillis, 0) + contactLimitMillis(nowMillis) + 1;
 		long transferMillis = this.transfer.map(Transfer::deadlineMillis).orElse(Long.MAX_VALUE);
 		return Math.min(this.nextHeartbeatMillis, Math.min(lossMillis, transferMillis));
 	}
 
+	private long contactLimitMillis(long nowMillis) {
+		return (long) this.patience.factor(nowMillis) * this.settings.electionTimeoutMaximumMillis();
+	}
+
 	Optional<FollowerProgress> progress(MemberId id) {
 		return Optional.ofNullable(this.progresses.get(id));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -22,6 +22,8 @@
 
 	private final RandomGenerator random;
 
+	private final ElectionPatience patience = new ElectionPatience();
+
 	private final Outbox outbox = new Outbox();
 
 	private final ReplicaLog log;
@@ -368,9 +370,10 @@
 	}
 
 	private void becomeLeader(long nowMillis) {
+		this.patience.onLeader(this.term, nowMillis);
 		changeRole(Role.LEADER, Optional.of(this.self));
 		this.leadership = Optional
-			.of(new Leadership(this.self, this.term, this.settings, this.log, this.outbox, nowMillis));
+			.of(new Leadership(this.self, this.term, this.settings, this.patience, this.log, this.outbox, nowMillis));
 		this.leadership.get().tick(nowMillis);
 	}
 
@@ -392,6 +395,7 @@
 		if (this.leadership.isPresent()) {
 			throw new IllegalStateException("%s leads in term %d too".formatted(newLeader, this.term));
 		}
+		this.patience.onLeader(this.term, nowMillis);
 		heardFromLeader(nowMillis);
 		if (this.role != Role.FOLLOWER || !this.leader.equals(Optional.of(newLeader))) {
 			this.assembly = Optional.empty();
@@ -611,8 +615,8 @@
 
 	private void restartElectionTimer(long nowMillis) {
 		int spreadMillis = this.settings.electionTimeoutMaximumMillis() - this.settings.electionTimeoutMinimumMillis();
-		this.electionDeadlineMillis = nowMillis + this.settings.electionTimeoutMinimumMillis()
-				+ this.random.nextInt(spreadMillis);
+		int timeoutMillis = this.settings.electionTimeoutMinimumMillis() + this.random.nextInt(spreadMillis);
+		this.electionDeadlineMillis = nowMillis + (long) this.patience.factor(nowMillis) * timeoutMillis;
 	}
 
 	private void sendAfterSync(MemberId receiver, ConsensusMessage message) {
