--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -413,6 +413,7 @@
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
 			.ifPresent((period) -> this.events.load(this.term, period));
+		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
 
@@ -464,7 +465,6 @@
 			this.outgoing.add(command);
 			this.outgoingWaiters.add(ReplyPort.NONE);
 		});
-		this.channels.retain((key) -> leading.session(key).isPresent());
 		this.load.countBusy(this.clock.millis() - nowMillis);
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -1,11 +1,14 @@
 package io.burdockpin.core.batch.lead;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -36,6 +39,13 @@
 	/** Runners become usable again by time alone. */
 	private static final int LONGEST_PLAN_PERIOD_MILLIS = 100;
 
+	/**
+	 * Runners become silent, leases end and hosts stay idle by time alone. Looking at all
+	 * of them with each message took a fifth of a leader's processor time; messages are
+	 * followed at once for the runners that they are about.
+	 */
+	private static final int SWEEP_PERIOD_MILLIS = 20;
+
 	/**
 	 * Opening the connections to hundreds of runners at once takes longer than an
 	 * election timeout on a small host, so the other members would elect another leader.
@@ -91,6 +101,13 @@
 
 	private final Map<String, Integer> openedOccurrences = new HashMap<>();
 
+	/** Runners with news since the orders were given out last. */
+	private final Set<RunnerKey> touched = new LinkedHashSet<>();
+
+	private long sweptMillis;
+
+	private long orderedMillis;
+
 	private boolean planIsOpen;
 
 	/** Whether a command was applied since the newest plan. */
@@ -148,10 +165,15 @@
 		List<RunnerDispatch> due = new ArrayList<>();
 		this.firstContacts.refill(nowMillis);
 		forgetSilentContacts(nowMillis);
-		this.sessions.values().forEach((session) -> {
+		boolean sweeps = nowMillis - this.orderedMillis >= SWEEP_PERIOD_MILLIS;
+		if (sweeps) {
+			this.orderedMillis = nowMillis;
+		}
+		sessionsToVisit(sweeps).forEach((session) -> {
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
 			nextHold(session, nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
 		});
+		this.touched.clear();
 		return due;
 	}
 
@@ -215,6 +237,7 @@
 	 * @param nowMillis the time of the monotonic clock
 	 */
 	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply, long nowMillis) {
+		this.touched.add(runner);
 		session(runner).ifPresent((session) -> {
 			if (order instanceof RunnerOrder.Hold) {
 				this.openFirstContacts.remove(runner);
@@ -296,14 +319,18 @@
 	 * @param wallMillis the time of day in milliseconds since 1970
 	 */
 	public void decide(long nowMillis, long wallMillis) {
-		this.sessions.values().forEach((session) -> {
+		boolean sweeps = nowMillis - this.sweptMillis >= SWEEP_PERIOD_MILLIS;
+		sessionsToVisit(sweeps).forEach((session) -> {
 			session.withdrawUnordered(nowMillis);
 			proposeReleases(session);
 			endLifeIfOver(session, nowMillis);
 		});
-		openDueOccurrences(wallMillis);
-		this.waves.tick(this.sessions, nowMillis, wallMillis);
-		this.balancer.tick(this.sessions, this.state::isUpkeepDue, this.hostOrders.size(), nowMillis, wallMillis);
+		if (sweeps) {
+			this.sweptMillis = nowMillis;
+			openDueOccurrences(wallMillis);
+			this.waves.tick(this.sessions, nowMillis, wallMillis);
+			this.balancer.tick(this.sessions, this.state::isUpkeepDue, this.hostOrders.size(), nowMillis, wallMillis);
+		}
 		if (!this.planIsOpen && isPlanDue(nowMillis)) {
 			this.plannedMillis = nowMillis;
 			this.changedSincePlan = false;
@@ -313,6 +340,13 @@
 
 	// helpers
 
+	private Collection<RunnerSession> sessionsToVisit(boolean all) {
+		if (all) {
+			return this.sessions.values();
+		}
+		return this.touched.stream().map(this.sessions::get).filter(Objects::nonNull).toList();
+	}
+
 	private Optional<RunnerOrder.Hold> nextHold(RunnerSession session, long nowMillis) {
 		if (session.wasHeard()) {
 			return session.nextHold(nowMillis);
@@ -363,6 +397,7 @@
 
 	private void addRun(Run run, boolean adopted) {
 		Optional<BatchJob> job = this.state.job(run.task().job());
+		this.touched.add(run.runner());
 		session(run.runner()).ifPresent((session) -> {
 			session.add(run, RunContent.of(run.task(), this.state, this.durations), adopted);
 			if (job.filter((known) -> !known.phase().isEnded()).isEmpty()) {
@@ -372,6 +407,7 @@
 	}
 
 	private void onEndsNoted(BatchCommand.NoteEnds noted, long nowMillis) {
+		this.touched.add(noted.runner());
 		session(noted.runner()).ifPresent((session) -> noted.ends().forEach((end) -> {
 			session.remove(end.task(), end.run());
 			session.noted(end.number());
@@ -408,6 +444,7 @@
 
 	private void stop(BatchTask task) {
 		task.run().ifPresent((run) -> session(run.runner()).ifPresent((session) -> {
+			this.touched.add(run.runner());
 			session.stop(run.task());
 			proposeReleases(session);
 		}));
@@ -470,6 +507,7 @@
 	}
 
 	private void openSession(RunnerRecord runner, long nowMillis) {
+		this.touched.add(runner.key());
 		this.sessions.put(runner.key(),
 				new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis, nowMillis));
 		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -357,7 +357,11 @@
 	 */
 	public void withdrawUnordered(long nowMillis) {
 		if (this.heard && (isAnswerMissing(nowMillis) || !isHeard(nowMillis))) {
-			this.runs.values().stream().filter(RunProgress::wasNeverOrdered).forEach(this::release);
+			for (RunProgress progress : this.runs.values()) {
+				if (progress.wasNeverOrdered()) {
+					release(progress);
+				}
+			}
 		}
 	}
 
@@ -366,6 +370,9 @@
 	 * @return the releases to commit
 	 */
 	public List<BatchCommand.Release> drainReleases() {
+		if (this.releases.isEmpty()) {
+			return List.of();
+		}
 		List<BatchCommand.Release> drained = List.copyOf(this.releases);
 		this.releases.clear();
 		return drained;
