Take a task as done when its given-up run turns out to have ended

A done end of an earlier run completes its task now, and a newer run of it is stopped. A failed end of a given-up run still changes nothing, since ends may be listed more than once.

Evidence: aTaskWhoseRunWasGivenUpIsDoneWhenItsRunnerListsThatItHadEnded and aLateEndOfAnEarlierRunCompletesATaskThatRunsAgain failed before.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -415,6 +415,7 @@
 		noted.ends().forEach((end) -> {
 			this.reputation.count(noted.runner(), end.outcome(), nowMillis);
 			measure(end, nowMillis);
+			this.state.task(end.task()).filter(BatchTask::isDone).ifPresent(this::stop);
 			boolean jobHasEnded = this.state.job(end.task().job())
 				.filter((job) -> job.phase() == BatchJobPhase.FAILED || job.phase() == BatchJobPhase.COMPLETED)
 				.isPresent();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -254,10 +254,19 @@
 
 	void noteEnd(RunnerKey runner, BatchCommand.End end, long atMillis) {
 		Optional<Run> run = this.runs.find(runner, end.task()).filter((known) -> known.number() == end.run());
-		run.ifPresent((ended) -> {
-			endRun(ended, end.checkpoint());
+		run.ifPresent((ended) -> endRun(ended, end.checkpoint()));
+		if (run.isPresent() || isLateCompletion(end)) {
 			settleEnd(end, atMillis);
-		});
+		}
+	}
+
+	// A run that was given up when its lease was over may have ended before. Its work is
+	// done, although nobody heard of it in time.
+	private boolean isLateCompletion(BatchCommand.End end) {
+		return end.outcome().isDone()
+				&& step(end.task()).filter((step) -> step.spec().gang() ? end.run() == step.highestRun()
+						: end.run() <= step.tasks().get(end.task().index()).lastRun())
+					.isPresent();
 	}
 
 	void release(BatchCommand.Release release) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -79,6 +79,46 @@
 		Truth.assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.FAILED);
 	}
 
+	/**
+	 * Guards against work that is done twice. Load pattern: a new leader hears of a
+	 * runner only after its lease is over, gives its run up, and then reads that it had
+	 * ended.
+	 */
+	@Test
+	void aTaskWhoseRunWasGivenUpIsDoneWhenItsRunnerListsThatItHadEnded() {
+		submit("job", BatchFixtures.step(1));
+		assign("job", 0, 0, 1);
+		release("job", 1);
+		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+		end("job", 0, 0, 1, RunOutcome.DONE);
+		Truth.assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.COMPLETED);
+	}
+
+	@Test
+	void aLateEndOfAnEarlierRunCompletesATaskThatRunsAgain() {
+		submit("job", BatchFixtures.step(1));
+		assign("job", 0, 0, 1);
+		release("job", 1);
+		assign("job", 0, 0, 2);
+		end("job", 0, 0, 1, RunOutcome.DONE);
+		Truth.assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.COMPLETED);
+		Truth.assertThat(this.state.runs().on(RUNNER.key())).hasSize(1);
+		end("job", 0, 0, 2, RunOutcome.STOPPED);
+		Truth.assertThat(this.state.runs().on(RUNNER.key())).isEmpty();
+	}
+
+	/** Guards against an end that is listed again and counted as a second attempt. */
+	@Test
+	void aLateFailureOfAnEarlierRunChangesNothing() {
+		submit("job", BatchFixtures.step(1));
+		assign("job", 0, 0, 1);
+		release("job", 1);
+		end("job", 0, 0, 1, RunOutcome.FAILED);
+		end("job", 0, 0, 1, RunOutcome.FAILED);
+		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().failures()).isEqualTo(0);
+		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+	}
+
 	@Test
 	void aLongRunningTaskIsStartedAgainHoweverItEnds() {
 		submit("job", BatchFixtures.longRunning(1, 0, 1));
@@ -198,6 +238,10 @@
 				List.of(new BatchCommand.Assignment(new TaskId(job, 0, step, index), run, RUNNER.key()))));
 	}
 
+	private void release(String job, int run) {
+		apply(new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(new TaskId(job, 0, 0, 0), run, ""))));
+	}
+
 	private void end(String job, int step, int index, int run, RunOutcome outcome) {
 		end(new TaskId(job, 0, step, index), run, outcome);
 	}
