Let followers acknowledge announcements that change nothing

At 148 runners the leader of a small host handled some 60 announcements a second that the other members passed on, and a check each 250 ms of every process that looks whether it still leads; both queue with the calls.

A member that does not lead acknowledges an announcement that its state contains already, and passes each runner on every 15 s so that the leader does not forget it. Every change is passed on. A process checks the leader only when it has not heard it for 250 ms.

Evidence: KnownAnnouncementsTests.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -172,7 +172,9 @@
 				.filter((correlation) -> !(this.calls.get(correlation).call() instanceof FleetCall.Check))
 				.forEach(this::giveUp);
 		}
-		if (nowMillis - this.checkedMillis >= this.settings.checkMillis()) {
+		boolean isCheckDue = nowMillis - this.checkedMillis >= this.settings.checkMillis();
+		boolean isQuiet = this.search.isQuiet(this.settings.checkMillis(), nowMillis);
+		if (isCheckDue && (isQuiet || !this.search.isReady(nowMillis))) {
 			this.checkedMillis = nowMillis;
 			open(new FleetCall.Check(), this.settings.silenceMillis(), ReplyPort.NONE);
 		}
@@ -190,7 +192,8 @@
 			giveUp(correlation);
 		}
 		else {
-			send(this.search.target(), correlation, opened);
+			boolean mayStayHere = this.local.isPresent() && call.isAnsweredByFollowers();
+			send(mayStayHere ? this.settings.host() : this.search.target(), correlation, opened);
 		}
 	}
 
@@ -225,7 +228,15 @@
 	private void onNotLeader(String host, long correlation, FleetReply.NotLeader reply) {
 		this.search.know(reply.members());
 		Optional.ofNullable(this.calls.get(correlation)).ifPresent(OpenCall::returned);
-		this.search.onNotLeader(host, reply.leader(), this.clock.millis()).ifPresent(this::turn);
+		if (this.search.target().equals(host)) {
+			this.search.onNotLeader(host, reply.leader(), this.clock.millis()).ifPresent(this::turn);
+		}
+		else {
+			String target = this.search.target();
+			Optional.ofNullable(this.calls.get(correlation))
+				.filter((call) -> !call.isWith(target))
+				.ifPresent((call) -> send(target, correlation, call));
+		}
 	}
 
 	private void giveUp(long correlation) {
@@ -309,9 +320,10 @@
 			self.tell(new LeaderClientCommand.FromLink(host, number, event));
 			return Behaviors.same();
 		}).build(), "events-" + number);
-		ActorRef<LinkCommand<CallMessage>> link = getContext()
-			.spawn(OutboundLink.create("leader " + host, host, new InetSocketAddress(host, this.settings.callPort()),
-					new CborCallCodec(), (message) -> host, this.settings.links(), events), "link-" + number);
+		ActorRef<LinkCommand<CallMessage>> link = getContext().spawn(
+				OutboundLink.create("leader " + host, host, new InetSocketAddress(host, this.settings.callPort()),
+						new CborCallCodec(), (message) -> host, this.settings.links(), events),
+				"link-" + number);
 		return new MemberLink(link, number, false);
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -21,6 +21,7 @@
 import io.burdockpin.core.batch.call.CallRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.call.KnownAnnouncements;
 import io.burdockpin.core.batch.lead.FleetLeader;
 import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.LeaderSettings;
@@ -80,6 +81,8 @@
 
 	private final CallRules rules = new CallRules();
 
+	private final KnownAnnouncements announcements = new KnownAnnouncements();
+
 	private final CborCommandGroupCodec groupCodec = new CborCommandGroupCodec();
 
 	private final CborBatchSnapshotCodec snapshotCodec = new CborBatchSnapshotCodec();
@@ -185,7 +188,7 @@
 	private Behavior<SchedulerCommand> onCall(SchedulerCommand.Call command) {
 		this.load.countCall();
 		if (this.leader.isEmpty()) {
-			command.replyTo().send(notLeader());
+			command.replyTo().send(followerReply(command.call()));
 			return this;
 		}
 		FleetCall call = command.call();
@@ -276,6 +279,12 @@
 		requestFlush();
 	}
 
+	private FleetReply followerReply(FleetCall call) {
+		boolean isAcknowledged = call instanceof FleetCall.Announce announce
+				&& this.announcements.mayAcknowledge(announce, this.state, this.clock.millis());
+		return isAcknowledged ? new FleetReply.Accepted() : notLeader();
+	}
+
 	private FleetReply notLeader() {
 		return new FleetReply.NotLeader(this.knownLeader.map((member) -> member.host().value()), this.memberHosts);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
@@ -10,6 +10,14 @@
 /** A call that the leader answers. Each may be sent again without harm. Immutable. */
 public sealed interface FleetCall {
 
+	/**
+	 * Tells whether a member that does not lead may answer.
+	 * @return whether to ask the member at hand before the leader
+	 */
+	default boolean isAnsweredByFollowers() {
+		return false;
+	}
+
 	/** A call about a job or a queue, made with a key unless the queue is open. */
 	sealed interface CallerCall extends FleetCall {
 
@@ -89,6 +97,11 @@
 	 */
 	record Announce(RunnerRecord runner, long sequence) implements FleetCall {
 
+		@Override
+		public boolean isAnsweredByFollowers() {
+			return true;
+		}
+
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/LeaderSearch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/LeaderSearch.java
@@ -99,6 +99,16 @@
 		return !this.found && nowMillis - this.leaderlessSinceMillis > this.patienceMillis;
 	}
 
+	/**
+	 * Tells whether the leader has to be asked for a sign of life.
+	 * @param quietMillis how long it may be quiet before
+	 * @param nowMillis the time
+	 * @return whether the target has not been heard for that time
+	 */
+	public boolean isQuiet(long quietMillis, long nowMillis) {
+		return nowMillis - this.heardMillis >= quietMillis;
+	}
+
 	/**
 	 * Returns how many members were given up since the leader was known.
 	 * @return the number
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/KnownAnnouncementsTests.java
@@ -0,0 +1,65 @@
+package io.burdockpin.core.batch.call;
+
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import org.junit.jupiter.api.Test;
+
+class KnownAnnouncementsTests {
+
+	private static final RunnerRecord RUNNER = BatchFixtures.runner("runner", "pool", 1);
+
+	private final BatchState state = new BatchState();
+
+	private final KnownAnnouncements announcements = new KnownAnnouncements();
+
+	/**
+	 * Guards against a leader that is kept busy with what it knows. Load pattern: 246
+	 * runners announce themselves each 1.5 s at five members for a minute.
+	 */
+	@Test
+	void theLeaderHearsOfAnUnchangedRunnerAFewTimesAMinute() {
+		register(RUNNER);
+		int passedOn = 0;
+		for (long nowMillis = 1_000; nowMillis < 61_000; nowMillis += 1_500) {
+			passedOn += acknowledges(RUNNER, nowMillis) ? 0 : 1;
+		}
+		Truth.assertThat(passedOn).isAtMost(5);
+		Truth.assertThat(passedOn).isAtLeast(3);
+	}
+
+	/** Guards against a drain or a new life that the leader does not hear of. */
+	@Test
+	void eachChangeIsPassedOn() {
+		register(RUNNER);
+		acknowledges(RUNNER, 1_000);
+		Truth.assertThat(acknowledges(RUNNER, 1_100)).isTrue();
+		RunnerRecord draining = new RunnerRecord(RUNNER.key(), RUNNER.host(), RUNNER.pool(), RUNNER.address(),
+				RUNNER.dataCentre(), RUNNER.rack(), RUNNER.capacity(), RUNNER.labels(), true);
+		Truth.assertThat(acknowledges(draining, 1_200)).isFalse();
+		Truth.assertThat(acknowledges(draining, 1_300)).isFalse();
+		register(draining);
+		Truth.assertThat(acknowledges(draining, 1_400)).isTrue();
+		Truth.assertThat(acknowledges(BatchFixtures.runner("runner", "pool", 2), 1_500)).isFalse();
+	}
+
+	@Test
+	void aRunnerThatTheStateDoesNotContainIsPassedOn() {
+		Truth.assertThat(acknowledges(RUNNER, 1_000)).isFalse();
+		Truth.assertThat(acknowledges(RUNNER, 1_100)).isFalse();
+	}
+
+	private void register(RunnerRecord runner) {
+		this.state.apply(new CommandGroup(1_000, List.of(new BatchCommand.RegisterRunner(runner))));
+	}
+
+	private boolean acknowledges(RunnerRecord runner, long nowMillis) {
+		return this.announcements.mayAcknowledge(new FleetCall.Announce(runner, 1), this.state, nowMillis);
+	}
+
+}
