Run calls and decisions on a thread of their own

Its timers were 0.3 s late: a call passes about ten actors, and each one waited behind the connections that the leader opened to its runners.

Calls between processes, the way to the leader and the decisions run on one thread, apart from the connections to runners and callers.

Ruled out: the processor as a whole, of which control hosts used 0.21 of 0.32 cores at most.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -33,6 +33,7 @@
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.ChildFailed;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -90,14 +91,14 @@
 		this.scheduler = context.spawn(
 				SchedulerActor.create(settings.toLeaderSettings(), ports.runners(),
 						context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()),
-				"scheduler");
+				"scheduler", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		context.watch(this.scheduler);
 		ActorRef<SchedulerCommand> target = this.scheduler;
 		ActorRef<ConsensusReport> reports = context
 			.spawn(Behaviors.receive(ConsensusReport.class).onAnyMessage((report) -> {
 				target.tell(new SchedulerCommand.FromConsensus(report));
 				return Behaviors.same();
-			}).build(), "consensus-reports");
+			}).build(), "consensus-reports", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		context.spawn(
 				ConsensusSupervisor.create(storage, settings.toConsensusSettings(), metrics, clock, random, reports,
 						context.messageAdapter(ConsensusSupervisor.Report.class, LogReport::new)),
@@ -180,10 +181,13 @@
 	private void startRest(ActorRef<ConsensusCommand> started, MemberId self) {
 		this.consensus = Optional.of(started);
 		this.scheduler.tell(new SchedulerCommand.AttachConsensus(started));
-		getContext().spawn(CallListener.create(this.settings.toCallSettings(), this.scheduler,
-				getContext().messageAdapter(CallListener.Failed.class, ListenerFailed::new)), "call-listener");
+		getContext().spawn(
+				CallListener.create(this.settings.toCallSettings(), this.scheduler,
+						getContext().messageAdapter(CallListener.Failed.class, ListenerFailed::new)),
+				"call-listener", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		ActorRef<LeaderClientCommand> client = getContext().spawn(LeaderClient.create(this.settings.toCallSettings(),
-				Optional.of(this.scheduler), this.eventLog, this.clock), "leader-client");
+				Optional.of(this.scheduler), this.eventLog, this.clock), "leader-client",
+				DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		this.leader = Optional.of(client);
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
 		getContext().spawn(GroupJoiner.create(new FleetCall.Join(self.host().value(), self.incarnation(),
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchEntryGuardian.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -65,7 +66,7 @@
 		ActorRef<EventLog.Command> eventLog = context
 			.spawn(StandardOutput.events("burdock-batch-entry", settings, clock), "events", EventPrinter.MAILBOX);
 		this.leader = context.spawn(LeaderClient.create(settings.toCallSettings(), Optional.empty(), eventLog, clock),
-				"leader-client");
+				"leader-client", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		this.frontEnd = context.spawn(
 				frontEnds.create(this.leader, context.messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
 				"front-end");
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -6,7 +6,6 @@
 
 import io.burdockpin.batch.call.CallSettings;
 import io.burdockpin.batch.consensus.ConsensusSettings;
-import io.burdockpin.batch.consensus.ConsensusSupervisor;
 import io.burdockpin.core.batch.lead.BalanceSettings;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.SessionSettings;
@@ -136,12 +135,12 @@
 	ConsensusSettings toConsensusSettings() {
 		return new ConsensusSettings(this.cluster, this.host, this.internalPorts.get(0), seedHosts(),
 				2 * this.toleratedMembers + 1, REPLICA,
-				LinkSettings.DEFAULT.withDispatcher(ConsensusSupervisor.DISPATCHER));
+				LinkSettings.DEFAULT.withDispatcher(BatchDispatchers.CONSENSUS));
 	}
 
 	CallSettings toCallSettings() {
 		return new CallSettings(this.host, seedHosts(), this.internalPorts.get(0) + 1, TICK_MILLIS, CHECK_MILLIS,
-				SILENCE_MILLIS, PATIENCE_MILLIS, LinkSettings.DEFAULT);
+				SILENCE_MILLIS, PATIENCE_MILLIS, LinkSettings.DEFAULT.withDispatcher(BatchDispatchers.CALLS));
 	}
 
 	LeaderSettings toLeaderSettings() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallListener.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/CallListener.java
@@ -11,6 +11,7 @@
 import io.burdockpin.runtime.link.LinkListener;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -33,8 +34,10 @@
 		super(context);
 		this.scheduler = scheduler;
 		this.owner = owner;
-		context.spawn(LinkListener.create("call", new InetSocketAddress(settings.host(), settings.callPort()),
-				new CborCallCodec(), (message) -> ANY_HOST, settings.links(), context.getSelf()), "listener");
+		context.spawn(
+				LinkListener.create("call", new InetSocketAddress(settings.host(), settings.callPort()),
+						new CborCallCodec(), (message) -> ANY_HOST, settings.links(), context.getSelf()),
+				"listener", DispatcherSelector.sameAsParent());
 	}
 
 	/**
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -26,6 +26,7 @@
 import io.burdockpin.runtime.link.OutboundLink;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -319,11 +320,11 @@
 		ActorRef<LinkEvent<CallMessage>> events = getContext().spawn(Behaviors.receive(type).onAnyMessage((event) -> {
 			self.tell(new LeaderClientCommand.FromLink(host, number, event));
 			return Behaviors.same();
-		}).build(), "events-" + number);
+		}).build(), "events-" + number, DispatcherSelector.sameAsParent());
 		ActorRef<LinkCommand<CallMessage>> link = getContext().spawn(
 				OutboundLink.create("leader " + host, host, new InetSocketAddress(host, this.settings.callPort()),
 						new CborCallCodec(), (message) -> host, this.settings.links(), events),
-				"link-" + number);
+				"link-" + number, DispatcherSelector.sameAsParent());
 		return new MemberLink(link, number, false);
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.BatchDispatchers;
 import io.burdockpin.control.replica.LogWriter;
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.core.consensus.MemberId;
@@ -32,9 +33,6 @@
 
 	private static final String LOG_WRITER_DISPATCHER = "burdockpin.log-writer-dispatcher";
 
-	/** Keeps heartbeats from waiting behind calls and orders of a busy leader. */
-	public static final String DISPATCHER = "burdockpin.consensus-dispatcher";
-
 	private final ConsensusSettings settings;
 
 	private final InstantSource clock;
@@ -101,14 +99,14 @@
 				this.clock.millis());
 		ActorRef<ConsensusCommand> started = getContext().spawn(
 				ConsensusActor.create(this.settings, replica, this.logWriter, this.stateOwner, this.clock), "consensus",
-				DispatcherSelector.fromConfig(DISPATCHER));
+				DispatcherSelector.fromConfig(BatchDispatchers.CONSENSUS));
 		getContext().watch(started);
 		this.consensus = Optional.of(started);
 		MemberId self = command.loaded().state().self();
 		ActorRef<MemberLinks.Failed> linksFailed = getContext().messageAdapter(MemberLinks.Failed.class,
 				(failed) -> new LinksFailed(failed.reason()));
 		getContext().watch(getContext().spawn(MemberLinks.create(this.settings, self, started, linksFailed, this.clock),
-				"member-links", DispatcherSelector.fromConfig(DISPATCHER)));
+				"member-links", DispatcherSelector.fromConfig(BatchDispatchers.CONSENSUS)));
 		this.owner.tell(new Started(started, self));
 		return this;
 	}
