Give answers more time after each one missed and keep places of first contacts

Jobs were not started for 14 s after a change of leader: a connection to a runner was given up after 700 ms, although the answer was there and the leader had not come to it, and the work began anew. Places of first contacts were free again after 300 ms, so more of them were begun than the host could handle, and none ended in time.

The time for an answer doubles with each one that is missed, up to four times, and a place of a first contact is kept until its end. Runners that did not answer have two places of their own, so that neither those that are gone hold up the others nor a slow host has more than it can do.

FirstContacts now answers for silent runners when their time is over, as the channel does; bounds are unchanged.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -124,14 +124,6 @@
 			.orElseThrow(() -> new InvalidValueException("a control member needs dataFolder"));
 	}
 
-	/**
-	 * Returns how long to wait for the answer of a runner beyond what an order allows.
-	 * @return the time in milliseconds
-	 */
-	public int answerTimeoutMillis() {
-		return ANSWER_TIMEOUT_MILLIS;
-	}
-
 	ConsensusSettings toConsensusSettings() {
 		return new ConsensusSettings(this.cluster, this.host, this.internalPorts.get(0), seedHosts(),
 				2 * this.toleratedMembers + 1, REPLICA,
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
@@ -19,13 +19,13 @@
 	}
 
 	/**
-	 * Sends an order. Exactly one {@link Answered} follows, within the time that the
-	 * order allows.
+	 * Sends an order. Exactly one {@link Answered} follows, within that time.
 	 *
 	 * @param order the order
+	 * @param answerMillis how long to wait for the answer beyond what the order allows
 	 * @param replyTo gets the answer
 	 */
-	record Send(RunnerOrder order, ActorRef<Answered> replyTo) implements Command {
+	record Send(RunnerOrder order, int answerMillis, ActorRef<Answered> replyTo) implements Command {
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -44,7 +44,8 @@
 			this.channels.put(runner.key(), known);
 		}
 		boolean listens = dispatch.order() instanceof RunnerOrder.Hold;
-		(listens ? known.listening() : known.ordering()).tell(new RunnerChannel.Send(dispatch.order(), this.replyTo));
+		(listens ? known.listening() : known.ordering())
+			.tell(new RunnerChannel.Send(dispatch.order(), dispatch.answerMillis(), this.replyTo));
 	}
 
 	void close(RunnerKey key) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -57,10 +57,17 @@
 
 	/**
 	 * On a host that takes longer than the rate above allows, the next runner is asked
-	 * when an earlier one has answered.
+	 * when an earlier one has answered or is given up. More at a time would all be given
+	 * up before a busy host has handled their answers.
 	 */
 	private static final int OPEN_FIRST_CONTACTS = 8;
 
+	/**
+	 * Runners that did not answer are most likely gone and must not hold up the others;
+	 * if this host was too slow for eight at a time, it hears them two by two.
+	 */
+	private static final int OPEN_REPEATED_CONTACTS = 2;
+
 	private final BatchState state;
 
 	private final LeaderSettings settings;
@@ -92,8 +99,11 @@
 
 	private final TokenBucket firstContacts = new TokenBucket(FIRST_CONTACTS_PER_MILLI, FIRST_CONTACTS_AT_ONCE);
 
-	/** When the runners that have not answered yet were first asked. */
-	private final Map<RunnerKey, Long> openFirstContacts = new LinkedHashMap<>();
+	/** Runners that were asked and have neither answered nor been given up yet. */
+	private final Set<RunnerKey> openFirstContacts = new HashSet<>();
+
+	/** Runners that are asked again. */
+	private final Set<RunnerKey> openRepeatedContacts = new HashSet<>();
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
@@ -164,14 +174,13 @@
 	public List<RunnerDispatch> dueOrders(long nowMillis) {
 		List<RunnerDispatch> due = new ArrayList<>();
 		this.firstContacts.refill(nowMillis);
-		forgetSilentContacts(nowMillis);
 		boolean sweeps = nowMillis - this.orderedMillis >= SWEEP_PERIOD_MILLIS;
 		if (sweeps) {
 			this.orderedMillis = nowMillis;
 		}
 		sessionsToVisit(sweeps).forEach((session) -> {
-			session.nextOrder(nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
-			nextHold(session, nowMillis).ifPresent((order) -> due.add(new RunnerDispatch(session.runner(), order)));
+			session.nextOrder(nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
+			nextHold(session, nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
 		});
 		this.touched.clear();
 		return due;
@@ -241,6 +250,7 @@
 		session(runner).ifPresent((session) -> {
 			if (order instanceof RunnerOrder.Hold) {
 				this.openFirstContacts.remove(runner);
+				this.openRepeatedContacts.remove(runner);
 				List<BatchCommand.End> ends = session.onHoldReply(reply, nowMillis);
 				session.relativeSpeed(nowMillis)
 					.ifPresent((speed) -> this.reputation.observeSpeed(runner, speed, nowMillis));
@@ -340,6 +350,10 @@
 
 	// helpers
 
+	private static RunnerDispatch dispatch(RunnerSession session, RunnerOrder order) {
+		return new RunnerDispatch(session.runner(), order, session.answerMillis());
+	}
+
 	private Collection<RunnerSession> sessionsToVisit(boolean all) {
 		if (all) {
 			return this.sessions.values();
@@ -351,21 +365,18 @@
 		if (session.wasHeard()) {
 			return session.nextHold(nowMillis);
 		}
-		boolean mayAsk = this.firstContacts.hasToken() && this.openFirstContacts.size() < OPEN_FIRST_CONTACTS;
+		boolean isRepeated = session.isUnanswered();
+		Set<RunnerKey> open = isRepeated ? this.openRepeatedContacts : this.openFirstContacts;
+		int maximumOpen = isRepeated ? OPEN_REPEATED_CONTACTS : OPEN_FIRST_CONTACTS;
+		boolean mayAsk = this.firstContacts.hasToken() && open.size() < maximumOpen;
 		Optional<RunnerOrder.Hold> order = mayAsk ? session.nextHold(nowMillis) : Optional.empty();
 		order.ifPresent((first) -> {
 			this.firstContacts.take();
-			this.openFirstContacts.put(session.runner().key(), nowMillis);
+			open.add(session.runner().key());
 		});
 		return order;
 	}
 
-	// Runners that are gone must not hold up the others.
-	private void forgetSilentContacts(long nowMillis) {
-		this.openFirstContacts.values()
-			.removeIf((askedMillis) -> nowMillis - askedMillis > this.settings.sessions().doubtMillis());
-	}
-
 	private boolean isPlanDue(long nowMillis) {
 		long sincePlanMillis = nowMillis - this.plannedMillis;
 		return sincePlanMillis >= (this.changedSincePlan ? SHORTEST_PLAN_PERIOD_MILLIS : LONGEST_PLAN_PERIOD_MILLIS);
@@ -503,6 +514,8 @@
 			}
 		});
 		this.sessions.keySet().retainAll(known);
+		this.openFirstContacts.retainAll(known);
+		this.openRepeatedContacts.retainAll(known);
 		this.announcedMillis.keySet().retainAll(known);
 		this.reputation.retain(known);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -27,6 +27,9 @@
 
 	private static final int SILENT_PAUSE_FACTOR = 4;
 
+	/** Four times the time-out of 700 ms is still less than a lease. */
+	private static final int MAXIMUM_DOUBLINGS = 2;
+
 	/** A single task may take several times its estimate. */
 	private static final int TELLING_TASKS = 3;
 
@@ -85,6 +88,9 @@
 
 	private boolean fenced;
 
+	/** How many orders in a row had no answer in time. */
+	private int unansweredCount;
+
 	/**
 	 * Creates a session.
 	 * @param runner the runner
@@ -139,6 +145,14 @@
 		return this.heard;
 	}
 
+	/**
+	 * Tells whether the newest order had no answer in time.
+	 * @return whether the runner was asked in vain
+	 */
+	boolean isUnanswered() {
+		return this.unansweredCount > 0;
+	}
+
 	// A start without an answer binds its task until the lease has ended, so no further
 	// ones follow it.
 	private boolean isAnswerMissing(long nowMillis) {
@@ -300,6 +314,16 @@
 		return Optional.of(new RunnerOrder.Hold(this.fencingToken, this.notedEnd, leaseEnd, waitMillis));
 	}
 
+	/**
+	 * Returns how long to wait for the next answer. An answer that is late because this
+	 * host is busy would never come if each connection were given up after the same short
+	 * time and the work for the next one began anew.
+	 * @return the time in milliseconds, beyond what the order allows
+	 */
+	public int answerMillis() {
+		return this.settings.answerTimeoutMillis() << Math.min(this.unansweredCount, MAXIMUM_DOUBLINGS);
+	}
+
 	// replies
 
 	/**
@@ -309,6 +333,7 @@
 	 * @param nowMillis the time
 	 */
 	public void onOrderReply(RunnerOrder order, RunnerReply reply, long nowMillis) {
+		countAnswer(reply);
 		this.orderInFlight = false;
 		this.unanswered = reply instanceof RunnerReply.NoAnswer;
 		if (reply instanceof RunnerReply.Accepted accepted) {
@@ -333,6 +358,7 @@
 	 * @return the ends that have to be committed
 	 */
 	public List<BatchCommand.End> onHoldReply(RunnerReply reply, long nowMillis) {
+		countAnswer(reply);
 		this.holdInFlight = false;
 		if (reply instanceof RunnerReply.Listing listing) {
 			return onListing(listing, nowMillis);
@@ -388,6 +414,10 @@
 
 	// helpers
 
+	private void countAnswer(RunnerReply reply) {
+		this.unansweredCount = (reply == RunnerReply.NoAnswer.UNKNOWN) ? this.unansweredCount + 1 : 0;
+	}
+
 	private Optional<RunnerOrder> nextStop(long nowMillis) {
 		for (Map.Entry<TaskId, Integer> stray : this.strays.entrySet()) {
 			return Optional.of(new RunnerOrder.Stop(this.fencingToken, stray.getKey(), stray.getValue()));
--- /dev/null
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/BusyContacts.java
@@ -0,0 +1,89 @@
+package io.burdockpin.core.batch.lead;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+
+/**
+ * A new leader whose host works on one connection after the other, in virtual time. Work
+ * for a connection that was given up meanwhile takes as long as any other.
+ */
+final class BusyContacts {
+
+	private static final long STEP_MILLIS = 10;
+
+	private final List<BatchCommand.RegisterRunner> runners = new ArrayList<>();
+
+	private final FleetLeader leader;
+
+	private final long workMillis;
+
+	private final List<Open> open = new ArrayList<>();
+
+	private long nowMillis = 1_000;
+
+	private long busyUntilMillis;
+
+	/**
+	 * Elects a leader.
+	 * @param runnerCount how many runners there are; each answers at once
+	 * @param workMillis how long the host of the leader works for a connection
+	 */
+	BusyContacts(int runnerCount, long workMillis) {
+		this.workMillis = workMillis;
+		BatchState state = new BatchState();
+		for (int number = 0; number < runnerCount; number++) {
+			this.runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
+		}
+		state.apply(new CommandGroup(this.nowMillis, List.copyOf(this.runners)));
+		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, this.nowMillis);
+	}
+
+	void run(long millis) {
+		for (long untilMillis = this.nowMillis + millis; this.nowMillis < untilMillis; this.nowMillis += STEP_MILLIS) {
+			answer();
+			this.leader.dueOrders(this.nowMillis).forEach(this::send);
+		}
+	}
+
+	long heardCount() {
+		return this.runners.stream()
+			.filter((command) -> this.leader.session(command.runner().key()).get().wasHeard())
+			.count();
+	}
+
+	private void send(RunnerDispatch dispatch) {
+		boolean isNew = !this.leader.session(dispatch.runner().key()).get().wasHeard();
+		this.busyUntilMillis = Math.max(this.busyUntilMillis, this.nowMillis) + (isNew ? this.workMillis : 1);
+		int waitMillis = (dispatch.order() instanceof RunnerOrder.Hold hold) ? hold.waitMillis() : 0;
+		this.open.add(new Open(dispatch, this.busyUntilMillis + waitMillis,
+				this.nowMillis + dispatch.answerMillis() + waitMillis));
+	}
+
+	private void answer() {
+		List<Open> due = this.open.stream().filter((order) -> order.endMillis() <= this.nowMillis).toList();
+		this.open.removeAll(due);
+		due.forEach((order) -> this.leader.onReply(order.dispatch().runner().key(), order.dispatch().order(),
+				order.isInTime() ? new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of())
+						: RunnerReply.NoAnswer.UNKNOWN,
+				this.nowMillis));
+	}
+
+	private record Open(RunnerDispatch dispatch, long answerAtMillis, long givenUpMillis) {
+
+		private boolean isInTime() {
+			return this.answerAtMillis <= this.givenUpMillis;
+		}
+
+		private long endMillis() {
+			return Math.min(this.answerAtMillis, this.givenUpMillis);
+		}
+
+	}
+
+}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContacts.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContacts.java
@@ -54,13 +54,13 @@
 	void run(long millis) {
 		for (long untilMillis = this.nowMillis + millis; this.nowMillis < untilMillis; this.nowMillis += STEP_MILLIS) {
 			answer();
-			List<RunnerDispatch> first = this.leader.dueOrders(this.nowMillis)
-				.stream()
-				.filter((dispatch) -> this.asked.add(dispatch.runner().key()))
-				.toList();
-			first.forEach((dispatch) -> this.waiting.add(new Asked(dispatch, this.nowMillis)));
-			this.mostAtOnce = Math.max(this.mostAtOnce, first.size());
-			this.mostOpen = Math.max(this.mostOpen, this.waiting.size());
+			List<RunnerDispatch> due = this.leader.dueOrders(this.nowMillis);
+			due.forEach((dispatch) -> this.waiting.add(new Asked(dispatch, this.nowMillis)));
+			due.forEach((dispatch) -> this.asked.add(dispatch.runner().key()));
+			long first = due.stream().filter((dispatch) -> !isHeard(dispatch)).count();
+			this.mostAtOnce = Math.max(this.mostAtOnce, (int) first);
+			long open = this.waiting.stream().filter((asked) -> !isHeard(asked.dispatch())).count();
+			this.mostOpen = Math.max(this.mostOpen, (int) open);
 		}
 	}
 
@@ -77,12 +77,21 @@
 	}
 
 	private void answer() {
-		List<Asked> due = this.waiting.stream()
-			.filter((asked) -> !isSilent(asked) && this.nowMillis - asked.atMillis() >= this.answerMillis)
-			.toList();
+		List<Asked> due = this.waiting.stream().filter(this::isDue).toList();
 		this.waiting.removeAll(due);
 		due.forEach((asked) -> this.leader.onReply(asked.dispatch().runner().key(), asked.dispatch().order(),
-				new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of()), this.nowMillis));
+				isSilent(asked) ? RunnerReply.NoAnswer.UNKNOWN
+						: new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of()),
+				this.nowMillis));
+	}
+
+	private boolean isDue(Asked asked) {
+		long passedMillis = this.nowMillis - asked.atMillis();
+		return passedMillis >= (isSilent(asked) ? asked.dispatch().answerMillis() : this.answerMillis);
+	}
+
+	private boolean isHeard(RunnerDispatch dispatch) {
+		return this.leader.session(dispatch.runner().key()).get().wasHeard();
 	}
 
 	private boolean isSilent(Asked asked) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -183,6 +183,18 @@
 		Truth.assertThat(contacts.askedCount()).isEqualTo(250);
 	}
 
+	/**
+	 * Guards against connections that are given up before a busy host has handled their
+	 * answers, and that it then opens again. Load pattern: an election on a host that
+	 * needs 60 ms of its processor for each connection to 250 runners.
+	 */
+	@Test
+	void aNewLeaderHearsItsRunnersAlthoughItsHostIsSlowerThanTheirAnswers() {
+		BusyContacts contacts = new BusyContacts(250, 60);
+		contacts.run(40_000);
+		Truth.assertThat(contacts.heardCount()).isEqualTo(250);
+	}
+
 	/** Guards against runners that are gone and hold up the others after an election. */
 	@Test
 	void runnersThatAreGoneDoNotHoldUpTheFirstContactsOfOthers() {
