Warm up the code of first contacts before a member leads

A control member sends 200 orders on 50 connections to itself after its start, one after the other with pauses as long as the orders, and stops when it leads. It refuses them, so they change nothing.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -16,6 +16,7 @@
 import io.burdockpin.batch.consensus.ConsensusSettings;
 import io.burdockpin.batch.consensus.ConsensusSupervisor;
 import io.burdockpin.batch.port.FrontEnd;
+import io.burdockpin.batch.scheduler.LeaderWarmUp;
 import io.burdockpin.batch.scheduler.SchedulerActor;
 import io.burdockpin.batch.scheduler.SchedulerCommand;
 import io.burdockpin.codec.thrift.impl.ThriftEntryContentCodec;
@@ -72,6 +73,8 @@
 
 	private final ActorRef<SchedulerCommand> scheduler;
 
+	private final Optional<ActorRef<LeaderWarmUp.Command>> warmUp;
+
 	private Optional<ActorRef<ConsensusCommand>> consensus = Optional.empty();
 
 	private Optional<ActorRef<FrontEnd.Command>> frontEnd = Optional.empty();
@@ -93,10 +96,17 @@
 						context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()),
 				"scheduler", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		context.watch(this.scheduler);
+		this.warmUp = settings.addresses()
+			.control()
+			.map((address) -> context.spawn(LeaderWarmUp.create(ports.runners(), address, clock), "leader-warm-up"));
+		Optional<ActorRef<LeaderWarmUp.Command>> warmUpTarget = this.warmUp;
 		ActorRef<SchedulerCommand> target = this.scheduler;
 		ActorRef<ConsensusReport> reports = context
 			.spawn(Behaviors.receive(ConsensusReport.class).onAnyMessage((report) -> {
 				target.tell(new SchedulerCommand.FromConsensus(report));
+				if (report instanceof ConsensusReport.LeadershipChanged changed && changed.leads()) {
+					warmUpTarget.ifPresent((running) -> running.tell(LeaderWarmUp.Step.END));
+				}
 				return Behaviors.same();
 			}).build(), "consensus-reports", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		context.spawn(
@@ -150,7 +160,11 @@
 	}
 
 	private Behavior<GuardianCommand> onFrontEndReport(FrontEndReport command) {
-		return (command.report() instanceof FrontEnd.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
+		if (command.report() instanceof FrontEnd.Failed) {
+			return fail(ExitStatus.ADDRESS_UNAVAILABLE);
+		}
+		this.warmUp.ifPresent((waiting) -> waiting.tell(LeaderWarmUp.Step.BEGIN));
+		return this;
 	}
 
 	private Behavior<GuardianCommand> onReload() {
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
@@ -0,0 +1,148 @@
+package io.burdockpin.batch.scheduler;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.model.Resources;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Opens connections to this process and sends orders that it refuses, so that the code
+ * with which a leader reaches its runners is loaded and compiled before this member
+ * leads. A leader whose first contacts run that code for the first time answers nobody
+ * for seconds on a small host. Goes on until this member leads, at the longest until all
+ * orders are sent.
+ */
+public final class LeaderWarmUp extends AbstractBehavior<LeaderWarmUp.Command> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** The compiler takes a method after 200 calls. */
+	private static final int CONNECTIONS = 50;
+
+	private static final int ORDERS_PER_CONNECTION = 4;
+
+	/** Leaves at least half of the processor to other work, with the time of an order. */
+	private static final long SHORTEST_PAUSE_MILLIS = 20;
+
+	/** Ends a connection to this process only if it hangs. */
+	private static final int ANSWER_MILLIS = 5_000;
+
+	private final TimerScheduler<Command> timers;
+
+	private final RunnerChannel.Factory channels;
+
+	private final RunnerRecord self;
+
+	private final InstantSource clock;
+
+	private final ActorRef<RunnerChannel.Answered> replyTo;
+
+	private Optional<ActorRef<RunnerChannel.Command>> channel = Optional.empty();
+
+	private long sentMillis;
+
+	private int sentCount;
+
+	private LeaderWarmUp(ActorContext<Command> context, TimerScheduler<Command> timers, RunnerChannel.Factory channels,
+			String address, InstantSource clock) {
+		super(context);
+		this.timers = timers;
+		this.channels = channels;
+		this.clock = clock;
+		this.self = new RunnerRecord(new RunnerKey("warm-up", 0), Optional.empty(), "", address, "", Optional.empty(),
+				Resources.NONE, Set.of(), true);
+		this.replyTo = context.messageAdapter(RunnerChannel.Answered.class, (answered) -> Step.ANSWERED);
+	}
+
+	/**
+	 * Creates the behavior.
+	 * @param channels creates channels
+	 * @param address where this process serves, {@code ip:port}
+	 * @param clock a clock that follows the monotonic clock
+	 * @return the behavior
+	 */
+	public static Behavior<Command> create(RunnerChannel.Factory channels, String address, InstantSource clock) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new LeaderWarmUp(context, timers, channels, address, clock)));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessageEquals(Step.BEGIN, this::onNext)
+			.onMessageEquals(Step.NEXT, this::onNext)
+			.onMessageEquals(Step.ANSWERED, this::onAnswered)
+			.onMessageEquals(Step.END, this::end)
+			.build();
+	}
+
+	private Behavior<Command> onNext() {
+		if (this.sentCount == CONNECTIONS * ORDERS_PER_CONNECTION) {
+			return end();
+		}
+		if (this.sentCount % ORDERS_PER_CONNECTION == 0) {
+			close();
+			this.channel = Optional
+				.of(getContext().spawn(this.channels.create(this.self), "channel-" + this.sentCount));
+		}
+		this.sentCount++;
+		this.sentMillis = this.clock.millis();
+		RunnerOrder order = new RunnerOrder.Hold(0, 0, OptionalLong.empty(), 0);
+		this.channel.ifPresent((open) -> open.tell(new RunnerChannel.Send(order, ANSWER_MILLIS, this.replyTo)));
+		return this;
+	}
+
+	private Behavior<Command> onAnswered() {
+		long pauseMillis = Math.max(SHORTEST_PAUSE_MILLIS, this.clock.millis() - this.sentMillis);
+		this.timers.startSingleTimer(Step.NEXT, Duration.ofMillis(pauseMillis));
+		return this;
+	}
+
+	private Behavior<Command> end() {
+		logger.atInfo().log("Warm-up ended after %d orders.", this.sentCount);
+		close();
+		return Behaviors.ignore();
+	}
+
+	private void close() {
+		this.channel.ifPresent((open) -> open.tell(RunnerChannel.Close.INSTANCE));
+		this.channel = Optional.empty();
+	}
+
+	/** Messages of the actor. */
+	public sealed interface Command {
+
+	}
+
+	/** Steps of the warm-up. */
+	public enum Step implements Command {
+
+		/** The process serves. */
+		BEGIN,
+
+		/** The pause after an order is over. */
+		NEXT,
+
+		/** An order has an answer. */
+		ANSWERED,
+
+		/** This member leads. */
+		END
+
+	}
+
+}
