--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -73,8 +73,6 @@
 
 	private final ActorRef<SchedulerCommand> scheduler;
 
-	private final Optional<ActorRef<LeaderWarmUp.Command>> warmUp;
-
 	private Optional<ActorRef<ConsensusCommand>> consensus = Optional.empty();
 
 	private Optional<ActorRef<FrontEnd.Command>> frontEnd = Optional.empty();
@@ -96,16 +94,16 @@
 						context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()),
 				"scheduler", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		context.watch(this.scheduler);
-		this.warmUp = settings.addresses()
+		Optional<ActorRef<LeaderWarmUp.Command>> warmUpTarget = settings.addresses()
 			.control()
 			.map((address) -> context.spawn(LeaderWarmUp.create(ports.runners(), address, clock), "leader-warm-up"));
-		Optional<ActorRef<LeaderWarmUp.Command>> warmUpTarget = this.warmUp;
 		ActorRef<SchedulerCommand> target = this.scheduler;
 		ActorRef<ConsensusReport> reports = context
 			.spawn(Behaviors.receive(ConsensusReport.class).onAnyMessage((report) -> {
 				target.tell(new SchedulerCommand.FromConsensus(report));
-				if (report instanceof ConsensusReport.LeadershipChanged changed && changed.leads()) {
-					warmUpTarget.ifPresent((running) -> running.tell(LeaderWarmUp.Step.END));
+				if (report instanceof ConsensusReport.LeadershipChanged changed && changed.leader().isPresent()) {
+					warmUpTarget.ifPresent((waiting) -> waiting
+						.tell(changed.leads() ? LeaderWarmUp.Step.END : LeaderWarmUp.Step.LEADER_KNOWN));
 				}
 				return Behaviors.same();
 			}).build(), "consensus-reports", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
@@ -160,11 +158,7 @@
 	}
 
 	private Behavior<GuardianCommand> onFrontEndReport(FrontEndReport command) {
-		if (command.report() instanceof FrontEnd.Failed) {
-			return fail(ExitStatus.ADDRESS_UNAVAILABLE);
-		}
-		this.warmUp.ifPresent((waiting) -> waiting.tell(LeaderWarmUp.Step.BEGIN));
-		return this;
+		return (command.report() instanceof FrontEnd.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
 	}
 
 	private Behavior<GuardianCommand> onReload() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
@@ -24,8 +24,8 @@
  * Opens connections to this process and sends orders that it refuses, so that the code
  * with which a leader reaches its runners is loaded and compiled before this member
  * leads. A leader whose first contacts run that code for the first time answers nobody
- * for seconds on a small host. Goes on until this member leads, at the longest until all
- * orders are sent.
+ * for seconds on a small host. Begins some seconds after another member was elected and
+ * goes on until this member leads, at the longest until all orders are sent.
  */
 public final class LeaderWarmUp extends AbstractBehavior<LeaderWarmUp.Command> {
 
@@ -42,6 +42,9 @@
 	/** Ends a connection to this process only if it hangs. */
 	private static final int ANSWER_MILLIS = 5_000;
 
+	/** After the start of a whole group callers and runners come back first. */
+	private static final Duration START_PAUSE = Duration.ofSeconds(3);
+
 	private final TimerScheduler<Command> timers;
 
 	private final RunnerChannel.Factory channels;
@@ -83,13 +86,20 @@
 
 	@Override
 	public Receive<Command> createReceive() {
-		return newReceiveBuilder().onMessageEquals(Step.BEGIN, this::onNext)
+		return newReceiveBuilder().onMessageEquals(Step.LEADER_KNOWN, this::onLeaderKnown)
 			.onMessageEquals(Step.NEXT, this::onNext)
 			.onMessageEquals(Step.ANSWERED, this::onAnswered)
 			.onMessageEquals(Step.END, this::end)
 			.build();
 	}
 
+	private Behavior<Command> onLeaderKnown() {
+		if (this.sentCount == 0) {
+			this.timers.startSingleTimer(Step.NEXT, START_PAUSE);
+		}
+		return this;
+	}
+
 	private Behavior<Command> onNext() {
 		if (this.sentCount == CONNECTIONS * ORDERS_PER_CONNECTION) {
 			return end();
@@ -131,8 +141,8 @@
 	/** Steps of the warm-up. */
 	public enum Step implements Command {
 
-		/** The process serves. */
-		BEGIN,
+		/** Another member leads. */
+		LEADER_KNOWN,
 
 		/** The pause after an order is over. */
 		NEXT,
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/LeaderWarmUpTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/LeaderWarmUpTests.java
@@ -37,7 +37,7 @@
 
 	@Test
 	void itSendsOneOrderAfterTheOtherOnConnectionsThatItCloses() {
-		this.warmUp.tell(LeaderWarmUp.Step.BEGIN);
+		this.warmUp.tell(LeaderWarmUp.Step.LEADER_KNOWN);
 		int closed = 0;
 		for (int sent = 0; sent < ORDERS;) {
 			RunnerChannel.Command command = this.channels.receiveMessage();
@@ -55,7 +55,7 @@
 
 	@Test
 	void itEndsWhenThisMemberLeads() {
-		this.warmUp.tell(LeaderWarmUp.Step.BEGIN);
+		this.warmUp.tell(LeaderWarmUp.Step.LEADER_KNOWN);
 		RunnerChannel.Send send = this.channels.expectMessageClass(RunnerChannel.Send.class);
 		this.warmUp.tell(LeaderWarmUp.Step.END);
 		this.channels.expectMessageClass(RunnerChannel.Close.class);
