Take the end of one run of a task only

A done end completes its task only if no later run was assigned. The end of a run that was replaced is not acknowledged, nor are those after it, while that life of the runner lasts; their tasks are noted all the same.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -254,6 +254,9 @@
 				List<BatchCommand.End> ends = session.onHoldReply(reply, nowMillis);
 				session.relativeSpeed(nowMillis)
 					.ifPresent((speed) -> this.reputation.observeSpeed(runner, speed, nowMillis));
+				ends.stream()
+					.filter((end) -> end.outcome().isDone() && this.state.isReplaced(end))
+					.forEach((end) -> session.holdBack(end.number()));
 				if (!ends.isEmpty()) {
 					this.proposals.add(new BatchCommand.NoteEnds(runner, ends));
 				}
@@ -426,7 +429,6 @@
 		noted.ends().forEach((end) -> {
 			this.reputation.count(noted.runner(), end.outcome(), nowMillis);
 			measure(end, nowMillis);
-			this.state.task(end.task()).filter(BatchTask::isDone).ifPresent(this::stop);
 			boolean jobHasEnded = this.state.job(end.task().job())
 				.filter((job) -> job.phase() == BatchJobPhase.FAILED || job.phase() == BatchJobPhase.COMPLETED)
 				.isPresent();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -78,6 +78,9 @@
 
 	private long proposedEnd;
 
+	/** The first end that is not acknowledged. */
+	private long heldBackEnd = Long.MAX_VALUE;
+
 	private long heardMillis;
 
 	private boolean heard;
@@ -269,6 +272,15 @@
 		this.nextHoldMillis = 0;
 	}
 
+	/**
+	 * Keeps an end and those after it from being acknowledged while this life lasts: its
+	 * task was started again, so only the end of the later run counts.
+	 * @param number the number of the end
+	 */
+	public void holdBack(long number) {
+		this.heldBackEnd = Math.min(this.heldBackEnd, number);
+	}
+
 	/**
 	 * Takes note that the runner says it ends. Its runs are over once it can no longer be
 	 * reached: a late message of an earlier life must not end the runs of this one.
@@ -311,7 +323,8 @@
 		// A runner that may hear without being heard must not keep its lease.
 		OptionalLong leaseEnd = isResponsive ? grantLease(nowMillis) : OptionalLong.empty();
 		int waitMillis = isResponsive ? this.settings.listenMillis() : 0;
-		return Optional.of(new RunnerOrder.Hold(this.fencingToken, this.notedEnd, leaseEnd, waitMillis));
+		long acknowledgedEnd = Math.min(this.notedEnd, this.heldBackEnd - 1);
+		return Optional.of(new RunnerOrder.Hold(this.fencingToken, acknowledgedEnd, leaseEnd, waitMillis));
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -264,9 +264,22 @@
 	// done, although nobody heard of it in time.
 	private boolean isLateCompletion(BatchCommand.End end) {
 		return end.outcome().isDone()
-				&& step(end.task()).filter((step) -> step.spec().gang() ? end.run() == step.highestRun()
-						: end.run() <= step.tasks().get(end.task().index()).lastRun())
-					.isPresent();
+				&& step(end.task()).filter((step) -> end.run() == newestRun(step, end.task())).isPresent();
+	}
+
+	/**
+	 * Tells whether a run was replaced by a later one, whose end counts instead.
+	 * @param end the end of the run
+	 * @return whether its task has a later run
+	 */
+	public boolean isReplaced(BatchCommand.End end) {
+		return step(end.task()).filter((step) -> !step.spec().longRunning())
+			.filter((step) -> end.run() < newestRun(step, end.task()))
+			.isPresent();
+	}
+
+	private static int newestRun(StepTasks step, TaskId task) {
+		return step.spec().gang() ? step.highestRun() : step.tasks().get(task.index()).lastRun();
 	}
 
 	void release(BatchCommand.Release release) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -1,9 +1,19 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.RunOutcome;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.model.Resources;
 import org.junit.jupiter.api.Test;
 
 class FleetLeaderTests {
@@ -195,6 +205,39 @@
 		Truth.assertThat(contacts.heardCount()).isEqualTo(250);
 	}
 
+	/**
+	 * Guards against two runs of a task whose ends are both taken. Load pattern: a runner
+	 * is heard again after its run was given up and its task was started elsewhere.
+	 */
+	@Test
+	void theEndOfARunThatWasReplacedIsNotAcknowledged() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		TaskId task = new TaskId("job", 0, 0, 0);
+		BatchState state = new BatchState();
+		state.apply(new CommandGroup(1_000,
+				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
+						new BatchCommand.RegisterRunner(runner),
+						new BatchCommand.SubmitJob("job", "queue-pool", "team",
+								BatchFixtures.job(BatchFixtures.step(1))),
+						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))),
+						new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(task, 1, ""))),
+						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, runner.key()))))));
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
+		RunnerOrder first = leader.dueOrders(1_000).get(0).order();
+		List<BatchCommand.End> ends = List.of(new BatchCommand.End(1, task, 1, RunOutcome.DONE, ""));
+		leader.onReply(runner.key(), first, new RunnerReply.Listing(1_010, OptionalLong.of(1), List.of(), ends), 1_010);
+		BatchCommand noted = leader.drainProposals().get(0);
+		state.apply(new CommandGroup(1_020, List.of(noted)));
+		leader.onApplied(noted, 1_020);
+		List<Long> acknowledged = leader.dueOrders(1_050)
+			.stream()
+			.map(RunnerDispatch::order)
+			.filter(RunnerOrder.Hold.class::isInstance)
+			.map((order) -> ((RunnerOrder.Hold) order).acknowledgedEnd())
+			.toList();
+		Truth.assertThat(acknowledged).containsExactly(0L);
+	}
+
 	/** Guards against runners that are gone and hold up the others after an election. */
 	@Test
 	void runnersThatAreGoneDoNotHoldUpTheFirstContactsOfOthers() {
