Serve runners and operators once a leader is known

Meanwhile hundreds of runners announced themselves at members that could answer nobody, and each attempt costs a member that has just started 10 to 20 ms of a core.

A control member opens its listener when it first hears of a leader; an attempt before that is refused at once instead of waiting for 0.9 s. It stays open when the leader is lost later.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -77,6 +77,8 @@
 
 	private Optional<ActorRef<FrontEnd.Command>> frontEnd = Optional.empty();
 
+	private boolean leaderIsKnown;
+
 	private BatchControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
 			BatchSettings settings, SettingsReload reload, BatchPorts ports, MemberStorage storage,
 			MetricRegistry metrics, Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
@@ -98,10 +100,12 @@
 			.control()
 			.map((address) -> context.spawn(LeaderWarmUp.create(ports.runners(), address, clock), "leader-warm-up"));
 		ActorRef<SchedulerCommand> target = this.scheduler;
+		ActorRef<GuardianCommand> self = context.getSelf();
 		ActorRef<ConsensusReport> reports = context
 			.spawn(Behaviors.receive(ConsensusReport.class).onAnyMessage((report) -> {
 				target.tell(new SchedulerCommand.FromConsensus(report));
 				if (report instanceof ConsensusReport.LeadershipChanged changed && changed.leader().isPresent()) {
+					self.tell(Step.LEADER_KNOWN);
 					warmUpTarget.ifPresent((waiting) -> waiting
 						.tell(changed.leads() ? LeaderWarmUp.Step.END : LeaderWarmUp.Step.LEADER_KNOWN));
 				}
@@ -143,6 +147,7 @@
 			.onMessage(ListenerFailed.class, (command) -> fail(ExitStatus.ADDRESS_UNAVAILABLE))
 			.onMessageEquals(GuardianCommand.Stop.INSTANCE, this::onStop)
 			.onMessageEquals(GuardianCommand.Reload.INSTANCE, this::onReload)
+			.onMessageEquals(Step.LEADER_KNOWN, this::onLeaderKnown)
 			.onMessageEquals(Step.HANDED_OVER, this::onHandedOver)
 			.onMessageEquals(Step.ENDED, Behaviors::stopped)
 			.onSignal(ChildFailed.class, (signal) -> fail(ExitStatus.FAILURE))
@@ -161,6 +166,12 @@
 		return (command.report() instanceof FrontEnd.Failed) ? fail(ExitStatus.ADDRESS_UNAVAILABLE) : this;
 	}
 
+	private Behavior<GuardianCommand> onLeaderKnown() {
+		this.leaderIsKnown = true;
+		openFrontEnd();
+		return this;
+	}
+
 	private Behavior<GuardianCommand> onReload() {
 		this.leader.ifPresent(this.reload::tell);
 		return this;
@@ -200,10 +211,18 @@
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
 		getContext().spawn(GroupJoiner.create(new FleetCall.Join(self.host().value(), self.incarnation(),
 				consensusSettings.memberAddress(self.host().value())), client), "group-joiner");
-		this.frontEnd = Optional.of(getContext().spawn(
-				this.ports.frontEnd()
-					.create(client, getContext().messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
-				"front-end"));
+		openFrontEnd();
+	}
+
+	// Without a leader nothing that runners and operators ask for can be answered, and
+	// their attempts would take the processor from the election.
+	private void openFrontEnd() {
+		if (this.leaderIsKnown && this.frontEnd.isEmpty()) {
+			this.leader.ifPresent((client) -> this.frontEnd = Optional.of(getContext().spawn(
+					this.ports.frontEnd()
+						.create(client, getContext().messageAdapter(FrontEnd.Report.class, FrontEndReport::new)),
+					"front-end")));
+		}
 	}
 
 	private Behavior<GuardianCommand> fail(ExitStatus status) {
@@ -223,10 +242,10 @@
 
 	}
 
-	/** Steps of a stop. */
+	/** Steps of a start and of a stop. */
 	private enum Step implements GuardianCommand {
 
-		HANDED_OVER, ENDED
+		LEADER_KNOWN, HANDED_OVER, ENDED
 
 	}
 
