Take a member for the leader only by answers that a leader gives

Found in the read of the diff: since followers acknowledge announcements, a member that looked for the leader took its own acknowledgement for an answer of the leader, said that it was ready and sent the open calls to itself. It got them back, but its patience with the missing leader began anew each time.

Answers to announcements no longer count; a late answer counts if it says that the member leads. anAnnouncementThatAMemberAcknowledgesDoesNotMakeItTheLeader guards it.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -210,8 +210,11 @@
 		if (reply instanceof FleetReply.Leads leads) {
 			this.search.know(leads.members());
 		}
+		boolean isFromLeader = reply instanceof FleetReply.Leads || Optional.ofNullable(this.calls.get(correlation))
+			.filter((call) -> !call.call().isAnsweredByFollowers())
+			.isPresent();
 		finish(correlation, reply);
-		if (this.search.onAnswer(host, this.clock.millis())) {
+		if (isFromLeader && this.search.onAnswer(host, this.clock.millis())) {
 			onFound(host);
 		}
 	}
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/call/LeaderClientTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/call/LeaderClientTests.java
@@ -5,12 +5,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.scheduler.SchedulerCommand;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.model.Resources;
 import io.burdockpin.runtime.event.EventLog;
 import io.burdockpin.runtime.link.LinkSettings;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
@@ -95,6 +99,19 @@
 		Truth.assertThat(callsOf(arrived())).contains(CALL);
 	}
 
+	/** Guards against a member that takes itself for the leader. */
+	@Test
+	void anAnnouncementThatAMemberAcknowledgesDoesNotMakeItTheLeader() {
+		arrived();
+		RunnerRecord runner = new RunnerRecord(new RunnerKey("runner", 1), Optional.empty(), "pool", "127.0.0.1:1",
+				"dc1", Optional.empty(), Resources.NONE, Set.of(), false);
+		this.client
+			.tell(new LeaderClientCommand.Ask(new FleetCall.Announce(runner, 1), 900, this.replies.getRef()::tell));
+		answerAll(new FleetReply.Accepted());
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.Accepted.class);
+		Truth.assertThat(isReady()).isFalse();
+	}
+
 	private void ask() {
 		this.client.tell(new LeaderClientCommand.Ask(CALL, TIMEOUT_MILLIS, this.replies.getRef()::tell));
 	}
