Give a run up only after its runner was asked

A run is given up for silence only if its runner was heard before or has left a request for its lists unanswered.

aRunIsNotGivenUpBeforeItsRunnerWasAsked failed before by its first line.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -91,6 +91,12 @@
 
 	private boolean fenced;
 
+	/**
+	 * Whether the lists were asked for without an answer. A runner that a busy leader has
+	 * not come to yet is not silent and may list the ends of its runs.
+	 */
+	private boolean askedInVain;
+
 	/** How many orders in a row had no answer in time. */
 	private int unansweredCount;
 
@@ -169,7 +175,8 @@
 	 * @return whether the runner is gone or its lease has certainly ended
 	 */
 	public boolean areRunsOver(long nowMillis) {
-		return this.over || (!isHeard(nowMillis) && nowMillis >= this.leaseOverMillis);
+		boolean wasAsked = this.heard || this.askedInVain;
+		return this.over || (wasAsked && !isHeard(nowMillis) && nowMillis >= this.leaseOverMillis);
 	}
 
 	/**
@@ -373,6 +380,7 @@
 	public List<BatchCommand.End> onHoldReply(RunnerReply reply, long nowMillis) {
 		countAnswer(reply);
 		this.holdInFlight = false;
+		this.askedInVain = reply instanceof RunnerReply.NoAnswer;
 		if (reply instanceof RunnerReply.Listing listing) {
 			return onListing(listing, nowMillis);
 		}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -238,6 +238,22 @@
 		Truth.assertThat(acknowledged).containsExactly(0L);
 	}
 
+	/**
+	 * Guards against runs that are given up, and started again, although nobody has asked
+	 * their runner. Load pattern: a leader that does not come to all runners before the
+	 * leases that an earlier leader gave are over.
+	 */
+	@Test
+	void aRunIsNotGivenUpBeforeItsRunnerWasAsked() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000, 1_000);
+		Truth.assertThat(session.areRunsOver(60_000)).isFalse();
+		session.nextHold(60_000);
+		Truth.assertThat(session.areRunsOver(60_100)).isFalse();
+		session.onHoldReply(RunnerReply.NoAnswer.UNKNOWN, 60_400);
+		Truth.assertThat(session.areRunsOver(60_400)).isTrue();
+	}
+
 	/** Guards against runners that are gone and hold up the others after an election. */
 	@Test
 	void runnersThatAreGoneDoNotHoldUpTheFirstContactsOfOthers() {
