Do not order a run again while its release is being committed

A commit takes 0.1 to 0.3 s on a busy host.

Runs that are given up for the silence of their runner are marked as given up at once, like others.

aRunIsNotOrderedAgainWhileItsReleaseIsBeingCommitted failed before: the start was sent again.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -426,10 +426,12 @@
 	}
 
 	/**
-	 * Returns releases for all runs, once {@link #areRunsOver} says so.
+	 * Returns releases for all runs, once {@link #areRunsOver} says so. The runs are not
+	 * ordered again, also if the runner is heard before the releases are committed.
 	 * @return the releases to commit
 	 */
 	public List<BatchCommand.Release> releaseAll() {
+		this.runs.values().forEach(RunProgress::release);
 		return this.runs.values().stream().map(RunnerSession::releaseOf).toList();
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.batch.lead;
 
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
 
@@ -13,6 +14,7 @@
 import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.model.Resources;
 import org.junit.jupiter.api.Test;
 
@@ -254,6 +256,29 @@
 		Truth.assertThat(session.areRunsOver(60_400)).isTrue();
 	}
 
+	/**
+	 * Guards against two runs of a task at a time. Load pattern: a cut heals while the
+	 * release of the runs behind it is being committed on a busy host.
+	 */
+	@Test
+	void aRunIsNotOrderedAgainWhileItsReleaseIsBeingCommitted() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000, 1_000);
+		RunnerReply.Listing listing = new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of());
+		session.nextHold(1_000);
+		session.onHoldReply(listing, 1_000);
+		session.add(new Run(new TaskId("job", 0, 0, 0), 1, runner.key(), "team", Resources.NONE, Resources.NONE, false),
+				new RunContent("", "", false, OptionalLong.empty(), OptionalInt.empty()), false);
+		Truth.assertThat(session.nextOrder(1_010)).isPresent();
+		session.onOrderReply(new RunnerOrder.Stop(2, new TaskId("other", 0, 0, 0), 1), RunnerReply.NoAnswer.UNKNOWN,
+				1_400);
+		Truth.assertThat(session.areRunsOver(20_000)).isTrue();
+		Truth.assertThat(session.releaseAll()).hasSize(1);
+		session.nextHold(20_010);
+		session.onHoldReply(listing, 20_020);
+		Truth.assertThat(session.nextOrder(20_500)).isEmpty();
+	}
+
 	/** Guards against runners that are gone and hold up the others after an election. */
 	@Test
 	void runnersThatAreGoneDoNotHoldUpTheFirstContactsOfOthers() {
