Log how a leader stood with a runner when a run lapsed or was released

The logs told neither why a placed run was released nor how old the lease was when a run lapsed, so the hypotheses of the incident could not be told apart. RUN_ENDED now carries the ages of the newest list, lease and open order.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -339,8 +339,9 @@
 		long nowMillis = this.clock.millis();
 		for (int number = 0; number < verdicts.size(); number++) {
 			BatchCommand command = group.commands().get(number);
+			this.events.applied(index, command, verdicts.get(number), this.state,
+					(task, run) -> leading.contact(task, run, nowMillis));
 			leading.onApplied(command, nowMillis);
-			this.events.applied(index, command, verdicts.get(number), this.state);
 		}
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -3,8 +3,11 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.lead.RunnerContact;
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
@@ -56,8 +59,9 @@
 	 * @param command the command
 	 * @param verdict what it has changed
 	 * @param state the state after it
+	 * @param contacts describes the contact with the runner of a run
 	 */
-	void applied(long index, BatchCommand command, CommandVerdict verdict, BatchState state) {
+	void applied(long index, BatchCommand command, CommandVerdict verdict, BatchState state, Contacts contacts) {
 		if (verdict != CommandVerdict.APPLIED) {
 			return;
 		}
@@ -67,22 +71,24 @@
 					.with(EventField.RUNNER, assignment.runner())));
 		}
 		else if (command instanceof BatchCommand.NoteEnds noted) {
-			noted(index, noted, state);
+			noted(index, noted, state, contacts);
 		}
 		else if (command instanceof BatchCommand.ReleaseRuns released) {
 			released.releases()
-				.forEach((release) -> record(run(EventKind.RUN_ENDED, index, release.task(), release.run())
-					.with(EventField.OUTCOME, "RELEASED")));
+				.forEach((release) -> record(withContact(run(EventKind.RUN_ENDED, index, release.task(), release.run())
+					.with(EventField.OUTCOME, "RELEASED"), contacts.find(release.task(), release.run()))));
 		}
 		else {
 			single(index, command).ifPresent(this::record);
 		}
 	}
 
-	private void noted(long index, BatchCommand.NoteEnds noted, BatchState state) {
+	private void noted(long index, BatchCommand.NoteEnds noted, BatchState state, Contacts contacts) {
 		for (BatchCommand.End end : noted.ends()) {
-			record(run(EventKind.RUN_ENDED, index, end.task(), end.run()).with(EventField.RUNNER, noted.runner())
-				.with(EventField.OUTCOME, end.outcome()));
+			Event ended = run(EventKind.RUN_ENDED, index, end.task(), end.run()).with(EventField.RUNNER, noted.runner())
+				.with(EventField.OUTCOME, end.outcome());
+			record((end.outcome() == RunOutcome.LAPSED) ? withContact(ended, contacts.find(end.task(), end.run()))
+					: ended);
 		}
 		List<String> jobs = noted.ends().stream().map((end) -> end.task().job()).distinct().toList();
 		jobs.forEach((id) -> state.job(id)
@@ -139,6 +145,20 @@
 			.with(EventField.RUN, run);
 	}
 
+	private static Event withContact(Event event, Optional<RunnerContact> contact) {
+		Event described = event;
+		if (contact.isPresent()) {
+			described = with(described, EventField.HEARD_MILLIS, contact.get().heardMillis());
+			described = with(described, EventField.GRANTED_MILLIS, contact.get().grantedMillis());
+			described = with(described, EventField.OPEN_MILLIS, contact.get().openMillis());
+		}
+		return described;
+	}
+
+	private static Event with(Event event, EventField field, OptionalLong millis) {
+		return millis.isPresent() ? event.with(field, millis.getAsLong()) : event;
+	}
+
 	private Event indexed(EventKind kind, long index) {
 		return event(kind).with(EventField.INDEX, index);
 	}
@@ -151,4 +171,18 @@
 		this.log.tell(new EventLog.Append(event));
 	}
 
+	/** Describes the contact with the runner of a run. */
+	@FunctionalInterface
+	interface Contacts {
+
+		/**
+		 * Finds the contact.
+		 * @param task the task
+		 * @param run the number of the run
+		 * @return the contact, if the leader counts on the run
+		 */
+		Optional<RunnerContact> find(TaskId task, int run);
+
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -154,6 +154,21 @@
 		return Optional.ofNullable(this.sessions.get(key));
 	}
 
+	/**
+	 * Describes the contact with the runner of a run whose end is being committed.
+	 * @param task the task
+	 * @param run the number of the run
+	 * @param nowMillis the time of the monotonic clock
+	 * @return the contact, if the run is still counted on
+	 */
+	public Optional<RunnerContact> contact(TaskId task, int run, long nowMillis) {
+		return this.sessions.values()
+			.stream()
+			.filter((session) -> session.hasRun(task, run))
+			.map((session) -> session.contact(nowMillis))
+			.findFirst();
+	}
+
 	/**
 	 * Returns and clears the commands to commit.
 	 * @return the commands in order
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -61,6 +61,8 @@
 
 	private long leaseOverMillis;
 
+	private OptionalLong grantedMillis = OptionalLong.empty();
+
 	private boolean orderInFlight;
 
 	private long orderSentMillis;
@@ -226,6 +228,28 @@
 				: OptionalDouble.empty();
 	}
 
+	/**
+	 * Tells whether a run is counted on.
+	 * @param task the task
+	 * @param run the number of the run
+	 * @return whether it was added and neither its end nor its release was committed
+	 */
+	boolean hasRun(TaskId task, int run) {
+		return progress(task).filter((known) -> known.run().number() == run).isPresent();
+	}
+
+	/**
+	 * Describes the contact with the runner.
+	 * @param nowMillis the time
+	 * @return the ages of what this leader has heard, granted and ordered
+	 */
+	RunnerContact contact(long nowMillis) {
+		return new RunnerContact(this.heard ? OptionalLong.of(nowMillis - this.heardMillis) : OptionalLong.empty(),
+				this.grantedMillis.isPresent() ? OptionalLong.of(nowMillis - this.grantedMillis.getAsLong())
+						: OptionalLong.empty(),
+				this.orderInFlight ? OptionalLong.of(nowMillis - this.orderSentMillis) : OptionalLong.empty());
+	}
+
 	// changes of the state
 
 	/**
@@ -610,6 +634,7 @@
 		if (this.clockMillis.isEmpty()) {
 			return OptionalLong.empty();
 		}
+		this.grantedMillis = OptionalLong.of(nowMillis);
 		long remainingMillis = nowMillis - this.clockReadMillis + this.settings.leaseMillis();
 		this.leaseOverMillis = Math.max(this.leaseOverMillis,
 				this.clockReadMillis + this.settings.certainEndMillis(remainingMillis));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -117,6 +117,15 @@
 	/** How late the latest step was that was due at a set time, in milliseconds. */
 	LATE_MILLIS("lateMillis"),
 
+	/** How long ago a runner was heard, in milliseconds. */
+	HEARD_MILLIS("heardMillis"),
+
+	/** How long ago the lease of a runner was extended, in milliseconds. */
+	GRANTED_MILLIS("grantedMillis"),
+
+	/** How long an order has been without an answer, in milliseconds. */
+	OPEN_MILLIS("openMillis"),
+
 	/** A short text. */
 	DETAIL("detail");
 
