Open connections to runners and hosts over plain sockets

On a third of a core 148 runners take longer than a lease, and an order on a new connection has no answer within the 300 ms after which its runner is doubtful.

The actor is also the last place before the wire, so it looks there whether the window of an order about a host is still open.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/SendWindow.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/SendWindow.java
@@ -2,11 +2,13 @@
 
 import java.time.InstantSource;
 
+import io.burdockpin.runtime.http.socket.SendCondition;
+
 /**
  * Time within which a message may be sent. It ends by two clocks: the monotonic one sees
  * a process that was stopped, the time of day a suspended host. Immutable.
  */
-public final class SendWindow {
+public final class SendWindow implements SendCondition {
 
 	private final InstantSource steadyClock;
 
@@ -38,6 +40,7 @@
 	 * Tells whether the message may still be sent.
 	 * @return {@code false} once either clock has passed the end
 	 */
+	@Override
 	public boolean isOpen() {
 		return this.steadyClock.millis() < this.steadyEndMillis && this.wallClock.millis() < this.wallEndMillis;
 	}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpExchange.java
@@ -0,0 +1,191 @@
+package io.burdockpin.runtime.http.socket;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+
+/**
+ * Owns one connection to a server and opens it with the next request whenever it has
+ * ended. Each request has one outcome within its time.
+ */
+public final class HttpExchange extends AbstractBehavior<HttpExchange.Command> {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final TimerScheduler<Command> timers;
+
+	private final InetSocketAddress server;
+
+	private final ActorRef<HttpConnection.Event> connectionEvents;
+
+	private Optional<org.apache.pekko.actor.ActorRef> connection = Optional.empty();
+
+	private Optional<Request> open = Optional.empty();
+
+	/** Counts connections, so that the end of one is not taken for that of the next. */
+	private long connectionNumber;
+
+	private HttpExchange(ActorContext<Command> context, TimerScheduler<Command> timers, InetSocketAddress server) {
+		super(context);
+		this.timers = timers;
+		this.server = server;
+		this.connectionEvents = context.messageAdapter(HttpConnection.Event.class, FromConnection::new);
+	}
+
+	/**
+	 * Creates the behavior.
+	 * @param server the address of the server
+	 * @return the behavior
+	 */
+	public static Behavior<Command> create(InetSocketAddress server) {
+		return Behaviors
+			.setup((context) -> Behaviors.withTimers((timers) -> new HttpExchange(context, timers, server)));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(Request.class, this::onRequest)
+			.onMessage(FromConnection.class, this::onFromConnection)
+			.onMessageEquals(Overdue.INSTANCE, this::onOverdue)
+			.build();
+	}
+
+	private Behavior<Command> onRequest(Request request) {
+		// The owner sends one request at a time; if it does not, the earlier one is given
+		// up.
+		finish(Outcome.None.UNKNOWN);
+		this.open = Optional.of(request);
+		this.timers.startSingleTimer(Overdue.INSTANCE, request.timeout());
+		if (this.connection.isEmpty()) {
+			this.connection = Optional.of(connect());
+		}
+		this.connection.get()
+			.tell(new HttpConnection.Send(HttpMessageWriter.write(request.call(), this.server), request.condition()),
+					org.apache.pekko.actor.ActorRef.noSender());
+		return this;
+	}
+
+	private Behavior<Command> onFromConnection(FromConnection command) {
+		if (command.event().connection() != this.connectionNumber) {
+			return this;
+		}
+		if (command.event() instanceof HttpConnection.Event.Answered answered) {
+			if (answered.answer().isLast()) {
+				disconnect();
+			}
+			finish(new Outcome.Response(answered.answer().status(), answered.answer().body()));
+		}
+		else if (command.event() instanceof HttpConnection.Event.Ended ended) {
+			onEnded(ended);
+		}
+		else {
+			finish(Outcome.None.WITHHELD);
+		}
+		return this;
+	}
+
+	private void onEnded(HttpConnection.Event.Ended ended) {
+		this.connection = Optional.empty();
+		if (this.open.isPresent()) {
+			logger.atInfo()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.log("The connection to %s ended with a request open: %s.", this.server, ended.reason());
+		}
+		finish(ended.refused() ? Outcome.None.UNREACHED : Outcome.None.UNKNOWN);
+	}
+
+	private Behavior<Command> onOverdue() {
+		disconnect();
+		finish(Outcome.None.UNKNOWN);
+		return this;
+	}
+
+	private void finish(Outcome outcome) {
+		this.open.ifPresent((request) -> {
+			this.open = Optional.empty();
+			this.timers.cancel(Overdue.INSTANCE);
+			request.replyTo().tell(outcome);
+		});
+	}
+
+	private org.apache.pekko.actor.ActorRef connect() {
+		this.connectionNumber++;
+		return Adapter.actorOf(getContext(),
+				HttpConnection.props(this.connectionNumber, this.server, this.connectionEvents));
+	}
+
+	private void disconnect() {
+		this.connection.ifPresent((child) -> Adapter.stop(getContext(), child));
+		this.connection = Optional.empty();
+		this.connectionNumber++;
+	}
+
+	/** Messages of the actor; all but {@link Request} are sent by itself. */
+	public sealed interface Command {
+
+	}
+
+	/**
+	 * Sends a request.
+	 *
+	 * @param call the request
+	 * @param timeout how long to wait for the response
+	 * @param condition whether the request may still be sent, if that is limited
+	 * @param replyTo gets the outcome
+	 */
+	public record Request(HttpCall call, Duration timeout, Optional<SendCondition> condition,
+			ActorRef<Outcome> replyTo) implements Command {
+
+	}
+
+	private record FromConnection(HttpConnection.Event event) implements Command {
+
+	}
+
+	private enum Overdue implements Command {
+
+		INSTANCE
+
+	}
+
+	/** What became of a request. */
+	public sealed interface Outcome {
+
+		/**
+		 * A complete response.
+		 *
+		 * @param status the status
+		 * @param body the body
+		 */
+		record Response(int status, byte[] body) implements Outcome {
+
+		}
+
+		/** There is no complete response. */
+		enum None implements Outcome {
+
+			/** The server refused the connection. */
+			UNREACHED,
+
+			/** The request was not sent, since it was too late. */
+			WITHHELD,
+
+			/** The request may have been handled. */
+			UNKNOWN
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpResponseReader.java
@@ -0,0 +1,37 @@
+package io.burdockpin.runtime.http.socket;
+
+import java.io.IOException;
+import java.io.InputStream;
+
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+/** Reads the responses on a connection to a server. */
+final class HttpResponseReader extends HttpMessageReader<ClassicHttpResponse, HttpAnswer> {
+
+	private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
+	private final DefaultHttpResponseParser parser = new DefaultHttpResponseParser();
+
+	HttpResponseReader() {
+		super(MAXIMUM_BODY_BYTES);
+	}
+
+	@Override
+	ClassicHttpResponse parseHead(SessionInputBuffer buffer, InputStream bytes) throws IOException, HttpException {
+		return this.parser.parse(buffer, bytes);
+	}
+
+	@Override
+	HttpAnswer message(ClassicHttpResponse head, byte[] body, boolean ended) {
+		return new HttpAnswer(head.getCode(), body, ended || isLast(head));
+	}
+
+	@Override
+	boolean bodyMayEndWithConnection() {
+		return true;
+	}
+
+}
--- /dev/null
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpResponseReaderTests.java
@@ -0,0 +1,77 @@
+package io.burdockpin.runtime.http.socket;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import com.google.common.truth.Truth;
+import org.apache.pekko.util.ByteString;
+import org.junit.jupiter.api.Test;
+
+/** Guards against responses that are cut off or run into each other. */
+class HttpResponseReaderTests {
+
+	private final HttpResponseReader reader = new HttpResponseReader();
+
+	@Test
+	void aResponseThatArrivesByteByByteIsCompleteWithItsLastByte() throws IOException {
+		assertCompleteWithLastByte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+	}
+
+	@Test
+	void chunksThatArriveByteByByteAreCompleteWithTheLastOne() throws IOException {
+		assertCompleteWithLastByte(
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
+	}
+
+	@Test
+	void aResponseWithoutLengthEndsWithTheConnection() throws IOException {
+		Truth.assertThat(read("HTTP/1.1 200 OK\r\n\r\nhello").isPresent()).isFalse();
+		HttpAnswer answer = this.reader.end().get();
+		Truth.assertThat(new String(answer.body(), StandardCharsets.UTF_8)).isEqualTo("hello");
+		Truth.assertThat(answer.isLast()).isTrue();
+	}
+
+	@Test
+	void aResponseThatIsCutOffIsNone() throws IOException {
+		read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel");
+		Truth.assertThat(this.reader.end().isPresent()).isFalse();
+	}
+
+	@Test
+	void bytesThatAreNoResponseAreAnError() {
+		assertIsNoResponse("200 hello\r\n\r\n");
+	}
+
+	@Test
+	void aLengthThatIsNoNumberIsAnError() {
+		assertIsNoResponse("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n");
+	}
+
+	private void assertIsNoResponse(String text) {
+		boolean failed = false;
+		try {
+			read(text);
+		}
+		catch (IOException ex) {
+			failed = true;
+		}
+		Truth.assertThat(failed).isTrue();
+	}
+
+	private void assertCompleteWithLastByte(String response) throws IOException {
+		for (int index = 0; index < response.length() - 1; index++) {
+			Truth.assertThat(read(response.substring(index, index + 1)).isPresent()).isFalse();
+		}
+		HttpAnswer answer = read(response.substring(response.length() - 1)).get();
+		Truth.assertThat(answer.status()).isEqualTo(200);
+		Truth.assertThat(new String(answer.body(), StandardCharsets.UTF_8)).isEqualTo("hello");
+		Truth.assertThat(answer.isLast()).isFalse();
+	}
+
+	private Optional<HttpAnswer> read(String text) throws IOException {
+		this.reader.add(ByteString.fromString(text, StandardCharsets.ISO_8859_1));
+		return this.reader.next();
+	}
+
+}
