Keep a host whose upkeep an earlier leader has left open while tasks are at work

What callers would see: a task of a lasting step is ended by an upkeep while as many others are away as its budget allows (AVAIL).

Cause, found by reading: an upkeep is committed before it is sent, and a task may be assigned to the host in between. A leader notices that for its own orders. A new leader starts the task, and after the hand-over pause sends the upkeep that an earlier one has left open, without a look at the budget.

Change: when such an order may be repeated and its host is heard with runs, the order was not carried out, and the host is drained again. Moves already do so.

WaveKeeperTests.aNewLeaderGivesUpTheUpkeepOfAHostOnWhichATaskIsAtWork failed before: the host was taken down.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderBook.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderBook.java
@@ -63,6 +63,17 @@
 		return isRetryDue(host, nowMillis) && this.pause.isOver(host, nowMillis, wallMillis);
 	}
 
+	/**
+	 * Tells whether a committed order about a host may be sent, also if an earlier leader
+	 * may have sent it.
+	 * @param host the host
+	 * @param nowMillis the time of the monotonic clock
+	 * @return whether no order of an earlier leader is close
+	 */
+	boolean mayRepeat(String host, long nowMillis) {
+		return isOwn(host) || this.pause.isOverForOpenOrders(nowMillis);
+	}
+
 	boolean isRetryDue(String host, long nowMillis) {
 		return nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
 	}
@@ -74,8 +85,7 @@
 	 */
 	void sendWhenDue(HostOrder order, long nowMillis) {
 		String host = order.host();
-		boolean maySend = isOwn(host) || this.pause.isOverForOpenOrders(nowMillis);
-		if (maySend && isRetryDue(host, nowMillis) && this.hostsInFlight.add(host)) {
+		if (mayRepeat(host, nowMillis) && isRetryDue(host, nowMillis) && this.hostsInFlight.add(host)) {
 			this.sentHosts.add(host);
 			this.orders.add(order);
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveKeeper.java
@@ -145,7 +145,7 @@
 	private void advance(WaveProgress wave, Map<RunnerKey, RunnerSession> sessions, long nowMillis, long wallMillis) {
 		wave.hosts().forEach((host, phase) -> {
 			if (phase == UpkeepPhase.ORDERED) {
-				sendWhenDue(wave, host, nowMillis);
+				sendWhenDue(wave, host, sessions, nowMillis);
 			}
 			else if (phase == UpkeepPhase.BEGUN && hasReturned(wave, host, sessions, nowMillis)) {
 				propose(wave.wave().number(), host, UpkeepPhase.DONE);
@@ -233,9 +233,9 @@
 			.isPresent();
 	}
 
-	private void sendWhenDue(WaveProgress wave, String host, long nowMillis) {
+	private void sendWhenDue(WaveProgress wave, String host, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
 		this.draining.remove(host);
-		if (this.book.isOwn(host) && !this.book.isSent(host) && hasRuns(host)) {
+		if (!this.book.isSent(host) && mayKeep(host, sessions, nowMillis)) {
 			// A task was assigned to the host before its upkeep was committed.
 			propose(wave.wave().number(), host, UpkeepPhase.PENDING);
 			return;
@@ -243,6 +243,17 @@
 		this.book.sendWhenDue(new HostOrder.Upkeep(this.fencingToken, host, wave.wave().number()), nowMillis);
 	}
 
+	// An earlier leader may have sent its order. If the runner is still heard when that
+	// order can be sent again, it was not carried out.
+	private boolean mayKeep(String host, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		boolean isKnownUnsent = this.book.isOwn(host)
+				|| (this.book.mayRepeat(host, nowMillis) && this.state.runnerOn(host)
+					.map((runner) -> sessions.get(runner.key()))
+					.filter((session) -> session.isHeard(nowMillis))
+					.isPresent());
+		return isKnownUnsent && hasRuns(host);
+	}
+
 	private boolean hasReturned(WaveProgress wave, String host, Map<RunnerKey, RunnerSession> sessions,
 			long nowMillis) {
 		long sinceBegunMillis = nowMillis - this.begunMillis.getOrDefault(host, this.electedMillis);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveKeeperTests.java
@@ -138,6 +138,27 @@
 		Truth.assertThat(this.downUntilMillis).containsKey("host-r1");
 	}
 
+	/**
+	 * Guards against an upkeep that an earlier leader has committed and a new one sends
+	 * while a task of a long-running step is at work on the host and others are away.
+	 */
+	@Test
+	void aNewLeaderGivesUpTheUpkeepOfAHostOnWhichATaskIsAtWork() {
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
+		assign(new TaskId("job", 0, 0, 0), "r0");
+		assign(new TaskId("job", 0, 0, 1), "r1");
+		step(100);
+		this.silent.add("r1");
+		startWave(HOSTS);
+		apply(new BatchCommand.SetUpkeep(1, "host-r0", UpkeepPhase.ORDERED));
+		for (int round = 0; round < 60; round++) {
+			step(100);
+		}
+		Truth.assertThat(this.downUntilMillis).doesNotContainKey("host-r0");
+		Truth.assertThat(this.downUntilMillis).containsKey("host-r2");
+	}
+
 	/** Guards against a phase that is proposed again and again until it is committed. */
 	@Test
 	void aPhaseIsProposedOnceUntilItIsCommitted() {
