Serve callers, runners and operators over plain sockets

Ruled out: the number of hosts and the rate of moves, since both are as before.

Change: a listener actor supervises one actor a connection, which answers its requests one after the other and ends with the answer under way at a planned stop.

--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
@@ -0,0 +1,168 @@
+package io.burdockpin.runtime.http.socket;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import com.google.common.flogger.FluentLogger;
+import org.apache.pekko.actor.AbstractActor;
+import org.apache.pekko.actor.ActorRef;
+import org.apache.pekko.actor.Props;
+import org.apache.pekko.actor.Terminated;
+import org.apache.pekko.io.Tcp;
+import org.apache.pekko.io.TcpMessage;
+
+/**
+ * Owns a listening socket and supervises the connections that it accepts. An actor of the
+ * classic kind, since only those learn which actor owns a socket.
+ */
+public final class HttpListener extends AbstractActor {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Clients come back together after an outage. */
+	private static final int BACKLOG = 512;
+
+	private static final int MAXIMUM_CONNECTIONS = 3_000;
+
+	private final InetSocketAddress address;
+
+	private final int maximumBodyBytes;
+
+	private final Function<ServedRequest, CompletionStage<ServedResponse>> handler;
+
+	private final org.apache.pekko.actor.typed.ActorRef<Event> owner;
+
+	/** The actor that owns the listening socket. */
+	private Optional<ActorRef> socket = Optional.empty();
+
+	private int connectionCount;
+
+	private boolean ending;
+
+	private HttpListener(InetSocketAddress address, int maximumBodyBytes,
+			Function<ServedRequest, CompletionStage<ServedResponse>> handler,
+			org.apache.pekko.actor.typed.ActorRef<Event> owner) {
+		this.address = address;
+		this.maximumBodyBytes = maximumBodyBytes;
+		this.handler = handler;
+		this.owner = owner;
+	}
+
+	/**
+	 * Describes a listener.
+	 * @param address where to listen
+	 * @param maximumBodyBytes how long the body of a request may be
+	 * @param handler answers a request; it does not throw
+	 * @param owner is told when the listener accepts, fails and has ended
+	 * @return the properties of the actor
+	 */
+	public static Props props(InetSocketAddress address, int maximumBodyBytes,
+			Function<ServedRequest, CompletionStage<ServedResponse>> handler,
+			org.apache.pekko.actor.typed.ActorRef<Event> owner) {
+		return Props.create(HttpListener.class, () -> new HttpListener(address, maximumBodyBytes, handler, owner));
+	}
+
+	@Override
+	public void preStart() {
+		Tcp.get(getContext().getSystem()).manager().tell(TcpMessage.bind(getSelf(), this.address, BACKLOG), getSelf());
+	}
+
+	@Override
+	public Receive createReceive() {
+		return receiveBuilder().match(Tcp.Connected.class, (connected) -> onConnected())
+			.match(Terminated.class, (terminated) -> onConnectionEnded())
+			.match(Tcp.Bound.class, this::onBound)
+			.match(Tcp.CommandFailed.class, this::onCommandFailed)
+			.matchEquals(End.INSTANCE, (end) -> onEnd())
+			.match(Tcp.Unbound.class, (unbound) -> reportEnd())
+			.build();
+	}
+
+	private void onBound(Tcp.Bound bound) {
+		this.socket = Optional.of(getSender());
+		this.owner.tell(new Event.Opened(bound.localAddress()));
+	}
+
+	private void onCommandFailed(Tcp.CommandFailed failed) {
+		String reason = failed.cause().isDefined() ? String.valueOf(failed.cause().get().getMessage()) : "no reason";
+		this.owner.tell(new Event.Failed(this.address, reason));
+	}
+
+	private void onConnected() {
+		if (this.ending || this.connectionCount >= MAXIMUM_CONNECTIONS) {
+			logger.atWarning()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.log("Refused a connection on %s; %d are open.", this.address, this.connectionCount);
+			getSender().tell(TcpMessage.abort(), getSelf());
+			return;
+		}
+		this.connectionCount++;
+		getContext()
+			.watch(getContext().actorOf(HttpServerConnection.props(getSender(), this.maximumBodyBytes, this.handler)));
+	}
+
+	private void onConnectionEnded() {
+		this.connectionCount--;
+		if (this.ending) {
+			reportEnd();
+		}
+	}
+
+	private void onEnd() {
+		this.ending = true;
+		this.socket.ifPresent((listening) -> listening.tell(TcpMessage.unbind(), getSelf()));
+		getContext().getChildren().forEach((child) -> child.tell(HttpServerConnection.End.INSTANCE, getSelf()));
+		reportEnd();
+	}
+
+	private void reportEnd() {
+		if (this.connectionCount == 0) {
+			this.owner.tell(new Event.Ended(this.address));
+		}
+	}
+
+	/** Asks a listener to accept no more connections and to end those that are open. */
+	public enum End {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
+	/** What a listener tells its owner. */
+	public sealed interface Event {
+
+		/**
+		 * Connections are accepted.
+		 *
+		 * @param address where
+		 */
+		record Opened(InetSocketAddress address) implements Event {
+
+		}
+
+		/**
+		 * The address cannot be bound.
+		 *
+		 * @param address the address
+		 * @param reason why
+		 */
+		record Failed(InetSocketAddress address, String reason) implements Event {
+
+		}
+
+		/**
+		 * The listener was asked to end, and no connection is left. Told once or more.
+		 *
+		 * @param address where it has listened
+		 */
+		record Ended(InetSocketAddress address) implements Event {
+
+		}
+
+	}
+
+}
