Ask the runners that have tasks first after an election

A new leader asked its runners in the order of their names.

Sessions are now opened, and so visited, with runners of long-running tasks first, then those with other tasks.

FleetLeaderTests.aNewLeaderFirstAsksTheRunnersThatHaveTasks failed before.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -21,6 +22,7 @@
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Run;
+import io.burdockpin.core.model.Resources;
 
 /**
  * What a leader does during one term: it keeps sessions with the runners, places tasks,
@@ -140,7 +142,11 @@
 		this.waves = new WaveKeeper(state, settings.waves(), term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis, this.durations);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
-		state.runners().forEach((runner) -> openSession(runner, nowMillis));
+		// Sessions are visited in this order, and leases of runners with tasks run out.
+		state.runners()
+			.stream()
+			.sorted(Comparator.comparing(this::hasLongRunning).thenComparing(this::hasRuns).reversed())
+			.forEach((runner) -> openSession(runner, nowMillis));
 	}
 
 	// access
@@ -368,6 +374,14 @@
 
 	// helpers
 
+	private boolean hasLongRunning(RunnerRecord runner) {
+		return !this.state.runs().longRunningOn(runner.key()).equals(Resources.NONE);
+	}
+
+	private boolean hasRuns(RunnerRecord runner) {
+		return !this.state.runs().on(runner.key()).isEmpty();
+	}
+
 	private static RunnerDispatch dispatch(RunnerSession session, RunnerOrder order) {
 		return new RunnerDispatch(session.runner(), order, session.answerMillis());
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -1,5 +1,6 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -8,6 +9,7 @@
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunOutcome;
+import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
@@ -279,6 +281,35 @@
 		Truth.assertThat(session.nextOrder(20_500)).isEmpty();
 	}
 
+	/**
+	 * Guards against leases that end while a new leader asks runners without any task.
+	 * Load pattern: an election in a fleet of which a few hosts work.
+	 */
+	@Test
+	void aNewLeaderFirstAsksTheRunnersThatHaveTasks() {
+		BatchState state = new BatchState();
+		List<BatchCommand> commands = new ArrayList<>();
+		commands.add(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")));
+		for (int number = 10; number < 30; number++) {
+			commands.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("r" + number, "pool", 1)));
+		}
+		commands
+			.add(new BatchCommand.SubmitJob("ends", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
+		commands.add(new BatchCommand.SubmitJob("lasts", "queue-pool", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(1, 1, 1))));
+		commands.add(new BatchCommand.AssignRuns(
+				List.of(new BatchCommand.Assignment(new TaskId("ends", 0, 0, 0), 1, new RunnerKey("r20", 1)),
+						new BatchCommand.Assignment(new TaskId("lasts", 0, 0, 0), 1, new RunnerKey("r29", 1)))));
+		state.apply(new CommandGroup(1_000, commands));
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
+		List<String> asked = leader.dueOrders(1_000)
+			.stream()
+			.map((dispatch) -> dispatch.runner().key().id())
+			.limit(3)
+			.toList();
+		Truth.assertThat(asked).containsExactly("r29", "r20", "r10").inOrder();
+	}
+
 	/** Guards against runners that are gone and hold up the others after an election. */
 	@Test
 	void runnersThatAreGoneDoNotHoldUpTheFirstContactsOfOthers() {
