Do not let late jobs keep hosts from jobs that can be in time

What callers saw: after a change of leader within one turn the jobs of the next turns were late as well.

Cause: a pool asked for hosts by all of its work, late or not, and placed late work on each host that became free. So the queue that had fallen behind kept what it had, and the next one fell behind in turn: an outage of some seconds outlasted itself. Ruled out: the leader's processor (ticks were 30 ms late, 0.15 of 0.32 cores on the mean) and the rate of moves (15 a second, 48 are allowed).

Change: pools ask for hosts by the work that can still be in time. While that work lacks hosts somewhere, up to 0.4 of the hosts of pools with late work take no new tasks until they are idle and can be moved. Late work gets spare hosts while three tenths of all hosts stay spare. Of late jobs the least late go first; the most overdue went first before. The objective of a job is computed in one place for the planner and the demand.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -421,6 +421,7 @@
 			.map(RunnerSession::runner)
 			.filter((runner) -> !this.waves.isDraining(runner.hostOrId()))
 			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
+			.filter((runner) -> !this.balancer.isYielding(runner.hostOrId()))
 			.toList();
 		Plan plan = this.planner.plan(this.state, usable, (runner) -> this.reputation.standing(runner, nowMillis),
 				wallMillis);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -50,6 +50,18 @@
 	 */
 	private static final int MAXIMUM_WAITING_ORDERS = 6;
 
+	/**
+	 * Late jobs take spare hosts only while this share of all hosts stays for the next
+	 * turn: each move takes seconds, and its jobs can still be in time.
+	 */
+	private static final double SPARE_SHARE_FOR_TURNS = 0.3;
+
+	/**
+	 * Late jobs must be finished too, so most of a pool goes on with them while the rest
+	 * becomes idle.
+	 */
+	private static final double MAXIMUM_YIELD_SHARE = 0.4;
+
 	/** Demand changes within tenths of a second. */
 	private static final long PERIOD_MILLIS = 150;
 
@@ -78,6 +90,9 @@
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
+	/** Hosts with tasks that take no new ones, so that another pool can have them. */
+	private Set<String> yieldingHosts = Set.of();
+
 	/** Pools in which the newest plan found no runner with room for a task. */
 	private Set<String> shortPools = Set.of();
 
@@ -115,6 +130,15 @@
 		return this.state.moves().containsKey(host) || this.proposedHosts.contains(host);
 	}
 
+	/**
+	 * Tells whether a host is to become idle for another pool.
+	 * @param host the host
+	 * @return whether it takes no new tasks
+	 */
+	public boolean isYielding(String host) {
+		return this.yieldingHosts.contains(host);
+	}
+
 	/**
 	 * Takes note that a command about a move was committed.
 	 * @param host the host
@@ -194,14 +218,17 @@
 		}
 		this.nextRoundMillis = nowMillis + PERIOD_MILLIS;
 		FleetConfiguration configuration = this.state.configuration().get();
-		this.demand.observe(configuration, this.settings.lookAheadMillis(), nowMillis);
+		this.demand.observe(configuration, this.settings.lookAheadMillis(), nowMillis, wallMillis);
 		this.state.moves().values().forEach((move) -> advance(move, sessions, nowMillis));
-		Map<String, Pool> pools = pools(configuration, sessions,
-				(host) -> isReserved.test(host) || !this.pause.isOver(host, nowMillis, wallMillis), nowMillis);
-		pools.values()
-			.stream()
-			.filter((pool) -> !pool.spare)
-			.forEach((pool) -> grow(pool, pools, nowMillis, wallMillis));
+		Predicate<String> mustStay = (host) -> isReserved.test(host) || !this.pause.isOver(host, nowMillis, wallMillis);
+		Map<String, Pool> pools = pools(configuration, sessions, mustStay, nowMillis);
+		List<Pool> working = pools.values().stream().filter((pool) -> !pool.spare).toList();
+		working.forEach((pool) -> grow(pool, pools, nowMillis, wallMillis));
+		double missingHosts = working.stream().mapToDouble(Pool::missingHosts).sum();
+		this.yieldingHosts = chooseYieldingHosts(missingHosts, working, sessions, mustStay, nowMillis);
+		if (missingHosts == 0) {
+			working.forEach((pool) -> growForLateJobs(pool, pools, nowMillis, wallMillis));
+		}
 		if (waitingOrders > MAXIMUM_WAITING_ORDERS) {
 			return;
 		}
@@ -209,10 +236,7 @@
 			.stream()
 			.filter(BatchPool::spare)
 			.findFirst()
-			.ifPresent((spare) -> pools.values()
-				.stream()
-				.filter((pool) -> !pool.spare)
-				.forEach((pool) -> shrink(pool, spare.name(), nowMillis)));
+			.ifPresent((spare) -> working.forEach((pool) -> shrink(pool, spare.name(), nowMillis)));
 	}
 
 	/**
@@ -324,6 +348,7 @@
 				pool.assumeHost(host);
 				pool.wantedHosts = this.demand.wantedHosts(pool.name, pool.typicalHost,
 						this.settings.lookAheadMillis());
+				pool.lateHosts = this.demand.lateHosts(pool.name, pool.typicalHost);
 				pool.servingHosts = this.demand.servingHosts(pool.name, pool.typicalHost);
 			}));
 		this.state.moves()
@@ -346,6 +371,45 @@
 		}
 	}
 
+	private void growForLateJobs(Pool pool, Map<String, Pool> pools, long nowMillis, long wallMillis) {
+		int hosts = pools.values().stream().mapToInt((known) -> known.hosts).sum() + this.spareHosts.size();
+		while (pool.isShortForLateJobs() && this.spareHosts.size() > SPARE_SHARE_FOR_TURNS * hosts) {
+			Optional<String> host = takeSpare(nowMillis, wallMillis);
+			if (host.isEmpty()) {
+				return;
+			}
+			pool.addArriving();
+			order(host.get(), pool.name);
+		}
+	}
+
+	// Hosts that take no new tasks become idle and can be moved: late jobs must not keep
+	// hosts from jobs of other pools that can be in time.
+	private Set<String> chooseYieldingHosts(double missingHosts, List<Pool> working,
+			Map<RunnerKey, RunnerSession> sessions, Predicate<String> mustStay, long nowMillis) {
+		Set<String> chosen = new HashSet<>();
+		for (Pool pool : working) {
+			double mostHosts = Math.min(pool.surplusForLateJobs(), MAXIMUM_YIELD_SHARE * pool.hosts);
+			sessions.values()
+				.stream()
+				.map(RunnerSession::runner)
+				.filter((runner) -> runner.pool().equals(pool.name) && mayYield(runner, nowMillis))
+				.filter((runner) -> !mustStay.test(runner.hostOrId()))
+				.sorted(Comparator.<RunnerRecord, Boolean>comparing((runner) -> !isYielding(runner.hostOrId()))
+					.thenComparingInt((runner) -> this.state.runs().reservedOn(runner.key()).cpuMillicores()))
+				.limit((long) Math.min(mostHosts, Math.ceil(missingHosts - chosen.size())))
+				.forEach((runner) -> chosen.add(runner.hostOrId()));
+		}
+		return chosen;
+	}
+
+	private boolean mayYield(RunnerRecord runner, long nowMillis) {
+		boolean isBusy = !this.state.runs().on(runner.key()).isEmpty();
+		return (isBusy || isYielding(runner.hostOrId())) && !isMoving(runner.hostOrId())
+				&& this.state.runs().longRunningOn(runner.key()).equals(Resources.NONE)
+				&& nowMillis - this.movedMillis.getOrDefault(runner.hostOrId(), 0L) >= this.settings.stayMillis();
+	}
+
 	private void order(String host, String pool) {
 		this.proposedHosts.add(host);
 		this.book.begin(host);
@@ -375,7 +439,7 @@
 	}
 
 	private void shrink(Pool pool, String sparePool, long nowMillis) {
-		while (pool.canGive() && !this.shortPools.contains(pool.name)) {
+		while (pool.canGiveBeforeLateJobs() && !this.shortPools.contains(pool.name)) {
 			Optional<String> host = take(pool, this.settings.stayMillis(), this.settings.idleMillis(), nowMillis);
 			if (host.isEmpty()) {
 				return;
@@ -412,9 +476,12 @@
 
 		private PoolDemand.Room typicalHost = PoolDemand.Room.NONE;
 
-		/** Hosts that tasks fill which end by themselves. */
+		/** Hosts that tasks fill which end by themselves and can be in time. */
 		private double wantedHosts;
 
+		/** Hosts that tasks of late jobs fill. */
+		private double lateHosts;
+
 		/** Hosts that waiting long-running tasks need. */
 		private int servingHosts;
 
@@ -459,9 +526,28 @@
 			return this.typicalHost != PoolDemand.Room.NONE && hostsToKeep(HEADROOM) > this.usableHosts;
 		}
 
+		private boolean isShortForLateJobs() {
+			return this.typicalHost != PoolDemand.Room.NONE && hostsToKeepWithLate(1) > this.usableHosts;
+		}
+
 		private boolean canGive() {
-			return !this.idle.isEmpty() && this.hosts > MINIMUM_HOSTS
-					&& hostsToKeep(KEEP_FACTOR) <= this.usableHosts - 1;
+			return mayGive(hostsToKeep(KEEP_FACTOR));
+		}
+
+		private boolean canGiveBeforeLateJobs() {
+			return mayGive(hostsToKeepWithLate(KEEP_FACTOR));
+		}
+
+		private boolean mayGive(double hostsToKeep) {
+			return !this.idle.isEmpty() && this.hosts > MINIMUM_HOSTS && hostsToKeep <= this.usableHosts - 1;
+		}
+
+		private double missingHosts() {
+			return isShort() ? hostsToKeep(HEADROOM) - this.usableHosts : 0;
+		}
+
+		private double surplusForLateJobs() {
+			return Math.max(0, this.usableHosts - hostsToKeep(KEEP_FACTOR));
 		}
 
 		private double surplusHosts() {
@@ -472,6 +558,10 @@
 			return Math.max(this.reserveHosts, factor * this.wantedHosts) + this.servingHosts;
 		}
 
+		private double hostsToKeepWithLate(double factor) {
+			return Math.max(this.reserveHosts, factor * (this.wantedHosts + this.lateHosts)) + this.servingHosts;
+		}
+
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
@@ -29,6 +29,8 @@
 
 	private final DurationEstimator durations;
 
+	private final JobObjectives objectives;
+
 	private final Map<String, ArrivalRate> arrivals = new HashMap<>();
 
 	private final Set<String> knownJobs = new HashSet<>();
@@ -45,6 +47,7 @@
 	public PoolDemand(BatchState state, DurationEstimator durations) {
 		this.state = state;
 		this.durations = durations;
+		this.objectives = new JobObjectives(durations);
 	}
 
 	/**
@@ -52,8 +55,9 @@
 	 * @param configuration the configuration
 	 * @param lookAheadMillis how long a host takes to arrive
 	 * @param nowMillis the time of the monotonic clock
+	 * @param wallMillis the time of day in milliseconds since 1970
 	 */
-	public void observe(FleetConfiguration configuration, long lookAheadMillis, long nowMillis) {
+	public void observe(FleetConfiguration configuration, long lookAheadMillis, long nowMillis, long wallMillis) {
 		Map<String, Work> newWork = new HashMap<>();
 		Map<String, Room> arrivedFirst = new HashMap<>();
 		Map<String, Room> arrivedWork = new HashMap<>();
@@ -61,8 +65,9 @@
 		Map<String, BatchQueue> queues = configuration.queuesByName();
 		for (BatchJob job : this.state.activeJobs()) {
 			present.add(job.id());
-			Optional.ofNullable(queues.get(job.queue())).map(BatchQueue::pool).ifPresent((pool) -> {
-				addWork(newWork.computeIfAbsent(pool, (name) -> new Work()), job, lookAheadMillis);
+			Optional.ofNullable(queues.get(job.queue())).ifPresent((queue) -> {
+				String pool = queue.pool();
+				addWork(newWork.computeIfAbsent(pool, (name) -> new Work()), job, queue, lookAheadMillis, wallMillis);
 				if (!this.knownJobs.contains(job.id()) && !job.spec().isLongRunning()) {
 					arrivedFirst.merge(pool, Room.of(job.spec().steps().get(0)), Room::plus);
 					arrivedWork.merge(pool, workOf(job), Room::plus);
@@ -83,7 +88,8 @@
 	}
 
 	/**
-	 * Returns how many hosts the tasks of a pool fill that end by themselves.
+	 * Returns how many hosts the tasks of a pool fill that end by themselves and belong
+	 * to jobs that can still meet their objective.
 	 * @param pool the pool
 	 * @param host what a host of the pool holds
 	 * @param lookAheadMillis how long a host takes to arrive
@@ -98,6 +104,16 @@
 		return Math.max(expected.hosts(host), rate.wholeJobs().hosts(host));
 	}
 
+	/**
+	 * Returns how many hosts the tasks of a pool fill that belong to late jobs.
+	 * @param pool the pool
+	 * @param host what a host of the pool holds
+	 * @return the number of hosts
+	 */
+	public double lateHosts(String pool, Room host) {
+		return this.work.getOrDefault(pool, Work.NONE).late.hosts(host);
+	}
+
 	/**
 	 * Returns how many empty hosts the long-running tasks of a pool need that wait.
 	 * @param pool the pool
@@ -111,18 +127,19 @@
 			.sum();
 	}
 
-	private void addWork(Work sums, BatchJob job, long lookAheadMillis) {
+	private void addWork(Work sums, BatchJob job, BatchQueue queue, long lookAheadMillis, long wallMillis) {
 		for (Occurrence occurrence : job.occurrences()) {
 			for (int number = 0; number < occurrence.steps().size(); number++) {
 				StepTasks step = occurrence.steps().get(number);
 				if (!step.isDone() && occurrence.isReady(number)) {
-					addStep(sums, job, step, lookAheadMillis);
+					boolean isLate = this.objectives.slackMillis(job, queue, occurrence, number, wallMillis) < 0;
+					addStep(sums, job, step, isLate, lookAheadMillis);
 				}
 			}
 		}
 	}
 
-	private void addStep(Work sums, BatchJob job, StepTasks step, long lookAheadMillis) {
+	private void addStep(Work sums, BatchJob job, StepTasks step, boolean isLate, long lookAheadMillis) {
 		int waiting = 0;
 		int running = 0;
 		for (BatchTask task : step.tasks()) {
@@ -136,7 +153,13 @@
 			return;
 		}
 		double endingShare = Math.min(1, lookAheadMillis / Math.max(1.0, durationMillis(job, step.spec())));
-		sums.lasting = sums.lasting.plus(Room.of(step.spec(), waiting + running * (1 - endingShare)));
+		Room lasting = Room.of(step.spec(), waiting + running * (1 - endingShare));
+		if (isLate) {
+			sums.late = sums.late.plus(lasting);
+		}
+		else {
+			sums.lasting = sums.lasting.plus(lasting);
+		}
 	}
 
 	private Room workOf(BatchJob job) {
@@ -168,6 +191,9 @@
 		/** Room of the tasks that will not have ended when a new host arrives. */
 		private Room lasting = Room.NONE;
 
+		/** The same of jobs that will miss their objective. */
+		private Room late = Room.NONE;
+
 		private final Map<StepSpec, Integer> waitingServing = new HashMap<>();
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -13,7 +13,6 @@
 
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
-import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
@@ -47,14 +46,14 @@
 	 */
 	static final double LONG_RUNNING_SHARE = 0.75;
 
-	private final DurationEstimator durations;
+	private final JobObjectives objectives;
 
 	/**
 	 * Creates a planner.
 	 * @param durations estimates how long tasks take
 	 */
 	public TaskPlanner(DurationEstimator durations) {
-		this.durations = durations;
+		this.objectives = new JobObjectives(durations);
 	}
 
 	/**
@@ -106,10 +105,7 @@
 	}
 
 	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
-		JobSpec spec = job.spec();
-		long objectiveMillis = spec.dueMillis(occurrence.number(), job.acceptedMillis()) + queue.targetLatencyMillis()
-				+ (long) (queue.stretch() * chainMillis(queue.name(), spec, 0));
-		long slackMillis = objectiveMillis - wallMillis - chainMillis(queue.name(), spec, step);
+		long slackMillis = this.objectives.slackMillis(job, queue, occurrence, step, wallMillis);
 		StepTasks tasks = occurrence.steps().get(step);
 		return new WorkItem(job, queue, occurrence, step, tasks, urgency(tasks, slackMillis), slackMillis);
 	}
@@ -125,30 +121,6 @@
 		return tasks.tasks().stream().anyMatch((task) -> task.run().isPresent());
 	}
 
-	/**
-	 * Returns the longest chain of estimated work from a step to the end of the job.
-	 * @param queue the queue
-	 * @param spec the job
-	 * @param firstStep the step with which the chain begins; 0 for any
-	 * @return the time in milliseconds
-	 */
-	long chainMillis(String queue, JobSpec spec, int firstStep) {
-		List<StepSpec> steps = spec.steps();
-		long[] chains = new long[steps.size()];
-		long longest = 0;
-		for (int step = steps.size() - 1; step >= 0; step--) {
-			long following = 0;
-			for (int later = step + 1; later < steps.size(); later++) {
-				if (steps.get(later).after().contains(step)) {
-					following = Math.max(following, chains[later]);
-				}
-			}
-			chains[step] = this.durations.estimateMillis(queue, steps.get(step).estimatedMillis()) + following;
-			longest = Math.max(longest, chains[step]);
-		}
-		return (firstStep == 0) ? longest : chains[firstStep];
-	}
-
 	/** One round of placement. */
 	private static final class Round {
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
@@ -21,10 +21,13 @@
 record WorkItem(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, StepTasks tasks, Urgency urgency,
 		long slackMillis) {
 
-	/** Order of placement: urgency, priority of the queue, then the least slack. */
+	/**
+	 * Order of placement: urgency, priority of the queue, then the least slack. Of late
+	 * jobs the least late comes first, since a result is worth less the later it comes.
+	 */
 	static final Comparator<WorkItem> ORDER = Comparator.comparing(WorkItem::urgency)
 		.thenComparingInt((item) -> item.queue().priority())
-		.thenComparingLong(WorkItem::slackMillis)
+		.thenComparingLong((item) -> Math.abs(item.slackMillis()))
 		.thenComparing((item) -> item.job().id());
 
 	/** Groups of steps, the first one first. */
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -249,6 +249,39 @@
 		Truth.assertThat(tick()).isEmpty();
 	}
 
+	/**
+	 * Guards against late jobs that keep hosts from jobs which can be in time. Pattern:
+	 * the turn of a queue begins while another one is still behind.
+	 */
+	@Test
+	void someHostsOfAPoolWithLateJobsBecomeIdleForAPoolWhoseJobsCanBeInTime() {
+		apply(new BatchCommand.SubmitJob("late", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(16))));
+		for (int number = 0; number < 12; number++) {
+			assign("late", number, "cold" + number / 3);
+		}
+		this.nowMillis += 20_000;
+		submit("large", 24);
+		Truth.assertThat(tick()).isEmpty();
+		long yielding = IntStream.range(0, 4)
+			.filter((number) -> this.balancer.isYielding("host-cold" + number))
+			.count();
+		Truth.assertThat(yielding).isEqualTo(1);
+	}
+
+	/** Guards against hosts that stand idle although no other pool needs them. */
+	@Test
+	void lateJobsKeepTheirHostsWhileNoOtherPoolIsShort() {
+		apply(new BatchCommand.SubmitJob("late", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(16))));
+		for (int number = 0; number < 12; number++) {
+			assign("late", number, "cold" + number / 3);
+		}
+		this.nowMillis += 20_000;
+		submit("small", 4);
+		tick();
+		Truth.assertThat(IntStream.range(0, 4).anyMatch((number) -> this.balancer.isYielding("host-cold" + number)))
+			.isFalse();
+	}
+
 	private void assign(String job, int task, String runner) {
 		apply(new BatchCommand.AssignRuns(
 				List.of(new BatchCommand.Assignment(new TaskId(job, 0, 0, task), 1, new RunnerKey(runner, 1)))));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -134,7 +134,7 @@
 			round.configure(Resources.NONE);
 			round.submit("service", NOW_MILLIS, BatchFixtures.longRunning(tasks, 0, 1));
 			PoolDemand demand = new PoolDemand(round.state, new DurationEstimator());
-			demand.observe(round.state.configuration().get(), 0, NOW_MILLIS);
+			demand.observe(round.state.configuration().get(), 0, NOW_MILLIS, NOW_MILLIS);
 			int wantedHosts = demand.servingHosts("pool", new PoolDemand.Room(BatchFixtures.CAPACITY.cpuMillicores(),
 					BatchFixtures.CAPACITY.memoryMebibytes()));
 			for (int host = 0; host < wantedHosts; host++) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TurnFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TurnFleet.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.batch.lead;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -81,6 +82,10 @@
 
 	private long nowMillis = START_MILLIS;
 
+	private long pausedFromMillis = Long.MAX_VALUE;
+
+	private long pausedUntilMillis;
+
 	private long eventCount;
 
 	private long hostMillis;
@@ -144,13 +149,36 @@
 				new MaintenanceWave(1, hosts, 28_000, this.shape.hosts() / 6, this.nowMillis)))));
 	}
 
+	/**
+	 * Keeps the leader from deciding, as in a change of leader.
+	 * @param afterMillis when, after the first turn begins
+	 * @param millis for how long
+	 */
+	void pauseLeader(long afterMillis, long millis) {
+		this.pausedFromMillis = START_MILLIS + this.shape.leadMillis() + afterMillis;
+		this.pausedUntilMillis = this.pausedFromMillis + millis;
+	}
+
 	// what a test looks at
 
+	/**
+	 * Returns the share of the jobs of one turn, by their work, that met their objective.
+	 * @param pool the pool whose turn it was
+	 * @return the share
+	 */
+	double servedShare(int pool) {
+		return servedShare(this.jobs.values().stream().filter((job) -> job.pool() == pool).toList());
+	}
+
 	/** Returns the share of the jobs, by their work, that met their objective. */
 	double servedShare() {
+		return servedShare(this.jobs.values());
+	}
+
+	private static double servedShare(Collection<JobTimes> counted) {
 		double owed = 0;
 		double earned = 0;
-		for (JobTimes job : this.jobs.values()) {
+		for (JobTimes job : counted) {
 			owed += job.worth();
 			earned += (job.endMillis() > 0 && job.endMillis() <= job.objectiveMillis()) ? job.worth() : 0;
 		}
@@ -209,8 +237,8 @@
 		}
 		double meanWork = 1.5 * 8 * this.shape.workMillis() * this.shape.task().cpuMillicores();
 		double worth = Math.min(4, 0.3 + 0.7 * work / meanWork);
-		this.jobs.put(id,
-				new JobTimes(durations, this.nowMillis + (long) (STRETCH * chainMillis) + TARGET_MILLIS, worth, 0));
+		this.jobs.put(id, new JobTimes(pool, durations, this.nowMillis + (long) (STRETCH * chainMillis) + TARGET_MILLIS,
+				worth, 0));
 		commitSoon(List.of(new BatchCommand.SubmitJob(id, "work" + pool, "team", new JobSpec(id, steps, 0, 0, 0))));
 	}
 
@@ -240,10 +268,12 @@
 	// the leader
 
 	private void decide() {
-		this.leader.decide(this.nowMillis, this.nowMillis);
-		this.leader.dueOrders(this.nowMillis).forEach(this::send);
-		this.leader.dueHostOrders(this.nowMillis).forEach(this::carryOut);
-		commitSoon(this.leader.drainProposals());
+		if (this.nowMillis < this.pausedFromMillis || this.nowMillis >= this.pausedUntilMillis) {
+			this.leader.decide(this.nowMillis, this.nowMillis);
+			this.leader.dueOrders(this.nowMillis).forEach(this::send);
+			this.leader.dueHostOrders(this.nowMillis).forEach(this::carryOut);
+			commitSoon(this.leader.drainProposals());
+		}
 		this.hostMillis += ROUND_MILLIS
 				* this.poolOfHost.values().stream().filter((pool) -> !pool.equals("spare")).count();
 		at(ROUND_MILLIS, this::decide);
@@ -408,10 +438,10 @@
 	}
 
 	/** What becomes of a job. */
-	private record JobTimes(List<Long> durations, long objectiveMillis, double worth, long endMillis) {
+	private record JobTimes(int pool, List<Long> durations, long objectiveMillis, double worth, long endMillis) {
 
 		private JobTimes endingAt(long millis) {
-			return new JobTimes(this.durations, this.objectiveMillis, this.worth, millis);
+			return new JobTimes(this.pool, this.durations, this.objectiveMillis, this.worth, millis);
 		}
 
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TurnsOfDemandTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TurnsOfDemandTests.java
@@ -32,6 +32,20 @@
 		Truth.assertThat(fleet.servedShare()).isAtLeast(0.95);
 	}
 
+	/**
+	 * Guards against late jobs that keep the hosts which the next turn needs, so that its
+	 * jobs are late as well, and so on. Load pattern: a change of leader within a turn
+	 * leaves the jobs of that turn behind.
+	 */
+	@Test
+	void theTurnsAfterAnOutageMeetTheirObjectives() {
+		TurnFleet fleet = new TurnFleet(FLEET, SETTINGS, 1);
+		fleet.pauseLeader(2_000, 6_000);
+		fleet.play();
+		Truth.assertThat(fleet.servedShare(1)).isAtLeast(0.8);
+		Truth.assertThat(fleet.servedShare(2)).isAtLeast(0.9);
+	}
+
 	/** Guards against a pool that gets one host after the other for such a step. */
 	@Test
 	void longRunningTasksThatNeedAHostEachStartBeforeTheTurns() {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -120,7 +120,10 @@
 	// helpers
 
 	private ArgumentParser createParser() {
-		ArgumentParser parser = ArgumentParsers.newFor(this.programName).terminalWidthDetection(false).build().defaultHelp(true);
+		ArgumentParser parser = ArgumentParsers.newFor(this.programName)
+			.terminalWidthDetection(false)
+			.build()
+			.defaultHelp(true);
 		parser.version(this.programName + " " + programVersion());
 		parser.addArgument("--version").action(Arguments.version());
 		parser.addArgument("--settings").metavar("FILE").help("settings file, JSON with comments");
