--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpExchangeTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpExchangeTests.java
@@ -82,12 +82,7 @@
 			readRequest(first);
 			answer(first, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
 			assertResponse(200, "");
-			request(LONG);
-			try (Socket second = this.server.accept()) {
-				readRequest(second);
-				answer(second, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
-				assertResponse(200, "x");
-			}
+			assertNextRequestOpensAConnection();
 		}
 	}
 
@@ -98,12 +93,7 @@
 		try (Socket first = this.server.accept()) {
 			readRequest(first);
 			Truth.assertThat(this.outcomes.receiveMessage()).isEqualTo(HttpExchange.Outcome.None.UNKNOWN);
-			request(LONG);
-			try (Socket second = this.server.accept()) {
-				readRequest(second);
-				answer(second, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
-				assertResponse(200, "x");
-			}
+			assertNextRequestOpensAConnection();
 		}
 	}
 
@@ -124,6 +114,15 @@
 		Truth.assertThat(this.outcomes.receiveMessage()).isEqualTo(HttpExchange.Outcome.None.UNREACHED);
 	}
 
+	private void assertNextRequestOpensAConnection() throws IOException {
+		request(LONG);
+		try (Socket accepted = this.server.accept()) {
+			readRequest(accepted);
+			answer(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+			assertResponse(200, "x");
+		}
+	}
+
 	private void request(Duration timeout) {
 		HttpCall call = HttpCall.post("/path?page=1", "{}".getBytes(StandardCharsets.UTF_8))
 			.withHeader("X-Name", "value");
