End a connection whose handler throws, and log answers that cannot be sent

Found in the read of the diff: an exception in a handler would have restarted the actor of its connection, which loses what it has read and leaves its client without an answer. Such a connection now ends; a handler whose stage fails is logged and answered 500. A connection that is idle for a minute is closed, not reset.

HttpListenerTests.aRequestWhoseHandlerFailsIsAnsweredOrEndsItsConnection is new.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
@@ -10,6 +10,7 @@
 import org.apache.pekko.actor.AbstractActor;
 import org.apache.pekko.actor.ActorRef;
 import org.apache.pekko.actor.Props;
+import org.apache.pekko.actor.SupervisorStrategy;
 import org.apache.pekko.actor.Terminated;
 import org.apache.pekko.io.Tcp;
 import org.apache.pekko.io.TcpMessage;
@@ -65,6 +66,12 @@
 		return Props.create(HttpListener.class, () -> new HttpListener(address, maximumBodyBytes, handler, owner));
 	}
 
+	// A connection whose handler throws ends, so that its client does not wait.
+	@Override
+	public SupervisorStrategy supervisorStrategy() {
+		return SupervisorStrategy.stoppingStrategy();
+	}
+
 	@Override
 	public void preStart() {
 		Tcp.get(getContext().getSystem()).manager().tell(TcpMessage.bind(getSelf(), this.address, BACKLOG), getSelf());
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerConnection.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerConnection.java
@@ -79,8 +79,8 @@
 			.match(Respond.class, this::onRespond)
 			.matchEquals(End.INSTANCE, (end) -> onEnd())
 			.match(Tcp.ConnectionClosed.class, this::onClosed)
-			.match(Tcp.CommandFailed.class, (failed) -> getContext().stop(getSelf()))
-			.match(ReceiveTimeout.class, (timeout) -> getContext().stop(getSelf()))
+			.match(Tcp.CommandFailed.class, this::onWriteFailed)
+			.match(ReceiveTimeout.class, (timeout) -> this.socket.tell(TcpMessage.close(), getSelf()))
 			.build();
 	}
 
@@ -119,12 +119,13 @@
 		this.ending |= request.isLast();
 		ActorRef self = getSelf();
 		this.handler.apply(request)
-			.whenComplete((response, failure) -> self.tell(new Respond(Optional.ofNullable(response)), self));
+			.exceptionally(HttpServerConnection::failed)
+			.thenAccept((response) -> self.tell(new Respond(response), self));
 	}
 
 	private void onRespond(Respond respond) {
 		this.busy = false;
-		write(respond.response().orElseGet(() -> error(INTERNAL_ERROR, "internal error")));
+		write(respond.response());
 		if (!this.ending) {
 			try {
 				answerNext();
@@ -171,6 +172,17 @@
 		write(error(BAD_REQUEST, "malformed request"));
 	}
 
+	// A client that does not read fills the buffers of the system.
+	private void onWriteFailed(Tcp.CommandFailed failed) {
+		logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("A response cannot be sent: %s.", failed);
+		getContext().stop(getSelf());
+	}
+
+	private static ServedResponse failed(Throwable failure) {
+		logger.atWarning().withCause(failure).log("A request failed.");
+		return error(INTERNAL_ERROR, "internal error");
+	}
+
 	private static ServedResponse error(int status, String text) {
 		return ServedResponse.json(status, "{\"error\":\"%s\"}".formatted(text).getBytes(StandardCharsets.UTF_8));
 	}
@@ -178,9 +190,9 @@
 	/**
 	 * A request is answered.
 	 *
-	 * @param response the response, if the handler did not fail
+	 * @param response the response
 	 */
-	private record Respond(Optional<ServedResponse> response) {
+	private record Respond(ServedResponse response) {
 
 	}
 
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -110,6 +111,21 @@
 		}
 	}
 
+	/** Guards against clients that wait for an answer that never comes. */
+	@Test
+	void aRequestWhoseHandlerFailsIsAnsweredOrEndsItsConnection() throws IOException {
+		try (Socket client = connect(); Socket other = connect()) {
+			send(client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+			this.arrivals.receiveMessage().response().completeExceptionally(new IllegalStateException("planted"));
+			Truth.assertThat(readUntil(client, "}")).startsWith("HTTP/1.1 500 ");
+			send(client, "GET /throws HTTP/1.1\r\nHost: h\r\n\r\n");
+			Truth.assertThat(endsWithoutAnswer(client)).isTrue();
+			send(other, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+			this.arrivals.receiveMessage().answer(text("two"));
+			Truth.assertThat(readUntil(other, "two")).startsWith("HTTP/1.1 200 OK\r\n");
+		}
+	}
+
 	@Test
 	void aClientThatOnlyClosesItsSendingSideGetsTheAnswer() throws IOException {
 		try (Socket client = connect()) {
@@ -151,6 +167,9 @@
 	}
 
 	private CompletionStage<ServedResponse> open(ServedRequest request) {
+		if (request.path().equals("/throws")) {
+			throw new IllegalStateException("planted");
+		}
 		Open open = new Open(request, new CompletableFuture<>());
 		this.requests.add(open);
 		this.arrivals.getRef().tell(open);
@@ -170,6 +189,16 @@
 		client.getOutputStream().flush();
 	}
 
+	private static boolean endsWithoutAnswer(Socket client) throws IOException {
+		try {
+			return client.getInputStream().read() < 0;
+		}
+		catch (SocketException ex) {
+			// The connection was reset.
+			return true;
+		}
+	}
+
 	private static String readUntil(Socket client, String end) throws IOException {
 		StringBuilder received = new StringBuilder();
 		while (!received.toString().endsWith(end)) {
