Refuse a body length that is negative or out of range

Found in the last read: the length was parsed as an unsigned number, so became -1, which passed the check against the longest body and was taken for an empty one. The body would then have been read as the next request.

HttpListenerTests.aLengthOutOfRangeIsRefused is new; it was run on the changed code only. A comment that named the limit of another library is corrected.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpMessageReader.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpMessageReader.java
@@ -27,7 +27,7 @@
 	/** Most heads are shorter; longer ones take several fills. */
 	private static final int BUFFER_BYTES = 1_024;
 
-	/** As much as the HTTP library of the other listeners accepts in one head. */
+	/** Far above the heads that clients and servers of a fleet send. */
 	private static final int MAXIMUM_HEAD_BYTES = 16 * 1_024;
 
 	private static final byte[] HEAD_END = { '\r', '\n', '\r', '\n' };
@@ -183,11 +183,15 @@
 
 	private static int contentLength(Header length) throws IOException {
 		try {
-			return Integer.parseUnsignedInt(length.getValue().trim());
+			int bodyBytes = Integer.parseInt(length.getValue().trim());
+			if (bodyBytes >= 0) {
+				return bodyBytes;
+			}
 		}
 		catch (NumberFormatException ex) {
 			throw new IOException("the length of a message is malformed: " + length.getValue(), ex);
 		}
+		throw new IOException("the length of a message is negative: " + length.getValue());
 	}
 
 	static boolean isLast(HttpMessage messageHead) {
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -152,6 +152,13 @@
 		assertRefused("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
 	}
 
+	/** Guards against a length that overflows and lets the body pass for a request. */
+	@Test
+	void aLengthOutOfRangeIsRefused() throws IOException {
+		assertRefused("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4294967295\r\n\r\n");
+		assertRefused("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n");
+	}
+
 	@Test
 	void bytesThatAreNoRequestAreRefused() throws IOException {
 		assertRefused("hello\r\n\r\n");
