--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -387,6 +387,9 @@
 	// hosts from jobs of other pools that can be in time.
 	private Set<String> chooseYieldingHosts(double missingHosts, List<Pool> working,
 			Map<RunnerKey, RunnerSession> sessions, Predicate<String> mustStay, long nowMillis) {
+		if (missingHosts == 0) {
+			return Set.of();
+		}
 		Set<String> chosen = new HashSet<>();
 		for (Pool pool : working) {
 			double mostHosts = Math.min(pool.surplusForLateJobs(), MAXIMUM_YIELD_SHARE * pool.hosts);
