Let a waiting host succeed a control member that is gone for good

Cause: ConsensusActor admitted a host only in place of a member on the same host or while the group was smaller than intended.

Ruled out: removing the silent voter first. If that voter was only cut off and another one loses its disk before the successor is a voter, the rest can never elect a leader again. So the successor becomes a voter first; the group of n+1 then needs no more voters than are in contact, and a silent voter that returns still counts. A learner that is no longer in contact is not made a voter.

Change: core.consensus.GroupRepair decides from the leader's own contact with its members, counted from its election, and from the data centres, which hosts say when they ask to join. Each decision that changes is logged, burdock_bearable_losses says how many further losses are borne. Records of calls ignore components of later versions from now on.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -212,8 +212,10 @@
 				DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		this.leader = Optional.of(client);
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
-		getContext().spawn(GroupJoiner.create(new FleetCall.Join(self.host().value(), self.incarnation(),
-				consensusSettings.memberAddress(self.host().value())), client), "group-joiner");
+		getContext().spawn(GroupJoiner.create(
+				new FleetCall.Join(self.host().value(), self.incarnation(),
+						consensusSettings.memberAddress(self.host().value()), Optional.of(this.settings.dataCentre())),
+				client), "group-joiner");
 		openFrontEnd();
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -150,7 +150,7 @@
 	}
 
 	ConsensusSettings toConsensusSettings() {
-		return new ConsensusSettings(this.cluster, this.host, this.internalPorts.get(0), seedHosts(),
+		return new ConsensusSettings(this.cluster, this.host, this.dataCentre, this.internalPorts.get(0), seedHosts(),
 				2 * this.toleratedMembers + 1, REPLICA,
 				LinkSettings.DEFAULT.withDispatcher(BatchDispatchers.CONSENSUS));
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/GroupJoiner.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/GroupJoiner.java
@@ -11,7 +11,8 @@
 
 /**
  * Periodically requests the admission of this member to the control group. The leader
- * ignores the request while the member belongs to the group or the group is full.
+ * learns the data centre of each member from these requests, and admits this one once the
+ * group needs it.
  */
 final class GroupJoiner {
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
@@ -11,14 +11,11 @@
 import io.burdockpin.core.consensus.ConsensusEnvelope;
 import io.burdockpin.core.consensus.ConsensusMessage;
 import io.burdockpin.core.consensus.Effect;
-import io.burdockpin.core.consensus.Member;
 import io.burdockpin.core.consensus.MemberId;
-import io.burdockpin.core.consensus.Membership;
-import io.burdockpin.core.consensus.MembershipChange;
-import io.burdockpin.core.consensus.MembershipChangeResult;
 import io.burdockpin.core.consensus.Replica;
 import io.burdockpin.core.consensus.Role;
 import io.burdockpin.core.event.HybridClock;
+import io.burdockpin.runtime.metric.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -52,13 +49,18 @@
 
 	private final HybridClock hybridClock = new HybridClock();
 
+	private final GroupAdmission admission;
+
 	private Optional<ActorRef<MemberLinks.Command>> links = Optional.empty();
 
 	private long tickDueMillis = Long.MAX_VALUE;
 
+	/** Whether a voter has to be removed once the latest change is committed. */
+	private boolean surplusVoter;
+
 	private ConsensusActor(ActorContext<ConsensusCommand> context, TimerScheduler<ConsensusCommand> timers,
 			ConsensusSettings settings, Replica replica, ActorRef<LogWriter.Command> logWriter,
-			ActorRef<? super ConsensusReport> owner, InstantSource clock) {
+			ActorRef<? super ConsensusReport> owner, MetricRegistry metrics, InstantSource clock) {
 		super(context);
 		this.timers = timers;
 		this.settings = settings;
@@ -66,15 +68,17 @@
 		this.logWriter = logWriter;
 		this.owner = owner;
 		this.clock = clock;
+		this.admission = new GroupAdmission(replica, settings, metrics);
 		runEffects();
 	}
 
 	// life cycle
 
 	static Behavior<ConsensusCommand> create(ConsensusSettings settings, Replica replica,
-			ActorRef<LogWriter.Command> logWriter, ActorRef<? super ConsensusReport> owner, InstantSource clock) {
-		return Behaviors.setup((context) -> Behaviors
-			.withTimers((timers) -> new ConsensusActor(context, timers, settings, replica, logWriter, owner, clock)));
+			ActorRef<LogWriter.Command> logWriter, ActorRef<? super ConsensusReport> owner, MetricRegistry metrics,
+			InstantSource clock) {
+		return Behaviors.setup((context) -> Behaviors.withTimers(
+				(timers) -> new ConsensusActor(context, timers, settings, replica, logWriter, owner, metrics, clock)));
 	}
 
 	@Override
@@ -132,13 +136,7 @@
 	}
 
 	private Behavior<ConsensusCommand> onAdmit(ConsensusCommand.Admit command) {
-		Member member = command.member();
-		Membership membership = this.replica.status().membership();
-		Optional<MembershipChange> change = admission(membership, member.id());
-		change.ifPresent((kind) -> {
-			MembershipChangeResult result = this.replica.changeMembership(kind, member, nowMillis());
-			logger.atInfo().log("Membership change %s of %s: %s.", kind, member.id(), result.kind());
-		});
+		this.admission.onRequest(command.member(), command.dataCentre(), nowMillis());
 		return runEffects();
 	}
 
@@ -155,25 +153,22 @@
 
 	// helpers
 
-	private Optional<MembershipChange> admission(Membership membership, MemberId id) {
-		if (membership.find(id).isPresent()) {
-			return Optional.empty();
-		}
-		if (membership.find(id.host()).isPresent()) {
-			return Optional.of(MembershipChange.REPLACE);
+	private Behavior<ConsensusCommand> runEffects() {
+		drainEffects();
+		if (this.surplusVoter) {
+			this.admission.removeSurplus(nowMillis());
+			drainEffects();
 		}
-		return (membership.members().size() < this.settings.maximumMembers()) ? Optional.of(MembershipChange.ADD)
-				: Optional.empty();
+		scheduleTick();
+		return this;
 	}
 
-	private Behavior<ConsensusCommand> runEffects() {
+	private void drainEffects() {
 		List<Effect> effects = this.replica.drainEffects();
 		while (!effects.isEmpty()) {
 			effects.forEach(this::run);
 			effects = this.replica.drainEffects();
 		}
-		scheduleTick();
-		return this;
 	}
 
 	private void scheduleTick() {
@@ -222,6 +217,7 @@
 					changed.leader()));
 		}
 		else if (effect instanceof Effect.MembershipChanged changed) {
+			this.surplusVoter = this.admission.hasSurplusVoter(changed.membership());
 			this.links.ifPresent((target) -> target.tell(new MemberLinks.MembersChanged(changed.membership())));
 			this.owner.tell(new ConsensusReport.MembersChanged(changed.membership()));
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusCommand.java
@@ -1,5 +1,7 @@
 package io.burdockpin.batch.consensus;
 
+import java.util.Optional;
+
 import io.burdockpin.core.consensus.ConsensusEnvelope;
 import io.burdockpin.core.consensus.Member;
 import io.burdockpin.core.model.Payload;
@@ -59,12 +61,13 @@
 	}
 
 	/**
-	 * Admits a host to the group, as a new member or as the replacement of a member on
-	 * the same host that lost its data folder.
+	 * A host asks to join the group, as a new member or as the replacement of a member
+	 * that is gone or has lost its data folder.
 	 *
 	 * @param member the member to admit
+	 * @param dataCentre the data centre of its host, if it said so
 	 */
-	record Admit(Member member) implements ConsensusCommand {
+	record Admit(Member member, Optional<String> dataCentre) implements ConsensusCommand {
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSettings.java
@@ -10,14 +10,15 @@
  *
  * @param cluster name of the cluster; messages from other clusters are dropped
  * @param host the IP address of this host
+ * @param dataCentre data centre of this host
  * @param memberPort port at which each member listens for other members
  * @param foundingHosts the hosts of the founding members of a new cluster
- * @param maximumMembers size up to which new members are admitted
+ * @param maximumMembers number of voters of a complete group
  * @param replica timing and sizes of the log
  * @param links settings of the links between members
  */
-public record ConsensusSettings(String cluster, String host, int memberPort, List<String> foundingHosts,
-		int maximumMembers, ReplicaSettings replica, LinkSettings links) {
+public record ConsensusSettings(String cluster, String host, String dataCentre, int memberPort,
+		List<String> foundingHosts, int maximumMembers, ReplicaSettings replica, LinkSettings links) {
 
 	public ConsensusSettings {
 		foundingHosts = List.copyOf(foundingHosts);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
@@ -35,6 +35,8 @@
 
 	private final ConsensusSettings settings;
 
+	private final MetricRegistry metrics;
+
 	private final InstantSource clock;
 
 	private final RandomGenerator random;
@@ -52,6 +54,7 @@
 			ActorRef<Report> owner) {
 		super(context);
 		this.settings = settings;
+		this.metrics = metrics;
 		this.clock = clock;
 		this.random = random;
 		this.stateOwner = stateOwner;
@@ -97,8 +100,8 @@
 		this.stateOwner.tell(new ConsensusReport.Restored(snapshot));
 		Replica replica = new Replica(this.settings.replica(), command.loaded().state(), this.random,
 				this.clock.millis());
-		ActorRef<ConsensusCommand> started = getContext().spawn(
-				ConsensusActor.create(this.settings, replica, this.logWriter, this.stateOwner, this.clock), "consensus",
+		ActorRef<ConsensusCommand> started = getContext().spawn(ConsensusActor.create(this.settings, replica,
+				this.logWriter, this.stateOwner, this.metrics, this.clock), "consensus",
 				DispatcherSelector.fromConfig(BatchDispatchers.CONSENSUS));
 		getContext().watch(started);
 		this.consensus = Optional.of(started);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -258,7 +258,7 @@
 	private void onJoin(FleetCall.Join join, ReplyPort replyTo) {
 		Member member = new Member(new MemberId(new HostName(join.host()), join.incarnation()), MemberRole.LEARNER,
 				join.address());
-		this.consensus.ifPresent((target) -> target.tell(new ConsensusCommand.Admit(member)));
+		this.consensus.ifPresent((target) -> target.tell(new ConsensusCommand.Admit(member, join.dataCentre())));
 		replyTo.send(new FleetReply.Accepted());
 	}
 
--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/cbor/BatchCborMapper.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/cbor/BatchCborMapper.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
@@ -48,6 +49,8 @@
 			.visibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
 			.visibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
 			.serializationInclusion(JsonInclude.Include.NON_ABSENT)
+			// A later version may send more components.
+			.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 			.build();
 		addUnion(mapper, BatchCommand.class);
 		addUnion(mapper, FleetCall.class);
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -1,5 +1,7 @@
 package io.burdockpin.codec.cbor;
 
+import java.io.IOException;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -101,7 +103,8 @@
 				new FleetCall.PutConfiguration(CONFIGURATION), new FleetCall.ReadConfiguration(),
 				new FleetCall.Announce(RECORD, 4), new FleetCall.Leave("runner"),
 				new FleetCall.OrderWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
-				new FleetCall.LookAtWave(1), new FleetCall.Join("10.0.0.1", 5, "10.0.0.1:7"), new FleetCall.Check());
+				new FleetCall.LookAtWave(1), new FleetCall.Join("10.0.0.1", 5, "10.0.0.1:7", Optional.of("dc1")),
+				new FleetCall.Check());
 		calls.forEach((call) -> {
 			CallMessage message = new CallMessage.Call(1, call);
 			Truth.assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
@@ -118,6 +121,20 @@
 		});
 	}
 
+	@Test
+	void aRequestToJoinOfAnotherVersionIsRead() throws IOException {
+		Map<String, Object> join = new LinkedHashMap<>();
+		join.put("type", "Join");
+		join.put("host", "10.0.0.1");
+		join.put("incarnation", 5);
+		join.put("address", "10.0.0.1:7");
+		join.put("componentOfALaterVersion", 1);
+		byte[] encoded = BatchCborMapper.INSTANCE
+			.writeValueAsBytes(Map.of("type", "Call", "correlation", 1, "call", join));
+		Truth.assertThat(new CborCallCodec().decode(encoded))
+			.isEqualTo(new CallMessage.Call(1, new FleetCall.Join("10.0.0.1", 5, "10.0.0.1:7", Optional.empty())));
+	}
+
 	@Test
 	void bytesThatAreNoMessageAreRejected() {
 		CborCallCodec codec = new CborCallCodec();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
@@ -138,8 +138,9 @@
 	 * @param host the host of the new member
 	 * @param incarnation identifies the data folder of the new member
 	 * @param address where it listens for other members, {@code ip:port}
+	 * @param dataCentre the data centre of the host; empty in calls of earlier versions
 	 */
-	record Join(String host, long incarnation, String address) implements FleetCall {
+	record Join(String host, long incarnation, String address, Optional<String> dataCentre) implements FleetCall {
 
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -272,6 +272,8 @@
 			.stream()
 			.filter((member) -> !member.role().countsForMajority())
 			.filter((member) -> matchIndex(member.id()) >= this.log.commitIndex())
+			// As a voter, a learner that is already gone would only raise the majority.
+			.filter((member) -> lastContactMillis(member.id(), nowMillis) >= nowMillis - contactLimitMillis(nowMillis))
 			.findFirst();
 		caughtUp.ifPresent((learner) -> append(
 				new EntryContent.MembershipContent(membership.with(learner.withRole(MemberRole.VOTER))), nowMillis));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
@@ -59,6 +59,9 @@
 
 	private long lastNumber;
 
+	/** Removes surplus voters as soon as that is possible. */
+	private Optional<GroupRepair> groupRepair = Optional.empty();
+
 	int lossPercent;
 
 	int maximumSyncMillis = 10;
@@ -223,6 +226,35 @@
 		});
 	}
 
+	/** Loses the host of a member for good. */
+	void loseHost(FakeMember member) {
+		crash(member);
+		this.members.remove(member.host());
+	}
+
+	/** Starts a host with an empty disk that belongs to no group. */
+	FakeMember startEmptyHost(String host) {
+		this.lastNumber++;
+		return create(new MemberId(new HostName(host), 1000 + this.lastNumber), Membership.EMPTY);
+	}
+
+	/**
+	 * Lets all hosts that reach the leader ask it to join, as each does once a second.
+	 */
+	void requestAdmissions(GroupRepair repair, Map<HostName, String> dataCentres) {
+		leader().filter(this::isAwake).ifPresent((leader) -> {
+			for (FakeMember candidate : List.copyOf(members())) {
+				if (isAwake(candidate) && !this.cutLinks.contains(List.of(candidate.host(), leader.host()))) {
+					repair.decide(candidate.id(), contact(leader, dataCentres))
+						.change()
+						.ifPresent((change) -> change(change, candidate.id()));
+				}
+			}
+			this.groupRepair = Optional.of(repair);
+			removeSurplus(leader);
+		});
+	}
+
 	void handOver() {
 		leader().ifPresent((leader) -> runIfAwake(leader, (replica) -> {
 			replica.handOver(this.nowMillis);
@@ -232,6 +264,16 @@
 
 	// helpers
 
+	private GroupContact contact(FakeMember leader, Map<HostName, String> dataCentres) {
+		Replica replica = leader.replica.get();
+		Membership membership = replica.status().membership();
+		Map<MemberId, Long> silentMillis = new HashMap<>();
+		membership.members()
+			.forEach((member) -> replica.millisSinceContact(member.id(), this.nowMillis)
+				.ifPresent((millis) -> silentMillis.put(member.id(), millis)));
+		return new GroupContact(leader.id(), membership, silentMillis, dataCentres);
+	}
+
 	private Membership initialMembership() {
 		return new Membership(List.of(1, 2, 3)
 			.stream()
@@ -289,6 +331,19 @@
 			effects = replica.drainEffects();
 		}
 		checkStatus(member, replica.status());
+		if (this.groupRepair.isPresent() && replica.status().role() == Role.LEADER) {
+			removeSurplus(member);
+		}
+	}
+
+	private void removeSurplus(FakeMember leader) {
+		Replica replica = leader.replica.get();
+		boolean isSettled = replica.status().membershipIndex() <= replica.status().commitIndex();
+		this.groupRepair.filter((repair) -> isSettled)
+			.flatMap((repair) -> repair.surplus(contact(leader, Map.of())))
+			.map((member) -> replica.changeMembership(MembershipChange.REMOVE, member, this.nowMillis))
+			.filter((result) -> result.kind() == MembershipChangeResult.Kind.PROPOSED)
+			.ifPresent((result) -> executeEffects(leader));
 	}
 
 	private void executeEffects(FakeMember member, Replica replica, Effect effect) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/metric/Metric.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/metric/Metric.java
@@ -49,6 +49,10 @@
 	/** Whether this control member is the leader. */
 	LEADER(MetricType.GAUGE, "burdock_leader", "1 if this member leads"),
 
+	/** Losses of voters that the control group still bears, as seen by its leader. */
+	BEARABLE_LOSSES(MetricType.GAUGE, "burdock_bearable_losses",
+			"Voters of the control group that may be lost before it stops"),
+
 	/** Newest committed index. */
 	COMMIT_INDEX(MetricType.GAUGE, "burdock_commit_index", "Newest committed log index"),
 
