Act as a leader only behind a recent confirmation by a majority

Cause, found by reading and shown by a test: a read that the replicated log refused, because this member had just lost its majority, was handled like a confirmed one. The report of the refused read arrives before the change of leadership, so the scheduler still held its leader and answered calls from a state that a successor may have overtaken, and sent orders about hosts (these were stopped after 400 ms by their send window).

Second cause: orders to runners had no condition at all. Starts, stops and lease extensions of a process that had been paused, or of a leader that was cut off, went out when it woke up, before it knew of its successor; a runner that the successor has not contacted yet accepts them.

Ruled out: a confirmed read before each order; it would add a round trip to each start. A leader renews its permission every 100 ms instead, which takes the place of its heartbeats.

Change: ConfirmedReads runs one action for a confirmed and another for a refused read. LeadershipPermit holds a window of 400 ms on both clocks, from before the confirmation was asked for; without an open one no order is made, and the actor that owns the socket looks at it once more before it writes. An order that was not sent (NOT_SENT) says nothing about the runner, so it is no reason to give up its runs.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
@@ -4,6 +4,7 @@
 import io.burdockpin.core.batch.lead.RunnerReply;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.runtime.http.socket.SendCondition;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 
@@ -24,9 +25,11 @@
 	 * @param order the order with the term of the leader
 	 * @param answerTimeoutMillis response timeout, in addition to the time that the order
 	 * itself allows the runner to wait
+	 * @param condition checked immediately before the order is written to the connection
 	 * @param replyTo receives the reply
 	 */
-	record Send(RunnerOrder order, int answerTimeoutMillis, ActorRef<Answered> replyTo) implements Command {
+	record Send(RunnerOrder order, int answerTimeoutMillis, SendCondition condition,
+			ActorRef<Answered> replyTo) implements Command {
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
@@ -116,7 +116,8 @@
 		this.sentCount++;
 		this.sentMillis = this.clock.millis();
 		RunnerOrder order = new RunnerOrder.Heartbeat(0, 0, OptionalLong.empty(), 0);
-		this.channel.ifPresent((open) -> open.tell(new RunnerChannel.Send(order, ANSWER_TIMEOUT_MILLIS, this.replyTo)));
+		this.channel.ifPresent(
+				(open) -> open.tell(new RunnerChannel.Send(order, ANSWER_TIMEOUT_MILLIS, () -> true, this.replyTo)));
 		return this;
 	}
 
--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeadershipPermit.java
@@ -0,0 +1,82 @@
+package io.burdockpin.batch.scheduler;
+
+import java.time.InstantSource;
+import java.util.Optional;
+
+import io.burdockpin.batch.port.SendWindow;
+
+/**
+ * Permission of a leader to send orders. It ends a short time after the latest
+ * confirmation by a majority, before the members may elect another leader, and is renewed
+ * well before that. Mutable; owned by the {@link SchedulerActor}.
+ */
+final class LeadershipPermit {
+
+	/**
+	 * After contact with a leader, members elect no other one for at least the minimum
+	 * election timeout of 500 ms. A fifth is left as a margin for differences in clock
+	 * rates.
+	 */
+	private static final int VALID_MILLIS = 400;
+
+	/** As often as the leader's heartbeats, which a renewal replaces. */
+	private static final int RENEWAL_MILLIS = 100;
+
+	private final InstantSource clock;
+
+	private final InstantSource wallClock;
+
+	private Optional<SendWindow> window = Optional.empty();
+
+	private boolean renewing;
+
+	private long requestedMillis;
+
+	LeadershipPermit(InstantSource clock, InstantSource wallClock) {
+		this.clock = clock;
+		this.wallClock = wallClock;
+	}
+
+	/**
+	 * Returns the time window in which orders may be sent.
+	 * @return an open window, empty if the leadership was not confirmed recently
+	 */
+	Optional<SendWindow> openWindow() {
+		return this.window.filter(SendWindow::maySend);
+	}
+
+	boolean isRenewalDue() {
+		return !this.renewing
+				&& (this.window.isEmpty() || this.clock.millis() - this.requestedMillis >= RENEWAL_MILLIS);
+	}
+
+	/**
+	 * Adds the next confirmation to the reads. Its window starts now, because the
+	 * majority confirms the leadership at some time after now.
+	 * @param reads confirms the leadership
+	 */
+	void renew(ConfirmedReads reads) {
+		this.renewing = true;
+		this.requestedMillis = this.clock.millis();
+		SendWindow next = newWindow();
+		reads.add(() -> {
+			this.renewing = false;
+			this.window = Optional.of(next);
+		}, this::revoke);
+	}
+
+	/**
+	 * Opens a window for orders that wait for a confirmation of their own.
+	 * @return a window that starts now and is valid only after that confirmation
+	 */
+	SendWindow newWindow() {
+		return SendWindow.open(this.clock, this.wallClock, VALID_MILLIS);
+	}
+
+	/** Ends the permission, because this member has stepped down. */
+	void revoke() {
+		this.renewing = false;
+		this.window = Optional.empty();
+	}
+
+}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -10,6 +10,7 @@
 import io.burdockpin.core.batch.lead.RunnerOrder;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.runtime.http.socket.SendCondition;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 
@@ -35,7 +36,7 @@
 		this.replyTo = replyTo;
 	}
 
-	void send(RunnerDispatch dispatch) {
+	void send(RunnerDispatch dispatch, SendCondition condition) {
 		RunnerRecord runner = dispatch.runner();
 		Channels known = this.channels.get(runner.key());
 		if (known == null || !known.address().equals(runner.address())) {
@@ -45,7 +46,7 @@
 		}
 		boolean isHeartbeat = dispatch.order() instanceof RunnerOrder.Heartbeat;
 		(isHeartbeat ? known.heartbeats() : known.orders())
-			.tell(new RunnerChannel.Send(dispatch.order(), dispatch.answerTimeoutMillis(), this.replyTo));
+			.tell(new RunnerChannel.Send(dispatch.order(), dispatch.answerTimeoutMillis(), condition, this.replyTo));
 	}
 
 	void close(RunnerKey key) {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -3,9 +3,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import com.google.common.flogger.FluentLogger;
@@ -59,13 +57,6 @@
 	/** Short compared to the time limits for runners and callers. */
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(40);
 
-	/**
-	 * After contact with a leader, members elect no other one for at least the minimum
-	 * election timeout of 500 ms. A fifth is left as a margin for differences in clock
-	 * rates.
-	 */
-	private static final int CONFIRMATION_VALID_MILLIS = 400;
-
 	private final LeaderSettings settings;
 
 	private final InstantSource clock;
@@ -92,9 +83,9 @@
 
 	private final PendingProposals proposals = new PendingProposals();
 
-	private final Map<Long, List<Runnable>> pendingReads = new HashMap<>();
+	private final ConfirmedReads reads = new ConfirmedReads();
 
-	private final List<Runnable> queuedReads = new ArrayList<>();
+	private final LeadershipPermit permit;
 
 	private final List<BatchCommand> queuedCommands = new ArrayList<>();
 
@@ -120,8 +111,6 @@
 
 	private long lastTag;
 
-	private long lastRead;
-
 	private final LeaderLoad load;
 
 	private SchedulerActor(ActorContext<SchedulerCommand> context, TimerScheduler<SchedulerCommand> timers,
@@ -132,6 +121,7 @@
 		this.hosts = hosts;
 		this.clock = clock;
 		this.wallClock = wallClock;
+		this.permit = new LeadershipPermit(clock, wallClock);
 		this.events = new SchedulerEvents(eventLog, wallClock);
 		this.hostReplies = context.messageAdapter(HostChannel.Answered.class, SchedulerCommand.FromHosts::new);
 		this.hostLists = context.messageAdapter(HostChannel.Listed.class, SchedulerCommand.FromHostList::new);
@@ -269,14 +259,8 @@
 	}
 
 	private void replyWhenConfirmed(ReplyPort replyTo, Runnable answer) {
-		this.queuedReads.add(() -> {
-			if (this.leader.isPresent()) {
-				answer.run();
-			}
-			else {
-				replyTo.send(notLeader());
-			}
-		});
+		Runnable refuse = () -> replyTo.send(notLeader());
+		this.reads.add(() -> (this.leader.isPresent() ? answer : refuse).run(), refuse);
 		requestFlush();
 	}
 
@@ -310,7 +294,7 @@
 			onNotProposed(refused.tag());
 		}
 		else if (report instanceof ConsensusReport.ReadDone read) {
-			onReadDone(read);
+			this.reads.onDone(read.number(), read.confirmed());
 		}
 		else if (report instanceof ConsensusReport.LeadershipChanged changed) {
 			onLeadershipChanged(changed);
@@ -373,13 +357,6 @@
 		this.leader = Optional.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
 	}
 
-	private void onReadDone(ConsensusReport.ReadDone read) {
-		List<Runnable> waiting = this.pendingReads.remove(read.number());
-		if (waiting != null) {
-			waiting.forEach(Runnable::run);
-		}
-	}
-
 	private void onLeadershipChanged(ConsensusReport.LeadershipChanged changed) {
 		this.term = changed.term();
 		this.knownLeader = changed.leader();
@@ -387,6 +364,7 @@
 			logger.atInfo().log("Stepped down in term %d.", changed.term());
 			this.events.leadershipChanged(false, changed.term());
 			this.leader = Optional.empty();
+			this.permit.revoke();
 			this.channels.retain((key) -> false);
 			this.queuedCommands.clear();
 			this.queuedReplyPorts.forEach((waiter) -> waiter.send(notLeader()));
@@ -445,31 +423,20 @@
 		if (!this.queuedCommands.isEmpty()) {
 			propose();
 		}
-		if (!this.queuedReads.isEmpty()) {
-			this.lastRead++;
-			this.pendingReads.put(this.lastRead, List.copyOf(this.queuedReads));
-			this.queuedReads.clear();
-			this.consensus.get().tell(new ConsensusCommand.Read(this.lastRead));
-		}
+		this.reads.nextRequest().ifPresent((number) -> this.consensus.get().tell(new ConsensusCommand.Read(number)));
 		return this;
 	}
 
 	private void decide(FleetLeader leading) {
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
-		leading.dueOrders(nowMillis).forEach((dispatch) -> {
-			this.load.countOrder(dispatch.order() instanceof RunnerOrder.Heartbeat);
-			this.channels.send(dispatch);
-		});
-		List<HostOrder> hostOrders = leading.dueHostOrders(nowMillis);
-		if (!hostOrders.isEmpty()) {
-			// The platform does not check fencing tokens, so the leadership must be
-			// confirmed before the orders are sent.
-			SendWindow window = SendWindow.open(this.clock, this.wallClock, CONFIRMATION_VALID_MILLIS);
-			this.queuedReads.add(() -> this.leader.filter((present) -> present == leading)
-				.ifPresent((present) -> hostOrders
-					.forEach((order) -> this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies)))));
+		if (this.permit.isRenewalDue()) {
+			this.permit.renew(this.reads);
 		}
+		// A runner does not know of a later leader until that one has contacted it, so
+		// nothing is sent unless the leadership was confirmed recently.
+		this.permit.openWindow().ifPresent((window) -> sendRunnerOrders(leading, window, nowMillis));
+		sendHostOrders(leading, nowMillis);
 		if (leading.startHostListIfDue(nowMillis)) {
 			this.hosts.tell(new HostChannel.ListHosts(this.hostLists));
 		}
@@ -480,6 +447,27 @@
 		this.load.countBusy(this.clock.millis() - nowMillis);
 	}
 
+	private void sendRunnerOrders(FleetLeader leading, SendWindow window, long nowMillis) {
+		leading.dueOrders(nowMillis).forEach((dispatch) -> {
+			this.load.countOrder(dispatch.order() instanceof RunnerOrder.Heartbeat);
+			this.channels.send(dispatch, window);
+		});
+	}
+
+	// The platform does not check fencing tokens. Orders about hosts wait in a queue, so
+	// their window starts with a confirmation of their own.
+	private void sendHostOrders(FleetLeader leading, long nowMillis) {
+		List<HostOrder> orders = leading.dueHostOrders(nowMillis);
+		if (!orders.isEmpty()) {
+			SendWindow window = this.permit.newWindow();
+			this.reads.add(
+					() -> this.leader.filter((present) -> present == leading)
+						.ifPresent((present) -> orders.forEach(
+								(order) -> this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies)))),
+					() -> logger.atInfo().log("%d orders about hosts are not sent: not the leader.", orders.size()));
+		}
+	}
+
 	private void propose() {
 		this.lastTag++;
 		Payload payload = Payload
--- /dev/null
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -0,0 +1,187 @@
+package io.burdockpin.batch.scheduler;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.batch.consensus.ConsensusCommand;
+import io.burdockpin.batch.consensus.ConsensusReport;
+import io.burdockpin.batch.port.HostChannel;
+import io.burdockpin.batch.port.ReplyPort;
+import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.codec.cbor.CborCommandGroupCodec;
+import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.lead.BalanceSettings;
+import io.burdockpin.core.batch.lead.LeaderSettings;
+import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.lead.SessionSettings;
+import io.burdockpin.core.batch.lead.WaveSettings;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.consensus.EntryContent;
+import io.burdockpin.core.consensus.LogEntry;
+import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.model.HostName;
+import io.burdockpin.core.model.Payload;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.runtime.event.EventLog;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a leader that acts although its leadership is over or not confirmed. A
+ * probe takes the place of the replicated log.
+ */
+class SchedulerActorTests {
+
+	private static final long TERM = 3;
+
+	private static final MemberId SELF = new MemberId(new HostName("10.0.0.1"), 1);
+
+	private static final RunnerRecord RUNNER = new RunnerRecord(new RunnerKey("runner", 5), Optional.of("host"), "pool",
+			"10.0.0.2:1", "dc1", Optional.empty(), Resources.NONE, Set.of(), false);
+
+	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
+
+	private final TestProbe<ConsensusCommand> consensus = this.testKit.createTestProbe();
+
+	private final TestProbe<RunnerChannel.Command> runners = this.testKit.createTestProbe();
+
+	private final TestProbe<FleetReply> replies = this.testKit.createTestProbe();
+
+	/** Atomic, because the actor reads the clocks in a thread of its own. */
+	private final AtomicLong steadyMillis = new AtomicLong(1_000_000);
+
+	private final AtomicLong wallMillis = new AtomicLong(1_000_000);
+
+	private final ManualTime time = ManualTime.get(this.testKit.system());
+
+	private final ActorRef<SchedulerCommand> scheduler = this.testKit
+		.spawn(SchedulerActor.create(settings(), (runner) -> Behaviors.receiveMessage((command) -> {
+			this.runners.getRef().tell(command);
+			return Behaviors.same();
+		}), this.testKit.<HostChannel.Command>createTestProbe().getRef(),
+				this.testKit.<EventLog.Command>createTestProbe().getRef(),
+				() -> Instant.ofEpochMilli(this.steadyMillis.get()),
+				() -> Instant.ofEpochMilli(this.wallMillis.get())));
+
+	@AfterEach
+	void stop() {
+		this.testKit.shutdownTestKit();
+	}
+
+	/** The read was refused because the majority is lost, so the state may be old. */
+	@Test
+	void aReadThatTheMajorityDoesNotConfirmIsNotAnswered() {
+		lead();
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.ReadConfiguration(), replyPort()));
+		completeReads(false);
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+	}
+
+	/** A leader that was elected and cut off at once must not contact the runners. */
+	@Test
+	void noRunnerIsContactedBeforeAMajorityHasConfirmedTheLeadership() {
+		lead();
+		ConsensusCommand.Read read = nextRead();
+		this.runners.expectNoMessage(Duration.ofMillis(100));
+		report(new ConsensusReport.ReadDone(read.number(), true));
+		Truth.assertThat(this.runners.expectMessageClass(RunnerChannel.Send.class).order().fencingToken())
+			.isEqualTo(TERM);
+	}
+
+	@Test
+	void anOrderThatIsStillQueuedWhenTheProcessWakesUpFromAPauseIsNotSent() {
+		lead();
+		completeReads(true);
+		RunnerChannel.Send order = this.runners.expectMessageClass(RunnerChannel.Send.class);
+		Truth.assertThat(order.condition().maySend()).isTrue();
+		this.steadyMillis.addAndGet(2_000);
+		Truth.assertThat(order.condition().maySend()).isFalse();
+	}
+
+	/** The monotonic clock does not count the time for which a host is suspended. */
+	@Test
+	void anOrderThatIsStillQueuedWhenTheHostResumesFromASuspensionIsNotSent() {
+		lead();
+		completeReads(true);
+		RunnerChannel.Send order = this.runners.expectMessageClass(RunnerChannel.Send.class);
+		this.wallMillis.addAndGet(2_000);
+		Truth.assertThat(order.condition().maySend()).isFalse();
+	}
+
+	@Test
+	void afterAPauseNothingIsOrderedUntilTheLeadershipIsConfirmedAgain() {
+		lead();
+		completeReads(true);
+		RunnerChannel.Send order = this.runners.expectMessageClass(RunnerChannel.Send.class);
+		this.steadyMillis.addAndGet(2_000);
+		this.wallMillis.addAndGet(2_000);
+		order.replyTo().tell(new RunnerChannel.Answered(RUNNER.key(), order.order(), RunnerReply.NoAnswer.NOT_SENT));
+		ConsensusCommand.Read read = nextRead();
+		this.runners.expectNoMessage(Duration.ofMillis(100));
+		report(new ConsensusReport.ReadDone(read.number(), true));
+		this.steadyMillis.addAndGet(1_000);
+		this.time.timePasses(Duration.ofMillis(40));
+		completeReads(true);
+		this.runners.expectMessageClass(RunnerChannel.Send.class);
+	}
+
+	@Test
+	void nothingIsOrderedAfterTheMajorityHasRefusedTheConfirmation() {
+		lead();
+		completeReads(false);
+		report(new ConsensusReport.LeadershipChanged(false, TERM + 1, Optional.empty()));
+		this.time.timePasses(Duration.ofMillis(200));
+		this.runners.expectNoMessage(Duration.ofMillis(100));
+	}
+
+	private void lead() {
+		this.scheduler.tell(new SchedulerCommand.AttachConsensus(this.consensus.getRef()));
+		report(new ConsensusReport.LeadershipChanged(true, TERM, Optional.of(SELF)));
+		Payload payload = Payload.of(new CborCommandGroupCodec()
+			.encode(new CommandGroup(this.wallMillis.get(), List.of(new BatchCommand.RegisterRunner(RUNNER)))));
+		report(new ConsensusReport.Committed(List.of(new LogEntry(1, TERM, new EntryContent.CommandContent(payload))),
+				false));
+	}
+
+	private void completeReads(boolean confirmed) {
+		ConsensusCommand.Read read = nextRead();
+		report(new ConsensusReport.ReadDone(read.number(), confirmed));
+	}
+
+	private ConsensusCommand.Read nextRead() {
+		ConsensusCommand command = this.consensus.receiveMessage();
+		while (!(command instanceof ConsensusCommand.Read)) {
+			command = this.consensus.receiveMessage();
+		}
+		return (ConsensusCommand.Read) command;
+	}
+
+	private void report(ConsensusReport report) {
+		this.scheduler.tell(new SchedulerCommand.FromConsensus(report));
+	}
+
+	private ReplyPort replyPort() {
+		return (reply) -> this.replies.getRef().tell(reply);
+	}
+
+	private static LeaderSettings settings() {
+		return new LeaderSettings(new SessionSettings(6_000, 1_000, 700, 300, 150, 2_200),
+				new WaveSettings(3_000, 3_000, 2_000, 5_000, 400),
+				new BalanceSettings(3_000, 1_700, 1_500, 2_500, 400, 1_500), 60_000, 64);
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReply.java
@@ -48,13 +48,22 @@
 
 	}
 
-	/** No answer arrived. The order may have been carried out or may still be. */
+	/** No answer arrived. */
 	enum NoAnswer implements RunnerReply {
 
 		/** The connection was refused, so the order did not reach the runner. */
 		CONNECTION_REFUSED,
 
-		/** It is not known whether the order reached the runner. */
+		/**
+		 * The order was not sent, because the leadership was no longer confirmed. It says
+		 * nothing about the runner.
+		 */
+		NOT_SENT,
+
+		/**
+		 * It is not known whether the order reached the runner. It may have been carried
+		 * out or may still be.
+		 */
 		UNKNOWN
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -379,7 +379,7 @@
 	public void onOrderReply(RunnerOrder order, RunnerReply reply, long nowMillis) {
 		countUnanswered(reply);
 		this.orderInFlight = false;
-		this.unanswered = reply instanceof RunnerReply.NoAnswer;
+		this.unanswered = isUnanswered(reply);
 		if (reply instanceof RunnerReply.Accepted accepted) {
 			recordClock(accepted.clockMillis(), nowMillis);
 		}
@@ -404,7 +404,7 @@
 	public List<BatchCommand.End> onHeartbeatReply(RunnerReply reply, long nowMillis) {
 		countUnanswered(reply);
 		this.heartbeatInFlight = false;
-		this.heartbeatUnanswered = reply instanceof RunnerReply.NoAnswer;
+		this.heartbeatUnanswered = isUnanswered(reply);
 		if (reply instanceof RunnerReply.Listing listing) {
 			return onListing(listing, nowMillis);
 		}
@@ -460,6 +460,10 @@
 		return this.runs.values().stream().map(RunnerSession::releaseOf).toList();
 	}
 
+	private static boolean isUnanswered(RunnerReply reply) {
+		return reply instanceof RunnerReply.NoAnswer && reply != RunnerReply.NoAnswer.NOT_SENT;
+	}
+
 	private void countUnanswered(RunnerReply reply) {
 		this.unansweredCount = (reply == RunnerReply.NoAnswer.UNKNOWN) ? this.unansweredCount + 1 : 0;
 	}
