Keep the open link to a member when its first message arrives

Cause: followers exchange nothing until the leader is lost, so the first vote request of an election arrives on a connection that was never used. MemberLinks took it for a replaced connection and reopened its own link to that member, and the answer, which follows at once, was dropped because the new link was not connected yet. The candidate had to wait for another election timeout, each time between members that had not spoken since their start.

Ruled out: the disk and the election back-off, which starts at factor 1.

Change: a link is reopened only if an earlier incoming connection was replaced.

Test: MemberLinksTests plays the other member with plain sockets; on the old code the answer ended with the connection (EOFException).

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/MemberLinks.java
@@ -31,7 +31,7 @@
  * Owns the listener for members and one outgoing link to each other member. A connection
  * may fail without being closed while new connections still work. So the link to a member
  * that does not respond is reopened. The failed connection may also be the one in the
- * other direction, so a member that sees a new incoming connection reopens its own link
+ * other direction, so a member whose incoming connection is replaced reopens its own link
  * too.
  */
 public final class MemberLinks extends AbstractBehavior<MemberLinks.Command> {
@@ -150,7 +150,10 @@
 
 	private void onContact(String host, String connection) {
 		this.unansweredSinceMillis.remove(host);
-		if (!connection.equals(this.incoming.put(host, connection))) {
+		String earlier = this.incoming.put(host, connection);
+		// The first message of a member is no sign of a failure. It may be the first vote
+		// request of an election, and its answer would be lost with the link.
+		if (earlier != null && !connection.equals(earlier)) {
 			reopen(host);
 		}
 	}
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkStream.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 
+import com.google.common.flogger.FluentLogger;
 import io.burdockpin.codec.io.FrameCodec;
 import org.apache.pekko.Done;
 import org.apache.pekko.NotUsed;
@@ -28,18 +29,26 @@
 	 */
 	static final boolean HALF_CLOSE = true;
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	private LinkStream() {
 	}
 
 	/**
 	 * Closes the sending side after the queued frames. Completing a queue twice is an
-	 * error, so a completed one is left alone.
+	 * error, so a completed one is left alone. The stream may complete it at any time.
 	 * @param sendQueue the queue of a connection, which may be completed
 	 */
 	static void complete(BoundedSourceQueue<ByteString> sendQueue) {
-		if (!sendQueue.isCompleted()) {
+		if (sendQueue.isCompleted()) {
+			return;
+		}
+		try {
 			sendQueue.complete();
 		}
+		catch (IllegalStateException ex) {
+			logger.atFine().withCause(ex).log("The connection ended while its sending side was closed.");
+		}
 	}
 
 	/**
