Repeat a pre-vote without a majority after a quarter of the election timeout

Cause: a pre-vote that was refused, because it came just before the others had missed the leader for long enough, or whose message was lost, was followed by another whole election timeout of 0.5 to 1 s.

Change: a pre-candidate asks again after 125 to 250 ms (times the back-off). A pre-vote changes no term; a real election keeps the whole timeout.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -17,6 +17,12 @@
  */
 public final class Replica {
 
+	/**
+	 * A pre-vote without a majority is repeated after a quarter to a half of the minimum
+	 * election timeout. It changes no term, so it disturbs no other candidate.
+	 */
+	private static final int PRE_VOTE_DIVISOR = 4;
+
 	private final MemberId self;
 
 	private final ReplicaSettings settings;
@@ -325,6 +331,8 @@
 		this.grantedVotes.clear();
 		this.grantedVotes.add(this.self);
 		changeRole(Role.PRE_CANDIDATE, Optional.empty());
+		int pauseMillis = this.settings.electionTimeoutMinimumMillis() / PRE_VOTE_DIVISOR;
+		restartElectionTimer(pauseMillis, pauseMillis, nowMillis);
 		requestVotes(this.term + 1, true, false);
 		if (hasMajorityOfVotes()) {
 			startElection(false, nowMillis);
@@ -620,8 +628,12 @@
 	}
 
 	private void restartElectionTimer(long nowMillis) {
-		int spreadMillis = this.settings.electionTimeoutMaximumMillis() - this.settings.electionTimeoutMinimumMillis();
-		int timeoutMillis = this.settings.electionTimeoutMinimumMillis() + this.random.nextInt(spreadMillis);
+		int minimumMillis = this.settings.electionTimeoutMinimumMillis();
+		restartElectionTimer(minimumMillis, this.settings.electionTimeoutMaximumMillis() - minimumMillis, nowMillis);
+	}
+
+	private void restartElectionTimer(int minimumMillis, int spreadMillis, long nowMillis) {
+		int timeoutMillis = minimumMillis + this.random.nextInt(spreadMillis);
 		this.electionDeadlineMillis = nowMillis + (long) this.electionBackoff.timeoutFactor(nowMillis) * timeoutMillis;
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -55,6 +55,26 @@
 		Truth.assertThat(resumed.drainEffects()).contains(new Effect.ReadRefused(77));
 	}
 
+	/**
+	 * A pre-vote changes no term. Guards against a whole election timeout without a
+	 * leader because the first request or its answer was lost, or came just too early.
+	 */
+	@Test
+	void aPreVoteWithoutAMajorityIsRepeatedWithinHalfOfAnElectionTimeout() {
+		elected();
+		FakeMember follower = follower();
+		this.cluster.isolate(follower);
+		for (int step = 0; step < 200; step++) {
+			this.cluster.runFor(25);
+			Replica replica = follower.replica.get();
+			if (replica.status().role() == Role.PRE_CANDIDATE) {
+				Truth.assertThat(replica.nextDueMillis(this.cluster.nowMillis()) - this.cluster.nowMillis())
+					.isAtMost(FakeCluster.SETTINGS.electionTimeoutMinimumMillis() / 2);
+			}
+		}
+		Truth.assertThat(follower.replica.get().status().role()).isEqualTo(Role.PRE_CANDIDATE);
+	}
+
 	@Test
 	void aLeaderWithAHangingDiskTransfersTheLeadershipWithinTwoSeconds() {
 		FakeMember leader = elected();
