--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSettings.java
@@ -13,12 +13,12 @@
  * @param dataCentre data centre of this host
  * @param memberPort port at which each member listens for other members
  * @param foundingHosts the hosts of the founding members of a new cluster
- * @param maximumMembers number of voters of a complete group
+ * @param intendedVoters number of voters of a complete group
  * @param replica timing and sizes of the log
  * @param links settings of the links between members
  */
 public record ConsensusSettings(String cluster, String host, String dataCentre, int memberPort,
-		List<String> foundingHosts, int maximumMembers, ReplicaSettings replica, LinkSettings links) {
+		List<String> foundingHosts, int intendedVoters, ReplicaSettings replica, LinkSettings links) {
 
 	public ConsensusSettings {
 		foundingHosts = List.copyOf(foundingHosts);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/GroupAdmission.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/GroupAdmission.java
@@ -43,8 +43,8 @@
 
 	GroupAdmission(Replica replica, ConsensusSettings settings, MetricRegistry metrics) {
 		this.replica = replica;
-		this.intendedVoters = settings.maximumMembers();
-		this.repair = new GroupRepair(settings.maximumMembers());
+		this.intendedVoters = settings.intendedVoters();
+		this.repair = new GroupRepair(settings.intendedVoters());
 		this.metrics = metrics;
 		this.dataCentres.put(new HostName(settings.host()), settings.dataCentre());
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -458,14 +458,15 @@
 	// their window starts with a confirmation of their own.
 	private void sendHostOrders(FleetLeader leading, long nowMillis) {
 		List<HostOrder> orders = leading.dueHostOrders(nowMillis);
-		if (!orders.isEmpty()) {
-			SendWindow window = this.permit.newWindow();
-			this.reads.add(
-					() -> this.leader.filter((present) -> present == leading)
-						.ifPresent((present) -> orders.forEach(
-								(order) -> this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies)))),
-					() -> logger.atInfo().log("%d orders about hosts are not sent: not the leader.", orders.size()));
+		if (orders.isEmpty()) {
+			return;
 		}
+		SendWindow window = this.permit.newWindow();
+		this.reads.add(() -> {
+			if (this.leader.filter((present) -> present == leading).isPresent()) {
+				orders.forEach((order) -> this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies)));
+			}
+		}, () -> logger.atInfo().log("%d orders about hosts are not sent: not the leader.", orders.size()));
 	}
 
 	private void propose() {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -11,8 +11,8 @@
 
 	@Test
 	void theGroupGrowsToOneMemberMoreThanTwiceTheToleratedLosses() {
-		Truth.assertThat(settings(List.of(7000, 7015), 1).toConsensusSettings().maximumMembers()).isEqualTo(3);
-		Truth.assertThat(settings(List.of(7000, 7015), 2).toConsensusSettings().maximumMembers()).isEqualTo(5);
+		Truth.assertThat(settings(List.of(7000, 7015), 1).toConsensusSettings().intendedVoters()).isEqualTo(3);
+		Truth.assertThat(settings(List.of(7000, 7015), 2).toConsensusSettings().intendedVoters()).isEqualTo(5);
 	}
 
 	@Test
