Subscribe a test to dead letters before it causes one

Cause: the typed event stream is an actor, so a subscription sent to it may be handled after the dead letter is published. Ruled out: a lost dead letter of the product; the letter is published to the subscribers of that moment. Change: the test subscribes at the classic event stream, whose call returns after the subscription holds. The check is the same.

--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/LinkStreamTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/link/LinkStreamTests.java
@@ -5,7 +5,7 @@
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
-import org.apache.pekko.actor.typed.eventstream.EventStream;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.stream.BoundedSourceQueue;
 import org.apache.pekko.stream.QueueOfferResult;
@@ -29,7 +29,7 @@
 	@Test
 	void theEndOfTheConnectionOfAClosedLinkIsNoDeadLetter() {
 		TestProbe<DeadLetter> deadLetters = this.testKit.createTestProbe();
-		this.testKit.system().eventStream().tell(new EventStream.Subscribe<>(DeadLetter.class, deadLetters.getRef()));
+		subscribe(deadLetters);
 		ActorRef<LinkCommand<String>> closed = this.testKit.spawn(Behaviors.stopped());
 		deadLetters.expectTerminated(closed);
 		closed.tell(new LinkCommand.ConnectionClosed<>(0, "ended"));
@@ -43,6 +43,16 @@
 		LinkStream.complete(new CompletedByTheStream());
 	}
 
+	/**
+	 * Subscribes before it returns. The typed event stream is an actor, which may handle
+	 * a subscription only after the next dead letter is published.
+	 */
+	private void subscribe(TestProbe<DeadLetter> deadLetters) {
+		Adapter.toClassic(this.testKit.system())
+			.eventStream()
+			.subscribe(Adapter.toClassic(deadLetters.getRef()), DeadLetter.class);
+	}
+
 	/** A queue that the stream completes right after it was found open. */
 	private static final class CompletedByTheStream implements BoundedSourceQueue<ByteString> {
 
