Let a wave through long-running tasks wait for nothing but their starts

Cause, from its log: the last hosts run two tasks each of a step that may lack two tasks at a time. A stopped task waited 2.0 s for a place (stopped at 19.1, 23.3, 27.9, 32.1 s; placed at 21.1, 25.3, 29.9, 34.0 s), because the step had used every host of its pool up to its maximum per runner, and the pool got a host only once the task waited. The next stop came 2.2 s after the placement, since a runner reports progress only when a heartbeat of up to 1 s ends. In the pool with free hosts the placements took under 0.1 s. Ruled out: the number of hosts that may be down, free capacity in sum, the rate of orders. Change: a plan reserves a runner for the next tasks that maintenance stops; a pool without one lacks capacity, and the reserved ones are not released. Long-running tasks avoid hosts that have yet to be maintained. A runner whose starting task holds up a stop gets heartbeats of 150 ms.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
@@ -14,15 +14,20 @@
 
 	private final RunnerReliability reliability;
 
+	/** Whether the host has yet to be maintained, which ends its tasks. */
+	private final boolean maintenanceDue;
+
 	private Resources free;
 
 	private Resources longRunning;
 
-	Candidate(RunnerRecord runner, Resources reserved, Resources longRunning, RunnerReliability reliability) {
+	Candidate(RunnerRecord runner, Resources reserved, Resources longRunning, RunnerReliability reliability,
+			boolean maintenanceDue) {
 		this.runner = runner;
 		this.free = runner.capacity().minus(reserved);
 		this.longRunning = longRunning;
 		this.reliability = reliability;
+		this.maintenanceDue = maintenanceDue;
 	}
 
 	RunnerRecord runner() {
@@ -33,6 +38,10 @@
 		return this.reliability;
 	}
 
+	boolean maintenanceDue() {
+		return this.maintenanceDue;
+	}
+
 	boolean fits(StepSpec step) {
 		return step.reserved().fitsIn(this.free)
 				&& step.requiredLabel().filter((label) -> !this.runner.labels().contains(label)).isEmpty();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -422,8 +423,14 @@
 			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
 			.filter((runner) -> !this.balancer.isCordoned(runner.hostOrId()))
 			.toList();
-		Plan plan = this.planner.plan(this.state, usable, (runner) -> this.reliability.reliability(runner, nowMillis),
-				wallMillis);
+		Set<RunnerKey> drained = this.sessions.values()
+			.stream()
+			.map(RunnerSession::runner)
+			.filter((runner) -> this.waveController.isDraining(runner.hostOrId()))
+			.map(RunnerRecord::key)
+			.collect(Collectors.toSet());
+		Plan plan = this.planner.plan(this.state, usable, drained,
+				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 		this.balancer.onPlan(plan);
 		if (!plan.assignments().isEmpty()) {
 			this.planInFlight = true;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Plan.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Plan.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.state.BatchCommand;
 
 /**
@@ -11,14 +12,18 @@
  * @param assignments tasks that were assigned to a runner
  * @param poolsLackingCapacity pools in which no single runner had enough free capacity
  * for a task that is not late, even if their total free capacity suffices
+ * @param runnersForRestarts runners with capacity for the long-running tasks that
+ * maintenance stops next
  */
-public record Plan(List<BatchCommand.Assignment> assignments, Set<String> poolsLackingCapacity) {
+public record Plan(List<BatchCommand.Assignment> assignments, Set<String> poolsLackingCapacity,
+		Set<RunnerKey> runnersForRestarts) {
 
-	static final Plan EMPTY = new Plan(List.of(), Set.of());
+	static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of());
 
 	public Plan {
 		assignments = List.copyOf(assignments);
 		poolsLackingCapacity = Set.copyOf(poolsLackingCapacity);
+		runnersForRestarts = Set.copyOf(runnersForRestarts);
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -105,6 +105,9 @@
 	 */
 	private Set<String> poolsLackingCapacity = Set.of();
 
+	/** Runners that are kept for tasks which maintenance is about to stop. */
+	private Set<RunnerKey> runnersForRestarts = Set.of();
+
 	private long nextRoundMillis;
 
 	private long nextListMillis;
@@ -207,6 +210,7 @@
 	 */
 	public void onPlan(Plan plan) {
 		this.poolsLackingCapacity = plan.poolsLackingCapacity();
+		this.runnersForRestarts = plan.runnersForRestarts();
 	}
 
 	/**
@@ -463,6 +467,7 @@
 			.filter((runner) -> nowMillis
 					- this.idleSinceMillis.getOrDefault(runner.hostOrId(), nowMillis) >= idleMillis)
 			.filter((runner) -> this.orders.isRetryDue(runner.hostOrId(), nowMillis))
+			.filter((runner) -> !this.runnersForRestarts.contains(runner.key()))
 			.findFirst();
 		taken.ifPresent((runner) -> pool.removeHost(runner));
 		return taken.map(RunnerRecord::hostOrId);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -52,6 +52,9 @@
 
 	private final BestEffortThrottle throttle = new BestEffortThrottle();
 
+	/** A small part of the time in which a long-running task starts. */
+	private static final int AWAITED_POLL_MILLIS = 150;
+
 	private RunnerRecord runner;
 
 	/** Time of the runner's clock in its latest answer. */
@@ -72,6 +75,9 @@
 
 	private boolean heartbeatInFlight;
 
+	/** Whether other tasks wait for the progress of a task on this runner. */
+	private boolean progressAwaited;
+
 	private long heartbeatNumber;
 
 	private long nextHeartbeatMillis;
@@ -355,11 +361,25 @@
 		// A runner that receives heartbeats but whose answers are lost must not keep its
 		// lease.
 		OptionalLong leaseEnd = isResponsive ? grantLease(nowMillis) : OptionalLong.empty();
-		int waitMillis = isResponsive ? this.settings.longPollMillis() : 0;
+		int waitMillis = isResponsive ? pollMillis() : 0;
+		this.progressAwaited = false;
 		long acknowledgedEnd = Math.min(this.committedEnd, this.firstUnacknowledgedEnd - 1);
 		return Optional.of(new RunnerOrder.Heartbeat(this.fencingToken, acknowledgedEnd, leaseEnd, waitMillis));
 	}
 
+	/**
+	 * Makes the next heartbeat short, since a runner only reports ends at once. Called
+	 * when another task can be stopped as soon as a task on this runner has started.
+	 */
+	public void awaitProgress() {
+		this.progressAwaited = true;
+	}
+
+	private int pollMillis() {
+		return this.progressAwaited ? Math.min(AWAITED_POLL_MILLIS, this.settings.longPollMillis())
+				: this.settings.longPollMillis();
+	}
+
 	/**
 	 * Returns the timeout for the next answer. It doubles with each unanswered order:
 	 * with a constant timeout, a busy host would give up every connection before it had
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
@@ -28,8 +29,9 @@
 /**
  * Assigns waiting tasks to runners: first tasks that can still meet their objective, by
  * priority and slack, then long-running steps up to a share of the pool, then late tasks.
- * Long-running tasks are packed onto few hosts, so that the others can be moved. Never
- * exceeds the capacity of a runner or the limit of a workspace.
+ * Long-running tasks are packed onto few hosts, so that the others can be moved, and
+ * avoid hosts that have yet to be maintained. Never exceeds the capacity of a runner or
+ * the limit of a workspace.
  */
 public final class TaskPlanner {
 
@@ -60,12 +62,14 @@
 	 * Plans one placement round.
 	 * @param state replicated state
 	 * @param runners runners that accept new tasks
+	 * @param drainedRunners runners whose tasks are stopped for maintenance, as far as
+	 * the steps permit
 	 * @param reliability returns the reliability of a runner
 	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 * @return the assignments and the pools that lack capacity
 	 */
-	public Plan plan(BatchState state, List<RunnerRecord> runners, Function<RunnerKey, RunnerReliability> reliability,
-			long wallMillis) {
+	public Plan plan(BatchState state, List<RunnerRecord> runners, Set<RunnerKey> drainedRunners,
+			Function<RunnerKey, RunnerReliability> reliability, long wallMillis) {
 		if (state.configuration().isEmpty()) {
 			return Plan.EMPTY;
 		}
@@ -73,7 +77,8 @@
 		Round round = new Round(state, configuration);
 		for (RunnerRecord runner : runners) {
 			round.add(new Candidate(runner, state.runs().reservedOn(runner.key()),
-					state.runs().longRunningOn(runner.key()), reliability.apply(runner.key())));
+					state.runs().longRunningOn(runner.key()), reliability.apply(runner.key()),
+					state.hasUnfinishedMaintenance(runner.hostOrId())));
 		}
 		List<WorkItem> items = new ArrayList<>();
 		Map<String, BatchQueue> queues = configuration.queuesByName();
@@ -88,7 +93,35 @@
 			}
 			round.place(item);
 		}
-		return new Plan(round.assignments, round.poolsLackingCapacity);
+		if (!drainedRunners.isEmpty()) {
+			state.activeJobs()
+				.stream()
+				.filter((job) -> job.spec().isLongRunning())
+				.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
+					.ifPresent((queue) -> reserveForRestarts(round, job, queue, drainedRunners)));
+		}
+		return new Plan(round.assignments, round.poolsLackingCapacity, round.runnersForRestarts);
+	}
+
+	// A task that is stopped for maintenance is away until it runs on another host. If
+	// the
+	// pool has to get that host first, the next task of the step can only be stopped
+	// seconds later.
+	private void reserveForRestarts(Round round, BatchJob job, BatchQueue queue, Set<RunnerKey> drainedRunners) {
+		for (Occurrence occurrence : job.occurrences()) {
+			for (int number = 0; number < occurrence.steps().size(); number++) {
+				StepTasks step = occurrence.steps().get(number);
+				List<BatchTask> leaving = step.tasks()
+					.stream()
+					.filter((task) -> task.run().filter((run) -> drainedRunners.contains(run.runner())).isPresent())
+					.limit((step.spec().maximumAway() > 0) ? step.spec().maximumAway() : Long.MAX_VALUE)
+					.toList();
+				if (!leaving.isEmpty()) {
+					round.reserveForRestarts(
+							new WorkItem(job, queue, occurrence, number, step, WorkItem.Urgency.RESTORE, 0), leaving);
+				}
+			}
+		}
 	}
 
 	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, long wallMillis) {
@@ -138,6 +171,8 @@
 
 		private final Set<String> poolsLackingCapacity = new HashSet<>();
 
+		private final Set<RunnerKey> runnersForRestarts = new HashSet<>();
+
 		private Round(BatchState state, FleetConfiguration configuration) {
 			this.state = state;
 			this.configuration = configuration;
@@ -208,6 +243,20 @@
 			this.assignments.subList(firstAssignment, this.assignments.size()).clear();
 		}
 
+		private void reserveForRestarts(WorkItem item, List<BatchTask> leaving) {
+			Map<RunnerKey, Integer> used = usedRunners(item);
+			for (BatchTask task : leaving) {
+				Optional<Candidate> chosen = find(item, task, used, Optional.empty(),
+						(candidate) -> !candidate.maintenanceDue());
+				if (chosen.isEmpty()) {
+					return;
+				}
+				chosen.get().reserve(item.tasks().spec());
+				used.merge(chosen.get().runner().key(), 1, Integer::sum);
+				this.runnersForRestarts.add(chosen.get().runner().key());
+			}
+		}
+
 		private Map<RunnerKey, Integer> usedRunners(WorkItem item) {
 			Map<RunnerKey, Integer> used = new HashMap<>();
 			if (item.tasks().spec().maximumPerRunner().isPresent()) {
@@ -225,6 +274,12 @@
 					|| (item.urgency() == WorkItem.Urgency.LONG_RUNNING && exceedsLongRunningShare(item, spec))) {
 				return Optional.empty();
 			}
+			return find(item, task, used, rack, (candidate) -> true);
+		}
+
+		private Optional<Candidate> find(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used,
+				Optional<String> rack, Predicate<Candidate> filter) {
+			StepSpec spec = item.tasks().spec();
 			OptionalInt maximum = spec.maximumPerRunner();
 			boolean mayAvoid = canAvoidSuspects(item.queue().pool());
 			boolean hasFailed = task.failures() > 0;
@@ -235,12 +290,14 @@
 			// Best fit by CPU, which keeps capacity free for large tasks on other
 			// runners.
 			Comparator<Candidate> bestFit = Comparator.comparingInt(Candidate::freeMillicores);
-			Comparator<Candidate> mostLongRunning = Comparator
-				.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
-				.reversed();
+			Comparator<Candidate> mostLongRunning = Comparator.comparing(Candidate::maintenanceDue)
+				.thenComparing(
+						Comparator.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
+							.reversed());
 			Optional<Candidate> chosen = this.byPool.getOrDefault(item.queue().pool(), List.of())
 				.stream()
 				.filter((candidate) -> candidate.fits(spec))
+				.filter(filter)
 				.filter((candidate) -> !mayAvoid || candidate.reliability().isSuitable(hasFailed))
 				.filter((candidate) -> maximum.isEmpty()
 						|| used.getOrDefault(candidate.runner().key(), 0) < maximum.getAsInt())
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
@@ -232,8 +232,12 @@
 		int away = 0;
 		List<BatchTask> tasks = step.tasks();
 		for (int index = 0; index < tasks.size(); index++) {
-			if (index != run.task().index() && !isAvailable(tasks.get(index), sessions, nowMillis)) {
+			BatchTask other = tasks.get(index);
+			if (index != run.task().index() && !isAvailable(other, sessions, nowMillis)) {
 				away++;
+				other.run()
+					.flatMap((starting) -> Optional.ofNullable(sessions.get(starting.runner())))
+					.ifPresent(RunnerSession::awaitProgress);
 			}
 		}
 		return away;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -54,6 +54,9 @@
 
 	private static final int MAINTENANCE_MILLIS = 2_000;
 
+	/** Time after which a long-running task serves its users in full. */
+	private static final int SERVING_START_MILLIS = 1_500;
+
 	private static final int COMMIT_MILLIS = 12;
 
 	private static final int ROUND_TRIP_MILLIS = 6;
@@ -93,6 +96,10 @@
 
 	private long cutUntilMillis;
 
+	private long waveStartedMillis;
+
+	private long waveCompletedMillis;
+
 	private long eventCount;
 
 	private long hostMillis;
@@ -151,8 +158,11 @@
 			.stream()
 			.filter((host) -> this.random.nextDouble() < 0.46)
 			.toList();
-		at(this.spec.warmUpMillis() + 1_100, () -> commitLater(List.of(new BatchCommand.StartWave(
-				new MaintenanceWave(1, hosts, 28_000, this.spec.hosts() / 6, this.nowMillis)))));
+		at(this.spec.warmUpMillis() + 1_100, () -> {
+			this.waveStartedMillis = this.nowMillis;
+			commitLater(List.of(new BatchCommand.StartWave(
+					new MaintenanceWave(1, hosts, 28_000, this.spec.hosts() / 6, this.nowMillis))));
+		});
 	}
 
 	/**
@@ -201,6 +211,12 @@
 		return onTime / total;
 	}
 
+	/** Returns the time that the wave took, or infinity if it is not completed. */
+	double waveSeconds() {
+		return (this.waveCompletedMillis > 0) ? (this.waveCompletedMillis - this.waveStartedMillis) / 1_000.0
+				: Double.POSITIVE_INFINITY;
+	}
+
 	long hostSeconds() {
 		return this.hostMillis / 1_000;
 	}
@@ -313,6 +329,10 @@
 			if (this.leader != null) {
 				this.leader.onApplied(command, this.nowMillis);
 			}
+			if (command instanceof BatchCommand.SetUpkeep && this.waveCompletedMillis == 0
+					&& this.state.waves().get(1L).isCompleted()) {
+				this.waveCompletedMillis = this.nowMillis;
+			}
 			if (command instanceof BatchCommand.NoteEnds committed) {
 				committed.ends().forEach((end) -> recordEnd(end.task().job()));
 			}
@@ -372,6 +392,9 @@
 				if (order instanceof RunnerOrder.Start start) {
 					start(key, runner, start);
 				}
+				else if (order instanceof RunnerOrder.Stop stop) {
+					end(key, runner, stop.task(), RunOutcome.STOPPED);
+				}
 				answer(key, order, new RunnerReply.Accepted(this.nowMillis));
 			}
 		});
@@ -387,17 +410,27 @@
 	private void start(RunnerKey key, Runner runner, RunnerOrder.Start start) {
 		TaskId task = start.task();
 		runner.running.put(task, start.run());
+		runner.startedMillis.put(task, this.nowMillis);
 		Optional<JobTimes> times = Optional.ofNullable(this.jobs.get(task.job()));
 		if (times.isEmpty()) {
 			runner.servingWaitMillis.add(this.nowMillis - START_MILLIS - SERVING_MILLIS);
 			return;
 		}
-		at(times.get().durations().get(task.step()), () -> {
-			if (runner.running.remove(task) != null) {
-				runner.ends.add(new BatchCommand.End(++runner.lastEnd, task, start.run(), RunOutcome.DONE, ""));
-				runner.heartbeat.ifPresent((heartbeat) -> answerHeartbeat(key, heartbeat));
-			}
-		});
+		at(times.get().durations().get(task.step()), () -> end(key, runner, task, RunOutcome.DONE));
+	}
+
+	private void end(RunnerKey key, Runner runner, TaskId task, RunOutcome outcome) {
+		Integer run = runner.running.remove(task);
+		if (run != null) {
+			runner.ends.add(new BatchCommand.End(++runner.lastEnd, task, run, outcome, ""));
+			runner.heartbeat.ifPresent((heartbeat) -> answerHeartbeat(key, heartbeat));
+		}
+	}
+
+	private int percent(Runner runner, TaskId task) {
+		boolean isStarting = !this.jobs.containsKey(task.job())
+				&& this.nowMillis - runner.startedMillis.get(task) < SERVING_START_MILLIS;
+		return isStarting ? 0 : 100;
 	}
 
 	private void answerHeartbeat(RunnerKey key, RunnerOrder.Heartbeat heartbeat) {
@@ -412,8 +445,8 @@
 					new RunnerReply.Listing(this.nowMillis, OptionalLong.of(key.bornMillis()),
 							runner.running.entrySet()
 								.stream()
-								.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue(), "", 100,
-										OptionalInt.empty()))
+								.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue(), "",
+										percent(runner, entry.getKey()), OptionalInt.empty()))
 								.toList(),
 							runner.ends));
 		}
@@ -443,6 +476,8 @@
 
 		private final Map<TaskId, Integer> running = new LinkedHashMap<>();
 
+		private final Map<TaskId, Long> startedMillis = new HashMap<>();
+
 		private final List<BatchCommand.End> ends = new ArrayList<>();
 
 		private final List<Long> servingWaitMillis = new ArrayList<>();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakTests.java
@@ -20,6 +20,11 @@
 	private static final DemandPeakSimulation.FleetSpec FLEET = new DemandPeakSimulation.FleetSpec(4, 246, HOST,
 			new Resources(8_100, 17_000, 0), 1_000, 56, 8_500, 24, new Resources(8_200, 80_000, 0), 3, 35, 18_000);
 
+	/** Each host runs at most two tasks of a long-running step. */
+	private static final DemandPeakSimulation.FleetSpec LARGE_FLEET = new DemandPeakSimulation.FleetSpec(4, 261,
+			new Resources(16_000, 65_536, 0), new Resources(2_300, 4_700, 0), 1_000, 40, 10_000, 36,
+			new Resources(2_400, 9_000, 0), 2, 10, 18_000);
+
 	/** Each peak needs about half of the hosts. */
 	private static final DemandPeakSimulation.FleetSpec SMALL_FLEET = new DemandPeakSimulation.FleetSpec(4, 35,
 			new Resources(16_000, 65_536, 0), new Resources(1_200, 2_000, 0), 1_000, 22, 9_000, 5,
@@ -64,6 +69,18 @@
 		Truth.assertThat(fleet.onTimeShare(2)).isAtLeast(0.9);
 	}
 
+	/**
+	 * Guards against a wave that waits for the hosts which stopped tasks need, and for
+	 * heartbeats: each step may lack only two tasks at a time.
+	 */
+	@Test
+	void aWaveThroughTheHostsOfLongRunningTasksEndsInTime() {
+		DemandPeakSimulation fleet = new DemandPeakSimulation(LARGE_FLEET, SETTINGS, 1);
+		fleet.scheduleWave();
+		fleet.runAllPeaks();
+		Truth.assertThat(fleet.waveSeconds()).isAtMost(26);
+	}
+
 	/**
 	 * Guards against a pool that gets only one host at a time for a long-running step.
 	 */
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -76,7 +76,7 @@
 	void aPoolThatLacksCapacityForATaskGetsOneHostAtATime() {
 		this.balancer
 			.onHostList(List.of(new HostEntry("host-s1", "spare", true), new HostEntry("host-s2", "spare", true)));
-		this.balancer.onPlan(new Plan(List.of(), Set.of("hot")));
+		this.balancer.onPlan(new Plan(List.of(), Set.of("hot"), Set.of()));
 		Truth.assertThat(tick()).hasSize(1);
 	}
 
@@ -119,6 +119,22 @@
 		Truth.assertThat(moved).hasSize(4);
 	}
 
+	/** Guards against a host that arrives for a task and leaves before the task stops. */
+	@Test
+	void aPoolKeepsAnIdleHostForTasksThatMaintenanceIsAboutToStop() {
+		this.balancer.onPlan(new Plan(List.of(), Set.of(), Set.of(new RunnerKey("hot0", 1))));
+		List<String> moved = new ArrayList<>();
+		for (int round = 0; round < 40; round++) {
+			tick().forEach((move) -> {
+				apply(move);
+				moved.add(move.host());
+			});
+			this.nowMillis += 200;
+		}
+		Truth.assertThat(moved).hasSize(4);
+		Truth.assertThat(moved).doesNotContain("host-hot0");
+	}
+
 	/**
 	 * Guards against a move that ends the tasks on its host. Occurs when an outdated list
 	 * shows a host as spare that has been powered on since.
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import java.util.stream.Collectors;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -32,6 +34,8 @@
 
 	private final List<RunnerRecord> runners = new ArrayList<>();
 
+	private final Set<RunnerKey> drainedRunners = new HashSet<>();
+
 	@Test
 	void neverExceedsTheCapacityOfARunnerOrTheLimitOfAWorkspace() {
 		for (int seed = 0; seed < 200; seed++) {
@@ -105,14 +109,10 @@
 		configure(Resources.NONE);
 		addRunner("r1");
 		submit("job", NOW_MILLIS, BatchFixtures.step(5));
-		Plan plan = this.planner.plan(this.state, this.runners, (runner) -> RunnerReliability.SOUND, NOW_MILLIS);
-		Truth.assertThat(plan.poolsLackingCapacity()).containsExactly("pool");
+		Truth.assertThat(wholePlan().poolsLackingCapacity()).containsExactly("pool");
 		submit("small", NOW_MILLIS, BatchFixtures.step(1));
 		addRunner("r2");
-		Truth
-			.assertThat(this.planner.plan(this.state, this.runners, (runner) -> RunnerReliability.SOUND, NOW_MILLIS)
-				.poolsLackingCapacity())
-			.isEmpty();
+		Truth.assertThat(wholePlan().poolsLackingCapacity()).isEmpty();
 	}
 
 	/** Load: long-running tasks fill a pool before the demand peak of its queue. */
@@ -166,7 +166,7 @@
 		addRunner("r1");
 		addRunner("r2");
 		submit("job", NOW_MILLIS, BatchFixtures.step(5));
-		List<BatchCommand.Assignment> planned = this.planner.plan(this.state, this.runners,
+		List<BatchCommand.Assignment> planned = this.planner.plan(this.state, this.runners, this.drainedRunners,
 				(runner) -> runner.id().equals("r1") ? RunnerReliability.SUSPECT : RunnerReliability.SOUND, NOW_MILLIS)
 			.assignments();
 		Truth.assertThat(planned.stream().filter((assignment) -> assignment.runner().id().equals("r2")).count())
@@ -184,7 +184,7 @@
 		addRunner("r2");
 		addRunner("r3");
 		submit("job", NOW_MILLIS, BatchFixtures.step(12));
-		List<BatchCommand.Assignment> planned = this.planner.plan(this.state, this.runners,
+		List<BatchCommand.Assignment> planned = this.planner.plan(this.state, this.runners, this.drainedRunners,
 				(runner) -> runner.id().equals("r1") ? RunnerReliability.SUSPECT : RunnerReliability.SOUND, NOW_MILLIS)
 			.assignments();
 		Truth.assertThat(planned).hasSize(8);
@@ -205,7 +205,8 @@
 		RunnerReliabilityTracker reputation = new RunnerReliabilityTracker();
 		reputation.recordEnd(first.runner(), RunOutcome.FAILED, NOW_MILLIS);
 		List<BatchCommand.Assignment> next = this.planner
-			.plan(this.state, this.runners, (runner) -> reputation.reliability(runner, NOW_MILLIS), NOW_MILLIS)
+			.plan(this.state, this.runners, this.drainedRunners, (runner) -> reputation.reliability(runner, NOW_MILLIS),
+					NOW_MILLIS)
 			.assignments();
 		Truth.assertThat(next.get(0).runner()).isNotEqualTo(first.runner());
 	}
@@ -221,6 +222,40 @@
 		Truth.assertThat(first).containsExactly("fresh");
 	}
 
+	/**
+	 * Guards against tasks that are stopped for maintenance before their pool has a host
+	 * for them.
+	 */
+	@Test
+	void aPoolWithoutAHostForTheNextTasksThatMaintenanceStopsLacksCapacity() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		addRunner("r2");
+		submit("service", NOW_MILLIS, BatchFixtures.longRunning(2, 1, 1));
+		apply(new BatchCommand.AssignRuns(plan()));
+		RunnerRecord drained = this.runners.remove(0);
+		Truth.assertThat(wholePlan().poolsLackingCapacity()).isEmpty();
+		this.drainedRunners.add(drained.key());
+		Truth.assertThat(wholePlan().poolsLackingCapacity()).containsExactly("pool");
+		Truth.assertThat(wholePlan().runnersForRestarts()).isEmpty();
+		addRunner("r3");
+		Truth.assertThat(wholePlan().poolsLackingCapacity()).isEmpty();
+		Truth.assertThat(wholePlan().runnersForRestarts()).containsExactly(new RunnerKey("r3", 1));
+		Truth.assertThat(wholePlan().assignments()).isEmpty();
+	}
+
+	/** Guards against tasks that maintenance has to stop a second time. */
+	@Test
+	void longRunningTasksAvoidHostsThatHaveYetToBeMaintained() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		addRunner("r2");
+		apply(new BatchCommand.StartWave(new MaintenanceWave(1, List.of("host-r1"), 26_000, 1, NOW_MILLIS)));
+		submit("service", NOW_MILLIS, BatchFixtures.longRunning(2, 0, 1));
+		Truth.assertThat(plan().stream().map((assignment) -> assignment.runner().id()).toList())
+			.containsExactly("r2", "r2");
+	}
+
 	@Test
 	void runNumbersIncrease() {
 		configure(Resources.NONE);
@@ -244,8 +279,12 @@
 	}
 
 	private List<BatchCommand.Assignment> plan() {
-		return this.planner.plan(this.state, this.runners, (runner) -> RunnerReliability.SOUND, NOW_MILLIS)
-			.assignments();
+		return wholePlan().assignments();
+	}
+
+	private Plan wholePlan() {
+		return this.planner.plan(this.state, this.runners, this.drainedRunners, (runner) -> RunnerReliability.SOUND,
+				NOW_MILLIS);
 	}
 
 	private void configure(Resources limit) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -198,6 +198,29 @@
 		Truth.assertThat(this.downUntilMillis).containsKey("host-r2");
 	}
 
+	/**
+	 * Guards against a wave that waits for the end of a heartbeat each time before the
+	 * next task is stopped.
+	 */
+	@Test
+	void theRunnerOfAStartingTaskThatHoldsUpAStopIsAskedMoreOften() {
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
+		assign(new TaskId("job", 0, 0, 0), "r0");
+		assign(new TaskId("job", 0, 0, 1), "r1");
+		RunnerSession starting = this.sessions.get(new RunnerKey("r1", 1));
+		this.silentRunners.add("r1");
+		Truth.assertThat(waitMillis(starting)).isEqualTo(SimulatedFleet.SETTINGS.sessions().longPollMillis());
+		startWave(1);
+		step(3_100);
+		Truth.assertThat(this.controller.isDraining("host-r0")).isTrue();
+		starting.onHeartbeatReply(new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1),
+				List.of(new RunnerReply.RunningTask(new TaskId("job", 0, 0, 1), 1, "", 40, OptionalInt.empty())),
+				List.of()), this.nowMillis);
+		step(20);
+		Truth.assertThat(waitMillis(starting)).isLessThan(200);
+	}
+
 	/** Guards against a phase that is proposed repeatedly until it is committed. */
 	@Test
 	void aPhaseIsProposedOnceUntilItIsCommitted() {
@@ -271,6 +294,10 @@
 		});
 	}
 
+	private int waitMillis(RunnerSession session) {
+		return session.nextHeartbeat(this.nowMillis).get().waitMillis();
+	}
+
 	private void heartbeat(RunnerSession session) {
 		if (this.silentRunners.contains(session.runner().key().id())) {
 			return;
