Listen for callers before the actor system of an entry host starts

Cause: the listening socket belonged to Pekko IO, which needs the actor system. Pekko IO cannot take over a socket that exists. Change: one task of the project owns the listening and accepted sockets of the HTTP server and talks to the actors of the connections by messages.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
@@ -1,5 +1,6 @@
 package io.burdockpin.runtime.http.socket;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -7,27 +8,27 @@
 import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.runtime.socket.AcceptedSocket;
+import io.burdockpin.runtime.socket.ListeningSocket;
+import io.burdockpin.runtime.socket.SocketTask;
 import org.apache.pekko.actor.AbstractActor;
 import org.apache.pekko.actor.ActorRef;
 import org.apache.pekko.actor.Props;
 import org.apache.pekko.actor.SupervisorStrategy;
 import org.apache.pekko.actor.Terminated;
-import org.apache.pekko.io.Tcp;
-import org.apache.pekko.io.TcpMessage;
 
 /**
- * Actor that owns a listening socket and supervises the accepted connections. It is a
- * classic actor, because typed actors do not learn which actor owns a socket.
+ * Actor that uses a listening socket and supervises the actors of the accepted
+ * connections.
  */
 public final class HttpListener extends AbstractActor {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** All clients may reconnect at the same time after an outage. */
-	private static final int BACKLOG = 512;
-
 	private static final int MAXIMUM_CONNECTIONS = 3_000;
 
+	private final SocketTask sockets;
+
 	private final InetSocketAddress address;
 
 	private final int maximumBodyBytes;
@@ -36,16 +37,17 @@
 
 	private final org.apache.pekko.actor.typed.ActorRef<Event> owner;
 
-	/** The actor that owns the listening socket. */
-	private Optional<ActorRef> socket = Optional.empty();
+	/** Present while this listener accepts connections. */
+	private Optional<ListeningSocket> socket = Optional.empty();
 
 	private int connectionCount;
 
 	private boolean shuttingDown;
 
-	private HttpListener(InetSocketAddress address, int maximumBodyBytes,
+	private HttpListener(SocketTask sockets, InetSocketAddress address, int maximumBodyBytes,
 			Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler,
 			org.apache.pekko.actor.typed.ActorRef<Event> owner) {
+		this.sockets = sockets;
 		this.address = address;
 		this.maximumBodyBytes = maximumBodyBytes;
 		this.handler = handler;
@@ -54,16 +56,18 @@
 
 	/**
 	 * Creates the props of a listener.
-	 * @param address the address to bind
+	 * @param sockets owns the sockets; may listen on the address already
+	 * @param address the address to listen on
 	 * @param maximumBodyBytes largest accepted request body
 	 * @param handler handles a request; must not throw
 	 * @param owner receives the events of the listener
 	 * @return the props
 	 */
-	public static Props props(InetSocketAddress address, int maximumBodyBytes,
+	public static Props props(SocketTask sockets, InetSocketAddress address, int maximumBodyBytes,
 			Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler,
 			org.apache.pekko.actor.typed.ActorRef<Event> owner) {
-		return Props.create(HttpListener.class, () -> new HttpListener(address, maximumBodyBytes, handler, owner));
+		return Props.create(HttpListener.class,
+				() -> new HttpListener(sockets, address, maximumBodyBytes, handler, owner));
 	}
 
 	// Closes a connection whose handler throws, so that its client does not wait.
@@ -74,41 +78,42 @@
 
 	@Override
 	public void preStart() {
-		Tcp.get(getContext().getSystem()).manager().tell(TcpMessage.bind(getSelf(), this.address, BACKLOG), getSelf());
+		ActorRef self = getSelf();
+		try {
+			ListeningSocket listening = this.sockets.listen(this.address);
+			this.socket = Optional.of(listening);
+			listening.accept((accepted) -> self.tell(new Accepted(accepted), ActorRef.noSender()));
+			this.owner.tell(new Event.Bound(listening.address()));
+		}
+		catch (IOException ex) {
+			this.owner.tell(new Event.BindFailed(this.address, String.valueOf(ex.getMessage())));
+		}
+	}
+
+	@Override
+	public void postStop() {
+		this.socket.ifPresent(ListeningSocket::close);
 	}
 
 	@Override
 	public Receive createReceive() {
-		return receiveBuilder().match(Tcp.Connected.class, (connected) -> onConnected())
+		return receiveBuilder().match(Accepted.class, this::onAccepted)
 			.match(Terminated.class, (terminated) -> onConnectionTerminated())
-			.match(Tcp.Bound.class, this::onBound)
-			.match(Tcp.CommandFailed.class, this::onCommandFailed)
 			.matchEquals(Shutdown.INSTANCE, (end) -> onShutdown())
-			.match(Tcp.Unbound.class, (unbound) -> reportIfClosed())
 			.build();
 	}
 
-	private void onBound(Tcp.Bound bound) {
-		this.socket = Optional.of(getSender());
-		this.owner.tell(new Event.Bound(bound.localAddress()));
-	}
-
-	private void onCommandFailed(Tcp.CommandFailed failed) {
-		String reason = failed.cause().isDefined() ? String.valueOf(failed.cause().get().getMessage()) : "no reason";
-		this.owner.tell(new Event.BindFailed(this.address, reason));
-	}
-
-	private void onConnected() {
+	private void onAccepted(Accepted accepted) {
 		if (this.shuttingDown || this.connectionCount >= MAXIMUM_CONNECTIONS) {
 			logger.atWarning()
 				.atMostEvery(1, TimeUnit.SECONDS)
 				.log("Rejected a connection on %s: %d connections are open.", this.address, this.connectionCount);
-			getSender().tell(TcpMessage.abort(), getSelf());
+			accepted.connection().abort();
 			return;
 		}
 		this.connectionCount++;
-		getContext()
-			.watch(getContext().actorOf(HttpServerConnection.props(getSender(), this.maximumBodyBytes, this.handler)));
+		getContext().watch(getContext()
+			.actorOf(HttpServerConnection.props(accepted.connection(), this.maximumBodyBytes, this.handler)));
 	}
 
 	private void onConnectionTerminated() {
@@ -120,7 +125,8 @@
 
 	private void onShutdown() {
 		this.shuttingDown = true;
-		this.socket.ifPresent((listening) -> listening.tell(TcpMessage.unbind(), getSelf()));
+		this.socket.ifPresent(ListeningSocket::close);
+		this.socket = Optional.empty();
 		getContext().getChildren()
 			.forEach((child) -> child.tell(HttpServerConnection.CloseAfterResponse.INSTANCE, getSelf()));
 		reportIfClosed();
@@ -132,6 +138,15 @@
 		}
 	}
 
+	/**
+	 * The socket has accepted a connection.
+	 *
+	 * @param connection the connection
+	 */
+	private record Accepted(AcceptedSocket connection) {
+
+	}
+
 	/**
 	 * Stops accepting connections and closes the open ones after their current response.
 	 */
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerConnection.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerConnection.java
@@ -9,13 +9,13 @@
 import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.runtime.socket.AcceptedSocket;
+import io.burdockpin.runtime.socket.SocketEvent;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.pekko.actor.AbstractActor;
 import org.apache.pekko.actor.ActorRef;
 import org.apache.pekko.actor.Props;
 import org.apache.pekko.actor.ReceiveTimeout;
-import org.apache.pekko.io.Tcp;
-import org.apache.pekko.io.TcpMessage;
 
 /**
  * Actor that owns one accepted connection, handles its requests sequentially and stops
@@ -33,7 +33,7 @@
 
 	private static final int INTERNAL_ERROR = 500;
 
-	private final ActorRef socket;
+	private final AcceptedSocket socket;
 
 	private final Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler;
 
@@ -48,7 +48,7 @@
 	/** Whether {@code 100 Continue} was sent for the current request. */
 	private boolean continueSent;
 
-	private HttpServerConnection(ActorRef socket, int maximumBodyBytes,
+	private HttpServerConnection(AcceptedSocket socket, int maximumBodyBytes,
 			Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler) {
 		this.socket = socket;
 		this.handler = handler;
@@ -57,12 +57,12 @@
 
 	/**
 	 * Creates the props of an actor that serves a connection.
-	 * @param socket the actor that owns the socket
+	 * @param socket the connection, which is not open yet
 	 * @param maximumBodyBytes largest accepted request body
 	 * @param handler handles a request; must not throw
 	 * @return the props
 	 */
-	static Props props(ActorRef socket, int maximumBodyBytes,
+	static Props props(AcceptedSocket socket, int maximumBodyBytes,
 			Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler) {
 		return Props.create(HttpServerConnection.class,
 				() -> new HttpServerConnection(socket, maximumBodyBytes, handler));
@@ -71,23 +71,30 @@
 	@Override
 	public void preStart() {
 		getContext().setReceiveTimeout(IDLE_TIMEOUT);
-		this.socket.tell(TcpMessage.register(getSelf(), true, false), getSelf());
+		ActorRef self = getSelf();
+		this.socket.open((event) -> self.tell(event, ActorRef.noSender()));
+	}
+
+	// Closes the connection of an actor that failed; a closed one stays as it is.
+	@Override
+	public void postStop() {
+		this.socket.abort();
 	}
 
 	@Override
 	public Receive createReceive() {
-		return receiveBuilder().match(Tcp.Received.class, this::onReceived)
+		return receiveBuilder().match(SocketEvent.Received.class, this::onReceived)
 			.match(Respond.class, this::onRespond)
 			.matchEquals(CloseAfterResponse.INSTANCE, (end) -> onCloseAfterResponse())
-			.match(Tcp.ConnectionClosed.class, this::onClosed)
-			.match(Tcp.CommandFailed.class, this::onWriteFailed)
-			.match(ReceiveTimeout.class, (timeout) -> this.socket.tell(TcpMessage.close(), getSelf()))
+			.matchEquals(SocketEvent.PeerClosed.INSTANCE, (event) -> onPeerClosed())
+			.match(SocketEvent.Closed.class, (event) -> getContext().stop(getSelf()))
+			.match(ReceiveTimeout.class, (timeout) -> this.socket.close())
 			.build();
 	}
 
-	private void onReceived(Tcp.Received received) {
+	private void onReceived(SocketEvent.Received received) {
 		try {
-			this.reader.add(received.data());
+			this.reader.add(received.bytes());
 			handleNext();
 		}
 		catch (IOException ex) {
@@ -112,7 +119,7 @@
 			.isPresent();
 		if (expectsContinue && !this.continueSent) {
 			this.continueSent = true;
-			this.socket.tell(TcpMessage.write(HttpMessageWriter.CONTINUE), getSelf());
+			this.socket.write(HttpMessageWriter.CONTINUE);
 		}
 	}
 
@@ -140,9 +147,9 @@
 	}
 
 	private void write(HttpServerResponse response) {
-		this.socket.tell(TcpMessage.write(HttpMessageWriter.write(response, this.closing)), getSelf());
+		this.socket.write(HttpMessageWriter.write(response, this.closing));
 		if (this.closing) {
-			this.socket.tell(TcpMessage.close(), getSelf());
+			this.socket.close();
 		}
 	}
 
@@ -150,37 +157,27 @@
 	private void onCloseAfterResponse() {
 		this.closing = true;
 		if (!this.awaitingResponse && !this.reader.hasPartialMessage()) {
-			this.socket.tell(TcpMessage.close(), getSelf());
+			this.socket.close();
 		}
 	}
 
-	private void onClosed(Tcp.ConnectionClosed closed) {
-		if (!closed.isPeerClosed()) {
-			getContext().stop(getSelf());
-			return;
-		}
+	private void onPeerClosed() {
 		this.closing = true;
 		if (!this.awaitingResponse) {
-			this.socket.tell(TcpMessage.close(), getSelf());
+			this.socket.close();
 		}
 	}
 
 	private void reject(IOException reason) {
 		logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("Rejected a request: %s.", reason.getMessage());
 		if (this.awaitingResponse) {
-			this.socket.tell(TcpMessage.abort(), getSelf());
+			this.socket.abort();
 			return;
 		}
 		this.closing = true;
 		write(error(BAD_REQUEST, "malformed request"));
 	}
 
-	// Writes fail once a client that does not read has filled the socket buffers.
-	private void onWriteFailed(Tcp.CommandFailed failed) {
-		logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("Cannot send a response: %s.", failed);
-		getContext().stop(getSelf());
-	}
-
 	private static HttpServerResponse internalError(Throwable failure) {
 		logger.atWarning().withCause(failure).log("A request handler failed.");
 		return error(INTERNAL_ERROR, "internal error");
--- /dev/null
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
@@ -0,0 +1,201 @@
+package io.burdockpin.runtime.socket;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+
+/**
+ * Task that owns the listening sockets of a process and the connections that they accept,
+ * on one thread. Other threads use the sockets through messages to this task. The thread
+ * waits while no socket is ready and no message has arrived.
+ */
+public final class SocketTask {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** All clients may connect at the same time after an outage. */
+	private static final int BACKLOG = 512;
+
+	private static final int READ_BUFFER_BYTES = 16 * 1_024;
+
+	private final Selector selector;
+
+	private final Queue<Runnable> messages = new ConcurrentLinkedQueue<>();
+
+	private final Map<InetSocketAddress, ListeningSocket> listeningSockets = new HashMap<>();
+
+	private final List<ListeningSocket> pausedSockets = new ArrayList<>();
+
+	private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+
+	private final Thread thread;
+
+	private volatile boolean stopping;
+
+	/**
+	 * Creates a task that is not started.
+	 * @throws UncheckedIOException if the system allows no more file descriptors
+	 */
+	public SocketTask() {
+		try {
+			this.selector = Selector.open();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		this.thread = new Thread(this::run, "sockets");
+		this.thread.setDaemon(true);
+	}
+
+	// life cycle
+
+	/** Starts the thread. */
+	public void start() {
+		this.thread.start();
+	}
+
+	/** Closes all sockets and ends the thread. */
+	public void stop() {
+		this.stopping = true;
+		this.selector.wakeup();
+	}
+
+	// access
+
+	/**
+	 * Listens on an address. From then on the system completes connections, which wait
+	 * until {@link ListeningSocket#accept} is called. An address that this task listens
+	 * on already is not bound again.
+	 * @param address the address to bind; port 0 selects a free port each time
+	 * @return the listening socket
+	 * @throws IOException if the address cannot be bound
+	 */
+	public ListeningSocket listen(InetSocketAddress address) throws IOException {
+		synchronized (this.listeningSockets) {
+			ListeningSocket open = this.listeningSockets.get(address);
+			if (open != null) {
+				return open;
+			}
+			ServerSocketChannel channel = ServerSocketChannel.open();
+			try {
+				channel.configureBlocking(false);
+				channel.bind(address, BACKLOG);
+				ListeningSocket socket = new ListeningSocket(this, channel,
+						(InetSocketAddress) channel.getLocalAddress());
+				this.listeningSockets.put(socket.address(), socket);
+				return socket;
+			}
+			catch (IOException ex) {
+				channel.close();
+				throw ex;
+			}
+		}
+	}
+
+	// for the sockets of this task
+
+	/**
+	 * Sends a message to this task, from any thread.
+	 * @param message runs on the thread of this task; must not block
+	 */
+	void tell(Runnable message) {
+		this.messages.add(message);
+		this.selector.wakeup();
+	}
+
+	void onListeningSocketClosed(ListeningSocket socket) {
+		synchronized (this.listeningSockets) {
+			this.listeningSockets.remove(socket.address(), socket);
+		}
+	}
+
+	SelectionKey register(SelectableChannel channel, int operations, ReadyHandler handler) throws IOException {
+		return channel.register(this.selector, operations, handler);
+	}
+
+	/**
+	 * Gives up the addresses of closed channels at once; a selector keeps a channel open
+	 * until its next selection.
+	 */
+	void releaseClosedChannels() throws IOException {
+		this.selector.selectNow();
+	}
+
+	/**
+	 * Accepts no connections on a socket for a while, because accepting one failed.
+	 * @param socket the socket, which is resumed by this task
+	 */
+	void pause(ListeningSocket socket) {
+		this.pausedSockets.add(socket);
+	}
+
+	/**
+	 * Returns the buffer that all connections of this task share for one read each.
+	 * @return the buffer, used only on the thread of this task
+	 */
+	ByteBuffer readBuffer() {
+		return this.readBuffer;
+	}
+
+	// helpers
+
+	private void run() {
+		try (Selector owned = this.selector) {
+			while (!this.stopping) {
+				owned.select(this.pausedSockets.isEmpty() ? 0 : ListeningSocket.PAUSE_MILLIS);
+				this.pausedSockets.forEach(ListeningSocket::resume);
+				this.pausedSockets.clear();
+				for (Runnable message = this.messages.poll(); message != null; message = this.messages.poll()) {
+					runGuarded(message);
+				}
+				owned.selectedKeys().forEach((key) -> runGuarded(() -> handleReady(key)));
+				owned.selectedKeys().clear();
+			}
+			for (SelectionKey key : owned.keys()) {
+				key.channel().close();
+			}
+		}
+		catch (IOException ex) {
+			logger.atSevere().withCause(ex).log("The sockets of this process can no longer be used.");
+		}
+	}
+
+	private static void handleReady(SelectionKey key) {
+		if (key.isValid()) {
+			((ReadyHandler) key.attachment()).onReady();
+		}
+	}
+
+	// An error of one connection must not end the others.
+	private static void runGuarded(Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			logger.atSevere().withCause(ex).atMostEvery(1, TimeUnit.SECONDS).log("A socket event was not handled.");
+		}
+	}
+
+	/** Handles the readiness of one socket, on the thread of the task. */
+	@FunctionalInterface
+	interface ReadyHandler {
+
+		void onReady();
+
+	}
+
+}
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.runtime.socket.SocketTask;
 import org.apache.pekko.actor.ActorRef;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
@@ -37,17 +38,24 @@
 
 	private final TestProbe<PendingRequest> arrivals = this.testKit.createTestProbe();
 
+	private final SocketTask sockets = new SocketTask();
+
 	private ActorRef listener;
 
 	private InetSocketAddress address;
 
 	@BeforeEach
 	void start() {
+		this.sockets.start();
+		startListener(new InetSocketAddress("127.0.0.1", 0));
+	}
+
+	private void startListener(InetSocketAddress requested) {
 		TestProbe<ActorRef> created = this.testKit.createTestProbe();
 		this.testKit.spawn(Behaviors.setup((context) -> {
 			created.getRef()
-				.tell(Adapter.actorOf(context, HttpListener.props(new InetSocketAddress("127.0.0.1", 0),
-						MAXIMUM_BODY_BYTES, this::onRequest, this.events.getRef())));
+				.tell(Adapter.actorOf(context, HttpListener.props(this.sockets, requested, MAXIMUM_BODY_BYTES,
+						this::onRequest, this.events.getRef())));
 			return Behaviors.empty();
 		}));
 		this.listener = created.receiveMessage();
@@ -56,6 +64,7 @@
 
 	@AfterEach
 	void stop() {
+		this.sockets.stop();
 		this.testKit.shutdownTestKit();
 	}
 
@@ -98,6 +107,21 @@
 		}
 	}
 
+	/**
+	 * Guards against callers that are refused while a process starts, although it could
+	 * serve them in time.
+	 */
+	@Test
+	void aRequestSentBeforeTheListenerStartsIsAnswered() throws IOException {
+		InetSocketAddress early = this.sockets.listen(new InetSocketAddress("127.0.0.1", 0)).address();
+		try (Socket client = new Socket(early.getAddress(), early.getPort())) {
+			send(client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+			startListener(early);
+			this.arrivals.receiveMessage().answer(text("served"));
+			Truth.assertThat(readUntil(client, "served")).startsWith("HTTP/1.1 200 OK\r\n");
+		}
+	}
+
 	/** Guards against a graceful stop that aborts a request in flight. */
 	@Test
 	void aListenerThatShutsDownAnswersOpenRequestsAndClosesIdleConnections() throws IOException {
--- /dev/null
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
@@ -0,0 +1,213 @@
+package io.burdockpin.runtime.socket;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.truth.Truth;
+import org.apache.pekko.util.ByteString;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Connects to listening sockets of a task. */
+class SocketTaskTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(60);
+
+	private static final int CHUNK_BYTES = 1_024 * 1_024;
+
+	private final SocketTask task = new SocketTask();
+
+	private final BlockingQueue<AcceptedSocket> accepted = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<SocketEvent> events = new LinkedBlockingQueue<>();
+
+	private ListeningSocket listening;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.task.start();
+		this.listening = this.task.listen(new InetSocketAddress("127.0.0.1", 0));
+	}
+
+	@AfterEach
+	void stop() {
+		this.task.stop();
+	}
+
+	/** Guards against connections that are refused before the process accepts them. */
+	@Test
+	void aConnectionWaitsUntilConnectionsAreAccepted() throws IOException, InterruptedException {
+		try (Socket client = connect()) {
+			client.getOutputStream().write("early".getBytes(StandardCharsets.US_ASCII));
+			this.listening.accept(this.accepted::add);
+			next(this.accepted).open(this.events::add);
+			Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("early")));
+		}
+	}
+
+	@Test
+	void anAddressIsBoundOnceUntilItsSocketIsClosed() throws IOException {
+		Truth.assertThat(this.task.listen(this.listening.address())).isSameInstanceAs(this.listening);
+		SocketTask other = new SocketTask();
+		Truth.assertThat(canListen(other, this.listening.address())).isFalse();
+	}
+
+	@Test
+	void aClosedSocketRefusesConnectionsAndKeepsTheAcceptedOnes() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket client = connect()) {
+			AcceptedSocket connection = next(this.accepted);
+			connection.open(this.events::add);
+			this.listening.close();
+			connection.write(ByteString.fromString("x"));
+			Truth.assertThat(client.getInputStream().read()).isEqualTo('x');
+			Truth.assertThat(canConnect()).isFalse();
+		}
+	}
+
+	@Test
+	void bytesAreSentInOrderBeforeTheConnectionCloses() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket client = connect()) {
+			AcceptedSocket connection = next(this.accepted);
+			connection.open(this.events::add);
+			connection.write(ByteString.fromString("one "));
+			connection.write(ByteString.fromString("two"));
+			connection.close();
+			connection.write(ByteString.fromString("three"));
+			Truth.assertThat(new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+				.isEqualTo("one two");
+			Truth.assertThat(next(this.events)).isInstanceOf(SocketEvent.Closed.class);
+		}
+	}
+
+	/** Guards against a client that reads slowly and gets a truncated response. */
+	@Test
+	void aSlowReaderGetsAllBytes() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (SocketChannel client = SocketChannel.open()) {
+			client.setOption(StandardSocketOptions.SO_RCVBUF, 4_096);
+			client.connect(this.listening.address());
+			AcceptedSocket connection = next(this.accepted);
+			connection.open(this.events::add);
+			connection.write(ByteString.fromArray(new byte[3 * CHUNK_BYTES]));
+			connection.close();
+			ByteBuffer buffer = ByteBuffer.allocate(64 * 1_024);
+			long receivedBytes = 0;
+			for (int readBytes = 0; readBytes >= 0; readBytes = client.read(buffer.clear())) {
+				receivedBytes += readBytes;
+			}
+			Truth.assertThat(receivedBytes).isEqualTo(3 * CHUNK_BYTES);
+		}
+	}
+
+	/** Guards against memory that a client takes by not reading its responses. */
+	@Test
+	void aConnectionWhosePeerNeverReadsIsClosed() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket client = connect()) {
+			AcceptedSocket connection = next(this.accepted);
+			connection.open(this.events::add);
+			for (int chunk = 0; chunk < 100; chunk++) {
+				connection.write(ByteString.fromArray(new byte[CHUNK_BYTES]));
+			}
+			Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Closed("the peer does not read"));
+			Truth.assertThat(client.isConnected()).isTrue();
+		}
+	}
+
+	@Test
+	void aPeerThatClosesItsSendingSideIsReportedOnceAndCanBeAnswered() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket client = connect()) {
+			AcceptedSocket connection = next(this.accepted);
+			connection.open(this.events::add);
+			client.shutdownOutput();
+			Truth.assertThat(next(this.events)).isEqualTo(SocketEvent.PeerClosed.INSTANCE);
+			connection.write(ByteString.fromString("x"));
+			connection.close();
+			Truth.assertThat(client.getInputStream().read()).isEqualTo('x');
+			Truth.assertThat(next(this.events)).isInstanceOf(SocketEvent.Closed.class);
+		}
+	}
+
+	/** Guards against one faulty connection that takes down the listener. */
+	@Test
+	void anErrorInOneConnectionLeavesTheOthersOpen() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket faulty = connect(); Socket sound = connect()) {
+			next(this.accepted).open((event) -> {
+				throw new IllegalStateException("injected");
+			});
+			AcceptedSocket other = next(this.accepted);
+			other.open(this.events::add);
+			faulty.getOutputStream().write(1);
+			Truth.assertThat(isClosed(faulty)).isTrue();
+			sound.getOutputStream().write('s');
+			Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("s")));
+		}
+	}
+
+	@Test
+	void aStoppedTaskClosesItsSockets() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket client = connect()) {
+			next(this.accepted).open(this.events::add);
+			client.getOutputStream().write(1);
+			next(this.events);
+			this.task.stop();
+			Truth.assertThat(isClosed(client)).isTrue();
+		}
+	}
+
+	private boolean canConnect() throws IOException {
+		try (Socket client = connect()) {
+			return client.isConnected();
+		}
+		catch (ConnectException ex) {
+			return false;
+		}
+	}
+
+	private static boolean canListen(SocketTask task, InetSocketAddress address) {
+		try {
+			return task.listen(address) != null;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private Socket connect() throws IOException {
+		return new Socket(this.listening.address().getAddress(), this.listening.address().getPort());
+	}
+
+	private static boolean isClosed(Socket client) throws IOException {
+		try {
+			return client.getInputStream().read() < 0;
+		}
+		catch (SocketException ex) {
+			// The connection was reset.
+			return true;
+		}
+	}
+
+	private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+		T next = queue.poll(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+		Truth.assertThat(next).isNotNull();
+		return next;
+	}
+
+}
