--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/GroupAdmission.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/GroupAdmission.java
@@ -32,8 +32,6 @@
 
 	private final GroupRepair repair;
 
-	private final int intendedVoters;
-
 	private final MetricRegistry metrics;
 
 	/** Data centres of the hosts that have asked to join. Members keep asking. */
@@ -43,7 +41,6 @@
 
 	GroupAdmission(Replica replica, ConsensusSettings settings, MetricRegistry metrics) {
 		this.replica = replica;
-		this.intendedVoters = settings.intendedVoters();
 		this.repair = new GroupRepair(settings.intendedVoters());
 		this.metrics = metrics;
 		this.dataCentres.put(new HostName(settings.host()), settings.dataCentre());
@@ -84,7 +81,7 @@
 	 * @return {@code true} if the group has a surplus voter
 	 */
 	boolean hasSurplusVoter(Membership membership) {
-		return membership.voters().size() > this.intendedVoters;
+		return this.repair.hasSurplusVoter(membership);
 	}
 
 	private void apply(MembershipChange change, Member member, long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/GroupRepair.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/GroupRepair.java
@@ -74,7 +74,7 @@
 	 */
 	public Optional<Member> surplus(GroupContact contact) {
 		Membership membership = contact.membership();
-		if (membership.voters().size() > this.intendedVoters) {
+		if (hasSurplusVoter(membership)) {
 			return longestSilent(membership.voters(), contact).or(() -> lastOther(membership.voters(), contact));
 		}
 		List<Member> learners = membership.members()
@@ -85,6 +85,15 @@
 		return isReplaceable ? longestSilent(learners, contact) : Optional.empty();
 	}
 
+	/**
+	 * Checks whether a voter has to be removed.
+	 * @param membership the newest membership in the log
+	 * @return {@code true} if the group has more voters than intended
+	 */
+	public boolean hasSurplusVoter(Membership membership) {
+		return membership.voters().size() > this.intendedVoters;
+	}
+
 	/**
 	 * Returns how many more voters may be lost before the group stops.
 	 * @param contact the leader's view of the group
