--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -39,6 +39,9 @@
 	 */
 	private static final int THROTTLE_PERIOD_MILLIS = 600;
 
+	/** A small part of the time in which a long-running task starts. */
+	private static final int AWAITED_POLL_MILLIS = 150;
+
 	private final SessionSettings settings;
 
 	private final long fencingToken;
@@ -52,20 +55,10 @@
 
 	private final BestEffortThrottle throttle = new BestEffortThrottle();
 
-	/** A small part of the time in which a long-running task starts. */
-	private static final int AWAITED_POLL_MILLIS = 150;
+	private final RunnerLease lease;
 
 	private RunnerRecord runner;
 
-	/** Time of the runner's clock in its latest answer. */
-	private OptionalLong clockMillis = OptionalLong.empty();
-
-	private long clockReadMillis;
-
-	private long leaseExpiryMillis;
-
-	private OptionalLong leaseGrantedMillis = OptionalLong.empty();
-
 	private boolean orderInFlight;
 
 	private long orderSentMillis;
@@ -121,7 +114,7 @@
 		this.runner = runner;
 		this.settings = settings;
 		this.fencingToken = fencingToken;
-		this.leaseExpiryMillis = electedMillis + settings.earlierLeaseExpiryMillis();
+		this.lease = new RunnerLease(settings, electedMillis);
 		this.lastContactMillis = nowMillis;
 	}
 
@@ -183,7 +176,7 @@
 	 */
 	public boolean haveRunsEnded(long nowMillis) {
 		boolean wasAsked = this.contacted || this.heartbeatUnanswered;
-		return this.ended || (wasAsked && !isResponsive(nowMillis) && nowMillis >= this.leaseExpiryMillis);
+		return this.ended || (wasAsked && !isResponsive(nowMillis) && this.lease.hasExpired(nowMillis));
 	}
 
 	/**
@@ -254,8 +247,7 @@
 	RunnerContact contact(long nowMillis) {
 		return new RunnerContact(
 				this.contacted ? OptionalLong.of(nowMillis - this.lastContactMillis) : OptionalLong.empty(),
-				this.leaseGrantedMillis.isPresent() ? OptionalLong.of(nowMillis - this.leaseGrantedMillis.getAsLong())
-						: OptionalLong.empty(),
+				this.lease.ageMillis(nowMillis),
 				this.orderInFlight ? OptionalLong.of(nowMillis - this.orderSentMillis) : OptionalLong.empty());
 	}
 
@@ -360,7 +352,7 @@
 		boolean isResponsive = isResponsive(nowMillis);
 		// A runner that receives heartbeats but whose answers are lost must not keep its
 		// lease.
-		OptionalLong leaseEnd = isResponsive ? grantLease(nowMillis) : OptionalLong.empty();
+		OptionalLong leaseEnd = isResponsive ? this.lease.grant(nowMillis) : OptionalLong.empty();
 		int waitMillis = isResponsive ? pollMillis() : 0;
 		this.progressAwaited = false;
 		long acknowledgedEnd = Math.min(this.committedEnd, this.firstUnacknowledgedEnd - 1);
@@ -401,7 +393,7 @@
 		this.orderInFlight = false;
 		this.unanswered = isUnanswered(reply);
 		if (reply instanceof RunnerReply.Accepted accepted) {
-			recordClock(accepted.clockMillis(), nowMillis);
+			this.lease.recordClock(accepted.clockMillis(), nowMillis);
 		}
 		if (order instanceof RunnerOrder.Start start) {
 			progress(start.task()).filter((progress) -> progress.run().number() == start.run())
@@ -507,7 +499,7 @@
 	}
 
 	private Optional<RunnerOrder> nextStart(long nowMillis) {
-		if (this.clockMillis.isEmpty() || !isResponsive(nowMillis) || this.unanswered) {
+		if (!this.lease.canBeGranted() || !isResponsive(nowMillis) || this.unanswered) {
 			return Optional.empty();
 		}
 		Optional<RunProgress> next = firstRun((progress) -> progress.needsStart(nowMillis));
@@ -525,7 +517,8 @@
 		}
 		progress.onOrdered();
 		return Optional.of(new RunnerOrder.Start(this.fencingToken, progress.run().task(), progress.run().number(),
-				progress.spec().specification(), progress.spec().checkpoint(), grantLease(nowMillis).orElseThrow()));
+				progress.spec().specification(), progress.spec().checkpoint(),
+				this.lease.grant(nowMillis).orElseThrow()));
 	}
 
 	private Optional<RunnerOrder> nextThrottle(long nowMillis) {
@@ -601,7 +594,7 @@
 		this.contacted = true;
 		this.lastContactMillis = nowMillis;
 		this.unanswered = false;
-		recordClock(listing.clockMillis(), nowMillis);
+		this.lease.recordClock(listing.clockMillis(), nowMillis);
 		this.nextHeartbeatMillis = nowMillis;
 		Set<TaskId> listed = new HashSet<>();
 		listing.running().forEach((running) -> onRunning(running, listed));
@@ -652,22 +645,6 @@
 		return new BatchCommand.Release(progress.run().task(), progress.run().number(), progress.checkpoint());
 	}
 
-	private OptionalLong grantLease(long nowMillis) {
-		if (this.clockMillis.isEmpty()) {
-			return OptionalLong.empty();
-		}
-		this.leaseGrantedMillis = OptionalLong.of(nowMillis);
-		long remainingMillis = nowMillis - this.clockReadMillis + this.settings.leaseMillis();
-		this.leaseExpiryMillis = Math.max(this.leaseExpiryMillis,
-				this.clockReadMillis + this.settings.safeExpiryMillis(remainingMillis));
-		return OptionalLong.of(this.clockMillis.getAsLong() + remainingMillis);
-	}
-
-	private void recordClock(long newClockMillis, long nowMillis) {
-		this.clockMillis = OptionalLong.of(newClockMillis);
-		this.clockReadMillis = nowMillis;
-	}
-
 	private Optional<RunProgress> progress(TaskId task) {
 		return Optional.ofNullable(this.runs.get(task));
 	}
