--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
@@ -224,25 +224,36 @@
 		if (!step.get().spec().longRunning()) {
 			return isOverdue;
 		}
-		return step.get().spec().maximumAway() == 0
-				|| unavailableCount(run, step.get(), sessions, nowMillis) < step.get().spec().maximumAway();
+		int maximumAway = step.get().spec().maximumAway();
+		if (maximumAway == 0) {
+			return true;
+		}
+		List<BatchTask> away = unavailableOthers(run, step.get(), sessions, nowMillis);
+		if (away.size() < maximumAway) {
+			return true;
+		}
+		away.forEach((task) -> awaitProgress(task, sessions));
+		return false;
 	}
 
-	private int unavailableCount(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
-		int away = 0;
+	private static List<BatchTask> unavailableOthers(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions,
+			long nowMillis) {
+		List<BatchTask> away = new ArrayList<>();
 		List<BatchTask> tasks = step.tasks();
 		for (int index = 0; index < tasks.size(); index++) {
-			BatchTask other = tasks.get(index);
-			if (index != run.task().index() && !isAvailable(other, sessions, nowMillis)) {
-				away++;
-				other.run()
-					.flatMap((starting) -> Optional.ofNullable(sessions.get(starting.runner())))
-					.ifPresent(RunnerSession::awaitProgress);
+			if (index != run.task().index() && !isAvailable(tasks.get(index), sessions, nowMillis)) {
+				away.add(tasks.get(index));
 			}
 		}
 		return away;
 	}
 
+	private static void awaitProgress(BatchTask task, Map<RunnerKey, RunnerSession> sessions) {
+		task.run()
+			.flatMap((run) -> Optional.ofNullable(sessions.get(run.runner())))
+			.ifPresent(RunnerSession::awaitProgress);
+	}
+
 	// The latest listing of a silent runner may contain tasks that have ended since.
 	private static boolean isAvailable(BatchTask task, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
 		return task.run()
