Ask for draining hosts and long-running tasks at one place each

It also looked up the maintenance of each runner's host in every round, though only the placement of long-running tasks needs it. - WaveController listed the draining hosts in two places. - SocketTask has no interface of its own for what Runnable says, and a listening socket no callback that is replaced once. - WaveControllerTests and SocketTaskTests set up a long-running step and an open connection in one place each; all assertions stay. - Six comments said 'Takes note' or 'lives'. Left as they are: the set-up of the peak simulations in DemandPeakTests, of which each line is a choice of that test, and the sequences of messages in SchedulerActorTests.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
@@ -14,20 +14,15 @@
 
 	private final RunnerReliability reliability;
 
-	/** Whether the host has yet to be maintained, which ends its tasks. */
-	private final boolean maintenanceDue;
-
 	private Resources free;
 
 	private Resources longRunning;
 
-	Candidate(RunnerRecord runner, Resources reserved, Resources longRunning, RunnerReliability reliability,
-			boolean maintenanceDue) {
+	Candidate(RunnerRecord runner, Resources reserved, Resources longRunning, RunnerReliability reliability) {
 		this.runner = runner;
 		this.free = runner.capacity().minus(reserved);
 		this.longRunning = longRunning;
 		this.reliability = reliability;
-		this.maintenanceDue = maintenanceDue;
 	}
 
 	RunnerRecord runner() {
@@ -38,10 +33,6 @@
 		return this.reliability;
 	}
 
-	boolean maintenanceDue() {
-		return this.maintenanceDue;
-	}
-
 	boolean fits(StepSpec step) {
 		return step.reserved().fitsIn(this.free)
 				&& step.requiredLabel().filter((label) -> !this.runner.labels().contains(label)).isEmpty();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -23,7 +23,6 @@
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Run;
-import io.burdockpin.core.model.Resources;
 
 /**
  * Scheduling logic of a leader during one term: maintains sessions with the runners,
@@ -375,7 +374,7 @@
 	}
 
 	private boolean hasLongRunning(RunnerRecord runner) {
-		return !this.state.runs().longRunningOn(runner.key()).equals(Resources.NONE);
+		return this.state.runs().hasLongRunning(runner.key());
 	}
 
 	private boolean hasRuns(RunnerRecord runner) {
@@ -415,20 +414,20 @@
 	}
 
 	private void plan(long nowMillis, long wallMillis) {
+		Set<RunnerKey> drained = this.sessions.values()
+			.stream()
+			.map(RunnerSession::runner)
+			.filter((runner) -> this.waveController.isDraining(runner.hostOrId()))
+			.map(RunnerRecord::key)
+			.collect(Collectors.toSet());
 		List<RunnerRecord> usable = this.sessions.values()
 			.stream()
 			.filter((session) -> session.isUsable(nowMillis))
 			.map(RunnerSession::runner)
-			.filter((runner) -> !this.waveController.isDraining(runner.hostOrId()))
+			.filter((runner) -> !drained.contains(runner.key()))
 			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
 			.filter((runner) -> !this.balancer.isCordoned(runner.hostOrId()))
 			.toList();
-		Set<RunnerKey> drained = this.sessions.values()
-			.stream()
-			.map(RunnerSession::runner)
-			.filter((runner) -> this.waveController.isDraining(runner.hostOrId()))
-			.map(RunnerRecord::key)
-			.collect(Collectors.toSet());
 		Plan plan = this.planner.plan(this.state, usable, drained,
 				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 		this.balancer.onPlan(plan);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -417,7 +417,7 @@
 	private boolean canBeCordoned(RunnerRecord runner, long nowMillis) {
 		boolean isBusy = !this.state.runs().on(runner.key()).isEmpty();
 		return (isBusy || isCordoned(runner.hostOrId())) && !isMoving(runner.hostOrId())
-				&& this.state.runs().longRunningOn(runner.key()).equals(Resources.NONE) && nowMillis
+				&& !this.state.runs().hasLongRunning(runner.key()) && nowMillis
 						- this.movedMillis.getOrDefault(runner.hostOrId(), 0L) >= this.settings.minimumStayMillis();
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -77,8 +77,7 @@
 		Round round = new Round(state, configuration);
 		for (RunnerRecord runner : runners) {
 			round.add(new Candidate(runner, state.runs().reservedOn(runner.key()),
-					state.runs().longRunningOn(runner.key()), reliability.apply(runner.key()),
-					state.hasUnfinishedMaintenance(runner.hostOrId())));
+					state.runs().longRunningOn(runner.key()), reliability.apply(runner.key())));
 		}
 		List<WorkItem> items = new ArrayList<>();
 		Map<String, BatchQueue> queues = configuration.queuesByName();
@@ -103,10 +102,9 @@
 		return new Plan(round.assignments, round.poolsLackingCapacity, round.runnersForRestarts);
 	}
 
-	// A task that is stopped for maintenance is away until it runs on another host. If
-	// the
-	// pool has to get that host first, the next task of the step can only be stopped
-	// seconds later.
+	// A task that is stopped for maintenance is away until it runs on another host. The
+	// next task of the step can only be stopped seconds later if the pool has to get that
+	// host first.
 	private void reserveForRestarts(Round round, BatchJob job, BatchQueue queue, Set<RunnerKey> drainedRunners) {
 		for (Occurrence occurrence : job.occurrences()) {
 			for (int number = 0; number < occurrence.steps().size(); number++) {
@@ -247,7 +245,7 @@
 			Map<RunnerKey, Integer> used = usedRunners(item);
 			for (BatchTask task : leaving) {
 				Optional<Candidate> chosen = find(item, task, used, Optional.empty(),
-						(candidate) -> !candidate.maintenanceDue());
+						(candidate) -> !isMaintenanceDue(candidate));
 				if (chosen.isEmpty()) {
 					return;
 				}
@@ -290,7 +288,7 @@
 			// Best fit by CPU, which keeps capacity free for large tasks on other
 			// runners.
 			Comparator<Candidate> bestFit = Comparator.comparingInt(Candidate::freeMillicores);
-			Comparator<Candidate> mostLongRunning = Comparator.comparing(Candidate::maintenanceDue)
+			Comparator<Candidate> mostLongRunning = Comparator.comparing(this::isMaintenanceDue)
 				.thenComparing(
 						Comparator.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
 							.reversed());
@@ -308,6 +306,11 @@
 			return chosen;
 		}
 
+		// Maintenance ends the tasks of a host.
+		private boolean isMaintenanceDue(Candidate candidate) {
+			return this.state.hasUnfinishedMaintenance(candidate.runner().hostOrId());
+		}
+
 		// If at least half of the runners of a pool are suspect, the tasks are the more
 		// likely cause, and waiting for the other runners would take longer.
 		private boolean canAvoidSuspects(String pool) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
@@ -19,7 +19,6 @@
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.batch.state.WaveProgress;
-import io.burdockpin.core.model.Resources;
 
 /**
  * Takes the hosts of maintenance waves through draining, maintenance and return. Limits
@@ -147,13 +146,16 @@
 				propose(wave.wave().number(), host, MaintenancePhase.DONE);
 			}
 		});
-		List<String> drained = wave.hosts().keySet().stream().filter(this.draining::containsKey).toList();
-		drained.forEach((host) -> drain(wave, host, sessions, nowMillis));
+		drainingHosts(wave).forEach((host) -> drain(wave, host, sessions, nowMillis));
 		startDrains(wave, nowMillis, wallMillis);
 	}
 
+	private List<String> drainingHosts(WaveProgress wave) {
+		return wave.hosts().keySet().stream().filter(this.draining::containsKey).toList();
+	}
+
 	private void startDrains(WaveProgress wave, long nowMillis, long wallMillis) {
-		List<String> drained = wave.hosts().keySet().stream().filter(this.draining::containsKey).toList();
+		List<String> drained = drainingHosts(wave);
 		int freeSlots = Math.max(0, wave.wave().maximumDown() - wave.downCount() - drained.size());
 		int slowDrains = (int) drained.stream().filter(this::hasLongRunning).count();
 		List<String> pending = wave.hosts()
@@ -177,9 +179,7 @@
 	// The long-running tasks of a step stop one after the other, within its availability
 	// budget, so that their hosts take longest to drain.
 	private boolean hasLongRunning(String host) {
-		return this.state.runnerOn(host)
-			.filter((runner) -> !this.state.runs().longRunningOn(runner.key()).equals(Resources.NONE))
-			.isPresent();
+		return this.state.runnerOn(host).filter((runner) -> this.state.runs().hasLongRunning(runner.key())).isPresent();
 	}
 
 	private boolean hasRuns(String host) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/RunTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/RunTable.java
@@ -71,6 +71,15 @@
 		return this.longRunning.getOrDefault(runner, Resources.NONE);
 	}
 
+	/**
+	 * Checks whether a runner has long-running tasks.
+	 * @param runner incarnation of the runner
+	 * @return {@code true} if long-running tasks reserve resources there
+	 */
+	public boolean hasLongRunning(RunnerKey runner) {
+		return !longRunningOn(runner).equals(Resources.NONE);
+	}
+
 	/**
 	 * Returns the resources charged to a workspace.
 	 * @param workspace the name of the workspace
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.MaintenanceWave;
@@ -86,10 +87,7 @@
 	 */
 	@Test
 	void aWaveBeginsWithTheHostsOfLongRunningTasks() {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
-				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
-		assign(new TaskId("job", 0, 0, 0), "r4");
-		assign(new TaskId("job", 0, 0, 1), "r5");
+		runLongRunningStep(List.of("r4", "r5"));
 		startWave(4);
 		step(3_100);
 		Truth.assertThat(this.controller.isDraining("host-r4")).isTrue();
@@ -99,11 +97,7 @@
 	/** Guards against slots that all wait for the availability budget of one step. */
 	@Test
 	void hostsOfLongRunningTasksLeaveHalfOfTheSlotsToTheOthers() {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
-				BatchFixtures.job(BatchFixtures.longRunning(HOSTS - 1, 1, 1))));
-		for (int index = 1; index < HOSTS; index++) {
-			assign(new TaskId("job", 0, 0, index - 1), "r" + index);
-		}
+		runLongRunningStep(runners(1));
 		startWave(4);
 		step(3_100);
 		step(100);
@@ -117,11 +111,7 @@
 	 */
 	@Test
 	void longRunningTasksAreStoppedWithinTheBudgetOfTheirStep() {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
-				BatchFixtures.job(BatchFixtures.longRunning(HOSTS, 1, 1))));
-		for (int index = 0; index < HOSTS; index++) {
-			assign(new TaskId("job", 0, 0, index), "r" + index);
-		}
+		runLongRunningStep(runners(0));
 		startWave(3);
 		step(3_100);
 		step(100);
@@ -141,10 +131,7 @@
 	 */
 	@Test
 	void tasksOnASilentRunnerCountAsUnavailable() {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
-				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
-		assign(new TaskId("job", 0, 0, 0), "r0");
-		assign(new TaskId("job", 0, 0, 1), "r1");
+		runLongRunningStep(List.of("r0", "r1"));
 		step(100);
 		this.silentRunners.add("r1");
 		step(SimulatedFleet.SETTINGS.sessions().silenceTimeoutMillis() + 100);
@@ -183,10 +170,7 @@
 	 */
 	@Test
 	void aNewLeaderCancelsTheMaintenanceOfAHostWithAnAvailableTask() {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
-				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
-		assign(new TaskId("job", 0, 0, 0), "r0");
-		assign(new TaskId("job", 0, 0, 1), "r1");
+		runLongRunningStep(List.of("r0", "r1"));
 		step(100);
 		this.silentRunners.add("r1");
 		startWave(HOSTS);
@@ -204,10 +188,7 @@
 	 */
 	@Test
 	void theRunnerOfAStartingTaskThatHoldsUpAStopIsAskedMoreOften() {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
-				BatchFixtures.job(BatchFixtures.longRunning(2, 1, 1))));
-		assign(new TaskId("job", 0, 0, 0), "r0");
-		assign(new TaskId("job", 0, 0, 1), "r1");
+		runLongRunningStep(List.of("r0", "r1"));
 		RunnerSession starting = this.sessions.get(new RunnerKey("r1", 1));
 		this.silentRunners.add("r1");
 		Truth.assertThat(waitMillis(starting)).isEqualTo(SimulatedFleet.SETTINGS.sessions().longPollMillis());
@@ -269,6 +250,19 @@
 		Truth.assertThat(this.downUntilMillis).hasSize(1);
 	}
 
+	private static List<String> runners(int first) {
+		return IntStream.range(first, HOSTS).mapToObj((number) -> "r" + number).toList();
+	}
+
+	/** Runs a step with one task per runner, of which one may be away at a time. */
+	private void runLongRunningStep(List<String> runners) {
+		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
+				BatchFixtures.job(BatchFixtures.longRunning(runners.size(), 1, 1))));
+		for (int index = 0; index < runners.size(); index++) {
+			assign(new TaskId("job", 0, 0, index), runners.get(index));
+		}
+	}
+
 	private void startWave(int maximumDown) {
 		List<String> hosts = new ArrayList<>();
 		for (int number = 0; number < HOSTS; number++) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ListeningSocket.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ListeningSocket.java
@@ -28,8 +28,6 @@
 
 	private final InetSocketAddress address;
 
-	private Consumer<AcceptedSocket> onAccepted = AcceptedSocket::abort;
-
 	/** Present once connections are accepted. */
 	private Optional<SelectionKey> key = Optional.empty();
 
@@ -54,10 +52,9 @@
 	 */
 	public void accept(Consumer<AcceptedSocket> onAccepted) {
 		this.task.tell(() -> {
-			this.onAccepted = onAccepted;
 			try {
-				this.key = Optional
-					.of(this.task.register(this.channel, SelectionKey.OP_ACCEPT, this::acceptWaitingConnections));
+				this.key = Optional.of(this.task.register(this.channel, SelectionKey.OP_ACCEPT,
+						() -> acceptWaitingConnections(onAccepted)));
 			}
 			catch (IOException ex) {
 				logger.atSevere().withCause(ex).log("Cannot accept connections on %s.", this.address);
@@ -86,11 +83,11 @@
 		this.key.filter(SelectionKey::isValid).ifPresent((paused) -> paused.interestOps(SelectionKey.OP_ACCEPT));
 	}
 
-	private void acceptWaitingConnections() {
+	private void acceptWaitingConnections(Consumer<AcceptedSocket> onAccepted) {
 		try {
 			for (SocketChannel next = this.channel.accept(); next != null; next = this.channel.accept()) {
 				next.configureBlocking(false);
-				this.onAccepted.accept(new AcceptedSocket(this.task, next));
+				onAccepted.accept(new AcceptedSocket(this.task, next));
 			}
 		}
 		catch (IOException ex) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
@@ -123,8 +123,8 @@
 		}
 	}
 
-	SelectionKey register(SelectableChannel channel, int operations, ReadyHandler handler) throws IOException {
-		return channel.register(this.selector, operations, handler);
+	SelectionKey register(SelectableChannel channel, int operations, Runnable onReady) throws IOException {
+		return channel.register(this.selector, operations, onReady);
 	}
 
 	/**
@@ -162,7 +162,10 @@
 				for (Runnable message = this.messages.poll(); message != null; message = this.messages.poll()) {
 					runGuarded(message);
 				}
-				owned.selectedKeys().forEach((key) -> runGuarded(() -> handleReady(key)));
+				owned.selectedKeys()
+					.stream()
+					.filter(SelectionKey::isValid)
+					.forEach((key) -> runGuarded((Runnable) key.attachment()));
 				owned.selectedKeys().clear();
 			}
 			for (SelectionKey key : owned.keys()) {
@@ -174,12 +177,6 @@
 		}
 	}
 
-	private static void handleReady(SelectionKey key) {
-		if (key.isValid()) {
-			((ReadyHandler) key.attachment()).onReady();
-		}
-	}
-
 	// An error of one connection must not end the others.
 	private static void runGuarded(Runnable action) {
 		try {
@@ -190,12 +187,4 @@
 		}
 	}
 
-	/** Handles the readiness of one socket, on the thread of the task. */
-	@FunctionalInterface
-	interface ReadyHandler {
-
-		void onReady();
-
-	}
-
 }
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
@@ -52,7 +52,7 @@
 		try (Socket client = connect()) {
 			client.getOutputStream().write("early".getBytes(StandardCharsets.US_ASCII));
 			this.listening.accept(this.accepted::add);
-			next(this.accepted).open(this.events::add);
+			openNext();
 			Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("early")));
 		}
 	}
@@ -68,8 +68,7 @@
 	void aClosedSocketRefusesConnectionsAndKeepsTheAcceptedOnes() throws IOException, InterruptedException {
 		this.listening.accept(this.accepted::add);
 		try (Socket client = connect()) {
-			AcceptedSocket connection = next(this.accepted);
-			connection.open(this.events::add);
+			AcceptedSocket connection = openNext();
 			this.listening.close();
 			connection.write(ByteString.fromString("x"));
 			Truth.assertThat(client.getInputStream().read()).isEqualTo('x');
@@ -81,8 +80,7 @@
 	void bytesAreSentInOrderBeforeTheConnectionCloses() throws IOException, InterruptedException {
 		this.listening.accept(this.accepted::add);
 		try (Socket client = connect()) {
-			AcceptedSocket connection = next(this.accepted);
-			connection.open(this.events::add);
+			AcceptedSocket connection = openNext();
 			connection.write(ByteString.fromString("one "));
 			connection.write(ByteString.fromString("two"));
 			connection.close();
@@ -100,8 +98,7 @@
 		try (SocketChannel client = SocketChannel.open()) {
 			client.setOption(StandardSocketOptions.SO_RCVBUF, 4_096);
 			client.connect(this.listening.address());
-			AcceptedSocket connection = next(this.accepted);
-			connection.open(this.events::add);
+			AcceptedSocket connection = openNext();
 			connection.write(ByteString.fromArray(new byte[3 * CHUNK_BYTES]));
 			connection.close();
 			ByteBuffer buffer = ByteBuffer.allocate(64 * 1_024);
@@ -118,8 +115,7 @@
 	void aConnectionWhosePeerNeverReadsIsClosed() throws IOException, InterruptedException {
 		this.listening.accept(this.accepted::add);
 		try (Socket client = connect()) {
-			AcceptedSocket connection = next(this.accepted);
-			connection.open(this.events::add);
+			AcceptedSocket connection = openNext();
 			for (int chunk = 0; chunk < 100; chunk++) {
 				connection.write(ByteString.fromArray(new byte[CHUNK_BYTES]));
 			}
@@ -132,8 +128,7 @@
 	void aPeerThatClosesItsSendingSideIsReportedOnceAndCanBeAnswered() throws IOException, InterruptedException {
 		this.listening.accept(this.accepted::add);
 		try (Socket client = connect()) {
-			AcceptedSocket connection = next(this.accepted);
-			connection.open(this.events::add);
+			AcceptedSocket connection = openNext();
 			client.shutdownOutput();
 			Truth.assertThat(next(this.events)).isEqualTo(SocketEvent.PeerClosed.INSTANCE);
 			connection.write(ByteString.fromString("x"));
@@ -151,8 +146,7 @@
 			next(this.accepted).open((event) -> {
 				throw new IllegalStateException("injected");
 			});
-			AcceptedSocket other = next(this.accepted);
-			other.open(this.events::add);
+			openNext();
 			faulty.getOutputStream().write(1);
 			Truth.assertThat(isClosed(faulty)).isTrue();
 			sound.getOutputStream().write('s');
@@ -164,7 +158,7 @@
 	void aStoppedTaskClosesItsSockets() throws IOException, InterruptedException {
 		this.listening.accept(this.accepted::add);
 		try (Socket client = connect()) {
-			next(this.accepted).open(this.events::add);
+			openNext();
 			client.getOutputStream().write(1);
 			next(this.events);
 			this.task.stop();
@@ -172,6 +166,12 @@
 		}
 	}
 
+	private AcceptedSocket openNext() throws InterruptedException {
+		AcceptedSocket connection = next(this.accepted);
+		connection.open(this.events::add);
+		return connection;
+	}
+
 	private boolean canConnect() throws IOException {
 		try (Socket client = connect()) {
 			return client.isConnected();
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/check/ChangeLedger.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/check/ChangeLedger.java
@@ -23,7 +23,7 @@
 	// access
 
 	/**
-	 * Takes note of a reply.
+	 * Records a reply.
 	 * @param queue the queue that was created
 	 * @param version the version in the reply
 	 */
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/EntryRotation.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/EntryRotation.java
@@ -53,7 +53,7 @@
 	}
 
 	/**
-	 * Takes note of an answer of the current entry host.
+	 * Records an answer of the current entry host.
 	 * @param nowMillis the time now
 	 */
 	public void onAnswer(long nowMillis) {
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/ProgramProcess.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/ProgramProcess.java
@@ -170,7 +170,7 @@
 	}
 
 	/**
-	 * Returns what the program printed in all its lives.
+	 * Returns what the program printed in all its incarnations.
 	 * @return the text
 	 */
 	public String output() {
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/SlotTable.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/runner/SlotTable.java
@@ -84,7 +84,7 @@
 	}
 
 	/**
-	 * Takes note of a new connection.
+	 * Records a new connection.
 	 * @return {@code false} if all allowed connections are open
 	 */
 	public boolean connect() {
@@ -97,7 +97,7 @@
 	}
 
 	/**
-	 * Takes note of a closed connection.
+	 * Records a closed connection.
 	 */
 	public void disconnect() {
 		this.connections--;
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/JobTable.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/worker/JobTable.java
@@ -56,7 +56,7 @@
 	// access
 
 	/**
-	 * Takes note that an announcement is being sent.
+	 * Records that an announcement is being sent.
 	 * @param sequence its number
 	 * @param nowMillis the time now
 	 */
