--- a/review/standin/QuickRestart.java
+++ b/review/standin/QuickRestart.java
@@ -28,7 +28,7 @@
 		Map<String, Double> accepted = new LinkedHashMap<>();
 		double begin = lab.now();
 		List<Thread> clients = new ArrayList<>();
-		double length = 72;
+		double length = 62;
 		// Seconds between two jobs, and from the end of a runner to its next start.
 		double gap = 0.05;
 		double down = 0.03;
@@ -49,7 +49,7 @@
 		}
 		int restarts = 0;
 		while (lab.now() < begin + length - 2) {
-			Lab.sleep(1.45);
+			Lab.sleep(0.75);
 			RunnerStandIn busiest = lab.runners.values().stream().max((left, right) -> left.running.size() - right.running.size()).get();
 			if (Lab.TROUBLE) {
 				busiest.crash();
