Skip assignments to runners that are no longer registered

Cause: a plan names the incarnations that its leader knows. If the announcement of a restarted runner is applied before the plan, also within one log entry, BatchState.assign gave the task a run on an incarnation that was no longer registered. Leaders have sessions with registered incarnations only, so the run was neither ordered nor released, by any leader, and the task did not count as waiting.

Evidence: SimulatedFleet committed announcements at once, so the two never met. It now puts them into the same log entries as plans, like the scheduler. Ruled out: the order to the runner (none was sent) and the lease (there was no session).

Change: an assignment takes effect only if its runner is registered with that start time; otherwise the task goes on waiting and the next plan places it. The members of a gang are assigned together or not at all.

TaskPlannerTests assigned tasks to runners that it had not registered; its fixture registers them now.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -322,10 +322,7 @@
 		this.changedSincePlan = true;
 		if (command instanceof BatchCommand.AssignRuns assigned) {
 			this.planInFlight = false;
-			assigned.assignments().forEach((assignment) -> {
-				onAssigned(assignment);
-				this.assignedMillis.put(assignment.task(), nowMillis);
-			});
+			assigned.assignments().forEach((assignment) -> onAssigned(assignment, nowMillis));
 		}
 		else if (command instanceof BatchCommand.NoteEnds committed) {
 			onEndsCommitted(committed, nowMillis);
@@ -437,11 +434,14 @@
 		}
 	}
 
-	private void onAssigned(BatchCommand.Assignment assignment) {
+	private void onAssigned(BatchCommand.Assignment assignment, long nowMillis) {
 		this.state.task(assignment.task())
 			.flatMap(BatchTask::run)
 			.filter((run) -> run.number() == assignment.run() && run.runner().equals(assignment.runner()))
-			.ifPresent((run) -> addRun(run, false));
+			.ifPresent((run) -> {
+				addRun(run, false);
+				this.assignedMillis.put(run.task(), nowMillis);
+			});
 	}
 
 	private void addRun(Run run, boolean adopted) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -97,7 +97,7 @@
 
 		@Override
 		public CommandResult applyTo(BatchState state, long atMillis) {
-			this.assignments.forEach(state::assign);
+			state.assign(this.assignments);
 			return CommandResult.APPLIED;
 		}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
@@ -237,22 +239,56 @@
 		return CommandResult.APPLIED;
 	}
 
-	void assign(BatchCommand.Assignment assignment) {
+	/**
+	 * Assigns tasks to runners. An assignment that the tasks or the runners no longer
+	 * permit is skipped, and its task goes on waiting; the members of a gang are assigned
+	 * together or not at all.
+	 * @param assignments the runs to create
+	 */
+	void assign(List<BatchCommand.Assignment> assignments) {
+		Set<TaskId> incompleteGangs = assignments.stream()
+			.filter((assignment) -> isGang(assignment.task()) && !isAssignable(assignment))
+			.map((assignment) -> firstTask(assignment.task()))
+			.collect(Collectors.toSet());
+		assignments.stream()
+			.filter((assignment) -> !incompleteGangs.contains(firstTask(assignment.task())))
+			.filter(this::isAssignable)
+			.forEach(this::assign);
+	}
+
+	private void assign(BatchCommand.Assignment assignment) {
 		TaskId id = assignment.task();
 		BatchJob job = this.activeJobs.get(id.job());
-		Optional<BatchTask> task = task(id).filter(BatchTask::isWaiting)
-			.filter((waiting) -> assignment.run() > waiting.lastRun());
-		if (job == null || task.isEmpty()) {
-			return;
-		}
 		StepSpec spec = job.spec().steps().get(id.step());
 		Run run = new Run(id, assignment.run(), assignment.runner(), job.workspace(), spec.reserved(), spec.resources(),
 				spec.longRunning());
-		task.get().assign(run);
+		task(id).ifPresent((task) -> task.assign(run));
 		this.runs.add(run);
 		job.start();
 	}
 
+	// A plan does not know of a runner that was replaced or removed while the plan was
+	// being committed. No leader has a session with such a runner, so a run on it would
+	// be neither ordered nor released.
+	private boolean isAssignable(BatchCommand.Assignment assignment) {
+		return isRegistered(assignment.runner()) && this.activeJobs.containsKey(assignment.task().job())
+				&& task(assignment.task()).filter(BatchTask::isWaiting)
+					.filter((waiting) -> assignment.run() > waiting.lastRun())
+					.isPresent();
+	}
+
+	private boolean isRegistered(RunnerKey runner) {
+		return runner(runner.id()).filter((known) -> known.key().equals(runner)).isPresent();
+	}
+
+	private boolean isGang(TaskId task) {
+		return step(task).filter((step) -> step.spec().gang()).isPresent();
+	}
+
+	private static TaskId firstTask(TaskId task) {
+		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
+	}
+
 	void recordEnd(RunnerKey runner, BatchCommand.End end, long atMillis) {
 		Optional<Run> run = this.runs.find(runner, end.task()).filter((known) -> known.number() == end.run());
 		run.ifPresent((ended) -> endRun(ended, end.checkpoint()));
@@ -389,7 +425,8 @@
 			}
 		}
 		snapshot.runners().forEach(state::putRunner);
-		snapshot.runs().forEach((run) -> {
+		// Earlier versions kept runs of runners that are not registered.
+		snapshot.runs().stream().filter((run) -> state.isRegistered(run.runner())).forEach((run) -> {
 			state.runs.add(run);
 			state.task(run.task()).ifPresent((task) -> task.assign(run));
 		});
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -19,10 +19,12 @@
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.model.Workspace;
 import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
 import io.burdockpin.core.batch.state.StepTasks;
@@ -32,7 +34,10 @@
 /**
  * Simulates a leader and its runners in virtual time. Orders and replies are delayed,
  * lost or carried out seconds late; runners crash, are partitioned and restart; leaders
- * change. Every start of a run is checked against the invariants.
+ * change. Announcements and the leader's proposals share log entries, as in the
+ * scheduler, so a plan may be committed after the change that it did not know of. Every
+ * start and acknowledgement is checked against the invariants; {@link #overdue} lists
+ * what should have gone on.
  */
 final class SimulatedFleet {
 
@@ -42,6 +47,9 @@
 
 	private static final String POOL = "pool";
 
+	/** Time within which an end has to be acknowledged. */
+	private static final long ACKNOWLEDGE_MILLIS = 4_000;
+
 	private final RandomGenerator random;
 
 	private final Faults faults;
@@ -57,6 +65,11 @@
 
 	private final Map<TaskId, Integer> starts = new HashMap<>();
 
+	private final Map<TaskId, Long> lastStartMillis = new HashMap<>();
+
+	/** Commands that join the next log entry, ahead of the leader's proposals. */
+	private final List<BatchCommand> queuedCommands = new ArrayList<>();
+
 	private final List<String> violations = new ArrayList<>();
 
 	private final BatchState state = new BatchState();
@@ -67,6 +80,8 @@
 
 	private long nowMillis = 1_000_000;
 
+	private long lastCommitMillis;
+
 	private long eventCount;
 
 	private long sequence;
@@ -84,6 +99,7 @@
 			String id = "r" + number;
 			this.runners.put(id, new SimulatedRunner(id, POOL, random, this.nowMillis));
 		}
+		this.runners.values().forEach((runner) -> runner.observe(new Checks()));
 		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
 		at(0, this::announceAll);
 		at(0, this::decide);
@@ -99,6 +115,15 @@
 		commit(List.of(new BatchCommand.SubmitJob(id, "queue", "team", new JobSpec(id, specs, 0, 0, 0))));
 	}
 
+	/** Submits a job whose tasks run until it is cancelled. */
+	void submitLongRunning(String id, int width) {
+		StepSpec step = new StepSpec(width, new Resources(1_500, 1_000, 0), 600, List.of(), true, false, false,
+				Optional.empty(), Optional.empty(), OptionalInt.empty(), false, true, Optional.of("image"),
+				OptionalInt.empty(), false, 1);
+		commit(List.of(new BatchCommand.SubmitJob(id, "queue", "team",
+				new JobSpec(SimulatedRunner.ENDLESS, List.of(step), 0, 0, 0))));
+	}
+
 	void cancel(String id) {
 		commit(List.of(new BatchCommand.CancelJob(id)));
 	}
@@ -115,7 +140,20 @@
 
 	void crash(String runner, long forMillis) {
 		this.runners.get(runner).crash();
-		at(forMillis, () -> this.runners.get(runner).restart(this.nowMillis));
+		at(forMillis, () -> {
+			this.runners.get(runner).restart(this.nowMillis);
+			at(1 + this.random.nextInt(20), () -> announce(runner));
+		});
+	}
+
+	/** Loses a runner for good. */
+	void lose(String runner) {
+		this.runners.get(runner).crash();
+	}
+
+	/** Delivers an announcement that no runner of this fleet has sent. */
+	void announceForeign(RunnerRecord entry) {
+		this.leader.onAnnouncement(entry, 1, this.nowMillis).ifPresent(this.queuedCommands::add);
 	}
 
 	void cutOff(String runner, long forMillis) {
@@ -125,6 +163,7 @@
 
 	void changeLeader() {
 		this.term++;
+		this.queuedCommands.clear();
 		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
 	}
 
@@ -141,6 +180,51 @@
 		return this.state.job(job).map((known) -> known.phase());
 	}
 
+	/**
+	 * Lists what waits although nothing prevents it from going on. Meaningful once
+	 * disturbances are over for longer than leases and timeouts last.
+	 */
+	List<String> overdue() {
+		List<String> overdue = new ArrayList<>();
+		this.state.activeJobs().forEach((job) -> {
+			if (!job.spec().isLongRunning()) {
+				overdue.add("job %s is %s".formatted(job.id(), job.phase()));
+			}
+			else if (activeTaskCount(job) < job.spec().steps().get(0).taskCount()) {
+				overdue.add("job %s has %d active tasks".formatted(job.id(), activeTaskCount(job)));
+			}
+		});
+		this.state.runs().runners().forEach((key) -> {
+			if (this.state.runner(key.id()).filter((known) -> known.key().equals(key)).isEmpty()) {
+				overdue.add("%d runs are assigned to %s, which is not registered"
+					.formatted(this.state.runs().on(key).size(), key));
+			}
+		});
+		this.runners.values().stream().filter(SimulatedRunner::isUp).forEach((runner) -> {
+			RunnerKey key = runner.announce().key();
+			if (this.leader.session(key).filter((session) -> session.isUsable(this.nowMillis)).isEmpty()) {
+				overdue.add("%s gets no tasks".formatted(key));
+			}
+			long unacknowledged = runner.unacknowledgedCount(this.nowMillis - ACKNOWLEDGE_MILLIS);
+			if (unacknowledged > 0) {
+				overdue.add("%d ends of %s are not acknowledged".formatted(unacknowledged, key));
+			}
+		});
+		if (this.state.runs().runners().isEmpty() && !this.state.runs().chargedTo("team").equals(Resources.NONE)) {
+			overdue.add("%s is charged without runs".formatted(this.state.runs().chargedTo("team")));
+		}
+		return overdue;
+	}
+
+	private long activeTaskCount(BatchJob job) {
+		return this.runners.values()
+			.stream()
+			.filter(SimulatedRunner::isUp)
+			.flatMap((runner) -> runner.running().keySet().stream())
+			.filter((task) -> task.job().equals(job.id()))
+			.count();
+	}
+
 	BatchState state() {
 		return this.state;
 	}
@@ -161,10 +245,13 @@
 			.forEach((runner) -> runner.advance(this.nowMillis));
 		this.leader.decide(this.nowMillis, this.nowMillis);
 		this.leader.dueOrders(this.nowMillis).forEach(this::send);
-		List<BatchCommand> proposals = this.leader.drainProposals();
+		List<BatchCommand> proposals = new ArrayList<>(this.queuedCommands);
+		this.queuedCommands.clear();
+		proposals.addAll(this.leader.drainProposals());
 		if (!proposals.isEmpty()) {
 			long proposedTerm = this.term;
-			at(1 + this.random.nextInt(10), () -> {
+			this.lastCommitMillis = Math.max(this.lastCommitMillis, this.nowMillis + 1 + this.random.nextInt(10));
+			at(this.lastCommitMillis - this.nowMillis, () -> {
 				if (proposedTerm == this.term) {
 					commit(proposals);
 				}
@@ -193,23 +280,26 @@
 	}
 
 	private void announceAll() {
-		this.sequence++;
-		this.runners.forEach((id, runner) -> {
-			if (runner.isUp() && !this.cutOff.contains(id)) {
-				this.leader.onAnnouncement(runner.announce(), this.sequence, this.nowMillis)
-					.ifPresent((command) -> commit(List.of(command)));
-			}
-		});
+		this.runners.keySet().forEach(this::announce);
 		at(500, this::announceAll);
 	}
 
+	private void announce(String id) {
+		this.sequence++;
+		SimulatedRunner runner = this.runners.get(id);
+		if (runner.isUp() && !this.cutOff.contains(id)) {
+			this.leader.onAnnouncement(runner.announce(), this.sequence, this.nowMillis)
+				.ifPresent(this.queuedCommands::add);
+		}
+	}
+
 	private void send(RunnerDispatch dispatch) {
 		RunnerKey key = dispatch.runner().key();
 		RunnerOrder order = dispatch.order();
 		FleetLeader sender = this.leader;
 		SimulatedRunner runner = this.runners.get(key.id());
 		boolean isLate = this.faults.lateShare() > this.random.nextDouble();
-		boolean isLost = this.cutOff.contains(key.id()) || !runner.isUp()
+		boolean isLost = runner == null || this.cutOff.contains(key.id()) || !runner.isUp()
 				|| this.faults.lostShare() > this.random.nextDouble();
 		if (isLate || isLost) {
 			at(SETTINGS.sessions().answerTimeoutMillis(),
@@ -228,11 +318,17 @@
 	}
 
 	private Optional<RunnerReply> handle(SimulatedRunner runner, RunnerKey key, RunnerOrder order) {
-		return runner.isUp() ? Optional.of(runner.handle(order, key, this.nowMillis, this::checkStart))
-				: Optional.empty();
+		return runner.isUp() ? Optional.of(runner.handle(order, key, this.nowMillis)) : Optional.empty();
+	}
+
+	private void checkAcknowledgement(TaskId task, long endedMillis) {
+		if (this.lastStartMillis.getOrDefault(task, 0L) > endedMillis) {
+			addViolation("the end of %s at %d is acknowledged although it started again", task, endedMillis);
+		}
 	}
 
 	private void checkStart(SimulatedRunner runner, TaskId task, int run) {
+		this.lastStartMillis.put(task, this.nowMillis);
 		this.runners.values().forEach((other) -> {
 			other.advance(this.nowMillis);
 			if (other.isUp() && other.running().containsKey(task)) {
@@ -273,6 +369,21 @@
 
 	}
 
+	/** Checks what the runners see. */
+	private final class Checks implements SimulatedRunner.Observer {
+
+		@Override
+		public void onStart(SimulatedRunner runner, TaskId task, int run) {
+			checkStart(runner, task, run);
+		}
+
+		@Override
+		public void onAcknowledged(TaskId task, long endedMillis) {
+			checkAcknowledgement(task, endedMillis);
+		}
+
+	}
+
 	/** Probabilities of lost and late orders. */
 	record Faults(double lostShare, double lateShare) {
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -27,8 +27,14 @@
 
 	static final Resources CAPACITY = new Resources(8_000, 16_384, 0);
 
+	/** Specification of tasks that run until they are stopped. */
+	static final String ENDLESS = "endless";
+
 	private static final int STOP_MILLIS = 100;
 
+	/** Less than runners list in fact, so that lists are full more often. */
+	private static final int MAXIMUM_LISTED_ENDS = 20;
+
 	private final RandomGenerator random;
 
 	private final String id;
@@ -55,6 +61,10 @@
 
 	private final List<BatchCommand.End> ends = new ArrayList<>();
 
+	private final Map<Long, Long> endedMillis = new HashMap<>();
+
+	private Observer observer = Observer.NONE;
+
 	/**
 	 * Ends that were not acknowledged when the lease expired, and therefore do not count.
 	 */
@@ -73,6 +83,15 @@
 				"127.0.0.1:1", "dc1", Optional.of("rack-1"), CAPACITY, Set.of("a", "rack-1"), false);
 	}
 
+	void observe(Observer newObserver) {
+		this.observer = newObserver;
+	}
+
+	/** Returns the number of ends before a time that are not acknowledged. */
+	long unacknowledgedCount(long beforeMillis) {
+		return this.ends.stream().filter((end) -> this.endedMillis.get(end.number()) < beforeMillis).count();
+	}
+
 	boolean isUp() {
 		return this.up;
 	}
@@ -100,6 +119,7 @@
 		this.running.clear();
 		this.highestClosedRun.clear();
 		this.ends.clear();
+		this.endedMillis.clear();
 		this.voidEnds.clear();
 	}
 
@@ -120,15 +140,15 @@
 		List.copyOf(this.running.entrySet()).forEach((entry) -> {
 			Execution execution = entry.getValue();
 			if (leaseExpired) {
-				end(entry.getKey(), execution.run(), RunOutcome.LAPSED);
+				end(entry.getKey(), execution.run(), RunOutcome.LAPSED, nowMillis);
 			}
 			else if (nowMillis >= execution.endMillis()) {
-				end(entry.getKey(), execution.run(), execution.outcome());
+				end(entry.getKey(), execution.run(), execution.outcome(), execution.endMillis());
 			}
 		});
 	}
 
-	RunnerReply handle(RunnerOrder order, RunnerKey expected, long nowMillis, StartCheck check) {
+	RunnerReply handle(RunnerOrder order, RunnerKey expected, long nowMillis) {
 		advance(nowMillis);
 		if (expected.bornMillis() != this.startMillis) {
 			return refuse(RunnerReply.Refusal.OTHER_INCARNATION, nowMillis);
@@ -138,7 +158,7 @@
 		}
 		this.highestFencingToken = order.fencingToken();
 		if (order instanceof RunnerOrder.Start start) {
-			return start(start, nowMillis, check);
+			return start(start, nowMillis);
 		}
 		if (order instanceof RunnerOrder.Stop stop) {
 			return stop(stop, nowMillis);
@@ -146,7 +166,7 @@
 		return list((RunnerOrder.Heartbeat) order, nowMillis);
 	}
 
-	private RunnerReply start(RunnerOrder.Start start, long nowMillis, StartCheck check) {
+	private RunnerReply start(RunnerOrder.Start start, long nowMillis) {
 		if (start.leaseEndMillis() <= clockMillis(nowMillis)) {
 			return refuse(RunnerReply.Refusal.LEASE_EXPIRED, nowMillis);
 		}
@@ -158,9 +178,10 @@
 		if (start.run() <= this.highestClosedRun.getOrDefault(start.task(), 0)) {
 			return refuse(RunnerReply.Refusal.OUTDATED, nowMillis);
 		}
-		check.onStart(this, start.task(), start.run());
+		this.observer.onStart(this, start.task(), start.run());
 		RunOutcome outcome = (this.random.nextInt(12) == 0) ? RunOutcome.FAILED : RunOutcome.DONE;
-		this.running.put(start.task(), new Execution(start.run(), nowMillis + workMillis(), outcome));
+		long endMillis = start.specification().equals(ENDLESS) ? Long.MAX_VALUE : nowMillis + workMillis();
+		this.running.put(start.task(), new Execution(start.run(), endMillis, outcome));
 		return new RunnerReply.Accepted(clockMillis(nowMillis));
 	}
 
@@ -180,19 +201,27 @@
 
 	private RunnerReply list(RunnerOrder.Heartbeat heartbeat, long nowMillis) {
 		heartbeat.leaseEndMillis().ifPresent((end) -> this.leaseEndMillis = Math.max(this.leaseEndMillis, end));
-		this.ends.removeIf((end) -> end.number() <= heartbeat.acknowledgedEnd());
+		List<BatchCommand.End> acknowledged = this.ends.stream()
+			.filter((end) -> end.number() <= heartbeat.acknowledgedEnd())
+			.toList();
+		acknowledged.stream()
+			.filter((end) -> end.outcome().isDone() && !this.voidEnds.contains(end.number()))
+			.forEach((end) -> this.observer.onAcknowledged(end.task(), this.endedMillis.get(end.number())));
+		this.ends.removeAll(acknowledged);
 		List<RunnerReply.RunningTask> listed = this.running.entrySet()
 			.stream()
 			.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue().run(), "", 50,
 					OptionalInt.empty()))
 			.toList();
-		return new RunnerReply.Listing(clockMillis(nowMillis), OptionalLong.of(this.startMillis), listed, this.ends);
+		return new RunnerReply.Listing(clockMillis(nowMillis), OptionalLong.of(this.startMillis), listed,
+				this.ends.subList(0, Math.min(this.ends.size(), MAXIMUM_LISTED_ENDS)));
 	}
 
-	private void end(TaskId task, int run, RunOutcome outcome) {
+	private void end(TaskId task, int run, RunOutcome outcome, long atMillis) {
 		this.running.remove(task);
 		this.highestClosedRun.merge(task, run, Math::max);
 		this.lastEnd++;
+		this.endedMillis.put(this.lastEnd, atMillis);
 		this.ends.add(new BatchCommand.End(this.lastEnd, task, run, outcome, ""));
 	}
 
@@ -205,10 +234,17 @@
 
 	}
 
-	/** Checks each start of a run. */
-	interface StartCheck {
+	/** Observes what the leader does to the runner. */
+	interface Observer {
+
+		Observer NONE = new Observer() {
+		};
 
-		void onStart(SimulatedRunner runner, TaskId task, int run);
+		default void onStart(SimulatedRunner runner, TaskId task, int run) {
+		}
+
+		default void onAcknowledged(TaskId task, long endedMillis) {
+		}
 
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -292,7 +292,9 @@
 	}
 
 	private void addRunner(String id) {
-		this.runners.add(BatchFixtures.runner(id, "pool", 1));
+		RunnerRecord runner = BatchFixtures.runner(id, "pool", 1);
+		this.runners.add(runner);
+		apply(new BatchCommand.RegisterRunner(runner));
 	}
 
 	private void submit(String id, long acceptedMillis, StepSpec step) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -135,6 +135,60 @@
 		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
 	}
 
+	/**
+	 * Guards against a job that never starts. A runner restarts while a plan that assigns
+	 * tasks to its previous incarnation is being committed.
+	 */
+	@Test
+	void anAssignmentToAReplacedRunnerLeavesItsTaskWaiting() {
+		submit("job", BatchFixtures.step(1));
+		apply(new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 20)));
+		assign("job", 0, 0, 1);
+		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+		Truth.assertThat(this.state.runs().runners()).isEmpty();
+		Truth.assertThat(this.state.runs().chargedTo("team")).isEqualTo(Resources.NONE);
+		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(1);
+	}
+
+	/** The same for a runner that was removed. */
+	@Test
+	void anAssignmentToARemovedRunnerLeavesItsTaskWaiting() {
+		submit("job", BatchFixtures.step(1));
+		apply(new BatchCommand.RemoveRunner(RUNNER.key()));
+		assign("job", 0, 0, 1);
+		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+		Truth.assertThat(this.state.runs().runners()).isEmpty();
+	}
+
+	/** Guards against a gang of which only some members are started. */
+	@Test
+	void aGangWithAMemberOnAReplacedRunnerIsNotAssigned() {
+		submit("gang", BatchFixtures.gang(2));
+		RunnerRecord other = BatchFixtures.runner("r2", "pool", 10);
+		apply(new BatchCommand.RegisterRunner(other));
+		apply(new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 20)));
+		apply(new BatchCommand.AssignRuns(
+				List.of(new BatchCommand.Assignment(new TaskId("gang", 0, 0, 0), 1, RUNNER.key()),
+						new BatchCommand.Assignment(new TaskId("gang", 0, 0, 1), 1, other.key()))));
+		Truth.assertThat(this.state.runs().runners()).isEmpty();
+		Truth.assertThat(this.state.task(new TaskId("gang", 0, 0, 1)).get().isWaiting()).isTrue();
+	}
+
+	/**
+	 * Guards against a job that waits for ever after an upgrade, since earlier versions
+	 * stored runs on runners that are not registered.
+	 */
+	@Test
+	void aRestoredRunOfARunnerThatIsNotRegisteredLeavesItsTaskWaiting() {
+		submit("job", BatchFixtures.step(1));
+		assign("job", 0, 0, 1);
+		BatchSnapshot stored = this.state.snapshot();
+		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), stored.jobs(), List.of(),
+				stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis()));
+		Truth.assertThat(restored.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
+		Truth.assertThat(restored.runs().chargedTo("team")).isEqualTo(Resources.NONE);
+	}
+
 	@Test
 	void oneCompletedTaskCompletesItsWholeGang() {
 		submit("gang", BatchFixtures.gang(3));
