Acknowledge withheld ends once the lease has expired after them

Cause: the end "done" of a run whose task was started elsewhere must not count beside the end of the later run, so its acknowledgement was withheld, and nothing ever lifted that.

Evidence: an end that is not acknowledged before the lease expires does not count for good.

Change: ends that are listed when the lease has certainly expired are acknowledged. Without that evidence, as at a new leader, the runner gets no new tasks, and the lease of the idle runner is left to expire. Whether an end is superseded is decided when it is applied. A listing says whether it is complete; a run that is missing in an incomplete one is kept.

RunnerReply.Listing has a new component, which the tests that build listings pass; no check of theirs is changed. The simulations of FleetLeaderTests also check that nothing is overdue.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -275,9 +275,6 @@
 				List<BatchCommand.End> ends = session.onHeartbeatReply(reply, nowMillis);
 				session.relativeSpeed(nowMillis)
 					.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
-				ends.stream()
-					.filter((end) -> end.outcome().isDone() && this.state.isSuperseded(end))
-					.forEach((end) -> session.withholdAcknowledgement(end.number()));
 				if (!ends.isEmpty()) {
 					this.proposals.add(new BatchCommand.NoteEnds(runner, ends));
 				}
@@ -459,6 +456,9 @@
 		this.runnersWithEvents.add(committed.runner());
 		session(committed.runner()).ifPresent((session) -> committed.ends().forEach((end) -> {
 			session.remove(end.task(), end.run());
+			if (end.outcome().isDone() && this.state.isSuperseded(end)) {
+				session.withholdAcknowledgement(end.number());
+			}
 			session.onEndsCommitted(end.number());
 		}));
 		committed.ends().forEach((end) -> {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReply.java
@@ -37,9 +37,11 @@
 	 * incarnation, or empty if not reported
 	 * @param running active runs
 	 * @param ended ends that are not acknowledged yet, oldest first
+	 * @param endsComplete whether the runner has listed all such ends; a runner limits
+	 * their number, and lists the others once these are acknowledged
 	 */
 	record Listing(long clockMillis, OptionalLong runnerStartMillis, List<RunningTask> running,
-			List<BatchCommand.End> ended) implements RunnerReply {
+			List<BatchCommand.End> ended, boolean endsComplete) implements RunnerReply {
 
 		public Listing {
 			running = List.copyOf(running);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -79,8 +79,13 @@
 
 	private long proposedEnd;
 
-	/** Number of the first end that must not be acknowledged. */
-	private long firstUnacknowledgedEnd = Long.MAX_VALUE;
+	/**
+	 * Number of the first end whose acknowledgement waits for the expiry of the lease.
+	 */
+	private OptionalLong firstWithheldEnd = OptionalLong.empty();
+
+	/** Number of the last end that was listed after the lease had expired. */
+	private long lastEndBeforeExpiry;
 
 	private long lastContactMillis;
 
@@ -129,12 +134,12 @@
 	/**
 	 * Checks whether new tasks may be assigned to the runner.
 	 * @param nowMillis current monotonic time, in milliseconds
-	 * @return {@code true} if the runner is responsive, has no overdue order and is
-	 * neither leaving nor replaced
+	 * @return {@code true} if the runner is responsive, has no overdue order, does not
+	 * wait for its lease to expire and is neither leaving nor replaced
 	 */
 	public boolean isUsable(long nowMillis) {
 		return isResponsive(nowMillis) && !isAnswerMissing(nowMillis) && !this.ended && !this.leaving && !this.fenced
-				&& !this.runner.draining();
+				&& !isWithholding() && !this.runner.draining();
 	}
 
 	/**
@@ -303,12 +308,21 @@
 	}
 
 	/**
-	 * Prevents the acknowledgement of an end and of all later ones by this incarnation.
-	 * Used when the task was started again, so that only the end of the later run counts.
+	 * Withholds the acknowledgement of an end and of all later ones until the lease of
+	 * the runner has expired after the end. Used when the task was started again: an end
+	 * that was not acknowledged before the expiry does not count, so that only the end of
+	 * the later run does. Until then the runner gets no new tasks, and its lease is not
+	 * extended once it has none.
 	 * @param number number of the end
 	 */
 	public void withholdAcknowledgement(long number) {
-		this.firstUnacknowledgedEnd = Math.min(this.firstUnacknowledgedEnd, number);
+		if (number > this.lastEndBeforeExpiry && number < this.firstWithheldEnd.orElse(Long.MAX_VALUE)) {
+			this.firstWithheldEnd = OptionalLong.of(number);
+		}
+	}
+
+	private boolean isWithholding() {
+		return this.firstWithheldEnd.isPresent();
 	}
 
 	/**
@@ -352,10 +366,11 @@
 		boolean isResponsive = isResponsive(nowMillis);
 		// A runner that receives heartbeats but whose answers are lost must not keep its
 		// lease.
-		OptionalLong leaseEnd = isResponsive ? this.lease.grant(nowMillis) : OptionalLong.empty();
+		boolean extendsLease = isResponsive && !(isWithholding() && this.runs.isEmpty());
+		OptionalLong leaseEnd = extendsLease ? this.lease.grant(nowMillis) : OptionalLong.empty();
 		int waitMillis = isResponsive ? pollMillis() : 0;
 		this.progressAwaited = false;
-		long acknowledgedEnd = Math.min(this.committedEnd, this.firstUnacknowledgedEnd - 1);
+		long acknowledgedEnd = Math.min(this.committedEnd, this.firstWithheldEnd.orElse(Long.MAX_VALUE) - 1);
 		return Optional.of(new RunnerOrder.Heartbeat(this.fencingToken, acknowledgedEnd, leaseEnd, waitMillis));
 	}
 
@@ -600,10 +615,16 @@
 		listing.running().forEach((running) -> onRunning(running, listed));
 		this.throttle.observe(listed.stream().map(this.runs::get).toList(), nowMillis, THROTTLE_PERIOD_MILLIS);
 		listing.ended().forEach((end) -> listed.add(end.task()));
-		this.runs.values()
-			.stream()
-			.filter((progress) -> !listed.contains(progress.run().task()))
-			.forEach(this::onUnlisted);
+		// A run that is missing in an incomplete listing may have ended.
+		if (listing.endsComplete()) {
+			this.runs.values()
+				.stream()
+				.filter((progress) -> !listed.contains(progress.run().task()))
+				.forEach(this::onUnlisted);
+		}
+		if (this.lease.hasExpired(nowMillis)) {
+			onListedAfterExpiry(listing.ended());
+		}
 		List<BatchCommand.End> newEnds = listing.ended()
 			.stream()
 			.filter((end) -> end.number() > this.proposedEnd)
@@ -613,6 +634,15 @@
 		return newEnds;
 	}
 
+	// Nothing runs without a lease, so all listed runs have ended before the lease
+	// expired.
+	private void onListedAfterExpiry(List<BatchCommand.End> ends) {
+		ends.forEach((end) -> this.lastEndBeforeExpiry = Math.max(this.lastEndBeforeExpiry, end.number()));
+		if (this.firstWithheldEnd.orElse(Long.MAX_VALUE) <= this.lastEndBeforeExpiry) {
+			this.firstWithheldEnd = OptionalLong.empty();
+		}
+	}
+
 	private void onRunning(RunnerReply.RunningTask running, Set<TaskId> listed) {
 		Optional<RunProgress> known = progress(running.task())
 			.filter((progress) -> progress.run().number() == running.run());
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/BestEffortThrottleTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/BestEffortThrottleTests.java
@@ -156,7 +156,7 @@
 			List<RunnerReply.RunningTask> rows = new ArrayList<>();
 			rows.add(new RunnerReply.RunningTask(SERVING, 1, "", 100, OptionalInt.of(tailMillis())));
 			rows.add(new RunnerReply.RunningTask(BEST_EFFORT, 1, "", 100, OptionalInt.of(500)));
-			return new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), rows, List.of());
+			return new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), rows, List.of(), true);
 		}
 
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -448,7 +448,7 @@
 								.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue(), "",
 										percent(runner, entry.getKey()), OptionalInt.empty()))
 								.toList(),
-							runner.ends));
+							runner.ends, true));
 		}
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
@@ -81,7 +81,7 @@
 		this.pending.removeAll(due);
 		due.forEach((order) -> this.leader.onReply(order.dispatch().runner().key(), order.dispatch().order(),
 				isSilent(order) ? RunnerReply.NoAnswer.UNKNOWN
-						: new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of()),
+						: new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of(), true),
 				this.nowMillis));
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -24,6 +24,9 @@
 
 	private static final int SEEDS = 60;
 
+	/** Longer than all leases and timeouts together. */
+	private static final int RECOVERY_MILLIS = 40_000;
+
 	@Test
 	void aJobOfThreeStepsIsCompleted() {
 		SimulatedFleet fleet = new SimulatedFleet(new Random(1), SimulatedFleet.Faults.NONE, 3, 20);
@@ -72,6 +75,7 @@
 			fleet.cutOff("r1", 12_000);
 			fleet.run(60_000);
 			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+			Truth.assertWithMessage("seed %s", seed).that(fleet.overdue()).isEmpty();
 			Truth.assertWithMessage("seed %s", seed).that(fleet.phase("job")).hasValue(BatchJobPhase.COMPLETED);
 		}
 	}
@@ -119,7 +123,9 @@
 		for (int seed = 0; seed < SEEDS; seed++) {
 			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), new SimulatedFleet.Faults(0.15, 0.25), 4, 20);
 			runJobs(fleet, new Random(seed + 1_000L), false);
+			fleet.recover(RECOVERY_MILLIS);
 			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+			Truth.assertWithMessage("seed %s", seed).that(fleet.overdue()).isEmpty();
 		}
 	}
 
@@ -132,7 +138,9 @@
 		for (int seed = 0; seed < SEEDS; seed++) {
 			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), new SimulatedFleet.Faults(0.05, 0.1), 4, 20);
 			runJobs(fleet, new Random(seed + 2_000L), true);
+			fleet.recover(RECOVERY_MILLIS);
 			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+			Truth.assertWithMessage("seed %s", seed).that(fleet.overdue()).isEmpty();
 			for (int job = 0; job < 8; job++) {
 				// A job may be completed before its cancellation arrives.
 				boolean isCancelled = job % 4 == 3 && fleet.phase("job" + job).get() != BatchJobPhase.COMPLETED;
@@ -241,7 +249,8 @@
 		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
 		RunnerOrder first = leader.dueOrders(1_000).get(0).order();
 		List<BatchCommand.End> ends = List.of(new BatchCommand.End(1, task, 1, RunOutcome.DONE, ""));
-		leader.onReply(runner.key(), first, new RunnerReply.Listing(1_010, OptionalLong.of(1), List.of(), ends), 1_010);
+		leader.onReply(runner.key(), first, new RunnerReply.Listing(1_010, OptionalLong.of(1), List.of(), ends, true),
+				1_010);
 		BatchCommand committed = leader.drainProposals().get(0);
 		state.apply(new CommandGroup(1_020, List.of(committed)));
 		leader.onApplied(committed, 1_020);
@@ -254,6 +263,39 @@
 		Truth.assertThat(acknowledged).containsExactly(0L);
 	}
 
+	/**
+	 * Guards against a runner whose ends are never acknowledged again. The end of a run
+	 * that was replaced does not count once the lease has expired after it, so the leader
+	 * lets the lease of the idle runner expire.
+	 */
+	@Test
+	void theEndOfARunThatWasReplacedIsAcknowledgedAfterTheLeaseHasExpired() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		SessionSettings settings = SimulatedFleet.SETTINGS.sessions();
+		RunnerSession session = new RunnerSession(runner, settings, 2, 1_000, 1_000);
+		List<BatchCommand.End> ends = List
+			.of(new BatchCommand.End(7, new TaskId("job", 0, 0, 0), 1, RunOutcome.DONE, ""));
+		RunnerReply.Listing listing = new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), ends, true);
+		session.nextHeartbeat(1_000);
+		session.onHeartbeatReply(listing, 1_010);
+		session.withholdAcknowledgement(7);
+		session.onEndsCommitted(7);
+		Truth.assertThat(session.isUsable(1_010)).isFalse();
+		long expiryMillis = 1_000 + settings.earlierLeaseExpiryMillis();
+		for (long nowMillis = 1_100; nowMillis < expiryMillis; nowMillis += 100) {
+			RunnerOrder.Heartbeat heartbeat = session.nextHeartbeat(nowMillis).get();
+			Truth.assertThat(heartbeat.acknowledgedEnd()).isEqualTo(6);
+			Truth.assertThat(heartbeat.leaseEndMillis()).isEqualTo(OptionalLong.empty());
+			session.onHeartbeatReply(listing, nowMillis + 10);
+		}
+		session.nextHeartbeat(expiryMillis);
+		session.onHeartbeatReply(listing, expiryMillis + 10);
+		Truth.assertThat(session.isUsable(expiryMillis + 10)).isTrue();
+		RunnerOrder.Heartbeat next = session.nextHeartbeat(expiryMillis + 20).get();
+		Truth.assertThat(next.acknowledgedEnd()).isEqualTo(7);
+		Truth.assertThat(next.leaseEndMillis().isPresent()).isTrue();
+	}
+
 	/**
 	 * Guards against runs that are released and started again although their runner was
 	 * not contacted. Occurs when a leader does not reach all runners before the leases
@@ -278,7 +320,7 @@
 	void aRunIsNotOrderedAgainWhileItsReleaseIsBeingCommitted() {
 		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
 		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000, 1_000);
-		RunnerReply.Listing listing = new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of());
+		RunnerReply.Listing listing = new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of(), true);
 		session.nextHeartbeat(1_000);
 		session.onHeartbeatReply(listing, 1_000);
 		session.add(new Run(new TaskId("job", 0, 0, 0), 1, runner.key(), "team", Resources.NONE, Resources.NONE, false),
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
@@ -39,6 +39,46 @@
 		}
 	}
 
+	/**
+	 * Guards against ends that are never acknowledged. Occurs when tasks end behind a
+	 * partition that outlasts a lease, and are started again elsewhere.
+	 */
+	@Test
+	void endsAreAcknowledgedAfterPartitionsThatOutlastALease() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = fleet(seed, SimulatedFleet.Faults.NONE);
+			disturbByPartitions(fleet, new Random(seed + 2_000L), 0);
+			requireRecovery(fleet, seed);
+		}
+	}
+
+	/**
+	 * The same with changes of leader: the new leader has not seen that the lease
+	 * expired.
+	 */
+	@Test
+	void endsAreAcknowledgedAfterPartitionsAndChangesOfLeader() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = fleet(seed, new SimulatedFleet.Faults(0.05, 0.1));
+			disturbByPartitions(fleet, new Random(seed + 3_000L), 0.3);
+			requireRecovery(fleet, seed);
+		}
+	}
+
+	private static void disturbByPartitions(SimulatedFleet fleet, Random random, double leaderChangeShare) {
+		for (int round = 0; round < 30; round++) {
+			fleet.submit("job" + round, 1 + random.nextInt(2), 1 + random.nextInt(8), random.nextInt(4) == 0);
+			fleet.run(random.nextInt(600));
+			if (round % 5 == 0) {
+				fleet.cutOff(randomRunner(random), 4_000 + random.nextInt(5_000));
+			}
+			if (random.nextDouble() < leaderChangeShare) {
+				fleet.changeLeader();
+			}
+			fleet.run(random.nextInt(1_500));
+		}
+	}
+
 	private static SimulatedFleet fleet(int seed, SimulatedFleet.Faults faults) {
 		SimulatedFleet fleet = new SimulatedFleet(new Random(seed), faults, RUNNERS, MAXIMUM_ATTEMPTS);
 		fleet.run(1_000);
@@ -50,7 +90,7 @@
 	}
 
 	private static void requireRecovery(SimulatedFleet fleet, int seed) {
-		fleet.run(RECOVERY_MILLIS);
+		fleet.recover(RECOVERY_MILLIS);
 		Truth.assertWithMessage("overdue, seed %s", seed).that(fleet.overdue()).isEmpty();
 		Truth.assertWithMessage("violations, seed %s", seed).that(fleet.violations()).isEmpty();
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -312,7 +312,7 @@
 	private List<BatchCommand.SetMove> tick() {
 		this.sessions.values()
 			.forEach((session) -> session.onHeartbeatReply(
-					new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of()), this.nowMillis));
+					new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of(), true), this.nowMillis));
 		this.balancer.tick(this.sessions, (host) -> false, 0, this.nowMillis, this.nowMillis);
 		return this.balancer.drainProposals()
 			.stream()
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RelativeSpeedTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RelativeSpeedTests.java
@@ -91,7 +91,7 @@
 	}
 
 	private static RunnerReply listing(List<RunnerReply.RunningTask> rows) {
-		return new RunnerReply.Listing(1, OptionalLong.of(1), rows, List.of());
+		return new RunnerReply.Listing(1, OptionalLong.of(1), rows, List.of(), true);
 	}
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -52,7 +52,7 @@
 
 	private final RandomGenerator random;
 
-	private final Faults faults;
+	private Faults faults;
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
 			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
@@ -167,6 +167,13 @@
 		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
 	}
 
+	/** Ends all disturbances and lets the fleet recover. */
+	void recover(long millis) {
+		this.faults = Faults.NONE;
+		this.cutOff.clear();
+		run(millis);
+	}
+
 	/** Lets runners keep their tasks after their leases have expired. */
 	void ignoreLeases() {
 		this.runners.values().forEach(SimulatedRunner::ignoreLease);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -214,7 +214,8 @@
 					OptionalInt.empty()))
 			.toList();
 		return new RunnerReply.Listing(clockMillis(nowMillis), OptionalLong.of(this.startMillis), listed,
-				this.ends.subList(0, Math.min(this.ends.size(), MAXIMUM_LISTED_ENDS)));
+				this.ends.subList(0, Math.min(this.ends.size(), MAXIMUM_LISTED_ENDS)),
+				this.ends.size() <= MAXIMUM_LISTED_ENDS);
 	}
 
 	private void end(TaskId task, int run, RunOutcome outcome, long atMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
@@ -69,7 +69,8 @@
 		List<PendingOrder> due = this.pending.stream().filter((order) -> order.endMillis() <= this.nowMillis).toList();
 		this.pending.removeAll(due);
 		due.forEach((order) -> this.leader.onReply(order.dispatch().runner().key(), order.dispatch().order(),
-				order.isInTime() ? new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of())
+				order.isInTime()
+						? new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of(), true)
 						: RunnerReply.NoAnswer.UNKNOWN,
 				this.nowMillis));
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -197,7 +197,7 @@
 		Truth.assertThat(this.controller.isDraining("host-r0")).isTrue();
 		starting.onHeartbeatReply(new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1),
 				List.of(new RunnerReply.RunningTask(new TaskId("job", 0, 0, 1), 1, "", 40, OptionalInt.empty())),
-				List.of()), this.nowMillis);
+				List.of(), true), this.nowMillis);
 		step(20);
 		Truth.assertThat(waitMillis(starting)).isLessThan(200);
 	}
@@ -302,7 +302,7 @@
 			.map((run) -> new RunnerReply.RunningTask(run.task(), run.number(), "", 100, OptionalInt.empty()))
 			.toList();
 		session.onHeartbeatReply(new RunnerReply.Listing(this.nowMillis,
-				OptionalLong.of(session.runner().key().bornMillis()), running, List.of()), this.nowMillis);
+				OptionalLong.of(session.runner().key().bornMillis()), running, List.of(), true), this.nowMillis);
 	}
 
 	private void assign(TaskId task, String runner) {
