Contact all runners whatever other writers announce

Cause: an entry with any address and any service was registered. The channel to an address that cannot be parsed throws when it is created; nobody watched it, so its heartbeat stayed in flight and kept one of eight places for first contacts. A silent incarnation was removed only if it had been unannounced for a minute at the very moment its lease expired, so it stayed for ever.

RunnerChannels watches its channels, answers the order of a failed one as unanswered and opens a new one. The removal of a silent incarnation is proposed once it has been unannounced for a minute.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -3,11 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 
+import com.google.common.flogger.FluentLogger;
 import io.burdockpin.batch.port.RunnerChannel;
 import io.burdockpin.core.batch.lead.RunnerDispatch;
 import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.lead.RunnerReply;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.runtime.http.socket.SendCondition;
@@ -15,12 +18,16 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 
 /**
- * The channels of each runner: one for heartbeats, which the runner may answer late (long
- * polling), and one for all other orders. Mutable; owned by the {@link SchedulerActor}.
+ * Supervises the channels of each runner: one for heartbeats, which the runner may answer
+ * late (long polling), and one for all other orders. An order whose channel fails is
+ * answered as unanswered, so that it does not stay in flight, and the next order gets a
+ * new channel. Mutable; owned by the {@link SchedulerActor}.
  */
 final class RunnerChannels {
 
-	private final ActorContext<?> context;
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final ActorContext<SchedulerCommand> context;
 
 	private final RunnerChannel.Factory factory;
 
@@ -30,7 +37,8 @@
 
 	private long spawnCount;
 
-	RunnerChannels(ActorContext<?> context, RunnerChannel.Factory factory, ActorRef<RunnerChannel.Answered> replyTo) {
+	RunnerChannels(ActorContext<SchedulerCommand> context, RunnerChannel.Factory factory,
+			ActorRef<RunnerChannel.Answered> replyTo) {
 		this.context = context;
 		this.factory = factory;
 		this.replyTo = replyTo;
@@ -41,19 +49,50 @@
 		Channels known = this.channels.get(runner.key());
 		if (known == null || !known.address().equals(runner.address())) {
 			close(runner.key());
-			known = new Channels(runner.address(), spawn(runner), spawn(runner));
+			known = new Channels(runner.address(), new Channel(), new Channel());
 			this.channels.put(runner.key(), known);
 		}
-		boolean isHeartbeat = dispatch.order() instanceof RunnerOrder.Heartbeat;
-		(isHeartbeat ? known.heartbeats() : known.orders())
+		Channel channel = known.of(dispatch.order());
+		if (channel.actor.isEmpty()) {
+			channel.actor = Optional.of(spawn(runner));
+		}
+		channel.inFlight = Optional.of(dispatch.order());
+		channel.actor.get()
 			.tell(new RunnerChannel.Send(dispatch.order(), dispatch.answerTimeoutMillis(), condition, this.replyTo));
 	}
 
+	void onAnswered(RunnerChannel.Answered answer) {
+		Channels known = this.channels.get(answer.runner());
+		if (known != null) {
+			Channel channel = known.of(answer.order());
+			channel.inFlight = channel.inFlight.filter((order) -> order != answer.order());
+		}
+	}
+
+	/**
+	 * Handles the end of a channel. A channel that was not closed has failed; it may have
+	 * sent its order before.
+	 * @param key the incarnation of the runner
+	 * @param actor the channel
+	 */
+	void onStopped(RunnerKey key, ActorRef<RunnerChannel.Command> actor) {
+		Channels known = this.channels.get(key);
+		if (known == null) {
+			return;
+		}
+		known.all().stream().filter((channel) -> channel.actor.equals(Optional.of(actor))).forEach((channel) -> {
+			logger.atWarning().log("The channel to runner %s at %s has failed.", key, known.address());
+			channel.actor = Optional.empty();
+			channel.inFlight.ifPresent(
+					(order) -> this.replyTo.tell(new RunnerChannel.Answered(key, order, RunnerReply.NoAnswer.UNKNOWN)));
+		});
+	}
+
 	void close(RunnerKey key) {
 		Channels closed = this.channels.remove(key);
 		if (closed != null) {
-			closed.heartbeats().tell(RunnerChannel.Close.INSTANCE);
-			closed.orders().tell(RunnerChannel.Close.INSTANCE);
+			closed.all()
+				.forEach((channel) -> channel.actor.ifPresent((actor) -> actor.tell(RunnerChannel.Close.INSTANCE)));
 		}
 	}
 
@@ -63,11 +102,30 @@
 
 	private ActorRef<RunnerChannel.Command> spawn(RunnerRecord runner) {
 		this.spawnCount++;
-		return this.context.spawn(this.factory.create(runner), "runner-channel-" + this.spawnCount);
+		ActorRef<RunnerChannel.Command> actor = this.context.spawn(this.factory.create(runner),
+				"runner-channel-" + this.spawnCount);
+		this.context.watchWith(actor, new SchedulerCommand.ChannelStopped(runner.key(), actor));
+		return actor;
 	}
 
-	private record Channels(String address, ActorRef<RunnerChannel.Command> orders,
-			ActorRef<RunnerChannel.Command> heartbeats) {
+	private record Channels(String address, Channel orders, Channel heartbeats) {
+
+		private Channel of(RunnerOrder order) {
+			return (order instanceof RunnerOrder.Heartbeat) ? this.heartbeats : this.orders;
+		}
+
+		private List<Channel> all() {
+			return List.of(this.orders, this.heartbeats);
+		}
+
+	}
+
+	/** One channel, spawned with its first order. Mutable. */
+	private static final class Channel {
+
+		private Optional<ActorRef<RunnerChannel.Command>> actor = Optional.empty();
+
+		private Optional<RunnerOrder> inFlight = Optional.empty();
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -156,6 +156,7 @@
 			.onMessage(SchedulerCommand.FromConsensus.class, this::onFromConsensus)
 			.onMessage(SchedulerCommand.AttachConsensus.class, this::onAttachConsensus)
 			.onMessage(SchedulerCommand.FromRunner.class, this::onFromRunner)
+			.onMessage(SchedulerCommand.ChannelStopped.class, this::onChannelStopped)
 			.onMessage(SchedulerCommand.FromHosts.class, this::onFromHosts)
 			.onMessage(SchedulerCommand.FromHostList.class, this::onFromHostList)
 			.onMessageEquals(SchedulerCommand.Internal.FLUSH, this::onFlush)
@@ -378,12 +379,18 @@
 
 	private Behavior<SchedulerCommand> onFromRunner(SchedulerCommand.FromRunner command) {
 		RunnerChannel.Answered answer = command.answer();
+		this.channels.onAnswered(answer);
 		this.leader.filter((leading) -> answer.order().fencingToken() == this.term)
 			.ifPresent(
 					(leading) -> leading.onReply(answer.runner(), answer.order(), answer.reply(), this.clock.millis()));
 		return requestFlush();
 	}
 
+	private Behavior<SchedulerCommand> onChannelStopped(SchedulerCommand.ChannelStopped command) {
+		this.channels.onStopped(command.runner(), command.channel());
+		return this;
+	}
+
 	private Behavior<SchedulerCommand> onFromHosts(SchedulerCommand.FromHosts command) {
 		HostChannel.Answered answer = command.answer();
 		logger.atInfo().log("Order %s: %s.", answer.order(), answer.reply());
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerCommand.java
@@ -6,6 +6,7 @@
 import io.burdockpin.batch.port.ReplyPort;
 import io.burdockpin.batch.port.RunnerChannel;
 import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.model.RunnerKey;
 import org.apache.pekko.actor.typed.ActorRef;
 
 /** Messages of the {@link SchedulerActor}. */
@@ -48,6 +49,16 @@
 
 	}
 
+	/**
+	 * A channel to a runner has ended.
+	 *
+	 * @param runner the incarnation of the runner
+	 * @param channel the channel
+	 */
+	record ChannelStopped(RunnerKey runner, ActorRef<RunnerChannel.Command> channel) implements SchedulerCommand {
+
+	}
+
 	/**
 	 * The result of an order to the platform.
 	 *
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
@@ -66,10 +67,16 @@
 
 	private final AtomicLong wallMillis = new AtomicLong(1_000_000);
 
+	/** Number of messages to channels that make their channel fail. */
+	private final AtomicInteger failingChannels = new AtomicInteger();
+
 	private final ManualTime time = ManualTime.get(this.testKit.system());
 
 	private final ActorRef<SchedulerCommand> scheduler = this.testKit
 		.spawn(SchedulerActor.create(settings(), (runner) -> Behaviors.receiveMessage((command) -> {
+			if (this.failingChannels.getAndDecrement() > 0) {
+				throw new IllegalStateException("injected failure of a channel");
+			}
 			this.runners.getRef().tell(command);
 			return Behaviors.same();
 		}), this.testKit.<HostChannel.Command>createTestProbe().getRef(),
@@ -150,6 +157,25 @@
 		this.runners.expectNoMessage(Duration.ofMillis(100));
 	}
 
+	/**
+	 * Guards against a runner that is never contacted again because its channel failed
+	 * with an order in flight.
+	 */
+	@Test
+	void aRunnerIsContactedAgainAfterItsChannelHasFailed() {
+		lead();
+		this.failingChannels.set(1);
+		completeReads(true);
+		this.runners.expectNoMessage(Duration.ofMillis(100));
+		for (int second = 0; second < 2; second++) {
+			this.steadyMillis.addAndGet(1_000);
+			this.wallMillis.addAndGet(1_000);
+			this.time.timePasses(Duration.ofMillis(40));
+			completeReads(true);
+		}
+		this.runners.expectMessageClass(RunnerChannel.Send.class);
+	}
+
 	private void lead() {
 		this.scheduler.tell(new SchedulerCommand.AttachConsensus(this.consensus.getRef()));
 		report(new ConsensusReport.LeadershipChanged(true, TERM, Optional.of(SELF)));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -111,8 +111,12 @@
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
+	/** Incarnations whose runs were released because they have certainly ended. */
 	private final Set<RunnerKey> endingIncarnations = new HashSet<>();
 
+	/** Incarnations of which the removal was proposed. */
+	private final Set<RunnerKey> removedIncarnations = new HashSet<>();
+
 	private final Map<String, Integer> openedOccurrences = new HashMap<>();
 
 	/** Runners with events since orders were last dispatched. */
@@ -238,9 +242,12 @@
 	 * @param sequence number that increases with each announcement of an incarnation
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return command to commit before the announcement is acknowledged, or empty if
-	 * nothing changed
+	 * nothing changed or the runner cannot be used
 	 */
 	public Optional<BatchCommand> onAnnouncement(RunnerRecord runner, long sequence, long nowMillis) {
+		if (!isPoolKnown(runner)) {
+			return Optional.empty();
+		}
 		String incarnation = runner.key().toString();
 		if (sequence < this.sequences.getOrDefault(incarnation, Long.MIN_VALUE)) {
 			return Optional.empty();
@@ -251,6 +258,19 @@
 		return isKnown ? Optional.empty() : Optional.of(new BatchCommand.RegisterRunner(runner));
 	}
 
+	// An announcement of another writer may name a pool that does not exist. It must not
+	// be contacted nor replace the runner on its host. If the runner is only earlier than
+	// the configuration of its pool, its next announcement counts. A registered runner
+	// remains registered when its pool is removed.
+	private boolean isPoolKnown(RunnerRecord runner) {
+		boolean isConfigured = this.state.configuration()
+			.filter((configuration) -> configuration.pool(runner.pool()).isEmpty())
+			.isEmpty();
+		return isConfigured || this.state.runner(runner.key().id())
+			.filter((known) -> known.key().equals(runner.key()) && known.pool().equals(runner.pool()))
+			.isPresent();
+	}
+
 	/**
 	 * Handles the announcement that a runner is leaving.
 	 * @param id identifier of the runner
@@ -510,17 +530,18 @@
 		RunnerKey key = session.runner().key();
 		if (!session.haveRunsEnded(nowMillis)) {
 			this.endingIncarnations.remove(key);
+			this.removedIncarnations.remove(key);
 			return;
 		}
-		if (!this.endingIncarnations.add(key)) {
-			return;
-		}
-		List<BatchCommand.Release> releases = session.releaseAll();
-		if (!releases.isEmpty()) {
-			this.proposals.add(new BatchCommand.ReleaseRuns(releases));
+		if (this.endingIncarnations.add(key)) {
+			List<BatchCommand.Release> releases = session.releaseAll();
+			if (!releases.isEmpty()) {
+				this.proposals.add(new BatchCommand.ReleaseRuns(releases));
+			}
 		}
 		long lastAnnouncedMillis = this.announcedMillis.getOrDefault(key, this.electedMillis);
-		if (session.hasEnded() || nowMillis - lastAnnouncedMillis > this.settings.runnerRetentionMillis()) {
+		boolean isGone = session.hasEnded() || nowMillis - lastAnnouncedMillis > this.settings.runnerRetentionMillis();
+		if (isGone && this.removedIncarnations.add(key)) {
 			this.proposals.add(new BatchCommand.RemoveRunner(key));
 		}
 	}
@@ -554,6 +575,8 @@
 		this.pendingFirstContacts.retainAll(known);
 		this.pendingRepeatedContacts.retainAll(known);
 		this.announcedMillis.keySet().retainAll(known);
+		this.endingIncarnations.retainAll(known);
+		this.removedIncarnations.retainAll(known);
 		this.reliability.retainAll(known);
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
@@ -1,8 +1,13 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -65,6 +70,56 @@
 		}
 	}
 
+	/**
+	 * Guards against runners that are never contacted, because announcements of other
+	 * writers take all places for first contacts or are contacted for ever.
+	 */
+	@Test
+	void runnersAreUsedAlthoughOthersAnnounceRunnersThatDoNotExist() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = fleet(seed, SimulatedFleet.Faults.NONE);
+			Random random = new Random(seed + 4_000L);
+			for (int number = 0; number < 12; number++) {
+				String pool = random.nextBoolean() ? fleet.announcementOf("r0").pool() : "unknown";
+				fleet.announceForeign(foreignEntry(fleet, number, Optional.empty(), pool));
+				fleet.run(random.nextInt(300));
+			}
+			for (int number = 0; number < RUNNERS; number++) {
+				fleet.crash("r" + number, 100);
+			}
+			fleet.run(500);
+			fleet.submit("job", 2, 6, false);
+			fleet.run(20_000);
+			Truth.assertWithMessage("seed %s", seed).that(fleet.phase("job")).hasValue(BatchJobPhase.COMPLETED);
+			requireRecovery(fleet, seed);
+		}
+	}
+
+	/**
+	 * Guards against tasks that are started a second time while they run, because an
+	 * announcement of another writer names the host of their runner.
+	 */
+	@Test
+	void anEntryOfAnUnknownPoolDoesNotReplaceTheRunnerOnItsHost() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = fleet(seed, SimulatedFleet.Faults.NONE);
+			Random random = new Random(seed + 5_000L);
+			fleet.submit("job", 3, 12, false);
+			for (int number = 0; number < 8; number++) {
+				RunnerRecord victim = fleet.announcementOf(randomRunner(random));
+				fleet.announceForeign(foreignEntry(fleet, number, victim.host(), "unknown"));
+				fleet.run(random.nextInt(300));
+			}
+			requireRecovery(fleet, seed);
+			Truth.assertWithMessage("seed %s", seed).that(fleet.releaseCount()).isEqualTo(0);
+		}
+	}
+
+	private static RunnerRecord foreignEntry(SimulatedFleet fleet, int number, Optional<String> host, String pool) {
+		return new RunnerRecord(new RunnerKey("foreign" + number, fleet.nowMillis()), host, pool, "127.0.0.1:1", "dc1",
+				Optional.empty(), SimulatedRunner.CAPACITY, Set.of(), false);
+	}
+
 	private static void disturbByPartitions(SimulatedFleet fleet, Random random, double leaderChangeShare) {
 		for (int round = 0; round < 30; round++) {
 			fleet.submit("job" + round, 1 + random.nextInt(2), 1 + random.nextInt(8), random.nextInt(4) == 0);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -151,6 +151,15 @@
 		this.runners.get(runner).crash();
 	}
 
+	/** Returns the announcement of a runner. */
+	RunnerRecord announcementOf(String runner) {
+		return this.runners.get(runner).announce();
+	}
+
+	long nowMillis() {
+		return this.nowMillis;
+	}
+
 	/** Delivers an announcement that no runner of this fleet has sent. */
 	void announceForeign(RunnerRecord entry) {
 		this.leader.onAnnouncement(entry, 1, this.nowMillis).ifPresent(this.queuedCommands::add);
@@ -217,12 +226,23 @@
 				overdue.add("%d ends of %s are not acknowledged".formatted(unacknowledged, key));
 			}
 		});
+		this.state.runners()
+			.stream()
+			.map(RunnerRecord::key)
+			.filter((key) -> !isUp(key))
+			.forEach((key) -> overdue.add("%s is gone and still registered".formatted(key)));
 		if (this.state.runs().runners().isEmpty() && !this.state.runs().chargedTo("team").equals(Resources.NONE)) {
 			overdue.add("%s is charged without runs".formatted(this.state.runs().chargedTo("team")));
 		}
 		return overdue;
 	}
 
+	private boolean isUp(RunnerKey key) {
+		return Optional.ofNullable(this.runners.get(key.id()))
+			.filter((runner) -> runner.isUp() && runner.announce().key().equals(key))
+			.isPresent();
+	}
+
 	private long activeTaskCount(BatchJob job) {
 		return this.runners.values()
 			.stream()
