Restore long-running steps that have lost all their tasks

Cause: a long-running step counted as new if none of its tasks was placed at the moment. Its tasks are packed onto few hosts, so one lost host can make it new, and a new step may only use three quarters of the pool, which had just become smaller: 128 + 16 of 176 cores.

Change: a step with a run number above 0 has been started, so its tasks are restored one by one and without the share. On the related path, a new step that by itself exceeds the share of a pool that cannot grow waited for ever, also in an empty pool; it is now placed once it has waited for 5 s while less than half of the pool is in use.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
@@ -42,6 +42,10 @@
 		return step.dataRack().isEmpty() || step.dataRack().equals(this.runner.rack());
 	}
 
+	Resources free() {
+		return this.free;
+	}
+
 	int freeMillicores() {
 		return this.free.cpuMillicores();
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -48,6 +48,14 @@
 	 */
 	static final double LONG_RUNNING_SHARE = 0.75;
 
+	/**
+	 * A pool with less in use has no other tasks for which its free capacity should wait.
+	 */
+	private static final double UNDERUSED_SHARE = 0.5;
+
+	/** A pool gets the hosts for a new long-running step within this time, if it can. */
+	private static final long POOL_GROWTH_MILLIS = 5_000;
+
 	private final SlackCalculator slackCalculator;
 
 	/**
@@ -84,7 +92,7 @@
 		state.activeJobs()
 			.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
 				.filter((queue) -> round.hasCandidates(queue.pool()))
-				.ifPresent((queue) -> addItems(items, job, queue, wallMillis)));
+				.ifPresent((queue) -> addItems(items, job, queue, round.isUnderused(queue.pool()), wallMillis)));
 		items.sort(WorkItem.ORDER);
 		for (WorkItem item : items) {
 			if (round.assignments.size() >= MAXIMUM_ASSIGNMENTS) {
@@ -122,34 +130,39 @@
 		}
 	}
 
-	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, long wallMillis) {
+	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, boolean isPoolUnderused,
+			long wallMillis) {
 		for (Occurrence occurrence : job.occurrences()) {
 			List<StepTasks> steps = occurrence.steps();
 			for (int number = 0; number < steps.size(); number++) {
 				StepTasks step = steps.get(number);
 				boolean isWaiting = !step.isDone() && step.tasks().stream().anyMatch(BatchTask::isWaiting);
 				if (isWaiting && occurrence.isReady(number)) {
-					items.add(item(job, queue, occurrence, number, wallMillis));
+					items.add(item(job, queue, occurrence, number, isPoolUnderused, wallMillis));
 				}
 			}
 		}
 	}
 
-	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
+	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, boolean isPoolUnderused,
+			long wallMillis) {
 		long slackMillis = this.slackCalculator.slackMillis(job, queue, occurrence, step, wallMillis);
 		StepTasks tasks = occurrence.steps().get(step);
-		return new WorkItem(job, queue, occurrence, step, tasks, urgency(tasks, slackMillis), slackMillis);
-	}
-
-	private static WorkItem.Urgency urgency(StepTasks tasks, long slackMillis) {
+		WorkItem.Urgency urgency;
 		if (tasks.spec().longRunning()) {
-			return isPartlyPlaced(tasks) ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
+			boolean isOverdue = isPoolUnderused && wallMillis - job.acceptedMillis() >= POOL_GROWTH_MILLIS;
+			urgency = (hasBeenStarted(tasks) || isOverdue) ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
+		}
+		else {
+			urgency = (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
 		}
-		return (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
+		return new WorkItem(job, queue, occurrence, step, tasks, urgency, slackMillis);
 	}
 
-	private static boolean isPartlyPlaced(StepTasks tasks) {
-		return tasks.tasks().stream().anyMatch((task) -> task.run().isPresent());
+	// A step that has lost all its tasks, for example with a single host, has been
+	// started.
+	private static boolean hasBeenStarted(StepTasks tasks) {
+		return tasks.highestRun() > 0;
 	}
 
 	/** State of one placement round. */
@@ -184,6 +197,18 @@
 			return this.byPool.containsKey(pool);
 		}
 
+		private boolean isUnderused(String pool) {
+			Resources capacity = Resources.NONE;
+			Resources free = Resources.NONE;
+			for (Candidate candidate : this.byPool.getOrDefault(pool, List.of())) {
+				capacity = capacity.plus(candidate.runner().capacity());
+				free = free.plus(candidate.free());
+			}
+			Resources used = capacity.minus(free);
+			return used.cpuMillicores() < UNDERUSED_SHARE * capacity.cpuMillicores()
+					&& used.memoryMebibytes() < UNDERUSED_SHARE * capacity.memoryMebibytes();
+		}
+
 		private void place(WorkItem item) {
 			Map<RunnerKey, Integer> used = usedRunners(item);
 			if (item.tasks().spec().gang() || item.urgency() == WorkItem.Urgency.LONG_RUNNING) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WorkItem.java
@@ -35,8 +35,9 @@
 	enum Urgency {
 
 		/**
-		 * Long-running step of which some tasks are running. Its unavailable tasks use up
-		 * the budget that maintenance needs.
+		 * Long-running step that has been started before. Its unavailable tasks use up
+		 * the budget that maintenance needs. Or a new one that has waited although its
+		 * pool is underused; its tasks are then placed one by one.
 		 */
 		RESTORE,
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
@@ -115,6 +115,25 @@
 		}
 	}
 
+	/**
+	 * Guards against a long-running job that is not started again after the loss of its
+	 * only host, because it counts as a new job and does not fit into the long-running
+	 * share of the smaller pool.
+	 */
+	@Test
+	void longRunningJobsAreStartedAgainAfterTheirOnlyRunnerIsLost() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), new SimulatedFleet.Faults(0.02, 0.02), 3,
+					MAXIMUM_ATTEMPTS);
+			fleet.run(1_000);
+			fleet.submitLongRunning("service1", 5);
+			fleet.submitLongRunning("service2", 5);
+			fleet.run(5_000);
+			fleet.lose(fleet.state().runs().runners().iterator().next().id());
+			requireRecovery(fleet, seed);
+		}
+	}
+
 	private static RunnerRecord foreignEntry(SimulatedFleet fleet, int number, Optional<String> host, String pool) {
 		return new RunnerRecord(new RunnerKey("foreign" + number, fleet.nowMillis()), host, pool, "127.0.0.1:1", "dc1",
 				Optional.empty(), SimulatedRunner.CAPACITY, Set.of(), false);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -127,6 +127,51 @@
 		Truth.assertThat(plan()).hasSize(6);
 	}
 
+	/**
+	 * Guards against a long-running step that is not started again. Occurs when the only
+	 * host of the step is lost, and other long-running tasks use most of their share of
+	 * the smaller pool.
+	 */
+	@Test
+	void aLongRunningStepThatLostAllItsTasksIsRestoredBeyondTheLongRunningShare() {
+		configure(Resources.NONE);
+		for (int number = 0; number < 4; number++) {
+			addRunner("r" + number);
+		}
+		for (int number = 0; number < 3; number++) {
+			submit("service" + number, NOW_MILLIS, BatchFixtures.longRunning(4, 0, 1));
+		}
+		List<BatchCommand.Assignment> started = plan();
+		Truth.assertThat(started).hasSize(12);
+		apply(new BatchCommand.AssignRuns(started));
+		RunnerRecord lost = this.runners.stream()
+			.filter((runner) -> this.state.runs().on(runner.key()).size() == 4)
+			.findFirst()
+			.get();
+		this.runners.remove(lost);
+		apply(new BatchCommand.RemoveRunner(lost.key()));
+		List<BatchCommand.Assignment> restored = plan();
+		Truth.assertThat(restored).hasSize(4);
+		apply(new BatchCommand.AssignRuns(restored));
+		Truth.assertThat(plan()).isEmpty();
+	}
+
+	/**
+	 * Guards against a long-running step that never starts, because it is larger than the
+	 * long-running share of a pool that cannot grow.
+	 */
+	@Test
+	void aNewLongRunningStepStartsInAnUnderusedPoolOnceItHasWaited() {
+		configure(Resources.NONE);
+		addRunner("r1");
+		submit("waiting", NOW_MILLIS - 5_000, BatchFixtures.longRunning(4, 0, 1));
+		Truth.assertThat(plan()).hasSize(4);
+		apply(new BatchCommand.AssignRuns(plan()));
+		addRunner("r2");
+		submit("next", NOW_MILLIS - 5_000, BatchFixtures.longRunning(3, 0, 1));
+		Truth.assertThat(plan()).isEmpty();
+	}
+
 	/**
 	 * Guards against a long-running step that never starts, because the pool grows to the
 	 * required size but that size does not suffice for the long-running share.
