Ignore ends of tasks that do not exist

What callers would see: all control members end at the same log entry, also after a restart.

Cause: BatchState.step checked only the upper bound of the step number. The end of a task with an index that its step does not have, as a runner may list it, was committed and then threw IndexOutOfBoundsException on every member.

Change: a step is found only if it has the task.

BatchStateTests.theEndOfATaskThatDoesNotExistChangesNothing failed before: "Index 1 out of bounds for length 1".

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -174,18 +174,24 @@
 	 * @return empty if its occurrence is not open
 	 */
 	public Optional<BatchTask> task(TaskId id) {
-		return step(id).filter((step) -> id.index() < step.tasks().size()).map((step) -> step.tasks().get(id.index()));
+		return step(id).map((step) -> step.tasks().get(id.index()));
 	}
 
 	/**
 	 * Finds the step that a task belongs to.
 	 * @param id identifies the task
-	 * @return empty if its occurrence is not open
+	 * @return empty if its occurrence is not open or has no such task
 	 */
 	public Optional<StepTasks> step(TaskId id) {
 		return job(id.job()).flatMap((job) -> job.occurrence(id.occurrence()))
-			.filter((occurrence) -> id.step() < occurrence.steps().size())
-			.map((occurrence) -> occurrence.steps().get(id.step()));
+			.filter((occurrence) -> isIndexOf(id.step(), occurrence.steps()))
+			.map((occurrence) -> occurrence.steps().get(id.step()))
+			.filter((step) -> isIndexOf(id.index(), step.tasks()));
+	}
+
+	// A runner may list tasks that do not exist.
+	private static boolean isIndexOf(int index, List<?> list) {
+		return index >= 0 && index < list.size();
 	}
 
 	// changes
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -189,6 +189,26 @@
 		Truth.assertThat(restored.runs().chargedTo("team")).isEqualTo(Resources.NONE);
 	}
 
+	/**
+	 * Guards against members that end at the same log entry again and again, because a
+	 * runner has listed the end of a task that does not exist.
+	 */
+	@Test
+	void theEndOfATaskThatDoesNotExistChangesNothing() {
+		submit("job", BatchFixtures.step(1));
+		for (TaskId unknown : List.of(new TaskId("job", 0, 0, 1), new TaskId("job", 0, 0, -1),
+				new TaskId("job", 0, 1, 0), new TaskId("job", 0, -1, 0), new TaskId("job", 1, 0, 0),
+				new TaskId("other", 0, 0, 0))) {
+			for (RunOutcome outcome : RunOutcome.values()) {
+				BatchCommand.End end = new BatchCommand.End(1, unknown, 0, outcome, "");
+				Truth.assertThat(this.state.isSuperseded(end)).isFalse();
+				apply(new BatchCommand.NoteEnds(RUNNER.key(), List.of(end)));
+				apply(new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(unknown, 0, ""))));
+			}
+		}
+		Truth.assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.QUEUED);
+	}
+
 	@Test
 	void oneCompletedTaskCompletesItsWholeGang() {
 		submit("gang", BatchFixtures.gang(3));
