Use a runner again after a late departure of its earlier incarnation

What callers would see: a runner that has restarted under its identifier gets no tasks, because a DELETE of its earlier incarnation arrives late.

Cause: a departure names only the identifier and marked the present session as leaving for the rest of its life.

Change: an announcement that the runner accepts tasks, with a sequence number that is not older, clears the mark.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -254,6 +254,9 @@
 		}
 		this.sequences.put(incarnation, sequence);
 		this.announcedMillis.put(runner.key(), nowMillis);
+		if (!runner.draining()) {
+			session(runner.key()).ifPresent(RunnerSession::onReady);
+		}
 		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent();
 		return isKnown ? Optional.empty() : Optional.of(new BatchCommand.RegisterRunner(runner));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -334,6 +334,14 @@
 		this.leaving = true;
 	}
 
+	/**
+	 * Handles an announcement that the runner accepts tasks. An earlier announcement that
+	 * it is leaving was of an earlier incarnation with the same identifier.
+	 */
+	void onReady() {
+		this.leaving = false;
+	}
+
 	/**
 	 * Returns the next start, stop or throttle and marks it as sent.
 	 * @param nowMillis current monotonic time, in milliseconds
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
@@ -115,6 +115,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a runner that gets no tasks any more, because the departure of its
+	 * earlier incarnation arrives after its restart under the same identifier.
+	 */
+	@Test
+	void aRunnerIsUsedAlthoughTheDepartureOfItsEarlierIncarnationArrivesLate() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = fleet(seed, SimulatedFleet.Faults.NONE);
+			fleet.crash("r0", 100);
+			fleet.run(300 + 10 * seed);
+			fleet.deliverLateDeparture("r0");
+			requireRecovery(fleet, seed);
+		}
+	}
+
 	/**
 	 * Guards against a long-running job that is not started again after the loss of its
 	 * only host, because it counts as a new job and does not fit into the long-running
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -151,6 +151,11 @@
 		this.runners.get(runner).crash();
 	}
 
+	/** Delivers the departure of an earlier incarnation of a runner. */
+	void deliverLateDeparture(String runner) {
+		this.leader.onDeparture(runner);
+	}
+
 	/** Returns the announcement of a runner. */
 	RunnerRecord announcementOf(String runner) {
 		return this.runners.get(runner).announce();
