Complete a wave although the runner of a host does not return

What operators would see: a runner that is lost during the maintenance of its host keeps the wave from being completed; with a limit of one host, no other host is maintained.

Cause: only a host without a runner before its maintenance had a time limit.

Change: a host without a registered runner counts as returned once the maintenance and the return timeout are over.

WaveControllerTests.aWaveIsCompletedAlthoughTheRunnerOfAHostDoesNotReturn failed before: 1 of 6 hosts was maintained.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
@@ -290,8 +290,11 @@
 		long sinceBegunMillis = nowMillis - this.begunMillis.getOrDefault(host, this.electedMillis);
 		Optional<RunnerKey> before = Optional.ofNullable(wave.orderedIncarnations().get(host));
 		Optional<RunnerKey> present = this.state.runnerOn(host).map(RunnerRecord::key);
-		if (before.isEmpty() && present.isEmpty()) {
-			return sinceBegunMillis >= this.settings.returnTimeoutMillis();
+		if (present.isEmpty()) {
+			// The host was powered off, or its runner is lost and must not hold up the
+			// maintenance of the others.
+			long maintenanceMillis = before.isPresent() ? this.settings.minimumMaintenanceMillis() : 0;
+			return sinceBegunMillis >= maintenanceMillis + this.settings.returnTimeoutMillis();
 		}
 		return present.filter((incarnation) -> sinceBegunMillis >= this.settings.minimumMaintenanceMillis())
 			.filter((incarnation) -> !before.equals(Optional.of(incarnation)))
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveSettings.java
@@ -11,8 +11,8 @@
  * they are stopped
  * @param minimumMaintenanceMillis minimum duration of a maintenance; a runner that
  * answers earlier has not returned from it
- * @param returnTimeoutMillis time after which a host that had no runner counts as
- * returned
+ * @param returnTimeoutMillis time after which a host without a runner counts as returned,
+ * from the end of its minimum maintenance, or from its start if it had no runner before
  * @param retryMillis delay before a failed order is retried
  */
 public record WaveSettings(int handOverPauseMillis, int drainTimeoutMillis, int minimumMaintenanceMillis,
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -38,6 +38,9 @@
 
 	private final Set<String> silentRunners = new HashSet<>();
 
+	/** Hosts whose runner does not return from their maintenance. */
+	private final Set<String> lostHosts = new HashSet<>();
+
 	private long nowMillis = 100_000;
 
 	private WaveController controller;
@@ -81,6 +84,20 @@
 		Truth.assertThat(this.state.waves().get(1L).isCompleted()).isTrue();
 	}
 
+	/** Guards against a wave that waits for ever for a runner that was lost. */
+	@Test
+	void aWaveIsCompletedAlthoughTheRunnerOfAHostDoesNotReturn() {
+		this.lostHosts.add("host-r0");
+		startWave(1);
+		for (int round = 0; round < 400; round++) {
+			step(100);
+			Truth.assertThat(this.downUntilMillis.values().stream().filter((until) -> until > this.nowMillis).count())
+				.isAtMost(1);
+		}
+		Truth.assertThat(this.downUntilMillis).hasSize(HOSTS);
+		Truth.assertThat(this.state.waves().get(1L).isCompleted()).isTrue();
+	}
+
 	/**
 	 * Guards against a wave that is late, because the hosts whose tasks stop one after
 	 * the other are left for its end.
@@ -281,7 +298,8 @@
 		});
 		this.controller.drainProposals().forEach(this::apply);
 		this.downUntilMillis.forEach((host, until) -> {
-			boolean isBack = until <= this.nowMillis && this.state.runnerOn(host).isEmpty();
+			boolean isBack = until <= this.nowMillis && this.state.runnerOn(host).isEmpty()
+					&& !this.lostHosts.contains(host);
 			if (isBack) {
 				register(BatchFixtures.runner(host.substring("host-".length()), "pool", this.nowMillis));
 			}
