--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -92,7 +92,7 @@
 		state.activeJobs()
 			.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
 				.filter((queue) -> round.hasCandidates(queue.pool()))
-				.ifPresent((queue) -> addItems(items, job, queue, round.isUnderused(queue.pool()), wallMillis)));
+				.ifPresent((queue) -> addItems(items, job, queue, round, wallMillis)));
 		items.sort(WorkItem.ORDER);
 		for (WorkItem item : items) {
 			if (round.assignments.size() >= MAXIMUM_ASSIGNMENTS) {
@@ -130,28 +130,28 @@
 		}
 	}
 
-	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, boolean isPoolUnderused,
-			long wallMillis) {
+	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, Round round, long wallMillis) {
 		for (Occurrence occurrence : job.occurrences()) {
 			List<StepTasks> steps = occurrence.steps();
 			for (int number = 0; number < steps.size(); number++) {
 				StepTasks step = steps.get(number);
 				boolean isWaiting = !step.isDone() && step.tasks().stream().anyMatch(BatchTask::isWaiting);
 				if (isWaiting && occurrence.isReady(number)) {
-					items.add(item(job, queue, occurrence, number, isPoolUnderused, wallMillis));
+					items.add(item(job, queue, occurrence, number, round, wallMillis));
 				}
 			}
 		}
 	}
 
-	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, boolean isPoolUnderused,
+	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, Round round,
 			long wallMillis) {
 		long slackMillis = this.slackCalculator.slackMillis(job, queue, occurrence, step, wallMillis);
 		StepTasks tasks = occurrence.steps().get(step);
 		WorkItem.Urgency urgency;
 		if (tasks.spec().longRunning()) {
-			boolean isOverdue = isPoolUnderused && wallMillis - job.acceptedMillis() >= POOL_GROWTH_MILLIS;
-			urgency = (hasBeenStarted(tasks) || isOverdue) ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
+			boolean hasWaited = wallMillis - job.acceptedMillis() >= POOL_GROWTH_MILLIS;
+			boolean isRestored = hasBeenStarted(tasks) || (hasWaited && round.isUnderused(queue.pool()));
+			urgency = isRestored ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
 		}
 		else {
 			urgency = (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
