--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -19,8 +19,8 @@
 
 /**
  * Supervises the channels of each runner: one for heartbeats, which the runner may answer
- * late (long polling), and one for all other orders. An order whose channel fails is
- * answered as unanswered, so that it does not stay in flight, and the next order gets a
+ * late (long polling), and one for all other orders. If a channel fails, its order is
+ * reported as unanswered, so that the session sends it again, and the next order gets a
  * new channel. Mutable; owned by the {@link SchedulerActor}.
  */
 final class RunnerChannels {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -254,10 +254,10 @@
 	void assign(List<BatchCommand.Assignment> assignments) {
 		Set<TaskId> incompleteGangs = assignments.stream()
 			.filter((assignment) -> isGang(assignment.task()) && !isAssignable(assignment))
-			.map((assignment) -> firstTask(assignment.task()))
+			.map((assignment) -> firstTaskOfStep(assignment.task()))
 			.collect(Collectors.toSet());
 		assignments.stream()
-			.filter((assignment) -> !incompleteGangs.contains(firstTask(assignment.task())))
+			.filter((assignment) -> !incompleteGangs.contains(firstTaskOfStep(assignment.task())))
 			.filter(this::isAssignable)
 			.forEach(this::assign);
 	}
@@ -291,7 +291,7 @@
 		return step(task).filter((step) -> step.spec().gang()).isPresent();
 	}
 
-	private static TaskId firstTask(TaskId task) {
+	private static TaskId firstTaskOfStep(TaskId task) {
 		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
 	}
 
