--- a/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/EventRecord.java
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/EventRecord.java
@@ -52,7 +52,7 @@
 	}
 
 	/**
-	 * Returns which life of the process wrote the event.
+	 * Returns which incarnation of the process wrote the event.
 	 * @return the process with its incarnation
 	 */
 	public String life() {
--- a/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/ProcessName.java
+++ b/burdockpin-timeline/src/main/java/io/burdockpin/timeline/model/ProcessName.java
@@ -3,7 +3,7 @@
 import java.util.Comparator;
 
 /**
- * A process with one lane on the time line. Its lives share the lane.
+ * A process with one lane on the time line. Its incarnations share the lane.
  *
  * @param program the program
  * @param host the host it runs on
