--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -267,11 +267,10 @@
 	// remains registered when its pool is removed.
 	private boolean isPoolKnown(RunnerRecord runner) {
 		boolean isConfigured = this.state.configuration()
-			.filter((configuration) -> configuration.pool(runner.pool()).isEmpty())
-			.isEmpty();
-		return isConfigured || this.state.runner(runner.key().id())
-			.filter((known) -> known.key().equals(runner.key()) && known.pool().equals(runner.pool()))
-			.isPresent();
+			.map((configuration) -> configuration.pool(runner.pool()).isPresent())
+			.orElse(true);
+		return isConfigured
+				|| this.state.runner(runner.key()).filter((known) -> known.pool().equals(runner.pool())).isPresent();
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -147,18 +147,22 @@
 			long wallMillis) {
 		long slackMillis = this.slackCalculator.slackMillis(job, queue, occurrence, step, wallMillis);
 		StepTasks tasks = occurrence.steps().get(step);
-		WorkItem.Urgency urgency;
-		if (tasks.spec().longRunning()) {
-			boolean hasWaited = wallMillis - job.acceptedMillis() >= POOL_GROWTH_MILLIS;
-			boolean isRestored = hasBeenStarted(tasks) || (hasWaited && round.isUnderused(queue.pool()));
-			urgency = isRestored ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
-		}
-		else {
-			urgency = (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
-		}
+		boolean hasWaited = wallMillis - job.acceptedMillis() >= POOL_GROWTH_MILLIS;
+		WorkItem.Urgency urgency = tasks.spec().longRunning() ? longRunningUrgency(tasks, queue, hasWaited, round)
+				: finiteUrgency(slackMillis);
 		return new WorkItem(job, queue, occurrence, step, tasks, urgency, slackMillis);
 	}
 
+	private static WorkItem.Urgency finiteUrgency(long slackMillis) {
+		return (slackMillis >= 0) ? WorkItem.Urgency.IN_TIME : WorkItem.Urgency.LATE;
+	}
+
+	private static WorkItem.Urgency longRunningUrgency(StepTasks tasks, BatchQueue queue, boolean hasWaited,
+			Round round) {
+		boolean isRestored = hasBeenStarted(tasks) || (hasWaited && round.isUnderused(queue.pool()));
+		return isRestored ? WorkItem.Urgency.RESTORE : WorkItem.Urgency.LONG_RUNNING;
+	}
+
 	// A step that has lost all its tasks, for example with a single host, has been
 	// started.
 	private static boolean hasBeenStarted(StepTasks tasks) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -100,6 +100,15 @@
 		return Optional.ofNullable(this.runners.get(id));
 	}
 
+	/**
+	 * Finds an incarnation of a runner.
+	 * @param incarnation the identifier of the runner and its start time
+	 * @return empty if this incarnation is not registered
+	 */
+	public Optional<RunnerRecord> runner(RunnerKey incarnation) {
+		return runner(incarnation.id()).filter((known) -> known.key().equals(incarnation));
+	}
+
 	/**
 	 * Finds the runner on a host.
 	 * @param host the name of the host
@@ -277,16 +286,12 @@
 	// being committed. No leader has a session with such a runner, so a run on it would
 	// be neither ordered nor released.
 	private boolean isAssignable(BatchCommand.Assignment assignment) {
-		return isRegistered(assignment.runner()) && this.activeJobs.containsKey(assignment.task().job())
+		return runner(assignment.runner()).isPresent() && this.activeJobs.containsKey(assignment.task().job())
 				&& task(assignment.task()).filter(BatchTask::isWaiting)
 					.filter((waiting) -> assignment.run() > waiting.lastRun())
 					.isPresent();
 	}
 
-	private boolean isRegistered(RunnerKey runner) {
-		return runner(runner.id()).filter((known) -> known.key().equals(runner)).isPresent();
-	}
-
 	private boolean isGang(TaskId task) {
 		return step(task).filter((step) -> step.spec().gang()).isPresent();
 	}
@@ -350,7 +355,7 @@
 	}
 
 	CommandResult remove(RunnerKey runner) {
-		Optional<RunnerRecord> known = runner(runner.id()).filter((record) -> record.key().equals(runner));
+		Optional<RunnerRecord> known = runner(runner);
 		known.ifPresent((record) -> {
 			this.runs.on(runner).forEach((run) -> endRun(run, ""));
 			removeRunner(record);
@@ -432,7 +437,7 @@
 		}
 		snapshot.runners().forEach(state::putRunner);
 		// Earlier versions kept runs of runners that are not registered.
-		snapshot.runs().stream().filter((run) -> state.isRegistered(run.runner())).forEach((run) -> {
+		snapshot.runs().stream().filter((run) -> state.runner(run.runner()).isPresent()).forEach((run) -> {
 			state.runs.add(run);
 			state.task(run.task()).ifPresent((task) -> task.assign(run));
 		});
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -216,7 +216,7 @@
 			}
 		});
 		this.state.runs().runners().forEach((key) -> {
-			if (this.state.runner(key.id()).filter((known) -> known.key().equals(key)).isEmpty()) {
+			if (this.state.runner(key).isEmpty()) {
 				overdue.add("%d runs are assigned to %s, which is not registered"
 					.formatted(this.state.runs().on(key).size(), key));
 			}
