Record the age of the last order about a host with each new order

The logs had only the answer of each order, so they could not tell whether two leaders ordered a host too close to each other, by which clock the pause was measured, or whose order came before. No logic changes; HostOrderHistory is not yet used for decisions.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -22,6 +22,7 @@
 import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.FleetLeader;
 import io.burdockpin.core.batch.lead.HostOrder;
+import io.burdockpin.core.batch.lead.HostOrderHistory;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.RunnerOrder;
 import io.burdockpin.core.batch.state.BatchCommand;
@@ -81,6 +82,8 @@
 
 	private final SchedulerEvents events;
 
+	private final HostOrderHistory hostOrderHistory;
+
 	private final PendingProposals proposals = new PendingProposals();
 
 	private final ConfirmedReads reads = new ConfirmedReads();
@@ -122,6 +125,7 @@
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.permit = new LeadershipPermit(clock, wallClock);
+		this.hostOrderHistory = new HostOrderHistory(clock.millis());
 		this.events = new SchedulerEvents(eventLog, wallClock);
 		this.hostReplies = context.messageAdapter(HostChannel.Answered.class, SchedulerCommand.FromHosts::new);
 		this.hostLists = context.messageAdapter(HostChannel.Listed.class, SchedulerCommand.FromHostList::new);
@@ -311,6 +315,7 @@
 		if (entry.content() instanceof EntryContent.CommandContent content) {
 			CommandGroup group = this.groupCodec.decode(content.payload().bytes());
 			List<CommandResult> results = this.state.apply(group);
+			recordHostOrders(entry.term(), group, results);
 			this.leader.ifPresent((leading) -> onApplied(leading, entry.index(), group, results));
 		}
 		this.proposals.onCommitted(entry.index());
@@ -321,6 +326,14 @@
 		}
 	}
 
+	private void recordHostOrders(long entryTerm, CommandGroup group, List<CommandResult> results) {
+		for (int number = 0; number < results.size(); number++) {
+			if (results.get(number) == CommandResult.APPLIED) {
+				this.hostOrderHistory.onApplied(group.commands().get(number), entryTerm, this.clock.millis());
+			}
+		}
+	}
+
 	private void onApplied(FleetLeader leading, long index, CommandGroup group, List<CommandResult> results) {
 		long nowMillis = this.clock.millis();
 		for (int number = 0; number < results.size(); number++) {
@@ -335,6 +348,7 @@
 		this.appliedIndex = snapshot.index();
 		this.state = (snapshot.state().lengthBytes() == 0) ? new BatchState()
 				: BatchState.restore(this.snapshotCodec.decode(snapshot.state().bytes()));
+		this.hostOrderHistory.onRestored(this.clock.millis());
 		logger.atInfo().log("Restored the state from a snapshot at log index %d.", snapshot.index());
 	}
 
@@ -471,11 +485,17 @@
 		SendWindow window = this.permit.newWindow();
 		this.reads.add(() -> {
 			if (this.leader.filter((present) -> present == leading).isPresent()) {
-				orders.forEach((order) -> this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies)));
+				orders.forEach((order) -> send(order, window));
 			}
 		}, () -> logger.atInfo().log("%d orders about hosts are not sent: not the leader.", orders.size()));
 	}
 
+	private void send(HostOrder order, SendWindow window) {
+		this.events.hostOrdered(order, this.hostOrderHistory.lastChange(order.host()), this.clock.millis(),
+				this.state.lastHostOrderMillis(order.host()));
+		this.hosts.tell(new HostChannel.Send(order, window, this.hostReplies));
+	}
+
 	private void propose() {
 		this.lastTag++;
 		Payload payload = Payload
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.lead.HostOrder;
+import io.burdockpin.core.batch.lead.HostOrderHistory;
 import io.burdockpin.core.batch.lead.RunnerContact;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunOutcome;
@@ -53,6 +55,27 @@
 			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis()));
 	}
 
+	/**
+	 * Records an order about a host with the age of the last change of an order about the
+	 * same host, which may be that of an earlier leader.
+	 * @param order the order
+	 * @param change the last applied change; empty if it is not known
+	 * @param nowMillis the current monotonic time
+	 * @param changedWallMillis when that change was proposed, by the wall clock of its
+	 * leader
+	 */
+	void hostOrdered(HostOrder order, Optional<HostOrderHistory.Change> change, long nowMillis,
+			long changedWallMillis) {
+		Event ordered = event(EventKind.HOST_ORDERED).with(EventField.HOST, order.host())
+			.with(EventField.TERM, order.fencingToken())
+			.with(EventField.STATE, order.getClass().getSimpleName())
+			.with(EventField.CHANGED_WALL_MILLIS, this.wallClock.millis() - changedWallMillis);
+		record(change
+			.map((known) -> ordered.with(EventField.PREVIOUS_TERM, known.term())
+				.with(EventField.CHANGED_MILLIS, nowMillis - known.appliedMillis()))
+			.orElse(ordered));
+	}
+
 	/**
 	 * Records a command that took effect.
 	 * @param index the index of its log entry
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -128,6 +128,21 @@
 	/** Time that an order has been unanswered in milliseconds. */
 	OPEN_MILLIS("openMillis"),
 
+	/** Term of the leader that proposed the last change of an order about a host. */
+	PREVIOUS_TERM("previousTerm"),
+
+	/**
+	 * Time since that change was applied, by the monotonic clock of the recording
+	 * process, in milliseconds.
+	 */
+	CHANGED_MILLIS("changedMillis"),
+
+	/**
+	 * Time since that change was proposed, by the wall clocks of the proposing and the
+	 * recording process, in milliseconds.
+	 */
+	CHANGED_WALL_MILLIS("changedWallMillis"),
+
 	/** Short free text. */
 	DETAIL("detail");
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -92,6 +92,9 @@
 	/** The state of a host in a maintenance wave changed. */
 	UPKEEP_CHANGED,
 
+	/** An order about a host was passed to the channel of the platform. */
+	HOST_ORDERED,
+
 	/** A call was answered with an error instead of the requested result. */
 	CALL_REFUSED,
 
