End the permission to send before a leadership transfer

Around a planned stop, a hanging disk or the replacement of a leader's own host two members could send orders at the same time.

Cause: a leader sends for 400 ms after it asked for a confirmation, because members that have heard a leader elect nobody for 500 ms. A transfer breaks that promise: the successor stands for election at once and the others vote for it although they have just heard the leader. Neither the scheduler nor the orders that waited in the channels knew. A transfer request that was delayed could also be acted on after its sender had resumed its leadership.

Change: a confirmed read says whether it permits sending, and it does not once a transfer has begun. The successor is asked to stand for election when the permissions granted before have ended, at most 500 ms later; until then proposals are still accepted. A leader that has asked a successor steps down at the end of the transfer instead of resuming.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
@@ -207,10 +207,11 @@
 			this.owner.tell(new ConsensusReport.Restored(restore.snapshot()));
 		}
 		else if (effect instanceof Effect.ReadConfirmed read) {
-			this.owner.tell(new ConsensusReport.ReadDone(read.readNumber(), true));
+			this.owner
+				.tell(new ConsensusReport.ReadDone(read.readNumber(), ReadOutcome.confirmed(read.permitsSending())));
 		}
 		else if (effect instanceof Effect.ReadRefused read) {
-			this.owner.tell(new ConsensusReport.ReadDone(read.readNumber(), false));
+			this.owner.tell(new ConsensusReport.ReadDone(read.readNumber(), ReadOutcome.REFUSED));
 		}
 		else if (effect instanceof Effect.LeadershipChanged changed) {
 			this.owner.tell(new ConsensusReport.LeadershipChanged(changed.role() == Role.LEADER, changed.term(),
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusReport.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusReport.java
@@ -55,9 +55,9 @@
 	 * A read was confirmed or cannot be confirmed.
 	 *
 	 * @param number copied from the read
-	 * @param confirmed whether the state machine is current, so that it can be read
+	 * @param outcome what the confirmation permits
 	 */
-	record ReadDone(long number, boolean confirmed) implements ConsensusReport {
+	record ReadDone(long number, ReadOutcome outcome) implements ConsensusReport {
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/ConfirmedReads.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/ConfirmedReads.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+import io.burdockpin.batch.consensus.ReadOutcome;
 
 /**
  * Actions of a leader that wait until a majority has confirmed its leadership. Actions
@@ -13,9 +16,9 @@
  */
 final class ConfirmedReads {
 
-	private final Map<Long, List<Action>> requested = new HashMap<>();
+	private final Map<Long, List<Consumer<ReadOutcome>>> requested = new HashMap<>();
 
-	private final List<Action> queued = new ArrayList<>();
+	private final List<Consumer<ReadOutcome>> queued = new ArrayList<>();
 
 	private long lastNumber;
 
@@ -25,7 +28,23 @@
 	 * @param whenRefused runs if that cannot be confirmed
 	 */
 	void add(Runnable whenConfirmed, Runnable whenRefused) {
-		this.queued.add(new Action(whenConfirmed, whenRefused));
+		this.queued.add((outcome) -> (outcome.permitsReading() ? whenConfirmed : whenRefused).run());
+	}
+
+	/**
+	 * Adds an action that sends what only a leader may send.
+	 * @param whenPermitted runs once this member is known to lead and may send
+	 * @param whenRefused receives any other outcome
+	 */
+	void addSending(Runnable whenPermitted, Consumer<ReadOutcome> whenRefused) {
+		this.queued.add((outcome) -> {
+			if (outcome.permitsSending()) {
+				whenPermitted.run();
+			}
+			else {
+				whenRefused.accept(outcome);
+			}
+		});
 	}
 
 	/**
@@ -42,15 +61,11 @@
 		return OptionalLong.of(this.lastNumber);
 	}
 
-	void onDone(long number, boolean confirmed) {
-		List<Action> actions = this.requested.remove(number);
+	void onDone(long number, ReadOutcome outcome) {
+		List<Consumer<ReadOutcome>> actions = this.requested.remove(number);
 		if (actions != null) {
-			actions.forEach((action) -> (confirmed ? action.whenConfirmed() : action.whenRefused()).run());
+			actions.forEach((action) -> action.accept(outcome));
 		}
 	}
 
-	private record Action(Runnable whenConfirmed, Runnable whenRefused) {
-
-	}
-
 }
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeadershipPermit.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeadershipPermit.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 
+import io.burdockpin.batch.consensus.ReadOutcome;
 import io.burdockpin.batch.port.SendWindow;
 
 /**
@@ -13,9 +14,9 @@
 final class LeadershipPermit {
 
 	/**
-	 * After contact with a leader, members elect no other one for at least the minimum
-	 * election timeout of 500 ms. A fifth is left as a margin for differences in clock
-	 * rates.
+	 * No other member is elected within the minimum election timeout of 500 ms from the
+	 * request of a confirmation that permits sending. A fifth is left as a margin for
+	 * differences in clock rates.
 	 */
 	private static final int VALID_MILLIS = 400;
 
@@ -30,7 +31,8 @@
 
 	private boolean renewing;
 
-	private long requestedMillis;
+	/** Time of the newest request in this term. */
+	private Optional<Long> requestedMillis = Optional.empty();
 
 	LeadershipPermit(InstantSource clock, InstantSource wallClock) {
 		this.clock = clock;
@@ -47,7 +49,8 @@
 
 	boolean isRenewalDue() {
 		return !this.renewing
-				&& (this.window.isEmpty() || this.clock.millis() - this.requestedMillis >= RENEWAL_MILLIS);
+				&& this.requestedMillis.filter((requested) -> this.clock.millis() - requested < RENEWAL_MILLIS)
+					.isEmpty();
 	}
 
 	/**
@@ -57,12 +60,9 @@
 	 */
 	void renew(ConfirmedReads reads) {
 		this.renewing = true;
-		this.requestedMillis = this.clock.millis();
+		this.requestedMillis = Optional.of(this.clock.millis());
 		SendWindow next = newWindow();
-		reads.add(() -> {
-			this.renewing = false;
-			this.window = Optional.of(next);
-		}, this::revoke);
+		reads.addSending(() -> onAnswer(Optional.of(next)), this::onRefused);
 	}
 
 	/**
@@ -75,8 +75,25 @@
 
 	/** Ends the permission, because this member has stepped down. */
 	void revoke() {
+		onAnswer(Optional.empty());
+		this.requestedMillis = Optional.empty();
+	}
+
+	// A leader that hands over asks again after the renewal period, since the transfer
+	// may
+	// not succeed.
+	private void onRefused(ReadOutcome outcome) {
+		if (outcome.permitsReading()) {
+			onAnswer(Optional.empty());
+		}
+		else {
+			revoke();
+		}
+	}
+
+	private void onAnswer(Optional<SendWindow> granted) {
 		this.renewing = false;
-		this.window = Optional.empty();
+		this.window = granted;
 	}
 
 }
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -23,6 +23,7 @@
 import io.burdockpin.core.batch.lead.FleetLeader;
 import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.HostOrderHistory;
+import io.burdockpin.core.batch.lead.HostReply;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.RunnerOrder;
 import io.burdockpin.core.batch.state.BatchCommand;
@@ -299,7 +300,7 @@
 			onNotProposed(refused.tag());
 		}
 		else if (report instanceof ConsensusReport.ReadDone read) {
-			this.reads.onDone(read.number(), read.confirmed());
+			this.reads.onDone(read.number(), read.outcome());
 		}
 		else if (report instanceof ConsensusReport.LeadershipChanged changed) {
 			onLeadershipChanged(changed);
@@ -369,7 +370,8 @@
 	}
 
 	private void startLeading() {
-		this.leader = Optional.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
+		this.leader = Optional
+			.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
 	}
 
 	private void onLeadershipChanged(ConsensusReport.LeadershipChanged changed) {
@@ -483,11 +485,20 @@
 			return;
 		}
 		SendWindow window = this.permit.newWindow();
-		this.reads.add(() -> {
-			if (this.leader.filter((present) -> present == leading).isPresent()) {
+		this.reads.addSending(() -> {
+			if (isLeading(leading)) {
 				orders.forEach((order) -> send(order, window));
 			}
-		}, () -> logger.atInfo().log("%d orders about hosts are not sent: not the leader.", orders.size()));
+		}, (outcome) -> {
+			logger.atInfo().log("%d orders about hosts are not sent: leadership is not confirmed.", orders.size());
+			if (isLeading(leading)) {
+				orders.forEach((order) -> leading.onHostReply(order, HostReply.NO_ANSWER, this.clock.millis()));
+			}
+		});
+	}
+
+	private boolean isLeading(FleetLeader leading) {
+		return this.leader.filter((present) -> present == leading).isPresent();
 	}
 
 	private void send(HostOrder order, SendWindow window) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -11,6 +11,7 @@
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.consensus.ConsensusCommand;
 import io.burdockpin.batch.consensus.ConsensusReport;
+import io.burdockpin.batch.consensus.ReadOutcome;
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.batch.port.ReplyPort;
 import io.burdockpin.batch.port.RunnerChannel;
@@ -106,7 +107,7 @@
 		lead();
 		ConsensusCommand.Read read = nextRead();
 		this.runners.expectNoMessage(Duration.ofMillis(100));
-		report(new ConsensusReport.ReadDone(read.number(), true));
+		report(new ConsensusReport.ReadDone(read.number(), ReadOutcome.READABLE_AND_SENDABLE));
 		Truth.assertThat(this.runners.expectMessageClass(RunnerChannel.Send.class).order().fencingToken())
 			.isEqualTo(TERM);
 	}
@@ -141,7 +142,7 @@
 		order.replyTo().tell(new RunnerChannel.Answered(RUNNER.key(), order.order(), RunnerReply.NoAnswer.NOT_SENT));
 		ConsensusCommand.Read read = nextRead();
 		this.runners.expectNoMessage(Duration.ofMillis(100));
-		report(new ConsensusReport.ReadDone(read.number(), true));
+		report(new ConsensusReport.ReadDone(read.number(), ReadOutcome.READABLE_AND_SENDABLE));
 		this.steadyMillis.addAndGet(1_000);
 		this.time.timePasses(Duration.ofMillis(40));
 		completeReads(true);
@@ -157,6 +158,22 @@
 		this.runners.expectNoMessage(Duration.ofMillis(100));
 	}
 
+	/**
+	 * Guards against orders of a leader whose successor may be elected at once, because
+	 * the leadership is being transferred.
+	 */
+	@Test
+	void duringALeadershipTransferCallsAreAnsweredAndNothingIsOrdered() {
+		lead();
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.ReadConfiguration(), replyPort()));
+		report(new ConsensusReport.ReadDone(nextRead().number(), ReadOutcome.READABLE));
+		this.steadyMillis.addAndGet(200);
+		this.time.timePasses(Duration.ofMillis(40));
+		report(new ConsensusReport.ReadDone(nextRead().number(), ReadOutcome.READABLE));
+		Truth.assertThat(this.replies.receiveMessage()).isNotInstanceOf(FleetReply.NotLeader.class);
+		this.runners.expectNoMessage(Duration.ofMillis(100));
+	}
+
 	/**
 	 * Guards against a runner that is never contacted again because its channel failed
 	 * with an order in flight.
@@ -187,7 +204,8 @@
 
 	private void completeReads(boolean confirmed) {
 		ConsensusCommand.Read read = nextRead();
-		report(new ConsensusReport.ReadDone(read.number(), confirmed));
+		report(new ConsensusReport.ReadDone(read.number(),
+				confirmed ? ReadOutcome.READABLE_AND_SENDABLE : ReadOutcome.REFUSED));
 	}
 
 	private ConsensusCommand.Read nextRead() {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Effect.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Effect.java
@@ -79,8 +79,11 @@
 	 *
 	 * @param readNumber the number passed to {@link Replica#read(long, long)}
 	 * @param index the log index that the read must include
+	 * @param permitsSending whether messages that only a leader may send are permitted
+	 * for the minimum election timeout from the request of the read, by the clock of this
+	 * member; {@code false} during a leadership transfer
 	 */
-	record ReadConfirmed(long readNumber, long index) implements Effect {
+	record ReadConfirmed(long readNumber, long index, boolean permitsSending) implements Effect {
 
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -40,6 +40,12 @@
 
 	private Optional<Transfer> transfer = Optional.empty();
 
+	/**
+	 * End of the newest permission to send. It is granted by a confirmed read and lasts
+	 * for the minimum election timeout from the request of that read.
+	 */
+	private long permittedUntilMillis = Long.MIN_VALUE;
+
 	/** Whether a leadership transfer was started because the disk hangs. */
 	private boolean handOverAttempted;
 
@@ -63,6 +69,16 @@
 		return this.transfer.isPresent();
 	}
 
+	/**
+	 * Tells whether proposals are rejected because of a leadership transfer. While the
+	 * permission to send runs out, proposals are still accepted.
+	 * @param nowMillis the current monotonic time
+	 * @return {@code true} if the successor may be asked to stand for election
+	 */
+	boolean rejectsProposals(long nowMillis) {
+		return this.transfer.filter((pending) -> nowMillis >= this.permittedUntilMillis).isPresent();
+	}
+
 	/**
 	 * Tells whether the first entry of this term is committed. Until then the leader does
 	 * not know which entries of earlier terms are committed.
@@ -92,7 +108,9 @@
 	long nextDueMillis(long nowMillis) {
 		long contactMillis = this.log.membership().majorityValue((id) -> lastContactMillis(id, nowMillis));
 		long lossMillis = Math.max(contactMillis, 0) + contactLimitMillis(nowMillis) + 1;
-		long transferMillis = this.transfer.map(Transfer::deadlineMillis).orElse(Long.MAX_VALUE);
+		long transferMillis = this.transfer
+			.map((pending) -> pending.nextDueMillis(nowMillis, this.permittedUntilMillis))
+			.orElse(Long.MAX_VALUE);
 		return Math.min(this.nextHeartbeatMillis, Math.min(lossMillis, transferMillis));
 	}
 
@@ -110,7 +128,7 @@
 		if (nowMillis >= this.nextHeartbeatMillis) {
 			startHeartbeatRound(nowMillis);
 		}
-		this.transfer = this.transfer.filter((pending) -> nowMillis < pending.deadlineMillis());
+		this.transfer = this.transfer.filter((pending) -> pending.requested() || nowMillis < pending.deadlineMillis());
 	}
 
 	long append(EntryContent content, long nowMillis) {
@@ -162,13 +180,13 @@
 		commitMajority();
 		confirmReads(nowMillis);
 		promoteLearner(nowMillis);
-		completeTransfer();
+		completeTransfer(nowMillis);
 	}
 
 	void read(long readNumber, long nowMillis) {
 		long index = Math.max(this.log.commitIndex(), this.firstIndex);
 		boolean isRoundComplete = isAcknowledged(this.round);
-		this.pendingReads.add(new PendingRead(readNumber, index, this.round + 1));
+		this.pendingReads.add(new PendingRead(readNumber, index, this.round + 1, nowMillis));
 		if (isRoundComplete) {
 			startHeartbeatRound(nowMillis);
 		}
@@ -181,8 +199,11 @@
 	}
 
 	/**
-	 * Starts a leadership transfer to the voter with the highest match index. Proposals
-	 * are rejected until that voter has taken over or an election timeout has passed.
+	 * Starts a leadership transfer to the voter with the highest match index. No further
+	 * permission to send is granted, and that voter is asked to stand for election once
+	 * the permissions granted before have ended, because the others vote for it although
+	 * they have just heard this leader. Proposals are rejected from then on. If the voter
+	 * cannot be asked within an election timeout, this leader continues.
 	 * @param nowMillis the current monotonic time
 	 */
 	void handOver(long nowMillis) {
@@ -195,19 +216,25 @@
 			.map(Member::id)
 			.filter(this.progresses::containsKey)
 			.max((left, right) -> Long.compare(matchIndex(left), matchIndex(right)));
-		long deadlineMillis = nowMillis + this.settings.electionTimeoutMinimumMillis();
+		long startMillis = Math.max(nowMillis, this.permittedUntilMillis);
+		long deadlineMillis = startMillis + this.settings.electionTimeoutMinimumMillis();
 		this.transfer = best.map((target) -> new Transfer(target, deadlineMillis, false));
-		completeTransfer();
+		completeTransfer(nowMillis);
 	}
 
 	/**
 	 * Starts a leadership transfer when the disk hangs.
 	 * @param diskHangs whether the disk hangs at present
 	 * @param nowMillis the current monotonic time
-	 * @return whether the disk hangs and no transfer is pending, so that this member must
-	 * step down without a successor
+	 * @return whether the disk hangs and no transfer is pending, or a successor that was
+	 * asked to stand for election has not taken over; this member must step down then
 	 */
 	boolean mustStepDown(boolean diskHangs, long nowMillis) {
+		// The request may still be on its way, so this leader must not continue.
+		if (this.transfer.filter((pending) -> pending.requested() && nowMillis >= pending.deadlineMillis())
+			.isPresent()) {
+			return true;
+		}
 		if (diskHangs && !this.handOverAttempted) {
 			handOver(nowMillis);
 		}
@@ -251,7 +278,14 @@
 	private void confirmReads(long nowMillis) {
 		List<PendingRead> confirmed = this.pendingReads.stream().filter(this::isConfirmed).toList();
 		this.pendingReads.removeAll(confirmed);
-		confirmed.forEach((read) -> this.outbox.add(new Effect.ReadConfirmed(read.number(), read.index())));
+		boolean permitsSending = !isHandingOver();
+		confirmed.forEach((read) -> {
+			if (permitsSending) {
+				this.permittedUntilMillis = Math.max(this.permittedUntilMillis,
+						read.requestedMillis() + this.settings.electionTimeoutMinimumMillis());
+			}
+			this.outbox.add(new Effect.ReadConfirmed(read.number(), read.index(), permitsSending));
+		});
 		boolean waitForNextRound = this.pendingReads.stream().anyMatch((read) -> read.round() > this.round);
 		if (waitForNextRound && isAcknowledged(this.round)) {
 			startHeartbeatRound(nowMillis);
@@ -279,8 +313,9 @@
 				new EntryContent.MembershipContent(membership.with(learner.withRole(MemberRole.VOTER))), nowMillis));
 	}
 
-	private void completeTransfer() {
-		Optional<Transfer> ready = this.transfer.filter((pending) -> !pending.requested())
+	private void completeTransfer(long nowMillis) {
+		Optional<Transfer> ready = this.transfer
+			.filter((pending) -> !pending.requested() && nowMillis >= this.permittedUntilMillis)
 			.filter((pending) -> matchIndex(pending.target()) == this.log.lastIndex())
 			// Otherwise the proposers of uncommitted entries would get no result.
 			.filter((pending) -> this.log.commitIndex() == this.log.lastIndex());
@@ -358,12 +393,16 @@
 		this.outbox.add(new Effect.Send(id, this.log.membershipIndex(), message));
 	}
 
-	private record PendingRead(long number, long index, long round) {
+	private record PendingRead(long number, long index, long round, long requestedMillis) {
 
 	}
 
 	private record Transfer(MemberId target, long deadlineMillis, boolean requested) {
 
+		private long nextDueMillis(long nowMillis, long permittedUntilMillis) {
+			return (nowMillis < permittedUntilMillis) ? permittedUntilMillis : this.deadlineMillis;
+		}
+
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Replica.java
@@ -224,7 +224,7 @@
 	 */
 	public OptionalLong propose(Payload payload, long nowMillis) {
 		checkLeadership(nowMillis);
-		if (!acceptsProposals()) {
+		if (!acceptsProposals(nowMillis)) {
 			return OptionalLong.empty();
 		}
 		long index = this.leadership.get().append(new EntryContent.CommandContent(payload), nowMillis);
@@ -258,7 +258,7 @@
 		checkLeadership(nowMillis);
 		// The first entry of a term is a membership entry. Without this check, a change
 		// right after an election would be rejected as if another one were in progress.
-		if (!acceptsProposals() || !this.leadership.get().hasCommittedEntryOfTerm()) {
+		if (!acceptsMembershipChanges()) {
 			return changeResult(MembershipChangeResult.Kind.NOT_LEADER);
 		}
 		boolean isPending = this.log.membershipIndex() > this.log.commitIndex();
@@ -587,8 +587,14 @@
 		return message instanceof ConsensusMessage.VoteReply reply && reply.preVote() && reply.granted();
 	}
 
-	private boolean acceptsProposals() {
-		return this.leadership.filter((leading) -> !leading.isHandingOver()).isPresent();
+	private boolean acceptsMembershipChanges() {
+		return this.leadership.filter((leading) -> !leading.isHandingOver())
+			.filter(Leadership::hasCommittedEntryOfTerm)
+			.isPresent();
+	}
+
+	private boolean acceptsProposals(long nowMillis) {
+		return this.leadership.filter((leading) -> !leading.rejectsProposals(nowMillis)).isPresent();
 	}
 
 	private MembershipChangeResult proposeMembership(Membership changed, long nowMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeCluster.java
@@ -51,6 +51,9 @@
 
 	private final Map<Long, Long> reads = new HashMap<>();
 
+	/** Request times of the reads. */
+	private final Map<Long, Long> readMillis = new HashMap<>();
+
 	private final Map<List<Object>, Long> matches = new HashMap<>();
 
 	private long nowMillis;
@@ -156,6 +159,7 @@
 		member.replica = Optional.empty();
 		member.processIncarnation++;
 		member.frozenUntilMillis = 0;
+		member.permittedUntilMillis = 0;
 		member.disk.crash(this.random.nextInt(2));
 	}
 
@@ -207,6 +211,7 @@
 		this.lastNumber++;
 		long readNumber = this.lastNumber;
 		this.reads.put(readNumber, this.invariants.highestCommitted());
+		this.readMillis.put(readNumber, this.nowMillis);
 		if (this.injectedBug == InjectedBug.READ_WITHOUT_MAJORITY && member.isLeader()) {
 			this.invariants.onReadConfirmed(member.id(), this.reads.get(readNumber),
 					member.replica.get().status().commitIndex());
@@ -362,6 +367,14 @@
 		}
 		else if (effect instanceof Effect.ReadConfirmed read) {
 			this.invariants.onReadConfirmed(member.id(), this.reads.get(read.readNumber()), member.appliedIndex);
+			if (read.permitsSending()) {
+				members().stream()
+					.filter((other) -> other != member)
+					.forEach((other) -> this.invariants.checkPermissionEnded(other.id(), member.id(),
+							other.permittedUntilMillis, this.nowMillis));
+				member.permittedUntilMillis = Math.max(member.permittedUntilMillis,
+						this.readMillis.get(read.readNumber()) + SETTINGS.electionTimeoutMinimumMillis());
+			}
 		}
 		else if (effect instanceof Effect.LeadershipChanged changed && changed.role() == Role.LEADER) {
 			this.invariants.onElected(changed.term(), member.id());
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeMember.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/FakeMember.java
@@ -29,6 +29,9 @@
 
 	boolean syncScheduled;
 
+	/** Until when this member may send, according to its newest confirmed read. */
+	long permittedUntilMillis;
+
 	FakeMember(HostName host, FakeDisk disk) {
 		this.host = host;
 		this.disk = disk;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/Invariants.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/Invariants.java
@@ -68,6 +68,12 @@
 				index, requestedAtIndex);
 	}
 
+	/** Checks that a member is permitted to send only after another one no longer is. */
+	void checkPermissionEnded(MemberId member, MemberId successor, long permittedUntilMillis, long nowMillis) {
+		check(nowMillis >= permittedUntilMillis, "%s may send from %d, but %s may send until %d", successor, nowMillis,
+				member, permittedUntilMillis);
+	}
+
 	void onRestored(MemberId member, Snapshot snapshot) {
 		Payload expected = stateAt(snapshot.index());
 		check(snapshot.state().equals(expected), "%s restores a wrong state at %d", member, snapshot.index());
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -140,6 +140,56 @@
 		Truth.assertThat(this.cluster.leader().isPresent()).isTrue();
 	}
 
+	/**
+	 * Guards against a successor that is elected by a transfer while its predecessor
+	 * still sends orders on a confirmation from before the transfer.
+	 */
+	@Test
+	void aLeadershipTransferWaitsUntilThePermissionToSendHasEnded() {
+		FakeMember leader = elected();
+		this.cluster.read(leader);
+		this.cluster.runFor(20);
+		Truth.assertThat(leader.permittedUntilMillis).isGreaterThan(this.cluster.nowMillis());
+		this.cluster.handOver();
+		for (int step = 0; step < 30; step++) {
+			this.cluster.read(this.cluster.leader().orElseThrow());
+			this.cluster.runFor(20);
+		}
+		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
+		Truth.assertThat(leader.isLeader()).isFalse();
+		Truth.assertThat(this.cluster.leader().isPresent()).isTrue();
+	}
+
+	/**
+	 * Guards against two leaders that act at the same time, because the request to stand
+	 * for election was delayed until its sender had resumed its leadership.
+	 */
+	@Test
+	void aLeaderWhoseTransferRequestIsUnansweredStepsDown() {
+		FakeMember leader = elected();
+		this.cluster.members()
+			.stream()
+			.filter((member) -> member != leader)
+			.forEach((member) -> this.cluster.freeze(member, 900));
+		this.cluster.handOver();
+		this.cluster.runFor(600);
+		Truth.assertThat(leader.isLeader()).isFalse();
+		this.cluster.runFor(3_000);
+		Truth.assertThat(this.cluster.leader().isPresent()).isTrue();
+		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
+	}
+
+	@Test
+	void proposalsAreAcceptedUntilThePermissionToSendHasEnded() {
+		FakeMember leader = elected();
+		this.cluster.read(leader);
+		this.cluster.runFor(20);
+		this.cluster.handOver();
+		Truth.assertThat(this.cluster.propose(leader)).isTrue();
+		this.cluster.runFor(490);
+		Truth.assertThat(this.cluster.propose(leader)).isFalse();
+	}
+
 	@Test
 	void aMemberThatLostItsDiskDoesNotVoteBeforeItIsAdmitted() {
 		FakeMember leader = elected();
