Measure the pause between leaders by the clock of the new leader

A new leader could order a host earlier than the lease after the order of its predecessor, by as much as its time of day was ahead of the predecessor's.

Cause: for an order that was closed in the state, the pause was the difference of the time of day at which the predecessor proposed the change and the time of day of the new leader. They are clocks of two hosts, which may differ, and a step of one of them by 2 s leaves 1 s of a pause of 3 s.

Change: each member records when it applied the last change of an order about each host by its own monotonic clock, across terms (HostOrderHistory). The end of an order is committed after its answer, so the platform has received the order before the new leader applied that change.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -371,7 +371,7 @@
 
 	private void startLeading() {
 		this.leader = Optional
-			.of(new FleetLeader(this.state, this.settings, this.term, this.clock.millis()));
+			.of(new FleetLeader(this.state, this.settings, this.hostOrderHistory, this.term, this.clock.millis()));
 	}
 
 	private void onLeadershipChanged(ConsensusReport.LeadershipChanged changed) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/BalanceSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/BalanceSettings.java
@@ -5,7 +5,8 @@
 /**
  * Settings for rebalancing hosts between pools.
  *
- * @param handOverPauseMillis delay after an election before the first order for a host
+ * @param handOverPauseMillis delay of a new leader after an order of an earlier one for
+ * the same host
  * @param lookAheadMillis expected duration of a move; demand is projected this far ahead
  * @param idleTimeoutMillis idle time after which a host returns to the spare pool
  * @param minimumStayMillis minimum time a host stays in a pool after a move
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -137,16 +137,19 @@
 	 * Creates the leader of a term.
 	 * @param state replicated state, with all entries of earlier terms applied
 	 * @param settings settings of this leader
+	 * @param hostOrderHistory changes of host orders, including those of earlier leaders
 	 * @param term term of this leader, used as the fencing token
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	public FleetLeader(BatchState state, LeaderSettings settings, long term, long nowMillis) {
+	public FleetLeader(BatchState state, LeaderSettings settings, HostOrderHistory hostOrderHistory, long term,
+			long nowMillis) {
 		this.state = state;
 		this.settings = settings;
 		this.term = term;
 		this.electedMillis = nowMillis;
-		this.waveController = new WaveController(state, settings.waves(), term, nowMillis);
-		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis, this.durationEstimator);
+		this.waveController = new WaveController(state, settings.waves(), hostOrderHistory, term, nowMillis);
+		this.balancer = new PoolBalancer(state, settings.balance(), hostOrderHistory, term, nowMillis,
+				this.durationEstimator);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		// Sessions are visited in this order, so runners with tasks are contacted before
 		// their leases expire.
@@ -378,7 +381,7 @@
 		if (sweeps) {
 			this.sweptMillis = nowMillis;
 			openDueOccurrences(wallMillis);
-			this.waveController.tick(this.sessions, nowMillis, wallMillis);
+			this.waveController.tick(this.sessions, nowMillis);
 			this.balancer.tick(this.sessions, this.state::hasUnfinishedMaintenance, this.hostOrders.size(), nowMillis,
 					wallMillis);
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HandOverPause.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HandOverPause.java
@@ -1,40 +1,42 @@
 package io.burdockpin.core.batch.lead;
 
-import io.burdockpin.core.batch.state.BatchState;
-
 /**
  * Separates the orders of two leaders for the same host: a new leader waits for a delay
- * after the last order that an earlier leader committed. Immutable.
+ * after the last order of an earlier leader. The delay covers the time in which the
+ * holder of an order keeps its claim on the host and the time in which an order that was
+ * sent may still reach the platform. All times are of the monotonic clock of this member.
+ * Immutable.
  */
 final class HandOverPause {
 
-	private final BatchState state;
+	private final HostOrderHistory history;
 
 	private final long pauseMillis;
 
 	private final long electedMillis;
 
-	HandOverPause(BatchState state, long pauseMillis, long electedMillis) {
-		this.state = state;
+	HandOverPause(HostOrderHistory history, long pauseMillis, long electedMillis) {
+		this.history = history;
 		this.pauseMillis = pauseMillis;
 		this.electedMillis = electedMillis;
 	}
 
 	/**
-	 * Checks whether an order for a host may be committed and sent.
+	 * Checks whether a new order for a host may be committed and sent. An earlier leader
+	 * has committed the end of its order after the answer, so the platform received that
+	 * order before this member applied the change.
 	 * @param host name of the host
 	 * @param nowMillis current monotonic time, in milliseconds
-	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 * @return {@code true} if the delay after the last order of an earlier leader has
 	 * elapsed
 	 */
-	boolean hasElapsed(String host, long nowMillis, long wallMillis) {
-		boolean ledLongEnough = nowMillis - this.electedMillis >= this.pauseMillis;
-		return ledLongEnough || wallMillis - this.state.lastHostOrderMillis(host) >= this.pauseMillis;
+	boolean hasElapsed(String host, long nowMillis) {
+		return hasElapsedForOpenOrders(nowMillis) || this.history.quietMillis(host, nowMillis) >= this.pauseMillis;
 	}
 
 	/**
-	 * Checks whether an order that an earlier leader may have sent may be sent again.
+	 * Checks whether an order that an earlier leader may have sent may be sent again. The
+	 * earlier leader sends nothing after the election of this one.
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return {@code true} if the delay has elapsed since this leader was elected
 	 */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderTracker.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderTracker.java
@@ -56,12 +56,11 @@
 	 * Checks whether a new order for a host may be proposed.
 	 * @param host name of the host
 	 * @param nowMillis current monotonic time, in milliseconds
-	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 * @return {@code true} if the retry delay and the delay after an earlier leader's
 	 * order have elapsed
 	 */
-	boolean canBegin(String host, long nowMillis, long wallMillis) {
-		return isRetryDue(host, nowMillis) && this.pause.hasElapsed(host, nowMillis, wallMillis);
+	boolean canBegin(String host, long nowMillis) {
+		return isRetryDue(host, nowMillis) && this.pause.hasElapsed(host, nowMillis);
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -116,18 +116,19 @@
 	 * Creates a balancer.
 	 * @param state replicated state
 	 * @param settings settings for rebalancing
+	 * @param history changes of host orders, including those of earlier leaders
 	 * @param fencingToken term of this leader
 	 * @param electedMillis monotonic time at which this leader was elected
 	 * @param durations estimator for task durations
 	 */
-	public PoolBalancer(BatchState state, BalanceSettings settings, long fencingToken, long electedMillis,
-			DurationEstimator durations) {
+	public PoolBalancer(BatchState state, BalanceSettings settings, HostOrderHistory history, long fencingToken,
+			long electedMillis, DurationEstimator durations) {
 		this.state = state;
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
 		this.demand = new PoolDemand(state, durations);
-		this.pause = new HandOverPause(state, settings.handOverPauseMillis(), electedMillis);
+		this.pause = new HandOverPause(history, settings.handOverPauseMillis(), electedMillis);
 		this.orders = new HostOrderTracker(this.pause, settings.retryMillis());
 	}
 
@@ -230,15 +231,14 @@
 		FleetConfiguration configuration = this.state.configuration().get();
 		this.demand.observe(configuration, this.settings.lookAheadMillis(), nowMillis, wallMillis);
 		this.state.moves().values().forEach((move) -> advance(move, sessions, nowMillis));
-		Predicate<String> mustStay = (host) -> isReserved.test(host)
-				|| !this.pause.hasElapsed(host, nowMillis, wallMillis);
+		Predicate<String> mustStay = (host) -> isReserved.test(host) || !this.pause.hasElapsed(host, nowMillis);
 		Map<String, Pool> pools = pools(configuration, sessions, mustStay, nowMillis);
 		List<Pool> working = pools.values().stream().filter((pool) -> !pool.spare).toList();
-		working.forEach((pool) -> grow(pool, pools, nowMillis, wallMillis));
+		working.forEach((pool) -> grow(pool, pools, nowMillis));
 		double missingHosts = working.stream().mapToDouble(Pool::missingHosts).sum();
 		this.cordonedHosts = chooseHostsToCordon(missingHosts, working, sessions, mustStay, nowMillis);
 		if (missingHosts == 0) {
-			working.forEach((pool) -> growForLateJobs(pool, pools, nowMillis, wallMillis));
+			working.forEach((pool) -> growForLateJobs(pool, pools, nowMillis));
 		}
 		if (waitingOrders > MAXIMUM_WAITING_ORDERS) {
 			return;
@@ -367,10 +367,9 @@
 		return pools;
 	}
 
-	private void grow(Pool pool, Map<String, Pool> pools, long nowMillis, long wallMillis) {
+	private void grow(Pool pool, Map<String, Pool> pools, long nowMillis) {
 		while (pool.lacksHosts() || (this.poolsLackingCapacity.contains(pool.name) && pool.arriving == 0)) {
-			Optional<String> host = takeSpare(nowMillis, wallMillis)
-				.or(() -> takeIdleFromOtherPool(pool, pools, nowMillis));
+			Optional<String> host = takeSpare(nowMillis).or(() -> takeIdleFromOtherPool(pool, pools, nowMillis));
 			if (host.isEmpty()) {
 				return;
 			}
@@ -379,10 +378,10 @@
 		}
 	}
 
-	private void growForLateJobs(Pool pool, Map<String, Pool> pools, long nowMillis, long wallMillis) {
+	private void growForLateJobs(Pool pool, Map<String, Pool> pools, long nowMillis) {
 		int hosts = pools.values().stream().mapToInt((known) -> known.hosts).sum() + this.spareHosts.size();
 		while (pool.lacksHostsWithLateJobs() && this.spareHosts.size() > SPARE_SHARE_FOR_PEAKS * hosts) {
-			Optional<String> host = takeSpare(nowMillis, wallMillis);
+			Optional<String> host = takeSpare(nowMillis);
 			if (host.isEmpty()) {
 				return;
 			}
@@ -427,10 +426,10 @@
 		this.proposals.add(new BatchCommand.SetMove(host, pool, MovePhase.ORDERED));
 	}
 
-	private Optional<String> takeSpare(long nowMillis, long wallMillis) {
+	private Optional<String> takeSpare(long nowMillis) {
 		Optional<String> host = this.spareHosts.keySet()
 			.stream()
-			.filter((name) -> !isMoving(name) && this.orders.canBegin(name, nowMillis, wallMillis))
+			.filter((name) -> !isMoving(name) && this.orders.canBegin(name, nowMillis))
 			// The list may be older than the latest move of the host. A host with a
 			// registered runner must not be treated as spare, since the move would end
 			// its runs.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
@@ -51,15 +51,17 @@
 	 * Creates a controller.
 	 * @param state replicated state
 	 * @param settings settings of maintenance waves
+	 * @param history changes of host orders, including those of earlier leaders
 	 * @param fencingToken term of this leader
 	 * @param electedMillis monotonic time at which this leader was elected
 	 */
-	public WaveController(BatchState state, WaveSettings settings, long fencingToken, long electedMillis) {
+	public WaveController(BatchState state, WaveSettings settings, HostOrderHistory history, long fencingToken,
+			long electedMillis) {
 		this.state = state;
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
-		this.orders = new HostOrderTracker(new HandOverPause(state, settings.handOverPauseMillis(), electedMillis),
+		this.orders = new HostOrderTracker(new HandOverPause(history, settings.handOverPauseMillis(), electedMillis),
 				settings.retryMillis());
 	}
 
@@ -94,14 +96,13 @@
 	 * Advances all waves that are not completed.
 	 * @param sessions sessions with the runners
 	 * @param nowMillis current monotonic time, in milliseconds
-	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 */
-	public void tick(Map<RunnerKey, RunnerSession> sessions, long nowMillis, long wallMillis) {
+	public void tick(Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
 		this.state.waves()
 			.values()
 			.stream()
 			.filter((wave) -> !wave.isCompleted())
-			.forEach((wave) -> advance(wave, sessions, nowMillis, wallMillis));
+			.forEach((wave) -> advance(wave, sessions, nowMillis));
 	}
 
 	/**
@@ -137,7 +138,7 @@
 		}
 	}
 
-	private void advance(WaveProgress wave, Map<RunnerKey, RunnerSession> sessions, long nowMillis, long wallMillis) {
+	private void advance(WaveProgress wave, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
 		wave.hosts().forEach((host, phase) -> {
 			if (phase == MaintenancePhase.ORDERED) {
 				sendIfDue(wave, host, sessions, nowMillis);
@@ -147,14 +148,14 @@
 			}
 		});
 		drainingHosts(wave).forEach((host) -> drain(wave, host, sessions, nowMillis));
-		startDrains(wave, nowMillis, wallMillis);
+		startDrains(wave, nowMillis);
 	}
 
 	private List<String> drainingHosts(WaveProgress wave) {
 		return wave.hosts().keySet().stream().filter(this.draining::containsKey).toList();
 	}
 
-	private void startDrains(WaveProgress wave, long nowMillis, long wallMillis) {
+	private void startDrains(WaveProgress wave, long nowMillis) {
 		List<String> drained = drainingHosts(wave);
 		int freeSlots = Math.max(0, wave.wave().maximumDown() - wave.downCount() - drained.size());
 		int slowDrains = (int) drained.stream().filter(this::hasLongRunning).count();
@@ -164,7 +165,7 @@
 			.filter((entry) -> entry.getValue() == MaintenancePhase.PENDING
 					&& !this.draining.containsKey(entry.getKey()))
 			.map(Map.Entry::getKey)
-			.filter((host) -> this.orders.canBegin(host, nowMillis, wallMillis))
+			.filter((host) -> this.orders.canBegin(host, nowMillis))
 			.sorted(Comparator.comparingInt(this::reservedMillicores))
 			.toList();
 		int slowSlots = Math.max(0, (wave.wave().maximumDown() + 1) / 2 - slowDrains);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveSettings.java
@@ -5,8 +5,8 @@
 /**
  * Settings of maintenance waves.
  *
- * @param handOverPauseMillis delay after an election before the first order for a host,
- * which keeps the orders of two leaders apart
+ * @param handOverPauseMillis delay of a new leader after an order of an earlier one for
+ * the same host
  * @param drainTimeoutMillis time for which a draining host waits for finite tasks before
  * they are stopped
  * @param minimumMaintenanceMillis minimum duration of a maintenance; a runner that
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -123,7 +123,7 @@
 		}
 		commit(List.of(new BatchCommand.SetConfiguration(new FleetConfiguration(1, queues, pools,
 				List.of(new Workspace("team", Set.of("key"), 1, Resources.NONE)), Payload.EMPTY))));
-		this.leader = new FleetLeader(this.state, settings, 1, this.nowMillis);
+		this.leader = new FleetLeader(this.state, settings, new HostOrderHistory(0), 1, this.nowMillis);
 		for (int host = 0; host < spec.hosts(); host++) {
 			int pool = host % (spec.pools() + 1);
 			boolean spare = pool == spec.pools();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
@@ -48,7 +48,7 @@
 			runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
 		}
 		state.apply(new CommandGroup(this.nowMillis, runners));
-		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, this.nowMillis);
+		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, this.nowMillis);
 	}
 
 	void run(long millis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -16,6 +17,7 @@
 import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.MaintenancePhase;
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.model.Resources;
 import org.junit.jupiter.api.Test;
@@ -246,7 +248,7 @@
 						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))),
 						new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(task, 1, ""))),
 						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, runner.key()))))));
-		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, 1_000);
 		RunnerOrder first = leader.dueOrders(1_000).get(0).order();
 		List<BatchCommand.End> ends = List.of(new BatchCommand.End(1, task, 1, RunOutcome.DONE, ""));
 		leader.onReply(runner.key(), first, new RunnerReply.Listing(1_010, OptionalLong.of(1), List.of(), ends, true),
@@ -263,6 +265,36 @@
 		Truth.assertThat(acknowledged).containsExactly(0L);
 	}
 
+	/**
+	 * Guards against orders of two leaders for one host within the handover delay,
+	 * because the time of day of the second one is ahead.
+	 */
+	@Test
+	void aLeaderWhoseTimeOfDayIsAheadKeepsTheDelayAfterTheOrderOfItsPredecessor() {
+		BatchState state = new BatchState();
+		HostOrderHistory history = new HostOrderHistory(0);
+		List<BatchCommand> ordered = List.of(new BatchCommand.SetUpkeep(1, "host-r1", MaintenancePhase.ORDERED),
+				new BatchCommand.SetUpkeep(1, "host-r1", MaintenancePhase.PENDING));
+		state.apply(new CommandGroup(1_000,
+				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
+						new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 1)),
+						new BatchCommand.StartWave(new MaintenanceWave(1, List.of("host-r1"), 60_000, 1, 1_000)))));
+		state.apply(new CommandGroup(50_000, ordered));
+		ordered.forEach((command) -> history.onApplied(command, 1, 900));
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, history, 2, 1_000);
+		List<BatchCommand> proposed = new ArrayList<>();
+		for (long nowMillis = 1_000; nowMillis < 1_900; nowMillis += 20) {
+			leader.decide(nowMillis, 52_000 + nowMillis);
+			proposed.addAll(leader.drainProposals());
+		}
+		Truth.assertThat(proposed).isEmpty();
+		for (long nowMillis = 1_900; nowMillis < 2_000; nowMillis += 20) {
+			leader.decide(nowMillis, 52_000 + nowMillis);
+			proposed.addAll(leader.drainProposals());
+		}
+		Truth.assertThat(proposed).containsExactly(ordered.get(0));
+	}
+
 	/**
 	 * Guards against a runner whose ends are never acknowledged again. The end of a run
 	 * that was replaced does not count once the lease has expired after it, so the leader
@@ -355,7 +387,7 @@
 				List.of(new BatchCommand.Assignment(new TaskId("ends", 0, 0, 0), 1, new RunnerKey("r20", 1)),
 						new BatchCommand.Assignment(new TaskId("lasts", 0, 0, 0), 1, new RunnerKey("r29", 1)))));
 		state.apply(new CommandGroup(1_000, commands));
-		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, 1_000);
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, 1_000);
 		List<String> contacted = leader.dueOrders(1_000)
 			.stream()
 			.map((dispatch) -> dispatch.runner().key().id())
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -39,7 +39,8 @@
 	@BeforeEach
 	void configure() {
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, Resources.NONE, "hot", "cold")));
-		this.balancer = new PoolBalancer(this.state, SETTINGS, 1, this.nowMillis, new DurationEstimator());
+		this.balancer = new PoolBalancer(this.state, SETTINGS, new HostOrderHistory(0), 1, this.nowMillis,
+				new DurationEstimator());
 		for (int number = 0; number < 4; number++) {
 			addRunner("hot" + number, "hot");
 			addRunner("cold" + number, "cold");
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -100,7 +100,7 @@
 			this.runners.put(id, new SimulatedRunner(id, POOL, random, this.nowMillis));
 		}
 		this.runners.values().forEach((runner) -> runner.observe(new Checks()));
-		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
+		this.leader = new FleetLeader(this.state, SETTINGS, new HostOrderHistory(0), this.term, this.nowMillis);
 		at(0, this::announceAll);
 		at(0, this::decide);
 	}
@@ -178,7 +178,7 @@
 	void changeLeader() {
 		this.term++;
 		this.queuedCommands.clear();
-		this.leader = new FleetLeader(this.state, SETTINGS, this.term, this.nowMillis);
+		this.leader = new FleetLeader(this.state, SETTINGS, new HostOrderHistory(0), this.term, this.nowMillis);
 	}
 
 	/** Ends all disturbances and lets the fleet recover. */
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
@@ -41,7 +41,7 @@
 			this.runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
 		}
 		state.apply(new CommandGroup(this.nowMillis, List.copyOf(this.runners)));
-		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, 2, this.nowMillis);
+		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, this.nowMillis);
 	}
 
 	void run(long millis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -51,8 +51,8 @@
 		for (int number = 0; number < HOSTS; number++) {
 			register(BatchFixtures.runner("r" + number, "pool", 1));
 		}
-		this.controller = new WaveController(this.state, new WaveSettings(3_000, 500, 2_000, 2_000, 200), 1,
-				this.nowMillis);
+		this.controller = new WaveController(this.state, new WaveSettings(3_000, 500, 2_000, 2_000, 200),
+				new HostOrderHistory(0), 1, this.nowMillis);
 	}
 
 	/** Guards against orders of two leaders for one host within the handover delay. */
@@ -169,7 +169,7 @@
 		startWave(HOSTS);
 		step(3_100);
 		this.nowMillis += 100;
-		this.controller.tick(this.sessions, this.nowMillis, this.nowMillis);
+		this.controller.tick(this.sessions, this.nowMillis);
 		List<BatchCommand> ordered = this.controller.drainProposals();
 		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
 		assign(new TaskId("job", 0, 0, 0), "r0");
@@ -226,7 +226,7 @@
 		step(3_100);
 		int proposals = 0;
 		for (int round = 0; round < 5; round++) {
-			this.controller.tick(this.sessions, this.nowMillis, this.nowMillis);
+			this.controller.tick(this.sessions, this.nowMillis);
 			proposals += this.controller.drainProposals().size();
 		}
 		Truth.assertThat(proposals).isEqualTo(1);
@@ -291,7 +291,7 @@
 	private void step(long millis) {
 		this.nowMillis += millis;
 		this.sessions.values().forEach(this::heartbeat);
-		this.controller.tick(this.sessions, this.nowMillis, this.nowMillis);
+		this.controller.tick(this.sessions, this.nowMillis);
 		this.controller.drainOrders().forEach((order) -> {
 			this.downUntilMillis.put(order.host(), this.nowMillis + 2_000);
 			this.controller.onReply((HostOrder.Maintenance) order, HostReply.DONE, this.nowMillis);
