Cover the way of an order to the platform in the pause between leaders

The lease of the holder of a host counts from the arrival of its order at the platform, the pause of its successor from the successor's election. An order that was sent just before the election and arrived after it was followed by the successor's order within the lease; in plain hand-overs only some tens of milliseconds were left.

Change: the pause is the time that has to pass at the platform plus the limit for the answer of an order (1 s), after which its connection is reset.

Evidence: BatchSettingsTests.thePauseBetweenLeadersAlsoCoversTheLongestWay- OfAnOrder; the earlier settings have no margin.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -6,6 +6,7 @@
 
 import io.burdockpin.batch.call.CallSettings;
 import io.burdockpin.batch.consensus.ConsensusSettings;
+import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.core.batch.lead.BalanceSettings;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.SessionSettings;
@@ -29,8 +30,8 @@
  * founding members of a new cluster
  * @param toleratedMembers number of members that may be lost at the same time
  * @param longestLeaseMillis the longest lease that a runner accepts
- * @param handOverPauseMillis time after an election before the new leader sends orders
- * about hosts
+ * @param handOverPauseMillis time that has to pass between the orders of two leaders for
+ * the same host, from the arrival of one at the platform to that of the next
  * @param upkeepSeconds minimum duration of the maintenance of a host
  * @param graceSeconds time between the request to stop and the end of the process
  * @param addresses listen addresses by kind of client
@@ -163,13 +164,14 @@
 
 	LeaderSettings toLeaderSettings() {
 		int leaseMillis = (int) Math.min(MAXIMUM_LEASE_MILLIS, LEASE_SHARE * this.longestLeaseMillis);
+		int pauseMillis = this.handOverPauseMillis + HostChannel.ANSWER_TIMEOUT_MILLIS;
 		return new LeaderSettings(
 				new SessionSettings(leaseMillis, LONG_POLL_MILLIS, ANSWER_TIMEOUT_MILLIS, ORDER_OVERDUE_MILLIS,
 						ORDER_RETRY_MILLIS, RUNNER_SILENCE_TIMEOUT_MILLIS),
-				new WaveSettings(this.handOverPauseMillis, DRAIN_TIMEOUT_MILLIS,
-						(int) (MILLIS_PER_SECOND * this.upkeepSeconds), HOST_RETURN_TIMEOUT_MILLIS, HOST_RETRY_MILLIS),
-				new BalanceSettings(this.handOverPauseMillis, POOL_MOVE_MILLIS, IDLE_TIMEOUT_MILLIS,
-						MINIMUM_STAY_MILLIS, HOST_RETRY_MILLIS, HOST_LIST_PERIOD_MILLIS),
+				new WaveSettings(pauseMillis, DRAIN_TIMEOUT_MILLIS, (int) (MILLIS_PER_SECOND * this.upkeepSeconds),
+						HOST_RETURN_TIMEOUT_MILLIS, HOST_RETRY_MILLIS),
+				new BalanceSettings(pauseMillis, POOL_MOVE_MILLIS, IDLE_TIMEOUT_MILLIS, MINIMUM_STAY_MILLIS,
+						HOST_RETRY_MILLIS, HOST_LIST_PERIOD_MILLIS),
 				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond);
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
@@ -10,6 +10,12 @@
 /** Protocol of an actor that sends orders about hosts to the platform. */
 public interface HostChannel {
 
+	/**
+	 * Limit for the answer to an order. After it the connection is reset, so an order
+	 * reaches the platform within this time or not at all.
+	 */
+	int ANSWER_TIMEOUT_MILLIS = 1_000;
+
 	/** Messages that the actor accepts. */
 	interface Command {
 
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.batch.port.HostChannel;
+import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.exc.InvalidValueException;
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +41,18 @@
 		Truth.assertThat(message.get()).contains("internalPorts");
 	}
 
+	/**
+	 * Guards against an order that follows the one of an earlier leader too soon, because
+	 * the earlier order was still on its way when the new leader was elected.
+	 */
+	@Test
+	void thePauseBetweenLeadersAlsoCoversTheLongestWayOfAnOrder() {
+		LeaderSettings leader = settings(List.of(7000, 7015), 1).toLeaderSettings();
+		int expectedMillis = 3_000 + HostChannel.ANSWER_TIMEOUT_MILLIS;
+		Truth.assertThat(leader.waves().handOverPauseMillis()).isEqualTo(expectedMillis);
+		Truth.assertThat(leader.balance().handOverPauseMillis()).isEqualTo(expectedMillis);
+	}
+
 	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
 				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
