Look at the window of an order in the step that writes it

Cause: HttpClientConnection asked the SendCondition and then sent the bytes to the actor that owns the socket in Pekko's IO. A connection attempt that timed out was also reported as CONNECTION_REFUSED, since Pekko gives a ConnectException as its cause.

Change: SocketTask also owns outgoing connections (OutgoingSocket; what it shares with AcceptedSocket is in ConnectionSocketBase). It evaluates the condition on its thread before each channel.write. A message whose condition does not hold is left out and reported as NotWritten; one that is partly written is ended by a reset. Outgoing sockets have SO_LINGER 0 from the start, so each end of them, also that of the process, drops what the peer has not received. The time limit of 700 ms and TCP_NODELAY are as before. At most 4 MiB of a request wait for a peer, as for accepted connections. A host name that was not resolved when the client was created is not resolved again.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpClientConnection.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpClientConnection.java
@@ -1,47 +1,46 @@
 package io.burdockpin.runtime.http.socket;
 
 import java.io.IOException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
+import io.burdockpin.runtime.socket.OutgoingSocket;
+import io.burdockpin.runtime.socket.SocketEvent;
+import io.burdockpin.runtime.socket.SocketTask;
 import org.apache.pekko.actor.AbstractActor;
 import org.apache.pekko.actor.Props;
 import org.apache.pekko.actor.typed.ActorRef;
-import org.apache.pekko.io.Tcp;
-import org.apache.pekko.io.TcpMessage;
-import org.apache.pekko.io.TcpSO;
 import org.apache.pekko.util.ByteString;
 
 /**
  * Actor that owns one client connection, with one request in flight at a time, and stops
- * when the connection closes. It is a classic actor, because typed actors do not learn
- * which actor owns the socket. It uses the socket directly: a leader opens hundreds of
+ * when the connection closes. It uses the socket directly: a leader opens hundreds of
  * connections when it is elected, and a client stream of Pekko HTTP takes several times
  * the processor time of a socket.
  */
 final class HttpClientConnection extends AbstractActor {
 
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
-
 	private final long number;
 
+	private final SocketTask sockets;
+
 	private final InetSocketAddress server;
 
 	private final ActorRef<Event> owner;
 
 	private final HttpResponseReader reader = new HttpResponseReader();
 
-	/** The actor that owns the socket, once it is connected. */
-	private Optional<org.apache.pekko.actor.ActorRef> socket = Optional.empty();
+	/** Empty if the system had no file descriptor for it. */
+	private Optional<OutgoingSocket> socket = Optional.empty();
+
+	private boolean connected;
 
 	/** The request to send once the connection is open. */
 	private Optional<Send> pendingSend = Optional.empty();
 
-	private HttpClientConnection(long number, InetSocketAddress server, ActorRef<Event> owner) {
+	private HttpClientConnection(long number, SocketTask sockets, InetSocketAddress server, ActorRef<Event> owner) {
 		this.number = number;
+		this.sockets = sockets;
 		this.server = server;
 		this.owner = owner;
 	}
@@ -49,34 +48,49 @@
 	/**
 	 * Creates the props of an actor that opens a connection.
 	 * @param number identifies the connection to its owner
+	 * @param sockets owns the socket
 	 * @param server the address of the server
 	 * @param owner receives the events of the connection
 	 * @return the props
 	 */
-	static Props props(long number, InetSocketAddress server, ActorRef<Event> owner) {
-		return Props.create(HttpClientConnection.class, () -> new HttpClientConnection(number, server, owner));
+	static Props props(long number, SocketTask sockets, InetSocketAddress server, ActorRef<Event> owner) {
+		return Props.create(HttpClientConnection.class, () -> new HttpClientConnection(number, sockets, server, owner));
 	}
 
 	@Override
 	public void preStart() {
-		Tcp.get(getContext().getSystem())
-			.manager()
-			.tell(TcpMessage.connect(this.server, null, List.of(TcpSO.tcpNoDelay(true)), CONNECT_TIMEOUT, false),
-					getSelf());
+		try {
+			OutgoingSocket opened = this.sockets.connect(this.server);
+			this.socket = Optional.of(opened);
+			org.apache.pekko.actor.ActorRef self = getSelf();
+			opened.open((event) -> self.tell(event, org.apache.pekko.actor.ActorRef.noSender()));
+		}
+		catch (IOException ex) {
+			stop(ex.getMessage(), false);
+		}
+	}
+
+	// Resets a connection that is still open, so that nothing of a request that was given
+	// up is delivered later.
+	@Override
+	public void postStop() {
+		this.socket.ifPresent(OutgoingSocket::abort);
 	}
 
 	@Override
 	public Receive createReceive() {
 		return receiveBuilder().match(Send.class, this::onSend)
-			.match(Tcp.Received.class, this::onReceived)
-			.match(Tcp.Connected.class, (connected) -> onConnected())
-			.match(Tcp.CommandFailed.class, this::onCommandFailed)
-			.match(Tcp.ConnectionClosed.class, this::onClosed)
+			.match(SocketEvent.Received.class, this::onReceived)
+			.matchEquals(SocketEvent.Connected.INSTANCE, (event) -> onConnected())
+			.matchEquals(SocketEvent.NotWritten.INSTANCE, (event) -> this.owner.tell(new Event.NotSent(this.number)))
+			.matchEquals(SocketEvent.PeerClosed.INSTANCE, (event) -> onPeerClosed())
+			.match(SocketEvent.ConnectFailed.class, (failed) -> stop(failed.reason(), failed.refused()))
+			.match(SocketEvent.Closed.class, (closed) -> stop(closed.reason(), false))
 			.build();
 	}
 
 	private void onSend(Send send) {
-		if (this.socket.isPresent()) {
+		if (this.connected) {
 			write(send);
 		}
 		else {
@@ -85,25 +99,22 @@
 	}
 
 	private void onConnected() {
-		this.socket = Optional.of(getSender());
-		getSender().tell(TcpMessage.register(getSelf()), getSelf());
+		this.connected = true;
 		this.pendingSend.ifPresent(this::write);
 		this.pendingSend = Optional.empty();
 	}
 
-	// Checked as late as possible, since the process may have been paused while the
-	// connection was opened.
+	// The task that owns the socket looks at the condition, since the process may be
+	// paused before it writes.
 	private void write(Send send) {
-		if (send.condition().filter((condition) -> !condition.maySend()).isPresent()) {
-			this.owner.tell(new Event.NotSent(this.number));
-			return;
-		}
-		this.socket.get().tell(TcpMessage.write(send.bytes()), getSelf());
+		send.condition()
+			.ifPresentOrElse((condition) -> this.socket.get().write(send.bytes(), condition::maySend),
+					() -> this.socket.get().write(send.bytes()));
 	}
 
-	private void onReceived(Tcp.Received received) {
+	private void onReceived(SocketEvent.Received received) {
 		try {
-			this.reader.add(received.data());
+			this.reader.add(received.bytes());
 			this.reader.next().ifPresent((answer) -> this.owner.tell(new Event.ResponseReceived(this.number, answer)));
 		}
 		catch (IOException ex) {
@@ -111,25 +122,17 @@
 		}
 	}
 
-	private void onCommandFailed(Tcp.CommandFailed failed) {
-		Throwable cause = failed.cause().isDefined() ? failed.cause().get() : null;
-		stop((cause != null) ? String.valueOf(cause.getMessage()) : "connect timed out",
-				cause instanceof ConnectException);
-	}
-
-	private void onClosed(Tcp.ConnectionClosed closed) {
+	private void onPeerClosed() {
 		try {
 			this.reader.endOfInput()
 				.ifPresent((answer) -> this.owner.tell(new Event.ResponseReceived(this.number, answer)));
+			stop("closed", false);
 		}
 		catch (IOException ex) {
 			stop(ex.getMessage(), false);
-			return;
 		}
-		stop(closed.isErrorClosed() ? closed.getErrorCause() : "closed", false);
 	}
 
-	// Pekko closes the socket when the actor registered for it stops.
 	private void stop(String reason, boolean refused) {
 		this.owner.tell(new Event.Closed(this.number, reason, refused));
 		getContext().stop(getSelf());
@@ -139,7 +142,7 @@
 	 * Sends a request.
 	 *
 	 * @param bytes the encoded request
-	 * @param condition checked immediately before the write; empty if there is no
+	 * @param condition checked immediately before each write; empty if there is no
 	 * condition
 	 */
 	record Send(ByteString bytes, Optional<SendCondition> condition) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClient.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.runtime.socket.SocketTask;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -25,6 +26,8 @@
 
 	private final TimerScheduler<Command> timers;
 
+	private final SocketTask sockets;
+
 	private final InetSocketAddress server;
 
 	private final ActorRef<HttpClientConnection.Event> connectionEvents;
@@ -36,22 +39,24 @@
 	/** Number of the current connection; events of earlier connections are ignored. */
 	private long connectionNumber;
 
-	private ReconnectingHttpClient(ActorContext<Command> context, TimerScheduler<Command> timers,
+	private ReconnectingHttpClient(ActorContext<Command> context, TimerScheduler<Command> timers, SocketTask sockets,
 			InetSocketAddress server) {
 		super(context);
 		this.timers = timers;
+		this.sockets = sockets;
 		this.server = server;
 		this.connectionEvents = context.messageAdapter(HttpClientConnection.Event.class, WrappedConnectionEvent::new);
 	}
 
 	/**
 	 * Creates the behavior.
+	 * @param sockets owns the connection
 	 * @param server the address of the server
 	 * @return the behavior
 	 */
-	public static Behavior<Command> create(InetSocketAddress server) {
-		return Behaviors
-			.setup((context) -> Behaviors.withTimers((timers) -> new ReconnectingHttpClient(context, timers, server)));
+	public static Behavior<Command> create(SocketTask sockets, InetSocketAddress server) {
+		return Behaviors.setup((context) -> Behaviors
+			.withTimers((timers) -> new ReconnectingHttpClient(context, timers, sockets, server)));
 	}
 
 	@Override
@@ -122,7 +127,7 @@
 	private org.apache.pekko.actor.ActorRef connect() {
 		this.connectionNumber++;
 		return Adapter.actorOf(getContext(),
-				HttpClientConnection.props(this.connectionNumber, this.server, this.connectionEvents));
+				HttpClientConnection.props(this.connectionNumber, this.sockets, this.server, this.connectionEvents));
 	}
 
 	private void disconnect() {
@@ -141,7 +146,7 @@
 	 *
 	 * @param call the request to send
 	 * @param timeout limit for connecting and for the complete response
-	 * @param condition checked immediately before the write; empty if there is no
+	 * @param condition checked immediately before each write; empty if there is no
 	 * condition
 	 * @param replyTo receives the outcome
 	 */
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/SendCondition.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/SendCondition.java
@@ -1,8 +1,9 @@
 package io.burdockpin.runtime.http.socket;
 
 /**
- * Decides whether a request may still be sent. Evaluated by the actor that owns the
- * socket, immediately before it writes the request.
+ * Decides whether a request may still be sent. Evaluated by the task that owns the
+ * socket, on its thread, immediately before each write of bytes of the request; must not
+ * block.
  */
 @FunctionalInterface
 public interface SendCondition {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
@@ -2,9 +2,35 @@
 
 import org.apache.pekko.util.ByteString;
 
-/** Events of an accepted connection, in the order in which they occur. */
+/** Events of a connection, in the order in which they occur. */
 public sealed interface SocketEvent {
 
+	/** An outgoing connection is open. Sent at most once, before all other events. */
+	enum Connected implements SocketEvent {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
+	/**
+	 * An outgoing connection could not be opened. The only event of its connection.
+	 *
+	 * @param reason why it was not opened, for logs
+	 * @param refused whether the peer refused it
+	 */
+	record ConnectFailed(String reason, boolean refused) implements SocketEvent {
+
+	}
+
+	/** Nothing of a message was written, because its condition did not hold. */
+	enum NotWritten implements SocketEvent {
+
+		/** The only instance. */
+		INSTANCE
+
+	}
+
 	/**
 	 * Bytes were received.
 	 *
@@ -23,7 +49,8 @@
 	}
 
 	/**
-	 * The connection is closed. The last event, sent exactly once.
+	 * The connection is closed. The last event, sent exactly once unless the connection
+	 * could not be opened.
 	 *
 	 * @param reason why it was closed, for logs
 	 */
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
@@ -8,7 +8,10 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,9 +22,9 @@
 import com.google.common.flogger.FluentLogger;
 
 /**
- * Task that owns the listening sockets of a process and the connections that they accept,
- * on one thread. Other threads use the sockets through messages to this task. The thread
- * waits while no socket is ready and no message has arrived.
+ * Task that owns the listening sockets of a process, the connections that they accept and
+ * outgoing connections, on one thread. Other threads use the sockets through messages to
+ * this task. The thread waits while no socket is ready and no message has arrived.
  */
 public final class SocketTask {
 
@@ -40,6 +43,9 @@
 
 	private final List<ListeningSocket> pausedSockets = new ArrayList<>();
 
+	/** Connections that were opened last, in the order of their time limits. */
+	private final Deque<OutgoingSocket> connectingSockets = new ArrayDeque<>();
+
 	private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
 
 	private final Thread thread;
@@ -106,6 +112,18 @@
 		}
 	}
 
+	/**
+	 * Prepares a connection, which {@link OutgoingSocket#open} begins to open.
+	 * @param peer the address to connect to
+	 * @return the connection
+	 * @throws IOException if the system allows no more file descriptors
+	 */
+	public OutgoingSocket connect(InetSocketAddress peer) throws IOException {
+		SocketChannel channel = SocketChannel.open();
+		channel.configureBlocking(false);
+		return new OutgoingSocket(this, channel, peer);
+	}
+
 	// for the sockets of this task
 
 	/**
@@ -143,6 +161,14 @@
 		this.pausedSockets.add(socket);
 	}
 
+	/**
+	 * Gives up a connection attempt at the end of its time limit.
+	 * @param socket the connection, which is not open yet
+	 */
+	void awaitConnection(OutgoingSocket socket) {
+		this.connectingSockets.add(socket);
+	}
+
 	/**
 	 * Returns the buffer that all connections of this task share for one read each.
 	 * @return the buffer, used only on the thread of this task
@@ -156,7 +182,7 @@
 	private void run() {
 		try (Selector owned = this.selector) {
 			while (!this.stopping) {
-				owned.select(this.pausedSockets.isEmpty() ? 0 : ListeningSocket.PAUSE_MILLIS);
+				owned.select(waitMillis());
 				this.pausedSockets.forEach(ListeningSocket::resume);
 				this.pausedSockets.clear();
 				for (Runnable message = this.messages.poll(); message != null; message = this.messages.poll()) {
@@ -167,6 +193,7 @@
 					.filter(SelectionKey::isValid)
 					.forEach((key) -> runGuarded((Runnable) key.attachment()));
 				owned.selectedKeys().clear();
+				endConnectionAttempts();
 			}
 			for (SelectionKey key : owned.keys()) {
 				key.channel().close();
@@ -177,6 +204,26 @@
 		}
 	}
 
+	private long waitMillis() {
+		long millis = this.pausedSockets.isEmpty() ? 0 : ListeningSocket.PAUSE_MILLIS;
+		if (this.connectingSockets.isEmpty()) {
+			return millis;
+		}
+		long connectMillis = 1
+				+ Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.connectingSockets.peek().remainingNanos()));
+		return (millis > 0) ? Math.min(millis, connectMillis) : connectMillis;
+	}
+
+	private void endConnectionAttempts() {
+		for (OutgoingSocket first = this.connectingSockets.peek(); first != null
+				&& (!first.isConnecting() || first.remainingNanos() <= 0); first = this.connectingSockets.peek()) {
+			this.connectingSockets.remove();
+			if (first.isConnecting()) {
+				runGuarded(first::onConnectTimeout);
+			}
+		}
+	}
+
 	// An error of one connection must not end the others.
 	private static void runGuarded(Runnable action) {
 		try {
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
@@ -166,6 +166,63 @@
 		}
 	}
 
+	@Test
+	void anOutgoingConnectionSendsWhatWaitedUntilItWasOpen() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		OutgoingSocket outgoing = this.task.connect(this.listening.address());
+		outgoing.write(ByteString.fromString("early"));
+		BlockingQueue<SocketEvent> outgoingEvents = new LinkedBlockingQueue<>();
+		outgoing.open(outgoingEvents::add);
+		AcceptedSocket connection = openNext();
+		Truth.assertThat(next(outgoingEvents)).isEqualTo(SocketEvent.Connected.INSTANCE);
+		Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("early")));
+		connection.write(ByteString.fromString("answer"));
+		Truth.assertThat(next(outgoingEvents)).isEqualTo(new SocketEvent.Received(ByteString.fromString("answer")));
+		outgoing.abort();
+		Truth.assertThat(next(outgoingEvents)).isInstanceOf(SocketEvent.Closed.class);
+		Truth.assertThat(next(this.events)).isInstanceOf(SocketEvent.Closed.class);
+	}
+
+	@Test
+	void aRefusedConnectionIsReported() throws IOException, InterruptedException {
+		this.listening.close();
+		OutgoingSocket outgoing = this.task.connect(this.listening.address());
+		outgoing.open(this.events::add);
+		SocketEvent.ConnectFailed failed = (SocketEvent.ConnectFailed) next(this.events);
+		Truth.assertThat(failed.refused()).isTrue();
+	}
+
+	/** Guards against an order that is sent after its window. */
+	@Test
+	void aMessageWhoseConditionDoesNotHoldIsLeftOutOnTheThreadOfTheTask() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		try (Socket client = connect()) {
+			AcceptedSocket connection = openNext();
+			BlockingQueue<Thread> threads = new LinkedBlockingQueue<>();
+			connection.write(ByteString.fromString("one "));
+			connection.write(ByteString.fromString("late "), () -> !threads.add(Thread.currentThread()));
+			connection.write(ByteString.fromString("two"), () -> true);
+			connection.close();
+			Truth.assertThat(new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+				.isEqualTo("one two");
+			Truth.assertThat(next(this.events)).isEqualTo(SocketEvent.NotWritten.INSTANCE);
+			Truth.assertThat(next(threads).getName()).isEqualTo("sockets");
+		}
+	}
+
+	/** Guards against bytes that the system delivers after a process was stopped. */
+	@Test
+	void aStoppedTaskResetsItsOutgoingConnections() throws IOException, InterruptedException {
+		this.listening.accept(this.accepted::add);
+		SocketTask other = new SocketTask();
+		other.start();
+		other.connect(this.listening.address()).open(this.events::add);
+		Truth.assertThat(next(this.events)).isEqualTo(SocketEvent.Connected.INSTANCE);
+		openNext();
+		other.stop();
+		Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Closed("Connection reset"));
+	}
+
 	private AcceptedSocket openNext() throws InterruptedException {
 		AcceptedSocket connection = next(this.accepted);
 		connection.open(this.events::add);
