--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -125,7 +125,9 @@
 	/** Guards against a graceful stop that aborts a request in flight. */
 	@Test
 	void aListenerThatShutsDownAnswersOpenRequestsAndClosesIdleConnections() throws IOException {
-		try (Socket unused = connect(); Socket idle = connect(); Socket busy = connect()) {
+		// The listener tells its connections in the order in which it has accepted them, so
+		// that the end of a later one shows that the busy one was told.
+		try (Socket busy = connect(); Socket unused = connect(); Socket idle = connect()) {
 			send(idle, "GET /0 HTTP/1.1\r\nHost: h\r\n\r\n");
 			this.arrivals.receiveMessage().answer(text("zero"));
 			Truth.assertThat(readUntil(idle, "zero")).startsWith("HTTP/1.1 200 OK\r\n");
