Count a job as waiting until a runner has started one of its tasks

Change: the phase changes on evidence of a start only: an accepted start order, a run in a listing, or an end. The state in the answer to a GET of a job follows.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -109,6 +109,8 @@
 	/** Runners with a pending heartbeat after earlier ones timed out. */
 	private final Set<RunnerKey> pendingRepeatedContacts = new HashSet<>();
 
+	private final JobStartRecorder jobStarts;
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	/** Incarnations whose runs were released because they have certainly ended. */
@@ -148,6 +150,7 @@
 		this.waveController = new WaveController(state, settings.waves(), term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), term, nowMillis, this.durationEstimator);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
+		this.jobStarts = new JobStartRecorder(state);
 		// Sessions are visited in this order, so runners with tasks are contacted before
 		// their leases expire.
 		state.runners()
@@ -291,6 +294,7 @@
 	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply, long nowMillis) {
 		this.runnersWithEvents.add(runner);
 		session(runner).ifPresent((session) -> {
+			this.jobStarts.onReply(runner, order, reply);
 			if (order instanceof RunnerOrder.Heartbeat) {
 				this.pendingFirstContacts.remove(runner);
 				this.pendingRepeatedContacts.remove(runner);
@@ -298,7 +302,7 @@
 				session.relativeSpeed(nowMillis)
 					.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
 				if (!ends.isEmpty()) {
-					this.proposals.add(new BatchCommand.NoteEnds(runner, ends));
+					this.proposals.add(new BatchCommand.NoteEnds(runner, ends, List.of()));
 				}
 			}
 			else {
@@ -378,6 +382,7 @@
 		if (sweeps) {
 			this.sweptMillis = nowMillis;
 			openDueOccurrences(wallMillis);
+			this.proposals.addAll(this.jobStarts.takeDue(nowMillis));
 			this.waveController.tick(this.sessions, nowMillis, wallMillis);
 			this.balancer.tick(this.sessions, this.state::hasUnfinishedMaintenance, this.hostOrders.size(), nowMillis,
 					wallMillis);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/BatchJobPhase.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/BatchJobPhase.java
@@ -3,10 +3,10 @@
 /** Life-cycle phase of a batch job. */
 public enum BatchJobPhase {
 
-	/** No task has been started yet. */
+	/** No runner has started a task yet. */
 	QUEUED(false),
 
-	/** At least one task has been started. */
+	/** At least one task has been started by a runner. */
 	RUNNING(false),
 
 	/** All tasks are done. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.batch.state;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
@@ -115,20 +116,24 @@
 	}
 
 	/**
-	 * Records the ends of runs that a runner has reported. They may be acknowledged to
-	 * the runner once the command is committed.
+	 * Records what a runner has reported: the ends of runs, which may be acknowledged to
+	 * the runner once the command is committed, and the first start of a task of a job.
 	 *
 	 * @param runner the incarnation of the runner
 	 * @param ends the ends in the order in which they were reported
+	 * @param startedJobs the identifiers of jobs of which the runner has started a task;
+	 * empty in commands of earlier versions
 	 */
-	record NoteEnds(RunnerKey runner, List<End> ends) implements BatchCommand {
+	record NoteEnds(RunnerKey runner, List<End> ends, List<String> startedJobs) implements BatchCommand {
 
 		public NoteEnds {
 			ends = List.copyOf(ends);
+			startedJobs = Optional.ofNullable(startedJobs).map(List::copyOf).orElse(List.of());
 		}
 
 		@Override
 		public CommandResult applyTo(BatchState state, long atMillis) {
+			this.startedJobs.forEach(state::recordStart);
 			this.ends.forEach((end) -> state.recordEnd(this.runner, end, atMillis));
 			return CommandResult.APPLIED;
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchJob.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchJob.java
@@ -121,6 +121,7 @@
 		this.occurrences.put(occurrence.number(), occurrence);
 	}
 
+	/** Records that a runner has started a task of the job. */
 	void start() {
 		if (this.phase == BatchJobPhase.QUEUED) {
 			this.phase = BatchJobPhase.RUNNING;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -152,7 +152,7 @@
 	}
 
 	/**
-	 * Counts the jobs of a queue of which no task has been started yet.
+	 * Counts the jobs of a queue of which no runner has started a task yet.
 	 * @param queue the name of the queue
 	 * @return the number of jobs in phase {@link BatchJobPhase#QUEUED}
 	 */
@@ -279,7 +279,6 @@
 				spec.longRunning());
 		task(id).ifPresent((task) -> task.assign(run));
 		this.runs.add(run);
-		job.start();
 	}
 
 	// A plan does not know of a runner that was replaced or removed while the plan was
@@ -300,7 +299,14 @@
 		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
 	}
 
+	void recordStart(String job) {
+		Optional.ofNullable(this.activeJobs.get(job)).ifPresent(BatchJob::start);
+	}
+
 	void recordEnd(RunnerKey runner, BatchCommand.End end, long atMillis) {
+		if (step(end.task()).isPresent()) {
+			recordStart(end.task().job());
+		}
 		Optional<Run> run = this.runs.find(runner, end.task()).filter((known) -> known.number() == end.run());
 		run.ifPresent((ended) -> endRun(ended, end.checkpoint()));
 		if (run.isPresent() || isLateCompletion(end)) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -171,6 +171,54 @@
 		Truth.assertThat(violations).isGreaterThan(0);
 	}
 
+	/**
+	 * Guards against a number of waiting jobs that is too low. Occurs when a job is
+	 * assigned to a runner that its order does not reach.
+	 */
+	@Test
+	void aJobIsWaitingUntilARunnerHasBegunOneOfItsTasks() {
+		SimulatedFleet fleet = new SimulatedFleet(new Random(6), SimulatedFleet.Faults.NONE, 1, 20);
+		fleet.run(1_000);
+		fleet.cutOff("r0", 20_000);
+		fleet.submit("job", 1, 1, false);
+		fleet.run(300);
+		Truth.assertThat(fleet.state().runs().runners()).hasSize(1);
+		Truth.assertThat(fleet.state().queuedJobCount("queue")).isEqualTo(1);
+		fleet.run(19_000);
+		Truth.assertThat(fleet.phase("job")).hasValue(BatchJobPhase.QUEUED);
+		fleet.recover(RECOVERY_MILLIS);
+		Truth.assertThat(fleet.phase("job")).hasValue(BatchJobPhase.COMPLETED);
+	}
+
+	/** Guards against a job that counts as waiting while its tasks are running. */
+	@Test
+	void aJobIsRunningWithinASecondAfterARunnerHasBegunOneOfItsTasks() {
+		SimulatedFleet fleet = new SimulatedFleet(new Random(7), SimulatedFleet.Faults.NONE, 2, 20);
+		fleet.run(1_000);
+		fleet.submitLongRunning("lasts", 2);
+		fleet.run(1_000);
+		Truth.assertThat(fleet.phase("lasts")).hasValue(BatchJobPhase.RUNNING);
+		Truth.assertThat(fleet.state().queuedJobCount("queue")).isEqualTo(0);
+	}
+
+	/**
+	 * Guards against a job that counts as waiting after a change of leader. Occurs when
+	 * the earlier leader has not recorded the start.
+	 */
+	@Test
+	void aNewLeaderRecordsTheStartThatAnEarlierOneHasNotRecorded() {
+		SimulatedFleet fleet = new SimulatedFleet(new Random(8), SimulatedFleet.Faults.NONE, 2, 20);
+		fleet.run(1_000);
+		fleet.submitLongRunning("lasts", 1);
+		while (fleet.runningCount() == 0) {
+			fleet.run(10);
+		}
+		Truth.assertThat(fleet.phase("lasts")).hasValue(BatchJobPhase.QUEUED);
+		fleet.changeLeader();
+		fleet.run(1_000);
+		Truth.assertThat(fleet.phase("lasts")).hasValue(BatchJobPhase.RUNNING);
+	}
+
 	private static void runJobs(SimulatedFleet fleet, Random random, boolean withFaults) {
 		fleet.run(1_000);
 		for (int job = 0; job < 8; job++) {
