Start all members of a gang from the checkpoint that was reported last

Cause: each member kept its own checkpoint, so after a run that ended on several runners (for example by the loss of one) the next run was started with different values of lastCheckpoint. PROTOCOL.md: "all must carry the same value".

Change: StepTasks ends the runs of a gang. Its waiting members share the value that was reported last. A member with a run keeps the value that its run began with, so a new leader that starts the last member of a run, after another one has ended with a newer value, sends the same value as its predecessor. Nothing that is stored changes its form.

The simulated runners now report checkpoints, and the fleet checks each start of a gang for them.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -447,6 +447,11 @@
 			state.runs.add(run);
 			state.task(run.task()).ifPresent((task) -> task.assign(run));
 		});
+		state.activeJobs.values()
+			.stream()
+			.flatMap((job) -> job.occurrences().stream())
+			.flatMap((occurrence) -> occurrence.steps().stream())
+			.forEach(StepTasks::shareCheckpoint);
 		snapshot.waves().forEach((image) -> state.waves.put(image.wave().number(), image.toProgress()));
 		state.hostOrderMillis.putAll(snapshot.hostOrderMillis());
 		snapshot.moves().forEach((move) -> state.moves.put(move.host(), move));
@@ -461,10 +466,8 @@
 
 	private void endRun(Run run, String checkpoint) {
 		this.runs.remove(run);
-		task(run.task()).filter((task) -> task.run().equals(Optional.of(run))).ifPresent((task) -> {
-			task.endRun();
-			task.saveCheckpoint(checkpoint);
-		});
+		task(run.task()).filter((task) -> task.run().equals(Optional.of(run)))
+			.ifPresent((task) -> step(run.task()).ifPresent((step) -> step.endRun(task, checkpoint)));
 	}
 
 	private void applyEnd(BatchCommand.End end, long atMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
@@ -76,6 +76,47 @@
 		return this.lastFailedGangRun;
 	}
 
+	/**
+	 * Ends the run of a task and saves its checkpoint. The members of a gang that wait
+	 * share the checkpoint that was reported last, because a gang must resume from a
+	 * single one; a member with a run keeps the one that its run began with.
+	 * @param task the task whose run has ended
+	 * @param checkpoint the last checkpoint of the run; empty if there is none
+	 */
+	void endRun(BatchTask task, String checkpoint) {
+		if (!this.spec.gang()) {
+			task.endRun();
+			task.saveCheckpoint(checkpoint);
+			return;
+		}
+		String shared = checkpoint.isEmpty() ? waitingCheckpoint() : checkpoint;
+		task.endRun();
+		saveForWaiting(shared);
+	}
+
+	/**
+	 * Lets the waiting members of a gang share a checkpoint. Snapshots of earlier
+	 * versions have one for each member.
+	 */
+	void shareCheckpoint() {
+		if (this.spec.gang()) {
+			saveForWaiting(waitingCheckpoint());
+		}
+	}
+
+	private String waitingCheckpoint() {
+		return this.tasks.stream()
+			.filter(BatchTask::isWaiting)
+			.map(BatchTask::checkpoint)
+			.filter((checkpoint) -> !checkpoint.isEmpty())
+			.findFirst()
+			.orElse("");
+	}
+
+	private void saveForWaiting(String checkpoint) {
+		this.tasks.stream().filter(BatchTask::isWaiting).forEach((task) -> task.saveCheckpoint(checkpoint));
+	}
+
 	void complete(BatchTask task) {
 		if (!task.isDone()) {
 			task.complete();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -67,6 +67,9 @@
 
 	private final Map<TaskId, Long> lastStartMillis = new HashMap<>();
 
+	/** The checkpoint of the first member that was started, by run of a gang. */
+	private final Map<String, String> gangCheckpoints = new HashMap<>();
+
 	/** Commands that join the next log entry, ahead of the leader's proposals. */
 	private final List<BatchCommand> queuedCommands = new ArrayList<>();
 
@@ -388,6 +391,17 @@
 		}
 	}
 
+	private void checkCheckpoint(RunnerOrder.Start start) {
+		TaskId task = start.task();
+		boolean isGang = this.state.step(task).filter((step) -> step.spec().gang()).isPresent();
+		String gangRun = "%s %d %d run %d".formatted(task.job(), task.occurrence(), task.step(), start.run());
+		String first = this.gangCheckpoints.computeIfAbsent(gangRun, (key) -> start.checkpoint());
+		if (isGang && !first.equals(start.checkpoint())) {
+			addViolation("%s run %d resumes from '%s' and another member from '%s'", task, start.run(),
+					start.checkpoint(), first);
+		}
+	}
+
 	private void addViolation(String format, Object... arguments) {
 		this.violations.add(this.nowMillis + ": " + format.formatted(arguments));
 	}
@@ -405,8 +419,9 @@
 	private final class Checks implements SimulatedRunner.Observer {
 
 		@Override
-		public void onStart(SimulatedRunner runner, TaskId task, int run) {
-			checkStart(runner, task, run);
+		public void onStart(SimulatedRunner runner, RunnerOrder.Start start) {
+			checkStart(runner, start.task(), start.run());
+			checkCheckpoint(start);
 		}
 
 		@Override
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -32,6 +32,8 @@
 
 	private static final int STOP_MILLIS = 100;
 
+	private static final int CHECKPOINT_MILLIS = 200;
+
 	/** Less than runners list in fact, so that lists are full more often. */
 	private static final int MAXIMUM_LISTED_ENDS = 20;
 
@@ -178,7 +180,7 @@
 		if (start.run() <= this.highestClosedRun.getOrDefault(start.task(), 0)) {
 			return refuse(RunnerReply.Refusal.OUTDATED, nowMillis);
 		}
-		this.observer.onStart(this, start.task(), start.run());
+		this.observer.onStart(this, start);
 		RunOutcome outcome = (this.random.nextInt(12) == 0) ? RunOutcome.FAILED : RunOutcome.DONE;
 		long endMillis = start.specification().equals(ENDLESS) ? Long.MAX_VALUE : nowMillis + workMillis();
 		this.running.put(start.task(), new Execution(start.run(), endMillis, outcome));
@@ -210,8 +212,8 @@
 		this.ends.removeAll(acknowledged);
 		List<RunnerReply.RunningTask> listed = this.running.entrySet()
 			.stream()
-			.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue().run(), "", 50,
-					OptionalInt.empty()))
+			.map((entry) -> new RunnerReply.RunningTask(entry.getKey(), entry.getValue().run(),
+					checkpoint(entry.getKey(), entry.getValue().run(), nowMillis), 50, OptionalInt.empty()))
 			.toList();
 		return new RunnerReply.Listing(clockMillis(nowMillis), OptionalLong.of(this.startMillis), listed,
 				this.ends.subList(0, Math.min(this.ends.size(), MAXIMUM_LISTED_ENDS)),
@@ -223,7 +225,12 @@
 		this.highestClosedRun.merge(task, run, Math::max);
 		this.lastEnd++;
 		this.endedMillis.put(this.lastEnd, atMillis);
-		this.ends.add(new BatchCommand.End(this.lastEnd, task, run, outcome, ""));
+		this.ends.add(new BatchCommand.End(this.lastEnd, task, run, outcome,
+				outcome.isDone() ? "" : checkpoint(task, run, atMillis)));
+	}
+
+	private static String checkpoint(TaskId task, int run, long atMillis) {
+		return "%d of run %d at %d".formatted(task.index(), run, atMillis / CHECKPOINT_MILLIS);
 	}
 
 	private RunnerReply refuse(RunnerReply.Refusal refusal, long nowMillis) {
@@ -241,7 +248,7 @@
 		Observer NONE = new Observer() {
 		};
 
-		default void onStart(SimulatedRunner runner, TaskId task, int run) {
+		default void onStart(SimulatedRunner runner, RunnerOrder.Start start) {
 		}
 
 		default void onAcknowledged(TaskId task, long endedMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.batch.state;
 
 import java.util.List;
+import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.BatchJobPhase;
@@ -228,6 +229,79 @@
 		Truth.assertThat(this.state.job("job").get().phase()).isEqualTo(BatchJobPhase.QUEUED);
 	}
 
+	/**
+	 * Guards against members of a gang that resume from different checkpoints, which the
+	 * runners do not accept as one run. Occurs when members on several runners end after
+	 * the loss of one of them.
+	 */
+	@Test
+	void theMembersOfAGangResumeFromTheCheckpointThatWasReportedLast() {
+		submit("gang", BatchFixtures.gang(4));
+		assignGang(4, 1);
+		end(member(0), 1, RunOutcome.BROKEN, "first");
+		end(member(1), 1, RunOutcome.LAPSED, "");
+		apply(new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(member(2), 1, "second"))));
+		end(member(3), 1, RunOutcome.LAPSED, "");
+		Truth.assertThat(checkpoints(4)).containsExactly("second", "second", "second", "second");
+	}
+
+	/**
+	 * Guards against a gang that is started with two checkpoints. Occurs when a new
+	 * leader starts a member after another one of the same run has ended.
+	 */
+	@Test
+	void aMemberOfAGangKeepsTheCheckpointThatItsRunBeganWith() {
+		submit("gang", BatchFixtures.gang(3));
+		assignGang(3, 1);
+		for (int index = 0; index < 3; index++) {
+			end(member(index), 1, RunOutcome.BROKEN, "first");
+		}
+		assignGang(3, 2);
+		end(member(0), 2, RunOutcome.BROKEN, "second");
+		Truth.assertThat(checkpoints(3)).containsExactly("second", "first", "first").inOrder();
+		end(member(1), 2, RunOutcome.LAPSED, "");
+		end(member(2), 2, RunOutcome.LAPSED, "");
+		Truth.assertThat(checkpoints(3)).containsExactly("second", "second", "second");
+	}
+
+	/**
+	 * Guards against a gang that is started with two checkpoints after an upgrade, since
+	 * earlier versions stored one for each member.
+	 */
+	@Test
+	void theMembersOfARestoredGangResumeFromTheSameCheckpoint() {
+		submit("gang", BatchFixtures.gang(3));
+		BatchSnapshot.TaskImage early = new BatchSnapshot.TaskImage(false, 1, 0, "");
+		BatchSnapshot stored = this.state.snapshot();
+		BatchSnapshot.JobImage job = stored.jobs().get(0);
+		BatchSnapshot.StepImage step = new BatchSnapshot.StepImage(0, 0, List.of(early,
+				new BatchSnapshot.TaskImage(false, 1, 0, "first"), new BatchSnapshot.TaskImage(false, 1, 0, "second")));
+		BatchSnapshot.JobImage mixed = new BatchSnapshot.JobImage(job.id(), job.queue(), job.workspace(), job.spec(),
+				job.acceptedMillis(), job.phase(), 0, 0, List.of(new BatchSnapshot.OccurrenceImage(0, List.of(step))));
+		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), List.of(mixed),
+				stored.runners(), stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis()));
+		List<String> checkpoints = restored.step(member(0))
+			.get()
+			.tasks()
+			.stream()
+			.map(BatchTask::checkpoint)
+			.distinct()
+			.toList();
+		Truth.assertThat(checkpoints).hasSize(1);
+		Truth.assertThat(checkpoints.get(0)).isNotEmpty();
+	}
+
+	/** Guards against a plain task that resumes from the checkpoint of another one. */
+	@Test
+	void tasksThatAreNoGangKeepTheirOwnCheckpoints() {
+		submit("gang", BatchFixtures.step(3));
+		assignGang(3, 1);
+		end(member(0), 1, RunOutcome.STOPPED, "first");
+		end(member(1), 1, RunOutcome.STOPPED, "second");
+		end(member(2), 1, RunOutcome.STOPPED, "");
+		Truth.assertThat(checkpoints(3)).containsExactly("first", "second", "").inOrder();
+	}
+
 	@Test
 	void oneCompletedTaskCompletesItsWholeGang() {
 		submit("gang", BatchFixtures.gang(3));
@@ -348,10 +422,30 @@
 	}
 
 	private void end(TaskId task, int run, RunOutcome outcome) {
+		end(task, run, outcome, "");
+	}
+
+	private void end(TaskId task, int run, RunOutcome outcome, String checkpoint) {
 		RunnerKey key = RUNNER.key();
 		this.endNumber++;
-		apply(new BatchCommand.NoteEnds(key, List.of(new BatchCommand.End(this.endNumber, task, run, outcome, "")),
-				List.of()));
+		apply(new BatchCommand.NoteEnds(key,
+				List.of(new BatchCommand.End(this.endNumber, task, run, outcome, checkpoint)), List.of()));
+	}
+
+	private static TaskId member(int index) {
+		return new TaskId("gang", 0, 0, index);
+	}
+
+	private void assignGang(int count, int run) {
+		apply(new BatchCommand.AssignRuns(IntStream.range(0, count)
+			.mapToObj((index) -> new BatchCommand.Assignment(member(index), run, RUNNER.key()))
+			.toList()));
+	}
+
+	private List<String> checkpoints(int count) {
+		return IntStream.range(0, count)
+			.mapToObj((index) -> this.state.task(member(index)).get().checkpoint())
+			.toList();
 	}
 
 	private Occurrence occurrence(String job) {
