--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -219,6 +219,27 @@
 		Truth.assertThat(fleet.phase("lasts")).hasValue(BatchJobPhase.RUNNING);
 	}
 
+	/**
+	 * Guards against two simultaneous runs of a task. Occurs when a runner starts again
+	 * under its identifier and carries out a start that was sent to its earlier
+	 * incarnation.
+	 */
+	@Test
+	void aStartForAnEarlierIncarnationOverlapsWithNoOtherRun() {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(new Random(seed), SimulatedFleet.Faults.NONE, 3, 20);
+			fleet.nameOnlyIdentifiers();
+			fleet.run(1_000);
+			fleet.submit("job", 1, 13, false);
+			for (int crash = 0; crash < 20; crash++) {
+				fleet.run(20 + 3 * seed);
+				fleet.crash("r1", 1);
+			}
+			fleet.recover(RECOVERY_MILLIS);
+			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
+		}
+	}
+
 	private static void runJobs(SimulatedFleet fleet, Random random, boolean withFaults) {
 		fleet.run(1_000);
 		for (int job = 0; job < 8; job++) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -196,6 +196,11 @@
 		this.runners.values().forEach(SimulatedRunner::ignoreLease);
 	}
 
+	/** Lets the conditions of orders name the runners and not their incarnations. */
+	void nameOnlyIdentifiers() {
+		this.runners.values().forEach(SimulatedRunner::nameOnlyIdentifier);
+	}
+
 	List<String> violations() {
 		return this.violations;
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -57,6 +57,8 @@
 
 	private boolean ignoresLease;
 
+	private boolean namesOnlyIdentifier;
+
 	private final Map<TaskId, Execution> running = new LinkedHashMap<>();
 
 	private final Map<TaskId, Integer> highestClosedRun = new HashMap<>();
@@ -107,6 +109,11 @@
 		this.ignoresLease = true;
 	}
 
+	/** Lets the condition of an order name the runner and not its incarnation. */
+	void nameOnlyIdentifier() {
+		this.namesOnlyIdentifier = true;
+	}
+
 	void crash() {
 		this.up = false;
 		this.running.clear();
@@ -152,7 +159,7 @@
 
 	RunnerReply handle(RunnerOrder order, RunnerKey expected, long nowMillis) {
 		advance(nowMillis);
-		if (expected.bornMillis() != this.startMillis) {
+		if (!this.namesOnlyIdentifier && expected.bornMillis() != this.startMillis) {
 			return refuse(RunnerReply.Refusal.OTHER_INCARNATION, nowMillis);
 		}
 		if (order.fencingToken() < this.highestFencingToken) {
