Close what the review of the hand-over found

- A new leader closed a move that its predecessor might have sent, without the pause, if a task stood on the host.
It now waits like WaveController.
PoolBalancerTests.aMoveThatAnEarlierLeaderMayHaveSentIsCancelledOnlyAfter- TheHandOverPause failed before.
- A send window counted as open after a suspension if the time of day was set back meanwhile beyond its start.
SendWindowTests.itIsClosedAfterTheWall- ClockWasSetBackBeyondItsStart failed before.
- A transfer could choose a member that does not answer; since the leader steps down then, the group would have had no leader for an election.
ReplicaTests.aLeaderTransfersOnlyToAMemberThatAnswers.
- A hanging disk got up to 500 ms more before its leader steps down.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
@@ -11,8 +11,8 @@
 public interface HostChannel {
 
 	/**
-	 * Limit for the answer to an order. After it the connection is reset, so an order
-	 * reaches the platform within this time or not at all.
+	 * Limit for the answer to an order. After it the connection is reset, so an order of
+	 * a process that runs reaches the platform within this time or not at all.
 	 */
 	int ANSWER_TIMEOUT_MILLIS = 1_000;
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/SendWindow.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/SendWindow.java
@@ -17,13 +17,16 @@
 
 	private final long steadyEndMillis;
 
+	private final long wallStartMillis;
+
 	private final long wallEndMillis;
 
 	private SendWindow(InstantSource steadyClock, InstantSource wallClock, long millis) {
 		this.steadyClock = steadyClock;
 		this.wallClock = wallClock;
 		this.steadyEndMillis = steadyClock.millis() + millis;
-		this.wallEndMillis = wallClock.millis() + millis;
+		this.wallStartMillis = wallClock.millis();
+		this.wallEndMillis = this.wallStartMillis + millis;
 	}
 
 	/**
@@ -39,11 +42,14 @@
 
 	/**
 	 * Tells whether the message may still be sent.
-	 * @return {@code false} once either clock has passed the end
+	 * @return {@code false} once either clock has passed the end, or if the wall clock
+	 * was set back to before the start, since it may then hide a suspension
 	 */
 	@Override
 	public boolean maySend() {
-		return this.steadyClock.millis() < this.steadyEndMillis && this.wallClock.millis() < this.wallEndMillis;
+		long wallMillis = this.wallClock.millis();
+		return this.steadyClock.millis() < this.steadyEndMillis && wallMillis >= this.wallStartMillis
+				&& wallMillis < this.wallEndMillis;
 	}
 
 }
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeadershipPermit.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeadershipPermit.java
@@ -79,9 +79,8 @@
 		this.requestedMillis = Optional.empty();
 	}
 
-	// A leader that hands over asks again after the renewal period, since the transfer
-	// may
-	// not succeed.
+	// A transfer may not succeed, so a leader that hands over asks again after the
+	// renewal period.
 	private void onRefused(ReadOutcome outcome) {
 		if (outcome.permitsReading()) {
 			onAnswer(Optional.empty());
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/port/SendWindowTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/port/SendWindowTests.java
@@ -38,4 +38,11 @@
 		Truth.assertThat(this.window.maySend()).isFalse();
 	}
 
+	/** Guards against a suspension that a step of the wall clock hides. */
+	@Test
+	void itIsClosedAfterTheWallClockWasSetBackBeyondItsStart() {
+		this.wallMillis.addAndGet(1_500 - 2_000);
+		Truth.assertThat(this.window.maySend()).isFalse();
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -276,7 +276,7 @@
 	}
 
 	private void advance(HostMove move, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
-		if (!move.begun() && hasRuns(move)) {
+		if (!move.begun() && canCancel(move, nowMillis)) {
 			// A task was assigned to the host before the move was committed.
 			finish(move);
 		}
@@ -302,8 +302,9 @@
 		return nowMillis - this.movedMillis.getOrDefault(move.host(), this.electedMillis) > millis;
 	}
 
-	private boolean hasRuns(HostMove move) {
-		return !this.orders.isSent(move.host())
+	// An earlier leader may have sent its order just before the election.
+	private boolean canCancel(HostMove move, long nowMillis) {
+		return !this.orders.isSent(move.host()) && this.orders.canResend(move.host(), nowMillis)
 				&& move.lifeBefore().filter((incarnation) -> !this.state.runs().on(incarnation).isEmpty()).isPresent();
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -199,14 +199,19 @@
 	}
 
 	/**
-	 * Starts a leadership transfer to the voter with the highest match index. No further
-	 * permission to send is granted, and that voter is asked to stand for election once
-	 * the permissions granted before have ended, because the others vote for it although
-	 * they have just heard this leader. Proposals are rejected from then on. If the voter
-	 * cannot be asked within an election timeout, this leader continues.
+	 * Starts a leadership transfer to the voter with the highest match index among those
+	 * that were in contact within the last election timeout. No further permission to
+	 * send is granted, and that voter is asked to stand for election once the permissions
+	 * granted before have ended, because the others vote for it although they have just
+	 * heard this leader. Proposals are rejected from then on. If the voter cannot be
+	 * asked within an election timeout, this leader continues.
 	 * @param nowMillis the current monotonic time
 	 */
 	void handOver(long nowMillis) {
+		startTransfer(Math.max(nowMillis, this.permittedUntilMillis), nowMillis);
+	}
+
+	private void startTransfer(long startMillis, long nowMillis) {
 		if (this.transfer.isPresent()) {
 			return;
 		}
@@ -215,8 +220,10 @@
 			.stream()
 			.map(Member::id)
 			.filter(this.progresses::containsKey)
+			// A voter that does not answer would leave the group without a leader.
+			.filter((
+					id) -> lastContactMillis(id, nowMillis) >= nowMillis - this.settings.electionTimeoutMinimumMillis())
 			.max((left, right) -> Long.compare(matchIndex(left), matchIndex(right)));
-		long startMillis = Math.max(nowMillis, this.permittedUntilMillis);
 		long deadlineMillis = startMillis + this.settings.electionTimeoutMinimumMillis();
 		this.transfer = best.map((target) -> new Transfer(target, deadlineMillis, false));
 		completeTransfer(nowMillis);
@@ -236,7 +243,8 @@
 			return true;
 		}
 		if (diskHangs && !this.handOverAttempted) {
-			handOver(nowMillis);
+			// Without the disk nothing is committed, so the transfer gets no more time.
+			startTransfer(nowMillis, nowMillis);
 		}
 		this.handOverAttempted = diskHangs;
 		return diskHangs && this.transfer.filter((pending) -> nowMillis < pending.deadlineMillis()).isEmpty();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -190,6 +190,24 @@
 		Truth.assertThat(moves).contains(new BatchCommand.SetMove(host, "hot", MovePhase.ORDERED));
 	}
 
+	/**
+	 * Guards against a move that is closed although it may be carried out. Occurs when an
+	 * earlier leader sent its order just before the election.
+	 */
+	@Test
+	void aMoveThatAnEarlierLeaderMayHaveSentIsCancelledOnlyAfterTheHandOverPause() {
+		BalanceSettings settings = new BalanceSettings(4_000, 1_700, 2_000, 1_000, 200, 1_000);
+		this.balancer = new PoolBalancer(this.state, settings, new HostOrderHistory(0), 2, this.nowMillis,
+				new DurationEstimator());
+		submit("small", 1);
+		assign("small", 0, "hot0");
+		apply(new BatchCommand.SetMove("host-hot0", "cold", MovePhase.ORDERED));
+		this.nowMillis += 3_900;
+		Truth.assertThat(tick()).isEmpty();
+		this.nowMillis += 200;
+		Truth.assertThat(tick()).containsExactly(new BatchCommand.SetMove("host-hot0", "cold", MovePhase.OVER));
+	}
+
 	/**
 	 * Guards against a move that ends the tasks on its host. Occurs when a task is
 	 * assigned just before the move is committed and the leader has moved the host
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -179,6 +179,27 @@
 		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
 	}
 
+	/** Guards against a group without a leader, because its successor does not answer. */
+	@Test
+	void aLeaderTransfersOnlyToAMemberThatAnswers() {
+		FakeMember leader = elected();
+		List<FakeMember> others = this.cluster.members().stream().filter((member) -> member != leader).toList();
+		for (FakeMember silent : others) {
+			this.cluster.freeze(silent, 700);
+			this.cluster.runFor(600);
+			this.cluster.handOver();
+			this.cluster.runFor(100);
+			FakeMember successor = this.cluster.leader().orElseThrow();
+			Truth.assertThat(successor).isNotSameInstanceAs(silent);
+			Truth.assertThat(successor).isNotSameInstanceAs(leader);
+			this.cluster.runFor(2_000);
+			while (this.cluster.leader().orElseThrow() != leader) {
+				this.cluster.handOver();
+				this.cluster.runFor(1_000);
+			}
+		}
+	}
+
 	@Test
 	void proposalsAreAcceptedUntilThePermissionToSendHasEnded() {
 		FakeMember leader = elected();
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -125,7 +125,8 @@
 	/** Guards against a graceful stop that aborts a request in flight. */
 	@Test
 	void aListenerThatShutsDownAnswersOpenRequestsAndClosesIdleConnections() throws IOException {
-		// The listener tells its connections in the order in which it has accepted them, so
+		// The listener tells its connections in the order in which it has accepted them,
+		// so
 		// that the end of a later one shows that the busy one was told.
 		try (Socket busy = connect(); Socket unused = connect(); Socket idle = connect()) {
 			send(idle, "GET /0 HTTP/1.1\r\nHost: h\r\n\r\n");
