--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -164,7 +164,7 @@
 
 	LeaderSettings toLeaderSettings() {
 		int leaseMillis = (int) Math.min(MAXIMUM_LEASE_MILLIS, LEASE_SHARE * this.longestLeaseMillis);
-		int pauseMillis = this.handOverPauseMillis + HostChannel.ANSWER_TIMEOUT_MILLIS;
+		int pauseMillis = this.handOverPauseMillis + HostChannel.Send.ANSWER_TIMEOUT_MILLIS;
 		return new LeaderSettings(
 				new SessionSettings(leaseMillis, LONG_POLL_MILLIS, ANSWER_TIMEOUT_MILLIS, ORDER_OVERDUE_MILLIS,
 						ORDER_RETRY_MILLIS, RUNNER_SILENCE_TIMEOUT_MILLIS),
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
@@ -10,12 +10,6 @@
 /** Protocol of an actor that sends orders about hosts to the platform. */
 public interface HostChannel {
 
-	/**
-	 * Limit for the answer to an order. After it the connection is reset, so an order of
-	 * a process that runs reaches the platform within this time or not at all.
-	 */
-	int ANSWER_TIMEOUT_MILLIS = 1_000;
-
 	/** Messages that the actor accepts. */
 	interface Command {
 
@@ -31,6 +25,12 @@
 	 */
 	record Send(HostOrder order, SendWindow window, ActorRef<Answered> replyTo) implements Command {
 
+		/**
+		 * Limit for the answer to an order. After it the connection is reset, so an order
+		 * of a process that runs reaches the platform within this time or not at all.
+		 */
+		public static final int ANSWER_TIMEOUT_MILLIS = 1_000;
+
 	}
 
 	/**
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -48,7 +48,7 @@
 	@Test
 	void thePauseBetweenLeadersAlsoCoversTheLongestWayOfAnOrder() {
 		LeaderSettings leader = settings(List.of(7000, 7015), 1).toLeaderSettings();
-		int expectedMillis = 3_000 + HostChannel.ANSWER_TIMEOUT_MILLIS;
+		int expectedMillis = 3_000 + HostChannel.Send.ANSWER_TIMEOUT_MILLIS;
 		Truth.assertThat(leader.waves().handOverPauseMillis()).isEqualTo(expectedMillis);
 		Truth.assertThat(leader.balance().handOverPauseMillis()).isEqualTo(expectedMillis);
 	}
