Answer resends that reach a request when it has just ended

Cause: the actor of a request that is not repeatable told the router of its end and stopped at once. A resend that the router handled before it read this message was passed on to the stopped actor. Nobody answered it, and its caller got OUTCOME_UNKNOWN after 65 s (60 s longest timeout and 5 s margin), although the answer was known.

Change: the actor goes on answering resends until the router has removed the request and releases it. Requests that are repeatable can't be joined and stop at once as before.

--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/OpenRequests.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/OpenRequests.java
@@ -62,15 +62,16 @@
 		this.keysByNumber.put(number, new Keys(Optional.empty(), Optional.of(key)));
 	}
 
-	void end(long number) {
-		Optional.ofNullable(this.keysByNumber.remove(number)).ifPresent((keys) -> {
-			keys.request().ifPresent(this.runningByKey::remove);
-			keys.forward().ifPresent(this.numbersByForward::remove);
-		});
+	// Returns the actor that resends could join until now.
+	Optional<ActorRef<RequestActor.Message>> end(long number) {
+		Optional<Keys> keys = Optional.ofNullable(this.keysByNumber.remove(number));
+		Optional<Running> running = keys.flatMap(Keys::request).map(this.runningByKey::remove);
+		keys.flatMap(Keys::forward).ifPresent(this.numbersByForward::remove);
 		Optional.ofNullable(this.callersByNumber.remove(number))
 			.ifPresent((callers) -> callers.forEach(this.actorsByCaller::remove));
 		this.abandoned.remove(number);
 		notifyIfIdle();
+		return running.map(Running::actor);
 	}
 
 	void awaitIdle(ActorRef<Done> waiter) {
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RequestActor.java
@@ -351,7 +351,19 @@
 		this.request.router()
 			.tell(new RouterCommand.RequestEnded(this.queued.number(), this.request.caller().requestId(),
 					this.answer.get().outcome()));
-		return Behaviors.stopped();
+		return this.request.caller().admissionRequest().repeatable() ? Behaviors.stopped() : awaitRelease();
+	}
+
+	// Until the router has removed the request, it may still pass on resends.
+	private Behavior<Message> awaitRelease() {
+		return newReceiveBuilder().onMessage(Join.class, this::onJoinAfterEnd)
+			.onMessage(Release.class, (message) -> Behaviors.stopped())
+			.build();
+	}
+
+	private Behavior<Message> onJoinAfterEnd(Join join) {
+		join.caller().tell(this.answer.get());
+		return Behaviors.same();
 	}
 
 	private boolean isAbandoned() {
@@ -386,6 +398,11 @@
 
 	}
 
+	/** The router has removed the request and passes on no more resends. */
+	record Release() implements Message {
+
+	}
+
 	private record ClaimEnded(CallResult result) implements Message {
 
 	}
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/router/RouterActor.java
@@ -307,7 +307,7 @@
 
 	private Behavior<RouterCommand> onRequestEnded(RouterCommand.RequestEnded command) {
 		this.requestEvents.recordAnswered(command.number(), command.outcome());
-		this.openRequests.end(command.number());
+		this.openRequests.end(command.number()).ifPresent((actor) -> actor.tell(new RequestActor.Release()));
 		return this;
 	}
 
