Keep the ports of the entry tests until their listeners are bound

Cause: the tests of burdockpin-entry asked the system for a free port, gave it up and bound it later. Another socket could be given the same port in between, and the entry host did not start ("Address already in use").

Change: ReservedAddress holds the port with a socket that is bound but does not listen, until the end of the test. The system gives it to nobody else, and a listener that may reuse addresses can be bound to it. Port 0 at the bind isn't possible for the addresses of peers and members, which the other side needs in its settings before; one way serves all of them.

--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/EntryTestBase.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -14,10 +15,12 @@
 import io.burdockpin.core.state.KeyRecord;
 import io.burdockpin.core.state.QueueRecord;
 import io.burdockpin.core.state.TeamRecord;
+import io.burdockpin.entry.cfg.AddressSettings;
 import io.burdockpin.entry.cfg.LimitSettings;
 import io.burdockpin.entry.cfg.PeerSettings;
 import io.burdockpin.entry.fake.FakeControl;
 import io.burdockpin.entry.fake.FakeRunner;
+import io.burdockpin.entry.fake.ReservedAddress;
 import io.burdockpin.entry.fake.TestEntry;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
@@ -37,9 +40,11 @@
 
 	static final Map<String, String> REPEATABLE = Map.of("Burdock-Key", "key-1", "Burdock-Repeatable", "true");
 
-	private final PeerSettings first = TestEntry.peer("entry-1", "dc-1", "127.1.0.2");
+	private final List<ReservedAddress> addresses = new ArrayList<>();
 
-	private final PeerSettings second = TestEntry.peer("entry-2", "dc-1", "127.1.0.3");
+	private final PeerSettings first = peer("entry-1", "127.1.0.2");
+
+	private final PeerSettings second = peer("entry-2", "127.1.0.3");
 
 	private final ActorTestKit testKit = ActorTestKit.create();
 
@@ -66,6 +71,8 @@
 	void stopAll() {
 		this.runner.close();
 		this.testKit.shutdownTestKit();
+		this.control.close();
+		this.addresses.forEach(ReservedAddress::close);
 	}
 
 	/** Returns the number of tokens that each team is granted. */
@@ -109,6 +116,16 @@
 		return TestEntry.start(this.testKit, this.second, List.of(this.first), this.control);
 	}
 
+	private PeerSettings peer(String name, String ip) {
+		return new PeerSettings(name, "dc-1", address(ip), address(ip));
+	}
+
+	private AddressSettings address(String ip) {
+		ReservedAddress address = new ReservedAddress(ip);
+		this.addresses.add(address);
+		return address.settings();
+	}
+
 	static Map<String, String> nonRepeatable(String token) {
 		return Map.of("Burdock-Key", "key-1", "Burdock-Request-Id", newRequestId(token));
 	}
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/FakeControl.java
@@ -42,7 +42,7 @@
  * a conflicting claim, grants each team a fixed number of tokens, and queues the received
  * messages for the test.
  */
-public final class FakeControl {
+public final class FakeControl implements AutoCloseable {
 
 	private static final Holder SELF = new Holder(new HostName("control-1"), 1);
 
@@ -52,7 +52,9 @@
 
 	private volatile ConfigurationSnapshot configuration;
 
-	private final MemberSettings settings;
+	private final ReservedAddress address = new ReservedAddress("127.1.0.1");
+
+	private final MemberSettings settings = new MemberSettings("control-1", this.address.settings());
 
 	private final ActorRef<LinkEvent<ClientEnvelope>> owner;
 
@@ -63,7 +65,6 @@
 	public FakeControl(ActorTestKit kit, ConfigurationSnapshot configuration, int tokenCount) {
 		this.configuration = configuration;
 		this.tokenCount = tokenCount;
-		this.settings = new MemberSettings("control-1", TestSupport.freeAddress("127.1.0.1"));
 		Behavior<LinkEvent<ClientEnvelope>> behavior = Behaviors.receiveMessage((event) -> {
 			if (event instanceof LinkEvent.Received<ClientEnvelope> message) {
 				answer(message);
@@ -79,6 +80,11 @@
 		return this.settings;
 	}
 
+	@Override
+	public void close() {
+		this.address.close();
+	}
+
 	/** Changes the configuration without notifying the entry hosts. */
 	public void changeConfiguration(ConfigurationSnapshot newer) {
 		this.configuration = newer;
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestEntry.java
@@ -52,10 +52,6 @@
 		this.guardian = guardian;
 	}
 
-	public static PeerSettings peer(String name, String dataCentre, String ip) {
-		return new PeerSettings(name, dataCentre, TestSupport.freeAddress(ip), TestSupport.freeAddress(ip));
-	}
-
 	/** Starts an entry host and waits until it has acknowledged its configuration. */
 	public static TestEntry start(ActorTestKit kit, PeerSettings self, List<PeerSettings> peers, FakeControl control) {
 		return start(kit, self, peers, control, InstantSource.system(), LimitSettings.defaults());
--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestSupport.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/fake/TestSupport.java
@@ -1,15 +1,9 @@
 package io.burdockpin.entry.fake;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-import io.burdockpin.entry.cfg.AddressSettings;
-
-/** Finds free ports and waits for messages with a timeout. */
+/** Waits for messages with a timeout. */
 public final class TestSupport {
 
 	/** Generous, because it is only reached when a test fails. */
@@ -18,15 +12,6 @@
 	private TestSupport() {
 	}
 
-	public static AddressSettings freeAddress(String ip) {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-			return new AddressSettings(ip, socket.getLocalPort());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	public static <M> M poll(BlockingQueue<M> queue) {
 		try {
 			M message = queue.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
