Leave the client of PlannedStopTests a connection before the stop

Cause: the test sets balancerGraceMillis to 1. Its connection of the announcement is in use by the request in flight, so the call of /ready after the stop needs a new one, and the listener is closed within some ten milliseconds. Later retries are refused as well (ConnectException).

Change: the test calls /ready before the stop, too, and expects 200. The client keeps this connection, which the entry host serves until the requests in flight have ended. The checks after the stop are unchanged.

--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/PlannedStopTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/PlannedStopTests.java
@@ -37,6 +37,9 @@
 		entry.announce("runner-1", runner(), false);
 		CompletableFuture<HttpResponse<String>> response = entry.submit(REPEATABLE, "panel");
 		FakeRunner.Call call = runner().awaitCall();
+		// With a grace of 1 ms the listener may close before the client can connect
+		// again, so this leaves it an open connection.
+		Truth.assertThat(entry.call("GET", "/ready", Map.of(), "").statusCode()).isEqualTo(200);
 		TestProbe<Void> probe = probe();
 		entry.guardian().tell(GuardianCommand.Stop.INSTANCE);
 		probe.awaitAssert(MAX_WAIT, () -> {
