Wait for the runners before the calls of the leaving runner's test

Cause: aLeavingRunnerGetsNoNewWorkAndEndsItsRequestsInFlight sent its first calls while both runners were still starting. On a busy machine their 10 s end before a runner serves, and the test counts each refusal as a failure.

Change: it waits until the runners serve at each entry host, as its sister test does. The checks are unchanged.

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RunnerFailureTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RunnerFailureTests.java
@@ -55,6 +55,8 @@
 	void aLeavingRunnerGetsNoNewWorkAndEndsItsRequestsInFlight() {
 		StandInRunner leaving = fleet.startRunner("leaving-1", "leaving", 0, SERVICE_MILLIS);
 		StandInRunner staying = fleet.startRunner("leaving-2", "leaving", 1, SERVICE_MILLIS);
+		// On a busy machine the runners may need most of a timeout to start.
+		awaitServiceAtEachEntryHost("leaving");
 		Load load = load("leaving", false);
 		load.awaitServed(40);
 		leaving.behave(RunnerBehaviour.SLOW);
