Keep the runners of DataCentreCutTests in their data centres

Cause: a stand-in runner whose announcement is answered late attaches to the entry host of another data centre and stays there. On a busy machine this happened while the runners started: the third data centre had no runner when it was cut off, and nothing could be served inside.

Change: the runners of this test announce themselves only to the entry host of their data centre. The checks are unchanged.

--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/DataCentreCutTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/DataCentreCutTests.java
@@ -45,7 +45,7 @@
 		outsideOperator.change("create-queue", new ConfigurationCommand.CreateQueue(new QueueName(QUEUE), true));
 		fleet.awaitSameConfiguration();
 		for (int number = 0; number < 3; number++) {
-			fleet.startRunner("r" + (number + 1), QUEUE, number, SERVICE_MILLIS);
+			fleet.startRunnerThatStays("r" + (number + 1), QUEUE, number, SERVICE_MILLIS);
 		}
 	}
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/fleet/Fleet.java
@@ -146,6 +146,25 @@
 	 */
 	public StandInRunner startRunner(String name, String queue, int entry, long serviceMillis,
 			Optional<Map<String, Object>> tls) {
+		return startRunner(name, queue, entry, serviceMillis, tls, nearestFirst(entry));
+	}
+
+	/**
+	 * Starts a stand-in runner that announces itself only to the entry host of its data
+	 * centre. The others move to another entry host if an answer is late, and stay there.
+	 * @param name name of the runner
+	 * @param queue the queue it serves
+	 * @param entry number of the entry host in whose data centre it stands, from 0
+	 * @param serviceMillis how long it works on a request
+	 * @return the runner
+	 */
+	public StandInRunner startRunnerThatStays(String name, String queue, int entry, long serviceMillis) {
+		return startRunner(name, queue, entry, serviceMillis,
+				this.authority.map((signer) -> signer.sign(name, "127.0.0.1")), List.of(this.entries.get(entry)));
+	}
+
+	private StandInRunner startRunner(String name, String queue, int entry, long serviceMillis,
+			Optional<Map<String, Object>> tls, List<EntryHost> announcedTo) {
 		int dataCentre = entry + 1;
 		this.addresses.place(name, dataCentre);
 		EndPoint address = this.addresses.next(name);
@@ -154,7 +173,7 @@
 		List<String> arguments = new ArrayList<>(List.of("--name", name, "--queue", queue, "--data-centre",
 				"dc" + dataCentre, "--address", address.toString(), "--control-address", control.toString(),
 				"--service-ms", Long.toString(serviceMillis), "--started-file", startedFile.toString(), "--entry"));
-		nearestFirst(entry).forEach((host) -> arguments.add(host.httpAddress().toString()));
+		announcedTo.forEach((host) -> arguments.add(host.httpAddress().toString()));
 		arguments.addAll(tls.map(Fleet::certificateArguments).orElseGet(this::trustArguments));
 		ProgramProcess process = new ProgramProcess(name, this.folder, RunnerMain.class, arguments);
 		StandInRunner runner = new StandInRunner(queue, process, control, startedFile);
