Forward nothing to an entry host that hears nothing

Cause: an entry host forwards to each peer that it hears and is connected to. After a silent cut in one direction the peer is still heard, but what is forwarded never arrives: the caller got 504 DEADLINE_EXCEEDED, UNKNOWN, "entry host e3 did not reply in time", although nothing ran.

Change: an entry host tells a peer that it has not heard for timing.peerSilentMillis that it accepts no new work, with the field of the status that a stopping host uses. Messages keep their form.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/membership/PeerMessage.java
@@ -29,7 +29,8 @@
 	 * @param dataCentre data centre of the sender
 	 * @param httpAddress address on which the sender accepts announcements,
 	 * {@code ip:port}
-	 * @param stopping whether the sender is stopping and accepts no new work
+	 * @param stopping whether the sender accepts no new work, because it is stopping or
+	 * does not hear the receiver
 	 * @param configurationIndex index of the configuration that the sender has applied
 	 * @param queues capacity of the queues with attached runners
 	 * @param clockMillis clock of the sender when the status was sent
@@ -49,7 +50,8 @@
 	 *
 	 * @param number sequence number of the status; the change applies only to the status
 	 * with the preceding number
-	 * @param stopping whether the sender is stopping and accepts no new work
+	 * @param stopping whether the sender accepts no new work, because it is stopping or
+	 * does not hear the receiver
 	 * @param configurationIndex index of the configuration that the sender has applied
 	 * @param queues queues whose capacity has changed
 	 * @param removed queues that no longer have attached runners
--- a/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
+++ b/burdockpin-entry/src/main/java/io/burdockpin/entry/peer/PeerActor.java
@@ -330,18 +330,24 @@
 	}
 
 	private Behavior<PeerCommand> onStatusReceived(PeerCommand.StatusReceived command) {
-		PeerMessage.PeerStatus status = new PeerMessage.PeerStatus(0, this.identity.self().dataCentre(),
-				this.identity.self().httpAddress(), command.status().stopping(), command.status().configurationIndex(),
-				command.status().queues(), this.identity.nowMillis());
+		long nowMillis = this.identity.nowMillis();
 		for (HostName host : this.sessions.keySet()) {
 			this.statusSenders.get(host)
-				.next(status, this.identity.nowMillis())
+				.next(statusFor(host, command.status(), nowMillis), nowMillis)
 				.ifPresent((message) -> send(host, message));
 			sendUnconfirmedKeys(host);
 		}
 		return this;
 	}
 
+	// After a cut in one direction, a host that is no longer heard still hears this one,
+	// and requests that it forwards would be lost.
+	private PeerMessage.PeerStatus statusFor(HostName host, RouterCommand.RouterStatus own, long nowMillis) {
+		boolean refusesWork = own.stopping() || !this.table.isLive(host, nowMillis);
+		return new PeerMessage.PeerStatus(0, this.identity.self().dataCentre(), this.identity.self().httpAddress(),
+				refusesWork, own.configurationIndex(), own.queues(), nowMillis);
+	}
+
 	private void onStatus(Holder sender, PeerMessage.PeerStatus status) {
 		if (this.table.onStatus(sender.host(), sender.incarnation(), status, this.identity.nowMillis())) {
 			publish();
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/DataCentreCutTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/DataCentreCutTests.java
@@ -27,6 +27,9 @@
 
 	private static final String QUEUE = "calls";
 
+	/** Served in the third data centre only. */
+	private static final String INSIDE_QUEUE = "inside";
+
 	/** Longer than the timeouts of elections, links, peers and proposals. */
 	private static final Duration LONGER_THAN_ALL_TIMEOUTS = Duration.ofSeconds(8);
 
@@ -43,7 +46,10 @@
 		fleet = Fleet.start("cuts", 3, 4096);
 		outsideOperator = new Operator(fleet.entries().subList(0, 2));
 		outsideOperator.change("create-queue", new ConfigurationCommand.CreateQueue(new QueueName(QUEUE), true));
+		outsideOperator.change("create-inside-queue",
+				new ConfigurationCommand.CreateQueue(new QueueName(INSIDE_QUEUE), true));
 		fleet.awaitSameConfiguration();
+		fleet.startRunnerThatStays("r-inside", INSIDE_QUEUE, 2, SERVICE_MILLIS);
 		for (int number = 0; number < 3; number++) {
 			fleet.startRunnerThatStays("r" + (number + 1), QUEUE, number, SERVICE_MILLIS);
 		}
@@ -93,6 +99,28 @@
 		awaitAgreement("deaf-after");
 	}
 
+	/**
+	 * Guards against a request that is forwarded into a data centre that hears nothing,
+	 * so that its outcome is unknown although it never ran.
+	 */
+	@Test
+	void aRequestIsNotForwardedIntoADataCentreThatHearsNothing() {
+		EntryHost outside = fleet.entries().get(0);
+		Caller caller = new Caller(INSIDE_QUEUE, Optional.empty());
+		Load before = new Load(caller, "forwarded-before", true, TIMEOUT_MILLIS).start(outside, 1);
+		before.awaitServed(4);
+		before.stop();
+		fleet.links().cutOneWay(fleet.hostsOf(1, 2), fleet.hostsOf(3));
+		Await.pass(LONGER_THAN_ALL_TIMEOUTS);
+		Answer answer = caller
+			.send(outside,
+					new CallerRequest(System.currentTimeMillis() / 1000 + "-forwarded", "once", false, TIMEOUT_MILLIS))
+			.join();
+		fleet.links().heal();
+		awaitAgreement("forwarded-after");
+		Truth.assertWithMessage(answer.toString()).that(answer.saysNotRun()).isTrue();
+	}
+
 	/** Guards against a data centre that hears the others but is not heard by them. */
 	@Test
 	void aDataCentreThatIsNotHeardDoesNotDisturbTheOthers() {
