Sync the records that a member reads when it starts

A control member refused to start for good after a power failure ("segment has a corrupt record"), or could lose entries that it had acknowledged.

Cause: a process that ends before a sync leaves records in the file that are not on the disk. The next process read them, counted them as synced and continued in a new segment. A later power failure tore the older segment, which must be intact.

Change: the last segment is synced when it is read, as it was already if its end was torn.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/storage/MemberStorage.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/storage/MemberStorage.java
@@ -258,13 +258,15 @@
 			throw StorageException.corrupt("the segment before %s is missing".formatted(name), null);
 		}
 		SegmentReader reader = new SegmentReader(name, this.files.read(name).orElseThrow());
-		if (!reader.isIntact()) {
-			if (!isLast) {
-				throw reader.corruption();
-			}
+		if (isLast) {
 			reader.requireNoSyncedCorruption();
+			// Records that were read count as synced, also if the earlier process ended
+			// before their sync.
 			this.files.truncate(name, reader.validBytes());
 		}
+		else if (!reader.isIntact()) {
+			throw reader.corruption();
+		}
 		this.segmentNumber = number;
 		long highestIndex = reader.records().stream().mapToLong(LogRecord::index).max().orElse(0);
 		this.highestIndexBySegment.put(number, highestIndex);
--- a/burdockpin-control/src/test/java/io/burdockpin/control/storage/MemberStorageTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/storage/MemberStorageTests.java
@@ -119,6 +119,27 @@
 		Truth.assertThat(failureOf(() -> open().load())).isEqualTo(Optional.of(ErrorCode.DATA_CORRUPT));
 	}
 
+	/**
+	 * Guards against a member that refuses to start, or loses entries that it has
+	 * acknowledged. Occurs when its process ends before a sync, it starts again, and the
+	 * disk loses power later.
+	 */
+	@Test
+	void entriesThatWereReadAfterARestartOutliveALaterPowerLoss() throws IOException {
+		FilesWithPowerLoss files = new FilesWithPowerLoss(this.folder);
+		MemberStorage first = open(files);
+		first.load();
+		first.append(entries(1, 2, 3));
+		first.sync();
+		first.append(entries(3, 4, 3));
+		MemberStorage second = open(files);
+		Truth.assertThat(second.load().entries()).isEqualTo(entries(1, 4, 3));
+		second.append(entries(5, 6, 3));
+		second.sync();
+		files.losePower();
+		Truth.assertThat(open(files).load().entries()).isEqualTo(entries(1, 6, 3));
+	}
+
 	@Test
 	void aCorruptOrMissingVoteOrSnapshotIsRejected() throws IOException {
 		for (String name : List.of(VoteFile.NAME, "snapshot-00000000000000000000")) {
@@ -163,7 +184,11 @@
 	}
 
 	private MemberStorage open() {
-		return new MemberStorage(new DiskFiles(this.folder), new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
+		return open(new DiskFiles(this.folder));
+	}
+
+	private static MemberStorage open(StorageFiles files) {
+		return new MemberStorage(files, new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
 	}
 
 	private Path file() {
