--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
@@ -1,9 +1,13 @@
 package io.burdockpin.runtime.socket;
 
+import org.apache.pekko.actor.DeadLetterSuppression;
 import org.apache.pekko.util.ByteString;
 
-/** Events of a connection, in the order in which they occur. */
-public sealed interface SocketEvent {
+/**
+ * Events of a connection, in the order in which they occur. Their receiver may already
+ * have stopped, which is no dead letter to report.
+ */
+public sealed interface SocketEvent extends DeadLetterSuppression {
 
 	/** An outgoing connection is open. Sent at most once, before all other events. */
 	enum Connected implements SocketEvent {
