--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RestoreRehearsalTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/RestoreRehearsalTests.java
@@ -63,6 +63,7 @@
 		this.fleet.awaitSameConfiguration();
 		Truth.assertThat(this.operator.configuration().queues().stream().map((queue) -> queue.name().value()).toList())
 			.doesNotContain("after-backup");
+		Await.until("the member of the lost cluster has read its log", () -> old.health().number("incarnation") != 0);
 		Truth.assertThat(old.health().number("incarnation")).isEqualTo(1);
 		Truth.assertThat(old.health().says("majorityReachable", "false")).isTrue();
 		Truth.assertThat(leader.health().number("term")).isEqualTo(term);
