--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -211,24 +211,6 @@
 		startTransfer(Math.max(nowMillis, this.permittedUntilMillis), nowMillis);
 	}
 
-	private void startTransfer(long startMillis, long nowMillis) {
-		if (this.transfer.isPresent()) {
-			return;
-		}
-		Optional<MemberId> best = this.log.membership()
-			.voters()
-			.stream()
-			.map(Member::id)
-			.filter(this.progresses::containsKey)
-			// A voter that does not answer would leave the group without a leader.
-			.filter((
-					id) -> lastContactMillis(id, nowMillis) >= nowMillis - this.settings.electionTimeoutMinimumMillis())
-			.max((left, right) -> Long.compare(matchIndex(left), matchIndex(right)));
-		long deadlineMillis = startMillis + this.settings.electionTimeoutMinimumMillis();
-		this.transfer = best.map((target) -> new Transfer(target, deadlineMillis, false));
-		completeTransfer(nowMillis);
-	}
-
 	/**
 	 * Starts a leadership transfer when the disk hangs.
 	 * @param diskHangs whether the disk hangs at present
@@ -252,6 +234,27 @@
 
 	// helpers
 
+	private void startTransfer(long startMillis, long nowMillis) {
+		if (this.transfer.isPresent()) {
+			return;
+		}
+		Optional<MemberId> best = this.log.membership()
+			.voters()
+			.stream()
+			.map(Member::id)
+			.filter(this.progresses::containsKey)
+			// A voter that does not answer would leave the group without a leader.
+			.filter((id) -> hasAnsweredRecently(id, nowMillis))
+			.max((left, right) -> Long.compare(matchIndex(left), matchIndex(right)));
+		long deadlineMillis = startMillis + this.settings.electionTimeoutMinimumMillis();
+		this.transfer = best.map((target) -> new Transfer(target, deadlineMillis, false));
+		completeTransfer(nowMillis);
+	}
+
+	private boolean hasAnsweredRecently(MemberId id, long nowMillis) {
+		return lastContactMillis(id, nowMillis) >= nowMillis - this.settings.electionTimeoutMinimumMillis();
+	}
+
 	private void updateMembers(long nowMillis) {
 		Membership membership = this.log.membership();
 		this.progresses.keySet().removeIf((id) -> membership.find(id).isEmpty());
