Wait for the listener and the link in MemberLinksTests

The test connected to the listener of the member as soon as the link of the member was accepted, but a link connects without waiting until its listener is bound. In addition, the answer was dropped if the link did not know yet that its connection was accepted.

--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/consensus/MemberLinksTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/consensus/MemberLinksTests.java
@@ -38,6 +38,9 @@
 
 	private static final Duration RECEIVE_LIMIT = Duration.ofSeconds(30);
 
+	/** Term of the messages that only show whether the link is open. */
+	private static final long PROBE_TERM = 1;
+
 	private final ActorTestKit testKit = ActorTestKit.create();
 
 	/** Atomic, because the actors read the clock in threads of their own. */
@@ -62,6 +65,7 @@
 			ActorRef<MemberLinks.Command> links = startLinks(listener.getLocalPort());
 			try (Socket outgoing = listener.accept(); Socket incoming = connect(listener.getLocalPort())) {
 				this.nowMillis.addAndGet(60_000);
+				awaitOpenLink(links, outgoing);
 				send(incoming, envelope(OTHER, SELF, 7));
 				this.replica.expectMessageClass(ConsensusCommand.FromMember.class, RECEIVE_LIMIT);
 				links.tell(new MemberLinks.Send(envelope(SELF, OTHER, 8)));
@@ -80,8 +84,18 @@
 		return links;
 	}
 
-	private static Socket connect(int port) throws IOException {
-		return new Socket(InetAddress.getByName(SELF), port);
+	// Messages are dropped until the link knows that its connection was accepted.
+	private void awaitOpenLink(ActorRef<MemberLinks.Command> links, Socket outgoing) {
+		this.replica.awaitAssert(RECEIVE_LIMIT, () -> {
+			links.tell(new MemberLinks.Send(envelope(SELF, OTHER, PROBE_TERM)));
+			Truth.assertThat(outgoing.getInputStream().available()).isGreaterThan(0);
+			return null;
+		});
+	}
+
+	// The link may connect before the listener of the same member is bound.
+	private Socket connect(int port) {
+		return this.replica.awaitAssert(RECEIVE_LIMIT, () -> new Socket(InetAddress.getByName(SELF), port));
 	}
 
 	private void send(Socket connection, ConsensusEnvelope envelope) throws IOException {
@@ -95,7 +109,11 @@
 	private ConsensusEnvelope receive(Socket connection) throws IOException {
 		connection.setSoTimeout((int) RECEIVE_LIMIT.toMillis());
 		DataInputStream input = new DataInputStream(connection.getInputStream());
-		return this.codec.decode(input.readNBytes(input.readInt()));
+		ConsensusEnvelope received = this.codec.decode(input.readNBytes(input.readInt()));
+		while (received.message().term() == PROBE_TERM) {
+			received = this.codec.decode(input.readNBytes(input.readInt()));
+		}
+		return received;
 	}
 
 	private static ConsensusEnvelope envelope(String sender, String receiver, long term) {
