Acknowledge a departure only while a majority confirms the leadership

A leader that was already deposed acknowledged the departure of a runner. Only that leader knew of it, the runner announces it once, and the present leader counted the runner as usable until it was silent.

The acknowledgement now waits for a confirmed read, like the answers to callers. SchedulerActorTests.aDepartureIsNotAcknowledgedBeforeAMajorityHasConfirmedTheLeadership failed before ("Received unexpected message Accepted[]") and passes. A departure that is acknowledged just before a change of leader is still known only to the former leader.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -210,7 +210,8 @@
 		}
 		else if (call instanceof FleetCall.Leave leave) {
 			this.leader.get().onDeparture(leave.runner());
-			replyTo.send(new FleetReply.Accepted());
+			// A departure is known only to the leader that acknowledges it.
+			replyWhenConfirmed(replyTo, () -> replyTo.send(new FleetReply.Accepted()));
 		}
 		else if (call instanceof FleetCall.Join join) {
 			onJoin(join, replyTo);
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -101,6 +101,20 @@
 		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
 	}
 
+	/**
+	 * Guards against a departure that only a deposed leader knows of, so that the runner
+	 * does not announce it to the present one.
+	 */
+	@Test
+	void aDepartureIsNotAcknowledgedBeforeAMajorityHasConfirmedTheLeadership() {
+		lead();
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Leave("runner"), replyPort()));
+		this.replies.expectNoMessage(Duration.ofMillis(100));
+		completeReads(false);
+		completeReads(false);
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+	}
+
 	/** A leader that was elected and cut off at once must not contact the runners. */
 	@Test
 	void noRunnerIsContactedBeforeAMajorityHasConfirmedTheLeadership() {
