Restart rejected decisions with the next tick

While a leadership transfer waits for its successor, all proposals are rejected, for up to 500 ms. Each rejection made a new FleetLeader at once, whose first decisions were rejected again, so a leader that hands over spent its processor time on decisions that nobody takes, when its successor needs an answer.

The decisions are dropped at the rejection and start again with the next tick (40 ms), if the member still leads. SchedulerActorTests.afterARejectedProposalNothingIsProposedUntil TheNextTick failed before (a second proposal instead of a refusal) and passes.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -105,6 +105,9 @@
 
 	private boolean leads;
 
+	/** Whether the decisions of the current term were dropped and start again. */
+	private boolean restartDue;
+
 	private long term;
 
 	private Optional<MemberId> knownLeader = Optional.empty();
@@ -321,7 +324,7 @@
 			this.leader.ifPresent((leading) -> onApplied(leading, entry.index(), group, results));
 		}
 		this.proposals.onCommitted(entry.index());
-		if (this.leads && this.leader.isEmpty() && entry.term() == this.term) {
+		if (this.leads && this.leader.isEmpty() && !this.restartDue && entry.term() == this.term) {
 			logger.atInfo().log("Leads in term %d from log index %d.", this.term, entry.index());
 			this.events.leadershipChanged(true, this.term);
 			startLeading();
@@ -360,17 +363,20 @@
 	}
 
 	// The leader's decisions rely on commands that were lost, so it starts again from the
-	// committed state.
+	// committed state. It waits for the next tick, since proposals are rejected until a
+	// leadership transfer has ended.
 	private void onNotProposed(long tag) {
 		this.proposals.onRefused(tag, notLeader());
 		if (this.leader.isPresent()) {
 			logger.atWarning().log("A proposal was rejected although this member leads; restarting decisions.");
 			this.channels.retain((key) -> false);
-			startLeading();
+			this.leader = Optional.empty();
+			this.restartDue = true;
 		}
 	}
 
 	private void startLeading() {
+		this.restartDue = false;
 		this.leader = Optional
 			.of(new FleetLeader(this.state, this.settings, this.hostOrderHistory, this.term, this.clock.millis()));
 	}
@@ -382,6 +388,7 @@
 			logger.atInfo().log("Stepped down in term %d.", changed.term());
 			this.events.leadershipChanged(false, changed.term());
 			this.leader = Optional.empty();
+			this.restartDue = false;
 			this.permit.revoke();
 			this.channels.retain((key) -> false);
 			this.queuedCommands.clear();
@@ -424,6 +431,9 @@
 	// decisions
 
 	private Behavior<SchedulerCommand> onTick() {
+		if (this.restartDue) {
+			startLeading();
+		}
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
 			.ifPresent((period) -> this.events.load(this.term, period));
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -115,6 +115,23 @@
 		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
 	}
 
+	/**
+	 * Guards against a leader that repeats rejected decisions without a pause while it
+	 * waits for the end of a leadership transfer.
+	 */
+	@Test
+	void afterARejectedProposalNothingIsProposedUntilTheNextTick() {
+		lead();
+		announceNewRunner();
+		report(new ConsensusReport.NotProposed(nextProposal().tag()));
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+		announceNewRunner();
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+		this.time.timePasses(Duration.ofMillis(40));
+		announceNewRunner();
+		nextProposal();
+	}
+
 	/** A leader that was elected and cut off at once must not contact the runners. */
 	@Test
 	void noRunnerIsContactedBeforeAMajorityHasConfirmedTheLeadership() {
@@ -216,6 +233,12 @@
 				false));
 	}
 
+	private void announceNewRunner() {
+		RunnerRecord announced = new RunnerRecord(new RunnerKey("new-runner", 5), Optional.of("new-host"), "pool",
+				"10.0.0.3:1", "dc1", Optional.empty(), Resources.NONE, Set.of(), false);
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Announce(announced, 1), replyPort()));
+	}
+
 	private void completeReads(boolean confirmed) {
 		ConsensusCommand.Read read = nextRead();
 		report(new ConsensusReport.ReadDone(read.number(),
@@ -223,11 +246,19 @@
 	}
 
 	private ConsensusCommand.Read nextRead() {
+		return next(ConsensusCommand.Read.class);
+	}
+
+	private ConsensusCommand.Propose nextProposal() {
+		return next(ConsensusCommand.Propose.class);
+	}
+
+	private <C extends ConsensusCommand> C next(Class<C> type) {
 		ConsensusCommand command = this.consensus.receiveMessage();
-		while (!(command instanceof ConsensusCommand.Read)) {
+		while (!type.isInstance(command)) {
 			command = this.consensus.receiveMessage();
 		}
-		return (ConsensusCommand.Read) command;
+		return type.cast(command);
 	}
 
 	private void report(ConsensusReport report) {
