Start the response timeout of a control member with its connection

LeaderSearch.onConnected restarts the timeout of the target. The test theResponseTimeoutOfATargetStartsWithItsConnection needs the new method, so it was not run on the earlier code.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -148,6 +148,7 @@
 		}
 		else if (command.event() instanceof LinkEvent.Connected<CallMessage>) {
 			this.links.computeIfPresent(command.host(), (host, link) -> link.withConnected(true));
+			this.search.onConnected(command.host(), this.clock.millis());
 			if (this.search.target().equals(command.host())) {
 				resendAll(command.host());
 			}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/LeaderSearch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/LeaderSearch.java
@@ -175,6 +175,18 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Handles a new connection to a member. No call reaches the target before, so its
+	 * response timeout starts then.
+	 * @param host the member at the other end of the connection
+	 * @param nowMillis the time of the monotonic clock
+	 */
+	public void onConnected(String host, long nowMillis) {
+		if (this.target.equals(host)) {
+			this.lastContactMillis = nowMillis;
+		}
+	}
+
 	/**
 	 * Handles the end of the connection to a member.
 	 * @param host the member at the other end of the connection
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/LeaderSearchTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/LeaderSearchTests.java
@@ -34,6 +34,19 @@
 		Truth.assertThat(search.isReady(1_700)).isFalse();
 	}
 
+	/**
+	 * Guards against a starting process that abandons the leader just after it has
+	 * connected to it, because the connection took almost as long as a response may take.
+	 */
+	@Test
+	void theResponseTimeoutOfATargetStartsWithItsConnection() {
+		LeaderSearch search = new LeaderSearch(List.of("a", "b"), 600, 2_000, 1_000);
+		search.onConnected("b", 1_500);
+		search.onConnected("a", 1_570);
+		Truth.assertThat(search.onTick(2_170)).isEmpty();
+		Truth.assertThat(search.onTick(2_171).map(LeaderSearch.TargetChange::host)).hasValue("b");
+	}
+
 	/** Guards against a search that keeps using a connection that has failed silently. */
 	@Test
 	void aConnectionThatStaysSilentIsReplacedWhenAnotherMemberStillNamesItsHost() {
