Say what the time after an election is for

The constant was named after the time until a deposed leader steps down. Since leaders send only in confirmed windows, earlier leaders grant nothing after the election; the two seconds let a busy new leader contact its runners. The value is unchanged.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SessionSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SessionSettings.java
@@ -27,10 +27,10 @@
 	private static final int MARGIN_MILLIS = 300;
 
 	/**
-	 * Maximum time until a leader that has lost its majority steps down, which is the
-	 * longest election timeout.
+	 * Earlier leaders grant nothing after the election. The additional time lets a busy
+	 * new leader contact all runners before it counts their leases as expired.
 	 */
-	private static final int STEP_DOWN_MILLIS = 2_000;
+	private static final int FIRST_CONTACT_MILLIS = 2_000;
 
 	public SessionSettings {
 		Checks.range("leaseMillis", leaseMillis, 1_000, 600_000);
@@ -55,7 +55,7 @@
 	 * @return time in milliseconds since the election
 	 */
 	long earlierLeaseExpiryMillis() {
-		return STEP_DOWN_MILLIS + safeExpiryMillis(this.leaseMillis);
+		return FIRST_CONTACT_MILLIS + safeExpiryMillis(this.leaseMillis);
 	}
 
 }
