Report syncs to the replicated log past its supervisor

A member answers a heartbeat, votes and commits once its earlier writes are synced. The log writer reported each sync to the supervisor of the log, which passed it on. The supervisor runs on the default dispatcher with the connections to runners and callers, so each answer of a busy member waited behind that work, although the log and its links have a thread of their own.

The log writer now reports to the actor that owns the log (LogWriter.Attach); the supervisor only starts and watches.

LogWriterTests, Replica*Tests, MemberLinksTests pass.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusActor.java
@@ -69,6 +69,10 @@
 		this.owner = owner;
 		this.clock = clock;
 		this.admission = new GroupAdmission(replica, settings, metrics);
+		// Reports of syncs come straight to this actor: heartbeats are answered after
+		// them.
+		logWriter.tell(new LogWriter.Attach(context.messageAdapter(LogWriter.Written.class,
+				(written) -> new ConsensusCommand.Written(written.number()))));
 		runEffects();
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/consensus/ConsensusSupervisor.java
@@ -1,7 +1,6 @@
 package io.burdockpin.batch.consensus;
 
 import java.time.InstantSource;
-import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
@@ -47,8 +46,6 @@
 
 	private final ActorRef<LogWriter.Command> logWriter;
 
-	private Optional<ActorRef<ConsensusCommand>> consensus = Optional.empty();
-
 	private ConsensusSupervisor(ActorContext<Command> context, MemberStorage storage, ConsensusSettings settings,
 			MetricRegistry metrics, InstantSource clock, RandomGenerator random, ActorRef<ConsensusReport> stateOwner,
 			ActorRef<Report> owner) {
@@ -60,8 +57,7 @@
 		this.stateOwner = stateOwner;
 		this.owner = owner;
 		ActorRef<LogWriter.Loaded> loaded = context.messageAdapter(LogWriter.Loaded.class, Loaded::new);
-		ActorRef<LogWriter.Written> written = context.messageAdapter(LogWriter.Written.class, Written::new);
-		this.logWriter = context.spawn(LogWriter.create(storage, loaded, written, metrics, clock), "log-writer",
+		this.logWriter = context.spawn(LogWriter.create(storage, loaded, metrics, clock), "log-writer",
 				DispatcherSelector.fromConfig(LOG_WRITER_DISPATCHER));
 		context.watch(this.logWriter);
 	}
@@ -88,7 +84,6 @@
 	@Override
 	public Receive<Command> createReceive() {
 		return newReceiveBuilder().onMessage(Loaded.class, this::onLoaded)
-			.onMessage(Written.class, this::onWritten)
 			.onMessage(LinksFailed.class, (command) -> fail(command.reason()))
 			.onSignal(ChildFailed.class, this::onChildFailed)
 			.onSignal(Terminated.class, (signal) -> fail("a component of the replicated log stopped"))
@@ -104,7 +99,6 @@
 				this.logWriter, this.stateOwner, this.metrics, this.clock), "consensus",
 				DispatcherSelector.fromConfig(BatchDispatchers.CONSENSUS));
 		getContext().watch(started);
-		this.consensus = Optional.of(started);
 		MemberId self = command.loaded().state().self();
 		ActorRef<MemberLinks.Failed> linksFailed = getContext().messageAdapter(MemberLinks.Failed.class,
 				(failed) -> new LinksFailed(failed.reason()));
@@ -114,11 +108,6 @@
 		return this;
 	}
 
-	private Behavior<Command> onWritten(Written command) {
-		this.consensus.ifPresent((target) -> target.tell(new ConsensusCommand.Written(command.written().number())));
-		return this;
-	}
-
 	private Behavior<Command> onChildFailed(ChildFailed signal) {
 		logger.atSevere().withCause(signal.cause()).log("The replicated log failed; stopping.");
 		return fail(String.valueOf(signal.cause().getMessage()));
@@ -138,10 +127,6 @@
 
 	}
 
-	private record Written(LogWriter.Written written) implements Command {
-
-	}
-
 	private record LinksFailed(String reason) implements Command {
 
 	}
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/LogWriter.java
@@ -1,6 +1,7 @@
 package io.burdockpin.control.replica;
 
 import java.time.InstantSource;
+import java.util.Optional;
 
 import io.burdockpin.control.storage.MemberStorage;
 import io.burdockpin.core.consensus.DurableState;
@@ -25,21 +26,20 @@
 
 	private final MemberStorage storage;
 
-	private final ActorRef<Written> writtenListener;
-
 	private final MetricRegistry metrics;
 
 	private final InstantSource clock;
 
+	private Optional<ActorRef<Written>> writtenListener = Optional.empty();
+
 	private boolean syncScheduled;
 
 	private long lastWriteNumber;
 
 	private LogWriter(ActorContext<Command> context, MemberStorage storage, ActorRef<Loaded> loadedListener,
-			ActorRef<Written> writtenListener, MetricRegistry metrics, InstantSource clock) {
+			MetricRegistry metrics, InstantSource clock) {
 		super(context);
 		this.storage = storage;
-		this.writtenListener = writtenListener;
 		this.metrics = metrics;
 		this.clock = clock;
 		loadedListener.tell(new Loaded(storage.load()));
@@ -51,20 +51,19 @@
 	 * Creates the behavior of a log writer, which first loads the files.
 	 * @param storage the files
 	 * @param loadedListener receives the loaded state
-	 * @param writtenListener receives the numbers of synced writes
 	 * @param metrics the metrics of the process
 	 * @param clock measures the duration of syncs
 	 * @return the behavior of the log writer
 	 */
 	public static Behavior<Command> create(MemberStorage storage, ActorRef<Loaded> loadedListener,
-			ActorRef<Written> writtenListener, MetricRegistry metrics, InstantSource clock) {
-		return Behaviors
-			.setup((context) -> new LogWriter(context, storage, loadedListener, writtenListener, metrics, clock));
+			MetricRegistry metrics, InstantSource clock) {
+		return Behaviors.setup((context) -> new LogWriter(context, storage, loadedListener, metrics, clock));
 	}
 
 	@Override
 	public Receive<Command> createReceive() {
-		return newReceiveBuilder().onMessage(WriteVote.class, this::onWriteVote)
+		return newReceiveBuilder().onMessage(Attach.class, this::onAttach)
+			.onMessage(WriteVote.class, this::onWriteVote)
 			.onMessage(WriteEntries.class, this::onWriteEntries)
 			.onMessage(WriteSnapshot.class, this::onWriteSnapshot)
 			.onMessageEquals(SyncDue.INSTANCE, this::onSyncDue)
@@ -73,6 +72,11 @@
 
 	// helpers
 
+	private Behavior<Command> onAttach(Attach command) {
+		this.writtenListener = Optional.of(command.writtenListener());
+		return this;
+	}
+
 	private Behavior<Command> onWriteVote(WriteVote command) {
 		Effect.WriteVote write = command.write();
 		this.storage.writeVote(write.term(), write.votedFor());
@@ -106,7 +110,7 @@
 		long startedMillis = this.clock.millis();
 		this.storage.sync();
 		this.metrics.record(Metric.SYNC_DURATION, (this.clock.millis() - startedMillis) / MILLIS_PER_SECOND);
-		this.writtenListener.tell(new Written(this.lastWriteNumber));
+		this.writtenListener.ifPresent((listener) -> listener.tell(new Written(this.lastWriteNumber)));
 		return this;
 	}
 
@@ -115,6 +119,15 @@
 
 	}
 
+	/**
+	 * Sets who is told of synced writes. Sent before the first write.
+	 *
+	 * @param writtenListener receives the numbers of synced writes
+	 */
+	public record Attach(ActorRef<Written> writtenListener) implements Command {
+
+	}
+
 	/**
 	 * Writes term and vote.
 	 *
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaSupervisor.java
@@ -65,8 +65,9 @@
 		this.owner = owner;
 		ActorRef<LogWriter.Loaded> loaded = context.messageAdapter(LogWriter.Loaded.class, Loaded::new);
 		ActorRef<LogWriter.Written> written = context.messageAdapter(LogWriter.Written.class, Written::new);
-		this.logWriter = context.spawn(LogWriter.create(storage, loaded, written, metrics, clock), "log-writer",
+		this.logWriter = context.spawn(LogWriter.create(storage, loaded, metrics, clock), "log-writer",
 				DispatcherSelector.fromConfig(LOG_WRITER_DISPATCHER));
+		this.logWriter.tell(new LogWriter.Attach(written));
 		context.watch(this.logWriter);
 	}
 
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/LogWriterTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/LogWriterTests.java
@@ -39,8 +39,9 @@
 		MemberStorage storage = new MemberStorage(this.files, new ThriftEntryContentCodec(), new ThriftSnapshotCodec());
 		storage.format(new Identity("test", "c1", 1, true), Membership.EMPTY);
 		TestInbox<LogWriter.Loaded> loaded = TestInbox.create();
-		this.writer = BehaviorTestKit.create(LogWriter.create(storage, loaded.getRef(), this.written.getRef(),
-				new MetricRegistry(), () -> Instant.EPOCH));
+		this.writer = BehaviorTestKit
+			.create(LogWriter.create(storage, loaded.getRef(), new MetricRegistry(), () -> Instant.EPOCH));
+		this.writer.run(new LogWriter.Attach(this.written.getRef()));
 		Truth.assertThat(loaded.receiveMessage().state().term()).isEqualTo(0);
 	}
 
