Send entries again only when a later message was answered first

A leader sent the entries that were on their way to a member again after two heartbeat periods. A large entry, such as a configuration of some thousand routes, takes longer than that to arrive, to be synced and answered, so copies of it filled the link, and heartbeats and the next entries queued up behind them.

Messages on a link and their answers keep their order.

A lost entry is sent again with the answer to the next heartbeat, which is earlier than before.

ReplicaTests.anEntryIsSentOnceWhileItMayBeOnItsWay and anEntryIsSentAgainAsSoonAsALaterMessageIsAnsweredBeforeIt fail on the unchanged code (the entry is sent again after 200 ms; not sent again with the answer) and pass now, as do ReplicaTests, ReplicaSafetyTests, GroupRepairTests and LeadershipStabilityTests.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/FollowerProgress.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/FollowerProgress.java
@@ -53,10 +53,6 @@
 		return this.inFlightSinceMillis.isPresent();
 	}
 
-	boolean isInFlightSince(long limitMillis) {
-		return this.inFlightSinceMillis.filter((sinceMillis) -> sinceMillis <= limitMillis).isPresent();
-	}
-
 	Optional<Snapshot> pendingSnapshot() {
 		return this.pendingSnapshot;
 	}
@@ -70,6 +66,9 @@
 	void acknowledge(long round, long sentMillis) {
 		this.ackedRound = Math.max(this.ackedRound, round);
 		this.ackedSentMillis = Math.max(this.ackedSentMillis, sentMillis);
+		// Messages on a link and their answers keep their order, so what is in flight was
+		// lost if a later message is answered before it.
+		this.inFlightSinceMillis = this.inFlightSinceMillis.filter((sinceMillis) -> sentMillis <= sinceMillis);
 	}
 
 	void markInFlight(long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/consensus/Leadership.java
@@ -339,9 +339,8 @@
 	private void startHeartbeatRound(long nowMillis) {
 		this.round++;
 		this.nextHeartbeatMillis = nowMillis + this.settings.heartbeatMillis();
-		long staleMillis = nowMillis - 2L * this.settings.heartbeatMillis();
 		this.progresses.forEach((id, progress) -> {
-			if (progress.isInFlight() && !progress.isInFlightSince(staleMillis)) {
+			if (progress.isInFlight()) {
 				sendHeartbeat(id, progress.matchIndex(), nowMillis);
 			}
 			else {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -273,6 +273,31 @@
 			.contains(new Effect.Send(OTHER, 11, new ConsensusMessage.AppendRequest(2, 0, 0, List.of(), 10, 2, 2150)));
 	}
 
+	/**
+	 * Messages on a link keep their order. Guards against copies of a large entry that
+	 * fill the link, so that the heartbeats behind them are late.
+	 */
+	@Test
+	void anEntryIsSentOnceWhileItMayBeOnItsWay() {
+		Replica leader = leaderOfTwo();
+		Truth.assertThat(sentEntries(leader.drainEffects())).hasSize(1);
+		for (long millis = 2100; millis < 3000; millis += FakeCluster.SETTINGS.heartbeatMillis()) {
+			leader.tick(millis);
+			Truth.assertThat(sentEntries(leader.drainEffects())).isEmpty();
+		}
+	}
+
+	@Test
+	void anEntryIsSentAgainAsSoonAsALaterMessageIsAnsweredBeforeIt() {
+		Replica leader = leaderOfTwo();
+		leader.tick(2100);
+		leader.drainEffects();
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.AppendReply(1, true, 0, 1, 2000)), 2110);
+		Truth.assertThat(sentEntries(leader.drainEffects())).isEmpty();
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.AppendReply(1, true, 0, 2, 2100)), 2120);
+		Truth.assertThat(sentEntries(leader.drainEffects())).hasSize(1);
+	}
+
 	@Test
 	void largeEntriesTriggerAnEarlierSnapshotAndAreNotRetained() {
 		Replica single = singleVoter();
@@ -472,6 +497,27 @@
 		return new ConsensusEnvelope("test", sender, receiver, 0, HybridTimestamp.ZERO, message);
 	}
 
+	/** Elected at 2000 ms in term 1; the first entry of the term is on its way. */
+	private static Replica leaderOfTwo() {
+		Replica leader = new Replica(FakeCluster.SETTINGS, durable(List.of(SELF, OTHER)), new Random(1), 0);
+		leader.tick(2000);
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.VoteReply(1, true, true)), 2000);
+		leader.onSynced(1, 2000);
+		leader.receive(envelope(OTHER, SELF, new ConsensusMessage.VoteReply(1, false, true)), 2000);
+		return leader;
+	}
+
+	private static List<ConsensusMessage.AppendRequest> sentEntries(List<Effect> effects) {
+		List<ConsensusMessage.AppendRequest> sent = new ArrayList<>();
+		for (Effect effect : effects) {
+			if (effect instanceof Effect.Send send && send.message() instanceof ConsensusMessage.AppendRequest request
+					&& !request.entries().isEmpty()) {
+				sent.add(request);
+			}
+		}
+		return sent;
+	}
+
 	private static List<Effect.WriteEntries> entryWrites(List<Effect> effects) {
 		List<Effect.WriteEntries> writes = new ArrayList<>();
 		effects.forEach((effect) -> {
