Give the planners of a leader records only after a confirmed read

The control leader answered token and worker reports from records that it gave out for as long as it believed to lead: until the longest election timeout (1 s, up to 4 s while leaders change often) has passed since a majority answered, although a successor may be elected 0.5 s after the others heard it last. The successor lets leases lapse a lease and 20% after its election. So token leases below 2.5 s (17.5 s with doubled timeouts) had too small a margin, the default of 45 s (9 s) not. Worker reports were answered for 2 s more, counted from the arrival of the records at the planner: a process that was paused between the two took them for new. With the shortest job lease (10 s) the margin of 2 s was used up by that age alone.

FetchRecords now is a read that a majority confirms, like queries and read indexes, and the records carry the time of their request (confirmedMillis). A token report is older than the request, so its lease ends before that of the successor's wait for any length. The age of the records for worker reports counts from the request and is at most half of the margin of the lease, 2 s at most. No setting is refused that was accepted before.

The processor time and bytes of the reads were not measured.

--- a/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/ControlSettings.java
@@ -81,8 +81,9 @@
 	private static final ReplicaSettings DEFAULTS = ReplicaSettings.DEFAULT;
 
 	/**
-	 * A deposed leader may renew leases from a view that is up to 2 s old. The lease
-	 * margin of 20% must cover this, hence at least 10 s.
+	 * A leader renews leases for half of their margin of 20% after a majority has
+	 * confirmed it, and plans twice in that time. With shorter leases that would be more
+	 * often than twice a second.
 	 */
 	private static final int MINIMUM_JOB_LEASE_MILLIS = 10_000;
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlacementActor.java
@@ -48,17 +48,22 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * Reports are not answered from an older view, because this member may have lost the
-	 * leadership in the meantime. Shorter than the safety margin of a lease.
+	 * Reports are not answered if the confirmation of the leadership was requested longer
+	 * ago than this, because another member may have been elected since. Also limited to
+	 * half of the margin of a lease, so that the other half is left for differences in
+	 * clock rates.
 	 */
-	private static final long MAXIMUM_VIEW_AGE_MILLIS = 2_000;
+	private static final long MAXIMUM_CONFIRMATION_AGE_MILLIS = 2_000;
+
+	/** Part of the margin of a lease that the age of a confirmation may use up. */
+	private static final int CONFIRMATION_AGE_DIVISOR = 2;
 
 	/**
-	 * Maximum time between two rounds. Shorter than {@link #MAXIMUM_VIEW_AGE_MILLIS}.
-	 * Bounds the delay of time-dependent decisions that
+	 * Number of rounds in the maximum age of a confirmation, so that reports are answered
+	 * without a gap. Also bounds the delay of time-dependent decisions that
 	 * {@link PlacementPlanner#nextDueMillis} does not cover.
 	 */
-	private static final long MAXIMUM_ROUND_INTERVAL_MILLIS = 1_000;
+	private static final int ROUNDS_PER_CONFIRMATION_AGE = 2;
 
 	private final TimerScheduler<Message> timers;
 
@@ -80,6 +85,8 @@
 
 	private final long leaseMillis;
 
+	private final long maximumConfirmationAgeMillis;
+
 	private final ActorRef<ReplicaView> viewAdapter;
 
 	private final ActorRef<ReplicaPort.ProposalsEnded> proposalAdapter;
@@ -107,6 +114,8 @@
 		this.planner = new PlacementPlanner(settings, this.tables);
 		this.reconciler = this.tables.createReconciler();
 		this.leaseMillis = settings.leases().leaseMillis();
+		this.maximumConfirmationAgeMillis = Math.min(MAXIMUM_CONFIRMATION_AGE_MILLIS,
+				settings.leases().marginMillis() / CONFIRMATION_AGE_DIVISOR);
 		this.viewAdapter = context.messageAdapter(ReplicaView.class, ViewArrived::new);
 		this.proposalAdapter = context.messageAdapter(ReplicaPort.ProposalsEnded.class,
 				(ended) -> RoundSignal.PROPOSALS_ENDED);
@@ -121,7 +130,7 @@
 	 * Creates the behavior.
 	 * @param settings the settings of the planner
 	 * @param roundPeriod minimum time between the starts of two rounds
-	 * @param clock wall clock of this process
+	 * @param clock the clock that the replica of this process uses
 	 * @param replica the replica of this member
 	 * @param maintenance receives the observations from worker reports
 	 * @return the behavior of the actor
@@ -150,7 +159,7 @@
 		this.roundStartedMillis = nowMillis;
 		if (this.gate.tryStart(nowMillis)) {
 			this.replica.requestView(this.viewAdapter);
-			scheduleRoundAt(nowMillis + MAXIMUM_ROUND_INTERVAL_MILLIS);
+			scheduleRoundAt(nowMillis + this.maximumConfirmationAgeMillis / ROUNDS_PER_CONFIRMATION_AGE);
 		}
 		else {
 			scheduleNextRound();
@@ -196,7 +205,7 @@
 			logger.atInfo().log("Started planning placements as leader of term %d.", view.term());
 		}
 		JobIndex jobs = JobIndex.of(view.view().jobs());
-		this.leaderView = Optional.of(new LeaderView(view.term(), jobs, nowMillis));
+		this.leaderView = Optional.of(new LeaderView(view.term(), jobs, view.confirmedMillis()));
 		PlacementDecision decision = this.planner.plan(view.view(), jobs, nowMillis);
 		proposeRound(decision.commands());
 		forwardObservations();
@@ -222,7 +231,7 @@
 
 	private Behavior<Message> onReportsArrived(ReportsArrived arrived) {
 		long nowMillis = this.clock.millis();
-		this.leaderView.filter((view) -> nowMillis - view.arrivedMillis() <= MAXIMUM_VIEW_AGE_MILLIS)
+		this.leaderView.filter((view) -> nowMillis - view.confirmedMillis() <= this.maximumConfirmationAgeMillis)
 			.ifPresentOrElse((view) -> answer(arrived, view, nowMillis), this::scheduleNextRound);
 		return this;
 	}
@@ -289,7 +298,7 @@
 
 	}
 
-	private record LeaderView(long term, JobIndex jobs, long arrivedMillis) {
+	private record LeaderView(long term, JobIndex jobs, long confirmedMillis) {
 	}
 
 }
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/PlannerSupervisor.java
@@ -51,7 +51,7 @@
 	/**
 	 * Creates the behavior.
 	 * @param settings the settings of the planners
-	 * @param clock wall clock of this process
+	 * @param clock the clock that the replica of this process uses
 	 * @param replica the replica of this member
 	 * @param eventLog receives the announcements of drains
 	 * @return the behavior of the supervisor
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/ReplicaGateway.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/ReplicaGateway.java
@@ -146,12 +146,12 @@
 
 	private static ReplicaView toView(FleetRecords records) {
 		if (!records.leader()) {
-			return new ReplicaView(false, records.term(), records.index(), FleetView.EMPTY);
+			return new ReplicaView(false, records.term(), records.confirmedMillis(), records.index(), FleetView.EMPTY);
 		}
 		List<JobRecord> jobs = records.jobs().stream().filter(ReplicaGateway::isRelevantToPlanners).toList();
 		FleetView view = new FleetView(records.configuration().pools(), records.configuration().hosts(),
 				records.configuration().teams(), jobs, records.tokens(), records.campaigns());
-		return new ReplicaView(true, records.term(), records.index(), view);
+		return new ReplicaView(true, records.term(), records.confirmedMillis(), records.index(), view);
 	}
 
 	private static boolean isRelevantToPlanners(JobRecord job) {
--- a/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/planner/TokenPlannerActor.java
@@ -38,6 +38,11 @@
  * complete. A holder thus learns of additional tokens as soon as they are committed, and
  * the allocator processes every report before it is answered. Grants to holders that lack
  * tokens are also pushed at once, over the session of their last answered report.
+ * <p>
+ * Records that are requested after a report arrived prove that no other member was
+ * elected before the report was sent. The lease that the answer renews counts from the
+ * report, and a successor waits for a lease and its margin from its election, so the
+ * lease has ended by then, even if this process was paused before it answered.
  */
 public final class TokenPlannerActor extends AbstractBehavior<TokenPlannerActor.Message> {
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaActor.java
@@ -254,10 +254,10 @@
 			propose(request, command.session(), true);
 		}
 		else if (message instanceof ClientMessage.ReadIndex request) {
-			startRead(new PendingRead(request.correlation(), command.session(), Optional.empty()));
+			startRead((current) -> answerReadIndex(request, current, command.session()));
 		}
 		else if (message instanceof ClientMessage.QueryRequest request) {
-			startRead(new PendingRead(request.correlation(), command.session(), Optional.of(request)));
+			startRead((current) -> answerQuery(request, current, command.session()));
 		}
 		else if (message instanceof ClientMessage.ChangeMember request) {
 			changeMember(request, command.session());
@@ -340,20 +340,15 @@
 		runEffects();
 	}
 
-	private void finishRead(long number, boolean current) {
-		PendingRead read = this.reads.remove(number);
-		if (read.query().isPresent()) {
-			QueryResult result = QueryAnswers.answer(read.query().get().query(), this.machine.state(), members());
-			read.replyTo()
-				.tell(new ClientMessage.QueryReply(read.correlation(), this.machine.appliedIndex(), current, result));
-		}
-		else if (current) {
-			read.replyTo()
-				.tell(new ClientMessage.ReadIndexReply(read.correlation(), this.machine.state().configurationIndex()));
-		}
-		else {
-			read.replyTo().tell(new ClientMessage.NotLeader(read.correlation(), otherLeader()));
-		}
+	private void answerQuery(ClientMessage.QueryRequest request, boolean current, ActorRef<ClientMessage> replyTo) {
+		QueryResult result = QueryAnswers.answer(request.query(), this.machine.state(), members());
+		replyTo.tell(new ClientMessage.QueryReply(request.correlation(), this.machine.appliedIndex(), current, result));
+	}
+
+	private void answerReadIndex(ClientMessage.ReadIndex request, boolean current, ActorRef<ClientMessage> replyTo) {
+		replyTo.tell(current
+				? new ClientMessage.ReadIndexReply(request.correlation(), this.machine.state().configurationIndex())
+				: new ClientMessage.NotLeader(request.correlation(), otherLeader()));
 	}
 
 	private void changeMember(ClientMessage.ChangeMember request, ActorRef<ClientMessage> replyTo) {
@@ -435,10 +430,10 @@
 			notifyWatchers();
 		}
 		else if (effect instanceof Effect.ReadConfirmed read) {
-			finishRead(read.readNumber(), true);
+			this.reads.remove(read.readNumber()).finish(true);
 		}
 		else if (effect instanceof Effect.ReadRefused read) {
-			finishRead(read.readNumber(), false);
+			this.reads.remove(read.readNumber()).finish(false);
 		}
 		else if (effect instanceof Effect.LeadershipChanged changed) {
 			onLeadershipChanged(changed);
@@ -544,15 +539,26 @@
 	private Behavior<ReplicaMessage> onFetchRecords(ReplicaMessage.FetchRecords command) {
 		this.replica.tick(nowMillis());
 		runEffects();
-		ReplicaStatus status = this.replica.status();
-		boolean isCurrentLeader = this.leads && this.machine.appliedTerm() == status.term();
-		command.replyTo()
-			.tell(new FleetRecords(isCurrentLeader, status.term(), this.machine.appliedIndex(),
-					this.machine.state().configuration(), this.machine.state().holders(), this.machine.state().tokens(),
-					this.machine.state().jobs(), this.machine.state().campaigns()));
+		long requestedMillis = nowMillis();
+		if (leadsWithAppliedTerm()) {
+			startRead((current) -> command.replyTo().tell(records(current && leadsWithAppliedTerm(), requestedMillis)));
+		}
+		else {
+			command.replyTo().tell(records(false, requestedMillis));
+		}
 		return this;
 	}
 
+	private boolean leadsWithAppliedTerm() {
+		return this.leads && this.machine.appliedTerm() == this.replica.status().term();
+	}
+
+	private FleetRecords records(boolean leader, long requestedMillis) {
+		FleetState state = this.machine.state();
+		return new FleetRecords(leader, this.replica.status().term(), requestedMillis, this.machine.appliedIndex(),
+				state.configuration(), state.holders(), state.tokens(), state.jobs(), state.campaigns());
+	}
+
 	private Behavior<ReplicaMessage> onFetchStatus(ReplicaMessage.FetchStatus command) {
 		command.replyTo()
 			.tell(new ControlStatus(this.replica.status(), this.replica.hasLeaderContact(nowMillis()),
@@ -590,8 +596,10 @@
 		return this.clock.millis();
 	}
 
-	private record PendingRead(long correlation, ActorRef<? super ClientMessage> replyTo,
-			Optional<ClientMessage.QueryRequest> query) {
+	/** What follows once it is known whether this member still led after a request. */
+	private interface PendingRead {
+
+		void finish(boolean current);
 
 	}
 
--- a/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaMessage.java
+++ b/burdockpin-control/src/main/java/io/burdockpin/control/replica/ReplicaMessage.java
@@ -82,7 +82,9 @@
 	}
 
 	/**
-	 * Requests the records of the state machine and the leadership status.
+	 * Requests the records of the state machine and the leadership status. A leader
+	 * answers once a majority has confirmed that it led after the request, or when it
+	 * steps down. Requests are answered in their order.
 	 *
 	 * @param replyTo receives an immutable copy
 	 */
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/FakeReplica.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/FakeReplica.java
@@ -80,10 +80,19 @@
 		this.requests.getRef().tell(new ProposalRequest(commands, replyTo));
 	}
 
-	/** Answers the next view request on the calling thread. */
+	/** Answers the next view request on the calling thread, with a view of time 0. */
 	void answerView() {
+		answerView(0);
+	}
+
+	/**
+	 * Answers the next view request on the calling thread.
+	 * @param confirmedMillis when the confirmation of the leadership was requested
+	 */
+	void answerView(long confirmedMillis) {
 		ViewRequest request = this.requests.expectMessageClass(ViewRequest.class);
-		request.replyTo().tell(new ReplicaView(this.leader, this.term, 1, this.leader ? view() : FleetView.EMPTY));
+		request.replyTo()
+			.tell(new ReplicaView(this.leader, this.term, confirmedMillis, 1, this.leader ? view() : FleetView.EMPTY));
 	}
 
 	/**
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlacementActorTests.java
@@ -1,10 +1,9 @@
 package io.burdockpin.control.planner;
 
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneOffset;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.client.ClientMessage;
@@ -21,6 +20,7 @@
 import io.burdockpin.core.model.JobState;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.Resources;
+import io.burdockpin.core.placement.LeaseSettings;
 import io.burdockpin.core.placement.PlacementSettings;
 import io.burdockpin.core.report.WorkerReportBatch;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
@@ -36,6 +36,8 @@
 
 	private static final Duration PERIOD = Duration.ofMillis(250);
 
+	private static final long PAUSE_MILLIS = 9_000;
+
 	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
 
 	private final ManualTime time = ManualTime.get(this.testKit.system());
@@ -46,9 +48,9 @@
 
 	private final TestProbe<ClientMessage> entryHost = this.testKit.createTestProbe();
 
-	private final ActorRef<PlacementActor.Message> actor = this.testKit
-		.spawn(PlacementActor.create(PlacementSettings.DEFAULT, PERIOD, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC),
-				this.replica, this.testKit.system().ignoreRef()));
+	private final AtomicLong nowMillis = new AtomicLong();
+
+	private ActorRef<PlacementActor.Message> actor = spawn(PlacementSettings.DEFAULT);
 
 	private long batchNumber;
 
@@ -87,6 +89,43 @@
 		this.requests.expectNoMessage(Duration.ZERO);
 	}
 
+	/**
+	 * Guards against a leader that was paused while the records were on their way to the
+	 * planner, and then renews leases as if its leadership had just been confirmed.
+	 */
+	@Test
+	void reportsAreNotAnsweredFromRecordsThatWereConfirmedBeforeAPause() {
+		this.time.timePasses(PERIOD);
+		this.nowMillis.set(PAUSE_MILLIS);
+		this.replica.answerView(0);
+		sendReport(List.of());
+		this.time.timePasses(PERIOD);
+		this.replica.answerView(PAUSE_MILLIS);
+		this.entryHost.expectNoMessage(Duration.ZERO);
+		sendReport(List.of());
+		Truth.assertThat(this.entryHost.expectMessageClass(WorkerOrders.class).resend()).isTrue();
+	}
+
+	/**
+	 * Guards against a leader that renews leases after a successor was elected for longer
+	 * than the margin of the lease covers.
+	 */
+	@Test
+	void reportsAreAnsweredForHalfOfTheMarginOfAShortLeaseAfterAConfirmation() {
+		this.testKit.stop(this.actor);
+		this.actor = spawn(PlacementSettings.DEFAULT.withLeases(new LeaseSettings(10_000, 3_000)));
+		runRound();
+		this.nowMillis.set(1_000);
+		report(List.of());
+		this.nowMillis.set(1_001);
+		sendReport(List.of());
+		this.time.timePasses(PERIOD);
+		this.replica.answerView(1_001);
+		this.entryHost.expectNoMessage(Duration.ZERO);
+		sendReport(List.of());
+		Truth.assertThat(this.entryHost.expectMessageClass(WorkerOrders.class).resend()).isTrue();
+	}
+
 	/**
 	 * Guards against planning four times per second although nothing has changed.
 	 */
@@ -110,6 +149,11 @@
 		runRound();
 	}
 
+	private ActorRef<PlacementActor.Message> spawn(PlacementSettings settings) {
+		return this.testKit.spawn(PlacementActor.create(settings, PERIOD,
+				() -> Instant.ofEpochMilli(this.nowMillis.get()), this.replica, this.testKit.system().ignoreRef()));
+	}
+
 	private void runRound() {
 		this.time.timePasses(PERIOD);
 		this.replica.answerView();
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/PlannerSupervisorTests.java
@@ -125,7 +125,8 @@
 		// The planner reads its start time before it sends the request.
 		this.nowMillis.set(SETTLED_MILLIS);
 		request.replyTo()
-			.tell(new FleetRecords(true, 1, 1, configuration, List.of(holder), List.of(), jobs, List.of()));
+			.tell(new FleetRecords(true, 1, SETTLED_MILLIS, 1, configuration, List.of(holder), List.of(), jobs,
+					List.of()));
 	}
 
 	// The placement planner subscribes to changes once, at a time that is not
--- a/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/planner/TokenPlannerActorTests.java
@@ -169,8 +169,8 @@
 		// The actor reads its start time before it sends the first request.
 		this.nowMillis.set(this.runningMillis);
 		fetch.replyTo()
-			.tell(new FleetRecords(this.leader, 3, this.state.index(), this.state.configuration(), this.state.holders(),
-					this.state.tokens(), this.state.jobs(), this.state.campaigns()));
+			.tell(new FleetRecords(this.leader, 3, this.runningMillis, this.state.index(), this.state.configuration(),
+					this.state.holders(), this.state.tokens(), this.state.jobs(), this.state.campaigns()));
 	}
 
 	private List<ReplicaMessage.Propose> proposals() {
--- a/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
+++ b/burdockpin-control/src/test/java/io/burdockpin/control/replica/ReplicaActorTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.codec.thrift.impl.ThriftFleetSnapshotCodec;
@@ -195,6 +196,27 @@
 		Truth.assertThat(records.receiveMessage().leader()).isTrue();
 	}
 
+	@Test
+	void thePlannersGetRecordsOfALeaderOnlyOnceAMajorityHasConfirmedItAfterTheirRequest() {
+		AtomicLong clock = new AtomicLong();
+		ReplicaWithFakeMembers leader = new ReplicaWithFakeMembers(clock);
+		TestInbox<FleetRecords> records = TestInbox.create();
+		leader.lead();
+		clock.addAndGet(10);
+		long requestedMillis = clock.get();
+		leader.run(new ReplicaMessage.FetchRecords(records.getRef()));
+		Truth.assertThat(records.hasMessages()).isFalse();
+		clock.addAndGet(10);
+		leader.letOtherAcknowledge();
+		FleetRecords confirmed = records.receiveMessage();
+		Truth.assertThat(confirmed.leader()).isTrue();
+		Truth.assertThat(confirmed.confirmedMillis()).isEqualTo(requestedMillis);
+		leader.run(new ReplicaMessage.FetchRecords(records.getRef()));
+		clock.addAndGet(ReplicaSettings.DEFAULT.electionTimeoutMaximumMillis() + 1);
+		leader.run(ReplicaMessage.Timer.TICK);
+		Truth.assertThat(records.receiveMessage().leader()).isFalse();
+	}
+
 	private void lead() {
 		start(1);
 		this.nowMillis = 5000;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/placement/LeaseSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/placement/LeaseSettings.java
@@ -27,11 +27,20 @@
 
 	/**
 	 * Returns how long after the last renewal the leader considers a lease expired. The
-	 * margin of 20% covers clock drift between the worker and the leader.
+	 * margin of 20% covers clock drift between the worker and the leader, and the time
+	 * for which a replaced leader may still renew leases.
 	 * @return the lease duration plus the margin, in milliseconds
 	 */
 	public long expiryMillis() {
-		return this.leaseMillis + this.leaseMillis * MARGIN_PERCENT / 100;
+		return this.leaseMillis + marginMillis();
+	}
+
+	/**
+	 * Returns how much longer than the worker the leader waits for the end of a lease.
+	 * @return 20% of the lease duration, in milliseconds
+	 */
+	public long marginMillis() {
+		return this.leaseMillis * MARGIN_PERCENT / 100;
 	}
 
 }
