Count the deadline of a call from its arrival

Cause: an entry host listens before its actor system starts, and calls waited in the system's queue, so nobody knew since when. Each got its whole deadline from when it was read. A call whose connection was reset meanwhile was forwarded too, because Linux hands over the bytes that arrived before a reset.

Change: the task that owns the sockets accepts and reads from when it listens, and notes when bytes arrived. The time that a call has waited is taken from its deadline; a call without time left is refused and not sent to the leader. The events of received bytes carry their time; SocketTaskTests compares their bytes as before.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -195,7 +195,9 @@
 		PendingCall opened = new PendingCall(call, replyTo, this.clock.millis(), timeoutMillis);
 		this.calls.put(this.lastCorrelation, opened);
 		long correlation = this.lastCorrelation;
-		if (this.search.isLeaderUnavailable(this.clock.millis()) && !(call instanceof FleetCall.Check)) {
+		boolean isLeaderUnavailable = this.search.isLeaderUnavailable(this.clock.millis())
+				&& !(call instanceof FleetCall.Check);
+		if (isLeaderUnavailable || timeoutMillis <= 0) {
 			abandon(correlation);
 		}
 		else {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClientCommand.java
@@ -17,7 +17,8 @@
 	 * timeout.
 	 *
 	 * @param call the call; may be sent more than once
-	 * @param timeoutMillis how long the caller waits
+	 * @param timeoutMillis how long the caller still waits; a call without time left is
+	 * refused and not sent
 	 * @param replyTo receives the reply
 	 */
 	record Ask(FleetCall call, long timeoutMillis, ReplyPort replyTo) implements LeaderClientCommand {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/call/LeaderClientTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/call/LeaderClientTests.java
@@ -88,6 +88,15 @@
 		Truth.assertThat(callsOf(receivedCalls())).doesNotContain(CALL);
 	}
 
+	/** Guards against work for a caller that has certainly given up. */
+	@Test
+	void aCallWithoutTimeLeftIsRefusedAndNotSent() {
+		this.client.tell(new LeaderClientCommand.Ask(CALL, 0, this.replies.getRef()::tell));
+		FleetReply.Refused refused = (FleetReply.Refused) this.replies.receiveMessage();
+		Truth.assertThat(refused.reason()).isEqualTo(FleetReply.Reason.NO_LEADER);
+		Truth.assertThat(callsOf(receivedCalls())).doesNotContain(CALL);
+	}
+
 	/** Guards against a load balancer that routes callers to a process in shutdown. */
 	@Test
 	void aDrainingProcessIsNotReadyButItsCallsAreAnswered() {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
@@ -114,7 +114,8 @@
 		INVALID,
 
 		/**
-		 * No leader is reachable; the call was not sent or was rejected without effect.
+		 * No leader was reached in time; the call was not sent or was rejected without
+		 * effect.
 		 */
 		NO_LEADER
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpRequestReader.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpRequestReader.java
@@ -10,16 +10,36 @@
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.pekko.util.ByteString;
 
 /** Reads the requests on an accepted connection. */
 final class HttpRequestReader extends HttpMessageReader<ClassicHttpRequest, HttpServerRequest> {
 
 	private final DefaultHttpRequestParser parser = new DefaultHttpRequestParser();
 
+	/** When the first byte of the next message was received. */
+	private long messageReceivedNanos;
+
+	private long lastReceivedNanos;
+
 	HttpRequestReader(int maximumBodyBytes) {
 		super(maximumBodyBytes);
 	}
 
+	/**
+	 * Adds received bytes.
+	 * @param bytes the bytes
+	 * @param receivedNanos when they were received, by {@link System#nanoTime}
+	 * @throws IOException if more bytes are buffered than a message may have
+	 */
+	void add(ByteString bytes, long receivedNanos) throws IOException {
+		if (!hasPartialMessage()) {
+			this.messageReceivedNanos = receivedNanos;
+		}
+		this.lastReceivedNanos = receivedNanos;
+		add(bytes);
+	}
+
 	@Override
 	ClassicHttpRequest parseHead(SessionInputBuffer buffer, InputStream bytes) throws IOException, HttpException {
 		return this.parser.parse(buffer, bytes);
@@ -31,7 +51,10 @@
 			String path = new URI(head.getRequestUri()).getPath();
 			boolean closesConnection = hasConnectionClose(head)
 					|| !head.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
-			return new HttpServerRequest(head, (path != null) ? path : "", body, closesConnection);
+			long receivedNanos = this.messageReceivedNanos;
+			// Bytes that are left belong to the next message.
+			this.messageReceivedNanos = this.lastReceivedNanos;
+			return new HttpServerRequest(head, (path != null) ? path : "", body, closesConnection, receivedNanos);
 		}
 		catch (URISyntaxException ex) {
 			throw new IOException("malformed request path: " + ex.getMessage(), ex);
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerConnection.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerConnection.java
@@ -94,7 +94,7 @@
 
 	private void onReceived(SocketEvent.Received received) {
 		try {
-			this.reader.add(received.bytes());
+			this.reader.add(received.bytes(), received.receivedNanos());
 			handleNext();
 		}
 		catch (IOException ex) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerRequest.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerRequest.java
@@ -1,6 +1,7 @@
 package io.burdockpin.runtime.http.socket;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -17,11 +18,14 @@
 
 	private final boolean closesConnection;
 
-	HttpServerRequest(ClassicHttpRequest head, String path, byte[] body, boolean closesConnection) {
+	private final long receivedNanos;
+
+	HttpServerRequest(ClassicHttpRequest head, String path, byte[] body, boolean closesConnection, long receivedNanos) {
 		this.head = head;
 		this.path = path;
 		this.body = body;
 		this.closesConnection = closesConnection;
+		this.receivedNanos = receivedNanos;
 	}
 
 	/**
@@ -67,6 +71,14 @@
 		return this.body;
 	}
 
+	/**
+	 * Returns how long ago this process received the first byte of the request.
+	 * @return the time in milliseconds
+	 */
+	public long ageMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.receivedNanos);
+	}
+
 	/**
 	 * Returns whether the client asked to close the connection after the response.
 	 * @return {@code true} if no further request is read
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ConnectionSocketBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ConnectionSocketBase.java
@@ -57,15 +57,14 @@
 	 * @param onEvent called on the thread of the task; must not block
 	 */
 	public void open(Consumer<SocketEvent> onEvent) {
-		this.task.tell(() -> {
-			this.onEvent = onEvent;
+		this.task.tell(() -> endOnError(() -> {
 			try {
-				begin();
+				begin(onEvent);
 			}
 			catch (IOException ex) {
 				end(ex.getMessage());
 			}
-		});
+		}));
 	}
 
 	/**
@@ -114,10 +113,11 @@
 	// for the kinds of connections, on the thread of the task
 
 	/**
-	 * Begins to report events, by {@link #register}.
+	 * Begins to report events, by {@link #reportTo} and {@link #register}.
+	 * @param receiver receives the events
 	 * @throws IOException if the connection cannot be used
 	 */
-	abstract void begin() throws IOException;
+	abstract void begin(Consumer<SocketEvent> receiver) throws IOException;
 
 	/** Handles that the system has completed a connection attempt, or given it up. */
 	abstract void onConnectable();
@@ -134,6 +134,10 @@
 		this.key = Optional.of(this.task.register(this.channel, operations, () -> endOnError(this::onReady)));
 	}
 
+	final void reportTo(Consumer<SocketEvent> receiver) {
+		this.onEvent = receiver;
+	}
+
 	final void report(SocketEvent event) {
 		this.onEvent.accept(event);
 	}
@@ -143,6 +147,31 @@
 		writeWaiting();
 	}
 
+	/** Stops to read, so that further bytes wait in the system. */
+	final void pauseReading() {
+		this.key.filter(SelectionKey::isValid).ifPresent((open) -> open.interestOpsAnd(~SelectionKey.OP_READ));
+	}
+
+	/** Continues to read after {@link #pauseReading}. */
+	final void resumeReading() {
+		this.key.filter(SelectionKey::isValid).ifPresent((open) -> open.interestOpsOr(SelectionKey.OP_READ));
+	}
+
+	/**
+	 * Reads once, unless reading is paused or the peer has closed its sending side.
+	 * @return whether bytes were received
+	 */
+	final boolean readOnce() {
+		return this.key.filter(SelectionKey::isValid)
+			.filter((open) -> (open.interestOps() & SelectionKey.OP_READ) != 0)
+			.filter(this::read)
+			.isPresent();
+	}
+
+	final void end(String reason) {
+		end(new SocketEvent.Closed(String.valueOf(reason)));
+	}
+
 	final void end(SocketEvent lastEvent) {
 		try {
 			this.channel.close();
@@ -162,7 +191,8 @@
 			onConnectable();
 		}
 		if (ready.isValid() && ready.isReadable()) {
-			read(ready);
+			// A message of the same step may have read to the end already.
+			readOnce();
 		}
 		if (ready.isValid() && ready.isWritable()) {
 			writeWaiting();
@@ -182,20 +212,23 @@
 		}
 	}
 
-	private void read(SelectionKey ready) {
+	// Returns whether bytes were received.
+	private boolean read(SelectionKey ready) {
 		ByteBuffer buffer = this.task.readBuffer().clear();
 		try {
 			int readBytes = this.channel.read(buffer);
 			if (readBytes > 0) {
-				report(new SocketEvent.Received(ByteString.fromByteBuffer(buffer.flip())));
+				report(new SocketEvent.Received(ByteString.fromByteBuffer(buffer.flip()), System.nanoTime()));
 			}
 			else if (readBytes < 0) {
 				ready.interestOpsAnd(~SelectionKey.OP_READ);
 				report(SocketEvent.PeerClosed.INSTANCE);
 			}
+			return readBytes > 0;
 		}
 		catch (IOException ex) {
 			end(ex.getMessage());
+			return false;
 		}
 	}
 
@@ -261,10 +294,6 @@
 		}
 	}
 
-	private void end(String reason) {
-		end(new SocketEvent.Closed(String.valueOf(reason)));
-	}
-
 	/** Bytes that are written together, as long as their condition holds. */
 	private static final class Message {
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ListeningSocket.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ListeningSocket.java
@@ -5,7 +5,9 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -22,12 +24,21 @@
 	 */
 	static final long PAUSE_MILLIS = 100;
 
+	/** Later connections wait in the system's queue. */
+	private static final int MAXIMUM_WAITING_CONNECTIONS = 512;
+
 	private final SocketTask task;
 
 	private final ServerSocketChannel channel;
 
 	private final InetSocketAddress address;
 
+	/** Connections that were accepted before {@link #accept} was called, in order. */
+	private final Set<AcceptedSocket> waiting = new LinkedHashSet<>();
+
+	/** Present once connections are handed over. */
+	private Optional<Consumer<AcceptedSocket>> onAccepted = Optional.empty();
+
 	/** Present once connections are accepted. */
 	private Optional<SelectionKey> key = Optional.empty();
 
@@ -46,19 +57,17 @@
 	}
 
 	/**
-	 * Accepts the connections that wait and all later ones.
+	 * Hands over the connections that wait and all later ones. Connections that were
+	 * closed while they waited are left out.
 	 * @param onAccepted called on the thread of the task for each connection; must not
 	 * block
 	 */
 	public void accept(Consumer<AcceptedSocket> onAccepted) {
 		this.task.tell(() -> {
-			try {
-				this.key = Optional.of(this.task.register(this.channel, SelectionKey.OP_ACCEPT,
-						() -> acceptWaitingConnections(onAccepted)));
-			}
-			catch (IOException ex) {
-				logger.atSevere().withCause(ex).log("Cannot accept connections on %s.", this.address);
-			}
+			this.onAccepted = Optional.of(onAccepted);
+			this.waiting.forEach(onAccepted);
+			this.waiting.clear();
+			resume();
 		});
 	}
 
@@ -68,6 +77,7 @@
 	public void close() {
 		this.task.onListeningSocketClosed(this);
 		this.task.tell(() -> {
+			this.waiting.forEach(AcceptedSocket::abort);
 			try {
 				this.channel.close();
 				this.task.releaseClosedChannels();
@@ -78,16 +88,33 @@
 		});
 	}
 
+	/** Begins to accept connections. */
+	void start() {
+		this.task.tell(() -> {
+			try {
+				this.key = Optional
+					.of(this.task.register(this.channel, SelectionKey.OP_ACCEPT, this::acceptConnections));
+			}
+			catch (IOException ex) {
+				logger.atSevere().withCause(ex).log("Cannot accept connections on %s.", this.address);
+			}
+		});
+	}
+
 	/** Accepts connections again after a pause, on the thread of the task. */
 	void resume() {
 		this.key.filter(SelectionKey::isValid).ifPresent((paused) -> paused.interestOps(SelectionKey.OP_ACCEPT));
 	}
 
-	private void acceptWaitingConnections(Consumer<AcceptedSocket> onAccepted) {
+	private void acceptConnections() {
 		try {
 			for (SocketChannel next = this.channel.accept(); next != null; next = this.channel.accept()) {
 				next.configureBlocking(false);
-				onAccepted.accept(new AcceptedSocket(this.task, next));
+				onConnection(new AcceptedSocket(this.task, next));
+				if (this.waiting.size() >= MAXIMUM_WAITING_CONNECTIONS) {
+					stopAccepting();
+					return;
+				}
 			}
 		}
 		catch (IOException ex) {
@@ -95,9 +122,21 @@
 				.withCause(ex)
 				.atMostEvery(1, TimeUnit.SECONDS)
 				.log("Cannot accept a connection on %s.", this.address);
-			this.key.filter(SelectionKey::isValid).ifPresent((failed) -> failed.interestOps(0));
+			stopAccepting();
 			this.task.pause(this);
 		}
 	}
 
+	private void onConnection(AcceptedSocket connection) {
+		if (this.onAccepted.isEmpty()) {
+			this.waiting.add(connection);
+		}
+		connection.receive(() -> this.waiting.remove(connection));
+		this.onAccepted.ifPresent((receiver) -> receiver.accept(connection));
+	}
+
+	private void stopAccepting() {
+		this.key.filter(SelectionKey::isValid).ifPresent((open) -> open.interestOps(0));
+	}
+
 }
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/OutgoingSocket.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/OutgoingSocket.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.channels.UnresolvedAddressException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Connection that a {@link SocketTask} opens. Messages wait until it is open. However it
@@ -29,7 +30,8 @@
 	}
 
 	@Override
-	void begin() throws IOException {
+	void begin(Consumer<SocketEvent> receiver) throws IOException {
+		reportTo(receiver);
 		channel().setOption(StandardSocketOptions.TCP_NODELAY, true);
 		// Also applies if the process ends.
 		channel().setOption(StandardSocketOptions.SO_LINGER, 0);
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
@@ -39,8 +39,10 @@
 	 * Bytes were received.
 	 *
 	 * @param bytes at least one byte
+	 * @param receivedNanos when the bytes were read, by {@link System#nanoTime}; earlier
+	 * than this event if the connection was not open yet
 	 */
-	record Received(ByteString bytes) implements SocketEvent {
+	record Received(ByteString bytes, long receivedNanos) implements SocketEvent {
 
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
@@ -83,9 +83,9 @@
 	// access
 
 	/**
-	 * Listens on an address. From then on the system completes connections, which wait
-	 * until {@link ListeningSocket#accept} is called. An address that this task listens
-	 * on already is not bound again.
+	 * Listens on an address. From then on this task accepts connections and receives what
+	 * their peers send, but they wait until {@link ListeningSocket#accept} is called. An
+	 * address that this task listens on already is not bound again.
 	 * @param address the address to bind; port 0 selects a free port each time
 	 * @return the listening socket
 	 * @throws IOException if the address cannot be bound
@@ -103,6 +103,7 @@
 				ListeningSocket socket = new ListeningSocket(this, channel,
 						(InetSocketAddress) channel.getLocalAddress());
 				this.listeningSockets.put(socket.address(), socket);
+				socket.start();
 				return socket;
 			}
 			catch (IOException ex) {
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -122,6 +123,60 @@
 		}
 	}
 
+	/** Guards against work for callers that gave up while the process started. */
+	@Test
+	void requestsOfClientsThatResetTheirConnectionsBeforeTheListenerStartsAreNotHandled() throws IOException {
+		InetSocketAddress early = this.sockets.listen(new InetSocketAddress("127.0.0.1", 0)).address();
+		for (int client = 0; client < 20; client++) {
+			try (Socket gone = new Socket(early.getAddress(), early.getPort())) {
+				send(gone, "GET /gone HTTP/1.1\r\nHost: h\r\n\r\n");
+				gone.setSoLinger(true, 0);
+			}
+		}
+		try (Socket waiting = new Socket(early.getAddress(), early.getPort())) {
+			send(waiting, "GET /waiting HTTP/1.1\r\nHost: h\r\n\r\n");
+			startListener(early);
+			PendingRequest first = this.arrivals.receiveMessage();
+			Truth.assertThat(first.request().path()).isEqualTo("/waiting");
+			first.answer(text("served"));
+			Truth.assertThat(readUntil(waiting, "served")).startsWith("HTTP/1.1 200 OK\r\n");
+			Truth.assertThat(this.requests).hasSize(1);
+		}
+	}
+
+	/** Guards against a half-closed connection that is taken for an abandoned one. */
+	@Test
+	void aClientThatClosesItsSendingSideBeforeTheListenerStartsGetsTheResponse() throws IOException {
+		InetSocketAddress early = this.sockets.listen(new InetSocketAddress("127.0.0.1", 0)).address();
+		try (Socket client = new Socket(early.getAddress(), early.getPort())) {
+			send(client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+			client.shutdownOutput();
+			startListener(early);
+			this.arrivals.receiveMessage().answer(text("served"));
+			Truth.assertThat(readUntil(client, "served")).startsWith("HTTP/1.1 200 OK\r\n");
+			Truth.assertThat(client.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	/** Guards against requests that are cut off where the early reading has stopped. */
+	@Test
+	void longRequestsSentBeforeTheListenerStartsAreReceivedCompletely() throws IOException {
+		InetSocketAddress early = this.sockets.listen(new InetSocketAddress("127.0.0.1", 0)).address();
+		try (Socket client = new Socket(early.getAddress(), early.getPort())) {
+			String padding = "X-Padding: %s\r\n".formatted("x".repeat(4_900)).repeat(3);
+			send(client, "POST /1 HTTP/1.1\r\nHost: h\r\n%sContent-Length: 2\r\n\r\n{}".formatted(padding));
+			send(client, "POST /2 HTTP/1.1\r\nHost: h\r\n%sContent-Length: 2\r\n\r\n{}".formatted(padding));
+			startListener(early);
+			for (String path : List.of("/1", "/2")) {
+				PendingRequest next = this.arrivals.receiveMessage();
+				Truth.assertThat(next.request().path()).isEqualTo(path);
+				Truth.assertThat(new String(next.request().body(), StandardCharsets.US_ASCII)).isEqualTo("{}");
+				next.answer(text("served"));
+				Truth.assertThat(readUntil(client, "served")).startsWith("HTTP/1.1 200 OK\r\n");
+			}
+		}
+	}
+
 	/** Guards against a graceful stop that aborts a request in flight. */
 	@Test
 	void aListenerThatShutsDownAnswersOpenRequestsAndClosesIdleConnections() throws IOException {
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
@@ -10,6 +10,8 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -53,7 +55,27 @@
 			client.getOutputStream().write("early".getBytes(StandardCharsets.US_ASCII));
 			this.listening.accept(this.accepted::add);
 			openNext();
-			Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("early")));
+			assertReceived(next(this.events), "early");
+		}
+	}
+
+	/** Guards against connections beyond those that are held and are never accepted. */
+	@Test
+	void moreConnectionsThanAreHeldWaitUntilConnectionsAreAccepted() throws IOException, InterruptedException {
+		List<Socket> clients = new ArrayList<>();
+		try {
+			for (int number = 0; number < 600; number++) {
+				clients.add(connect());
+			}
+			this.listening.accept(this.accepted::add);
+			for (int number = 0; number < 600; number++) {
+				next(this.accepted);
+			}
+		}
+		finally {
+			for (Socket client : clients) {
+				client.close();
+			}
 		}
 	}
 
@@ -150,7 +172,7 @@
 			faulty.getOutputStream().write(1);
 			Truth.assertThat(isClosed(faulty)).isTrue();
 			sound.getOutputStream().write('s');
-			Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("s")));
+			assertReceived(next(this.events), "s");
 		}
 	}
 
@@ -175,9 +197,9 @@
 		outgoing.open(outgoingEvents::add);
 		AcceptedSocket connection = openNext();
 		Truth.assertThat(next(outgoingEvents)).isEqualTo(SocketEvent.Connected.INSTANCE);
-		Truth.assertThat(next(this.events)).isEqualTo(new SocketEvent.Received(ByteString.fromString("early")));
+		assertReceived(next(this.events), "early");
 		connection.write(ByteString.fromString("answer"));
-		Truth.assertThat(next(outgoingEvents)).isEqualTo(new SocketEvent.Received(ByteString.fromString("answer")));
+		assertReceived(next(outgoingEvents), "answer");
 		outgoing.abort();
 		Truth.assertThat(next(outgoingEvents)).isInstanceOf(SocketEvent.Closed.class);
 		Truth.assertThat(next(this.events)).isInstanceOf(SocketEvent.Closed.class);
@@ -229,6 +251,11 @@
 		return connection;
 	}
 
+	private static void assertReceived(SocketEvent event, String text) {
+		SocketEvent.Received received = (SocketEvent.Received) event;
+		Truth.assertThat(received.bytes()).isEqualTo(ByteString.fromString(text));
+	}
+
 	private boolean canConnect() throws IOException {
 		try (Socket client = connect()) {
 			return client.isConnected();
