--- a/burdockpin-entry/src/test/java/io/burdockpin/entry/BadInputTests.java
+++ b/burdockpin-entry/src/test/java/io/burdockpin/entry/BadInputTests.java
@@ -1,6 +1,9 @@
 package io.burdockpin.entry;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 import com.google.common.truth.Truth;
@@ -45,6 +48,44 @@
 		Truth.assertThat(runner().pendingCallCount()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against a connection that is closed while its caller still sends, which
+	 * loses the refusal. The body is longer than the system buffers.
+	 */
+	@Test
+	void aCallerThatSendsTheWholeOfABodyThatIsTooLargeGetsTheRefusal() throws IOException {
+		byte[] body = new byte[8 * 1024 * 1024];
+		try (Socket caller = this.entry.openConnection()) {
+			for (int request = 0; request < 2; request++) {
+				String head = "POST /v1/queues/quotes/requests HTTP/1.1\r\nHost: h\r\nBurdock-Key: key-1\r\n"
+						+ "Burdock-Repeatable: true\r\nContent-Length: %d\r\n\r\n".formatted(body.length);
+				caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+				caller.getOutputStream().write(body);
+				StringBuilder received = new StringBuilder();
+				while (!received.toString().endsWith("}")) {
+					int next = caller.getInputStream().read();
+					Truth.assertWithMessage(received.toString()).that(next).isAtLeast(0);
+					received.append((char) next);
+				}
+				Truth.assertThat(received.toString()).startsWith("HTTP/1.1 413 ");
+				Truth.assertThat(received.toString()).contains("\"code\":\"BODY_TOO_LARGE\"");
+			}
+		}
+	}
+
+	@Test
+	void aCallerThatAsksBeforeItSendsABodyThatIsTooLargeIsRefusedAtOnce() throws IOException {
+		try (Socket caller = this.entry.openConnection()) {
+			caller.getOutputStream()
+				.write(("POST /v1/queues/quotes/requests HTTP/1.1\r\nHost: h\r\nBurdock-Key: key-1\r\n"
+						+ "Burdock-Repeatable: true\r\nExpect: 100-continue\r\nContent-Length: 2000000\r\n\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+			String received = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			Truth.assertThat(received).startsWith("HTTP/1.1 413 ");
+			Truth.assertThat(received).contains("\r\nConnection: close\r\n");
+		}
+	}
+
 	@Test
 	void badJobsAreRefusedBeforeTheyAreProposed() {
 		Map<String, String> headers = Map.of("Burdock-Key", "key-1", "Burdock-Request-Id", "1-job");
