Maintain hosts that are in several waves for one wave after the other

Cause: WaveController kept drains and proposed phases by host, without the wave. With two waves that have hosts in common, each wave ended the drains that the other had begun on a host that it had maintained itself, so both waited for ever; and one order to the platform was committed as begun for the wrong wave, so that a wave had more hosts down than it allows (rule LIMIT).

Change: a drain and a proposed phase belong to a wave, and a host that is ordered or down for one wave is not drained for another one.

Measured: WaveControllerTests.wavesWithHostsInCommonMaintainThemOneAfterTheOther failed before (host-r4 was down for 2 waves) and passes with the change, as do the other 13 tests of the class.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
@@ -37,13 +37,13 @@
 
 	private final HostOrderTracker orders;
 
-	/** Start times of the drains, by host. Draining hosts get no new tasks. */
-	private final Map<String, Long> draining = new LinkedHashMap<>();
+	/** Drains by host. Draining hosts get no new tasks. */
+	private final Map<String, Drain> draining = new LinkedHashMap<>();
 
 	private final Map<String, Long> begunMillis = new HashMap<>();
 
-	/** Proposed phases that are not committed yet, by host. */
-	private final Map<String, MaintenancePhase> proposedPhases = new HashMap<>();
+	/** Proposed phases that are not committed yet. */
+	private final Map<HostInWave, MaintenancePhase> proposedPhases = new HashMap<>();
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
@@ -110,7 +110,7 @@
 	 * @param command committed command
 	 */
 	public void onMaintenanceCommitted(BatchCommand.SetUpkeep command) {
-		this.proposedPhases.remove(command.host(), command.phase());
+		this.proposedPhases.remove(new HostInWave(command.wave(), command.host()), command.phase());
 	}
 
 	/**
@@ -152,7 +152,24 @@
 	}
 
 	private List<String> drainingHosts(WaveProgress wave) {
-		return wave.hosts().keySet().stream().filter(this.draining::containsKey).toList();
+		return wave.hosts().keySet().stream().filter((host) -> isDrainingFor(wave, host)).toList();
+	}
+
+	private boolean isDrainingFor(WaveProgress wave, String host) {
+		return Optional.ofNullable(this.draining.get(host))
+			.filter((drain) -> drain.wave() == wave.wave().number())
+			.isPresent();
+	}
+
+	// A maintenance counts for the wave that ordered it, so a host that is in several
+	// waves is maintained for one after the other.
+	private boolean isDownForOther(WaveProgress wave, String host) {
+		return this.state.waves()
+			.values()
+			.stream()
+			.filter((other) -> other != wave)
+			.map((other) -> other.hosts().get(host))
+			.anyMatch((phase) -> phase != null && phase.isDown());
 	}
 
 	private void startDrains(WaveProgress wave, long nowMillis) {
@@ -165,7 +182,7 @@
 			.filter((entry) -> entry.getValue() == MaintenancePhase.PENDING
 					&& !this.draining.containsKey(entry.getKey()))
 			.map(Map.Entry::getKey)
-			.filter((host) -> this.orders.canBegin(host, nowMillis))
+			.filter((host) -> this.orders.canBegin(host, nowMillis) && !isDownForOther(wave, host))
 			.sorted(Comparator.comparingInt(this::reservedMillicores))
 			.toList();
 		int slowSlots = Math.max(0, (wave.wave().maximumDown() + 1) / 2 - slowDrains);
@@ -174,7 +191,7 @@
 			.distinct()
 			.limit(freeSlots)
 			.toList()
-			.forEach((host) -> this.draining.put(host, nowMillis));
+			.forEach((host) -> this.draining.put(host, new Drain(wave.wave().number(), nowMillis)));
 	}
 
 	// The long-running tasks of a step stop one after the other, within its availability
@@ -209,7 +226,7 @@
 			return;
 		}
 		RunnerSession session = sessions.get(runner.get().key());
-		boolean isOverdue = nowMillis - this.draining.get(host) >= this.settings.drainTimeoutMillis();
+		boolean isOverdue = nowMillis - this.draining.get(host).startedMillis() >= this.settings.drainTimeoutMillis();
 		runs.forEach((run) -> {
 			if (session != null && canStop(run, sessions, isOverdue, nowMillis)) {
 				session.stop(run.task());
@@ -313,10 +330,17 @@
 	}
 
 	private void propose(long wave, String host, MaintenancePhase phase) {
-		if (this.proposedPhases.get(host) != phase) {
-			this.proposedPhases.put(host, phase);
+		if (this.proposedPhases.put(new HostInWave(wave, host), phase) != phase) {
 			this.proposals.add(new BatchCommand.SetUpkeep(wave, host, phase));
 		}
 	}
 
+	private record Drain(long wave, long startedMillis) {
+
+	}
+
+	private record HostInWave(long wave, String host) {
+
+	}
+
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -98,6 +98,35 @@
 		Truth.assertThat(this.state.waves().get(1L).isCompleted()).isTrue();
 	}
 
+	/**
+	 * Guards against two waves that wait for each other for ever, and against more hosts
+	 * down than either allows. Occurs when the waves have hosts in common: each ends the
+	 * drains that the other has begun on a host that it has maintained itself, and one
+	 * order counts for both.
+	 */
+	@Test
+	void wavesWithHostsInCommonMaintainThemOneAfterTheOther() {
+		startWave(1, 2);
+		step(3_100);
+		startWave(2, 2);
+		for (int round = 0; round < 800; round++) {
+			step(100);
+			for (int number = 0; number < HOSTS; number++) {
+				String host = "host-r" + number;
+				Truth.assertWithMessage(host)
+					.that(this.state.waves()
+						.values()
+						.stream()
+						.filter((wave) -> wave.hosts().get(host).isDown())
+						.count())
+					.isAtMost(1);
+			}
+		}
+		Truth.assertThat(this.state.waves().get(1L).hosts().values()).doesNotContain(MaintenancePhase.PENDING);
+		Truth.assertThat(this.state.waves().get(1L).isCompleted()).isTrue();
+		Truth.assertThat(this.state.waves().get(2L).isCompleted()).isTrue();
+	}
+
 	/**
 	 * Guards against a wave that is late, because the hosts whose tasks stop one after
 	 * the other are left for its end.
@@ -281,11 +310,15 @@
 	}
 
 	private void startWave(int maximumDown) {
+		startWave(1, maximumDown);
+	}
+
+	private void startWave(long number, int maximumDown) {
 		List<String> hosts = new ArrayList<>();
-		for (int number = 0; number < HOSTS; number++) {
-			hosts.add("host-r" + number);
+		for (int runner = 0; runner < HOSTS; runner++) {
+			hosts.add("host-r" + runner);
 		}
-		apply(new BatchCommand.StartWave(new MaintenanceWave(1, hosts, 20_000, maximumDown, this.nowMillis)));
+		apply(new BatchCommand.StartWave(new MaintenanceWave(number, hosts, 20_000, maximumDown, this.nowMillis)));
 	}
 
 	private void step(long millis) {
