Start rejected decisions again once the accepted proposals are committed

Cause: after a rejected proposal SchedulerActor began new decisions with the next tick, in the same term, while an earlier proposal that had been accepted could still be open.

Change: PendingProposals knows whether an outcome is open, and the decisions start again when none is. All proposals of an earlier term are settled when a leader of a new term starts, so only this path was affected.

Measured: SchedulerActorTests .afterARejectedProposalDecisionsStartAgainOnceTheAcceptedOnesAreCommitted failed before (no refusal within 2 minutes: the decisions had started again) and passes with the change, as do the other 10 tests of the class.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/PendingProposals.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/PendingProposals.java
@@ -43,6 +43,14 @@
 		}
 	}
 
+	/**
+	 * Tells whether a proposal may still be committed.
+	 * @return whether the outcome of a proposal is open
+	 */
+	boolean hasOpen() {
+		return !this.byTag.isEmpty() || !this.byIndex.isEmpty();
+	}
+
 	/** Replies that the outcome is unknown, because another leader may commit entries. */
 	void failAll() {
 		List<ReplyPort> waiters = new ArrayList<>();
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -364,7 +364,8 @@
 
 	// The leader's decisions rely on commands that were lost, so it starts again from the
 	// committed state. It waits for the next tick, since proposals are rejected until a
-	// leadership transfer has ended.
+	// leadership transfer has ended, and for the commit of the proposals that were
+	// accepted, since the new decisions must know of their releases.
 	private void onNotProposed(long tag) {
 		this.proposals.onRefused(tag, notLeader());
 		if (this.leader.isPresent()) {
@@ -431,7 +432,7 @@
 	// decisions
 
 	private Behavior<SchedulerCommand> onTick() {
-		if (this.restartDue) {
+		if (this.restartDue && !this.proposals.hasOpen()) {
 			startLeading();
 		}
 		this.load.onTick(this.clock.millis())
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -132,6 +132,31 @@
 		nextProposal();
 	}
 
+	/**
+	 * Guards against two simultaneous runs of a task. Occurs when decisions start again
+	 * while an accepted proposal is open: a release in it counts although the run has
+	 * been ordered in the meantime.
+	 */
+	@Test
+	void afterARejectedProposalDecisionsStartAgainOnceTheAcceptedOnesAreCommitted() {
+		lead();
+		announceNewRunner();
+		report(new ConsensusReport.Proposed(nextProposal().tag(), 2));
+		announceNewRunner();
+		report(new ConsensusReport.NotProposed(nextProposal().tag()));
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+		this.time.timePasses(Duration.ofMillis(80));
+		announceNewRunner();
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+		Payload empty = Payload.of(new CborCommandGroupCodec().encode(new CommandGroup(1, List.of())));
+		report(new ConsensusReport.Committed(List.of(new LogEntry(2, TERM, new EntryContent.CommandContent(empty))),
+				false));
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.Accepted.class);
+		this.time.timePasses(Duration.ofMillis(40));
+		announceNewRunner();
+		nextProposal();
+	}
+
 	/** A leader that was elected and cut off at once must not contact the runners. */
 	@Test
 	void noRunnerIsContactedBeforeAMajorityHasConfirmedTheLeadership() {
