--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -431,16 +432,20 @@
 	public static BatchState restore(BatchSnapshot snapshot) {
 		BatchState state = new BatchState();
 		state.configuration = snapshot.configuration();
+		List<EndedJob> ended = new ArrayList<>();
 		for (BatchSnapshot.JobImage image : snapshot.jobs()) {
 			BatchJob job = image.toJob();
 			state.jobs.put(job.id(), job);
 			if (job.phase().isEnded()) {
-				state.endedJobs.add(new EndedJob(job.id(), image.endedMillis()));
+				ended.add(new EndedJob(job.id(), image.endedMillis()));
 			}
 			else {
 				state.activeJobs.put(job.id(), job);
 			}
 		}
+		// A snapshot lists the jobs in the order of their submission.
+		ended.sort(Comparator.comparingLong(EndedJob::endedMillis));
+		state.endedJobs.addAll(ended);
 		snapshot.runners().forEach(state::putRunner);
 		// Earlier versions kept runs of runners that are not registered.
 		snapshot.runs().stream().filter((run) -> state.runner(run.runner()).isPresent()).forEach((run) -> {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -400,6 +400,26 @@
 		Truth.assertThat(restored.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isFalse();
 	}
 
+	/**
+	 * Guards against members with different states after one of them was restored. Occurs
+	 * when jobs end in another order than they were submitted: the restored member kept
+	 * the job that ended first for longer, and ignored its identifier when it was
+	 * submitted again.
+	 */
+	@Test
+	void aRestoredStateForgetsEndedJobsWhenTheOriginalDoes() {
+		submit("lasts", BatchFixtures.step(1));
+		submit("short", BatchFixtures.step(1));
+		apply(new BatchCommand.CancelJob("short"));
+		this.state.apply(new CommandGroup(100_000, List.of(new BatchCommand.CancelJob("lasts"))));
+		BatchState restored = BatchState.restore(this.state.snapshot());
+		CommandGroup later = new CommandGroup(190_000, List.of());
+		this.state.apply(later);
+		restored.apply(later);
+		Truth.assertThat(this.state.job("short")).isEmpty();
+		Truth.assertThat(restored.snapshot()).isEqualTo(this.state.snapshot());
+	}
+
 	private CommandResult apply(BatchCommand command) {
 		return this.state.apply(new CommandGroup(1_000, List.of(command))).get(0);
 	}
