Let the leader watch itself for work that is overdue

OverdueKind has one constant a kind, which finds its open work in the leader's state, and its bound. OverdueWatch, owned by FleetLeader, asks them once a second, keeps the ages and returns a bounded report a kind. It only reads: FleetLeader.plan is split into methods and the plan now also carries the candidates of its round; nothing is decided from either. Free capacity is judged just after a plan, from what that plan has left, so that capacity that became free a moment ago does not count.

OverdueWatchTests rehearses each kind with a planted fault (a planted run, lost commits of ends, releases and assignments, a runner that announces itself and never answers, a move that the platform ignores), and requires that an overloaded fleet and demand peaks with moves and a wave report nothing. The seeds of FleetLeaderTests and FleetProgressTests that required an empty overdue() after recovery now also require that the leader reports nothing. The tests need the new classes, so none was run on the earlier code.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -111,6 +111,8 @@
 
 	private final JobStartRecorder jobStarts;
 
+	private final OverdueWatch overdueWatch;
+
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
 	/** Incarnations whose runs were released because they have certainly ended. */
@@ -135,6 +137,8 @@
 
 	private long plannedMillis;
 
+	private Plan latestPlan = Plan.EMPTY;
+
 	/**
 	 * Creates the leader of a term.
 	 * @param state replicated state, with all entries of earlier terms applied
@@ -154,6 +158,7 @@
 				this.durationEstimator);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		this.jobStarts = new JobStartRecorder(state);
+		this.overdueWatch = new OverdueWatch(settings, nowMillis);
 		// Sessions are visited in this order, so runners with tasks are contacted before
 		// their leases expire.
 		state.runners()
@@ -397,6 +402,28 @@
 		}
 	}
 
+	/**
+	 * Checks the open work for items that are overdue, once a second. Changes no
+	 * decision. Called after {@link #decide}, since only then it is known which capacity
+	 * the latest plan has left free.
+	 * @param nowMillis current monotonic time, in milliseconds
+	 * @return one report for each kind of which something is overdue or was when last
+	 * checked, empty if no check is due
+	 */
+	public List<OverdueReport> reportOverdueIfDue(long nowMillis) {
+		boolean hasPlanned = this.plannedMillis == nowMillis;
+		if (!this.overdueWatch.isDue(hasPlanned, nowMillis)) {
+			return List.of();
+		}
+		FreeCapacity capacity = hasPlanned
+				? new FreeCapacity(this.state, this.latestPlan.candidates(), this.latestPlan.assignments())
+				: new FreeCapacity(this.state,
+						TaskPlanner.candidates(this.state, usableRunners(drainedRunners(), nowMillis),
+								(runner) -> this.reliability.reliability(runner, nowMillis)),
+						List.of());
+		return this.overdueWatch.evaluate(new OpenWork(this.state, this.sessions, capacity, nowMillis));
+	}
+
 	private boolean hasLongRunning(RunnerRecord runner) {
 		return this.state.runs().hasLongRunning(runner.key());
 	}
@@ -438,13 +465,28 @@
 	}
 
 	private void plan(long nowMillis, long wallMillis) {
-		Set<RunnerKey> drained = this.sessions.values()
+		Set<RunnerKey> drained = drainedRunners();
+		Plan plan = this.planner.plan(this.state, usableRunners(drained, nowMillis), drained,
+				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
+		this.balancer.onPlan(plan);
+		if (!plan.assignments().isEmpty()) {
+			this.planInFlight = true;
+			this.proposals.add(new BatchCommand.AssignRuns(plan.assignments()));
+		}
+		this.latestPlan = plan;
+	}
+
+	private Set<RunnerKey> drainedRunners() {
+		return this.sessions.values()
 			.stream()
 			.map(RunnerSession::runner)
 			.filter((runner) -> this.waveController.isDraining(runner.hostOrId()))
 			.map(RunnerRecord::key)
 			.collect(Collectors.toSet());
-		List<RunnerRecord> usable = this.sessions.values()
+	}
+
+	private List<RunnerRecord> usableRunners(Set<RunnerKey> drained, long nowMillis) {
+		return this.sessions.values()
 			.stream()
 			.filter((session) -> session.isUsable(nowMillis))
 			.map(RunnerSession::runner)
@@ -452,13 +494,6 @@
 			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
 			.filter((runner) -> !this.balancer.isCordoned(runner.hostOrId()))
 			.toList();
-		Plan plan = this.planner.plan(this.state, usable, drained,
-				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
-		this.balancer.onPlan(plan);
-		if (!plan.assignments().isEmpty()) {
-			this.planInFlight = true;
-			this.proposals.add(new BatchCommand.AssignRuns(plan.assignments()));
-		}
 	}
 
 	private void onAssigned(BatchCommand.Assignment assignment, long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Plan.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Plan.java
@@ -1,5 +1,6 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 
@@ -14,16 +15,19 @@
  * for a task that is not late, even if their total free capacity suffices
  * @param runnersForRestarts runners with capacity for the long-running tasks that
  * maintenance stops next
+ * @param candidates runners that were considered, with the capacity that the plan has
+ * left free
  */
 public record Plan(List<BatchCommand.Assignment> assignments, Set<String> poolsLackingCapacity,
-		Set<RunnerKey> runnersForRestarts) {
+		Set<RunnerKey> runnersForRestarts, List<Candidate> candidates) {
 
-	static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of());
+	static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of(), List.of());
 
 	public Plan {
 		assignments = List.copyOf(assignments);
 		poolsLackingCapacity = Set.copyOf(poolsLackingCapacity);
 		runnersForRestarts = Set.copyOf(runnersForRestarts);
+		candidates = Collections.unmodifiableList(candidates);
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -87,6 +87,9 @@
 	/** Number of the last end that was listed after the lease had expired. */
 	private long lastEndBeforeExpiry;
 
+	/** Number of the first end in the latest listing. */
+	private OptionalLong oldestListedEnd = OptionalLong.empty();
+
 	private long lastContactMillis;
 
 	private boolean contacted;
@@ -159,6 +162,14 @@
 		return this.contacted;
 	}
 
+	/**
+	 * Returns the oldest end that the runner still lists.
+	 * @return number of the first end in the latest listing, or empty if it had none
+	 */
+	OptionalLong oldestListedEnd() {
+		return this.oldestListedEnd;
+	}
+
 	/**
 	 * Checks whether the latest order or heartbeat timed out.
 	 * @return {@code true} if no answer arrived since
@@ -619,6 +630,7 @@
 		this.unanswered = false;
 		this.lease.recordClock(listing.clockMillis(), nowMillis);
 		this.nextHeartbeatMillis = nowMillis;
+		this.oldestListedEnd = listing.ended().stream().mapToLong(BatchCommand.End::number).min();
 		Set<TaskId> listed = new HashSet<>();
 		listing.running().forEach((running) -> onRunning(running, listed));
 		this.throttle.observe(listed.stream().map(this.runs::get).toList(), nowMillis, THROTTLE_PERIOD_MILLIS);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -83,10 +83,8 @@
 		}
 		FleetConfiguration configuration = state.configuration().get();
 		Round round = new Round(state, configuration);
-		for (RunnerRecord runner : runners) {
-			round.add(new Candidate(runner, state.runs().reservedOn(runner.key()),
-					state.runs().longRunningOn(runner.key()), reliability.apply(runner.key())));
-		}
+		List<Candidate> candidates = candidates(state, runners, reliability);
+		candidates.forEach(round::add);
 		List<WorkItem> items = new ArrayList<>();
 		Map<String, BatchQueue> queues = configuration.queuesByName();
 		state.activeJobs()
@@ -107,7 +105,24 @@
 				.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
 					.ifPresent((queue) -> reserveForRestarts(round, job, queue, drainedRunners)));
 		}
-		return new Plan(round.assignments, round.poolsLackingCapacity, round.runnersForRestarts);
+		return new Plan(round.assignments, round.poolsLackingCapacity, round.runnersForRestarts, candidates);
+	}
+
+	/**
+	 * Returns runners with their present capacity.
+	 * @param state replicated state
+	 * @param runners runners that accept new tasks
+	 * @param reliability returns the reliability of a runner
+	 * @return one candidate for each runner, in the same order
+	 */
+	static List<Candidate> candidates(BatchState state, List<RunnerRecord> runners,
+			Function<RunnerKey, RunnerReliability> reliability) {
+		List<Candidate> candidates = new ArrayList<>(runners.size());
+		for (RunnerRecord runner : runners) {
+			candidates.add(new Candidate(runner, state.runs().reservedOn(runner.key()),
+					state.runs().longRunningOn(runner.key()), reliability.apply(runner.key())));
+		}
+		return candidates;
 	}
 
 	// A task that is stopped for maintenance is away until it runs on another host. The
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -75,6 +75,15 @@
 		return Optional.ofNullable(this.jobs.get(id));
 	}
 
+	/**
+	 * Tells whether a job goes on.
+	 * @param id the identifier of the job
+	 * @return whether the job is known and has not ended
+	 */
+	public boolean isActive(String id) {
+		return this.activeJobs.containsKey(id);
+	}
+
 	/**
 	 * Returns the jobs that have not ended.
 	 * @return an unmodifiable view, oldest first
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/RunTable.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/RunTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.TaskId;
@@ -35,6 +36,14 @@
 		return List.copyOf(this.byRunner.getOrDefault(runner, Map.of()).values());
 	}
 
+	/**
+	 * Visits all runs without a copy.
+	 * @param visitor called with each run; must not change the table
+	 */
+	public void forEach(Consumer<Run> visitor) {
+		this.byRunner.values().forEach((runs) -> runs.values().forEach(visitor));
+	}
+
 	/**
 	 * Finds the run of a task on a runner.
 	 * @param runner the incarnation of the runner
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -104,6 +104,12 @@
 	/** Load and delay of the leader during the last second. */
 	LEADER_LOAD,
 
+	/**
+	 * Work of one kind waits although nothing should prevent it from going on, or no
+	 * longer does.
+	 */
+	BATCH_OVERDUE,
+
 	/** Events were dropped because there were too many. */
 	EVENTS_DROPPED
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/model/Resources.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/model/Resources.java
@@ -49,6 +49,30 @@
 				Math.max(0, this.accelerators - other.accelerators));
 	}
 
+	/**
+	 * Multiplies this amount, saturating at the maximum in each dimension.
+	 * @param count number of times, 0 or more
+	 * @return the product
+	 */
+	public Resources times(int count) {
+		return new Resources(product(this.cpuMillicores, count), product(this.memoryMebibytes, count),
+				product(this.accelerators, count));
+	}
+
+	private static int product(int amount, int count) {
+		return (int) Math.min(MAXIMUM, (long) amount * count);
+	}
+
+	/**
+	 * Returns the larger amount in each dimension.
+	 * @param other the amount to compare with
+	 * @return the smallest amount that both fit in
+	 */
+	public Resources largestOf(Resources other) {
+		return new Resources(Math.max(this.cpuMillicores, other.cpuMillicores),
+				Math.max(this.memoryMebibytes, other.memoryMebibytes), Math.max(this.accelerators, other.accelerators));
+	}
+
 	/**
 	 * Returns whether this amount is not greater than another one in any dimension.
 	 * @param capacity the available amount
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -84,6 +84,8 @@
 
 	private final Map<String, JobTimes> jobs = new LinkedHashMap<>();
 
+	private final List<OverdueReport> overdueReports = new ArrayList<>();
+
 	private final FleetLeader leader;
 
 	private long nowMillis = START_MILLIS;
@@ -295,9 +297,15 @@
 				serving ? 2 : 0);
 	}
 
+	/** Returns what the leader has reported as overdue. */
+	List<OverdueReport> overdueReports() {
+		return this.overdueReports;
+	}
+
 	private void decide() {
 		if (this.nowMillis < this.pausedFromMillis || this.nowMillis >= this.pausedUntilMillis) {
 			this.leader.decide(this.nowMillis, this.nowMillis);
+			this.overdueReports.addAll(this.leader.reportOverdueIfDue(this.nowMillis));
 			this.leader.dueOrders(this.nowMillis).forEach(this::send);
 			this.leader.dueHostOrders(this.nowMillis).forEach(this::execute);
 			commitLater(this.leader.drainProposals());
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakTests.java
@@ -11,13 +11,13 @@
  */
 class DemandPeakTests {
 
-	private static final LeaderSettings SETTINGS = new LeaderSettings(
-			new SessionSettings(4_000, 1_000, 700, 300, 150, 2_200), new WaveSettings(1_000, 3_000, 2_000, 5_000, 400),
+	static final LeaderSettings SETTINGS = new LeaderSettings(new SessionSettings(4_000, 1_000, 700, 300, 150, 2_200),
+			new WaveSettings(1_000, 3_000, 2_000, 5_000, 400),
 			new BalanceSettings(1_000, 1_700, 1_500, 2_500, 400, 1_500), 60_000, 64);
 
 	private static final Resources HOST = new Resources(64_000, 262_144, 0);
 
-	private static final DemandPeakSimulation.FleetSpec FLEET = new DemandPeakSimulation.FleetSpec(4, 246, HOST,
+	static final DemandPeakSimulation.FleetSpec FLEET = new DemandPeakSimulation.FleetSpec(4, 246, HOST,
 			new Resources(8_100, 17_000, 0), 1_000, 56, 8_500, 24, new Resources(8_200, 80_000, 0), 3, 35, 18_000);
 
 	/** Each host runs at most two tasks of a long-running step. */
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -78,6 +78,7 @@
 			fleet.run(60_000);
 			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
 			Truth.assertWithMessage("seed %s", seed).that(fleet.overdue()).isEmpty();
+			Truth.assertWithMessage("seed %s", seed).that(fleet.reportedOverdue()).isEmpty();
 			Truth.assertWithMessage("seed %s", seed).that(fleet.phase("job")).hasValue(BatchJobPhase.COMPLETED);
 		}
 	}
@@ -128,6 +129,7 @@
 			fleet.recover(RECOVERY_MILLIS);
 			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
 			Truth.assertWithMessage("seed %s", seed).that(fleet.overdue()).isEmpty();
+			Truth.assertWithMessage("seed %s", seed).that(fleet.reportedOverdue()).isEmpty();
 		}
 	}
 
@@ -143,6 +145,7 @@
 			fleet.recover(RECOVERY_MILLIS);
 			Truth.assertWithMessage("seed %s", seed).that(fleet.violations()).isEmpty();
 			Truth.assertWithMessage("seed %s", seed).that(fleet.overdue()).isEmpty();
+			Truth.assertWithMessage("seed %s", seed).that(fleet.reportedOverdue()).isEmpty();
 			for (int job = 0; job < 8; job++) {
 				// A job may be completed before its cancellation arrives.
 				boolean isCancelled = job % 4 == 3 && fleet.phase("job" + job).get() != BatchJobPhase.COMPLETED;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetProgressTests.java
@@ -181,6 +181,7 @@
 	private static void requireRecovery(SimulatedFleet fleet, int seed) {
 		fleet.recover(RECOVERY_MILLIS);
 		Truth.assertWithMessage("overdue, seed %s", seed).that(fleet.overdue()).isEmpty();
+		Truth.assertWithMessage("reported, seed %s", seed).that(fleet.reportedOverdue()).isEmpty();
 		Truth.assertWithMessage("violations, seed %s", seed).that(fleet.violations()).isEmpty();
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -77,7 +77,7 @@
 	void aPoolThatLacksCapacityForATaskGetsOneHostAtATime() {
 		this.balancer
 			.onHostList(List.of(new HostEntry("host-s1", "spare", true), new HostEntry("host-s2", "spare", true)));
-		this.balancer.onPlan(new Plan(List.of(), Set.of("hot"), Set.of()));
+		this.balancer.onPlan(new Plan(List.of(), Set.of("hot"), Set.of(), List.of()));
 		Truth.assertThat(tick()).hasSize(1);
 	}
 
@@ -123,7 +123,7 @@
 	/** Guards against a host that arrives for a task and leaves before the task stops. */
 	@Test
 	void aPoolKeepsAnIdleHostForTasksThatMaintenanceIsAboutToStop() {
-		this.balancer.onPlan(new Plan(List.of(), Set.of(), Set.of(new RunnerKey("hot0", 1))));
+		this.balancer.onPlan(new Plan(List.of(), Set.of(), Set.of(new RunnerKey("hot0", 1)), List.of()));
 		List<String> moved = new ArrayList<>();
 		for (int round = 0; round < 40; round++) {
 			tick().forEach((move) -> {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -11,6 +12,7 @@
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
@@ -27,6 +29,7 @@
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.MovePhase;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.Resources;
@@ -75,6 +78,12 @@
 
 	private final List<String> violations = new ArrayList<>();
 
+	/** What the leader reports as overdue. */
+	private final Map<OverdueKind, OverdueReport> reports = new EnumMap<>(OverdueKind.class);
+
+	/** Selects proposals that are lost. */
+	private Predicate<BatchCommand> lostProposals = (command) -> false;
+
 	private final BatchState state = new BatchState();
 
 	private FleetLeader leader;
@@ -173,6 +182,16 @@
 		this.leader.onAnnouncement(entry, 1, this.nowMillis).ifPresent(this.queuedCommands::add);
 	}
 
+	/** Loses the leader's proposals of some types, so that it waits for their commit. */
+	void loseProposals(Set<Class<? extends BatchCommand>> types) {
+		this.lostProposals = (command) -> types.contains(command.getClass());
+	}
+
+	/** Commits a move that the platform never carries out. */
+	void orderMove(String host, String pool) {
+		commit(List.of(new BatchCommand.SetMove(host, pool, MovePhase.ORDERED)));
+	}
+
 	void cutOff(String runner, long forMillis) {
 		this.cutOff.add(runner);
 		at(forMillis, () -> this.cutOff.remove(runner));
@@ -181,6 +200,7 @@
 	void changeLeader() {
 		this.term++;
 		this.queuedCommands.clear();
+		this.reports.clear();
 		this.leader = new FleetLeader(this.state, SETTINGS, new HostOrderHistory(0), this.term, this.nowMillis);
 	}
 
@@ -250,6 +270,20 @@
 		return overdue;
 	}
 
+	/** Returns what the leader itself reports as overdue. */
+	Map<OverdueKind, OverdueReport> reportedOverdue() {
+		return this.reports;
+	}
+
+	private void record(OverdueReport report) {
+		if (report.count() == 0) {
+			this.reports.remove(report.kind());
+		}
+		else {
+			this.reports.put(report.kind(), report);
+		}
+	}
+
 	private boolean isUp(RunnerKey key) {
 		return Optional.ofNullable(this.runners.get(key.id()))
 			.filter((runner) -> runner.isUp() && runner.announce().key().equals(key))
@@ -284,10 +318,12 @@
 			.filter(SimulatedRunner::isUp)
 			.forEach((runner) -> runner.advance(this.nowMillis));
 		this.leader.decide(this.nowMillis, this.nowMillis);
+		this.leader.reportOverdueIfDue(this.nowMillis).forEach(this::record);
 		this.leader.dueOrders(this.nowMillis).forEach(this::send);
 		List<BatchCommand> proposals = new ArrayList<>(this.queuedCommands);
 		this.queuedCommands.clear();
 		proposals.addAll(this.leader.drainProposals());
+		proposals.removeIf(this.lostProposals);
 		if (!proposals.isEmpty()) {
 			long proposedTerm = this.term;
 			this.lastCommitMillis = Math.max(this.lastCommitMillis, this.nowMillis + 1 + this.random.nextInt(10));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
@@ -69,6 +69,11 @@
 		return new JobSpec("specification", List.of(steps), 0, 0, 0);
 	}
 
+	/** Adds a run that no assignment leads to. */
+	public static void plantRun(BatchState state, Run run) {
+		state.runs().add(run);
+	}
+
 	public static RunnerRecord runner(String id, String pool, long bornMillis, String... labels) {
 		return new RunnerRecord(new RunnerKey(id, bornMillis), Optional.of("host-" + id), pool, "127.0.0.1:1", "dc1",
 				Optional.of("rack-" + id), CAPACITY, Set.of(labels), false);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/model/ResourcesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/model/ResourcesTests.java
@@ -25,4 +25,18 @@
 		Truth.assertThat(sum.minus(sum)).isEqualTo(Resources.NONE);
 	}
 
+	@Test
+	void aProductIsLimitedToTheMaximum() {
+		Resources amount = new Resources(1_000_000, 3, 0);
+		Truth.assertThat(amount.times(3)).isEqualTo(new Resources(3_000_000, 9, 0));
+		Truth.assertThat(amount.times(10_000)).isEqualTo(new Resources((1 << 30) - 1, 30_000, 0));
+		Truth.assertThat(amount.times(0)).isEqualTo(Resources.NONE);
+	}
+
+	@Test
+	void theLargestAmountIsTakenInEachDimension() {
+		Truth.assertThat(new Resources(1, 20, 3).largestOf(new Resources(10, 2, 3)))
+			.isEqualTo(new Resources(10, 20, 3));
+	}
+
 }
