Record overdue work as an event of the batch leader

SchedulerActor asks the leader for its reports after each round of decisions and writes one BATCH_OVERDUE a kind and second while something is overdue: kind, count, age of the oldest item and at most five items. The batch programs serve no metrics, so this event is the gauge batch_overdue{kind}.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -464,6 +464,7 @@
 	private void decide(FleetLeader leading) {
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
+		leading.reportOverdueIfDue(nowMillis).forEach((report) -> this.events.overdue(this.term, report));
 		if (this.permit.isRenewalDue()) {
 			this.permit.renew(this.reads);
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -4,9 +4,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.HostOrderHistory;
+import io.burdockpin.core.batch.lead.OverdueItem;
+import io.burdockpin.core.batch.lead.OverdueReport;
 import io.burdockpin.core.batch.lead.RunnerContact;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunOutcome;
@@ -55,6 +58,20 @@
 			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis()));
 	}
 
+	/**
+	 * Records what is overdue of one kind, or that nothing is any more.
+	 * @param term the term of the leader
+	 * @param report the report of the leader's watch
+	 */
+	void overdue(long term, OverdueReport report) {
+		record(event(EventKind.BATCH_OVERDUE).with(EventField.TERM, term)
+			.with(EventField.STATE, report.kind())
+			.with(EventField.COUNT, report.count())
+			.with(EventField.MILLIS, report.oldestMillis())
+			.with(EventField.DETAIL,
+					report.oldest().stream().map(OverdueItem::toString).collect(Collectors.joining(", "))));
+	}
+
 	/**
 	 * Records an order about a host with the age of the last change of an order about the
 	 * same host, which may be that of an earlier leader.
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -27,9 +27,13 @@
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.MovePhase;
 import io.burdockpin.core.consensus.EntryContent;
 import io.burdockpin.core.consensus.LogEntry;
 import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.event.Event;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
 import io.burdockpin.core.model.HostName;
 import io.burdockpin.core.model.Payload;
 import io.burdockpin.core.model.Resources;
@@ -61,6 +65,8 @@
 
 	private final TestProbe<RunnerChannel.Command> runners = this.testKit.createTestProbe();
 
+	private final TestProbe<EventLog.Command> events = this.testKit.createTestProbe();
+
 	private final TestProbe<FleetReply> replies = this.testKit.createTestProbe();
 
 	/** Atomic, because the actor reads the clocks in a thread of its own. */
@@ -80,8 +86,7 @@
 			}
 			this.runners.getRef().tell(command);
 			return Behaviors.same();
-		}), this.testKit.<HostChannel.Command>createTestProbe().getRef(),
-				this.testKit.<EventLog.Command>createTestProbe().getRef(),
+		}), this.testKit.<HostChannel.Command>createTestProbe().getRef(), this.events.getRef(),
 				() -> Instant.ofEpochMilli(this.steadyMillis.get()),
 				() -> Instant.ofEpochMilli(this.wallMillis.get())));
 
@@ -224,13 +229,45 @@
 		this.runners.expectMessageClass(RunnerChannel.Send.class);
 	}
 
+	@Test
+	void aMoveThatDoesNotEndIsRecordedAsOverdueEachSecond() {
+		lead();
+		commit(2, new BatchCommand.SetMove("host", "other", MovePhase.ORDERED));
+		for (int second = 0; second < 45; second++) {
+			this.steadyMillis.addAndGet(1_000);
+			this.wallMillis.addAndGet(1_000);
+			this.time.timePasses(Duration.ofMillis(40));
+			// The scheduler handles its messages in order, so the answer follows the
+			// decisions of the tick.
+			this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Announce(RUNNER, second), replyPort()));
+			this.replies.receiveMessage();
+		}
+		for (int number = 0; number < 3; number++) {
+			Event overdue = nextEvent(EventKind.BATCH_OVERDUE, "MOVE_WITHOUT_END");
+			Truth.assertThat(overdue.fields()).containsEntry(EventField.COUNT, "1");
+			Truth.assertThat(overdue.fields().get(EventField.DETAIL)).startsWith("host to other (");
+		}
+	}
+
+	private Event nextEvent(EventKind kind, String state) {
+		Event event = this.events.expectMessageClass(EventLog.Append.class).event();
+		while (event.kind() != kind || !state.equals(event.fields().get(EventField.STATE))) {
+			event = this.events.expectMessageClass(EventLog.Append.class).event();
+		}
+		return event;
+	}
+
 	private void lead() {
 		this.scheduler.tell(new SchedulerCommand.AttachConsensus(this.consensus.getRef()));
 		report(new ConsensusReport.LeadershipChanged(true, TERM, Optional.of(SELF)));
-		Payload payload = Payload.of(new CborCommandGroupCodec()
-			.encode(new CommandGroup(this.wallMillis.get(), List.of(new BatchCommand.RegisterRunner(RUNNER)))));
-		report(new ConsensusReport.Committed(List.of(new LogEntry(1, TERM, new EntryContent.CommandContent(payload))),
-				false));
+		commit(1, new BatchCommand.RegisterRunner(RUNNER));
+	}
+
+	private void commit(long index, BatchCommand command) {
+		Payload payload = Payload
+			.of(new CborCommandGroupCodec().encode(new CommandGroup(this.wallMillis.get(), List.of(command))));
+		report(new ConsensusReport.Committed(
+				List.of(new LogEntry(index, TERM, new EntryContent.CommandContent(payload))), false));
 	}
 
 	private void announceNewRunner() {
