Bound the size of a log entry

Cause: all commands that arrive between two rounds of the scheduler become one log entry without a limit, control hosts accept bodies of 8 MiB, and a link takes frames of 4 MiB. A larger entry can never be replicated; each attempt aborts the link with the heartbeats.

Change: a group above 1 MiB is divided into several entries, the links of the batch scheduler take frames of 16 MiB, and a single command above three quarters of that is refused before it is proposed.

SchedulerActorTests.largeCommandsThatArriveTogetherAreProposedInSeveralEntries and aCommandThatIsTooLargeForAnEntryIsRefused: both fail with the division and the refusal switched off (2 of 14), all 14 pass with them.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -47,6 +47,12 @@
 	/**
 	 * Leaves a fifth of the longest lease as a margin for differences in clock rates.
 	 */
+	/**
+	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
+	 * whose records have longer names of fields.
+	 */
+	public static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+
 	private static final double LEASE_SHARE = 0.8;
 
 	/** A longer lease would only delay the restart of the tasks of a lost runner. */
@@ -152,14 +158,14 @@
 
 	ConsensusSettings toConsensusSettings() {
 		return new ConsensusSettings(this.cluster, this.host, this.dataCentre, this.internalPorts.get(0), seedHosts(),
-				2 * this.toleratedMembers + 1, REPLICA,
-				LinkSettings.DEFAULT.withDispatcher(BatchDispatchers.CONSENSUS));
+				2 * this.toleratedMembers + 1, REPLICA, LinkSettings.DEFAULT.withMaximumFrameBytes(MAXIMUM_FRAME_BYTES)
+					.withDispatcher(BatchDispatchers.CONSENSUS));
 	}
 
 	CallSettings toCallSettings() {
 		return new CallSettings(this.host, seedHosts(), this.internalPorts.get(0) + 1, TICK_INTERVAL_MILLIS,
 				CHECK_INTERVAL_MILLIS, RESPONSE_TIMEOUT_MILLIS, LEADER_WAIT_MILLIS,
-				LinkSettings.DEFAULT.withDispatcher(BatchDispatchers.CALLS));
+				LinkSettings.DEFAULT.withMaximumFrameBytes(MAXIMUM_FRAME_BYTES).withDispatcher(BatchDispatchers.CALLS));
 	}
 
 	LeaderSettings toLeaderSettings() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import com.google.common.flogger.FluentLogger;
+import io.burdockpin.batch.BatchSettings;
 import io.burdockpin.batch.consensus.ConsensusCommand;
 import io.burdockpin.batch.consensus.ConsensusReport;
 import io.burdockpin.batch.port.HostChannel;
@@ -59,6 +60,17 @@
 	/** Short compared to the time limits for runners and callers. */
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(40);
 
+	/**
+	 * Larger groups are divided. As large as the messages that replicate several entries.
+	 */
+	private static final int MAXIMUM_GROUP_BYTES = 1024 * 1024;
+
+	/**
+	 * Leaves a quarter of {@link BatchSettings#MAXIMUM_FRAME_BYTES} for what surrounds
+	 * it.
+	 */
+	private static final int MAXIMUM_COMMAND_BYTES = BatchSettings.MAXIMUM_FRAME_BYTES / 4 * 3;
+
 	private final LeaderSettings settings;
 
 	private final InstantSource clock;
@@ -521,13 +533,32 @@
 	}
 
 	private void propose() {
-		this.lastTag++;
-		Payload payload = Payload
-			.of(this.groupCodec.encode(new CommandGroup(this.wallClock.millis(), this.queuedCommands)));
-		this.proposals.add(this.lastTag, this.queuedReplyPorts);
+		List<BatchCommand> commands = List.copyOf(this.queuedCommands);
+		List<ReplyPort> replyPorts = List.copyOf(this.queuedReplyPorts);
 		this.queuedCommands.clear();
 		this.queuedReplyPorts.clear();
-		this.consensus.get().tell(new ConsensusCommand.Propose(this.lastTag, payload));
+		propose(commands, replyPorts);
+	}
+
+	// A group becomes one log entry. One that is larger than a frame could never be
+	// replicated, and the members would elect another leader.
+	private void propose(List<BatchCommand> commands, List<ReplyPort> replyPorts) {
+		byte[] group = this.groupCodec.encode(new CommandGroup(this.wallClock.millis(), commands));
+		if (group.length > MAXIMUM_GROUP_BYTES && commands.size() > 1) {
+			int half = commands.size() / 2;
+			propose(commands.subList(0, half), replyPorts.subList(0, half));
+			propose(commands.subList(half, commands.size()), replyPorts.subList(half, commands.size()));
+		}
+		else if (group.length > MAXIMUM_COMMAND_BYTES) {
+			logger.atSevere().log("Refused a command of %d bytes, which no link would take.", group.length);
+			replyPorts.forEach(
+					(replyPort) -> replyPort.send(new FleetReply.Refused(FleetReply.Reason.INVALID, Optional.empty())));
+		}
+		else {
+			this.lastTag++;
+			this.proposals.add(this.lastTag, replyPorts);
+			this.consensus.get().tell(new ConsensusCommand.Propose(this.lastTag, Payload.of(group)));
+		}
 	}
 
 	private static List<String> hosts(Membership membership) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.batch.BatchSettings;
 import io.burdockpin.batch.consensus.ConsensusCommand;
 import io.burdockpin.batch.consensus.ConsensusReport;
 import io.burdockpin.batch.consensus.ReadOutcome;
@@ -162,6 +164,41 @@
 		nextProposal();
 	}
 
+	/**
+	 * Guards against a log entry that no link to another member takes, so that the
+	 * members lose their leader without a failure. Occurs when several large commands
+	 * arrive while the scheduler is busy.
+	 */
+	@Test
+	void largeCommandsThatArriveTogetherAreProposedInSeveralEntries() {
+		lead();
+		CountDownLatch allSent = new CountDownLatch(1);
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Announce(RUNNER, 1), (reply) -> await(allSent)));
+		for (int runner = 0; runner < 4; runner++) {
+			announce("large-" + runner, "x".repeat(BatchSettings.MAXIMUM_FRAME_BYTES / 3));
+		}
+		allSent.countDown();
+		for (int runner = 0; runner < 4; runner++) {
+			ConsensusCommand.Propose proposal = nextProposal();
+			Truth.assertThat(proposal.payload().lengthBytes()).isLessThan(BatchSettings.MAXIMUM_FRAME_BYTES);
+			report(new ConsensusReport.Proposed(proposal.tag(), 2 + runner));
+			report(new ConsensusReport.Committed(
+					List.of(new LogEntry(2 + runner, TERM, new EntryContent.CommandContent(proposal.payload()))),
+					false));
+			Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.Accepted.class);
+		}
+	}
+
+	@Test
+	void aCommandThatIsTooLargeForAnEntryIsRefused() {
+		lead();
+		announce("large", "x".repeat(BatchSettings.MAXIMUM_FRAME_BYTES));
+		Truth.assertThat(this.replies.receiveMessage())
+			.isEqualTo(new FleetReply.Refused(FleetReply.Reason.INVALID, Optional.empty()));
+		announceNewRunner();
+		Truth.assertThat(nextProposal().payload().lengthBytes()).isLessThan(1_000);
+	}
+
 	/** A leader that was elected and cut off at once must not contact the runners. */
 	@Test
 	void noRunnerIsContactedBeforeAMajorityHasConfirmedTheLeadership() {
@@ -296,11 +333,24 @@
 	}
 
 	private void announceNewRunner() {
-		RunnerRecord announced = new RunnerRecord(new RunnerKey("new-runner", 5), Optional.of("new-host"), "pool",
-				"10.0.0.3:1", "dc1", Optional.empty(), Resources.NONE, Set.of(), false);
+		announce("new-runner", "label");
+	}
+
+	private void announce(String id, String label) {
+		RunnerRecord announced = new RunnerRecord(new RunnerKey(id, 5), Optional.of("host-of-" + id), "pool",
+				"10.0.0.3:1", "dc1", Optional.empty(), Resources.NONE, Set.of(label), false);
 		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Announce(announced, 1), replyPort()));
 	}
 
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private void completeReads(boolean confirmed) {
 		ConsensusCommand.Read read = nextRead();
 		report(new ConsensusReport.ReadDone(read.number(),
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSettings.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/link/LinkSettings.java
@@ -40,6 +40,16 @@
 				this.dispatcher);
 	}
 
+	/**
+	 * Returns a copy with another frame size.
+	 * @param bytes the largest frame in either direction
+	 * @return the copy
+	 */
+	public LinkSettings withMaximumFrameBytes(int bytes) {
+		return new LinkSettings(this.connectTimeoutMillis, this.initialReconnectDelayMillis,
+				this.maximumReconnectDelayMillis, bytes, this.sendBufferFrames, this.transport, this.dispatcher);
+	}
+
 	/**
 	 * Returns a copy whose streams run on a dispatcher of their own, so that other work
 	 * does not delay them.
