--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueKind.java
@@ -212,9 +212,8 @@
 	 */
 	abstract void findOpen(OpenWork work, Consumer<String> open);
 
-	// A runner that is gone is removed once its lease has expired and it has not
-	// announced
-	// itself for the retention time.
+	// A runner that is gone is removed once its lease has expired and its latest
+	// announcement is older than the retention time.
 	private static long removalMillis(LeaderSettings settings) {
 		return Math.max(settings.sessions().earlierLeaseExpiryMillis(), settings.runnerRetentionMillis());
 	}
