Put the comment of the lease share back above its constant

The comment about the margin of a fifth had come to stand above the size of a frame. No behaviour changes: formatter, linter, BatchSettingsTests and SchedulerActorTests pass.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -44,15 +44,15 @@
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
 		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond) {
 
-	/**
-	 * Leaves a fifth of the longest lease as a margin for differences in clock rates.
-	 */
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
 	 * whose records have longer names of fields.
 	 */
 	public static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
 
+	/**
+	 * Leaves a fifth of the longest lease as a margin for differences in clock rates.
+	 */
 	private static final double LEASE_SHARE = 0.8;
 
 	/** A longer lease would only delay the restart of the tasks of a lost runner. */
