Record orders to runners, releases with their reasons, and acknowledgements

A start and an acknowledged end had no line, a release had no runner, term or reason.

Change: the events RUN_ORDERED, RUN_ORDER_FAILED, RUN_RELEASED and ENDS_ACKNOWLEDGED, with task, run, incarnation, term, session and reason, and the term and log index of a restart of decisions. No decision changes.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -381,13 +381,20 @@
 	private void onNotProposed(long tag) {
 		this.proposals.onRefused(tag, notLeader());
 		if (this.leader.isPresent()) {
-			logger.atWarning().log("A proposal was rejected although this member leads; restarting decisions.");
-			this.channels.retain((key) -> false);
-			this.leader = Optional.empty();
+			logger.atWarning()
+				.log("A proposal was rejected although this member leads in term %d; restarting decisions after index %d.",
+						this.term, this.appliedIndex);
+			dropLeader();
 			this.restartDue = true;
 		}
 	}
 
+	private void dropLeader() {
+		this.leader = Optional.empty();
+		this.channels.retain((key) -> false);
+		this.events.leaderDropped();
+	}
+
 	private void startLeading() {
 		this.restartDue = false;
 		this.leader = Optional
@@ -400,10 +407,9 @@
 		if (this.leads && !changed.leads()) {
 			logger.atInfo().log("Stepped down in term %d.", changed.term());
 			this.events.leadershipChanged(false, changed.term());
-			this.leader = Optional.empty();
+			dropLeader();
 			this.restartDue = false;
 			this.permit.revoke();
-			this.channels.retain((key) -> false);
 			this.queuedCommands.clear();
 			this.queuedReplyPorts.forEach((waiter) -> waiter.send(notLeader()));
 			this.queuedReplyPorts.clear();
@@ -417,6 +423,7 @@
 	private Behavior<SchedulerCommand> onFromRunner(SchedulerCommand.FromRunner command) {
 		RunnerChannel.Answered answer = command.answer();
 		this.channels.onAnswered(answer);
+		this.events.runnerReplied(answer.runner(), answer.order(), answer.reply());
 		this.leader.filter((leading) -> answer.order().fencingToken() == this.term)
 			.ifPresent(
 					(leading) -> leading.onReply(answer.runner(), answer.order(), answer.reply(), this.clock.millis()));
@@ -488,6 +495,7 @@
 		if (leading.startHostListIfDue(nowMillis)) {
 			this.hosts.tell(new HostChannel.ListHosts(this.hostLists));
 		}
+		leading.drainReleases().forEach((release) -> this.events.released(this.term, release));
 		leading.drainProposals().forEach((command) -> {
 			this.queuedCommands.add(command);
 			this.queuedReplyPorts.add(ReplyPort.NONE);
@@ -498,6 +506,7 @@
 	private void sendRunnerOrders(FleetLeader leading, SendWindow window, long nowMillis) {
 		leading.dueOrders(nowMillis).forEach((dispatch) -> {
 			this.load.countOrder(dispatch.order() instanceof RunnerOrder.Heartbeat);
+			this.events.runnerOrdered(dispatch);
 			this.channels.send(dispatch, window);
 		});
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -1,7 +1,9 @@
 package io.burdockpin.batch.scheduler;
 
 import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
@@ -10,7 +12,11 @@
 import io.burdockpin.core.batch.lead.HostOrderHistory;
 import io.burdockpin.core.batch.lead.OverdueItem;
 import io.burdockpin.core.batch.lead.OverdueReport;
+import io.burdockpin.core.batch.lead.RunRelease;
 import io.burdockpin.core.batch.lead.RunnerContact;
+import io.burdockpin.core.batch.lead.RunnerDispatch;
+import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.lead.RunnerReply;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -27,8 +33,9 @@
 import org.apache.pekko.actor.typed.ActorRef;
 
 /**
- * Records committed decisions in the event log, with the index of the log entry. Used by
- * the leader only. Owned by the {@link SchedulerActor}.
+ * Records committed decisions in the event log, with the index of the log entry, and the
+ * orders to runners and hosts. Used by the leader only. Owned by the
+ * {@link SchedulerActor}.
  */
 final class SchedulerEvents {
 
@@ -38,6 +45,9 @@
 
 	private final HybridClock hybridClock = new HybridClock();
 
+	/** Number of the last recorded acknowledgement of each runner. */
+	private final Map<RunnerKey, Long> acknowledgedEnds = new HashMap<>();
+
 	SchedulerEvents(ActorRef<EventLog.Command> log, InstantSource wallClock) {
 		this.log = log;
 		this.wallClock = wallClock;
@@ -93,6 +103,73 @@
 			.orElse(ordered));
 	}
 
+	/**
+	 * Records an order to a runner: a start or stop, or a heartbeat that acknowledges
+	 * further ends.
+	 * @param dispatch the order and the session that it belongs to
+	 */
+	void runnerOrdered(RunnerDispatch dispatch) {
+		RunnerKey runner = dispatch.runner().key();
+		if (dispatch.order() instanceof RunnerOrder.Start start) {
+			record(session(orderEvent(EventKind.RUN_ORDERED, start, start.task(), start.run(), runner),
+					dispatch.sessionOpenedMillis()));
+		}
+		else if (dispatch.order() instanceof RunnerOrder.Stop stop) {
+			record(session(orderEvent(EventKind.RUN_ORDERED, stop, stop.task(), stop.run(), runner),
+					dispatch.sessionOpenedMillis()));
+		}
+		else if (dispatch.order() instanceof RunnerOrder.Heartbeat heartbeat) {
+			acknowledged(dispatch, heartbeat);
+		}
+	}
+
+	private void acknowledged(RunnerDispatch dispatch, RunnerOrder.Heartbeat heartbeat) {
+		long end = heartbeat.acknowledgedEnd();
+		if (end > 0 && !Long.valueOf(end).equals(this.acknowledgedEnds.put(dispatch.runner().key(), end))) {
+			record(session(event(EventKind.ENDS_ACKNOWLEDGED).with(EventField.RUNNER, dispatch.runner().key())
+				.with(EventField.TERM, heartbeat.fencingToken())
+				.with(EventField.END, end), dispatch.sessionOpenedMillis()));
+		}
+	}
+
+	/**
+	 * Records a start or stop that was not answered with success.
+	 * @param runner the incarnation of the runner
+	 * @param order the order
+	 * @param reply its reply
+	 */
+	void runnerReplied(RunnerKey runner, RunnerOrder order, RunnerReply reply) {
+		String code = (reply instanceof RunnerReply.Refused refused) ? refused.refusal().name() : String.valueOf(reply);
+		if (reply instanceof RunnerReply.Accepted) {
+			return;
+		}
+		if (order instanceof RunnerOrder.Start start) {
+			record(orderEvent(EventKind.RUN_ORDER_FAILED, start, start.task(), start.run(), runner)
+				.with(EventField.CODE, code));
+		}
+		else if (order instanceof RunnerOrder.Stop stop) {
+			record(orderEvent(EventKind.RUN_ORDER_FAILED, stop, stop.task(), stop.run(), runner).with(EventField.CODE,
+					code));
+		}
+	}
+
+	/**
+	 * Records that the release of a run was proposed.
+	 * @param term the term of the leader
+	 * @param release the release with its reason
+	 */
+	void released(long term, RunRelease release) {
+		record(session(run(event(EventKind.RUN_RELEASED), release.release().task(), release.release().run())
+			.with(EventField.RUNNER, release.runner())
+			.with(EventField.TERM, term)
+			.with(EventField.CODE, release.reason()), release.sessionOpenedMillis()));
+	}
+
+	/** Forgets which ends were acknowledged, because the leader is replaced. */
+	void leaderDropped() {
+		this.acknowledgedEnds.clear();
+	}
+
 	/**
 	 * Records a command that took effect.
 	 * @param index the index of its log entry
@@ -186,9 +263,21 @@
 	}
 
 	private Event runEvent(EventKind kind, long index, TaskId task, int run) {
-		return indexed(kind, index).with(EventField.JOB, task.job())
-			.with(EventField.TASK, task)
-			.with(EventField.RUN, run);
+		return run(indexed(kind, index), task, run);
+	}
+
+	private Event orderEvent(EventKind kind, RunnerOrder order, TaskId task, int run, RunnerKey runner) {
+		return run(event(kind), task, run).with(EventField.RUNNER, runner)
+			.with(EventField.TERM, order.fencingToken())
+			.with(EventField.STATE, order.getClass().getSimpleName());
+	}
+
+	private static Event run(Event event, TaskId task, int run) {
+		return event.with(EventField.JOB, task.job()).with(EventField.TASK, task).with(EventField.RUN, run);
+	}
+
+	private static Event session(Event event, long openedMillis) {
+		return event.with(EventField.SESSION, openedMillis);
 	}
 
 	private static Event withContact(Event event, Optional<RunnerContact> contact) {
--- /dev/null
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -0,0 +1,106 @@
+package io.burdockpin.batch.scheduler;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.ReleaseReason;
+import io.burdockpin.core.batch.lead.RunRelease;
+import io.burdockpin.core.batch.lead.RunnerDispatch;
+import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.event.Event;
+import io.burdockpin.core.event.EventField;
+import io.burdockpin.core.event.EventKind;
+import io.burdockpin.core.model.Resources;
+import io.burdockpin.runtime.event.EventLog;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against two runs of a task of which the log does not say who ordered them and
+ * why the first one was given up.
+ */
+class SchedulerEventsTests {
+
+	private static final RunnerRecord RUNNER = new RunnerRecord(new RunnerKey("runner", 5), Optional.of("host"), "pool",
+			"10.0.0.2:1", "dc1", Optional.empty(), Resources.NONE, Set.of(), false);
+
+	private static final TaskId TASK = new TaskId("job", 0, 1, 2);
+
+	private static final long SESSION = 77;
+
+	private final ActorTestKit testKit = ActorTestKit.create();
+
+	private final TestProbe<EventLog.Command> log = this.testKit.createTestProbe();
+
+	private final SchedulerEvents events = new SchedulerEvents(this.log.getRef(), () -> Instant.ofEpochMilli(1));
+
+	@AfterEach
+	void stop() {
+		this.testKit.shutdownTestKit();
+	}
+
+	@Test
+	void aStartIsRecordedWithItsTermAndSession() {
+		this.events.runnerOrdered(dispatch(new RunnerOrder.Start(3, TASK, 4, "", "", 9)));
+		expect(EventKind.RUN_ORDERED,
+				Map.of(EventField.JOB, "job", EventField.TASK, TASK.toString(), EventField.RUN, "4", EventField.RUNNER,
+						"runner@5", EventField.TERM, "3", EventField.STATE, "Start", EventField.SESSION, "77"));
+	}
+
+	@Test
+	void aStartThatIsNotAcceptedIsRecordedWithItsReply() {
+		RunnerOrder order = new RunnerOrder.Start(3, TASK, 4, "", "", 9);
+		this.events.runnerReplied(RUNNER.key(), order, new RunnerReply.Accepted(1));
+		this.events.runnerReplied(RUNNER.key(), order, RunnerReply.NoAnswer.UNKNOWN);
+		Truth.assertThat(next(EventKind.RUN_ORDER_FAILED).fields()).containsEntry(EventField.CODE, "UNKNOWN");
+		this.events.runnerReplied(RUNNER.key(), order,
+				new RunnerReply.Refused(RunnerReply.Refusal.OUTDATED, OptionalLong.empty()));
+		Truth.assertThat(next(EventKind.RUN_ORDER_FAILED).fields()).containsEntry(EventField.CODE, "OUTDATED");
+	}
+
+	@Test
+	void aReleaseIsRecordedWithItsRunnerAndReason() {
+		this.events.released(3, new RunRelease(new BatchCommand.Release(TASK, 4, "checkpoint"), RUNNER.key(), SESSION,
+				ReleaseReason.LEASE_EXPIRED));
+		expect(EventKind.RUN_RELEASED,
+				Map.of(EventField.JOB, "job", EventField.TASK, TASK.toString(), EventField.RUN, "4", EventField.RUNNER,
+						"runner@5", EventField.TERM, "3", EventField.CODE, "LEASE_EXPIRED", EventField.SESSION, "77"));
+	}
+
+	@Test
+	void anAcknowledgementIsRecordedOnceForEachNumber() {
+		this.events.runnerOrdered(dispatch(new RunnerOrder.Heartbeat(3, 0, OptionalLong.empty(), 0)));
+		this.events.runnerOrdered(dispatch(new RunnerOrder.Heartbeat(3, 6, OptionalLong.empty(), 0)));
+		this.events.runnerOrdered(dispatch(new RunnerOrder.Heartbeat(3, 6, OptionalLong.empty(), 0)));
+		this.events.runnerOrdered(dispatch(new RunnerOrder.Heartbeat(3, 8, OptionalLong.empty(), 0)));
+		Truth.assertThat(next(EventKind.ENDS_ACKNOWLEDGED).fields()).containsEntry(EventField.END, "6");
+		expect(EventKind.ENDS_ACKNOWLEDGED, Map.of(EventField.RUNNER, "runner@5", EventField.TERM, "3", EventField.END,
+				"8", EventField.SESSION, "77"));
+	}
+
+	private static RunnerDispatch dispatch(RunnerOrder order) {
+		return new RunnerDispatch(RUNNER, SESSION, order, 700);
+	}
+
+	private void expect(EventKind kind, Map<EventField, String> fields) {
+		Truth.assertThat(next(kind).fields()).containsExactlyEntriesIn(fields);
+	}
+
+	private Event next(EventKind kind) {
+		Event event = this.log.expectMessageClass(EventLog.Append.class).event();
+		Truth.assertThat(event.kind()).isEqualTo(kind);
+		return event;
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -115,6 +115,9 @@
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
+	/** Releases that were proposed since they were last drained. */
+	private final List<RunRelease> proposedReleases = new ArrayList<>();
+
 	/** Incarnations whose runs were released because they have certainly ended. */
 	private final Set<RunnerKey> endingIncarnations = new HashSet<>();
 
@@ -203,6 +206,16 @@
 		return drained;
 	}
 
+	/**
+	 * Returns and clears the releases among the proposals, with their reasons.
+	 * @return releases in the order of their proposals
+	 */
+	public List<RunRelease> drainReleases() {
+		List<RunRelease> drained = List.copyOf(this.proposedReleases);
+		this.proposedReleases.clear();
+		return drained;
+	}
+
 	/**
 	 * Returns the orders to send to runners and marks them as sent.
 	 * @param nowMillis current monotonic time, in milliseconds
@@ -433,7 +446,7 @@
 	}
 
 	private static RunnerDispatch dispatch(RunnerSession session, RunnerOrder order) {
-		return new RunnerDispatch(session.runner(), order, session.answerTimeoutMillis());
+		return new RunnerDispatch(session.runner(), session.openedMillis(), order, session.answerTimeoutMillis());
 	}
 
 	private Collection<RunnerSession> sessionsToVisit(boolean all) {
@@ -565,9 +578,13 @@
 	}
 
 	private void proposeReleases(RunnerSession session) {
-		List<BatchCommand.Release> releases = session.drainReleases();
+		propose(session.drainReleases());
+	}
+
+	private void propose(List<RunRelease> releases) {
 		if (!releases.isEmpty()) {
-			this.proposals.add(new BatchCommand.ReleaseRuns(releases));
+			this.proposals.add(new BatchCommand.ReleaseRuns(releases.stream().map(RunRelease::release).toList()));
+			this.proposedReleases.addAll(releases);
 		}
 	}
 
@@ -579,10 +596,7 @@
 			return;
 		}
 		if (this.endingIncarnations.add(key)) {
-			List<BatchCommand.Release> releases = session.releaseAll();
-			if (!releases.isEmpty()) {
-				this.proposals.add(new BatchCommand.ReleaseRuns(releases));
-			}
+			propose(session.releaseAll());
 		}
 		long lastAnnouncedMillis = this.announcedMillis.getOrDefault(key, this.electedMillis);
 		boolean isGone = session.hasEnded() || nowMillis - lastAnnouncedMillis > this.settings.runnerRetentionMillis();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -51,12 +51,14 @@
 	/** Runs that the runner lists but that are not assigned to it. */
 	private final Map<TaskId, Integer> unassignedRuns = new HashMap<>();
 
-	private final List<BatchCommand.Release> releases = new ArrayList<>();
+	private final List<RunRelease> releases = new ArrayList<>();
 
 	private final BestEffortThrottle throttle = new BestEffortThrottle();
 
 	private final RunnerLease lease;
 
+	private final long openedMillis;
+
 	private RunnerRecord runner;
 
 	private boolean orderInFlight;
@@ -123,6 +125,7 @@
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.lease = new RunnerLease(settings, electedMillis);
+		this.openedMillis = nowMillis;
 		this.lastContactMillis = nowMillis;
 	}
 
@@ -134,6 +137,15 @@
 		return this.runner;
 	}
 
+	/**
+	 * Returns the time at which the session was opened. It identifies the session among
+	 * those with the same incarnation.
+	 * @return monotonic time, in milliseconds
+	 */
+	long openedMillis() {
+		return this.openedMillis;
+	}
+
 	/**
 	 * Checks whether new tasks may be assigned to the runner.
 	 * @param nowMillis current monotonic time, in milliseconds
@@ -301,7 +313,7 @@
 	public void stop(TaskId task) {
 		progress(task).ifPresent((progress) -> {
 			if (progress.wasNeverOrdered()) {
-				release(progress);
+				release(progress, ReleaseReason.NEVER_ORDERED);
 			}
 			else {
 				progress.requestStop();
@@ -475,7 +487,7 @@
 		if (this.contacted && (isAnswerMissing(nowMillis) || !isResponsive(nowMillis))) {
 			for (RunProgress progress : this.runs.values()) {
 				if (progress.wasNeverOrdered()) {
-					release(progress);
+					release(progress, ReleaseReason.NEVER_ORDERED);
 				}
 			}
 		}
@@ -486,11 +498,11 @@
 	 * end.
 	 * @return releases to commit
 	 */
-	public List<BatchCommand.Release> drainReleases() {
+	public List<RunRelease> drainReleases() {
 		if (this.releases.isEmpty()) {
 			return List.of();
 		}
-		List<BatchCommand.Release> drained = List.copyOf(this.releases);
+		List<RunRelease> drained = List.copyOf(this.releases);
 		this.releases.clear();
 		return drained;
 	}
@@ -501,9 +513,10 @@
 	 * committed.
 	 * @return releases to commit
 	 */
-	public List<BatchCommand.Release> releaseAll() {
+	public List<RunRelease> releaseAll() {
+		ReleaseReason reason = this.ended ? ReleaseReason.INCARNATION_ENDED : ReleaseReason.LEASE_EXPIRED;
 		this.runs.values().forEach(RunProgress::markReleased);
-		return this.runs.values().stream().map(RunnerSession::releaseOf).toList();
+		return this.runs.values().stream().map((progress) -> releaseOf(progress, reason)).toList();
 	}
 
 	private static boolean isUnanswered(RunnerReply reply) {
@@ -542,7 +555,7 @@
 		}
 		RunProgress progress = next.get();
 		if (this.runner.draining() && progress.wasNeverOrdered()) {
-			release(progress);
+			release(progress, ReleaseReason.NEVER_ORDERED);
 			return nextStart(nowMillis);
 		}
 		if (this.runner.draining()) {
@@ -677,22 +690,24 @@
 
 	private void onUnlisted(RunProgress progress) {
 		if (progress.hasEndedIfUnlisted(this.heartbeatNumber)) {
-			release(progress);
+			release(progress, ReleaseReason.CLOSED);
 		}
 		else if (progress.isMissing(this.heartbeatNumber)) {
 			progress.requestStop();
 		}
 	}
 
-	private void release(RunProgress progress) {
+	private void release(RunProgress progress, ReleaseReason reason) {
 		if (!progress.isReleased()) {
 			progress.markReleased();
-			this.releases.add(releaseOf(progress));
+			this.releases.add(releaseOf(progress, reason));
 		}
 	}
 
-	private static BatchCommand.Release releaseOf(RunProgress progress) {
-		return new BatchCommand.Release(progress.run().task(), progress.run().number(), progress.checkpoint());
+	private RunRelease releaseOf(RunProgress progress, ReleaseReason reason) {
+		BatchCommand.Release release = new BatchCommand.Release(progress.run().task(), progress.run().number(),
+				progress.checkpoint());
+		return new RunRelease(release, this.runner.key(), this.openedMillis, reason);
 	}
 
 	private Optional<RunProgress> progress(TaskId task) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -92,6 +92,15 @@
 	/** Number of a run of a task. */
 	RUN("run"),
 
+	/**
+	 * Time at which the session with a runner was opened, by the monotonic clock of the
+	 * recording process, in milliseconds. It identifies the session.
+	 */
+	SESSION("session"),
+
+	/** Number of the last end of a runner that is acknowledged. */
+	END("end"),
+
 	/** Number of a maintenance wave. */
 	WAVE("wave"),
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -89,6 +89,18 @@
 	 */
 	RUN_ENDED,
 
+	/** A start or stop of a run was passed to the channel of a runner. */
+	RUN_ORDERED,
+
+	/** A start or stop was not answered with success. */
+	RUN_ORDER_FAILED,
+
+	/** A leader proposed to release a run because it certainly is not in progress. */
+	RUN_RELEASED,
+
+	/** A leader acknowledged further ends of a runner. */
+	ENDS_ACKNOWLEDGED,
+
 	/** The state of a host in a maintenance wave changed. */
 	UPKEEP_CHANGED,
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RunnerSessionTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RunnerSessionTests.java
@@ -57,7 +57,9 @@
 		receiveListing(3_000, false);
 		Truth.assertThat(this.session.drainReleases()).isEmpty();
 		receiveListing(3_500, true);
-		Truth.assertThat(this.session.drainReleases()).containsExactly(new BatchCommand.Release(task, 1, ""));
+		Truth.assertThat(this.session.drainReleases())
+			.containsExactly(
+					new RunRelease(new BatchCommand.Release(task, 1, ""), RUNNER.key(), 0, ReleaseReason.CLOSED));
 	}
 
 	private void receiveListing(long nowMillis, boolean endsComplete) {
