Ignore answers to orders of another session with a runner

What callers could see: a task that was started twice by one leader (TWICE). Cause: after decisions had started again in one term, or a session with an incarnation was closed and opened again, each answer with the fencing token of the term was taken for one to the open order of the new session. An old listing then counted as the answer to a new heartbeat, so that a run that was started or stopped since counted as missing or as ended.

Change: a dispatch carries the time at which its session was opened, channels return the dispatch with the answer, and FleetLeader ignores it unless that session is the present one. A channel with an open order of an earlier session is replaced, so that the answer cannot be taken for the next one. The model of the batch scheduler delivers answers of dropped decisions to the new ones.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
@@ -1,8 +1,7 @@
 package io.burdockpin.batch.port;
 
-import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.lead.RunnerDispatch;
 import io.burdockpin.core.batch.lead.RunnerReply;
-import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.runtime.http.socket.SendCondition;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -22,14 +21,11 @@
 	 * Sends an order. Exactly one {@link Answered} follows, at the latest when the
 	 * timeout is over.
 	 *
-	 * @param order the order with the term of the leader
-	 * @param answerTimeoutMillis response timeout, in addition to the time that the order
-	 * itself allows the runner to wait
+	 * @param dispatch the order with the session that it belongs to
 	 * @param condition checked immediately before the order is written to the connection
 	 * @param replyTo receives the reply
 	 */
-	record Send(RunnerOrder order, int answerTimeoutMillis, SendCondition condition,
-			ActorRef<Answered> replyTo) implements Command {
+	record Send(RunnerDispatch dispatch, SendCondition condition, ActorRef<Answered> replyTo) implements Command {
 
 	}
 
@@ -44,11 +40,10 @@
 	/**
 	 * The reply to an order.
 	 *
-	 * @param runner the incarnation of the runner
-	 * @param order the order as passed with {@link Send}
+	 * @param dispatch the order as passed with {@link Send}
 	 * @param reply the reply of the runner, or what is known if there was none
 	 */
-	record Answered(RunnerKey runner, RunnerOrder order, RunnerReply reply) {
+	record Answered(RunnerDispatch dispatch, RunnerReply reply) {
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
@@ -8,6 +8,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.core.batch.lead.RunnerDispatch;
 import io.burdockpin.core.batch.lead.RunnerOrder;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -116,8 +117,8 @@
 		this.sentCount++;
 		this.sentMillis = this.clock.millis();
 		RunnerOrder order = new RunnerOrder.Heartbeat(0, 0, OptionalLong.empty(), 0);
-		this.channel.ifPresent(
-				(open) -> open.tell(new RunnerChannel.Send(order, ANSWER_TIMEOUT_MILLIS, () -> true, this.replyTo)));
+		RunnerDispatch dispatch = new RunnerDispatch(this.self, 0, order, ANSWER_TIMEOUT_MILLIS);
+		this.channel.ifPresent((open) -> open.tell(new RunnerChannel.Send(dispatch, () -> true, this.replyTo)));
 		return this;
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/RunnerChannels.java
@@ -53,19 +53,24 @@
 			this.channels.put(runner.key(), known);
 		}
 		Channel channel = known.of(dispatch.order());
+		// The open order is of an earlier session with the runner. Its reply must not be
+		// taken for that to the next order.
+		if (channel.inFlight.isPresent()) {
+			channel.close();
+		}
 		if (channel.actor.isEmpty()) {
 			channel.actor = Optional.of(spawn(runner));
 		}
-		channel.inFlight = Optional.of(dispatch.order());
-		channel.actor.get()
-			.tell(new RunnerChannel.Send(dispatch.order(), dispatch.answerTimeoutMillis(), condition, this.replyTo));
+		channel.inFlight = Optional.of(dispatch);
+		channel.actor.get().tell(new RunnerChannel.Send(dispatch, condition, this.replyTo));
 	}
 
 	void onAnswered(RunnerChannel.Answered answer) {
-		Channels known = this.channels.get(answer.runner());
+		RunnerDispatch answered = answer.dispatch();
+		Channels known = this.channels.get(answered.runner().key());
 		if (known != null) {
-			Channel channel = known.of(answer.order());
-			channel.inFlight = channel.inFlight.filter((order) -> order != answer.order());
+			Channel channel = known.of(answered.order());
+			channel.inFlight = channel.inFlight.filter((dispatch) -> dispatch != answered);
 		}
 	}
 
@@ -83,16 +88,15 @@
 		known.all().stream().filter((channel) -> channel.actor.equals(Optional.of(actor))).forEach((channel) -> {
 			logger.atWarning().log("The channel to runner %s at %s has failed.", key, known.address());
 			channel.actor = Optional.empty();
-			channel.inFlight.ifPresent(
-					(order) -> this.replyTo.tell(new RunnerChannel.Answered(key, order, RunnerReply.NoAnswer.UNKNOWN)));
+			channel.inFlight.ifPresent((dispatch) -> this.replyTo
+				.tell(new RunnerChannel.Answered(dispatch, RunnerReply.NoAnswer.UNKNOWN)));
 		});
 	}
 
 	void close(RunnerKey key) {
 		Channels closed = this.channels.remove(key);
 		if (closed != null) {
-			closed.all()
-				.forEach((channel) -> channel.actor.ifPresent((actor) -> actor.tell(RunnerChannel.Close.INSTANCE)));
+			closed.all().forEach(Channel::close);
 		}
 	}
 
@@ -125,7 +129,13 @@
 
 		private Optional<ActorRef<RunnerChannel.Command>> actor = Optional.empty();
 
-		private Optional<RunnerOrder> inFlight = Optional.empty();
+		private Optional<RunnerDispatch> inFlight = Optional.empty();
+
+		private void close() {
+			this.actor.ifPresent((open) -> open.tell(RunnerChannel.Close.INSTANCE));
+			this.actor = Optional.empty();
+			this.inFlight = Optional.empty();
+		}
 
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -423,10 +423,9 @@
 	private Behavior<SchedulerCommand> onFromRunner(SchedulerCommand.FromRunner command) {
 		RunnerChannel.Answered answer = command.answer();
 		this.channels.onAnswered(answer);
-		this.events.runnerReplied(answer.runner(), answer.order(), answer.reply());
-		this.leader.filter((leading) -> answer.order().fencingToken() == this.term)
-			.ifPresent(
-					(leading) -> leading.onReply(answer.runner(), answer.order(), answer.reply(), this.clock.millis()));
+		this.events.runnerReplied(answer.dispatch(), answer.reply());
+		this.leader.filter((leading) -> answer.dispatch().order().fencingToken() == this.term)
+			.ifPresent((leading) -> leading.onReply(answer.dispatch(), answer.reply(), this.clock.millis()));
 		return requestFlush();
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -109,48 +109,45 @@
 	 * @param dispatch the order and the session that it belongs to
 	 */
 	void runnerOrdered(RunnerDispatch dispatch) {
-		RunnerKey runner = dispatch.runner().key();
-		if (dispatch.order() instanceof RunnerOrder.Start start) {
-			record(session(orderEvent(EventKind.RUN_ORDERED, start, start.task(), start.run(), runner),
-					dispatch.sessionOpenedMillis()));
-		}
-		else if (dispatch.order() instanceof RunnerOrder.Stop stop) {
-			record(session(orderEvent(EventKind.RUN_ORDERED, stop, stop.task(), stop.run(), runner),
-					dispatch.sessionOpenedMillis()));
-		}
-		else if (dispatch.order() instanceof RunnerOrder.Heartbeat heartbeat) {
-			acknowledged(dispatch, heartbeat);
+		runOrder(EventKind.RUN_ORDERED, dispatch).ifPresent(this::record);
+		if (dispatch.order() instanceof RunnerOrder.Heartbeat heartbeat) {
+			acknowledged(dispatch, heartbeat.acknowledgedEnd());
 		}
 	}
 
-	private void acknowledged(RunnerDispatch dispatch, RunnerOrder.Heartbeat heartbeat) {
-		long end = heartbeat.acknowledgedEnd();
+	private void acknowledged(RunnerDispatch dispatch, long end) {
 		if (end > 0 && !Long.valueOf(end).equals(this.acknowledgedEnds.put(dispatch.runner().key(), end))) {
-			record(session(event(EventKind.ENDS_ACKNOWLEDGED).with(EventField.RUNNER, dispatch.runner().key())
-				.with(EventField.TERM, heartbeat.fencingToken())
-				.with(EventField.END, end), dispatch.sessionOpenedMillis()));
+			record(ofSession(EventKind.ENDS_ACKNOWLEDGED, dispatch).with(EventField.END, end));
 		}
 	}
 
 	/**
 	 * Records a start or stop that was not answered with success.
-	 * @param runner the incarnation of the runner
-	 * @param order the order
+	 * @param dispatch the order and the session that it belongs to
 	 * @param reply its reply
 	 */
-	void runnerReplied(RunnerKey runner, RunnerOrder order, RunnerReply reply) {
-		String code = (reply instanceof RunnerReply.Refused refused) ? refused.refusal().name() : String.valueOf(reply);
-		if (reply instanceof RunnerReply.Accepted) {
-			return;
-		}
-		if (order instanceof RunnerOrder.Start start) {
-			record(orderEvent(EventKind.RUN_ORDER_FAILED, start, start.task(), start.run(), runner)
-				.with(EventField.CODE, code));
+	void runnerReplied(RunnerDispatch dispatch, RunnerReply reply) {
+		if (!(reply instanceof RunnerReply.Accepted)) {
+			String code = (reply instanceof RunnerReply.Refused refused) ? refused.refusal().name()
+					: String.valueOf(reply);
+			runOrder(EventKind.RUN_ORDER_FAILED, dispatch)
+				.ifPresent((event) -> record(event.with(EventField.CODE, code)));
 		}
-		else if (order instanceof RunnerOrder.Stop stop) {
-			record(orderEvent(EventKind.RUN_ORDER_FAILED, stop, stop.task(), stop.run(), runner).with(EventField.CODE,
-					code));
+	}
+
+	private Optional<Event> runOrder(EventKind kind, RunnerDispatch dispatch) {
+		Event event = ofSession(kind, dispatch).with(EventField.STATE, dispatch.order().getClass().getSimpleName());
+		if (dispatch.order() instanceof RunnerOrder.Start start) {
+			return Optional.of(run(event, start.task(), start.run()));
 		}
+		return (dispatch.order() instanceof RunnerOrder.Stop stop) ? Optional.of(run(event, stop.task(), stop.run()))
+				: Optional.empty();
+	}
+
+	private Event ofSession(EventKind kind, RunnerDispatch dispatch) {
+		return event(kind).with(EventField.RUNNER, dispatch.runner().key())
+			.with(EventField.TERM, dispatch.order().fencingToken())
+			.with(EventField.SESSION, dispatch.sessionOpenedMillis());
 	}
 
 	/**
@@ -159,10 +156,11 @@
 	 * @param release the release with its reason
 	 */
 	void released(long term, RunRelease release) {
-		record(session(run(event(EventKind.RUN_RELEASED), release.release().task(), release.release().run())
+		record(run(event(EventKind.RUN_RELEASED), release.release().task(), release.release().run())
 			.with(EventField.RUNNER, release.runner())
 			.with(EventField.TERM, term)
-			.with(EventField.CODE, release.reason()), release.sessionOpenedMillis()));
+			.with(EventField.CODE, release.reason())
+			.with(EventField.SESSION, release.sessionOpenedMillis()));
 	}
 
 	/** Forgets which ends were acknowledged, because the leader is replaced. */
@@ -266,20 +264,10 @@
 		return run(indexed(kind, index), task, run);
 	}
 
-	private Event orderEvent(EventKind kind, RunnerOrder order, TaskId task, int run, RunnerKey runner) {
-		return run(event(kind), task, run).with(EventField.RUNNER, runner)
-			.with(EventField.TERM, order.fencingToken())
-			.with(EventField.STATE, order.getClass().getSimpleName());
-	}
-
 	private static Event run(Event event, TaskId task, int run) {
 		return event.with(EventField.JOB, task.job()).with(EventField.TASK, task).with(EventField.RUN, run);
 	}
 
-	private static Event session(Event event, long openedMillis) {
-		return event.with(EventField.SESSION, openedMillis);
-	}
-
 	private static Event withContact(Event event, Optional<RunnerContact> contact) {
 		Event described = event;
 		if (contact.isPresent()) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/LeaderWarmUpTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/LeaderWarmUpTests.java
@@ -7,7 +7,6 @@
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.port.RunnerChannel;
 import io.burdockpin.core.batch.lead.RunnerReply;
-import io.burdockpin.core.batch.model.RunnerKey;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -72,8 +71,7 @@
 	}
 
 	private void answer(RunnerChannel.Send send) {
-		send.replyTo()
-			.tell(new RunnerChannel.Answered(new RunnerKey("warm-up", 0), send.order(), RunnerReply.NoAnswer.UNKNOWN));
+		send.replyTo().tell(new RunnerChannel.Answered(send.dispatch(), RunnerReply.NoAnswer.UNKNOWN));
 	}
 
 	private Behavior<RunnerChannel.Command> channel() {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -164,6 +165,27 @@
 		nextProposal();
 	}
 
+	/**
+	 * Guards against two simultaneous runs of a task. Occurs when decisions that started
+	 * again in the same term take a listing that was requested before for the answer to
+	 * their own heartbeat, so that runs started since count as missing.
+	 */
+	@Test
+	void anAnswerToDecisionsThatWereDroppedIsNotTakenForOneToTheNewDecisions() {
+		lead();
+		completeReads(true);
+		RunnerChannel.Send earlier = this.runners.expectMessageClass(RunnerChannel.Send.class);
+		announceNewRunner();
+		report(new ConsensusReport.NotProposed(nextProposal().tag()));
+		this.replies.receiveMessage();
+		this.runners.expectMessageClass(RunnerChannel.Close.class);
+		this.steadyMillis.addAndGet(40);
+		this.time.timePasses(Duration.ofMillis(40));
+		this.runners.expectMessageClass(RunnerChannel.Send.class);
+		answer(earlier, emptyListing());
+		this.runners.expectNoMessage(Duration.ofMillis(100));
+	}
+
 	/**
 	 * Guards against a log entry that no link to another member takes, so that the
 	 * members lose their leader without a failure. Occurs when several large commands
@@ -206,7 +228,7 @@
 		ConsensusCommand.Read read = nextRead();
 		this.runners.expectNoMessage(Duration.ofMillis(100));
 		report(new ConsensusReport.ReadDone(read.number(), ReadOutcome.READABLE_AND_SENDABLE));
-		Truth.assertThat(this.runners.expectMessageClass(RunnerChannel.Send.class).order().fencingToken())
+		Truth.assertThat(this.runners.expectMessageClass(RunnerChannel.Send.class).dispatch().order().fencingToken())
 			.isEqualTo(TERM);
 	}
 
@@ -237,7 +259,7 @@
 		RunnerChannel.Send order = this.runners.expectMessageClass(RunnerChannel.Send.class);
 		this.steadyMillis.addAndGet(2_000);
 		this.wallMillis.addAndGet(2_000);
-		order.replyTo().tell(new RunnerChannel.Answered(RUNNER.key(), order.order(), RunnerReply.NoAnswer.NOT_SENT));
+		answer(order, RunnerReply.NoAnswer.NOT_SENT);
 		ConsensusCommand.Read read = nextRead();
 		this.runners.expectNoMessage(Duration.ofMillis(100));
 		report(new ConsensusReport.ReadDone(read.number(), ReadOutcome.READABLE_AND_SENDABLE));
@@ -311,6 +333,14 @@
 		}
 	}
 
+	private static RunnerReply emptyListing() {
+		return new RunnerReply.Listing(1, OptionalLong.of(RUNNER.key().bornMillis()), List.of(), List.of(), true);
+	}
+
+	private static void answer(RunnerChannel.Send order, RunnerReply reply) {
+		order.replyTo().tell(new RunnerChannel.Answered(order.dispatch(), reply));
+	}
+
 	private Event nextEvent(EventKind kind, String state) {
 		Event event = this.events.expectMessageClass(EventLog.Append.class).event();
 		while (event.kind() != kind || !state.equals(event.fields().get(EventField.STATE))) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -60,12 +60,11 @@
 
 	@Test
 	void aStartThatIsNotAcceptedIsRecordedWithItsReply() {
-		RunnerOrder order = new RunnerOrder.Start(3, TASK, 4, "", "", 9);
-		this.events.runnerReplied(RUNNER.key(), order, new RunnerReply.Accepted(1));
-		this.events.runnerReplied(RUNNER.key(), order, RunnerReply.NoAnswer.UNKNOWN);
+		RunnerDispatch order = dispatch(new RunnerOrder.Start(3, TASK, 4, "", "", 9));
+		this.events.runnerReplied(order, new RunnerReply.Accepted(1));
+		this.events.runnerReplied(order, RunnerReply.NoAnswer.UNKNOWN);
 		Truth.assertThat(next(EventKind.RUN_ORDER_FAILED).fields()).containsEntry(EventField.CODE, "UNKNOWN");
-		this.events.runnerReplied(RUNNER.key(), order,
-				new RunnerReply.Refused(RunnerReply.Refusal.OUTDATED, OptionalLong.empty()));
+		this.events.runnerReplied(order, new RunnerReply.Refused(RunnerReply.Refusal.OUTDATED, OptionalLong.empty()));
 		Truth.assertThat(next(EventKind.RUN_ORDER_FAILED).fields()).containsEntry(EventField.CODE, "OUTDATED");
 	}
 
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
@@ -137,7 +137,7 @@
 		long startNanos = this.threads.getCurrentThreadCpuTime();
 		while (!this.sent.isEmpty()) {
 			RunnerDispatch dispatch = this.sent.remove();
-			this.leader.onReply(dispatch.runner().key(), dispatch.order(),
+			this.leader.onReply(dispatch,
 					this.runners.get(dispatch.runner().key()).handle(dispatch.order(), this.nowMillis), this.nowMillis);
 		}
 		this.leader.decide(this.nowMillis, this.nowMillis);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -306,31 +306,35 @@
 	}
 
 	/**
-	 * Handles the reply of a runner to an order.
-	 * @param runner incarnation of the runner
-	 * @param order order that was sent
+	 * Handles the reply of a runner to an order. A reply to an order of another session,
+	 * which may be one of earlier decisions in the same term, is ignored: it can be older
+	 * than what this session has ordered.
+	 * @param dispatch order that was sent
 	 * @param reply reply, or the reason why there is none
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply, long nowMillis) {
+	public void onReply(RunnerDispatch dispatch, RunnerReply reply, long nowMillis) {
+		RunnerKey runner = dispatch.runner().key();
+		RunnerOrder order = dispatch.order();
 		this.runnersWithEvents.add(runner);
-		session(runner).ifPresent((session) -> {
-			this.jobStarts.onReply(runner, order, reply);
-			if (order instanceof RunnerOrder.Heartbeat) {
-				this.pendingFirstContacts.remove(runner);
-				this.pendingRepeatedContacts.remove(runner);
-				List<BatchCommand.End> ends = session.onHeartbeatReply(reply, nowMillis);
-				session.relativeSpeed(nowMillis)
-					.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
-				if (!ends.isEmpty()) {
-					this.proposals.add(new BatchCommand.NoteEnds(runner, ends, List.of()));
+		session(runner).filter((session) -> session.openedMillis() == dispatch.sessionOpenedMillis())
+			.ifPresent((session) -> {
+				this.jobStarts.onReply(runner, order, reply);
+				if (order instanceof RunnerOrder.Heartbeat) {
+					this.pendingFirstContacts.remove(runner);
+					this.pendingRepeatedContacts.remove(runner);
+					List<BatchCommand.End> ends = session.onHeartbeatReply(reply, nowMillis);
+					session.relativeSpeed(nowMillis)
+						.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
+					if (!ends.isEmpty()) {
+						this.proposals.add(new BatchCommand.NoteEnds(runner, ends, List.of()));
+					}
 				}
-			}
-			else {
-				session.onOrderReply(order, reply, nowMillis);
-			}
-			proposeReleases(session);
-		});
+				else {
+					session.onOrderReply(order, reply, nowMillis);
+				}
+				proposeReleases(session);
+			});
 	}
 
 	/**
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -380,20 +380,20 @@
 		RunnerKey key = dispatch.runner().key();
 		RunnerOrder order = dispatch.order();
 		if (isCutOff(key)) {
-			at(dispatch.answerTimeoutMillis(), () -> answer(key, order, RunnerReply.NoAnswer.UNKNOWN));
+			at(dispatch.answerTimeoutMillis(), () -> answer(dispatch, RunnerReply.NoAnswer.UNKNOWN));
 			return;
 		}
 		at(ROUND_TRIP_MILLIS / 2, () -> {
 			Runner runner = this.runners.get(key);
 			if (runner == null) {
-				answer(key, order, RunnerReply.NoAnswer.CONNECTION_REFUSED);
+				answer(dispatch, RunnerReply.NoAnswer.CONNECTION_REFUSED);
 			}
 			else if (order instanceof RunnerOrder.Heartbeat heartbeat) {
-				runner.heartbeat = Optional.of(heartbeat);
+				runner.heartbeat = Optional.of(dispatch);
 				runner.ends.removeIf((end) -> end.number() <= heartbeat.acknowledgedEnd());
-				at(heartbeat.waitMillis(), () -> answerHeartbeat(key, heartbeat));
+				at(heartbeat.waitMillis(), () -> answerHeartbeat(dispatch));
 				if (!runner.ends.isEmpty()) {
-					answerHeartbeat(key, heartbeat);
+					answerHeartbeat(dispatch);
 				}
 			}
 			else {
@@ -403,7 +403,7 @@
 				else if (order instanceof RunnerOrder.Stop stop) {
 					end(key, runner, stop.task(), RunOutcome.STOPPED);
 				}
-				answer(key, order, new RunnerReply.Accepted(this.nowMillis));
+				answer(dispatch, new RunnerReply.Accepted(this.nowMillis));
 			}
 		});
 	}
@@ -431,7 +431,7 @@
 		Integer run = runner.running.remove(task);
 		if (run != null) {
 			runner.ends.add(new BatchCommand.End(++runner.lastEnd, task, run, outcome, ""));
-			runner.heartbeat.ifPresent((heartbeat) -> answerHeartbeat(key, heartbeat));
+			runner.heartbeat.ifPresent(this::answerHeartbeat);
 		}
 	}
 
@@ -441,15 +441,16 @@
 		return isStarting ? 0 : 100;
 	}
 
-	private void answerHeartbeat(RunnerKey key, RunnerOrder.Heartbeat heartbeat) {
+	private void answerHeartbeat(RunnerDispatch heartbeat) {
+		RunnerKey key = heartbeat.runner().key();
 		Runner runner = this.runners.get(key);
 		if (isCutOff(key)) {
-			at(this.cutUntilMillis - this.nowMillis, () -> answer(key, heartbeat, RunnerReply.NoAnswer.UNKNOWN));
+			at(this.cutUntilMillis - this.nowMillis, () -> answer(heartbeat, RunnerReply.NoAnswer.UNKNOWN));
 			runner.heartbeat = Optional.empty();
 		}
 		else if (runner != null && runner.heartbeat.equals(Optional.of(heartbeat))) {
 			runner.heartbeat = Optional.empty();
-			answer(key, heartbeat,
+			answer(heartbeat,
 					new RunnerReply.Listing(this.nowMillis, OptionalLong.of(key.bornMillis()),
 							runner.running.entrySet()
 								.stream()
@@ -460,8 +461,8 @@
 		}
 	}
 
-	private void answer(RunnerKey key, RunnerOrder order, RunnerReply reply) {
-		at(ROUND_TRIP_MILLIS / 2, () -> this.leader.onReply(key, order, reply, this.nowMillis));
+	private void answer(RunnerDispatch dispatch, RunnerReply reply) {
+		at(ROUND_TRIP_MILLIS / 2, () -> this.leader.onReply(dispatch, reply, this.nowMillis));
 	}
 
 	private void run(long millis) {
@@ -490,7 +491,7 @@
 
 		private final List<Long> servingWaitMillis = new ArrayList<>();
 
-		private Optional<RunnerOrder.Heartbeat> heartbeat = Optional.empty();
+		private Optional<RunnerDispatch> heartbeat = Optional.empty();
 
 		private long lastEnd;
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
@@ -79,7 +79,7 @@
 	private void answer() {
 		List<PendingOrder> due = this.pending.stream().filter(this::isDue).toList();
 		this.pending.removeAll(due);
-		due.forEach((order) -> this.leader.onReply(order.dispatch().runner().key(), order.dispatch().order(),
+		due.forEach((order) -> this.leader.onReply(order.dispatch(),
 				isSilent(order) ? RunnerReply.NoAnswer.UNKNOWN
 						: new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of(), true),
 				this.nowMillis));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -321,10 +321,9 @@
 						new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(task, 1, ""))),
 						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, runner.key()))))));
 		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, 1_000);
-		RunnerOrder first = leader.dueOrders(1_000).get(0).order();
+		RunnerDispatch first = leader.dueOrders(1_000).get(0);
 		List<BatchCommand.End> ends = List.of(new BatchCommand.End(1, task, 1, RunOutcome.DONE, ""));
-		leader.onReply(runner.key(), first, new RunnerReply.Listing(1_010, OptionalLong.of(1), List.of(), ends, true),
-				1_010);
+		leader.onReply(first, new RunnerReply.Listing(1_010, OptionalLong.of(1), List.of(), ends, true), 1_010);
 		BatchCommand committed = leader.drainProposals().get(0);
 		state.apply(new CommandGroup(1_020, List.of(committed)));
 		leader.onApplied(committed, 1_020);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -379,7 +379,7 @@
 				|| this.faults.lostShare() > this.random.nextDouble();
 		if (isLate || isLost) {
 			at(SETTINGS.sessions().answerTimeoutMillis(),
-					() -> sender.onReply(key, order, RunnerReply.NoAnswer.UNKNOWN, this.nowMillis));
+					() -> sender.onReply(dispatch, RunnerReply.NoAnswer.UNKNOWN, this.nowMillis));
 		}
 		if (isLate && !isLost) {
 			at(2_000 + this.random.nextInt(8_000), () -> handle(runner, key, order));
@@ -388,7 +388,7 @@
 			at(1 + this.random.nextInt(5), () -> {
 				Optional<RunnerReply> reply = handle(runner, key, order);
 				at(1 + this.random.nextInt(5),
-						() -> sender.onReply(key, order, reply.orElse(RunnerReply.NoAnswer.UNKNOWN), this.nowMillis));
+						() -> sender.onReply(dispatch, reply.orElse(RunnerReply.NoAnswer.UNKNOWN), this.nowMillis));
 			});
 		}
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
@@ -68,7 +68,7 @@
 	private void answer() {
 		List<PendingOrder> due = this.pending.stream().filter((order) -> order.endMillis() <= this.nowMillis).toList();
 		this.pending.removeAll(due);
-		due.forEach((order) -> this.leader.onReply(order.dispatch().runner().key(), order.dispatch().order(),
+		due.forEach((order) -> this.leader.onReply(order.dispatch(),
 				order.isInTime()
 						? new RunnerReply.Listing(this.nowMillis, OptionalLong.of(1), List.of(), List.of(), true)
 						: RunnerReply.NoAnswer.UNKNOWN,
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
@@ -197,12 +197,14 @@
 	private void decide(FleetLeader leading) {
 		long nowMillis = this.time.nowMillis();
 		leading.decide(nowMillis, nowMillis);
-		leading.dueOrders(nowMillis).forEach((dispatch) -> this.outside.send(dispatch, (reply) -> {
-			if (isLeading(leading)) {
-				leading.onReply(dispatch.runner().key(), dispatch.order(), reply, this.time.nowMillis());
-				requestFlush();
-			}
-		}));
+		long sentTerm = this.term;
+		// Replies to dropped decisions reach those that started again in the same term.
+		leading.dueOrders(nowMillis)
+			.forEach((dispatch) -> this.outside.send(dispatch,
+					(reply) -> this.leader.filter((present) -> sentTerm == this.term).ifPresent((present) -> {
+						present.onReply(dispatch, reply, this.time.nowMillis());
+						requestFlush();
+					})));
 		leading.dueHostOrders(nowMillis).forEach((order) -> this.outside.send(order, (reply) -> {
 			if (isLeading(leading)) {
 				leading.onHostReply(order, reply, this.time.nowMillis());
