Check the incarnation of a runner on the connection of an order

Cause: X-Expected-Instance has only the identifier of a runner. When a runner starts again under its identifier at the same address, the session with its earlier incarnation goes on until a heartbeat lists another start time, which waits there for up to 1 s. Until then the next incarnation carries out starts that are released with the registration. It also gets the acknowledgement of the earlier incarnation's last end, and forgets its own ends up to that number: a run of which the end is never listed counts as missing, is stopped, released and started again.

Class of fault: a condition of an order names less than the state it relies on.

Change: a channel sends an order that relies on the incarnation only on a connection on which the runner has listed the expected start time. A connection ends with the process at its other end, so the order reaches that incarnation or none. A runner that closes each connection gets the order right after the check.

Cost: one more listing for each connection for starts and stops.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
@@ -18,8 +18,8 @@
 	}
 
 	/**
-	 * Sends an order. Exactly one {@link Answered} follows, at the latest when the
-	 * timeout is over.
+	 * Sends an order. Exactly one {@link Answered} follows, at the latest after the
+	 * response timeouts of the order and of a listing that may precede it.
 	 *
 	 * @param dispatch the order with the session that it belongs to
 	 * @param condition checked immediately before the order is written to the connection
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClient.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClient.java
@@ -72,6 +72,10 @@
 		finish(Outcome.None.UNKNOWN);
 		this.pendingRequest = Optional.of(request);
 		this.timers.startSingleTimer(RequestTimeout.INSTANCE, request.timeout());
+		if (this.connection.isEmpty() && !request.connection().mayBeOpened()) {
+			finish(Outcome.None.NO_CONNECTION);
+			return this;
+		}
 		if (this.connection.isEmpty()) {
 			this.connection = Optional.of(connect());
 		}
@@ -89,7 +93,8 @@
 			if (received.response().closesConnection()) {
 				disconnect();
 			}
-			finish(new Outcome.Response(received.response().status(), received.response().body()));
+			finish(new Outcome.Response(received.response().status(), received.response().body(),
+					received.response().closesConnection()));
 		}
 		else if (command.event() instanceof HttpClientConnection.Event.Closed closed) {
 			onConnectionClosed(closed);
@@ -136,6 +141,36 @@
 		this.connectionNumber++;
 	}
 
+	/** Connection that a request may use. */
+	public enum ConnectionUse {
+
+		/** The open connection, or a new one. */
+		ANY {
+
+			@Override
+			boolean mayBeOpened() {
+				return true;
+			}
+
+		},
+
+		/**
+		 * Only the open connection. The request reaches the process that answered the
+		 * previous one, or none.
+		 */
+		SAME {
+
+			@Override
+			boolean mayBeOpened() {
+				return false;
+			}
+
+		};
+
+		abstract boolean mayBeOpened();
+
+	}
+
 	/** Messages of the client; all but {@link Request} are internal. */
 	public sealed interface Command {
 
@@ -146,12 +181,13 @@
 	 *
 	 * @param call the request to send
 	 * @param timeout limit for connecting and for the complete response
+	 * @param connection whether a connection may be opened for the request
 	 * @param condition checked immediately before each write; empty if there is no
 	 * condition
 	 * @param replyTo receives the outcome
 	 */
-	public record Request(HttpClientRequest call, Duration timeout, Optional<SendCondition> condition,
-			ActorRef<Outcome> replyTo) implements Command {
+	public record Request(HttpClientRequest call, Duration timeout, ConnectionUse connection,
+			Optional<SendCondition> condition, ActorRef<Outcome> replyTo) implements Command {
 
 	}
 
@@ -173,8 +209,9 @@
 		 *
 		 * @param status the status code
 		 * @param body the body
+		 * @param closesConnection whether the next request needs another connection
 		 */
-		record Response(int status, byte[] body) implements Outcome {
+		record Response(int status, byte[] body, boolean closesConnection) implements Outcome {
 
 		}
 
@@ -187,6 +224,12 @@
 			/** The request was not sent because its {@link SendCondition} forbade it. */
 			NOT_SENT,
 
+			/**
+			 * The request was not sent because the connection of the previous one has
+			 * closed.
+			 */
+			NO_CONNECTION,
+
 			/** The server may or may not have handled the request. */
 			UNKNOWN
 
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClientTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClientTests.java
@@ -305,8 +305,8 @@
 	}
 
 	private void request(byte[] body, Duration timeout, Optional<SendCondition> condition) {
-		this.client.tell(new ReconnectingHttpClient.Request(HttpClientRequest.post("/path", body), timeout, condition,
-				this.outcomes.getRef()));
+		this.client.tell(new ReconnectingHttpClient.Request(HttpClientRequest.post("/path", body), timeout,
+				ReconnectingHttpClient.ConnectionUse.ANY, condition, this.outcomes.getRef()));
 	}
 
 	private void assertNextRequestOpensAConnection() throws IOException {
@@ -321,8 +321,8 @@
 	private void request(Duration timeout) {
 		HttpClientRequest request = HttpClientRequest.post("/path?page=1", "{}".getBytes(StandardCharsets.UTF_8))
 			.withHeader("X-Name", "value");
-		this.client
-			.tell(new ReconnectingHttpClient.Request(request, timeout, Optional.empty(), this.outcomes.getRef()));
+		this.client.tell(new ReconnectingHttpClient.Request(request, timeout, ReconnectingHttpClient.ConnectionUse.ANY,
+				Optional.empty(), this.outcomes.getRef()));
 	}
 
 	private void assertResponse(int status, String body) {
