Test how a session takes over the runs of an earlier incarnation

The registration looks for earlier sessions only after the leader has begun, so that a new leader does not compare all of its sessions with each other.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -499,7 +499,9 @@
 	private List<BatchCommand.Assignment> withoutInherited(List<BatchCommand.Assignment> assignments) {
 		Set<TaskId> inherited = this.sessions.values()
 			.stream()
-			.flatMap((session) -> session.inheritedTasks().stream())
+			.map(RunnerSession::inheritedTasks)
+			.filter((tasks) -> !tasks.isEmpty())
+			.flatMap(Set::stream)
 			.collect(Collectors.toSet());
 		Set<TaskId> steps = inherited.stream().map(FleetLeader::firstTaskOfStep).collect(Collectors.toSet());
 		return assignments.stream()
@@ -655,7 +657,7 @@
 				session.get().update(runner);
 			}
 			else {
-				openSession(runner, nowMillis);
+				inheritRuns(openSession(runner, nowMillis), nowMillis);
 			}
 		});
 		this.sessions.keySet().retainAll(known);
@@ -667,16 +669,22 @@
 		this.reliability.retainAll(known);
 	}
 
-	private void openSession(RunnerRecord runner, long nowMillis) {
-		this.runnersWithEvents.add(runner.key());
-		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis,
-				nowMillis);
+	// The sessions with earlier incarnations are closed afterwards.
+	private void inheritRuns(RunnerSession opened, long nowMillis) {
+		RunnerKey key = opened.runner().key();
 		this.sessions.values()
 			.stream()
-			.filter((earlier) -> earlier.runner().key().id().equals(runner.key().id()))
+			.filter((other) -> other.runner().key().id().equals(key.id()) && other != opened)
 			.forEach((earlier) -> opened.inheritRuns(earlier, nowMillis));
+	}
+
+	private RunnerSession openSession(RunnerRecord runner, long nowMillis) {
+		this.runnersWithEvents.add(runner.key());
+		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis,
+				nowMillis);
 		this.sessions.put(runner.key(), opened);
 		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
+		return opened;
 	}
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RunnerSessionTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RunnerSessionTests.java
@@ -62,6 +62,70 @@
 					new RunRelease(new BatchCommand.Release(task, 1, ""), RUNNER.key(), 0, ReleaseReason.CLOSED));
 	}
 
+	/**
+	 * Guards against two simultaneous runs of a task. Occurs when the next incarnation of
+	 * a runner carries out a start that was on its way to the earlier one.
+	 */
+	@Test
+	void aRunThatWasOrderedToAnEarlierIncarnationIsStoppedBeforeItsTaskMayStartAgain() {
+		TaskId task = new TaskId("job", 0, 0, 0);
+		RunnerSession next = nextIncarnationAfterAStartOf(task);
+		Truth.assertThat(next.inheritedTasks()).containsExactly(task);
+		next.nextHeartbeat(1_000);
+		RunnerOrder stop = next.nextOrder(1_000).get();
+		Truth.assertThat(stop).isEqualTo(new RunnerOrder.Stop(1, task, 1));
+		// This listing was requested before the stop.
+		next.onOrderReply(stop, new RunnerReply.Accepted(1_010), 1_010);
+		next.onHeartbeatReply(listing(6), 1_020);
+		Truth.assertThat(next.inheritedTasks()).containsExactly(task);
+		Truth.assertThat(next.isUsable(1_020)).isFalse();
+		next.nextHeartbeat(1_020);
+		next.onHeartbeatReply(listing(6), 1_030);
+		Truth.assertThat(next.inheritedTasks()).isEmpty();
+		Truth.assertThat(next.isUsable(1_030)).isTrue();
+	}
+
+	@Test
+	void aTaskOfAnEarlierIncarnationIsHeldBackNoLongerThanALeaseLasts() {
+		RunnerSession next = nextIncarnationAfterAStartOf(new TaskId("job", 0, 0, 0));
+		next.removeExpiredInheritedRuns(1_000 + SETTINGS.earlierLeaseExpiryMillis() - 1);
+		Truth.assertThat(next.inheritedTasks()).hasSize(1);
+		next.removeExpiredInheritedRuns(1_000 + SETTINGS.earlierLeaseExpiryMillis());
+		Truth.assertThat(next.inheritedTasks()).isEmpty();
+	}
+
+	/**
+	 * Guards against runs that are started elsewhere before the leader has a session with
+	 * the incarnation that may carry them out.
+	 */
+	@Test
+	void aRunnerThatHasStartedAgainIsNotCountedAsEndedBeforeItsNextIncarnationIsRegistered() {
+		this.session.nextHeartbeat(0);
+		this.session.onHeartbeatReply(listing(6), 10);
+		long endMillis = 10 + SETTINGS.earlierLeaseExpiryMillis();
+		Truth.assertThat(this.session.nextHeartbeat(1_000)).isEmpty();
+		Truth.assertThat(this.session.nextOrder(1_000)).isEmpty();
+		Truth.assertThat(this.session.haveRunsEnded(endMillis - 1)).isFalse();
+		Truth.assertThat(this.session.haveRunsEnded(endMillis)).isTrue();
+		Truth.assertThat(this.session.hasEnded(endMillis)).isTrue();
+	}
+
+	private RunnerSession nextIncarnationAfterAStartOf(TaskId task) {
+		receiveListing(0, true);
+		this.session.add(new Run(task, 1, RUNNER.key(), "team", Resources.NONE, Resources.NONE, false),
+				new RunSpec("", "", false, OptionalLong.empty(), OptionalInt.empty()), false);
+		this.session.nextOrder(20);
+		RunnerRecord restarted = new RunnerRecord(new RunnerKey("runner", 6), Optional.of("host"), "pool", "10.0.0.2:1",
+				"dc1", Optional.empty(), Resources.NONE, Set.of(), false);
+		RunnerSession next = new RunnerSession(restarted, SETTINGS, 1, 0, 1_000);
+		next.inheritRuns(this.session, 1_000);
+		return next;
+	}
+
+	private static RunnerReply.Listing listing(long startMillis) {
+		return new RunnerReply.Listing(1_000, OptionalLong.of(startMillis), List.of(), List.of(), true);
+	}
+
 	private void receiveListing(long nowMillis, boolean endsComplete) {
 		this.session.nextHeartbeat(nowMillis);
 		this.session.onHeartbeatReply(
