Show that a leader may reject proposals and go on leading in its term

The new test of ReplicaTests hangs the disk of the leader for 1.65 s while the disks of all members take up to 375 ms: the transfer that begins at 1.5 s is abandoned, proposals are rejected meanwhile, and the leader stays in its term and commits again. No change of logic.

--- a/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/consensus/ReplicaTests.java
@@ -90,6 +90,33 @@
 		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
 	}
 
+	/**
+	 * Guards against a group that loses its leader to a disk that hangs for less time
+	 * than a transfer takes. Occurs when the successor has not stored the last entries in
+	 * time. Proposals are rejected in between, without a change of leader.
+	 */
+	@Test
+	void aLeaderWhoseTransferIsAbandonedStaysInItsTermAndAcceptsProposalsAgain() {
+		FakeMember leader = elected();
+		long term = leader.replica.get().status().term();
+		this.cluster.maximumSyncMillis = FakeCluster.SETTINGS.hangingWriteMillis() / 4;
+		this.cluster.hangDisk(leader, FakeCluster.SETTINGS.hangingWriteMillis() + 150);
+		Truth.assertThat(this.cluster.propose(leader)).isTrue();
+		int rejected = 0;
+		for (int step = 0; step < 100; step++) {
+			this.cluster.runFor(25);
+			Truth.assertThat(leader.isLeader()).isTrue();
+			rejected += this.cluster.propose(leader) ? 0 : 1;
+		}
+		Truth.assertThat(rejected).isGreaterThan(0);
+		Truth.assertThat(this.cluster.propose(leader)).isTrue();
+		long committed = this.cluster.invariants().highestCommitted();
+		this.cluster.runFor(2000);
+		Truth.assertThat(this.cluster.invariants().highestCommitted()).isGreaterThan(committed);
+		Truth.assertThat(leader.replica.get().status().term()).isEqualTo(term);
+		Truth.assertThat(this.cluster.invariants().violations()).isEmpty();
+	}
+
 	@Test
 	void aLeaderWithAHangingDiskStepsDownEvenWithoutASuccessor() {
 		FakeMember leader = elected();
