Count on leases that an earlier session of the term has granted

Cause: the lease of a session that is opened during a term counted from the election, so it had expired at once if that was long ago. But an earlier session with the same incarnation may have granted a lease: a runner is removed after an upkeep, a move or a long silence, and registers again. The first list of the new session was then taken as that of a runner whose lease had expired, and the end of a run that had been replaced was acknowledged while the later run went on.

Change: the lease of such a session counts from its opening. Sessions that a new leader opens are not affected.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -680,8 +680,8 @@
 
 	private RunnerSession openSession(RunnerRecord runner, long nowMillis) {
 		this.runnersWithEvents.add(runner.key());
-		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis,
-				nowMillis);
+		// An earlier session of this term may have granted a lease until now.
+		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, nowMillis, nowMillis);
 		this.sessions.put(runner.key(), opened);
 		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
 		return opened;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -336,6 +336,79 @@
 		Truth.assertThat(acknowledged).containsExactly(0L);
 	}
 
+	/**
+	 * Guards against two runs of a task whose ends are both accepted. Occurs when a
+	 * runner is removed while its lease is in force and registers again long after the
+	 * election.
+	 */
+	@Test
+	void theEndOfAReplacedRunIsNotAcknowledgedByALaterSessionWhileAnEarlierLeaseIsInForce() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		TaskId task = new TaskId("job", 0, 0, 0);
+		BatchState state = stateWithJob(runner);
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, 1_000);
+		commit(leader, state, 1_000,
+				new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))));
+		answerHeartbeat(leader, runner, List.of(), 99_900);
+		Truth.assertThat(starts(leader, 99_950)).hasSize(1);
+		RunnerRecord other = BatchFixtures.runner("r2", "pool", 1);
+		commit(leader, state, 100_000, new BatchCommand.RemoveRunner(runner.key()));
+		commit(leader, state, 100_000, new BatchCommand.RegisterRunner(runner));
+		commit(leader, state, 100_000, new BatchCommand.RegisterRunner(other));
+		commit(leader, state, 100_000,
+				new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, other.key()))));
+		answerHeartbeat(leader, runner, List.of(new BatchCommand.End(1, task, 1, RunOutcome.DONE, "")), 100_010);
+		leader.drainProposals().forEach((command) -> commit(leader, state, 100_020, command));
+		List<Long> acknowledged = heartbeats(leader, runner, 100_100).stream()
+			.map(RunnerOrder.Heartbeat::acknowledgedEnd)
+			.toList();
+		Truth.assertThat(acknowledged).containsExactly(0L);
+	}
+
+	private static BatchState stateWithJob(RunnerRecord runner) {
+		BatchState state = new BatchState();
+		state.apply(new CommandGroup(1_000,
+				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
+						new BatchCommand.RegisterRunner(runner), new BatchCommand.SubmitJob("job", "queue-pool", "team",
+								BatchFixtures.job(BatchFixtures.step(1))))));
+		return state;
+	}
+
+	private static void commit(FleetLeader leader, BatchState state, long nowMillis, BatchCommand... commands) {
+		state.apply(new CommandGroup(nowMillis, List.of(commands)));
+		List.of(commands).forEach((command) -> leader.onApplied(command, nowMillis));
+	}
+
+	private static void answerHeartbeat(FleetLeader leader, RunnerRecord runner, List<BatchCommand.End> ends,
+			long nowMillis) {
+		RunnerDispatch heartbeat = heartbeatDispatches(leader, runner, nowMillis).get(0);
+		leader.onReply(heartbeat,
+				new RunnerReply.Listing(nowMillis, OptionalLong.of(1), List.of(), ends, true), nowMillis);
+	}
+
+	private static List<RunnerOrder.Heartbeat> heartbeats(FleetLeader leader, RunnerRecord runner, long nowMillis) {
+		return heartbeatDispatches(leader, runner, nowMillis).stream()
+			.map(RunnerDispatch::order)
+			.map(RunnerOrder.Heartbeat.class::cast)
+			.toList();
+	}
+
+	private static List<RunnerDispatch> heartbeatDispatches(FleetLeader leader, RunnerRecord runner, long nowMillis) {
+		return leader.dueOrders(nowMillis)
+			.stream()
+			.filter((dispatch) -> dispatch.runner().key().equals(runner.key()))
+			.filter((dispatch) -> dispatch.order() instanceof RunnerOrder.Heartbeat)
+			.toList();
+	}
+
+	private static List<RunnerOrder> starts(FleetLeader leader, long nowMillis) {
+		return leader.dueOrders(nowMillis)
+			.stream()
+			.map(RunnerDispatch::order)
+			.filter(RunnerOrder.Start.class::isInstance)
+			.toList();
+	}
+
 	/**
 	 * Guards against orders of two leaders for one host within the handover delay,
 	 * because the time of day of the second one is ahead.
