Reset the connection of a request that another one replaces

What callers see: the answer to an abandoned request was taken for the answer to the request that replaced it, so an order could count as refused or done by the answer to another one.

Cause: ReconnectingHttpClient gave up the pending request and wrote the next one to the same connection.

Evidence: ReconnectingHttpClientTests.aRequestThatReplacesAnUnansweredOneIsSentOnANewConnection failed before with 409 for the second request, the late answer to the first. By reading, HttpHostChannel sends one request at a time and cannot come there; HttpRunnerChannel can, if a session with a runner is closed and opened again between two ticks.

Change: an abandoned request resets its connection, as a timeout does.

Measured: ReconnectingHttpClientTests 13, AbandonedRequestTests 5, SocketTaskTests 14, HttpHostChannelTests 2 and PartitionedHostChannelTests 2 pass.

--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClient.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClient.java
@@ -18,7 +18,8 @@
 
 /**
  * HTTP client that owns one connection to a server and reopens it with the next request
- * after it has closed. Each request gets one outcome within its timeout.
+ * after it has closed. Each request gets one outcome within its timeout. A request that
+ * is sent before that abandons the one in flight and resets its connection.
  */
 public final class ReconnectingHttpClient extends AbstractBehavior<ReconnectingHttpClient.Command> {
 
@@ -68,8 +69,7 @@
 	}
 
 	private Behavior<Command> onRequest(Request request) {
-		// One request may be in flight; a new one abandons the previous one.
-		finish(Outcome.None.UNKNOWN);
+		abandonPending();
 		this.pendingRequest = Optional.of(request);
 		this.timers.startSingleTimer(RequestTimeout.INSTANCE, request.timeout());
 		if (this.connection.isEmpty() && !request.connection().mayBeOpened()) {
@@ -116,11 +116,18 @@
 	}
 
 	private Behavior<Command> onRequestTimeout() {
-		disconnect();
-		finish(Outcome.None.UNKNOWN);
+		abandonPending();
 		return this;
 	}
 
+	// The response may still arrive, so the next request needs another connection.
+	private void abandonPending() {
+		if (this.pendingRequest.isPresent()) {
+			disconnect();
+			finish(Outcome.None.UNKNOWN);
+		}
+	}
+
 	private void finish(Outcome outcome) {
 		this.pendingRequest.ifPresent((request) -> {
 			this.pendingRequest = Optional.empty();
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClientTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/ReconnectingHttpClientTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.runtime.http.socket;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -9,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
@@ -118,6 +120,23 @@
 		}
 	}
 
+	/**
+	 * Guards against the answer to an abandoned request that is taken for the answer to
+	 * the request that replaced it.
+	 */
+	@Test
+	void aRequestThatReplacesAnUnansweredOneIsSentOnANewConnection() throws IOException {
+		request(TEST_TIMEOUT);
+		try (Socket first = this.server.accept()) {
+			readRequest(first);
+			request(TEST_TIMEOUT);
+			Truth.assertThat(this.outcomes.receiveMessage()).isEqualTo(ReconnectingHttpClient.Outcome.None.UNKNOWN);
+			respondUnlessReset(first, "HTTP/1.1 409 Conflict\r\nContent-Length: 3\r\n\r\nold");
+			CompletableFuture.runAsync(this::respondOnNextConnection);
+			assertResponse(200, "new");
+		}
+	}
+
 	@Test
 	void theOutcomeIsUnknownIfTheConnectionClosesBeforeTheResponse() throws IOException {
 		request(TEST_TIMEOUT);
@@ -318,6 +337,25 @@
 		}
 	}
 
+	private void respondOnNextConnection() {
+		try (Socket accepted = this.server.accept()) {
+			readRequest(accepted);
+			respond(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void respondUnlessReset(Socket accepted, String response) throws IOException {
+		try {
+			respond(accepted, response);
+		}
+		catch (SocketException ex) {
+			// The client has given up the connection.
+		}
+	}
+
 	private void request(Duration timeout) {
 		HttpClientRequest request = HttpClientRequest.post("/path?page=1", "{}".getBytes(StandardCharsets.UTF_8))
 			.withHeader("X-Name", "value");
