--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
@@ -344,11 +344,12 @@
 		}
 
 		private void receive(RunnerChannel.Send send) {
-			if (send.order() instanceof RunnerOrder.Heartbeat heartbeat) {
+			if (send.dispatch().order() instanceof RunnerOrder.Heartbeat heartbeat) {
 				this.ends.removeIf((end) -> end.number() <= heartbeat.acknowledgedEnd());
 				this.pending.add(new PendingAnswer(send, nowMillis() + heartbeat.waitMillis()));
 			}
-			else if (!(send.order() instanceof RunnerOrder.Start) || !DecisionRestartTests.this.startsAreLost) {
+			else if (!(send.dispatch().order() instanceof RunnerOrder.Start)
+					|| !DecisionRestartTests.this.startsAreLost) {
 				this.pending.add(new PendingAnswer(send, nowMillis() + START_MILLIS));
 			}
 		}
@@ -364,16 +365,16 @@
 		}
 
 		private boolean isDue(PendingAnswer answer) {
-			boolean hasNews = answer.send().order() instanceof RunnerOrder.Heartbeat && !this.ends.isEmpty();
+			boolean hasNews = answer.send().dispatch().order() instanceof RunnerOrder.Heartbeat && !this.ends.isEmpty();
 			return hasNews || answer.dueMillis() <= nowMillis();
 		}
 
 		private void answer(RunnerChannel.Send send) {
 			RunnerReply reply = new RunnerReply.Accepted(nowMillis());
-			if (send.order() instanceof RunnerOrder.Start start) {
+			if (send.dispatch().order() instanceof RunnerOrder.Start start) {
 				start(start);
 			}
-			else if (send.order() instanceof RunnerOrder.Stop stop) {
+			else if (send.dispatch().order() instanceof RunnerOrder.Stop stop) {
 				stop(stop);
 			}
 			else {
@@ -388,7 +389,7 @@
 							.toList(),
 						this.ends, true);
 			}
-			send.replyTo().tell(new RunnerChannel.Answered(this.key, send.order(), reply));
+			send.replyTo().tell(new RunnerChannel.Answered(send.dispatch(), reply));
 		}
 
 		private void start(RunnerOrder.Start start) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -367,10 +367,10 @@
 
 	private static BatchState stateWithJob(RunnerRecord runner) {
 		BatchState state = new BatchState();
-		state.apply(new CommandGroup(1_000,
-				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
-						new BatchCommand.RegisterRunner(runner), new BatchCommand.SubmitJob("job", "queue-pool", "team",
-								BatchFixtures.job(BatchFixtures.step(1))))));
+		state.apply(new CommandGroup(1_000, List.of(
+				new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
+				new BatchCommand.RegisterRunner(runner),
+				new BatchCommand.SubmitJob("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))))));
 		return state;
 	}
 
@@ -382,8 +382,8 @@
 	private static void answerHeartbeat(FleetLeader leader, RunnerRecord runner, List<BatchCommand.End> ends,
 			long nowMillis) {
 		RunnerDispatch heartbeat = heartbeatDispatches(leader, runner, nowMillis).get(0);
-		leader.onReply(heartbeat,
-				new RunnerReply.Listing(nowMillis, OptionalLong.of(1), List.of(), ends, true), nowMillis);
+		leader.onReply(heartbeat, new RunnerReply.Listing(nowMillis, OptionalLong.of(1), List.of(), ends, true),
+				nowMillis);
 	}
 
 	private static List<RunnerOrder.Heartbeat> heartbeats(FleetLeader leader, RunnerRecord runner, long nowMillis) {
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/AbandonedRequestTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/AbandonedRequestTests.java
@@ -113,8 +113,8 @@
 	private ActorRef<ReconnectingHttpClient.Command> request(Duration timeout) {
 		ActorRef<ReconnectingHttpClient.Command> client = this.testKit
 			.spawn(ReconnectingHttpClient.create(this.sockets, server()));
-		client.tell(new ReconnectingHttpClient.Request(RequestingProcess.request(BODY_BYTES), timeout, Optional.empty(),
-				this.outcomes.getRef()));
+		client.tell(new ReconnectingHttpClient.Request(RequestingProcess.request(BODY_BYTES), timeout,
+				ReconnectingHttpClient.ConnectionUse.ANY, Optional.empty(), this.outcomes.getRef()));
 		return client;
 	}
 
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/RequestingProcess.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/RequestingProcess.java
@@ -41,7 +41,7 @@
 		ActorSystem<ReconnectingHttpClient.Command> client = ActorSystem
 			.create(ReconnectingHttpClient.create(sockets, server), "client");
 		client.tell(new ReconnectingHttpClient.Request(request(Integer.parseInt(arguments[1])), TIMEOUT,
-				Optional.empty(), client.ignoreRef()));
+				ReconnectingHttpClient.ConnectionUse.ANY, Optional.empty(), client.ignoreRef()));
 		System.in.readAllBytes();
 		System.exit(0);
 	}
