Let the test of a timed-out request wait for the write instead of a time limit

The test of the timeout failed if the request took longer than 2 s to be written; the time of its actor system now passes once the peer has seen the write. The checks are unchanged.

--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/AbandonedRequestTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/AbandonedRequestTests.java
@@ -8,6 +8,7 @@
 import com.google.common.truth.Truth;
 import io.burdockpin.runtime.socket.SocketTask;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.junit.jupiter.api.AfterEach;
@@ -23,15 +24,13 @@
 	/** More than the peer can hold, less than the system of the client can. */
 	private static final int BODY_BYTES = 256 * 1_024;
 
-	/** Enough for the request to be written. */
-	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
-
-	/** Limits a test that would otherwise hang. */
-	private static final Duration TEST_TIMEOUT = Duration.ofSeconds(100);
+	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
 	private final SocketTask sockets = new SocketTask();
 
-	private final ActorTestKit testKit = ActorTestKit.create();
+	private final ActorTestKit testKit = ActorTestKit.create(ManualTime.config());
+
+	private final ManualTime time = ManualTime.get(this.testKit.system());
 
 	private final TestProbe<ReconnectingHttpClient.Outcome> outcomes = this.testKit.createTestProbe();
 
@@ -53,8 +52,9 @@
 	/** Guards against an order that the system repeats after its sender gave it up. */
 	@Test
 	void nothingOfARequestArrivesAfterItTimedOut() throws IOException {
-		request(ANSWER_TIMEOUT);
+		request();
 		int receivedBytes = this.peer.acceptAndAwaitWritten(writtenBytes());
+		this.time.timePasses(ANSWER_TIMEOUT);
 		Truth.assertThat(this.outcomes.receiveMessage()).isEqualTo(ReconnectingHttpClient.Outcome.None.UNKNOWN);
 		assertNothingArrivesAfterReset(receivedBytes);
 	}
@@ -62,7 +62,7 @@
 	/** Guards against an order that the system repeats after its sender has stopped. */
 	@Test
 	void nothingOfARequestArrivesAfterItsClientStopped() throws IOException {
-		ActorRef<ReconnectingHttpClient.Command> client = request(TEST_TIMEOUT);
+		ActorRef<ReconnectingHttpClient.Command> client = request();
 		int receivedBytes = this.peer.acceptAndAwaitWritten(writtenBytes());
 		this.testKit.stop(client);
 		assertNothingArrivesAfterReset(receivedBytes);
@@ -110,10 +110,10 @@
 		Truth.assertThat(this.peer.readToEnd()).isEqualTo(receivedBytes);
 	}
 
-	private ActorRef<ReconnectingHttpClient.Command> request(Duration timeout) {
+	private ActorRef<ReconnectingHttpClient.Command> request() {
 		ActorRef<ReconnectingHttpClient.Command> client = this.testKit
 			.spawn(ReconnectingHttpClient.create(this.sockets, server()));
-		client.tell(new ReconnectingHttpClient.Request(RequestingProcess.request(BODY_BYTES), timeout,
+		client.tell(new ReconnectingHttpClient.Request(RequestingProcess.request(BODY_BYTES), ANSWER_TIMEOUT,
 				ReconnectingHttpClient.ConnectionUse.ANY, Optional.empty(), this.outcomes.getRef()));
 		return client;
 	}
