Order nothing from a runner whose removal is being committed

Cause: a removal can't be taken back once it is proposed. If the silent runner answered before the commit, the leader took it as usable again and ordered runs that were assigned to it in the meantime. If a changed announcement of the same incarnation shared the log entry, the session was kept with such runs and ordered them even after the removal. Needs an assignment that stays open for longer than a lease, so it is rare.

Change: no orders and no new tasks for a runner from the proposal of its removal on, and a removal always closes the session; a registration in the same entry opens a new one.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -228,7 +228,7 @@
 		if (sweeps) {
 			this.orderedMillis = nowMillis;
 		}
-		sessionsToVisit(sweeps).forEach((session) -> {
+		sessionsToVisit(sweeps).stream().filter((session) -> !isBeingRemoved(session)).forEach((session) -> {
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
 			nextHeartbeat(session, nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
 		});
@@ -387,7 +387,15 @@
 		else if (command instanceof BatchCommand.SetMove move) {
 			this.balancer.onMoveCommitted(move.host());
 		}
-		else if (command instanceof BatchCommand.RegisterRunner || command instanceof BatchCommand.RemoveRunner) {
+		else if (command instanceof BatchCommand.RemoveRunner removed) {
+			// The runner may be registered again in the same log entry, but its runs have
+			// ended.
+			this.sessions.remove(removed.runner());
+			this.removedIncarnations.remove(removed.runner());
+			this.endingIncarnations.remove(removed.runner());
+			syncSessions(nowMillis);
+		}
+		else if (command instanceof BatchCommand.RegisterRunner) {
 			syncSessions(nowMillis);
 		}
 	}
@@ -530,7 +538,7 @@
 	private List<RunnerRecord> usableRunners(Set<RunnerKey> drained, long nowMillis) {
 		return this.sessions.values()
 			.stream()
-			.filter((session) -> session.isUsable(nowMillis))
+			.filter((session) -> session.isUsable(nowMillis) && !isBeingRemoved(session))
 			.map(RunnerSession::runner)
 			.filter((runner) -> !drained.contains(runner.key()))
 			.filter((runner) -> !this.balancer.isMoving(runner.hostOrId()))
@@ -619,9 +627,11 @@
 
 	private void endIncarnationIfOver(RunnerSession session, long nowMillis) {
 		RunnerKey key = session.runner().key();
+		if (isBeingRemoved(session)) {
+			return;
+		}
 		if (!session.haveRunsEnded(nowMillis)) {
 			this.endingIncarnations.remove(key);
-			this.removedIncarnations.remove(key);
 			return;
 		}
 		if (this.endingIncarnations.add(key)) {
@@ -635,6 +645,11 @@
 		}
 	}
 
+	// The removal ends all runs, so nothing may begin even if the runner answers again.
+	private boolean isBeingRemoved(RunnerSession session) {
+		return this.removedIncarnations.contains(session.runner().key());
+	}
+
 	private void openDueOccurrences(long wallMillis) {
 		for (BatchJob job : this.state.activeJobs()) {
 			int next = job.nextOccurrence();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -365,6 +365,36 @@
 		Truth.assertThat(acknowledged).containsExactly(0L);
 	}
 
+	/**
+	 * Guards against two simultaneous runs of a task. Occurs when a silent runner answers
+	 * again and an assignment to it is committed while its removal is being committed: the
+	 * removal ends the run, although the runner has begun it.
+	 */
+	@Test
+	void nothingIsOrderedFromARunnerWhoseRemovalIsBeingCommitted() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		BatchState state = stateWithJob(runner);
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, 1_000);
+		answerHeartbeat(leader, runner, List.of(), 1_010);
+		leader.decide(1_030, 1_030);
+		List<BatchCommand> assigned = leader.drainProposals();
+		Truth.assertThat(assigned).hasSize(1);
+		RunnerOrder unanswered = heartbeats(leader, runner, 1_040).get(0);
+		leader.onReply(runner.key(), unanswered, RunnerReply.NoAnswer.UNKNOWN, 2_000);
+		leader.decide(15_000, 15_000);
+		Truth.assertThat(leader.drainProposals()).containsExactly(new BatchCommand.RemoveRunner(runner.key()));
+		RunnerOrder.Heartbeat late = new RunnerOrder.Heartbeat(2, 0, OptionalLong.empty(), 0);
+		commit(leader, state, 15_010, assigned.get(0));
+		leader.onReply(runner.key(), late,
+				new RunnerReply.Listing(14_000, OptionalLong.of(1), List.of(), List.of(), true), 15_020);
+		leader.decide(15_050, 15_050);
+		Truth.assertThat(starts(leader, 15_050)).isEmpty();
+		commit(leader, state, 15_060, new BatchCommand.RemoveRunner(runner.key()),
+				new BatchCommand.RegisterRunner(runner));
+		answerHeartbeat(leader, runner, List.of(), 15_100);
+		Truth.assertThat(starts(leader, 15_150)).isEmpty();
+	}
+
 	private static BatchState stateWithJob(RunnerRecord runner) {
 		BatchState state = new BatchState();
 		state.apply(new CommandGroup(1_000, List.of(
