Remove a runner only for the order of the move that is open

Cause: PoolBalancer.onReply looked up the open move by the host alone. Decisions that start again in a term accept answers to orders of the dropped ones, and the platform answers 200 for a move that is already done.

Change: the runner is removed only if the order names the pool of the open move.

Measured: PoolBalancerTests.theReplyToAnOrderOfAnEarlierMoveRemovesNoRunner failed before (RemoveRunner hot0) and passes with the change, as do the other 18 tests of the class.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
@@ -263,6 +263,7 @@
 				this.movedMillis.put(order.host(), nowMillis);
 				// The move ended the runner, so the leader stops contacting it.
 				Optional.ofNullable(this.state.moves().get(order.host()))
+					.filter((move) -> move.pool().equals(order.pool()))
 					.flatMap(HostMove::lifeBefore)
 					.ifPresent((incarnation) -> this.proposals.add(new BatchCommand.RemoveRunner(incarnation)));
 				this.proposals.add(new BatchCommand.SetMove(order.host(), order.pool(), MovePhase.BEGUN));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -208,6 +208,22 @@
 		Truth.assertThat(tick()).containsExactly(new BatchCommand.SetMove("host-hot0", "cold", MovePhase.OVER));
 	}
 
+	/**
+	 * Guards against the removal of a runner whose tasks are running. Occurs when
+	 * decisions start again in a term and the platform answers an order of an earlier
+	 * move of the host after the next move was committed.
+	 */
+	@Test
+	void theReplyToAnOrderOfAnEarlierMoveRemovesNoRunner() {
+		apply(new BatchCommand.SetMove("host-hot0", "cold", MovePhase.ORDERED));
+		this.balancer.onReply(new HostOrder.Move(1, "host-hot0", "hot"), HostReply.DONE, this.nowMillis);
+		Truth.assertThat(this.balancer.drainProposals())
+			.doesNotContain(new BatchCommand.RemoveRunner(new RunnerKey("hot0", 1)));
+		this.balancer.onReply(new HostOrder.Move(1, "host-hot0", "cold"), HostReply.DONE, this.nowMillis);
+		Truth.assertThat(this.balancer.drainProposals())
+			.contains(new BatchCommand.RemoveRunner(new RunnerKey("hot0", 1)));
+	}
+
 	/**
 	 * Guards against a move that ends the tasks on its host. Occurs when a task is
 	 * assigned just before the move is committed and the leader has moved the host
