Count the ends that are acknowledged when decisions start again twice

After one restart no such end was: FleetLeader withholds the acknowledgement, because the task has a later run.

The test of DecisionRestartTests now submits jobs of one task each, rejects a second proposal 1.2 s after the first restart, and names the ends that were acknowledged.

--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
@@ -120,7 +121,12 @@
 	private final List<String> simultaneousStarts = new ArrayList<>();
 
 	/** Starts of tasks of which a run had ended and was not in progress any more. */
-	private final List<String> startsAfterEnd = new ArrayList<>();
+	private final Map<TaskId, String> startsAfterEnd = new LinkedHashMap<>();
+
+	/** Tasks of which a successful end was acknowledged. */
+	private final Set<TaskId> acknowledged = new HashSet<>();
+
+	private int stoppedCount;
 
 	private boolean commitsAreOpen;
 
@@ -148,9 +154,10 @@
 	void tasksWhoseReleasesAreOpenWhileDecisionsStartAgainAreStartedOnce() {
 		releaseManyTasksAndRejectAProposal();
 		Truth
-			.assertWithMessage("%s simultaneous starts, %s starts after an end", this.simultaneousStarts.size(),
-					this.startsAfterEnd.size())
-			.that(Stream.concat(this.simultaneousStarts.stream(), this.startsAfterEnd.stream()).toList())
+			.assertWithMessage("%s simultaneous starts, %s runs stopped, %s starts after an end, acknowledged ends: %s",
+					this.simultaneousStarts.size(), this.stoppedCount, this.startsAfterEnd.size(),
+					this.startsAfterEnd.keySet().stream().filter(this.acknowledged::contains).toList())
+			.that(Stream.concat(this.simultaneousStarts.stream(), this.startsAfterEnd.values().stream()).toList())
 			.isEmpty();
 	}
 
@@ -158,8 +165,7 @@
 		lead();
 		run(300);
 		this.startsAreLost = true;
-		commit(List.of(new BatchCommand.SubmitJob("job", "queue", "team",
-				new JobSpec("specification", List.of(step(TASKS)), 0, 0, 0))));
+		commit(IntStream.range(0, TASKS).mapToObj(DecisionRestartTests::submission).toList());
 		run(100);
 		this.commitsAreOpen = true;
 		run(400);
@@ -175,7 +181,11 @@
 		for (int number = 0; number < RUNNERS; number++) {
 			register(runner("spare-" + number));
 		}
-		run(1_500);
+		run(1_200);
+		// The ends that are not acknowledged yet are listed to the next decisions, too.
+		announce(runner("rejected"));
+		run(600);
+		Truth.assertThat(this.rejectedProposals).isEqualTo(2);
 		Truth.assertThat(this.done).hasSize(TASKS);
 	}
 
@@ -303,8 +313,13 @@
 				Optional.empty(), new Resources(TASKS_PER_RUNNER * 1_000, 16_384, 0), Set.of(), false);
 	}
 
-	private static StepSpec step(int tasks) {
-		return new StepSpec(tasks, TASK, 500, List.of(), false, false, false, Optional.empty(), Optional.empty(),
+	private static BatchCommand submission(int job) {
+		return new BatchCommand.SubmitJob("job-" + job, "queue", "team",
+				new JobSpec(Integer.toString(300 + 10 * job), List.of(step()), 0, 0, 0));
+	}
+
+	private static StepSpec step() {
+		return new StepSpec(1, TASK, 500, List.of(), false, false, false, Optional.empty(), Optional.empty(),
 				OptionalInt.empty(), false, false, Optional.empty(), OptionalInt.empty(), false, 0);
 	}
 
@@ -345,6 +360,9 @@
 
 		private void receive(RunnerChannel.Send send) {
 			if (send.dispatch().order() instanceof RunnerOrder.Heartbeat heartbeat) {
+				this.ends.stream()
+					.filter((end) -> end.number() <= heartbeat.acknowledgedEnd() && end.outcome().isDone())
+					.forEach((end) -> DecisionRestartTests.this.acknowledged.add(end.task()));
 				this.ends.removeIf((end) -> end.number() <= heartbeat.acknowledgedEnd());
 				this.pending.add(new PendingAnswer(send, nowMillis() + heartbeat.waitMillis()));
 			}
@@ -404,10 +422,10 @@
 			}
 			else if (DecisionRestartTests.this.done.contains(start.task())) {
 				boolean isListed = DecisionRestartTests.this.listedAsDone.contains(start.task());
-				DecisionRestartTests.this.startsAfterEnd
-					.add("%s, end listed before: %s".formatted(description, isListed));
+				DecisionRestartTests.this.startsAfterEnd.put(start.task(),
+						"%s, end listed before: %s".formatted(description, isListed));
 			}
-			int workMillis = 300 + 10 * start.task().index();
+			int workMillis = Integer.parseInt(start.specification());
 			this.running.put(start.task(), new Execution(start.run(), nowMillis() + workMillis, RunOutcome.DONE));
 		}
 
@@ -422,6 +440,9 @@
 			Execution execution = this.running.remove(task);
 			this.lastEnd++;
 			this.ends.add(new BatchCommand.End(this.lastEnd, task, execution.run(), execution.outcome(), ""));
+			if (execution.outcome() == RunOutcome.STOPPED) {
+				DecisionRestartTests.this.stoppedCount++;
+			}
 			if (execution.outcome().isDone()) {
 				DecisionRestartTests.this.done.add(task);
 			}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -367,8 +367,8 @@
 
 	/**
 	 * Guards against two simultaneous runs of a task. Occurs when a silent runner answers
-	 * again and an assignment to it is committed while its removal is being committed: the
-	 * removal ends the run, although the runner has begun it.
+	 * again and an assignment to it is committed while its removal is being committed:
+	 * the removal ends the run, although the runner has begun it.
 	 */
 	@Test
 	void nothingIsOrderedFromARunnerWhoseRemovalIsBeingCommitted() {
