Show that a leader's pause of less than a lease releases no ordered run

FleetLeaderTests .aLeaderThatPausedForLessThanALeaseReleasesNoRunThatItHasOrdered lets the leader decide first after a pause, then handles the timeouts of its orders, then an answer: nothing is released. Passes on this code; no change of logic.

--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -395,6 +395,36 @@
 		Truth.assertThat(starts(leader, 15_150)).isEmpty();
 	}
 
+	/**
+	 * Guards against a leader that takes its own pause for the silence of a runner.
+	 * Occurs when the timeouts that passed in the pause are handled before the answers.
+	 */
+	@Test
+	void aLeaderThatPausedForLessThanALeaseReleasesNoRunThatItHasOrdered() {
+		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
+		TaskId task = new TaskId("job", 0, 0, 0);
+		BatchState state = stateWithJob(runner);
+		FleetLeader leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, 1_000);
+		answerHeartbeat(leader, runner, List.of(), 1_010);
+		commit(leader, state, 1_030,
+				new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))));
+		List<RunnerOrder> orders = leader.dueOrders(1_040).stream().map(RunnerDispatch::order).toList();
+		Truth.assertThat(orders).hasSize(2);
+		long resumedMillis = 1_000 + SimulatedFleet.SETTINGS.sessions().leaseMillis();
+		leader.decide(resumedMillis, resumedMillis);
+		orders.forEach((order) -> leader.onReply(runner.key(), order, RunnerReply.NoAnswer.UNKNOWN, resumedMillis));
+		leader.decide(resumedMillis + 20, resumedMillis + 20);
+		Truth.assertThat(leader.drainProposals()).isEmpty();
+		RunnerReply.RunningTask running = new RunnerReply.RunningTask(task, 1, "", 50, OptionalInt.empty());
+		RunnerOrder next = heartbeats(leader, runner, resumedMillis + 600).get(0);
+		leader.onReply(runner.key(), next,
+				new RunnerReply.Listing(resumedMillis, OptionalLong.of(1), List.of(running), List.of(), true),
+				resumedMillis + 610);
+		leader.decide(resumedMillis + 630, resumedMillis + 630);
+		Truth.assertThat(leader.drainProposals())
+			.containsExactly(new BatchCommand.NoteEnds(runner.key(), List.of(), List.of("job")));
+	}
+
 	private static BatchState stateWithJob(RunnerRecord runner) {
 		BatchState state = new BatchState();
 		state.apply(new CommandGroup(1_000, List.of(
