--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -379,14 +379,14 @@
 		leader.decide(1_030, 1_030);
 		List<BatchCommand> assigned = leader.drainProposals();
 		Truth.assertThat(assigned).hasSize(1);
-		RunnerOrder unanswered = heartbeats(leader, runner, 1_040).get(0);
-		leader.onReply(runner.key(), unanswered, RunnerReply.NoAnswer.UNKNOWN, 2_000);
+		RunnerDispatch unanswered = heartbeatDispatches(leader, runner, 1_040).get(0);
+		leader.onReply(unanswered, RunnerReply.NoAnswer.UNKNOWN, 2_000);
 		leader.decide(15_000, 15_000);
 		Truth.assertThat(leader.drainProposals()).containsExactly(new BatchCommand.RemoveRunner(runner.key()));
-		RunnerOrder.Heartbeat late = new RunnerOrder.Heartbeat(2, 0, OptionalLong.empty(), 0);
+		RunnerDispatch late = new RunnerDispatch(runner, 1_000,
+				new RunnerOrder.Heartbeat(2, 0, OptionalLong.empty(), 0), 0);
 		commit(leader, state, 15_010, assigned.get(0));
-		leader.onReply(runner.key(), late,
-				new RunnerReply.Listing(14_000, OptionalLong.of(1), List.of(), List.of(), true), 15_020);
+		leader.onReply(late, new RunnerReply.Listing(14_000, OptionalLong.of(1), List.of(), List.of(), true), 15_020);
 		leader.decide(15_050, 15_050);
 		Truth.assertThat(starts(leader, 15_050)).isEmpty();
 		commit(leader, state, 15_060, new BatchCommand.RemoveRunner(runner.key()),
@@ -408,16 +408,16 @@
 		answerHeartbeat(leader, runner, List.of(), 1_010);
 		commit(leader, state, 1_030,
 				new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))));
-		List<RunnerOrder> orders = leader.dueOrders(1_040).stream().map(RunnerDispatch::order).toList();
+		List<RunnerDispatch> orders = leader.dueOrders(1_040);
 		Truth.assertThat(orders).hasSize(2);
 		long resumedMillis = 1_000 + SimulatedFleet.SETTINGS.sessions().leaseMillis();
 		leader.decide(resumedMillis, resumedMillis);
-		orders.forEach((order) -> leader.onReply(runner.key(), order, RunnerReply.NoAnswer.UNKNOWN, resumedMillis));
+		orders.forEach((order) -> leader.onReply(order, RunnerReply.NoAnswer.UNKNOWN, resumedMillis));
 		leader.decide(resumedMillis + 20, resumedMillis + 20);
 		Truth.assertThat(leader.drainProposals()).isEmpty();
 		RunnerReply.RunningTask running = new RunnerReply.RunningTask(task, 1, "", 50, OptionalInt.empty());
-		RunnerOrder next = heartbeats(leader, runner, resumedMillis + 600).get(0);
-		leader.onReply(runner.key(), next,
+		RunnerDispatch next = heartbeatDispatches(leader, runner, resumedMillis + 600).get(0);
+		leader.onReply(next,
 				new RunnerReply.Listing(resumedMillis, OptionalLong.of(1), List.of(running), List.of(), true),
 				resumedMillis + 610);
 		leader.decide(resumedMillis + 630, resumedMillis + 630);
