--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -452,7 +452,7 @@
 		// lease.
 		boolean extendsLease = isResponsive && !(isWithholding() && this.runs.isEmpty());
 		OptionalLong leaseEnd = extendsLease ? this.lease.grant(nowMillis) : OptionalLong.empty();
-		int waitMillis = (isResponsive && this.inheritedRuns.isEmpty()) ? pollMillis() : 0;
+		int waitMillis = isResponsive ? pollMillis() : 0;
 		this.progressAwaited = false;
 		long acknowledgedEnd = Math.min(this.committedEnd, this.firstWithheldEnd.orElse(Long.MAX_VALUE) - 1);
 		return Optional.of(new RunnerOrder.Heartbeat(this.fencingToken, acknowledgedEnd, leaseEnd, waitMillis));
@@ -467,8 +467,8 @@
 	}
 
 	private int pollMillis() {
-		return this.progressAwaited ? Math.min(AWAITED_POLL_MILLIS, this.settings.longPollMillis())
-				: this.settings.longPollMillis();
+		boolean isShort = this.progressAwaited || !this.inheritedRuns.isEmpty();
+		return isShort ? Math.min(AWAITED_POLL_MILLIS, this.settings.longPollMillis()) : this.settings.longPollMillis();
 	}
 
 	/**
@@ -567,7 +567,8 @@
 	 * @return releases to commit
 	 */
 	public List<RunRelease> releaseAll() {
-		ReleaseReason reason = this.ended ? ReleaseReason.INCARNATION_ENDED : ReleaseReason.LEASE_EXPIRED;
+		ReleaseReason reason = (this.ended || this.restartedUntilMillis.isPresent()) ? ReleaseReason.INCARNATION_ENDED
+				: ReleaseReason.LEASE_EXPIRED;
 		this.runs.values().forEach(RunProgress::markReleased);
 		return this.runs.values().stream().map((progress) -> releaseOf(progress, reason)).toList();
 	}
@@ -715,12 +716,12 @@
 		listing.ended().forEach((end) -> listed.add(end.task()));
 		// A run that is missing in an incomplete listing may have ended.
 		if (listing.endsComplete()) {
+			this.inheritedRuns.onListing(listing, this.heartbeatNumber);
 			this.runs.values()
 				.stream()
 				.filter((progress) -> !listed.contains(progress.run().task()))
 				.forEach(this::onUnlisted);
 		}
-		this.inheritedRuns.onListing(listing, this.heartbeatNumber);
 		if (this.lease.hasExpired(nowMillis)) {
 			onListedAfterExpiry(listing.ended());
 		}
