--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchSoak.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchSoak.java
@@ -106,6 +106,7 @@
 	}
 
 	private boolean configure() {
+		restartProcesses();
 		URI address = URI.create("http://%s:%d/api/configuration"
 			.formatted(this.deployment.memberAddress((int) (elapsedMillis() / 50)), BatchDeployment.CONTROL_PORT));
 		HttpRequest request = HttpRequest.newBuilder(address)
@@ -125,11 +126,16 @@
 		this.deployment.runners().forEach(RunnerSlot::heal);
 	}
 
+	// The platform starts a process again that has ended.
+	private void restartProcesses() {
+		onThread(() -> this.deployment.processes().forEach(BatchProcess::ensureRunning));
+	}
+
 	private Set<String> awaitCompletion() {
 		Set<String> open = new HashSet<>(this.callers.accepted());
 		try {
 			Await.within("all accepted jobs are completed", LONGEST_CALM, () -> {
-				onThread(() -> this.deployment.processes().forEach(BatchProcess::ensureRunning));
+				restartProcesses();
 				open.removeIf(this.callers::isCompleted);
 				return open.isEmpty();
 			});
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchSoakTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchSoakTests.java
@@ -7,7 +7,6 @@
 import java.util.stream.LongStream;
 
 import com.google.common.truth.Truth;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -30,7 +29,7 @@
 		.toAbsolutePath()
 		.normalize();
 
-	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
+	@TempDir
 	private Path folder;
 
 	static LongStream seeds() {
