--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -115,6 +115,9 @@
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
 
+	/** Releases that were proposed since they were last drained. */
+	private final List<RunRelease> proposedReleases = new ArrayList<>();
+
 	/** Incarnations whose runs were released because they have certainly ended. */
 	private final Set<RunnerKey> endingIncarnations = new HashSet<>();
 
@@ -203,6 +206,16 @@
 		return drained;
 	}
 
+	/**
+	 * Returns and clears the releases among the proposals, with their reasons.
+	 * @return releases in the order of their proposals
+	 */
+	public List<RunRelease> drainReleases() {
+		List<RunRelease> drained = List.copyOf(this.proposedReleases);
+		this.proposedReleases.clear();
+		return drained;
+	}
+
 	/**
 	 * Returns the orders to send to runners and marks them as sent.
 	 * @param nowMillis current monotonic time, in milliseconds
@@ -293,31 +306,35 @@
 	}
 
 	/**
-	 * Handles the reply of a runner to an order.
-	 * @param runner incarnation of the runner
-	 * @param order order that was sent
+	 * Handles the reply of a runner to an order. A reply to an order of another session,
+	 * which may be one of earlier decisions in the same term, is ignored: it can be older
+	 * than what this session has ordered.
+	 * @param dispatch order that was sent
 	 * @param reply reply, or the reason why there is none
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply, long nowMillis) {
+	public void onReply(RunnerDispatch dispatch, RunnerReply reply, long nowMillis) {
+		RunnerKey runner = dispatch.runner().key();
+		RunnerOrder order = dispatch.order();
 		this.runnersWithEvents.add(runner);
-		session(runner).ifPresent((session) -> {
-			this.jobStarts.onReply(runner, order, reply);
-			if (order instanceof RunnerOrder.Heartbeat) {
-				this.pendingFirstContacts.remove(runner);
-				this.pendingRepeatedContacts.remove(runner);
-				List<BatchCommand.End> ends = session.onHeartbeatReply(reply, nowMillis);
-				session.relativeSpeed(nowMillis)
-					.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
-				if (!ends.isEmpty()) {
-					this.proposals.add(new BatchCommand.NoteEnds(runner, ends, List.of()));
+		session(runner).filter((session) -> session.openedMillis() == dispatch.sessionOpenedMillis())
+			.ifPresent((session) -> {
+				this.jobStarts.onReply(runner, order, reply);
+				if (order instanceof RunnerOrder.Heartbeat) {
+					this.pendingFirstContacts.remove(runner);
+					this.pendingRepeatedContacts.remove(runner);
+					List<BatchCommand.End> ends = session.onHeartbeatReply(reply, nowMillis);
+					session.relativeSpeed(nowMillis)
+						.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
+					if (!ends.isEmpty()) {
+						this.proposals.add(new BatchCommand.NoteEnds(runner, ends, List.of()));
+					}
 				}
-			}
-			else {
-				session.onOrderReply(order, reply, nowMillis);
-			}
-			proposeReleases(session);
-		});
+				else {
+					session.onOrderReply(order, reply, nowMillis);
+				}
+				proposeReleases(session);
+			});
 	}
 
 	/**
@@ -384,6 +401,7 @@
 		boolean sweeps = nowMillis - this.sweptMillis >= SWEEP_PERIOD_MILLIS;
 		sessionsToVisit(sweeps).forEach((session) -> {
 			session.releaseUnorderedRuns(nowMillis);
+			session.removeExpiredInheritedRuns(nowMillis);
 			proposeReleases(session);
 			endIncarnationIfOver(session, nowMillis);
 		});
@@ -433,7 +451,7 @@
 	}
 
 	private static RunnerDispatch dispatch(RunnerSession session, RunnerOrder order) {
-		return new RunnerDispatch(session.runner(), order, session.answerTimeoutMillis());
+		return new RunnerDispatch(session.runner(), session.openedMillis(), order, session.answerTimeoutMillis());
 	}
 
 	private Collection<RunnerSession> sessionsToVisit(boolean all) {
@@ -469,13 +487,35 @@
 		Plan plan = this.planner.plan(this.state, usableRunners(drained, nowMillis), drained,
 				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 		this.balancer.onPlan(plan);
-		if (!plan.assignments().isEmpty()) {
+		List<BatchCommand.Assignment> assignments = withoutInherited(plan.assignments());
+		if (!assignments.isEmpty()) {
 			this.planInFlight = true;
-			this.proposals.add(new BatchCommand.AssignRuns(plan.assignments()));
+			this.proposals.add(new BatchCommand.AssignRuns(assignments));
 		}
 		this.latestPlan = plan;
 	}
 
+	// The members of a gang are assigned together or not at all.
+	private List<BatchCommand.Assignment> withoutInherited(List<BatchCommand.Assignment> assignments) {
+		Set<TaskId> inherited = this.sessions.values()
+			.stream()
+			.flatMap((session) -> session.inheritedTasks().stream())
+			.collect(Collectors.toSet());
+		Set<TaskId> steps = inherited.stream().map(FleetLeader::firstTaskOfStep).collect(Collectors.toSet());
+		return assignments.stream()
+			.filter((assignment) -> !inherited.contains(assignment.task()))
+			.filter((assignment) -> !isGang(assignment.task()) || !steps.contains(firstTaskOfStep(assignment.task())))
+			.toList();
+	}
+
+	private boolean isGang(TaskId task) {
+		return this.state.step(task).filter((step) -> step.spec().gang()).isPresent();
+	}
+
+	private static TaskId firstTaskOfStep(TaskId task) {
+		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
+	}
+
 	private Set<RunnerKey> drainedRunners() {
 		return this.sessions.values()
 			.stream()
@@ -565,9 +605,13 @@
 	}
 
 	private void proposeReleases(RunnerSession session) {
-		List<BatchCommand.Release> releases = session.drainReleases();
+		propose(session.drainReleases());
+	}
+
+	private void propose(List<RunRelease> releases) {
 		if (!releases.isEmpty()) {
-			this.proposals.add(new BatchCommand.ReleaseRuns(releases));
+			this.proposals.add(new BatchCommand.ReleaseRuns(releases.stream().map(RunRelease::release).toList()));
+			this.proposedReleases.addAll(releases);
 		}
 	}
 
@@ -579,13 +623,11 @@
 			return;
 		}
 		if (this.endingIncarnations.add(key)) {
-			List<BatchCommand.Release> releases = session.releaseAll();
-			if (!releases.isEmpty()) {
-				this.proposals.add(new BatchCommand.ReleaseRuns(releases));
-			}
+			propose(session.releaseAll());
 		}
 		long lastAnnouncedMillis = this.announcedMillis.getOrDefault(key, this.electedMillis);
-		boolean isGone = session.hasEnded() || nowMillis - lastAnnouncedMillis > this.settings.runnerRetentionMillis();
+		boolean isGone = session.hasEnded(nowMillis)
+				|| nowMillis - lastAnnouncedMillis > this.settings.runnerRetentionMillis();
 		if (isGone && this.removedIncarnations.add(key)) {
 			this.proposals.add(new BatchCommand.RemoveRunner(key));
 		}
@@ -627,8 +669,13 @@
 
 	private void openSession(RunnerRecord runner, long nowMillis) {
 		this.runnersWithEvents.add(runner.key());
-		this.sessions.put(runner.key(),
-				new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis, nowMillis));
+		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, this.electedMillis,
+				nowMillis);
+		this.sessions.values()
+			.stream()
+			.filter((earlier) -> earlier.runner().key().id().equals(runner.key().id()))
+			.forEach((earlier) -> opened.inheritRuns(earlier, nowMillis));
+		this.sessions.put(runner.key(), opened);
 		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -51,12 +51,17 @@
 	/** Runs that the runner lists but that are not assigned to it. */
 	private final Map<TaskId, Integer> unassignedRuns = new HashMap<>();
 
-	private final List<BatchCommand.Release> releases = new ArrayList<>();
+	/** Runs that were ordered to earlier incarnations of the runner. */
+	private final InheritedRuns inheritedRuns = new InheritedRuns();
+
+	private final List<RunRelease> releases = new ArrayList<>();
 
 	private final BestEffortThrottle throttle = new BestEffortThrottle();
 
 	private final RunnerLease lease;
 
+	private final long openedMillis;
+
 	private RunnerRecord runner;
 
 	private boolean orderInFlight;
@@ -96,6 +101,13 @@
 
 	private boolean ended;
 
+	/**
+	 * Time from which the incarnation counts as ended, set once another one with the same
+	 * identifier has answered. That one may carry out orders of this session until its
+	 * registration.
+	 */
+	private OptionalLong restartedUntilMillis = OptionalLong.empty();
+
 	private boolean leaving;
 
 	private boolean fenced;
@@ -123,6 +135,7 @@
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.lease = new RunnerLease(settings, electedMillis);
+		this.openedMillis = nowMillis;
 		this.lastContactMillis = nowMillis;
 	}
 
@@ -134,15 +147,29 @@
 		return this.runner;
 	}
 
+	/**
+	 * Returns the time at which the session was opened. It identifies the session among
+	 * those with the same incarnation.
+	 * @return monotonic time, in milliseconds
+	 */
+	long openedMillis() {
+		return this.openedMillis;
+	}
+
 	/**
 	 * Checks whether new tasks may be assigned to the runner.
 	 * @param nowMillis current monotonic time, in milliseconds
-	 * @return {@code true} if the runner is responsive, has no overdue order, does not
-	 * wait for its lease to expire and is neither leaving nor replaced
+	 * @return {@code true} if the runner is responsive, has no overdue order, waits
+	 * neither for its lease to expire nor for the end of inherited runs, and is neither
+	 * leaving nor replaced
 	 */
 	public boolean isUsable(long nowMillis) {
-		return isResponsive(nowMillis) && !isAnswerMissing(nowMillis) && !this.ended && !this.leaving && !this.fenced
-				&& !isWithholding() && !this.runner.draining();
+		return isResponsive(nowMillis) && !isAnswerMissing(nowMillis) && mayReceiveOrders() && !this.leaving
+				&& !isWithholding() && this.inheritedRuns.isEmpty() && !this.runner.draining();
+	}
+
+	private boolean mayReceiveOrders() {
+		return !this.ended && !this.fenced && this.restartedUntilMillis.isEmpty();
 	}
 
 	/**
@@ -191,17 +218,47 @@
 	 * @return {@code true} if the runner is gone or its lease has definitely expired
 	 */
 	public boolean haveRunsEnded(long nowMillis) {
+		if (this.restartedUntilMillis.isPresent()) {
+			return hasEnded(nowMillis);
+		}
 		boolean wasAsked = this.contacted || this.heartbeatUnanswered;
 		return this.ended || (wasAsked && !isResponsive(nowMillis) && this.lease.hasExpired(nowMillis));
 	}
 
 	/**
-	 * Checks whether this incarnation has definitely ended.
-	 * @return {@code true} if the runner has left or has been replaced by another
-	 * incarnation
+	 * Checks whether this incarnation has definitely ended, and no other one carries out
+	 * orders that were meant for it.
+	 * @param nowMillis current monotonic time, in milliseconds
+	 * @return {@code true} if the runner has left or has been replaced
+	 */
+	public boolean hasEnded(long nowMillis) {
+		return this.ended
+				|| (this.restartedUntilMillis.isPresent() && nowMillis >= this.restartedUntilMillis.getAsLong());
+	}
+
+	/**
+	 * Returns the tasks that must not be started yet, because a run that was ordered to
+	 * an earlier incarnation may be in progress on this one.
+	 * @return live view
 	 */
-	public boolean hasEnded() {
-		return this.ended;
+	Set<TaskId> inheritedTasks() {
+		return this.inheritedRuns.tasks();
+	}
+
+	/**
+	 * Takes over the runs that were ordered to an earlier incarnation with the same
+	 * identifier.
+	 * @param earlier session with the earlier incarnation
+	 * @param nowMillis current monotonic time, in milliseconds
+	 */
+	void inheritRuns(RunnerSession earlier, long nowMillis) {
+		this.inheritedRuns.addAll(earlier.inheritedRuns);
+		earlier.runs.values()
+			.stream()
+			.filter((progress) -> !progress.wasNeverOrdered())
+			.map(RunProgress::run)
+			.forEach((run) -> this.inheritedRuns.add(run.task(), run.number(),
+					nowMillis + this.settings.earlierLeaseExpiryMillis()));
 	}
 
 	/**
@@ -301,7 +358,7 @@
 	public void stop(TaskId task) {
 		progress(task).ifPresent((progress) -> {
 			if (progress.wasNeverOrdered()) {
-				release(progress);
+				release(progress, ReleaseReason.NEVER_ORDERED);
 			}
 			else {
 				progress.requestStop();
@@ -309,6 +366,14 @@
 		});
 	}
 
+	/**
+	 * Removes inherited runs that have certainly ended because leases are limited.
+	 * @param nowMillis current monotonic time, in milliseconds
+	 */
+	void removeExpiredInheritedRuns(long nowMillis) {
+		this.inheritedRuns.removeExpired(nowMillis);
+	}
+
 	/**
 	 * Handles the commit of ends of runs.
 	 * @param number number of the last committed end
@@ -359,7 +424,7 @@
 	 * @return order to send, or empty if none is due or one is in flight
 	 */
 	public Optional<RunnerOrder> nextOrder(long nowMillis) {
-		if (this.orderInFlight || this.ended || this.fenced) {
+		if (this.orderInFlight || !mayReceiveOrders()) {
 			return Optional.empty();
 		}
 		Optional<RunnerOrder> order = nextStop(nowMillis).or(() -> nextStart(nowMillis))
@@ -375,7 +440,7 @@
 	 * @return heartbeat to send, or empty if none is due or one is in flight
 	 */
 	public Optional<RunnerOrder.Heartbeat> nextHeartbeat(long nowMillis) {
-		boolean mustWait = this.heartbeatInFlight || this.ended || this.fenced || nowMillis < this.nextHeartbeatMillis
+		boolean mustWait = this.heartbeatInFlight || !mayReceiveOrders() || nowMillis < this.nextHeartbeatMillis
 				|| this.proposedEnd > this.committedEnd;
 		if (mustWait) {
 			return Optional.empty();
@@ -387,7 +452,7 @@
 		// lease.
 		boolean extendsLease = isResponsive && !(isWithholding() && this.runs.isEmpty());
 		OptionalLong leaseEnd = extendsLease ? this.lease.grant(nowMillis) : OptionalLong.empty();
-		int waitMillis = isResponsive ? pollMillis() : 0;
+		int waitMillis = (isResponsive && this.inheritedRuns.isEmpty()) ? pollMillis() : 0;
 		this.progressAwaited = false;
 		long acknowledgedEnd = Math.min(this.committedEnd, this.firstWithheldEnd.orElse(Long.MAX_VALUE) - 1);
 		return Optional.of(new RunnerOrder.Heartbeat(this.fencingToken, acknowledgedEnd, leaseEnd, waitMillis));
@@ -455,7 +520,7 @@
 			return onListing(listing, nowMillis);
 		}
 		if (reply instanceof RunnerReply.Refused refused) {
-			onRefusal(refused.refusal());
+			onRefusal(refused.refusal(), nowMillis);
 		}
 		if (this.leaving && reply == RunnerReply.NoAnswer.CONNECTION_REFUSED) {
 			this.ended = true;
@@ -475,7 +540,7 @@
 		if (this.contacted && (isAnswerMissing(nowMillis) || !isResponsive(nowMillis))) {
 			for (RunProgress progress : this.runs.values()) {
 				if (progress.wasNeverOrdered()) {
-					release(progress);
+					release(progress, ReleaseReason.NEVER_ORDERED);
 				}
 			}
 		}
@@ -486,11 +551,11 @@
 	 * end.
 	 * @return releases to commit
 	 */
-	public List<BatchCommand.Release> drainReleases() {
+	public List<RunRelease> drainReleases() {
 		if (this.releases.isEmpty()) {
 			return List.of();
 		}
-		List<BatchCommand.Release> drained = List.copyOf(this.releases);
+		List<RunRelease> drained = List.copyOf(this.releases);
 		this.releases.clear();
 		return drained;
 	}
@@ -501,9 +566,10 @@
 	 * committed.
 	 * @return releases to commit
 	 */
-	public List<BatchCommand.Release> releaseAll() {
+	public List<RunRelease> releaseAll() {
+		ReleaseReason reason = this.ended ? ReleaseReason.INCARNATION_ENDED : ReleaseReason.LEASE_EXPIRED;
 		this.runs.values().forEach(RunProgress::markReleased);
-		return this.runs.values().stream().map(RunnerSession::releaseOf).toList();
+		return this.runs.values().stream().map((progress) -> releaseOf(progress, reason)).toList();
 	}
 
 	private static boolean isUnanswered(RunnerReply reply) {
@@ -518,7 +584,9 @@
 		for (Map.Entry<TaskId, Integer> unassigned : this.unassignedRuns.entrySet()) {
 			return Optional.of(new RunnerOrder.Stop(this.fencingToken, unassigned.getKey(), unassigned.getValue()));
 		}
-		return firstRun((progress) -> progress.needsStop(nowMillis))
+		Optional<RunnerOrder> inherited = this.inheritedRuns.nextStop(this.fencingToken, nowMillis)
+			.map(RunnerOrder.class::cast);
+		return inherited.isPresent() ? inherited : firstRun((progress) -> progress.needsStop(nowMillis))
 			.map((progress) -> new RunnerOrder.Stop(this.fencingToken, progress.run().task(), progress.run().number()));
 	}
 
@@ -542,7 +610,7 @@
 		}
 		RunProgress progress = next.get();
 		if (this.runner.draining() && progress.wasNeverOrdered()) {
-			release(progress);
+			release(progress, ReleaseReason.NEVER_ORDERED);
 			return nextStart(nowMillis);
 		}
 		if (this.runner.draining()) {
@@ -567,7 +635,7 @@
 			this.throttle.confirm(limit.task(), limit.percent());
 		}
 		else if (reply instanceof RunnerReply.Refused refused) {
-			onRefusal(refused.refusal());
+			onRefusal(refused.refusal(), nowMillis);
 		}
 	}
 
@@ -577,11 +645,11 @@
 			progress.onStartAccepted(this.heartbeatNumber, nowMillis);
 		}
 		else if (reply instanceof RunnerReply.Refused refused) {
-			onStartRefused(progress, refused.refusal());
+			onStartRefused(progress, refused.refusal(), nowMillis);
 		}
 	}
 
-	private void onStartRefused(RunProgress progress, RunnerReply.Refusal refusal) {
+	private void onStartRefused(RunProgress progress, RunnerReply.Refusal refusal, long nowMillis) {
 		switch (refusal) {
 			case OUTDATED -> progress.close(this.heartbeatNumber);
 			// An earlier unanswered order may still be carried out, so the run is stopped
@@ -590,39 +658,49 @@
 			case LEASE_EXPIRED -> {
 				// The next attempt has a new lease expiry time.
 			}
-			default -> onRefusal(refusal);
+			default -> onRefusal(refusal, nowMillis);
 		}
 	}
 
 	private void onStopReply(RunnerOrder.Stop stop, RunnerReply reply, long nowMillis) {
 		this.unassignedRuns.remove(stop.task(), stop.run());
+		boolean isClosed = reply instanceof RunnerReply.Accepted
+				|| (reply instanceof RunnerReply.Refused refused && refused.refusal() == RunnerReply.Refusal.OUTDATED);
+		this.inheritedRuns.onStopReply(stop, isClosed, this.heartbeatNumber, nowMillis + this.settings.retryMillis());
 		progress(stop.task()).filter((progress) -> progress.run().number() == stop.run()).ifPresent((progress) -> {
 			progress.retryAt(nowMillis + this.settings.retryMillis());
-			boolean isClosed = reply instanceof RunnerReply.Accepted || (reply instanceof RunnerReply.Refused refused
-					&& refused.refusal() == RunnerReply.Refusal.OUTDATED);
 			if (isClosed) {
 				progress.onStopAccepted(this.heartbeatNumber);
 			}
 		});
 		if (reply instanceof RunnerReply.Refused refused) {
-			onRefusal(refused.refusal());
+			onRefusal(refused.refusal(), nowMillis);
 		}
 	}
 
-	private void onRefusal(RunnerReply.Refusal refusal) {
+	private void onRefusal(RunnerReply.Refusal refusal, long nowMillis) {
 		if (refusal == RunnerReply.Refusal.FENCED) {
 			this.fenced = true;
 		}
 		else if (refusal == RunnerReply.Refusal.OTHER_INCARNATION) {
 			this.ended = true;
 		}
+		else if (refusal == RunnerReply.Refusal.RESTARTED) {
+			onRestarted(nowMillis);
+		}
+	}
+
+	private void onRestarted(long nowMillis) {
+		if (this.restartedUntilMillis.isEmpty()) {
+			this.restartedUntilMillis = OptionalLong.of(nowMillis + this.settings.earlierLeaseExpiryMillis());
+		}
 	}
 
 	private List<BatchCommand.End> onListing(RunnerReply.Listing listing, long nowMillis) {
 		boolean isOtherIncarnation = listing.runnerStartMillis().isPresent()
 				&& listing.runnerStartMillis().getAsLong() != this.runner.key().bornMillis();
 		if (isOtherIncarnation) {
-			this.ended = true;
+			onRestarted(nowMillis);
 			return List.of();
 		}
 		this.contacted = true;
@@ -642,6 +720,7 @@
 				.filter((progress) -> !listed.contains(progress.run().task()))
 				.forEach(this::onUnlisted);
 		}
+		this.inheritedRuns.onListing(listing, this.heartbeatNumber);
 		if (this.lease.hasExpired(nowMillis)) {
 			onListedAfterExpiry(listing.ended());
 		}
@@ -677,22 +756,24 @@
 
 	private void onUnlisted(RunProgress progress) {
 		if (progress.hasEndedIfUnlisted(this.heartbeatNumber)) {
-			release(progress);
+			release(progress, ReleaseReason.CLOSED);
 		}
 		else if (progress.isMissing(this.heartbeatNumber)) {
 			progress.requestStop();
 		}
 	}
 
-	private void release(RunProgress progress) {
+	private void release(RunProgress progress, ReleaseReason reason) {
 		if (!progress.isReleased()) {
 			progress.markReleased();
-			this.releases.add(releaseOf(progress));
+			this.releases.add(releaseOf(progress, reason));
 		}
 	}
 
-	private static BatchCommand.Release releaseOf(RunProgress progress) {
-		return new BatchCommand.Release(progress.run().task(), progress.run().number(), progress.checkpoint());
+	private RunRelease releaseOf(RunProgress progress, ReleaseReason reason) {
+		BatchCommand.Release release = new BatchCommand.Release(progress.run().task(), progress.run().number(),
+				progress.checkpoint());
+		return new RunRelease(release, this.runner.key(), this.openedMillis, reason);
 	}
 
 	private Optional<RunProgress> progress(TaskId task) {
