--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -511,21 +511,14 @@
 			.filter((tasks) -> !tasks.isEmpty())
 			.flatMap(Set::stream)
 			.collect(Collectors.toSet());
-		Set<TaskId> steps = inherited.stream().map(FleetLeader::firstTaskOfStep).collect(Collectors.toSet());
+		Set<TaskId> steps = inherited.stream().map(TaskId::firstOfStep).collect(Collectors.toSet());
 		return assignments.stream()
 			.filter((assignment) -> !inherited.contains(assignment.task()))
-			.filter((assignment) -> !isGang(assignment.task()) || !steps.contains(firstTaskOfStep(assignment.task())))
+			.filter((assignment) -> !this.state.isGang(assignment.task())
+					|| !steps.contains(assignment.task().firstOfStep()))
 			.toList();
 	}
 
-	private boolean isGang(TaskId task) {
-		return this.state.step(task).filter((step) -> step.spec().gang()).isPresent();
-	}
-
-	private static TaskId firstTaskOfStep(TaskId task) {
-		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
-	}
-
 	private Set<RunnerKey> drainedRunners() {
 		return this.sessions.values()
 			.stream()
@@ -696,7 +689,7 @@
 	private RunnerSession openSession(RunnerRecord runner, long nowMillis) {
 		this.runnersWithEvents.add(runner.key());
 		// An earlier session of this term may have granted a lease until now.
-		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, nowMillis, nowMillis);
+		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, nowMillis);
 		this.sessions.put(runner.key(), opened);
 		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
 		return opened;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FreeCapacity.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FreeCapacity.java
@@ -55,7 +55,7 @@
 		this.state = state;
 		this.candidates = candidates;
 		this.planned = planned;
-		planned.forEach((assignment) -> this.plannedSteps.add(firstTask(assignment.task())));
+		planned.forEach((assignment) -> this.plannedSteps.add(assignment.task().firstOfStep()));
 	}
 
 	private Map<String, Pool> countFree() {
@@ -76,10 +76,6 @@
 				.ifPresent((job) -> this.plannedByWorkspace.merge(job.workspace(), spec.resources(), Resources::plus)));
 	}
 
-	private static TaskId firstTask(TaskId task) {
-		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
-	}
-
 	/**
 	 * Checks whether tasks of a step should have been planned.
 	 * @param firstTask first task of the step, which identifies it
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerLease.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerLease.java
@@ -21,13 +21,13 @@
 	private long expiryMillis;
 
 	/**
-	 * Creates a lease as an earlier leader may have granted it.
+	 * Creates a lease as an earlier leader or session may have granted it.
 	 * @param settings settings of the session
-	 * @param electedMillis monotonic time at which this leader was elected
+	 * @param openedMillis monotonic time at which the session was opened
 	 */
-	RunnerLease(SessionSettings settings, long electedMillis) {
+	RunnerLease(SessionSettings settings, long openedMillis) {
 		this.settings = settings;
-		this.expiryMillis = electedMillis + settings.earlierLeaseExpiryMillis();
+		this.expiryMillis = openedMillis + settings.earlierLeaseExpiryMillis();
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReply.java
@@ -4,6 +4,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 
@@ -48,6 +49,15 @@
 			ended = List.copyOf(ended);
 		}
 
+		/**
+		 * Checks whether this incarnation of the runner has answered.
+		 * @param incarnation expected incarnation
+		 * @return {@code false} if the listing names another start time
+		 */
+		public boolean mayBeOf(RunnerKey incarnation) {
+			return this.runnerStartMillis.isEmpty() || this.runnerStartMillis.getAsLong() == incarnation.bornMillis();
+		}
+
 	}
 
 	/** No answer arrived. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
@@ -126,15 +126,13 @@
 	 * @param runner announced state of the runner
 	 * @param settings settings of the session
 	 * @param fencingToken term of this leader
-	 * @param electedMillis monotonic time at which this leader was elected
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	public RunnerSession(RunnerRecord runner, SessionSettings settings, long fencingToken, long electedMillis,
-			long nowMillis) {
+	public RunnerSession(RunnerRecord runner, SessionSettings settings, long fencingToken, long nowMillis) {
 		this.runner = runner;
 		this.settings = settings;
 		this.fencingToken = fencingToken;
-		this.lease = new RunnerLease(settings, electedMillis);
+		this.lease = new RunnerLease(settings, nowMillis);
 		this.openedMillis = nowMillis;
 		this.lastContactMillis = nowMillis;
 	}
@@ -698,9 +696,7 @@
 	}
 
 	private List<BatchCommand.End> onListing(RunnerReply.Listing listing, long nowMillis) {
-		boolean isOtherIncarnation = listing.runnerStartMillis().isPresent()
-				&& listing.runnerStartMillis().getAsLong() != this.runner.key().bornMillis();
-		if (isOtherIncarnation) {
+		if (!listing.mayBeOf(this.runner.key())) {
 			onRestarted(nowMillis);
 			return List.of();
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SessionSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SessionSettings.java
@@ -51,8 +51,9 @@
 	}
 
 	/**
-	 * Returns the time after which all leases granted by earlier leaders have expired.
-	 * @return time in milliseconds since the election
+	 * Returns the time after which all leases granted by earlier leaders and sessions
+	 * have expired.
+	 * @return time in milliseconds since the session was opened
 	 */
 	long earlierLeaseExpiryMillis() {
 		return FIRST_CONTACT_MILLIS + safeExpiryMillis(this.leaseMillis);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/TaskId.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/TaskId.java
@@ -10,6 +10,14 @@
  */
 public record TaskId(String job, int occurrence, int step, int index) {
 
+	/**
+	 * Returns the first task of the same step, which identifies the step.
+	 * @return identifier with index 0
+	 */
+	public TaskId firstOfStep() {
+		return new TaskId(this.job, this.occurrence, this.step, 0);
+	}
+
 	@Override
 	public String toString() {
 		return this.job + "." + this.occurrence + "." + this.step + "." + this.index;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -273,10 +273,10 @@
 	void assign(List<BatchCommand.Assignment> assignments) {
 		Set<TaskId> incompleteGangs = assignments.stream()
 			.filter((assignment) -> isGang(assignment.task()) && !isAssignable(assignment))
-			.map((assignment) -> firstTaskOfStep(assignment.task()))
+			.map((assignment) -> assignment.task().firstOfStep())
 			.collect(Collectors.toSet());
 		assignments.stream()
-			.filter((assignment) -> !incompleteGangs.contains(firstTaskOfStep(assignment.task())))
+			.filter((assignment) -> !incompleteGangs.contains(assignment.task().firstOfStep()))
 			.filter(this::isAssignable)
 			.forEach(this::assign);
 	}
@@ -301,14 +301,15 @@
 					.isPresent();
 	}
 
-	private boolean isGang(TaskId task) {
+	/**
+	 * Tells whether a task is a member of a gang.
+	 * @param task identifies the task
+	 * @return {@code false} also if its occurrence is not open
+	 */
+	public boolean isGang(TaskId task) {
 		return step(task).filter((step) -> step.spec().gang()).isPresent();
 	}
 
-	private static TaskId firstTaskOfStep(TaskId task) {
-		return new TaskId(task.job(), task.occurrence(), task.step(), 0);
-	}
-
 	void recordStart(String job) {
 		Optional.ofNullable(this.activeJobs.get(job)).ifPresent(BatchJob::start);
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/BestEffortThrottleTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/BestEffortThrottleTests.java
@@ -92,7 +92,7 @@
 
 		private final boolean ignoresThrottle;
 
-		private final RunnerSession session = new RunnerSession(RUNNER, SimulatedFleet.SETTINGS.sessions(), 1, 0, 0);
+		private final RunnerSession session = new RunnerSession(RUNNER, SimulatedFleet.SETTINGS.sessions(), 1, 0);
 
 		private long nowMillis = 1_000_000;
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -508,7 +508,7 @@
 	void theEndOfARunThatWasReplacedIsAcknowledgedAfterTheLeaseHasExpired() {
 		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
 		SessionSettings settings = SimulatedFleet.SETTINGS.sessions();
-		RunnerSession session = new RunnerSession(runner, settings, 2, 1_000, 1_000);
+		RunnerSession session = new RunnerSession(runner, settings, 2, 1_000);
 		List<BatchCommand.End> ends = List
 			.of(new BatchCommand.End(7, new TaskId("job", 0, 0, 0), 1, RunOutcome.DONE, ""));
 		RunnerReply.Listing listing = new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), ends, true);
@@ -540,7 +540,7 @@
 	@Test
 	void aRunIsNotReleasedBeforeItsRunnerWasContacted() {
 		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
-		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000, 1_000);
+		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000);
 		Truth.assertThat(session.haveRunsEnded(60_000)).isFalse();
 		session.nextHeartbeat(60_000);
 		Truth.assertThat(session.haveRunsEnded(60_100)).isFalse();
@@ -555,7 +555,7 @@
 	@Test
 	void aRunIsNotOrderedAgainWhileItsReleaseIsBeingCommitted() {
 		RunnerRecord runner = BatchFixtures.runner("r1", "pool", 1);
-		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000, 1_000);
+		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 2, 1_000);
 		RunnerReply.Listing listing = new RunnerReply.Listing(1_000, OptionalLong.of(1), List.of(), List.of(), true);
 		session.nextHeartbeat(1_000);
 		session.onHeartbeatReply(listing, 1_000);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RelativeSpeedTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RelativeSpeedTests.java
@@ -66,7 +66,7 @@
 	}
 
 	private static OptionalDouble observedSpeed(double speed, double spread, Random random) {
-		RunnerSession session = new RunnerSession(RUNNER, SimulatedFleet.SETTINGS.sessions(), 1, 0, 0);
+		RunnerSession session = new RunnerSession(RUNNER, SimulatedFleet.SETTINGS.sessions(), 1, 0);
 		session.nextHeartbeat(START_MILLIS);
 		session.onHeartbeatReply(listing(List.of()), START_MILLIS);
 		List<RunnerReply.RunningTask> rows = new ArrayList<>();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RunnerSessionTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RunnerSessionTests.java
@@ -25,7 +25,7 @@
 
 	private static final long AFTER_ALL_LEASES_MILLIS = 60_000;
 
-	private final RunnerSession session = new RunnerSession(RUNNER, SETTINGS, 1, 0, 0);
+	private final RunnerSession session = new RunnerSession(RUNNER, SETTINGS, 1, 0);
 
 	@Test
 	void aHeartbeatThatWasNotSentIsNoSignThatTheRunnerIsGone() {
@@ -117,7 +117,7 @@
 		this.session.nextOrder(20);
 		RunnerRecord restarted = new RunnerRecord(new RunnerKey("runner", 6), Optional.of("host"), "pool", "10.0.0.2:1",
 				"dc1", Optional.empty(), Resources.NONE, Set.of(), false);
-		RunnerSession next = new RunnerSession(restarted, SETTINGS, 1, 0, 1_000);
+		RunnerSession next = new RunnerSession(restarted, SETTINGS, 1, 1_000);
 		next.inheritRuns(this.session, 1_000);
 		return next;
 	}
