Keep the sequence numbers of registered announcements in the replicated state

Cause: the draining was replicated, but the sequence numbers that protect it were in the memory of one leader. A new leader, or one that starts its decisions again in the same term, took the late announcement for news.

ANNOUNCEMENT_OUTDATED records each one. Announcements that change nothing are still not committed.

While both versions are in a group, a leader of the earlier one still commits late announcements, and all members apply them alike.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -257,8 +257,11 @@
 	}
 
 	private void onAnnounce(FleetCall.Announce call, ReplyPort replyTo) {
-		Optional<BatchCommand> command = this.leader.get()
-			.onAnnouncement(call.runner(), call.sequence(), this.clock.millis());
+		FleetLeader leading = this.leader.get();
+		if (leading.isOutdated(call.runner().key(), call.sequence())) {
+			this.events.announcementOutdated(this.term, call);
+		}
+		Optional<BatchCommand> command = leading.onAnnouncement(call.runner(), call.sequence(), this.clock.millis());
 		if (command.isPresent()) {
 			commit(command.get(), replyTo);
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
+import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.lead.HostOrder;
 import io.burdockpin.core.batch.lead.HostOrderHistory;
 import io.burdockpin.core.batch.lead.OverdueItem;
@@ -20,6 +21,7 @@
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
@@ -163,6 +165,18 @@
 			.with(EventField.SESSION, release.sessionOpenedMillis()));
 	}
 
+	/**
+	 * Records that a late announcement had no effect.
+	 * @param term the term of the leader
+	 * @param announced the announcement
+	 */
+	void announcementOutdated(long term, FleetCall.Announce announced) {
+		record(event(EventKind.ANNOUNCEMENT_OUTDATED).with(EventField.TERM, term)
+			.with(EventField.RUNNER, announced.runner().key())
+			.with(EventField.STATE, stateOf(announced.runner()))
+			.with(EventField.SEQUENCE, announced.sequence()));
+	}
+
 	/** Forgets which ends were acknowledged, because the leader is replaced. */
 	void leaderDropped() {
 		this.acknowledgedEnds.clear();
@@ -234,11 +248,12 @@
 				.with(EventField.STATE, BatchJobPhase.CANCELLED));
 		}
 		if (command instanceof BatchCommand.RegisterRunner registered) {
-			return Optional
-				.of(indexed(EventKind.RUNNER_ATTACHED, index).with(EventField.RUNNER, registered.runner().key())
-					.with(EventField.HOST, registered.runner().hostOrId())
-					.with(EventField.POOL, registered.runner().pool())
-					.with(EventField.STATE, registered.runner().draining() ? "DRAINING" : "READY"));
+			Event attached = indexed(EventKind.RUNNER_ATTACHED, index)
+				.with(EventField.RUNNER, registered.runner().key())
+				.with(EventField.HOST, registered.runner().hostOrId())
+				.with(EventField.POOL, registered.runner().pool())
+				.with(EventField.STATE, stateOf(registered.runner()));
+			return Optional.of(with(attached, EventField.SEQUENCE, registered.sequence()));
 		}
 		if (command instanceof BatchCommand.RemoveRunner removed) {
 			return Optional.of(removed(index, removed.runner()));
@@ -256,6 +271,10 @@
 		return Optional.empty();
 	}
 
+	private static String stateOf(RunnerRecord runner) {
+		return runner.draining() ? "DRAINING" : "READY";
+	}
+
 	private Event removed(long index, RunnerKey runner) {
 		return indexed(EventKind.RUNNER_REMOVED, index).with(EventField.RUNNER, runner);
 	}
@@ -278,8 +297,8 @@
 		return described;
 	}
 
-	private static Event with(Event event, EventField field, OptionalLong millis) {
-		return millis.isPresent() ? event.with(field, millis.getAsLong()) : event;
+	private static Event with(Event event, EventField field, OptionalLong value) {
+		return value.isPresent() ? event.with(field, value.getAsLong()) : event;
 	}
 
 	private Event indexed(EventKind kind, long index) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
@@ -208,7 +208,7 @@
 
 	private void register(RunnerRecord runner) {
 		this.runners.put(runner.key(), new FakeRunner(runner.key()));
-		commit(List.of(new BatchCommand.RegisterRunner(runner)));
+		commit(List.of(new BatchCommand.RegisterRunner(runner, OptionalLong.of(1))));
 	}
 
 	private void run(int millis) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -333,6 +333,20 @@
 		}
 	}
 
+	/** Guards against a late announcement that changes the state or leaves no trace. */
+	@Test
+	void aLateAnnouncementIsAcknowledgedWithoutEffectAndLeavesAnEvent() {
+		lead();
+		RunnerRecord draining = new RunnerRecord(RUNNER.key(), RUNNER.host(), RUNNER.pool(), RUNNER.address(),
+				RUNNER.dataCentre(), RUNNER.rack(), RUNNER.capacity(), RUNNER.labels(), true);
+		commit(2, new BatchCommand.RegisterRunner(draining, OptionalLong.of(6)));
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Announce(RUNNER, 5), replyPort()));
+		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Accepted());
+		Event outdated = nextEvent(EventKind.ANNOUNCEMENT_OUTDATED, "READY");
+		Truth.assertThat(outdated.fields()).containsEntry(EventField.SEQUENCE, "5");
+		Truth.assertThat(outdated.fields()).containsEntry(EventField.RUNNER, "runner@5");
+	}
+
 	private static RunnerReply emptyListing() {
 		return new RunnerReply.Listing(1, OptionalLong.of(RUNNER.key().bornMillis()), List.of(), List.of(), true);
 	}
@@ -352,7 +366,7 @@
 	private void lead() {
 		this.scheduler.tell(new SchedulerCommand.AttachConsensus(this.consensus.getRef()));
 		report(new ConsensusReport.LeadershipChanged(true, TERM, Optional.of(SELF)));
-		commit(1, new BatchCommand.RegisterRunner(RUNNER));
+		commit(1, new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(1)));
 	}
 
 	private void commit(long index, BatchCommand command) {
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.Set;
 
@@ -96,7 +97,7 @@
 		for (int number = 0; number < load.runners(); number++) {
 			StandInRunner runner = new StandInRunner(number, "pool" + number % POOLS, TASK_MILLIS);
 			this.runners.put(runner.runner().key(), runner);
-			apply(List.of(new BatchCommand.RegisterRunner(runner.runner())));
+			apply(List.of(new BatchCommand.RegisterRunner(runner.runner(), OptionalLong.of(1))));
 		}
 		for (int number = 0; number < load.waitingJobs(); number++) {
 			submit(1, TOO_MANY_MILLICORES + number);
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.google.common.truth.Truth;
 import io.burdockpin.codec.exc.CodecException;
 import io.burdockpin.core.batch.call.CallMessage;
@@ -67,7 +69,7 @@
 			new BatchCommand.NoteEnds(RUNNER, List.of(new BatchCommand.End(7, TASK, 1, RunOutcome.DONE, "saved")),
 					List.of("job")),
 			new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(TASK, 1, ""))),
-			new BatchCommand.RegisterRunner(RECORD), new BatchCommand.RemoveRunner(RUNNER),
+			new BatchCommand.RegisterRunner(RECORD, OptionalLong.of(1)), new BatchCommand.RemoveRunner(RUNNER),
 			new BatchCommand.StartWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
 			new BatchCommand.SetUpkeep(1, "m1", MaintenancePhase.ORDERED),
 			new BatchCommand.SetMove("m2", "pool", MovePhase.ORDERED));
@@ -90,6 +92,32 @@
 			.isEqualTo(new CommandGroup(99, List.of(new BatchCommand.NoteEnds(RUNNER, List.of(), List.of()))));
 	}
 
+	/** Guards against a member that cannot read its log after an upgrade. */
+	@Test
+	void anEarlierRegistrationHasNoSequenceNumber() throws IOException {
+		Map<String, Object> registration = Map.of("type", "RegisterRunner", "runner", RECORD);
+		byte[] encoded = BatchCborMapper.INSTANCE
+			.writeValueAsBytes(Map.of("atMillis", 99, "commands", List.of(registration)));
+		Truth.assertThat(new CborCommandGroupCodec().decode(encoded))
+			.isEqualTo(new CommandGroup(99, List.of(new BatchCommand.RegisterRunner(RECORD, OptionalLong.empty()))));
+	}
+
+	/** Guards against a member that cannot read its snapshot after an upgrade. */
+	@Test
+	void anEarlierSnapshotHasNoSequenceNumbers() throws IOException {
+		BatchState state = new BatchState();
+		state.apply(new CommandGroup(99, COMMANDS.subList(0, 2)));
+		state.apply(new CommandGroup(100, COMMANDS.subList(7, 8)));
+		Map<String, Object> encoded = BatchCborMapper.INSTANCE
+			.readValue(new CborBatchSnapshotCodec().encode(state.snapshot()), new TypeReference<Map<String, Object>>() {
+			});
+		encoded.remove("registeredSequences");
+		BatchSnapshot decoded = new CborBatchSnapshotCodec()
+			.decode(BatchCborMapper.INSTANCE.writeValueAsBytes(encoded));
+		Truth.assertThat(decoded.registeredSequences()).isEmpty();
+		Truth.assertThat(BatchState.restore(decoded).runner(RUNNER)).hasValue(RECORD);
+	}
+
 	@Test
 	void aSnapshotIsDecodedAsItWasEncoded() {
 		BatchState state = new BatchState();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -82,7 +83,11 @@
 
 	private final Map<RunnerKey, RunnerSession> sessions = new LinkedHashMap<>();
 
-	private final Map<String, Long> sequences = new HashMap<>();
+	/**
+	 * Sequence number of the latest announcement in this term. At least that of the
+	 * registration, since announcements without changes are not committed.
+	 */
+	private final Map<RunnerKey, Long> announcedSequences = new HashMap<>();
 
 	private final Map<RunnerKey, Long> announcedMillis = new HashMap<>();
 
@@ -269,20 +274,29 @@
 	 * nothing changed or the runner cannot be used
 	 */
 	public Optional<BatchCommand> onAnnouncement(RunnerRecord runner, long sequence, long nowMillis) {
-		if (!isPoolKnown(runner)) {
+		if (!isPoolKnown(runner) || isOutdated(runner.key(), sequence)) {
 			return Optional.empty();
 		}
-		String incarnation = runner.key().toString();
-		if (sequence < this.sequences.getOrDefault(incarnation, Long.MIN_VALUE)) {
-			return Optional.empty();
-		}
-		this.sequences.put(incarnation, sequence);
+		this.announcedSequences.put(runner.key(), sequence);
 		this.announcedMillis.put(runner.key(), nowMillis);
 		if (!runner.draining()) {
 			session(runner.key()).ifPresent(RunnerSession::onReady);
 		}
 		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent();
-		return isKnown ? Optional.empty() : Optional.of(new BatchCommand.RegisterRunner(runner));
+		return isKnown ? Optional.empty()
+				: Optional.of(new BatchCommand.RegisterRunner(runner, OptionalLong.of(sequence)));
+	}
+
+	/**
+	 * Tells whether an announcement was overtaken by a later one of the same incarnation,
+	 * which a leader of any term has acknowledged.
+	 * @param incarnation incarnation of the runner
+	 * @param sequence number that increases with each announcement of an incarnation
+	 * @return {@code true} if the announcement must have no effect
+	 */
+	public boolean isOutdated(RunnerKey incarnation, long sequence) {
+		return sequence < this.announcedSequences.getOrDefault(incarnation, Long.MIN_VALUE)
+				|| this.state.isOutdated(incarnation, sequence);
 	}
 
 	// An announcement of another writer may name a pool that does not exist. It must not
@@ -672,6 +686,7 @@
 		this.pendingFirstContacts.retainAll(known);
 		this.pendingRepeatedContacts.retainAll(known);
 		this.announcedMillis.keySet().retainAll(known);
+		this.announcedSequences.keySet().retainAll(known);
 		this.endingIncarnations.retainAll(known);
 		this.removedIncarnations.retainAll(known);
 		this.reliability.retainAll(known);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
@@ -186,15 +187,18 @@
 
 	/**
 	 * Registers a runner or updates its attributes. A new incarnation removes the earlier
-	 * ones with the same identifier or on the same host and ends their runs.
+	 * ones with the same identifier or on the same host and ends their runs. Refused if a
+	 * later announcement of the incarnation is registered.
 	 *
 	 * @param runner the attributes of the runner
+	 * @param sequence the sequence number of the announcement; empty in commands of
+	 * earlier versions, which apply in the order of the log
 	 */
-	record RegisterRunner(RunnerRecord runner) implements BatchCommand {
+	record RegisterRunner(RunnerRecord runner, OptionalLong sequence) implements BatchCommand {
 
 		@Override
 		public CommandResult applyTo(BatchState state, long atMillis) {
-			return state.register(this.runner);
+			return state.register(this.runner, this.sequence);
 		}
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
@@ -25,9 +25,16 @@
  * @param moves the moves of hosts that are not completed
  * @param hostOrderMillis when the last order about each host was committed, in
  * milliseconds since 1970
+ * @param registeredSequences sequence number of the announcement that each runner was
+ * registered with, by identifier; empty in snapshots of earlier versions
  */
 public record BatchSnapshot(Optional<FleetConfiguration> configuration, List<JobImage> jobs, List<RunnerRecord> runners,
-		List<Run> runs, List<WaveImage> waves, List<HostMove> moves, Map<String, Long> hostOrderMillis) {
+		List<Run> runs, List<WaveImage> waves, List<HostMove> moves, Map<String, Long> hostOrderMillis,
+		Map<String, Long> registeredSequences) {
+
+	public BatchSnapshot {
+		registeredSequences = Optional.ofNullable(registeredSequences).map(Map::copyOf).orElse(Map.of());
+	}
 
 	/**
 	 * Snapshot of a {@link BatchJob}.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -48,6 +49,13 @@
 	/** The runners by host; the leader looks up each host several times a second. */
 	private final Map<String, RunnerRecord> runnersByHost = new HashMap<>();
 
+	/**
+	 * Sequence number of the announcement that each runner was registered with, by
+	 * identifier. It lasts as long as the registration, so that no leader takes an
+	 * earlier announcement for a later one.
+	 */
+	private final Map<String, Long> registeredSequences = new TreeMap<>();
+
 	private final Map<Long, WaveProgress> waves = new TreeMap<>();
 
 	private final Map<String, HostMove> moves = new TreeMap<>();
@@ -119,6 +127,31 @@
 		return runner(incarnation.id()).filter((known) -> known.key().equals(incarnation));
 	}
 
+	/**
+	 * Tells whether an announcement is earlier than the one that its incarnation is
+	 * registered with.
+	 * @param incarnation the incarnation of the runner
+	 * @param sequence the sequence number of the announcement
+	 * @return {@code false} if the incarnation is not registered or its sequence number
+	 * is not known
+	 */
+	public boolean isOutdated(RunnerKey incarnation, long sequence) {
+		OptionalLong registered = registeredSequence(incarnation);
+		return registered.isPresent() && sequence < registered.getAsLong();
+	}
+
+	/**
+	 * Returns the sequence number of the announcement that an incarnation is registered
+	 * with.
+	 * @param incarnation the identifier of the runner and its start time
+	 * @return empty if the incarnation is not registered, or only by commands of earlier
+	 * versions
+	 */
+	public OptionalLong registeredSequence(RunnerKey incarnation) {
+		Long sequence = runner(incarnation).isPresent() ? this.registeredSequences.get(incarnation.id()) : null;
+		return (sequence != null) ? OptionalLong.of(sequence) : OptionalLong.empty();
+	}
+
 	/**
 	 * Finds the runner on a host.
 	 * @param host the name of the host
@@ -355,19 +388,24 @@
 			.ifPresent((run) -> endRun(run, release.checkpoint()));
 	}
 
-	CommandResult register(RunnerRecord runner) {
+	CommandResult register(RunnerRecord runner, OptionalLong sequence) {
 		List<RunnerRecord> known = Stream.of(runner(runner.key().id()), runner.host().flatMap(this::runnerOn))
 			.flatMap(Optional::stream)
 			.toList();
 		if (known.stream().anyMatch((other) -> other.key().bornMillis() > runner.key().bornMillis())) {
 			return CommandResult.REFUSED;
 		}
+		if (sequence.isPresent() && isOutdated(runner.key(), sequence.getAsLong())) {
+			return CommandResult.REFUSED;
+		}
+		OptionalLong registered = sequence.isPresent() ? sequence : registeredSequence(runner.key());
 		known.stream().filter((other) -> !other.key().equals(runner.key())).forEach((earlier) -> {
 			this.runs.on(earlier.key()).forEach((run) -> endRun(run, ""));
 			removeRunner(earlier);
 		});
 		runner(runner.key().id()).ifPresent(this::removeRunner);
 		putRunner(runner);
+		registered.ifPresent((number) -> this.registeredSequences.put(runner.key().id(), number));
 		return CommandResult.APPLIED;
 	}
 
@@ -431,7 +469,8 @@
 				List.copyOf(this.runners.values()),
 				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
 				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList(),
-				List.copyOf(this.moves.values()), Map.copyOf(this.hostOrderMillis));
+				List.copyOf(this.moves.values()), Map.copyOf(this.hostOrderMillis),
+				Map.copyOf(this.registeredSequences));
 	}
 
 	/**
@@ -457,6 +496,7 @@
 		ended.sort(Comparator.comparingLong(EndedJob::endedMillis));
 		state.endedJobs.addAll(ended);
 		snapshot.runners().forEach(state::putRunner);
+		state.registeredSequences.putAll(snapshot.registeredSequences());
 		// Earlier versions kept runs of runners that are not registered.
 		snapshot.runs().stream().filter((run) -> state.runner(run.runner()).isPresent()).forEach((run) -> {
 			state.runs.add(run);
@@ -541,7 +581,9 @@
 	}
 
 	private void removeRunner(RunnerRecord runner) {
-		this.runners.remove(runner.key().id(), runner);
+		if (this.runners.remove(runner.key().id(), runner)) {
+			this.registeredSequences.remove(runner.key().id());
+		}
 		this.runnersByHost.remove(runner.hostOrId(), runner);
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -104,6 +104,9 @@
 	/** Number of a maintenance wave. */
 	WAVE("wave"),
 
+	/** Sequence number of the announcement of a runner. */
+	SEQUENCE("sequence"),
+
 	/** Version of the configuration. */
 	VERSION("version"),
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -51,6 +51,9 @@
 	/** A runner was attached or reconnected. */
 	RUNNER_ATTACHED,
 
+	/** A late announcement of a runner had no effect, because a later one is known. */
+	ANNOUNCEMENT_OUTDATED,
+
 	/** A runner left, was lost or was excluded from routing. */
 	RUNNER_REMOVED,
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/AnnouncementThrottleTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/AnnouncementThrottleTests.java
@@ -56,7 +56,7 @@
 	}
 
 	private void register(RunnerRecord runner) {
-		this.state.apply(new CommandGroup(1_000, List.of(new BatchCommand.RegisterRunner(runner))));
+		this.state.apply(new CommandGroup(1_000, List.of(BatchFixtures.register(runner))));
 	}
 
 	private boolean acknowledges(RunnerRecord runner, long nowMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
@@ -45,7 +45,7 @@
 		BatchState state = new BatchState();
 		List<BatchCommand> runners = new ArrayList<>();
 		for (int number = 0; number < runnerCount; number++) {
-			runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
+			runners.add(BatchFixtures.register(BatchFixtures.runner("runner" + number, "pool", 1)));
 		}
 		state.apply(new CommandGroup(this.nowMillis, runners));
 		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, this.nowMillis);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -314,7 +314,7 @@
 		BatchState state = new BatchState();
 		state.apply(new CommandGroup(1_000,
 				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
-						new BatchCommand.RegisterRunner(runner),
+						BatchFixtures.register(runner),
 						new BatchCommand.SubmitJob("job", "queue-pool", "team",
 								BatchFixtures.job(BatchFixtures.step(1))),
 						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))),
@@ -353,8 +353,8 @@
 		Truth.assertThat(starts(leader, 99_950)).hasSize(1);
 		RunnerRecord other = BatchFixtures.runner("r2", "pool", 1);
 		commit(leader, state, 100_000, new BatchCommand.RemoveRunner(runner.key()));
-		commit(leader, state, 100_000, new BatchCommand.RegisterRunner(runner));
-		commit(leader, state, 100_000, new BatchCommand.RegisterRunner(other));
+		commit(leader, state, 100_000, BatchFixtures.register(runner));
+		commit(leader, state, 100_000, BatchFixtures.register(other));
 		commit(leader, state, 100_000,
 				new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, other.key()))));
 		answerHeartbeat(leader, runner, List.of(new BatchCommand.End(1, task, 1, RunOutcome.DONE, "")), 100_010);
@@ -389,8 +389,7 @@
 		leader.onReply(late, new RunnerReply.Listing(14_000, OptionalLong.of(1), List.of(), List.of(), true), 15_020);
 		leader.decide(15_050, 15_050);
 		Truth.assertThat(starts(leader, 15_050)).isEmpty();
-		commit(leader, state, 15_060, new BatchCommand.RemoveRunner(runner.key()),
-				new BatchCommand.RegisterRunner(runner));
+		commit(leader, state, 15_060, new BatchCommand.RemoveRunner(runner.key()), BatchFixtures.register(runner));
 		answerHeartbeat(leader, runner, List.of(), 15_100);
 		Truth.assertThat(starts(leader, 15_150)).isEmpty();
 	}
@@ -429,7 +428,7 @@
 		BatchState state = new BatchState();
 		state.apply(new CommandGroup(1_000, List.of(
 				new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
-				new BatchCommand.RegisterRunner(runner),
+				BatchFixtures.register(runner),
 				new BatchCommand.SubmitJob("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))))));
 		return state;
 	}
@@ -481,7 +480,7 @@
 				new BatchCommand.SetUpkeep(1, "host-r1", MaintenancePhase.PENDING));
 		state.apply(new CommandGroup(1_000,
 				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
-						new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 1)),
+						BatchFixtures.register(BatchFixtures.runner("r1", "pool", 1)),
 						new BatchCommand.StartWave(new MaintenanceWave(1, List.of("host-r1"), 60_000, 1, 1_000)))));
 		state.apply(new CommandGroup(50_000, ordered));
 		ordered.forEach((command) -> history.onApplied(command, 1, 900));
@@ -581,7 +580,7 @@
 		List<BatchCommand> commands = new ArrayList<>();
 		commands.add(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")));
 		for (int number = 10; number < 30; number++) {
-			commands.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("r" + number, "pool", 1)));
+			commands.add(BatchFixtures.register(BatchFixtures.runner("r" + number, "pool", 1)));
 		}
 		commands
 			.add(new BatchCommand.SubmitJob("ends", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -362,7 +362,7 @@
 
 	private void addRunner(String id, String pool) {
 		RunnerRecord runner = BatchFixtures.runner(id, pool, 1);
-		apply(new BatchCommand.RegisterRunner(runner));
+		apply(BatchFixtures.register(runner));
 		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 1, this.nowMillis);
 		this.sessions.put(runner.key(), session);
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
@@ -38,7 +38,7 @@
 		this.workMillis = workMillis;
 		BatchState state = new BatchState();
 		for (int number = 0; number < runnerCount; number++) {
-			this.runners.add(new BatchCommand.RegisterRunner(BatchFixtures.runner("runner" + number, "pool", 1)));
+			this.runners.add(BatchFixtures.register(BatchFixtures.runner("runner" + number, "pool", 1)));
 		}
 		state.apply(new CommandGroup(this.nowMillis, List.copyOf(this.runners)));
 		this.leader = new FleetLeader(state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), 2, this.nowMillis);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -339,7 +339,7 @@
 	private void addRunner(String id) {
 		RunnerRecord runner = BatchFixtures.runner(id, "pool", 1);
 		this.runners.add(runner);
-		apply(new BatchCommand.RegisterRunner(runner));
+		apply(BatchFixtures.register(runner));
 	}
 
 	private void submit(String id, long acceptedMillis, StepSpec step) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -364,7 +364,7 @@
 	}
 
 	private void register(RunnerRecord runner) {
-		apply(new BatchCommand.RegisterRunner(runner));
+		apply(BatchFixtures.register(runner));
 		this.sessions.keySet().removeIf((key) -> key.id().equals(runner.key().id()));
 		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 1, this.nowMillis);
 		this.sessions.put(runner.key(), session);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.burdockpin.core.batch.model.BatchPool;
@@ -69,6 +70,17 @@
 		return new JobSpec("specification", List.of(steps), 0, 0, 0);
 	}
 
+	/** Returns the announcement of the same runner once it drains. */
+	public static RunnerRecord draining(RunnerRecord runner) {
+		return new RunnerRecord(runner.key(), runner.host(), runner.pool(), runner.address(), runner.dataCentre(),
+				runner.rack(), runner.capacity(), runner.labels(), true);
+	}
+
+	/** Registers a runner by its first announcement. */
+	public static BatchCommand.RegisterRunner register(RunnerRecord runner) {
+		return new BatchCommand.RegisterRunner(runner, OptionalLong.of(1));
+	}
+
 	/** Adds a run that no assignment leads to. */
 	public static void plantRun(BatchState state, Run run) {
 		state.runs().add(run);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.core.batch.state;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
@@ -27,7 +28,7 @@
 	@BeforeEach
 	void configure() {
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")));
-		apply(new BatchCommand.RegisterRunner(RUNNER));
+		apply(BatchFixtures.register(RUNNER));
 	}
 
 	/**
@@ -162,7 +163,7 @@
 	@Test
 	void anAssignmentToAReplacedRunnerLeavesItsTaskWaiting() {
 		submit("job", BatchFixtures.step(1));
-		apply(new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 20)));
+		apply(BatchFixtures.register(BatchFixtures.runner("r1", "pool", 20)));
 		assign("job", 0, 0, 1);
 		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
 		Truth.assertThat(this.state.runs().runners()).isEmpty();
@@ -185,8 +186,8 @@
 	void aGangWithAMemberOnAReplacedRunnerIsNotAssigned() {
 		submit("gang", BatchFixtures.gang(2));
 		RunnerRecord other = BatchFixtures.runner("r2", "pool", 10);
-		apply(new BatchCommand.RegisterRunner(other));
-		apply(new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 20)));
+		apply(BatchFixtures.register(other));
+		apply(BatchFixtures.register(BatchFixtures.runner("r1", "pool", 20)));
 		apply(new BatchCommand.AssignRuns(
 				List.of(new BatchCommand.Assignment(new TaskId("gang", 0, 0, 0), 1, RUNNER.key()),
 						new BatchCommand.Assignment(new TaskId("gang", 0, 0, 1), 1, other.key()))));
@@ -204,7 +205,7 @@
 		assign("job", 0, 0, 1);
 		BatchSnapshot stored = this.state.snapshot();
 		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), stored.jobs(), List.of(),
-				stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis()));
+				stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis(), stored.registeredSequences()));
 		Truth.assertThat(restored.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
 		Truth.assertThat(restored.runs().chargedTo("team")).isEqualTo(Resources.NONE);
 	}
@@ -278,8 +279,9 @@
 				new BatchSnapshot.TaskImage(false, 1, 0, "first"), new BatchSnapshot.TaskImage(false, 1, 0, "second")));
 		BatchSnapshot.JobImage mixed = new BatchSnapshot.JobImage(job.id(), job.queue(), job.workspace(), job.spec(),
 				job.acceptedMillis(), job.phase(), 0, 0, List.of(new BatchSnapshot.OccurrenceImage(0, List.of(step))));
-		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), List.of(mixed),
-				stored.runners(), stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis()));
+		BatchState restored = BatchState
+			.restore(new BatchSnapshot(stored.configuration(), List.of(mixed), stored.runners(), stored.runs(),
+					stored.waves(), stored.moves(), stored.hostOrderMillis(), stored.registeredSequences()));
 		List<String> checkpoints = restored.step(member(0))
 			.get()
 			.tasks()
@@ -331,10 +333,43 @@
 	void aNewIncarnationOfARunnerEndsTheRunsOfTheEarlierOne() {
 		submit("job", BatchFixtures.step(1));
 		assign("job", 0, 0, 1);
-		Truth.assertThat(apply(new BatchCommand.RegisterRunner(BatchFixtures.runner("r1", "pool", 20))))
+		Truth.assertThat(apply(BatchFixtures.register(BatchFixtures.runner("r1", "pool", 20))))
 			.isEqualTo(CommandResult.APPLIED);
 		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
-		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER))).isEqualTo(CommandResult.REFUSED);
+		Truth.assertThat(apply(BatchFixtures.register(RUNNER))).isEqualTo(CommandResult.REFUSED);
+	}
+
+	/**
+	 * Guards against a draining that ends because an earlier announcement is committed
+	 * after the later one.
+	 */
+	@Test
+	void anAnnouncementIsRefusedIfALaterOneIsRegistered() {
+		apply(new BatchCommand.RegisterRunner(BatchFixtures.draining(RUNNER), OptionalLong.of(6)));
+		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(5))))
+			.isEqualTo(CommandResult.REFUSED);
+		Truth.assertThat(this.state.runner(RUNNER.key())).hasValue(BatchFixtures.draining(RUNNER));
+		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(7))))
+			.isEqualTo(CommandResult.APPLIED);
+	}
+
+	/** A leader of an earlier version commits no sequence numbers. */
+	@Test
+	void aRegistrationWithoutASequenceNumberKeepsTheOneThatIsKnown() {
+		apply(new BatchCommand.RegisterRunner(BatchFixtures.draining(RUNNER), OptionalLong.of(6)));
+		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.empty())))
+			.isEqualTo(CommandResult.APPLIED);
+		Truth.assertThat(this.state.registeredSequence(RUNNER.key())).isEqualTo(OptionalLong.of(6));
+	}
+
+	/** Guards against sequence numbers that are kept for runners that are gone. */
+	@Test
+	void theSequenceNumberOfARunnerIsForgottenWithItsRegistration() {
+		apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(6)));
+		apply(BatchFixtures.register(BatchFixtures.runner("r1", "pool", 20)));
+		Truth.assertThat(this.state.registeredSequence(RUNNER.key())).isEqualTo(OptionalLong.empty());
+		apply(new BatchCommand.RemoveRunner(new RunnerKey("r1", 20)));
+		Truth.assertThat(this.state.snapshot().registeredSequences()).isEmpty();
 	}
 
 	@Test
