Commit the departure of a runner before it is acknowledged

Callers could see tasks wait on a runner that had left: a departure (DELETE) was a flag in one leader's session, so the next leader assigned tasks to the runner until it was found to be silent.

Change: a departure registers the runner as draining, with the sequence number after the latest one known. It is acknowledged once that is committed.

aDepartureIsNotAcknowledgedBeforeAMajorityHasConfirmedTheLeadership expected the answer after a confirmed read. It now uses a departure that changes nothing; two tests require the commit for the others.

Measured: aDepartureIsCommittedBeforeItIsAcknowledged and aDepartureIsNotAcknowledgedIfTheLeaderStepsDownBeforeItIsCommitted failed before the change and pass now, with FleetLeaderTests, FleetProgressTests and FleetSequenceTests.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -224,9 +224,7 @@
 			onAnnounce(announce, replyTo);
 		}
 		else if (call instanceof FleetCall.Leave leave) {
-			this.leader.get().onDeparture(leave.runner());
-			// A departure is known only to the leader that acknowledges it.
-			replyWhenConfirmed(replyTo, () -> replyTo.send(new FleetReply.Accepted()));
+			onLeave(leave, replyTo);
 		}
 		else if (call instanceof FleetCall.Join join) {
 			onJoin(join, replyTo);
@@ -270,6 +268,17 @@
 		}
 	}
 
+	private void onLeave(FleetCall.Leave call, ReplyPort replyTo) {
+		Optional<BatchCommand> command = this.leader.get().onDeparture(call.runner());
+		if (command.isPresent()) {
+			commit(command.get(), replyTo);
+		}
+		else {
+			// A deposed leader may not know the runner or its latest state.
+			replyWhenConfirmed(replyTo, () -> replyTo.send(new FleetReply.Accepted()));
+		}
+	}
+
 	private void onJoin(FleetCall.Join join, ReplyPort replyTo) {
 		Member member = new Member(new MemberId(new HostName(join.host()), join.incarnation()), MemberRole.LEARNER,
 				join.address());
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -110,13 +110,41 @@
 	}
 
 	/**
-	 * Guards against a departure that only a deposed leader knows of, so that the runner
-	 * does not announce it to the present one.
+	 * Guards against a departure that is known only to the leader that acknowledges it:
+	 * the next one would assign tasks to the runner.
 	 */
 	@Test
-	void aDepartureIsNotAcknowledgedBeforeAMajorityHasConfirmedTheLeadership() {
+	void aDepartureIsCommittedBeforeItIsAcknowledged() {
 		lead();
 		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Leave("runner"), replyPort()));
+		ConsensusCommand.Propose proposal = nextProposal();
+		this.replies.expectNoMessage(Duration.ofMillis(100));
+		report(new ConsensusReport.Proposed(proposal.tag(), 2));
+		report(new ConsensusReport.Committed(
+				List.of(new LogEntry(2, TERM, new EntryContent.CommandContent(proposal.payload()))), false));
+		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Accepted());
+		Truth.assertThat(nextEvent(EventKind.RUNNER_ATTACHED, "DRAINING").fields())
+			.containsEntry(EventField.RUNNER, "runner@5");
+	}
+
+	/** Guards against an acknowledgement by a leader that was deposed meanwhile. */
+	@Test
+	void aDepartureIsNotAcknowledgedIfTheLeaderStepsDownBeforeItIsCommitted() {
+		lead();
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Leave("runner"), replyPort()));
+		report(new ConsensusReport.Proposed(nextProposal().tag(), 2));
+		report(new ConsensusReport.LeadershipChanged(false, TERM + 1, Optional.empty()));
+		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Unknown());
+	}
+
+	/**
+	 * Guards against a deposed leader that acknowledges the departure of a runner that
+	 * only the present one knows.
+	 */
+	@Test
+	void aDepartureThatChangesNothingIsNotAcknowledgedBeforeAMajorityHasConfirmedTheLeadership() {
+		lead();
+		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Leave("unknown"), replyPort()));
 		this.replies.expectNoMessage(Duration.ofMillis(100));
 		completeReads(false);
 		completeReads(false);
@@ -337,9 +365,7 @@
 	@Test
 	void aLateAnnouncementIsAcknowledgedWithoutEffectAndLeavesAnEvent() {
 		lead();
-		RunnerRecord draining = new RunnerRecord(RUNNER.key(), RUNNER.host(), RUNNER.pool(), RUNNER.address(),
-				RUNNER.dataCentre(), RUNNER.rack(), RUNNER.capacity(), RUNNER.labels(), true);
-		commit(2, new BatchCommand.RegisterRunner(draining, OptionalLong.of(6)));
+		commit(2, new BatchCommand.RegisterRunner(RUNNER.withoutNewTasks(), OptionalLong.of(6)));
 		this.scheduler.tell(new SchedulerCommand.Call(new FleetCall.Announce(RUNNER, 5), replyPort()));
 		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Accepted());
 		Event outdated = nextEvent(EventKind.ANNOUNCEMENT_OUTDATED, "READY");
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -312,11 +312,33 @@
 	}
 
 	/**
-	 * Handles the announcement that a runner is leaving.
+	 * Handles the announcement that a runner is leaving. It is registered as draining, so
+	 * that later leaders know of the departure too. A departure names no incarnation: if
+	 * it was of an earlier one, the next announcement of the runner ends the draining.
 	 * @param id identifier of the runner
+	 * @return command to commit before the departure is acknowledged, or empty if the
+	 * runner is not registered, is draining or is being removed
 	 */
-	public void onDeparture(String id) {
-		this.state.runner(id).flatMap((runner) -> session(runner.key())).ifPresent(RunnerSession::onDeparture);
+	public Optional<BatchCommand> onDeparture(String id) {
+		Optional<RunnerRecord> registered = this.state.runner(id);
+		registered.flatMap((runner) -> session(runner.key())).ifPresent(RunnerSession::onDeparture);
+		return registered.filter((runner) -> !runner.draining() && !this.removedIncarnations.contains(runner.key()))
+			.map((runner) -> new BatchCommand.RegisterRunner(runner.withoutNewTasks(),
+					departureSequence(runner.key())));
+	}
+
+	// A departure has no sequence number. It follows all announcements that are known,
+	// and
+	// precedes the next one if the runner goes on.
+	private OptionalLong departureSequence(RunnerKey incarnation) {
+		OptionalLong registered = this.state.registeredSequence(incarnation);
+		Long announced = this.announcedSequences.get(incarnation);
+		if (announced == null && registered.isEmpty()) {
+			return OptionalLong.empty();
+		}
+		long latest = Math.max(registered.orElse(Long.MIN_VALUE), (announced != null) ? announced : Long.MIN_VALUE);
+		this.announcedSequences.put(incarnation, latest + 1);
+		return OptionalLong.of(latest + 1);
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/RunnerRecord.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/RunnerRecord.java
@@ -25,6 +25,15 @@
 		labels = Set.copyOf(labels);
 	}
 
+	/**
+	 * Returns the attributes of the runner once it takes no new tasks.
+	 * @return the same runner, draining
+	 */
+	public RunnerRecord withoutNewTasks() {
+		return new RunnerRecord(this.key, this.host, this.pool, this.address, this.dataCentre, this.rack, this.capacity,
+				this.labels, true);
+	}
+
 	/**
 	 * Returns the name by which maintenance refers to the host.
 	 * @return the host, or the identifier of the runner if it announces no host
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
@@ -17,7 +17,7 @@
 
 	private static final RunnerRecord READY = BatchFixtures.runner("r1", "pool", 10);
 
-	private static final RunnerRecord DRAINING = BatchFixtures.draining(READY);
+	private static final RunnerRecord DRAINING = READY.withoutNewTasks();
 
 	private BatchState state = new BatchState();
 
@@ -77,8 +77,7 @@
 		this.leader = elect(3, 5_000);
 		Truth.assertThat(announce(BatchFixtures.runner("r1", "pool", 20), 1, 8_000)).isPresent();
 		Truth.assertThat(registered().draining()).isFalse();
-		Truth.assertThat(announce(BatchFixtures.draining(BatchFixtures.runner("r1", "pool", 20)), 2, 8_500))
-			.isPresent();
+		Truth.assertThat(announce(BatchFixtures.runner("r1", "pool", 20).withoutNewTasks(), 2, 8_500)).isPresent();
 	}
 
 	/** Guards against log entries for announcements that change nothing. */
@@ -91,6 +90,48 @@
 		Truth.assertThat(announce(READY, 4, 7_000)).isEmpty();
 	}
 
+	/**
+	 * Guards against tasks for a runner that has left: the departure must be known to
+	 * leaders that did not receive it.
+	 */
+	@Test
+	void aDepartureIsKnownToTheNextLeader() {
+		announce(READY, 4, 1_000);
+		depart();
+		Truth.assertThat(announce(READY, 4, 1_500)).isEmpty();
+		this.state = BatchState.restore(this.state.snapshot());
+		this.leader = elect(3, 5_000);
+		Truth.assertThat(registered().draining()).isTrue();
+		Truth.assertThat(announce(READY, 4, 8_000)).isEmpty();
+		Truth.assertThat(announce(READY, 3, 8_000)).isEmpty();
+		Truth.assertThat(registered().draining()).isTrue();
+	}
+
+	/**
+	 * Guards against the late departure of an earlier incarnation that idles a runner.
+	 */
+	@Test
+	void theNextAnnouncementOfARunnerThatGoesOnEndsItsDeparture() {
+		announce(READY, 4, 1_000);
+		depart();
+		Truth.assertThat(announce(READY, 5, 2_000)).isPresent();
+		Truth.assertThat(registered().draining()).isFalse();
+	}
+
+	/** Guards against a departure that registers a removed runner again. */
+	@Test
+	void theDepartureOfARunnerThatIsDrainingOrGoneChangesNothing() {
+		announce(READY.withoutNewTasks(), 4, 1_000);
+		Truth.assertThat(this.leader.onDeparture("r1")).isEmpty();
+		Truth.assertThat(this.leader.onDeparture("unknown")).isEmpty();
+	}
+
+	private void depart() {
+		BatchCommand departure = this.leader.onDeparture("r1").orElseThrow();
+		apply(departure);
+		this.leader.onApplied(departure, 1_000);
+	}
+
 	private FleetLeader elect(long term, long nowMillis) {
 		return new FleetLeader(this.state, SimulatedFleet.SETTINGS, new HostOrderHistory(0), term, nowMillis);
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
@@ -115,7 +115,8 @@
 	}
 
 	void depart(String id) {
-		this.leader.ifPresent((leading) -> leading.onDeparture(id));
+		this.leader.flatMap((leading) -> leading.onDeparture(id)).ifPresent((command) -> call(command, () -> {
+		}));
 		requestFlush();
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
@@ -70,12 +70,6 @@
 		return new JobSpec("specification", List.of(steps), 0, 0, 0);
 	}
 
-	/** Returns the announcement of the same runner once it drains. */
-	public static RunnerRecord draining(RunnerRecord runner) {
-		return new RunnerRecord(runner.key(), runner.host(), runner.pool(), runner.address(), runner.dataCentre(),
-				runner.rack(), runner.capacity(), runner.labels(), true);
-	}
-
 	/** Registers a runner by its first announcement. */
 	public static BatchCommand.RegisterRunner register(RunnerRecord runner) {
 		return new BatchCommand.RegisterRunner(runner, OptionalLong.of(1));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -345,10 +345,10 @@
 	 */
 	@Test
 	void anAnnouncementIsRefusedIfALaterOneIsRegistered() {
-		apply(new BatchCommand.RegisterRunner(BatchFixtures.draining(RUNNER), OptionalLong.of(6)));
+		apply(new BatchCommand.RegisterRunner(RUNNER.withoutNewTasks(), OptionalLong.of(6)));
 		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(5))))
 			.isEqualTo(CommandResult.REFUSED);
-		Truth.assertThat(this.state.runner(RUNNER.key())).hasValue(BatchFixtures.draining(RUNNER));
+		Truth.assertThat(this.state.runner(RUNNER.key())).hasValue(RUNNER.withoutNewTasks());
 		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(7))))
 			.isEqualTo(CommandResult.APPLIED);
 	}
@@ -356,7 +356,7 @@
 	/** A leader of an earlier version commits no sequence numbers. */
 	@Test
 	void aRegistrationWithoutASequenceNumberKeepsTheOneThatIsKnown() {
-		apply(new BatchCommand.RegisterRunner(BatchFixtures.draining(RUNNER), OptionalLong.of(6)));
+		apply(new BatchCommand.RegisterRunner(RUNNER.withoutNewTasks(), OptionalLong.of(6)));
 		Truth.assertThat(apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.empty())))
 			.isEqualTo(CommandResult.APPLIED);
 		Truth.assertThat(this.state.registeredSequence(RUNNER.key())).isEqualTo(OptionalLong.of(6));
