--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/AnnouncementThrottleTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/AnnouncementThrottleTests.java
@@ -4,7 +4,6 @@
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.RunnerRecord;
-import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
