--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/PendingProposals.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/PendingProposals.java
@@ -29,10 +29,17 @@
 		}
 	}
 
-	void onCommitted(long index) {
+	/**
+	 * Sends the replies to the commands of a log entry.
+	 * @param index the index of the entry
+	 * @param replies one reply for each command of the entry, in the same order
+	 */
+	void onCommitted(long index, List<FleetReply> replies) {
 		List<ReplyPort> waiters = this.byIndex.remove(index);
 		if (waiters != null) {
-			waiters.forEach((waiter) -> waiter.send(new FleetReply.Accepted()));
+			for (int number = 0; number < waiters.size(); number++) {
+				waiters.get(number).send(replies.get(number));
+			}
 		}
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -346,8 +346,8 @@
 			List<CommandResult> results = this.state.apply(group);
 			recordHostOrders(entry.term(), group, results);
 			this.leader.ifPresent((leading) -> onApplied(leading, entry.index(), group, results));
+			this.proposals.onCommitted(entry.index(), replies(group, results));
 		}
-		this.proposals.onCommitted(entry.index());
 		if (this.leads && this.leader.isEmpty() && !this.restartDue && entry.term() == this.term) {
 			logger.atInfo().log("Leads in term %d from log index %d.", this.term, entry.index());
 			this.events.leadershipChanged(true, this.term);
@@ -355,6 +355,14 @@
 		}
 	}
 
+	private List<FleetReply> replies(CommandGroup group, List<CommandResult> results) {
+		List<FleetReply> replies = new ArrayList<>(results.size());
+		for (int number = 0; number < results.size(); number++) {
+			replies.add(this.rules.reply(group.commands().get(number), results.get(number)));
+		}
+		return replies;
+	}
+
 	private void recordHostOrders(long entryTerm, CommandGroup group, List<CommandResult> results) {
 		for (int number = 0; number < results.size(); number++) {
 			if (results.get(number) == CommandResult.APPLIED) {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
@@ -37,6 +37,7 @@
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -315,7 +316,8 @@
 
 	private static BatchCommand submission(int job) {
 		return new BatchCommand.SubmitJob("job-" + job, "queue", "team",
-				new JobSpec(Integer.toString(300 + 10 * job), List.of(step()), 0, 0, 0));
+				new JobSpec(Integer.toString(300 + 10 * job), List.of(step()), 0, 0, 0),
+				Optional.of(new QueueAddress("host", "/queue/")));
 	}
 
 	private static StepSpec step() {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -177,19 +177,19 @@
 	void afterARejectedProposalDecisionsStartAgainOnceTheAcceptedOnesAreCommitted() {
 		lead();
 		announceNewRunner();
-		report(new ConsensusReport.Proposed(nextProposal().tag(), 2));
+		ConsensusCommand.Propose accepted = nextProposal();
+		report(new ConsensusReport.Proposed(accepted.tag(), 2));
 		announceNewRunner();
 		report(new ConsensusReport.NotProposed(nextProposal().tag()));
 		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
 		this.time.timePasses(Duration.ofMillis(80));
 		announceNewRunner();
 		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
-		Payload empty = Payload.of(new CborCommandGroupCodec().encode(new CommandGroup(1, List.of())));
-		report(new ConsensusReport.Committed(List.of(new LogEntry(2, TERM, new EntryContent.CommandContent(empty))),
-				false));
+		report(new ConsensusReport.Committed(
+				List.of(new LogEntry(2, TERM, new EntryContent.CommandContent(accepted.payload()))), false));
 		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.Accepted.class);
 		this.time.timePasses(Duration.ofMillis(40));
-		announceNewRunner();
+		announce("another-runner", "label");
 		nextProposal();
 	}
 
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
@@ -24,6 +24,7 @@
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.Workspace;
@@ -162,7 +163,8 @@
 		String id = "job%d".formatted(this.jobCount);
 		String queue = "queue%d".formatted(this.jobCount % POOLS);
 		apply(List
-			.of(new BatchCommand.SubmitJob(id, queue, "team", new JobSpec("specification", List.of(step), 0, 0, 0))));
+			.of(new BatchCommand.SubmitJob(id, queue, "team", new JobSpec("specification", List.of(step), 0, 0, 0),
+					Optional.of(new QueueAddress("host", "/" + queue + "/")))));
 		this.jobCount++;
 	}
 
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -9,7 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
-import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.truth.Truth;
 import io.burdockpin.codec.exc.CodecException;
 import io.burdockpin.core.batch.call.CallMessage;
@@ -22,6 +22,7 @@
 import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -63,8 +64,8 @@
 	 * type is missing here.
 	 */
 	private static final List<BatchCommand> COMMANDS = List.of(new BatchCommand.SetConfiguration(CONFIGURATION),
-			new BatchCommand.SubmitJob("job", "queue", "team", JOB), new BatchCommand.CancelJob("job"),
-			new BatchCommand.OpenOccurrence("job", 0),
+			new BatchCommand.SubmitJob("job", "queue", "team", JOB, Optional.of(new QueueAddress("host", "/queue/"))),
+			new BatchCommand.CancelJob("job"), new BatchCommand.OpenOccurrence("job", 0),
 			new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(TASK, 1, RUNNER))),
 			new BatchCommand.NoteEnds(RUNNER, List.of(new BatchCommand.End(7, TASK, 1, RunOutcome.DONE, "saved")),
 					List.of("job")),
@@ -102,20 +103,36 @@
 			.isEqualTo(new CommandGroup(99, List.of(new BatchCommand.RegisterRunner(RECORD, OptionalLong.empty()))));
 	}
 
+	/** Guards against a member that cannot read its log after an upgrade. */
+	@Test
+	void anEarlierSubmissionHasNoAddress() throws IOException {
+		Map<String, Object> submission = Map.of("type", "SubmitJob", "id", "job", "queue", "queue", "workspace", "team",
+				"spec", JOB);
+		byte[] encoded = BatchCborMapper.INSTANCE
+			.writeValueAsBytes(Map.of("atMillis", 99, "commands", List.of(submission)));
+		Truth.assertThat(new CborCommandGroupCodec().decode(encoded))
+			.isEqualTo(new CommandGroup(99,
+					List.of(new BatchCommand.SubmitJob("job", "queue", "team", JOB, Optional.empty()))));
+	}
+
 	/** Guards against a member that cannot read its snapshot after an upgrade. */
 	@Test
-	void anEarlierSnapshotHasNoSequenceNumbers() throws IOException {
+	void anEarlierSnapshotHasNeitherSequenceNumbersNorAddresses() throws IOException {
 		BatchState state = new BatchState();
 		state.apply(new CommandGroup(99, COMMANDS.subList(0, 2)));
 		state.apply(new CommandGroup(100, COMMANDS.subList(7, 8)));
-		Map<String, Object> encoded = BatchCborMapper.INSTANCE
-			.readValue(new CborBatchSnapshotCodec().encode(state.snapshot()), new TypeReference<Map<String, Object>>() {
-			});
-		encoded.remove("registeredSequences");
+		ObjectNode encoded = (ObjectNode) BatchCborMapper.INSTANCE
+			.readTree(new CborBatchSnapshotCodec().encode(state.snapshot()));
+		encoded.remove(List.of("registeredSequences", "retiredQueues"));
+		encoded.get("jobs").forEach((job) -> ((ObjectNode) job).remove("address"));
 		BatchSnapshot decoded = new CborBatchSnapshotCodec()
 			.decode(BatchCborMapper.INSTANCE.writeValueAsBytes(encoded));
 		Truth.assertThat(decoded.registeredSequences()).isEmpty();
-		Truth.assertThat(BatchState.restore(decoded).runner(RUNNER)).hasValue(RECORD);
+		Truth.assertThat(decoded.retiredQueues()).isEmpty();
+		Truth.assertThat(decoded.jobs().get(0).address()).isEmpty();
+		BatchState restored = BatchState.restore(decoded);
+		Truth.assertThat(restored.runner(RUNNER)).hasValue(RECORD);
+		Truth.assertThat(restored.job("job").orElseThrow().address()).hasValue(new QueueAddress("host", "/queue/"));
 	}
 
 	@Test
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -8,6 +8,7 @@
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandResult;
 import io.burdockpin.core.exc.InvalidValueException;
 
 /** Decides how the leader handles calls, based on the replicated state. Stateless. */
@@ -42,10 +43,10 @@
 			return submit(submit, queue.get(), owner, job, state);
 		}
 		if (call instanceof FleetCall.Look && job.isEmpty()) {
-			return new CallDecision.Answer(new FleetReply.QueueStatus(state.queuedJobCount(queue.get().name())));
+			return new CallDecision.Answer(new FleetReply.QueueStatus(state.queuedJobCount(queue.get().address())));
 		}
-		Optional<BatchJob> known = state.job(job)
-			.filter((found) -> found.queue().equals(queue.get().name()) && found.workspace().equals(owner));
+		Optional<BatchJob> known = state.jobAt(call.host(), call.path())
+			.filter((found) -> found.workspace().equals(owner));
 		if (known.isEmpty()) {
 			return refuse(FleetReply.Reason.NO_SUCH_JOB);
 		}
@@ -53,7 +54,7 @@
 			return new CallDecision.Answer(new FleetReply.JobStatus(known.get().phase()));
 		}
 		return known.get().phase().isEnded() ? new CallDecision.Answer(new FleetReply.Accepted())
-				: new CallDecision.Commit(new BatchCommand.CancelJob(job));
+				: new CallDecision.Commit(new BatchCommand.CancelJob(known.get().id()));
 	}
 
 	/**
@@ -101,6 +102,18 @@
 			.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_SUCH_WAVE, Optional.empty()));
 	}
 
+	/**
+	 * Returns the reply to a call whose command was committed.
+	 * @param command the command as committed
+	 * @param result its result in the replicated state
+	 * @return an acceptance, or a refusal if a command before it made it invalid
+	 */
+	public FleetReply reply(BatchCommand command, CommandResult result) {
+		boolean isRefused = command instanceof BatchCommand.SubmitJob && result == CommandResult.REFUSED;
+		return isRefused ? new FleetReply.Refused(FleetReply.Reason.NO_SUCH_QUEUE, Optional.empty())
+				: new FleetReply.Accepted();
+	}
+
 	private static CallDecision submit(FleetCall.Submit call, BatchQueue queue, String owner, String job,
 			BatchState state) {
 		if (job.isEmpty()) {
@@ -109,7 +122,8 @@
 		if (state.job(job).isPresent()) {
 			return new CallDecision.Answer(new FleetReply.Accepted());
 		}
-		return new CallDecision.Commit(new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec()));
+		return new CallDecision.Commit(
+				new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec(), Optional.of(queue.address())));
 	}
 
 	private static CallDecision refuse(FleetReply.Reason reason) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/DurationEstimator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/DurationEstimator.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.burdockpin.core.batch.model.QueueAddress;
+
 /**
  * Estimates task durations. Estimates given by callers are often inaccurate, by an amount
  * that differs between queues, so each queue has a linear regression of the logarithm of
@@ -22,7 +24,7 @@
 
 	private static final double SHORTEST_MILLIS = 20;
 
-	private final Map<String, Regression> byQueue = new HashMap<>();
+	private final Map<QueueAddress, Regression> byQueue = new HashMap<>();
 
 	/**
 	 * Adds the measured duration of a completed task.
@@ -30,7 +32,7 @@
 	 * @param estimatedMillis estimate given by the caller
 	 * @param measuredMillis measured duration
 	 */
-	public void addSample(String queue, int estimatedMillis, long measuredMillis) {
+	public void addSample(QueueAddress queue, int estimatedMillis, long measuredMillis) {
 		if (estimatedMillis > 0 && measuredMillis > 0) {
 			this.byQueue.computeIfAbsent(queue, (name) -> new Regression())
 				.add(Math.log(estimatedMillis), Math.log(Math.max(SHORTEST_MILLIS, measuredMillis)));
@@ -44,7 +46,7 @@
 	 * @return estimated duration in milliseconds; the caller's estimate if nothing was
 	 * measured in this queue
 	 */
-	public long estimateMillis(String queue, int estimatedMillis) {
+	public long estimateMillis(QueueAddress queue, int estimatedMillis) {
 		Regression regression = this.byQueue.get(queue);
 		if (regression == null || estimatedMillis <= 0) {
 			return estimatedMillis;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -621,8 +621,12 @@
 		Optional.ofNullable(this.assignedMillis.remove(end.task()))
 			.filter((startedMillis) -> end.outcome().isDone() && end.run() == 1)
 			.ifPresent((startedMillis) -> this.state.job(end.task().job())
-				.ifPresent((job) -> this.durationEstimator.addSample(job.queue(),
-						job.spec().steps().get(end.task().step()).estimatedMillis(), nowMillis - startedMillis)));
+				.ifPresent((job) -> recordDuration(job, end.task().step(), nowMillis - startedMillis)));
+	}
+
+	private void recordDuration(BatchJob job, int step, long millis) {
+		int estimatedMillis = job.spec().steps().get(step).estimatedMillis();
+		job.address().ifPresent((queue) -> this.durationEstimator.addSample(queue, estimatedMillis, millis));
 	}
 
 	private void onReleased(BatchCommand.Release release) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueKind.java
@@ -1,12 +1,9 @@
 package io.burdockpin.core.batch.lead;
 
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.burdockpin.core.batch.model.BatchQueue;
-import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchJob;
@@ -90,7 +87,8 @@
 
 	/**
 	 * A step whose tasks wait although the latest plan has left capacity free that they
-	 * may use.
+	 * may use. Includes a job of an earlier version whose queue is not known, since none
+	 * of its tasks is planned.
 	 */
 	STEP_NOT_PLANNED {
 
@@ -101,14 +99,12 @@
 
 		@Override
 		void findOpen(OpenWork work, Consumer<String> open) {
-			Map<String, BatchQueue> queues = work.state()
-				.configuration()
-				.map(FleetConfiguration::queuesByName)
-				.orElse(Map.of());
 			for (BatchJob job : work.state().activeJobs()) {
-				Optional.ofNullable(queues.get(job.queue()))
-					.ifPresent((queue) -> job.occurrences()
-						.forEach((occurrence) -> findSteps(work, job, queue, occurrence, open)));
+				job.configuredQueue()
+					.ifPresentOrElse(
+							(queue) -> job.occurrences()
+								.forEach((occurrence) -> findSteps(work, job, queue, occurrence, open)),
+							() -> open.accept(job.id() + " of unknown queue " + job.queueName()));
 			}
 		}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -62,10 +61,9 @@
 		Map<String, ResourceAmount> arrivedFirst = new HashMap<>();
 		Map<String, ResourceAmount> arrivedWork = new HashMap<>();
 		Set<String> present = new HashSet<>();
-		Map<String, BatchQueue> queues = configuration.queuesByName();
 		for (BatchJob job : this.state.activeJobs()) {
 			present.add(job.id());
-			Optional.ofNullable(queues.get(job.queue())).ifPresent((queue) -> {
+			job.configuredQueue().ifPresent((queue) -> {
 				String pool = queue.pool();
 				addWork(newWork.computeIfAbsent(pool, (name) -> new PoolWork()), job, queue, lookAheadMillis,
 						wallMillis);
@@ -172,7 +170,7 @@
 	}
 
 	private double durationMillis(BatchJob job, StepSpec step) {
-		return this.durations.estimateMillis(job.queue(), step.estimatedMillis());
+		return this.durations.estimateMillis(job.address().orElseThrow(), step.estimatedMillis());
 	}
 
 	private static int hostsFor(StepSpec step, int tasks, ResourceAmount host) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunSpec.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunSpec.java
@@ -4,6 +4,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchJob;
@@ -34,7 +35,7 @@
 	private static OptionalLong estimate(TaskId task, Optional<StepSpec> step, BatchState state,
 			DurationEstimator durations) {
 		boolean isPlain = step.filter((spec) -> !spec.longRunning() && !spec.gang() && !spec.fills()).isPresent();
-		Optional<String> queue = state.job(task.job()).map(BatchJob::queue);
+		Optional<QueueAddress> queue = state.job(task.job()).flatMap(BatchJob::address);
 		if (!isPlain || queue.isEmpty() || step.get().estimatedMillis() <= 0) {
 			return OptionalLong.empty();
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SlackCalculator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SlackCalculator.java
@@ -4,6 +4,7 @@
 
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.Occurrence;
@@ -28,19 +29,20 @@
 	 */
 	long slackMillis(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
 		JobSpec spec = job.spec();
+		QueueAddress address = job.address().orElseThrow();
 		long objectiveMillis = spec.dueMillis(occurrence.number(), job.acceptedMillis()) + queue.targetLatencyMillis()
-				+ (long) (queue.stretch() * criticalPathMillis(queue.name(), spec, 0));
-		return objectiveMillis - wallMillis - criticalPathMillis(queue.name(), spec, step);
+				+ (long) (queue.stretch() * criticalPathMillis(address, spec, 0));
+		return objectiveMillis - wallMillis - criticalPathMillis(address, spec, step);
 	}
 
 	/**
 	 * Returns the estimated duration of the longest chain of dependent steps.
-	 * @param queue name of the queue
+	 * @param queue address of the queue
 	 * @param spec specification of the job
 	 * @param firstStep first step of the chain, or 0 for the longest chain of the job
 	 * @return duration in milliseconds
 	 */
-	private long criticalPathMillis(String queue, JobSpec spec, int firstStep) {
+	private long criticalPathMillis(QueueAddress queue, JobSpec spec, int firstStep) {
 		List<StepSpec> steps = spec.steps();
 		long[] chains = new long[steps.size()];
 		long longest = 0;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
@@ -86,9 +86,8 @@
 		List<Candidate> candidates = candidates(state, runners, reliability);
 		candidates.forEach(round::add);
 		List<WorkItem> items = new ArrayList<>();
-		Map<String, BatchQueue> queues = configuration.queuesByName();
 		state.activeJobs()
-			.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
+			.forEach((job) -> job.configuredQueue()
 				.filter((queue) -> round.hasCandidates(queue.pool()))
 				.ifPresent((queue) -> addItems(items, job, queue, round, wallMillis)));
 		items.sort(WorkItem.ORDER);
@@ -102,7 +101,7 @@
 			state.activeJobs()
 				.stream()
 				.filter((job) -> job.spec().isLongRunning())
-				.forEach((job) -> Optional.ofNullable(queues.get(job.queue()))
+				.forEach((job) -> job.configuredQueue()
 					.ifPresent((queue) -> reserveForRestarts(round, job, queue, drainedRunners)));
 		}
 		return new Plan(round.assignments, round.poolsLackingCapacity, round.runnersForRestarts, candidates);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/BatchQueue.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/BatchQueue.java
@@ -6,7 +6,7 @@
 /**
  * A queue of jobs.
  *
- * @param name unique within a configuration
+ * @param name chosen by the operator; another configuration may name the queue otherwise
  * @param host the virtual host that callers address
  * @param pathPrefix the prefix of the paths that belong to the queue; starts with a slash
  * @param open whether callers need no key
@@ -30,4 +30,12 @@
 		Checks.range("maximumAttempts of queue " + name, maximumAttempts, 1, Integer.MAX_VALUE);
 	}
 
+	/**
+	 * Returns what identifies the queue across configurations.
+	 * @return the host and the path prefix
+	 */
+	public QueueAddress address() {
+		return new QueueAddress(this.host, this.pathPrefix);
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/FleetConfiguration.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/FleetConfiguration.java
@@ -70,20 +70,36 @@
 	}
 
 	/**
-	 * Finds a queue by its name.
+	 * Finds a queue by its address.
+	 * @param address the host and path prefix of the queue
+	 * @return empty if no queue has that address
+	 */
+	public Optional<BatchQueue> queueWith(QueueAddress address) {
+		return this.queues.stream()
+			.filter((queue) -> queue.pathPrefix().equals(address.pathPrefix()))
+			.filter((queue) -> queue.host().equalsIgnoreCase(address.host()))
+			.findFirst();
+	}
+
+	/**
+	 * Finds a queue by its name. Only for jobs of earlier versions, which were stored
+	 * with nothing else.
 	 * @param name the name of the queue
 	 * @return empty if no queue has that name
 	 */
-	public Optional<BatchQueue> queue(String name) {
+	public Optional<BatchQueue> queueNamed(String name) {
 		return this.queues.stream().filter((queue) -> queue.name().equals(name)).findFirst();
 	}
 
 	/**
-	 * Indexes the queues by name, for loops over many jobs.
-	 * @return a new map from name to queue
+	 * Indexes the queues by their addresses.
+	 * @return a new map from address to queue
 	 */
-	public Map<String, BatchQueue> queuesByName() {
-		return this.queues.stream().collect(Collectors.toMap(BatchQueue::name, Function.identity()));
+	public Map<QueueAddress, BatchQueue> queuesByAddress() {
+		// A configuration that an earlier version accepted may have two hosts that differ
+		// in case only; the first queue answers calls to both.
+		return this.queues.stream()
+			.collect(Collectors.toMap(BatchQueue::address, Function.identity(), (first, second) -> first));
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -7,6 +7,7 @@
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -39,15 +40,18 @@
 	}
 
 	/**
-	 * Accepts a job. Has no effect if a job with the same identifier exists.
+	 * Accepts a job. Has no effect if a job with the same identifier exists. Refused if
+	 * the configuration no longer has the queue.
 	 *
 	 * @param id the identifier of the job, chosen by the caller
-	 * @param queue the name of the queue
+	 * @param queue the name of the queue when the job was submitted
 	 * @param workspace the name of the workspace; empty for a job that was submitted to
 	 * an open queue without a key
 	 * @param spec the specification of the job
+	 * @param address identifies the queue; empty in commands of earlier versions
 	 */
-	record SubmitJob(String id, String queue, String workspace, JobSpec spec) implements BatchCommand {
+	record SubmitJob(String id, String queue, String workspace, JobSpec spec,
+			Optional<QueueAddress> address) implements BatchCommand {
 
 		@Override
 		public CommandResult applyTo(BatchState state, long atMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchJob.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchJob.java
@@ -6,14 +6,16 @@
 import java.util.TreeMap;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.QueueAddress;
 
 /** A job with its open occurrences. Mutable; owned by the {@link BatchState}. */
 public final class BatchJob {
 
 	private final String id;
 
-	private final String queue;
+	private final String queueName;
 
 	private final String workspace;
 
@@ -21,15 +23,22 @@
 
 	private final long acceptedMillis;
 
+	/** Empty in a job of an earlier version until a configuration has its queue. */
+	private Optional<QueueAddress> address;
+
+	private Optional<BatchQueue> configuredQueue = Optional.empty();
+
 	private final TreeMap<Integer, Occurrence> occurrences = new TreeMap<>();
 
 	private BatchJobPhase phase = BatchJobPhase.QUEUED;
 
 	private int doneOccurrences;
 
-	BatchJob(String id, String queue, String workspace, JobSpec spec, long acceptedMillis) {
+	BatchJob(String id, String queueName, Optional<QueueAddress> address, String workspace, JobSpec spec,
+			long acceptedMillis) {
 		this.id = id;
-		this.queue = queue;
+		this.queueName = queueName;
+		this.address = address;
 		this.workspace = workspace;
 		this.spec = spec;
 		this.acceptedMillis = acceptedMillis;
@@ -46,11 +55,38 @@
 	}
 
 	/**
-	 * Returns the queue.
-	 * @return the name of the queue
+	 * Returns the name that the queue had when the job was submitted.
+	 * @return a name that the configuration may no longer have, or has for another queue
+	 */
+	public String queueName() {
+		return this.queueName;
+	}
+
+	/**
+	 * Returns what identifies the queue of the job.
+	 * @return empty if the job is of an earlier version and its queue has not been found
+	 */
+	public Optional<QueueAddress> address() {
+		return this.address;
+	}
+
+	/**
+	 * Returns the queue as it was last configured. A queue that the configuration no
+	 * longer has still determines where and how often the tasks of its jobs run.
+	 * @return empty if the {@link #address} is
+	 */
+	public Optional<BatchQueue> configuredQueue() {
+		return this.configuredQueue;
+	}
+
+	/**
+	 * Tells whether callers address the job at a queue.
+	 * @param queue the address of the queue
+	 * @return {@code true} also if the queue of the job is not known, since no other job
+	 * has its identifier
 	 */
-	public String queue() {
-		return this.queue;
+	public boolean isAt(QueueAddress queue) {
+		return this.address.map(queue::equals).orElse(true);
 	}
 
 	/**
@@ -117,6 +153,11 @@
 
 	// changes
 
+	void setQueue(BatchQueue queue) {
+		this.address = Optional.of(queue.address());
+		this.configuredQueue = Optional.of(queue);
+	}
+
 	void open(Occurrence occurrence) {
 		this.occurrences.put(occurrence.number(), occurrence);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
@@ -7,10 +7,12 @@
 import java.util.Optional;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 
@@ -27,20 +29,23 @@
  * milliseconds since 1970
  * @param registeredSequences sequence number of the announcement that each runner was
  * registered with, by identifier; empty in snapshots of earlier versions
+ * @param retiredQueues the queues of active jobs that the configuration no longer has, as
+ * they were last configured; empty in snapshots of earlier versions
  */
 public record BatchSnapshot(Optional<FleetConfiguration> configuration, List<JobImage> jobs, List<RunnerRecord> runners,
 		List<Run> runs, List<WaveImage> waves, List<HostMove> moves, Map<String, Long> hostOrderMillis,
-		Map<String, Long> registeredSequences) {
+		Map<String, Long> registeredSequences, List<BatchQueue> retiredQueues) {
 
 	public BatchSnapshot {
 		registeredSequences = Optional.ofNullable(registeredSequences).map(Map::copyOf).orElse(Map.of());
+		retiredQueues = Optional.ofNullable(retiredQueues).map(List::copyOf).orElse(List.of());
 	}
 
 	/**
 	 * Snapshot of a {@link BatchJob}.
 	 *
 	 * @param id the identifier of the job
-	 * @param queue the name of its queue
+	 * @param queue the name that its queue had when it was submitted
 	 * @param workspace the name of its workspace; may be empty
 	 * @param spec the specification as submitted by the caller
 	 * @param acceptedMillis when it was accepted, in milliseconds since 1970
@@ -48,18 +53,21 @@
 	 * @param endedMillis when it ended, in milliseconds since 1970; 0 if it has not ended
 	 * @param doneOccurrences number of completed occurrences
 	 * @param occurrences the open occurrences
+	 * @param address identifies its queue; empty in snapshots of earlier versions
 	 */
 	public record JobImage(String id, String queue, String workspace, JobSpec spec, long acceptedMillis,
-			BatchJobPhase phase, long endedMillis, int doneOccurrences, List<OccurrenceImage> occurrences) {
+			BatchJobPhase phase, long endedMillis, int doneOccurrences, List<OccurrenceImage> occurrences,
+			Optional<QueueAddress> address) {
 
 		static JobImage of(BatchJob job, Map<String, Long> endedMillis) {
-			return new JobImage(job.id(), job.queue(), job.workspace(), job.spec(), job.acceptedMillis(), job.phase(),
-					endedMillis.getOrDefault(job.id(), 0L), job.doneOccurrences(),
-					job.occurrences().stream().map(OccurrenceImage::of).toList());
+			return new JobImage(job.id(), job.queueName(), job.workspace(), job.spec(), job.acceptedMillis(),
+					job.phase(), endedMillis.getOrDefault(job.id(), 0L), job.doneOccurrences(),
+					job.occurrences().stream().map(OccurrenceImage::of).toList(), job.address());
 		}
 
 		BatchJob toJob() {
-			BatchJob job = new BatchJob(this.id, this.queue, this.workspace, this.spec, this.acceptedMillis);
+			BatchJob job = new BatchJob(this.id, this.queue, this.address, this.workspace, this.spec,
+					this.acceptedMillis);
 			this.occurrences.forEach((image) -> job.open(image.toOccurrence(this.spec)));
 			job.restore(this.phase, this.doneOccurrences);
 			return job;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -22,6 +23,7 @@
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.MaintenanceWave;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
@@ -40,6 +42,9 @@
 
 	private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
 
+	/** Addresses of jobs that the configuration no longer has. */
+	private Set<QueueAddress> retiredAddresses = Set.of();
+
 	private final Map<String, BatchJob> activeJobs = new LinkedHashMap<>();
 
 	private final Deque<EndedJob> endedJobs = new ArrayDeque<>();
@@ -84,6 +89,26 @@
 		return Optional.ofNullable(this.jobs.get(id));
 	}
 
+	/**
+	 * Finds the job that a caller addresses. It is known under the path that it was
+	 * submitted to, whichever queue of the present configuration answers that path.
+	 * @param host the virtual host, in any case
+	 * @param path the path of the call
+	 * @return empty if no such job is known
+	 */
+	public Optional<BatchJob> jobAt(String host, String path) {
+		Stream<QueueAddress> configured = this.configuration.stream()
+			.flatMap((current) -> current.queues().stream())
+			.filter((queue) -> queue.host().equalsIgnoreCase(host))
+			.map(BatchQueue::address);
+		return Stream.concat(configured, this.retiredAddresses.stream())
+			.filter((address) -> address.contains(host, path))
+			.flatMap((address) -> job(path.substring(address.pathPrefix().length()))
+				.filter((found) -> found.isAt(address))
+				.stream())
+			.findFirst();
+	}
+
 	/**
 	 * Tells whether a job goes on.
 	 * @param id the identifier of the job
@@ -196,13 +221,14 @@
 
 	/**
 	 * Counts the jobs of a queue of which no runner has started a task yet.
-	 * @param queue the name of the queue
+	 * @param queue the address of the queue
 	 * @return the number of jobs in phase {@link BatchJobPhase#QUEUED}
 	 */
-	public long queuedJobCount(String queue) {
+	public long queuedJobCount(QueueAddress queue) {
 		return this.activeJobs.values()
 			.stream()
-			.filter((job) -> job.phase() == BatchJobPhase.QUEUED && job.queue().equals(queue))
+			.filter((job) -> job.phase() == BatchJobPhase.QUEUED)
+			.filter((job) -> job.address().filter(queue::equals).isPresent())
 			.count();
 	}
 
@@ -266,14 +292,40 @@
 			return CommandResult.UNCHANGED;
 		}
 		this.configuration = Optional.of(newer);
+		updateQueues(newer, Map.of());
 		return CommandResult.APPLIED;
 	}
 
+	// A job stays with the address of its queue. Jobs of earlier versions take the
+	// address
+	// of the first queue that has their name.
+	private void updateQueues(FleetConfiguration current, Map<QueueAddress, BatchQueue> retired) {
+		Map<QueueAddress, BatchQueue> queues = current.queuesByAddress();
+		for (BatchJob job : this.jobs.values()) {
+			Optional<BatchQueue> queue = job.address().isEmpty() ? current.queueNamed(job.queueName())
+					: job.address().map((address) -> queues.getOrDefault(address, retired.get(address)));
+			queue.ifPresent(job::setQueue);
+		}
+		this.retiredAddresses = this.jobs.values()
+			.stream()
+			.flatMap((job) -> job.address().stream())
+			.filter((address) -> !queues.containsKey(address))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	CommandResult submit(BatchCommand.SubmitJob command, long atMillis) {
 		if (this.jobs.containsKey(command.id())) {
 			return CommandResult.UNCHANGED;
 		}
-		BatchJob job = new BatchJob(command.id(), command.queue(), command.workspace(), command.spec(), atMillis);
+		Optional<BatchQueue> queue = this.configuration.flatMap((current) -> command.address().isEmpty()
+				? current.queueNamed(command.queue()) : command.address().flatMap(current::queueWith));
+		if (command.address().isPresent() && queue.isEmpty()) {
+			// Removed while the submission was being committed.
+			return CommandResult.REFUSED;
+		}
+		BatchJob job = new BatchJob(command.id(), command.queue(), command.address(), command.workspace(),
+				command.spec(), atMillis);
+		queue.ifPresent(job::setQueue);
 		if (!command.spec().hasSchedule()) {
 			job.open(new Occurrence(0, command.spec()));
 		}
@@ -470,7 +522,16 @@
 				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
 				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList(),
 				List.copyOf(this.moves.values()), Map.copyOf(this.hostOrderMillis),
-				Map.copyOf(this.registeredSequences));
+				Map.copyOf(this.registeredSequences), retiredQueues());
+	}
+
+	private List<BatchQueue> retiredQueues() {
+		return this.activeJobs.values()
+			.stream()
+			.flatMap((job) -> job.configuredQueue().stream())
+			.filter((queue) -> this.retiredAddresses.contains(queue.address()))
+			.distinct()
+			.toList();
 	}
 
 	/**
@@ -492,6 +553,10 @@
 				state.activeJobs.put(job.id(), job);
 			}
 		}
+		Map<QueueAddress, BatchQueue> retired = snapshot.retiredQueues()
+			.stream()
+			.collect(Collectors.toMap(BatchQueue::address, Function.identity()));
+		snapshot.configuration().ifPresent((current) -> state.updateQueues(current, retired));
 		// A snapshot lists the jobs in the order of their submission.
 		ended.sort(Comparator.comparingLong(EndedJob::endedMillis));
 		state.endedJobs.addAll(ended);
@@ -564,9 +629,7 @@
 	}
 
 	private int maximumAttempts(BatchJob job) {
-		return this.configuration.flatMap((current) -> current.queue(job.queue()))
-			.map(BatchQueue::maximumAttempts)
-			.orElse(Integer.MAX_VALUE);
+		return job.configuredQueue().map(BatchQueue::maximumAttempts).orElse(Integer.MAX_VALUE);
 	}
 
 	private void removeExpiredJobs(long atMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -57,7 +57,7 @@
 	@Test
 	void aJobOfAnotherWorkspaceIsNotKnown() {
 		configure(1, "pool");
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "another", BatchFixtures.job(BatchFixtures.step(1))));
+		apply(BatchFixtures.submit("job", "queue-pool", "another", BatchFixtures.job(BatchFixtures.step(1))));
 		Truth.assertThat(reason(look("/queue-pool/job", "key"))).isEqualTo(FleetReply.Reason.NO_SUCH_JOB);
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -27,6 +27,7 @@
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.model.Workspace;
 import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
 import io.burdockpin.core.model.Payload;
@@ -271,12 +272,12 @@
 		double weight = Math.min(4, 0.3 + 0.7 * work / meanWork);
 		this.jobs.put(id, new JobTimes(pool, durations, this.nowMillis + (long) (STRETCH * chainMillis) + TARGET_MILLIS,
 				weight, 0));
-		commitLater(List.of(new BatchCommand.SubmitJob(id, "work" + pool, "team", new JobSpec(id, steps, 0, 0, 0))));
+		commitLater(List.of(BatchFixtures.submit(id, "work" + pool, "team", new JobSpec(id, steps, 0, 0, 0))));
 	}
 
 	private void submitServing(int pool) {
 		String id = "serve" + pool;
-		commitLater(List.of(new BatchCommand.SubmitJob(id, "serve" + pool, "team",
+		commitLater(List.of(BatchFixtures.submit(id, "serve" + pool, "team",
 				new JobSpec(id, List.of(step(this.spec.servingTasks(), this.spec.servingTask(), 700, List.of(), true,
 						OptionalInt.of(this.spec.servingPerHost()))), 0, 0, 0))));
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DurationEstimatorTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DurationEstimatorTests.java
@@ -3,13 +3,16 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.model.QueueAddress;
 import org.junit.jupiter.api.Test;
 
 class DurationEstimatorTests {
 
+	private static final QueueAddress QUEUE = new QueueAddress("host", "/queue/");
+
 	@Test
 	void theCallersEstimateIsUsedUntilTasksWereMeasured() {
-		Truth.assertThat(new DurationEstimator().estimateMillis("queue", 700)).isEqualTo(700);
+		Truth.assertThat(new DurationEstimator().estimateMillis(QUEUE, 700)).isEqualTo(700);
 	}
 
 	/** Load: estimates that are wrong by a factor of two and more. */
@@ -24,9 +27,9 @@
 			int estimatedMillis = (int) Math.max(1, Math.round(actualMillis * Math.exp(0.9 * random.nextGaussian())));
 			if (task >= 300) {
 				before += Math.abs(Math.log((double) estimatedMillis / actualMillis));
-				after += Math.abs(Math.log((double) estimator.estimateMillis("queue", estimatedMillis) / actualMillis));
+				after += Math.abs(Math.log((double) estimator.estimateMillis(QUEUE, estimatedMillis) / actualMillis));
 			}
-			estimator.addSample("queue", estimatedMillis, actualMillis);
+			estimator.addSample(QUEUE, estimatedMillis, actualMillis);
 		}
 		Truth.assertThat(after / before).isLessThan(0.6);
 	}
@@ -35,9 +38,9 @@
 	void accurateEstimatesAreKept() {
 		DurationEstimator estimator = new DurationEstimator();
 		for (int task = 1; task <= 200; task++) {
-			estimator.addSample("queue", 10 * task, 10L * task);
+			estimator.addSample(QUEUE, 10 * task, 10L * task);
 		}
-		Truth.assertThat((double) estimator.estimateMillis("queue", 1_500)).isWithin(60).of(1_500);
+		Truth.assertThat((double) estimator.estimateMillis(QUEUE, 1_500)).isWithin(60).of(1_500);
 	}
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -188,7 +188,7 @@
 		fleet.submit("job", 1, 1, false);
 		fleet.run(300);
 		Truth.assertThat(fleet.state().runs().runners()).hasSize(1);
-		Truth.assertThat(fleet.state().queuedJobCount("queue")).isEqualTo(1);
+		Truth.assertThat(fleet.state().queuedJobCount(BatchFixtures.addressOf("queue"))).isEqualTo(1);
 		fleet.run(19_000);
 		Truth.assertThat(fleet.phase("job")).hasValue(BatchJobPhase.QUEUED);
 		fleet.recover(RECOVERY_MILLIS);
@@ -203,7 +203,7 @@
 		fleet.submitLongRunning("lasts", 2);
 		fleet.run(1_000);
 		Truth.assertThat(fleet.phase("lasts")).hasValue(BatchJobPhase.RUNNING);
-		Truth.assertThat(fleet.state().queuedJobCount("queue")).isEqualTo(0);
+		Truth.assertThat(fleet.state().queuedJobCount(BatchFixtures.addressOf("queue"))).isEqualTo(0);
 	}
 
 	/**
@@ -315,8 +315,7 @@
 		state.apply(new CommandGroup(1_000,
 				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
 						BatchFixtures.register(runner),
-						new BatchCommand.SubmitJob("job", "queue-pool", "team",
-								BatchFixtures.job(BatchFixtures.step(1))),
+						BatchFixtures.submit("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))),
 						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 1, runner.key()))),
 						new BatchCommand.ReleaseRuns(List.of(new BatchCommand.Release(task, 1, ""))),
 						new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, runner.key()))))));
@@ -426,10 +425,10 @@
 
 	private static BatchState stateWithJob(RunnerRecord runner) {
 		BatchState state = new BatchState();
-		state.apply(new CommandGroup(1_000, List.of(
-				new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
-				BatchFixtures.register(runner),
-				new BatchCommand.SubmitJob("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))))));
+		state.apply(new CommandGroup(1_000,
+				List.of(new BatchCommand.SetConfiguration(BatchFixtures.configuration(5, Resources.NONE, "pool")),
+						BatchFixtures.register(runner),
+						BatchFixtures.submit("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))))));
 		return state;
 	}
 
@@ -582,9 +581,8 @@
 		for (int number = 10; number < 30; number++) {
 			commands.add(BatchFixtures.register(BatchFixtures.runner("r" + number, "pool", 1)));
 		}
-		commands
-			.add(new BatchCommand.SubmitJob("ends", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
-		commands.add(new BatchCommand.SubmitJob("lasts", "queue-pool", "team",
+		commands.add(BatchFixtures.submit("ends", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
+		commands.add(BatchFixtures.submit("lasts", "queue-pool", "team",
 				BatchFixtures.job(BatchFixtures.longRunning(1, 1, 1))));
 		commands.add(new BatchCommand.AssignRuns(
 				List.of(new BatchCommand.Assignment(new TaskId("ends", 0, 0, 0), 1, new RunnerKey("r20", 1)),
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
@@ -85,7 +85,7 @@
 	@Test
 	void aHostWithATaskIsNotMoved() {
 		submit("large", 24);
-		apply(new BatchCommand.SubmitJob("other", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(4))));
+		apply(BatchFixtures.submit("other", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(4))));
 		for (int number = 0; number < 4; number++) {
 			apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(new TaskId("other", 0, 0, number), 1,
 					new RunnerKey("cold" + number, 1)))));
@@ -145,7 +145,7 @@
 		this.balancer.onHostList(List.of(new HostEntry("host-cold1", "spare", true)));
 		for (int number = 0; number < 4; number++) {
 			int host = number;
-			apply(new BatchCommand.SubmitJob("cold" + number, "queue-cold", "team",
+			apply(BatchFixtures.submit("cold" + number, "queue-cold", "team",
 					BatchFixtures.job(BatchFixtures.step(1))));
 			apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(new TaskId("cold" + number, 0, 0, 0),
 					1, new RunnerKey("cold" + host, 1)))));
@@ -270,7 +270,7 @@
 	void aPoolGetsAllHostsOfALongRunningStepAtOnce() {
 		this.balancer.onHostList(
 				IntStream.range(0, 8).mapToObj((number) -> new HostEntry("host-s" + number, "spare", true)).toList());
-		apply(new BatchCommand.SubmitJob("serving", "queue-hot", "team",
+		apply(BatchFixtures.submit("serving", "queue-hot", "team",
 				BatchFixtures.job(BatchFixtures.longRunning(8, 1, 1))));
 		Truth.assertThat(tick().size()).isAtLeast(4);
 	}
@@ -283,7 +283,7 @@
 	void theCapacityUsedByLongRunningTasksDoesNotCountAsReserve() {
 		this.balancer.onHostList(
 				IntStream.range(0, 30).mapToObj((number) -> new HostEntry("host-s" + number, "spare", true)).toList());
-		apply(new BatchCommand.SubmitJob("serving", "queue-hot", "team",
+		apply(BatchFixtures.submit("serving", "queue-hot", "team",
 				BatchFixtures.job(BatchFixtures.longRunning(16, 0, 1))));
 		for (int number = 0; number < 16; number++) {
 			assign("serving", number, "hot" + number / 4);
@@ -312,7 +312,7 @@
 	 */
 	@Test
 	void someHostsOfAPoolWithLateJobsAreCordonedForAPoolThatCanMeetItsObjectives() {
-		apply(new BatchCommand.SubmitJob("late", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(16))));
+		apply(BatchFixtures.submit("late", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(16))));
 		for (int number = 0; number < 12; number++) {
 			assign("late", number, "cold" + number / 3);
 		}
@@ -328,7 +328,7 @@
 	/** Guards against hosts that are idle although no other pool needs them. */
 	@Test
 	void lateJobsKeepTheirHostsWhileNoOtherPoolIsShort() {
-		apply(new BatchCommand.SubmitJob("late", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(16))));
+		apply(BatchFixtures.submit("late", "queue-cold", "team", BatchFixtures.job(BatchFixtures.step(16))));
 		for (int number = 0; number < 12; number++) {
 			assign("late", number, "cold" + number / 3);
 		}
@@ -357,7 +357,7 @@
 	}
 
 	private void submit(String id, int tasks) {
-		apply(new BatchCommand.SubmitJob(id, "queue-hot", "team", BatchFixtures.job(BatchFixtures.step(tasks))));
+		apply(BatchFixtures.submit(id, "queue-hot", "team", BatchFixtures.job(BatchFixtures.step(tasks))));
 	}
 
 	private void addRunner(String id, String pool) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -26,6 +26,7 @@
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.model.Workspace;
 import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
@@ -124,7 +125,7 @@
 					(step == 0) ? List.of() : List.of(step - 1), false, gang, false, Optional.empty(), Optional.empty(),
 					OptionalInt.empty(), false, false, Optional.empty(), OptionalInt.empty(), false, 0));
 		}
-		commit(List.of(new BatchCommand.SubmitJob(id, "queue", "team", new JobSpec(id, specs, 0, 0, 0))));
+		commit(List.of(BatchFixtures.submit(id, "queue", "team", new JobSpec(id, specs, 0, 0, 0))));
 	}
 
 	/** Submits a job whose tasks run until it is cancelled. */
@@ -132,7 +133,7 @@
 		StepSpec step = new StepSpec(width, new Resources(1_500, 1_000, 0), 600, List.of(), true, false, false,
 				Optional.empty(), Optional.empty(), OptionalInt.empty(), false, true, Optional.of("image"),
 				OptionalInt.empty(), false, 1);
-		commit(List.of(new BatchCommand.SubmitJob(id, "queue", "team",
+		commit(List.of(BatchFixtures.submit(id, "queue", "team",
 				new JobSpec(SimulatedRunner.ENDLESS, List.of(step), 0, 0, 0))));
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
@@ -344,7 +344,7 @@
 
 	private void submit(String id, long acceptedMillis, StepSpec step) {
 		this.state.apply(new CommandGroup(acceptedMillis,
-				List.of(new BatchCommand.SubmitJob(id, "queue-pool", "team", BatchFixtures.job(step)))));
+				List.of(BatchFixtures.submit(id, "queue-pool", "team", BatchFixtures.job(step)))));
 	}
 
 	private void apply(BatchCommand command) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
@@ -200,7 +200,7 @@
 		this.nowMillis += 100;
 		this.controller.tick(this.sessions, this.nowMillis);
 		List<BatchCommand> ordered = this.controller.drainProposals();
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
+		apply(BatchFixtures.submit("job", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
 		assign(new TaskId("job", 0, 0, 0), "r0");
 		ordered.forEach(this::apply);
 		step(100);
@@ -302,7 +302,7 @@
 
 	/** Runs a step with one task per runner, of which one may be away at a time. */
 	private void runLongRunningStep(List<String> runners) {
-		apply(new BatchCommand.SubmitJob("job", "queue-pool", "team",
+		apply(BatchFixtures.submit("job", "queue-pool", "team",
 				BatchFixtures.job(BatchFixtures.longRunning(runners.size(), 1, 1))));
 		for (int index = 0; index < runners.size(); index++) {
 			assign(new TaskId("job", 0, 0, index), runners.get(index));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelClients.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelClients.java
@@ -10,6 +10,7 @@
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.CommandResult;
 
 /** Callers and operators, who repeat a call until it is acknowledged. */
 final class ModelClients {
@@ -33,7 +34,7 @@
 
 	void submit(String job, BatchQueue queue, JobSpec spec) {
 		this.submissions.put(job, new Submission(queue, spec));
-		call(new BatchCommand.SubmitJob(job, queue.name(), FleetModel.WORKSPACE, spec),
+		call(new BatchCommand.SubmitJob(job, queue.name(), FleetModel.WORKSPACE, spec, Optional.of(queue.address())),
 				() -> this.acceptedJobs.add(job));
 	}
 
@@ -62,8 +63,9 @@
 	}
 
 	private void call(BatchCommand command, Runnable onAcknowledged, Set<BatchCommand> acknowledged) {
-		this.scheduler.call(command, () -> {
-			if (acknowledged.add(command)) {
+		this.scheduler.call(command, (result) -> {
+			// A submission is refused while its queue is removed.
+			if (result != CommandResult.REFUSED && acknowledged.add(command)) {
 				onAcknowledged.run();
 			}
 		});
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -47,7 +49,10 @@
 
 	private final List<BatchCommand> queuedCommands = new ArrayList<>();
 
-	private final List<Runnable> queuedReplies = new ArrayList<>();
+	/** Receivers of the results of queued commands, by position among these. */
+	private final Map<Integer, Consumer<CommandResult>> queuedReplies = new LinkedHashMap<>();
+
+	private List<CommandResult> committedResults = List.of();
 
 	private Member active;
 
@@ -93,15 +98,15 @@
 	private static BatchSnapshot ordered(BatchSnapshot snapshot) {
 		List<Run> runs = snapshot.runs().stream().sorted(Comparator.comparing(Run::toString)).toList();
 		return new BatchSnapshot(snapshot.configuration(), snapshot.jobs(), snapshot.runners(), runs, snapshot.waves(),
-				snapshot.moves(), snapshot.hostOrderMillis(), snapshot.registeredSequences());
+				snapshot.moves(), snapshot.hostOrderMillis(), snapshot.registeredSequences(), snapshot.retiredQueues());
 	}
 
 	// calls
 
-	void call(BatchCommand command, Runnable onCommitted) {
+	void call(BatchCommand command, Consumer<CommandResult> onCommitted) {
 		if (this.leader.isPresent()) {
+			this.queuedReplies.put(this.queuedCommands.size(), onCommitted);
 			this.queuedCommands.add(command);
-			this.queuedReplies.add(onCommitted);
 			requestFlush();
 		}
 	}
@@ -109,13 +114,13 @@
 	void announce(RunnerRecord runner, long sequence, Runnable onAcknowledged) {
 		this.leader.ifPresent((leading) -> {
 			Optional<BatchCommand> command = leading.onAnnouncement(runner, sequence, this.time.nowMillis());
-			command.ifPresentOrElse((register) -> call(register, onAcknowledged), onAcknowledged);
+			command.ifPresentOrElse((register) -> call(register, (result) -> onAcknowledged.run()), onAcknowledged);
 			requestFlush();
 		});
 	}
 
 	void depart(String id) {
-		this.leader.flatMap((leading) -> leading.onDeparture(id)).ifPresent((command) -> call(command, () -> {
+		this.leader.flatMap((leading) -> leading.onDeparture(id)).ifPresent((command) -> call(command, (result) -> {
 		}));
 		requestFlush();
 	}
@@ -187,9 +192,9 @@
 		this.flushRequested = false;
 		this.leader.ifPresent(this::decide);
 		if (!this.queuedCommands.isEmpty()) {
-			List<Runnable> replies = List.copyOf(this.queuedReplies);
+			Map<Integer, Consumer<CommandResult>> replies = new LinkedHashMap<>(this.queuedReplies);
 			this.log.propose(new CommandGroup(this.time.nowMillis(), List.copyOf(this.queuedCommands)),
-					() -> replies.forEach(Runnable::run));
+					() -> replies.forEach((position, reply) -> reply.accept(this.committedResults.get(position))));
 			this.queuedCommands.clear();
 			this.queuedReplies.clear();
 		}
@@ -224,19 +229,20 @@
 
 	private void apply(CommandGroup group) {
 		applyTo(this.standby, group);
-		applyTo(this.active, group);
+		this.committedResults = applyTo(this.active, group);
 		this.leader.ifPresent(
 				(leading) -> group.commands().forEach((command) -> leading.onApplied(command, this.time.nowMillis())));
 		requestFlush();
 	}
 
-	private void applyTo(Member member, CommandGroup group) {
+	private List<CommandResult> applyTo(Member member, CommandGroup group) {
 		List<CommandResult> results = member.state().apply(group);
 		for (int number = 0; number < results.size(); number++) {
 			if (results.get(number) == CommandResult.APPLIED) {
 				member.history().onApplied(group.commands().get(number), this.term, this.time.nowMillis());
 			}
 		}
+		return results;
 	}
 
 	private record Member(BatchState state, HostOrderHistory history) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchFixtures.java
@@ -11,6 +11,7 @@
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
+import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
@@ -70,6 +71,16 @@
 		return new JobSpec("specification", List.of(steps), 0, 0, 0);
 	}
 
+	/** Submits a job to the queue of that name. */
+	public static BatchCommand.SubmitJob submit(String id, String queue, String workspace, JobSpec spec) {
+		return new BatchCommand.SubmitJob(id, queue, workspace, spec, Optional.of(addressOf(queue)));
+	}
+
+	/** Returns the address that the queues in tests have. */
+	public static QueueAddress addressOf(String queue) {
+		return new QueueAddress("host", "/" + queue + "/");
+	}
+
 	/** Registers a runner by its first announcement. */
 	public static BatchCommand.RegisterRunner register(RunnerRecord runner) {
 		return new BatchCommand.RegisterRunner(runner, OptionalLong.of(1));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -53,10 +53,10 @@
 		assign("job", 0, 0, 1);
 		Truth.assertThat(submit("job", BatchFixtures.step(5))).isEqualTo(CommandResult.UNCHANGED);
 		Truth.assertThat(this.state.job("job").get().spec().steps().get(0).taskCount()).isEqualTo(2);
-		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(1);
+		Truth.assertThat(this.state.queuedJobCount(BatchFixtures.addressOf("queue-pool"))).isEqualTo(1);
 		apply(new BatchCommand.NoteEnds(RUNNER.key(), List.of(), List.of("job")));
 		Truth.assertThat(submit("job", BatchFixtures.step(5))).isEqualTo(CommandResult.UNCHANGED);
-		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(0);
+		Truth.assertThat(this.state.queuedJobCount(BatchFixtures.addressOf("queue-pool"))).isEqualTo(0);
 	}
 
 	/**
@@ -67,12 +67,12 @@
 	void anAssignmentIsNoStartOfAJob() {
 		submit("job", BatchFixtures.step(1));
 		assign("job", 0, 0, 1);
-		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(1);
+		Truth.assertThat(this.state.queuedJobCount(BatchFixtures.addressOf("queue-pool"))).isEqualTo(1);
 		release("job", 1);
-		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(1);
+		Truth.assertThat(this.state.queuedJobCount(BatchFixtures.addressOf("queue-pool"))).isEqualTo(1);
 		assign("job", 0, 0, 2);
 		end("job", 0, 0, 2, RunOutcome.LAPSED);
-		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(0);
+		Truth.assertThat(this.state.queuedJobCount(BatchFixtures.addressOf("queue-pool"))).isEqualTo(0);
 	}
 
 	@Test
@@ -168,7 +168,7 @@
 		Truth.assertThat(this.state.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
 		Truth.assertThat(this.state.runs().runners()).isEmpty();
 		Truth.assertThat(this.state.runs().chargedTo("team")).isEqualTo(Resources.NONE);
-		Truth.assertThat(this.state.queuedJobCount("queue-pool")).isEqualTo(1);
+		Truth.assertThat(this.state.queuedJobCount(BatchFixtures.addressOf("queue-pool"))).isEqualTo(1);
 	}
 
 	/** The same for a runner that was removed. */
@@ -204,8 +204,9 @@
 		submit("job", BatchFixtures.step(1));
 		assign("job", 0, 0, 1);
 		BatchSnapshot stored = this.state.snapshot();
-		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), stored.jobs(), List.of(),
-				stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis(), stored.registeredSequences()));
+		BatchState restored = BatchState
+			.restore(new BatchSnapshot(stored.configuration(), stored.jobs(), List.of(), stored.runs(), stored.waves(),
+					stored.moves(), stored.hostOrderMillis(), stored.registeredSequences(), stored.retiredQueues()));
 		Truth.assertThat(restored.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
 		Truth.assertThat(restored.runs().chargedTo("team")).isEqualTo(Resources.NONE);
 	}
@@ -278,10 +279,11 @@
 		BatchSnapshot.StepImage step = new BatchSnapshot.StepImage(0, 0, List.of(early,
 				new BatchSnapshot.TaskImage(false, 1, 0, "first"), new BatchSnapshot.TaskImage(false, 1, 0, "second")));
 		BatchSnapshot.JobImage mixed = new BatchSnapshot.JobImage(job.id(), job.queue(), job.workspace(), job.spec(),
-				job.acceptedMillis(), job.phase(), 0, 0, List.of(new BatchSnapshot.OccurrenceImage(0, List.of(step))));
-		BatchState restored = BatchState
-			.restore(new BatchSnapshot(stored.configuration(), List.of(mixed), stored.runners(), stored.runs(),
-					stored.waves(), stored.moves(), stored.hostOrderMillis(), stored.registeredSequences()));
+				job.acceptedMillis(), job.phase(), 0, 0, List.of(new BatchSnapshot.OccurrenceImage(0, List.of(step))),
+				job.address());
+		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), List.of(mixed),
+				stored.runners(), stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis(),
+				stored.registeredSequences(), stored.retiredQueues()));
 		List<String> checkpoints = restored.step(member(0))
 			.get()
 			.tasks()
@@ -374,7 +376,7 @@
 
 	@Test
 	void occurrencesOpenInOrderAndCompleteTheJobWithTheLast() {
-		apply(new BatchCommand.SubmitJob("timed", "queue-pool", "team",
+		apply(BatchFixtures.submit("timed", "queue-pool", "team",
 				new JobSpec("s", List.of(BatchFixtures.step(1)), 2, 1_000, 500)));
 		Truth.assertThat(apply(new BatchCommand.OpenOccurrence("timed", 1))).isEqualTo(CommandResult.UNCHANGED);
 		for (int occurrence = 0; occurrence < 2; occurrence++) {
@@ -460,7 +462,7 @@
 	}
 
 	private CommandResult submit(String id, StepSpec... steps) {
-		return apply(new BatchCommand.SubmitJob(id, "queue-pool", "team", BatchFixtures.job(steps)));
+		return apply(BatchFixtures.submit(id, "queue-pool", "team", BatchFixtures.job(steps)));
 	}
 
 	private void assign(String job, int step, int index, int run) {
