Fail a job whose queue permits no further attempt of a waiting task

Change: applying a configuration fails the jobs with a waiting task that has no attempt left, and the leader stops their other runs. A task that is running may still complete its job.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -417,6 +417,9 @@
 		else if (command instanceof BatchCommand.CancelJob cancelled) {
 			stopRunsOf(cancelled.id());
 		}
+		else if (command instanceof BatchCommand.SetConfiguration) {
+			stopRunsOfEndedJobs();
+		}
 		else if (command instanceof BatchCommand.SetUpkeep maintenance) {
 			this.waveController.onMaintenanceCommitted(maintenance);
 		}
@@ -639,6 +642,17 @@
 				.forEach((occurrence) -> occurrence.steps().forEach((step) -> step.tasks().forEach(this::stop))));
 	}
 
+	// A configuration may permit fewer attempts, which ends jobs.
+	private void stopRunsOfEndedJobs() {
+		Set<String> ended = new LinkedHashSet<>();
+		this.state.runs().forEach((run) -> {
+			if (!this.state.isActive(run.task().job())) {
+				ended.add(run.task().job());
+			}
+		});
+		ended.forEach(this::stopRunsOf);
+	}
+
 	private void stop(BatchTask task) {
 		task.run().ifPresent((run) -> session(run.runner()).ifPresent((session) -> {
 			this.runnersWithEvents.add(run.runner());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -26,7 +26,7 @@
 
 	/**
 	 * Replaces the configuration, unless the current one has the same or a higher
-	 * version.
+	 * version. Fails the jobs that have used up the attempts that it permits.
 	 *
 	 * @param configuration the new configuration
 	 */
@@ -34,7 +34,7 @@
 
 		@Override
 		public CommandResult applyTo(BatchState state, long atMillis) {
-			return state.setConfiguration(this.configuration);
+			return state.setConfiguration(this.configuration, atMillis);
 		}
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -286,16 +286,31 @@
 		return results;
 	}
 
-	CommandResult setConfiguration(FleetConfiguration newer) {
+	CommandResult setConfiguration(FleetConfiguration newer, long atMillis) {
 		boolean isOlder = this.configuration.filter((current) -> current.version() >= newer.version()).isPresent();
 		if (isOlder) {
 			return CommandResult.UNCHANGED;
 		}
 		this.configuration = Optional.of(newer);
 		updateQueues(newer, Map.of());
+		List.copyOf(this.activeJobs.values())
+			.stream()
+			.filter(BatchState::hasExhaustedTask)
+			.forEach((job) -> end(job, BatchJobPhase.FAILED, atMillis));
 		return CommandResult.APPLIED;
 	}
 
+	// A task that is running may still complete its job.
+	private static boolean hasExhaustedTask(BatchJob job) {
+		return job.occurrences()
+			.stream()
+			.flatMap((occurrence) -> occurrence.steps().stream())
+			.filter((step) -> !step.spec().longRunning())
+			.anyMatch((step) -> step.tasks()
+				.stream()
+				.anyMatch((task) -> task.isWaiting() && step.failures(task) >= maximumAttempts(job)));
+	}
+
 	// A job stays with the address of its queue. Jobs of earlier versions take the
 	// address
 	// of the first queue that has their name.
@@ -628,7 +643,7 @@
 		this.endedJobs.add(new EndedJob(job.id(), atMillis));
 	}
 
-	private int maximumAttempts(BatchJob job) {
+	private static int maximumAttempts(BatchJob job) {
 		return job.configuredQueue().map(BatchQueue::maximumAttempts).orElse(Integer.MAX_VALUE);
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
@@ -137,14 +137,15 @@
 	 */
 	int fail(BatchTask task, int run) {
 		task.fail();
-		if (!this.spec.gang()) {
-			return task.failures();
-		}
-		if (run > this.lastFailedGangRun) {
+		if (this.spec.gang() && run > this.lastFailedGangRun) {
 			this.lastFailedGangRun = run;
 			this.gangFailures++;
 		}
-		return this.gangFailures;
+		return failures(task);
+	}
+
+	int failures(BatchTask task) {
+		return this.spec.gang() ? this.gangFailures : task.failures();
 	}
 
 }
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
@@ -158,6 +158,31 @@
 		Truth.assertThat(plannedRunners()).isEmpty();
 	}
 
+	/** Guards against the same fault if the limit is lowered below the failed runs. */
+	@Test
+	void aJobFailsIfTheAttemptsOfItsQueueAreLoweredToTheFailedRunsOfAWaitingTask() {
+		submit("/jobs/a");
+		fail(1);
+		configure(new BatchQueue("first", "host", "/jobs/", false, "pool", 0, 1, 3_000, 600, 1.6));
+		Truth.assertThat(look("/jobs/a")).isEqualTo(new FleetReply.JobStatus(BatchJobPhase.FAILED));
+		Truth.assertThat(plannedRunners()).isEmpty();
+	}
+
+	/**
+	 * Guards against a run that is lost although it may still be the last permitted one.
+	 */
+	@Test
+	void aTaskThatRunsWhenTheAttemptsAreLoweredMayComplete() {
+		submit("/jobs/a");
+		fail(1);
+		TaskId task = new TaskId("a", 0, 0, 0);
+		apply(new BatchCommand.AssignRuns(List.of(new BatchCommand.Assignment(task, 2, RUNNER.key()))));
+		configure(new BatchQueue("first", "host", "/jobs/", false, "pool", 0, 1, 3_000, 600, 1.6));
+		apply(new BatchCommand.NoteEnds(RUNNER.key(), List.of(new BatchCommand.End(2, task, 2, RunOutcome.DONE, "")),
+				List.of()));
+		Truth.assertThat(look("/jobs/a")).isEqualTo(new FleetReply.JobStatus(BatchJobPhase.COMPLETED));
+	}
+
 	/** Jobs of earlier versions were stored with the name of their queue only. */
 	@Test
 	void aJobOfAnEarlierVersionTakesTheAddressOfTheQueueThatHasItsName() {
