Refuse a job whose identifier another queue or workspace has

Tasks are named after the identifier, so the second job cannot run beside the first one.

Change: only a submission to the same queue by the same workspace is a resend; another one is refused at once with 400, also if both are committed together.

Measured: aJobWhoseIdentifierAnotherQueueHasIsRefused, ofTwoJobsWithOneIdentifierThatAreCommittedTogetherOneIsRefused and aJobWhoseIdentifierAnotherWorkspaceHasIsRefused failed before the change and pass now.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -17,6 +17,10 @@
 	/** Retry delay for calls that arrive before the first configuration. */
 	private static final int CONFIGURATION_RETRY_MILLIS = 1_000;
 
+	/** A retry is of no use, since tasks are named after the identifier of their job. */
+	private static final FleetReply IDENTIFIER_IN_USE = new FleetReply.Refused(FleetReply.Reason.INVALID,
+			Optional.empty());
+
 	/**
 	 * Decides about a call to a job or a queue.
 	 * @param call the call with the address and key of the caller
@@ -109,9 +113,10 @@
 	 * @return an acceptance, or a refusal if a command before it made it invalid
 	 */
 	public FleetReply reply(BatchCommand command, CommandResult result) {
-		boolean isRefused = command instanceof BatchCommand.SubmitJob && result == CommandResult.REFUSED;
-		return isRefused ? new FleetReply.Refused(FleetReply.Reason.NO_SUCH_QUEUE, Optional.empty())
-				: new FleetReply.Accepted();
+		if (command instanceof BatchCommand.SubmitJob && result == CommandResult.REFUSED) {
+			return new FleetReply.Refused(FleetReply.Reason.NO_SUCH_QUEUE, Optional.empty());
+		}
+		return (result == CommandResult.CONFLICT) ? IDENTIFIER_IN_USE : new FleetReply.Accepted();
 	}
 
 	private static CallDecision submit(FleetCall.Submit call, BatchQueue queue, String owner, String job,
@@ -119,8 +124,10 @@
 		if (job.isEmpty()) {
 			return refuse(FleetReply.Reason.INVALID);
 		}
-		if (state.job(job).isPresent()) {
-			return new CallDecision.Answer(new FleetReply.Accepted());
+		Optional<BatchJob> known = state.job(job);
+		if (known.isPresent()) {
+			boolean isSame = known.get().isAt(queue.address()) && known.get().workspace().equals(owner);
+			return new CallDecision.Answer(isSame ? new FleetReply.Accepted() : IDENTIFIER_IN_USE);
 		}
 		return new CallDecision.Commit(
 				new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec(), Optional.of(queue.address())));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -40,8 +40,9 @@
 	}
 
 	/**
-	 * Accepts a job. Has no effect if a job with the same identifier exists. Refused if
-	 * the configuration no longer has the queue.
+	 * Accepts a job. Has no effect if the job exists. Refused if another queue or
+	 * workspace has a job with its identifier, or if the configuration no longer has the
+	 * queue.
 	 *
 	 * @param id the identifier of the job, chosen by the caller
 	 * @param queue the name of the queue when the job was submitted
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -329,8 +329,11 @@
 	}
 
 	CommandResult submit(BatchCommand.SubmitJob command, long atMillis) {
-		if (this.jobs.containsKey(command.id())) {
-			return CommandResult.UNCHANGED;
+		Optional<BatchJob> known = job(command.id());
+		if (known.isPresent()) {
+			boolean isSame = command.address().filter((address) -> !known.get().isAt(address)).isEmpty()
+					&& known.get().workspace().equals(command.workspace());
+			return isSame ? CommandResult.UNCHANGED : CommandResult.CONFLICT;
 		}
 		Optional<BatchQueue> queue = this.configuration.flatMap((current) -> command.address().isEmpty()
 				? current.queueNamed(command.queue()) : command.address().flatMap(current::queueWith));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/CommandResult.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/CommandResult.java
@@ -9,6 +9,9 @@
 	/** The command, or a newer one, had already taken effect. */
 	UNCHANGED,
 
+	/** Another object has the identifier, so the command had no effect. */
+	CONFLICT,
+
 	/** The command is not valid in the current state and had no effect. */
 	REFUSED
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -2,10 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.BatchPool;
+import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
+import io.burdockpin.core.batch.model.Workspace;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
@@ -61,6 +65,16 @@
 		Truth.assertThat(reason(look("/queue-pool/job", "key"))).isEqualTo(FleetReply.Reason.NO_SUCH_JOB);
 	}
 
+	/** Guards against a job that a second workspace takes for its own. */
+	@Test
+	void aJobWhoseIdentifierAnotherWorkspaceHasIsRefused() {
+		configure(1, "pool");
+		apply(BatchFixtures.submit("job", "queue-pool", "another", BatchFixtures.job(BatchFixtures.step(1))));
+		FleetCall.Submit submit = new FleetCall.Submit("host", "/queue-pool/job", Optional.of("key"),
+				BatchFixtures.job(BatchFixtures.step(1)));
+		Truth.assertThat(reason(submit)).isEqualTo(FleetReply.Reason.INVALID);
+	}
+
 	@Test
 	void aConfigurationThatIsNotNewerIsAcceptedWithoutAChange() {
 		configure(7, "pool");
@@ -78,6 +92,18 @@
 		Truth.assertThat(((FleetReply.Refused) answer.reply()).reason()).isEqualTo(FleetReply.Reason.INVALID);
 	}
 
+	private static FleetConfiguration withQueues(BatchQueue... queues) {
+		return new FleetConfiguration(9, List.of(queues), List.of(new BatchPool("pool", false, false)), List.of(),
+				Payload.EMPTY);
+	}
+
+	private void configureOpen(long version, boolean open) {
+		BatchQueue queue = new BatchQueue("queue", "host", "/queue-pool/", open, "pool", 0, 2, 3_000, 600, 1.6);
+		apply(new BatchCommand.SetConfiguration(
+				new FleetConfiguration(version, List.of(queue), List.of(new BatchPool("pool", false, false)),
+						List.of(new Workspace("team", Set.of("key"), 1, Resources.NONE)), Payload.EMPTY)));
+	}
+
 	private void configure(long version, String pool) {
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(version, Resources.NONE, pool)));
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
@@ -183,6 +183,32 @@
 		Truth.assertThat(look("/jobs/a")).isEqualTo(new FleetReply.JobStatus(BatchJobPhase.COMPLETED));
 	}
 
+	/** Guards against 200 for a second job that is dropped because of its identifier. */
+	@Test
+	void aJobWhoseIdentifierAnotherQueueHasIsRefused() {
+		submit("/jobs/a");
+		FleetCall.Submit second = new FleetCall.Submit("host", "/others/a", Optional.of("key"), JOB);
+		Truth.assertThat(this.rules.decide(second, this.state))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.INVALID)));
+		FleetCall.Submit resent = new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB);
+		Truth.assertThat(this.rules.decide(resent, this.state))
+			.isEqualTo(new CallDecision.Answer(new FleetReply.Accepted()));
+	}
+
+	@Test
+	void ofTwoJobsWithOneIdentifierThatAreCommittedTogetherOneIsRefused() {
+		CallDecision.Commit first = (CallDecision.Commit) this.rules
+			.decide(new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB), this.state);
+		CallDecision.Commit second = (CallDecision.Commit) this.rules
+			.decide(new FleetCall.Submit("host", "/others/a", Optional.of("key"), JOB), this.state);
+		List<BatchCommand> commands = List.of(first.command(), first.command(), second.command());
+		List<CommandResult> results = this.state.apply(new CommandGroup(1_000, commands));
+		Truth.assertThat(this.rules.reply(first.command(), results.get(0))).isEqualTo(new FleetReply.Accepted());
+		Truth.assertThat(this.rules.reply(first.command(), results.get(1))).isEqualTo(new FleetReply.Accepted());
+		Truth.assertThat(this.rules.reply(second.command(), results.get(2)))
+			.isEqualTo(refused(FleetReply.Reason.INVALID));
+	}
+
 	/** Jobs of earlier versions were stored with the name of their queue only. */
 	@Test
 	void aJobOfAnEarlierVersionTakesTheAddressOfTheQueueThatHasItsName() {
