Let callers find their jobs when a configuration opens or closes the queue

The owner of a job is the workspace of its call's key, none without a key on an open queue. After a version that opened or closed the queue, the same caller was another owner and was answered 410 for an accepted job.

Change: callers of an open queue may access its jobs, since their calls carry no key, and a job that was submitted without a key has no owner. A queue that is not open shows the jobs of a workspace only to its keys, as before.

Measured: aJobIsFoundByItsCallersWhenItsQueueIsOpenedOrClosed failed before the change and passes now, with aJobOfAnotherWorkspaceIsNotKnown.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -50,7 +50,7 @@
 			return new CallDecision.Answer(new FleetReply.QueueStatus(state.queuedJobCount(queue.get().address())));
 		}
 		Optional<BatchJob> known = state.jobAt(call.host(), call.path())
-			.filter((found) -> found.workspace().equals(owner));
+			.filter((found) -> mayAccess(found, queue.get(), owner));
 		if (known.isEmpty()) {
 			return refuse(FleetReply.Reason.NO_SUCH_JOB);
 		}
@@ -126,13 +126,20 @@
 		}
 		Optional<BatchJob> known = state.job(job);
 		if (known.isPresent()) {
-			boolean isSame = known.get().isAt(queue.address()) && known.get().workspace().equals(owner);
+			boolean isSame = known.get().isAt(queue.address()) && mayAccess(known.get(), queue, owner);
 			return new CallDecision.Answer(isSame ? new FleetReply.Accepted() : IDENTIFIER_IN_USE);
 		}
 		return new CallDecision.Commit(
 				new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec(), Optional.of(queue.address())));
 	}
 
+	// A configuration may open a queue or close it. Callers of an open queue need no key,
+	// and a job that was submitted without one has no owner.
+	private static boolean mayAccess(BatchJob job, BatchQueue queue, String owner) {
+		boolean isOpen = queue.open() && job.isAt(queue.address());
+		return isOpen || job.workspace().isEmpty() || job.workspace().equals(owner);
+	}
+
 	private static CallDecision refuse(FleetReply.Reason reason) {
 		return new CallDecision.Answer(new FleetReply.Refused(reason, Optional.empty()));
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -65,6 +65,26 @@
 		Truth.assertThat(reason(look("/queue-pool/job", "key"))).isEqualTo(FleetReply.Reason.NO_SUCH_JOB);
 	}
 
+	/**
+	 * Guards against accepted jobs that their callers no longer find because another
+	 * configuration opens their queue or closes it.
+	 */
+	@Test
+	void aJobIsFoundByItsCallersWhenItsQueueIsOpenedOrClosed() {
+		configureOpen(1, false);
+		apply(BatchFixtures.submit("owned", "queue-pool", "team", BatchFixtures.job(BatchFixtures.step(1))));
+		configureOpen(2, true);
+		apply(BatchFixtures.submit("free", "queue-pool", "", BatchFixtures.job(BatchFixtures.step(1))));
+		FleetReply queued = new FleetReply.JobStatus(BatchJobPhase.QUEUED);
+		FleetCall.Look withoutKey = new FleetCall.Look("host", "/queue-pool/owned", Optional.empty());
+		Truth.assertThat(answer(withoutKey)).isEqualTo(queued);
+		Truth.assertThat(answer(look("/queue-pool/free", "key"))).isEqualTo(queued);
+		configureOpen(3, false);
+		Truth.assertThat(answer(look("/queue-pool/owned", "key"))).isEqualTo(queued);
+		Truth.assertThat(answer(look("/queue-pool/free", "key"))).isEqualTo(queued);
+		Truth.assertThat(reason(withoutKey)).isEqualTo(FleetReply.Reason.KEY_REFUSED);
+	}
+
 	/** Guards against a job that a second workspace takes for its own. */
 	@Test
 	void aJobWhoseIdentifierAnotherWorkspaceHasIsRefused() {
