Check addresses of queues without case, and no longer their names

An operator's valid configuration with two routes of one name was refused, and one with two routes whose hosts differ in case only was acknowledged, although calls cannot tell them apart.

Cause: the check treated the name as the identity of a queue, and compared hosts otherwise than calls do.

Measured: aConfigurationWhoseQueuesShareANameIsValid and aConfigurationWhoseQueuesDifferInTheCaseOfTheirHostsOnlyIsInvalid failed before the change and pass now.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/FleetConfiguration.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/FleetConfiguration.java
@@ -32,18 +32,19 @@
 	}
 
 	/**
-	 * Checks that names, queue addresses and keys are unique and that queues refer to
-	 * pools that exist.
+	 * Checks that queue addresses, keys and the names of pools and workspaces are unique
+	 * and that queues refer to pools that exist.
 	 * @throws InvalidValueException if a rule is violated
 	 */
 	public void requireConsistent() {
 		Set<String> poolNames = new HashSet<>();
 		this.pools.forEach((pool) -> requireUnique(poolNames, pool.name(), "pool"));
-		Set<String> queueNames = new HashSet<>();
-		Set<String> addresses = new HashSet<>();
+		Set<QueueAddress> addresses = new HashSet<>();
 		for (BatchQueue queue : this.queues) {
-			requireUnique(queueNames, queue.name(), "queue");
-			requireUnique(addresses, queue.host() + queue.pathPrefix(), "address");
+			if (!addresses.add(queue.address())) {
+				throw new InvalidValueException("address %s%s of queue %s is not unique".formatted(queue.host(),
+						queue.pathPrefix(), queue.name()));
+			}
 			if (!poolNames.contains(queue.pool())) {
 				throw new InvalidValueException(
 						"queue %s refers to pool %s, which does not exist".formatted(queue.name(), queue.pool()));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -95,6 +95,24 @@
 		Truth.assertThat(reason(submit)).isEqualTo(FleetReply.Reason.INVALID);
 	}
 
+	/** A name does not identify a queue, so the pages let two queues share it. */
+	@Test
+	void aConfigurationWhoseQueuesShareANameIsValid() {
+		FleetConfiguration shared = withQueues(BatchFixtures.queue("queue", "pool", 1),
+				new BatchQueue("queue", "host", "/other/", false, "pool", 0, 1, 3_000, 600, 1.6));
+		Truth.assertThat(this.rules.decide(new FleetCall.PutConfiguration(shared), this.state))
+			.isInstanceOf(CallDecision.Commit.class);
+	}
+
+	/** Guards against two queues for one call, whose host is compared without case. */
+	@Test
+	void aConfigurationWhoseQueuesDifferInTheCaseOfTheirHostsOnlyIsInvalid() {
+		FleetConfiguration ambiguous = withQueues(BatchFixtures.queue("queue", "pool", 1),
+				new BatchQueue("another", "HOST", "/queue/", false, "pool", 0, 1, 3_000, 600, 1.6));
+		Truth.assertThat(this.rules.decide(new FleetCall.PutConfiguration(ambiguous), this.state))
+			.isEqualTo(new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.INVALID, Optional.empty())));
+	}
+
 	@Test
 	void aConfigurationThatIsNotNewerIsAcceptedWithoutAChange() {
 		configure(7, "pool");
