Commit an announcement that is registered while a change is being committed

A draining was acknowledged at once if the runner was registered as draining, also while a registration as ready was being committed, which then ended it. Runners could see that after a late departure of an earlier incarnation.

Change: the leader acknowledges an announcement without a commit only if no other registration of the runner is being committed.

Measured: aDrainingIsCommittedAgainIfAnEarlierAnnouncementIsStillBeingCommitted failed before the change and passes now.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -84,11 +84,14 @@
 	private final Map<RunnerKey, RunnerSession> sessions = new LinkedHashMap<>();
 
 	/**
-	 * Sequence number of the latest announcement in this term. At least that of the
-	 * registration, since announcements without changes are not committed.
+	 * Sequence number of the latest announcement in this term. It may be higher than that
+	 * of the registration, since announcements without changes are not committed.
 	 */
 	private final Map<RunnerKey, Long> announcedSequences = new HashMap<>();
 
+	/** The latest registration of each runner that is being committed. */
+	private final Map<RunnerKey, BatchCommand.RegisterRunner> proposedRegistrations = new HashMap<>();
+
 	private final Map<RunnerKey, Long> announcedMillis = new HashMap<>();
 
 	private final RunnerReliabilityTracker reliability = new RunnerReliabilityTracker();
@@ -282,9 +285,15 @@
 		if (!runner.draining()) {
 			session(runner.key()).ifPresent(RunnerSession::onReady);
 		}
-		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent();
-		return isKnown ? Optional.empty()
-				: Optional.of(new BatchCommand.RegisterRunner(runner, OptionalLong.of(sequence)));
+		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent()
+				&& !this.proposedRegistrations.containsKey(runner.key());
+		return isKnown ? Optional.empty() : Optional.of(registration(runner, OptionalLong.of(sequence)));
+	}
+
+	private BatchCommand registration(RunnerRecord runner, OptionalLong sequence) {
+		BatchCommand.RegisterRunner registration = new BatchCommand.RegisterRunner(runner, sequence);
+		this.proposedRegistrations.put(runner.key(), registration);
+		return registration;
 	}
 
 	/**
@@ -323,13 +332,11 @@
 		Optional<RunnerRecord> registered = this.state.runner(id);
 		registered.flatMap((runner) -> session(runner.key())).ifPresent(RunnerSession::onDeparture);
 		return registered.filter((runner) -> !runner.draining() && !this.removedIncarnations.contains(runner.key()))
-			.map((runner) -> new BatchCommand.RegisterRunner(runner.withoutNewTasks(),
-					departureSequence(runner.key())));
+			.map((runner) -> registration(runner.withoutNewTasks(), departureSequence(runner.key())));
 	}
 
-	// A departure has no sequence number. It follows all announcements that are known,
-	// and
-	// precedes the next one if the runner goes on.
+	// A departure has no sequence number. It takes the one after the latest announcement,
+	// which the next announcement has at least if the runner goes on.
 	private OptionalLong departureSequence(RunnerKey incarnation) {
 		OptionalLong registered = this.state.registeredSequence(incarnation);
 		Long announced = this.announcedSequences.get(incarnation);
@@ -434,7 +441,8 @@
 			this.endingIncarnations.remove(removed.runner());
 			syncSessions(nowMillis);
 		}
-		else if (command instanceof BatchCommand.RegisterRunner) {
+		else if (command instanceof BatchCommand.RegisterRunner registered) {
+			this.proposedRegistrations.remove(registered.runner().key(), registered);
 			syncSessions(nowMillis);
 		}
 	}
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
@@ -68,6 +68,17 @@
 		Truth.assertThat(registered().draining()).isFalse();
 	}
 
+	/**
+	 * Guards against a draining that is acknowledged because it is registered, while a
+	 * change that ends it is being committed.
+	 */
+	@Test
+	void aDrainingIsCommittedAgainIfAnEarlierAnnouncementIsStillBeingCommitted() {
+		announce(DRAINING, 6, 2_000);
+		Truth.assertThat(this.leader.onAnnouncement(READY, 7, 3_000)).isPresent();
+		Truth.assertThat(this.leader.onAnnouncement(DRAINING, 8, 3_001)).isPresent();
+	}
+
 	/**
 	 * Guards against announcements of a restarted runner that are taken for late ones.
 	 */
