--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/FleetModel.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/FleetModel.java
@@ -223,12 +223,25 @@
 	/** Drops the queue of a pool, and the pool as well or not. */
 	void dropRoute(boolean dropsPool) {
 		String dropped = POOLS.get(this.random.nextInt(POOLS.size()));
-		configure(this.queues.stream().filter((queue) -> !queue.pool().equals(dropped)).toList(),
+		configure(renamedQueues().stream().filter((queue) -> !queue.pool().equals(dropped)).toList(),
 				this.pools.stream().filter((pool) -> !(dropsPool && pool.name().equals(dropped))).toList());
 	}
 
 	void addAllRoutes() {
-		configure(this.queues, this.pools);
+		configure(renamedQueues(), this.pools);
+	}
+
+	// With each version the queues exchange their names.
+	private List<BatchQueue> renamedQueues() {
+		List<BatchQueue> renamed = new ArrayList<>();
+		for (int number = 0; number < this.queues.size(); number++) {
+			BatchQueue queue = this.queues.get(number);
+			String name = this.queues.get((int) ((number + this.configurationVersion) % this.queues.size())).name();
+			renamed.add(new BatchQueue(name, queue.host(), queue.pathPrefix(), queue.open(), queue.pool(),
+					queue.priority(), queue.maximumAttempts(), queue.timeoutMillis(), queue.targetLatencyMillis(),
+					queue.stretch()));
+		}
+		return renamed;
 	}
 
 	private void configure(List<BatchQueue> newQueues, List<BatchPool> newPools) {
