Keep a departure until no late announcement of the runner can arrive

A departure took the sequence number after the latest announcement that the leader knew. Followers acknowledge announcements that the leader never hears of, so a late one with a higher number made a runner that had left ready again.

Change: a departure is registered with a mark instead of a number. No announcement of that incarnation counts for 10 s after the departure or after the election of a later leader. A runner that announces itself after that goes on, since the departure was one of an earlier incarnation.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -256,10 +256,11 @@
 
 	private void onAnnounce(FleetCall.Announce call, ReplyPort replyTo) {
 		FleetLeader leading = this.leader.get();
-		if (leading.isOutdated(call.runner().key(), call.sequence())) {
+		long nowMillis = this.clock.millis();
+		if (leading.isOutdated(call.runner().key(), call.sequence(), nowMillis)) {
 			this.events.announcementOutdated(this.term, call);
 		}
-		Optional<BatchCommand> command = leading.onAnnouncement(call.runner(), call.sequence(), this.clock.millis());
+		Optional<BatchCommand> command = leading.onAnnouncement(call.runner(), call.sequence(), nowMillis);
 		if (command.isPresent()) {
 			commit(command.get(), replyTo);
 		}
@@ -269,7 +270,7 @@
 	}
 
 	private void onLeave(FleetCall.Leave call, ReplyPort replyTo) {
-		Optional<BatchCommand> command = this.leader.get().onDeparture(call.runner());
+		Optional<BatchCommand> command = this.leader.get().onDeparture(call.runner(), this.clock.millis());
 		if (command.isPresent()) {
 			commit(command.get(), replyTo);
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -252,8 +252,9 @@
 				.with(EventField.RUNNER, registered.runner().key())
 				.with(EventField.HOST, registered.runner().hostOrId())
 				.with(EventField.POOL, registered.runner().pool())
-				.with(EventField.STATE, stateOf(registered.runner()));
-			return Optional.of(with(attached, EventField.SEQUENCE, registered.sequence()));
+				.with(EventField.STATE, registered.isDeparture() ? "LEAVING" : stateOf(registered.runner()));
+			return Optional
+				.of(registered.isDeparture() ? attached : with(attached, EventField.SEQUENCE, registered.sequence()));
 		}
 		if (command instanceof BatchCommand.RemoveRunner removed) {
 			return Optional.of(removed(index, removed.runner()));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -73,6 +73,13 @@
 	 */
 	private static final int MAXIMUM_PENDING_REPEATED_CONTACTS = 2;
 
+	/**
+	 * A partition holds announcements up for some seconds. What a leaving runner
+	 * announces after this time was sent after the departure, so that was one of an
+	 * earlier incarnation.
+	 */
+	private static final int LATE_ANNOUNCEMENT_MILLIS = 10_000;
+
 	private final BatchState state;
 
 	private final LeaderSettings settings;
@@ -89,6 +96,9 @@
 	 */
 	private final Map<RunnerKey, Long> announcedSequences = new HashMap<>();
 
+	/** When this leader learned of a departure; the election, if it is missing. */
+	private final Map<RunnerKey, Long> departedMillis = new HashMap<>();
+
 	/** The latest registration of each runner that is being committed. */
 	private final Map<RunnerKey, BatchCommand.RegisterRunner> proposedRegistrations = new HashMap<>();
 
@@ -277,33 +287,40 @@
 	 * nothing changed or the runner cannot be used
 	 */
 	public Optional<BatchCommand> onAnnouncement(RunnerRecord runner, long sequence, long nowMillis) {
-		if (!isPoolKnown(runner) || isOutdated(runner.key(), sequence)) {
+		if (!isPoolKnown(runner) || isOutdated(runner.key(), sequence, nowMillis)) {
 			return Optional.empty();
 		}
 		this.announcedSequences.put(runner.key(), sequence);
 		this.announcedMillis.put(runner.key(), nowMillis);
 		if (!runner.draining()) {
+			this.departedMillis.remove(runner.key());
 			session(runner.key()).ifPresent(RunnerSession::onReady);
 		}
 		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent()
 				&& !this.proposedRegistrations.containsKey(runner.key());
-		return isKnown ? Optional.empty() : Optional.of(registration(runner, OptionalLong.of(sequence)));
+		return isKnown ? Optional.empty()
+				: Optional.of(registration(new BatchCommand.RegisterRunner(runner, OptionalLong.of(sequence))));
 	}
 
-	private BatchCommand registration(RunnerRecord runner, OptionalLong sequence) {
-		BatchCommand.RegisterRunner registration = new BatchCommand.RegisterRunner(runner, sequence);
-		this.proposedRegistrations.put(runner.key(), registration);
+	private BatchCommand registration(BatchCommand.RegisterRunner registration) {
+		this.proposedRegistrations.put(registration.runner().key(), registration);
 		return registration;
 	}
 
 	/**
-	 * Tells whether an announcement was overtaken by a later one of the same incarnation,
-	 * which a leader of any term has acknowledged.
+	 * Tells whether an announcement was overtaken by a later one of the same incarnation
+	 * or by its departure, which a leader of any term has acknowledged.
 	 * @param incarnation incarnation of the runner
 	 * @param sequence number that increases with each announcement of an incarnation
+	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return {@code true} if the announcement must have no effect
 	 */
-	public boolean isOutdated(RunnerKey incarnation, long sequence) {
+	public boolean isOutdated(RunnerKey incarnation, long sequence, long nowMillis) {
+		boolean isLeaving = this.departedMillis.containsKey(incarnation) || this.state.isLeaving(incarnation);
+		long departed = this.departedMillis.getOrDefault(incarnation, this.electedMillis);
+		if (isLeaving && nowMillis - departed < LATE_ANNOUNCEMENT_MILLIS) {
+			return true;
+		}
 		return sequence < this.announcedSequences.getOrDefault(incarnation, Long.MIN_VALUE)
 				|| this.state.isOutdated(incarnation, sequence);
 	}
@@ -321,31 +338,23 @@
 	}
 
 	/**
-	 * Handles the announcement that a runner is leaving. It is registered as draining, so
-	 * that later leaders know of the departure too. A departure names no incarnation: if
-	 * it was of an earlier one, the next announcement of the runner ends the draining.
+	 * Handles the announcement that a runner is leaving. The departure is registered, so
+	 * that later leaders know of it too. It has no sequence number and names no
+	 * incarnation: if it was of an earlier one, the runner announces itself after all
+	 * late announcements have arrived, which ends the departure.
 	 * @param id identifier of the runner
+	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return command to commit before the departure is acknowledged, or empty if the
 	 * runner is not registered, is draining or is being removed
 	 */
-	public Optional<BatchCommand> onDeparture(String id) {
+	public Optional<BatchCommand> onDeparture(String id, long nowMillis) {
 		Optional<RunnerRecord> registered = this.state.runner(id);
 		registered.flatMap((runner) -> session(runner.key())).ifPresent(RunnerSession::onDeparture);
 		return registered.filter((runner) -> !runner.draining() && !this.removedIncarnations.contains(runner.key()))
-			.map((runner) -> registration(runner.withoutNewTasks(), departureSequence(runner.key())));
-	}
-
-	// A departure has no sequence number. It takes the one after the latest announcement,
-	// which the next announcement has at least if the runner goes on.
-	private OptionalLong departureSequence(RunnerKey incarnation) {
-		OptionalLong registered = this.state.registeredSequence(incarnation);
-		Long announced = this.announcedSequences.get(incarnation);
-		if (announced == null && registered.isEmpty()) {
-			return OptionalLong.empty();
-		}
-		long latest = Math.max(registered.orElse(Long.MIN_VALUE), (announced != null) ? announced : Long.MIN_VALUE);
-		this.announcedSequences.put(incarnation, latest + 1);
-		return OptionalLong.of(latest + 1);
+			.map((runner) -> {
+				this.departedMillis.putIfAbsent(runner.key(), nowMillis);
+				return registration(BatchCommand.RegisterRunner.departure(runner));
+			});
 	}
 
 	/**
@@ -735,6 +744,7 @@
 		this.pendingRepeatedContacts.retainAll(known);
 		this.announcedMillis.keySet().retainAll(known);
 		this.announcedSequences.keySet().retainAll(known);
+		this.departedMillis.keySet().retainAll(known);
 		this.endingIncarnations.retainAll(known);
 		this.removedIncarnations.retainAll(known);
 		this.reliability.retainAll(known);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -201,6 +201,27 @@
 	 */
 	record RegisterRunner(RunnerRecord runner, OptionalLong sequence) implements BatchCommand {
 
+		/** Sequence number of a departure, which follows all announcements. */
+		static final long DEPARTURE = Long.MAX_VALUE;
+
+		/**
+		 * Registers that a runner is leaving. Members of earlier versions know it as
+		 * draining.
+		 * @param runner the attributes of the runner
+		 * @return the command to commit
+		 */
+		public static RegisterRunner departure(RunnerRecord runner) {
+			return new RegisterRunner(runner.withoutNewTasks(), OptionalLong.of(DEPARTURE));
+		}
+
+		/**
+		 * Tells whether the runner is leaving.
+		 * @return {@code false} for a runner that only drains
+		 */
+		public boolean isDeparture() {
+			return this.sequence.equals(OptionalLong.of(DEPARTURE));
+		}
+
 		@Override
 		public CommandResult applyTo(BatchState state, long atMillis) {
 			return state.register(this.runner, this.sequence);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -157,12 +157,22 @@
 	 * registered with.
 	 * @param incarnation the incarnation of the runner
 	 * @param sequence the sequence number of the announcement
-	 * @return {@code false} if the incarnation is not registered or its sequence number
-	 * is not known
+	 * @return {@code false} if the incarnation is not registered, if its sequence number
+	 * is not known, or if it is leaving: then the leader decides which announcements are
+	 * too late
 	 */
 	public boolean isOutdated(RunnerKey incarnation, long sequence) {
 		OptionalLong registered = registeredSequence(incarnation);
-		return registered.isPresent() && sequence < registered.getAsLong();
+		return registered.isPresent() && sequence < registered.getAsLong() && !isLeaving(incarnation);
+	}
+
+	/**
+	 * Tells whether a departure was the latest news of an incarnation.
+	 * @param incarnation the identifier of the runner and its start time
+	 * @return {@code false} if the incarnation is not registered
+	 */
+	public boolean isLeaving(RunnerKey incarnation) {
+		return registeredSequence(incarnation).equals(OptionalLong.of(BatchCommand.RegisterRunner.DEPARTURE));
 	}
 
 	/**
