Count announcements during a departure, and end it by one without a number

Announcements that arrived while those of a leaving runner do not count left no number, so a draining among them could be ended by an earlier announcement. A registration by a leader of the earlier version left the mark of the departure in place, so the runner's announcements counted as too late. Found by reading the change of the departure.

Measured: aDrainingThatIsAnnouncedDuringADepartureIsNotEndedByAnEarlierAnnouncement and aRegistrationWithoutASequenceNumberEndsADeparture failed before the change and pass now.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -287,10 +287,14 @@
 	 * nothing changed or the runner cannot be used
 	 */
 	public Optional<BatchCommand> onAnnouncement(RunnerRecord runner, long sequence, long nowMillis) {
-		if (!isPoolKnown(runner) || isOutdated(runner.key(), sequence, nowMillis)) {
+		if (!isPoolKnown(runner)) {
+			return Optional.empty();
+		}
+		boolean isOutdated = isOutdated(runner.key(), sequence, nowMillis);
+		this.announcedSequences.merge(runner.key(), sequence, Math::max);
+		if (isOutdated) {
 			return Optional.empty();
 		}
-		this.announcedSequences.put(runner.key(), sequence);
 		this.announcedMillis.put(runner.key(), nowMillis);
 		if (!runner.draining()) {
 			this.departedMillis.remove(runner.key());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -478,7 +478,11 @@
 		if (sequence.isPresent() && isOutdated(runner.key(), sequence.getAsLong())) {
 			return CommandResult.REFUSED;
 		}
-		OptionalLong registered = sequence.isPresent() ? sequence : registeredSequence(runner.key());
+		// Without a number, what ends a departure cannot be told from an announcement
+		// before
+		// it.
+		OptionalLong registered = (sequence.isPresent() || isLeaving(runner.key())) ? sequence
+				: registeredSequence(runner.key());
 		known.stream().filter((other) -> !other.key().equals(runner.key())).forEach((earlier) -> {
 			this.runs.on(earlier.key()).forEach((run) -> endRun(run, ""));
 			removeRunner(earlier);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
@@ -133,6 +133,18 @@
 		Truth.assertThat(registered().draining()).isFalse();
 	}
 
+	/**
+	 * Guards against a draining that ends because it was announced during a departure.
+	 */
+	@Test
+	void aDrainingThatIsAnnouncedDuringADepartureIsNotEndedByAnEarlierAnnouncement() {
+		announce(READY, 4, 1_000);
+		depart(2_000);
+		announce(DRAINING, 8, 6_000);
+		Truth.assertThat(announce(READY, 7, 12_500)).isEmpty();
+		Truth.assertThat(registered().draining()).isTrue();
+	}
+
 	/** Guards against a departure that keeps the next incarnation from being used. */
 	@Test
 	void aRunnerThatStartsAgainAfterItsDepartureIsUsedAtOnce() {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -364,6 +364,16 @@
 		Truth.assertThat(this.state.registeredSequence(RUNNER.key())).isEqualTo(OptionalLong.of(6));
 	}
 
+	/** Guards against a runner whose announcements all count as too late. */
+	@Test
+	void aRegistrationWithoutASequenceNumberEndsADeparture() {
+		apply(BatchCommand.RegisterRunner.departure(RUNNER));
+		Truth.assertThat(this.state.isLeaving(RUNNER.key())).isTrue();
+		apply(new BatchCommand.RegisterRunner(RUNNER, OptionalLong.empty()));
+		Truth.assertThat(this.state.isLeaving(RUNNER.key())).isFalse();
+		Truth.assertThat(this.state.isOutdated(RUNNER.key(), 7)).isFalse();
+	}
+
 	/** Guards against sequence numbers that are kept for runners that are gone. */
 	@Test
 	void theSequenceNumberOfARunnerIsForgottenWithItsRegistration() {
