--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchSoak.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchSoak.java
@@ -33,6 +33,9 @@
 
 	private static final long CONFIGURE_MILLIS = 1_500;
 
+	/** Several versions come while the tasks of a job run. */
+	private static final long RENAME_MILLIS = 3_000;
+
 	/** Pairs of runs that are shown with the logs of the control members. */
 	private static final int SHOWN_PAIRS = 5;
 
@@ -47,6 +50,8 @@
 
 	private volatile long endMillis;
 
+	private long version = 1;
+
 	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
 
 	private final BatchDeployment deployment;
@@ -77,6 +82,7 @@
 			Await.until("the configuration is in force", this::configure);
 			this.endMillis = elapsedMillis() + this.soakMillis;
 			this.thread.scheduleAtFixedRate(this::submit, 0, JOB_MILLIS, TimeUnit.MILLISECONDS);
+			this.thread.scheduleAtFixedRate(this::renameRoute, RENAME_MILLIS, RENAME_MILLIS, TimeUnit.MILLISECONDS);
 			schedule(SoakFault.plan(faults, this.soakMillis));
 			Await.pass(Duration.ofMillis(this.soakMillis));
 			onThread(this::heal);
@@ -107,17 +113,26 @@
 
 	private boolean configure() {
 		restartProcesses();
+		return sendConfiguration().join().statusCode() == 200;
+	}
+
+	// A version that no member acknowledges is overtaken by the next one.
+	private void renameRoute() {
+		if (elapsedMillis() < this.endMillis) {
+			this.version++;
+			sendConfiguration();
+		}
+	}
+
+	private CompletableFuture<HttpResponse<Void>> sendConfiguration() {
 		URI address = URI.create("http://%s:%d/api/configuration"
 			.formatted(this.deployment.memberAddress((int) (elapsedMillis() / 50)), BatchDeployment.CONTROL_PORT));
 		HttpRequest request = HttpRequest.newBuilder(address)
 			.timeout(Duration.ofMillis(CONFIGURE_MILLIS))
 			.PUT(HttpRequest.BodyPublishers
-				.ofString(JsonServer.JSON.valueToTree(JobCallers.configuration()).toString()))
+				.ofString(JsonServer.JSON.valueToTree(JobCallers.configuration(this.version)).toString()))
 			.build();
-		return this.deployment.client()
-			.sendAsync(request, HttpResponse.BodyHandlers.discarding())
-			.join()
-			.statusCode() == 200;
+		return this.deployment.client().sendAsync(request, HttpResponse.BodyHandlers.discarding());
 	}
 
 	private void heal() {
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/JobCallers.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/JobCallers.java
@@ -46,9 +46,10 @@
 		this.random = random;
 	}
 
-	static Map<String, Object> configuration() {
-		return Map.of("version", 1, "routes",
-				List.of(Map.ofEntries(Map.entry("name", "r-soak"), Map.entry("host", HOST),
+	/** Returns a configuration. Each version gives the only route another name. */
+	static Map<String, Object> configuration(long version) {
+		return Map.of("version", version, "routes",
+				List.of(Map.ofEntries(Map.entry("name", "r-soak-" + version), Map.entry("host", HOST),
 						Map.entry("pathPrefix", PREFIX), Map.entry("kind", "non_idempotent"),
 						Map.entry("timeoutMs", ATTEMPT_MILLIS), Map.entry("targetLatencyMs", 600),
 						Map.entry("priority", 0), Map.entry("service", StandInRunner.RunnerPlan.SERVICE),
