--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -321,9 +321,8 @@
 				.anyMatch((task) -> task.isWaiting() && step.failures(task) >= maximumAttempts(job)));
 	}
 
-	// A job stays with the address of its queue. Jobs of earlier versions take the
-	// address
-	// of the first queue that has their name.
+	// Jobs stay with the address of their queue. Those of earlier versions have a name
+	// only, and take the address of the first queue with that name.
 	private void updateQueues(FleetConfiguration current, Map<QueueAddress, BatchQueue> retired) {
 		Map<QueueAddress, BatchQueue> queues = current.queuesByAddress();
 		for (BatchJob job : this.jobs.values()) {
@@ -478,9 +477,8 @@
 		if (sequence.isPresent() && isOutdated(runner.key(), sequence.getAsLong())) {
 			return CommandResult.REFUSED;
 		}
-		// Without a number, what ends a departure cannot be told from an announcement
-		// before
-		// it.
+		// A leader of an earlier version has ended a departure. Its registrations have no
+		// number, so there is none to compare later ones with.
 		OptionalLong registered = (sequence.isPresent() || isLeaving(runner.key())) ? sequence
 				: registeredSequence(runner.key());
 		known.stream().filter((other) -> !other.key().equals(runner.key())).forEach((earlier) -> {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/OverdueWatchTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/OverdueWatchTests.java
@@ -71,6 +71,14 @@
 		requireOnly(OverdueKind.STEP_NOT_PLANNED, "job.0.0");
 	}
 
+	/** Guards against a watch that overlooks just the jobs that are never planned. */
+	@Test
+	void aJobWhoseQueueIsNotKnownIsOverdue() {
+		this.fleet.submitToUnknownQueue("job");
+		this.fleet.run(RECOVERY_MILLIS);
+		requireOnly(OverdueKind.STEP_NOT_PLANNED, "job of unknown queue unknown");
+	}
+
 	@Test
 	void aRunOfACancelledJobIsOverdueIfItsEndIsNeverCommitted() {
 		this.fleet.submitLongRunning("service", 1);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -159,6 +159,12 @@
 		});
 	}
 
+	/** Commits a job of an earlier version, which has only the name of its queue. */
+	void submitToUnknownQueue(String id) {
+		commit(List.of(new BatchCommand.SubmitJob(id, "unknown", "team", BatchFixtures.job(BatchFixtures.step(1)),
+				Optional.empty())));
+	}
+
 	/** Loses a runner for good. */
 	void lose(String runner) {
 		this.runners.get(runner).crash();
