--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/AnnouncementThrottleTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/AnnouncementThrottleTests.java
@@ -39,8 +39,7 @@
 		register(RUNNER);
 		acknowledges(RUNNER, 1_000);
 		Truth.assertThat(acknowledges(RUNNER, 1_100)).isTrue();
-		RunnerRecord draining = new RunnerRecord(RUNNER.key(), RUNNER.host(), RUNNER.pool(), RUNNER.address(),
-				RUNNER.dataCentre(), RUNNER.rack(), RUNNER.capacity(), RUNNER.labels(), true);
+		RunnerRecord draining = RUNNER.withoutNewTasks();
 		Truth.assertThat(acknowledges(draining, 1_200)).isFalse();
 		Truth.assertThat(acknowledges(draining, 1_300)).isFalse();
 		register(draining);
