--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/HostChannel.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 
-import io.burdockpin.core.batch.lead.HostEntry;
-import io.burdockpin.core.batch.lead.HostOrder;
-import io.burdockpin.core.batch.lead.HostReply;
+import io.burdockpin.core.batch.lead.host.HostEntry;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostReply;
 import org.apache.pekko.actor.typed.ActorRef;
 
 /** Protocol of an actor that sends orders about hosts to the platform. */
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/port/RunnerChannel.java
@@ -1,7 +1,7 @@
 package io.burdockpin.batch.port;
 
-import io.burdockpin.core.batch.lead.RunnerDispatch;
-import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.runtime.http.socket.SendCondition;
 import org.apache.pekko.actor.typed.ActorRef;
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/LeaderWarmUp.java
@@ -8,8 +8,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.batch.port.RunnerChannel;
-import io.burdockpin.core.batch.lead.RunnerDispatch;
-import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.model.Resources;
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/LeaderWarmUpTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/LeaderWarmUpTests.java
@@ -6,7 +6,7 @@
 
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.port.RunnerChannel;
-import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.TestProbe;
 import org.apache.pekko.actor.typed.ActorRef;
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -7,11 +7,11 @@
 import java.util.Set;
 
 import com.google.common.truth.Truth;
-import io.burdockpin.core.batch.lead.ReleaseReason;
-import io.burdockpin.core.batch.lead.RunRelease;
-import io.burdockpin.core.batch.lead.RunnerDispatch;
-import io.burdockpin.core.batch.lead.RunnerOrder;
-import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.lead.run.ReleaseReason;
+import io.burdockpin.core.batch.lead.run.RunRelease;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
--- a/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
+++ b/burdockpin-benchmark/src/main/java/io/burdockpin/benchmark/leader/LeaderRun.java
@@ -13,13 +13,13 @@
 import java.util.Queue;
 import java.util.Set;
 
-import io.burdockpin.core.batch.lead.BalanceSettings;
 import io.burdockpin.core.batch.lead.FleetLeader;
-import io.burdockpin.core.batch.lead.HostOrderHistory;
 import io.burdockpin.core.batch.lead.LeaderSettings;
-import io.burdockpin.core.batch.lead.RunnerDispatch;
-import io.burdockpin.core.batch.lead.SessionSettings;
-import io.burdockpin.core.batch.lead.WaveSettings;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.pool.BalanceSettings;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.SessionSettings;
+import io.burdockpin.core.batch.lead.wave.WaveSettings;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
@@ -1,5 +1,8 @@
 package io.burdockpin.core.batch.lead;
 
+import io.burdockpin.core.batch.lead.pool.BalanceSettings;
+import io.burdockpin.core.batch.lead.run.SessionSettings;
+import io.burdockpin.core.batch.lead.wave.WaveSettings;
 import io.burdockpin.core.exc.InvalidValueException;
 
 /**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HandOverPause.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HandOverPause.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 /**
  * Separates the orders of two leaders for the same host: a new leader waits for a delay
@@ -7,7 +7,7 @@
  * sent may still reach the platform. All times are of the monotonic clock of this member.
  * Immutable.
  */
-final class HandOverPause {
+public final class HandOverPause {
 
 	private final HostOrderHistory history;
 
@@ -15,7 +15,7 @@
 
 	private final long electedMillis;
 
-	HandOverPause(HostOrderHistory history, long pauseMillis, long electedMillis) {
+	public HandOverPause(HostOrderHistory history, long pauseMillis, long electedMillis) {
 		this.history = history;
 		this.pauseMillis = pauseMillis;
 		this.electedMillis = electedMillis;
@@ -30,7 +30,7 @@
 	 * @return {@code true} if the delay after the last order of an earlier leader has
 	 * elapsed
 	 */
-	boolean hasElapsed(String host, long nowMillis) {
+	public boolean hasElapsed(String host, long nowMillis) {
 		return hasElapsedForOpenOrders(nowMillis) || this.history.quietMillis(host, nowMillis) >= this.pauseMillis;
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostEntry.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostEntry.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 /**
  * Entry of the platform's host list.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrder.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrder.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 /**
  * Order for a host, sent to the platform. Carrying it out ends everything that runs on
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderHistory.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrderHistory.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderQueue.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrderQueue.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,7 +9,7 @@
  * Priority queue of host orders, limited to the rate that the platform accepts. Orders
  * for hosts that jobs are waiting for come first. Not thread-safe; owned by the leader.
  */
-final class HostOrderQueue {
+public final class HostOrderQueue {
 
 	/** An order in flight takes tens of milliseconds, or up to 1 s until it times out. */
 	private static final int MAXIMUM_IN_FLIGHT = 6;
@@ -32,15 +32,15 @@
 	 * Creates an empty queue.
 	 * @param ordersPerSecond rate that the platform accepts
 	 */
-	HostOrderQueue(double ordersPerSecond) {
+	public HostOrderQueue(double ordersPerSecond) {
 		this.rate = new TokenBucket(RATE_SHARE * ordersPerSecond / MILLIS_PER_SECOND, MAXIMUM_IN_FLIGHT);
 	}
 
-	void add(HostOrder order, HostOrderUrgency urgency, long nowMillis) {
+	public void add(HostOrder order, HostOrderUrgency urgency, long nowMillis) {
 		this.waiting.add(new Waiting(order, urgency.dueMillis(nowMillis), ++this.lastNumber));
 	}
 
-	int size() {
+	public int size() {
 		return this.waiting.size();
 	}
 
@@ -49,7 +49,7 @@
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return orders to send, the most urgent first
 	 */
-	List<HostOrder> take(long nowMillis) {
+	public List<HostOrder> take(long nowMillis) {
 		this.rate.refill(nowMillis);
 		List<HostOrder> taken = new ArrayList<>();
 		while (!this.waiting.isEmpty() && this.inFlight < MAXIMUM_IN_FLIGHT && this.rate.hasToken()) {
@@ -60,7 +60,7 @@
 		return taken;
 	}
 
-	void onReply() {
+	public void onReply() {
 		this.inFlight--;
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderTracker.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrderTracker.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,7 +12,7 @@
  * may be carried out at any later time, so the host cannot be kept afterwards. Not
  * thread-safe; owned by the leader.
  */
-final class HostOrderTracker {
+public final class HostOrderTracker {
 
 	private final HandOverPause pause;
 
@@ -30,7 +30,7 @@
 
 	private final List<HostOrder> orders = new ArrayList<>();
 
-	HostOrderTracker(HandOverPause pause, int retryMillis) {
+	public HostOrderTracker(HandOverPause pause, int retryMillis) {
 		this.pause = pause;
 		this.retryMillis = retryMillis;
 	}
@@ -39,16 +39,16 @@
 	 * Starts a new order for a host and clears the sent state of the previous one.
 	 * @param host name of the host
 	 */
-	void begin(String host) {
+	public void begin(String host) {
 		this.ownHosts.add(host);
 		this.sentHosts.remove(host);
 	}
 
-	boolean isOwn(String host) {
+	public boolean isOwn(String host) {
 		return this.ownHosts.contains(host);
 	}
 
-	boolean isSent(String host) {
+	public boolean isSent(String host) {
 		return this.sentHosts.contains(host);
 	}
 
@@ -59,7 +59,7 @@
 	 * @return {@code true} if the retry delay and the delay after an earlier leader's
 	 * order have elapsed
 	 */
-	boolean canBegin(String host, long nowMillis) {
+	public boolean canBegin(String host, long nowMillis) {
 		return isRetryDue(host, nowMillis) && this.pause.hasElapsed(host, nowMillis);
 	}
 
@@ -71,11 +71,11 @@
 	 * @return {@code true} if the order is from this leader or the delay after an
 	 * election has elapsed
 	 */
-	boolean canResend(String host, long nowMillis) {
+	public boolean canResend(String host, long nowMillis) {
 		return isOwn(host) || this.pause.hasElapsedForOpenOrders(nowMillis);
 	}
 
-	boolean isRetryDue(String host, long nowMillis) {
+	public boolean isRetryDue(String host, long nowMillis) {
 		return nowMillis >= this.nextTryMillis.getOrDefault(host, 0L);
 	}
 
@@ -84,7 +84,7 @@
 	 * @param order order to send
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	void sendIfDue(HostOrder order, long nowMillis) {
+	public void sendIfDue(HostOrder order, long nowMillis) {
 		String host = order.host();
 		if (canResend(host, nowMillis) && isRetryDue(host, nowMillis) && this.hostsInFlight.add(host)) {
 			this.sentHosts.add(host);
@@ -98,7 +98,7 @@
 	 * @param reply reply, or the reason why there is none
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	void onReply(String host, HostReply reply, long nowMillis) {
+	public void onReply(String host, HostReply reply, long nowMillis) {
 		this.hostsInFlight.remove(host);
 		this.nextTryMillis.put(host, nowMillis + this.retryMillis);
 		if (reply == HostReply.HOST_NOT_UP) {
@@ -110,7 +110,7 @@
 	 * Returns and clears the orders to send.
 	 * @return orders to send
 	 */
-	List<HostOrder> drainOrders() {
+	public List<HostOrder> drainOrders() {
 		List<HostOrder> drained = List.copyOf(this.orders);
 		this.orders.clear();
 		return drained;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostOrderUrgency.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrderUrgency.java
@@ -1,10 +1,10 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 
 /** Urgency of a host order, which bounds how long newer orders may overtake it. */
-enum HostOrderUrgency {
+public enum HostOrderUrgency {
 
 	/** Jobs are waiting for the host. */
 	GROW(0),
@@ -30,7 +30,7 @@
 		return nowMillis + this.maximumDelayMillis;
 	}
 
-	static HostOrderUrgency of(HostOrder order, FleetConfiguration configuration) {
+	public static HostOrderUrgency of(HostOrder order, FleetConfiguration configuration) {
 		if (order instanceof HostOrder.Move move) {
 			return configuration.pool(move.pool()).filter(BatchPool::spare).isPresent() ? RETURN : GROW;
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/HostReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostReply.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 /** Result of a host order. */
 public enum HostReply {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TokenBucket.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/TokenBucket.java
@@ -1,7 +1,7 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 /** Token bucket rate limiter. Not thread-safe; owned by the leader. */
-final class TokenBucket {
+public final class TokenBucket {
 
 	private final double tokensPerMillisecond;
 
@@ -17,7 +17,7 @@
 	 * @param tokensPerMillisecond refill rate
 	 * @param capacity maximum number of tokens
 	 */
-	TokenBucket(double tokensPerMillisecond, double capacity) {
+	public TokenBucket(double tokensPerMillisecond, double capacity) {
 		this.tokensPerMillisecond = tokensPerMillisecond;
 		this.capacity = capacity;
 		this.tokens = capacity;
@@ -27,17 +27,17 @@
 	 * Adds the tokens accrued since the last refill.
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	void refill(long nowMillis) {
+	public void refill(long nowMillis) {
 		double accrued = this.tokensPerMillisecond * (nowMillis - this.refilledMillis);
 		this.tokens = Math.min(this.capacity, this.tokens + accrued);
 		this.refilledMillis = nowMillis;
 	}
 
-	boolean hasToken() {
+	public boolean hasToken() {
 		return this.tokens >= 1;
 	}
 
-	void take() {
+	public void take() {
 		this.tokens--;
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OpenWork.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/overdue/OpenWork.java
@@ -1,7 +1,9 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.overdue;
 
 import java.util.Map;
 
+import io.burdockpin.core.batch.lead.plan.FreeCapacity;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.state.BatchState;
 
@@ -13,6 +15,7 @@
  * @param capacity capacity that the latest plan has left free
  * @param nowMillis current monotonic time, in milliseconds
  */
-record OpenWork(BatchState state, Map<RunnerKey, RunnerSession> sessions, FreeCapacity capacity, long nowMillis) {
+public record OpenWork(BatchState state, Map<RunnerKey, RunnerSession> sessions, FreeCapacity capacity,
+		long nowMillis) {
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/overdue/OverdueItem.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.overdue;
 
 /**
  * Work that has been open for longer than the bound of its kind.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/overdue/OverdueKind.java
@@ -1,8 +1,10 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.overdue;
 
 import java.util.List;
 import java.util.function.Consumer;
 
+import io.burdockpin.core.batch.lead.LeaderSettings;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.TaskId;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OverdueWatch.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/overdue/OverdueWatch.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.overdue;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,12 +9,14 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.LeaderSettings;
+
 /**
  * Watches the leader's own state for work that is overdue. Only reads: the work is
  * reported and left as it is. Ages count from the first evaluation of this leader that
  * found the work open. Not thread-safe; owned by the leader.
  */
-final class OverdueWatch {
+public final class OverdueWatch {
 
 	/** Bounds are seconds, and an evaluation reads all open work. */
 	static final long PERIOD_MILLIS = 1_000;
@@ -42,7 +44,7 @@
 	 * @param settings settings of the leader
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	OverdueWatch(LeaderSettings settings, long nowMillis) {
+	public OverdueWatch(LeaderSettings settings, long nowMillis) {
 		this.settings = settings;
 		this.evaluatedMillis = nowMillis;
 	}
@@ -53,7 +55,7 @@
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return {@code true} if the period is over and there was a plan or none for long
 	 */
-	boolean isDue(boolean hasPlanned, long nowMillis) {
+	public boolean isDue(boolean hasPlanned, long nowMillis) {
 		return nowMillis - this.evaluatedMillis >= PERIOD_MILLIS + (hasPlanned ? 0 : PLAN_WAIT_MILLIS);
 	}
 
@@ -63,7 +65,7 @@
 	 * @return one report for each kind of which something is overdue or was at the
 	 * previous evaluation
 	 */
-	List<OverdueReport> evaluate(OpenWork work) {
+	public List<OverdueReport> evaluate(OpenWork work) {
 		this.evaluatedMillis = work.nowMillis();
 		List<OverdueReport> reports = new ArrayList<>();
 		for (OverdueKind kind : OverdueKind.values()) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/package-info.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/package-info.java
@@ -1,5 +1,4 @@
 /**
- * Decisions of the batch scheduler's leader: placement, runner sessions and leases, pool
- * balancing and maintenance waves.
+ * The leader of the batch scheduler. Its decisions are in the subpackages.
  */
 package io.burdockpin.core.batch.lead;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Candidate.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/Candidate.java
@@ -1,5 +1,6 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.plan;
 
+import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.model.Resources;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FreeCapacity.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.plan;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
@@ -22,7 +23,7 @@
  * should have been planned, and assumes that there is no room in cases of doubt. Examines
  * the runners once for each distinct size of task. Not thread-safe.
  */
-final class FreeCapacity {
+public final class FreeCapacity {
 
 	/** Bounds the cost while many jobs of different sizes wait. */
 	private static final int MAXIMUM_SIZES = 64;
@@ -51,7 +52,7 @@
 	 * @param planned assignments that are not applied to the state, but count in the
 	 * candidates
 	 */
-	FreeCapacity(BatchState state, List<Candidate> candidates, List<BatchCommand.Assignment> planned) {
+	public FreeCapacity(BatchState state, List<Candidate> candidates, List<BatchCommand.Assignment> planned) {
 		this.state = state;
 		this.candidates = candidates;
 		this.planned = planned;
@@ -85,7 +86,7 @@
 	 * @return {@code true} if none was planned and there is room for the tasks that must
 	 * start together
 	 */
-	boolean hasRoomFor(TaskId firstTask, String workspace, String pool, StepTasks step) {
+	public boolean hasRoomFor(TaskId firstTask, String workspace, String pool, StepTasks step) {
 		if (this.plannedSteps.contains(firstTask)) {
 			return false;
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/Plan.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/Plan.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.plan;
 
 import java.util.Collections;
 import java.util.List;
@@ -21,7 +21,8 @@
 public record Plan(List<BatchCommand.Assignment> assignments, Set<String> poolsLackingCapacity,
 		Set<RunnerKey> runnersForRestarts, List<Candidate> candidates) {
 
-	static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of(), List.of());
+	/** Assigns nothing. */
+	public static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of(), List.of());
 
 	public Plan {
 		assignments = List.copyOf(assignments);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SlackCalculator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/SlackCalculator.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.plan;
 
 import java.util.List;
 
@@ -15,7 +15,7 @@
  *
  * @param durations estimator for task durations
  */
-record SlackCalculator(DurationEstimator durations) {
+public record SlackCalculator(DurationEstimator durations) {
 
 	/**
 	 * Returns the time until the objective of a job minus the duration of its remaining
@@ -27,7 +27,7 @@
 	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 * @return slack in milliseconds, negative if the objective will be missed
 	 */
-	long slackMillis(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
+	public long slackMillis(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
 		JobSpec spec = job.spec();
 		QueueAddress address = job.address().orElseThrow();
 		long objectiveMillis = spec.dueMillis(occurrence.number(), job.acceptedMillis()) + queue.targetLatencyMillis()
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.plan;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,6 +12,8 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 
+import io.burdockpin.core.batch.lead.pool.PoolDemand;
+import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -46,7 +48,7 @@
 	 * is reserved for the demand peaks of its queues. {@link PoolDemand} includes this
 	 * share when it calculates the required hosts.
 	 */
-	static final double LONG_RUNNING_SHARE = 0.75;
+	public static final double LONG_RUNNING_SHARE = 0.75;
 
 	/**
 	 * A pool with less in use has no other tasks for which its free capacity should wait.
@@ -114,7 +116,7 @@
 	 * @param reliability returns the reliability of a runner
 	 * @return one candidate for each runner, in the same order
 	 */
-	static List<Candidate> candidates(BatchState state, List<RunnerRecord> runners,
+	public static List<Candidate> candidates(BatchState state, List<RunnerRecord> runners,
 			Function<RunnerKey, RunnerReliability> reliability) {
 		List<Candidate> candidates = new ArrayList<>(runners.size());
 		for (RunnerRecord runner : runners) {
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of waiting tasks on runners. */
+package io.burdockpin.core.batch.lead.plan;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.pool;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,6 +11,15 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import io.burdockpin.core.batch.lead.host.HandOverPause;
+import io.burdockpin.core.batch.lead.host.HostEntry;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.host.HostOrderTracker;
+import io.burdockpin.core.batch.lead.host.HostReply;
+import io.burdockpin.core.batch.lead.plan.DurationEstimator;
+import io.burdockpin.core.batch.lead.plan.Plan;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolDemand.java
@@ -1,10 +1,13 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.pool;
 
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.plan.DurationEstimator;
+import io.burdockpin.core.batch.lead.plan.SlackCalculator;
+import io.burdockpin.core.batch.lead.plan.TaskPlanner;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.StepSpec;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/JobStartRecorder.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/JobStartRecorder.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -18,7 +18,7 @@
  * or listed a run of one of its tasks. Reads the replicated state. Not thread-safe; owned
  * by the leader.
  */
-final class JobStartRecorder {
+public final class JobStartRecorder {
 
 	/**
 	 * Callers accept a number of waiting jobs that is 2 s old, so starts share log
@@ -36,7 +36,7 @@
 
 	private long recordedMillis;
 
-	JobStartRecorder(BatchState state) {
+	public JobStartRecorder(BatchState state) {
 		this.state = state;
 	}
 
@@ -46,7 +46,7 @@
 	 * @param order order that was sent
 	 * @param reply reply, or the reason why there is none
 	 */
-	void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply) {
+	public void onReply(RunnerKey runner, RunnerOrder order, RunnerReply reply) {
 		if (order instanceof RunnerOrder.Start start && reply instanceof RunnerReply.Accepted) {
 			onStarted(runner, start.task());
 		}
@@ -60,7 +60,7 @@
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return commands to commit, empty if none is due
 	 */
-	List<BatchCommand> takeDue(long nowMillis) {
+	public List<BatchCommand> takeDue(long nowMillis) {
 		if (nowMillis - this.recordedMillis < RECORD_PERIOD_MILLIS) {
 			return List.of();
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/ReleaseReason.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/ReleaseReason.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 /** Reason why a leader releases a run whose end it does not know. */
 public enum ReleaseReason {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunProgress.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunProgress.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import java.util.OptionalInt;
 import java.util.OptionalLong;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunRelease.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunRelease.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.state.BatchCommand;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunSpec.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunSpec.java
@@ -1,9 +1,10 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
@@ -25,7 +26,7 @@
 public record RunSpec(String specification, String checkpoint, boolean bestEffort, OptionalLong estimatedMillis,
 		OptionalInt targetMillis) {
 
-	static RunSpec of(TaskId task, BatchState state, DurationEstimator durations) {
+	public static RunSpec of(TaskId task, BatchState state, DurationEstimator durations) {
 		Optional<StepSpec> step = state.step(task).map(StepTasks::spec);
 		return new RunSpec(state.job(task.job()).map((job) -> job.spec().specification()).orElse(""),
 				state.task(task).map(BatchTask::checkpoint).orElse(""), step.filter(StepSpec::fills).isPresent(),
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerReliability.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunnerReliability.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 /**
  * Reliability of a runner according to its recent runs, which determines the tasks it
@@ -10,7 +10,7 @@
 	SOUND {
 
 		@Override
-		boolean isSuitable(boolean hasFailedBefore) {
+		public boolean isSuitable(boolean hasFailedBefore) {
 			return true;
 		}
 
@@ -23,7 +23,7 @@
 	DOUBTFUL {
 
 		@Override
-		boolean isSuitable(boolean hasFailedBefore) {
+		public boolean isSuitable(boolean hasFailedBefore) {
 			return !hasFailedBefore;
 		}
 
@@ -33,7 +33,7 @@
 	SUSPECT {
 
 		@Override
-		boolean isSuitable(boolean hasFailedBefore) {
+		public boolean isSuitable(boolean hasFailedBefore) {
 			return false;
 		}
 
@@ -44,6 +44,6 @@
 	 * @param hasFailedBefore whether a run of the task has failed
 	 * @return {@code true} if the runner is suitable for the task
 	 */
-	abstract boolean isSuitable(boolean hasFailedBefore);
+	public abstract boolean isSuitable(boolean hasFailedBefore);
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunnerSession.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -150,7 +150,7 @@
 	 * those with the same incarnation.
 	 * @return monotonic time, in milliseconds
 	 */
-	long openedMillis() {
+	public long openedMillis() {
 		return this.openedMillis;
 	}
 
@@ -183,7 +183,7 @@
 	 * Checks whether the runner has ever sent a listing to this leader.
 	 * @return {@code true} after the first listing
 	 */
-	boolean hasBeenContacted() {
+	public boolean hasBeenContacted() {
 		return this.contacted;
 	}
 
@@ -191,7 +191,7 @@
 	 * Returns the oldest end that the runner still lists.
 	 * @return number of the first end in the latest listing, or empty if it had none
 	 */
-	OptionalLong oldestListedEnd() {
+	public OptionalLong oldestListedEnd() {
 		return this.oldestListedEnd;
 	}
 
@@ -199,7 +199,7 @@
 	 * Checks whether the latest order or heartbeat timed out.
 	 * @return {@code true} if no answer arrived since
 	 */
-	boolean isUnanswered() {
+	public boolean isUnanswered() {
 		return this.unansweredCount > 0;
 	}
 
@@ -239,7 +239,7 @@
 	 * an earlier incarnation may be in progress on this one.
 	 * @return live view
 	 */
-	Set<TaskId> inheritedTasks() {
+	public Set<TaskId> inheritedTasks() {
 		return this.inheritedRuns.tasks();
 	}
 
@@ -249,7 +249,7 @@
 	 * @param earlier session with the earlier incarnation
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	void inheritRuns(RunnerSession earlier, long nowMillis) {
+	public void inheritRuns(RunnerSession earlier, long nowMillis) {
 		this.inheritedRuns.addAll(earlier.inheritedRuns);
 		earlier.runs.values()
 			.stream()
@@ -306,7 +306,7 @@
 	 * @return {@code true} if the run was added and neither its end nor its release was
 	 * committed
 	 */
-	boolean hasRun(TaskId task, int run) {
+	public boolean hasRun(TaskId task, int run) {
 		return progress(task).filter((known) -> known.run().number() == run).isPresent();
 	}
 
@@ -315,7 +315,7 @@
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return ages of the last contact, the lease and the open order
 	 */
-	RunnerContact contact(long nowMillis) {
+	public RunnerContact contact(long nowMillis) {
 		return new RunnerContact(
 				this.contacted ? OptionalLong.of(nowMillis - this.lastContactMillis) : OptionalLong.empty(),
 				this.lease.ageMillis(nowMillis),
@@ -368,7 +368,7 @@
 	 * Removes inherited runs that have certainly ended because leases are limited.
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	void removeExpiredInheritedRuns(long nowMillis) {
+	public void removeExpiredInheritedRuns(long nowMillis) {
 		this.inheritedRuns.removeExpired(nowMillis);
 	}
 
@@ -412,7 +412,7 @@
 	 * Handles an announcement that the runner accepts tasks. An earlier announcement that
 	 * it is leaving was of an earlier incarnation with the same identifier.
 	 */
-	void onReady() {
+	public void onReady() {
 		this.leaving = false;
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/SessionSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/SessionSettings.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import io.burdockpin.core.util.Checks;
 
@@ -55,7 +55,7 @@
 	 * have expired.
 	 * @return time in milliseconds since the session was opened
 	 */
-	long earlierLeaseExpiryMillis() {
+	public long earlierLeaseExpiryMillis() {
 		return FIRST_CONTACT_MILLIS + safeExpiryMillis(this.leaseMillis);
 	}
 
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/package-info.java
@@ -0,0 +1,2 @@
+/** Sessions with runners: orders, leases, progress and reliability. */
+package io.burdockpin.core.batch.lead.run;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/wave/WaveController.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.wave;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,6 +10,12 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 
+import io.burdockpin.core.batch.lead.host.HandOverPause;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.host.HostOrderTracker;
+import io.burdockpin.core.batch.lead.host.HostReply;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.state.BatchCommand;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/wave/package-info.java
@@ -0,0 +1,2 @@
+/** Maintenance waves. */
+package io.burdockpin.core.batch.lead.wave;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/AnnouncementOrderTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchFixtures;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -14,6 +14,14 @@
 import java.util.Random;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.host.HostEntry;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.host.HostReply;
+import io.burdockpin.core.batch.lead.overdue.OverdueReport;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -39,7 +47,7 @@
  * platform carries out host orders one at a time. Reports the share of the jobs that meet
  * their objective and the cost of the hosts.
  */
-final class DemandPeakSimulation {
+public final class DemandPeakSimulation {
 
 	private static final long START_MILLIS = 1_000_000;
 
@@ -113,7 +121,7 @@
 
 	private int jobCount;
 
-	DemandPeakSimulation(FleetSpec spec, LeaderSettings settings, long seed) {
+	public DemandPeakSimulation(FleetSpec spec, LeaderSettings settings, long seed) {
 		this.spec = spec;
 		this.settings = settings;
 		this.random = new Random(seed);
@@ -140,7 +148,7 @@
 	}
 
 	/** Starts the long-running steps and then runs one peak per queue. */
-	void runAllPeaks() {
+	public void runAllPeaks() {
 		for (int number = 0; number < this.spec.pools(); number++) {
 			int pool = number;
 			at(SERVING_MILLIS, () -> submitServing(pool));
@@ -156,7 +164,7 @@
 	 * Starts a maintenance wave for nearly half of the hosts shortly after the first peak
 	 * begins.
 	 */
-	void scheduleWave() {
+	public void scheduleWave() {
 		List<String> hosts = this.poolOfHost.keySet()
 			.stream()
 			.filter((host) -> this.random.nextDouble() < 0.46)
@@ -173,7 +181,7 @@
 	 * @param afterMillis time from the start of the first peak to the start of the pause
 	 * @param millis duration of the pause
 	 */
-	void pauseLeader(long afterMillis, long millis) {
+	public void pauseLeader(long afterMillis, long millis) {
 		this.pausedFromMillis = START_MILLIS + this.spec.warmUpMillis() + afterMillis;
 		this.pausedUntilMillis = this.pausedFromMillis + millis;
 	}
@@ -184,7 +192,7 @@
 	 * @param afterMillis time from the start of the first peak to the start of the cut
 	 * @param millis duration of the cut
 	 */
-	void cutOffOneDataCentre(long afterMillis, long millis) {
+	public void cutOffOneDataCentre(long afterMillis, long millis) {
 		this.cutFromMillis = START_MILLIS + this.spec.warmUpMillis() + afterMillis;
 		this.cutUntilMillis = this.cutFromMillis + millis;
 	}
@@ -195,12 +203,12 @@
 	 * @param pool number of the pool with the peak
 	 * @return share from 0 to 1
 	 */
-	double onTimeShare(int pool) {
+	public double onTimeShare(int pool) {
 		return onTimeShare(this.jobs.values().stream().filter((job) -> job.pool() == pool).toList());
 	}
 
 	/** Returns the share of all jobs that met their objective, weighted by work. */
-	double onTimeShare() {
+	public double onTimeShare() {
 		return onTimeShare(this.jobs.values());
 	}
 
@@ -215,21 +223,21 @@
 	}
 
 	/** Returns the time that the wave took, or infinity if it is not completed. */
-	double waveSeconds() {
+	public double waveSeconds() {
 		return (this.waveCompletedMillis > 0) ? (this.waveCompletedMillis - this.waveStartedMillis) / 1_000.0
 				: Double.POSITIVE_INFINITY;
 	}
 
-	long hostSeconds() {
+	public long hostSeconds() {
 		return this.hostMillis / 1_000;
 	}
 
-	int moves() {
+	public int moves() {
 		return this.moves;
 	}
 
 	/** Returns the mean time that the long-running tasks waited for their start. */
-	double servingWaitSeconds() {
+	public double servingWaitSeconds() {
 		return this.runners.values()
 			.stream()
 			.flatMapToLong((runner) -> runner.servingWaitMillis.stream().mapToLong((wait) -> wait))
@@ -299,7 +307,7 @@
 	}
 
 	/** Returns what the leader has reported as overdue. */
-	List<OverdueReport> overdueReports() {
+	public List<OverdueReport> overdueReports() {
 		return this.overdueReports;
 	}
 
@@ -531,7 +539,7 @@
 	 * @param orderMillis delay of a host order
 	 * @param warmUpMillis time before the first peak
 	 */
-	record FleetSpec(int pools, int hosts, Resources host, Resources task, int workMillis, double peakPerSecond,
+	public record FleetSpec(int pools, int hosts, Resources host, Resources task, int workMillis, double peakPerSecond,
 			int peakMillis, int servingTasks, Resources servingTask, int servingPerHost, int orderMillis,
 			int warmUpMillis) {
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakTests.java
@@ -1,6 +1,9 @@
 package io.burdockpin.core.batch.lead;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.pool.BalanceSettings;
+import io.burdockpin.core.batch.lead.run.SessionSettings;
+import io.burdockpin.core.batch.lead.wave.WaveSettings;
 import io.burdockpin.core.model.Resources;
 import org.junit.jupiter.api.Test;
 
@@ -9,15 +12,15 @@
  * of its pool, while nearly half of the hosts are due for maintenance and long-running
  * tasks use the memory of others. The platform accepts 64 host orders per second.
  */
-class DemandPeakTests {
+public class DemandPeakTests {
 
-	static final LeaderSettings SETTINGS = new LeaderSettings(new SessionSettings(4_000, 1_000, 700, 300, 150, 2_200),
-			new WaveSettings(1_000, 3_000, 2_000, 5_000, 400),
+	public static final LeaderSettings SETTINGS = new LeaderSettings(
+			new SessionSettings(4_000, 1_000, 700, 300, 150, 2_200), new WaveSettings(1_000, 3_000, 2_000, 5_000, 400),
 			new BalanceSettings(1_000, 1_700, 1_500, 2_500, 400, 1_500), 60_000, 64);
 
 	private static final Resources HOST = new Resources(64_000, 262_144, 0);
 
-	static final DemandPeakSimulation.FleetSpec FLEET = new DemandPeakSimulation.FleetSpec(4, 246, HOST,
+	public static final DemandPeakSimulation.FleetSpec FLEET = new DemandPeakSimulation.FleetSpec(4, 246, HOST,
 			new Resources(8_100, 17_000, 0), 1_000, 56, 8_500, 24, new Resources(8_200, 80_000, 0), 3, 35, 18_000);
 
 	/** Each host runs at most two tasks of a long-running step. */
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FirstContactSimulation.java
@@ -6,6 +6,9 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchFixtures;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/FleetLeaderTests.java
@@ -7,6 +7,13 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.run.RunSpec;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
+import io.burdockpin.core.batch.lead.run.SessionSettings;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.RunOutcome;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -15,6 +15,15 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.overdue.OverdueKind;
+import io.burdockpin.core.batch.lead.overdue.OverdueReport;
+import io.burdockpin.core.batch.lead.pool.BalanceSettings;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
+import io.burdockpin.core.batch.lead.run.SessionSettings;
+import io.burdockpin.core.batch.lead.wave.WaveSettings;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -43,10 +52,10 @@
  * start and acknowledgement is checked against the invariants; {@link #overdue} lists
  * what should have gone on.
  */
-final class SimulatedFleet {
+public final class SimulatedFleet {
 
-	static final LeaderSettings SETTINGS = new LeaderSettings(new SessionSettings(4_000, 300, 400, 200, 100, 1_500),
-			new WaveSettings(1_000, 500, 1_000, 2_000, 200),
+	public static final LeaderSettings SETTINGS = new LeaderSettings(
+			new SessionSettings(4_000, 300, 400, 200, 100, 1_500), new WaveSettings(1_000, 500, 1_000, 2_000, 200),
 			new BalanceSettings(1_000, 1_700, 2_000, 2_000, 200, 1_000), 10_000, 64);
 
 	private static final String POOL = "pool";
@@ -101,7 +110,7 @@
 
 	private int releaseCount;
 
-	SimulatedFleet(RandomGenerator random, Faults faults, int runnerCount, int maximumAttempts) {
+	public SimulatedFleet(RandomGenerator random, Faults faults, int runnerCount, int maximumAttempts) {
 		this.random = random;
 		this.faults = faults;
 		BatchQueue queue = new BatchQueue("queue", "host", "/queue/", true, POOL, 0, maximumAttempts, 3_000, 500, 2);
@@ -118,7 +127,7 @@
 		at(0, this::decide);
 	}
 
-	void submit(String id, int steps, int width, boolean gang) {
+	public void submit(String id, int steps, int width, boolean gang) {
 		List<StepSpec> specs = new ArrayList<>();
 		for (int step = 0; step < steps; step++) {
 			specs.add(new StepSpec(width, new Resources(1_500, 1_000, 0), 600,
@@ -129,7 +138,7 @@
 	}
 
 	/** Submits a job whose tasks run until it is cancelled. */
-	void submitLongRunning(String id, int width) {
+	public void submitLongRunning(String id, int width) {
 		StepSpec step = new StepSpec(width, new Resources(1_500, 1_000, 0), 600, List.of(), true, false, false,
 				Optional.empty(), Optional.empty(), OptionalInt.empty(), false, true, Optional.of("image"),
 				OptionalInt.empty(), false, 1);
@@ -137,11 +146,11 @@
 				new JobSpec(SimulatedRunner.ENDLESS, List.of(step), 0, 0, 0))));
 	}
 
-	void cancel(String id) {
+	public void cancel(String id) {
 		commit(List.of(new BatchCommand.CancelJob(id)));
 	}
 
-	void run(long millis) {
+	public void run(long millis) {
 		long untilMillis = this.nowMillis + millis;
 		while (!this.events.isEmpty() && this.events.peek().atMillis() <= untilMillis) {
 			Event event = this.events.remove();
@@ -151,7 +160,7 @@
 		this.nowMillis = untilMillis;
 	}
 
-	void crash(String runner, long forMillis) {
+	public void crash(String runner, long forMillis) {
 		this.runners.get(runner).crash();
 		at(forMillis, () -> {
 			this.runners.get(runner).restart(this.nowMillis);
@@ -160,51 +169,51 @@
 	}
 
 	/** Commits a job of an earlier version, which has only the name of its queue. */
-	void submitToUnknownQueue(String id) {
+	public void submitToUnknownQueue(String id) {
 		commit(List.of(new BatchCommand.SubmitJob(id, "unknown", "team", BatchFixtures.job(BatchFixtures.step(1)),
 				Optional.empty())));
 	}
 
 	/** Loses a runner for good. */
-	void lose(String runner) {
+	public void lose(String runner) {
 		this.runners.get(runner).crash();
 	}
 
 	/** Delivers the departure of an earlier incarnation of a runner. */
-	void deliverLateDeparture(String runner) {
+	public void deliverLateDeparture(String runner) {
 		this.leader.onDeparture(runner, this.nowMillis).ifPresent(this.queuedCommands::add);
 	}
 
 	/** Returns the announcement of a runner. */
-	RunnerRecord announcementOf(String runner) {
+	public RunnerRecord announcementOf(String runner) {
 		return this.runners.get(runner).announce();
 	}
 
-	long nowMillis() {
+	public long nowMillis() {
 		return this.nowMillis;
 	}
 
 	/** Delivers an announcement that no runner of this fleet has sent. */
-	void announceForeign(RunnerRecord entry) {
+	public void announceForeign(RunnerRecord entry) {
 		this.leader.onAnnouncement(entry, 1, this.nowMillis).ifPresent(this.queuedCommands::add);
 	}
 
 	/** Loses the leader's proposals of some types, so that it waits for their commit. */
-	void loseProposals(Set<Class<? extends BatchCommand>> types) {
+	public void loseProposals(Set<Class<? extends BatchCommand>> types) {
 		this.lostProposals = (command) -> types.contains(command.getClass());
 	}
 
 	/** Commits a move that the platform never carries out. */
-	void orderMove(String host, String pool) {
+	public void orderMove(String host, String pool) {
 		commit(List.of(new BatchCommand.SetMove(host, pool, MovePhase.ORDERED)));
 	}
 
-	void cutOff(String runner, long forMillis) {
+	public void cutOff(String runner, long forMillis) {
 		this.cutOff.add(runner);
 		at(forMillis, () -> this.cutOff.remove(runner));
 	}
 
-	void changeLeader() {
+	public void changeLeader() {
 		this.term++;
 		this.queuedCommands.clear();
 		this.reports.clear();
@@ -212,27 +221,27 @@
 	}
 
 	/** Ends all disturbances and lets the fleet recover. */
-	void recover(long millis) {
+	public void recover(long millis) {
 		this.faults = Faults.NONE;
 		this.cutOff.clear();
 		run(millis);
 	}
 
 	/** Lets runners keep their tasks after their leases have expired. */
-	void ignoreLeases() {
+	public void ignoreLeases() {
 		this.runners.values().forEach(SimulatedRunner::ignoreLease);
 	}
 
 	/** Lets the conditions of orders name the runners and not their incarnations. */
-	void nameOnlyIdentifiers() {
+	public void nameOnlyIdentifiers() {
 		this.runners.values().forEach(SimulatedRunner::nameOnlyIdentifier);
 	}
 
-	List<String> violations() {
+	public List<String> violations() {
 		return this.violations;
 	}
 
-	Optional<BatchJobPhase> phase(String job) {
+	public Optional<BatchJobPhase> phase(String job) {
 		return this.state.job(job).map((known) -> known.phase());
 	}
 
@@ -240,7 +249,7 @@
 	 * Lists what waits although nothing prevents it from going on. Meaningful once
 	 * disturbances are over for longer than leases and timeouts last.
 	 */
-	List<String> overdue() {
+	public List<String> overdue() {
 		List<String> overdue = new ArrayList<>();
 		this.state.activeJobs().forEach((job) -> {
 			if (!job.spec().isLongRunning()) {
@@ -278,7 +287,7 @@
 	}
 
 	/** Returns what the leader itself reports as overdue. */
-	Map<OverdueKind, OverdueReport> reportedOverdue() {
+	public Map<OverdueKind, OverdueReport> reportedOverdue() {
 		return this.reports;
 	}
 
@@ -306,16 +315,16 @@
 			.count();
 	}
 
-	BatchState state() {
+	public BatchState state() {
 		return this.state;
 	}
 
 	/** Returns the number of runs that were released without an end. */
-	int releaseCount() {
+	public int releaseCount() {
 		return this.releaseCount;
 	}
 
-	long runningCount() {
+	public long runningCount() {
 		return this.runners.values().stream().mapToLong((runner) -> runner.running().size()).sum();
 	}
 
@@ -480,9 +489,9 @@
 	}
 
 	/** Probabilities of lost and late orders. */
-	record Faults(double lostShare, double lateShare) {
+	public record Faults(double lostShare, double lateShare) {
 
-		static final Faults NONE = new Faults(0, 0);
+		public static final Faults NONE = new Faults(0, 0);
 
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedRunner.java
@@ -12,6 +12,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -23,9 +25,9 @@
  * Simulates a runner in virtual time with leases on its own clock, fencing, and listings
  * of active and ended runs.
  */
-final class SimulatedRunner {
+public final class SimulatedRunner {
 
-	static final Resources CAPACITY = new Resources(8_000, 16_384, 0);
+	public static final Resources CAPACITY = new Resources(8_000, 16_384, 0);
 
 	/** Specification of tasks that run until they are stopped. */
 	static final String ENDLESS = "endless";
@@ -74,7 +76,7 @@
 	 */
 	private final Set<Long> voidEnds = new HashSet<>();
 
-	SimulatedRunner(String id, String pool, RandomGenerator random, long nowMillis) {
+	public SimulatedRunner(String id, String pool, RandomGenerator random, long nowMillis) {
 		this.id = id;
 		this.pool = pool;
 		this.random = random;
@@ -82,44 +84,44 @@
 		this.startMillis = nowMillis;
 	}
 
-	RunnerRecord announce() {
+	public RunnerRecord announce() {
 		return new RunnerRecord(new RunnerKey(this.id, this.startMillis), Optional.of("host-" + this.id), this.pool,
 				"127.0.0.1:1", "dc1", Optional.of("rack-1"), CAPACITY, Set.of("a", "rack-1"), false);
 	}
 
-	void observe(Observer newObserver) {
+	public void observe(Observer newObserver) {
 		this.observer = newObserver;
 	}
 
 	/** Returns the number of ends before a time that are not acknowledged. */
-	long unacknowledgedCount(long beforeMillis) {
+	public long unacknowledgedCount(long beforeMillis) {
 		return this.ends.stream().filter((end) -> this.endedMillis.get(end.number()) < beforeMillis).count();
 	}
 
-	boolean isUp() {
+	public boolean isUp() {
 		return this.up;
 	}
 
-	Map<TaskId, Execution> running() {
+	public Map<TaskId, Execution> running() {
 		return this.running;
 	}
 
 	/** Lets tasks continue after the lease has expired, and makes them long. */
-	void ignoreLease() {
+	public void ignoreLease() {
 		this.ignoresLease = true;
 	}
 
 	/** Lets the condition of an order name the runner and not its incarnation. */
-	void nameOnlyIdentifier() {
+	public void nameOnlyIdentifier() {
 		this.namesOnlyIdentifier = true;
 	}
 
-	void crash() {
+	public void crash() {
 		this.up = false;
 		this.running.clear();
 	}
 
-	void restart(long nowMillis) {
+	public void restart(long nowMillis) {
 		this.up = true;
 		this.startMillis = nowMillis;
 		this.leaseEndMillis = 0;
@@ -132,16 +134,16 @@
 		this.voidEnds.clear();
 	}
 
-	boolean isVoid(RunnerKey key, BatchCommand.End end) {
+	public boolean isVoid(RunnerKey key, BatchCommand.End end) {
 		return key.bornMillis() != this.startMillis || this.voidEnds.contains(end.number());
 	}
 
-	long clockMillis(long nowMillis) {
+	public long clockMillis(long nowMillis) {
 		return (long) ((nowMillis - this.startMillis) * this.clockRate);
 	}
 
 	/** Ends the runs that are due, or all runs if the lease has expired. */
-	void advance(long nowMillis) {
+	public void advance(long nowMillis) {
 		boolean leaseExpired = !this.ignoresLease && clockMillis(nowMillis) >= this.leaseEndMillis;
 		if (leaseExpired) {
 			this.ends.forEach((end) -> this.voidEnds.add(end.number()));
@@ -157,7 +159,7 @@
 		});
 	}
 
-	RunnerReply handle(RunnerOrder order, RunnerKey expected, long nowMillis) {
+	public RunnerReply handle(RunnerOrder order, RunnerKey expected, long nowMillis) {
 		advance(nowMillis);
 		if (!this.namesOnlyIdentifier && expected.bornMillis() != this.startMillis) {
 			return refuse(RunnerReply.Refusal.OTHER_INCARNATION, nowMillis);
@@ -245,12 +247,12 @@
 	}
 
 	/** Active run. */
-	record Execution(int run, long endMillis, RunOutcome outcome) {
+	public record Execution(int run, long endMillis, RunOutcome outcome) {
 
 	}
 
 	/** Observes what the leader does to the runner. */
-	interface Observer {
+	public interface Observer {
 
 		Observer NONE = new Observer() {
 		};
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SlowLeaderSimulation.java
@@ -4,6 +4,10 @@
 import java.util.List;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchFixtures;
 import io.burdockpin.core.batch.state.BatchState;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/Checks.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/Checks.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
-import io.burdockpin.core.batch.lead.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/FleetModel.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/FleetModel.java
@@ -10,12 +10,12 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
-import io.burdockpin.core.batch.lead.HostEntry;
-import io.burdockpin.core.batch.lead.HostOrder;
-import io.burdockpin.core.batch.lead.HostReply;
-import io.burdockpin.core.batch.lead.RunnerDispatch;
-import io.burdockpin.core.batch.lead.RunnerOrder;
-import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.lead.host.HostEntry;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostReply;
+import io.burdockpin.core.batch.lead.run.RunnerDispatch;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelPlatform.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelPlatform.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
-import io.burdockpin.core.batch.lead.HostEntry;
-import io.burdockpin.core.batch.lead.HostOrder;
-import io.burdockpin.core.batch.lead.HostReply;
+import io.burdockpin.core.batch.lead.host.HostEntry;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostReply;
 import io.burdockpin.core.batch.model.RunnerKey;
 
 /**
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelRunner.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelRunner.java
@@ -11,8 +11,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
-import io.burdockpin.core.batch.lead.RunnerOrder;
-import io.burdockpin.core.batch.lead.RunnerReply;
+import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/HostOrderHistoryTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/host/HostOrderHistoryTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.state.BatchCommand;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/HostOrderQueueTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/host/HostOrderQueueTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.host;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/OverdueWatchTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/overdue/OverdueWatchTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.overdue;
 
 import java.util.List;
 import java.util.Map;
@@ -7,6 +7,11 @@
 import java.util.Set;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.DemandPeakSimulation;
+import io.burdockpin.core.batch.lead.DemandPeakTests;
+import io.burdockpin.core.batch.lead.SimulatedFleet;
+import io.burdockpin.core.batch.lead.SimulatedRunner;
+import io.burdockpin.core.batch.lead.plan.FreeCapacity;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/TaskPlannerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/plan/TaskPlannerTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.plan;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,6 +12,9 @@
 import java.util.stream.Collectors;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.pool.PoolDemand;
+import io.burdockpin.core.batch.lead.run.RunnerReliability;
+import io.burdockpin.core.batch.lead.run.RunnerReliabilityTracker;
 import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/pool/PoolBalancerTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.pool;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +9,15 @@
 import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.SimulatedFleet;
+import io.burdockpin.core.batch.lead.host.HostEntry;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.host.HostReply;
+import io.burdockpin.core.batch.lead.plan.DurationEstimator;
+import io.burdockpin.core.batch.lead.plan.Plan;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/RelativeSpeedTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/run/RelativeSpeedTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.run;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +8,7 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.SimulatedFleet;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchFixtures;
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/WaveControllerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/wave/WaveControllerTests.java
@@ -1,4 +1,4 @@
-package io.burdockpin.core.batch.lead;
+package io.burdockpin.core.batch.lead.wave;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,6 +11,13 @@
 import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.SimulatedFleet;
+import io.burdockpin.core.batch.lead.host.HostOrder;
+import io.burdockpin.core.batch.lead.host.HostOrderHistory;
+import io.burdockpin.core.batch.lead.host.HostReply;
+import io.burdockpin.core.batch.lead.run.RunSpec;
+import io.burdockpin.core.batch.lead.run.RunnerReply;
+import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
