--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -18,6 +18,7 @@
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.JobSpec;
@@ -73,7 +74,8 @@
 			new BatchCommand.RegisterRunner(RECORD, OptionalLong.of(1)), new BatchCommand.RemoveRunner(RUNNER),
 			new BatchCommand.StartWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
 			new BatchCommand.SetUpkeep(1, "m1", MaintenancePhase.ORDERED),
-			new BatchCommand.SetMove("m2", "pool", MovePhase.ORDERED));
+			new BatchCommand.SetMove("m2", "pool", MovePhase.ORDERED),
+			new BatchCommand.CloseDataCentre("dc", "operator"), new BatchCommand.OpenDataCentre("dc2", "operator"));
 
 	@Test
 	void everyCommandIsDecodedAsItWasEncoded() {
@@ -141,12 +143,51 @@
 		state.apply(new CommandGroup(99, COMMANDS.subList(0, 2)));
 		state.apply(new CommandGroup(100, COMMANDS.subList(7, 8)));
 		state.apply(new CommandGroup(101, COMMANDS.subList(3, 5)));
-		state.apply(new CommandGroup(102, COMMANDS.subList(9, 12)));
+		state.apply(new CommandGroup(102, COMMANDS.subList(9, 14)));
 		BatchSnapshot snapshot = state.snapshot();
 		CborBatchSnapshotCodec codec = new CborBatchSnapshotCodec();
 		Truth.assertThat(codec.decode(codec.encode(snapshot))).isEqualTo(snapshot);
 		Truth.assertThat(snapshot.moves()).containsExactly(new HostMove("m2", "pool", false, Optional.empty()));
 		Truth.assertThat(snapshot.waves().get(0).hosts()).isEqualTo(Map.of("m1", MaintenancePhase.ORDERED));
+		Truth.assertThat(snapshot.closedDataCentres()).containsExactly(new DataCentreClosing("dc", 102, "operator"));
+	}
+
+	/** Guards against a member that cannot read its snapshot after an upgrade. */
+	@Test
+	void anEarlierSnapshotHasNoClosedDataCentre() throws IOException {
+		BatchState state = new BatchState();
+		state.apply(new CommandGroup(102, COMMANDS.subList(12, 13)));
+		ObjectNode encoded = (ObjectNode) BatchCborMapper.INSTANCE
+			.readTree(new CborBatchSnapshotCodec().encode(state.snapshot()));
+		Truth.assertThat(encoded.remove("closedDataCentres")).isNotNull();
+		BatchSnapshot decoded = new CborBatchSnapshotCodec()
+			.decode(BatchCborMapper.INSTANCE.writeValueAsBytes(encoded));
+		Truth.assertThat(BatchState.restore(decoded).isClosed("dc")).isFalse();
+	}
+
+	/**
+	 * Shows what a member does with a command of a later version, such as the closing of
+	 * a data centre: it does not skip the command, which would let its state differ from
+	 * that of the others without a sign.
+	 */
+	@Test
+	void aCommandOfALaterVersionIsNotSkipped() throws IOException {
+		Map<String, Object> later = Map.of("type", "CommandOfALaterVersion", "dataCentre", "dc");
+		byte[] encoded = BatchCborMapper.INSTANCE.writeValueAsBytes(Map.of("atMillis", 99, "commands", List.of(later)));
+		Truth.assertThat(failure(() -> new CborCommandGroupCodec().decode(encoded))).isPresent();
+	}
+
+	/**
+	 * Shows what a member that restores a snapshot of a later version loses: it reads the
+	 * snapshot without the components that it does not know.
+	 */
+	@Test
+	void aSnapshotOfALaterVersionIsReadWithoutItsNewComponents() throws IOException {
+		ObjectNode encoded = (ObjectNode) BatchCborMapper.INSTANCE
+			.readTree(new CborBatchSnapshotCodec().encode(new BatchState().snapshot()));
+		encoded.putArray("componentOfALaterVersion").add("dc");
+		byte[] bytes = BatchCborMapper.INSTANCE.writeValueAsBytes(encoded);
+		Truth.assertThat(new CborBatchSnapshotCodec().decode(bytes)).isEqualTo(new BatchState().snapshot());
 	}
 
 	@Test
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchCommand.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.MaintenanceWave;
@@ -291,4 +292,36 @@
 
 	}
 
+	/**
+	 * Closes a data centre: no task is started there until it is opened. Has no effect if
+	 * it is closed. Members of earlier versions cannot read the command.
+	 *
+	 * @param dataCentre the name of the data centre
+	 * @param origin who ordered it, as text for operators
+	 */
+	record CloseDataCentre(String dataCentre, String origin) implements BatchCommand {
+
+		@Override
+		public CommandResult applyTo(BatchState state, long atMillis) {
+			return state.close(new DataCentreClosing(this.dataCentre, atMillis, this.origin));
+		}
+
+	}
+
+	/**
+	 * Opens a closed data centre. Has no effect if it is open. Members of earlier
+	 * versions cannot read the command.
+	 *
+	 * @param dataCentre the name of the data centre
+	 * @param origin who ordered it, as text for operators
+	 */
+	record OpenDataCentre(String dataCentre, String origin) implements BatchCommand {
+
+		@Override
+		public CommandResult applyTo(BatchState state, long atMillis) {
+			return state.open(this.dataCentre);
+		}
+
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
@@ -8,6 +8,7 @@
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.JobSpec;
@@ -31,14 +32,18 @@
  * registered with, by identifier; empty in snapshots of earlier versions
  * @param retiredQueues the queues of active jobs that the configuration no longer has, as
  * they were last configured; empty in snapshots of earlier versions
+ * @param closedDataCentres the closed data centres; empty in snapshots of earlier
+ * versions
  */
 public record BatchSnapshot(Optional<FleetConfiguration> configuration, List<JobImage> jobs, List<RunnerRecord> runners,
 		List<Run> runs, List<WaveImage> waves, List<HostMove> moves, Map<String, Long> hostOrderMillis,
-		Map<String, Long> registeredSequences, List<BatchQueue> retiredQueues) {
+		Map<String, Long> registeredSequences, List<BatchQueue> retiredQueues,
+		List<DataCentreClosing> closedDataCentres) {
 
 	public BatchSnapshot {
 		registeredSequences = Optional.ofNullable(registeredSequences).map(Map::copyOf).orElse(Map.of());
 		retiredQueues = Optional.ofNullable(retiredQueues).map(List::copyOf).orElse(List.of());
+		closedDataCentres = Optional.ofNullable(closedDataCentres).map(List::copyOf).orElse(List.of());
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -20,6 +20,7 @@
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
 import io.burdockpin.core.batch.model.MaintenanceWave;
@@ -68,6 +69,8 @@
 	/** Commit time of the last order about each host, in milliseconds since 1970. */
 	private final Map<String, Long> hostOrderMillis = new TreeMap<>();
 
+	private final Map<String, DataCentreClosing> closedDataCentres = new TreeMap<>();
+
 	private final RunTable runs = new RunTable();
 
 	// access
@@ -229,6 +232,23 @@
 		return this.hostOrderMillis.getOrDefault(host, 0L);
 	}
 
+	/**
+	 * Returns the closed data centres.
+	 * @return an unmodifiable view by the name of the data centre
+	 */
+	public Map<String, DataCentreClosing> closedDataCentres() {
+		return Collections.unmodifiableMap(this.closedDataCentres);
+	}
+
+	/**
+	 * Tells whether a data centre is closed.
+	 * @param dataCentre the name of the data centre, known or not
+	 * @return whether no task may be started there
+	 */
+	public boolean isClosed(String dataCentre) {
+		return this.closedDataCentres.containsKey(dataCentre);
+	}
+
 	/**
 	 * Counts the jobs of a queue of which no runner has started a task yet.
 	 * @param queue the address of the queue
@@ -403,11 +423,13 @@
 		this.runs.add(run);
 	}
 
-	// A plan does not know of a runner that was replaced or removed while the plan was
-	// being committed. No leader has a session with such a runner, so a run on it would
-	// be neither ordered nor released.
+	// A plan does not know of a runner that was replaced or removed, or whose data centre
+	// was closed, while the plan was being committed. No leader has a session with a
+	// runner that was replaced or removed, so a run on it would be neither ordered nor
+	// released.
 	private boolean isAssignable(BatchCommand.Assignment assignment) {
-		return runner(assignment.runner()).isPresent() && this.activeJobs.containsKey(assignment.task().job())
+		boolean mayStart = runner(assignment.runner()).filter((runner) -> !isClosed(runner.dataCentre())).isPresent();
+		return mayStart && this.activeJobs.containsKey(assignment.task().job())
 				&& task(assignment.task()).filter(BatchTask::isWaiting)
 					.filter((waiting) -> assignment.run() > waiting.lastRun())
 					.isPresent();
@@ -537,6 +559,15 @@
 		return CommandResult.APPLIED;
 	}
 
+	CommandResult close(DataCentreClosing closing) {
+		return (this.closedDataCentres.putIfAbsent(closing.dataCentre(), closing) == null) ? CommandResult.APPLIED
+				: CommandResult.UNCHANGED;
+	}
+
+	CommandResult open(String dataCentre) {
+		return (this.closedDataCentres.remove(dataCentre) != null) ? CommandResult.APPLIED : CommandResult.UNCHANGED;
+	}
+
 	// snapshots
 
 	/**
@@ -552,7 +583,7 @@
 				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
 				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList(),
 				List.copyOf(this.moves.values()), Map.copyOf(this.hostOrderMillis),
-				Map.copyOf(this.registeredSequences), retiredQueues());
+				Map.copyOf(this.registeredSequences), retiredQueues(), List.copyOf(this.closedDataCentres.values()));
 	}
 
 	private List<BatchQueue> retiredQueues() {
@@ -605,6 +636,7 @@
 		snapshot.waves().forEach((image) -> state.waves.put(image.wave().number(), image.toProgress()));
 		state.hostOrderMillis.putAll(snapshot.hostOrderMillis());
 		snapshot.moves().forEach((move) -> state.moves.put(move.host(), move));
+		snapshot.closedDataCentres().forEach(state::close);
 		return state;
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/explore/ModelScheduler.java
@@ -98,7 +98,8 @@
 	private static BatchSnapshot ordered(BatchSnapshot snapshot) {
 		List<Run> runs = snapshot.runs().stream().sorted(Comparator.comparing(Run::toString)).toList();
 		return new BatchSnapshot(snapshot.configuration(), snapshot.jobs(), snapshot.runners(), runs, snapshot.waves(),
-				snapshot.moves(), snapshot.hostOrderMillis(), snapshot.registeredSequences(), snapshot.retiredQueues());
+				snapshot.moves(), snapshot.hostOrderMillis(), snapshot.registeredSequences(), snapshot.retiredQueues(),
+				snapshot.closedDataCentres());
 	}
 
 	// calls
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/state/BatchStateTests.java
@@ -204,9 +204,9 @@
 		submit("job", BatchFixtures.step(1));
 		assign("job", 0, 0, 1);
 		BatchSnapshot stored = this.state.snapshot();
-		BatchState restored = BatchState
-			.restore(new BatchSnapshot(stored.configuration(), stored.jobs(), List.of(), stored.runs(), stored.waves(),
-					stored.moves(), stored.hostOrderMillis(), stored.registeredSequences(), stored.retiredQueues()));
+		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), stored.jobs(), List.of(),
+				stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis(), stored.registeredSequences(),
+				stored.retiredQueues(), stored.closedDataCentres()));
 		Truth.assertThat(restored.task(new TaskId("job", 0, 0, 0)).get().isWaiting()).isTrue();
 		Truth.assertThat(restored.runs().chargedTo("team")).isEqualTo(Resources.NONE);
 	}
@@ -283,7 +283,7 @@
 				job.address());
 		BatchState restored = BatchState.restore(new BatchSnapshot(stored.configuration(), List.of(mixed),
 				stored.runners(), stored.runs(), stored.waves(), stored.moves(), stored.hostOrderMillis(),
-				stored.registeredSequences(), stored.retiredQueues()));
+				stored.registeredSequences(), stored.retiredQueues(), stored.closedDataCentres()));
 		List<String> checkpoints = restored.step(member(0))
 			.get()
 			.tasks()
