--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -15,13 +15,14 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import io.burdockpin.core.batch.lead.closing.ClosedDataCentres;
+import io.burdockpin.core.batch.lead.closing.LongRunningEvacuation;
 import io.burdockpin.core.batch.lead.host.HostEntry;
 import io.burdockpin.core.batch.lead.host.HostOrder;
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.host.HostOrderQueue;
 import io.burdockpin.core.batch.lead.host.HostOrderUrgency;
 import io.burdockpin.core.batch.lead.host.HostReply;
-import io.burdockpin.core.batch.lead.host.TokenBucket;
 import io.burdockpin.core.batch.lead.overdue.OpenWork;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
 import io.burdockpin.core.batch.lead.overdue.OverdueWatch;
@@ -30,12 +31,14 @@
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
 import io.burdockpin.core.batch.lead.pool.PoolBalancer;
+import io.burdockpin.core.batch.lead.run.FirstContacts;
 import io.burdockpin.core.batch.lead.run.JobStartRecorder;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunSpec;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
 import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.lead.run.RunnerReliabilityTracker;
 import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.lead.run.RunnerSession;
@@ -75,29 +78,6 @@
 	 */
 	private static final int SWEEP_PERIOD_MILLIS = 20;
 
-	/**
-	 * Opening connections to hundreds of runners at once takes longer than an election
-	 * timeout on a small host, so that the other members would elect another leader. At
-	 * this rate hundreds of runners are contacted well within their leases.
-	 */
-	private static final double FIRST_CONTACTS_PER_MILLISECOND = 0.12;
-
-	private static final double FIRST_CONTACT_BURST = 8;
-
-	/**
-	 * Bounds the pending first contacts on a host that is too slow for the rate above.
-	 * With more of them, a busy host would time out on all before it had handled their
-	 * responses.
-	 */
-	private static final int MAXIMUM_PENDING_FIRST_CONTACTS = 8;
-
-	/**
-	 * Runners that did not answer are most likely gone and must not delay the others. If
-	 * this host was too slow to handle eight responses at a time, it retries two at a
-	 * time.
-	 */
-	private static final int MAXIMUM_PENDING_REPEATED_CONTACTS = 2;
-
 	/**
 	 * A partition holds announcements up for some seconds. What a leaving runner
 	 * announces after this time was sent after the departure, so that was one of an
@@ -144,13 +124,7 @@
 
 	private final HostOrderQueue hostOrders;
 
-	private final TokenBucket firstContacts = new TokenBucket(FIRST_CONTACTS_PER_MILLISECOND, FIRST_CONTACT_BURST);
-
-	/** Runners with a pending first heartbeat. */
-	private final Set<RunnerKey> pendingFirstContacts = new HashSet<>();
-
-	/** Runners with a pending heartbeat after earlier ones timed out. */
-	private final Set<RunnerKey> pendingRepeatedContacts = new HashSet<>();
+	private final FirstContacts firstContacts = new FirstContacts();
 
 	private final JobStartRecorder jobStarts;
 
@@ -167,7 +141,11 @@
 	/** Incarnations of which the removal was proposed. */
 	private final Set<RunnerKey> removedIncarnations = new HashSet<>();
 
-	private final Map<String, Integer> openedOccurrences = new HashMap<>();
+	private final OccurrenceOpener occurrences;
+
+	private final ClosedDataCentres closedDataCentres;
+
+	private final LongRunningEvacuation evacuation;
 
 	/** Runners with events since orders were last dispatched. */
 	private final Set<RunnerKey> runnersWithEvents = new LinkedHashSet<>();
@@ -199,9 +177,12 @@
 		this.settings = settings;
 		this.term = term;
 		this.electedMillis = nowMillis;
+		this.occurrences = new OccurrenceOpener(state);
+		this.closedDataCentres = new ClosedDataCentres(state);
+		this.evacuation = new LongRunningEvacuation(state);
 		this.waveController = new WaveController(state, settings.waves(), hostOrderHistory, term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), hostOrderHistory, term, nowMillis,
-				this.durationEstimator);
+				this.durationEstimator, this.closedDataCentres::isClosedHost);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		this.jobStarts = new JobStartRecorder(state);
 		this.overdueWatch = new OverdueWatch(settings, nowMillis);
@@ -273,7 +254,8 @@
 		}
 		sessionsToVisit(sweeps).stream().filter((session) -> !isBeingRemoved(session)).forEach((session) -> {
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
-			nextHeartbeat(session, nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
+			this.firstContacts.nextHeartbeat(session, nowMillis)
+				.ifPresent((order) -> due.add(dispatch(session, order)));
 		});
 		this.runnersWithEvents.clear();
 		return due;
@@ -290,7 +272,11 @@
 		this.state.configuration()
 			.ifPresent((configuration) -> orders
 				.forEach((order) -> this.hostOrders.add(order, HostOrderUrgency.of(order, configuration), nowMillis)));
-		return this.hostOrders.take(nowMillis);
+		Map<Boolean, List<HostOrder>> due = this.hostOrders.take(nowMillis)
+			.stream()
+			.collect(Collectors.partitioningBy(this.closedDataCentres::isWithdrawn));
+		due.get(true).forEach((order) -> onHostReply(order, HostReply.NO_ANSWER, nowMillis));
+		return due.get(false);
 	}
 
 	/**
@@ -402,8 +388,7 @@
 			.ifPresent((session) -> {
 				this.jobStarts.onReply(runner, order, reply);
 				if (order instanceof RunnerOrder.Heartbeat) {
-					this.pendingFirstContacts.remove(runner);
-					this.pendingRepeatedContacts.remove(runner);
+					this.firstContacts.onReply(runner);
 					List<BatchCommand.End> ends = session.onHeartbeatReply(reply, nowMillis);
 					session.relativeSpeed(nowMillis)
 						.ifPresent((speed) -> this.reliability.recordSpeed(runner, speed, nowMillis));
@@ -439,6 +424,7 @@
 	 * @param hosts all hosts of the fleet
 	 */
 	public void onHostList(List<HostEntry> hosts) {
+		this.closedDataCentres.onHostList(hosts);
 		this.balancer.onHostList(hosts);
 	}
 
@@ -483,6 +469,9 @@
 			this.proposedRegistrations.remove(registered.runner().key(), registered);
 			syncSessions(nowMillis);
 		}
+		else if (command instanceof BatchCommand.CloseDataCentre || command instanceof BatchCommand.OpenDataCentre) {
+			syncSessions(nowMillis);
+		}
 	}
 
 	/**
@@ -500,11 +489,11 @@
 		});
 		if (sweeps) {
 			this.sweptMillis = nowMillis;
-			openDueOccurrences(wallMillis);
+			this.proposals.addAll(this.occurrences.takeDue(wallMillis));
 			this.proposals.addAll(this.jobStarts.takeDue(nowMillis));
 			this.waveController.tick(this.sessions, nowMillis);
-			this.balancer.tick(this.sessions, this.state::hasUnfinishedMaintenance, this.hostOrders.size(), nowMillis,
-					wallMillis);
+			this.balancer.tick(this.closedDataCentres.openSessions(this.sessions), this.state::hasUnfinishedMaintenance,
+					this.hostOrders.size(), nowMillis, wallMillis);
 		}
 		if (!this.planInFlight && isPlanDue(nowMillis)) {
 			this.plannedMillis = nowMillis;
@@ -554,22 +543,6 @@
 		return this.runnersWithEvents.stream().map(this.sessions::get).filter(Objects::nonNull).toList();
 	}
 
-	private Optional<RunnerOrder.Heartbeat> nextHeartbeat(RunnerSession session, long nowMillis) {
-		if (session.hasBeenContacted()) {
-			return session.nextHeartbeat(nowMillis);
-		}
-		boolean isRepeated = session.isUnanswered();
-		Set<RunnerKey> open = isRepeated ? this.pendingRepeatedContacts : this.pendingFirstContacts;
-		int maximumOpen = isRepeated ? MAXIMUM_PENDING_REPEATED_CONTACTS : MAXIMUM_PENDING_FIRST_CONTACTS;
-		boolean mayAsk = this.firstContacts.hasToken() && open.size() < maximumOpen;
-		Optional<RunnerOrder.Heartbeat> order = mayAsk ? session.nextHeartbeat(nowMillis) : Optional.empty();
-		order.ifPresent((first) -> {
-			this.firstContacts.take();
-			open.add(session.runner().key());
-		});
-		return order;
-	}
-
 	private boolean isPlanDue(long nowMillis) {
 		long sincePlanMillis = nowMillis - this.plannedMillis;
 		return sincePlanMillis >= (this.changedSincePlan ? MINIMUM_PLAN_PERIOD_MILLIS : MAXIMUM_PLAN_PERIOD_MILLIS);
@@ -577,7 +550,8 @@
 
 	private void plan(long nowMillis, long wallMillis) {
 		Set<RunnerKey> drained = drainedRunners();
-		Plan plan = this.planner.plan(this.state, usableRunners(drained, nowMillis), drained,
+		List<RunnerRecord> usable = usableRunners(drained, nowMillis);
+		Plan plan = this.planner.plan(this.state, usable, drained,
 				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 		this.balancer.onPlan(plan);
 		List<BatchCommand.Assignment> assignments = withoutInherited(plan.assignments());
@@ -586,6 +560,13 @@
 			this.proposals.add(new BatchCommand.AssignRuns(assignments));
 		}
 		this.latestPlan = plan;
+		this.evacuation.onPlan(usable.stream().filter((runner) -> isSuitableForLongRunning(runner, nowMillis)).toList(),
+				plan.assignments(), this.sessions, nowMillis);
+	}
+
+	private boolean isSuitableForLongRunning(RunnerRecord runner, long nowMillis) {
+		return this.reliability.reliability(runner.key(), nowMillis) == RunnerReliability.SOUND
+				&& !this.state.hasUnfinishedMaintenance(runner.hostOrId());
 	}
 
 	// The members of a gang are assigned together or not at all.
@@ -608,7 +589,8 @@
 		return this.sessions.values()
 			.stream()
 			.map(RunnerSession::runner)
-			.filter((runner) -> this.waveController.isDraining(runner.hostOrId()))
+			.filter((runner) -> this.waveController.isDraining(runner.hostOrId())
+					|| this.state.isClosed(runner.dataCentre()))
 			.map(RunnerRecord::key)
 			.collect(Collectors.toSet());
 	}
@@ -743,34 +725,20 @@
 		return this.removedIncarnations.contains(session.runner().key());
 	}
 
-	private void openDueOccurrences(long wallMillis) {
-		for (BatchJob job : this.state.activeJobs()) {
-			int next = job.nextOccurrence();
-			boolean isDue = job.spec().hasSchedule() && next < job.spec().totalOccurrences()
-					&& wallMillis >= job.spec().dueMillis(next, job.acceptedMillis());
-			if (isDue && this.openedOccurrences.getOrDefault(job.id(), -1) < next) {
-				this.openedOccurrences.put(job.id(), next);
-				this.proposals.add(new BatchCommand.OpenOccurrence(job.id(), next));
-			}
-		}
-		this.openedOccurrences.keySet().removeIf((id) -> this.state.job(id).isEmpty());
-	}
-
 	private void syncSessions(long nowMillis) {
 		Set<RunnerKey> known = new HashSet<>();
 		this.state.runners().forEach((runner) -> {
 			known.add(runner.key());
 			Optional<RunnerSession> session = session(runner.key());
 			if (session.isPresent()) {
-				session.get().update(runner);
+				session.get().update(this.closedDataCentres.forSession(runner));
 			}
 			else {
 				inheritRuns(openSession(runner, nowMillis), nowMillis);
 			}
 		});
 		this.sessions.keySet().retainAll(known);
-		this.pendingFirstContacts.retainAll(known);
-		this.pendingRepeatedContacts.retainAll(known);
+		this.firstContacts.retainAll(known);
 		this.announcedMillis.keySet().retainAll(known);
 		this.announcedSequences.keySet().retainAll(known);
 		this.departedMillis.keySet().retainAll(known);
@@ -791,7 +759,8 @@
 	private RunnerSession openSession(RunnerRecord runner, long nowMillis) {
 		this.runnersWithEvents.add(runner.key());
 		// An earlier session of this term may have granted a lease until now.
-		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, nowMillis);
+		RunnerSession opened = new RunnerSession(this.closedDataCentres.forSession(runner), this.settings.sessions(),
+				this.term, nowMillis);
 		this.sessions.put(runner.key(), opened);
 		this.state.runs().on(runner.key()).forEach((run) -> addRun(run, true));
 		return opened;
--- /dev/null
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
@@ -0,0 +1,165 @@
+package io.burdockpin.core.batch.lead.closing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.burdockpin.core.batch.lead.run.RunnerSession;
+import io.burdockpin.core.batch.lead.wave.DisruptionBudget;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
+import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.BatchTask;
+import io.burdockpin.core.batch.state.Run;
+import io.burdockpin.core.batch.state.StepTasks;
+import io.burdockpin.core.model.Resources;
+
+/**
+ * Moves long-running tasks out of closed data centres: stops each while the budget of its
+ * step permits it and another place is free for it. Load: a closed data centre with
+ * long-running tasks, while the other data centres are partly or completely full. Not
+ * thread-safe; owned by the leader.
+ */
+public final class LongRunningEvacuation {
+
+	private final BatchState state;
+
+	private final DisruptionBudget budget = new DisruptionBudget();
+
+	/**
+	 * Creates the evacuation.
+	 * @param state replicated state
+	 */
+	public LongRunningEvacuation(BatchState state) {
+		this.state = state;
+	}
+
+	/**
+	 * Stops the tasks that can move now. Called after each plan, when it is known which
+	 * capacity the plan has taken.
+	 * @param usable runners that accept new tasks and are not due for maintenance
+	 * @param planned assignments of the plan, which are not applied yet
+	 * @param sessions sessions with the runners
+	 * @param nowMillis current monotonic time, in milliseconds
+	 */
+	public void onPlan(List<RunnerRecord> usable, List<BatchCommand.Assignment> planned,
+			Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		if (this.state.closedDataCentres().isEmpty()) {
+			return;
+		}
+		List<Run> leaving = leavingRuns();
+		if (leaving.isEmpty()) {
+			return;
+		}
+		Places places = new Places(usable, planned);
+		// The tasks that are being stopped have taken the first places.
+		leaving.stream().filter((run) -> isStopping(run, sessions)).forEach(places::take);
+		leaving.stream()
+			.filter((run) -> !isStopping(run, sessions) && sessions.containsKey(run.runner()))
+			.filter((run) -> mayStop(run, sessions, nowMillis) && places.take(run))
+			.forEach((run) -> sessions.get(run.runner()).stop(run.task()));
+	}
+
+	private List<Run> leavingRuns() {
+		List<Run> runs = new ArrayList<>();
+		this.state.runners()
+			.stream()
+			.filter((runner) -> this.state.isClosed(runner.dataCentre())
+					&& this.state.runs().hasLongRunning(runner.key()))
+			.forEach((
+					runner) -> this.state.runs().on(runner.key()).stream().filter(Run::longRunning).forEach(runs::add));
+		return runs;
+	}
+
+	private static boolean isStopping(Run run, Map<RunnerKey, RunnerSession> sessions) {
+		return Optional.ofNullable(sessions.get(run.runner()))
+			.filter((session) -> session.isStopping(run.task()))
+			.isPresent();
+	}
+
+	// A task that waits has found no place in the latest plan, so another one of its step
+	// would not find one either. A workspace above its limit gets no task back.
+	private boolean mayStop(Run run, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
+		boolean isLimited = this.state.configuration()
+			.flatMap((current) -> current.workspace(run.workspace()))
+			.filter((workspace) -> workspace.isExceededBy(this.state.runs().chargedTo(run.workspace())))
+			.isPresent();
+		return !isLimited && this.state.step(run.task())
+			.filter((step) -> step.tasks().stream().noneMatch(BatchTask::isWaiting))
+			.filter((step) -> this.budget.permitsStop(run, step, sessions, nowMillis))
+			.isPresent();
+	}
+
+	/** Free capacity after a plan. Not thread-safe. */
+	private final class Places {
+
+		private final List<RunnerRecord> usable;
+
+		private final Map<RunnerKey, Resources> free = new HashMap<>();
+
+		/**
+		 * Runners that were chosen for tasks of a step, by the first task of the step.
+		 */
+		private final Map<RunnerOfStep, Integer> taken = new HashMap<>();
+
+		private Places(List<RunnerRecord> usable, List<BatchCommand.Assignment> planned) {
+			this.usable = usable;
+			BatchState current = LongRunningEvacuation.this.state;
+			usable.forEach((runner) -> this.free.put(runner.key(),
+					runner.capacity().minus(current.runs().reservedOn(runner.key()))));
+			planned.forEach((assignment) -> current.step(assignment.task())
+				.map(StepTasks::spec)
+				.ifPresent((spec) -> this.free.computeIfPresent(assignment.runner(),
+						(key, left) -> left.minus(spec.reserved()))));
+		}
+
+		private boolean take(Run run) {
+			BatchState current = LongRunningEvacuation.this.state;
+			Optional<StepTasks> step = current.step(run.task());
+			Optional<String> pool = current.job(run.task().job())
+				.flatMap(BatchJob::configuredQueue)
+				.map(BatchQueue::pool);
+			if (step.isEmpty() || pool.isEmpty()) {
+				return false;
+			}
+			Optional<RunnerRecord> place = this.usable.stream()
+				.filter((runner) -> runner.pool().equals(pool.get()) && fits(runner, step.get(), run))
+				.findFirst();
+			place.ifPresent((runner) -> {
+				this.free.computeIfPresent(runner.key(), (key, left) -> left.minus(step.get().spec().reserved()));
+				this.taken.merge(new RunnerOfStep(runner.key(), run.task().firstOfStep()), 1, Integer::sum);
+			});
+			return place.isPresent();
+		}
+
+		private boolean fits(RunnerRecord runner, StepTasks step, Run run) {
+			StepSpec spec = step.spec();
+			if (!spec.reserved().fitsIn(this.free.get(runner.key()))
+					|| spec.requiredLabel().filter((label) -> !runner.labels().contains(label)).isPresent()) {
+				return false;
+			}
+			return spec.maximumPerRunner().isEmpty()
+					|| countOn(runner.key(), step, run) < spec.maximumPerRunner().getAsInt();
+		}
+
+		private long countOn(RunnerKey runner, StepTasks step, Run run) {
+			return this.taken.getOrDefault(new RunnerOfStep(runner, run.task().firstOfStep()), 0) + step.tasks()
+				.stream()
+				.filter((task) -> task.run().filter((known) -> known.runner().equals(runner)).isPresent())
+				.count();
+		}
+
+	}
+
+	private record RunnerOfStep(RunnerKey runner, TaskId firstTask) {
+
+	}
+
+}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrderTracker.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/host/HostOrderTracker.java
@@ -48,6 +48,15 @@
 		return this.ownHosts.contains(host);
 	}
 
+	/**
+	 * Checks whether an order for a host is being sent or waits for its reply.
+	 * @param host name of the host
+	 * @return {@code false} once the reply has arrived or was given up
+	 */
+	public boolean isInFlight(String host) {
+		return this.hostsInFlight.contains(host);
+	}
+
 	public boolean isSent(String host) {
 		return this.sentHosts.contains(host);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
@@ -90,6 +90,9 @@
 
 	private final PoolDemand demand;
 
+	/** Selects hosts in closed data centres. */
+	private final Predicate<String> isClosedHost;
+
 	private final HandOverPause pause;
 
 	private final HostOrderTracker orders;
@@ -129,14 +132,17 @@
 	 * @param fencingToken term of this leader
 	 * @param electedMillis monotonic time at which this leader was elected
 	 * @param durations estimator for task durations
+	 * @param isClosedHost selects hosts in closed data centres, which are neither moved
+	 * nor counted as spare
 	 */
 	public PoolBalancer(BatchState state, BalanceSettings settings, HostOrderHistory history, long fencingToken,
-			long electedMillis, DurationEstimator durations) {
+			long electedMillis, DurationEstimator durations, Predicate<String> isClosedHost) {
 		this.state = state;
 		this.settings = settings;
 		this.fencingToken = fencingToken;
 		this.electedMillis = electedMillis;
 		this.demand = new PoolDemand(state, durations);
+		this.isClosedHost = isClosedHost;
 		this.pause = new HandOverPause(history, settings.handOverPauseMillis(), electedMillis);
 		this.orders = new HostOrderTracker(this.pause, settings.retryMillis());
 	}
@@ -211,6 +217,7 @@
 		this.state.configuration()
 			.ifPresent((configuration) -> hosts.stream()
 				.filter((entry) -> entry.up() && isSpare(configuration, entry.pool()))
+				.filter((entry) -> !this.isClosedHost.test(entry.host()))
 				.forEach((entry) -> this.spareHosts.put(entry.host(), entry)));
 	}
 
@@ -286,8 +293,9 @@
 	}
 
 	private void advance(HostMove move, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
-		if (!move.begun() && canCancel(move, nowMillis)) {
-			// A task was assigned to the host before the move was committed.
+		if (!move.begun() && (canCancel(move, nowMillis) || isWithdrawn(move))) {
+			// A task was assigned to the host before the move was committed, or its data
+			// centre was closed.
 			finish(move);
 		}
 		else if (!move.begun()) {
@@ -318,6 +326,10 @@
 				&& move.lifeBefore().filter((incarnation) -> !this.state.runs().on(incarnation).isEmpty()).isPresent();
 	}
 
+	private boolean isWithdrawn(HostMove move) {
+		return this.isClosedHost.test(move.host()) && !this.orders.isInFlight(move.host());
+	}
+
 	private void finish(HostMove move) {
 		if (this.proposedHosts.add(move.host())) {
 			this.proposals.add(new BatchCommand.SetMove(move.host(), move.pool(), MovePhase.OVER));
@@ -441,6 +453,7 @@
 		Optional<String> host = this.spareHosts.keySet()
 			.stream()
 			.filter((name) -> !isMoving(name) && this.orders.canBegin(name, nowMillis))
+			.filter((name) -> !this.isClosedHost.test(name))
 			// The list may be older than the latest move of the host. A host with a
 			// registered runner must not be treated as spare, since the move would end
 			// its runs.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunnerSession.java
@@ -530,12 +530,13 @@
 	}
 
 	/**
-	 * Releases the runs that were never ordered if the runner does not answer, so that
-	 * they need not wait for its lease to expire.
+	 * Releases the runs that were never ordered if the runner accepts no new tasks or
+	 * does not answer, so that they need not wait for its lease to expire.
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
 	public void releaseUnorderedRuns(long nowMillis) {
-		if (this.contacted && (isAnswerMissing(nowMillis) || !isResponsive(nowMillis))) {
+		boolean isSilent = this.contacted && (isAnswerMissing(nowMillis) || !isResponsive(nowMillis));
+		if (isSilent || this.runner.draining()) {
 			for (RunProgress progress : this.runs.values()) {
 				if (progress.wasNeverOrdered()) {
 					release(progress, ReleaseReason.NEVER_ORDERED);
@@ -608,12 +609,8 @@
 			return Optional.empty();
 		}
 		RunProgress progress = next.get();
-		if (this.runner.draining() && progress.wasNeverOrdered()) {
-			release(progress, ReleaseReason.NEVER_ORDERED);
-			return nextStart(nowMillis);
-		}
 		if (this.runner.draining()) {
-			progress.requestStop();
+			stop(progress.run().task());
 			return nextStop(nowMillis);
 		}
 		progress.onOrdered();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/wave/WaveController.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/wave/WaveController.java
@@ -20,7 +20,6 @@
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.MaintenancePhase;
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
@@ -43,6 +42,8 @@
 
 	private final HostOrderTracker orders;
 
+	private final DisruptionBudget budget = new DisruptionBudget();
+
 	/** Drains by host. Draining hosts get no new tasks. */
 	private final Map<String, Drain> draining = new LinkedHashMap<>();
 
@@ -248,44 +249,7 @@
 		if (!step.get().spec().longRunning()) {
 			return isOverdue;
 		}
-		int maximumAway = step.get().spec().maximumAway();
-		if (maximumAway == 0) {
-			return true;
-		}
-		List<BatchTask> away = unavailableOthers(run, step.get(), sessions, nowMillis);
-		if (away.size() < maximumAway) {
-			return true;
-		}
-		away.forEach((task) -> awaitProgress(task, sessions));
-		return false;
-	}
-
-	private static List<BatchTask> unavailableOthers(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions,
-			long nowMillis) {
-		List<BatchTask> away = new ArrayList<>();
-		List<BatchTask> tasks = step.tasks();
-		for (int index = 0; index < tasks.size(); index++) {
-			if (index != run.task().index() && !isAvailable(tasks.get(index), sessions, nowMillis)) {
-				away.add(tasks.get(index));
-			}
-		}
-		return away;
-	}
-
-	private static void awaitProgress(BatchTask task, Map<RunnerKey, RunnerSession> sessions) {
-		task.run()
-			.flatMap((run) -> Optional.ofNullable(sessions.get(run.runner())))
-			.ifPresent(RunnerSession::awaitProgress);
-	}
-
-	// The latest listing of a silent runner may contain tasks that have ended since.
-	private static boolean isAvailable(BatchTask task, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
-		return task.run()
-			.flatMap((run) -> Optional.ofNullable(sessions.get(run.runner()))
-				.filter((session) -> session.isResponsive(nowMillis) && !session.isStopping(run.task()))
-				.map((session) -> session.percent(run.task())))
-			.filter((percent) -> percent == 100)
-			.isPresent();
+		return this.budget.permitsStop(run, step.get(), sessions, nowMillis);
 	}
 
 	private void sendIfDue(WaveProgress wave, String host, Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/run/RunnerSessionTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/run/RunnerSessionTests.java
@@ -37,6 +37,56 @@
 		Truth.assertThat(this.session.haveRunsEnded(AFTER_ALL_LEASES_MILLIS)).isTrue();
 	}
 
+	/**
+	 * Guards against a start that is ordered again, and against a task that waits for a
+	 * lease, when the runner's data centre is closed while a start has no answer.
+	 */
+	@Test
+	void aStartWithoutAnswerIsStoppedAndReleasedOnceTheRunnerAcceptsNoNewTasks() {
+		RunnerOrder.Start start = orderStart(1);
+		this.session.onOrderReply(start, RunnerReply.NoAnswer.UNKNOWN, 720);
+		this.session.update(RUNNER.withoutNewTasks());
+		Truth.assertThat(this.session.nextOrder(800)).isEmpty();
+		receiveListing(1_000, true);
+		RunnerOrder.Stop stop = new RunnerOrder.Stop(1, start.task(), 1);
+		Truth.assertThat(this.session.nextOrder(1_100)).hasValue(stop);
+		this.session.onOrderReply(stop, new RunnerReply.Accepted(1_110), 1_110);
+		receiveListing(1_500, true);
+		Truth.assertThat(this.session.drainReleases().stream().map(RunRelease::reason).toList())
+			.containsExactly(ReleaseReason.CLOSED);
+		Truth.assertThat(this.session.nextOrder(5_000)).isEmpty();
+	}
+
+	/** Guards against runs that are stopped because their start was answered late. */
+	@Test
+	void aStartThatIsAcceptedAfterTheRunnerStoppedAcceptingTasksContinues() {
+		RunnerOrder.Start start = orderStart(1);
+		this.session.update(RUNNER.withoutNewTasks());
+		this.session.onOrderReply(start, new RunnerReply.Accepted(30), 30);
+		Truth.assertThat(this.session.nextOrder(1_000)).isEmpty();
+		Truth.assertThat(this.session.drainReleases()).isEmpty();
+	}
+
+	/** Guards against runs that wait for the answer to an order about another run. */
+	@Test
+	void runsThatWereNeverOrderedAreReleasedAtOnceWhenTheRunnerAcceptsNoNewTasks() {
+		orderStart(3);
+		this.session.update(RUNNER.withoutNewTasks());
+		this.session.releaseUnorderedRuns(25);
+		Truth.assertThat(this.session.drainReleases().stream().map(RunRelease::reason).toList())
+			.containsExactly(ReleaseReason.NEVER_ORDERED, ReleaseReason.NEVER_ORDERED);
+	}
+
+	private RunnerOrder.Start orderStart(int runs) {
+		receiveListing(0, true);
+		for (int index = 0; index < runs; index++) {
+			this.session.add(new Run(new TaskId("job", 0, 0, index), 1, RUNNER.key(), "team", Resources.NONE,
+					Resources.NONE, false), new RunSpec("", "", false, OptionalLong.empty(), OptionalInt.empty()),
+					false);
+		}
+		return (RunnerOrder.Start) this.session.nextOrder(20).get();
+	}
+
 	/**
 	 * Guards against a task that is started again and again. Occurs when a runner has
 	 * more unacknowledged ends than it lists at a time, so that new ends are missing.
