--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -560,8 +560,11 @@
 			this.proposals.add(new BatchCommand.AssignRuns(assignments));
 		}
 		this.latestPlan = plan;
-		this.evacuation.onPlan(usable.stream().filter((runner) -> isSuitableForLongRunning(runner, nowMillis)).toList(),
-				plan.assignments(), this.sessions, nowMillis);
+		if (!this.state.closedDataCentres().isEmpty()) {
+			this.evacuation.onPlan(
+					usable.stream().filter((runner) -> isSuitableForLongRunning(runner, nowMillis)).toList(),
+					plan.assignments(), this.sessions, nowMillis);
+		}
 	}
 
 	private boolean isSuitableForLongRunning(RunnerRecord runner, long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.lead.wave.DisruptionBudget;
@@ -51,9 +53,6 @@
 	 */
 	public void onPlan(List<RunnerRecord> usable, List<BatchCommand.Assignment> planned,
 			Map<RunnerKey, RunnerSession> sessions, long nowMillis) {
-		if (this.state.closedDataCentres().isEmpty()) {
-			return;
-		}
 		List<Run> leaving = leavingRuns();
 		if (leaving.isEmpty()) {
 			return;
@@ -109,6 +108,8 @@
 		 */
 		private final Map<RunnerOfStep, Integer> taken = new HashMap<>();
 
+		private final Set<TaskId> stepsWithoutPlace = new HashSet<>();
+
 		private Places(List<RunnerRecord> usable, List<BatchCommand.Assignment> planned) {
 			this.usable = usable;
 			BatchState current = LongRunningEvacuation.this.state;
@@ -120,25 +121,30 @@
 						(key, left) -> left.minus(spec.reserved()))));
 		}
 
+		// Places only become fewer, so a step that has found none is not looked at again.
 		private boolean take(Run run) {
-			BatchState current = LongRunningEvacuation.this.state;
-			Optional<StepTasks> step = current.step(run.task());
-			Optional<String> pool = current.job(run.task().job())
-				.flatMap(BatchJob::configuredQueue)
-				.map(BatchQueue::pool);
-			if (step.isEmpty() || pool.isEmpty()) {
+			TaskId firstTask = run.task().firstOfStep();
+			if (this.stepsWithoutPlace.contains(firstTask)) {
 				return false;
 			}
-			Optional<RunnerRecord> place = this.usable.stream()
-				.filter((runner) -> runner.pool().equals(pool.get()) && fits(runner, step.get(), run))
-				.findFirst();
-			place.ifPresent((runner) -> {
+			Optional<StepTasks> step = LongRunningEvacuation.this.state.step(run.task());
+			Optional<RunnerRecord> place = step.flatMap((known) -> find(run, known));
+			place.ifPresentOrElse((runner) -> {
 				this.free.computeIfPresent(runner.key(), (key, left) -> left.minus(step.get().spec().reserved()));
-				this.taken.merge(new RunnerOfStep(runner.key(), run.task().firstOfStep()), 1, Integer::sum);
-			});
+				this.taken.merge(new RunnerOfStep(runner.key(), firstTask), 1, Integer::sum);
+			}, () -> this.stepsWithoutPlace.add(firstTask));
 			return place.isPresent();
 		}
 
+		private Optional<RunnerRecord> find(Run run, StepTasks step) {
+			Optional<String> pool = LongRunningEvacuation.this.state.job(run.task().job())
+				.flatMap(BatchJob::configuredQueue)
+				.map(BatchQueue::pool);
+			return this.usable.stream()
+				.filter((runner) -> pool.equals(Optional.of(runner.pool())) && fits(runner, step, run))
+				.findFirst();
+		}
+
 		private boolean fits(RunnerRecord runner, StepTasks step, Run run) {
 			StepSpec spec = step.spec();
 			if (!spec.reserved().fitsIn(this.free.get(runner.key()))
