--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -93,7 +93,7 @@
 		this.eventLog = context.spawn(EventLogFactory.create("burdock-batch-control", settings, clock), "events",
 				EventPrinter.MAILBOX);
 		this.scheduler = context.spawn(
-				SchedulerActor.create(settings.toLeaderSettings(), ports.runners(),
+				SchedulerActor.create(settings.toLeaderSettings(), settings.toDataCentreRules(), ports.runners(),
 						context.spawn(ports.hosts(), "host-channel"), this.eventLog, clock, Clock.systemUTC()),
 				"scheduler", DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		context.watch(this.scheduler);
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -1,12 +1,18 @@
 package io.burdockpin.batch;
 
 import java.nio.file.Path;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 
 import io.burdockpin.batch.call.CallSettings;
 import io.burdockpin.batch.consensus.ConsensusSettings;
 import io.burdockpin.batch.port.HostChannel;
+import io.burdockpin.core.batch.call.DataCentreRules;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.pool.BalanceSettings;
 import io.burdockpin.core.batch.lead.run.SessionSettings;
@@ -38,11 +44,14 @@
  * @param platformAddress where the platform accepts orders about hosts
  * @param hostOrdersPerSecond rate limit of the platform for orders about hosts, for all
  * members together
+ * @param dataCentres the data centres of the platform, by name; only the names are used;
+ * empty in settings files of earlier versions
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
-		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond) {
+		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond,
+		Map<String, Object> dataCentres) {
 
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
@@ -144,6 +153,9 @@
 		Checks.range("toleratedMembers", toleratedMembers, 0, 3);
 		dataFolder = dataFolder.filter((folder) -> !folder.isEmpty());
 		platformAddress = platformAddress.filter((address) -> !address.isEmpty());
+		dataCentres = Optional.ofNullable(dataCentres)
+			.map((known) -> Collections.unmodifiableMap(new TreeMap<>(known)))
+			.orElse(Map.of());
 	}
 
 	/**
@@ -181,6 +193,12 @@
 				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond);
 	}
 
+	DataCentreRules toDataCentreRules() {
+		Set<String> names = new HashSet<>(this.dataCentres.keySet());
+		names.add(this.dataCentre);
+		return new DataCentreRules(names);
+	}
+
 	/**
 	 * Returns the hosts of the seeds.
 	 * @return the IP addresses, in the order of the seeds
--- a/platform/src/main/java/io/burdockpin/platform/server/LeaderCalls.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderCalls.java
@@ -1,9 +1,8 @@
-package io.burdockpin.platform.server;
+package io.burdockpin.batch.call;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-import io.burdockpin.batch.call.LeaderClientCommand;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -14,9 +13,15 @@
  *
  * @param leader the client that forwards calls to the current leader
  */
-record LeaderCalls(ActorRef<LeaderClientCommand> leader) {
+public record LeaderCalls(ActorRef<LeaderClientCommand> leader) {
 
-	CompletionStage<FleetReply> ask(FleetCall call, long timeoutMillis) {
+	/**
+	 * Sends a call.
+	 * @param call the call
+	 * @param timeoutMillis how long to wait for the reply
+	 * @return the reply; never fails
+	 */
+	public CompletionStage<FleetReply> ask(FleetCall call, long timeoutMillis) {
 		CompletableFuture<FleetReply> reply = new CompletableFuture<>();
 		this.leader.tell(new LeaderClientCommand.Ask(call, timeoutMillis, reply::complete));
 		return reply;
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.batch.BatchSettings;
@@ -19,6 +20,7 @@
 import io.burdockpin.core.batch.call.AnnouncementThrottle;
 import io.burdockpin.core.batch.call.CallDecision;
 import io.burdockpin.core.batch.call.CallRules;
+import io.burdockpin.core.batch.call.DataCentreRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.FleetLeader;
@@ -87,6 +89,8 @@
 
 	private final CallRules rules = new CallRules();
 
+	private final DataCentreRules dataCentreRules;
+
 	private final AnnouncementThrottle announcements = new AnnouncementThrottle();
 
 	private final CborCommandGroupCodec groupCodec = new CborCommandGroupCodec();
@@ -133,10 +137,12 @@
 	private final LeaderLoad load;
 
 	private SchedulerActor(ActorContext<SchedulerCommand> context, TimerScheduler<SchedulerCommand> timers,
-			LeaderSettings settings, RunnerChannel.Factory runners, ActorRef<HostChannel.Command> hosts,
-			ActorRef<EventLog.Command> eventLog, InstantSource clock, InstantSource wallClock) {
+			LeaderSettings settings, DataCentreRules dataCentreRules, RunnerChannel.Factory runners,
+			ActorRef<HostChannel.Command> hosts, ActorRef<EventLog.Command> eventLog, InstantSource clock,
+			InstantSource wallClock) {
 		super(context);
 		this.settings = settings;
+		this.dataCentreRules = dataCentreRules;
 		this.hosts = hosts;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -156,6 +162,7 @@
 	/**
 	 * Creates the behavior.
 	 * @param settings settings of the leader
+	 * @param dataCentreRules decides about orders to close data centres
 	 * @param runners creates channels to runners
 	 * @param hosts sends orders about hosts to the platform
 	 * @param eventLog receives the decisions of the leader
@@ -163,11 +170,11 @@
 	 * @param wallClock the time of day, for jobs with a schedule
 	 * @return the behavior of the scheduler
 	 */
-	public static Behavior<SchedulerCommand> create(LeaderSettings settings, RunnerChannel.Factory runners,
-			ActorRef<HostChannel.Command> hosts, ActorRef<EventLog.Command> eventLog, InstantSource clock,
-			InstantSource wallClock) {
-		return Behaviors.setup((context) -> Behaviors.withTimers(
-				(timers) -> new SchedulerActor(context, timers, settings, runners, hosts, eventLog, clock, wallClock)));
+	public static Behavior<SchedulerCommand> create(LeaderSettings settings, DataCentreRules dataCentreRules,
+			RunnerChannel.Factory runners, ActorRef<HostChannel.Command> hosts, ActorRef<EventLog.Command> eventLog,
+			InstantSource clock, InstantSource wallClock) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> new SchedulerActor(context, timers,
+				settings, dataCentreRules, runners, hosts, eventLog, clock, wallClock)));
 	}
 
 	@Override
@@ -206,7 +213,13 @@
 		FleetCall call = command.call();
 		ReplyPort replyTo = command.replyTo();
 		if (call instanceof FleetCall.CallerCall callerCall) {
-			onCallerCall(callerCall, replyTo);
+			executeWhenConfirmed(() -> this.rules.decide(callerCall, this.state), replyTo);
+		}
+		else if (call instanceof FleetCall.DataCentreCall order) {
+			executeWhenConfirmed(() -> this.dataCentreRules.decide(order, this.state), replyTo);
+		}
+		else if (call instanceof FleetCall.LookAtDataCentres) {
+			replyWhenConfirmed(replyTo, () -> replyTo.send(this.dataCentreRules.status(this.state)));
 		}
 		else if (call instanceof FleetCall.PutConfiguration put) {
 			execute(this.rules.decide(put, this.state), replyTo);
@@ -235,13 +248,14 @@
 		return requestFlush();
 	}
 
-	private void onCallerCall(FleetCall.CallerCall call, ReplyPort replyTo) {
-		CallDecision decision = this.rules.decide(call, this.state);
+	// A command needs no confirmation, since only the present leader can commit it.
+	private void executeWhenConfirmed(Supplier<CallDecision> rule, ReplyPort replyTo) {
+		CallDecision decision = rule.get();
 		if (decision instanceof CallDecision.Commit) {
 			execute(decision, replyTo);
 		}
 		else {
-			replyWhenConfirmed(replyTo, () -> execute(this.rules.decide(call, this.state), replyTo));
+			replyWhenConfirmed(replyTo, () -> execute(rule.get(), replyTo));
 		}
 	}
 
@@ -352,6 +366,7 @@
 		if (this.leads && this.leader.isEmpty() && !this.restartDue && entry.term() == this.term) {
 			logger.atInfo().log("Leads in term %d from log index %d.", this.term, entry.index());
 			this.events.leadershipChanged(true, this.term);
+			this.events.foundClosed(this.term, this.state);
 			startLeading();
 		}
 	}
@@ -379,6 +394,17 @@
 			this.events.applied(index, command, results.get(number), this.state,
 					(task, run) -> leading.contact(task, run, nowMillis));
 			leading.onApplied(command, nowMillis);
+			if (command instanceof BatchCommand.CloseDataCentre && results.get(number) == CommandResult.APPLIED) {
+				warnIfAllAreClosed();
+			}
+		}
+	}
+
+	private void warnIfAllAreClosed() {
+		if (this.state.runners().stream().allMatch((runner) -> this.state.isClosed(runner.dataCentre()))) {
+			logger.atWarning()
+				.log("No open data centre has runners; new work waits. Closed are %s.",
+						this.state.closedDataCentres().keySet());
 		}
 	}
 
@@ -476,7 +502,7 @@
 		}
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
-			.ifPresent((period) -> this.events.load(this.term, period));
+			.ifPresent((period) -> this.events.load(this.term, period, this.state));
 		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -19,6 +19,7 @@
 import io.burdockpin.core.batch.lead.run.RunnerOrder;
 import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.RunOutcome;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
@@ -59,15 +60,44 @@
 		record(event(leads ? EventKind.LEADER_ELECTED : EventKind.LEADER_STEPPED_DOWN).with(EventField.TERM, term));
 	}
 
-	void load(long term, LeaderLoad.Period period) {
-		record(event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
+	/**
+	 * Records the load of the leader and, while a data centre is closed, how many tasks
+	 * are still in closed ones.
+	 * @param term the term of the leader
+	 * @param period the load
+	 * @param state the replicated state
+	 */
+	void load(long term, LeaderLoad.Period period, BatchState state) {
+		Event load = event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
 			.with(EventField.CONNECTIONS, period.connections())
 			.with(EventField.ORDERS, period.orders())
 			.with(EventField.LISTENS, period.heartbeats())
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
-			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis()));
+			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis());
+		record(state.closedDataCentres().isEmpty() ? load : load.with(EventField.CLOSED_TASKS,
+				state.closedDataCentres().keySet().stream().mapToInt(state::runCountIn).sum()));
+	}
+
+	/**
+	 * Records the data centres that a new leader finds closed. The leader that committed
+	 * a closing may have been lost before it recorded it.
+	 * @param term the term of the leader
+	 * @param state the replicated state
+	 */
+	void foundClosed(long term, BatchState state) {
+		state.closedDataCentres()
+			.values()
+			.forEach((closing) -> record(
+					closed(event(EventKind.DATA_CENTRE_CLOSED), closing, state).with(EventField.TERM, term)));
+	}
+
+	private static Event closed(Event event, DataCentreClosing closing, BatchState state) {
+		return event.with(EventField.DATA_CENTRE, closing.dataCentre())
+			.with(EventField.ORIGIN, closing.origin())
+			.with(EventField.SINCE_MILLIS, closing.sinceMillis())
+			.with(EventField.COUNT, state.runCountIn(closing.dataCentre()));
 	}
 
 	/**
@@ -204,6 +234,15 @@
 		else if (command instanceof BatchCommand.NoteEnds recorded) {
 			endsRecorded(index, recorded, state, contacts);
 		}
+		else if (command instanceof BatchCommand.CloseDataCentre close) {
+			Optional.ofNullable(state.closedDataCentres().get(close.dataCentre()))
+				.ifPresent((closing) -> record(closed(indexed(EventKind.DATA_CENTRE_CLOSED, index), closing, state)));
+		}
+		else if (command instanceof BatchCommand.OpenDataCentre open) {
+			record(indexed(EventKind.DATA_CENTRE_OPENED, index).with(EventField.DATA_CENTRE, open.dataCentre())
+				.with(EventField.ORIGIN, open.origin())
+				.with(EventField.COUNT, state.runCountIn(open.dataCentre())));
+		}
 		else if (command instanceof BatchCommand.ReleaseRuns released) {
 			released.releases()
 				.forEach(
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -1,16 +1,42 @@
 package io.burdockpin.batch;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.runtime.settings.SettingsLoader;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class BatchSettingsTests {
 
+	private static final String SETTINGS_OF_THE_PREVIOUS_RELEASE = """
+			{
+				"cluster": "burdockpin",
+				"process": "core-1",
+				"host": "10.0.0.1",
+				"dataCentre": "dc1",
+				"firstStart": true,
+				"dataFolder": "",
+				"internalPorts": [7000,7015],
+				"seeds": ["10.0.0.1:8345"],
+				"toleratedMembers": 1,
+				"longestLeaseMillis": 6000,
+				"handOverPauseMillis": 3000,
+				"upkeepSeconds": 2,
+				"graceSeconds": 6,
+				"addresses": {"callers": "", "readiness": "", "control": "10.0.0.1:8345"},
+				"platformAddress": "10.0.0.9:8344",
+				"hostOrdersPerSecond": 64
+			""";
+
 	@Test
 	void theGroupGrowsToOneMemberMoreThanTwiceTheToleratedLosses() {
 		Truth.assertThat(settings(List.of(7000, 7015), 1).toConsensusSettings().intendedVoters()).isEqualTo(3);
@@ -53,11 +79,41 @@
 		Truth.assertThat(leader.balance().handOverPauseMillis()).isEqualTo(expectedMillis);
 	}
 
+	/**
+	 * Guards against an order to close a data centre that is refused because none of its
+	 * runners is registered yet.
+	 */
+	@Test
+	void theDataCentresOfThePlatformAndThatOfTheProcessAreKnown() {
+		Truth.assertThat(settings(List.of(7000, 7015), 1, Map.of("dc2", "region")).toDataCentreRules().configured())
+			.containsExactly("dc1", "dc2");
+	}
+
+	/** Guards against a process that does not start with the settings of a release. */
+	@Test
+	void settingsWithAndWithoutDataCentresAreRead(@TempDir Path folder) throws IOException {
+		Path file = folder.resolve("settings");
+		Files.writeString(file, SETTINGS_OF_THE_PREVIOUS_RELEASE + "}");
+		Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).dataCentres()).isEmpty();
+		for (String empty : List.of("null", "{}")) {
+			Files.writeString(file, SETTINGS_OF_THE_PREVIOUS_RELEASE + ", \"dataCentres\": " + empty + "}");
+			Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).dataCentres()).isEmpty();
+		}
+		Files.writeString(file, SETTINGS_OF_THE_PREVIOUS_RELEASE
+				+ ", \"dataCentres\": {\"dc1\": \"north\", \"dc2\": {\"region\": \"south\"}}}");
+		Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).dataCentres().keySet())
+			.containsExactly("dc1", "dc2");
+	}
+
 	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
+		return settings(ports, toleratedMembers, null);
+	}
+
+	private static BatchSettings settings(List<Integer> ports, int toleratedMembers, Map<String, Object> dataCentres) {
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
 				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
 				new BatchSettings.AddressSettings(Optional.of("10.0.0.1:1"), Optional.empty(), Optional.of("")),
-				Optional.empty(), 64);
+				Optional.empty(), 64, dataCentres);
 	}
 
 }
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/DecisionRestartTests.java
@@ -25,6 +25,7 @@
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.batch.port.RunnerChannel;
 import io.burdockpin.codec.cbor.CborCommandGroupCodec;
+import io.burdockpin.core.batch.call.DataCentreRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.LeaderSettings;
@@ -102,9 +103,10 @@
 	/** Atomic, because the actor reads the clock in a thread of its own. */
 	private final AtomicLong nowMillis = new AtomicLong(1_000_000);
 
-	private final ActorRef<SchedulerCommand> scheduler = this.testKit.spawn(SchedulerActor.create(settings(),
-			this::channel, this.testKit.<HostChannel.Command>createTestProbe().getRef(),
-			this.testKit.<EventLog.Command>createTestProbe().getRef(), this::now, this::now));
+	private final ActorRef<SchedulerCommand> scheduler = this.testKit
+		.spawn(SchedulerActor.create(settings(), new DataCentreRules(Set.of("dc1")), this::channel,
+				this.testKit.<HostChannel.Command>createTestProbe().getRef(),
+				this.testKit.<EventLog.Command>createTestProbe().getRef(), this::now, this::now));
 
 	private final Map<RunnerKey, FakeRunner> runners = new LinkedHashMap<>();
 
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -6,7 +6,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -18,7 +21,9 @@
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.batch.port.ReplyPort;
 import io.burdockpin.batch.port.RunnerChannel;
+import io.burdockpin.codec.cbor.CborBatchSnapshotCodec;
 import io.burdockpin.codec.cbor.CborCommandGroupCodec;
+import io.burdockpin.core.batch.call.DataCentreRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.LeaderSettings;
@@ -26,14 +31,18 @@
 import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.lead.run.SessionSettings;
 import io.burdockpin.core.batch.lead.wave.WaveSettings;
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
 import io.burdockpin.core.batch.state.MovePhase;
 import io.burdockpin.core.consensus.EntryContent;
 import io.burdockpin.core.consensus.LogEntry;
 import io.burdockpin.core.consensus.MemberId;
+import io.burdockpin.core.consensus.Membership;
+import io.burdockpin.core.consensus.Snapshot;
 import io.burdockpin.core.event.Event;
 import io.burdockpin.core.event.EventField;
 import io.burdockpin.core.event.EventKind;
@@ -82,16 +91,15 @@
 
 	private final ManualTime time = ManualTime.get(this.testKit.system());
 
-	private final ActorRef<SchedulerCommand> scheduler = this.testKit
-		.spawn(SchedulerActor.create(settings(), (runner) -> Behaviors.receiveMessage((command) -> {
-			if (this.failingChannels.getAndDecrement() > 0) {
-				throw new IllegalStateException("injected failure of a channel");
-			}
-			this.runners.getRef().tell(command);
-			return Behaviors.same();
-		}), this.testKit.<HostChannel.Command>createTestProbe().getRef(), this.events.getRef(),
-				() -> Instant.ofEpochMilli(this.steadyMillis.get()),
-				() -> Instant.ofEpochMilli(this.wallMillis.get())));
+	private final ActorRef<SchedulerCommand> scheduler = this.testKit.spawn(SchedulerActor.create(settings(),
+			new DataCentreRules(Set.of("dc1")), (runner) -> Behaviors.receiveMessage((command) -> {
+				if (this.failingChannels.getAndDecrement() > 0) {
+					throw new IllegalStateException("injected failure of a channel");
+				}
+				this.runners.getRef().tell(command);
+				return Behaviors.same();
+			}), this.testKit.<HostChannel.Command>createTestProbe().getRef(), this.events.getRef(),
+			() -> Instant.ofEpochMilli(this.steadyMillis.get()), () -> Instant.ofEpochMilli(this.wallMillis.get())));
 
 	@AfterEach
 	void stop() {
@@ -127,6 +135,97 @@
 			.containsEntry(EventField.RUNNER, "runner@5");
 	}
 
+	/**
+	 * Guards against a closing that is acknowledged although it is lost with the leader.
+	 */
+	@Test
+	void aClosingIsCommittedBeforeItIsAcknowledged() {
+		lead();
+		call(new FleetCall.CloseDataCentre("dc1", "operator"));
+		ConsensusCommand.Propose proposal = nextProposal();
+		report(new ConsensusReport.Proposed(proposal.tag(), 2));
+		this.replies.expectNoMessage(Duration.ofMillis(100));
+		commit(2, proposal);
+		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Accepted());
+	}
+
+	/** Guards against an order that is refused when it is sent again. */
+	@Test
+	void aRepeatedOrderIsAcknowledgedAgain() {
+		lead();
+		for (long index = 2; index < 8; index++) {
+			call((index < 5) ? new FleetCall.CloseDataCentre("dc1", "operator")
+					: new FleetCall.OpenDataCentre("dc1", "operator"));
+			commitNextProposal(index);
+			Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Accepted());
+		}
+	}
+
+	/**
+	 * Guards against an order that is acknowledged on the strength of a state that an
+	 * earlier order, not committed yet, is about to change.
+	 */
+	@Test
+	void anOrderThatOvertakesTheCommitOfTheOneBeforeItIsCommittedAfterIt() {
+		lead();
+		call(new FleetCall.CloseDataCentre("dc1", "operator"));
+		ConsensusCommand.Propose closing = nextProposal();
+		report(new ConsensusReport.Proposed(closing.tag(), 2));
+		call(new FleetCall.OpenDataCentre("dc1", "operator"));
+		ConsensusCommand.Propose opening = nextProposal();
+		report(new ConsensusReport.Proposed(opening.tag(), 3));
+		this.replies.expectNoMessage(Duration.ofMillis(100));
+		commit(2, closing);
+		commit(3, opening);
+		this.replies.receiveSeveralMessages(2);
+		Truth.assertThat(status("dc1").closing()).isEmpty();
+	}
+
+	/**
+	 * Guards against an acknowledgement by a leader that was lost between the proposal
+	 * and the answer, and against a next leader that does not know of the closing.
+	 */
+	@Test
+	void theNextLeaderKnowsAndAcknowledgesAClosingThatWasCommittedButNotAnswered() {
+		lead();
+		call(new FleetCall.CloseDataCentre("dc1", "operator"));
+		ConsensusCommand.Propose proposal = nextProposal();
+		report(new ConsensusReport.Proposed(proposal.tag(), 2));
+		report(new ConsensusReport.LeadershipChanged(false, TERM + 1, Optional.empty()));
+		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Unknown());
+		commit(2, proposal);
+		report(new ConsensusReport.LeadershipChanged(true, TERM + 2, Optional.of(SELF)));
+		commit(3, TERM + 2, new BatchCommand.CancelJob("none"));
+		Truth.assertThat(status("dc1").closing().map(DataCentreClosing::origin)).hasValue("operator");
+		call(new FleetCall.CloseDataCentre("dc1", "operator"));
+		commitNextProposal(4);
+		Truth.assertThat(this.replies.receiveMessage()).isEqualTo(new FleetReply.Accepted());
+	}
+
+	/** Guards against a restarted member that takes a closed data centre as open. */
+	@Test
+	void aClosingIsRestoredFromASnapshot() {
+		BatchState stored = new BatchState();
+		stored.apply(new CommandGroup(5, List.of(new BatchCommand.CloseDataCentre("dc1", "operator"))));
+		report(new ConsensusReport.Restored(new Snapshot(1, TERM - 1, 0, Membership.EMPTY,
+				Payload.of(new CborBatchSnapshotCodec().encode(stored.snapshot())))));
+		this.scheduler.tell(new SchedulerCommand.AttachConsensus(this.consensus.getRef()));
+		report(new ConsensusReport.LeadershipChanged(true, TERM, Optional.of(SELF)));
+		commit(2, new BatchCommand.CancelJob("none"));
+		Truth.assertThat(status("dc1").closing()).hasValue(new DataCentreClosing("dc1", 5, "operator"));
+	}
+
+	/**
+	 * Guards against an order that is refused by a deposed leader, which may not know the
+	 * runners of the data centre.
+	 */
+	@Test
+	void anUnknownDataCentreIsRefusedOnceAMajorityHasConfirmedTheLeadership() {
+		lead();
+		Truth.assertThat(answerOnceConfirmed(new FleetCall.CloseDataCentre("dc9", "operator")))
+			.isEqualTo(new FleetReply.Refused(FleetReply.Reason.NO_SUCH_DATA_CENTRE, Optional.empty()));
+	}
+
 	/** Guards against an acknowledgement by a leader that was deposed meanwhile. */
 	@Test
 	void aDepartureIsNotAcknowledgedIfTheLeaderStepsDownBeforeItIsCommitted() {
@@ -396,10 +495,59 @@
 	}
 
 	private void commit(long index, BatchCommand command) {
+		commit(index, TERM, command);
+	}
+
+	private void commit(long index, long term, BatchCommand command) {
 		Payload payload = Payload
 			.of(new CborCommandGroupCodec().encode(new CommandGroup(this.wallMillis.get(), List.of(command))));
 		report(new ConsensusReport.Committed(
-				List.of(new LogEntry(index, TERM, new EntryContent.CommandContent(payload))), false));
+				List.of(new LogEntry(index, term, new EntryContent.CommandContent(payload))), false));
+	}
+
+	private void commit(long index, ConsensusCommand.Propose proposal) {
+		report(new ConsensusReport.Committed(
+				List.of(new LogEntry(index, TERM, new EntryContent.CommandContent(proposal.payload()))), false));
+	}
+
+	private void commitNextProposal(long index) {
+		ConsensusCommand.Propose proposal = nextProposal();
+		report(new ConsensusReport.Proposed(proposal.tag(), index));
+		commit(index, proposal);
+	}
+
+	private void call(FleetCall call) {
+		this.scheduler.tell(new SchedulerCommand.Call(call, replyPort()));
+	}
+
+	private FleetReply.DataCentreStatus status(String dataCentre) {
+		return ((FleetReply.DataCentres) answerOnceConfirmed(new FleetCall.LookAtDataCentres())).dataCentres()
+			.stream()
+			.filter((known) -> known.name().equals(dataCentre))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private FleetReply answerOnceConfirmed(FleetCall call) {
+		BlockingQueue<FleetReply> answers = new LinkedBlockingQueue<>();
+		this.scheduler.tell(new SchedulerCommand.Call(call, answers::add));
+		Truth.assertThat(poll(answers)).isNull();
+		// The call may share the confirmation that a new leader asks for.
+		FleetReply reply = null;
+		while (reply == null) {
+			completeReads(true);
+			reply = poll(answers);
+		}
+		return reply;
+	}
+
+	private static FleetReply poll(BlockingQueue<FleetReply> answers) {
+		try {
+			return answers.poll(500, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
 	}
 
 	private void announceNewRunner() {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -1,6 +1,7 @@
 package io.burdockpin.batch.scheduler;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -16,6 +17,9 @@
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
+import io.burdockpin.core.batch.state.BatchState;
+import io.burdockpin.core.batch.state.CommandGroup;
+import io.burdockpin.core.batch.state.CommandResult;
 import io.burdockpin.core.event.Event;
 import io.burdockpin.core.event.EventField;
 import io.burdockpin.core.event.EventKind;
@@ -50,6 +54,45 @@
 		this.testKit.shutdownTestKit();
 	}
 
+	/** Guards against tasks that stay in a closed data centre without a sign of it. */
+	@Test
+	void aClosingAndItsEndAreRecordedWithTheirOriginAndTheTasksStillThere() {
+		BatchState state = new BatchState();
+		apply(state, new BatchCommand.RegisterRunner(RUNNER, OptionalLong.of(1)));
+		BatchCommand close = new BatchCommand.CloseDataCentre("dc1", "operator");
+		apply(state, close);
+		this.events.applied(7, close, CommandResult.APPLIED, state, (task, run) -> Optional.empty());
+		expect(EventKind.DATA_CENTRE_CLOSED, Map.of(EventField.INDEX, "7", EventField.DATA_CENTRE, "dc1",
+				EventField.ORIGIN, "operator", EventField.SINCE_MILLIS, "50", EventField.COUNT, "0"));
+		this.events.foundClosed(4, state);
+		expect(EventKind.DATA_CENTRE_CLOSED, Map.of(EventField.TERM, "4", EventField.DATA_CENTRE, "dc1",
+				EventField.ORIGIN, "operator", EventField.SINCE_MILLIS, "50", EventField.COUNT, "0"));
+		BatchCommand open = new BatchCommand.OpenDataCentre("dc1", "other operator");
+		apply(state, open);
+		this.events.applied(8, open, CommandResult.APPLIED, state, (task, run) -> Optional.empty());
+		expect(EventKind.DATA_CENTRE_OPENED, Map.of(EventField.INDEX, "8", EventField.DATA_CENTRE, "dc1",
+				EventField.ORIGIN, "other operator", EventField.COUNT, "0"));
+	}
+
+	@Test
+	void theLoadNamesTheTasksInClosedDataCentresOnlyWhileOneIsClosed() {
+		BatchState state = new BatchState();
+		LeaderLoad.Period period = new LeaderLoad.Period(1_000, 0, 0, 0, 0, 0, 0);
+		this.events.load(3, period, state);
+		Truth.assertThat(nextFields()).doesNotContainKey(EventField.CLOSED_TASKS);
+		apply(state, new BatchCommand.CloseDataCentre("dc1", "operator"));
+		this.events.load(3, period, state);
+		Truth.assertThat(nextFields()).containsEntry(EventField.CLOSED_TASKS, "0");
+	}
+
+	private Map<EventField, String> nextFields() {
+		return this.log.expectMessageClass(EventLog.Append.class).event().fields();
+	}
+
+	private static void apply(BatchState state, BatchCommand command) {
+		state.apply(new CommandGroup(50, List.of(command)));
+	}
+
 	@Test
 	void aStartIsRecordedWithItsTermAndSession() {
 		this.events.runnerOrdered(dispatch(new RunnerOrder.Start(3, TASK, 4, "", "", 9)));
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -200,7 +200,8 @@
 				new FleetCall.Announce(RECORD, 4), new FleetCall.Leave("runner"),
 				new FleetCall.OrderWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
 				new FleetCall.LookAtWave(1), new FleetCall.Join("10.0.0.1", 5, "10.0.0.1:7", Optional.of("dc1")),
-				new FleetCall.Check());
+				new FleetCall.Check(), new FleetCall.CloseDataCentre("dc", "operator"),
+				new FleetCall.OpenDataCentre("dc", "operator"), new FleetCall.LookAtDataCentres());
 		calls.forEach((call) -> {
 			CallMessage message = new CallMessage.Call(1, call);
 			Truth.assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
@@ -210,7 +211,10 @@
 				new FleetReply.WaveStatus(true),
 				new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.of(1_000)),
 				new FleetReply.NotLeader(Optional.empty(), List.of("10.0.0.1")),
-				new FleetReply.Leads(List.of("10.0.0.1")), new FleetReply.Unknown());
+				new FleetReply.Leads(List.of("10.0.0.1")), new FleetReply.Unknown(),
+				new FleetReply.DataCentres(List.of(new FleetReply.DataCentreStatus("dc",
+						Optional.of(new DataCentreClosing("dc", 3, "operator")), 1, 2),
+						new FleetReply.DataCentreStatus("dc2", Optional.empty(), 0, 0))));
 		replies.forEach((reply) -> {
 			CallMessage message = new CallMessage.Reply(2, reply);
 			Truth.assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
@@ -132,6 +132,48 @@
 
 	}
 
+	/** An order of an operator about a data centre. */
+	sealed interface DataCentreCall extends FleetCall {
+
+		/**
+		 * Returns the data centre.
+		 * @return the name, which may be unknown
+		 */
+		String dataCentre();
+
+		/**
+		 * Returns who gives the order.
+		 * @return text for operators
+		 */
+		String origin();
+
+	}
+
+	/**
+	 * Closes a data centre: nothing is started there until it is opened.
+	 *
+	 * @param dataCentre the name of the data centre
+	 * @param origin who gives the order
+	 */
+	record CloseDataCentre(String dataCentre, String origin) implements DataCentreCall {
+
+	}
+
+	/**
+	 * Opens a data centre.
+	 *
+	 * @param dataCentre the name of the data centre
+	 * @param origin who gives the order
+	 */
+	record OpenDataCentre(String dataCentre, String origin) implements DataCentreCall {
+
+	}
+
+	/** Queries the known data centres. */
+	record LookAtDataCentres() implements FleetCall {
+
+	}
+
 	/**
 	 * Requests to join the control group.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
+import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.model.Payload;
 
 /** The reply to a {@link FleetCall}. Immutable. */
@@ -50,6 +51,31 @@
 
 	}
 
+	/**
+	 * Status of the known data centres.
+	 *
+	 * @param dataCentres one entry for each, sorted by name
+	 */
+	record DataCentres(List<DataCentreStatus> dataCentres) implements FleetReply {
+
+		public DataCentres {
+			dataCentres = List.copyOf(dataCentres);
+		}
+
+	}
+
+	/**
+	 * Status of a data centre.
+	 *
+	 * @param name the name of the data centre
+	 * @param closing the order by which it is closed; empty if it is open
+	 * @param runners number of registered runners
+	 * @param tasks number of tasks that are assigned to its runners and have not ended
+	 */
+	record DataCentreStatus(String name, Optional<DataCentreClosing> closing, int runners, int tasks) {
+
+	}
+
 	/**
 	 * The call had no effect and will have none.
 	 *
@@ -107,6 +133,9 @@
 		/** No wave has that number. */
 		NO_SUCH_WAVE,
 
+		/** Neither the settings nor a registered runner have that data centre. */
+		NO_SUCH_DATA_CENTRE,
+
 		/** No configuration is in force yet. */
 		NO_CONFIGURATION,
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -249,6 +249,19 @@
 		return this.closedDataCentres.containsKey(dataCentre);
 	}
 
+	/**
+	 * Counts the runs in a data centre that may be in progress.
+	 * @param dataCentre the name of the data centre
+	 * @return the number of runs on its registered runners
+	 */
+	public int runCountIn(String dataCentre) {
+		return this.runners.values()
+			.stream()
+			.filter((runner) -> runner.dataCentre().equals(dataCentre))
+			.mapToInt((runner) -> this.runs.on(runner.key()).size())
+			.sum();
+	}
+
 	/**
 	 * Counts the jobs of a queue of which no runner has started a task yet.
 	 * @param queue the address of the queue
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -155,6 +155,15 @@
 	 */
 	CHANGED_WALL_MILLIS("changedWallMillis"),
 
+	/** Who gave an order. */
+	ORIGIN("origin"),
+
+	/** Time of an order that is still in force, in milliseconds since 1970. */
+	SINCE_MILLIS("sinceMillis"),
+
+	/** Number of tasks that are assigned to runners in closed data centres. */
+	CLOSED_TASKS("closedTasks"),
+
 	/** Short free text. */
 	DETAIL("detail");
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -125,6 +125,12 @@
 	 */
 	BATCH_OVERDUE,
 
+	/** A data centre was closed, or a new leader found it closed. */
+	DATA_CENTRE_CLOSED,
+
+	/** A closed data centre was opened. */
+	DATA_CENTRE_OPENED,
+
 	/** Events were dropped because there were too many. */
 	EVENTS_DROPPED
 
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchDeployment.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchDeployment.java
@@ -146,6 +146,7 @@
 					.mapToObj((member) -> "\"" + memberAddress(member) + ":" + CONTROL_PORT + "\"")
 					.toList()
 					.toString());
+		values.put("zones|json", "{\"%s\": \"region\"}".formatted(RunnerPlan.ZONE));
 		values.putAll(Map.of("bounds.maxHoldMs", "10000", "bounds.leaseMs", "3000", "bounds.maintenanceS", "2",
 				"bounds.graceS", "6", "listenAddresses.front", "", "listenAddresses.readiness", "",
 				"listenAddresses.control", ""));
