--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ActionGroup.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ActionGroup.java
@@ -29,6 +29,9 @@
 	/** Jobs. */
 	JOB("jobs", JobAction.values()),
 
+	/** Data centres of the batch scheduler. */
+	DATA_CENTRE("data centres of the batch scheduler: show, close, open", DataCentreAction.values()),
+
 	/** Control members. */
 	MEMBER("members of the control group", MemberAction.values()),
 
@@ -52,10 +55,10 @@
 
 	/**
 	 * Returns the word on the command line.
-	 * @return the name in lower case
+	 * @return the name in lower case with hyphens
 	 */
 	public String word() {
-		return name().toLowerCase(Locale.ROOT);
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
 	/**
