--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchProcess.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchProcess.java
@@ -53,7 +53,7 @@
 			return;
 		}
 		try {
-			String template = Files.readString(this.programs.resolve("platform/templates/settings.json"));
+			String template = Files.readString(this.programs.resolve(deployed("template")));
 			Files.writeString(this.settings, FIELDS.matcher(template)
 				.replaceAll((field) -> Matcher.quoteReplacement(
 						field.group(1).equals("initialStart") ? this.firstStart : this.values.get(field.group(1)))));
@@ -105,12 +105,17 @@
 	// helpers
 
 	private List<String> command() throws IOException {
-		Matcher run = Pattern.compile("\\[roles\\." + this.role + "]\\s+run = \"([^\"]*)\"")
+		return List.of(deployed("run").replace(DEPLOYED_SETTINGS, this.settings.toString()).split(" "));
+	}
+
+	// Returns a field of the role in the deployment.
+	private String deployed(String field) throws IOException {
+		Matcher value = Pattern.compile("\\[roles\\." + this.role + "][^\\[]*?\\s" + field + " = \"([^\"]*)\"")
 			.matcher(Files.readString(this.programs.resolve("deploy/system.toml")));
-		if (!run.find()) {
-			throw new IOException("The deployment has no role " + this.role);
+		if (!value.find()) {
+			throw new IOException("The deployment has no field " + field + " of role " + this.role);
 		}
-		return List.of(run.group(1).replace(DEPLOYED_SETTINGS, this.settings.toString()).split(" "));
+		return value.group(1);
 	}
 
 }
--- a/review/lab-2/Lab.java
+++ b/review/lab-2/Lab.java
@@ -283,7 +283,6 @@
 			values.put("listenAddresses.control", isControl ? control() : "");
 			values.put("cloudApi.address", Lab.this.platform.address());
 			values.put("cloudApi.dutyPerS", "64.0");
-			values.put("zones|json", "{}");
 			String text = Files.readString(Lab.this.root.resolve("platform/templates/settings.json"));
 			for (Map.Entry<String, String> value : values.entrySet()) {
 				text = text.replace("{{" + value.getKey() + "}}", value.getValue());
--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -163,7 +163,6 @@
 		values.put("listenAddresses.control", control ? host + ":8345" : "");
 		values.put("cloudApi.address", this.net + "4.1:8344");
 		values.put("cloudApi.dutyPerS", "64.0");
-		values.put("zones|json", "{}");
 		String template = Files.readString(this.repository.resolve("platform/templates/settings.json"));
 		Matcher fields = Pattern.compile("\\{\\{([^}]*)}}").matcher(template);
 		String settings = fields.replaceAll((match) -> Matcher.quoteReplacement(values.get(match.group(1))));
