--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchProcess.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchProcess.java
@@ -110,7 +110,7 @@
 
 	// Returns a field of the role in the deployment.
 	private String deployed(String field) throws IOException {
-		Matcher value = Pattern.compile("\\[roles\\." + this.role + "][^\\[]*?\\s" + field + " = \"([^\"]*)\"")
+		Matcher value = Pattern.compile("(?s)\\[roles\\." + this.role + "].*?\\s" + field + " = \"([^\"]*)\"")
 			.matcher(Files.readString(this.programs.resolve("deploy/system.toml")));
 		if (!value.find()) {
 			throw new IOException("The deployment has no field " + field + " of role " + this.role);
