--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.place.Candidate;
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/Plan.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/Plan.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.place.Candidate;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.state.BatchCommand;
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -1,17 +1,18 @@
 package io.burdockpin.core.batch.lead.plan;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
+import io.burdockpin.core.batch.lead.place.Candidate;
+import io.burdockpin.core.batch.lead.place.PlaceRequest;
+import io.burdockpin.core.batch.lead.place.RunnerChoice;
 import io.burdockpin.core.batch.lead.pool.PoolDemand;
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -84,9 +85,8 @@
 			return Plan.EMPTY;
 		}
 		FleetConfiguration configuration = state.configuration().get();
-		Round round = new Round(state, configuration);
 		List<Candidate> candidates = candidates(state, runners, reliability);
-		candidates.forEach(round::add);
+		Round round = new Round(state, configuration, candidates);
 		List<WorkItem> items = new ArrayList<>();
 		state.activeJobs()
 			.forEach((job) -> job.configuredQueue()
@@ -192,9 +192,7 @@
 
 		private final FleetConfiguration configuration;
 
-		private final Map<String, List<Candidate>> byPool = new HashMap<>();
-
-		private final Map<String, Boolean> canAvoidSuspects = new HashMap<>();
+		private final RunnerChoice runnerChoice;
 
 		private final Map<String, Resources> chargedByWorkspace = new HashMap<>();
 
@@ -204,23 +202,21 @@
 
 		private final Set<RunnerKey> runnersForRestarts = new HashSet<>();
 
-		private Round(BatchState state, FleetConfiguration configuration) {
+		private Round(BatchState state, FleetConfiguration configuration, List<Candidate> candidates) {
 			this.state = state;
 			this.configuration = configuration;
-		}
-
-		private void add(Candidate candidate) {
-			this.byPool.computeIfAbsent(candidate.runner().pool(), (pool) -> new ArrayList<>()).add(candidate);
+			this.runnerChoice = new RunnerChoice(candidates,
+					(candidate) -> state.hasUnfinishedMaintenance(candidate.runner().hostOrId()));
 		}
 
 		private boolean hasCandidates(String pool) {
-			return this.byPool.containsKey(pool);
+			return !this.runnerChoice.candidates(pool).isEmpty();
 		}
 
 		private boolean isUnderused(String pool) {
 			Resources capacity = Resources.NONE;
 			Resources free = Resources.NONE;
-			for (Candidate candidate : this.byPool.getOrDefault(pool, List.of())) {
+			for (Candidate candidate : this.runnerChoice.candidates(pool)) {
 				capacity = capacity.plus(candidate.runner().capacity());
 				free = free.plus(candidate.free());
 			}
@@ -290,7 +286,7 @@
 			Map<RunnerKey, Integer> used = usedRunners(item);
 			for (BatchTask task : leaving) {
 				Optional<Candidate> chosen = find(item, task, used, Optional.empty(),
-						(candidate) -> !isMaintenanceDue(candidate));
+						(candidate) -> !this.runnerChoice.isMaintenanceDue(candidate));
 				if (chosen.isEmpty()) {
 					return;
 				}
@@ -322,56 +318,21 @@
 
 		private Optional<Candidate> find(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used,
 				Optional<String> rack, Predicate<Candidate> filter) {
-			StepSpec spec = item.tasks().spec();
-			OptionalInt maximum = spec.maximumPerRunner();
-			boolean mayAvoid = canAvoidSuspects(item.queue().pool());
-			boolean hasFailed = task.failures() > 0;
-			Comparator<Candidate> order = Comparator
-				.<Candidate, Boolean>comparing((candidate) -> !candidate.reliability().isSuitable(hasFailed))
-				.thenComparing((candidate) -> !candidate.isLocalTo(spec))
-				.thenComparing((candidate) -> rack.isPresent() && !rack.equals(candidate.runner().rack()));
-			// Best fit by CPU, which keeps capacity free for large tasks on other
-			// runners.
-			Comparator<Candidate> bestFit = Comparator.comparingInt(Candidate::freeMillicores);
-			Comparator<Candidate> mostLongRunning = Comparator.comparing(this::isMaintenanceDue)
-				.thenComparing(
-						Comparator.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
-							.reversed());
-			Optional<Candidate> chosen = this.byPool.getOrDefault(item.queue().pool(), List.of())
-				.stream()
-				.filter((candidate) -> candidate.fits(spec))
-				.filter(filter)
-				.filter((candidate) -> !mayAvoid || candidate.reliability().isSuitable(hasFailed))
-				.filter((candidate) -> maximum.isEmpty()
-						|| used.getOrDefault(candidate.runner().key(), 0) < maximum.getAsInt())
-				.min(order.thenComparing(spec.longRunning() ? mostLongRunning : bestFit));
+			Optional<Candidate> chosen = this.runnerChoice.choose(request(item, task, used), rack, filter);
 			if (chosen.isEmpty() && item.urgency() != WorkItem.Urgency.LATE) {
 				this.poolsLackingCapacity.add(item.queue().pool());
 			}
 			return chosen;
 		}
 
-		// Maintenance ends the tasks of a host.
-		private boolean isMaintenanceDue(Candidate candidate) {
-			return this.state.hasUnfinishedMaintenance(candidate.runner().hostOrId());
-		}
-
-		// If at least half of the runners of a pool are suspect, the tasks are the more
-		// likely cause, and waiting for the other runners would take longer.
-		private boolean canAvoidSuspects(String pool) {
-			return this.canAvoidSuspects.computeIfAbsent(pool, (name) -> {
-				List<Candidate> candidates = this.byPool.getOrDefault(name, List.of());
-				long suspects = candidates.stream()
-					.filter((candidate) -> candidate.reliability() == RunnerReliability.SUSPECT)
-					.count();
-				return 2 * suspects < candidates.size();
-			});
+		private static PlaceRequest request(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used) {
+			return new PlaceRequest(item.queue().pool(), item.tasks().spec(), task.failures() > 0, used);
 		}
 
 		private boolean exceedsLongRunningShare(WorkItem item, StepSpec spec) {
 			double millicores = -spec.reserved().cpuMillicores();
 			double mebibytes = -spec.reserved().memoryMebibytes();
-			for (Candidate candidate : this.byPool.getOrDefault(item.queue().pool(), List.of())) {
+			for (Candidate candidate : this.runnerChoice.candidates(item.queue().pool())) {
 				Resources capacity = candidate.runner().capacity();
 				millicores += LONG_RUNNING_SHARE * capacity.cpuMillicores() - candidate.longRunning().cpuMillicores();
 				mebibytes += LONG_RUNNING_SHARE * capacity.memoryMebibytes()
