--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -2,7 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import io.burdockpin.batch.call.CallSettings;
 import io.burdockpin.batch.consensus.ConsensusSettings;
@@ -38,11 +40,14 @@
  * @param platformAddress where the platform accepts orders about hosts
  * @param hostOrdersPerSecond rate limit of the platform for orders about hosts, for all
  * members together
+ * @param remoteFactor how many times as long a task takes far from its data, or a gang
+ * that is spread over racks; empty if not known
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
-		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond) {
+		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond,
+		OptionalDouble remoteFactor) {
 
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
@@ -144,6 +149,7 @@
 		Checks.range("toleratedMembers", toleratedMembers, 0, 3);
 		dataFolder = dataFolder.filter((folder) -> !folder.isEmpty());
 		platformAddress = platformAddress.filter((address) -> !address.isEmpty());
+		remoteFactor = Objects.requireNonNullElse(remoteFactor, OptionalDouble.empty());
 	}
 
 	/**
@@ -178,7 +184,7 @@
 						HOST_RETURN_TIMEOUT_MILLIS, HOST_RETRY_MILLIS),
 				new BalanceSettings(pauseMillis, POOL_MOVE_MILLIS, IDLE_TIMEOUT_MILLIS, MINIMUM_STAY_MILLIS,
 						HOST_RETRY_MILLIS, HOST_LIST_PERIOD_MILLIS),
-				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond);
+				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond, this.remoteFactor);
 	}
 
 	/**
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -476,7 +476,8 @@
 		}
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
-			.ifPresent((period) -> this.events.load(this.term, period));
+			.ifPresent(
+					(period) -> this.events.load(this.term, period, this.leader.get().placementWaits().drainCounts()));
 		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
@@ -505,6 +506,7 @@
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
 		leading.reportOverdueIfDue(nowMillis).forEach((report) -> this.events.overdue(this.term, report));
+		leading.placementWaits().drainNotices().forEach((notice) -> this.events.placementWait(this.term, notice));
 		if (this.permit.isRenewalDue()) {
 			this.permit.renew(this.reads);
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -13,6 +13,8 @@
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.overdue.OverdueItem;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
+import io.burdockpin.core.batch.lead.place.WaitCounts;
+import io.burdockpin.core.batch.lead.place.WaitNotice;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -59,7 +61,7 @@
 		record(event(leads ? EventKind.LEADER_ELECTED : EventKind.LEADER_STEPPED_DOWN).with(EventField.TERM, term));
 	}
 
-	void load(long term, LeaderLoad.Period period) {
+	void load(long term, LeaderLoad.Period period, WaitCounts waits) {
 		record(event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
@@ -67,7 +69,26 @@
 			.with(EventField.ORDERS, period.orders())
 			.with(EventField.LISTENS, period.heartbeats())
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
-			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis()));
+			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis())
+			.with(EventField.WAITS_PAID, waits.paid())
+			.with(EventField.WAITS_UNPAID, waits.unpaid()));
+	}
+
+	/**
+	 * Records that tasks wait for a better place, or that their wait ended.
+	 * @param term the term of the leader
+	 * @param notice the news about one step
+	 */
+	void placementWait(long term, WaitNotice notice) {
+		boolean begins = notice.kind() == WaitNotice.Kind.BEGUN;
+		record(event(begins ? EventKind.PLACEMENT_WAITS : EventKind.PLACEMENT_WAIT_ENDED).with(EventField.TERM, term)
+			.with(EventField.JOB, notice.step().job())
+			.with(EventField.TASK, notice.step())
+			.with(EventField.POOL, notice.pool())
+			.with(EventField.STATE, notice.kind())
+			.with(EventField.CODE, notice.reason())
+			.with(EventField.COUNT, notice.count())
+			.with(EventField.MILLIS, notice.millis()));
 	}
 
 	/**
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.port.HostChannel;
@@ -53,11 +54,21 @@
 		Truth.assertThat(leader.balance().handOverPauseMillis()).isEqualTo(expectedMillis);
 	}
 
+	/**
+	 * Guards against a leader that lets no task wait although the platform gives a
+	 * factor.
+	 */
+	@Test
+	void theFactorOfRemoteTasksReachesTheLeader() {
+		Truth.assertThat(settings(List.of(7000, 7015), 1).toLeaderSettings().remoteFactor().getAsDouble())
+			.isEqualTo(1.5);
+	}
+
 	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
 				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
 				new BatchSettings.AddressSettings(Optional.of("10.0.0.1:1"), Optional.empty(), Optional.of("")),
-				Optional.empty(), 64);
+				Optional.empty(), 64, OptionalDouble.of(1.5));
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -25,6 +25,9 @@
 import io.burdockpin.core.batch.lead.overdue.OpenWork;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
 import io.burdockpin.core.batch.lead.overdue.OverdueWatch;
+import io.burdockpin.core.batch.lead.place.PlacementWait;
+import io.burdockpin.core.batch.lead.place.PlacementWaits;
+import io.burdockpin.core.batch.lead.place.RunEndEstimator;
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.lead.plan.FreeCapacity;
 import io.burdockpin.core.batch.lead.plan.Plan;
@@ -43,6 +46,7 @@
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
+import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
@@ -133,7 +137,11 @@
 
 	private final DurationEstimator durationEstimator = new DurationEstimator();
 
-	private final TaskPlanner planner = new TaskPlanner(this.durationEstimator);
+	private final TaskPlanner planner;
+
+	private final RunEndEstimator runEnds;
+
+	private final PlacementWaits placementWaits;
 
 	/** Assignment times of the active runs. */
 	private final Map<TaskId, Long> assignedMillis = new HashMap<>();
@@ -202,6 +210,11 @@
 		this.waveController = new WaveController(state, settings.waves(), hostOrderHistory, term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), hostOrderHistory, term, nowMillis,
 				this.durationEstimator);
+		this.runEnds = new RunEndEstimator(state, this.durationEstimator, settings.remoteFactor(),
+				settings.balance().lookAheadMillis(), this::assignedMillis,
+				(run) -> session(run.runner()).map((session) -> session.percent(run.task())).orElse(0));
+		this.placementWaits = new PlacementWaits(new PlacementWait(settings.remoteFactor()), this.runEnds);
+		this.planner = new TaskPlanner(this.durationEstimator, this.placementWaits);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		this.jobStarts = new JobStartRecorder(state);
 		this.overdueWatch = new OverdueWatch(settings, nowMillis);
@@ -259,6 +272,14 @@
 		return drained;
 	}
 
+	/**
+	 * Returns the waits for better places, for the event log.
+	 * @return the waits of this leader
+	 */
+	public PlacementWaits placementWaits() {
+		return this.placementWaits;
+	}
+
 	/**
 	 * Returns the orders to send to runners and marks them as sent.
 	 * @param nowMillis current monotonic time, in milliseconds
@@ -527,11 +548,12 @@
 			return List.of();
 		}
 		FreeCapacity capacity = hasPlanned
-				? new FreeCapacity(this.state, this.latestPlan.candidates(), this.latestPlan.assignments())
+				? new FreeCapacity(this.state, this.latestPlan.candidates(), this.latestPlan.assignments(),
+						this.placementWaits.waitingSteps())
 				: new FreeCapacity(this.state,
 						TaskPlanner.candidates(this.state, usableRunners(drainedRunners(), nowMillis),
 								(runner) -> this.reliability.reliability(runner, nowMillis)),
-						List.of());
+						List.of(), this.placementWaits.waitingSteps());
 		return this.overdueWatch.evaluate(new OpenWork(this.state, this.sessions, capacity, nowMillis));
 	}
 
@@ -577,6 +599,7 @@
 
 	private void plan(long nowMillis, long wallMillis) {
 		Set<RunnerKey> drained = drainedRunners();
+		this.runEnds.setTime(nowMillis, wallMillis);
 		Plan plan = this.planner.plan(this.state, usableRunners(drained, nowMillis), drained,
 				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 		this.balancer.onPlan(plan);
@@ -634,6 +657,11 @@
 			});
 	}
 
+	private OptionalLong assignedMillis(Run run) {
+		Long assigned = this.assignedMillis.get(run.task());
+		return (assigned != null) ? OptionalLong.of(assigned) : OptionalLong.empty();
+	}
+
 	private void addRun(Run run, boolean adopted) {
 		Optional<BatchJob> job = this.state.job(run.task().job());
 		this.runnersWithEvents.add(run.runner());
@@ -656,7 +684,7 @@
 		}));
 		committed.ends().forEach((end) -> {
 			this.reliability.recordEnd(committed.runner(), end.outcome(), nowMillis);
-			recordDuration(end, nowMillis);
+			recordDuration(committed.runner(), end, nowMillis);
 			boolean jobHasEnded = this.state.job(end.task().job())
 				.filter((job) -> job.phase() == BatchJobPhase.FAILED || job.phase() == BatchJobPhase.COMPLETED)
 				.isPresent();
@@ -666,16 +694,18 @@
 		});
 	}
 
-	private void recordDuration(BatchCommand.End end, long nowMillis) {
+	private void recordDuration(RunnerKey runner, BatchCommand.End end, long nowMillis) {
 		Optional.ofNullable(this.assignedMillis.remove(end.task()))
 			.filter((startedMillis) -> end.outcome().isDone() && end.run() == 1)
 			.ifPresent((startedMillis) -> this.state.job(end.task().job())
-				.ifPresent((job) -> recordDuration(job, end.task().step(), nowMillis - startedMillis)));
+				.ifPresent((job) -> recordDuration(job, end.task().step(), runner, nowMillis - startedMillis)));
 	}
 
-	private void recordDuration(BatchJob job, int step, long millis) {
-		int estimatedMillis = job.spec().steps().get(step).estimatedMillis();
-		job.address().ifPresent((queue) -> this.durationEstimator.addSample(queue, estimatedMillis, millis));
+	private void recordDuration(BatchJob job, int step, RunnerKey runner, long millis) {
+		StepSpec spec = job.spec().steps().get(step);
+		job.address()
+			.ifPresent((queue) -> this.durationEstimator.addSample(queue, spec.estimatedMillis(),
+					this.runEnds.nearMillis(spec, runner, millis)));
 	}
 
 	private void onReleased(BatchCommand.Release release) {
@@ -790,6 +820,7 @@
 
 	private RunnerSession openSession(RunnerRecord runner, long nowMillis) {
 		this.runnersWithEvents.add(runner.key());
+		this.runEnds.onRegistered(runner);
 		// An earlier session of this term may have granted a lease until now.
 		RunnerSession opened = new RunnerSession(runner, this.settings.sessions(), this.term, nowMillis);
 		this.sessions.put(runner.key(), opened);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/LeaderSettings.java
@@ -1,5 +1,7 @@
 package io.burdockpin.core.batch.lead;
 
+import java.util.OptionalDouble;
+
 import io.burdockpin.core.batch.lead.pool.BalanceSettings;
 import io.burdockpin.core.batch.lead.run.SessionSettings;
 import io.burdockpin.core.batch.lead.wave.WaveSettings;
@@ -13,9 +15,11 @@
  * @param balance settings for rebalancing hosts between pools
  * @param runnerRetentionMillis time after which a silent runner without runs is removed
  * @param hostOrdersPerSecond rate of host orders that the platform accepts
+ * @param remoteFactor how many times as long a task takes far from its data, or a gang
+ * that is spread over racks; empty if not known
  */
 public record LeaderSettings(SessionSettings sessions, WaveSettings waves, BalanceSettings balance,
-		int runnerRetentionMillis, double hostOrdersPerSecond) {
+		int runnerRetentionMillis, double hostOrdersPerSecond, OptionalDouble remoteFactor) {
 
 	public LeaderSettings {
 		if (!(hostOrdersPerSecond > 0)) {
@@ -23,4 +27,19 @@
 		}
 	}
 
+	/**
+	 * Creates settings without a factor of remote tasks, under which no task waits for a
+	 * better place.
+	 * @param sessions settings of the sessions with runners
+	 * @param waves settings of maintenance waves
+	 * @param balance settings for rebalancing hosts between pools
+	 * @param runnerRetentionMillis time after which a silent runner without runs is
+	 * removed
+	 * @param hostOrdersPerSecond rate of host orders that the platform accepts
+	 */
+	public LeaderSettings(SessionSettings sessions, WaveSettings waves, BalanceSettings balance,
+			int runnerRetentionMillis, double hostOrdersPerSecond) {
+		this(sessions, waves, balance, runnerRetentionMillis, hostOrdersPerSecond, OptionalDouble.empty());
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
@@ -9,6 +9,8 @@
 import java.util.function.Predicate;
 
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.model.Resources;
 
 /**
  * Chooses the runner of a task among the candidates of its pool. Handles a pool with
@@ -86,6 +88,25 @@
 		return !isAvoided && request.permittedOn(candidate.runner().key()) > 0;
 	}
 
+	/**
+	 * Checks whether a long-running task would exceed the share of a pool that such tasks
+	 * may reserve.
+	 * @param pool name of the pool
+	 * @param spec step of the task
+	 * @param share share of the capacity, from 0 to 1
+	 * @return {@code true} if the rest is kept for other tasks
+	 */
+	public boolean exceedsLongRunningShare(String pool, StepSpec spec, double share) {
+		double millicores = -spec.reserved().cpuMillicores();
+		double mebibytes = -spec.reserved().memoryMebibytes();
+		for (Candidate candidate : candidates(pool)) {
+			Resources capacity = candidate.runner().capacity();
+			millicores += share * capacity.cpuMillicores() - candidate.longRunning().cpuMillicores();
+			mebibytes += share * capacity.memoryMebibytes() - candidate.longRunning().memoryMebibytes();
+		}
+		return millicores < 0 || mebibytes < 0;
+	}
+
 	// If at least half of the runners of a pool are suspect, the tasks are the more
 	// likely cause, and waiting for the other runners would take longer.
 	private boolean canAvoidSuspects(String pool) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
@@ -40,7 +40,9 @@
 
 	private final Map<String, Resources> plannedByWorkspace = new HashMap<>();
 
-	/** First tasks of the steps that the latest plan has assigned tasks of. */
+	/**
+	 * First tasks of the steps that the latest plan has assigned tasks of or lets wait.
+	 */
 	private final Set<TaskId> plannedSteps = new HashSet<>();
 
 	private final Map<TaskSize, Long> places = new HashMap<>();
@@ -54,10 +56,25 @@
 	 * candidates
 	 */
 	public FreeCapacity(BatchState state, List<Candidate> candidates, List<BatchCommand.Assignment> planned) {
+		this(state, candidates, planned, Set.of());
+	}
+
+	/**
+	 * Creates the view while tasks wait for a better place.
+	 * @param state replicated state
+	 * @param candidates runners that accept new tasks, with the capacity that is left
+	 * free
+	 * @param planned assignments that are not applied to the state, but count in the
+	 * candidates
+	 * @param waitingSteps first tasks of the steps that wait although there is room
+	 */
+	public FreeCapacity(BatchState state, List<Candidate> candidates, List<BatchCommand.Assignment> planned,
+			Set<TaskId> waitingSteps) {
 		this.state = state;
 		this.candidates = candidates;
 		this.planned = planned;
 		planned.forEach((assignment) -> this.plannedSteps.add(assignment.task().firstOfStep()));
+		this.plannedSteps.addAll(waitingSteps);
 	}
 
 	private Map<String, Pool> countFree() {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -12,7 +12,10 @@
 
 import io.burdockpin.core.batch.lead.place.Candidate;
 import io.burdockpin.core.batch.lead.place.PlaceRequest;
+import io.burdockpin.core.batch.lead.place.PlacementRound;
+import io.burdockpin.core.batch.lead.place.PlacementWaits;
 import io.burdockpin.core.batch.lead.place.RunnerChoice;
+import io.burdockpin.core.batch.lead.place.WaitingTask;
 import io.burdockpin.core.batch.lead.pool.PoolDemand;
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -20,7 +23,6 @@
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
-import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
@@ -61,12 +63,24 @@
 
 	private final SlackCalculator slackCalculator;
 
+	private final PlacementWaits waits;
+
 	/**
-	 * Creates a planner.
+	 * Creates a planner under which no task waits for a better place.
 	 * @param durations estimator for task durations
 	 */
 	public TaskPlanner(DurationEstimator durations) {
+		this(durations, PlacementWaits.none());
+	}
+
+	/**
+	 * Creates a planner.
+	 * @param durations estimator for task durations
+	 * @param waits waits for better places, which each round updates
+	 */
+	public TaskPlanner(DurationEstimator durations, PlacementWaits waits) {
 		this.slackCalculator = new SlackCalculator(durations);
+		this.waits = waits;
 	}
 
 	/**
@@ -86,7 +100,8 @@
 		}
 		FleetConfiguration configuration = state.configuration().get();
 		List<Candidate> candidates = candidates(state, runners, reliability);
-		Round round = new Round(state, configuration, candidates);
+		Round round = new Round(state, configuration, candidates, this.slackCalculator.durations(), this.waits,
+				wallMillis);
 		List<WorkItem> items = new ArrayList<>();
 		state.activeJobs()
 			.forEach((job) -> job.configuredQueue()
@@ -192,8 +207,12 @@
 
 		private final FleetConfiguration configuration;
 
+		private final DurationEstimator durations;
+
 		private final RunnerChoice runnerChoice;
 
+		private final PlacementRound placement;
+
 		private final Map<String, Resources> chargedByWorkspace = new HashMap<>();
 
 		private final List<BatchCommand.Assignment> assignments = new ArrayList<>();
@@ -202,11 +221,14 @@
 
 		private final Set<RunnerKey> runnersForRestarts = new HashSet<>();
 
-		private Round(BatchState state, FleetConfiguration configuration, List<Candidate> candidates) {
+		private Round(BatchState state, FleetConfiguration configuration, List<Candidate> candidates,
+				DurationEstimator durations, PlacementWaits waits, long wallMillis) {
 			this.state = state;
 			this.configuration = configuration;
+			this.durations = durations;
 			this.runnerChoice = new RunnerChoice(candidates,
 					(candidate) -> state.hasUnfinishedMaintenance(candidate.runner().hostOrId()));
+			this.placement = waits.beginRound(state, this.runnerChoice, wallMillis);
 		}
 
 		private boolean hasCandidates(String pool) {
@@ -240,11 +262,14 @@
 			for (int index = 0; index < tasks.size(); index++) {
 				BatchTask task = tasks.get(index);
 				if (task.isWaiting()) {
-					Optional<Candidate> chosen = choose(item, task, used, Optional.empty());
+					WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, used, this.durations);
+					Optional<Candidate> chosen = choose(item, waiting.request(), Optional.empty(), (candidate) -> true);
 					if (chosen.isEmpty()) {
 						return;
 					}
-					assign(item, index, task.lastRun() + 1, chosen.get(), used);
+					if (this.placement.decide(waiting, chosen.get()).reason().starts()) {
+						assign(item, waiting, chosen.get());
+					}
 				}
 			}
 		}
@@ -252,40 +277,53 @@
 		// The members of a gang are started together or not at all. The same applies to
 		// the tasks of a long-running step.
 		private void placeTogether(WorkItem item, Map<RunnerKey, Integer> used) {
-			List<BatchTask> tasks = item.tasks().tasks();
-			if (!tasks.stream().allMatch(BatchTask::isWaiting)) {
+			StepTasks step = item.tasks();
+			if (!step.tasks().stream().allMatch(BatchTask::isWaiting)) {
 				return;
 			}
-			int run = item.tasks().highestRun() + 1;
-			int firstAssignment = this.assignments.size();
+			int run = step.highestRun() + 1;
+			WaitingTask first = item.waitingTask(0, step.tasks().size(), run, used, this.durations);
+			List<Candidate> members = chooseTogether(item, first, used);
+			boolean starts = members.size() == step.tasks().size()
+					&& (!step.spec().gang() || this.placement.decideGang(first, members).reason().starts());
+			for (int index = 0; starts && index < members.size(); index++) {
+				assign(item, item.waitingTask(index, 1, run, used, this.durations), members.get(index));
+			}
+		}
+
+		// The capacity of the chosen runners is given back, so that a gang that waits
+		// does not reserve it.
+		private List<Candidate> chooseTogether(WorkItem item, WaitingTask first, Map<RunnerKey, Integer> used) {
+			StepSpec spec = item.tasks().spec();
 			List<Candidate> taken = new ArrayList<>();
+			Optional<String> wholeRack = Optional.empty();
 			Optional<String> rack = Optional.empty();
-			for (int index = 0; index < tasks.size(); index++) {
-				Optional<Candidate> chosen = choose(item, tasks.get(index), used, rack);
+			for (int index = 0; index < first.count(); index++) {
+				PlaceRequest request = item.waitingTask(index, 1, first.run(), used, this.durations).request();
+				Optional<String> only = wholeRack;
+				Optional<Candidate> chosen = choose(item, request, rack,
+						(candidate) -> only.isEmpty() || only.equals(candidate.runner().rack()));
+				if (index == 0 && chosen.isPresent() && spec.gang()) {
+					wholeRack = this.placement.rackForGang(request, first.count(), chosen.get().runner().rack());
+					Optional<String> gangRack = wholeRack;
+					chosen = wholeRack.isEmpty() ? chosen : choose(item, request, wholeRack,
+							(candidate) -> gangRack.equals(candidate.runner().rack()));
+				}
 				if (chosen.isEmpty()) {
-					rollBack(item, firstAssignment, taken);
-					return;
+					break;
 				}
+				take(item, chosen.get(), used);
 				taken.add(chosen.get());
-				assign(item, index, run, chosen.get(), used);
-				rack = item.tasks().spec().sameRack() ? chosen.get().runner().rack() : Optional.empty();
+				rack = spec.sameRack() ? chosen.get().runner().rack() : Optional.empty();
 			}
-		}
-
-		private void rollBack(WorkItem item, int firstAssignment, List<Candidate> taken) {
-			StepSpec spec = item.tasks().spec();
-			taken.forEach((candidate) -> {
-				candidate.release(spec);
-				this.chargedByWorkspace.computeIfPresent(item.job().workspace(),
-						(name, sum) -> sum.minus(spec.resources()));
-			});
-			this.assignments.subList(firstAssignment, this.assignments.size()).clear();
+			taken.forEach((candidate) -> giveBack(item, candidate, used));
+			return taken;
 		}
 
 		private void reserveForRestarts(WorkItem item, List<BatchTask> leaving) {
 			Map<RunnerKey, Integer> used = usedRunners(item);
 			for (BatchTask task : leaving) {
-				Optional<Candidate> chosen = find(item, task, used, Optional.empty(),
+				Optional<Candidate> chosen = find(item, item.request(task, used), Optional.empty(),
 						(candidate) -> !this.runnerChoice.isMaintenanceDue(candidate));
 				if (chosen.isEmpty()) {
 					return;
@@ -306,41 +344,25 @@
 			return used;
 		}
 
-		private Optional<Candidate> choose(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used,
-				Optional<String> rack) {
+		private Optional<Candidate> choose(WorkItem item, PlaceRequest request, Optional<String> rack,
+				Predicate<Candidate> filter) {
 			StepSpec spec = item.tasks().spec();
-			if (exceedsWorkspaceLimit(item, spec)
-					|| (item.urgency() == WorkItem.Urgency.LONG_RUNNING && exceedsLongRunningShare(item, spec))) {
+			if (exceedsWorkspaceLimit(item, spec) || (item.urgency() == WorkItem.Urgency.LONG_RUNNING
+					&& this.runnerChoice.exceedsLongRunningShare(item.queue().pool(), spec, LONG_RUNNING_SHARE))) {
 				return Optional.empty();
 			}
-			return find(item, task, used, rack, (candidate) -> true);
+			return find(item, request, rack, filter);
 		}
 
-		private Optional<Candidate> find(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used,
-				Optional<String> rack, Predicate<Candidate> filter) {
-			Optional<Candidate> chosen = this.runnerChoice.choose(request(item, task, used), rack, filter);
+		private Optional<Candidate> find(WorkItem item, PlaceRequest request, Optional<String> rack,
+				Predicate<Candidate> filter) {
+			Optional<Candidate> chosen = this.runnerChoice.choose(request, rack, filter);
 			if (chosen.isEmpty() && item.urgency() != WorkItem.Urgency.LATE) {
 				this.poolsLackingCapacity.add(item.queue().pool());
 			}
 			return chosen;
 		}
 
-		private static PlaceRequest request(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used) {
-			return new PlaceRequest(item.queue().pool(), item.tasks().spec(), task.failures() > 0, used);
-		}
-
-		private boolean exceedsLongRunningShare(WorkItem item, StepSpec spec) {
-			double millicores = -spec.reserved().cpuMillicores();
-			double mebibytes = -spec.reserved().memoryMebibytes();
-			for (Candidate candidate : this.runnerChoice.candidates(item.queue().pool())) {
-				Resources capacity = candidate.runner().capacity();
-				millicores += LONG_RUNNING_SHARE * capacity.cpuMillicores() - candidate.longRunning().cpuMillicores();
-				mebibytes += LONG_RUNNING_SHARE * capacity.memoryMebibytes()
-						- candidate.longRunning().memoryMebibytes();
-			}
-			return millicores < 0 || mebibytes < 0;
-		}
-
 		private boolean exceedsWorkspaceLimit(WorkItem item, StepSpec spec) {
 			String workspace = item.job().workspace();
 			Resources after = chargedTo(workspace).plus(spec.resources());
@@ -351,15 +373,26 @@
 			return this.chargedByWorkspace.computeIfAbsent(workspace, this.state.runs()::chargedTo);
 		}
 
-		private void assign(WorkItem item, int index, int run, Candidate candidate, Map<RunnerKey, Integer> used) {
+		private void assign(WorkItem item, WaitingTask waiting, Candidate candidate) {
+			take(item, candidate, waiting.request().usedRunners());
+			this.placement.onAssigned(candidate, waiting);
+			this.assignments.add(new BatchCommand.Assignment(waiting.task(), waiting.run(), candidate.runner().key()));
+		}
+
+		private void take(WorkItem item, Candidate candidate, Map<RunnerKey, Integer> used) {
 			StepSpec spec = item.tasks().spec();
-			RunnerKey key = candidate.runner().key();
 			candidate.reserve(spec);
-			used.merge(key, 1, Integer::sum);
+			used.merge(candidate.runner().key(), 1, Integer::sum);
 			this.chargedByWorkspace.put(item.job().workspace(),
 					chargedTo(item.job().workspace()).plus(spec.resources()));
-			this.assignments.add(new BatchCommand.Assignment(
-					new TaskId(item.job().id(), item.occurrence().number(), item.step(), index), run, key));
+		}
+
+		private void giveBack(WorkItem item, Candidate candidate, Map<RunnerKey, Integer> used) {
+			StepSpec spec = item.tasks().spec();
+			candidate.release(spec);
+			used.merge(candidate.runner().key(), -1, Integer::sum);
+			this.chargedByWorkspace.computeIfPresent(item.job().workspace(),
+					(name, sum) -> sum.minus(spec.resources()));
 		}
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/WorkItem.java
@@ -1,9 +1,17 @@
 package io.burdockpin.core.batch.lead.plan;
 
 import java.util.Comparator;
+import java.util.Map;
+import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.lead.place.PlaceRequest;
+import io.burdockpin.core.batch.lead.place.WaitingTask;
 import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.RunnerKey;
+import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchJob;
+import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
 import io.burdockpin.core.batch.state.StepTasks;
 
@@ -31,6 +39,37 @@
 		.thenComparingLong((item) -> Math.abs(item.slackMillis()))
 		.thenComparing((item) -> item.job().id());
 
+	/**
+	 * Describes a task of the step for the choice of its runner.
+	 * @param task task of the step
+	 * @param used number of tasks of the occurrence on each runner
+	 * @return what the task requires
+	 */
+	PlaceRequest request(BatchTask task, Map<RunnerKey, Integer> used) {
+		return new PlaceRequest(this.queue.pool(), this.tasks.spec(), task.failures() > 0, used);
+	}
+
+	/**
+	 * Describes a task that could start.
+	 * @param index index of the task, or of the first member of a gang
+	 * @param count number of tasks that start together
+	 * @param run number of the run
+	 * @param used number of tasks of the occurrence on each runner
+	 * @param durations estimator for task durations
+	 * @return task with its expected duration
+	 */
+	WaitingTask waitingTask(int index, int count, int run, Map<RunnerKey, Integer> used, DurationEstimator durations) {
+		StepSpec spec = this.tasks.spec();
+		long durationMillis = spec.longRunning() ? 0
+				: durations.estimateMillis(this.job.address().orElseThrow(), spec.estimatedMillis());
+		// Only the leader of that time knows when an earlier step or run has ended.
+		OptionalLong readyMillis = (spec.after().isEmpty() && run == 1)
+				? OptionalLong.of(this.job.spec().dueMillis(this.occurrence.number(), this.job.acceptedMillis()))
+				: OptionalLong.empty();
+		return new WaitingTask(new TaskId(this.job.id(), this.occurrence.number(), this.step, index), run, count,
+				request(this.tasks.tasks().get(index), used), durationMillis, this.slackMillis, readyMillis);
+	}
+
 	/** Placement classes, the most urgent first. */
 	enum Urgency {
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -131,6 +131,12 @@
 	/** Maximum delay of a scheduled step in milliseconds. */
 	LATE_MILLIS("lateMillis"),
 
+	/** Number of tasks that started near their data after a wait. */
+	WAITS_PAID("waitsPaid"),
+
+	/** Number of tasks that started far from their data although they had waited. */
+	WAITS_UNPAID("waitsUnpaid"),
+
 	/** Time since the last contact with a runner in milliseconds. */
 	HEARD_MILLIS("heardMillis"),
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -125,6 +125,12 @@
 	 */
 	BATCH_OVERDUE,
 
+	/** Tasks wait for a place near their data or for a rack of their own. */
+	PLACEMENT_WAITS,
+
+	/** A wait for a better place ended. */
+	PLACEMENT_WAIT_ENDED,
+
 	/** Events were dropped because there were too many. */
 	EVENTS_DROPPED
 
