--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlaceRequest.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlaceRequest.java
@@ -1,7 +1,5 @@
 package io.burdockpin.core.batch.lead.place;
 
-import java.util.Map;
-
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.StepSpec;
 
@@ -11,10 +9,9 @@
  * @param pool name of the pool of its queue
  * @param spec step of the task
  * @param hasFailed whether a run of the task has failed
- * @param usedRunners number of tasks of the occurrence on each runner; a live view, only
- * complete if the step has a maximum per runner
+ * @param places where the tasks of its job run; a live view
  */
-public record PlaceRequest(String pool, StepSpec spec, boolean hasFailed, Map<RunnerKey, Integer> usedRunners) {
+public record PlaceRequest(String pool, StepSpec spec, boolean hasFailed, JobPlaces places) {
 
 	/**
 	 * Returns how many more tasks of the step a runner may get.
@@ -23,7 +20,7 @@
 	 */
 	int permittedOn(RunnerKey runner) {
 		return this.spec.maximumPerRunner().isEmpty() ? Integer.MAX_VALUE
-				: Math.max(0, this.spec.maximumPerRunner().getAsInt() - this.usedRunners.getOrDefault(runner, 0));
+				: Math.max(0, this.spec.maximumPerRunner().getAsInt() - this.places.stepTasksOn(runner));
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
@@ -79,7 +79,8 @@
 			.filter((candidate) -> candidate.fits(request.spec()))
 			.filter(filter)
 			.filter((candidate) -> isPermitted(request, candidate))
-			.min(order.thenComparing(request.spec().longRunning() ? mostLongRunning : bestFit));
+			.min(order.thenComparing(request.spec().longRunning() ? mostLongRunning : bestFit)
+				.thenComparingInt((candidate) -> request.places().jobTasksOnRackOf(candidate.runner())));
 	}
 
 	private boolean isPermitted(PlaceRequest request, Candidate candidate) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 
 import io.burdockpin.core.batch.lead.place.Candidate;
+import io.burdockpin.core.batch.lead.place.JobPlaces;
 import io.burdockpin.core.batch.lead.place.PlaceRequest;
 import io.burdockpin.core.batch.lead.place.PlacementRound;
 import io.burdockpin.core.batch.lead.place.PlacementWaits;
@@ -248,21 +249,21 @@
 		}
 
 		private void place(WorkItem item) {
-			Map<RunnerKey, Integer> used = usedRunners(item);
+			JobPlaces places = JobPlaces.of(this.state, item.job(), item.tasks());
 			if (item.tasks().spec().gang() || item.urgency() == WorkItem.Urgency.LONG_RUNNING) {
-				placeTogether(item, used);
+				placeTogether(item, places);
 			}
 			else {
-				placeTasks(item, used);
+				placeTasks(item, places);
 			}
 		}
 
-		private void placeTasks(WorkItem item, Map<RunnerKey, Integer> used) {
+		private void placeTasks(WorkItem item, JobPlaces places) {
 			List<BatchTask> tasks = item.tasks().tasks();
 			for (int index = 0; index < tasks.size(); index++) {
 				BatchTask task = tasks.get(index);
 				if (task.isWaiting()) {
-					WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, used, this.durations);
+					WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, places, this.durations);
 					Optional<Candidate> chosen = choose(item, waiting.request(), Optional.empty(), (candidate) -> true);
 					if (chosen.isEmpty()) {
 						return;
@@ -276,30 +277,30 @@
 
 		// The members of a gang are started together or not at all. The same applies to
 		// the tasks of a long-running step.
-		private void placeTogether(WorkItem item, Map<RunnerKey, Integer> used) {
+		private void placeTogether(WorkItem item, JobPlaces places) {
 			StepTasks step = item.tasks();
 			if (!step.tasks().stream().allMatch(BatchTask::isWaiting)) {
 				return;
 			}
 			int run = step.highestRun() + 1;
-			WaitingTask first = item.waitingTask(0, step.tasks().size(), run, used, this.durations);
-			List<Candidate> members = chooseTogether(item, first, used);
+			WaitingTask first = item.waitingTask(0, step.tasks().size(), run, places, this.durations);
+			List<Candidate> members = chooseTogether(item, first, places);
 			boolean starts = members.size() == step.tasks().size()
 					&& (!step.spec().gang() || this.placement.decideGang(first, members).reason().starts());
 			for (int index = 0; starts && index < members.size(); index++) {
-				assign(item, item.waitingTask(index, 1, run, used, this.durations), members.get(index));
+				assign(item, item.waitingTask(index, 1, run, places, this.durations), members.get(index));
 			}
 		}
 
 		// The capacity of the chosen runners is given back, so that a gang that waits
 		// does not reserve it.
-		private List<Candidate> chooseTogether(WorkItem item, WaitingTask first, Map<RunnerKey, Integer> used) {
+		private List<Candidate> chooseTogether(WorkItem item, WaitingTask first, JobPlaces places) {
 			StepSpec spec = item.tasks().spec();
 			List<Candidate> taken = new ArrayList<>();
 			Optional<String> wholeRack = Optional.empty();
 			Optional<String> rack = Optional.empty();
 			for (int index = 0; index < first.count(); index++) {
-				PlaceRequest request = item.waitingTask(index, 1, first.run(), used, this.durations).request();
+				PlaceRequest request = item.waitingTask(index, 1, first.run(), places, this.durations).request();
 				Optional<String> only = wholeRack;
 				Optional<Candidate> chosen = choose(item, request, rack,
 						(candidate) -> only.isEmpty() || only.equals(candidate.runner().rack()));
@@ -312,38 +313,28 @@
 				if (chosen.isEmpty()) {
 					break;
 				}
-				take(item, chosen.get(), used);
+				take(item, chosen.get(), places);
 				taken.add(chosen.get());
 				rack = spec.sameRack() ? chosen.get().runner().rack() : Optional.empty();
 			}
-			taken.forEach((candidate) -> giveBack(item, candidate, used));
+			taken.forEach((candidate) -> giveBack(item, candidate, places));
 			return taken;
 		}
 
 		private void reserveForRestarts(WorkItem item, List<BatchTask> leaving) {
-			Map<RunnerKey, Integer> used = usedRunners(item);
+			JobPlaces places = JobPlaces.of(this.state, item.job(), item.tasks());
 			for (BatchTask task : leaving) {
-				Optional<Candidate> chosen = find(item, item.request(task, used), Optional.empty(),
+				Optional<Candidate> chosen = find(item, item.request(task, places), Optional.empty(),
 						(candidate) -> !this.runnerChoice.isMaintenanceDue(candidate));
 				if (chosen.isEmpty()) {
 					return;
 				}
 				chosen.get().reserve(item.tasks().spec());
-				used.merge(chosen.get().runner().key(), 1, Integer::sum);
+				places.add(chosen.get().runner());
 				this.runnersForRestarts.add(chosen.get().runner().key());
 			}
 		}
 
-		private Map<RunnerKey, Integer> usedRunners(WorkItem item) {
-			Map<RunnerKey, Integer> used = new HashMap<>();
-			if (item.tasks().spec().maximumPerRunner().isPresent()) {
-				item.tasks()
-					.tasks()
-					.forEach((task) -> task.run().ifPresent((run) -> used.merge(run.runner(), 1, Integer::sum)));
-			}
-			return used;
-		}
-
 		private Optional<Candidate> choose(WorkItem item, PlaceRequest request, Optional<String> rack,
 				Predicate<Candidate> filter) {
 			StepSpec spec = item.tasks().spec();
@@ -374,23 +365,23 @@
 		}
 
 		private void assign(WorkItem item, WaitingTask waiting, Candidate candidate) {
-			take(item, candidate, waiting.request().usedRunners());
+			take(item, candidate, waiting.request().places());
 			this.placement.onAssigned(candidate, waiting);
 			this.assignments.add(new BatchCommand.Assignment(waiting.task(), waiting.run(), candidate.runner().key()));
 		}
 
-		private void take(WorkItem item, Candidate candidate, Map<RunnerKey, Integer> used) {
+		private void take(WorkItem item, Candidate candidate, JobPlaces places) {
 			StepSpec spec = item.tasks().spec();
 			candidate.reserve(spec);
-			used.merge(candidate.runner().key(), 1, Integer::sum);
+			places.add(candidate.runner());
 			this.chargedByWorkspace.put(item.job().workspace(),
 					chargedTo(item.job().workspace()).plus(spec.resources()));
 		}
 
-		private void giveBack(WorkItem item, Candidate candidate, Map<RunnerKey, Integer> used) {
+		private void giveBack(WorkItem item, Candidate candidate, JobPlaces places) {
 			StepSpec spec = item.tasks().spec();
 			candidate.release(spec);
-			used.merge(candidate.runner().key(), -1, Integer::sum);
+			places.remove(candidate.runner());
 			this.chargedByWorkspace.computeIfPresent(item.job().workspace(),
 					(name, sum) -> sum.minus(spec.resources()));
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/WorkItem.java
@@ -1,13 +1,12 @@
 package io.burdockpin.core.batch.lead.plan;
 
 import java.util.Comparator;
-import java.util.Map;
 import java.util.OptionalLong;
 
+import io.burdockpin.core.batch.lead.place.JobPlaces;
 import io.burdockpin.core.batch.lead.place.PlaceRequest;
 import io.burdockpin.core.batch.lead.place.WaitingTask;
 import io.burdockpin.core.batch.model.BatchQueue;
-import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchJob;
@@ -42,11 +41,11 @@
 	/**
 	 * Describes a task of the step for the choice of its runner.
 	 * @param task task of the step
-	 * @param used number of tasks of the occurrence on each runner
+	 * @param places where the tasks of the job run
 	 * @return what the task requires
 	 */
-	PlaceRequest request(BatchTask task, Map<RunnerKey, Integer> used) {
-		return new PlaceRequest(this.queue.pool(), this.tasks.spec(), task.failures() > 0, used);
+	PlaceRequest request(BatchTask task, JobPlaces places) {
+		return new PlaceRequest(this.queue.pool(), this.tasks.spec(), task.failures() > 0, places);
 	}
 
 	/**
@@ -54,11 +53,11 @@
 	 * @param index index of the task, or of the first member of a gang
 	 * @param count number of tasks that start together
 	 * @param run number of the run
-	 * @param used number of tasks of the occurrence on each runner
+	 * @param places where the tasks of the job run
 	 * @param durations estimator for task durations
 	 * @return task with its expected duration
 	 */
-	WaitingTask waitingTask(int index, int count, int run, Map<RunnerKey, Integer> used, DurationEstimator durations) {
+	WaitingTask waitingTask(int index, int count, int run, JobPlaces places, DurationEstimator durations) {
 		StepSpec spec = this.tasks.spec();
 		long durationMillis = spec.longRunning() ? 0
 				: durations.estimateMillis(this.job.address().orElseThrow(), spec.estimatedMillis());
@@ -67,7 +66,7 @@
 				? OptionalLong.of(this.job.spec().dueMillis(this.occurrence.number(), this.job.acceptedMillis()))
 				: OptionalLong.empty();
 		return new WaitingTask(new TaskId(this.job.id(), this.occurrence.number(), this.step, index), run, count,
-				request(this.tasks.tasks().get(index), used), durationMillis, this.slackMillis, readyMillis);
+				request(this.tasks.tasks().get(index), places), durationMillis, this.slackMillis, readyMillis);
 	}
 
 	/** Placement classes, the most urgent first. */
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementRoundTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementRoundTests.java
@@ -164,6 +164,27 @@
 		Truth.assertThat(pool.round()).hasSize(8);
 	}
 
+	/** Guards against a job that loses all its tasks with one rack. */
+	@Test
+	void theTasksOfAJobAreSpreadOverRacksAmongEquallyFreeRunners() {
+		PlacementModel pool = new PlacementModel(1, PlacementModel.Policy.DECIDE, 1);
+		pool.addRack("a", 2, HOST);
+		pool.addRack("b", 2, HOST);
+		pool.addRack("c", 2, HOST);
+		pool.submit("job", pool.step(3, 4_000, 1_000, "", false));
+		Truth.assertThat(racks(pool, pool.round())).containsExactly("a", 1L, "b", 1L, "c", 1L);
+	}
+
+	/** Guards against spreading that takes capacity which a large task needs. */
+	@Test
+	void bestFitComesBeforeSpreading() {
+		PlacementModel pool = new PlacementModel(1, PlacementModel.Policy.DECIDE, 1);
+		pool.addRack("a", 1, HOST);
+		pool.addRack("b", 1, HOST);
+		pool.submit("job", pool.step(4, 1_000, 1_000, "", false));
+		Truth.assertThat(racks(pool, pool.round())).containsExactly("a", 4L);
+	}
+
 	/** Guards against two leaders that each let a task wait for the whole time. */
 	@Test
 	void aNewLeaderCountsTheWaitFromWhenTheTaskBecameReady() {
