--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -217,6 +217,9 @@
 		else if (call instanceof FleetCall.LookAtWave look) {
 			replyWhenConfirmed(replyTo, () -> replyTo.send(this.rules.wave(look.number(), this.state)));
 		}
+		else if (call instanceof FleetCall.ExplainPlacement explain) {
+			replyWhenConfirmed(replyTo, () -> replyTo.send(explain(explain)));
+		}
 		else if (call instanceof FleetCall.OrderWave order) {
 			commit(new BatchCommand.StartWave(order.wave()), replyTo);
 		}
@@ -235,6 +238,16 @@
 		return requestFlush();
 	}
 
+	private FleetReply explain(FleetCall.ExplainPlacement call) {
+		long nowMillis = this.clock.millis();
+		FleetReply reply = this.rules.explain(call,
+				this.leader.orElseThrow().explainer(nowMillis, this.wallClock.millis()), this.state);
+		return (reply instanceof FleetReply.Placement placement) ? new FleetReply.Placement(placement.explanation()
+			.from(this.appliedIndex, nowMillis - this.appliedMillis,
+					this.knownLeader.map((member) -> member.host().value()).orElse("")))
+				: reply;
+	}
+
 	private void onCallerCall(FleetCall.CallerCall call, ReplyPort replyTo) {
 		CallDecision decision = this.rules.decide(call, this.state);
 		if (decision instanceof CallDecision.Commit) {
@@ -342,6 +355,7 @@
 
 	private void apply(LogEntry entry) {
 		this.appliedIndex = entry.index();
+		this.appliedMillis = this.clock.millis();
 		if (entry.content() instanceof EntryContent.CommandContent content) {
 			CommandGroup group = this.groupCodec.decode(content.payload().bytes());
 			List<CommandResult> results = this.state.apply(group);
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -15,6 +15,10 @@
 import io.burdockpin.core.batch.call.CallMessage;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.lead.place.Exclusion;
+import io.burdockpin.core.batch.lead.place.PlacementExplanation;
+import io.burdockpin.core.batch.lead.place.PlacementLimit;
+import io.burdockpin.core.batch.lead.place.PlacementReason;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchPool;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -149,6 +153,14 @@
 		Truth.assertThat(snapshot.waves().get(0).hosts()).isEqualTo(Map.of("m1", MaintenancePhase.ORDERED));
 	}
 
+	private static final PlacementExplanation EXPLANATION = new PlacementExplanation("job", true, "QUEUED",
+			Optional.of(new QueueAddress("host", "/queue/")), "pool", 1, "team", Optional.empty(), Optional.empty(),
+			List.of(new PlacementExplanation.Step(0, 1, PlacementExplanation.StepState.WAITING, Optional.of(3),
+					Optional.of(PlacementLimit.WORKSPACE_LIMIT), Optional.of(PlacementReason.WAITS), 200,
+					List.of(new PlacementExplanation.Place(0, "r1", "rack")),
+					List.of(new PlacementExplanation.Considered("r2", "", 500, Optional.of(Exclusion.NO_CAPACITY))))),
+			7, 30, "10.0.0.1");
+
 	@Test
 	void callsAndRepliesAreDecodedAsTheyWereEncoded() {
 		CborCallCodec codec = new CborCallCodec();
@@ -159,6 +171,9 @@
 				new FleetCall.Announce(RECORD, 4), new FleetCall.Leave("runner"),
 				new FleetCall.OrderWave(new MaintenanceWave(1, List.of("m1"), 1_000, 1, 2_000)),
 				new FleetCall.LookAtWave(1), new FleetCall.Join("10.0.0.1", 5, "10.0.0.1:7", Optional.of("dc1")),
+				new FleetCall.ExplainPlacement(Optional.of("job"), Optional.empty()),
+				new FleetCall.ExplainPlacement(Optional.empty(),
+						Optional.of(new FleetCall.Submit("host", "/queue/job", Optional.empty(), JOB))),
 				new FleetCall.Check());
 		calls.forEach((call) -> {
 			CallMessage message = new CallMessage.Call(1, call);
@@ -166,7 +181,7 @@
 		});
 		List<FleetReply> replies = List.of(new FleetReply.Accepted(), new FleetReply.JobStatus(BatchJobPhase.FAILED),
 				new FleetReply.QueueStatus(4), new FleetReply.Configuration(Payload.ofText("{}")),
-				new FleetReply.WaveStatus(true),
+				new FleetReply.WaveStatus(true), new FleetReply.Placement(EXPLANATION),
 				new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.of(1_000)),
 				new FleetReply.NotLeader(Optional.empty(), List.of("10.0.0.1")),
 				new FleetReply.Leads(List.of("10.0.0.1")), new FleetReply.Unknown());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import io.burdockpin.core.batch.lead.place.PlacementExplainer;
+import io.burdockpin.core.batch.lead.place.PlacementExplanation;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.Workspace;
@@ -106,6 +108,36 @@
 			.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_SUCH_WAVE, Optional.empty()));
 	}
 
+	/**
+	 * Explains where a job would be placed now.
+	 * @param call the call with a job or a submission
+	 * @param explainer explains with the decisions of the leader
+	 * @param state the replicated state, which is not changed
+	 * @return the explanation, or a refusal if the job is not known
+	 */
+	public FleetReply explain(FleetCall.ExplainPlacement call, PlacementExplainer explainer, BatchState state) {
+		if (call.submission().isEmpty()) {
+			return call.job()
+				.flatMap(state::job)
+				.<FleetReply>map((job) -> new FleetReply.Placement(explainer.explain(state, job)))
+				.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_SUCH_JOB, Optional.empty()));
+		}
+		FleetCall.Submit submission = call.submission().get();
+		CallDecision decision = decide(submission, state);
+		if (decision instanceof CallDecision.Commit commit
+				&& commit.command() instanceof BatchCommand.SubmitJob submitted) {
+			return new FleetReply.Placement(explainer.explain(state, submitted));
+		}
+		if (decision instanceof CallDecision.Answer answer && answer.reply() instanceof FleetReply.Refused refused) {
+			return new FleetReply.Placement(PlacementExplanation.refused(submission.path(), refused.reason().name(),
+					refused.retryAfterMillis()));
+		}
+		// The submission would be acknowledged, since the job is known.
+		return state.jobAt(submission.host(), submission.path())
+			.<FleetReply>map((job) -> new FleetReply.Placement(explainer.explain(state, job)))
+			.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_SUCH_JOB, Optional.empty()));
+	}
+
 	/**
 	 * Returns the reply to a call whose command was committed.
 	 * @param command the command as committed
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetCall.java
@@ -144,6 +144,18 @@
 
 	}
 
+	/**
+	 * Asks where a job would be placed now, and why. Changes nothing and leaves no log
+	 * entry.
+	 *
+	 * @param job identifier of an accepted job; empty if a submission is given
+	 * @param submission the call that would submit the job; empty if an identifier is
+	 * given
+	 */
+	record ExplainPlacement(Optional<String> job, Optional<Submit> submission) implements FleetCall {
+
+	}
+
 	/** Queries whether the receiver is the leader. */
 	record Check() implements FleetCall {
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.burdockpin.core.batch.lead.place.PlacementExplanation;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.model.Payload;
 
@@ -50,6 +51,15 @@
 
 	}
 
+	/**
+	 * Where a job would be placed now.
+	 *
+	 * @param explanation the places and the reasons
+	 */
+	record Placement(PlacementExplanation explanation) implements FleetReply {
+
+	}
+
 	/**
 	 * The call had no effect and will have none.
 	 *
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -25,6 +25,7 @@
 import io.burdockpin.core.batch.lead.overdue.OpenWork;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
 import io.burdockpin.core.batch.lead.overdue.OverdueWatch;
+import io.burdockpin.core.batch.lead.place.PlacementExplainer;
 import io.burdockpin.core.batch.lead.place.PlacementWait;
 import io.burdockpin.core.batch.lead.place.PlacementWaits;
 import io.burdockpin.core.batch.lead.place.RunEndEstimator;
@@ -272,6 +273,19 @@
 		return drained;
 	}
 
+	/**
+	 * Returns what explains the next placement round.
+	 * @param nowMillis current monotonic time, in milliseconds
+	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
+	 * @return explainer with the inputs that the next round would have
+	 */
+	public PlacementExplainer explainer(long nowMillis, long wallMillis) {
+		Set<RunnerKey> drained = drainedRunners();
+		this.runEnds.setTime(nowMillis, wallMillis);
+		return new PlacementExplainer(this.durationEstimator, this.placementWaits, usableRunners(drained, nowMillis),
+				drained, (runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
+	}
+
 	/**
 	 * Returns the waits for better places, for the event log.
 	 * @return the waits of this leader
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementRound.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementRound.java
@@ -42,6 +42,15 @@
 		this.nearPlaces = new NearPlaces(state, runnerChoice, waits.expected());
 	}
 
+	/**
+	 * Returns who follows the decisions of the round.
+	 * @return the observer, {@link PlacementObserver#NONE} unless an explanation was
+	 * asked for
+	 */
+	public PlacementObserver observer() {
+		return this.waits.observer();
+	}
+
 	/**
 	 * Notes an assignment, whose capacity the candidate has reserved.
 	 * @param candidate runner of the task
@@ -124,7 +133,7 @@
 	private PlacementWait.Decision decideFar(WaitingTask task, PlaceFinder finder) {
 		PlacementWait rule = this.waits.rule();
 		if (!rule.canPay()) {
-			return PlacementWait.Decision.start(PlacementReason.FACTOR_UNKNOWN);
+			return decided(task, PlacementWait.Decision.start(PlacementReason.FACTOR_UNKNOWN));
 		}
 		boolean full = isFull(task.request().pool());
 		OptionalLong endMillis = this.waits.endMillis(task);
@@ -151,6 +160,7 @@
 	}
 
 	private PlacementWait.Decision decided(WaitingTask task, PlacementWait.Decision decision) {
+		observer().onDecision(task, decision);
 		if (decision.reason().starts()) {
 			this.waits.end(task, decision.reason(), this.wallMillis);
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementWaits.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementWaits.java
@@ -29,6 +29,8 @@
 
 	private final ExpectedCapacity expected;
 
+	private final PlacementObserver observer;
+
 	private final Map<TaskId, Wait> waits = new HashMap<>();
 
 	private final List<WaitNotice> notices = new ArrayList<>();
@@ -48,8 +50,13 @@
 	 * @param expected what the leader expects of the capacity of the fleet
 	 */
 	public PlacementWaits(PlacementWait rule, ExpectedCapacity expected) {
+		this(rule, expected, PlacementObserver.NONE);
+	}
+
+	private PlacementWaits(PlacementWait rule, ExpectedCapacity expected, PlacementObserver observer) {
 		this.rule = rule;
 		this.expected = expected;
+		this.observer = observer;
 	}
 
 	/**
@@ -62,10 +69,11 @@
 
 	/**
 	 * Copies the waits, for a round that must not change them.
+	 * @param follower follows the decisions of the round
 	 * @return memory with the same waits and no notices
 	 */
-	public PlacementWaits copy() {
-		PlacementWaits copy = new PlacementWaits(this.rule, this.expected);
+	public PlacementWaits copy(PlacementObserver follower) {
+		PlacementWaits copy = new PlacementWaits(this.rule, this.expected, follower);
 		copy.waits.putAll(this.waits);
 		copy.firstRoundMillis = this.firstRoundMillis;
 		return copy;
@@ -123,6 +131,10 @@
 		return this.rule;
 	}
 
+	PlacementObserver observer() {
+		return this.observer;
+	}
+
 	ExpectedCapacity expected() {
 		return this.expected;
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
@@ -76,19 +76,12 @@
 			.thenComparing(Comparator.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
 				.reversed());
 		return candidates(request.pool()).stream()
-			.filter((candidate) -> candidate.fits(request.spec()))
+			.filter((candidate) -> Exclusion.first(this, request, candidate).isEmpty())
 			.filter(filter)
-			.filter((candidate) -> isPermitted(request, candidate))
 			.min(order.thenComparing(request.spec().longRunning() ? mostLongRunning : bestFit)
 				.thenComparingInt((candidate) -> request.places().jobTasksOnRackOf(candidate.runner())));
 	}
 
-	private boolean isPermitted(PlaceRequest request, Candidate candidate) {
-		boolean isAvoided = canAvoidSuspects(request.pool())
-				&& !candidate.reliability().isSuitable(request.hasFailed());
-		return !isAvoided && request.permittedOn(candidate.runner().key()) > 0;
-	}
-
 	/**
 	 * Checks whether a long-running task would exceed the share of a pool that such tasks
 	 * may reserve.
@@ -110,7 +103,7 @@
 
 	// If at least half of the runners of a pool are suspect, the tasks are the more
 	// likely cause, and waiting for the other runners would take longer.
-	private boolean canAvoidSuspects(String pool) {
+	boolean canAvoidSuspects(String pool) {
 		return this.canAvoidSuspects.computeIfAbsent(pool, (name) -> {
 			List<Candidate> candidates = candidates(name);
 			long suspects = candidates.stream()
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -13,6 +13,7 @@
 import io.burdockpin.core.batch.lead.place.Candidate;
 import io.burdockpin.core.batch.lead.place.JobPlaces;
 import io.burdockpin.core.batch.lead.place.PlaceRequest;
+import io.burdockpin.core.batch.lead.place.PlacementLimit;
 import io.burdockpin.core.batch.lead.place.PlacementRound;
 import io.burdockpin.core.batch.lead.place.PlacementWaits;
 import io.burdockpin.core.batch.lead.place.RunnerChoice;
@@ -24,6 +25,7 @@
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
+import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
@@ -249,6 +251,8 @@
 		}
 
 		private void place(WorkItem item) {
+			this.placement.observer()
+				.onTurn(new TaskId(item.job().id(), item.occurrence().number(), item.step(), 0), item.queue().pool());
 			JobPlaces places = JobPlaces.of(this.state, item.job(), item.tasks());
 			if (item.tasks().spec().gang() || item.urgency() == WorkItem.Urgency.LONG_RUNNING) {
 				placeTogether(item, places);
@@ -338,15 +342,23 @@
 		private Optional<Candidate> choose(WorkItem item, PlaceRequest request, Optional<String> rack,
 				Predicate<Candidate> filter) {
 			StepSpec spec = item.tasks().spec();
-			if (exceedsWorkspaceLimit(item, spec) || (item.urgency() == WorkItem.Urgency.LONG_RUNNING
-					&& this.runnerChoice.exceedsLongRunningShare(item.queue().pool(), spec, LONG_RUNNING_SHARE))) {
-				return Optional.empty();
+			Optional<PlacementLimit> limit = limit(item, spec);
+			limit.ifPresent(this.placement.observer()::onLimit);
+			return limit.isPresent() ? Optional.empty() : find(item, request, rack, filter);
+		}
+
+		private Optional<PlacementLimit> limit(WorkItem item, StepSpec spec) {
+			if (exceedsWorkspaceLimit(item, spec)) {
+				return Optional.of(PlacementLimit.WORKSPACE_LIMIT);
 			}
-			return find(item, request, rack, filter);
+			boolean exceedsShare = item.urgency() == WorkItem.Urgency.LONG_RUNNING
+					&& this.runnerChoice.exceedsLongRunningShare(item.queue().pool(), spec, LONG_RUNNING_SHARE);
+			return exceedsShare ? Optional.of(PlacementLimit.LONG_RUNNING_SHARE) : Optional.empty();
 		}
 
 		private Optional<Candidate> find(WorkItem item, PlaceRequest request, Optional<String> rack,
 				Predicate<Candidate> filter) {
+			this.placement.observer().onChoice(this.runnerChoice, request);
 			Optional<Candidate> chosen = this.runnerChoice.choose(request, rack, filter);
 			if (chosen.isEmpty() && item.urgency() != WorkItem.Urgency.LATE) {
 				this.poolsLackingCapacity.add(item.queue().pool());
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
@@ -91,6 +91,8 @@
 
 	private final Policy policy;
 
+	private final DurationEstimator durations = new DurationEstimator();
+
 	private final TaskPlanner planner;
 
 	private final RunEndEstimator runEnds;
@@ -114,10 +116,9 @@
 		this.policy = policy;
 		this.random = new Random(seed);
 		OptionalDouble known = (policy == Policy.DECIDE) ? OptionalDouble.of(factor) : OptionalDouble.empty();
-		DurationEstimator durations = new DurationEstimator();
-		this.runEnds = new RunEndEstimator(this.state, durations, known, 1_700, this::assigned, this::percent);
+		this.runEnds = new RunEndEstimator(this.state, this.durations, known, 1_700, this::assigned, this::percent);
 		this.waits = new PlacementWaits(new PlacementWait(known), this.runEnds);
-		this.planner = new TaskPlanner(durations, this.waits);
+		this.planner = new TaskPlanner(this.durations, this.waits);
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, NO_LIMIT, "pool")));
 	}
 
@@ -172,10 +173,19 @@
 	Plan plan() {
 		this.runEnds.setTime(this.nowMillis, this.nowMillis);
 		return this.planner.plan(this.state, this.runners, Set.of(),
-				(runner) -> this.suspects.contains(runner) ? RunnerReliability.SUSPECT : RunnerReliability.SOUND,
+				this::reliability, this.nowMillis);
+	}
+
+	PlacementExplainer explainer() {
+		this.runEnds.setTime(this.nowMillis, this.nowMillis);
+		return new PlacementExplainer(this.durations, this.waits, this.runners, Set.of(), this::reliability,
 				this.nowMillis);
 	}
 
+	private RunnerReliability reliability(RunnerKey runner) {
+		return this.suspects.contains(runner) ? RunnerReliability.SUSPECT : RunnerReliability.SOUND;
+	}
+
 	/** Plans one round and starts the tasks. */
 	List<BatchCommand.Assignment> round() {
 		List<BatchCommand.Assignment> assignments = plan().assignments();
