--- /dev/null
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's interface of the batch scheduler over HTTP. */
+package io.burdockpin.batch.operator;
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -113,6 +113,9 @@
 
 	private long appliedIndex;
 
+	/** When the last entry was applied, by the monotonic clock. */
+	private long appliedMillis;
+
 	private Optional<FleetLeader> leader = Optional.empty();
 
 	private boolean leads;
@@ -398,6 +401,7 @@
 
 	private void restore(Snapshot snapshot) {
 		this.appliedIndex = snapshot.index();
+		this.appliedMillis = this.clock.millis();
 		this.state = (snapshot.state().lengthBytes() == 0) ? new BatchState()
 				: BatchState.restore(this.snapshotCodec.decode(snapshot.state().bytes()));
 		this.hostOrderHistory.onRestored(this.clock.millis());
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerActorTests.java
@@ -109,6 +109,28 @@
 		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
 	}
 
+	/** Guards against an explanation from the state of a deposed leader. */
+	@Test
+	void anExplanationThatTheMajorityDoesNotConfirmIsNotGiven() {
+		lead();
+		this.scheduler.tell(new SchedulerCommand.Call(explanationOf("missing"), replyPort()));
+		completeReads(false);
+		completeReads(false);
+		Truth.assertThat(this.replies.receiveMessage()).isInstanceOf(FleetReply.NotLeader.class);
+	}
+
+	/** Guards against an explanation that is written to the log. */
+	@Test
+	void aConfirmedExplanationProposesNothing() {
+		lead();
+		completeReads(true);
+		this.scheduler.tell(new SchedulerCommand.Call(explanationOf("missing"), replyPort()));
+		completeReads(true);
+		Truth.assertThat(this.replies.receiveMessage())
+			.isEqualTo(new FleetReply.Refused(FleetReply.Reason.NO_SUCH_JOB, Optional.empty()));
+		this.consensus.expectNoMessage(Duration.ofMillis(100));
+	}
+
 	/**
 	 * Guards against a departure that is known only to the leader that acknowledges it:
 	 * the next one would assign tasks to the runner.
@@ -421,6 +443,10 @@
 		}
 	}
 
+	private static FleetCall explanationOf(String job) {
+		return new FleetCall.ExplainPlacement(Optional.of(job), Optional.empty());
+	}
+
 	private void completeReads(boolean confirmed) {
 		ConsensusCommand.Read read = nextRead();
 		report(new ConsensusReport.ReadDone(read.number(),
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
@@ -84,8 +84,7 @@
 			Turn turn = trace.turns.getOrDefault(first, new Turn(Optional.empty()));
 			List<PlacementExplanation.Place> places = assignments.stream()
 				.filter((assignment) -> assignment.task().firstOfStep().equals(first))
-				.map((assignment) -> new PlacementExplanation.Place(assignment.task().index(),
-						assignment.runner().id(),
+				.map((assignment) -> new PlacementExplanation.Place(assignment.task().index(), assignment.runner().id(),
 						state.runner(assignment.runner()).flatMap(RunnerRecord::rack).orElse("")))
 				.toList();
 			steps.add(new PlacementExplanation.Step(occurrence.number(), number, stateOf(occurrence, number),
@@ -116,10 +115,10 @@
 		state.runners()
 			.stream()
 			.filter((runner) -> runner.pool().equals(pool) && !known.contains(runner.key().id()))
-			.forEach((runner) -> considered.add(new PlacementExplanation.Considered(runner.key().id(),
-					runner.rack().orElse(""),
-					runner.capacity().minus(state.runs().reservedOn(runner.key())).cpuMillicores(),
-					turn.candidates.isEmpty() ? Optional.empty() : Optional.of(Exclusion.NOT_USABLE))));
+			.forEach((runner) -> considered
+				.add(new PlacementExplanation.Considered(runner.key().id(), runner.rack().orElse(""),
+						runner.capacity().minus(state.runs().reservedOn(runner.key())).cpuMillicores(),
+						turn.candidates.isEmpty() ? Optional.empty() : Optional.of(Exclusion.NOT_USABLE))));
 		return considered;
 	}
 
@@ -159,10 +158,9 @@
 		public void onChoice(RunnerChoice choice, PlaceRequest request) {
 			this.current.filter((turn) -> turn.candidates.isEmpty())
 				.ifPresent((turn) -> choice.candidates(request.pool())
-					.forEach((candidate) -> turn.candidates
-						.add(new PlacementExplanation.Considered(candidate.runner().key().id(),
-								candidate.runner().rack().orElse(""), candidate.freeMillicores(),
-								Exclusion.first(choice, request, candidate)))));
+					.forEach((candidate) -> turn.candidates.add(new PlacementExplanation.Considered(
+							candidate.runner().key().id(), candidate.runner().rack().orElse(""),
+							candidate.freeMillicores(), Exclusion.first(choice, request, candidate)))));
 		}
 
 		@Override
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementExplainerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementExplainerTests.java
@@ -77,8 +77,7 @@
 			.get(0);
 		Truth.assertThat(step.position()).isEqualTo(Optional.of(1));
 		Truth.assertThat(step.candidates())
-			.containsExactly(
-					new PlacementExplanation.Considered("a-0", "a", 0, Optional.of(Exclusion.NO_CAPACITY)),
+			.containsExactly(new PlacementExplanation.Considered("a-0", "a", 0, Optional.of(Exclusion.NO_CAPACITY)),
 					new PlacementExplanation.Considered("b-0", "b", 4_000, Optional.empty()));
 	}
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
@@ -172,8 +172,7 @@
 
 	Plan plan() {
 		this.runEnds.setTime(this.nowMillis, this.nowMillis);
-		return this.planner.plan(this.state, this.runners, Set.of(),
-				this::reliability, this.nowMillis);
+		return this.planner.plan(this.state, this.runners, Set.of(), this::reliability, this.nowMillis);
 	}
 
 	PlacementExplainer explainer() {
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ExplainAction.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/action/ExplainAction.java
@@ -1,9 +1,11 @@
 package io.burdockpin.operator.action;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.burdockpin.core.client.Query;
 import io.burdockpin.core.client.QueryResult;
 import io.burdockpin.core.exc.ErrorCode;
@@ -13,6 +15,7 @@
 import io.burdockpin.operator.OperatorException;
 import io.burdockpin.operator.OperatorExit;
 import io.burdockpin.operator.client.OperatorClient;
+import io.burdockpin.operator.client.SchedulerClient;
 import io.burdockpin.operator.output.CodeExplanation;
 import io.burdockpin.operator.output.Report;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -50,6 +53,30 @@
 		}
 	},
 
+	PLACEMENT("where the batch scheduler would place a job now, and why") {
+		@Override
+		public void addArguments(ArgumentParser parser) {
+			parser.addArgument("--scheduler")
+				.required(true)
+				.metavar("IP:PORT")
+				.help("control address of a control process or readiness address of an entry process");
+			parser.addArgument("--job").help("identifier of an accepted job");
+			parser.addArgument("--file").help("JSON file that a caller would submit");
+			parser.addArgument("--queue-host").dest("queueHost").help("virtual host of the queue, with --file");
+			parser.addArgument("--path").help("path of the queue followed by the identifier, with --file");
+			parser.addArgument("--key-file").dest("keyFile").help("file with the key of the caller, with --file");
+		}
+
+		@Override
+		public Report run(OperatorClient client, Arguments arguments) {
+			SchedulerClient scheduler = new SchedulerClient(arguments.text("scheduler"),
+					Duration.ofSeconds(arguments.number("timeoutSeconds")));
+			JsonNode explanation = scheduler.post("/operator/v1/placement-explanations",
+					PlacementQuestion.of(arguments));
+			return new Report(PlacementExplanationText.of(explanation), explanation, List.of());
+		}
+	},
+
 	CODE("what an error code means and what to do") {
 		@Override
 		public void addArguments(ArgumentParser parser) {
