--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -1,5 +1,8 @@
 package io.burdockpin.batch;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -8,7 +11,9 @@
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.exc.InvalidValueException;
+import io.burdockpin.runtime.settings.SettingsLoader;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class BatchSettingsTests {
 
@@ -64,6 +69,23 @@
 			.isEqualTo(1.5);
 	}
 
+	/** Guards against a process that does not start with the settings of a deployment. */
+	@Test
+	void aSettingsFileWithoutAFactorOfRemoteTasksIsLoaded(@TempDir Path folder) throws IOException {
+		String common = """
+				{"cluster": "c", "process": "p", "host": "10.0.0.1", "dataCentre": "dc1", "firstStart": true,
+				"dataFolder": "", "internalPorts": [7000, 7015], "seeds": ["10.0.0.1:8345"], "toleratedMembers": 1,
+				"longestLeaseMillis": 6000, "handOverPauseMillis": 3000, "upkeepSeconds": 2, "graceSeconds": 6,
+				"addresses": {"callers": "", "readiness": "", "control": ""}, "platformAddress": "",
+				"hostOrdersPerSecond": 64%s}""";
+		Path file = folder.resolve("settings.json");
+		Files.writeString(file, common.formatted(""));
+		Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).remoteFactor().isPresent()).isFalse();
+		Files.writeString(file, common.formatted(", \"remoteFactor\": 3"));
+		Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).remoteFactor().getAsDouble())
+			.isEqualTo(3.0);
+	}
+
 	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
 				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
