--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -5,7 +5,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -46,12 +48,14 @@
  * members together
  * @param dataCentres the data centres of the platform, by name; only the names are used;
  * empty in settings files of earlier versions
+ * @param remoteFactor how many times as long a task takes far from its data, or a gang
+ * that is spread over racks; empty if not known
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
 		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond,
-		Map<String, Object> dataCentres) {
+		Map<String, Object> dataCentres, OptionalDouble remoteFactor) {
 
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
@@ -156,6 +160,7 @@
 		dataCentres = Optional.ofNullable(dataCentres)
 			.map((known) -> Collections.unmodifiableMap(new TreeMap<>(known)))
 			.orElse(Map.of());
+		remoteFactor = Objects.requireNonNullElse(remoteFactor, OptionalDouble.empty());
 	}
 
 	/**
@@ -190,7 +195,7 @@
 						HOST_RETURN_TIMEOUT_MILLIS, HOST_RETRY_MILLIS),
 				new BalanceSettings(pauseMillis, POOL_MOVE_MILLIS, IDLE_TIMEOUT_MILLIS, MINIMUM_STAY_MILLIS,
 						HOST_RETRY_MILLIS, HOST_LIST_PERIOD_MILLIS),
-				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond);
+				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond, this.remoteFactor);
 	}
 
 	DataCentreRules toDataCentreRules() {
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/OperatorRoutes.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/OperatorRoutes.java
@@ -16,8 +16,8 @@
 import io.burdockpin.runtime.http.socket.HttpServerResponse;
 
 /**
- * Handles the requests of operators: shows, closes and opens data centres. Bodies are
- * JSON. Immutable.
+ * Handles the requests of operators: shows, closes and opens data centres, and explains
+ * placements. Bodies are JSON. Immutable.
  */
 public final class OperatorRoutes {
 
@@ -36,15 +36,19 @@
 
 	private final LeaderCalls leader;
 
+	private final PlacementRoutes placements;
+
 	private final String origin;
 
 	/**
 	 * Creates the routes.
 	 * @param leader sends calls to the leader
+	 * @param placements explains placements
 	 * @param origin recorded with the orders that this process receives
 	 */
-	public OperatorRoutes(LeaderCalls leader, String origin) {
+	public OperatorRoutes(LeaderCalls leader, PlacementRoutes placements, String origin) {
 		this.leader = leader;
+		this.placements = placements;
 		this.origin = origin;
 	}
 
@@ -65,6 +69,9 @@
 	 */
 	public CompletionStage<HttpServerResponse> handle(HttpServerRequest request) {
 		String path = request.path();
+		if (path.equals(PlacementRoutes.PATH)) {
+			return this.placements.handle(request.method(), request.body());
+		}
 		if (path.equals(DATA_CENTRES) && request.method().equals("GET")) {
 			return ask(request, new FleetCall.LookAtDataCentres());
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -117,6 +117,9 @@
 
 	private long appliedIndex;
 
+	/** When the last entry was applied, by the monotonic clock. */
+	private long appliedMillis;
+
 	private Optional<FleetLeader> leader = Optional.empty();
 
 	private boolean leads;
@@ -230,6 +233,9 @@
 		else if (call instanceof FleetCall.LookAtWave look) {
 			replyWhenConfirmed(replyTo, () -> replyTo.send(this.rules.wave(look.number(), this.state)));
 		}
+		else if (call instanceof FleetCall.ExplainPlacement explain) {
+			replyWhenConfirmed(replyTo, () -> replyTo.send(explain(explain)));
+		}
 		else if (call instanceof FleetCall.OrderWave order) {
 			commit(new BatchCommand.StartWave(order.wave()), replyTo);
 		}
@@ -248,6 +254,16 @@
 		return requestFlush();
 	}
 
+	private FleetReply explain(FleetCall.ExplainPlacement call) {
+		long nowMillis = this.clock.millis();
+		FleetReply reply = this.rules.explain(call,
+				this.leader.orElseThrow().explainer(nowMillis, this.wallClock.millis()), this.state);
+		return (reply instanceof FleetReply.Placement placement) ? new FleetReply.Placement(placement.explanation()
+			.from(this.appliedIndex, nowMillis - this.appliedMillis,
+					this.knownLeader.map((member) -> member.host().value()).orElse("")))
+				: reply;
+	}
+
 	// A command needs no confirmation, since only the present leader can commit it.
 	private void executeWhenConfirmed(Supplier<CallDecision> rule, ReplyPort replyTo) {
 		CallDecision decision = rule.get();
@@ -356,6 +372,7 @@
 
 	private void apply(LogEntry entry) {
 		this.appliedIndex = entry.index();
+		this.appliedMillis = this.clock.millis();
 		if (entry.content() instanceof EntryContent.CommandContent content) {
 			CommandGroup group = this.groupCodec.decode(content.payload().bytes());
 			List<CommandResult> results = this.state.apply(group);
@@ -410,6 +427,7 @@
 
 	private void restore(Snapshot snapshot) {
 		this.appliedIndex = snapshot.index();
+		this.appliedMillis = this.clock.millis();
 		this.state = (snapshot.state().lengthBytes() == 0) ? new BatchState()
 				: BatchState.restore(this.snapshotCodec.decode(snapshot.state().bytes()));
 		this.hostOrderHistory.onRestored(this.clock.millis());
@@ -502,7 +520,8 @@
 		}
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
-			.ifPresent((period) -> this.events.load(this.term, period, this.state));
+			.ifPresent((period) -> this.events.load(this.term, period, this.leader.get().placementWaits().drainCounts(),
+					this.state));
 		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
@@ -531,6 +550,7 @@
 		long nowMillis = this.clock.millis();
 		leading.decide(nowMillis, this.wallClock.millis());
 		leading.reportOverdueIfDue(nowMillis).forEach((report) -> this.events.overdue(this.term, report));
+		leading.placementWaits().drainNotices().forEach((notice) -> this.events.placementWait(this.term, notice));
 		if (this.permit.isRenewalDue()) {
 			this.permit.renew(this.reads);
 		}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -13,6 +13,8 @@
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.overdue.OverdueItem;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
+import io.burdockpin.core.batch.lead.place.WaitCounts;
+import io.burdockpin.core.batch.lead.place.WaitNotice;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -65,9 +67,10 @@
 	 * are still in closed ones.
 	 * @param term the term of the leader
 	 * @param period the load
+	 * @param waits the waits for better places that have ended
 	 * @param state the replicated state
 	 */
-	void load(long term, LeaderLoad.Period period, BatchState state) {
+	void load(long term, LeaderLoad.Period period, WaitCounts waits, BatchState state) {
 		Event load = event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
@@ -75,7 +78,9 @@
 			.with(EventField.ORDERS, period.orders())
 			.with(EventField.LISTENS, period.heartbeats())
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
-			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis());
+			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis())
+			.with(EventField.WAITS_PAID, waits.paid())
+			.with(EventField.WAITS_UNPAID, waits.unpaid());
 		record(state.closedDataCentres().isEmpty() ? load : load.with(EventField.CLOSED_TASKS,
 				state.closedDataCentres().keySet().stream().mapToInt(state::runCountIn).sum()));
 	}
@@ -100,6 +105,23 @@
 			.with(EventField.COUNT, state.runCountIn(closing.dataCentre()));
 	}
 
+	/**
+	 * Records that tasks wait for a better place, or that their wait ended.
+	 * @param term the term of the leader
+	 * @param notice the news about one step
+	 */
+	void placementWait(long term, WaitNotice notice) {
+		boolean begins = notice.kind() == WaitNotice.Kind.BEGUN;
+		record(event(begins ? EventKind.PLACEMENT_WAITS : EventKind.PLACEMENT_WAIT_ENDED).with(EventField.TERM, term)
+			.with(EventField.JOB, notice.step().job())
+			.with(EventField.TASK, notice.step())
+			.with(EventField.POOL, notice.pool())
+			.with(EventField.STATE, notice.kind())
+			.with(EventField.CODE, notice.reason())
+			.with(EventField.COUNT, notice.count())
+			.with(EventField.MILLIS, notice.millis()));
+	}
+
 	/**
 	 * Records what is overdue of one kind, or that nothing is any more.
 	 * @param term the term of the leader
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.port.HostChannel;
@@ -105,6 +106,33 @@
 			.containsExactly("dc1", "dc2");
 	}
 
+	/**
+	 * Guards against a leader that lets no task wait although the platform gives a
+	 * factor.
+	 */
+	@Test
+	void theFactorOfRemoteTasksReachesTheLeader() {
+		Truth.assertThat(settings(List.of(7000, 7015), 1).toLeaderSettings().remoteFactor().getAsDouble())
+			.isEqualTo(1.5);
+	}
+
+	/** Guards against a process that does not start with the settings of a deployment. */
+	@Test
+	void aSettingsFileWithoutAFactorOfRemoteTasksIsLoaded(@TempDir Path folder) throws IOException {
+		String common = """
+				{"cluster": "c", "process": "p", "host": "10.0.0.1", "dataCentre": "dc1", "firstStart": true,
+				"dataFolder": "", "internalPorts": [7000, 7015], "seeds": ["10.0.0.1:8345"], "toleratedMembers": 1,
+				"longestLeaseMillis": 6000, "handOverPauseMillis": 3000, "upkeepSeconds": 2, "graceSeconds": 6,
+				"addresses": {"callers": "", "readiness": "", "control": ""}, "platformAddress": "",
+				"hostOrdersPerSecond": 64%s}""";
+		Path file = folder.resolve("settings.json");
+		Files.writeString(file, common.formatted(""));
+		Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).remoteFactor().isPresent()).isFalse();
+		Files.writeString(file, common.formatted(", \"remoteFactor\": 3"));
+		Truth.assertThat(new SettingsLoader().load(file, BatchSettings.class).remoteFactor().getAsDouble())
+			.isEqualTo(3.0);
+	}
+
 	private static BatchSettings settings(List<Integer> ports, int toleratedMembers) {
 		return settings(ports, toleratedMembers, null);
 	}
@@ -113,7 +141,7 @@
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
 				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
 				new BatchSettings.AddressSettings(Optional.of("10.0.0.1:1"), Optional.empty(), Optional.of("")),
-				Optional.empty(), 64, dataCentres);
+				Optional.empty(), 64, dataCentres, OptionalDouble.of(1.5));
 	}
 
 }
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.place.WaitCounts;
 import io.burdockpin.core.batch.lead.run.ReleaseReason;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -78,10 +79,10 @@
 	void theLoadNamesTheTasksInClosedDataCentresOnlyWhileOneIsClosed() {
 		BatchState state = new BatchState();
 		LeaderLoad.Period period = new LeaderLoad.Period(1_000, 0, 0, 0, 0, 0, 0);
-		this.events.load(3, period, state);
+		this.events.load(3, period, new WaitCounts(0, 0), state);
 		Truth.assertThat(nextFields()).doesNotContainKey(EventField.CLOSED_TASKS);
 		apply(state, new BatchCommand.CloseDataCentre("dc1", "operator"));
-		this.events.load(3, period, state);
+		this.events.load(3, period, new WaitCounts(0, 0), state);
 		Truth.assertThat(nextFields()).containsEntry(EventField.CLOSED_TASKS, "0");
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -1,17 +1,23 @@
 package io.burdockpin.core.batch.lead.plan;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
+import io.burdockpin.core.batch.lead.place.Candidate;
+import io.burdockpin.core.batch.lead.place.JobPlaces;
+import io.burdockpin.core.batch.lead.place.PlaceRequest;
+import io.burdockpin.core.batch.lead.place.PlacementLimit;
+import io.burdockpin.core.batch.lead.place.PlacementRound;
+import io.burdockpin.core.batch.lead.place.PlacementWaits;
+import io.burdockpin.core.batch.lead.place.RunnerChoice;
+import io.burdockpin.core.batch.lead.place.WaitingTask;
 import io.burdockpin.core.batch.lead.pool.PoolDemand;
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -60,12 +66,24 @@
 
 	private final SlackCalculator slackCalculator;
 
+	private final PlacementWaits waits;
+
 	/**
-	 * Creates a planner.
+	 * Creates a planner under which no task waits for a better place.
 	 * @param durations estimator for task durations
 	 */
 	public TaskPlanner(DurationEstimator durations) {
+		this(durations, PlacementWaits.none());
+	}
+
+	/**
+	 * Creates a planner.
+	 * @param durations estimator for task durations
+	 * @param waits waits for better places, which each round updates
+	 */
+	public TaskPlanner(DurationEstimator durations, PlacementWaits waits) {
 		this.slackCalculator = new SlackCalculator(durations);
+		this.waits = waits;
 	}
 
 	/**
@@ -84,9 +102,9 @@
 			return Plan.EMPTY;
 		}
 		FleetConfiguration configuration = state.configuration().get();
-		Round round = new Round(state, configuration);
 		List<Candidate> candidates = candidates(state, runners, reliability);
-		candidates.forEach(round::add);
+		Round round = new Round(state, configuration, candidates, this.slackCalculator.durations(), this.waits,
+				wallMillis);
 		List<WorkItem> items = new ArrayList<>();
 		state.activeJobs()
 			.forEach((job) -> job.configuredQueue()
@@ -192,9 +210,11 @@
 
 		private final FleetConfiguration configuration;
 
-		private final Map<String, List<Candidate>> byPool = new HashMap<>();
+		private final DurationEstimator durations;
 
-		private final Map<String, Boolean> canAvoidSuspects = new HashMap<>();
+		private final RunnerChoice runnerChoice;
+
+		private final PlacementRound placement;
 
 		private final Map<String, Resources> chargedByWorkspace = new HashMap<>();
 
@@ -204,23 +224,24 @@
 
 		private final Set<RunnerKey> runnersForRestarts = new HashSet<>();
 
-		private Round(BatchState state, FleetConfiguration configuration) {
+		private Round(BatchState state, FleetConfiguration configuration, List<Candidate> candidates,
+				DurationEstimator durations, PlacementWaits waits, long wallMillis) {
 			this.state = state;
 			this.configuration = configuration;
-		}
-
-		private void add(Candidate candidate) {
-			this.byPool.computeIfAbsent(candidate.runner().pool(), (pool) -> new ArrayList<>()).add(candidate);
+			this.durations = durations;
+			this.runnerChoice = new RunnerChoice(candidates,
+					(candidate) -> state.hasUnfinishedMaintenance(candidate.runner().hostOrId()));
+			this.placement = waits.beginRound(state, this.runnerChoice, wallMillis);
 		}
 
 		private boolean hasCandidates(String pool) {
-			return this.byPool.containsKey(pool);
+			return !this.runnerChoice.candidates(pool).isEmpty();
 		}
 
 		private boolean isUnderused(String pool) {
 			Resources capacity = Resources.NONE;
 			Resources free = Resources.NONE;
-			for (Candidate candidate : this.byPool.getOrDefault(pool, List.of())) {
+			for (Candidate candidate : this.runnerChoice.candidates(pool)) {
 				capacity = capacity.plus(candidate.runner().capacity());
 				free = free.plus(candidate.free());
 			}
@@ -230,156 +251,121 @@
 		}
 
 		private void place(WorkItem item) {
-			Map<RunnerKey, Integer> used = usedRunners(item);
+			this.placement.observer()
+				.onTurn(new TaskId(item.job().id(), item.occurrence().number(), item.step(), 0), item.queue().pool());
+			JobPlaces places = JobPlaces.of(this.state, item.job(), item.tasks());
 			if (item.tasks().spec().gang() || item.urgency() == WorkItem.Urgency.LONG_RUNNING) {
-				placeTogether(item, used);
+				placeTogether(item, places);
 			}
 			else {
-				placeTasks(item, used);
+				placeTasks(item, places);
 			}
 		}
 
-		private void placeTasks(WorkItem item, Map<RunnerKey, Integer> used) {
+		private void placeTasks(WorkItem item, JobPlaces places) {
 			List<BatchTask> tasks = item.tasks().tasks();
 			for (int index = 0; index < tasks.size(); index++) {
 				BatchTask task = tasks.get(index);
 				if (task.isWaiting()) {
-					Optional<Candidate> chosen = choose(item, task, used, Optional.empty());
+					WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, places, this.durations);
+					Optional<Candidate> chosen = choose(item, waiting.request(), Optional.empty(), (candidate) -> true);
 					if (chosen.isEmpty()) {
 						return;
 					}
-					assign(item, index, task.lastRun() + 1, chosen.get(), used);
+					if (this.placement.decide(waiting, chosen.get()).reason().starts()) {
+						assign(item, waiting, chosen.get());
+					}
 				}
 			}
 		}
 
 		// The members of a gang are started together or not at all. The same applies to
 		// the tasks of a long-running step.
-		private void placeTogether(WorkItem item, Map<RunnerKey, Integer> used) {
-			List<BatchTask> tasks = item.tasks().tasks();
-			if (!tasks.stream().allMatch(BatchTask::isWaiting)) {
+		private void placeTogether(WorkItem item, JobPlaces places) {
+			StepTasks step = item.tasks();
+			if (!step.tasks().stream().allMatch(BatchTask::isWaiting)) {
 				return;
 			}
-			int run = item.tasks().highestRun() + 1;
-			int firstAssignment = this.assignments.size();
+			int run = step.highestRun() + 1;
+			WaitingTask first = item.waitingTask(0, step.tasks().size(), run, places, this.durations);
+			List<Candidate> members = chooseTogether(item, first, places);
+			boolean starts = members.size() == step.tasks().size()
+					&& (!step.spec().gang() || this.placement.decideGang(first, members).reason().starts());
+			for (int index = 0; starts && index < members.size(); index++) {
+				assign(item, item.waitingTask(index, 1, run, places, this.durations), members.get(index));
+			}
+		}
+
+		// The capacity of the chosen runners is given back, so that a gang that waits
+		// does not reserve it.
+		private List<Candidate> chooseTogether(WorkItem item, WaitingTask first, JobPlaces places) {
+			StepSpec spec = item.tasks().spec();
 			List<Candidate> taken = new ArrayList<>();
+			Optional<String> wholeRack = Optional.empty();
 			Optional<String> rack = Optional.empty();
-			for (int index = 0; index < tasks.size(); index++) {
-				Optional<Candidate> chosen = choose(item, tasks.get(index), used, rack);
+			for (int index = 0; index < first.count(); index++) {
+				PlaceRequest request = item.waitingTask(index, 1, first.run(), places, this.durations).request();
+				Optional<String> only = wholeRack;
+				Optional<Candidate> chosen = choose(item, request, rack,
+						(candidate) -> only.isEmpty() || only.equals(candidate.runner().rack()));
+				if (index == 0 && chosen.isPresent() && spec.gang()) {
+					wholeRack = this.placement.rackForGang(request, first.count(), chosen.get().runner().rack());
+					Optional<String> gangRack = wholeRack;
+					chosen = wholeRack.isEmpty() ? chosen : choose(item, request, wholeRack,
+							(candidate) -> gangRack.equals(candidate.runner().rack()));
+				}
 				if (chosen.isEmpty()) {
-					rollBack(item, firstAssignment, taken);
-					return;
+					break;
 				}
+				take(item, chosen.get(), places);
 				taken.add(chosen.get());
-				assign(item, index, run, chosen.get(), used);
-				rack = item.tasks().spec().sameRack() ? chosen.get().runner().rack() : Optional.empty();
+				rack = spec.sameRack() ? chosen.get().runner().rack() : Optional.empty();
 			}
-		}
-
-		private void rollBack(WorkItem item, int firstAssignment, List<Candidate> taken) {
-			StepSpec spec = item.tasks().spec();
-			taken.forEach((candidate) -> {
-				candidate.release(spec);
-				this.chargedByWorkspace.computeIfPresent(item.job().workspace(),
-						(name, sum) -> sum.minus(spec.resources()));
-			});
-			this.assignments.subList(firstAssignment, this.assignments.size()).clear();
+			taken.forEach((candidate) -> giveBack(item, candidate, places));
+			return taken;
 		}
 
 		private void reserveForRestarts(WorkItem item, List<BatchTask> leaving) {
-			Map<RunnerKey, Integer> used = usedRunners(item);
+			JobPlaces places = JobPlaces.of(this.state, item.job(), item.tasks());
 			for (BatchTask task : leaving) {
-				Optional<Candidate> chosen = find(item, task, used, Optional.empty(),
-						(candidate) -> !isMaintenanceDue(candidate));
+				Optional<Candidate> chosen = find(item, item.request(task, places), Optional.empty(),
+						(candidate) -> !this.runnerChoice.isMaintenanceDue(candidate));
 				if (chosen.isEmpty()) {
 					return;
 				}
 				chosen.get().reserve(item.tasks().spec());
-				used.merge(chosen.get().runner().key(), 1, Integer::sum);
+				places.add(chosen.get().runner());
 				this.runnersForRestarts.add(chosen.get().runner().key());
 			}
 		}
 
-		private Map<RunnerKey, Integer> usedRunners(WorkItem item) {
-			Map<RunnerKey, Integer> used = new HashMap<>();
-			if (item.tasks().spec().maximumPerRunner().isPresent()) {
-				item.tasks()
-					.tasks()
-					.forEach((task) -> task.run().ifPresent((run) -> used.merge(run.runner(), 1, Integer::sum)));
-			}
-			return used;
+		private Optional<Candidate> choose(WorkItem item, PlaceRequest request, Optional<String> rack,
+				Predicate<Candidate> filter) {
+			StepSpec spec = item.tasks().spec();
+			Optional<PlacementLimit> limit = limit(item, spec);
+			limit.ifPresent(this.placement.observer()::onLimit);
+			return limit.isPresent() ? Optional.empty() : find(item, request, rack, filter);
 		}
 
-		private Optional<Candidate> choose(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used,
-				Optional<String> rack) {
-			StepSpec spec = item.tasks().spec();
-			if (exceedsWorkspaceLimit(item, spec)
-					|| (item.urgency() == WorkItem.Urgency.LONG_RUNNING && exceedsLongRunningShare(item, spec))) {
-				return Optional.empty();
+		private Optional<PlacementLimit> limit(WorkItem item, StepSpec spec) {
+			if (exceedsWorkspaceLimit(item, spec)) {
+				return Optional.of(PlacementLimit.WORKSPACE_LIMIT);
 			}
-			return find(item, task, used, rack, (candidate) -> true);
+			boolean exceedsShare = item.urgency() == WorkItem.Urgency.LONG_RUNNING
+					&& this.runnerChoice.exceedsLongRunningShare(item.queue().pool(), spec, LONG_RUNNING_SHARE);
+			return exceedsShare ? Optional.of(PlacementLimit.LONG_RUNNING_SHARE) : Optional.empty();
 		}
 
-		private Optional<Candidate> find(WorkItem item, BatchTask task, Map<RunnerKey, Integer> used,
-				Optional<String> rack, Predicate<Candidate> filter) {
-			StepSpec spec = item.tasks().spec();
-			OptionalInt maximum = spec.maximumPerRunner();
-			boolean mayAvoid = canAvoidSuspects(item.queue().pool());
-			boolean hasFailed = task.failures() > 0;
-			Comparator<Candidate> order = Comparator
-				.<Candidate, Boolean>comparing((candidate) -> !candidate.reliability().isSuitable(hasFailed))
-				.thenComparing((candidate) -> !candidate.isLocalTo(spec))
-				.thenComparing((candidate) -> rack.isPresent() && !rack.equals(candidate.runner().rack()));
-			// Best fit by CPU, which keeps capacity free for large tasks on other
-			// runners.
-			Comparator<Candidate> bestFit = Comparator.comparingInt(Candidate::freeMillicores);
-			Comparator<Candidate> mostLongRunning = Comparator.comparing(this::isMaintenanceDue)
-				.thenComparing(
-						Comparator.<Candidate>comparingInt((candidate) -> candidate.longRunning().cpuMillicores())
-							.reversed());
-			Optional<Candidate> chosen = this.byPool.getOrDefault(item.queue().pool(), List.of())
-				.stream()
-				.filter((candidate) -> candidate.fits(spec))
-				.filter(filter)
-				.filter((candidate) -> !mayAvoid || candidate.reliability().isSuitable(hasFailed))
-				.filter((candidate) -> maximum.isEmpty()
-						|| used.getOrDefault(candidate.runner().key(), 0) < maximum.getAsInt())
-				.min(order.thenComparing(spec.longRunning() ? mostLongRunning : bestFit));
+		private Optional<Candidate> find(WorkItem item, PlaceRequest request, Optional<String> rack,
+				Predicate<Candidate> filter) {
+			this.placement.observer().onChoice(this.runnerChoice, request);
+			Optional<Candidate> chosen = this.runnerChoice.choose(request, rack, filter);
 			if (chosen.isEmpty() && item.urgency() != WorkItem.Urgency.LATE) {
 				this.poolsLackingCapacity.add(item.queue().pool());
 			}
 			return chosen;
 		}
 
-		// Maintenance ends the tasks of a host.
-		private boolean isMaintenanceDue(Candidate candidate) {
-			return this.state.hasUnfinishedMaintenance(candidate.runner().hostOrId());
-		}
-
-		// If at least half of the runners of a pool are suspect, the tasks are the more
-		// likely cause, and waiting for the other runners would take longer.
-		private boolean canAvoidSuspects(String pool) {
-			return this.canAvoidSuspects.computeIfAbsent(pool, (name) -> {
-				List<Candidate> candidates = this.byPool.getOrDefault(name, List.of());
-				long suspects = candidates.stream()
-					.filter((candidate) -> candidate.reliability() == RunnerReliability.SUSPECT)
-					.count();
-				return 2 * suspects < candidates.size();
-			});
-		}
-
-		private boolean exceedsLongRunningShare(WorkItem item, StepSpec spec) {
-			double millicores = -spec.reserved().cpuMillicores();
-			double mebibytes = -spec.reserved().memoryMebibytes();
-			for (Candidate candidate : this.byPool.getOrDefault(item.queue().pool(), List.of())) {
-				Resources capacity = candidate.runner().capacity();
-				millicores += LONG_RUNNING_SHARE * capacity.cpuMillicores() - candidate.longRunning().cpuMillicores();
-				mebibytes += LONG_RUNNING_SHARE * capacity.memoryMebibytes()
-						- candidate.longRunning().memoryMebibytes();
-			}
-			return millicores < 0 || mebibytes < 0;
-		}
-
 		private boolean exceedsWorkspaceLimit(WorkItem item, StepSpec spec) {
 			String workspace = item.job().workspace();
 			Resources after = chargedTo(workspace).plus(spec.resources());
@@ -390,15 +376,26 @@
 			return this.chargedByWorkspace.computeIfAbsent(workspace, this.state.runs()::chargedTo);
 		}
 
-		private void assign(WorkItem item, int index, int run, Candidate candidate, Map<RunnerKey, Integer> used) {
+		private void assign(WorkItem item, WaitingTask waiting, Candidate candidate) {
+			take(item, candidate, waiting.request().places());
+			this.placement.onAssigned(candidate, waiting);
+			this.assignments.add(new BatchCommand.Assignment(waiting.task(), waiting.run(), candidate.runner().key()));
+		}
+
+		private void take(WorkItem item, Candidate candidate, JobPlaces places) {
 			StepSpec spec = item.tasks().spec();
-			RunnerKey key = candidate.runner().key();
 			candidate.reserve(spec);
-			used.merge(key, 1, Integer::sum);
+			places.add(candidate.runner());
 			this.chargedByWorkspace.put(item.job().workspace(),
 					chargedTo(item.job().workspace()).plus(spec.resources()));
-			this.assignments.add(new BatchCommand.Assignment(
-					new TaskId(item.job().id(), item.occurrence().number(), item.step(), index), run, key));
+		}
+
+		private void giveBack(WorkItem item, Candidate candidate, JobPlaces places) {
+			StepSpec spec = item.tasks().spec();
+			candidate.release(spec);
+			places.remove(candidate.runner());
+			this.chargedByWorkspace.computeIfPresent(item.job().workspace(),
+					(name, sum) -> sum.minus(spec.resources()));
 		}
 
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventKind.java
@@ -131,6 +131,12 @@
 	/** A closed data centre was opened. */
 	DATA_CENTRE_OPENED,
 
+	/** Tasks wait for a place near their data or for a rack of their own. */
+	PLACEMENT_WAITS,
+
+	/** A wait for a better place ended. */
+	PLACEMENT_WAIT_ENDED,
+
 	/** Events were dropped because there were too many. */
 	EVENTS_DROPPED
 
--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/client/SchedulerClient.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/client/SchedulerClient.java
@@ -28,6 +28,8 @@
 
 	private static final int OK = 200;
 
+	private static final int NOT_FOUND = 404;
+
 	private static final int NO_LEADER = 503;
 
 	/** From this status on the request may have taken effect. */
@@ -78,24 +80,48 @@
 	}
 
 	/**
-	 * Sends a request without a body.
+	 * Sends an order without a body.
 	 * @param method the HTTP method
 	 * @param path the absolute path, encoded
 	 * @return the body of the response
-	 * @throws OperatorException if the request was refused or its outcome is not known
+	 * @throws OperatorException if the order was refused or its outcome is not known
 	 */
 	public JsonNode send(String method, String path) {
-		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + this.address + path))
+		HttpResponse<byte[]> response = exchange(
+				request(path).method(method, HttpRequest.BodyPublishers.noBody()).build());
+		if (response.statusCode() != OK) {
+			throw refusal(response.statusCode(), new String(response.body(), StandardCharsets.UTF_8));
+		}
+		return read(response);
+	}
+
+	/**
+	 * Sends a question with a document, which changes nothing.
+	 * @param path the absolute path, encoded
+	 * @param document a JSON document
+	 * @return the body of the response
+	 * @throws OperatorException if the process cannot be reached or refuses the question
+	 */
+	public JsonNode ask(String path, JsonNode document) {
+		HttpResponse<byte[]> response = exchange(request(path).header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(document.toString()))
+			.build());
+		JsonNode body = read(response);
+		if (response.statusCode() != OK) {
+			throw refusedQuestion(response.statusCode(), body);
+		}
+		return body;
+	}
+
+	private HttpRequest.Builder request(String path) {
+		return HttpRequest.newBuilder(URI.create("http://" + this.address + path))
 			.version(HttpClient.Version.HTTP_1_1)
-			.timeout(this.timeout)
-			.method(method, HttpRequest.BodyPublishers.noBody())
-			.build();
+			.timeout(this.timeout);
+	}
+
+	private HttpResponse<byte[]> exchange(HttpRequest request) {
 		try {
-			HttpResponse<byte[]> response = this.client.send(request, HttpResponse.BodyHandlers.ofByteArray());
-			if (response.statusCode() != OK) {
-				throw refusal(response.statusCode(), new String(response.body(), StandardCharsets.UTF_8));
-			}
-			return this.mapper.readTree(response.body());
+			return this.client.send(request, HttpResponse.BodyHandlers.ofByteArray());
 		}
 		catch (ConnectException | HttpConnectTimeoutException ex) {
 			throw new OperatorException(OperatorExit.UNREACHABLE, ErrorCode.CONNECTION_FAILED,
@@ -110,6 +136,25 @@
 		}
 	}
 
+	private JsonNode read(HttpResponse<byte[]> response) {
+		try {
+			return this.mapper.readTree(response.body());
+		}
+		catch (IOException ex) {
+			throw unknown("the answer from %s is not JSON".formatted(this.address), ex);
+		}
+	}
+
+	private static OperatorException refusedQuestion(int status, JsonNode body) {
+		String message = "%s (%s)".formatted(body.path("message").asText("status " + status),
+				body.path("error").asText("no reason"));
+		if (status >= SERVER_ERROR) {
+			return new OperatorException(OperatorExit.REFUSED, ErrorCode.NO_MAJORITY, message, null);
+		}
+		return (status == NOT_FOUND) ? new OperatorException(OperatorExit.REFUSED, ErrorCode.UNKNOWN_JOB, message, null)
+				: OperatorException.usage(message);
+	}
+
 	private static OperatorException refusal(int status, String body) {
 		String message = "status %d: %s".formatted(status, body);
 		return (status < SERVER_ERROR || status == NO_LEADER)
