--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchDeployment.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchDeployment.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.stream.IntStream;
@@ -62,19 +63,33 @@
 	private final Thread endOfTests = new Thread(this::killProcesses);
 
 	BatchDeployment(Path programs, Path folder) throws IOException {
+		this(programs, folder, Map.of());
+	}
+
+	/**
+	 * Creates a deployment that is not started.
+	 * @param programs the repository with the built programs
+	 * @param folder for settings, logs and data
+	 * @param heapMegabytes largest heap by role, where it differs from the deployed one
+	 * @throws IOException if a folder cannot be created
+	 */
+	BatchDeployment(Path programs, Path folder, Map<String, Integer> heapMegabytes) throws IOException {
 		List<String> memberHosts = IntStream.rangeClosed(1, MEMBERS).mapToObj((i) -> this.network + i).toList();
 		this.members = new ArrayList<>();
 		for (String host : memberHosts) {
 			String name = "core-" + host.substring(this.network.length());
 			Path data = Files.createDirectories(folder.resolve(name + "-data"));
-			this.members.add(new BatchProcess(programs, folder, "control", name, settings(name, host,
-					Map.of("dataDirectory", data.toString(), "listenAddresses.control", host + ":" + CONTROL_PORT))));
+			this.members.add(new BatchProcess(
+					programs, folder, "control", name, settings(name, host, Map.of("dataDirectory", data.toString(),
+							"listenAddresses.control", host + ":" + CONTROL_PORT)),
+					Optional.ofNullable(heapMegabytes.get("control"))));
 		}
 		this.entryHosts = entryAddresses().map((host) -> {
 			String name = "frontend-" + host.substring(this.network.length());
 			return new BatchProcess(programs, folder, "entry", name,
 					settings(name, host, Map.of("listenAddresses.front", host + ":" + CALLER_PORT,
-							"listenAddresses.readiness", host + ":" + READINESS_PORT)));
+							"listenAddresses.readiness", host + ":" + READINESS_PORT)),
+					Optional.ofNullable(heapMegabytes.get("entry")));
 		}).toList();
 		for (int i = 1; i <= RUNNERS; i++) {
 			this.runners.add(new RunnerSlot(new RunnerPlan("i-" + i, "m-" + i, this.network + (20 + i),
@@ -91,8 +106,12 @@
 
 	// life cycle
 
-	void start() {
+	void startProcesses() {
 		processes().forEach(BatchProcess::ensureRunning);
+	}
+
+	void start() {
+		startProcesses();
 		this.runners.forEach(RunnerSlot::start);
 	}
 
@@ -118,6 +137,10 @@
 		return this.members;
 	}
 
+	List<BatchProcess> entryHosts() {
+		return this.entryHosts;
+	}
+
 	List<RunnerSlot> runners() {
 		return this.runners;
 	}
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchProcess.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/BatchProcess.java
@@ -33,17 +33,22 @@
 
 	private final Map<String, String> values;
 
+	/** Replaces the largest heap of the deployment's command, if present. */
+	private final Optional<Integer> heapMegabytes;
+
 	private Optional<Process> process = Optional.empty();
 
 	private String firstStart = "true";
 
-	BatchProcess(Path programs, Path folder, String role, String name, Map<String, String> values) {
+	BatchProcess(Path programs, Path folder, String role, String name, Map<String, String> values,
+			Optional<Integer> heapMegabytes) {
 		this.programs = programs;
 		this.role = role;
 		this.name = name;
 		this.settings = folder.resolve(name + ".settings");
 		this.log = folder.resolve(name + ".log");
 		this.values = values;
+		this.heapMegabytes = heapMegabytes;
 	}
 
 	// life cycle
@@ -93,6 +98,10 @@
 		return this.process.filter(Process::isAlive).isPresent();
 	}
 
+	long pid() {
+		return this.process.orElseThrow().pid();
+	}
+
 	List<String> logLines(Pattern pattern) {
 		try (Stream<String> lines = Files.exists(this.log) ? Files.lines(this.log) : Stream.empty()) {
 			return lines.filter((line) -> pattern.matcher(line).find()).map((line) -> this.name + " " + line).toList();
@@ -110,7 +119,10 @@
 		if (!run.find()) {
 			throw new IOException("The deployment has no role " + this.role);
 		}
-		return List.of(run.group(1).replace(DEPLOYED_SETTINGS, this.settings.toString()).split(" "));
+		String deployed = run.group(1).replace(DEPLOYED_SETTINGS, this.settings.toString());
+		return List.of(this.heapMegabytes.map((heap) -> deployed.replaceFirst("-Xmx\\d+m", "-Xmx" + heap + "m"))
+			.orElse(deployed)
+			.split(" "));
 	}
 
 }
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/JobCallers.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/JobCallers.java
@@ -19,9 +19,9 @@
 /** Submits short jobs to the entry hosts over open connections. Used by one thread. */
 final class JobCallers {
 
-	private static final String PREFIX = "/soak/";
+	static final String PREFIX = "/soak/";
 
-	private static final String HOST = "jobs.example";
+	static final String HOST = "jobs.example";
 
 	private static final int MAXIMUM_ATTEMPTS = 8;
 
