--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -38,11 +38,13 @@
  * @param platformAddress where the platform accepts orders about hosts
  * @param hostOrdersPerSecond rate limit of the platform for orders about hosts, for all
  * members together
+ * @param clientLimits limits of the clients of this process; may be missing
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
-		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond) {
+		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond,
+		ClientLimitSettings clientLimits) {
 
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
@@ -144,6 +146,7 @@
 		Checks.range("toleratedMembers", toleratedMembers, 0, 3);
 		dataFolder = dataFolder.filter((folder) -> !folder.isEmpty());
 		platformAddress = platformAddress.filter((address) -> !address.isEmpty());
+		clientLimits = (clientLimits != null) ? clientLimits : ClientLimitSettings.DEFAULT;
 	}
 
 	/**
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpListener.java
@@ -4,10 +4,8 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
-import com.google.common.flogger.FluentLogger;
 import io.burdockpin.runtime.socket.AcceptedSocket;
 import io.burdockpin.runtime.socket.ListeningSocket;
 import io.burdockpin.runtime.socket.SocketTask;
@@ -23,15 +21,11 @@
  */
 public final class HttpListener extends AbstractActor {
 
-	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
-	private static final int MAXIMUM_CONNECTIONS = 3_000;
-
 	private final SocketTask sockets;
 
 	private final InetSocketAddress address;
 
-	private final int maximumBodyBytes;
+	private final ClientLimits limits;
 
 	private final Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler;
 
@@ -44,12 +38,12 @@
 
 	private boolean shuttingDown;
 
-	private HttpListener(SocketTask sockets, InetSocketAddress address, int maximumBodyBytes,
+	private HttpListener(SocketTask sockets, InetSocketAddress address, ClientLimits limits,
 			Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler,
 			org.apache.pekko.actor.typed.ActorRef<Event> owner) {
 		this.sockets = sockets;
 		this.address = address;
-		this.maximumBodyBytes = maximumBodyBytes;
+		this.limits = limits;
 		this.handler = handler;
 		this.owner = owner;
 	}
@@ -58,16 +52,15 @@
 	 * Creates the props of a listener.
 	 * @param sockets owns the sockets; may listen on the address already
 	 * @param address the address to listen on
-	 * @param maximumBodyBytes largest accepted request body
+	 * @param limits the limits of the clients
 	 * @param handler handles a request; must not throw
 	 * @param owner receives the events of the listener
 	 * @return the props
 	 */
-	public static Props props(SocketTask sockets, InetSocketAddress address, int maximumBodyBytes,
+	public static Props props(SocketTask sockets, InetSocketAddress address, ClientLimits limits,
 			Function<HttpServerRequest, CompletionStage<HttpServerResponse>> handler,
 			org.apache.pekko.actor.typed.ActorRef<Event> owner) {
-		return Props.create(HttpListener.class,
-				() -> new HttpListener(sockets, address, maximumBodyBytes, handler, owner));
+		return Props.create(HttpListener.class, () -> new HttpListener(sockets, address, limits, handler, owner));
 	}
 
 	// Closes a connection whose handler throws, so that its client does not wait.
@@ -80,7 +73,7 @@
 	public void preStart() {
 		ActorRef self = getSelf();
 		try {
-			ListeningSocket listening = this.sockets.listen(this.address);
+			ListeningSocket listening = this.sockets.listen(this.address, this.limits.receiving());
 			this.socket = Optional.of(listening);
 			listening.accept((accepted) -> self.tell(new Accepted(accepted), ActorRef.noSender()));
 			this.owner.tell(new Event.Bound(listening.address()));
@@ -104,16 +97,13 @@
 	}
 
 	private void onAccepted(Accepted accepted) {
-		if (this.shuttingDown || this.connectionCount >= MAXIMUM_CONNECTIONS) {
-			logger.atWarning()
-				.atMostEvery(1, TimeUnit.SECONDS)
-				.log("Rejected a connection on %s: %d connections are open.", this.address, this.connectionCount);
+		if (this.shuttingDown) {
 			accepted.connection().abort();
 			return;
 		}
 		this.connectionCount++;
 		getContext().watch(getContext()
-			.actorOf(HttpServerConnection.props(accepted.connection(), this.maximumBodyBytes, this.handler)));
+			.actorOf(HttpServerConnection.props(accepted.connection(), this.limits.messages(), this.handler)));
 	}
 
 	private void onConnectionTerminated() {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpRequestReader.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpRequestReader.java
@@ -5,6 +5,7 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 
+import io.burdockpin.runtime.socket.RejectionCause;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpVersion;
@@ -15,24 +16,25 @@
 /** Reads the requests on an accepted connection. */
 final class HttpRequestReader extends HttpMessageReader<ClassicHttpRequest, HttpServerRequest> {
 
-	private final DefaultHttpRequestParser parser = new DefaultHttpRequestParser();
+	private final DefaultHttpRequestParser parser;
 
 	/** When the first byte of the next message was received. */
 	private long messageReceivedNanos;
 
 	private long lastReceivedNanos;
 
-	HttpRequestReader(int maximumBodyBytes) {
-		super(maximumBodyBytes);
+	HttpRequestReader(MessageLimits limits) {
+		super(limits);
+		this.parser = new DefaultHttpRequestParser(parserConfiguration(limits));
 	}
 
 	/**
 	 * Adds received bytes.
 	 * @param bytes the bytes
 	 * @param receivedNanos when they were received, by {@link System#nanoTime}
-	 * @throws IOException if more bytes are buffered than a message may have
+	 * @throws HttpMessageException if more bytes are buffered than messages may have
 	 */
-	void add(ByteString bytes, long receivedNanos) throws IOException {
+	void add(ByteString bytes, long receivedNanos) throws HttpMessageException {
 		if (!hasPartialMessage()) {
 			this.messageReceivedNanos = receivedNanos;
 		}
@@ -57,7 +59,7 @@
 			return new HttpServerRequest(head, (path != null) ? path : "", body, closesConnection, receivedNanos);
 		}
 		catch (URISyntaxException ex) {
-			throw new IOException("malformed request path: " + ex.getMessage(), ex);
+			throw new HttpMessageException(RejectionCause.MALFORMED, "malformed request path: " + ex.getMessage(), ex);
 		}
 	}
 
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpResponseReader.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpResponseReader.java
@@ -11,12 +11,12 @@
 /** Reads the responses on a client connection. */
 final class HttpResponseReader extends HttpMessageReader<ClassicHttpResponse, HttpClientResponse> {
 
-	private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+	private static final MessageLimits LIMITS = MessageLimits.DEFAULT.withBodyBytes(4 * 1024 * 1024);
 
-	private final DefaultHttpResponseParser parser = new DefaultHttpResponseParser();
+	private final DefaultHttpResponseParser parser = new DefaultHttpResponseParser(parserConfiguration(LIMITS));
 
 	HttpResponseReader() {
-		super(MAXIMUM_BODY_BYTES);
+		super(LIMITS);
 	}
 
 	@Override
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ConnectionSocketBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ConnectionSocketBase.java
@@ -47,6 +47,9 @@
 
 	private boolean closingAfterWrites;
 
+	/** Whether the peer has closed its sending side. */
+	private boolean inputEnded;
+
 	ConnectionSocketBase(SocketTask task, SocketChannel channel) {
 		this.task = task;
 		this.channel = channel;
@@ -86,28 +89,19 @@
 	 * must not block
 	 */
 	public void write(ByteString bytes, BooleanSupplier condition) {
-		this.task.tell(() -> {
-			if (this.channel.isOpen() && !this.closingAfterWrites) {
-				this.waiting.add(new Message(bytes, condition));
-				this.waitingBytes += bytes.length();
-				endOnError(this::writeWaiting);
-			}
-		});
+		this.task.tell(() -> writeNow(bytes, condition));
 	}
 
 	/** Closes the connection after the bytes of earlier calls. */
 	public void close() {
-		this.task.tell(() -> {
-			this.closingAfterWrites = true;
-			endOnError(this::writeWaiting);
-		});
+		this.task.tell(this::closeAfterWrites);
 	}
 
 	/**
 	 * Resets the connection; bytes that wait, here or in the system, are dropped.
 	 */
 	public void abort() {
-		this.task.tell(() -> reset("reset"));
+		this.task.tell(() -> resetNow("reset"));
 	}
 
 	// for the kinds of connections, on the thread of the task
@@ -122,6 +116,68 @@
 	/** Handles that the system has completed a connection attempt, or given it up. */
 	abstract void onConnectable();
 
+	/**
+	 * Returns whether the connection may be read now.
+	 * @return {@code false} if reading has to wait
+	 */
+	boolean mayRead() {
+		return true;
+	}
+
+	/**
+	 * Handles received bytes.
+	 * @param bytes the bytes, in a buffer that is used again
+	 * @param nowNanos when they were read, by {@link System#nanoTime}
+	 */
+	void onBytes(ByteBuffer bytes, long nowNanos) {
+		report(new SocketEvent.Received(ByteString.fromByteBuffer(bytes), nowNanos));
+	}
+
+	/**
+	 * Handles a change of the bytes that the peer has not taken.
+	 * @param bytes number of bytes
+	 */
+	void onWaitingBytes(long bytes) {
+	}
+
+	/** Handles that all bytes before {@link #close} were written. */
+	void onAllWritten() {
+		end("closed");
+	}
+
+	/** Handles that this connection was closed, before that is reported. */
+	void onEnded() {
+	}
+
+	/** Handles that the peer has closed its sending side. */
+	void onInputEnded() {
+		report(SocketEvent.PeerClosed.INSTANCE);
+	}
+
+	final void writeNow(ByteString bytes) {
+		writeNow(bytes, ALWAYS);
+	}
+
+	final void closeAfterWrites() {
+		this.closingAfterWrites = true;
+		endOnError(this::writeWaiting);
+	}
+
+	final boolean isInputEnded() {
+		return this.inputEnded;
+	}
+
+	/** Closes the sending side, so that the peer reads to the end. */
+	final void shutDownOutput() {
+		try {
+			this.channel.shutdownOutput();
+			reportWritable(false);
+		}
+		catch (IOException ex) {
+			end(ex.getMessage());
+		}
+	}
+
 	final SocketTask task() {
 		return this.task;
 	}
@@ -154,7 +210,9 @@
 
 	/** Continues to read after {@link #pauseReading}. */
 	final void resumeReading() {
-		this.key.filter(SelectionKey::isValid).ifPresent((open) -> open.interestOpsOr(SelectionKey.OP_READ));
+		this.key.filter((open) -> !this.inputEnded)
+			.filter(SelectionKey::isValid)
+			.ifPresent((open) -> open.interestOpsOr(SelectionKey.OP_READ));
 	}
 
 	/**
@@ -164,7 +222,7 @@
 	final boolean readOnce() {
 		return this.key.filter(SelectionKey::isValid)
 			.filter((open) -> (open.interestOps() & SelectionKey.OP_READ) != 0)
-			.filter(this::read)
+			.filter((open) -> mayRead() && read(open))
 			.isPresent();
 	}
 
@@ -180,6 +238,9 @@
 			logger.atWarning().withCause(ex).log("Cannot close a connection.");
 		}
 		this.waiting.clear();
+		this.waitingBytes = 0;
+		onWaitingBytes(0);
+		onEnded();
 		report(lastEvent);
 	}
 
@@ -218,11 +279,12 @@
 		try {
 			int readBytes = this.channel.read(buffer);
 			if (readBytes > 0) {
-				report(new SocketEvent.Received(ByteString.fromByteBuffer(buffer.flip()), System.nanoTime()));
+				onBytes(buffer.flip(), System.nanoTime());
 			}
 			else if (readBytes < 0) {
 				ready.interestOpsAnd(~SelectionKey.OP_READ);
-				report(SocketEvent.PeerClosed.INSTANCE);
+				this.inputEnded = true;
+				onInputEnded();
 			}
 			return readBytes > 0;
 		}
@@ -232,11 +294,22 @@
 		}
 	}
 
+	private void writeNow(ByteString bytes, BooleanSupplier condition) {
+		if (this.channel.isOpen() && !this.closingAfterWrites) {
+			this.waiting.add(new Message(bytes, condition));
+			this.waitingBytes += bytes.length();
+			endOnError(this::writeWaiting);
+		}
+	}
+
 	private void writeWaiting() {
 		try {
 			while (this.channel.isConnected() && !this.waiting.isEmpty() && writeFirst(this.waiting.peek())) {
 				this.waiting.remove();
 			}
+			if (this.channel.isOpen() && this.channel.isConnected()) {
+				onWaitingBytes(this.waitingBytes);
+			}
 			if (this.channel.isOpen() && this.channel.isConnected()) {
 				closeOrAwaitWritable();
 			}
@@ -253,7 +326,7 @@
 			return first.remainingBytes == 0;
 		}
 		if (first.remainingBytes < first.bytes) {
-			reset("the condition of a message ended while it was written");
+			resetNow("the condition of a message ended while it was written");
 			return false;
 		}
 		this.waitingBytes -= first.bytes;
@@ -269,7 +342,7 @@
 			end("the peer does not read");
 		}
 		else if (this.waiting.isEmpty() && this.closingAfterWrites) {
-			end("closed");
+			onAllWritten();
 		}
 		else {
 			reportWritable(!this.waiting.isEmpty());
@@ -282,7 +355,7 @@
 					report ? open.interestOps() | SelectionKey.OP_WRITE : open.interestOps() & ~SelectionKey.OP_WRITE));
 	}
 
-	private void reset(String reason) {
+	final void resetNow(String reason) {
 		if (this.channel.isOpen()) {
 			try {
 				this.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketEvent.java
@@ -44,6 +44,28 @@
 	 */
 	record Received(ByteString bytes, long receivedNanos) implements SocketEvent {
 
+		/** What the event, its place in a mailbox and the objects in it take. */
+		private static final int OVERHEAD_BYTES = 160;
+
+		/**
+		 * Returns the memory that the event takes until its receiver has copied or
+		 * dropped its bytes, as it is charged to the listener.
+		 * @return the number of bytes
+		 */
+		public long heldBytes() {
+			return (long) OVERHEAD_BYTES + this.bytes.length();
+		}
+
+	}
+
+	/**
+	 * An accepted connection was dropped: nothing more is received. Its owner may send a
+	 * response and has to close it.
+	 *
+	 * @param cause why it was dropped
+	 */
+	record Dropped(RejectionCause cause) implements SocketEvent {
+
 	}
 
 	/** The peer closed its sending side and may still read. Sent at most once. */
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
@@ -33,6 +33,9 @@
 	/** All clients may connect at the same time after an outage. */
 	private static final int BACKLOG = 512;
 
+	/** How often connections are checked for their limits on time. */
+	private static final long SWEEP_MILLIS = 500;
+
 	private static final int READ_BUFFER_BYTES = 16 * 1_024;
 
 	private final Selector selector;
@@ -46,12 +49,22 @@
 	/** Connections that were opened last, in the order of their time limits. */
 	private final Deque<OutgoingSocket> connectingSockets = new ArrayDeque<>();
 
+	/** Sockets whose connections have limits on their time. */
+	private final List<ListeningSocket> sweptSockets = new ArrayList<>();
+
 	private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
 
 	private final Thread thread;
 
 	private volatile boolean stopping;
 
+	/** Time by which clients are measured; see {@link #clockMillis}. */
+	private long clockNanos;
+
+	private long lastNanos = System.nanoTime();
+
+	private long lastSweepNanos = this.lastNanos;
+
 	/**
 	 * Creates a task that is not started.
 	 * @throws UncheckedIOException if the system allows no more file descriptors
@@ -91,6 +104,19 @@
 	 * @throws IOException if the address cannot be bound
 	 */
 	public ListeningSocket listen(InetSocketAddress address) throws IOException {
+		return listen(address, ReceiveLimits.DEFAULT);
+	}
+
+	/**
+	 * Listens on an address as {@link #listen(InetSocketAddress)}, with limits on what
+	 * its connections hold and for how long.
+	 * @param address the address to bind; port 0 selects a free port each time
+	 * @param limits the limits of all connections of the socket; those of the first call
+	 * for an address apply
+	 * @return the listening socket
+	 * @throws IOException if the address cannot be bound
+	 */
+	public ListeningSocket listen(InetSocketAddress address, ReceiveLimits limits) throws IOException {
 		synchronized (this.listeningSockets) {
 			ListeningSocket open = this.listeningSockets.get(address);
 			if (open != null) {
@@ -101,7 +127,7 @@
 				channel.configureBlocking(false);
 				channel.bind(address, BACKLOG);
 				ListeningSocket socket = new ListeningSocket(this, channel,
-						(InetSocketAddress) channel.getLocalAddress());
+						(InetSocketAddress) channel.getLocalAddress(), limits);
 				this.listeningSockets.put(socket.address(), socket);
 				socket.start();
 				return socket;
@@ -136,6 +162,33 @@
 		this.selector.wakeup();
 	}
 
+	/**
+	 * Sends a message to this task without waking it up. The message is handled with the
+	 * next one, with the next bytes, or after half a second while connections are open.
+	 * @param message runs on the thread of this task; must not block
+	 */
+	void tellLater(Runnable message) {
+		this.messages.add(message);
+	}
+
+	/**
+	 * Returns the time by which clients are measured, on the thread of this task. Time in
+	 * which this process did not run is left out, since clients cannot have made progress
+	 * then.
+	 * @return the time in milliseconds
+	 */
+	long clockMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.clockNanos);
+	}
+
+	/**
+	 * Checks the connections of a socket for their limits on time from now on.
+	 * @param socket the socket
+	 */
+	void sweep(ListeningSocket socket) {
+		this.sweptSockets.add(socket);
+	}
+
 	void onListeningSocketClosed(ListeningSocket socket) {
 		synchronized (this.listeningSockets) {
 			this.listeningSockets.remove(socket.address(), socket);
@@ -184,6 +237,7 @@
 		try (Selector owned = this.selector) {
 			while (!this.stopping) {
 				owned.select(waitMillis());
+				advanceClock();
 				this.pausedSockets.forEach(ListeningSocket::resume);
 				this.pausedSockets.clear();
 				for (Runnable message = this.messages.poll(); message != null; message = this.messages.poll()) {
@@ -195,6 +249,7 @@
 					.forEach((key) -> runGuarded((Runnable) key.attachment()));
 				owned.selectedKeys().clear();
 				endConnectionAttempts();
+				sweepConnections();
 			}
 			for (SelectionKey key : owned.keys()) {
 				key.channel().close();
@@ -205,8 +260,27 @@
 		}
 	}
 
+	private void advanceClock() {
+		long nowNanos = System.nanoTime();
+		this.clockNanos += Math.min(nowNanos - this.lastNanos, TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MILLIS));
+		this.lastNanos = nowNanos;
+	}
+
+	// After the messages and bytes that have arrived, so that a connection is not dropped
+	// for what this process has not handled.
+	private void sweepConnections() {
+		if (this.lastNanos - this.lastSweepNanos >= TimeUnit.MILLISECONDS.toNanos(SWEEP_MILLIS)) {
+			this.lastSweepNanos = this.lastNanos;
+			this.sweptSockets.forEach((socket) -> runGuarded(socket::sweep));
+			this.sweptSockets.removeIf(ListeningSocket::isFinished);
+		}
+	}
+
 	private long waitMillis() {
-		long millis = this.pausedSockets.isEmpty() ? 0 : ListeningSocket.PAUSE_MILLIS;
+		long millis = this.sweptSockets.stream().anyMatch(ListeningSocket::hasConnections) ? SWEEP_MILLIS : 0;
+		if (!this.pausedSockets.isEmpty()) {
+			millis = ListeningSocket.PAUSE_MILLIS;
+		}
 		if (this.connectingSockets.isEmpty()) {
 			return millis;
 		}
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/http/socket/HttpListenerTests.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.runtime.socket.ReceiveLimits;
 import io.burdockpin.runtime.socket.SocketTask;
 import org.apache.pekko.actor.ActorRef;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
@@ -29,7 +30,8 @@
 /** Sends requests to a listener over TCP connections. */
 class HttpListenerTests {
 
-	private static final int MAXIMUM_BODY_BYTES = 1_000;
+	private static final ClientLimits LIMITS = new ClientLimits(MessageLimits.DEFAULT.withBodyBytes(1_000),
+			ReceiveLimits.DEFAULT);
 
 	private final ActorTestKit testKit = ActorTestKit.create();
 
@@ -55,8 +57,8 @@
 		TestProbe<ActorRef> created = this.testKit.createTestProbe();
 		this.testKit.spawn(Behaviors.setup((context) -> {
 			created.getRef()
-				.tell(Adapter.actorOf(context, HttpListener.props(this.sockets, requested, MAXIMUM_BODY_BYTES,
-						this::onRequest, this.events.getRef())));
+				.tell(Adapter.actorOf(context,
+						HttpListener.props(this.sockets, requested, LIMITS, this::onRequest, this.events.getRef())));
 			return Behaviors.empty();
 		}));
 		this.listener = created.receiveMessage();
@@ -239,7 +241,7 @@
 
 	@Test
 	void aBodyThatIsTooLongIsRejectedBeforeItIsReceived() throws IOException {
-		assertRejected("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+		assertRejected(413, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
 	}
 
 	/**
@@ -247,19 +249,19 @@
 	 */
 	@Test
 	void aLengthOutOfRangeIsRejected() throws IOException {
-		assertRejected("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4294967295\r\n\r\n");
-		assertRejected("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n");
+		assertRejected(413, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4294967295\r\n\r\n");
+		assertRejected(400, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n");
 	}
 
 	@Test
 	void malformedRequestsAreRejected() throws IOException {
-		assertRejected("hello\r\n\r\n");
+		assertRejected(400, "hello\r\n\r\n");
 	}
 
-	private void assertRejected(String bytes) throws IOException {
+	private void assertRejected(int status, String bytes) throws IOException {
 		try (Socket client = connect()) {
 			send(client, bytes);
-			Truth.assertThat(readUntil(client, "}")).startsWith("HTTP/1.1 400 ");
+			Truth.assertThat(readUntil(client, "}")).startsWith("HTTP/1.1 " + status + " ");
 			Truth.assertThat(client.getInputStream().read()).isEqualTo(-1);
 			Truth.assertThat(this.requests).isEmpty();
 		}
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/ClientLoadTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/batch/ClientLoadTests.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.systemtest.fleet.Await;
@@ -50,6 +51,8 @@
 
 	private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(3);
 
+	private static final Pattern END_OF_PROCESS = Pattern.compile("OutOfMemoryError|SEVERE");
+
 	private final AtomicInteger requests = new AtomicInteger();
 
 	@TempDir
@@ -127,7 +130,9 @@
 			boolean answered = answersAnOrdinaryRequest(target, process, usage);
 			System.out.printf("%s at %s: sent %d KiB, %d of %d connections open, %s%n", load, target,
 					clients.sentBytes() / 1_024, clients.openConnections(), CLIENTS, usage);
-			Truth.assertWithMessage("the process lives").that(process.isAlive()).isTrue();
+			Truth.assertWithMessage("the process lives; its log: %s", process.logLines(END_OF_PROCESS))
+				.that(process.isAlive())
+				.isTrue();
 			Truth.assertWithMessage("an ordinary request is acknowledged").that(answered).isTrue();
 			Truth.assertWithMessage("largest resident memory, KiB")
 				.that(usage.maximumMemoryKilobytes())
--- a/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/settings/SettingsPageTests.java
+++ b/burdockpin-systemtest/src/test/java/io/burdockpin/systemtest/settings/SettingsPageTests.java
@@ -1,8 +1,11 @@
 package io.burdockpin.systemtest.settings;
 
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -13,11 +16,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.truth.Truth;
+import io.burdockpin.batch.ClientLimitSettings;
 import io.burdockpin.control.ControlSettings;
 import io.burdockpin.entry.cfg.AddressSettings;
 import io.burdockpin.entry.cfg.EntrySettings;
 import io.burdockpin.entry.cfg.MemberSettings;
 import io.burdockpin.entry.cfg.PeerSettings;
+import io.burdockpin.runtime.http.socket.ClientLimits;
 import io.burdockpin.runtime.settings.SettingsLoader;
 import io.burdockpin.runtime.tls.TlsSettings;
 import org.junit.jupiter.api.Test;
@@ -51,6 +56,31 @@
 		assertPageAgrees("tls", new TlsSettings("cert.pem", "key.pem", "trust.pem", null));
 	}
 
+	@Test
+	void thePageNamesEachClientLimitWithItsDefaults() throws IOException {
+		List<ClientLimits> defaults = List.of(ClientLimitSettings.DEFAULT.toCallerLimits(),
+				ClientLimitSettings.DEFAULT.toReadinessLimits(), ClientLimitSettings.DEFAULT.toControlLimits());
+		Map<String, List<String>> expected = new TreeMap<>();
+		for (ClientLimits limits : defaults) {
+			Map<String, String> values = new TreeMap<>();
+			flatten("", this.mapper.readTree(this.loader.print(limits.messages())), values);
+			flatten("", this.mapper.readTree(this.loader.print(limits.receiving())), values);
+			values.forEach((name, value) -> expected.computeIfAbsent(name, (added) -> new ArrayList<>())
+				.add("`" + value + "`"));
+		}
+		Map<String, List<String>> page = new TreeMap<>();
+		section("batch scheduler").lines().filter((line) -> line.startsWith("| `")).forEach((line) -> {
+			List<String> cells = Arrays.stream(line.split("\\|")).map(String::strip).toList();
+			page.put(cells.get(1).replace("`", ""), cells.subList(2, 5));
+		});
+		Truth.assertThat(page).isEqualTo(expected);
+		Truth.assertThat(expected.keySet())
+			.containsExactlyElementsIn(
+					Arrays.stream(ClientLimitSettings.ListenerLimitSettings.class.getRecordComponents())
+						.map(RecordComponent::getName)
+						.toList());
+	}
+
 	@Test
 	void eachFirmHasSevenEntryHostsThatKnowEachOther() throws IOException {
 		for (String firm : List.of("quillca", "nadifa")) {
@@ -125,10 +155,8 @@
 	}
 
 	private static Map<String, String> page(String program) throws IOException {
-		String text = Files.readString(ROOT.resolve("docs/settings.md"));
-		String section = text.split("\n## " + program + "\n")[1].split("\n## ")[0];
 		Map<String, String> rows = new TreeMap<>();
-		section.lines().filter((line) -> line.startsWith("| `")).forEach((line) -> {
+		section(program).lines().filter((line) -> line.startsWith("| `")).forEach((line) -> {
 			String[] cells = line.split("\\|");
 			for (String name : cells[1].split(",")) {
 				rows.put(name.strip().replace("`", ""), cells[2].strip());
@@ -137,6 +165,11 @@
 		return rows;
 	}
 
+	private static String section(String program) throws IOException {
+		String text = Files.readString(ROOT.resolve("docs/settings.md"));
+		return text.split("\n## " + program + "\n")[1].split("\n## ")[0];
+	}
+
 	private <T> List<T> loadAll(String firm, String prefix, Class<T> type) throws IOException {
 		try (Stream<Path> files = Files.list(ROOT.resolve("settings").resolve(firm))) {
 			return files.filter((file) -> file.getFileName().toString().startsWith(prefix))
