--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/AcceptedSocket.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/AcceptedSocket.java
@@ -185,11 +185,13 @@
 	}
 
 	/**
-	 * Returns why the time of this connection is over.
+	 * Returns why the time of this connection is over. A closed one still waits for the
+	 * handler of its request.
 	 * @return the cause; empty if it may go on or is not opened yet
 	 */
 	Optional<RejectionCause> overdue() {
-		return this.opened ? this.meter.overdue(task().clockMillis()) : Optional.empty();
+		boolean isTimed = this.opened && (isOpen() || this.meter.phase() == ReceivePhase.HANDLING);
+		return isTimed ? this.meter.overdue(task().clockMillis()) : Optional.empty();
 	}
 
 	ReceiveProgress progress(long nowNanos) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ListeningSocket.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/ListeningSocket.java
@@ -224,10 +224,8 @@
 	/** Drops the connections whose time is over, and logs what was rejected. */
 	void sweep() {
 		for (AcceptedSocket connection : List.copyOf(this.connections)) {
-			if (connection.isOpen()) {
-				connection.endOverdueClosing();
-				connection.overdue().ifPresent((cause) -> drop(connection, cause));
-			}
+			connection.endOverdueClosing();
+			connection.overdue().ifPresent((cause) -> drop(connection, cause));
 		}
 		onCredited();
 		this.rejections.takeReport(System.nanoTime())
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/socket/SocketTask.java
@@ -277,7 +277,7 @@
 	}
 
 	private long waitMillis() {
-		long millis = this.sweptSockets.stream().anyMatch(ListeningSocket::hasConnections) ? SWEEP_MILLIS : 0;
+		long millis = hasAcceptedConnections() ? SWEEP_MILLIS : 0;
 		if (!this.pausedSockets.isEmpty()) {
 			millis = ListeningSocket.PAUSE_MILLIS;
 		}
@@ -289,6 +289,16 @@
 		return (millis > 0) ? Math.min(millis, connectMillis) : connectMillis;
 	}
 
+	// Called for each event, so without a stream.
+	private boolean hasAcceptedConnections() {
+		for (ListeningSocket socket : this.sweptSockets) {
+			if (socket.hasConnections()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private void endConnectionAttempts() {
 		for (OutgoingSocket first = this.connectingSockets.peek(); first != null
 				&& (!first.isConnecting() || first.remainingNanos() <= 0); first = this.connectingSockets.peek()) {
--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/socket/SocketTaskTests.java
@@ -79,6 +79,44 @@
 		}
 	}
 
+	/**
+	 * Guards against memory that clients fill while the process still starts, before
+	 * anyone has opened their connections.
+	 */
+	@Test
+	void connectionsThatAreNotOpenedHoldNoMoreThanTheirListenerMay() throws IOException, InterruptedException {
+		ReceiveLimits limits = new ReceiveLimits(40 * 1_024, 10, 60_000, 60_000, 0, 60_000);
+		this.listening.close();
+		this.listening = this.task.listen(new InetSocketAddress("127.0.0.1", 0), limits);
+		List<Socket> clients = new ArrayList<>();
+		try {
+			for (int number = 0; number < 6; number++) {
+				clients.add(connect());
+				clients.get(number).getOutputStream().write(new byte[16 * 1_024]);
+			}
+			awaitEnd(clients.get(0));
+			this.listening.accept(this.accepted::add);
+			openNext();
+			Truth.assertThat(next(this.events)).isInstanceOf(SocketEvent.Received.class);
+			Truth.assertThat(this.accepted.size()).isAtMost(4);
+		}
+		finally {
+			for (Socket client : clients) {
+				client.close();
+			}
+		}
+	}
+
+	private static void awaitEnd(Socket client) throws IOException {
+		try {
+			Truth.assertThat(client.getInputStream().read()).isEqualTo(-1);
+		}
+		catch (SocketException ex) {
+			// The connection was reset.
+			Truth.assertThat(ex).hasMessageThat().contains("reset");
+		}
+	}
+
 	@Test
 	void anAddressIsBoundOnceUntilItsSocketIsClosed() throws IOException {
 		Truth.assertThat(this.task.listen(this.listening.address())).isSameInstanceAs(this.listening);
