--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/ClientLimitSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/ClientLimitSettings.java
@@ -24,8 +24,11 @@
 	public static final ClientLimitSettings DEFAULT = new ClientLimitSettings(ListenerLimitSettings.NONE,
 			ListenerLimitSettings.NONE, ListenerLimitSettings.NONE);
 
-	/** Twice the 262,144 bytes of the largest legal body of a caller. */
-	private static final int CALLER_BODY_BYTES = 512 * 1_024;
+	/**
+	 * Above the 262,144 bytes of the largest legal body of a caller, and not far above,
+	 * since a body takes several times its length while it is decoded.
+	 */
+	private static final int CALLER_BODY_BYTES = 288 * 1_024;
 
 	/**
 	 * An eighth of the heap of an entry host, since bodies grow when they are decoded.
