--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -50,12 +50,13 @@
  * empty in settings files of earlier versions
  * @param remoteFactor how many times as long a task takes far from its data, or a gang
  * that is spread over racks; empty if not known
+ * @param clientLimits limits of the clients of this process; may be missing
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
 		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond,
-		Map<String, Object> dataCentres, OptionalDouble remoteFactor) {
+		Map<String, Object> dataCentres, OptionalDouble remoteFactor, ClientLimitSettings clientLimits) {
 
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
@@ -161,6 +162,7 @@
 			.map((known) -> Collections.unmodifiableMap(new TreeMap<>(known)))
 			.orElse(Map.of());
 		remoteFactor = Objects.requireNonNullElse(remoteFactor, OptionalDouble.empty());
+		clientLimits = (clientLimits != null) ? clientLimits : ClientLimitSettings.DEFAULT;
 	}
 
 	/**
