--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/LeaderClient.java
@@ -258,8 +258,10 @@
 
 	private void finish(long correlation, FleetReply reply) {
 		Optional.ofNullable(this.calls.remove(correlation)).ifPresent((call) -> {
-			call.replyTo().send(reply);
-			this.events.replied(call.call(), reply, this.clock.millis() - call.openedMillis(), call.unansweredSends());
+			FleetReply truthful = call.truthful(reply);
+			call.replyTo().send(truthful);
+			this.events.replied(call.call(), truthful, this.clock.millis() - call.openedMillis(),
+					call.unansweredSends());
 		});
 	}
 
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/call/PendingCall.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/call/PendingCall.java
@@ -74,6 +74,18 @@
 		return this.lastHost.equals(Optional.of(host));
 	}
 
+	/**
+	 * Returns the reply to the caller. A leader that rejects the last send because of
+	 * overload does not know whether an earlier one will be accepted.
+	 * @param reply the reply of the leader to the last send
+	 * @return the reply, or that the outcome is unknown
+	 */
+	FleetReply truthful(FleetReply reply) {
+		boolean isOverloaded = reply instanceof FleetReply.Refused refused
+				&& refused.reason() == FleetReply.Reason.OVERLOADED;
+		return (isOverloaded && this.unansweredSends > 1) ? new FleetReply.Unknown() : reply;
+	}
+
 	/**
 	 * Returns the reply to a call that is abandoned. The retry delay of a refusal grows
 	 * with the duration of the outage, which is likely to last about as long again.
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
 import io.burdockpin.batch.BatchSettings;
@@ -27,6 +29,8 @@
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.host.HostReply;
 import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
@@ -103,6 +107,9 @@
 
 	private final LeadershipPermit permit;
 
+	/** Jobs whose submission is being committed. */
+	private final Set<String> proposedJobs = new HashSet<>();
+
 	private final List<BatchCommand> queuedCommands = new ArrayList<>();
 
 	private final List<ReplyPort> queuedReplyPorts = new ArrayList<>();
@@ -236,13 +243,28 @@
 	}
 
 	private void onCallerCall(FleetCall.CallerCall call, ReplyPort replyTo) {
-		CallDecision decision = this.rules.decide(call, this.state);
+		CallDecision decision = decide(call);
 		if (decision instanceof CallDecision.Commit) {
 			execute(decision, replyTo);
 		}
 		else {
-			replyWhenConfirmed(replyTo, () -> execute(this.rules.decide(call, this.state), replyTo));
+			replyWhenConfirmed(replyTo, () -> execute(decide(call), replyTo));
+		}
+	}
+
+	private CallDecision decide(FleetCall.CallerCall call) {
+		CallDecision decision = this.rules.decide(call, this.state, this::admit);
+		if (decision instanceof CallDecision.Commit commit
+				&& commit.command() instanceof BatchCommand.SubmitJob submitted) {
+			this.proposedJobs.add(submitted.id());
 		}
+		return decision;
+	}
+
+	// A job that is being committed may be accepted, so a rejection would be false.
+	private Optional<Integer> admit(String job, BatchQueue queue, JobSpec spec) {
+		return this.proposedJobs.contains(job) ? Optional.empty()
+				: this.leader.flatMap((leading) -> leading.admission().retryAfterMillis(job, queue, spec));
 	}
 
 	private void execute(CallDecision decision, ReplyPort replyTo) {
@@ -250,6 +272,9 @@
 			commit(commit.command(), replyTo);
 		}
 		else if (decision instanceof CallDecision.Answer answer) {
+			if (answer.reply() instanceof FleetReply.Refused refused) {
+				this.events.rejected(this.term, refused);
+			}
 			replyTo.send(answer.reply());
 		}
 	}
@@ -379,6 +404,9 @@
 			this.events.applied(index, command, results.get(number), this.state,
 					(task, run) -> leading.contact(task, run, nowMillis));
 			leading.onApplied(command, nowMillis);
+			if (command instanceof BatchCommand.SubmitJob submitted) {
+				this.proposedJobs.remove(submitted.id());
+			}
 		}
 	}
 
@@ -412,6 +440,7 @@
 
 	private void dropLeader() {
 		this.leader = Optional.empty();
+		this.proposedJobs.clear();
 		this.channels.retain((key) -> false);
 		this.events.leaderDropped();
 	}
@@ -476,7 +505,7 @@
 		}
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
-			.ifPresent((period) -> this.events.load(this.term, period));
+			.ifPresent((period) -> this.events.load(this.term, period, this.leader.get().orderFigures()));
 		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -9,10 +9,12 @@
 import java.util.stream.Collectors;
 
 import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.host.HostOrder;
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.overdue.OverdueItem;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
+import io.burdockpin.core.batch.lead.plan.OrderFigures;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -41,6 +43,8 @@
  */
 final class SchedulerEvents {
 
+	private static final int REJECTION_PERIOD_MILLIS = 100;
+
 	private final ActorRef<EventLog.Command> log;
 
 	private final InstantSource wallClock;
@@ -50,6 +54,11 @@
 	/** Number of the last recorded acknowledgement of each runner. */
 	private final Map<RunnerKey, Long> acknowledgedEnds = new HashMap<>();
 
+	private long rejectionRecordedMillis = -REJECTION_PERIOD_MILLIS;
+
+	/** Rejections since the last event about them. */
+	private int unrecordedRejections;
+
 	SchedulerEvents(ActorRef<EventLog.Command> log, InstantSource wallClock) {
 		this.log = log;
 		this.wallClock = wallClock;
@@ -59,7 +68,7 @@
 		record(event(leads ? EventKind.LEADER_ELECTED : EventKind.LEADER_STEPPED_DOWN).with(EventField.TERM, term));
 	}
 
-	void load(long term, LeaderLoad.Period period) {
+	void load(long term, LeaderLoad.Period period, OrderFigures order) {
 		record(event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
@@ -67,7 +76,33 @@
 			.with(EventField.ORDERS, period.orders())
 			.with(EventField.LISTENS, period.heartbeats())
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
-			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis()));
+			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis())
+			.with(EventField.SHORT_POOLS, order.shortPools())
+			.with(EventField.CHOSEN_JOBS, order.chosenJobs())
+			.with(EventField.DEFERRED_JOBS, order.deferredJobs())
+			.with(EventField.BEYOND_WEIGHT_JOBS, order.beyondWeightJobs())
+			.with(EventField.LATE_JOBS, order.lateJobs()));
+	}
+
+	/**
+	 * Records that jobs were rejected because of overload, at most ten times a second.
+	 * @param term the term of the leader
+	 * @param refused the reply; other reasons are recorded by the process that was called
+	 */
+	void rejected(long term, FleetReply.Refused refused) {
+		if (refused.reason() != FleetReply.Reason.OVERLOADED) {
+			return;
+		}
+		this.unrecordedRejections++;
+		long wallMillis = this.wallClock.millis();
+		if (wallMillis - this.rejectionRecordedMillis >= REJECTION_PERIOD_MILLIS) {
+			record(event(EventKind.CALL_REFUSED).with(EventField.TERM, term)
+				.with(EventField.CODE, refused.reason())
+				.with(EventField.COUNT, this.unrecordedRejections)
+				.with(EventField.MILLIS, refused.retryAfterMillis().orElse(0)));
+			this.rejectionRecordedMillis = wallMillis;
+			this.unrecordedRejections = 0;
+		}
 	}
 
 	/**
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/call/PendingCallTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/call/PendingCallTests.java
@@ -1,5 +1,7 @@
 package io.burdockpin.batch.call;
 
+import java.util.Optional;
+
 import com.google.common.truth.Truth;
 import io.burdockpin.batch.port.ReplyPort;
 import io.burdockpin.core.batch.call.FleetCall;
@@ -44,4 +46,17 @@
 		Truth.assertThat(this.call.failureReply(0)).isInstanceOf(FleetReply.Refused.class);
 	}
 
+	/**
+	 * Guards against a rejection of a job that an earlier send may have got accepted.
+	 */
+	@Test
+	void aRejectionBecauseOfOverloadIsUnknownIfTheCallWasSentTwice() {
+		FleetReply overloaded = new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(1_000));
+		this.call.onSent("10.0.0.1");
+		Truth.assertThat(this.call.truthful(overloaded)).isEqualTo(overloaded);
+		this.call.onSent("10.0.0.1");
+		Truth.assertThat(this.call.truthful(overloaded)).isInstanceOf(FleetReply.Unknown.class);
+		Truth.assertThat(this.call.truthful(new FleetReply.Accepted())).isEqualTo(new FleetReply.Accepted());
+	}
+
 }
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.lead.plan.OrderFigures;
 import io.burdockpin.core.batch.lead.run.ReleaseReason;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -88,6 +90,26 @@
 				"8", EventField.SESSION, "77"));
 	}
 
+	/** Guards against an event log that is flooded by an overload. */
+	@Test
+	void rejectionsBecauseOfOverloadAreRecordedOnceInAWhile() {
+		this.events.rejected(3, new FleetReply.Refused(FleetReply.Reason.KEY_REFUSED, Optional.empty()));
+		this.events.rejected(3, new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(4_000)));
+		this.events.rejected(3, new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(4_000)));
+		expect(EventKind.CALL_REFUSED, Map.of(EventField.TERM, "3", EventField.CODE, "OVERLOADED", EventField.COUNT,
+				"1", EventField.MILLIS, "4000"));
+		this.log.expectNoMessage();
+	}
+
+	/** Guards against a shortage that operators cannot see. */
+	@Test
+	void theLoadOfTheLeaderNamesTheJobsThatAreDeferred() {
+		this.events.load(3, new LeaderLoad.Period(1_000, 1, 2, 3, 4, 5, 6), new OrderFigures(1, 20, 30, 40, 50));
+		Truth.assertThat(next(EventKind.LEADER_LOAD).fields())
+			.containsAtLeast(EventField.SHORT_POOLS, "1", EventField.CHOSEN_JOBS, "20", EventField.DEFERRED_JOBS, "30",
+					EventField.BEYOND_WEIGHT_JOBS, "40", EventField.LATE_JOBS, "50");
+	}
+
 	private static RunnerDispatch dispatch(RunnerOrder order) {
 		return new RunnerDispatch(RUNNER, SESSION, order, 700);
 	}
--- a/burdockpin-codec/src/main/java/io/burdockpin/codec/cbor/BatchCborMapper.java
+++ b/burdockpin-codec/src/main/java/io/burdockpin/codec/cbor/BatchCborMapper.java
@@ -38,6 +38,8 @@
 
 	private static ObjectMapper create() {
 		SimpleModule payloads = new SimpleModule();
+		payloads.addSerializer(FleetReply.Refused.class, new RefusedSerializer());
+		payloads.addDeserializer(FleetReply.Refused.class, new RefusedDeserializer());
 		payloads.addSerializer(Payload.class, new PayloadSerializer());
 		payloads.addDeserializer(Payload.class, new PayloadDeserializer());
 		CBORMapper mapper = CBORMapper.builder()
--- a/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
+++ b/burdockpin-codec/src/test/java/io/burdockpin/codec/cbor/CborCodecTests.java
@@ -9,7 +9,11 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.google.common.truth.Truth;
 import io.burdockpin.codec.exc.CodecException;
 import io.burdockpin.core.batch.call.CallMessage;
@@ -168,6 +172,8 @@
 				new FleetReply.QueueStatus(4), new FleetReply.Configuration(Payload.ofText("{}")),
 				new FleetReply.WaveStatus(true),
 				new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.of(1_000)),
+				new FleetReply.Refused(FleetReply.Reason.INVALID, Optional.empty()),
+				new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(4_000)),
 				new FleetReply.NotLeader(Optional.empty(), List.of("10.0.0.1")),
 				new FleetReply.Leads(List.of("10.0.0.1")), new FleetReply.Unknown());
 		replies.forEach((reply) -> {
@@ -176,6 +182,33 @@
 		});
 	}
 
+	/**
+	 * Guards against entry hosts of the previous release that fail on a new reason. That
+	 * release reads the record without a deserializer of its own.
+	 */
+	@Test
+	void anOverloadIsReadByThePreviousReleaseAsARefusalWithARetryDelay() throws IOException {
+		FleetReply overloaded = new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(4_000));
+		JsonNode fields = new CBORMapper().readTree(new CborCallCodec().encode(new CallMessage.Reply(2, overloaded)))
+			.path("reply");
+		CBORMapper previous = CBORMapper.builder()
+			.addModule(new Jdk8Module())
+			.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+			.build();
+		Truth.assertThat(fields.path("type").asText()).isEqualTo("Refused");
+		Truth.assertThat(previous.treeToValue(fields, FleetReply.Refused.class))
+			.isEqualTo(new FleetReply.Refused(FleetReply.Reason.NO_CONFIGURATION, Optional.of(4_000)));
+	}
+
+	/** Guards against a reason of a later release that breaks the link. */
+	@Test
+	void anExactReasonOfALaterReleaseIsReplacedByTheKnownOne() throws IOException {
+		byte[] encoded = BatchCborMapper.INSTANCE.writeValueAsBytes(Map.of("type", "Reply", "correlation", 1, "reply",
+				Map.of("type", "Refused", "reason", "NO_LEADER", "exactReason", "LATER")));
+		Truth.assertThat(new CborCallCodec().decode(encoded))
+			.isEqualTo(new CallMessage.Reply(1, new FleetReply.Refused(FleetReply.Reason.NO_LEADER, Optional.empty())));
+	}
+
 	@Test
 	void aRequestToJoinOfAnotherVersionIsRead() throws IOException {
 		Map<String, Object> join = new LinkedHashMap<>();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -25,9 +25,10 @@
 	 * Decides about a call to a job or a queue.
 	 * @param call the call with the address and key of the caller
 	 * @param state the replicated state
+	 * @param admission decides about jobs that are not known yet
 	 * @return a refusal, an answer from the state, or a command to commit
 	 */
-	public CallDecision decide(FleetCall.CallerCall call, BatchState state) {
+	public CallDecision decide(FleetCall.CallerCall call, BatchState state, JobAdmission admission) {
 		if (state.configuration().isEmpty()) {
 			return new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.NO_CONFIGURATION,
 					Optional.of(CONFIGURATION_RETRY_MILLIS)));
@@ -44,7 +45,7 @@
 		String owner = workspace.map(Workspace::name).orElse("");
 		String job = call.path().substring(queue.get().pathPrefix().length());
 		if (call instanceof FleetCall.Submit submit) {
-			return submit(submit, queue.get(), owner, job, state);
+			return submit(submit, queue.get(), owner, job, state, admission);
 		}
 		if (call instanceof FleetCall.Look && job.isEmpty()) {
 			return new CallDecision.Answer(new FleetReply.QueueStatus(state.queuedJobCount(queue.get().address())));
@@ -120,7 +121,7 @@
 	}
 
 	private static CallDecision submit(FleetCall.Submit call, BatchQueue queue, String owner, String job,
-			BatchState state) {
+			BatchState state, JobAdmission admission) {
 		if (job.isEmpty()) {
 			return refuse(FleetReply.Reason.INVALID);
 		}
@@ -129,6 +130,10 @@
 			boolean isSame = known.get().isAt(queue.address()) && mayAccess(known.get(), queue, owner);
 			return new CallDecision.Answer(isSame ? new FleetReply.Accepted() : IDENTIFIER_IN_USE);
 		}
+		Optional<Integer> retryAfterMillis = admission.retryAfterMillis(job, queue, call.spec());
+		if (retryAfterMillis.isPresent()) {
+			return new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.OVERLOADED, retryAfterMillis));
+		}
 		return new CallDecision.Commit(
 				new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec(), Optional.of(queue.address())));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
@@ -113,6 +113,12 @@
 		/** The content of the call is not valid. */
 		INVALID,
 
+		/**
+		 * The job would end too late to be of use, even before all other new ones. It was
+		 * not stored.
+		 */
+		OVERLOADED,
+
 		/**
 		 * No leader was reached in time; the call was not sent or was rejected without
 		 * effect.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import io.burdockpin.core.batch.call.JobAdmission;
 import io.burdockpin.core.batch.lead.host.HostEntry;
 import io.burdockpin.core.batch.lead.host.HostOrder;
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
@@ -27,6 +28,8 @@
 import io.burdockpin.core.batch.lead.overdue.OverdueWatch;
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.lead.plan.FreeCapacity;
+import io.burdockpin.core.batch.lead.plan.OrderFigures;
+import io.burdockpin.core.batch.lead.plan.OverloadAdmission;
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
 import io.burdockpin.core.batch.lead.pool.PoolBalancer;
@@ -185,6 +188,8 @@
 
 	private Plan latestPlan = Plan.EMPTY;
 
+	private Optional<OverloadAdmission> admission = Optional.empty();
+
 	/**
 	 * Creates the leader of a term.
 	 * @param state replicated state, with all entries of earlier terms applied
@@ -514,6 +519,26 @@
 		}
 	}
 
+	/**
+	 * Returns the admission of new jobs under the load at the time of the latest plan.
+	 * @return decision about jobs that are not known yet
+	 */
+	public JobAdmission admission() {
+		if (this.admission.isEmpty()) {
+			this.admission = Optional
+				.of(OverloadAdmission.of(this.state, this.durationEstimator, this.balancer.spareHostCount()));
+		}
+		return this.admission.get();
+	}
+
+	/**
+	 * Returns the figures of the order in the latest plan.
+	 * @return figures over the pools that lacked capacity
+	 */
+	public OrderFigures orderFigures() {
+		return this.latestPlan.order();
+	}
+
 	/**
 	 * Checks the open work for items that are overdue, once a second. Changes no
 	 * decision. Called after {@link #decide}, since only then it is known which capacity
@@ -587,6 +612,7 @@
 			this.proposals.add(new BatchCommand.AssignRuns(assignments));
 		}
 		this.latestPlan = plan;
+		this.admission = Optional.empty();
 	}
 
 	// The members of a gang are assigned together or not at all.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/SlackCalculator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/SlackCalculator.java
@@ -64,6 +64,17 @@
 		return criticalPathMillis(job.address().orElseThrow(), job.spec(), step);
 	}
 
+	/**
+	 * Returns the estimated duration of the longest chain of dependent steps of a job
+	 * that is not known yet.
+	 * @param queue address of the queue
+	 * @param spec specification of the job
+	 * @return duration in milliseconds
+	 */
+	long chainMillis(QueueAddress queue, JobSpec spec) {
+		return criticalPathMillis(queue, spec, 0);
+	}
+
 	private static long startMillis(BatchJob job, Occurrence occurrence) {
 		return job.spec().dueMillis(occurrence.number(), job.acceptedMillis());
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
@@ -167,6 +167,14 @@
 		this.proposedHosts.remove(host);
 	}
 
+	/**
+	 * Returns the number of hosts in the spare pool.
+	 * @return 0 before the platform's host list has been read
+	 */
+	public int spareHostCount() {
+		return this.spareHosts.size();
+	}
+
 	/**
 	 * Checks whether the platform's host list has to be read, and schedules the next read
 	 * if so.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -155,6 +155,21 @@
 	 */
 	CHANGED_WALL_MILLIS("changedWallMillis"),
 
+	/** Number of pools without free capacity for all waiting tasks. */
+	SHORT_POOLS("shortPools"),
+
+	/** Number of new jobs for which a short pool has capacity until their objective. */
+	CHOSEN_JOBS("chosenJobs"),
+
+	/** Number of new jobs that are deferred because a short pool cannot serve all. */
+	DEFERRED_JOBS("deferredJobs"),
+
+	/** Number of new jobs submitted beyond the weight of their workspace. */
+	BEYOND_WEIGHT_JOBS("beyondWeightJobs"),
+
+	/** Number of jobs in short pools that cannot be in time. */
+	LATE_JOBS("lateJobs"),
+
 	/** Short free text. */
 	DETAIL("detail");
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -50,13 +50,35 @@
 		configure(1, "pool");
 		FleetCall.Submit submit = new FleetCall.Submit("host", "/queue-pool/job", Optional.of("key"),
 				BatchFixtures.job(BatchFixtures.step(1)));
-		CallDecision.Commit commit = (CallDecision.Commit) this.rules.decide(submit, this.state);
+		CallDecision.Commit commit = (CallDecision.Commit) this.rules.decide(submit, this.state, JobAdmission.ALWAYS);
 		apply(commit.command());
 		Truth.assertThat(answer(submit)).isEqualTo(new FleetReply.Accepted());
 		Truth.assertThat(answer(look("/queue-pool/job", "key")))
 			.isEqualTo(new FleetReply.JobStatus(BatchJobPhase.QUEUED));
 	}
 
+	/**
+	 * Guards against a rejected job that is stored, and against a rejection of a job that
+	 * was accepted before.
+	 */
+	@Test
+	void anOverloadRejectsNewJobsWithARetryDelayAndAcknowledgesKnownOnes() {
+		configure(1, "pool");
+		FleetCall.Submit known = submitOf("known");
+		apply(((CallDecision.Commit) this.rules.decide(known, this.state, JobAdmission.ALWAYS)).command());
+		JobAdmission overloaded = (job, queue, spec) -> Optional.of(4_000);
+		Truth.assertThat(this.rules.decide(submitOf("new"), this.state, overloaded))
+			.isEqualTo(
+					new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(4_000))));
+		Truth.assertThat(this.rules.decide(known, this.state, overloaded))
+			.isEqualTo(new CallDecision.Answer(new FleetReply.Accepted()));
+	}
+
+	private static FleetCall.Submit submitOf(String job) {
+		return new FleetCall.Submit("host", "/queue-pool/" + job, Optional.of("key"),
+				BatchFixtures.job(BatchFixtures.step(1)));
+	}
+
 	/** Guards against reading the jobs of one workspace with a key of another. */
 	@Test
 	void aJobOfAnotherWorkspaceIsNotKnown() {
@@ -155,7 +177,7 @@
 	}
 
 	private FleetReply answer(FleetCall.CallerCall call) {
-		return ((CallDecision.Answer) this.rules.decide(call, this.state)).reply();
+		return ((CallDecision.Answer) this.rules.decide(call, this.state, JobAdmission.ALWAYS)).reply();
 	}
 
 	private FleetReply.Reason reason(FleetCall.CallerCall call) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
@@ -9,6 +9,7 @@
 import io.burdockpin.core.batch.call.CallRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.call.JobAdmission;
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
@@ -138,7 +139,7 @@
 	@Test
 	void aSubmissionIsRefusedIfItsQueueIsRemovedWhileItIsBeingCommitted() {
 		CallDecision.Commit decided = (CallDecision.Commit) this.rules
-			.decide(new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB), this.state);
+			.decide(new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB), this.state, JobAdmission.ALWAYS);
 		configure(queue("second", "/others/", "other"));
 		List<CommandResult> results = this.state.apply(new CommandGroup(1_000, List.of(decided.command())));
 		Truth.assertThat(this.rules.reply(decided.command(), results.get(0)))
@@ -192,19 +193,19 @@
 	void aJobWhoseIdentifierAnotherQueueHasIsRefused() {
 		submit("/jobs/a");
 		FleetCall.Submit second = new FleetCall.Submit("host", "/others/a", Optional.of("key"), JOB);
-		Truth.assertThat(this.rules.decide(second, this.state))
+		Truth.assertThat(this.rules.decide(second, this.state, JobAdmission.ALWAYS))
 			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.INVALID)));
 		FleetCall.Submit resent = new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB);
-		Truth.assertThat(this.rules.decide(resent, this.state))
+		Truth.assertThat(this.rules.decide(resent, this.state, JobAdmission.ALWAYS))
 			.isEqualTo(new CallDecision.Answer(new FleetReply.Accepted()));
 	}
 
 	@Test
 	void ofTwoJobsWithOneIdentifierThatAreCommittedTogetherOneIsRefused() {
 		CallDecision.Commit first = (CallDecision.Commit) this.rules
-			.decide(new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB), this.state);
-		CallDecision.Commit second = (CallDecision.Commit) this.rules
-			.decide(new FleetCall.Submit("host", "/others/a", Optional.of("key"), JOB), this.state);
+			.decide(new FleetCall.Submit("host", "/jobs/a", Optional.of("key"), JOB), this.state, JobAdmission.ALWAYS);
+		CallDecision.Commit second = (CallDecision.Commit) this.rules.decide(
+				new FleetCall.Submit("host", "/others/a", Optional.of("key"), JOB), this.state, JobAdmission.ALWAYS);
 		List<BatchCommand> commands = List.of(first.command(), first.command(), second.command());
 		List<CommandResult> results = this.state.apply(new CommandGroup(1_000, commands));
 		Truth.assertThat(this.rules.reply(first.command(), results.get(0))).isEqualTo(new FleetReply.Accepted());
@@ -254,11 +255,12 @@
 	}
 
 	private void commit(FleetCall.CallerCall call) {
-		apply(((CallDecision.Commit) this.rules.decide(call, this.state)).command());
+		apply(((CallDecision.Commit) this.rules.decide(call, this.state, JobAdmission.ALWAYS)).command());
 	}
 
 	private FleetReply look(String path) {
-		CallDecision decision = this.rules.decide(new FleetCall.Look("host", path, Optional.of("key")), this.state);
+		CallDecision decision = this.rules.decide(new FleetCall.Look("host", path, Optional.of("key")), this.state,
+				JobAdmission.ALWAYS);
 		return ((CallDecision.Answer) decision).reply();
 	}
 
