--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -29,6 +31,8 @@
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.host.HostReply;
 import io.burdockpin.core.batch.lead.run.RunnerOrder;
+import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
 import io.burdockpin.core.batch.state.CommandGroup;
@@ -107,6 +111,9 @@
 
 	private final LeadershipPermit permit;
 
+	/** Jobs whose submission is being committed. */
+	private final Set<String> proposedJobs = new HashSet<>();
+
 	private final List<BatchCommand> queuedCommands = new ArrayList<>();
 
 	private final List<ReplyPort> queuedReplyPorts = new ArrayList<>();
@@ -216,7 +223,7 @@
 		FleetCall call = command.call();
 		ReplyPort replyTo = command.replyTo();
 		if (call instanceof FleetCall.CallerCall callerCall) {
-			executeWhenConfirmed(() -> this.rules.decide(callerCall, this.state), replyTo);
+			executeWhenConfirmed(() -> decide(callerCall), replyTo);
 		}
 		else if (call instanceof FleetCall.DataCentreCall order) {
 			executeWhenConfirmed(() -> this.dataCentreRules.decide(order, this.state), replyTo);
@@ -257,7 +264,7 @@
 	private FleetReply explain(FleetCall.ExplainPlacement call) {
 		long nowMillis = this.clock.millis();
 		FleetReply reply = this.rules.explain(call,
-				this.leader.orElseThrow().explainer(nowMillis, this.wallClock.millis()), this.state);
+				this.leader.orElseThrow().explainer(nowMillis, this.wallClock.millis()), this::admit, this.state);
 		return (reply instanceof FleetReply.Placement placement) ? new FleetReply.Placement(placement.explanation()
 			.from(this.appliedIndex, nowMillis - this.appliedMillis,
 					this.knownLeader.map((member) -> member.host().value()).orElse("")))
@@ -275,11 +282,29 @@
 		}
 	}
 
+	private CallDecision decide(FleetCall.CallerCall call) {
+		CallDecision decision = this.rules.decide(call, this.state, this::admit);
+		if (decision instanceof CallDecision.Commit commit
+				&& commit.command() instanceof BatchCommand.SubmitJob submitted) {
+			this.proposedJobs.add(submitted.id());
+		}
+		return decision;
+	}
+
+	// A job that is being committed may be accepted, so a rejection would be false.
+	private Optional<Integer> admit(String job, BatchQueue queue, JobSpec spec) {
+		return this.proposedJobs.contains(job) ? Optional.empty()
+				: this.leader.flatMap((leading) -> leading.admission().retryAfterMillis(job, queue, spec));
+	}
+
 	private void execute(CallDecision decision, ReplyPort replyTo) {
 		if (decision instanceof CallDecision.Commit commit) {
 			commit(commit.command(), replyTo);
 		}
 		else if (decision instanceof CallDecision.Answer answer) {
+			if (answer.reply() instanceof FleetReply.Refused refused) {
+				this.events.rejected(this.term, refused);
+			}
 			replyTo.send(answer.reply());
 		}
 	}
@@ -414,6 +439,9 @@
 			if (command instanceof BatchCommand.CloseDataCentre && results.get(number) == CommandResult.APPLIED) {
 				warnIfAllAreClosed();
 			}
+			if (command instanceof BatchCommand.SubmitJob submitted) {
+				this.proposedJobs.remove(submitted.id());
+			}
 		}
 	}
 
@@ -456,6 +484,7 @@
 
 	private void dropLeader() {
 		this.leader = Optional.empty();
+		this.proposedJobs.clear();
 		this.channels.retain((key) -> false);
 		this.events.leaderDropped();
 	}
@@ -520,8 +549,8 @@
 		}
 		this.load.onTick(this.clock.millis())
 			.filter((period) -> this.leader.isPresent())
-			.ifPresent((period) -> this.events.load(this.term, period, this.leader.get().placementWaits().drainCounts(),
-					this.state));
+			.ifPresent((period) -> this.events.load(this.term, period, this.leader.get().orderFigures(),
+					this.leader.get().placementWaits().drainCounts(), this.state));
 		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -9,12 +9,14 @@
 import java.util.stream.Collectors;
 
 import io.burdockpin.core.batch.call.FleetCall;
+import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.lead.host.HostOrder;
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.overdue.OverdueItem;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
 import io.burdockpin.core.batch.lead.place.WaitCounts;
 import io.burdockpin.core.batch.lead.place.WaitNotice;
+import io.burdockpin.core.batch.lead.plan.OrderFigures;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -44,6 +46,8 @@
  */
 final class SchedulerEvents {
 
+	private static final int REJECTION_PERIOD_MILLIS = 100;
+
 	private final ActorRef<EventLog.Command> log;
 
 	private final InstantSource wallClock;
@@ -53,6 +57,11 @@
 	/** Number of the last recorded acknowledgement of each runner. */
 	private final Map<RunnerKey, Long> acknowledgedEnds = new HashMap<>();
 
+	private long rejectionRecordedMillis = -REJECTION_PERIOD_MILLIS;
+
+	/** Rejections since the last event about them. */
+	private int unrecordedRejections;
+
 	SchedulerEvents(ActorRef<EventLog.Command> log, InstantSource wallClock) {
 		this.log = log;
 		this.wallClock = wallClock;
@@ -67,10 +76,11 @@
 	 * are still in closed ones.
 	 * @param term the term of the leader
 	 * @param period the load
+	 * @param order the order of the latest planning round
 	 * @param waits the waits for better places that have ended
 	 * @param state the replicated state
 	 */
-	void load(long term, LeaderLoad.Period period, WaitCounts waits, BatchState state) {
+	void load(long term, LeaderLoad.Period period, OrderFigures order, WaitCounts waits, BatchState state) {
 		Event load = event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
@@ -80,7 +90,12 @@
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
 			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis())
 			.with(EventField.WAITS_PAID, waits.paid())
-			.with(EventField.WAITS_UNPAID, waits.unpaid());
+			.with(EventField.WAITS_UNPAID, waits.unpaid())
+			.with(EventField.SHORT_POOLS, order.shortPools())
+			.with(EventField.CHOSEN_JOBS, order.chosenJobs())
+			.with(EventField.DEFERRED_JOBS, order.deferredJobs())
+			.with(EventField.BEYOND_WEIGHT_JOBS, order.beyondWeightJobs())
+			.with(EventField.LATE_JOBS, order.lateJobs());
 		record(state.closedDataCentres().isEmpty() ? load : load.with(EventField.CLOSED_TASKS,
 				state.closedDataCentres().keySet().stream().mapToInt(state::runCountIn).sum()));
 	}
@@ -122,6 +137,27 @@
 			.with(EventField.MILLIS, notice.millis()));
 	}
 
+	/**
+	 * Records that jobs were rejected because of overload, at most ten times a second.
+	 * @param term the term of the leader
+	 * @param refused the reply; other reasons are recorded by the process that was called
+	 */
+	void rejected(long term, FleetReply.Refused refused) {
+		if (refused.reason() != FleetReply.Reason.OVERLOADED) {
+			return;
+		}
+		this.unrecordedRejections++;
+		long wallMillis = this.wallClock.millis();
+		if (wallMillis - this.rejectionRecordedMillis >= REJECTION_PERIOD_MILLIS) {
+			record(event(EventKind.CALL_REFUSED).with(EventField.TERM, term)
+				.with(EventField.CODE, refused.reason())
+				.with(EventField.COUNT, this.unrecordedRejections)
+				.with(EventField.MILLIS, refused.retryAfterMillis().orElse(0)));
+			this.rejectionRecordedMillis = wallMillis;
+			this.unrecordedRejections = 0;
+		}
+	}
+
 	/**
 	 * Records what is overdue of one kind, or that nothing is any more.
 	 * @param term the term of the leader
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -27,9 +27,10 @@
 	 * Decides about a call to a job or a queue.
 	 * @param call the call with the address and key of the caller
 	 * @param state the replicated state
+	 * @param admission decides about jobs that are not known yet
 	 * @return a refusal, an answer from the state, or a command to commit
 	 */
-	public CallDecision decide(FleetCall.CallerCall call, BatchState state) {
+	public CallDecision decide(FleetCall.CallerCall call, BatchState state, JobAdmission admission) {
 		if (state.configuration().isEmpty()) {
 			return new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.NO_CONFIGURATION,
 					Optional.of(CONFIGURATION_RETRY_MILLIS)));
@@ -46,7 +47,7 @@
 		String owner = workspace.map(Workspace::name).orElse("");
 		String job = call.path().substring(queue.get().pathPrefix().length());
 		if (call instanceof FleetCall.Submit submit) {
-			return submit(submit, queue.get(), owner, job, state);
+			return submit(submit, queue.get(), owner, job, state, admission);
 		}
 		if (call instanceof FleetCall.Look && job.isEmpty()) {
 			return new CallDecision.Answer(new FleetReply.QueueStatus(state.queuedJobCount(queue.get().address())));
@@ -112,10 +113,12 @@
 	 * Explains where a job would be placed now.
 	 * @param call the call with a job or a submission
 	 * @param explainer explains with the decisions of the leader
+	 * @param admission decides whether a new job can be accepted
 	 * @param state the replicated state, which is not changed
 	 * @return the explanation, or a refusal if the job is not known
 	 */
-	public FleetReply explain(FleetCall.ExplainPlacement call, PlacementExplainer explainer, BatchState state) {
+	public FleetReply explain(FleetCall.ExplainPlacement call, PlacementExplainer explainer, JobAdmission admission,
+			BatchState state) {
 		if (call.submission().isEmpty()) {
 			return call.job()
 				.flatMap(state::job)
@@ -123,7 +126,7 @@
 				.orElseGet(() -> new FleetReply.Refused(FleetReply.Reason.NO_SUCH_JOB, Optional.empty()));
 		}
 		FleetCall.Submit submission = call.submission().get();
-		CallDecision decision = decide(submission, state);
+		CallDecision decision = decide(submission, state, admission);
 		if (decision instanceof CallDecision.Commit commit
 				&& commit.command() instanceof BatchCommand.SubmitJob submitted) {
 			return new FleetReply.Placement(explainer.explain(state, submitted));
@@ -152,7 +155,7 @@
 	}
 
 	private static CallDecision submit(FleetCall.Submit call, BatchQueue queue, String owner, String job,
-			BatchState state) {
+			BatchState state, JobAdmission admission) {
 		if (job.isEmpty()) {
 			return refuse(FleetReply.Reason.INVALID);
 		}
@@ -161,6 +164,10 @@
 			boolean isSame = known.get().isAt(queue.address()) && mayAccess(known.get(), queue, owner);
 			return new CallDecision.Answer(isSame ? new FleetReply.Accepted() : IDENTIFIER_IN_USE);
 		}
+		Optional<Integer> retryAfterMillis = admission.retryAfterMillis(job, queue, call.spec());
+		if (retryAfterMillis.isPresent()) {
+			return new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.OVERLOADED, retryAfterMillis));
+		}
 		return new CallDecision.Commit(
 				new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec(), Optional.of(queue.address())));
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import io.burdockpin.core.batch.call.JobAdmission;
 import io.burdockpin.core.batch.lead.closing.ClosedDataCentres;
 import io.burdockpin.core.batch.lead.closing.LongRunningEvacuation;
 import io.burdockpin.core.batch.lead.host.HostEntry;
@@ -32,6 +33,8 @@
 import io.burdockpin.core.batch.lead.place.RunEndEstimator;
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.lead.plan.FreeCapacity;
+import io.burdockpin.core.batch.lead.plan.OrderFigures;
+import io.burdockpin.core.batch.lead.plan.OverloadAdmission;
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
 import io.burdockpin.core.batch.lead.pool.PoolBalancer;
@@ -172,6 +175,8 @@
 
 	private Plan latestPlan = Plan.EMPTY;
 
+	private Optional<OverloadAdmission> admission = Optional.empty();
+
 	/**
 	 * Creates the leader of a term.
 	 * @param state replicated state, with all entries of earlier terms applied
@@ -196,7 +201,8 @@
 				settings.balance().lookAheadMillis(), this::assignedMillis,
 				(run) -> session(run.runner()).map((session) -> session.percent(run.task())).orElse(0));
 		this.placementWaits = new PlacementWaits(new PlacementWait(settings.remoteFactor()), this.runEnds);
-		this.planner = new TaskPlanner(this.durationEstimator, this.placementWaits);
+		this.planner = new TaskPlanner(this.durationEstimator, settings.balance().lookAheadMillis(),
+				this.placementWaits);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		this.jobStarts = new JobStartRecorder(state);
 		this.overdueWatch = new OverdueWatch(settings, nowMillis);
@@ -263,8 +269,9 @@
 	public PlacementExplainer explainer(long nowMillis, long wallMillis) {
 		Set<RunnerKey> drained = drainedRunners();
 		this.runEnds.setTime(nowMillis, wallMillis);
-		return new PlacementExplainer(this.durationEstimator, this.placementWaits, usableRunners(drained, nowMillis),
-				drained, (runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
+		return new PlacementExplainer(this.durationEstimator, this.settings.balance().lookAheadMillis(),
+				this.placementWaits, usableRunners(drained, nowMillis), drained,
+				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 	}
 
 	/**
@@ -537,6 +544,26 @@
 		}
 	}
 
+	/**
+	 * Returns the admission of new jobs under the load at the time of the latest plan.
+	 * @return decision about jobs that are not known yet
+	 */
+	public JobAdmission admission() {
+		if (this.admission.isEmpty()) {
+			this.admission = Optional
+				.of(OverloadAdmission.of(this.state, this.durationEstimator, this.balancer.spareHostCount()));
+		}
+		return this.admission.get();
+	}
+
+	/**
+	 * Returns the figures of the order in the latest plan.
+	 * @return figures over the pools that lacked capacity
+	 */
+	public OrderFigures orderFigures() {
+		return this.latestPlan.order();
+	}
+
 	/**
 	 * Checks the open work for items that are overdue, once a second. Changes no
 	 * decision. Called after {@link #decide}, since only then it is known which capacity
@@ -597,6 +624,7 @@
 			this.proposals.add(new BatchCommand.AssignRuns(assignments));
 		}
 		this.latestPlan = plan;
+		this.admission = Optional.empty();
 		if (!this.state.closedDataCentres().isEmpty()) {
 			this.evacuation.onPlan(
 					usable.stream().filter((runner) -> isSuitableForLongRunning(runner, nowMillis)).toList(),
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
@@ -31,14 +31,16 @@
  * is submitted to a copy of the state. Immutable.
  *
  * @param durations estimator for task durations
+ * @param moveMillis expected duration of a host move, in milliseconds
  * @param waits waits of the leader, which are not changed
  * @param runners runners that accept new tasks
  * @param drainedRunners runners whose tasks are stopped for maintenance
  * @param reliability returns the reliability of a runner
  * @param wallMillis current wall-clock time, in milliseconds since the epoch
  */
-public record PlacementExplainer(DurationEstimator durations, PlacementWaits waits, List<RunnerRecord> runners,
-		Set<RunnerKey> drainedRunners, Function<RunnerKey, RunnerReliability> reliability, long wallMillis) {
+public record PlacementExplainer(DurationEstimator durations, int moveMillis, PlacementWaits waits,
+		List<RunnerRecord> runners, Set<RunnerKey> drainedRunners, Function<RunnerKey, RunnerReliability> reliability,
+		long wallMillis) {
 
 	/**
 	 * Explains a job that is not accepted.
@@ -64,7 +66,8 @@
 
 	private PlacementExplanation explain(BatchState state, BatchJob job, boolean accepted) {
 		Trace trace = new Trace(job.id(), this.wallMillis);
-		List<BatchCommand.Assignment> assignments = new TaskPlanner(this.durations, this.waits.copy(trace))
+		List<BatchCommand.Assignment> assignments = new TaskPlanner(this.durations, this.moveMillis,
+				this.waits.copy(trace))
 			.plan(state, this.runners, this.drainedRunners, this.reliability, this.wallMillis)
 			.assignments();
 		Optional<BatchQueue> queue = job.configuredQueue();
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementExplainerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementExplainerTests.java
@@ -10,6 +10,7 @@
 import io.burdockpin.core.batch.call.CallRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.call.JobAdmission;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.state.BatchFixtures;
@@ -90,7 +91,8 @@
 		FleetCall.Submit withoutKey = new FleetCall.Submit("host", "/queue-pool/asked", Optional.empty(), spec);
 		Truth.assertThat(explain(pool, withoutKey).refusal()).isEqualTo(Optional.of("KEY_REFUSED"));
 		FleetReply reply = new CallRules().explain(
-				new FleetCall.ExplainPlacement(Optional.of("missing"), Optional.empty()), explainer(pool), pool.state);
+				new FleetCall.ExplainPlacement(Optional.of("missing"), Optional.empty()), explainer(pool),
+				JobAdmission.ALWAYS, pool.state);
 		Truth.assertThat(reply).isEqualTo(new FleetReply.Refused(FleetReply.Reason.NO_SUCH_JOB, Optional.empty()));
 	}
 
@@ -134,7 +136,8 @@
 	}
 
 	private static PlacementExplanation explain(PlacementModel pool, FleetCall.ExplainPlacement call) {
-		return ((FleetReply.Placement) new CallRules().explain(call, explainer(pool), pool.state)).explanation();
+		return ((FleetReply.Placement) new CallRules().explain(call, explainer(pool), JobAdmission.ALWAYS, pool.state))
+			.explanation();
 	}
 
 	private static PlacementExplainer explainer(PlacementModel pool) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
@@ -118,7 +118,7 @@
 		OptionalDouble known = (policy == Policy.DECIDE) ? OptionalDouble.of(factor) : OptionalDouble.empty();
 		this.runEnds = new RunEndEstimator(this.state, this.durations, known, 1_700, this::assigned, this::percent);
 		this.waits = new PlacementWaits(new PlacementWait(known), this.runEnds);
-		this.planner = new TaskPlanner(this.durations, this.waits);
+		this.planner = new TaskPlanner(this.durations, 1_700, this.waits);
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, NO_LIMIT, "pool")));
 	}
 
@@ -177,7 +177,7 @@
 
 	PlacementExplainer explainer() {
 		this.runEnds.setTime(this.nowMillis, this.nowMillis);
-		return new PlacementExplainer(this.durations, this.waits, this.runners, Set.of(), this::reliability,
+		return new PlacementExplainer(this.durations, 1_700, this.waits, this.runners, Set.of(), this::reliability,
 				this.nowMillis);
 	}
 
