--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/DemandPeakSimulation.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +15,8 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import io.burdockpin.core.batch.lead.host.HostEntry;
 import io.burdockpin.core.batch.lead.host.HostOrder;
@@ -76,6 +80,13 @@
 
 	private static final int TARGET_MILLIS = 600;
 
+	/** Time after a load in which its last jobs end. */
+	private static final int AFTER_LOAD_MILLIS = 3_000;
+
+	private static final int STRAGGLER_FACTOR = 7;
+
+	private static final int HOSTS_PER_RACK = 12;
+
 	private final FleetSpec spec;
 
 	private final Random random;
@@ -121,6 +132,15 @@
 
 	private int jobCount;
 
+	private Optional<DemandLoad> load = Optional.empty();
+
+	private final Map<HostUse, Long> heldMillis = new EnumMap<>(HostUse.class);
+
+	/** Capacity that tasks have reserved on busy hosts. */
+	private double reservedHostMillis;
+
+	private Optional<KnownDemandPlan> knownDemand = Optional.empty();
+
 	public DemandPeakSimulation(FleetSpec spec, LeaderSettings settings, long seed) {
 		this.spec = spec;
 		this.settings = settings;
@@ -160,6 +180,61 @@
 		run(firstTurnMillis + (this.spec.pools() + 1) * this.spec.peakMillis());
 	}
 
+	/**
+	 * Starts the long-running steps and then runs a load.
+	 * @param traffic load of the queues
+	 */
+	public void runLoad(DemandLoad traffic) {
+		this.load = Optional.of(traffic);
+		KnownDemandPlan plan = new KnownDemandPlan(this.spec.pools(),
+				this.spec.warmUpMillis() + traffic.totalMillis() + AFTER_LOAD_MILLIS);
+		this.knownDemand = Optional.of(plan);
+		for (int number = 0; number < this.spec.pools(); number++) {
+			int pool = number;
+			at(SERVING_MILLIS, () -> submitServing(pool));
+			plan.add(pool, SERVING_MILLIS, Integer.MAX_VALUE, this.spec.servingTasks()
+					* Math.max(1.0 / this.spec.servingPerHost(), shareOfHost(this.spec.servingTask())));
+			for (long offset = 0; offset < traffic.totalMillis(); offset += 5) {
+				if (this.random.nextDouble() < traffic.ratePerSecond(pool, offset) * 0.005) {
+					at(this.spec.warmUpMillis() + offset, () -> submitWork(pool));
+				}
+			}
+		}
+		run(this.spec.warmUpMillis() + traffic.totalMillis());
+		run(AFTER_LOAD_MILLIS);
+		plan.plan();
+	}
+
+	private double shareOfHost(Resources resources) {
+		return Math.max((double) resources.cpuMillicores() / this.spec.host().cpuMillicores(),
+				(double) resources.memoryMebibytes() / this.spec.host().memoryMebibytes());
+	}
+
+	/** Returns the host-seconds in pools for each use. */
+	public Map<HostUse, Long> hostSecondsByUse() {
+		Map<HostUse, Long> seconds = new EnumMap<>(HostUse.class);
+		this.heldMillis.forEach((use, millis) -> seconds.put(use, millis / 1_000));
+		return seconds;
+	}
+
+	/**
+	 * Returns the host-seconds that tasks have reserved on hosts without long-running
+	 * tasks.
+	 */
+	public long reservedHostSeconds() {
+		return (long) (this.reservedHostMillis / 1_000);
+	}
+
+	/** Returns the cost of the hosts with all demand known; empty without a load. */
+	public Optional<KnownDemandPlan> knownDemand() {
+		return this.knownDemand;
+	}
+
+	/** Returns the smallest share of jobs in time of all pools. */
+	public double lowestOnTimeShare() {
+		return IntStream.range(0, this.spec.pools()).mapToDouble(this::onTimeShare).min().orElseThrow();
+	}
+
 	/**
 	 * Starts a maintenance wave for nearly half of the hosts shortly after the first peak
 	 * begins.
@@ -266,12 +341,20 @@
 		int mebibytes = (int) sampleLogNormal(this.spec.task().memoryMebibytes(), 0.6, 3);
 		double chainMillis = 0;
 		double work = 0;
-		List<Long> durations = new ArrayList<>();
+		List<List<Long>> durations = new ArrayList<>();
 		for (int step = 0; step < stepCount; step++) {
 			int width = (int) Math.max(1, sampleLogNormal(8, 0.6, 4));
 			long millis = (long) sampleLogNormal(this.spec.workMillis(), 0.5, 2.5);
-			durations.add(millis);
-			chainMillis += millis;
+			List<Long> taskMillis = LongStream.range(0, width)
+				.map((task) -> isStraggler() ? STRAGGLER_FACTOR * millis : millis)
+				.boxed()
+				.toList();
+			durations.add(taskMillis);
+			long startMillis = this.nowMillis - START_MILLIS + (long) chainMillis;
+			double hosts = shareOfHost(new Resources(cpuMillicores, mebibytes, 0));
+			this.knownDemand
+				.ifPresent((plan) -> taskMillis.forEach((task) -> plan.add(pool, startMillis, task, hosts)));
+			chainMillis += Collections.max(taskMillis);
 			work += (double) width * millis * cpuMillicores;
 			steps.add(step(width, new Resources(cpuMillicores, mebibytes, 0), (int) sampleLogNormal(millis, 0.2, 3),
 					(step == 0) ? List.of() : List.of(step - 1), false, OptionalInt.empty()));
@@ -283,6 +366,10 @@
 		commitLater(List.of(BatchFixtures.submit(id, "work" + pool, "team", new JobSpec(id, steps, 0, 0, 0))));
 	}
 
+	private boolean isStraggler() {
+		return this.load.filter((traffic) -> this.random.nextDouble() < traffic.stragglerShare()).isPresent();
+	}
+
 	private void submitServing(int pool) {
 		String id = "serve" + pool;
 		commitLater(List.of(BatchFixtures.submit(id, "serve" + pool, "team",
@@ -321,9 +408,39 @@
 		}
 		this.hostMillis += ROUND_MILLIS
 				* this.poolOfHost.values().stream().filter((pool) -> !pool.equals("spare")).count();
+		this.load.ifPresent(this::addHeldHosts);
 		at(ROUND_MILLIS, this::decide);
 	}
 
+	private void addHeldHosts(DemandLoad traffic) {
+		long offsetMillis = this.nowMillis - START_MILLIS - this.spec.warmUpMillis();
+		Map<String, Runner> runnerOfHost = new HashMap<>();
+		this.runners.values().forEach((runner) -> runnerOfHost.put(runner.host, runner));
+		this.poolOfHost.forEach((host, pool) -> {
+			if (!pool.equals("spare")) {
+				Runner runner = runnerOfHost.get(host);
+				HostUse use = (runner != null) ? use(runner, host, pool, traffic, offsetMillis) : HostUse.ARRIVING;
+				this.heldMillis.merge(use, (long) ROUND_MILLIS, Long::sum);
+			}
+		});
+		this.runners.forEach((key, runner) -> {
+			if (runner.running.keySet().stream().allMatch((task) -> this.jobs.containsKey(task.job()))) {
+				this.reservedHostMillis += ROUND_MILLIS * shareOfHost(this.state.runs().reservedOn(key));
+			}
+		});
+	}
+
+	private HostUse use(Runner runner, String host, String pool, DemandLoad traffic, long offsetMillis) {
+		if (runner.running.keySet().stream().anyMatch((task) -> !this.jobs.containsKey(task.job()))) {
+			return HostUse.SERVING;
+		}
+		if (!runner.running.isEmpty()) {
+			return HostUse.BUSY;
+		}
+		return this.state.moves().containsKey(host) ? HostUse.LEAVING
+				: HostUse.ofIdle(traffic, Integer.parseInt(pool.substring("pool".length())), offsetMillis);
+	}
+
 	private void listHosts() {
 		if (this.leader.startHostListIfDue(this.nowMillis)) {
 			this.leader.onHostList(this.poolOfHost.entrySet()
@@ -380,8 +497,9 @@
 	private void startRunner(String host) {
 		RunnerKey key = new RunnerKey("runner" + this.runnerCount++, this.nowMillis);
 		this.runners.put(key, new Runner(host));
+		int number = Integer.parseInt(host.substring("host".length()));
 		RunnerRecord record = new RunnerRecord(key, Optional.of(host), this.poolOfHost.get(host), "127.0.0.1:1", "dc1",
-				Optional.of("rack"), this.spec.host(), Set.of(), false);
+				Optional.of("rack" + number / HOSTS_PER_RACK), this.spec.host(), Set.of(), false);
 		this.leader.onAnnouncement(record, 1, this.nowMillis).ifPresent((command) -> commitLater(List.of(command)));
 	}
 
@@ -433,7 +551,7 @@
 			runner.servingWaitMillis.add(this.nowMillis - START_MILLIS - SERVING_MILLIS);
 			return;
 		}
-		at(times.get().durations().get(task.step()), () -> end(key, runner, task, RunOutcome.DONE));
+		at(times.get().durations().get(task.step()).get(task.index()), () -> end(key, runner, task, RunOutcome.DONE));
 	}
 
 	private void end(RunnerKey key, Runner runner, TaskId task, RunOutcome outcome) {
@@ -515,7 +633,7 @@
 	}
 
 	/** Step durations, objective and end time of a job. */
-	private record JobTimes(int pool, List<Long> durations, long objectiveMillis, double weight, long endMillis) {
+	private record JobTimes(int pool, List<List<Long>> durations, long objectiveMillis, double weight, long endMillis) {
 
 		private JobTimes endingAt(long millis) {
 			return new JobTimes(this.pool, this.durations, this.objectiveMillis, this.weight, millis);
