--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -29,6 +29,7 @@
 import io.burdockpin.core.batch.lead.plan.FreeCapacity;
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
+import io.burdockpin.core.batch.lead.pool.BalanceFigures;
 import io.burdockpin.core.batch.lead.pool.PoolBalancer;
 import io.burdockpin.core.batch.lead.run.JobStartRecorder;
 import io.burdockpin.core.batch.lead.run.RunRelease;
@@ -442,6 +443,14 @@
 		this.balancer.onHostList(hosts);
 	}
 
+	/**
+	 * Returns how many hosts the pools hold and what the forecast expects.
+	 * @return figures of the latest balancing round
+	 */
+	public BalanceFigures balanceFigures() {
+		return this.balancer.figures();
+	}
+
 	/**
 	 * Handles a command that was committed and applied to the state.
 	 * @param command applied command
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/HostChoice.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/HostChoice.java
@@ -42,6 +42,9 @@
 
 	private final Map<String, Long> idleSinceMillis = new HashMap<>();
 
+	/** Racks of the hosts that had a runner; the platform's host list has no racks. */
+	private final Map<String, String> rackOfHost = new HashMap<>();
+
 	/** Busy hosts that get no new tasks, so that they become idle for another pool. */
 	private Set<String> cordonedHosts = Set.of();
 
@@ -100,11 +103,13 @@
 
 	/**
 	 * Records whether a host is idle in this round.
-	 * @param host name of the host
+	 * @param runner runner on the host
 	 * @param isIdle whether the host runs nothing and may be moved
 	 * @param nowMillis current monotonic time, in milliseconds
 	 */
-	void observe(String host, boolean isIdle, long nowMillis) {
+	void observe(RunnerRecord runner, boolean isIdle, long nowMillis) {
+		String host = runner.hostOrId();
+		runner.rack().ifPresent((rack) -> this.rackOfHost.put(host, rack));
 		if (isIdle) {
 			this.idleSinceMillis.putIfAbsent(host, nowMillis);
 		}
@@ -114,11 +119,13 @@
 	}
 
 	/**
-	 * Takes a host of the spare pool.
+	 * Takes a host of the spare pool, if possible from a rack with few hosts of the pool
+	 * that gets it: racks are lost as a whole.
+	 * @param target figures of the pool that gets the host
 	 * @param nowMillis current monotonic time, in milliseconds
 	 * @return name of the host; empty if none may be moved
 	 */
-	Optional<String> takeSpare(long nowMillis) {
+	Optional<String> takeSpare(PoolFigures target, long nowMillis) {
 		Optional<String> host = this.spareHosts.keySet()
 			.stream()
 			.filter((name) -> this.moves.canBegin(name, nowMillis))
@@ -127,13 +134,13 @@
 			// its runs.
 			.filter((name) -> this.state.runnerOn(name).isEmpty())
 			.filter((name) -> this.moves.hasStayed(name, nowMillis))
-			.findFirst();
+			.min(Comparator.comparingInt((name) -> target.hostsInRack(this.rackOfHost.getOrDefault(name, ""))));
 		host.ifPresent(this.spareHosts::remove);
 		return host;
 	}
 
 	/**
-	 * Takes an idle host of a pool.
+	 * Takes an idle host of a pool, from the rack with most hosts of the pool.
 	 * @param pool figures of the pool, which lose the host
 	 * @param idleMillis time for which the host must have been idle
 	 * @param nowMillis current monotonic time, in milliseconds
@@ -147,7 +154,7 @@
 					- this.idleSinceMillis.getOrDefault(runner.hostOrId(), nowMillis) >= idleMillis)
 			.filter((runner) -> this.moves.isRetryDue(runner.hostOrId(), nowMillis))
 			.filter((runner) -> !this.runnersForRestarts.contains(runner.key()))
-			.findFirst();
+			.min(Comparator.comparingInt((runner) -> -pool.hostsInRack(runner.rack().orElse(""))));
 		taken.ifPresent(pool::removeHost);
 		return taken.map(RunnerRecord::hostOrId);
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
@@ -42,9 +42,9 @@
 	/**
 	 * With more orders waiting, idle hosts are not returned to the spare pool, so that
 	 * other pools can take them directly. The platform carries out about this many orders
-	 * in 100 ms.
+	 * in one round.
 	 */
-	private static final int MAXIMUM_WAITING_ORDERS = 6;
+	private static final int MAXIMUM_WAITING_ORDERS = 9;
 
 	/**
 	 * Late jobs get spare hosts only while this share of all hosts remains spare for the
@@ -53,6 +53,12 @@
 	 */
 	private static final double SPARE_SHARE_FOR_PEAKS = 0.3;
 
+	/**
+	 * Share of all hosts that a pool gets at most because of a forecast, which bounds the
+	 * cost of a wrong one.
+	 */
+	private static final double MAXIMUM_EXPECTED_SHARE = 0.4;
+
 	/** Demand changes within tenths of a second. */
 	private static final long PERIOD_MILLIS = 150;
 
@@ -64,6 +70,8 @@
 
 	private final HandOverPause pause;
 
+	private final DemandForecast forecast = new DemandForecast();
+
 	private final HostMoves moves;
 
 	private final HostChoice hosts;
@@ -74,6 +82,8 @@
 	 */
 	private Set<String> poolsLackingCapacity = Set.of();
 
+	private BalanceFigures figures = BalanceFigures.NONE;
+
 	private long nextRoundMillis;
 
 	private long nextListMillis;
@@ -153,6 +163,14 @@
 		return this.moves.drainOrders();
 	}
 
+	/**
+	 * Returns the figures of the latest round.
+	 * @return hosts of the pools and expected demand
+	 */
+	public BalanceFigures figures() {
+		return this.figures;
+	}
+
 	/**
 	 * Handles the platform's host list.
 	 * @param entries all hosts of the fleet
@@ -200,16 +218,24 @@
 		sparePool().ifPresent((spare) -> poweredOff.forEach((host) -> this.hosts.onPoweredOff(host, spare)));
 		Predicate<String> mustStay = (host) -> isReserved.test(host) || !this.pause.hasElapsed(host, nowMillis);
 		Map<String, PoolFigures> pools = pools(configuration, sessions, mustStay, nowMillis);
+		expectDemand(pools, nowMillis);
 		List<PoolFigures> working = pools.values().stream().filter((pool) -> !pool.spare()).toList();
+		this.figures = figures(working);
 		working.forEach((pool) -> grow(pool, pools, nowMillis));
 		double missingHosts = working.stream().mapToDouble(PoolFigures::missingHosts).sum();
 		this.hosts.cordon(missingHosts, working, sessions, mustStay, nowMillis);
 		if (missingHosts == 0) {
 			working.forEach((pool) -> growForLateJobs(pool, pools, nowMillis));
 		}
-		if (waitingOrders <= MAXIMUM_WAITING_ORDERS) {
-			sparePool().ifPresent((spare) -> working.forEach((pool) -> shrink(pool, spare, nowMillis)));
-		}
+		sparePool().ifPresent((spare) -> shrink(working, spare, MAXIMUM_WAITING_ORDERS - waitingOrders, nowMillis));
+	}
+
+	private BalanceFigures figures(List<PoolFigures> working) {
+		int hosts = working.stream().mapToInt((pool) -> pool.hosts() - pool.arriving()).sum();
+		int idleHosts = working.stream().mapToInt((pool) -> pool.idle().size()).sum();
+		double expectedHosts = working.stream().mapToDouble(PoolFigures::expectedHosts).sum();
+		return new BalanceFigures(hosts, idleHosts, this.state.moves().size(), expectedHosts,
+				this.forecast.periodMillis());
 	}
 
 	private Optional<String> sparePool() {
@@ -232,9 +258,9 @@
 			if (pool == null || !session.isUsable(nowMillis) || isMoving(host)) {
 				return;
 			}
-			pool.addHost(runner.capacity(), this.state.runs().longRunningOn(runner.key()));
+			pool.addHost(runner, this.state.runs().longRunningOn(runner.key()));
 			boolean isIdle = this.state.runs().on(runner.key()).isEmpty() && !mustStay.test(host);
-			this.hosts.observe(host, isIdle, nowMillis);
+			this.hosts.observe(runner, isIdle, nowMillis);
 			if (isIdle) {
 				pool.addIdle(runner);
 			}
@@ -245,8 +271,7 @@
 			.map(PoolFigures::typicalHost)
 			.filter((host) -> host != PoolDemand.ResourceAmount.NONE)
 			.findFirst()
-			.ifPresent((host) -> pools.values()
-				.forEach((pool) -> pool.setDemand(host, this.demand, this.settings.lookAheadMillis())));
+			.ifPresent((host) -> pools.values().forEach((pool) -> pool.setDemand(host, this.demand)));
 		this.state.moves()
 			.values()
 			.stream()
@@ -256,10 +281,32 @@
 		return pools;
 	}
 
+	private void expectDemand(Map<String, PoolFigures> pools, long nowMillis) {
+		this.forecast.advance(nowMillis);
+		this.demand.arrivals()
+			.forEach((arrival) -> Optional.ofNullable(pools.get(arrival.pool()))
+				.filter((pool) -> pool.typicalHost() != PoolDemand.ResourceAmount.NONE)
+				.ifPresent((pool) -> this.forecast.add(pool.name(), arrival.readyMillis(), arrival.durationMillis(),
+						arrival.amount().hostCount(pool.typicalHost()))));
+		this.forecast.update(nowMillis);
+		double mostHosts = MAXIMUM_EXPECTED_SHARE
+				* (pools.values().stream().mapToInt(PoolFigures::hosts).sum() + this.hosts.spareHostCount());
+		pools.values()
+			.forEach((pool) -> pool.setExpected(
+					this.forecast.expected(pool.name(), nowMillis, this.settings.lookAheadMillis(), mostHosts)));
+	}
+
 	private void grow(PoolFigures pool, Map<String, PoolFigures> pools, long nowMillis) {
+		// With a forecast it is known that the pool of an idle host does not need it
+		// soon.
+		long leavingMillis = this.forecast.periodMillis().isPresent() ? 0 : this.settings.idleTimeoutMillis();
 		while (pool.lacksHosts() || (this.poolsLackingCapacity.contains(pool.name()) && pool.arriving() == 0)) {
-			Optional<String> host = this.hosts.takeSpare(nowMillis)
-				.or(() -> takeIdleFromOtherPool(pool, pools, nowMillis));
+			// A host that is about to return to the spare pool comes first, since it
+			// would
+			// need an order to leave, and orders are limited.
+			Optional<String> host = takeIdleFromOtherPool(pool, pools, leavingMillis, nowMillis)
+				.or(() -> this.hosts.takeSpare(pool, nowMillis))
+				.or(() -> takeIdleFromOtherPool(pool, pools, 0, nowMillis));
 			if (host.isEmpty()) {
 				return;
 			}
@@ -271,7 +318,7 @@
 	private void growForLateJobs(PoolFigures pool, Map<String, PoolFigures> pools, long nowMillis) {
 		int count = pools.values().stream().mapToInt(PoolFigures::hosts).sum() + this.hosts.spareHostCount();
 		while (pool.lacksHostsWithLateJobs() && this.hosts.spareHostCount() > SPARE_SHARE_FOR_PEAKS * count) {
-			Optional<String> host = this.hosts.takeSpare(nowMillis);
+			Optional<String> host = this.hosts.takeSpare(pool, nowMillis);
 			if (host.isEmpty()) {
 				return;
 			}
@@ -280,22 +327,31 @@
 		}
 	}
 
-	private Optional<String> takeIdleFromOtherPool(PoolFigures target, Map<String, PoolFigures> pools, long nowMillis) {
+	private Optional<String> takeIdleFromOtherPool(PoolFigures target, Map<String, PoolFigures> pools, long idleMillis,
+			long nowMillis) {
 		return pools.values()
 			.stream()
 			.filter((pool) -> pool != target && pool.canReleaseHost()
 					&& !this.poolsLackingCapacity.contains(pool.name()))
 			.max(Comparator.comparingDouble(PoolFigures::surplusHosts))
-			.flatMap((pool) -> this.hosts.takeIdle(pool, 0, nowMillis));
+			.flatMap((pool) -> this.hosts.takeIdle(pool, idleMillis, nowMillis));
 	}
 
-	private void shrink(PoolFigures pool, String sparePool, long nowMillis) {
-		while (pool.canReleaseHostWithLateJobs() && !this.poolsLackingCapacity.contains(pool.name())) {
-			Optional<String> host = this.hosts.takeIdle(pool, this.settings.idleTimeoutMillis(), nowMillis);
-			if (host.isEmpty()) {
-				return;
+	// The pool with the largest surplus comes first.
+	private void shrink(List<PoolFigures> working, String sparePool, int mostHosts, long nowMillis) {
+		int returned = 0;
+		for (PoolFigures pool : working.stream()
+			.sorted(Comparator.comparingDouble(PoolFigures::surplusHosts).reversed())
+			.toList()) {
+			while (returned < mostHosts && pool.canReleaseHostWithLateJobs()
+					&& !this.poolsLackingCapacity.contains(pool.name())) {
+				Optional<String> host = this.hosts.takeIdle(pool, this.settings.idleTimeoutMillis(), nowMillis);
+				if (host.isEmpty()) {
+					break;
+				}
+				returned++;
+				this.moves.propose(host.get(), sparePool);
 			}
-			this.moves.propose(host.get(), sparePool);
 		}
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolDemand.java
@@ -1,7 +1,9 @@
 package io.burdockpin.core.batch.lead.pool;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -39,6 +41,8 @@
 
 	private Map<String, PoolWork> workByPool = Map.of();
 
+	private List<Arrival> arrivals = List.of();
+
 	private long observedMillis;
 
 	/**
@@ -64,6 +68,7 @@
 		Map<String, ResourceAmount> arrivedFirst = new HashMap<>();
 		Map<String, ResourceAmount> arrivedWork = new HashMap<>();
 		Set<String> present = new HashSet<>();
+		List<Arrival> newArrivals = new ArrayList<>();
 		for (BatchJob job : this.state.activeJobs()) {
 			present.add(job.id());
 			job.configuredQueue().ifPresent((queue) -> {
@@ -71,8 +76,9 @@
 				addWork(newWork.computeIfAbsent(pool, (name) -> new PoolWork()), job, queue, lookAheadMillis,
 						wallMillis);
 				if (!this.knownJobs.contains(job.id()) && !job.spec().isLongRunning()) {
-					arrivedFirst.merge(pool, ResourceAmount.of(job.spec().steps().get(0)), ResourceAmount::plus);
+					arrivedFirst.merge(pool, firstStep(job, lookAheadMillis), ResourceAmount::plus);
 					arrivedWork.merge(pool, totalWork(job), ResourceAmount::plus);
+					addArrivals(newArrivals, job, pool, nowMillis - Math.max(0, wallMillis - job.acceptedMillis()));
 				}
 			});
 		}
@@ -87,6 +93,15 @@
 		}
 		this.observedMillis = nowMillis;
 		this.workByPool = newWork;
+		this.arrivals = newArrivals;
+	}
+
+	/**
+	 * Returns the steps of the finite jobs that the latest observation saw first.
+	 * @return steps, empty if no job arrived
+	 */
+	List<Arrival> arrivals() {
+		return this.arrivals;
 	}
 
 	/**
@@ -94,13 +109,12 @@
 	 * their objective.
 	 * @param pool name of the pool
 	 * @param host capacity of a host of the pool
-	 * @param lookAheadMillis time until a host ordered now would arrive
 	 * @return number of hosts, including fractions
 	 */
-	public double requiredHosts(String pool, ResourceAmount host, long lookAheadMillis) {
+	public double requiredHosts(String pool, ResourceAmount host) {
 		PoolWork present = this.workByPool.getOrDefault(pool, PoolWork.NONE);
 		ArrivalRate rate = this.arrivalRates.getOrDefault(pool, ArrivalRate.NONE);
-		ResourceAmount expected = present.remaining.plus(rate.firstSteps().times(lookAheadMillis / MILLIS_PER_SECOND));
+		ResourceAmount expected = present.remaining.plus(rate.firstSteps());
 		// A steady load requires its arrival rate times its duration, even while no task
 		// is waiting.
 		return Math.max(expected.hostCount(host), rate.wholeJobs().hostCount(host));
@@ -129,6 +143,28 @@
 			.sum();
 	}
 
+	// A task that ends before a host ordered now arrives requires its resources only for
+	// its duration.
+	private ResourceAmount firstStep(BatchJob job, long lookAheadMillis) {
+		StepSpec step = job.spec().steps().get(0);
+		return ResourceAmount.of(step).times(Math.min(lookAheadMillis, durationMillis(job, step)) / MILLIS_PER_SECOND);
+	}
+
+	private void addArrivals(List<Arrival> added, BatchJob job, String pool, long acceptedMillis) {
+		List<Long> endMillis = new ArrayList<>();
+		for (StepSpec step : job.spec().steps()) {
+			long readyMillis = step.after()
+				.stream()
+				.filter((earlier) -> earlier < endMillis.size())
+				.mapToLong(endMillis::get)
+				.max()
+				.orElse(acceptedMillis);
+			long durationMillis = Math.round(durationMillis(job, step));
+			endMillis.add(readyMillis + durationMillis);
+			added.add(new Arrival(pool, readyMillis, durationMillis, ResourceAmount.of(step)));
+		}
+	}
+
 	private void addWork(PoolWork sums, BatchJob job, BatchQueue queue, long lookAheadMillis, long wallMillis) {
 		for (Occurrence occurrence : job.occurrences()) {
 			for (int number = 0; number < occurrence.steps().size(); number++) {
@@ -185,6 +221,18 @@
 		return Math.max(packedHosts, (int) Math.ceil(shareHosts));
 	}
 
+	/**
+	 * Step of a job that was just accepted.
+	 *
+	 * @param pool name of the pool
+	 * @param readyMillis monotonic time at which it can start if nothing waits
+	 * @param durationMillis expected duration of its tasks
+	 * @param amount resources of all its tasks
+	 */
+	record Arrival(String pool, long readyMillis, long durationMillis, ResourceAmount amount) {
+
+	}
+
 	/** Demand of the active jobs of one pool. Modified only during an observation. */
 	private static final class PoolWork {
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolFigures.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolFigures.java
@@ -1,7 +1,9 @@
 package io.burdockpin.core.batch.lead.pool;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.model.Resources;
@@ -13,12 +15,6 @@
  */
 final class PoolFigures {
 
-	/**
-	 * Factor by which a pool grows beyond its demand, since tasks do not fill hosts
-	 * completely.
-	 */
-	private static final double HEADROOM = 1.15;
-
 	/** Factor of its demand that a pool keeps before it releases idle hosts. */
 	private static final double RETENTION_FACTOR = 1.4;
 
@@ -41,6 +37,8 @@
 	/** Hosts required by tasks of late jobs. */
 	private double lateHosts;
 
+	private ExpectedDemand expected = ExpectedDemand.UNKNOWN;
+
 	/** Hosts required by waiting long-running tasks. */
 	private int servingHosts;
 
@@ -51,6 +49,8 @@
 
 	private int arriving;
 
+	private final Map<String, Integer> hostsByRack = new HashMap<>();
+
 	/**
 	 * Creates the figures of a pool without hosts and demand.
 	 * @param name name of the pool
@@ -80,7 +80,10 @@
 		return this.arriving;
 	}
 
-	/** Returns the runners whose hosts may be moved now. */
+	/**
+	 * Returns the runners whose hosts may be moved now.
+	 * @return runners without runs
+	 */
 	List<RunnerRecord> idle() {
 		return this.idle;
 	}
@@ -89,7 +92,14 @@
 		return this.typicalHost;
 	}
 
-	void addHost(Resources capacity, Resources longRunning) {
+	/**
+	 * Adds a host that serves the pool.
+	 * @param runner runner on the host
+	 * @param longRunning capacity used by long-running tasks
+	 */
+	void addHost(RunnerRecord runner, Resources longRunning) {
+		Resources capacity = runner.capacity();
+		runner.rack().ifPresent((rack) -> this.hostsByRack.merge(rack, 1, Integer::sum));
 		this.typicalHost = new PoolDemand.ResourceAmount(capacity.cpuMillicores(), capacity.memoryMebibytes());
 		PoolDemand.ResourceAmount taken = new PoolDemand.ResourceAmount(longRunning.cpuMillicores(),
 				longRunning.memoryMebibytes());
@@ -105,15 +115,35 @@
 	 * Sets the demand, in hosts of the size that the pool has.
 	 * @param host capacity of a host of another pool, used if this pool has no hosts
 	 * @param demand latest demand
-	 * @param lookAheadMillis time until a host ordered now would arrive
 	 */
-	void setDemand(PoolDemand.ResourceAmount host, PoolDemand demand, long lookAheadMillis) {
+	void setDemand(PoolDemand.ResourceAmount host, PoolDemand demand) {
 		this.typicalHost = (this.typicalHost != PoolDemand.ResourceAmount.NONE) ? this.typicalHost : host;
-		this.requiredHosts = demand.requiredHosts(this.name, this.typicalHost, lookAheadMillis);
+		this.requiredHosts = demand.requiredHosts(this.name, this.typicalHost);
 		this.lateHosts = demand.lateHosts(this.name, this.typicalHost);
 		this.servingHosts = demand.servingHosts(this.name, this.typicalHost);
 	}
 
+	/**
+	 * Returns the hosts that are expected to be required when a host ordered now arrives.
+	 * @return number of hosts, including fractions
+	 */
+	double expectedHosts() {
+		return this.expected.arrivalHosts();
+	}
+
+	void setExpected(ExpectedDemand demand) {
+		this.expected = demand;
+	}
+
+	/**
+	 * Returns the number of hosts that the pool has in a rack.
+	 * @param rack name of the rack
+	 * @return number of hosts, without those on their way
+	 */
+	int hostsInRack(String rack) {
+		return this.hostsByRack.getOrDefault(rack, 0);
+	}
+
 	void addArriving() {
 		this.arriving++;
 		this.usableHosts++;
@@ -122,13 +152,14 @@
 
 	void removeHost(RunnerRecord runner) {
 		this.idle.remove(runner);
+		runner.rack().ifPresent((rack) -> this.hostsByRack.merge(rack, -1, Integer::sum));
 		this.usableHosts--;
 		this.hosts--;
 	}
 
 	boolean lacksHosts() {
 		// Without a known host size it is not known how much capacity a host adds.
-		return this.typicalHost != PoolDemand.ResourceAmount.NONE && hostsNeeded(HEADROOM) > this.usableHosts;
+		return this.typicalHost != PoolDemand.ResourceAmount.NONE && hostsToGrowTo() > this.usableHosts;
 	}
 
 	boolean lacksHostsWithLateJobs() {
@@ -136,19 +167,20 @@
 	}
 
 	boolean canReleaseHost() {
-		return canReleaseHostBeyond(hostsNeeded(RETENTION_FACTOR));
+		return canReleaseHostBeyond(hostsToKeep());
 	}
 
 	boolean canReleaseHostWithLateJobs() {
-		return canReleaseHostBeyond(hostsNeededWithLateJobs(RETENTION_FACTOR));
+		return canReleaseHostBeyond(
+				Math.max(this.expected.soonHosts() + this.servingHosts, hostsNeededWithLateJobs(RETENTION_FACTOR)));
 	}
 
 	double missingHosts() {
-		return lacksHosts() ? hostsNeeded(HEADROOM) - this.usableHosts : 0;
+		return lacksHosts() ? hostsToGrowTo() - this.usableHosts : 0;
 	}
 
 	double surplusBeyondRetention() {
-		return Math.max(0, this.usableHosts - hostsNeeded(RETENTION_FACTOR));
+		return Math.max(0, this.usableHosts - hostsToKeep());
 	}
 
 	double surplusHosts() {
@@ -159,6 +191,16 @@
 		return !this.idle.isEmpty() && this.hosts > MINIMUM_HOSTS && hostsToKeep <= this.usableHosts - 1;
 	}
 
+	// Hosts for a demand that the forecast knows to end soon would arrive after it.
+	private double hostsToGrowTo() {
+		double mostHosts = Math.max(this.reserveHosts, this.expected.mostHosts()) + this.servingHosts;
+		return Math.max(this.expected.arrivalHosts() + this.servingHosts, Math.min(mostHosts, hostsNeeded(1)));
+	}
+
+	private double hostsToKeep() {
+		return Math.max(this.expected.soonHosts() + this.servingHosts, hostsNeeded(RETENTION_FACTOR));
+	}
+
 	private double hostsNeeded(double factor) {
 		return Math.max(this.reserveHosts, factor * this.requiredHosts) + this.servingHosts;
 	}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -131,6 +131,21 @@
 	/** Maximum delay of a scheduled step in milliseconds. */
 	LATE_MILLIS("lateMillis"),
 
+	/** Number of hosts that serve the pools, without those that are being moved. */
+	HOSTS("hosts"),
+
+	/** Number of hosts of the pools that have no runs. */
+	IDLE_HOSTS("idleHosts"),
+
+	/** Number of hosts that are being moved. */
+	MOVING_HOSTS("movingHosts"),
+
+	/** Number of hosts that the demand forecast expects to be required. */
+	EXPECTED_HOSTS("expectedHosts"),
+
+	/** Recognised period of the demand in milliseconds. */
+	PERIOD_MILLIS("periodMillis"),
+
 	/** Time since the last contact with a runner in milliseconds. */
 	HEARD_MILLIS("heardMillis"),
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/pool/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/pool/PoolBalancerTests.java
@@ -4,9 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.lead.SimulatedFleet;
@@ -348,6 +350,35 @@
 			.isFalse();
 	}
 
+	/**
+	 * Guards against a pool that loses all its hosts with one rack although it could have
+	 * kept hosts of several racks.
+	 */
+	@Test
+	void aPoolReleasesHostsOfTheRackWithMostOfItsHosts() {
+		this.sessions.clear();
+		for (int number = 0; number < 4; number++) {
+			addRunner("near" + number, "hot", "rack-a");
+		}
+		addRunner("far0", "hot", "rack-b");
+		addRunner("far1", "hot", "rack-c");
+		List<String> moved = new ArrayList<>();
+		for (int round = 0; round < 40; round++) {
+			tick().forEach((move) -> {
+				apply(move);
+				moved.add(move.host());
+			});
+			this.nowMillis += 200;
+		}
+		Truth.assertThat(moved).hasSize(4);
+		long racks = Stream.of("near0", "near1", "near2", "near3", "far0", "far1")
+			.filter((id) -> !moved.contains("host-" + id))
+			.map((id) -> id.startsWith("near") ? "near" : id)
+			.distinct()
+			.count();
+		Truth.assertThat(racks).isEqualTo(2);
+	}
+
 	private void assign(String job, int task, String runner) {
 		apply(new BatchCommand.AssignRuns(
 				List.of(new BatchCommand.Assignment(new TaskId(job, 0, 0, task), 1, new RunnerKey(runner, 1)))));
@@ -370,7 +401,13 @@
 	}
 
 	private void addRunner(String id, String pool) {
-		RunnerRecord runner = BatchFixtures.runner(id, pool, 1);
+		addRunner(id, pool, "rack-" + id);
+	}
+
+	private void addRunner(String id, String pool, String rack) {
+		RunnerRecord known = BatchFixtures.runner(id, pool, 1);
+		RunnerRecord runner = new RunnerRecord(known.key(), known.host(), pool, known.address(), known.dataCentre(),
+				Optional.of(rack), known.capacity(), known.labels(), false);
 		apply(BatchFixtures.register(runner));
 		RunnerSession session = new RunnerSession(runner, SimulatedFleet.SETTINGS.sessions(), 1, this.nowMillis);
 		this.sessions.put(runner.key(), session);
