--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -475,8 +475,8 @@
 			startLeading();
 		}
 		this.load.onTick(this.clock.millis())
-			.filter((period) -> this.leader.isPresent())
-			.ifPresent((period) -> this.events.load(this.term, period));
+			.ifPresent((period) -> this.leader
+				.ifPresent((leading) -> this.events.load(this.term, period, leading.balanceFigures())));
 		this.leader.ifPresent((leading) -> this.channels.retain((key) -> leading.session(key).isPresent()));
 		return requestFlush();
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -13,6 +13,7 @@
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.overdue.OverdueItem;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
+import io.burdockpin.core.batch.lead.pool.BalanceFigures;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -59,15 +60,27 @@
 		record(event(leads ? EventKind.LEADER_ELECTED : EventKind.LEADER_STEPPED_DOWN).with(EventField.TERM, term));
 	}
 
-	void load(long term, LeaderLoad.Period period) {
-		record(event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
+	/**
+	 * Records the load of the leader and the hosts of its pools.
+	 * @param term the term of the leader
+	 * @param period the period that has ended
+	 * @param hosts the figures of the latest round of the pools
+	 */
+	void load(long term, LeaderLoad.Period period, BalanceFigures hosts) {
+		Event load = event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
 			.with(EventField.CONNECTIONS, period.connections())
 			.with(EventField.ORDERS, period.orders())
 			.with(EventField.LISTENS, period.heartbeats())
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
-			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis()));
+			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis())
+			.with(EventField.HOSTS, hosts.hosts())
+			.with(EventField.IDLE_HOSTS, hosts.idleHosts())
+			.with(EventField.MOVING_HOSTS, hosts.movingHosts())
+			.with(EventField.EXPECTED_HOSTS, Math.round(hosts.expectedHosts()));
+		record(hosts.periodMillis().isPresent() ? load.with(EventField.PERIOD_MILLIS, hosts.periodMillis().getAsLong())
+				: load);
 	}
 
 	/**
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import com.google.common.truth.Truth;
+import io.burdockpin.core.batch.lead.pool.BalanceFigures;
 import io.burdockpin.core.batch.lead.run.ReleaseReason;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -50,6 +51,21 @@
 		this.testKit.shutdownTestKit();
 	}
 
+	/**
+	 * Guards against hosts that are held or moved because of a forecast that nobody sees.
+	 */
+	@Test
+	void theLoadOfALeaderNamesTheHostsOfItsPoolsAndTheRecognisedPeriod() {
+		LeaderLoad.Period period = new LeaderLoad.Period(1_000, 1, 2, 3, 4, 5, 6);
+		this.events.load(3, period, new BalanceFigures(90, 12, 7, 41.6, OptionalLong.of(8_000)));
+		Map<EventField, String> fields = next(EventKind.LEADER_LOAD).fields();
+		Truth.assertThat(fields).containsEntry(EventField.HOSTS, "90");
+		Truth.assertThat(fields).containsEntry(EventField.IDLE_HOSTS, "12");
+		Truth.assertThat(fields).containsEntry(EventField.MOVING_HOSTS, "7");
+		Truth.assertThat(fields).containsEntry(EventField.EXPECTED_HOSTS, "42");
+		Truth.assertThat(fields).containsEntry(EventField.PERIOD_MILLIS, "8000");
+	}
+
 	@Test
 	void aStartIsRecordedWithItsTermAndSession() {
 		this.events.runnerOrdered(dispatch(new RunnerOrder.Start(3, TASK, 4, "", "", 9)));
