--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -10,13 +10,12 @@
 
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.lead.LeaderFigures;
 import io.burdockpin.core.batch.lead.host.HostOrder;
 import io.burdockpin.core.batch.lead.host.HostOrderHistory;
 import io.burdockpin.core.batch.lead.overdue.OverdueItem;
 import io.burdockpin.core.batch.lead.overdue.OverdueReport;
-import io.burdockpin.core.batch.lead.place.WaitCounts;
 import io.burdockpin.core.batch.lead.place.WaitNotice;
-import io.burdockpin.core.batch.lead.plan.OrderFigures;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -72,15 +71,14 @@
 	}
 
 	/**
-	 * Records the load of the leader and, while a data centre is closed, how many tasks
-	 * are still in closed ones.
+	 * Records the load of the leader, the figures of its decisions and, while a data
+	 * centre is closed, how many tasks are still in closed ones.
 	 * @param term the term of the leader
-	 * @param period the load
-	 * @param order the order of the latest planning round
-	 * @param waits the waits for better places that have ended
+	 * @param period the period that has ended
+	 * @param figures the figures of the leader's decisions
 	 * @param state the replicated state
 	 */
-	void load(long term, LeaderLoad.Period period, OrderFigures order, WaitCounts waits, BatchState state) {
+	void load(long term, LeaderLoad.Period period, LeaderFigures figures, BatchState state) {
 		Event load = event(EventKind.LEADER_LOAD).with(EventField.TERM, term)
 			.with(EventField.MILLIS, period.millis())
 			.with(EventField.CALLS, period.calls())
@@ -89,13 +87,20 @@
 			.with(EventField.LISTENS, period.heartbeats())
 			.with(EventField.BUSY_MILLIS, period.busyMillis())
 			.with(EventField.LATE_MILLIS, period.maximumTickDelayMillis())
-			.with(EventField.WAITS_PAID, waits.paid())
-			.with(EventField.WAITS_UNPAID, waits.unpaid())
-			.with(EventField.SHORT_POOLS, order.shortPools())
-			.with(EventField.CHOSEN_JOBS, order.chosenJobs())
-			.with(EventField.DEFERRED_JOBS, order.deferredJobs())
-			.with(EventField.BEYOND_WEIGHT_JOBS, order.beyondWeightJobs())
-			.with(EventField.LATE_JOBS, order.lateJobs());
+			.with(EventField.WAITS_PAID, figures.waits().paid())
+			.with(EventField.WAITS_UNPAID, figures.waits().unpaid())
+			.with(EventField.SHORT_POOLS, figures.order().shortPools())
+			.with(EventField.CHOSEN_JOBS, figures.order().chosenJobs())
+			.with(EventField.DEFERRED_JOBS, figures.order().deferredJobs())
+			.with(EventField.BEYOND_WEIGHT_JOBS, figures.order().beyondWeightJobs())
+			.with(EventField.LATE_JOBS, figures.order().lateJobs())
+			.with(EventField.HOSTS, figures.hosts().hosts())
+			.with(EventField.IDLE_HOSTS, figures.hosts().idleHosts())
+			.with(EventField.MOVING_HOSTS, figures.hosts().movingHosts())
+			.with(EventField.EXPECTED_HOSTS, Math.round(figures.hosts().expectedHosts()));
+		if (figures.hosts().periodMillis().isPresent()) {
+			load = load.with(EventField.PERIOD_MILLIS, figures.hosts().periodMillis().getAsLong());
+		}
 		record(state.closedDataCentres().isEmpty() ? load : load.with(EventField.CLOSED_TASKS,
 				state.closedDataCentres().keySet().stream().mapToInt(state::runCountIn).sum()));
 	}
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -9,8 +9,10 @@
 
 import com.google.common.truth.Truth;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.lead.LeaderFigures;
 import io.burdockpin.core.batch.lead.place.WaitCounts;
 import io.burdockpin.core.batch.lead.plan.OrderFigures;
+import io.burdockpin.core.batch.lead.pool.BalanceFigures;
 import io.burdockpin.core.batch.lead.run.ReleaseReason;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
@@ -81,13 +83,17 @@
 	void theLoadNamesTheTasksInClosedDataCentresOnlyWhileOneIsClosed() {
 		BatchState state = new BatchState();
 		LeaderLoad.Period period = new LeaderLoad.Period(1_000, 0, 0, 0, 0, 0, 0);
-		this.events.load(3, period, new WaitCounts(0, 0), state);
+		this.events.load(3, period, figures(OrderFigures.NONE, BalanceFigures.NONE), state);
 		Truth.assertThat(nextFields()).doesNotContainKey(EventField.CLOSED_TASKS);
 		apply(state, new BatchCommand.CloseDataCentre("dc1", "operator"));
-		this.events.load(3, period, new WaitCounts(0, 0), state);
+		this.events.load(3, period, figures(OrderFigures.NONE, BalanceFigures.NONE), state);
 		Truth.assertThat(nextFields()).containsEntry(EventField.CLOSED_TASKS, "0");
 	}
 
+	private static LeaderFigures figures(OrderFigures order, BalanceFigures hosts) {
+		return new LeaderFigures(order, new WaitCounts(0, 0), hosts);
+	}
+
 	private Map<EventField, String> nextFields() {
 		return this.log.expectMessageClass(EventLog.Append.class).event().fields();
 	}
@@ -96,6 +102,23 @@
 		state.apply(new CommandGroup(50, List.of(command)));
 	}
 
+	/**
+	 * Guards against hosts that are held or moved because of a forecast that nobody sees.
+	 */
+	@Test
+	void theLoadOfALeaderNamesTheHostsOfItsPoolsAndTheRecognisedPeriod() {
+		LeaderLoad.Period period = new LeaderLoad.Period(1_000, 1, 2, 3, 4, 5, 6);
+		this.events.load(3, period,
+				figures(OrderFigures.NONE, new BalanceFigures(90, 12, 7, 41.6, OptionalLong.of(8_000))),
+				new BatchState());
+		Map<EventField, String> fields = next(EventKind.LEADER_LOAD).fields();
+		Truth.assertThat(fields).containsEntry(EventField.HOSTS, "90");
+		Truth.assertThat(fields).containsEntry(EventField.IDLE_HOSTS, "12");
+		Truth.assertThat(fields).containsEntry(EventField.MOVING_HOSTS, "7");
+		Truth.assertThat(fields).containsEntry(EventField.EXPECTED_HOSTS, "42");
+		Truth.assertThat(fields).containsEntry(EventField.PERIOD_MILLIS, "8000");
+	}
+
 	@Test
 	void aStartIsRecordedWithItsTermAndSession() {
 		this.events.runnerOrdered(dispatch(new RunnerOrder.Start(3, TASK, 4, "", "", 9)));
@@ -148,7 +171,8 @@
 	/** Guards against a shortage that operators cannot see. */
 	@Test
 	void theLoadOfTheLeaderNamesTheJobsThatAreDeferred() {
-		this.events.load(3, new LeaderLoad.Period(1_000, 1, 2, 3, 4, 5, 6), new OrderFigures(1, 20, 30, 40, 50));
+		this.events.load(3, new LeaderLoad.Period(1_000, 1, 2, 3, 4, 5, 6),
+				figures(new OrderFigures(1, 20, 30, 40, 50), BalanceFigures.NONE), new BatchState());
 		Truth.assertThat(next(EventKind.LEADER_LOAD).fields())
 			.containsAtLeast(EventField.SHORT_POOLS, "1", EventField.CHOSEN_JOBS, "20", EventField.DEFERRED_JOBS, "30",
 					EventField.BEYOND_WEIGHT_JOBS, "40", EventField.LATE_JOBS, "50");
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -33,7 +33,6 @@
 import io.burdockpin.core.batch.lead.place.RunEndEstimator;
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.lead.plan.FreeCapacity;
-import io.burdockpin.core.batch.lead.plan.OrderFigures;
 import io.burdockpin.core.batch.lead.plan.OverloadAdmission;
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
@@ -470,6 +469,14 @@
 		this.balancer.onHostList(hosts);
 	}
 
+	/**
+	 * Returns the figures of the decisions and begins to count anew.
+	 * @return figures of the latest rounds
+	 */
+	public LeaderFigures takeFigures() {
+		return new LeaderFigures(this.latestPlan.order(), this.placementWaits.drainCounts(), this.balancer.figures());
+	}
+
 	/**
 	 * Handles a command that was committed and applied to the state.
 	 * @param command applied command
@@ -556,14 +563,6 @@
 		return this.admission.get();
 	}
 
-	/**
-	 * Returns the figures of the order in the latest plan.
-	 * @return figures over the pools that lacked capacity
-	 */
-	public OrderFigures orderFigures() {
-		return this.latestPlan.order();
-	}
-
 	/**
 	 * Checks the open work for items that are overdue, once a second. Changes no
 	 * decision. Called after {@link #decide}, since only then it is known which capacity
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -137,6 +137,21 @@
 	/** Number of tasks that started far from their data although they had waited. */
 	WAITS_UNPAID("waitsUnpaid"),
 
+	/** Number of hosts that serve the pools, without those that are being moved. */
+	HOSTS("hosts"),
+
+	/** Number of hosts of the pools that have no runs. */
+	IDLE_HOSTS("idleHosts"),
+
+	/** Number of hosts that are being moved. */
+	MOVING_HOSTS("movingHosts"),
+
+	/** Number of hosts that the demand forecast expects to be required. */
+	EXPECTED_HOSTS("expectedHosts"),
+
+	/** Recognised period of the demand in milliseconds. */
+	PERIOD_MILLIS("periodMillis"),
+
 	/** Time since the last contact with a runner in milliseconds. */
 	HEARD_MILLIS("heardMillis"),
 
