--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/BalanceFigures.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/BalanceFigures.java
@@ -16,6 +16,7 @@
 public record BalanceFigures(int hosts, int idleHosts, int movingHosts, double expectedHosts,
 		OptionalLong periodMillis) {
 
+	/** Before the first round. */
 	public static final BalanceFigures NONE = new BalanceFigures(0, 0, 0, 0, OptionalLong.empty());
 
 }
