--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -30,6 +28,7 @@
 import io.burdockpin.core.batch.lead.place.PlacementExplainer;
 import io.burdockpin.core.batch.lead.place.PlacementWait;
 import io.burdockpin.core.batch.lead.place.PlacementWaits;
+import io.burdockpin.core.batch.lead.place.RunDurations;
 import io.burdockpin.core.batch.lead.place.RunEndEstimator;
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
 import io.burdockpin.core.batch.lead.plan.FreeCapacity;
@@ -41,6 +40,7 @@
 import io.burdockpin.core.batch.lead.run.JobStartRecorder;
 import io.burdockpin.core.batch.lead.run.RunRelease;
 import io.burdockpin.core.batch.lead.run.RunSpec;
+import io.burdockpin.core.batch.lead.run.RunnerAnnouncements;
 import io.burdockpin.core.batch.lead.run.RunnerContact;
 import io.burdockpin.core.batch.lead.run.RunnerDispatch;
 import io.burdockpin.core.batch.lead.run.RunnerOrder;
@@ -52,7 +52,6 @@
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunnerKey;
 import io.burdockpin.core.batch.model.RunnerRecord;
-import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
@@ -85,36 +84,15 @@
 	 */
 	private static final int SWEEP_PERIOD_MILLIS = 20;
 
-	/**
-	 * A partition holds announcements up for some seconds. What a leaving runner
-	 * announces after this time was sent after the departure, so that was one of an
-	 * earlier incarnation.
-	 */
-	private static final int LATE_ANNOUNCEMENT_MILLIS = 10_000;
-
 	private final BatchState state;
 
 	private final LeaderSettings settings;
 
 	private final long term;
 
-	private final long electedMillis;
-
 	private final Map<RunnerKey, RunnerSession> sessions = new LinkedHashMap<>();
 
-	/**
-	 * Sequence number of the latest announcement in this term. It may be higher than that
-	 * of the registration, since announcements without changes are not committed.
-	 */
-	private final Map<RunnerKey, Long> announcedSequences = new HashMap<>();
-
-	/** When this leader learned of a departure; the election, if it is missing. */
-	private final Map<RunnerKey, Long> departedMillis = new HashMap<>();
-
-	/** The latest registration of each runner that is being committed. */
-	private final Map<RunnerKey, BatchCommand.RegisterRunner> proposedRegistrations = new HashMap<>();
-
-	private final Map<RunnerKey, Long> announcedMillis = new HashMap<>();
+	private final RunnerAnnouncements announcements;
 
 	private final RunnerReliabilityTracker reliability = new RunnerReliabilityTracker();
 
@@ -126,8 +104,7 @@
 
 	private final PlacementWaits placementWaits;
 
-	/** Assignment times of the active runs. */
-	private final Map<TaskId, Long> assignedMillis = new HashMap<>();
+	private final RunDurations runDurations;
 
 	private final WaveController waveController;
 
@@ -189,15 +166,16 @@
 		this.state = state;
 		this.settings = settings;
 		this.term = term;
-		this.electedMillis = nowMillis;
+		this.announcements = new RunnerAnnouncements(state, nowMillis);
 		this.occurrences = new OccurrenceOpener(state);
 		this.closedDataCentres = new ClosedDataCentres(state);
 		this.evacuation = new LongRunningEvacuation(state);
 		this.waveController = new WaveController(state, settings.waves(), hostOrderHistory, term, nowMillis);
 		this.balancer = new PoolBalancer(state, settings.balance(), hostOrderHistory, term, nowMillis,
 				this.durationEstimator, this.closedDataCentres::isClosedHost);
+		this.runDurations = new RunDurations(state, this.durationEstimator);
 		this.runEnds = new RunEndEstimator(state, this.durationEstimator, settings.remoteFactor(),
-				settings.balance().lookAheadMillis(), this::assignedMillis,
+				settings.balance().lookAheadMillis(), this.runDurations::assignedMillis,
 				(run) -> session(run.runner()).map((session) -> session.percent(run.task())).orElse(0));
 		this.placementWaits = new PlacementWaits(new PlacementWait(settings.remoteFactor()), this.runEnds);
 		this.planner = new TaskPlanner(this.durationEstimator, settings.balance().lookAheadMillis(),
@@ -339,28 +317,7 @@
 	 * nothing changed or the runner cannot be used
 	 */
 	public Optional<BatchCommand> onAnnouncement(RunnerRecord runner, long sequence, long nowMillis) {
-		if (!isPoolKnown(runner)) {
-			return Optional.empty();
-		}
-		boolean isOutdated = isOutdated(runner.key(), sequence, nowMillis);
-		this.announcedSequences.merge(runner.key(), sequence, Math::max);
-		if (isOutdated) {
-			return Optional.empty();
-		}
-		this.announcedMillis.put(runner.key(), nowMillis);
-		if (!runner.draining()) {
-			this.departedMillis.remove(runner.key());
-			session(runner.key()).ifPresent(RunnerSession::onReady);
-		}
-		boolean isKnown = this.state.runner(runner.key().id()).filter(runner::equals).isPresent()
-				&& !this.proposedRegistrations.containsKey(runner.key());
-		return isKnown ? Optional.empty()
-				: Optional.of(registration(new BatchCommand.RegisterRunner(runner, OptionalLong.of(sequence))));
-	}
-
-	private BatchCommand registration(BatchCommand.RegisterRunner registration) {
-		this.proposedRegistrations.put(registration.runner().key(), registration);
-		return registration;
+		return this.announcements.onAnnouncement(runner, sequence, session(runner.key()), nowMillis);
 	}
 
 	/**
@@ -372,25 +329,7 @@
 	 * @return {@code true} if the announcement must have no effect
 	 */
 	public boolean isOutdated(RunnerKey incarnation, long sequence, long nowMillis) {
-		boolean isLeaving = this.departedMillis.containsKey(incarnation) || this.state.isLeaving(incarnation);
-		long departed = this.departedMillis.getOrDefault(incarnation, this.electedMillis);
-		if (isLeaving && nowMillis - departed < LATE_ANNOUNCEMENT_MILLIS) {
-			return true;
-		}
-		return sequence < this.announcedSequences.getOrDefault(incarnation, Long.MIN_VALUE)
-				|| this.state.isOutdated(incarnation, sequence);
-	}
-
-	// An announcement of another writer may name a pool that does not exist. It must not
-	// be contacted nor replace the runner on its host. If the runner is only earlier than
-	// the configuration of its pool, its next announcement counts. A registered runner
-	// remains registered when its pool is removed.
-	private boolean isPoolKnown(RunnerRecord runner) {
-		boolean isConfigured = this.state.configuration()
-			.map((configuration) -> configuration.pool(runner.pool()).isPresent())
-			.orElse(true);
-		return isConfigured
-				|| this.state.runner(runner.key()).filter((known) -> known.pool().equals(runner.pool())).isPresent();
+		return this.announcements.isOutdated(incarnation, sequence, nowMillis);
 	}
 
 	/**
@@ -407,10 +346,7 @@
 		Optional<RunnerRecord> registered = this.state.runner(id);
 		registered.flatMap((runner) -> session(runner.key())).ifPresent(RunnerSession::onDeparture);
 		return registered.filter((runner) -> !runner.draining() && !this.removedIncarnations.contains(runner.key()))
-			.map((runner) -> {
-				this.departedMillis.putIfAbsent(runner.key(), nowMillis);
-				return registration(BatchCommand.RegisterRunner.departure(runner));
-			});
+			.map((runner) -> this.announcements.onDeparture(runner, nowMillis));
 	}
 
 	/**
@@ -515,7 +451,7 @@
 			syncSessions(nowMillis);
 		}
 		else if (command instanceof BatchCommand.RegisterRunner registered) {
-			this.proposedRegistrations.remove(registered.runner().key(), registered);
+			this.announcements.onRegistered(registered);
 			syncSessions(nowMillis);
 		}
 		else if (command instanceof BatchCommand.CloseDataCentre || command instanceof BatchCommand.OpenDataCentre) {
@@ -679,15 +615,10 @@
 			.filter((run) -> run.number() == assignment.run() && run.runner().equals(assignment.runner()))
 			.ifPresent((run) -> {
 				addRun(run, false);
-				this.assignedMillis.put(run.task(), nowMillis);
+				this.runDurations.onAssigned(run.task(), nowMillis);
 			});
 	}
 
-	private OptionalLong assignedMillis(Run run) {
-		Long assigned = this.assignedMillis.get(run.task());
-		return (assigned != null) ? OptionalLong.of(assigned) : OptionalLong.empty();
-	}
-
 	private void addRun(Run run, boolean adopted) {
 		Optional<BatchJob> job = this.state.job(run.task().job());
 		this.runnersWithEvents.add(run.runner());
@@ -710,7 +641,7 @@
 		}));
 		committed.ends().forEach((end) -> {
 			this.reliability.recordEnd(committed.runner(), end.outcome(), nowMillis);
-			recordDuration(committed.runner(), end, nowMillis);
+			this.runDurations.onEnd(committed.runner(), end, this.runEnds, nowMillis);
 			boolean jobHasEnded = this.state.job(end.task().job())
 				.filter((job) -> job.phase() == BatchJobPhase.FAILED || job.phase() == BatchJobPhase.COMPLETED)
 				.isPresent();
@@ -720,20 +651,6 @@
 		});
 	}
 
-	private void recordDuration(RunnerKey runner, BatchCommand.End end, long nowMillis) {
-		Optional.ofNullable(this.assignedMillis.remove(end.task()))
-			.filter((startedMillis) -> end.outcome().isDone() && end.run() == 1)
-			.ifPresent((startedMillis) -> this.state.job(end.task().job())
-				.ifPresent((job) -> recordDuration(job, end.task().step(), runner, nowMillis - startedMillis)));
-	}
-
-	private void recordDuration(BatchJob job, int step, RunnerKey runner, long millis) {
-		StepSpec spec = job.spec().steps().get(step);
-		job.address()
-			.ifPresent((queue) -> this.durationEstimator.addSample(queue, spec.estimatedMillis(),
-					this.runEnds.nearMillis(spec, runner, millis)));
-	}
-
 	private void onReleased(BatchCommand.Release release) {
 		this.sessions.values().forEach((session) -> session.remove(release.task(), release.run()));
 	}
@@ -786,9 +703,8 @@
 		if (this.endingIncarnations.add(key)) {
 			propose(session.releaseAll());
 		}
-		long lastAnnouncedMillis = this.announcedMillis.getOrDefault(key, this.electedMillis);
 		boolean isGone = session.hasEnded(nowMillis)
-				|| nowMillis - lastAnnouncedMillis > this.settings.runnerRetentionMillis();
+				|| nowMillis - this.announcements.lastMillis(key) > this.settings.runnerRetentionMillis();
 		if (isGone && this.removedIncarnations.add(key)) {
 			this.proposals.add(new BatchCommand.RemoveRunner(key));
 		}
@@ -813,9 +729,7 @@
 		});
 		this.sessions.keySet().retainAll(known);
 		this.firstContacts.retainAll(known);
-		this.announcedMillis.keySet().retainAll(known);
-		this.announcedSequences.keySet().retainAll(known);
-		this.departedMillis.keySet().retainAll(known);
+		this.announcements.retainAll(known);
 		this.endingIncarnations.retainAll(known);
 		this.removedIncarnations.retainAll(known);
 		this.reliability.retainAll(known);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunEndEstimator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunEndEstimator.java
@@ -142,7 +142,7 @@
 			RunnerRecord last = this.lastRunners.get(move.host());
 			// A host that has not arrived after twice the usual time may not come at all.
 			if (last != null && remainingMillis > -this.hostMoveMillis
-					&& !this.state.hasUnfinishedMaintenance(move.host())) {
+					&& !this.state.hasUnfinishedMaintenance(move.host()) && !this.state.isClosed(last.dataCentre())) {
 				arrivals.add(new Arrival(last, move.pool(), Math.max(0, remainingMillis)));
 			}
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolBalancer.java
@@ -307,12 +307,10 @@
 	}
 
 	private void grow(PoolFigures pool, Map<String, PoolFigures> pools, long nowMillis) {
-		// With a forecast it is known that the pool of an idle host does not need it
-		// soon.
+		// With a forecast it is known that the pool of an idle host needs it later.
 		long leavingMillis = this.forecast.periodMillis().isPresent() ? 0 : this.settings.idleTimeoutMillis();
 		while (pool.lacksHosts() || (this.poolsLackingCapacity.contains(pool.name()) && pool.arriving() == 0)) {
-			// A host that is about to return to the spare pool comes first, since it
-			// would
+			// A host that is about to return to the spare pool comes first: it would
 			// need an order to leave, and orders are limited.
 			Optional<String> host = takeIdleFromOtherPool(pool, pools, leavingMillis, nowMillis)
 				.or(() -> this.hosts.takeSpare(pool, nowMillis))
