--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchSettings.java
@@ -16,6 +16,7 @@
 import io.burdockpin.batch.port.HostChannel;
 import io.burdockpin.core.batch.call.DataCentreRules;
 import io.burdockpin.core.batch.lead.LeaderSettings;
+import io.burdockpin.core.batch.lead.plan.OrderRule;
 import io.burdockpin.core.batch.lead.pool.BalanceSettings;
 import io.burdockpin.core.batch.lead.run.SessionSettings;
 import io.burdockpin.core.batch.lead.wave.WaveSettings;
@@ -51,12 +52,15 @@
  * @param remoteFactor how many times as long a task takes far from its data, or a gang
  * that is spread over racks; empty if not known
  * @param clientLimits limits of the clients of this process; may be missing
+ * @param placementOrder how the jobs of a pool that lacks capacity are ranked; by least
+ * slack if it is missing
  */
 public record BatchSettings(String cluster, String process, String host, String dataCentre, boolean firstStart,
 		Optional<String> dataFolder, List<Integer> internalPorts, List<String> seeds, int toleratedMembers,
 		int longestLeaseMillis, int handOverPauseMillis, double upkeepSeconds, double graceSeconds,
 		AddressSettings addresses, Optional<String> platformAddress, double hostOrdersPerSecond,
-		Map<String, Object> dataCentres, OptionalDouble remoteFactor, ClientLimitSettings clientLimits) {
+		Map<String, Object> dataCentres, OptionalDouble remoteFactor, ClientLimitSettings clientLimits,
+		Optional<OrderRule> placementOrder) {
 
 	/**
 	 * Largest message between the processes. Control hosts accept bodies of up to 8 MiB,
@@ -162,6 +166,7 @@
 			.map((known) -> Collections.unmodifiableMap(new TreeMap<>(known)))
 			.orElse(Map.of());
 		remoteFactor = Objects.requireNonNullElse(remoteFactor, OptionalDouble.empty());
+		placementOrder = Objects.requireNonNullElse(placementOrder, Optional.empty());
 		clientLimits = (clientLimits != null) ? clientLimits : ClientLimitSettings.DEFAULT;
 	}
 
@@ -197,7 +202,8 @@
 						HOST_RETURN_TIMEOUT_MILLIS, HOST_RETRY_MILLIS),
 				new BalanceSettings(pauseMillis, POOL_MOVE_MILLIS, IDLE_TIMEOUT_MILLIS, MINIMUM_STAY_MILLIS,
 						HOST_RETRY_MILLIS, HOST_LIST_PERIOD_MILLIS),
-				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond, this.remoteFactor);
+				RUNNER_RETENTION_MILLIS, this.hostOrdersPerSecond, this.remoteFactor,
+				this.placementOrder.orElse(OrderRule.LEAST_SLACK));
 	}
 
 	DataCentreRules toDataCentreRules() {
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/BatchSettingsTests.java
@@ -141,7 +141,7 @@
 		return new BatchSettings("cluster", "process", "10.0.0.1", "dc1", true, Optional.of(""), ports,
 				List.of("10.0.0.1:8345"), toleratedMembers, 6_000, 3_000, 2, 6,
 				new BatchSettings.AddressSettings(Optional.of("10.0.0.1:1"), Optional.empty(), Optional.of("")),
-				Optional.empty(), 64, dataCentres, OptionalDouble.of(1.5), null);
+				Optional.empty(), 64, dataCentres, OptionalDouble.of(1.5), null, null);
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -179,7 +179,7 @@
 				(run) -> session(run.runner()).map((session) -> session.percent(run.task())).orElse(0));
 		this.placementWaits = new PlacementWaits(new PlacementWait(settings.remoteFactor()), this.runEnds);
 		this.planner = new TaskPlanner(this.durationEstimator, settings.balance().lookAheadMillis(),
-				this.placementWaits);
+				settings.placementOrder(), this.placementWaits);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		this.jobStarts = new JobStartRecorder(state);
 		this.overdueWatch = new OverdueWatch(settings, nowMillis);
@@ -247,7 +247,7 @@
 		Set<RunnerKey> drained = drainedRunners();
 		this.runEnds.setTime(nowMillis, wallMillis);
 		return new PlacementExplainer(this.durationEstimator, this.settings.balance().lookAheadMillis(),
-				this.placementWaits, usableRunners(drained, nowMillis), drained,
+				this.settings.placementOrder(), this.placementWaits, usableRunners(drained, nowMillis), drained,
 				(runner) -> this.reliability.reliability(runner, nowMillis), wallMillis);
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
+import io.burdockpin.core.batch.lead.plan.OrderRule;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -32,13 +33,14 @@
  *
  * @param durations estimator for task durations
  * @param moveMillis expected duration of a host move, in milliseconds
+ * @param rule how the jobs of a pool that lacks capacity are ranked
  * @param waits waits of the leader, which are not changed
  * @param runners runners that accept new tasks
  * @param drainedRunners runners whose tasks are stopped for maintenance
  * @param reliability returns the reliability of a runner
  * @param wallMillis current wall-clock time, in milliseconds since the epoch
  */
-public record PlacementExplainer(DurationEstimator durations, int moveMillis, PlacementWaits waits,
+public record PlacementExplainer(DurationEstimator durations, int moveMillis, OrderRule rule, PlacementWaits waits,
 		List<RunnerRecord> runners, Set<RunnerKey> drainedRunners, Function<RunnerKey, RunnerReliability> reliability,
 		long wallMillis) {
 
@@ -66,7 +68,7 @@
 
 	private PlacementExplanation explain(BatchState state, BatchJob job, boolean accepted) {
 		Trace trace = new Trace(job.id(), this.wallMillis);
-		List<BatchCommand.Assignment> assignments = new TaskPlanner(this.durations, this.moveMillis,
+		List<BatchCommand.Assignment> assignments = new TaskPlanner(this.durations, this.moveMillis, this.rule,
 				this.waits.copy(trace))
 			.plan(state, this.runners, this.drainedRunners, this.reliability, this.wallMillis)
 			.assignments();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/OrderRule.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/OrderRule.java
@@ -6,7 +6,7 @@
 import io.burdockpin.core.batch.state.Occurrence;
 
 /** How the jobs of a pool that lacks capacity are ranked. */
-enum OrderRule {
+public enum OrderRule {
 
 	/** All jobs rank alike, so that those with the least slack come first. */
 	LEAST_SLACK {
@@ -16,9 +16,17 @@
 			return Map.of();
 		}
 
+		@Override
+		boolean isRanking() {
+			return false;
+		}
+
 	},
 
-	/** Jobs are deferred so that the most value is in time. */
+	/**
+	 * Jobs are deferred so that the most value is in time. Serves more jobs in time under
+	 * a lasting overload, and fewer while a pool is short only until it has grown.
+	 */
 	VALUE_IN_TIME {
 
 		@Override
@@ -26,8 +34,19 @@
 			return valueInTime.rank(jobs);
 		}
 
+		@Override
+		boolean isRanking() {
+			return true;
+		}
+
 	};
 
+	/**
+	 * Tells whether the jobs of pools that lack capacity have to be examined.
+	 * @return {@code false} if all jobs rank alike
+	 */
+	abstract boolean isRanking();
+
 	abstract Map<Occurrence, Standing> rank(Collection<JobWork> jobs, ValueInTime valueInTime);
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/PlacementOrder.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/PlacementOrder.java
@@ -67,7 +67,8 @@
 	 * @return the steps in the order in which they are to be placed
 	 */
 	Result sort(List<WorkItem> items, BatchState state, RunnerChoice choice, long wallMillis) {
-		Map<String, PoolSupply> shortPools = shortPools(items, state, choice, wallMillis);
+		Map<String, PoolSupply> shortPools = this.rule.isRanking() ? shortPools(items, state, choice, wallMillis)
+				: Map.of();
 		if (shortPools.isEmpty()) {
 			return new Result(items.stream().sorted(WorkItem.ORDER).toList(), OrderFigures.NONE);
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -66,21 +66,18 @@
 		this(durations, moveMillis, OrderRule.VALUE_IN_TIME, PlacementWaits.none());
 	}
 
+	TaskPlanner(DurationEstimator durations, int moveMillis, OrderRule rule) {
+		this(durations, moveMillis, rule, PlacementWaits.none());
+	}
+
 	/**
 	 * Creates a planner.
 	 * @param durations estimator for task durations
 	 * @param moveMillis expected duration of a host move, in milliseconds
+	 * @param rule how the jobs of a pool that lacks capacity are ranked
 	 * @param waits waits for better places, which each round updates
 	 */
-	public TaskPlanner(DurationEstimator durations, int moveMillis, PlacementWaits waits) {
-		this(durations, moveMillis, OrderRule.VALUE_IN_TIME, waits);
-	}
-
-	TaskPlanner(DurationEstimator durations, int moveMillis, OrderRule rule) {
-		this(durations, moveMillis, rule, PlacementWaits.none());
-	}
-
-	private TaskPlanner(DurationEstimator durations, int moveMillis, OrderRule rule, PlacementWaits waits) {
+	public TaskPlanner(DurationEstimator durations, int moveMillis, OrderRule rule, PlacementWaits waits) {
 		this.waits = waits;
 		this.slackCalculator = new SlackCalculator(durations);
 		this.order = new PlacementOrder(durations, moveMillis, rule);
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/place/PlacementModel.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 
 import io.burdockpin.core.batch.lead.plan.DurationEstimator;
+import io.burdockpin.core.batch.lead.plan.OrderRule;
 import io.burdockpin.core.batch.lead.plan.Plan;
 import io.burdockpin.core.batch.lead.plan.TaskPlanner;
 import io.burdockpin.core.batch.lead.run.RunnerReliability;
@@ -118,7 +119,7 @@
 		OptionalDouble known = (policy == Policy.DECIDE) ? OptionalDouble.of(factor) : OptionalDouble.empty();
 		this.runEnds = new RunEndEstimator(this.state, this.durations, known, 1_700, this::assigned, this::percent);
 		this.waits = new PlacementWaits(new PlacementWait(known), this.runEnds);
-		this.planner = new TaskPlanner(this.durations, 1_700, this.waits);
+		this.planner = new TaskPlanner(this.durations, 1_700, OrderRule.VALUE_IN_TIME, this.waits);
 		apply(new BatchCommand.SetConfiguration(BatchFixtures.configuration(1, NO_LIMIT, "pool")));
 	}
 
@@ -177,8 +178,8 @@
 
 	PlacementExplainer explainer() {
 		this.runEnds.setTime(this.nowMillis, this.nowMillis);
-		return new PlacementExplainer(this.durations, 1_700, this.waits, this.runners, Set.of(), this::reliability,
-				this.nowMillis);
+		return new PlacementExplainer(this.durations, 1_700, OrderRule.VALUE_IN_TIME, this.waits, this.runners,
+				Set.of(), this::reliability, this.nowMillis);
 	}
 
 	private RunnerReliability reliability(RunnerKey runner) {
