--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/Candidate.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/Candidate.java
@@ -56,7 +56,16 @@
 	 * @return {@code true} if the task fits now
 	 */
 	public boolean fits(StepSpec step) {
-		return step.reserved().fitsIn(this.free) && hasLabelOf(step);
+		return hasCapacityFor(step) && hasLabelOf(step);
+	}
+
+	/**
+	 * Checks whether the runner has free capacity for a task.
+	 * @param step step of the task
+	 * @return {@code true} also if the runner does not have the label that it requires
+	 */
+	public boolean hasCapacityFor(StepSpec step) {
+		return step.reserved().fitsIn(this.free);
 	}
 
 	/**
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/Exclusion.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/Exclusion.java
@@ -30,7 +30,7 @@
 
 		@Override
 		boolean applies(RunnerChoice choice, PlaceRequest request, Candidate candidate) {
-			return !candidate.fits(request.spec());
+			return !candidate.hasCapacityFor(request.spec());
 		}
 
 	},
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/AssignmentRound.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/AssignmentRound.java
@@ -83,10 +83,11 @@
 
 	private void placeTasks(WorkItem item, JobPlaces places) {
 		List<BatchTask> tasks = item.tasks().tasks();
+		long durationMillis = item.durationMillis(this.durations);
 		for (int index = 0; index < tasks.size(); index++) {
 			BatchTask task = tasks.get(index);
 			if (task.isWaiting()) {
-				WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, places, this.durations);
+				WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, places, durationMillis);
 				Optional<Candidate> chosen = choose(item, waiting.request(), Optional.empty(), (candidate) -> true);
 				if (chosen.isEmpty()) {
 					return;
@@ -106,12 +107,13 @@
 			return;
 		}
 		int run = step.highestRun() + 1;
-		WaitingTask first = item.waitingTask(0, step.tasks().size(), run, places, this.durations);
+		long durationMillis = item.durationMillis(this.durations);
+		WaitingTask first = item.waitingTask(0, step.tasks().size(), run, places, durationMillis);
 		List<Candidate> members = chooseTogether(item, first, places);
 		boolean starts = members.size() == step.tasks().size()
 				&& (!step.spec().gang() || this.placement.decideGang(first, members).reason().starts());
 		for (int index = 0; starts && index < members.size(); index++) {
-			assign(item, item.waitingTask(index, 1, run, places, this.durations), members.get(index));
+			assign(item, item.waitingTask(index, 1, run, places, durationMillis), members.get(index));
 		}
 	}
 
@@ -123,7 +125,7 @@
 		Optional<String> wholeRack = Optional.empty();
 		Optional<String> rack = Optional.empty();
 		for (int index = 0; index < first.count(); index++) {
-			PlaceRequest request = item.waitingTask(index, 1, first.run(), places, this.durations).request();
+			PlaceRequest request = item.request(item.tasks().tasks().get(index), places);
 			Optional<String> only = wholeRack;
 			Optional<Candidate> chosen = choose(item, request, rack,
 					(candidate) -> only.isEmpty() || only.equals(candidate.runner().rack()));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/WorkItem.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/WorkItem.java
@@ -50,19 +50,28 @@
 		return new PlaceRequest(this.queue.pool(), this.tasks.spec(), task.failures() > 0, places);
 	}
 
+	/**
+	 * Estimates the duration of the tasks.
+	 * @param durations estimator for task durations
+	 * @return duration of each task in milliseconds; 0 for a long-running step
+	 */
+	long durationMillis(DurationEstimator durations) {
+		StepSpec spec = this.tasks.spec();
+		return spec.longRunning() ? 0
+				: durations.estimateMillis(this.job.address().orElseThrow(), spec.estimatedMillis());
+	}
+
 	/**
 	 * Describes a task that could start.
 	 * @param index index of the task, or of the first member of a gang
 	 * @param count number of tasks that start together
 	 * @param run number of the run
 	 * @param places where the tasks of the job run
-	 * @param durations estimator for task durations
-	 * @return task with its expected duration
+	 * @param durationMillis expected duration of each task of the step, in milliseconds
+	 * @return the task
 	 */
-	WaitingTask waitingTask(int index, int count, int run, JobPlaces places, DurationEstimator durations) {
+	WaitingTask waitingTask(int index, int count, int run, JobPlaces places, long durationMillis) {
 		StepSpec spec = this.tasks.spec();
-		long durationMillis = spec.longRunning() ? 0
-				: durations.estimateMillis(this.job.address().orElseThrow(), spec.estimatedMillis());
 		// Only the leader of that time knows when an earlier step or run has ended.
 		OptionalLong readyMillis = (spec.after().isEmpty() && run == 1)
 				? OptionalLong.of(this.job.spec().dueMillis(this.occurrence.number(), this.job.acceptedMillis()))
