--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/OperatorRoutes.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/OperatorRoutes.java
@@ -7,8 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.burdockpin.batch.call.LeaderCalls;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
@@ -30,10 +28,6 @@
 	/** As long as the control interface waits for an order. */
 	private static final long TIMEOUT_MILLIS = 900;
 
-	private static final int MILLIS_PER_SECOND = 1_000;
-
-	private static final ObjectMapper MAPPER = new ObjectMapper();
-
 	private final LeaderCalls leader;
 
 	private final PlacementRoutes placements;
@@ -102,18 +96,15 @@
 
 	private static HttpServerResponse response(FleetReply reply) {
 		if (reply instanceof FleetReply.Accepted) {
-			return json(200, Map.of());
+			return JsonResponses.of(200, Map.of());
 		}
 		if (reply instanceof FleetReply.DataCentres known) {
-			return json(200, Map.of("dataCentres", documents(known)));
+			return JsonResponses.of(200, Map.of("dataCentres", documents(known)));
 		}
 		if (reply instanceof FleetReply.Refused refused) {
 			int status = (refused.reason() == FleetReply.Reason.NO_SUCH_DATA_CENTRE) ? 404 : 503;
 			HttpServerResponse response = error(status, refused.reason().name());
-			return refused.retryAfterMillis()
-				.map((millis) -> response.withHeader("Retry-After",
-						Integer.toString((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)))
-				.orElse(response);
+			return refused.retryAfterMillis().map(response::withRetryAfterMillis).orElse(response);
 		}
 		return error(504, "no answer in time; the call may have taken effect");
 	}
@@ -136,16 +127,7 @@
 	}
 
 	private static HttpServerResponse error(int status, String text) {
-		return json(status, Map.of("error", text));
-	}
-
-	private static HttpServerResponse json(int status, Map<String, ?> document) {
-		try {
-			return HttpServerResponse.json(status, MAPPER.writeValueAsBytes(document));
-		}
-		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("maps, lists, strings and numbers can always be written", ex);
-		}
+		return JsonResponses.of(status, Map.of("error", text));
 	}
 
 }
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/PlacementRoutes.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/operator/PlacementRoutes.java
@@ -7,12 +7,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
 import io.burdockpin.core.batch.model.JobSpec;
@@ -30,11 +26,6 @@
 	/** The path of the explanation. */
 	public static final String PATH = "/operator/v1/placement-explanations";
 
-	private static final ObjectMapper MAPPER = JsonMapper.builder()
-		.addModule(new Jdk8Module())
-		.serializationInclusion(JsonInclude.Include.NON_ABSENT)
-		.build();
-
 	private final Function<FleetCall, CompletionStage<FleetReply>> leader;
 
 	private final Function<byte[], JobSpec> jobReader;
@@ -63,7 +54,7 @@
 			return CompletableFuture.completedFuture(error(404, "NOT_FOUND", "no such path or method"));
 		}
 		try {
-			return this.leader.apply(call(MAPPER.readTree(body))).thenApply(PlacementRoutes::response);
+			return this.leader.apply(call(JsonResponses.MAPPER.readTree(body))).thenApply(PlacementRoutes::response);
 		}
 		catch (IOException ex) {
 			return CompletableFuture.completedFuture(error(400, "INVALID", "the body is not JSON"));
@@ -82,7 +73,7 @@
 		if (job.isPresent()) {
 			return new FleetCall.ExplainPlacement(job, Optional.empty());
 		}
-		JobSpec spec = this.jobReader.apply(MAPPER.writeValueAsBytes(submission.get()));
+		JobSpec spec = this.jobReader.apply(JsonResponses.MAPPER.writeValueAsBytes(submission.get()));
 		return new FleetCall.ExplainPlacement(Optional.empty(), Optional
 			.of(new FleetCall.Submit(required(body, "host"), required(body, "path"), text(body, "key"), spec)));
 	}
@@ -97,7 +88,7 @@
 
 	private static HttpServerResponse response(FleetReply reply) {
 		if (reply instanceof FleetReply.Placement placement) {
-			return HttpServerResponse.json(200, write(placement.explanation()));
+			return JsonResponses.of(200, placement.explanation());
 		}
 		if (reply instanceof FleetReply.Refused refused) {
 			return switch (refused.reason()) {
@@ -111,16 +102,7 @@
 	}
 
 	private static HttpServerResponse error(int status, String code, String message) {
-		return HttpServerResponse.json(status, write(Map.of("error", code, "message", message)));
-	}
-
-	private static byte[] write(Object value) {
-		try {
-			return MAPPER.writeValueAsBytes(value);
-		}
-		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("records of texts and numbers can always be written", ex);
-		}
+		return JsonResponses.of(status, Map.of("error", code, "message", message));
 	}
 
 }
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerResponse.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/http/socket/HttpServerResponse.java
@@ -13,6 +13,8 @@
  */
 public record HttpServerResponse(int status, Map<String, String> headers, byte[] body) {
 
+	private static final int MILLIS_PER_SECOND = 1_000;
+
 	public HttpServerResponse {
 		headers = Map.copyOf(headers);
 	}
@@ -27,6 +29,15 @@
 		return new HttpServerResponse(status, Map.of(), body);
 	}
 
+	/**
+	 * Returns a copy that tells the client when to repeat its request.
+	 * @param millis delay in milliseconds, rounded up to whole seconds
+	 * @return the response with a {@code Retry-After} header
+	 */
+	public HttpServerResponse withRetryAfterMillis(int millis) {
+		return withHeader("Retry-After", Integer.toString((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND));
+	}
+
 	/**
 	 * Returns a copy with an additional header.
 	 * @return the response with the header
