--- a/burdockpin-operator/src/main/java/io/burdockpin/operator/client/SchedulerClient.java
+++ b/burdockpin-operator/src/main/java/io/burdockpin/operator/client/SchedulerClient.java
@@ -10,6 +10,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -88,7 +89,8 @@
 	 */
 	public JsonNode send(String method, String path) {
 		HttpResponse<byte[]> response = exchange(
-				request(path).method(method, HttpRequest.BodyPublishers.noBody()).build());
+				request(path).method(method, HttpRequest.BodyPublishers.noBody()).build(),
+				(ex) -> unknown("no answer from %s: %s; send the order again".formatted(this.address, ex), ex));
 		if (response.statusCode() != OK) {
 			throw refusal(response.statusCode(), new String(response.body(), StandardCharsets.UTF_8));
 		}
@@ -105,7 +107,7 @@
 	public JsonNode ask(String path, JsonNode document) {
 		HttpResponse<byte[]> response = exchange(request(path).header("Content-Type", "application/json")
 			.POST(HttpRequest.BodyPublishers.ofString(document.toString()))
-			.build());
+			.build(), this::unreachable);
 		JsonNode body = read(response);
 		if (response.statusCode() != OK) {
 			throw refusedQuestion(response.statusCode(), body);
@@ -119,7 +121,7 @@
 			.timeout(this.timeout);
 	}
 
-	private HttpResponse<byte[]> exchange(HttpRequest request) {
+	private HttpResponse<byte[]> exchange(HttpRequest request, Function<IOException, OperatorException> withoutAnswer) {
 		try {
 			return this.client.send(request, HttpResponse.BodyHandlers.ofByteArray());
 		}
@@ -128,7 +130,7 @@
 					"cannot connect to %s".formatted(this.address), ex);
 		}
 		catch (IOException ex) {
-			throw unknown("no answer from %s: %s; send the order again".formatted(this.address, ex), ex);
+			throw withoutAnswer.apply(ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -145,6 +147,12 @@
 		}
 	}
 
+	// A question that was not answered has changed nothing.
+	private OperatorException unreachable(IOException cause) {
+		return new OperatorException(OperatorExit.UNREACHABLE, ErrorCode.CONNECTION_FAILED,
+				"scheduler %s did not respond: %s".formatted(this.address, cause.getMessage()), cause);
+	}
+
 	private static OperatorException refusedQuestion(int status, JsonNode body) {
 		String message = "%s (%s)".formatted(body.path("message").asText("status " + status),
 				body.path("error").asText("no reason"));
--- a/burdockpin-operator/src/test/java/io/burdockpin/operator/PlacementExplanationTests.java
+++ b/burdockpin-operator/src/test/java/io/burdockpin/operator/PlacementExplanationTests.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 
 import com.google.common.truth.Truth;
+import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -117,6 +118,17 @@
 		Truth.assertThat(run("--job", "j1")).isEqualTo(OperatorExit.UNREACHABLE);
 	}
 
+	/**
+	 * Guards against advice to send an order again after a question that changes nothing.
+	 */
+	@Test
+	void aQuestionWithoutAnAnswerEndsAsUnreachable() {
+		this.server.removeContext("/operator/v1/placement-explanations");
+		this.server.createContext("/operator/v1/placement-explanations", HttpExchange::close);
+		Truth.assertThat(run("--job", "j1")).isEqualTo(OperatorExit.UNREACHABLE);
+		Truth.assertThat(this.errors.toString()).contains("did not respond");
+	}
+
 	private OperatorExit run(String... arguments) {
 		List<String> words = new ArrayList<>(List.of("explain", "placement", "--scheduler",
 				"127.0.0.1:" + this.server.getAddress().getPort(), "--timeout-seconds", "5"));
