--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
@@ -3,11 +3,15 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import io.burdockpin.core.batch.lead.place.Candidate;
+import io.burdockpin.core.batch.lead.plan.TaskPlanner;
+import io.burdockpin.core.batch.lead.run.RunnerReliability;
 import io.burdockpin.core.batch.lead.run.RunnerSession;
 import io.burdockpin.core.batch.lead.wave.DisruptionBudget;
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -21,7 +25,6 @@
 import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
-import io.burdockpin.core.model.Resources;
 
 /**
  * Moves long-running tasks out of closed data centres: stops each while the budget of its
@@ -46,7 +49,7 @@
 	/**
 	 * Stops the tasks that can move now. Called after each plan, when it is known which
 	 * capacity the plan has taken.
-	 * @param usable runners that accept new tasks and are not due for maintenance
+	 * @param usable sound runners that accept new tasks and are not due for maintenance
 	 * @param planned assignments of the plan, which are not applied yet
 	 * @param sessions sessions with the runners
 	 * @param nowMillis current monotonic time, in milliseconds
@@ -99,9 +102,7 @@
 	/** Free capacity after a plan. Not thread-safe. */
 	private final class Places {
 
-		private final List<RunnerRecord> usable;
-
-		private final Map<RunnerKey, Resources> free = new HashMap<>();
+		private final Map<RunnerKey, Candidate> candidates = new LinkedHashMap<>();
 
 		/**
 		 * Runners that were chosen for tasks of a step, by the first task of the step.
@@ -111,14 +112,13 @@
 		private final Set<TaskId> stepsWithoutPlace = new HashSet<>();
 
 		private Places(List<RunnerRecord> usable, List<BatchCommand.Assignment> planned) {
-			this.usable = usable;
 			BatchState current = LongRunningEvacuation.this.state;
-			usable.forEach((runner) -> this.free.put(runner.key(),
-					runner.capacity().minus(current.runs().reservedOn(runner.key()))));
-			planned.forEach((assignment) -> current.step(assignment.task())
-				.map(StepTasks::spec)
-				.ifPresent((spec) -> this.free.computeIfPresent(assignment.runner(),
-						(key, left) -> left.minus(spec.reserved()))));
+			TaskPlanner.candidates(current, usable, (runner) -> RunnerReliability.SOUND)
+				.forEach((candidate) -> this.candidates.put(candidate.runner().key(), candidate));
+			planned.forEach((assignment) -> Optional.ofNullable(this.candidates.get(assignment.runner()))
+				.ifPresent((candidate) -> current.step(assignment.task())
+					.map(StepTasks::spec)
+					.ifPresent(candidate::reserve)));
 		}
 
 		// Places only become fewer, so a step that has found none is not looked at again.
@@ -128,31 +128,29 @@
 				return false;
 			}
 			Optional<StepTasks> step = LongRunningEvacuation.this.state.step(run.task());
-			Optional<RunnerRecord> place = step.flatMap((known) -> find(run, known));
-			place.ifPresentOrElse((runner) -> {
-				this.free.computeIfPresent(runner.key(), (key, left) -> left.minus(step.get().spec().reserved()));
-				this.taken.merge(new RunnerOfStep(runner.key(), firstTask), 1, Integer::sum);
+			Optional<Candidate> place = step.flatMap((known) -> find(run, known));
+			place.ifPresentOrElse((candidate) -> {
+				candidate.reserve(step.get().spec());
+				this.taken.merge(new RunnerOfStep(candidate.runner().key(), firstTask), 1, Integer::sum);
 			}, () -> this.stepsWithoutPlace.add(firstTask));
 			return place.isPresent();
 		}
 
-		private Optional<RunnerRecord> find(Run run, StepTasks step) {
+		private Optional<Candidate> find(Run run, StepTasks step) {
 			Optional<String> pool = LongRunningEvacuation.this.state.job(run.task().job())
 				.flatMap(BatchJob::configuredQueue)
 				.map(BatchQueue::pool);
-			return this.usable.stream()
-				.filter((runner) -> pool.equals(Optional.of(runner.pool())) && fits(runner, step, run))
+			return this.candidates.values()
+				.stream()
+				.filter((candidate) -> pool.equals(Optional.of(candidate.runner().pool()))
+						&& isPossible(candidate, step, run))
 				.findFirst();
 		}
 
-		private boolean fits(RunnerRecord runner, StepTasks step, Run run) {
+		private boolean isPossible(Candidate candidate, StepTasks step, Run run) {
 			StepSpec spec = step.spec();
-			if (!spec.reserved().fitsIn(this.free.get(runner.key()))
-					|| spec.requiredLabel().filter((label) -> !runner.labels().contains(label)).isPresent()) {
-				return false;
-			}
-			return spec.maximumPerRunner().isEmpty()
-					|| countOn(runner.key(), step, run) < spec.maximumPerRunner().getAsInt();
+			return candidate.fits(spec) && (spec.maximumPerRunner().isEmpty()
+					|| countOn(candidate.runner().key(), step, run) < spec.maximumPerRunner().getAsInt());
 		}
 
 		private long countOn(RunnerKey runner, StepTasks step, Run run) {
