--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/OverloadAdmission.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/OverloadAdmission.java
@@ -29,8 +29,6 @@
  */
 public final class OverloadAdmission implements JobAdmission {
 
-	private static final double RUNNING_SHARE = 0.5;
-
 	/** The result of a job is worth nothing after this multiple of its objective. */
 	private static final int WORTHLESS_LATENCIES = 3;
 
@@ -110,7 +108,7 @@
 						* durations.estimateMillis(job.address().orElseThrow(), step.spec().estimatedMillis());
 				for (BatchTask task : step.tasks()) {
 					isStarted |= !task.isWaiting();
-					work += task.isWaiting() ? taskWork : task.isDone() ? 0 : RUNNING_SHARE * taskWork;
+					work += task.isWaiting() ? taskWork : task.isDone() ? 0 : PlacementOrder.RUNNING_SHARE * taskWork;
 				}
 			}
 			return isStarted ? work : 0;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/PlacementOrder.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/PlacementOrder.java
@@ -35,7 +35,7 @@
 final class PlacementOrder {
 
 	/** Tasks in progress are on average halfway through. */
-	private static final double RUNNING_SHARE = 0.5;
+	static final double RUNNING_SHARE = 0.5;
 
 	private final DurationEstimator durations;
 
