--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/pool/PoolBalancerTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/pool/PoolBalancerTests.java
@@ -152,15 +152,9 @@
 
 	@Test
 	void idleHostsReturnToTheSparePoolExceptTheLastTwo() {
-		List<String> moved = new ArrayList<>();
-		for (int round = 0; round < 40; round++) {
-			tick().forEach((move) -> {
-				apply(move);
-				moved.add(move.host());
-				Truth.assertThat(move.pool()).isEqualTo("spare");
-			});
-			this.nowMillis += 200;
-		}
+		List<BatchCommand.SetMove> moves = runFortyTicks();
+		moves.forEach((move) -> Truth.assertThat(move.pool()).isEqualTo("spare"));
+		List<String> moved = moves.stream().map(BatchCommand.SetMove::host).toList();
 		Truth.assertThat(moved).hasSize(4);
 	}
 
@@ -168,14 +162,7 @@
 	@Test
 	void aPoolKeepsAnIdleHostForTasksThatMaintenanceIsAboutToStop() {
 		this.balancer.onPlan(new Plan(List.of(), Set.of(), Set.of(new RunnerKey("hot0", 1)), List.of()));
-		List<String> moved = new ArrayList<>();
-		for (int round = 0; round < 40; round++) {
-			tick().forEach((move) -> {
-				apply(move);
-				moved.add(move.host());
-			});
-			this.nowMillis += 200;
-		}
+		List<String> moved = runFortyTicks().stream().map(BatchCommand.SetMove::host).toList();
 		Truth.assertThat(moved).hasSize(4);
 		Truth.assertThat(moved).doesNotContain("host-hot0");
 	}
@@ -395,14 +382,7 @@
 		}
 		addRunner("far0", "hot", "rack-b");
 		addRunner("far1", "hot", "rack-c");
-		List<String> moved = new ArrayList<>();
-		for (int round = 0; round < 40; round++) {
-			tick().forEach((move) -> {
-				apply(move);
-				moved.add(move.host());
-			});
-			this.nowMillis += 200;
-		}
+		List<String> moved = runFortyTicks().stream().map(BatchCommand.SetMove::host).toList();
 		Truth.assertThat(moved).hasSize(4);
 		long racks = Stream.of("near0", "near1", "near2", "near3", "far0", "far1")
 			.filter((id) -> !moved.contains("host-" + id))
@@ -417,6 +397,19 @@
 				List.of(new BatchCommand.Assignment(new TaskId(job, 0, 0, task), 1, new RunnerKey(runner, 1)))));
 	}
 
+	/** Applies each move in the tick that proposes it. */
+	private List<BatchCommand.SetMove> runFortyTicks() {
+		List<BatchCommand.SetMove> moves = new ArrayList<>();
+		for (int round = 0; round < 40; round++) {
+			tick().forEach((move) -> {
+				apply(move);
+				moves.add(move);
+			});
+			this.nowMillis += 200;
+		}
+		return moves;
+	}
+
 	private List<BatchCommand.SetMove> tick() {
 		this.sessions.values()
 			.forEach((session) -> session.onHeartbeatReply(
