--- a/review/lab-3/Operator.java
+++ b/review/lab-3/Operator.java
@@ -14,6 +14,10 @@
 
 	/** A configuration with one service, a queue with a key and an open queue. */
 	static String configuration(int version, List<String> extraRoutes) {
+		return configuration(version, extraRoutes, 1_955_719);
+	}
+
+	static String configuration(int version, List<String> extraRoutes, int limitMillicores) {
 		List<String> routes = new ArrayList<>();
 		routes.add(route("checks", "/checks/", "panel", 600, false, 3));
 		routes.add(route("archive", "/archive/", "panel", 2_500, true, 4));
@@ -24,8 +28,8 @@
 				"admissionCheck":false,"spare":false}],
 				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 				"tenants":[{"name":"detailers","apiKeys":["%s"],"priority":1,"weight":26,\
-				"upperLimit":{"cpu":1955719,"memMb":6463850,"gpu":0}}]}
-				""".formatted(version, String.join(",", routes), KEY);
+				"upperLimit":{"cpu":%d,"memMb":6463850,"gpu":0}}]}
+				""".formatted(version, String.join(",", routes), KEY, limitMillicores);
 	}
 
 	static String route(String name, String prefix, String service, int targetMillis, boolean open, int attempts) {
--- a/review/lab-3/Runner.java
+++ b/review/lab-3/Runner.java
@@ -36,6 +36,8 @@
 
 	private final HttpServer server;
 
+	private final Cut cut;
+
 	private final Map<String, Run> running = new LinkedHashMap<>();
 
 	/** Highest run that was stopped or has ended, by task. */
@@ -64,7 +66,7 @@
 		this.id = id;
 		this.address = ip + ":" + Fleet.RUNNER_PORT;
 		this.zone = zone;
-		this.server = HttpServer.create(new InetSocketAddress(ip, Fleet.RUNNER_PORT), 50);
+		this.server = HttpServer.create(new InetSocketAddress(ip, Fleet.RUNNER_PORT + 1), 50);
 		this.server.setExecutor(Executors.newCachedThreadPool((task) -> {
 			Thread thread = new Thread(task);
 			thread.setDaemon(true);
@@ -72,6 +74,7 @@
 		}));
 		this.server.createContext("/api/", this::handle);
 		this.server.start();
+		this.cut = new Cut(ip, Fleet.RUNNER_PORT, this.server.getAddress());
 		this.clock = thread(this::runClock);
 		this.heart = thread(this::beat);
 	}
@@ -91,6 +94,17 @@
 	public void close() {
 		this.stopped = true;
 		this.server.stop(0);
+		try {
+			this.cut.close();
+		}
+		catch (IOException ex) {
+			System.err.println("cannot close the links of " + this.id + ": " + ex);
+		}
+	}
+
+	/** The links of this runner to all machines of the system. */
+	Cut cut() {
+		return this.cut;
 	}
 
 	/** Returns the tasks that this runner has begun. */
@@ -292,7 +306,7 @@
 					"clockMs":%d,"born":%d,"machine":"%s","sequence":%d}"""
 				.formatted(this.address, this.zone, clockMillis(), this.born, machine(), sequence);
 			List<String> nodes = this.fleet.controlAddresses();
-			for (int attempt = 0; attempt < nodes.size() && !this.stopped; attempt++) {
+			for (int attempt = 0; attempt < nodes.size() && !this.stopped && !this.cut.isActive(); attempt++) {
 				Fleet.Reply reply = Fleet.call(nodes.get(node % nodes.size()), "PUT", "/api/instances/" + this.id,
 						Map.of(), body, 1_000);
 				if (reply.isSuccess()) {
