--- a/review/lab-3/Operator.java
+++ b/review/lab-3/Operator.java
@@ -9,19 +9,34 @@
 
 	static final String KEY = "review-key-1";
 
+	private static final int USUAL_LIMIT_MILLICORES = 1_955_719;
+
 	private Operator() {
 	}
 
 	/** A configuration with one service, a queue with a key and an open queue. */
 	static String configuration(int version, List<String> extraRoutes) {
-		return configuration(version, extraRoutes, 1_955_719);
+		return configuration(version, extraRoutes, USUAL_LIMIT_MILLICORES);
 	}
 
 	static String configuration(int version, List<String> extraRoutes, int limitMillicores) {
 		List<String> routes = new ArrayList<>();
 		routes.add(route("checks", "/checks/", "panel", 600, false, 3));
-		routes.add(route("archive", "/archive/", "panel", 2_500, true, 4));
+		routes.add(archiveRoute());
 		routes.addAll(extraRoutes);
+		return document(version, routes, limitMillicores);
+	}
+
+	/** A configuration without the open queue. */
+	static String configurationWithoutArchive(int version) {
+		return document(version, List.of(route("checks", "/checks/", "panel", 600, false, 3)), USUAL_LIMIT_MILLICORES);
+	}
+
+	private static String archiveRoute() {
+		return route("archive", "/archive/", "panel", 2_500, true, 4);
+	}
+
+	private static String document(int version, List<String> routes, int limitMillicores) {
 		return """
 				{"version":%d,"routes":[%s],
 				"services":[{"name":"panel","healthPath":"/health","connectionLimit":64,"protocol":"h1","tls":false,\
