Handle signals from the start of a program

Cause: the platform's program listens on the callers' address before the actor system exists, but ProgramBase installed the handlers after it.

Change: the handlers are installed first. The handling of work that has begun is unchanged.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/BatchControlGuardian.java
@@ -80,6 +80,9 @@
 
 	private boolean leaderKnown;
 
+	/** A reload that was requested before its recipient was started. */
+	private boolean reloadPending;
+
 	private BatchControlGuardian(ActorContext<GuardianCommand> context, TimerScheduler<GuardianCommand> timers,
 			BatchSettings settings, SettingsReloader reloader, BatchPorts ports, MemberStorage storage,
 			MetricRegistry metrics, Clock clock, RandomGenerator random, CompletableFuture<ExitStatus> exit) {
@@ -176,6 +179,7 @@
 	}
 
 	private Behavior<GuardianCommand> onReload() {
+		this.reloadPending = this.leader.isEmpty();
 		this.leader.ifPresent(this.reloader::reload);
 		return this;
 	}
@@ -211,6 +215,9 @@
 				Optional.of(this.scheduler), this.eventLog, this.clock), "leader-client",
 				DispatcherSelector.fromConfig(BatchDispatchers.CALLS));
 		this.leader = Optional.of(client);
+		if (this.reloadPending) {
+			onReload();
+		}
 		ConsensusSettings consensusSettings = this.settings.toConsensusSettings();
 		getContext().spawn(GroupJoiner.create(
 				new FleetCall.Join(self.host().value(), self.incarnation(),
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ProgramBase.java
@@ -3,9 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 
-import com.google.common.flogger.FluentLogger;
 import io.burdockpin.core.exc.BurdockException;
-import io.burdockpin.runtime.log.LogSetup;
 import io.burdockpin.runtime.settings.SettingsException;
 import io.burdockpin.runtime.settings.SettingsLoader;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -13,7 +11,6 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
-import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
 
 /**
@@ -24,8 +21,6 @@
  */
 public abstract class ProgramBase<S> {
 
-	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
 	private final String programName;
 
 	private final Class<S> settingsType;
@@ -52,23 +47,7 @@
 	 * @return the exit status
 	 */
 	public final ExitStatus run(String[] args) {
-		ArgumentParser parser = createParser();
-		try {
-			Namespace arguments = parser.parseArgs(args);
-			return runWith(arguments);
-		}
-		catch (ArgumentParserException ex) {
-			parser.handleError(ex);
-			return ExitStatus.USAGE;
-		}
-		catch (SettingsException ex) {
-			printError(ex);
-			return ExitStatus.BAD_SETTINGS;
-		}
-		catch (StartupException ex) {
-			printError(ex);
-			return ex.getExitStatus();
-		}
+		return ActorSystemRunner.run(this.programName, canReload(), (runner) -> runFromCommandLine(args, runner));
 	}
 
 	/**
@@ -117,6 +96,26 @@
 
 	// helpers
 
+	private ExitStatus runFromCommandLine(String[] args, ActorSystemRunner runner) {
+		ArgumentParser parser = createParser();
+		try {
+			Namespace arguments = parser.parseArgs(args);
+			return runWith(arguments, runner);
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			return ExitStatus.USAGE;
+		}
+		catch (SettingsException ex) {
+			printError(ex);
+			return ExitStatus.BAD_SETTINGS;
+		}
+		catch (StartupException ex) {
+			printError(ex);
+			return ex.getExitStatus();
+		}
+	}
+
 	private ArgumentParser createParser() {
 		ArgumentParser parser = ArgumentParsers.newFor(this.programName)
 			.terminalWidthDetection(false)
@@ -133,7 +132,7 @@
 		return parser;
 	}
 
-	private ExitStatus runWith(Namespace arguments) {
+	private ExitStatus runWith(Namespace arguments, ActorSystemRunner runner) {
 		String checkedFile = arguments.getString("checkSettings");
 		if (checkedFile != null) {
 			S settings = this.settingsLoader.load(Path.of(checkedFile), this.settingsType);
@@ -151,21 +150,7 @@
 		if (runOneTimeAction(arguments, settings)) {
 			return ExitStatus.SUCCESS;
 		}
-		return runSystem(settings);
-	}
-
-	private ExitStatus runSystem(S settings) {
-		LogSetup.install();
-		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
-		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(settings, exit), "burdockpin",
-				ActorConfiguration.load());
-		ShutdownHook.install(system, exit);
-		if (canReload()) {
-			ReloadSignal.install(system);
-		}
-		logger.atInfo().log("Started %s.", this.programName);
-		system.getWhenTerminated().toCompletableFuture().join();
-		return exit.getNow(ExitStatus.SUCCESS);
+		return runner.runSystem("burdockpin", (exit) -> createGuardian(settings, exit), ActorConfiguration.load());
 	}
 
 	private void printError(BurdockException ex) {
--- a/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ReloadSignal.java
+++ b/burdockpin-runtime/src/main/java/io/burdockpin/runtime/service/ReloadSignal.java
@@ -1,13 +1,16 @@
 package io.burdockpin.runtime.service;
 
+import java.util.concurrent.CompletableFuture;
+
 import com.google.common.flogger.FluentLogger;
 import org.apache.pekko.actor.typed.ActorSystem;
 import sun.misc.Signal;
 
 /**
- * Forwards SIGHUP to the root guardian. Without a handler, SIGHUP would end the process.
+ * Forwards SIGHUP to the root guardian, as soon as there is one. Without a handler,
+ * SIGHUP would end the process.
  */
-public final class ReloadSignal {
+final class ReloadSignal {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -15,13 +18,14 @@
 	}
 
 	/**
-	 * Installs the handler.
+	 * Installs the handler. The order of reloads that arrive before the system exists
+	 * does not matter, since each reads the settings that are current when it is handled.
 	 * @param system receives {@link GuardianCommand.Reload}
 	 */
-	public static void install(ActorSystem<GuardianCommand> system) {
+	static void install(CompletableFuture<ActorSystem<GuardianCommand>> system) {
 		Signal.handle(new Signal("HUP"), (signal) -> {
 			logger.atInfo().log("Received SIGHUP, reloading the settings.");
-			system.tell(GuardianCommand.Reload.INSTANCE);
+			system.thenAccept((started) -> started.tell(GuardianCommand.Reload.INSTANCE));
 		});
 	}
 
--- a/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
+++ b/burdockpin-testbench/src/main/java/io/burdockpin/testbench/program/TestbenchProgram.java
@@ -5,16 +5,14 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import io.burdockpin.core.exc.BurdockException;
-import io.burdockpin.runtime.log.LogSetup;
 import io.burdockpin.runtime.service.ActorConfiguration;
+import io.burdockpin.runtime.service.ActorSystemRunner;
 import io.burdockpin.runtime.service.ExitStatus;
 import io.burdockpin.runtime.service.GuardianCommand;
-import io.burdockpin.runtime.service.ShutdownHook;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
-import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
 
 /**
@@ -54,19 +52,7 @@
 	 * @return the exit status
 	 */
 	public final ExitStatus run(String[] args) {
-		ArgumentParser parser = ArgumentParsers.newFor(this.programName).build().defaultHelp(true);
-		addArguments(parser);
-		try {
-			return runWith(parser.parseArgs(args));
-		}
-		catch (ArgumentParserException ex) {
-			parser.handleError(ex);
-			return ExitStatus.USAGE;
-		}
-		catch (BurdockException ex) {
-			System.err.println(this.programName + ": " + ex.getCode() + ": " + ex.getMessage());
-			return ExitStatus.USAGE;
-		}
+		return ActorSystemRunner.run(this.programName, false, (runner) -> runFromCommandLine(args, runner));
 	}
 
 	/**
@@ -94,14 +80,21 @@
 
 	// helpers
 
-	private ExitStatus runWith(Namespace arguments) {
-		LogSetup.install();
-		CompletableFuture<ExitStatus> exit = new CompletableFuture<>();
-		ActorSystem<GuardianCommand> system = ActorSystem.create(createGuardian(arguments, exit), "testbench",
-				actorConfiguration());
-		ShutdownHook.install(system, exit);
-		system.getWhenTerminated().toCompletableFuture().join();
-		return exit.getNow(ExitStatus.SUCCESS);
+	private ExitStatus runFromCommandLine(String[] args, ActorSystemRunner runner) {
+		ArgumentParser parser = ArgumentParsers.newFor(this.programName).build().defaultHelp(true);
+		addArguments(parser);
+		try {
+			Namespace arguments = parser.parseArgs(args);
+			return runner.runSystem("testbench", (exit) -> createGuardian(arguments, exit), actorConfiguration());
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			return ExitStatus.USAGE;
+		}
+		catch (BurdockException ex) {
+			System.err.println(this.programName + ": " + ex.getCode() + ": " + ex.getMessage());
+			return ExitStatus.USAGE;
+		}
 	}
 
 }
