--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -25,6 +23,7 @@
 import io.burdockpin.core.batch.call.DataCentreRules;
 import io.burdockpin.core.batch.call.FleetCall;
 import io.burdockpin.core.batch.call.FleetReply;
+import io.burdockpin.core.batch.call.JobIntake;
 import io.burdockpin.core.batch.lead.FleetLeader;
 import io.burdockpin.core.batch.lead.LeaderSettings;
 import io.burdockpin.core.batch.lead.host.HostOrder;
@@ -112,7 +111,7 @@
 	private final LeadershipPermit permit;
 
 	/** Jobs whose submission is being committed. */
-	private final Set<String> proposedJobs = new HashSet<>();
+	private final JobIntake intake = new JobIntake();
 
 	private final List<BatchCommand> queuedCommands = new ArrayList<>();
 
@@ -286,15 +285,16 @@
 		CallDecision decision = this.rules.decide(call, this.state, this::admit);
 		if (decision instanceof CallDecision.Commit commit
 				&& commit.command() instanceof BatchCommand.SubmitJob submitted) {
-			this.proposedJobs.add(submitted.id());
+			this.intake.onProposed(submitted);
 		}
 		return decision;
 	}
 
 	// A job that is being committed may be accepted, so a rejection would be false.
-	private Optional<Integer> admit(String job, BatchQueue queue, JobSpec spec) {
-		return this.proposedJobs.contains(job) ? Optional.empty()
-				: this.leader.flatMap((leading) -> leading.admission().retryAfterMillis(job, queue, spec));
+	private Optional<Integer> admit(String job, BatchQueue queue, String workspace, JobSpec spec) {
+		return this.intake.isProposed(job) ? Optional.empty()
+				: this.intake.retryAfterMillis(this.state, workspace, spec)
+					.or(() -> this.leader.flatMap((leading) -> leading.admission().retryAfterMillis(job, queue, spec)));
 	}
 
 	private void execute(CallDecision decision, ReplyPort replyTo) {
@@ -440,7 +440,7 @@
 				warnIfAllAreClosed();
 			}
 			if (command instanceof BatchCommand.SubmitJob submitted) {
-				this.proposedJobs.remove(submitted.id());
+				this.intake.onApplied(submitted);
 			}
 		}
 	}
@@ -484,7 +484,7 @@
 
 	private void dropLeader() {
 		this.leader = Optional.empty();
-		this.proposedJobs.clear();
+		this.intake.clear();
 		this.channels.retain((key) -> false);
 		this.events.leaderDropped();
 	}
--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerEvents.java
@@ -94,6 +94,8 @@
 			.with(EventField.DEFERRED_JOBS, figures.order().deferredJobs())
 			.with(EventField.BEYOND_WEIGHT_JOBS, figures.order().beyondWeightJobs())
 			.with(EventField.LATE_JOBS, figures.order().lateJobs())
+			.with(EventField.JOB_UNITS, state.jobUnits())
+			.with(EventField.WAITING_STEPS, figures.waitingSteps())
 			.with(EventField.HOSTS, figures.hosts().hosts())
 			.with(EventField.IDLE_HOSTS, figures.hosts().idleHosts())
 			.with(EventField.MOVING_HOSTS, figures.hosts().movingHosts())
--- a/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
+++ b/burdockpin-batch/src/test/java/io/burdockpin/batch/scheduler/SchedulerEventsTests.java
@@ -91,7 +91,7 @@
 	}
 
 	private static LeaderFigures figures(OrderFigures order, BalanceFigures hosts) {
-		return new LeaderFigures(order, new WaitCounts(0, 0), hosts);
+		return new LeaderFigures(order, 7, new WaitCounts(0, 0), hosts);
 	}
 
 	private Map<EventField, String> nextFields() {
@@ -113,6 +113,8 @@
 				new BatchState());
 		Map<EventField, String> fields = next(EventKind.LEADER_LOAD).fields();
 		Truth.assertThat(fields).containsEntry(EventField.HOSTS, "90");
+		Truth.assertThat(fields).containsEntry(EventField.WAITING_STEPS, "7");
+		Truth.assertThat(fields).containsEntry(EventField.JOB_UNITS, "0");
 		Truth.assertThat(fields).containsEntry(EventField.IDLE_HOSTS, "12");
 		Truth.assertThat(fields).containsEntry(EventField.MOVING_HOSTS, "7");
 		Truth.assertThat(fields).containsEntry(EventField.EXPECTED_HOSTS, "42");
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -164,7 +164,10 @@
 			boolean isSame = known.get().isAt(queue.address()) && mayAccess(known.get(), queue, owner);
 			return new CallDecision.Answer(isSame ? new FleetReply.Accepted() : IDENTIFIER_IN_USE);
 		}
-		Optional<Integer> retryAfterMillis = admission.retryAfterMillis(job, queue, call.spec());
+		if (!JobIntake.isStorable(call.spec())) {
+			return refuse(FleetReply.Reason.OVERLOADED);
+		}
+		Optional<Integer> retryAfterMillis = admission.retryAfterMillis(job, queue, owner, call.spec());
 		if (retryAfterMillis.isPresent()) {
 			return new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.OVERLOADED, retryAfterMillis));
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/FleetReply.java
@@ -153,8 +153,9 @@
 		INVALID,
 
 		/**
-		 * The job would end too late to be of use, even before all other new ones. It was
-		 * not stored.
+		 * The job would end too late to be of use, even before all other new ones, or the
+		 * members do not have the memory or the processor time for it. It was not stored.
+		 * Without a delay before a retry, the job itself is too large.
 		 */
 		OVERLOADED,
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-import io.burdockpin.core.batch.call.JobAdmission;
 import io.burdockpin.core.batch.lead.closing.ClosedDataCentres;
 import io.burdockpin.core.batch.lead.closing.LongRunningEvacuation;
 import io.burdockpin.core.batch.lead.host.HostEntry;
@@ -73,6 +72,12 @@
 	 */
 	private static final int MINIMUM_PLAN_PERIOD_MILLIS = 15;
 
+	/**
+	 * Waiting steps that extend the period of the plans by a millisecond, so that plans
+	 * leave processor time for orders and calls, however many steps wait.
+	 */
+	private static final int STEPS_PER_PERIOD_MILLI = 50;
+
 	/** Runners can become usable again without an event. */
 	private static final int MAXIMUM_PLAN_PERIOD_MILLIS = 100;
 
@@ -410,7 +415,8 @@
 	 * @return figures of the latest rounds
 	 */
 	public LeaderFigures takeFigures() {
-		return new LeaderFigures(this.latestPlan.order(), this.placementWaits.drainCounts(), this.balancer.figures());
+		return new LeaderFigures(this.latestPlan.order(), this.latestPlan.waitingSteps(),
+				this.placementWaits.drainCounts(), this.balancer.figures());
 	}
 
 	/**
@@ -491,7 +497,7 @@
 	 * Returns the admission of new jobs under the load at the time of the latest plan.
 	 * @return decision about jobs that are not known yet
 	 */
-	public JobAdmission admission() {
+	public OverloadAdmission admission() {
 		if (this.admission.isEmpty()) {
 			this.admission = Optional
 				.of(OverloadAdmission.of(this.state, this.durationEstimator, this.balancer.spareHostCount()));
@@ -543,7 +549,8 @@
 
 	private boolean isPlanDue(long nowMillis) {
 		long sincePlanMillis = nowMillis - this.plannedMillis;
-		return sincePlanMillis >= (this.changedSincePlan ? MINIMUM_PLAN_PERIOD_MILLIS : MAXIMUM_PLAN_PERIOD_MILLIS);
+		int periodMillis = this.changedSincePlan ? MINIMUM_PLAN_PERIOD_MILLIS : MAXIMUM_PLAN_PERIOD_MILLIS;
+		return sincePlanMillis >= Math.max(periodMillis, this.latestPlan.waitingSteps() / STEPS_PER_PERIOD_MILLI);
 	}
 
 	private void plan(long nowMillis, long wallMillis) {
@@ -658,7 +665,8 @@
 	private void stopRunsOf(String id) {
 		this.state.job(id)
 			.ifPresent((job) -> job.occurrences()
-				.forEach((occurrence) -> occurrence.steps().forEach((step) -> step.tasks().forEach(this::stop))));
+				.forEach(
+						(occurrence) -> occurrence.steps().forEach((step) -> step.changedTasks().forEach(this::stop))));
 	}
 
 	// A configuration may permit fewer attempts, which ends jobs.
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OccurrenceOpener.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/OccurrenceOpener.java
@@ -25,7 +25,8 @@
 	}
 
 	/**
-	 * Returns the commands that open what is due, each once.
+	 * Returns the commands that open what is due, each once. A job whose open occurrences
+	 * take as much of a member as they may waits until one of them is done.
 	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 * @return commands to commit
 	 */
@@ -33,7 +34,8 @@
 		List<BatchCommand> due = new ArrayList<>();
 		for (BatchJob job : this.state.activeJobs()) {
 			int next = job.nextOccurrence();
-			boolean isDue = job.spec().hasSchedule() && next < job.spec().totalOccurrences()
+			boolean isDue = job.spec().hasSchedule() && job.occurrences().size() < job.size().openOccurrences()
+					&& next < job.spec().totalOccurrences()
 					&& wallMillis >= job.spec().dueMillis(next, job.acceptedMillis());
 			if (isDue && this.openedOccurrences.getOrDefault(job.id(), -1) < next) {
 				this.openedOccurrences.put(job.id(), next);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/closing/LongRunningEvacuation.java
@@ -22,7 +22,6 @@
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
 
@@ -94,7 +93,7 @@
 			.filter((workspace) -> workspace.isExceededBy(this.state.runs().chargedTo(run.workspace())))
 			.isPresent();
 		return !isLimited && this.state.step(run.task())
-			.filter((step) -> step.tasks().stream().noneMatch(BatchTask::isWaiting))
+			.filter((step) -> step.waitingCount() == 0)
 			.filter((step) -> this.budget.permitsStop(run, step, sessions, nowMillis))
 			.isPresent();
 	}
@@ -154,7 +153,7 @@
 		}
 
 		private long countOn(RunnerKey runner, StepTasks step, Run run) {
-			return this.taken.getOrDefault(new RunnerOfStep(runner, run.task().firstOfStep()), 0) + step.tasks()
+			return this.taken.getOrDefault(new RunnerOfStep(runner, run.task().firstOfStep()), 0) + step.changedTasks()
 				.stream()
 				.filter((task) -> task.run().filter((known) -> known.runner().equals(runner)).isPresent())
 				.count();
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/overdue/OverdueKind.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/overdue/OverdueKind.java
@@ -10,7 +10,6 @@
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
 import io.burdockpin.core.batch.state.Run;
 import io.burdockpin.core.batch.state.StepTasks;
@@ -115,7 +114,7 @@
 			List<StepTasks> steps = occurrence.steps();
 			for (int number = 0; number < steps.size(); number++) {
 				StepTasks step = steps.get(number);
-				boolean isWaiting = hasWaitingTask(step) && occurrence.isReady(number);
+				boolean isWaiting = step.waitingCount() > 0 && occurrence.isReady(number);
 				TaskId first = new TaskId(job.id(), occurrence.number(), number, 0);
 				if (isWaiting && work.capacity().hasRoomFor(first, job.workspace(), queue.pool(), step)) {
 					open.accept("%s.%d.%d".formatted(job.id(), occurrence.number(), number));
@@ -123,19 +122,6 @@
 			}
 		}
 
-		// Called for each open step, so it avoids streams.
-		private boolean hasWaitingTask(StepTasks step) {
-			if (step.isDone()) {
-				return false;
-			}
-			for (BatchTask task : step.tasks()) {
-				if (task.isWaiting()) {
-					return true;
-				}
-			}
-			return false;
-		}
-
 	},
 
 	/** A run that goes on although its job was cancelled or has ended. */
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/JobPlaces.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/JobPlaces.java
@@ -20,34 +20,33 @@
  */
 public final class JobPlaces {
 
+	private final BatchState state;
+
+	private final BatchJob job;
+
+	private final StepTasks step;
+
 	private final Map<RunnerKey, Integer> stepTasks = new HashMap<>();
 
 	private final Map<Optional<String>, Integer> jobTasks = new HashMap<>();
 
+	private boolean counted;
+
+	private JobPlaces(BatchState state, BatchJob job, StepTasks step) {
+		this.state = state;
+		this.job = job;
+		this.step = step;
+	}
+
 	/**
-	 * Counts the runs of a job.
-	 * @param state replicated state
+	 * Counts the runs of a job, once they are asked for.
+	 * @param state replicated state, which does not change during a round
 	 * @param job job to place
 	 * @param step step to place, whose tasks are counted for each runner
 	 * @return the counts
 	 */
 	public static JobPlaces of(BatchState state, BatchJob job, StepTasks step) {
-		JobPlaces places = new JobPlaces();
-		for (BatchTask task : step.tasks()) {
-			task.run().ifPresent((run) -> places.stepTasks.merge(run.runner(), 1, Integer::sum));
-		}
-		for (Occurrence occurrence : job.occurrences()) {
-			for (StepTasks any : occurrence.steps()) {
-				if (!any.isDone()) {
-					any.tasks()
-						.forEach((task) -> task.run()
-							.map(Run::runner)
-							.flatMap(state::runner)
-							.ifPresent((runner) -> places.jobTasks.merge(runner.rack(), 1, Integer::sum)));
-				}
-			}
-		}
-		return places;
+		return new JobPlaces(state, job, step);
 	}
 
 	/**
@@ -55,8 +54,7 @@
 	 * @param runner its runner
 	 */
 	public void add(RunnerRecord runner) {
-		this.stepTasks.merge(runner.key(), 1, Integer::sum);
-		this.jobTasks.merge(runner.rack(), 1, Integer::sum);
+		merge(runner, 1);
 	}
 
 	/**
@@ -64,16 +62,49 @@
 	 * @param runner its runner
 	 */
 	public void remove(RunnerRecord runner) {
-		this.stepTasks.merge(runner.key(), -1, Integer::sum);
-		this.jobTasks.merge(runner.rack(), -1, Integer::sum);
+		merge(runner, -1);
 	}
 
 	int stepTasksOn(RunnerKey runner) {
+		count();
 		return this.stepTasks.getOrDefault(runner, 0);
 	}
 
 	int jobTasksOnRackOf(RunnerRecord runner) {
+		count();
 		return this.jobTasks.getOrDefault(runner.rack(), 0);
 	}
 
+	// helpers
+
+	private void merge(RunnerRecord runner, int change) {
+		count();
+		this.stepTasks.merge(runner.key(), change, Integer::sum);
+		this.jobTasks.merge(runner.rack(), change, Integer::sum);
+	}
+
+	private void count() {
+		if (this.counted) {
+			return;
+		}
+		this.counted = true;
+		for (BatchTask task : this.step.changedTasks()) {
+			task.run().ifPresent((run) -> this.stepTasks.merge(run.runner(), 1, Integer::sum));
+		}
+		for (Occurrence occurrence : this.job.occurrences()) {
+			occurrence.steps()
+				.stream()
+				.filter((any) -> !any.isDone() && any.activeCount() > 0)
+				.flatMap((any) -> any.changedTasks().stream())
+				.forEach(this::countOnRack);
+		}
+	}
+
+	private void countOnRack(BatchTask task) {
+		task.run()
+			.map(Run::runner)
+			.flatMap(this.state::runner)
+			.ifPresent((runner) -> this.jobTasks.merge(runner.rack(), 1, Integer::sum));
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementExplainer.java
@@ -21,7 +21,6 @@
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.CommandGroup;
 import io.burdockpin.core.batch.state.Occurrence;
 import io.burdockpin.core.batch.state.StepTasks;
@@ -105,7 +104,7 @@
 		if (!occurrence.isReady(number)) {
 			return PlacementExplanation.StepState.NOT_READY;
 		}
-		return step.tasks().stream().anyMatch(BatchTask::isWaiting) ? PlacementExplanation.StepState.WAITING
+		return (step.waitingCount() > 0) ? PlacementExplanation.StepState.WAITING
 				: PlacementExplanation.StepState.RUNNING;
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementRound.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/PlacementRound.java
@@ -10,7 +10,6 @@
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
 import io.burdockpin.core.batch.state.StepTasks;
 
@@ -199,8 +198,7 @@
 			for (int number = 0; number < occurrence.steps().size(); number++) {
 				StepTasks step = occurrence.steps().get(number);
 				if (!step.isDone() && !step.spec().longRunning() && occurrence.isReady(number)) {
-					long waiting = step.tasks().stream().filter(BatchTask::isWaiting).count();
-					sum += waiting * step.spec().reserved().cpuMillicores();
+					sum += (long) step.waitingCount() * step.spec().reserved().cpuMillicores();
 				}
 			}
 		}
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/place/RunnerChoice.java
@@ -21,6 +21,9 @@
 
 	private final Map<String, List<Candidate>> byPool = new HashMap<>();
 
+	/** Largest free amount in each dimension at the start of the round, by pool. */
+	private final Map<String, Resources> largestFree = new HashMap<>();
+
 	private final Map<String, Boolean> canAvoidSuspects = new HashMap<>();
 
 	private final Predicate<Candidate> maintenanceDue;
@@ -65,6 +68,9 @@
 	 */
 	public Optional<Candidate> choose(PlaceRequest request, Optional<String> preferredRack,
 			Predicate<Candidate> filter) {
+		if (!request.spec().reserved().fitsIn(largestFree(request.pool()))) {
+			return Optional.empty();
+		}
 		Comparator<Candidate> order = Comparator
 			.<Candidate, Boolean>comparing((candidate) -> !candidate.reliability().isSuitable(request.hasFailed()))
 			.thenComparing((candidate) -> !candidate.isLocalTo(request.spec()))
@@ -101,6 +107,18 @@
 		return millicores < 0 || mebibytes < 0;
 	}
 
+	// Capacity only decreases during a round. Steps that fit no runner may be many, so
+	// they must not cost a visit of each runner.
+	private Resources largestFree(String pool) {
+		return this.largestFree.computeIfAbsent(pool, (name) -> {
+			Resources largest = Resources.NONE;
+			for (Candidate candidate : candidates(name)) {
+				largest = largest.largestOf(candidate.free());
+			}
+			return largest;
+		});
+	}
+
 	// If at least half of the runners of a pool are suspect, the tasks are the more
 	// likely cause, and waiting for the other runners would take longer.
 	boolean canAvoidSuspects(String pool) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/AssignmentRound.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/AssignmentRound.java
@@ -65,8 +65,9 @@
 		return this.assignments.size();
 	}
 
-	Plan plan(List<Candidate> candidates, OrderFigures figures) {
-		return new Plan(this.assignments, this.poolsLackingCapacity, this.runnersForRestarts, candidates, figures);
+	Plan plan(List<Candidate> candidates, PlacementOrder.Result order) {
+		return new Plan(this.assignments, this.poolsLackingCapacity, this.runnersForRestarts, candidates,
+				order.figures(), order.items().size());
 	}
 
 	void place(WorkItem item) {
@@ -84,7 +85,7 @@
 	private void placeTasks(WorkItem item, JobPlaces places) {
 		List<BatchTask> tasks = item.tasks().tasks();
 		long durationMillis = item.durationMillis(this.durations);
-		for (int index = 0; index < tasks.size(); index++) {
+		for (int index = item.tasks().firstWaitingIndex(); index < tasks.size(); index++) {
 			BatchTask task = tasks.get(index);
 			if (task.isWaiting()) {
 				WaitingTask waiting = item.waitingTask(index, 1, task.lastRun() + 1, places, durationMillis);
@@ -103,7 +104,7 @@
 	// the tasks of a long-running step.
 	private void placeTogether(WorkItem item, JobPlaces places) {
 		StepTasks step = item.tasks();
-		if (!step.tasks().stream().allMatch(BatchTask::isWaiting)) {
+		if (!step.areAllWaiting()) {
 			return;
 		}
 		int run = step.highestRun() + 1;
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/FreeCapacity.java
@@ -15,7 +15,6 @@
 import io.burdockpin.core.batch.model.TaskId;
 import io.burdockpin.core.batch.state.BatchCommand;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.model.Resources;
 
@@ -119,15 +118,14 @@
 		if (capacity == null || places(pool, capacity, spec) < needed + placesInDoubt(step)) {
 			return false;
 		}
-		boolean canStart = !startsTogether || step.tasks().stream().allMatch(BatchTask::isWaiting);
+		boolean canStart = !startsTogether || step.areAllWaiting();
 		return canStart && !exceedsWorkspaceLimit(workspace, spec.resources().times(needed))
 				&& (!isNewService || capacity.hasLongRunningShareFor(spec.reserved().times(needed)));
 	}
 
 	// Active tasks may take places where the number per runner is limited.
 	private static long placesInDoubt(StepTasks step) {
-		return step.spec().maximumPerRunner().isEmpty() ? 0
-				: step.tasks().stream().filter((task) -> task.run().isPresent()).count();
+		return step.spec().maximumPerRunner().isEmpty() ? 0 : step.activeCount();
 	}
 
 	private boolean exceedsWorkspaceLimit(String workspace, Resources added) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/OverloadAdmission.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/OverloadAdmission.java
@@ -4,14 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 
-import io.burdockpin.core.batch.call.JobAdmission;
 import io.burdockpin.core.batch.model.BatchQueue;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.RunnerRecord;
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.model.Resources;
 
@@ -27,7 +25,7 @@
  * accepted, as are jobs for a pool that has no known capacity. Immutable; examines the
  * state once, so it is to be created anew from time to time.
  */
-public final class OverloadAdmission implements JobAdmission {
+public final class OverloadAdmission {
 
 	/** The result of a job is worth nothing after this multiple of its objective. */
 	private static final int WORTHLESS_LATENCIES = 3;
@@ -106,16 +104,20 @@
 			for (StepTasks step : occurrence.steps()) {
 				double taskWork = (double) step.spec().reserved().cpuMillicores()
 						* durations.estimateMillis(job.address().orElseThrow(), step.spec().estimatedMillis());
-				for (BatchTask task : step.tasks()) {
-					isStarted |= !task.isWaiting();
-					work += task.isWaiting() ? taskWork : task.isDone() ? 0 : PlacementOrder.RUNNING_SHARE * taskWork;
-				}
+				isStarted |= !step.areAllWaiting();
+				work += (step.waitingCount() + PlacementOrder.RUNNING_SHARE * step.runningCount()) * taskWork;
 			}
 			return isStarted ? work : 0;
 		}).sum();
 	}
 
-	@Override
+	/**
+	 * Decides about a job that is not known yet.
+	 * @param job identifier of the job
+	 * @param queue queue that it is submitted to
+	 * @param spec specification of the job
+	 * @return delay before a retry in milliseconds if the job is rejected, or empty
+	 */
 	public Optional<Integer> retryAfterMillis(String job, BatchQueue queue, JobSpec spec) {
 		double capacity = this.millicores.getOrDefault(queue.pool(), 0.0);
 		boolean isFinite = !spec.isLongRunning() && !spec.hasSchedule()
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/PlacementOrder.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/PlacementOrder.java
@@ -10,7 +10,6 @@
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
 import io.burdockpin.core.batch.state.StepTasks;
 import io.burdockpin.core.model.Resources;
@@ -87,8 +86,8 @@
 			long wallMillis) {
 		Map<String, Resources> waiting = new HashMap<>();
 		for (WorkItem item : items) {
-			int count = (int) item.tasks().tasks().stream().filter(BatchTask::isWaiting).count();
-			waiting.merge(item.queue().pool(), item.tasks().spec().reserved().times(count), Resources::plus);
+			waiting.merge(item.queue().pool(), item.tasks().spec().reserved().times(item.tasks().waitingCount()),
+					Resources::plus);
 		}
 		Map<String, PoolSupply> shortPools = new HashMap<>();
 		waiting.forEach((pool, demand) -> {
@@ -129,6 +128,7 @@
 		double total = 0;
 		boolean isStarted = false;
 		long remainingMillis = 0;
+		SlackCalculator.StepChains chains = this.slackCalculator.chains(job);
 		for (int number = 0; number < occurrence.steps().size(); number++) {
 			StepTasks step = occurrence.steps().get(number);
 			double taskWork = taskWork(job, step.spec(), pool);
@@ -137,19 +137,13 @@
 				isStarted = true;
 				continue;
 			}
-			remainingMillis = Math.max(remainingMillis, this.slackCalculator.remainingMillis(job, number));
-			for (BatchTask task : step.tasks()) {
-				if (task.isWaiting()) {
-					waiting += taskWork;
-				}
-				else {
-					isStarted = true;
-					running += task.isDone() ? 0 : RUNNING_SHARE * taskWork;
-				}
-			}
+			remainingMillis = Math.max(remainingMillis, chains.remainingMillis(number));
+			isStarted |= !step.areAllWaiting();
+			waiting += step.waitingCount() * taskWork;
+			running += RUNNING_SHARE * step.runningCount() * taskWork;
 		}
-		long objectiveMillis = this.slackCalculator.objectiveMillis(job, queue, occurrence);
-		return new JobWork(job, queue, occurrence, objectiveMillis, this.slackCalculator.latencyMillis(job, queue),
+		long objectiveMillis = this.slackCalculator.objectiveMillis(job, queue, occurrence, chains);
+		return new JobWork(job, queue, occurrence, objectiveMillis, this.slackCalculator.latencyMillis(queue, chains),
 				objectiveMillis - wallMillis - remainingMillis, isStarted, running, waiting, total);
 	}
 
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/Plan.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/Plan.java
@@ -19,12 +19,13 @@
  * @param candidates runners that were considered, with the capacity that the plan has
  * left free
  * @param order figures of the order in which waiting jobs were placed
+ * @param waitingSteps number of steps with waiting tasks that were ready
  */
 public record Plan(List<BatchCommand.Assignment> assignments, Set<String> poolsLackingCapacity,
-		Set<RunnerKey> runnersForRestarts, List<Candidate> candidates, OrderFigures order) {
+		Set<RunnerKey> runnersForRestarts, List<Candidate> candidates, OrderFigures order, int waitingSteps) {
 
 	/** Assigns nothing. */
-	public static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of(), List.of(), OrderFigures.NONE);
+	public static final Plan EMPTY = new Plan(List.of(), Set.of(), Set.of(), List.of(), OrderFigures.NONE, 0);
 
 	public Plan {
 		assignments = List.copyOf(assignments);
@@ -42,7 +43,7 @@
 	 */
 	public Plan(List<BatchCommand.Assignment> assignments, Set<String> poolsLackingCapacity,
 			Set<RunnerKey> runnersForRestarts, List<Candidate> candidates) {
-		this(assignments, poolsLackingCapacity, runnersForRestarts, candidates, OrderFigures.NONE);
+		this(assignments, poolsLackingCapacity, runnersForRestarts, candidates, OrderFigures.NONE, 0);
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/SlackCalculator.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/SlackCalculator.java
@@ -1,5 +1,6 @@
 package io.burdockpin.core.batch.lead.plan;
 
+import java.util.Arrays;
 import java.util.List;
 
 import io.burdockpin.core.batch.model.BatchQueue;
@@ -23,12 +24,14 @@
 	 * @param job job with an objective
 	 * @param queue queue of the job
 	 * @param occurrence occurrence of the job
+	 * @param chains chains of the steps of the job
 	 * @param step number of the first remaining step
 	 * @param wallMillis current wall-clock time, in milliseconds since the epoch
 	 * @return slack in milliseconds, negative if the objective will be missed
 	 */
-	public long slackMillis(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, long wallMillis) {
-		return objectiveMillis(job, queue, occurrence) - wallMillis - remainingMillis(job, step);
+	public long slackMillis(BatchJob job, BatchQueue queue, Occurrence occurrence, StepChains chains, int step,
+			long wallMillis) {
+		return objectiveMillis(job, queue, occurrence, chains) - wallMillis - chains.remainingMillis(step);
 	}
 
 	/**
@@ -36,32 +39,30 @@
 	 * @param job job with an objective
 	 * @param queue queue of the job
 	 * @param occurrence occurrence of the job
+	 * @param chains chains of the steps of the job
 	 * @return time in milliseconds since the epoch
 	 */
-	long objectiveMillis(BatchJob job, BatchQueue queue, Occurrence occurrence) {
-		return startMillis(job, occurrence) + latencyMillis(job, queue);
+	long objectiveMillis(BatchJob job, BatchQueue queue, Occurrence occurrence, StepChains chains) {
+		return startMillis(job, occurrence) + latencyMillis(queue, chains);
 	}
 
 	/**
 	 * Returns the latency that the caller accepts.
-	 * @param job job with an objective
 	 * @param queue queue of the job
+	 * @param chains chains of the steps of the job
 	 * @return latency from the acceptance or due time of the job, in milliseconds
 	 */
-	long latencyMillis(BatchJob job, BatchQueue queue) {
-		return queue.targetLatencyMillis()
-				+ (long) (queue.stretch() * criticalPathMillis(job.address().orElseThrow(), job.spec(), 0));
+	long latencyMillis(BatchQueue queue, StepChains chains) {
+		return queue.targetLatencyMillis() + (long) (queue.stretch() * chains.longestMillis());
 	}
 
 	/**
-	 * Returns the estimated duration of the longest chain of steps that begins with a
-	 * step.
-	 * @param job job of the step
-	 * @param step number of the first remaining step
-	 * @return duration in milliseconds
+	 * Calculates the chains of dependent steps of a job, once for all its steps.
+	 * @param job job whose queue is known
+	 * @return the estimated durations
 	 */
-	long remainingMillis(BatchJob job, int step) {
-		return criticalPathMillis(job.address().orElseThrow(), job.spec(), step);
+	public StepChains chains(BatchJob job) {
+		return chains(job.address().orElseThrow(), job.spec());
 	}
 
 	/**
@@ -72,35 +73,57 @@
 	 * @return duration in milliseconds
 	 */
 	long chainMillis(QueueAddress queue, JobSpec spec) {
-		return criticalPathMillis(queue, spec, 0);
+		return chains(queue, spec).longestMillis();
 	}
 
 	private static long startMillis(BatchJob job, Occurrence occurrence) {
 		return job.spec().dueMillis(occurrence.number(), job.acceptedMillis());
 	}
 
-	/**
-	 * Returns the estimated duration of the longest chain of dependent steps.
-	 * @param queue address of the queue
-	 * @param spec specification of the job
-	 * @param firstStep first step of the chain, or 0 for the longest chain of the job
-	 * @return duration in milliseconds
-	 */
-	private long criticalPathMillis(QueueAddress queue, JobSpec spec, int firstStep) {
+	// Visits each dependency once, since a job may have thousands.
+	private StepChains chains(QueueAddress queue, JobSpec spec) {
 		List<StepSpec> steps = spec.steps();
-		long[] chains = new long[steps.size()];
-		long longest = 0;
+		long[] followingMillis = new long[steps.size()];
+		long[] millis = new long[steps.size()];
 		for (int step = steps.size() - 1; step >= 0; step--) {
-			long following = 0;
-			for (int later = step + 1; later < steps.size(); later++) {
-				if (steps.get(later).after().contains(step)) {
-					following = Math.max(following, chains[later]);
-				}
+			millis[step] = this.durations.estimateMillis(queue, steps.get(step).estimatedMillis())
+					+ followingMillis[step];
+			for (int earlier : steps.get(step).after()) {
+				followingMillis[earlier] = Math.max(followingMillis[earlier], millis[step]);
 			}
-			chains[step] = this.durations.estimateMillis(queue, steps.get(step).estimatedMillis()) + following;
-			longest = Math.max(longest, chains[step]);
 		}
-		return (firstStep == 0) ? longest : chains[firstStep];
+		return new StepChains(millis, Arrays.stream(millis).max().orElse(0));
+	}
+
+	/**
+	 * Estimated durations of the chains of dependent steps that begin with each step of a
+	 * job. Not changed after its creation.
+	 */
+	public static final class StepChains {
+
+		private final long[] millis;
+
+		private final long longestMillis;
+
+		private StepChains(long[] millis, long longestMillis) {
+			this.millis = millis;
+			this.longestMillis = longestMillis;
+		}
+
+		long longestMillis() {
+			return this.longestMillis;
+		}
+
+		/**
+		 * Returns the estimated duration of the work that remains.
+		 * @param step number of the first remaining step, or 0 for the longest chain of
+		 * the job
+		 * @return duration in milliseconds
+		 */
+		long remainingMillis(int step) {
+			return (step == 0) ? this.longestMillis : this.millis[step];
+		}
+
 	}
 
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/plan/TaskPlanner.java
@@ -118,7 +118,7 @@
 				.forEach((job) -> job.configuredQueue()
 					.ifPresent((queue) -> reserveForRestarts(round, job, queue, drainedRunners)));
 		}
-		return round.plan(candidates, order.figures());
+		return round.plan(candidates, order);
 	}
 
 	/**
@@ -146,7 +146,7 @@
 		for (Occurrence occurrence : job.occurrences()) {
 			for (int number = 0; number < occurrence.steps().size(); number++) {
 				StepTasks step = occurrence.steps().get(number);
-				List<BatchTask> leaving = step.tasks()
+				List<BatchTask> leaving = step.changedTasks()
 					.stream()
 					.filter((task) -> task.run().filter((run) -> drainedRunners.contains(run.runner())).isPresent())
 					.limit((step.spec().maximumAway() > 0) ? step.spec().maximumAway() : Long.MAX_VALUE)
@@ -169,21 +169,21 @@
 	}
 
 	private void addItems(List<WorkItem> items, BatchJob job, BatchQueue queue, RunnerChoice choice, long wallMillis) {
+		SlackCalculator.StepChains chains = this.slackCalculator.chains(job);
 		for (Occurrence occurrence : job.occurrences()) {
 			List<StepTasks> steps = occurrence.steps();
 			for (int number = 0; number < steps.size(); number++) {
 				StepTasks step = steps.get(number);
-				boolean isWaiting = !step.isDone() && step.tasks().stream().anyMatch(BatchTask::isWaiting);
-				if (isWaiting && occurrence.isReady(number)) {
-					items.add(item(job, queue, occurrence, number, choice, wallMillis));
+				if (step.waitingCount() > 0 && occurrence.isReady(number)) {
+					items.add(item(job, queue, occurrence, chains, number, choice, wallMillis));
 				}
 			}
 		}
 	}
 
-	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, int step, RunnerChoice choice,
-			long wallMillis) {
-		long slackMillis = this.slackCalculator.slackMillis(job, queue, occurrence, step, wallMillis);
+	private WorkItem item(BatchJob job, BatchQueue queue, Occurrence occurrence, SlackCalculator.StepChains chains,
+			int step, RunnerChoice choice, long wallMillis) {
+		long slackMillis = this.slackCalculator.slackMillis(job, queue, occurrence, chains, step, wallMillis);
 		StepTasks tasks = occurrence.steps().get(step);
 		boolean hasWaited = wallMillis - job.acceptedMillis() >= POOL_GROWTH_MILLIS;
 		WorkItem.Urgency urgency = tasks.spec().longRunning() ? longRunningUrgency(tasks, queue, hasWaited, choice)
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolDemand.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/pool/PoolDemand.java
@@ -15,7 +15,6 @@
 import io.burdockpin.core.batch.model.StepSpec;
 import io.burdockpin.core.batch.state.BatchJob;
 import io.burdockpin.core.batch.state.BatchState;
-import io.burdockpin.core.batch.state.BatchTask;
 import io.burdockpin.core.batch.state.Occurrence;
 import io.burdockpin.core.batch.state.StepTasks;
 
@@ -166,11 +165,13 @@
 	}
 
 	private void addWork(PoolWork sums, BatchJob job, BatchQueue queue, long lookAheadMillis, long wallMillis) {
+		SlackCalculator.StepChains chains = this.slackCalculator.chains(job);
 		for (Occurrence occurrence : job.occurrences()) {
 			for (int number = 0; number < occurrence.steps().size(); number++) {
 				StepTasks step = occurrence.steps().get(number);
 				if (!step.isDone() && occurrence.isReady(number)) {
-					boolean isLate = this.slackCalculator.slackMillis(job, queue, occurrence, number, wallMillis) < 0;
+					boolean isLate = this.slackCalculator.slackMillis(job, queue, occurrence, chains, number,
+							wallMillis) < 0;
 					addStep(sums, job, step, isLate, lookAheadMillis);
 				}
 			}
@@ -178,12 +179,8 @@
 	}
 
 	private void addStep(PoolWork sums, BatchJob job, StepTasks step, boolean isLate, long lookAheadMillis) {
-		int waiting = 0;
-		int running = 0;
-		for (BatchTask task : step.tasks()) {
-			waiting += task.isWaiting() ? 1 : 0;
-			running += task.run().isPresent() ? 1 : 0;
-		}
+		int waiting = step.waitingCount();
+		int running = step.activeCount();
 		if (step.spec().longRunning()) {
 			if (waiting > 0) {
 				sums.waitingServing.merge(step.spec(), waiting, Integer::sum);
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/wave/DisruptionBudget.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/wave/DisruptionBudget.java
@@ -32,8 +32,9 @@
 		if (maximumAway == 0) {
 			return true;
 		}
+		int neverStarted = step.spec().taskCount() - step.changedTasks().size();
 		List<BatchTask> away = unavailableOthers(run, step, sessions, nowMillis);
-		if (away.size() < maximumAway) {
+		if (neverStarted + away.size() < maximumAway) {
 			return true;
 		}
 		away.forEach((task) -> awaitProgress(task, sessions));
@@ -43,7 +44,7 @@
 	private static List<BatchTask> unavailableOthers(Run run, StepTasks step, Map<RunnerKey, RunnerSession> sessions,
 			long nowMillis) {
 		List<BatchTask> away = new ArrayList<>();
-		List<BatchTask> tasks = step.tasks();
+		List<BatchTask> tasks = step.changedTasks();
 		for (int index = 0; index < tasks.size(); index++) {
 			if (index != run.task().index() && !isAvailable(tasks.get(index), sessions, nowMillis)) {
 				away.add(tasks.get(index));
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/JobSpec.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/model/JobSpec.java
@@ -50,6 +50,14 @@
 		return this.steps.stream().anyMatch(StepSpec::longRunning);
 	}
 
+	/**
+	 * Calculates what the job takes of a control member.
+	 * @return the size of the job
+	 */
+	public JobSize size() {
+		return JobSize.of(this);
+	}
+
 	/**
 	 * Returns how often the steps run in total.
 	 * @return at least 1
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchJob.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchJob.java
@@ -7,6 +7,7 @@
 
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.BatchQueue;
+import io.burdockpin.core.batch.model.JobSize;
 import io.burdockpin.core.batch.model.JobSpec;
 import io.burdockpin.core.batch.model.QueueAddress;
 
@@ -21,6 +22,8 @@
 
 	private final JobSpec spec;
 
+	private final JobSize size;
+
 	private final long acceptedMillis;
 
 	/** Empty in a job of an earlier version until a configuration has its queue. */
@@ -41,6 +44,7 @@
 		this.address = address;
 		this.workspace = workspace;
 		this.spec = spec;
+		this.size = spec.size();
 		this.acceptedMillis = acceptedMillis;
 	}
 
@@ -106,6 +110,14 @@
 		return this.spec;
 	}
 
+	/**
+	 * Returns what the job takes of a member.
+	 * @return the size, computed once from the specification
+	 */
+	public JobSize size() {
+		return this.size;
+	}
+
 	/**
 	 * Returns when the job was accepted.
 	 * @return milliseconds since 1970
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchSnapshot.java
@@ -64,10 +64,14 @@
 			BatchJobPhase phase, long endedMillis, int doneOccurrences, List<OccurrenceImage> occurrences,
 			Optional<QueueAddress> address) {
 
-		static JobImage of(BatchJob job, Map<String, Long> endedMillis) {
+		static JobImage of(BatchJob job, Map<String, Long> endedMillis, boolean withAllTasks) {
 			return new JobImage(job.id(), job.queueName(), job.workspace(), job.spec(), job.acceptedMillis(),
 					job.phase(), endedMillis.getOrDefault(job.id(), 0L), job.doneOccurrences(),
-					job.occurrences().stream().map(OccurrenceImage::of).toList(), job.address());
+					job.occurrences()
+						.stream()
+						.map((occurrence) -> OccurrenceImage.of(occurrence, withAllTasks))
+						.toList(),
+					job.address());
 		}
 
 		BatchJob toJob() {
@@ -88,16 +92,16 @@
 	 */
 	public record OccurrenceImage(int number, List<StepImage> steps) {
 
-		static OccurrenceImage of(Occurrence occurrence) {
-			return new OccurrenceImage(occurrence.number(), occurrence.steps().stream().map(StepImage::of).toList());
+		static OccurrenceImage of(Occurrence occurrence, boolean withAllTasks) {
+			return new OccurrenceImage(occurrence.number(),
+					occurrence.steps().stream().map((step) -> StepImage.of(step, withAllTasks)).toList());
 		}
 
 		Occurrence toOccurrence(JobSpec spec) {
 			List<StepTasks> restored = new ArrayList<>();
 			for (int step = 0; step < this.steps.size(); step++) {
 				StepImage image = this.steps.get(step);
-				restored.add(new StepTasks(spec.steps().get(step),
-						new ArrayList<>(image.tasks().stream().map(TaskImage::toTask).toList()), image.gangFailures(),
+				restored.add(new StepTasks(spec.steps().get(step), image.changedTasks(), image.gangFailures(),
 						image.lastFailedGangRun()));
 			}
 			return new Occurrence(this.number, restored);
@@ -111,13 +115,23 @@
 	 * @param gangFailures number of failed runs of the gang
 	 * @param lastFailedGangRun the number of the latest failed run of the gang; 0 if none
 	 * has failed
-	 * @param tasks its tasks, by index
+	 * @param tasks its tasks, by index; tasks at the end that were never changed may be
+	 * missing
 	 */
 	public record StepImage(int gangFailures, int lastFailedGangRun, List<TaskImage> tasks) {
 
-		static StepImage of(StepTasks step) {
+		static StepImage of(StepTasks step, boolean withAllTasks) {
+			List<BatchTask> tasks = withAllTasks ? step.tasks() : step.changedTasks();
 			return new StepImage(step.gangFailures(), step.lastFailedGangRun(),
-					step.tasks().stream().map(TaskImage::of).toList());
+					tasks.stream().map(TaskImage::of).toList());
+		}
+
+		List<BatchTask> changedTasks() {
+			int count = this.tasks.size();
+			while (count > 0 && this.tasks.get(count - 1).equals(TaskImage.UNCHANGED)) {
+				count--;
+			}
+			return new ArrayList<>(this.tasks.subList(0, count).stream().map(TaskImage::toTask).toList());
 		}
 
 	}
@@ -133,8 +147,11 @@
 	 */
 	public record TaskImage(boolean done, int lastRun, int failures, String checkpoint) {
 
+		private static final TaskImage UNCHANGED = new TaskImage(false, 0, 0, "");
+
 		static TaskImage of(BatchTask task) {
-			return new TaskImage(task.isDone(), task.lastRun(), task.failures(), task.checkpoint());
+			return task.isUnchanged() ? UNCHANGED
+					: new TaskImage(task.isDone(), task.lastRun(), task.failures(), task.checkpoint());
 		}
 
 		BatchTask toTask() {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchState.java
@@ -1,13 +1,9 @@
 package io.burdockpin.core.batch.state;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +19,7 @@
 import io.burdockpin.core.batch.model.DataCentreClosing;
 import io.burdockpin.core.batch.model.FleetConfiguration;
 import io.burdockpin.core.batch.model.HostMove;
+import io.burdockpin.core.batch.model.JobSize;
 import io.burdockpin.core.batch.model.MaintenanceWave;
 import io.burdockpin.core.batch.model.QueueAddress;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -36,20 +33,20 @@
  */
 public final class BatchState {
 
-	/** How long the status of an ended job can be queried after its end. */
-	private static final long RETENTION_MILLIS = 180_000;
+	/**
+	 * Up to this number of tasks, snapshots list those that were never started too, since
+	 * members of earlier versions need them. Those members do not have the memory for
+	 * more.
+	 */
+	private static final int MAXIMUM_LISTED_TASKS = 400_000;
 
 	private Optional<FleetConfiguration> configuration = Optional.empty();
 
-	private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
+	private final BatchJobTable jobs = new BatchJobTable();
 
 	/** Addresses of jobs that the configuration no longer has. */
 	private Set<QueueAddress> retiredAddresses = Set.of();
 
-	private final Map<String, BatchJob> activeJobs = new LinkedHashMap<>();
-
-	private final Deque<EndedJob> endedJobs = new ArrayDeque<>();
-
 	private final Map<String, RunnerRecord> runners = new TreeMap<>();
 
 	/** The runners by host; the leader looks up each host several times a second. */
@@ -89,7 +86,7 @@
 	 * @return empty if no such job is known
 	 */
 	public Optional<BatchJob> job(String id) {
-		return Optional.ofNullable(this.jobs.get(id));
+		return this.jobs.find(id);
 	}
 
 	/**
@@ -97,7 +94,7 @@
 	 * @return an unmodifiable view
 	 */
 	public Collection<BatchJob> jobs() {
-		return Collections.unmodifiableCollection(this.jobs.values());
+		return this.jobs.all();
 	}
 
 	/**
@@ -126,7 +123,7 @@
 	 * @return whether the job is known and has not ended
 	 */
 	public boolean isActive(String id) {
-		return this.activeJobs.containsKey(id);
+		return this.jobs.findActive(id).isPresent();
 	}
 
 	/**
@@ -134,7 +131,24 @@
 	 * @return an unmodifiable view, oldest first
 	 */
 	public Collection<BatchJob> activeJobs() {
-		return Collections.unmodifiableCollection(this.activeJobs.values());
+		return this.jobs.active();
+	}
+
+	/**
+	 * Returns what all jobs take of a member.
+	 * @return number of units as counted by {@link JobSize}
+	 */
+	public long jobUnits() {
+		return this.jobs.units();
+	}
+
+	/**
+	 * Returns what the jobs of a workspace take of a member.
+	 * @param workspace the name of the workspace, or empty for jobs without one
+	 * @return number of units as counted by {@link JobSize}
+	 */
+	public long jobUnitsOf(String workspace) {
+		return this.jobs.unitsOf(workspace);
 	}
 
 	/**
@@ -276,7 +290,7 @@
 	 * @return the number of jobs in phase {@link BatchJobPhase#QUEUED}
 	 */
 	public long queuedJobCount(QueueAddress queue) {
-		return this.activeJobs.values()
+		return this.jobs.active()
 			.stream()
 			.filter((job) -> job.phase() == BatchJobPhase.QUEUED)
 			.filter((job) -> job.address().filter(queue::equals).isPresent())
@@ -333,7 +347,7 @@
 	public List<CommandResult> apply(CommandGroup group) {
 		List<CommandResult> results = new ArrayList<>();
 		group.commands().forEach((command) -> results.add(command.applyTo(this, group.atMillis())));
-		removeExpiredJobs(group.atMillis());
+		this.jobs.removeExpired(group.atMillis());
 		return results;
 	}
 
@@ -344,10 +358,10 @@
 		}
 		this.configuration = Optional.of(newer);
 		updateQueues(newer, Map.of());
-		List.copyOf(this.activeJobs.values())
+		List.copyOf(this.jobs.active())
 			.stream()
 			.filter(BatchState::hasExhaustedTask)
-			.forEach((job) -> end(job, BatchJobPhase.FAILED, atMillis));
+			.forEach((job) -> this.jobs.end(job, BatchJobPhase.FAILED, atMillis));
 		return CommandResult.APPLIED;
 	}
 
@@ -357,7 +371,7 @@
 			.stream()
 			.flatMap((occurrence) -> occurrence.steps().stream())
 			.filter((step) -> !step.spec().longRunning())
-			.anyMatch((step) -> step.tasks()
+			.anyMatch((step) -> step.changedTasks()
 				.stream()
 				.anyMatch((task) -> task.isWaiting() && step.failures(task) >= maximumAttempts(job)));
 	}
@@ -366,12 +380,12 @@
 	// only, and take the address of the first queue with that name.
 	private void updateQueues(FleetConfiguration current, Map<QueueAddress, BatchQueue> retired) {
 		Map<QueueAddress, BatchQueue> queues = current.queuesByAddress();
-		for (BatchJob job : this.jobs.values()) {
+		for (BatchJob job : this.jobs.all()) {
 			Optional<BatchQueue> queue = job.address().isEmpty() ? current.queueNamed(job.queueName())
 					: job.address().map((address) -> queues.getOrDefault(address, retired.get(address)));
 			queue.ifPresent(job::setQueue);
 		}
-		this.retiredAddresses = this.jobs.values()
+		this.retiredAddresses = this.jobs.all()
 			.stream()
 			.flatMap((job) -> job.address().stream())
 			.filter((address) -> !queues.containsKey(address))
@@ -397,24 +411,21 @@
 		if (!command.spec().hasSchedule()) {
 			job.open(new Occurrence(0, command.spec()));
 		}
-		this.jobs.put(job.id(), job);
-		this.activeJobs.put(job.id(), job);
+		this.jobs.add(job);
 		return CommandResult.APPLIED;
 	}
 
 	CommandResult cancel(String id, long atMillis) {
-		Optional<BatchJob> active = Optional.ofNullable(this.activeJobs.get(id));
-		active.ifPresent((job) -> end(job, BatchJobPhase.CANCELLED, atMillis));
+		Optional<BatchJob> active = this.jobs.findActive(id);
+		active.ifPresent((job) -> this.jobs.end(job, BatchJobPhase.CANCELLED, atMillis));
 		return active.isPresent() ? CommandResult.APPLIED : CommandResult.UNCHANGED;
 	}
 
 	CommandResult open(String id, int number) {
-		BatchJob job = this.activeJobs.get(id);
-		if (job == null || job.nextOccurrence() != number || number >= job.spec().totalOccurrences()) {
-			return CommandResult.UNCHANGED;
-		}
-		job.open(new Occurrence(number, job.spec()));
-		return CommandResult.APPLIED;
+		Optional<BatchJob> due = this.jobs.findActive(id)
+			.filter((job) -> job.nextOccurrence() == number && number < job.spec().totalOccurrences());
+		due.ifPresent((job) -> job.open(new Occurrence(number, job.spec())));
+		return due.isPresent() ? CommandResult.APPLIED : CommandResult.UNCHANGED;
 	}
 
 	/**
@@ -436,11 +447,11 @@
 
 	private void assign(BatchCommand.Assignment assignment) {
 		TaskId id = assignment.task();
-		BatchJob job = this.activeJobs.get(id.job());
+		BatchJob job = this.jobs.findActive(id.job()).orElseThrow();
 		StepSpec spec = job.spec().steps().get(id.step());
 		Run run = new Run(id, assignment.run(), assignment.runner(), job.workspace(), spec.reserved(), spec.resources(),
 				spec.longRunning());
-		task(id).ifPresent((task) -> task.assign(run));
+		step(id).ifPresent((step) -> step.assign(id.index(), run));
 		this.runs.add(run);
 	}
 
@@ -450,7 +461,7 @@
 	// released.
 	private boolean isAssignable(BatchCommand.Assignment assignment) {
 		boolean mayStart = runner(assignment.runner()).filter((runner) -> !isClosed(runner.dataCentre())).isPresent();
-		return mayStart && this.activeJobs.containsKey(assignment.task().job())
+		return mayStart && isActive(assignment.task().job())
 				&& task(assignment.task()).filter(BatchTask::isWaiting)
 					.filter((waiting) -> assignment.run() > waiting.lastRun())
 					.isPresent();
@@ -466,7 +477,7 @@
 	}
 
 	void recordStart(String job) {
-		Optional.ofNullable(this.activeJobs.get(job)).ifPresent(BatchJob::start);
+		this.jobs.findActive(job).ifPresent(BatchJob::start);
 	}
 
 	void recordEnd(RunnerKey runner, BatchCommand.End end, long atMillis) {
@@ -596,10 +607,7 @@
 	 * @return an immutable copy
 	 */
 	public BatchSnapshot snapshot() {
-		Map<String, Long> endedMillis = new LinkedHashMap<>();
-		this.endedJobs.forEach((ended) -> endedMillis.put(ended.id(), ended.endedMillis()));
-		return new BatchSnapshot(this.configuration,
-				this.jobs.values().stream().map((job) -> BatchSnapshot.JobImage.of(job, endedMillis)).toList(),
+		return new BatchSnapshot(this.configuration, this.jobs.images(taskCount() <= MAXIMUM_LISTED_TASKS),
 				List.copyOf(this.runners.values()),
 				this.runs.runners().stream().flatMap((runner) -> this.runs.on(runner).stream()).toList(),
 				this.waves.values().stream().map(BatchSnapshot.WaveImage::of).toList(),
@@ -607,8 +615,17 @@
 				Map.copyOf(this.registeredSequences), retiredQueues(), List.copyOf(this.closedDataCentres.values()));
 	}
 
+	private long taskCount() {
+		return this.jobs.active()
+			.stream()
+			.flatMap((job) -> job.occurrences().stream())
+			.flatMap((occurrence) -> occurrence.steps().stream())
+			.mapToLong((step) -> step.spec().taskCount())
+			.sum();
+	}
+
 	private List<BatchQueue> retiredQueues() {
-		return this.activeJobs.values()
+		return this.jobs.active()
 			.stream()
 			.flatMap((job) -> job.configuredQueue().stream())
 			.filter((queue) -> this.retiredAddresses.contains(queue.address()))
@@ -624,32 +641,19 @@
 	public static BatchState restore(BatchSnapshot snapshot) {
 		BatchState state = new BatchState();
 		state.configuration = snapshot.configuration();
-		List<EndedJob> ended = new ArrayList<>();
-		for (BatchSnapshot.JobImage image : snapshot.jobs()) {
-			BatchJob job = image.toJob();
-			state.jobs.put(job.id(), job);
-			if (job.phase().isEnded()) {
-				ended.add(new EndedJob(job.id(), image.endedMillis()));
-			}
-			else {
-				state.activeJobs.put(job.id(), job);
-			}
-		}
+		state.jobs.restore(snapshot.jobs());
 		Map<QueueAddress, BatchQueue> retired = snapshot.retiredQueues()
 			.stream()
 			.collect(Collectors.toMap(BatchQueue::address, Function.identity()));
 		snapshot.configuration().ifPresent((current) -> state.updateQueues(current, retired));
-		// A snapshot lists the jobs in the order of their submission.
-		ended.sort(Comparator.comparingLong(EndedJob::endedMillis));
-		state.endedJobs.addAll(ended);
 		snapshot.runners().forEach(state::putRunner);
 		state.registeredSequences.putAll(snapshot.registeredSequences());
 		// Earlier versions kept runs of runners that are not registered.
 		snapshot.runs().stream().filter((run) -> state.runner(run.runner()).isPresent()).forEach((run) -> {
 			state.runs.add(run);
-			state.task(run.task()).ifPresent((task) -> task.assign(run));
+			state.step(run.task()).ifPresent((step) -> step.assign(run.task().index(), run));
 		});
-		state.activeJobs.values()
+		state.jobs.active()
 			.stream()
 			.flatMap((job) -> job.occurrences().stream())
 			.flatMap((occurrence) -> occurrence.steps().stream())
@@ -670,57 +674,45 @@
 	private void endRun(Run run, String checkpoint) {
 		this.runs.remove(run);
 		task(run.task()).filter((task) -> task.run().equals(Optional.of(run)))
-			.ifPresent((task) -> step(run.task()).ifPresent((step) -> step.endRun(task, checkpoint)));
+			.ifPresent((task) -> step(run.task()).ifPresent((step) -> step.endRun(run.task().index(), checkpoint)));
 	}
 
 	private void applyEnd(BatchCommand.End end, long atMillis) {
-		BatchJob job = this.activeJobs.get(end.task().job());
+		Optional<BatchJob> active = this.jobs.findActive(end.task().job());
 		Optional<StepTasks> step = step(end.task());
-		if (job == null || step.isEmpty()) {
+		if (active.isEmpty() || step.isEmpty()) {
 			return;
 		}
-		BatchTask task = step.get().tasks().get(end.task().index());
+		BatchJob job = active.get();
 		boolean isLongRunning = step.get().spec().longRunning();
 		if (end.outcome().isDone() && !isLongRunning) {
-			complete(job, step.get(), task, atMillis);
+			complete(job, step.get(), end.task().index(), atMillis);
 		}
 		else if (end.outcome().countsAsAttempt() && !isLongRunning) {
-			int failures = step.get().fail(task, end.run());
+			int failures = step.get().fail(end.task().index(), end.run());
 			if (failures >= maximumAttempts(job)) {
-				end(job, BatchJobPhase.FAILED, atMillis);
+				this.jobs.end(job, BatchJobPhase.FAILED, atMillis);
 			}
 		}
 	}
 
-	private void complete(BatchJob job, StepTasks step, BatchTask task, long atMillis) {
+	private void complete(BatchJob job, StepTasks step, int index, long atMillis) {
 		if (step.spec().gang()) {
 			step.completeAll();
 		}
 		else {
-			step.complete(task);
+			step.complete(index);
 		}
 		job.removeCompletedOccurrences();
 		if (job.phase().isEnded()) {
-			end(job, job.phase(), atMillis);
+			this.jobs.end(job, job.phase(), atMillis);
 		}
 	}
 
-	private void end(BatchJob job, BatchJobPhase phase, long atMillis) {
-		job.end(phase);
-		this.activeJobs.remove(job.id());
-		this.endedJobs.add(new EndedJob(job.id(), atMillis));
-	}
-
 	private static int maximumAttempts(BatchJob job) {
 		return job.configuredQueue().map(BatchQueue::maximumAttempts).orElse(Integer.MAX_VALUE);
 	}
 
-	private void removeExpiredJobs(long atMillis) {
-		while (!this.endedJobs.isEmpty() && this.endedJobs.peekFirst().endedMillis() + RETENTION_MILLIS < atMillis) {
-			this.jobs.remove(this.endedJobs.removeFirst().id());
-		}
-	}
-
 	private void putRunner(RunnerRecord runner) {
 		this.runners.put(runner.key().id(), runner);
 		this.runnersByHost.put(runner.hostOrId(), runner);
@@ -733,8 +725,4 @@
 		this.runnersByHost.remove(runner.hostOrId(), runner);
 	}
 
-	private record EndedJob(String id, long endedMillis) {
-
-	}
-
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchTask.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/BatchTask.java
@@ -33,6 +33,14 @@
 		return !this.done && this.run.isEmpty();
 	}
 
+	/**
+	 * Tells whether the task is as it was created.
+	 * @return whether it waits and has never had a run or a checkpoint
+	 */
+	boolean isUnchanged() {
+		return isWaiting() && this.lastRun == 0 && this.failures == 0 && this.checkpoint.isEmpty();
+	}
+
 	/**
 	 * Tells whether the task is done.
 	 * @return whether it does not have to run again
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
@@ -1,36 +1,52 @@
 package io.burdockpin.core.batch.state;
 
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.RandomAccess;
 
 import io.burdockpin.core.batch.model.StepSpec;
 
-/** The tasks of one step of an occurrence. Mutable; owned by the {@link BatchState}. */
+/**
+ * The tasks of one step of an occurrence. Only tasks that have been assigned to a runner
+ * take memory, and those before them, so that a step costs what has started and not what
+ * its caller describes. Mutable; owned by the {@link BatchState}.
+ */
 public final class StepTasks {
 
+	/** Stands for all tasks that were never changed; never changed itself. */
+	private static final BatchTask UNCHANGED = new BatchTask();
+
 	private final StepSpec spec;
 
-	private final List<BatchTask> tasks;
+	/** The tasks up to the last one that was changed. */
+	private final List<BatchTask> changed;
+
+	private final List<BatchTask> all = new AllTasks();
 
 	private int doneCount;
 
+	private int activeCount;
+
+	private int waitingCount;
+
+	/** No task before this index waits. */
+	private int firstWaiting;
+
 	private int gangFailures;
 
 	private int lastFailedGangRun;
 
 	StepTasks(StepSpec spec) {
-		this.spec = spec;
-		this.tasks = new ArrayList<>(spec.taskCount());
-		for (int index = 0; index < spec.taskCount(); index++) {
-			this.tasks.add(new BatchTask());
-		}
+		this(spec, new ArrayList<>(), 0, 0);
 	}
 
-	StepTasks(StepSpec spec, List<BatchTask> tasks, int gangFailures, int lastFailedGangRun) {
+	StepTasks(StepSpec spec, List<BatchTask> changed, int gangFailures, int lastFailedGangRun) {
 		this.spec = spec;
-		this.tasks = tasks;
-		this.doneCount = (int) tasks.stream().filter(BatchTask::isDone).count();
+		this.changed = changed;
+		this.doneCount = (int) changed.stream().filter(BatchTask::isDone).count();
+		this.waitingCount = spec.taskCount() - this.doneCount;
 		this.gangFailures = gangFailures;
 		this.lastFailedGangRun = lastFailedGangRun;
 	}
@@ -44,11 +60,20 @@
 	}
 
 	/**
-	 * Returns the tasks.
+	 * Returns all tasks. A round of decisions visits {@link #changedTasks} instead, since
+	 * there may be thousands that wait.
 	 * @return an unmodifiable view, indexed by the index of the task
 	 */
 	public List<BatchTask> tasks() {
-		return Collections.unmodifiableList(this.tasks);
+		return this.all;
+	}
+
+	/**
+	 * Returns the tasks that may have been assigned. All others wait and never had a run.
+	 * @return an unmodifiable view of the first tasks, indexed by the index of the task
+	 */
+	public List<BatchTask> changedTasks() {
+		return Collections.unmodifiableList(this.changed);
 	}
 
 	/**
@@ -56,7 +81,47 @@
 	 * @return whether steps that depend on this one may start
 	 */
 	public boolean isDone() {
-		return this.doneCount == this.tasks.size();
+		return this.doneCount == this.spec.taskCount();
+	}
+
+	/**
+	 * Counts the tasks that wait to be started.
+	 * @return number of tasks that are neither done nor assigned to a runner
+	 */
+	public int waitingCount() {
+		return this.waitingCount;
+	}
+
+	/**
+	 * Counts the tasks with a run that may be in progress.
+	 * @return number of tasks that are assigned to a runner
+	 */
+	public int activeCount() {
+		return this.activeCount;
+	}
+
+	/**
+	 * Counts the tasks that are neither done nor waiting.
+	 * @return number of tasks that are assigned to a runner and not done by another one
+	 */
+	public int runningCount() {
+		return this.spec.taskCount() - this.doneCount - this.waitingCount;
+	}
+
+	/**
+	 * Tells whether no task is done or assigned to a runner.
+	 * @return whether all tasks can be started together
+	 */
+	public boolean areAllWaiting() {
+		return this.waitingCount == this.spec.taskCount();
+	}
+
+	/**
+	 * Returns where to begin to look for tasks that wait.
+	 * @return an index before which no task waits
+	 */
+	public int firstWaitingIndex() {
+		return this.firstWaiting;
 	}
 
 	/**
@@ -65,7 +130,7 @@
 	 * @return 0 if no task has run yet
 	 */
 	public int highestRun() {
-		return this.tasks.stream().mapToInt(BatchTask::lastRun).max().orElse(0);
+		return this.changed.stream().mapToInt(BatchTask::lastRun).max().orElse(0);
 	}
 
 	int gangFailures() {
@@ -76,21 +141,27 @@
 		return this.lastFailedGangRun;
 	}
 
+	void assign(int index, Run run) {
+		change(index, (task) -> task.assign(run));
+	}
+
 	/**
 	 * Ends the run of a task and saves its checkpoint. The members of a gang that wait
 	 * share the checkpoint that was reported last, because a gang must resume from a
 	 * single one; a member with a run keeps the one that its run began with.
-	 * @param task the task whose run has ended
+	 * @param index the index of the task whose run has ended
 	 * @param checkpoint the last checkpoint of the run; empty if there is none
 	 */
-	void endRun(BatchTask task, String checkpoint) {
+	void endRun(int index, String checkpoint) {
 		if (!this.spec.gang()) {
-			task.endRun();
-			task.saveCheckpoint(checkpoint);
+			change(index, (task) -> {
+				task.endRun();
+				task.saveCheckpoint(checkpoint);
+			});
 			return;
 		}
 		String shared = checkpoint.isEmpty() ? waitingCheckpoint() : checkpoint;
-		task.endRun();
+		change(index, BatchTask::endRun);
 		saveForWaiting(shared);
 	}
 
@@ -105,7 +176,7 @@
 	}
 
 	private String waitingCheckpoint() {
-		return this.tasks.stream()
+		return this.changed.stream()
 			.filter(BatchTask::isWaiting)
 			.map(BatchTask::checkpoint)
 			.filter((checkpoint) -> !checkpoint.isEmpty())
@@ -114,38 +185,86 @@
 	}
 
 	private void saveForWaiting(String checkpoint) {
-		this.tasks.stream().filter(BatchTask::isWaiting).forEach((task) -> task.saveCheckpoint(checkpoint));
+		for (int index = 0; !checkpoint.isEmpty() && index < this.spec.taskCount(); index++) {
+			if (this.all.get(index).isWaiting()) {
+				change(index, (task) -> task.saveCheckpoint(checkpoint));
+			}
+		}
 	}
 
-	void complete(BatchTask task) {
-		if (!task.isDone()) {
-			task.complete();
-			this.doneCount++;
-		}
+	void complete(int index) {
+		change(index, BatchTask::complete);
 	}
 
 	void completeAll() {
-		this.tasks.forEach(this::complete);
+		for (int index = 0; index < this.spec.taskCount(); index++) {
+			complete(index);
+		}
 	}
 
 	/**
 	 * Counts a failed run. Failures of several tasks in the same run of a gang count
 	 * once.
-	 * @param task the task whose run failed
+	 * @param index the index of the task whose run failed
 	 * @param run the number of the run
 	 * @return the number of failed runs of the task, or of its gang
 	 */
-	int fail(BatchTask task, int run) {
-		task.fail();
+	int fail(int index, int run) {
+		change(index, BatchTask::fail);
 		if (this.spec.gang() && run > this.lastFailedGangRun) {
 			this.lastFailedGangRun = run;
 			this.gangFailures++;
 		}
-		return failures(task);
+		return failures(this.all.get(index));
 	}
 
 	int failures(BatchTask task) {
 		return this.spec.gang() ? this.gangFailures : task.failures();
 	}
 
+	private void change(int index, Change change) {
+		while (this.changed.size() <= index) {
+			this.changed.add(new BatchTask());
+		}
+		BatchTask task = this.changed.get(index);
+		count(task, -1);
+		change.applyTo(task);
+		count(task, 1);
+		if (task.isWaiting()) {
+			this.firstWaiting = Math.min(this.firstWaiting, index);
+		}
+		while (this.firstWaiting < this.changed.size() && !this.changed.get(this.firstWaiting).isWaiting()) {
+			this.firstWaiting++;
+		}
+	}
+
+	private void count(BatchTask task, int difference) {
+		this.doneCount += task.isDone() ? difference : 0;
+		this.activeCount += task.run().isPresent() ? difference : 0;
+		this.waitingCount += task.isWaiting() ? difference : 0;
+	}
+
+	/** A change of one task. */
+	@FunctionalInterface
+	private interface Change {
+
+		void applyTo(BatchTask task);
+
+	}
+
+	/** View of all tasks, with one object for those that were never changed. */
+	private final class AllTasks extends AbstractList<BatchTask> implements RandomAccess {
+
+		@Override
+		public BatchTask get(int index) {
+			return (index < StepTasks.this.changed.size()) ? StepTasks.this.changed.get(index) : UNCHANGED;
+		}
+
+		@Override
+		public int size() {
+			return StepTasks.this.spec.taskCount();
+		}
+
+	}
+
 }
--- a/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/event/EventField.java
@@ -137,6 +137,12 @@
 	/** Number of tasks that started far from their data although they had waited. */
 	WAITS_UNPAID("waitsUnpaid"),
 
+	/** What all jobs take of a control member, in the units of their sizes. */
+	JOB_UNITS("jobUnits"),
+
+	/** Number of steps that wait for a place and are ready. */
+	WAITING_STEPS("waitingSteps"),
+
 	/** Number of hosts that serve the pools, without those that are being moved. */
 	HOSTS("hosts"),
 
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/call/CallRulesTests.java
@@ -66,7 +66,7 @@
 		configure(1, "pool");
 		FleetCall.Submit known = submitOf("known");
 		apply(((CallDecision.Commit) this.rules.decide(known, this.state, JobAdmission.ALWAYS)).command());
-		JobAdmission overloaded = (job, queue, spec) -> Optional.of(4_000);
+		JobAdmission overloaded = (job, queue, workspace, spec) -> Optional.of(4_000);
 		Truth.assertThat(this.rules.decide(submitOf("new"), this.state, overloaded))
 			.isEqualTo(
 					new CallDecision.Answer(new FleetReply.Refused(FleetReply.Reason.OVERLOADED, Optional.of(4_000))));
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -164,7 +164,11 @@
 					(step == 0) ? List.of() : List.of(step - 1), false, gang, false, Optional.empty(), Optional.empty(),
 					OptionalInt.empty(), false, false, Optional.empty(), OptionalInt.empty(), false, 0));
 		}
-		commit(List.of(BatchFixtures.submit(id, "queue", "team", new JobSpec(id, specs, 0, 0, 0))));
+		submit(id, new JobSpec(id, specs, 0, 0, 0));
+	}
+
+	public void submit(String id, JobSpec spec) {
+		commit(List.of(BatchFixtures.submit(id, "queue", "team", spec)));
 	}
 
 	/** Submits a job whose tasks run until it is cancelled. */
