Let callers cancel jobs whose queue was removed or closed

Cause: CallRules looked up queue and key in the configuration in force before it looked for the job. Ruled out: the entry hosts, which have no configuration, and the state, which finds the job at its retired address.

Change: without a queue that admits the caller, a cancelling is decided by the job: its workspace, or no key for a job without an owner or of an open queue. A withdrawn key has no effect, as before.

Evidence: three of the new tests of ChangedQueueTests fail without the change of CallRules (a refusal instead of a command), all pass with it.

--- a/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
+++ b/burdockpin-batch/src/main/java/io/burdockpin/batch/scheduler/SchedulerActor.java
@@ -299,7 +299,7 @@
 
 	private void execute(CallDecision decision, ReplyPort replyTo) {
 		if (decision instanceof CallDecision.Commit commit) {
-			commit(commit.command(), replyTo);
+			commit(commit.command(), (reply) -> replyTo.send(commit.replyTo(reply)));
 		}
 		else if (decision instanceof CallDecision.Answer answer) {
 			if (answer.reply() instanceof FleetReply.Refused refused) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -23,6 +23,9 @@
 	private static final FleetReply IDENTIFIER_IN_USE = new FleetReply.Refused(FleetReply.Reason.INVALID,
 			Optional.empty());
 
+	/** A caller whose job was cancelled has no such job any more. */
+	private static final FleetReply GONE = new FleetReply.Refused(FleetReply.Reason.NO_SUCH_JOB, Optional.empty());
+
 	/**
 	 * Decides about a call to a job or a queue.
 	 * @param call the call with the address and key of the caller
@@ -37,14 +40,11 @@
 		}
 		FleetConfiguration configuration = state.configuration().get();
 		Optional<BatchQueue> queue = configuration.queueAt(call.host(), call.path());
-		if (queue.isEmpty()) {
-			return refuse(FleetReply.Reason.NO_SUCH_QUEUE);
-		}
 		Optional<Workspace> workspace = call.key().flatMap(configuration::workspaceOf);
-		if (workspace.isEmpty() && !queue.get().open()) {
-			return refuse(FleetReply.Reason.KEY_REFUSED);
-		}
 		String owner = workspace.map(Workspace::name).orElse("");
+		if (queue.isEmpty() || (workspace.isEmpty() && !queue.get().open())) {
+			return withoutQueue(call, queue, workspace, state);
+		}
 		String job = call.path().substring(queue.get().pathPrefix().length());
 		if (call instanceof FleetCall.Submit submit) {
 			return submit(submit, queue.get(), owner, job, state, admission);
@@ -175,6 +175,34 @@
 				new BatchCommand.SubmitJob(job, queue.name(), owner, call.spec(), Optional.of(queue.address())));
 	}
 
+	// The queue of an accepted job may have been removed or closed since. Its caller can
+	// still end it, but gets no success where the configuration permits none.
+	private static CallDecision withoutQueue(FleetCall.CallerCall call, Optional<BatchQueue> queue,
+			Optional<Workspace> workspace, BatchState state) {
+		Optional<BatchJob> cancelled = (call instanceof FleetCall.Cancel) ? state.jobAt(call.host(), call.path())
+			.filter((job) -> workspace.isPresent() ? mayCancelWithKey(job, workspace.get())
+					: call.key().isEmpty() && mayCancelWithoutKey(job, queue))
+				: Optional.empty();
+		if (cancelled.isEmpty()) {
+			return refuse(queue.isEmpty() ? FleetReply.Reason.NO_SUCH_QUEUE : FleetReply.Reason.KEY_REFUSED);
+		}
+		return cancelled.get().phase().isEnded() ? new CallDecision.Answer(GONE)
+				: new CallDecision.Commit(new BatchCommand.CancelJob(cancelled.get().id()), GONE);
+	}
+
+	private static boolean mayCancelWithKey(BatchJob job, Workspace workspace) {
+		return job.workspace().isEmpty() || job.workspace().equals(workspace.name()) || wasOpen(job);
+	}
+
+	private static boolean mayCancelWithoutKey(BatchJob job, Optional<BatchQueue> queue) {
+		return job.workspace().isEmpty() || (queue.isEmpty() && wasOpen(job));
+	}
+
+	// A queue that was removed is kept as it was configured last.
+	private static boolean wasOpen(BatchJob job) {
+		return job.configuredQueue().filter(BatchQueue::open).isPresent();
+	}
+
 	// A configuration may open a queue or close it. Callers of an open queue need no key,
 	// and a job that was submitted without one has no owner.
 	private static boolean mayAccess(BatchJob job, BatchQueue queue, String owner) {
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/ChangedQueueTests.java
@@ -214,6 +214,78 @@
 			.isEqualTo(refused(FleetReply.Reason.INVALID));
 	}
 
+	/**
+	 * Guards against an accepted job that nobody can end, because the configuration has
+	 * no queue for it. A success is not permitted there.
+	 */
+	@Test
+	void aJobWhoseQueueIsRemovedCanBeCancelledByItsWorkspace() {
+		submit("/jobs/a");
+		configure(queue("second", "/others/", "other"));
+		CallDecision.Commit decided = (CallDecision.Commit) decideCancel("/jobs/a", Optional.of("key"));
+		Truth.assertThat(decided.replyTo(new FleetReply.Accepted())).isEqualTo(refused(FleetReply.Reason.NO_SUCH_JOB));
+		apply(decided.command());
+		Truth.assertThat(plannedRunners()).isEmpty();
+		Truth.assertThat(decideCancel("/jobs/a", Optional.of("key")))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.NO_SUCH_JOB)));
+		configure(queue("first", "/jobs/", "pool"));
+		Truth.assertThat(look("/jobs/a")).isEqualTo(new FleetReply.JobStatus(BatchJobPhase.CANCELLED));
+	}
+
+	/** Guards against the same fault on a member that has restored a snapshot. */
+	@Test
+	void aJobWhoseQueueIsRemovedCanBeCancelledAfterASnapshot() {
+		submit("/jobs/a");
+		configure(queue("second", "/others/", "other"));
+		restart();
+		Truth.assertThat(decideCancel("/jobs/a", Optional.of("key"))).isInstanceOf(CallDecision.Commit.class);
+	}
+
+	@Test
+	void aCancellingAtARemovedQueueIsRefusedWithoutTheKeyOfTheJob() {
+		submit("/jobs/a");
+		configure(queue("second", "/others/", "other"));
+		Truth.assertThat(decideCancel("/jobs/a", Optional.empty()))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.NO_SUCH_QUEUE)));
+		Truth.assertThat(decideCancel("/jobs/a", Optional.of("withdrawn")))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.NO_SUCH_QUEUE)));
+		Truth.assertThat(decideCancel("/jobs/unknown", Optional.of("key")))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.NO_SUCH_QUEUE)));
+	}
+
+	/** Guards against jobs without an owner that nobody can end. */
+	@Test
+	void aJobSubmittedWithoutAKeyCanBeCancelledAfterItsQueueIsClosedOrRemoved() {
+		configure(openQueue("/jobs/"));
+		submitWithoutKey("/jobs/a");
+		configure(queue("first", "/jobs/", "pool"));
+		CallDecision.Commit closed = (CallDecision.Commit) decideCancel("/jobs/a", Optional.empty());
+		Truth.assertThat(closed.reply()).isEqualTo(refused(FleetReply.Reason.NO_SUCH_JOB));
+		configure(queue("second", "/others/", "other"));
+		CallDecision.Commit removed = (CallDecision.Commit) decideCancel("/jobs/a", Optional.empty());
+		Truth.assertThat(removed.reply()).isEqualTo(refused(FleetReply.Reason.NO_SUCH_JOB));
+	}
+
+	/** Guards against a withdrawn key that still has an effect. */
+	@Test
+	void aWithdrawnKeyCancelsNothing() {
+		submit("/jobs/a");
+		Truth.assertThat(decideCancel("/jobs/a", Optional.of("withdrawn")))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.KEY_REFUSED)));
+		configure(openQueue("/jobs/"));
+		submitWithoutKey("/jobs/b");
+		configure(queue("first", "/jobs/", "pool"));
+		Truth.assertThat(decideCancel("/jobs/b", Optional.of("withdrawn")))
+			.isEqualTo(new CallDecision.Answer(refused(FleetReply.Reason.KEY_REFUSED)));
+	}
+
+	@Test
+	void aCancellingAtAQueueThatIsStillThereIsAccepted() {
+		submit("/jobs/a");
+		CallDecision.Commit decided = (CallDecision.Commit) decideCancel("/jobs/a", Optional.of("key"));
+		Truth.assertThat(decided.reply()).isEqualTo(new FleetReply.Accepted());
+	}
+
 	/** Jobs of earlier versions were stored with the name of their queue only. */
 	@Test
 	void aJobOfAnEarlierVersionTakesTheAddressOfTheQueueThatHasItsName() {
@@ -254,6 +326,18 @@
 		commit(new FleetCall.Cancel("host", path, Optional.of("key")));
 	}
 
+	private static BatchQueue openQueue(String pathPrefix) {
+		return new BatchQueue("open", "host", pathPrefix, true, "pool", 0, 2, 3_000, 600, 1.6);
+	}
+
+	private void submitWithoutKey(String path) {
+		commit(new FleetCall.Submit("host", path, Optional.empty(), JOB));
+	}
+
+	private CallDecision decideCancel(String path, Optional<String> key) {
+		return this.rules.decide(new FleetCall.Cancel("host", path, key), this.state, JobAdmission.ALWAYS);
+	}
+
 	private void commit(FleetCall.CallerCall call) {
 		apply(((CallDecision.Commit) this.rules.decide(call, this.state, JobAdmission.ALWAYS)).command());
 	}
