Check the limit of a workspace when a start is sent

Cause: the limit was looked at when a task was assigned, and the start was sent for as long as the run was neither confirmed nor released.

Change: StartPermissions is asked in the step that takes the next order of a runner. While a workspace is above its limit, its unconfirmed runs are stopped, a gang as a whole.

--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/FleetLeader.java
@@ -47,6 +47,7 @@
 import io.burdockpin.core.batch.lead.run.RunnerReliabilityTracker;
 import io.burdockpin.core.batch.lead.run.RunnerReply;
 import io.burdockpin.core.batch.lead.run.RunnerSession;
+import io.burdockpin.core.batch.lead.run.StartPermissions;
 import io.burdockpin.core.batch.lead.wave.WaveController;
 import io.burdockpin.core.batch.model.BatchJobPhase;
 import io.burdockpin.core.batch.model.RunnerKey;
@@ -121,6 +122,8 @@
 
 	private final JobStartRecorder jobStarts;
 
+	private final StartPermissions startPermissions;
+
 	private final OverdueWatch overdueWatch;
 
 	private final List<BatchCommand> proposals = new ArrayList<>();
@@ -187,6 +190,7 @@
 				settings.placementOrder(), this.placementWaits);
 		this.hostOrders = new HostOrderQueue(settings.hostOrdersPerSecond());
 		this.jobStarts = new JobStartRecorder(state);
+		this.startPermissions = new StartPermissions(state);
 		this.overdueWatch = new OverdueWatch(settings, nowMillis);
 		// Sessions are visited in this order, so runners with tasks are contacted before
 		// their leases expire.
@@ -277,6 +281,7 @@
 			this.orderedMillis = nowMillis;
 		}
 		sessionsToVisit(sweeps).stream().filter((session) -> !isBeingRemoved(session)).forEach((session) -> {
+			this.startPermissions.revokedIn(session).forEach((run) -> revokeStart(run.task()));
 			session.nextOrder(nowMillis).ifPresent((order) -> due.add(dispatch(session, order)));
 			this.firstContacts.nextHeartbeat(session, nowMillis)
 				.ifPresent((order) -> due.add(dispatch(session, order)));
@@ -426,6 +431,7 @@
 	 */
 	public void onApplied(BatchCommand command, long nowMillis) {
 		this.changedSincePlan = true;
+		this.startPermissions.onApplied();
 		if (command instanceof BatchCommand.AssignRuns assigned) {
 			this.planInFlight = false;
 			assigned.assignments().forEach((assignment) -> onAssigned(assignment, nowMillis));
@@ -680,6 +686,13 @@
 		ended.forEach(this::stopRunsOf);
 	}
 
+	// A gang of which a member must not start would wait for it in vain.
+	private void revokeStart(TaskId task) {
+		this.state.step(task)
+			.ifPresent((step) -> (step.spec().gang() ? step.changedTasks() : List.of(step.tasks().get(task.index())))
+				.forEach(this::stop));
+	}
+
 	private void stop(BatchTask task) {
 		task.run().ifPresent((run) -> session(run.runner()).ifPresent((session) -> {
 			this.runnersWithEvents.add(run.runner());
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunProgress.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunProgress.java
@@ -100,9 +100,17 @@
 		return this.stopRequested;
 	}
 
-	boolean needsStart(long nowMillis) {
+	/**
+	 * Checks whether the run is to be started and its runner has not confirmed it.
+	 * @return {@code true} also if an order was sent, which may still be carried out
+	 */
+	boolean isUnconfirmed() {
 		boolean isOpen = this.phase == Phase.NEW || this.phase == Phase.UNCONFIRMED;
-		return isOpen && !this.stopRequested && !this.released && nowMillis >= this.nextTryMillis;
+		return isOpen && !this.stopRequested && !this.released;
+	}
+
+	boolean needsStart(long nowMillis) {
+		return isUnconfirmed() && nowMillis >= this.nextTryMillis;
 	}
 
 	boolean needsStop(long nowMillis) {
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunnerSession.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/lead/run/RunnerSession.java
@@ -310,6 +310,14 @@
 		return progress(task).filter((known) -> known.run().number() == run).isPresent();
 	}
 
+	/**
+	 * Returns the runs that are to be started and are not confirmed by the runner.
+	 * @return runs in the order of their starts
+	 */
+	public List<Run> unconfirmedRuns() {
+		return this.runs.values().stream().filter(RunProgress::isUnconfirmed).map(RunProgress::run).toList();
+	}
+
 	/**
 	 * Describes the contact with the runner.
 	 * @param nowMillis current monotonic time, in milliseconds
--- a/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
+++ b/burdockpin-core/src/test/java/io/burdockpin/core/batch/lead/SimulatedFleet.java
@@ -99,8 +99,12 @@
 
 	private final BatchState state = new BatchState();
 
+	private final BatchQueue queue;
+
 	private FleetLeader leader;
 
+	private long version;
+
 	private long term = 1;
 
 	private long nowMillis = 1_000_000;
@@ -116,10 +120,8 @@
 	public SimulatedFleet(RandomGenerator random, Faults faults, int runnerCount, int maximumAttempts) {
 		this.random = random;
 		this.faults = faults;
-		BatchQueue queue = new BatchQueue("queue", "host", "/queue/", true, POOL, 0, maximumAttempts, 3_000, 500, 2);
-		commit(List.of(new BatchCommand.SetConfiguration(new FleetConfiguration(1, List.of(queue),
-				List.of(new BatchPool(POOL, false, false)),
-				List.of(new Workspace("team", Set.of("key"), 1, new Resources(20_000, 0, 0))), Payload.EMPTY))));
+		this.queue = new BatchQueue("queue", "host", "/queue/", true, POOL, 0, maximumAttempts, 3_000, 500, 2);
+		setLimit(new Resources(20_000, 0, 0));
 		for (int number = 0; number < runnerCount; number++) {
 			String id = "r" + number;
 			this.runners.put(id, new SimulatedRunner(id, POOL, random, this.nowMillis));
@@ -130,6 +132,14 @@
 		at(0, this::decide);
 	}
 
+	/** Commits a configuration with another upper limit of the workspace. */
+	public void setLimit(Resources limit) {
+		this.version++;
+		commit(List.of(new BatchCommand.SetConfiguration(
+				new FleetConfiguration(this.version, List.of(this.queue), List.of(new BatchPool(POOL, false, false)),
+						List.of(new Workspace("team", Set.of("key"), 1, limit)), Payload.EMPTY))));
+	}
+
 	/** Distributes the runners evenly between data centres named dc0, dc1 and so on. */
 	public void placeInDataCentres(int count) {
 		int number = 0;
@@ -427,6 +437,9 @@
 		if (order instanceof RunnerOrder.Start start && this.state.isClosed(dispatch.runner().dataCentre())) {
 			addViolation("%s run %d is ordered in a closed data centre", start.task(), start.run());
 		}
+		if (order instanceof RunnerOrder.Start start) {
+			checkLimit(start);
+		}
 		SimulatedRunner runner = this.runners.get(key.id());
 		boolean isLate = this.faults.lateShare() > this.random.nextDouble();
 		boolean isLost = runner == null || this.cutOff.contains(key.id()) || !runner.isUp()
@@ -490,6 +503,23 @@
 		}
 	}
 
+	// The tasks that run, and the one that is to start, whatever the leader counts.
+	private void checkLimit(RunnerOrder.Start start) {
+		Set<TaskId> tasks = new HashSet<>();
+		tasks.add(start.task());
+		this.runners.values()
+			.stream()
+			.filter(SimulatedRunner::isUp)
+			.forEach((runner) -> tasks.addAll(runner.running().keySet()));
+		Resources running = tasks.stream()
+			.flatMap((task) -> this.state.step(task).stream())
+			.map((step) -> step.spec().resources())
+			.reduce(Resources.NONE, Resources::plus);
+		if (this.state.configuration().orElseThrow().workspace("team").orElseThrow().isExceededBy(running)) {
+			addViolation("%s run %d is ordered with %s running, above the limit", start.task(), start.run(), running);
+		}
+	}
+
 	private void checkCheckpoint(RunnerOrder.Start start) {
 		TaskId task = start.task();
 		boolean isGang = this.state.step(task).filter((step) -> step.spec().gang()).isPresent();
