--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/call/CallRules.java
@@ -43,7 +43,7 @@
 		Optional<Workspace> workspace = call.key().flatMap(configuration::workspaceOf);
 		String owner = workspace.map(Workspace::name).orElse("");
 		if (queue.isEmpty() || (workspace.isEmpty() && !queue.get().open())) {
-			return withoutQueue(call, queue, workspace, state);
+			return decideWithoutQueue(call, queue, workspace, state);
 		}
 		String job = call.path().substring(queue.get().pathPrefix().length());
 		if (call instanceof FleetCall.Submit submit) {
@@ -177,7 +177,7 @@
 
 	// The queue of an accepted job may have been removed or closed since. Its caller can
 	// still end it, but gets no success where the configuration permits none.
-	private static CallDecision withoutQueue(FleetCall.CallerCall call, Optional<BatchQueue> queue,
+	private static CallDecision decideWithoutQueue(FleetCall.CallerCall call, Optional<BatchQueue> queue,
 			Optional<Workspace> workspace, BatchState state) {
 		Optional<BatchJob> cancelled = (call instanceof FleetCall.Cancel) ? state.jobAt(call.host(), call.path())
 			.filter((job) -> workspace.isPresent() ? mayCancelWithKey(job, workspace.get())
--- a/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
+++ b/burdockpin-core/src/main/java/io/burdockpin/core/batch/state/StepTasks.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.RandomAccess;
+import java.util.function.Consumer;
 
 import io.burdockpin.core.batch.model.StepSpec;
 
@@ -222,13 +223,13 @@
 		return this.spec.gang() ? this.gangFailures : task.failures();
 	}
 
-	private void change(int index, Change change) {
+	private void change(int index, Consumer<BatchTask> change) {
 		while (this.changed.size() <= index) {
 			this.changed.add(new BatchTask());
 		}
 		BatchTask task = this.changed.get(index);
 		count(task, -1);
-		change.applyTo(task);
+		change.accept(task);
 		count(task, 1);
 		if (task.isWaiting()) {
 			this.firstWaiting = Math.min(this.firstWaiting, index);
@@ -244,14 +245,6 @@
 		this.waitingCount += task.isWaiting() ? difference : 0;
 	}
 
-	/** A change of one task. */
-	@FunctionalInterface
-	private interface Change {
-
-		void applyTo(BatchTask task);
-
-	}
-
 	/** View of all tasks, with one object for those that were never changed. */
 	private final class AllTasks extends AbstractList<BatchTask> implements RandomAccess {
 
