--- a/burdockpin-runtime/src/test/java/io/burdockpin/runtime/service/StagedProgram.java
+++ b/burdockpin-runtime/src/test/java/io/burdockpin/runtime/service/StagedProgram.java
@@ -39,7 +39,9 @@
 	 */
 	static Process start(Stage stage, Path folder) throws IOException {
 		Path settings = Files.writeString(folder.resolve("settings.json"), "{\"waitAt\": \"" + stage + "\"}");
-		return new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+		// A process started by nohup inherits that SIGHUP is ignored.
+		return new ProcessBuilder(List.of("env", "--default-signal=HUP",
+				Path.of(System.getProperty("java.home"), "bin", "java").toString(),
 				"-Djava.util.logging.manager=" + StopSafeLogManager.class.getName(), "-cp",
 				System.getProperty("java.class.path"), StagedProgram.class.getName(), "--settings",
 				settings.toString()))
